--- /dev/null
+++ b/include/masticdrift/core/Resources.h
@@ -0,0 +1,64 @@
+/// \file
+/// Amounts of a worker's resources.
+#ifndef MASTICDRIFT_CORE_RESOURCES_H
+#define MASTICDRIFT_CORE_RESOURCES_H
+
+#include <algorithm>
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include <msgpack.hpp>
+
+namespace masticdrift::core {
+
+/// Processor time, memory and accelerators of a worker or a task. Whole numbers, so that sums are
+/// exact.
+struct Resources {
+  std::int64_t MilliCores_ = 0; ///< thousandths of a core
+  std::int64_t MemoryMb_ = 0;   ///< mebibytes
+  std::int64_t Accelerators_ = 0;
+  MSGPACK_DEFINE_ARRAY(MilliCores_, MemoryMb_, Accelerators_)
+
+  bool operator==(const Resources &) const = default;
+
+  Resources &operator+=(const Resources &Other) {
+    MilliCores_ += Other.MilliCores_;
+    MemoryMb_ += Other.MemoryMb_;
+    Accelerators_ += Other.Accelerators_;
+    return *this;
+  }
+  Resources &operator-=(const Resources &Other) {
+    MilliCores_ -= Other.MilliCores_;
+    MemoryMb_ -= Other.MemoryMb_;
+    Accelerators_ -= Other.Accelerators_;
+    return *this;
+  }
+  friend Resources operator+(Resources A, const Resources &B) { return A += B; }
+  friend Resources operator-(Resources A, const Resources &B) { return A -= B; }
+  friend Resources operator*(Resources A, std::int64_t Times) {
+    return {A.MilliCores_ * Times, A.MemoryMb_ * Times, A.Accelerators_ * Times};
+  }
+};
+
+/// The kinds of resource in a fixed order, for loops over all of them.
+inline constexpr std::size_t ResourceKinds = 3;
+inline constexpr std::array<std::string_view, ResourceKinds> ResourceNames{"cores", "memory_mb",
+                                                                           "accelerators"};
+
+/// \returns the amounts in the order of ResourceNames (cores in thousandths).
+constexpr std::array<std::int64_t, ResourceKinds> amounts(const Resources &Of) {
+  return {Of.MilliCores_, Of.MemoryMb_, Of.Accelerators_};
+}
+
+/// \returns true when \p Need is at most \p Room in every kind.
+constexpr bool fits(const Resources &Need, const Resources &Room) {
+  return Need.MilliCores_ <= Room.MilliCores_ && Need.MemoryMb_ <= Room.MemoryMb_ &&
+         Need.Accelerators_ <= Room.Accelerators_;
+}
+
+} // namespace masticdrift::core
+
+#endif // MASTICDRIFT_CORE_RESOURCES_H
--- /dev/null
+++ b/src/core/Log.cpp
@@ -0,0 +1,58 @@
+#include "masticdrift/core/Log.h"
+
+#include <memory>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace masticdrift::core {
+
+namespace {
+
+std::string InstanceName; // NOLINT: set once before threads start
+
+spdlog::level::level_enum toSpdlog(LogLevel Level) {
+  switch (Level) {
+  case LogLevel::Debug:
+    return spdlog::level::debug;
+  case LogLevel::Info:
+    return spdlog::level::info;
+  case LogLevel::Warning:
+    return spdlog::level::warn;
+  case LogLevel::Error:
+    return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+spdlog::logger &logger() {
+  static const std::shared_ptr<spdlog::logger> Logger = [] {
+    auto Made = std::make_shared<spdlog::logger>("masticdrift",
+                                                 std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    Made->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",%v}");
+    Made->flush_on(spdlog::level::info);
+    return Made;
+  }();
+  return *Logger;
+}
+
+} // namespace
+
+void initLog(std::string_view Instance, LogLevel Lowest) {
+  InstanceName = Instance;
+  logger().set_level(toSpdlog(Lowest));
+}
+
+void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields) {
+  if (!logger().should_log(toSpdlog(Level)))
+    return;
+  nlohmann::ordered_json Line{{"instance", InstanceName}, {"event", Event}};
+  for (const LogField &Field : Fields)
+    Line[std::string(Field.Key_)] = Field.Value_;
+  const std::string Text = Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  // The pattern supplies the braces, so that time and level come first.
+  logger().log(toSpdlog(Level), "{}", std::string_view(Text).substr(1, Text.size() - 2));
+}
+
+} // namespace masticdrift::core
--- /dev/null
+++ b/src/core/Metrics.cpp
@@ -0,0 +1,111 @@
+#include "masticdrift/core/Metrics.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace masticdrift::core {
+
+namespace {
+
+using enum MetricType;
+
+constexpr std::array Table{
+    MetricInfo{"masticdrift_requests_total", Counter, "Interactive requests by outcome and kind"},
+    MetricInfo{"masticdrift_request_seconds", Histogram, "Time from receipt to answer"},
+    MetricInfo{"masticdrift_forwards_total", Counter, "Requests forwarded to an owner"},
+    MetricInfo{"masticdrift_retries_total", Counter, "Sends after the first of a request"},
+    MetricInfo{"masticdrift_slots_in_use", Gauge, "Executor slots taken in the owned domain"},
+    MetricInfo{"masticdrift_queue_length", Gauge, "Interactive requests waiting at this owner"},
+    MetricInfo{"masticdrift_owner", Gauge, "1 while this daemon holds its domain's lease"},
+    MetricInfo{"masticdrift_lease_seconds", Gauge, "Seconds until the held lease ends"},
+    MetricInfo{"masticdrift_takeovers_total", Counter, "Claims won by this daemon"},
+    MetricInfo{"masticdrift_appends_total", Counter, "Appends to the log by stream and result"},
+    MetricInfo{"masticdrift_records_total", Counter, "Records appended by stream"},
+    MetricInfo{"masticdrift_store_age_seconds", Gauge, "Time since the last complete config read"},
+    MetricInfo{"masticdrift_config_version", Gauge, "Configuration version in force"},
+    MetricInfo{"masticdrift_config_fresh", Gauge, "1 while the configuration counts as current"},
+    MetricInfo{"masticdrift_peer_bytes_total", Counter, "Bytes between daemons by direction"},
+    MetricInfo{"masticdrift_peer_reconnects_total", Counter, "Peer connections made again"},
+    MetricInfo{"masticdrift_control_bytes_total", Counter, "Control bytes by link"},
+    MetricInfo{"masticdrift_jobs", Gauge, "Durable jobs of the domain by state"},
+    MetricInfo{"masticdrift_task_starts_total", Counter, "Task starts sent to workers"},
+    MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
+};
+
+// Exponential from 0.1 ms to 6.5 s.
+const prometheus::Histogram::BucketBoundaries Buckets{
+    0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 6.5};
+
+const MetricInfo &infoOf(std::string_view Name) {
+  const auto *Found = std::ranges::find(Table, Name, &MetricInfo::Name_);
+  if (Found == Table.end())
+    throw std::logic_error("metric " + std::string(Name) + " is not in the table");
+  return *Found;
+}
+
+/// Families by name over one registry.
+class Families {
+public:
+  template <typename Builder> auto &family(std::string_view Name, Builder Make) {
+    const std::lock_guard Lock(Mutex_);
+    auto &Slot = ByName_[std::string(Name)];
+    if (Slot == nullptr)
+      Slot =
+          &Make().Name(std::string(Name)).Help(std::string(infoOf(Name).Help_)).Register(Registry_);
+    using Family = std::remove_reference_t<decltype(Make().Register(Registry_))>;
+    return *static_cast<Family *>(Slot);
+  }
+  std::string render() const { return prometheus::TextSerializer().Serialize(Registry_.Collect()); }
+
+private:
+  std::mutex Mutex_;
+  prometheus::Registry Registry_;
+  std::map<std::string, void *, std::less<>> ByName_;
+};
+
+Families &families() {
+  static Families Instance;
+  return Instance;
+}
+
+std::map<std::string, std::string> toMap(Labels LabelValues) {
+  return {LabelValues.begin(), LabelValues.end()};
+}
+
+} // namespace
+
+std::span<const MetricInfo> metricTable() { return Table; }
+
+void count(std::string_view Name, Labels LabelValues, double Amount) {
+  families()
+      .family(Name, [] { return prometheus::BuildCounter(); })
+      .Add(toMap(LabelValues))
+      .Increment(Amount);
+}
+
+void setGauge(std::string_view Name, double Value, Labels LabelValues) {
+  families()
+      .family(Name, [] { return prometheus::BuildGauge(); })
+      .Add(toMap(LabelValues))
+      .Set(Value);
+}
+
+void observe(std::string_view Name, double Seconds, Labels LabelValues) {
+  families()
+      .family(Name, [] { return prometheus::BuildHistogram(); })
+      .Add(toMap(LabelValues), Buckets)
+      .Observe(Seconds);
+}
+
+std::string renderMetrics() { return families().render(); }
+
+} // namespace masticdrift::core
--- /dev/null
+++ b/src/daemon/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/http/Client.cpp
@@ -0,0 +1,222 @@
+#include "masticdrift/http/Client.h"
+
+#include <atomic>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+#include <curl/curl.h>
+
+namespace masticdrift::http {
+
+namespace {
+
+/// One exchange; lives until its callback has run.
+struct Exchange {
+  ClientRequest Request_;
+  Callback Done_;
+  CURL *Easy_ = nullptr;
+  curl_slist *HeaderList_ = nullptr;
+  Response Answer_;
+  bool HeadersSeen_ = false;
+};
+
+/// Connections older than this are not reused, so that a silently dead one is not kept for long.
+constexpr long MaxConnectionAgeSeconds = 60;
+
+std::size_t onBody(char *Data, std::size_t Size, std::size_t Count, void *User) {
+  static_cast<Exchange *>(User)->Answer_.Body_.append(Data, Size * Count);
+  return Size * Count;
+}
+
+std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count, void *User) {
+  auto &Self = *static_cast<Exchange *>(User);
+  Self.HeadersSeen_ = true;
+  std::string_view Line(Data, Size * Count);
+  while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
+    Line.remove_suffix(1);
+  const std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos)
+    return Size * Count;
+  std::string_view Value = Line.substr(Colon + 1);
+  while (!Value.empty() && Value.front() == ' ')
+    Value.remove_prefix(1);
+  Self.Answer_.Headers_.emplace_back(Line.substr(0, Colon), Value);
+  return Size * Count;
+}
+
+void prepare(Exchange &Work, long IdleSeconds) {
+  CURL *Easy = Work.Easy_;
+  curl_easy_setopt(Easy, CURLOPT_URL, Work.Request_.Url_.c_str());
+  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Work.Request_.Method_.c_str());
+  curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(Easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS, static_cast<long>(Work.Request_.Timeout_.count()));
+  curl_easy_setopt(Easy, CURLOPT_MAXAGE_CONN, IdleSeconds);
+  curl_easy_setopt(Easy, CURLOPT_MAXLIFETIME_CONN, MaxConnectionAgeSeconds);
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &onBody);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Work);
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &onHeader);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Work);
+  curl_easy_setopt(Easy, CURLOPT_PRIVATE, &Work);
+  if (Work.Request_.FreshConnection_) {
+    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (!Work.Request_.Body_.empty() || Work.Request_.Method_ != "GET") {
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Work.Request_.Body_.data());
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(Work.Request_.Body_.size()));
+  }
+  // No "Expect: 100-continue": libcurl would send the body again by itself on some answers.
+  Work.HeaderList_ = curl_slist_append(nullptr, "Expect:");
+  for (const auto &[Name, Value] : Work.Request_.Headers_)
+    Work.HeaderList_ = curl_slist_append(Work.HeaderList_, (Name + ": " + Value).c_str());
+  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Work.HeaderList_);
+}
+
+bool lengthDeclared(const Exchange &Work) {
+  return !findHeader(Work.Answer_.Headers_, "Content-Length").empty() ||
+         findHeader(Work.Answer_.Headers_, "Transfer-Encoding") == "chunked" ||
+         Work.Answer_.Status_ == 204;
+}
+
+Transfer classify(CURLcode Code, const Exchange &Work, std::size_t BytesOut) {
+  if (Code == CURLE_OK)
+    return lengthDeclared(Work) ? Transfer::Complete : Transfer::Truncated;
+  if (Work.HeadersSeen_)
+    return Transfer::Truncated;
+  double Connected = 0;
+  curl_easy_getinfo(Work.Easy_, CURLINFO_CONNECT_TIME, &Connected);
+  const bool Refused = Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST;
+  const bool TimedOutConnecting =
+      Code == CURLE_OPERATION_TIMEDOUT && Connected == 0 && BytesOut == 0;
+  return Refused || TimedOutConnecting ? Transfer::NotConnected : Transfer::NoAnswer;
+}
+
+ClientResult resultOf(CURLcode Code, Exchange &Work) {
+  ClientResult Result;
+  long Status = 0;
+  long HeaderOut = 0;
+  long HeaderIn = 0;
+  curl_off_t BodyOut = 0;
+  curl_easy_getinfo(Work.Easy_, CURLINFO_RESPONSE_CODE, &Status);
+  curl_easy_getinfo(Work.Easy_, CURLINFO_REQUEST_SIZE, &HeaderOut);
+  curl_easy_getinfo(Work.Easy_, CURLINFO_HEADER_SIZE, &HeaderIn);
+  curl_easy_getinfo(Work.Easy_, CURLINFO_SIZE_UPLOAD_T, &BodyOut);
+  Work.Answer_.Status_ = static_cast<int>(Status);
+  Result.BytesOut_ = static_cast<std::size_t>(HeaderOut) + static_cast<std::size_t>(BodyOut);
+  Result.BytesIn_ = static_cast<std::size_t>(HeaderIn) + Work.Answer_.Body_.size();
+  Result.Transfer_ = classify(Code, Work, Result.BytesOut_);
+  if (Code != CURLE_OK)
+    Result.Error_ = curl_easy_strerror(Code);
+  else if (Result.Transfer_ == Transfer::Truncated)
+    Result.Error_ = "answer has no declared length";
+  Work.Answer_.ContentType_ = findHeader(Work.Answer_.Headers_, "Content-Type");
+  Result.Answer_ = std::move(Work.Answer_);
+  return Result;
+}
+
+} // namespace
+
+struct Client::Impl {
+  Impl(long ConnectionsPerHost, std::chrono::seconds IdleLimit)
+      : IdleSeconds_(static_cast<long>(IdleLimit.count())) {
+    static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)Initialized;
+    Multi_ = curl_multi_init();
+    if (ConnectionsPerHost > 0)
+      curl_multi_setopt(Multi_, CURLMOPT_MAX_HOST_CONNECTIONS, ConnectionsPerHost);
+    Thread_ = std::thread([this] { run(); });
+  }
+
+  ~Impl() {
+    Stopping_ = true;
+    curl_multi_wakeup(Multi_);
+    Thread_.join();
+    curl_multi_cleanup(Multi_);
+  }
+
+  void run() {
+    while (!Stopping_) {
+      startPending();
+      int Running = 0;
+      curl_multi_perform(Multi_, &Running);
+      finishDone();
+      curl_multi_poll(Multi_, nullptr, 0, 1000, nullptr);
+    }
+    startPending();
+    while (!Active_.empty())
+      finish(Active_.begin()->second.get(), CURLE_ABORTED_BY_CALLBACK);
+  }
+
+  void startPending() {
+    std::deque<std::unique_ptr<Exchange>> Batch;
+    {
+      const std::lock_guard Lock(Mutex_);
+      Batch.swap(Pending_);
+    }
+    for (auto &Work : Batch) {
+      Work->Easy_ = curl_easy_init();
+      prepare(*Work, IdleSeconds_);
+      curl_multi_add_handle(Multi_, Work->Easy_);
+      Active_.emplace(Work->Easy_, std::move(Work));
+    }
+  }
+
+  void finishDone() {
+    int Left = 0;
+    while (CURLMsg *Message = curl_multi_info_read(Multi_, &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      const CURLcode Code = Message->data.result;
+      finish(Active_.at(Message->easy_handle).get(), Code);
+    }
+  }
+
+  void finish(Exchange *Work, CURLcode Code) {
+    ClientResult Result = resultOf(Code, *Work);
+    curl_multi_remove_handle(Multi_, Work->Easy_);
+    curl_slist_free_all(Work->HeaderList_);
+    curl_easy_cleanup(Work->Easy_);
+    auto Node = Active_.extract(Work->Easy_);
+    Node.mapped()->Done_(std::move(Result));
+  }
+
+  const long IdleSeconds_;
+  CURLM *Multi_ = nullptr;
+  std::atomic<bool> Stopping_{false};
+  std::mutex Mutex_;
+  std::deque<std::unique_ptr<Exchange>> Pending_;
+  std::unordered_map<CURL *, std::unique_ptr<Exchange>> Active_;
+  std::thread Thread_;
+};
+
+Client::Client(long ConnectionsPerHost, std::chrono::seconds IdleLimit)
+    : Impl_(std::make_unique<Impl>(ConnectionsPerHost, IdleLimit)) {}
+
+Client::~Client() = default;
+
+void Client::send(ClientRequest Request, Callback Done) {
+  auto Work = std::make_unique<Exchange>();
+  Work->Request_ = std::move(Request);
+  Work->Done_ = std::move(Done);
+  {
+    const std::lock_guard Lock(Impl_->Mutex_);
+    Impl_->Pending_.push_back(std::move(Work));
+  }
+  curl_multi_wakeup(Impl_->Multi_);
+}
+
+ClientResult Client::sendAndWait(ClientRequest Request) {
+  std::promise<ClientResult> Promise;
+  auto Future = Promise.get_future();
+  send(std::move(Request),
+       [&Promise](ClientResult Result) { Promise.set_value(std::move(Result)); });
+  return Future.get();
+}
+
+} // namespace masticdrift::http
--- /dev/null
+++ b/src/http/Server.cpp
@@ -0,0 +1,128 @@
+#include "masticdrift/http/Server.h"
+
+#include "masticdrift/core/Error.h"
+
+#include <atomic>
+#include <optional>
+#include <thread>
+
+#include <restinio/all.hpp>
+
+namespace masticdrift::http {
+
+namespace {
+
+using RestinioTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+
+/// Headers above this size close the connection inside the parser.
+constexpr std::size_t MaxHeaderValue = 8192;
+constexpr std::size_t MaxHeaderCount = 64;
+/// Bodies up to this many times the limit are read, so that the sender gets an answer with an error
+/// id.
+constexpr std::size_t OversizeFactor = 4;
+
+Request convert(restinio::request_t &From) {
+  Request To;
+  To.Method_ = From.header().method().c_str();
+  To.Path_ = std::string(From.header().path());
+  To.Query_ = std::string(From.header().query());
+  To.Body_ = From.body();
+  From.header().for_each_field([&To](const auto &Field) {
+    To.Headers_.emplace_back(std::string(Field.name()), std::string(Field.value()));
+  });
+  return To;
+}
+
+void respond(const restinio::request_handle_t &To, Response Answer) {
+  auto Out = To->create_response(restinio::http_status_line_t(
+      restinio::http_status_code_t(static_cast<std::uint16_t>(Answer.Status_)),
+      Answer.Status_ < 400 ? "OK" : "Error"));
+  Out.append_header(restinio::http_field::content_type, Answer.ContentType_);
+  for (const auto &[Name, Value] : Answer.Headers_)
+    Out.append_header(Name, Value);
+  Out.set_body(std::move(Answer.Body_));
+  Out.done();
+}
+
+} // namespace
+
+struct Server::Impl {
+  using Restinio = restinio::http_server_t<RestinioTraits>;
+
+  Impl(const ServerOptions &Options, Handler OnRequest)
+      : Server_(restinio::own_io_context(),
+                [&](restinio::server_settings_t<RestinioTraits> &Settings) {
+                  configure(Settings, Options, std::move(OnRequest));
+                }) {
+    std::atomic<bool> Opened{false};
+    std::exception_ptr Error;
+    Server_.open_async([&] { Opened = true; },
+                       [&](std::exception_ptr Reason) { Error = std::move(Reason); });
+    while (!Opened && !Error)
+      Server_.io_context().run_one();
+    if (Error)
+      std::rethrow_exception(Error);
+    for (unsigned I = 0; I < Options.Threads_; ++I)
+      Threads_.emplace_back([this] { Server_.io_context().run(); });
+  }
+
+  void configure(restinio::server_settings_t<RestinioTraits> &Settings,
+                 const ServerOptions &Options, Handler OnRequest) {
+    const std::size_t MaxBody = Options.MaxBody_;
+    Settings.address(Options.Address_)
+        .port(Options.Port_)
+        .concurrent_accepts_count(2)
+        .read_next_http_message_timelimit(Options.ReadTimeout_)
+        .handle_request_timeout(std::chrono::seconds(120))
+        .write_http_response_timelimit(std::chrono::seconds(10))
+        .max_pipelined_requests(1)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_body_size(MaxBody * OversizeFactor)
+                                      .max_field_value_size(MaxHeaderValue)
+                                      .max_field_count(MaxHeaderCount))
+        .socket_options_setter(
+            [](auto &Socket) { Socket.set_option(restinio::asio_ns::ip::tcp::no_delay{true}); })
+        .acceptor_options_setter([](auto &Acceptor) {
+          Acceptor.set_option(restinio::asio_ns::ip::tcp::acceptor::reuse_address{true});
+        })
+        .acceptor_post_bind_hook(
+            [this](auto &Acceptor) { Port_ = Acceptor.local_endpoint().port(); })
+        .request_handler([MaxBody, OnRequest = std::move(OnRequest)](auto Incoming) {
+          if (Incoming->body().size() > MaxBody) {
+            respond(Incoming,
+                    {413, core::errorBody(core::ErrorKind::BodyTooLarge,
+                                          "body has " + std::to_string(Incoming->body().size()) +
+                                              " bytes, limit " + std::to_string(MaxBody),
+                                          {})});
+            return restinio::request_accepted();
+          }
+          OnRequest(convert(*Incoming),
+                    [Incoming](Response Answer) { respond(Incoming, std::move(Answer)); });
+          return restinio::request_accepted();
+        });
+  }
+
+  void stop() {
+    if (Stopped_.exchange(true))
+      return;
+    Server_.io_context().stop();
+    for (std::thread &Thread : Threads_)
+      Thread.join();
+  }
+
+  std::atomic<bool> Stopped_{false};
+  std::uint16_t Port_ = 0;
+  Restinio Server_;
+  std::vector<std::thread> Threads_;
+};
+
+Server::Server(const ServerOptions &Options, Handler OnRequest)
+    : Impl_(std::make_unique<Impl>(Options, std::move(OnRequest))) {}
+
+Server::~Server() { Impl_->stop(); }
+
+std::uint16_t Server::port() const { return Impl_->Port_; }
+
+void Server::stop() { Impl_->stop(); }
+
+} // namespace masticdrift::http
