--- a/include/masticdrift/settings/Reader.h
+++ b/include/masticdrift/settings/Reader.h
@@ -15,6 +15,7 @@
 
 #include "masticdrift/core/Error.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -131,6 +132,9 @@
   /// \returns the whole document.
   Node root() const;
 
+  /// \returns how many mistakes were recorded so far.
+  std::size_t mistakeCount() const;
+
   /// Ends the reading: every member that nobody asked for becomes an UnknownField mistake.
   ///
   /// \returns all mistakes in the order of their discovery. Repeated calls return the same.
--- /dev/null
+++ b/src/settings/Reader.cpp
@@ -0,0 +1,399 @@
+#include "masticdrift/settings/Reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+namespace masticdrift::settings {
+
+using core::ErrorKind;
+using nlohmann::json;
+
+namespace detail {
+
+struct ReaderState {
+  json Document_;
+  bool Parsed_ = false;
+  bool Finished_ = false;
+  std::vector<Mistake> Mistakes_;
+  /// Objects that were read, with the member names that were asked for.
+  std::map<const json *, std::pair<std::string, std::set<std::string, std::less<>>>> Known_;
+};
+
+} // namespace detail
+
+namespace {
+
+/// Deeper documents are refused, because copying and printing a document is recursive.
+constexpr int MaxDepth = 64;
+
+std::string escapeToken(std::string_view Token) {
+  std::string Out;
+  for (const char C : Token) {
+    if (C == '~')
+      Out += "~0";
+    else if (C == '/')
+      Out += "~1";
+    else
+      Out += C;
+  }
+  return Out;
+}
+
+std::string_view typeName(const json &Value) {
+  switch (Value.type()) {
+  case json::value_t::null:
+    return "null";
+  case json::value_t::object:
+    return "an object";
+  case json::value_t::array:
+    return "an array";
+  case json::value_t::string:
+    return "a string";
+  case json::value_t::boolean:
+    return "a boolean";
+  default:
+    return "a number";
+  }
+}
+
+std::size_t editDistance(std::string_view A, std::string_view B) {
+  std::vector<std::size_t> Row(B.size() + 1);
+  std::iota(Row.begin(), Row.end(), 0);
+  for (std::size_t I = 0; I < A.size(); ++I) {
+    std::size_t Diagonal = Row[0];
+    Row[0] = I + 1;
+    for (std::size_t J = 0; J < B.size(); ++J) {
+      const std::size_t Replace = Diagonal + (A[I] == B[J] ? 0 : 1);
+      Diagonal = Row[J + 1];
+      Row[J + 1] = std::min({Replace, Row[J] + 1, Row[J + 1] + 1});
+    }
+  }
+  return Row.back();
+}
+
+/// Text for people: quoted, shortened, control characters and invalid UTF-8 escaped.
+std::string quote(std::string_view Text) {
+  // Long names would make error answers as large as the request.
+  constexpr std::size_t Longest = 80;
+  const bool Short = Text.size() <= Longest;
+  return json(std::string(Text.substr(0, Longest)) + (Short ? "" : "..."))
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string hint(std::string_view Name, std::span<const std::string_view> Known) {
+  const std::string_view Nearest = nearestName(Name, Known);
+  return Nearest.empty() ? "" : ", nearest is " + quote(Nearest);
+}
+
+std::string milliText(std::int64_t Milli) {
+  json Value = static_cast<double>(Milli) / 1000;
+  if (Milli % 1000 == 0)
+    Value = Milli / 1000;
+  return Value.dump();
+}
+
+/// Finds duplicate keys and excessive depth while the parser runs.
+class Watcher {
+public:
+  explicit Watcher(std::vector<Mistake> &Mistakes) : Mistakes_(Mistakes) {}
+
+  bool operator()(int Depth, json::parse_event_t Event, json &Parsed) {
+    using enum json::parse_event_t;
+    if (TooDeep_) // the parser reports no end events for what was discarded
+      return false;
+    if (Event == object_start || Event == array_start) {
+      if (Depth >= MaxDepth) {
+        Mistakes_.push_back({ErrorKind::MalformedJson, pointer(),
+                             "nested deeper than " + std::to_string(MaxDepth) + " levels"});
+        TooDeep_ = true;
+        return false;
+      }
+      Levels_.push_back({Event == array_start, 0, {}, {}});
+    } else if (Event == object_end || Event == array_end) {
+      if (!Levels_.empty())
+        Levels_.pop_back();
+      elementDone();
+    } else if (Event == value) {
+      elementDone();
+    } else if (Event == key && !Levels_.empty()) {
+      Level &Top = Levels_.back();
+      Top.Key_ = Parsed.get<std::string>();
+      if (!Top.Keys_.insert(Top.Key_).second)
+        Mistakes_.push_back({ErrorKind::MalformedJson, pointer(), "key appears twice"});
+    }
+    return true;
+  }
+
+private:
+  struct Level {
+    bool Array_;
+    std::size_t Index_;
+    std::string Key_;
+    std::set<std::string> Keys_;
+  };
+
+  void elementDone() {
+    if (!Levels_.empty() && Levels_.back().Array_)
+      ++Levels_.back().Index_;
+  }
+
+  std::string pointer() const {
+    std::string Out;
+    for (const Level &Each : Levels_)
+      Out += "/" + (Each.Array_ ? std::to_string(Each.Index_) : escapeToken(Each.Key_));
+    return Out;
+  }
+
+  std::vector<Mistake> &Mistakes_;
+  std::vector<Level> Levels_;
+  bool TooDeep_ = false;
+};
+
+const json &valueOf(const void *Value) { return *static_cast<const json *>(Value); }
+
+} // namespace
+
+std::string Mistake::text() const {
+  return Pointer_.empty() ? Message_ : Pointer_ + ": " + Message_;
+}
+
+std::string_view nearestName(std::string_view Name, std::span<const std::string_view> Known) {
+  // Names are short; a longer text is no misspelling and would only cost time.
+  constexpr std::size_t LongestName = 200;
+  std::string_view Best;
+  std::size_t BestDistance = LongestName;
+  if (Name.size() > LongestName)
+    return Best;
+  for (const std::string_view Each : Known) {
+    const std::size_t Allowed = std::max<std::size_t>(2, std::max(Name.size(), Each.size()) / 3);
+    const std::size_t Distance = editDistance(Name, Each);
+    // A distance of the whole length shares no character with the name.
+    if (Distance <= Allowed && Distance < std::max(Name.size(), Each.size()) &&
+        Distance < BestDistance) {
+      Best = Each;
+      BestDistance = Distance;
+    }
+  }
+  return Best;
+}
+
+void Node::fail(ErrorKind Kind, std::string Message) const {
+  State_->Mistakes_.push_back({Kind, Pointer_, std::move(Message)});
+}
+
+void Node::wrongType(std::string_view Expected) const {
+  fail(ErrorKind::WrongType,
+       "expected " + std::string(Expected) + ", found " + std::string(typeName(valueOf(Value_))));
+}
+
+Node Node::child(std::string_view Name) const {
+  std::string Pointer = Pointer_ + "/" + escapeToken(Name);
+  if (Value_ == nullptr)
+    return {State_, nullptr, std::move(Pointer)};
+  const json &Value = valueOf(Value_);
+  const auto [Known, New] = State_->Known_.try_emplace(&Value, Pointer_, std::set<std::string>());
+  if (!Value.is_object()) {
+    if (New)
+      wrongType("an object");
+    return {State_, nullptr, std::move(Pointer)};
+  }
+  Known->second.second.emplace(Name);
+  const auto Found = Value.find(Name);
+  const bool Missing = Found == Value.end() || Found->is_null();
+  return {State_, Missing ? nullptr : &*Found, std::move(Pointer)};
+}
+
+Node Node::optional(std::string_view Name) const { return child(Name); }
+
+Node Node::required(std::string_view Name) const {
+  Node Child = child(Name);
+  if (!Child.present() && present() && valueOf(Value_).is_object())
+    Child.fail(ErrorKind::MissingField, "required field is missing");
+  return Child;
+}
+
+std::vector<Node> Node::items() const {
+  std::vector<Node> Items;
+  if (Value_ == nullptr)
+    return Items;
+  const json &Value = valueOf(Value_);
+  if (!Value.is_array()) {
+    wrongType("an array");
+    return Items;
+  }
+  Items.reserve(Value.size());
+  for (std::size_t I = 0; I < Value.size(); ++I)
+    Items.push_back(Node(State_, &Value[I], Pointer_ + "/" + std::to_string(I)));
+  return Items;
+}
+
+std::vector<std::pair<std::string, Node>> Node::members() const {
+  std::vector<std::pair<std::string, Node>> Members;
+  if (Value_ == nullptr)
+    return Members;
+  const json &Value = valueOf(Value_);
+  if (!Value.is_object()) {
+    wrongType("an object");
+    return Members;
+  }
+  for (const auto &[Name, Each] : Value.items())
+    Members.emplace_back(Name, Node(State_, &Each, Pointer_ + "/" + escapeToken(Name)));
+  return Members;
+}
+
+std::string Node::asString(std::string_view Default) const {
+  if (Value_ == nullptr)
+    return std::string(Default);
+  const json &Value = valueOf(Value_);
+  if (Value.is_string())
+    return Value.get<std::string>();
+  wrongType("a string");
+  return std::string(Default);
+}
+
+std::int64_t Node::asInteger(std::int64_t Min, std::int64_t Max, std::int64_t Default) const {
+  if (Value_ == nullptr)
+    return Default;
+  const json &Value = valueOf(Value_);
+  if (!Value.is_number_integer()) {
+    wrongType(Value.is_number() ? "a whole number" : "a number");
+    return Default;
+  }
+  // Unsigned values above 2^63 would turn negative.
+  const bool TooLarge =
+      Value.is_number_unsigned() && Value.get<std::uint64_t>() > static_cast<std::uint64_t>(Max);
+  const std::int64_t Number = TooLarge && Max >= 0 ? Max : Value.get<std::int64_t>();
+  if ((TooLarge && Max >= 0) || Number < Min || Number > Max) {
+    fail(ErrorKind::OutOfRange,
+         Value.dump() + " is outside " + std::to_string(Min) + ".." + std::to_string(Max));
+    return Default;
+  }
+  return Number;
+}
+
+double Node::asNumber(double Min, double Max, double Default) const {
+  if (Value_ == nullptr)
+    return Default;
+  const json &Value = valueOf(Value_);
+  if (!Value.is_number()) {
+    wrongType("a number");
+    return Default;
+  }
+  const auto Number = Value.get<double>();
+  if (Number >= Min && Number <= Max)
+    return Number;
+  fail(ErrorKind::OutOfRange,
+       Value.dump() + " is outside " + json(Min).dump() + ".." + json(Max).dump());
+  return Default;
+}
+
+std::int64_t Node::asMilli(std::int64_t MinMilli, std::int64_t MaxMilli,
+                           std::int64_t DefaultMilli) const {
+  if (Value_ == nullptr)
+    return DefaultMilli;
+  const json &Value = valueOf(Value_);
+  if (!Value.is_number()) {
+    wrongType("a number");
+    return DefaultMilli;
+  }
+  const double Thousandths = Value.get<double>() * 1000;
+  if (!(Thousandths >= static_cast<double>(MinMilli) &&
+        Thousandths <= static_cast<double>(MaxMilli))) {
+    fail(ErrorKind::OutOfRange,
+         Value.dump() + " is outside " + milliText(MinMilli) + ".." + milliText(MaxMilli));
+    return DefaultMilli;
+  }
+  const auto Rounded = static_cast<std::int64_t>(std::llround(Thousandths));
+  // 0.1 * 1000 is not exactly 100 in binary; a real fourth decimal is at least 0.1 away.
+  if (std::abs(Thousandths - static_cast<double>(Rounded)) > 0.01) {
+    fail(ErrorKind::OutOfRange, Value.dump() + " has more than three decimals");
+    return DefaultMilli;
+  }
+  return Rounded;
+}
+
+bool Node::asBoolean(bool Default) const {
+  if (Value_ == nullptr)
+    return Default;
+  const json &Value = valueOf(Value_);
+  if (Value.is_boolean())
+    return Value.get<bool>();
+  wrongType("true or false");
+  return Default;
+}
+
+std::string Node::asChoice(std::span<const std::string_view> Choices,
+                           std::string_view Default) const {
+  if (Value_ == nullptr)
+    return std::string(Default);
+  const std::size_t Before = State_->Mistakes_.size();
+  std::string Chosen = asString();
+  if (State_->Mistakes_.size() != Before)
+    return std::string(Default);
+  if (std::ranges::find(Choices, Chosen) != Choices.end())
+    return Chosen;
+  std::string Expected;
+  for (const std::string_view Each : Choices)
+    Expected += (Expected.empty() ? "" : ", ") + quote(Each);
+  fail(ErrorKind::OutOfRange, quote(Chosen) + " is not one of " + Expected + hint(Chosen, Choices));
+  return std::string(Default);
+}
+
+Reader::Reader(std::string_view Text) : State_(std::make_unique<detail::ReaderState>()) {
+  std::vector<Mistake> Structure;
+  try {
+    State_->Document_ = json::parse(Text, Watcher(Structure));
+    State_->Parsed_ = Structure.empty();
+    State_->Mistakes_ = std::move(Structure);
+  } catch (const json::parse_error &Error) {
+    const std::size_t Byte = std::min<std::size_t>(Error.byte, Text.size());
+    const auto Line = 1 + std::count(Text.begin(), Text.begin() + static_cast<long>(Byte), '\n');
+    // The library's message begins with its own id in brackets.
+    std::string_view What = Error.what();
+    const std::size_t Start = What.find("] ");
+    if (Start != std::string_view::npos)
+      What.remove_prefix(Start + 2);
+    State_->Mistakes_ = {{ErrorKind::MalformedJson, "",
+                          "byte " + std::to_string(Byte) + ", line " + std::to_string(Line) + ": " +
+                              std::string(What)}};
+  } catch (const json::exception &Error) {
+    State_->Mistakes_ = {{ErrorKind::MalformedJson, "", Error.what()}};
+  }
+}
+
+Reader::~Reader() = default;
+
+Node Reader::root() const {
+  return {State_.get(), State_->Parsed_ ? &State_->Document_ : nullptr, ""};
+}
+
+std::size_t Reader::mistakeCount() const { return State_->Mistakes_.size(); }
+
+std::vector<Mistake> Reader::finish() {
+  if (State_->Finished_)
+    return State_->Mistakes_;
+  State_->Finished_ = true;
+  // Objects are visited in the order of their pointers, so that the result is deterministic.
+  std::map<std::string, std::pair<const json *, const std::set<std::string, std::less<>> *>>
+      Ordered;
+  for (const auto &[Value, Known] : State_->Known_)
+    Ordered[Known.first] = {Value, &Known.second};
+  for (const auto &[Pointer, Object] : Ordered) {
+    const auto &[Value, Known] = Object;
+    if (!Value->is_object())
+      continue;
+    const std::vector<std::string_view> Names(Known->begin(), Known->end());
+    for (const auto &[Name, Each] : Value->items())
+      if (!Known->contains(Name))
+        State_->Mistakes_.push_back({ErrorKind::UnknownField, Pointer + "/" + escapeToken(Name),
+                                     "unknown key" + hint(Name, Names)});
+  }
+  return State_->Mistakes_;
+}
+
+} // namespace masticdrift::settings
--- /dev/null
+++ b/src/settings/Settings.cpp
@@ -0,0 +1,343 @@
+#include "masticdrift/settings/Settings.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace masticdrift::settings {
+
+namespace {
+
+using core::ErrorKind;
+using core::Millis;
+
+/// Reads and writes one integer setting as a number, whatever its type in the struct.
+struct Field {
+  std::int64_t (*Get_)(const Settings &);
+  void (*Set_)(Settings &, std::int64_t);
+};
+
+template <auto Section, auto Member> constexpr Field field() {
+  return {[](const Settings &From) {
+            const auto &Value = From.*Section.*Member;
+            if constexpr (requires { Value.count(); })
+              return static_cast<std::int64_t>(Value.count());
+            else
+              return static_cast<std::int64_t>(Value);
+          },
+          [](Settings &To, std::int64_t Number) {
+            auto &Value = To.*Section.*Member;
+            Value = static_cast<std::remove_reference_t<decltype(Value)>>(Number);
+          }};
+}
+
+/// An optional integer setting.
+struct NumberRow {
+  std::string_view Section_, Name_, Unit_;
+  std::int64_t Min_, Max_;
+  Field Field_;
+  std::string_view Help_;
+};
+
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t Hour = 3'600'000;
+constexpr std::int64_t Year = 365 * 24 * Hour;
+
+#define MASTICDRIFT_TIMING(Name, Member, Min, Max, Help)                                           \
+  NumberRow { "timing", Name, "ms", Min, Max, field<&Settings::Timing_, &Timing::Member>(), Help }
+
+const std::array Numbers{
+    NumberRow{"caller", "port", "", 0, MaxPort, field<&Settings::Caller_, &Caller::Port_>(),
+              "port for callers; 0 lets the kernel choose"},
+    NumberRow{"caller", "threads", "threads", 1, 256,
+              field<&Settings::Caller_, &Caller::Threads_>(), "threads that serve callers"},
+    NumberRow{"caller", "max_body_bytes", "bytes", 1024, 64 << 20,
+              field<&Settings::Caller_, &Caller::MaxBodyBytes_>(), "largest request body"},
+    NumberRow{"caller", "read_timeout_ms", "ms", 100, Hour,
+              field<&Settings::Caller_, &Caller::ReadTimeout_>(),
+              "time for one whole request to arrive"},
+    NumberRow{"operator", "port", "", 0, MaxPort, field<&Settings::Operator_, &Operator::Port_>(),
+              "port for operators; 0 lets the kernel choose"},
+    NumberRow{"peer", "port", "", 0, MaxPort, field<&Settings::Peer_, &Peer::Port_>(),
+              "port for other daemons; 0 lets the kernel choose"},
+    MASTICDRIFT_TIMING("probe_own_domain_ms", ProbeOwnDomain_, 10, Hour,
+                       "between probes to a member of the own domain"),
+    MASTICDRIFT_TIMING("probe_other_domain_ms", ProbeOtherDomain_, 10, Hour,
+                       "between probes to each other domain"),
+    MASTICDRIFT_TIMING("owner_lease_ms", OwnerLease_, 100, Hour,
+                       "ownership lease and promises, from the send time of a renewal"),
+    MASTICDRIFT_TIMING("owner_renew_ms", OwnerRenew_, 10, Hour,
+                       "between renewals of the ownership lease"),
+    MASTICDRIFT_TIMING(
+        "lease_margin_ms", LeaseMargin_, 10, Hour,
+        "margin for clock drift and pauses, added by whoever waits for a lease's end"),
+    MASTICDRIFT_TIMING("store_give_up_ms", StoreGiveUp_, 100, Hour,
+                       "an owner without the store this long lets its lease expire"),
+    MASTICDRIFT_TIMING("store_reachable_ms", StoreReachable_, 100, Hour,
+                       "a member with a store age below this counts as reaching the store"),
+    MASTICDRIFT_TIMING("configuration_fresh_ms", ConfigurationFresh_, 100, Hour,
+                       "keyed work is accepted while the configuration is at most this old"),
+    MASTICDRIFT_TIMING("poll_stream_ms", PollStream_, 10, Hour, "between reads of a log stream"),
+    MASTICDRIFT_TIMING("poll_instances_ms", PollInstances_, 10, Hour,
+                       "between reads of the instance list"),
+    MASTICDRIFT_TIMING("store_timeout_ms", StoreTimeout_, 10, Hour,
+                       "one exchange with the log service or the instance list"),
+    MASTICDRIFT_TIMING("batch_close_ms", BatchClose_, 0, Hour,
+                       "a group commit closes after this time"),
+    MASTICDRIFT_TIMING("store_retention_ms", StoreRetention_, 1000, Year,
+                       "how long the log keeps records; snapshots are written after half of it"),
+    MASTICDRIFT_TIMING("default_deadline_ms", DefaultDeadline_, 1, Hour,
+                       "deadline of interactive requests that name none"),
+    MASTICDRIFT_TIMING("slot_grace_ms", SlotGrace_, 0, Hour,
+                       "the slot of a request that timed out stays taken this long"),
+    MASTICDRIFT_TIMING("idle_connection_ms", IdleConnection_, 1000, Hour,
+                       "idle connections to executors are closed"),
+    MASTICDRIFT_TIMING("connection_life_ms", ConnectionLife_, 1000, Hour,
+                       "every connection to an executor is closed after this time"),
+    MASTICDRIFT_TIMING("eject_executor_ms", EjectExecutor_, 10, Hour,
+                       "an ejected executor receives its first trial request after this time"),
+    MASTICDRIFT_TIMING("worker_lease_ms", WorkerLease_, 100, Hour, "lease of a worker's tasks"),
+    MASTICDRIFT_TIMING("worker_renew_ms", WorkerRenew_, 10, Hour,
+                       "between renewals of a worker's lease"),
+    MASTICDRIFT_TIMING("worker_timeout_ms", WorkerTimeout_, 10, Hour, "one exchange with a worker"),
+    MASTICDRIFT_TIMING("quarantine_probe_ms", QuarantineProbe_, 10, Hour,
+                       "between probes of a quarantined worker"),
+    MASTICDRIFT_TIMING("evict_member_ms", EvictMember_, 100, Hour,
+                       "a member that no peer has heard from this long is evicted"),
+    MASTICDRIFT_TIMING("stop_grace_ms", StopGrace_, 0, Hour,
+                       "a graceful stop waits at most this long for work in flight"),
+    NumberRow{"limits", "queue_per_team", "requests", 1, 1'000'000,
+              field<&Settings::Limits_, &Limits::QueuePerTeam_>(),
+              "interactive requests of one team that may wait"},
+    NumberRow{"limits", "max_deadline_ms", "ms", 1, Hour,
+              field<&Settings::Limits_, &Limits::MaxDeadline_>(),
+              "longest deadline of an interactive request"},
+    NumberRow{"limits", "slots_per_executor", "slots", 1, 10'000,
+              field<&Settings::Limits_, &Limits::SlotsPerExecutor_>(),
+              "requests at one executor at the same time"},
+    NumberRow{"limits", "connections_per_executor", "connections", 1, 10'000,
+              field<&Settings::Limits_, &Limits::ConnectionsPerExecutor_>(),
+              "connections to one executor"},
+    NumberRow{"limits", "appends_per_second", "1/s", 1, 10'000,
+              field<&Settings::Limits_, &Limits::AppendsPerSecond_>(),
+              "append budget of this daemon"},
+    NumberRow{"limits", "retry_percent", "%", 0, 100,
+              field<&Settings::Limits_, &Limits::RetryPercent_>(),
+              "retries per hundred interactive requests"},
+};
+
+#undef MASTICDRIFT_TIMING
+
+constexpr std::int64_t MaxEntryInstances = 10'000;
+constexpr std::array<std::string_view, 4> LogLevels{"debug", "info", "warning", "error"};
+
+std::vector<SettingInfo> buildTable() {
+  const Settings Defaults;
+  const auto Quote = [](const std::string &Text) { return "\"" + Text + "\""; };
+  std::vector<SettingInfo> Table;
+  const auto Text = [&](std::string Pointer, std::string Default, std::string_view Help,
+                        std::string_view Type = "string") {
+    Table.push_back({std::move(Pointer), Type, "", {}, {}, std::move(Default), Help});
+  };
+  const auto Section = [&](std::string_view Name) {
+    for (const NumberRow &Row : Numbers)
+      if (Row.Section_ == Name)
+        Table.push_back({"/" + std::string(Name) + "/" + std::string(Row.Name_), "integer",
+                         Row.Unit_, Row.Min_, Row.Max_, std::to_string(Row.Field_.Get_(Defaults)),
+                         Row.Help_});
+  };
+  Text("/instance/name", "", "name of this instance, as in the instance list");
+  Text("/instance/domain", "", "failure domain of this instance, one of /fleet/domains");
+  Text("/instance/region", "", "region of that domain");
+  Text("/fleet/name", "", "name of the fleet, as in the configuration text");
+  Table.push_back({"/fleet/entry_instances", "integer", "instances", 1, MaxEntryInstances, "",
+                   "number of daemons of the whole fleet"});
+  Text("/fleet/domains/*/name", "", "name of a failure domain");
+  Text("/fleet/domains/*/region", "", "region of that domain");
+  Text("/caller/address", Quote(Defaults.Caller_.Address_), "IP address for callers");
+  Section("caller");
+  Text("/operator/address", Quote(Defaults.Operator_.Address_), "IP address for operators");
+  Section("operator");
+  Text("/operator/key_hashes/*", "[]", "SHA-256 of an operator key, 64 hexadecimal digits");
+  Text("/peer/address", Quote(Defaults.Peer_.Address_), "IP address for other daemons");
+  Section("peer");
+  Text("/platform/log_url", "", "base URL of the log service");
+  Text("/platform/instances_url", "", "base URL of the instance list");
+  Text("/routes/*", "{}", "\"host:port\" that replaces the peer address of the named instance");
+  Section("timing");
+  Section("limits");
+  Text("/log_level", Quote(Defaults.LogLevel_), "lowest level written: debug, info, warning, error",
+       "choice");
+  return Table;
+}
+
+std::string requireText(const Node &From, std::string_view Name) {
+  const Node Value = From.required(Name);
+  const std::string Text = Value.asString("?");
+  if (Text.empty())
+    Value.fail(ErrorKind::OutOfRange, "must not be empty");
+  return Text;
+}
+
+std::string requireUrl(const Node &From, std::string_view Name) {
+  const Node Value = From.required(Name);
+  std::string Text = Value.asString();
+  if (Value.present() && !Text.starts_with("http://") && !Text.starts_with("https://"))
+    Value.fail(ErrorKind::OutOfRange, "expected a URL with http:// or https://");
+  while (Text.ends_with('/'))
+    Text.pop_back();
+  return Text;
+}
+
+bool isHostPort(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return false;
+  const std::string_view Port = Text.substr(Colon + 1);
+  if (Port.empty() || Port.size() > 5 ||
+      !std::ranges::all_of(Port, [](char C) { return C >= '0' && C <= '9'; }))
+    return false;
+  const int Number = std::stoi(std::string(Port));
+  return Number >= 1 && Number <= MaxPort;
+}
+
+bool isHash(std::string_view Text) {
+  return Text.size() == 64 && std::ranges::all_of(Text, [](char C) {
+           return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'f');
+         });
+}
+
+void readFleet(const Node &Root, Settings &Out) {
+  const Node Fleet = Root.required("fleet");
+  Out.Fleet_.Name_ = requireText(Fleet, "name");
+  Out.Fleet_.EntryInstances_ = Fleet.integer("entry_instances", 1, MaxEntryInstances);
+  const Node Domains = Fleet.required("domains");
+  std::set<std::string> Seen;
+  for (const Node &Each : Domains.items()) {
+    Out.Fleet_.Domains_.push_back({requireText(Each, "name"), requireText(Each, "region")});
+    const std::string &Name = Out.Fleet_.Domains_.back().Name_;
+    if (!Seen.insert(Name).second)
+      Each.optional("name").fail(ErrorKind::OutOfRange, "domain \"" + Name + "\" appears twice");
+  }
+  if (Domains.present() && Out.Fleet_.Domains_.empty())
+    Domains.fail(ErrorKind::OutOfRange, "expected at least one domain");
+}
+
+void readInstance(const Node &Root, Settings &Out) {
+  const Node Instance = Root.required("instance");
+  Out.Instance_ = {requireText(Instance, "name"), requireText(Instance, "domain"),
+                   requireText(Instance, "region")};
+  const Node Domain = Instance.optional("domain");
+  if (!Domain.present() || Out.Fleet_.Domains_.empty())
+    return;
+  const auto Found =
+      std::ranges::find(Out.Fleet_.Domains_, Out.Instance_.Domain_, &FleetDomain::Name_);
+  if (Found == Out.Fleet_.Domains_.end()) {
+    std::vector<std::string_view> Names;
+    for (const FleetDomain &Each : Out.Fleet_.Domains_)
+      Names.emplace_back(Each.Name_);
+    const std::string_view Nearest = nearestName(Out.Instance_.Domain_, Names);
+    Domain.fail(ErrorKind::OutOfRange,
+                "\"" + Out.Instance_.Domain_ + "\" is not in /fleet/domains" +
+                    (Nearest.empty() ? "" : ", nearest is \"" + std::string(Nearest) + "\""));
+  } else if (Instance.optional("region").present() && Found->Region_ != Out.Instance_.Region_) {
+    Instance.optional("region").fail(ErrorKind::OutOfRange, "domain \"" + Found->Name_ +
+                                                                "\" is in region \"" +
+                                                                Found->Region_ + "\"");
+  }
+}
+
+/// Relations without which a lease could end before its renewal or outlive its checks.
+void checkRelations(const Node &Root, const Settings &In) {
+  struct Relation {
+    std::string_view Section_, Name_, Other_;
+    Millis Value_, Bound_;
+    std::string_view Reason_;
+  };
+  const Timing &T = In.Timing_;
+  const std::array Relations{
+      Relation{"timing", "owner_renew_ms", "half of owner_lease_ms", T.OwnerRenew_,
+               T.OwnerLease_ / 2, "one lost renewal would end the lease"},
+      Relation{"timing", "probe_own_domain_ms", "half of owner_lease_ms", T.ProbeOwnDomain_,
+               T.OwnerLease_ / 2, "promises travel with probes"},
+      Relation{"timing", "lease_margin_ms", "owner_lease_ms", T.LeaseMargin_, T.OwnerLease_,
+               "the margin is a part of the lease"},
+      Relation{"timing", "worker_renew_ms", "half of worker_lease_ms", T.WorkerRenew_,
+               T.WorkerLease_ / 2, "one lost renewal would stop the worker's tasks"},
+      Relation{"timing", "poll_stream_ms", "half of configuration_fresh_ms", T.PollStream_,
+               T.ConfigurationFresh_ / 2, "the configuration would go stale between reads"},
+      Relation{"timing", "store_reachable_ms", "store_give_up_ms", T.StoreReachable_,
+               T.StoreGiveUp_, "an owner would give up while members still count as connected"},
+      Relation{"timing", "default_deadline_ms", "limits/max_deadline_ms", T.DefaultDeadline_,
+               In.Limits_.MaxDeadline_, "the default deadline must be allowed"},
+      Relation{"timing", "idle_connection_ms", "connection_life_ms", T.IdleConnection_,
+               T.ConnectionLife_, "an idle connection ends first"},
+  };
+  for (const Relation &Each : Relations)
+    if (Each.Value_ > Each.Bound_)
+      Root.optional(Each.Section_)
+          .optional(Each.Name_)
+          .fail(ErrorKind::OutOfRange,
+                std::to_string(Each.Value_.count()) + " is more than " + std::string(Each.Other_) +
+                    " (" + std::to_string(Each.Bound_.count()) + "): " + std::string(Each.Reason_));
+}
+
+} // namespace
+
+std::span<const SettingInfo> settingTable() {
+  static const std::vector<SettingInfo> Table = buildTable();
+  return Table;
+}
+
+std::string settingTableMarkdown() {
+  std::string Out = "| setting | type | unit | range | default | meaning |\n"
+                    "| --- | --- | --- | --- | --- | --- |\n";
+  for (const SettingInfo &Row : settingTable()) {
+    const std::string Range =
+        Row.Min_ ? std::to_string(*Row.Min_) + ".." + std::to_string(*Row.Max_) : "";
+    Out += "| `" + Row.Pointer_ + "` | " + std::string(Row.Type_) + " | " + std::string(Row.Unit_) +
+           " | " + Range + " | " +
+           (Row.Default_.empty() ? std::string("required") : "`" + Row.Default_ + "`") + " | " +
+           std::string(Row.Help_) + " |\n";
+  }
+  return Out;
+}
+
+ParsedSettings parse(std::string_view Text) {
+  Reader Reader(Text);
+  const Node Root = Reader.root();
+  ParsedSettings Out;
+  Settings &All = Out.Settings_;
+  readFleet(Root, All);
+  readInstance(Root, All);
+  const Node Platform = Root.required("platform");
+  All.Platform_ = {requireUrl(Platform, "log_url"), requireUrl(Platform, "instances_url")};
+
+  const std::size_t BeforeNumbers = Reader.mistakeCount();
+  for (const NumberRow &Row : Numbers)
+    Row.Field_.Set_(
+        All,
+        Root.optional(Row.Section_).integer(Row.Name_, Row.Min_, Row.Max_, Row.Field_.Get_(All)));
+  const bool NumbersCorrect = Reader.mistakeCount() == BeforeNumbers;
+  All.Caller_.Address_ = Root.optional("caller").string("address", All.Caller_.Address_);
+  All.Operator_.Address_ = Root.optional("operator").string("address", All.Operator_.Address_);
+  All.Peer_.Address_ = Root.optional("peer").string("address", All.Peer_.Address_);
+  for (const Node &Each : Root.optional("operator").optional("key_hashes").items()) {
+    All.Operator_.KeyHashes_.push_back(Each.asString(std::string(64, '0')));
+    if (!isHash(All.Operator_.KeyHashes_.back()))
+      Each.fail(ErrorKind::OutOfRange,
+                "expected a SHA-256 hash of 64 lower-case hexadecimal digits");
+  }
+  for (const auto &[Name, Each] : Root.optional("routes").members()) {
+    All.Routes_[Name] = Each.asString("unset:1");
+    if (!isHostPort(All.Routes_[Name]))
+      Each.fail(ErrorKind::OutOfRange, "expected \"host:port\"");
+  }
+  All.LogLevel_ = Root.optional("log_level").asChoice(LogLevels, All.LogLevel_);
+  if (NumbersCorrect)
+    checkRelations(Root, All);
+  Out.Mistakes_ = Reader.finish();
+  return Out;
+}
+
+} // namespace masticdrift::settings
