--- /dev/null
+++ b/include/masticdrift/platform/LogClient.h
@@ -0,0 +1,74 @@
+/// \file
+/// Client of the platform's append-only log service.
+#ifndef MASTICDRIFT_PLATFORM_LOGCLIENT_H
+#define MASTICDRIFT_PLATFORM_LOGCLIENT_H
+
+#include "masticdrift/http/Client.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+#include <msgpack.hpp>
+
+namespace masticdrift::platform {
+
+/// One record of a stream.
+struct LogRecord {
+  std::uint64_t Offset_ = 0;
+  std::string Bytes_;
+  MSGPACK_DEFINE_ARRAY(Offset_, Bytes_)
+};
+
+/// Answer to a read; on the wire the msgpack array [first, next, [[offset, bin], ...]].
+struct ReadResult {
+  std::uint64_t First_ = 0; ///< oldest offset that the service still keeps
+  std::uint64_t Next_ = 0;  ///< offset that the next append to the stream gets
+  std::vector<LogRecord> Records_;
+  MSGPACK_DEFINE_ARRAY(First_, Next_, Records_)
+};
+
+struct LogClientOptions {
+  std::string BaseUrl_; ///< "http://address:port", without a trailing slash
+  /// Time for one append. A retry needs a new connection when the old one has become silent, so
+  /// several attempts have to fit into the appender's batch deadline.
+  std::chrono::milliseconds AppendTimeout_{1000};
+  std::chrono::milliseconds ReadTimeout_{2000};
+};
+
+/// Appends to and reads from streams. Thread-safe; callbacks run on the HTTP client's thread and
+/// must not block.
+class LogClient {
+public:
+  using AppendCallback = std::function<void(std::error_code, std::uint64_t Offset)>;
+  using ReadCallback = std::function<void(std::error_code, ReadResult)>;
+
+  /// \param Http must outlive this object.
+  LogClient(http::Client &Http, LogClientOptions Options);
+
+  /// Appends one record.
+  ///
+  /// \param Done called once with the record's offset. Errors: StoreUnavailable when the record
+  /// was certainly not taken (not connected, 429, 503, other refusals with 4xx); AppendUnknown when
+  /// it may have been taken.
+  void append(std::string_view Stream, std::string Bytes, AppendCallback Done);
+
+  /// Reads records in offset order.
+  ///
+  /// \param From first offset wanted.
+  /// \param Max largest number of records wanted.
+  /// \param Done called once. Errors: StoreUnavailable for every failed or malformed answer.
+  void read(std::string_view Stream, std::uint64_t From, std::uint32_t Max, ReadCallback Done);
+
+private:
+  http::Client &Http_;
+  LogClientOptions Options_;
+};
+
+} // namespace masticdrift::platform
+
+#endif // MASTICDRIFT_PLATFORM_LOGCLIENT_H
