--- a/include/masticdrift/jobs/DomainState.h
+++ b/include/masticdrift/jobs/DomainState.h
@@ -39,7 +39,7 @@
   std::uint32_t Task_ = 0;
   std::uint32_t Attempt_ = 0;
   std::string Worker_;       ///< of Started, Ended, Requeued and Held
-  bool JobFinished_ = false; ///< this record finished the job
+  bool JobFinished_ = false; ///< the job reached a final state, or a held one was settled
 };
 
 /// A task that waits for a start.
@@ -70,7 +70,7 @@
 struct DomainStateOptions {
   /// Finished jobs that are kept, so that a resubmission returns the first outcome. Must be the
   /// same at all daemons of a domain, since replay drops the oldest ones above it.
-  std::size_t KeepFinished_ = 20'000;
+  std::size_t KeepFinished_ = 5'000;
 };
 
 /// Numbers of jobs by state.
--- /dev/null
+++ b/src/journal/Snapshot.cpp
@@ -0,0 +1,99 @@
+#include "masticdrift/journal/Snapshot.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace masticdrift::journal {
+
+namespace {
+
+/// Bounds the memory that abandoned snapshots hold: owners write one at a time, so more unfinished
+/// ones than this are left from writers that have died.
+constexpr std::size_t MaxPartials = 4;
+
+std::uint64_t digestOf(std::string_view Bytes) { return XXH3_64bits(Bytes.data(), Bytes.size()); }
+
+bool sameWriter(const BatchInfo &A, const BatchInfo &B) {
+  return A.Incarnation_ == B.Incarnation_ && A.Writer_ == B.Writer_;
+}
+
+bool sameSnapshot(const SnapshotPart &A, const SnapshotPart &B) {
+  return A.BaseOffset_ == B.BaseOffset_ && A.Parts_ == B.Parts_ && A.Digest_ == B.Digest_;
+}
+
+} // namespace
+
+std::optional<std::string_view> SnapshotBody::section(std::string_view Name) const {
+  const auto Found = std::ranges::find(
+      Sections_, Name, [](const auto &Section) { return std::string_view(Section.first); });
+  if (Found == Sections_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+std::vector<Entry> splitSnapshot(RecordType Type, std::uint64_t BaseOffset, std::string_view Bytes,
+                                 std::size_t PartBytes) {
+  PartBytes = std::max<std::size_t>(PartBytes, 1);
+  const std::size_t Parts = std::max<std::size_t>(1, (Bytes.size() + PartBytes - 1) / PartBytes);
+  const std::uint64_t Digest = digestOf(Bytes);
+  std::vector<Entry> Result;
+  Result.reserve(Parts);
+  for (std::size_t Part = 0; Part < Parts; ++Part) {
+    const SnapshotPart One{BaseOffset, static_cast<std::uint32_t>(Part),
+                           static_cast<std::uint32_t>(Parts), Digest,
+                           std::string(Bytes.substr(Part * PartBytes, PartBytes))};
+    Result.push_back(makeEntry(Type, One));
+  }
+  return Result;
+}
+
+bool SnapshotAssembler::add(std::uint64_t Offset, const BatchInfo &Info, std::string_view Body) {
+  auto Part = core::unpack<SnapshotPart>(Body);
+  if (!Part || Part->Parts_ == 0 || Part->Parts_ > MaxSnapshotParts || Part->Part_ >= Part->Parts_)
+    return false;
+  auto Found = std::ranges::find_if(
+      Partials_, [&](const Partial &One) { return sameWriter(One.Info_, Info); });
+  if (Found != Partials_.end() && sameSnapshot(Found->Head_, *Part)) {
+    // A part whose append had an unknown outcome is written again.
+    if (Part->Part_ <= Found->Head_.Part_)
+      return false;
+    if (Part->Part_ != Found->Head_.Part_ + 1) {
+      Partials_.erase(Found);
+      return false;
+    }
+    Found->Head_.Part_ = Part->Part_;
+  } else {
+    // Another snapshot of the same writer replaces what it left unfinished.
+    if (Found != Partials_.end())
+      Partials_.erase(Found);
+    if (Part->Part_ != 0)
+      return false;
+    if (Partials_.size() >= MaxPartials)
+      Partials_.erase(Partials_.begin());
+    Partials_.push_back({Info, {Part->BaseOffset_, 0, Part->Parts_, Part->Digest_, {}}, {}});
+    Found = Partials_.end() - 1;
+  }
+  Found->Bytes_ += Part->Bytes_;
+  if (Part->Part_ + 1 < Part->Parts_)
+    return false;
+  CompleteSnapshot Complete{Part->BaseOffset_, Offset, std::move(Found->Bytes_)};
+  Partials_.erase(Found);
+  // The base must lie before the parts, otherwise the records between would be lost.
+  if (digestOf(Complete.Bytes_) != Part->Digest_ || Complete.BaseOffset_ >= Offset)
+    return false;
+  // A slower writer can complete an older snapshot later; its base may have expired by then.
+  if (Last_ && Complete.BaseOffset_ < Last_->BaseOffset_)
+    return false;
+  Last_ = std::move(Complete);
+  return true;
+}
+
+void SnapshotAssembler::dropBytes() {
+  if (!Last_)
+    return;
+  Last_->Bytes_.clear();
+  Last_->Bytes_.shrink_to_fit();
+}
+
+} // namespace masticdrift::journal
--- /dev/null
+++ b/src/platform/LogClient.cpp
@@ -0,0 +1,115 @@
+#include "masticdrift/platform/LogClient.h"
+
+#include "masticdrift/core/Error.h"
+#include "masticdrift/core/Metrics.h"
+#include "masticdrift/core/Pack.h"
+
+#include <optional>
+#include <tuple>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace masticdrift::platform {
+
+namespace {
+
+void countBytes(const http::ClientResult &Result) {
+  core::count("masticdrift_control_bytes_total", {{"link", "store"}, {"direction", "out"}},
+              static_cast<double>(Result.BytesOut_));
+  core::count("masticdrift_control_bytes_total", {{"link", "store"}, {"direction", "in"}},
+              static_cast<double>(Result.BytesIn_));
+}
+
+std::string streamUrl(const LogClientOptions &Options, std::string_view Stream) {
+  std::string Url = Options.BaseUrl_;
+  Url += "/streams/";
+  Url += Stream;
+  Url += "/records";
+  return Url;
+}
+
+/// \returns whether a status says that the record was not taken. Statuses of 5xx other than 503
+/// may come from a gateway after the service took the record.
+bool saysNotTaken(int Status) { return (Status >= 400 && Status < 500) || Status == 503; }
+
+void finishAppend(const http::ClientResult &Result, const LogClient::AppendCallback &Done) {
+  if (Result.Transfer_ == http::Transfer::NotConnected)
+    return Done(core::ErrorKind::StoreUnavailable, 0);
+  if (Result.Transfer_ != http::Transfer::Complete)
+    return Done(core::ErrorKind::AppendUnknown, 0);
+  if (saysNotTaken(Result.Answer_.Status_))
+    return Done(core::ErrorKind::StoreUnavailable, 0);
+  if (Result.Answer_.Status_ < 200 || Result.Answer_.Status_ > 299)
+    return Done(core::ErrorKind::AppendUnknown, 0);
+  const auto Body = nlohmann::json::parse(Result.Answer_.Body_, nullptr, false);
+  if (!Body.is_object() || !Body.contains("offset") || !Body["offset"].is_number_unsigned())
+    return Done(core::ErrorKind::AppendUnknown, 0);
+  Done({}, Body["offset"].get<std::uint64_t>());
+}
+
+using WireRead =
+    std::tuple<std::uint64_t, std::uint64_t, std::vector<std::tuple<std::uint64_t, std::string>>>;
+
+/// Decodes a read. Tuples require every field, where MSGPACK_DEFINE_ARRAY accepts short arrays: an
+/// empty array must not count as an empty stream.
+std::optional<ReadResult> decodeRead(std::string_view Body) {
+  auto Wire = core::unpack<WireRead>(Body);
+  if (!Wire)
+    return std::nullopt;
+  ReadResult Result;
+  Result.First_ = std::get<0>(*Wire);
+  Result.Next_ = std::get<1>(*Wire);
+  Result.Records_.reserve(std::get<2>(*Wire).size());
+  for (auto &[Offset, Bytes] : std::get<2>(*Wire))
+    Result.Records_.push_back({Offset, std::move(Bytes)});
+  return Result;
+}
+
+/// Rejects answers that replay could not use: records out of order or outside [From, next).
+bool isOrdered(const ReadResult &Read, std::uint64_t From) {
+  std::uint64_t Lowest = From;
+  for (const LogRecord &Record : Read.Records_) {
+    if (Record.Offset_ < Lowest || Record.Offset_ >= Read.Next_)
+      return false;
+    Lowest = Record.Offset_ + 1;
+  }
+  return true;
+}
+
+} // namespace
+
+LogClient::LogClient(http::Client &Http, LogClientOptions Options)
+    : Http_(Http), Options_(std::move(Options)) {}
+
+void LogClient::append(std::string_view Stream, std::string Bytes, AppendCallback Done) {
+  http::ClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Url_ = streamUrl(Options_, Stream);
+  Request.Body_ = std::move(Bytes);
+  Request.Headers_ = {{"Content-Type", "application/octet-stream"}};
+  Request.Timeout_ = Options_.AppendTimeout_;
+  Http_.send(std::move(Request), [Done = std::move(Done)](const http::ClientResult &Result) {
+    countBytes(Result);
+    finishAppend(Result, Done);
+  });
+}
+
+void LogClient::read(std::string_view Stream, std::uint64_t From, std::uint32_t Max,
+                     ReadCallback Done) {
+  http::ClientRequest Request;
+  Request.Url_ =
+      streamUrl(Options_, Stream) + "?from=" + std::to_string(From) + "&max=" + std::to_string(Max);
+  Request.Timeout_ = Options_.ReadTimeout_;
+  Http_.send(std::move(Request), [Done = std::move(Done), From](const http::ClientResult &Result) {
+    countBytes(Result);
+    if (Result.Transfer_ != http::Transfer::Complete || Result.Answer_.Status_ != 200)
+      return Done(core::ErrorKind::StoreUnavailable, {});
+    auto Read = decodeRead(Result.Answer_.Body_);
+    if (!Read || !isOrdered(*Read, From))
+      return Done(core::ErrorKind::StoreUnavailable, {});
+    Done({}, std::move(*Read));
+  });
+}
+
+} // namespace masticdrift::platform
--- /dev/null
+++ b/src/platform/WorkerClient.cpp
@@ -0,0 +1,249 @@
+#include "masticdrift/platform/WorkerClient.h"
+
+#include "masticdrift/core/Metrics.h"
+
+#include <cctype>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace masticdrift::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto Replace = Json::error_handler_t::replace;
+
+/// Encodes an id as one path segment; job ids contain '/'.
+std::string encodeSegment(std::string_view Id) {
+  static constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string Result;
+  for (const char Letter : Id) {
+    const auto Byte = static_cast<unsigned char>(Letter);
+    if (std::isalnum(Byte) != 0 || Letter == '-' || Letter == '_' || Letter == '.' ||
+        Letter == '~') {
+      Result += Letter;
+    } else {
+      Result += '%';
+      Result += Digits[Byte >> 4U];
+      Result += Digits[Byte & 15U];
+    }
+  }
+  return Result;
+}
+
+std::string urlOf(std::string_view Address, std::string_view Path) {
+  std::string Url = "http://";
+  Url += Address;
+  Url += Path;
+  return Url;
+}
+
+void countBytes(const http::ClientResult &Result) {
+  core::count("masticdrift_control_bytes_total", {{"link", "worker"}, {"direction", "out"}},
+              static_cast<double>(Result.BytesOut_));
+  core::count("masticdrift_control_bytes_total", {{"link", "worker"}, {"direction", "in"}},
+              static_cast<double>(Result.BytesIn_));
+}
+
+WorkerStatus statusOf(const http::ClientResult &Result) {
+  if (Result.Transfer_ == http::Transfer::NotConnected)
+    return WorkerStatus::NotConnected;
+  if (Result.Transfer_ != http::Transfer::Complete)
+    return WorkerStatus::NoAnswer;
+  const int Status = Result.Answer_.Status_;
+  if (Status >= 200 && Status < 300)
+    return WorkerStatus::Done;
+  switch (Status) {
+  case 409:
+    return WorkerStatus::StaleTerm;
+  case 503:
+    return WorkerStatus::Leaving;
+  case 507:
+    return WorkerStatus::NoRoom;
+  default:
+    break;
+  }
+  // A 5xx outside the published list doesn't say whether the command had an effect.
+  return Status >= 400 && Status < 500 ? WorkerStatus::Refused : WorkerStatus::NoAnswer;
+}
+
+/// \returns cores as a JSON number: whole when possible.
+Json coresOf(std::int64_t MilliCores) {
+  if (MilliCores % 1000 == 0)
+    return MilliCores / 1000;
+  return static_cast<double>(MilliCores) / 1000.0;
+}
+
+std::optional<WorkerTaskState> taskStateNamed(std::string_view Name) {
+  if (Name == "running")
+    return WorkerTaskState::Running;
+  if (Name == "finished")
+    return WorkerTaskState::Finished;
+  if (Name == "failed")
+    return WorkerTaskState::Failed;
+  if (Name == "stopped")
+    return WorkerTaskState::Stopped;
+  return std::nullopt;
+}
+
+std::int64_t amountOf(const Json &From, const char *Key, double Scale) {
+  const auto Found = From.find(Key);
+  if (Found == From.end() || !Found->is_number())
+    return 0;
+  const double Value = Found->get<double>() * Scale;
+  return Value >= 0 && Value < 1e12 ? std::llround(Value) : 0;
+}
+
+std::optional<WorkerTask> readTask(const Json &From) {
+  const auto State = taskStateNamed(From.at("state").get<std::string>());
+  const Json &Attempt = From.at("attempt");
+  if (!State || !Attempt.is_number_unsigned())
+    return std::nullopt;
+  WorkerTask Task;
+  Task.Id_ = From.at("id").get<std::string>();
+  Task.Attempt_ = Attempt.get<std::uint32_t>();
+  Task.State_ = *State;
+  const auto Exit = From.find("exit");
+  if (Exit != From.end() && Exit->is_number_integer())
+    Task.Exit_ = Exit->get<std::int32_t>();
+  return Task;
+}
+
+/// \returns nothing when the answer is malformed: a task that is missing from the list would count
+/// as one that never ran.
+std::optional<LeaseAnswer> readLease(const std::string &Body) {
+  try {
+    const Json Document = Json::parse(Body);
+    LeaseAnswer Answer;
+    const Json &Boot = Document.at("boot");
+    Answer.Boot_ = Boot.is_string() ? Boot.get<std::string>() : Boot.dump();
+    Answer.Term_ = Document.at("term").get<std::uint64_t>();
+    for (const Json &Element : Document.at("tasks")) {
+      auto Task = readTask(Element);
+      if (!Task)
+        return std::nullopt;
+      Answer.Tasks_.push_back(std::move(*Task));
+    }
+    const auto Usage = Document.find("usage");
+    if (Usage != Document.end() && Usage->is_object())
+      Answer.Usage_ = {amountOf(*Usage, "cores", 1000.0), amountOf(*Usage, "memory_mb", 1.0),
+                       amountOf(*Usage, "accelerators", 1.0)};
+    return Answer;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+/// \returns the higher term that a refusal names, 0 when it names none.
+std::uint64_t termOf(const std::string &Body) {
+  const Json Document = Json::parse(Body, nullptr, false);
+  if (!Document.is_object() || !Document.contains("term") || !Document["term"].is_number_unsigned())
+    return 0;
+  return Document["term"].get<std::uint64_t>();
+}
+
+void finishLease(const http::ClientResult &Result, const WorkerClient::LeaseCallback &Done) {
+  const WorkerStatus Status = statusOf(Result);
+  LeaseAnswer Answer;
+  if (Status == WorkerStatus::StaleTerm)
+    Answer.Term_ = termOf(Result.Answer_.Body_);
+  if (Status != WorkerStatus::Done)
+    return Done(Status, std::move(Answer));
+  auto Read = readLease(Result.Answer_.Body_);
+  if (!Read)
+    return Done(WorkerStatus::NoAnswer, {});
+  Done(WorkerStatus::Done, std::move(*Read));
+}
+
+} // namespace
+
+WorkerClient::WorkerClient(http::Client &Http, std::chrono::milliseconds Timeout)
+    : Http_(Http), Timeout_(Timeout) {}
+
+void WorkerClient::lease(std::string_view Address, const LeaseRequest &Request,
+                         LeaseCallback Done) {
+  Json Acks = Json::array();
+  for (const TaskAck &Ack : Request.Acks_)
+    Acks.push_back({{"id", Ack.Id_}, {"attempt", Ack.Attempt_}});
+  const Json Body{{"term", Request.Term_},
+                  {"owner", Request.Owner_},
+                  {"ttl_ms", Request.TtlMs_},
+                  {"ack", std::move(Acks)}};
+  http::ClientRequest Out;
+  Out.Method_ = "PUT";
+  Out.Url_ = urlOf(Address, "/lease");
+  Out.Body_ = Body.dump(-1, ' ', false, Replace);
+  Out.Headers_ = {{"Content-Type", "application/json"}};
+  Out.Timeout_ = Timeout_;
+  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+    countBytes(Result);
+    finishLease(Result, Done);
+  });
+}
+
+void WorkerClient::startTask(std::string_view Address, const StartRequest &Request, Callback Done) {
+  const Json Body{{"term", Request.Term_},
+                  {"attempt", Request.Attempt_},
+                  {"cores", coresOf(Request.Need_.MilliCores_)},
+                  {"memory_mb", Request.Need_.MemoryMb_},
+                  {"accelerators", Request.Need_.Accelerators_},
+                  {"run_ms", Request.RunMs_},
+                  {"fail", Request.Fail_}};
+  http::ClientRequest Out;
+  Out.Method_ = "PUT";
+  Out.Url_ = urlOf(Address, "/tasks/" + encodeSegment(Request.Id_));
+  Out.Body_ = Body.dump(-1, ' ', false, Replace);
+  Out.Headers_ = {{"Content-Type", "application/json"}};
+  Out.Timeout_ = Timeout_;
+  // libcurl repeats a request when a reused connection dies before the first answer byte.
+  Out.FreshConnection_ = true;
+  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+    countBytes(Result);
+    Done(statusOf(Result));
+  });
+}
+
+void WorkerClient::stopTask(std::string_view Address, std::string_view Id, std::uint64_t Term,
+                            Callback Done) {
+  http::ClientRequest Out;
+  Out.Method_ = "DELETE";
+  Out.Url_ = urlOf(Address, "/tasks/" + encodeSegment(Id) + "?term=" + std::to_string(Term));
+  Out.Timeout_ = Timeout_;
+  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+    countBytes(Result);
+    const bool Unknown =
+        Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ == 404;
+    Done(Unknown ? WorkerStatus::Done : statusOf(Result));
+  });
+}
+
+void WorkerClient::checkpoint(std::string_view Address, std::string_view Id, std::uint64_t Term,
+                              Callback Done) {
+  post(Address, Id, "/checkpoint", Term, std::move(Done));
+}
+
+void WorkerClient::throttle(std::string_view Address, std::string_view Id, std::uint64_t Term,
+                            Callback Done) {
+  post(Address, Id, "/throttle", Term, std::move(Done));
+}
+
+void WorkerClient::post(std::string_view Address, std::string_view Id, std::string_view Command,
+                        std::uint64_t Term, Callback Done) {
+  http::ClientRequest Out;
+  Out.Method_ = "POST";
+  Out.Url_ = urlOf(Address, "/tasks/" + encodeSegment(Id) + std::string(Command) +
+                                "?term=" + std::to_string(Term));
+  Out.Body_ = Json{{"term", Term}}.dump();
+  Out.Headers_ = {{"Content-Type", "application/json"}};
+  Out.Timeout_ = Timeout_;
+  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+    countBytes(Result);
+    Done(statusOf(Result));
+  });
+}
+
+} // namespace masticdrift::platform
