--- /dev/null
+++ b/src/membership/PeerTable.cpp
@@ -0,0 +1,149 @@
+#include "masticdrift/membership/PeerTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticdrift::membership {
+
+PeerTable::PeerTable(std::string Self, std::string Domain)
+    : Self_(std::move(Self)), Domain_(std::move(Domain)) {}
+
+void PeerTable::setMembers(const std::vector<Member> &Members, core::TimePoint Now) {
+  const std::lock_guard Lock(Mutex_);
+  std::map<std::string, Peer, std::less<>> Next;
+  for (const auto &Each : Members) {
+    if (Each.Name_ == Self_)
+      continue;
+    auto &Entry = Next[Each.Name_];
+    if (const auto Known = Peers_.find(Each.Name_); Known != Peers_.end())
+      Entry = std::move(Known->second);
+    else
+      Entry.Since_ = Now;
+    Entry.Member_ = Each;
+  }
+  Peers_ = std::move(Next);
+  std::erase_if(Domains_, [&](const auto &Entry) {
+    return std::ranges::none_of(
+        Peers_, [&](const auto &Each) { return Each.second.Member_.Domain_ == Entry.first; });
+  });
+}
+
+void PeerTable::onReply(std::string_view Name, std::uint64_t Incarnation, core::TimePoint Sent,
+                        const protocol::ProbeReply &Reply) {
+  const std::lock_guard Lock(Mutex_);
+  const auto Found = Peers_.find(Name);
+  if (Found == Peers_.end())
+    return;
+  Peer &Entry = Found->second;
+  if (Incarnation < Entry.Incarnation_)
+    return;
+  if (Incarnation == Entry.Incarnation_ && Entry.LastReplySent_ && Sent < *Entry.LastReplySent_)
+    return; // overtaken by a newer reply
+  if (Incarnation > Entry.Incarnation_)
+    Entry.StoreAsOf_.reset();
+  Entry.Incarnation_ = Incarnation;
+  Entry.LastReplySent_ = Sent;
+  Entry.ConfigOffset_ = Reply.ConfigOffset_;
+  Entry.Confirms_ = Reply.Confirms_;
+  if (Reply.StoreAgeMs_ >= 0)
+    Entry.StoreAsOf_ = Sent - core::Millis(Reply.StoreAgeMs_);
+  Entry.Owner_ = Reply.Owner_;
+  Entry.Term_ = Reply.Term_;
+  Entry.Free_ = Reply.Free_;
+  Entry.FreeSlots_ = Reply.FreeSlots_;
+  const std::string &Domain = Entry.Member_.Domain_;
+  if (Domain == Domain_)
+    return;
+  auto &View = Domains_[Domain];
+  if (View.AsOf_ > Sent)
+    return;
+  View = {Domain,      Entry.Member_.Name_, Sent,          Reply.Owner_, Reply.Term_,
+          Reply.Free_, Reply.FreeSlots_,    Reply.Members_};
+}
+
+std::vector<Peer> PeerTable::peers() const {
+  const std::lock_guard Lock(Mutex_);
+  std::vector<Peer> All;
+  All.reserve(Peers_.size());
+  for (const auto &[Name, Entry] : Peers_)
+    All.push_back(Entry);
+  return All;
+}
+
+std::optional<Peer> PeerTable::find(std::string_view Name) const {
+  const std::lock_guard Lock(Mutex_);
+  const auto Found = Peers_.find(Name);
+  return Found == Peers_.end() ? std::nullopt : std::optional(Found->second);
+}
+
+std::map<std::string, DomainView> PeerTable::domains() const {
+  const std::lock_guard Lock(Mutex_);
+  return Domains_;
+}
+
+std::optional<core::Duration> PeerTable::missedFor(std::string_view Name,
+                                                   core::TimePoint Now) const {
+  const std::lock_guard Lock(Mutex_);
+  const auto Found = Peers_.find(Name);
+  if (Found == Peers_.end())
+    return std::nullopt;
+  return Now - Found->second.LastReplySent_.value_or(Found->second.Since_);
+}
+
+std::optional<core::Duration> PeerTable::storeAge(std::string_view Name,
+                                                  core::TimePoint Now) const {
+  const std::lock_guard Lock(Mutex_);
+  const auto Found = Peers_.find(Name);
+  if (Found == Peers_.end() || !Found->second.StoreAsOf_)
+    return std::nullopt;
+  return Now - *Found->second.StoreAsOf_;
+}
+
+std::vector<protocol::MemberSummary> PeerTable::summary(core::TimePoint Now) const {
+  const std::lock_guard Lock(Mutex_);
+  std::vector<protocol::MemberSummary> All;
+  for (const auto &[Name, Entry] : Peers_) {
+    if (Entry.Member_.Domain_ != Domain_ || !Entry.LastReplySent_)
+      continue;
+    // Rounded up, so that the age is never understated.
+    All.push_back({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.Confirms_,
+                   core::toMillis(Now - *Entry.LastReplySent_) + 1});
+  }
+  return All;
+}
+
+std::vector<ConfigEvidence> PeerTable::evidence() const {
+  const std::lock_guard Lock(Mutex_);
+  std::map<std::string, ConfigEvidence, std::less<>> Newest;
+  const auto Add = [&](ConfigEvidence Each) {
+    const auto Known = Newest.find(Each.Name_);
+    if (Known == Newest.end() || Each.Incarnation_ > Known->second.Incarnation_ ||
+        (Each.Incarnation_ == Known->second.Incarnation_ && Each.AsOf_ > Known->second.AsOf_))
+      Newest[Each.Name_] = std::move(Each);
+  };
+  for (const auto &[Name, Entry] : Peers_)
+    if (Entry.LastReplySent_)
+      Add({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.Confirms_, *Entry.LastReplySent_});
+  for (const auto &[Domain, View] : Domains_)
+    for (const auto &Each : View.Members_)
+      if (Each.Name_ != Self_)
+        Add({Each.Name_, Each.Incarnation_, Each.ConfigOffset_, Each.Confirms_,
+             View.AsOf_ - core::Millis(std::max<std::int64_t>(Each.AgeMs_, 0))});
+  std::vector<ConfigEvidence> All;
+  All.reserve(Newest.size());
+  for (auto &[Name, Each] : Newest)
+    All.push_back(std::move(Each));
+  return All;
+}
+
+std::optional<PeerTable::KnownOwner> PeerTable::owner(std::string_view Domain) const {
+  const std::lock_guard Lock(Mutex_);
+  std::optional<KnownOwner> Best;
+  for (const auto &[Name, Entry] : Peers_)
+    if (Entry.Member_.Domain_ == Domain && !Entry.Owner_.empty() &&
+        (!Best || Entry.Term_ > Best->Term_))
+      Best = KnownOwner{Entry.Owner_, Entry.Term_};
+  return Best;
+}
+
+} // namespace masticdrift::membership
