--- /dev/null
+++ b/include/masticdrift/cell/DomainStream.h
@@ -0,0 +1,82 @@
+/// \file
+/// The own domain's stream: replay, group commit, ownership and snapshots.
+#ifndef MASTICDRIFT_CELL_DOMAINSTREAM_H
+#define MASTICDRIFT_CELL_DOMAINSTREAM_H
+
+#include "masticdrift/cell/Controller.h"
+#include "masticdrift/jobs/DomainState.h"
+#include "masticdrift/journal/Appender.h"
+#include "masticdrift/journal/Tailer.h"
+#include "masticdrift/ownership/OwnershipDriver.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace masticdrift::cell {
+
+struct DomainStreamOptions {
+  std::string Stream_;
+  core::Duration Poll_ = core::Millis(250);
+  core::Duration BatchClose_ = core::Millis(20);
+  double AppendsPerSecond_ = 20;
+  core::Duration Retention_ = std::chrono::hours(24); ///< how long the log keeps records
+  ownership::OwnershipOptions Ownership_;
+};
+
+struct DomainStreamHooks {
+  std::function<void(const jobs::Change &)> OnChange_;
+  std::function<void(std::uint64_t Term, core::TimePoint SlotsFreeAt)> OnAcquired_;
+  std::function<void(std::uint64_t Term)> OnLost_;
+  std::function<void(const std::string &Member, const protocol::ConsentRequest &,
+                     std::function<void(std::optional<protocol::Consent>)>)>
+      AskConsent_;
+  std::function<std::optional<core::Duration>(const std::string &Member, core::TimePoint Now)>
+      MissedFor_;
+  std::function<std::optional<core::Duration>(const std::string &Member, core::TimePoint Now)>
+      StoreAge_;
+  std::function<bool(const std::string &Member)> IsGone_;
+};
+
+/// Runs on the timer thread it is given.
+class DomainStream {
+public:
+  DomainStream(DomainStreamOptions Options, DomainStreamHooks Hooks, platform::LogClient &Log,
+               core::Timers &Timers);
+  DomainStream(const DomainStream &) = delete;
+  DomainStream &operator=(const DomainStream &) = delete;
+  ~DomainStream();
+
+  void start();
+  void stop();
+
+  /// Appends to the own domain's stream; see journal::Appender::append().
+  void append(std::vector<journal::Entry> Entries,
+              std::function<void(std::error_code, std::uint64_t)> Done);
+
+  /// Reads the stream as soon as possible.
+  void readNow();
+
+  /// Calls \p Done on the timer thread once everything that was in the stream before this call has
+  /// been replayed, or with StoreUnavailable after \p Timeout.
+  void barrier(core::Duration Timeout, std::function<void(std::error_code)> Done);
+
+  const jobs::DomainState &jobs() const;
+  ownership::OwnershipDriver &ownership();
+  const ownership::OwnershipDriver &ownership() const;
+
+  /// \returns the send time of the last read that reached the end.
+  std::optional<core::TimePoint> completeAsOf() const;
+  std::optional<journal::Gap> gap() const;
+  /// \returns true when nothing waits to be appended.
+  bool idle() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace masticdrift::cell
+
+#endif // MASTICDRIFT_CELL_DOMAINSTREAM_H
--- /dev/null
+++ b/include/masticdrift/cell/Services.h
@@ -0,0 +1,46 @@
+/// \file
+/// Which service jobs of the configuration should exist in a domain.
+#ifndef MASTICDRIFT_CELL_SERVICES_H
+#define MASTICDRIFT_CELL_SERVICES_H
+
+#include "masticdrift/config/Configuration.h"
+#include "masticdrift/jobs/Job.h"
+
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticdrift::cell {
+
+/// Prefix of the request ids of service jobs; callers can't use it.
+inline constexpr std::string_view ServicePrefix = "service.";
+
+/// Changes that bring a domain's service jobs in line with the configuration.
+struct ServicePlan {
+  std::vector<jobs::JobSpec> Accept_;
+  std::vector<std::string> Cancel_; ///< job ids, in reverse order of dependency
+};
+
+/// \returns the domain that runs a replica: the service's own, or the domains in turn.
+std::string_view domainOfReplica(const config::Configuration &Of, const config::Service &Service,
+                                 std::int64_t Replica);
+
+/// Plans the service jobs of one domain.
+///
+/// A replica is accepted when at least one replica of every service that it depends on runs. A
+/// replica whose definition changed is cancelled first and accepted again, under a new generation,
+/// once it has ended.
+///
+/// \param Of the configuration in force.
+/// \param Domain the domain.
+/// \param Existing the domain's service jobs, finished ones included.
+/// \param RunsElsewhere whether a service without a replica in this domain is known to run.
+ServicePlan planServices(const config::Configuration &Of, std::string_view Domain,
+                         std::span<const jobs::Job> Existing,
+                         const std::function<bool(const config::Service &)> &RunsElsewhere);
+
+} // namespace masticdrift::cell
+
+#endif // MASTICDRIFT_CELL_SERVICES_H
--- /dev/null
+++ b/include/masticdrift/daemon/Daemon.h
@@ -0,0 +1,46 @@
+/// \file
+/// The daemon: builds all parts from the settings and connects them.
+#ifndef MASTICDRIFT_DAEMON_DAEMON_H
+#define MASTICDRIFT_DAEMON_DAEMON_H
+
+#include "masticdrift/settings/Settings.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace masticdrift::daemon {
+
+/// Ports that the daemon listens on.
+struct Ports {
+  std::uint16_t Caller_ = 0;
+  std::uint16_t Operator_ = 0;
+  std::uint16_t Peer_ = 0;
+};
+
+class Daemon {
+public:
+  /// Binds all listeners and starts all threads.
+  /// \param Drain called when an operator asks for the graceful stop.
+  /// \throws std::exception when a listener can't be bound.
+  Daemon(settings::Settings Settings, std::function<void()> Drain);
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+  ~Daemon();
+
+  Ports ports() const;
+
+  /// Stops gracefully: announces, refuses new work, waits for what runs, releases the lease.
+  ///
+  /// \param Forced asked between the steps; true ends the wait.
+  /// \returns true when everything had ended within the grace period of the settings.
+  bool stop(const std::function<bool()> &Forced);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace masticdrift::daemon
+
+#endif // MASTICDRIFT_DAEMON_DAEMON_H
--- /dev/null
+++ b/include/masticdrift/gateway/CallerApi.h
@@ -0,0 +1,54 @@
+/// \file
+/// The HTTP interface for callers.
+#ifndef MASTICDRIFT_GATEWAY_CALLERAPI_H
+#define MASTICDRIFT_GATEWAY_CALLERAPI_H
+
+#include "masticdrift/cell/JobService.h"
+#include "masticdrift/http/Server.h"
+#include "masticdrift/platform/InstanceList.h"
+#include "masticdrift/replica/ConfigReplica.h"
+#include "masticdrift/routing/Router.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace masticdrift::gateway {
+
+struct CallerApiOptions {
+  core::Millis DefaultDeadline_{2000};
+  core::Millis MaxDeadline_{5000};
+  core::Duration FreshnessBound_ = core::Millis(5000);
+};
+
+/// Handles requests of callers: interactive requests, jobs, health. Thread-safe.
+class CallerApi {
+public:
+  CallerApi(CallerApiOptions Options, replica::ConfigReplica &Config, routing::Router &Router,
+            cell::JobService &Jobs, const platform::InstanceList &Instances);
+  CallerApi(const CallerApi &) = delete;
+  CallerApi &operator=(const CallerApi &) = delete;
+  ~CallerApi();
+
+  /// The handler of an http::Server.
+  void handle(http::Request Incoming, http::Responder Respond);
+
+  /// Readiness fails from here on, so that the balancer sends no new callers; requests are still
+  /// served.
+  void announceStop();
+
+  /// Refuses new work with Stopping.
+  void refuseNew();
+
+  /// \returns requests that have not been answered.
+  std::int64_t inFlight() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace masticdrift::gateway
+
+#endif // MASTICDRIFT_GATEWAY_CALLERAPI_H
--- a/include/masticdrift/jobs/DomainState.h
+++ b/include/masticdrift/jobs/DomainState.h
@@ -65,6 +65,7 @@
   std::uint64_t Term_ = 0;
   std::uint64_t StartOffset_ = 0;
   bool CancelRequested_ = false;
+  std::string Boot_; ///< generation of the worker's lease that the Start names
 };
 
 struct DomainStateOptions {
--- a/include/masticdrift/jobs/Job.h
+++ b/include/masticdrift/jobs/Job.h
@@ -69,7 +69,8 @@
   std::uint64_t Offset_ = 0;  ///< of the record that led to this state
   std::int32_t Exit_ = 0;
   std::string Reason_; ///< of a Hold
-  MSGPACK_DEFINE_ARRAY(State_, Attempt_, Worker_, Term_, Offset_, Exit_, Reason_)
+  std::string Boot_;   ///< of the last Start
+  MSGPACK_DEFINE_ARRAY(State_, Attempt_, Worker_, Term_, Offset_, Exit_, Reason_, Boot_)
   bool operator==(const Task &) const = default;
 };
 
--- a/include/masticdrift/jobs/Records.h
+++ b/include/masticdrift/jobs/Records.h
@@ -37,7 +37,8 @@
   std::uint32_t Attempt_ = 0; ///< one above the task's last attempt
   std::string Worker_;
   std::uint64_t Term_ = 0;
-  MSGPACK_DEFINE_ARRAY(Job_, Task_, Attempt_, Worker_, Term_)
+  std::string Boot_; ///< generation of the worker's lease under which the task may run
+  MSGPACK_DEFINE_ARRAY(Job_, Task_, Attempt_, Worker_, Term_, Boot_)
 };
 
 /// The owner knows how an attempt ended.
--- a/include/masticdrift/platform/WorkerClient.h
+++ b/include/masticdrift/platform/WorkerClient.h
@@ -67,7 +67,9 @@
   std::uint64_t Term_ = 0;
   std::uint32_t Attempt_ = 0;
   core::Resources Need_;
+  std::string Boot_; ///< generation of the lease; a worker refuses a start that names another one
   std::int64_t RunMs_ = 0;
+  std::string Command_;
   bool Fail_ = false; ///< stand-in workers end the task with a failure
 };
 
--- /dev/null
+++ b/include/masticdrift/routing/Dispatcher.h
@@ -0,0 +1,80 @@
+/// \file
+/// Owner side of interactive requests: queue, executor slots, sends and retries.
+#ifndef MASTICDRIFT_ROUTING_DISPATCHER_H
+#define MASTICDRIFT_ROUTING_DISPATCHER_H
+
+#include "masticdrift/core/Timers.h"
+#include "masticdrift/platform/ExecutorClient.h"
+#include "masticdrift/platform/InstanceList.h"
+#include "masticdrift/routing/Request.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace masticdrift::routing {
+
+struct DispatcherOptions {
+  std::uint32_t SlotsPerExecutor_ = 8;
+  std::uint32_t ConnectionsPerExecutor_ = 16;
+  std::size_t QueuePerTeam_ = 200;
+  std::int64_t RetryPercent_ = 10;
+  core::Duration SlotGrace_ = core::Millis(250); ///< a slot stays taken this long after a timeout
+};
+
+/// What one team may use in this domain.
+struct TeamSlots {
+  std::string Name_;
+  double Weight_ = 1;
+  std::int64_t Slots_ = 0; ///< the domain's allotment of the team's limit
+};
+
+struct DispatcherStats {
+  std::int64_t FreeSlots_ = 0;
+  std::int64_t Waiting_ = 0;
+  std::int64_t InFlight_ = 0; ///< sent and not answered, slots held after a timeout included
+};
+
+/// Hands requests to the executors of the owned domain. Thread-safe; each executor pool has its own
+/// lock.
+class Dispatcher {
+public:
+  /// \param HoldsLease asked immediately before each send; false fails the request as not run.
+  Dispatcher(DispatcherOptions Options, core::Timers &Timers,
+             std::function<bool(core::TimePoint)> HoldsLease);
+  Dispatcher(const Dispatcher &) = delete;
+  Dispatcher &operator=(const Dispatcher &) = delete;
+  ~Dispatcher();
+
+  /// Replaces the list of executors of this domain. Executors that are leaving or gone get no new
+  /// requests.
+  void setExecutors(std::span<const platform::Instance> Executors);
+
+  /// Replaces weights and allotments.
+  void setTeams(std::span<const TeamSlots> Teams);
+
+  /// The lease was won; nothing is sent before \p SlotsFreeAt.
+  void acquired(core::TimePoint SlotsFreeAt);
+
+  /// The lease was lost: waiting requests fail as not run.
+  void lost();
+
+  /// Queues a request. \p Done is called exactly once, possibly before this returns.
+  ///
+  /// Errors: NotOwner, NoUpstream, QueueFull, TeamLimit, DeadlineExpired, LeaseLapsed,
+  /// UpstreamRefused (all not run); UpstreamFailed, AnswerTruncated, OutcomeUnknown,
+  /// RetryBudgetSpent.
+  void submit(InteractiveRequest Request, OutcomeCallback Done);
+
+  DispatcherStats stats() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace masticdrift::routing
+
+#endif // MASTICDRIFT_ROUTING_DISPATCHER_H
--- /dev/null
+++ b/src/gateway/Answer.cpp
@@ -0,0 +1,64 @@
+#include "masticdrift/gateway/Answer.h"
+
+#include <array>
+#include <cstdint>
+#include <random>
+
+namespace masticdrift::gateway {
+
+namespace {
+
+std::string_view outcomeName(core::RunState Ran) {
+  switch (Ran) {
+  case core::RunState::NotRun:
+    return "not_run";
+  case core::RunState::Ran:
+    return "failed";
+  case core::RunState::MayHaveRun:
+    break;
+  }
+  return "unknown";
+}
+
+} // namespace
+
+http::Response errorAnswer(const core::Failure &Error, std::string_view RequestId) {
+  const core::ErrorInfo &Info = core::describe(Error.Kind_);
+  http::Response To;
+  To.Status_ = Info.HttpStatus_;
+  To.Body_ = core::errorBody(Error.Kind_, Error.Message_, RequestId);
+  To.Headers_.emplace_back("Masticdrift-Outcome", outcomeName(Info.Ran_));
+  if (!RequestId.empty())
+    To.Headers_.emplace_back("Masticdrift-Request-Id", RequestId);
+  if (Info.Retry_)
+    To.Headers_.emplace_back("Retry-After", "1");
+  return To;
+}
+
+http::Response jsonAnswer(std::string Json, int Status) {
+  http::Response To;
+  To.Status_ = Status;
+  To.Body_ = std::move(Json);
+  return To;
+}
+
+std::string_view bearerToken(const http::Request &From) {
+  constexpr std::string_view Prefix = "Bearer ";
+  const std::string_view Value = http::findHeader(From.Headers_, "Authorization");
+  return Value.starts_with(Prefix) ? Value.substr(Prefix.size()) : std::string_view();
+}
+
+std::string newRequestId() {
+  thread_local std::mt19937_64 Generator{
+      (static_cast<std::uint64_t>(std::random_device{}()) << 32U) ^ std::random_device{}()};
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Id;
+  for (int Half = 0; Half < 2; ++Half) {
+    std::uint64_t Bits = Generator();
+    for (int I = 0; I < 16; ++I, Bits >>= 4U)
+      Id += Digits[Bits & 15U];
+  }
+  return Id;
+}
+
+} // namespace masticdrift::gateway
--- /dev/null
+++ b/src/gateway/OperatorApi.cpp
@@ -0,0 +1,229 @@
+#include "masticdrift/gateway/OperatorApi.h"
+
+#include "masticdrift/config/Key.h"
+#include "masticdrift/core/Metrics.h"
+#include "masticdrift/gateway/Answer.h"
+#include "masticdrift/settings/Reader.h"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace masticdrift::gateway {
+
+namespace {
+
+using core::ErrorKind;
+using Json = nlohmann::ordered_json;
+
+std::string dump(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::int64_t numberOr(std::string_view Text, std::int64_t Default) {
+  std::int64_t Value = Default;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+Json versionJson(const config::VersionInfo &One) {
+  return {{"version", One.Version_},
+          {"author", One.Author_},
+          {"time_ms", One.WallMs_},
+          {"changes", One.Changes_}};
+}
+
+Json keyJson(const config::KeyInfo &One) {
+  Json To{{"key_id", One.KeyId_},
+          {"team", One.Team_},
+          {"granted_by", One.GrantedBy_},
+          {"granted_ms", One.GrantedMs_},
+          {"revoked", One.Revoked_}};
+  if (One.Revoked_) {
+    To["revoked_by"] = One.RevokedBy_;
+    To["revoked_ms"] = One.RevokedMs_;
+  }
+  return To;
+}
+
+Json auditJson(const config::AuditEntry &One) {
+  return {{"offset", One.Offset_}, {"time_ms", One.WallMs_}, {"author", One.Author_},
+          {"action", One.Action_}, {"object", One.Object_},  {"accepted", One.Accepted_},
+          {"detail", One.Detail_}};
+}
+
+http::Response configAnswer(const replica::ConfigAnswer &From) {
+  if (!From.Error_)
+    return jsonAnswer(dump({{"version", From.Version_}}));
+  http::Response To = errorAnswer(From.Error_);
+  if (From.Error_.Kind_ == ErrorKind::VersionConflict) {
+    Json Body = Json::parse(To.Body_);
+    Body["current_version"] = From.Version_;
+    To.Body_ = dump(Body);
+  }
+  return To;
+}
+
+} // namespace
+
+struct OperatorApi::Impl : std::enable_shared_from_this<Impl> {
+  Impl(std::vector<std::string> KeyHashes, std::size_t FleetSize, replica::ConfigReplica &Config,
+       OperatorApiHooks Hooks)
+      : KeyHashes_(std::move(KeyHashes)), FleetSize_(FleetSize), Config_(Config),
+        Hooks_(std::move(Hooks)) {}
+
+  bool authorized(const http::Request &Incoming) const {
+    const std::string Hash = config::hashKey(bearerToken(Incoming));
+    bool Found = false;
+    for (const std::string &Known : KeyHashes_)
+      Found = config::sameHash(Known, Hash) || Found;
+    return Found;
+  }
+
+  void handle(http::Request Incoming, http::Responder Respond) {
+    const auto Path = http::pathSegments(Incoming.Path_);
+    const std::string Route =
+        Incoming.Method_ + (Path.size() > 1 ? " " + Path[0] + "/" + Path[1] : " " + Incoming.Path_);
+    if (Route == "GET /metrics")
+      return Respond({200, core::renderMetrics(), "text/plain; version=0.0.4", {}});
+    if (Route == "GET /healthz")
+      return Respond(jsonAnswer(R"({"status":"ok"})"));
+    if (!authorized(Incoming))
+      return Respond(errorAnswer(
+          {bearerToken(Incoming).empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
+           "an operator's key is needed"}));
+    if (Route == "GET v1/config")
+      return Respond(Path.size() == 3 && Path[2] == "history" ? history() : current());
+    if (Route == "POST v1/config")
+      return submit(Incoming, std::move(Respond));
+    if (Route == "GET v1/inforce")
+      return Respond(inForce(numberOr(http::queryValue(Incoming.Query_, "version"), 0)));
+    if (Route == "GET v1/keys")
+      return Respond(keys());
+    if (Route == "POST v1/keys")
+      return grant(Incoming, std::move(Respond));
+    if (Route == "DELETE v1/keys" && Path.size() == 3)
+      return revoke(Path[2], Incoming, std::move(Respond));
+    if (Route == "GET v1/audit")
+      return Respond(audit(Incoming));
+    if (Route == "GET v1/status")
+      return Respond(jsonAnswer(Hooks_.Status_()));
+    if (Route == "POST v1/drain") {
+      Hooks_.Drain_();
+      return Respond(jsonAnswer(R"({"status":"draining"})", 202));
+    }
+    Respond(errorAnswer(
+        {ErrorKind::UnknownPath, "no such path: " + Incoming.Method_ + " " + Incoming.Path_}));
+  }
+
+  http::Response current() const {
+    return jsonAnswer(
+        dump({{"version", Config_.state().version()}, {"text", Config_.state().text()}}));
+  }
+
+  http::Response history() const {
+    Json All = Json::array();
+    for (const config::VersionInfo &One : Config_.state().history())
+      All.push_back(versionJson(One));
+    return jsonAnswer(dump(All));
+  }
+
+  http::Response keys() const {
+    Json All = Json::array();
+    for (const config::KeyInfo &One : Config_.state().keys())
+      All.push_back(keyJson(One));
+    return jsonAnswer(dump(All));
+  }
+
+  http::Response audit(const http::Request &Incoming) const {
+    const std::int64_t Since = numberOr(http::queryValue(Incoming.Query_, "since"), 0);
+    const std::string Author = http::queryValue(Incoming.Query_, "author");
+    const std::string Object = http::queryValue(Incoming.Query_, "object");
+    Json All = Json::array();
+    for (const config::AuditEntry &One : Config_.state().audit())
+      if (One.WallMs_ >= Since && (Author.empty() || One.Author_ == Author) &&
+          (Object.empty() || One.Object_ == Object))
+        All.push_back(auditJson(One));
+    return jsonAnswer(dump(All));
+  }
+
+  http::Response inForce(std::int64_t Version) const {
+    std::uint64_t Needed = UINT64_MAX;
+    for (const config::VersionInfo &One : Config_.state().history())
+      if (static_cast<std::int64_t>(One.Version_) == Version)
+        Needed = One.Offset_;
+    Json Instances = Json::array();
+    std::size_t Count = 0;
+    for (const InstanceOffset &One : Hooks_.Offsets_()) {
+      // Offsets count applied records, so a version is in force above its own offset.
+      const bool Has = One.Heard_ && One.ConfigOffset_ > Needed;
+      Count += Has ? 1 : 0;
+      Instances.push_back({{"name", One.Name_}, {"in_force", Has}, {"heard", One.Heard_}});
+    }
+    const bool All = Count == Instances.size() && Count >= FleetSize_;
+    return jsonAnswer(dump({{"version", Version}, {"all", All}, {"instances", Instances}}));
+  }
+
+  void submit(const http::Request &Incoming, http::Responder Respond) {
+    const std::string_view Base = http::findHeader(Incoming.Headers_, "Masticdrift-Base-Version");
+    const std::string_view Author = http::findHeader(Incoming.Headers_, "Masticdrift-Author");
+    std::string_view GivenId = http::findHeader(Incoming.Headers_, "Masticdrift-Request-Id");
+    const std::string Id = GivenId.empty() ? newRequestId() : std::string(GivenId);
+    const std::int64_t Number = numberOr(Base, -1);
+    if (Base.empty() || Number < 0)
+      return Respond(errorAnswer(
+          {ErrorKind::MissingField, "Masticdrift-Base-Version: expected a version number"}));
+    if (Author.empty())
+      return Respond(
+          errorAnswer({ErrorKind::MissingField, "Masticdrift-Author: required header is missing"}));
+    Config_.submit(Id, Incoming.Body_, static_cast<std::uint64_t>(Number), Author,
+                   [Respond = std::move(Respond)](const replica::ConfigAnswer &From) {
+                     Respond(configAnswer(From));
+                   });
+  }
+
+  void grant(const http::Request &Incoming, http::Responder Respond) {
+    settings::Reader Reader(Incoming.Body_);
+    const std::string Team = Reader.root().string("team");
+    const std::string Author = Reader.root().string("author");
+    if (const auto Mistakes = Reader.finish(); !Mistakes.empty())
+      return Respond(errorAnswer(Mistakes.front().failure()));
+    Config_.grant(
+        Team, Author, [Team, Respond = std::move(Respond)](const replica::ConfigAnswer &From) {
+          Respond(
+              From.Error_
+                  ? errorAnswer(From.Error_)
+                  : jsonAnswer(dump({{"key_id", From.KeyId_}, {"team", Team}, {"key", From.Key_}}),
+                               201));
+        });
+  }
+
+  void revoke(const std::string &KeyId, const http::Request &Incoming, http::Responder Respond) {
+    const std::string_view Author = http::findHeader(Incoming.Headers_, "Masticdrift-Author");
+    if (Author.empty())
+      return Respond(
+          errorAnswer({ErrorKind::MissingField, "Masticdrift-Author: required header is missing"}));
+    Config_.revoke(
+        KeyId, Author, [Respond = std::move(Respond)](const replica::ConfigAnswer &From) {
+          Respond(From.Error_ ? errorAnswer(From.Error_)
+                              : jsonAnswer(dump({{"key_id", From.KeyId_}, {"revoked", true}})));
+        });
+  }
+
+  const std::vector<std::string> KeyHashes_;
+  const std::size_t FleetSize_;
+  replica::ConfigReplica &Config_;
+  const OperatorApiHooks Hooks_;
+};
+
+OperatorApi::OperatorApi(std::vector<std::string> KeyHashes, std::size_t FleetSize,
+                         replica::ConfigReplica &Config, OperatorApiHooks Hooks)
+    : Impl_(std::make_shared<Impl>(std::move(KeyHashes), FleetSize, Config, std::move(Hooks))) {}
+
+OperatorApi::~OperatorApi() = default;
+
+void OperatorApi::handle(http::Request Incoming, http::Responder Respond) {
+  Impl_->handle(std::move(Incoming), std::move(Respond));
+}
+
+} // namespace masticdrift::gateway
--- a/src/jobs/DomainState.cpp
+++ b/src/jobs/DomainState.cpp
@@ -94,7 +94,8 @@
 
 RunningTask runningTask(const Job &Of, std::uint32_t Number) {
   const Task &One = Of.Tasks_[Number];
-  return {Of.Spec_, Number, One.Attempt_, One.Worker_, One.Term_, One.Offset_, Of.CancelRequested_};
+  return {Of.Spec_,  Number,      One.Attempt_,        One.Worker_,
+          One.Term_, One.Offset_, Of.CancelRequested_, One.Boot_};
 }
 
 } // namespace
@@ -175,6 +176,7 @@
     One.Attempt_ = Record.Attempt_;
     One.Worker_ = Record.Worker_;
     One.Term_ = Record.Term_;
+    One.Boot_ = Record.Boot_;
     One.Offset_ = Offset;
     One.Exit_ = 0;
     addToIndex(Target, Record.Task_);
