--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -164,16 +164,11 @@
   }
   note(Offset, Record.WallMs_, Record.Author_, "submit",
        "version " + std::to_string(Record.Version_), Accepted, Detail);
+  if (Data_.Results_.size() == KeptEntries) // keep() drops this row
+    ResultIndex_.erase(Data_.Results_.front().SubmissionId_);
   keep(Data_.Results_, ResultRow{Record.SubmissionId_, static_cast<std::uint8_t>(Result.Outcome_),
                                  Result.Version_, Result.Winner_, Result.Message_});
   ResultIndex_.emplace(Record.SubmissionId_, std::move(Result));
-  while (ResultIndex_.size() > Data_.Results_.size()) {
-    // keep() dropped the oldest row; the index must hold the same ids as the rows.
-    std::erase_if(ResultIndex_, [&](const auto &Each) {
-      return std::ranges::find(Data_.Results_, Each.first, &ResultRow::SubmissionId_) ==
-             Data_.Results_.end();
-    });
-  }
   return Accepted;
 }
 
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 using settings::Node;
 
-// Bounds keep the products of the allotment split within 63 bits: 10^13 millicores times 10^5.
+// Bounds keep the products of the allotment split within 63 bits: 10^10 times 10^5.
 constexpr std::int64_t MaxWeight = 100'000;
 constexpr std::int64_t MaxAmount = 10'000'000'000;
 constexpr std::int64_t MaxReplicas = 100'000;
@@ -33,9 +33,8 @@
 /// hyphens are allowed.
 std::string readName(const Node &From, std::string_view Key) {
   const Node Value = From.required(Key);
-  const std::size_t NoName = 0;
   std::string Name = Value.asString();
-  if (!Value.present() || Name.size() == NoName) {
+  if (!Value.present() || Name.empty()) {
     if (Value.present())
       Value.fail(ErrorKind::OutOfRange, "must not be empty");
     return Name;
