--- /dev/null
+++ b/tests/unit/ConfigurationTest.cpp
@@ -0,0 +1,193 @@
+#include "masticdrift/config/Configuration.h"
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace masticdrift;
+using config::Configuration;
+using core::ErrorKind;
+using nlohmann::json;
+using settings::Mistake;
+
+namespace {
+
+json base() {
+  return json::parse(R"({"fleet":"roshan",
+    "domains":[{"name":"lahore-a","region":"Punjab","weight":3},
+               {"name":"karachi-a","region":"Sindh","weight":2}],
+    "teams":[{"name":"punjab-rural","share":4,
+              "limit":{"slots":10,"cores":20,"memory_mb":4096,"accelerators":0}},
+             {"name":"sindh-coop","share":2,"limit":{"slots":5,"cores":2.5,"memory_mb":1024}}],
+    "queues":[{"name":"reorder-check","pool":"reorder-desk","class":"interactive",
+               "teams":["punjab-rural"]},
+              {"name":"hours","pool":"reorder-desk","class":"interactive","open":true},
+              {"name":"print","class":"batch","teams":["punjab-rural","sindh-coop"]}],
+    "services":[
+      {"name":"watch","team":"punjab-rural","cores":1,"memory_mb":64,"run":"w",
+       "depends_on":["register","archive"]},
+      {"name":"register","team":"punjab-rural","domain":"lahore-a","replicas":2,"cores":1,
+       "memory_mb":64,"run":"r"},
+      {"name":"archive","team":"sindh-coop","cores":0.5,"memory_mb":64,"run":"a",
+       "depends_on":["register"]}]})");
+}
+
+std::vector<Mistake> mistakesWith(std::string_view Pointer, const json &Value) {
+  json Text = base();
+  Text[json::json_pointer(std::string(Pointer))] = Value;
+  return config::parse(Text.dump()).Mistakes_;
+}
+
+void expectOne(const std::vector<Mistake> &All, ErrorKind Kind, std::string_view Pointer,
+               std::string_view Part) {
+  for (const Mistake &Each : All)
+    cr_log_info("%s", Each.text().c_str());
+  cr_assert_eq(All.size(), 1);
+  cr_assert(All[0].Kind_ == Kind, "%s", All[0].text().c_str());
+  cr_assert(All[0].Pointer_ == Pointer, "%s", All[0].text().c_str());
+  cr_assert(All[0].Message_.find(Part) != std::string::npos, "%s", All[0].text().c_str());
+}
+
+Configuration parsed(const json &Text) {
+  auto Parsed = config::parse(Text.dump());
+  cr_assert(Parsed.Mistakes_.empty());
+  return Parsed.Configuration_;
+}
+
+} // namespace
+
+Test(ConfigurationParse, allValuesArrive) {
+  const Configuration All = parsed(base());
+  cr_assert(All.Fleet_ == "roshan");
+  cr_assert_eq(All.domain("karachi-a")->Weight_, 2);
+  cr_assert_eq(All.team("sindh-coop")->Limit_.Resources_.MilliCores_, 2500);
+  cr_assert_eq(All.team("sindh-coop")->Limit_.Resources_.Accelerators_, 0);
+  cr_assert(All.queue("print")->Class_ == config::QueueClass::Batch);
+  cr_assert_eq(All.service("register")->Replicas_, 2);
+  cr_assert_eq(All.service("watch")->Replicas_, 1);
+  cr_assert_null(All.service("nothing"));
+}
+
+// Guards against work for a team that the queue does not list (P3).
+Test(ConfigurationParse, onlyListedTeamsMayUseAQueueThatIsNotOpen) {
+  const Configuration All = parsed(base());
+  cr_assert(config::allows(*All.queue("reorder-check"), "punjab-rural"));
+  cr_assert(!config::allows(*All.queue("reorder-check"), "sindh-coop"));
+  cr_assert(!config::allows(*All.queue("reorder-check"), ""));
+  cr_assert(config::allows(*All.queue("hours"), ""));
+}
+
+Test(ConfigurationMistakes, anUnknownTeamNamesTheNearest) {
+  expectOne(mistakesWith("/queues/2/teams/1", "sind-coop"), ErrorKind::OutOfRange,
+            "/queues/2/teams/1", "nearest is \"sindh-coop\"");
+  expectOne(mistakesWith("/services/0/team", "punjab-rurl"), ErrorKind::OutOfRange,
+            "/services/0/team", "nearest is \"punjab-rural\"");
+}
+
+Test(ConfigurationMistakes, anUnknownDomainNamesTheNearest) {
+  expectOne(mistakesWith("/services/1/domain", "lahore-b"), ErrorKind::OutOfRange,
+            "/services/1/domain", "nearest is \"lahore-a\"");
+}
+
+Test(ConfigurationMistakes, anUnknownDependencyNamesTheNearest) {
+  expectOne(mistakesWith("/services/2/depends_on/0", "registr"), ErrorKind::UnknownDependency,
+            "/services/2/depends_on/0", "nearest is \"register\"");
+}
+
+Test(ConfigurationMistakes, aDuplicateNameIsReported) {
+  expectOne(mistakesWith("/teams/1/name", "punjab-rural").empty()
+                ? std::vector<Mistake>{}
+                : std::vector<Mistake>{mistakesWith("/teams/1/name", "punjab-rural").front()},
+            ErrorKind::OutOfRange, "/teams/1/name", "already the name of /teams/0");
+}
+
+// Names become parts of job ids and paths; a slash would make two ids equal.
+Test(ConfigurationMistakes, aNameWithASlashIsRefused) {
+  expectOne(mistakesWith("/queues/1/name", "a/b"), ErrorKind::OutOfRange, "/queues/1/name",
+            "lower-case letters");
+}
+
+Test(ConfigurationMistakes, unknownKeysAndWrongTypesHavePointers) {
+  expectOne(mistakesWith("/services/0/replica", 2), ErrorKind::UnknownField, "/services/0/replica",
+            "nearest is \"replicas\"");
+  expectOne(mistakesWith("/teams/0/share", "4"), ErrorKind::WrongType, "/teams/0/share",
+            "expected a number");
+  expectOne(mistakesWith("/teams/0/limit/cores", -1), ErrorKind::OutOfRange, "/teams/0/limit/cores",
+            "outside");
+  expectOne(mistakesWith("/queues/0/class", "interactiv"), ErrorKind::OutOfRange, "/queues/0/class",
+            "nearest is \"interactive\"");
+}
+
+Test(ConfigurationMistakes, aReplicaLargerThanItsTeamsLimitIsRefused) {
+  expectOne(mistakesWith("/services/2/cores", 3), ErrorKind::OutOfRange, "/services/2",
+            "limit of team \"sindh-coop\"");
+}
+
+Test(ConfigurationCycles, aCycleIsShownAsPath) {
+  expectOne(mistakesWith("/services/1/depends_on", {"watch"}), ErrorKind::DependencyCycle,
+            "/services/1/depends_on/0", "cycle watch -> register -> watch");
+}
+
+Test(ConfigurationCycles, aServiceThatDependsOnItselfIsACycle) {
+  expectOne(mistakesWith("/services/1/depends_on", {"register"}), ErrorKind::DependencyCycle,
+            "/services/1/depends_on/0", "cycle register -> register");
+}
+
+// A recursive search would exhaust the stack here.
+Test(ConfigurationCycles, aLongChainIsNoCycle) {
+  json Text = base();
+  Text["services"] = json::array();
+  constexpr int Length = 20'000;
+  for (int I = 0; I < Length; ++I) {
+    json One{{"name", "s" + std::to_string(I)},
+             {"team", "punjab-rural"},
+             {"cores", 1},
+             {"memory_mb", 1},
+             {"run", "x"}};
+    if (I + 1 < Length)
+      One["depends_on"] = {"s" + std::to_string(I + 1)};
+    Text["services"].push_back(One);
+  }
+  const Configuration All = parsed(Text);
+  const auto Order = config::startOrder(All);
+  cr_assert_eq(Order.size(), Length);
+  cr_assert_eq(Order.front(), Length - 1);
+  cr_assert_eq(Order.back(), 0);
+}
+
+Test(ConfigurationStartOrder, dependenciesComeFirst) {
+  const Configuration All = parsed(base());
+  std::vector<std::string> Names;
+  for (const std::size_t I : config::startOrder(All))
+    Names.push_back(All.Services_[I].Name_);
+  cr_assert((Names == std::vector<std::string>{"register", "archive", "watch"}));
+}
+
+Test(ConfigurationDiff, addedRemovedAndChangedObjectsHaveOneLineEach) {
+  json Text = base();
+  Text["services"][1]["replicas"] = 3;
+  Text["queues"].erase(1);
+  Text["teams"].push_back(
+      {{"name", "indus"}, {"share", 1}, {"limit", {{"slots", 1}, {"cores", 1}, {"memory_mb", 1}}}});
+  const auto Lines = config::diff(parsed(base()), parsed(Text));
+  cr_assert_eq(Lines.size(), 3);
+  cr_assert(Lines[0].starts_with("+ team indus: share 1, slots 1, cores 1"));
+  cr_assert(Lines[1] == "- queue hours");
+  cr_assert(Lines[2] == "~ service register: replicas 2 -> 3");
+}
+
+Test(ConfigurationDelta, applyingTheDeltaGivesTheNewText) {
+  json Text = base();
+  Text["services"][1]["replicas"] = 3;
+  Text["queues"].erase(1);
+  const auto Delta = config::delta(base().dump(), Text.dump());
+  cr_assert(Delta.has_value());
+  cr_assert(config::applyDelta(base().dump(), *Delta) == config::canonicalText(Text.dump()));
+}
+
+Test(ConfigurationDelta, aDeltaThatDoesNotApplyGivesNothing) {
+  cr_assert(!config::applyDelta("{}", R"([{"op":"remove","path":"/a"}])"));
+  cr_assert(!config::applyDelta("{}", "nonsense"));
+  cr_assert(!config::canonicalText("{"));
+}
