--- /dev/null
+++ b/tests/standins/common/Program.cpp
@@ -0,0 +1,48 @@
+#include "standins/common/Program.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <sys/prctl.h>
+
+namespace masticdrift::standins {
+
+void dieWithParent() { prctl(PR_SET_PDEATHSIG, SIGKILL); }
+
+int runProgram(asio::io_context &Io, const Json &Ready) {
+  asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  Signals.async_wait([&Io](std::error_code Error, int) {
+    if (!Error)
+      Io.stop();
+  });
+  std::cout << Ready.dump() << std::endl;
+  Io.run();
+  return 0;
+}
+
+void later(asio::io_context &Io, std::chrono::milliseconds Delay, std::function<void()> Work) {
+  if (Delay.count() <= 0)
+    return Work();
+  auto Timer = std::make_shared<asio::steady_timer>(Io, Delay);
+  Timer->async_wait([Timer, Work = std::move(Work)](std::error_code Error) {
+    if (!Error)
+      Work();
+  });
+}
+
+Reply jsonReply(const Json &Body, int Status) { return {Status, Body.dump()}; }
+
+Reply errorReply(int Status, std::string_view Text) {
+  return jsonReply({{"error", std::string(Text)}}, Status);
+}
+
+void withJson(const http::Request &Incoming, const Respond &Answer,
+              const std::function<void(const Json &)> &Work) {
+  try {
+    Work(Incoming.Body_.empty() ? Json::object() : Json::parse(Incoming.Body_));
+  } catch (const std::exception &Error) {
+    Answer(errorReply(400, Error.what()));
+  }
+}
+
+} // namespace masticdrift::standins
--- /dev/null
+++ b/tests/standins/common/Program.h
@@ -0,0 +1,47 @@
+/// \file
+/// What every stand-in program has in common: its life cycle and JSON answers.
+#ifndef MASTICDRIFT_STANDINS_COMMON_PROGRAM_H
+#define MASTICDRIFT_STANDINS_COMMON_PROGRAM_H
+
+#include "standins/common/HttpStub.h"
+
+#include <chrono>
+#include <functional>
+
+#include <nlohmann/json.hpp>
+
+namespace masticdrift::standins {
+
+using Json = nlohmann::json;
+
+/// Prints \p Ready as one line, then runs until SIGTERM or SIGINT. The process dies with its
+/// parent.
+/// \returns the exit code of the program.
+int runProgram(asio::io_context &Io, const Json &Ready);
+
+/// Asks the kernel to kill this process when its parent thread ends. Call first in main.
+void dieWithParent();
+
+/// Runs \p Work once after \p Delay; at once when \p Delay is not positive.
+void later(asio::io_context &Io, std::chrono::milliseconds Delay, std::function<void()> Work);
+
+/// \returns an answer with \p Body as JSON.
+Reply jsonReply(const Json &Body, int Status = 200);
+
+/// \returns an answer with {"error": Text}.
+Reply errorReply(int Status, std::string_view Text);
+
+/// Parses a JSON object and runs \p Work with it; anything that throws becomes an answer with
+/// status 400.
+void withJson(const http::Request &Incoming, const Respond &Answer,
+              const std::function<void(const Json &)> &Work);
+
+/// Sets \p Target when \p Body has a member called \p Name.
+template <typename T> void assignIfPresent(const Json &Body, const char *Name, T &Target) {
+  if (const auto Found = Body.find(Name); Found != Body.end())
+    Target = Found->get<T>();
+}
+
+} // namespace masticdrift::standins
+
+#endif // MASTICDRIFT_STANDINS_COMMON_PROGRAM_H
