--- a/include/masticdrift/ownership/OwnershipDriver.h
+++ b/include/masticdrift/ownership/OwnershipDriver.h
@@ -97,7 +97,7 @@
 
   /// Takes a reply to a probe that was created at \p Sent.
   void onProbeReply(std::string_view Member, std::uint64_t Incarnation, core::TimePoint Sent,
-                    const protocol::ProbeReply &Reply, core::TimePoint Now);
+                    const protocol::ProbeReply &Reply);
 
   /// Answers a ConsentRequest.
   protocol::Consent onConsentRequest(const protocol::ConsentRequest &Request, core::TimePoint Now);
@@ -130,7 +130,7 @@
 
 private:
   struct Impl;
-  std::unique_ptr<Impl> Impl_;
+  std::shared_ptr<Impl> Impl_;
 };
 
 } // namespace masticdrift::ownership
