ownership: report a term only while its lease is held

A claim that was read back late, after later terms, was reported with a slot time in the past; it is no longer reported. left() waits for an open Join, which otherwise left a dead member behind.

--- a/include/masticdrift/ownership/OwnershipDriver.h
+++ b/include/masticdrift/ownership/OwnershipDriver.h
@@ -63,7 +63,9 @@
   /// Whether the platform has terminated an instance for good. Without an owner, any member evicts
   /// such instances, since otherwise a domain whose instances were all replaced had no consenter.
   std::function<bool(const std::string &Member)> IsGone_;
-  /// This daemon won \p Term; executor slots may be used from \p SlotsFreeAt on.
+  /// This daemon won \p Term and holds its lease; executor slots may be used from \p SlotsFreeAt
+  /// on. holds() is false until it has returned. The two callbacks are called in order, one at a
+  /// time, and must not call onRecord(), tick() or finishStop().
   std::function<void(std::uint64_t Term, core::TimePoint SlotsFreeAt)> OnAcquired_;
   /// \p Term is not this daemon's any more. A lease that lapsed within its term is not reported;
   /// holds() shows it.
@@ -125,7 +127,8 @@
   /// is written no earlier than the slots of earlier owners are free.
   void finishStop(core::TimePoint Now);
 
-  /// \returns whether the records of finishStop() have been read back.
+  /// \returns whether the records of finishStop() have been read back. Without the store this stays
+  /// false; the caller bounds the wait, and the instance is evicted later.
   bool left() const;
 
 private:
--- a/src/ownership/OwnershipDriver.cpp
+++ b/src/ownership/OwnershipDriver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <set>
@@ -45,8 +46,10 @@
   bool isMember() const { return Table_.isMember(Options_.Instance_, Options_.Incarnation_); }
 
   void publish() {
-    Until_.store(Lease_.term() == 0 ? 0 : Lease_.until().time_since_epoch().count());
-    OwnTerm_.store(Lease_.term());
+    // Nobody may act on a term whose start the callback has not been told.
+    const bool Announced = Lease_.term() != 0 && Lease_.term() == Announced_;
+    Until_.store(Announced ? Lease_.until().time_since_epoch().count() : 0);
+    OwnTerm_.store(Announced ? Lease_.term() : 0);
   }
 
   /// Appends without blocking; \p Busy is false again when the append was answered.
@@ -76,19 +79,19 @@
     return Out;
   }
 
-  void loseTerm(Actions &Todo) {
+  void loseTerm() {
     const auto Term = Lease_.term();
     if (Term == 0)
       return;
     Lease_.end();
     RenewSent_.clear();
     publish();
-    if (Hooks_.OnLost_)
-      Todo.push_back([this, Term] { Hooks_.OnLost_(Term); });
+    if (Reported_ == Term)
+      Transitions_.push_back({false, Term, {}});
   }
 
-  void onClaimed(const Applied &Result, TimePoint Now, Actions &Todo) {
-    loseTerm(Todo);
+  void onClaimed(const Applied &Result, TimePoint Now) {
+    loseTerm();
     Evicting_.clear();
     if (Result.Instance_ != Options_.Instance_ || Result.Incarnation_ != Options_.Incarnation_)
       return;
@@ -100,14 +103,43 @@
                                                     Options_.LongestDeadline_ + Options_.SlotGrace_
                                               : Now;
     LastRenew_ = Found->second.Sent_;
-    publish();
-    if (Hooks_.OnAcquired_)
-      Todo.push_back(
-          [this, Term = state().Term_, At = SlotsFreeAt_] { Hooks_.OnAcquired_(Term, At); });
+  }
+
+  /// Reports a term once its lease is held. A claim that is read late, when others may have owned
+  /// the domain since, is not reported.
+  void report(TimePoint Now) {
+    if (!isOwner() || !Lease_.holds(Now) || Reported_ == Lease_.term())
+      return;
+    Reported_ = Lease_.term();
+    Transitions_.push_back({true, Reported_, SlotsFreeAt_});
+  }
+
+  /// Calls the callbacks in the order of the transitions, without the lock.
+  void deliver() {
+    const std::lock_guard Delivering(DeliverMutex_);
+    for (;;) {
+      Transition Next;
+      {
+        const std::lock_guard Lock(Mutex_);
+        if (Transitions_.empty())
+          return;
+        Next = Transitions_.front();
+        Transitions_.pop_front();
+      }
+      if (!Next.Acquired_) {
+        if (Hooks_.OnLost_)
+          Hooks_.OnLost_(Next.Term_);
+        continue;
+      }
+      if (Hooks_.OnAcquired_)
+        Hooks_.OnAcquired_(Next.Term_, Next.SlotsFreeAt_);
+      const std::lock_guard Lock(Mutex_);
+      Announced_ = Next.Term_;
+      publish();
+    }
   }
 
   void onRecord(std::uint64_t Offset, RecordType Type, std::string_view Body, TimePoint Now) {
-    Actions Todo;
     {
       const std::lock_guard Lock(Mutex_);
       // Records of one batch share an offset: a prefix counts as read when the next batch begins.
@@ -125,7 +157,7 @@
                       [&](const auto &Each) { return !Table_.isMember(Each.first, Each.second); });
         break;
       case ClaimEvent::Claimed:
-        onClaimed(Result, Now, Todo);
+        onClaimed(Result, Now);
         break;
       case ClaimEvent::Renewed:
         if (isOwner())
@@ -136,15 +168,17 @@
           }
         break;
       case ClaimEvent::Released:
-        loseTerm(Todo);
+        loseTerm();
         break;
       }
       if (Result.Event_ == ClaimEvent::Claimed)
         Claims_.clear();
       if (Result.VersionChanged_)
         ConsentVersion_.reset();
+      Joined_ = Joined_ || isMember();
+      report(Now);
     }
-    run(Todo);
+    deliver();
   }
 
   static void run(Actions &Todo) {
@@ -291,7 +325,7 @@
     Book_.close();
     const auto Term = Lease_.term();
     const bool Owns = isOwner();
-    loseTerm(Todo);
+    loseTerm();
     if (Owns)
       ReleaseTerm_ = Term;
     if (StopBusy_ || !due(LastStop_, Now))
@@ -329,7 +363,9 @@
         else
           tickClaimant(Now, Todo);
       }
+      report(Now);
     }
+    deliver();
     run(Todo);
   }
 
@@ -374,7 +410,18 @@
 
   OwnershipOptions Options_;
   OwnershipHooks Hooks_;
+  struct Transition {
+    bool Acquired_ = false;
+    std::uint64_t Term_ = 0;
+    TimePoint SlotsFreeAt_{};
+  };
+
+  std::mutex DeliverMutex_; ///< taken before Mutex_; keeps callbacks in order
   mutable std::mutex Mutex_;
+  std::deque<Transition> Transitions_; ///< not delivered yet
+  std::uint64_t Reported_ = 0;         ///< last term put into Transitions_ as acquired
+  std::uint64_t Announced_ = 0;        ///< last term whose OnAcquired_ has returned
+  bool Joined_ = false;                ///< the own Join was read back
   ClaimTable Table_;
   PromiseBook Book_;
   OwnerLease Lease_;
@@ -495,7 +542,8 @@
 
 bool OwnershipDriver::left() const {
   const std::lock_guard Lock(Impl_->Mutex_);
-  return Impl_->Finished_ && !Impl_->isMember() &&
+  const bool JoinOpen = Impl_->LastJoin_ && !Impl_->Joined_;
+  return Impl_->Finished_ && !JoinOpen && !Impl_->isMember() &&
          (Impl_->state().Owner_ != Impl_->Options_.Instance_ ||
           Impl_->state().OwnerIncarnation_ != Impl_->Options_.Incarnation_);
 }
--- a/tests/unit/OwnershipModelTest.cpp
+++ b/tests/unit/OwnershipModelTest.cpp
@@ -426,6 +426,7 @@
       if (!Each->Driver_->left())
         return false;
       Finished_.insert(Each->Incarnation_);
+      Terminated_[Each->Name_] = Now_;
       return true;
     });
     // A released lease may be taken while its old owner still waits to read the record back.
