--- a/include/masticdrift/routing/Router.h
+++ b/include/masticdrift/routing/Router.h
@@ -39,6 +39,9 @@
   /// Serves a Forward message of another daemon.
   void onForward(const protocol::Envelope &Message);
 
+  /// \returns the number of domains whose owner is reachable now.
+  std::size_t reachableDomains() const;
+
   /// Refuses forwarded requests with Stopping from here on.
   void refuseForwards();
 
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -1,5 +1,6 @@
 #include "masticdrift/cell/Controller.h"
 
+#include "masticdrift/core/Error.h"
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/jobs/Records.h"
--- a/src/cell/DomainStream.cpp
+++ b/src/cell/DomainStream.cpp
@@ -1,5 +1,6 @@
 #include "masticdrift/cell/DomainStream.h"
 
+#include "masticdrift/core/Error.h"
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Pack.h"
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -293,7 +293,7 @@
                          const protocol::ProbeReply &Reply) {
       Config_.onReply(Sent, Reply);
       if (From.Domain_ == Settings_.Instance_.Domain_)
-        Stream_.ownership().onProbeReply(From.Name_, Incarnation, Sent, Reply, core::Clock::now());
+        Stream_.ownership().onProbeReply(From.Name_, Incarnation, Sent, Reply);
     };
     return To;
   }
@@ -317,7 +317,7 @@
 
   platform::InstanceListOptions listOptions() const {
     platform::InstanceListOptions To;
-    To.Url_ = Settings_.Platform_.InstancesUrl_;
+    To.Url_ = Settings_.Platform_.InstancesUrl_ + "/instances";
     To.Interval_ = Settings_.Timing_.PollInstances_;
     To.Timeout_ = Settings_.Timing_.StoreTimeout_;
     return To;
@@ -572,6 +572,7 @@
                               {"owner", Claims.Owner_},
                               {"term", Claims.Term_},
                               {"is_owner", Stream_.ownership().holds(Now)},
+                              {"reachable_domains", Router_.reachableDomains()},
                               {"free_slots", Slots.FreeSlots_},
                               {"requests_waiting", Slots.Waiting_},
                               {"requests_in_flight", Slots.InFlight_},
--- a/src/gateway/CallerApi.cpp
+++ b/src/gateway/CallerApi.cpp
@@ -109,7 +109,7 @@
   }
 
   http::Response ready() const {
-    const bool Ready = !Stopping_ && Config_.loaded();
+    const bool Ready = !Stopping_ && Config_.loaded() && Router_.reachableDomains() > 0;
     return jsonAnswer(Ready ? R"({"status":"ready"})" : R"({"status":"not ready"})",
                       Ready ? 200 : 503);
   }
--- a/src/platform/WorkerClient.cpp
+++ b/src/platform/WorkerClient.cpp
@@ -187,11 +187,13 @@
 
 void WorkerClient::startTask(std::string_view Address, const StartRequest &Request, Callback Done) {
   const Json Body{{"term", Request.Term_},
+                  {"boot", Request.Boot_},
                   {"attempt", Request.Attempt_},
                   {"cores", coresOf(Request.Need_.MilliCores_)},
                   {"memory_mb", Request.Need_.MemoryMb_},
                   {"accelerators", Request.Need_.Accelerators_},
                   {"run_ms", Request.RunMs_},
+                  {"command", Request.Command_},
                   {"fail", Request.Fail_}};
   http::ClientRequest Out;
   Out.Method_ = "PUT";
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -146,7 +146,7 @@
 
   /// Without the store: takes the state of the peer that has read furthest.
   void askPeers(TimePoint Now) {
-    if (Now - StartedAt_ < AskPeersAfter || std::exchange(Asking_, true))
+    if (Now - StartedAt_ < AskPeersAfter || Asking_.exchange(true))
       return;
     std::string Best;
     std::uint64_t BestOffset = 0;
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -233,6 +233,10 @@
 
 void Router::onForward(const protocol::Envelope &Message) { Impl_->onForward(Message); }
 
+std::size_t Router::reachableDomains() const {
+  return chooseDomains(Impl_->Domains_(), Impl_->Options_.Domain_, Impl_->Options_.Region_).size();
+}
+
 void Router::refuseForwards() { Impl_->Refusing_ = true; }
 
 std::int64_t Router::inFlight() const { return Impl_->InFlight_; }
--- a/tests/integration/StandinTest.cpp
+++ b/tests/integration/StandinTest.cpp
@@ -168,7 +168,7 @@
 // Guards against workers that accept commands of an owner that has been replaced.
 Test(StandinWorkers, commandsOfALowerTermAreRefused) {
   Running Worker("standin-worker", {OneWorker});
-  cr_assert_eq(startTask(Worker, "t", 1, 0), 409); // no lease yet
+  cr_assert_eq(startTask(Worker, "t", 1, 0), 410); // no lease yet
   cr_assert_eq(renew(Worker, 5, 5000), 200);
   cr_assert_eq(startTask(Worker, "t", 5, 0), 201);
   cr_assert_eq(renew(Worker, 4, 5000), 409);
@@ -222,7 +222,7 @@
   Worker.Process_.signal(SIGSTOP);
   std::this_thread::sleep_for(core::Millis(700));
   Worker.Process_.signal(SIGCONT);
-  cr_assert_eq(startTask(Worker, "c", 1, 0), 409);
+  cr_assert_eq(startTask(Worker, "c", 1, 0), 410);
   for (const Json &Task : Worker.evidence()["tasks"]) {
     cr_assert_eq(Task["reason"], "lease ended");
     const auto Ran = Task["end_ms"].get<std::int64_t>() - Task["start_ms"].get<std::int64_t>();
--- a/tests/standins/StandinWorker.cpp
+++ b/tests/standins/StandinWorker.cpp
@@ -195,7 +195,9 @@
       return errorReply(409, "another attempt of the task is known");
     const TimePoint Now = core::Clock::now();
     if (Term > At.Term_ || At.LeaseEnd_ <= Now)
-      return errorReply(409, "no lease under this term");
+      return errorReply(410, "no lease under this term");
+    if (Body.value("boot", At.Boot_) != At.Boot_)
+      return errorReply(410, "start names an earlier generation of the lease");
     if (At.Switches_.Leaving_ || At.Switches_.Refuse_)
       return errorReply(503, At.Switches_.Leaving_ ? "leaving" : "refused");
     Task New;
@@ -288,13 +290,20 @@
   /// Ends what has ended by now: leases first, then tasks whose run time is over.
   void sweep() {
     const TimePoint Now = core::Clock::now();
-    for (auto &[Name, At] : Workers_)
+    for (auto &[Name, At] : Workers_) {
+      const bool Lapsed = At.LeaseEnd_ != TimePoint{} && At.LeaseEnd_ <= Now;
       for (auto &[Id, Of] : At.Tasks_)
-        if (At.LeaseEnd_ <= Now)
+        if (Lapsed)
           finish(At, Of, "stopped", "lease ended", At.LeaseEnd_);
         else if (Of.End_ <= Now)
           finish(At, Of, Of.Exit_ == 0 ? "finished" : "failed", Of.Exit_ == 0 ? "done" : "failed",
                  Of.End_);
+      if (Lapsed) {
+        // A start that names the old generation may still be on its way and must not run.
+        At.Boot_ = newBoot();
+        At.LeaseEnd_ = {};
+      }
+    }
   }
 
   void tick() {
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -61,6 +61,8 @@
   Fleet &operator=(const Fleet &) = delete;
   ~Fleet();
 
+  /// \returns the number of failure domains.
+  std::size_t domains() const { return Spec_.Domains_.size(); }
   const std::vector<std::string> &names() const { return Names_; }
   /// \returns the names of the daemons of one domain.
   std::vector<std::string> namesIn(const std::string &Domain) const;
--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -1,5 +1,6 @@
 #include "masticdrift/http/Server.h"
 
+#include <atomic>
 #include <array>
 #include <cstdio>
 #include <cstdlib>
