policy: add property and unit tests

Cause: the decisions need checks that do not use their own index. Conclusion: no fault found yet; mutations of the code still have to show that the checks bite.

--- /dev/null
+++ b/tests/unit/PolicyQueueTest.cpp
@@ -0,0 +1,203 @@
+#include "masticdrift/policy/Explain.h"
+#include "masticdrift/policy/Learn.h"
+#include "masticdrift/policy/Quarantine.h"
+
+#include <criterion/criterion.h>
+
+using namespace masticdrift::policy;
+using std::chrono::seconds;
+
+namespace {
+
+PendingJob makeJob(std::string Id, JobKind Kind, Resources Size, std::uint32_t Tasks) {
+  PendingJob Job;
+  Job.Id_ = std::move(Id);
+  Job.Team_ = "a";
+  Job.Kind_ = Kind;
+  Job.Size_ = Size;
+  Job.Queued_ = TimePoint{seconds(1000)};
+  for (std::uint32_t I = 0; I < Tasks; ++I)
+    Job.Waiting_.push_back(I);
+  return Job;
+}
+
+CellView makeCell() {
+  CellView Cell;
+  addWorker(Cell, "w0", "r0", {16'000, 32'768, 0});
+  addWorker(Cell, "w1", "r0", {8000, 65'536, 4});
+  return Cell;
+}
+
+} // namespace
+
+// Guards against accepting a job that can never run, and against naming the wrong resource.
+Test(PolicyImpossible, namesTheResourceAndTheLargestAmount) {
+  const CellView Cell = makeCell();
+  auto Why = impossible(Cell, makeJob("j", JobKind::Batch, {17'000, 1024, 0}, 1));
+  cr_assert(Why && Why->Kind_ == 0 && Why->Largest_ == 16'000);
+  Why = impossible(Cell, makeJob("j", JobKind::Batch, {1000, 1024, 5}, 1));
+  cr_assert(Why && Why->Kind_ == 2 && Why->Largest_ == 4);
+  // Each amount exists, but not on one worker: with 4 accelerators only 8 cores are available.
+  Why = impossible(Cell, makeJob("j", JobKind::Batch, {12'000, 1024, 4}, 1));
+  cr_assert(Why && Why->Kind_ == 0 && Why->Largest_ == 8000);
+  Why = impossible(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 4));
+  cr_assert(Why && Why->Kind_ == 0 && Why->Asked_ == 32'000 && Why->Largest_ == 24'000);
+  cr_assert(!impossible(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 3)));
+}
+
+// Guards against a wave of cancellations that blocks the loop or leaves entries behind.
+Test(PolicyCancel, aWaveIsWorkedOffInSteps) {
+  PendingWork Pending;
+  std::vector<std::string> Ids;
+  for (int I = 0; I < 3000; ++I) {
+    addPending(Pending, makeJob("j" + std::to_string(I), JobKind::Batch, {1000, 1024, 0}, 2));
+    if (I % 3 != 0)
+      Ids.push_back("j" + std::to_string(I));
+  }
+  Ids.emplace_back("unknown");
+  std::size_t Cancelled = 0;
+  int Steps = 0;
+  for (; !Ids.empty(); ++Steps)
+    Cancelled += cancelSome(Pending, Ids, 100);
+  cr_assert_eq(Cancelled, 2000);
+  cr_assert_eq(Steps, 21);
+  cr_assert_eq(Pending.Tasks_, 2000);
+  cr_assert_eq(Pending.ShapesByKey_.size(), 1);
+}
+
+// Guards against duplicate tasks when a task is queued again while others of its job still wait.
+Test(PolicyQueue, aTaskQueuedAgainJoinsItsJob) {
+  PendingWork Pending;
+  addPending(Pending, makeJob("j", JobKind::Batch, {1000, 1024, 0}, 3));
+  cr_assert(takeWaiting(Pending, "j") == std::vector<std::uint32_t>{0});
+  addPending(Pending, makeJob("j", JobKind::Batch, {1000, 1024, 0}, 1));
+  addPending(Pending, makeJob("j", JobKind::Batch, {1000, 1024, 0}, 1));
+  cr_assert_eq(Pending.Tasks_, 3);
+  for (std::uint32_t I = 0; I < 3; ++I)
+    cr_assert(takeWaiting(Pending, "j") == std::vector<std::uint32_t>{I});
+  cr_assert(findPending(Pending, "j") == nullptr);
+  cr_assert_eq(Pending.Tasks_, 0);
+}
+
+// Guards against shares that ignore weights or the decayed past.
+Test(PolicyShares, theHeavierTeamMayUseMore) {
+  Shares All;
+  setCapacity(All, {100'000, 100'000, 10});
+  setTeam(All, "a", 3, {});
+  setTeam(All, "b", 1, {});
+  const TimePoint Now{seconds(1000)};
+  addUsage(All, 0, {30'000, 1000, 0}, Now);
+  addUsage(All, 1, {1000, 0, 1}, Now);
+  cr_assert_float_eq(rankOf(All, 0), rankOf(All, 1), 1e-9);
+  addUsage(All, 0, {-30'000, -1000, 0}, Now + seconds(600));
+  addUsage(All, 1, {-1000, 0, -1}, Now + seconds(600));
+  cr_assert(rankOf(All, 0) > 0.04, "past usage was forgotten at once");
+  decay(All, 0, Now + seconds(2000));
+  cr_assert(rankOf(All, 0) < 0.001, "past usage was not forgotten");
+}
+
+// Guards against one outlier changing the estimate, and against unbounded memory.
+Test(PolicyLearn, outliersAndMemory) {
+  Learned Known;
+  Known.MostFamilies_ = 10;
+  const Resources Declared{4000, 8192, 1};
+  for (int I = 0; I < 20; ++I)
+    observe(Known, "a", "f", seconds(100), seconds(I == 10 ? 100'000 : 20), Declared,
+            {1000, 2048, 0});
+  const Estimate Seen = estimate(Known, "a", "f", seconds(100), Declared);
+  cr_assert(Seen.Run_ >= seconds(19) && Seen.Run_ <= seconds(21));
+  cr_assert(Seen.Size_.MilliCores_ >= 1000 && Seen.Size_.MilliCores_ <= 1200);
+  cr_assert(Seen.Size_.MemoryMb_ >= 2048 && Seen.Size_.MemoryMb_ <= 2432);
+  cr_assert_eq(Seen.Size_.Accelerators_, 1);
+  cr_assert(estimate(Known, "b", "f", seconds(100), Declared).Run_ == seconds(100));
+  for (int I = 0; I < 100; ++I)
+    observe(Known, "a", "g" + std::to_string(I), seconds(1), seconds(1), Declared, {});
+  cr_assert_eq(Known.Recent_.size(), 10);
+  cr_assert_eq(Known.ByKey_.size(), 10);
+}
+
+// Guards against a worker that fails everything and drains the queue, and against quarantining a
+// worker because of one bad job.
+Test(PolicyQuarantine, threeDifferentJobsThenProbesWithBackOff) {
+  CellView Cell = makeCell();
+  Quarantine All;
+  TimePoint Now{seconds(1000)};
+  for (int I = 0; I < 10; ++I)
+    cr_assert(!recordEnd(All, Cell, 0, "same", false, Now));
+  recordEnd(All, Cell, 0, "second", false, Now);
+  cr_assert(Cell.Workers_[0].Health_ == Health::Healthy);
+  cr_assert(recordEnd(All, Cell, 0, "third", false, Now));
+  cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
+  openProbes(All, Cell, Now + seconds(29));
+  cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
+  Now += seconds(30);
+  openProbes(All, Cell, Now);
+  cr_assert(Cell.Workers_[0].Health_ == Health::Probing);
+  recordEnd(All, Cell, 0, "fourth", false, Now);
+  openProbes(All, Cell, Now + seconds(59));
+  cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined, "the back-off did not grow");
+  Now += seconds(60);
+  openProbes(All, Cell, Now);
+  // A probing worker gets one idempotent batch task and nothing else.
+  PendingWork Pending;
+  Shares Teams;
+  PendingJob Fixed = makeJob("fixed", JobKind::Batch, {12'000, 1024, 0}, 1);
+  Fixed.Idempotent_ = false;
+  addPending(Pending, Fixed);
+  cr_assert(decide(Cell, Pending, Teams, Now, {}).empty());
+  addPending(Pending, makeJob("probe", JobKind::Batch, {1000, 1024, 0}, 3));
+  const auto Started = decide(Cell, Pending, Teams, Now, {});
+  cr_assert_eq(Started.size(), 3);
+  cr_assert_eq(std::count_if(Started.begin(), Started.end(),
+                             [](const Decision &One) { return One.WorkerIndex_ == 0; }),
+               1);
+  cr_assert(recordEnd(All, Cell, 0, "probe", true, Now));
+  cr_assert(Cell.Workers_[0].Health_ == Health::Healthy);
+  cr_assert(All.Workers_.empty());
+}
+
+// Guards against explanations that name the wrong cause.
+Test(PolicyExplain, eachReasonIsNamed) {
+  CellView Cell = makeCell();
+  PendingWork Pending;
+  Shares Teams;
+  TimePoint Now{seconds(1000)};
+  const auto Why = [&](const char *Id) { return explain(Cell, Pending, Teams, Id, Now); };
+  cr_assert(Why("none").Reason_ == WaitReason::NotWaiting);
+  setTeam(Teams, "a", 1, {8, {20'000, 100'000, 8}});
+  addPending(Pending, makeJob("never", JobKind::Batch, {99'000, 1024, 0}, 1));
+  cr_assert(Why("never").Reason_ == WaitReason::NoFittingWorker);
+  addPending(Pending, makeJob("next", JobKind::Batch, {1000, 1024, 0}, 1));
+  cr_assert(Why("next").Reason_ == WaitReason::Next);
+  taskRunning(Cell, Teams, 0,
+              {.Job_ = "r",
+               .Team_ = "b",
+               .Size_ = {15'500, 1024, 0},
+               .Started_ = Now,
+               .ExpectedEnd_ = Now + seconds(50)},
+              Now);
+  addPending(Pending, makeJob("gang", JobKind::Gang, {8000, 1024, 0}, 2));
+  const auto Gang = Why("gang");
+  cr_assert(Gang.Reason_ == WaitReason::GangTasks);
+  cr_assert_eq(Gang.FittingTasks_, 1);
+  cr_assert(Gang.Text_ == "room for 1 of 2 gang tasks", "%s", Gang.Text_.c_str());
+  addPending(Pending, makeJob("full", JobKind::Batch, {16'000, 1024, 0}, 1));
+  const auto Full = Why("full");
+  cr_assert(Full.Reason_ == WaitReason::NoRoom);
+  cr_assert(Full.EstimatedStart_ == Now + seconds(50));
+  taskRunning(Cell, Teams, 1,
+              {.Job_ = "mine",
+               .Team_ = "a",
+               .Size_ = {6000, 1024, 0},
+               .Started_ = Now,
+               .ExpectedEnd_ = Now + seconds(50)},
+              Now);
+  cr_assert(Why("full").Reason_ == WaitReason::Limit);
+  taskEnded(Cell, Teams, "mine", 0, Now);
+  taskEnded(Cell, Teams, "r", 0, Now);
+  setHealth(Cell, 0, Health::Quarantined);
+  cr_assert(Why("full").Reason_ == WaitReason::Quarantine);
+  setHealth(Cell, 0, Health::Healthy);
+  reserve(Cell, 0, {"other", {16'000, 1024, 0}, Now, true, false});
+  cr_assert(Why("full").Reason_ == WaitReason::ReservedForGang);
+}
--- /dev/null
+++ b/tests/unit/PolicyRequestTest.cpp
@@ -0,0 +1,229 @@
+#include "masticdrift/policy/Executors.h"
+#include "masticdrift/policy/RequestQueue.h"
+#include "masticdrift/policy/RetryBudget.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <random>
+
+using namespace masticdrift;
+using namespace masticdrift::policy;
+using core::Millis;
+using core::TimePoint;
+
+namespace {
+const TimePoint Start{std::chrono::seconds(1000)};
+
+RequestQueue makeQueue() {
+  RequestQueue Queue;
+  Queue.Limits_.WaitFraction_ = 1000; // no shedding by expected wait unless a test asks for it
+  setSlotCapacity(Queue, 8);
+  return Queue;
+}
+} // namespace
+
+// Guards against slots that are handed out by arrival instead of by share.
+Test(PolicyRequests, slotsGoByShare) {
+  RequestQueue Queue = makeQueue();
+  setTeam(Queue, "a", 3, 100);
+  setTeam(Queue, "b", 1, 100);
+  for (std::uint64_t I = 0; I < 100; ++I) {
+    pushRequest(Queue, {I, "b", Start, Start + Millis(2000)}, Start);
+    pushRequest(Queue, {1000 + I, "a", Start, Start + Millis(2000)}, Start);
+  }
+  std::vector<QueuedRequest> Shed;
+  std::map<std::string, int> Got;
+  for (int I = 0; I < 80; ++I)
+    ++Got[popRequest(Queue, Start, Shed)->Team_];
+  cr_assert_eq(Got["a"], 60);
+  cr_assert_eq(Got["b"], 20);
+}
+
+// Guards against a team above its slot allotment, and against other teams waiting behind it.
+Test(PolicyRequests, theSlotLimitHoldsForOneTeamOnly) {
+  RequestQueue Queue = makeQueue();
+  setTeam(Queue, "a", 1, 2);
+  for (std::uint64_t I = 0; I < 5; ++I)
+    pushRequest(Queue, {I, "a", Start, Start + Millis(2000)}, Start);
+  pushRequest(Queue, {9, "b", Start, Start + Millis(2000)}, Start);
+  std::vector<QueuedRequest> Shed;
+  std::map<std::string, int> Got;
+  while (auto Next = popRequest(Queue, Start, Shed))
+    ++Got[Next->Team_];
+  cr_assert_eq(Got["a"], 2);
+  cr_assert_eq(Got["b"], 1);
+  finishSlot(Queue, "a", Millis(50));
+  cr_assert(popRequest(Queue, Start, Shed)->Team_ == "a");
+  cr_assert(!popRequest(Queue, Start, Shed));
+}
+
+// Guards against an expired request that takes a slot, and against a queue without bound.
+Test(PolicyRequests, expiredAndExcessRequestsAreShed) {
+  RequestQueue Queue = makeQueue();
+  Queue.Limits_.PerTeam_ = 3;
+  pushRequest(Queue, {1, "a", Start, Start + Millis(10)}, Start);
+  pushRequest(Queue, {2, "a", Start, Start + Millis(500)}, Start);
+  pushRequest(Queue, {3, "a", Start, Start + Millis(500)}, Start);
+  cr_assert(pushRequest(Queue, {4, "a", Start, Start + Millis(500)}, Start).Verdict_ ==
+            Admission::QueueFull);
+  cr_assert(pushRequest(Queue, {5, "b", Start, Start}, Start).Verdict_ == Admission::TooLate);
+  std::vector<QueuedRequest> Shed;
+  cr_assert_eq(popRequest(Queue, Start + Millis(20), Shed)->Id_, 2);
+  cr_assert_eq(Shed.size(), 1);
+  cr_assert_eq(Shed[0].Id_, 1);
+  cr_assert(removeRequest(Queue, "a", 3));
+  cr_assert_eq(Queue.Waiting_, 0);
+  cr_assert(!popRequest(Queue, Start + Millis(20), Shed));
+}
+
+// Guards against queueing a request whose caller would get its refusal only at the deadline.
+Test(PolicyRequests, aRequestThatWouldWaitTooLongIsRefusedAtOnce) {
+  RequestQueue Queue = makeQueue();
+  Queue.Limits_.WaitFraction_ = 0.5;
+  std::vector<QueuedRequest> Shed;
+  int Refused = 0;
+  for (std::uint64_t I = 0; I < 200; ++I) {
+    const auto Answer = pushRequest(Queue, {I, "a", Start, Start + Millis(200)}, Start);
+    if (Answer.Verdict_ == Admission::TooLate) {
+      ++Refused;
+      cr_assert(Answer.RetryAfter_ > Millis(0));
+    }
+  }
+  cr_assert(Refused > 150, "%d refused", Refused);
+  cr_assert(Queue.Waiting_ > 0);
+}
+
+// Guards against miscounted slots under random use.
+Test(PolicyRequests, randomUseKeepsTheCounts) {
+  constexpr std::uint64_t Seed = 11;
+  std::printf("seed %lu\n", Seed);
+  std::mt19937_64 Random(Seed);
+  RequestQueue Queue = makeQueue();
+  setTeam(Queue, "a", 2, 3);
+  setTeam(Queue, "b", 1, 2);
+  std::multimap<TimePoint, std::string> Running;
+  TimePoint Now = Start;
+  for (std::uint64_t Step = 0; Step < 20'000; ++Step) {
+    Now += Millis(Random() % 5);
+    pushRequest(Queue,
+                {Step, std::string(1, static_cast<char>('a' + Random() % 3)), Now,
+                 Now + Millis(Random() % 100)},
+                Now);
+    while (!Running.empty() && Running.begin()->first <= Now) {
+      finishSlot(Queue, Running.begin()->second, Millis(10));
+      Running.erase(Running.begin());
+    }
+    std::vector<QueuedRequest> Shed;
+    while (Running.size() < 6) {
+      auto Next = popRequest(Queue, Now, Shed);
+      if (!Next)
+        break;
+      cr_assert(Next->Deadline_ > Now, "an expired request took a slot");
+      Running.emplace(Now + Millis(1 + Random() % 20), Next->Team_);
+    }
+    std::size_t Waiting = 0;
+    for (const RequestTeam &Team : Queue.Teams_) {
+      Waiting += Team.Waiting_.size();
+      cr_assert(Team.Slots_ <= Team.SlotLimit_);
+      std::size_t Mine = 0;
+      for (const auto &[At, Name] : Running)
+        Mine += Name == Team.Name_ ? 1 : 0;
+      cr_assert_eq(Mine, Team.Slots_);
+      // Nothing waits while a slot is free.
+      cr_assert(Running.size() >= 6 || Team.Waiting_.empty() || Team.Slots_ == Team.SlotLimit_);
+    }
+    cr_assert_eq(Waiting, Queue.Waiting_);
+    cr_assert_eq(Running.size(), Queue.SlotsInUse_);
+  }
+}
+
+// Guards against more than 8 requests or 16 connections at one executor.
+Test(PolicyExecutors, slotsAndConnectionsAreBounded) {
+  Executors Pool;
+  addExecutor(Pool, "e0");
+  addExecutor(Pool, "e1");
+  std::map<std::size_t, int> Got;
+  while (auto Index = chooseExecutor(Pool, Start)) {
+    takeSlot(Pool, *Index, Start);
+    ++Got[*Index];
+    cr_assert(std::abs(Got[0] - Got[1]) <= 1, "requests are not balanced");
+  }
+  cr_assert(Got[0] == 8 && Got[1] == 8);
+  int Opened = 0;
+  while (openConnection(Pool, 0))
+    ++Opened;
+  cr_assert_eq(Opened, 16);
+}
+
+// Guards against a slot given out again while the executor still works on a timed-out request.
+Test(PolicyExecutors, theSlotOfATimedOutRequestStaysTaken) {
+  Executors Pool;
+  addExecutor(Pool, "e0");
+  for (int I = 0; I < 8; ++I)
+    takeSlot(Pool, 0, Start);
+  holdSlot(Pool, 0, Start, Start + Millis(250));
+  cr_assert(!chooseExecutor(Pool, Start + Millis(249)));
+  cr_assert(chooseExecutor(Pool, Start + Millis(251)));
+  takeSlot(Pool, 0, Start + Millis(251));
+  cr_assert(!chooseExecutor(Pool, Start + Millis(251)));
+}
+
+// Guards against an ejected executor that gets more than one request at a time, or none ever.
+Test(PolicyExecutors, ejectionAndSingleTrials) {
+  Executors Pool;
+  addExecutor(Pool, "bad");
+  addExecutor(Pool, "good");
+  for (int I = 0; I < 5; ++I) {
+    takeSlot(Pool, 0, Start);
+    finishRequest(Pool, 0, Start, Millis(10), false);
+  }
+  cr_assert(chooseExecutor(Pool, Start) == 1U);
+  const TimePoint Later = Start + Millis(2000);
+  cr_assert(chooseExecutor(Pool, Later) == 0U, "no trial request");
+  takeSlot(Pool, 0, Later);
+  cr_assert(chooseExecutor(Pool, Later) == 1U, "two trial requests at once");
+  finishRequest(Pool, 0, Later, Millis(10), false);
+  cr_assert(chooseExecutor(Pool, Later + Millis(3900)) == 1U, "the back-off did not grow");
+  const TimePoint Last = Later + Millis(4000);
+  cr_assert(chooseExecutor(Pool, Last) == 0U);
+  takeSlot(Pool, 0, Last);
+  finishRequest(Pool, 0, Last, Millis(10), true);
+  cr_assert(!Pool.All_[0].EjectedUntil_);
+}
+
+// Guards against a slow executor that delays every eighth request.
+Test(PolicyExecutors, anExecutorThreeTimesSlowerThanTheMedianIsEjected) {
+  Executors Pool;
+  for (int I = 0; I < 5; ++I)
+    addExecutor(Pool, "e" + std::to_string(I));
+  for (int Round = 0; Round < 100; ++Round)
+    for (std::size_t I = 0; I < 5; ++I) {
+      if (Pool.All_[I].EjectedUntil_)
+        continue;
+      takeSlot(Pool, I, Start);
+      finishRequest(Pool, I, Start, Millis(I == 3 ? 100 : 20), true);
+    }
+  for (std::size_t I = 0; I < 5; ++I)
+    cr_assert_eq(Pool.All_[I].EjectedUntil_.has_value(), I == 3, "executor %zu", I);
+}
+
+// Guards against retries that multiply the load during an outage.
+Test(PolicyRetryBudget, retriesStayUnderATenthOfTheRequests) {
+  constexpr std::uint64_t Seed = 12;
+  std::printf("seed %lu\n", Seed);
+  std::mt19937_64 Random(Seed);
+  RetryBudget Budget;
+  int Requests = 0;
+  int Retries = 0;
+  for (int I = 0; I < 10'000; ++I) {
+    if (Random() % 2 == 0) {
+      countRequest(Budget);
+      ++Requests;
+    } else if (takeRetry(Budget)) {
+      ++Retries;
+    }
+    cr_assert(Retries * 10 <= Requests);
+  }
+  cr_assert(Retries > 300);
+}
