measure: add loads of both users, interactive requests, decision time and cancel waves

Cause: the aims for waiting, shares, packing and decision time need figures beside a baseline. Ruled out: gang tasks declared larger than half a worker in the load; services that never end blocked them for ever in both policies, so they measured the load and not the decisions.

--- /dev/null
+++ b/tests/measure/Load.cpp
@@ -0,0 +1,691 @@
+#include "Load.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <unordered_set>
+
+namespace masticdrift::measure {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int Workers = 48;
+constexpr int PerRack = 8;
+const TimePoint Begin{seconds(10'000)};
+/// Interval of decisions, as in a group commit of the log.
+constexpr Duration Tick = milliseconds(50);
+/// Assumed times from the decision until the worker has confirmed.
+constexpr Duration CheckpointTakes = milliseconds(1500);
+constexpr Duration ThrottleTakes = milliseconds(100);
+constexpr Duration StopTakes = milliseconds(300);
+/// Lease of a worker plus margin: its tasks run elsewhere only after that.
+constexpr Duration LeaseEnds = milliseconds(10'500);
+
+struct Team {
+  const char *Name_;
+  double Weight_;
+  double Demand_; ///< offered work relative to the share
+};
+
+/// Two large teams, one of which asks for about twice its share; all ask for more than their share
+/// at 1.5 times capacity.
+constexpr std::array<Team, 6> Teams{{{"large", 6, 1.9},
+                                     {"second", 4, 1.2},
+                                     {"third", 2, 1.2},
+                                     {"small-a", 1, 1.3},
+                                     {"small-b", 1, 1.3},
+                                     {"small-c", 1, 1.3}}};
+
+/// A job with what only the driver knows.
+struct RealJob {
+  PendingJob Declared_;
+  TimePoint Arrives_;
+  Duration Run_{};
+  Resources Size_;
+  bool AlwaysFails_ = false;
+  std::set<WorkerIndex> FailedOn_;
+  std::map<std::uint32_t, Duration> Left_; ///< after a checkpoint
+  std::set<std::uint32_t> Started_;
+  std::uint32_t Tasks_ = 0;
+  std::uint32_t Done_ = 0;
+  bool Over_ = false;
+};
+
+struct Running {
+  TimePoint Ends_;
+  TimePoint Since_;
+  Duration Left_{};
+  std::uint64_t Ticket_ = 0;
+  bool Throttled_ = false;
+  bool Fails_ = false;
+};
+
+enum class EventKind : std::uint8_t { TaskEnd, Preempted, LeaseEnd, WorkerBack };
+
+struct Event {
+  EventKind Kind_;
+  std::string Job_;
+  std::uint32_t Task_ = 0;
+  std::uint64_t Ticket_ = 0;
+  PreemptHow How_ = PreemptHow::Stop;
+  WorkerIndex Worker_ = 0;
+};
+
+class Driver {
+public:
+  Driver(const User &Who, const Setting &How) : Who_(Who), How_(How), Random_(How.Seed_) {
+    for (int I = 0; I < Workers; ++I)
+      addWorker(Cell_, "w" + std::to_string(I), "r" + std::to_string(I / PerRack), capacity(I));
+    for (const Team &One : Teams)
+      setTeam(Shares_, One.Name_, One.Weight_, {});
+    setCapacity(Shares_, Cell_.Capacity_);
+    generate();
+  }
+
+  nlohmann::ordered_json run() {
+    const TimePoint Stop = Begin + seconds(How_.Seconds_);
+    std::size_t Next = 0;
+    for (Now_ = Begin; Now_ < Stop; Now_ += Tick) {
+      while (Next < Order_.size() && Jobs_.at(Order_[Next]).Arrives_ <= Now_)
+        submit(Jobs_.at(Order_[Next++]));
+      handleEvents();
+      if (How_.Faults_)
+        injectFaults();
+      if ((Now_ - Begin) % seconds(300) == Duration{} && Now_ > Begin)
+        cancelWave();
+      if ((Now_ - Begin) % seconds(1) == Duration{})
+        openProbes(Quarantine_, Cell_, Now_);
+      decideNow();
+      if ((Now_ - Begin) % seconds(1) == Duration{} && Now_ - Begin >= seconds(How_.WarmUp_))
+        sample();
+    }
+    drain();
+    return result();
+  }
+
+private:
+  [[nodiscard]] Resources capacity(int I) const {
+    Resources Has = Who_.Worker_;
+    if (Who_.AcceleratorsEvery_ > 0 && I % Who_.AcceleratorsEvery_ == 0)
+      Has.Accelerators_ = 4;
+    return Has;
+  }
+
+  double uniform(double From, double To) {
+    return std::uniform_real_distribution<double>(From, To)(Random_);
+  }
+  double logNormal(double Median, double Sigma) {
+    return Median * std::exp(std::normal_distribution<double>(0, Sigma)(Random_));
+  }
+
+  struct Family {
+    double RunRatio_; ///< declared to real
+    double CoresRatio_;
+    double MemoryRatio_;
+    double RunMedian_;
+    double Cores_;
+    double MemoryPerCore_;
+  };
+
+  /// Makes all jobs of the run in order of arrival.
+  void generate() {
+    const double Cores = static_cast<double>(Cell_.Capacity_.MilliCores_) / 1000;
+    const double Weights = 15;
+    const double PerCore = static_cast<double>(Who_.Worker_.MemoryMb_) * 1000 /
+                           static_cast<double>(Who_.Worker_.MilliCores_);
+    for (const Team &Owner : Teams) {
+      std::vector<Family> Families;
+      for (int I = 0; I < 8; ++I)
+        Families.push_back({logNormal(1.5, 0.8), std::max(0.8, logNormal(1.7, 0.4)),
+                            std::max(0.8, logNormal(1.7, 0.4)), logNormal(25, 0.6),
+                            std::clamp(logNormal(1.2, 0.7), 0.3, 6.0),
+                            PerCore * uniform(0.3, 0.7)});
+      const double Offered =
+          Cores * How_.Load_ / 1.5 * Owner.Weight_ / Weights * Owner.Demand_; // cores in use
+      // Services take a tenth of the work and run to the end.
+      double Services = Offered * 0.1;
+      while (Services > 0) {
+        RealJob Job = make(Owner, Families[0], JobKind::Service, 3);
+        Job.Arrives_ = Begin + milliseconds(static_cast<int>(uniform(0, 10'000)));
+        Services -= static_cast<double>(Job.Size_.MilliCores_) * 3 / 1000;
+        store(std::move(Job));
+      }
+      double Seconds = 0;
+      double Debt = 0; // core seconds submitted ahead of the offered rate
+      while (Seconds < How_.Seconds_) {
+        const double Pick = uniform(0, 1);
+        const bool Gang = Pick < 0.04;
+        const bool Urgent = Pick > 0.95;
+        const Family &Kind = Families[static_cast<std::size_t>(uniform(0, 8))];
+        const auto Tasks = static_cast<std::uint32_t>(
+            Gang ? uniform(4, 17) : (uniform(0, 1) < 0.3 ? uniform(2, 9) : 1));
+        RealJob Job = make(Owner, Kind, Gang ? JobKind::Gang : JobKind::Batch, Urgent ? 1 : Tasks);
+        Job.Declared_.Urgent_ = Urgent;
+        const double Rare = uniform(0, 1);
+        if (Rare < 0.01)
+          Job.Declared_.Size_.MilliCores_ = Who_.Worker_.MilliCores_ * 2; // can never run
+        else if (Rare < 0.02)
+          Job.AlwaysFails_ = true;
+        else
+          Debt += static_cast<double>(Job.Size_.MilliCores_) / 1000 * Job.Tasks_ *
+                  std::chrono::duration<double>(Job.Run_).count();
+        Job.Arrives_ = Begin + milliseconds(static_cast<std::int64_t>(Seconds * 1000));
+        store(std::move(Job));
+        // Jobs arrive in bursts, but the mean rate is as offered.
+        const double Gap = Debt / (Offered * 0.9) * uniform(0, 2);
+        Seconds += Gap;
+        Debt = std::max(0.0, Debt - Gap * Offered * 0.9);
+      }
+    }
+    std::sort(Order_.begin(), Order_.end(), [&](const auto &A, const auto &B) {
+      return std::tie(Jobs_.at(A).Arrives_, A) < std::tie(Jobs_.at(B).Arrives_, B);
+    });
+  }
+
+  RealJob make(const Team &Owner, const Family &Kind, JobKind What, std::uint32_t Tasks) {
+    RealJob Job;
+    Job.Tasks_ = Tasks;
+    PendingJob &Said = Job.Declared_;
+    Said.Id_ = std::string(Owner.Name_) + "/" + std::to_string(Jobs_.size());
+    Said.Team_ = Owner.Name_;
+    Said.Family_ = "f" + std::to_string(static_cast<int>(Kind.RunMedian_ * 1000));
+    Said.Kind_ = What;
+    Said.Checkpointable_ = uniform(0, 1) < 0.6;
+    Said.Throttleable_ = uniform(0, 1) < 0.5;
+    Said.Idempotent_ = uniform(0, 1) < 0.8;
+    const double Cores = std::clamp(Kind.Cores_ * logNormal(1, 0.1), 0.2, 8.0);
+    const double Memory = Cores * Kind.MemoryPerCore_ * logNormal(1, 0.1);
+    const double Run = std::clamp(logNormal(Kind.RunMedian_, 0.5), 1.0, 400.0);
+    Job.Size_ = {static_cast<std::int64_t>(Cores * 1000), static_cast<std::int64_t>(Memory), 0};
+    if (Who_.AcceleratorsEvery_ > 0 && What != JobKind::Service && uniform(0, 1) < 0.05)
+      Job.Size_.Accelerators_ = uniform(0, 1) < 0.7 ? 1 : 2;
+    Job.Run_ = milliseconds(static_cast<std::int64_t>(Run * 1000));
+    Said.Run_ = milliseconds(
+        static_cast<std::int64_t>(std::max(1.0, Run * Kind.RunRatio_ * logNormal(1, 0.3)) * 1000));
+    // Sizes are declared in steps of half a core and 512 MB.
+    // A gang task is declared with at most half a worker; services, which never end, run on most
+    // workers and would block a larger one for ever.
+    Said.Size_ = {std::min<std::int64_t>(
+                      Who_.Worker_.MilliCores_ / (What == JobKind::Gang ? 2 : 1),
+                      500 * static_cast<std::int64_t>(std::ceil(Cores * Kind.CoresRatio_ * 2))),
+                  std::min<std::int64_t>(
+                      Who_.Worker_.MemoryMb_,
+                      512 * static_cast<std::int64_t>(std::ceil(Memory * Kind.MemoryRatio_ / 512))),
+                  Job.Size_.Accelerators_};
+    for (std::uint32_t I = 0; I < Tasks; ++I)
+      Said.Waiting_.push_back(I);
+    return Job;
+  }
+
+  void store(RealJob Job) {
+    std::string Id = Job.Declared_.Id_;
+    Order_.push_back(Id);
+    Jobs_.emplace(std::move(Id), std::move(Job));
+  }
+
+  void submit(RealJob &Job) {
+    Job.Declared_.Queued_ = Now_;
+    if (impossible(Cell_, Job.Declared_)) {
+      ++Refused_;
+      Job.Over_ = true;
+      return;
+    }
+    enqueue(Job, Job.Declared_.Waiting_);
+  }
+
+  void enqueue(RealJob &Job, std::vector<std::uint32_t> Tasks) {
+    if (Job.Over_)
+      return;
+    PendingJob What = Job.Declared_;
+    What.Waiting_ = std::move(Tasks);
+    if (How_.Baseline_) {
+      Waiting_ += What.Waiting_.size();
+      WaitingOf_[What.Team_] += What.Waiting_.size();
+      Fifo_.push_back(std::move(What));
+      return;
+    }
+    applyEstimate(Learned_, What, Who_.Worker_);
+    addPending(Pending_, std::move(What));
+  }
+
+  void started(const std::string &Id, std::uint32_t Task, WorkerIndex Where) {
+    RealJob &Job = Jobs_.at(Id);
+    ++Starts_;
+    noteStartOn(Where);
+    if (Job.Started_.insert(Task).second && Now_ - Begin >= seconds(How_.WarmUp_)) {
+      const double Wait = std::chrono::duration<double>(Now_ - Job.Declared_.Queued_).count();
+      (Job.Declared_.Urgent_ ? UrgentWaits_ : Waits_).push_back(Wait);
+      if (Job.Declared_.Kind_ == JobKind::Gang)
+        GangWaits_.push_back(Wait);
+    }
+    const auto Left = Job.Left_.find(Task);
+    Running Now{.Since_ = Now_,
+                .Left_ = Left != Job.Left_.end() ? Left->second : Job.Run_,
+                .Ticket_ = ++Ticket_};
+    if (Job.Declared_.Kind_ == JobKind::Service)
+      Now.Left_ = seconds(How_.Seconds_ * 10);
+    if (Job.AlwaysFails_ || bad(Where)) {
+      Now.Fails_ = true;
+      Now.Left_ = milliseconds(500);
+    }
+    Now.Ends_ = Now_ + Now.Left_;
+    Events_.emplace(
+        Now.Ends_,
+        Event{.Kind_ = EventKind::TaskEnd, .Job_ = Id, .Task_ = Task, .Ticket_ = Ticket_});
+    RealUsed_ += Job.Size_;
+    RealOn_[Where] += Job.Size_;
+    Running_[{Id, Task}] = Now;
+  }
+
+  [[nodiscard]] bool bad(WorkerIndex Where) const {
+    return How_.Faults_ && (Where == 5 || Where == 29) && Now_ >= Begin + seconds(400) &&
+           Now_ < Begin + seconds(1500);
+  }
+
+  void noteStartOn(WorkerIndex Where) {
+    if (!How_.Faults_ || Now_ < Begin + seconds(400) || Now_ >= Begin + seconds(1500))
+      return;
+    ++StartsWhileBad_;
+    if (bad(Where) && ++BadStarts_[Where] > 10)
+      ++BadStartsAfterTen_;
+  }
+
+  void stopRunning(const std::string &Id, std::uint32_t Task, WorkerIndex Where) {
+    const auto Found = Running_.find({Id, Task});
+    if (Found == Running_.end())
+      return;
+    RealUsed_ -= Jobs_.at(Id).Size_;
+    RealOn_[Where] -= Jobs_.at(Id).Size_;
+    Running_.erase(Found);
+  }
+
+  void handleEvents() {
+    while (!Events_.empty() && Events_.begin()->first <= Now_) {
+      const Event One = std::move(Events_.begin()->second);
+      Events_.erase(Events_.begin());
+      switch (One.Kind_) {
+      case EventKind::TaskEnd:
+        taskEnd(One);
+        break;
+      case EventKind::Preempted:
+        preempted(One);
+        break;
+      case EventKind::LeaseEnd:
+        leaseEnd(One.Worker_);
+        break;
+      case EventKind::WorkerBack:
+        Down_.erase(One.Worker_);
+        addWorker(Cell_, Cell_.Workers_[One.Worker_].Name_, Cell_.Workers_[One.Worker_].Rack_,
+                  Cell_.Workers_[One.Worker_].Capacity_);
+        break;
+      }
+    }
+  }
+
+  void taskEnd(const Event &One) {
+    const auto Found = Running_.find({One.Job_, One.Task_});
+    if (Found == Running_.end() || Found->second.Ticket_ != One.Ticket_)
+      return;
+    const Running Was = Found->second;
+    const Placement *Where = findPlacement(Cell_, One.Job_, One.Task_);
+    if (Where == nullptr || Down_.contains(Where->Worker_))
+      return; // the end is known only after the lease
+    const WorkerIndex Host = Where->Worker_;
+    stopRunning(One.Job_, One.Task_, Host);
+    const auto Gone = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
+    RealJob &Job = Jobs_.at(One.Job_);
+    if (!How_.Baseline_)
+      recordEnd(Quarantine_, Cell_, Host, One.Job_, !Was.Fails_, Now_);
+    if (Was.Fails_) {
+      Job.FailedOn_.insert(Host);
+      // A job is given up after failures on three different workers.
+      if (Job.FailedOn_.size() >= 3) {
+        Job.Over_ = true;
+        LostGood_ += Job.AlwaysFails_ ? 0 : 1;
+        dropWaiting(One.Job_);
+        return;
+      }
+      enqueue(Job, {One.Task_});
+      return;
+    }
+    if (!How_.Baseline_ && !Was.Throttled_ && !Job.Left_.contains(One.Task_))
+      observe(Learned_, Job.Declared_.Team_, Job.Declared_.Family_, Job.Declared_.Run_, Job.Run_,
+              Job.Declared_.Size_, Job.Size_);
+    if (++Job.Done_ == Job.Tasks_)
+      Job.Over_ = true;
+    ++Finished_;
+    FinishedCoreSeconds_ += static_cast<double>(Job.Size_.MilliCores_) / 1000 *
+                            std::chrono::duration<double>(Job.Run_).count();
+  }
+
+  void preempted(const Event &One) {
+    const auto Found = Running_.find({One.Job_, One.Task_});
+    if (Found == Running_.end() || Found->second.Ticket_ != One.Ticket_)
+      return;
+    Running &Was = Found->second;
+    const Placement *Where = findPlacement(Cell_, One.Job_, One.Task_);
+    if (Where == nullptr || Down_.contains(Where->Worker_))
+      return;
+    RealJob &Job = Jobs_.at(One.Job_);
+    ++Preemptions_[static_cast<std::size_t>(One.How_)];
+    if (One.How_ == PreemptHow::Throttle) {
+      // A throttled task keeps a quarter of its cores, so the rest takes four times as long.
+      Was.Throttled_ = true;
+      Was.Ends_ = Now_ + (Was.Ends_ - Now_) * 4;
+      Was.Ticket_ = ++Ticket_;
+      Events_.emplace(Was.Ends_, Event{.Kind_ = EventKind::TaskEnd,
+                                       .Job_ = One.Job_,
+                                       .Task_ = One.Task_,
+                                       .Ticket_ = Ticket_});
+      taskThrottled(Cell_, Shares_, One.Job_, One.Task_, Now_);
+      return;
+    }
+    if (One.How_ == PreemptHow::Checkpoint)
+      Job.Left_[One.Task_] = std::max<Duration>(milliseconds(100), Was.Ends_ - Now_);
+    else
+      LostCoreSeconds_ += static_cast<double>(Job.Size_.MilliCores_) / 1000 *
+                          std::chrono::duration<double>(Now_ - Was.Since_).count();
+    stopRunning(One.Job_, One.Task_, Where->Worker_);
+    taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
+    enqueue(Job, {One.Task_});
+  }
+
+  void injectFaults() {
+    if ((Now_ - Begin) % seconds(60) != Duration{} || Now_ == Begin)
+      return;
+    const auto Where = static_cast<WorkerIndex>(uniform(0, Workers));
+    if (Down_.contains(Where) || Where == 5 || Where == 29)
+      return;
+    Down_.insert(Where);
+    removeWorker(Cell_, Cell_.Workers_[Where].Name_);
+    Events_.emplace(Now_ + LeaseEnds, Event{.Kind_ = EventKind::LeaseEnd, .Worker_ = Where});
+    Events_.emplace(Now_ + seconds(120), Event{.Kind_ = EventKind::WorkerBack, .Worker_ = Where});
+  }
+
+  void leaseEnd(WorkerIndex Where) {
+    const std::vector<PlacementIndex> Lost = Cell_.Workers_[Where].Placements_;
+    for (const PlacementIndex Index : Lost) {
+      const std::string Id = Cell_.Placements_[Index].Job_;
+      const std::uint32_t Task = Cell_.Placements_[Index].Task_;
+      stopRunning(Id, Task, Where);
+      taskEnded(Cell_, Shares_, Id, Task, Now_);
+      enqueue(Jobs_.at(Id), {Task});
+    }
+  }
+
+  void dropWaiting(const std::string &Id) {
+    if (!How_.Baseline_) {
+      cancel(Pending_, Id);
+      return;
+    }
+    std::erase_if(Fifo_, [&](const PendingJob &Job) {
+      if (Job.Id_ != Id)
+        return false;
+      Waiting_ -= Job.Waiting_.size();
+      WaitingOf_[Job.Team_] -= Job.Waiting_.size();
+      return true;
+    });
+  }
+
+  /// Cancels up to 200 waiting jobs of the large team that have not started.
+  void cancelWave() {
+    std::vector<std::string> Ids;
+    for (const std::string &Id : Order_) {
+      RealJob &Job = Jobs_.at(Id);
+      if (Job.Arrives_ > Now_ || Ids.size() >= 200)
+        break;
+      if (!Job.Over_ && Job.Started_.empty() && Job.Declared_.Team_ == "large" &&
+          !Job.Declared_.Urgent_ && Job.Declared_.Kind_ != JobKind::Service && uniform(0, 1) < 0.3)
+        Ids.push_back(Id);
+    }
+    Cancelled_ += Ids.size();
+    for (const std::string &Id : Ids)
+      Jobs_.at(Id).Over_ = true;
+    if (!How_.Baseline_) {
+      while (!Ids.empty())
+        cancelSome(Pending_, Ids, 64);
+      return;
+    }
+    const std::unordered_set<std::string> Gone(Ids.begin(), Ids.end());
+    std::erase_if(Fifo_, [&](const PendingJob &Job) {
+      if (!Gone.contains(Job.Id_))
+        return false;
+      Waiting_ -= Job.Waiting_.size();
+      WaitingOf_[Job.Team_] -= Job.Waiting_.size();
+      return true;
+    });
+  }
+
+  void decideNow() {
+    if (How_.Baseline_) {
+      firstInFirstOut();
+      return;
+    }
+    for (const Decision &One : decide(Cell_, Pending_, Shares_, Now_, {})) {
+      if (One.Kind_ == DecisionKind::Start) {
+        started(One.Job_, One.Task_, One.WorkerIndex_);
+        continue;
+      }
+      const Duration Takes = One.How_ == PreemptHow::Checkpoint ? CheckpointTakes
+                             : One.How_ == PreemptHow::Throttle ? ThrottleTakes
+                                                                : StopTakes;
+      const auto Found = Running_.find({One.Job_, One.Task_});
+      if (Found != Running_.end())
+        Events_.emplace(Now_ + Takes, Event{.Kind_ = EventKind::Preempted,
+                                            .Job_ = One.Job_,
+                                            .Task_ = One.Task_,
+                                            .Ticket_ = Found->second.Ticket_,
+                                            .How_ = One.How_});
+    }
+  }
+
+  /// The baseline: the oldest job starts on the first worker with room; the rest waits behind it.
+  void firstInFirstOut() {
+    while (!Fifo_.empty()) {
+      PendingJob &Job = Fifo_.front();
+      std::vector<std::uint32_t> Placed;
+      bool Blocked = false;
+      for (const std::uint32_t Task : Job.Waiting_) {
+        WorkerIndex Where = 0;
+        while (Where < Workers && !(acceptsWork(Cell_.Workers_[Where]) &&
+                                    core::fits(Job.Size_, freeOf(Cell_.Workers_[Where]))))
+          ++Where;
+        if (Where == Workers) {
+          Blocked = true;
+          break;
+        }
+        taskRunning(Cell_, Shares_, Where,
+                    {.Job_ = Job.Id_,
+                     .Task_ = Task,
+                     .Team_ = Job.Team_,
+                     .Kind_ = Job.Kind_,
+                     .Size_ = Job.Size_,
+                     .Started_ = Now_},
+                    Now_);
+        Placed.push_back(Task);
+      }
+      if (Blocked && Job.Kind_ == JobKind::Gang) {
+        for (const std::uint32_t Task : Placed)
+          taskEnded(Cell_, Shares_, Job.Id_, Task, Now_);
+        return;
+      }
+      for (const std::uint32_t Task : Placed)
+        started(Job.Id_, Task, findPlacement(Cell_, Job.Id_, Task)->Worker_);
+      Waiting_ -= Placed.size();
+      WaitingOf_[Job.Team_] -= Placed.size();
+      std::erase_if(Job.Waiting_, [&](std::uint32_t Task) {
+        return std::find(Placed.begin(), Placed.end(), Task) != Placed.end();
+      });
+      if (Blocked)
+        return;
+      Fifo_.pop_front();
+    }
+  }
+
+  /// Every second: use of the scarce resource and distances from the shares.
+  void sample() {
+    const std::size_t Waiting = How_.Baseline_ ? Waiting_ : Pending_.Tasks_;
+    ++Samples_;
+    const auto Whole = amounts(Cell_.Capacity_);
+    if (Waiting > 0) {
+      const auto Reserved = amounts(Cell_.Used_);
+      // The scarce resource of both users is cores; memory is reported beside it.
+      ReservedCores_.push_back(static_cast<double>(Reserved[0]) / static_cast<double>(Whole[0]));
+      ReservedMemory_.push_back(static_cast<double>(Reserved[1]) / static_cast<double>(Whole[1]));
+      RealCores_.push_back(static_cast<double>(RealUsed_.MilliCores_) /
+                           static_cast<double>(Whole[0]));
+    }
+    for (WorkerIndex I = 0; I < Workers; ++I) {
+      ++WorkerSamples_;
+      Overfull_ += RealOn_[I].MemoryMb_ > Cell_.Workers_[I].Capacity_.MemoryMb_ ? 1 : 0;
+      OverfullCores_ += RealOn_[I].MilliCores_ > Cell_.Workers_[I].Capacity_.MilliCores_ ? 1 : 0;
+    }
+    std::vector<TeamIndex> Busy;
+    for (const Team &One : Teams)
+      if (waitingOf(One.Name_) > 0)
+        Busy.push_back(*findTeam(Shares_, One.Name_));
+    if (Busy.size() != Teams.size())
+      return;
+    const std::vector<double> Apart = distances(Shares_, Busy);
+    double Most = 0;
+    ++FullSamples_;
+    for (std::size_t I = 0; I < Apart.size(); ++I) {
+      Most = std::max(Most, std::abs(Apart[I]));
+      DistanceSum_[I] += Apart[I];
+    }
+    Distances_.push_back(Most);
+  }
+
+  [[nodiscard]] std::size_t waitingOf(const std::string &Name) const {
+    if (How_.Baseline_) {
+      const auto Found = WaitingOf_.find(Name);
+      return Found == WaitingOf_.end() ? 0 : Found->second;
+    }
+    const auto Found = Pending_.TeamsByName_.find(Name);
+    if (Found == Pending_.TeamsByName_.end())
+      return 0;
+    std::size_t Sum = 0;
+    for (const auto &Class : Pending_.Teams_[Found->second].Waiting_)
+      for (const auto &[Kind, Jobs] : Class)
+        Sum += Jobs.size();
+    return Sum;
+  }
+
+  /// Runs on without new work until everything has ended, to count lost jobs.
+  void drain() {
+    for (const std::string &Id : Order_)
+      if (Jobs_.at(Id).Arrives_ > Now_ - Tick)
+        submit(Jobs_.at(Id));
+    const TimePoint Last = Now_ + seconds(7200);
+    for (; Now_ < Last; Now_ += milliseconds(500)) {
+      handleEvents();
+      openProbes(Quarantine_, Cell_, Now_);
+      decideNow();
+      if ((How_.Baseline_ ? Waiting_ : Pending_.Tasks_) == 0)
+        break;
+    }
+    for (const auto &[Id, Job] : Jobs_)
+      if (!Job.Over_ && Job.Started_.size() < Job.Tasks_)
+        ++NeverStarted_;
+  }
+
+  static double mean(const std::vector<double> &Values) {
+    double Sum = 0;
+    for (const double One : Values)
+      Sum += One;
+    return Values.empty() ? 0 : Sum / static_cast<double>(Values.size());
+  }
+
+  nlohmann::ordered_json result() {
+    double Apart = 0;
+    for (const double Sum : DistanceSum_)
+      Apart = std::max(Apart, FullSamples_ > 0 ? std::abs(Sum) / FullSamples_ : 0);
+    nlohmann::ordered_json Out;
+    Out["measure"] = How_.Name_;
+    Out["user"] = Who_.Name_;
+    Out["policy"] = How_.Baseline_ ? "fifo-first-fit" : "masticdrift";
+    Out["seed"] = How_.Seed_;
+    Out["load"] = How_.Load_;
+    Out["jobs"] = Jobs_.size();
+    Out["finished_tasks"] = Finished_;
+    Out["finished_core_s"] = std::round(FinishedCoreSeconds_);
+    Out["refused_impossible"] = Refused_;
+    Out["cancelled"] = Cancelled_;
+    Out["urgent_wait_p50_s"] = percentile(UrgentWaits_, 0.5);
+    Out["urgent_wait_p99_s"] = percentile(UrgentWaits_, 0.99);
+    Out["wait_p50_s"] = percentile(Waits_, 0.5);
+    Out["wait_p99_s"] = percentile(Waits_, 0.99);
+    Out["gang_wait_p99_s"] = percentile(GangWaits_, 0.99);
+    Out["reserved_cores_while_waiting"] = mean(ReservedCores_);
+    Out["reserved_memory_while_waiting"] = mean(ReservedMemory_);
+    Out["real_cores_while_waiting"] = mean(RealCores_);
+    Out["overfull_memory_part"] = Overfull_ / std::max(1.0, WorkerSamples_);
+    Out["overfull_cores_part"] = OverfullCores_ / std::max(1.0, WorkerSamples_);
+    Out["share_distance_mean"] = Apart;
+    Out["share_distance_p95_1s"] = percentile(Distances_, 0.95);
+    Out["share_samples"] = FullSamples_;
+    Out["checkpoints"] = Preemptions_[0];
+    Out["throttles"] = Preemptions_[1];
+    Out["stops"] = Preemptions_[2];
+    Out["stopped_core_s"] = std::round(LostCoreSeconds_);
+    if (How_.Faults_) {
+      Out["bad_worker_starts_after_ten"] = BadStartsAfterTen_;
+      Out["bad_worker_part_of_starts"] =
+          static_cast<double>(BadStartsAfterTen_) / std::max(1.0, StartsWhileBad_);
+      Out["good_jobs_given_up"] = LostGood_;
+    }
+    Out["never_started"] = NeverStarted_;
+    return Out;
+  }
+
+  User Who_;
+  Setting How_;
+  std::mt19937_64 Random_;
+  TimePoint Now_ = Begin;
+  CellView Cell_;
+  PendingWork Pending_;
+  Shares Shares_;
+  Learned Learned_;
+  Quarantine Quarantine_;
+  std::deque<PendingJob> Fifo_;
+  std::size_t Waiting_ = 0;
+  std::map<std::string, std::size_t> WaitingOf_;
+  std::unordered_map<std::string, RealJob> Jobs_;
+  std::vector<std::string> Order_;
+  std::map<std::pair<std::string, std::uint32_t>, Running> Running_;
+  std::multimap<TimePoint, Event> Events_;
+  std::set<WorkerIndex> Down_;
+  std::uint64_t Ticket_ = 0;
+  Resources RealUsed_;
+  std::array<Resources, Workers> RealOn_{};
+  std::vector<double> UrgentWaits_, Waits_, GangWaits_, ReservedCores_, ReservedMemory_, RealCores_,
+      Distances_;
+  std::array<double, Teams.size()> DistanceSum_{};
+  std::array<std::size_t, 3> Preemptions_{};
+  std::map<WorkerIndex, std::size_t> BadStarts_;
+  std::size_t Starts_ = 0, Finished_ = 0, Refused_ = 0, Cancelled_ = 0, BadStartsAfterTen_ = 0,
+              LostGood_ = 0, NeverStarted_ = 0, Samples_ = 0;
+  double FinishedCoreSeconds_ = 0, LostCoreSeconds_ = 0, Overfull_ = 0, OverfullCores_ = 0,
+         WorkerSamples_ = 0, FullSamples_ = 0, StartsWhileBad_ = 0;
+};
+
+} // namespace
+
+User roshan() { return {"roshan", {16'000, 32'768, 0}, 0}; }
+User samvarp() { return {"samvarp", {32'000, 65'536, 0}, 3}; }
+
+double percentile(std::vector<double> Values, double Part) {
+  if (Values.empty())
+    return 0;
+  const auto At = static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1));
+  std::nth_element(Values.begin(), Values.begin() + static_cast<std::ptrdiff_t>(At), Values.end());
+  return Values[At];
+}
+
+nlohmann::ordered_json runLoad(const User &Who, const Setting &How) {
+  return Driver(Who, How).run();
+}
+
+} // namespace masticdrift::measure
--- /dev/null
+++ b/tests/measure/Scale.cpp
@@ -0,0 +1,215 @@
+#include "Load.h"
+
+#include <chrono>
+
+namespace masticdrift::measure {
+namespace {
+
+using Wall = std::chrono::steady_clock;
+
+/// A filled cell: a third of the workers have 4 accelerators, 340 teams, a fifth services.
+struct BigCell {
+  BigCell(std::uint64_t Seed, std::uint32_t Workers) : Random_(Seed), Workers_(Workers) {
+    for (std::uint32_t I = 0; I < Workers; ++I)
+      addWorker(Cell_, "worker-" + std::to_string(I), "rack-" + std::to_string(I / 8),
+                {32'000, 65'536, I % 3 == 0 ? 4 : 0});
+    for (int I = 0; I < 340; ++I)
+      setTeam(Teams_, "team-" + std::to_string(I), 1 + I % 5,
+              {8, {Workers * 2000L, Workers * 4096L, Workers}});
+  }
+
+  std::uint32_t below(std::uint32_t Bound) {
+    return std::uniform_int_distribution<std::uint32_t>(0, Bound - 1)(Random_);
+  }
+
+  PendingJob make(bool Urgent) {
+    PendingJob Job;
+    Job.Id_ = "domain/team/" + std::to_string(Next_++);
+    Job.Team_ = "team-" + std::to_string(below(340));
+    const std::uint32_t Kind = below(20);
+    Job.Kind_ = Kind == 0 ? JobKind::Gang : Kind <= 2 ? JobKind::Service : JobKind::Batch;
+    Job.Urgent_ = Urgent;
+    if (Urgent)
+      Job.Kind_ = JobKind::Batch;
+    Job.Checkpointable_ = below(2) == 0;
+    Job.Throttleable_ = below(2) == 0;
+    Job.Size_ = {500 * (1 + below(8)), 512 * (1 + below(16)), below(10) == 0 ? 1 + below(2) : 0};
+    Job.Run_ = std::chrono::seconds(5 + below(300));
+    Job.Queued_ = Now_;
+    const std::uint32_t Tasks = Job.Kind_ == JobKind::Gang ? 2 + below(15) : 1;
+    for (std::uint32_t I = 0; I < Tasks; ++I)
+      Job.Waiting_.push_back(I);
+    return Job;
+  }
+
+  std::vector<Decision> decideNow() {
+    const auto Before = Wall::now();
+    auto Made = decide(Cell_, Pending_, Teams_, Now_, {});
+    LastMs_ = std::chrono::duration<double, std::milli>(Wall::now() - Before).count();
+    return Made;
+  }
+
+  void note(const std::vector<Decision> &Made) {
+    for (const Decision &One : Made)
+      if (One.Kind_ == DecisionKind::Start)
+        Running_.emplace_back(One.Job_, One.Task_);
+      else
+        Preempted_.push_back(One);
+  }
+
+  void endSome(std::size_t Count) {
+    for (; Count > 0 && !Running_.empty(); --Count) {
+      const std::uint32_t At = below(static_cast<std::uint32_t>(Running_.size()));
+      std::swap(Running_[At], Running_.back());
+      const auto [Job, Task] = std::move(Running_.back());
+      Running_.pop_back();
+      taskEnded(Cell_, Teams_, Job, Task, Now_);
+    }
+  }
+
+  void confirmPreempted() {
+    for (const Decision &One : Preempted_) {
+      if (One.How_ == PreemptHow::Throttle)
+        taskThrottled(Cell_, Teams_, One.Job_, One.Task_, Now_);
+      else
+        taskEnded(Cell_, Teams_, One.Job_, One.Task_, Now_);
+    }
+    Preempted_.clear();
+  }
+
+  std::mt19937_64 Random_;
+  std::uint32_t Workers_;
+  CellView Cell_;
+  PendingWork Pending_;
+  Shares Teams_;
+  TimePoint Now_{std::chrono::seconds(10'000)};
+  std::uint64_t Next_ = 0;
+  std::vector<std::pair<std::string, std::uint32_t>> Running_;
+  std::vector<Decision> Preempted_;
+  double LastMs_ = 0;
+};
+
+void fill(BigCell &It, bool Full) {
+  const double Target = Full ? 0.97 : 0.7;
+  for (int Round = 0; Round < 3000 && usedPart(It.Cell_) < Target; ++Round) {
+    for (std::uint32_t I = 0; I < 64; ++I)
+      addPending(It.Pending_, It.make(false));
+    It.Now_ += std::chrono::milliseconds(50);
+    It.note(It.decideNow());
+    It.confirmPreempted();
+  }
+}
+
+} // namespace
+
+nlohmann::ordered_json runScale(std::uint64_t Seed, std::uint32_t Workers, bool Full) {
+  BigCell It(Seed, Workers);
+  fill(It, Full);
+  const std::uint32_t PerTick = std::max(1U, 10 * Workers / 1800); // 200 starts/s at 1,800
+  if (Full)
+    for (std::uint32_t I = 0; I < 10 * Workers; ++I)
+      addPending(It.Pending_, It.make(false));
+  std::vector<double> Times;
+  std::vector<double> PerStart;
+  std::size_t Starts = 0;
+  double Policy = 0;
+  constexpr int Rounds = 3000;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    It.Now_ += std::chrono::milliseconds(50);
+    const auto Before = Wall::now();
+    // Ends and arrivals balance; gangs count as several starts.
+    It.endSome(PerTick);
+    while (It.Pending_.Tasks_ < (Full ? 10 * Workers : PerTick))
+      addPending(It.Pending_, It.make(It.below(20) == 0));
+    It.confirmPreempted();
+    Policy += std::chrono::duration<double>(Wall::now() - Before).count();
+    const auto Made = It.decideNow();
+    Policy += It.LastMs_ / 1000;
+    if (Round >= 200) {
+      Times.push_back(It.LastMs_);
+      for (const Decision &One : Made)
+        Starts += One.Kind_ == DecisionKind::Start ? 1 : 0;
+    } else {
+      Policy = 0;
+    }
+    It.note(Made);
+  }
+  nlohmann::ordered_json Out;
+  Out["measure"] = "scale";
+  Out["seed"] = Seed;
+  Out["workers"] = Workers;
+  Out["cell"] = Full ? "full" : "70% used";
+  Out["running_tasks"] = It.Running_.size();
+  Out["pending_tasks"] = It.Pending_.Tasks_;
+  Out["decide_p50_ms"] = percentile(Times, 0.5);
+  Out["decide_p99_ms"] = percentile(Times, 0.99);
+  Out["decide_max_ms"] = percentile(Times, 1);
+  Out["starts"] = Starts;
+  Out["placements_per_s"] = static_cast<double>(Starts) / Policy;
+  return Out;
+}
+
+nlohmann::ordered_json runCancelWave(std::uint64_t Seed) {
+  BigCell It(Seed, 1800);
+  fill(It, true);
+  std::vector<double> With;
+  std::vector<double> Without;
+  for (int Round = 0; Round < 60; ++Round) {
+    const bool Wave = Round % 2 == 0;
+    std::vector<std::string> Ids;
+    for (int I = 0; I < 1000; ++I) {
+      PendingJob Job = It.make(false);
+      if (Wave)
+        Ids.push_back(Job.Id_);
+      addPending(It.Pending_, std::move(Job));
+    }
+    It.endSome(40);
+    It.Now_ += std::chrono::milliseconds(50);
+    It.note(It.decideNow());
+    It.confirmPreempted();
+    PendingJob Urgent = It.make(true);
+    Urgent.Size_ = {500, 512, 0};
+    const std::string Id = Urgent.Id_;
+    It.endSome(40);
+    // The urgent job arrives right behind the wave; both are worked off in one loop.
+    const auto Before = Wall::now();
+    bool Started = false;
+    addPending(It.Pending_, std::move(Urgent));
+    for (int Turn = 0; Turn < 200 && !Started; ++Turn) {
+      cancelSome(It.Pending_, Ids, 128);
+      const auto Made = It.decideNow();
+      for (const Decision &One : Made)
+        Started = Started || (One.Kind_ == DecisionKind::Start && One.Job_ == Id);
+      It.note(Made);
+      if (!Started)
+        It.confirmPreempted();
+    }
+    const double Ms = std::chrono::duration<double, std::milli>(Wall::now() - Before).count();
+    if (Started)
+      (Wave ? With : Without).push_back(Ms);
+    while (!Ids.empty())
+      cancelSome(It.Pending_, Ids, 128);
+    It.confirmPreempted();
+  }
+  // The cost of the whole wave when it is worked off in one go.
+  std::vector<std::string> Ids;
+  for (int I = 0; I < 1000; ++I) {
+    PendingJob Job = It.make(false);
+    Ids.push_back(Job.Id_);
+    addPending(It.Pending_, std::move(Job));
+  }
+  const auto Before = Wall::now();
+  cancelSome(It.Pending_, Ids, 1000);
+  const double Whole = std::chrono::duration<double, std::milli>(Wall::now() - Before).count();
+  nlohmann::ordered_json Out;
+  Out["measure"] = "cancel-wave";
+  Out["seed"] = Seed;
+  Out["workers"] = 1800;
+  Out["urgent_start_with_wave_max_ms"] = percentile(With, 1);
+  Out["urgent_start_without_wave_max_ms"] = percentile(Without, 1);
+  Out["urgent_starts"] = With.size() + Without.size();
+  Out["cancel_1000_ms"] = Whole;
+  return Out;
+}
+
+} // namespace masticdrift::measure
