--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -323,7 +323,9 @@
   CycleSearch(Out.Services_).run([&](std::size_t From, std::size_t Edge, const std::string &Path) {
     DependencyNodes[From][Edge].fail(ErrorKind::DependencyCycle, "cycle " + Path);
   });
-  for (std::size_t I = 0; I < Out.Services_.size(); ++I) {
+  // Only on a correct text: a mistaken limit reads as 0 and would make every service too large.
+  const bool Correct = Reader.mistakeCount() == 0;
+  for (std::size_t I = 0; Correct && I < Out.Services_.size(); ++I) {
     const Service &One = Out.Services_[I];
     const Team *Owner = Out.team(One.Team_);
     if (Owner != nullptr && !core::fits(One.Each_, Owner->Limit_.Resources_))
--- a/src/ctl/Main.cpp
+++ b/src/ctl/Main.cpp
@@ -327,22 +327,30 @@
     return Added;
   }
 
+  // The environment is read here and not through CLI11's envname(), which also runs for commands
+  // that were not given and then overwrites the shared value of the given one.
+  static void targetOptions(CLI::App *To, Target &Into, std::string_view ServerVariable,
+                            std::string_view KeyOption, std::string_view KeyVariable) {
+    const auto Read = [](std::string_view Name) {
+      const char *Value = std::getenv(std::string(Name).c_str());
+      return std::string(Value == nullptr ? "" : Value);
+    };
+    Into = {Read(ServerVariable), Read(KeyVariable)};
+    To->add_option("--server", Into.Server_,
+                   "URL of the daemon's port, default $" + std::string(ServerVariable))
+        ->required(Into.Server_.empty());
+    To->add_option(std::string(KeyOption), Into.Key_,
+                   "key, or @FILE; default $" + std::string(KeyVariable) +
+                       ", which is safer than an argument");
+  }
+
   void operatorOptions(CLI::App *To) {
-    To->add_option("--server", In_.Operator_.Server_, "URL of a daemon's operator port")
-        ->envname("MASTICDRIFT_OPERATOR_SERVER")
-        ->required();
-    To->add_option("--operator-key", In_.Operator_.Key_,
-                   "operator key, or @FILE; the environment is safer than an argument")
-        ->envname("MASTICDRIFT_OPERATOR_KEY");
+    targetOptions(To, In_.Operator_, "MASTICDRIFT_OPERATOR_SERVER", "--operator-key",
+                  "MASTICDRIFT_OPERATOR_KEY");
   }
 
   void callerOptions(CLI::App *To) {
-    To->add_option("--server", In_.Caller_.Server_, "URL of a daemon's caller port")
-        ->envname("MASTICDRIFT_SERVER")
-        ->required();
-    To->add_option("--key", In_.Caller_.Key_,
-                   "team key, or @FILE; the environment is safer than an argument")
-        ->envname("MASTICDRIFT_KEY");
+    targetOptions(To, In_.Caller_, "MASTICDRIFT_SERVER", "--key", "MASTICDRIFT_KEY");
   }
 
   void jsonOption(CLI::App *To) { To->add_flag("--json", In_.Json_, "print JSON"); }
--- a/src/settings/Reader.cpp
+++ b/src/settings/Reader.cpp
@@ -196,7 +196,8 @@
   if (Value_ == nullptr)
     return {State_, nullptr, std::move(Pointer)};
   const json &Value = valueOf(Value_);
-  const auto [Known, New] = State_->Known_.try_emplace(&Value, Pointer_, std::set<std::string, std::less<>>());
+  const auto [Known, New] =
+      State_->Known_.try_emplace(&Value, Pointer_, std::set<std::string, std::less<>>());
   if (!Value.is_object()) {
     if (New)
       wrongType("an object");
--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -1,6 +1,7 @@
 #include "masticdrift/http/Server.h"
 
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -183,6 +184,7 @@
   cr_assert(has(run("config show --json" + Daemon.option()), R"({"version":8,)"));
 }
 
+// CLI11's own handling of the environment let it override an option of the same command.
 Test(CtlKeys, keysComeFromTheEnvironmentOrAFile) {
   Stub Daemon([](const http::Request &) {
     return http::Response{200, R"([{"key_id":"k1","team":"punjab-rural"}])"};
