--- a/src/settings/Reader.cpp
+++ b/src/settings/Reader.cpp
@@ -103,24 +103,24 @@
   explicit Watcher(std::vector<Mistake> &Mistakes) : Mistakes_(Mistakes) {}
 
   bool operator()(int Depth, json::parse_event_t Event, json &Parsed) {
-    using enum json::parse_event_t;
+    using Kind = json::parse_event_t;
     if (TooDeep_) // the parser reports no end events for what was discarded
       return false;
-    if (Event == object_start || Event == array_start) {
+    if (Event == Kind::object_start || Event == Kind::array_start) {
       if (Depth >= MaxDepth) {
         Mistakes_.push_back({ErrorKind::MalformedJson, pointer(),
                              "nested deeper than " + std::to_string(MaxDepth) + " levels"});
         TooDeep_ = true;
         return false;
       }
-      Levels_.push_back({Event == array_start, 0, {}, {}});
-    } else if (Event == object_end || Event == array_end) {
+      Levels_.push_back({Event == Kind::array_start, 0, {}, {}});
+    } else if (Event == Kind::object_end || Event == Kind::array_end) {
       if (!Levels_.empty())
         Levels_.pop_back();
       elementDone();
-    } else if (Event == value) {
+    } else if (Event == Kind::value) {
       elementDone();
-    } else if (Event == key && !Levels_.empty()) {
+    } else if (Event == Kind::key && !Levels_.empty()) {
       Level &Top = Levels_.back();
       Top.Key_ = Parsed.get<std::string>();
       if (!Top.Keys_.insert(Top.Key_).second)
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -41,7 +41,7 @@
 
 constexpr std::int64_t MaxPort = 65535;
 constexpr std::int64_t Hour = 3'600'000;
-constexpr std::int64_t Year = 365 * 24 * Hour;
+constexpr std::int64_t Year = Hour * 24 * 365;
 
 #define MASTICDRIFT_TIMING(Name, Member, Min, Max, Help)                                           \
   NumberRow { "timing", Name, "ms", Min, Max, field<&Settings::Timing_, &Timing::Member>(), Help }
@@ -173,7 +173,7 @@
 
 std::string requireText(const Node &From, std::string_view Name) {
   const Node Value = From.required(Name);
-  const std::string Text = Value.asString("?");
+  std::string Text = Value.asString("?");
   if (Text.empty())
     Value.fail(ErrorKind::OutOfRange, "must not be empty");
   return Text;
--- a/tests/unit/ConfigStateTest.cpp
+++ b/tests/unit/ConfigStateTest.cpp
@@ -158,7 +158,7 @@
       break;
     default:
       Out.push_back(entryOf(Give{"punjab-rural", "lahore-a", "karachi-a",
-                                 Limit{Draw(3), {Draw(3) * 1000, 0, 0}}, Guess}));
+                                 Limit{Draw(3), {std::int64_t{1000} * Draw(3), 0, 0}}, Guess}));
     }
   }
   return Out;
@@ -308,8 +308,10 @@
   State.apply(0, 0, submit("s0", 0, "amina", text(1)));
   std::atomic<bool> Done = false;
   std::atomic<bool> Mixed = false;
+  constexpr int Count = 2;
   std::vector<std::thread> Readers;
-  for (int I = 0; I < 2; ++I)
+  Readers.reserve(Count);
+  for (int I = 0; I < Count; ++I)
     Readers.emplace_back([&] {
       std::uint64_t Last = 0;
       while (!Done) {
