tests: share control and evidence dispatch of the stand-ins

Each stand-in repeated the two paths. The harness also ends all daemons before it waits for the first one.

--- a/tests/standins/StandinExecutor.cpp
+++ b/tests/standins/StandinExecutor.cpp
@@ -169,20 +169,20 @@
     All[Name] = std::make_unique<Executor>(Io, Slots, Connections);
     Ports[Name] = All[Name]->port();
   }
-  const HttpStub Control(Io, Port, [&](const http::Request &Incoming, const Respond &Answer) {
-    if (Incoming.Path_ == "/evidence")
-      return Answer(jsonReply(evidenceOf(All)));
-    if (Incoming.Path_ != "/control")
-      return Answer(errorReply(404, "unknown path"));
-    // Without "executor" a switch applies to all of them.
-    withJson(Incoming, Answer, [&](const Json &Body) {
-      if (const auto Name = Body.find("executor"); Name != Body.end())
-        All.at(Name->get<std::string>())->control(Body);
-      else
-        for (auto &[Unused, Of] : All)
-          Of->control(Body);
-      Answer(jsonReply(Json::object()));
-    });
-  });
+  // Without "executor" a switch applies to all of them.
+  const auto Change = [&](const Json &Body) {
+    if (const auto Name = Body.find("executor"); Name != Body.end())
+      All.at(Name->get<std::string>())->control(Body);
+    else
+      for (auto &[Unused, Of] : All)
+        Of->control(Body);
+    return Json::object();
+  };
+  const HttpStub Control(Io, Port,
+                         withControls(
+                             Change, [&] { return evidenceOf(All); },
+                             [](const http::Request &, const Respond &Answer) {
+                               Answer(errorReply(404, "unknown path"));
+                             }));
   return runProgram(Io, {{"port", Control.port()}, {"executors", Ports}});
 }
--- a/tests/standins/StandinInstances.cpp
+++ b/tests/standins/StandinInstances.cpp
@@ -15,13 +15,6 @@
   explicit InstanceList(asio::io_context &Io) : Io_(Io) {}
 
   void handle(const http::Request &Incoming, const Respond &Answer) {
-    if (Incoming.Path_ == "/control")
-      return withJson(Incoming, Answer, [&](const Json &Body) {
-        control(Body);
-        Answer(jsonReply(Json::object()));
-      });
-    if (Incoming.Path_ == "/evidence")
-      return Answer(jsonReply({{"reads", Reads_}, {"entries", Visible_.size()}}));
     if (Incoming.Path_ != "/instances")
       return Answer(errorReply(404, "unknown path"));
     ++Reads_;
@@ -37,16 +30,15 @@
     later(Io_, std::chrono::milliseconds(DelayMs_), [Answer, Out] { Answer(Out); });
   }
 
-private:
+  Json evidence() const { return {{"reads", Reads_}, {"entries", Visible_.size()}}; }
+
   /// "set" merges members into the entry of the same name, so a state can be changed alone.
-  void control(const Json &Body) {
+  Json control(const Json &Body) {
     assignIfPresent(Body, "outage", Outage_);
     assignIfPresent(Body, "delay_ms", DelayMs_);
     assignIfPresent(Body, "lag_ms", LagMs_);
     const Json Set = Body.value("set", Json::array());
     const Json Remove = Body.value("remove", Json::array());
-    if (Set.empty() && Remove.empty())
-      return;
     later(Io_, std::chrono::milliseconds(LagMs_), [this, Set, Remove] {
       for (const Json &Entry : Set) {
         Json &Kept = Visible_[Entry.at("name").get<std::string>()];
@@ -57,8 +49,10 @@
       for (const Json &Name : Remove)
         Visible_.erase(Name.get<std::string>());
     });
+    return Json::object();
   }
 
+private:
   asio::io_context &Io_;
   std::map<std::string, Json> Visible_;
   std::string Outage_ = "none"; ///< none, refuse (503) or hang (no answer)
@@ -77,8 +71,11 @@
   CLI11_PARSE(App, Argc, Argv);
   asio::io_context Io;
   InstanceList List(Io);
-  const HttpStub Server(Io, Port, [&](const http::Request &Incoming, const Respond &Answer) {
-    List.handle(Incoming, Answer);
-  });
+  const HttpStub Server(Io, Port,
+                        withControls([&](const Json &Body) { return List.control(Body); },
+                                     [&] { return List.evidence(); },
+                                     [&](const http::Request &Incoming, const Respond &Answer) {
+                                       List.handle(Incoming, Answer);
+                                     }));
   return runProgram(Io, {{"port", Server.port()}});
 }
--- a/tests/standins/StandinLog.cpp
+++ b/tests/standins/StandinLog.cpp
@@ -48,13 +48,6 @@
 
   void handle(http::Request Incoming, Respond Answer) {
     const auto Path = http::pathSegments(Incoming.Path_);
-    if (Path.size() == 1 && Path[0] == "control")
-      return withJson(Incoming, Answer, [&](const Json &Body) {
-        control(Body);
-        Answer(jsonReply(Json::object()));
-      });
-    if (Path.size() == 1 && Path[0] == "evidence")
-      return Answer(jsonReply(evidence()));
     if (Path.size() != 3 || Path[0] != "streams" || Path[2] != "records")
       return Answer(errorReply(404, "unknown path"));
     if (Switches_.Outage_ != "none") {
@@ -72,6 +65,31 @@
     Answer(errorReply(405, "method not allowed"));
   }
 
+  Json control(const Json &Body) {
+    assignIfPresent(Body, "outage", Switches_.Outage_);
+    assignIfPresent(Body, "delay_ms", Switches_.DelayMs_);
+    assignIfPresent(Body, "effect_delay_ms", Switches_.EffectDelayMs_);
+    assignIfPresent(Body, "lose_answers", Switches_.LoseAnswers_);
+    assignIfPresent(Body, "lose_mode", Switches_.LoseMode_);
+    assignIfPresent(Body, "rate_limit", Switches_.RateLimit_);
+    assignIfPresent(Body, "retention_records", Switches_.RetentionRecords_);
+    assignIfPresent(Body, "retention_ms", Switches_.RetentionMs_);
+    return Json::object();
+  }
+
+  Json evidence() {
+    Json All = Json::object();
+    for (auto &[Name, Of] : Streams_) {
+      expire(Of);
+      All[Name] = {{"first", Of.First_}, {"next", Of.next()},       {"appends", Of.Appends_},
+                   {"reads", Of.Reads_}, {"bytes_in", Of.BytesIn_}, {"bytes_out", Of.BytesOut_}};
+    }
+    return {{"streams", All},
+            {"refused_by_outage", RefusedByOutage_},
+            {"answers_lost", AnswersLost_},
+            {"rate_limited", RateLimited_}};
+  }
+
 private:
   void append(const std::string &Name, const std::string &Bytes, const Respond &Answer) {
     if (!takeToken())
@@ -145,30 +163,6 @@
     }
   }
 
-  void control(const Json &Body) {
-    assignIfPresent(Body, "outage", Switches_.Outage_);
-    assignIfPresent(Body, "delay_ms", Switches_.DelayMs_);
-    assignIfPresent(Body, "effect_delay_ms", Switches_.EffectDelayMs_);
-    assignIfPresent(Body, "lose_answers", Switches_.LoseAnswers_);
-    assignIfPresent(Body, "lose_mode", Switches_.LoseMode_);
-    assignIfPresent(Body, "rate_limit", Switches_.RateLimit_);
-    assignIfPresent(Body, "retention_records", Switches_.RetentionRecords_);
-    assignIfPresent(Body, "retention_ms", Switches_.RetentionMs_);
-  }
-
-  Json evidence() {
-    Json All = Json::object();
-    for (auto &[Name, Of] : Streams_) {
-      expire(Of);
-      All[Name] = {{"first", Of.First_}, {"next", Of.next()},       {"appends", Of.Appends_},
-                   {"reads", Of.Reads_}, {"bytes_in", Of.BytesIn_}, {"bytes_out", Of.BytesOut_}};
-    }
-    return {{"streams", All},
-            {"refused_by_outage", RefusedByOutage_},
-            {"answers_lost", AnswersLost_},
-            {"rate_limited", RateLimited_}};
-  }
-
   asio::io_context &Io_;
   std::map<std::string, Stream, std::less<>> Streams_;
   Switches Switches_;
@@ -189,8 +183,11 @@
   CLI11_PARSE(App, Argc, Argv);
   asio::io_context Io;
   LogService Service(Io);
-  const HttpStub Server(Io, Port, [&](http::Request Incoming, Respond Answer) {
-    Service.handle(std::move(Incoming), std::move(Answer));
-  });
+  const HttpStub Server(Io, Port,
+                        withControls([&](const Json &Body) { return Service.control(Body); },
+                                     [&] { return Service.evidence(); },
+                                     [&](http::Request Incoming, Respond Answer) {
+                                       Service.handle(std::move(Incoming), std::move(Answer));
+                                     }));
   return runProgram(Io, {{"port", Server.port()}});
 }
--- a/tests/standins/StandinProxy.cpp
+++ b/tests/standins/StandinProxy.cpp
@@ -366,12 +366,11 @@
   Json Ready = Json::object();
   if (!Target.empty())
     Ready["default"] = All.add("default", Target, 0);
-  const HttpStub Control(Io, Port, [&](const http::Request &Incoming, const Respond &Answer) {
-    if (Incoming.Path_ == "/evidence")
-      return Answer(jsonReply(All.evidence()));
-    if (Incoming.Path_ != "/control")
-      return Answer(errorReply(404, "unknown path"));
-    withJson(Incoming, Answer, [&](const Json &Body) { Answer(jsonReply(All.control(Body))); });
-  });
+  const HttpStub Control(Io, Port,
+                         withControls([&](const Json &Body) { return All.control(Body); },
+                                      [&] { return All.evidence(); },
+                                      [](const http::Request &, const Respond &Answer) {
+                                        Answer(errorReply(404, "unknown path"));
+                                      }));
   return runProgram(Io, {{"port", Control.port()}, {"links", Ready}});
 }
--- a/tests/standins/StandinWorker.cpp
+++ b/tests/standins/StandinWorker.cpp
@@ -89,13 +89,6 @@
   void handle(const http::Request &Incoming, const Respond &Answer) {
     // A process that was stopped sees the end of its leases before anything else.
     sweep();
-    if (Incoming.Path_ == "/evidence")
-      return Answer(jsonReply(evidence()));
-    if (Incoming.Path_ == "/control")
-      return withJson(Incoming, Answer, [&](const Json &Body) {
-        control(Body);
-        Answer(jsonReply(Json::object()));
-      });
     const auto Path = http::pathSegments(Incoming.Path_);
     if (Path.size() < 3 || Path[0] != "w" || !Workers_.contains(Path[1]))
       return Answer(errorReply(404, "unknown worker"));
@@ -117,6 +110,49 @@
     });
   }
 
+  /// "worker" names one worker, otherwise a switch applies to all. "add" adds or replaces workers,
+  /// "restart": true gives a new boot id and loses tasks, lease and term.
+  Json control(const Json &Body) {
+    sweep();
+    for (const Json &New : Body.value("add", Json::array()))
+      add(New.at("name"), resourcesFrom(New));
+    if (const auto Name = Body.find("worker"); Name != Body.end())
+      change(Workers_.at(Name->get<std::string>()), Body);
+    else
+      for (auto &[Unused, At] : Workers_)
+        change(At, Body);
+    return Json::object();
+  }
+
+  Json evidence() {
+    sweep();
+    Json All = Json::object();
+    bool Overcommitted = false;
+    for (const auto &[Name, At] : Workers_) {
+      Overcommitted = Overcommitted || At.Overcommitted_;
+      All[Name] = {{"capacity", toJson(At.Capacity_)},
+                   {"used", toJson(At.Used_)},
+                   {"peak", toJson(At.Peak_)},
+                   {"overcommitted", At.Overcommitted_},
+                   {"no_room", At.NoRoom_},
+                   {"lower_term", At.LowerTerm_},
+                   {"term", At.Term_},
+                   {"owner", At.Owner_}};
+    }
+    int Peak = 0;
+    Json Duplicates = Json::object();
+    for (const auto &[Id, Count] : Copies_) {
+      Peak = std::max(Peak, Count.second);
+      if (Count.second > 1)
+        Duplicates[Id] = Count.second;
+    }
+    return {{"workers", All},
+            {"tasks", Events_},
+            {"overcommitted", Overcommitted},
+            {"peak_copies", Peak},
+            {"duplicates", Duplicates}};
+  }
+
 private:
   Reply command(const std::string &Name, Worker &At, const std::vector<std::string> &Path,
                 const http::Request &Incoming, const Json &Body) {
@@ -306,17 +342,6 @@
     });
   }
 
-  /// "worker" names one worker, otherwise a switch applies to all. "add" adds or replaces workers,
-  /// "restart": true gives a new boot id and loses tasks, lease and term.
-  void control(const Json &Body) {
-    for (const Json &New : Body.value("add", Json::array()))
-      add(New.at("name"), resourcesFrom(New));
-    if (const auto Name = Body.find("worker"); Name != Body.end())
-      return change(Workers_.at(Name->get<std::string>()), Body);
-    for (auto &[Name, At] : Workers_)
-      change(At, Body);
-  }
-
   void change(Worker &At, const Json &Body) {
     assignIfPresent(Body, "fail_all", At.Switches_.FailAll_);
     assignIfPresent(Body, "refuse", At.Switches_.Refuse_);
@@ -335,34 +360,6 @@
     At.LeaseEnd_ = {};
   }
 
-  Json evidence() const {
-    Json All = Json::object();
-    bool Overcommitted = false;
-    for (const auto &[Name, At] : Workers_) {
-      Overcommitted = Overcommitted || At.Overcommitted_;
-      All[Name] = {{"capacity", toJson(At.Capacity_)},
-                   {"used", toJson(At.Used_)},
-                   {"peak", toJson(At.Peak_)},
-                   {"overcommitted", At.Overcommitted_},
-                   {"no_room", At.NoRoom_},
-                   {"lower_term", At.LowerTerm_},
-                   {"term", At.Term_},
-                   {"owner", At.Owner_}};
-    }
-    int Peak = 0;
-    Json Duplicates = Json::object();
-    for (const auto &[Id, Count] : Copies_) {
-      Peak = std::max(Peak, Count.second);
-      if (Count.second > 1)
-        Duplicates[Id] = Count.second;
-    }
-    return {{"workers", All},
-            {"tasks", Events_},
-            {"overcommitted", Overcommitted},
-            {"peak_copies", Peak},
-            {"duplicates", Duplicates}};
-  }
-
   asio::io_context &Io_;
   asio::steady_timer Ticker_;
   std::map<std::string, Worker> Workers_;
@@ -390,8 +387,11 @@
   Workers All(Io);
   for (const std::string &Name : Names)
     All.add(Name, Capacity);
-  const HttpStub Server(Io, Port, [&](const http::Request &Incoming, const Respond &Answer) {
-    All.handle(Incoming, Answer);
-  });
+  const HttpStub Server(Io, Port,
+                        withControls([&](const Json &Body) { return All.control(Body); },
+                                     [&] { return All.evidence(); },
+                                     [&](const http::Request &Incoming, const Respond &Answer) {
+                                       All.handle(Incoming, Answer);
+                                     }));
   return runProgram(Io, {{"port", Server.port()}});
 }
--- a/tests/standins/common/Program.cpp
+++ b/tests/standins/common/Program.cpp
@@ -45,4 +45,15 @@
   }
 }
 
+StubHandler withControls(std::function<Json(const Json &)> Control, std::function<Json()> Evidence,
+                         StubHandler Rest) {
+  return [=](http::Request Incoming, Respond Answer) {
+    if (Incoming.Path_ == "/evidence")
+      return Answer(jsonReply(Evidence()));
+    if (Incoming.Path_ != "/control")
+      return Rest(std::move(Incoming), std::move(Answer));
+    withJson(Incoming, Answer, [&](const Json &Body) { Answer(jsonReply(Control(Body))); });
+  };
+}
+
 } // namespace masticdrift::standins
--- a/tests/standins/common/Program.h
+++ b/tests/standins/common/Program.h
@@ -36,6 +36,11 @@
 void withJson(const http::Request &Incoming, const Respond &Answer,
               const std::function<void(const Json &)> &Work);
 
+/// \returns a handler that serves POST /control with \p Control, whose result is the answer, and
+/// GET /evidence with \p Evidence, and passes all other requests to \p Rest.
+StubHandler withControls(std::function<Json(const Json &)> Control, std::function<Json()> Evidence,
+                         StubHandler Rest);
+
 /// Sets \p Target when \p Body has a member called \p Name.
 template <typename T> void assignIfPresent(const Json &Body, const char *Name, T &Target) {
   if (const auto Found = Body.find(Name); Found != Body.end())
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -82,6 +82,10 @@
 }
 
 Fleet::~Fleet() {
+  // All at once, because each destructor waits for its process.
+  for (auto &[Name, Of] : Daemons_)
+    if (Of.Process_)
+      Of.Process_->signal(SIGKILL);
   Daemons_.clear();
   Standins_.clear();
   std::error_code Ignored;
