--- a/include/masticdrift/platform/WorkerClient.h
+++ b/include/masticdrift/platform/WorkerClient.h
@@ -18,7 +18,7 @@
 /// How a command to a worker ended.
 enum class WorkerStatus : std::uint8_t {
   Done,         ///< carried out, now or by an earlier copy of the command
-  Refused,      ///< refused as malformed or unknown; had no effect
+  Refused,      ///< malformed, unknown or not fitting the task's state; had no effect
   StaleTerm,    ///< the worker has accepted a higher term; had no effect
   NoRoom,       ///< not enough free resources; had no effect
   Leaving,      ///< the worker is leaving and takes no new work; had no effect
@@ -40,6 +40,7 @@
   std::uint32_t Attempt_ = 0;
   WorkerTaskState State_ = WorkerTaskState::Running;
   std::int32_t Exit_ = 0;
+  std::string Reason_; ///< why a task was stopped, for example "checkpoint"; may be empty
 };
 
 /// A finished task that the worker may forget.
@@ -60,6 +61,7 @@
   std::uint64_t Term_ = 0;
   std::vector<WorkerTask> Tasks_;
   core::Resources Usage_;
+  bool Leaving_ = false; ///< the worker takes no new work
 };
 
 struct StartRequest {
--- a/src/journal/Batch.cpp
+++ b/src/journal/Batch.cpp
@@ -1,14 +1,34 @@
 #include "masticdrift/journal/Batch.h"
 
-#include <tuple>
 #include <utility>
 
 namespace masticdrift::journal {
 
 namespace {
 
-using WireEntry = std::tuple<std::uint8_t, std::string>;
-using WireBatch = std::tuple<std::string, std::uint64_t, std::uint64_t, std::vector<WireEntry>>;
+/// Reads the elements of an array of exactly their number; std::tuple accepts short arrays.
+template <typename... T> void convertArray(const msgpack::object &From, T &...To) {
+  if (From.type != msgpack::type::ARRAY || From.via.array.size != sizeof...(To))
+    throw msgpack::type_error();
+  const msgpack::object *Element = From.via.array.ptr;
+  (Element++->convert(To), ...);
+}
+
+struct WireEntry {
+  std::uint8_t Type_ = 0;
+  std::string Body_;
+  void msgpack_unpack(const msgpack::object &From) { convertArray(From, Type_, Body_); }
+};
+
+struct WireBatch {
+  std::string Writer_;
+  std::uint64_t Incarnation_ = 0;
+  std::uint64_t Sequence_ = 0;
+  std::vector<WireEntry> Entries_;
+  void msgpack_unpack(const msgpack::object &From) {
+    convertArray(From, Writer_, Incarnation_, Sequence_, Entries_);
+  }
+};
 
 } // namespace
 
@@ -34,14 +54,10 @@
   auto Wire = core::unpack<WireBatch>(Bytes);
   if (!Wire)
     return std::nullopt;
-  Batch Result;
-  Result.Writer_ = std::move(std::get<0>(*Wire));
-  Result.Incarnation_ = std::get<1>(*Wire);
-  Result.Sequence_ = std::get<2>(*Wire);
-  Result.Entries_.reserve(std::get<3>(*Wire).size());
-  for (WireEntry &One : std::get<3>(*Wire))
-    Result.Entries_.push_back(
-        {static_cast<RecordType>(std::get<0>(One)), std::move(std::get<1>(One))});
+  Batch Result{std::move(Wire->Writer_), Wire->Incarnation_, Wire->Sequence_, {}};
+  Result.Entries_.reserve(Wire->Entries_.size());
+  for (WireEntry &One : Wire->Entries_)
+    Result.Entries_.push_back({static_cast<RecordType>(One.Type_), std::move(One.Body_)});
   return Result;
 }
 
--- a/src/journal/Tailer.cpp
+++ b/src/journal/Tailer.cpp
@@ -64,7 +64,6 @@
 struct Tailer::Impl : std::enable_shared_from_this<Tailer::Impl> {
   /// Records read past a gap, kept until a complete snapshot is found.
   struct Collected {
-    Gap Gap_;
     std::uint64_t From_ = 0; ///< every record from here to Next_ is in Records_
     std::uint64_t Next_ = 0;
     std::size_t Bytes_ = 0;
@@ -199,13 +198,10 @@
 
   void startCollecting(std::uint64_t First) {
     const std::lock_guard Lock(Mutex_);
-    if (!Collected_)
-      Collected_.emplace();
     Collected Fresh;
-    Fresh.Gap_ = Collected_->Gap_;
     Fresh.From_ = First;
     Fresh.Next_ = First;
-    *Collected_ = std::move(Fresh);
+    Collected_ = std::move(Fresh);
   }
 
   bool collecting() const {
--- a/src/platform/LogClient.cpp
+++ b/src/platform/LogClient.cpp
@@ -5,7 +5,6 @@
 #include "masticdrift/core/Pack.h"
 
 #include <optional>
-#include <tuple>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -48,21 +47,39 @@
   Done({}, Body["offset"].get<std::uint64_t>());
 }
 
-using WireRead =
-    std::tuple<std::uint64_t, std::uint64_t, std::vector<std::tuple<std::uint64_t, std::string>>>;
+/// Reads the elements of an array of exactly their number. MSGPACK_DEFINE_ARRAY and std::tuple
+/// accept short arrays, and an empty array must not count as an empty stream.
+template <typename... T> void convertArray(const msgpack::object &From, T &...To) {
+  if (From.type != msgpack::type::ARRAY || From.via.array.size != sizeof...(To))
+    throw msgpack::type_error();
+  const msgpack::object *Element = From.via.array.ptr;
+  (Element++->convert(To), ...);
+}
+
+struct WireRecord {
+  LogRecord Value_;
+  void msgpack_unpack(const msgpack::object &From) {
+    convertArray(From, Value_.Offset_, Value_.Bytes_);
+  }
+};
+
+struct WireRead {
+  std::uint64_t First_ = 0;
+  std::uint64_t Next_ = 0;
+  std::vector<WireRecord> Records_;
+  void msgpack_unpack(const msgpack::object &From) { convertArray(From, First_, Next_, Records_); }
+};
 
-/// Decodes a read. Tuples require every field, where MSGPACK_DEFINE_ARRAY accepts short arrays: an
-/// empty array must not count as an empty stream.
 std::optional<ReadResult> decodeRead(std::string_view Body) {
   auto Wire = core::unpack<WireRead>(Body);
   if (!Wire)
     return std::nullopt;
   ReadResult Result;
-  Result.First_ = std::get<0>(*Wire);
-  Result.Next_ = std::get<1>(*Wire);
-  Result.Records_.reserve(std::get<2>(*Wire).size());
-  for (auto &[Offset, Bytes] : std::get<2>(*Wire))
-    Result.Records_.push_back({Offset, std::move(Bytes)});
+  Result.First_ = Wire->First_;
+  Result.Next_ = Wire->Next_;
+  Result.Records_.reserve(Wire->Records_.size());
+  for (WireRecord &Record : Wire->Records_)
+    Result.Records_.push_back(std::move(Record.Value_));
   return Result;
 }
 
--- a/src/platform/WorkerClient.cpp
+++ b/src/platform/WorkerClient.cpp
@@ -49,6 +49,14 @@
               static_cast<double>(Result.BytesIn_));
 }
 
+/// A 409 whose body names the accepted term refuses a lower term. Workers also answer 409 to
+/// commands that don't fit the task's state; those bodies name no term.
+WorkerStatus refusalOf(const std::string &Body) {
+  const Json Document = Json::parse(Body, nullptr, false);
+  return Document.is_object() && !Document.contains("term") ? WorkerStatus::Refused
+                                                            : WorkerStatus::StaleTerm;
+}
+
 WorkerStatus statusOf(const http::ClientResult &Result) {
   if (Result.Transfer_ == http::Transfer::NotConnected)
     return WorkerStatus::NotConnected;
@@ -59,7 +67,7 @@
     return WorkerStatus::Done;
   switch (Status) {
   case 409:
-    return WorkerStatus::StaleTerm;
+    return refusalOf(Result.Answer_.Body_);
   case 503:
     return WorkerStatus::Leaving;
   case 507:
@@ -110,6 +118,7 @@
   const auto Exit = From.find("exit");
   if (Exit != From.end() && Exit->is_number_integer())
     Task.Exit_ = Exit->get<std::int32_t>();
+  Task.Reason_ = From.value("reason", std::string());
   return Task;
 }
 
@@ -128,6 +137,7 @@
         return std::nullopt;
       Answer.Tasks_.push_back(std::move(*Task));
     }
+    Answer.Leaving_ = Document.value("leaving", false);
     const auto Usage = Document.find("usage");
     if (Usage != Document.end() && Usage->is_object())
       Answer.Usage_ = {amountOf(*Usage, "cores", 1000.0), amountOf(*Usage, "memory_mb", 1.0),
--- /dev/null
+++ b/tests/support/LogService.h
@@ -0,0 +1,147 @@
+/// \file
+/// In-process log service for unit tests.
+#ifndef MASTICDRIFT_TESTS_SUPPORT_LOGSERVICE_H
+#define MASTICDRIFT_TESTS_SUPPORT_LOGSERVICE_H
+
+#include "masticdrift/core/Pack.h"
+#include "masticdrift/http/Server.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <tuple>
+#include <vector>
+
+namespace masticdrift::tests {
+
+/// What the service does with one append.
+enum class OnAppend {
+  Take,       ///< takes the record and answers
+  TakeSilent, ///< takes the record and never answers
+  DropSilent, ///< does not take the record and never answers
+  Refuse,     ///< 503
+  TooMany,    ///< 429
+  Fail,       ///< takes the record and answers 500
+};
+
+/// One stream, whatever its name. Appends follow a plan; without one they are taken.
+class LogService {
+public:
+  LogService()
+      : Server_({}, [this](http::Request In, http::Responder Respond) {
+          handle(In, std::move(Respond));
+        }) {}
+
+  std::string url() const { return "http://127.0.0.1:" + std::to_string(Server_.port()); }
+
+  void plan(std::initializer_list<OnAppend> Next) {
+    const std::lock_guard Lock(Mutex_);
+    Plan_.insert(Plan_.end(), Next);
+  }
+
+  /// Used for appends that the plan does not name.
+  void otherwise(OnAppend What) {
+    const std::lock_guard Lock(Mutex_);
+    Otherwise_ = What;
+  }
+
+  /// Answers all reads with 503.
+  void failReads(bool On) {
+    const std::lock_guard Lock(Mutex_);
+    FailReads_ = On;
+  }
+
+  /// Adds a record as another writer would.
+  std::uint64_t put(std::string Bytes) {
+    const std::lock_guard Lock(Mutex_);
+    Records_.push_back(std::move(Bytes));
+    return Records_.size() - 1;
+  }
+
+  /// Drops all records below \p First.
+  void expire(std::uint64_t First) {
+    const std::lock_guard Lock(Mutex_);
+    First_ = First;
+  }
+
+  std::vector<std::string> records() const {
+    const std::lock_guard Lock(Mutex_);
+    return Records_;
+  }
+
+  std::size_t appends() const {
+    const std::lock_guard Lock(Mutex_);
+    return Appends_;
+  }
+
+private:
+  void handle(const http::Request &In, http::Responder Respond) {
+    const std::lock_guard Lock(Mutex_);
+    if (In.Method_ == "GET")
+      return read(In, Respond);
+    ++Appends_;
+    OnAppend What = Otherwise_;
+    if (!Plan_.empty()) {
+      What = Plan_.front();
+      Plan_.pop_front();
+    }
+    if (What == OnAppend::Refuse)
+      return Respond({503, "{}"});
+    if (What == OnAppend::TooMany)
+      return Respond({429, "{}"});
+    if (What != OnAppend::DropSilent)
+      Records_.push_back(In.Body_);
+    if (What == OnAppend::Take)
+      return Respond({200, "{\"offset\":" + std::to_string(Records_.size() - 1) + "}"});
+    if (What == OnAppend::Fail)
+      return Respond({500, "{}"});
+    Silent_.push_back(std::move(Respond));
+  }
+
+  void read(const http::Request &In, const http::Responder &Respond) {
+    if (FailReads_)
+      return Respond({503, "{}"});
+    const std::uint64_t From =
+        std::max<std::uint64_t>(First_, std::stoull(http::queryValue(In.Query_, "from")));
+    const std::uint64_t Max = std::stoull(http::queryValue(In.Query_, "max"));
+    std::vector<std::tuple<std::uint64_t, std::vector<char>>> Out;
+    for (std::uint64_t At = From; At < Records_.size() && Out.size() < Max; ++At)
+      Out.emplace_back(At, std::vector<char>(Records_[At].begin(), Records_[At].end()));
+    Respond({200,
+             core::pack(std::make_tuple(First_, static_cast<std::uint64_t>(Records_.size()), Out)),
+             "application/msgpack"});
+  }
+
+  mutable std::mutex Mutex_;
+  std::deque<OnAppend> Plan_;
+  OnAppend Otherwise_ = OnAppend::Take;
+  bool FailReads_ = false;
+  std::vector<std::string> Records_;
+  std::uint64_t First_ = 0;
+  std::size_t Appends_ = 0;
+  std::vector<http::Responder> Silent_; ///< kept, so that the connections stay open
+  http::Server Server_;                 ///< last, so that it stops first
+};
+
+/// Waits until \p Condition holds.
+///
+/// \returns false after \p Limit.
+inline bool waitFor(const std::function<bool()> &Condition,
+                    std::chrono::milliseconds Limit = std::chrono::milliseconds(10'000)) {
+  const auto End = std::chrono::steady_clock::now() + Limit;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() >= End)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  return true;
+}
+
+} // namespace masticdrift::tests
+
+#endif // MASTICDRIFT_TESTS_SUPPORT_LOGSERVICE_H
