ownership: Leave ends earlier incarnations, cover them in the model

A restarted instance that stopped before its Join was read back left its earlier incarnation behind as a member that nobody could ask for consent. The model now also drops delayed copies by sequence and runs ticks between the records of a batch.

--- a/include/masticdrift/ownership/Records.h
+++ b/include/masticdrift/ownership/Records.h
@@ -19,7 +19,7 @@
   MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_, Address_)
 };
 
-/// A member leaves as planned.
+/// A member leaves as planned. Ends this incarnation and all earlier ones.
 struct Leave {
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
--- a/src/membership/Heartbeat.cpp
+++ b/src/membership/Heartbeat.cpp
@@ -36,6 +36,7 @@
       if (Each.Member_.Domain_ != Options_.Domain_)
         ByDomain[Each.Member_.Domain_].push_back(Each.Member_);
     std::vector<Member> Out;
+    Out.reserve(ByDomain.size());
     for (const auto &[Domain, Members] : ByDomain)
       Out.push_back(Members[Rotation_[Domain] % Members.size()]);
     return Out;
--- a/src/ownership/ClaimTable.cpp
+++ b/src/ownership/ClaimTable.cpp
@@ -85,7 +85,11 @@
     return decoded<Join>(Body, [&](const Join &R) { return applyJoin(State_, Offset, R); });
   case RecordType::Leave:
     return decoded<Leave>(Body, [&](const Leave &R) {
-      return removeMember(State_, Offset, R.Instance_, R.Incarnation_);
+      // An instance that stops before its Join took effect also ends its earlier incarnations.
+      const auto Found = State_.Members_.find(R.Instance_);
+      return Found != State_.Members_.end() && Found->second.Incarnation_ <= R.Incarnation_
+                 ? removeMember(State_, Offset, R.Instance_, Found->second.Incarnation_)
+                 : Applied{};
     });
   case RecordType::Evict:
     return decoded<Evict>(Body, [&](const Evict &R) {
--- a/src/ownership/OwnershipDriver.cpp
+++ b/src/ownership/OwnershipDriver.cpp
@@ -175,7 +175,11 @@
         Claims_.clear();
       if (Result.VersionChanged_)
         ConsentVersion_.reset();
-      Joined_ = Joined_ || isMember();
+      if (Type == RecordType::Leave)
+        if (const auto Own = core::unpack<Leave>(Body); Own &&
+                                                        Own->Instance_ == Options_.Instance_ &&
+                                                        Own->Incarnation_ == Options_.Incarnation_)
+          LeaveRead_ = true;
       report(Now);
     }
     deliver();
@@ -317,6 +321,11 @@
       });
   }
 
+  /// Whether a Leave has to be written.
+  bool leaves() const {
+    return (LastJoin_ && !LeaveRead_) || state().Members_.contains(Options_.Instance_);
+  }
+
   void tickStop(TimePoint Now, Actions &Todo) {
     if (isOwner() && Now < SlotsFreeAt_) {
       tickOwner(Now, Todo);
@@ -334,7 +343,8 @@
     if (ReleaseTerm_ != 0 && state().Term_ == ReleaseTerm_ && state().Owner_ == Options_.Instance_)
       Records.push_back(entryOf(RecordType::Release,
                                 Release{Options_.Instance_, Options_.Incarnation_, ReleaseTerm_}));
-    if (isMember())
+    // Also when no Join was read back: it may have been written.
+    if (leaves())
       Records.push_back(
           entryOf(RecordType::Leave, Leave{Options_.Instance_, Options_.Incarnation_}));
     if (Records.empty())
@@ -421,7 +431,7 @@
   std::deque<Transition> Transitions_; ///< not delivered yet
   std::uint64_t Reported_ = 0;         ///< last term put into Transitions_ as acquired
   std::uint64_t Announced_ = 0;        ///< last term whose OnAcquired_ has returned
-  bool Joined_ = false;                ///< the own Join was read back
+  bool LeaveRead_ = false;             ///< the own Leave was read back
   ClaimTable Table_;
   PromiseBook Book_;
   OwnerLease Lease_;
@@ -542,8 +552,7 @@
 
 bool OwnershipDriver::left() const {
   const std::lock_guard Lock(Impl_->Mutex_);
-  const bool JoinOpen = Impl_->LastJoin_ && !Impl_->Joined_;
-  return Impl_->Finished_ && !JoinOpen && !Impl_->isMember() &&
+  return Impl_->Finished_ && !Impl_->leaves() &&
          (Impl_->state().Owner_ != Impl_->Options_.Instance_ ||
           Impl_->state().OwnerIncarnation_ != Impl_->Options_.Incarnation_);
 }
--- a/tests/unit/OwnershipModelTest.cpp
+++ b/tests/unit/OwnershipModelTest.cpp
@@ -37,14 +37,17 @@
   std::int64_t NextRead_ = 0;
   std::int64_t NextProbe_ = 0;
   std::int64_t LastReadAt_ = -1;
-  std::map<std::string, std::int64_t> Heard_;     ///< by member
-  std::map<std::string, std::int64_t> StoreRead_; ///< reported by member
-  std::vector<Work> Inbox_;                       ///< delivered while paused
+  std::uint64_t NextSequence_ = 0;
+  std::map<std::uint64_t, std::uint64_t> LastSequence_; ///< of the replay, by writer
+  std::map<std::string, std::int64_t> Heard_;           ///< by member
+  std::map<std::string, std::int64_t> StoreRead_;       ///< reported by member
+  std::vector<Work> Inbox_;                             ///< delivered while paused
   std::unique_ptr<OwnershipDriver> Driver_;
 };
 
 struct Batch {
-  std::string Writer_;
+  std::uint64_t Writer_ = 0; ///< incarnation, unique in the model
+  std::uint64_t Sequence_ = 0;
   std::vector<journal::Entry> Entries_;
 };
 
@@ -187,7 +190,7 @@
           deliver(Alive, [Done, Error] { Done(Error, 0); });
       });
     };
-    const Batch Record{Self->Name_, Entries};
+    const Batch Record{Self->Incarnation_, ++Self->NextSequence_, Entries};
     if (!storeReachable(*Self)) {
       // The connection may be cut after the request left: it can land much later, or never.
       if (Faults_ && chance(0.5))
@@ -287,9 +290,17 @@
     if (Faults_ && chance(0.1) && End > By.ReadTo_) // a partial answer
       End = By.ReadTo_ +
             static_cast<std::size_t>(pick(static_cast<std::int64_t>(End - By.ReadTo_) + 1));
-    for (; By.ReadTo_ < End; ++By.ReadTo_)
-      for (const auto &Each : Log_[By.ReadTo_].Entries_)
+    for (; By.ReadTo_ < End; ++By.ReadTo_) {
+      auto &Last = By.LastSequence_[Log_[By.ReadTo_].Writer_];
+      if (Log_[By.ReadTo_].Sequence_ <= Last)
+        continue; // a delayed copy of an abandoned append
+      Last = Log_[By.ReadTo_].Sequence_;
+      for (const auto &Each : Log_[By.ReadTo_].Entries_) {
         By.Driver_->onRecord(By.ReadTo_ + 1, Each.Type_, Each.Body_, at(By, Now_));
+        if (Faults_ && chance(0.05)) // the timer thread runs between two records
+          By.Driver_->tick(at(By, Now_));
+      }
+    }
     if (End == Log_.size()) {
       By.Driver_->onReadComplete(at(By, Now_));
       By.LastReadAt_ = Now_;
