--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -1,6 +1,5 @@
 #include "masticdrift/http/Server.h"
 
-#include <atomic>
 #include <array>
 #include <atomic>
 #include <cstdio>
