policy: shed requests earlier and ignore old successes in the quarantine

Change: a request may wait for a twentieth of its deadline; recordEnd takes the start time; queue entries carry their shape.

--- a/include/masticdrift/policy/Quarantine.h
+++ b/include/masticdrift/policy/Quarantine.h
@@ -10,6 +10,7 @@
 /// Record of one worker.
 struct WorkerRecord {
   std::vector<std::string> FailedJobs_; ///< different jobs that failed in a row, at most the bound
+  TimePoint FirstFailure_{};            ///< of the failures in a row
   std::uint32_t FailedProbes_ = 0;      ///< in a row
   TimePoint NextProbe_{};
 };
@@ -28,10 +29,12 @@
 };
 
 /// Records the end of a task and changes the health of its worker in \p Cell. Ends by checkpoint,
-/// stop or loss of the worker must not be recorded.
+/// stop or loss of the worker must not be recorded. The success of a task that started before the
+/// first failure says nothing about the worker's present state and is ignored.
+/// \param Started when the task started.
 /// \returns true when the worker's health changed.
 bool recordEnd(Quarantine &All, CellView &Cell, WorkerIndex Where, std::string_view Job,
-               bool Succeeded, TimePoint Now);
+               TimePoint Started, bool Succeeded, TimePoint Now);
 
 /// Opens the workers whose back-off is over for one probe. Call it before decide(), for example
 /// every second. Cost: linear in the workers with a record.
--- a/include/masticdrift/policy/Queue.h
+++ b/include/masticdrift/policy/Queue.h
@@ -42,7 +42,8 @@
 
 using JobIndex = std::uint32_t;
 using ShapeIndex = std::uint32_t;
-using AgeKey = std::tuple<TimePoint, std::uint64_t, JobIndex>;
+/// Time queued, sequence, job and its shape.
+using AgeKey = std::tuple<TimePoint, std::uint64_t, JobIndex, ShapeIndex>;
 
 /// A kind of task that fits or does not fit wherever another of the same shape does.
 struct Shape {
@@ -56,7 +57,6 @@
   std::uint64_t FailedAt_ = UINT64_MAX;
   std::uint32_t Jobs_ = 0;     ///< waiting jobs of this shape
   std::uint32_t Position_ = 0; ///< in PendingWork::Active_ of its class
-  bool MayFit_ = false;        ///< used within decide()
   /// Waiting jobs by index into PendingWork::Teams_, oldest first.
   std::map<std::uint32_t, std::set<AgeKey>> Waiting_;
 };
--- a/include/masticdrift/policy/RequestQueue.h
+++ b/include/masticdrift/policy/RequestQueue.h
@@ -61,7 +61,7 @@
   std::size_t Total_ = 4096;  ///< waiting requests of all teams
   /// A request is shed when its expected wait exceeds this part of the time to its deadline; the
   /// rest of that time is left for the executor.
-  double WaitFraction_ = 0.1;
+  double WaitFraction_ = 0.05;
 };
 
 /// All waiting interactive requests of one pool.
--- a/src/policy/Place.cpp
+++ b/src/policy/Place.cpp
@@ -591,19 +591,13 @@
 /// Shapes of one class that may fit. It only shrinks during a pass, because starts take room.
 class Fitting {
 public:
-  Fitting(Pass &In, std::size_t Row) : In_(In) {
+  Fitting(Pass &In, std::size_t Row) : In_(In), MayFit_(In.Pending_.Shapes_.size()) {
     for (const ShapeIndex Kind : In.Pending_.Active_[Row])
       if (!stillFails(In, Kind))
         Shapes_.push_back(Kind);
     for (const ShapeIndex Kind : Shapes_)
-      In.Pending_.Shapes_[Kind].MayFit_ = true;
+      MayFit_[Kind] = 1;
   }
-  ~Fitting() {
-    for (const ShapeIndex Kind : Shapes_)
-      In_.Pending_.Shapes_[Kind].MayFit_ = false;
-  }
-  Fitting(const Fitting &) = delete;
-  Fitting &operator=(const Fitting &) = delete;
 
   [[nodiscard]] bool empty() const { return Shapes_.empty(); }
   [[nodiscard]] std::size_t size() const { return Shapes_.size(); }
@@ -622,13 +616,13 @@
     std::erase_if(Shapes_, [&](ShapeIndex Kind) {
       if (In_.Pending_.Shapes_[Kind].Jobs_ > 0 && !stillFails(In_, Kind))
         return false;
-      In_.Pending_.Shapes_[Kind].MayFit_ = false;
+      MayFit_[Kind] = 0;
       return true;
     });
   }
 
   void drop(ShapeIndex Kind) {
-    In_.Pending_.Shapes_[Kind].MayFit_ = false;
+    MayFit_[Kind] = 0;
     In_.Pending_.Shapes_[Kind].FailedAt_ = freedEnd(In_.Cell_);
     std::erase(Shapes_, Kind);
   }
@@ -645,7 +639,7 @@
     if (Waiting.size() <= 4 * Shapes_.size()) {
       for (const AgeKey &Age : Waiting) {
         const JobIndex Index = std::get<2>(Age);
-        if (Pending.Shapes_[Pending.Jobs_[Index].Shape_].MayFit_ && Allowed(Index))
+        if (MayFit_[std::get<3>(Age)] != 0 && Allowed(Index))
           return Index;
       }
       return std::nullopt;
@@ -667,6 +661,7 @@
 private:
   Pass &In_;
   std::vector<ShapeIndex> Shapes_;
+  std::vector<std::uint8_t> MayFit_; ///< by shape; small enough to stay in the cache
 };
 
 /// Works through one class: the team with the lowest rank starts its oldest work that fits.
--- a/src/policy/Quarantine.cpp
+++ b/src/policy/Quarantine.cpp
@@ -5,16 +5,21 @@
 namespace masticdrift::policy {
 
 bool recordEnd(Quarantine &All, CellView &Cell, WorkerIndex Where, std::string_view Job,
-               bool Succeeded, TimePoint Now) {
+               TimePoint Started, bool Succeeded, TimePoint Now) {
   const Health Before = Cell.Workers_[Where].Health_;
   const std::string &Name = Cell.Workers_[Where].Name_;
   if (Succeeded) {
-    All.Workers_.erase(Name);
+    const auto Known = All.Workers_.find(Name);
+    if (Known == All.Workers_.end() || Started < Known->second.FirstFailure_)
+      return false;
+    All.Workers_.erase(Known);
     if (Before != Health::Healthy)
       setHealth(Cell, Where, Health::Healthy);
     return Before != Health::Healthy;
   }
   WorkerRecord &Record = All.Workers_[Name];
+  if (Record.FailedJobs_.empty())
+    Record.FirstFailure_ = Now;
   if (std::find(Record.FailedJobs_.begin(), Record.FailedJobs_.end(), Job) ==
           Record.FailedJobs_.end() &&
       Record.FailedJobs_.size() < All.Rules_.FailuresInRow_)
--- a/src/policy/Queue.cpp
+++ b/src/policy/Queue.cpp
@@ -62,7 +62,7 @@
     Same.Position_ = static_cast<std::uint32_t>(Pending.Active_[Class].size());
     Pending.Active_[Class].push_back(Kind);
   }
-  const AgeKey Age{Job.Queued_, Job.Sequence_, Index};
+  const AgeKey Age{Job.Queued_, Job.Sequence_, Index, Kind};
   const std::uint32_t Queue = queueIndex(Pending, Job.Team_);
   Same.Waiting_[Queue].insert(Age);
   Pending.Teams_[Queue].Waiting_[Class].insert(Age);
@@ -73,7 +73,7 @@
   const auto Class = static_cast<std::size_t>(classOf(Job));
   const ShapeIndex Kind = Job.Shape_;
   Shape &Same = Pending.Shapes_[Kind];
-  const AgeKey Age{Job.Queued_, Job.Sequence_, Index};
+  const AgeKey Age{Job.Queued_, Job.Sequence_, Index, Kind};
   const std::uint32_t Queue = queueIndex(Pending, Job.Team_);
   Pending.Teams_[Queue].Waiting_[Class].erase(Age);
   const auto Found = Same.Waiting_.find(Queue);
--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -337,7 +337,7 @@
     const auto Gone = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
     RealJob &Job = Jobs_.at(One.Job_);
     if (!How_.Baseline_)
-      recordEnd(Quarantine_, Cell_, Host, One.Job_, !Was.Fails_, Now_);
+      recordEnd(Quarantine_, Cell_, Host, One.Job_, Was.Since_, !Was.Fails_, Now_);
     if (Was.Fails_) {
       Job.FailedOn_.insert(Host);
       // A job is given up after failures on three different workers.
--- a/tests/unit/PolicyQueueTest.cpp
+++ b/tests/unit/PolicyQueueTest.cpp
@@ -123,17 +123,20 @@
   Quarantine All;
   TimePoint Now{seconds(1000)};
   for (int I = 0; I < 10; ++I)
-    cr_assert(!recordEnd(All, Cell, 0, "same", false, Now));
-  recordEnd(All, Cell, 0, "second", false, Now);
+    cr_assert(!recordEnd(All, Cell, 0, "same", Now, false, Now));
+  recordEnd(All, Cell, 0, "second", Now, false, Now);
   cr_assert(Cell.Workers_[0].Health_ == Health::Healthy);
-  cr_assert(recordEnd(All, Cell, 0, "third", false, Now));
+  cr_assert(recordEnd(All, Cell, 0, "third", Now, false, Now));
+  cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
+  // A task that started before the failures ends well; the worker is not fit again for that.
+  cr_assert(!recordEnd(All, Cell, 0, "earlier", Now - seconds(60), true, Now));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
   openProbes(All, Cell, Now + seconds(29));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
   Now += seconds(30);
   openProbes(All, Cell, Now);
   cr_assert(Cell.Workers_[0].Health_ == Health::Probing);
-  recordEnd(All, Cell, 0, "fourth", false, Now);
+  recordEnd(All, Cell, 0, "fourth", Now, false, Now);
   openProbes(All, Cell, Now + seconds(59));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined, "the back-off did not grow");
   Now += seconds(60);
@@ -151,7 +154,7 @@
   cr_assert_eq(std::count_if(Started.begin(), Started.end(),
                              [](const Decision &One) { return One.WorkerIndex_ == 0; }),
                1);
-  cr_assert(recordEnd(All, Cell, 0, "probe", true, Now));
+  cr_assert(recordEnd(All, Cell, 0, "probe", Now, true, Now));
   cr_assert(Cell.Workers_[0].Health_ == Health::Healthy);
   cr_assert(All.Workers_.empty());
 }
