--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -137,6 +137,7 @@
                            static_cast<double>(Who_.Worker_.MilliCores_);
     for (const Team &Owner : Teams) {
       std::vector<Family> Families;
+      Families.reserve(8);
       for (int I = 0; I < 8; ++I)
         Families.push_back({logNormal(1.5, 0.8), std::max(0.8, logNormal(1.7, 0.4)),
                             std::max(0.8, logNormal(1.7, 0.4)), logNormal(25, 0.6),
--- a/tests/measure/Scale.cpp
+++ b/tests/measure/Scale.cpp
@@ -33,7 +33,7 @@
       Job.Kind_ = JobKind::Batch;
     Job.Checkpointable_ = below(2) == 0;
     Job.Throttleable_ = below(2) == 0;
-    Job.Size_ = {500 * (1 + below(8)), 512 * (1 + below(16)), below(10) == 0 ? 1 + below(2) : 0};
+    Job.Size_ = {500L * (1 + below(8)), 512L * (1 + below(16)), below(10) == 0 ? 1 + below(2) : 0};
     Job.Run_ = std::chrono::seconds(5 + below(300));
     Job.Queued_ = Now_;
     const std::uint32_t Tasks = Job.Kind_ == JobKind::Gang ? 2 + below(15) : 1;
@@ -110,7 +110,6 @@
     for (std::uint32_t I = 0; I < 10 * Workers; ++I)
       addPending(It.Pending_, It.make(false));
   std::vector<double> Times;
-  std::vector<double> PerStart;
   std::size_t Starts = 0;
   double Policy = 0;
   constexpr int Rounds = 3000;
--- a/tests/unit/PolicyPropertyTest.cpp
+++ b/tests/unit/PolicyPropertyTest.cpp
@@ -39,7 +39,7 @@
     Job.Checkpointable_ = below(2) == 0;
     Job.Throttleable_ = below(3) == 0;
     Job.Idempotent_ = below(4) != 0;
-    Job.Size_ = {500 * (1 + below(below(8) == 0 ? 32 : 8)), 512 * (1 + below(16)),
+    Job.Size_ = {500L * (1 + below(below(8) == 0 ? 32 : 8)), 512L * (1 + below(16)),
                  below(6) == 0 ? 1 + below(4) : 0};
     Job.Run_ = seconds(1 + below(60));
     Job.Queued_ = Now_;
