policy: explain waits in a full cell by share where other teams go first

Cause: explain() said that workers were full and estimated a start although freed room goes to teams further below their share. Ruled out: nothing else. Change: the reason is Share, without an estimate, when such a team waits; a test for it.

--- a/src/policy/Explain.cpp
+++ b/src/policy/Explain.cpp
@@ -93,17 +93,17 @@
   }
   Why.FittingTasks_ = std::min(Unreserved, Why.Tasks_);
   const std::uint32_t Needed = Gang ? Why.Tasks_ : 1;
+  bool Behind = false;
+  if (Team)
+    for (const TeamQueue &Other : Pending.Teams_) {
+      const auto Index = findTeam(Teams, Other.Team_);
+      const bool Waits = std::any_of(Other.Waiting_.begin(), Other.Waiting_.end(),
+                                     [](const auto &Class) { return !Class.empty(); });
+      Behind = Behind ||
+               (Index && *Index != *Team && Waits && rankOf(Teams, *Index) < rankOf(Teams, *Team));
+    }
   if (Unreserved >= Needed) {
     // Room for the job is free right now, so only the order of the queue holds it back.
-    bool Behind = false;
-    if (Team)
-      for (const TeamQueue &Other : Pending.Teams_) {
-        const auto Index = findTeam(Teams, Other.Team_);
-        const bool Waits = std::any_of(Other.Waiting_.begin(), Other.Waiting_.end(),
-                                       [](const auto &Class) { return !Class.empty(); });
-        Behind = Behind || (Index && *Index != *Team && Waits &&
-                            rankOf(Teams, *Index) < rankOf(Teams, *Team));
-      }
     Why.Reason_ = Behind ? WaitReason::Share : WaitReason::Next;
     Why.Text_ = Behind ? "teams further below their share go first" : "starts next";
     if (!Behind)
@@ -122,6 +122,11 @@
     Why.Reason_ = WaitReason::GangTasks;
     Why.Text_ = "room for " + std::to_string(Why.FittingTasks_) + " of " +
                 std::to_string(Why.Tasks_) + " gang tasks";
+  } else if (Behind) {
+    Why.Reason_ = WaitReason::Share;
+    Why.Text_ = "all fitting workers are full, and teams further below their share go first";
+    // Room that appears first goes to those teams.
+    Why.EstimatedStart_.reset();
   } else {
     Why.Reason_ = WaitReason::NoRoom;
     Why.Text_ = "all fitting workers are full";
--- a/tests/unit/PolicyQueueTest.cpp
+++ b/tests/unit/PolicyQueueTest.cpp
@@ -188,6 +188,16 @@
   const auto Full = Why("full");
   cr_assert(Full.Reason_ == WaitReason::NoRoom);
   cr_assert(Full.EstimatedStart_ == Now + seconds(50));
+  // A team without usage waits as well, so room that appears goes there first.
+  Teams.Teams_[teamIndex(Teams, "a")].Usage_ = 0.5;
+  PendingJob Poor = makeJob("poor", JobKind::Batch, {16'000, 1024, 0}, 1);
+  Poor.Team_ = "c";
+  teamIndex(Teams, "c");
+  addPending(Pending, Poor);
+  cr_assert(Why("full").Reason_ == WaitReason::Share);
+  cr_assert(!Why("full").EstimatedStart_);
+  cancel(Pending, "poor");
+  Teams.Teams_[teamIndex(Teams, "a")].Usage_ = 0;
   taskRunning(Cell, Teams, 1,
               {.Job_ = "mine",
                .Team_ = "a",
