--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -137,6 +137,7 @@
                            static_cast<double>(Who_.Worker_.MilliCores_);
     for (const Team &Owner : Teams) {
       std::vector<Family> Families;
+      Families.reserve(8);
       for (int I = 0; I < 8; ++I)
         Families.push_back({logNormal(1.5, 0.8), std::max(0.8, logNormal(1.7, 0.4)),
                             std::max(0.8, logNormal(1.7, 0.4)), logNormal(25, 0.6),
@@ -337,7 +338,7 @@
     const auto Gone = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
     RealJob &Job = Jobs_.at(One.Job_);
     if (!How_.Baseline_)
-      recordEnd(Quarantine_, Cell_, Host, One.Job_, !Was.Fails_, Now_);
+      recordEnd(Quarantine_, Cell_, Host, One.Job_, Was.Since_, !Was.Fails_, Now_);
     if (Was.Fails_) {
       Job.FailedOn_.insert(Host);
       // A job is given up after failures on three different workers.
@@ -568,8 +569,7 @@
       return 0;
     std::size_t Sum = 0;
     for (const auto &Class : Pending_.Teams_[Found->second].Waiting_)
-      for (const auto &[Kind, Jobs] : Class)
-        Sum += Jobs.size();
+      Sum += Class.size();
     return Sum;
   }
 
