--- a/src/ctl/Main.cpp
+++ b/src/ctl/Main.cpp
@@ -11,7 +11,9 @@
 #include <iostream>
 #include <iterator>
 #include <optional>
+#include <sstream>
 #include <thread>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
@@ -289,8 +291,14 @@
 }
 
 /// Overwrites keys in the argument list, which every user of the machine can read.
-void hideKeys(int Count, char **Arguments) {
-  const auto Hide = [](char *From) { std::memset(From, 'x', std::strlen(From)); };
+///
+/// \returns the keys.
+std::vector<std::string> hideKeys(int Count, char **Arguments) {
+  std::vector<std::string> Keys;
+  const auto Hide = [&](char *From) {
+    Keys.emplace_back(From);
+    std::memset(From, 'x', std::strlen(From));
+  };
   for (int I = 1; I < Count; ++I) {
     for (const std::string_view Name : {"--key", "--operator-key"}) {
       const std::string_view Text = Arguments[I];
@@ -300,6 +308,15 @@
         Hide(Arguments[I] + Name.size() + 1);
     }
   }
+  return Keys;
+}
+
+/// \returns \p Text without the keys; messages about unexpected arguments repeat them.
+std::string withoutKeys(std::string Text, const std::vector<std::string> &Keys) {
+  for (const std::string &Key : Keys)
+    for (std::size_t At = 0; !Key.empty() && (At = Text.find(Key, At)) != std::string::npos;)
+      Text.replace(At, Key.size(), "***");
+  return Text;
 }
 
 class Commands {
@@ -497,8 +514,11 @@
   try {
     Root.parse(Count, Arguments);
   } catch (const CLI::ParseError &Error) {
-    hideKeys(Count, Arguments);
-    return Root.exit(Error) == 0 ? 0 : static_cast<int>(Exit::Usage);
+    const auto Keys = hideKeys(Count, Arguments);
+    std::ostringstream Text;
+    const int Code = Root.exit(Error, Text, Text);
+    (Code == 0 ? std::cout : std::cerr) << withoutKeys(Text.str(), Keys);
+    return Code == 0 ? 0 : static_cast<int>(Exit::Usage);
   }
   hideKeys(Count, Arguments);
   return static_cast<int>(All.run());
--- a/tests/unit/ConfigStateTest.cpp
+++ b/tests/unit/ConfigStateTest.cpp
@@ -271,6 +271,18 @@
   cr_assert_eq(State.version(), 1);
 }
 
+// Guards the size that the comment of KeptEntries states, for versions of one change each.
+Test(ConfigStateSnapshot, fullListsStayUnderTwoMegabytes) {
+  ConfigState State;
+  for (std::uint64_t I = 0; I < ConfigState::KeptEntries; ++I)
+    State.apply(I, 0,
+                submit("0123456789abcdef0123456789abcd" + std::to_string(I), I, "operator-name",
+                       text(static_cast<std::int64_t>(I) + 1)));
+  cr_assert_eq(State.history().size(), ConfigState::KeptEntries);
+  const std::size_t Size = State.encode().size();
+  cr_assert(Size < 2'000'000, "%zu", Size);
+}
+
 Test(ConfigStateGive, movesKeepTheSumAndAreVoidUnderANewLimit) {
   ConfigState State;
   State.apply(0, 0, submit("s1", 0, "amina", text(10)));
--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -235,3 +235,12 @@
   cr_assert_eq(run("drain" + Daemon.option()).Code_, 0);
   cr_assert(Daemon.seen()[1].Method_ == "POST" && Daemon.seen()[1].Path_ == "/v1/drain");
 }
+
+// Messages about arguments end up in terminals' and CI logs.
+Test(CtlKeys, aKeyIsNotRepeatedInUsageErrors) {
+  for (const char *Key : {"--operator-key topsecret", "--operator-key=topsecret"}) {
+    const Run Wrong = run("config check " + Example + " " + Key);
+    cr_assert_eq(Wrong.Code_, 2);
+    cr_assert(!has(Wrong, "topsecret"));
+  }
+}
