--- a/include/masticdrift/journal/Appender.h
+++ b/include/masticdrift/journal/Appender.h
@@ -50,8 +50,9 @@
   using Callback = std::function<void(std::error_code, std::uint64_t Offset)>;
   using ClockFunction = std::function<core::TimePoint()>;
 
-  /// \param Timers must be stopped before, or live until after, this object is destroyed.
-  /// \param Now the clock of batch deadlines and of the append budget.
+  /// \param Timers must outlive this object and the HTTP client behind \p Send, whose callbacks
+  /// post to it. Stop it before what the callbacks use is destroyed. \param Now the clock of batch
+  /// deadlines and of the append budget.
   Appender(AppenderOptions Options, AppendFunction Send, core::Timers &Timers,
            ClockFunction Now = core::Clock::now);
   Appender(const Appender &) = delete;
--- a/include/masticdrift/journal/Tailer.h
+++ b/include/masticdrift/journal/Tailer.h
@@ -72,7 +72,8 @@
 /// last complete snapshot and applies the records after it.
 class Tailer {
 public:
-  /// \param Timers must be stopped before, or live until after, this object is destroyed.
+  /// \param Timers must outlive this object and the HTTP client behind \p Read, whose callbacks
+  /// post to it. Stop it before what the callbacks use is destroyed.
   Tailer(TailerOptions Options, ReadFunction Read, core::Timers &Timers, TailerHooks Hooks,
          std::function<core::TimePoint()> Now = core::Clock::now);
   Tailer(const Tailer &) = delete;
--- a/include/masticdrift/platform/InstanceList.h
+++ b/include/masticdrift/platform/InstanceList.h
@@ -60,9 +60,10 @@
 class InstanceList {
 public:
   /// \param Http must outlive this object.
-  /// \param Timers must be stopped before, or live until after, this object is destroyed.
-  /// \param OnChange called on the HTTP client's thread after the list's content has changed; may
-  /// be empty. Not called any more once stop() has returned.
+  /// \param Timers must outlive this object and the HTTP client behind \p Http, whose callbacks
+  /// post to it. Stop it before what the callbacks use is destroyed. \param OnChange called on the
+  /// HTTP client's thread after the list's content has changed; may be empty. Not called any more
+  /// once stop() has returned.
   InstanceList(http::Client &Http, core::Timers &Timers, InstanceListOptions Options,
                std::function<void()> OnChange = {});
   InstanceList(const InstanceList &) = delete;
--- a/tests/unit/DomainStateTest.cpp
+++ b/tests/unit/DomainStateTest.cpp
@@ -316,6 +316,7 @@
   DomainState State({20});
   std::atomic<bool> Done{false};
   std::vector<std::thread> Readers;
+  Readers.reserve(3);
   for (int I = 0; I < 3; ++I)
     Readers.emplace_back([&] {
       while (!Done) {
--- a/tests/unit/JournalTest.cpp
+++ b/tests/unit/JournalTest.cpp
@@ -27,8 +27,9 @@
   return encodeBatch({Writer, 1, Sequence, {entry(Text)}});
 }
 
-/// A service with a client; the client is destroyed first.
+/// A service with a client. The timers outlive the client, whose callbacks post to them.
 struct Store {
+  core::Timers Timers_;
   LogService Service_;
   http::Client Http_;
   platform::LogClient Log_{Http_, {Service_.url(), std::chrono::milliseconds(150)}};
@@ -93,18 +94,18 @@
   std::atomic<int> Copies_{0};
 };
 
-/// A tailer on a store with a thread of its own.
+/// A tailer on a store; one a store.
 struct Reader {
   explicit Reader(Store &On, TailerOptions Options = {})
-      : Tailer_((Options.Stream_ = "domain.a", Options.Interval_ = std::chrono::milliseconds(10),
-                 Options),
-                readFrom(On.Log_, "domain.a"), Timers_, Collected_.hooks()) {}
-  ~Reader() { Timers_.stop(); }
+      : On_(On), Tailer_((Options.Stream_ = "domain.a",
+                          Options.Interval_ = std::chrono::milliseconds(10), Options),
+                         readFrom(On.Log_, "domain.a"), On.Timers_, Collected_.hooks()) {}
+  ~Reader() { On_.Timers_.stop(); }
   bool reaches(std::uint64_t Offset) {
     return waitFor([&] { return Tailer_.completeAsOf() && Tailer_.nextOffset() >= Offset; });
   }
+  Store &On_;
   Collector Collected_;
-  core::Timers Timers_;
   Tailer Tailer_;
 };
 
@@ -163,12 +164,13 @@
 
 // Guards against an append for each call, which would exceed the store's capacity.
 Test(GroupCommit, callsAtTheSameTimeShareOneAppend) {
-  Store On;
   core::Timers Timers;
+  Store On;
   auto Options = fastOptions();
   Options.CloseAfter_ = std::chrono::milliseconds(50);
   Appender Out(Options, appendTo(On.Log_, "domain.a"), Timers);
   std::vector<std::future<Outcome>> Results;
+  Results.reserve(20);
   for (int I = 0; I < 20; ++I)
     Results.push_back(append(Out, {entry(std::to_string(I))}));
   for (auto &One : Results)
@@ -183,8 +185,8 @@
 
 // Guards against batches above 64 KB and against splitting the entries of one call.
 Test(GroupCommit, aFullBatchClosesAtItsSize) {
-  Store On;
   core::Timers Timers;
+  Store On;
   auto Options = fastOptions();
   Options.CloseAfter_ = std::chrono::seconds(30);
   Options.BatchDeadline_ = std::chrono::seconds(60);
@@ -199,8 +201,8 @@
 
 // Guards against a daemon that takes more of the store's capacity than its budget.
 Test(GroupCommit, appendsStayWithinTheBudget) {
-  Store On;
   core::Timers Timers;
+  Store On;
   auto Options = fastOptions();
   Options.CloseAfter_ = std::chrono::milliseconds(1);
   Options.AppendsPerSecond_ = 20;
@@ -216,8 +218,8 @@
 
 // Guards against two effects of a record whose first answer was lost.
 Test(LostAnswer, aRetryHasOneEffect) {
-  Store On;
   core::Timers Timers;
+  Store On;
   On.Service_.plan({OnAppend::TakeSilent});
   Appender Out(fastOptions(), appendTo(On.Log_, "domain.a"), Timers);
   cr_assert(append(Out, {entry("once")}).get().first == ErrorKind::None);
@@ -232,8 +234,8 @@
 
 // Guards against reporting an unknown outcome for a batch that replay has already shown.
 Test(LostAnswer, replaySettlesTheBatch) {
-  Store On;
   core::Timers Timers;
+  Store On;
   On.Service_.otherwise(OnAppend::TakeSilent);
   Appender Out(fastOptions(), appendTo(On.Log_, "domain.a"), Timers);
   auto Result = append(Out, {entry("seen")});
@@ -246,8 +248,8 @@
 
 // Guards against calling an append "not run" when one of its attempts may have been taken.
 Test(LostAnswer, theDeadlineTellsCertainFromUnknown) {
-  Store On;
   core::Timers Timers;
+  Store On;
   Appender Out(fastOptions(), appendTo(On.Log_, "domain.a"), Timers);
   On.Service_.otherwise(OnAppend::Refuse);
   cr_assert(append(Out, {entry("a")}).get().first == ErrorKind::StoreUnavailable);
@@ -261,8 +263,8 @@
 
 // Guards against memory growth while the store is away, and against losing what was accepted.
 Test(LostAnswer, theBufferIsBounded) {
-  Store On;
   core::Timers Timers;
+  Store On;
   auto Options = fastOptions();
   Options.MaxBufferedBytes_ = 1000;
   Options.MaxAppendBytes_ = 900;
@@ -355,8 +357,8 @@
 
 // Guards against waiting for a whole interval after a Notice.
 Test(Replay, aNudgeReadsAtOnce) {
-  Store On;
   core::Timers Timers;
+  Store On;
   Collector Collected;
   TailerOptions Options;
   Options.Interval_ = std::chrono::hours(1);
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -144,7 +144,7 @@
   const std::vector<std::string> Bodies{
       "",
       "\x90",
-      "\x93\x00\x00",
+      core::pack(std::make_tuple(0, 0)),
       "text",
       core::pack(std::make_tuple(0, 1, std::vector<Record>{{1, "beyond next"}})),
       core::pack(std::make_tuple(0, 9, std::vector<Record>{{5, "a"}, {4, "out of order"}}))};
@@ -198,8 +198,8 @@
   const std::string Good =
       R"({"instances":[{"name":"a","kind":"entry","address":"1.2.3.4:5","state":"live"}]})";
   FixedServer Server({503, "{}"});
-  http::Client Http;
   core::Timers Timers;
+  http::Client Http;
   std::atomic<int> Changes{0};
   InstanceList List(Http, Timers,
                     {"http://" + Server.address() + "/instances", std::chrono::milliseconds(10)},
