--- a/include/masticdrift/protocol/Link.h
+++ b/include/masticdrift/protocol/Link.h
@@ -78,8 +78,8 @@
 
   /// Sends a request and waits for its reply without blocking.
   ///
-  /// \param Done called exactly once, on a thread of the link, never from within call().
-  /// Errors: PeerUnreachable, BodyTooLarge and Stopping mean that nothing was sent;
+  /// \param Done called exactly once, on a thread of the link; from within call() only after
+  /// stop(). Errors: PeerUnreachable, BodyTooLarge and Stopping mean that nothing was sent;
   /// OutcomeUnknown means that the peer may have received it (no reply within \p Timeout, or the
   /// link was stopped).
   void call(std::string_view Peer, MessageKind Kind, std::string Body, core::Duration Timeout,
--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -83,20 +83,24 @@
 
   Connection(const std::string &Address, std::size_t MaxMessages, std::size_t MaxBytes,
              Handed OnHanded, Dropped OnDropped)
-      : Address_(Address), MaxMessages_(MaxMessages), MaxBytes_(MaxBytes),
-        OnHanded_(std::move(OnHanded)), OnDropped_(std::move(OnDropped)) {
+      : MaxMessages_(MaxMessages), MaxBytes_(MaxBytes), OnHanded_(std::move(OnHanded)),
+        OnDropped_(std::move(OnDropped)) {
     if (nng_push0_open(&Socket_) != 0)
       throw std::runtime_error("cannot open a push socket");
     nng_aio_alloc(
         &Aio_, [](void *Self) { static_cast<Connection *>(Self)->onSent(); }, this);
     nng_socket_set_ms(Socket_, NNG_OPT_RECONNMINT, RedialMinMs);
     nng_socket_set_ms(Socket_, NNG_OPT_RECONNMAXT, RedialMaxMs);
-    const auto Notify = [](nng_pipe Pipe, nng_pipe_ev Event, void *Self) {
-      static_cast<Connection *>(Self)->onPipe(Pipe, Event);
+    const auto Notify = [](nng_pipe, nng_pipe_ev Event, void *Self) {
+      static_cast<Connection *>(Self)->onPipe(Event);
     };
     nng_pipe_notify(Socket_, NNG_PIPE_EV_ADD_POST, Notify, this);
     nng_pipe_notify(Socket_, NNG_PIPE_EV_REM_POST, Notify, this);
-    dial();
+    if (const int Error =
+            nng_dial(Socket_, ("tcp://" + Address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+        Error != 0)
+      core::log(core::LogLevel::Warning, "cannot dial a peer",
+                {{"address", Address}, {"error", nng_strerror(Error)}});
   }
   Connection(const Connection &) = delete;
   Connection &operator=(const Connection &) = delete;
@@ -113,34 +117,16 @@
     dropAll();
   }
 
-  /// Gives up the established connection, or the attempt that is under way, and dials anew.
-  ///
-  /// The socket is kept: nng 1.5.2 aborted in nng_close() when sockets were replaced under load.
-  void redial() {
-    const std::lock_guard Redialing(RedialMutex_);
-    std::map<int, nng_pipe> Old;
-    {
-      const std::lock_guard Lock(Mutex_);
-      Old = Pipes_;
-    }
-    for (const auto &[Id, Pipe] : Old)
-      nng_pipe_close(Pipe); // its dialer connects again
-    if (!Old.empty())
-      return;
-    nng_dialer_close(Dialer_);
-    dial();
-  }
-
   bool connected() const {
     const std::lock_guard Lock(Mutex_);
-    return !Pipes_.empty() && !Closed_;
+    return Pipes_ > 0 && !Closed_;
   }
 
   /// \returns false when the peer is not connected or the queue is full.
   bool enqueue(Queued Message) {
     {
       const std::lock_guard Lock(Mutex_);
-      if (Closed_ || Pipes_.empty() || Queue_.size() >= MaxMessages_ ||
+      if (Closed_ || Pipes_ <= 0 || Queue_.size() >= MaxMessages_ ||
           Bytes_ + Message.Frame_.Body_.size() > MaxBytes_)
         return false;
       Bytes_ += Message.Frame_.Body_.size();
@@ -151,26 +137,16 @@
   }
 
 private:
-  void dial() {
-    if (const int Error =
-            nng_dial(Socket_, ("tcp://" + Address_).c_str(), &Dialer_, NNG_FLAG_NONBLOCK);
-        Error != 0)
-      core::log(core::LogLevel::Warning, "cannot dial a peer",
-                {{"address", Address_}, {"error", nng_strerror(Error)}});
-  }
-
-  void onPipe(nng_pipe Pipe, nng_pipe_ev Event) {
-    const int Id = nng_pipe_id(Pipe);
+  void onPipe(nng_pipe_ev Event) {
     if (Event == NNG_PIPE_EV_ADD_POST) {
       const std::lock_guard Lock(Mutex_);
-      Pipes_[Id] = Pipe;
+      ++Pipes_;
       return;
     }
     bool Lost = false;
     {
       const std::lock_guard Lock(Mutex_);
-      Pipes_.erase(Id);
-      Lost = Pipes_.empty();
+      Lost = --Pipes_ <= 0;
     }
     if (Lost) {
       // The message that waits inside nng must not go out on a later connection.
@@ -197,7 +173,7 @@
     nng_msg *Out = nullptr;
     {
       const std::lock_guard Lock(Mutex_);
-      while (!Closed_ && !Busy_ && !Pipes_.empty() && !Queue_.empty() && Out == nullptr) {
+      while (!Closed_ && !Busy_ && Pipes_ > 0 && !Queue_.empty() && Out == nullptr) {
         Queued Next = std::move(Queue_.front());
         Queue_.pop_front();
         Bytes_ -= Next.Frame_.Body_.size();
@@ -261,19 +237,16 @@
     pump();
   }
 
-  const std::string Address_;
   const std::size_t MaxMessages_;
   const std::size_t MaxBytes_;
   Handed OnHanded_;
   Dropped OnDropped_;
   nng_socket Socket_ = NNG_SOCKET_INITIALIZER;
   nng_aio *Aio_ = nullptr;
-  std::mutex RedialMutex_;
   mutable std::mutex Mutex_;
   std::deque<Queued> Queue_;
   std::size_t Bytes_ = 0;
-  std::map<int, nng_pipe> Pipes_; ///< established ones, by id
-  nng_dialer Dialer_ = NNG_DIALER_INITIALIZER;
+  int Pipes_ = 0;
   bool Busy_ = false;
   bool Closed_ = false;
   std::uint64_t InFlight_ = 0;
@@ -528,16 +501,16 @@
 }
 
 void Link::reconnect(std::string_view Peer) {
-  std::shared_ptr<Connection> Connected;
+  std::string Address;
   {
     const std::lock_guard Lock(Impl_->Mutex_);
     const auto Found = Impl_->Peers_.find(Peer);
-    if (Found == Impl_->Peers_.end() || Found->second.Connection_ == nullptr)
+    if (Found == Impl_->Peers_.end())
       return;
-    Connected = Found->second.Connection_;
+    Address = Found->second.Address_;
   }
   core::count("masticdrift_peer_reconnects_total");
-  Connected->redial();
+  Impl_->replace(Peer, Address);
 }
 
 bool Link::connected(std::string_view Peer) const {
