--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -537,15 +537,13 @@
                 Callback Done) {
   const auto Expected = replyTo(Kind);
   std::uint64_t CallId = 0;
-  bool Stopped = false;
   {
     const std::lock_guard Lock(Impl_->Mutex_);
-    Stopped = Impl_->Stopped_;
-    CallId = Impl_->NextCall_++;
-    if (!Stopped)
-      Impl_->Calls_[CallId] = {std::string(Peer), Expected.value_or(Kind), false, std::move(Done)};
+    CallId = Impl_->Stopped_ ? 0 : Impl_->NextCall_++;
+    if (CallId != 0)
+      Impl_->Calls_[CallId] = {std::string(Peer), Expected.value_or(Kind), false, Done};
   }
-  if (Stopped) {
+  if (CallId == 0) {
     Done(ErrorKind::Stopping, {});
     return;
   }
