--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -73,6 +73,11 @@
   std::int64_t LastMs_ = 0;
 };
 
+/// A younger connection is not replaced again.
+constexpr core::Millis SettleTime{200};
+/// A replaced connection is closed this long after its last use.
+constexpr core::Millis RetireTime{5000};
+
 /// One push socket. nng redials on its own while the socket is open.
 class Connection {
 public:
@@ -117,6 +122,19 @@
     dropAll();
   }
 
+  /// Sends nothing from here on: waiting messages are dropped, the one inside nng is cancelled.
+  void retire() {
+    {
+      const std::lock_guard Lock(Mutex_);
+      Closed_ = true;
+    }
+    nng_aio_cancel(Aio_);
+    dropAll();
+  }
+
+  /// \returns whether the connection has existed long enough to be judged.
+  bool settled() const { return core::Clock::now() - Since_ >= SettleTime; }
+
   bool connected() const {
     const std::lock_guard Lock(Mutex_);
     return Pipes_ > 0 && !Closed_;
@@ -237,6 +255,7 @@
     pump();
   }
 
+  const core::TimePoint Since_ = core::Clock::now();
   const std::size_t MaxMessages_;
   const std::size_t MaxBytes_;
   Handed OnHanded_;
@@ -427,6 +446,16 @@
         Old = std::exchange(Entry.Connection_, std::move(Fresh));
       }
     }
+    retire(std::move(Old));
+  }
+
+  /// Closes a connection later, on the timer thread. The last reference must not be dropped by a callback of nng, and
+  /// nng 1.5.2 can abort in nng_close() while the dialer or a pipe of the socket is still starting.
+  void retire(std::shared_ptr<Connection> Old) {
+    if (Old == nullptr)
+      return;
+    Old->retire();
+    Schedule_.after(RetireTime, [Kept = std::move(Old)] {});
   }
 
   void stop() {
@@ -493,11 +522,14 @@
 
 void Link::removeRoute(std::string_view Peer) {
   std::shared_ptr<Connection> Old;
-  const std::lock_guard Lock(Impl_->Mutex_);
-  if (const auto Found = Impl_->Peers_.find(Peer); Found != Impl_->Peers_.end()) {
-    Old = std::move(Found->second.Connection_);
-    Impl_->Peers_.erase(Found);
+  {
+    const std::lock_guard Lock(Impl_->Mutex_);
+    if (const auto Found = Impl_->Peers_.find(Peer); Found != Impl_->Peers_.end()) {
+      Old = std::move(Found->second.Connection_);
+      Impl_->Peers_.erase(Found);
+    }
   }
+  Impl_->retire(std::move(Old));
 }
 
 void Link::reconnect(std::string_view Peer) {
@@ -505,7 +537,8 @@
   {
     const std::lock_guard Lock(Impl_->Mutex_);
     const auto Found = Impl_->Peers_.find(Peer);
-    if (Found == Impl_->Peers_.end())
+    if (Found == Impl_->Peers_.end() ||
+        (Found->second.Connection_ != nullptr && !Found->second.Connection_->settled()))
       return;
     Address = Found->second.Address_;
   }
