platform, replica, cell: fewer control bytes at rest, room of ended tasks freed sooner

Cause: at rest a daemon exchanged 7.8 to 8.8 KB/s with the platform (measure-daemon, 31 instances), above the 6 KB/s of the target: the instance list was sent whole every second and each stream was read four times a second. 1,000 tasks of 50 ms on 4 workers ended at 38 tasks/s, because an end was learned only with the next lease renewal (3.3 s). Ruled out: reading streams less often without a notice, which would delay submissions by up to a second. Change: conditional GET of the instance list, stream polls every second with a notice after each configuration append, and a lease renewal when a task is expected to have ended.

--- a/include/masticdrift/replica/ConfigReplica.h
+++ b/include/masticdrift/replica/ConfigReplica.h
@@ -62,6 +62,9 @@
   void start();
   void stop();
 
+  /// Reads the stream as soon as possible.
+  void readNow();
+
   const config::ConfigState &state() const;
 
   /// \returns whether a configuration has been loaded since the start, from the log or a peer.
--- a/include/masticdrift/settings/Settings.h
+++ b/include/masticdrift/settings/Settings.h
@@ -66,7 +66,7 @@
   core::Millis StoreGiveUp_{10000};       ///< an owner without the store this long gives up
   core::Millis StoreReachable_{3000};     ///< a member counts as reaching the store below this age
   core::Millis ConfigurationFresh_{5000}; ///< bound of the configuration's age for keyed work
-  core::Millis PollStream_{250};          ///< between reads of a stream
+  core::Millis PollStream_{1000};         ///< between reads of a stream
   core::Millis PollInstances_{1000};      ///< between reads of the instance list
   core::Millis StoreTimeout_{2000};       ///< one exchange with the log or instance list
   core::Millis BatchClose_{20};           ///< a group commit closes after this time
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -27,6 +27,12 @@
 /// A start whose append had an unknown result is looked up in the replayed state after this time.
 constexpr core::Millis SettleAfter{5000};
 
+/// A worker is asked this long after the expected end of a task, then after growing parts of the
+/// time it has run.
+constexpr core::Millis LookMargin{30};
+constexpr core::Millis ShortestLook{200};
+constexpr int LookDivisor = 4;
+
 using TaskKey = std::pair<std::string, std::uint32_t>;
 
 /// Progress of a task whose start was decided or found by replay.
@@ -46,8 +52,9 @@
   Phase Phase_ = Phase::Recording;
   TimePoint Since_; ///< start of the phase
   TimePoint Started_;
-  bool InFlight_ = false; ///< a start command is outstanding
-  bool Stopping_ = false; ///< the worker was told to stop it
+  TimePoint LookAt_ = TimePoint::max(); ///< when the worker should be asked whether it has ended
+  bool InFlight_ = false;               ///< a start command is outstanding
+  bool Stopping_ = false;               ///< the worker was told to stop it
 };
 
 struct WorkerEntry {
@@ -469,6 +476,7 @@
     if (Status == WorkerStatus::Done) {
       enter(Task, Phase::Running, Now);
       Task.Started_ = Now;
+      Task.LookAt_ = firstLook(*Task.Spec_, Now);
       stopIfCancelled(Key, Task, Now);
     } else if (platform::hadNoEffect(Status) && Status != WorkerStatus::StaleTerm) {
       recordEnd(Key, Task, TaskOutcome::NeverRan, 0, Now);
@@ -477,6 +485,17 @@
     // lease has ended.
   }
 
+  /// A task's end is learned with a lease renewal. Waiting for the regular one would leave its room
+  /// unused for seconds, so the worker is asked when the task is expected to have ended.
+  TimePoint firstLook(const jobs::JobSpec &Spec, TimePoint Now) const {
+    if (Spec.Kind_ == jobs::JobKind::Service)
+      return TimePoint::max();
+    return Now +
+           policy::estimate(Learned_, Spec.Team_, Spec.Family_, declaredRun(Spec), Spec.Need_)
+               .Run_ +
+           LookMargin;
+  }
+
   void stopIfCancelled(const TaskKey &Key, ActiveTask &Task, TimePoint Now) {
     const auto Job = State_.find(Key.first);
     if (Job && Job->CancelRequested_)
@@ -588,9 +607,15 @@
       else if (certainlyEnded(Entry.Lease_, Options_.Lease_, Now))
         workerEnded(Name, Entry, Now);
     }
-    for (auto &[Key, Task] : Active_)
+    std::set<std::string> Look;
+    for (auto &[Key, Task] : Active_) {
       if (Task.Phase_ == Phase::Sending && !Task.InFlight_)
         sendStart(Key, Task, Now);
+      if (Task.Phase_ == Phase::Running && Task.LookAt_ <= Now)
+        Look.insert(Task.Worker_);
+    }
+    for (const std::string &Worker : Look)
+      renewSoon(Worker);
     settleRecording(Now);
     policy::openProbes(Quarantine_, Cell_, Now);
     round();
@@ -692,6 +717,9 @@
     if (One.State_ == WorkerTaskState::Running) {
       if (Task.Phase_ != Phase::Running)
         enter(Task, Phase::Running, Now);
+      if (Task.LookAt_ <= Now)
+        Task.LookAt_ =
+            Now + std::max<core::Duration>(ShortestLook, (Now - Task.Started_) / LookDivisor);
       if (!Task.Stopping_)
         stopIfCancelled(Key, Task, Now);
       return;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -395,6 +395,8 @@
     const auto Body = core::unpack<protocol::Notice>(Message.Body_);
     if (Body && Body->Stream_ == cell::streamOf(Settings_.Instance_.Domain_))
       Stream_.readNow();
+    else if (Body && Body->Stream_ == "config")
+      Config_.readNow();
   }
 
   // --- Changes of instances and configuration ---
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -81,7 +81,7 @@
 bool lengthDeclared(const Exchange &Work) {
   return !findHeader(Work.Answer_.Headers_, "Content-Length").empty() ||
          findHeader(Work.Answer_.Headers_, "Transfer-Encoding") == "chunked" ||
-         Work.Answer_.Status_ == 204;
+         Work.Answer_.Status_ == 204 || Work.Answer_.Status_ == 304;
 }
 
 Transfer classify(CURLcode Code, const Exchange &Work, std::size_t BytesOut) {
--- a/src/platform/InstanceList.cpp
+++ b/src/platform/InstanceList.cpp
@@ -102,12 +102,16 @@
   }
 
   void poll() {
+    http::ClientRequest Request;
     {
       const std::lock_guard Lock(Mutex_);
       if (Stopped_)
         return;
+      // At the target size the list has some hundred kilobytes, so an unchanged one is not sent
+      // again.
+      if (!Tag_.empty())
+        Request.Headers_.emplace_back("If-None-Match", Tag_);
     }
-    http::ClientRequest Request;
     Request.Url_ = Options_.Url_;
     Request.Timeout_ = Options_.Timeout_;
     const core::TimePoint SentAt = core::Clock::now();
@@ -124,10 +128,15 @@
     core::count("masticdrift_control_bytes_total", {{"link", "instances"}, {"direction", "in"}},
                 static_cast<double>(Result.BytesIn_));
     std::optional<std::vector<Instance>> Parsed;
-    if (Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ == 200) {
+    const bool Complete = Result.Transfer_ == http::Transfer::Complete;
+    if (Complete && Result.Answer_.Status_ == 200) {
       Parsed = parseInstances(Result.Answer_.Body_);
       if (!Parsed)
         core::log(core::LogLevel::Warning, "instance list is malformed; the last one is kept");
+      const std::lock_guard Lock(Mutex_);
+      Tag_ = Parsed ? http::findHeader(Result.Answer_.Headers_, "ETag") : std::string_view();
+    } else if (Complete && Result.Answer_.Status_ == 304) {
+      confirm(SentAt);
     }
     {
       // Held during OnChange_, so that stop() returns only after a running call.
@@ -147,6 +156,16 @@
   }
 
   /// \returns true when the content changed and polling has not been stopped.
+  /// The list that is kept was still the current one.
+  void confirm(core::TimePoint SentAt) {
+    const std::lock_guard Lock(Mutex_);
+    if (!View_)
+      return;
+    auto Same = std::make_shared<InstanceView>(*View_);
+    Same->SentAt_ = SentAt;
+    View_ = std::move(Same);
+  }
+
   bool take(std::vector<Instance> Instances, core::TimePoint SentAt) {
     auto View = std::make_shared<InstanceView>();
     View->Instances_ = std::move(Instances);
@@ -168,6 +187,7 @@
   bool Started_ = false;
   bool Stopped_ = false;
   std::shared_ptr<const InstanceView> View_;
+  std::string Tag_; ///< entity tag of the list that is kept
 };
 
 InstanceList::InstanceList(http::Client &Http, core::Timers &Timers, InstanceListOptions Options,
--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -449,8 +449,9 @@
     retire(std::move(Old));
   }
 
-  /// Closes a connection later, on the timer thread. The last reference must not be dropped by a callback of nng, and
-  /// nng 1.5.2 can abort in nng_close() while the dialer or a pipe of the socket is still starting.
+  /// Closes a connection later, on the timer thread. The last reference must not be dropped by a
+  /// callback of nng, and nng 1.5.2 can abort in nng_close() while the dialer or a pipe of the
+  /// socket is still starting.
   void retire(std::shared_ptr<Connection> Old) {
     if (Old == nullptr)
       return;
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -252,19 +252,26 @@
     }
     Appender_.append({std::move(Record)},
                      [Self = shared_from_this(), Check = std::move(Check),
-                      Done = std::move(Done)](std::error_code Error, std::uint64_t) mutable {
-                       Self->appended(Error, std::move(Check), std::move(Done));
+                      Done = std::move(Done)](std::error_code Error, std::uint64_t Offset) mutable {
+                       Self->appended(Error, Offset, std::move(Check), std::move(Done));
                      });
   }
 
+  /// Tells all daemons to read the stream, so that they don't wait for their next poll.
+  void notify(std::uint64_t Offset) {
+    const std::string Body = core::pack(protocol::Notice{std::string(StreamName), Offset});
+    for (const membership::Peer &One : Table_.peers())
+      Peers_.send(One.Member_.Name_, protocol::MessageKind::Notice, 0, Body);
+  }
+
   void announce(std::uint64_t Version) {
     const std::string Body = core::pack(protocol::Pending{Version, Options_.Self_});
     for (const membership::Peer &One : Table_.peers())
       Peers_.send(One.Member_.Name_, protocol::MessageKind::Pending, 0, Body);
   }
 
-  void appended(std::error_code Error, std::function<std::optional<ConfigAnswer>()> Check,
-                Callback Done) {
+  void appended(std::error_code Error, std::uint64_t Offset,
+                std::function<std::optional<ConfigAnswer>()> Check, Callback Done) {
     {
       const std::lock_guard Lock(Mutex_);
       --OpenAppends_;
@@ -276,6 +283,7 @@
       Answer.Error_ = {core::kindOf(Error), "the log service did not take the record"};
       return Done(std::move(Answer));
     }
+    notify(Offset);
     Waiters_.push_back({core::Clock::now(), std::move(Check), std::move(Done)});
     Tailer_.readNow();
   }
@@ -475,6 +483,8 @@
   });
 }
 
+void ConfigReplica::readNow() { Impl_->Tailer_.readNow(); }
+
 void ConfigReplica::stop() { Impl_->Tailer_.stop(); }
 
 const config::ConfigState &ConfigReplica::state() const { return Impl_->State_; }
--- /dev/null
+++ b/tests/measure/daemon/Main.cpp
@@ -0,0 +1,244 @@
+// Measurements of running daemons: added latency, CPU per request, cost at rest, durable starts,
+// memory per job. Prints one JSON object per line. No randomness; figures are wall time on the
+// machine at hand.
+#include "Usage.h"
+#include "support/Api.h"
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <thread>
+
+using namespace masticdrift;
+using namespace masticdrift::testing;
+using core::TimePoint;
+
+namespace {
+
+constexpr int LatencyRequests = 2000;
+constexpr int LoadThreads = 48;
+constexpr core::Millis LoadTime{5000};
+constexpr core::Millis RestTime{20'000};
+constexpr int StartedTasks = 1000;
+constexpr int WaitingJobs = 5000;
+
+using OrderedJson = nlohmann::ordered_json;
+
+void print(const OrderedJson &Line) { std::cout << Line.dump() << std::endl; }
+
+double percentile(std::vector<double> &Values, double Part) {
+  std::ranges::sort(Values);
+  return Values.empty()
+             ? 0
+             : Values[static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1))];
+}
+
+struct Target {
+  std::string Url_;
+  http::Headers Headers_;
+};
+
+/// Sends requests one after another and returns their times in milliseconds.
+std::vector<double> timesOf(http::Client &Client, const Target &To) {
+  std::vector<double> Times;
+  for (int I = 0; I < LatencyRequests; ++I) {
+    http::ClientRequest Out{"POST", To.Url_, "check " + std::to_string(I), To.Headers_};
+    const TimePoint Start = core::Clock::now();
+    const http::ClientResult Answer = Client.sendAndWait(std::move(Out));
+    if (Answer.Answer_.Status_ == 200)
+      Times.push_back(
+          std::chrono::duration<double, std::milli>(core::Clock::now() - Start).count());
+  }
+  return Times;
+}
+
+std::string ownerOf(Fleet &Of, const std::string &Domain) {
+  for (const std::string &Name : Of.namesIn(Domain))
+    if (Api(Of, Name).status().value("is_owner", false))
+      return Name;
+  return {};
+}
+
+std::string otherThan(Fleet &Of, const std::string &Domain, const std::string &Owner) {
+  for (const std::string &Name : Of.namesIn(Domain))
+    if (Name != Owner)
+      return Name;
+  return Owner;
+}
+
+void measureLatency(Fleet &Of) {
+  const std::string Owner = ownerOf(Of, "lahore-a");
+  const std::string Other = otherThan(Of, "lahore-a", Owner);
+  const int Port = Of.ready(Standin::Executor).at("executors").at("lahore-a-executor-1");
+  const std::string Path = "/v1/queues/status/requests";
+  http::Client Client;
+  const std::vector<std::pair<std::string, Target>> Ways{
+      {"direct", {"http://127.0.0.1:" + std::to_string(Port) + "/run", {}}},
+      {"owner_idempotent", {Of.callerUrl(Owner) + Path, {{"Masticdrift-Idempotent", "true"}}}},
+      {"owner_non_idempotent", {Of.callerUrl(Owner) + Path, {}}},
+      {"one_hop_idempotent", {Of.callerUrl(Other) + Path, {{"Masticdrift-Idempotent", "true"}}}}};
+  for (const auto &[Name, To] : Ways) {
+    std::vector<double> Times = timesOf(Client, To);
+    print({{"measure", "latency"},
+           {"way", Name},
+           {"answered", Times.size()},
+           {"p50_ms", percentile(Times, 0.5)},
+           {"p99_ms", percentile(Times, 0.99)}});
+  }
+}
+
+void measureThroughput(Fleet &Of) {
+  const std::string Owner = ownerOf(Of, "lahore-a");
+  const pid_t Pid = Of.process(Owner).pid();
+  const measure::Usage Before = measure::usageOf(Pid);
+  std::atomic<std::int64_t> Answered{0};
+  const TimePoint End = core::Clock::now() + LoadTime;
+  std::vector<std::thread> Threads;
+  for (int I = 0; I < LoadThreads; ++I)
+    Threads.emplace_back([&] {
+      http::Client Client;
+      while (core::Clock::now() < End) {
+        const auto Answer = Client.sendAndWait({"POST",
+                                                Of.callerUrl(Owner) + "/v1/queues/status/requests",
+                                                "check",
+                                                {{"Masticdrift-Idempotent", "true"}}});
+        if (Answer.Answer_.Status_ == 200)
+          ++Answered;
+      }
+    });
+  for (std::thread &One : Threads)
+    One.join();
+  const double Cpu = measure::usageOf(Pid).CpuSeconds_ - Before.CpuSeconds_;
+  const double Seconds = std::chrono::duration<double>(LoadTime).count();
+  print({{"measure", "throughput"},
+         {"callers", LoadThreads},
+         {"requests_per_s", static_cast<double>(Answered) / Seconds},
+         {"requests_per_cpu_s", static_cast<double>(Answered) / Cpu},
+         {"daemon_cpu_cores", Cpu / Seconds}});
+}
+
+std::string metricsOf(Fleet &Of, const std::string &Name) {
+  return call("GET", Of.operatorUrl(Name) + "/metrics").Body_;
+}
+
+/// Lets \p Wait pass; the pause is the measurement itself.
+void idleFor(core::Duration Wait) { std::this_thread::sleep_for(Wait); }
+
+void measureRest(Fleet &Of) {
+  struct Sample {
+    measure::Usage Usage_;
+    double Peer_ = 0, Control_ = 0, Appends_ = 0;
+  };
+  const auto Read = [&](const std::string &Name) {
+    const std::string Text = metricsOf(Of, Name);
+    return Sample{measure::usageOf(Of.process(Name).pid()),
+                  measure::metricSum(Text, "masticdrift_peer_bytes_total"),
+                  measure::metricSum(Text, "masticdrift_control_bytes_total"),
+                  measure::metricSum(Text, "masticdrift_appends_total")};
+  };
+  std::map<std::string, Sample> Before;
+  for (const std::string &Name : Of.names())
+    Before[Name] = Read(Name);
+  idleFor(RestTime);
+  const double Seconds = std::chrono::duration<double>(RestTime).count();
+  for (const std::string &Name : Of.names()) {
+    const Sample After = Read(Name);
+    const Sample &First = Before[Name];
+    print({{"measure", "rest"},
+           {"daemon", Name},
+           {"owner", Api(Of, Name).status().value("is_owner", false)},
+           {"cpu_percent_of_core",
+            100 * (After.Usage_.CpuSeconds_ - First.Usage_.CpuSeconds_) / Seconds},
+           {"resident_mb", After.Usage_.ResidentMb_},
+           {"peer_bytes_per_s", (After.Peer_ - First.Peer_) / Seconds},
+           {"platform_bytes_per_s", (After.Control_ - First.Control_) / Seconds},
+           {"appends_per_s", (After.Appends_ - First.Appends_) / Seconds}});
+  }
+}
+
+double appendsAt(Fleet &Of) {
+  double Sum = 0;
+  const Json Evidence = Of.evidence(Standin::Log);
+  for (const auto &[Name, Stream] : Evidence.at("streams").items())
+    Sum += Stream.value("appends", 0.0);
+  return Sum;
+}
+
+void measureStarts(Fleet &Of, const std::string &Key) {
+  const std::string Owner = ownerOf(Of, "lahore-a");
+  const pid_t Pid = Of.process(Owner).pid();
+  const measure::Usage Before = measure::usageOf(Pid);
+  const double AppendsBefore = appendsAt(Of);
+  const TimePoint Start = core::Clock::now();
+  Api At(Of, Owner);
+  const Reply Accepted = At.submitJob("print",
+                                      {{"kind", "batch"},
+                                       {"tasks", StartedTasks},
+                                       {"run_ms", 50},
+                                       {"cores", 0.5},
+                                       {"memory_mb", 64},
+                                       {"request_id", "starts"},
+                                       {"domain", "lahore-a"}},
+                                      Key);
+  const std::string Id = Accepted.json().value("id", "");
+  const bool Done = waitFor(core::Millis(60'000), [&] {
+    return At.job(Id, Key).json().value("state", "") == "succeeded";
+  });
+  const double Seconds = std::chrono::duration<double>(core::Clock::now() - Start).count();
+  const double Cpu = measure::usageOf(Pid).CpuSeconds_ - Before.CpuSeconds_;
+  print({{"measure", "starts"},
+         {"tasks", StartedTasks},
+         {"all_succeeded", Done},
+         {"tasks_per_s", StartedTasks / Seconds},
+         {"cpu_ms_per_task", 1000 * Cpu / StartedTasks},
+         {"appends_per_task", (appendsAt(Of) - AppendsBefore) / StartedTasks}});
+}
+
+void measureMemory(Fleet &Of, const std::string &Key) {
+  const std::string Owner = ownerOf(Of, "lahore-a");
+  const pid_t Pid = Of.process(Owner).pid();
+  const measure::Usage Before = measure::usageOf(Pid);
+  std::atomic<int> Next{0};
+  std::atomic<int> Accepted{0};
+  const TimePoint Start = core::Clock::now();
+  std::vector<std::thread> Threads;
+  for (int I = 0; I < 16; ++I)
+    Threads.emplace_back([&] {
+      for (int Number = Next++; Number < WaitingJobs; Number = Next++) {
+        const Json Job{{"kind", "batch"},
+                       {"cores", 15},
+                       {"memory_mb", 1000},
+                       {"run_ms", 3'600'000},
+                       {"request_id", "m" + std::to_string(Number)},
+                       {"domain", "lahore-a"}};
+        if (Api(Of, Owner).submitJob("print", Job, Key).Status_ == 202)
+          ++Accepted;
+      }
+    });
+  for (std::thread &One : Threads)
+    One.join();
+  const double Seconds = std::chrono::duration<double>(core::Clock::now() - Start).count();
+  const double Grown = measure::usageOf(Pid).ResidentMb_ - Before.ResidentMb_;
+  print({{"measure", "waiting_jobs"},
+         {"accepted", Accepted.load()},
+         {"accepts_per_s", Accepted / Seconds},
+         {"owner_kb_per_job", 1024 * Grown / std::max(1, Accepted.load())}});
+}
+
+} // namespace
+
+int main() {
+  Fleet All(roshan(4, 4));
+  Json Configuration = defaultConfiguration();
+  if (!bringUp(All, Configuration)) {
+    std::cerr << "the fleet did not come up\n";
+    return 1;
+  }
+  const std::string Key = Api(All, ownerOf(All, "lahore-a")).newKey("mfi");
+  measureRest(All);
+  measureLatency(All);
+  measureThroughput(All);
+  measureStarts(All, Key);
+  measureMemory(All, Key);
+  return 0;
+}
--- /dev/null
+++ b/tests/measure/daemon/Usage.h
@@ -0,0 +1,28 @@
+/// \file
+/// Resource usage of a process, from /proc.
+#ifndef MASTICDRIFT_MEASURE_DAEMON_USAGE_H
+#define MASTICDRIFT_MEASURE_DAEMON_USAGE_H
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <sys/types.h>
+
+namespace masticdrift::measure {
+
+struct Usage {
+  double CpuSeconds_ = 0; ///< user and system time
+  double ResidentMb_ = 0;
+};
+
+/// \returns the usage of a process so far.
+Usage usageOf(pid_t Process);
+
+/// \returns the sum of all samples of a metric in the Prometheus text format, by nothing else than
+/// its name.
+double metricSum(std::string_view Text, std::string_view Name);
+
+} // namespace masticdrift::measure
+
+#endif // MASTICDRIFT_MEASURE_DAEMON_USAGE_H
--- a/tests/standins/StandinInstances.cpp
+++ b/tests/standins/StandinInstances.cpp
@@ -26,7 +26,11 @@
     Json All = Json::array();
     for (const auto &[Name, Entry] : Visible_)
       All.push_back(Entry);
-    const Reply Out = jsonReply({{"instances", All}});
+    Reply Out = jsonReply({{"instances", All}});
+    const std::string Tag = '"' + std::to_string(std::hash<std::string>{}(Out.Body_)) + '"';
+    if (http::findHeader(Incoming.Headers_, "If-None-Match") == Tag)
+      Out = {304, ""};
+    Out.Headers_.emplace_back("ETag", Tag);
     later(Io_, std::chrono::milliseconds(DelayMs_), [Answer, Out] { Answer(Out); });
   }
 
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -97,6 +97,8 @@
   /// daemons. Latencies set by shape() end too.
   void healAll();
 
+  /// \returns the line with which a stand-in reported its ports.
+  const Json &ready(Standin Of) const { return Ready_.at(Of); }
   /// \returns the answer of the stand-in's GET /evidence.
   Json evidence(Standin Of);
   /// Sends switches to a stand-in.
