--- a/tests/measure/daemon/Main.cpp
+++ b/tests/measure/daemon/Main.cpp
@@ -24,6 +24,21 @@
 
 using OrderedJson = nlohmann::ordered_json;
 
+/// Size of the fleet in each domain.
+struct Size {
+  int Executors_ = 0;
+  int Workers_ = 0;
+  int Tasks_ = 0; ///< long-running ones, in domain lahore-a
+};
+
+/// Raises the limits, so that they don't bound the measurement.
+Json largeLimits(Json Configuration) {
+  for (Json &Team : Configuration["teams"])
+    Team["limit"] = {
+        {"slots", 100'000}, {"cores", 100'000}, {"memory_mb", 100'000'000}, {"accelerators", 0}};
+  return Configuration;
+}
+
 void print(const OrderedJson &Line) { std::cout << Line.dump() << std::endl; }
 
 double percentile(std::vector<double> &Values, double Part) {
@@ -124,7 +139,31 @@
 /// Lets \p Wait pass; the pause is the measurement itself.
 void idleFor(core::Duration Wait) { std::this_thread::sleep_for(Wait); }
 
-void measureRest(Fleet &Of) {
+void startTasks(Fleet &Of, const std::string &Key, int Tasks) {
+  Api At(Of, ownerOf(Of, "lahore-a"));
+  const Reply Accepted = At.submitJob("print",
+                                      {{"kind", "batch"},
+                                       {"tasks", Tasks},
+                                       {"run_ms", 3'600'000},
+                                       {"cores", 0.5},
+                                       {"memory_mb", 64},
+                                       {"request_id", "long"},
+                                       {"domain", "lahore-a"}},
+                                      Key);
+  const std::string Id = Accepted.json().value("id", "");
+  const TimePoint Start = core::Clock::now();
+  const bool All = waitFor(core::Millis(120'000), [&] {
+    const Json Status = At.job(Id, Key).json();
+    return Status.is_object() && Status.contains("task_counts") &&
+           Status.at("task_counts").value("running", 0) == Tasks;
+  });
+  print({{"measure", "start_long_tasks"},
+         {"tasks", Tasks},
+         {"all_running", All},
+         {"seconds", std::chrono::duration<double>(core::Clock::now() - Start).count()}});
+}
+
+void measureRest(Fleet &Of, const Size &Scale) {
   struct Sample {
     measure::Usage Usage_;
     double Peer_ = 0, Control_ = 0, Appends_ = 0;
@@ -145,6 +184,9 @@
     const Sample After = Read(Name);
     const Sample &First = Before[Name];
     print({{"measure", "rest"},
+           {"executors", Scale.Executors_},
+           {"workers", Scale.Workers_},
+           {"tasks", Name.starts_with("lahore-a") ? Scale.Tasks_ : 0},
            {"daemon", Name},
            {"owner", Api(Of, Name).status().value("is_owner", false)},
            {"cpu_percent_of_core",
@@ -227,15 +269,22 @@
 
 } // namespace
 
-int main() {
-  Fleet All(roshan(4, 4));
-  Json Configuration = defaultConfiguration();
-  if (!bringUp(All, Configuration)) {
+int main(int Argc, char **Argv) {
+  const auto Argument = [&](int Position, int Default) {
+    return Argc > Position ? std::atoi(Argv[Position]) : Default;
+  };
+  const Size Of{Argument(1, 4), Argument(2, 4), Argument(3, 0)};
+  Fleet All(roshan(Of.Executors_, Of.Workers_));
+  if (!bringUp(All, largeLimits(defaultConfiguration()))) {
     std::cerr << "the fleet did not come up\n";
     return 1;
   }
   const std::string Key = Api(All, ownerOf(All, "lahore-a")).newKey("mfi");
-  measureRest(All);
+  if (Of.Tasks_ > 0)
+    startTasks(All, Key, Of.Tasks_);
+  measureRest(All, Of);
+  if (Argc > 1)
+    return 0;
   measureLatency(All);
   measureThroughput(All);
   measureStarts(All, Key);
