--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -34,6 +34,7 @@
   InteractiveRequest Request_;
   OutcomeCallback Done_;
   int Attempts_ = 0;
+  std::optional<Outcome> Earlier_; ///< of the last attempt that may have run
 };
 
 /// One request on its way to one executor.
@@ -64,6 +65,14 @@
   std::uint64_t NextId_ = 1;
 };
 
+/// \returns the outcome of the whole request: a retry that did not run says nothing about an earlier
+/// attempt that may have.
+Outcome settled(const Pending &Work, Outcome Last) {
+  return Work.Earlier_ && certainlyNotRun(Last) ? *Work.Earlier_ : std::move(Last);
+}
+
+void finish(const Pending &Work, Outcome Last) { Work.Done_(settled(Work, std::move(Last))); }
+
 Outcome outcomeOf(platform::ExecutorAnswer Answer) {
   switch (Answer.Result_) {
   case ExecutorResult::Completed: {
@@ -212,8 +221,8 @@
       const std::lock_guard Lock(One->Mutex_);
       for (const auto &[Id, Work] : One->Waiting_) {
         policy::removeRequest(One->Queue_, Work->Request_.Team_, Id);
-        Done.emplace_back(std::move(Work->Done_),
-                          failed(ErrorKind::NotOwner, "the domain has a new owner"));
+        Done.emplace_back(
+            Work->Done_, settled(*Work, failed(ErrorKind::NotOwner, "the domain has a new owner")));
       }
       One->Waiting_.clear();
     }
@@ -246,19 +255,29 @@
     std::optional<Outcome> Refusal;
     {
       const std::lock_guard Lock(Into->Mutex_);
-      const std::uint64_t Id = Into->NextId_++;
-      const policy::AdmissionResult Answer = policy::pushRequest(
-          Into->Queue_, {Id, Work->Request_.Team_, Now, Work->Request_.Deadline_}, Now);
-      if (Answer.Verdict_ == policy::Admission::Queued)
-        Into->Waiting_.emplace(Id, Work);
+      // Under the lock: a request queued after lost() emptied the queue would never be answered.
+      if (!Owner_)
+        Refusal = failed(ErrorKind::NotOwner, "the domain has a new owner");
       else
-        Refusal = refusalOf(Answer);
+        Refusal = push(*Into, Work, Now);
     }
     if (Refusal)
-      return Work->Done_(std::move(*Refusal));
+      return finish(*Work, std::move(*Refusal));
     pump(Into);
   }
 
+  /// \returns the refusal, or nothing when the request was queued. Needs the pool's lock.
+  static std::optional<Outcome> push(Pool &Into, const std::shared_ptr<Pending> &Work,
+                                     TimePoint Now) {
+    const std::uint64_t Id = Into.NextId_++;
+    const policy::AdmissionResult Answer = policy::pushRequest(
+        Into.Queue_, {Id, Work->Request_.Team_, Now, Work->Request_.Deadline_}, Now);
+    if (Answer.Verdict_ != policy::Admission::Queued)
+      return refusalOf(Answer);
+    Into.Waiting_.emplace(Id, Work);
+    return std::nullopt;
+  }
+
   static Outcome refusalOf(const policy::AdmissionResult &Answer) {
     const std::string Hint =
         ", retry after " + std::to_string(core::toMillis(Answer.RetryAfter_)) + " ms";
@@ -292,9 +311,10 @@
       for (const policy::QueuedRequest &One : Shed) {
         auto Node = From->Waiting_.extract(One.Id_);
         if (!Node.empty())
-          Done.emplace_back(
-              std::move(Node.mapped()->Done_),
-              failed(ErrorKind::DeadlineExpired, "deadline passed while the request was queued"));
+          Done.emplace_back(Node.mapped()->Done_,
+                            settled(*Node.mapped(),
+                                    failed(ErrorKind::DeadlineExpired,
+                                           "deadline passed while the request was queued")));
       }
     }
     finishAll(Done);
@@ -325,7 +345,7 @@
     const TimePoint Now = core::Clock::now();
     if (!HoldsLease_(Now)) {
       giveBack(*From, One, core::Duration::zero());
-      return One.Work_->Done_(failed(ErrorKind::LeaseLapsed, "the domain's lease has ended"));
+      return finish(*One.Work_, failed(ErrorKind::LeaseLapsed, "the domain's lease has ended"));
     }
     platform::ExecutorRequest Out;
     const InteractiveRequest &Request = One.Work_->Request_;
@@ -368,9 +388,12 @@
       --InFlight_;
     const bool Retryable =
         NotRun || (How != ExecutorResult::Completed && One.Work_->Request_.Idempotent_);
+    Outcome Result = outcomeOf(std::move(Answer));
+    if (Result.Kind_ != ErrorKind::None && !certainlyNotRun(Result))
+      One.Work_->Earlier_ = Result;
     if (Retryable && retry(From, One, Now))
       return;
-    One.Work_->Done_(outcomeOf(std::move(Answer)));
+    finish(*One.Work_, std::move(Result));
     pump(From);
   }
 
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 
 namespace masticdrift::routing {
 
@@ -20,6 +21,7 @@
   std::vector<DomainView> Domains_;
   std::vector<std::size_t> Order_; ///< into Domains_
   std::size_t Next_ = 0;           ///< position in Order_
+  std::optional<Outcome> Earlier_; ///< of the last domain where the work may have run
 };
 
 /// \returns true for refusals that another domain may not repeat.
@@ -164,6 +166,8 @@
   }
 
   void answered(const std::shared_ptr<Journey> &Trip, Outcome Result) {
+    if (Result.Kind_ != ErrorKind::None && !certainlyNotRun(Result))
+      Trip->Earlier_ = Result;
     if (mayTryNext(*Trip, Result)) {
       ++Trip->Next_;
       core::count("masticdrift_retries_total", {{"where", "domain"}});
@@ -188,6 +192,9 @@
 
   void finish(const Journey &Trip, Outcome Result) {
     --InFlight_;
+    // A domain that did not run the request says nothing about an earlier one that may have.
+    if (Trip.Earlier_ && certainlyNotRun(Result))
+      Result = *Trip.Earlier_;
     Trip.Done_(std::move(Result));
   }
 
--- /dev/null
+++ b/tests/invariant/RequestTest.cpp
@@ -0,0 +1,127 @@
+// Promises about interactive requests under faults. The evidence is the executors' record of what
+// ran and the answers that the callers received.
+#include "invariant/Callers.h"
+
+#include <criterion/criterion.h>
+
+using namespace masticdrift;
+using namespace masticdrift::testing;
+
+namespace {
+
+const std::vector<std::string> Domains{"lahore-a", "faisalabad-b", "karachi-a"};
+
+/// Applies switches to one executor of each domain.
+void switchExecutors(Fleet &All, int Number, Json Switches) {
+  for (const std::string &Domain : Domains) {
+    Switches["executor"] = Domain + "-executor-" + std::to_string(Number);
+    All.control(Standin::Executor, Switches);
+  }
+}
+
+/// \returns true when every member of the fleet that is not in \p Except accepts requests of the
+/// key.
+bool keyWorksEverywhere(Fleet &All, const std::string &Key) {
+  return std::ranges::all_of(All.names(), [&](const std::string &Name) {
+    return waitFor(core::Millis(5000), [&] {
+      return Api(All, Name).request("reorder", "probe", {.Key_ = Key}).Status_ == 200;
+    });
+  });
+}
+
+/// Checks P5, P6 and P7 and that no executor was sent too much.
+void expectPromisesKept(const char *Scope, const std::vector<Exchange> &Answers,
+                        const Json &Executors, bool MayLose) {
+  const Verdict Result = judge(Answers, Executors, MayLose);
+  cr_log_warn("%s: %s", Scope, Result.text().c_str());
+  cr_expect(Result.Faults_.empty(), "%s: %s", Scope, Result.text().c_str());
+  const std::string Over = overcommitted(Executors);
+  cr_expect(Over.empty(), "%s: P1:%s", Scope, Over.c_str());
+}
+
+} // namespace
+
+// Guards against a request that runs twice because it is sent again after a fault (also by
+// libcurl), and against a "not run" for a request that reached an executor.
+Test(FailingExecutors, answersAreTrueAndNothingRunsTwice) {
+  Fleet All;
+  cr_assert(bringUp(All), "the fleet did not come up");
+  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  cr_assert(keyWorksEverywhere(All, Key));
+  for (const int IdempotentEvery : {0, 2}) {
+    const std::string Scope = IdempotentEvery == 0 ? "non-idempotent" : "mixed";
+    Callers Load(All, All.names(),
+                 {.Callers_ = 24, .DeadlineMs_ = 800, .Key_ = Key,
+                  .IdempotentEvery_ = IdempotentEvery},
+                 Scope);
+    int Number = 1;
+    for (const char *Failure :
+         {"close_without_answer", "silent", "truncate", "no_length", "fail"}) {
+      // A healthy phase first, so that idle connections exist when the executor starts to fail.
+      cr_assert(Load.await(100, core::Millis(10'000), "completed"), "before %s", Failure);
+      switchExecutors(All, Number, {{"failure", Failure}});
+      cr_assert(Load.await(100, core::Millis(10'000)), "during %s", Failure);
+      switchExecutors(All, Number, {{"failure", "none"}});
+      Number = 3 - Number;
+    }
+    switchExecutors(All, Number, {{"leaving", true}});
+    cr_assert(Load.await(100, core::Millis(10'000)), "during leaving");
+    switchExecutors(All, Number, {{"leaving", false}});
+    const auto &Answers = Load.finish();
+    const Json Executors = settledEvidence(All);
+    expectPromisesKept(Scope.c_str(), Answers, Executors, false);
+    const Verdict Result = judge(Answers, Executors, false);
+    cr_expect(Result.Outcomes_.contains("completed") && Result.Outcomes_.contains("failed") &&
+                  Result.Outcomes_.contains("unknown"),
+              "%s: the faults were not met: %s", Scope.c_str(), Result.text().c_str());
+  }
+}
+
+// Guards against two owners' requests meeting in the slots of one executor: the requests of a
+// killed owner still run when the next owner starts to send.
+Test(OverloadAndTakeover, slotsAreNeverOvercommitted) {
+  Fleet All;
+  cr_assert(bringUp(All), "the fleet did not come up");
+  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  cr_assert(keyWorksEverywhere(All, Key));
+  const std::string Domain = "lahore-a";
+  const std::vector<std::string> Members = All.namesIn(Domain);
+  const std::string Owner = ownerOf(All, Members);
+  cr_assert(!Owner.empty(), "%s has no owner", Domain.c_str());
+  std::vector<std::string> Others = Members;
+  std::erase(Others, Owner);
+
+  // 48 slots in the fleet; the requests last almost as long as the longest deadline allows.
+  Callers Long(All, All.names(),
+               {.Callers_ = 60, .WorkMs_ = 4700, .DeadlineMs_ = 5000, .Key_ = Key,
+                .IdempotentEvery_ = 2},
+               "long");
+  Callers Short(All, All.names(),
+                {.Callers_ = 30, .WorkMs_ = 20, .DeadlineMs_ = 3000, .Key_ = Key,
+                 .IdempotentEvery_ = 2},
+                "short");
+  const auto BusyIn = [&](const std::string &Where) {
+    int Busy = 0;
+    for (const auto &[Name, One] : All.evidence(Standin::Executor).at("executors").items())
+      if (Name.starts_with(Where))
+        Busy += One.at("busy").get<int>();
+    return Busy;
+  };
+  cr_assert(waitFor(core::Millis(5000), [&] { return BusyIn(Domain) == 16; }),
+            "the slots of %s did not fill", Domain.c_str());
+  cr_assert(Long.await(20, core::Millis(10'000)), "no answers under overload");
+  All.kill(Owner);
+  // Takeover: 4.5 s after the last renewal.
+  std::string Next;
+  cr_assert(waitFor(core::Millis(8000), [&] { return !(Next = ownerOf(All, Others)).empty(); }),
+            "no takeover after the owner was killed");
+  // Slots: the longest deadline and the grace after the old lease ended; and one run.
+  cr_assert(waitFor(core::Millis(8000), [&] { return BusyIn(Domain) == 16; }),
+            "%s sends nothing", Next.c_str());
+  cr_assert(Short.await(20, core::Millis(10'000)), "no answers after the takeover");
+
+  std::vector<Exchange> Answers = Long.finish();
+  const auto &More = Short.finish();
+  Answers.insert(Answers.end(), More.begin(), More.end());
+  expectPromisesKept("kill", Answers, settledEvidence(All), true);
+}
