--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +30,11 @@
 /// Shorter attempts would time out on a healthy executor.
 constexpr core::Millis ShortestAttempt{100};
 
+/// Interval in which waiting requests are looked at when nothing else happens. An executor that
+/// becomes usable after an ejection raises no event, and a new request that is refused because of
+/// the length of the queue would not send the waiting ones either.
+constexpr core::Millis SweepInterval{50};
+
 /// A request between submit() and its outcome.
 struct Pending {
   InteractiveRequest Request_;
@@ -63,6 +69,7 @@
   policy::RequestQueue Queue_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Pending>> Waiting_;
   std::uint64_t NextId_ = 1;
+  bool SweepPlanned_ = false;
 };
 
 /// \returns the outcome of the whole request: a retry that did not run says nothing about an earlier
@@ -264,6 +271,7 @@
     if (Refusal)
       return finish(*Work, std::move(*Refusal));
     pump(Into);
+    planSweep(Into);
   }
 
   /// \returns the refusal, or nothing when the request was queued. Needs the pool's lock.
@@ -287,6 +295,45 @@
                         "no slot is expected before the deadline" + Hint);
   }
 
+  /// Plans a sweep if requests are waiting and none is planned.
+  void planSweep(const std::shared_ptr<Pool> &Of) {
+    {
+      const std::lock_guard Lock(Of->Mutex_);
+      if (Of->Waiting_.empty() || Of->SweepPlanned_)
+        return;
+      Of->SweepPlanned_ = true;
+    }
+    Timers_.after(SweepInterval, [Weak = weak_from_this(), Of] {
+      if (const auto Self = Weak.lock())
+        Self->sweep(Of);
+    });
+  }
+
+  /// Answers expired requests and sends others for which there is room.
+  void sweep(const std::shared_ptr<Pool> &Of) {
+    Outcomes Done;
+    {
+      const std::lock_guard Lock(Of->Mutex_);
+      Of->SweepPlanned_ = false;
+      takeShed(*Of, policy::shedExpired(Of->Queue_, core::Clock::now()), Done);
+    }
+    finishAll(Done);
+    pump(Of);
+    planSweep(Of);
+  }
+
+  /// Needs the pool's lock.
+  static void takeShed(Pool &From, const std::vector<policy::QueuedRequest> &Shed, Outcomes &Done) {
+    for (const policy::QueuedRequest &One : Shed) {
+      auto Node = From.Waiting_.extract(One.Id_);
+      if (!Node.empty())
+        Done.emplace_back(Node.mapped()->Done_,
+                          settled(*Node.mapped(),
+                                  failed(ErrorKind::DeadlineExpired,
+                                         "deadline passed while the request was queued")));
+    }
+  }
+
   void pumpAll() {
     for (const auto &One : allPools())
       pump(One);
@@ -308,14 +355,7 @@
           break;
         Sends.push_back(takeSlot(*From, *Executor, Next->Id_, Now));
       }
-      for (const policy::QueuedRequest &One : Shed) {
-        auto Node = From->Waiting_.extract(One.Id_);
-        if (!Node.empty())
-          Done.emplace_back(Node.mapped()->Done_,
-                            settled(*Node.mapped(),
-                                    failed(ErrorKind::DeadlineExpired,
-                                           "deadline passed while the request was queued")));
-      }
+      takeShed(*From, Shed, Done);
     }
     finishAll(Done);
     for (Sending &One : Sends)
