--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -29,11 +30,17 @@
 /// Shorter attempts would time out on a healthy executor.
 constexpr core::Millis ShortestAttempt{100};
 
+/// Interval in which waiting requests are looked at when nothing else happens. An executor that
+/// becomes usable after an ejection raises no event, and a new request that is refused because of
+/// the length of the queue would not send the waiting ones either.
+constexpr core::Millis SweepInterval{50};
+
 /// A request between submit() and its outcome.
 struct Pending {
   InteractiveRequest Request_;
   OutcomeCallback Done_;
   int Attempts_ = 0;
+  std::optional<Outcome> Earlier_; ///< of the last attempt that may have run
 };
 
 /// One request on its way to one executor.
@@ -62,8 +69,17 @@
   policy::RequestQueue Queue_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Pending>> Waiting_;
   std::uint64_t NextId_ = 1;
+  bool SweepPlanned_ = false;
 };
 
+/// \returns the outcome of the whole request: a retry that did not run says nothing about an earlier
+/// attempt that may have.
+Outcome settled(const Pending &Work, Outcome Last) {
+  return Work.Earlier_ && certainlyNotRun(Last) ? *Work.Earlier_ : std::move(Last);
+}
+
+void finish(const Pending &Work, Outcome Last) { Work.Done_(settled(Work, std::move(Last))); }
+
 Outcome outcomeOf(platform::ExecutorAnswer Answer) {
   switch (Answer.Result_) {
   case ExecutorResult::Completed: {
@@ -212,8 +228,8 @@
       const std::lock_guard Lock(One->Mutex_);
       for (const auto &[Id, Work] : One->Waiting_) {
         policy::removeRequest(One->Queue_, Work->Request_.Team_, Id);
-        Done.emplace_back(std::move(Work->Done_),
-                          failed(ErrorKind::NotOwner, "the domain has a new owner"));
+        Done.emplace_back(
+            Work->Done_, settled(*Work, failed(ErrorKind::NotOwner, "the domain has a new owner")));
       }
       One->Waiting_.clear();
     }
@@ -246,17 +262,28 @@
     std::optional<Outcome> Refusal;
     {
       const std::lock_guard Lock(Into->Mutex_);
-      const std::uint64_t Id = Into->NextId_++;
-      const policy::AdmissionResult Answer = policy::pushRequest(
-          Into->Queue_, {Id, Work->Request_.Team_, Now, Work->Request_.Deadline_}, Now);
-      if (Answer.Verdict_ == policy::Admission::Queued)
-        Into->Waiting_.emplace(Id, Work);
+      // Under the lock: a request queued after lost() emptied the queue would never be answered.
+      if (!Owner_)
+        Refusal = failed(ErrorKind::NotOwner, "the domain has a new owner");
       else
-        Refusal = refusalOf(Answer);
+        Refusal = push(*Into, Work, Now);
     }
     if (Refusal)
-      return Work->Done_(std::move(*Refusal));
+      return finish(*Work, std::move(*Refusal));
     pump(Into);
+    planSweep(Into);
+  }
+
+  /// \returns the refusal, or nothing when the request was queued. Needs the pool's lock.
+  static std::optional<Outcome> push(Pool &Into, const std::shared_ptr<Pending> &Work,
+                                     TimePoint Now) {
+    const std::uint64_t Id = Into.NextId_++;
+    const policy::AdmissionResult Answer = policy::pushRequest(
+        Into.Queue_, {Id, Work->Request_.Team_, Now, Work->Request_.Deadline_}, Now);
+    if (Answer.Verdict_ != policy::Admission::Queued)
+      return refusalOf(Answer);
+    Into.Waiting_.emplace(Id, Work);
+    return std::nullopt;
   }
 
   static Outcome refusalOf(const policy::AdmissionResult &Answer) {
@@ -268,6 +295,45 @@
                         "no slot is expected before the deadline" + Hint);
   }
 
+  /// Plans a sweep if requests are waiting and none is planned.
+  void planSweep(const std::shared_ptr<Pool> &Of) {
+    {
+      const std::lock_guard Lock(Of->Mutex_);
+      if (Of->Waiting_.empty() || Of->SweepPlanned_)
+        return;
+      Of->SweepPlanned_ = true;
+    }
+    Timers_.after(SweepInterval, [Weak = weak_from_this(), Of] {
+      if (const auto Self = Weak.lock())
+        Self->sweep(Of);
+    });
+  }
+
+  /// Answers expired requests and sends others for which there is room.
+  void sweep(const std::shared_ptr<Pool> &Of) {
+    Outcomes Done;
+    {
+      const std::lock_guard Lock(Of->Mutex_);
+      Of->SweepPlanned_ = false;
+      takeShed(*Of, policy::shedExpired(Of->Queue_, core::Clock::now()), Done);
+    }
+    finishAll(Done);
+    pump(Of);
+    planSweep(Of);
+  }
+
+  /// Needs the pool's lock.
+  static void takeShed(Pool &From, const std::vector<policy::QueuedRequest> &Shed, Outcomes &Done) {
+    for (const policy::QueuedRequest &One : Shed) {
+      auto Node = From.Waiting_.extract(One.Id_);
+      if (!Node.empty())
+        Done.emplace_back(Node.mapped()->Done_,
+                          settled(*Node.mapped(),
+                                  failed(ErrorKind::DeadlineExpired,
+                                         "deadline passed while the request was queued")));
+    }
+  }
+
   void pumpAll() {
     for (const auto &One : allPools())
       pump(One);
@@ -289,13 +355,7 @@
           break;
         Sends.push_back(takeSlot(*From, *Executor, Next->Id_, Now));
       }
-      for (const policy::QueuedRequest &One : Shed) {
-        auto Node = From->Waiting_.extract(One.Id_);
-        if (!Node.empty())
-          Done.emplace_back(
-              std::move(Node.mapped()->Done_),
-              failed(ErrorKind::DeadlineExpired, "deadline passed while the request was queued"));
-      }
+      takeShed(*From, Shed, Done);
     }
     finishAll(Done);
     for (Sending &One : Sends)
@@ -325,7 +385,7 @@
     const TimePoint Now = core::Clock::now();
     if (!HoldsLease_(Now)) {
       giveBack(*From, One, core::Duration::zero());
-      return One.Work_->Done_(failed(ErrorKind::LeaseLapsed, "the domain's lease has ended"));
+      return finish(*One.Work_, failed(ErrorKind::LeaseLapsed, "the domain's lease has ended"));
     }
     platform::ExecutorRequest Out;
     const InteractiveRequest &Request = One.Work_->Request_;
@@ -368,9 +428,12 @@
       --InFlight_;
     const bool Retryable =
         NotRun || (How != ExecutorResult::Completed && One.Work_->Request_.Idempotent_);
+    Outcome Result = outcomeOf(std::move(Answer));
+    if (Result.Kind_ != ErrorKind::None && !certainlyNotRun(Result))
+      One.Work_->Earlier_ = Result;
     if (Retryable && retry(From, One, Now))
       return;
-    One.Work_->Done_(outcomeOf(std::move(Answer)));
+    finish(*One.Work_, std::move(Result));
     pump(From);
   }
 
