--- a/tests/invariant/DurableTest.cpp
+++ b/tests/invariant/DurableTest.cpp
@@ -66,12 +66,13 @@
   assertAccepted(Jobs);
 
   std::map<std::string, std::int64_t> KilledAt;
+  std::int64_t LastKill = 0;
   std::string Alive;
   { // Kill the owner of each domain while its tasks run and others wait.
     for (const std::string &Domain : domainsOf(All)) {
       const std::string Owner = ownerOf(All, Domain);
       cr_assert_not(Owner.empty(), "%s has no owner", Domain.c_str());
-      KilledAt[Domain] = core::wallMillis();
+      KilledAt[Domain] = LastKill = core::wallMillis();
       All.kill(Owner);
       for (const std::string &Name : All.namesIn(Domain))
         if (Name != Owner)
@@ -84,6 +85,16 @@
     const Json Evidence = All.evidence(Standin::Worker);
     const auto Wrong = violations(Evidence, Jobs);
     cr_assert(Wrong.empty(), "%s", join(Wrong).c_str());
+    std::size_t Later = 0;
+    std::int64_t LastEnd = 0;
+    for (const Json &Event : Evidence.at("tasks")) {
+      LastEnd = std::max(LastEnd, Event.at("end_ms").get<std::int64_t>());
+      Later += Event.at("start_ms").get<std::int64_t>() > LastKill ? 1U : 0U;
+    }
+    std::printf("{\"scenario\":\"killed_owner\",\"starts_after_kill\":%zu,"
+                "\"kill_to_last_end_ms\":%lld}\n",
+                Later, static_cast<long long>(LastEnd - LastKill));
+    cr_assert_gt(Later, 0U, "no work was left when the owners were killed");
     for (const auto &[Domain, At] : KilledAt)
       std::printf("{\"scenario\":\"killed_owner\",\"domain\":\"%s\",\"kill_to_start_ms\":%lld}\n",
                   Domain.c_str(),
@@ -181,10 +192,12 @@
     return All.evidence(Standin::Worker).at("tasks").size() == 8;
   }), "the tasks did not start");
 
-  const std::string Cut = "lahore-a-worker-1";
+  std::string Cut;
   std::map<std::string, bool> OnCut; ///< task id: idempotent
-  { // One worker of the domain stops answering.
-    for (const Json &Event : All.evidence(Standin::Worker).at("tasks"))
+  { // A worker that runs tasks of both kinds stops answering; best fit fills one worker first.
+    const Json Evidence = All.evidence(Standin::Worker);
+    Cut = Evidence.at("tasks").front().at("worker");
+    for (const Json &Event : Evidence.at("tasks"))
       if (Event.at("worker") == Cut) {
         const auto Id = Event.at("id").get<std::string>();
         OnCut[Id] = Id.starts_with(Again.Id_ + "#");
