--- a/tests/invariant/DurableTest.cpp
+++ b/tests/invariant/DurableTest.cpp
@@ -97,8 +97,7 @@
     cr_assert_gt(Later, 0U, "no work was left when the owners were killed");
     for (const auto &[Domain, At] : KilledAt)
       std::printf("{\"scenario\":\"killed_owner\",\"domain\":\"%s\",\"kill_to_start_ms\":%lld}\n",
-                  Domain.c_str(),
-                  static_cast<long long>(firstStartAfter(Evidence, Domain, At)));
+                  Domain.c_str(), static_cast<long long>(firstStartAfter(Evidence, Domain, At)));
     std::fflush(stdout);
   }
   { // The same request ids again, through another daemon.
@@ -123,30 +122,35 @@
     }
     for (const auto &[Domain, Owner] : Paused)
       All.pause(Owner);
-    cr_assert(waitFor(Takeover, [&] {
-      for (const auto &[Domain, Old] : Paused) {
-        bool Owned = false;
-        for (const std::string &Name : All.namesIn(Domain)) {
-          if (Name == Old)
-            continue;
-          Awake = Name;
-          const Json Status = Api(All, Name).status();
-          Owned = Owned || (Status.is_object() && Status.value("is_owner", false));
-        }
-        if (!Owned)
-          return false;
-      }
-      return true;
-    }), "a paused owner was not replaced");
+    cr_assert(waitFor(Takeover,
+                      [&] {
+                        for (const auto &[Domain, Old] : Paused) {
+                          bool Owned = false;
+                          for (const std::string &Name : All.namesIn(Domain)) {
+                            if (Name == Old)
+                              continue;
+                            Awake = Name;
+                            const Json Status = Api(All, Name).status();
+                            Owned =
+                                Owned || (Status.is_object() && Status.value("is_owner", false));
+                          }
+                          if (!Owned)
+                            return false;
+                        }
+                        return true;
+                      }),
+              "a paused owner was not replaced");
     // The new owners have reached the workers with their higher terms.
-    cr_assert(waitFor(Takeover, [&] {
-      const Json Workers = All.evidence(Standin::Worker).at("workers");
-      for (const auto &[Name, At] : Workers.items())
-        for (const auto &[Domain, Old] : Paused)
-          if (At.at("owner") == Old)
-            return false;
-      return true;
-    }), "a worker was not taken over");
+    cr_assert(waitFor(Takeover,
+                      [&] {
+                        const Json Workers = All.evidence(Standin::Worker).at("workers");
+                        for (const auto &[Name, At] : Workers.items())
+                          for (const auto &[Domain, Old] : Paused)
+                            if (At.at("owner") == Old)
+                              return false;
+                        return true;
+                      }),
+              "a worker was not taken over");
   }
   { // Wake the old owners while the work goes on.
     for (const auto &[Domain, Owner] : Paused)
@@ -179,18 +183,21 @@
   Api At(All, All.names().front());
   const auto Submit = [&](bool Idempotent) {
     // Longer than a worker's lease of 10 s, so that a rerun before its end would overlap.
-    const Json Job{{"kind", "batch"},        {"tasks", 4},
-                   {"run_ms", 25'000},       {"idempotent", Idempotent},
-                   {"domain", "lahore-a"},   {"cores", 2},
+    const Json Job{{"kind", "batch"},
+                   {"tasks", 4},
+                   {"run_ms", 25'000},
+                   {"idempotent", Idempotent},
+                   {"domain", "lahore-a"},
+                   {"cores", 2},
                    {"request_id", Idempotent ? "again" : "once"}};
     return submitUntilAccepted(All, All.names().front(), Job, Key, core::Millis(10'000));
   };
   const SubmittedJob Again = Submit(true);
   const SubmittedJob Once = Submit(false);
   assertAccepted({Again, Once});
-  cr_assert(waitFor(core::Millis(10'000), [&] {
-    return All.evidence(Standin::Worker).at("tasks").size() == 8;
-  }), "the tasks did not start");
+  cr_assert(waitFor(core::Millis(10'000),
+                    [&] { return All.evidence(Standin::Worker).at("tasks").size() == 8; }),
+            "the tasks did not start");
 
   std::string Cut;
   std::map<std::string, bool> OnCut; ///< task id: idempotent
@@ -206,13 +213,16 @@
     All.control(Standin::Worker, {{"worker", Cut}, {"silent", true}});
   }
   { // Idempotent tasks succeed elsewhere; the others are held.
-    const Json Open = awaitAllSucceeded(All, {Again}, All.names().back(), Key, core::Millis(70'000));
+    const Json Open =
+        awaitAllSucceeded(All, {Again}, All.names().back(), Key, core::Millis(70'000));
     cr_assert(Open.is_null(), "%s", Open.dump().c_str());
     Json Status;
-    cr_assert(waitFor(core::Millis(15'000), [&] {
-      Status = At.job(Once.Id_, Key).json();
-      return Status.is_object() && Status.value("state", "") == "unknown";
-    }), "%s", Status.dump().c_str());
+    cr_assert(waitFor(core::Millis(15'000),
+                      [&] {
+                        Status = At.job(Once.Id_, Key).json();
+                        return Status.is_object() && Status.value("state", "") == "unknown";
+                      }),
+              "%s", Status.dump().c_str());
     All.control(Standin::Worker, {{"worker", Cut}, {"silent", false}});
   }
   { // Starts and ends at the workers.
--- a/tests/support/JobChecks.h
+++ b/tests/support/JobChecks.h
@@ -40,7 +40,8 @@
 /// \returns one line per violation.
 std::vector<std::string> violations(const Json &Evidence, const std::vector<SubmittedJob> &Jobs);
 
-/// \returns the milliseconds from \p WallMs to the first start after it in a domain, -1 without one.
+/// \returns the milliseconds from \p WallMs to the first start after it in a domain, -1 without
+/// one.
 std::int64_t firstStartAfter(const Json &Evidence, const std::string &Domain, std::int64_t WallMs);
 
 std::string join(const std::vector<std::string> &Lines);
