Ask workers when tasks reach their declared run time

The room of a short task stayed taken until the next regular renewal, up to 3.3 s. Measured with 30 jobs (90 tasks of 300 to 1500 ms, 12 cores) and killed owners: from the kill to the last end 35.2 s before, 12.6 s after.

--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -26,6 +26,11 @@
 constexpr std::size_t DecisionsPerRound = 256;
 /// A start whose append had an unknown result is looked up in the replayed state after this time.
 constexpr core::Millis SettleAfter{5000};
+/// A worker is asked this long after the declared end of a task, so that its room is free again
+/// before the next regular renewal.
+constexpr core::Millis AskAfterEnd{20};
+/// Shortest time between two renewals of one worker that are sent for expected ends.
+constexpr core::Millis AskInterval{200};
 
 using TaskKey = std::pair<std::string, std::uint32_t>;
 
@@ -591,12 +596,33 @@
     for (auto &[Key, Task] : Active_)
       if (Task.Phase_ == Phase::Sending && !Task.InFlight_)
         sendStart(Key, Task, Now);
+    askExpectedEnds(Now);
     settleRecording(Now);
     policy::openProbes(Quarantine_, Cell_, Now);
     round();
     publish(Now);
   }
 
+  /// Renews the leases of workers whose tasks have reached their declared run time since the last
+  /// renewal. Without it the room of a short task stays taken until the next regular renewal.
+  void askExpectedEnds(TimePoint Now) {
+    std::set<std::string> Due;
+    for (const auto &[Key, Task] : Active_) {
+      if (Task.Phase_ != Phase::Running || Task.Spec_->DeclaredRun_ <= 0 ||
+          Task.Spec_->Kind_ == jobs::JobKind::Service)
+        continue;
+      const TimePoint End = Task.Started_ + core::Millis(Task.Spec_->DeclaredRun_) + AskAfterEnd;
+      const auto Entry = Workers_.find(Task.Worker_);
+      if (End > Now || Entry == Workers_.end())
+        continue;
+      const auto &Sent = Entry->second.Lease_.LastSent_;
+      if (Sent && *Sent < End && Now - *Sent >= AskInterval)
+        Due.insert(Task.Worker_);
+    }
+    for (const std::string &Name : Due)
+      renewSoon(Name);
+  }
+
   void renewSoon(const std::string &Name) {
     const auto Found = Workers_.find(Name);
     const TimePoint Now = core::Clock::now();
--- a/tests/invariant/DurableRecoveryTest.cpp
+++ b/tests/invariant/DurableRecoveryTest.cpp
@@ -149,6 +149,10 @@
     cr_assert_geq(Replay, 0, "%s knows %zu jobs", Fresh.c_str(), jobsKnownTo(All, Fresh));
   }
   { // And goes on with them as the owner, after all others of its domain have died.
+    // It may claim once the owner's renewals name it as a member; an owner renews every second.
+    const auto Joined = LogOf().at("next").get<std::uint64_t>();
+    cr_assert(waitFor(core::Millis(20'000),
+                      [&] { return LogOf().at("next").get<std::uint64_t>() >= Joined + 10; }));
     for (const std::string &Name : All.namesIn(Domain))
       if (Name != Fresh)
         All.kill(Name);
