--- a/tests/invariant/DurableRecoveryTest.cpp
+++ b/tests/invariant/DurableRecoveryTest.cpp
@@ -64,12 +64,7 @@
   return core::toMillis(core::Clock::now() - Begin);
 }
 
-} // namespace
-
-// Guards against a takeover whose length grows with the number of waiting jobs, and against jobs
-// that a new owner or a new daemon does not know.
-Test(Recovery, newOwnerStartsWaitingJobs) {
-  constexpr std::size_t Count = 1'000;
+void recoverWith(std::size_t Count) {
   Fleet All(tinyCell());
   cr_assert(bringUp(All), "the fleet did not come up");
   const std::string Key = Api(All, All.names().front()).newKey("mfi");
@@ -109,6 +104,14 @@
   cr_assert_not(Evidence.at("overcommitted").get<bool>());
 }
 
+} // namespace
+
+// Guards against a takeover whose length grows with the number of waiting jobs, and against jobs
+// that a new owner or a new daemon does not know.
+Test(Recovery, newOwnerStartsOneThousandJobs) { recoverWith(1'000); }
+
+Test(Recovery, newOwnerStartsTenThousandJobs) { recoverWith(10'000); }
+
 // Guards against jobs that are lost when the log has dropped the records that accepted them.
 Test(Retention, newDaemonLoadsTheSnapshot) {
   constexpr std::size_t Count = 200;
--- a/tests/invariant/DurableTest.cpp
+++ b/tests/invariant/DurableTest.cpp
@@ -152,7 +152,9 @@
                       }),
               "a worker was not taken over");
   }
+  std::int64_t ResumedAt = 0;
   { // Wake the old owners while the work goes on.
+    ResumedAt = core::wallMillis();
     for (const auto &[Domain, Owner] : Paused)
       All.resume(Owner);
     const Json Open = awaitAllSucceeded(All, Jobs, Awake, Key, AllDone);
@@ -162,6 +164,10 @@
     const Json Evidence = All.evidence(Standin::Worker);
     const auto Wrong = violations(Evidence, Jobs);
     cr_assert(Wrong.empty(), "%s", join(Wrong).c_str());
+    std::size_t Later = 0;
+    for (const Json &Event : Evidence.at("tasks"))
+      Later += Event.at("start_ms").get<std::int64_t>() > ResumedAt ? 1U : 0U;
+    cr_assert_gt(Later, 0U, "no work was left when the owners woke");
     std::uint64_t LowerTerm = 0;
     for (const auto &[Name, At] : Evidence.at("workers").items()) {
       LowerTerm += At.at("lower_term").get<std::uint64_t>();
