--- a/include/masticdrift/jobs/DomainState.h
+++ b/include/masticdrift/jobs/DomainState.h
@@ -68,6 +68,13 @@
   std::string Boot_; ///< generation of the worker's lease that the Start names
 };
 
+/// One task with what belongs to its job.
+struct TaskView {
+  std::shared_ptr<const JobSpec> Spec_;
+  Task Task_;
+  bool CancelRequested_ = false;
+};
+
 struct DomainStateOptions {
   /// Finished jobs that are kept, so that a resubmission returns the first outcome. Must be the
   /// same at all daemons of a domain, since replay drops the oldest ones above it.
@@ -101,6 +108,10 @@
   /// \returns a copy of the job, nothing when it is not known (any more).
   std::optional<Job> find(std::string_view Id) const;
 
+  /// \returns one task of a job, nothing when it is not known (any more). Cost: constant, unlike
+  /// find().
+  std::optional<TaskView> findTask(std::string_view Id, std::uint32_t Number) const;
+
   /// \returns copies of all jobs of \p Team in order of acceptance, all teams when it is empty.
   std::vector<Job> list(std::string_view Team = {}) const;
 
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -26,7 +26,6 @@
 constexpr std::size_t DecisionsPerRound = 256;
 /// A start whose append had an unknown result is looked up in the replayed state after this time.
 constexpr core::Millis SettleAfter{5000};
-
 /// A worker is asked this long after the expected end of a task, then after growing parts of the
 /// time it has run.
 constexpr core::Millis LookMargin{30};
@@ -160,6 +159,7 @@
   void lost() {
     Term_ = 0;
     Active_.clear();
+    ByWorker_.clear();
     Workers_.clear();
     Cell_ = {};
     Pending_ = {};
@@ -203,7 +203,7 @@
     Task.Since_ = Now;
     Task.Started_ = Now;
     Task.Stopping_ = false;
-    Active_.insert_or_assign(TaskKey{One.Spec_->Id_, One.Task_}, std::move(Task));
+    addActive({One.Spec_->Id_, One.Task_}, std::move(Task));
   }
 
   static std::string bootOf(const jobs::RunningTask &One) { return One.Boot_; }
@@ -275,6 +275,26 @@
     policy::addPending(Pending_, std::move(Job));
   }
 
+  void addActive(const TaskKey &Key, ActiveTask Task) {
+    ByWorker_[Task.Worker_].insert(Key);
+    Active_.insert_or_assign(Key, std::move(Task));
+  }
+
+  void eraseActive(std::map<TaskKey, ActiveTask>::iterator Place) {
+    ByWorker_[Place->second.Worker_].erase(Place->first);
+    Active_.erase(Place);
+  }
+
+  /// Calls \p Work for each active task of a worker.
+  template <typename Function> void forTasksOn(const std::string &Worker, Function Work) {
+    const auto Keys = ByWorker_.find(Worker);
+    if (Keys == ByWorker_.end())
+      return;
+    for (const TaskKey &Key : Keys->second)
+      if (const auto Found = Active_.find(Key); Found != Active_.end())
+        Work(Found->first, Found->second);
+  }
+
   // --- Replayed records ---
 
   void onChange(const jobs::Change &What) {
@@ -332,7 +352,7 @@
       Entry->second.Acks_.push_back({workerTaskId(What.Job_, What.Task_), What.Attempt_});
     const auto Spec = Found->second.Spec_;
     policy::taskEnded(Cell_, Shares_, What.Job_, What.Task_, Now);
-    Active_.erase(Found);
+    eraseActive(Found);
     if (What.Kind_ == jobs::ChangeKind::Requeued)
       addWaiting(*Spec, {What.Task_}, Now);
     scheduleRound();
@@ -376,16 +396,16 @@
 
   void decideStart(const policy::Decision &One, TimePoint Now, std::vector<journal::Entry> &Records,
                    std::vector<TaskKey> &Keys) {
-    const auto Job = State_.find(One.Job_);
-    const bool Startable = Job && One.Task_ < Job->Tasks_.size() && !Job->CancelRequested_ &&
-                           Job->Tasks_[One.Task_].State_ == jobs::TaskState::Queued;
+    const auto Known = State_.findTask(One.Job_, One.Task_);
+    const bool Startable =
+        Known && !Known->CancelRequested_ && Known->Task_.State_ == jobs::TaskState::Queued;
     if (!Startable) {
       policy::taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now);
       return;
     }
     ActiveTask Task;
-    Task.Spec_ = Job->Spec_;
-    Task.Attempt_ = Job->Tasks_[One.Task_].Attempt_ + 1;
+    Task.Spec_ = Known->Spec_;
+    Task.Attempt_ = Known->Task_.Attempt_ + 1;
     Task.Worker_ = One.Worker_;
     Task.Boot_ = Workers_[One.Worker_].Lease_.Boot_;
     Task.Started_ = Now;
@@ -399,7 +419,7 @@
     Record.Term_ = Term_;
     Records.push_back(jobs::toEntry(Record));
     Keys.emplace_back(One.Job_, One.Task_);
-    Active_.insert_or_assign(Keys.back(), std::move(Task));
+    addActive(Keys.back(), std::move(Task));
   }
 
   void recordStarts(std::vector<journal::Entry> Records, std::vector<TaskKey> Keys) {
@@ -424,9 +444,9 @@
     const TimePoint Now = core::Clock::now();
     const auto Spec = Found->second.Spec_;
     policy::taskEnded(Cell_, Shares_, Key.first, Key.second, Now);
-    Active_.erase(Found);
-    const auto Job = State_.find(Key.first);
-    if (Job && !Job->CancelRequested_)
+    eraseActive(Found);
+    const auto Known = State_.findTask(Key.first, Key.second);
+    if (Known && !Known->CancelRequested_)
       addWaiting(*Spec, {Key.second}, Now);
   }
 
@@ -497,8 +517,8 @@
   }
 
   void stopIfCancelled(const TaskKey &Key, ActiveTask &Task, TimePoint Now) {
-    const auto Job = State_.find(Key.first);
-    if (Job && Job->CancelRequested_)
+    const auto Known = State_.findTask(Key.first, Key.second);
+    if (Known && Known->CancelRequested_)
       stopTask(Key, Task, Now);
   }
 
@@ -690,15 +710,13 @@
       else
         dropForeign(Entry, One);
     }
-    for (auto &[Key, Task] : Active_) {
-      if (Task.Worker_ != Name)
-        continue;
+    forTasksOn(Name, [&](const TaskKey &Key, ActiveTask &Task) {
       const auto Found = Reported.find(Key);
       if (Found != Reported.end())
         reported(Key, Task, *Found->second, Now);
       else if (Task.Since_ < Sent)
         missing(Key, Task, Answer.Boot_, Now);
-    }
+    });
   }
 
   /// A task that is not recorded as running there: an attempt that is over, or one of an abandoned
@@ -762,9 +780,10 @@
 
   /// The worker's lease has certainly ended, and with it all its tasks.
   void workerEnded(const std::string &Name, WorkerEntry &Entry, TimePoint Now) {
-    for (auto &[Key, Task] : Active_)
-      if (Task.Worker_ == Name && Task.Phase_ != Phase::Recording && Task.Phase_ != Phase::Ending)
+    forTasksOn(Name, [&](const TaskKey &Key, ActiveTask &Task) {
+      if (Task.Phase_ != Phase::Recording && Task.Phase_ != Phase::Ending)
         recordEnd(Key, Task, TaskOutcome::Lost, 0, Now);
+    });
     if (const auto Index = policy::findWorker(Cell_, Name))
       policy::setLeaving(Cell_, *Index, true);
     policy::setCapacity(Shares_, Cell_.Capacity_);
@@ -779,11 +798,9 @@
     for (auto &[Key, Task] : Active_) {
       if (Task.Phase_ != Phase::Recording || Now - Task.Since_ < SettleAfter)
         continue;
-      const auto Job = State_.find(Key.first);
-      const jobs::Task *Known =
-          Job && Key.second < Job->Tasks_.size() ? &Job->Tasks_[Key.second] : nullptr;
-      if (Known && Known->State_ == jobs::TaskState::Running && Known->Attempt_ == Task.Attempt_ &&
-          Known->Term_ == Term_) {
+      const auto Known = State_.findTask(Key.first, Key.second);
+      if (Known && Known->Task_.State_ == jobs::TaskState::Running &&
+          Known->Task_.Attempt_ == Task.Attempt_ && Known->Task_.Term_ == Term_) {
         enter(Task, Phase::Sending, Now);
         sendStart(Key, Task, Now);
       } else {
@@ -819,6 +836,7 @@
   std::uint64_t Term_ = 0; ///< 0 while this daemon is not the owner
   std::map<std::string, WorkerEntry> Workers_;
   std::map<TaskKey, ActiveTask> Active_;
+  std::map<std::string, std::set<TaskKey>> ByWorker_; ///< keys of Active_
   policy::CellView Cell_;
   policy::PendingWork Pending_;
   policy::Shares Shares_;
--- a/src/jobs/DomainState.cpp
+++ b/src/jobs/DomainState.cpp
@@ -343,6 +343,13 @@
   return *Found.Job_;
 }
 
+std::optional<TaskView> DomainState::findTask(std::string_view Id, std::uint32_t Number) const {
+  const Impl::Locked Found = Impl_->lock(std::string(Id));
+  if (!Found.Job_ || Number >= Found.Job_->Tasks_.size())
+    return std::nullopt;
+  return TaskView{Found.Job_->Spec_, Found.Job_->Tasks_[Number], Found.Job_->CancelRequested_};
+}
+
 std::vector<Job> DomainState::list(std::string_view Team) const {
   std::vector<Job> Result;
   for (const Impl::Shard &In : Impl_->Shards_) {
