Keep keyed work going when configuration is submitted during a store outage

A submission that could not reach the store announced itself first. The announcement without an outcome ended the unanimous confirmation, so that one refused submission stopped keyed work in the whole fleet for the rest of the outage.

--- a/include/masticdrift/replica/ConfigReplica.h
+++ b/include/masticdrift/replica/ConfigReplica.h
@@ -25,6 +25,8 @@
   std::uint64_t Incarnation_ = 0;
   std::size_t FleetSize_ = 0; ///< daemons of the fleet
   core::Duration Bound_ = core::Millis(5000);
+  /// No submission is started when the store has not been read for this time.
+  core::Duration StoreReachable_ = core::Millis(3000);
   core::Duration Poll_ = core::Millis(250);
   core::Duration BatchClose_ = core::Millis(20);
   double AppendsPerSecond_ = 20;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -141,6 +141,7 @@
     To.Incarnation_ = Incarnation_;
     To.FleetSize_ = static_cast<std::size_t>(Settings_.Fleet_.EntryInstances_);
     To.Bound_ = Settings_.Timing_.ConfigurationFresh_;
+    To.StoreReachable_ = Settings_.Timing_.StoreReachable_;
     To.Poll_ = Settings_.Timing_.PollStream_;
     To.BatchClose_ = Settings_.Timing_.BatchClose_;
     To.AppendsPerSecond_ = static_cast<double>(Settings_.Limits_.AppendsPerSecond_);
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -245,6 +245,13 @@
   /// Announces, appends and waits for the read-back.
   void append(journal::Entry Record, std::uint64_t Version,
               std::function<std::optional<ConfigAnswer>()> Check, Callback Done) {
+    // Nothing is announced while the store is known to be away: an announcement without an outcome
+    // ends the unanimous confirmation, and with it keyed work in the whole fleet.
+    if (!storeReachable(core::Clock::now())) {
+      ConfigAnswer Answer;
+      Answer.Error_ = {ErrorKind::StoreUnavailable, "the log service can't be reached"};
+      return Done(std::move(Answer));
+    }
     announce(Version);
     {
       const std::lock_guard Lock(Mutex_);
@@ -257,6 +264,11 @@
                      });
   }
 
+  bool storeReachable(TimePoint Now) const {
+    const std::lock_guard Lock(Mutex_);
+    return StoreAsOf_ && Now - *StoreAsOf_ <= Options_.StoreReachable_;
+  }
+
   void announce(std::uint64_t Version) {
     const std::string Body = core::pack(protocol::Pending{Version, Options_.Self_});
     for (const membership::Peer &One : Table_.peers())
