Let a second signal end a stop in every step

The second SIGTERM was taken by the first step that asked for it and forgotten by the next one, so that the daemon went on waiting for requests in flight. It is now remembered until the end.

--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -58,7 +58,9 @@
             << ",\"peer_port\":" << Ports.Peer_ << "}" << std::endl;
   int Received = 0;
   sigwait(&Signals, &Received);
-  const bool Idle = Daemon.stop([&Signals] { return signalPending(Signals); });
+  // Remembered, because each step of the stop asks and the signal is taken only once.
+  bool Forced = false;
+  const bool Idle = Daemon.stop([&] { return Forced = Forced || signalPending(Signals); });
   return Idle ? Stopped : NotIdle;
 }
 
