--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -66,12 +66,16 @@
 # port_of NAME MEMBER
 port_of() { sed -n "s/.*\"$2\": *\([0-9][0-9]*\).*/\1/p" "$dir/$1.out"; }
 
+# control NAME JSON: sends switches to a stand-in.
+control() {
+  curl -fsS -X POST -H 'Content-Type: application/json' -d "$2" \
+    "http://127.0.0.1:$(port_of "$1" port)/control" >/dev/null
+}
 # register JSON-ENTRY...: adds entries to the stand-in of the instance list.
 register() {
   local all
   all=$(IFS=,; echo "$*")
-  curl -fsS -X POST -H 'Content-Type: application/json' -d "{\"set\":[$all]}" \
-    "http://127.0.0.1:$(port_of instances port)/control" >/dev/null
+  control instances "{\"set\":[$all]}"
 }
 
 describe_roshan() {
@@ -223,6 +227,11 @@
   ! request_through "$1" && grep -q MD-203 "$dir/request-$1.err" && grep -q 'not run' "$dir/request-$1.err"
 }
 
+# Evidence of the stand-in: no worker was overcommitted, no task ran in two places.
+workers_right() {
+  curl -fsS "http://127.0.0.1:$(port_of worker port)/evidence" >"$dir/workers" &&
+    ! grep -q '"overcommitted":true' "$dir/workers" && grep -q '"peak_copies":1' "$dir/workers"
+}
 peak() {
   curl -fsS "http://127.0.0.1:$(port_of executor port)/evidence" |
     grep -o "\"$1\": *[0-9]*" | grep -o '[0-9]*$' | sort -n | tail -1
@@ -237,6 +246,8 @@
   unset MASTICDRIFT_KEY
   start_standins
   register_upstreams
+  # A request takes 200 ms at an executor, so that requests sent together overlap.
+  control executor '{"service_ms":200}'
   start_daemons
   MASTICDRIFT_SERVER=$(caller "${daemons[0]}")
   MASTICDRIFT_OPERATOR_SERVER=$(operator "${daemons[0]}")
@@ -288,6 +299,7 @@
   slots=$(peak peak_slots) connections=$(peak peak_connections)
   outcome "executors: at most ${slots:-?} slots (limit 8) and ${connections:-?} connections (limit 64) in use" \
     test "${slots:-99}" -le 8 -a "${connections:-99}" -le 64
+  outcome "workers: none overcommitted, no task in two places" workers_right
   stop_all
 }
 
--- a/src/gateway/OperatorApi.cpp
+++ b/src/gateway/OperatorApi.cpp
@@ -5,6 +5,8 @@
 #include "masticdrift/gateway/Answer.h"
 #include "masticdrift/settings/Reader.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 #include <nlohmann/json.hpp>
@@ -26,6 +28,20 @@
   return Value;
 }
 
+/// Every path of the interface; "*" stands for a key id.
+constexpr std::array<std::string_view, 10> Paths{
+    "metrics", "healthz",   "v1/config", "v1/config/history", "v1/inforce",
+    "v1/keys", "v1/keys/*", "v1/audit",  "v1/status",         "v1/drain"};
+
+std::string patternOf(const std::vector<std::string> &Path) {
+  std::string Pattern;
+  for (std::size_t I = 0; I < Path.size(); ++I) {
+    const bool KeyId = I == 2 && Pattern == "v1/keys";
+    Pattern += (I == 0 ? "" : "/") + (KeyId ? "*" : Path[I]);
+  }
+  return Pattern;
+}
+
 Json versionJson(const config::VersionInfo &One) {
   return {{"version", One.Version_},
           {"author", One.Author_},
@@ -82,18 +98,20 @@
 
   void handle(http::Request Incoming, http::Responder Respond) {
     const auto Path = http::pathSegments(Incoming.Path_);
-    const std::string Route =
-        Incoming.Method_ + (Path.size() > 1 ? " " + Path[0] + "/" + Path[1] : " " + Incoming.Path_);
-    if (Route == "GET /metrics")
+    const std::string Pattern = patternOf(Path);
+    const std::string Route = Incoming.Method_ + " " + Pattern;
+    if (Route == "GET metrics")
       return Respond({200, core::renderMetrics(), "text/plain; version=0.0.4", {}});
-    if (Route == "GET /healthz")
+    if (Route == "GET healthz")
       return Respond(jsonAnswer(R"({"status":"ok"})"));
     if (!authorized(Incoming))
       return Respond(errorAnswer(
           {bearerToken(Incoming).empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
            "an operator's key is needed"}));
     if (Route == "GET v1/config")
-      return Respond(Path.size() == 3 && Path[2] == "history" ? history() : current());
+      return Respond(current());
+    if (Route == "GET v1/config/history")
+      return Respond(history());
     if (Route == "POST v1/config")
       return submit(Incoming, std::move(Respond));
     if (Route == "GET v1/inforce")
@@ -102,7 +120,7 @@
       return Respond(keys());
     if (Route == "POST v1/keys")
       return grant(Incoming, std::move(Respond));
-    if (Route == "DELETE v1/keys" && Path.size() == 3)
+    if (Route == "DELETE v1/keys/*")
       return revoke(Path[2], Incoming, std::move(Respond));
     if (Route == "GET v1/audit")
       return Respond(audit(Incoming));
@@ -112,8 +130,10 @@
       Hooks_.Drain_();
       return Respond(jsonAnswer(R"({"status":"draining"})", 202));
     }
-    Respond(errorAnswer(
-        {ErrorKind::UnknownPath, "no such path: " + Incoming.Method_ + " " + Incoming.Path_}));
+    if (std::ranges::find(Paths, Pattern) != Paths.end())
+      return Respond(
+          errorAnswer({ErrorKind::MethodNotAllowed, Incoming.Method_ + " is not allowed here"}));
+    Respond(errorAnswer({ErrorKind::UnknownPath, "no such path: " + Incoming.Path_}));
   }
 
   http::Response current() const {
