--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,17 +1,20 @@
 #!/usr/bin/env bash
 # Installs, builds and shows the system at work: stand-ins of the platform and seven daemons in three failure domains,
 # all plain processes on loopback. Prints one line per outcome and exits 0 only when all outcomes are right.
-# Usage: scripts/demo.sh [roshan|samvarp|both]
+# Usage: scripts/demo.sh [--hold] [roshan|samvarp|both]
+# With --hold the processes of a deployment go on running after its outcomes until Ctrl-C.
 # With MASTICDRIFT_KEEP set, settings, logs and answers stay in the printed directory.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 ctl=$build/masticdriftctl
 
+hold=
+if [ "${1:-}" = --hold ]; then hold=yes; shift; fi
 case ${1:-both} in
   roshan | samvarp) deployments=("$1") ;;
   both) deployments=(roshan samvarp) ;;
-  *) echo "usage: scripts/demo.sh [roshan|samvarp|both]" >&2; exit 2 ;;
+  *) echo "usage: scripts/demo.sh [--hold] [roshan|samvarp|both]" >&2; exit 2 ;;
 esac
 
 pids=()
@@ -300,6 +303,15 @@
   outcome "executors: at most ${slots:-?} slots (limit 8) and ${connections:-?} connections (limit 64) in use" \
     test "${slots:-99}" -le 8 -a "${connections:-99}" -le 64
   outcome "workers: none overcommitted, no task in two places" workers_right
+  if [ -n "$hold" ]; then
+    printf '\nrunning until Ctrl-C; for another shell:\n'
+    printf 'export MASTICDRIFT_SERVER=%s\n' "$MASTICDRIFT_SERVER"
+    printf 'export MASTICDRIFT_OPERATOR_SERVER=%s\n' "$MASTICDRIFT_OPERATOR_SERVER"
+    printf 'export MASTICDRIFT_OPERATOR_KEY=%s\n' "$MASTICDRIFT_OPERATOR_KEY"
+    sleep infinity &
+    pids+=($!)
+    wait $!
+  fi
   stop_all
 }
 
