--- a/src/ctl/Main.cpp
+++ b/src/ctl/Main.cpp
@@ -467,7 +467,7 @@
     Request->add_flag("--idempotent", In_.Idempotent_, "the request may run more than once");
     Request->add_option("--request-id", In_.RequestId_, "id for logs and answers");
     callerOptions(Request);
-    CLI::App *Status = command(Root_, "status", "show the state of the fleet",
+    CLI::App *Status = command(Root_, "status", "show the state of the addressed daemon",
                                [this] { return readFrom(In_.Operator_, "/v1/status", In_.Json_); });
     operatorOptions(Status);
     jsonOption(Status);
--- a/src/gateway/OperatorApi.cpp
+++ b/src/gateway/OperatorApi.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <optional>
 
 #include <nlohmann/json.hpp>
 
@@ -22,12 +23,20 @@
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::int64_t numberOr(std::string_view Text, std::int64_t Default) {
-  std::int64_t Value = Default;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+/// \returns a whole number that is not negative, or nothing for any other text.
+std::optional<std::int64_t> parseNumber(std::string_view Text) {
+  std::int64_t Value = 0;
+  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Error != std::errc() || End != Text.data() + Text.size() || Value < 0)
+    return std::nullopt;
   return Value;
 }
 
+http::Response notANumber(std::string_view Where) {
+  return errorAnswer({ErrorKind::OutOfRange,
+                      std::string(Where) + ": expected a whole number that is not negative"});
+}
+
 /// Every path of the interface; "*" stands for a key id.
 constexpr std::array<std::string_view, 10> Paths{
     "metrics", "healthz",   "v1/config", "v1/config/history", "v1/inforce",
@@ -115,7 +124,7 @@
     if (Route == "POST v1/config")
       return submit(Incoming, std::move(Respond));
     if (Route == "GET v1/inforce")
-      return Respond(inForce(numberOr(http::queryValue(Incoming.Query_, "version"), 0)));
+      return Respond(inForce(Incoming));
     if (Route == "GET v1/keys")
       return Respond(keys());
     if (Route == "POST v1/keys")
@@ -156,18 +165,25 @@
   }
 
   http::Response audit(const http::Request &Incoming) const {
-    const std::int64_t Since = numberOr(http::queryValue(Incoming.Query_, "since"), 0);
+    const std::string Given = http::queryValue(Incoming.Query_, "since");
+    const auto Since = Given.empty() ? std::optional<std::int64_t>(0) : parseNumber(Given);
+    if (!Since)
+      return notANumber("since");
     const std::string Author = http::queryValue(Incoming.Query_, "author");
     const std::string Object = http::queryValue(Incoming.Query_, "object");
     Json All = Json::array();
     for (const config::AuditEntry &One : Config_.state().audit())
-      if (One.WallMs_ >= Since && (Author.empty() || One.Author_ == Author) &&
+      if (One.WallMs_ >= *Since && (Author.empty() || One.Author_ == Author) &&
           (Object.empty() || One.Object_ == Object))
         All.push_back(auditJson(One));
     return jsonAnswer(dump(All));
   }
 
-  http::Response inForce(std::int64_t Version) const {
+  http::Response inForce(const http::Request &Incoming) const {
+    const auto Parsed = parseNumber(http::queryValue(Incoming.Query_, "version"));
+    if (!Parsed)
+      return notANumber("version");
+    const std::int64_t Version = *Parsed;
     std::uint64_t Needed = UINT64_MAX;
     for (const config::VersionInfo &One : Config_.state().history())
       if (static_cast<std::int64_t>(One.Version_) == Version)
@@ -189,14 +205,16 @@
     const std::string_view Author = http::findHeader(Incoming.Headers_, "Masticdrift-Author");
     std::string_view GivenId = http::findHeader(Incoming.Headers_, "Masticdrift-Request-Id");
     const std::string Id = GivenId.empty() ? newRequestId() : std::string(GivenId);
-    const std::int64_t Number = numberOr(Base, -1);
-    if (Base.empty() || Number < 0)
+    if (Base.empty())
       return Respond(errorAnswer(
-          {ErrorKind::MissingField, "Masticdrift-Base-Version: expected a version number"}));
+          {ErrorKind::MissingField, "Masticdrift-Base-Version: required header is missing"}));
+    const auto Number = parseNumber(Base);
+    if (!Number)
+      return Respond(notANumber("Masticdrift-Base-Version"));
     if (Author.empty())
       return Respond(
           errorAnswer({ErrorKind::MissingField, "Masticdrift-Author: required header is missing"}));
-    Config_.submit(Id, Incoming.Body_, static_cast<std::uint64_t>(Number), Author,
+    Config_.submit(Id, Incoming.Body_, static_cast<std::uint64_t>(*Number), Author,
                    [Respond = std::move(Respond)](const replica::ConfigAnswer &From) {
                      Respond(configAnswer(From));
                    });
--- a/tests/integration/BadInputTest.cpp
+++ b/tests/integration/BadInputTest.cpp
@@ -182,6 +182,15 @@
   expectRefused("broken configuration",
                 At.operatorCall("POST", "/v1/config", "{\"fleet\": ", Submission), 400, "MD-101");
   expectRefused("no base version", At.operatorCall("POST", "/v1/config", "{}"), 400, "MD-110");
+  expectRefused(
+      "malformed base version",
+      At.operatorCall("POST", "/v1/config", "{}",
+                      {{"Masticdrift-Base-Version", "1x"}, {"Masticdrift-Author", "test"}}),
+      400, "MD-107");
+  expectRefused("malformed version", At.operatorCall("GET", "/v1/inforce?version=new"), 400,
+                "MD-107");
+  expectRefused("malformed time", At.operatorCall("GET", "/v1/audit?since=yesterday"), 400,
+                "MD-107");
   expectRefused("broken key request", At.operatorCall("POST", "/v1/keys", "{\"team\""), 400,
                 "MD-101");
   expectServes("wrong operator calls", At, Key);
