--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -44,6 +44,16 @@
   Out.done();
 }
 
+Response tooLarge(std::size_t Size, std::size_t Limit) {
+  Response Answer;
+  Answer.Status_ = core::describe(core::ErrorKind::BodyTooLarge).HttpStatus_;
+  Answer.Body_ = core::errorBody(
+      core::ErrorKind::BodyTooLarge,
+      "body has " + std::to_string(Size) + " bytes, limit " + std::to_string(Limit), {});
+  Answer.Headers_.emplace_back("Masticdrift-Outcome", "not_run");
+  return Answer;
+}
+
 } // namespace
 
 struct Server::Impl {
@@ -89,11 +99,7 @@
             [this](auto &Acceptor) { Port_ = Acceptor.local_endpoint().port(); })
         .request_handler([MaxBody, OnRequest = std::move(OnRequest)](auto Incoming) {
           if (Incoming->body().size() > MaxBody) {
-            respond(Incoming,
-                    {413, core::errorBody(core::ErrorKind::BodyTooLarge,
-                                          "body has " + std::to_string(Incoming->body().size()) +
-                                              " bytes, limit " + std::to_string(MaxBody),
-                                          {})});
+            respond(Incoming, tooLarge(Incoming->body().size(), MaxBody));
             return restinio::request_accepted();
           }
           OnRequest(convert(*Incoming),
