--- a/include/masticdrift/http/Client.h
+++ b/include/masticdrift/http/Client.h
@@ -21,12 +21,15 @@
   /// A fresh connection that is not kept. Required for requests that must not be sent twice:
   /// libcurl repeats a request when a reused connection dies before the first answer byte.
   bool FreshConnection_ = false;
+  /// Asked on the client's thread when the connection is there, immediately before the first byte
+  /// is sent; false ends the exchange as NotConnected. May be empty.
+  std::function<bool()> MaySend_;
 };
 
 /// How an exchange ended.
 enum class Transfer {
   Complete,     ///< the whole answer arrived
-  NotConnected, ///< no connection, so nothing was sent
+  NotConnected, ///< no connection or no permission, so nothing was sent
   Truncated,    ///< the answer started and did not end as declared, or had no declared length
   NoAnswer,     ///< sent, or partly sent, and no answer arrived
 };
--- a/include/masticdrift/platform/ExecutorClient.h
+++ b/include/masticdrift/platform/ExecutorClient.h
@@ -32,6 +32,8 @@
   std::string Body_;
   core::Millis Remaining_{0}; ///< time left for the answer; sent along as the executor's deadline
   bool Idempotent_ = false;   ///< false forces a fresh connection, so that the library can't resend
+  /// Asked immediately before the first byte is sent; false ends the request as NotConnected.
+  std::function<bool()> MaySend_;
 };
 
 struct ExecutorAnswer {
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -21,6 +21,8 @@
   curl_slist *HeaderList_ = nullptr;
   Response Answer_;
   bool HeadersSeen_ = false;
+  bool Permitted_ = false; ///< bytes may have been sent
+  bool Withheld_ = false;  ///< MaySend_ said no
 };
 
 /// Connections older than this are not reused, so that a silently dead one is not kept for long.
@@ -47,6 +49,17 @@
   return Size * Count;
 }
 
+/// libcurl calls this for each connection on which it is about to send the request.
+int onConnected(void *User, char *, char *, int, int) {
+  auto &Self = *static_cast<Exchange *>(User);
+  if (Self.Request_.MaySend_ && !Self.Request_.MaySend_()) {
+    Self.Withheld_ = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  Self.Permitted_ = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 void prepare(Exchange &Work, long IdleSeconds) {
   CURL *Easy = Work.Easy_;
   curl_easy_setopt(Easy, CURLOPT_URL, Work.Request_.Url_.c_str());
@@ -62,6 +75,8 @@
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Work);
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &onHeader);
   curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Work);
+  curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &onConnected);
+  curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &Work);
   curl_easy_setopt(Easy, CURLOPT_PRIVATE, &Work);
   if (Work.Request_.FreshConnection_) {
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -89,6 +104,8 @@
     return lengthDeclared(Work) ? Transfer::Complete : Transfer::Truncated;
   if (Work.HeadersSeen_)
     return Transfer::Truncated;
+  if (Work.Withheld_)
+    return Work.Permitted_ ? Transfer::NoAnswer : Transfer::NotConnected;
   double Connected = 0;
   curl_easy_getinfo(Work.Easy_, CURLINFO_CONNECT_TIME, &Connected);
   const bool Refused = Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST;
@@ -111,7 +128,9 @@
   Result.BytesOut_ = static_cast<std::size_t>(HeaderOut) + static_cast<std::size_t>(BodyOut);
   Result.BytesIn_ = static_cast<std::size_t>(HeaderIn) + Work.Answer_.Body_.size();
   Result.Transfer_ = classify(Code, Work, Result.BytesOut_);
-  if (Code != CURLE_OK)
+  if (Work.Withheld_)
+    Result.Error_ = "the request was withheld before it was sent";
+  else if (Code != CURLE_OK)
     Result.Error_ = curl_easy_strerror(Code);
   else if (Result.Transfer_ == Transfer::Truncated)
     Result.Error_ = "answer has no declared length";
--- a/src/platform/ExecutorClient.cpp
+++ b/src/platform/ExecutorClient.cpp
@@ -36,6 +36,7 @@
   Out.Body_ = std::move(Request.Body_);
   Out.Timeout_ = Request.Remaining_;
   Out.FreshConnection_ = !Request.Idempotent_;
+  Out.MaySend_ = std::move(Request.MaySend_);
   Out.Headers_ = {{"Masticdrift-Request-Id", Request.RequestId_},
                   {"Masticdrift-Deadline-Ms", std::to_string(Request.Remaining_.count())}};
   if (!Request.ContentType_.empty())
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -72,8 +72,8 @@
   bool SweepPlanned_ = false;
 };
 
-/// \returns the outcome of the whole request: a retry that did not run says nothing about an earlier
-/// attempt that may have.
+/// \returns the outcome of the whole request: a retry that did not run says nothing about an
+/// earlier attempt that may have.
 Outcome settled(const Pending &Work, Outcome Last) {
   return Work.Earlier_ && certainlyNotRun(Last) ? *Work.Earlier_ : std::move(Last);
 }
@@ -327,10 +327,10 @@
     for (const policy::QueuedRequest &One : Shed) {
       auto Node = From.Waiting_.extract(One.Id_);
       if (!Node.empty())
-        Done.emplace_back(Node.mapped()->Done_,
-                          settled(*Node.mapped(),
-                                  failed(ErrorKind::DeadlineExpired,
-                                         "deadline passed while the request was queued")));
+        Done.emplace_back(
+            Node.mapped()->Done_,
+            settled(*Node.mapped(), failed(ErrorKind::DeadlineExpired,
+                                           "deadline passed while the request was queued")));
     }
   }
 
@@ -397,6 +397,11 @@
     // At least 1 ms: zero would mean no timeout to libcurl.
     Out.Remaining_ =
         std::max(core::Millis(1), std::chrono::duration_cast<core::Millis>(One.AttemptEnd_ - Now));
+    // Checked again when the connection is there: the daemon may have been paused since.
+    Out.MaySend_ = [Weak = weak_from_this()] {
+      const auto Self = Weak.lock();
+      return Self && Self->HoldsLease_(core::Clock::now());
+    };
     ++InFlight_;
     if (One.Work_->Attempts_ > 1)
       core::count("masticdrift_retries_total", {{"where", "executor"}});
--- a/tests/invariant/Callers.h
+++ b/tests/invariant/Callers.h
@@ -35,6 +35,9 @@
   int IdempotentEvery_ = 0;
 };
 
+/// A caller waits this long after an answer that is not "completed", as the retry hint asks.
+constexpr core::Millis CallerPause{20};
+
 /// Callers on threads of their own, each sending its next request after the last answer, through
 /// the given daemons in turn.
 class Callers {
@@ -91,8 +94,13 @@
                                   .DeadlineMs_ = How_.DeadlineMs_,
                                   .More_ = {}});
       One.TookMs_ = core::toMillis(core::Clock::now() - Begin);
-      const std::lock_guard Lock(Mutex_);
-      All_.push_back(std::move(One));
+      const bool Completed = One.Answer_.Outcome_ == "completed";
+      {
+        const std::lock_guard Lock(Mutex_);
+        All_.push_back(std::move(One));
+      }
+      if (!Completed)
+        std::this_thread::sleep_for(CallerPause);
     }
   }
 
@@ -159,8 +167,8 @@
       Out.Faults_.push_back(What + "P7");
     if (Outcome == "not_run" && Times != 0)
       Out.Faults_.push_back(What + "P6");
-    if (Outcome == "completed" && (!One.Answer_.Complete_ || Times < 1 ||
-                                   One.Answer_.Body_ != "echo:" + One.Sent_))
+    if (Outcome == "completed" &&
+        (!One.Answer_.Complete_ || Times < 1 || One.Answer_.Body_ != "echo:" + One.Sent_))
       Out.Faults_.push_back(What + "P5, body \"" + One.Answer_.Body_.substr(0, 40) + "\"");
     if (Outcome != "completed" && Outcome != "not_run" && Outcome != "failed" &&
         Outcome != "unknown" && !(MayLose && Outcome.empty()))
