--- a/tests/invariant/DurableStoreTest.cpp
+++ b/tests/invariant/DurableStoreTest.cpp
@@ -58,6 +58,7 @@
   cr_assert(bringUp(All, configurationWithService()), "the fleet did not come up");
   const std::string Key = Api(All, All.names().front()).newKey("mfi");
   std::vector<SubmittedJob> Accepted;
+  Accepted.reserve(6);
   for (int I = 0; I < 6; ++I)
     Accepted.push_back(submitUntilAccepted(All, All.names()[static_cast<std::size_t>(I)],
                                            {{"kind", "batch"},
--- a/tests/invariant/DurableTest.cpp
+++ b/tests/invariant/DurableTest.cpp
@@ -18,6 +18,7 @@
 /// Submits 30 jobs, each through the next daemon.
 std::vector<SubmittedJob> submitThirty(Fleet &All, const std::string &Key) {
   std::vector<SubmittedJob> Jobs;
+  Jobs.reserve(30);
   for (int I = 0; I < 30; ++I)
     Jobs.push_back(
         submitUntilAccepted(All, All.names()[static_cast<std::size_t>(I) % All.names().size()],
