--- a/tests/invariant/ConfigTest.cpp
+++ b/tests/invariant/ConfigTest.cpp
@@ -38,6 +38,9 @@
 /// Reads config_version at all daemons until finish() and records the first decrease.
 class VersionWatch {
 public:
+  /// The daemon whose ports change during the watch; the scenario reads it itself.
+  static constexpr const char *Excluded = "karachi-a-2";
+
   explicit VersionWatch(Fleet &Of) : Watcher_([this, &Of] { run(Of); }) {}
   VersionWatch(const VersionWatch &) = delete;
   VersionWatch &operator=(const VersionWatch &) = delete;
@@ -58,7 +61,7 @@
     std::map<std::string, std::uint64_t> Highest;
     while (!Stop_) {
       for (const std::string &Name : Names) {
-        if (Name == Excluded_)
+        if (Name == Excluded)
           continue;
         const std::uint64_t Version = versionAt(Of, Name);
         if (Version == 0) // no answer
@@ -73,11 +76,6 @@
     }
   }
 
-public:
-  /// The daemon whose ports change during the watch; the scenario reads it itself.
-  static constexpr const char *Excluded_ = "karachi-a-2";
-
-private:
   std::atomic<bool> Stop_{false};
   std::atomic<std::size_t> Readings_{0};
   std::string Decrease_;
@@ -113,9 +111,9 @@
   std::string KeyId;
   {
     const Step Label("granted at one daemon, works at all");
-    const Reply Granted = Api(All, Names.front())
-                              .operatorCall("POST", "/v1/keys",
-                                            Json{{"team", "mfi"}, {"author", "test"}}.dump());
+    const Reply Granted =
+        Api(All, Names.front())
+            .operatorCall("POST", "/v1/keys", Json{{"team", "mfi"}, {"author", "test"}}.dump());
     cr_assert_eq(Granted.Status_, 201, "%s", Granted.Body_.c_str());
     Key = Granted.json().at("key");
     KeyId = Granted.json().at("key_id");
@@ -195,7 +193,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
   const std::vector<std::string> Names = All.names();
-  const std::string Restarted = VersionWatch::Excluded_;
+  const std::string Restarted = VersionWatch::Excluded;
   VersionWatch Watch(All);
   std::uint64_t Version = versionAt(All, Names.front());
   std::uint64_t LastSeen = Version;
@@ -213,8 +211,8 @@
         Second = submitUntilKnown(Api(All, "karachi-a-1"), SecondText, Version, "bilal",
                                   "bilal-" + Round);
       });
-      First = submitUntilKnown(Api(All, "lahore-a-1"), FirstText, Version, "ayesha",
-                               "ayesha-" + Round);
+      First =
+          submitUntilKnown(Api(All, "lahore-a-1"), FirstText, Version, "ayesha", "ayesha-" + Round);
       Other.join();
     }
     const std::int64_t LostAfter = All.evidence(Standin::Log).at("answers_lost");
@@ -235,11 +233,8 @@
                  static_cast<long long>(core::toMillis(core::Clock::now() - Answered)));
     const Json &Winner = FirstWon ? FirstText : SecondText;
     for (const std::string &Name : Names) {
-      const Json Text = Json::parse(Api(All, Name)
-                                        .operatorCall("GET", "/v1/config")
-                                        .json()
-                                        .at("text")
-                                        .get<std::string>());
+      const Json Text = Json::parse(
+          Api(All, Name).operatorCall("GET", "/v1/config").json().at("text").get<std::string>());
       cr_assert(Text == Winner, "%s has another text", Name.c_str());
     }
     const std::uint64_t Now = versionAt(All, Restarted);
@@ -307,8 +302,8 @@
     const core::TimePoint Since = core::Clock::now();
     All.control(Standin::Log, {{"outage", Mode}});
     const auto Until = [&](core::Millis After) {
-      cr_assert(waitFor(After + core::Millis(2000),
-                        [&] { return core::Clock::now() >= Since + After; }));
+      cr_assert(
+          waitFor(After + core::Millis(2000), [&] { return core::Clock::now() >= Since + After; }));
     };
     Until(core::Millis(7000));
     Refused = Api(All, "lahore-a-2").submitConfig(Changed, Version, "ayesha", "outage-1");
@@ -337,9 +332,8 @@
     cutAlone(All, Alone);
     const core::TimePoint Since = core::Clock::now();
     Traffic Keyed(All, Names, {.Queue_ = "reorder", .Key_ = Key});
-    cr_assert(waitFor(core::Millis(10'000), [&] {
-      return core::Clock::now() >= Since + core::Millis(8000);
-    }));
+    cr_assert(waitFor(core::Millis(10'000),
+                      [&] { return core::Clock::now() >= Since + core::Millis(8000); }));
     std::set<std::string> Stale;
     for (const Sample &One : Keyed.finish())
       if (One.Sent_ > Since + RevokedWithin) {
@@ -362,8 +356,8 @@
     cr_expect(Refusal.empty(), "%s", Refusal.c_str());
     if (Refused.errorId() == "MD-501")
       cr_expect(allAt(All, Names, Version), "a submission reported as not run is in force");
-    const Reply Again = submitUntilKnown(Api(All, "lahore-a-2"), Changed, Version, "ayesha",
-                                         "outage-1");
+    const Reply Again =
+        submitUntilKnown(Api(All, "lahore-a-2"), Changed, Version, "ayesha", "outage-1");
     cr_expect_eq(Again.Status_, 200, "%d %s", Again.Status_, Again.Body_.c_str());
     cr_expect(waitFor(RecoveredWithin, [&] { return allAt(All, Names, Version + 1); }));
     cr_expect(core::Clock::now() - Since <= RecoveredWithin, "took longer than 10 s");
--- a/tests/invariant/DaemonTraffic.h
+++ b/tests/invariant/DaemonTraffic.h
@@ -96,9 +96,9 @@
                 std::to_string(I) + "-" + std::to_string(Serial_);
       One.Body_ = "work-ms=" + std::to_string(Options_.WorkMs_) + " " + One.Id_;
       One.Sent_ = core::Clock::now();
-      One.Answer_ = At.request(
-          Options_.Queue_, One.Body_,
-          {.Key_ = Options_.Key_, .Id_ = One.Id_, .DeadlineMs_ = Options_.DeadlineMs_});
+      One.Answer_ =
+          At.request(Options_.Queue_, One.Body_,
+                     {.Key_ = Options_.Key_, .Id_ = One.Id_, .DeadlineMs_ = Options_.DeadlineMs_});
       One.Answered_ = core::Clock::now();
       {
         const std::lock_guard Lock(Mutex_);
--- a/tests/invariant/StopTest.cpp
+++ b/tests/invariant/StopTest.cpp
@@ -67,12 +67,15 @@
   }
   {
     const Step Label("the next owner serves");
-    cr_expect(waitFor(ReleasedWithin, [&] {
-      return std::ranges::any_of(Peers, [&](const std::string &Name) {
-        const Json Status = Api(All, Name).status();
-        return Status.value("is_owner", false) && Status.value("free_slots", 0) > 0;
-      });
-    }), "no owner with free slots within 4 s of the exit");
+    cr_expect(waitFor(ReleasedWithin,
+                      [&] {
+                        return std::ranges::any_of(Peers, [&](const std::string &Name) {
+                          const Json Status = Api(All, Name).status();
+                          return Status.value("is_owner", false) &&
+                                 Status.value("free_slots", 0) > 0;
+                        });
+                      }),
+              "no owner with free slots within 4 s of the exit");
     std::fprintf(stderr, "  next owner with free slots %lld ms after the exit\n",
                  static_cast<long long>(core::toMillis(core::Clock::now() - Exited)));
   }
@@ -114,9 +117,8 @@
   const std::string Owner = ownerIn(All, "lahore-a");
   cr_assert(!Owner.empty());
   Traffic Slow(All, {Owner}, {.Queue_ = "status", .WorkMs_ = 4500, .DeadlineMs_ = 5000});
-  cr_assert(waitFor(core::Millis(3000), [&] {
-    return Api(All, Owner).status().value("requests_in_flight", 0) > 0;
-  }));
+  cr_assert(waitFor(core::Millis(3000),
+                    [&] { return Api(All, Owner).status().value("requests_in_flight", 0) > 0; }));
   const Step Label("two signals");
   Process &Daemon = All.process(Owner);
   Daemon.signal(SIGTERM);
@@ -150,9 +152,8 @@
     const Step Label("karachi-a is cut off for 10 s");
     All.cutDomain("karachi-a");
     Since = core::Clock::now();
-    cr_assert(waitFor(core::Millis(12'000), [&] {
-      return core::Clock::now() >= Since + core::Millis(10'000);
-    }));
+    cr_assert(waitFor(core::Millis(12'000),
+                      [&] { return core::Clock::now() >= Since + core::Millis(10'000); }));
   }
   {
     const Step Label("healed: everything is served");
