Confirm a configuration only after reading back one's own records

Between the answer to an append and its read-back, a daemon confirmed the older configuration to its peers. Found by reading; no test provokes the window. tests/invariant and PathTest pass with the change.

--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -6,6 +6,7 @@
 #include "masticdrift/journal/Appender.h"
 #include "masticdrift/journal/Tailer.h"
 
+#include <algorithm>
 #include <atomic>
 #include <list>
 #include <mutex>
@@ -141,7 +142,9 @@
   }
 
   bool confirmsLocked() const {
-    return StoreAsOf_ && Pending_.empty() && !UnknownSince_ && OpenAppends_ == 0;
+    // A record of this daemon that is in the log but not read back is newer than the state.
+    return StoreAsOf_ && Pending_.empty() && !UnknownSince_ && OpenAppends_ == 0 &&
+           Offset_ >= AppendedUpTo_;
   }
 
   /// Without the store: takes the state of the peer that has read furthest.
@@ -259,8 +262,8 @@
     }
     Appender_.append({std::move(Record)},
                      [Self = shared_from_this(), Check = std::move(Check),
-                      Done = std::move(Done)](std::error_code Error, std::uint64_t) mutable {
-                       Self->appended(Error, std::move(Check), std::move(Done));
+                      Done = std::move(Done)](std::error_code Error, std::uint64_t Offset) mutable {
+                       Self->appended(Error, Offset, std::move(Check), std::move(Done));
                      });
   }
 
@@ -275,11 +278,13 @@
       Peers_.send(One.Member_.Name_, protocol::MessageKind::Pending, 0, Body);
   }
 
-  void appended(std::error_code Error, std::function<std::optional<ConfigAnswer>()> Check,
-                Callback Done) {
+  void appended(std::error_code Error, std::uint64_t Offset,
+                std::function<std::optional<ConfigAnswer>()> Check, Callback Done) {
     {
       const std::lock_guard Lock(Mutex_);
       --OpenAppends_;
+      if (!Error)
+        AppendedUpTo_ = std::max(AppendedUpTo_, Offset + 1);
       if (core::kindOf(Error) == ErrorKind::AppendUnknown)
         UnknownSince_ = core::Clock::now();
     }
@@ -456,6 +461,7 @@
   std::vector<OpenAppend> Pending_;
   std::optional<TimePoint> UnknownSince_;
   int OpenAppends_ = 0;
+  std::uint64_t AppendedUpTo_ = 0; ///< the offset after this daemon's last confirmed record
 
   std::mutex CopyMutex_;
   protocol::ConfigCopy Copy_;
