--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -6,6 +6,7 @@
 #include "masticdrift/journal/Appender.h"
 #include "masticdrift/journal/Tailer.h"
 
+#include <algorithm>
 #include <atomic>
 #include <list>
 #include <mutex>
@@ -141,7 +142,9 @@
   }
 
   bool confirmsLocked() const {
-    return StoreAsOf_ && Pending_.empty() && !UnknownSince_ && OpenAppends_ == 0;
+    // A record of this daemon that is in the log but not read back is newer than the state.
+    return StoreAsOf_ && Pending_.empty() && !UnknownSince_ && OpenAppends_ == 0 &&
+           Offset_ >= AppendedUpTo_;
   }
 
   /// Without the store: takes the state of the peer that has read furthest.
@@ -287,6 +290,8 @@
     {
       const std::lock_guard Lock(Mutex_);
       --OpenAppends_;
+      if (!Error)
+        AppendedUpTo_ = std::max(AppendedUpTo_, Offset + 1);
       if (core::kindOf(Error) == ErrorKind::AppendUnknown)
         UnknownSince_ = core::Clock::now();
     }
@@ -464,6 +469,7 @@
   std::vector<OpenAppend> Pending_;
   std::optional<TimePoint> UnknownSince_;
   int OpenAppends_ = 0;
+  std::uint64_t AppendedUpTo_ = 0; ///< the offset after this daemon's last confirmed record
 
   std::mutex CopyMutex_;
   protocol::ConfigCopy Copy_;
