--- a/include/masticdrift/cell/Controller.h
+++ b/include/masticdrift/cell/Controller.h
@@ -6,8 +6,8 @@
 #include "masticdrift/cell/WorkerLease.h"
 #include "masticdrift/core/Timers.h"
 #include "masticdrift/jobs/DomainState.h"
-#include "masticdrift/platform/InstanceList.h"
-#include "masticdrift/platform/WorkerClient.h"
+#include "masticdrift/legacy/InstanceList.h"
+#include "masticdrift/legacy/WorkerClient.h"
 #include "masticdrift/policy/Explain.h"
 
 #include <cstdint>
@@ -65,7 +65,7 @@
   /// \param Timers a thread of its own, so that decisions don't delay heartbeats. Must be stopped
   /// before this object is destroyed.
   Controller(ControllerOptions Options, ControllerHooks Hooks, core::Timers &Timers,
-             platform::WorkerClient &Client, const jobs::DomainState &State);
+             legacy::WorkerClient &Client, const jobs::DomainState &State);
   Controller(const Controller &) = delete;
   Controller &operator=(const Controller &) = delete;
   ~Controller();
@@ -78,7 +78,7 @@
   void lost();
 
   /// Replaces the list of workers of this domain.
-  void setWorkers(std::vector<platform::Instance> Workers);
+  void setWorkers(std::vector<legacy::Instance> Workers);
   /// Replaces weights and allotments.
   void setTeams(std::vector<TeamQuota> Teams);
 
--- a/include/masticdrift/cell/DomainStream.h
+++ b/include/masticdrift/cell/DomainStream.h
@@ -42,7 +42,7 @@
 /// Runs on the timer thread it is given.
 class DomainStream {
 public:
-  DomainStream(DomainStreamOptions Options, DomainStreamHooks Hooks, platform::LogClient &Log,
+  DomainStream(DomainStreamOptions Options, DomainStreamHooks Hooks, legacy::LogClient &Log,
                core::Timers &Timers);
   DomainStream(const DomainStream &) = delete;
   DomainStream &operator=(const DomainStream &) = delete;
--- a/include/masticdrift/cell/JobService.h
+++ b/include/masticdrift/cell/JobService.h
@@ -43,7 +43,7 @@
 class JobService {
 public:
   JobService(JobServiceOptions Options, DomainStream &Own, const Controller &Cell,
-             platform::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
+             legacy::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
              const membership::PeerTable &Table);
   JobService(const JobService &) = delete;
   JobService &operator=(const JobService &) = delete;
--- a/include/masticdrift/core/Log.h
+++ b/include/masticdrift/core/Log.h
@@ -1,8 +1,10 @@
 /// \file
-/// Structured logging: one JSON object a line on standard error.
+/// Structured logging: one JSON object a line, on standard error or, without ever blocking the
+/// caller, on standard output.
 #ifndef MASTICDRIFT_CORE_LOG_H
 #define MASTICDRIFT_CORE_LOG_H
 
+#include <cstddef>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -17,8 +19,19 @@
   std::string Value_;
 };
 
+/// Where lines go.
+enum class LogTarget {
+  StandardError,  ///< written by the caller
+  StandardOutput, ///< written by a thread of its own; the oldest lines are dropped when it lags
+};
+
 /// Sets the instance name that every line carries and the lowest level that is written.
-void initLog(std::string_view Instance, LogLevel Lowest);
+/// Must come before the first line when \p Target is not standard error.
+void initLog(std::string_view Instance, LogLevel Lowest,
+             LogTarget Target = LogTarget::StandardError);
+
+/// \returns how many lines were dropped because the writer lagged.
+std::size_t droppedLogLines();
 
 /// Writes one line. Thread-safe.
 ///
--- /dev/null
+++ b/include/masticdrift/daemon/EntryService.h
@@ -0,0 +1,56 @@
+/// \file
+/// Callers' requests: submit, look, cancel, and the number of waiting jobs.
+#ifndef MASTICDRIFT_DAEMON_ENTRYSERVICE_H
+#define MASTICDRIFT_DAEMON_ENTRYSERVICE_H
+
+#include "masticdrift/daemon/FleetContext.h"
+#include "masticdrift/daemon/JobWriter.h"
+#include "masticdrift/daemon/TopicTail.h"
+#include "masticdrift/http/Server.h"
+#include "masticdrift/protocol/Fleet.h"
+#include "platform/Ingress.h"
+
+#include <functional>
+#include <string>
+
+namespace masticdrift::daemon {
+
+/// Answers callers. Every daemon takes every job; what it can't do it refuses at once.
+class EntryService {
+public:
+  /// \param Leader returns the leader's peer address; empty when unknown or this daemon.
+  EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Writer,
+               std::function<std::string()> Leader);
+
+  void handle(const http::Request &From, const http::Responder &To);
+
+  /// Appends a record for a daemon that can't reach the store.
+  void submitFor(protocol::SubmitCall Call, std::function<void(protocol::SubmitReply)> Done);
+
+  /// \returns requests that have no answer yet.
+  std::size_t open() const { return Open_; }
+
+private:
+  struct Call;
+  void submit(const std::shared_ptr<Call> &Of, const std::string &Body);
+  void cancel(const std::shared_ptr<Call> &Of);
+  void look(const std::shared_ptr<Call> &Of);
+  /// Runs \p Found with the job, or with null when the whole log has none.
+  void findJob(const std::shared_ptr<Call> &Of, std::function<void(const work::LedgerJob *)> Found);
+  void store(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
+             std::function<void(WriteOutcome)> Done);
+  void relay(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
+             std::function<void(WriteOutcome)> Done);
+  void answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome);
+  void refuse(const std::shared_ptr<Call> &Of, core::ErrorKind Kind, std::string_view Message);
+
+  FleetContext &Context_;
+  TopicTail &Jobs_;
+  JobWriter &Writer_;
+  const std::function<std::string()> Leader_;
+  std::size_t Open_ = 0;
+};
+
+} // namespace masticdrift::daemon
+
+#endif // MASTICDRIFT_DAEMON_ENTRYSERVICE_H
--- /dev/null
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -0,0 +1,50 @@
+/// \file
+/// Takes part in the election and, while leading, carries out what the scheduler decides.
+#ifndef MASTICDRIFT_DAEMON_LEADERDRIVER_H
+#define MASTICDRIFT_DAEMON_LEADERDRIVER_H
+
+#include "masticdrift/daemon/FleetContext.h"
+#include "masticdrift/daemon/TopicTail.h"
+#include "masticdrift/protocol/Fleet.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace masticdrift::daemon {
+
+class LeaderDriver {
+public:
+  /// \param Jobs the tail that fills the context's ledger.
+  LeaderDriver(FleetContext &Context, TopicTail &Jobs);
+  LeaderDriver(const LeaderDriver &) = delete;
+  LeaderDriver &operator=(const LeaderDriver &) = delete;
+  ~LeaderDriver();
+
+  void start();
+
+  /// Gives the leadership up so that another daemon takes over at once, and claims no more.
+  void release();
+
+  void onJob(std::string_view Id);
+  void onManifest();
+  void onExecutor(std::string_view Id);
+
+  /// A daemon offers help.
+  /// \returns true while this daemon leads.
+  bool onHello(const protocol::Hello &From);
+
+  bool leading() const;
+  /// \returns true once nothing of the leadership is left to hand over.
+  bool released() const;
+  /// \returns the leader's peer address, empty when none is known or it is this daemon.
+  std::string leaderAddress() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace masticdrift::daemon
+
+#endif // MASTICDRIFT_DAEMON_LEADERDRIVER_H
--- a/include/masticdrift/gateway/CallerApi.h
+++ b/include/masticdrift/gateway/CallerApi.h
@@ -5,7 +5,7 @@
 
 #include "masticdrift/cell/JobService.h"
 #include "masticdrift/http/Server.h"
-#include "masticdrift/platform/InstanceList.h"
+#include "masticdrift/legacy/InstanceList.h"
 #include "masticdrift/replica/ConfigReplica.h"
 #include "masticdrift/routing/Router.h"
 
@@ -26,7 +26,7 @@
 class CallerApi {
 public:
   CallerApi(CallerApiOptions Options, replica::ConfigReplica &Config, routing::Router &Router,
-            cell::JobService &Jobs, const platform::InstanceList &Instances);
+            cell::JobService &Jobs, const legacy::InstanceList &Instances);
   CallerApi(const CallerApi &) = delete;
   CallerApi &operator=(const CallerApi &) = delete;
   ~CallerApi();
--- a/include/masticdrift/gateway/JobRequest.h
+++ b/include/masticdrift/gateway/JobRequest.h
@@ -6,7 +6,7 @@
 #include "masticdrift/config/ConfigState.h"
 #include "masticdrift/core/Error.h"
 #include "masticdrift/jobs/Job.h"
-#include "masticdrift/platform/InstanceList.h"
+#include "masticdrift/legacy/InstanceList.h"
 
 #include <span>
 #include <string_view>
@@ -33,7 +33,7 @@
 /// \returns ImpossibleSize with the resource and the largest amount available, or no failure.
 /// Nothing is refused while no worker of the domain is listed.
 core::Failure checkSize(const jobs::JobSpec &Spec, std::string_view Domain,
-                        std::span<const platform::Instance> Instances,
+                        std::span<const legacy::Instance> Instances,
                         const config::Limit &Allotment);
 
 } // namespace masticdrift::gateway
--- a/include/masticdrift/http/Message.h
+++ b/include/masticdrift/http/Message.h
@@ -27,6 +27,7 @@
   std::string Body_;
   std::string ContentType_ = "application/json";
   Headers Headers_;
+  bool Close_ = false; ///< the server closes the connection after this answer
 };
 
 /// \returns the value of the first header called \p Name (case does not matter), or an empty view.
--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -11,6 +11,10 @@
 #include <memory>
 #include <string>
 
+namespace asio {
+class io_context;
+} // namespace asio
+
 namespace masticdrift::http {
 
 /// Answers one request; may be called once, from any thread, also after the handler returned.
@@ -25,6 +29,7 @@
   unsigned Threads_ = 2;                        ///< worker threads
   std::size_t MaxBody_ = 1U << 20U;             ///< bytes; larger bodies get BodyTooLarge
   std::chrono::milliseconds ReadTimeout_{5000}; ///< time for one whole request to arrive
+  asio::io_context *Loop_ = nullptr; ///< runs the server on this loop; Threads_ is ignored then
 };
 
 /// Runs until destroyed. Answers oversized bodies with BodyTooLarge; a body over four times the
--- a/include/masticdrift/journal/Appender.h
+++ b/include/masticdrift/journal/Appender.h
@@ -6,7 +6,7 @@
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/core/Timers.h"
 #include "masticdrift/journal/Batch.h"
-#include "masticdrift/platform/LogClient.h"
+#include "masticdrift/legacy/LogClient.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,12 +34,12 @@
   std::size_t MaxAppendBytes_ = 512U << 10U; ///< of one call
 };
 
-/// Sends bytes to the log; the signature of platform::LogClient::append bound to a stream.
+/// Sends bytes to the log; the signature of legacy::LogClient::append bound to a stream.
 using AppendFunction =
     std::function<void(std::string Bytes, std::function<void(std::error_code, std::uint64_t)>)>;
 
 /// \returns an AppendFunction on \p Client, which must outlive it.
-AppendFunction appendTo(platform::LogClient &Client, std::string Stream);
+AppendFunction appendTo(legacy::LogClient &Client, std::string Stream);
 
 /// Collects entries into batches and appends them one after another. Thread-safe.
 ///
--- a/include/masticdrift/journal/Tailer.h
+++ b/include/masticdrift/journal/Tailer.h
@@ -7,7 +7,7 @@
 #include "masticdrift/core/Timers.h"
 #include "masticdrift/journal/Batch.h"
 #include "masticdrift/journal/Snapshot.h"
-#include "masticdrift/platform/LogClient.h"
+#include "masticdrift/legacy/LogClient.h"
 
 #include <cstdint>
 #include <functional>
@@ -56,13 +56,13 @@
   std::size_t MaxCollectedBytes_ = 64U << 20U;
 };
 
-/// Reads records; the signature of platform::LogClient::read bound to a stream.
+/// Reads records; the signature of legacy::LogClient::read bound to a stream.
 using ReadFunction =
     std::function<void(std::uint64_t From, std::uint32_t Max,
-                       std::function<void(std::error_code, platform::ReadResult)>)>;
+                       std::function<void(std::error_code, legacy::ReadResult)>)>;
 
 /// \returns a ReadFunction on \p Client, which must outlive it.
-ReadFunction readFrom(platform::LogClient &Client, std::string Stream);
+ReadFunction readFrom(legacy::LogClient &Client, std::string Stream);
 
 /// Polls a stream and delivers its entries. Thread-safe; hooks run on the timer thread, so they
 /// never overlap each other or other timer functions.
--- /dev/null
+++ b/include/masticdrift/lead/Election.h
@@ -0,0 +1,60 @@
+/// \file
+/// Who leads: records of the leadership topic and the decision to claim it.
+///
+/// A claim is an append that holds only at the end of the topic, so one of several claims wins and
+/// its offset numbers the term. The leader appends a beat the same way; a beat that finds another
+/// end shows that the term is over.
+#ifndef MASTICDRIFT_LEAD_ELECTION_H
+#define MASTICDRIFT_LEAD_ELECTION_H
+
+#include "masticdrift/core/Clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <msgpack.hpp>
+
+namespace masticdrift::lead {
+
+/// A claim, a beat or a release of the leadership.
+struct LeadRecord {
+  std::string Instance_;
+  std::string PeerAddress_; ///< where other daemons reach the leader
+  std::uint64_t Term_ = 0;  ///< the claim's offset plus one
+  bool Released_ = false;   ///< the leader has given up
+  std::int64_t WallMs_ = 0; ///< when it was written, the writer's wall clock
+  std::string Incarnation_; ///< of the writing process
+  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Term_, Released_, WallMs_, Incarnation_)
+};
+
+/// Times of the election.
+struct ElectionTiming {
+  core::Millis Beat_{700};
+  /// Three beats and a slow store's answer.
+  core::Millis Silence_{2300};
+  /// Silence that is enough when the leader's address refuses connections: its process is gone.
+  core::Millis SilenceWhenRefused_{500};
+  /// Between the claims of different daemons, so that most are not made in vain.
+  core::Millis Stagger_{120};
+};
+
+/// What a daemon knows when it decides.
+struct ElectionView {
+  core::TimePoint Now_;
+  core::TimePoint ReadAt_;             ///< last answer to a read of the topic
+  core::TimePoint NewsAt_;             ///< when the newest record was read
+  const LeadRecord *Newest_ = nullptr; ///< null when the topic is empty
+  std::int64_t WallMs_ = 0;
+  bool FoundOnStart_ = false; ///< the newest record was there when this process began
+  bool Refused_ = false;      ///< the leader's address refuses connections
+  unsigned Rank_ = 0;         ///< place in the order of claims
+};
+
+/// \returns true when this daemon should claim the leadership now.
+bool shouldClaim(const ElectionView &View, const ElectionTiming &Times);
+
+} // namespace masticdrift::lead
+
+#endif // MASTICDRIFT_LEAD_ELECTION_H
--- a/include/masticdrift/platform/ExecutorClient.h
+++ b/include/masticdrift/legacy/ExecutorClient.h
@@ -1,7 +1,7 @@
 /// \file
 /// Sends one interactive request to one executor.
-#ifndef MASTICDRIFT_PLATFORM_EXECUTORCLIENT_H
-#define MASTICDRIFT_PLATFORM_EXECUTORCLIENT_H
+#ifndef MASTICDRIFT_LEGACY_EXECUTORCLIENT_H
+#define MASTICDRIFT_LEGACY_EXECUTORCLIENT_H
 
 #include "masticdrift/core/Clock.h"
 
@@ -13,7 +13,7 @@
 class Client;
 } // namespace masticdrift::http
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 /// How one send to an executor ended.
 enum class ExecutorResult {
@@ -62,6 +62,6 @@
   std::unique_ptr<http::Client> Client_;
 };
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
 
-#endif // MASTICDRIFT_PLATFORM_EXECUTORCLIENT_H
+#endif // MASTICDRIFT_LEGACY_EXECUTORCLIENT_H
--- a/include/masticdrift/platform/InstanceList.h
+++ b/include/masticdrift/legacy/InstanceList.h
@@ -1,7 +1,7 @@
 /// \file
 /// The platform's list of live and leaving instances.
-#ifndef MASTICDRIFT_PLATFORM_INSTANCELIST_H
-#define MASTICDRIFT_PLATFORM_INSTANCELIST_H
+#ifndef MASTICDRIFT_LEGACY_INSTANCELIST_H
+#define MASTICDRIFT_LEGACY_INSTANCELIST_H
 
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/core/Resources.h"
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <vector>
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 enum class InstanceKind : std::uint8_t { Entry, Executor, Worker };
 
@@ -87,6 +87,6 @@
   std::shared_ptr<Impl> Impl_;
 };
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
 
-#endif // MASTICDRIFT_PLATFORM_INSTANCELIST_H
+#endif // MASTICDRIFT_LEGACY_INSTANCELIST_H
--- a/include/masticdrift/platform/LogClient.h
+++ b/include/masticdrift/legacy/LogClient.h
@@ -1,7 +1,7 @@
 /// \file
 /// Client of the platform's append-only log service.
-#ifndef MASTICDRIFT_PLATFORM_LOGCLIENT_H
-#define MASTICDRIFT_PLATFORM_LOGCLIENT_H
+#ifndef MASTICDRIFT_LEGACY_LOGCLIENT_H
+#define MASTICDRIFT_LEGACY_LOGCLIENT_H
 
 #include "masticdrift/http/Client.h"
 
@@ -15,7 +15,7 @@
 
 #include <msgpack.hpp>
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 /// One record of a stream.
 struct LogRecord {
@@ -69,6 +69,6 @@
   LogClientOptions Options_;
 };
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
 
-#endif // MASTICDRIFT_PLATFORM_LOGCLIENT_H
+#endif // MASTICDRIFT_LEGACY_LOGCLIENT_H
--- a/include/masticdrift/platform/WorkerClient.h
+++ b/include/masticdrift/legacy/WorkerClient.h
@@ -1,7 +1,7 @@
 /// \file
 /// Client of the workers: leases and tasks.
-#ifndef MASTICDRIFT_PLATFORM_WORKERCLIENT_H
-#define MASTICDRIFT_PLATFORM_WORKERCLIENT_H
+#ifndef MASTICDRIFT_LEGACY_WORKERCLIENT_H
+#define MASTICDRIFT_LEGACY_WORKERCLIENT_H
 
 #include "masticdrift/core/Resources.h"
 #include "masticdrift/http/Client.h"
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 /// How a command to a worker ended.
 enum class WorkerStatus : std::uint8_t {
@@ -110,6 +110,6 @@
   std::chrono::milliseconds Timeout_;
 };
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
 
-#endif // MASTICDRIFT_PLATFORM_WORKERCLIENT_H
+#endif // MASTICDRIFT_LEGACY_WORKERCLIENT_H
--- /dev/null
+++ b/include/masticdrift/protocol/Fleet.h
@@ -0,0 +1,60 @@
+/// \file
+/// Messages between a leader and the other daemons. They travel as msgpack in HTTP bodies: every
+/// exchange is a call with a time limit of its own, which also bounds silent connections.
+#ifndef MASTICDRIFT_PROTOCOL_FLEET_H
+#define MASTICDRIFT_PROTOCOL_FLEET_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+namespace masticdrift::protocol {
+
+inline constexpr const char *HelloPath = "/peer/hello";
+inline constexpr const char *AdvisePath = "/peer/advise";
+inline constexpr const char *SubmitPath = "/peer/submit";
+
+/// A daemon offers its help to the leader, about twice a second.
+struct Hello {
+  std::string Instance_;
+  std::string PeerAddress_;
+  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_)
+};
+
+/// The leader asks a daemon to make one call for advice.
+struct AdviseCall {
+  std::string Job_;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::vector<std::string> Executors_;
+  std::int64_t TimeoutMs_ = 0;
+  MSGPACK_DEFINE_ARRAY(Job_, Occurrence_, Step_, Executors_, TimeoutMs_)
+};
+
+struct AdviseReply {
+  bool Answered_ = false;
+  std::vector<std::string> Executors_; ///< that may run the step
+  std::vector<std::string> Tickets_;   ///< in the same order
+  MSGPACK_DEFINE_ARRAY(Answered_, Executors_, Tickets_)
+};
+
+/// A daemon that can't reach the store asks another to append a record for it.
+struct SubmitCall {
+  std::string Key_;
+  std::string Value_;
+  std::int64_t TimeoutMs_ = 0;
+  MSGPACK_DEFINE_ARRAY(Key_, Value_, TimeoutMs_)
+};
+
+struct SubmitReply {
+  bool Stored_ = false;
+  bool Refused_ = false; ///< nothing was done; neither flag means unknown
+  std::uint64_t Offset_ = 0;
+  MSGPACK_DEFINE_ARRAY(Stored_, Refused_, Offset_)
+};
+
+} // namespace masticdrift::protocol
+
+#endif // MASTICDRIFT_PROTOCOL_FLEET_H
--- a/include/masticdrift/replica/ConfigReplica.h
+++ b/include/masticdrift/replica/ConfigReplica.h
@@ -9,7 +9,7 @@
 #include "masticdrift/core/Timers.h"
 #include "masticdrift/membership/Freshness.h"
 #include "masticdrift/membership/PeerTable.h"
-#include "masticdrift/platform/LogClient.h"
+#include "masticdrift/legacy/LogClient.h"
 #include "masticdrift/protocol/Link.h"
 
 #include <functional>
@@ -55,7 +55,7 @@
 public:
   using Callback = std::function<void(ConfigAnswer)>;
 
-  ConfigReplica(ConfigReplicaOptions Options, ConfigReplicaHooks Hooks, platform::LogClient &Log,
+  ConfigReplica(ConfigReplicaOptions Options, ConfigReplicaHooks Hooks, legacy::LogClient &Log,
                 core::Timers &Timers, protocol::Link &Peers, membership::PeerTable &Table);
   ConfigReplica(const ConfigReplica &) = delete;
   ConfigReplica &operator=(const ConfigReplica &) = delete;
--- a/include/masticdrift/routing/Dispatcher.h
+++ b/include/masticdrift/routing/Dispatcher.h
@@ -4,8 +4,8 @@
 #define MASTICDRIFT_ROUTING_DISPATCHER_H
 
 #include "masticdrift/core/Timers.h"
-#include "masticdrift/platform/ExecutorClient.h"
-#include "masticdrift/platform/InstanceList.h"
+#include "masticdrift/legacy/ExecutorClient.h"
+#include "masticdrift/legacy/InstanceList.h"
 #include "masticdrift/routing/Request.h"
 
 #include <cstdint>
@@ -53,7 +53,7 @@
 
   /// Replaces the list of executors of this domain. Executors that are leaving or gone get no new
   /// requests.
-  void setExecutors(std::span<const platform::Instance> Executors);
+  void setExecutors(std::span<const legacy::Instance> Executors);
 
   /// Replaces weights and allotments.
   void setTeams(std::span<const TeamSlots> Teams);
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -18,8 +18,8 @@
 
 using core::TimePoint;
 using jobs::TaskOutcome;
-using platform::WorkerStatus;
-using platform::WorkerTaskState;
+using legacy::WorkerStatus;
+using legacy::WorkerTaskState;
 
 /// Most start decisions of one round; the rest follows in the next one, after the timer thread has
 /// served others.
@@ -57,9 +57,9 @@
 };
 
 struct WorkerEntry {
-  platform::Instance Instance_;
+  legacy::Instance Instance_;
   WorkerLease Lease_;
-  std::vector<platform::TaskAck> Acks_;
+  std::vector<legacy::TaskAck> Acks_;
   std::string EndedBoot_; ///< last generation whose tasks were declared ended
 };
 
@@ -141,7 +141,7 @@
 
 struct Controller::Impl : std::enable_shared_from_this<Impl> {
   Impl(ControllerOptions Options, ControllerHooks Hooks, core::Timers &Timers,
-       platform::WorkerClient &Client, const jobs::DomainState &State)
+       legacy::WorkerClient &Client, const jobs::DomainState &State)
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Timers), Client_(Client),
         State_(State) {}
 
@@ -228,10 +228,10 @@
     return Found == Workers_.end() ? core::Resources{} : Found->second.Instance_.Capacity_;
   }
 
-  void applyWorkers(std::vector<platform::Instance> List) {
+  void applyWorkers(std::vector<legacy::Instance> List) {
     const TimePoint Now = core::Clock::now();
     std::set<std::string> Names;
-    for (const platform::Instance &One : List) {
+    for (const legacy::Instance &One : List) {
       Names.insert(One.Name_);
       entryOf(One.Name_, Now).Instance_ = One;
       const policy::WorkerIndex Index = policy::addWorker(
@@ -462,7 +462,7 @@
     const auto Entry = Workers_.find(Task.Worker_);
     if (Task.InFlight_ || Entry == Workers_.end() || !Hooks_.HoldsLease_(Now))
       return;
-    platform::StartRequest Out;
+    legacy::StartRequest Out;
     Out.Id_ = workerTaskId(Key.first, Key.second);
     Out.Term_ = Term_;
     Out.Boot_ = Task.Boot_;
@@ -499,7 +499,7 @@
       Task.Started_ = Now;
       Task.LookAt_ = firstLook(*Task.Spec_, Now);
       stopIfCancelled(Key, Task, Now);
-    } else if (platform::hadNoEffect(Status) && Status != WorkerStatus::StaleTerm) {
+    } else if (legacy::hadNoEffect(Status) && Status != WorkerStatus::StaleTerm) {
       recordEnd(Key, Task, TaskOutcome::NeverRan, 0, Now);
     }
     // NoAnswer: the same attempt is sent again with the next tick until the worker answers or its
@@ -654,7 +654,7 @@
   void renew(const std::string &Name, WorkerEntry &Entry, TimePoint Now) {
     if (Entry.Instance_.Address_.empty())
       return;
-    platform::LeaseRequest Out;
+    legacy::LeaseRequest Out;
     Out.Term_ = Term_;
     Out.Owner_ = Options_.Instance_;
     Out.TtlMs_ = core::toMillis(Options_.Lease_.Ttl_);
@@ -663,7 +663,7 @@
     Entry.Lease_.LastSent_ = Now;
     Client_.lease(Entry.Instance_.Address_, Out,
                   [Weak = weak_from_this(), Name, Now, Term = Term_,
-                   Acks = Out.Acks_.size()](WorkerStatus Status, platform::LeaseAnswer Answer) {
+                   Acks = Out.Acks_.size()](WorkerStatus Status, legacy::LeaseAnswer Answer) {
                     const auto Self = Weak.lock();
                     if (!Self)
                       return;
@@ -676,7 +676,7 @@
   }
 
   void leaseAnswered(const std::string &Name, TimePoint Sent, std::size_t Acks, WorkerStatus Status,
-                     const platform::LeaseAnswer &Answer) {
+                     const legacy::LeaseAnswer &Answer) {
     const auto Found = Workers_.find(Name);
     if (Found == Workers_.end())
       return;
@@ -697,9 +697,9 @@
 
   /// Compares what the worker reports with what is recorded.
   void reconcile(const std::string &Name, WorkerEntry &Entry, TimePoint Sent,
-                 const platform::LeaseAnswer &Answer, TimePoint Now) {
-    std::map<TaskKey, const platform::WorkerTask *> Reported;
-    for (const platform::WorkerTask &One : Answer.Tasks_) {
+                 const legacy::LeaseAnswer &Answer, TimePoint Now) {
+    std::map<TaskKey, const legacy::WorkerTask *> Reported;
+    for (const legacy::WorkerTask &One : Answer.Tasks_) {
       const auto Key = parseTaskId(One.Id_);
       if (!Key)
         continue;
@@ -722,14 +722,14 @@
 
   /// A task that is not recorded as running there: an attempt that is over, or one of an abandoned
   /// Start.
-  void dropForeign(WorkerEntry &Entry, const platform::WorkerTask &One) {
+  void dropForeign(WorkerEntry &Entry, const legacy::WorkerTask &One) {
     if (One.State_ == WorkerTaskState::Running)
       Client_.stopTask(Entry.Instance_.Address_, One.Id_, Term_, [](WorkerStatus) {});
     else
       Entry.Acks_.push_back({One.Id_, One.Attempt_});
   }
 
-  void reported(const TaskKey &Key, ActiveTask &Task, const platform::WorkerTask &One,
+  void reported(const TaskKey &Key, ActiveTask &Task, const legacy::WorkerTask &One,
                 TimePoint Now) {
     if (Task.Phase_ == Phase::Recording || Task.Phase_ == Phase::Ending)
       return;
@@ -830,7 +830,7 @@
   const ControllerOptions Options_;
   const ControllerHooks Hooks_;
   core::Timers &Timers_;
-  platform::WorkerClient &Client_;
+  legacy::WorkerClient &Client_;
   const jobs::DomainState &State_;
 
   // Only the timer thread uses the members below.
@@ -843,7 +843,7 @@
   policy::Shares Shares_;
   policy::Learned Learned_;
   policy::Quarantine Quarantine_;
-  std::vector<platform::Instance> Listed_;
+  std::vector<legacy::Instance> Listed_;
   std::vector<TeamQuota> Quotas_;
   bool RoundPosted_ = false;
 
@@ -852,7 +852,7 @@
 };
 
 Controller::Controller(ControllerOptions Options, ControllerHooks Hooks, core::Timers &Timers,
-                       platform::WorkerClient &Client, const jobs::DomainState &State)
+                       legacy::WorkerClient &Client, const jobs::DomainState &State)
     : Impl_(std::make_shared<Impl>(std::move(Options), std::move(Hooks), Timers, Client, State)) {}
 
 Controller::~Controller() = default;
@@ -876,7 +876,7 @@
   });
 }
 
-void Controller::setWorkers(std::vector<platform::Instance> Workers) {
+void Controller::setWorkers(std::vector<legacy::Instance> Workers) {
   Impl_->Timers_.post([Self = Impl_, Workers = std::move(Workers)]() mutable {
     if (Self->Term_ == 0)
       Self->Listed_ = std::move(Workers);
--- a/src/cell/DomainStream.cpp
+++ b/src/cell/DomainStream.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 struct DomainStream::Impl : std::enable_shared_from_this<Impl> {
-  Impl(DomainStreamOptions Options, DomainStreamHooks Hooks, platform::LogClient &Log,
+  Impl(DomainStreamOptions Options, DomainStreamHooks Hooks, legacy::LogClient &Log,
        core::Timers &Timers)
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Timers),
         Appender_(appenderOptions(Options_), journal::appendTo(Log, Options_.Stream_), Timers),
@@ -203,7 +203,7 @@
 };
 
 DomainStream::DomainStream(DomainStreamOptions Options, DomainStreamHooks Hooks,
-                           platform::LogClient &Log, core::Timers &Timers)
+                           legacy::LogClient &Log, core::Timers &Timers)
     : Impl_(std::make_shared<Impl>(std::move(Options), std::move(Hooks), Log, Timers)) {}
 
 DomainStream::~DomainStream() { Impl_->Tailer_.stop(); }
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -122,7 +122,7 @@
 
 struct JobService::Impl : std::enable_shared_from_this<Impl> {
   Impl(JobServiceOptions Options, DomainStream &Own, const Controller &Cell,
-       platform::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
+       legacy::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
        const membership::PeerTable &Table)
       : Options_(std::move(Options)), Own_(Own), Cell_(Cell), Log_(Log), Timers_(Timers),
         Peers_(Peers), Table_(Table) {}
@@ -351,7 +351,7 @@
   const JobServiceOptions Options_;
   DomainStream &Own_;
   const Controller &Cell_;
-  platform::LogClient &Log_;
+  legacy::LogClient &Log_;
   core::Timers &Timers_;
   protocol::Link &Peers_;
   const membership::PeerTable &Table_;
@@ -360,7 +360,7 @@
 };
 
 JobService::JobService(JobServiceOptions Options, DomainStream &Own, const Controller &Cell,
-                       platform::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
+                       legacy::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
                        const membership::PeerTable &Table)
     : Impl_(std::make_shared<Impl>(std::move(Options), Own, Cell, Log, Timers, Peers, Table)) {}
 
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -10,7 +11,32 @@
 
 namespace {
 
-std::string InstanceName; // NOLINT: set once before threads start
+/// Lines that may wait for the writer; about 2 MB.
+constexpr std::size_t MaxWaitingLines = 4096;
+
+std::string InstanceName;                         // NOLINT: set once before threads start
+LogTarget Destination = LogTarget::StandardError; // NOLINT: set once before threads start
+
+std::shared_ptr<spdlog::details::thread_pool> &writer() {
+  static std::shared_ptr<spdlog::details::thread_pool> Pool;
+  return Pool;
+}
+
+std::shared_ptr<spdlog::logger> makeLogger() {
+  constexpr const char *Name = "masticdrift";
+  if (Destination == LogTarget::StandardError) {
+    auto Made =
+        std::make_shared<spdlog::logger>(Name, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    Made->flush_on(spdlog::level::info);
+    return Made;
+  }
+  writer() = std::make_shared<spdlog::details::thread_pool>(MaxWaitingLines, 1);
+  auto Made = std::make_shared<spdlog::async_logger>(
+      Name, std::make_shared<spdlog::sinks::stdout_sink_mt>(), writer(),
+      spdlog::async_overflow_policy::overrun_oldest);
+  Made->flush_on(spdlog::level::warn);
+  return Made;
+}
 
 spdlog::level::level_enum toSpdlog(LogLevel Level) {
   switch (Level) {
@@ -28,10 +54,8 @@
 
 spdlog::logger &logger() {
   static const std::shared_ptr<spdlog::logger> Logger = [] {
-    auto Made = std::make_shared<spdlog::logger>("masticdrift",
-                                                 std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    auto Made = makeLogger();
     Made->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",%v}");
-    Made->flush_on(spdlog::level::info);
     return Made;
   }();
   return *Logger;
@@ -39,11 +63,14 @@
 
 } // namespace
 
-void initLog(std::string_view Instance, LogLevel Lowest) {
+void initLog(std::string_view Instance, LogLevel Lowest, LogTarget Target) {
   InstanceName = Instance;
+  Destination = Target;
   logger().set_level(toSpdlog(Lowest));
 }
 
+std::size_t droppedLogLines() { return writer() == nullptr ? 0 : writer()->overrun_counter(); }
+
 void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields) {
   if (!logger().should_log(toSpdlog(Level)))
     return;
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -38,6 +38,17 @@
     MetricInfo{"masticdrift_control_bytes_total", Counter, "Control bytes by link"},
     MetricInfo{"masticdrift_jobs", Gauge, "Durable jobs of the domain by state"},
     MetricInfo{"masticdrift_task_starts_total", Counter, "Task starts sent to workers"},
+    MetricInfo{"masticdrift_submissions_total", Counter, "Submissions by outcome"},
+    MetricInfo{"masticdrift_submission_seconds", Histogram, "Time from receipt to answer"},
+    MetricInfo{"masticdrift_run_ends_total", Counter, "Ended runs taken in, by kind"},
+    MetricInfo{"masticdrift_advice_seconds", Histogram, "Time of one call for advice"},
+    MetricInfo{"masticdrift_store_seconds", Histogram, "Time of one store call, by call"},
+    MetricInfo{"masticdrift_store_failures_total", Counter, "Store calls without a usable answer"},
+    MetricInfo{"masticdrift_leader", Gauge, "1 while this daemon leads"},
+    MetricInfo{"masticdrift_waiting_tasks", Gauge, "Tasks that could start, at the leader"},
+    MetricInfo{"masticdrift_running_tasks", Gauge, "Runs at executors, at the leader"},
+    MetricInfo{"masticdrift_silent_executors", Gauge, "Executors that don't answer"},
+    MetricInfo{"masticdrift_log_lines_dropped", Gauge, "Log lines dropped by a slow reader"},
     MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
 };
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -11,9 +11,9 @@
 #include "masticdrift/http/Client.h"
 #include "masticdrift/http/Server.h"
 #include "masticdrift/jobs/Records.h"
+#include "masticdrift/legacy/InstanceList.h"
+#include "masticdrift/legacy/LogClient.h"
 #include "masticdrift/membership/Heartbeat.h"
-#include "masticdrift/platform/InstanceList.h"
-#include "masticdrift/platform/LogClient.h"
 #include "masticdrift/protocol/Link.h"
 #include "masticdrift/replica/ConfigReplica.h"
 #include "masticdrift/routing/Dispatcher.h"
@@ -128,8 +128,8 @@
     return To;
   }
 
-  platform::LogClientOptions logOptions() const {
-    platform::LogClientOptions To;
+  legacy::LogClientOptions logOptions() const {
+    legacy::LogClientOptions To;
     To.BaseUrl_ = Settings_.Platform_.LogUrl_;
     To.ReadTimeout_ = Settings_.Timing_.StoreTimeout_;
     return To;
@@ -231,7 +231,7 @@
     if (!List || core::Clock::now() - List->SentAt_ > ListTrusted)
       return false;
     return std::ranges::none_of(List->Instances_,
-                                [&](const platform::Instance &One) { return One.Name_ == Member; });
+                                [&](const legacy::Instance &One) { return One.Name_ == Member; });
   }
 
   cell::ControllerOptions controllerOptions() const {
@@ -320,8 +320,8 @@
     }
   }
 
-  platform::InstanceListOptions listOptions() const {
-    platform::InstanceListOptions To;
+  legacy::InstanceListOptions listOptions() const {
+    legacy::InstanceListOptions To;
     To.Url_ = Settings_.Platform_.InstancesUrl_ + "/instances";
     To.Interval_ = Settings_.Timing_.PollInstances_;
     To.Timeout_ = Settings_.Timing_.StoreTimeout_;
@@ -411,15 +411,15 @@
     if (!List)
       return;
     std::vector<membership::Member> Members;
-    std::vector<platform::Instance> Executors;
-    std::vector<platform::Instance> Workers;
-    for (const platform::Instance &One : List->Instances_) {
+    std::vector<legacy::Instance> Executors;
+    std::vector<legacy::Instance> Workers;
+    for (const legacy::Instance &One : List->Instances_) {
       const bool Own = One.Domain_ == Settings_.Instance_.Domain_;
-      if (One.Kind_ == platform::InstanceKind::Entry)
+      if (One.Kind_ == legacy::InstanceKind::Entry)
         Members.push_back({One.Name_, One.Domain_, One.Region_, routeOf(One)});
-      else if (Own && One.Kind_ == platform::InstanceKind::Executor)
+      else if (Own && One.Kind_ == legacy::InstanceKind::Executor)
         Executors.push_back(One);
-      else if (Own && One.Kind_ == platform::InstanceKind::Worker)
+      else if (Own && One.Kind_ == legacy::InstanceKind::Worker)
         Workers.push_back(One);
     }
     Heartbeat_.setMembers(Members);
@@ -427,7 +427,7 @@
     Controller_.setWorkers(std::move(Workers));
   }
 
-  std::string routeOf(const platform::Instance &Peer) const {
+  std::string routeOf(const legacy::Instance &Peer) const {
     const auto Found = Settings_.Routes_.find(Peer.Name_);
     return Found == Settings_.Routes_.end() ? Peer.Address_ : Found->second;
   }
@@ -653,8 +653,8 @@
   protocol::Link Link_;
   http::Client Http_;
   http::Client WorkerHttp_;
-  platform::LogClient Log_;
-  platform::WorkerClient Workers_;
+  legacy::LogClient Log_;
+  legacy::WorkerClient Workers_;
   membership::PeerTable Table_;
   replica::ConfigReplica Config_;
   cell::DomainStream Stream_;
@@ -663,7 +663,7 @@
   routing::Router Router_;
   cell::JobService Jobs_;
   membership::Heartbeat Heartbeat_;
-  platform::InstanceList Instances_;
+  legacy::InstanceList Instances_;
   gateway::CallerApi Callers_;
   gateway::OperatorApi Operators_;
   std::unique_ptr<http::Server> CallerServer_;
--- /dev/null
+++ b/src/daemon/EntryService.cpp
@@ -0,0 +1,292 @@
+#include "masticdrift/daemon/EntryService.h"
+
+#include "masticdrift/core/Error.h"
+#include "masticdrift/core/Log.h"
+#include "masticdrift/core/Metrics.h"
+#include "masticdrift/core/Pack.h"
+#include "platform/Text.h"
+
+namespace masticdrift::daemon {
+
+namespace {
+
+using core::ErrorKind;
+
+/// A write is given up this long before its caller gives up, so that the answer still arrives.
+constexpr core::Millis AnswerMargin{250};
+/// For callers that do not say how long they wait.
+constexpr core::Millis DefaultDeadline{3000};
+constexpr core::Millis MaxDeadline{10'000};
+constexpr core::Millis LookTimeout{1500};
+/// Time for the relay's own exchange.
+constexpr core::Millis RelayMargin{100};
+/// Whole seconds, the smallest that the header can say. Another daemon takes the retry.
+constexpr const char *RetryAfterSeconds = "1";
+
+} // namespace
+
+/// One request until it is answered.
+struct EntryService::Call {
+  platform::CallerCall What_;
+  http::Responder To_;
+  std::string Job_;
+  const work::Queue *Queue_ = nullptr; ///< valid while the request is first handled
+  std::string Customer_;
+  core::TimePoint ReceivedAt_;
+  core::TimePoint Deadline_;
+  bool Answered_ = false;
+  std::function<void(http::Response)> Finish_;
+
+  void answer(int Status, std::string Body) {
+    http::Response Out;
+    Out.Status_ = Status;
+    Out.Body_ = std::move(Body);
+    Finish_(std::move(Out));
+  }
+};
+
+EntryService::EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Writer,
+                           std::function<std::string()> Leader)
+    : Context_(Context), Jobs_(Jobs), Writer_(Writer), Leader_(std::move(Leader)) {}
+
+void EntryService::refuse(const std::shared_ptr<Call> &Of, ErrorKind Kind,
+                          std::string_view Message) {
+  const core::ErrorInfo &Info = core::describe(Kind);
+  http::Response Out;
+  Out.Status_ = Info.HttpStatus_;
+  Out.Body_ = core::errorBody(Kind, Message, Of->Job_);
+  if (Out.Status_ == 503 || Out.Status_ == 429)
+    Out.Headers_.emplace_back("Retry-After", RetryAfterSeconds);
+  core::count("masticdrift_submissions_total", {{"outcome", std::string(Info.Name_)}});
+  core::log(core::LogLevel::Info, "refused",
+            {{"request_id", Of->Job_},
+             {"error", std::string(Info.Id_)},
+             {"status", std::to_string(Out.Status_)},
+             {"message", std::string(Message)},
+             {"config", Context_.Manifest_ ? std::to_string(Context_.Manifest_->Version_) : "none"},
+             {"read_to", std::to_string(Jobs_.next())}});
+  Of->Finish_(std::move(Out));
+}
+
+void EntryService::handle(const http::Request &From, const http::Responder &To) {
+  const auto Of = std::make_shared<Call>();
+  Of->What_ = platform::decodeCall(From);
+  Of->ReceivedAt_ = core::Clock::now();
+  const core::Millis Wait = Of->What_.DeadlineMs_ > 0
+                                ? std::min(core::Millis(Of->What_.DeadlineMs_), MaxDeadline)
+                                : DefaultDeadline;
+  Of->Deadline_ = Of->ReceivedAt_ + Wait - AnswerMargin;
+  ++Open_;
+  Of->Finish_ = [this, To, Held = std::weak_ptr<Call>(Of)](http::Response Out) {
+    const auto Call = Held.lock();
+    if (!Call || std::exchange(Call->Answered_, true))
+      return;
+    --Open_;
+    Out.Close_ = Context_.Stopping_;
+    To(std::move(Out));
+  };
+  if (!Context_.Manifest_) {
+    refuse(Of, ErrorKind::ConfigurationStale, "no configuration has been read yet");
+    return;
+  }
+  const work::Manifest &Manifest = *Context_.Manifest_;
+  Of->Queue_ = work::findQueue(Manifest, Of->What_.Host_, Of->What_.Path_);
+  if (Of->Queue_ == nullptr) {
+    refuse(Of, ErrorKind::UnknownQueue, "no queue has this host and path");
+    return;
+  }
+  const auto Key = Manifest.CustomerOfKey_.find(Of->What_.Key_);
+  if (Key != Manifest.CustomerOfKey_.end()) {
+    Of->Customer_ = Key->second;
+  } else if (!Of->Queue_->Open_) {
+    refuse(Of, Of->What_.Key_.empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
+           "the request carries no key of the configuration in force");
+    return;
+  }
+  const std::string_view Rest =
+      std::string_view(Of->What_.Path_).substr(Of->Queue_->PathPrefix_.size());
+  if (Rest.empty() && Of->What_.Method_ == platform::CallMethod::Look) {
+    Of->answer(200, platform::encodePending(Context_.Ledger_.pendingOf(Of->Queue_->Name_)));
+    return;
+  }
+  if (!platform::isJobId(Rest)) {
+    refuse(Of, ErrorKind::UnknownPath, "the path does not end with a job id");
+    return;
+  }
+  Of->Job_ = Rest;
+  switch (Of->What_.Method_) {
+  case platform::CallMethod::Submit:
+    submit(Of, From.Body_);
+    return;
+  case platform::CallMethod::Look:
+    look(Of);
+    return;
+  case platform::CallMethod::Cancel:
+    cancel(Of);
+    return;
+  case platform::CallMethod::Other:
+    refuse(Of, ErrorKind::MethodNotAllowed, "a job takes POST, GET and DELETE");
+    return;
+  }
+}
+
+void EntryService::submit(const std::shared_ptr<Call> &Of, const std::string &Body) {
+  if (Context_.Ledger_.find(Of->Job_) != nullptr) {
+    // A repeat of a submission whose answer was lost.
+    answerWrite(Of, WriteOutcome::Stored);
+    return;
+  }
+  if (Context_.Manifest_->MaxBodyBytes_ > 0 && Body.size() > Context_.Manifest_->MaxBodyBytes_) {
+    refuse(Of, ErrorKind::BodyTooLarge, "the body has " + std::to_string(Body.size()) + " bytes");
+    return;
+  }
+  auto [Spec, Mistake] = platform::decodeJob(Body);
+  if (!Spec) {
+    refuse(Of, ErrorKind::MalformedJson, Mistake);
+    return;
+  }
+  work::AcceptedRecord Record{*Of->Queue_, Of->Customer_, core::wallMillis(), std::move(*Spec)};
+  store(Of, work::acceptedEntry(Of->Job_, Record),
+        [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
+}
+
+void EntryService::answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome) {
+  switch (Outcome) {
+  case WriteOutcome::Refused:
+    refuse(Of, ErrorKind::StoreUnavailable, "the job store refuses writes; nothing was stored");
+    return;
+  case WriteOutcome::Unknown:
+    refuse(Of, ErrorKind::AppendUnknown, "the job store has not answered; ask with the same id");
+    return;
+  case WriteOutcome::Stored:
+    break;
+  }
+  const double Seconds =
+      std::chrono::duration<double>(core::Clock::now() - Of->ReceivedAt_).count();
+  const bool Submit = Of->What_.Method_ == platform::CallMethod::Submit;
+  if (Submit) {
+    core::count("masticdrift_submissions_total", {{"outcome", "accepted"}});
+    core::observe("masticdrift_submission_seconds", Seconds);
+  }
+  core::log(core::LogLevel::Info, Submit ? "accepted" : "cancelled",
+            {{"request_id", Of->Job_},
+             {"customer", Of->Customer_},
+             {"config", std::to_string(Context_.Manifest_->Version_)},
+             {"ms", std::to_string(static_cast<int>(Seconds * 1000))}});
+  Of->answer(200, "{}");
+}
+
+void EntryService::store(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
+                         std::function<void(WriteOutcome)> Done) {
+  if (Jobs_.failing()) {
+    relay(Of, std::move(Entry), std::move(Done));
+    return;
+  }
+  Writer_.write(Entry, Of->Deadline_,
+                [this, Of, Entry, Done = std::move(Done)](WriteOutcome Outcome) {
+                  if (Outcome == WriteOutcome::Refused)
+                    relay(Of, Entry, Done);
+                  else
+                    Done(Outcome);
+                });
+}
+
+void EntryService::relay(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
+                         std::function<void(WriteOutcome)> Done) {
+  const std::string Leader = Leader_();
+  const core::Millis Left =
+      std::chrono::duration_cast<core::Millis>(Of->Deadline_ - core::Clock::now() - RelayMargin);
+  if (Leader.empty() || Left <= RelayMargin) {
+    Done(WriteOutcome::Refused);
+    return;
+  }
+  http::ClientRequest Call;
+  Call.Method_ = "POST";
+  Call.Url_ = "http://" + Leader + protocol::SubmitPath;
+  Call.Body_ =
+      core::pack(protocol::SubmitCall{Entry.Key_, Entry.Value_, (Left - RelayMargin).count()});
+  Call.Timeout_ = Left;
+  Context_.Client_.send(std::move(Call), [this, Entry = std::move(Entry), Done = std::move(Done)](
+                                             const http::ClientResult &Result) {
+    if (Result.Transfer_ == http::Transfer::NotConnected) {
+      Done(WriteOutcome::Refused);
+      return;
+    }
+    const auto Reply = core::unpack<protocol::SubmitReply>(Result.Answer_.Body_);
+    if (Result.Transfer_ != http::Transfer::Complete || !Reply) {
+      Done(WriteOutcome::Unknown);
+      return;
+    }
+    if (Reply->Stored_)
+      Context_.Ledger_.apply(Reply->Offset_, Entry.Key_, Entry.Value_);
+    if (Reply->Refused_)
+      Done(WriteOutcome::Refused);
+    else
+      Done(Reply->Stored_ ? WriteOutcome::Stored : WriteOutcome::Unknown);
+  });
+}
+
+void EntryService::submitFor(protocol::SubmitCall Call,
+                             std::function<void(protocol::SubmitReply)> Done) {
+  if (Jobs_.failing()) {
+    Done({false, true, 0});
+    return;
+  }
+  const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
+  const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
+  Writer_.write({std::move(Call.Key_), std::move(Call.Value_)}, Deadline,
+                [this, Id, Done = std::move(Done)](WriteOutcome Outcome) {
+                  protocol::SubmitReply Reply;
+                  Reply.Stored_ = Outcome == WriteOutcome::Stored;
+                  Reply.Refused_ = Outcome == WriteOutcome::Refused;
+                  if (const work::LedgerJob *Job = Context_.Ledger_.find(Id))
+                    Reply.Offset_ = Job->AcceptedOffset_;
+                  Done(Reply);
+                });
+}
+
+void EntryService::findJob(const std::shared_ptr<Call> &Of,
+                           std::function<void(const work::LedgerJob *)> Found) {
+  if (const work::LedgerJob *Job = Context_.Ledger_.find(Of->Job_)) {
+    Found(Job);
+    return;
+  }
+  if (!Jobs_.loaded() || Jobs_.failing()) {
+    refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
+    return;
+  }
+  // "No such job" is only true of the whole log.
+  Jobs_.catchUp(LookTimeout, [this, Of, Found = std::move(Found)](bool Complete) {
+    const work::LedgerJob *Job = Context_.Ledger_.find(Of->Job_);
+    if (Job == nullptr && !Complete)
+      refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
+    else
+      Found(Job);
+  });
+}
+
+void EntryService::look(const std::shared_ptr<Call> &Of) {
+  findJob(Of, [this, Of](const work::LedgerJob *Job) {
+    if (Job == nullptr || Job->What_.Customer_ != Of->Customer_)
+      refuse(Of, ErrorKind::UnknownJob, "no such job");
+    else
+      Of->answer(200, platform::encodeState(Job->state()));
+  });
+}
+
+void EntryService::cancel(const std::shared_ptr<Call> &Of) {
+  findJob(Of, [this, Of](const work::LedgerJob *Job) {
+    if (Job == nullptr || Job->What_.Customer_ != Of->Customer_) {
+      refuse(Of, ErrorKind::UnknownJob, "no such job");
+      return;
+    }
+    if (work::isFinal(Job->state())) {
+      answerWrite(Of, WriteOutcome::Stored);
+      return;
+    }
+    store(Of, work::cancelledEntry(Of->Job_, {core::wallMillis()}),
+          [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
+  });
+}
+
+} // namespace masticdrift::daemon
--- /dev/null
+++ b/src/daemon/JobWriter.cpp
@@ -0,0 +1,111 @@
+#include "masticdrift/daemon/JobWriter.h"
+
+#include "masticdrift/core/Metrics.h"
+
+#include <algorithm>
+
+namespace masticdrift::daemon {
+
+namespace {
+
+/// Records of one call; the service takes 2 MB.
+constexpr std::size_t MaxBatchBytes = 1U << 20U;
+
+} // namespace
+
+JobWriter::JobWriter(platform::Store &Store, std::string Topic,
+                     std::function<void(std::uint64_t, const work::LedgerEntry &)> Applied)
+    : Store_(Store), Topic_(std::move(Topic)), Applied_(std::move(Applied)),
+      Timeout_(FirstAppendTimeout) {}
+
+void JobWriter::write(work::LedgerEntry Entry, core::TimePoint Deadline, Callback Done) {
+  Waiting_.push_back({std::move(Entry), Deadline, std::move(Done)});
+  flush();
+}
+
+void JobWriter::flush() {
+  if (Outstanding_ || Waiting_.empty())
+    return;
+  std::vector<platform::KeyedRecord> Records;
+  for (std::size_t Bytes = 0; !Waiting_.empty() && Bytes < MaxBatchBytes;) {
+    Item &Next = Waiting_.front();
+    Bytes += Next.Entry_.Key_.size() + Next.Entry_.Value_.size();
+    Records.push_back({0, Next.Entry_.Key_, Next.Entry_.Value_});
+    Sent_.push_back(std::move(Next));
+    Waiting_.pop_front();
+  }
+  Outstanding_ = true;
+  const core::TimePoint SentAt = core::Clock::now();
+  Store_.append(
+      Topic_, Records, {}, Timeout_,
+      [this, Held = std::weak_ptr<bool>(Alive_), SentAt](const platform::AppendResult &Result) {
+        if (!Held.expired())
+          onAppended(Result, SentAt);
+      });
+}
+
+void JobWriter::onAppended(const platform::AppendResult &Result, core::TimePoint SentAt) {
+  using enum platform::AppendOutcome;
+  Outstanding_ = false;
+  std::vector<Item> Batch;
+  Batch.swap(Sent_);
+  if (Result.Outcome_ == Stored) {
+    Timeout_ = FirstAppendTimeout;
+    core::observe("masticdrift_store_seconds",
+                  std::chrono::duration<double>(core::Clock::now() - SentAt).count(),
+                  {{"call", "append"}});
+    // Callbacks come last: one of them may write again.
+    std::uint64_t Offset = Result.Offset_;
+    for (const Item &One : Batch)
+      Applied_(Offset++, One.Entry_);
+  } else {
+    core::count("masticdrift_store_failures_total", {{"topic", Topic_}});
+    if (Result.Outcome_ != Refused)
+      Timeout_ = std::min(2 * Timeout_, LastAppendTimeout);
+  }
+  std::vector<Item> Again;
+  for (Item &One : Batch) {
+    if (!One.Done_)
+      continue; // answered meanwhile
+    if (Result.Outcome_ == Stored)
+      One.Done_(WriteOutcome::Stored);
+    else if (Result.Outcome_ == Refused && !One.Uncertain_)
+      One.Done_(WriteOutcome::Refused);
+    else {
+      One.Uncertain_ = One.Uncertain_ || Result.Outcome_ != Refused;
+      Again.push_back(std::move(One));
+    }
+  }
+  Waiting_.insert(Waiting_.begin(), std::make_move_iterator(Again.begin()),
+                  std::make_move_iterator(Again.end()));
+  // A refusing service is asked again by expire(), not at once.
+  if (Result.Outcome_ == Stored || Timeout_ > FirstAppendTimeout)
+    flush();
+}
+
+void JobWriter::seen(std::string_view Key) {
+  const auto Settle = [Key](auto &Items) {
+    for (Item &One : Items)
+      if (One.Entry_.Key_ == Key && One.Done_)
+        std::exchange(One.Done_, nullptr)(WriteOutcome::Stored);
+  };
+  Settle(Sent_);
+  Settle(Waiting_);
+  std::erase_if(Waiting_, [](const Item &One) { return !One.Done_; });
+}
+
+void JobWriter::expire(core::TimePoint Now) {
+  for (Item &One : Sent_)
+    if (One.Done_ && Now >= One.Deadline_)
+      std::exchange(One.Done_, nullptr)(WriteOutcome::Unknown);
+  std::deque<Item> Kept;
+  for (Item &One : Waiting_)
+    if (Now >= One.Deadline_)
+      One.Done_(One.Uncertain_ ? WriteOutcome::Unknown : WriteOutcome::Refused);
+    else
+      Kept.push_back(std::move(One));
+  Waiting_ = std::move(Kept);
+  flush();
+}
+
+} // namespace masticdrift::daemon
--- /dev/null
+++ b/src/daemon/LeaderDriver.cpp
@@ -0,0 +1,645 @@
+#include "masticdrift/daemon/LeaderDriver.h"
+
+#include "masticdrift/core/Log.h"
+#include "masticdrift/core/Metrics.h"
+#include "masticdrift/core/Pack.h"
+#include "masticdrift/daemon/AdviceDesk.h"
+#include "masticdrift/lead/Election.h"
+#include "masticdrift/lead/Scheduler.h"
+#include "platform/Executors.h"
+#include "platform/Text.h"
+
+#include <optional>
+
+#include <asio/steady_timer.hpp>
+#include <xxhash.h>
+
+namespace masticdrift::daemon {
+
+namespace {
+
+constexpr const char *LeadKey = "leader";
+constexpr const char *LeaderProducer = "leader";
+
+/// Between looks at the election.
+constexpr core::Millis ElectionInterval{120};
+/// Between offers of help to the leader.
+constexpr core::Millis HelloInterval{500};
+constexpr core::Millis HelloTimeout{900};
+/// A failed connection that took less was refused, not timed out.
+constexpr core::Millis RefusalTime{200};
+/// Places in the order of claims.
+constexpr unsigned Ranks = 8;
+/// Between two rounds of the scheduler without an event, and after an event.
+constexpr core::Millis TickInterval{30};
+constexpr core::Millis EventDelay{3};
+/// Between two appends of progress.
+constexpr core::Millis FlushSpacing{20};
+constexpr core::Millis FirstFlushTimeout{400};
+constexpr core::Millis LastFlushTimeout{1500};
+constexpr core::Millis BeatTimeout{1500};
+constexpr core::Millis FenceTimeout{1500};
+constexpr core::Millis RetryDelay{100};
+/// An executor answers an order in a few milliseconds; one five times slower in tens.
+constexpr core::Millis OrderTimeout{700};
+/// Added to the wait of a request for an executor's lists.
+constexpr core::Millis HoldAnswerTime{700};
+/// Added to the expected time of a call for advice.
+constexpr core::Millis AdviceSlack{900};
+/// A list read by a process younger than this may lack entries.
+constexpr core::Millis FreshProcess{12'000};
+/// Between updates of the leader's gauges.
+constexpr core::Millis GaugeInterval{2000};
+
+unsigned rankOf(std::string_view Instance) {
+  return static_cast<unsigned>(XXH3_64bits(Instance.data(), Instance.size()) % Ranks);
+}
+
+} // namespace
+
+struct LeaderDriver::Impl : std::enable_shared_from_this<LeaderDriver::Impl> {
+  enum class Role { Follower, Preparing, Leading };
+
+  Impl(FleetContext &Context, TopicTail &Jobs)
+      : Context_(Context), Jobs_(Jobs),
+        Lead_(Context.Loop_, Context.Store_,
+              {LeadTopic, core::Millis(2000), [] { return core::Millis(50); }},
+              {[this](const platform::KeyedRecord &One) { onLeadRecord(One); },
+               [this](const auto &) { onLeadLoaded(); }}),
+        ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
+        BeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_),
+        Desk_([this](const std::string &Adviser, AdviceJob Job) {
+          sendAdvice(Adviser, std::move(Job));
+        }) {}
+
+  // -- election --
+
+  void onLeadLoaded() {
+    if (!Newest_)
+      NewsAt_ = core::Clock::now();
+    Loaded_ = true;
+  }
+
+  void onLeadRecord(const platform::KeyedRecord &One) {
+    if (One.Key_ != LeadKey || (Newest_ && One.Offset_ <= NewestOffset_))
+      return;
+    auto Record = core::unpack<lead::LeadRecord>(One.Value_);
+    if (!Record) {
+      core::log(core::LogLevel::Warning, "leadership record is unreadable",
+                {{"offset", std::to_string(One.Offset_)}});
+      return;
+    }
+    const bool Change = !Newest_ || Newest_->Term_ != Record->Term_;
+    FoundOnStart_ = !Loaded_;
+    Newest_ = std::move(*Record);
+    NewestOffset_ = One.Offset_;
+    NewsAt_ = core::Clock::now();
+    Refused_ = false;
+    if (Change)
+      core::log(core::LogLevel::Info, "leader is known",
+                {{"leader", Newest_->Instance_},
+                 {"term", std::to_string(Newest_->Term_)},
+                 {"offset", std::to_string(NewestOffset_)}});
+    const bool Mine = mine();
+    if (Mine && !Newest_->Released_ && Role_ == Role::Follower && !Context_.Stopping_)
+      prepare();
+    else if (Role_ != Role::Follower && (!Mine || Newest_->Term_ != Term_))
+      stepDown("another daemon leads");
+  }
+
+  bool mine() const { return Newest_ && Newest_->Incarnation_ == Context_.Incarnation_; }
+
+  void electionTick() {
+    after(ElectionTimer_, ElectionInterval, [this] { electionTick(); });
+    if (Context_.Stopping_ || Role_ != Role::Follower || Claiming_ || !Loaded_ ||
+        !Context_.Manifest_ || !Jobs_.loaded())
+      return;
+    const lead::ElectionView View{
+        core::Clock::now(), Lead_.lastAnswer(), NewsAt_,  Newest_ ? &*Newest_ : nullptr,
+        core::wallMillis(), FoundOnStart_,      Refused_, rankOf(Context_.Settings_.Instance_)};
+    if (lead::shouldClaim(View, {}))
+      claim();
+  }
+
+  platform::KeyedRecord leadRecord(std::uint64_t Term, bool Released) const {
+    return {0, LeadKey,
+            core::pack(lead::LeadRecord{Context_.Settings_.Instance_, Context_.PeerAddress_, Term,
+                                        Released, core::wallMillis(), Context_.Incarnation_})};
+  }
+
+  void appendLead(std::uint64_t At, std::uint64_t Term, bool Released,
+                  std::function<void(platform::AppendOutcome)> Done) {
+    const std::vector<platform::KeyedRecord> Records{leadRecord(Term, Released)};
+    platform::AppendTerms Terms;
+    Terms.At_ = At;
+    Context_.Store_.append(LeadTopic, Records, Terms, BeatTimeout,
+                           [Self = shared_from_this(), Record = Records.front(),
+                            Done = std::move(Done)](const platform::AppendResult &Result) mutable {
+                             if (Self->Closed_)
+                               return;
+                             if (Result.Outcome_ == platform::AppendOutcome::Stored) {
+                               Record.Offset_ = Result.Offset_;
+                               Self->onLeadRecord(Record);
+                             }
+                             Done(Result.Outcome_);
+                           });
+  }
+
+  void claim() {
+    Claiming_ = true;
+    const std::uint64_t At = std::max(Lead_.next(), Newest_ ? NewestOffset_ + 1 : 0);
+    core::log(core::LogLevel::Info, "claims the leadership",
+              {{"at", std::to_string(At)},
+               {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewsAt_))},
+               {"refused", Refused_ ? "true" : "false"}});
+    appendLead(At, At + 1, false, [this](platform::AppendOutcome) { Claiming_ = false; });
+  }
+
+  void beat() {
+    if (Role_ == Role::Follower)
+      return;
+    after(BeatTimer_, lead::ElectionTiming{}.Beat_, [this] { beat(); });
+    if (Beating_)
+      return;
+    Beating_ = true;
+    appendLead(NewestOffset_ + 1, Term_, false,
+               [this](platform::AppendOutcome) { Beating_ = false; });
+  }
+
+  // -- a term --
+
+  void prepare() {
+    Role_ = Role::Preparing;
+    Term_ = Newest_->Term_;
+    Sequence_ = 0;
+    core::count("masticdrift_takeovers_total");
+    core::log(core::LogLevel::Info, "term begins", {{"term", std::to_string(Term_)}});
+    fence();
+    after(BeatTimer_, lead::ElectionTiming{}.Beat_, [this] { beat(); });
+  }
+
+  /// Shuts earlier leaders out of the jobs topic; after that its end is known to be final for them.
+  void fence() {
+    platform::AppendTerms Terms;
+    Terms.Producer_ = LeaderProducer;
+    Terms.Epoch_ = Term_;
+    Context_.Store_.append(
+        JobsTopic, {}, Terms, FenceTimeout,
+        [Self = shared_from_this(), Term = Term_](const platform::AppendResult &Result) {
+          if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
+            return;
+          if (Result.Outcome_ == platform::AppendOutcome::Fenced)
+            Self->stepDown("jobs topic is fenced");
+          else if (Result.Outcome_ == platform::AppendOutcome::Stored)
+            Self->readUp();
+          else
+            after(Self->RetryTimer_, RetryDelay, [Self] { Self->retryFence(); });
+        });
+  }
+
+  void retryFence() {
+    if (Role_ == Role::Preparing)
+      fence();
+  }
+
+  void readUp() {
+    Jobs_.catchUp(FenceTimeout, [Self = shared_from_this(), Term = Term_](bool Complete) {
+      if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
+        return;
+      if (Complete)
+        Self->lead();
+      else
+        after(Self->RetryTimer_, RetryDelay, [Self] {
+          if (Self->Role_ == Role::Preparing)
+            Self->readUp();
+        });
+    });
+  }
+
+  void lead() {
+    const core::TimePoint Now = core::Clock::now();
+    Role_ = Role::Leading;
+    Flushing_ = false;
+    Sequence_ = 1;
+    FlushTimeout_ = FirstFlushTimeout;
+    Scheduler_.emplace(Term_, lead::Timing{}, ports(), Now,
+                       Now - Context_.StartedAt_ < FreshProcess);
+    if (Context_.Manifest_)
+      Scheduler_->setManifest(*Context_.Manifest_, Now);
+    for (const auto &[Id, Entry] : Context_.Roster_) {
+      Scheduler_->onExecutor(Entry.Info_, Now);
+      if (!Entry.Listed_)
+        Scheduler_->onExecutorGone(Id, Now);
+    }
+    for (const auto &[Id, Job] : Context_.Ledger_.jobs())
+      Scheduler_->onJob(Job, Now, core::wallMillis());
+    Desk_.offer({}, Now);
+    const auto Counts = Scheduler_->counts();
+    core::setGauge("masticdrift_leader", 1);
+    core::log(core::LogLevel::Info, "leads",
+              {{"term", std::to_string(Term_)},
+               {"jobs", std::to_string(Counts.Jobs_)},
+               {"executors", std::to_string(Counts.Executors_)}});
+    tick();
+  }
+
+  void stepDown(std::string_view Why) {
+    if (Role_ == Role::Follower)
+      return;
+    core::log(core::LogLevel::Warning, "term ends",
+              {{"term", std::to_string(Term_)}, {"reason", std::string(Why)}});
+    Role_ = Role::Follower;
+    Scheduler_.reset();
+    core::setGauge("masticdrift_leader", 0);
+    NewsAt_ = core::Clock::now();
+  }
+
+  void release() {
+    if (Role_ == Role::Follower || Releasing_)
+      return;
+    Releasing_ = true;
+    const std::uint64_t Term = Term_;
+    stepDown("stopping");
+    releaseNow(Term, 0);
+  }
+
+  void releaseNow(std::uint64_t Term, int Attempt) {
+    constexpr int MaxAttempts = 3;
+    appendLead(NewestOffset_ + 1, Term, true,
+               [this, Term, Attempt](platform::AppendOutcome Outcome) {
+                 const bool Again = Outcome != platform::AppendOutcome::Stored && mine() &&
+                                    !Newest_->Released_ && Attempt < MaxAttempts;
+                 if (Again)
+                   releaseNow(Term, Attempt + 1);
+                 else
+                   Releasing_ = false;
+               });
+  }
+
+  // -- leading --
+
+  void tickSoon() {
+    if (Role_ != Role::Leading || TickSoon_)
+      return;
+    TickSoon_ = true;
+    after(TickTimer_, EventDelay, [this] { tick(); });
+  }
+
+  void tick() {
+    if (Role_ != Role::Leading)
+      return;
+    TickSoon_ = false;
+    const core::TimePoint Now = core::Clock::now();
+    Scheduler_->tick(Now, core::wallMillis());
+    core::observe("masticdrift_decision_seconds",
+                  std::chrono::duration<double>(core::Clock::now() - Now).count());
+    if (Scheduler_->fenced()) {
+      stepDown("an executor has seen a newer term");
+      return;
+    }
+    Desk_.offer({}, Now);
+    Desk_.dispatch(Now);
+    flush(Now);
+    if (Now - GaugesAt_ >= GaugeInterval)
+      gauges(Now);
+    after(TickTimer_, TickInterval, [this] { tick(); });
+  }
+
+  void gauges(core::TimePoint Now) {
+    GaugesAt_ = Now;
+    const auto Counts = Scheduler_->counts();
+    core::setGauge("masticdrift_waiting_tasks", static_cast<double>(Counts.Waiting_));
+    core::setGauge("masticdrift_running_tasks", static_cast<double>(Counts.Running_));
+    core::setGauge("masticdrift_silent_executors", static_cast<double>(Counts.Silent_));
+    core::log(core::LogLevel::Info, "leader state",
+              {{"term", std::to_string(Term_)},
+               {"jobs", std::to_string(Counts.Jobs_)},
+               {"waiting", std::to_string(Counts.Waiting_)},
+               {"running", std::to_string(Counts.Running_)},
+               {"executors", std::to_string(Counts.Executors_)},
+               {"silent", std::to_string(Counts.Silent_)},
+               {"accounted", Counts.Accounted_ ? "true" : "false"}});
+  }
+
+  void flush(core::TimePoint Now) {
+    if (Flushing_ || Now - FlushedAt_ < FlushSpacing)
+      return;
+    auto [Number, Entries] = Scheduler_->takeProgress();
+    if (Number == 0)
+      return;
+    std::vector<platform::KeyedRecord> Records;
+    for (work::LedgerEntry &One : Entries)
+      Records.push_back({0, std::move(One.Key_), std::move(One.Value_)});
+    if (Records.empty()) {
+      Scheduler_->onFlushed(Number, Now);
+      return;
+    }
+    Flushing_ = true;
+    FlushedAt_ = Now;
+    append(Number, std::make_shared<std::vector<platform::KeyedRecord>>(std::move(Records)));
+  }
+
+  void append(std::uint64_t Number, std::shared_ptr<std::vector<platform::KeyedRecord>> Records) {
+    platform::AppendTerms Terms;
+    Terms.Producer_ = LeaderProducer;
+    Terms.Epoch_ = Term_;
+    Terms.Sequence_ = Sequence_;
+    Context_.Store_.append(JobsTopic, *Records, Terms, FlushTimeout_,
+                           [Self = shared_from_this(), Term = Term_, Number,
+                            Records](const platform::AppendResult &Result) {
+                             if (!Self->Closed_ && Self->Role_ == Role::Leading &&
+                                 Self->Term_ == Term)
+                               Self->onAppended(Number, Records, Result);
+                           });
+  }
+
+  void onAppended(std::uint64_t Number,
+                  const std::shared_ptr<std::vector<platform::KeyedRecord>> &Records,
+                  const platform::AppendResult &Result) {
+    using enum platform::AppendOutcome;
+    switch (Result.Outcome_) {
+    case Stored: {
+      ++Sequence_;
+      Flushing_ = false;
+      FlushTimeout_ = FirstFlushTimeout;
+      std::uint64_t Offset = Result.Offset_;
+      for (const platform::KeyedRecord &One : *Records)
+        Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
+      Scheduler_->onFlushed(Number, core::Clock::now());
+      tickSoon();
+      return;
+    }
+    case Fenced:
+      stepDown("jobs topic is fenced");
+      return;
+    case WrongSequence:
+      core::log(
+          core::LogLevel::Warning, "sequence is corrected",
+          {{"sent", std::to_string(Sequence_)}, {"expected", std::to_string(Result.Expected_)}});
+      Sequence_ = Result.Expected_;
+      break;
+    default:
+      core::count("masticdrift_store_failures_total", {{"topic", JobsTopic}});
+      FlushTimeout_ = std::min(2 * FlushTimeout_, LastFlushTimeout);
+      break;
+    }
+    // The same records under the same sequence: a copy that was stored meanwhile is not repeated.
+    after(RetryTimer_, RetryDelay, [this, Number, Records, Term = Term_] {
+      if (Role_ == Role::Leading && Term_ == Term)
+        append(Number, Records);
+    });
+  }
+
+  lead::Ports ports() {
+    lead::Ports Out;
+    Out.Start_ = [this](const fleet::ExecutorInfo &At, const fleet::StartOrder &Order) {
+      core::count("masticdrift_task_starts_total");
+      platform::sendStart(Context_.Client_, {At.Address_, At.Id_}, Order, OrderTimeout,
+                          led<platform::OrderAnswer>(
+                              [this, Id = At.Id_, Key = lead::RunKey{Order.Task_, Order.Run_}](
+                                  const platform::OrderAnswer &Answer) {
+                                Scheduler_->onStarted(Id, Key, Answer.Outcome_, Answer.ClockMs_,
+                                                      core::Clock::now());
+                              }));
+    };
+    Out.Stop_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key) {
+      platform::sendStop(
+          Context_.Client_, {At.Address_, At.Id_}, Key.first, Key.second, Term_, OrderTimeout,
+          led<platform::OrderAnswer>([this, Id = At.Id_, Key](const platform::OrderAnswer &Answer) {
+            Scheduler_->onStopped(Id, Key, Answer.Outcome_, core::Clock::now());
+          }));
+    };
+    Out.Pace_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key, int Percent) {
+      platform::sendPace(Context_.Client_, {At.Address_, At.Id_}, Key.first, Key.second, Term_,
+                         Percent, OrderTimeout, [Key](const platform::OrderAnswer &Answer) {
+                           if (Answer.Outcome_ != fleet::OrderOutcome::Done)
+                             core::log(core::LogLevel::Warning, "pace was not set",
+                                       {{"task", platform::taskName(Key.first)},
+                                        {"outcome", std::string(nameOf(Answer.Outcome_))}});
+                         });
+    };
+    Out.Hold_ = [this](const fleet::ExecutorInfo &At, std::uint64_t Seen, std::int64_t Until,
+                       core::Millis Wait) {
+      platform::sendHold(
+          Context_.Client_, {At.Address_, At.Id_}, Term_, Seen, Until, Wait, Wait + HoldAnswerTime,
+          led<platform::HoldAnswer>([this, Id = At.Id_, SentAt = core::Clock::now()](
+                                        const platform::HoldAnswer &Answer) {
+            for (const fleet::EndRow &One : Answer.Report_.Ended_)
+              core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(One.Kind_))}});
+            Scheduler_->onHold(Id, Answer.Outcome_, Answer.Report_, SentAt, core::Clock::now());
+          }));
+    };
+    Out.Advise_ = [this](const work::TaskRef &Step, std::vector<std::string> Executors,
+                         double ExpectedMs, std::pair<int, core::TimePoint> Urgency) {
+      Desk_.ask({Step, std::move(Executors), ExpectedMs, Urgency}, core::Clock::now());
+    };
+    Out.Note_ = [this](std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
+                       std::string_view Executor, std::string_view Detail) {
+      core::log(core::LogLevel::Info, Event,
+                {{"request_id", Task.Job_},
+                 {"task", platform::taskName(Task)},
+                 {"run", std::to_string(Run)},
+                 {"executor", std::string(Executor)},
+                 {"detail", std::string(Detail)},
+                 {"term", std::to_string(Term_)}});
+    };
+    return Out;
+  }
+
+  /// Wraps a result's handler: it runs only within the term that gave the order.
+  template <typename Answer>
+  std::function<void(Answer)> led(std::function<void(const Answer &)> Handle) {
+    return [Self = shared_from_this(), Term = Term_,
+            Handle = std::move(Handle)](const Answer &Result) {
+      if (Self->Closed_ || Self->Role_ != Role::Leading || Self->Term_ != Term)
+        return;
+      Handle(Result);
+      Self->tickSoon();
+    };
+  }
+
+  // -- advice --
+
+  void sendAdvice(const std::string &Adviser, AdviceJob Job) {
+    const core::Millis Timeout =
+        core::Millis(static_cast<std::int64_t>(Job.ExpectedMs_)) + AdviceSlack;
+    const auto Asked = std::make_shared<AdviceJob>(std::move(Job));
+    auto Done = [Self = shared_from_this(), Adviser, Asked, SentAt = core::Clock::now()](
+                    const std::optional<std::vector<fleet::Advised>> &Good) {
+      if (!Self->Closed_)
+        Self->onAdvice(Adviser, *Asked, Good, SentAt);
+    };
+    if (Adviser.empty()) {
+      platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, Asked->Step_,
+                          Asked->Executors_, Timeout, std::move(Done));
+      return;
+    }
+    http::ClientRequest Call;
+    Call.Method_ = "POST";
+    Call.Url_ = "http://" + Adviser + protocol::AdvisePath;
+    Call.Body_ =
+        core::pack(protocol::AdviseCall{Asked->Step_.Job_, Asked->Step_.Occurrence_,
+                                        Asked->Step_.Step_, Asked->Executors_, Timeout.count()});
+    Call.Timeout_ = Timeout;
+    Context_.Client_.send(
+        std::move(Call), [Done = std::move(Done)](const http::ClientResult &Result) {
+          auto Reply = core::unpack<protocol::AdviseReply>(Result.Answer_.Body_);
+          if (Result.Transfer_ != http::Transfer::Complete || !Reply || !Reply->Answered_ ||
+              Reply->Executors_.size() != Reply->Tickets_.size()) {
+            Done(std::nullopt);
+            return;
+          }
+          std::vector<fleet::Advised> Good;
+          for (std::size_t I = 0; I < Reply->Executors_.size(); ++I)
+            Good.push_back({std::move(Reply->Executors_[I]), std::move(Reply->Tickets_[I])});
+          Done(std::move(Good));
+        });
+  }
+
+  void onAdvice(const std::string &Adviser, const AdviceJob &Job,
+                const std::optional<std::vector<fleet::Advised>> &Good, core::TimePoint SentAt) {
+    const core::TimePoint Now = core::Clock::now();
+    core::observe("masticdrift_advice_seconds",
+                  std::chrono::duration<double>(Now - SentAt).count());
+    core::log(core::LogLevel::Info, "advice",
+              {{"request_id", Job.Step_.Job_},
+               {"step", std::to_string(Job.Step_.Step_)},
+               {"adviser", Adviser},
+               {"asked", std::to_string(Job.Executors_.size())},
+               {"good", Good ? std::to_string(Good->size()) : "no answer"},
+               {"ms", std::to_string(core::toMillis(Now - SentAt))}});
+    Desk_.done(Adviser, Good.has_value(), Now);
+    if (Role_ != Role::Leading)
+      return;
+    Scheduler_->onAdvice(Job.Step_, Job.Executors_, Good, Now);
+    tickSoon();
+  }
+
+  // -- followers --
+
+  void helloTick() {
+    after(HelloTimer_, HelloInterval, [this] { helloTick(); });
+    if (Role_ != Role::Follower || !Newest_ || mine() || Newest_->Released_)
+      return;
+    http::ClientRequest Call;
+    Call.Method_ = "POST";
+    Call.Url_ = "http://" + Newest_->PeerAddress_ + protocol::HelloPath;
+    Call.Body_ = core::pack(protocol::Hello{Context_.Settings_.Instance_, Context_.PeerAddress_});
+    Call.Timeout_ = HelloTimeout;
+    Context_.Client_.send(
+        std::move(Call), [Self = shared_from_this(), Term = Newest_->Term_,
+                          SentAt = core::Clock::now()](const http::ClientResult &Result) {
+          if (Self->Closed_ || !Self->Newest_ || Self->Newest_->Term_ != Term)
+            return;
+          const bool Refused = Result.Transfer_ == http::Transfer::NotConnected &&
+                               core::Clock::now() - SentAt < RefusalTime;
+          // Another process may answer at the address of a leader that is gone.
+          const bool Replaced = Result.Transfer_ == http::Transfer::Complete &&
+                                Result.Answer_.Body_ != Self->Newest_->Incarnation_;
+          Self->Refused_ = Refused || Replaced;
+        });
+  }
+
+  static void after(asio::steady_timer &Timer, core::Millis Delay, std::function<void()> Work) {
+    Timer.expires_after(Delay);
+    Timer.async_wait([Work = std::move(Work)](std::error_code Error) {
+      if (!Error)
+        Work();
+    });
+  }
+
+  void close() {
+    Closed_ = true;
+    for (asio::steady_timer *One :
+         {&ElectionTimer_, &HelloTimer_, &TickTimer_, &BeatTimer_, &RetryTimer_})
+      One->cancel();
+  }
+
+  FleetContext &Context_;
+  TopicTail &Jobs_;
+  TopicTail Lead_;
+  asio::steady_timer ElectionTimer_;
+  asio::steady_timer HelloTimer_;
+  asio::steady_timer TickTimer_;
+  asio::steady_timer BeatTimer_;
+  asio::steady_timer RetryTimer_;
+  AdviceDesk Desk_;
+  bool Closed_ = false;
+  bool Loaded_ = false;
+  bool Claiming_ = false;
+  bool Beating_ = false;
+  bool Releasing_ = false;
+  bool FoundOnStart_ = false;
+  bool Refused_ = false;
+  Role Role_ = Role::Follower;
+  std::optional<lead::LeadRecord> Newest_;
+  std::uint64_t NewestOffset_ = 0;
+  core::TimePoint NewsAt_{};
+  std::uint64_t Term_ = 0;
+  std::uint64_t Sequence_ = 0;
+  bool Flushing_ = false;
+  bool TickSoon_ = false;
+  core::TimePoint FlushedAt_{};
+  core::TimePoint GaugesAt_{};
+  core::Millis FlushTimeout_ = FirstFlushTimeout;
+  std::optional<lead::Scheduler> Scheduler_;
+};
+
+LeaderDriver::LeaderDriver(FleetContext &Context, TopicTail &Jobs)
+    : Impl_(std::make_shared<Impl>(Context, Jobs)) {}
+
+LeaderDriver::~LeaderDriver() { Impl_->close(); }
+
+void LeaderDriver::start() {
+  Impl_->Lead_.start();
+  Impl_->electionTick();
+  Impl_->helloTick();
+}
+
+void LeaderDriver::release() { Impl_->release(); }
+
+void LeaderDriver::onJob(std::string_view Id) {
+  if (Impl_->Role_ != Impl::Role::Leading)
+    return;
+  const auto Found = Impl_->Context_.Ledger_.jobs().find(std::string(Id));
+  if (Found == Impl_->Context_.Ledger_.jobs().end())
+    return;
+  Impl_->Scheduler_->onJob(Found->second, core::Clock::now(), core::wallMillis());
+  Impl_->tickSoon();
+}
+
+void LeaderDriver::onManifest() {
+  if (Impl_->Role_ == Impl::Role::Leading)
+    Impl_->Scheduler_->setManifest(*Impl_->Context_.Manifest_, core::Clock::now());
+}
+
+void LeaderDriver::onExecutor(std::string_view Id) {
+  if (Impl_->Role_ != Impl::Role::Leading)
+    return;
+  const auto Found = Impl_->Context_.Roster_.find(Id);
+  if (Found == Impl_->Context_.Roster_.end() || !Found->second.Listed_)
+    Impl_->Scheduler_->onExecutorGone(Id, core::Clock::now());
+  else
+    Impl_->Scheduler_->onExecutor(Found->second.Info_, core::Clock::now());
+}
+
+bool LeaderDriver::onHello(const protocol::Hello &From) {
+  if (Impl_->Role_ != Impl::Role::Leading)
+    return false;
+  Impl_->Desk_.offer(From.PeerAddress_, core::Clock::now());
+  return true;
+}
+
+bool LeaderDriver::leading() const { return Impl_->Role_ == Impl::Role::Leading; }
+
+bool LeaderDriver::released() const {
+  return Impl_->Role_ == Impl::Role::Follower && !Impl_->Releasing_;
+}
+
+std::string LeaderDriver::leaderAddress() const {
+  return Impl_->Newest_ && !Impl_->mine() && !Impl_->Newest_->Released_
+             ? Impl_->Newest_->PeerAddress_
+             : std::string();
+}
+
+} // namespace masticdrift::daemon
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -1,6 +1,7 @@
 // masticdriftd: the daemon.
 #include "masticdrift/core/Log.h"
 #include "masticdrift/daemon/Daemon.h"
+#include "masticdrift/daemon/FleetDaemon.h"
 #include "masticdrift/settings/Settings.h"
 
 #include <csignal>
@@ -64,6 +65,32 @@
   return Idle ? Stopped : NotIdle;
 }
 
+/// Runs on the deployments of the first version, with settings of the product's own.
+int runAlone(const std::string &Path, const std::string &Text, bool Check) {
+  const settings::ParsedSettings Parsed = settings::parse(Text);
+  for (const settings::Mistake &One : Parsed.Mistakes_)
+    std::cerr << "masticdriftd: " << Path << ": " << core::describe(One.Kind_).Id_ << ' '
+              << One.text() << '\n';
+  if (!Parsed.Mistakes_.empty())
+    return BadSettings;
+  return Check ? Stopped : run(Parsed.Settings_);
+}
+
+int runOnPlatform(const std::string &Path, const std::string &Text, bool Check) {
+  platform::MachineSettings Settings;
+  std::string Mistake;
+  if (!platform::decodeSettings(Text, Settings, Mistake)) {
+    std::cerr << "masticdriftd: " << Path << ": "
+              << core::describe(core::ErrorKind::SettingsInvalid).Id_ << ' ' << Mistake << '\n';
+    return BadSettings;
+  }
+  if (Check)
+    return Stopped;
+  std::signal(SIGPIPE, SIG_IGN);
+  core::initLog(Settings.Instance_, core::LogLevel::Info, core::LogTarget::StandardOutput);
+  return daemon::runFleetDaemon(Settings, Path) ? Stopped : NotIdle;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -71,7 +98,11 @@
   std::string Path;
   bool Check = false;
   App.set_version_flag("--version", MASTICDRIFT_VERSION);
-  App.add_option("--settings", Path, "Settings file (JSON)")->required();
+  bool OnPlatform = false;
+  App.add_option("--settings", Path, "Settings file (JSON)")
+      ->envname("MASTICDRIFT_SETTINGS")
+      ->required();
+  App.add_flag("--platform", OnPlatform, "The settings file is the machine's, in its own format");
   App.add_flag("--check", Check, "Check the settings and exit");
   App.footer("Exit codes: 0 stopped or settings are valid, 1 can't start, 2 settings are invalid, "
              "3 stopped before all work had ended");
@@ -81,16 +112,8 @@
     std::cerr << "masticdriftd: can't read " << Path << '\n';
     return BadSettings;
   }
-  const settings::ParsedSettings Parsed = settings::parse(*Text);
-  for (const settings::Mistake &One : Parsed.Mistakes_)
-    std::cerr << "masticdriftd: " << Path << ": " << core::describe(One.Kind_).Id_ << ' '
-              << One.text() << '\n';
-  if (!Parsed.Mistakes_.empty())
-    return BadSettings;
-  if (Check)
-    return Stopped;
   try {
-    return run(Parsed.Settings_);
+    return OnPlatform ? runOnPlatform(Path, *Text, Check) : runAlone(Path, *Text, Check);
   } catch (const std::exception &Reason) {
     std::cerr << "masticdriftd: " << Reason.what() << '\n';
     return Failed;
--- /dev/null
+++ b/src/daemon/TopicTail.cpp
@@ -0,0 +1,174 @@
+#include "masticdrift/daemon/TopicTail.h"
+
+#include "masticdrift/core/Log.h"
+#include "masticdrift/core/Metrics.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace masticdrift::daemon {
+
+namespace {
+
+/// Added to the wait of a read for the answer itself; a store sixty times slower than usual
+/// answers in 0.3 s.
+constexpr core::Millis AnswerTime{1300};
+constexpr core::Millis FirstRetry{100};
+constexpr core::Millis LastRetry{800};
+
+} // namespace
+
+struct TopicTail::Impl : std::enable_shared_from_this<TopicTail::Impl> {
+  Impl(asio::io_context &Loop, platform::Store &Store, TailOptions Options, Sink To)
+      : Store_(Store), Options_(std::move(Options)), To_(std::move(To)), Timer_(Loop) {}
+
+  void load(const std::string &After) {
+    Store_.newest(Options_.Topic_, After, AnswerTime,
+                  [Self = shared_from_this(), After](platform::NewestResult Page) {
+                    if (!Self->Closed_)
+                      Self->onPage(After, std::move(Page));
+                  });
+  }
+
+  void onPage(const std::string &After, platform::NewestResult Page) {
+    if (!Page.Complete_) {
+      failed(Page.Detail_);
+      later(Retry_, [this] { load({}); });
+      return;
+    }
+    answered();
+    if (After.empty()) {
+      // Pages are no snapshot: what changes meanwhile comes again with the reads.
+      LoadEnd_ = Page.End_;
+      Keys_.clear();
+    }
+    for (const platform::KeyedRecord &One : Page.Records_) {
+      Keys_.insert(One.Key_);
+      To_.Record_(One);
+    }
+    if (Page.More_ && !Page.Records_.empty()) {
+      load(Page.Records_.back().Key_);
+      return;
+    }
+    Next_ = LoadEnd_;
+    Loaded_ = true;
+    To_.Loaded_(Keys_);
+    Keys_.clear();
+    read();
+  }
+
+  void read() {
+    Store_.read(Options_.Topic_, Next_, Options_.Wait_, Options_.Wait_ + AnswerTime,
+                [Self = shared_from_this()](platform::ReadResult Result) {
+                  if (!Self->Closed_)
+                    Self->onRead(std::move(Result));
+                });
+  }
+
+  void onRead(platform::ReadResult Result) {
+    switch (Result.Outcome_) {
+    case platform::ReadOutcome::Failed:
+      failed(Result.Detail_);
+      later(Retry_, [this] { read(); });
+      return;
+    case platform::ReadOutcome::Expired:
+      answered();
+      core::log(core::LogLevel::Info, "topic history expired",
+                {{"topic", Options_.Topic_}, {"from", std::to_string(Next_)}});
+      load({});
+      return;
+    case platform::ReadOutcome::Complete:
+      break;
+    }
+    answered();
+    const bool News = !Result.Records_.empty();
+    take(Result);
+    const core::Millis Rest = News && CaughtUp_ ? Options_.Rest_() : core::Millis(0);
+    if (Rest.count() == 0)
+      read();
+    else
+      later(Rest, [this] { read(); });
+  }
+
+  void take(const platform::ReadResult &Result) {
+    for (const platform::KeyedRecord &One : Result.Records_) {
+      To_.Record_(One);
+      Next_ = std::max(Next_, One.Offset_ + 1);
+    }
+    CaughtUp_ = Next_ >= Result.End_;
+  }
+
+  void catchUp(core::Millis Timeout, std::function<void(bool)> Done) {
+    Store_.read(Options_.Topic_, Next_, core::Millis(0), Timeout,
+                [Self = shared_from_this(), Done = std::move(Done)](platform::ReadResult Result) {
+                  if (Self->Closed_)
+                    return;
+                  const bool Complete = Result.Outcome_ == platform::ReadOutcome::Complete;
+                  if (Complete) {
+                    Self->answered();
+                    Self->take(Result);
+                  }
+                  Done(Complete && Self->CaughtUp_);
+                });
+  }
+
+  void answered() {
+    if (Failing_)
+      core::log(core::LogLevel::Info, "topic answers again", {{"topic", Options_.Topic_}});
+    Failing_ = false;
+    Retry_ = FirstRetry;
+    LastAnswer_ = core::Clock::now();
+  }
+
+  void failed(const std::string &Detail) {
+    core::count("masticdrift_store_failures_total", {{"topic", Options_.Topic_}});
+    if (!Failing_)
+      core::log(core::LogLevel::Warning, "topic can't be read",
+                {{"topic", Options_.Topic_}, {"detail", Detail}});
+    Failing_ = true;
+    Retry_ = std::min(2 * Retry_, LastRetry);
+  }
+
+  void later(core::Millis Delay, std::function<void()> Work) {
+    Timer_.expires_after(Delay);
+    Timer_.async_wait([Self = shared_from_this(), Work = std::move(Work)](std::error_code Error) {
+      if (!Error && !Self->Closed_)
+        Work();
+    });
+  }
+
+  platform::Store &Store_;
+  const TailOptions Options_;
+  const Sink To_;
+  asio::steady_timer Timer_;
+  core::Millis Retry_ = FirstRetry;
+  bool Closed_ = false;
+  bool Failing_ = false;
+  bool Loaded_ = false;
+  bool CaughtUp_ = false;
+  std::uint64_t LoadEnd_ = 0;
+  std::uint64_t Next_ = 0;
+  std::set<std::string> Keys_;
+  core::TimePoint LastAnswer_{};
+};
+
+TopicTail::TopicTail(asio::io_context &Loop, platform::Store &Store, TailOptions Options, Sink To)
+    : Impl_(std::make_shared<Impl>(Loop, Store, std::move(Options), std::move(To))) {}
+
+TopicTail::~TopicTail() {
+  Impl_->Closed_ = true;
+  Impl_->Timer_.cancel();
+}
+
+void TopicTail::start() { Impl_->load({}); }
+
+void TopicTail::catchUp(core::Millis Timeout, std::function<void(bool)> Done) {
+  Impl_->catchUp(Timeout, std::move(Done));
+}
+
+bool TopicTail::loaded() const { return Impl_->Loaded_; }
+bool TopicTail::caughtUp() const { return Impl_->Loaded_ && Impl_->CaughtUp_; }
+bool TopicTail::failing() const { return Impl_->Failing_; }
+core::TimePoint TopicTail::lastAnswer() const { return Impl_->LastAnswer_; }
+std::uint64_t TopicTail::next() const { return Impl_->Next_; }
+
+} // namespace masticdrift::daemon
--- a/src/gateway/CallerApi.cpp
+++ b/src/gateway/CallerApi.cpp
@@ -64,7 +64,7 @@
 
 struct CallerApi::Impl : std::enable_shared_from_this<Impl> {
   Impl(CallerApiOptions Options, replica::ConfigReplica &Config, routing::Router &Router,
-       cell::JobService &Jobs, const platform::InstanceList &Instances)
+       cell::JobService &Jobs, const legacy::InstanceList &Instances)
       : Options_(Options), Config_(Config), Router_(Router), Jobs_(Jobs), Instances_(Instances) {}
 
   void handle(http::Request Incoming, http::Responder Respond) {
@@ -357,7 +357,7 @@
   replica::ConfigReplica &Config_;
   routing::Router &Router_;
   cell::JobService &Jobs_;
-  const platform::InstanceList &Instances_;
+  const legacy::InstanceList &Instances_;
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> Refusing_{false};
   std::atomic<std::int64_t> InFlight_{0};
@@ -365,7 +365,7 @@
 
 CallerApi::CallerApi(CallerApiOptions Options, replica::ConfigReplica &Config,
                      routing::Router &Router, cell::JobService &Jobs,
-                     const platform::InstanceList &Instances)
+                     const legacy::InstanceList &Instances)
     : Impl_(std::make_shared<Impl>(Options, Config, Router, Jobs, Instances)) {}
 
 CallerApi::~CallerApi() = default;
--- a/src/gateway/JobRequest.cpp
+++ b/src/gateway/JobRequest.cpp
@@ -67,14 +67,14 @@
 }
 
 core::Failure checkSize(const jobs::JobSpec &Spec, std::string_view Domain,
-                        std::span<const platform::Instance> Instances,
+                        std::span<const legacy::Instance> Instances,
                         const config::Limit &Allotment) {
   std::array<std::int64_t, core::ResourceKinds> Largest{};
   core::Resources Sum;
   bool Known = false;
   bool OneFits = false;
-  for (const platform::Instance &One : Instances) {
-    if (One.Kind_ != platform::InstanceKind::Worker || One.Domain_ != Domain || One.Leaving_)
+  for (const legacy::Instance &One : Instances) {
+    if (One.Kind_ != legacy::InstanceKind::Worker || One.Domain_ != Domain || One.Leaving_)
       continue;
     Known = true;
     OneFits = OneFits || core::fits(Spec.Need_, One.Capacity_);
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -40,6 +40,8 @@
   Out.append_header(restinio::http_field::content_type, Answer.ContentType_);
   for (const auto &[Name, Value] : Answer.Headers_)
     Out.append_header(Name, Value);
+  if (Answer.Close_)
+    Out.connection_close();
   Out.set_body(std::move(Answer.Body_));
   Out.done();
 }
@@ -54,16 +56,21 @@
   return Answer;
 }
 
+auto contextOf(const ServerOptions &Options) {
+  return Options.Loop_ != nullptr ? restinio::external_io_context(*Options.Loop_)
+                                  : restinio::own_io_context();
+}
+
 } // namespace
 
 struct Server::Impl {
   using Restinio = restinio::http_server_t<RestinioTraits>;
 
   Impl(const ServerOptions &Options, Handler OnRequest)
-      : Server_(restinio::own_io_context(),
-                [&](restinio::server_settings_t<RestinioTraits> &Settings) {
-                  configure(Settings, Options, std::move(OnRequest));
-                }) {
+      : External_(Options.Loop_ != nullptr),
+        Server_(contextOf(Options), [&](restinio::server_settings_t<RestinioTraits> &Settings) {
+          configure(Settings, Options, std::move(OnRequest));
+        }) {
     std::atomic<bool> Opened{false};
     std::exception_ptr Error;
     Server_.open_async([&] { Opened = true; },
@@ -72,7 +79,7 @@
       Server_.io_context().run_one();
     if (Error)
       std::rethrow_exception(Error);
-    for (unsigned I = 0; I < Options.Threads_; ++I)
+    for (unsigned I = 0; !External_ && I < Options.Threads_; ++I)
       Threads_.emplace_back([this] { Server_.io_context().run(); });
   }
 
@@ -111,11 +118,16 @@
   void stop() {
     if (Stopped_.exchange(true))
       return;
+    if (External_) {
+      Server_.close_async([] {}, [](std::exception_ptr) {});
+      return;
+    }
     Server_.io_context().stop();
     for (std::thread &Thread : Threads_)
       Thread.join();
   }
 
+  const bool External_;
   std::atomic<bool> Stopped_{false};
   std::uint16_t Port_ = 0;
   Restinio Server_;
--- a/src/journal/Appender.cpp
+++ b/src/journal/Appender.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-AppendFunction appendTo(platform::LogClient &Client, std::string Stream) {
+AppendFunction appendTo(legacy::LogClient &Client, std::string Stream) {
   return [&Client, Stream = std::move(Stream)](
              std::string Bytes, std::function<void(std::error_code, std::uint64_t)> Done) {
     Client.append(Stream, std::move(Bytes), std::move(Done));
--- a/src/journal/Tailer.cpp
+++ b/src/journal/Tailer.cpp
@@ -53,10 +53,10 @@
 
 } // namespace
 
-ReadFunction readFrom(platform::LogClient &Client, std::string Stream) {
+ReadFunction readFrom(legacy::LogClient &Client, std::string Stream) {
   return [&Client, Stream = std::move(Stream)](
              std::uint64_t From, std::uint32_t Max,
-             std::function<void(std::error_code, platform::ReadResult)> Done) {
+             std::function<void(std::error_code, legacy::ReadResult)> Done) {
     Client.read(Stream, From, Max, std::move(Done));
   };
 }
@@ -67,7 +67,7 @@
     std::uint64_t From_ = 0; ///< every record from here to Next_ is in Records_
     std::uint64_t Next_ = 0;
     std::size_t Bytes_ = 0;
-    std::deque<platform::LogRecord> Records_;
+    std::deque<legacy::LogRecord> Records_;
     bool LoadFailed_ = false; ///< the last snapshot could not be decoded
   };
 
@@ -104,11 +104,11 @@
     const core::TimePoint SentAt = Now_();
     Read_(From, Options_.MaxRecords_,
           [Weak = weak_from_this(), From, Epoch, SentAt](std::error_code Error,
-                                                         platform::ReadResult Result) {
+                                                         legacy::ReadResult Result) {
             const auto Self = Weak.lock();
             if (!Self)
               return;
-            auto Shared = std::make_shared<platform::ReadResult>(std::move(Result));
+            auto Shared = std::make_shared<legacy::ReadResult>(std::move(Result));
             Self->Timers_.post([Weak, From, Epoch, SentAt, Error, Shared] {
               if (const auto Strong = Weak.lock())
                 Strong->received(Error, *Shared, From, Epoch, SentAt);
@@ -116,7 +116,7 @@
           });
   }
 
-  void received(std::error_code Error, platform::ReadResult &Result, std::uint64_t From,
+  void received(std::error_code Error, legacy::ReadResult &Result, std::uint64_t From,
                 std::uint64_t Epoch, core::TimePoint SentAt) {
     bool Again = false;
     {
@@ -157,7 +157,7 @@
   }
 
   /// \returns true when there is more to read at once.
-  bool process(platform::ReadResult &Result, std::uint64_t From, core::TimePoint SentAt) {
+  bool process(legacy::ReadResult &Result, std::uint64_t From, core::TimePoint SentAt) {
     if (Result.Next_ < From) {
       core::log(core::LogLevel::Error, "stream ends before the offset that was read up to",
                 {{"stream", Options_.Stream_},
@@ -169,7 +169,7 @@
       startCollecting(Result.First_);
     const bool Progress = !Result.Records_.empty() || Result.First_ > From;
     if (collecting()) {
-      for (platform::LogRecord &Record : Result.Records_)
+      for (legacy::LogRecord &Record : Result.Records_)
         collect(std::move(Record));
       // The end is compared with what was collected: an empty answer may have moved it.
       if (collectedUpTo() < Result.Next_)
@@ -220,7 +220,7 @@
   }
 
   /// Keeps a record for later and drops those that a complete snapshot covers.
-  void collect(platform::LogRecord Record) {
+  void collect(legacy::LogRecord Record) {
     const auto Decoded = decodeBatch(Record.Bytes_);
     const std::lock_guard Lock(Mutex_);
     Collected &Into = *Collected_;
@@ -269,10 +269,10 @@
       reportGap(Last.has_value());
       return false;
     }
-    std::vector<platform::LogRecord> Rest;
+    std::vector<legacy::LogRecord> Rest;
     {
       const std::lock_guard Lock(Mutex_);
-      for (platform::LogRecord &Record : Collected_->Records_)
+      for (legacy::LogRecord &Record : Collected_->Records_)
         if (Record.Offset_ > Last->BaseOffset_)
           Rest.push_back(std::move(Record));
       Collected_.reset();
@@ -306,9 +306,9 @@
   }
 
   /// \returns false when a hook stopped or moved the tailer.
-  bool deliverAll(const std::vector<platform::LogRecord> &Records) {
+  bool deliverAll(const std::vector<legacy::LogRecord> &Records) {
     const std::uint64_t Epoch = epoch();
-    for (const platform::LogRecord &Record : Records) {
+    for (const legacy::LogRecord &Record : Records) {
       deliver(Record);
       const std::lock_guard Lock(Mutex_);
       if (Stopped_ || Epoch_ != Epoch)
@@ -317,7 +317,7 @@
     return true;
   }
 
-  void deliver(const platform::LogRecord &Record) {
+  void deliver(const legacy::LogRecord &Record) {
     const auto Decoded = decodeBatch(Record.Bytes_);
     bool Fresh = false;
     {
--- /dev/null
+++ b/src/lead/Election.cpp
@@ -0,0 +1,23 @@
+#include "masticdrift/lead/Election.h"
+
+#include <algorithm>
+
+namespace masticdrift::lead {
+
+bool shouldClaim(const ElectionView &View, const ElectionTiming &Times) {
+  const core::Duration Turn = Times.Stagger_ * static_cast<int>(View.Rank_);
+  // A daemon that does not reach the store can't know whether the leader is silent.
+  if (View.Now_ - View.ReadAt_ > Times.Silence_)
+    return false;
+  core::Duration Quiet = View.Now_ - View.NewsAt_;
+  if (View.Newest_ == nullptr || View.Newest_->Released_)
+    return Quiet >= Turn;
+  // A record found on start may be old already; its age by the wall clock is only a hint, since a
+  // claim that comes too early costs a takeover and nothing else.
+  if (View.FoundOnStart_)
+    Quiet += std::max<core::Duration>(core::Millis(View.WallMs_ - View.Newest_->WallMs_),
+                                      core::Duration(0));
+  return Quiet >= (View.Refused_ ? Times.SilenceWhenRefused_ : Times.Silence_) + Turn;
+}
+
+} // namespace masticdrift::lead
--- /dev/null
+++ b/src/lead/Placement.cpp
@@ -0,0 +1,354 @@
+// Which waiting task starts next, and where.
+#include "masticdrift/lead/Scheduler.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace masticdrift::lead {
+
+namespace {
+
+/// Without an event a pass is made this often, for times that come due.
+constexpr core::Millis PassInterval{100};
+/// Executors named in one call of advice; the service takes 100.
+constexpr std::size_t MaxAdvised = 60;
+/// Answers asked beyond the expected need, for executors that fill up meanwhile.
+constexpr double AdviceReserve = 1.3;
+/// Assumed part of good answers before any was seen, and the weight of a new observation.
+constexpr double FirstYield = 0.5;
+constexpr double YieldWeight = 0.1;
+constexpr double LeastYield = 0.1;
+/// Advice for the next step is asked when the present one ends within its time and this much more.
+constexpr core::Millis PrefetchSlack{400};
+
+/// Penalties on the 0..1 scale of an executor's load.
+constexpr double OtherRackPenalty = 2;
+constexpr double AvoidPenalty = 1.5;
+constexpr double DisturbPenalty = 3;
+constexpr double FailingPenalty = 0.5;
+
+bool never(core::TimePoint At) { return At == core::TimePoint{}; }
+
+bool within(const core::Resources &Used, const core::Resources &Need,
+            const core::Resources &Limit) {
+  const auto Kind = [](std::int64_t U, std::int64_t N, std::int64_t L) {
+    return L == 0 || N == 0 || U + N <= L;
+  };
+  return Kind(Used.MilliCores_, Need.MilliCores_, Limit.MilliCores_) &&
+         Kind(Used.MemoryMb_, Need.MemoryMb_, Limit.MemoryMb_) &&
+         Kind(Used.Accelerators_, Need.Accelerators_, Limit.Accelerators_);
+}
+
+/// A step with waiting tasks.
+struct Candidate {
+  int Class_ = 0; ///< 0 in time, 1 beyond the customer's rate, 2 worthless
+  int Priority_ = 0;
+  core::TimePoint Deadline_;
+  JobRun *Job_ = nullptr;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+};
+
+bool goesFirst(const Candidate &A, const Candidate &B) {
+  return std::tie(A.Class_, A.Priority_, A.Deadline_, A.Job_->Id_, A.Occurrence_, A.Step_) <
+         std::tie(B.Class_, B.Priority_, B.Deadline_, B.Job_->Id_, B.Occurrence_, B.Step_);
+}
+
+} // namespace
+
+/// One pass over everything that waits.
+struct PlacementPass {
+  Scheduler &Of_;
+  core::TimePoint Now_;
+
+  bool usable(const ExecutorState &At, const JobRun &Job, const work::StepSpec &Spec) const {
+    return At.Listed_ && At.Held_ && !At.Silent_ && !At.Info_.Draining_ && Now_ >= At.AvoidUntil_ &&
+           At.Info_.Pool_ == Job.Queue_.Pool_ &&
+           (Spec.RequiredLabel_.empty() ||
+            std::ranges::find(At.Info_.Labels_, Spec.RequiredLabel_) != At.Info_.Labels_.end());
+  }
+
+  /// \returns how many more tasks of the step fit, at most \p Most.
+  std::uint32_t slots(const ExecutorState &At, const StepRun &Step, const work::StepSpec &Spec,
+                      std::uint32_t Most) const {
+    core::Resources Room = At.Info_.Capacity_ - At.Used_;
+    core::Resources Need = Spec.Need_;
+    if (Spec.Fills_)
+      Need.MilliCores_ = 0;
+    std::uint32_t Count = 0;
+    std::uint32_t Here = 0;
+    if (const auto Found = Step.PerExecutor_.find(At.Info_.Id_); Found != Step.PerExecutor_.end())
+      Here = Found->second;
+    while (Count < Most && core::fits(Need, Room) &&
+           (Spec.MaxPerExecutor_ == 0 || Here + Count < Spec.MaxPerExecutor_)) {
+      Room -= Need;
+      ++Count;
+    }
+    return Count;
+  }
+
+  bool hasTicket(const ExecutorState &At, const JobRun &Job, const StepRun &Step) const {
+    if (!Job.Queue_.Advice_)
+      return true;
+    const auto Found = Step.Advice_.find(At.Info_.Id_);
+    return Found != Step.Advice_.end() && Found->second.May_ && Found->second.Born_ == At.Born_ &&
+           Now_ < Found->second.ValidUntil_;
+  }
+
+  bool disturbs(const ExecutorState &At, const work::StepSpec &Spec) const {
+    return std::ranges::any_of(At.Runs_, [&](const auto &One) {
+      return (Spec.Fills_ && One.second.Serves_) || (Spec.TargetMs_ > 0 && One.second.Fills_);
+    });
+  }
+
+  double costOf(const ExecutorState &At, const work::StepSpec &Spec, const TaskRun &Task) const {
+    const double Capacity =
+        static_cast<double>(std::max<std::int64_t>(At.Info_.Capacity_.MilliCores_, 1));
+    double Cost =
+        static_cast<double>(At.Used_.MilliCores_ + At.FillMilliCores_ + Spec.Need_.MilliCores_) /
+        Capacity;
+    if (!Spec.PreferredRack_.empty() &&
+        std::ranges::find(At.Info_.Labels_, Spec.PreferredRack_) == At.Info_.Labels_.end())
+      Cost += OtherRackPenalty;
+    if (Task.Avoid_ == At.Info_.Id_)
+      Cost += AvoidPenalty;
+    if (At.FailuresInRow_ > 0)
+      Cost += FailingPenalty;
+    if (disturbs(At, Spec))
+      Cost += DisturbPenalty;
+    return Cost;
+  }
+
+  ExecutorState *choose(const JobRun &Job, const StepRun &Step, const work::StepSpec &Spec,
+                        const TaskRun &Task, std::string_view Rack = {}) const {
+    ExecutorState *Best = nullptr;
+    double Least = std::numeric_limits<double>::infinity();
+    for (auto &[Id, At] : Of_.Executors_) {
+      if (!usable(At, Job, Spec) || !hasTicket(At, Job, Step) ||
+          (!Rack.empty() && fleet::rackOf(At.Info_) != Rack) || slots(At, Step, Spec, 1) == 0)
+        continue;
+      if (Spec.Fills_ && disturbs(At, Spec))
+        continue;
+      if (const double Cost = costOf(At, Spec, Task); Cost < Least) {
+        Least = Cost;
+        Best = &At;
+      }
+    }
+    return Best;
+  }
+
+  bool withinLimit(const JobRun &Job, const core::Resources &Need) const {
+    const auto Customer = Of_.Manifest_.Customers_.find(Job.What_.Customer_);
+    if (Customer == Of_.Manifest_.Customers_.end())
+      return true;
+    if (!Of_.Accounted_)
+      return Customer->second.UpperLimit_ == core::Resources{};
+    return within(Of_.UsedBy_[Job.What_.Customer_], Need, Customer->second.UpperLimit_);
+  }
+
+  void start(ExecutorState &At, JobRun &Job, StepRun &Step, const work::TaskRef &Task,
+             std::uint64_t Number) const {
+    TaskRun &Which = Step.Tasks_[Task.Index_];
+    Run &Made = Of_.addRun(At, &Job, Task, Number, RunState::Starting, Now_);
+    Made.Order_ = {Task, Number, Job.What_.Spec_.Payload_, 0, Of_.Token_, Which.Checkpoint_, {}};
+    if (const auto Found = Step.Advice_.find(At.Info_.Id_); Found != Step.Advice_.end())
+      Made.Order_.Ticket_ = Found->second.Ticket_;
+    if (never(Step.FirstStart_))
+      Step.FirstStart_ = Now_;
+    Of_.note("start", Task, Number, At.Info_.Id_, Which.Checkpoint_);
+    Of_.orderStart(At, Made, Now_);
+  }
+
+  void placeTasks(const Candidate &What, StepRun &Step, const work::StepSpec &Spec) const {
+    work::TaskRef Task{What.Job_->Id_, What.Occurrence_, What.Step_, 0};
+    for (; Task.Index_ < Step.Tasks_.size() && Step.Waiting_ > 0; ++Task.Index_) {
+      TaskRun &Which = Step.Tasks_[Task.Index_];
+      if (Which.State_ != TaskState::Waiting)
+        continue;
+      if (!withinLimit(*What.Job_, Spec.Need_))
+        return;
+      ExecutorState *At = choose(*What.Job_, Step, Spec, Which);
+      if (At == nullptr)
+        return;
+      start(*At, *What.Job_, Step, Task, runNumber(Of_.Token_, ++Which.RunCounter_));
+    }
+  }
+
+  /// Starts all tasks of a gang or none.
+  void placeGang(const Candidate &What, StepRun &Step, const work::StepSpec &Spec) const {
+    if (Step.Waiting_ < Step.Tasks_.size() || !withinLimit(*What.Job_, Spec.Need_ * Spec.Count_))
+      return;
+    std::vector<std::string> Racks;
+    if (Spec.SameRack_)
+      for (const auto &[Id, At] : Of_.Executors_)
+        if (std::ranges::find(Racks, fleet::rackOf(At.Info_)) == Racks.end())
+          Racks.emplace_back(fleet::rackOf(At.Info_));
+    Racks.emplace_back(); // any rack, last
+    for (const std::string &Rack : Racks)
+      if (placeGangOn(What, Step, Spec, Rack))
+        return;
+  }
+
+  bool placeGangOn(const Candidate &What, StepRun &Step, const work::StepSpec &Spec,
+                   std::string_view Rack) const {
+    // Room is taken provisionally, so that later members see it.
+    std::vector<ExecutorState *> Hosts;
+    core::Resources Counted = Spec.Need_;
+    if (Spec.Fills_)
+      Counted.MilliCores_ = 0;
+    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+      ExecutorState *At = choose(*What.Job_, Step, Spec, Step.Tasks_[I], Rack);
+      if (At == nullptr)
+        break;
+      At->Used_ += Counted;
+      ++Step.PerExecutor_[At->Info_.Id_];
+      Hosts.push_back(At);
+    }
+    for (ExecutorState *At : Hosts) {
+      At->Used_ -= Counted;
+      --Step.PerExecutor_[At->Info_.Id_];
+    }
+    if (Hosts.size() < Spec.Count_)
+      return false;
+    std::string Checkpoint;
+    for (const TaskRun &One : Step.Tasks_)
+      if (!One.Checkpoint_.empty())
+        Checkpoint = One.Checkpoint_;
+    Step.GangCounter_ = std::max(Step.GangCounter_ + 1, runNumber(Of_.Token_, 1));
+    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+      Step.Tasks_[I].Checkpoint_ = Checkpoint;
+      start(*Hosts[I], *What.Job_, Step, {What.Job_->Id_, What.Occurrence_, What.Step_, I},
+            Step.GangCounter_);
+    }
+    return true;
+  }
+
+  /// Asks for advice when the tickets at hand can't place all waiting tasks.
+  void ask(const Candidate &What, StepRun &Step, const work::StepSpec &Spec,
+           std::uint32_t Wanted) const {
+    if (!What.Job_->Queue_.Advice_ || Step.Asking_ || Now_ < Step.AskAgainAt_)
+      return;
+    std::uint32_t Have = 0;
+    std::vector<std::pair<double, const ExecutorState *>> Open;
+    for (const auto &[Id, At] : Of_.Executors_) {
+      if (!usable(At, *What.Job_, Spec))
+        continue;
+      const std::uint32_t Room = slots(At, Step, Spec, Wanted);
+      if (Room == 0)
+        continue;
+      const auto Found = Step.Advice_.find(Id);
+      const bool Bad = Found != Step.Advice_.end() && !Found->second.May_;
+      if (hasTicket(At, *What.Job_, Step))
+        Have += Room;
+      else if (!Bad)
+        Open.emplace_back(costOf(At, Spec, {}), &At);
+    }
+    if (Have >= Wanted || Open.empty())
+      return;
+    std::ranges::sort(Open, {}, &std::pair<double, const ExecutorState *>::first);
+    const double Missing = (Wanted - Have) * AdviceReserve;
+    std::vector<std::string> Names;
+    for (double Expected = 0; const auto &[Cost, At] : Open) {
+      if (Expected >= Missing || Names.size() >= MaxAdvised)
+        break;
+      const bool Known = Step.Advice_.contains(At->Info_.Id_);
+      Expected += slots(*At, Step, Spec, Wanted) * (Known ? 1.0 : yieldOf(*What.Job_));
+      Names.push_back(At->Info_.Id_);
+    }
+    const double Cost = What.Job_->Queue_.Advice_->DecideMs_ +
+                        What.Job_->Queue_.Advice_->EachMs_ * static_cast<double>(Names.size());
+    Step.Asking_ = true;
+    Of_.Out_.Advise_({What.Job_->Id_, What.Occurrence_, What.Step_, 0}, std::move(Names), Cost,
+                     {What.Class_ * 100 + What.Priority_, What.Deadline_});
+  }
+
+  double yieldOf(const JobRun &Job) const {
+    const auto Found = Of_.AdviceYield_.find(Job.Queue_.Name_);
+    return std::max(LeastYield, Found == Of_.AdviceYield_.end() ? FirstYield : Found->second);
+  }
+
+  /// \returns true when all earlier steps end about when advice for this one could be there.
+  bool nearlyReady(const JobRun &Job, std::uint32_t Occurrence, std::uint32_t Index) const {
+    const work::StepSpec &Spec = Job.What_.Spec_.Steps_[Index];
+    if (!Job.Queue_.Advice_ || Spec.DependsOn_.empty())
+      return false;
+    const auto Cost = core::Millis(static_cast<std::int64_t>(
+        Job.Queue_.Advice_->DecideMs_ + Job.Queue_.Advice_->EachMs_ * Spec.Count_ * 2));
+    for (const std::uint32_t Earlier : Spec.DependsOn_) {
+      const StepRun &Before = Job.Occurrences_[Occurrence].Steps_[Earlier];
+      if (Before.Done_ == Before.Tasks_.size())
+        continue;
+      if (!Before.Ready_ || Before.Waiting_ > 0 || never(Before.FirstStart_))
+        return false;
+      const core::Millis Estimated(Job.What_.Spec_.Steps_[Earlier].EstimatedMs_);
+      if (Now_ + Cost + PrefetchSlack < Before.FirstStart_ + Estimated)
+        return false;
+    }
+    return true;
+  }
+};
+
+void Scheduler::place(core::TimePoint Now, std::int64_t WallMs) {
+  NextPlace_ = Now + PassInterval;
+  const PlacementPass Pass{*this, Now};
+  std::vector<Candidate> Waiting;
+  for (auto &[Id, Job] : Jobs_) {
+    if (Job.Ended_)
+      continue;
+    for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K) {
+      OccurrenceRun &Occurrence = Job.Occurrences_[K];
+      Occurrence.Due_ = Occurrence.Due_ || Occurrence.DueMs_ <= WallMs;
+      if (!Occurrence.Due_)
+        break;
+      for (std::uint32_t I = 0; I < Occurrence.Steps_.size(); ++I)
+        if (const StepRun &Step = Occurrence.Steps_[I];
+            Step.Waiting_ > 0 && (Step.Ready_ || Pass.nearlyReady(Job, K, I))) {
+          const int Class = Now > Job.Worthless_ ? 2 : (Job.OverShare_ ? 1 : 0);
+          Waiting.push_back({Class, Job.Queue_.Priority_, Job.Deadline_, &Job, K, I});
+        }
+    }
+  }
+  std::ranges::sort(Waiting, goesFirst);
+  for (const Candidate &What : Waiting) {
+    StepRun &Step = What.Job_->Occurrences_[What.Occurrence_].Steps_[What.Step_];
+    const work::StepSpec &Spec = What.Job_->What_.Spec_.Steps_[What.Step_];
+    if (Step.Ready_ && mayStart(*What.Job_, Now)) {
+      if (Spec.Gang_)
+        Pass.placeGang(What, Step, Spec);
+      else
+        Pass.placeTasks(What, Step, Spec);
+    }
+    if (Step.Waiting_ > 0)
+      Pass.ask(What, Step, Spec, Step.Waiting_);
+  }
+}
+
+void Scheduler::onAdvice(const work::TaskRef &Task, std::span<const std::string> Asked,
+                         const std::optional<std::vector<fleet::Advised>> &Good,
+                         core::TimePoint Now) {
+  JobRun *Job = jobOf(Task);
+  if (Job == nullptr)
+    return;
+  StepRun &Step = *stepOf(*Job, Task);
+  Step.Asking_ = false;
+  if (!Good || !Job->Queue_.Advice_) {
+    Step.AskAgainAt_ = Now + Times_.AdviceRetry_;
+    return;
+  }
+  double &Yield = AdviceYield_.try_emplace(Job->Queue_.Name_, FirstYield).first->second;
+  if (!Asked.empty())
+    Yield += YieldWeight *
+             (static_cast<double>(Good->size()) / static_cast<double>(Asked.size()) - Yield);
+  for (const std::string &Id : Asked)
+    Step.Advice_[Id].May_ = false;
+  const core::Millis Valid(Job->Queue_.Advice_->ValidMs_);
+  for (const fleet::Advised &One : *Good) {
+    const auto Host = Executors_.find(One.Executor_);
+    if (Host != Executors_.end())
+      Step.Advice_[One.Executor_] = {true, One.Ticket_, Now + Valid - Times_.TicketMargin_,
+                                     Host->second.Born_};
+  }
+  PlaceDue_ = true;
+}
+
+} // namespace masticdrift::lead
--- a/src/platform/ExecutorClient.cpp
+++ b/src/legacy/ExecutorClient.cpp
@@ -1,8 +1,8 @@
-#include "masticdrift/platform/ExecutorClient.h"
+#include "masticdrift/legacy/ExecutorClient.h"
 
 #include "masticdrift/http/Client.h"
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 namespace {
 
@@ -54,4 +54,4 @@
   });
 }
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
--- a/src/platform/InstanceList.cpp
+++ b/src/legacy/InstanceList.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/platform/InstanceList.h"
+#include "masticdrift/legacy/InstanceList.h"
 
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
@@ -10,7 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 namespace {
 
@@ -223,4 +223,4 @@
   return Now - View->SentAt_;
 }
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
--- a/src/platform/LogClient.cpp
+++ b/src/legacy/LogClient.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/platform/LogClient.h"
+#include "masticdrift/legacy/LogClient.h"
 
 #include "masticdrift/core/Error.h"
 #include "masticdrift/core/Metrics.h"
@@ -9,7 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 namespace {
 
@@ -129,4 +129,4 @@
   });
 }
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
--- a/src/platform/WorkerClient.cpp
+++ b/src/legacy/WorkerClient.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/platform/WorkerClient.h"
+#include "masticdrift/legacy/WorkerClient.h"
 
 #include "masticdrift/core/Metrics.h"
 
@@ -9,7 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace masticdrift::platform {
+namespace masticdrift::legacy {
 
 namespace {
 
@@ -258,4 +258,4 @@
   });
 }
 
-} // namespace masticdrift::platform
+} // namespace masticdrift::legacy
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 struct ConfigReplica::Impl : std::enable_shared_from_this<Impl> {
-  Impl(ConfigReplicaOptions Options, ConfigReplicaHooks Hooks, platform::LogClient &Log,
+  Impl(ConfigReplicaOptions Options, ConfigReplicaHooks Hooks, legacy::LogClient &Log,
        core::Timers &Timers, protocol::Link &Peers, membership::PeerTable &Table)
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Timers), Peers_(Peers),
         Table_(Table), Freshness_(Options_.Bound_), StartedAt_(core::Clock::now()),
@@ -486,7 +486,7 @@
 };
 
 ConfigReplica::ConfigReplica(ConfigReplicaOptions Options, ConfigReplicaHooks Hooks,
-                             platform::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
+                             legacy::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
                              membership::PeerTable &Table)
     : Impl_(std::make_shared<Impl>(std::move(Options), std::move(Hooks), Log, Timers, Peers,
                                    Table)) {}
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -20,7 +20,7 @@
 
 using core::ErrorKind;
 using core::TimePoint;
-using platform::ExecutorResult;
+using legacy::ExecutorResult;
 
 /// Sends of one request, the first included.
 constexpr int MostAttempts = 3;
@@ -82,7 +82,7 @@
 
 void finish(const Pending &Work, Outcome Last) { Work.Done_(settled(Work, std::move(Last))); }
 
-Outcome outcomeOf(platform::ExecutorAnswer Answer) {
+Outcome outcomeOf(legacy::ExecutorAnswer Answer) {
   switch (Answer.Result_) {
   case ExecutorResult::Completed: {
     Outcome Result;
@@ -148,9 +148,9 @@
     return Slot;
   }
 
-  void setExecutors(std::span<const platform::Instance> Executors) {
-    std::map<std::string, std::vector<const platform::Instance *>> ByPool;
-    for (const platform::Instance &One : Executors)
+  void setExecutors(std::span<const legacy::Instance> Executors) {
+    std::map<std::string, std::vector<const legacy::Instance *>> ByPool;
+    for (const legacy::Instance &One : Executors)
       ByPool[One.Pool_].push_back(&One);
     for (const auto &[Name, Members] : ByPool)
       updatePool(*poolFor(Name), Members);
@@ -161,11 +161,11 @@
     pumpAll();
   }
 
-  static void updatePool(Pool &Into, const std::vector<const platform::Instance *> &Members) {
+  static void updatePool(Pool &Into, const std::vector<const legacy::Instance *> &Members) {
     const std::lock_guard Lock(Into.Mutex_);
     std::vector<bool> Listed(Into.Executors_.All_.size(), false);
     std::uint32_t Usable = 0;
-    for (const platform::Instance *One : Members) {
+    for (const legacy::Instance *One : Members) {
       const std::size_t Index = policy::addExecutor(Into.Executors_, One->Name_);
       if (Index >= Into.Addresses_.size())
         Into.Addresses_.resize(Index + 1);
@@ -391,7 +391,7 @@
       giveBack(*From, One, core::Duration::zero());
       return finish(*One.Work_, failed(ErrorKind::LeaseLapsed, "the domain's lease has ended"));
     }
-    platform::ExecutorRequest Out;
+    legacy::ExecutorRequest Out;
     const InteractiveRequest &Request = One.Work_->Request_;
     Out.Address_ = One.Address_;
     Out.RequestId_ = Request.RequestId_;
@@ -410,13 +410,13 @@
     if (One.Work_->Attempts_ > 1)
       core::count("masticdrift_retries_total", {{"where", "executor"}});
     Client_.send(std::move(Out),
-                 [Weak = weak_from_this(), From, One](platform::ExecutorAnswer Answer) mutable {
+                 [Weak = weak_from_this(), From, One](legacy::ExecutorAnswer Answer) mutable {
                    if (const auto Self = Weak.lock())
                      Self->answered(From, std::move(One), std::move(Answer));
                  });
   }
 
-  void answered(const std::shared_ptr<Pool> &From, Sending One, platform::ExecutorAnswer Answer) {
+  void answered(const std::shared_ptr<Pool> &From, Sending One, legacy::ExecutorAnswer Answer) {
     const TimePoint Now = core::Clock::now();
     const ExecutorResult How = Answer.Result_;
     const bool Whole = How == ExecutorResult::Completed || How == ExecutorResult::Failed;
@@ -527,7 +527,7 @@
   std::vector<TeamSlots> Teams_;
   std::mutex BudgetMutex_;
   policy::RetryBudget Budget_;
-  platform::ExecutorClient Client_; // last member: its callbacks use the others
+  legacy::ExecutorClient Client_; // last member: its callbacks use the others
 };
 
 Dispatcher::Dispatcher(DispatcherOptions Options, core::Timers &Timers,
@@ -536,7 +536,7 @@
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::setExecutors(std::span<const platform::Instance> Executors) {
+void Dispatcher::setExecutors(std::span<const legacy::Instance> Executors) {
   Impl_->setExecutors(Executors);
 }
 void Dispatcher::setTeams(std::span<const TeamSlots> Teams) { Impl_->setTeams(Teams); }
--- /dev/null
+++ b/src/work/Job.cpp
@@ -0,0 +1,38 @@
+#include "masticdrift/work/Job.h"
+
+#include <algorithm>
+
+namespace masticdrift::work {
+
+std::string_view nameOf(JobState State) {
+  switch (State) {
+  case JobState::Queued:
+    return "queued";
+  case JobState::Running:
+    return "running";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "queued";
+}
+
+std::string_view mistakeIn(const JobSpec &Spec) {
+  if (Spec.Steps_.empty())
+    return "the job has no steps";
+  for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
+    if (Spec.Steps_[I].Count_ == 0)
+      return "a step has no tasks";
+    if (std::ranges::any_of(Spec.Steps_[I].DependsOn_,
+                            [I](std::uint32_t Earlier) { return Earlier >= I; }))
+      return "a step depends on itself or a later one";
+  }
+  if (Spec.RunCount_ > 1 && Spec.IntervalMs_ <= 0)
+    return "a timed job has no interval";
+  return {};
+}
+
+} // namespace masticdrift::work
--- a/tests/unit/JournalTest.cpp
+++ b/tests/unit/JournalTest.cpp
@@ -32,7 +32,7 @@
   core::Timers Timers_;
   LogService Service_;
   http::Client Http_;
-  platform::LogClient Log_{Http_, {Service_.url(), std::chrono::milliseconds(150)}};
+  legacy::LogClient Log_{Http_, {Service_.url(), std::chrono::milliseconds(150)}};
 };
 
 AppenderOptions fastOptions() {
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -1,8 +1,8 @@
 #include "masticdrift/core/Error.h"
 #include "masticdrift/http/Server.h"
-#include "masticdrift/platform/InstanceList.h"
-#include "masticdrift/platform/LogClient.h"
-#include "masticdrift/platform/WorkerClient.h"
+#include "masticdrift/legacy/InstanceList.h"
+#include "masticdrift/legacy/LogClient.h"
+#include "masticdrift/legacy/WorkerClient.h"
 #include "support/LogService.h"
 
 #include <future>
@@ -11,7 +11,7 @@
 #include <criterion/criterion.h>
 
 using namespace masticdrift;
-using namespace masticdrift::platform;
+using namespace masticdrift::legacy;
 using core::ErrorKind;
 using tests::LogService;
 using tests::OnAppend;
