daemon: write submissions through the leader and follow the store's speed

Ruled out: a partition for each daemon, since every daemon would have to follow all of them. Change: submissions go to the leader, which appends them together; a direct append stays the second way. Limits of appends follow the last call's time; records read back settle an append whose answer is lost. An exchange counts as not sent only when no connection was permitted to carry it. Tasks that last never rank as worthless. Advice names more executors a call. A new leader waits for the list only when the store was away before.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -5,6 +5,7 @@
 
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/JobWriter.h"
+#include "masticdrift/daemon/LeaderDriver.h"
 #include "masticdrift/daemon/TopicTail.h"
 #include "masticdrift/http/Server.h"
 #include "masticdrift/protocol/Fleet.h"
@@ -18,9 +19,7 @@
 /// Answers callers. Every daemon takes every job; what it can't do it refuses at once.
 class EntryService {
 public:
-  /// \param Leader returns the leader's peer address; empty when unknown or this daemon.
-  EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Writer,
-               std::function<std::string()> Leader);
+  EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Writer, LeaderDriver &Leader);
 
   void handle(const http::Request &From, const http::Responder &To);
 
@@ -39,7 +38,7 @@
   void findJob(const std::shared_ptr<Call> &Of, std::function<void(const work::LedgerJob *)> Found);
   void store(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
              std::function<void(WriteOutcome)> Done);
-  void relay(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
+  void relay(const std::shared_ptr<Call> &Of, const std::string &Leader, work::LedgerEntry Entry,
              std::function<void(WriteOutcome)> Done);
   void answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome);
   void refuse(const std::shared_ptr<Call> &Of, core::ErrorKind Kind, std::string_view Message);
@@ -47,7 +46,7 @@
   FleetContext &Context_;
   TopicTail &Jobs_;
   JobWriter &Writer_;
-  const std::function<std::string()> Leader_;
+  LeaderDriver &Leader_;
   std::size_t Open_ = 0;
 };
 
--- a/include/masticdrift/daemon/JobWriter.h
+++ b/include/masticdrift/daemon/JobWriter.h
@@ -54,6 +54,8 @@
   };
   void flush();
   void onAppended(const platform::AppendResult &Result, core::TimePoint SentAt);
+  void logFailure(const std::vector<Item> &Batch, const platform::AppendResult &Result,
+                  core::TimePoint SentAt) const;
 
   platform::Store &Store_;
   const std::string Topic_;
@@ -61,14 +63,21 @@
   std::deque<Item> Waiting_;
   std::vector<Item> Sent_;
   bool Outstanding_ = false;
+  std::uint64_t Call_ = 0; ///< number of the call that is waited for
   core::Millis Timeout_;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
-/// First limit of an append call; doubled after each unanswered call.
-inline constexpr core::Millis FirstAppendTimeout{400};
-/// A store a hundred times slower than usual answers an append in 0.7 s.
-inline constexpr core::Millis LastAppendTimeout{1500};
+/// Limit of an append call while the service answers quickly, at least.
+inline constexpr core::Millis LeastAppendTimeout{500};
+/// Limit otherwise. A store a hundred times slower than usual takes 0.4 s for the answer and 0.3 s
+/// for each append before it; a repeat only adds to that queue.
+inline constexpr core::Millis MostAppendTimeout{2000};
+/// Limit in multiples of the last call's time.
+inline constexpr int AppendTimeoutFactor = 4;
+
+/// \returns the limit of the next append after one that took \p Took.
+core::Millis nextAppendTimeout(core::Duration Took);
 
 } // namespace masticdrift::daemon
 
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -27,6 +27,7 @@
   void release();
 
   void onJob(std::string_view Id);
+  void onProgressRead(std::string_view Key, std::string_view Value);
   void onManifest();
   void onExecutor(std::string_view Id);
 
@@ -39,6 +40,10 @@
   bool released() const;
   /// \returns the leader's peer address, empty when none is known or it is this daemon.
   std::string leaderAddress() const;
+  /// \returns true while the leader answers this daemon's offers of help.
+  bool leaderHeard() const;
+  /// A call to the leader brought no answer; it counts as not heard until the next offer.
+  void leaderFailed();
 
 private:
   struct Impl;
--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -13,20 +13,29 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <msgpack.hpp>
 
 namespace masticdrift::lead {
 
+/// An executor without an entry in the list on which runs may go on.
+struct UnlistedExecutor {
+  std::string Id_;
+  std::string Address_;
+  MSGPACK_DEFINE_ARRAY(Id_, Address_)
+};
+
 /// A claim, a beat or a release of the leadership.
 struct LeadRecord {
   std::string Instance_;
-  std::string PeerAddress_; ///< where other daemons reach the leader
-  std::uint64_t Term_ = 0;  ///< the claim's offset plus one
-  bool Released_ = false;   ///< the leader has given up
-  std::int64_t WallMs_ = 0; ///< when it was written, the writer's wall clock
-  std::string Incarnation_; ///< of the writing process
-  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Term_, Released_, WallMs_, Incarnation_)
+  std::string PeerAddress_;                ///< where other daemons reach the leader
+  std::uint64_t Term_ = 0;                 ///< the claim's offset plus one
+  bool Released_ = false;                  ///< the leader has given up
+  std::int64_t WallMs_ = 0;                ///< when it was written, the writer's wall clock
+  std::string Incarnation_;                ///< of the writing process
+  std::vector<UnlistedExecutor> Unlisted_; ///< a later leader must account for these too
+  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Term_, Released_, WallMs_, Incarnation_, Unlisted_)
 };
 
 /// Times of the election.
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -97,6 +97,9 @@
   /// \returns true after an executor has seen a higher token: another leader is at work.
   bool fenced() const { return Fenced_; }
 
+  /// \returns executors without an entry in the list that may still run something.
+  std::vector<fleet::ExecutorInfo> unlisted() const;
+
   struct Counts {
     std::size_t Jobs_ = 0, Waiting_ = 0, Running_ = 0, Executors_ = 0, Silent_ = 0;
     bool Accounted_ = false;
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -20,6 +20,8 @@
 constexpr core::Millis LookTimeout{1500};
 /// Time for the relay's own exchange.
 constexpr core::Millis RelayMargin{100};
+/// A leader that takes longer is left aside; enough for an append at a very slow store.
+constexpr core::Millis MostRelayTime{1700};
 /// Whole seconds, the smallest that the header can say. Another daemon takes the retry.
 constexpr const char *RetryAfterSeconds = "1";
 
@@ -46,8 +48,8 @@
 };
 
 EntryService::EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Writer,
-                           std::function<std::string()> Leader)
-    : Context_(Context), Jobs_(Jobs), Writer_(Writer), Leader_(std::move(Leader)) {}
+                           LeaderDriver &Leader)
+    : Context_(Context), Jobs_(Jobs), Writer_(Writer), Leader_(Leader) {}
 
 void EntryService::refuse(const std::shared_ptr<Call> &Of, ErrorKind Kind,
                           std::string_view Message) {
@@ -178,52 +180,60 @@
 
 void EntryService::store(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
                          std::function<void(WriteOutcome)> Done) {
-  if (Jobs_.failing()) {
-    relay(Of, std::move(Entry), std::move(Done));
+  // One writer at a time keeps the partition's queue short when the store is slow, and tells the
+  // leader of the job at once.
+  const std::string Leader = Leader_.leaderAddress();
+  if (!Leader.empty() && (Leader_.leaderHeard() || Jobs_.failing())) {
+    relay(Of, Leader, std::move(Entry), std::move(Done));
     return;
   }
-  Writer_.write(Entry, Of->Deadline_,
-                [this, Of, Entry, Done = std::move(Done)](WriteOutcome Outcome) {
-                  if (Outcome == WriteOutcome::Refused)
-                    relay(Of, Entry, Done);
-                  else
-                    Done(Outcome);
-                });
+  if (Jobs_.failing())
+    Done(WriteOutcome::Refused);
+  else
+    Writer_.write(std::move(Entry), Of->Deadline_, std::move(Done));
 }
 
-void EntryService::relay(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
-                         std::function<void(WriteOutcome)> Done) {
-  const std::string Leader = Leader_();
+void EntryService::relay(const std::shared_ptr<Call> &Of, const std::string &Leader,
+                         work::LedgerEntry Entry, std::function<void(WriteOutcome)> Done) {
   const core::Millis Left =
-      std::chrono::duration_cast<core::Millis>(Of->Deadline_ - core::Clock::now() - RelayMargin);
-  if (Leader.empty() || Left <= RelayMargin) {
-    Done(WriteOutcome::Refused);
-    return;
-  }
+      std::chrono::duration_cast<core::Millis>(Of->Deadline_ - core::Clock::now());
+  const core::Millis Wait = std::min(Left - RelayMargin, MostRelayTime);
   http::ClientRequest Call;
   Call.Method_ = "POST";
   Call.Url_ = "http://" + Leader + protocol::SubmitPath;
-  Call.Body_ =
-      core::pack(protocol::SubmitCall{Entry.Key_, Entry.Value_, (Left - RelayMargin).count()});
-  Call.Timeout_ = Left;
-  Context_.Client_.send(std::move(Call), [this, Entry = std::move(Entry), Done = std::move(Done)](
-                                             const http::ClientResult &Result) {
-    if (Result.Transfer_ == http::Transfer::NotConnected) {
-      Done(WriteOutcome::Refused);
-      return;
-    }
-    const auto Reply = core::unpack<protocol::SubmitReply>(Result.Answer_.Body_);
-    if (Result.Transfer_ != http::Transfer::Complete || !Reply) {
-      Done(WriteOutcome::Unknown);
-      return;
-    }
-    if (Reply->Stored_)
-      Context_.Ledger_.apply(Reply->Offset_, Entry.Key_, Entry.Value_);
-    if (Reply->Refused_)
-      Done(WriteOutcome::Refused);
-    else
-      Done(Reply->Stored_ ? WriteOutcome::Stored : WriteOutcome::Unknown);
-  });
+  Call.Body_ = core::pack(protocol::SubmitCall{Entry.Key_, Entry.Value_, Wait.count()});
+  Call.Timeout_ = Wait + RelayMargin;
+  Context_.Client_.send(
+      std::move(Call), [this, Of, Entry = std::move(Entry),
+                        Done = std::move(Done)](const http::ClientResult &Result) mutable {
+        const auto Reply = Result.Transfer_ == http::Transfer::Complete
+                               ? core::unpack<protocol::SubmitReply>(Result.Answer_.Body_)
+                               : std::nullopt;
+        if (Reply && Reply->Stored_) {
+          Context_.Ledger_.apply(Reply->Offset_, Entry.Key_, Entry.Value_);
+          Done(WriteOutcome::Stored);
+          return;
+        }
+        const bool NothingDone =
+            (Reply && Reply->Refused_) || Result.Transfer_ == http::Transfer::NotConnected;
+        core::log(core::LogLevel::Warning, "relay was not confirmed",
+                  {{"request_id", Of->Job_},
+                   {"uncertain", NothingDone ? "false" : "true"},
+                   {"detail", Reply ? "leader could not store" : Result.Error_}});
+        if (!Reply)
+          Leader_.leaderFailed();
+        if (Jobs_.failing()) {
+          Done(NothingDone ? WriteOutcome::Refused : WriteOutcome::Unknown);
+          return;
+        }
+        // A second copy under the same key does no harm. What the relay may have stored can't be
+        // called refused any more.
+        Writer_.write(std::move(Entry), Of->Deadline_,
+                      [NothingDone, Done = std::move(Done)](WriteOutcome Outcome) {
+                        const bool Unsure = Outcome == WriteOutcome::Refused && !NothingDone;
+                        Done(Unsure ? WriteOutcome::Unknown : Outcome);
+                      });
+      });
 }
 
 void EntryService::submitFor(protocol::SubmitCall Call,
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -99,8 +99,7 @@
                 [this](std::uint64_t Offset, const work::LedgerEntry &One) {
                   onJobRecord({Offset, One.Key_, One.Value_});
                 }),
-        Leader_(Context_, Jobs_),
-        Entry_(Context_, Jobs_, Writer_, [this] { return Leader_.leaderAddress(); }),
+        Leader_(Context_, Jobs_), Entry_(Context_, Jobs_, Writer_, Leader_),
         Callers_(serverOptions(Loop_, Settings.Callers_),
                  [this](const http::Request &From, const http::Responder &To) {
                    Entry_.handle(From, To);
@@ -138,6 +137,8 @@
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job record is unreadable",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
+    if (Change.Kind_ == Progressed)
+      Leader_.onProgressRead(One.Key_, One.Value_);
     if (Change.Kind_ == Accepted || Change.Kind_ == Cancelled) {
       Writer_.seen(One.Key_);
       Leader_.onJob(Change.Id_);
--- a/src/daemon/JobWriter.cpp
+++ b/src/daemon/JobWriter.cpp
@@ -1,5 +1,6 @@
 #include "masticdrift/daemon/JobWriter.h"
 
+#include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
 
 #include <algorithm>
@@ -13,10 +14,15 @@
 
 } // namespace
 
+core::Millis nextAppendTimeout(core::Duration Took) {
+  return std::clamp(std::chrono::duration_cast<core::Millis>(AppendTimeoutFactor * Took),
+                    LeastAppendTimeout, MostAppendTimeout);
+}
+
 JobWriter::JobWriter(platform::Store &Store, std::string Topic,
                      std::function<void(std::uint64_t, const work::LedgerEntry &)> Applied)
     : Store_(Store), Topic_(std::move(Topic)), Applied_(std::move(Applied)),
-      Timeout_(FirstAppendTimeout) {}
+      Timeout_(LeastAppendTimeout) {}
 
 void JobWriter::write(work::LedgerEntry Entry, core::TimePoint Deadline, Callback Done) {
   Waiting_.push_back({std::move(Entry), Deadline, std::move(Done)});
@@ -36,42 +42,54 @@
   }
   Outstanding_ = true;
   const core::TimePoint SentAt = core::Clock::now();
-  Store_.append(
-      Topic_, Records, {}, Timeout_,
-      [this, Held = std::weak_ptr<bool>(Alive_), SentAt](const platform::AppendResult &Result) {
-        if (!Held.expired())
-          onAppended(Result, SentAt);
-      });
+  Store_.append(Topic_, Records, {}, Timeout_,
+                [this, Held = std::weak_ptr<bool>(Alive_), SentAt,
+                 Call = ++Call_](const platform::AppendResult &Result) {
+                  if (!Held.expired() && Call == Call_)
+                    onAppended(Result, SentAt);
+                });
+}
+
+void JobWriter::logFailure(const std::vector<Item> &Batch, const platform::AppendResult &Result,
+                           core::TimePoint SentAt) const {
+  core::count("masticdrift_store_failures_total", {{"topic", Topic_}});
+  const bool Certain = Result.Outcome_ == platform::AppendOutcome::Refused;
+  core::log(core::LogLevel::Warning, "append was not confirmed",
+            {{"topic", Topic_},
+             {"first_key", Batch.front().Entry_.Key_},
+             {"records", std::to_string(Batch.size())},
+             {"uncertain", Certain ? "false" : "true"},
+             {"detail", Result.Detail_},
+             {"ms", std::to_string(core::toMillis(core::Clock::now() - SentAt))}});
 }
 
 void JobWriter::onAppended(const platform::AppendResult &Result, core::TimePoint SentAt) {
   using enum platform::AppendOutcome;
+  const core::Duration Took = core::Clock::now() - SentAt;
   Outstanding_ = false;
   std::vector<Item> Batch;
   Batch.swap(Sent_);
   if (Result.Outcome_ == Stored) {
-    Timeout_ = FirstAppendTimeout;
-    core::observe("masticdrift_store_seconds",
-                  std::chrono::duration<double>(core::Clock::now() - SentAt).count(),
+    core::observe("masticdrift_store_seconds", std::chrono::duration<double>(Took).count(),
                   {{"call", "append"}});
     // Callbacks come last: one of them may write again.
     std::uint64_t Offset = Result.Offset_;
     for (const Item &One : Batch)
       Applied_(Offset++, One.Entry_);
   } else {
-    core::count("masticdrift_store_failures_total", {{"topic", Topic_}});
-    if (Result.Outcome_ != Refused)
-      Timeout_ = std::min(2 * Timeout_, LastAppendTimeout);
+    logFailure(Batch, Result, SentAt);
   }
+  if (Result.Outcome_ != Refused)
+    Timeout_ = nextAppendTimeout(Took);
   std::vector<Item> Again;
   for (Item &One : Batch) {
     if (!One.Done_)
       continue; // answered meanwhile
-    if (Result.Outcome_ == Stored)
+    if (Result.Outcome_ == Stored) {
       One.Done_(WriteOutcome::Stored);
-    else if (Result.Outcome_ == Refused && !One.Uncertain_)
+    } else if (Result.Outcome_ == Refused && !One.Uncertain_) {
       One.Done_(WriteOutcome::Refused);
-    else {
+    } else {
       One.Uncertain_ = One.Uncertain_ || Result.Outcome_ != Refused;
       Again.push_back(std::move(One));
     }
@@ -79,7 +97,7 @@
   Waiting_.insert(Waiting_.begin(), std::make_move_iterator(Again.begin()),
                   std::make_move_iterator(Again.end()));
   // A refusing service is asked again by expire(), not at once.
-  if (Result.Outcome_ == Stored || Timeout_ > FirstAppendTimeout)
+  if (Result.Outcome_ != Refused)
     flush();
 }
 
@@ -92,6 +110,14 @@
   Settle(Sent_);
   Settle(Waiting_);
   std::erase_if(Waiting_, [](const Item &One) { return !One.Done_; });
+  if (!Outstanding_ || Sent_.empty() ||
+      std::ranges::any_of(Sent_, [](const Item &One) { return One.Done_ != nullptr; }))
+    return;
+  // All of the call's records are in the log, so its answer is late or lost: go on without it.
+  ++Call_;
+  Outstanding_ = false;
+  Sent_.clear();
+  flush();
 }
 
 void JobWriter::expire(core::TimePoint Now) {
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -4,6 +4,7 @@
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/core/Pack.h"
 #include "masticdrift/daemon/AdviceDesk.h"
+#include "masticdrift/daemon/JobWriter.h"
 #include "masticdrift/lead/Election.h"
 #include "masticdrift/lead/Scheduler.h"
 #include "platform/Executors.h"
@@ -35,8 +36,6 @@
 constexpr core::Millis EventDelay{3};
 /// Between two appends of progress.
 constexpr core::Millis FlushSpacing{20};
-constexpr core::Millis FirstFlushTimeout{400};
-constexpr core::Millis LastFlushTimeout{1500};
 constexpr core::Millis BeatTimeout{1500};
 constexpr core::Millis FenceTimeout{1500};
 constexpr core::Millis RetryDelay{100};
@@ -46,7 +45,7 @@
 constexpr core::Millis HoldAnswerTime{700};
 /// Added to the expected time of a call for advice.
 constexpr core::Millis AdviceSlack{900};
-/// A list read by a process younger than this may lack entries.
+/// A list read by a process younger than this may lack entries, if the store was away before.
 constexpr core::Millis FreshProcess{12'000};
 /// Between updates of the leader's gauges.
 constexpr core::Millis GaugeInterval{2000};
@@ -95,6 +94,7 @@
     NewestOffset_ = One.Offset_;
     NewsAt_ = core::Clock::now();
     Refused_ = false;
+    LeaderHeard_ = LeaderHeard_ && !Change;
     if (Change)
       core::log(core::LogLevel::Info, "leader is known",
                 {{"leader", Newest_->Instance_},
@@ -122,9 +122,15 @@
   }
 
   platform::KeyedRecord leadRecord(std::uint64_t Term, bool Released) const {
-    return {0, LeadKey,
-            core::pack(lead::LeadRecord{Context_.Settings_.Instance_, Context_.PeerAddress_, Term,
-                                        Released, core::wallMillis(), Context_.Incarnation_})};
+    lead::LeadRecord Record{Context_.Settings_.Instance_, Context_.PeerAddress_, Term, Released,
+                            core::wallMillis(),           Context_.Incarnation_, {}};
+    if (Scheduler_) {
+      for (const fleet::ExecutorInfo &One : Scheduler_->unlisted())
+        Record.Unlisted_.push_back({One.Id_, One.Address_});
+    } else if (Newest_) {
+      Record.Unlisted_ = Newest_->Unlisted_;
+    }
+    return {0, LeadKey, core::pack(Record)};
   }
 
   void appendLead(std::uint64_t At, std::uint64_t Term, bool Released,
@@ -148,6 +154,7 @@
   void claim() {
     Claiming_ = true;
     const std::uint64_t At = std::max(Lead_.next(), Newest_ ? NewestOffset_ + 1 : 0);
+    BeatGap_ = Newest_ ? core::Millis(core::wallMillis() - Newest_->WallMs_) : core::Millis(0);
     core::log(core::LogLevel::Info, "claims the leadership",
               {{"at", std::to_string(At)},
                {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewsAt_))},
@@ -220,10 +227,13 @@
     const core::TimePoint Now = core::Clock::now();
     Role_ = Role::Leading;
     Flushing_ = false;
+    FlushNumber_ = 0;
     Sequence_ = 1;
-    FlushTimeout_ = FirstFlushTimeout;
-    Scheduler_.emplace(Term_, lead::Timing{}, ports(), Now,
-                       Now - Context_.StartedAt_ < FreshProcess);
+    FlushTimeout_ = LeastAppendTimeout;
+    // Entries lapse after three heartbeats; beats that came until then show a store that was there.
+    const bool ListMayLack = Now - Context_.StartedAt_ < FreshProcess &&
+                             BeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
+    Scheduler_.emplace(Term_, lead::Timing{}, ports(), Now, ListMayLack);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
     for (const auto &[Id, Entry] : Context_.Roster_) {
@@ -231,6 +241,14 @@
       if (!Entry.Listed_)
         Scheduler_->onExecutorGone(Id, Now);
     }
+    for (const lead::UnlistedExecutor &One : Newest_->Unlisted_)
+      if (!Context_.Roster_.contains(One.Id_)) {
+        fleet::ExecutorInfo Info;
+        Info.Id_ = One.Id_;
+        Info.Address_ = One.Address_;
+        Scheduler_->onExecutor(Info, Now);
+        Scheduler_->onExecutorGone(One.Id_, Now);
+      }
     for (const auto &[Id, Job] : Context_.Ledger_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
     Desk_.offer({}, Now);
@@ -336,7 +354,9 @@
     }
     Flushing_ = true;
     FlushedAt_ = Now;
-    append(Number, std::make_shared<std::vector<platform::KeyedRecord>>(std::move(Records)));
+    FlushNumber_ = Number;
+    Flushed_ = std::make_shared<std::vector<platform::KeyedRecord>>(std::move(Records));
+    append(Number, Flushed_);
   }
 
   void append(std::uint64_t Number, std::shared_ptr<std::vector<platform::KeyedRecord>> Records) {
@@ -345,28 +365,45 @@
     Terms.Epoch_ = Term_;
     Terms.Sequence_ = Sequence_;
     Context_.Store_.append(JobsTopic, *Records, Terms, FlushTimeout_,
-                           [Self = shared_from_this(), Term = Term_, Number,
-                            Records](const platform::AppendResult &Result) {
-                             if (!Self->Closed_ && Self->Role_ == Role::Leading &&
-                                 Self->Term_ == Term)
-                               Self->onAppended(Number, Records, Result);
+                           [Self = shared_from_this(), Term = Term_, Number, Records,
+                            SentAt = core::Clock::now()](const platform::AppendResult &Result) {
+                             if (Self->Closed_ || Self->Role_ != Role::Leading ||
+                                 Self->Term_ != Term || Self->FlushNumber_ != Number)
+                               return;
+                             if (Result.Outcome_ != platform::AppendOutcome::Refused)
+                               Self->FlushTimeout_ = nextAppendTimeout(core::Clock::now() - SentAt);
+                             Self->onAppended(Number, Records, Result);
                            });
   }
 
+  /// A progress record was read back from the log.
+  void onProgressRead(std::string_view Key, std::string_view Value) {
+    // Later records of a call are stored with the earlier ones, so the last one settles it.
+    if (Role_ != Role::Leading || !Flushing_ || !Flushed_ || Flushed_->back().Key_ != Key ||
+        Flushed_->back().Value_ != Value)
+      return;
+    confirmed();
+  }
+
+  void confirmed() {
+    ++Sequence_;
+    Flushing_ = false;
+    const std::uint64_t Number = std::exchange(FlushNumber_, 0);
+    Flushed_.reset();
+    Scheduler_->onFlushed(Number, core::Clock::now());
+    tickSoon();
+  }
+
   void onAppended(std::uint64_t Number,
                   const std::shared_ptr<std::vector<platform::KeyedRecord>> &Records,
                   const platform::AppendResult &Result) {
     using enum platform::AppendOutcome;
     switch (Result.Outcome_) {
     case Stored: {
-      ++Sequence_;
-      Flushing_ = false;
-      FlushTimeout_ = FirstFlushTimeout;
       std::uint64_t Offset = Result.Offset_;
       for (const platform::KeyedRecord &One : *Records)
         Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
-      Scheduler_->onFlushed(Number, core::Clock::now());
-      tickSoon();
+      confirmed();
       return;
     }
     case Fenced:
@@ -380,12 +417,15 @@
       break;
     default:
       core::count("masticdrift_store_failures_total", {{"topic", JobsTopic}});
-      FlushTimeout_ = std::min(2 * FlushTimeout_, LastFlushTimeout);
+      core::log(core::LogLevel::Warning, "progress was not confirmed",
+                {{"sequence", std::to_string(Sequence_)},
+                 {"records", std::to_string(Records->size())},
+                 {"detail", Result.Detail_}});
       break;
     }
     // The same records under the same sequence: a copy that was stored meanwhile is not repeated.
     after(RetryTimer_, RetryDelay, [this, Number, Records, Term = Term_] {
-      if (Role_ == Role::Leading && Term_ == Term)
+      if (Role_ == Role::Leading && Term_ == Term && FlushNumber_ == Number)
         append(Number, Records);
     });
   }
@@ -537,6 +577,7 @@
           const bool Replaced = Result.Transfer_ == http::Transfer::Complete &&
                                 Result.Answer_.Body_ != Self->Newest_->Incarnation_;
           Self->Refused_ = Refused || Replaced;
+          Self->LeaderHeard_ = Result.Transfer_ == http::Transfer::Complete && !Replaced;
         });
   }
 
@@ -571,17 +612,21 @@
   bool Releasing_ = false;
   bool FoundOnStart_ = false;
   bool Refused_ = false;
+  bool LeaderHeard_ = false; ///< the leader answered the last offer of help
   Role Role_ = Role::Follower;
   std::optional<lead::LeadRecord> Newest_;
   std::uint64_t NewestOffset_ = 0;
   core::TimePoint NewsAt_{};
+  core::Millis BeatGap_{0}; ///< between the last beat of the earlier leader and the claim
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0;
   bool Flushing_ = false;
   bool TickSoon_ = false;
   core::TimePoint FlushedAt_{};
   core::TimePoint GaugesAt_{};
-  core::Millis FlushTimeout_ = FirstFlushTimeout;
+  std::uint64_t FlushNumber_ = 0; ///< of the append that is waited for, 0 for none
+  std::shared_ptr<std::vector<platform::KeyedRecord>> Flushed_;
+  core::Millis FlushTimeout_ = LeastAppendTimeout;
   std::optional<lead::Scheduler> Scheduler_;
 };
 
@@ -623,6 +668,10 @@
     Impl_->Scheduler_->onExecutor(Found->second.Info_, core::Clock::now());
 }
 
+void LeaderDriver::onProgressRead(std::string_view Key, std::string_view Value) {
+  Impl_->onProgressRead(Key, Value);
+}
+
 bool LeaderDriver::onHello(const protocol::Hello &From) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return false;
@@ -642,4 +691,8 @@
              : std::string();
 }
 
+bool LeaderDriver::leaderHeard() const { return Impl_->LeaderHeard_; }
+
+void LeaderDriver::leaderFailed() { Impl_->LeaderHeard_ = false; }
+
 } // namespace masticdrift::daemon
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -42,19 +42,15 @@
          Work.Answer_.Status_ == 204 || Work.Answer_.Status_ == 304;
 }
 
-Transfer classify(CURLcode Code, const Exchange &Work, std::size_t BytesOut) {
+Transfer classify(CURLcode Code, const Exchange &Work) {
   if (Code == CURLE_OK)
     return lengthDeclared(Work) ? Transfer::Complete : Transfer::Truncated;
   if (Work.HeadersSeen_)
     return Transfer::Truncated;
   if (Work.Withheld_)
     return Work.Permitted_ ? Transfer::NoAnswer : Transfer::NotConnected;
-  double Connected = 0;
-  curl_easy_getinfo(Work.Easy_, CURLINFO_CONNECT_TIME, &Connected);
-  const bool Refused = Code == CURLE_COULDNT_CONNECT || Code == CURLE_COULDNT_RESOLVE_HOST;
-  const bool TimedOutConnecting =
-      Code == CURLE_OPERATION_TIMEDOUT && Connected == 0 && BytesOut == 0;
-  return Refused || TimedOutConnecting ? Transfer::NotConnected : Transfer::NoAnswer;
+  // The permission is asked for when a connection is there, immediately before the first byte.
+  return Work.Permitted_ ? Transfer::NoAnswer : Transfer::NotConnected;
 }
 
 } // namespace
@@ -105,7 +101,7 @@
   Work.Answer_.Status_ = static_cast<int>(Status);
   Result.BytesOut_ = static_cast<std::size_t>(HeaderOut) + static_cast<std::size_t>(BodyOut);
   Result.BytesIn_ = static_cast<std::size_t>(HeaderIn) + Work.Answer_.Body_.size();
-  Result.Transfer_ = classify(Code, Work, Result.BytesOut_);
+  Result.Transfer_ = classify(Code, Work);
   if (Work.Withheld_)
     Result.Error_ = "the request was withheld before it was sent";
   else if (Code != CURLE_OK)
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MaxAdvised = 60;
 /// Answers asked beyond the expected need, for executors that fill up meanwhile.
 constexpr double AdviceReserve = 1.3;
+/// A call names at least as many executors as prolong it by this part of its fixed time.
+constexpr double AdviceWidening = 0.3;
 /// Assumed part of good answers before any was seen, and the weight of a new observation.
 constexpr double FirstYield = 0.5;
 constexpr double YieldWeight = 0.1;
@@ -247,16 +249,18 @@
       return;
     std::ranges::sort(Open, {}, &std::pair<double, const ExecutorState *>::first);
     const double Missing = (Wanted - Have) * AdviceReserve;
+    const work::AdvicePolicy &Policy = *What.Job_->Queue_.Advice_;
+    const auto Least =
+        static_cast<std::size_t>(AdviceWidening * Policy.DecideMs_ / std::max(Policy.EachMs_, 0.1));
     std::vector<std::string> Names;
-    for (double Expected = 0; const auto &[Cost, At] : Open) {
-      if (Expected >= Missing || Names.size() >= MaxAdvised)
+    for (double Expected = 0; const auto &[Price, At] : Open) {
+      if ((Expected >= Missing && Names.size() >= Least) || Names.size() >= MaxAdvised)
         break;
       const bool Known = Step.Advice_.contains(At->Info_.Id_);
       Expected += slots(*At, Step, Spec, Wanted) * (Known ? 1.0 : yieldOf(*What.Job_));
       Names.push_back(At->Info_.Id_);
     }
-    const double Cost = What.Job_->Queue_.Advice_->DecideMs_ +
-                        What.Job_->Queue_.Advice_->EachMs_ * static_cast<double>(Names.size());
+    const double Cost = Policy.DecideMs_ + Policy.EachMs_ * static_cast<double>(Names.size());
     Step.Asking_ = true;
     Of_.Out_.Advise_({What.Job_->Id_, What.Occurrence_, What.Step_, 0}, std::move(Names), Cost,
                      {What.Class_ * 100 + What.Priority_, What.Deadline_});
@@ -303,7 +307,9 @@
       for (std::uint32_t I = 0; I < Occurrence.Steps_.size(); ++I)
         if (const StepRun &Step = Occurrence.Steps_[I];
             Step.Waiting_ > 0 && (Step.Ready_ || Pass.nearlyReady(Job, K, I))) {
-          const int Class = Now > Job.Worthless_ ? 2 : (Job.OverShare_ ? 1 : 0);
+          // Tasks that run until cancelled are worth the same at any time.
+          const bool Lasts = Job.What_.Spec_.Steps_[I].LongRunning_;
+          const int Class = Now > Job.Worthless_ && !Lasts ? 2 : (Job.OverShare_ ? 1 : 0);
           Waiting.push_back({Class, Job.Queue_.Priority_, Job.Deadline_, &Job, K, I});
         }
     }
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -494,6 +494,14 @@
   }
 }
 
+std::vector<fleet::ExecutorInfo> Scheduler::unlisted() const {
+  std::vector<fleet::ExecutorInfo> Out;
+  for (const auto &[Id, At] : Executors_)
+    if (!At.Listed_)
+      Out.push_back(At.Info_);
+  return Out;
+}
+
 void Scheduler::updateAccounted(core::TimePoint Now) {
   if (Accounted_)
     return;
