lead: settle refused repeats by the lists, keep what a reborn executor lists; model of the fleet in virtual time

Change: the next lists decide about a superseded run; an executor that starts again keeps the runs that its lists show and stops the ones whose order may still come; unknown runs of an earlier leader count against the limit and do not block it; a draining executor without an entry that does not answer has left. FakeFleet plays executors, log and advice in virtual time around the scheduler.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -111,6 +111,7 @@
 struct ExecutorState {
   fleet::ExecutorInfo Info_;
   bool Listed_ = false;
+  core::TimePoint UnlistedAt_{};
   bool Held_ = false; ///< has answered under this term in its present incarnation
   std::int64_t Born_ = 0;
   std::int64_t ClockMs_ = 0;
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -37,8 +37,10 @@
   core::Millis TicketMargin_{200};  ///< tickets count as expired this much earlier
   core::Millis AdviceRetry_{150};   ///< after advice that brought nothing
   core::Millis DrainMargin_{700};   ///< runs are stopped this long before a draining executor ends
-  int StartAttempts_ = 3;           ///< start orders before a stop settles the run
-  int FailuresToAvoid_ = 2;         ///< failed runs in a row that make an executor suspect
+  /// A request sent this long after a draining executor's entry went away finds it gone.
+  core::Millis LeaveMargin_{200};
+  int StartAttempts_ = 3;   ///< start orders before a stop settles the run
+  int FailuresToAvoid_ = 2; ///< failed runs in a row that make an executor suspect
 };
 
 /// What the driver carries out. Results come back through the Scheduler's on... functions.
@@ -138,6 +140,8 @@
   void takeRunning(ExecutorState &At, const fleet::RunningRow &Row, core::TimePoint Now);
   void settleMissing(ExecutorState &At, const fleet::Report &Report, core::TimePoint SentAt,
                      core::TimePoint Now);
+  void reborn(ExecutorState &At, const fleet::Report &Report, core::TimePoint Now);
+  static void forgetIncarnation(ExecutorState &At);
   void loseAll(ExecutorState &At, std::string_view Why, core::TimePoint Now);
   void renewed(ExecutorState &At, core::TimePoint Now);
   std::int64_t untilOf(const ExecutorState &At, core::TimePoint Now) const;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -47,6 +47,8 @@
 constexpr core::Millis AdviceSlack{900};
 /// A list read by a process younger than this may lack entries, if the store was away before.
 constexpr core::Millis FreshProcess{12'000};
+/// The list and the beats are read at different times.
+constexpr core::Millis UnlistedOverlap{4000};
 /// Between updates of the leader's gauges.
 constexpr core::Millis GaugeInterval{2000};
 
@@ -237,13 +239,20 @@
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
     for (const auto &[Id, Entry] : Context_.Roster_) {
+      // The earlier leader's beats name the executors without an entry that it still counted on;
+      // later losses are known from the list.
+      if (!Entry.Listed_ && Entry.ChangedAt_ < NewsAt_ - UnlistedOverlap)
+        continue;
       Scheduler_->onExecutor(Entry.Info_, Now);
       if (!Entry.Listed_)
         Scheduler_->onExecutorGone(Id, Now);
     }
     for (const lead::UnlistedExecutor &One : Newest_->Unlisted_)
-      if (!Context_.Roster_.contains(One.Id_)) {
+      if (const auto Known = Context_.Roster_.find(One.Id_);
+          Known == Context_.Roster_.end() || !Known->second.Listed_) {
         fleet::ExecutorInfo Info;
+        if (Known != Context_.Roster_.end())
+          Info = Known->second.Info_;
         Info.Id_ = One.Id_;
         Info.Address_ = One.Address_;
         Scheduler_->onExecutor(Info, Now);
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -62,6 +62,20 @@
 struct PlacementPass {
   Scheduler &Of_;
   core::TimePoint Now_;
+  /// What an earlier leader may have started and no executor has told of yet, by customer.
+  std::unordered_map<std::string, core::Resources> Unknown_;
+
+  void sumUnknown() {
+    if (Of_.Accounted_)
+      return;
+    for (const auto &[Id, Job] : Of_.Jobs_)
+      if (Job.Inherited_ && !Job.Ended_)
+        for (const OccurrenceRun &Occurrence : Job.Occurrences_)
+          for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
+            if (Occurrence.Due_ && Occurrence.Steps_[I].Ready_)
+              Unknown_[Job.What_.Customer_] +=
+                  Job.What_.Spec_.Steps_[I].Need_ * Occurrence.Steps_[I].Waiting_;
+  }
 
   bool usable(const ExecutorState &At, const JobRun &Job, const work::StepSpec &Spec) const {
     return At.Listed_ && At.Held_ && !At.Silent_ && !At.Info_.Draining_ && Now_ >= At.AvoidUntil_ &&
@@ -143,9 +157,10 @@
     const auto Customer = Of_.Manifest_.Customers_.find(Job.What_.Customer_);
     if (Customer == Of_.Manifest_.Customers_.end())
       return true;
-    if (!Of_.Accounted_)
-      return Customer->second.UpperLimit_ == core::Resources{};
-    return within(Of_.UsedBy_[Job.What_.Customer_], Need, Customer->second.UpperLimit_);
+    core::Resources Used = Of_.UsedBy_[Job.What_.Customer_];
+    if (const auto Found = Unknown_.find(Job.What_.Customer_); Found != Unknown_.end())
+      Used += Found->second;
+    return within(Used, Need, Customer->second.UpperLimit_);
   }
 
   void start(ExecutorState &At, JobRun &Job, StepRun &Step, const work::TaskRef &Task,
@@ -294,7 +309,8 @@
 
 void Scheduler::place(core::TimePoint Now, std::int64_t WallMs) {
   NextPlace_ = Now + PassInterval;
-  const PlacementPass Pass{*this, Now};
+  PlacementPass Pass{*this, Now, {}};
+  Pass.sumUnknown();
   std::vector<Candidate> Waiting;
   for (auto &[Id, Job] : Jobs_) {
     if (Job.Ended_)
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -40,9 +40,11 @@
     At.NextHold_ = Now;
     At.Born_ = Info.Born_;
   }
-  if (Known && Info.Born_ > At.Born_ && At.Born_ != 0) {
-    loseAll(At, "executor started again", Now);
-    At.Born_ = Info.Born_;
+  if (Known && Info.Born_ > At.Born_ && At.Born_ != 0 && At.Held_) {
+    // Only its own lists tell which orders have reached the new incarnation.
+    note("executor_reborn", {}, 0, Info.Id_, "the list shows a new incarnation");
+    At.Held_ = false;
+    At.HoldOutstanding_ = false;
     At.NextHold_ = Now;
   }
   if (Info.Draining_ && never(At.DrainEnd_)) {
@@ -56,10 +58,12 @@
   PlaceDue_ = true;
 }
 
-void Scheduler::onExecutorGone(std::string_view Id, core::TimePoint) {
+void Scheduler::onExecutorGone(std::string_view Id, core::TimePoint Now) {
   const auto Found = Executors_.find(Id);
-  if (Found != Executors_.end())
-    Found->second.Listed_ = false;
+  if (Found == Executors_.end() || !Found->second.Listed_)
+    return;
+  Found->second.Listed_ = false;
+  Found->second.UnlistedAt_ = Now;
 }
 
 std::int64_t Scheduler::untilOf(const ExecutorState &At, core::TimePoint Now) const {
@@ -213,7 +217,10 @@
     Started.NextOrderAt_ = Now + Times_.OrderRetry_;
     return;
   case OrderOutcome::Superseded:
-    dropRun(At, Which, Now);
+    // An unanswered copy may have started the run and the run may have ended. It can't start any
+    // more, so the next lists tell what became of it.
+    Started.State_ = RunState::Stopping;
+    Started.StoppedAt_ = Now;
     return;
   case OrderOutcome::TicketInvalid:
     if (JobRun *Job = jobOf(Which.first))
@@ -259,9 +266,17 @@
   if (Host == Executors_.end())
     return;
   ExecutorState &At = Host->second;
+  if (SentAt < At.LastHold_)
+    return; // a newer request is on its way
   At.HoldOutstanding_ = false;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   if (Outcome != OrderOutcome::Done) {
+    // A draining executor whose entry is gone and that does not answer has left; all that ran on it
+    // has ended with it.
+    if (!At.Listed_ && At.Info_.Draining_ && SentAt >= At.UnlistedAt_ + Times_.LeaveMargin_) {
+      loseAll(At, "executor has left", Now);
+      At.LeaseEnd_ = Now;
+    }
     if (!At.Silent_)
       note("executor_silent", {}, 0, Executor, fleet::nameOf(Outcome));
     At.Silent_ = true;
@@ -272,7 +287,7 @@
     note("executor_answers", {}, 0, Executor, std::to_string(Report.Running_.size()));
   At.Silent_ = false;
   if (Report.Born_ != 0 && At.Born_ != 0 && Report.Born_ != At.Born_)
-    loseAll(At, "executor started again", Now);
+    reborn(At, Report, Now);
   if (Report.Born_ != 0)
     At.Born_ = Report.Born_;
   At.Held_ = true;
@@ -399,6 +414,39 @@
   }
 }
 
+void Scheduler::reborn(ExecutorState &At, const fleet::Report &Report, core::TimePoint Now) {
+  note("runs_lost", {}, 0, At.Info_.Id_, "executor started again");
+  std::set<RunKey> There;
+  for (const fleet::RunningRow &Row : Report.Running_)
+    There.insert({Row.Task_, Row.Run_});
+  for (const fleet::EndRow &Row : Report.Ended_)
+    There.insert({Row.Task_, Row.Run_});
+  std::vector<RunKey> Over;
+  for (auto &[Key, One] : At.Runs_) {
+    One.ConfirmedAt_ = {};
+    One.StoppedAt_ = {};
+    if (There.contains(Key) || One.OrderOutstanding_)
+      continue; // an order on its way may still reach the new incarnation
+    if (One.Unanswered_ > 0)
+      stopRun(At, One, "a late copy may reach the new incarnation", Now);
+    else
+      Over.push_back(Key);
+  }
+  forgetIncarnation(At);
+  for (const RunKey &Key : Over) {
+    note("run_over", Key.first, Key.second, At.Info_.Id_, "executor started again");
+    dropRun(At, Key, Now);
+  }
+}
+
+void Scheduler::forgetIncarnation(ExecutorState &At) {
+  At.Processed_ = 0;
+  At.Seen_ = 0;
+  At.ClockMs_ = 0;
+  At.Unacked_.clear();
+  At.FailuresInRow_ = 0;
+}
+
 void Scheduler::loseAll(ExecutorState &At, std::string_view Why, core::TimePoint Now) {
   note("runs_lost", {}, 0, At.Info_.Id_, Why);
   while (!At.Runs_.empty()) {
@@ -409,11 +457,6 @@
   At.Held_ = false;
   At.Used_ = {};
   At.FillMilliCores_ = 0;
-  At.Processed_ = 0;
-  At.Seen_ = 0;
-  At.ClockMs_ = 0;
-  At.Unacked_.clear();
-  At.FailuresInRow_ = 0;
   At.NextHold_ = Now;
 }
 
@@ -497,7 +540,7 @@
 std::vector<fleet::ExecutorInfo> Scheduler::unlisted() const {
   std::vector<fleet::ExecutorInfo> Out;
   for (const auto &[Id, At] : Executors_)
-    if (!At.Listed_)
+    if (!At.Listed_ && !At.Runs_.empty())
       Out.push_back(At.Info_);
   return Out;
 }
--- /dev/null
+++ b/tests/unit/SchedulerTest.cpp
@@ -0,0 +1,335 @@
+// The leader's decisions against executors that follow the platform's contract, in virtual time.
+#include "support/FakeFleet.h"
+
+#include <cstdlib>
+
+#include <criterion/criterion.h>
+
+using namespace masticdrift;
+using core::Millis;
+using tests::FakeFleet;
+using tests::FakeFleetOptions;
+
+namespace {
+
+work::JobSpec jobOf(std::uint32_t Tasks, std::int64_t Ms, std::uint32_t Steps = 1) {
+  work::JobSpec Spec;
+  Spec.Payload_ = "payload";
+  for (std::uint32_t I = 0; I < Steps; ++I) {
+    work::StepSpec Step;
+    Step.Count_ = Tasks;
+    Step.Need_ = {1000, 100, 0};
+    Step.EstimatedMs_ = Ms;
+    if (I > 0)
+      Step.DependsOn_ = {I - 1};
+    Spec.Steps_.push_back(Step);
+  }
+  return Spec;
+}
+
+/// MASTICDRIFT_TRACE_SEED=N prints the decisions of that seed; 0 those of the single runs.
+bool traced(unsigned Seed) {
+  const char *Wanted = std::getenv("MASTICDRIFT_TRACE_SEED");
+  return Wanted != nullptr && std::to_string(Seed) == Wanted;
+}
+
+FakeFleetOptions calm() {
+  FakeFleetOptions Options;
+  Options.Trace_ = traced(0);
+  return Options;
+}
+
+void addExecutors(FakeFleet &Fleet, int Count, std::int64_t Cores = 4) {
+  for (int I = 0; I < Count; ++I)
+    Fleet.addExecutor("e" + std::to_string(I), {Cores * 1000, 8000, 0});
+  Fleet.run(Millis(100));
+}
+
+void expectWhole(const FakeFleet &Fleet, unsigned Seed = 0) {
+  for (const std::string &One : Fleet.broken())
+    cr_expect(false, "seed %u: %s", Seed, One.c_str());
+}
+
+} // namespace
+
+// --- A calm day ---
+
+Test(SchedulerCalm, aJobOfTwoStepsCompletesInOrder) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  Fleet.submit("j1", jobOf(3, 500, 2));
+  Fleet.run(Millis(700));
+  cr_expect_eq(Fleet.startsOf({"j1", 0, 1, 0}) + Fleet.startsOf({"j1", 0, 0, 0}), 2);
+  Fleet.run(Millis(1000));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
+// Guards against a start beyond an executor's room.
+Test(SchedulerCalm, tasksWaitForRoom) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 1);
+  Fleet.submit("j1", jobOf(10, 300));
+  Fleet.run(Millis(250));
+  cr_expect_eq(Fleet.placesOf("j1").size(), 4);
+  Fleet.run(Millis(1500));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
+// Guards against a customer that runs more than its upper limit.
+Test(SchedulerCalm, aCustomerStaysWithinItsLimit) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  work::Manifest Manifest;
+  work::Queue Queue;
+  Queue.Name_ = "q";
+  Queue.Pool_ = "pool";
+  Manifest.Queues_.push_back(Queue);
+  Manifest.Customers_["c"] = {"c", 10, {3000, 0, 0}};
+  Fleet.setManifest(Manifest);
+  Fleet.submit("j1", jobOf(8, 1000));
+  Fleet.run(Millis(300));
+  cr_expect_eq(Fleet.placesOf("j1").size(), 3);
+}
+
+// Guards against tasks that start on executors that the queue's policy does not allow.
+Test(SchedulerCalm, adviceComesBeforeTheStart) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 6);
+  work::Manifest Manifest;
+  work::Queue Queue;
+  Queue.Name_ = "q";
+  Queue.Pool_ = "pool";
+  Queue.MaxAttempts_ = 2;
+  Queue.Advice_ = work::AdvicePolicy{200, 1, 2500};
+  Manifest.Queues_.push_back(Queue);
+  Fleet.setManifest(Manifest);
+  Fleet.submit("j1", jobOf(2, 300));
+  Fleet.run(Millis(150));
+  cr_expect_eq(Fleet.placesOf("j1").size(), 0);
+  Fleet.run(Millis(1500));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+}
+
+// --- Answers that are lost ---
+
+// Guards against a second run of a task whose start was not answered and which has ended meanwhile:
+// the executor then refuses the repeated order, which does not mean that the task never ran.
+Test(SchedulerLost, aRefusedRepeatOfAnUnansweredStartIsNoProofThatItNeverRan) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  // Answers of the lists are lost as well, so that the end is learned late.
+  Fleet.loseNextStartAnswer();
+  Fleet.submit("j1", jobOf(1, 650));
+  Fleet.run(Millis(5000));
+  cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}), 1);
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
+Test(SchedulerLost, lostAnswersNeitherLoseNorDoubleTasks) {
+  for (unsigned Seed = 1; Seed <= 25; ++Seed) {
+    FakeFleetOptions Options;
+    Options.Seed_ = Seed;
+    Options.Trace_ = traced(Seed);
+    Options.AnswerLost_ = 0.2;
+    FakeFleet Fleet(Options);
+    addExecutors(Fleet, 4);
+    for (int I = 0; I < 6; ++I)
+      Fleet.submit("j" + std::to_string(I), jobOf(4, 300 + 150 * I, 2));
+    Fleet.run(Millis(40'000));
+    for (int I = 0; I < 6; ++I)
+      cr_expect(Fleet.stateOf("j" + std::to_string(I)) == work::JobState::Completed,
+                "seed %u: job %d is %s", Seed, I,
+                std::string(nameOf(Fleet.stateOf("j" + std::to_string(I)))).c_str());
+    expectWhole(Fleet, Seed);
+  }
+}
+
+// Guards against a start that is carried out seconds later, beside a newer run elsewhere.
+Test(SchedulerLost, ordersThatComeLateDoNotDoubleTasks) {
+  for (unsigned Seed = 1; Seed <= 25; ++Seed) {
+    FakeFleetOptions Options;
+    Options.Seed_ = Seed;
+    Options.Trace_ = traced(Seed);
+    Options.OrderLate_ = 0.15;
+    FakeFleet Fleet(Options);
+    addExecutors(Fleet, 4);
+    for (int I = 0; I < 6; ++I)
+      Fleet.submit("j" + std::to_string(I), jobOf(4, 400, 2));
+    Fleet.run(Millis(40'000));
+    for (int I = 0; I < 6; ++I)
+      cr_expect(Fleet.stateOf("j" + std::to_string(I)) == work::JobState::Completed,
+                "seed %u: job %d", Seed, I);
+    expectWhole(Fleet, Seed);
+  }
+}
+
+// --- Executors that fail ---
+
+// Guards against a task that runs elsewhere while its silent executor still holds a lease.
+Test(SchedulerExecutors, workOfASilentExecutorStartsElsewhereAfterItsLease) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2, 1);
+  work::JobSpec Spec = jobOf(2, 20'000);
+  Fleet.submit("j1", Spec);
+  Fleet.run(Millis(1000));
+  Fleet.cut("e0", Millis(60'000));
+  Fleet.addExecutor("e9", {4000, 8000, 0});
+  Fleet.run(Millis(5000));
+  cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}) + Fleet.startsOf({"j1", 0, 0, 1}), 2);
+  Fleet.run(Millis(6000));
+  cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}) + Fleet.startsOf({"j1", 0, 0, 1}), 3);
+  expectWhole(Fleet);
+}
+
+// An executor that starts again holds nothing: its tasks need not wait for a lease.
+Test(SchedulerExecutors, workOfARebornExecutorStartsAgainAtOnce) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 1);
+  Fleet.submit("j1", jobOf(2, 4000));
+  Fleet.run(Millis(1000));
+  Fleet.crash("e0", Millis(500));
+  Fleet.run(Millis(2500));
+  cr_expect_eq(Fleet.placesOf("j1").size(), 2);
+  Fleet.run(Millis(5000));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
+// Guards against tasks that last and are ranked as worthless after their objective has passed.
+Test(SchedulerExecutors, tasksThatLastAreRestartedHoweverOldTheyAre) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  work::JobSpec Spec = jobOf(2, 500);
+  Spec.Steps_[0].LongRunning_ = true;
+  Fleet.submit("j1", Spec);
+  Fleet.run(Millis(30'000));
+  const std::string Host = Fleet.placesOf("j1").front();
+  // Short work fills what room there is.
+  for (int I = 0; I < 20; ++I)
+    Fleet.submit("s" + std::to_string(I), jobOf(4, 2000));
+  Fleet.crash(Host, Millis(300));
+  Fleet.run(Millis(4000));
+  cr_expect_eq(Fleet.placesOf("j1").size(), 2);
+  expectWhole(Fleet);
+}
+
+// --- Another leader ---
+
+Test(SchedulerTakeover, aNewLeaderAdoptsWhatRuns) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  Fleet.submit("j1", jobOf(4, 3000));
+  Fleet.run(Millis(1000));
+  Fleet.takeOver();
+  Fleet.run(Millis(4000));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  for (std::uint32_t I = 0; I < 4; ++I)
+    cr_expect_eq(Fleet.startsOf({"j1", 0, 0, I}), 1);
+  expectWhole(Fleet);
+}
+
+// Guards against idle seconds: a silent executor may run what an earlier leader began, and nothing
+// else.
+Test(SchedulerTakeover, jobsThatWereNeverBegunDoNotWaitForASilentExecutor) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 3);
+  Fleet.submit("old", jobOf(2, 20'000));
+  Fleet.run(Millis(1000));
+  Fleet.cut("e0", Millis(60'000));
+  Fleet.takeOver();
+  Fleet.submit("new", jobOf(2, 300));
+  Fleet.run(Millis(1000));
+  cr_expect(Fleet.stateOf("new") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
+// The same for a customer with an upper limit: what may run unseen counts, and the rest is free.
+Test(SchedulerTakeover, aLimitLeavesRoomBesideWhatMayRunUnseen) {
+  FakeFleet Fleet(calm());
+  work::Manifest Manifest;
+  work::Queue Queue;
+  Queue.Name_ = "q";
+  Queue.Pool_ = "pool";
+  Manifest.Queues_.push_back(Queue);
+  Manifest.Customers_["c"] = {"c", 10, {4000, 0, 0}};
+  Fleet.setManifest(Manifest);
+  addExecutors(Fleet, 3, 2);
+  Fleet.submit("old", jobOf(2, 20'000));
+  Fleet.run(Millis(1000));
+  for (const std::string &One : Fleet.placesOf("old"))
+    Fleet.cut(One, Millis(60'000));
+  Fleet.takeOver();
+  Fleet.submit("new", jobOf(3, 400));
+  Fleet.run(Millis(350));
+  cr_expect_eq(Fleet.placesOf("new").size(), 2);
+  Fleet.run(Millis(1000));
+  cr_expect(Fleet.stateOf("new") == work::JobState::Completed);
+}
+
+// Guards against two leaders that both start tasks: the old one must be stopped by the executors.
+Test(SchedulerTakeover, anOldLeaderThatGoesOnDoesNoHarm) {
+  for (unsigned Seed = 1; Seed <= 25; ++Seed) {
+    FakeFleetOptions Options;
+    Options.Seed_ = Seed;
+    Options.Trace_ = traced(Seed);
+    Options.AnswerLost_ = 0.05;
+    Options.OrderLate_ = 0.03;
+    FakeFleet Fleet(Options);
+    addExecutors(Fleet, 4);
+    for (int I = 0; I < 10; ++I) {
+      Fleet.submit("j" + std::to_string(I), jobOf(5, 700, 2));
+      Fleet.run(Millis(250));
+      if (I == 4 || I == 7)
+        Fleet.takeOver(Millis(3000));
+    }
+    Fleet.run(Millis(60'000));
+    for (int I = 0; I < 10; ++I)
+      cr_expect(Fleet.stateOf("j" + std::to_string(I)) == work::JobState::Completed,
+                "seed %u: job %d", Seed, I);
+    expectWhole(Fleet, Seed);
+  }
+}
+
+// --- Everything at once ---
+
+Test(SchedulerStorm, nothingIsLostDoubledOrOverfilled) {
+  for (unsigned Seed = 1; Seed <= 200; ++Seed) {
+    FakeFleetOptions Options;
+    Options.Seed_ = Seed;
+    Options.Trace_ = traced(Seed);
+    Options.AnswerLost_ = 0.08;
+    Options.OrderLate_ = 0.05;
+    Options.TaskFails_ = 0.03;
+    FakeFleet Fleet(Options);
+    std::mt19937 Random(Seed);
+    addExecutors(Fleet, 6);
+    for (int I = 0; I < 40; ++I) {
+      Fleet.submit("j" + std::to_string(I), jobOf(1 + Random() % 6, 200 + Random() % 2500, 2));
+      const std::string Some = "e" + std::to_string(Random() % 6);
+      switch (Random() % 8) {
+      case 0:
+        Fleet.crash(Some, Millis(300 + Random() % 4000));
+        break;
+      case 1:
+        Fleet.cut(Some, Millis(500 + Random() % 12'000));
+        break;
+      case 2:
+        Fleet.takeOver(Millis(Random() % 2 == 0 ? 0 : Random() % 5000));
+        break;
+      default:
+        break;
+      }
+      Fleet.run(Millis(Random() % 900));
+    }
+    Fleet.run(Millis(150'000));
+    for (int I = 0; I < 40; ++I) {
+      const work::JobState State = Fleet.stateOf("j" + std::to_string(I));
+      cr_expect(work::isFinal(State), "seed %u: job %d is %s", Seed, I,
+                std::string(nameOf(State)).c_str());
+    }
+    expectWhole(Fleet, Seed);
+  }
+}
