--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -482,7 +482,8 @@
   At.LastHold_ = Now;
   if (Renew)
     renewed(At, Now);
-  Out_.Hold_(At.Info_, At.Seen_, Renew ? untilOf(At, Now) : 0, Wait);
+  // After a silence another incarnation may answer, whose ends are numbered anew.
+  Out_.Hold_(At.Info_, Renew ? At.Seen_ : 0, Renew ? untilOf(At, Now) : 0, Wait);
 }
 
 void Scheduler::tickRun(ExecutorState &At, Run &Which, core::TimePoint Now) {
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -315,7 +315,8 @@
       broke("two runs of " + nameOf(Order.Task_) + " on " + Id + " and " + At.Info_.Id_);
   for (const Done &One : Dones_[Order.Task_])
     if (One.Noted_)
-      broke(nameOf(Order.Task_) + " started after its end was noted");
+      broke(nameOf(Order.Task_) + " run " + std::to_string(Order.Run_) + " started on " +
+            At.Info_.Id_ + " after its end on " + One.Executor_ + " was noted");
   Starts_[Order.Task_].push_back(Now_);
   Running &Made = At.Running_[Order.Task_];
   Made.Run_ = Order.Run_;
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -198,6 +198,23 @@
   expectWhole(Fleet);
 }
 
+// Guards against acknowledging ends of a new incarnation, which numbers its ends from 1 again, with
+// the numbers of the old one.
+Test(SchedulerExecutors, endsOfARebornExecutorAreNotAcknowledgedUnread) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 1);
+  for (int I = 0; I < 5; ++I) {
+    Fleet.submit("s" + std::to_string(I), jobOf(4, 100));
+    Fleet.run(Millis(300));
+  }
+  Fleet.crash("e0", Millis(1));
+  Fleet.submit("j1", jobOf(1, 100));
+  Fleet.run(Millis(5000));
+  cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}), 1);
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
 // Guards against tasks that last and are ranked as worthless after their objective has passed.
 Test(SchedulerExecutors, tasksThatLastAreRestartedHoweverOldTheyAre) {
   FakeFleet Fleet(calm());
