lead: count failed runs by their numbers

Ruled out: ends lost with the old leader; all four were listed again. Change: progress records keep the numbers of failed runs.

--- a/include/masticdrift/work/Ledger.h
+++ b/include/masticdrift/work/Ledger.h
@@ -41,9 +41,10 @@
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   std::uint32_t Index_ = 0; ///< 0 for a gang
-  std::uint32_t Failures_ = 0;
-  std::uint64_t LastRun_ = 0; ///< runs up to this one are counted
-  MSGPACK_DEFINE_ARRAY(Occurrence_, Step_, Index_, Failures_, LastRun_)
+  /// Numbers of the failed runs. A new leader reads their ends in any order, so no highest number
+  /// can stand for them.
+  std::vector<std::uint64_t> Runs_;
+  MSGPACK_DEFINE_ARRAY(Occurrence_, Step_, Index_, Runs_)
 };
 
 /// Finished tasks of one step of one occurrence; one byte a task, 1 when done.
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -196,13 +196,12 @@
     return One.Occurrence_ == Task.Occurrence_ && One.Step_ == Task.Step_ && One.Index_ == Index;
   });
   if (Found == All.end())
-    Found = All.insert(All.end(), {Task.Occurrence_, Task.Step_, Index, 0, 0});
-  if (Number <= Found->LastRun_)
+    Found = All.insert(All.end(), {Task.Occurrence_, Task.Step_, Index, {}});
+  if (std::ranges::find(Found->Runs_, Number) != Found->Runs_.end())
     return;
-  Found->LastRun_ = Number;
-  ++Found->Failures_;
+  Found->Runs_.push_back(Number);
   markDirty(Job);
-  if (Found->Failures_ >= Job.Queue_.MaxAttempts_)
+  if (Found->Runs_.size() >= Job.Queue_.MaxAttempts_)
     endJob(Job, work::JobState::Failed, Now);
 }
 
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -198,35 +198,37 @@
     const core::TimePoint SentAt = Now_;
     const auto Answered = std::make_shared<bool>(false);
     const bool Lost = chance(Options_.AnswerLost_);
-    at(Now_ + Options_.Latency_, [this, Of, Target, Id, Seen, Until, Wait, SentAt, Lost, Answered] {
-      Executor &One = Executors_.at(Id);
-      if (!reaches(One))
-        return;
-      const auto Reply = [this, Of, Target, Id, SentAt, Answered](OrderOutcome Outcome) {
-        Executor &From = Executors_.at(Id);
-        if (!reaches(From) || std::exchange(*Answered, true) || !Of->Alive_)
-          return;
-        Target().onHold(Id, Outcome, reportOf(From), SentAt, Now_);
-      };
-      if (Of->Token_ < One.Token_) {
-        Reply(OrderOutcome::Fenced);
-        return;
-      }
-      One.Token_ = Of->Token_;
-      note(One, Seen);
-      if (Until > 0)
-        One.LeaseEnd_ =
-            std::max(One.LeaseEnd_, One.ClockZero_ + core::Millis(static_cast<std::int64_t>(
+    const core::Millis Jitter(std::uniform_int_distribution<>(0, Options_.JitterMs_)(Random_));
+    at(Now_ + Options_.Latency_ + Jitter,
+       [this, Of, Target, Id, Seen, Until, Wait, SentAt, Lost, Answered] {
+         Executor &One = Executors_.at(Id);
+         if (!reaches(One))
+           return;
+         const auto Reply = [this, Of, Target, Id, SentAt, Answered](OrderOutcome Outcome) {
+           Executor &From = Executors_.at(Id);
+           if (!reaches(From) || std::exchange(*Answered, true) || !Of->Alive_)
+             return;
+           Target().onHold(Id, Outcome, reportOf(From), SentAt, Now_);
+         };
+         if (Of->Token_ < One.Token_) {
+           Reply(OrderOutcome::Fenced);
+           return;
+         }
+         One.Token_ = Of->Token_;
+         note(One, Seen);
+         if (Until > 0)
+           One.LeaseEnd_ = std::max(One.LeaseEnd_,
+                                    One.ClockZero_ + core::Millis(static_cast<std::int64_t>(
                                                          static_cast<double>(Until) / ClockRate)));
-      if (Lost)
-        return;
-      if (Wait.count() == 0 || !One.Ended_.empty()) {
-        Reply(OrderOutcome::Done);
-        return;
-      }
-      One.Waiting_ = [Reply] { Reply(OrderOutcome::Done); };
-      at(Now_ + Wait, [Reply] { Reply(OrderOutcome::Done); });
-    });
+         if (Lost)
+           return;
+         if (Wait.count() == 0 || !One.Ended_.empty()) {
+           Reply(OrderOutcome::Done);
+           return;
+         }
+         One.Waiting_ = [Reply] { Reply(OrderOutcome::Done); };
+         at(Now_ + Wait, [Reply] { Reply(OrderOutcome::Done); });
+       });
     at(Now_ + Wait + HoldAnswerTime, [this, Of, Target, Id, SentAt, Answered] {
       if (!std::exchange(*Answered, true) && Of->Alive_)
         Target().onHold(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_);
@@ -272,7 +274,7 @@
     Of->Alive_ = false;
     return;
   }
-  if (!Of->Flushing_)
+  if (!Of->Flushing_ && !StoreDown_)
     if (auto [Number, Entries] = Target.takeProgress(); Number != 0) {
       Of->Flushing_ = true;
       at(Now_ + FlushTime, [this, Of, &Target, Number = Number, Entries = std::move(Entries)] {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -28,6 +28,7 @@
   double OrderLate_ = 0;  ///< orders that are not answered and carried out up to 12 s later
   double TaskFails_ = 0;  ///< runs that end failed
   core::Millis Latency_{1};
+  int JitterMs_ = 0;   ///< requests for lists take up to this much longer
   bool Trace_ = false; ///< prints every decision to standard error
 };
 
@@ -63,6 +64,9 @@
   /// Time from acceptance to the last end, of a completed job.
   std::optional<core::Millis> tookOf(const std::string &Id) const;
 
+  /// While set, nothing the leader writes is stored.
+  void setStoreDown(bool Down) { StoreDown_ = Down; }
+
   /// Loses the next answer to a start order.
   void loseNextStartAnswer() { LoseNextStart_ = true; }
 
@@ -143,6 +147,7 @@
   std::uint64_t Fence_ = 0;
   std::uint64_t Token_ = 0;
   bool LoseNextStart_ = false;
+  bool StoreDown_ = false;
   int Generation_ = 0;
   std::shared_ptr<Term> Current_;
   std::vector<std::pair<std::shared_ptr<Term>, std::unique_ptr<lead::Scheduler>>> Terms_;
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -286,6 +286,29 @@
   cr_expect(Fleet.stateOf("new") == work::JobState::Completed);
 }
 
+// Guards against attempts beyond the limit when a new leader reads failed ends that its predecessor
+// could not make durable: they come from different executors, in any order.
+Test(SchedulerTakeover, failedRunsReadInAnyOrderAllCount) {
+  for (unsigned Seed = 1; Seed <= 20; ++Seed) {
+    FakeFleetOptions Options;
+    Options.Seed_ = Seed;
+    Options.TaskFails_ = 1;
+    Options.JitterMs_ = 20;
+    FakeFleet Fleet(Options);
+    addExecutors(Fleet, 6);
+    Fleet.submit("j1", jobOf(1, 100));
+    Fleet.run(Millis(50));
+    Fleet.setStoreDown(true);
+    Fleet.run(Millis(2500));
+    cr_assert_eq(Fleet.startsOf({"j1", 0, 0, 0}), 4);
+    Fleet.setStoreDown(false);
+    Fleet.takeOver();
+    Fleet.run(Millis(3000));
+    cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}), 4);
+    cr_expect(Fleet.stateOf("j1") == work::JobState::Failed);
+  }
+}
+
 // Guards against two leaders that both start tasks: the old one must be stopped by the executors.
 Test(SchedulerTakeover, anOldLeaderThatGoesOnDoesNoHarm) {
   for (unsigned Seed = 1; Seed <= 25; ++Seed) {
