lead: keep room within a customer's limit for its urgent jobs; read topics less often

Change: work below the first priority leaves what the customer's urgent work used at its recent peak (half-life 8 s, at most half of the limit). The leader and the followers rest longer between reads, since the leader writes nearly all records itself.

--- a/include/masticdrift/journal/Tailer.h
+++ b/include/masticdrift/journal/Tailer.h
@@ -57,9 +57,8 @@
 };
 
 /// Reads records; the signature of legacy::LogClient::read bound to a stream.
-using ReadFunction =
-    std::function<void(std::uint64_t From, std::uint32_t Max,
-                       std::function<void(std::error_code, legacy::ReadResult)>)>;
+using ReadFunction = std::function<void(std::uint64_t From, std::uint32_t Max,
+                                        std::function<void(std::error_code, legacy::ReadResult)>)>;
 
 /// \returns a ReadFunction on \p Client, which must outlive it.
 ReadFunction readFrom(legacy::LogClient &Client, std::string Stream);
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -169,6 +169,14 @@
   std::unordered_map<std::string, JobRun> Jobs_;
   std::map<std::string, ExecutorState, std::less<>> Executors_;
   std::unordered_map<std::string, core::Resources> UsedBy_; ///< by customer
+  /// What each customer's first-priority work used at its peak, decaying.
+  struct Peak {
+    core::Resources Highest_; ///< in use and waiting
+    core::Resources Now_;     ///< the same at the last pass
+    core::Resources InUse_;
+    core::TimePoint At_;
+  };
+  std::unordered_map<std::string, Peak> UrgentPeaks_;
   std::unordered_map<std::string, std::pair<double, core::TimePoint>> ShareTokens_;
   std::set<std::string> Dirty_;
   std::unordered_map<std::string, double> AdviceYield_; ///< part of good answers, by queue
--- a/include/masticdrift/replica/ConfigReplica.h
+++ b/include/masticdrift/replica/ConfigReplica.h
@@ -7,9 +7,9 @@
 #include "masticdrift/config/Key.h"
 #include "masticdrift/core/Error.h"
 #include "masticdrift/core/Timers.h"
+#include "masticdrift/legacy/LogClient.h"
 #include "masticdrift/membership/Freshness.h"
 #include "masticdrift/membership/PeerTable.h"
-#include "masticdrift/legacy/LogClient.h"
 #include "masticdrift/protocol/Link.h"
 
 #include <functional>
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -121,9 +121,8 @@
 }
 
 struct JobService::Impl : std::enable_shared_from_this<Impl> {
-  Impl(JobServiceOptions Options, DomainStream &Own, const Controller &Cell,
-       legacy::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
-       const membership::PeerTable &Table)
+  Impl(JobServiceOptions Options, DomainStream &Own, const Controller &Cell, legacy::LogClient &Log,
+       core::Timers &Timers, protocol::Link &Peers, const membership::PeerTable &Table)
       : Options_(std::move(Options)), Own_(Own), Cell_(Cell), Log_(Log), Timers_(Timers),
         Peers_(Peers), Table_(Table) {}
 
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -29,14 +29,15 @@
 /// Bodies up to this size are read; the configuration's own limit is lower.
 constexpr std::size_t MaxBody = 1U << 20U;
 /// A configuration must be in force within 2.5 s, also when its connection has gone silent.
-constexpr core::Millis ConfigWait{900};
+constexpr core::Millis ConfigWait{1200};
 constexpr core::Millis JobsWait{700};
 constexpr core::Millis ExecutorsWait{1000};
-/// Rests between reads with records: jobs wait for the leader, callers look every few hundred ms.
-constexpr core::Millis LeaderJobsRest{10};
-constexpr core::Millis FollowerJobsRest{90};
+/// Rests between reads with records. The leader appends nearly all of them itself; callers of the
+/// others look every few hundred milliseconds.
+constexpr core::Millis LeaderJobsRest{80};
+constexpr core::Millis FollowerJobsRest{180};
 constexpr core::Millis LeaderExecutorsRest{200};
-constexpr core::Millis FollowerExecutorsRest{1000};
+constexpr core::Millis FollowerExecutorsRest{1800};
 constexpr core::Millis ExpiryInterval{50};
 /// An executor whose entry went away may still run what an earlier leader started.
 constexpr core::Millis RosterMemory{15'000};
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -35,7 +35,7 @@
 constexpr core::Millis TickInterval{30};
 constexpr core::Millis EventDelay{3};
 /// Between two appends of progress.
-constexpr core::Millis FlushSpacing{20};
+constexpr core::Millis FlushSpacing{30};
 constexpr core::Millis BeatTimeout{1500};
 constexpr core::Millis FenceTimeout{1500};
 constexpr core::Millis RetryDelay{100};
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -2,6 +2,7 @@
 #include "masticdrift/lead/Scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace masticdrift::lead {
@@ -23,6 +24,11 @@
 /// Advice for the next step is asked when the present one ends within its time and this much more.
 constexpr core::Millis PrefetchSlack{400};
 
+/// Half-life of the room that a customer's limit keeps for its first-priority work.
+constexpr double PeakHalfLifeS = 8;
+/// At most this part of a limit is kept.
+constexpr std::int64_t MostKeptDivisor = 2;
+
 /// Penalties on the 0..1 scale of an executor's load.
 constexpr double OtherRackPenalty = 2;
 constexpr double AvoidPenalty = 1.5;
@@ -153,11 +159,58 @@
     return Best;
   }
 
+  /// \returns what a customer's less urgent work must leave of its limit, so that the next urgent
+  /// job does not wait for the end of long tasks of the same customer.
+  core::Resources keptFor(const std::string &Customer, const core::Resources &Limit) const {
+    const auto Found = Of_.UrgentPeaks_.find(Customer);
+    if (Found == Of_.UrgentPeaks_.end())
+      return {};
+    const auto Kept = [](std::int64_t Highest, std::int64_t Now, std::int64_t Most) {
+      return std::clamp<std::int64_t>(Highest - Now, 0, Most / MostKeptDivisor);
+    };
+    const core::Resources &Highest = Found->second.Highest_;
+    const core::Resources &InUse = Found->second.InUse_;
+    return {Kept(Highest.MilliCores_, InUse.MilliCores_, Limit.MilliCores_),
+            Kept(Highest.MemoryMb_, InUse.MemoryMb_, Limit.MemoryMb_),
+            Kept(Highest.Accelerators_, InUse.Accelerators_, Limit.Accelerators_)};
+  }
+
+  /// Takes down what first-priority work uses and waits for.
+  void updatePeaks() {
+    for (auto &[Customer, Peak] : Of_.UrgentPeaks_)
+      Peak.Now_ = Peak.InUse_ = {};
+    for (const auto &[Id, Job] : Of_.Jobs_)
+      if (Job.Queue_.Priority_ == 0 && !Job.Ended_ && !Job.OverShare_)
+        for (const OccurrenceRun &Occurrence : Job.Occurrences_)
+          for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
+            if (const StepRun &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
+              Scheduler::Peak &Peak = Of_.UrgentPeaks_[Job.What_.Customer_];
+              const core::Resources &Need = Job.What_.Spec_.Steps_[I].Need_;
+              const auto Open = static_cast<std::int64_t>(Step.Tasks_.size()) - Step.Done_;
+              Peak.Now_ += Need * Open;
+              Peak.InUse_ += Need * (Open - Step.Waiting_);
+            }
+    for (auto &[Customer, Peak] : Of_.UrgentPeaks_) {
+      const double Passed =
+          never(Peak.At_) ? 0 : std::chrono::duration<double>(Now_ - Peak.At_).count();
+      const double Left = std::exp2(-Passed / PeakHalfLifeS);
+      const auto Decayed = [Left](std::int64_t Highest, std::int64_t Current) {
+        return std::max(static_cast<std::int64_t>(static_cast<double>(Highest) * Left), Current);
+      };
+      Peak.At_ = Now_;
+      Peak.Highest_ = {Decayed(Peak.Highest_.MilliCores_, Peak.Now_.MilliCores_),
+                       Decayed(Peak.Highest_.MemoryMb_, Peak.Now_.MemoryMb_),
+                       Decayed(Peak.Highest_.Accelerators_, Peak.Now_.Accelerators_)};
+    }
+  }
+
   bool withinLimit(const JobRun &Job, const core::Resources &Need) const {
     const auto Customer = Of_.Manifest_.Customers_.find(Job.What_.Customer_);
     if (Customer == Of_.Manifest_.Customers_.end())
       return true;
     core::Resources Used = Of_.UsedBy_[Job.What_.Customer_];
+    if (Job.Queue_.Priority_ > 0)
+      Used += keptFor(Job.What_.Customer_, Customer->second.UpperLimit_);
     if (const auto Found = Unknown_.find(Job.What_.Customer_); Found != Unknown_.end())
       Used += Found->second;
     return within(Used, Need, Customer->second.UpperLimit_);
@@ -311,6 +364,7 @@
   NextPlace_ = Now + PassInterval;
   PlacementPass Pass{*this, Now, {}};
   Pass.sumUnknown();
+  Pass.updatePeaks();
   std::vector<Candidate> Waiting;
   for (auto &[Id, Job] : Jobs_) {
     if (Job.Ended_)
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -93,6 +93,31 @@
   cr_expect_eq(Fleet.placesOf("j1").size(), 3);
 }
 
+// Pattern: a customer near its limit sends short urgent jobs beside long batches. Guards against
+// urgent jobs that wait for the end of the same customer's batch tasks.
+Test(SchedulerCalm, aLimitKeepsRoomForTheCustomersUrgentJobs) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 4);
+  work::Manifest Manifest;
+  work::Queue Urgent;
+  Urgent.Name_ = "q";
+  Urgent.Pool_ = "pool";
+  work::Queue Batch = Urgent;
+  Batch.Name_ = "batch";
+  Batch.Priority_ = 2;
+  Manifest.Queues_ = {Urgent, Batch};
+  Manifest.Customers_["c"] = {"c", 10, {8000, 0, 0}};
+  Fleet.setManifest(Manifest);
+  Fleet.submit("u0", jobOf(3, 300));
+  Fleet.run(Millis(500));
+  Fleet.submit("b0", jobOf(20, 5000), "batch");
+  Fleet.run(Millis(500));
+  Fleet.submit("u1", jobOf(3, 300));
+  Fleet.run(Millis(500));
+  cr_expect(Fleet.stateOf("u1") == work::JobState::Completed);
+  cr_expect_geq(Fleet.placesOf("b0").size(), 4);
+}
+
 // Guards against tasks that start on executors that the queue's policy does not allow.
 Test(SchedulerCalm, adviceComesBeforeTheStart) {
   FakeFleet Fleet(calm());
