--- a/include/masticdrift/work/Job.h
+++ b/include/masticdrift/work/Job.h
@@ -5,9 +5,10 @@
 
 #include "masticdrift/core/Resources.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -58,7 +59,11 @@
   std::uint32_t Step_ = 0;
   std::uint32_t Index_ = 0;
 
-  auto operator<=>(const TaskRef &) const = default;
+  bool operator==(const TaskRef &) const = default;
+  bool operator<(const TaskRef &Other) const {
+    return std::tie(Job_, Occurrence_, Step_, Index_) <
+           std::tie(Other.Job_, Other.Occurrence_, Other.Step_, Other.Index_);
+  }
 };
 
 enum class JobState : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -372,7 +372,8 @@
     std::mt19937 Random(Seed);
     addExecutors(Fleet, 6);
     for (int I = 0; I < 40; ++I) {
-      Fleet.submit("j" + std::to_string(I), jobOf(1 + Random() % 6, 200 + Random() % 2500, 2));
+      Fleet.submit("j" + std::to_string(I),
+                   jobOf(1 + Random() % 6, static_cast<std::int64_t>(200 + Random() % 2500), 2));
       const std::string Some = "e" + std::to_string(Random() % 6);
       switch (Random() % 8) {
       case 0:
