lead: suspect executors for failures of different jobs only; shorter limits for lists and orders

A lost answer to a request for lists hid ends for 1.6 s. Change: a job that fails on two executors is at fault itself; an executor is avoided when two other jobs fail there in a row.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -101,6 +101,7 @@
   bool OverShare_ = false;      ///< beyond its customer's rate
   bool Ended_ = false;          ///< final; kept until all runs are over
   int Runs_ = 0;
+  std::set<std::string> FailedOn_; ///< executors on which its runs failed
   core::TimePoint AcceptedAt_;
   core::TimePoint Deadline_;  ///< objective
   core::TimePoint Worthless_; ///< after this the objective is missed by far
@@ -129,7 +130,7 @@
   std::int64_t FillMilliCores_ = 0;
   core::TimePoint PacedAt_{}; ///< when filling runs were last slowed down or sped up
   std::map<RunKey, Run> Runs_;
-  int FailuresInRow_ = 0;
+  std::set<std::string> FailedJobs_; ///< whose runs failed here since the last success
   core::TimePoint AvoidUntil_{};
   core::TimePoint DrainEnd_{}; ///< zero while not draining
 };
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -39,8 +39,8 @@
   core::Millis DrainMargin_{700};   ///< runs are stopped this long before a draining executor ends
   /// A request sent this long after a draining executor's entry went away finds it gone.
   core::Millis LeaveMargin_{200};
-  int StartAttempts_ = 3;   ///< start orders before a stop settles the run
-  int FailuresToAvoid_ = 2; ///< failed runs in a row that make an executor suspect
+  int StartAttempts_ = 3;     ///< start orders before a stop settles the run
+  int FailedJobsToAvoid_ = 2; ///< jobs failing in a row that make an executor suspect
 };
 
 /// What the driver carries out. Results come back through the Scheduler's on... functions.
@@ -135,6 +135,7 @@
   void stopAllOf(JobRun &Job, std::string_view Why, core::TimePoint Now);
   void stopStep(JobRun &Job, const work::TaskRef &Task, std::string_view Why, core::TimePoint Now);
   void takeEnd(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
+  void judgeFailure(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
   void applyEnd(JobRun &Job, const fleet::EndRow &End, std::string_view Executor,
                 core::TimePoint Now);
   void takeRunning(ExecutorState &At, const fleet::RunningRow &Row, core::TimePoint Now);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -40,9 +40,9 @@
 constexpr core::Millis FenceTimeout{1500};
 constexpr core::Millis RetryDelay{100};
 /// An executor answers an order in a few milliseconds; one five times slower in tens.
-constexpr core::Millis OrderTimeout{700};
+constexpr core::Millis OrderTimeout{450};
 /// Added to the wait of a request for an executor's lists.
-constexpr core::Millis HoldAnswerTime{700};
+constexpr core::Millis HoldAnswerTime{350};
 /// Added to the expected time of a call for advice.
 constexpr core::Millis AdviceSlack{900};
 /// A list read by a process younger than this may lack entries, if the store was away before.
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -134,7 +134,7 @@
       Cost += OtherRackPenalty;
     if (Task.Avoid_ == At.Info_.Id_)
       Cost += AvoidPenalty;
-    if (At.FailuresInRow_ > 0)
+    if (!At.FailedJobs_.empty())
       Cost += FailingPenalty;
     if (disturbs(At, Spec))
       Cost += DisturbPenalty;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -309,13 +309,10 @@
     return;
   At.Processed_ = End.Number_;
   note("end", End.Task_, End.Run_, At.Info_.Id_, fleet::nameOf(End.Kind_));
-  if (End.Kind_ == fleet::EndKind::Done) {
-    At.FailuresInRow_ = 0;
-  } else if (End.Kind_ == fleet::EndKind::Failed &&
-             ++At.FailuresInRow_ >= Times_.FailuresToAvoid_) {
-    At.AvoidUntil_ = Now + Times_.AvoidFailing_;
-    note("executor_avoided", End.Task_, End.Run_, At.Info_.Id_, "failed runs in a row");
-  }
+  if (End.Kind_ == fleet::EndKind::Done)
+    At.FailedJobs_.clear();
+  else if (End.Kind_ == fleet::EndKind::Failed)
+    judgeFailure(At, End, Now);
   const std::size_t DirtyBefore = Dirty_.size();
   JobRun *Job = jobOf(End.Task_);
   if (Job != nullptr) {
@@ -336,6 +333,26 @@
   }
 }
 
+void Scheduler::judgeFailure(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now) {
+  JobRun *Job = jobOf(End.Task_);
+  if (Job == nullptr)
+    return;
+  Job->FailedOn_.insert(At.Info_.Id_);
+  // A job that fails elsewhere too is at fault itself.
+  if (Job->FailedOn_.size() > 1) {
+    for (const std::string &Id : Job->FailedOn_)
+      if (const auto Host = Executors_.find(Id); Host != Executors_.end())
+        Host->second.FailedJobs_.erase(Job->Id_);
+    return;
+  }
+  At.FailedJobs_.insert(Job->Id_);
+  if (At.FailedJobs_.size() < static_cast<std::size_t>(Times_.FailedJobsToAvoid_))
+    return;
+  At.AvoidUntil_ = Now + Times_.AvoidFailing_;
+  note("executor_avoided", End.Task_, End.Run_, At.Info_.Id_,
+       std::to_string(At.FailedJobs_.size()) + " jobs failed in a row");
+}
+
 void Scheduler::applyEnd(JobRun &Job, const fleet::EndRow &End, std::string_view Executor,
                          core::TimePoint Now) {
   const work::StepSpec &Spec = specOf(Job, End.Task_);
@@ -444,7 +461,7 @@
   At.Seen_ = 0;
   At.ClockMs_ = 0;
   At.Unacked_.clear();
-  At.FailuresInRow_ = 0;
+  At.FailedJobs_.clear();
 }
 
 void Scheduler::loseAll(ExecutorState &At, std::string_view Why, core::TimePoint Now) {
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -325,7 +325,7 @@
   Made.StartedAt_ = Now_;
   Made.Need_ = Spec.Need_;
   Made.Work_ = core::Millis(Spec.EstimatedMs_);
-  Made.Fails_ = chance(Options_.TaskFails_);
+  Made.Fails_ = At.Spoiled_ || Poisoned_.contains(Order.Task_.Job_) || chance(Options_.TaskFails_);
   Made.Generation_ = ++Generation_;
   core::Resources Used;
   for (const auto &[Task, One] : At.Running_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -64,6 +64,11 @@
   /// Time from acceptance to the last end, of a completed job.
   std::optional<core::Millis> tookOf(const std::string &Id) const;
 
+  /// Every run at this executor fails.
+  void spoil(const std::string &Id) { Executors_.at(Id).Spoiled_ = true; }
+  /// Every run of this job fails.
+  void poison(const std::string &Job) { Poisoned_.insert(Job); }
+
   /// While set, nothing the leader writes is stored.
   void setStoreDown(bool Down) { StoreDown_ = Down; }
 
@@ -82,6 +87,7 @@
   struct Executor {
     fleet::ExecutorInfo Info_;
     bool Up_ = true;
+    bool Spoiled_ = false;
     core::TimePoint CutUntil_{};
     core::TimePoint ClockZero_;
     std::uint64_t Token_ = 0;
@@ -146,6 +152,7 @@
   std::uint64_t Offset_ = 0;
   std::uint64_t Fence_ = 0;
   std::uint64_t Token_ = 0;
+  std::set<std::string> Poisoned_;
   bool LoseNextStart_ = false;
   bool StoreDown_ = false;
   int Generation_ = 0;
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -209,6 +209,37 @@
   expectWhole(Fleet);
 }
 
+// Pattern: many jobs that can never be done. Guards against executors that are avoided for the
+// faults of such jobs, which took room away when it was needed most.
+Test(SchedulerExecutors, hopelessJobsDoNotMakeExecutorsSuspect) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  for (int I = 0; I < 4; ++I) {
+    Fleet.poison("p" + std::to_string(I));
+    Fleet.submit("p" + std::to_string(I), jobOf(2, 100));
+    Fleet.run(Millis(150));
+  }
+  Fleet.run(Millis(400));
+  Fleet.submit("j1", jobOf(8, 300));
+  Fleet.run(Millis(200));
+  cr_expect_eq(Fleet.placesOf("j1").size(), 8);
+}
+
+// Pattern: an executor fails all that it starts. Guards against jobs that use their attempts up
+// there.
+Test(SchedulerExecutors, anExecutorThatFailsEverythingIsAvoided) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 4);
+  Fleet.spoil("e0");
+  for (int I = 0; I < 12; ++I) {
+    Fleet.submit("j" + std::to_string(I), jobOf(4, 200));
+    Fleet.run(Millis(250));
+  }
+  Fleet.run(Millis(3000));
+  for (int I = 0; I < 12; ++I)
+    cr_expect(Fleet.stateOf("j" + std::to_string(I)) == work::JobState::Completed, "job %d", I);
+}
+
 // An executor that starts again holds nothing: its tasks need not wait for a lease.
 Test(SchedulerExecutors, workOfARebornExecutorStartsAgainAtOnce) {
   FakeFleet Fleet(calm());
