lead: begin a job in the append that accepts it

Ruled out: writing the begun mark as progress, since a stale leader could overwrite newer progress with it. Change: the leader writes a record of its own kind with the acceptance, which only says which term may have begun the job; a job begun by another term waits until all executors are accounted for.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace masticdrift::daemon {
 
@@ -38,6 +39,7 @@
   void findJob(const std::shared_ptr<Call> &Of, std::function<void(const work::LedgerJob *)> Found);
   void store(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
              std::function<void(WriteOutcome)> Done);
+  std::vector<work::LedgerEntry> entriesFor(work::LedgerEntry Entry) const;
   void relay(const std::shared_ptr<Call> &Of, const std::string &Leader, work::LedgerEntry Entry,
              std::function<void(WriteOutcome)> Done);
   void answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome);
--- a/include/masticdrift/daemon/JobWriter.h
+++ b/include/masticdrift/daemon/JobWriter.h
@@ -34,10 +34,10 @@
   JobWriter(platform::Store &Store, std::string Topic,
             std::function<void(std::uint64_t Offset, const work::LedgerEntry &)> Applied);
 
-  /// Appends \p Entry; \p Done runs once, by \p Deadline at the latest (see expire).
-  void write(work::LedgerEntry Entry, core::TimePoint Deadline, Callback Done);
+  /// Appends \p Entries together; \p Done runs once, by \p Deadline at the latest (see expire).
+  void write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline, Callback Done);
 
-  /// The record with this key was read back from the log, so it is stored.
+  /// The record with this key was read back from the log, so what ends with it is stored.
   void seen(std::string_view Key);
 
   /// Ends the waiting of records whose deadline has passed. To be called every 50 ms or so.
@@ -47,7 +47,7 @@
 
 private:
   struct Item {
-    work::LedgerEntry Entry_;
+    std::vector<work::LedgerEntry> Entries_;
     core::TimePoint Deadline_;
     Callback Done_;
     bool Uncertain_ = false; ///< was in an unanswered call
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -36,6 +36,8 @@
   bool onHello(const protocol::Hello &From);
 
   bool leading() const;
+  /// \returns the term of the leadership, while this daemon leads.
+  std::uint64_t term() const;
   /// \returns true once nothing of the leadership is left to hand over.
   bool released() const;
   /// \returns the leader's peer address, empty when none is known or it is this daemon.
--- a/include/masticdrift/work/Ledger.h
+++ b/include/masticdrift/work/Ledger.h
@@ -73,6 +73,7 @@
   std::uint64_t AcceptedOffset_ = 0;
   AcceptedRecord What_;
   bool Cancelled_ = false;
+  std::uint64_t BegunTerm_ = 0; ///< of the leader that accepted and began it in one append
   std::optional<ProgressRecord> Progress_;
   std::uint64_t ProgressOffset_ = 0;
 
@@ -89,6 +90,12 @@
 LedgerEntry acceptedEntry(std::string_view Id, const AcceptedRecord &Record);
 LedgerEntry cancelledEntry(std::string_view Id, const CancelledRecord &Record);
 LedgerEntry progressEntry(std::string_view Id, const ProgressRecord &Record);
+/// The leader of \p Term takes the job on with its acceptance. Goes before the accepted entry, in
+/// the same append. It is not the leader's alone to write, so it says no more than who may have
+/// begun.
+LedgerEntry begunEntry(std::string_view Id, std::uint64_t Term);
+/// \returns the job that an accepted entry is about, or an empty view for another entry.
+std::string_view acceptedIdOf(const LedgerEntry &Entry);
 /// Entries without values that make the log forget a job.
 std::vector<LedgerEntry> forgetEntries(std::string_view Id);
 
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -190,7 +190,16 @@
   if (Jobs_.failing())
     Done(WriteOutcome::Refused);
   else
-    Writer_.write(std::move(Entry), Of->Deadline_, std::move(Done));
+    Writer_.write(entriesFor(std::move(Entry)), Of->Deadline_, std::move(Done));
+}
+
+std::vector<work::LedgerEntry> EntryService::entriesFor(work::LedgerEntry Entry) const {
+  std::vector<work::LedgerEntry> Out;
+  // The leader begins a job with its acceptance, which saves an append before the first start.
+  if (const std::string_view Id = work::acceptedIdOf(Entry); !Id.empty() && Leader_.leading())
+    Out.push_back(work::begunEntry(Id, Leader_.term()));
+  Out.push_back(std::move(Entry));
+  return Out;
 }
 
 void EntryService::relay(const std::shared_ptr<Call> &Of, const std::string &Leader,
@@ -228,7 +237,7 @@
         }
         // A second copy under the same key does no harm. What the relay may have stored can't be
         // called refused any more.
-        Writer_.write(std::move(Entry), Of->Deadline_,
+        Writer_.write(entriesFor(std::move(Entry)), Of->Deadline_,
                       [NothingDone, Done = std::move(Done)](WriteOutcome Outcome) {
                         const bool Unsure = Outcome == WriteOutcome::Refused && !NothingDone;
                         Done(Unsure ? WriteOutcome::Unknown : Outcome);
@@ -244,7 +253,7 @@
   }
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
   const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
-  Writer_.write({std::move(Call.Key_), std::move(Call.Value_)}, Deadline,
+  Writer_.write(entriesFor({std::move(Call.Key_), std::move(Call.Value_)}), Deadline,
                 [this, Id, Done = std::move(Done)](WriteOutcome Outcome) {
                   protocol::SubmitReply Reply;
                   Reply.Stored_ = Outcome == WriteOutcome::Stored;
--- a/src/daemon/JobWriter.cpp
+++ b/src/daemon/JobWriter.cpp
@@ -24,8 +24,9 @@
     : Store_(Store), Topic_(std::move(Topic)), Applied_(std::move(Applied)),
       Timeout_(LeastAppendTimeout) {}
 
-void JobWriter::write(work::LedgerEntry Entry, core::TimePoint Deadline, Callback Done) {
-  Waiting_.push_back({std::move(Entry), Deadline, std::move(Done)});
+void JobWriter::write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline,
+                      Callback Done) {
+  Waiting_.push_back({std::move(Entries), Deadline, std::move(Done)});
   flush();
 }
 
@@ -35,8 +36,10 @@
   std::vector<platform::KeyedRecord> Records;
   for (std::size_t Bytes = 0; !Waiting_.empty() && Bytes < MaxBatchBytes;) {
     Item &Next = Waiting_.front();
-    Bytes += Next.Entry_.Key_.size() + Next.Entry_.Value_.size();
-    Records.push_back({0, Next.Entry_.Key_, Next.Entry_.Value_});
+    for (const work::LedgerEntry &One : Next.Entries_) {
+      Bytes += One.Key_.size() + One.Value_.size();
+      Records.push_back({0, One.Key_, One.Value_});
+    }
     Sent_.push_back(std::move(Next));
     Waiting_.pop_front();
   }
@@ -56,7 +59,7 @@
   const bool Certain = Result.Outcome_ == platform::AppendOutcome::Refused;
   core::log(core::LogLevel::Warning, "append was not confirmed",
             {{"topic", Topic_},
-             {"first_key", Batch.front().Entry_.Key_},
+             {"first_key", Batch.front().Entries_.back().Key_},
              {"records", std::to_string(Batch.size())},
              {"uncertain", Certain ? "false" : "true"},
              {"detail", Result.Detail_},
@@ -75,7 +78,8 @@
     // Callbacks come last: one of them may write again.
     std::uint64_t Offset = Result.Offset_;
     for (const Item &One : Batch)
-      Applied_(Offset++, One.Entry_);
+      for (const work::LedgerEntry &Entry : One.Entries_)
+        Applied_(Offset++, Entry);
   } else {
     logFailure(Batch, Result, SentAt);
   }
@@ -104,7 +108,7 @@
 void JobWriter::seen(std::string_view Key) {
   const auto Settle = [Key](auto &Items) {
     for (Item &One : Items)
-      if (One.Entry_.Key_ == Key && One.Done_)
+      if (One.Entries_.back().Key_ == Key && One.Done_)
         std::exchange(One.Done_, nullptr)(WriteOutcome::Stored);
   };
   Settle(Sent_);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -690,6 +690,8 @@
 
 bool LeaderDriver::leading() const { return Impl_->Role_ == Impl::Role::Leading; }
 
+std::uint64_t LeaderDriver::term() const { return Impl_->Term_; }
+
 bool LeaderDriver::released() const {
   return Impl_->Role_ == Impl::Role::Follower && !Impl_->Releasing_;
 }
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -69,14 +69,16 @@
     Made.Queue_ = *Queue;
   if (Job.Progress_)
     Made.Progress_ = *Job.Progress_;
-  Made.Inherited_ = Made.Progress_.Term_ != 0 && Made.Progress_.Term_ != Token_;
+  const bool Mine = Made.Progress_.Term_ == Token_ || Job.BegunTerm_ == Token_;
+  Made.Inherited_ = !Mine && (Made.Progress_.Term_ != 0 || Job.BegunTerm_ != 0);
   build(Made, Now, WallMs);
-  if (!Made.Inherited_) {
+  if (!Mine && !Made.Inherited_) {
     // Durable before the first start, so that a later leader knows which jobs were never begun.
-    Made.Progress_.Term_ = Token_;
     Made.BegunWith_ = NextFlush_;
     markDirty(Made);
   }
+  if (!Made.Inherited_)
+    Made.Progress_.Term_ = Token_;
   PlaceDue_ = true;
 }
 
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -9,6 +9,7 @@
 constexpr char AcceptedKind = 'a';
 constexpr char CancelledKind = 'c';
 constexpr char ProgressKind = 'p';
+constexpr char BegunKind = 'b';
 
 std::string keyOf(char Kind, std::string_view Id) { return Kind + std::string(Id); }
 
@@ -35,8 +36,19 @@
 }
 
 std::vector<LedgerEntry> forgetEntries(std::string_view Id) {
-  return {
-      {keyOf(AcceptedKind, Id), {}}, {keyOf(CancelledKind, Id), {}}, {keyOf(ProgressKind, Id), {}}};
+  return {{keyOf(AcceptedKind, Id), {}},
+          {keyOf(CancelledKind, Id), {}},
+          {keyOf(ProgressKind, Id), {}},
+          {keyOf(BegunKind, Id), {}}};
+}
+
+LedgerEntry begunEntry(std::string_view Id, std::uint64_t Term) {
+  return {keyOf(BegunKind, Id), core::pack(Term)};
+}
+
+std::string_view acceptedIdOf(const LedgerEntry &Entry) {
+  return Entry.Key_.starts_with(AcceptedKind) ? std::string_view(Entry.Key_).substr(1)
+                                              : std::string_view();
 }
 
 LedgerChange Ledger::apply(std::uint64_t Offset, std::string_view Key, std::string_view Value) {
@@ -67,6 +79,11 @@
   } else if (Kind == CancelledKind && !Job.Cancelled_) {
     Job.Cancelled_ = true;
     Change.Kind_ = Cancelled;
+  } else if (Kind == BegunKind) {
+    const auto Term = core::unpack<std::uint64_t>(Value);
+    if (!Term)
+      return {Unreadable, std::move(Id)};
+    Job.BegunTerm_ = *Term;
   } else if (Kind == ProgressKind && (!Job.Progress_ || Offset > Job.ProgressOffset_)) {
     auto Record = core::unpack<ProgressRecord>(Value);
     if (!Record)
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -103,6 +103,12 @@
       One->onJob(*Ledger_.find(Id), Now_, wallOf(Now_));
 }
 
+void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
+  const work::LedgerEntry Entry = work::begunEntry(Id, Term);
+  Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
+  submit(Id, std::move(Spec));
+}
+
 void FakeFleet::cancel(const std::string &Id) {
   const work::LedgerEntry Entry = work::cancelledEntry(Id, {wallOf(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -44,6 +44,9 @@
   void cut(const std::string &Id, core::Millis Time);
   /// Submits a job that was accepted now.
   void submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue = "q");
+  /// The same, accepted and begun by the leader of \p Term in one append.
+  void submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term);
+  std::uint64_t term() const { return Token_; }
   void cancel(const std::string &Id);
   void setManifest(work::Manifest Manifest);
   /// A new leader with a higher token takes over; the old one goes on giving orders for
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -319,6 +319,32 @@
   expectWhole(Fleet);
 }
 
+// Pattern: a store that answers slowly. Guards against a second append before the first start.
+Test(SchedulerTakeover, aJobBegunWithItsAcceptanceStartsWithoutTheStore) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  Fleet.setStoreDown(true);
+  Fleet.submitBegun("j1", jobOf(2, 1000), Fleet.term());
+  Fleet.submit("j2", jobOf(2, 1000));
+  Fleet.run(Millis(300));
+  cr_expect_eq(Fleet.placesOf("j1").size(), 2);
+  cr_expect_eq(Fleet.placesOf("j2").size(), 0);
+}
+
+// Guards against a job that a stale leader has begun after the new one read the log.
+Test(SchedulerTakeover, aJobBegunByAStaleLeaderWaitsForSilentExecutors) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 3);
+  Fleet.cut("e0", Millis(60'000));
+  Fleet.takeOver();
+  Fleet.submitBegun("j1", jobOf(2, 1000), Fleet.term() - 1);
+  Fleet.run(Millis(3000));
+  cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}), 0);
+  Fleet.run(Millis(10'000));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
 // The same for a customer with an upper limit: what may run unseen counts, and the rest is free.
 Test(SchedulerTakeover, aLimitLeavesRoomBesideWhatMayRunUnseen) {
   FakeFleet Fleet(calm());
