--- /dev/null
+++ b/tests/integration/LoopClientTest.cpp
@@ -0,0 +1,57 @@
+// The HTTP client on a loop against a server of our own.
+#include "masticdrift/http/LoopClient.h"
+#include "masticdrift/http/Server.h"
+
+#include <optional>
+
+#include <criterion/criterion.h>
+
+using namespace masticdrift;
+
+namespace {
+
+http::ClientResult exchange(asio::io_context &Loop, http::LoopClient &Client,
+                            http::ClientRequest Call) {
+  std::optional<http::ClientResult> Result;
+  Client.send(std::move(Call), [&](http::ClientResult Got) { Result = std::move(Got); });
+  while (!Result)
+    Loop.run_one();
+  return *Result;
+}
+
+http::ClientRequest call(const http::Server &Server, const std::string &Path) {
+  http::ClientRequest Call;
+  Call.Method_ = "POST";
+  Call.Url_ = "http://127.0.0.1:" + std::to_string(Server.port()) + Path;
+  Call.Body_ = "body";
+  Call.Timeout_ = std::chrono::milliseconds(300);
+  return Call;
+}
+
+} // namespace
+
+// Guards against a request that timed out on a reused connection and was reported as never sent:
+// the caller was then told that nothing had been done.
+Test(LoopClient, aTimeOutOnAReusedConnectionIsNotCalledUnsent) {
+  asio::io_context Loop;
+  std::vector<http::Responder> Held;
+  http::Server Server({}, [&](const http::Request &From, const http::Responder &To) {
+    if (From.Path_ == "/silent")
+      Held.push_back(To);
+    else
+      To({200, From.Body_, "text/plain", {}, false});
+  });
+  http::LoopClient Client(Loop, std::chrono::seconds(10), 10);
+  cr_assert(exchange(Loop, Client, call(Server, "/echo")).Answer_.Body_ == "body");
+  cr_expect(exchange(Loop, Client, call(Server, "/silent")).Transfer_ == http::Transfer::NoAnswer);
+}
+
+Test(LoopClient, aRefusedConnectionIsCalledUnsent) {
+  asio::io_context Loop;
+  http::LoopClient Client(Loop, std::chrono::seconds(10), 10);
+  auto Server = std::make_unique<http::Server>(
+      http::ServerOptions{}, [](const http::Request &, const http::Responder &) {});
+  const http::ClientRequest Call = call(*Server, "/gone");
+  Server.reset();
+  cr_expect(exchange(Loop, Client, Call).Transfer_ == http::Transfer::NotConnected);
+}
--- /dev/null
+++ b/tests/unit/ElectionTest.cpp
@@ -0,0 +1,158 @@
+// When a daemon claims the leadership, the table of jobs, and how calls for advice are spread.
+#include "masticdrift/lead/Election.h"
+#include "masticdrift/daemon/AdviceDesk.h"
+#include "masticdrift/work/Ledger.h"
+
+#include <criterion/criterion.h>
+
+using namespace masticdrift;
+using core::Millis;
+
+namespace {
+
+const core::TimePoint Start{std::chrono::hours(1)};
+
+lead::ElectionView viewAt(Millis SinceNews, const lead::LeadRecord *Newest) {
+  lead::ElectionView View;
+  View.Now_ = Start + SinceNews;
+  View.ReadAt_ = View.Now_;
+  View.NewsAt_ = Start;
+  View.Newest_ = Newest;
+  View.WallMs_ = 1'000'000;
+  return View;
+}
+
+} // namespace
+
+// --- Election ---
+
+Test(Election, aSilentLeaderIsReplacedAndABeatingOneIsNot) {
+  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Times;
+  cr_expect(!lead::shouldClaim(viewAt(Times.Silence_ - Millis(1), &Beat), Times));
+  cr_expect(lead::shouldClaim(viewAt(Times.Silence_, &Beat), Times));
+}
+
+// Guards against a takeover by a daemon that itself has lost the store.
+Test(Election, whoDoesNotReachTheStoreClaimsNothing) {
+  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(10'000), &Beat);
+  View.ReadAt_ = Start;
+  cr_expect(!lead::shouldClaim(View, {}));
+}
+
+Test(Election, aGoneOrReleasedLeaderIsReplacedSooner) {
+  lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(600), &Beat);
+  View.Refused_ = true;
+  cr_expect(lead::shouldClaim(View, {}));
+  View.Refused_ = false;
+  cr_expect(!lead::shouldClaim(View, {}));
+  Beat.Released_ = true;
+  cr_expect(lead::shouldClaim(View, {}));
+}
+
+// After all machines were down, the record's own age counts.
+Test(Election, anOldRecordFoundOnStartNeedsNoFurtherSilence) {
+  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(10), &Beat);
+  cr_expect(!lead::shouldClaim(View, {}));
+  View.FoundOnStart_ = true;
+  cr_expect(lead::shouldClaim(View, {}));
+}
+
+Test(Election, claimsAreStaggeredByRank) {
+  lead::ElectionView View = viewAt(Millis(2300), nullptr);
+  View.Rank_ = 7;
+  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
+  View.Newest_ = &Beat;
+  cr_expect(!lead::shouldClaim(View, {}));
+  View.Rank_ = 0;
+  cr_expect(lead::shouldClaim(View, {}));
+}
+
+// --- The table of jobs ---
+
+Test(Ledger, recordsInAnyNumberGiveTheSameTable) {
+  work::Ledger Table;
+  work::AcceptedRecord Job;
+  Job.Queue_.Name_ = "q";
+  Job.Spec_.Steps_.resize(1);
+  const work::LedgerEntry Accepted = work::acceptedEntry("j", Job);
+  cr_expect(Table.apply(3, Accepted.Key_, Accepted.Value_).Kind_ ==
+            work::LedgerChange::Kind::Accepted);
+  cr_expect(Table.apply(9, Accepted.Key_, Accepted.Value_).Kind_ == work::LedgerChange::Kind::None);
+  cr_expect_eq(Table.pendingOf("q"), 1);
+  work::ProgressRecord Progress;
+  Progress.State_ = work::JobState::Completed;
+  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  Table.apply(7, Final.Key_, Final.Value_);
+  // An older record that is read again must not bring the job back.
+  Progress.State_ = work::JobState::Running;
+  const work::LedgerEntry Older = work::progressEntry("j", Progress);
+  Table.apply(5, Older.Key_, Older.Value_);
+  cr_expect(Table.find("j")->state() == work::JobState::Completed);
+  cr_expect_eq(Table.pendingOf("q"), 0);
+  for (const work::LedgerEntry &One : work::forgetEntries("j"))
+    Table.apply(11, One.Key_, One.Value_);
+  cr_expect_null(Table.find("j"));
+}
+
+// Guards against a completed job that a late cancel turns into a cancelled one.
+Test(Ledger, aFinalStateStays) {
+  work::Ledger Table;
+  const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
+  Table.apply(1, Accepted.Key_, Accepted.Value_);
+  work::ProgressRecord Progress;
+  Progress.State_ = work::JobState::Completed;
+  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  Table.apply(2, Final.Key_, Final.Value_);
+  const work::LedgerEntry Cancel = work::cancelledEntry("j", {5});
+  Table.apply(3, Cancel.Key_, Cancel.Value_);
+  cr_expect(Table.find("j")->state() == work::JobState::Completed);
+}
+
+Test(Ledger, unreadableRecordsChangeNothing) {
+  work::Ledger Table;
+  cr_expect(Table.apply(1, "aj", "\xc1").Kind_ == work::LedgerChange::Kind::Unreadable);
+  cr_expect_null(Table.find("j"));
+}
+
+// --- Advice ---
+
+// Pattern: long calls for batches arrive before short ones for urgent checks. Guards against
+// checks that wait behind them at every daemon.
+Test(Advice, longCallsLeaveADaemonToShortOnes) {
+  std::vector<std::pair<std::string, double>> Sent;
+  daemon::AdviceDesk Desk([&](const std::string &Adviser, const daemon::AdviceJob &Job) {
+    Sent.emplace_back(Adviser, Job.ExpectedMs_);
+  });
+  Desk.offer("", Start);
+  Desk.offer("p1", Start);
+  Desk.offer("p2", Start);
+  for (int I = 0; I < 5; ++I)
+    Desk.ask({{}, {}, 500, {2, Start}}, Start);
+  cr_assert_eq(Sent.size(), 2);
+  Desk.ask({{}, {}, 30, {0, Start}}, Start);
+  cr_assert_eq(Sent.size(), 3);
+  cr_expect(Sent.back().first.empty());
+  // One free daemon is kept; with a second one the next long call goes out.
+  Desk.done("p1", true, Start);
+  cr_expect_eq(Sent.size(), 3);
+  Desk.done("", true, Start);
+  cr_expect_eq(Sent.size(), 4);
+}
+
+// Guards against an adviser that is asked again and again though it does not answer.
+Test(Advice, anAdviserWithoutAnswerRests) {
+  std::vector<std::string> Sent;
+  daemon::AdviceDesk Desk(
+      [&](const std::string &Adviser, const daemon::AdviceJob &) { Sent.push_back(Adviser); });
+  Desk.offer("", Start);
+  Desk.offer("p1", Start);
+  Desk.ask({{}, {}, 30, {0, Start}}, Start);
+  cr_assert(Sent.back() == "p1");
+  Desk.done("p1", false, Start);
+  Desk.ask({{}, {}, 30, {0, Start}}, Start);
+  cr_expect(Sent.back().empty());
+}
