--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -97,6 +97,10 @@
     refuse(Of, ErrorKind::UnknownQueue, "no queue has this host and path");
     return;
   }
+  const std::string_view Rest =
+      std::string_view(Of->What_.Path_).substr(Of->Queue_->PathPrefix_.size());
+  if (platform::isJobId(Rest))
+    Of->Job_ = Rest;
   const auto Key = Manifest.CustomerOfKey_.find(Of->What_.Key_);
   if (Key != Manifest.CustomerOfKey_.end()) {
     Of->Customer_ = Key->second;
@@ -105,17 +109,14 @@
            "the request carries no key of the configuration in force");
     return;
   }
-  const std::string_view Rest =
-      std::string_view(Of->What_.Path_).substr(Of->Queue_->PathPrefix_.size());
   if (Rest.empty() && Of->What_.Method_ == platform::CallMethod::Look) {
     Of->answer(200, platform::encodePending(Context_.Ledger_.pendingOf(Of->Queue_->Name_)));
     return;
   }
-  if (!platform::isJobId(Rest)) {
+  if (Of->Job_.empty()) {
     refuse(Of, ErrorKind::UnknownPath, "the path does not end with a job id");
     return;
   }
-  Of->Job_ = Rest;
   switch (Of->What_.Method_) {
   case platform::CallMethod::Submit:
     submit(Of, From.Body_);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -484,6 +484,13 @@
     };
     Out.Note_ = [this](std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
                        std::string_view Executor, std::string_view Detail) {
+      if (Task.Job_.empty()) { // about an executor as a whole
+        core::log(core::LogLevel::Info, Event,
+                  {{"executor", std::string(Executor)},
+                   {"detail", std::string(Detail)},
+                   {"term", std::to_string(Term_)}});
+        return;
+      }
       core::log(core::LogLevel::Info, Event,
                 {{"request_id", Task.Job_},
                  {"task", platform::taskName(Task)},
--- a/tests/unit/DocsTest.cpp
+++ b/tests/unit/DocsTest.cpp
@@ -89,7 +89,7 @@
   });
 }
 
-const std::array<std::string, 4> Pages{"docs/errors.md", "docs/operations.md", "docs/settings.md",
+const std::array<std::string, 4> Pages{"docs/errors.md", "docs/OPERATIONS.md", "docs/settings.md",
                                        "README.md"};
 
 } // namespace
@@ -97,7 +97,7 @@
 // Guards against an error, a metric or a setting that the pages leave out or describe differently.
 Test(Docs, theTablesAreComplete) {
   expectTable("docs/errors.md", errorTableMarkdown());
-  expectTable("docs/operations.md", metricTableMarkdown());
+  expectTable("docs/OPERATIONS.md", metricTableMarkdown());
   expectTable("docs/settings.md", settings::settingTableMarkdown());
 }
 
@@ -124,7 +124,7 @@
 // Guards against a checker that finds nothing: each pattern must match what the pages contain.
 Test(Docs, theCheckFindsNames) {
   cr_expect_geq(named(page("docs/errors.md"), R"((MD-[0-9]+))").size(), core::errorTable().size());
-  cr_expect_geq(named(page("docs/operations.md"), R"(\b(masticdrift_[a-z_]+))").size(),
+  cr_expect_geq(named(page("docs/OPERATIONS.md"), R"(\b(masticdrift_[a-z_]+))").size(),
                 core::metricTable().size());
   cr_expect(!isMetric("masticdrift_nothing"));
 }
