lead: larger machines claim first

Change: machines under 0.2 cores claim after all larger ones. Today's sites have machines of one size. Why an overloaded leader starts tasks twice is open.

--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -61,6 +61,13 @@
   unsigned Rank_ = 0;         ///< place in the order of claims
 };
 
+/// A daemon's place in the order of claims.
+///
+/// \param Cores processor share of its machine. A leader of 350 executors used 0.32 cores, so
+/// smaller machines claim only when no larger one does. \returns 0 to 7 on machines of at least 0.2
+/// cores, 8 to 15 on smaller ones.
+unsigned rankOf(std::string_view Instance, double Cores);
+
 /// \returns true when this daemon should claim the leadership now.
 bool shouldClaim(const ElectionView &View, const ElectionTiming &Times);
 
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -13,7 +13,6 @@
 #include <optional>
 
 #include <asio/steady_timer.hpp>
-#include <xxhash.h>
 
 namespace masticdrift::daemon {
 
@@ -29,8 +28,6 @@
 constexpr core::Millis HelloTimeout{900};
 /// A failed connection that took less was refused, not timed out.
 constexpr core::Millis RefusalTime{200};
-/// Places in the order of claims.
-constexpr unsigned Ranks = 8;
 /// Between two rounds of the scheduler without an event, and after an event.
 constexpr core::Millis TickInterval{30};
 constexpr core::Millis EventDelay{3};
@@ -52,10 +49,6 @@
 /// Between updates of the leader's gauges.
 constexpr core::Millis GaugeInterval{2000};
 
-unsigned rankOf(std::string_view Instance) {
-  return static_cast<unsigned>(XXH3_64bits(Instance.data(), Instance.size()) % Ranks);
-}
-
 } // namespace
 
 struct LeaderDriver::Impl : std::enable_shared_from_this<LeaderDriver::Impl> {
@@ -117,8 +110,14 @@
         !Context_.Manifest_ || !Jobs_.loaded())
       return;
     const lead::ElectionView View{
-        core::Clock::now(), Lead_.lastAnswer(), NewsAt_,  Newest_ ? &*Newest_ : nullptr,
-        core::wallMillis(), FoundOnStart_,      Refused_, rankOf(Context_.Settings_.Instance_)};
+        core::Clock::now(),
+        Lead_.lastAnswer(),
+        NewsAt_,
+        Newest_ ? &*Newest_ : nullptr,
+        core::wallMillis(),
+        FoundOnStart_,
+        Refused_,
+        lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_)};
     if (lead::shouldClaim(View, {}))
       claim();
   }
--- a/src/lead/Election.cpp
+++ b/src/lead/Election.cpp
@@ -2,8 +2,17 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace masticdrift::lead {
 
+unsigned rankOf(std::string_view Instance, double Cores) {
+  constexpr unsigned Places = 8;
+  constexpr double SmallMachine = 0.2; // cores
+  const auto Place = static_cast<unsigned>(XXH3_64bits(Instance.data(), Instance.size()) % Places);
+  return Cores < SmallMachine ? Places + Place : Place;
+}
+
 bool shouldClaim(const ElectionView &View, const ElectionTiming &Times) {
   const core::Duration Turn = Times.Stagger_ * static_cast<int>(View.Rank_);
   // A daemon that does not reach the store can't know whether the leader is silent.
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -71,6 +71,15 @@
   cr_expect(lead::shouldClaim(View, {}));
 }
 
+// Pattern: a large fleet with a few larger machines. Guards against a leader on the smallest
+// machine, which can't keep up with the executors.
+Test(Election, smallMachinesClaimAfterLargerOnes) {
+  for (int I = 0; I < 50; ++I)
+    for (int K = 0; K < 50; ++K)
+      cr_expect_lt(lead::rankOf("large-" + std::to_string(I), 0.25),
+                   lead::rankOf("small-" + std::to_string(K), 0.12));
+}
+
 // --- The table of jobs ---
 
 Test(Ledger, recordsInAnyNumberGiveTheSameTable) {
