lead: placement looks at executors with a ticket only; logs without a JSON object a line

Cause: on the grown sites the leader could not serve its executors in time. Ruled out: the calls themselves (about 60 us a start), the executors' lists (22 us each). Change: executors have a number within the term; steps look only at executors with a ticket; rounds look at runs only while an order may be due; the next round waits four times the length of the last; at most 128 start orders are on their way. New measure: scripts/measure.sh lead.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -75,12 +75,12 @@
   std::uint32_t Done_ = 0;
   std::uint32_t Waiting_ = 0;
   std::vector<TaskRun> Tasks_;
-  std::unordered_map<std::string, Advice> Advice_;
+  std::unordered_map<std::uint32_t, Advice> Advice_; ///< by the executor's slot
   bool Asking_ = false;
   core::TimePoint AskAgainAt_{};
   std::uint64_t GangCounter_ = 0;
   core::TimePoint FirstStart_{};
-  std::map<std::string, std::uint32_t> PerExecutor_;
+  std::unordered_map<std::uint32_t, std::uint32_t> PerExecutor_; ///< runs, by the executor's slot
 };
 
 struct OccurrenceRun {
@@ -111,6 +111,7 @@
 /// An executor with its lease and runs.
 struct ExecutorState {
   fleet::ExecutorInfo Info_;
+  std::uint32_t Slot_ = 0; ///< number of this executor within the term, never given again
   bool Listed_ = false;
   core::TimePoint UnlistedAt_{};
   bool Held_ = false; ///< has answered under this term in its present incarnation
@@ -130,6 +131,7 @@
   std::int64_t FillMilliCores_ = 0;
   core::TimePoint PacedAt_{}; ///< when filling runs were last slowed down or sped up
   std::map<RunKey, Run> Runs_;
+  bool Unsettled_ = false;           ///< an order of some run may be due
   std::set<std::string> FailedJobs_; ///< whose runs failed here since the last success
   core::TimePoint AvoidUntil_{};
   core::TimePoint DrainEnd_{}; ///< zero while not draining
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -39,7 +39,10 @@
   core::Millis DrainMargin_{700};   ///< runs are stopped this long before a draining executor ends
   /// A request sent this long after a draining executor's entry went away finds it gone.
   core::Millis LeaveMargin_{200};
-  int StartAttempts_ = 3;     ///< start orders before a stop settles the run
+  int StartAttempts_ = 3; ///< start orders before a stop settles the run
+  /// Start orders on their way at the same time. The smallest machines (0.12 cores) handle about
+  /// 600 a second, so that these are served within half of an order's time limit.
+  int StartsOnTheWay_ = 128;
   int FailedJobsToAvoid_ = 2; ///< jobs failing in a row that make an executor suspect
 };
 
@@ -147,7 +150,8 @@
   void renewed(ExecutorState &At, core::TimePoint Now);
   std::int64_t untilOf(const ExecutorState &At, core::TimePoint Now) const;
   void tickExecutor(ExecutorState &At, core::TimePoint Now);
-  void tickRun(ExecutorState &At, Run &Which, core::TimePoint Now);
+  /// Gives the order that a run needs now. \returns true while the run may need another one.
+  bool tickRun(ExecutorState &At, Run &Which, core::TimePoint Now);
   void drain(ExecutorState &At, core::TimePoint Now);
   void shieldServing(ExecutorState &At, core::TimePoint Now);
   void updateAccounted(core::TimePoint Now);
@@ -165,10 +169,12 @@
   bool Fenced_ = false;
   bool Accounted_ = false; ///< every run of earlier leaders is known or over
   bool PlaceDue_ = true;
+  int StartsOnTheWay_ = 0; ///< start orders without a result
   core::TimePoint NextPlace_{};
   work::Manifest Manifest_;
   std::unordered_map<std::string, JobRun> Jobs_;
   std::map<std::string, ExecutorState, std::less<>> Executors_;
+  std::vector<ExecutorState *> BySlot_;                     ///< null once the executor is forgotten
   std::unordered_map<std::string, core::Resources> UsedBy_; ///< by customer
   /// What each customer's first-priority work used at its peak, decaying.
   struct Peak {
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds and runs the measurements; prints one JSON object per line.
-# Usage: scripts/measure.sh [daemon|slopes|steady|overload|faults|interactive|scale|cancel|all] [SEED]
+# Usage: scripts/measure.sh [daemon|slopes|steady|overload|faults|interactive|scale|cancel|lead|all] [SEED]
 # "slopes" repeats the cost at rest with more workers and running tasks in each domain.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -1,5 +1,6 @@
 #include "masticdrift/core/Log.h"
 
+#include <algorithm>
 #include <memory>
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,8 @@
 
 /// Lines that may wait for the writer; about 2 MB.
 constexpr std::size_t MaxWaitingLines = 4096;
+/// Bytes of a line about a task.
+constexpr std::size_t UsualLine = 256;
 
 std::string InstanceName;                         // NOLINT: set once before threads start
 LogTarget Destination = LogTarget::StandardError; // NOLINT: set once before threads start
@@ -61,6 +64,26 @@
   return *Logger;
 }
 
+bool isPlain(std::string_view Text) {
+  return std::ranges::all_of(
+      Text, [](char One) { return One >= ' ' && One <= '~' && One != '"' && One != '\\'; });
+}
+
+/// Appends "key":"value". Nearly all values are plain, and a JSON object per line costs five times
+/// as much as the rest of the line.
+void appendField(std::string &Line, std::string_view Key, std::string_view Value) {
+  Line += '"';
+  Line += Key;
+  Line += "\":";
+  if (!isPlain(Value)) {
+    Line += nlohmann::json(Value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return;
+  }
+  Line += '"';
+  Line += Value;
+  Line += '"';
+}
+
 } // namespace
 
 void initLog(std::string_view Instance, LogLevel Lowest, LogTarget Target) {
@@ -74,12 +97,17 @@
 void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields) {
   if (!logger().should_log(toSpdlog(Level)))
     return;
-  nlohmann::ordered_json Line{{"instance", InstanceName}, {"event", Event}};
-  for (const LogField &Field : Fields)
-    Line[std::string(Field.Key_)] = Field.Value_;
-  const std::string Text = Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  std::string Line;
+  Line.reserve(UsualLine);
+  appendField(Line, "instance", InstanceName);
+  Line += ',';
+  appendField(Line, "event", Event);
+  for (const LogField &Field : Fields) {
+    Line += ',';
+    appendField(Line, Field.Key_, Field.Value_);
+  }
   // The pattern supplies the braces, so that time and level come first.
-  logger().log(toSpdlog(Level), "{}", std::string_view(Text).substr(1, Text.size() - 2));
+  logger().log(toSpdlog(Level), std::string_view(Line));
 }
 
 } // namespace masticdrift::core
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -10,6 +10,7 @@
 #include "platform/Executors.h"
 #include "platform/Text.h"
 
+#include <algorithm>
 #include <optional>
 
 #include <asio/steady_timer.hpp>
@@ -31,6 +32,9 @@
 /// Between two rounds of the scheduler without an event, and after an event.
 constexpr core::Millis TickInterval{30};
 constexpr core::Millis EventDelay{3};
+/// After an event the next round waits for this many times the length of the last one, so that
+/// rounds leave four fifths of the processor to orders and answers.
+constexpr int RoundSpacing = 4;
 /// Between two appends of progress.
 constexpr core::Millis FlushSpacing{30};
 constexpr core::Millis BeatTimeout{1500};
@@ -308,7 +312,8 @@
     if (Role_ != Role::Leading || TickSoon_)
       return;
     TickSoon_ = true;
-    after(TickTimer_, EventDelay, [this] { tick(); });
+    const core::Millis Rest = std::chrono::duration_cast<core::Millis>(RoundSpacing * LastRound_);
+    after(TickTimer_, std::clamp(Rest, EventDelay, TickInterval), [this] { tick(); });
   }
 
   void tick() {
@@ -317,8 +322,9 @@
     TickSoon_ = false;
     const core::TimePoint Now = core::Clock::now();
     Scheduler_->tick(Now, core::wallMillis());
+    LastRound_ = core::Clock::now() - Now;
     core::observe("masticdrift_decision_seconds",
-                  std::chrono::duration<double>(core::Clock::now() - Now).count());
+                  std::chrono::duration<double>(LastRound_).count());
     if (Scheduler_->fenced()) {
       stepDown("an executor has seen a newer term");
       return;
@@ -637,6 +643,7 @@
   std::uint64_t Sequence_ = 0;
   bool Flushing_ = false;
   bool TickSoon_ = false;
+  core::Duration LastRound_{0}; ///< time that the last round took
   core::TimePoint FlushedAt_{};
   core::TimePoint GaugesAt_{};
   std::uint64_t FlushNumber_ = 0; ///< of the append that is waited for, 0 for none
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <span>
 
 namespace masticdrift::lead {
 
@@ -70,6 +71,7 @@
   core::TimePoint Now_;
   /// What an earlier leader may have started and no executor has told of yet, by customer.
   std::unordered_map<std::string, core::Resources> Unknown_;
+  std::map<std::string_view, std::vector<ExecutorState *>> Hosts_;
 
   void sumUnknown() {
     if (Of_.Accounted_)
@@ -83,11 +85,47 @@
                   Job.What_.Spec_.Steps_[I].Need_ * Occurrence.Steps_[I].Waiting_;
   }
 
-  bool usable(const ExecutorState &At, const JobRun &Job, const work::StepSpec &Spec) const {
-    return At.Listed_ && At.Held_ && !At.Silent_ && !At.Info_.Draining_ && Now_ >= At.AvoidUntil_ &&
-           At.Info_.Pool_ == Job.Queue_.Pool_ &&
-           (Spec.RequiredLabel_.empty() ||
-            std::ranges::find(At.Info_.Labels_, Spec.RequiredLabel_) != At.Info_.Labels_.end());
+  /// Executors that take new work at all, by pool.
+  void listHosts() {
+    for (auto &[Id, At] : Of_.Executors_)
+      if (takesWork(At))
+        Hosts_[At.Info_.Pool_].push_back(&At);
+  }
+
+  bool takesWork(const ExecutorState &At) const {
+    return At.Listed_ && At.Held_ && !At.Silent_ && !At.Info_.Draining_ && Now_ >= At.AvoidUntil_;
+  }
+
+  std::span<ExecutorState *const> hostsOf(const JobRun &Job) const {
+    const auto Found = Hosts_.find(Job.Queue_.Pool_);
+    return Found == Hosts_.end() ? std::span<ExecutorState *const>() : Found->second;
+  }
+
+  static bool hasLabel(const ExecutorState &At, std::string_view Label) {
+    return Label.empty() || std::ranges::find(At.Info_.Labels_, Label) != At.Info_.Labels_.end();
+  }
+
+  /// Calls \p Visit with each executor on which the step may start now, room aside: one that takes
+  /// work and, on queues with advice, has a valid ticket.
+  template <typename Visitor>
+  void visitAllowed(const JobRun &Job, const StepRun &Step, const work::StepSpec &Spec,
+                    Visitor Visit) const {
+    if (!Job.Queue_.Advice_) {
+      for (ExecutorState *At : hostsOf(Job))
+        if (hasLabel(*At, Spec.RequiredLabel_))
+          Visit(*At);
+      return;
+    }
+    for (const auto &[Slot, One] : Step.Advice_) {
+      ExecutorState *At = Of_.BySlot_[Slot];
+      if (At != nullptr && valid(One, *At) && takesWork(*At) &&
+          At->Info_.Pool_ == Job.Queue_.Pool_ && hasLabel(*At, Spec.RequiredLabel_))
+        Visit(*At);
+    }
+  }
+
+  bool valid(const Advice &Of, const ExecutorState &At) const {
+    return Of.May_ && Of.Born_ == At.Born_ && Now_ < Of.ValidUntil_;
   }
 
   /// \returns how many more tasks of the step fit, at most \p Most.
@@ -99,7 +137,7 @@
       Need.MilliCores_ = 0;
     std::uint32_t Count = 0;
     std::uint32_t Here = 0;
-    if (const auto Found = Step.PerExecutor_.find(At.Info_.Id_); Found != Step.PerExecutor_.end())
+    if (const auto Found = Step.PerExecutor_.find(At.Slot_); Found != Step.PerExecutor_.end())
       Here = Found->second;
     while (Count < Most && core::fits(Need, Room) &&
            (Spec.MaxPerExecutor_ == 0 || Here + Count < Spec.MaxPerExecutor_)) {
@@ -109,14 +147,6 @@
     return Count;
   }
 
-  bool hasTicket(const ExecutorState &At, const JobRun &Job, const StepRun &Step) const {
-    if (!Job.Queue_.Advice_)
-      return true;
-    const auto Found = Step.Advice_.find(At.Info_.Id_);
-    return Found != Step.Advice_.end() && Found->second.May_ && Found->second.Born_ == At.Born_ &&
-           Now_ < Found->second.ValidUntil_;
-  }
-
   bool disturbs(const ExecutorState &At, const work::StepSpec &Spec) const {
     return std::ranges::any_of(At.Runs_, [&](const auto &One) {
       return (Spec.Fills_ && One.second.Serves_) || (Spec.TargetMs_ > 0 && One.second.Fills_);
@@ -129,8 +159,7 @@
     double Cost =
         static_cast<double>(At.Used_.MilliCores_ + At.FillMilliCores_ + Spec.Need_.MilliCores_) /
         Capacity;
-    if (!Spec.PreferredRack_.empty() &&
-        std::ranges::find(At.Info_.Labels_, Spec.PreferredRack_) == At.Info_.Labels_.end())
+    if (!hasLabel(At, Spec.PreferredRack_))
       Cost += OtherRackPenalty;
     if (Task.Avoid_ == At.Info_.Id_)
       Cost += AvoidPenalty;
@@ -145,17 +174,17 @@
                         const TaskRun &Task, std::string_view Rack = {}) const {
     ExecutorState *Best = nullptr;
     double Least = std::numeric_limits<double>::infinity();
-    for (auto &[Id, At] : Of_.Executors_) {
-      if (!usable(At, Job, Spec) || !hasTicket(At, Job, Step) ||
-          (!Rack.empty() && fleet::rackOf(At.Info_) != Rack) || slots(At, Step, Spec, 1) == 0)
-        continue;
-      if (Spec.Fills_ && disturbs(At, Spec))
-        continue;
-      if (const double Cost = costOf(At, Spec, Task); Cost < Least) {
+    visitAllowed(Job, Step, Spec, [&](ExecutorState &At) {
+      if (slots(At, Step, Spec, 1) == 0 || (!Rack.empty() && fleet::rackOf(At.Info_) != Rack) ||
+          (Spec.Fills_ && disturbs(At, Spec)))
+        return;
+      const double Cost = costOf(At, Spec, Task);
+      // Equal costs go by number, so that the choice does not depend on the order of a table.
+      if (Cost < Least || (Cost == Least && At.Slot_ < Best->Slot_)) {
         Least = Cost;
         Best = &At;
       }
-    }
+    });
     return Best;
   }
 
@@ -221,7 +250,7 @@
     TaskRun &Which = Step.Tasks_[Task.Index_];
     Run &Made = Of_.addRun(At, &Job, Task, Number, RunState::Starting, Now_);
     Made.Order_ = {Task, Number, Job.What_.Spec_.Payload_, 0, Of_.Token_, Which.Checkpoint_, {}};
-    if (const auto Found = Step.Advice_.find(At.Info_.Id_); Found != Step.Advice_.end())
+    if (const auto Found = Step.Advice_.find(At.Slot_); Found != Step.Advice_.end())
       Made.Order_.Ticket_ = Found->second.Ticket_;
     if (never(Step.FirstStart_))
       Step.FirstStart_ = Now_;
@@ -235,7 +264,7 @@
       TaskRun &Which = Step.Tasks_[Task.Index_];
       if (Which.State_ != TaskState::Waiting)
         continue;
-      if (!withinLimit(*What.Job_, Spec.Need_))
+      if (Of_.StartsOnTheWay_ >= Of_.Times_.StartsOnTheWay_ || !withinLimit(*What.Job_, Spec.Need_))
         return;
       ExecutorState *At = choose(*What.Job_, Step, Spec, Which);
       if (At == nullptr)
@@ -246,7 +275,8 @@
 
   /// Starts all tasks of a gang or none.
   void placeGang(const Candidate &What, StepRun &Step, const work::StepSpec &Spec) const {
-    if (Step.Waiting_ < Step.Tasks_.size() || !withinLimit(*What.Job_, Spec.Need_ * Spec.Count_))
+    if (Of_.StartsOnTheWay_ >= Of_.Times_.StartsOnTheWay_ || Step.Waiting_ < Step.Tasks_.size() ||
+        !withinLimit(*What.Job_, Spec.Need_ * Spec.Count_))
       return;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
@@ -271,12 +301,12 @@
       if (At == nullptr)
         break;
       At->Used_ += Counted;
-      ++Step.PerExecutor_[At->Info_.Id_];
+      ++Step.PerExecutor_[At->Slot_];
       Hosts.push_back(At);
     }
     for (ExecutorState *At : Hosts) {
       At->Used_ -= Counted;
-      --Step.PerExecutor_[At->Info_.Id_];
+      --Step.PerExecutor_[At->Slot_];
     }
     if (Hosts.size() < Spec.Count_)
       return false;
@@ -299,21 +329,19 @@
     if (!What.Job_->Queue_.Advice_ || Step.Asking_ || Now_ < Step.AskAgainAt_)
       return;
     std::uint32_t Have = 0;
+    visitAllowed(*What.Job_, Step, Spec,
+                 [&](const ExecutorState &At) { Have += slots(At, Step, Spec, Wanted); });
+    if (Have >= Wanted)
+      return;
     std::vector<std::pair<double, const ExecutorState *>> Open;
-    for (const auto &[Id, At] : Of_.Executors_) {
-      if (!usable(At, *What.Job_, Spec))
-        continue;
-      const std::uint32_t Room = slots(At, Step, Spec, Wanted);
-      if (Room == 0)
+    for (const ExecutorState *At : hostsOf(*What.Job_)) {
+      if (slots(*At, Step, Spec, 1) == 0 || !hasLabel(*At, Spec.RequiredLabel_))
         continue;
-      const auto Found = Step.Advice_.find(Id);
-      const bool Bad = Found != Step.Advice_.end() && !Found->second.May_;
-      if (hasTicket(At, *What.Job_, Step))
-        Have += Room;
-      else if (!Bad)
-        Open.emplace_back(costOf(At, Spec, {}), &At);
+      const auto Found = Step.Advice_.find(At->Slot_);
+      if (Found == Step.Advice_.end() || (Found->second.May_ && !valid(Found->second, *At)))
+        Open.emplace_back(costOf(*At, Spec, {}), At);
     }
-    if (Have >= Wanted || Open.empty())
+    if (Open.empty())
       return;
     std::ranges::sort(Open, {}, &std::pair<double, const ExecutorState *>::first);
     const double Missing = (Wanted - Have) * AdviceReserve;
@@ -324,7 +352,7 @@
     for (double Expected = 0; const auto &[Price, At] : Open) {
       if ((Expected >= Missing && Names.size() >= Least) || Names.size() >= MaxAdvised)
         break;
-      const bool Known = Step.Advice_.contains(At->Info_.Id_);
+      const bool Known = Step.Advice_.contains(At->Slot_);
       Expected += slots(*At, Step, Spec, Wanted) * (Known ? 1.0 : yieldOf(*What.Job_));
       Names.push_back(At->Info_.Id_);
     }
@@ -362,7 +390,8 @@
 
 void Scheduler::place(core::TimePoint Now, std::int64_t WallMs) {
   NextPlace_ = Now + PassInterval;
-  PlacementPass Pass{*this, Now, {}};
+  PlacementPass Pass{*this, Now, {}, {}};
+  Pass.listHosts();
   Pass.sumUnknown();
   Pass.updatePeaks();
   std::vector<Candidate> Waiting;
@@ -416,13 +445,14 @@
     Yield += YieldWeight *
              (static_cast<double>(Good->size()) / static_cast<double>(Asked.size()) - Yield);
   for (const std::string &Id : Asked)
-    Step.Advice_[Id].May_ = false;
+    if (const auto Host = Executors_.find(Id); Host != Executors_.end())
+      Step.Advice_[Host->second.Slot_].May_ = false;
   const core::Millis Valid(Job->Queue_.Advice_->ValidMs_);
   for (const fleet::Advised &One : *Good) {
     const auto Host = Executors_.find(One.Executor_);
     if (Host != Executors_.end())
-      Step.Advice_[One.Executor_] = {true, One.Ticket_, Now + Valid - Times_.TicketMargin_,
-                                     Host->second.Born_};
+      Step.Advice_[Host->second.Slot_] = {true, One.Ticket_, Now + Valid - Times_.TicketMargin_,
+                                          Host->second.Born_};
   }
   PlaceDue_ = true;
 }
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -36,6 +36,8 @@
   const bool Known = Executors_.contains(Info.Id_);
   ExecutorState &At = Executors_[Info.Id_];
   if (!Known) {
+    At.Slot_ = static_cast<std::uint32_t>(BySlot_.size());
+    BySlot_.push_back(&At);
     At.LeaseEnd_ = TermStart_ + stretched(Times_.Lease_, Times_.LeaseMargin_) + Times_.StaleLeader_;
     At.NextHold_ = Now;
     At.Born_ = Info.Born_;
@@ -101,7 +103,7 @@
   TaskRun &Which = Step.Tasks_[Task.Index_];
   ++Job->Runs_;
   ++Which.Runs_;
-  ++Step.PerExecutor_[At.Info_.Id_];
+  ++Step.PerExecutor_[At.Slot_];
   if (Which.State_ == TaskState::Waiting) {
     Which.State_ = TaskState::Placed;
     --Step.Waiting_;
@@ -129,7 +131,7 @@
   TaskRun &Task = Step.Tasks_[Old.Task_.Index_];
   --Job->Runs_;
   --Task.Runs_;
-  --Step.PerExecutor_[At.Info_.Id_];
+  --Step.PerExecutor_[At.Slot_];
   if (!Old.Checkpoint_.empty())
     Task.Checkpoint_ = Old.Checkpoint_;
   if (Task.State_ != TaskState::Placed || Task.Runs_ > 0)
@@ -144,6 +146,7 @@
   Which.OrderOutstanding_ = true;
   Which.Order_.UntilMs_ = untilOf(At, Now);
   renewed(At, Now);
+  ++StartsOnTheWay_;
   Out_.Start_(At.Info_, Which.Order_);
 }
 
@@ -157,6 +160,7 @@
     return;
   Which.State_ = RunState::Stopping;
   Which.NextOrderAt_ = Now;
+  At.Unsettled_ = true;
   note("stop", Which.Task_, Which.Number_, At.Info_.Id_, Why);
   if (!Which.OrderOutstanding_)
     orderStop(At, Which, Now);
@@ -182,6 +186,9 @@
 
 void Scheduler::onStarted(std::string_view Executor, const RunKey &Which, OrderOutcome Outcome,
                           std::int64_t ClockMs, core::TimePoint Now) {
+  // Placement stops at the limit and goes on as soon as there is room below it.
+  PlaceDue_ = PlaceDue_ || StartsOnTheWay_ >= Times_.StartsOnTheWay_;
+  --StartsOnTheWay_;
   const auto Host = Executors_.find(Executor);
   if (Host == Executors_.end())
     return;
@@ -192,6 +199,8 @@
     return;
   Run &Started = Found->second;
   Started.OrderOutstanding_ = false;
+  At.Unsettled_ =
+      At.Unsettled_ || Outcome != OrderOutcome::Done || Started.State_ != RunState::Starting;
   if (Outcome != OrderOutcome::Done)
     note("start_result", Which.first, Which.second, Executor, fleet::nameOf(Outcome));
   // A list can confirm the run while a repeated order is on its way. What becomes of that order
@@ -228,7 +237,7 @@
     return;
   case OrderOutcome::TicketInvalid:
     if (JobRun *Job = jobOf(Which.first))
-      stepOf(*Job, Which.first)->Advice_[std::string(Executor)].ValidUntil_ = {};
+      stepOf(*Job, Which.first)->Advice_[At.Slot_].ValidUntil_ = {};
     break;
   case OrderOutcome::LeaseOver:
     At.Held_ = false;
@@ -260,6 +269,7 @@
     Found->second.StoppedAt_ = Now;
     return;
   }
+  At.Unsettled_ = true;
   Found->second.NextOrderAt_ = Now + Times_.HoldRetry_;
   note("stop_result", Which.first, Which.second, Executor, fleet::nameOf(Outcome));
 }
@@ -443,6 +453,7 @@
   for (const fleet::EndRow &Row : Report.Ended_)
     There.insert({Row.Task_, Row.Run_});
   std::vector<RunKey> Over;
+  At.Unsettled_ = true;
   for (auto &[Key, One] : At.Runs_) {
     One.ConfirmedAt_ = {};
     One.StoppedAt_ = {};
@@ -486,8 +497,11 @@
     loseAll(At, "lease lapsed", Now);
   if (!never(At.DrainEnd_))
     drain(At, Now);
-  for (auto &[Key, One] : At.Runs_)
-    tickRun(At, One, Now);
+  if (At.Unsettled_) {
+    At.Unsettled_ = false;
+    for (auto &[Key, One] : At.Runs_)
+      At.Unsettled_ = tickRun(At, One, Now) || At.Unsettled_;
+  }
   if (At.HoldOutstanding_ || Now < At.NextHold_)
     return;
   const bool Waiting = !At.Unacked_.empty();
@@ -507,20 +521,19 @@
   Out_.Hold_(At.Info_, Renew ? At.Seen_ : 0, Renew ? untilOf(At, Now) : 0, Wait);
 }
 
-void Scheduler::tickRun(ExecutorState &At, Run &Which, core::TimePoint Now) {
-  if (Which.OrderOutstanding_ || Now < Which.NextOrderAt_)
-    return;
-  if (Which.State_ == RunState::Stopping) {
-    if (never(Which.StoppedAt_))
-      orderStop(At, Which, Now);
-    return;
-  }
-  if (Which.State_ != RunState::Starting || Which.Unanswered_ == 0)
-    return;
-  if (Which.Unanswered_ >= Times_.StartAttempts_)
+bool Scheduler::tickRun(ExecutorState &At, Run &Which, core::TimePoint Now) {
+  const bool Unsettled = Which.State_ == RunState::Stopping
+                             ? never(Which.StoppedAt_)
+                             : Which.State_ == RunState::Starting && Which.Unanswered_ > 0;
+  if (!Unsettled || Which.OrderOutstanding_ || Now < Which.NextOrderAt_)
+    return Unsettled;
+  if (Which.State_ == RunState::Stopping)
+    orderStop(At, Which, Now);
+  else if (Which.Unanswered_ >= Times_.StartAttempts_)
     stopRun(At, Which, "start was not answered", Now);
   else if (!At.Silent_)
     orderStart(At, Which, Now);
+  return true;
 }
 
 void Scheduler::drain(ExecutorState &At, core::TimePoint Now) {
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -263,8 +263,10 @@
     if (!At.Listed_ && At.Runs_.empty() && !At.HoldOutstanding_ && Now >= At.LeaseEnd_)
       Forget.push_back(Id);
   }
-  for (const std::string &Id : Forget)
+  for (const std::string &Id : Forget) {
+    BySlot_[Executors_.at(Id).Slot_] = nullptr;
     Executors_.erase(Id);
+  }
   updateAccounted(Now);
   std::erase_if(Jobs_, [this](const auto &One) {
     return One.second.Ended_ && One.second.Runs_ == 0 && !Dirty_.contains(One.first);
--- a/tests/measure/Load.h
+++ b/tests/measure/Load.h
@@ -47,6 +47,10 @@
 nlohmann::ordered_json runScale(std::uint64_t Seed, std::uint32_t Workers, bool Full);
 nlohmann::ordered_json runCancelWave(std::uint64_t Seed);
 
+/// Processor time of the leader's decisions for a load in the shape of the grown deployments: short
+/// checks and long batches on \p Executors executors, advice on every queue.
+nlohmann::ordered_json runLead(std::uint64_t Seed, int Executors);
+
 double percentile(std::vector<double> Values, double Part);
 
 } // namespace masticdrift::measure
--- a/tests/measure/Main.cpp
+++ b/tests/measure/Main.cpp
@@ -1,5 +1,5 @@
 // Measures the decisions of package policy under load; prints one JSON object per line.
-// Usage: measure-policy [steady|overload|faults|interactive|scale|cancel|all] [SEED]
+// Usage: measure-policy [steady|overload|faults|interactive|scale|cancel|lead|all] [SEED]
 #include "Load.h"
 
 #include <cstdio>
@@ -49,5 +49,8 @@
     print(runScale(Seed, 1800U, true));
   if (All || What == "cancel")
     print(runCancelWave(Seed));
+  if (All || What == "lead")
+    for (const int Executors : {48, 350})
+      print(runLead(Seed, Executors));
   return 0;
 }
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -100,7 +100,7 @@
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
-      One->onJob(*Ledger_.find(Id), Now_, wallOf(Now_));
+      timed([&] { One->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
 }
 
 void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
@@ -114,7 +114,7 @@
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
-      One->onJob(*Ledger_.find(Id), Now_, wallOf(Now_));
+      timed([&] { One->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
 }
 
 void FakeFleet::setManifest(work::Manifest Manifest) {
@@ -152,7 +152,7 @@
     if (Options_.NotConnected_ > 0 && chance(Options_.NotConnected_)) {
       at(Now_ + OrderTimeout, [this, Of, Target, Id, Key] {
         if (Of->Alive_)
-          Target().onStarted(Id, Key, OrderOutcome::NotSent, 0, Now_);
+          timed([&] { Target().onStarted(Id, Key, OrderOutcome::NotSent, 0, Now_); });
       });
       return;
     }
@@ -175,12 +175,12 @@
          [this, Of, Target, Id, Key, Outcome, Answered, Clock = clockOf(One)] {
            if (std::exchange(*Answered, true) || !Of->Alive_ || Executors_.at(Id).CutUntil_ > Now_)
              return;
-           Target().onStarted(Id, Key, Outcome, Clock, Now_);
+           timed([&] { Target().onStarted(Id, Key, Outcome, Clock, Now_); });
          });
     });
     at(Now_ + OrderTimeout, [this, Of, Target, Id, Key, Answered] {
       if (!std::exchange(*Answered, true) && Of->Alive_)
-        Target().onStarted(Id, Key, OrderOutcome::NoAnswer, 0, Now_);
+        timed([&] { Target().onStarted(Id, Key, OrderOutcome::NoAnswer, 0, Now_); });
     });
   };
   Out.Stop_ = [this, Of, Target](const fleet::ExecutorInfo &Info, const lead::RunKey &Key) {
@@ -196,12 +196,12 @@
         return;
       at(Now_ + Options_.Latency_, [this, Of, Target, Id, Key, Outcome, Answered] {
         if (!std::exchange(*Answered, true) && Of->Alive_)
-          Target().onStopped(Id, Key, Outcome, Now_);
+          timed([&] { Target().onStopped(Id, Key, Outcome, Now_); });
       });
     });
     at(Now_ + OrderTimeout, [this, Of, Target, Id, Key, Answered] {
       if (!std::exchange(*Answered, true) && Of->Alive_)
-        Target().onStopped(Id, Key, OrderOutcome::NoAnswer, Now_);
+        timed([&] { Target().onStopped(Id, Key, OrderOutcome::NoAnswer, Now_); });
     });
   };
   Out.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
@@ -221,7 +221,8 @@
            Executor &From = Executors_.at(Id);
            if (!reaches(From) || std::exchange(*Answered, true) || !Of->Alive_)
              return;
-           Target().onHold(Id, Outcome, reportOf(From), SentAt, Now_);
+           const fleet::Report Report = reportOf(From);
+           timed([&] { Target().onHold(Id, Outcome, Report, SentAt, Now_); });
          };
          if (Of->Token_ < One.Token_) {
            Reply(OrderOutcome::Fenced);
@@ -244,7 +245,7 @@
        });
     at(Now_ + Wait + HoldAnswerTime, [this, Of, Target, Id, SentAt, Answered] {
       if (!std::exchange(*Answered, true) && Of->Alive_)
-        Target().onHold(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_);
+        timed([&] { Target().onHold(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
     });
   };
   Out.Advise_ = [this, Of, Target](const work::TaskRef &Step, std::vector<std::string> Asked,
@@ -256,7 +257,7 @@
            if ((std::hash<std::string>{}(Step.Job_ + One) % 10) < 6)
              Good.push_back({One, "ticket"});
          if (Of->Alive_)
-           Target().onAdvice(Step, Asked, Good, Now_);
+           timed([&] { Target().onAdvice(Step, Asked, Good, Now_); });
        });
   };
   Out.Note_ = [this, Of](std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
@@ -282,7 +283,7 @@
     return;
   const auto Found = std::ranges::find(Terms_, Of, [](const auto &One) { return One.first; });
   lead::Scheduler &Target = *Found->second;
-  Target.tick(Now_, wallOf(Now_));
+  timed([&] { Target.tick(Now_, wallOf(Now_)); });
   if (Target.fenced()) {
     Of->Alive_ = false;
     return;
@@ -300,7 +301,7 @@
         }
         for (const work::LedgerEntry &One : Entries)
           Ledger_.apply(Offset_++, One.Key_, One.Value_);
-        Target.onFlushed(Number, Now_);
+        timed([&] { Target.onFlushed(Number, Now_); });
       });
     }
   at(Now_ + TickInterval, [this, Of] { tick(Of); });
@@ -333,6 +334,7 @@
       broke(nameOf(Order.Task_) + " run " + std::to_string(Order.Run_) + " started on " +
             At.Info_.Id_ + " after its end on " + One.Executor_ + " was noted");
   Starts_[Order.Task_].push_back(Now_);
+  ++StartCount_;
   Running &Made = At.Running_[Order.Task_];
   Made.Run_ = Order.Run_;
   Made.StartedAt_ = Now_;
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -68,6 +68,10 @@
   /// Time from acceptance to the last end, of a completed job.
   std::optional<core::Millis> tookOf(const std::string &Id) const;
 
+  /// \returns processor time spent in the leaders' decisions, wall time of this machine.
+  std::chrono::steady_clock::duration decisionTime() const { return DecisionTime_; }
+  std::size_t starts() const { return StartCount_; }
+
   /// Every run at this executor fails.
   void spoil(const std::string &Id) { Executors_.at(Id).Spoiled_ = true; }
   /// Every run of this job fails.
@@ -127,6 +131,11 @@
   void at(core::TimePoint When, std::function<void()> Work);
   bool reaches(const Executor &One) const { return One.Up_ && Now_ >= One.CutUntil_; }
   bool chance(double P) { return std::uniform_real_distribution<>(0, 1)(Random_) < P; }
+  template <typename Work> void timed(Work Do) {
+    const auto Begin = std::chrono::steady_clock::now();
+    Do();
+    DecisionTime_ += std::chrono::steady_clock::now() - Begin;
+  }
   void lead();
   void tick(const std::shared_ptr<Term> &Of);
   fleet::OrderOutcome start(Executor &At, const fleet::StartOrder &Order);
@@ -160,6 +169,8 @@
   bool LoseNextStart_ = false;
   bool StoreDown_ = false;
   int Generation_ = 0;
+  std::chrono::steady_clock::duration DecisionTime_{};
+  std::size_t StartCount_ = 0;
   std::shared_ptr<Term> Current_;
   std::vector<std::pair<std::shared_ptr<Term>, std::unique_ptr<lead::Scheduler>>> Terms_;
   lead::Scheduler *Leader_ = nullptr;
--- /dev/null
+++ b/tests/unit/LogTest.cpp
@@ -0,0 +1,55 @@
+// Log lines as their readers parse them.
+#include "masticdrift/core/Log.h"
+
+#include <cstdio>
+#include <string>
+
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace masticdrift;
+
+namespace {
+
+/// \returns what is written to standard error while \p Work runs.
+template <typename Work> std::string written(Work Do) {
+  std::FILE *To = std::tmpfile();
+  const int Saved = ::dup(STDERR_FILENO);
+  ::dup2(::fileno(To), STDERR_FILENO);
+  Do();
+  std::fflush(stderr);
+  ::dup2(Saved, STDERR_FILENO);
+  std::string Text(4096, '\0');
+  std::rewind(To);
+  Text.resize(std::fread(Text.data(), 1, Text.size(), To));
+  std::fclose(To);
+  return Text;
+}
+
+} // namespace
+
+// Guards against a line that a reader of JSON can't parse because of what a field holds.
+Test(LogLine, isOneJsonObjectWhateverItsFieldsHold) {
+  core::initLog("lahore-a-1", core::LogLevel::Info);
+  const std::string Strange = "a \"quoted\" path\\with\nlines \x01 and \xff";
+  const std::string Text = written([&] {
+    core::log(core::LogLevel::Info, "refused", {{"message", Strange}});
+  });
+  const auto Line = nlohmann::json::parse(Text, nullptr, false);
+  cr_assert(Line.is_object(), "%s", Text.c_str());
+  cr_expect_eq(Line.value("instance", ""), "lahore-a-1");
+  cr_expect_eq(Line.value("event", ""), "refused");
+  cr_expect(Line.value("message", "").starts_with("a \"quoted\" path\\with\nlines \x01 and "));
+  cr_expect(Line.contains("time") && Line.contains("level"));
+}
+
+Test(LogLine, keepsPlainFieldsInTheirOrder) {
+  core::initLog("lahore-a-1", core::LogLevel::Info);
+  const std::string Text = written([] {
+    core::log(core::LogLevel::Info, "start", {{"request_id", "5c0e"}, {"detail", ""}});
+  });
+  cr_expect_neq(Text.find(R"("event":"start","request_id":"5c0e","detail":"")"), std::string::npos,
+                "%s", Text.c_str());
+}
