lead: give up runs that stand still or are slow with their executor; fewer system calls; stand-in of the platform

On the grown sites the leader spent most of a start on system calls and wake-ups: a write and two futex calls a log line, three timer calls an exchange. Now runs of two jobs must be slow on an executor. Change: package lead learns run times by step and image, an executor's slowness weighs in placement, runs that stand still are started elsewhere. A job's last run is not stopped after its end. Log lines are written in batches, libcurl's timer is set only when it must fire earlier, time limits grow with the loop's lag, reads while catching up are 96 KB. Still open on the grown sites: the leader is at its 0.5 cores in bursts.

--- a/include/masticdrift/core/Log.h
+++ b/include/masticdrift/core/Log.h
@@ -22,7 +22,7 @@
 /// Where lines go.
 enum class LogTarget {
   StandardError,  ///< written by the caller
-  StandardOutput, ///< written by a thread of its own; the oldest lines are dropped when it lags
+  StandardOutput, ///< written by a thread of its own; lines are dropped when it lags
 };
 
 /// Sets the instance name that every line carries and the lowest level that is written.
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -5,6 +5,7 @@
 
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/fleet/Orders.h"
+#include "masticdrift/lead/Progress.h"
 #include "masticdrift/work/Ledger.h"
 #include "masticdrift/work/Manifest.h"
 
@@ -42,8 +43,7 @@
   bool OrderOutstanding_ = false; ///< a start or stop is on its way
   core::TimePoint NextOrderAt_{}; ///< when to repeat the outstanding order
   core::TimePoint StoppedAt_{};   ///< when a stop was answered; zero before
-  int Percent_ = 0;
-  core::TimePoint PercentAt_{}; ///< when Percent_ last rose
+  Progress Progress_;
   std::string Checkpoint_;
   int Pace_ = 100;
   double Figure_ = 0;
@@ -60,6 +60,7 @@
   std::string Checkpoint_;
   std::string Avoid_; ///< executor on which the last run failed
   int Runs_ = 0;      ///< runs that are not known to be over
+  int Moves_ = 0;     ///< runs given up because they were too slow
 };
 
 /// What advice has said about one executor for a step.
@@ -80,6 +81,8 @@
   core::TimePoint AskAgainAt_{};
   std::uint64_t GangCounter_ = 0;
   core::TimePoint FirstStart_{};
+  core::Duration EndedTime_{0}; ///< run times of the tasks that ended done, summed
+  std::uint32_t EndedRuns_ = 0; ///< their number
   std::unordered_map<std::uint32_t, std::uint32_t> PerExecutor_; ///< runs, by the executor's slot
 };
 
@@ -134,6 +137,7 @@
   bool Unsettled_ = false;           ///< an order of some run may be due
   std::set<std::string> FailedJobs_; ///< whose runs failed here since the last success
   core::TimePoint AvoidUntil_{};
+  Slowness Slowness_;
   core::TimePoint DrainEnd_{}; ///< zero while not draining
 };
 
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -20,6 +20,9 @@
   /// Lease of everything that runs. Long enough for a takeover (about 3 s) and a second round of
   /// renewals; short enough that work of a lost executor starts again soon.
   core::Millis Lease_{7000};
+  /// Executors shorten every lease to this (a setting of the platform). A new incarnation can get
+  /// it from an order that was meant for the clock of the one before.
+  core::Millis LongestLease_{10'000};
   /// Clock rate error of an executor (2%) plus the same again for rounding and queueing.
   double LeaseMargin_ = 1.04;
   /// An earlier leader has met a newer token at some executor by this time, because it asks each
@@ -28,21 +31,28 @@
   /// A list read by a new process may lack entries that lapsed in a store outage; they are back
   /// about 2 s after its return.
   core::Millis ListSettles_{2500};
-  core::Millis HoldWait_{900};      ///< an executor without news answers after this time
-  core::Millis HoldSpacing_{25};    ///< between an answer with ends and the next request
-  core::Millis HoldRetry_{300};     ///< after a request without an answer
-  core::Millis UnackedHold_{400};   ///< between requests while ends are not durable
-  core::Millis OrderRetry_{60};     ///< before an unanswered order is repeated
-  core::Millis AvoidFailing_{4000}; ///< an executor that fails runs in a row gets no new ones
-  core::Millis TicketMargin_{200};  ///< tickets count as expired this much earlier
-  core::Millis AdviceRetry_{150};   ///< after advice that brought nothing
-  core::Millis DrainMargin_{700};   ///< runs are stopped this long before a draining executor ends
+  core::Millis HoldWait_{900};        ///< an executor without news answers after this time
+  core::Millis HoldSpacing_{25};      ///< between an answer with ends and the next request
+  core::Millis OverdueHoldWait_{250}; ///< the same when a run there should have ended
+  core::Millis HoldRetry_{300};       ///< after a request without an answer
+  core::Millis UnackedHold_{400};     ///< between requests while ends are not durable
+  core::Millis OrderRetry_{60};       ///< before an unanswered order is repeated
+  core::Millis AvoidFailing_{4000};   ///< an executor that fails runs in a row gets no new ones
+  core::Millis TicketMargin_{200};    ///< tickets count as expired this much earlier
+  core::Millis AdviceRetry_{150};     ///< after advice that brought nothing
+  core::Millis AvoidStill_{1500};     ///< an executor on which runs stand still gets no new ones
+  core::Millis MoveTime_{400};        ///< lost when a run is stopped and started elsewhere
+  core::Millis DrainMargin_{700}; ///< runs are stopped this long before a draining executor ends
   /// A request sent this long after a draining executor's entry went away finds it gone.
   core::Millis LeaveMargin_{200};
   int StartAttempts_ = 3; ///< start orders before a stop settles the run
   /// Start orders on their way at the same time. The smallest machines (0.12 cores) handle about
   /// 600 a second, so that these are served within half of an order's time limit.
   int StartsOnTheWay_ = 128;
+  /// Run times in multiples of the typical one that count as slow; executors differ by 1.6 anyway.
+  double SlowFactor_ = 2;
+  int SlowJobsToMove_ = 2;    ///< slow jobs that make an executor slow
+  int MostMoves_ = 3;         ///< runs of one task given up because they were too slow
   int FailedJobsToAvoid_ = 2; ///< jobs failing in a row that make an executor suspect
 };
 
@@ -153,6 +163,14 @@
   /// Gives the order that a run needs now. \returns true while the run may need another one.
   bool tickRun(ExecutorState &At, Run &Which, core::TimePoint Now);
   void drain(ExecutorState &At, core::TimePoint Now);
+  /// \returns the run time of a task's like, or nothing while too few have ended.
+  std::optional<core::Millis> typicalTime(const JobRun &Job, const work::TaskRef &Task) const;
+  void learnRunTime(JobRun &Job, ExecutorState &At, const Run &Ended, core::TimePoint Now);
+  void watchProgress(ExecutorState &At, core::TimePoint Now);
+  void moveRun(ExecutorState &At, Run &Which, std::string_view Why, core::TimePoint Now);
+  /// Stops all runs of a task but the one that has ended.
+  void stopCopies(const work::TaskRef &Task, std::uint64_t Ended, core::TimePoint Now);
+  core::Millis holdWaitOf(const ExecutorState &At, core::TimePoint Now) const;
   void shieldServing(ExecutorState &At, core::TimePoint Now);
   void updateAccounted(core::TimePoint Now);
 
@@ -187,6 +205,7 @@
   std::unordered_map<std::string, std::pair<double, core::TimePoint>> ShareTokens_;
   std::set<std::string> Dirty_;
   std::unordered_map<std::string, double> AdviceYield_; ///< part of good answers, by queue
+  std::unordered_map<std::string, RunTimes> RunTimes_;  ///< by queue and image
   std::uint64_t NextFlush_ = 1;
   std::uint64_t Flushed_ = 0;
 };
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -1,10 +1,16 @@
 #include "masticdrift/core/Log.h"
 
 #include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <cstdio>
 #include <memory>
+#include <mutex>
+#include <thread>
+#include <utility>
 
 #include <nlohmann/json.hpp>
-#include <spdlog/async.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -12,17 +18,80 @@
 
 namespace {
 
-/// Lines that may wait for the writer; about 2 MB.
-constexpr std::size_t MaxWaitingLines = 4096;
+/// Lines that may wait for the writer: a second at several times the usual rate.
+constexpr std::size_t MaxWaitingBytes = 1U << 20U;
+/// Lines within this time are written together.
+constexpr std::chrono::milliseconds BatchTime{40};
 /// Bytes of a line about a task.
 constexpr std::size_t UsualLine = 256;
 
 std::string InstanceName;                         // NOLINT: set once before threads start
 LogTarget Destination = LogTarget::StandardError; // NOLINT: set once before threads start
 
-std::shared_ptr<spdlog::details::thread_pool> &writer() {
-  static std::shared_ptr<spdlog::details::thread_pool> Pool;
-  return Pool;
+/// Collects lines and writes them from a thread of its own, many at a time: a wake-up and a system
+/// call a line cost a small machine more than the line.
+class BatchSink final : public spdlog::sinks::base_sink<std::mutex> {
+public:
+  BatchSink() : Writer_([this] { run(); }) {}
+
+  ~BatchSink() override {
+    {
+      const std::lock_guard Lock(BatchMutex_);
+      Closed_ = true;
+    }
+    Filled_.notify_one();
+    Writer_.join();
+  }
+
+  std::size_t dropped() const { return Dropped_; }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg &Message) override {
+    spdlog::memory_buf_t Line;
+    formatter_->format(Message, Line);
+    bool First = false;
+    {
+      const std::lock_guard Lock(BatchMutex_);
+      if (Batch_.size() + Line.size() > MaxWaitingBytes) {
+        ++Dropped_;
+        return;
+      }
+      First = Batch_.empty();
+      Batch_.append(Line.data(), Line.size());
+    }
+    if (First)
+      Filled_.notify_one();
+  }
+
+  /// The writer flushes; the caller never waits for it.
+  void flush_() override {}
+
+private:
+  void run() {
+    std::unique_lock Lock(BatchMutex_);
+    while (!Closed_ || !Batch_.empty()) {
+      Filled_.wait(Lock, [this] { return Closed_ || !Batch_.empty(); });
+      // Lines that follow soon join this batch.
+      Filled_.wait_for(Lock, BatchTime, [this] { return Closed_; });
+      const std::string Text = std::exchange(Batch_, {});
+      Lock.unlock();
+      std::fwrite(Text.data(), 1, Text.size(), stdout);
+      std::fflush(stdout);
+      Lock.lock();
+    }
+  }
+
+  std::mutex BatchMutex_;
+  std::condition_variable Filled_;
+  std::string Batch_;
+  std::atomic<std::size_t> Dropped_{0};
+  bool Closed_ = false;
+  std::thread Writer_;
+};
+
+std::shared_ptr<BatchSink> &batchSink() {
+  static std::shared_ptr<BatchSink> Sink;
+  return Sink;
 }
 
 std::shared_ptr<spdlog::logger> makeLogger() {
@@ -33,12 +102,8 @@
     Made->flush_on(spdlog::level::info);
     return Made;
   }
-  writer() = std::make_shared<spdlog::details::thread_pool>(MaxWaitingLines, 1);
-  auto Made = std::make_shared<spdlog::async_logger>(
-      Name, std::make_shared<spdlog::sinks::stdout_sink_mt>(), writer(),
-      spdlog::async_overflow_policy::overrun_oldest);
-  Made->flush_on(spdlog::level::warn);
-  return Made;
+  batchSink() = std::make_shared<BatchSink>();
+  return std::make_shared<spdlog::logger>(Name, batchSink());
 }
 
 spdlog::level::level_enum toSpdlog(LogLevel Level) {
@@ -92,7 +157,7 @@
   logger().set_level(toSpdlog(Lowest));
 }
 
-std::size_t droppedLogLines() { return writer() == nullptr ? 0 : writer()->overrun_counter(); }
+std::size_t droppedLogLines() { return batchSink() == nullptr ? 0 : batchSink()->dropped(); }
 
 void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields) {
   if (!logger().should_log(toSpdlog(Level)))
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -23,8 +23,9 @@
 
 namespace {
 
-/// Connections kept open for reuse: two to each of 350 executors and some to the platform.
-constexpr long MaxKeptConnections = 800;
+/// Connections kept open for reuse: four to each of 350 executors and some to the platform, within
+/// the 3,900 descriptors that the smallest machines have for sockets.
+constexpr long MaxKeptConnections = 1500;
 constexpr std::chrono::seconds IdleConnections{30};
 /// Bodies up to this size are read; the configuration's own limit is lower.
 constexpr std::size_t MaxBody = 1U << 20U;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -238,7 +238,9 @@
     // Entries lapse after three heartbeats; beats that came until then show a store that was there.
     const bool ListMayLack = Now - Context_.StartedAt_ < FreshProcess &&
                              BeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
-    Scheduler_.emplace(Term_, lead::Timing{}, ports(), Now, ListMayLack);
+    lead::Timing Times;
+    Times.LongestLease_ = core::Millis(Context_.Settings_.HoldMaxMs_);
+    Scheduler_.emplace(Term_, Times, ports(), Now, ListMayLack);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
     for (const auto &[Id, Entry] : Context_.Roster_) {
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -12,6 +12,11 @@
 /// Added to the wait of a read for the answer itself; a store sixty times slower than usual
 /// answers in 0.3 s.
 constexpr core::Millis AnswerTime{1300};
+/// Of one read. Two dozen daemons that catch up over a link of 60 Mbit/s at the same time must
+/// neither miss the time limit of a read nor crowd out the calls to executors.
+constexpr int ReadKb = 96;
+/// Between reads while catching up, for the same reason.
+constexpr core::Millis CatchUpRest{120};
 constexpr core::Millis FirstRetry{100};
 constexpr core::Millis LastRetry{800};
 
@@ -57,7 +62,7 @@
   }
 
   void read() {
-    Store_.read(Options_.Topic_, Next_, Options_.Wait_, Options_.Wait_ + AnswerTime,
+    Store_.read(Options_.Topic_, Next_, Options_.Wait_, ReadKb, Options_.Wait_ + AnswerTime,
                 [Self = shared_from_this()](platform::ReadResult Result) {
                   if (!Self->Closed_)
                     Self->onRead(std::move(Result));
@@ -82,7 +87,8 @@
     answered();
     const bool News = !Result.Records_.empty();
     take(Result);
-    const core::Millis Rest = News && CaughtUp_ ? Options_.Rest_() : core::Millis(0);
+    const core::Millis Rest =
+        !CaughtUp_ ? CatchUpRest : (News ? Options_.Rest_() : core::Millis(0));
     if (Rest.count() == 0)
       read();
     else
@@ -98,7 +104,9 @@
   }
 
   void catchUp(core::Millis Timeout, std::function<void(bool)> Done) {
-    Store_.read(Options_.Topic_, Next_, core::Millis(0), Timeout,
+    // In one call: the caller waits for it.
+    constexpr int WholeKb = 1024;
+    Store_.read(Options_.Topic_, Next_, core::Millis(0), WholeKb, Timeout,
                 [Self = shared_from_this(), Done = std::move(Done)](platform::ReadResult Result) {
                   if (Self->Closed_)
                     return;
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -2,8 +2,11 @@
 
 #include "masticdrift/http/detail/Exchange.h"
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
@@ -18,6 +21,8 @@
 
 /// Handles kept for reuse; making one costs about ten allocations.
 constexpr std::size_t MaxSpareHandles = 64;
+/// Time limits grow by this many times the loop's lag: once for the request, once for the answer.
+constexpr int LagFactor = 2;
 /// Connections older than this are not reused.
 constexpr long LifeSeconds = 600;
 
@@ -123,15 +128,50 @@
 
   static int onTimerWish(CURLM *, long DelayMs, void *User) {
     auto &Self = *static_cast<Impl *>(User);
-    Self.Timer_.cancel();
-    if (DelayMs < 0)
+    if (DelayMs < 0) {
+      Self.WakeAt_ = {};
       return 0;
-    Self.Timer_.expires_after(std::chrono::milliseconds(DelayMs));
-    Self.Timer_.async_wait([Held = Self.shared_from_this()](std::error_code Error) {
-      if (!Error && !Held->Closed_)
+    }
+    if (DelayMs == 0) {
+      // libcurl must not be entered from its own callback.
+      if (!std::exchange(Self.WakePosted_, true))
+        asio::post(Self.Loop_, [Held = Self.shared_from_this()] {
+          Held->WakePosted_ = false;
+          if (!Held->Closed_)
+            Held->act(CURL_SOCKET_TIMEOUT, 0);
+        });
+      return 0;
+    }
+    Self.WakeAt_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(DelayMs);
+    Self.arm();
+    return 0;
+  }
+
+  /// A timer that fires early costs less than setting it anew for nearly every exchange.
+  void arm() {
+    if (Armed_ && Timer_.expiry() <= WakeAt_)
+      return;
+    Armed_ = true;
+    Timer_.expires_at(WakeAt_);
+    Timer_.async_wait([Held = shared_from_this()](std::error_code Error) {
+      if (Error || Held->Closed_)
+        return;
+      Held->Armed_ = false;
+      Held->noteLag();
+      if (Held->WakeAt_ == std::chrono::steady_clock::time_point{})
+        return;
+      if (std::chrono::steady_clock::now() < Held->WakeAt_)
+        Held->arm();
+      else
         Held->act(CURL_SOCKET_TIMEOUT, 0);
     });
-    return 0;
+  }
+
+  /// How late this loop is: time that answers wait here is not the other end's.
+  void noteLag() {
+    constexpr int Decay = 2;
+    Lag_ = std::max<std::chrono::steady_clock::duration>(
+        std::chrono::steady_clock::now() - Timer_.expiry(), Lag_ / Decay);
   }
 
   void act(curl_socket_t Handle, int Events) {
@@ -170,6 +210,9 @@
       Work->Easy_ = Spare_.back();
       Spare_.pop_back();
     }
+    // Otherwise a loop that falls behind takes answers for lost, and the repeats slow it further.
+    Work->Request_.Timeout_ +=
+        LagFactor * std::chrono::duration_cast<std::chrono::milliseconds>(Lag_);
     detail::prepare(*Work, IdleSeconds_, LifeSeconds);
     curl_easy_setopt(Work->Easy_, CURLOPT_OPENSOCKETFUNCTION, &openSocket);
     curl_easy_setopt(Work->Easy_, CURLOPT_OPENSOCKETDATA, this);
@@ -183,6 +226,10 @@
   asio::io_context &Loop_;
   const long IdleSeconds_;
   asio::steady_timer Timer_;
+  std::chrono::steady_clock::time_point WakeAt_{}; ///< when libcurl wants to be called; zero: never
+  bool Armed_ = false;
+  std::chrono::steady_clock::duration Lag_{0};
+  bool WakePosted_ = false;
   CURLM *Multi_ = nullptr;
   bool Closed_ = false;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watched>> Sockets_;
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -35,6 +35,8 @@
 constexpr double AvoidPenalty = 1.5;
 constexpr double DisturbPenalty = 3;
 constexpr double FailingPenalty = 0.5;
+/// Added for each multiple of the typical run time.
+constexpr double SlowWeight = 0.5;
 
 bool never(core::TimePoint At) { return At == core::TimePoint{}; }
 
@@ -165,6 +167,7 @@
       Cost += AvoidPenalty;
     if (!At.FailedJobs_.empty())
       Cost += FailingPenalty;
+    Cost += SlowWeight * (factorOf(At.Slowness_, Now_) - 1);
     if (disturbs(At, Spec))
       Cost += DisturbPenalty;
     return Cost;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -17,12 +17,13 @@
 constexpr core::Millis PaceRest{1000};
 /// An executor whose run of unknown size is being stopped gets no new work for this long.
 constexpr core::Millis UnknownRunRest{1500};
+/// Rest of an executor that left a start order unanswered; lists tell within this time whether it
+/// is there.
+constexpr core::Millis UnansweredRest{300};
 /// Rest of an executor that refused an order.
 constexpr core::Millis RefusalRest{1000};
 /// Added to the end of a lease for time that an order spends on its way.
 constexpr core::Millis LeaseSlack{250};
-/// Wait of a request to an executor without runs; nothing can end there.
-constexpr core::Millis IdleHoldWait{1900};
 
 core::Duration stretched(core::Millis Lease, double Margin) {
   return std::chrono::duration_cast<core::Duration>(Lease * Margin) + LeaseSlack;
@@ -84,7 +85,7 @@
   Made.Executor_ = At.Info_.Id_;
   Made.State_ = State;
   Made.OrderedAt_ = Now;
-  Made.PercentAt_ = Now;
+  Made.Progress_.StartedAt_ = Now;
   if (Job == nullptr)
     return Made;
   const work::StepSpec &Spec = specOf(*Job, Task);
@@ -210,6 +211,9 @@
   switch (Outcome) {
   case OrderOutcome::Done:
     Started.Unanswered_ = 0;
+    // The order may have waited on its way, which says nothing about the executor.
+    if (never(Started.ConfirmedAt_))
+      Started.Progress_.StartedAt_ = Now;
     Started.ConfirmedAt_ = Now;
     if (ClockMs > 0 && ClockMs >= At.ClockMs_) {
       At.ClockMs_ = ClockMs;
@@ -228,6 +232,7 @@
   case OrderOutcome::NoAnswer:
     ++Started.Unanswered_;
     Started.NextOrderAt_ = Now + Times_.OrderRetry_;
+    At.AvoidUntil_ = std::max(At.AvoidUntil_, Now + UnansweredRest);
     return;
   case OrderOutcome::Superseded:
     // An unanswered copy may have started the run and the run may have ended. It can't start any
@@ -313,6 +318,7 @@
   for (const fleet::RunningRow &Row : Report.Running_)
     takeRunning(At, Row, Now);
   settleMissing(At, Report, SentAt, Now);
+  watchProgress(At, Now);
   shieldServing(At, Now);
   At.NextHold_ = Report.Ended_.empty() ? Now : Now + Times_.HoldSpacing_;
   PlaceDue_ = true;
@@ -333,6 +339,11 @@
     const auto Known = At.Runs_.find({End.Task_, End.Run_});
     if (Known != At.Runs_.end() && !End.Checkpoint_.empty())
       Known->second.Checkpoint_ = End.Checkpoint_;
+    if (Known != At.Runs_.end() && End.Kind_ == fleet::EndKind::Done)
+      learnRunTime(*Job, At, Known->second, Now);
+    // It has ended, so nothing that follows from its end needs to stop it.
+    if (Known != At.Runs_.end())
+      Known->second.State_ = RunState::Stopping;
     if (!Job->Ended_)
       applyEnd(*Job, End, At.Info_.Id_, Now);
   }
@@ -382,6 +393,8 @@
     return;
   if (!Spec.Gang_) {
     finishTask(Job, End.Task_, Now);
+    if (Task.Runs_ > 1)
+      stopCopies(End.Task_, End.Run_, Now);
     return;
   }
   work::TaskRef Member = End.Task_;
@@ -398,7 +411,8 @@
                         Step->Tasks_[Row.Task_.Index_].State_ == TaskState::Waiting;
     Run &Made = addRun(At, Job, Row.Task_, Row.Run_, RunState::Running, Now);
     Made.ConfirmedAt_ = Now;
-    Made.Percent_ = Row.Percent_;
+    Made.Progress_.FromStart_ = false;
+    observe(Made.Progress_, Row.Percent_, Now);
     Made.Checkpoint_ = Row.Checkpoint_;
     if (Job == nullptr)
       At.AvoidUntil_ = Now + UnknownRunRest;
@@ -417,9 +431,7 @@
   Known.Unanswered_ = 0;
   if (Known.State_ == RunState::Starting)
     Known.State_ = RunState::Running;
-  if (Row.Percent_ > Known.Percent_)
-    Known.PercentAt_ = Now;
-  Known.Percent_ = Row.Percent_;
+  observe(Known.Progress_, Row.Percent_, Now);
   Known.Figure_ = Row.Figure_;
   if (!Row.Checkpoint_.empty())
     Known.Checkpoint_ = Row.Checkpoint_;
@@ -447,6 +459,7 @@
 
 void Scheduler::reborn(ExecutorState &At, const fleet::Report &Report, core::TimePoint Now) {
   note("runs_lost", {}, 0, At.Info_.Id_, "executor started again");
+  At.LeaseEnd_ = std::max(At.LeaseEnd_, Now + stretched(Times_.LongestLease_, Times_.LeaseMargin_));
   std::set<RunKey> There;
   for (const fleet::RunningRow &Row : Report.Running_)
     There.insert({Row.Task_, Row.Run_});
@@ -510,7 +523,7 @@
   // A silent executor is only looked at: each order with a lease end would put off the time when
   // its runs are surely over.
   const bool Renew = At.Held_ && !At.Silent_;
-  core::Millis Wait = At.Runs_.empty() ? IdleHoldWait : Times_.HoldWait_;
+  core::Millis Wait = holdWaitOf(At, Now);
   if (!Renew || Waiting)
     Wait = core::Millis(0);
   At.HoldOutstanding_ = true;
@@ -543,8 +556,8 @@
     if (Job == nullptr || never(One.ConfirmedAt_))
       continue;
     const auto Elapsed = Now - One.ConfirmedAt_;
-    const auto Remaining =
-        One.Percent_ > 0 ? Elapsed * (100 - One.Percent_) / One.Percent_ : core::Duration(0);
+    const int Percent = One.Progress_.Percent_;
+    const auto Remaining = Percent > 0 ? Elapsed * (100 - Percent) / Percent : core::Duration(0);
     const bool NeverEnds = specOf(*Job, One.Task_).LongRunning_;
     if (NeverEnds || Left <= core::Duration(0) || Remaining > Left)
       stopRun(At, One, "executor is draining", Now);
--- /dev/null
+++ b/tests/standins/StandinPlatform.cpp
@@ -0,0 +1,68 @@
+// standin-platform: the users' platform on one address: log service, executors and advice.
+#include "standins/common/TaskExecutors.h"
+#include "standins/common/TopicLog.h"
+
+#include <CLI/CLI.hpp>
+
+using namespace masticdrift;
+using namespace masticdrift::standins;
+
+namespace {
+
+/// Every executor may run every step.
+void advise(const http::Request &Incoming, const Respond &Answer) {
+  withJson(Incoming, Answer, [&](const Json &Body) {
+    Json Good = Json::array();
+    for (const Json &One : Body.at("workers"))
+      Good.push_back(Json::array({One, "ticket"}));
+    Answer(jsonReply({{"good", Good}, {"valid_ms", 2500}}));
+  });
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  dieWithParent();
+  CLI::App App("The users' platform: log service, executors and advice");
+  std::uint16_t Port = 0;
+  int Count = 4;
+  int Cores = 4;
+  App.add_option("--port", Port, "Port on 127.0.0.1, 0 for any");
+  App.add_option("--executors", Count, "Number of executors");
+  App.add_option("--cores", Cores, "Cores of each executor");
+  CLI11_PARSE(App, Argc, Argv);
+  asio::io_context Io;
+  TopicLog Log(Io);
+  TaskExecutors Executors(Io, Count, Cores);
+  std::string Address;
+  const auto Announce = [&] {
+    for (const auto &[Id, Entry] : Executors.entries(Address))
+      Log.put("keyed.servers", Id, Entry.dump());
+  };
+  const HttpStub Server(Io, Port,
+                        withControls(
+                            [&](const Json &Body) {
+                              Log.control(Body);
+                              Executors.control(Body);
+                              if (Body.contains("manifest"))
+                                Log.put("keyed.op", "config", Body["manifest"].dump());
+                              if (Body.value("crash", false))
+                                Announce();
+                              return Json::object();
+                            },
+                            [&] {
+                              Json Out = Executors.evidence();
+                              Out["records"] = Log.evidence();
+                              return Out;
+                            },
+                            [&](const http::Request &Incoming, const Respond &Answer) {
+                              if (Incoming.Path_ == "/advise")
+                                advise(Incoming, Answer);
+                              else if (!Log.handle(Incoming, Answer) &&
+                                       !Executors.handle(Incoming, Answer))
+                                Answer(errorReply(404, "unknown path"));
+                            }));
+  Address = "127.0.0.1:" + std::to_string(Server.port());
+  Announce();
+  return runProgram(Io, {{"port", Server.port()}});
+}
--- /dev/null
+++ b/tests/standins/common/TaskExecutors.h
@@ -0,0 +1,79 @@
+/// \file
+/// The platform's executors: orders, leases on the executor's clock, ends until they are
+/// acknowledged. What breaks a promise is counted.
+#ifndef MASTICDRIFT_STANDINS_COMMON_TASKEXECUTORS_H
+#define MASTICDRIFT_STANDINS_COMMON_TASKEXECUTORS_H
+
+#include "standins/common/Program.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace masticdrift::standins {
+
+/// Executors that share one address; the first part of the path names one of them.
+class TaskExecutors {
+public:
+  /// \param Cores of each executor.
+  TaskExecutors(asio::io_context &Io, int Count, int Cores);
+
+  /// Serves /e/ID/run-start, run-stop, hold and pace. \returns false for another path.
+  bool handle(const http::Request &Incoming, const Respond &Answer);
+
+  /// \returns the list entry of each executor, by id. \param Address of this process.
+  std::map<std::string, Json> entries(const std::string &Address) const;
+
+  /// Switches of one executor ("executor"): "silent" answers nothing, "crash" starts it again
+  /// empty, "still" lets its tasks stand still.
+  void control(const Json &Body);
+
+  /// \returns starts by task, tasks that ran twice at a time, and starts over capacity.
+  Json evidence() const;
+
+private:
+  using Instant = std::chrono::steady_clock::time_point;
+  struct Task {
+    std::uint64_t Run_ = 0;
+    Instant StartedAt_;
+    std::chrono::milliseconds Work_{0};
+    std::uint64_t Generation_ = 0;
+  };
+  struct Executor {
+    std::string Id_;
+    Instant Born_;
+    std::int64_t BornMs_ = 0;
+    std::uint64_t Token_ = 0;
+    Instant LeaseEnd_{};
+    std::map<std::string, Task> Running_;
+    std::map<std::string, std::uint64_t> Over_;
+    std::vector<Json> Ended_;
+    std::uint64_t NextEnd_ = 1;
+    std::vector<std::function<void()>> Waiting_;
+    bool Silent_ = false;
+    bool Still_ = false;
+  };
+
+  std::int64_t clockOf(const Executor &At) const;
+  Json lists(const Executor &At) const;
+  Reply start(Executor &At, const Json &Order);
+  Reply stop(Executor &At, const Json &Order);
+  void hold(Executor &At, const Json &Order, const Respond &Answer);
+  void renew(Executor &At, const Json &Order);
+  void end(Executor &At, const std::string &Name, const char *How);
+  void finish(const std::string &Id, const std::string &Name, std::uint64_t Generation);
+  bool runsElsewhere(const Executor &At, const std::string &Name) const;
+
+  asio::io_context &Io_;
+  const int Cores_;
+  std::map<std::string, Executor> All_;
+  std::map<std::string, int> Starts_;
+  std::set<std::string> Doubled_;
+  std::set<std::string> Noted_; ///< tasks whose end as done was acknowledged
+  std::uint64_t Generation_ = 0;
+};
+
+} // namespace masticdrift::standins
+
+#endif // MASTICDRIFT_STANDINS_COMMON_TASKEXECUTORS_H
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -15,6 +15,7 @@
 constexpr core::Millis HoldAnswerTime{700};
 constexpr core::Millis StopTime{100};
 constexpr core::Millis LatestOrder{12'000};
+constexpr core::Millis LongestLease{10'000};
 /// Executors' clocks may be this much slow.
 constexpr double ClockRate = 0.98;
 /// The wall clock and the virtual clock start together.
@@ -231,9 +232,7 @@
          One.Token_ = Of->Token_;
          note(One, Seen);
          if (Until > 0)
-           One.LeaseEnd_ = std::max(One.LeaseEnd_,
-                                    One.ClockZero_ + core::Millis(static_cast<std::int64_t>(
-                                                         static_cast<double>(Until) / ClockRate)));
+           renew(One, Until);
          if (Lost)
            return;
          if (Wait.count() == 0 || !One.Ended_.empty()) {
@@ -311,6 +310,13 @@
   return Submitted_.at(Task.Job_).Spec_.Steps_.at(Task.Step_);
 }
 
+void FakeFleet::renew(Executor &At, std::int64_t UntilMs) {
+  const std::int64_t Until = std::min(UntilMs, clockOf(At) + LongestLease.count());
+  At.LeaseEnd_ =
+      std::max(At.LeaseEnd_, At.ClockZero_ + core::Millis(static_cast<std::int64_t>(
+                                                 static_cast<double>(Until) / ClockRate)));
+}
+
 OrderOutcome FakeFleet::start(Executor &At, const fleet::StartOrder &Order) {
   if (Order.Token_ < At.Token_)
     return OrderOutcome::Fenced;
@@ -322,9 +328,7 @@
     return OrderOutcome::LeaseOver;
   if (const auto There = At.Running_.find(Order.Task_); There != At.Running_.end())
     return There->second.Run_ == Order.Run_ ? OrderOutcome::Done : OrderOutcome::Superseded;
-  At.LeaseEnd_ =
-      std::max(At.LeaseEnd_, At.ClockZero_ + core::Millis(static_cast<std::int64_t>(
-                                                 static_cast<double>(Order.UntilMs_) / ClockRate)));
+  renew(At, Order.UntilMs_);
   const work::StepSpec &Spec = specOf(Order.Task_);
   for (const auto &[Id, Other] : Executors_)
     if (Other.Up_ && Other.Running_.contains(Order.Task_) && !Spec.AllowDuplicates_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -138,6 +138,7 @@
   }
   void lead();
   void tick(const std::shared_ptr<Term> &Of);
+  void renew(Executor &At, std::int64_t UntilMs);
   fleet::OrderOutcome start(Executor &At, const fleet::StartOrder &Order);
   fleet::OrderOutcome stop(Executor &At, const lead::RunKey &Which, std::uint64_t Token);
   void end(Executor &At, const work::TaskRef &Task, fleet::EndKind Kind);
