daemon: orders go through one daemon of each failure domain; steps of jobs stand in a topic of their own

Cause: on the grown sites the link between the regions was full after each burst or outage (silent executors were those of the other region, orders between daemons timed out too): every one of 45 daemons read all steps of all jobs from the store, and 16 at once after an outage. Besides, the leader's 0.5 cores were used up by calls to 350 executors. Change: specifications stand in keyed.specs, written before the acceptance and read only by machines that can lead; the leader removes them when a job has ended, and ended jobs after the time that their state must be known. With more than 100 executors the leader gives orders in batches to the largest daemon of each failure domain; a lost batch is an order without an answer. Smaller deployments are served directly as before.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -20,7 +20,9 @@
 /// Answers callers. Every daemon takes every job; what it can't do it refuses at once.
 class EntryService {
 public:
-  EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Writer, LeaderDriver &Leader);
+  /// \param Specs writes the steps of jobs, \p Writer everything else about them.
+  EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Specs, JobWriter &Writer,
+               LeaderDriver &Leader);
 
   void handle(const http::Request &From, const http::Responder &To);
 
@@ -37,16 +39,24 @@
   void look(const std::shared_ptr<Call> &Of);
   /// Runs \p Found with the job, or with null when the whole log has none.
   void findJob(const std::shared_ptr<Call> &Of, std::function<void(const work::LedgerJob *)> Found);
-  void store(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
+  /// A record and the job's steps, which are empty for a cancel.
+  struct Submission {
+    work::LedgerEntry Record_;
+    std::string Spec_;
+  };
+  void store(const std::shared_ptr<Call> &Of, Submission What,
              std::function<void(WriteOutcome)> Done);
+  /// Appends the steps and then the record, so that no record stands without its steps.
+  void append(Submission What, core::TimePoint Deadline, std::function<void(WriteOutcome)> Done);
   std::vector<work::LedgerEntry> entriesFor(work::LedgerEntry Entry) const;
-  void relay(const std::shared_ptr<Call> &Of, const std::string &Leader, work::LedgerEntry Entry,
+  void relay(const std::shared_ptr<Call> &Of, const std::string &Leader, Submission What,
              std::function<void(WriteOutcome)> Done);
   void answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome);
   void refuse(const std::shared_ptr<Call> &Of, core::ErrorKind Kind, std::string_view Message);
 
   FleetContext &Context_;
   TopicTail &Jobs_;
+  JobWriter &Specs_;
   JobWriter &Writer_;
   LeaderDriver &Leader_;
   std::size_t Open_ = 0;
--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -19,6 +19,7 @@
 namespace masticdrift::daemon {
 
 inline constexpr const char *JobsTopic = "keyed.jobs";
+inline constexpr const char *SpecsTopic = "keyed.specs";
 inline constexpr const char *LeadTopic = "keyed.lead";
 inline constexpr const char *ConfigTopic = "keyed.op";
 inline constexpr const char *ConfigKey = "config";
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -6,6 +6,7 @@
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/TopicTail.h"
 #include "masticdrift/protocol/Fleet.h"
+#include "masticdrift/protocol/Relay.h"
 
 #include <functional>
 #include <memory>
@@ -16,7 +17,8 @@
 class LeaderDriver {
 public:
   /// \param Jobs the tail that fills the context's ledger.
-  LeaderDriver(FleetContext &Context, TopicTail &Jobs);
+  /// \param Specs the tail that adds the steps of jobs to it.
+  LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs);
   LeaderDriver(const LeaderDriver &) = delete;
   LeaderDriver &operator=(const LeaderDriver &) = delete;
   ~LeaderDriver();
@@ -35,6 +37,9 @@
   /// \returns true while this daemon leads.
   bool onHello(const protocol::Hello &From);
 
+  /// Results of orders that another daemon has carried for this one.
+  void onResults(const protocol::ResultsCall &Call);
+
   bool leading() const;
   /// \returns the term of the leadership, while this daemon leads.
   std::uint64_t term() const;
--- /dev/null
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -0,0 +1,37 @@
+/// \file
+/// Carries orders of a leader to executors and returns the results in batches.
+#ifndef MASTICDRIFT_DAEMON_ORDERRELAY_H
+#define MASTICDRIFT_DAEMON_ORDERRELAY_H
+
+#include "masticdrift/daemon/FleetContext.h"
+#include "masticdrift/protocol/Relay.h"
+
+#include <map>
+#include <memory>
+
+#include <asio/steady_timer.hpp>
+
+namespace masticdrift::daemon {
+
+/// Decides nothing: the orders carry the leader's token, so an executor refuses those of a leader
+/// that was replaced.
+class OrderRelay {
+public:
+  explicit OrderRelay(FleetContext &Context) : Context_(Context), Timer_(Context.Loop_) {}
+
+  void carry(const protocol::OrdersCall &Call);
+
+private:
+  void add(const std::string &ReplyTo, protocol::RelayedResult Result);
+  void flush();
+
+  FleetContext &Context_;
+  asio::steady_timer Timer_;
+  bool Armed_ = false;
+  std::map<std::string, std::vector<protocol::RelayedResult>> Results_; ///< by leader's address
+  std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace masticdrift::daemon
+
+#endif // MASTICDRIFT_DAEMON_ORDERRELAY_H
--- a/include/masticdrift/daemon/TopicTail.h
+++ b/include/masticdrift/daemon/TopicTail.h
@@ -37,6 +37,7 @@
   TopicTail &operator=(const TopicTail &) = delete;
   ~TopicTail();
 
+  /// Does nothing when it was called before.
   void start();
 
   /// Reads up to the present now, beside the running read.
@@ -44,6 +45,7 @@
   /// \param Done gets false when the service did not answer.
   void catchUp(core::Millis Timeout, std::function<void(bool)> Done);
 
+  bool started() const;
   bool loaded() const;
   /// \returns true when the last read reached the end of the topic.
   bool caughtUp() const;
--- a/include/masticdrift/fleet/Orders.h
+++ b/include/masticdrift/fleet/Orders.h
@@ -39,6 +39,7 @@
   std::uint64_t Token_ = 0;  ///< fencing token
   std::string Checkpoint_;   ///< empty for a start from the beginning
   std::string Ticket_;       ///< empty on queues without advice
+  MSGPACK_DEFINE_ARRAY(Task_, Run_, Payload_, UntilMs_, Token_, Checkpoint_, Ticket_)
 };
 
 enum class OrderOutcome {
@@ -65,6 +66,7 @@
   std::string Checkpoint_;
   int Percent_ = 0;
   double Figure_ = 0; ///< response time (ms) of a serving task, else thousandths of a core in use
+  MSGPACK_DEFINE_ARRAY(Task_, Run_, Checkpoint_, Percent_, Figure_)
 };
 
 enum class EndKind { Done, Failed, Stopped, LeaseLapsed, GangBroken, GangIncomplete };
@@ -72,6 +74,12 @@
 /// \returns the stable lower-case name of \p Kind.
 std::string_view nameOf(EndKind Kind);
 
+} // namespace masticdrift::fleet
+
+MSGPACK_ADD_ENUM(masticdrift::fleet::EndKind)
+
+namespace masticdrift::fleet {
+
 /// A run that an executor lists as ended.
 struct EndRow {
   std::uint64_t Number_ = 0; ///< rises by one within an incarnation
@@ -79,6 +87,7 @@
   std::uint64_t Run_ = 0;
   EndKind Kind_ = EndKind::Done;
   std::string Checkpoint_;
+  MSGPACK_DEFINE_ARRAY(Number_, Task_, Run_, Kind_, Checkpoint_)
 };
 
 /// An executor's lists of runs.
@@ -87,6 +96,7 @@
   std::int64_t Born_ = 0;    ///< 0 when not reported
   std::vector<RunningRow> Running_;
   std::vector<EndRow> Ended_;
+  MSGPACK_DEFINE_ARRAY(ClockMs_, Born_, Running_, Ended_)
 };
 
 /// An executor that may run a step and the ticket that shows it.
@@ -97,4 +107,6 @@
 
 } // namespace masticdrift::fleet
 
+MSGPACK_ADD_ENUM(masticdrift::fleet::OrderOutcome)
+
 #endif // MASTICDRIFT_FLEET_ORDERS_H
--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -68,6 +68,9 @@
 /// cores, 8 to 15 on smaller ones.
 unsigned rankOf(std::string_view Instance, double Cores);
 
+/// \returns true for machines that hold ready what a leader needs; others read it when they claim.
+bool mayLead(double Cores);
+
 /// \returns true when this daemon should claim the leadership now.
 bool shouldClaim(const ElectionView &View, const ElectionTiming &Times);
 
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -97,6 +97,7 @@
 struct JobRun {
   std::string Id_;
   work::AcceptedRecord What_;
+  work::JobSpec Spec_;
   work::Queue Queue_; ///< as of the newest configuration that has it
   work::ProgressRecord Progress_;
   bool Inherited_ = false;      ///< begun by an earlier leader
--- a/include/masticdrift/protocol/Fleet.h
+++ b/include/masticdrift/protocol/Fleet.h
@@ -20,7 +20,9 @@
 struct Hello {
   std::string Instance_;
   std::string PeerAddress_;
-  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_)
+  std::string Domain_; ///< its failure domain
+  double Cores_ = 0;   ///< processor share of its machine
+  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_)
 };
 
 /// The leader asks a daemon to make one call for advice.
@@ -40,12 +42,13 @@
   MSGPACK_DEFINE_ARRAY(Answered_, Executors_, Tickets_)
 };
 
-/// A daemon that can't reach the store asks another to append a record for it.
+/// A daemon asks the leader to append a record for it.
 struct SubmitCall {
   std::string Key_;
   std::string Value_;
+  std::string Spec_; ///< the job's steps, stored before the record; empty for a cancel
   std::int64_t TimeoutMs_ = 0;
-  MSGPACK_DEFINE_ARRAY(Key_, Value_, TimeoutMs_)
+  MSGPACK_DEFINE_ARRAY(Key_, Value_, Spec_, TimeoutMs_)
 };
 
 struct SubmitReply {
--- a/include/masticdrift/work/Job.h
+++ b/include/masticdrift/work/Job.h
@@ -58,6 +58,7 @@
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   std::uint32_t Index_ = 0;
+  MSGPACK_DEFINE_ARRAY(Job_, Occurrence_, Step_, Index_)
 
   bool operator==(const TaskRef &) const = default;
   bool operator<(const TaskRef &Other) const {
--- a/include/masticdrift/work/Ledger.h
+++ b/include/masticdrift/work/Ledger.h
@@ -21,13 +21,13 @@
 
 namespace masticdrift::work {
 
-/// A job was accepted. Written by the daemon that took it, before it answers.
+/// A job was accepted. Written by the daemon that took it, before it answers and after the job's
+/// steps, which only a leader needs and which stand in a topic of their own.
 struct AcceptedRecord {
   Queue Queue_;          ///< its terms at that time, without host and path
   std::string Customer_; ///< empty on an open queue without key
   std::int64_t AcceptedMs_ = 0;
-  JobSpec Spec_;
-  MSGPACK_DEFINE_ARRAY(Queue_, Customer_, AcceptedMs_, Spec_)
+  MSGPACK_DEFINE_ARRAY(Queue_, Customer_, AcceptedMs_)
 };
 
 /// A caller cancelled a job.
@@ -72,6 +72,8 @@
   bool Accepted_ = false;
   std::uint64_t AcceptedOffset_ = 0;
   AcceptedRecord What_;
+  bool Specified_ = false; ///< Spec_ has been read; daemons that can't lead leave it out
+  JobSpec Spec_;
   bool Cancelled_ = false;
   std::uint64_t BegunTerm_ = 0; ///< of the leader that accepted and began it in one append
   std::optional<ProgressRecord> Progress_;
@@ -96,12 +98,14 @@
 LedgerEntry begunEntry(std::string_view Id, std::uint64_t Term);
 /// \returns the job that an accepted entry is about, or an empty view for another entry.
 std::string_view acceptedIdOf(const LedgerEntry &Entry);
+/// The steps of a job, for the topic of specifications.
+LedgerEntry specEntry(std::string_view Id, const JobSpec &Spec);
 /// Entries without values that make the log forget a job.
 std::vector<LedgerEntry> forgetEntries(std::string_view Id);
 
 /// What applying a record changed.
 struct LedgerChange {
-  enum class Kind { None, Accepted, Cancelled, Progressed, Forgotten, Unreadable };
+  enum class Kind { None, Accepted, Specified, Cancelled, Progressed, Forgotten, Unreadable };
   Kind Kind_ = Kind::None;
   std::string Id_;
 };
@@ -112,6 +116,9 @@
   /// Applies the record at \p Offset.
   LedgerChange apply(std::uint64_t Offset, std::string_view Key, std::string_view Value);
 
+  /// Applies a record of the topic of specifications; no value when the job has ended.
+  LedgerChange applySpec(std::string_view Id, std::string_view Value);
+
   /// \returns the job, or null when it was never accepted.
   const LedgerJob *find(std::string_view Id) const;
 
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -47,9 +47,9 @@
   }
 };
 
-EntryService::EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Writer,
-                           LeaderDriver &Leader)
-    : Context_(Context), Jobs_(Jobs), Writer_(Writer), Leader_(Leader) {}
+EntryService::EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Specs,
+                           JobWriter &Writer, LeaderDriver &Leader)
+    : Context_(Context), Jobs_(Jobs), Specs_(Specs), Writer_(Writer), Leader_(Leader) {}
 
 void EntryService::refuse(const std::shared_ptr<Call> &Of, ErrorKind Kind,
                           std::string_view Message) {
@@ -148,8 +148,8 @@
     refuse(Of, ErrorKind::MalformedJson, Mistake);
     return;
   }
-  work::AcceptedRecord Record{*Of->Queue_, Of->Customer_, core::wallMillis(), std::move(*Spec)};
-  store(Of, work::acceptedEntry(Of->Job_, Record),
+  const work::AcceptedRecord Record{*Of->Queue_, Of->Customer_, core::wallMillis()};
+  store(Of, {work::acceptedEntry(Of->Job_, Record), core::pack(*Spec)},
         [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
 }
 
@@ -179,19 +179,37 @@
   Of->answer(200, "{}");
 }
 
-void EntryService::store(const std::shared_ptr<Call> &Of, work::LedgerEntry Entry,
+void EntryService::store(const std::shared_ptr<Call> &Of, Submission What,
                          std::function<void(WriteOutcome)> Done) {
   // One writer at a time keeps the partition's queue short when the store is slow, and tells the
   // leader of the job at once.
   const std::string Leader = Leader_.leaderAddress();
   if (!Leader.empty() && (Leader_.leaderHeard() || Jobs_.failing())) {
-    relay(Of, Leader, std::move(Entry), std::move(Done));
+    relay(Of, Leader, std::move(What), std::move(Done));
     return;
   }
   if (Jobs_.failing())
     Done(WriteOutcome::Refused);
   else
-    Writer_.write(entriesFor(std::move(Entry)), Of->Deadline_, std::move(Done));
+    append(std::move(What), Of->Deadline_, std::move(Done));
+}
+
+void EntryService::append(Submission What, core::TimePoint Deadline,
+                          std::function<void(WriteOutcome)> Done) {
+  if (What.Spec_.empty()) {
+    Writer_.write(entriesFor(std::move(What.Record_)), Deadline, std::move(Done));
+    return;
+  }
+  const std::string Id(work::acceptedIdOf(What.Record_));
+  Specs_.write({{Id, std::move(What.Spec_)}}, Deadline,
+               [this, Record = std::move(What.Record_), Deadline,
+                Done = std::move(Done)](WriteOutcome Outcome) mutable {
+                 // Steps alone are no job, so nothing will run.
+                 if (Outcome != WriteOutcome::Stored)
+                   Done(WriteOutcome::Refused);
+                 else
+                   Writer_.write(entriesFor(std::move(Record)), Deadline, std::move(Done));
+               });
 }
 
 std::vector<work::LedgerEntry> EntryService::entriesFor(work::LedgerEntry Entry) const {
@@ -204,46 +222,46 @@
 }
 
 void EntryService::relay(const std::shared_ptr<Call> &Of, const std::string &Leader,
-                         work::LedgerEntry Entry, std::function<void(WriteOutcome)> Done) {
+                         Submission What, std::function<void(WriteOutcome)> Done) {
   const core::Millis Left =
       std::chrono::duration_cast<core::Millis>(Of->Deadline_ - core::Clock::now());
   const core::Millis Wait = std::min(Left - RelayMargin, MostRelayTime);
   http::ClientRequest Call;
   Call.Method_ = "POST";
   Call.Url_ = "http://" + Leader + protocol::SubmitPath;
-  Call.Body_ = core::pack(protocol::SubmitCall{Entry.Key_, Entry.Value_, Wait.count()});
+  Call.Body_ = core::pack(
+      protocol::SubmitCall{What.Record_.Key_, What.Record_.Value_, What.Spec_, Wait.count()});
   Call.Timeout_ = Wait + RelayMargin;
-  Context_.Client_.send(
-      std::move(Call), [this, Of, Entry = std::move(Entry),
-                        Done = std::move(Done)](const http::ClientResult &Result) mutable {
-        const auto Reply = Result.Transfer_ == http::Transfer::Complete
-                               ? core::unpack<protocol::SubmitReply>(Result.Answer_.Body_)
-                               : std::nullopt;
-        if (Reply && Reply->Stored_) {
-          Context_.Ledger_.apply(Reply->Offset_, Entry.Key_, Entry.Value_);
-          Done(WriteOutcome::Stored);
-          return;
-        }
-        const bool NothingDone =
-            (Reply && Reply->Refused_) || Result.Transfer_ == http::Transfer::NotConnected;
-        core::log(core::LogLevel::Warning, "relay was not confirmed",
-                  {{"request_id", Of->Job_},
-                   {"uncertain", NothingDone ? "false" : "true"},
-                   {"detail", Reply ? "leader could not store" : Result.Error_}});
-        if (!Reply)
-          Leader_.leaderFailed();
-        if (Jobs_.failing()) {
-          Done(NothingDone ? WriteOutcome::Refused : WriteOutcome::Unknown);
-          return;
-        }
-        // A second copy under the same key does no harm. What the relay may have stored can't be
-        // called refused any more.
-        Writer_.write(entriesFor(std::move(Entry)), Of->Deadline_,
-                      [NothingDone, Done = std::move(Done)](WriteOutcome Outcome) {
-                        const bool Unsure = Outcome == WriteOutcome::Refused && !NothingDone;
-                        Done(Unsure ? WriteOutcome::Unknown : Outcome);
-                      });
-      });
+  Context_.Client_.send(std::move(Call), [this, Of, What = std::move(What), Done = std::move(Done)](
+                                             const http::ClientResult &Result) mutable {
+    const auto Reply = Result.Transfer_ == http::Transfer::Complete
+                           ? core::unpack<protocol::SubmitReply>(Result.Answer_.Body_)
+                           : std::nullopt;
+    if (Reply && Reply->Stored_) {
+      Context_.Ledger_.apply(Reply->Offset_, What.Record_.Key_, What.Record_.Value_);
+      Done(WriteOutcome::Stored);
+      return;
+    }
+    const bool NothingDone =
+        (Reply && Reply->Refused_) || Result.Transfer_ == http::Transfer::NotConnected;
+    core::log(core::LogLevel::Warning, "relay was not confirmed",
+              {{"request_id", Of->Job_},
+               {"uncertain", NothingDone ? "false" : "true"},
+               {"detail", Reply ? "leader could not store" : Result.Error_}});
+    if (!Reply)
+      Leader_.leaderFailed();
+    if (Jobs_.failing()) {
+      Done(NothingDone ? WriteOutcome::Refused : WriteOutcome::Unknown);
+      return;
+    }
+    // A second copy under the same key does no harm. What the relay may have stored can't be
+    // called refused any more.
+    append(std::move(What), Of->Deadline_,
+           [NothingDone, Done = std::move(Done)](WriteOutcome Outcome) {
+             const bool Unsure = Outcome == WriteOutcome::Refused && !NothingDone;
+             Done(Unsure ? WriteOutcome::Unknown : Outcome);
+           });
+  });
 }
 
 void EntryService::submitFor(protocol::SubmitCall Call,
@@ -254,15 +272,15 @@
   }
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
   const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
-  Writer_.write(entriesFor({std::move(Call.Key_), std::move(Call.Value_)}), Deadline,
-                [this, Id, Done = std::move(Done)](WriteOutcome Outcome) {
-                  protocol::SubmitReply Reply;
-                  Reply.Stored_ = Outcome == WriteOutcome::Stored;
-                  Reply.Refused_ = Outcome == WriteOutcome::Refused;
-                  if (const work::LedgerJob *Job = Context_.Ledger_.find(Id))
-                    Reply.Offset_ = Job->AcceptedOffset_;
-                  Done(Reply);
-                });
+  append({{std::move(Call.Key_), std::move(Call.Value_)}, std::move(Call.Spec_)}, Deadline,
+         [this, Id, Done = std::move(Done)](WriteOutcome Outcome) {
+           protocol::SubmitReply Reply;
+           Reply.Stored_ = Outcome == WriteOutcome::Stored;
+           Reply.Refused_ = Outcome == WriteOutcome::Refused;
+           if (const work::LedgerJob *Job = Context_.Ledger_.find(Id))
+             Reply.Offset_ = Job->AcceptedOffset_;
+           Done(Reply);
+         });
 }
 
 void EntryService::findJob(const std::shared_ptr<Call> &Of,
@@ -304,7 +322,7 @@
       answerWrite(Of, WriteOutcome::Stored);
       return;
     }
-    store(Of, work::cancelledEntry(Of->Job_, {core::wallMillis()}),
+    store(Of, {work::cancelledEntry(Of->Job_, {core::wallMillis()}), {}},
           [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
   });
 }
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -6,7 +6,9 @@
 #include "masticdrift/daemon/EntryService.h"
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/LeaderDriver.h"
+#include "masticdrift/daemon/OrderRelay.h"
 #include "masticdrift/http/Server.h"
+#include "masticdrift/lead/Election.h"
 #include "platform/Executors.h"
 #include "platform/Text.h"
 
@@ -32,11 +34,14 @@
 /// A configuration must be in force within 2.5 s, also when its connection has gone silent.
 constexpr core::Millis ConfigWait{1200};
 constexpr core::Millis JobsWait{700};
+constexpr core::Millis SpecsWait{1000};
 constexpr core::Millis ExecutorsWait{1000};
 /// Rests between reads with records. The leader appends nearly all of them itself; callers of the
 /// others look every few hundred milliseconds.
 constexpr core::Millis LeaderJobsRest{80};
 constexpr core::Millis FollowerJobsRest{180};
+/// Steps of jobs are needed at the next takeover only.
+constexpr core::Millis FollowerSpecsRest{500};
 constexpr core::Millis LeaderExecutorsRest{200};
 constexpr core::Millis FollowerExecutorsRest{1800};
 constexpr core::Millis ExpiryInterval{50};
@@ -88,6 +93,11 @@
             {JobsTopic, JobsWait,
              [this] { return Leader_.leading() ? LeaderJobsRest : FollowerJobsRest; }},
             {[this](const platform::KeyedRecord &One) { onJobRecord(One); }, [](const auto &) {}}),
+        Specs_(
+            Loop_, Store_,
+            {SpecsTopic, SpecsWait,
+             [this] { return Leader_.leading() ? LeaderJobsRest : FollowerSpecsRest; }},
+            {[this](const platform::KeyedRecord &One) { onSpecRecord(One); }, [](const auto &) {}}),
         Config_(Loop_, Store_, {ConfigTopic, ConfigWait},
                 {[this](const platform::KeyedRecord &One) { onConfigRecord(One); },
                  [](const auto &) {}}),
@@ -101,7 +111,13 @@
                 [this](std::uint64_t Offset, const work::LedgerEntry &One) {
                   onJobRecord({Offset, One.Key_, One.Value_});
                 }),
-        Leader_(Context_, Jobs_), Entry_(Context_, Jobs_, Writer_, Leader_),
+        SpecWriter_(Store_, SpecsTopic,
+                    [this](std::uint64_t Offset, const work::LedgerEntry &One) {
+                      if (Specs_.started())
+                        onSpecRecord({Offset, One.Key_, One.Value_});
+                    }),
+        Leader_(Context_, Jobs_, Specs_), Relay_(Context_),
+        Entry_(Context_, Jobs_, SpecWriter_, Writer_, Leader_),
         Callers_(serverOptions(Loop_, Settings.Callers_),
                  [this](const http::Request &From, const http::Responder &To) {
                    Entry_.handle(From, To);
@@ -120,6 +136,8 @@
                {"incarnation", Context_.Incarnation_},
                {"store", Settings_.StoreAddress_}});
     Jobs_.start();
+    if (lead::mayLead(Settings_.Cores_))
+      Specs_.start();
     Config_.start();
     Executors_.start();
     Leader_.start();
@@ -147,6 +165,18 @@
     }
   }
 
+  void onSpecRecord(const platform::KeyedRecord &One) {
+    const work::LedgerChange Change = Context_.Ledger_.applySpec(One.Key_, One.Value_);
+    using enum work::LedgerChange::Kind;
+    if (Change.Kind_ == Unreadable)
+      core::log(core::LogLevel::Warning, "job specification is unreadable",
+                {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
+    if (Change.Kind_ == Specified) {
+      SpecWriter_.seen(One.Key_);
+      Leader_.onJob(Change.Id_);
+    }
+  }
+
   void onConfigRecord(const platform::KeyedRecord &One) {
     if (One.Key_ != ConfigKey || One.Value_.empty())
       return;
@@ -224,11 +254,27 @@
       advise(From, To);
     } else if (From.Path_ == protocol::SubmitPath) {
       submitFor(From, To);
+    } else if (From.Path_ == protocol::OrdersPath) {
+      take<protocol::OrdersCall>(From, To, [this](const auto &Call) { Relay_.carry(Call); });
+    } else if (From.Path_ == protocol::ResultsPath) {
+      take<protocol::ResultsCall>(From, To, [this](const auto &Call) { Leader_.onResults(Call); });
     } else {
       To({404, {}, "text/plain", {}, false});
     }
   }
 
+  /// Answers a one-way message and handles it.
+  template <typename Message, typename Work>
+  static void take(const http::Request &From, const http::Responder &To, Work Do) {
+    const auto Call = core::unpack<Message>(From.Body_);
+    To({Call ? 200 : 400, {}, "text/plain", {}, false});
+    if (Call)
+      Do(*Call);
+    else
+      core::log(core::LogLevel::Warning, "message of another daemon is unreadable",
+                {{"path", From.Path_}});
+  }
+
   void advise(const http::Request &From, const http::Responder &To) {
     const auto Call = core::unpack<protocol::AdviseCall>(From.Body_);
     if (!Call) {
@@ -263,6 +309,7 @@
 
   void expire() {
     const core::TimePoint Now = core::Clock::now();
+    SpecWriter_.expire(Now);
     Writer_.expire(Now);
     std::erase_if(Context_.Roster_, [&](const auto &One) {
       return !One.second.Listed_ && Now - One.second.ChangedAt_ > RosterMemory;
@@ -316,7 +363,8 @@
 
   void awaitEnd() {
     const core::Duration Spent = core::Clock::now() - StopAt_;
-    const bool Idle = Entry_.open() == 0 && Writer_.idle() && Leader_.released();
+    const bool Idle =
+        Entry_.open() == 0 && SpecWriter_.idle() && Writer_.idle() && Leader_.released();
     if ((Idle && Spent >= LeastStopTime) ||
         Spent >= core::Millis(Settings_.GraceMs_) - StopMargin) {
       Loop_.stop();
@@ -336,10 +384,13 @@
   platform::Store Store_;
   FleetContext Context_;
   TopicTail Jobs_;
+  TopicTail Specs_;
   TopicTail Config_;
   TopicTail Executors_;
   JobWriter Writer_;
+  JobWriter SpecWriter_;
   LeaderDriver Leader_;
+  OrderRelay Relay_;
   EntryService Entry_;
   http::Server Callers_;
   http::Server Ready_;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -5,6 +5,8 @@
 #include "masticdrift/core/Pack.h"
 #include "masticdrift/daemon/AdviceDesk.h"
 #include "masticdrift/daemon/JobWriter.h"
+#include "masticdrift/daemon/OrderDesk.h"
+#include "masticdrift/daemon/Retention.h"
 #include "masticdrift/lead/Election.h"
 #include "masticdrift/lead/Scheduler.h"
 #include "platform/Executors.h"
@@ -40,10 +42,6 @@
 constexpr core::Millis BeatTimeout{1500};
 constexpr core::Millis FenceTimeout{1500};
 constexpr core::Millis RetryDelay{100};
-/// An executor answers an order in a few milliseconds; one five times slower in tens.
-constexpr core::Millis OrderTimeout{450};
-/// Added to the wait of a request for an executor's lists.
-constexpr core::Millis HoldAnswerTime{350};
 /// Added to the expected time of a call for advice.
 constexpr core::Millis AdviceSlack{900};
 /// A list read by a process younger than this may lack entries, if the store was away before.
@@ -58,15 +56,15 @@
 struct LeaderDriver::Impl : std::enable_shared_from_this<LeaderDriver::Impl> {
   enum class Role { Follower, Preparing, Leading };
 
-  Impl(FleetContext &Context, TopicTail &Jobs)
-      : Context_(Context), Jobs_(Jobs),
+  Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs)
+      : Context_(Context), Jobs_(Jobs), Specs_(Specs),
         Lead_(Context.Loop_, Context.Store_,
               {LeadTopic, core::Millis(2000), [] { return core::Millis(50); }},
               {[this](const platform::KeyedRecord &One) { onLeadRecord(One); },
                [this](const auto &) { onLeadLoaded(); }}),
         ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
-        BeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_),
-        Desk_([this](const std::string &Adviser, AdviceJob Job) {
+        BeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), Orders_(Context),
+        Retention_(Context), Desk_([this](const std::string &Adviser, AdviceJob Job) {
           sendAdvice(Adviser, std::move(Job));
         }) {}
 
@@ -184,6 +182,7 @@
     Role_ = Role::Preparing;
     Term_ = Newest_->Term_;
     Sequence_ = 0;
+    Specs_.start();
     core::count("masticdrift_takeovers_total");
     core::log(core::LogLevel::Info, "term begins", {{"term", std::to_string(Term_)}});
     fence();
@@ -215,10 +214,12 @@
   }
 
   void readUp() {
+    if (Specs_.loaded() && !Specs_.failing())
+      Specs_.catchUp(FenceTimeout, [](bool) {}); // what it misses comes with the next reads
     Jobs_.catchUp(FenceTimeout, [Self = shared_from_this(), Term = Term_](bool Complete) {
       if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
         return;
-      if (Complete)
+      if (Complete && Self->Specs_.loaded())
         Self->lead();
       else
         after(Self->RetryTimer_, RetryDelay, [Self] {
@@ -333,6 +334,8 @@
     }
     Desk_.offer({}, Now);
     Desk_.dispatch(Now);
+    Orders_.flush(Now);
+    Retention_.tidy(Now, core::wallMillis());
     flush(Now);
     if (Now - GaugesAt_ >= GaugeInterval)
       gauges(Now);
@@ -417,8 +420,12 @@
     switch (Result.Outcome_) {
     case Stored: {
       std::uint64_t Offset = Result.Offset_;
-      for (const platform::KeyedRecord &One : *Records)
-        Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
+      for (const platform::KeyedRecord &One : *Records) {
+        const work::LedgerChange Change = Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
+        const work::LedgerJob *Job = Context_.Ledger_.find(Change.Id_);
+        if (Job != nullptr && work::isFinal(Job->state()))
+          Retention_.ended(Change.Id_);
+      }
       confirmed();
       return;
     }
@@ -450,34 +457,33 @@
     lead::Ports Out;
     Out.Start_ = [this](const fleet::ExecutorInfo &At, const fleet::StartOrder &Order) {
       core::count("masticdrift_task_starts_total");
-      platform::sendStart(Context_.Client_, {At.Address_, At.Id_}, Order, OrderTimeout,
-                          led<platform::OrderAnswer>(
-                              [this, Id = At.Id_, Key = lead::RunKey{Order.Task_, Order.Run_}](
-                                  const platform::OrderAnswer &Answer) {
-                                Scheduler_->onStarted(Id, Key, Answer.Outcome_, Answer.ClockMs_,
-                                                      core::Clock::now());
-                              }));
+      Orders_.start(At, Order,
+                    led<platform::OrderAnswer>(
+                        [this, Id = At.Id_, Key = lead::RunKey{Order.Task_, Order.Run_}](
+                            const platform::OrderAnswer &Answer) {
+                          Scheduler_->onStarted(Id, Key, Answer.Outcome_, Answer.ClockMs_,
+                                                core::Clock::now());
+                        }));
     };
     Out.Stop_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key) {
-      platform::sendStop(
-          Context_.Client_, {At.Address_, At.Id_}, Key.first, Key.second, Term_, OrderTimeout,
+      Orders_.stop(
+          At, Key, Term_,
           led<platform::OrderAnswer>([this, Id = At.Id_, Key](const platform::OrderAnswer &Answer) {
             Scheduler_->onStopped(Id, Key, Answer.Outcome_, core::Clock::now());
           }));
     };
     Out.Pace_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key, int Percent) {
-      platform::sendPace(Context_.Client_, {At.Address_, At.Id_}, Key.first, Key.second, Term_,
-                         Percent, OrderTimeout, [Key](const platform::OrderAnswer &Answer) {
-                           if (Answer.Outcome_ != fleet::OrderOutcome::Done)
-                             core::log(core::LogLevel::Warning, "pace was not set",
-                                       {{"task", platform::taskName(Key.first)},
-                                        {"outcome", std::string(nameOf(Answer.Outcome_))}});
-                         });
+      Orders_.pace(At, Key, Term_, Percent, [Key](const platform::OrderAnswer &Answer) {
+        if (Answer.Outcome_ != fleet::OrderOutcome::Done)
+          core::log(core::LogLevel::Warning, "pace was not set",
+                    {{"task", platform::taskName(Key.first)},
+                     {"outcome", std::string(nameOf(Answer.Outcome_))}});
+      });
     };
     Out.Hold_ = [this](const fleet::ExecutorInfo &At, std::uint64_t Seen, std::int64_t Until,
                        core::Millis Wait) {
-      platform::sendHold(
-          Context_.Client_, {At.Address_, At.Id_}, Term_, Seen, Until, Wait, Wait + HoldAnswerTime,
+      Orders_.hold(
+          At, Term_, Seen, Until, Wait,
           led<platform::HoldAnswer>([this, Id = At.Id_, SentAt = core::Clock::now()](
                                         const platform::HoldAnswer &Answer) {
             for (const fleet::EndRow &One : Answer.Report_.Ended_)
@@ -587,7 +593,8 @@
     http::ClientRequest Call;
     Call.Method_ = "POST";
     Call.Url_ = "http://" + Newest_->PeerAddress_ + protocol::HelloPath;
-    Call.Body_ = core::pack(protocol::Hello{Context_.Settings_.Instance_, Context_.PeerAddress_});
+    Call.Body_ = core::pack(protocol::Hello{Context_.Settings_.Instance_, Context_.PeerAddress_,
+                                            Context_.Settings_.Domain_, Context_.Settings_.Cores_});
     Call.Timeout_ = HelloTimeout;
     Context_.Client_.send(
         std::move(Call), [Self = shared_from_this(), Term = Newest_->Term_,
@@ -621,12 +628,15 @@
 
   FleetContext &Context_;
   TopicTail &Jobs_;
+  TopicTail &Specs_;
   TopicTail Lead_;
   asio::steady_timer ElectionTimer_;
   asio::steady_timer HelloTimer_;
   asio::steady_timer TickTimer_;
   asio::steady_timer BeatTimer_;
   asio::steady_timer RetryTimer_;
+  OrderDesk Orders_;
+  Retention Retention_;
   AdviceDesk Desk_;
   bool Closed_ = false;
   bool Loaded_ = false;
@@ -654,8 +664,8 @@
   std::optional<lead::Scheduler> Scheduler_;
 };
 
-LeaderDriver::LeaderDriver(FleetContext &Context, TopicTail &Jobs)
-    : Impl_(std::make_shared<Impl>(Context, Jobs)) {}
+LeaderDriver::LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs)
+    : Impl_(std::make_shared<Impl>(Context, Jobs, Specs)) {}
 
 LeaderDriver::~LeaderDriver() { Impl_->close(); }
 
@@ -700,9 +710,12 @@
   if (Impl_->Role_ != Impl::Role::Leading)
     return false;
   Impl_->Desk_.offer(From.PeerAddress_, core::Clock::now());
+  Impl_->Orders_.offer(From, core::Clock::now());
   return true;
 }
 
+void LeaderDriver::onResults(const protocol::ResultsCall &Call) { Impl_->Orders_.onResults(Call); }
+
 bool LeaderDriver::leading() const { return Impl_->Role_ == Impl::Role::Leading; }
 
 std::uint64_t LeaderDriver::term() const { return Impl_->Term_; }
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -150,6 +150,7 @@
   asio::steady_timer Timer_;
   core::Millis Retry_ = FirstRetry;
   bool Closed_ = false;
+  bool Started_ = false;
   bool Failing_ = false;
   bool Loaded_ = false;
   bool CaughtUp_ = false;
@@ -167,12 +168,16 @@
   Impl_->Timer_.cancel();
 }
 
-void TopicTail::start() { Impl_->load({}); }
+void TopicTail::start() {
+  if (!std::exchange(Impl_->Started_, true))
+    Impl_->load({});
+}
 
 void TopicTail::catchUp(core::Millis Timeout, std::function<void(bool)> Done) {
   Impl_->catchUp(Timeout, std::move(Done));
 }
 
+bool TopicTail::started() const { return Impl_->Started_; }
 bool TopicTail::loaded() const { return Impl_->Loaded_; }
 bool TopicTail::caughtUp() const { return Impl_->Loaded_ && Impl_->CaughtUp_; }
 bool TopicTail::failing() const { return Impl_->Failing_; }
--- a/src/lead/Election.cpp
+++ b/src/lead/Election.cpp
@@ -6,9 +6,16 @@
 
 namespace masticdrift::lead {
 
+namespace {
+
+constexpr double SmallMachine = 0.2; // cores
+
+} // namespace
+
+bool mayLead(double Cores) { return Cores >= SmallMachine; }
+
 unsigned rankOf(std::string_view Instance, double Cores) {
   constexpr unsigned Places = 8;
-  constexpr double SmallMachine = 0.2; // cores
   const auto Place = static_cast<unsigned>(XXH3_64bits(Instance.data(), Instance.size()) % Places);
   return Cores < SmallMachine ? Places + Place : Place;
 }
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -84,7 +84,7 @@
           for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
             if (Occurrence.Due_ && Occurrence.Steps_[I].Ready_)
               Unknown_[Job.What_.Customer_] +=
-                  Job.What_.Spec_.Steps_[I].Need_ * Occurrence.Steps_[I].Waiting_;
+                  Job.Spec_.Steps_[I].Need_ * Occurrence.Steps_[I].Waiting_;
   }
 
   /// Executors that take new work at all, by pool.
@@ -217,7 +217,7 @@
           for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
             if (const StepRun &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
               Scheduler::Peak &Peak = Of_.UrgentPeaks_[Job.What_.Customer_];
-              const core::Resources &Need = Job.What_.Spec_.Steps_[I].Need_;
+              const core::Resources &Need = Job.Spec_.Steps_[I].Need_;
               const auto Open = static_cast<std::int64_t>(Step.Tasks_.size()) - Step.Done_;
               Peak.Now_ += Need * Open;
               Peak.InUse_ += Need * (Open - Step.Waiting_);
@@ -252,7 +252,7 @@
              std::uint64_t Number) const {
     TaskRun &Which = Step.Tasks_[Task.Index_];
     Run &Made = Of_.addRun(At, &Job, Task, Number, RunState::Starting, Now_);
-    Made.Order_ = {Task, Number, Job.What_.Spec_.Payload_, 0, Of_.Token_, Which.Checkpoint_, {}};
+    Made.Order_ = {Task, Number, Job.Spec_.Payload_, 0, Of_.Token_, Which.Checkpoint_, {}};
     if (const auto Found = Step.Advice_.find(At.Slot_); Found != Step.Advice_.end())
       Made.Order_.Ticket_ = Found->second.Ticket_;
     if (never(Step.FirstStart_))
@@ -372,7 +372,7 @@
 
   /// \returns true when all earlier steps end about when advice for this one could be there.
   bool nearlyReady(const JobRun &Job, std::uint32_t Occurrence, std::uint32_t Index) const {
-    const work::StepSpec &Spec = Job.What_.Spec_.Steps_[Index];
+    const work::StepSpec &Spec = Job.Spec_.Steps_[Index];
     if (!Job.Queue_.Advice_ || Spec.DependsOn_.empty())
       return false;
     const auto Cost = core::Millis(static_cast<std::int64_t>(
@@ -383,7 +383,7 @@
         continue;
       if (!Before.Ready_ || Before.Waiting_ > 0 || never(Before.FirstStart_))
         return false;
-      const core::Millis Estimated(Job.What_.Spec_.Steps_[Earlier].EstimatedMs_);
+      const core::Millis Estimated(Job.Spec_.Steps_[Earlier].EstimatedMs_);
       if (Now_ + Cost + PrefetchSlack < Before.FirstStart_ + Estimated)
         return false;
     }
@@ -410,7 +410,7 @@
         if (const StepRun &Step = Occurrence.Steps_[I];
             Step.Waiting_ > 0 && (Step.Ready_ || Pass.nearlyReady(Job, K, I))) {
           // Tasks that run until cancelled are worth the same at any time.
-          const bool Lasts = Job.What_.Spec_.Steps_[I].LongRunning_;
+          const bool Lasts = Job.Spec_.Steps_[I].LongRunning_;
           const int Class = Now > Job.Worthless_ && !Lasts ? 2 : (Job.OverShare_ ? 1 : 0);
           Waiting.push_back({Class, Job.Queue_.Priority_, Job.Deadline_, &Job, K, I});
         }
@@ -419,7 +419,7 @@
   std::ranges::sort(Waiting, goesFirst);
   for (const Candidate &What : Waiting) {
     StepRun &Step = What.Job_->Occurrences_[What.Occurrence_].Steps_[What.Step_];
-    const work::StepSpec &Spec = What.Job_->What_.Spec_.Steps_[What.Step_];
+    const work::StepSpec &Spec = What.Job_->Spec_.Steps_[What.Step_];
     if (Step.Ready_ && mayStart(*What.Job_, Now)) {
       if (Spec.Gang_)
         Pass.placeGang(What, Step, Spec);
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -59,11 +59,12 @@
       endJob(Found->second, work::JobState::Cancelled, Now);
     return;
   }
-  if (!Job.Accepted_ || work::isFinal(Job.state()))
+  if (!Job.Accepted_ || !Job.Specified_ || work::isFinal(Job.state()))
     return;
   JobRun &Made = Jobs_[Job.Id_];
   Made.Id_ = Job.Id_;
   Made.What_ = Job.What_;
+  Made.Spec_ = Job.Spec_;
   Made.Queue_ = Job.What_.Queue_;
   if (const work::Queue *Queue = work::queueNamed(Manifest_, Made.Queue_.Name_))
     Made.Queue_ = *Queue;
@@ -83,7 +84,7 @@
 }
 
 void Scheduler::build(JobRun &Job, core::TimePoint Now, std::int64_t WallMs) {
-  const work::JobSpec &Spec = Job.What_.Spec_;
+  const work::JobSpec &Spec = Job.Spec_;
   const core::Millis Age =
       std::clamp(core::Millis(WallMs - Job.What_.AcceptedMs_), core::Millis(0), MaxAcceptedAge);
   Job.AcceptedAt_ = Now - Age;
@@ -143,7 +144,7 @@
   auto &Steps = Job.Occurrences_[Occurrence].Steps_;
   for (std::size_t I = 0; I < Steps.size(); ++I)
     Steps[I].Ready_ =
-        std::ranges::all_of(Job.What_.Spec_.Steps_[I].DependsOn_, [&](std::uint32_t Earlier) {
+        std::ranges::all_of(Job.Spec_.Steps_[I].DependsOn_, [&](std::uint32_t Earlier) {
           return Steps[Earlier].Done_ == Steps[Earlier].Tasks_.size();
         });
 }
@@ -228,7 +229,7 @@
 }
 
 const work::StepSpec &Scheduler::specOf(const JobRun &Job, const work::TaskRef &Task) const {
-  return Job.What_.Spec_.Steps_[Task.Step_];
+  return Job.Spec_.Steps_[Task.Step_];
 }
 
 std::pair<std::uint64_t, std::vector<work::LedgerEntry>> Scheduler::takeProgress() {
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -35,6 +35,10 @@
   return {keyOf(ProgressKind, Id), core::pack(Record)};
 }
 
+LedgerEntry specEntry(std::string_view Id, const JobSpec &Spec) {
+  return {std::string(Id), core::pack(Spec)};
+}
+
 std::vector<LedgerEntry> forgetEntries(std::string_view Id) {
   return {{keyOf(AcceptedKind, Id), {}},
           {keyOf(CancelledKind, Id), {}},
@@ -93,7 +97,7 @@
     Change.Kind_ = Progressed;
     // What a final job was made of is not needed any more.
     if (isFinal(Job.Progress_->State_)) {
-      Job.What_.Spec_ = {};
+      Job.Spec_ = {};
       Job.Progress_->Steps_.clear();
       Job.Progress_->Failures_.clear();
     }
@@ -102,6 +106,28 @@
   return Change;
 }
 
+LedgerChange Ledger::applySpec(std::string_view Id, std::string_view Value) {
+  using enum LedgerChange::Kind;
+  const auto Found = Jobs_.find(std::string(Id));
+  const bool Known = Found != Jobs_.end();
+  if (Value.empty()) {
+    // A specification whose job was never accepted.
+    if (Known && !Found->second.Accepted_ && !Found->second.Progress_)
+      Jobs_.erase(Found);
+    return {None, std::string(Id)};
+  }
+  if (Known && (Found->second.Specified_ || isFinal(Found->second.state())))
+    return {None, std::string(Id)};
+  auto Spec = core::unpack<JobSpec>(Value);
+  if (!Spec)
+    return {Unreadable, std::string(Id)};
+  LedgerJob &Job = Known ? Found->second : Jobs_[std::string(Id)];
+  Job.Id_ = Id;
+  Job.Spec_ = std::move(*Spec);
+  Job.Specified_ = true;
+  return {Specified, std::string(Id)};
+}
+
 void Ledger::track(const LedgerJob &Job) {
   if (!Job.Accepted_)
     return;
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -93,11 +93,11 @@
 }
 
 void FakeFleet::submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue) {
-  work::AcceptedRecord Record{*work::queueNamed(Manifest_, Queue), "c", wallOf(Now_),
-                              std::move(Spec)};
-  Submitted_[Id] = Record;
+  Submitted_[Id] = Spec;
   SubmittedAt_[Id] = Now_;
-  const work::LedgerEntry Entry = work::acceptedEntry(Id, Record);
+  Ledger_.applySpec(Id, work::specEntry(Id, Spec).Value_);
+  const work::LedgerEntry Entry =
+      work::acceptedEntry(Id, {*work::queueNamed(Manifest_, Queue), "c", wallOf(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
@@ -307,7 +307,7 @@
 }
 
 const work::StepSpec &FakeFleet::specOf(const work::TaskRef &Task) const {
-  return Submitted_.at(Task.Job_).Spec_.Steps_.at(Task.Step_);
+  return Submitted_.at(Task.Job_).Steps_.at(Task.Step_);
 }
 
 void FakeFleet::renew(Executor &At, std::int64_t UntilMs) {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -155,7 +155,7 @@
   std::uint64_t NextOrder_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events_;
   std::map<std::string, Executor> Executors_;
-  std::map<std::string, work::AcceptedRecord> Submitted_;
+  std::map<std::string, work::JobSpec> Submitted_;
   std::map<work::TaskRef, std::vector<core::TimePoint>> Starts_;
   std::map<work::TaskRef, std::vector<Done>> Dones_;
   std::map<std::string, core::TimePoint> SubmittedAt_;
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -86,7 +86,6 @@
   work::Ledger Table;
   work::AcceptedRecord Job;
   Job.Queue_.Name_ = "q";
-  Job.Spec_.Steps_.resize(1);
   const work::LedgerEntry Accepted = work::acceptedEntry("j", Job);
   cr_expect(Table.apply(3, Accepted.Key_, Accepted.Value_).Kind_ ==
             work::LedgerChange::Kind::Accepted);
@@ -107,6 +106,32 @@
   cr_expect_null(Table.find("j"));
 }
 
+// Guards against a job that a leader starts without its steps, and against steps that stay in
+// memory after the job has ended.
+Test(Ledger, stepsComeBeforeOrAfterTheRecord) {
+  work::JobSpec Spec;
+  Spec.Steps_.resize(2);
+  const std::string Steps = work::specEntry("j", Spec).Value_;
+  const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
+  work::Ledger Before;
+  cr_expect(Before.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::Specified);
+  cr_expect_null(Before.find("j"), "steps alone are no job");
+  Before.apply(1, Accepted.Key_, Accepted.Value_);
+  cr_expect(Before.find("j")->Specified_);
+  cr_expect_eq(Before.find("j")->Spec_.Steps_.size(), 2);
+  work::Ledger After;
+  After.apply(1, Accepted.Key_, Accepted.Value_);
+  cr_expect_not(After.find("j")->Specified_);
+  After.applySpec("j", Steps);
+  cr_expect(After.find("j")->Specified_);
+  work::ProgressRecord Progress;
+  Progress.State_ = work::JobState::Completed;
+  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  After.apply(2, Final.Key_, Final.Value_);
+  cr_expect(After.find("j")->Spec_.Steps_.empty());
+  cr_expect(After.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::None);
+}
+
 // Guards against a completed job that a late cancel turns into a cancelled one.
 Test(Ledger, aFinalStateStays) {
   work::Ledger Table;
