lead: a leader that the store refuses is replaced at once

Change: the leader's answer to offers of help tells that the store refuses it; others then claim after 0.5 s of silence, if the store serves them.

--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -40,6 +40,8 @@
   /// Results of orders that another daemon has carried for this one.
   void onResults(const protocol::ResultsCall &Call);
 
+  /// \returns true while this daemon leads and the store refuses it: another one should take over.
+  bool cutOff() const;
   bool leading() const;
   /// \returns the term of the leadership, while this daemon leads.
   std::uint64_t term() const;
--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -43,7 +43,8 @@
   core::Millis Beat_{700};
   /// Three beats and a slow store's answer.
   core::Millis Silence_{2300};
-  /// Silence that is enough when the leader's address refuses connections: its process is gone.
+  /// Silence that is enough when the leader's address refuses connections, because its process is
+  /// gone, or when it says that the store refuses it.
   core::Millis SilenceWhenRefused_{500};
   /// Between the claims of different daemons, so that most are not made in vain.
   core::Millis Stagger_{120};
@@ -57,7 +58,7 @@
   const LeadRecord *Newest_ = nullptr; ///< null when the topic is empty
   std::int64_t WallMs_ = 0;
   bool FoundOnStart_ = false; ///< the newest record was there when this process began
-  bool Refused_ = false;      ///< the leader's address refuses connections
+  bool Refused_ = false;      ///< the leader is known to be gone or cut off
   unsigned Rank_ = 0;         ///< place in the order of claims
 };
 
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -249,7 +249,7 @@
     } else if (From.Path_ == protocol::HelloPath) {
       if (const auto Hello = core::unpack<protocol::Hello>(From.Body_))
         Leader_.onHello(*Hello);
-      To({200, Context_.Incarnation_, "text/plain", {}, false});
+      To({Leader_.cutOff() ? 503 : 200, Context_.Incarnation_, "text/plain", {}, false});
     } else if (From.Path_ == protocol::AdvisePath) {
       advise(From, To);
     } else if (From.Path_ == protocol::SubmitPath) {
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -91,6 +91,7 @@
     NewestOffset_ = One.Offset_;
     NewsAt_ = core::Clock::now();
     Refused_ = false;
+    LeaderCutOff_ = false;
     LeaderHeard_ = LeaderHeard_ && !Change;
     if (Change)
       core::log(core::LogLevel::Info, "leader is known",
@@ -118,7 +119,8 @@
         Newest_ ? &*Newest_ : nullptr,
         core::wallMillis(),
         FoundOnStart_,
-        Refused_,
+        // While the store is away from this daemon too, nothing is gained by a claim.
+        Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
         lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_)};
     if (lead::shouldClaim(View, {}))
       claim();
@@ -607,6 +609,9 @@
           const bool Replaced = Result.Transfer_ == http::Transfer::Complete &&
                                 Result.Answer_.Body_ != Self->Newest_->Incarnation_;
           Self->Refused_ = Refused || Replaced;
+          // Its own answer tells that the store refuses it.
+          Self->LeaderCutOff_ = Result.Transfer_ == http::Transfer::Complete &&
+                                Result.Answer_.Status_ != 200;
           Self->LeaderHeard_ = Result.Transfer_ == http::Transfer::Complete && !Replaced;
         });
   }
@@ -645,6 +650,7 @@
   bool Releasing_ = false;
   bool FoundOnStart_ = false;
   bool Refused_ = false;
+  bool LeaderCutOff_ = false;
   bool LeaderHeard_ = false; ///< the leader answered the last offer of help
   Role Role_ = Role::Follower;
   std::optional<lead::LeadRecord> Newest_;
@@ -716,6 +722,10 @@
 
 void LeaderDriver::onResults(const protocol::ResultsCall &Call) { Impl_->Orders_.onResults(Call); }
 
+bool LeaderDriver::cutOff() const {
+  return leading() && Impl_->Lead_.failing() && Impl_->Jobs_.failing();
+}
+
 bool LeaderDriver::leading() const { return Impl_->Role_ == Impl::Role::Leading; }
 
 std::uint64_t LeaderDriver::term() const { return Impl_->Term_; }
--- a/tests/integration/PlatformFleetTest.cpp
+++ b/tests/integration/PlatformFleetTest.cpp
@@ -69,7 +69,8 @@
   cr_expect_eq(All.call(0, "POST", Path, Good, "stolen").Answer_.Status_, 401);
   cr_expect_eq(All.call(0, "POST", "/unknown/00000000000000a1", Good).Answer_.Status_, 404);
   const http::ClientResult Unknown = All.call(0, "GET", Path);
-  cr_expect_eq(Unknown.Answer_.Status_, 410, "%d %s %s", Unknown.Answer_.Status_, Unknown.Error_.c_str(), Unknown.Answer_.Body_.c_str());
+  cr_expect_eq(Unknown.Answer_.Status_, 410, "%d %s %s", Unknown.Answer_.Status_,
+               Unknown.Error_.c_str(), Unknown.Answer_.Body_.c_str());
   cr_expect_eq(All.call(0, "POST", Path, Good).Answer_.Status_, 200);
   cr_expect(All.awaitState(0, First, "completed", Millis(8000)));
   expectOnce(All, 1);
@@ -123,6 +124,25 @@
   expectOnce(All, 2);
 }
 
+// Guards against a leader that the store refuses and that keeps everybody waiting until its silence
+// is noticed.
+Test(PlatformStore, aRefusedLeaderIsReplaced) {
+  PlatformFleet All;
+  const int Leader = All.leader();
+  const int Other = (Leader + 1) % 3;
+  All.control({{"refused_daemon", PlatformFleet::nameOf(Leader)}});
+  const core::TimePoint Begin = core::Clock::now();
+  cr_expect(waitFor(TakeoverTime, [&] {
+    const int Now = All.leader();
+    return Now >= 0 && Now != Leader;
+  }));
+  // 0.5 s of silence after the refusal is known, and the turns of two daemons; 2.3 s without that.
+  cr_expect_lt(core::toMillis(core::Clock::now() - Begin), 2200);
+  cr_expect_eq(All.submit(Other, First, {2, 100}).Answer_.Status_, 200);
+  cr_expect(All.awaitState(Other, First, "completed", Millis(8000)));
+  expectOnce(All, 2);
+}
+
 // Guards against an accepted job that is answered with a refusal because its answer was lost.
 Test(PlatformStore, aLostAnswerIsNoRefusal) {
   PlatformFleet All;
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -30,10 +30,16 @@
 
 } // namespace
 
-bool TopicLog::handle(const http::Request &Incoming, const Respond &Answer) {
+bool TopicLog::handle(http::Request Incoming, const Respond &Answer) {
+  std::string Daemon;
+  if (const std::vector<std::string> Parts = http::pathSegments(Incoming.Path_);
+      Parts.size() == 3 && Parts[0] == "d") {
+    Daemon = Parts[1];
+    Incoming.Path_ = "/" + Parts[2];
+  }
   if (!Incoming.Path_.starts_with("/log-"))
     return false;
-  if (State_ == "refuse") {
+  if (State_ == "refuse" || Refused_ == Daemon) {
     Answer(errorReply(503, "down"));
   } else if (State_ == "silent") {
     Reply Out;
@@ -136,7 +142,10 @@
   store(Topics_[Topic], platform::encodeRecords(Records));
 }
 
-void TopicLog::control(const Json &Body) { assignIfPresent(Body, "store", State_); }
+void TopicLog::control(const Json &Body) {
+  assignIfPresent(Body, "store", State_);
+  assignIfPresent(Body, "refused_daemon", Refused_);
+}
 
 Json TopicLog::evidence() const {
   Json Out = Json::object();
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -16,14 +16,15 @@
 public:
   explicit TopicLog(asio::io_context &Io) : Io_(Io) {}
 
+  /// Paths may begin with /d/NAME, which names the daemon that calls.
   /// \returns false when the path is not one of the log's.
-  bool handle(const http::Request &Incoming, const Respond &Answer);
+  bool handle(http::Request Incoming, const Respond &Answer);
 
   /// Appends a record on behalf of the platform.
   void put(const std::string &Topic, const std::string &Key, const std::string &Value);
 
   /// Switches: "store" is "up", "refuse" (503), "silent" (no answer) or "lose" (appends are stored
-  /// and not answered).
+  /// and not answered); "refused_daemon" names one daemon that alone is refused.
   void control(const Json &Body);
 
   /// \returns the number of records of each topic.
@@ -56,6 +57,7 @@
   asio::io_context &Io_;
   std::map<std::string, Topic> Topics_;
   std::string State_ = "up";
+  std::string Refused_ = "none";
 };
 
 } // namespace masticdrift::standins
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -56,6 +56,10 @@
 
 } // namespace
 
+std::string PlatformFleet::nameOf(int Daemon) {
+  return "public-lahore-a-" + std::to_string(Daemon + 1);
+}
+
 PlatformFleet::PlatformFleet(int Daemons, int Executors) {
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
@@ -69,7 +73,7 @@
   for (int I = 0; I < Daemons; ++I) {
     const int Port = freePorts(PortsOfDaemon);
     FirstPorts_.push_back(Port);
-    const std::string Name = "public-lahore-a-" + std::to_string(I + 1);
+    const std::string Name = nameOf(I);
     const std::string File = Folder_ + "/" + Name + ".json";
     std::ofstream(File) << Json{
         {"node_name", Name},
@@ -79,7 +83,7 @@
         {"bind_addresses", {{"frontend", at(Port)}, {"ready", at(Port + 1)}}},
         {"internal_ports", {Port + 2, Port + 2}},
         {"limits", {{"cpu_share", 0.25}, {"cores", 1}}},
-        {"platform", {{"address", at(PlatformPort_)}}},
+        {"platform", {{"address", at(PlatformPort_) + "/d/" + Name}}},
         {"advice", at(PlatformPort_)}};
     Daemons_.push_back(std::make_unique<Process>(
         "masticdriftd", std::vector<std::string>{"--platform", "--settings", File},
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -32,6 +32,8 @@
   PlatformFleet &operator=(const PlatformFleet &) = delete;
   ~PlatformFleet();
 
+  static std::string nameOf(int Daemon);
+
   /// A caller's request to one daemon. \param Path of the queue ("/q/") and the job's id.
   http::ClientResult call(int Daemon, const std::string &Method, const std::string &Path,
                           std::string Body = {}, const std::string &Key = CallerKey);
