--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t MaxWaitingBytes = 1U << 20U;
 /// Lines within this time are written together.
 constexpr std::chrono::milliseconds BatchTime{40};
+/// Bytes that a pipe takes in one piece (PIPE_BUF).
+constexpr std::size_t PipePiece = 4096;
 /// Bytes of a line about a task.
 constexpr std::size_t UsualLine = 256;
 
@@ -75,12 +77,25 @@
       Filled_.wait_for(Lock, BatchTime, [this] { return Closed_; });
       const std::string Text = std::exchange(Batch_, {});
       Lock.unlock();
-      std::fwrite(Text.data(), 1, Text.size(), stdout);
-      std::fflush(stdout);
+      writeLines(Text);
       Lock.lock();
     }
   }
 
+  /// Whole lines only, in pieces that a pipe takes at once, so that no reader sees half a line.
+  static void writeLines(std::string_view Text) {
+    while (!Text.empty()) {
+      std::size_t Size = Text.size();
+      if (Size > PipePiece) {
+        const std::size_t End = Text.rfind('\n', PipePiece - 1);
+        Size = (End == std::string_view::npos ? Text.find('\n') : End) + 1;
+      }
+      std::fwrite(Text.data(), 1, Size, stdout);
+      std::fflush(stdout);
+      Text.remove_prefix(Size);
+    }
+  }
+
   std::mutex BatchMutex_;
   std::condition_variable Filled_;
   std::string Batch_;
