lead: ends of jobs that are not read yet are not acknowledged; lost starts are stopped on a reborn executor

Besides, a start that comes late would run again on an executor that has started again since. Ruled out: the fence (the run's end was listed by its own leader), retention (only ended jobs are removed). Change: a leader reads the specifications after the jobs before it begins; ends of unknown jobs wait up to 3 s and are taken when the job is read; runs learned of before their job are counted. Starts without an answer are stopped on a new incarnation for 13 s. Tests: SchedulerTakeover::endsOfJobsThatAreReadLateAreNotLost, SchedulerExecutors::lateStartsDoNotRunAgainOnARebornExecutor (both failed before).

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -39,6 +39,7 @@
   RunState State_ = RunState::Starting;
   core::TimePoint OrderedAt_;     ///< first start order
   core::TimePoint ConfirmedAt_{}; ///< when known to be there; zero before
+  bool Counted_ = false;          ///< in what its job, customer and executor have in use
   int Unanswered_ = 0;            ///< start orders without an answer
   bool OrderOutstanding_ = false; ///< a start or stop is on its way
   core::TimePoint NextOrderAt_{}; ///< when to repeat the outstanding order
@@ -135,8 +136,12 @@
   std::int64_t FillMilliCores_ = 0;
   core::TimePoint PacedAt_{}; ///< when filling runs were last slowed down or sped up
   std::map<RunKey, Run> Runs_;
-  bool Unsettled_ = false;           ///< an order of some run may be due
+  bool Unsettled_ = false; ///< an order of some run may be due
+  /// Start orders without an answer and when they were given up; they may still be carried out.
+  std::vector<std::pair<RunKey, core::TimePoint>> LostStarts_;
   std::set<std::string> FailedJobs_; ///< whose runs failed here since the last success
+  core::TimePoint UnknownSince_{};   ///< when the end of a run of an unknown job was first listed
+  std::vector<fleet::EndRow> Postponed_; ///< that end and the later ones of the last list
   core::TimePoint AvoidUntil_{};
   Slowness Slowness_;
   core::TimePoint DrainEnd_{}; ///< zero while not draining
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -34,15 +34,19 @@
   core::Millis HoldWait_{900};        ///< an executor without news answers after this time
   core::Millis HoldSpacing_{25};      ///< between an answer with ends and the next request
   core::Millis OverdueHoldWait_{250}; ///< the same when a run there should have ended
-  core::Millis HoldRetry_{300};       ///< after a request without an answer
-  core::Millis UnackedHold_{400};     ///< between requests while ends are not durable
-  core::Millis OrderRetry_{60};       ///< before an unanswered order is repeated
-  core::Millis AvoidFailing_{4000};   ///< an executor that fails runs in a row gets no new ones
-  core::Millis TicketMargin_{200};    ///< tickets count as expired this much earlier
-  core::Millis AdviceRetry_{150};     ///< after advice that brought nothing
-  core::Millis AvoidStill_{1500};     ///< an executor on which runs stand still gets no new ones
-  core::Millis MoveTime_{400};        ///< lost when a run is stopped and started elsewhere
-  core::Millis DrainMargin_{700}; ///< runs are stopped this long before a draining executor ends
+  /// Until then an order without an answer may be carried out (12 s, and its way).
+  core::Millis LatestOrder_{13'000};
+  core::Millis HoldRetry_{300};   ///< after a request without an answer
+  core::Millis UnackedHold_{400}; ///< between requests while ends are not durable
+  core::Millis OrderRetry_{60};   ///< before an unanswered order is repeated
+  /// An accepted job is read by then: the reads' wait, a slow store's answer and a rest.
+  core::Millis UnknownJob_{3000};
+  core::Millis AvoidFailing_{4000}; ///< an executor that fails runs in a row gets no new ones
+  core::Millis TicketMargin_{200};  ///< tickets count as expired this much earlier
+  core::Millis AdviceRetry_{150};   ///< after advice that brought nothing
+  core::Millis AvoidStill_{1500};   ///< an executor on which runs stand still gets no new ones
+  core::Millis MoveTime_{400};      ///< lost when a run is stopped and started elsewhere
+  core::Millis DrainMargin_{700};   ///< runs are stopped this long before a draining executor ends
   /// A request sent this long after a draining executor's entry went away finds it gone.
   core::Millis LeaveMargin_{200};
   int StartAttempts_ = 3; ///< start orders before a stop settles the run
@@ -86,6 +90,9 @@
   /// Takes over or updates a job after a record of it was applied.
   void onJob(const work::LedgerJob &Job, core::TimePoint Now, std::int64_t WallMs);
 
+  /// A job that ended long ago is gone from the log.
+  void onJobForgotten(const std::string &Id) { Final_.erase(Id); }
+
   /// An entry of the executor list appeared or changed.
   void onExecutor(const fleet::ExecutorInfo &Info, core::TimePoint Now);
   /// An entry of the executor list went away.
@@ -154,6 +161,10 @@
   void takeRunning(ExecutorState &At, const fleet::RunningRow &Row, core::TimePoint Now);
   void settleMissing(ExecutorState &At, const fleet::Report &Report, core::TimePoint SentAt,
                      core::TimePoint Now);
+  void takeEnds(ExecutorState &At, std::span<const fleet::EndRow> Rows, core::TimePoint Now);
+  void settleLateJob(JobRun &Job, core::TimePoint Now);
+  bool mustWaitForJob(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
+  void preventLostStarts(ExecutorState &At, core::TimePoint Now);
   void reborn(ExecutorState &At, const fleet::Report &Report, core::TimePoint Now);
   static void forgetIncarnation(ExecutorState &At);
   void loseAll(ExecutorState &At, std::string_view Why, core::TimePoint Now);
@@ -191,6 +202,7 @@
   core::TimePoint NextPlace_{};
   work::Manifest Manifest_;
   std::unordered_map<std::string, JobRun> Jobs_;
+  std::set<std::string> Final_; ///< ended jobs that the log still knows
   std::map<std::string, ExecutorState, std::less<>> Executors_;
   std::vector<ExecutorState *> BySlot_;                     ///< null once the executor is forgotten
   std::unordered_map<std::string, core::Resources> UsedBy_; ///< by customer
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -159,6 +159,8 @@
                 {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
     if (Change.Kind_ == Progressed)
       Leader_.onProgressRead(One.Key_, One.Value_);
+    if (Change.Kind_ == Forgotten)
+      Leader_.onJob(Change.Id_);
     if (Change.Kind_ == Accepted || Change.Kind_ == Cancelled) {
       Writer_.seen(One.Key_);
       Leader_.onJob(Change.Id_);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -113,12 +113,8 @@
         !Context_.Manifest_ || !Jobs_.loaded())
       return;
     const lead::ElectionView View{
-        core::Clock::now(),
-        Lead_.lastAnswer(),
-        NewsAt_,
-        Newest_ ? &*Newest_ : nullptr,
-        core::wallMillis(),
-        FoundOnStart_,
+        core::Clock::now(), Lead_.lastAnswer(), NewsAt_, Newest_ ? &*Newest_ : nullptr,
+        core::wallMillis(), FoundOnStart_,
         // While the store is away from this daemon too, nothing is gained by a claim.
         Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
         lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_)};
@@ -215,14 +211,19 @@
       fence();
   }
 
+  /// Steps are stored before the acceptance, so they are read after it.
   void readUp() {
-    if (Specs_.loaded() && !Specs_.failing())
-      Specs_.catchUp(FenceTimeout, [](bool) {}); // what it misses comes with the next reads
-    Jobs_.catchUp(FenceTimeout, [Self = shared_from_this(), Term = Term_](bool Complete) {
+    readTopic(Jobs_, [this] { readTopic(Specs_, [this] { lead(); }); });
+  }
+
+  /// Reads up to the present and goes on with \p Then, or begins anew with readUp().
+  void readTopic(TopicTail &Topic, std::function<void()> Then) {
+    Topic.catchUp(FenceTimeout, [Self = shared_from_this(), &Topic, Term = Term_,
+                                 Then = std::move(Then)](bool Complete) {
       if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
         return;
-      if (Complete && Self->Specs_.loaded())
-        Self->lead();
+      if (Complete && Topic.loaded())
+        Then();
       else
         after(Self->RetryTimer_, RetryDelay, [Self] {
           if (Self->Role_ == Role::Preparing)
@@ -610,8 +611,8 @@
                                 Result.Answer_.Body_ != Self->Newest_->Incarnation_;
           Self->Refused_ = Refused || Replaced;
           // Its own answer tells that the store refuses it.
-          Self->LeaderCutOff_ = Result.Transfer_ == http::Transfer::Complete &&
-                                Result.Answer_.Status_ != 200;
+          Self->LeaderCutOff_ =
+              Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ != 200;
           Self->LeaderHeard_ = Result.Transfer_ == http::Transfer::Complete && !Replaced;
         });
   }
@@ -687,8 +688,10 @@
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
   const auto Found = Impl_->Context_.Ledger_.jobs().find(std::string(Id));
-  if (Found == Impl_->Context_.Ledger_.jobs().end())
+  if (Found == Impl_->Context_.Ledger_.jobs().end()) {
+    Impl_->Scheduler_->onJobForgotten(std::string(Id));
     return;
+  }
   Impl_->Scheduler_->onJob(Found->second, core::Clock::now(), core::wallMillis());
   Impl_->tickSoon();
 }
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -89,6 +89,7 @@
   if (Job == nullptr)
     return Made;
   const work::StepSpec &Spec = specOf(*Job, Task);
+  Made.Counted_ = true;
   Made.Need_ = Spec.Need_;
   Made.Fills_ = Spec.Fills_;
   Made.Serves_ = Spec.TargetMs_ > 0;
@@ -120,7 +121,7 @@
   At.Runs_.erase(Found);
   PlaceDue_ = true;
   JobRun *Job = jobOf(Old.Task_);
-  if (Job == nullptr || Old.Need_ == core::Resources{})
+  if (Job == nullptr || !Old.Counted_)
     return;
   At.Used_ -= Old.Need_;
   if (Old.Fills_) {
@@ -200,6 +201,8 @@
     return;
   Run &Started = Found->second;
   Started.OrderOutstanding_ = false;
+  if (Outcome == OrderOutcome::NoAnswer)
+    At.LostStarts_.emplace_back(Which, Now);
   At.Unsettled_ =
       At.Unsettled_ || Outcome != OrderOutcome::Done || Started.State_ != RunState::Starting;
   if (Outcome != OrderOutcome::Done)
@@ -313,17 +316,68 @@
   At.LastAnswer_ = Now;
   At.ClockMs_ = Report.ClockMs_;
   At.ClockAt_ = Now;
-  for (const fleet::EndRow &End : Report.Ended_)
-    takeEnd(At, End, Now);
+  takeEnds(At, Report.Ended_, Now);
   for (const fleet::RunningRow &Row : Report.Running_)
     takeRunning(At, Row, Now);
   settleMissing(At, Report, SentAt, Now);
   watchProgress(At, Now);
   shieldServing(At, Now);
-  At.NextHold_ = Report.Ended_.empty() ? Now : Now + Times_.HoldSpacing_;
+  At.NextHold_ = Report.Ended_.empty()
+                     ? Now
+                     : Now + (!At.Postponed_.empty() ? Times_.UnackedHold_ : Times_.HoldSpacing_);
   PlaceDue_ = true;
 }
 
+void Scheduler::takeEnds(ExecutorState &At, std::span<const fleet::EndRow> Rows,
+                         core::TimePoint Now) {
+  At.Postponed_.clear();
+  for (std::size_t I = 0; I < Rows.size(); ++I) {
+    if (mustWaitForJob(At, Rows[I], Now)) {
+      // Later ends wait too: an acknowledgement covers all before it.
+      At.Postponed_.assign(Rows.begin() + static_cast<std::ptrdiff_t>(I), Rows.end());
+      return;
+    }
+    takeEnd(At, Rows[I], Now);
+  }
+}
+
+/// Executors may have told of runs of this job before it was read.
+void Scheduler::settleLateJob(JobRun &Job, core::TimePoint Now) {
+  for (auto &[Id, At] : Executors_) {
+    std::vector<Run> Early;
+    for (const auto &[Key, One] : At.Runs_)
+      if (Key.first.Job_ == Job.Id_ && !One.Counted_ && stepOf(Job, Key.first) != nullptr)
+        Early.push_back(One);
+    for (const Run &One : Early) {
+      At.Runs_.erase({One.Task_, One.Number_});
+      Run &Made = addRun(At, &Job, One.Task_, One.Number_, One.State_, Now);
+      Made.ConfirmedAt_ = One.ConfirmedAt_;
+      Made.StoppedAt_ = One.StoppedAt_;
+      Made.OrderOutstanding_ = One.OrderOutstanding_;
+      Made.NextOrderAt_ = One.NextOrderAt_;
+      Made.Progress_ = One.Progress_;
+      Made.Checkpoint_ = One.Checkpoint_;
+    }
+    if (!At.Postponed_.empty())
+      takeEnds(At, std::vector<fleet::EndRow>(At.Postponed_), Now);
+  }
+}
+
+/// An earlier leader that goes on for a while may have accepted and run a job that this one has not
+/// read yet. To acknowledge the end of its run would lose it.
+bool Scheduler::mustWaitForJob(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now) {
+  if (End.Number_ <= At.Processed_ || Jobs_.contains(End.Task_.Job_) ||
+      Final_.contains(End.Task_.Job_)) {
+    At.UnknownSince_ = {};
+    return false;
+  }
+  if (never(At.UnknownSince_)) {
+    At.UnknownSince_ = Now;
+    note("end_of_unknown_job", End.Task_, End.Run_, At.Info_.Id_, fleet::nameOf(End.Kind_));
+  }
+  return Now - At.UnknownSince_ < Times_.UnknownJob_;
+}
+
 void Scheduler::takeEnd(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now) {
   if (End.Number_ <= At.Processed_)
     return;
@@ -482,6 +536,16 @@
     note("run_over", Key.first, Key.second, At.Info_.Id_, "executor started again");
     dropRun(At, Key, Now);
   }
+  preventLostStarts(At, Now);
+}
+
+/// A new incarnation does not know which runs have ended, so it would carry out a start that comes
+/// late. A stop that arrives first prevents that.
+void Scheduler::preventLostStarts(ExecutorState &At, core::TimePoint Now) {
+  for (const auto &[Key, GivenUpAt] : std::exchange(At.LostStarts_, {}))
+    if (Now - GivenUpAt < Times_.LatestOrder_ && !At.Runs_.contains(Key))
+      stopRun(At, addRun(At, nullptr, Key.first, Key.second, RunState::Starting, Now),
+              "a late start may reach the new incarnation", Now);
 }
 
 void Scheduler::forgetIncarnation(ExecutorState &At) {
@@ -506,6 +570,8 @@
 }
 
 void Scheduler::tickExecutor(ExecutorState &At, core::TimePoint Now) {
+  std::erase_if(At.LostStarts_,
+                [&](const auto &One) { return Now - One.second >= Times_.LatestOrder_; });
   if ((At.Silent_ || !At.Held_) && Now >= At.LeaseEnd_ && !At.Runs_.empty())
     loseAll(At, "lease lapsed", Now);
   if (!never(At.DrainEnd_))
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -59,6 +59,8 @@
       endJob(Found->second, work::JobState::Cancelled, Now);
     return;
   }
+  if (Job.Accepted_ && work::isFinal(Job.state()))
+    Final_.insert(Job.Id_);
   if (!Job.Accepted_ || !Job.Specified_ || work::isFinal(Job.state()))
     return;
   JobRun &Made = Jobs_[Job.Id_];
@@ -80,6 +82,7 @@
   }
   if (!Made.Inherited_)
     Made.Progress_.Term_ = Token_;
+  settleLateJob(Made, Now);
   PlaceDue_ = true;
 }
 
@@ -270,7 +273,10 @@
   }
   updateAccounted(Now);
   std::erase_if(Jobs_, [this](const auto &One) {
-    return One.second.Ended_ && One.second.Runs_ == 0 && !Dirty_.contains(One.first);
+    const bool Over = One.second.Ended_ && One.second.Runs_ == 0 && !Dirty_.contains(One.first);
+    if (Over)
+      Final_.insert(One.first);
+    return Over;
   });
   if (PlaceDue_ || Now >= NextPlace_) {
     PlaceDue_ = false;
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -160,14 +160,17 @@
     const bool Late = chance(Options_.OrderLate_);
     const bool Lost = Late || std::exchange(LoseNextStart_, false) || chance(Options_.AnswerLost_);
     const auto Answered = std::make_shared<bool>(false);
-    const core::Millis Delay = Late ? core::Millis(std::uniform_int_distribution<>(
-                                          2000, static_cast<int>(LatestOrder.count()))(Random_))
-                                    : Options_.Latency_;
+    core::Millis Delay = Options_.Latency_;
+    if (Late)
+      Delay = Options_.LateBy_.count() > 0
+                  ? Options_.LateBy_
+                  : core::Millis(std::uniform_int_distribution<>(
+                        2000, static_cast<int>(LatestOrder.count()))(Random_));
     at(Now_ + Delay, [this, Of, Target, Order, Id, Key, Lost, Late, Answered,
                       Born = Executors_.at(Id).Info_.Born_] {
       Executor &One = Executors_.at(Id);
       // An order that the executor has put off dies with it.
-      if (!reaches(One) || (Late && One.Info_.Born_ != Born))
+      if (!reaches(One) || (Late && !Options_.LateSurvives_ && One.Info_.Born_ != Born))
         return;
       const OrderOutcome Outcome = start(One, Order);
       if (Lost)
@@ -273,7 +276,13 @@
   for (const auto &[Id, One] : Executors_)
     Leader_->onExecutor(One.Info_, Now_);
   for (const auto &[Id, Job] : Ledger_.jobs())
-    Leader_->onJob(Job, Now_, wallOf(Now_));
+    if (!ReadLate_.contains(Id))
+      Leader_->onJob(Job, Now_, wallOf(Now_));
+  for (const auto &[Id, Time] : std::exchange(ReadLate_, {}))
+    at(Now_ + Time, [this, Of, Target, Id] {
+      if (Of->Alive_)
+        Target().onJob(*Ledger_.find(Id), Now_, wallOf(Now_));
+    });
   tick(Of);
 }
 
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -24,10 +24,12 @@
 /// Probabilities and times of the world.
 struct FakeFleetOptions {
   unsigned Seed_ = 1;
-  double AnswerLost_ = 0;   ///< orders that are carried out and not answered
-  double OrderLate_ = 0;    ///< orders that are not answered and carried out up to 12 s later
-  double TaskFails_ = 0;    ///< runs that end failed
-  double NotConnected_ = 0; ///< start orders that find no connection within their time limit
+  double AnswerLost_ = 0;     ///< orders that are carried out and not answered
+  double OrderLate_ = 0;      ///< orders that are not answered and carried out up to 12 s later
+  double TaskFails_ = 0;      ///< runs that end failed
+  double NotConnected_ = 0;   ///< start orders that find no connection within their time limit
+  core::Millis LateBy_{0};    ///< how late, 0 for 2 to 12 s
+  bool LateSurvives_ = false; ///< late orders reach an executor that has started again meanwhile
   core::Millis Latency_{1};
   int JitterMs_ = 0;   ///< requests for lists take up to this much longer
   bool Trace_ = false; ///< prints every decision to standard error
@@ -72,6 +74,9 @@
   std::chrono::steady_clock::duration decisionTime() const { return DecisionTime_; }
   std::size_t starts() const { return StartCount_; }
 
+  /// The next leader reads this job only \p Time after it has begun to lead.
+  void readLate(const std::string &Job, core::Millis Time) { ReadLate_[Job] = Time; }
+
   /// Every run at this executor fails.
   void spoil(const std::string &Id) { Executors_.at(Id).Spoiled_ = true; }
   /// Runs that start there from now on take this many times as long.
@@ -173,6 +178,7 @@
   std::uint64_t Fence_ = 0;
   std::uint64_t Token_ = 0;
   std::set<std::string> Poisoned_;
+  std::map<std::string, core::Millis> ReadLate_;
   bool LoseNextStart_ = false;
   bool StoreDown_ = false;
   int Generation_ = 0;
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -313,6 +313,46 @@
 
 // --- Another leader ---
 
+// Guards against a start that comes late to a new incarnation, which does not know that the run has
+// ended in the old one.
+Test(SchedulerExecutors, lateStartsDoNotRunAgainOnARebornExecutor) {
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    FakeFleetOptions Options;
+    Options.Seed_ = Seed;
+    Options.Trace_ = traced(Seed);
+    Options.OrderLate_ = 0.4;
+    // After the leader has met the new incarnation; what comes before that can't be prevented.
+    Options.LateBy_ = Millis(4000);
+    Options.LateSurvives_ = true;
+    FakeFleet Fleet(Options);
+    addExecutors(Fleet, 2);
+    for (int I = 0; I < 4; ++I)
+      Fleet.submit("j" + std::to_string(I), jobOf(4, 300));
+    Fleet.run(Millis(1900));
+    Fleet.crash("e0", Millis(50));
+    Fleet.run(Millis(30'000));
+    expectWhole(Fleet, Seed);
+  }
+}
+
+// Guards against the end of a run being acknowledged by a leader that has not read its job yet: the
+// task would start again.
+Test(SchedulerTakeover, endsOfJobsThatAreReadLateAreNotLost) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 2);
+  Fleet.submit("j1", jobOf(3, 600));
+  Fleet.run(Millis(300));
+  // The ends are not acknowledged by the first leader.
+  Fleet.setStoreDown(true);
+  Fleet.run(Millis(700));
+  Fleet.readLate("j1", Millis(1500));
+  Fleet.takeOver();
+  Fleet.setStoreDown(false);
+  Fleet.run(Millis(20'000));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
 // --- Executors that are slow or stand still ---
 
 // Pattern: tasks stand still on an executor that goes on answering. Guards against jobs that wait
