--- /dev/null
+++ b/include/masticdrift/lead/detail/Times.h
@@ -0,0 +1,23 @@
+/// \file
+/// Helpers for points in time and leases.
+#ifndef MASTICDRIFT_LEAD_DETAIL_TIMES_H
+#define MASTICDRIFT_LEAD_DETAIL_TIMES_H
+
+#include "masticdrift/core/Clock.h"
+
+namespace masticdrift::lead::detail {
+
+/// Added to the end of a lease for time that an order spends on its way.
+inline constexpr core::Millis LeaseSlack{250};
+
+/// \returns true for a point in time that was never set.
+inline bool never(core::TimePoint At) { return At == core::TimePoint{}; }
+
+/// \returns the time after which a lease has surely ended on an executor's slower clock.
+inline core::Duration stretched(core::Millis Lease, double Margin) {
+  return std::chrono::duration_cast<core::Duration>(Lease * Margin) + LeaseSlack;
+}
+
+} // namespace masticdrift::lead::detail
+
+#endif // MASTICDRIFT_LEAD_DETAIL_TIMES_H
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -1,5 +1,6 @@
 // Which waiting task starts next, and where.
 #include "masticdrift/lead/Scheduler.h"
+#include "masticdrift/lead/detail/Times.h"
 
 #include <algorithm>
 #include <cmath>
@@ -38,7 +39,7 @@
 /// Added for each multiple of the typical run time.
 constexpr double SlowWeight = 0.5;
 
-bool never(core::TimePoint At) { return At == core::TimePoint{}; }
+using detail::never;
 
 bool within(const core::Resources &Used, const core::Resources &Need,
             const core::Resources &Limit) {
