--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -18,7 +18,8 @@
 public:
   /// \param Jobs the tail that fills the context's ledger.
   /// \param Specs the tail that adds the steps of jobs to it.
-  LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs);
+  /// \param Executors the tail that fills the context's roster.
+  LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors);
   LeaderDriver(const LeaderDriver &) = delete;
   LeaderDriver &operator=(const LeaderDriver &) = delete;
   ~LeaderDriver();
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -116,7 +116,7 @@
                       if (Specs_.started())
                         onSpecRecord({Offset, One.Key_, One.Value_});
                     }),
-        Leader_(Context_, Jobs_, Specs_), Relay_(Context_),
+        Leader_(Context_, Jobs_, Specs_, Executors_), Relay_(Context_),
         Entry_(Context_, Jobs_, SpecWriter_, Writer_, Leader_),
         Callers_(serverOptions(Loop_, Settings.Callers_),
                  [this](const http::Request &From, const http::Responder &To) {
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -56,8 +56,8 @@
 struct LeaderDriver::Impl : std::enable_shared_from_this<LeaderDriver::Impl> {
   enum class Role { Follower, Preparing, Leading };
 
-  Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs)
-      : Context_(Context), Jobs_(Jobs), Specs_(Specs),
+  Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors)
+      : Context_(Context), Jobs_(Jobs), Specs_(Specs), Executors_(Executors),
         Lead_(Context.Loop_, Context.Store_,
               {LeadTopic, core::Millis(2000), [] { return core::Millis(50); }},
               {[this](const platform::KeyedRecord &One) { onLeadRecord(One); },
@@ -211,9 +211,11 @@
       fence();
   }
 
-  /// Steps are stored before the acceptance, so they are read after it.
+  /// Steps are stored before the acceptance, so they are read after it. Executors come last: the
+  /// earlier leader may have started something on one that has just joined.
   void readUp() {
-    readTopic(Jobs_, [this] { readTopic(Specs_, [this] { lead(); }); });
+    readTopic(Jobs_,
+              [this] { readTopic(Specs_, [this] { readTopic(Executors_, [this] { lead(); }); }); });
   }
 
   /// Reads up to the present and goes on with \p Then, or begins anew with readUp().
@@ -635,6 +637,7 @@
   FleetContext &Context_;
   TopicTail &Jobs_;
   TopicTail &Specs_;
+  TopicTail &Executors_;
   TopicTail Lead_;
   asio::steady_timer ElectionTimer_;
   asio::steady_timer HelloTimer_;
@@ -671,8 +674,9 @@
   std::optional<lead::Scheduler> Scheduler_;
 };
 
-LeaderDriver::LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs)
-    : Impl_(std::make_shared<Impl>(Context, Jobs, Specs)) {}
+LeaderDriver::LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs,
+                           TopicTail &Executors)
+    : Impl_(std::make_shared<Impl>(Context, Jobs, Specs, Executors)) {}
 
 LeaderDriver::~LeaderDriver() { Impl_->close(); }
 
--- a/tests/integration/PlatformFleetTest.cpp
+++ b/tests/integration/PlatformFleetTest.cpp
@@ -92,6 +92,26 @@
   expectOnce(All, 10);
 }
 
+// Guards against a new leader that does not know of an executor that has joined moments ago: what
+// the last one started there would start again elsewhere.
+Test(PlatformTakeover, executorsThatHaveJustJoinedAreAccountedFor) {
+  PlatformFleet All(3, 1);
+  const int Leader = All.leader();
+  const int Other = (Leader + 1) % 3;
+  // Followers rest after the first news and miss the second for a while.
+  All.control({{"join", "i-first"}});
+  cr_assert_eq(All.submit(Other, First, {16, 500}).Answer_.Status_, 200);
+  cr_assert(waitFor(Millis(5000), [&] { return All.evidence()["starts"].size() == 16; }));
+  All.control({{"join", "i-last"}});
+  cr_assert_eq(All.submit(Other, Second, {4, 5000}).Answer_.Status_, 200);
+  cr_assert(waitFor(Millis(5000), [&] { return All.evidence()["starts"].size() == 20; }));
+  // The other executors have room again when the next leader begins.
+  cr_assert(All.awaitState(Leader, First, "completed", Millis(5000)));
+  All.daemon(Leader).signal(SIGTERM);
+  cr_expect(All.awaitState(Other, Second, "completed", TakeoverTime));
+  expectOnce(All, 20);
+}
+
 // Guards against a planned stop that cuts requests or leaves a gap.
 Test(PlatformTakeover, aStoppedLeaderHandsOver) {
   PlatformFleet All;
--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -39,29 +39,34 @@
     for (const auto &[Id, Entry] : Executors.entries(Address))
       Log.put("keyed.servers", Id, Entry.dump());
   };
-  const HttpStub Server(Io, Port,
-                        withControls(
-                            [&](const Json &Body) {
-                              Log.control(Body);
-                              Executors.control(Body);
-                              if (Body.contains("manifest"))
-                                Log.put("keyed.op", "config", Body["manifest"].dump());
-                              if (Body.value("crash", false))
-                                Announce();
-                              return Json::object();
-                            },
-                            [&] {
-                              Json Out = Executors.evidence();
-                              Out["records"] = Log.evidence();
-                              return Out;
-                            },
-                            [&](const http::Request &Incoming, const Respond &Answer) {
-                              if (Incoming.Path_ == "/advise")
-                                advise(Incoming, Answer);
-                              else if (!Log.handle(Incoming, Answer) &&
-                                       !Executors.handle(Incoming, Answer))
-                                Answer(errorReply(404, "unknown path"));
-                            }));
+  const HttpStub Server(
+      Io, Port,
+      withControls(
+          [&](const Json &Body) {
+            Log.control(Body);
+            Executors.control(Body);
+            if (Body.contains("manifest"))
+              Log.put("keyed.op", "config", Body["manifest"].dump());
+            if (Body.contains("join")) {
+              const auto Id = Body["join"].get<std::string>();
+              Executors.add(Id);
+              Log.put("keyed.servers", Id, Executors.entries(Address).at(Id).dump());
+            }
+            if (Body.value("crash", false))
+              Announce();
+            return Json::object();
+          },
+          [&] {
+            Json Out = Executors.evidence();
+            Out["records"] = Log.evidence();
+            return Out;
+          },
+          [&](const http::Request &Incoming, const Respond &Answer) {
+            if (Incoming.Path_ == "/advise")
+              advise(Incoming, Answer);
+            else if (!Log.handle(Incoming, Answer) && !Executors.handle(Incoming, Answer))
+              Answer(errorReply(404, "unknown path"));
+          }));
   Address = "127.0.0.1:" + std::to_string(Server.port());
   Announce();
   return runProgram(Io, {{"port", Server.port()}});
--- a/tests/standins/common/TaskExecutors.cpp
+++ b/tests/standins/common/TaskExecutors.cpp
@@ -22,12 +22,15 @@
 } // namespace
 
 TaskExecutors::TaskExecutors(asio::io_context &Io, int Count, int Cores) : Io_(Io), Cores_(Cores) {
-  for (int I = 0; I < Count; ++I) {
-    const std::string Id = "i-" + std::to_string(I);
-    All_[Id].Id_ = Id;
-    All_[Id].Born_ = steady_clock::now();
-    All_[Id].BornMs_ = core::wallMillis();
-  }
+  for (int I = 0; I < Count; ++I)
+    add("i-" + std::to_string(I));
+}
+
+void TaskExecutors::add(const std::string &Id) {
+  Executor &Made = All_[Id];
+  Made.Id_ = Id;
+  Made.Born_ = steady_clock::now();
+  Made.BornMs_ = core::wallMillis();
 }
 
 std::map<std::string, Json> TaskExecutors::entries(const std::string &Address) const {
@@ -199,9 +202,7 @@
   if (Body.value("crash", false)) {
     const std::string Id = At.Id_;
     At = {};
-    At.Id_ = Id;
-    At.Born_ = steady_clock::now();
-    At.BornMs_ = core::wallMillis();
+    add(Id);
   }
 }
 
--- a/tests/standins/common/TaskExecutors.h
+++ b/tests/standins/common/TaskExecutors.h
@@ -19,6 +19,8 @@
   /// \param Cores of each executor.
   TaskExecutors(asio::io_context &Io, int Count, int Cores);
 
+  void add(const std::string &Id);
+
   /// Serves /e/ID/run-start, run-stop, hold and pace. \returns false for another path.
   bool handle(const http::Request &Incoming, const Respond &Answer);
 
