--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -43,10 +43,10 @@
     Call.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
     Call.Body_ = core::pack(protocol::ResultsCall{std::move(Results)});
     Call.Timeout_ = ResultTimeout;
-    Context_.Client_.send(std::move(Call), [ReplyTo](const http::ClientResult &Result) {
+    Context_.Client_.send(std::move(Call), [Leader = ReplyTo](const http::ClientResult &Result) {
       if (Result.Transfer_ != http::Transfer::Complete)
         core::log(core::LogLevel::Warning, "results of orders were not taken",
-                  {{"leader", ReplyTo}, {"detail", Result.Error_}});
+                  {{"leader", Leader}, {"detail", Result.Error_}});
     });
   }
 }
--- a/tests/measure/Lead.cpp
+++ b/tests/measure/Lead.cpp
@@ -3,7 +3,7 @@
 
 #include "support/FakeFleet.h"
 
-#include <ctime>
+#include <cmath>
 
 namespace masticdrift::measure {
 
@@ -47,7 +47,8 @@
 work::JobSpec drawJob(const Kind &Of, std::mt19937_64 &Random) {
   std::exponential_distribution<> Around(1);
   const auto Draw = [&](double Mean) {
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Mean * Around(Random) + 0.5));
+    return std::max<std::uint32_t>(1,
+                                   static_cast<std::uint32_t>(std::lround(Mean * Around(Random))));
   };
   work::JobSpec Spec;
   Spec.Payload_ = std::string(300, 'p');
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -101,7 +101,7 @@
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
-      timed([&] { One->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
+      timed([this, &Leader = One, &Id] { Leader->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
 }
 
 void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
@@ -115,7 +115,7 @@
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
-      timed([&] { One->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
+      timed([this, &Leader = One, &Id] { Leader->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
 }
 
 void FakeFleet::setManifest(work::Manifest Manifest) {
@@ -279,9 +279,9 @@
     if (!ReadLate_.contains(Id))
       Leader_->onJob(Job, Now_, wallOf(Now_));
   for (const auto &[Id, Time] : std::exchange(ReadLate_, {}))
-    at(Now_ + Time, [this, Of, Target, Id] {
+    at(Now_ + Time, [this, Of, Target, Job = Id] {
       if (Of->Alive_)
-        Target().onJob(*Ledger_.find(Id), Now_, wallOf(Now_));
+        Target().onJob(*Ledger_.find(Job), Now_, wallOf(Now_));
     });
   tick(Of);
 }
