lead: claims in turn after an outage too; a small leader hands over

Cause: a daemon's turn to claim counted from the last news of the leader. After a power failure of all machines, or seconds without the store, that was longer ago than every turn, so all daemons claimed at once. Change: turns count from when the daemon first sees that there is no leader. A leader on a machine under 0.2 cores releases the leadership when a larger machine offers help and says that the store answers it. The unit test of the turns and the process test of the hand-over failed before.

--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -60,6 +60,7 @@
   bool FoundOnStart_ = false; ///< the newest record was there when this process began
   bool Refused_ = false;      ///< the leader is known to be gone or cut off
   unsigned Rank_ = 0;         ///< place in the order of claims
+  core::TimePoint GoneSince_; ///< since when leaderIsGone() has been true
 };
 
 /// A daemon's place in the order of claims.
@@ -72,7 +73,11 @@
 /// \returns true for machines that hold ready what a leader needs; others read it when they claim.
 bool mayLead(double Cores);
 
-/// \returns true when this daemon should claim the leadership now.
+/// \returns true when there is no leader, as far as this daemon can know.
+bool leaderIsGone(const ElectionView &View, const ElectionTiming &Times);
+
+/// \returns true when this daemon should claim the leadership now: the leader is gone, and daemons
+/// with a lower rank have had their turns.
 bool shouldClaim(const ElectionView &View, const ElectionTiming &Times);
 
 } // namespace masticdrift::lead
--- a/include/masticdrift/protocol/Fleet.h
+++ b/include/masticdrift/protocol/Fleet.h
@@ -21,9 +21,10 @@
 struct Hello {
   std::string Instance_;
   std::string PeerAddress_;
-  std::string Domain_; ///< its failure domain
-  double Cores_ = 0;   ///< processor share of its machine
-  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_)
+  std::string Domain_;   ///< its failure domain
+  double Cores_ = 0;     ///< processor share of its machine
+  bool CanLead_ = false; ///< large enough, and the store answers it
+  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_, CanLead_)
 };
 
 /// The leader asks a daemon to make one call for advice.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -109,15 +109,25 @@
 
   void electionTick() {
     after(ElectionTimer_, ElectionInterval, [this] { electionTick(); });
-    if (Context_.Stopping_ || Role_ != Role::Follower || Claiming_ || !Loaded_ ||
-        !Context_.Manifest_ || !Jobs_.loaded())
+    if (Claiming_)
       return;
-    const lead::ElectionView View{
+    if (Context_.Stopping_ || Role_ != Role::Follower || !Loaded_ || !Context_.Manifest_ ||
+        !Jobs_.loaded()) {
+      GoneSince_ = {};
+      return;
+    }
+    lead::ElectionView View{
         core::Clock::now(), Lead_.lastAnswer(), NewsAt_, Newest_ ? &*Newest_ : nullptr,
         core::wallMillis(), FoundOnStart_,
         // While the store is away from this daemon too, nothing is gained by a claim.
         Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
-        lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_)};
+        lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_};
+    if (!lead::leaderIsGone(View, {})) {
+      GoneSince_ = {};
+      return;
+    }
+    if (GoneSince_ == core::TimePoint{})
+      View.GoneSince_ = GoneSince_ = View.Now_;
     if (lead::shouldClaim(View, {}))
       claim();
   }
@@ -296,12 +306,12 @@
     NewsAt_ = core::Clock::now();
   }
 
-  void release() {
+  void release(std::string_view Why) {
     if (Role_ == Role::Follower || Releasing_)
       return;
     Releasing_ = true;
     const std::uint64_t Term = Term_;
-    stepDown("stopping");
+    stepDown(Why);
     releaseNow(Term, 0);
   }
 
@@ -616,8 +626,11 @@
     http::ClientRequest Call;
     Call.Method_ = "POST";
     Call.Url_ = "http://" + Newest_->PeerAddress_ + protocol::HelloPath;
-    Call.Body_ = core::pack(protocol::Hello{Context_.Settings_.Instance_, Context_.PeerAddress_,
-                                            Context_.Settings_.Domain_, Context_.Settings_.Cores_});
+    const bool CanLead = lead::mayLead(Context_.Settings_.Cores_) && !Context_.Stopping_ &&
+                         Jobs_.loaded() && !Jobs_.failing() && !Lead_.failing();
+    Call.Body_ =
+        core::pack(protocol::Hello{Context_.Settings_.Instance_, Context_.PeerAddress_,
+                                   Context_.Settings_.Domain_, Context_.Settings_.Cores_, CanLead});
     Call.Timeout_ = HelloTimeout;
     Context_.Client_.send(
         std::move(Call), [Self = shared_from_this(), Term = Newest_->Term_,
@@ -685,7 +698,8 @@
   std::optional<lead::LeadRecord> Newest_;
   std::uint64_t NewestOffset_ = 0;
   core::TimePoint NewsAt_{};
-  core::Millis BeatGap_{0}; ///< between the last beat of the earlier leader and the claim
+  core::TimePoint GoneSince_{}; ///< since when no leader is known; zero while there is one
+  core::Millis BeatGap_{0};     ///< between the last beat of the earlier leader and the claim
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0;
   bool Flushing_ = false;
@@ -711,7 +725,7 @@
   Impl_->helloTick();
 }
 
-void LeaderDriver::release() { Impl_->release(); }
+void LeaderDriver::release() { Impl_->release("stopping"); }
 
 void LeaderDriver::onJob(std::string_view Id) {
   if (Impl_->Role_ != Impl::Role::Leading)
@@ -749,6 +763,8 @@
     return false;
   Impl_->Desk_.offer(From.PeerAddress_, core::Clock::now());
   Impl_->Orders_.offer(From, core::Clock::now());
+  if (From.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
+    Impl_->release("a larger machine can lead");
   return true;
 }
 
--- a/tests/integration/PlatformFleetTest.cpp
+++ b/tests/integration/PlatformFleetTest.cpp
@@ -112,6 +112,16 @@
   expectOnce(All, 20);
 }
 
+// Guards against a leader on the smallest machine for longer than it takes a larger one to join.
+Test(PlatformTakeover, aSmallLeaderHandsOverToALargerMachine) {
+  PlatformFleet All(1, 4, 0.12);
+  cr_assert_eq(All.submit(0, First, {2, 4000}).Answer_.Status_, 200);
+  All.add(0.5);
+  cr_expect(waitFor(Millis(8000), [&] { return All.leader() == 1; }));
+  cr_expect(All.awaitState(1, First, "completed", Millis(10'000)));
+  expectOnce(All, 2);
+}
+
 // Guards against a planned stop that cuts requests or leaves a gap.
 Test(PlatformTakeover, aStoppedLeaderHandsOver) {
   PlatformFleet All;
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -60,7 +60,7 @@
   return "public-lahore-a-" + std::to_string(Daemon + 1);
 }
 
-PlatformFleet::PlatformFleet(int Daemons, int Executors) {
+PlatformFleet::PlatformFleet(int Daemons, int Executors, double Cores) {
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
     throw std::runtime_error("can't create " + Path);
@@ -70,25 +70,8 @@
       Folder_ + "/platform.log");
   PlatformPort_ = Platform_->ready().at("port").get<int>();
   control({{"manifest", manifest()}});
-  for (int I = 0; I < Daemons; ++I) {
-    const int Port = freePorts(PortsOfDaemon);
-    FirstPorts_.push_back(Port);
-    const std::string Name = nameOf(I);
-    const std::string File = Folder_ + "/" + Name + ".json";
-    std::ofstream(File) << Json{
-        {"node_name", Name},
-        {"ip", "127.0.0.1"},
-        {"zone", "lahore-a"},
-        {"region", "punjab"},
-        {"bind_addresses", {{"frontend", at(Port)}, {"ready", at(Port + 1)}}},
-        {"internal_ports", {Port + 2, Port + 2}},
-        {"limits", {{"cpu_share", 0.25}, {"cores", 1}}},
-        {"platform", {{"address", at(PlatformPort_) + "/d/" + Name}}},
-        {"advice", at(PlatformPort_)}};
-    Daemons_.push_back(std::make_unique<Process>(
-        "masticdriftd", std::vector<std::string>{"--platform", "--settings", File},
-        Folder_ + "/" + Name + ".log"));
-  }
+  for (int I = 0; I < Daemons; ++I)
+    add(Cores);
   for (int I = 0; I < Daemons; ++I)
     if (!waitFor(StartTime, [&] { return ready(I); }))
       throw std::runtime_error("daemon " + std::to_string(I + 1) +
@@ -97,6 +80,25 @@
     throw std::runtime_error("no daemon leads");
 }
 
+void PlatformFleet::add(double Cores) {
+  const int Port = freePorts(PortsOfDaemon);
+  const std::string Name = nameOf(static_cast<int>(Daemons_.size()));
+  FirstPorts_.push_back(Port);
+  const std::string File = Folder_ + "/" + Name + ".json";
+  std::ofstream(File) << Json{{"node_name", Name},
+                              {"ip", "127.0.0.1"},
+                              {"zone", "lahore-a"},
+                              {"region", "punjab"},
+                              {"bind_addresses", {{"frontend", at(Port)}, {"ready", at(Port + 1)}}},
+                              {"internal_ports", {Port + 2, Port + 2}},
+                              {"limits", {{"cpu_share", Cores}, {"cores", 1}}},
+                              {"platform", {{"address", at(PlatformPort_) + "/d/" + Name}}},
+                              {"advice", at(PlatformPort_)}};
+  Daemons_.push_back(std::make_unique<Process>(
+      "masticdriftd", std::vector<std::string>{"--platform", "--settings", File},
+      Folder_ + "/" + Name + ".log"));
+}
+
 PlatformFleet::~PlatformFleet() {
   Daemons_.clear();
   Platform_.reset();
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -27,13 +27,16 @@
 public:
   /// Returns when every daemon reports ready.
   /// \throws std::runtime_error when one does not.
-  explicit PlatformFleet(int Daemons = 3, int Executors = 4);
+  explicit PlatformFleet(int Daemons = 3, int Executors = 4, double Cores = 0.25);
   PlatformFleet(const PlatformFleet &) = delete;
   PlatformFleet &operator=(const PlatformFleet &) = delete;
   ~PlatformFleet();
 
   static std::string nameOf(int Daemon);
 
+  /// Starts one more daemon on a machine with this processor share.
+  void add(double Cores);
+
   /// A caller's request to one daemon. \param Path of the queue ("/q/") and the job's id.
   http::ClientResult call(int Daemon, const std::string &Method, const std::string &Path,
                           std::string Body = {}, const std::string &Key = CallerKey);
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -64,6 +64,7 @@
 Test(Election, claimsAreStaggeredByRank) {
   lead::ElectionView View = viewAt(Millis(2300), nullptr);
   View.Rank_ = 7;
+  View.GoneSince_ = View.Now_;
   const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
   View.Newest_ = &Beat;
   cr_expect(!lead::shouldClaim(View, {}));
@@ -71,6 +72,20 @@
   cr_expect(lead::shouldClaim(View, {}));
 }
 
+// Pattern: the store or all machines were away for seconds. Guards against claims of all daemons at
+// the same moment, one of which may be the smallest machine.
+Test(Election, claimsAreStaggeredAfterALongOutageToo) {
+  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000 - 20'000, "i", {}};
+  const lead::ElectionTiming Times;
+  lead::ElectionView View = viewAt(Millis(10), &Beat);
+  View.FoundOnStart_ = true;
+  View.GoneSince_ = View.Now_;
+  View.Rank_ = 8;
+  cr_expect(!lead::shouldClaim(View, Times));
+  View.Now_ = View.ReadAt_ = View.GoneSince_ + 8 * Times.Stagger_;
+  cr_expect(lead::shouldClaim(View, Times));
+}
+
 // Pattern: a large fleet with a few larger machines. Guards against a leader on the smallest
 // machine, which can't keep up with the executors.
 Test(Election, smallMachinesClaimAfterLargerOnes) {
