daemon: load the newest records gently when many machines start together

Cause: after a power failure of all machines, 45 daemons load the newest jobs (0.3 to 1 MB), executors and specifications at once. Ruled out: lost power of executors (all answered in the end as the same incarnation) and the leader's processor. Change: machines under 0.2 cores rest between pages of jobs, all daemons between pages of specifications and executors, three times as long as a page took and 0.2 s at least; a daemon that comes to lead loads without rests. Until the jobs are loaded the leader answers for them, also for cancels.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -34,17 +34,19 @@
 
 private:
   struct Call;
+  using Found = std::function<void(work::JobState)>;
   void submit(const std::shared_ptr<Call> &Of, const std::string &Body);
   void cancel(const std::shared_ptr<Call> &Of);
   void look(const std::shared_ptr<Call> &Of);
-  void askLeader(const std::shared_ptr<Call> &Of, const std::string &Leader);
-  void lookAnswered(const std::shared_ptr<Call> &Of, const protocol::LookReply &Reply);
-  /// Answers with what this daemon knows itself.
-  void lookHere(const std::shared_ptr<Call> &Of);
-  void answerState(const std::shared_ptr<Call> &Of, std::string_view Customer, work::JobState State,
-                   std::string_view Source);
-  /// Runs \p Found with the job, or with null when the whole log has none.
-  void findJob(const std::shared_ptr<Call> &Of, std::function<void(const work::LedgerJob *)> Found);
+  /// Finds out whose job it is and its state: from this daemon's table when it is final there, from
+  /// the leader, or from the whole log.
+  ///
+  /// \param Then gets the state; an unknown job, or one of another customer, is refused instead.
+  void resolve(const std::shared_ptr<Call> &Of, Found Then);
+  void askLeader(const std::shared_ptr<Call> &Of, const std::string &Leader, Found Then);
+  void resolveHere(const std::shared_ptr<Call> &Of, const Found &Then);
+  void resolved(const std::shared_ptr<Call> &Of, std::string_view Source,
+                const protocol::LookReply &Reply, const Found &Then);
   /// A record and the job's steps, which are empty for a cancel.
   struct Submission {
     work::LedgerEntry Record_;
--- a/include/masticdrift/daemon/TopicTail.h
+++ b/include/masticdrift/daemon/TopicTail.h
@@ -20,6 +20,8 @@
   core::Millis Wait_{1000}; ///< the service answers an empty read after this time
   /// Rest between an answer with records and the next read; bounds calls and bytes.
   std::function<core::Millis()> Rest_ = [] { return core::Millis(0); };
+  /// Leaves most of the link to others while the newest records are loaded.
+  bool Gentle_ = false;
 };
 
 /// Reads a topic for as long as it lives: first the newest record of each key, then new records.
@@ -40,8 +42,8 @@
   /// Does nothing when it was called before.
   void start();
 
-  /// Ends a rest between two reads.
-  void readNow();
+  /// Ends a rest between two calls, and loads without rests from now on.
+  void hurry();
 
   /// Reads up to the present now, beside the running read.
   ///
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -291,94 +291,87 @@
          });
 }
 
-void EntryService::findJob(const std::shared_ptr<Call> &Of,
-                           std::function<void(const work::LedgerJob *)> Found) {
-  if (const work::LedgerJob *Job = Context_.Ledger_.find(Of->Job_)) {
-    Found(Job);
-    return;
-  }
-  if (!Jobs_.loaded() || Jobs_.failing()) {
-    refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
-    return;
-  }
-  // "No such job" is only true of the whole log.
-  Jobs_.catchUp(LookTimeout, [this, Of, Found = std::move(Found)](bool Complete) {
-    const work::LedgerJob *Job = Context_.Ledger_.find(Of->Job_);
-    if (Job == nullptr && !Complete)
-      refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
-    else
-      Found(Job);
-  });
-}
-
-void EntryService::look(const std::shared_ptr<Call> &Of) {
-  const work::LedgerJob *Job = Context_.Ledger_.find(Of->Job_);
-  if (Job != nullptr && work::isFinal(Job->state())) {
-    answerState(Of, Job->What_.Customer_, Job->state(), "own");
+void EntryService::resolve(const std::shared_ptr<Call> &Of, Found Then) {
+  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  if (Own.Known_ && work::isFinal(static_cast<work::JobState>(Own.State_))) {
+    resolved(Of, "own", Own, Then);
     return;
   }
   const std::string Leader = Leader_.leaderAddress();
   if (Leader_.leading())
-    Leader_.look(Of->Job_,
-                 [this, Of](const protocol::LookReply &Reply) { lookAnswered(Of, Reply); });
+    Leader_.look(Of->Job_, [this, Of, Then = std::move(Then)](const protocol::LookReply &Reply) {
+      resolved(Of, "leader", Reply, Then);
+    });
   else if (!Leader.empty() && Leader_.leaderHeard())
-    askLeader(Of, Leader);
+    askLeader(Of, Leader, std::move(Then));
   else
-    lookHere(Of);
+    resolveHere(Of, Then);
 }
 
-void EntryService::askLeader(const std::shared_ptr<Call> &Of, const std::string &Leader) {
+void EntryService::askLeader(const std::shared_ptr<Call> &Of, const std::string &Leader,
+                             Found Then) {
   http::ClientRequest Call;
   Call.Method_ = "POST";
   Call.Url_ = "http://" + Leader + protocol::LookPath;
   Call.Body_ = core::pack(protocol::LookCall{Of->Job_});
   Call.Timeout_ = LookRelayTimeout;
-  Context_.Client_.send(std::move(Call), [this, Of](const http::ClientResult &Result) {
-    const auto Reply = Result.Transfer_ == http::Transfer::Complete
-                           ? core::unpack<protocol::LookReply>(Result.Answer_.Body_)
-                           : std::nullopt;
-    if (!Reply) {
-      core::log(core::LogLevel::Warning, "leader did not tell a job's state",
-                {{"request_id", Of->Job_}, {"detail", Result.Error_}});
-      Leader_.leaderFailed();
-    }
-    lookAnswered(Of, Reply.value_or(protocol::LookReply{}));
-  });
+  Context_.Client_.send(
+      std::move(Call), [this, Of, Then = std::move(Then)](const http::ClientResult &Result) {
+        const auto Reply = Result.Transfer_ == http::Transfer::Complete
+                               ? core::unpack<protocol::LookReply>(Result.Answer_.Body_)
+                               : std::nullopt;
+        if (!Reply) {
+          core::log(core::LogLevel::Warning, "leader did not tell a job's state",
+                    {{"request_id", Of->Job_}, {"detail", Result.Error_}});
+          Leader_.leaderFailed();
+        }
+        resolved(Of, "leader", Reply.value_or(protocol::LookReply{}), Then);
+      });
 }
 
-void EntryService::lookAnswered(const std::shared_ptr<Call> &Of, const protocol::LookReply &Reply) {
-  if (Reply.Answered_ && Reply.Known_)
-    answerState(Of, Reply.Customer_, static_cast<work::JobState>(Reply.State_), "leader");
-  else
-    lookHere(Of);
-}
-
-void EntryService::lookHere(const std::shared_ptr<Call> &Of) {
-  findJob(Of, [this, Of](const work::LedgerJob *Job) {
-    if (Job == nullptr)
+void EntryService::resolveHere(const std::shared_ptr<Call> &Of, const Found &Then) {
+  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  if (Own.Known_) {
+    resolved(Of, "own", Own, Then);
+    return;
+  }
+  if (!Jobs_.loaded() || Jobs_.failing()) {
+    refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
+    return;
+  }
+  // "No such job" is only true of the whole log.
+  Jobs_.catchUp(LookTimeout, [this, Of, Then](bool Complete) {
+    const protocol::LookReply Read = lookedUp(Context_.Ledger_, Of->Job_);
+    if (Read.Known_)
+      resolved(Of, "own", Read, Then);
+    else if (Complete)
       refuse(Of, ErrorKind::UnknownJob, "no such job");
     else
-      answerState(Of, Job->What_.Customer_, Job->state(), "own");
+      refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
   });
 }
 
-void EntryService::answerState(const std::shared_ptr<Call> &Of, std::string_view Customer,
-                               work::JobState State, std::string_view Source) {
-  if (Customer != Of->Customer_) {
+void EntryService::resolved(const std::shared_ptr<Call> &Of, std::string_view Source,
+                            const protocol::LookReply &Reply, const Found &Then) {
+  if (!Reply.Answered_ || !Reply.Known_) {
+    resolveHere(Of, Then);
+    return;
+  }
+  if (Reply.Customer_ != Of->Customer_) {
     refuse(Of, ErrorKind::UnknownJob, "no such job");
     return;
   }
   core::count("masticdrift_looks_total", {{"source", std::string(Source)}});
-  Of->answer(200, platform::encodeState(State));
+  Then(static_cast<work::JobState>(Reply.State_));
+}
+
+void EntryService::look(const std::shared_ptr<Call> &Of) {
+  resolve(Of, [Of](work::JobState State) { Of->answer(200, platform::encodeState(State)); });
 }
 
 void EntryService::cancel(const std::shared_ptr<Call> &Of) {
-  findJob(Of, [this, Of](const work::LedgerJob *Job) {
-    if (Job == nullptr || Job->What_.Customer_ != Of->Customer_) {
-      refuse(Of, ErrorKind::UnknownJob, "no such job");
-      return;
-    }
-    if (work::isFinal(Job->state())) {
+  resolve(Of, [this, Of](work::JobState State) {
+    if (work::isFinal(State)) {
       answerWrite(Of, WriteOutcome::Stored);
       return;
     }
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -98,12 +98,13 @@
                if (Leader_.leading())
                  return LeaderJobsRest;
                return Leader_.leaderHeard() ? FollowerJobsRest : UnledJobsRest;
-             }},
+             },
+             !lead::mayLead(Settings.Cores_)},
             {[this](const platform::KeyedRecord &One) { onJobRecord(One); }, [](const auto &) {}}),
         Specs_(
             Loop_, Store_,
             {SpecsTopic, SpecsWait,
-             [this] { return Leader_.leading() ? LeaderJobsRest : FollowerSpecsRest; }},
+             [this] { return Leader_.leading() ? LeaderJobsRest : FollowerSpecsRest; }, true},
             {[this](const platform::KeyedRecord &One) { onSpecRecord(One); }, [](const auto &) {}}),
         Config_(Loop_, Store_, {ConfigTopic, ConfigWait},
                 {[this](const platform::KeyedRecord &One) { onConfigRecord(One); },
@@ -111,7 +112,8 @@
         Executors_(
             Loop_, Store_,
             {ExecutorsTopic, ExecutorsWait,
-             [this] { return Leader_.leading() ? LeaderExecutorsRest : FollowerExecutorsRest; }},
+             [this] { return Leader_.leading() ? LeaderExecutorsRest : FollowerExecutorsRest; },
+             true},
             {[this](const platform::KeyedRecord &One) { onExecutorRecord(One); },
              [this](const std::set<std::string> &Keys) { onExecutorsLoaded(Keys); }}),
         Writer_(Store_, JobsTopic,
@@ -244,8 +246,10 @@
 
   void answerReady(const http::Responder &To) const {
     http::Response Out;
-    const bool Ready = !Context_.Stopping_ && Context_.Manifest_ && Jobs_.loaded() &&
-                       !Jobs_.failing() && !Config_.failing();
+    // Until the jobs are loaded the leader tells their states.
+    const bool Ready = !Context_.Stopping_ && Context_.Manifest_ &&
+                       (Jobs_.loaded() || Leader_.leaderHeard()) && !Jobs_.failing() &&
+                       !Config_.failing();
     Out.Status_ = Ready ? 200 : 503;
     Out.ContentType_ = "text/plain";
     To(std::move(Out));
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -191,6 +191,8 @@
     Term_ = Newest_->Term_;
     Sequence_ = 0;
     Specs_.start();
+    Specs_.hurry();
+    Executors_.hurry();
     core::count("masticdrift_takeovers_total");
     core::log(core::LogLevel::Info, "term begins", {{"term", std::to_string(Term_)}});
     fence();
@@ -283,8 +285,8 @@
       Scheduler_->onJob(Job, Now, core::wallMillis());
     Desk_.offer({}, Now);
     // From now on these reads rest as a leader's do.
-    Jobs_.readNow();
-    Specs_.readNow();
+    Jobs_.hurry();
+    Specs_.hurry();
     const auto Counts = Scheduler_->counts();
     core::setGauge("masticdrift_leader", 1);
     core::log(core::LogLevel::Info, "leads",
@@ -653,7 +655,7 @@
   /// Without a leader that answers, this daemon's own reads are all that callers have.
   void hear(bool Heard) {
     if (std::exchange(LeaderHeard_, Heard) && !Heard)
-      Jobs_.readNow();
+      Jobs_.hurry();
   }
 
   static void after(asio::steady_timer &Timer, core::Millis Delay, std::function<void()> Work) {
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -19,6 +19,10 @@
 constexpr int ReadKb = 96;
 /// Between reads while catching up, for the same reason.
 constexpr core::Millis CatchUpRest{120};
+/// Between pages of a gentle load: this long at least, and this many times as long as a page took.
+/// 17 small machines that start together then leave half of a link of 60 Mbit/s free.
+constexpr core::Millis LeastPageRest{200};
+constexpr int PageRestFactor = 3;
 constexpr core::Millis FirstRetry{100};
 constexpr core::Millis LastRetry{800};
 
@@ -29,6 +33,7 @@
       : Store_(Store), Options_(std::move(Options)), To_(std::move(To)), Timer_(Loop) {}
 
   void load(const std::string &After) {
+    PageAskedAt_ = core::Clock::now();
     Store_.newest(Options_.Topic_, After, AnswerTime,
                   [Self = shared_from_this(), After](platform::NewestResult Page) {
                     if (!Self->Closed_)
@@ -53,7 +58,7 @@
       To_.Record_(One);
     }
     if (Page.More_ && !Page.Records_.empty()) {
-      load(Page.Records_.back().Key_);
+      loadAfter(Page.Records_.back().Key_);
       return;
     }
     Next_ = LoadEnd_;
@@ -63,6 +68,16 @@
     read();
   }
 
+  void loadAfter(const std::string &Key) {
+    if (!Options_.Gentle_ || Hurried_) {
+      load(Key);
+      return;
+    }
+    const core::Duration Took = core::Clock::now() - PageAskedAt_;
+    rest(std::max(LeastPageRest, std::chrono::duration_cast<core::Millis>(PageRestFactor * Took)),
+         [this, Key] { load(Key); });
+  }
+
   void read() {
     Store_.read(Options_.Topic_, Next_, Options_.Wait_, ReadKb, Options_.Wait_ + AnswerTime,
                 [Self = shared_from_this()](platform::ReadResult Result) {
@@ -95,15 +110,19 @@
       read();
       return;
     }
-    Resting_ = true;
-    later(Rest, [this] { readNow(); });
+    rest(Rest, [this] { read(); });
   }
 
-  void readNow() {
-    if (!std::exchange(Resting_, false))
-      return;
-    Timer_.cancel();
-    read();
+  void rest(core::Millis Time, std::function<void()> Then) {
+    AfterRest_ = std::move(Then);
+    later(Time, [this] { endRest(); });
+  }
+
+  void endRest() {
+    if (const auto Then = std::exchange(AfterRest_, nullptr)) {
+      Timer_.cancel();
+      Then();
+    }
   }
 
   void take(const platform::ReadResult &Result) {
@@ -165,11 +184,13 @@
   bool Failing_ = false;
   bool Loaded_ = false;
   bool CaughtUp_ = false;
-  bool Resting_ = false; ///< between two reads
+  bool Hurried_ = false;
+  std::function<void()> AfterRest_; ///< set between two calls
   std::uint64_t LoadEnd_ = 0;
   std::uint64_t Next_ = 0;
   std::set<std::string> Keys_;
   core::TimePoint LastAnswer_{};
+  core::TimePoint PageAskedAt_{};
 };
 
 TopicTail::TopicTail(asio::io_context &Loop, platform::Store &Store, TailOptions Options, Sink To)
@@ -185,7 +206,10 @@
     Impl_->load({});
 }
 
-void TopicTail::readNow() { Impl_->readNow(); }
+void TopicTail::hurry() {
+  Impl_->Hurried_ = true;
+  Impl_->endRest();
+}
 
 void TopicTail::catchUp(core::Millis Timeout, std::function<void(bool)> Done) {
   Impl_->catchUp(Timeout, std::move(Done));
