tests: give the case of cut connections a test of its own, known red

The case that cuts connections under traffic ends in about 4 of 100 runs beside load with an abort or a SIGSEGV. Traces with gdb (8 of them) end in the poller, the reaper and a task thread of nng 1.5.2, or in nng_send_aio() with a connection that is gone: memory of a lost connection is used after it was freed. Ruled out: our own objects (no report in 75 runs with the address sanitizer), messages set while nng_send_aio() is still at work (guarded: 3 of about 100 runs failed), sending through a socket whose connection was lost (one socket for each connection: 4 of 200).

--- /dev/null
+++ b/tests/support/LinkPeers.h
@@ -0,0 +1,205 @@
+/// \file
+/// Peers and a relay between them for the tests of the link.
+#ifndef MASTICDRIFT_TESTING_LINKPEERS_H
+#define MASTICDRIFT_TESTING_LINKPEERS_H
+
+#include "masticdrift/protocol/Link.h"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <criterion/criterion.h>
+
+namespace masticdrift::testing {
+
+inline std::string addressOf(std::uint16_t Port) { return "127.0.0.1:" + std::to_string(Port); }
+
+template <typename Condition> bool eventually(Condition Check, std::chrono::milliseconds Within) {
+  const auto Deadline = std::chrono::steady_clock::now() + Within;
+  while (std::chrono::steady_clock::now() < Deadline) {
+    if (Check())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return Check();
+}
+
+/// TCP relay that can cut its connections, or silence them for good while new ones work.
+class Relay {
+public:
+  explicit Relay(std::uint16_t Target)
+      : Target_(asio::ip::make_address("127.0.0.1"), Target),
+        Acceptor_(Context_, {asio::ip::make_address("127.0.0.1"), 0}),
+        Port_(Acceptor_.local_endpoint().port()) {
+    accept();
+    Thread_ = std::thread([this] { Context_.run(); });
+  }
+  ~Relay() {
+    Context_.stop();
+    Thread_.join();
+  }
+  Relay(const Relay &) = delete;
+  Relay &operator=(const Relay &) = delete;
+
+  std::uint16_t port() const { return Port_; }
+
+  void cut() {
+    asio::post(Context_, [this] {
+      for (auto &Each : Pipes_) {
+        std::error_code Ignored;
+        Each->Client_.close(Ignored);
+        Each->Server_.close(Ignored);
+      }
+      Pipes_.clear();
+    });
+  }
+
+  /// Existing connections stay open and carry nothing more until release().
+  void silence() {
+    asio::post(Context_, [this] {
+      for (auto &Each : Pipes_)
+        Each->Silent_ = true;
+    });
+  }
+
+  void release() {
+    asio::post(Context_, [this] {
+      for (auto &Each : Pipes_)
+        if (std::exchange(Each->Silent_, false)) {
+          forward(Each, true);
+          forward(Each, false);
+        }
+    });
+  }
+
+private:
+  struct Pipe {
+    explicit Pipe(asio::ip::tcp::socket Client)
+        : Client_(std::move(Client)), Server_(Client_.get_executor()) {}
+    asio::ip::tcp::socket Client_;
+    asio::ip::tcp::socket Server_;
+    std::array<char, 4096> Up_{};
+    std::array<char, 4096> Down_{};
+    std::size_t UpHeld_ = 0;
+    std::size_t DownHeld_ = 0;
+    bool Silent_ = false;
+  };
+
+  void accept() {
+    Acceptor_.async_accept([this](std::error_code Error, asio::ip::tcp::socket Client) {
+      if (Error)
+        return;
+      auto Fresh = std::make_shared<Pipe>(std::move(Client));
+      std::error_code Refused;
+      Fresh->Server_.connect(Target_, Refused);
+      if (!Refused) {
+        Pipes_.push_back(Fresh);
+        read(Fresh, true);
+        read(Fresh, false);
+      }
+      accept();
+    });
+  }
+
+  void read(const std::shared_ptr<Pipe> &On, bool Up) {
+    auto &From = Up ? On->Client_ : On->Server_;
+    From.async_read_some(asio::buffer(Up ? On->Up_ : On->Down_),
+                         [this, On, Up](std::error_code Error, std::size_t Size) {
+                           if (Error) {
+                             std::error_code Ignored;
+                             if (!On->Silent_)
+                               (Up ? On->Server_ : On->Client_).close(Ignored);
+                             return;
+                           }
+                           (Up ? On->UpHeld_ : On->DownHeld_) = Size;
+                           if (!On->Silent_)
+                             forward(On, Up);
+                         });
+  }
+
+  void forward(const std::shared_ptr<Pipe> &On, bool Up) {
+    auto &Held = Up ? On->UpHeld_ : On->DownHeld_;
+    if (Held == 0)
+      return;
+    std::error_code Error;
+    asio::write(Up ? On->Server_ : On->Client_,
+                asio::buffer((Up ? On->Up_ : On->Down_).data(), std::exchange(Held, 0)), Error);
+    if (!Error)
+      read(On, Up);
+  }
+
+  asio::io_context Context_;
+  asio::ip::tcp::endpoint Target_;
+  asio::ip::tcp::acceptor Acceptor_;
+  std::uint16_t Port_;
+  std::vector<std::shared_ptr<Pipe>> Pipes_;
+  std::thread Thread_;
+};
+
+/// A link that answers every ConfigFetch and counts what it receives by body.
+struct Peer {
+  explicit Peer(const std::string &Name, core::Duration SendTimeout = std::chrono::seconds(5))
+      : Link_(options(Name, SendTimeout), [this](const protocol::Envelope &In) {
+          {
+            const std::lock_guard Lock(Mutex_);
+            ++Received_[In.Body_];
+          }
+          if (static_cast<protocol::MessageKind>(In.Kind_) == protocol::MessageKind::ConfigFetch &&
+              Answers_)
+            Link_.reply(In, protocol::MessageKind::ConfigCopy, "answer to " + In.Body_);
+        }) {}
+
+  static protocol::LinkOptions options(const std::string &Name, core::Duration SendTimeout) {
+    protocol::LinkOptions Options;
+    Options.Name_ = Name;
+    Options.Incarnation_ = 1;
+    Options.SendTimeout_ = SendTimeout;
+    return Options;
+  }
+
+  int received(const std::string &Body) {
+    const std::lock_guard Lock(Mutex_);
+    const auto Found = Received_.find(Body);
+    return Found == Received_.end() ? 0 : Found->second;
+  }
+
+  std::mutex Mutex_;
+  std::map<std::string, int> Received_;
+  std::atomic<bool> Answers_{true};
+  protocol::Link Link_;
+};
+
+inline std::pair<std::error_code, std::string> callAndWait(protocol::Link &By,
+                                                           const std::string &To,
+                                                           const std::string &Body,
+                                                           core::Duration Timeout) {
+  auto Done = std::make_shared<std::promise<std::pair<std::error_code, std::string>>>();
+  By.call(To, protocol::MessageKind::ConfigFetch, Body, Timeout,
+          [Done](std::error_code Error, const protocol::Envelope &Reply) {
+            Done->set_value({Error, Reply.Body_}); // throws when called twice
+          });
+  return Done->get_future().get();
+}
+
+inline void join(Peer &A, Peer &B) {
+  A.Link_.setRoute("b", addressOf(B.Link_.port()));
+  B.Link_.setRoute("a", addressOf(A.Link_.port()));
+  cr_assert(eventually([&] { return A.Link_.connected("b") && B.Link_.connected("a"); },
+                       std::chrono::seconds(5)));
+}
+
+} // namespace masticdrift::testing
+
+#endif // MASTICDRIFT_TESTING_LINKPEERS_H
--- /dev/null
+++ b/tests/unit/LinkCutTest.cpp
@@ -0,0 +1,34 @@
+// Messages between daemons whose connections are cut while they carry traffic.
+#include "support/LinkPeers.h"
+
+#include <criterion/criterion.h>
+
+using namespace masticdrift;
+using namespace masticdrift::protocol;
+using namespace masticdrift::testing;
+using namespace std::chrono_literals;
+
+// Guards against a second delivery after a connection is lost (P7).
+Test(LinkCut, aMessageIsDeliveredAtMostOnceWhenConnectionsAreCut) {
+  Peer B("b");
+  Relay Between(B.Link_.port());
+  Peer A("a");
+  A.Link_.setRoute("b", addressOf(Between.port()));
+  int Accepted = 0;
+  for (int I = 0; I < 3000; ++I) {
+    if (I % 150 == 149)
+      Between.cut();
+    if (I % 400 == 399)
+      A.Link_.reconnect("b");
+    const auto Error =
+        A.Link_.send("b", MessageKind::Notice, 0, std::to_string(I) + std::string(500, '.'));
+    Accepted += Error ? 0 : 1;
+    std::this_thread::sleep_for(500us);
+  }
+  std::this_thread::sleep_for(500ms);
+  const std::lock_guard Lock(B.Mutex_);
+  for (const auto &[Body, Times] : B.Received_)
+    cr_assert_eq(Times, 1, "%s was delivered %d times", Body.substr(0, 8).c_str(), Times);
+  cr_assert_leq(B.Received_.size(), static_cast<std::size_t>(Accepted));
+  cr_assert_gt(B.Received_.size(), 500U, "only %zu of %d arrived", B.Received_.size(), Accepted);
+}
