lead: leaders near the store, copies need not wait for silent executors

Cause: (1) a leader in the other region appends over 16 ms. Change: a daemon's turn to claim comes 30 times as much later as its fastest call to the store took, 0.48 s at most. Steps that allow copies start once every executor was asked; the unseen runs go on counting for their customer's limit. The scheduler test of copies failed before.

--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -48,6 +48,10 @@
   core::Millis SilenceWhenRefused_{500};
   /// Between the claims of different daemons, so that most are not made in vain.
   core::Millis Stagger_{120};
+  /// A daemon's turn comes this many times as much later as a call to the store takes it: a leader
+  /// makes two for each submission and one for each end, and loses the store when a region is cut.
+  int FarFactor_ = 30;
+  core::Millis MostForFar_{480}; ///< four turns; a far daemon is still better than none
 };
 
 /// What a daemon knows when it decides.
@@ -57,10 +61,11 @@
   core::TimePoint NewsAt_;             ///< when the newest record was read
   const LeadRecord *Newest_ = nullptr; ///< null when the topic is empty
   std::int64_t WallMs_ = 0;
-  bool FoundOnStart_ = false; ///< the newest record was there when this process began
-  bool Refused_ = false;      ///< the leader is known to be gone or cut off
-  unsigned Rank_ = 0;         ///< place in the order of claims
-  core::TimePoint GoneSince_; ///< since when leaderIsGone() has been true
+  bool FoundOnStart_ = false;   ///< the newest record was there when this process began
+  bool Refused_ = false;        ///< the leader is known to be gone or cut off
+  unsigned Rank_ = 0;           ///< place in the order of claims
+  core::TimePoint GoneSince_;   ///< since when leaderIsGone() has been true
+  core::Duration StoreTime_{0}; ///< that the fastest call to the store took
 };
 
 /// A daemon's place in the order of claims.
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -144,7 +144,8 @@
   void countFailure(JobRun &Job, const work::TaskRef &Task, std::uint64_t Number,
                     core::TimePoint Now);
   void markDirty(const JobRun &Job);
-  bool mayStart(const JobRun &Job, core::TimePoint Now) const;
+  /// \returns true when no run of a step's tasks that this leader does not know of is in the way.
+  bool mayStart(const JobRun &Job, const work::StepSpec &Spec) const;
   JobRun *jobOf(const work::TaskRef &Task);
   StepRun *stepOf(JobRun &Job, const work::TaskRef &Task);
   const work::StepSpec &specOf(const JobRun &Job, const work::TaskRef &Task) const;
@@ -201,6 +202,7 @@
   const bool FreshList_;
   bool Fenced_ = false;
   bool Accounted_ = false; ///< every run of earlier leaders is known or over
+  bool AllAsked_ = false;  ///< the same but for executors that have not answered when asked
   bool PlaceDue_ = true;
   int StartsOnTheWay_ = 0; ///< start orders without a result
   core::TimePoint NextPlace_{};
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -121,7 +121,8 @@
         core::wallMillis(), FoundOnStart_,
         // While the store is away from this daemon too, nothing is gained by a claim.
         Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
-        lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_};
+        lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_,
+        Context_.Store_.fastest()};
     if (!lead::leaderIsGone(View, {})) {
       GoneSince_ = {};
       return;
--- a/src/lead/Election.cpp
+++ b/src/lead/Election.cpp
@@ -37,8 +37,10 @@
 
 bool shouldClaim(const ElectionView &View, const ElectionTiming &Times) {
   // Turns count from here and not from the last news: after an outage all would be due at once.
+  const core::Duration Far =
+      std::min<core::Duration>(Times.FarFactor_ * View.StoreTime_, Times.MostForFar_);
   return leaderIsGone(View, Times) &&
-         View.Now_ - View.GoneSince_ >= Times.Stagger_ * static_cast<int>(View.Rank_);
+         View.Now_ - View.GoneSince_ >= Times.Stagger_ * static_cast<int>(View.Rank_) + Far;
 }
 
 } // namespace masticdrift::lead
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -83,9 +83,13 @@
       if (Job.Inherited_ && !Job.Ended_)
         for (const OccurrenceRun &Occurrence : Job.Occurrences_)
           for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
-            if (Occurrence.Due_ && Occurrence.Steps_[I].Ready_)
+            if (const StepRun &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
+              const work::StepSpec &Spec = Job.Spec_.Steps_[I];
+              // A copy that this leader has started leaves the unseen run where it may be.
+              const auto Open = static_cast<std::int64_t>(Step.Tasks_.size()) - Step.Done_;
               Unknown_[Job.What_.Customer_] +=
-                  Job.Spec_.Steps_[I].Need_ * Occurrence.Steps_[I].Waiting_;
+                  Spec.Need_ * (Spec.AllowDuplicates_ ? Open : std::int64_t{Step.Waiting_});
+            }
   }
 
   /// Executors that take new work at all, by pool.
@@ -421,7 +425,7 @@
   for (const Candidate &What : Waiting) {
     StepRun &Step = What.Job_->Occurrences_[What.Occurrence_].Steps_[What.Step_];
     const work::StepSpec &Spec = What.Job_->Spec_.Steps_[What.Step_];
-    if (Step.Ready_ && mayStart(*What.Job_, Now)) {
+    if (Step.Ready_ && mayStart(*What.Job_, Spec)) {
       if (Spec.Gang_)
         Pass.placeGang(What, Step, Spec);
       else
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -387,6 +387,9 @@
   const bool AllHeld = !Executors_.empty() && std::ranges::all_of(Executors_, [](const auto &One) {
     return One.second.Held_;
   });
+  AllAsked_ = ListComplete && std::ranges::all_of(Executors_, [](const auto &One) {
+                return One.second.Held_ || One.second.Silent_;
+              });
   if (!Bound && !(ListComplete && AllHeld))
     return;
   Accounted_ = true;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -218,8 +218,10 @@
 
 void Scheduler::markDirty(const JobRun &Job) { Dirty_.insert(Job.Id_); }
 
-bool Scheduler::mayStart(const JobRun &Job, core::TimePoint) const {
-  return Job.Inherited_ ? Accounted_ : Flushed_ >= Job.BegunWith_;
+bool Scheduler::mayStart(const JobRun &Job, const work::StepSpec &Spec) const {
+  if (!Job.Inherited_)
+    return Flushed_ >= Job.BegunWith_;
+  return Accounted_ || (AllAsked_ && Spec.AllowDuplicates_ && !Spec.Gang_);
 }
 
 JobRun *Scheduler::jobOf(const work::TaskRef &Task) {
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -86,6 +86,23 @@
   cr_expect(lead::shouldClaim(View, Times));
 }
 
+// Pattern: two regions, the store in one of them. Guards against a leader in the other region,
+// whose every append takes a long way and whose term ends when the regions are cut from each other.
+Test(Election, whoIsFarFromTheStoreClaimsLater) {
+  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Times;
+  lead::ElectionView View = viewAt(Times.Silence_, &Beat);
+  View.GoneSince_ = View.Now_;
+  View.StoreTime_ = Millis(16);
+  cr_expect(!lead::shouldClaim(View, Times));
+  View.Now_ = View.ReadAt_ = View.Now_ + 3 * Times.Stagger_;
+  cr_expect(!lead::shouldClaim(View, Times), "three near daemons have their turns first");
+  // At a store that is slow for everyone, nobody waits for long.
+  View.StoreTime_ = Millis(3000);
+  View.Now_ = View.ReadAt_ = View.GoneSince_ + 4 * Times.Stagger_;
+  cr_expect(lead::shouldClaim(View, Times));
+}
+
 // Pattern: a large fleet with a few larger machines. Guards against a leader on the smallest
 // machine, which can't keep up with the executors.
 Test(Election, smallMachinesClaimAfterLargerOnes) {
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -426,6 +426,51 @@
   expectWhole(Fleet);
 }
 
+// Guards against urgent work that waits out the lease of a silent executor although its tasks may
+// run twice.
+Test(SchedulerTakeover, tasksThatAllowCopiesDoNotWaitForASilentExecutor) {
+  FakeFleet Fleet(calm());
+  addExecutors(Fleet, 3);
+  work::JobSpec Copies = jobOf(2, 800, 2);
+  for (work::StepSpec &Step : Copies.Steps_)
+    Step.AllowDuplicates_ = true;
+  Fleet.submit("copies", Copies);
+  Fleet.submit("plain", jobOf(2, 800, 2));
+  Fleet.run(Millis(400));
+  Fleet.cut("e0", Millis(60'000));
+  Fleet.takeOver();
+  Fleet.run(Millis(4500));
+  cr_expect(Fleet.stateOf("copies") == work::JobState::Completed);
+  Fleet.run(Millis(20'000));
+  cr_expect(Fleet.stateOf("plain") == work::JobState::Completed);
+  expectWhole(Fleet);
+}
+
+// Guards against copies that take a customer over its limit beside runs that nobody has seen.
+Test(SchedulerTakeover, copiesCountBesideWhatMayRunUnseen) {
+  FakeFleet Fleet(calm());
+  work::Manifest Manifest;
+  work::Queue Queue;
+  Queue.Name_ = "q";
+  Queue.Pool_ = "pool";
+  Manifest.Queues_.push_back(Queue);
+  Manifest.Customers_["c"] = {"c", 10, {5000, 0, 0}};
+  Fleet.setManifest(Manifest);
+  addExecutors(Fleet, 3, 2);
+  work::JobSpec Copies = jobOf(4, 20'000);
+  Copies.Steps_[0].AllowDuplicates_ = true;
+  Fleet.submit("copies", Copies);
+  Fleet.run(Millis(1000));
+  std::vector<std::string> Places = Fleet.placesOf("copies");
+  cr_assert_eq(Places.size(), 4);
+  for (const std::string &One : Places)
+    Fleet.cut(One, Millis(60'000));
+  Fleet.takeOver();
+  Fleet.run(Millis(3000));
+  // Four may run unseen, and one more fits.
+  cr_expect_leq(Fleet.placesOf("copies").size(), 5);
+}
+
 // Pattern: a store that answers slowly. Guards against a second append before the first start.
 Test(SchedulerTakeover, aJobBegunWithItsAcceptanceStartsWithoutTheStore) {
   FakeFleet Fleet(calm());
