daemon: refuse the number of pending jobs until all jobs are read

Cause: since a daemon is ready as soon as its leader answers, one that loads the jobs gently answers callers for seconds with a number of pending jobs that covers only the pages read so far. The stand-in's log gives the newest records in pages. Test: aDaemonThatStillLoadsTellsOnlyWhatItKnows failed before (200 with a number) and shows that such a daemon takes callers and tells states.

--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -112,6 +112,10 @@
     return;
   }
   if (Rest.empty() && Of->What_.Method_ == platform::CallMethod::Look) {
+    if (!Jobs_.loaded()) {
+      refuse(Of, ErrorKind::StoreUnavailable, "the jobs are still being read");
+      return;
+    }
     Of->answer(200, platform::encodePending(Context_.Ledger_.pendingOf(Of->Queue_->Name_)));
     return;
   }
--- a/tests/integration/PlatformFleetTest.cpp
+++ b/tests/integration/PlatformFleetTest.cpp
@@ -186,6 +186,25 @@
   cr_expect(All.awaitState(Other, First, "completed", Millis(5000)));
 }
 
+// Pattern: a small machine starts and loads many jobs gently. Guards against a number of pending
+// jobs that is too low because most have not been read, and against a daemon that takes no callers
+// until then.
+Test(PlatformStore, aDaemonThatStillLoadsTellsOnlyWhatItKnows) {
+  PlatformFleet All(1, 1);
+  for (int I = 0; I < 8; ++I)
+    cr_assert_eq(All.submit(0, "00000000000000c" + std::to_string(I), {8, 60'000}).Answer_.Status_,
+                 200);
+  // 24 pages of one record, 0.2 s apart.
+  All.control({{"page_records", 1}});
+  All.add(0.12);
+  cr_assert(waitFor(Millis(3000), [&] { return All.ready(1); }));
+  cr_expect_eq(All.call(1, "GET", "/q/").Answer_.Status_, 503);
+  cr_expect(All.stateOf(1, "00000000000000c7") == All.stateOf(0, "00000000000000c7"));
+  cr_expect(waitFor(Millis(15'000), [&] {
+    return All.call(1, "GET", "/q/").Answer_.Body_ == All.call(0, "GET", "/q/").Answer_.Body_;
+  }));
+}
+
 // Guards against an accepted job that is answered with a refusal because its answer was lost.
 Test(PlatformStore, aLostAnswerIsNoRefusal) {
   PlatformFleet All;
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -130,11 +130,16 @@
 
 void TopicLog::newest(const http::Request &Incoming, const Respond &Answer) {
   const Topic &From = Topics_[http::queryValue(Incoming.Query_, "topic")];
+  // The service calls the key to continue after "depends_on".
+  const std::string After = http::queryValue(Incoming.Query_, "depends_on");
   Json Items = Json::array();
-  for (const auto &[Key, Offset] : From.Newest_)
-    Items.push_back(
-        {{"key", Key}, {"value", base64(From.Records_[Offset].Value_)}, {"offset", Offset}});
-  Answer(jsonReply({{"items", Items}, {"has_more", false}, {"end", From.Records_.size()}}));
+  auto Next = After.empty() ? From.Newest_.begin() : From.Newest_.upper_bound(After);
+  for (; Next != From.Newest_.end() && Items.size() < PageRecords_; ++Next)
+    Items.push_back({{"key", Next->first},
+                     {"value", base64(From.Records_[Next->second].Value_)},
+                     {"offset", Next->second}});
+  Answer(jsonReply(
+      {{"items", Items}, {"has_more", Next != From.Newest_.end()}, {"end", From.Records_.size()}}));
 }
 
 void TopicLog::put(const std::string &Topic, const std::string &Key, const std::string &Value) {
@@ -145,6 +150,7 @@
 void TopicLog::control(const Json &Body) {
   assignIfPresent(Body, "store", State_);
   assignIfPresent(Body, "refused_daemon", Refused_);
+  assignIfPresent(Body, "page_records", PageRecords_);
 }
 
 Json TopicLog::evidence() const {
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -24,7 +24,8 @@
   void put(const std::string &Topic, const std::string &Key, const std::string &Value);
 
   /// Switches: "store" is "up", "refuse" (503), "silent" (no answer) or "lose" (appends are stored
-  /// and not answered); "refused_daemon" names one daemon that alone is refused.
+  /// and not answered); "refused_daemon" names one daemon that alone is refused;
+  /// "page_records" is how many newest records one answer has.
   void control(const Json &Body);
 
   /// \returns the number of records of each topic.
@@ -58,6 +59,7 @@
   std::map<std::string, Topic> Topics_;
   std::string State_ = "up";
   std::string Refused_ = "none";
+  std::size_t PageRecords_ = 1000;
 };
 
 } // namespace masticdrift::standins
