protocol: stop the link's receivers before their socket is closed

Ruled out: the cut connections (that case is not in this test any more) and a deadlock of our own locks (no other thread of ours holds one). Change: receivers wait 200 ms at most and end by a flag; the socket is closed after they have ended.

--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -30,6 +30,9 @@
 
 constexpr nng_duration RedialMinMs = 50;
 constexpr nng_duration RedialMaxMs = 500;
+/// Receivers look this often whether the link stops. nng 1.5.2 can miss a receiver when its socket
+/// is closed meanwhile, and then neither of them returns.
+constexpr nng_duration ReceiveWaitMs = 200;
 // Frame fields beside the body, so that a body of the full size still fits.
 constexpr std::size_t FrameRoom = 4096;
 
@@ -289,6 +292,7 @@
     NextCall_ = (static_cast<std::uint64_t>(Random()) << 32U) | 1U;
     if (nng_pull0_open(&Pull_) != 0)
       throw std::runtime_error("cannot open a pull socket");
+    nng_socket_set_ms(Pull_, NNG_OPT_RECVTIMEO, ReceiveWaitMs);
     nng_socket_set_size(Pull_, NNG_OPT_RECVMAXSZ, Options_.MaxMessage_ + FrameRoom);
     nng_listener Listener = NNG_LISTENER_INITIALIZER;
     int Error = nng_listener_create(&Listener, Pull_, ("tcp://" + Options_.Listen_).c_str());
@@ -307,13 +311,10 @@
   }
 
   void receive() {
-    for (;;) {
+    while (!ReceiversStop_) {
       nng_msg *Message = nullptr;
-      const int Error = nng_recvmsg(Pull_, &Message, 0);
-      if (Error == NNG_ECLOSED)
-        return;
-      if (Error != 0)
-        continue;
+      if (nng_recvmsg(Pull_, &Message, 0) != 0)
+        continue; // nothing came in time
       const std::string_view Bytes(static_cast<const char *>(nng_msg_body(Message)),
                                    nng_msg_len(Message));
       core::count("masticdrift_peer_bytes_total", {{"direction", "in"}},
@@ -465,9 +466,10 @@
       if (std::exchange(Stopped_, true))
         return;
     }
-    nng_close(Pull_);
+    ReceiversStop_ = true;
     for (auto &Receiver : Receivers_)
       Receiver.join();
+    nng_close(Pull_);
     decltype(Peers_) Peers;
     {
       const std::lock_guard Lock(Mutex_);
@@ -501,6 +503,7 @@
   std::unordered_map<std::uint64_t, OpenCall> Calls_;
   std::unordered_map<std::string, DelayFilter> Delays_;
   core::Timers Schedule_;
+  std::atomic<bool> ReceiversStop_{false};
   std::array<std::thread, 2> Receivers_;
 };
 
