--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -31,8 +31,8 @@
 constexpr nng_duration RedialMinMs = 50;
 constexpr nng_duration RedialMaxMs = 500;
 /// Receivers look this often whether the link stops. nng 1.5.2 can miss a receiver when its socket
-/// is closed meanwhile, and then neither of them returns.
-constexpr nng_duration ReceiveWaitMs = 200;
+/// is closed meanwhile, and then neither of them returns. A stop must not take longer than this.
+constexpr nng_duration ReceiveWaitMs = 25;
 // Frame fields beside the body, so that a body of the full size still fits.
 constexpr std::size_t FrameRoom = 4096;
 
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -26,6 +26,8 @@
       asio::ip::tcp::acceptor Next(Io);
       std::error_code Error;
       Next.open(asio::ip::tcp::v4());
+      // As the daemons do: other tests leave thousands of closed connections behind.
+      Next.set_option(asio::socket_base::reuse_address(true));
       Next.bind({asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(Port + I)}, Error);
       Free = !Error;
     }
