--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -27,7 +27,7 @@
 };
 
 /// A claim, a beat or a release of the leadership.
-struct LeadRecord {
+struct LeadershipRecord {
   std::string Instance_;
   std::string PeerAddress_;                ///< where other daemons reach the leader
   std::uint64_t Term_ = 0;                 ///< the claim's offset plus one
@@ -40,38 +40,38 @@
 
 /// Times of the election.
 struct ElectionTiming {
-  core::Millis Beat_{700};
+  core::Millis HeartbeatInterval_{700};
   /// Three beats and a slow store's answer.
-  core::Millis Silence_{2300};
+  core::Millis SilenceTimeout_{2300};
   /// Silence that is enough when the leader's address refuses connections, because its process is
   /// gone, or when it says that the store refuses it.
-  core::Millis SilenceWhenRefused_{500};
+  core::Millis RefusedSilenceTimeout_{500};
   /// Between the claims of different daemons, so that most are not made in vain.
-  core::Millis Stagger_{120};
+  core::Millis ClaimInterval_{120};
   /// When a daemon sees that the leader has been gone for this long already, the eight turns of the
   /// larger machines, turns count from then.
-  core::Millis CountAnew_{960};
+  core::Millis RestartTurnsAfter_{960};
   /// A daemon's turn comes this many times as much later as a call to the store takes it more than
   /// within a region: a leader makes two for each submission and one for each end, and loses the
   /// store when the regions are cut from each other.
-  int FarFactor_ = 40;
+  int StoreDelayFactor_ = 40;
   /// Above a call within a region (0.9 ms one way), below one between regions (8 ms).
-  core::Millis NearStore_{6};
-  core::Millis MostForFar_{480}; ///< four turns; a far daemon is still better than none
+  core::Millis NearStoreTime_{6};
+  core::Millis MaxStoreDelay_{480}; ///< four turns; a far daemon is still better than none
 };
 
 /// What a daemon knows when it decides.
 struct ElectionView {
   core::TimePoint Now_;
-  core::TimePoint ReadAt_;             ///< last answer to a read of the topic
-  core::TimePoint NewsAt_;             ///< when the newest record was read
-  const LeadRecord *Newest_ = nullptr; ///< null when the topic is empty
+  core::TimePoint LastReadAt_;                     ///< last answer to a read of the topic
+  core::TimePoint NewestReadAt_;                   ///< when the newest record was read
+  const LeadershipRecord *NewestRecord_ = nullptr; ///< null when the topic is empty
   std::int64_t WallMs_ = 0;
-  bool FoundOnStart_ = false;   ///< the newest record was there when this process began
-  bool Refused_ = false;        ///< the leader is known to be gone or cut off
-  unsigned Rank_ = 0;           ///< place in the order of claims
-  core::TimePoint GoneSince_;   ///< since when leaderIsGone() has been true
-  core::Duration StoreTime_{0}; ///< that the fastest call to the store took
+  bool FoundOnStart_ = false;          ///< the newest record was there when this process began
+  bool LeaderUnavailable_ = false;     ///< the leader is known to be gone or cut off
+  unsigned Rank_ = 0;                  ///< place in the order of claims
+  core::TimePoint LeaderGoneSince_;    ///< since when leaderIsGone() has been true
+  core::Duration FastestStoreTime_{0}; ///< that the fastest call to the store took
 };
 
 /// A daemon's place in the order of claims.
@@ -79,17 +79,17 @@
 /// \param Cores processor share of its machine. A leader of 350 executors used 0.32 cores, so
 /// smaller machines claim only when no larger one does. \returns 0 to 7 on machines of at least 0.2
 /// cores, 8 to 15 on smaller ones.
-unsigned rankOf(std::string_view Instance, double Cores);
+unsigned claimRank(std::string_view Instance, double Cores);
 
 /// \returns true for machines that hold ready what a leader needs; others read it when they claim.
-bool mayLead(double Cores);
+bool isPreferredLeader(double Cores);
 
 /// \returns true when there is no leader, as far as this daemon can know.
-bool leaderIsGone(const ElectionView &View, const ElectionTiming &Times);
+bool isLeaderGone(const ElectionView &View, const ElectionTiming &Timing);
 
 /// \returns true when this daemon should claim the leadership now: the leader is gone, and daemons
 /// with a lower rank have had their turns.
-bool shouldClaim(const ElectionView &View, const ElectionTiming &Times);
+bool shouldClaim(const ElectionView &View, const ElectionTiming &Timing);
 
 } // namespace masticdrift::lead
 
--- a/include/masticdrift/lead/Progress.h
+++ b/include/masticdrift/lead/Progress.h
@@ -23,60 +23,60 @@
 /// What the reported percentages of one run tell.
 struct Progress {
   core::TimePoint StartedAt_{};
-  core::TimePoint SampleAt_{}; ///< last report
-  core::TimePoint MovedAt_{};  ///< last report with a higher percentage than before
+  core::TimePoint SampleAt_{};   ///< last report
+  core::TimePoint AdvancedAt_{}; ///< last report with a higher percentage than before
   int Percent_ = 0;
-  double PerMs_ = 0;      ///< recent percent per millisecond, 0 while unknown
-  bool FromStart_ = true; ///< false for a run that goes on from a checkpoint or was adopted
+  double PercentPerMs_ = 0; ///< recent percent per millisecond, 0 while unknown
+  bool FromStart_ = true;   ///< false for a run that goes on from a checkpoint or was adopted
 };
 
 /// A run whose end is waited for.
-struct Watched {
+struct MoveCandidate {
   const Progress &Progress_;
   /// Run time of its like on other executors. Declared times are too rough to give a run up for.
-  std::optional<core::Millis> Typical_;
-  core::Millis Overhead_; ///< lost by a start elsewhere: the stop and the way there
-  bool Keeps_ = false;    ///< goes on from a checkpoint when started elsewhere
+  std::optional<core::Millis> TypicalTime_;
+  core::Millis RestartOverhead_;       ///< lost by a start elsewhere: the stop and the way there
+  bool ResumesFromCheckpoint_ = false; ///< goes on from a checkpoint when started elsewhere
 };
 
 /// Takes a report in.
 /// \param Percent work done, 0 to 100.
-void observe(Progress &Of, int Percent, core::TimePoint Now);
+void addSample(Progress &RunProgress, int Percent, core::TimePoint Now);
 
 /// \param Declared the declared run time, for runs that have not moved yet.
 /// \returns true when the run has stood still for much longer than one percent of its work takes.
-bool standsStill(const Progress &Of, core::Millis Declared, core::TimePoint Now);
+bool isStalled(const Progress &RunProgress, core::Millis DeclaredTime, core::TimePoint Now);
 
 /// \returns the time until the end at the recent rate, or nothing while the rate is unknown.
-std::optional<core::Millis> remaining(const Progress &Of, core::TimePoint Now);
+std::optional<core::Millis> remainingTime(const Progress &RunProgress, core::TimePoint Now);
 
 /// \returns true when a start elsewhere would end well before the run does here.
-bool shouldMove(const Watched &Of, core::TimePoint Now);
+bool shouldMove(const MoveCandidate &Candidate, core::TimePoint Now);
 
 /// Run times of one kind of task in multiples of the declared time.
-struct RunTimes {
+struct RunTimeRatio {
   double Ratio_ = 1;
-  double Spread_ = 0; ///< mean distance from the ratio
-  std::uint32_t Seen_ = 0;
+  double MeanDeviation_ = 0; ///< mean distance from the ratio
+  std::uint32_t Samples_ = 0;
 };
 
 /// Takes the run time of an ended run in.
-void observe(RunTimes &Of, double Ratio);
+void addSample(RunTimeRatio &Estimate, double Ratio);
 
 /// \returns the ratio when enough runs have ended close to it.
-std::optional<double> ratioOf(const RunTimes &Of);
+std::optional<double> trustedRatio(const RunTimeRatio &Estimate);
 
 /// How slow an executor is: the run times there in multiples of the typical ones.
 struct Slowness {
   double Factor_ = 1;
-  core::TimePoint At_{};
+  core::TimePoint UpdatedAt_{};
 };
 
 /// Takes the run time of one ended or projected run in.
-void observe(Slowness &Of, double Factor, core::TimePoint Now);
+void addSample(Slowness &Estimate, double Factor, core::TimePoint Now);
 
 /// \returns the factor now; what was observed fades, so that a recovered executor is tried again.
-double factorOf(const Slowness &Of, core::TimePoint Now);
+double slownessFactor(const Slowness &Estimate, core::TimePoint Now);
 
 } // namespace masticdrift::lead
 
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -16,52 +16,52 @@
 namespace masticdrift::lead {
 
 /// Times of the leader.
-struct Timing {
+struct SchedulerTiming {
   /// Lease of everything that runs. Long enough for a takeover (about 3 s) and a second round of
   /// renewals; short enough that work of a lost executor starts again soon.
   core::Millis Lease_{7000};
   /// Executors shorten every lease to this (a setting of the platform). A new incarnation can get
   /// it from an order that was meant for the clock of the one before.
-  core::Millis LongestLease_{10'000};
+  core::Millis MaxLease_{10'000};
   /// Clock rate error of an executor (2%) plus the same again for rounding and queueing.
-  double LeaseMargin_ = 1.04;
+  double ClockRateMargin_ = 1.04;
   /// An earlier leader has met a newer token at some executor by this time, because it asks each
   /// one about every second.
-  core::Millis StaleLeader_{3000};
+  core::Millis StaleLeaderTime_{3000};
   /// A list read by a new process may lack entries that lapsed in a store outage; they are back
   /// about 2 s after its return.
-  core::Millis ListSettles_{2500};
+  core::Millis ListSettleTime_{2500};
   core::Millis HoldWait_{900};        ///< an executor without news answers after this time
   core::Millis HoldSpacing_{25};      ///< between an answer with ends and the next request
   core::Millis OverdueHoldWait_{250}; ///< the same when a run there should have ended
   /// Until then an order without an answer may be carried out (12 s, and its way).
-  core::Millis LatestOrder_{13'000};
-  core::Millis HoldRetry_{300};   ///< after a request without an answer
-  core::Millis UnackedHold_{400}; ///< between requests while ends are not durable
-  core::Millis OrderRetry_{60};   ///< before an unanswered order is repeated
+  core::Millis MaxOrderDelay_{13'000};
+  core::Millis HoldRetryDelay_{300};     ///< after a request without an answer
+  core::Millis UnackedHoldSpacing_{400}; ///< between requests while ends are not durable
+  core::Millis OrderRetryDelay_{60};     ///< before an unanswered order is repeated
   /// An accepted job is read by then: the reads' wait, a slow store's answer and a rest.
-  core::Millis UnknownJob_{3000};
-  core::Millis AvoidFailing_{4000}; ///< an executor that fails runs in a row gets no new ones
-  core::Millis TicketMargin_{200};  ///< tickets count as expired this much earlier
-  core::Millis AdviceRetry_{150};   ///< after advice that brought nothing
-  core::Millis AvoidStill_{1500};   ///< an executor on which runs stand still gets no new ones
-  core::Millis MoveTime_{400};      ///< lost when a run is stopped and started elsewhere
-  core::Millis DrainMargin_{700};   ///< runs are stopped this long before a draining executor ends
+  core::Millis UnknownJobWait_{3000};
+  core::Millis AvoidFailingTime_{4000}; ///< an executor that fails runs in a row gets no new ones
+  core::Millis TicketMargin_{200};      ///< tickets count as expired this much earlier
+  core::Millis AdviceRetryDelay_{150};  ///< after advice that brought nothing
+  core::Millis AvoidStalledTime_{1500}; ///< an executor on which runs stand still gets no new ones
+  core::Millis MoveTime_{400};          ///< lost when a run is stopped and started elsewhere
+  core::Millis DrainMargin_{700}; ///< runs are stopped this long before a draining executor ends
   /// A request sent this long after a draining executor's entry went away finds it gone.
   core::Millis LeaveMargin_{200};
-  int StartAttempts_ = 3; ///< start orders before a stop settles the run
+  int MaxStartAttempts_ = 3; ///< start orders before a stop settles the run
   /// Start orders on their way at the same time. The smallest machines (0.12 cores) handle about
   /// 600 a second, so that these are served within half of an order's time limit.
-  int StartsOnTheWay_ = 128;
+  int MaxStartsInFlight_ = 128;
   /// Run times in multiples of the typical one that count as slow; executors differ by 1.6 anyway.
   double SlowFactor_ = 2;
-  int SlowJobsToMove_ = 2;    ///< slow jobs that make an executor slow
-  int MostMoves_ = 3;         ///< runs of one task given up because they were too slow
-  int FailedJobsToAvoid_ = 2; ///< jobs failing in a row that make an executor suspect
+  int MinSlowJobs_ = 2;   ///< slow jobs that make an executor slow
+  int MaxMoves_ = 3;      ///< runs of one task given up because they were too slow
+  int MinFailedJobs_ = 2; ///< jobs failing in a row that make an executor suspect
 };
 
 /// What the driver carries out. Results come back through the Scheduler's on... functions.
-struct Ports {
+struct SchedulerActions {
   std::function<void(const fleet::ExecutorInfo &, const fleet::StartOrder &)> Start_;
   std::function<void(const fleet::ExecutorInfo &, const RunKey &)> Stop_;
   std::function<void(const fleet::ExecutorInfo &, const RunKey &, int Percent)> Pace_;
@@ -71,18 +71,19 @@
   /// Ask which executors may run a step; lower urgency values go first.
   std::function<void(const work::TaskRef &Step, std::vector<std::string> Executors,
                      double ExpectedMs, std::pair<int, core::TimePoint> Urgency)>
-      Advise_;
+      RequestAdvice_;
   /// A decision for the log: event, task, run, executor, detail.
   std::function<void(std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
-                     std::string_view Executor, std::string_view Detail)>
-      Note_;
+                     std::string_view ExecutorId, std::string_view Detail)>
+      LogDecision_;
 };
 
 class Scheduler {
 public:
   /// \param Token fencing token of this term, higher than that of every earlier one.
   /// \param FreshList true when the executor list was first read moments ago.
-  Scheduler(std::uint64_t Token, Timing Times, Ports Out, core::TimePoint Now, bool FreshList);
+  Scheduler(std::uint64_t FencingToken, SchedulerTiming Timing, SchedulerActions Actions,
+            core::TimePoint Now, bool ListMayBeIncomplete);
 
   /// Takes a new configuration into force.
   void setManifest(const work::Manifest &Manifest, core::TimePoint Now);
@@ -95,22 +96,22 @@
   bool hasEnded(const std::string &Id) const;
 
   /// A job that ended long ago is gone from the log.
-  void onJobForgotten(const std::string &Id) { Final_.erase(Id); }
+  void onJobForgotten(const std::string &Id) { FinalJobs_.erase(Id); }
 
   /// An entry of the executor list appeared or changed.
   void onExecutor(const fleet::ExecutorInfo &Info, core::TimePoint Now);
   /// An entry of the executor list went away.
   void onExecutorGone(std::string_view Id, core::TimePoint Now);
 
-  void onHold(std::string_view Executor, fleet::OrderOutcome Outcome, const fleet::Report &Report,
-              core::TimePoint SentAt, core::TimePoint Now);
-  void onStarted(std::string_view Executor, const RunKey &Which, fleet::OrderOutcome Outcome,
-                 std::int64_t ClockMs, core::TimePoint Now);
-  void onStopped(std::string_view Executor, const RunKey &Which, fleet::OrderOutcome Outcome,
-                 core::TimePoint Now);
+  void onHoldResult(std::string_view ExecutorId, fleet::OrderOutcome Outcome,
+                    const fleet::Report &Report, core::TimePoint SentAt, core::TimePoint Now);
+  void onStartResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
+                     std::int64_t ClockMs, core::TimePoint Now);
+  void onStopResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
+                    core::TimePoint Now);
   /// \param Good empty optional when no usable answer came.
   void onAdvice(const work::TaskRef &Step, std::span<const std::string> Asked,
-                const std::optional<std::vector<fleet::Advised>> &Good, core::TimePoint Now);
+                const std::optional<std::vector<fleet::Advised>> &Allowed, core::TimePoint Now);
 
   /// Does everything that is due: orders, holds, placements.
   void tick(core::TimePoint Now, std::int64_t WallMs);
@@ -124,7 +125,7 @@
   bool fenced() const { return Fenced_; }
 
   /// \returns executors without an entry in the list that may still run something.
-  std::vector<fleet::ExecutorInfo> unlisted() const;
+  std::vector<fleet::ExecutorInfo> unlistedExecutors() const;
 
   struct Counts {
     std::size_t Jobs_ = 0, Waiting_ = 0, Running_ = 0, Executors_ = 0, Silent_ = 0;
@@ -136,96 +137,103 @@
   friend struct PlacementPass;
 
   // Jobs.
-  void build(JobRun &Job, core::TimePoint Now, std::int64_t WallMs);
-  void refreshReady(JobRun &Job, std::uint32_t Occurrence);
-  void finishTask(JobRun &Job, const work::TaskRef &Task, core::TimePoint Now);
-  void finishStep(JobRun &Job, std::uint32_t Occurrence, std::uint32_t Step, core::TimePoint Now);
-  void endJob(JobRun &Job, work::JobState State, core::TimePoint Now);
-  void countFailure(JobRun &Job, const work::TaskRef &Task, std::uint64_t Number,
+  void initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs);
+  void updateReadySteps(TrackedJob &Job, std::uint32_t Occurrence);
+  void finishTask(TrackedJob &Job, const work::TaskRef &Task, core::TimePoint Now);
+  void finishStep(TrackedJob &Job, std::uint32_t Occurrence, std::uint32_t Step,
+                  core::TimePoint Now);
+  void endJob(TrackedJob &Job, work::JobState State, core::TimePoint Now);
+  void countFailure(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t Number,
                     core::TimePoint Now);
-  void markDirty(const JobRun &Job);
+  void markDirty(const TrackedJob &Job);
   /// \returns true when no run of a step's tasks that this leader does not know of is in the way.
-  bool mayStart(const JobRun &Job, const work::StepSpec &Spec) const;
-  JobRun *jobOf(const work::TaskRef &Task);
-  StepRun *stepOf(JobRun &Job, const work::TaskRef &Task);
-  const work::StepSpec &specOf(const JobRun &Job, const work::TaskRef &Task) const;
+  bool mayStart(const TrackedJob &Job, const work::StepSpec &Spec) const;
+  TrackedJob *findJob(const work::TaskRef &Task);
+  TrackedStep *findStep(TrackedJob &Job, const work::TaskRef &Task);
+  const work::StepSpec &stepSpec(const TrackedJob &Job, const work::TaskRef &Task) const;
 
   // Runs and executors.
-  Run &addRun(ExecutorState &At, JobRun *Job, const work::TaskRef &Task, std::uint64_t Number,
-              RunState State, core::TimePoint Now);
-  void dropRun(ExecutorState &At, const RunKey &Which, core::TimePoint Now);
-  void orderStart(ExecutorState &At, Run &Which, core::TimePoint Now);
-  void orderStop(ExecutorState &At, Run &Which, core::TimePoint Now);
-  void stopRun(ExecutorState &At, Run &Which, std::string_view Why, core::TimePoint Now);
-  void stopAllOf(JobRun &Job, std::string_view Why, core::TimePoint Now);
-  void stopStep(JobRun &Job, const work::TaskRef &Task, std::string_view Why, core::TimePoint Now);
-  void takeEnd(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
-  void judgeFailure(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
-  void applyEnd(JobRun &Job, const fleet::EndRow &End, std::string_view Executor, bool RunWasKnown,
-                core::TimePoint Now);
-  void takeRunning(ExecutorState &At, const fleet::RunningRow &Row, core::TimePoint Now);
-  void settleMissing(ExecutorState &At, const fleet::Report &Report, core::TimePoint SentAt,
-                     core::TimePoint Now);
-  void takeEnds(ExecutorState &At, std::span<const fleet::EndRow> Rows, core::TimePoint Now);
-  void settleLateJob(JobRun &Job, core::TimePoint Now);
-  bool mustWaitForJob(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
-  void preventLostStarts(ExecutorState &At, core::TimePoint Now);
-  void reborn(ExecutorState &At, const fleet::Report &Report, core::TimePoint Now);
-  static void forgetIncarnation(ExecutorState &At);
-  void loseAll(ExecutorState &At, std::string_view Why, core::TimePoint Now);
-  void renewed(ExecutorState &At, core::TimePoint Now);
-  std::int64_t untilOf(const ExecutorState &At, core::TimePoint Now) const;
-  void tickExecutor(ExecutorState &At, core::TimePoint Now);
+  Run &addRun(ExecutorState &Executor, TrackedJob *Job, const work::TaskRef &Task,
+              std::uint64_t Number, RunState State, core::TimePoint Now);
+  void removeRun(ExecutorState &Executor, const RunKey &Key, core::TimePoint Now);
+  void sendStart(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
+  void sendStop(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
+  void stopRun(ExecutorState &Executor, Run &ActiveRun, std::string_view Reason,
+               core::TimePoint Now);
+  void stopJobRuns(TrackedJob &Job, std::string_view Reason, core::TimePoint Now);
+  void stopStepRuns(TrackedJob &Job, const work::TaskRef &Task, std::string_view Reason,
+                    core::TimePoint Now);
+  void processEnd(ExecutorState &Executor, const fleet::EndRow &End, core::TimePoint Now);
+  void recordFailure(ExecutorState &Executor, const fleet::EndRow &End, core::TimePoint Now);
+  void applyEnd(TrackedJob &Job, const fleet::EndRow &End, std::string_view ExecutorId,
+                bool RunWasKnown, core::TimePoint Now);
+  void processRunning(ExecutorState &Executor, const fleet::RunningRow &Row, core::TimePoint Now);
+  void removeMissingRuns(ExecutorState &Executor, const fleet::Report &Report,
+                         core::TimePoint SentAt, core::TimePoint Now);
+  void processEnds(ExecutorState &Executor, std::span<const fleet::EndRow> Rows,
+                   core::TimePoint Now);
+  void reconcileLateJob(TrackedJob &Job, core::TimePoint Now);
+  bool mustWaitForJob(ExecutorState &Executor, const fleet::EndRow &End, core::TimePoint Now);
+  void preventLostStarts(ExecutorState &Executor, core::TimePoint Now);
+  void handleRestart(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
+  static void resetIncarnation(ExecutorState &Executor);
+  void removeAllRuns(ExecutorState &Executor, std::string_view Reason, core::TimePoint Now);
+  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
+  std::int64_t leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const;
+  void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
   /// Gives the order that a run needs now. \returns true while the run may need another one.
-  bool tickRun(ExecutorState &At, Run &Which, core::TimePoint Now);
-  void drain(ExecutorState &At, core::TimePoint Now);
+  bool tickRun(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
+  void stopDrainingRuns(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the run time of a task's like, or nothing while too few have ended.
-  std::optional<core::Millis> typicalTime(const JobRun &Job, const work::TaskRef &Task) const;
-  void learnRunTime(JobRun &Job, ExecutorState &At, const Run &Ended, core::TimePoint Now);
-  void watchProgress(ExecutorState &At, core::TimePoint Now);
-  void moveRun(ExecutorState &At, Run &Which, std::string_view Why, core::TimePoint Now);
+  std::optional<core::Millis> typicalRunTime(const TrackedJob &Job,
+                                             const work::TaskRef &Task) const;
+  void recordRunTime(TrackedJob &Job, ExecutorState &Executor, const Run &EndedRun,
+                     core::TimePoint Now);
+  void checkProgress(ExecutorState &Executor, core::TimePoint Now);
+  void moveRun(ExecutorState &Executor, Run &ActiveRun, std::string_view Reason,
+               core::TimePoint Now);
   /// Stops all runs of a task but the one that has ended.
-  void stopCopies(const work::TaskRef &Task, std::uint64_t Ended, core::TimePoint Now);
-  core::Millis holdWaitOf(const ExecutorState &At, core::TimePoint Now) const;
-  void shieldServing(ExecutorState &At, core::TimePoint Now);
+  void stopCopies(const work::TaskRef &Task, std::uint64_t EndedRun, core::TimePoint Now);
+  core::Millis holdWait(const ExecutorState &Executor, core::TimePoint Now) const;
+  void adjustPace(ExecutorState &Executor, core::TimePoint Now);
   void updateAccounted(core::TimePoint Now);
 
   // Placement.
-  void place(core::TimePoint Now, std::int64_t WallMs);
-  void note(std::string_view Event, const work::TaskRef &Task, std::uint64_t Number,
-            std::string_view Executor, std::string_view Detail) const;
+  void placeWaiting(core::TimePoint Now, std::int64_t WallMs);
+  void logDecision(std::string_view Event, const work::TaskRef &Task, std::uint64_t Number,
+                   std::string_view ExecutorId, std::string_view Detail) const;
 
   const std::uint64_t Token_;
-  const Timing Times_;
-  const Ports Out_;
+  const SchedulerTiming Timing_;
+  const SchedulerActions Actions_;
   const core::TimePoint TermStart_;
-  const bool FreshList_;
+  const bool ListMayBeIncomplete_;
   bool Fenced_ = false;
-  bool Accounted_ = false; ///< every run of earlier leaders is known or over
-  bool AllAsked_ = false;  ///< the same but for executors that have not answered when asked
-  bool PlaceDue_ = true;
-  int StartsOnTheWay_ = 0; ///< start orders without a result
-  core::TimePoint NextPlace_{};
+  bool Accounted_ = false;    ///< every run of earlier leaders is known or over
+  bool AllContacted_ = false; ///< the same but for executors that have not answered when asked
+  bool PlacementDue_ = true;
+  int StartsInFlight_ = 0; ///< start orders without a result
+  core::TimePoint NextPlacementAt_{};
   work::Manifest Manifest_;
-  std::unordered_map<std::string, JobRun> Jobs_;
-  std::set<std::string> Final_; ///< ended jobs that the log still knows
+  std::unordered_map<std::string, TrackedJob> Jobs_;
+  std::set<std::string> FinalJobs_; ///< ended jobs that the log still knows
   std::map<std::string, ExecutorState, std::less<>> Executors_;
-  std::vector<ExecutorState *> BySlot_;                     ///< null once the executor is forgotten
-  std::unordered_map<std::string, core::Resources> UsedBy_; ///< by customer
+  std::vector<ExecutorState *> ByOrdinal_; ///< null once the executor is forgotten
+  std::unordered_map<std::string, core::Resources> UsedByCustomer_; ///< by customer
   /// What each customer's first-priority work used at its peak, decaying.
-  struct Peak {
+  struct DemandPeak {
     core::Resources Highest_; ///< in use and waiting
-    core::Resources Now_;     ///< the same at the last pass
+    core::Resources Demand_;  ///< the same at the last pass
     core::Resources InUse_;
-    core::TimePoint At_;
+    core::TimePoint UpdatedAt_;
   };
-  std::unordered_map<std::string, Peak> UrgentPeaks_;
-  std::unordered_map<std::string, std::pair<double, core::TimePoint>> ShareTokens_;
-  std::set<std::string> Dirty_;
-  std::unordered_map<std::string, double> AdviceYield_; ///< part of good answers, by queue
-  std::unordered_map<std::string, RunTimes> RunTimes_;  ///< by queue and image
+  std::unordered_map<std::string, DemandPeak> UrgentPeaks_;
+  std::unordered_map<std::string, std::pair<double, core::TimePoint>> RateTokens_;
+  std::set<std::string> DirtyJobs_;
+  std::unordered_map<std::string, double> AdviceYield_;         ///< part of good answers, by queue
+  std::unordered_map<std::string, RunTimeRatio> RunTimeRatios_; ///< by queue and image
   std::uint64_t NextFlush_ = 1;
-  std::uint64_t Flushed_ = 0;
+  std::uint64_t DurableFlush_ = 0;
 };
 
 /// \returns the run number of the \p Counter-th run under a token; rises with both.
--- a/include/masticdrift/lead/detail/Times.h
+++ b/include/masticdrift/lead/detail/Times.h
@@ -11,11 +11,11 @@
 inline constexpr core::Millis LeaseSlack{250};
 
 /// \returns true for a point in time that was never set.
-inline bool never(core::TimePoint At) { return At == core::TimePoint{}; }
+inline bool isUnset(core::TimePoint Time) { return Time == core::TimePoint{}; }
 
 /// \returns the time after which a lease has surely ended on an executor's slower clock.
-inline core::Duration stretched(core::Millis Lease, double Margin) {
-  return std::chrono::duration_cast<core::Duration>(Lease * Margin) + LeaseSlack;
+inline core::Duration leaseUpperBound(core::Millis Lease, double ClockRateMargin) {
+  return std::chrono::duration_cast<core::Duration>(Lease * ClockRateMargin) + LeaseSlack;
 }
 
 } // namespace masticdrift::lead::detail
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -99,7 +99,7 @@
                  return LeaderJobsRest;
                return Leader_.leaderHeard() ? FollowerJobsRest : UnledJobsRest;
              },
-             !lead::mayLead(Settings.Cores_)},
+             !lead::isPreferredLeader(Settings.Cores_)},
             {[this](const platform::KeyedRecord &One) { onJobRecord(One); }, [](const auto &) {}}),
         Specs_(
             Loop_, Store_,
@@ -145,7 +145,7 @@
                {"incarnation", Context_.Incarnation_},
                {"store", Settings_.StoreAddress_}});
     Jobs_.start();
-    if (lead::mayLead(Settings_.Cores_))
+    if (lead::isPreferredLeader(Settings_.Cores_))
       Specs_.start();
     Config_.start();
     Executors_.start();
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -79,7 +79,7 @@
   void onLeadRecord(const platform::KeyedRecord &One) {
     if (One.Key_ != LeadKey || (Newest_ && One.Offset_ <= NewestOffset_))
       return;
-    auto Record = core::unpack<lead::LeadRecord>(One.Value_);
+    auto Record = core::unpack<lead::LeadershipRecord>(One.Value_);
     if (!Record) {
       core::log(core::LogLevel::Warning, "leadership record is unreadable",
                 {{"offset", std::to_string(One.Offset_)}});
@@ -121,23 +121,24 @@
         core::wallMillis(), FoundOnStart_,
         // While the store is away from this daemon too, nothing is gained by a claim.
         Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
-        lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_,
+        lead::claimRank(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_,
         Context_.Store_.fastest()};
-    if (!lead::leaderIsGone(View, {})) {
+    if (!lead::isLeaderGone(View, {})) {
       GoneSince_ = {};
       return;
     }
     if (GoneSince_ == core::TimePoint{})
-      View.GoneSince_ = GoneSince_ = View.Now_;
+      View.LeaderGoneSince_ = GoneSince_ = View.Now_;
     if (lead::shouldClaim(View, {}))
       claim();
   }
 
   platform::KeyedRecord leadRecord(std::uint64_t Term, bool Released) const {
-    lead::LeadRecord Record{Context_.Settings_.Instance_, Context_.PeerAddress_, Term, Released,
-                            core::wallMillis(),           Context_.Incarnation_, {}};
+    lead::LeadershipRecord Record{
+        Context_.Settings_.Instance_, Context_.PeerAddress_, Term, Released,
+        core::wallMillis(),           Context_.Incarnation_, {}};
     if (Scheduler_) {
-      for (const fleet::ExecutorInfo &One : Scheduler_->unlisted())
+      for (const fleet::ExecutorInfo &One : Scheduler_->unlistedExecutors())
         Record.Unlisted_.push_back({One.Id_, One.Address_});
     } else if (Newest_) {
       Record.Unlisted_ = Newest_->Unlisted_;
@@ -177,7 +178,7 @@
   void beat() {
     if (Role_ == Role::Follower)
       return;
-    after(BeatTimer_, lead::ElectionTiming{}.Beat_, [this] { beat(); });
+    after(BeatTimer_, lead::ElectionTiming{}.HeartbeatInterval_, [this] { beat(); });
     if (Beating_)
       return;
     Beating_ = true;
@@ -197,7 +198,7 @@
     core::count("masticdrift_takeovers_total");
     core::log(core::LogLevel::Info, "term begins", {{"term", std::to_string(Term_)}});
     fence();
-    after(BeatTimer_, lead::ElectionTiming{}.Beat_, [this] { beat(); });
+    after(BeatTimer_, lead::ElectionTiming{}.HeartbeatInterval_, [this] { beat(); });
   }
 
   /// Shuts earlier leaders out of the jobs topic; after that its end is known to be final for them.
@@ -257,8 +258,8 @@
     // Entries lapse after three heartbeats; beats that came until then show a store that was there.
     const bool ListMayLack = Now - Context_.StartedAt_ < FreshProcess &&
                              BeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
-    lead::Timing Times;
-    Times.LongestLease_ = core::Millis(Context_.Settings_.HoldMaxMs_);
+    lead::SchedulerTiming Times;
+    Times.MaxLease_ = core::Millis(Context_.Settings_.HoldMaxMs_);
     Scheduler_.emplace(Term_, Times, ports(), Now, ListMayLack);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
@@ -477,23 +478,23 @@
     });
   }
 
-  lead::Ports ports() {
-    lead::Ports Out;
+  lead::SchedulerActions ports() {
+    lead::SchedulerActions Out;
     Out.Start_ = [this](const fleet::ExecutorInfo &At, const fleet::StartOrder &Order) {
       core::count("masticdrift_task_starts_total");
       Orders_.start(At, Order,
                     led<platform::OrderAnswer>(
                         [this, Id = At.Id_, Key = lead::RunKey{Order.Task_, Order.Run_}](
                             const platform::OrderAnswer &Answer) {
-                          Scheduler_->onStarted(Id, Key, Answer.Outcome_, Answer.ClockMs_,
-                                                core::Clock::now());
+                          Scheduler_->onStartResult(Id, Key, Answer.Outcome_, Answer.ClockMs_,
+                                                    core::Clock::now());
                         }));
     };
     Out.Stop_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key) {
       Orders_.stop(
           At, Key, Term_,
           led<platform::OrderAnswer>([this, Id = At.Id_, Key](const platform::OrderAnswer &Answer) {
-            Scheduler_->onStopped(Id, Key, Answer.Outcome_, core::Clock::now());
+            Scheduler_->onStopResult(Id, Key, Answer.Outcome_, core::Clock::now());
           }));
     };
     Out.Pace_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key, int Percent) {
@@ -512,15 +513,16 @@
                                         const platform::HoldAnswer &Answer) {
             for (const fleet::EndRow &One : Answer.Report_.Ended_)
               core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(One.Kind_))}});
-            Scheduler_->onHold(Id, Answer.Outcome_, Answer.Report_, SentAt, core::Clock::now());
+            Scheduler_->onHoldResult(Id, Answer.Outcome_, Answer.Report_, SentAt,
+                                     core::Clock::now());
           }));
     };
-    Out.Advise_ = [this](const work::TaskRef &Step, std::vector<std::string> Executors,
-                         double ExpectedMs, std::pair<int, core::TimePoint> Urgency) {
+    Out.RequestAdvice_ = [this](const work::TaskRef &Step, std::vector<std::string> Executors,
+                                double ExpectedMs, std::pair<int, core::TimePoint> Urgency) {
       Desk_.ask({Step, std::move(Executors), ExpectedMs, Urgency}, core::Clock::now());
     };
-    Out.Note_ = [this](std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
-                       std::string_view Executor, std::string_view Detail) {
+    Out.LogDecision_ = [this](std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
+                              std::string_view Executor, std::string_view Detail) {
       if (Task.Job_.empty()) { // about an executor as a whole
         core::log(core::LogLevel::Info, Event,
                   {{"executor", std::string(Executor)},
@@ -629,8 +631,9 @@
     http::ClientRequest Call;
     Call.Method_ = "POST";
     Call.Url_ = "http://" + Newest_->PeerAddress_ + protocol::HelloPath;
-    const bool CanLead = lead::mayLead(Context_.Settings_.Cores_) && !Context_.Stopping_ &&
-                         Jobs_.loaded() && !Jobs_.failing() && !Lead_.failing();
+    const bool CanLead = lead::isPreferredLeader(Context_.Settings_.Cores_) &&
+                         !Context_.Stopping_ && Jobs_.loaded() && !Jobs_.failing() &&
+                         !Lead_.failing();
     Call.Body_ =
         core::pack(protocol::Hello{Context_.Settings_.Instance_, Context_.PeerAddress_,
                                    Context_.Settings_.Domain_, Context_.Settings_.Cores_, CanLead});
@@ -698,7 +701,7 @@
   bool LeaderCutOff_ = false;
   bool LeaderHeard_ = false; ///< the leader answered the last offer of help
   Role Role_ = Role::Follower;
-  std::optional<lead::LeadRecord> Newest_;
+  std::optional<lead::LeadershipRecord> Newest_;
   std::uint64_t NewestOffset_ = 0;
   core::TimePoint NewsAt_{};
   core::TimePoint GoneSince_{}; ///< since when no leader is known; zero while there is one
@@ -766,7 +769,7 @@
     return false;
   Impl_->Desk_.offer(From.PeerAddress_, core::Clock::now());
   Impl_->Orders_.offer(From, core::Clock::now());
-  if (From.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
+  if (From.CanLead_ && !lead::isPreferredLeader(Impl_->Context_.Settings_.Cores_))
     Impl_->release("a larger machine can lead");
   return true;
 }
--- a/src/lead/Election.cpp
+++ b/src/lead/Election.cpp
@@ -8,52 +8,54 @@
 
 namespace {
 
-constexpr double SmallMachine = 0.2; // cores
+constexpr double SmallMachineCores = 0.2; // cores
 
 /// \returns for how long the leader has counted as gone; negative while it does not.
-core::Duration goneFor(const ElectionView &View, const ElectionTiming &Times) {
-  core::Duration Quiet = View.Now_ - View.NewsAt_;
-  if (View.Newest_ == nullptr || View.Newest_->Released_)
-    return Quiet;
+core::Duration leaderGoneFor(const ElectionView &View, const ElectionTiming &Timing) {
+  core::Duration Silence = View.Now_ - View.NewestReadAt_;
+  if (View.NewestRecord_ == nullptr || View.NewestRecord_->Released_)
+    return Silence;
   // A record found on start may be old already; its age by the wall clock is only a hint, since a
   // claim that comes too early costs a takeover and nothing else.
   if (View.FoundOnStart_)
-    Quiet += std::max<core::Duration>(core::Millis(View.WallMs_ - View.Newest_->WallMs_),
-                                      core::Duration(0));
-  return Quiet - (View.Refused_ ? Times.SilenceWhenRefused_ : Times.Silence_);
+    Silence += std::max<core::Duration>(core::Millis(View.WallMs_ - View.NewestRecord_->WallMs_),
+                                        core::Duration(0));
+  return Silence -
+         (View.LeaderUnavailable_ ? Timing.RefusedSilenceTimeout_ : Timing.SilenceTimeout_);
 }
 
 } // namespace
 
-bool mayLead(double Cores) { return Cores >= SmallMachine; }
+bool isPreferredLeader(double Cores) { return Cores >= SmallMachineCores; }
 
-unsigned rankOf(std::string_view Instance, double Cores) {
-  constexpr unsigned Places = 8;
-  const auto Place = static_cast<unsigned>(XXH3_64bits(Instance.data(), Instance.size()) % Places);
-  return Cores < SmallMachine ? Places + Place : Place;
+unsigned claimRank(std::string_view Instance, double Cores) {
+  constexpr unsigned RanksPerSize = 8;
+  const auto Rank =
+      static_cast<unsigned>(XXH3_64bits(Instance.data(), Instance.size()) % RanksPerSize);
+  return Cores < SmallMachineCores ? RanksPerSize + Rank : Rank;
 }
 
-bool leaderIsGone(const ElectionView &View, const ElectionTiming &Times) {
+bool isLeaderGone(const ElectionView &View, const ElectionTiming &Timing) {
   // A daemon that does not reach the store can't know whether the leader is silent.
-  if (View.Now_ - View.ReadAt_ > Times.Silence_)
+  if (View.Now_ - View.LastReadAt_ > Timing.SilenceTimeout_)
     return false;
-  return goneFor(View, Times) >= core::Duration(0);
+  return leaderGoneFor(View, Timing) >= core::Duration(0);
 }
 
-bool shouldClaim(const ElectionView &View, const ElectionTiming &Times) {
-  if (!leaderIsGone(View, Times))
+bool shouldClaim(const ElectionView &View, const ElectionTiming &Timing) {
+  if (!isLeaderGone(View, Timing))
     return false;
-  const core::Duration Seen = View.Now_ - View.GoneSince_;
-  core::Duration Gone = goneFor(View, Times);
+  const core::Duration KnownGoneFor = View.Now_ - View.LeaderGoneSince_;
+  core::Duration GoneFor = leaderGoneFor(View, Timing);
   // On start, and after an outage, the turns of all would be over before anyone could claim.
   if (View.FoundOnStart_)
-    Gone = View.Now_ - View.NewsAt_;
-  else if (Gone - Seen >= Times.CountAnew_)
-    Gone = Seen;
-  const core::Duration Far =
-      std::clamp<core::Duration>(Times.FarFactor_ * (View.StoreTime_ - Times.NearStore_),
-                                 core::Duration(0), Times.MostForFar_);
-  return Gone >= Times.Stagger_ * static_cast<int>(View.Rank_) + Far;
+    GoneFor = View.Now_ - View.NewestReadAt_;
+  else if (GoneFor - KnownGoneFor >= Timing.RestartTurnsAfter_)
+    GoneFor = KnownGoneFor;
+  const core::Duration StoreDelay = std::clamp<core::Duration>(
+      Timing.StoreDelayFactor_ * (View.FastestStoreTime_ - Timing.NearStoreTime_),
+      core::Duration(0), Timing.MaxStoreDelay_);
+  return GoneFor >= Timing.ClaimInterval_ * static_cast<int>(View.Rank_) + StoreDelay;
 }
 
 } // namespace masticdrift::lead
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -8,50 +8,52 @@
 
 namespace {
 
-using detail::never;
-using detail::stretched;
+using detail::isUnset;
+using detail::leaseUpperBound;
 using fleet::OrderOutcome;
 
 /// Response times above this part of the target slow filling runs down.
-constexpr double ServingAlarm = 0.75;
+constexpr double SlowDownFraction = 0.75;
 /// Response times below this part of the target let filling runs speed up again.
-constexpr double ServingCalm = 0.45;
-constexpr int PaceStep = 25; ///< percent
-constexpr core::Millis PaceRest{1000};
+constexpr double SpeedUpFraction = 0.45;
+constexpr int PaceStepPercent = 25; ///< percent
+constexpr core::Millis MinPaceInterval{1000};
 /// Rest of an executor that left a start order unanswered; lists tell within this time whether it
 /// is there.
-constexpr core::Millis UnansweredRest{300};
+constexpr core::Millis AvoidAfterNoAnswer{300};
 /// Rest of an executor that refused an order.
-constexpr core::Millis RefusalRest{1000};
+constexpr core::Millis AvoidAfterRefusal{1000};
 
 } // namespace
 
 void Scheduler::onExecutor(const fleet::ExecutorInfo &Info, core::TimePoint Now) {
-  const bool Known = Executors_.contains(Info.Id_);
-  ExecutorState &At = Executors_[Info.Id_];
-  if (!Known) {
-    At.Slot_ = static_cast<std::uint32_t>(BySlot_.size());
-    BySlot_.push_back(&At);
-    At.LeaseEnd_ = TermStart_ + stretched(Times_.Lease_, Times_.LeaseMargin_) + Times_.StaleLeader_;
-    At.NextHold_ = Now;
-    At.Born_ = Info.Born_;
+  const bool WasKnown = Executors_.contains(Info.Id_);
+  ExecutorState &Executor = Executors_[Info.Id_];
+  if (!WasKnown) {
+    Executor.Ordinal_ = static_cast<std::uint32_t>(ByOrdinal_.size());
+    ByOrdinal_.push_back(&Executor);
+    Executor.LeaseEnd_ = TermStart_ + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_) +
+                         Timing_.StaleLeaderTime_;
+    Executor.NextHoldAt_ = Now;
+    Executor.Incarnation_ = Info.Born_;
   }
-  if (Known && Info.Born_ > At.Born_ && At.Born_ != 0 && At.Held_) {
+  if (WasKnown && Info.Born_ > Executor.Incarnation_ && Executor.Incarnation_ != 0 &&
+      Executor.Reported_) {
     // Only its own lists tell which orders have reached the new incarnation.
-    note("executor_reborn", {}, 0, Info.Id_, "the list shows a new incarnation");
-    At.Held_ = false;
-    At.HoldOutstanding_ = false;
-    At.NextHold_ = Now;
+    logDecision("executor_reborn", {}, 0, Info.Id_, "the list shows a new incarnation");
+    Executor.Reported_ = false;
+    Executor.HoldInFlight_ = false;
+    Executor.NextHoldAt_ = Now;
   }
-  if (Info.Draining_ && never(At.DrainEnd_)) {
-    At.DrainEnd_ = Now + core::Millis(Info.DrainRemainingMs_);
-    note("executor_draining", {}, 0, Info.Id_, std::to_string(Info.DrainRemainingMs_));
+  if (Info.Draining_ && isUnset(Executor.DrainEnd_)) {
+    Executor.DrainEnd_ = Now + core::Millis(Info.DrainRemainingMs_);
+    logDecision("executor_draining", {}, 0, Info.Id_, std::to_string(Info.DrainRemainingMs_));
   } else if (!Info.Draining_) {
-    At.DrainEnd_ = {};
+    Executor.DrainEnd_ = {};
   }
-  At.Info_ = Info;
-  At.Listed_ = true;
-  PlaceDue_ = true;
+  Executor.Info_ = Info;
+  Executor.Listed_ = true;
+  PlacementDue_ = true;
 }
 
 void Scheduler::onExecutorGone(std::string_view Id, core::TimePoint Now) {
@@ -62,162 +64,164 @@
   Found->second.UnlistedAt_ = Now;
 }
 
-std::int64_t Scheduler::untilOf(const ExecutorState &At, core::TimePoint Now) const {
-  return At.ClockMs_ + core::toMillis(Now - At.ClockAt_) + Times_.Lease_.count();
+std::int64_t Scheduler::leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const {
+  return Executor.ClockMs_ + core::toMillis(Now - Executor.ClockReadAt_) + Timing_.Lease_.count();
 }
 
-void Scheduler::renewed(ExecutorState &At, core::TimePoint Now) {
-  At.LeaseEnd_ = std::max(At.LeaseEnd_, Now + stretched(Times_.Lease_, Times_.LeaseMargin_));
+void Scheduler::extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) {
+  Executor.LeaseEnd_ =
+      std::max(Executor.LeaseEnd_, Now + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_));
 }
 
-Run &Scheduler::addRun(ExecutorState &At, JobRun *Job, const work::TaskRef &Task,
+Run &Scheduler::addRun(ExecutorState &Executor, TrackedJob *Job, const work::TaskRef &Task,
                        std::uint64_t Number, RunState State, core::TimePoint Now) {
-  Run &Made = At.Runs_[{Task, Number}];
-  Made.Task_ = Task;
-  Made.Number_ = Number;
-  Made.Executor_ = At.Info_.Id_;
-  Made.State_ = State;
-  Made.OrderedAt_ = Now;
-  Made.Progress_.StartedAt_ = Now;
+  Run &NewRun = Executor.Runs_[{Task, Number}];
+  NewRun.Task_ = Task;
+  NewRun.Number_ = Number;
+  NewRun.ExecutorId_ = Executor.Info_.Id_;
+  NewRun.State_ = State;
+  NewRun.OrderedAt_ = Now;
+  NewRun.Progress_.StartedAt_ = Now;
   if (Job == nullptr)
-    return Made;
-  const work::StepSpec &Spec = specOf(*Job, Task);
-  Made.Counted_ = true;
-  Made.Need_ = Spec.Need_;
-  Made.Fills_ = Spec.Fills_;
-  Made.Serves_ = Spec.TargetMs_ > 0;
-  Made.TargetMs_ = Spec.TargetMs_;
-  Made.Customer_ = Job->What_.Customer_;
-  At.Used_ += Made.Need_;
-  if (Made.Fills_) {
-    At.Used_.MilliCores_ -= Made.Need_.MilliCores_;
-    At.FillMilliCores_ += Made.Need_.MilliCores_;
+    return NewRun;
+  const work::StepSpec &Spec = stepSpec(*Job, Task);
+  NewRun.CountedInUse_ = true;
+  NewRun.Need_ = Spec.Need_;
+  NewRun.Fills_ = Spec.Fills_;
+  NewRun.HasResponseTarget_ = Spec.TargetMs_ > 0;
+  NewRun.TargetMs_ = Spec.TargetMs_;
+  NewRun.Customer_ = Job->Acceptance_.Customer_;
+  Executor.Used_ += NewRun.Need_;
+  if (NewRun.Fills_) {
+    Executor.Used_.MilliCores_ -= NewRun.Need_.MilliCores_;
+    Executor.FillMilliCores_ += NewRun.Need_.MilliCores_;
   }
-  UsedBy_[Made.Customer_] += Made.Need_;
-  StepRun &Step = *stepOf(*Job, Task);
-  TaskRun &Which = Step.Tasks_[Task.Index_];
-  ++Job->Runs_;
-  ++Which.Runs_;
-  ++Step.PerExecutor_[At.Slot_];
-  if (Which.State_ == TaskState::Waiting) {
-    Which.State_ = TaskState::Placed;
-    --Step.Waiting_;
+  UsedByCustomer_[NewRun.Customer_] += NewRun.Need_;
+  TrackedStep &Step = *findStep(*Job, Task);
+  TrackedTask &Tracked = Step.Tasks_[Task.Index_];
+  ++Job->ActiveRuns_;
+  ++Tracked.ActiveRuns_;
+  ++Step.RunsPerExecutor_[Executor.Ordinal_];
+  if (Tracked.State_ == TaskState::Waiting) {
+    Tracked.State_ = TaskState::Placed;
+    --Step.WaitingTasks_;
   }
-  return Made;
+  return NewRun;
 }
 
-void Scheduler::dropRun(ExecutorState &At, const RunKey &Which, core::TimePoint Now) {
-  const auto Found = At.Runs_.find(Which);
-  if (Found == At.Runs_.end())
+void Scheduler::removeRun(ExecutorState &Executor, const RunKey &Key, core::TimePoint Now) {
+  const auto Found = Executor.Runs_.find(Key);
+  if (Found == Executor.Runs_.end())
     return;
-  const Run Old = std::move(Found->second);
-  At.Runs_.erase(Found);
-  PlaceDue_ = true;
-  JobRun *Job = jobOf(Old.Task_);
-  if (Job == nullptr || !Old.Counted_)
+  const Run Removed = std::move(Found->second);
+  Executor.Runs_.erase(Found);
+  PlacementDue_ = true;
+  TrackedJob *Job = findJob(Removed.Task_);
+  if (Job == nullptr || !Removed.CountedInUse_)
     return;
-  At.Used_ -= Old.Need_;
-  if (Old.Fills_) {
-    At.Used_.MilliCores_ += Old.Need_.MilliCores_;
-    At.FillMilliCores_ -= Old.Need_.MilliCores_;
+  Executor.Used_ -= Removed.Need_;
+  if (Removed.Fills_) {
+    Executor.Used_.MilliCores_ += Removed.Need_.MilliCores_;
+    Executor.FillMilliCores_ -= Removed.Need_.MilliCores_;
   }
-  UsedBy_[Old.Customer_] -= Old.Need_;
-  StepRun &Step = *stepOf(*Job, Old.Task_);
-  TaskRun &Task = Step.Tasks_[Old.Task_.Index_];
-  --Job->Runs_;
-  --Task.Runs_;
-  --Step.PerExecutor_[At.Slot_];
-  if (!Old.Checkpoint_.empty())
-    Task.Checkpoint_ = Old.Checkpoint_;
-  if (Task.State_ != TaskState::Placed || Task.Runs_ > 0)
+  UsedByCustomer_[Removed.Customer_] -= Removed.Need_;
+  TrackedStep &Step = *findStep(*Job, Removed.Task_);
+  TrackedTask &Task = Step.Tasks_[Removed.Task_.Index_];
+  --Job->ActiveRuns_;
+  --Task.ActiveRuns_;
+  --Step.RunsPerExecutor_[Executor.Ordinal_];
+  if (!Removed.Checkpoint_.empty())
+    Task.Checkpoint_ = Removed.Checkpoint_;
+  if (Task.State_ != TaskState::Placed || Task.ActiveRuns_ > 0)
     return;
   Task.State_ = TaskState::Waiting;
-  ++Step.Waiting_;
-  if (specOf(*Job, Old.Task_).Gang_ && !Job->Ended_)
-    stopStep(*Job, Old.Task_, "gang is not complete", Now);
+  ++Step.WaitingTasks_;
+  if (stepSpec(*Job, Removed.Task_).Gang_ && !Job->Ended_)
+    stopStepRuns(*Job, Removed.Task_, "gang is not complete", Now);
 }
 
-void Scheduler::orderStart(ExecutorState &At, Run &Which, core::TimePoint Now) {
-  Which.OrderOutstanding_ = true;
-  Which.Order_.UntilMs_ = untilOf(At, Now);
-  renewed(At, Now);
-  ++StartsOnTheWay_;
-  Out_.Start_(At.Info_, Which.Order_);
+void Scheduler::sendStart(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now) {
+  ActiveRun.OrderInFlight_ = true;
+  ActiveRun.Order_.UntilMs_ = leaseEndMs(Executor, Now);
+  extendLeaseEnd(Executor, Now);
+  ++StartsInFlight_;
+  Actions_.Start_(Executor.Info_, ActiveRun.Order_);
 }
 
-void Scheduler::orderStop(ExecutorState &At, Run &Which, core::TimePoint) {
-  Which.OrderOutstanding_ = true;
-  Out_.Stop_(At.Info_, {Which.Task_, Which.Number_});
+void Scheduler::sendStop(ExecutorState &Executor, Run &ActiveRun, core::TimePoint) {
+  ActiveRun.OrderInFlight_ = true;
+  Actions_.Stop_(Executor.Info_, {ActiveRun.Task_, ActiveRun.Number_});
 }
 
-void Scheduler::stopRun(ExecutorState &At, Run &Which, std::string_view Why, core::TimePoint Now) {
-  if (Which.State_ == RunState::Stopping)
+void Scheduler::stopRun(ExecutorState &Executor, Run &ActiveRun, std::string_view Reason,
+                        core::TimePoint Now) {
+  if (ActiveRun.State_ == RunState::Stopping)
     return;
-  Which.State_ = RunState::Stopping;
-  Which.NextOrderAt_ = Now;
-  At.Unsettled_ = true;
-  note("stop", Which.Task_, Which.Number_, At.Info_.Id_, Why);
-  if (!Which.OrderOutstanding_)
-    orderStop(At, Which, Now);
+  ActiveRun.State_ = RunState::Stopping;
+  ActiveRun.OrderRetryAt_ = Now;
+  Executor.OrdersPending_ = true;
+  logDecision("stop", ActiveRun.Task_, ActiveRun.Number_, Executor.Info_.Id_, Reason);
+  if (!ActiveRun.OrderInFlight_)
+    sendStop(Executor, ActiveRun, Now);
 }
 
-void Scheduler::stopAllOf(JobRun &Job, std::string_view Why, core::TimePoint Now) {
-  if (Job.Runs_ == 0)
+void Scheduler::stopJobRuns(TrackedJob &Job, std::string_view Reason, core::TimePoint Now) {
+  if (Job.ActiveRuns_ == 0)
     return;
-  for (auto &[Id, At] : Executors_)
-    for (auto &[Key, One] : At.Runs_)
-      if (One.Task_.Job_ == Job.Id_)
-        stopRun(At, One, Why, Now);
+  for (auto &[Id, Executor] : Executors_)
+    for (auto &[Key, ActiveRun] : Executor.Runs_)
+      if (ActiveRun.Task_.Job_ == Job.Id_)
+        stopRun(Executor, ActiveRun, Reason, Now);
 }
 
-void Scheduler::stopStep(JobRun &Job, const work::TaskRef &Task, std::string_view Why,
-                         core::TimePoint Now) {
-  for (auto &[Id, At] : Executors_)
-    for (auto &[Key, One] : At.Runs_)
-      if (One.Task_.Job_ == Job.Id_ && One.Task_.Occurrence_ == Task.Occurrence_ &&
-          One.Task_.Step_ == Task.Step_)
-        stopRun(At, One, Why, Now);
+void Scheduler::stopStepRuns(TrackedJob &Job, const work::TaskRef &Task, std::string_view Reason,
+                             core::TimePoint Now) {
+  for (auto &[Id, Executor] : Executors_)
+    for (auto &[Key, ActiveRun] : Executor.Runs_)
+      if (ActiveRun.Task_.Job_ == Job.Id_ && ActiveRun.Task_.Occurrence_ == Task.Occurrence_ &&
+          ActiveRun.Task_.Step_ == Task.Step_)
+        stopRun(Executor, ActiveRun, Reason, Now);
 }
 
-void Scheduler::onStarted(std::string_view Executor, const RunKey &Which, OrderOutcome Outcome,
-                          std::int64_t ClockMs, core::TimePoint Now) {
+void Scheduler::onStartResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
+                              std::int64_t ClockMs, core::TimePoint Now) {
   // Placement stops at the limit and goes on as soon as there is room below it.
-  PlaceDue_ = PlaceDue_ || StartsOnTheWay_ >= Times_.StartsOnTheWay_;
-  --StartsOnTheWay_;
-  const auto Host = Executors_.find(Executor);
-  if (Host == Executors_.end())
+  PlacementDue_ = PlacementDue_ || StartsInFlight_ >= Timing_.MaxStartsInFlight_;
+  --StartsInFlight_;
+  const auto Entry = Executors_.find(ExecutorId);
+  if (Entry == Executors_.end())
     return;
-  ExecutorState &At = Host->second;
+  ExecutorState &Executor = Entry->second;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
-  const auto Found = At.Runs_.find(Which);
-  if (Found == At.Runs_.end())
+  const auto Found = Executor.Runs_.find(Key);
+  if (Found == Executor.Runs_.end())
     return;
-  Run &Started = Found->second;
-  Started.OrderOutstanding_ = false;
+  Run &StartedRun = Found->second;
+  StartedRun.OrderInFlight_ = false;
   if (Outcome == OrderOutcome::NoAnswer)
-    At.LostStarts_.emplace_back(Which, Now);
-  At.Unsettled_ =
-      At.Unsettled_ || Outcome != OrderOutcome::Done || Started.State_ != RunState::Starting;
+    Executor.LostStarts_.emplace_back(Key, Now);
+  Executor.OrdersPending_ = Executor.OrdersPending_ || Outcome != OrderOutcome::Done ||
+                            StartedRun.State_ != RunState::Starting;
   if (Outcome != OrderOutcome::Done)
-    note("start_result", Which.first, Which.second, Executor, fleet::nameOf(Outcome));
+    logDecision("start_result", Key.first, Key.second, ExecutorId, fleet::nameOf(Outcome));
   // A list can confirm the run while a repeated order is on its way. What becomes of that order
   // says nothing about the run then; the lists do.
-  if (Outcome != OrderOutcome::Done && !never(Started.ConfirmedAt_))
+  if (Outcome != OrderOutcome::Done && !isUnset(StartedRun.ConfirmedAt_))
     return;
   switch (Outcome) {
   case OrderOutcome::Done:
-    Started.Unanswered_ = 0;
+    StartedRun.UnansweredStarts_ = 0;
     // The order may have waited on its way, which says nothing about the executor.
-    if (never(Started.ConfirmedAt_))
-      Started.Progress_.StartedAt_ = Now;
-    Started.ConfirmedAt_ = Now;
-    if (ClockMs > 0 && ClockMs >= At.ClockMs_) {
-      At.ClockMs_ = ClockMs;
-      At.ClockAt_ = Now;
+    if (isUnset(StartedRun.ConfirmedAt_))
+      StartedRun.Progress_.StartedAt_ = Now;
+    StartedRun.ConfirmedAt_ = Now;
+    if (ClockMs > 0 && ClockMs >= Executor.ClockMs_) {
+      Executor.ClockMs_ = ClockMs;
+      Executor.ClockReadAt_ = Now;
     }
-    if (Started.State_ == RunState::Starting)
-      Started.State_ = RunState::Running;
-    if (JobRun *Job = jobOf(Which.first);
+    if (StartedRun.State_ == RunState::Starting)
+      StartedRun.State_ = RunState::Running;
+    if (TrackedJob *Job = findJob(Key.first);
         Job != nullptr && Job->Progress_.State_ == work::JobState::Queued) {
       Job->Progress_.State_ = work::JobState::Running;
       markDirty(*Job);
@@ -226,175 +230,186 @@
   case OrderOutcome::Fenced:
     return;
   case OrderOutcome::NoAnswer:
-    ++Started.Unanswered_;
-    Started.NextOrderAt_ = Now + Times_.OrderRetry_;
-    At.AvoidUntil_ = std::max(At.AvoidUntil_, Now + UnansweredRest);
+    ++StartedRun.UnansweredStarts_;
+    StartedRun.OrderRetryAt_ = Now + Timing_.OrderRetryDelay_;
+    Executor.AvoidUntil_ = std::max(Executor.AvoidUntil_, Now + AvoidAfterNoAnswer);
     return;
   case OrderOutcome::Superseded:
     // An unanswered copy may have started the run and the run may have ended. It can't start any
     // more, so the next lists tell what became of it.
-    Started.State_ = RunState::Stopping;
-    Started.StoppedAt_ = Now;
+    StartedRun.State_ = RunState::Stopping;
+    StartedRun.StopAnsweredAt_ = Now;
     return;
   case OrderOutcome::TicketInvalid:
-    if (JobRun *Job = jobOf(Which.first))
-      stepOf(*Job, Which.first)->Advice_[At.Slot_].ValidUntil_ = {};
+    if (TrackedJob *Job = findJob(Key.first))
+      findStep(*Job, Key.first)->Advice_[Executor.Ordinal_].ValidUntil_ = {};
     break;
   case OrderOutcome::LeaseOver:
-    At.Held_ = false;
-    At.NextHold_ = Now;
+    Executor.Reported_ = false;
+    Executor.NextHoldAt_ = Now;
     break;
   default:
-    At.AvoidUntil_ = Now + RefusalRest;
+    Executor.AvoidUntil_ = Now + AvoidAfterRefusal;
     break;
   }
   // An earlier copy of the order may still be carried out; only a stop settles that.
-  if (Started.Unanswered_ > 0)
-    stopRun(At, Started, "refused after an unanswered start", Now);
+  if (StartedRun.UnansweredStarts_ > 0)
+    stopRun(Executor, StartedRun, "refused after an unanswered start", Now);
   else
-    dropRun(At, Which, Now);
+    removeRun(Executor, Key, Now);
 }
 
-void Scheduler::onStopped(std::string_view Executor, const RunKey &Which, OrderOutcome Outcome,
-                          core::TimePoint Now) {
-  const auto Host = Executors_.find(Executor);
-  if (Host == Executors_.end())
+void Scheduler::onStopResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
+                             core::TimePoint Now) {
+  const auto Entry = Executors_.find(ExecutorId);
+  if (Entry == Executors_.end())
     return;
-  ExecutorState &At = Host->second;
+  ExecutorState &Executor = Entry->second;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
-  const auto Found = At.Runs_.find(Which);
-  if (Found == At.Runs_.end())
+  const auto Found = Executor.Runs_.find(Key);
+  if (Found == Executor.Runs_.end())
     return;
-  Found->second.OrderOutstanding_ = false;
+  Found->second.OrderInFlight_ = false;
   if (Outcome == OrderOutcome::Done) {
-    Found->second.StoppedAt_ = Now;
+    Found->second.StopAnsweredAt_ = Now;
     return;
   }
-  At.Unsettled_ = true;
-  Found->second.NextOrderAt_ = Now + Times_.HoldRetry_;
-  note("stop_result", Which.first, Which.second, Executor, fleet::nameOf(Outcome));
+  Executor.OrdersPending_ = true;
+  Found->second.OrderRetryAt_ = Now + Timing_.HoldRetryDelay_;
+  logDecision("stop_result", Key.first, Key.second, ExecutorId, fleet::nameOf(Outcome));
 }
 
-void Scheduler::loseAll(ExecutorState &At, std::string_view Why, core::TimePoint Now) {
-  note("runs_lost", {}, 0, At.Info_.Id_, Why);
-  while (!At.Runs_.empty()) {
-    const RunKey Key = At.Runs_.begin()->first;
-    note("run_over", Key.first, Key.second, At.Info_.Id_, Why);
-    dropRun(At, Key, Now);
+void Scheduler::removeAllRuns(ExecutorState &Executor, std::string_view Reason,
+                              core::TimePoint Now) {
+  logDecision("runs_lost", {}, 0, Executor.Info_.Id_, Reason);
+  while (!Executor.Runs_.empty()) {
+    const RunKey Key = Executor.Runs_.begin()->first;
+    logDecision("run_over", Key.first, Key.second, Executor.Info_.Id_, Reason);
+    removeRun(Executor, Key, Now);
   }
-  At.Held_ = false;
-  At.Used_ = {};
-  At.FillMilliCores_ = 0;
-  At.NextHold_ = Now;
+  Executor.Reported_ = false;
+  Executor.Used_ = {};
+  Executor.FillMilliCores_ = 0;
+  Executor.NextHoldAt_ = Now;
 }
 
-void Scheduler::tickExecutor(ExecutorState &At, core::TimePoint Now) {
-  std::erase_if(At.LostStarts_,
-                [&](const auto &One) { return Now - One.second >= Times_.LatestOrder_; });
-  if ((At.Silent_ || !At.Held_) && Now >= At.LeaseEnd_ && !At.Runs_.empty())
-    loseAll(At, "lease lapsed", Now);
-  if (!never(At.DrainEnd_))
-    drain(At, Now);
-  if (At.Unsettled_) {
-    At.Unsettled_ = false;
-    for (auto &[Key, One] : At.Runs_)
-      At.Unsettled_ = tickRun(At, One, Now) || At.Unsettled_;
+void Scheduler::tickExecutor(ExecutorState &Executor, core::TimePoint Now) {
+  std::erase_if(Executor.LostStarts_, [&](const auto &LostStart) {
+    return Now - LostStart.second >= Timing_.MaxOrderDelay_;
+  });
+  if ((Executor.Silent_ || !Executor.Reported_) && Now >= Executor.LeaseEnd_ &&
+      !Executor.Runs_.empty())
+    removeAllRuns(Executor, "lease lapsed", Now);
+  if (!isUnset(Executor.DrainEnd_))
+    stopDrainingRuns(Executor, Now);
+  if (Executor.OrdersPending_) {
+    Executor.OrdersPending_ = false;
+    for (auto &[Key, ActiveRun] : Executor.Runs_)
+      Executor.OrdersPending_ = tickRun(Executor, ActiveRun, Now) || Executor.OrdersPending_;
   }
-  if (At.HoldOutstanding_ || Now < At.NextHold_)
+  if (Executor.HoldInFlight_ || Now < Executor.NextHoldAt_)
     return;
-  const bool Waiting = !At.Unacked_.empty();
-  if (Waiting && Now - At.LastHold_ < Times_.UnackedHold_)
+  const bool EndsPending = !Executor.UnackedEnds_.empty();
+  if (EndsPending && Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
     return;
   // A silent executor is only looked at: each order with a lease end would put off the time when
   // its runs are surely over.
-  const bool Renew = At.Held_ && !At.Silent_;
-  core::Millis Wait = holdWaitOf(At, Now);
-  if (!Renew || Waiting)
+  const bool Renew = Executor.Reported_ && !Executor.Silent_;
+  core::Millis Wait = holdWait(Executor, Now);
+  if (!Renew || EndsPending)
     Wait = core::Millis(0);
-  At.HoldOutstanding_ = true;
-  At.LastHold_ = Now;
+  Executor.HoldInFlight_ = true;
+  Executor.LastHoldAt_ = Now;
   if (Renew)
-    renewed(At, Now);
+    extendLeaseEnd(Executor, Now);
   // After a silence another incarnation may answer, whose ends are numbered anew.
-  Out_.Hold_(At.Info_, Renew ? At.Seen_ : 0, Renew ? untilOf(At, Now) : 0, Wait);
+  Actions_.Hold_(Executor.Info_, Renew ? Executor.DurableEnd_ : 0,
+                 Renew ? leaseEndMs(Executor, Now) : 0, Wait);
 }
 
-bool Scheduler::tickRun(ExecutorState &At, Run &Which, core::TimePoint Now) {
-  const bool Unsettled = Which.State_ == RunState::Stopping
-                             ? never(Which.StoppedAt_)
-                             : Which.State_ == RunState::Starting && Which.Unanswered_ > 0;
-  if (!Unsettled || Which.OrderOutstanding_ || Now < Which.NextOrderAt_)
-    return Unsettled;
-  if (Which.State_ == RunState::Stopping)
-    orderStop(At, Which, Now);
-  else if (Which.Unanswered_ >= Times_.StartAttempts_)
-    stopRun(At, Which, "start was not answered", Now);
-  else if (!At.Silent_)
-    orderStart(At, Which, Now);
+bool Scheduler::tickRun(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now) {
+  const bool OrderPending =
+      ActiveRun.State_ == RunState::Stopping
+          ? isUnset(ActiveRun.StopAnsweredAt_)
+          : ActiveRun.State_ == RunState::Starting && ActiveRun.UnansweredStarts_ > 0;
+  if (!OrderPending || ActiveRun.OrderInFlight_ || Now < ActiveRun.OrderRetryAt_)
+    return OrderPending;
+  if (ActiveRun.State_ == RunState::Stopping)
+    sendStop(Executor, ActiveRun, Now);
+  else if (ActiveRun.UnansweredStarts_ >= Timing_.MaxStartAttempts_)
+    stopRun(Executor, ActiveRun, "start was not answered", Now);
+  else if (!Executor.Silent_)
+    sendStart(Executor, ActiveRun, Now);
   return true;
 }
 
-void Scheduler::drain(ExecutorState &At, core::TimePoint Now) {
-  const auto Left = At.DrainEnd_ - Now - Times_.DrainMargin_;
-  for (auto &[Key, One] : At.Runs_) {
-    const JobRun *Job = jobOf(One.Task_);
-    if (Job == nullptr || never(One.ConfirmedAt_))
+void Scheduler::stopDrainingRuns(ExecutorState &Executor, core::TimePoint Now) {
+  const auto TimeLeft = Executor.DrainEnd_ - Now - Timing_.DrainMargin_;
+  for (auto &[Key, ActiveRun] : Executor.Runs_) {
+    const TrackedJob *Job = findJob(ActiveRun.Task_);
+    if (Job == nullptr || isUnset(ActiveRun.ConfirmedAt_))
       continue;
-    const auto Elapsed = Now - One.ConfirmedAt_;
-    const int Percent = One.Progress_.Percent_;
-    const auto Remaining = Percent > 0 ? Elapsed * (100 - Percent) / Percent : core::Duration(0);
-    const bool NeverEnds = specOf(*Job, One.Task_).LongRunning_;
-    if (NeverEnds || Left <= core::Duration(0) || Remaining > Left)
-      stopRun(At, One, "executor is draining", Now);
+    const auto Elapsed = Now - ActiveRun.ConfirmedAt_;
+    const int Percent = ActiveRun.Progress_.Percent_;
+    const auto RunTimeLeft = Percent > 0 ? Elapsed * (100 - Percent) / Percent : core::Duration(0);
+    const bool NeverEnds = stepSpec(*Job, ActiveRun.Task_).LongRunning_;
+    if (NeverEnds || TimeLeft <= core::Duration(0) || RunTimeLeft > TimeLeft)
+      stopRun(Executor, ActiveRun, "executor is draining", Now);
   }
 }
 
-void Scheduler::shieldServing(ExecutorState &At, core::TimePoint Now) {
-  double Worst = -1;
-  for (const auto &[Key, One] : At.Runs_)
-    if (One.Serves_)
-      Worst = std::max(Worst, One.Figure_ / static_cast<double>(One.TargetMs_));
-  if (Worst < 0 || Out_.Pace_ == nullptr)
+void Scheduler::adjustPace(ExecutorState &Executor, core::TimePoint Now) {
+  double WorstRatio = -1;
+  for (const auto &[Key, ActiveRun] : Executor.Runs_)
+    if (ActiveRun.HasResponseTarget_)
+      WorstRatio = std::max(WorstRatio,
+                            ActiveRun.ReportedMetric_ / static_cast<double>(ActiveRun.TargetMs_));
+  if (WorstRatio < 0 || Actions_.Pace_ == nullptr)
     return;
-  const bool Faster = Worst < ServingCalm && Now - At.PacedAt_ >= PaceRest;
-  if (!Faster && Worst <= ServingAlarm)
+  const bool SpeedUp =
+      WorstRatio < SpeedUpFraction && Now - Executor.PaceChangedAt_ >= MinPaceInterval;
+  if (!SpeedUp && WorstRatio <= SlowDownFraction)
     return;
-  for (auto &[Key, One] : At.Runs_) {
-    const int Pace = Faster ? std::min(100, One.Pace_ + PaceStep) : 0;
-    if (!One.Fills_ || Pace == One.Pace_ || One.State_ != RunState::Running)
+  for (auto &[Key, ActiveRun] : Executor.Runs_) {
+    const int PacePercent = SpeedUp ? std::min(100, ActiveRun.PacePercent_ + PaceStepPercent) : 0;
+    if (!ActiveRun.Fills_ || PacePercent == ActiveRun.PacePercent_ ||
+        ActiveRun.State_ != RunState::Running)
       continue;
-    One.Pace_ = Pace;
-    At.PacedAt_ = Now;
-    note("pace", One.Task_, One.Number_, At.Info_.Id_, std::to_string(Pace));
-    Out_.Pace_(At.Info_, Key, Pace);
+    ActiveRun.PacePercent_ = PacePercent;
+    Executor.PaceChangedAt_ = Now;
+    logDecision("pace", ActiveRun.Task_, ActiveRun.Number_, Executor.Info_.Id_,
+                std::to_string(PacePercent));
+    Actions_.Pace_(Executor.Info_, Key, PacePercent);
   }
 }
 
-std::vector<fleet::ExecutorInfo> Scheduler::unlisted() const {
-  std::vector<fleet::ExecutorInfo> Out;
-  for (const auto &[Id, At] : Executors_)
-    if (!At.Listed_ && !At.Runs_.empty())
-      Out.push_back(At.Info_);
-  return Out;
+std::vector<fleet::ExecutorInfo> Scheduler::unlistedExecutors() const {
+  std::vector<fleet::ExecutorInfo> Result;
+  for (const auto &[Id, Executor] : Executors_)
+    if (!Executor.Listed_ && !Executor.Runs_.empty())
+      Result.push_back(Executor.Info_);
+  return Result;
 }
 
 void Scheduler::updateAccounted(core::TimePoint Now) {
   if (Accounted_)
     return;
-  const bool Bound =
-      Now >= TermStart_ + stretched(Times_.Lease_, Times_.LeaseMargin_) + Times_.StaleLeader_;
-  const bool ListComplete = !FreshList_ || Now >= TermStart_ + Times_.ListSettles_;
-  const bool AllHeld = !Executors_.empty() && std::ranges::all_of(Executors_, [](const auto &One) {
-    return One.second.Held_;
-  });
-  AllAsked_ = ListComplete && std::ranges::all_of(Executors_, [](const auto &One) {
-                return One.second.Held_ || One.second.Silent_;
-              });
-  if (!Bound && !(ListComplete && AllHeld))
+  const bool LeasesLapsed = Now >= TermStart_ +
+                                       leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_) +
+                                       Timing_.StaleLeaderTime_;
+  const bool ListComplete = !ListMayBeIncomplete_ || Now >= TermStart_ + Timing_.ListSettleTime_;
+  const bool AllReported =
+      !Executors_.empty() &&
+      std::ranges::all_of(Executors_, [](const auto &Entry) { return Entry.second.Reported_; });
+  AllContacted_ = ListComplete && std::ranges::all_of(Executors_, [](const auto &Entry) {
+                    return Entry.second.Reported_ || Entry.second.Silent_;
+                  });
+  if (!LeasesLapsed && !(ListComplete && AllReported))
     return;
   Accounted_ = true;
-  PlaceDue_ = true;
-  note("accounted", {}, 0, {}, Bound && !AllHeld ? "leases have lapsed" : "all executors answered");
+  PlacementDue_ = true;
+  logDecision("accounted", {}, 0, {},
+              LeasesLapsed && !AllReported ? "leases have lapsed" : "all executors answered");
 }
 
 } // namespace masticdrift::lead
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -145,7 +145,7 @@
   Current_ = Of;
   Terms_.emplace_back(Of, nullptr);
   const std::size_t Index = Terms_.size() - 1;
-  lead::Ports Out;
+  lead::SchedulerActions Out;
   const auto Target = [this, Index]() -> lead::Scheduler & { return *Terms_[Index].second; };
   Out.Start_ = [this, Of, Target](const fleet::ExecutorInfo &Info, const fleet::StartOrder &Order) {
     const lead::RunKey Key{Order.Task_, Order.Run_};
@@ -153,7 +153,7 @@
     if (Options_.NotConnected_ > 0 && chance(Options_.NotConnected_)) {
       at(Now_ + OrderTimeout, [this, Of, Target, Id, Key] {
         if (Of->Alive_)
-          timed([&] { Target().onStarted(Id, Key, OrderOutcome::NotSent, 0, Now_); });
+          timed([&] { Target().onStartResult(Id, Key, OrderOutcome::NotSent, 0, Now_); });
       });
       return;
     }
@@ -179,12 +179,12 @@
          [this, Of, Target, Id, Key, Outcome, Answered, Clock = clockOf(One)] {
            if (std::exchange(*Answered, true) || !Of->Alive_ || Executors_.at(Id).CutUntil_ > Now_)
              return;
-           timed([&] { Target().onStarted(Id, Key, Outcome, Clock, Now_); });
+           timed([&] { Target().onStartResult(Id, Key, Outcome, Clock, Now_); });
          });
     });
     at(Now_ + OrderTimeout, [this, Of, Target, Id, Key, Answered] {
       if (!std::exchange(*Answered, true) && Of->Alive_)
-        timed([&] { Target().onStarted(Id, Key, OrderOutcome::NoAnswer, 0, Now_); });
+        timed([&] { Target().onStartResult(Id, Key, OrderOutcome::NoAnswer, 0, Now_); });
     });
   };
   Out.Stop_ = [this, Of, Target](const fleet::ExecutorInfo &Info, const lead::RunKey &Key) {
@@ -200,12 +200,12 @@
         return;
       at(Now_ + Options_.Latency_, [this, Of, Target, Id, Key, Outcome, Answered] {
         if (!std::exchange(*Answered, true) && Of->Alive_)
-          timed([&] { Target().onStopped(Id, Key, Outcome, Now_); });
+          timed([&] { Target().onStopResult(Id, Key, Outcome, Now_); });
       });
     });
     at(Now_ + OrderTimeout, [this, Of, Target, Id, Key, Answered] {
       if (!std::exchange(*Answered, true) && Of->Alive_)
-        timed([&] { Target().onStopped(Id, Key, OrderOutcome::NoAnswer, Now_); });
+        timed([&] { Target().onStopResult(Id, Key, OrderOutcome::NoAnswer, Now_); });
     });
   };
   Out.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
@@ -226,7 +226,7 @@
            if (!reaches(From) || std::exchange(*Answered, true) || !Of->Alive_)
              return;
            const fleet::Report Report = reportOf(From);
-           timed([&] { Target().onHold(Id, Outcome, Report, SentAt, Now_); });
+           timed([&] { Target().onHoldResult(Id, Outcome, Report, SentAt, Now_); });
          };
          if (Of->Token_ < One.Token_) {
            Reply(OrderOutcome::Fenced);
@@ -247,11 +247,11 @@
        });
     at(Now_ + Wait + HoldAnswerTime, [this, Of, Target, Id, SentAt, Answered] {
       if (!std::exchange(*Answered, true) && Of->Alive_)
-        timed([&] { Target().onHold(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
+        timed([&] { Target().onHoldResult(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
     });
   };
-  Out.Advise_ = [this, Of, Target](const work::TaskRef &Step, std::vector<std::string> Asked,
-                                   double ExpectedMs, std::pair<int, core::TimePoint>) {
+  Out.RequestAdvice_ = [this, Of, Target](const work::TaskRef &Step, std::vector<std::string> Asked,
+                                          double ExpectedMs, std::pair<int, core::TimePoint>) {
     at(Now_ + core::Millis(static_cast<std::int64_t>(ExpectedMs)),
        [this, Of, Target, Step, Asked = std::move(Asked)] {
          std::vector<fleet::Advised> Good;
@@ -262,15 +262,15 @@
            timed([&] { Target().onAdvice(Step, Asked, Good, Now_); });
        });
   };
-  Out.Note_ = [this, Of](std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
-                         std::string_view At, std::string_view Detail) {
+  Out.LogDecision_ = [this, Of](std::string_view Event, const work::TaskRef &Task,
+                                std::uint64_t Run, std::string_view At, std::string_view Detail) {
     if (Options_.Trace_)
       std::cerr << core::toMillis(Now_.time_since_epoch()) % 3'600'000 << " t" << Of->Token_ << ' '
                 << Event << ' ' << nameOf(Task) << " run " << Run << ' ' << At << ' ' << Detail
                 << '\n';
   };
-  Terms_[Index].second =
-      std::make_unique<lead::Scheduler>(Of->Token_, lead::Timing{}, std::move(Out), Now_, false);
+  Terms_[Index].second = std::make_unique<lead::Scheduler>(Of->Token_, lead::SchedulerTiming{},
+                                                           std::move(Out), Now_, false);
   Leader_ = Terms_[Index].second.get();
   Leader_->setManifest(Manifest_, Now_);
   for (const auto &[Id, One] : Executors_)
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -12,12 +12,12 @@
 
 const core::TimePoint Start{std::chrono::hours(1)};
 
-lead::ElectionView viewAt(Millis SinceNews, const lead::LeadRecord *Newest) {
+lead::ElectionView viewAt(Millis SinceNewest, const lead::LeadershipRecord *NewestRecord) {
   lead::ElectionView View;
-  View.Now_ = Start + SinceNews;
-  View.ReadAt_ = View.Now_;
-  View.NewsAt_ = Start;
-  View.Newest_ = Newest;
+  View.Now_ = Start + SinceNewest;
+  View.LastReadAt_ = View.Now_;
+  View.NewestReadAt_ = Start;
+  View.NewestRecord_ = NewestRecord;
   View.WallMs_ = 1'000'000;
   return View;
 }
@@ -27,35 +27,35 @@
 // --- Election ---
 
 Test(Election, aSilentLeaderIsReplacedAndABeatingOneIsNot) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  const lead::ElectionTiming Times;
-  cr_expect(!lead::shouldClaim(viewAt(Times.Silence_ - Millis(1), &Beat), Times));
-  cr_expect(lead::shouldClaim(viewAt(Times.Silence_, &Beat), Times));
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  cr_expect(!lead::shouldClaim(viewAt(Timing.SilenceTimeout_ - Millis(1), &Heartbeat), Timing));
+  cr_expect(lead::shouldClaim(viewAt(Timing.SilenceTimeout_, &Heartbeat), Timing));
 }
 
 // Guards against a takeover by a daemon that itself has lost the store.
 Test(Election, whoDoesNotReachTheStoreClaimsNothing) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  lead::ElectionView View = viewAt(Millis(10'000), &Beat);
-  View.ReadAt_ = Start;
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(10'000), &Heartbeat);
+  View.LastReadAt_ = Start;
   cr_expect(!lead::shouldClaim(View, {}));
 }
 
 Test(Election, aGoneOrReleasedLeaderIsReplacedSooner) {
-  lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  lead::ElectionView View = viewAt(Millis(600), &Beat);
-  View.Refused_ = true;
+  lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(600), &Heartbeat);
+  View.LeaderUnavailable_ = true;
   cr_expect(lead::shouldClaim(View, {}));
-  View.Refused_ = false;
+  View.LeaderUnavailable_ = false;
   cr_expect(!lead::shouldClaim(View, {}));
-  Beat.Released_ = true;
+  Heartbeat.Released_ = true;
   cr_expect(lead::shouldClaim(View, {}));
 }
 
 // After all machines were down, the record's own age counts.
 Test(Election, anOldRecordFoundOnStartNeedsNoFurtherSilence) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
-  lead::ElectionView View = viewAt(Millis(10), &Beat);
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(10), &Heartbeat);
   cr_expect(!lead::shouldClaim(View, {}));
   View.FoundOnStart_ = true;
   cr_expect(lead::shouldClaim(View, {}));
@@ -64,9 +64,9 @@
 Test(Election, claimsAreStaggeredByRank) {
   lead::ElectionView View = viewAt(Millis(2300), nullptr);
   View.Rank_ = 7;
-  View.GoneSince_ = View.Now_;
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  View.Newest_ = &Beat;
+  View.LeaderGoneSince_ = View.Now_;
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  View.NewestRecord_ = &Heartbeat;
   cr_expect(!lead::shouldClaim(View, {}));
   View.Rank_ = 0;
   cr_expect(lead::shouldClaim(View, {}));
@@ -75,45 +75,46 @@
 // Pattern: the store or all machines were away for seconds. Guards against claims of all daemons at
 // the same moment, one of which may be the smallest machine.
 Test(Election, claimsAreStaggeredAfterALongOutageToo) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000 - 20'000, "i", {}};
-  const lead::ElectionTiming Times;
-  lead::ElectionView View = viewAt(Millis(10), &Beat);
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 20'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  lead::ElectionView View = viewAt(Millis(10), &Heartbeat);
   View.FoundOnStart_ = true;
-  View.GoneSince_ = View.Now_;
+  View.LeaderGoneSince_ = View.Now_;
   View.Rank_ = 8;
-  cr_expect(!lead::shouldClaim(View, Times));
-  View.Now_ = View.ReadAt_ = View.GoneSince_ + 8 * Times.Stagger_;
-  cr_expect(lead::shouldClaim(View, Times));
+  cr_expect(!lead::shouldClaim(View, Timing));
+  View.Now_ = View.LastReadAt_ = View.LeaderGoneSince_ + 8 * Timing.ClaimInterval_;
+  cr_expect(lead::shouldClaim(View, Timing));
 }
 
 // Guards against a takeover that is slow because turns begin only after the loss was noticed.
 Test(Election, turnsRunWhileTheLossIsBeingNoticed) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  const lead::ElectionTiming Times;
-  lead::ElectionView View = viewAt(Times.SilenceWhenRefused_ + 4 * Times.Stagger_, &Beat);
-  View.Refused_ = true;
-  View.GoneSince_ = View.Now_;
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  lead::ElectionView View =
+      viewAt(Timing.RefusedSilenceTimeout_ + 4 * Timing.ClaimInterval_, &Heartbeat);
+  View.LeaderUnavailable_ = true;
+  View.LeaderGoneSince_ = View.Now_;
   View.Rank_ = 4;
-  cr_expect(lead::shouldClaim(View, Times));
+  cr_expect(lead::shouldClaim(View, Timing));
   View.Rank_ = 5;
-  cr_expect(!lead::shouldClaim(View, Times));
+  cr_expect(!lead::shouldClaim(View, Timing));
 }
 
 // Pattern: two regions, the store in one of them. Guards against a leader in the other region,
 // whose every append takes a long way and whose term ends when the regions are cut from each other.
 Test(Election, whoIsFarFromTheStoreClaimsLater) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  const lead::ElectionTiming Times;
-  lead::ElectionView View = viewAt(Times.Silence_, &Beat);
-  View.GoneSince_ = View.Now_;
-  View.StoreTime_ = Millis(18);
-  cr_expect(!lead::shouldClaim(View, Times));
-  View.Now_ = View.ReadAt_ = View.Now_ + 3 * Times.Stagger_;
-  cr_expect(!lead::shouldClaim(View, Times), "three near daemons have their turns first");
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  lead::ElectionView View = viewAt(Timing.SilenceTimeout_, &Heartbeat);
+  View.LeaderGoneSince_ = View.Now_;
+  View.FastestStoreTime_ = Millis(18);
+  cr_expect(!lead::shouldClaim(View, Timing));
+  View.Now_ = View.LastReadAt_ = View.Now_ + 3 * Timing.ClaimInterval_;
+  cr_expect(!lead::shouldClaim(View, Timing), "three near daemons have their turns first");
   // At a store that is slow for everyone, nobody waits for long.
-  View.StoreTime_ = Millis(3000);
-  View.Now_ = View.ReadAt_ = View.GoneSince_ + 4 * Times.Stagger_;
-  cr_expect(lead::shouldClaim(View, Times));
+  View.FastestStoreTime_ = Millis(3000);
+  View.Now_ = View.LastReadAt_ = View.LeaderGoneSince_ + 4 * Timing.ClaimInterval_;
+  cr_expect(lead::shouldClaim(View, Timing));
 }
 
 // Pattern: a large fleet with a few larger machines. Guards against a leader on the smallest
@@ -121,8 +122,8 @@
 Test(Election, smallMachinesClaimAfterLargerOnes) {
   for (int I = 0; I < 50; ++I)
     for (int K = 0; K < 50; ++K)
-      cr_expect_lt(lead::rankOf("large-" + std::to_string(I), 0.25),
-                   lead::rankOf("small-" + std::to_string(K), 0.12));
+      cr_expect_lt(lead::claimRank("large-" + std::to_string(I), 0.25),
+                   lead::claimRank("small-" + std::to_string(K), 0.12));
 }
 
 // --- The table of jobs ---
--- a/tests/unit/ProgressTest.cpp
+++ b/tests/unit/ProgressTest.cpp
@@ -15,7 +15,7 @@
   lead::Progress Out;
   Out.StartedAt_ = Start;
   for (int I = 1; I <= Reports; ++I)
-    lead::observe(Out, I * PerReport, Start + I * Millis(200));
+    lead::addSample(Out, I * PerReport, Start + I * Millis(200));
   return Out;
 }
 
@@ -25,17 +25,17 @@
 
 Test(Progress, tellsTheTimeThatIsLeft) {
   const lead::Progress Run = runOf(3, 10);
-  const auto Left = lead::remaining(Run, Start + Millis(600));
+  const auto Left = lead::remainingTime(Run, Start + Millis(600));
   cr_assert(Left.has_value());
   cr_expect_eq(Left->count(), 1400);
-  cr_expect_not(lead::standsStill(Run, Millis(2000), Start + Millis(600)));
+  cr_expect_not(lead::isStalled(Run, Millis(2000), Start + Millis(600)));
 }
 
 Test(Progress, nothingIsKnownBeforeTheFirstReport) {
   lead::Progress Run;
   Run.StartedAt_ = Start;
-  cr_expect_not(lead::remaining(Run, Start + Millis(5000)).has_value());
-  cr_expect_not(lead::standsStill(Run, Millis(100), Start + Millis(5000)));
+  cr_expect_not(lead::remainingTime(Run, Start + Millis(5000)).has_value());
+  cr_expect_not(lead::isStalled(Run, Millis(100), Start + Millis(5000)));
 }
 
 // Guards against a rate that counts the work that a checkpoint brought.
@@ -43,9 +43,9 @@
   lead::Progress Run;
   Run.StartedAt_ = Start;
   Run.FromStart_ = false;
-  lead::observe(Run, 60, Start + Millis(200));
-  lead::observe(Run, 64, Start + Millis(600));
-  cr_expect_eq(lead::remaining(Run, Start + Millis(600))->count(), 3600);
+  lead::addSample(Run, 60, Start + Millis(200));
+  lead::addSample(Run, 64, Start + Millis(600));
+  cr_expect_eq(lead::remainingTime(Run, Start + Millis(600))->count(), 3600);
 }
 
 // --- A run that stands still ---
@@ -53,8 +53,8 @@
 Test(Progress, standsStillAfterSeveralReportsWithoutARise) {
   lead::Progress Run = runOf(2, 10);
   for (int I = 3; I <= 6; ++I)
-    lead::observe(Run, 20, Start + I * Millis(200));
-  cr_expect(lead::standsStill(Run, Millis(2000), Start + Millis(1200)));
+    lead::addSample(Run, 20, Start + I * Millis(200));
+  cr_expect(lead::isStalled(Run, Millis(2000), Start + Millis(1200)));
 }
 
 // Guards against long tasks, whose percentage rises rarely, being taken for stalled.
@@ -62,14 +62,14 @@
   lead::Progress Run;
   Run.StartedAt_ = Start;
   for (int I = 1; I <= 20; ++I)
-    lead::observe(Run, I / 5, Start + I * Millis(200));
-  cr_expect_not(lead::standsStill(Run, Millis(100'000), Start + Millis(4000)));
+    lead::addSample(Run, I / 5, Start + I * Millis(200));
+  cr_expect_not(lead::isStalled(Run, Millis(100'000), Start + Millis(4000)));
 }
 
 // Guards against runs on a silent executor being given up: they may go on there.
 Test(Progress, withoutReportsNothingIsSaid) {
   const lead::Progress Run = runOf(2, 10);
-  cr_expect_not(lead::standsStill(Run, Millis(2000), Start + Millis(9000)));
+  cr_expect_not(lead::isStalled(Run, Millis(2000), Start + Millis(9000)));
 }
 
 // --- What a start elsewhere would gain ---
@@ -82,23 +82,23 @@
   cr_expect_not(lead::shouldMove({Slow, Millis(8000), Millis(400)}, Now));
 }
 
-Test(RunTimes, areTrustedWhenManyRunsAgree) {
-  lead::RunTimes Close;
-  lead::RunTimes Spread;
+Test(RunTimeRatio, areTrustedWhenManyRunsAgree) {
+  lead::RunTimeRatio Close;
+  lead::RunTimeRatio Spread;
   for (int I = 0; I < 20; ++I) {
-    lead::observe(Close, 1.9 + 0.2 * (I % 2));
-    lead::observe(Spread, I % 2 == 0 ? 0.3 : 4);
+    lead::addSample(Close, 1.9 + 0.2 * (I % 2));
+    lead::addSample(Spread, I % 2 == 0 ? 0.3 : 4);
   }
-  cr_assert(lead::ratioOf(Close).has_value());
-  cr_expect(*lead::ratioOf(Close) > 1.8 && *lead::ratioOf(Close) < 2.2);
-  cr_expect_not(lead::ratioOf(Spread).has_value());
+  cr_assert(lead::trustedRatio(Close).has_value());
+  cr_expect(*lead::trustedRatio(Close) > 1.8 && *lead::trustedRatio(Close) < 2.2);
+  cr_expect_not(lead::trustedRatio(Spread).has_value());
 }
 
 // Guards against an executor that stays avoided after it has recovered.
 Test(Slowness, fades) {
   lead::Slowness Of;
   for (int I = 0; I < 10; ++I)
-    lead::observe(Of, 6, Start);
-  cr_expect(lead::factorOf(Of, Start) > 4);
-  cr_expect(lead::factorOf(Of, Start + Millis(15'000)) < 1.2);
+    lead::addSample(Of, 6, Start);
+  cr_expect(lead::slownessFactor(Of, Start) > 4);
+  cr_expect(lead::slownessFactor(Of, Start + Millis(15'000)) < 1.2);
 }
