--- a/tests/measure/Lead.cpp
+++ b/tests/measure/Lead.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// One kind of job, in the shape that a site file gives.
-struct Kind {
+struct JobKind {
   const char *Queue_;
   double PerSecond_; ///< for 350 executors
   double Steps_;     ///< mean
@@ -20,16 +20,16 @@
 };
 
 constexpr int ReferenceExecutors = 350;
-constexpr int PlayedSeconds = 20;
+constexpr int SimulatedSeconds = 20;
 
-const Kind Kinds[] = {{"checks", 35, 1.6, 9.5, 800, {2200, 4100, 0}},
-                      {"batches", 4.15, 2, 14, 6000, {4500, 8300, 0}}};
+const JobKind JobKinds[] = {{"checks", 35, 1.6, 9.5, 800, {2200, 4100, 0}},
+                            {"batches", 4.15, 2, 14, 6000, {4500, 8300, 0}}};
 
-work::Manifest manifestOf() {
-  work::Manifest Out;
-  Out.Version_ = 1;
-  Out.Pools_["pool"] = {"pool", false};
-  const auto Add = [&Out](const char *Name, int Priority, work::AdvicePolicy Advice) {
+work::Manifest makeManifest() {
+  work::Manifest Result;
+  Result.Version_ = 1;
+  Result.Pools_["pool"] = {"pool", false};
+  const auto AddQueue = [&Result](const char *Name, int Priority, work::AdvicePolicy Advice) {
     work::Queue Queue;
     Queue.Name_ = Name;
     Queue.Pool_ = "pool";
@@ -37,28 +37,29 @@
     Queue.MaxAttempts_ = 4;
     Queue.Stretch_ = 2;
     Queue.Advice_ = Advice;
-    Out.Queues_.push_back(Queue);
+    Result.Queues_.push_back(Queue);
   };
-  Add("checks", 0, {23, 0.33, 2500});
-  Add("batches", 2, {390, 5.5, 2500});
-  return Out;
+  AddQueue("checks", 0, {23, 0.33, 2500});
+  AddQueue("batches", 2, {390, 5.5, 2500});
+  return Result;
 }
 
-work::JobSpec drawJob(const Kind &Of, std::mt19937_64 &Random) {
-  std::exponential_distribution<> Around(1);
+work::JobSpec randomJob(const JobKind &Kind, std::mt19937_64 &Random) {
+  std::exponential_distribution<> Exponential(1);
   const auto Draw = [&](double Mean) {
-    return std::max<std::uint32_t>(1,
-                                   static_cast<std::uint32_t>(std::lround(Mean * Around(Random))));
+    return std::max<std::uint32_t>(
+        1, static_cast<std::uint32_t>(std::lround(Mean * Exponential(Random))));
   };
   work::JobSpec Spec;
   Spec.Payload_ = std::string(300, 'p');
-  const std::uint32_t Steps = std::min<std::uint32_t>(Draw(Of.Steps_), 4);
+  const std::uint32_t Steps = std::min<std::uint32_t>(Draw(Kind.Steps_), 4);
   for (std::uint32_t I = 0; I < Steps; ++I) {
     work::StepSpec Step;
-    Step.Count_ = std::min<std::uint32_t>(Draw(Of.Width_), 60);
-    Step.Need_ = Of.Need_;
-    Step.EstimatedMs_ = std::max<std::int64_t>(
-        100, static_cast<std::int64_t>(static_cast<double>(Of.Ms_) * (0.5 + Around(Random) / 2)));
+    Step.Count_ = std::min<std::uint32_t>(Draw(Kind.Width_), 60);
+    Step.Need_ = Kind.Need_;
+    Step.EstimatedMs_ =
+        std::max<std::int64_t>(100, static_cast<std::int64_t>(static_cast<double>(Kind.Ms_) *
+                                                              (0.5 + Exponential(Random) / 2)));
     if (I > 0)
       Step.DependsOn_ = {I - 1};
     Spec.Steps_.push_back(Step);
@@ -72,19 +73,19 @@
   tests::FakeFleetOptions Options;
   Options.Seed_ = static_cast<unsigned>(Seed);
   tests::FakeFleet Fleet(Options);
-  Fleet.setManifest(manifestOf());
+  Fleet.setManifest(makeManifest());
   for (int I = 0; I < Executors; ++I)
     Fleet.addExecutor("i-" + std::to_string(1000 + I), {16'000, 32'768, 0});
   Fleet.run(core::Millis(500));
   std::mt19937_64 Random(Seed);
   std::size_t Jobs = 0;
   constexpr core::Millis Slice{20};
-  for (core::Millis At{0}; At < core::Millis(1000 * PlayedSeconds); At += Slice) {
-    for (const Kind &One : Kinds) {
-      std::poisson_distribution<> Arrivals(One.PerSecond_ * Executors / ReferenceExecutors *
+  for (core::Millis Elapsed{0}; Elapsed < core::Millis(1000 * SimulatedSeconds); Elapsed += Slice) {
+    for (const JobKind &Kind : JobKinds) {
+      std::poisson_distribution<> Arrivals(Kind.PerSecond_ * Executors / ReferenceExecutors *
                                            static_cast<double>(Slice.count()) / 1000);
-      for (int Left = Arrivals(Random); Left > 0; --Left)
-        Fleet.submit("job" + std::to_string(Jobs++), drawJob(One, Random), One.Queue_);
+      for (int Remaining = Arrivals(Random); Remaining > 0; --Remaining)
+        Fleet.submit("job" + std::to_string(Jobs++), randomJob(Kind, Random), Kind.Queue_);
     }
     Fleet.run(Slice);
   }
@@ -95,10 +96,10 @@
   return {{"executors", Executors},
           {"jobs", Jobs},
           {"completed", Completed},
-          {"starts_per_s", static_cast<double>(Fleet.starts()) / PlayedSeconds},
-          {"decision_cores", Seconds / PlayedSeconds},
-          {"us_per_start", 1e6 * Seconds / static_cast<double>(Fleet.starts())},
-          {"broken", Fleet.broken().size()}};
+          {"starts_per_s", static_cast<double>(Fleet.startCount()) / SimulatedSeconds},
+          {"decision_cores", Seconds / SimulatedSeconds},
+          {"us_per_start", 1e6 * Seconds / static_cast<double>(Fleet.startCount())},
+          {"broken", Fleet.violations().size()}};
 }
 
 } // namespace masticdrift::measure
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -12,22 +12,22 @@
 constexpr core::Millis TickInterval{10};
 constexpr core::Millis FlushTime{8};
 constexpr core::Millis OrderTimeout{700};
-constexpr core::Millis HoldAnswerTime{700};
+constexpr core::Millis HoldTimeoutMargin{700};
 constexpr core::Millis StopTime{100};
-constexpr core::Millis LatestOrder{12'000};
-constexpr core::Millis LongestLease{10'000};
+constexpr core::Millis MaxOrderDelay{12'000};
+constexpr core::Millis MaxLease{10'000};
 /// Executors' clocks may be this much slow.
 constexpr double ClockRate = 0.98;
 /// The wall clock and the virtual clock start together.
-constexpr std::int64_t WallZero = 1'700'000'000'000;
+constexpr std::int64_t WallClockStartMs = 1'700'000'000'000;
 
 std::string nameOf(const work::TaskRef &Task) {
   return Task.Job_ + '.' + std::to_string(Task.Occurrence_) + '.' + std::to_string(Task.Step_) +
          '.' + std::to_string(Task.Index_);
 }
 
-std::int64_t wallOf(core::TimePoint Now) {
-  return WallZero + core::toMillis(Now.time_since_epoch());
+std::int64_t wallMs(core::TimePoint Now) {
+  return WallClockStartMs + core::toMillis(Now.time_since_epoch());
 }
 
 } // namespace
@@ -41,55 +41,55 @@
   Manifest_.Version_ = 1;
   Manifest_.Queues_.push_back(Queue);
   Manifest_.Pools_["pool"] = {"pool", false};
-  lead();
+  startTerm();
 }
 
-void FakeFleet::at(core::TimePoint When, std::function<void()> Work) {
-  Events_.push({When, NextOrder_++, std::move(Work)});
+void FakeFleet::schedule(core::TimePoint Time, std::function<void()> Action) {
+  Events_.push({Time, NextSequence_++, std::move(Action)});
 }
 
-std::int64_t FakeFleet::clockOf(const Executor &One) const {
-  return static_cast<std::int64_t>(static_cast<double>(core::toMillis(Now_ - One.ClockZero_)) *
-                                   ClockRate);
+std::int64_t FakeFleet::clockOf(const FakeExecutor &Executor) const {
+  return static_cast<std::int64_t>(
+      static_cast<double>(core::toMillis(Now_ - Executor.ClockStart_)) * ClockRate);
 }
 
 void FakeFleet::addExecutor(const std::string &Id, core::Resources Capacity) {
-  Executor &Made = Executors_[Id];
-  Made.Info_.Id_ = Id;
-  Made.Info_.Address_ = Id;
-  Made.Info_.Pool_ = "pool";
-  Made.Info_.Capacity_ = Capacity;
-  Made.Info_.Labels_ = {"a", "r1"};
-  Made.Info_.Born_ = wallOf(Now_);
-  Made.ClockZero_ = Now_;
-  for (auto &[Of, One] : Terms_)
-    if (Of->Alive_)
-      One->onExecutor(Made.Info_, Now_);
+  FakeExecutor &NewExecutor = Executors_[Id];
+  NewExecutor.Info_.Id_ = Id;
+  NewExecutor.Info_.Address_ = Id;
+  NewExecutor.Info_.Pool_ = "pool";
+  NewExecutor.Info_.Capacity_ = Capacity;
+  NewExecutor.Info_.Labels_ = {"a", "r1"};
+  NewExecutor.Info_.Born_ = wallMs(Now_);
+  NewExecutor.ClockStart_ = Now_;
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      Scheduler->onExecutor(NewExecutor.Info_, Now_);
 }
 
 void FakeFleet::crash(const std::string &Id, core::Millis Down) {
-  Executor &One = Executors_.at(Id);
-  One.Up_ = false;
-  One.Running_.clear();
-  One.Waiting_ = nullptr;
-  at(Now_ + Down, [this, Id] {
-    Executor &Again = Executors_.at(Id);
-    const fleet::ExecutorInfo Info = Again.Info_;
-    Again = {};
-    Again.Info_ = Info;
-    Again.Info_.Born_ = wallOf(Now_);
-    Again.ClockZero_ = Now_;
+  FakeExecutor &Executor = Executors_.at(Id);
+  Executor.Up_ = false;
+  Executor.Running_.clear();
+  Executor.PendingHold_ = nullptr;
+  schedule(Now_ + Down, [this, Id] {
+    FakeExecutor &Restarted = Executors_.at(Id);
+    const fleet::ExecutorInfo Info = Restarted.Info_;
+    Restarted = {};
+    Restarted.Info_ = Info;
+    Restarted.Info_.Born_ = wallMs(Now_);
+    Restarted.ClockStart_ = Now_;
     // The list lags behind.
-    at(Now_ + core::Millis(800), [this, Fresh = Again.Info_] {
-      for (auto &[Of, Each] : Terms_)
-        if (Of->Alive_)
-          Each->onExecutor(Fresh, Now_);
+    schedule(Now_ + core::Millis(800), [this, ListedInfo = Restarted.Info_] {
+      for (auto &[LeaderTerm, Scheduler] : Terms_)
+        if (LeaderTerm->Alive_)
+          Scheduler->onExecutor(ListedInfo, Now_);
     });
   });
 }
 
-void FakeFleet::cut(const std::string &Id, core::Millis Time) {
-  Executors_.at(Id).CutUntil_ = Now_ + Time;
+void FakeFleet::disconnect(const std::string &Id, core::Millis Time) {
+  Executors_.at(Id).DisconnectedUntil_ = Now_ + Time;
 }
 
 void FakeFleet::submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue) {
@@ -97,11 +97,13 @@
   SubmittedAt_[Id] = Now_;
   Ledger_.applySpec(Id, work::specEntry(Id, Spec).Value_);
   const work::LedgerEntry Entry =
-      work::acceptedEntry(Id, {*work::queueNamed(Manifest_, Queue), "c", wallOf(Now_)});
+      work::acceptedEntry(Id, {*work::queueNamed(Manifest_, Queue), "c", wallMs(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
-  for (auto &[Of, One] : Terms_)
-    if (Of->Alive_)
-      timed([this, &Leader = One, &Id] { Leader->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      measureDecision([this, &Leader = Scheduler, &Id] {
+        Leader->onJob(*Ledger_.find(Id), Now_, wallMs(Now_));
+      });
 }
 
 void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
@@ -111,346 +113,372 @@
 }
 
 void FakeFleet::cancel(const std::string &Id) {
-  const work::LedgerEntry Entry = work::cancelledEntry(Id, {wallOf(Now_)});
+  const work::LedgerEntry Entry = work::cancelledEntry(Id, {wallMs(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
-  for (auto &[Of, One] : Terms_)
-    if (Of->Alive_)
-      timed([this, &Leader = One, &Id] { Leader->onJob(*Ledger_.find(Id), Now_, wallOf(Now_)); });
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      measureDecision([this, &Leader = Scheduler, &Id] {
+        Leader->onJob(*Ledger_.find(Id), Now_, wallMs(Now_));
+      });
 }
 
 void FakeFleet::setManifest(work::Manifest Manifest) {
   Manifest_ = std::move(Manifest);
-  for (auto &[Of, One] : Terms_)
-    if (Of->Alive_)
-      One->setManifest(Manifest_, Now_);
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      Scheduler->setManifest(Manifest_, Now_);
 }
 
-void FakeFleet::takeOver(core::Millis OldGoesOn) {
-  if (OldGoesOn.count() == 0)
+void FakeFleet::takeOver(core::Millis OldLeaderTime) {
+  if (OldLeaderTime.count() == 0)
     Current_->Alive_ = false;
   else
-    at(Now_ + OldGoesOn, [Old = Current_] { Old->Alive_ = false; });
-  lead();
+    schedule(Now_ + OldLeaderTime, [OldTerm = Current_] { OldTerm->Alive_ = false; });
+  startTerm();
 }
 
 core::Millis FakeFleet::sinceTakeover() const {
   return std::chrono::duration_cast<core::Millis>(Now_ - TookOverAt_);
 }
 
-void FakeFleet::lead() {
-  const auto Of = std::make_shared<Term>();
-  Of->Token_ = ++Token_;
+void FakeFleet::startTerm() {
+  const auto ThisTerm = std::make_shared<Term>();
+  ThisTerm->Token_ = ++Token_;
   Fence_ = Token_;
   TookOverAt_ = Now_;
-  Current_ = Of;
-  Terms_.emplace_back(Of, nullptr);
+  Current_ = ThisTerm;
+  Terms_.emplace_back(ThisTerm, nullptr);
   const std::size_t Index = Terms_.size() - 1;
-  lead::SchedulerActions Out;
-  const auto Target = [this, Index]() -> lead::Scheduler & { return *Terms_[Index].second; };
-  Out.Start_ = [this, Of, Target](const fleet::ExecutorInfo &Info, const fleet::StartOrder &Order) {
+  lead::SchedulerActions Actions;
+  const auto Scheduler = [this, Index]() -> lead::Scheduler & { return *Terms_[Index].second; };
+  Actions.Start_ = [this, ThisTerm, Scheduler](const fleet::ExecutorInfo &Info,
+                                               const fleet::StartOrder &Order) {
     const lead::RunKey Key{Order.Task_, Order.Run_};
     const std::string Id = Info.Id_;
-    if (Options_.NotConnected_ > 0 && chance(Options_.NotConnected_)) {
-      at(Now_ + OrderTimeout, [this, Of, Target, Id, Key] {
-        if (Of->Alive_)
-          timed([&] { Target().onStartResult(Id, Key, OrderOutcome::NotSent, 0, Now_); });
+    if (Options_.NoConnectionProbability_ > 0 && happens(Options_.NoConnectionProbability_)) {
+      schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key] {
+        if (ThisTerm->Alive_)
+          measureDecision(
+              [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NotSent, 0, Now_); });
       });
       return;
     }
-    const bool Late = chance(Options_.OrderLate_);
-    const bool Lost = Late || std::exchange(LoseNextStart_, false) || chance(Options_.AnswerLost_);
+    const bool Late = happens(Options_.LateOrderProbability_);
+    const bool Lost = Late || std::exchange(LoseNextStartAnswer_, false) ||
+                      happens(Options_.LostAnswerProbability_);
     const auto Answered = std::make_shared<bool>(false);
     core::Millis Delay = Options_.Latency_;
     if (Late)
-      Delay = Options_.LateBy_.count() > 0
-                  ? Options_.LateBy_
+      Delay = Options_.LateOrderDelay_.count() > 0
+                  ? Options_.LateOrderDelay_
                   : core::Millis(std::uniform_int_distribution<>(
-                        2000, static_cast<int>(LatestOrder.count()))(Random_));
-    at(Now_ + Delay, [this, Of, Target, Order, Id, Key, Lost, Late, Answered,
-                      Born = Executors_.at(Id).Info_.Born_] {
-      Executor &One = Executors_.at(Id);
+                        2000, static_cast<int>(MaxOrderDelay.count()))(Random_));
+    schedule(Now_ + Delay, [this, ThisTerm, Scheduler, Order, Id, Key, Lost, Late, Answered,
+                            Born = Executors_.at(Id).Info_.Born_] {
+      FakeExecutor &Target = Executors_.at(Id);
       // An order that the executor has put off dies with it.
-      if (!reaches(One) || (Late && !Options_.LateSurvives_ && One.Info_.Born_ != Born))
+      if (!isReachable(Target) ||
+          (Late && !Options_.LateOrdersSurviveRestart_ && Target.Info_.Born_ != Born))
         return;
-      const OrderOutcome Outcome = start(One, Order);
+      const OrderOutcome Outcome = handleStart(Target, Order);
       if (Lost)
         return;
-      at(Now_ + Options_.Latency_,
-         [this, Of, Target, Id, Key, Outcome, Answered, Clock = clockOf(One)] {
-           if (std::exchange(*Answered, true) || !Of->Alive_ || Executors_.at(Id).CutUntil_ > Now_)
-             return;
-           timed([&] { Target().onStartResult(Id, Key, Outcome, Clock, Now_); });
-         });
+      schedule(Now_ + Options_.Latency_,
+               [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, Clock = clockOf(Target)] {
+                 if (std::exchange(*Answered, true) || !ThisTerm->Alive_ ||
+                     Executors_.at(Id).DisconnectedUntil_ > Now_)
+                   return;
+                 measureDecision([&] { Scheduler().onStartResult(Id, Key, Outcome, Clock, Now_); });
+               });
     });
-    at(Now_ + OrderTimeout, [this, Of, Target, Id, Key, Answered] {
-      if (!std::exchange(*Answered, true) && Of->Alive_)
-        timed([&] { Target().onStartResult(Id, Key, OrderOutcome::NoAnswer, 0, Now_); });
+    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered] {
+      if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+        measureDecision(
+            [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NoAnswer, 0, Now_); });
     });
   };
-  Out.Stop_ = [this, Of, Target](const fleet::ExecutorInfo &Info, const lead::RunKey &Key) {
+  Actions.Stop_ = [this, ThisTerm, Scheduler](const fleet::ExecutorInfo &Info,
+                                              const lead::RunKey &Key) {
     const std::string Id = Info.Id_;
     const auto Answered = std::make_shared<bool>(false);
-    const bool Lost = chance(Options_.AnswerLost_);
-    at(Now_ + Options_.Latency_, [this, Of, Target, Id, Key, Lost, Answered] {
-      Executor &One = Executors_.at(Id);
-      if (!reaches(One))
+    const bool Lost = happens(Options_.LostAnswerProbability_);
+    schedule(Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, Key, Lost, Answered] {
+      FakeExecutor &Target = Executors_.at(Id);
+      if (!isReachable(Target))
         return;
-      const OrderOutcome Outcome = stop(One, Key, Of->Token_);
+      const OrderOutcome Outcome = handleStop(Target, Key, ThisTerm->Token_);
       if (Lost)
         return;
-      at(Now_ + Options_.Latency_, [this, Of, Target, Id, Key, Outcome, Answered] {
-        if (!std::exchange(*Answered, true) && Of->Alive_)
-          timed([&] { Target().onStopResult(Id, Key, Outcome, Now_); });
+      schedule(Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered] {
+        if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+          measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, Now_); });
       });
     });
-    at(Now_ + OrderTimeout, [this, Of, Target, Id, Key, Answered] {
-      if (!std::exchange(*Answered, true) && Of->Alive_)
-        timed([&] { Target().onStopResult(Id, Key, OrderOutcome::NoAnswer, Now_); });
+    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered] {
+      if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+        measureDecision([&] { Scheduler().onStopResult(Id, Key, OrderOutcome::NoAnswer, Now_); });
     });
   };
-  Out.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
-  Out.Hold_ = [this, Of, Target](const fleet::ExecutorInfo &Info, std::uint64_t Seen,
-                                 std::int64_t Until, core::Millis Wait) {
+  Actions.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
+  Actions.Hold_ = [this, ThisTerm, Scheduler](const fleet::ExecutorInfo &Info,
+                                              std::uint64_t SeenUpTo, std::int64_t UntilMs,
+                                              core::Millis Wait) {
     const std::string Id = Info.Id_;
     const core::TimePoint SentAt = Now_;
     const auto Answered = std::make_shared<bool>(false);
-    const bool Lost = chance(Options_.AnswerLost_);
-    const core::Millis Jitter(std::uniform_int_distribution<>(0, Options_.JitterMs_)(Random_));
-    at(Now_ + Options_.Latency_ + Jitter,
-       [this, Of, Target, Id, Seen, Until, Wait, SentAt, Lost, Answered] {
-         Executor &One = Executors_.at(Id);
-         if (!reaches(One))
-           return;
-         const auto Reply = [this, Of, Target, Id, SentAt, Answered](OrderOutcome Outcome) {
-           Executor &From = Executors_.at(Id);
-           if (!reaches(From) || std::exchange(*Answered, true) || !Of->Alive_)
-             return;
-           const fleet::Report Report = reportOf(From);
-           timed([&] { Target().onHoldResult(Id, Outcome, Report, SentAt, Now_); });
-         };
-         if (Of->Token_ < One.Token_) {
-           Reply(OrderOutcome::Fenced);
-           return;
-         }
-         One.Token_ = Of->Token_;
-         note(One, Seen);
-         if (Until > 0)
-           renew(One, Until);
-         if (Lost)
-           return;
-         if (Wait.count() == 0 || !One.Ended_.empty()) {
-           Reply(OrderOutcome::Done);
-           return;
-         }
-         One.Waiting_ = [Reply] { Reply(OrderOutcome::Done); };
-         at(Now_ + Wait, [Reply] { Reply(OrderOutcome::Done); });
-       });
-    at(Now_ + Wait + HoldAnswerTime, [this, Of, Target, Id, SentAt, Answered] {
-      if (!std::exchange(*Answered, true) && Of->Alive_)
-        timed([&] { Target().onHoldResult(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
+    const bool Lost = happens(Options_.LostAnswerProbability_);
+    const core::Millis Jitter(
+        std::uniform_int_distribution<>(0, Options_.MaxHoldJitterMs_)(Random_));
+    schedule(Now_ + Options_.Latency_ + Jitter, [this, ThisTerm, Scheduler, Id, SeenUpTo, UntilMs,
+                                                 Wait, SentAt, Lost, Answered] {
+      FakeExecutor &Target = Executors_.at(Id);
+      if (!isReachable(Target))
+        return;
+      const auto Reply = [this, ThisTerm, Scheduler, Id, SentAt, Answered](OrderOutcome Outcome) {
+        FakeExecutor &Answering = Executors_.at(Id);
+        if (!isReachable(Answering) || std::exchange(*Answered, true) || !ThisTerm->Alive_)
+          return;
+        const fleet::Report Report = reportOf(Answering);
+        measureDecision([&] { Scheduler().onHoldResult(Id, Outcome, Report, SentAt, Now_); });
+      };
+      if (ThisTerm->Token_ < Target.Token_) {
+        Reply(OrderOutcome::Fenced);
+        return;
+      }
+      Target.Token_ = ThisTerm->Token_;
+      acknowledgeEnds(Target, SeenUpTo);
+      if (UntilMs > 0)
+        renewLease(Target, UntilMs);
+      if (Lost)
+        return;
+      if (Wait.count() == 0 || !Target.Ended_.empty()) {
+        Reply(OrderOutcome::Done);
+        return;
+      }
+      Target.PendingHold_ = [Reply] { Reply(OrderOutcome::Done); };
+      schedule(Now_ + Wait, [Reply] { Reply(OrderOutcome::Done); });
+    });
+    schedule(Now_ + Wait + HoldTimeoutMargin, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
+      if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+        measureDecision(
+            [&] { Scheduler().onHoldResult(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
     });
   };
-  Out.RequestAdvice_ = [this, Of, Target](const work::TaskRef &Step, std::vector<std::string> Asked,
-                                          double ExpectedMs, std::pair<int, core::TimePoint>) {
-    at(Now_ + core::Millis(static_cast<std::int64_t>(ExpectedMs)),
-       [this, Of, Target, Step, Asked = std::move(Asked)] {
-         std::vector<fleet::Advised> Good;
-         for (const std::string &One : Asked)
-           if ((std::hash<std::string>{}(Step.Job_ + One) % 10) < 6)
-             Good.push_back({One, "ticket"});
-         if (Of->Alive_)
-           timed([&] { Target().onAdvice(Step, Asked, Good, Now_); });
-       });
+  Actions.RequestAdvice_ = [this, ThisTerm,
+                            Scheduler](const work::TaskRef &Step, std::vector<std::string> Asked,
+                                       double ExpectedMs, std::pair<int, core::TimePoint>) {
+    schedule(Now_ + core::Millis(static_cast<std::int64_t>(ExpectedMs)),
+             [this, ThisTerm, Scheduler, Step, Asked = std::move(Asked)] {
+               std::vector<fleet::Advised> Allowed;
+               for (const std::string &ExecutorId : Asked)
+                 if ((std::hash<std::string>{}(Step.Job_ + ExecutorId) % 10) < 6)
+                   Allowed.push_back({ExecutorId, "ticket"});
+               if (ThisTerm->Alive_)
+                 measureDecision([&] { Scheduler().onAdvice(Step, Asked, Allowed, Now_); });
+             });
   };
-  Out.LogDecision_ = [this, Of](std::string_view Event, const work::TaskRef &Task,
-                                std::uint64_t Run, std::string_view At, std::string_view Detail) {
+  Actions.LogDecision_ = [this, ThisTerm](std::string_view Event, const work::TaskRef &Task,
+                                          std::uint64_t Run, std::string_view ExecutorId,
+                                          std::string_view Detail) {
     if (Options_.Trace_)
-      std::cerr << core::toMillis(Now_.time_since_epoch()) % 3'600'000 << " t" << Of->Token_ << ' '
-                << Event << ' ' << nameOf(Task) << " run " << Run << ' ' << At << ' ' << Detail
-                << '\n';
+      std::cerr << core::toMillis(Now_.time_since_epoch()) % 3'600'000 << " t" << ThisTerm->Token_
+                << ' ' << Event << ' ' << nameOf(Task) << " run " << Run << ' ' << ExecutorId << ' '
+                << Detail << '\n';
   };
-  Terms_[Index].second = std::make_unique<lead::Scheduler>(Of->Token_, lead::SchedulerTiming{},
-                                                           std::move(Out), Now_, false);
+  Terms_[Index].second = std::make_unique<lead::Scheduler>(
+      ThisTerm->Token_, lead::SchedulerTiming{}, std::move(Actions), Now_, false);
   Leader_ = Terms_[Index].second.get();
   Leader_->setManifest(Manifest_, Now_);
-  for (const auto &[Id, One] : Executors_)
-    Leader_->onExecutor(One.Info_, Now_);
+  for (const auto &[Id, Executor] : Executors_)
+    Leader_->onExecutor(Executor.Info_, Now_);
   for (const auto &[Id, Job] : Ledger_.jobs())
-    if (!ReadLate_.contains(Id))
-      Leader_->onJob(Job, Now_, wallOf(Now_));
-  for (const auto &[Id, Time] : std::exchange(ReadLate_, {}))
-    at(Now_ + Time, [this, Of, Target, Job = Id] {
-      if (Of->Alive_)
-        Target().onJob(*Ledger_.find(Job), Now_, wallOf(Now_));
+    if (!ReadDelays_.contains(Id))
+      Leader_->onJob(Job, Now_, wallMs(Now_));
+  for (const auto &[Id, Time] : std::exchange(ReadDelays_, {}))
+    schedule(Now_ + Time, [this, ThisTerm, Scheduler, Job = Id] {
+      if (ThisTerm->Alive_)
+        Scheduler().onJob(*Ledger_.find(Job), Now_, wallMs(Now_));
     });
-  tick(Of);
+  tick(ThisTerm);
 }
 
-void FakeFleet::tick(const std::shared_ptr<Term> &Of) {
-  if (!Of->Alive_)
+void FakeFleet::tick(const std::shared_ptr<Term> &ThisTerm) {
+  if (!ThisTerm->Alive_)
     return;
-  const auto Found = std::ranges::find(Terms_, Of, [](const auto &One) { return One.first; });
-  lead::Scheduler &Target = *Found->second;
-  timed([&] { Target.tick(Now_, wallOf(Now_)); });
-  if (Target.fenced()) {
-    Of->Alive_ = false;
+  const auto Found =
+      std::ranges::find(Terms_, ThisTerm, [](const auto &Entry) { return Entry.first; });
+  lead::Scheduler &Scheduler = *Found->second;
+  measureDecision([&] { Scheduler.tick(Now_, wallMs(Now_)); });
+  if (Scheduler.fenced()) {
+    ThisTerm->Alive_ = false;
     return;
   }
-  if (!Of->Flushing_ && !StoreDown_)
-    if (auto [Number, Entries] = Target.takeProgress(); Number != 0) {
-      Of->Flushing_ = true;
-      at(Now_ + FlushTime, [this, Of, &Target, Number = Number, Entries = std::move(Entries)] {
-        Of->Flushing_ = false;
-        if (!Of->Alive_)
-          return;
-        if (Of->Token_ < Fence_) {
-          Of->Alive_ = false;
-          return;
-        }
-        for (const work::LedgerEntry &One : Entries)
-          Ledger_.apply(Offset_++, One.Key_, One.Value_);
-        timed([&] { Target.onFlushed(Number, Now_); });
-      });
+  if (!ThisTerm->Flushing_ && !StoreDown_)
+    if (auto [Number, Entries] = Scheduler.takeProgress(); Number != 0) {
+      ThisTerm->Flushing_ = true;
+      schedule(Now_ + FlushTime,
+               [this, ThisTerm, &Scheduler, Number = Number, Entries = std::move(Entries)] {
+                 ThisTerm->Flushing_ = false;
+                 if (!ThisTerm->Alive_)
+                   return;
+                 if (ThisTerm->Token_ < Fence_) {
+                   ThisTerm->Alive_ = false;
+                   return;
+                 }
+                 for (const work::LedgerEntry &Entry : Entries)
+                   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
+                 measureDecision([&] { Scheduler.onFlushed(Number, Now_); });
+               });
     }
-  at(Now_ + TickInterval, [this, Of] { tick(Of); });
+  schedule(Now_ + TickInterval, [this, ThisTerm] { tick(ThisTerm); });
 }
 
-const work::StepSpec &FakeFleet::specOf(const work::TaskRef &Task) const {
+const work::StepSpec &FakeFleet::stepSpec(const work::TaskRef &Task) const {
   return Submitted_.at(Task.Job_).Steps_.at(Task.Step_);
 }
 
-void FakeFleet::renew(Executor &At, std::int64_t UntilMs) {
-  const std::int64_t Until = std::min(UntilMs, clockOf(At) + LongestLease.count());
-  At.LeaseEnd_ =
-      std::max(At.LeaseEnd_, At.ClockZero_ + core::Millis(static_cast<std::int64_t>(
-                                                 static_cast<double>(Until) / ClockRate)));
+void FakeFleet::renewLease(FakeExecutor &Executor, std::int64_t UntilMs) {
+  const std::int64_t Until = std::min(UntilMs, clockOf(Executor) + MaxLease.count());
+  Executor.LeaseEnd_ =
+      std::max(Executor.LeaseEnd_,
+               Executor.ClockStart_ +
+                   core::Millis(static_cast<std::int64_t>(static_cast<double>(Until) / ClockRate)));
 }
 
-OrderOutcome FakeFleet::start(Executor &At, const fleet::StartOrder &Order) {
-  if (Order.Token_ < At.Token_)
+OrderOutcome FakeFleet::handleStart(FakeExecutor &Executor, const fleet::StartOrder &Order) {
+  if (Order.Token_ < Executor.Token_)
     return OrderOutcome::Fenced;
-  At.Token_ = Order.Token_;
-  if (const auto Over = At.Over_.find(Order.Task_);
-      Over != At.Over_.end() && Order.Run_ <= Over->second)
+  Executor.Token_ = Order.Token_;
+  if (const auto Ended = Executor.HighestEndedRuns_.find(Order.Task_);
+      Ended != Executor.HighestEndedRuns_.end() && Order.Run_ <= Ended->second)
     return OrderOutcome::Superseded;
-  if (Order.UntilMs_ <= clockOf(At))
+  if (Order.UntilMs_ <= clockOf(Executor))
     return OrderOutcome::LeaseOver;
-  if (const auto There = At.Running_.find(Order.Task_); There != At.Running_.end())
-    return There->second.Run_ == Order.Run_ ? OrderOutcome::Done : OrderOutcome::Superseded;
-  renew(At, Order.UntilMs_);
-  const work::StepSpec &Spec = specOf(Order.Task_);
+  if (const auto Existing = Executor.Running_.find(Order.Task_);
+      Existing != Executor.Running_.end())
+    return Existing->second.Run_ == Order.Run_ ? OrderOutcome::Done : OrderOutcome::Superseded;
+  renewLease(Executor, Order.UntilMs_);
+  const work::StepSpec &Spec = stepSpec(Order.Task_);
   for (const auto &[Id, Other] : Executors_)
     if (Other.Up_ && Other.Running_.contains(Order.Task_) && !Spec.AllowDuplicates_)
-      broke("two runs of " + nameOf(Order.Task_) + " on " + Id + " and " + At.Info_.Id_);
-  for (const Done &One : Dones_[Order.Task_])
-    if (One.Noted_)
-      broke(nameOf(Order.Task_) + " run " + std::to_string(Order.Run_) + " started on " +
-            At.Info_.Id_ + " after its end on " + One.Executor_ + " was noted");
+      addViolation("two runs of " + nameOf(Order.Task_) + " on " + Id + " and " +
+                   Executor.Info_.Id_);
+  for (const Completion &Completed : Completions_[Order.Task_])
+    if (Completed.Acknowledged_)
+      addViolation(nameOf(Order.Task_) + " run " + std::to_string(Order.Run_) + " started on " +
+                   Executor.Info_.Id_ + " after its end on " + Completed.Executor_ + " was noted");
   Starts_[Order.Task_].push_back(Now_);
   ++StartCount_;
-  Running &Made = At.Running_[Order.Task_];
-  Made.Run_ = Order.Run_;
-  Made.StartedAt_ = Now_;
-  Made.Need_ = Spec.Need_;
-  Made.Work_ = core::Millis(Spec.EstimatedMs_ * At.Slow_);
-  Made.Fails_ = At.Spoiled_ || Poisoned_.contains(Order.Task_.Job_) || chance(Options_.TaskFails_);
-  Made.Generation_ = ++Generation_;
+  FakeRun &NewRun = Executor.Running_[Order.Task_];
+  NewRun.Run_ = Order.Run_;
+  NewRun.StartedAt_ = Now_;
+  NewRun.Need_ = Spec.Need_;
+  NewRun.RunTime_ = core::Millis(Spec.EstimatedMs_ * Executor.SlowFactor_);
+  NewRun.Fails_ = Executor.FailsAllRuns_ || FailingJobs_.contains(Order.Task_.Job_) ||
+                  happens(Options_.FailedRunProbability_);
+  NewRun.Generation_ = ++Generation_;
   core::Resources Used;
-  for (const auto &[Task, One] : At.Running_)
-    Used += One.Need_;
-  if (!core::fits(Used, At.Info_.Capacity_))
-    broke(At.Info_.Id_ + " is over its capacity");
+  for (const auto &[Task, Run] : Executor.Running_)
+    Used += Run.Need_;
+  if (!core::fits(Used, Executor.Info_.Capacity_))
+    addViolation(Executor.Info_.Id_ + " is over its capacity");
   if (!Spec.LongRunning_)
-    at(Now_ + Made.Work_,
-       [this, Id = At.Info_.Id_, Task = Order.Task_, Generation = Made.Generation_] {
-         Executor &One = Executors_.at(Id);
-         const auto There = One.Running_.find(Task);
-         if (There != One.Running_.end() && There->second.Generation_ == Generation && !One.Halted_)
-           end(One, Task, There->second.Fails_ ? fleet::EndKind::Failed : fleet::EndKind::Done);
-       });
+    schedule(Now_ + NewRun.RunTime_,
+             [this, Id = Executor.Info_.Id_, Task = Order.Task_, Generation = NewRun.Generation_] {
+               FakeExecutor &Target = Executors_.at(Id);
+               const auto Existing = Target.Running_.find(Task);
+               if (Existing != Target.Running_.end() &&
+                   Existing->second.Generation_ == Generation && !Target.Stalled_)
+                 endRun(Target, Task,
+                        Existing->second.Fails_ ? fleet::EndKind::Failed : fleet::EndKind::Done);
+             });
   return OrderOutcome::Done;
 }
 
-OrderOutcome FakeFleet::stop(Executor &At, const lead::RunKey &Which, std::uint64_t Token) {
-  if (Token < At.Token_)
+OrderOutcome FakeFleet::handleStop(FakeExecutor &Executor, const lead::RunKey &Key,
+                                   std::uint64_t Token) {
+  if (Token < Executor.Token_)
     return OrderOutcome::Fenced;
-  At.Token_ = Token;
-  std::uint64_t &Over = At.Over_[Which.first];
-  Over = std::max(Over, Which.second);
-  if (At.Running_.contains(Which.first))
-    at(Now_ + StopTime, [this, Id = At.Info_.Id_, Which] {
-      Executor &One = Executors_.at(Id);
-      const auto There = One.Running_.find(Which.first);
-      if (There != One.Running_.end() && There->second.Run_ <= Which.second)
-        end(One, Which.first, fleet::EndKind::Stopped);
+  Executor.Token_ = Token;
+  std::uint64_t &HighestEndedRun = Executor.HighestEndedRuns_[Key.first];
+  HighestEndedRun = std::max(HighestEndedRun, Key.second);
+  if (Executor.Running_.contains(Key.first))
+    schedule(Now_ + StopTime, [this, Id = Executor.Info_.Id_, Key] {
+      FakeExecutor &Target = Executors_.at(Id);
+      const auto Existing = Target.Running_.find(Key.first);
+      if (Existing != Target.Running_.end() && Existing->second.Run_ <= Key.second)
+        endRun(Target, Key.first, fleet::EndKind::Stopped);
     });
   return OrderOutcome::Done;
 }
 
-void FakeFleet::end(Executor &At, const work::TaskRef &Task, fleet::EndKind Kind) {
-  const std::uint64_t Number = At.Running_.at(Task).Run_;
-  At.Running_.erase(Task);
-  std::uint64_t &Over = At.Over_[Task];
-  Over = std::max(Over, Number);
-  At.Ended_.push_back({At.NextEnd_++, Task, Number, Kind, {}});
+void FakeFleet::endRun(FakeExecutor &Executor, const work::TaskRef &Task, fleet::EndKind Kind) {
+  const std::uint64_t Number = Executor.Running_.at(Task).Run_;
+  Executor.Running_.erase(Task);
+  std::uint64_t &HighestEndedRun = Executor.HighestEndedRuns_[Task];
+  HighestEndedRun = std::max(HighestEndedRun, Number);
+  Executor.Ended_.push_back({Executor.NextEnd_++, Task, Number, Kind, {}});
   if (Kind == fleet::EndKind::Done) {
-    Dones_[Task].push_back({Now_, At.Info_.Id_, At.Ended_.back().Number_, At.Info_.Born_, false});
-    LastEnd_[Task.Job_] = Now_;
+    Completions_[Task].push_back(
+        {Now_, Executor.Info_.Id_, Executor.Ended_.back().Number_, Executor.Info_.Born_, false});
+    LastCompletionAt_[Task.Job_] = Now_;
   }
-  if (auto Waiting = std::exchange(At.Waiting_, nullptr))
-    at(Now_ + Options_.Latency_, std::move(Waiting));
+  if (auto PendingHold = std::exchange(Executor.PendingHold_, nullptr))
+    schedule(Now_ + Options_.Latency_, std::move(PendingHold));
 }
 
-void FakeFleet::note(Executor &At, std::uint64_t Seen) {
-  for (const fleet::EndRow &One : At.Ended_) {
-    if (One.Number_ > Seen || One.Kind_ != fleet::EndKind::Done)
+void FakeFleet::acknowledgeEnds(FakeExecutor &Executor, std::uint64_t SeenUpTo) {
+  for (const fleet::EndRow &End : Executor.Ended_) {
+    if (End.Number_ > SeenUpTo || End.Kind_ != fleet::EndKind::Done)
       continue;
-    for (Done &Each : Dones_[One.Task_])
-      if (Each.Executor_ == At.Info_.Id_ && Each.Number_ == One.Number_ &&
-          Each.Born_ == At.Info_.Born_) {
+    for (Completion &Completed : Completions_[End.Task_])
+      if (Completed.Executor_ == Executor.Info_.Id_ && Completed.Number_ == End.Number_ &&
+          Completed.Incarnation_ == Executor.Info_.Born_) {
         // An end before a lapse does not count: its task may have started elsewhere.
-        if (std::ranges::any_of(At.Lapses_, [&](core::TimePoint When) { return When >= Each.At_; }))
+        if (std::ranges::any_of(Executor.LeaseLapses_,
+                                [&](core::TimePoint Time) { return Time >= Completed.At_; }))
           continue;
-        Each.Noted_ = true;
-        if (!specOf(One.Task_).AllowDuplicates_ &&
-            std::ranges::any_of(Starts_[One.Task_],
-                                [&](core::TimePoint When) { return When > Each.At_; }))
-          broke(nameOf(One.Task_) + " was started after an end that was noted later");
+        Completed.Acknowledged_ = true;
+        if (!stepSpec(End.Task_).AllowDuplicates_ &&
+            std::ranges::any_of(Starts_[End.Task_],
+                                [&](core::TimePoint Time) { return Time > Completed.At_; }))
+          addViolation(nameOf(End.Task_) + " was started after an end that was noted later");
       }
   }
-  std::erase_if(At.Ended_, [Seen](const fleet::EndRow &One) { return One.Number_ <= Seen; });
+  std::erase_if(Executor.Ended_,
+                [SeenUpTo](const fleet::EndRow &End) { return End.Number_ <= SeenUpTo; });
 }
 
-fleet::Report FakeFleet::reportOf(const Executor &One) const {
-  fleet::Report Out;
-  Out.ClockMs_ = clockOf(One);
-  Out.Born_ = One.Info_.Born_;
-  for (const auto &[Task, Run] : One.Running_) {
-    const double Part = Run.Work_.count() == 0 || One.Halted_
-                            ? 0
-                            : static_cast<double>(core::toMillis(Now_ - Run.StartedAt_)) /
-                                  static_cast<double>(Run.Work_.count());
-    Out.Running_.push_back({Task, Run.Run_, {}, static_cast<int>(100 * Part), 0});
+fleet::Report FakeFleet::reportOf(const FakeExecutor &Executor) const {
+  fleet::Report Result;
+  Result.ClockMs_ = clockOf(Executor);
+  Result.Born_ = Executor.Info_.Born_;
+  for (const auto &[Task, Run] : Executor.Running_) {
+    const double WorkFraction = Run.RunTime_.count() == 0 || Executor.Stalled_
+                                    ? 0
+                                    : static_cast<double>(core::toMillis(Now_ - Run.StartedAt_)) /
+                                          static_cast<double>(Run.RunTime_.count());
+    Result.Running_.push_back({Task, Run.Run_, {}, static_cast<int>(100 * WorkFraction), 0});
   }
-  Out.Ended_ = One.Ended_;
-  return Out;
+  Result.Ended_ = Executor.Ended_;
+  return Result;
 }
 
-void FakeFleet::run(core::Millis Time) {
-  const core::TimePoint End = Now_ + Time;
+void FakeFleet::run(core::Millis Duration) {
+  const core::TimePoint End = Now_ + Duration;
   while (!Events_.empty() && Events_.top().At_ <= End) {
     const Event Next = Events_.top();
     Events_.pop();
     Now_ = std::max(Now_, Next.At_);
     // Leases that lapsed since the last event.
-    for (auto &[Id, One] : Executors_)
-      if (One.Up_ && Now_ >= One.LeaseEnd_) {
-        if (One.Lapses_.empty() || One.Lapses_.back() < One.LeaseEnd_)
-          One.Lapses_.push_back(One.LeaseEnd_);
-        while (!One.Running_.empty())
-          end(One, One.Running_.begin()->first, fleet::EndKind::LeaseLapsed);
+    for (auto &[Id, Executor] : Executors_)
+      if (Executor.Up_ && Now_ >= Executor.LeaseEnd_) {
+        if (Executor.LeaseLapses_.empty() || Executor.LeaseLapses_.back() < Executor.LeaseEnd_)
+          Executor.LeaseLapses_.push_back(Executor.LeaseEnd_);
+        while (!Executor.Running_.empty())
+          endRun(Executor, Executor.Running_.begin()->first, fleet::EndKind::LeaseLapsed);
       }
-    Next.Work_();
+    Next.Action_();
   }
   Now_ = End;
 }
@@ -462,18 +490,18 @@
   return Found == Starts_.end() ? 0 : static_cast<int>(Found->second.size());
 }
 
-std::vector<std::string> FakeFleet::placesOf(const std::string &Job) const {
-  std::vector<std::string> Out;
-  for (const auto &[Id, One] : Executors_)
-    for (const auto &[Task, Run] : One.Running_)
-      if (One.Up_ && Task.Job_ == Job)
-        Out.push_back(Id);
-  return Out;
+std::vector<std::string> FakeFleet::executorsRunning(const std::string &Job) const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Executor] : Executors_)
+    for (const auto &[Task, Run] : Executor.Running_)
+      if (Executor.Up_ && Task.Job_ == Job)
+        Result.push_back(Id);
+  return Result;
 }
 
-std::optional<core::Millis> FakeFleet::tookOf(const std::string &Id) const {
-  const auto Found = LastEnd_.find(Id);
-  if (Found == LastEnd_.end() || stateOf(Id) != work::JobState::Completed)
+std::optional<core::Millis> FakeFleet::completionTimeOf(const std::string &Id) const {
+  const auto Found = LastCompletionAt_.find(Id);
+  if (Found == LastCompletionAt_.end() || stateOf(Id) != work::JobState::Completed)
     return std::nullopt;
   return std::chrono::duration_cast<core::Millis>(Found->second - SubmittedAt_.at(Id));
 }
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -24,15 +24,18 @@
 /// Probabilities and times of the world.
 struct FakeFleetOptions {
   unsigned Seed_ = 1;
-  double AnswerLost_ = 0;     ///< orders that are carried out and not answered
-  double OrderLate_ = 0;      ///< orders that are not answered and carried out up to 12 s later
-  double TaskFails_ = 0;      ///< runs that end failed
-  double NotConnected_ = 0;   ///< start orders that find no connection within their time limit
-  core::Millis LateBy_{0};    ///< how late, 0 for 2 to 12 s
-  bool LateSurvives_ = false; ///< late orders reach an executor that has started again meanwhile
+  double LostAnswerProbability_ = 0; ///< orders that are carried out and not answered
+  double LateOrderProbability_ =
+      0; ///< orders that are not answered and carried out up to 12 s later
+  double FailedRunProbability_ = 0; ///< runs that end failed
+  double NoConnectionProbability_ =
+      0;                           ///< start orders that find no connection within their time limit
+  core::Millis LateOrderDelay_{0}; ///< how late, 0 for 2 to 12 s
+  bool LateOrdersSurviveRestart_ =
+      false; ///< late orders reach an executor that has started again meanwhile
   core::Millis Latency_{1};
-  int JitterMs_ = 0;   ///< requests for lists take up to this much longer
-  bool Trace_ = false; ///< prints every decision to standard error
+  int MaxHoldJitterMs_ = 0; ///< requests for lists take up to this much longer
+  bool Trace_ = false;      ///< prints every decision to standard error
 };
 
 class FakeFleet {
@@ -44,7 +47,7 @@
   /// Kills what runs there; the executor starts again empty after \p Down.
   void crash(const std::string &Id, core::Millis Down);
   /// Nothing reaches the executor and nothing comes back for \p Time.
-  void cut(const std::string &Id, core::Millis Time);
+  void disconnect(const std::string &Id, core::Millis Time);
   /// Submits a job that was accepted now.
   void submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue = "q");
   /// The same, accepted and begun by the leader of \p Term in one append.
@@ -53,84 +56,84 @@
   void cancel(const std::string &Id);
   void setManifest(work::Manifest Manifest);
   /// A new leader with a higher token takes over; the old one goes on giving orders for
-  /// \p OldGoesOn if that is not zero.
-  void takeOver(core::Millis OldGoesOn = core::Millis(0));
-  void run(core::Millis Time);
+  /// \p OldLeaderTime if that is not zero.
+  void takeOver(core::Millis OldLeaderTime = core::Millis(0));
+  void run(core::Millis Duration);
 
   // -- what can be seen --
   work::JobState stateOf(const std::string &Id) const;
-  const std::vector<std::string> &broken() const { return Broken_; }
+  const std::vector<std::string> &violations() const { return Violations_; }
   /// \returns how often a task was started at any executor.
   int startsOf(const work::TaskRef &Task) const;
   /// \returns the executors on which a task runs now.
-  std::vector<std::string> placesOf(const std::string &Job) const;
+  std::vector<std::string> executorsRunning(const std::string &Job) const;
   core::TimePoint now() const { return Now_; }
   lead::Scheduler &leader() { return *Leader_; }
   core::Millis sinceTakeover() const;
   /// Time from acceptance to the last end, of a completed job.
-  std::optional<core::Millis> tookOf(const std::string &Id) const;
+  std::optional<core::Millis> completionTimeOf(const std::string &Id) const;
 
   /// \returns processor time spent in the leaders' decisions, wall time of this machine.
   std::chrono::steady_clock::duration decisionTime() const { return DecisionTime_; }
-  std::size_t starts() const { return StartCount_; }
+  std::size_t startCount() const { return StartCount_; }
 
   /// The next leader reads this job only \p Time after it has begun to lead.
-  void readLate(const std::string &Job, core::Millis Time) { ReadLate_[Job] = Time; }
+  void delayJobRead(const std::string &Job, core::Millis Time) { ReadDelays_[Job] = Time; }
 
   /// Every run at this executor fails.
-  void spoil(const std::string &Id) { Executors_.at(Id).Spoiled_ = true; }
+  void failAllRunsAt(const std::string &Id) { Executors_.at(Id).FailsAllRuns_ = true; }
   /// Runs that start there from now on take this many times as long.
-  void slow(const std::string &Id, int Factor) { Executors_.at(Id).Slow_ = Factor; }
+  void slowDown(const std::string &Id, int Factor) { Executors_.at(Id).SlowFactor_ = Factor; }
   /// What runs there stands still, for good, while the executor goes on answering.
-  void halt(const std::string &Id) { Executors_.at(Id).Halted_ = true; }
+  void stallRunsAt(const std::string &Id) { Executors_.at(Id).Stalled_ = true; }
   /// Every run of this job fails.
-  void poison(const std::string &Job) { Poisoned_.insert(Job); }
+  void failAllRunsOf(const std::string &Job) { FailingJobs_.insert(Job); }
 
   /// While set, nothing the leader writes is stored.
   void setStoreDown(bool Down) { StoreDown_ = Down; }
 
   /// Loses the next answer to a start order.
-  void loseNextStartAnswer() { LoseNextStart_ = true; }
+  void loseNextStartAnswer() { LoseNextStartAnswer_ = true; }
 
 private:
-  struct Running {
+  struct FakeRun {
     std::uint64_t Run_ = 0;
     core::TimePoint StartedAt_;
-    core::Millis Work_{0};
+    core::Millis RunTime_{0};
     bool Fails_ = false;
     core::Resources Need_;
     int Generation_ = 0;
   };
-  struct Executor {
+  struct FakeExecutor {
     fleet::ExecutorInfo Info_;
     bool Up_ = true;
-    bool Spoiled_ = false;
-    bool Halted_ = false;
-    int Slow_ = 1;
-    core::TimePoint CutUntil_{};
-    core::TimePoint ClockZero_;
+    bool FailsAllRuns_ = false;
+    bool Stalled_ = false;
+    int SlowFactor_ = 1;
+    core::TimePoint DisconnectedUntil_{};
+    core::TimePoint ClockStart_;
     std::uint64_t Token_ = 0;
     core::TimePoint LeaseEnd_{};
-    std::vector<core::TimePoint> Lapses_;
-    std::map<work::TaskRef, Running> Running_;
-    std::map<work::TaskRef, std::uint64_t> Over_;
+    std::vector<core::TimePoint> LeaseLapses_;
+    std::map<work::TaskRef, FakeRun> Running_;
+    std::map<work::TaskRef, std::uint64_t> HighestEndedRuns_;
     std::vector<fleet::EndRow> Ended_;
     std::uint64_t NextEnd_ = 1;
-    std::function<void()> Waiting_; ///< a request that waits for an end
+    std::function<void()> PendingHold_; ///< a request that waits for an end
   };
-  struct Done {
+  struct Completion {
     core::TimePoint At_;
     std::string Executor_;
     std::uint64_t Number_;
-    std::int64_t Born_;
-    bool Noted_ = false;
+    std::int64_t Incarnation_;
+    bool Acknowledged_ = false;
   };
   struct Event {
     core::TimePoint At_;
-    std::uint64_t Order_;
-    std::function<void()> Work_;
+    std::uint64_t Sequence_;
+    std::function<void()> Action_;
     bool operator>(const Event &Other) const {
-      return std::tie(At_, Order_) > std::tie(Other.At_, Other.Order_);
+      return std::tie(At_, Sequence_) > std::tie(Other.At_, Other.Sequence_);
     }
   };
   struct Term {
@@ -139,47 +142,52 @@
     bool Flushing_ = false;
   };
 
-  void at(core::TimePoint When, std::function<void()> Work);
-  bool reaches(const Executor &One) const { return One.Up_ && Now_ >= One.CutUntil_; }
-  bool chance(double P) { return std::uniform_real_distribution<>(0, 1)(Random_) < P; }
-  template <typename Work> void timed(Work Do) {
+  void schedule(core::TimePoint Time, std::function<void()> Action);
+  bool isReachable(const FakeExecutor &Executor) const {
+    return Executor.Up_ && Now_ >= Executor.DisconnectedUntil_;
+  }
+  bool happens(double Probability) {
+    return std::uniform_real_distribution<>(0, 1)(Random_) < Probability;
+  }
+  template <typename Decision> void measureDecision(Decision Decide) {
     const auto Begin = std::chrono::steady_clock::now();
-    Do();
+    Decide();
     DecisionTime_ += std::chrono::steady_clock::now() - Begin;
   }
-  void lead();
-  void tick(const std::shared_ptr<Term> &Of);
-  void renew(Executor &At, std::int64_t UntilMs);
-  fleet::OrderOutcome start(Executor &At, const fleet::StartOrder &Order);
-  fleet::OrderOutcome stop(Executor &At, const lead::RunKey &Which, std::uint64_t Token);
-  void end(Executor &At, const work::TaskRef &Task, fleet::EndKind Kind);
-  void note(Executor &At, std::uint64_t Seen);
-  std::int64_t clockOf(const Executor &One) const;
-  fleet::Report reportOf(const Executor &One) const;
-  const work::StepSpec &specOf(const work::TaskRef &Task) const;
-  void broke(const std::string &What) { Broken_.push_back(What); }
+  void startTerm();
+  void tick(const std::shared_ptr<Term> &ThisTerm);
+  void renewLease(FakeExecutor &Executor, std::int64_t UntilMs);
+  fleet::OrderOutcome handleStart(FakeExecutor &Executor, const fleet::StartOrder &Order);
+  fleet::OrderOutcome handleStop(FakeExecutor &Executor, const lead::RunKey &Key,
+                                 std::uint64_t Token);
+  void endRun(FakeExecutor &Executor, const work::TaskRef &Task, fleet::EndKind Kind);
+  void acknowledgeEnds(FakeExecutor &Executor, std::uint64_t SeenUpTo);
+  std::int64_t clockOf(const FakeExecutor &Executor) const;
+  fleet::Report reportOf(const FakeExecutor &Executor) const;
+  const work::StepSpec &stepSpec(const work::TaskRef &Task) const;
+  void addViolation(const std::string &Violation) { Violations_.push_back(Violation); }
 
   const FakeFleetOptions Options_;
   std::mt19937 Random_;
   core::TimePoint Now_{std::chrono::hours(1)};
   core::TimePoint TookOverAt_{};
-  std::uint64_t NextOrder_ = 0;
+  std::uint64_t NextSequence_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events_;
-  std::map<std::string, Executor> Executors_;
+  std::map<std::string, FakeExecutor> Executors_;
   std::map<std::string, work::JobSpec> Submitted_;
   std::map<work::TaskRef, std::vector<core::TimePoint>> Starts_;
-  std::map<work::TaskRef, std::vector<Done>> Dones_;
+  std::map<work::TaskRef, std::vector<Completion>> Completions_;
   std::map<std::string, core::TimePoint> SubmittedAt_;
-  std::map<std::string, core::TimePoint> LastEnd_;
-  std::vector<std::string> Broken_;
+  std::map<std::string, core::TimePoint> LastCompletionAt_;
+  std::vector<std::string> Violations_;
   work::Ledger Ledger_;
   work::Manifest Manifest_;
   std::uint64_t Offset_ = 0;
   std::uint64_t Fence_ = 0;
   std::uint64_t Token_ = 0;
-  std::set<std::string> Poisoned_;
-  std::map<std::string, core::Millis> ReadLate_;
-  bool LoseNextStart_ = false;
+  std::set<std::string> FailingJobs_;
+  std::map<std::string, core::Millis> ReadDelays_;
+  bool LoseNextStartAnswer_ = false;
   bool StoreDown_ = false;
   int Generation_ = 0;
   std::chrono::steady_clock::duration DecisionTime_{};
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -26,7 +26,7 @@
 
 // --- Election ---
 
-Test(Election, aSilentLeaderIsReplacedAndABeatingOneIsNot) {
+Test(Election, leaderIsReplacedOnlyAfterTheSilenceTimeout) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   const lead::ElectionTiming Timing;
   cr_expect(!lead::shouldClaim(viewAt(Timing.SilenceTimeout_ - Millis(1), &Heartbeat), Timing));
@@ -34,14 +34,14 @@
 }
 
 // Guards against a takeover by a daemon that itself has lost the store.
-Test(Election, whoDoesNotReachTheStoreClaimsNothing) {
+Test(Election, daemonWithoutStoreAccessDoesNotClaim) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   lead::ElectionView View = viewAt(Millis(10'000), &Heartbeat);
   View.LastReadAt_ = Start;
   cr_expect(!lead::shouldClaim(View, {}));
 }
 
-Test(Election, aGoneOrReleasedLeaderIsReplacedSooner) {
+Test(Election, unavailableOrReleasedLeaderIsReplacedSooner) {
   lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   lead::ElectionView View = viewAt(Millis(600), &Heartbeat);
   View.LeaderUnavailable_ = true;
@@ -53,7 +53,7 @@
 }
 
 // After all machines were down, the record's own age counts.
-Test(Election, anOldRecordFoundOnStartNeedsNoFurtherSilence) {
+Test(Election, oldRecordFoundOnStartAllowsAnImmediateClaim) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
   lead::ElectionView View = viewAt(Millis(10), &Heartbeat);
   cr_expect(!lead::shouldClaim(View, {}));
@@ -74,7 +74,7 @@
 
 // Pattern: the store or all machines were away for seconds. Guards against claims of all daemons at
 // the same moment, one of which may be the smallest machine.
-Test(Election, claimsAreStaggeredAfterALongOutageToo) {
+Test(Election, claimsAreStaggeredAfterALongOutage) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 20'000, "i", {}};
   const lead::ElectionTiming Timing;
   lead::ElectionView View = viewAt(Millis(10), &Heartbeat);
@@ -87,7 +87,7 @@
 }
 
 // Guards against a takeover that is slow because turns begin only after the loss was noticed.
-Test(Election, turnsRunWhileTheLossIsBeingNoticed) {
+Test(Election, turnsCountFromTheSilenceTimeout) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   const lead::ElectionTiming Timing;
   lead::ElectionView View =
@@ -102,7 +102,7 @@
 
 // Pattern: two regions, the store in one of them. Guards against a leader in the other region,
 // whose every append takes a long way and whose term ends when the regions are cut from each other.
-Test(Election, whoIsFarFromTheStoreClaimsLater) {
+Test(Election, distantDaemonsClaimLater) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   const lead::ElectionTiming Timing;
   lead::ElectionView View = viewAt(Timing.SilenceTimeout_, &Heartbeat);
@@ -128,7 +128,7 @@
 
 // --- The table of jobs ---
 
-Test(Ledger, recordsInAnyNumberGiveTheSameTable) {
+Test(Ledger, repeatedRecordsGiveTheSameTable) {
   work::Ledger Table;
   work::AcceptedRecord Job;
   Job.Queue_.Name_ = "q";
@@ -143,18 +143,18 @@
   Table.apply(7, Final.Key_, Final.Value_);
   // An older record that is read again must not bring the job back.
   Progress.State_ = work::JobState::Running;
-  const work::LedgerEntry Older = work::progressEntry("j", Progress);
-  Table.apply(5, Older.Key_, Older.Value_);
+  const work::LedgerEntry OlderEntry = work::progressEntry("j", Progress);
+  Table.apply(5, OlderEntry.Key_, OlderEntry.Value_);
   cr_expect(Table.find("j")->state() == work::JobState::Completed);
   cr_expect_eq(Table.pendingOf("q"), 0);
-  for (const work::LedgerEntry &One : work::forgetEntries("j"))
-    Table.apply(11, One.Key_, One.Value_);
+  for (const work::LedgerEntry &Entry : work::forgetEntries("j"))
+    Table.apply(11, Entry.Key_, Entry.Value_);
   cr_expect_null(Table.find("j"));
 }
 
 // Guards against a job that a leader starts without its steps, and against steps that stay in
 // memory after the job has ended.
-Test(Ledger, stepsComeBeforeOrAfterTheRecord) {
+Test(Ledger, stepsMayArriveBeforeOrAfterTheAcceptance) {
   work::JobSpec Spec;
   Spec.Steps_.resize(2);
   const std::string Steps = work::specEntry("j", Spec).Value_;
@@ -179,7 +179,7 @@
 }
 
 // Guards against a completed job that a late cancel turns into a cancelled one.
-Test(Ledger, aFinalStateStays) {
+Test(Ledger, finalStateDoesNotChange) {
   work::Ledger Table;
   const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
   Table.apply(1, Accepted.Key_, Accepted.Value_);
@@ -202,7 +202,7 @@
 
 // Pattern: long calls for batches arrive before short ones for urgent checks. Guards against
 // checks that wait behind them at every daemon.
-Test(Advice, longCallsLeaveADaemonToShortOnes) {
+Test(Advice, longCallsLeaveOneAdviserFree) {
   std::vector<std::pair<std::string, double>> Sent;
   daemon::AdviceDesk Desk([&](const std::string &Adviser, const daemon::AdviceJob &Job) {
     Sent.emplace_back(Adviser, Job.ExpectedMs_);
@@ -224,7 +224,7 @@
 }
 
 // Guards against an adviser that is asked again and again though it does not answer.
-Test(Advice, anAdviserWithoutAnswerRests) {
+Test(Advice, adviserWithoutAnswerIsNotAskedAgain) {
   std::vector<std::string> Sent;
   daemon::AdviceDesk Desk(
       [&](const std::string &Adviser, const daemon::AdviceJob &) { Sent.push_back(Adviser); });
--- a/tests/unit/ProgressTest.cpp
+++ b/tests/unit/ProgressTest.cpp
@@ -12,18 +12,18 @@
 
 /// A run that started at Start and gets on by \p PerReport percent every 200 ms.
 lead::Progress runOf(int Reports, int PerReport) {
-  lead::Progress Out;
-  Out.StartedAt_ = Start;
+  lead::Progress Result;
+  Result.StartedAt_ = Start;
   for (int I = 1; I <= Reports; ++I)
-    lead::addSample(Out, I * PerReport, Start + I * Millis(200));
-  return Out;
+    lead::addSample(Result, I * PerReport, Start + I * Millis(200));
+  return Result;
 }
 
 } // namespace
 
 // --- A run that gets on ---
 
-Test(Progress, tellsTheTimeThatIsLeft) {
+Test(Progress, remainingTimeFollowsTheRate) {
   const lead::Progress Run = runOf(3, 10);
   const auto Left = lead::remainingTime(Run, Start + Millis(600));
   cr_assert(Left.has_value());
@@ -31,7 +31,7 @@
   cr_expect_not(lead::isStalled(Run, Millis(2000), Start + Millis(600)));
 }
 
-Test(Progress, nothingIsKnownBeforeTheFirstReport) {
+Test(Progress, noEstimateBeforeTheFirstReport) {
   lead::Progress Run;
   Run.StartedAt_ = Start;
   cr_expect_not(lead::remainingTime(Run, Start + Millis(5000)).has_value());
@@ -39,7 +39,7 @@
 }
 
 // Guards against a rate that counts the work that a checkpoint brought.
-Test(Progress, aResumedRunIsJudgedByWhatItAdds) {
+Test(Progress, resumedRunUsesItsOwnRate) {
   lead::Progress Run;
   Run.StartedAt_ = Start;
   Run.FromStart_ = false;
@@ -50,7 +50,7 @@
 
 // --- A run that stands still ---
 
-Test(Progress, standsStillAfterSeveralReportsWithoutARise) {
+Test(Progress, stalledAfterSeveralUnchangedReports) {
   lead::Progress Run = runOf(2, 10);
   for (int I = 3; I <= 6; ++I)
     lead::addSample(Run, 20, Start + I * Millis(200));
@@ -58,7 +58,7 @@
 }
 
 // Guards against long tasks, whose percentage rises rarely, being taken for stalled.
-Test(Progress, aLongRunMayShowTheSamePercentageForAWhile) {
+Test(Progress, longRunsMayRepeatAPercentage) {
   lead::Progress Run;
   Run.StartedAt_ = Start;
   for (int I = 1; I <= 20; ++I)
@@ -67,14 +67,14 @@
 }
 
 // Guards against runs on a silent executor being given up: they may go on there.
-Test(Progress, withoutReportsNothingIsSaid) {
+Test(Progress, silentRunIsNotStalled) {
   const lead::Progress Run = runOf(2, 10);
   cr_expect_not(lead::isStalled(Run, Millis(2000), Start + Millis(9000)));
 }
 
 // --- What a start elsewhere would gain ---
 
-Test(ShouldMove, onlyWhenItsLikeAreKnownToBeMuchFaster) {
+Test(ShouldMove, onlyWhenComparableRunsAreMuchFaster) {
   const lead::Progress Slow = runOf(5, 2);
   const core::TimePoint Now = Start + Millis(1000);
   cr_expect(lead::shouldMove({Slow, Millis(800), Millis(400)}, Now));
@@ -82,23 +82,23 @@
   cr_expect_not(lead::shouldMove({Slow, Millis(8000), Millis(400)}, Now));
 }
 
-Test(RunTimeRatio, areTrustedWhenManyRunsAgree) {
-  lead::RunTimeRatio Close;
-  lead::RunTimeRatio Spread;
+Test(RunTimeRatio, isTrustedWhenManyRunsAgree) {
+  lead::RunTimeRatio Agreeing;
+  lead::RunTimeRatio Scattered;
   for (int I = 0; I < 20; ++I) {
-    lead::addSample(Close, 1.9 + 0.2 * (I % 2));
-    lead::addSample(Spread, I % 2 == 0 ? 0.3 : 4);
+    lead::addSample(Agreeing, 1.9 + 0.2 * (I % 2));
+    lead::addSample(Scattered, I % 2 == 0 ? 0.3 : 4);
   }
-  cr_assert(lead::trustedRatio(Close).has_value());
-  cr_expect(*lead::trustedRatio(Close) > 1.8 && *lead::trustedRatio(Close) < 2.2);
-  cr_expect_not(lead::trustedRatio(Spread).has_value());
+  cr_assert(lead::trustedRatio(Agreeing).has_value());
+  cr_expect(*lead::trustedRatio(Agreeing) > 1.8 && *lead::trustedRatio(Agreeing) < 2.2);
+  cr_expect_not(lead::trustedRatio(Scattered).has_value());
 }
 
 // Guards against an executor that stays avoided after it has recovered.
-Test(Slowness, fades) {
-  lead::Slowness Of;
+Test(Slowness, decaysOverTime) {
+  lead::Slowness Estimate;
   for (int I = 0; I < 10; ++I)
-    lead::addSample(Of, 6, Start);
-  cr_expect(lead::slownessFactor(Of, Start) > 4);
-  cr_expect(lead::slownessFactor(Of, Start + Millis(15'000)) < 1.2);
+    lead::addSample(Estimate, 6, Start);
+  cr_expect(lead::slownessFactor(Estimate, Start) > 4);
+  cr_expect(lead::slownessFactor(Estimate, Start + Millis(15'000)) < 1.2);
 }
