lead: reword the comments of the lead headers

The comments described times and states in the project's own phrases. They now say what each type, field and function holds or does, in usual terms; all numbers and reasons stay.

--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -1,9 +1,9 @@
 /// \file
-/// Who leads: records of the leadership topic and the decision to claim it.
+/// Leader election: the records of the leadership topic and the decision to claim the leadership.
 ///
-/// A claim is an append that holds only at the end of the topic, so one of several claims wins and
-/// its offset numbers the term. The leader appends a beat the same way; a beat that finds another
-/// end shows that the term is over.
+/// A claim is an append that succeeds only at the end of the topic, so exactly one of several
+/// concurrent claims wins; its offset determines the term number. The leader appends heartbeats in
+/// the same way. A heartbeat that fails because the topic has a newer record ends the term.
 #ifndef MASTICDRIFT_LEAD_ELECTION_H
 #define MASTICDRIFT_LEAD_ELECTION_H
 
@@ -19,76 +19,81 @@
 
 namespace masticdrift::lead {
 
-/// An executor without an entry in the list on which runs may go on.
+/// An executor that is missing from the executor list but may still have active runs.
 struct UnlistedExecutor {
   std::string Id_;
   std::string Address_;
   MSGPACK_DEFINE_ARRAY(Id_, Address_)
 };
 
-/// A claim, a beat or a release of the leadership.
+/// A claim, a heartbeat or a release of the leadership.
 struct LeadershipRecord {
   std::string Instance_;
   std::string PeerAddress_;                ///< where other daemons reach the leader
-  std::uint64_t Term_ = 0;                 ///< the claim's offset plus one
-  bool Released_ = false;                  ///< the leader has given up
-  std::int64_t WallMs_ = 0;                ///< when it was written, the writer's wall clock
-  std::string Incarnation_;                ///< of the writing process
-  std::vector<UnlistedExecutor> Unlisted_; ///< a later leader must account for these too
+  std::uint64_t Term_ = 0;                 ///< offset of the claim plus one
+  bool Released_ = false;                  ///< the leader has given up the leadership
+  std::int64_t WallMs_ = 0;                ///< time of writing on the writer's wall clock
+  std::string Incarnation_;                ///< identifies the process that wrote the record
+  std::vector<UnlistedExecutor> Unlisted_; ///< the next leader must account for their runs too
   MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Term_, Released_, WallMs_, Incarnation_, Unlisted_)
 };
 
-/// Times of the election.
+/// Timeouts and delays of the election.
 struct ElectionTiming {
   core::Millis HeartbeatInterval_{700};
-  /// Three beats and a slow store's answer.
+  /// Covers three heartbeats plus one answer of a slow store.
   core::Millis SilenceTimeout_{2300};
-  /// Silence that is enough when the leader's address refuses connections, because its process is
-  /// gone, or when it says that the store refuses it.
+  /// Replaces SilenceTimeout_ when the leader's process is gone (its address refuses connections)
+  /// or when the leader reports that the store refuses it.
   core::Millis RefusedSilenceTimeout_{500};
-  /// Between the claims of different daemons, so that most are not made in vain.
+  /// Delay between the claims of daemons with consecutive ranks, so that few
+  /// claims are made in vain.
   core::Millis ClaimInterval_{120};
-  /// When a daemon sees that the leader has been gone for this long already, the eight turns of the
-  /// larger machines, turns count from then.
+  /// When the leader has already been gone for this long at the time that a daemon notices it,
+  /// claim delays count from that time on. Equals the eight turns of the larger machines.
   core::Millis RestartTurnsAfter_{960};
-  /// A daemon's turn comes this many times as much later as a call to the store takes it more than
-  /// within a region: a leader makes two for each submission and one for each end, and loses the
-  /// store when the regions are cut from each other.
+  /// Multiplier from a daemon's additional store latency to its additional claim delay. A leader
+  /// calls the store twice for each submission and once for each end of a run, and loses the store
+  /// when the regions are cut off from each other.
   int StoreDelayFactor_ = 40;
-  /// Above a call within a region (0.9 ms one way), below one between regions (8 ms).
+  /// Above the time of a call within a region (0.9 ms one way), below that of a call between
+  /// regions (8 ms).
   core::Millis NearStoreTime_{6};
-  core::Millis MaxStoreDelay_{480}; ///< four turns; a far daemon is still better than none
+  /// Four turns: a leader in another region is still better than none.
+  core::Millis MaxStoreDelay_{480};
 };
 
-/// What a daemon knows when it decides.
+/// State on which a daemon bases its election decision.
 struct ElectionView {
   core::TimePoint Now_;
   core::TimePoint LastReadAt_;                     ///< last answer to a read of the topic
   core::TimePoint NewestReadAt_;                   ///< when the newest record was read
   const LeadershipRecord *NewestRecord_ = nullptr; ///< null when the topic is empty
   std::int64_t WallMs_ = 0;
-  bool FoundOnStart_ = false;          ///< the newest record was there when this process began
-  bool LeaderUnavailable_ = false;     ///< the leader is known to be gone or cut off
-  unsigned Rank_ = 0;                  ///< place in the order of claims
-  core::TimePoint LeaderGoneSince_;    ///< since when leaderIsGone() has been true
-  core::Duration FastestStoreTime_{0}; ///< that the fastest call to the store took
+  bool FoundOnStart_ = false;          ///< the newest record is older than this process
+  bool LeaderUnavailable_ = false;     ///< the leader is known to be gone or cut off from the store
+  unsigned Rank_ = 0;                  ///< position in the claim order
+  core::TimePoint LeaderGoneSince_;    ///< when isLeaderGone() became true
+  core::Duration FastestStoreTime_{0}; ///< duration of the fastest call to the store
 };
 
-/// A daemon's place in the order of claims.
+/// Computes a daemon's position in the claim order from its name and the size of its machine.
 ///
-/// \param Cores processor share of its machine. A leader of 350 executors used 0.32 cores, so
-/// smaller machines claim only when no larger one does. \returns 0 to 7 on machines of at least 0.2
-/// cores, 8 to 15 on smaller ones.
+/// \param Cores processor share of the machine. A leader of 350 executors used 0.32 cores, so
+/// smaller machines claim only when no larger one does.
+///
+/// \returns 0 to 7 on machines with at least 0.2 cores, 8 to 15 on smaller ones.
 unsigned claimRank(std::string_view Instance, double Cores);
 
-/// \returns true for machines that hold ready what a leader needs; others read it when they claim.
+/// \returns true for machines that keep the data that a leader needs in memory; other machines read
+/// it when they claim the leadership.
 bool isPreferredLeader(double Cores);
 
-/// \returns true when there is no leader, as far as this daemon can know.
+/// \returns true when, as far as this daemon can tell, there is no leader.
 bool isLeaderGone(const ElectionView &View, const ElectionTiming &Timing);
 
-/// \returns true when this daemon should claim the leadership now: the leader is gone, and daemons
-/// with a lower rank have had their turns.
+/// \returns true when this daemon should claim the leadership now: the leader is gone and the turns
+/// of all daemons with lower ranks have passed.
 bool shouldClaim(const ElectionView &View, const ElectionTiming &Timing);
 
 } // namespace masticdrift::lead
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -1,5 +1,5 @@
 /// \file
-/// The leader's picture of jobs, runs and executors.
+/// The leader's in-memory state of jobs, runs and executors.
 #ifndef MASTICDRIFT_LEAD_MODEL_H
 #define MASTICDRIFT_LEAD_MODEL_H
 
@@ -19,131 +19,146 @@
 
 namespace masticdrift::lead {
 
-/// Where a run stands at its executor.
+/// State of a run at its executor.
 enum class RunState {
-  Starting, ///< ordered, not answered
-  Running,  ///< answered or listed
-  Stopping, ///< a stop is due or ordered; its room stays taken until it is known to be over
+  Starting, ///< ordered, not yet answered
+  Running,  ///< confirmed by an answer or a report
+  /// A stop is due or was ordered. The run's resources stay reserved until it is known to be over.
+  Stopping,
 };
 
-/// One run of a task at one executor; exists until it is known to be over there.
+/// One run of a task at one executor. Kept until the run is known to be over.
 struct Run {
   work::TaskRef Task_;
   std::uint64_t Number_ = 0;
   std::string ExecutorId_;
   core::Resources Need_;
-  bool Fills_ = false;
-  bool HasResponseTarget_ = false; ///< has a response time target
+  bool Fills_ = false; ///< uses only processor time that other runs leave
+  bool HasResponseTarget_ = false;
   std::int64_t TargetMs_ = 0;
   std::string Customer_;
   RunState State_ = RunState::Starting;
-  core::TimePoint OrderedAt_;        ///< first start order
-  core::TimePoint ConfirmedAt_{};    ///< when known to be there; zero before
-  bool CountedInUse_ = false;        ///< in what its job, customer and executor have in use
-  int UnansweredStarts_ = 0;         ///< start orders without an answer
-  bool OrderInFlight_ = false;       ///< a start or stop is on its way
-  core::TimePoint OrderRetryAt_{};   ///< when to repeat the outstanding order
-  core::TimePoint StopAnsweredAt_{}; ///< when a stop was answered; zero before
+  core::TimePoint OrderedAt_;     ///< time of the first start order
+  core::TimePoint ConfirmedAt_{}; ///< when the executor confirmed the run; zero before
+  /// Included in the resources in use of its job, customer and executor.
+  bool CountedInUse_ = false;
+  int UnansweredStarts_ = 0;         ///< start orders without an answer so far
+  bool OrderInFlight_ = false;       ///< a start or stop order is awaiting its result
+  core::TimePoint OrderRetryAt_{};   ///< when to repeat an unanswered order
+  core::TimePoint StopAnsweredAt_{}; ///< when a stop order was answered; zero before
   Progress Progress_;
   std::string Checkpoint_;
   int PacePercent_ = 100;
+  /// Response time (ms) of a run with a response time target, else thousandths of a core in use.
   double ReportedMetric_ = 0;
   fleet::StartOrder Order_;
 };
 
+/// Task and run number.
 using RunKey = std::pair<work::TaskRef, std::uint64_t>;
 
+/// Scheduling state of a task; Placed means that a run was started and has not completed.
 enum class TaskState { Waiting, Placed, Done };
 
+/// Scheduling state of one task.
 struct TrackedTask {
   TaskState State_ = TaskState::Waiting;
-  std::uint64_t RunCounter_ = 0; ///< low part of the next run number
+  std::uint64_t RunCounter_ = 0; ///< low bits of the last run number
   std::string Checkpoint_;
-  std::string AvoidExecutor_; ///< executor on which the last run failed
+  std::string AvoidExecutor_; ///< executor on which the last run failed or was too slow
   int ActiveRuns_ = 0;        ///< runs that are not known to be over
-  int Moves_ = 0;             ///< runs given up because they were too slow
+  int Moves_ = 0;             ///< runs stopped because they were too slow or stalled
 };
 
-/// What advice has said about one executor for a step.
+/// Answer of the advice service for one executor and one step.
 struct ExecutorAdvice {
   bool Allowed_ = false;
   std::string Ticket_;
   core::TimePoint ValidUntil_{};
-  std::int64_t Incarnation_ = 0; ///< incarnation that the ticket is for
+  std::int64_t Incarnation_ = 0; ///< executor incarnation that the ticket is valid for
 };
 
+/// Scheduling state of one step of an occurrence.
 struct TrackedStep {
   bool Ready_ = false;
   std::uint32_t DoneTasks_ = 0;
   std::uint32_t WaitingTasks_ = 0;
   std::vector<TrackedTask> Tasks_;
-  std::unordered_map<std::uint32_t, ExecutorAdvice> Advice_; ///< by the executor's slot
+  std::unordered_map<std::uint32_t, ExecutorAdvice> Advice_; ///< by executor ordinal
   bool AdvicePending_ = false;
   core::TimePoint AdviceRetryAt_{};
-  std::uint64_t LastGangRun_ = 0;
+  std::uint64_t LastGangRun_ = 0; ///< run number of the latest gang start
   core::TimePoint FirstStartAt_{};
-  core::Duration CompletedRunTime_{0}; ///< run times of the tasks that ended done, summed
-  std::uint32_t CompletedRuns_ = 0;    ///< their number
-  std::unordered_map<std::uint32_t, std::uint32_t>
-      RunsPerExecutor_; ///< runs, by the executor's slot
+  core::Duration CompletedRunTime_{0}; ///< total run time of the completed tasks
+  std::uint32_t CompletedRuns_ = 0;    ///< number of runs in CompletedRunTime_
+  std::unordered_map<std::uint32_t, std::uint32_t> RunsPerExecutor_; ///< runs by executor ordinal
 };
 
+/// Scheduling state of one occurrence of a job.
 struct TrackedOccurrence {
   bool Due_ = false;
-  std::int64_t DueMs_ = 0; ///< wall clock
+  std::int64_t DueMs_ = 0; ///< Unix milliseconds
   std::uint32_t DoneSteps_ = 0;
   std::vector<TrackedStep> Steps_;
 };
 
-/// A job that the leader works on.
+/// Scheduling state of an accepted job that has not ended or still has runs.
 struct TrackedJob {
   std::string Id_;
   work::AcceptedRecord Acceptance_;
   work::JobSpec Spec_;
-  work::Queue Queue_; ///< as of the newest configuration that has it
+  work::Queue Queue_; ///< from the newest configuration that contains the queue
   work::ProgressRecord Progress_;
-  bool Inherited_ = false;       ///< begun by an earlier leader
-  std::uint64_t BegunFlush_ = 0; ///< flush that makes the beginning durable
-  bool OverRate_ = false;        ///< beyond its customer's rate
-  bool Ended_ = false;           ///< final; kept until all runs are over
+  bool Inherited_ = false;       ///< started by an earlier leader
+  std::uint64_t BegunFlush_ = 0; ///< flush that makes the start of the job durable
+  bool OverRate_ = false;        ///< exceeds its customer's submission rate
+  bool Ended_ = false;           ///< final; the job is kept until all its runs are over
   int ActiveRuns_ = 0;
-  std::set<std::string> FailedOn_; ///< executors on which its runs failed
+  std::set<std::string> FailedOn_; ///< executors on which runs of the job failed
   core::TimePoint AcceptedAt_;
-  core::TimePoint Deadline_;       ///< objective
-  core::TimePoint ValueExpiresAt_; ///< after this the objective is missed by far
+  core::TimePoint Deadline_; ///< completion objective
+  /// From then on the objective is missed by so much that the job is placed last.
+  core::TimePoint ValueExpiresAt_;
   std::vector<TrackedOccurrence> Occurrences_;
 };
 
-/// An executor with its lease and runs.
+/// State of an executor: its lease, its reports and its runs.
 struct ExecutorState {
   fleet::ExecutorInfo Info_;
-  std::uint32_t Ordinal_ = 0; ///< number of this executor within the term, never given again
+  std::uint32_t Ordinal_ = 0; ///< unique within the term, never reused
   bool Listed_ = false;
   core::TimePoint UnlistedAt_{};
-  bool Reported_ = false; ///< has answered under this term in its present incarnation
+  /// True once the current incarnation has sent a report to this leader.
+  bool Reported_ = false;
   std::int64_t Incarnation_ = 0;
   std::int64_t ClockMs_ = 0;
   core::TimePoint ClockReadAt_{};
   core::TimePoint LastAnswerAt_{};
-  core::TimePoint LeaseEnd_{}; ///< by then a lease that it may hold has surely lapsed
+  /// Any lease that the executor may hold has ended by this time.
+  core::TimePoint LeaseEnd_{};
   bool Silent_ = false;
   bool HoldInFlight_ = false;
   core::TimePoint NextHoldAt_{};
   core::TimePoint LastHoldAt_{};
-  std::uint64_t ProcessedEnd_ = 0; ///< highest end number taken in
-  std::uint64_t DurableEnd_ = 0;   ///< highest end number whose effect is durable
+  std::uint64_t ProcessedEnd_ = 0; ///< highest processed end number
+  /// Highest end number whose effect is durable; acknowledged with the next hold.
+  std::uint64_t DurableEnd_ = 0;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> UnackedEnds_; ///< end number, flush
-  core::Resources Used_; ///< by all runs, without the processor time of filling ones
-  std::int64_t FillMilliCores_ = 0;
-  core::TimePoint PaceChangedAt_{}; ///< when filling runs were last slowed down or sped up
+  /// Resources of all runs, without the processor time of filling runs.
+  core::Resources Used_;
+  std::int64_t FillMilliCores_ = 0; ///< processor time of filling runs
+  core::TimePoint PaceChangedAt_{}; ///< when the pace of filling runs last changed
   std::map<RunKey, Run> Runs_;
-  bool OrdersPending_ = false; ///< an order of some run may be due
-  /// Start orders without an answer and when they were given up; they may still be carried out.
+  bool OrdersPending_ = false; ///< some run may need an order
+  /// Start orders that got no answer, with the time at which the leader stopped waiting. The
+  /// executor may still carry them out.
   std::vector<std::pair<RunKey, core::TimePoint>> LostStarts_;
-  std::set<std::string> FailedJobs_;  ///< whose runs failed here since the last success
-  core::TimePoint UnknownJobSince_{}; ///< when the end of a run of an unknown job was first listed
-  std::vector<fleet::EndRow> PostponedEnds_; ///< that end and the later ones of the last list
-  core::TimePoint AvoidUntil_{};
+  std::set<std::string> FailedJobs_; ///< jobs with failed runs here since the last success
+  /// When an end of a run of an unknown job was first reported; zero without one.
+  core::TimePoint UnknownJobSince_{};
+  /// That end and all later ones of the last report.
+  std::vector<fleet::EndRow> PostponedEnds_;
+  core::TimePoint AvoidUntil_{}; ///< no new runs before this time
   Slowness Slowness_;
   core::TimePoint DrainEnd_{}; ///< zero while not draining
 };
--- a/include/masticdrift/lead/Progress.h
+++ b/include/masticdrift/lead/Progress.h
@@ -1,14 +1,14 @@
 /// \file
-/// How fast runs get on, and which of them would end sooner if they were started elsewhere.
+/// Estimates the progress of runs and decides which of them would end sooner on another executor.
 ///
-/// Answers the pattern of executors that turn slow or on which tasks stand still while they go on
-/// answering: the job then waits for its slowest task.
+/// An executor can become slow, or its tasks can stall, while it still answers requests. Without
+/// this detection a job would wait for its slowest task.
 ///
 /// Example:
 /// \code
-///   observe(Run.Progress_, Row.Percent_, Now);
-///   if (shouldMove({Run.Progress_, Typical, Overhead}, Now))
-///     stopAndStartElsewhere(Run);
+///   addSample(Run.Progress_, Row.Percent_, Now);
+///   if (shouldMove({Run.Progress_, TypicalTime, RestartOverhead}, Now))
+///     stopAndRestartElsewhere(Run);
 /// \endcode
 #ifndef MASTICDRIFT_LEAD_PROGRESS_H
 #define MASTICDRIFT_LEAD_PROGRESS_H
@@ -20,62 +20,65 @@
 
 namespace masticdrift::lead {
 
-/// What the reported percentages of one run tell.
+/// Progress of one run, derived from the percentages that its executor reports.
 struct Progress {
   core::TimePoint StartedAt_{};
-  core::TimePoint SampleAt_{};   ///< last report
-  core::TimePoint AdvancedAt_{}; ///< last report with a higher percentage than before
+  core::TimePoint SampleAt_{};   ///< time of the last sample
+  core::TimePoint AdvancedAt_{}; ///< time of the last report with a higher percentage
   int Percent_ = 0;
-  double PercentPerMs_ = 0; ///< recent percent per millisecond, 0 while unknown
-  bool FromStart_ = true;   ///< false for a run that goes on from a checkpoint or was adopted
+  double PercentPerMs_ = 0; ///< recent rate, 0 while unknown
+  bool FromStart_ = true;   ///< false for runs resumed from a checkpoint or adopted
 };
 
-/// A run whose end is waited for.
+/// A run that could be stopped and restarted on another executor.
 struct MoveCandidate {
   const Progress &Progress_;
-  /// Run time of its like on other executors. Declared times are too rough to give a run up for.
+  /// Run time of comparable tasks on other executors; declared run times are too inaccurate to
+  /// justify stopping a run.
   std::optional<core::Millis> TypicalTime_;
-  core::Millis RestartOverhead_;       ///< lost by a start elsewhere: the stop and the way there
-  bool ResumesFromCheckpoint_ = false; ///< goes on from a checkpoint when started elsewhere
+  core::Millis RestartOverhead_;       ///< time lost by stopping the run and starting it elsewhere
+  bool ResumesFromCheckpoint_ = false; ///< a restart continues from a checkpoint
 };
 
-/// Takes a report in.
-/// \param Percent work done, 0 to 100.
+/// Updates the progress with a report.
+/// \param Percent completed work, 0 to 100.
 void addSample(Progress &RunProgress, int Percent, core::TimePoint Now);
 
-/// \param Declared the declared run time, for runs that have not moved yet.
-/// \returns true when the run has stood still for much longer than one percent of its work takes.
+/// Detects a run whose percentage no longer rises.
+/// \param DeclaredTime declared run time, used while the run is still at 0%.
+/// \returns true when the percentage has been constant for much longer than one percent of the work
+/// takes.
 bool isStalled(const Progress &RunProgress, core::Millis DeclaredTime, core::TimePoint Now);
 
-/// \returns the time until the end at the recent rate, or nothing while the rate is unknown.
+/// \returns the time until completion at the recent rate, or nothing while the rate is unknown.
 std::optional<core::Millis> remainingTime(const Progress &RunProgress, core::TimePoint Now);
 
-/// \returns true when a start elsewhere would end well before the run does here.
+/// \returns true when a restart on another executor would complete well before the current run.
 bool shouldMove(const MoveCandidate &Candidate, core::TimePoint Now);
 
-/// Run times of one kind of task in multiples of the declared time.
+/// Running mean of the ratio of actual to declared run time for one kind of task.
 struct RunTimeRatio {
   double Ratio_ = 1;
-  double MeanDeviation_ = 0; ///< mean distance from the ratio
+  double MeanDeviation_ = 0; ///< mean absolute deviation from Ratio_
   std::uint32_t Samples_ = 0;
 };
 
-/// Takes the run time of an ended run in.
+/// Adds the ratio of an ended run.
 void addSample(RunTimeRatio &Estimate, double Ratio);
 
-/// \returns the ratio when enough runs have ended close to it.
+/// \returns the mean ratio, or nothing while there are too few samples or they deviate too much.
 std::optional<double> trustedRatio(const RunTimeRatio &Estimate);
 
-/// How slow an executor is: the run times there in multiples of the typical ones.
+/// Slowness of an executor: its run times in multiples of the typical run time.
 struct Slowness {
   double Factor_ = 1;
   core::TimePoint UpdatedAt_{};
 };
 
-/// Takes the run time of one ended or projected run in.
+/// Adds the factor of one ended or projected run.
 void addSample(Slowness &Estimate, double Factor, core::TimePoint Now);
 
-/// \returns the factor now; what was observed fades, so that a recovered executor is tried again.
+/// \returns the factor at \p Now. Samples decay, so that a recovered executor gets work again.
 double slownessFactor(const Slowness &Estimate, core::TimePoint Now);
 
 } // namespace masticdrift::lead
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -1,8 +1,9 @@
 /// \file
-/// The leader's decisions: which task runs where, what is durable before which order is given, and
-/// how runs of lost executors and earlier leaders are settled.
+/// The leader's scheduler: places tasks on executors, delays orders until the records that they
+/// depend on are durable, and resolves the runs of lost executors and earlier leaders.
 ///
-/// No I/O and no clock: the driver passes the time in and carries out what Ports ask for.
+/// Performs no I/O and reads no clock: the driver passes the current time in and carries out the
+/// SchedulerActions.
 #ifndef MASTICDRIFT_LEAD_SCHEDULER_H
 #define MASTICDRIFT_LEAD_SCHEDULER_H
 
@@ -15,116 +16,133 @@
 
 namespace masticdrift::lead {
 
-/// Times of the leader.
+/// Timeouts, delays and limits of the scheduler.
 struct SchedulerTiming {
-  /// Lease of everything that runs. Long enough for a takeover (about 3 s) and a second round of
-  /// renewals; short enough that work of a lost executor starts again soon.
+  /// Lease of every run. Outlasts a takeover (about 3 s) plus a second round of renewals, and is
+  /// short enough that the tasks of a lost executor restart soon.
   core::Millis Lease_{7000};
-  /// Executors shorten every lease to this (a setting of the platform). A new incarnation can get
-  /// it from an order that was meant for the clock of the one before.
+  /// Upper bound that executors apply to every lease (a platform setting). A new incarnation can
+  /// receive a lease of this length from an order that was computed for its predecessor's clock.
   core::Millis MaxLease_{10'000};
-  /// Clock rate error of an executor (2%) plus the same again for rounding and queueing.
+  /// Clock rate error of an executor (2%), plus another 2% for rounding and queueing.
   double ClockRateMargin_ = 1.04;
-  /// An earlier leader has met a newer token at some executor by this time, because it asks each
-  /// one about every second.
+  /// By this time an earlier leader has been fenced by some executor, because it contacts each
+  /// executor about once a second.
   core::Millis StaleLeaderTime_{3000};
-  /// A list read by a new process may lack entries that lapsed in a store outage; they are back
-  /// about 2 s after its return.
+  /// The executor list that a new process reads may lack entries that expired during a store
+  /// outage; executors restore them about 2 s after the store is back.
   core::Millis ListSettleTime_{2500};
-  core::Millis HoldWait_{900};        ///< an executor without news answers after this time
+  /// Wait time of a hold request before an executor without new ends answers.
+  core::Millis HoldWait_{900};
   core::Millis HoldSpacing_{25};      ///< between an answer with ends and the next request
-  core::Millis OverdueHoldWait_{250}; ///< the same when a run there should have ended
-  /// Until then an order without an answer may be carried out (12 s, and its way).
+  core::Millis OverdueHoldWait_{250}; ///< the same while a run there should have ended
+  /// An unanswered order can still be carried out until then (12 s plus its transit time).
   core::Millis MaxOrderDelay_{13'000};
-  core::Millis HoldRetryDelay_{300};     ///< after a request without an answer
-  core::Millis UnackedHoldSpacing_{400}; ///< between requests while ends are not durable
-  core::Millis OrderRetryDelay_{60};     ///< before an unanswered order is repeated
-  /// An accepted job is read by then: the reads' wait, a slow store's answer and a rest.
+  core::Millis HoldRetryDelay_{300};     ///< before a failed hold or stop is repeated
+  core::Millis UnackedHoldSpacing_{400}; ///< between hold requests while ends are not durable
+  core::Millis OrderRetryDelay_{60};     ///< before an unanswered start order is repeated
+  /// An accepted job has been read by then: the long-poll time of a read, the answer of a slow
+  /// store and the pause between reads.
   core::Millis UnknownJobWait_{3000};
-  core::Millis AvoidFailingTime_{4000}; ///< an executor that fails runs in a row gets no new ones
-  core::Millis TicketMargin_{200};      ///< tickets count as expired this much earlier
-  core::Millis AdviceRetryDelay_{150};  ///< after advice that brought nothing
-  core::Millis AvoidStalledTime_{1500}; ///< an executor on which runs stand still gets no new ones
-  core::Millis MoveTime_{400};          ///< lost when a run is stopped and started elsewhere
-  core::Millis DrainMargin_{700}; ///< runs are stopped this long before a draining executor ends
-  /// A request sent this long after a draining executor's entry went away finds it gone.
+  core::Millis AvoidFailingTime_{4000}; ///< no new runs on an executor with consecutive failures
+  core::Millis TicketMargin_{200};      ///< tickets are treated as expired this much earlier
+  core::Millis AdviceRetryDelay_{150};  ///< after a request for advice without a usable answer
+  core::Millis AvoidStalledTime_{1500}; ///< no new runs on an executor with stalled runs
+  core::Millis MoveTime_{400};          ///< time lost by stopping a run and restarting it elsewhere
+  /// Runs on a draining executor are stopped this long before it shuts down.
+  core::Millis DrainMargin_{700};
+  /// A request sent this long after a draining executor left the list no longer reaches it.
   core::Millis LeaveMargin_{200};
-  int MaxStartAttempts_ = 3; ///< start orders before a stop settles the run
-  /// Start orders on their way at the same time. The smallest machines (0.12 cores) handle about
-  /// 600 a second, so that these are served within half of an order's time limit.
+  int MaxStartAttempts_ = 3; ///< unanswered start orders before the run is stopped
+  /// Limit of concurrent start orders. The smallest machines (0.12 cores) handle about 600 orders a
+  /// second, so this many are served within half of an order's timeout.
   int MaxStartsInFlight_ = 128;
-  /// Run times in multiples of the typical one that count as slow; executors differ by 1.6 anyway.
+  /// A run is slow from this multiple of the typical run time on; the normal variation between
+  /// executors is a factor of 1.6.
   double SlowFactor_ = 2;
-  int MinSlowJobs_ = 2;   ///< slow jobs that make an executor slow
-  int MaxMoves_ = 3;      ///< runs of one task given up because they were too slow
-  int MinFailedJobs_ = 2; ///< jobs failing in a row that make an executor suspect
+  int MinSlowJobs_ = 2;   ///< jobs with slow runs that mark an executor as slow
+  int MaxMoves_ = 3;      ///< how often a task may be moved because it is slow or stalled
+  int MinFailedJobs_ = 2; ///< jobs failing in a row that mark an executor as failing
 };
 
-/// What the driver carries out. Results come back through the Scheduler's on... functions.
+/// Operations that the driver carries out for the scheduler. Results are passed to
+/// Scheduler::onStartResult(), onStopResult(), onHoldResult() and onAdvice().
 struct SchedulerActions {
   std::function<void(const fleet::ExecutorInfo &, const fleet::StartOrder &)> Start_;
   std::function<void(const fleet::ExecutorInfo &, const RunKey &)> Stop_;
+  /// Limits a filling run to \c Percent of its speed.
   std::function<void(const fleet::ExecutorInfo &, const RunKey &, int Percent)> Pace_;
+  /// Requests the report of an executor. The request acknowledges ends up to \c SeenUpTo and renews
+  /// the executor's lease until \c UntilMs on its clock (0 leaves the lease unchanged). The
+  /// executor answers after \c Wait, or as soon as a run ends.
   std::function<void(const fleet::ExecutorInfo &, std::uint64_t SeenUpTo, std::int64_t UntilMs,
                      core::Millis Wait)>
       Hold_;
-  /// Ask which executors may run a step; lower urgency values go first.
+  /// Asks the advice service which executors may run a step. Requests with lower urgency values are
+  /// sent first.
   std::function<void(const work::TaskRef &Step, std::vector<std::string> Executors,
                      double ExpectedMs, std::pair<int, core::TimePoint> Urgency)>
       RequestAdvice_;
-  /// A decision for the log: event, task, run, executor, detail.
+  /// Logs a decision.
   std::function<void(std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
                      std::string_view ExecutorId, std::string_view Detail)>
       LogDecision_;
 };
 
+/// Schedules the tasks of all accepted jobs during one term of leadership.
 class Scheduler {
 public:
-  /// \param Token fencing token of this term, higher than that of every earlier one.
-  /// \param FreshList true when the executor list was first read moments ago.
+  /// \param FencingToken fencing token of this term, higher than those of all earlier terms.
+  /// \param ListMayBeIncomplete true when the executor list was read so recently that entries may
+  /// be missing (see SchedulerTiming::ListSettleTime_).
   Scheduler(std::uint64_t FencingToken, SchedulerTiming Timing, SchedulerActions Actions,
             core::TimePoint Now, bool ListMayBeIncomplete);
 
-  /// Takes a new configuration into force.
+  /// Applies a new configuration.
   void setManifest(const work::Manifest &Manifest, core::TimePoint Now);
 
-  /// Takes over or updates a job after a record of it was applied.
+  /// Adds or updates a job after one of its records was applied to the ledger.
   void onJob(const work::LedgerJob &Job, core::TimePoint Now, std::int64_t WallMs);
 
-  /// \returns true when a job has ended by this leader's decision; its record may not be durable
-  /// yet.
+  /// \returns true when the leader has ended the job; the record of the end may not be durable yet.
   bool hasEnded(const std::string &Id) const;
 
-  /// A job that ended long ago is gone from the log.
+  /// Forgets an ended job that was removed from the log.
   void onJobForgotten(const std::string &Id) { FinalJobs_.erase(Id); }
 
-  /// An entry of the executor list appeared or changed.
+  /// Handles a new or changed entry of the executor list.
   void onExecutor(const fleet::ExecutorInfo &Info, core::TimePoint Now);
-  /// An entry of the executor list went away.
+  /// Handles the removal of an entry from the executor list.
   void onExecutorGone(std::string_view Id, core::TimePoint Now);
 
+  /// Handles the result of a hold request that was sent at \p SentAt.
   void onHoldResult(std::string_view ExecutorId, fleet::OrderOutcome Outcome,
                     const fleet::Report &Report, core::TimePoint SentAt, core::TimePoint Now);
+  /// Handles the result of a start order.
+  /// \param ClockMs the executor's clock, 0 when unknown.
   void onStartResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
                      std::int64_t ClockMs, core::TimePoint Now);
+  /// Handles the result of a stop order.
   void onStopResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
                     core::TimePoint Now);
-  /// \param Good empty optional when no usable answer came.
+  /// Handles the answer to a request for advice.
+  /// \param Allowed executors that may run the step, or nothing without a usable answer.
   void onAdvice(const work::TaskRef &Step, std::span<const std::string> Asked,
                 const std::optional<std::vector<fleet::Advised>> &Allowed, core::TimePoint Now);
 
-  /// Does everything that is due: orders, holds, placements.
+  /// Performs all due work: orders, hold requests and placement.
   void tick(core::TimePoint Now, std::int64_t WallMs);
 
-  /// \returns the progress records to append now, and their flush number; empty when none are due.
+  /// Takes the progress records that changed since the last call.
+  /// \returns the number of the flush and the records to append; 0 and no records without changes.
   std::pair<std::uint64_t, std::vector<work::LedgerEntry>> takeProgress();
-  /// The flush is durable.
+  /// Handles that the records of \p Flush are durable.
   void onFlushed(std::uint64_t Flush, core::TimePoint Now);
 
-  /// \returns true after an executor has seen a higher token: another leader is at work.
+  /// \returns true after an executor rejected this leader's token because a newer leader is active.
   bool fenced() const { return Fenced_; }
 
-  /// \returns executors without an entry in the list that may still run something.
+  /// \returns executors that are missing from the executor list but may still have active runs.
   std::vector<fleet::ExecutorInfo> unlistedExecutors() const;
 
   struct Counts {
@@ -146,7 +164,7 @@
   void countFailure(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t Number,
                     core::TimePoint Now);
   void markDirty(const TrackedJob &Job);
-  /// \returns true when no run of a step's tasks that this leader does not know of is in the way.
+  /// \returns true when no unknown run of an earlier leader prevents a start of the step's tasks.
   bool mayStart(const TrackedJob &Job, const work::StepSpec &Spec) const;
   TrackedJob *findJob(const work::TaskRef &Task);
   TrackedStep *findStep(TrackedJob &Job, const work::TaskRef &Task);
@@ -179,12 +197,14 @@
   static void resetIncarnation(ExecutorState &Executor);
   void removeAllRuns(ExecutorState &Executor, std::string_view Reason, core::TimePoint Now);
   void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
+  /// \returns the end of a lease that starts now, on the executor's clock.
   std::int64_t leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const;
   void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
-  /// Gives the order that a run needs now. \returns true while the run may need another one.
+  /// Sends the order that a run needs now.
+  /// \returns true while the run may need another order.
   bool tickRun(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
   void stopDrainingRuns(ExecutorState &Executor, core::TimePoint Now);
-  /// \returns the run time of a task's like, or nothing while too few have ended.
+  /// \returns the run time of comparable tasks, or nothing while too few have ended.
   std::optional<core::Millis> typicalRunTime(const TrackedJob &Job,
                                              const work::TaskRef &Task) const;
   void recordRunTime(TrackedJob &Job, ExecutorState &Executor, const Run &EndedRun,
@@ -192,7 +212,7 @@
   void checkProgress(ExecutorState &Executor, core::TimePoint Now);
   void moveRun(ExecutorState &Executor, Run &ActiveRun, std::string_view Reason,
                core::TimePoint Now);
-  /// Stops all runs of a task but the one that has ended.
+  /// Stops all runs of a task except \p EndedRun.
   void stopCopies(const work::TaskRef &Task, std::uint64_t EndedRun, core::TimePoint Now);
   core::Millis holdWait(const ExecutorState &Executor, core::TimePoint Now) const;
   void adjustPace(ExecutorState &Executor, core::TimePoint Now);
@@ -209,34 +229,36 @@
   const core::TimePoint TermStart_;
   const bool ListMayBeIncomplete_;
   bool Fenced_ = false;
-  bool Accounted_ = false;    ///< every run of earlier leaders is known or over
-  bool AllContacted_ = false; ///< the same but for executors that have not answered when asked
+  bool Accounted_ = false; ///< every run of earlier leaders is known or over
+  /// Like Accounted_, except for runs on executors that did not answer.
+  bool AllContacted_ = false;
   bool PlacementDue_ = true;
   int StartsInFlight_ = 0; ///< start orders without a result
   core::TimePoint NextPlacementAt_{};
   work::Manifest Manifest_;
   std::unordered_map<std::string, TrackedJob> Jobs_;
-  std::set<std::string> FinalJobs_; ///< ended jobs that the log still knows
+  std::set<std::string> FinalJobs_; ///< ended jobs that are still in the log
   std::map<std::string, ExecutorState, std::less<>> Executors_;
-  std::vector<ExecutorState *> ByOrdinal_; ///< null once the executor is forgotten
-  std::unordered_map<std::string, core::Resources> UsedByCustomer_; ///< by customer
-  /// What each customer's first-priority work used at its peak, decaying.
+  std::vector<ExecutorState *> ByOrdinal_; ///< null for removed executors
+  std::unordered_map<std::string, core::Resources> UsedByCustomer_;
+  /// Decaying peak demand of a customer's first-priority work.
   struct DemandPeak {
     core::Resources Highest_; ///< in use and waiting
-    core::Resources Demand_;  ///< the same at the last pass
+    core::Resources Demand_;  ///< in use and waiting at the last placement pass
     core::Resources InUse_;
     core::TimePoint UpdatedAt_;
   };
-  std::unordered_map<std::string, DemandPeak> UrgentPeaks_;
+  std::unordered_map<std::string, DemandPeak> UrgentPeaks_; ///< by customer
+  /// Token buckets by customer: tokens and time of the last refill.
   std::unordered_map<std::string, std::pair<double, core::TimePoint>> RateTokens_;
-  std::set<std::string> DirtyJobs_;
-  std::unordered_map<std::string, double> AdviceYield_;         ///< part of good answers, by queue
+  std::set<std::string> DirtyJobs_;                     ///< jobs whose progress record has changed
+  std::unordered_map<std::string, double> AdviceYield_; ///< fraction of allowed executors by queue
   std::unordered_map<std::string, RunTimeRatio> RunTimeRatios_; ///< by queue and image
   std::uint64_t NextFlush_ = 1;
   std::uint64_t DurableFlush_ = 0;
 };
 
-/// \returns the run number of the \p Counter-th run under a token; rises with both.
+/// \returns the number of the \p Counter-th run under a token; increases with both arguments.
 constexpr std::uint64_t runNumber(std::uint64_t Token, std::uint64_t Counter) {
   constexpr unsigned CounterBits = 20;
   return (Token << CounterBits) + Counter;
--- a/include/masticdrift/lead/detail/Times.h
+++ b/include/masticdrift/lead/detail/Times.h
@@ -7,13 +7,13 @@
 
 namespace masticdrift::lead::detail {
 
-/// Added to the end of a lease for time that an order spends on its way.
+/// Allowance for the transit time of the order that carries a lease end.
 inline constexpr core::Millis LeaseSlack{250};
 
-/// \returns true for a point in time that was never set.
+/// \returns true when \p Time was never set.
 inline bool isUnset(core::TimePoint Time) { return Time == core::TimePoint{}; }
 
-/// \returns the time after which a lease has surely ended on an executor's slower clock.
+/// \returns the time after which a lease has ended even on an executor with a slower clock.
 inline core::Duration leaseUpperBound(core::Millis Lease, double ClockRateMargin) {
   return std::chrono::duration_cast<core::Duration>(Lease * ClockRateMargin) + LeaseSlack;
 }
