lead: reword comments and log details of the scheduler, election and progress

Log details such as 'not wanted' and 'a late copy may reach the new incarnation' did not name what happened. They now name the run, the order or the executor concerned. Events and keys of the log stay.

--- a/src/lead/Election.cpp
+++ b/src/lead/Election.cpp
@@ -8,15 +8,15 @@
 
 namespace {
 
-constexpr double SmallMachineCores = 0.2; // cores
+constexpr double SmallMachineCores = 0.2;
 
-/// \returns for how long the leader has counted as gone; negative while it does not.
+/// \returns the time since the leader counts as gone; negative while it does not.
 core::Duration leaderGoneFor(const ElectionView &View, const ElectionTiming &Timing) {
   core::Duration Silence = View.Now_ - View.NewestReadAt_;
   if (View.NewestRecord_ == nullptr || View.NewestRecord_->Released_)
     return Silence;
-  // A record found on start may be old already; its age by the wall clock is only a hint, since a
-  // claim that comes too early costs a takeover and nothing else.
+  // A record that was found on start may already be old. Its age on the wall clock is only a hint,
+  // which is good enough: a premature claim costs a takeover and nothing else.
   if (View.FoundOnStart_)
     Silence += std::max<core::Duration>(core::Millis(View.WallMs_ - View.NewestRecord_->WallMs_),
                                         core::Duration(0));
@@ -36,7 +36,7 @@
 }
 
 bool isLeaderGone(const ElectionView &View, const ElectionTiming &Timing) {
-  // A daemon that does not reach the store can't know whether the leader is silent.
+  // Without access to the store a daemon cannot tell whether the leader is silent.
   if (View.Now_ - View.LastReadAt_ > Timing.SilenceTimeout_)
     return false;
   return leaderGoneFor(View, Timing) >= core::Duration(0);
@@ -47,7 +47,8 @@
     return false;
   const core::Duration KnownGoneFor = View.Now_ - View.LeaderGoneSince_;
   core::Duration GoneFor = leaderGoneFor(View, Timing);
-  // On start, and after an outage, the turns of all would be over before anyone could claim.
+  // After a start or an outage the turns of all daemons would have passed before any of them could
+  // claim, so they count from when this daemon read the newest record or noticed the loss.
   if (View.FoundOnStart_)
     GoneFor = View.Now_ - View.NewestReadAt_;
   else if (GoneFor - KnownGoneFor >= Timing.RestartTurnsAfter_)
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -1,4 +1,4 @@
-// Which waiting task starts next, and where.
+// Placement: decides which waiting task starts next, and on which executor.
 #include "masticdrift/lead/Scheduler.h"
 #include "masticdrift/lead/detail/Times.h"
 
@@ -11,36 +11,39 @@
 
 namespace {
 
-/// Without an event a pass is made this often, for times that come due.
+/// Interval of placement passes without an event, for occurrences and timeouts that become due.
 constexpr core::Millis PlacementInterval{100};
-/// Executors named in one call of advice; the service takes 100.
+/// Limit of executors in one advice request; the service accepts 100.
 constexpr std::size_t MaxExecutorsPerCall = 60;
-/// Answers asked beyond the expected need, for executors that fill up meanwhile.
+/// Advice is requested for more slots than needed, because executors may fill up in the meantime.
 constexpr double AdviceReserveFactor = 1.3;
-/// A call names at least as many executors as prolong it by this part of its fixed time.
+/// A request names at least as many executors as extend its fixed time by this fraction.
 constexpr double MinExecutorTimeFraction = 0.3;
-/// Assumed part of good answers before any was seen, and the weight of a new observation.
+/// Fraction of executors that advice allows: the initial estimate, the weight of a new sample, and
+/// the minimum that is assumed.
 constexpr double InitialYield = 0.5;
 constexpr double YieldWeight = 0.1;
 constexpr double MinYield = 0.1;
-/// Advice for the next step is asked when the present one ends within its time and this much more.
+/// Advice for the next step is requested when the current step is expected to end within the
+/// duration of the request plus this time.
 constexpr core::Millis PrefetchSlack{400};
 
-/// Half-life of the room that a customer's limit keeps for its first-priority work.
+/// Half-life of the share of a customer's limit that is reserved for its first-priority work.
 constexpr double PeakHalfLifeS = 8;
-/// At most this part of a limit is kept.
+/// At most 1/MaxReserveDivisor of a limit is reserved.
 constexpr std::int64_t MaxReserveDivisor = 2;
 
-/// Penalties on the 0..1 scale of an executor's load.
+/// Penalties relative to the load of an executor, which ranges from 0 to 1.
 constexpr double OtherRackPenalty = 2;
 constexpr double FailedTaskPenalty = 1.5;
 constexpr double InterferencePenalty = 3;
 constexpr double FailingExecutorPenalty = 0.5;
-/// Added for each multiple of the typical run time.
+/// Added for each multiple of the typical run time beyond the first.
 constexpr double SlownessPenalty = 0.5;
 
 using detail::isUnset;
 
+/// \returns true when \p Need fits beside \p Used; a limit of 0 means that there is none.
 bool fitsLimit(const core::Resources &Used, const core::Resources &Need,
                const core::Resources &Limit) {
   const auto Fits = [](std::int64_t UsedAmount, std::int64_t NeedAmount, std::int64_t LimitAmount) {
@@ -51,9 +54,9 @@
          Fits(Used.Accelerators_, Need.Accelerators_, Limit.Accelerators_);
 }
 
-/// A step with waiting tasks.
+/// A step with waiting tasks and the fields that determine its order.
 struct Candidate {
-  int UrgencyClass_ = 0; ///< 0 in time, 1 beyond the customer's rate, 2 worthless
+  int UrgencyClass_ = 0; ///< 0 in time, 1 over the customer's rate, 2 without value
   int Priority_ = 0;
   core::TimePoint Deadline_;
   TrackedJob *Job_ = nullptr;
@@ -70,13 +73,14 @@
 
 } // namespace
 
-/// One pass over everything that waits.
+/// One placement pass over all steps with waiting tasks.
 struct PlacementPass {
   Scheduler &Scheduler_;
   core::TimePoint Now_;
-  /// What an earlier leader may have started and no executor has told of yet, by customer.
+  /// Resources of tasks that an earlier leader may have started and that no executor has reported
+  /// yet, by customer.
   std::unordered_map<std::string, core::Resources> UnknownUse_;
-  std::map<std::string_view, std::vector<ExecutorState *>> OpenExecutors_;
+  std::map<std::string_view, std::vector<ExecutorState *>> OpenExecutors_; ///< by pool
 
   void sumUnknownUse() {
     if (Scheduler_.Accounted_)
@@ -87,7 +91,7 @@
           for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
             if (const TrackedStep &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
               const work::StepSpec &Spec = Job.Spec_.Steps_[I];
-              // A copy that this leader has started leaves the unseen run where it may be.
+              // A duplicate that this leader has started does not rule out the unreported run.
               const auto OpenTasks =
                   static_cast<std::int64_t>(Step.Tasks_.size()) - Step.DoneTasks_;
               UnknownUse_[Job.Acceptance_.Customer_] +=
@@ -96,7 +100,7 @@
             }
   }
 
-  /// Executors that take new work at all, by pool.
+  /// Collects the executors that accept new runs.
   void listOpenExecutors() {
     for (auto &[Id, Executor] : Scheduler_.Executors_)
       if (acceptsWork(Executor))
@@ -118,8 +122,9 @@
            std::ranges::find(Executor.Info_.Labels_, Label) != Executor.Info_.Labels_.end();
   }
 
-  /// Calls \p Visit with each executor on which the step may start now, room aside: one that takes
-  /// work and, on queues with advice, has a valid ticket.
+  /// Calls \p Visit with each executor on which the step may start, regardless of its free
+  /// capacity: the executor accepts work and, on queues with advice, the step has a valid ticket
+  /// for it.
   template <typename Visitor>
   void visitAllowed(const TrackedJob &Job, const TrackedStep &Step, const work::StepSpec &Spec,
                     Visitor Visit) const {
@@ -142,7 +147,7 @@
            Now_ < Advice.ValidUntil_;
   }
 
-  /// \returns how many more tasks of the step fit, at most \p Most.
+  /// \returns how many more tasks of the step fit on the executor, at most \p MaxTasks.
   std::uint32_t freeSlots(const ExecutorState &Executor, const TrackedStep &Step,
                           const work::StepSpec &Spec, std::uint32_t MaxTasks) const {
     core::Resources FreeRoom = Executor.Info_.Capacity_ - Executor.Used_;
@@ -162,6 +167,8 @@
     return Count;
   }
 
+  /// \returns true when a filling task and a task with a response time target would share the
+  /// executor.
   bool interferes(const ExecutorState &Executor, const work::StepSpec &Spec) const {
     return std::ranges::any_of(Executor.Runs_, [&](const auto &Entry) {
       return (Spec.Fills_ && Entry.second.HasResponseTarget_) ||
@@ -199,7 +206,7 @@
           (Spec.Fills_ && interferes(Executor, Spec)))
         return;
       const double Cost = placementCost(Executor, Spec, Task);
-      // Equal costs go by number, so that the choice does not depend on the order of a table.
+      // Ties are broken by ordinal, so that the choice does not depend on hash table order.
       if (Cost < LowestCost || (Cost == LowestCost && Executor.Ordinal_ < Best->Ordinal_)) {
         LowestCost = Cost;
         Best = &Executor;
@@ -208,8 +215,8 @@
     return Best;
   }
 
-  /// \returns what a customer's less urgent work must leave of its limit, so that the next urgent
-  /// job does not wait for the end of long tasks of the same customer.
+  /// \returns the part of a customer's limit that its less urgent work must leave free, so that the
+  /// next urgent job does not wait for long tasks of the same customer.
   core::Resources reservedFor(const std::string &Customer, const core::Resources &Limit) const {
     const auto Found = Scheduler_.UrgentPeaks_.find(Customer);
     if (Found == Scheduler_.UrgentPeaks_.end())
@@ -225,7 +232,7 @@
             ReserveOf(Highest.Accelerators_, InUse.Accelerators_, Limit.Accelerators_)};
   }
 
-  /// Takes down what first-priority work uses and waits for.
+  /// Updates the peak demand of first-priority work.
   void updatePeaks() {
     for (auto &[Customer, Peak] : Scheduler_.UrgentPeaks_)
       Peak.Demand_ = Peak.InUse_ = {};
@@ -300,7 +307,7 @@
     }
   }
 
-  /// Starts all tasks of a gang or none.
+  /// Starts all tasks of a gang, or none of them.
   void placeGang(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
     if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_ ||
         Step.WaitingTasks_ < Step.Tasks_.size() ||
@@ -311,7 +318,7 @@
       for (const auto &[Id, Executor] : Scheduler_.Executors_)
         if (std::ranges::find(Racks, fleet::rackOf(Executor.Info_)) == Racks.end())
           Racks.emplace_back(fleet::rackOf(Executor.Info_));
-    Racks.emplace_back(); // any rack, last
+    Racks.emplace_back(); // no rack in particular, as the last choice
     for (const std::string &Rack : Racks)
       if (placeGangInRack(Waiting, Step, Spec, Rack))
         return;
@@ -319,7 +326,7 @@
 
   bool placeGangInRack(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
                        std::string_view Rack) const {
-    // Room is taken provisionally, so that later members see it.
+    // Resources are reserved temporarily, so that the choice of later members accounts for them.
     std::vector<ExecutorState *> Chosen;
     core::Resources CountedNeed = Spec.Need_;
     if (Spec.Fills_)
@@ -351,7 +358,7 @@
     return true;
   }
 
-  /// Asks for advice when the tickets at hand can't place all waiting tasks.
+  /// Requests advice when the valid tickets do not suffice for all waiting tasks.
   void requestAdvice(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
                      std::uint32_t Wanted) const {
     if (!Waiting.Job_->Queue_.Advice_ || Step.AdvicePending_ || Now_ < Step.AdviceRetryAt_)
@@ -402,7 +409,8 @@
                     Found == Scheduler_.AdviceYield_.end() ? InitialYield : Found->second);
   }
 
-  /// \returns true when all earlier steps end about when advice for this one could be there.
+  /// \returns true when all earlier steps are expected to end by the time that advice for this step
+  /// arrives.
   bool isNearlyReady(const TrackedJob &Job, std::uint32_t Occurrence, std::uint32_t Index) const {
     const work::StepSpec &Spec = Job.Spec_.Steps_[Index];
     if (!Job.Queue_.Advice_ || Spec.DependsOn_.empty())
@@ -442,7 +450,7 @@
       for (std::uint32_t I = 0; I < Occurrence.Steps_.size(); ++I)
         if (const TrackedStep &Step = Occurrence.Steps_[I];
             Step.WaitingTasks_ > 0 && (Step.Ready_ || Pass.isNearlyReady(Job, K, I))) {
-          // Tasks that run until cancelled are worth the same at any time.
+          // Tasks that run until they are cancelled never lose their value.
           const bool RunsUntilCancelled = Job.Spec_.Steps_[I].LongRunning_;
           const int UrgencyClass =
               Now > Job.ValueExpiresAt_ && !RunsUntilCancelled ? 2 : (Job.OverRate_ ? 1 : 0);
--- a/src/lead/Progress.cpp
+++ b/src/lead/Progress.cpp
@@ -7,29 +7,31 @@
 
 namespace {
 
-/// Reports closer together say little about the rate: a percentage is a whole number.
+/// Shorter intervals between reports give no useful rate, because percentages are whole numbers.
 constexpr core::Millis MinSampleInterval{80};
-/// Weight of the newest span in the rate.
+/// Weight of the newest interval in the moving average of the rate.
 constexpr double RateWeight = 0.6;
-/// A run stands still when its percentage has not risen for the time that this many percent took
-/// before, and at least for several reports.
+/// A run is stalled when its percentage has been constant for as long as this many percent took on
+/// average, and for at least MinStallTime, which spans several reports.
 constexpr int StallPercent = 6;
 constexpr core::Millis MinStallTime{700};
-/// The same for a run that has not moved at all: a part of its declared time, and the least time.
+/// The same for a run that is still at 0%: a fraction of its declared run time, and the minimum.
 constexpr double InitialStallFraction = 0.5;
 constexpr core::Millis MinInitialStallTime{1200};
-/// Ended runs after which a ratio is trusted, and how far from it they may lie on average.
+/// Number of samples from which a ratio is trusted, and their maximum mean deviation relative to
+/// it.
 constexpr std::uint32_t MinRatioSamples = 8;
 constexpr double MaxRelativeDeviation = 0.3;
+/// Minimum weight of the newest sample of a ratio.
 constexpr double RatioWeight = 0.1;
-/// A start elsewhere must end this much sooner, in multiples of its own time and absolutely: the
-/// typical time is an estimate.
+/// The remaining time here must exceed the time elsewhere by this factor plus this time, because
+/// the typical run time is only an estimate.
 constexpr double MinMoveGainFactor = 1.6;
 constexpr core::Millis MinMoveGain{300};
-/// Weight of an observation of an executor's slowness, and how fast it fades.
+/// Weight of the newest sample of an executor's slowness, and the half-life of its decay.
 constexpr double SlownessWeight = 0.35;
 constexpr double SlownessHalfLifeMs = 2500;
-/// A single run can't say more than this about its executor.
+/// Bounds the effect of a single run on its executor's slowness.
 constexpr double MaxSlownessFactor = 8;
 
 double millis(core::Duration Time) {
@@ -59,7 +61,7 @@
 }
 
 bool isStalled(const Progress &RunProgress, core::Millis DeclaredTime, core::TimePoint Now) {
-  // Reports must have come since: an executor that is silent is another matter.
+  // Requires recent reports: without them the executor is silent, which is handled elsewhere.
   if (RunProgress.SampleAt_ == core::TimePoint{} || Now - RunProgress.SampleAt_ >= MinStallTime)
     return false;
   const double StalledMs = millis(RunProgress.SampleAt_ - RunProgress.AdvancedAt_);
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -1,4 +1,4 @@
-// What executors report: runs that go on, runs that have ended, and new incarnations.
+// Processes the reports of executors: running and ended runs, and new incarnations.
 #include "masticdrift/lead/Scheduler.h"
 #include "masticdrift/lead/detail/Times.h"
 
@@ -12,7 +12,7 @@
 using detail::leaseUpperBound;
 using fleet::OrderOutcome;
 
-/// An executor whose run of unknown size is being stopped gets no new work for this long.
+/// An executor with a run of unknown size, which is being stopped, gets no new runs for this long.
 constexpr core::Millis AvoidAfterUnknownRun{1500};
 
 } // namespace
@@ -25,15 +25,15 @@
     return;
   ExecutorState &Executor = Entry->second;
   if (SentAt < Executor.LastHoldAt_)
-    return; // a newer request is on its way
+    return; // a newer request is in flight
   Executor.HoldInFlight_ = false;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   if (Outcome != OrderOutcome::Done) {
-    // A draining executor whose entry is gone and that does not answer has left; all that ran on it
-    // has ended with it.
+    // A draining executor that is no longer listed and does not answer has shut down; its runs have
+    // ended with it.
     if (!Executor.Listed_ && Executor.Info_.Draining_ &&
         SentAt >= Executor.UnlistedAt_ + Timing_.LeaveMargin_) {
-      removeAllRuns(Executor, "executor has left", Now);
+      removeAllRuns(Executor, "executor has shut down", Now);
       Executor.LeaseEnd_ = Now;
     }
     if (!Executor.Silent_)
@@ -71,7 +71,7 @@
   Executor.PostponedEnds_.clear();
   for (std::size_t I = 0; I < Rows.size(); ++I) {
     if (mustWaitForJob(Executor, Rows[I], Now)) {
-      // Later ends wait too: an acknowledgement covers all before it.
+      // Later ends are postponed too, because an acknowledgement covers all ends before it.
       Executor.PostponedEnds_.assign(Rows.begin() + static_cast<std::ptrdiff_t>(I), Rows.end());
       return;
     }
@@ -79,7 +79,7 @@
   }
 }
 
-/// Executors may have told of runs of this job before it was read.
+/// Applies what executors reported about runs of the job before its record was read.
 void Scheduler::reconcileLateJob(TrackedJob &Job, core::TimePoint Now) {
   for (auto &[Id, Executor] : Executors_) {
     std::vector<Run> EarlyRuns;
@@ -102,8 +102,9 @@
   }
 }
 
-/// An earlier leader that goes on for a while may have accepted and run a job that this one has not
-/// read yet. To acknowledge the end of its run would lose it.
+/// \returns true while the end of a run must not be acknowledged because its job is unknown. An
+/// earlier leader that is still active may have accepted and started a job that this leader has not
+/// read yet; an acknowledgement would lose the result of the run.
 bool Scheduler::mustWaitForJob(ExecutorState &Executor, const fleet::EndRow &End,
                                core::TimePoint Now) {
   if (End.Number_ <= Executor.ProcessedEnd_ || Jobs_.contains(End.Task_.Job_) ||
@@ -136,7 +137,7 @@
       KnownRun->second.Checkpoint_ = End.Checkpoint_;
     if (KnownRun != Executor.Runs_.end() && End.Kind_ == fleet::EndKind::Done)
       recordRunTime(*Job, Executor, KnownRun->second, Now);
-    // It has ended, so nothing that follows from its end needs to stop it.
+    // Marked as Stopping so that the consequences of the end send no stop to the ended run.
     if (KnownRun != Executor.Runs_.end())
       KnownRun->second.State_ = RunState::Stopping;
     if (!Job->Ended_)
@@ -146,7 +147,7 @@
   const bool Durable =
       Job == nullptr || (DirtyJobs_.size() == DirtyBefore && !DirtyJobs_.contains(End.Task_.Job_));
   Executor.UnackedEnds_.emplace_back(End.Number_, Durable ? 0 : NextFlush_);
-  // Ends that change nothing durable are acknowledged with the next request.
+  // Ends without a durable effect are acknowledged with the next hold request.
   while (!Executor.UnackedEnds_.empty() && Executor.UnackedEnds_.front().second <= DurableFlush_) {
     Executor.DurableEnd_ = Executor.UnackedEnds_.front().first;
     Executor.UnackedEnds_.erase(Executor.UnackedEnds_.begin());
@@ -159,7 +160,7 @@
   if (Job == nullptr)
     return;
   Job->FailedOn_.insert(Executor.Info_.Id_);
-  // A job that fails elsewhere too is at fault itself.
+  // When the job has failed on several executors, the job is the cause and not the executors.
   if (Job->FailedOn_.size() > 1) {
     for (const std::string &Id : Job->FailedOn_)
       if (const auto Entry = Executors_.find(Id); Entry != Executors_.end())
@@ -180,7 +181,8 @@
   TrackedTask &Task = findStep(Job, End.Task_)->Tasks_[End.Task_.Index_];
   if (End.Kind_ == fleet::EndKind::Failed) {
     Task.AvoidExecutor_ = ExecutorId;
-    // A failed run does not leave a checkpoint worth keeping.
+    // A failed run leaves no checkpoint worth keeping. Failures of long-running tasks do not count
+    // against the attempts.
     if (!Spec.LongRunning_)
       countFailure(Job, End.Task_, End.Run_, Now);
     return;
@@ -218,7 +220,7 @@
         Step->LastGangRun_ = std::max(Step->LastGangRun_, Row.Run_);
       logDecision("adopted", Row.Task_, Row.Run_, Executor.Info_.Id_, {});
     } else {
-      stopRun(Executor, NewRun, "not wanted", Now);
+      stopRun(Executor, NewRun, "task needs no run", Now);
     }
     return;
   }
@@ -250,14 +252,15 @@
       EndedRuns.push_back(Key);
   }
   for (const RunKey &Key : EndedRuns) {
-    logDecision("run_over", Key.first, Key.second, Executor.Info_.Id_, "no longer listed");
+    logDecision("run_over", Key.first, Key.second, Executor.Info_.Id_,
+                "missing from the executor's report");
     removeRun(Executor, Key, Now);
   }
 }
 
 void Scheduler::handleRestart(ExecutorState &Executor, const fleet::Report &Report,
                               core::TimePoint Now) {
-  logDecision("runs_lost", {}, 0, Executor.Info_.Id_, "executor started again");
+  logDecision("runs_lost", {}, 0, Executor.Info_.Id_, "executor has restarted");
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
   std::set<RunKey> ListedRuns;
@@ -271,22 +274,22 @@
     ActiveRun.ConfirmedAt_ = {};
     ActiveRun.StopAnsweredAt_ = {};
     if (ListedRuns.contains(Key) || ActiveRun.OrderInFlight_)
-      continue; // an order on its way may still reach the new incarnation
+      continue; // an order in flight may still reach the new incarnation
     if (ActiveRun.UnansweredStarts_ > 0)
-      stopRun(Executor, ActiveRun, "a late copy may reach the new incarnation", Now);
+      stopRun(Executor, ActiveRun, "an unanswered start may reach the new incarnation", Now);
     else
       EndedRuns.push_back(Key);
   }
   resetIncarnation(Executor);
   for (const RunKey &Key : EndedRuns) {
-    logDecision("run_over", Key.first, Key.second, Executor.Info_.Id_, "executor started again");
+    logDecision("run_over", Key.first, Key.second, Executor.Info_.Id_, "executor has restarted");
     removeRun(Executor, Key, Now);
   }
   preventLostStarts(Executor, Now);
 }
 
-/// A new incarnation does not know which runs have ended, so it would carry out a start that comes
-/// late. A stop that arrives first prevents that.
+/// Stops runs whose start order got no answer. A new incarnation does not know which runs have
+/// ended, so it would carry out a late start order unless a stop arrives first.
 void Scheduler::preventLostStarts(ExecutorState &Executor, core::TimePoint Now) {
   for (const auto &[Key, GivenUpAt] : std::exchange(Executor.LostStarts_, {}))
     if (Now - GivenUpAt < Timing_.MaxOrderDelay_ && !Executor.Runs_.contains(Key))
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -1,4 +1,4 @@
-// Executors, their leases and the runs on them.
+// Executors, their leases, and the start and stop orders of their runs.
 #include "masticdrift/lead/Scheduler.h"
 #include "masticdrift/lead/detail/Times.h"
 
@@ -12,16 +12,17 @@
 using detail::leaseUpperBound;
 using fleet::OrderOutcome;
 
-/// Response times above this part of the target slow filling runs down.
+/// Filling runs are paused (0 percent) when a response time exceeds this fraction of its target.
 constexpr double SlowDownFraction = 0.75;
-/// Response times below this part of the target let filling runs speed up again.
+/// Filling runs speed up again when all response times are below this fraction of their targets.
 constexpr double SpeedUpFraction = 0.45;
-constexpr int PaceStepPercent = 25; ///< percent
+constexpr int PaceStepPercent = 25;
+/// Minimum time between a change of the pace and the next increase.
 constexpr core::Millis MinPaceInterval{1000};
-/// Rest of an executor that left a start order unanswered; lists tell within this time whether it
-/// is there.
+/// An executor that did not answer a start order gets no new runs for this long; by then its
+/// reports show whether the run was started.
 constexpr core::Millis AvoidAfterNoAnswer{300};
-/// Rest of an executor that refused an order.
+/// An executor that refused an order gets no new runs for this long.
 constexpr core::Millis AvoidAfterRefusal{1000};
 
 } // namespace
@@ -39,8 +40,8 @@
   }
   if (WasKnown && Info.Born_ > Executor.Incarnation_ && Executor.Incarnation_ != 0 &&
       Executor.Reported_) {
-    // Only its own lists tell which orders have reached the new incarnation.
-    logDecision("executor_reborn", {}, 0, Info.Id_, "the list shows a new incarnation");
+    // Only the executor's own reports show which orders have reached the new incarnation.
+    logDecision("executor_reborn", {}, 0, Info.Id_, "the executor list shows a new incarnation");
     Executor.Reported_ = false;
     Executor.HoldInFlight_ = false;
     Executor.NextHoldAt_ = Now;
@@ -185,7 +186,7 @@
 
 void Scheduler::onStartResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
                               std::int64_t ClockMs, core::TimePoint Now) {
-  // Placement stops at the limit and goes on as soon as there is room below it.
+  // Placement pauses at the limit of concurrent starts and resumes as soon as one is answered.
   PlacementDue_ = PlacementDue_ || StartsInFlight_ >= Timing_.MaxStartsInFlight_;
   --StartsInFlight_;
   const auto Entry = Executors_.find(ExecutorId);
@@ -204,14 +205,14 @@
                             StartedRun.State_ != RunState::Starting;
   if (Outcome != OrderOutcome::Done)
     logDecision("start_result", Key.first, Key.second, ExecutorId, fleet::nameOf(Outcome));
-  // A list can confirm the run while a repeated order is on its way. What becomes of that order
-  // says nothing about the run then; the lists do.
+  // A report can confirm the run while a repeated start is in flight. The result of that order then
+  // says nothing about the run; later reports do.
   if (Outcome != OrderOutcome::Done && !isUnset(StartedRun.ConfirmedAt_))
     return;
   switch (Outcome) {
   case OrderOutcome::Done:
     StartedRun.UnansweredStarts_ = 0;
-    // The order may have waited on its way, which says nothing about the executor.
+    // The order may have been delayed in transit, which must not count as run time.
     if (isUnset(StartedRun.ConfirmedAt_))
       StartedRun.Progress_.StartedAt_ = Now;
     StartedRun.ConfirmedAt_ = Now;
@@ -235,8 +236,8 @@
     Executor.AvoidUntil_ = std::max(Executor.AvoidUntil_, Now + AvoidAfterNoAnswer);
     return;
   case OrderOutcome::Superseded:
-    // An unanswered copy may have started the run and the run may have ended. It can't start any
-    // more, so the next lists tell what became of it.
+    // An earlier unanswered order may have started the run, which may already have ended. It cannot
+    // start any more, so the next reports show its outcome.
     StartedRun.State_ = RunState::Stopping;
     StartedRun.StopAnsweredAt_ = Now;
     return;
@@ -252,9 +253,9 @@
     Executor.AvoidUntil_ = Now + AvoidAfterRefusal;
     break;
   }
-  // An earlier copy of the order may still be carried out; only a stop settles that.
+  // An earlier unanswered order may still be carried out; only a stop rules that out.
   if (StartedRun.UnansweredStarts_ > 0)
-    stopRun(Executor, StartedRun, "refused after an unanswered start", Now);
+    stopRun(Executor, StartedRun, "start refused after an unanswered start order", Now);
   else
     removeRun(Executor, Key, Now);
 }
@@ -312,8 +313,8 @@
   const bool EndsPending = !Executor.UnackedEnds_.empty();
   if (EndsPending && Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
     return;
-  // A silent executor is only looked at: each order with a lease end would put off the time when
-  // its runs are surely over.
+  // A silent executor is only queried. Each renewal of its lease would postpone the time at which
+  // its runs are certain to be over.
   const bool Renew = Executor.Reported_ && !Executor.Silent_;
   core::Millis Wait = holdWait(Executor, Now);
   if (!Renew || EndsPending)
@@ -322,7 +323,8 @@
   Executor.LastHoldAt_ = Now;
   if (Renew)
     extendLeaseEnd(Executor, Now);
-  // After a silence another incarnation may answer, whose ends are numbered anew.
+  // A silent executor may have restarted, and a new incarnation numbers its ends from the beginning
+  // again, so nothing is acknowledged.
   Actions_.Hold_(Executor.Info_, Renew ? Executor.DurableEnd_ : 0,
                  Renew ? leaseEndMs(Executor, Now) : 0, Wait);
 }
@@ -337,7 +339,7 @@
   if (ActiveRun.State_ == RunState::Stopping)
     sendStop(Executor, ActiveRun, Now);
   else if (ActiveRun.UnansweredStarts_ >= Timing_.MaxStartAttempts_)
-    stopRun(Executor, ActiveRun, "start was not answered", Now);
+    stopRun(Executor, ActiveRun, "start order was not answered", Now);
   else if (!Executor.Silent_)
     sendStart(Executor, ActiveRun, Now);
   return true;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-/// Executors that the objective's chain of work counts for one call of advice.
+/// Number of executors per advice request that the completion objective assumes.
 constexpr int AdviceExecutorsPerCall = 30;
-/// An objective missed by this factor earns nothing.
+/// A job has no value once its objective is exceeded by this factor.
 constexpr int ValueExpiryFactor = 3;
-/// An acceptance time of another machine's clock is trusted up to this age.
+/// Maximum age of a job that is derived from the acceptance time on another machine's clock.
 constexpr core::Millis MaxTrustedAge{60'000};
 
+/// \returns the run time of the longest chain of dependent steps, including their advice requests.
 std::int64_t longestChainMs(const work::JobSpec &Spec, const work::Queue &Queue) {
   std::int64_t AdviceMs = 0;
   if (Queue.Advice_)
@@ -29,6 +30,7 @@
   return LongestMs;
 }
 
+/// \returns the progress of a step in \p Record; adds it when it is missing.
 work::StepProgress &stepProgress(work::ProgressRecord &Record, std::uint32_t Occurrence,
                                  std::uint32_t Step, std::size_t Count) {
   for (work::StepProgress &Existing : Record.Steps_)
@@ -77,7 +79,7 @@
   NewJob.Inherited_ = !BegunByThisTerm && (NewJob.Progress_.Term_ != 0 || Job.BegunTerm_ != 0);
   initJob(NewJob, Now, WallMs);
   if (!BegunByThisTerm && !NewJob.Inherited_) {
-    // Durable before the first start, so that a later leader knows which jobs were never begun.
+    // Made durable before the first start, so that a later leader knows which jobs never started.
     NewJob.BegunFlush_ = NextFlush_;
     markDirty(NewJob);
   }
@@ -100,7 +102,8 @@
   Job.ValueExpiresAt_ = Job.AcceptedAt_ + ValueExpiryFactor * Objective;
   if (const auto Customer = Manifest_.Customers_.find(Job.Acceptance_.Customer_);
       Customer != Manifest_.Customers_.end() && Customer->second.Weight_ > 0) {
-    // A bucket of one second; work beyond the customer's rate goes after everybody else's.
+    // Token bucket with a capacity of one second; jobs over the customer's rate are placed after
+    // the jobs of all customers within theirs.
     auto &[Tokens, RefilledAt] = RateTokens_[Job.Acceptance_.Customer_];
     const double Rate = Customer->second.Weight_;
     if (RefilledAt == core::TimePoint{})
--- a/src/lead/Watch.cpp
+++ b/src/lead/Watch.cpp
@@ -1,4 +1,4 @@
-// Run times, and runs that are too slow where they are.
+// Learns run times, and moves runs that are stalled or too slow on their executor.
 #include "masticdrift/lead/Scheduler.h"
 
 #include <algorithm>
@@ -8,11 +8,11 @@
 
 namespace {
 
-/// Wait of a request to an executor where no end is expected; the platform allows 2 s.
+/// Wait time of a hold request when no end is expected; the platform allows up to 2 s.
 constexpr core::Millis MaxHoldWait{1900};
-/// A run is overdue after this part of its typical time more.
+/// A run is overdue when it exceeds its typical run time by this fraction.
 constexpr double OverdueFraction = 0.25;
-/// Ended tasks of a step after which they tell more than the estimate.
+/// Number of completed runs of a step from which their mean replaces the estimate.
 constexpr std::uint32_t MinCompletedRuns = 2;
 
 std::string runTimesKey(const TrackedJob &Job, const work::StepSpec &Spec) {
@@ -21,7 +21,8 @@
 
 bool runsToEnd(const work::StepSpec &Spec) { return !Spec.LongRunning_; }
 
-/// Tasks that fill take what is left, and far from its data a task is slow on every executor.
+/// \returns true when the run time reflects the speed of the executor. Filling tasks only get the
+/// processor time that is left, and a task outside its preferred rack is slow on every executor.
 bool speedIsComparable(const ExecutorState &Executor, const work::StepSpec &Spec) {
   return !Spec.Fills_ && (Spec.PreferredRack_.empty() ||
                           std::ranges::find(Executor.Info_.Labels_, Spec.PreferredRack_) !=
@@ -66,10 +67,10 @@
             ratioToExpected(Took, core::Millis(Spec.EstimatedMs_)));
 }
 
-/// Judges what runs on an executor. A run that is slow alone may just be longer than its like; when
-/// runs of several jobs are slow, the executor is.
+/// Updates the executor's slowness and moves stalled and slow runs. A single slow run may just have
+/// more work than comparable tasks; when runs of several jobs are slow, the executor is the cause.
 void Scheduler::checkProgress(ExecutorState &Executor, core::TimePoint Now) {
-  std::vector<std::pair<Run *, bool>> Suspects; // true for a run that stands still
+  std::vector<std::pair<Run *, bool>> Suspects; // run, and true when it is stalled
   std::set<std::string_view> SlowJobs;
   std::size_t JudgedRuns = 0;
   std::size_t SlowRuns = 0;
@@ -79,7 +80,7 @@
         ActiveRun.PacePercent_ < 100)
       continue;
     const work::StepSpec &Spec = stepSpec(*Job, ActiveRun.Task_);
-    // Tasks that last are at work at 100 percent; before that they start up like any other.
+    // A long-running task reports 100 percent while it works; below that it is still starting up.
     if (Spec.Fills_ || (!runsToEnd(Spec) && ActiveRun.Progress_.Percent_ >= 100))
       continue;
     if (isStalled(ActiveRun.Progress_, core::Millis(Spec.EstimatedMs_), Now)) {
@@ -110,7 +111,7 @@
                               2 * SlowRuns > JudgedRuns;
   for (const auto &[Suspect, Stalled] : Suspects)
     if (Stalled || ExecutorIsSlow)
-      moveRun(Executor, *Suspect, Stalled ? "stands still" : "too slow", Now);
+      moveRun(Executor, *Suspect, Stalled ? "run is stalled" : "run is slow", Now);
 }
 
 void Scheduler::moveRun(ExecutorState &Executor, Run &ActiveRun, std::string_view Reason,
@@ -127,7 +128,7 @@
           std::string(Reason) + " at " + std::to_string(ActiveRun.Progress_.Percent_) + "% after " +
               std::to_string(core::toMillis(Now - ActiveRun.Progress_.StartedAt_)) + " ms",
           Now);
-  // A task that allows copies need not wait until this run is known to be over.
+  // A task that allows duplicates can restart before this run is known to be over.
   if (Spec.AllowDuplicates_ && Tracked.State_ == TaskState::Placed) {
     Tracked.State_ = TaskState::Waiting;
     ++Step.WaitingTasks_;
@@ -141,7 +142,7 @@
   for (auto &[Id, Executor] : Executors_)
     for (auto &[Key, ActiveRun] : Executor.Runs_)
       if (ActiveRun.Task_ == Task && ActiveRun.Number_ != EndedRun)
-        stopRun(Executor, ActiveRun, "another copy has ended", Now);
+        stopRun(Executor, ActiveRun, "another run of the task has completed", Now);
 }
 
 core::Millis Scheduler::holdWait(const ExecutorState &Executor, core::TimePoint Now) const {
@@ -166,7 +167,7 @@
     Wait =
         std::min(Wait, std::max(Overdue, Typical ? Timing_.OverdueHoldWait_ : Timing_.HoldWait_));
   }
-  // Figures of serving tasks are acted on only where something fills beside them.
+  // Reported response times matter only while a filling run shares the executor.
   return HasTarget && Fills ? std::min(Wait, Timing_.HoldWait_) : Wait;
 }
 
