lead: reword comments and messages of the lead tests

Each test comment now states the situation and the failure that the test guards against. Messages of violated guarantees name the limit or the acknowledgement; the checks stay.

--- a/tests/measure/Lead.cpp
+++ b/tests/measure/Lead.cpp
@@ -1,4 +1,4 @@
-// The leader's decisions at the size of the grown deployments, in virtual time.
+// Measures the scheduler at the size of the largest deployments, in virtual time.
 #include "Load.h"
 
 #include "support/FakeFleet.h"
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// One kind of job, in the shape that a site file gives.
+/// One kind of job, with the values that a site file gives.
 struct JobKind {
   const char *Queue_;
-  double PerSecond_; ///< for 350 executors
+  double PerSecond_; ///< arrival rate for 350 executors
   double Steps_;     ///< mean
   double Width_;     ///< mean tasks of a step
   std::int64_t Ms_;  ///< mean run time
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -16,9 +16,9 @@
 constexpr core::Millis StopTime{100};
 constexpr core::Millis MaxOrderDelay{12'000};
 constexpr core::Millis MaxLease{10'000};
-/// Executors' clocks may be this much slow.
+/// Rate of the executors' clocks, the lowest that the platform allows.
 constexpr double ClockRate = 0.98;
-/// The wall clock and the virtual clock start together.
+/// Wall-clock time at the start of the virtual clock.
 constexpr std::int64_t WallClockStartMs = 1'700'000'000'000;
 
 std::string nameOf(const work::TaskRef &Task) {
@@ -79,7 +79,7 @@
     Restarted.Info_ = Info;
     Restarted.Info_.Born_ = wallMs(Now_);
     Restarted.ClockStart_ = Now_;
-    // The list lags behind.
+    // The executor list shows a restart with a delay.
     schedule(Now_ + core::Millis(800), [this, ListedInfo = Restarted.Info_] {
       for (auto &[LeaderTerm, Scheduler] : Terms_)
         if (LeaderTerm->Alive_)
@@ -176,7 +176,7 @@
     schedule(Now_ + Delay, [this, ThisTerm, Scheduler, Order, Id, Key, Lost, Late, Answered,
                             Born = Executors_.at(Id).Info_.Born_] {
       FakeExecutor &Target = Executors_.at(Id);
-      // An order that the executor has put off dies with it.
+      // A delayed order is lost when its executor restarts.
       if (!isReachable(Target) ||
           (Late && !Options_.LateOrdersSurviveRestart_ && Target.Info_.Born_ != Born))
         return;
@@ -366,7 +366,8 @@
   for (const Completion &Completed : Completions_[Order.Task_])
     if (Completed.Acknowledged_)
       addViolation(nameOf(Order.Task_) + " run " + std::to_string(Order.Run_) + " started on " +
-                   Executor.Info_.Id_ + " after its end on " + Completed.Executor_ + " was noted");
+                   Executor.Info_.Id_ + " after its completion on " + Completed.Executor_ +
+                   " was acknowledged");
   Starts_[Order.Task_].push_back(Now_);
   ++StartCount_;
   FakeRun &NewRun = Executor.Running_[Order.Task_];
@@ -381,7 +382,7 @@
   for (const auto &[Task, Run] : Executor.Running_)
     Used += Run.Need_;
   if (!core::fits(Used, Executor.Info_.Capacity_))
-    addViolation(Executor.Info_.Id_ + " is over its capacity");
+    addViolation(Executor.Info_.Id_ + " exceeds its capacity");
   if (!Spec.LongRunning_)
     schedule(Now_ + NewRun.RunTime_,
              [this, Id = Executor.Info_.Id_, Task = Order.Task_, Generation = NewRun.Generation_] {
@@ -434,7 +435,8 @@
     for (Completion &Completed : Completions_[End.Task_])
       if (Completed.Executor_ == Executor.Info_.Id_ && Completed.Number_ == End.Number_ &&
           Completed.Incarnation_ == Executor.Info_.Born_) {
-        // An end before a lapse does not count: its task may have started elsewhere.
+        // A completion before a lease lapse does not count, because the task may have been
+        // restarted elsewhere.
         if (std::ranges::any_of(Executor.LeaseLapses_,
                                 [&](core::TimePoint Time) { return Time >= Completed.At_; }))
           continue;
@@ -442,7 +444,8 @@
         if (!stepSpec(End.Task_).AllowDuplicates_ &&
             std::ranges::any_of(Starts_[End.Task_],
                                 [&](core::TimePoint Time) { return Time > Completed.At_; }))
-          addViolation(nameOf(End.Task_) + " was started after an end that was noted later");
+          addViolation(nameOf(End.Task_) +
+                       " was started after a completion that was acknowledged later");
       }
   }
   std::erase_if(Executor.Ended_,
@@ -470,7 +473,7 @@
     const Event Next = Events_.top();
     Events_.pop();
     Now_ = std::max(Now_, Next.At_);
-    // Leases that lapsed since the last event.
+    // Ends the runs whose lease has lapsed since the last event.
     for (auto &[Id, Executor] : Executors_)
       if (Executor.Up_ && Now_ >= Executor.LeaseEnd_) {
         if (Executor.LeaseLapses_.empty() || Executor.LeaseLapses_.back() < Executor.LeaseEnd_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -1,9 +1,10 @@
 /// \file
-/// Executors, a log and advice in virtual time around the scheduler: no network, no threads.
+/// Simulates executors, the log and the advice service for the scheduler in virtual time, without
+/// network or threads.
 ///
-/// The fake executors follow the platform's contract: tokens, run numbers, leases on their own
-/// clock, ends that are listed until they are acknowledged, orders that are lost or come late. What
-/// breaks a promise is collected as text.
+/// The fake executors follow the platform's contract: fencing tokens, run numbers, leases on their
+/// own clocks, and ends that are reported until they are acknowledged. Orders can be lost or
+/// delayed. Violations of the scheduler's guarantees are collected as text.
 #ifndef MASTICDRIFT_TESTS_SUPPORT_FAKEFLEET_H
 #define MASTICDRIFT_TESTS_SUPPORT_FAKEFLEET_H
 
@@ -21,75 +22,79 @@
 
 namespace masticdrift::tests {
 
-/// Probabilities and times of the world.
+/// Probabilities and delays of the simulated faults.
 struct FakeFleetOptions {
   unsigned Seed_ = 1;
-  double LostAnswerProbability_ = 0; ///< orders that are carried out and not answered
-  double LateOrderProbability_ =
-      0; ///< orders that are not answered and carried out up to 12 s later
-  double FailedRunProbability_ = 0; ///< runs that end failed
-  double NoConnectionProbability_ =
-      0;                           ///< start orders that find no connection within their time limit
-  core::Millis LateOrderDelay_{0}; ///< how late, 0 for 2 to 12 s
-  bool LateOrdersSurviveRestart_ =
-      false; ///< late orders reach an executor that has started again meanwhile
+  /// Orders that are carried out but not answered.
+  double LostAnswerProbability_ = 0;
+  /// Orders that are not answered and carried out up to 12 s later.
+  double LateOrderProbability_ = 0;
+  /// Runs that end as failed.
+  double FailedRunProbability_ = 0;
+  /// Start orders that find no connection within their timeout.
+  double NoConnectionProbability_ = 0;
+  core::Millis LateOrderDelay_{0}; ///< delay of late orders, 0 for 2 to 12 s
+  /// Late orders reach an executor even if it has restarted in the meantime.
+  bool LateOrdersSurviveRestart_ = false;
   core::Millis Latency_{1};
-  int MaxHoldJitterMs_ = 0; ///< requests for lists take up to this much longer
-  bool Trace_ = false;      ///< prints every decision to standard error
+  int MaxHoldJitterMs_ = 0; ///< maximum additional latency of hold requests
+  bool Trace_ = false;      ///< prints all decisions to standard error
 };
 
+/// A simulated fleet with one leader at a time, or two during a takeover.
 class FakeFleet {
 public:
   explicit FakeFleet(FakeFleetOptions Options);
 
-  // -- the world --
+  // -- Simulated events --
   void addExecutor(const std::string &Id, core::Resources Capacity);
-  /// Kills what runs there; the executor starts again empty after \p Down.
+  /// Stops an executor and all its runs; it restarts without runs after \p Down.
   void crash(const std::string &Id, core::Millis Down);
-  /// Nothing reaches the executor and nothing comes back for \p Time.
+  /// Cuts the connection to an executor in both directions for \p Time.
   void disconnect(const std::string &Id, core::Millis Time);
-  /// Submits a job that was accepted now.
+  /// Submits a job, which is accepted immediately.
   void submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue = "q");
-  /// The same, accepted and begun by the leader of \p Term in one append.
+  /// Submits a job that the leader of \p Term has accepted and begun in one append.
   void submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term);
   std::uint64_t term() const { return Token_; }
   void cancel(const std::string &Id);
   void setManifest(work::Manifest Manifest);
-  /// A new leader with a higher token takes over; the old one goes on giving orders for
-  /// \p OldLeaderTime if that is not zero.
+  /// Starts a new leader with a higher token.
+  /// \param OldLeaderTime how long the old leader continues to send orders.
   void takeOver(core::Millis OldLeaderTime = core::Millis(0));
+  /// Advances the virtual clock.
   void run(core::Millis Duration);
 
-  // -- what can be seen --
+  // -- Observations --
   work::JobState stateOf(const std::string &Id) const;
   const std::vector<std::string> &violations() const { return Violations_; }
-  /// \returns how often a task was started at any executor.
+  /// \returns how often a task was started, on all executors together.
   int startsOf(const work::TaskRef &Task) const;
-  /// \returns the executors on which a task runs now.
+  /// \returns the executor of each current run of a job.
   std::vector<std::string> executorsRunning(const std::string &Job) const;
   core::TimePoint now() const { return Now_; }
   lead::Scheduler &leader() { return *Leader_; }
   core::Millis sinceTakeover() const;
-  /// Time from acceptance to the last end, of a completed job.
+  /// \returns the time from acceptance to the last end of a completed job, or nothing.
   std::optional<core::Millis> completionTimeOf(const std::string &Id) const;
 
-  /// \returns processor time spent in the leaders' decisions, wall time of this machine.
+  /// \returns the real time that the leaders' decisions took on this machine.
   std::chrono::steady_clock::duration decisionTime() const { return DecisionTime_; }
   std::size_t startCount() const { return StartCount_; }
 
-  /// The next leader reads this job only \p Time after it has begun to lead.
+  /// Makes the next leader read a job only \p Time after its term has begun.
   void delayJobRead(const std::string &Job, core::Millis Time) { ReadDelays_[Job] = Time; }
 
-  /// Every run at this executor fails.
+  /// Makes all runs on an executor fail.
   void failAllRunsAt(const std::string &Id) { Executors_.at(Id).FailsAllRuns_ = true; }
-  /// Runs that start there from now on take this many times as long.
+  /// Multiplies the run time of runs that start on an executor from now on.
   void slowDown(const std::string &Id, int Factor) { Executors_.at(Id).SlowFactor_ = Factor; }
-  /// What runs there stands still, for good, while the executor goes on answering.
+  /// Stops the progress of all runs on an executor for good; it still answers requests.
   void stallRunsAt(const std::string &Id) { Executors_.at(Id).Stalled_ = true; }
-  /// Every run of this job fails.
+  /// Makes all runs of a job fail.
   void failAllRunsOf(const std::string &Job) { FailingJobs_.insert(Job); }
 
-  /// While set, nothing the leader writes is stored.
+  /// While set, the leader's records are not stored.
   void setStoreDown(bool Down) { StoreDown_ = Down; }
 
   /// Loses the next answer to a start order.
@@ -119,7 +124,7 @@
     std::map<work::TaskRef, std::uint64_t> HighestEndedRuns_;
     std::vector<fleet::EndRow> Ended_;
     std::uint64_t NextEnd_ = 1;
-    std::function<void()> PendingHold_; ///< a request that waits for an end
+    std::function<void()> PendingHold_; ///< hold request that waits for an end
   };
   struct Completion {
     core::TimePoint At_;
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -1,4 +1,4 @@
-// When a daemon claims the leadership, the table of jobs, and how calls for advice are spread.
+// Tests of the leader election, the job ledger and the distribution of advice requests.
 #include "masticdrift/lead/Election.h"
 #include "masticdrift/daemon/AdviceDesk.h"
 #include "masticdrift/work/Ledger.h"
@@ -33,7 +33,7 @@
   cr_expect(lead::shouldClaim(viewAt(Timing.SilenceTimeout_, &Heartbeat), Timing));
 }
 
-// Guards against a takeover by a daemon that itself has lost the store.
+// Guards against a takeover by a daemon that has itself lost the connection to the store.
 Test(Election, daemonWithoutStoreAccessDoesNotClaim) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   lead::ElectionView View = viewAt(Millis(10'000), &Heartbeat);
@@ -52,7 +52,7 @@
   cr_expect(lead::shouldClaim(View, {}));
 }
 
-// After all machines were down, the record's own age counts.
+// After an outage of all machines, the age of the newest record counts as silence.
 Test(Election, oldRecordFoundOnStartAllowsAnImmediateClaim) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
   lead::ElectionView View = viewAt(Millis(10), &Heartbeat);
@@ -72,8 +72,8 @@
   cr_expect(lead::shouldClaim(View, {}));
 }
 
-// Pattern: the store or all machines were away for seconds. Guards against claims of all daemons at
-// the same moment, one of which may be the smallest machine.
+// After the store or all machines were unavailable for seconds, all daemons notice the loss at the
+// same time. Guards against simultaneous claims, one of which may come from the smallest machine.
 Test(Election, claimsAreStaggeredAfterALongOutage) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 20'000, "i", {}};
   const lead::ElectionTiming Timing;
@@ -86,7 +86,7 @@
   cr_expect(lead::shouldClaim(View, Timing));
 }
 
-// Guards against a takeover that is slow because turns begin only after the loss was noticed.
+// Guards against slow takeovers because the claim delays start only when the loss is noticed.
 Test(Election, turnsCountFromTheSilenceTimeout) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   const lead::ElectionTiming Timing;
@@ -100,8 +100,8 @@
   cr_expect(!lead::shouldClaim(View, Timing));
 }
 
-// Pattern: two regions, the store in one of them. Guards against a leader in the other region,
-// whose every append takes a long way and whose term ends when the regions are cut from each other.
+// Two regions, with the store in one of them. Guards against a leader in the other region, whose
+// appends are slow and whose term ends when the connection between the regions fails.
 Test(Election, distantDaemonsClaimLater) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
   const lead::ElectionTiming Timing;
@@ -110,15 +110,15 @@
   View.FastestStoreTime_ = Millis(18);
   cr_expect(!lead::shouldClaim(View, Timing));
   View.Now_ = View.LastReadAt_ = View.Now_ + 3 * Timing.ClaimInterval_;
-  cr_expect(!lead::shouldClaim(View, Timing), "three near daemons have their turns first");
-  // At a store that is slow for everyone, nobody waits for long.
+  cr_expect(!lead::shouldClaim(View, Timing), "three daemons near the store claim first");
+  // The delay is bounded, so that a store that is slow for all daemons does not delay them long.
   View.FastestStoreTime_ = Millis(3000);
   View.Now_ = View.LastReadAt_ = View.LeaderGoneSince_ + 4 * Timing.ClaimInterval_;
   cr_expect(lead::shouldClaim(View, Timing));
 }
 
-// Pattern: a large fleet with a few larger machines. Guards against a leader on the smallest
-// machine, which can't keep up with the executors.
+// A large fleet with a few larger machines. Guards against a leader on the smallest machine, which
+// cannot keep up with the executors.
 Test(Election, smallMachinesClaimAfterLargerOnes) {
   for (int I = 0; I < 50; ++I)
     for (int K = 0; K < 50; ++K)
@@ -126,7 +126,7 @@
                    lead::claimRank("small-" + std::to_string(K), 0.12));
 }
 
-// --- The table of jobs ---
+// --- Job ledger ---
 
 Test(Ledger, repeatedRecordsGiveTheSameTable) {
   work::Ledger Table;
@@ -141,7 +141,7 @@
   Progress.State_ = work::JobState::Completed;
   const work::LedgerEntry Final = work::progressEntry("j", Progress);
   Table.apply(7, Final.Key_, Final.Value_);
-  // An older record that is read again must not bring the job back.
+  // An older record that is read again must not reopen the job.
   Progress.State_ = work::JobState::Running;
   const work::LedgerEntry OlderEntry = work::progressEntry("j", Progress);
   Table.apply(5, OlderEntry.Key_, OlderEntry.Value_);
@@ -152,8 +152,8 @@
   cr_expect_null(Table.find("j"));
 }
 
-// Guards against a job that a leader starts without its steps, and against steps that stay in
-// memory after the job has ended.
+// Guards against jobs that are started without their steps, and against steps that stay in memory
+// after their job has ended.
 Test(Ledger, stepsMayArriveBeforeOrAfterTheAcceptance) {
   work::JobSpec Spec;
   Spec.Steps_.resize(2);
@@ -161,7 +161,7 @@
   const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
   work::Ledger Before;
   cr_expect(Before.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::Specified);
-  cr_expect_null(Before.find("j"), "steps alone are no job");
+  cr_expect_null(Before.find("j"), "steps alone do not make a job");
   Before.apply(1, Accepted.Key_, Accepted.Value_);
   cr_expect(Before.find("j")->Specified_);
   cr_expect_eq(Before.find("j")->Spec_.Steps_.size(), 2);
@@ -178,7 +178,7 @@
   cr_expect(After.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::None);
 }
 
-// Guards against a completed job that a late cancel turns into a cancelled one.
+// Guards against a late cancellation that changes the state of a completed job.
 Test(Ledger, finalStateDoesNotChange) {
   work::Ledger Table;
   const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
@@ -200,8 +200,8 @@
 
 // --- Advice ---
 
-// Pattern: long calls for batches arrive before short ones for urgent checks. Guards against
-// checks that wait behind them at every daemon.
+// Long advice requests for batches arrive before short ones for urgent checks. Guards against
+// checks that wait behind long requests at every daemon.
 Test(Advice, longCallsLeaveOneAdviserFree) {
   std::vector<std::pair<std::string, double>> Sent;
   daemon::AdviceDesk Desk([&](const std::string &Adviser, const daemon::AdviceJob &Job) {
@@ -216,14 +216,14 @@
   Desk.ask({{}, {}, 30, {0, Start}}, Start);
   cr_assert_eq(Sent.size(), 3);
   cr_expect(Sent.back().first.empty());
-  // One free daemon is kept; with a second one the next long call goes out.
+  // One free daemon is reserved; with a second one the next long request is sent.
   Desk.done("p1", true, Start);
   cr_expect_eq(Sent.size(), 3);
   Desk.done("", true, Start);
   cr_expect_eq(Sent.size(), 4);
 }
 
-// Guards against an adviser that is asked again and again though it does not answer.
+// Guards against repeated requests to an adviser that does not answer.
 Test(Advice, adviserWithoutAnswerIsNotAskedAgain) {
   std::vector<std::string> Sent;
   daemon::AdviceDesk Desk(
--- a/tests/unit/ProgressTest.cpp
+++ b/tests/unit/ProgressTest.cpp
@@ -1,4 +1,4 @@
-// Which runs would end sooner elsewhere, from the percentages that executors report.
+// Tests of progress estimates and move decisions, which are based on reported percentages.
 #include "masticdrift/lead/Progress.h"
 
 #include <criterion/criterion.h>
@@ -10,7 +10,8 @@
 
 const core::TimePoint Start{std::chrono::hours(1)};
 
-/// A run that started at Start and gets on by \p PerReport percent every 200 ms.
+/// \returns the progress of a run that started at Start and reports \p PerReport percent more every
+/// 200 ms.
 lead::Progress runOf(int Reports, int PerReport) {
   lead::Progress Result;
   Result.StartedAt_ = Start;
@@ -21,7 +22,7 @@
 
 } // namespace
 
-// --- A run that gets on ---
+// --- Runs with progress ---
 
 Test(Progress, remainingTimeFollowsTheRate) {
   const lead::Progress Run = runOf(3, 10);
@@ -38,7 +39,7 @@
   cr_expect_not(lead::isStalled(Run, Millis(100), Start + Millis(5000)));
 }
 
-// Guards against a rate that counts the work that a checkpoint brought.
+// Guards against a rate that includes the work restored from a checkpoint.
 Test(Progress, resumedRunUsesItsOwnRate) {
   lead::Progress Run;
   Run.StartedAt_ = Start;
@@ -48,7 +49,7 @@
   cr_expect_eq(lead::remainingTime(Run, Start + Millis(600))->count(), 3600);
 }
 
-// --- A run that stands still ---
+// --- Stalled runs ---
 
 Test(Progress, stalledAfterSeveralUnchangedReports) {
   lead::Progress Run = runOf(2, 10);
@@ -57,7 +58,7 @@
   cr_expect(lead::isStalled(Run, Millis(2000), Start + Millis(1200)));
 }
 
-// Guards against long tasks, whose percentage rises rarely, being taken for stalled.
+// Guards against long tasks being treated as stalled because their percentage rises rarely.
 Test(Progress, longRunsMayRepeatAPercentage) {
   lead::Progress Run;
   Run.StartedAt_ = Start;
@@ -66,13 +67,13 @@
   cr_expect_not(lead::isStalled(Run, Millis(100'000), Start + Millis(4000)));
 }
 
-// Guards against runs on a silent executor being given up: they may go on there.
+// Guards against treating runs on a silent executor as stalled: they may still make progress.
 Test(Progress, silentRunIsNotStalled) {
   const lead::Progress Run = runOf(2, 10);
   cr_expect_not(lead::isStalled(Run, Millis(2000), Start + Millis(9000)));
 }
 
-// --- What a start elsewhere would gain ---
+// --- Move decisions and run time estimates ---
 
 Test(ShouldMove, onlyWhenComparableRunsAreMuchFaster) {
   const lead::Progress Slow = runOf(5, 2);
@@ -94,7 +95,7 @@
   cr_expect_not(lead::trustedRatio(Scattered).has_value());
 }
 
-// Guards against an executor that stays avoided after it has recovered.
+// Guards against avoiding an executor after it has recovered.
 Test(Slowness, decaysOverTime) {
   lead::Slowness Estimate;
   for (int I = 0; I < 10; ++I)
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -1,4 +1,4 @@
-// The leader's decisions against executors that follow the platform's contract, in virtual time.
+// Tests of the scheduler in virtual time, with fake executors that follow the platform's contract.
 #include "support/FakeFleet.h"
 
 #include <cstdlib>
@@ -27,7 +27,8 @@
   return Spec;
 }
 
-/// MASTICDRIFT_TRACE_SEED=N prints the decisions of that seed; 0 those of the single runs.
+/// \returns true when MASTICDRIFT_TRACE_SEED requests the decisions of \p Seed; 0 stands for the
+/// tests without seeds.
 bool isTraced(unsigned Seed) {
   const char *Wanted = std::getenv("MASTICDRIFT_TRACE_SEED");
   return Wanted != nullptr && std::to_string(Seed) == Wanted;
@@ -52,7 +53,7 @@
 
 } // namespace
 
-// --- A calm day ---
+// --- Placement without faults ---
 
 Test(SchedulerPlacement, twoStepJobCompletesInOrder) {
   FakeFleet Fleet(defaultOptions());
@@ -65,7 +66,7 @@
   expectNoViolations(Fleet);
 }
 
-// Guards against a start beyond an executor's room.
+// Guards against starts beyond an executor's capacity.
 Test(SchedulerPlacement, tasksWaitForFreeCapacity) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 1);
@@ -77,7 +78,7 @@
   expectNoViolations(Fleet);
 }
 
-// Guards against a customer that runs more than its upper limit.
+// Guards against a customer that uses more than its upper limit.
 Test(SchedulerPlacement, customerStaysWithinItsLimit) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2);
@@ -93,8 +94,8 @@
   cr_expect_eq(Fleet.executorsRunning("j1").size(), 3);
 }
 
-// Pattern: a customer near its limit sends short urgent jobs beside long batches. Guards against
-// urgent jobs that wait for the end of the same customer's batch tasks.
+// A customer near its limit submits short urgent jobs beside long batches. Guards against urgent
+// jobs that wait for the end of the same customer's batch tasks.
 Test(SchedulerPlacement, limitReservesCapacityForUrgentJobs) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 4);
@@ -118,7 +119,7 @@
   cr_expect_geq(Fleet.executorsRunning("b0").size(), 4);
 }
 
-// Guards against tasks that start on executors that the queue's policy does not allow.
+// Guards against starts on executors that the queue's policy does not allow.
 Test(SchedulerPlacement, startsWaitForAdvice) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 6);
@@ -137,14 +138,14 @@
   cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
 }
 
-// --- Answers that are lost ---
+// --- Lost answers and late orders ---
 
-// Guards against a second run of a task whose start was not answered and which has ended meanwhile:
-// the executor then refuses the repeated order, which does not mean that the task never ran.
+// Guards against a second run of a task whose start order got no answer. When the run has already
+// ended, the executor refuses the repeated order, which does not mean that the task never ran.
 Test(SchedulerLostAnswers, refusedRetryDoesNotProveThatTheTaskNeverRan) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2);
-  // Answers of the lists are lost as well, so that the end is learned late.
+  // Answers with reports are lost as well, so that the leader learns of the end late.
   Fleet.loseNextStartAnswer();
   Fleet.submit("j1", makeJob(1, 650));
   Fleet.run(Millis(5000));
@@ -172,8 +173,8 @@
   }
 }
 
-// Guards against a run that is taken for never started because a repeated order found no
-// connection, although a list has shown it meanwhile.
+// Guards against treating a run as never started because a repeated order found no connection,
+// although a report has confirmed the run in the meantime.
 Test(SchedulerLostAnswers, unconnectedRetryDoesNotProveThatTheTaskNeverRan) {
   for (unsigned Seed = 1; Seed <= 25; ++Seed) {
     FakeFleetOptions Options;
@@ -194,7 +195,7 @@
   }
 }
 
-// Guards against a start that is carried out seconds later, beside a newer run elsewhere.
+// Guards against a start order that is carried out seconds late, beside a newer run elsewhere.
 Test(SchedulerLostAnswers, lateOrdersDoNotDuplicateTasks) {
   for (unsigned Seed = 1; Seed <= 25; ++Seed) {
     FakeFleetOptions Options;
@@ -213,9 +214,9 @@
   }
 }
 
-// --- Executors that fail ---
+// --- Failing executors ---
 
-// Guards against a task that runs elsewhere while its silent executor still holds a lease.
+// Guards against restarting a task while its silent executor still holds a lease.
 Test(SchedulerExecutors, tasksOfASilentExecutorRestartAfterItsLease) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2, 1);
@@ -231,8 +232,8 @@
   expectNoViolations(Fleet);
 }
 
-// Pattern: many jobs that can never be done. Guards against executors that are avoided for the
-// faults of such jobs, which took room away when it was needed most.
+// Many jobs that always fail. Guards against avoiding executors because of such jobs, which removed
+// capacity when it was needed most.
 Test(SchedulerExecutors, alwaysFailingJobsDoNotMarkExecutorsAsFailing) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2);
@@ -247,8 +248,7 @@
   cr_expect_eq(Fleet.executorsRunning("j1").size(), 8);
 }
 
-// Pattern: an executor fails all that it starts. Guards against jobs that use their attempts up
-// there.
+// An executor fails all its runs. Guards against jobs that use up their attempts there.
 Test(SchedulerExecutors, failingExecutorIsAvoided) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 4);
@@ -262,7 +262,8 @@
     cr_expect(Fleet.stateOf("j" + std::to_string(I)) == work::JobState::Completed, "job %d", I);
 }
 
-// An executor that starts again holds nothing: its tasks need not wait for a lease.
+// A restarted executor has no runs, so its tasks can restart without waiting for the lease to
+// lapse.
 Test(SchedulerExecutors, tasksOfARestartedExecutorRestartAtOnce) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 1);
@@ -276,8 +277,8 @@
   expectNoViolations(Fleet);
 }
 
-// Guards against acknowledging ends of a new incarnation, which numbers its ends from 1 again, with
-// the numbers of the old one.
+// A new incarnation numbers its ends from 1 again. Guards against acknowledging them with the end
+// numbers of the previous incarnation.
 Test(SchedulerExecutors, endsOfARestartedExecutorAreReadBeforeAcknowledgement) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 1);
@@ -293,7 +294,7 @@
   expectNoViolations(Fleet);
 }
 
-// Guards against tasks that last and are ranked as worthless after their objective has passed.
+// Guards against placing long-running tasks last because their objective has passed.
 Test(SchedulerExecutors, longRunningTasksRestartAfterTheirObjective) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2);
@@ -302,7 +303,7 @@
   Fleet.submit("j1", Spec);
   Fleet.run(Millis(30'000));
   const std::string Host = Fleet.executorsRunning("j1").front();
-  // Short work fills what room there is.
+  // Short jobs use up the remaining capacity.
   for (int I = 0; I < 20; ++I)
     Fleet.submit("s" + std::to_string(I), makeJob(4, 2000));
   Fleet.crash(Host, Millis(300));
@@ -311,17 +312,17 @@
   expectNoViolations(Fleet);
 }
 
-// --- Another leader ---
+// --- New incarnations and takeovers ---
 
-// Guards against a start that comes late to a new incarnation, which does not know that the run has
-// ended in the old one.
+// Guards against a late start order that reaches a new incarnation, which does not know that the
+// run has ended in the previous one.
 Test(SchedulerExecutors, lateStartsDoNotRunOnARestartedExecutor) {
   for (unsigned Seed = 1; Seed <= 60; ++Seed) {
     FakeFleetOptions Options;
     Options.Seed_ = Seed;
     Options.Trace_ = isTraced(Seed);
     Options.LateOrderProbability_ = 0.4;
-    // After the leader has met the new incarnation; what comes before that can't be prevented.
+    // Late enough that the leader has noticed the restart; earlier orders cannot be prevented.
     Options.LateOrderDelay_ = Millis(4000);
     Options.LateOrdersSurviveRestart_ = true;
     FakeFleet Fleet(Options);
@@ -335,14 +336,14 @@
   }
 }
 
-// Guards against the end of a run being acknowledged by a leader that has not read its job yet: the
-// task would start again.
+// Guards against a leader that acknowledges the end of a run before it has read the job: the task
+// would start again.
 Test(SchedulerTakeover, endsOfJobsThatAreReadLateAreNotLost) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2);
   Fleet.submit("j1", makeJob(3, 600));
   Fleet.run(Millis(300));
-  // The ends are not acknowledged by the first leader.
+  // The first leader cannot acknowledge the ends, because its records are not stored.
   Fleet.setStoreDown(true);
   Fleet.run(Millis(700));
   Fleet.delayJobRead("j1", Millis(1500));
@@ -353,10 +354,10 @@
   expectNoViolations(Fleet);
 }
 
-// --- Executors that are slow or stand still ---
+// --- Slow executors and stalled runs ---
 
-// Pattern: tasks stand still on an executor that goes on answering. Guards against jobs that wait
-// for them until the executor recovers.
+// Tasks stall on an executor that still answers. Guards against jobs that wait for them until the
+// executor recovers.
 Test(SchedulerSlowExecutors, jobsDoNotWaitForStalledTasks) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 4);
@@ -367,8 +368,8 @@
   expectNoViolations(Fleet);
 }
 
-// Pattern: an executor works several times slower than the others. Guards against wide steps that
-// take as long as their slowest task.
+// An executor is several times slower than the others. Guards against wide steps that take as long
+// as their slowest task.
 Test(SchedulerSlowExecutors, jobsDoNotWaitForASlowExecutor) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 4, 8);
@@ -379,13 +380,13 @@
   for (int I = 0; I < 3; ++I) {
     const auto Took = Fleet.completionTimeOf("j" + std::to_string(I));
     cr_assert(Took.has_value(), "job %d has not ended", I);
-    // Noticed after about two run times, then a stop and a fresh start; 8 s without it.
+    // Detected after about two run times, followed by a stop and a restart; 8 s without moving.
     cr_expect_lt(Took->count(), 4500, "job %d", I);
   }
   expectNoViolations(Fleet);
 }
 
-// Guards against healthy runs that are given up because the others of their step are shorter.
+// Guards against moving a healthy run because comparable tasks are shorter.
 Test(SchedulerSlowExecutors, singleLongTaskIsNotMoved) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2, 8);
@@ -411,8 +412,8 @@
   expectNoViolations(Fleet);
 }
 
-// Guards against idle seconds: a silent executor may run what an earlier leader began, and nothing
-// else.
+// A silent executor can only have runs of jobs that an earlier leader began. Guards against new
+// jobs that wait for it while other executors are idle.
 Test(SchedulerTakeover, newJobsDoNotWaitForASilentExecutor) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 3);
@@ -426,8 +427,8 @@
   expectNoViolations(Fleet);
 }
 
-// Guards against urgent work that waits out the lease of a silent executor although its tasks may
-// run twice.
+// Guards against urgent jobs that wait for the lease of a silent executor although their tasks
+// allow duplicates.
 Test(SchedulerTakeover, duplicableTasksDoNotWaitForASilentExecutor) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 3);
@@ -446,8 +447,9 @@
   expectNoViolations(Fleet);
 }
 
-// Guards against a copy that goes on, or is ordered again, after a run that this leader did not
-// know of has turned out to be done (found by a hunt: TWICE on a varied orders day).
+// Guards against a duplicate run that continues or is started again after an unreported run of an
+// earlier leader has completed the task. Found by a randomized run of the orders scenario, which
+// reported a second execution (TWICE).
 Test(SchedulerTakeover, copyStopsWhenAnUnreportedRunCompletes) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 3);
@@ -457,20 +459,20 @@
   Fleet.run(Millis(500));
   const std::vector<std::string> First = Fleet.executorsRunning("copies");
   cr_assert_eq(First.size(), 1);
-  Fleet.disconnect(First.front(), Millis(6000)); // the run ends behind the cut
+  Fleet.disconnect(First.front(), Millis(6000)); // the run ends while disconnected
   Fleet.takeOver();
   Fleet.run(Millis(5000));
   cr_assert_eq(Fleet.startsOf({"copies", 0, 0, 0}), 2);
   Fleet.run(Millis(1600));
   cr_expect_eq(Fleet.startsOf({"copies", 0, 1, 0}), 1);
   cr_expect_eq(Fleet.executorsRunning("copies").size(), 1,
-               "the copy of the first step has 0.7 s left");
+               "the duplicate of the first step has 0.7 s left");
   Fleet.run(Millis(8000));
   cr_expect(Fleet.stateOf("copies") == work::JobState::Completed);
   expectNoViolations(Fleet);
 }
 
-// Guards against copies that take a customer over its limit beside runs that nobody has seen.
+// Guards against duplicates that exceed a customer's limit together with unreported runs.
 Test(SchedulerTakeover, copiesCountInAdditionToUnreportedRuns) {
   FakeFleet Fleet(defaultOptions());
   work::Manifest Manifest;
@@ -491,11 +493,11 @@
     Fleet.disconnect(One, Millis(60'000));
   Fleet.takeOver();
   Fleet.run(Millis(3000));
-  // Four may run unseen, and one more fits.
+  // Four runs may be active without a report, and one more fits.
   cr_expect_leq(Fleet.executorsRunning("copies").size(), 5);
 }
 
-// Pattern: a store that answers slowly. Guards against a second append before the first start.
+// A store that answers slowly. Guards against a second append before the first start.
 Test(SchedulerTakeover, jobBegunWithItsAcceptanceStartsWithoutTheStore) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2);
@@ -507,7 +509,7 @@
   cr_expect_eq(Fleet.executorsRunning("j2").size(), 0);
 }
 
-// Guards against a job that a stale leader has begun after the new one read the log.
+// Guards against a second start of a job that a stale leader began after the new one read the log.
 Test(SchedulerTakeover, jobBegunByAStaleLeaderWaitsForSilentExecutors) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 3);
@@ -521,7 +523,8 @@
   expectNoViolations(Fleet);
 }
 
-// The same for a customer with an upper limit: what may run unseen counts, and the rest is free.
+// For a customer with an upper limit, runs that may be active without a report count as used; the
+// rest of the limit is available.
 Test(SchedulerTakeover, limitCountsUnreportedRuns) {
   FakeFleet Fleet(defaultOptions());
   work::Manifest Manifest;
@@ -545,7 +548,7 @@
 }
 
 // Guards against attempts beyond the limit when a new leader reads failed ends that its predecessor
-// could not make durable: they come from different executors, in any order.
+// could not make durable. They come from different executors and in any order.
 Test(SchedulerTakeover, failedRunsCountInAnyReadOrder) {
   for (unsigned Seed = 1; Seed <= 20; ++Seed) {
     FakeFleetOptions Options;
@@ -567,7 +570,7 @@
   }
 }
 
-// Guards against two leaders that both start tasks: the old one must be stopped by the executors.
+// Guards against two leaders that both start tasks: the executors must fence the old one.
 Test(SchedulerTakeover, staleLeaderIsFenced) {
   for (unsigned Seed = 1; Seed <= 25; ++Seed) {
     FakeFleetOptions Options;
@@ -591,7 +594,7 @@
   }
 }
 
-// --- Everything at once ---
+// --- Random faults ---
 
 Test(SchedulerRandomFaults, noTaskIsLostDuplicatedOrOvercommitted) {
   for (unsigned Seed = 1; Seed <= 200; ++Seed) {
