--- a/src/lead/Watch.cpp
+++ b/src/lead/Watch.cpp
@@ -29,8 +29,8 @@
                               Executor.Info_.Labels_.end());
 }
 
-double ratioToExpected(core::Duration Took, core::Millis Expected) {
-  return std::chrono::duration<double, std::milli>(Took).count() /
+double ratioToExpected(core::Duration RunTime, core::Millis Expected) {
+  return std::chrono::duration<double, std::milli>(RunTime).count() /
          static_cast<double>(std::max<std::int64_t>(Expected.count(), 1));
 }
 
@@ -57,14 +57,14 @@
   if (!runsToEnd(Spec) || !EndedRun.Progress_.FromStart_ || EndedRun.PacePercent_ < 100 ||
       !speedIsComparable(Executor, Spec))
     return;
-  const core::Duration Took = Now - EndedRun.Progress_.StartedAt_;
+  const core::Duration RunTime = Now - EndedRun.Progress_.StartedAt_;
   if (const auto Typical = typicalRunTime(Job, EndedRun.Task_))
-    addSample(Executor.Slowness_, ratioToExpected(Took, *Typical), Now);
+    addSample(Executor.Slowness_, ratioToExpected(RunTime, *Typical), Now);
   TrackedStep &Step = *findStep(Job, EndedRun.Task_);
-  Step.CompletedRunTime_ += Took;
+  Step.CompletedRunTime_ += RunTime;
   ++Step.CompletedRuns_;
   addSample(RunTimeRatios_[runTimesKey(Job, Spec)],
-            ratioToExpected(Took, core::Millis(Spec.EstimatedMs_)));
+            ratioToExpected(RunTime, core::Millis(Spec.EstimatedMs_)));
 }
 
 /// Updates the executor's slowness and moves stalled and slow runs. A single slow run may just have
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -67,12 +67,12 @@
       Scheduler->onExecutor(NewExecutor.Info_, Now_);
 }
 
-void FakeFleet::crash(const std::string &Id, core::Millis Down) {
+void FakeFleet::crash(const std::string &Id, core::Millis DownTime) {
   FakeExecutor &Executor = Executors_.at(Id);
   Executor.Up_ = false;
   Executor.Running_.clear();
   Executor.PendingHold_ = nullptr;
-  schedule(Now_ + Down, [this, Id] {
+  schedule(Now_ + DownTime, [this, Id] {
     FakeExecutor &Restarted = Executors_.at(Id);
     const fleet::ExecutorInfo Info = Restarted.Info_;
     Restarted = {};
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -48,8 +48,8 @@
 
   // -- Simulated events --
   void addExecutor(const std::string &Id, core::Resources Capacity);
-  /// Stops an executor and all its runs; it restarts without runs after \p Down.
-  void crash(const std::string &Id, core::Millis Down);
+  /// Stops an executor and all its runs; it restarts without runs after \p DownTime.
+  void crash(const std::string &Id, core::Millis DownTime);
   /// Cuts the connection to an executor in both directions for \p Time.
   void disconnect(const std::string &Id, core::Millis Time);
   /// Submits a job, which is accepted immediately.
--- a/tests/unit/ProgressTest.cpp
+++ b/tests/unit/ProgressTest.cpp
@@ -26,9 +26,9 @@
 
 Test(Progress, remainingTimeFollowsTheRate) {
   const lead::Progress Run = runOf(3, 10);
-  const auto Left = lead::remainingTime(Run, Start + Millis(600));
-  cr_assert(Left.has_value());
-  cr_expect_eq(Left->count(), 1400);
+  const auto TimeLeft = lead::remainingTime(Run, Start + Millis(600));
+  cr_assert(TimeLeft.has_value());
+  cr_expect_eq(TimeLeft->count(), 1400);
   cr_expect_not(lead::isStalled(Run, Millis(2000), Start + Millis(600)));
 }
 
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -302,11 +302,11 @@
   Spec.Steps_[0].LongRunning_ = true;
   Fleet.submit("j1", Spec);
   Fleet.run(Millis(30'000));
-  const std::string Host = Fleet.executorsRunning("j1").front();
+  const std::string ExecutorId = Fleet.executorsRunning("j1").front();
   // Short jobs use up the remaining capacity.
   for (int I = 0; I < 20; ++I)
     Fleet.submit("s" + std::to_string(I), makeJob(4, 2000));
-  Fleet.crash(Host, Millis(300));
+  Fleet.crash(ExecutorId, Millis(300));
   Fleet.run(Millis(4000));
   cr_expect_eq(Fleet.executorsRunning("j1").size(), 2);
   expectNoViolations(Fleet);
@@ -378,10 +378,10 @@
     Fleet.submit("j" + std::to_string(I), makeJob(8, 1000));
   Fleet.run(Millis(10'000));
   for (int I = 0; I < 3; ++I) {
-    const auto Took = Fleet.completionTimeOf("j" + std::to_string(I));
-    cr_assert(Took.has_value(), "job %d has not ended", I);
+    const auto CompletionTime = Fleet.completionTimeOf("j" + std::to_string(I));
+    cr_assert(CompletionTime.has_value(), "job %d has not ended", I);
     // Detected after about two run times, followed by a stop and a restart; 8 s without moving.
-    cr_expect_lt(Took->count(), 4500, "job %d", I);
+    cr_expect_lt(CompletionTime->count(), 4500, "job %d", I);
   }
   expectNoViolations(Fleet);
 }
@@ -489,8 +489,8 @@
   Fleet.run(Millis(1000));
   std::vector<std::string> Executors = Fleet.executorsRunning("copies");
   cr_assert_eq(Executors.size(), 4);
-  for (const std::string &One : Executors)
-    Fleet.disconnect(One, Millis(60'000));
+  for (const std::string &ExecutorId : Executors)
+    Fleet.disconnect(ExecutorId, Millis(60'000));
   Fleet.takeOver();
   Fleet.run(Millis(3000));
   // Four runs may be active without a report, and one more fits.
@@ -537,8 +537,8 @@
   addExecutors(Fleet, 3, 2);
   Fleet.submit("old", makeJob(2, 20'000));
   Fleet.run(Millis(1000));
-  for (const std::string &One : Fleet.executorsRunning("old"))
-    Fleet.disconnect(One, Millis(60'000));
+  for (const std::string &ExecutorId : Fleet.executorsRunning("old"))
+    Fleet.disconnect(ExecutorId, Millis(60'000));
   Fleet.takeOver();
   Fleet.submit("new", makeJob(3, 400));
   Fleet.run(Millis(350));
