lead: correct a comment of the scheduler tests

The comment said that answers with reports are lost as well. The test sets no loss of such answers: its trace shows that the leader reads the end from a report before the start order times out. The test itself is unchanged.

--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -145,7 +145,7 @@
 Test(SchedulerLostAnswers, refusedRetryDoesNotProveThatTheTaskNeverRan) {
   FakeFleet Fleet(defaultOptions());
   addExecutors(Fleet, 2);
-  // Answers with reports are lost as well, so that the leader learns of the end late.
+  // The run ends after 650 ms, before the leader gives up the unanswered start after 700 ms.
   Fleet.loseNextStartAnswer();
   Fleet.submit("j1", makeJob(1, 650));
   Fleet.run(Millis(5000));
