--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -1,4 +1,4 @@
-// When a daemon claims the leadership, the table of jobs, and how calls for advice are spread.
+// Tests of the leader election, the job ledger and the distribution of advice requests.
 #include "masticdrift/lead/Election.h"
 #include "masticdrift/daemon/AdviceDesk.h"
 #include "masticdrift/work/Ledger.h"
@@ -12,12 +12,12 @@
 
 const core::TimePoint Start{std::chrono::hours(1)};
 
-lead::ElectionView viewAt(Millis SinceNews, const lead::LeadRecord *Newest) {
+lead::ElectionView viewAt(Millis SinceNewest, const lead::LeadershipRecord *NewestRecord) {
   lead::ElectionView View;
-  View.Now_ = Start + SinceNews;
-  View.ReadAt_ = View.Now_;
-  View.NewsAt_ = Start;
-  View.Newest_ = Newest;
+  View.Now_ = Start + SinceNewest;
+  View.LastReadAt_ = View.Now_;
+  View.NewestReadAt_ = Start;
+  View.NewestRecord_ = NewestRecord;
   View.WallMs_ = 1'000'000;
   return View;
 }
@@ -26,36 +26,36 @@
 
 // --- Election ---
 
-Test(Election, aSilentLeaderIsReplacedAndABeatingOneIsNot) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  const lead::ElectionTiming Times;
-  cr_expect(!lead::shouldClaim(viewAt(Times.Silence_ - Millis(1), &Beat), Times));
-  cr_expect(lead::shouldClaim(viewAt(Times.Silence_, &Beat), Times));
+Test(Election, leaderIsReplacedOnlyAfterTheSilenceTimeout) {
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  cr_expect(!lead::shouldClaim(viewAt(Timing.SilenceTimeout_ - Millis(1), &Heartbeat), Timing));
+  cr_expect(lead::shouldClaim(viewAt(Timing.SilenceTimeout_, &Heartbeat), Timing));
 }
 
-// Guards against a takeover by a daemon that itself has lost the store.
-Test(Election, whoDoesNotReachTheStoreClaimsNothing) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  lead::ElectionView View = viewAt(Millis(10'000), &Beat);
-  View.ReadAt_ = Start;
+// Guards against a takeover by a daemon that has itself lost the connection to the store.
+Test(Election, daemonWithoutStoreAccessDoesNotClaim) {
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(10'000), &Heartbeat);
+  View.LastReadAt_ = Start;
   cr_expect(!lead::shouldClaim(View, {}));
 }
 
-Test(Election, aGoneOrReleasedLeaderIsReplacedSooner) {
-  lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  lead::ElectionView View = viewAt(Millis(600), &Beat);
-  View.Refused_ = true;
+Test(Election, unavailableOrReleasedLeaderIsReplacedSooner) {
+  lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(600), &Heartbeat);
+  View.LeaderUnavailable_ = true;
   cr_expect(lead::shouldClaim(View, {}));
-  View.Refused_ = false;
+  View.LeaderUnavailable_ = false;
   cr_expect(!lead::shouldClaim(View, {}));
-  Beat.Released_ = true;
+  Heartbeat.Released_ = true;
   cr_expect(lead::shouldClaim(View, {}));
 }
 
-// After all machines were down, the record's own age counts.
-Test(Election, anOldRecordFoundOnStartNeedsNoFurtherSilence) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
-  lead::ElectionView View = viewAt(Millis(10), &Beat);
+// After an outage of all machines, the age of the newest record counts as silence.
+Test(Election, oldRecordFoundOnStartAllowsAnImmediateClaim) {
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
+  lead::ElectionView View = viewAt(Millis(10), &Heartbeat);
   cr_expect(!lead::shouldClaim(View, {}));
   View.FoundOnStart_ = true;
   cr_expect(lead::shouldClaim(View, {}));
@@ -64,70 +64,71 @@
 Test(Election, claimsAreStaggeredByRank) {
   lead::ElectionView View = viewAt(Millis(2300), nullptr);
   View.Rank_ = 7;
-  View.GoneSince_ = View.Now_;
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  View.Newest_ = &Beat;
+  View.LeaderGoneSince_ = View.Now_;
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  View.NewestRecord_ = &Heartbeat;
   cr_expect(!lead::shouldClaim(View, {}));
   View.Rank_ = 0;
   cr_expect(lead::shouldClaim(View, {}));
 }
 
-// Pattern: the store or all machines were away for seconds. Guards against claims of all daemons at
-// the same moment, one of which may be the smallest machine.
-Test(Election, claimsAreStaggeredAfterALongOutageToo) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000 - 20'000, "i", {}};
-  const lead::ElectionTiming Times;
-  lead::ElectionView View = viewAt(Millis(10), &Beat);
+// After the store or all machines were unavailable for seconds, all daemons notice the loss at the
+// same time. Guards against simultaneous claims, one of which may come from the smallest machine.
+Test(Election, claimsAreStaggeredAfterALongOutage) {
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 20'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  lead::ElectionView View = viewAt(Millis(10), &Heartbeat);
   View.FoundOnStart_ = true;
-  View.GoneSince_ = View.Now_;
+  View.LeaderGoneSince_ = View.Now_;
   View.Rank_ = 8;
-  cr_expect(!lead::shouldClaim(View, Times));
-  View.Now_ = View.ReadAt_ = View.GoneSince_ + 8 * Times.Stagger_;
-  cr_expect(lead::shouldClaim(View, Times));
-}
-
-// Guards against a takeover that is slow because turns begin only after the loss was noticed.
-Test(Election, turnsRunWhileTheLossIsBeingNoticed) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  const lead::ElectionTiming Times;
-  lead::ElectionView View = viewAt(Times.SilenceWhenRefused_ + 4 * Times.Stagger_, &Beat);
-  View.Refused_ = true;
-  View.GoneSince_ = View.Now_;
+  cr_expect(!lead::shouldClaim(View, Timing));
+  View.Now_ = View.LastReadAt_ = View.LeaderGoneSince_ + 8 * Timing.ClaimInterval_;
+  cr_expect(lead::shouldClaim(View, Timing));
+}
+
+// Guards against slow takeovers because the claim delays start only when the loss is noticed.
+Test(Election, turnsCountFromTheSilenceTimeout) {
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  lead::ElectionView View =
+      viewAt(Timing.RefusedSilenceTimeout_ + 4 * Timing.ClaimInterval_, &Heartbeat);
+  View.LeaderUnavailable_ = true;
+  View.LeaderGoneSince_ = View.Now_;
   View.Rank_ = 4;
-  cr_expect(lead::shouldClaim(View, Times));
+  cr_expect(lead::shouldClaim(View, Timing));
   View.Rank_ = 5;
-  cr_expect(!lead::shouldClaim(View, Times));
-}
-
-// Pattern: two regions, the store in one of them. Guards against a leader in the other region,
-// whose every append takes a long way and whose term ends when the regions are cut from each other.
-Test(Election, whoIsFarFromTheStoreClaimsLater) {
-  const lead::LeadRecord Beat{"a", "x", 5, false, 1'000'000, "i", {}};
-  const lead::ElectionTiming Times;
-  lead::ElectionView View = viewAt(Times.Silence_, &Beat);
-  View.GoneSince_ = View.Now_;
-  View.StoreTime_ = Millis(18);
-  cr_expect(!lead::shouldClaim(View, Times));
-  View.Now_ = View.ReadAt_ = View.Now_ + 3 * Times.Stagger_;
-  cr_expect(!lead::shouldClaim(View, Times), "three near daemons have their turns first");
-  // At a store that is slow for everyone, nobody waits for long.
-  View.StoreTime_ = Millis(3000);
-  View.Now_ = View.ReadAt_ = View.GoneSince_ + 4 * Times.Stagger_;
-  cr_expect(lead::shouldClaim(View, Times));
-}
-
-// Pattern: a large fleet with a few larger machines. Guards against a leader on the smallest
-// machine, which can't keep up with the executors.
+  cr_expect(!lead::shouldClaim(View, Timing));
+}
+
+// Two regions, with the store in one of them. Guards against a leader in the other region, whose
+// appends are slow and whose term ends when the connection between the regions fails.
+Test(Election, distantDaemonsClaimLater) {
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  lead::ElectionView View = viewAt(Timing.SilenceTimeout_, &Heartbeat);
+  View.LeaderGoneSince_ = View.Now_;
+  View.FastestStoreTime_ = Millis(18);
+  cr_expect(!lead::shouldClaim(View, Timing));
+  View.Now_ = View.LastReadAt_ = View.Now_ + 3 * Timing.ClaimInterval_;
+  cr_expect(!lead::shouldClaim(View, Timing), "three daemons near the store claim first");
+  // The delay is bounded, so that a store that is slow for all daemons does not delay them long.
+  View.FastestStoreTime_ = Millis(3000);
+  View.Now_ = View.LastReadAt_ = View.LeaderGoneSince_ + 4 * Timing.ClaimInterval_;
+  cr_expect(lead::shouldClaim(View, Timing));
+}
+
+// A large fleet with a few larger machines. Guards against a leader on the smallest machine, which
+// cannot keep up with the executors.
 Test(Election, smallMachinesClaimAfterLargerOnes) {
   for (int I = 0; I < 50; ++I)
     for (int K = 0; K < 50; ++K)
-      cr_expect_lt(lead::rankOf("large-" + std::to_string(I), 0.25),
-                   lead::rankOf("small-" + std::to_string(K), 0.12));
+      cr_expect_lt(lead::claimRank("large-" + std::to_string(I), 0.25),
+                   lead::claimRank("small-" + std::to_string(K), 0.12));
 }
 
-// --- The table of jobs ---
+// --- Job ledger ---
 
-Test(Ledger, recordsInAnyNumberGiveTheSameTable) {
+Test(Ledger, repeatedRecordsGiveTheSameTable) {
   work::Ledger Table;
   work::AcceptedRecord Job;
   Job.Queue_.Name_ = "q";
@@ -140,27 +141,27 @@
   Progress.State_ = work::JobState::Completed;
   const work::LedgerEntry Final = work::progressEntry("j", Progress);
   Table.apply(7, Final.Key_, Final.Value_);
-  // An older record that is read again must not bring the job back.
+  // An older record that is read again must not reopen the job.
   Progress.State_ = work::JobState::Running;
-  const work::LedgerEntry Older = work::progressEntry("j", Progress);
-  Table.apply(5, Older.Key_, Older.Value_);
+  const work::LedgerEntry OlderEntry = work::progressEntry("j", Progress);
+  Table.apply(5, OlderEntry.Key_, OlderEntry.Value_);
   cr_expect(Table.find("j")->state() == work::JobState::Completed);
   cr_expect_eq(Table.pendingOf("q"), 0);
-  for (const work::LedgerEntry &One : work::forgetEntries("j"))
-    Table.apply(11, One.Key_, One.Value_);
+  for (const work::LedgerEntry &Entry : work::forgetEntries("j"))
+    Table.apply(11, Entry.Key_, Entry.Value_);
   cr_expect_null(Table.find("j"));
 }
 
-// Guards against a job that a leader starts without its steps, and against steps that stay in
-// memory after the job has ended.
-Test(Ledger, stepsComeBeforeOrAfterTheRecord) {
+// Guards against jobs that are started without their steps, and against steps that stay in memory
+// after their job has ended.
+Test(Ledger, stepsMayArriveBeforeOrAfterTheAcceptance) {
   work::JobSpec Spec;
   Spec.Steps_.resize(2);
   const std::string Steps = work::specEntry("j", Spec).Value_;
   const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
   work::Ledger Before;
   cr_expect(Before.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::Specified);
-  cr_expect_null(Before.find("j"), "steps alone are no job");
+  cr_expect_null(Before.find("j"), "steps alone do not make a job");
   Before.apply(1, Accepted.Key_, Accepted.Value_);
   cr_expect(Before.find("j")->Specified_);
   cr_expect_eq(Before.find("j")->Spec_.Steps_.size(), 2);
@@ -177,8 +178,8 @@
   cr_expect(After.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::None);
 }
 
-// Guards against a completed job that a late cancel turns into a cancelled one.
-Test(Ledger, aFinalStateStays) {
+// Guards against a late cancellation that changes the state of a completed job.
+Test(Ledger, finalStateDoesNotChange) {
   work::Ledger Table;
   const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
   Table.apply(1, Accepted.Key_, Accepted.Value_);
@@ -199,9 +200,9 @@
 
 // --- Advice ---
 
-// Pattern: long calls for batches arrive before short ones for urgent checks. Guards against
-// checks that wait behind them at every daemon.
-Test(Advice, longCallsLeaveADaemonToShortOnes) {
+// Long advice requests for batches arrive before short ones for urgent checks. Guards against
+// checks that wait behind long requests at every daemon.
+Test(Advice, longCallsLeaveOneAdviserFree) {
   std::vector<std::pair<std::string, double>> Sent;
   daemon::AdviceDesk Desk([&](const std::string &Adviser, const daemon::AdviceJob &Job) {
     Sent.emplace_back(Adviser, Job.ExpectedMs_);
@@ -215,15 +216,15 @@
   Desk.ask({{}, {}, 30, {0, Start}}, Start);
   cr_assert_eq(Sent.size(), 3);
   cr_expect(Sent.back().first.empty());
-  // One free daemon is kept; with a second one the next long call goes out.
+  // One free daemon is reserved; with a second one the next long request is sent.
   Desk.done("p1", true, Start);
   cr_expect_eq(Sent.size(), 3);
   Desk.done("", true, Start);
   cr_expect_eq(Sent.size(), 4);
 }
 
-// Guards against an adviser that is asked again and again though it does not answer.
-Test(Advice, anAdviserWithoutAnswerRests) {
+// Guards against repeated requests to an adviser that does not answer.
+Test(Advice, adviserWithoutAnswerIsNotAskedAgain) {
   std::vector<std::string> Sent;
   daemon::AdviceDesk Desk(
       [&](const std::string &Adviser, const daemon::AdviceJob &) { Sent.push_back(Adviser); });
