--- a/include/masticdrift/policy/Cell.h
+++ b/include/masticdrift/policy/Cell.h
@@ -34,7 +34,7 @@
 enum class Health : std::uint8_t { Healthy, Quarantined, Probing };
 
 /// How a placement frees room, in the order of preference.
-enum class PreemptHow : std::uint8_t { Checkpoint, Throttle, Stop };
+enum class PreemptionMethod : std::uint8_t { Checkpoint, Throttle, Stop };
 
 /// Index of a worker in CellView::Workers_; not reused.
 using WorkerIndex = std::uint32_t;
@@ -57,19 +57,19 @@
   TimePoint Started_;
   TimePoint ExpectedEnd_ = TimePoint::max(); ///< max for services
   WorkerIndex Worker_ = 0;
-  std::optional<PreemptHow> Preempting_; ///< decided, not confirmed by the worker yet
+  std::optional<PreemptionMethod> PendingPreemption_; ///< decided, not confirmed by the worker yet
   bool Throttled_ = false;
-  bool Live_ = false; ///< false when the entry is free
+  bool InUse_ = false; ///< false when the entry is free
 };
 
 /// Room kept on a worker for a waiting job.
-struct ReservedPart {
+struct WorkerReservation {
   std::string Job_;
   Resources Amount_;
   /// Other work may use the room if it ends before this time.
   TimePoint Until_;
   /// No other work may use the room; set when the reservation is old.
-  bool Strict_ = false;
+  bool Exclusive_ = false;
   bool Urgent_ = false;
 };
 
@@ -82,9 +82,9 @@
   bool Leaving_ = false;
   bool Present_ = true; ///< false after removeWorker
   std::vector<PlacementIndex> Placements_;
-  std::vector<ReservedPart> Reserved_;
-  std::uint32_t Bucket_ = UINT32_MAX; ///< place in the index, see FreeIndex
-  std::uint32_t Position_ = 0;        ///< within the bucket
+  std::vector<WorkerReservation> Reserved_;
+  std::uint32_t BucketIndex_ = UINT32_MAX; ///< place in the index, see FreeIndex
+  std::uint32_t PositionInBucket_ = 0;     ///< within the bucket
 };
 
 namespace detail {
@@ -94,11 +94,12 @@
 /// Amounts fall into 48 buckets of about a quarter octave, so that a search skips all workers that
 /// are too full without touching them.
 struct FreeIndex {
-  static constexpr std::uint32_t Buckets = 48;
-  static constexpr std::uint32_t AcceleratorLevels = 17; ///< 0 to 15, and 16 or more
-  std::vector<std::vector<WorkerIndex>> Cells_;          ///< [level][scarce][other]
-  std::array<std::array<std::uint64_t, Buckets>, AcceleratorLevels> Filled_{}; ///< bits: other
-  std::array<std::uint64_t, AcceleratorLevels> FilledRows_{};                  ///< bits: scarce
+  static constexpr std::uint32_t BucketsPerKind = 48;
+  static constexpr std::uint32_t AcceleratorLevels = 17;  ///< 0 to 15, and 16 or more
+  std::vector<std::vector<WorkerIndex>> WorkersByBucket_; ///< [level][scarce][other]
+  std::array<std::array<std::uint64_t, BucketsPerKind>, AcceleratorLevels>
+      NonEmptyOther_{};                                           ///< bits: other
+  std::array<std::uint64_t, AcceleratorLevels> NonEmptyScarce_{}; ///< bits: scarce
 };
 
 } // namespace detail
@@ -118,12 +119,12 @@
   /// Tasks of each service per rack, to spread them.
   std::unordered_map<std::string, std::map<std::string, std::uint32_t>> ServiceRacks_;
   /// Kind of resource (0 cores, 1 memory) by which the index is ordered.
-  std::size_t Scarce_ = 0;
+  std::size_t ScarceResource_ = 0;
   detail::FreeIndex Index_;
   /// Workers on which room appeared, in order, so that a shape of work that did not fit is tried
-  /// only on these. FreedBase_ is the number of the first entry.
-  std::vector<WorkerIndex> Freed_;
-  std::uint64_t FreedBase_ = 0;
+  /// only on these. FreedLogStart_ is the number of the first entry.
+  std::vector<WorkerIndex> FreedLog_;
+  std::uint64_t FreedLogStart_ = 0;
 };
 
 /// Adds a worker or updates the capacity, rack and leaving state of a known one.
@@ -135,25 +136,25 @@
 void removeWorker(CellView &Cell, std::string_view Name);
 
 void setLeaving(CellView &Cell, WorkerIndex Index, bool Leaving);
-void setHealth(CellView &Cell, WorkerIndex Index, Health Value);
+void setHealth(CellView &Cell, WorkerIndex Index, Health NewHealth);
 
 std::optional<WorkerIndex> findWorker(const CellView &Cell, std::string_view Name);
 
 /// Adds a placement, whether decided here or found by replay or on the worker. Room is not checked:
 /// what a worker reports as running is counted even if it overfills the worker.
-/// \param What all fields but Worker_ and Live_.
+/// \param What all fields but Worker_ and InUse_.
 /// \returns its index; the existing one when (job, task) is already placed.
-PlacementIndex place(CellView &Cell, WorkerIndex Where, Placement What);
+PlacementIndex place(CellView &Cell, WorkerIndex HostIndex, Placement NewPlacement);
 
 /// Removes a placement after its task ended or its worker's lease is over.
 /// \returns the removed placement, or nothing when (job, task) is not placed.
 std::optional<Placement> release(CellView &Cell, std::string_view Job, std::uint32_t Task);
 
 /// Undoes a place() of the same decision; notes no freed room.
-void unplace(CellView &Cell, std::string_view Job, std::uint32_t Task);
+void undoPlace(CellView &Cell, std::string_view Job, std::uint32_t Task);
 
 /// Confirms that a worker throttled a task; frees the room above throttledSize().
-void throttled(CellView &Cell, std::string_view Job, std::uint32_t Task);
+void applyThrottle(CellView &Cell, std::string_view Job, std::uint32_t Task);
 
 /// Records that a preemption was refused or its answer lost; the task may be chosen again.
 void preemptFailed(CellView &Cell, std::string_view Job, std::uint32_t Task);
@@ -163,30 +164,32 @@
 /// \returns what a throttled task keeps: all memory and accelerators, a quarter of the cores.
 Resources throttledSize(const Resources &Full);
 
-inline Resources freeOf(const Worker &One) { return One.Capacity_ - One.Used_; }
+inline Resources freeOf(const Worker &Host) { return Host.Capacity_ - Host.Used_; }
 
 /// \returns true when new work may be placed on \p One.
-inline bool acceptsWork(const Worker &One) {
-  return One.Present_ && !One.Leaving_ && One.Health_ == Health::Healthy;
+inline bool acceptsWork(const Worker &Host) {
+  return Host.Present_ && !Host.Leaving_ && Host.Health_ == Health::Healthy;
 }
 
-/// \returns the number of the next entry of CellView::Freed_.
-inline std::uint64_t freedEnd(const CellView &Cell) { return Cell.FreedBase_ + Cell.Freed_.size(); }
+/// \returns the number of the next entry of CellView::FreedLog_.
+inline std::uint64_t freedLogEnd(const CellView &Cell) {
+  return Cell.FreedLogStart_ + Cell.FreedLog_.size();
+}
 
 /// Records that room appeared on a worker.
-void noteRoom(CellView &Cell, WorkerIndex Index);
+void recordFreed(CellView &Cell, WorkerIndex Index);
 
 /// Keeps \p Part on a worker for \p Job.
-void reserve(CellView &Cell, WorkerIndex Where, ReservedPart Part);
+void reserve(CellView &Cell, WorkerIndex HostIndex, WorkerReservation NewReservation);
 /// Drops all parts of \p Job on a worker.
-void unreserve(CellView &Cell, WorkerIndex Where, std::string_view Job);
+void unreserve(CellView &Cell, WorkerIndex HostIndex, std::string_view Job);
 
 /// Chooses the kind of resource by which work is packed: the one (cores or memory) of which the
 /// larger part is used. Rebuilds the index when the choice changes. Cost: constant otherwise.
-void refreshScarce(CellView &Cell);
+void updateScarceResource(CellView &Cell);
 
 /// \returns part of the capacity of the scarcest resource (of all three) that is used.
-double usedPart(const CellView &Cell);
+double utilization(const CellView &Cell);
 
 /// \returns the reasons why the view contradicts itself, empty when it is sound. For tests. Cost:
 /// linear.
--- a/include/masticdrift/policy/Explain.h
+++ b/include/masticdrift/policy/Explain.h
@@ -31,7 +31,7 @@
 /// Explains the current wait of a job. Cost: linear in the number of workers; meant for status
 /// queries, not for the decision loop.
 Explanation explain(const CellView &Cell, const PendingWork &Pending, const Shares &Teams,
-                    std::string_view Job, TimePoint Now);
+                    std::string_view Id, TimePoint Now);
 
 } // namespace masticdrift::policy
 
--- a/include/masticdrift/policy/Place.h
+++ b/include/masticdrift/policy/Place.h
@@ -12,7 +12,7 @@
 /// One thing that the owner has to carry out.
 struct Decision {
   DecisionKind Kind_ = DecisionKind::Start;
-  PreemptHow How_ = PreemptHow::Checkpoint; ///< for Preempt
+  PreemptionMethod Method_ = PreemptionMethod::Checkpoint; ///< for Preempt
   std::string Job_;
   std::uint32_t Task_ = 0;
   std::string Worker_;
@@ -20,16 +20,16 @@
 };
 
 /// Bounds of one decide() call and the times of the reservation rules.
-struct Budget {
+struct DecideLimits {
   std::size_t MaxDecisions_ = 64;
-  std::size_t MaxExamined_ = 2000; ///< shapes of work tried
+  std::size_t MaxShapesTried_ = 2000; ///< shapes of work tried
   /// A gang or a task that does not fit gets room reserved after this wait.
   Duration ReserveAfter_ = std::chrono::seconds(5);
   /// An older reservation allows no backfill, so that wrong run times cannot delay it for ever.
-  Duration StrictAfter_ = std::chrono::seconds(120);
+  Duration ExclusiveAfter_ = std::chrono::seconds(120);
   /// Part of the cell that may be reserved; one reservation is always allowed.
-  double MostReserved_ = 0.25;
-  bool Preempt_ = true;
+  double MaxReservedFraction_ = 0.25;
+  bool AllowPreemption_ = true;
 };
 
 /// Decides what to start and what to preempt. The view, the queue and the shares are changed as if
@@ -39,10 +39,11 @@
 /// \returns the decisions in the order to carry them out; the tasks of a gang are adjacent.
 /// Cost: linear in the teams with pending work and in the decisions; below linear in the workers.
 std::vector<Decision> decide(CellView &Cell, PendingWork &Pending, Shares &Teams, TimePoint Now,
-                             const Budget &Limits);
+                             const DecideLimits &Limits);
 
 /// Adds a placement found by replay or on a worker, with the team's usage.
-void taskRunning(CellView &Cell, Shares &Teams, WorkerIndex Where, Placement What, TimePoint Now);
+void taskRunning(CellView &Cell, Shares &Teams, WorkerIndex HostIndex, Placement NewPlacement,
+                 TimePoint Now);
 
 /// Removes a placement with the team's usage.
 /// \returns the removed placement, or nothing when it is not known.
@@ -55,7 +56,7 @@
 
 /// \returns the time at which the placement is expected to end; a task that runs longer than
 /// expected is expected to run half as long again as it has.
-TimePoint expectedEnd(const Placement &One, TimePoint Now);
+TimePoint expectedEnd(const Placement &Placed, TimePoint Now);
 
 namespace detail {
 
--- a/include/masticdrift/policy/Quarantine.h
+++ b/include/masticdrift/policy/Quarantine.h
@@ -10,16 +10,16 @@
 /// Record of one worker.
 struct WorkerRecord {
   std::vector<std::string> FailedJobs_; ///< different jobs that failed in a row, at most the bound
-  TimePoint FirstFailure_{};            ///< of the failures in a row
+  TimePoint FirstFailureAt_{};          ///< of the failures in a row
   std::uint32_t FailedProbes_ = 0;      ///< in a row
-  TimePoint NextProbe_{};
+  TimePoint NextProbeAt_{};
 };
 
 struct QuarantineRules {
-  std::uint32_t FailuresInRow_ = 3; ///< of different jobs: a job that always fails is not a fault
-                                    ///< of the worker
-  Duration FirstProbe_ = std::chrono::seconds(30); ///< doubles with each failed probe
-  Duration MostBackOff_ = std::chrono::minutes(30);
+  std::uint32_t ConsecutiveFailures_ = 3; ///< of different jobs: a job that always fails is not a
+                                          ///< fault of the worker
+  Duration FirstBackOff_ = std::chrono::seconds(30); ///< doubles with each failed probe
+  Duration MaxBackOff_ = std::chrono::minutes(30);
 };
 
 /// Records of the workers that failed a task recently; workers without failures have none.
@@ -33,15 +33,15 @@
 /// first failure says nothing about the worker's present state and is ignored.
 /// \param Started when the task started.
 /// \returns true when the worker's health changed.
-bool recordEnd(Quarantine &All, CellView &Cell, WorkerIndex Where, std::string_view Job,
-               TimePoint Started, bool Succeeded, TimePoint Now);
+bool recordTaskEnd(Quarantine &Records, CellView &Cell, WorkerIndex HostIndex, std::string_view Job,
+                   TimePoint Started, bool Succeeded, TimePoint Now);
 
 /// Opens the workers whose back-off is over for one probe. Call it before decide(), for example
 /// every second. Cost: linear in the workers with a record.
-void openProbes(Quarantine &All, CellView &Cell, TimePoint Now);
+void allowProbes(Quarantine &Records, CellView &Cell, TimePoint Now);
 
 /// Forgets a replaced worker and makes it healthy.
-void forgetWorker(Quarantine &All, CellView &Cell, WorkerIndex Where);
+void forgetWorker(Quarantine &Records, CellView &Cell, WorkerIndex HostIndex);
 
 } // namespace masticdrift::policy
 
--- a/include/masticdrift/policy/Queue.h
+++ b/include/masticdrift/policy/Queue.h
@@ -28,8 +28,8 @@
   bool Throttleable_ = false;
   bool Idempotent_ = true;
   Resources Size_; ///< per task, as it is reserved on the worker (see applyEstimate)
-  Duration Run_ = std::chrono::minutes(1); ///< expected run time; not used for services
-  TimePoint Queued_;                       ///< age counts from here
+  Duration RunTime_ = std::chrono::minutes(1); ///< expected run time; not used for services
+  TimePoint QueuedAt_;                         ///< age counts from here
   /// Task numbers that wait. A task that has to run again is added with addPending.
   std::vector<std::uint32_t> Waiting_;
   std::uint64_t Sequence_ = 0; ///< set by addPending
@@ -38,7 +38,7 @@
 
 /// Order of classes: all urgent work, then services, then batch and gang work.
 enum class WorkClass : std::uint8_t { Urgent, Service, Ordinary };
-inline constexpr std::size_t WorkClasses = 3;
+inline constexpr std::size_t WorkClassCount = 3;
 
 using JobIndex = std::uint32_t;
 using ShapeIndex = std::uint32_t;
@@ -52,11 +52,11 @@
   bool Idempotent_ = true;
   Resources Size_;
   std::uint32_t Tasks_ = 1; ///< of a gang
-  Duration Run_{};          ///< rounded up to a power of four seconds, for backfill
-  /// freedEnd() of the cell when a task last did not fit; the largest value: never tried.
-  std::uint64_t FailedAt_ = UINT64_MAX;
-  std::uint32_t Jobs_ = 0;     ///< waiting jobs of this shape
-  std::uint32_t Position_ = 0; ///< in PendingWork::Active_ of its class
+  Duration RunTime_{};      ///< rounded up to a power of four seconds, for backfill
+  /// freedLogEnd() of the cell when a task last did not fit; the largest value: never tried.
+  std::uint64_t CheckedUpTo_ = UINT64_MAX;
+  std::uint32_t Jobs_ = 0;             ///< waiting jobs of this shape
+  std::uint32_t PositionInActive_ = 0; ///< in PendingWork::ActiveShapes_ of its class
   /// Waiting jobs by index into PendingWork::Teams_, oldest first.
   std::map<std::uint32_t, std::set<AgeKey>> Waiting_;
 };
@@ -66,14 +66,14 @@
   std::vector<WorkerIndex> Workers_; ///< one entry per task
   TimePoint Since_;
   TimePoint EstimatedStart_ = TimePoint::max();
-  bool Strict_ = false; ///< no backfill any more
-  bool Urgent_ = false; ///< room that is being freed by preemption
+  bool Exclusive_ = false; ///< no backfill any more
+  bool Urgent_ = false;    ///< room that is being freed by preemption
 };
 
 /// Waiting jobs of one team by class, oldest first.
 struct TeamQueue {
   std::string Team_;
-  std::array<std::set<AgeKey>, WorkClasses> Waiting_;
+  std::array<std::set<AgeKey>, WorkClassCount> Waiting_;
 };
 
 /// All pending work.
@@ -85,7 +85,7 @@
   std::unordered_map<std::string, std::uint32_t> TeamsByName_;
   std::vector<Shape> Shapes_;
   std::vector<ShapeIndex> FreeShapes_;
-  std::array<std::vector<ShapeIndex>, WorkClasses> Active_; ///< shapes with waiting jobs
+  std::array<std::vector<ShapeIndex>, WorkClassCount> ActiveShapes_; ///< shapes with waiting jobs
   std::map<std::tuple<JobKind, bool, bool, std::array<std::int64_t, core::ResourceKinds>,
                       std::uint32_t, std::int64_t>,
            ShapeIndex>
@@ -93,10 +93,10 @@
   std::map<std::string, Reservation, std::less<>> Reservations_;
   std::uint64_t NextSequence_ = 1;
   std::size_t Tasks_ = 0;           ///< waiting tasks
-  TimePoint NextReservation_{};     ///< reservations are looked for at a low rate
+  TimePoint NextReservationAt_{};   ///< reservations are looked for at a low rate
   std::uint32_t PreemptOffset_ = 0; ///< where the next search for victims starts
   std::uint32_t PlanOffset_ = 0;    ///< where the next plan for a reservation starts
-  bool MoreToDo_ = false;           ///< the last decide() stopped at its budget
+  bool LimitsReached_ = false;      ///< the last decide() stopped at its budget
 };
 
 WorkClass classOf(const PendingJob &Job);
@@ -113,22 +113,22 @@
 /// Cancels up to \p Most jobs from the end of \p Ids and removes them from it, so that a wave of
 /// cancellations is worked off between decisions.
 /// \returns the number of jobs that had waiting tasks.
-std::size_t cancelSome(PendingWork &Pending, std::vector<std::string> &Ids, std::size_t Most);
+std::size_t cancelSome(PendingWork &Pending, std::vector<std::string> &Ids, std::size_t MaxJobs);
 
 /// Removes one waiting task (the lowest), or all of a gang, after their start.
 /// \returns the numbers of the tasks.
 std::vector<std::uint32_t> takeWaiting(PendingWork &Pending, std::string_view Id);
 
 /// Why a job can never run in this cell.
-struct Impossible {
-  std::size_t Kind_ = 0;     ///< index into core::ResourceNames
-  std::int64_t Asked_ = 0;   ///< for gangs by all tasks if only their sum is too large
-  std::int64_t Largest_ = 0; ///< largest amount available
+struct Infeasibility {
+  std::size_t Kind_ = 0;       ///< index into core::ResourceNames
+  std::int64_t Requested_ = 0; ///< for gangs by all tasks if only their sum is too large
+  std::int64_t Largest_ = 0;   ///< largest amount available
 };
 
 /// Checks a job against the empty cell; leaving workers do not count, quarantined ones do.
 /// Cost: linear in the number of workers.
-std::optional<Impossible> impossible(const CellView &Cell, const PendingJob &Job);
+std::optional<Infeasibility> findInfeasibility(const CellView &Cell, const PendingJob &Job);
 
 } // namespace masticdrift::policy
 
--- a/include/masticdrift/policy/RequestQueue.h
+++ b/include/masticdrift/policy/RequestQueue.h
@@ -4,7 +4,7 @@
 /// Example:
 /// \code
 ///   auto Answer = pushRequest(Queue, {Id, "team", Now, Deadline}, Now);
-///   if (Answer.Verdict_ != Admission::Queued) refuse(Id, Answer.RetryAfter_);
+///   if (Answer.Admission_ != Admission::Queued) refuse(Id, Answer.RetryAfter_);
 ///   while (auto Next = popRequest(Queue, Now, Shed)) send(*Next);
 ///   for (auto &One : Shed) refuse(One.Id_, ...);   // "not run"
 /// \endcode
@@ -42,7 +42,7 @@
 };
 
 struct AdmissionResult {
-  Admission Verdict_ = Admission::Queued;
+  Admission Admission_ = Admission::Queued;
   core::Duration RetryAfter_{}; ///< hint for the caller when refused
 };
 
@@ -57,8 +57,8 @@
 };
 
 struct RequestQueueLimits {
-  std::size_t PerTeam_ = 256; ///< waiting requests of one team
-  std::size_t Total_ = 4096;  ///< waiting requests of all teams
+  std::size_t MaxPerTeam_ = 256; ///< waiting requests of one team
+  std::size_t MaxTotal_ = 4096;  ///< waiting requests of all teams
   /// A request is shed when its expected wait exceeds this part of the time to its deadline; the
   /// rest of that time is left for the executor.
   double WaitFraction_ = 0.05;
@@ -72,13 +72,14 @@
   std::set<std::pair<double, std::size_t>> Ready_; ///< (pass, team) with waiting requests and slots
   std::size_t Waiting_ = 0;
   double Pass_ = 0;                ///< pass of the last pop; a team that was idle resumes here
-  double ServiceMs_ = 50;          ///< smoothed time that a request holds its slot
+  double SmoothedServiceMs_ = 50;  ///< smoothed time that a request holds its slot
   std::uint32_t SlotsInUse_ = 0;   ///< taken by pop
   std::uint32_t SlotCapacity_ = 0; ///< slots of the pool, set by setSlotCapacity
 };
 
 /// Sets the weight and the slot allotment of a team; unknown teams get weight 1 and no limit.
-void setTeam(RequestQueue &Queue, std::string_view Team, double Weight, std::uint32_t SlotLimit);
+void setTeam(RequestQueue &Queue, std::string_view TeamName, double Weight,
+             std::uint32_t SlotLimit);
 
 /// Tells how many slots all usable executors have together; used for the expected wait.
 void setSlotCapacity(RequestQueue &Queue, std::uint32_t Slots);
@@ -95,17 +96,17 @@
 
 /// Gives back the slot of a request taken by popRequest.
 /// \param Held how long the slot was taken.
-void finishSlot(RequestQueue &Queue, std::string_view Team, core::Duration Held);
+void finishSlot(RequestQueue &Queue, std::string_view TeamName, core::Duration HeldFor);
 
 /// Removes a waiting request, for example because its caller has gone.
 /// \returns false when it is not waiting. Cost: linear in the team's queue.
-bool removeRequest(RequestQueue &Queue, std::string_view Team, std::uint64_t Id);
+bool removeRequest(RequestQueue &Queue, std::string_view TeamName, std::uint64_t Id);
 
 /// Removes all waiting requests whose deadline has passed. Cost: linear in the waiting requests.
 std::vector<QueuedRequest> shedExpired(RequestQueue &Queue, core::TimePoint Now);
 
 /// \returns the expected wait of a request of \p Team that arrives now.
-core::Duration expectedWait(const RequestQueue &Queue, std::string_view Team);
+core::Duration expectedWait(const RequestQueue &Queue, std::string_view TeamName);
 
 } // namespace masticdrift::policy
 
--- a/include/masticdrift/policy/RetryBudget.h
+++ b/include/masticdrift/policy/RetryBudget.h
@@ -11,14 +11,14 @@
 /// Token bucket in thousandths of a retry. It starts empty, so that the retries never exceed the
 /// fraction of the requests seen so far.
 struct RetryBudget {
-  std::int64_t PerRequest_ = 100; ///< thousandths earned per request; 100 is 10%
-  std::int64_t Most_ = 20'000;    ///< bound of saved retries, so that an outage causes no burst
+  std::int64_t TokensPerRequest_ = 100; ///< thousandths earned per request; 100 is 10%
+  std::int64_t MaxTokens_ = 20'000; ///< bound of saved retries, so that an outage causes no burst
   std::int64_t Tokens_ = 0;
 };
 
 /// Records a first attempt.
 inline void countRequest(RetryBudget &Budget) {
-  Budget.Tokens_ = std::min(Budget.Most_, Budget.Tokens_ + Budget.PerRequest_);
+  Budget.Tokens_ = std::min(Budget.MaxTokens_, Budget.Tokens_ + Budget.TokensPerRequest_);
 }
 
 /// Takes the right to retry once.
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -111,8 +111,8 @@
   To.Throttleable_ = Spec.Kind_ == jobs::JobKind::Batch && !Spec.Urgent_;
   To.Idempotent_ = Spec.Idempotent_;
   To.Size_ = Spec.Need_;
-  To.Run_ = declaredRun(Spec);
-  To.Queued_ = Now;
+  To.RunTime_ = declaredRun(Spec);
+  To.QueuedAt_ = Now;
   To.Waiting_ = std::move(Tasks);
   return To;
 }
@@ -133,7 +133,7 @@
   To.FullSize_ = From.Size_;
   To.Started_ = Now;
   if (To.Kind_ != policy::JobKind::Service)
-    To.ExpectedEnd_ = Now + From.Run_;
+    To.ExpectedEnd_ = Now + From.RunTime_;
   return To;
 }
 
@@ -165,7 +165,7 @@
     Pending_ = {};
     Shares_ = {};
     Quarantine_ = {};
-    Quarantine_.Rules_.FirstProbe_ = Options_.QuarantineProbe_;
+    Quarantine_.Rules_.FirstBackOff_ = Options_.QuarantineProbe_;
   }
 
   /// Builds the policy's view from the replayed state. Workers get work once they have answered
@@ -257,7 +257,7 @@
     Quotas_ = Teams;
     for (const TeamQuota &One : Teams) {
       policy::Allotment Limit;
-      Limit.Work_ = One.Work_;
+      Limit.Resources_ = One.Work_;
       policy::setTeam(Shares_, One.Name_, One.Weight_, Limit);
     }
   }
@@ -272,7 +272,8 @@
     if (Tasks.empty())
       return;
     policy::PendingJob Job = pendingOf(Spec, std::move(Tasks), Now);
-    Job.Run_ = policy::estimate(Learned_, Spec.Team_, Spec.Family_, Job.Run_, Job.Size_).Run_;
+    Job.RunTime_ =
+        policy::estimate(Learned_, Spec.Team_, Spec.Family_, Job.RunTime_, Job.Size_).RunTime_;
     policy::addPending(Pending_, std::move(Job));
   }
 
@@ -376,7 +377,7 @@
     const TimePoint Now = core::Clock::now();
     if (Term_ == 0 || !Hooks_.HoldsLease_(Now))
       return;
-    policy::Budget Limits;
+    policy::DecideLimits Limits;
     Limits.MaxDecisions_ = DecisionsPerRound;
     const std::vector<policy::Decision> Decisions =
         policy::decide(Cell_, Pending_, Shares_, Now, Limits);
@@ -391,7 +392,7 @@
         preempt(One, Now);
     if (!Records.empty())
       recordStarts(std::move(Records), std::move(Keys));
-    if (Pending_.MoreToDo_)
+    if (Pending_.LimitsReached_)
       scheduleRound();
   }
 
@@ -513,7 +514,7 @@
       return TimePoint::max();
     return Now +
            policy::estimate(Learned_, Spec.Team_, Spec.Family_, declaredRun(Spec), Spec.Need_)
-               .Run_ +
+               .RunTime_ +
            LookMargin;
   }
 
@@ -549,25 +550,25 @@
     }
     const std::string &Address = Entry->second.Instance_.Address_;
     const std::string Id = workerTaskId(Key.first, Key.second);
-    auto Done = [Weak = weak_from_this(), Key, How = One.How_,
+    auto Done = [Weak = weak_from_this(), Key, How = One.Method_,
                  Worker = One.Worker_](WorkerStatus Status) {
       if (const auto Self = Weak.lock())
         Self->Timers_.post(
             [Self, Key, How, Worker, Status] { Self->preempted(Key, How, Worker, Status); });
     };
-    switch (One.How_) {
-    case policy::PreemptHow::Checkpoint:
+    switch (One.Method_) {
+    case policy::PreemptionMethod::Checkpoint:
       Found->second.Stopping_ = true;
       return Client_.checkpoint(Address, Id, Term_, std::move(Done));
-    case policy::PreemptHow::Throttle:
+    case policy::PreemptionMethod::Throttle:
       return Client_.throttle(Address, Id, Term_, std::move(Done));
-    case policy::PreemptHow::Stop:
+    case policy::PreemptionMethod::Stop:
       Found->second.Stopping_ = true;
       return Client_.stopTask(Address, Id, Term_, std::move(Done));
     }
   }
 
-  void preempted(const TaskKey &Key, policy::PreemptHow How, const std::string &Worker,
+  void preempted(const TaskKey &Key, policy::PreemptionMethod How, const std::string &Worker,
                  WorkerStatus Status) {
     const auto Found = Active_.find(Key);
     if (Found == Active_.end())
@@ -576,10 +577,10 @@
     if (Status != WorkerStatus::Done) {
       policy::preemptFailed(Cell_, Key.first, Key.second);
       Found->second.Stopping_ = false;
-    } else if (How == policy::PreemptHow::Throttle) {
+    } else if (How == policy::PreemptionMethod::Throttle) {
       policy::taskThrottled(Cell_, Shares_, Key.first, Key.second, Now);
       scheduleRound();
-    } else if (How == policy::PreemptHow::Checkpoint) {
+    } else if (How == policy::PreemptionMethod::Checkpoint) {
       recordEnd(Key, Found->second, TaskOutcome::Checkpointed, 0, Now);
     } else {
       renewSoon(Worker);
@@ -638,7 +639,7 @@
     for (const std::string &Worker : Look)
       renewSoon(Worker);
     settleRecording(Now);
-    policy::openProbes(Quarantine_, Cell_, Now);
+    policy::allowProbes(Quarantine_, Cell_, Now);
     round();
     publish(Now);
   }
@@ -746,10 +747,11 @@
     const bool Succeeded = One.State_ == WorkerTaskState::Finished;
     if (One.State_ != WorkerTaskState::Stopped) {
       if (const auto Index = policy::findWorker(Cell_, Task.Worker_))
-        policy::recordEnd(Quarantine_, Cell_, *Index, Key.first, Task.Started_, Succeeded, Now);
+        policy::recordTaskEnd(Quarantine_, Cell_, *Index, Key.first, Task.Started_, Succeeded, Now);
       if (Succeeded)
-        policy::observe(Learned_, Task.Spec_->Team_, Task.Spec_->Family_, declaredRun(*Task.Spec_),
-                        Now - Task.Started_, Task.Spec_->Need_, {});
+        policy::recordObservation(Learned_, Task.Spec_->Team_, Task.Spec_->Family_,
+                                  declaredRun(*Task.Spec_), Now - Task.Started_, Task.Spec_->Need_,
+                                  {});
     }
     const TaskOutcome Outcome = Succeeded                               ? TaskOutcome::Succeeded
                                 : One.State_ == WorkerTaskState::Failed ? TaskOutcome::Failed
@@ -822,7 +824,7 @@
     New.Waiting_ = Pending_.Tasks_;
     New.Running_ = Active_.size();
     New.Free_ = Cell_.Capacity_ - Cell_.Used_;
-    New.UsedPart_ = policy::usedPart(Cell_);
+    New.UsedPart_ = policy::utilization(Cell_);
     const std::lock_guard Lock(StatsMutex_);
     Stats_ = New;
   }
@@ -841,7 +843,7 @@
   policy::CellView Cell_;
   policy::PendingWork Pending_;
   policy::Shares Shares_;
-  policy::Learned Learned_;
+  policy::RunHistory Learned_;
   policy::Quarantine Quarantine_;
   std::vector<legacy::Instance> Listed_;
   std::vector<TeamQuota> Quotas_;
--- a/src/policy/Cell.cpp
+++ b/src/policy/Cell.cpp
@@ -7,92 +7,93 @@
 namespace {
 
 /// Size of the log of freed workers; older entries are dropped by half.
-constexpr std::size_t FreedKept = 4096;
+constexpr std::size_t FreedLogCapacity = 4096;
 
-bool counts(const Worker &One) { return acceptsWork(One); }
+bool countsInCapacity(const Worker &Host) { return acceptsWork(Host); }
 
-bool indexed(const Worker &One) { return acceptsWork(One); }
+bool isIndexable(const Worker &Host) { return acceptsWork(Host); }
 
-void indexRemove(CellView &Cell, WorkerIndex Index) {
-  Worker &One = Cell.Workers_[Index];
-  if (One.Bucket_ == UINT32_MAX)
+void removeFromIndex(CellView &Cell, WorkerIndex Index) {
+  Worker &Host = Cell.Workers_[Index];
+  if (Host.BucketIndex_ == UINT32_MAX)
     return;
   detail::FreeIndex &Free = Cell.Index_;
-  std::vector<WorkerIndex> &Bucket = Free.Cells_[One.Bucket_];
-  Bucket[One.Position_] = Bucket.back();
-  Cell.Workers_[Bucket.back()].Position_ = One.Position_;
+  std::vector<WorkerIndex> &Bucket = Free.WorkersByBucket_[Host.BucketIndex_];
+  Bucket[Host.PositionInBucket_] = Bucket.back();
+  Cell.Workers_[Bucket.back()].PositionInBucket_ = Host.PositionInBucket_;
   Bucket.pop_back();
   if (Bucket.empty()) {
-    constexpr std::uint32_t N = detail::FreeIndex::Buckets;
-    const std::uint32_t Other = One.Bucket_ % N;
-    const std::uint32_t Row = One.Bucket_ / N % N;
-    const std::uint32_t Level = One.Bucket_ / N / N;
-    Free.Filled_[Level][Row] &= ~(1ULL << Other);
-    if (Free.Filled_[Level][Row] == 0)
-      Free.FilledRows_[Level] &= ~(1ULL << Row);
+    constexpr std::uint32_t PerKind = detail::FreeIndex::BucketsPerKind;
+    const std::uint32_t OtherBucket = Host.BucketIndex_ % PerKind;
+    const std::uint32_t ScarceBucket = Host.BucketIndex_ / PerKind % PerKind;
+    const std::uint32_t Level = Host.BucketIndex_ / PerKind / PerKind;
+    Free.NonEmptyOther_[Level][ScarceBucket] &= ~(1ULL << OtherBucket);
+    if (Free.NonEmptyOther_[Level][ScarceBucket] == 0)
+      Free.NonEmptyScarce_[Level] &= ~(1ULL << ScarceBucket);
   }
-  One.Bucket_ = UINT32_MAX;
+  Host.BucketIndex_ = UINT32_MAX;
 }
 
-void indexAdd(CellView &Cell, WorkerIndex Index) {
-  Worker &One = Cell.Workers_[Index];
-  if (!indexed(One))
+void addToIndex(CellView &Cell, WorkerIndex Index) {
+  Worker &Host = Cell.Workers_[Index];
+  if (!isIndexable(Host))
     return;
-  constexpr std::uint32_t N = detail::FreeIndex::Buckets;
-  const Resources Free = freeOf(One);
-  const auto [Row, Other] = detail::bucketsOf(Cell, Free);
+  constexpr std::uint32_t PerKind = detail::FreeIndex::BucketsPerKind;
+  const Resources Free = freeOf(Host);
+  const auto [ScarceBucket, OtherBucket] = detail::bucketsOf(Cell, Free);
   const std::uint32_t Level = detail::levelOf(Free.Accelerators_);
-  One.Bucket_ = (Level * N + Row) * N + Other;
-  std::vector<WorkerIndex> &Bucket = Cell.Index_.Cells_[One.Bucket_];
-  One.Position_ = static_cast<std::uint32_t>(Bucket.size());
+  Host.BucketIndex_ = (Level * PerKind + ScarceBucket) * PerKind + OtherBucket;
+  std::vector<WorkerIndex> &Bucket = Cell.Index_.WorkersByBucket_[Host.BucketIndex_];
+  Host.PositionInBucket_ = static_cast<std::uint32_t>(Bucket.size());
   Bucket.push_back(Index);
-  Cell.Index_.Filled_[Level][Row] |= 1ULL << Other;
-  Cell.Index_.FilledRows_[Level] |= 1ULL << Row;
+  Cell.Index_.NonEmptyOther_[Level][ScarceBucket] |= 1ULL << OtherBucket;
+  Cell.Index_.NonEmptyScarce_[Level] |= 1ULL << ScarceBucket;
 }
 
 /// Changes a worker and keeps the sums and the index.
-template <typename Change> void update(CellView &Cell, WorkerIndex Index, Change Apply) {
-  if (Cell.Index_.Cells_.empty())
-    Cell.Index_.Cells_.resize(static_cast<std::size_t>(detail::FreeIndex::AcceleratorLevels) *
-                              detail::FreeIndex::Buckets * detail::FreeIndex::Buckets);
-  indexRemove(Cell, Index);
-  Worker &One = Cell.Workers_[Index];
-  if (counts(One))
-    Cell.Capacity_ -= One.Capacity_;
-  Apply(One);
-  if (counts(One))
-    Cell.Capacity_ += One.Capacity_;
-  indexAdd(Cell, Index);
+template <typename Change> void updateWorker(CellView &Cell, WorkerIndex Index, Change Apply) {
+  if (Cell.Index_.WorkersByBucket_.empty())
+    Cell.Index_.WorkersByBucket_.resize(
+        static_cast<std::size_t>(detail::FreeIndex::AcceleratorLevels) *
+        detail::FreeIndex::BucketsPerKind * detail::FreeIndex::BucketsPerKind);
+  removeFromIndex(Cell, Index);
+  Worker &Host = Cell.Workers_[Index];
+  if (countsInCapacity(Host))
+    Cell.Capacity_ -= Host.Capacity_;
+  Apply(Host);
+  if (countsInCapacity(Host))
+    Cell.Capacity_ += Host.Capacity_;
+  addToIndex(Cell, Index);
 }
 
-void syncProbing(CellView &Cell, WorkerIndex Index) {
-  const Worker &One = Cell.Workers_[Index];
-  if (One.Present_ && !One.Leaving_ && One.Health_ == Health::Probing)
+void updateProbingSet(CellView &Cell, WorkerIndex Index) {
+  const Worker &Host = Cell.Workers_[Index];
+  if (Host.Present_ && !Host.Leaving_ && Host.Health_ == Health::Probing)
     Cell.Probing_.insert(Index);
   else
     Cell.Probing_.erase(Index);
 }
 
-std::optional<PlacementIndex> findIndex(const CellView &Cell, std::string_view Job,
-                                        std::uint32_t Task) {
+std::optional<PlacementIndex> findPlacementIndex(const CellView &Cell, std::string_view Job,
+                                                 std::uint32_t Task) {
   const auto Found = Cell.ByJob_.find(std::string(Job));
   if (Found == Cell.ByJob_.end())
     return std::nullopt;
-  const auto One = Found->second.find(Task);
-  if (One == Found->second.end())
+  const auto Entry = Found->second.find(Task);
+  if (Entry == Found->second.end())
     return std::nullopt;
-  return One->second;
+  return Entry->second;
 }
 
 } // namespace
 
-void noteRoom(CellView &Cell, WorkerIndex Index) {
-  if (Cell.Freed_.size() >= FreedKept) {
-    const auto Half = static_cast<std::ptrdiff_t>(FreedKept / 2);
-    Cell.Freed_.erase(Cell.Freed_.begin(), Cell.Freed_.begin() + Half);
-    Cell.FreedBase_ += FreedKept / 2;
+void recordFreed(CellView &Cell, WorkerIndex Index) {
+  if (Cell.FreedLog_.size() >= FreedLogCapacity) {
+    const auto Half = static_cast<std::ptrdiff_t>(FreedLogCapacity / 2);
+    Cell.FreedLog_.erase(Cell.FreedLog_.begin(), Cell.FreedLog_.begin() + Half);
+    Cell.FreedLogStart_ += FreedLogCapacity / 2;
   }
-  Cell.Freed_.push_back(Index);
+  Cell.FreedLog_.push_back(Index);
 }
 
 namespace detail {
@@ -101,16 +102,16 @@
   if (Units < 4)
     return static_cast<std::uint32_t>(std::max<std::int64_t>(Units, 0));
   const auto Value = static_cast<std::uint64_t>(Units);
-  const auto Log = static_cast<std::uint32_t>(std::bit_width(Value) - 1); // at least 2
-  const auto Sub = static_cast<std::uint32_t>(Value >> (Log - 2) & 3);
-  return std::min(4 * (Log - 1) + Sub, FreeIndex::Buckets - 1);
+  const auto Exponent = static_cast<std::uint32_t>(std::bit_width(Value) - 1); // at least 2
+  const auto Quarter = static_cast<std::uint32_t>(Value >> (Exponent - 2) & 3);
+  return std::min(4 * (Exponent - 1) + Quarter, FreeIndex::BucketsPerKind - 1);
 }
 
 std::pair<std::uint32_t, std::uint32_t> bucketsOf(const CellView &Cell, const Resources &Amount) {
   // Units of a tenth of a core and of 128 MB: 48 buckets reach 800 cores and 1 TB.
   const std::uint32_t Cores = bucketOf(Amount.MilliCores_ / 100);
   const std::uint32_t Memory = bucketOf(Amount.MemoryMb_ / 128);
-  return Cell.Scarce_ == 0 ? std::pair{Cores, Memory} : std::pair{Memory, Cores};
+  return Cell.ScarceResource_ == 0 ? std::pair{Cores, Memory} : std::pair{Memory, Cores};
 }
 
 std::uint32_t levelOf(std::int64_t Accelerators) {
@@ -139,13 +140,13 @@
     return Index;
   if (!Old.Present_)
     ++Cell.Present_;
-  update(Cell, Index, [&](Worker &One) {
-    One.Capacity_ = Capacity;
-    One.Leaving_ = Leaving;
-    One.Present_ = true;
+  updateWorker(Cell, Index, [&](Worker &Host) {
+    Host.Capacity_ = Capacity;
+    Host.Leaving_ = Leaving;
+    Host.Present_ = true;
   });
-  syncProbing(Cell, Index);
-  noteRoom(Cell, Index);
+  updateProbingSet(Cell, Index);
+  recordFreed(Cell, Index);
   return Index;
 }
 
@@ -154,23 +155,23 @@
   if (!Found || !Cell.Workers_[*Found].Present_)
     return;
   --Cell.Present_;
-  update(Cell, *Found, [](Worker &One) {
-    One.Present_ = false;
-    One.Reserved_.clear();
+  updateWorker(Cell, *Found, [](Worker &Host) {
+    Host.Present_ = false;
+    Host.Reserved_.clear();
   });
-  syncProbing(Cell, *Found);
+  updateProbingSet(Cell, *Found);
 }
 
 void setLeaving(CellView &Cell, WorkerIndex Index, bool Leaving) {
-  update(Cell, Index, [=](Worker &One) { One.Leaving_ = Leaving; });
-  syncProbing(Cell, Index);
-  noteRoom(Cell, Index);
+  updateWorker(Cell, Index, [=](Worker &Host) { Host.Leaving_ = Leaving; });
+  updateProbingSet(Cell, Index);
+  recordFreed(Cell, Index);
 }
 
-void setHealth(CellView &Cell, WorkerIndex Index, Health Value) {
-  update(Cell, Index, [=](Worker &One) { One.Health_ = Value; });
-  syncProbing(Cell, Index);
-  noteRoom(Cell, Index);
+void setHealth(CellView &Cell, WorkerIndex Index, Health NewHealth) {
+  updateWorker(Cell, Index, [=](Worker &Host) { Host.Health_ = NewHealth; });
+  updateProbingSet(Cell, Index);
+  recordFreed(Cell, Index);
 }
 
 std::optional<WorkerIndex> findWorker(const CellView &Cell, std::string_view Name) {
@@ -180,9 +181,9 @@
   return Found->second;
 }
 
-PlacementIndex place(CellView &Cell, WorkerIndex Where, Placement What) {
-  if (const auto Known = findIndex(Cell, What.Job_, What.Task_))
-    return *Known;
+PlacementIndex place(CellView &Cell, WorkerIndex HostIndex, Placement NewPlacement) {
+  if (const auto Existing = findPlacementIndex(Cell, NewPlacement.Job_, NewPlacement.Task_))
+    return *Existing;
   PlacementIndex Index = 0;
   if (Cell.FreePlacements_.empty()) {
     Index = static_cast<PlacementIndex>(Cell.Placements_.size());
@@ -191,18 +192,18 @@
     Index = Cell.FreePlacements_.back();
     Cell.FreePlacements_.pop_back();
   }
-  What.Worker_ = Where;
-  What.Live_ = true;
-  What.FullSize_ = What.Size_;
-  Cell.ByJob_[What.Job_][What.Task_] = Index;
-  if (What.Kind_ == JobKind::Service)
-    ++Cell.ServiceRacks_[What.Job_][Cell.Workers_[Where].Rack_];
-  Cell.Used_ += What.Size_;
-  update(Cell, Where, [&](Worker &One) {
-    One.Used_ += What.Size_;
-    One.Placements_.push_back(Index);
+  NewPlacement.Worker_ = HostIndex;
+  NewPlacement.InUse_ = true;
+  NewPlacement.FullSize_ = NewPlacement.Size_;
+  Cell.ByJob_[NewPlacement.Job_][NewPlacement.Task_] = Index;
+  if (NewPlacement.Kind_ == JobKind::Service)
+    ++Cell.ServiceRacks_[NewPlacement.Job_][Cell.Workers_[HostIndex].Rack_];
+  Cell.Used_ += NewPlacement.Size_;
+  updateWorker(Cell, HostIndex, [&](Worker &Host) {
+    Host.Used_ += NewPlacement.Size_;
+    Host.Placements_.push_back(Index);
   });
-  Cell.Placements_[Index] = std::move(What);
+  Cell.Placements_[Index] = std::move(NewPlacement);
   return Index;
 }
 
@@ -219,62 +220,64 @@
   Found->second.erase(Entry);
   if (Found->second.empty())
     Cell.ByJob_.erase(Found);
-  Placement Gone = std::move(Cell.Placements_[Index]);
+  Placement Removed = std::move(Cell.Placements_[Index]);
   Cell.Placements_[Index] = {};
   Cell.FreePlacements_.push_back(Index);
-  if (Gone.Kind_ == JobKind::Service) {
-    const auto Racks = Cell.ServiceRacks_.find(Gone.Job_);
-    const auto Rack = Racks->second.find(Cell.Workers_[Gone.Worker_].Rack_);
+  if (Removed.Kind_ == JobKind::Service) {
+    const auto Racks = Cell.ServiceRacks_.find(Removed.Job_);
+    const auto Rack = Racks->second.find(Cell.Workers_[Removed.Worker_].Rack_);
     if (Rack != Racks->second.end() && --Rack->second == 0)
       Racks->second.erase(Rack);
     if (Racks->second.empty())
       Cell.ServiceRacks_.erase(Racks);
   }
-  Cell.Used_ -= Gone.Size_;
-  update(Cell, Gone.Worker_, [&](Worker &One) {
-    One.Used_ -= Gone.Size_;
-    const auto At = std::find(One.Placements_.begin(), One.Placements_.end(), Index);
-    *At = One.Placements_.back();
-    One.Placements_.pop_back();
+  Cell.Used_ -= Removed.Size_;
+  updateWorker(Cell, Removed.Worker_, [&](Worker &Host) {
+    Host.Used_ -= Removed.Size_;
+    const auto Position = std::find(Host.Placements_.begin(), Host.Placements_.end(), Index);
+    *Position = Host.Placements_.back();
+    Host.Placements_.pop_back();
   });
-  return Gone;
+  return Removed;
 }
 
 } // namespace
 
 std::optional<Placement> release(CellView &Cell, std::string_view Job, std::uint32_t Task) {
-  std::optional<Placement> Gone = remove(Cell, Job, Task);
-  if (Gone)
-    noteRoom(Cell, Gone->Worker_);
-  return Gone;
+  std::optional<Placement> Removed = remove(Cell, Job, Task);
+  if (Removed)
+    recordFreed(Cell, Removed->Worker_);
+  return Removed;
 }
 
-void unplace(CellView &Cell, std::string_view Job, std::uint32_t Task) { remove(Cell, Job, Task); }
+void undoPlace(CellView &Cell, std::string_view Job, std::uint32_t Task) {
+  remove(Cell, Job, Task);
+}
 
-void throttled(CellView &Cell, std::string_view Job, std::uint32_t Task) {
-  const auto Found = findIndex(Cell, Job, Task);
+void applyThrottle(CellView &Cell, std::string_view Job, std::uint32_t Task) {
+  const auto Found = findPlacementIndex(Cell, Job, Task);
   if (!Found)
     return;
-  Placement &One = Cell.Placements_[*Found];
-  One.Preempting_.reset();
-  if (One.Throttled_)
+  Placement &Placed = Cell.Placements_[*Found];
+  Placed.PendingPreemption_.reset();
+  if (Placed.Throttled_)
     return;
-  One.Throttled_ = true;
-  const Resources Before = One.Size_;
-  One.Size_ = throttledSize(One.FullSize_);
-  Cell.Used_ += One.Size_ - Before;
-  const Resources Change = One.Size_ - Before;
-  update(Cell, One.Worker_, [&](Worker &Host) { Host.Used_ += Change; });
-  noteRoom(Cell, One.Worker_);
+  Placed.Throttled_ = true;
+  const Resources Before = Placed.Size_;
+  Placed.Size_ = throttledSize(Placed.FullSize_);
+  Cell.Used_ += Placed.Size_ - Before;
+  const Resources Change = Placed.Size_ - Before;
+  updateWorker(Cell, Placed.Worker_, [&](Worker &Host) { Host.Used_ += Change; });
+  recordFreed(Cell, Placed.Worker_);
 }
 
 void preemptFailed(CellView &Cell, std::string_view Job, std::uint32_t Task) {
-  if (const auto Found = findIndex(Cell, Job, Task))
-    Cell.Placements_[*Found].Preempting_.reset();
+  if (const auto Found = findPlacementIndex(Cell, Job, Task))
+    Cell.Placements_[*Found].PendingPreemption_.reset();
 }
 
 const Placement *findPlacement(const CellView &Cell, std::string_view Job, std::uint32_t Task) {
-  const auto Found = findIndex(Cell, Job, Task);
+  const auto Found = findPlacementIndex(Cell, Job, Task);
   return Found ? &Cell.Placements_[*Found] : nullptr;
 }
 
@@ -282,17 +285,17 @@
   return {Full.MilliCores_ / 4, Full.MemoryMb_, Full.Accelerators_};
 }
 
-void reserve(CellView &Cell, WorkerIndex Where, ReservedPart Part) {
-  Cell.Workers_[Where].Reserved_.push_back(std::move(Part));
+void reserve(CellView &Cell, WorkerIndex HostIndex, WorkerReservation NewReservation) {
+  Cell.Workers_[HostIndex].Reserved_.push_back(std::move(NewReservation));
 }
 
-void unreserve(CellView &Cell, WorkerIndex Where, std::string_view Job) {
-  if (std::erase_if(Cell.Workers_[Where].Reserved_,
-                    [Job](const ReservedPart &One) { return One.Job_ == Job; }) > 0)
-    noteRoom(Cell, Where);
+void unreserve(CellView &Cell, WorkerIndex HostIndex, std::string_view Job) {
+  if (std::erase_if(Cell.Workers_[HostIndex].Reserved_,
+                    [Job](const WorkerReservation &Reserved) { return Reserved.Job_ == Job; }) > 0)
+    recordFreed(Cell, HostIndex);
 }
 
-void refreshScarce(CellView &Cell) {
+void updateScarceResource(CellView &Cell) {
   const auto Used = amounts(Cell.Used_);
   const auto Capacity = amounts(Cell.Capacity_);
   if (Capacity[0] <= 0 || Capacity[1] <= 0)
@@ -301,53 +304,54 @@
   const double Memory = static_cast<double>(Used[1]) / static_cast<double>(Capacity[1]);
   // The margin prevents rebuilding the index when both are used about equally.
   const std::size_t Scarce =
-      Cell.Scarce_ == 0 ? (Memory > Cores + 0.05 ? 1 : 0) : (Cores > Memory + 0.05 ? 0 : 1);
-  if (Scarce == Cell.Scarce_)
+      Cell.ScarceResource_ == 0 ? (Memory > Cores + 0.05 ? 1 : 0) : (Cores > Memory + 0.05 ? 0 : 1);
+  if (Scarce == Cell.ScarceResource_)
     return;
   for (WorkerIndex I = 0; I < Cell.Workers_.size(); ++I)
-    indexRemove(Cell, I);
-  Cell.Scarce_ = Scarce;
+    removeFromIndex(Cell, I);
+  Cell.ScarceResource_ = Scarce;
   for (WorkerIndex I = 0; I < Cell.Workers_.size(); ++I)
-    indexAdd(Cell, I);
+    addToIndex(Cell, I);
 }
 
-double usedPart(const CellView &Cell) {
+double utilization(const CellView &Cell) {
   const auto Used = amounts(Cell.Used_);
   const auto Capacity = amounts(Cell.Capacity_);
-  double Most = 0;
+  double Highest = 0;
   for (std::size_t I = 0; I < Used.size(); ++I)
     if (Capacity[I] > 0)
-      Most = std::max(Most, static_cast<double>(Used[I]) / static_cast<double>(Capacity[I]));
-  return Most;
+      Highest = std::max(Highest, static_cast<double>(Used[I]) / static_cast<double>(Capacity[I]));
+  return Highest;
 }
 
 std::string checkCell(const CellView &Cell) {
   std::string Faults;
   Resources Used;
   std::vector<Resources> PerWorker(Cell.Workers_.size());
-  std::size_t Live = 0;
-  for (const Placement &One : Cell.Placements_) {
-    if (!One.Live_)
+  std::size_t InUse = 0;
+  for (const Placement &Placed : Cell.Placements_) {
+    if (!Placed.InUse_)
       continue;
-    ++Live;
-    Used += One.Size_;
-    PerWorker[One.Worker_] += One.Size_;
+    ++InUse;
+    Used += Placed.Size_;
+    PerWorker[Placed.Worker_] += Placed.Size_;
   }
   if (Used != Cell.Used_)
     Faults += "sum of placements differs from Used_; ";
-  if (Live + Cell.FreePlacements_.size() != Cell.Placements_.size())
+  if (InUse + Cell.FreePlacements_.size() != Cell.Placements_.size())
     Faults += "free placements are miscounted; ";
   Resources Capacity;
   for (WorkerIndex I = 0; I < Cell.Workers_.size(); ++I) {
-    const Worker &One = Cell.Workers_[I];
-    if (One.Used_ != PerWorker[I])
-      Faults += "worker " + One.Name_ + " has a wrong sum; ";
-    if (counts(One))
-      Capacity += One.Capacity_;
-    if ((One.Bucket_ != UINT32_MAX) != indexed(One))
-      Faults += "worker " + One.Name_ + " is wrongly indexed; ";
-    else if (One.Bucket_ != UINT32_MAX && Cell.Index_.Cells_[One.Bucket_][One.Position_] != I)
-      Faults += "worker " + One.Name_ + " is not where the index says; ";
+    const Worker &Host = Cell.Workers_[I];
+    if (Host.Used_ != PerWorker[I])
+      Faults += "worker " + Host.Name_ + " has a wrong sum; ";
+    if (countsInCapacity(Host))
+      Capacity += Host.Capacity_;
+    if ((Host.BucketIndex_ != UINT32_MAX) != isIndexable(Host))
+      Faults += "worker " + Host.Name_ + " is wrongly indexed; ";
+    else if (Host.BucketIndex_ != UINT32_MAX &&
+             Cell.Index_.WorkersByBucket_[Host.BucketIndex_][Host.PositionInBucket_] != I)
+      Faults += "worker " + Host.Name_ + " is not where the index says; ";
   }
   if (Capacity != Cell.Capacity_)
     Faults += "sum of capacities differs from Capacity_; ";
--- a/src/policy/Executors.cpp
+++ b/src/policy/Executors.cpp
@@ -6,187 +6,192 @@
 namespace {
 
 /// Weight of a new latency in the smoothed value.
-constexpr double Smoothing = 0.2;
+constexpr double NewLatencyWeight = 0.2;
 
-std::uint32_t taken(const Executor &One, core::TimePoint Now) {
-  std::uint32_t Count = One.Outstanding_;
-  for (const core::TimePoint &Until : One.HeldUntil_)
+std::uint32_t slotsInUse(const Executor &Member, core::TimePoint Now) {
+  std::uint32_t Count = Member.Outstanding_;
+  for (const core::TimePoint &Until : Member.HeldUntil_)
     Count += Until > Now ? 1 : 0;
   return Count;
 }
 
-bool usable(const Executors &Pool, const Executor &One, core::TimePoint Now) {
-  if (One.Leaving_ || taken(One, Now) >= Pool.Limits_.Slots_)
+bool usable(const ExecutorPool &Pool, const Executor &Member, core::TimePoint Now) {
+  if (Member.Leaving_ || slotsInUse(Member, Now) >= Pool.Limits_.Slots_)
     return false;
-  return !One.EjectedUntil_ || (*One.EjectedUntil_ <= Now && !One.Trial_);
+  return !Member.EjectedUntil_ || (*Member.EjectedUntil_ <= Now && !Member.TrialInProgress_);
 }
 
-void eject(Executors &Pool, std::size_t Index, core::TimePoint Now) {
-  Executor &One = Pool.All_[Index];
-  const std::uint32_t Doublings = std::min(One.Ejections_, 16U);
-  One.EjectedUntil_ = Now + std::min<core::Duration>(Pool.Limits_.EjectAtMost_,
-                                                     Pool.Limits_.EjectFor_ * (1LL << Doublings));
-  ++One.Ejections_;
-  One.FailuresInRow_ = 0;
-  Pool.Answers_[Index] = 0;
+void eject(ExecutorPool &Pool, std::size_t Index, core::TimePoint Now) {
+  Executor &Member = Pool.Members_[Index];
+  const std::uint32_t Doublings = std::min(Member.Ejections_, 16U);
+  Member.EjectedUntil_ =
+      Now + std::min<core::Duration>(Pool.Limits_.MaxEjection_,
+                                     Pool.Limits_.FirstEjection_ * (1LL << Doublings));
+  ++Member.Ejections_;
+  Member.ConsecutiveFailures_ = 0;
+  Pool.AnswerCounts_[Index] = 0;
 }
 
-void dropOutstanding(Executor &One) {
-  if (One.Outstanding_ > 0)
-    --One.Outstanding_;
+void dropOutstanding(Executor &Member) {
+  if (Member.Outstanding_ > 0)
+    --Member.Outstanding_;
 }
 
-void refreshMedian(Executors &Pool) {
+void refreshMedian(ExecutorPool &Pool) {
   std::vector<double> Latencies;
-  for (const Executor &One : Pool.All_)
-    if (One.LatencyMs_ > 0 && !One.Leaving_)
-      Latencies.push_back(One.LatencyMs_);
+  for (const Executor &Member : Pool.Members_)
+    if (Member.LatencyMs_ > 0 && !Member.Leaving_)
+      Latencies.push_back(Member.LatencyMs_);
   if (Latencies.empty())
     return;
-  auto Middle = Latencies.begin() + static_cast<std::ptrdiff_t>(Latencies.size() / 2);
-  std::nth_element(Latencies.begin(), Middle, Latencies.end());
-  Pool.MedianMs_ = *Middle;
+  auto Median = Latencies.begin() + static_cast<std::ptrdiff_t>(Latencies.size() / 2);
+  std::nth_element(Latencies.begin(), Median, Latencies.end());
+  Pool.MedianLatencyMs_ = *Median;
 }
 
 /// \returns true when \p One is an outlier. The median is refreshed first: under rising load it
 /// would lag behind, and the whole pool would look slow.
-bool isSlow(Executors &Pool, const Executor &One) {
+bool isSlow(ExecutorPool &Pool, const Executor &Member) {
   const auto AboveMedian = [&] {
-    return One.LatencyMs_ > Pool.Limits_.SlowFactor_ * Pool.MedianMs_ &&
-           One.LatencyMs_ > Pool.MedianMs_ + Pool.Limits_.SlowAtLeastMs_;
+    return Member.LatencyMs_ > Pool.Limits_.SlowFactor_ * Pool.MedianLatencyMs_ &&
+           Member.LatencyMs_ > Pool.MedianLatencyMs_ + Pool.Limits_.MinSlowMarginMs_;
   };
-  if (Pool.All_.size() <= 2 || Pool.MedianMs_ <= 0 || !AboveMedian())
+  if (Pool.Members_.size() <= 2 || Pool.MedianLatencyMs_ <= 0 || !AboveMedian())
     return false;
   refreshMedian(Pool);
-  const auto Ejected = std::ranges::count_if(
-      Pool.All_, [&](const Executor &It) { return &It != &One && It.EjectedUntil_.has_value(); });
-  return AboveMedian() && static_cast<double>(Ejected + 1) <=
-                              Pool.Limits_.MostSlow_ * static_cast<double>(Pool.All_.size());
-}
-
-void fail(Executors &Pool, std::size_t Index, core::TimePoint Now) {
-  Executor &One = Pool.All_[Index];
-  const bool WasTrial = One.Trial_;
-  One.Trial_ = false;
-  ++One.FailuresInRow_;
-  const bool AlreadyEjected = One.EjectedUntil_.has_value();
-  if (WasTrial || (!AlreadyEjected && One.FailuresInRow_ >= Pool.Limits_.FailuresInRow_))
+  const auto Ejected = std::ranges::count_if(Pool.Members_, [&](const Executor &Other) {
+    return &Other != &Member && Other.EjectedUntil_.has_value();
+  });
+  return AboveMedian() &&
+         static_cast<double>(Ejected + 1) <=
+             Pool.Limits_.MaxEjectedFraction_ * static_cast<double>(Pool.Members_.size());
+}
+
+void recordFailure(ExecutorPool &Pool, std::size_t Index, core::TimePoint Now) {
+  Executor &Member = Pool.Members_[Index];
+  const bool WasTrial = Member.TrialInProgress_;
+  Member.TrialInProgress_ = false;
+  ++Member.ConsecutiveFailures_;
+  const bool AlreadyEjected = Member.EjectedUntil_.has_value();
+  if (WasTrial ||
+      (!AlreadyEjected && Member.ConsecutiveFailures_ >= Pool.Limits_.ConsecutiveFailures_))
     eject(Pool, Index, Now);
 }
 
 } // namespace
 
-std::size_t addExecutor(Executors &Pool, std::string_view Name) {
-  for (std::size_t I = 0; I < Pool.All_.size(); ++I)
-    if (Pool.All_[I].Name_ == Name) {
-      Pool.All_[I].Leaving_ = false;
+std::size_t addExecutor(ExecutorPool &Pool, std::string_view Name) {
+  for (std::size_t I = 0; I < Pool.Members_.size(); ++I)
+    if (Pool.Members_[I].Name_ == Name) {
+      Pool.Members_[I].Leaving_ = false;
       return I;
     }
-  Pool.All_.push_back({.Name_ = std::string(Name)});
-  Pool.Answers_.push_back(0);
-  return Pool.All_.size() - 1;
+  Pool.Members_.push_back({.Name_ = std::string(Name)});
+  Pool.AnswerCounts_.push_back(0);
+  return Pool.Members_.size() - 1;
 }
 
-void setLeaving(Executors &Pool, std::string_view Name) {
-  for (Executor &One : Pool.All_)
-    if (One.Name_ == Name)
-      One.Leaving_ = true;
+void setLeaving(ExecutorPool &Pool, std::string_view Name) {
+  for (Executor &Member : Pool.Members_)
+    if (Member.Name_ == Name)
+      Member.Leaving_ = true;
 }
 
-std::optional<std::size_t> chooseExecutor(const Executors &Pool, core::TimePoint Now) {
+std::optional<std::size_t> chooseExecutor(const ExecutorPool &Pool, core::TimePoint Now) {
   std::optional<std::size_t> Best;
-  std::uint32_t BestTaken = 0;
-  for (std::size_t I = 0; I < Pool.All_.size(); ++I) {
-    const Executor &One = Pool.All_[I];
-    if (!usable(Pool, One, Now))
+  std::uint32_t BestInUse = 0;
+  for (std::size_t I = 0; I < Pool.Members_.size(); ++I) {
+    const Executor &Member = Pool.Members_[I];
+    if (!usable(Pool, Member, Now))
       continue;
-    if (One.EjectedUntil_)
+    if (Member.EjectedUntil_)
       return I;
-    const std::uint32_t Taken = taken(One, Now);
-    if (!Best || Taken < BestTaken ||
-        (Taken == BestTaken && One.LatencyMs_ < Pool.All_[*Best].LatencyMs_)) {
+    const std::uint32_t InUse = slotsInUse(Member, Now);
+    if (!Best || InUse < BestInUse ||
+        (InUse == BestInUse && Member.LatencyMs_ < Pool.Members_[*Best].LatencyMs_)) {
       Best = I;
-      BestTaken = Taken;
+      BestInUse = InUse;
     }
   }
   return Best;
 }
 
-std::uint32_t freeSlots(const Executors &Pool, core::TimePoint Now) {
+std::uint32_t freeSlots(const ExecutorPool &Pool, core::TimePoint Now) {
   std::uint32_t Sum = 0;
-  for (const Executor &One : Pool.All_)
-    if (usable(Pool, One, Now))
-      Sum += One.EjectedUntil_ ? 1 : Pool.Limits_.Slots_ - taken(One, Now);
+  for (const Executor &Member : Pool.Members_)
+    if (usable(Pool, Member, Now))
+      Sum += Member.EjectedUntil_ ? 1 : Pool.Limits_.Slots_ - slotsInUse(Member, Now);
   return Sum;
 }
 
-void takeSlot(Executors &Pool, std::size_t Index, core::TimePoint Now) {
-  Executor &One = Pool.All_[Index];
-  std::erase_if(One.HeldUntil_, [Now](core::TimePoint Until) { return Until <= Now; });
-  ++One.Outstanding_;
-  if (One.EjectedUntil_)
-    One.Trial_ = true;
+void takeSlot(ExecutorPool &Pool, std::size_t Index, core::TimePoint Now) {
+  Executor &Member = Pool.Members_[Index];
+  std::erase_if(Member.HeldUntil_, [Now](core::TimePoint Until) { return Until <= Now; });
+  ++Member.Outstanding_;
+  if (Member.EjectedUntil_)
+    Member.TrialInProgress_ = true;
 }
 
-bool openConnection(Executors &Pool, std::size_t Index) {
-  Executor &One = Pool.All_[Index];
-  if (One.Connections_ >= Pool.Limits_.Connections_)
+bool openConnection(ExecutorPool &Pool, std::size_t Index) {
+  Executor &Member = Pool.Members_[Index];
+  if (Member.Connections_ >= Pool.Limits_.Connections_)
     return false;
-  ++One.Connections_;
+  ++Member.Connections_;
   return true;
 }
 
-void closeConnection(Executors &Pool, std::size_t Index) {
-  if (Pool.All_[Index].Connections_ > 0)
-    --Pool.All_[Index].Connections_;
+void closeConnection(ExecutorPool &Pool, std::size_t Index) {
+  if (Pool.Members_[Index].Connections_ > 0)
+    --Pool.Members_[Index].Connections_;
 }
 
-void finishRequest(Executors &Pool, std::size_t Index, core::TimePoint Now, core::Duration Elapsed,
-                   bool Succeeded) {
-  dropOutstanding(Pool.All_[Index]);
+void finishRequest(ExecutorPool &Pool, std::size_t Index, core::TimePoint Now,
+                   core::Duration Elapsed, bool Succeeded) {
+  dropOutstanding(Pool.Members_[Index]);
   if (!Succeeded) {
-    fail(Pool, Index, Now);
+    recordFailure(Pool, Index, Now);
     return;
   }
-  Executor &One = Pool.All_[Index];
+  Executor &Member = Pool.Members_[Index];
   const double Ms = std::chrono::duration<double, std::milli>(Elapsed).count();
-  const bool Back = One.Trial_;
-  One.Trial_ = false;
-  One.FailuresInRow_ = 0;
+  const bool WasTrial = Member.TrialInProgress_;
+  Member.TrialInProgress_ = false;
+  Member.ConsecutiveFailures_ = 0;
   // The latency before the ejection says nothing about an executor that works again.
-  One.LatencyMs_ =
-      One.LatencyMs_ == 0 || Back ? Ms : One.LatencyMs_ + Smoothing * (Ms - One.LatencyMs_);
-  ++Pool.Answers_[Index];
-  if (++Pool.SinceMedian_ >= 64 || Pool.MedianMs_ == 0) {
-    Pool.SinceMedian_ = 0;
+  Member.LatencyMs_ = Member.LatencyMs_ == 0 || WasTrial
+                          ? Ms
+                          : Member.LatencyMs_ + NewLatencyWeight * (Ms - Member.LatencyMs_);
+  ++Pool.AnswerCounts_[Index];
+  if (++Pool.AnswersSinceMedian_ >= 64 || Pool.MedianLatencyMs_ == 0) {
+    Pool.AnswersSinceMedian_ = 0;
     refreshMedian(Pool);
   }
-  const bool Slow = isSlow(Pool, One);
-  const bool Judged =
-      Back || (!One.EjectedUntil_ && Pool.Answers_[Index] >= Pool.Limits_.LeastAnswers_);
-  if (Slow && Judged) {
+  const bool Slow = isSlow(Pool, Member);
+  const bool MayEject =
+      WasTrial || (!Member.EjectedUntil_ && Pool.AnswerCounts_[Index] >= Pool.Limits_.MinAnswers_);
+  if (Slow && MayEject) {
     eject(Pool, Index, Now);
-  } else if (Back) {
-    One.EjectedUntil_.reset();
-    One.Ejections_ = 0;
+  } else if (WasTrial) {
+    Member.EjectedUntil_.reset();
+    Member.Ejections_ = 0;
   }
 }
 
-void releaseSlot(Executors &Pool, std::size_t Index) {
-  dropOutstanding(Pool.All_[Index]);
+void releaseSlot(ExecutorPool &Pool, std::size_t Index) {
+  dropOutstanding(Pool.Members_[Index]);
   // The next request may be the trial.
-  Pool.All_[Index].Trial_ = false;
+  Pool.Members_[Index].TrialInProgress_ = false;
 }
 
-void holdSlot(Executors &Pool, std::size_t Index, core::TimePoint Now, core::TimePoint Until,
-              core::Duration Given) {
-  dropOutstanding(Pool.All_[Index]);
-  Pool.All_[Index].HeldUntil_.push_back(Until);
-  const double GivenMs = std::chrono::duration<double, std::milli>(Given).count();
-  if (GivenMs < Pool.Limits_.FairFactor_ * Pool.MedianMs_)
-    Pool.All_[Index].Trial_ = false; // the next request is the trial
+void holdSlot(ExecutorPool &Pool, std::size_t Index, core::TimePoint Now, core::TimePoint Until,
+              core::Duration TimeGiven) {
+  dropOutstanding(Pool.Members_[Index]);
+  Pool.Members_[Index].HeldUntil_.push_back(Until);
+  const double TimeGivenMs = std::chrono::duration<double, std::milli>(TimeGiven).count();
+  if (TimeGivenMs < Pool.Limits_.MinTimeFactor_ * Pool.MedianLatencyMs_)
+    Pool.Members_[Index].TrialInProgress_ = false; // the next request is the trial
   else
-    fail(Pool, Index, Now);
+    recordFailure(Pool, Index, Now);
 }
 
 } // namespace masticdrift::policy
--- a/src/policy/Explain.cpp
+++ b/src/policy/Explain.cpp
@@ -5,19 +5,19 @@
 namespace masticdrift::policy {
 namespace {
 
-std::uint32_t copies(const Resources &Size, const Resources &Room, std::uint32_t Most) {
-  std::int64_t Count = Most;
+std::uint32_t fittingCopies(const Resources &Size, const Resources &Free, std::uint32_t MaxCopies) {
+  std::int64_t Count = MaxCopies;
   const auto Need = amounts(Size);
-  const auto Has = amounts(Room);
+  const auto Available = amounts(Free);
   for (std::size_t I = 0; I < Need.size(); ++I)
     if (Need[I] > 0)
-      Count = std::min(Count, std::max<std::int64_t>(0, Has[I]) / Need[I]);
+      Count = std::min(Count, std::max<std::int64_t>(0, Available[I]) / Need[I]);
   return static_cast<std::uint32_t>(Count);
 }
 
 /// Earliest time at which one task fits on a worker if running tasks end as expected.
-std::optional<TimePoint> firstRoom(const CellView &Cell, const PendingJob &Job, TimePoint Now) {
-  std::optional<TimePoint> First;
+std::optional<TimePoint> earliestStart(const CellView &Cell, const PendingJob &Job, TimePoint Now) {
+  std::optional<TimePoint> Earliest;
   for (const Worker &Host : Cell.Workers_) {
     if (!acceptsWork(Host) || !Host.Reserved_.empty() || !core::fits(Job.Size_, Host.Capacity_))
       continue;
@@ -31,107 +31,109 @@
       Free += Cell.Placements_[Index].Size_;
       if (!core::fits(Job.Size_, Free))
         continue;
-      if (!First || End < *First)
-        First = End;
+      if (!Earliest || End < *Earliest)
+        Earliest = End;
       break;
     }
   }
-  return First;
+  return Earliest;
 }
 
 } // namespace
 
 Explanation explain(const CellView &Cell, const PendingWork &Pending, const Shares &Teams,
                     std::string_view Id, TimePoint Now) {
-  Explanation Why;
+  Explanation Result;
   const PendingJob *Job = findPending(Pending, Id);
   if (Job == nullptr) {
-    Why.Text_ = "the job has no waiting tasks";
-    return Why;
+    Result.Text_ = "the job has no waiting tasks";
+    return Result;
   }
-  Why.Tasks_ = static_cast<std::uint32_t>(Job->Waiting_.size());
-  const auto Kept = Pending.Reservations_.find(Id);
-  if (Kept != Pending.Reservations_.end() && Kept->second.EstimatedStart_ != TimePoint::max())
-    Why.EstimatedStart_ = std::max(Now, Kept->second.EstimatedStart_);
-  if (const auto Never = impossible(Cell, *Job)) {
-    Why.Reason_ = WaitReason::NoFittingWorker;
-    Why.Text_ = "no fitting worker: asks for " + std::to_string(Never->Asked_) + " " +
-                std::string(core::ResourceNames[Never->Kind_]) +
-                (Never->Kind_ == 0 ? " (thousandths)" : "") + ", the largest available amount is " +
-                std::to_string(Never->Largest_);
-    return Why;
+  Result.Tasks_ = static_cast<std::uint32_t>(Job->Waiting_.size());
+  const auto Reserved = Pending.Reservations_.find(Id);
+  if (Reserved != Pending.Reservations_.end() &&
+      Reserved->second.EstimatedStart_ != TimePoint::max())
+    Result.EstimatedStart_ = std::max(Now, Reserved->second.EstimatedStart_);
+  if (const auto Infeasible = findInfeasibility(Cell, *Job)) {
+    Result.Reason_ = WaitReason::NoFittingWorker;
+    Result.Text_ = "no fitting worker: asks for " + std::to_string(Infeasible->Requested_) + " " +
+                   std::string(core::ResourceNames[Infeasible->Kind_]) +
+                   (Infeasible->Kind_ == 0 ? " (thousandths)" : "") +
+                   ", the largest available amount is " + std::to_string(Infeasible->Largest_);
+    return Result;
   }
   const bool Gang = Job->Kind_ == JobKind::Gang;
-  const Resources AtOnce = Gang ? Job->Size_ * static_cast<std::int64_t>(Why.Tasks_) : Job->Size_;
+  const Resources RequestedAtOnce =
+      Gang ? Job->Size_ * static_cast<std::int64_t>(Result.Tasks_) : Job->Size_;
   const auto Team = findTeam(Teams, Job->Team_);
-  if (Team && !withinLimit(Teams, *Team, AtOnce)) {
-    Why.Reason_ = WaitReason::Limit;
-    Why.Text_ = "team " + Job->Team_ + " is at its limit";
-    Why.EstimatedStart_.reset();
-    return Why;
+  if (Team && !withinLimit(Teams, *Team, RequestedAtOnce)) {
+    Result.Reason_ = WaitReason::Limit;
+    Result.Text_ = "team " + Job->Team_ + " is at its limit";
+    Result.EstimatedStart_.reset();
+    return Result;
   }
-  if (Kept != Pending.Reservations_.end() && Kept->second.Urgent_) {
-    Why.Reason_ = WaitReason::FreeingRoom;
-    Why.Text_ = "room is being freed by preemption";
-    return Why;
+  if (Reserved != Pending.Reservations_.end() && Reserved->second.Urgent_) {
+    Result.Reason_ = WaitReason::FreeingRoom;
+    Result.Text_ = "room is being freed by preemption";
+    return Result;
   }
-  const TimePoint End = Job->Kind_ == JobKind::Service ? TimePoint::max() : Now + Job->Run_;
-  std::uint32_t Free = 0;
-  std::uint32_t Unreserved = 0;
-  std::uint32_t Quarantined = 0;
+  const TimePoint End = Job->Kind_ == JobKind::Service ? TimePoint::max() : Now + Job->RunTime_;
+  std::uint32_t FittingHealthy = 0;
+  std::uint32_t FittingUnreserved = 0;
+  std::uint32_t FittingQuarantined = 0;
   for (const Worker &Host : Cell.Workers_) {
     if (!Host.Present_ || Host.Leaving_)
       continue;
-    const std::uint32_t Here = copies(Job->Size_, freeOf(Host), Why.Tasks_);
+    const std::uint32_t FittingHere = fittingCopies(Job->Size_, freeOf(Host), Result.Tasks_);
     if (Host.Health_ != Health::Healthy) {
-      Quarantined += Here;
+      FittingQuarantined += FittingHere;
       continue;
     }
-    Free += Here;
-    if (Here > 0 && detail::fitsOn(Cell, Host, Job->Size_, Job->Id_, End, Job->Urgent_))
-      Unreserved += Here;
+    FittingHealthy += FittingHere;
+    if (FittingHere > 0 && detail::fitsOn(Cell, Host, Job->Size_, Job->Id_, End, Job->Urgent_))
+      FittingUnreserved += FittingHere;
   }
-  Why.FittingTasks_ = std::min(Unreserved, Why.Tasks_);
-  const std::uint32_t Needed = Gang ? Why.Tasks_ : 1;
-  bool Behind = false;
+  Result.FittingTasks_ = std::min(FittingUnreserved, Result.Tasks_);
+  const std::uint32_t Needed = Gang ? Result.Tasks_ : 1;
+  bool Outranked = false;
   if (Team)
     for (const TeamQueue &Other : Pending.Teams_) {
       const auto Index = findTeam(Teams, Other.Team_);
-      const bool Waits = std::any_of(Other.Waiting_.begin(), Other.Waiting_.end(),
-                                     [](const auto &Class) { return !Class.empty(); });
-      Behind = Behind ||
-               (Index && *Index != *Team && Waits && rankOf(Teams, *Index) < rankOf(Teams, *Team));
+      const bool HasWaiting = std::any_of(Other.Waiting_.begin(), Other.Waiting_.end(),
+                                          [](const auto &Class) { return !Class.empty(); });
+      Outranked = Outranked || (Index && *Index != *Team && HasWaiting &&
+                                rankOf(Teams, *Index) < rankOf(Teams, *Team));
     }
-  if (Unreserved >= Needed) {
+  if (FittingUnreserved >= Needed) {
     // Room for the job is free right now, so only the order of the queue holds it back.
-    Why.Reason_ = Behind ? WaitReason::Share : WaitReason::Next;
-    Why.Text_ = Behind ? "teams further below their share go first" : "starts next";
-    if (!Behind)
-      Why.EstimatedStart_ = Now;
-    return Why;
+    Result.Reason_ = Outranked ? WaitReason::Share : WaitReason::Next;
+    Result.Text_ = Outranked ? "teams further below their share go first" : "starts next";
+    if (!Outranked)
+      Result.EstimatedStart_ = Now;
+    return Result;
   }
-  if (!Why.EstimatedStart_ && !Gang)
-    Why.EstimatedStart_ = firstRoom(Cell, *Job, Now);
-  if (Free >= Needed) {
-    Why.Reason_ = WaitReason::ReservedForGang;
-    Why.Text_ = "the free room is reserved for a gang or a large task that waits longer";
-  } else if (Free + Quarantined >= Needed) {
-    Why.Reason_ = WaitReason::Quarantine;
-    Why.Text_ = "the free room is on quarantined workers";
+  if (!Result.EstimatedStart_ && !Gang)
+    Result.EstimatedStart_ = earliestStart(Cell, *Job, Now);
+  if (FittingHealthy >= Needed) {
+    Result.Reason_ = WaitReason::ReservedForGang;
+    Result.Text_ = "the free room is reserved for a gang or a large task that waits longer";
+  } else if (FittingHealthy + FittingQuarantined >= Needed) {
+    Result.Reason_ = WaitReason::Quarantine;
+    Result.Text_ = "the free room is on quarantined workers";
   } else if (Gang) {
-    Why.Reason_ = WaitReason::GangTasks;
-    Why.Text_ = "room for " + std::to_string(Why.FittingTasks_) + " of " +
-                std::to_string(Why.Tasks_) + " gang tasks";
-  } else if (Behind) {
-    Why.Reason_ = WaitReason::Share;
-    Why.Text_ = "all fitting workers are full, and teams further below their share go first";
+    Result.Reason_ = WaitReason::GangTasks;
+    Result.Text_ = "room for " + std::to_string(Result.FittingTasks_) + " of " +
+                   std::to_string(Result.Tasks_) + " gang tasks";
+  } else if (Outranked) {
+    Result.Reason_ = WaitReason::Share;
+    Result.Text_ = "all fitting workers are full, and teams further below their share go first";
     // Room that appears first goes to those teams.
-    Why.EstimatedStart_.reset();
+    Result.EstimatedStart_.reset();
   } else {
-    Why.Reason_ = WaitReason::NoRoom;
-    Why.Text_ = "all fitting workers are full";
+    Result.Reason_ = WaitReason::NoRoom;
+    Result.Text_ = "all fitting workers are full";
   }
-  return Why;
+  return Result;
 }
 
 } // namespace masticdrift::policy
--- a/src/policy/Learn.cpp
+++ b/src/policy/Learn.cpp
@@ -6,16 +6,16 @@
 namespace masticdrift::policy {
 namespace {
 
-std::string keyOf(std::string_view Team, std::string_view Family) {
+std::string familyKey(std::string_view Team, std::string_view Family) {
   std::string Key(Team);
   Key += '\n'; // not allowed in names
   Key += Family;
   return Key;
 }
 
-void add(RatioWindow &Window, double Ratio) {
+void addRatio(RatioWindow &Window, double Ratio) {
   // Bounds keep one absurd declaration from producing infinite or zero estimates.
-  Window.Values_[Window.Count_ % RatioWindow::Kept] =
+  Window.Values_[Window.Count_ % RatioWindow::Capacity] =
       static_cast<float>(std::clamp(Ratio, 0.001, 1000.0));
   ++Window.Count_;
 }
@@ -32,76 +32,78 @@
 
 } // namespace
 
-double quantile(const RatioWindow &Window, double Part) {
-  const std::size_t Count = std::min<std::size_t>(Window.Count_, RatioWindow::Kept);
+double quantile(const RatioWindow &Window, double Fraction) {
+  const std::size_t Count = std::min<std::size_t>(Window.Count_, RatioWindow::Capacity);
   if (Count == 0)
     return 1;
-  std::array<float, RatioWindow::Kept> Sorted = Window.Values_;
+  std::array<float, RatioWindow::Capacity> Sorted = Window.Values_;
   const auto End = Sorted.begin() + static_cast<std::ptrdiff_t>(Count);
   std::sort(Sorted.begin(), End);
-  const auto At = static_cast<std::size_t>(std::ceil(Part * static_cast<double>(Count)));
-  return Sorted[std::min(Count - 1, At == 0 ? 0 : At - 1)];
+  const auto Rank = static_cast<std::size_t>(std::ceil(Fraction * static_cast<double>(Count)));
+  return Sorted[std::min(Count - 1, Rank == 0 ? 0 : Rank - 1)];
 }
 
-void observe(Learned &Known, std::string_view Team, std::string_view Family, Duration DeclaredRun,
-             Duration RealRun, const Resources &DeclaredSize, const Resources &Peak) {
-  std::string Key = keyOf(Team, Family);
-  auto Found = Known.ByKey_.find(Key);
-  if (Found == Known.ByKey_.end()) {
-    if (Known.Recent_.size() >= Known.MostFamilies_) {
-      Known.ByKey_.erase(Known.Recent_.back().first);
-      Known.Recent_.pop_back();
+void recordObservation(RunHistory &History, std::string_view Team, std::string_view Family,
+                       Duration DeclaredRun, Duration ActualRun, const Resources &DeclaredSize,
+                       const Resources &Peak) {
+  std::string Key = familyKey(Team, Family);
+  auto Found = History.ByKey_.find(Key);
+  if (Found == History.ByKey_.end()) {
+    if (History.Recent_.size() >= History.MaxFamilies_) {
+      History.ByKey_.erase(History.Recent_.back().first);
+      History.Recent_.pop_back();
     }
-    Known.Recent_.emplace_front(Key, FamilyRatios{});
-    Found = Known.ByKey_.emplace(std::move(Key), Known.Recent_.begin()).first;
+    History.Recent_.emplace_front(Key, FamilyRatios{});
+    Found = History.ByKey_.emplace(std::move(Key), History.Recent_.begin()).first;
   } else {
-    Known.Recent_.splice(Known.Recent_.begin(), Known.Recent_, Found->second);
+    History.Recent_.splice(History.Recent_.begin(), History.Recent_, Found->second);
   }
   FamilyRatios &Ratios = Found->second->second;
   if (DeclaredRun.count() > 0)
-    add(Ratios.Run_,
-        static_cast<double>(RealRun.count()) / static_cast<double>(DeclaredRun.count()));
+    addRatio(Ratios.RunTime_,
+             static_cast<double>(ActualRun.count()) / static_cast<double>(DeclaredRun.count()));
   if (DeclaredSize.MilliCores_ > 0 && Peak.MilliCores_ > 0)
-    add(Ratios.Cores_,
-        static_cast<double>(Peak.MilliCores_) / static_cast<double>(DeclaredSize.MilliCores_));
+    addRatio(Ratios.Cores_,
+             static_cast<double>(Peak.MilliCores_) / static_cast<double>(DeclaredSize.MilliCores_));
   if (DeclaredSize.MemoryMb_ > 0 && Peak.MemoryMb_ > 0)
-    add(Ratios.Memory_,
-        static_cast<double>(Peak.MemoryMb_) / static_cast<double>(DeclaredSize.MemoryMb_));
+    addRatio(Ratios.Memory_,
+             static_cast<double>(Peak.MemoryMb_) / static_cast<double>(DeclaredSize.MemoryMb_));
 }
 
-Estimate estimate(const Learned &Known, std::string_view Team, std::string_view Family,
+Estimate estimate(const RunHistory &History, std::string_view Team, std::string_view Family,
                   Duration DeclaredRun, const Resources &DeclaredSize) {
   Estimate Result{DeclaredRun, DeclaredSize, false};
-  const auto Found = Known.ByKey_.find(keyOf(Team, Family));
-  if (Found == Known.ByKey_.end())
+  const auto Found = History.ByKey_.find(familyKey(Team, Family));
+  if (Found == History.ByKey_.end())
     return Result;
   const FamilyRatios &Ratios = Found->second->second;
-  if (Ratios.Run_.Count_ >= Known.LeastSeen_) {
-    Result.Learned_ = true;
-    Result.Run_ = Duration(static_cast<Duration::rep>(static_cast<double>(DeclaredRun.count()) *
-                                                      quantile(Ratios.Run_, 0.8)));
+  if (Ratios.RunTime_.Count_ >= History.MinObservations_) {
+    Result.FromHistory_ = true;
+    Result.RunTime_ = Duration(static_cast<Duration::rep>(static_cast<double>(DeclaredRun.count()) *
+                                                          quantile(Ratios.RunTime_, 0.8)));
   }
-  if (Ratios.Cores_.Count_ >= Known.LeastSeen_) {
-    Result.Learned_ = true;
+  if (Ratios.Cores_.Count_ >= History.MinObservations_) {
+    Result.FromHistory_ = true;
     Result.Size_.MilliCores_ = scaled(DeclaredSize.MilliCores_, Ratios.Cores_, 100);
   }
-  if (Ratios.Memory_.Count_ >= Known.LeastSeen_) {
-    Result.Learned_ = true;
+  if (Ratios.Memory_.Count_ >= History.MinObservations_) {
+    Result.FromHistory_ = true;
     Result.Size_.MemoryMb_ = scaled(DeclaredSize.MemoryMb_, Ratios.Memory_, 128);
   }
   return Result;
 }
 
-void applyEstimate(const Learned &Known, PendingJob &Job, const Resources &Largest) {
-  const Estimate Expected = estimate(Known, Job.Team_, Job.Family_, Job.Run_, Job.Size_);
-  Job.Run_ = Expected.Run_;
+void applyEstimate(const RunHistory &History, PendingJob &Job, const Resources &Largest) {
+  const Estimate Expected = estimate(History, Job.Team_, Job.Family_, Job.RunTime_, Job.Size_);
+  Job.RunTime_ = Expected.RunTime_;
   // A declared size above the largest worker stays as it is, so that impossible() names it.
-  const auto Bound = [](std::int64_t Value, std::int64_t Declared, std::int64_t Most) {
-    return Declared > Most ? Declared : std::min(Value, Most);
+  const auto CapAtLargest = [](std::int64_t Value, std::int64_t Declared, std::int64_t Max) {
+    return Declared > Max ? Declared : std::min(Value, Max);
   };
   Job.Size_.MilliCores_ =
-      Bound(Expected.Size_.MilliCores_, Job.Size_.MilliCores_, Largest.MilliCores_);
-  Job.Size_.MemoryMb_ = Bound(Expected.Size_.MemoryMb_, Job.Size_.MemoryMb_, Largest.MemoryMb_);
+      CapAtLargest(Expected.Size_.MilliCores_, Job.Size_.MilliCores_, Largest.MilliCores_);
+  Job.Size_.MemoryMb_ =
+      CapAtLargest(Expected.Size_.MemoryMb_, Job.Size_.MemoryMb_, Largest.MemoryMb_);
 }
 
 } // namespace masticdrift::policy
--- a/src/policy/Place.cpp
+++ b/src/policy/Place.cpp
@@ -11,42 +11,45 @@
 
 /// fits() over the kinds that are asked for, so that a worker that is overfull in one kind can
 /// still take work that needs none of it.
-bool fitsAsked(const Resources &Need, const Resources &Room) {
-  return (Need.MilliCores_ <= 0 || Need.MilliCores_ <= Room.MilliCores_) &&
-         (Need.MemoryMb_ <= 0 || Need.MemoryMb_ <= Room.MemoryMb_) &&
-         (Need.Accelerators_ <= 0 || Need.Accelerators_ <= Room.Accelerators_);
+bool fitsRequested(const Resources &Need, const Resources &Available) {
+  return (Need.MilliCores_ <= 0 || Need.MilliCores_ <= Available.MilliCores_) &&
+         (Need.MemoryMb_ <= 0 || Need.MemoryMb_ <= Available.MemoryMb_) &&
+         (Need.Accelerators_ <= 0 || Need.Accelerators_ <= Available.Accelerators_);
 }
 
 /// Room that a preemption frees.
-Resources freedBy(const Placement &One, PreemptHow How) {
-  return How == PreemptHow::Throttle ? One.Size_ - throttledSize(One.FullSize_) : One.Size_;
+Resources resourcesFreedBy(const Placement &Placed, PreemptionMethod Method) {
+  return Method == PreemptionMethod::Throttle ? Placed.Size_ - throttledSize(Placed.FullSize_)
+                                              : Placed.Size_;
 }
 
-TimePoint endOf(const PendingJob &Job, TimePoint Now) {
-  return Job.Kind_ == JobKind::Service ? TimePoint::max() : Now + Job.Run_;
+TimePoint endIfStarted(const PendingJob &Job, TimePoint Now) {
+  return Job.Kind_ == JobKind::Service ? TimePoint::max() : Now + Job.RunTime_;
 }
 
 /// Takes a PendingJob or a Shape.
-template <typename Work> bool mayProbe(const Work &Job) {
+template <typename Work> bool mayRunAsProbe(const Work &Job) {
   return Job.Kind_ == JobKind::Batch && !Job.Urgent_ && Job.Idempotent_;
 }
 
 /// Best fit over the index: fewest free accelerators, then least free of the scarce resource.
 std::optional<WorkerIndex> bestFit(const CellView &Cell, const PendingJob &Job, TimePoint End) {
-  constexpr std::uint32_t N = detail::FreeIndex::Buckets;
+  constexpr std::uint32_t PerKind = detail::FreeIndex::BucketsPerKind;
   const detail::FreeIndex &Free = Cell.Index_;
-  if (Free.Cells_.empty())
+  if (Free.WorkersByBucket_.empty())
     return std::nullopt;
-  const auto [Row0, Other0] = detail::bucketsOf(Cell, Job.Size_);
+  const auto [MinScarceBucket, MinOtherBucket] = detail::bucketsOf(Cell, Job.Size_);
   for (std::uint32_t Level = detail::levelOf(Job.Size_.Accelerators_);
        Level < detail::FreeIndex::AcceleratorLevels; ++Level) {
-    std::uint64_t Rows = Free.FilledRows_[Level] >> Row0 << Row0;
-    for (; Rows != 0; Rows &= Rows - 1) {
-      const auto Row = static_cast<std::uint32_t>(std::countr_zero(Rows));
-      std::uint64_t Others = Free.Filled_[Level][Row] >> Other0 << Other0;
-      for (; Others != 0; Others &= Others - 1) {
-        const auto Other = static_cast<std::uint32_t>(std::countr_zero(Others));
-        for (const WorkerIndex Index : Free.Cells_[(Level * N + Row) * N + Other])
+    std::uint64_t ScarceBuckets = Free.NonEmptyScarce_[Level] >> MinScarceBucket << MinScarceBucket;
+    for (; ScarceBuckets != 0; ScarceBuckets &= ScarceBuckets - 1) {
+      const auto ScarceBucket = static_cast<std::uint32_t>(std::countr_zero(ScarceBuckets));
+      std::uint64_t OtherBuckets =
+          Free.NonEmptyOther_[Level][ScarceBucket] >> MinOtherBucket << MinOtherBucket;
+      for (; OtherBuckets != 0; OtherBuckets &= OtherBuckets - 1) {
+        const auto OtherBucket = static_cast<std::uint32_t>(std::countr_zero(OtherBuckets));
+        for (const WorkerIndex Index :
+             Free.WorkersByBucket_[(Level * PerKind + ScarceBucket) * PerKind + OtherBucket])
           if (detail::fitsOn(Cell, Cell.Workers_[Index], Job.Size_, Job.Id_, End, Job.Urgent_))
             return Index;
       }
@@ -55,7 +58,7 @@
   return std::nullopt;
 }
 
-std::uint32_t inRack(const CellView &Cell, const std::string &Job, const std::string &Rack) {
+std::uint32_t tasksInRack(const CellView &Cell, const std::string &Job, const std::string &Rack) {
   const auto Racks = Cell.ServiceRacks_.find(Job);
   if (Racks == Cell.ServiceRacks_.end())
     return 0;
@@ -64,52 +67,53 @@
 }
 
 /// Worker in the rack with the fewest tasks of the service; best fit within the rack.
-std::optional<WorkerIndex> spread(const CellView &Cell, const PendingJob &Job, WorkerIndex Fit) {
-  std::uint32_t Fewest = inRack(Cell, Job.Id_, Cell.Workers_[Fit].Rack_);
-  WorkerIndex Best = Fit;
+std::optional<WorkerIndex> spreadOverRacks(const CellView &Cell, const PendingJob &Job,
+                                           WorkerIndex BestFitHost) {
+  std::uint32_t Fewest = tasksInRack(Cell, Job.Id_, Cell.Workers_[BestFitHost].Rack_);
+  WorkerIndex Best = BestFitHost;
   for (auto Rack = Cell.Racks_.begin(); Rack != Cell.Racks_.end() && Fewest > 0; ++Rack) {
-    const std::uint32_t Count = inRack(Cell, Job.Id_, Rack->first);
+    const std::uint32_t Count = tasksInRack(Cell, Job.Id_, Rack->first);
     if (Count >= Fewest)
       continue;
-    std::optional<WorkerIndex> Here;
+    std::optional<WorkerIndex> BestInRack;
     for (const WorkerIndex Index : Rack->second) {
       const Worker &Host = Cell.Workers_[Index];
       if (acceptsWork(Host) &&
           detail::fitsOn(Cell, Host, Job.Size_, Job.Id_, TimePoint::max(), Job.Urgent_) &&
-          (!Here || amounts(freeOf(Host))[Cell.Scarce_] <
-                        amounts(freeOf(Cell.Workers_[*Here]))[Cell.Scarce_]))
-        Here = Index;
+          (!BestInRack || amounts(freeOf(Host))[Cell.ScarceResource_] <
+                              amounts(freeOf(Cell.Workers_[*BestInRack]))[Cell.ScarceResource_]))
+        BestInRack = Index;
     }
-    if (Here) {
+    if (BestInRack) {
       Fewest = Count;
-      Best = *Here;
+      Best = *BestInRack;
     }
   }
   return Best;
 }
 
-/// Workers on which room appeared since an entry of CellView::Freed_, with what was free then.
+/// Workers on which room appeared since an entry of CellView::FreedLog_, with what was free then.
 struct FreedWorkers {
-  std::uint64_t From_ = UINT64_MAX;
-  std::uint64_t End_ = 0;
+  std::uint64_t FirstEntry_ = UINT64_MAX;
+  std::uint64_t EndEntry_ = 0;
   std::vector<std::pair<Resources, WorkerIndex>> Workers_;
-  Resources Most_;
+  Resources Largest_;
 };
 
 /// State of one decide() call.
-struct Pass {
+struct DecideContext {
   CellView &Cell_;
   PendingWork &Pending_;
   Shares &Teams_;
   TimePoint Now_;
-  const Budget &Limits_;
+  const DecideLimits &Limits_;
   std::vector<Decision> Decisions_;
-  std::size_t Examined_ = 0;
+  std::size_t ShapesTried_ = 0;
   double MeanRank_ = 0;
-  FreedWorkers Freed_;
+  FreedWorkers FreedSince_;
 
-  [[nodiscard]] bool exhausted() const {
-    return Decisions_.size() >= Limits_.MaxDecisions_ || Examined_ >= Limits_.MaxExamined_;
+  [[nodiscard]] bool limitsReached() const {
+    return Decisions_.size() >= Limits_.MaxDecisions_ || ShapesTried_ >= Limits_.MaxShapesTried_;
   }
 };
 
@@ -125,335 +129,347 @@
           .Idempotent_ = Job.Idempotent_,
           .Size_ = Job.Size_,
           .Started_ = Now,
-          .ExpectedEnd_ = endOf(Job, Now)};
+          .ExpectedEnd_ = endIfStarted(Job, Now)};
 }
 
-void dropReservation(Pass &In, const std::string &Job) {
-  const auto Found = In.Pending_.Reservations_.find(Job);
-  if (Found == In.Pending_.Reservations_.end())
+void dropReservation(DecideContext &Context, const std::string &Job) {
+  const auto Found = Context.Pending_.Reservations_.find(Job);
+  if (Found == Context.Pending_.Reservations_.end())
     return;
   for (const WorkerIndex Index : Found->second.Workers_)
-    unreserve(In.Cell_, Index, Job);
-  In.Pending_.Reservations_.erase(Found);
+    unreserve(Context.Cell_, Index, Job);
+  Context.Pending_.Reservations_.erase(Found);
 }
 
 /// Gives back the room reserved for one task, preferably on the worker where it starts.
-void usePart(Pass &In, const std::string &Job, WorkerIndex Where) {
-  const auto Found = In.Pending_.Reservations_.find(Job);
-  if (Found == In.Pending_.Reservations_.end())
+void consumeReservation(DecideContext &Context, const std::string &Job, WorkerIndex HostIndex) {
+  const auto Found = Context.Pending_.Reservations_.find(Job);
+  if (Found == Context.Pending_.Reservations_.end())
     return;
   std::vector<WorkerIndex> &Workers = Found->second.Workers_;
-  auto At = std::find(Workers.begin(), Workers.end(), Where);
-  if (At == Workers.end())
-    At = Workers.end() - 1;
-  std::vector<ReservedPart> &Parts = In.Cell_.Workers_[*At].Reserved_;
-  const auto Part = std::find_if(Parts.begin(), Parts.end(),
-                                 [&](const ReservedPart &One) { return One.Job_ == Job; });
-  if (Part != Parts.end()) {
-    Parts.erase(Part);
+  auto HostEntry = std::find(Workers.begin(), Workers.end(), HostIndex);
+  if (HostEntry == Workers.end())
+    HostEntry = Workers.end() - 1;
+  std::vector<WorkerReservation> &Reserved = Context.Cell_.Workers_[*HostEntry].Reserved_;
+  const auto HostReservation =
+      std::find_if(Reserved.begin(), Reserved.end(),
+                   [&](const WorkerReservation &Candidate) { return Candidate.Job_ == Job; });
+  if (HostReservation != Reserved.end()) {
+    Reserved.erase(HostReservation);
     // Room that was kept is free again when the task starts elsewhere.
-    if (*At != Where)
-      noteRoom(In.Cell_, *At);
+    if (*HostEntry != HostIndex)
+      recordFreed(Context.Cell_, *HostEntry);
   }
-  Workers.erase(At);
+  Workers.erase(HostEntry);
   if (Workers.empty())
-    In.Pending_.Reservations_.erase(Found);
+    Context.Pending_.Reservations_.erase(Found);
 }
 
-std::optional<WorkerIndex> findWorker(Pass &In, const PendingJob &Job) {
-  const auto Own = In.Pending_.Reservations_.find(Job.Id_);
-  if (Own != In.Pending_.Reservations_.end())
-    for (const WorkerIndex Index : Own->second.Workers_) {
-      const Worker &Host = In.Cell_.Workers_[Index];
-      if (acceptsWork(Host) &&
-          detail::fitsOn(In.Cell_, Host, Job.Size_, Job.Id_, endOf(Job, In.Now_), Job.Urgent_))
+std::optional<WorkerIndex> chooseWorker(DecideContext &Context, const PendingJob &Job) {
+  const auto OwnReservation = Context.Pending_.Reservations_.find(Job.Id_);
+  if (OwnReservation != Context.Pending_.Reservations_.end())
+    for (const WorkerIndex Index : OwnReservation->second.Workers_) {
+      const Worker &Host = Context.Cell_.Workers_[Index];
+      if (acceptsWork(Host) && detail::fitsOn(Context.Cell_, Host, Job.Size_, Job.Id_,
+                                              endIfStarted(Job, Context.Now_), Job.Urgent_))
         return Index;
     }
-  return detail::findWorkerFor(In.Cell_, Job, In.Now_);
+  return detail::findWorkerFor(Context.Cell_, Job, Context.Now_);
 }
 
-void recordStart(Pass &In, const std::string &Job, std::uint32_t Task, WorkerIndex Where) {
-  In.Decisions_.push_back({.Kind_ = DecisionKind::Start,
-                           .Job_ = Job,
-                           .Task_ = Task,
-                           .Worker_ = In.Cell_.Workers_[Where].Name_,
-                           .WorkerIndex_ = Where});
+void recordStart(DecideContext &Context, const std::string &Job, std::uint32_t Task,
+                 WorkerIndex HostIndex) {
+  Context.Decisions_.push_back({.Kind_ = DecisionKind::Start,
+                                .Job_ = Job,
+                                .Task_ = Task,
+                                .Worker_ = Context.Cell_.Workers_[HostIndex].Name_,
+                                .WorkerIndex_ = HostIndex});
 }
 
 /// Starts one task, or all of a gang.
-bool start(Pass &In, JobIndex Index) {
-  PendingWork &Pending = In.Pending_;
-  const TeamIndex Team = teamIndex(In.Teams_, Pending.Jobs_[Index].Team_);
+bool startJob(DecideContext &Context, JobIndex Index) {
+  PendingWork &Pending = Context.Pending_;
+  const TeamIndex Team = findOrAddTeam(Context.Teams_, Pending.Jobs_[Index].Team_);
   if (Pending.Jobs_[Index].Kind_ != JobKind::Gang) {
     const PendingJob &Job = Pending.Jobs_[Index];
-    const auto Where = findWorker(In, Job);
-    if (!Where)
+    const auto HostIndex = chooseWorker(Context, Job);
+    if (!HostIndex)
       return false;
     const std::uint32_t Task = Job.Waiting_.back();
     const std::string Id = Job.Id_;
-    place(In.Cell_, *Where, placementOf(Job, Task, In.Now_));
-    addUsage(In.Teams_, Team, Job.Size_, In.Now_);
+    place(Context.Cell_, *HostIndex, placementOf(Job, Task, Context.Now_));
+    addUsage(Context.Teams_, Team, Job.Size_, Context.Now_);
     takeWaiting(Pending, Id);
-    usePart(In, Id, *Where);
-    recordStart(In, Id, Task, *Where);
+    consumeReservation(Context, Id, *HostIndex);
+    recordStart(Context, Id, Task, *HostIndex);
     return true;
   }
   const PendingJob Job = Pending.Jobs_[Index];
   std::vector<std::pair<std::uint32_t, WorkerIndex>> Placed;
   for (auto Task = Job.Waiting_.rbegin(); Task != Job.Waiting_.rend(); ++Task) {
-    const auto Where = findWorker(In, Job);
-    if (!Where) {
-      for (const auto &[Number, Host] : Placed)
-        unplace(In.Cell_, Job.Id_, Number);
+    const auto HostIndex = chooseWorker(Context, Job);
+    if (!HostIndex) {
+      for (const auto &[TaskNumber, Host] : Placed)
+        undoPlace(Context.Cell_, Job.Id_, TaskNumber);
       return false;
     }
-    place(In.Cell_, *Where, placementOf(Job, *Task, In.Now_));
-    Placed.emplace_back(*Task, *Where);
+    place(Context.Cell_, *HostIndex, placementOf(Job, *Task, Context.Now_));
+    Placed.emplace_back(*Task, *HostIndex);
   }
   const auto Count = static_cast<std::int64_t>(Placed.size());
-  addUsage(In.Teams_, Team, Job.Size_ * Count, In.Now_);
-  dropReservation(In, Job.Id_);
+  addUsage(Context.Teams_, Team, Job.Size_ * Count, Context.Now_);
+  dropReservation(Context, Job.Id_);
   takeWaiting(Pending, Job.Id_);
-  for (const auto &[Task, Where] : Placed)
-    recordStart(In, Job.Id_, Task, Where);
+  for (const auto &[Task, HostIndex] : Placed)
+    recordStart(Context, Job.Id_, Task, HostIndex);
   return true;
 }
 
 /// Collects the workers on which room appeared since entry \p From, each once.
-const FreedWorkers &freedSince(Pass &In, std::uint64_t From) {
-  FreedWorkers &Since = In.Freed_;
-  const std::uint64_t End = freedEnd(In.Cell_);
+const FreedWorkers &freedSince(DecideContext &Context, std::uint64_t From) {
+  FreedWorkers &Freed = Context.FreedSince_;
+  const std::uint64_t End = freedLogEnd(Context.Cell_);
   // A list that starts earlier holds more workers than needed, which costs less than a new list.
-  if (Since.From_ <= From && Since.End_ == End)
-    return Since;
-  Since = {.From_ = From, .End_ = End};
-  const auto Offset = static_cast<std::ptrdiff_t>(From - In.Cell_.FreedBase_);
-  std::vector<WorkerIndex> Distinct(In.Cell_.Freed_.begin() + Offset, In.Cell_.Freed_.end());
+  if (Freed.FirstEntry_ <= From && Freed.EndEntry_ == End)
+    return Freed;
+  Freed = {.FirstEntry_ = From, .EndEntry_ = End};
+  const auto Offset = static_cast<std::ptrdiff_t>(From - Context.Cell_.FreedLogStart_);
+  std::vector<WorkerIndex> Distinct(Context.Cell_.FreedLog_.begin() + Offset,
+                                    Context.Cell_.FreedLog_.end());
   std::sort(Distinct.begin(), Distinct.end());
   Distinct.erase(std::unique(Distinct.begin(), Distinct.end()), Distinct.end());
   for (const WorkerIndex Index : Distinct) {
-    const Worker &Host = In.Cell_.Workers_[Index];
+    const Worker &Host = Context.Cell_.Workers_[Index];
     if (!acceptsWork(Host) && Host.Health_ != Health::Probing)
       continue;
     const Resources Free = freeOf(Host);
-    Since.Workers_.emplace_back(Free, Index);
-    Since.Most_ = {std::max(Since.Most_.MilliCores_, Free.MilliCores_),
-                   std::max(Since.Most_.MemoryMb_, Free.MemoryMb_),
-                   std::max(Since.Most_.Accelerators_, Free.Accelerators_)};
+    Freed.Workers_.emplace_back(Free, Index);
+    Freed.Largest_ = {std::max(Freed.Largest_.MilliCores_, Free.MilliCores_),
+                      std::max(Freed.Largest_.MemoryMb_, Free.MemoryMb_),
+                      std::max(Freed.Largest_.Accelerators_, Free.Accelerators_)};
   }
-  return Since;
+  return Freed;
 }
 
 /// \returns true when no task of the shape fits, known from its last trial and the workers on which
 /// room appeared since. The free amounts may be older than the last start of this pass, which only
 /// lets a worker pass the first check. Room reserved for a job itself counts as taken, because jobs
 /// with a reservation are tried before.
-bool stillFails(Pass &In, ShapeIndex Index) {
-  Shape &Kind = In.Pending_.Shapes_[Index];
-  if (Kind.FailedAt_ == UINT64_MAX || Kind.FailedAt_ < In.Cell_.FreedBase_)
+bool stillDoesNotFit(DecideContext &Context, ShapeIndex Index) {
+  Shape &TaskShape = Context.Pending_.Shapes_[Index];
+  if (TaskShape.CheckedUpTo_ == UINT64_MAX || TaskShape.CheckedUpTo_ < Context.Cell_.FreedLogStart_)
     return false;
-  const FreedWorkers &Since = freedSince(In, Kind.FailedAt_);
-  const TimePoint Ends =
-      Kind.Kind_ == JobKind::Service ? TimePoint::max() : In.Now_ + Kind.Run_ / 4;
-  if (fitsAsked(Kind.Size_, Since.Most_))
-    for (const auto &[Free, Where] : Since.Workers_) {
-      if (!fitsAsked(Kind.Size_, Free))
+  const FreedWorkers &Freed = freedSince(Context, TaskShape.CheckedUpTo_);
+  const TimePoint EarliestEnd = TaskShape.Kind_ == JobKind::Service
+                                    ? TimePoint::max()
+                                    : Context.Now_ + TaskShape.RunTime_ / 4;
+  if (fitsRequested(TaskShape.Size_, Freed.Largest_))
+    for (const auto &[Free, HostIndex] : Freed.Workers_) {
+      if (!fitsRequested(TaskShape.Size_, Free))
         continue;
-      const Worker &Host = In.Cell_.Workers_[Where];
-      const bool Takes = acceptsWork(Host) || (Host.Health_ == Health::Probing && mayProbe(Kind));
-      if (Takes && detail::fitsOn(In.Cell_, Host, Kind.Size_, {}, Ends, Kind.Urgent_))
+      const Worker &Host = Context.Cell_.Workers_[HostIndex];
+      const bool AcceptsTask =
+          acceptsWork(Host) || (Host.Health_ == Health::Probing && mayRunAsProbe(TaskShape));
+      if (AcceptsTask &&
+          detail::fitsOn(Context.Cell_, Host, TaskShape.Size_, {}, EarliestEnd, TaskShape.Urgent_))
         return false;
     }
-  Kind.FailedAt_ = Since.End_;
+  TaskShape.CheckedUpTo_ = Freed.EndEntry_;
   return true;
 }
 
-Resources askedAtOnce(const PendingJob &Job) {
+Resources requestedAtOnce(const PendingJob &Job) {
   return Job.Kind_ == JobKind::Gang ? Job.Size_ * static_cast<std::int64_t>(Job.Waiting_.size())
                                     : Job.Size_;
 }
 
 /// Times at which tasks of \p Job fit on workers, earliest first, one entry per task.
-std::vector<std::pair<TimePoint, WorkerIndex>> planRoom(Pass &In, const PendingJob &Job,
-                                                        std::size_t Tasks) {
-  std::vector<std::pair<TimePoint, WorkerIndex>> Times;
+std::vector<std::pair<TimePoint, WorkerIndex>>
+planStarts(DecideContext &Context, const PendingJob &Job, std::size_t Tasks) {
+  std::vector<std::pair<TimePoint, WorkerIndex>> Starts;
   std::vector<std::pair<TimePoint, Resources>> Ends;
   // A part of a large cell is enough for a good plan; all of it takes milliseconds.
-  constexpr WorkerIndex Enough = 256;
-  const auto Count = static_cast<WorkerIndex>(In.Cell_.Workers_.size());
-  for (WorkerIndex I = 0; I < Count && (I < Enough || Times.size() < 2 * Tasks); ++I) {
-    const WorkerIndex Index = (In.Pending_.PlanOffset_ + I) % Count;
-    const Worker &Host = In.Cell_.Workers_[Index];
-    if (!acceptsWork(Host) || !Host.Reserved_.empty() || !fitsAsked(Job.Size_, Host.Capacity_))
+  constexpr WorkerIndex MinHosts = 256;
+  const auto Count = static_cast<WorkerIndex>(Context.Cell_.Workers_.size());
+  for (WorkerIndex I = 0; I < Count && (I < MinHosts || Starts.size() < 2 * Tasks); ++I) {
+    const WorkerIndex Index = (Context.Pending_.PlanOffset_ + I) % Count;
+    const Worker &Host = Context.Cell_.Workers_[Index];
+    if (!acceptsWork(Host) || !Host.Reserved_.empty() || !fitsRequested(Job.Size_, Host.Capacity_))
       continue;
     Ends.clear();
     for (const PlacementIndex Entry : Host.Placements_) {
-      const Placement &One = In.Cell_.Placements_[Entry];
-      const TimePoint End = expectedEnd(One, In.Now_);
+      const Placement &Placed = Context.Cell_.Placements_[Entry];
+      const TimePoint End = expectedEnd(Placed, Context.Now_);
       if (End != TimePoint::max())
-        Ends.emplace_back(End, One.Size_);
+        Ends.emplace_back(End, Placed.Size_);
     }
     std::sort(Ends.begin(), Ends.end(),
               [](const auto &A, const auto &B) { return A.first < B.first; });
     Resources Free = freeOf(Host);
-    TimePoint At = In.Now_;
-    std::size_t Found = 0;
+    TimePoint StartTime = Context.Now_;
+    std::size_t Planned = 0;
     for (std::size_t End = 0;; ++End) {
-      while (Found < Tasks && fitsAsked(Job.Size_, Free)) {
+      while (Planned < Tasks && fitsRequested(Job.Size_, Free)) {
         Free -= Job.Size_;
-        Times.emplace_back(At, Index);
-        ++Found;
+        Starts.emplace_back(StartTime, Index);
+        ++Planned;
       }
-      if (End == Ends.size() || Found == Tasks)
+      if (End == Ends.size() || Planned == Tasks)
         break;
       Free += Ends[End].second;
-      At = Ends[End].first;
+      StartTime = Ends[End].first;
     }
   }
-  In.Pending_.PlanOffset_ = Count > Enough ? (In.Pending_.PlanOffset_ + Enough) % Count : 0;
-  if (Times.size() < Tasks)
+  Context.Pending_.PlanOffset_ =
+      Count > MinHosts ? (Context.Pending_.PlanOffset_ + MinHosts) % Count : 0;
+  if (Starts.size() < Tasks)
     return {};
-  const auto Last = Times.begin() + static_cast<std::ptrdiff_t>(Tasks);
-  std::partial_sort(Times.begin(), Last, Times.end());
-  Times.erase(Last, Times.end());
-  return Times;
+  const auto Last = Starts.begin() + static_cast<std::ptrdiff_t>(Tasks);
+  std::partial_sort(Starts.begin(), Last, Starts.end());
+  Starts.erase(Last, Starts.end());
+  return Starts;
 }
 
 /// Reserves room for all waiting tasks of a gang, or for one task of another job.
-bool makeReservation(Pass &In, const PendingJob &Job, TimePoint Since) {
+bool makeReservation(DecideContext &Context, const PendingJob &Job, TimePoint Since) {
   const std::size_t Tasks = Job.Kind_ == JobKind::Gang ? Job.Waiting_.size() : 1;
-  const auto Times = planRoom(In, Job, Tasks);
-  if (Times.empty())
+  const auto Starts = planStarts(Context, Job, Tasks);
+  if (Starts.empty())
     return false;
-  Reservation Kept{.Since_ = Since,
-                   .EstimatedStart_ = Times.back().first,
-                   .Strict_ = In.Now_ - Since > In.Limits_.StrictAfter_};
-  for (const auto &[At, Index] : Times) {
-    reserve(In.Cell_, Index, {Job.Id_, Job.Size_, Kept.EstimatedStart_, Kept.Strict_, false});
-    Kept.Workers_.push_back(Index);
+  Reservation NewReservation{.Since_ = Since,
+                             .EstimatedStart_ = Starts.back().first,
+                             .Exclusive_ = Context.Now_ - Since > Context.Limits_.ExclusiveAfter_};
+  for (const auto &[StartTime, Index] : Starts) {
+    reserve(Context.Cell_, Index,
+            {Job.Id_, Job.Size_, NewReservation.EstimatedStart_, NewReservation.Exclusive_, false});
+    NewReservation.Workers_.push_back(Index);
   }
-  In.Pending_.Reservations_.insert_or_assign(Job.Id_, std::move(Kept));
+  Context.Pending_.Reservations_.insert_or_assign(Job.Id_, std::move(NewReservation));
   return true;
 }
 
-double reservedPart(const Pass &In) {
+double reservedFraction(const DecideContext &Context) {
   Resources Sum;
-  for (const auto &[Id, Kept] : In.Pending_.Reservations_)
-    if (const PendingJob *Job = findPending(In.Pending_, Id); Job != nullptr && !Kept.Urgent_)
-      Sum += Job->Size_ * static_cast<std::int64_t>(Kept.Workers_.size());
-  return dominantPart(In.Teams_, Sum);
+  for (const auto &[Id, Reserved] : Context.Pending_.Reservations_)
+    if (const PendingJob *Job = findPending(Context.Pending_, Id);
+        Job != nullptr && !Reserved.Urgent_)
+      Sum += Job->Size_ * static_cast<std::int64_t>(Reserved.Workers_.size());
+  return dominantShare(Context.Teams_, Sum);
 }
 
 /// Drops reservations of jobs that are gone and renews those that cannot be kept.
-void maintainReservations(Pass &In) {
-  std::vector<std::string> Drop;
-  std::vector<std::string> Renew;
-  for (auto &[Id, Kept] : In.Pending_.Reservations_) {
-    const PendingJob *Job = findPending(In.Pending_, Id);
+void maintainReservations(DecideContext &Context) {
+  std::vector<std::string> ToDrop;
+  std::vector<std::string> ToRenew;
+  for (auto &[Id, Reserved] : Context.Pending_.Reservations_) {
+    const PendingJob *Job = findPending(Context.Pending_, Id);
     if (Job == nullptr) {
-      Drop.push_back(Id);
+      ToDrop.push_back(Id);
       continue;
     }
-    const bool Lost =
-        std::any_of(Kept.Workers_.begin(), Kept.Workers_.end(),
-                    [&](WorkerIndex Index) { return !acceptsWork(In.Cell_.Workers_[Index]); });
-    if (Kept.Urgent_) {
+    const bool HostLost =
+        std::any_of(Reserved.Workers_.begin(), Reserved.Workers_.end(),
+                    [&](WorkerIndex Index) { return !acceptsWork(Context.Cell_.Workers_[Index]); });
+    if (Reserved.Urgent_) {
       // The preemption took too long or its worker is gone; look for other victims.
-      if (Lost || In.Now_ - Kept.Since_ > seconds(10))
-        Drop.push_back(Id);
+      if (HostLost || Context.Now_ - Reserved.Since_ > seconds(10))
+        ToDrop.push_back(Id);
       continue;
     }
-    if (!Kept.Strict_ && In.Now_ - Kept.Since_ > In.Limits_.StrictAfter_) {
-      Kept.Strict_ = true;
-      for (const WorkerIndex Index : Kept.Workers_)
-        for (ReservedPart &Part : In.Cell_.Workers_[Index].Reserved_)
-          if (Part.Job_ == Id)
-            Part.Strict_ = true;
+    if (!Reserved.Exclusive_ && Context.Now_ - Reserved.Since_ > Context.Limits_.ExclusiveAfter_) {
+      Reserved.Exclusive_ = true;
+      for (const WorkerIndex Index : Reserved.Workers_)
+        for (WorkerReservation &HostReservation : Context.Cell_.Workers_[Index].Reserved_)
+          if (HostReservation.Job_ == Id)
+            HostReservation.Exclusive_ = true;
     }
-    if (Lost || (!Kept.Strict_ && In.Now_ > Kept.EstimatedStart_ + seconds(1)))
-      Renew.push_back(Id);
+    if (HostLost || (!Reserved.Exclusive_ && Context.Now_ > Reserved.EstimatedStart_ + seconds(1)))
+      ToRenew.push_back(Id);
   }
-  for (const std::string &Id : Drop)
-    dropReservation(In, Id);
+  for (const std::string &Id : ToDrop)
+    dropReservation(Context, Id);
   // One plan per call bounds its time; the others are renewed by the next calls.
-  if (Renew.size() > 1)
-    Renew.resize(1);
-  for (const std::string &Id : Renew) {
-    const TimePoint Since = In.Pending_.Reservations_.at(Id).Since_;
-    dropReservation(In, Id);
-    makeReservation(In, *findPending(In.Pending_, Id), Since);
+  if (ToRenew.size() > 1)
+    ToRenew.resize(1);
+  for (const std::string &Id : ToRenew) {
+    const TimePoint Since = Context.Pending_.Reservations_.at(Id).Since_;
+    dropReservation(Context, Id);
+    makeReservation(Context, *findPending(Context.Pending_, Id), Since);
   }
 }
 
-bool mayReserve(const Pass &In, const PendingJob &Job, double Rank) {
-  if (In.Now_ - Job.Queued_ < In.Limits_.ReserveAfter_)
+bool mayReserve(const DecideContext &Context, const PendingJob &Job, double Rank) {
+  if (Context.Now_ - Job.QueuedAt_ < Context.Limits_.ReserveAfter_)
     return false;
   // Teams above their share get no room kept, unless the job has waited very long.
-  if (Rank > In.MeanRank_ && In.Now_ - Job.Queued_ < In.Limits_.StrictAfter_ * 2)
+  if (Rank > Context.MeanRank_ &&
+      Context.Now_ - Job.QueuedAt_ < Context.Limits_.ExclusiveAfter_ * 2)
     return false;
-  return In.Pending_.Reservations_.find(Job.Id_) == In.Pending_.Reservations_.end();
+  return Context.Pending_.Reservations_.find(Job.Id_) == Context.Pending_.Reservations_.end();
 }
 
 struct Victim {
   PlacementIndex Index_ = 0;
-  PreemptHow How_ = PreemptHow::Checkpoint;
+  PreemptionMethod Method_ = PreemptionMethod::Checkpoint;
   double Rank_ = 0;
-  Duration Lost_{};
+  Duration LostRunTime_{};
 };
 
-struct PreemptPlan {
-  WorkerIndex Where_ = 0;
+struct PreemptionPlan {
+  WorkerIndex HostIndex_ = 0;
   std::vector<Victim> Victims_;
-  std::pair<PreemptHow, double> Cost_{PreemptHow::Stop, 0};
+  std::pair<PreemptionMethod, double> Cost_{PreemptionMethod::Stop, 0};
 };
 
-std::optional<PreemptHow> preemptBy(const Placement &One) {
-  if (One.Urgent_ || One.Preempting_)
+std::optional<PreemptionMethod> preemptionMethodFor(const Placement &Placed) {
+  if (Placed.Urgent_ || Placed.PendingPreemption_)
     return std::nullopt;
-  const bool Service = One.Kind_ == JobKind::Service;
-  if (One.Checkpointable_ && !Service)
-    return PreemptHow::Checkpoint;
-  if (One.Throttleable_ && !One.Throttled_)
-    return PreemptHow::Throttle;
-  if (One.Idempotent_ && !Service)
-    return PreemptHow::Stop;
+  const bool Service = Placed.Kind_ == JobKind::Service;
+  if (Placed.Checkpointable_ && !Service)
+    return PreemptionMethod::Checkpoint;
+  if (Placed.Throttleable_ && !Placed.Throttled_)
+    return PreemptionMethod::Throttle;
+  if (Placed.Idempotent_ && !Service)
+    return PreemptionMethod::Stop;
   return std::nullopt;
 }
 
 /// Victims on one worker that free room for \p Job, the cheapest first.
-std::optional<PreemptPlan> planPreempt(const Pass &In, const PendingJob &Job, WorkerIndex Where,
-                                       PreemptHow Most) {
-  const Worker &Host = In.Cell_.Workers_[Where];
-  if (!acceptsWork(Host) || !fitsAsked(Job.Size_, Host.Capacity_))
+std::optional<PreemptionPlan> planPreemption(const DecideContext &Context, const PendingJob &Job,
+                                             WorkerIndex HostIndex, PreemptionMethod LastAllowed) {
+  const Worker &Host = Context.Cell_.Workers_[HostIndex];
+  if (!acceptsWork(Host) || !fitsRequested(Job.Size_, Host.Capacity_))
     return std::nullopt;
   Resources Free = freeOf(Host);
-  for (const ReservedPart &Part : Host.Reserved_)
-    if (Part.Urgent_ || Part.Strict_)
-      Free -= Part.Amount_;
-  std::vector<Victim> Choice;
+  for (const WorkerReservation &HostReservation : Host.Reserved_)
+    if (HostReservation.Urgent_ || HostReservation.Exclusive_)
+      Free -= HostReservation.Amount_;
+  std::vector<Victim> Candidates;
   for (const PlacementIndex Index : Host.Placements_) {
-    const Placement &One = In.Cell_.Placements_[Index];
-    if (One.Preempting_)
-      Free += freedBy(One, *One.Preempting_);
-    const auto How = preemptBy(One);
-    if (!How || *How > Most)
+    const Placement &Placed = Context.Cell_.Placements_[Index];
+    if (Placed.PendingPreemption_)
+      Free += resourcesFreedBy(Placed, *Placed.PendingPreemption_);
+    const auto Method = preemptionMethodFor(Placed);
+    if (!Method || *Method > LastAllowed)
       continue;
-    const auto Team = findTeam(In.Teams_, One.Team_);
-    Choice.push_back({Index, *How, Team ? rankOf(In.Teams_, *Team) : 0, In.Now_ - One.Started_});
+    const auto Team = findTeam(Context.Teams_, Placed.Team_);
+    Candidates.push_back(
+        {Index, *Method, Team ? rankOf(Context.Teams_, *Team) : 0, Context.Now_ - Placed.Started_});
   }
-  std::sort(Choice.begin(), Choice.end(), [&](const Victim &A, const Victim &B) {
-    const bool GangA = In.Cell_.Placements_[A.Index_].Kind_ == JobKind::Gang;
-    const bool GangB = In.Cell_.Placements_[B.Index_].Kind_ == JobKind::Gang;
+  std::sort(Candidates.begin(), Candidates.end(), [&](const Victim &A, const Victim &B) {
+    const bool GangA = Context.Cell_.Placements_[A.Index_].Kind_ == JobKind::Gang;
+    const bool GangB = Context.Cell_.Placements_[B.Index_].Kind_ == JobKind::Gang;
     // A gang is preempted as a whole, so its tasks come last among equals. Among the rest, teams
     // furthest above their share come first, then the work that loses least.
-    return std::tuple{A.How_, GangA, -A.Rank_, A.Lost_} <
-           std::tuple{B.How_, GangB, -B.Rank_, B.Lost_};
+    return std::tuple{A.Method_, GangA, -A.Rank_, A.LostRunTime_} <
+           std::tuple{B.Method_, GangB, -B.Rank_, B.LostRunTime_};
   });
-  PreemptPlan Plan{.Where_ = Where};
-  for (const Victim &One : Choice) {
-    if (fitsAsked(Job.Size_, Free))
+  PreemptionPlan Plan{.HostIndex_ = HostIndex};
+  for (const Victim &Candidate : Candidates) {
+    if (fitsRequested(Job.Size_, Free))
       break;
-    const Resources Gain = freedBy(In.Cell_.Placements_[One.Index_], One.How_);
+    const Resources Gain =
+        resourcesFreedBy(Context.Cell_.Placements_[Candidate.Index_], Candidate.Method_);
     // A throttled task frees no memory; do not disturb it in vain.
     const bool Helps = (Job.Size_.MilliCores_ > Free.MilliCores_ && Gain.MilliCores_ > 0) ||
                        (Job.Size_.MemoryMb_ > Free.MemoryMb_ && Gain.MemoryMb_ > 0) ||
@@ -461,53 +477,55 @@
     if (!Helps)
       continue;
     Free += Gain;
-    Plan.Victims_.push_back(One);
+    Plan.Victims_.push_back(Candidate);
   }
-  if (!fitsAsked(Job.Size_, Free))
+  if (!fitsRequested(Job.Size_, Free))
     return std::nullopt;
   for (std::size_t I = Plan.Victims_.size(); I-- > 0;) {
-    const Resources Gain =
-        freedBy(In.Cell_.Placements_[Plan.Victims_[I].Index_], Plan.Victims_[I].How_);
-    if (!fitsAsked(Job.Size_, Free - Gain))
+    const Resources Gain = resourcesFreedBy(Context.Cell_.Placements_[Plan.Victims_[I].Index_],
+                                            Plan.Victims_[I].Method_);
+    if (!fitsRequested(Job.Size_, Free - Gain))
       continue;
     Free -= Gain;
     Plan.Victims_.erase(Plan.Victims_.begin() + static_cast<std::ptrdiff_t>(I));
   }
-  Plan.Cost_ = {PreemptHow::Checkpoint, 0};
-  for (const Victim &One : Plan.Victims_) {
-    const Placement &What = In.Cell_.Placements_[One.Index_];
-    const double Tasks =
-        What.Kind_ == JobKind::Gang ? static_cast<double>(In.Cell_.ByJob_.at(What.Job_).size()) : 1;
-    Plan.Cost_.first = std::max(Plan.Cost_.first, One.How_);
-    Plan.Cost_.second += Tasks * dominantPart(In.Teams_, What.Size_);
+  Plan.Cost_ = {PreemptionMethod::Checkpoint, 0};
+  for (const Victim &Chosen : Plan.Victims_) {
+    const Placement &Placed = Context.Cell_.Placements_[Chosen.Index_];
+    const double Tasks = Placed.Kind_ == JobKind::Gang
+                             ? static_cast<double>(Context.Cell_.ByJob_.at(Placed.Job_).size())
+                             : 1;
+    Plan.Cost_.first = std::max(Plan.Cost_.first, Chosen.Method_);
+    Plan.Cost_.second += Tasks * dominantShare(Context.Teams_, Placed.Size_);
   }
   return Plan;
 }
 
-void preempt(Pass &In, PlacementIndex Index, PreemptHow How) {
-  Placement &One = In.Cell_.Placements_[Index];
-  if (One.Preempting_)
+void preempt(DecideContext &Context, PlacementIndex Index, PreemptionMethod Method) {
+  Placement &Placed = Context.Cell_.Placements_[Index];
+  if (Placed.PendingPreemption_)
     return;
-  One.Preempting_ = How;
-  In.Decisions_.push_back({.Kind_ = DecisionKind::Preempt,
-                           .How_ = How,
-                           .Job_ = One.Job_,
-                           .Task_ = One.Task_,
-                           .Worker_ = In.Cell_.Workers_[One.Worker_].Name_,
-                           .WorkerIndex_ = One.Worker_});
+  Placed.PendingPreemption_ = Method;
+  Context.Decisions_.push_back({.Kind_ = DecisionKind::Preempt,
+                                .Method_ = Method,
+                                .Job_ = Placed.Job_,
+                                .Task_ = Placed.Task_,
+                                .Worker_ = Context.Cell_.Workers_[Placed.Worker_].Name_,
+                                .WorkerIndex_ = Placed.Worker_});
 }
 
 /// Frees room for one task of an urgent job by checkpoint, throttle or stop, in that order.
-bool freeRoom(Pass &In, const PendingJob &Job) {
+bool preemptFor(DecideContext &Context, const PendingJob &Job) {
   // Enough workers for a cheap choice without looking at all of a large cell.
-  constexpr std::size_t EnoughPlans = 8;
-  const auto Count = static_cast<WorkerIndex>(In.Cell_.Workers_.size());
-  std::optional<PreemptPlan> Best;
-  for (const PreemptHow Most : {PreemptHow::Checkpoint, PreemptHow::Throttle, PreemptHow::Stop}) {
+  constexpr std::size_t MaxPlans = 8;
+  const auto Count = static_cast<WorkerIndex>(Context.Cell_.Workers_.size());
+  std::optional<PreemptionPlan> Best;
+  for (const PreemptionMethod LastAllowed :
+       {PreemptionMethod::Checkpoint, PreemptionMethod::Throttle, PreemptionMethod::Stop}) {
     std::size_t Plans = 0;
-    for (WorkerIndex I = 0; I < Count && Plans < EnoughPlans; ++I) {
-      const WorkerIndex Where = (In.Pending_.PreemptOffset_ + I) % Count;
-      auto Plan = planPreempt(In, Job, Where, Most);
+    for (WorkerIndex I = 0; I < Count && Plans < MaxPlans; ++I) {
+      const WorkerIndex HostIndex = (Context.Pending_.PreemptOffset_ + I) % Count;
+      auto Plan = planPreemption(Context, Job, HostIndex, LastAllowed);
       if (!Plan)
         continue;
       ++Plans;
@@ -519,85 +537,89 @@
   }
   if (!Best)
     return false;
-  In.Pending_.PreemptOffset_ = (Best->Where_ + 1) % Count;
-  for (const Victim &One : Best->Victims_) {
-    const Placement What = In.Cell_.Placements_[One.Index_];
-    if (What.Kind_ == JobKind::Gang && One.How_ != PreemptHow::Throttle)
-      for (const auto &[Task, Index] : In.Cell_.ByJob_.at(What.Job_))
-        preempt(In, Index, One.How_);
+  Context.Pending_.PreemptOffset_ = (Best->HostIndex_ + 1) % Count;
+  for (const Victim &Chosen : Best->Victims_) {
+    const Placement Placed = Context.Cell_.Placements_[Chosen.Index_];
+    if (Placed.Kind_ == JobKind::Gang && Chosen.Method_ != PreemptionMethod::Throttle)
+      for (const auto &[Task, Index] : Context.Cell_.ByJob_.at(Placed.Job_))
+        preempt(Context, Index, Chosen.Method_);
     else
-      preempt(In, One.Index_, One.How_);
+      preempt(Context, Chosen.Index_, Chosen.Method_);
   }
-  reserve(In.Cell_, Best->Where_, {Job.Id_, Job.Size_, In.Now_, true, true});
-  Reservation &Kept = In.Pending_.Reservations_[Job.Id_];
-  if (Kept.Workers_.empty()) {
-    Kept.Since_ = In.Now_;
-    Kept.Urgent_ = true;
+  reserve(Context.Cell_, Best->HostIndex_, {Job.Id_, Job.Size_, Context.Now_, true, true});
+  Reservation &Reserved = Context.Pending_.Reservations_[Job.Id_];
+  if (Reserved.Workers_.empty()) {
+    Reserved.Since_ = Context.Now_;
+    Reserved.Urgent_ = true;
   }
-  Kept.Workers_.push_back(Best->Where_);
+  Reserved.Workers_.push_back(Best->HostIndex_);
   return true;
 }
 
 /// Frees room for the urgent jobs that did not fit, by share and age.
-void freeRoomForUrgent(Pass &In) {
+void preemptForUrgent(DecideContext &Context) {
   std::vector<std::tuple<double, AgeKey>> Blocked;
-  for (const TeamQueue &Queue : In.Pending_.Teams_)
+  for (const TeamQueue &Queue : Context.Pending_.Teams_)
     for (const AgeKey &Age : Queue.Waiting_[static_cast<std::size_t>(WorkClass::Urgent)])
-      Blocked.emplace_back(rankOf(In.Teams_, teamIndex(In.Teams_, Queue.Team_)), Age);
+      Blocked.emplace_back(rankOf(Context.Teams_, findOrAddTeam(Context.Teams_, Queue.Team_)), Age);
   std::sort(Blocked.begin(), Blocked.end());
   for (const auto &[Rank, Age] : Blocked) {
-    const PendingJob &Job = In.Pending_.Jobs_[std::get<2>(Age)];
-    const TeamIndex Team = teamIndex(In.Teams_, Job.Team_);
+    const PendingJob &Job = Context.Pending_.Jobs_[std::get<2>(Age)];
+    const TeamIndex Team = findOrAddTeam(Context.Teams_, Job.Team_);
     for (;;) {
-      const auto Kept = In.Pending_.Reservations_.find(Job.Id_);
-      const std::size_t Planned =
-          Kept == In.Pending_.Reservations_.end() ? 0 : Kept->second.Workers_.size();
-      if (Planned >= Job.Waiting_.size() || In.exhausted() ||
-          !withinLimit(In.Teams_, Team, Job.Size_ * static_cast<std::int64_t>(Planned + 1)))
+      const auto Existing = Context.Pending_.Reservations_.find(Job.Id_);
+      const std::size_t ReservedHosts =
+          Existing == Context.Pending_.Reservations_.end() ? 0 : Existing->second.Workers_.size();
+      if (ReservedHosts >= Job.Waiting_.size() || Context.limitsReached() ||
+          !withinLimit(Context.Teams_, Team,
+                       Job.Size_ * static_cast<std::int64_t>(ReservedHosts + 1)))
         break;
-      if (!freeRoom(In, Job))
+      if (!preemptFor(Context, Job))
         break;
     }
   }
 }
 
 /// Reserves room for the oldest job of each team, the team with the lowest rank first.
-void reserveForOldest(Pass &In, std::size_t Row) {
-  PendingWork &Pending = In.Pending_;
-  const std::size_t Most = 2 + In.Cell_.Present_ / 48;
-  if (Pending.Reservations_.size() >= Most)
+void reserveForOldest(DecideContext &Context, std::size_t ClassIndex) {
+  PendingWork &Pending = Context.Pending_;
+  const std::size_t MaxReservations = 2 + Context.Cell_.Present_ / 48;
+  if (Pending.Reservations_.size() >= MaxReservations)
     return;
   std::vector<std::tuple<double, AgeKey>> Oldest;
   for (const TeamQueue &Queue : Pending.Teams_)
-    if (!Queue.Waiting_[Row].empty()) {
-      const AgeKey &Age = *Queue.Waiting_[Row].begin();
-      const double Rank = rankOf(In.Teams_, teamIndex(In.Teams_, Queue.Team_));
-      if (mayReserve(In, Pending.Jobs_[std::get<2>(Age)], Rank))
+    if (!Queue.Waiting_[ClassIndex].empty()) {
+      const AgeKey &Age = *Queue.Waiting_[ClassIndex].begin();
+      const double Rank = rankOf(Context.Teams_, findOrAddTeam(Context.Teams_, Queue.Team_));
+      if (mayReserve(Context, Pending.Jobs_[std::get<2>(Age)], Rank))
         Oldest.emplace_back(Rank, Age);
     }
   std::sort(Oldest.begin(), Oldest.end());
   // Planning looks at all workers, so only one plan is made at a time.
   for (const auto &[Rank, Age] : Oldest) {
     const PendingJob &Job = Pending.Jobs_[std::get<2>(Age)];
-    if (!withinLimit(In.Teams_, teamIndex(In.Teams_, Job.Team_), askedAtOnce(Job)))
+    if (!withinLimit(Context.Teams_, findOrAddTeam(Context.Teams_, Job.Team_),
+                     requestedAtOnce(Job)))
       continue;
     if (!Pending.Reservations_.empty() &&
-        reservedPart(In) + dominantPart(In.Teams_, askedAtOnce(Job)) > In.Limits_.MostReserved_)
+        reservedFraction(Context) + dominantShare(Context.Teams_, requestedAtOnce(Job)) >
+            Context.Limits_.MaxReservedFraction_)
       continue;
-    makeReservation(In, Job, In.Now_);
+    makeReservation(Context, Job, Context.Now_);
     return;
   }
 }
 
 /// Shapes of one class that may fit. It only shrinks during a pass, because starts take room.
-class Fitting {
+class FittingShapes {
 public:
-  Fitting(Pass &In, std::size_t Row) : In_(In), MayFit_(In.Pending_.Shapes_.size()) {
-    for (const ShapeIndex Kind : In.Pending_.Active_[Row])
-      if (!stillFails(In, Kind))
-        Shapes_.push_back(Kind);
-    for (const ShapeIndex Kind : Shapes_)
-      MayFit_[Kind] = 1;
+  FittingShapes(DecideContext &Context, std::size_t ClassIndex)
+      : Context_(Context), MayFit_(Context.Pending_.Shapes_.size()) {
+    for (const ShapeIndex ShapeId : Context.Pending_.ActiveShapes_[ClassIndex])
+      if (!stillDoesNotFit(Context, ShapeId))
+        Shapes_.push_back(ShapeId);
+    for (const ShapeIndex ShapeId : Shapes_)
+      MayFit_[ShapeId] = 1;
   }
 
   [[nodiscard]] bool empty() const { return Shapes_.empty(); }
@@ -606,35 +628,36 @@
   /// \returns the queues with a job of a shape that may fit.
   [[nodiscard]] std::set<std::uint32_t> queues() const {
     std::set<std::uint32_t> Result;
-    for (const ShapeIndex Kind : Shapes_)
-      for (const auto &[Queue, Jobs] : In_.Pending_.Shapes_[Kind].Waiting_)
+    for (const ShapeIndex ShapeId : Shapes_)
+      for (const auto &[Queue, Jobs] : Context_.Pending_.Shapes_[ShapeId].Waiting_)
         Result.insert(Queue);
     return Result;
   }
 
   /// Drops the shapes that no longer fit or have no waiting jobs.
   void refresh() {
-    std::erase_if(Shapes_, [&](ShapeIndex Kind) {
-      if (In_.Pending_.Shapes_[Kind].Jobs_ > 0 && !stillFails(In_, Kind))
+    std::erase_if(Shapes_, [&](ShapeIndex ShapeId) {
+      if (Context_.Pending_.Shapes_[ShapeId].Jobs_ > 0 && !stillDoesNotFit(Context_, ShapeId))
         return false;
-      MayFit_[Kind] = 0;
+      MayFit_[ShapeId] = 0;
       return true;
     });
   }
 
-  void drop(ShapeIndex Kind) {
-    MayFit_[Kind] = 0;
-    In_.Pending_.Shapes_[Kind].FailedAt_ = freedEnd(In_.Cell_);
-    std::erase(Shapes_, Kind);
+  void drop(ShapeIndex ShapeId) {
+    MayFit_[ShapeId] = 0;
+    Context_.Pending_.Shapes_[ShapeId].CheckedUpTo_ = freedLogEnd(Context_.Cell_);
+    std::erase(Shapes_, ShapeId);
   }
 
   /// \returns the team's oldest job of a shape that may fit and within the team's limit.
-  [[nodiscard]] std::optional<JobIndex> oldest(std::uint32_t Queue, std::size_t Row) const {
-    const PendingWork &Pending = In_.Pending_;
-    const std::set<AgeKey> &Waiting = Pending.Teams_[Queue].Waiting_[Row];
-    const TeamIndex Team = teamIndex(In_.Teams_, Pending.Teams_[Queue].Team_);
+  [[nodiscard]] std::optional<JobIndex> oldestFitting(std::uint32_t Queue,
+                                                      std::size_t ClassIndex) const {
+    const PendingWork &Pending = Context_.Pending_;
+    const std::set<AgeKey> &Waiting = Pending.Teams_[Queue].Waiting_[ClassIndex];
+    const TeamIndex Team = findOrAddTeam(Context_.Teams_, Pending.Teams_[Queue].Team_);
     const auto Allowed = [&](JobIndex Index) {
-      return withinLimit(In_.Teams_, Team, askedAtOnce(Pending.Jobs_[Index]));
+      return withinLimit(Context_.Teams_, Team, requestedAtOnce(Pending.Jobs_[Index]));
     };
     // A long queue is not walked when few shapes can fit.
     if (Waiting.size() <= 4 * Shapes_.size()) {
@@ -645,96 +668,97 @@
       }
       return std::nullopt;
     }
-    const AgeKey *First = nullptr;
-    for (const ShapeIndex Kind : Shapes_) {
-      const auto Found = Pending.Shapes_[Kind].Waiting_.find(Queue);
-      if (Found == Pending.Shapes_[Kind].Waiting_.end())
+    const AgeKey *Oldest = nullptr;
+    for (const ShapeIndex ShapeId : Shapes_) {
+      const auto Found = Pending.Shapes_[ShapeId].Waiting_.find(Queue);
+      if (Found == Pending.Shapes_[ShapeId].Waiting_.end())
         continue;
       const AgeKey &Age = *Found->second.begin();
-      if ((First == nullptr || Age < *First) && Allowed(std::get<2>(Age)))
-        First = &Age;
+      if ((Oldest == nullptr || Age < *Oldest) && Allowed(std::get<2>(Age)))
+        Oldest = &Age;
     }
-    if (First == nullptr)
+    if (Oldest == nullptr)
       return std::nullopt;
-    return std::get<2>(*First);
+    return std::get<2>(*Oldest);
   }
 
 private:
-  Pass &In_;
+  DecideContext &Context_;
   std::vector<ShapeIndex> Shapes_;
   std::vector<std::uint8_t> MayFit_; ///< by shape; small enough to stay in the cache
 };
 
 /// Works through one class: the team with the lowest rank starts its oldest work that fits.
-void runClass(Pass &In, WorkClass Class) {
-  PendingWork &Pending = In.Pending_;
-  const auto Row = static_cast<std::size_t>(Class);
-  Fitting Shapes(In, Row);
-  using Turn = std::pair<double, std::uint32_t>;
-  std::priority_queue<Turn, std::vector<Turn>, std::greater<>> Turns;
+void scheduleClass(DecideContext &Context, WorkClass Class) {
+  PendingWork &Pending = Context.Pending_;
+  const auto ClassIndex = static_cast<std::size_t>(Class);
+  FittingShapes Shapes(Context, ClassIndex);
+  using RankedQueue = std::pair<double, std::uint32_t>;
+  std::priority_queue<RankedQueue, std::vector<RankedQueue>, std::greater<>> QueuesByRank;
   const auto RankOf = [&](std::uint32_t Queue) {
-    return rankOf(In.Teams_, teamIndex(In.Teams_, Pending.Teams_[Queue].Team_));
+    return rankOf(Context.Teams_, findOrAddTeam(Context.Teams_, Pending.Teams_[Queue].Team_));
   };
   // With few shapes left, most teams have none of them and need no turn.
-  constexpr std::size_t Few = 64;
+  constexpr std::size_t FewShapes = 64;
   bool Narrowed = false;
   const auto Narrow = [&] {
-    if (Narrowed || Shapes.size() > Few)
+    if (Narrowed || Shapes.size() > FewShapes)
       return;
     Narrowed = true;
-    Turns = {};
+    QueuesByRank = {};
     for (const std::uint32_t Queue : Shapes.queues())
-      Turns.emplace(RankOf(Queue), Queue);
+      QueuesByRank.emplace(RankOf(Queue), Queue);
   };
   Narrow();
   if (!Narrowed)
     for (std::uint32_t Queue = 0; Queue < Pending.Teams_.size(); ++Queue)
-      if (!Pending.Teams_[Queue].Waiting_[Row].empty())
-        Turns.emplace(RankOf(Queue), Queue);
-  while (!Turns.empty() && !Shapes.empty()) {
-    if (In.exhausted()) {
-      Pending.MoreToDo_ = true;
+      if (!Pending.Teams_[Queue].Waiting_[ClassIndex].empty())
+        QueuesByRank.emplace(RankOf(Queue), Queue);
+  while (!QueuesByRank.empty() && !Shapes.empty()) {
+    if (Context.limitsReached()) {
+      Pending.LimitsReached_ = true;
       return;
     }
-    const std::uint32_t Queue = Turns.top().second;
-    Turns.pop();
-    const auto Index = Shapes.oldest(Queue, Row);
+    const std::uint32_t Queue = QueuesByRank.top().second;
+    QueuesByRank.pop();
+    const auto Index = Shapes.oldestFitting(Queue, ClassIndex);
     if (!Index)
       continue;
-    ++In.Examined_;
-    const ShapeIndex Kind = Pending.Jobs_[*Index].Shape_;
-    if (start(In, *Index))
+    ++Context.ShapesTried_;
+    const ShapeIndex ShapeId = Pending.Jobs_[*Index].Shape_;
+    if (startJob(Context, *Index))
       Shapes.refresh();
     else
-      Shapes.drop(Kind);
-    Turns.emplace(RankOf(Queue), Queue);
+      Shapes.drop(ShapeId);
+    QueuesByRank.emplace(RankOf(Queue), Queue);
     Narrow();
   }
   if (Class == WorkClass::Urgent) {
-    if (In.Limits_.Preempt_)
-      freeRoomForUrgent(In);
-  } else if (In.Now_ >= Pending.NextReservation_) {
-    reserveForOldest(In, Row);
+    if (Context.Limits_.AllowPreemption_)
+      preemptForUrgent(Context);
+  } else if (Context.Now_ >= Pending.NextReservationAt_) {
+    reserveForOldest(Context, ClassIndex);
   }
 }
 
 /// Tries the jobs with reserved room, the oldest first.
-void startReserved(Pass &In, bool Urgent) {
+void startReserved(DecideContext &Context, bool Urgent) {
   std::vector<std::pair<TimePoint, std::string>> Order;
-  for (const auto &[Id, Kept] : In.Pending_.Reservations_)
-    if (Kept.Urgent_ == Urgent)
-      Order.emplace_back(Kept.Since_, Id);
+  for (const auto &[Id, Reserved] : Context.Pending_.Reservations_)
+    if (Reserved.Urgent_ == Urgent)
+      Order.emplace_back(Reserved.Since_, Id);
   std::sort(Order.begin(), Order.end());
   for (const auto &[Since, Id] : Order) {
-    if (In.exhausted())
+    if (Context.limitsReached())
       return;
     for (;;) {
-      const auto Found = In.Pending_.ById_.find(Id);
-      if (Found == In.Pending_.ById_.end() || !In.Pending_.Reservations_.contains(Id))
+      const auto Found = Context.Pending_.ById_.find(Id);
+      if (Found == Context.Pending_.ById_.end() || !Context.Pending_.Reservations_.contains(Id))
         break;
-      const PendingJob &Job = In.Pending_.Jobs_[Found->second];
-      if (!withinLimit(In.Teams_, teamIndex(In.Teams_, Job.Team_), askedAtOnce(Job)) ||
-          !start(In, Found->second))
+      const PendingJob &Job = Context.Pending_.Jobs_[Found->second];
+      if (!withinLimit(Context.Teams_, findOrAddTeam(Context.Teams_, Job.Team_),
+                       requestedAtOnce(Job)) ||
+          !startJob(Context, Found->second))
         break;
     }
   }
@@ -747,111 +771,115 @@
 bool fitsOn(const CellView &Cell, const Worker &Host, const Resources &Size, std::string_view Job,
             TimePoint End, bool Urgent) {
   const Resources Free = freeOf(Host);
-  if (!fitsAsked(Size, Free))
+  if (!fitsRequested(Size, Free))
     return false;
   if (Host.Health_ == Health::Probing && !Host.Placements_.empty())
     return false;
   if (Host.Reserved_.empty())
     return true;
-  Resources Held;
-  bool Blocks = false;
-  TimePoint Until = TimePoint::max();
-  for (const ReservedPart &Part : Host.Reserved_) {
-    if (Part.Job_ == Job || (Urgent && !Part.Urgent_ && !Part.Strict_) ||
-        (!Part.Strict_ && End <= Part.Until_))
+  Resources ReservedByOthers;
+  bool AnyReserved = false;
+  TimePoint EarliestUse = TimePoint::max();
+  for (const WorkerReservation &HostReservation : Host.Reserved_) {
+    if (HostReservation.Job_ == Job ||
+        (Urgent && !HostReservation.Urgent_ && !HostReservation.Exclusive_) ||
+        (!HostReservation.Exclusive_ && End <= HostReservation.Until_))
       continue;
-    Held += Part.Amount_;
-    Until = std::min(Until, Part.Strict_ ? TimePoint::min() : Part.Until_);
-    Blocks = true;
+    ReservedByOthers += HostReservation.Amount_;
+    EarliestUse = std::min(EarliestUse,
+                           HostReservation.Exclusive_ ? TimePoint::min() : HostReservation.Until_);
+    AnyReserved = true;
   }
-  if (!Blocks)
+  if (!AnyReserved)
     return true;
   // The task may stay beyond the start of the reserved work if there is room for both then.
-  Resources Later = Free;
+  Resources FreeThen = Free;
   for (const PlacementIndex Index : Host.Placements_) {
-    const Placement &One = Cell.Placements_[Index];
-    if (One.Preempting_)
-      Later += freedBy(One, *One.Preempting_);
-    else if (One.ExpectedEnd_ <= Until)
-      Later += One.Size_;
+    const Placement &Placed = Cell.Placements_[Index];
+    if (Placed.PendingPreemption_)
+      FreeThen += resourcesFreedBy(Placed, *Placed.PendingPreemption_);
+    else if (Placed.ExpectedEnd_ <= EarliestUse)
+      FreeThen += Placed.Size_;
   }
-  const Resources Both = Size + Held;
-  return (Size.MilliCores_ <= 0 || Both.MilliCores_ <= Later.MilliCores_) &&
-         (Size.MemoryMb_ <= 0 || Both.MemoryMb_ <= Later.MemoryMb_) &&
-         (Size.Accelerators_ <= 0 || Both.Accelerators_ <= Later.Accelerators_);
+  const Resources Combined = Size + ReservedByOthers;
+  return (Size.MilliCores_ <= 0 || Combined.MilliCores_ <= FreeThen.MilliCores_) &&
+         (Size.MemoryMb_ <= 0 || Combined.MemoryMb_ <= FreeThen.MemoryMb_) &&
+         (Size.Accelerators_ <= 0 || Combined.Accelerators_ <= FreeThen.Accelerators_);
 }
 
 std::optional<WorkerIndex> findWorkerFor(const CellView &Cell, const PendingJob &Job,
                                          TimePoint Now) {
-  const TimePoint End = endOf(Job, Now);
+  const TimePoint End = endIfStarted(Job, Now);
   // Probes come first: otherwise a worker would stay unused until the cell is full.
-  if (mayProbe(Job))
+  if (mayRunAsProbe(Job))
     for (const WorkerIndex Index : Cell.Probing_)
       if (fitsOn(Cell, Cell.Workers_[Index], Job.Size_, Job.Id_, End, false))
         return Index;
-  const auto Fit = bestFit(Cell, Job, End);
-  if (!Fit || Job.Kind_ != JobKind::Service)
-    return Fit;
-  return spread(Cell, Job, *Fit);
+  const auto BestFitHost = bestFit(Cell, Job, End);
+  if (!BestFitHost || Job.Kind_ != JobKind::Service)
+    return BestFitHost;
+  return spreadOverRacks(Cell, Job, *BestFitHost);
 }
 
 } // namespace detail
 
-TimePoint expectedEnd(const Placement &One, TimePoint Now) {
-  if (One.ExpectedEnd_ == TimePoint::max() || One.ExpectedEnd_ > Now)
-    return One.ExpectedEnd_;
-  return Now + std::max<Duration>(seconds(1), (Now - One.Started_) / 2);
+TimePoint expectedEnd(const Placement &Placed, TimePoint Now) {
+  if (Placed.ExpectedEnd_ == TimePoint::max() || Placed.ExpectedEnd_ > Now)
+    return Placed.ExpectedEnd_;
+  return Now + std::max<Duration>(seconds(1), (Now - Placed.Started_) / 2);
 }
 
-void taskRunning(CellView &Cell, Shares &Teams, WorkerIndex Where, Placement What, TimePoint Now) {
-  if (findPlacement(Cell, What.Job_, What.Task_) != nullptr)
+void taskRunning(CellView &Cell, Shares &Teams, WorkerIndex HostIndex, Placement NewPlacement,
+                 TimePoint Now) {
+  if (findPlacement(Cell, NewPlacement.Job_, NewPlacement.Task_) != nullptr)
     return;
-  addUsage(Teams, teamIndex(Teams, What.Team_), What.Size_, Now);
-  place(Cell, Where, std::move(What));
+  addUsage(Teams, findOrAddTeam(Teams, NewPlacement.Team_), NewPlacement.Size_, Now);
+  place(Cell, HostIndex, std::move(NewPlacement));
 }
 
 std::optional<Placement> taskEnded(CellView &Cell, Shares &Teams, std::string_view Job,
                                    std::uint32_t Task, TimePoint Now) {
-  auto Gone = release(Cell, Job, Task);
-  if (Gone)
-    addUsage(Teams, teamIndex(Teams, Gone->Team_), Resources{} - Gone->Size_, Now);
-  return Gone;
+  auto Removed = release(Cell, Job, Task);
+  if (Removed)
+    addUsage(Teams, findOrAddTeam(Teams, Removed->Team_), Resources{} - Removed->Size_, Now);
+  return Removed;
 }
 
 void taskThrottled(CellView &Cell, Shares &Teams, std::string_view Job, std::uint32_t Task,
                    TimePoint Now) {
-  const Placement *One = findPlacement(Cell, Job, Task);
-  if (One == nullptr)
+  const Placement *Placed = findPlacement(Cell, Job, Task);
+  if (Placed == nullptr)
     return;
-  const Resources Before = One->Size_;
-  throttled(Cell, Job, Task);
-  addUsage(Teams, teamIndex(Teams, One->Team_), One->Size_ - Before, Now);
+  const Resources Before = Placed->Size_;
+  applyThrottle(Cell, Job, Task);
+  addUsage(Teams, findOrAddTeam(Teams, Placed->Team_), Placed->Size_ - Before, Now);
 }
 
 std::vector<Decision> decide(CellView &Cell, PendingWork &Pending, Shares &Teams, TimePoint Now,
-                             const Budget &Limits) {
-  Pass In{.Cell_ = Cell, .Pending_ = Pending, .Teams_ = Teams, .Now_ = Now, .Limits_ = Limits};
-  Pending.MoreToDo_ = false;
-  refreshScarce(Cell);
+                             const DecideLimits &Limits) {
+  DecideContext Context{
+      .Cell_ = Cell, .Pending_ = Pending, .Teams_ = Teams, .Now_ = Now, .Limits_ = Limits};
+  Pending.LimitsReached_ = false;
+  updateScarceResource(Cell);
   setCapacity(Teams, Cell.Capacity_);
   double Weights = 0;
-  double Used = 0;
+  double RankSum = 0;
   for (const TeamQueue &Queue : Pending.Teams_) {
-    const TeamIndex Team = teamIndex(Teams, Queue.Team_);
+    const TeamIndex Team = findOrAddTeam(Teams, Queue.Team_);
     decay(Teams, Team, Now);
     Weights += Teams.Teams_[Team].Weight_;
-    Used += rankOf(Teams, Team) * Teams.Teams_[Team].Weight_;
+    RankSum += rankOf(Teams, Team) * Teams.Teams_[Team].Weight_;
   }
-  In.MeanRank_ = Weights > 0 ? Used / Weights : 0;
-  maintainReservations(In);
-  startReserved(In, true);
-  runClass(In, WorkClass::Urgent);
-  startReserved(In, false);
-  runClass(In, WorkClass::Service);
-  runClass(In, WorkClass::Ordinary);
-  if (Now >= Pending.NextReservation_)
-    Pending.NextReservation_ = Now + std::chrono::milliseconds(200);
-  return std::move(In.Decisions_);
+  Context.MeanRank_ = Weights > 0 ? RankSum / Weights : 0;
+  maintainReservations(Context);
+  startReserved(Context, true);
+  scheduleClass(Context, WorkClass::Urgent);
+  startReserved(Context, false);
+  scheduleClass(Context, WorkClass::Service);
+  scheduleClass(Context, WorkClass::Ordinary);
+  if (Now >= Pending.NextReservationAt_)
+    Pending.NextReservationAt_ = Now + std::chrono::milliseconds(200);
+  return std::move(Context.Decisions_);
 }
 
 } // namespace masticdrift::policy
--- a/src/policy/Quarantine.cpp
+++ b/src/policy/Quarantine.cpp
@@ -4,52 +4,53 @@
 
 namespace masticdrift::policy {
 
-bool recordEnd(Quarantine &All, CellView &Cell, WorkerIndex Where, std::string_view Job,
-               TimePoint Started, bool Succeeded, TimePoint Now) {
-  const Health Before = Cell.Workers_[Where].Health_;
-  const std::string &Name = Cell.Workers_[Where].Name_;
+bool recordTaskEnd(Quarantine &Records, CellView &Cell, WorkerIndex HostIndex, std::string_view Job,
+                   TimePoint Started, bool Succeeded, TimePoint Now) {
+  const Health Before = Cell.Workers_[HostIndex].Health_;
+  const std::string &Name = Cell.Workers_[HostIndex].Name_;
   if (Succeeded) {
-    const auto Known = All.Workers_.find(Name);
-    if (Known == All.Workers_.end() || Started < Known->second.FirstFailure_)
+    const auto Existing = Records.Workers_.find(Name);
+    if (Existing == Records.Workers_.end() || Started < Existing->second.FirstFailureAt_)
       return false;
-    All.Workers_.erase(Known);
+    Records.Workers_.erase(Existing);
     if (Before != Health::Healthy)
-      setHealth(Cell, Where, Health::Healthy);
+      setHealth(Cell, HostIndex, Health::Healthy);
     return Before != Health::Healthy;
   }
-  WorkerRecord &Record = All.Workers_[Name];
+  WorkerRecord &Record = Records.Workers_[Name];
   if (Record.FailedJobs_.empty())
-    Record.FirstFailure_ = Now;
+    Record.FirstFailureAt_ = Now;
   if (std::find(Record.FailedJobs_.begin(), Record.FailedJobs_.end(), Job) ==
           Record.FailedJobs_.end() &&
-      Record.FailedJobs_.size() < All.Rules_.FailuresInRow_)
+      Record.FailedJobs_.size() < Records.Rules_.ConsecutiveFailures_)
     Record.FailedJobs_.emplace_back(Job);
-  if (Before == Health::Healthy && Record.FailedJobs_.size() < All.Rules_.FailuresInRow_)
+  if (Before == Health::Healthy && Record.FailedJobs_.size() < Records.Rules_.ConsecutiveFailures_)
     return false;
   if (Before == Health::Probing)
     ++Record.FailedProbes_;
   // Tasks started before the quarantine may still fail; they do not extend it.
   if (Before != Health::Quarantined)
-    Record.NextProbe_ =
-        Now + std::min<Duration>(All.Rules_.MostBackOff_,
-                                 All.Rules_.FirstProbe_ *
+    Record.NextProbeAt_ =
+        Now + std::min<Duration>(Records.Rules_.MaxBackOff_,
+                                 Records.Rules_.FirstBackOff_ *
                                      (1LL << std::min<std::uint32_t>(Record.FailedProbes_, 16)));
-  setHealth(Cell, Where, Health::Quarantined);
+  setHealth(Cell, HostIndex, Health::Quarantined);
   return Before != Health::Quarantined;
 }
 
-void openProbes(Quarantine &All, CellView &Cell, TimePoint Now) {
-  for (const auto &[Name, Record] : All.Workers_) {
-    const auto Where = findWorker(Cell, Name);
-    if (Where && Cell.Workers_[*Where].Health_ == Health::Quarantined && Record.NextProbe_ <= Now)
-      setHealth(Cell, *Where, Health::Probing);
+void allowProbes(Quarantine &Records, CellView &Cell, TimePoint Now) {
+  for (const auto &[Name, Record] : Records.Workers_) {
+    const auto HostIndex = findWorker(Cell, Name);
+    if (HostIndex && Cell.Workers_[*HostIndex].Health_ == Health::Quarantined &&
+        Record.NextProbeAt_ <= Now)
+      setHealth(Cell, *HostIndex, Health::Probing);
   }
 }
 
-void forgetWorker(Quarantine &All, CellView &Cell, WorkerIndex Where) {
-  All.Workers_.erase(Cell.Workers_[Where].Name_);
-  if (Cell.Workers_[Where].Health_ != Health::Healthy)
-    setHealth(Cell, Where, Health::Healthy);
+void forgetWorker(Quarantine &Records, CellView &Cell, WorkerIndex HostIndex) {
+  Records.Workers_.erase(Cell.Workers_[HostIndex].Name_);
+  if (Cell.Workers_[HostIndex].Health_ != Health::Healthy)
+    setHealth(Cell, HostIndex, Health::Healthy);
 }
 
 } // namespace masticdrift::policy
--- a/src/policy/Queue.cpp
+++ b/src/policy/Queue.cpp
@@ -6,22 +6,22 @@
 namespace {
 
 /// Steps of four keep the number of shapes small.
-std::int64_t powerOfFour(std::int64_t Least) {
+std::int64_t nextPowerOfFour(std::int64_t Min) {
   std::int64_t Value = 1;
-  while (Value < Least && Value < (std::int64_t{1} << 30))
+  while (Value < Min && Value < (std::int64_t{1} << 30))
     Value *= 4;
   return Value;
 }
 
 auto shapeKey(const PendingJob &Job) {
-  const auto Seconds = std::chrono::duration_cast<std::chrono::seconds>(Job.Run_).count();
-  const std::int64_t Run = Job.Kind_ == JobKind::Service ? 0 : powerOfFour(Seconds + 1);
+  const auto Seconds = std::chrono::duration_cast<std::chrono::seconds>(Job.RunTime_).count();
+  const std::int64_t Run = Job.Kind_ == JobKind::Service ? 0 : nextPowerOfFour(Seconds + 1);
   const std::uint32_t Tasks =
       Job.Kind_ == JobKind::Gang ? static_cast<std::uint32_t>(Job.Waiting_.size()) : 1;
   return std::tuple{Job.Kind_, Job.Urgent_, Job.Idempotent_, amounts(Job.Size_), Tasks, Run};
 }
 
-ShapeIndex shapeIndex(PendingWork &Pending, const PendingJob &Job) {
+ShapeIndex findOrAddShape(PendingWork &Pending, const PendingJob &Job) {
   const auto Key = shapeKey(Job);
   const auto Found = Pending.ShapesByKey_.find(Key);
   if (Found != Pending.ShapesByKey_.end())
@@ -39,12 +39,12 @@
                             .Idempotent_ = Job.Idempotent_,
                             .Size_ = Job.Size_,
                             .Tasks_ = std::get<4>(Key),
-                            .Run_ = std::chrono::seconds(std::get<5>(Key))};
+                            .RunTime_ = std::chrono::seconds(std::get<5>(Key))};
   Pending.ShapesByKey_.emplace(Key, Index);
   return Index;
 }
 
-std::uint32_t queueIndex(PendingWork &Pending, const std::string &Team) {
+std::uint32_t findOrAddQueue(PendingWork &Pending, const std::string &Team) {
   const auto [Found, IsNew] =
       Pending.TeamsByName_.try_emplace(Team, static_cast<std::uint32_t>(Pending.Teams_.size()));
   if (IsNew)
@@ -52,45 +52,45 @@
   return Found->second;
 }
 
-void link(PendingWork &Pending, JobIndex Index) {
+void addToQueues(PendingWork &Pending, JobIndex Index) {
   PendingJob &Job = Pending.Jobs_[Index];
   const auto Class = static_cast<std::size_t>(classOf(Job));
-  const ShapeIndex Kind = shapeIndex(Pending, Job);
-  Job.Shape_ = Kind;
-  Shape &Same = Pending.Shapes_[Kind];
-  if (Same.Jobs_++ == 0) {
-    Same.Position_ = static_cast<std::uint32_t>(Pending.Active_[Class].size());
-    Pending.Active_[Class].push_back(Kind);
+  const ShapeIndex ShapeId = findOrAddShape(Pending, Job);
+  Job.Shape_ = ShapeId;
+  Shape &JobShape = Pending.Shapes_[ShapeId];
+  if (JobShape.Jobs_++ == 0) {
+    JobShape.PositionInActive_ = static_cast<std::uint32_t>(Pending.ActiveShapes_[Class].size());
+    Pending.ActiveShapes_[Class].push_back(ShapeId);
   }
-  const AgeKey Age{Job.Queued_, Job.Sequence_, Index, Kind};
-  const std::uint32_t Queue = queueIndex(Pending, Job.Team_);
-  Same.Waiting_[Queue].insert(Age);
-  Pending.Teams_[Queue].Waiting_[Class].insert(Age);
+  const AgeKey Age{Job.QueuedAt_, Job.Sequence_, Index, ShapeId};
+  const std::uint32_t QueueIndex = findOrAddQueue(Pending, Job.Team_);
+  JobShape.Waiting_[QueueIndex].insert(Age);
+  Pending.Teams_[QueueIndex].Waiting_[Class].insert(Age);
 }
 
-void unlink(PendingWork &Pending, JobIndex Index) {
+void removeFromQueues(PendingWork &Pending, JobIndex Index) {
   const PendingJob &Job = Pending.Jobs_[Index];
   const auto Class = static_cast<std::size_t>(classOf(Job));
-  const ShapeIndex Kind = Job.Shape_;
-  Shape &Same = Pending.Shapes_[Kind];
-  const AgeKey Age{Job.Queued_, Job.Sequence_, Index, Kind};
-  const std::uint32_t Queue = queueIndex(Pending, Job.Team_);
-  Pending.Teams_[Queue].Waiting_[Class].erase(Age);
-  const auto Found = Same.Waiting_.find(Queue);
+  const ShapeIndex ShapeId = Job.Shape_;
+  Shape &JobShape = Pending.Shapes_[ShapeId];
+  const AgeKey Age{Job.QueuedAt_, Job.Sequence_, Index, ShapeId};
+  const std::uint32_t QueueIndex = findOrAddQueue(Pending, Job.Team_);
+  Pending.Teams_[QueueIndex].Waiting_[Class].erase(Age);
+  const auto Found = JobShape.Waiting_.find(QueueIndex);
   Found->second.erase(Age);
   if (Found->second.empty())
-    Same.Waiting_.erase(Found);
-  if (--Same.Jobs_ > 0)
+    JobShape.Waiting_.erase(Found);
+  if (--JobShape.Jobs_ > 0)
     return;
-  std::vector<ShapeIndex> &Active = Pending.Active_[Class];
-  Active[Same.Position_] = Active.back();
-  Pending.Shapes_[Active.back()].Position_ = Same.Position_;
-  Active.pop_back();
+  std::vector<ShapeIndex> &ActiveShapes = Pending.ActiveShapes_[Class];
+  ActiveShapes[JobShape.PositionInActive_] = ActiveShapes.back();
+  Pending.Shapes_[ActiveShapes.back()].PositionInActive_ = JobShape.PositionInActive_;
+  ActiveShapes.pop_back();
   Pending.ShapesByKey_.erase(shapeKey(Job));
-  Pending.FreeShapes_.push_back(Kind);
+  Pending.FreeShapes_.push_back(ShapeId);
 }
 
-void forget(PendingWork &Pending, JobIndex Index) {
+void freeJobEntry(PendingWork &Pending, JobIndex Index) {
   Pending.ById_.erase(Pending.Jobs_[Index].Id_);
   Pending.Jobs_[Index] = {};
   Pending.FreeJobs_.push_back(Index);
@@ -107,17 +107,17 @@
 void addPending(PendingWork &Pending, PendingJob Job) {
   if (Job.Waiting_.empty())
     return;
-  const auto Known = Pending.ById_.find(Job.Id_);
-  if (Known != Pending.ById_.end()) {
-    const JobIndex Index = Known->second;
-    unlink(Pending, Index);
+  const auto Existing = Pending.ById_.find(Job.Id_);
+  if (Existing != Pending.ById_.end()) {
+    const JobIndex Index = Existing->second;
+    removeFromQueues(Pending, Index);
     std::vector<std::uint32_t> &Waiting = Pending.Jobs_[Index].Waiting_;
     Pending.Tasks_ -= Waiting.size();
     Waiting.insert(Waiting.end(), Job.Waiting_.begin(), Job.Waiting_.end());
     std::sort(Waiting.begin(), Waiting.end(), std::greater<>());
     Waiting.erase(std::unique(Waiting.begin(), Waiting.end()), Waiting.end());
     Pending.Tasks_ += Waiting.size();
-    link(Pending, Index);
+    addToQueues(Pending, Index);
     return;
   }
   JobIndex Index = 0;
@@ -134,7 +134,7 @@
   Pending.Tasks_ += Job.Waiting_.size();
   Pending.ById_.emplace(Job.Id_, Index);
   Pending.Jobs_[Index] = std::move(Job);
-  link(Pending, Index);
+  addToQueues(Pending, Index);
 }
 
 const PendingJob *findPending(const PendingWork &Pending, std::string_view Id) {
@@ -148,14 +148,14 @@
     return false;
   const JobIndex Index = Found->second;
   Pending.Tasks_ -= Pending.Jobs_[Index].Waiting_.size();
-  unlink(Pending, Index);
-  forget(Pending, Index);
+  removeFromQueues(Pending, Index);
+  freeJobEntry(Pending, Index);
   return true;
 }
 
-std::size_t cancelSome(PendingWork &Pending, std::vector<std::string> &Ids, std::size_t Most) {
+std::size_t cancelSome(PendingWork &Pending, std::vector<std::string> &Ids, std::size_t MaxJobs) {
   std::size_t Cancelled = 0;
-  for (; Most > 0 && !Ids.empty(); --Most) {
+  for (; MaxJobs > 0 && !Ids.empty(); --MaxJobs) {
     Cancelled += cancel(Pending, Ids.back()) ? 1 : 0;
     Ids.pop_back();
   }
@@ -170,13 +170,13 @@
   PendingJob &Job = Pending.Jobs_[Index];
   std::vector<std::uint32_t> Taken;
   if (Job.Kind_ == JobKind::Gang) {
-    unlink(Pending, Index);
+    removeFromQueues(Pending, Index);
     Taken.assign(Job.Waiting_.rbegin(), Job.Waiting_.rend());
-    forget(Pending, Index);
+    freeJobEntry(Pending, Index);
   } else if (Job.Waiting_.size() == 1) {
     Taken = Job.Waiting_;
-    unlink(Pending, Index);
-    forget(Pending, Index);
+    removeFromQueues(Pending, Index);
+    freeJobEntry(Pending, Index);
   } else {
     // The shape of a job that is not a gang does not depend on the number of waiting tasks.
     Taken.push_back(Job.Waiting_.back());
@@ -186,66 +186,68 @@
   return Taken;
 }
 
-std::optional<Impossible> impossible(const CellView &Cell, const PendingJob &Job) {
+std::optional<Infeasibility> findInfeasibility(const CellView &Cell, const PendingJob &Job) {
   const auto Need = amounts(Job.Size_);
   std::array<std::int64_t, core::ResourceKinds> Largest{};
   std::array<std::int64_t, core::ResourceKinds> LargestWithOthers{};
   Resources Sum;
-  std::int64_t Room = 0;
+  std::int64_t FittingTasks = 0;
   const auto Tasks = static_cast<std::int64_t>(Job.Waiting_.size());
-  for (const Worker &One : Cell.Workers_) {
-    if (!One.Present_ || One.Leaving_)
+  for (const Worker &Host : Cell.Workers_) {
+    if (!Host.Present_ || Host.Leaving_)
       continue;
-    const auto Has = amounts(One.Capacity_);
-    Sum += One.Capacity_;
-    std::int64_t Copies = Tasks;
+    const auto Capacity = amounts(Host.Capacity_);
+    Sum += Host.Capacity_;
+    std::int64_t FittingHere = Tasks;
     for (std::size_t I = 0; I < Need.size(); ++I) {
-      Largest[I] = std::max(Largest[I], Has[I]);
+      Largest[I] = std::max(Largest[I], Capacity[I]);
       bool OthersFit = true;
       for (std::size_t J = 0; J < Need.size(); ++J)
-        OthersFit = OthersFit && (J == I || Need[J] <= Has[J]);
+        OthersFit = OthersFit && (J == I || Need[J] <= Capacity[J]);
       if (OthersFit)
-        LargestWithOthers[I] = std::max(LargestWithOthers[I], Has[I]);
+        LargestWithOthers[I] = std::max(LargestWithOthers[I], Capacity[I]);
       if (Need[I] > 0)
-        Copies = std::min(Copies, Has[I] / Need[I]);
+        FittingHere = std::min(FittingHere, Capacity[I] / Need[I]);
     }
-    Room += Copies;
+    FittingTasks += FittingHere;
   }
   for (std::size_t I = 0; I < Need.size(); ++I)
     if (Need[I] > Largest[I])
-      return Impossible{I, Need[I], Largest[I]};
+      return Infeasibility{I, Need[I], Largest[I]};
   // Every amount exists on some worker, but no worker has all of them: name the kind that comes
   // closest.
-  if (Room == 0) {
+  if (FittingTasks == 0) {
     std::size_t Closest = 0;
-    double Best = -1;
+    double BestFraction = -1;
     for (std::size_t I = 0; I < Need.size(); ++I) {
       if (Need[I] <= 0)
         continue;
-      const double Part = static_cast<double>(LargestWithOthers[I]) / static_cast<double>(Need[I]);
-      if (Part > Best) {
-        Best = Part;
+      const double Fraction =
+          static_cast<double>(LargestWithOthers[I]) / static_cast<double>(Need[I]);
+      if (Fraction > BestFraction) {
+        BestFraction = Fraction;
         Closest = I;
       }
     }
-    return Impossible{Closest, Need[Closest], LargestWithOthers[Closest]};
+    return Infeasibility{Closest, Need[Closest], LargestWithOthers[Closest]};
   }
-  if (Job.Kind_ != JobKind::Gang || Room >= Tasks)
+  if (Job.Kind_ != JobKind::Gang || FittingTasks >= Tasks)
     return std::nullopt;
   // The kind of which the whole gang takes the largest part of the cell.
-  const auto Whole = amounts(Sum);
-  std::size_t Worst = 0;
-  double Most = -1;
+  const auto CellCapacity = amounts(Sum);
+  std::size_t Bottleneck = 0;
+  double LargestFraction = -1;
   for (std::size_t I = 0; I < Need.size(); ++I) {
     if (Need[I] <= 0)
       continue;
-    const double Part = static_cast<double>(Need[I] * Tasks) / static_cast<double>(Whole[I]);
-    if (Part > Most) {
-      Most = Part;
-      Worst = I;
+    const double Fraction =
+        static_cast<double>(Need[I] * Tasks) / static_cast<double>(CellCapacity[I]);
+    if (Fraction > LargestFraction) {
+      LargestFraction = Fraction;
+      Bottleneck = I;
     }
   }
-  return Impossible{Worst, Need[Worst] * Tasks, Need[Worst] * Room};
+  return Infeasibility{Bottleneck, Need[Bottleneck] * Tasks, Need[Bottleneck] * FittingTasks};
 }
 
 } // namespace masticdrift::policy
--- a/src/policy/RequestQueue.cpp
+++ b/src/policy/RequestQueue.cpp
@@ -5,34 +5,34 @@
 namespace masticdrift::policy {
 namespace {
 
-std::size_t teamIndex(RequestQueue &Queue, std::string_view Name) {
+std::size_t findOrAddTeam(RequestQueue &Queue, std::string_view Name) {
   auto [Found, IsNew] = Queue.ByName_.try_emplace(std::string(Name), Queue.Teams_.size());
   if (IsNew)
     Queue.Teams_.push_back({.Name_ = std::string(Name)});
   return Found->second;
 }
 
-bool ready(const RequestTeam &Team) {
+bool isReady(const RequestTeam &Team) {
   return !Team.Waiting_.empty() && Team.Slots_ < Team.SlotLimit_;
 }
 
 /// Changes a team and keeps the order of the ready teams.
-template <typename Change> void update(RequestQueue &Queue, std::size_t Index, Change Apply) {
+template <typename Change> void updateTeam(RequestQueue &Queue, std::size_t Index, Change Apply) {
   RequestTeam &Team = Queue.Teams_[Index];
-  if (ready(Team))
+  if (isReady(Team))
     Queue.Ready_.erase({Team.Pass_, Index});
   Apply(Team);
-  if (ready(Team))
+  if (isReady(Team))
     Queue.Ready_.insert({Team.Pass_, Index});
 }
 
-core::Duration fromMs(double Value) {
+core::Duration durationFromMs(double Value) {
   return std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double, std::milli>(Value));
 }
 
 /// Wait in milliseconds of a request at position \p Ahead of \p Team.
-double waitMs(const RequestQueue &Queue, const RequestTeam &Team, std::size_t Ahead) {
+double expectedWaitMs(const RequestQueue &Queue, const RequestTeam &Team, std::size_t Ahead) {
   if (Queue.SlotCapacity_ == 0)
     return 0;
   if (Queue.SlotsInUse_ < Queue.SlotCapacity_ && Team.Slots_ < Team.SlotLimit_ && Ahead == 0)
@@ -43,33 +43,36 @@
       Weights += Queue.Teams_[Index].Weight_;
   double Slots = static_cast<double>(Queue.SlotCapacity_) * Team.Weight_ / Weights;
   Slots = std::max(1.0, std::min(Slots, static_cast<double>(Team.SlotLimit_)));
-  return Queue.ServiceMs_ * static_cast<double>(Ahead + 1) / Slots;
+  return Queue.SmoothedServiceMs_ * static_cast<double>(Ahead + 1) / Slots;
 }
 
 } // namespace
 
-void setTeam(RequestQueue &Queue, std::string_view Team, double Weight, std::uint32_t SlotLimit) {
-  update(Queue, teamIndex(Queue, Team), [&](RequestTeam &One) {
-    One.Weight_ = std::max(Weight, 1e-6);
-    One.SlotLimit_ = SlotLimit;
+void setTeam(RequestQueue &Queue, std::string_view TeamName, double Weight,
+             std::uint32_t SlotLimit) {
+  updateTeam(Queue, findOrAddTeam(Queue, TeamName), [&](RequestTeam &Team) {
+    Team.Weight_ = std::max(Weight, 1e-6);
+    Team.SlotLimit_ = SlotLimit;
   });
 }
 
 void setSlotCapacity(RequestQueue &Queue, std::uint32_t Slots) { Queue.SlotCapacity_ = Slots; }
 
 AdmissionResult pushRequest(RequestQueue &Queue, QueuedRequest Request, core::TimePoint Now) {
-  const std::size_t Index = teamIndex(Queue, Request.Team_);
+  const std::size_t Index = findOrAddTeam(Queue, Request.Team_);
   const RequestTeam &Team = Queue.Teams_[Index];
-  const double Wait = waitMs(Queue, Team, Team.Waiting_.size());
-  if (Team.Waiting_.size() >= Queue.Limits_.PerTeam_ || Queue.Waiting_ >= Queue.Limits_.Total_)
-    return {Admission::QueueFull, fromMs(std::max(Wait, 100.0))};
-  const double Left = std::chrono::duration<double, std::milli>(Request.Deadline_ - Now).count();
-  if (Left <= 0 || Wait > Left * Queue.Limits_.WaitFraction_)
-    return {Admission::TooLate, fromMs(std::max(Wait, 100.0))};
-  update(Queue, Index, [&](RequestTeam &One) {
-    if (One.Waiting_.empty() && One.Slots_ == 0)
-      One.Pass_ = std::max(One.Pass_, Queue.Pass_);
-    One.Waiting_.push_back(std::move(Request));
+  const double WaitMs = expectedWaitMs(Queue, Team, Team.Waiting_.size());
+  if (Team.Waiting_.size() >= Queue.Limits_.MaxPerTeam_ ||
+      Queue.Waiting_ >= Queue.Limits_.MaxTotal_)
+    return {Admission::QueueFull, durationFromMs(std::max(WaitMs, 100.0))};
+  const double RemainingMs =
+      std::chrono::duration<double, std::milli>(Request.Deadline_ - Now).count();
+  if (RemainingMs <= 0 || WaitMs > RemainingMs * Queue.Limits_.WaitFraction_)
+    return {Admission::TooLate, durationFromMs(std::max(WaitMs, 100.0))};
+  updateTeam(Queue, Index, [&](RequestTeam &Target) {
+    if (Target.Waiting_.empty() && Target.Slots_ == 0)
+      Target.Pass_ = std::max(Target.Pass_, Queue.Pass_);
+    Target.Waiting_.push_back(std::move(Request));
   });
   ++Queue.Waiting_;
   return {};
@@ -80,7 +83,7 @@
   while (!Queue.Ready_.empty()) {
     const std::size_t Index = Queue.Ready_.begin()->second;
     std::optional<QueuedRequest> Next;
-    update(Queue, Index, [&](RequestTeam &Team) {
+    updateTeam(Queue, Index, [&](RequestTeam &Team) {
       QueuedRequest Front = std::move(Team.Waiting_.front());
       Team.Waiting_.pop_front();
       --Queue.Waiting_;
@@ -100,21 +103,22 @@
   return std::nullopt;
 }
 
-void finishSlot(RequestQueue &Queue, std::string_view Team, core::Duration Held) {
-  update(Queue, teamIndex(Queue, Team), [&](RequestTeam &One) {
-    if (One.Slots_ == 0)
+void finishSlot(RequestQueue &Queue, std::string_view TeamName, core::Duration HeldFor) {
+  updateTeam(Queue, findOrAddTeam(Queue, TeamName), [&](RequestTeam &Team) {
+    if (Team.Slots_ == 0)
       return;
-    --One.Slots_;
+    --Team.Slots_;
     --Queue.SlotsInUse_;
   });
-  const double Ms = std::chrono::duration<double, std::milli>(Held).count();
-  Queue.ServiceMs_ += 0.05 * (Ms - Queue.ServiceMs_);
+  const double Ms = std::chrono::duration<double, std::milli>(HeldFor).count();
+  Queue.SmoothedServiceMs_ += 0.05 * (Ms - Queue.SmoothedServiceMs_);
 }
 
-bool removeRequest(RequestQueue &Queue, std::string_view Team, std::uint64_t Id) {
+bool removeRequest(RequestQueue &Queue, std::string_view TeamName, std::uint64_t Id) {
   bool Removed = false;
-  update(Queue, teamIndex(Queue, Team), [&](RequestTeam &One) {
-    Removed = std::erase_if(One.Waiting_, [Id](const auto &It) { return It.Id_ == Id; }) > 0;
+  updateTeam(Queue, findOrAddTeam(Queue, TeamName), [&](RequestTeam &Team) {
+    Removed =
+        std::erase_if(Team.Waiting_, [Id](const auto &Waiting) { return Waiting.Id_ == Id; }) > 0;
   });
   if (Removed)
     --Queue.Waiting_;
@@ -124,11 +128,11 @@
 std::vector<QueuedRequest> shedExpired(RequestQueue &Queue, core::TimePoint Now) {
   std::vector<QueuedRequest> Expired;
   for (std::size_t I = 0; I < Queue.Teams_.size(); ++I)
-    update(Queue, I, [&](RequestTeam &One) {
-      std::erase_if(One.Waiting_, [&](QueuedRequest &It) {
-        if (It.Deadline_ > Now)
+    updateTeam(Queue, I, [&](RequestTeam &Team) {
+      std::erase_if(Team.Waiting_, [&](QueuedRequest &Waiting) {
+        if (Waiting.Deadline_ > Now)
           return false;
-        Expired.push_back(std::move(It));
+        Expired.push_back(std::move(Waiting));
         return true;
       });
     });
@@ -136,12 +140,12 @@
   return Expired;
 }
 
-core::Duration expectedWait(const RequestQueue &Queue, std::string_view Team) {
-  const auto Found = Queue.ByName_.find(std::string(Team));
+core::Duration expectedWait(const RequestQueue &Queue, std::string_view TeamName) {
+  const auto Found = Queue.ByName_.find(std::string(TeamName));
   if (Found == Queue.ByName_.end())
     return {};
-  const RequestTeam &One = Queue.Teams_[Found->second];
-  return fromMs(waitMs(Queue, One, One.Waiting_.size()));
+  const RequestTeam &Team = Queue.Teams_[Found->second];
+  return durationFromMs(expectedWaitMs(Queue, Team, Team.Waiting_.size()));
 }
 
 } // namespace masticdrift::policy
--- a/src/policy/Shares.cpp
+++ b/src/policy/Shares.cpp
@@ -5,82 +5,83 @@
 
 namespace masticdrift::policy {
 
-TeamIndex teamIndex(Shares &All, std::string_view Team) {
+TeamIndex findOrAddTeam(Shares &Teams, std::string_view Team) {
   const auto [Found, IsNew] =
-      All.ByName_.try_emplace(std::string(Team), static_cast<TeamIndex>(All.Teams_.size()));
+      Teams.ByName_.try_emplace(std::string(Team), static_cast<TeamIndex>(Teams.Teams_.size()));
   if (IsNew)
-    All.Teams_.push_back({.Name_ = std::string(Team)});
+    Teams.Teams_.push_back({.Name_ = std::string(Team)});
   return Found->second;
 }
 
-std::optional<TeamIndex> findTeam(const Shares &All, std::string_view Team) {
-  const auto Found = All.ByName_.find(std::string(Team));
-  if (Found == All.ByName_.end())
+std::optional<TeamIndex> findTeam(const Shares &Teams, std::string_view Team) {
+  const auto Found = Teams.ByName_.find(std::string(Team));
+  if (Found == Teams.ByName_.end())
     return std::nullopt;
   return Found->second;
 }
 
-void setTeam(Shares &All, std::string_view Team, double Weight, const Allotment &Limit) {
-  TeamShare &One = All.Teams_[teamIndex(All, Team)];
-  One.Weight_ = std::max(Weight, 1e-6);
-  One.Limit_ = Limit;
+void setTeam(Shares &Teams, std::string_view Team, double Weight, const Allotment &Limit) {
+  TeamShare &Share = Teams.Teams_[findOrAddTeam(Teams, Team)];
+  Share.Weight_ = std::max(Weight, 1e-6);
+  Share.Limit_ = Limit;
 }
 
-void setCapacity(Shares &All, const Resources &Capacity) { All.Capacity_ = Capacity; }
+void setCapacity(Shares &Teams, const Resources &Capacity) { Teams.Capacity_ = Capacity; }
 
-void addUsage(Shares &All, TeamIndex Team, const Resources &Change, TimePoint Now) {
-  decay(All, Team, Now);
-  All.Teams_[Team].Running_ += Change;
+void addUsage(Shares &Teams, TeamIndex Team, const Resources &Change, TimePoint Now) {
+  decay(Teams, Team, Now);
+  Teams.Teams_[Team].CurrentUsage_ += Change;
 }
 
-double dominantPart(const Shares &All, const Resources &Amount) {
+double dominantShare(const Shares &Teams, const Resources &Amount) {
   const auto Parts = amounts(Amount);
-  const auto Whole = amounts(All.Capacity_);
-  double Most = 0;
+  const auto Capacity = amounts(Teams.Capacity_);
+  double Largest = 0;
   for (std::size_t I = 0; I < Parts.size(); ++I)
-    if (Whole[I] > 0)
-      Most = std::max(Most, static_cast<double>(Parts[I]) / static_cast<double>(Whole[I]));
-  return Most;
+    if (Capacity[I] > 0)
+      Largest = std::max(Largest, static_cast<double>(Parts[I]) / static_cast<double>(Capacity[I]));
+  return Largest;
 }
 
-void decay(Shares &All, TeamIndex Team, TimePoint Now) {
-  TeamShare &One = All.Teams_[Team];
-  if (Now <= One.Updated_)
+void decay(Shares &Teams, TeamIndex Team, TimePoint Now) {
+  TeamShare &Share = Teams.Teams_[Team];
+  if (Now <= Share.UpdatedAt_)
     return;
-  const double Halves = std::chrono::duration<double>(Now - One.Updated_).count() /
-                        std::chrono::duration<double>(All.HalfLife_).count();
-  const double Keep = std::exp2(-Halves);
-  One.Usage_ = Keep * One.Usage_ + (1 - Keep) * dominantPart(All, One.Running_);
-  One.Updated_ = Now;
+  const double HalfLives = std::chrono::duration<double>(Now - Share.UpdatedAt_).count() /
+                           std::chrono::duration<double>(Teams.HalfLife_).count();
+  const double Retained = std::exp2(-HalfLives);
+  Share.DecayedUsage_ =
+      Retained * Share.DecayedUsage_ + (1 - Retained) * dominantShare(Teams, Share.CurrentUsage_);
+  Share.UpdatedAt_ = Now;
 }
 
-double rankOf(const Shares &All, TeamIndex Team) {
-  const TeamShare &One = All.Teams_[Team];
-  return (dominantPart(All, One.Running_) + One.Usage_) / 2 / One.Weight_;
+double rankOf(const Shares &Teams, TeamIndex Team) {
+  const TeamShare &Share = Teams.Teams_[Team];
+  return (dominantShare(Teams, Share.CurrentUsage_) + Share.DecayedUsage_) / 2 / Share.Weight_;
 }
 
-bool withinLimit(const Shares &All, TeamIndex Team, const Resources &Need) {
-  const TeamShare &One = All.Teams_[Team];
-  const auto Limit = amounts(One.Limit_.Work_);
-  const auto Running = amounts(One.Running_);
-  const auto More = amounts(Need);
+bool withinLimit(const Shares &Teams, TeamIndex Team, const Resources &Need) {
+  const TeamShare &Share = Teams.Teams_[Team];
+  const auto Limit = amounts(Share.Limit_.Resources_);
+  const auto Running = amounts(Share.CurrentUsage_);
+  const auto Requested = amounts(Need);
   for (std::size_t I = 0; I < Limit.size(); ++I)
-    if (More[I] > 0 && Running[I] > Limit[I] - More[I])
+    if (Requested[I] > 0 && Running[I] > Limit[I] - Requested[I])
       return false;
   return true;
 }
 
-std::vector<double> distances(const Shares &All, std::span<const TeamIndex> Busy) {
+std::vector<double> shareDeviations(const Shares &Teams, std::span<const TeamIndex> ActiveTeams) {
   double Used = 0;
   double Weights = 0;
-  for (const TeamIndex Team : Busy) {
-    Used += dominantPart(All, All.Teams_[Team].Running_);
-    Weights += All.Teams_[Team].Weight_;
+  for (const TeamIndex Team : ActiveTeams) {
+    Used += dominantShare(Teams, Teams.Teams_[Team].CurrentUsage_);
+    Weights += Teams.Teams_[Team].Weight_;
   }
   std::vector<double> Result;
-  for (const TeamIndex Team : Busy)
-    Result.push_back(dominantPart(All, All.Teams_[Team].Running_) -
-                     Used * All.Teams_[Team].Weight_ / Weights);
+  for (const TeamIndex Team : ActiveTeams)
+    Result.push_back(dominantShare(Teams, Teams.Teams_[Team].CurrentUsage_) -
+                     Used * Teams.Teams_[Team].Weight_ / Weights);
   return Result;
 }
 
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -64,7 +64,7 @@
 struct Pool {
   std::string Name_;
   std::mutex Mutex_;
-  policy::Executors Executors_;
+  policy::ExecutorPool Executors_;
   std::vector<std::string> Addresses_; ///< by executor index
   policy::RequestQueue Queue_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Pending>> Waiting_;
@@ -117,7 +117,7 @@
       : Options_(Options), Timers_(Timers), HoldsLease_(std::move(HoldsLease)),
         Client_(static_cast<int>(Options.ConnectionsPerExecutor_), Options.IdleConnection_,
                 Options.ConnectionLife_) {
-    Budget_.PerRequest_ = Options_.RetryPercent_ * 10;
+    Budget_.TokensPerRequest_ = Options_.RetryPercent_ * 10;
   }
 
   std::shared_ptr<Pool> findPool(const std::string &Name) const {
@@ -142,8 +142,8 @@
       Slot->Name_ = Name;
       Slot->Executors_.Limits_.Slots_ = Options_.SlotsPerExecutor_;
       Slot->Executors_.Limits_.Connections_ = Options_.ConnectionsPerExecutor_;
-      Slot->Executors_.Limits_.EjectFor_ = Options_.EjectFor_;
-      Slot->Queue_.Limits_.PerTeam_ = Options_.QueuePerTeam_;
+      Slot->Executors_.Limits_.FirstEjection_ = Options_.EjectFor_;
+      Slot->Queue_.Limits_.MaxPerTeam_ = Options_.QueuePerTeam_;
     }
     return Slot;
   }
@@ -163,7 +163,7 @@
 
   static void updatePool(Pool &Into, const std::vector<const legacy::Instance *> &Members) {
     const std::lock_guard Lock(Into.Mutex_);
-    std::vector<bool> Listed(Into.Executors_.All_.size(), false);
+    std::vector<bool> Listed(Into.Executors_.Members_.size(), false);
     std::uint32_t Usable = 0;
     for (const legacy::Instance *One : Members) {
       const std::size_t Index = policy::addExecutor(Into.Executors_, One->Name_);
@@ -179,7 +179,7 @@
     }
     for (std::size_t I = 0; I < Listed.size(); ++I)
       if (!Listed[I])
-        policy::setLeaving(Into.Executors_, Into.Executors_.All_[I].Name_);
+        policy::setLeaving(Into.Executors_, Into.Executors_.Members_[I].Name_);
     policy::setSlotCapacity(Into.Queue_, Usable * Into.Executors_.Limits_.Slots_);
   }
 
@@ -203,7 +203,7 @@
     std::vector<std::int64_t> Weights;
     for (const auto &One : All) {
       const std::lock_guard Lock(One->Mutex_);
-      Weights.push_back(static_cast<std::int64_t>(One->Executors_.All_.size()));
+      Weights.push_back(static_cast<std::int64_t>(One->Executors_.Members_.size()));
     }
     for (const TeamSlots &Team : Teams) {
       const std::vector<std::int64_t> Parts = config::splitAmount(Team.Slots_, Weights);
@@ -284,7 +284,7 @@
     const std::uint64_t Id = Into.NextId_++;
     const policy::AdmissionResult Answer = policy::pushRequest(
         Into.Queue_, {Id, Work->Request_.Team_, Now, Work->Request_.Deadline_}, Now);
-    if (Answer.Verdict_ != policy::Admission::Queued)
+    if (Answer.Admission_ != policy::Admission::Queued)
       return refusalOf(Answer);
     Into.Waiting_.emplace(Id, Work);
     return std::nullopt;
@@ -293,7 +293,7 @@
   static Outcome refusalOf(const policy::AdmissionResult &Answer) {
     const std::string Hint =
         ", retry after " + std::to_string(core::toMillis(Answer.RetryAfter_)) + " ms";
-    return Answer.Verdict_ == policy::Admission::QueueFull
+    return Answer.Admission_ == policy::Admission::QueueFull
                ? failed(ErrorKind::QueueFull, "the team's queue is full" + Hint)
                : failed(ErrorKind::DeadlineExpired,
                         "no slot is expected before the deadline" + Hint);
@@ -486,7 +486,7 @@
 
   static void markLeaving(Pool &From, const Sending &One) {
     const std::lock_guard Lock(From.Mutex_);
-    policy::setLeaving(From.Executors_, From.Executors_.All_[One.Executor_].Name_);
+    policy::setLeaving(From.Executors_, From.Executors_.Members_[One.Executor_].Name_);
   }
 
   bool retry(const std::shared_ptr<Pool> &From, const Sending &One, TimePoint Now) {
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -114,7 +114,7 @@
   Impl(RouterOptions Options, protocol::Link &Peers, Dispatcher &Local,
        std::function<std::vector<DomainView>()> Domains)
       : Options_(std::move(Options)), Peers_(Peers), Local_(Local), Domains_(std::move(Domains)) {
-    Budget_.PerRequest_ = Options_.RetryPercent_ * 10;
+    Budget_.TokensPerRequest_ = Options_.RetryPercent_ * 10;
   }
 
   void submit(InteractiveRequest Request, OutcomeCallback Done) {
--- a/tests/invariant/RequestChecks.h
+++ b/tests/invariant/RequestChecks.h
@@ -44,7 +44,7 @@
 /// within the longest ejection; each failed trial doubles the ejection.
 inline bool serveAgain(Fleet &All, int Number) {
   const auto Longest =
-      std::chrono::duration_cast<core::Millis>(policy::ExecutorLimits{}.EjectAtMost_);
+      std::chrono::duration_cast<core::Millis>(policy::ExecutorLimits{}.MaxEjection_);
   return std::ranges::all_of(Domains, [&](const std::string &Domain) {
     const std::string Executor = Domain + "-executor-" + std::to_string(Number);
     const std::size_t Before = requestsAt(All, Executor);
--- a/tests/measure/Interactive.cpp
+++ b/tests/measure/Interactive.cpp
@@ -20,7 +20,7 @@
   std::normal_distribution<double> Normal(0, 0.5);
   std::discrete_distribution<int> WhichTeam(Demand.begin(), Demand.end());
   RequestQueue Queue;
-  Executors Pool;
+  ExecutorPool Pool;
   for (int I = 0; I < Count; ++I)
     addExecutor(Pool, "e" + std::to_string(I));
   for (std::size_t I = 0; I < Weights.size(); ++I)
@@ -70,7 +70,7 @@
       Offered += Now >= Warm ? 1 : 0;
       if (Baseline)
         Fifo.push_back(std::move(One));
-      else if (pushRequest(Queue, std::move(One), Now).Verdict_ != Admission::Queued)
+      else if (pushRequest(Queue, std::move(One), Now).Admission_ != Admission::Queued)
         Refused += Now >= Warm ? 1 : 0;
     }
     for (;;) {
--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -69,7 +69,7 @@
   std::string Job_;
   std::uint32_t Task_ = 0;
   std::uint64_t Ticket_ = 0;
-  PreemptHow How_ = PreemptHow::Stop;
+  PreemptionMethod How_ = PreemptionMethod::Stop;
   WorkerIndex Worker_ = 0;
 };
 
@@ -96,7 +96,7 @@
       if ((Now_ - Begin) % seconds(300) == Duration{} && Now_ > Begin)
         cancelWave();
       if ((Now_ - Begin) % seconds(1) == Duration{})
-        openProbes(Quarantine_, Cell_, Now_);
+        allowProbes(Quarantine_, Cell_, Now_);
       decideNow();
       if ((Now_ - Begin) % seconds(1) == Duration{} && Now_ - Begin >= seconds(How_.WarmUp_))
         sample();
@@ -203,7 +203,7 @@
     if (Who_.AcceleratorsEvery_ > 0 && What != JobKind::Service && uniform(0, 1) < 0.05)
       Job.Size_.Accelerators_ = uniform(0, 1) < 0.7 ? 1 : 2;
     Job.Run_ = milliseconds(static_cast<std::int64_t>(Run * 1000));
-    Said.Run_ = milliseconds(
+    Said.RunTime_ = milliseconds(
         static_cast<std::int64_t>(std::max(1.0, Run * Kind.RunRatio_ * logNormal(1, 0.3)) * 1000));
     // Sizes are declared in steps of half a core and 512 MB.
     // A gang task is declared with at most half a worker; services, which never end, run on most
@@ -227,8 +227,8 @@
   }
 
   void submit(RealJob &Job) {
-    Job.Declared_.Queued_ = Now_;
-    if (impossible(Cell_, Job.Declared_)) {
+    Job.Declared_.QueuedAt_ = Now_;
+    if (findInfeasibility(Cell_, Job.Declared_)) {
       ++Refused_;
       Job.Over_ = true;
       return;
@@ -256,7 +256,7 @@
     ++Starts_;
     noteStartOn(Where);
     if (Job.Started_.insert(Task).second && Now_ - Begin >= seconds(How_.WarmUp_)) {
-      const double Wait = std::chrono::duration<double>(Now_ - Job.Declared_.Queued_).count();
+      const double Wait = std::chrono::duration<double>(Now_ - Job.Declared_.QueuedAt_).count();
       (Job.Declared_.Urgent_ ? UrgentWaits_ : Waits_).push_back(Wait);
       if (Job.Declared_.Kind_ == JobKind::Gang)
         GangWaits_.push_back(Wait);
@@ -338,7 +338,7 @@
     const auto Gone = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
     RealJob &Job = Jobs_.at(One.Job_);
     if (!How_.Baseline_)
-      recordEnd(Quarantine_, Cell_, Host, One.Job_, Was.Since_, !Was.Fails_, Now_);
+      recordTaskEnd(Quarantine_, Cell_, Host, One.Job_, Was.Since_, !Was.Fails_, Now_);
     if (Was.Fails_) {
       Job.FailedOn_.insert(Host);
       // A job is given up after failures on three different workers.
@@ -352,8 +352,8 @@
       return;
     }
     if (!How_.Baseline_ && !Was.Throttled_ && !Job.Left_.contains(One.Task_))
-      observe(Learned_, Job.Declared_.Team_, Job.Declared_.Family_, Job.Declared_.Run_, Job.Run_,
-              Job.Declared_.Size_, Job.Size_);
+      recordObservation(Learned_, Job.Declared_.Team_, Job.Declared_.Family_,
+                        Job.Declared_.RunTime_, Job.Run_, Job.Declared_.Size_, Job.Size_);
     if (++Job.Done_ == Job.Tasks_)
       Job.Over_ = true;
     ++Finished_;
@@ -371,7 +371,7 @@
       return;
     RealJob &Job = Jobs_.at(One.Job_);
     ++Preemptions_[static_cast<std::size_t>(One.How_)];
-    if (One.How_ == PreemptHow::Throttle) {
+    if (One.How_ == PreemptionMethod::Throttle) {
       // A throttled task keeps a quarter of its cores, so the rest takes four times as long.
       Was.Throttled_ = true;
       Was.Ends_ = Now_ + (Was.Ends_ - Now_) * 4;
@@ -383,7 +383,7 @@
       taskThrottled(Cell_, Shares_, One.Job_, One.Task_, Now_);
       return;
     }
-    if (One.How_ == PreemptHow::Checkpoint)
+    if (One.How_ == PreemptionMethod::Checkpoint)
       Job.Left_[One.Task_] = std::max<Duration>(milliseconds(100), Was.Ends_ - Now_);
     else
       LostCoreSeconds_ += static_cast<double>(Job.Size_.MilliCores_) / 1000 *
@@ -469,16 +469,16 @@
         started(One.Job_, One.Task_, One.WorkerIndex_);
         continue;
       }
-      const Duration Takes = One.How_ == PreemptHow::Checkpoint ? CheckpointTakes
-                             : One.How_ == PreemptHow::Throttle ? ThrottleTakes
-                                                                : StopTakes;
+      const Duration Takes = One.Method_ == PreemptionMethod::Checkpoint ? CheckpointTakes
+                             : One.Method_ == PreemptionMethod::Throttle ? ThrottleTakes
+                                                                         : StopTakes;
       const auto Found = Running_.find({One.Job_, One.Task_});
       if (Found != Running_.end())
         Events_.emplace(Now_ + Takes, Event{.Kind_ = EventKind::Preempted,
                                             .Job_ = One.Job_,
                                             .Task_ = One.Task_,
                                             .Ticket_ = Found->second.Ticket_,
-                                            .How_ = One.How_});
+                                            .How_ = One.Method_});
     }
   }
 
@@ -549,7 +549,7 @@
         Busy.push_back(*findTeam(Shares_, One.Name_));
     if (Busy.size() != Teams.size())
       return;
-    const std::vector<double> Apart = distances(Shares_, Busy);
+    const std::vector<double> Apart = shareDeviations(Shares_, Busy);
     double Most = 0;
     ++FullSamples_;
     for (std::size_t I = 0; I < Apart.size(); ++I) {
@@ -581,7 +581,7 @@
     const TimePoint Last = Now_ + seconds(7200);
     for (; Now_ < Last; Now_ += milliseconds(500)) {
       handleEvents();
-      openProbes(Quarantine_, Cell_, Now_);
+      allowProbes(Quarantine_, Cell_, Now_);
       decideNow();
       if ((How_.Baseline_ ? Waiting_ : Pending_.Tasks_) == 0)
         break;
@@ -647,7 +647,7 @@
   CellView Cell_;
   PendingWork Pending_;
   Shares Shares_;
-  Learned Learned_;
+  RunHistory Learned_;
   Quarantine Quarantine_;
   std::deque<PendingJob> Fifo_;
   std::size_t Waiting_ = 0;
--- a/tests/measure/Scale.cpp
+++ b/tests/measure/Scale.cpp
@@ -34,8 +34,8 @@
     Job.Checkpointable_ = below(2) == 0;
     Job.Throttleable_ = below(2) == 0;
     Job.Size_ = {500L * (1 + below(8)), 512L * (1 + below(16)), below(10) == 0 ? 1 + below(2) : 0};
-    Job.Run_ = std::chrono::seconds(5 + below(300));
-    Job.Queued_ = Now_;
+    Job.RunTime_ = std::chrono::seconds(5 + below(300));
+    Job.QueuedAt_ = Now_;
     const std::uint32_t Tasks = Job.Kind_ == JobKind::Gang ? 2 + below(15) : 1;
     for (std::uint32_t I = 0; I < Tasks; ++I)
       Job.Waiting_.push_back(I);
@@ -69,7 +69,7 @@
 
   void confirmPreempted() {
     for (const Decision &One : Preempted_) {
-      if (One.How_ == PreemptHow::Throttle)
+      if (One.Method_ == PreemptionMethod::Throttle)
         taskThrottled(Cell_, Teams_, One.Job_, One.Task_, Now_);
       else
         taskEnded(Cell_, Teams_, One.Job_, One.Task_, Now_);
@@ -91,7 +91,7 @@
 
 void fill(BigCell &It, bool Full) {
   const double Target = Full ? 0.97 : 0.7;
-  for (int Round = 0; Round < 3000 && usedPart(It.Cell_) < Target; ++Round) {
+  for (int Round = 0; Round < 3000 && utilization(It.Cell_) < Target; ++Round) {
     for (std::uint32_t I = 0; I < 64; ++I)
       addPending(It.Pending_, It.make(false));
     It.Now_ += std::chrono::milliseconds(50);
--- a/tests/unit/PolicyPropertyTest.cpp
+++ b/tests/unit/PolicyPropertyTest.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-struct World {
-  explicit World(std::uint64_t Seed) : Random_(Seed) {
+struct Simulation {
+  explicit Simulation(std::uint64_t Seed) : Random_(Seed) {
     for (int I = 0; I < 12; ++I)
       addWorker(Cell_, "w" + std::to_string(I), "r" + std::to_string(I / 4), capacity(I));
     setTeam(Teams_, "a", 3, {});
@@ -41,33 +41,34 @@
     Job.Idempotent_ = below(4) != 0;
     Job.Size_ = {500L * (1 + below(below(8) == 0 ? 32 : 8)), 512L * (1 + below(16)),
                  below(6) == 0 ? 1 + below(4) : 0};
-    Job.Run_ = seconds(1 + below(60));
-    Job.Queued_ = Now_;
+    Job.RunTime_ = seconds(1 + below(60));
+    Job.QueuedAt_ = Now_;
     const std::uint32_t Tasks = Job.Kind_ == JobKind::Batch && below(2) == 0 ? 1 : 1 + below(6);
     for (std::uint32_t I = 0; I < Tasks; ++I)
       Job.Waiting_.push_back(I);
     const auto Team = findTeam(Teams_, Job.Team_);
     const Resources All =
         Job.Kind_ == JobKind::Gang ? Job.Size_ * static_cast<std::int64_t>(Tasks) : Job.Size_;
-    if (impossible(Cell_, Job) || !masticdrift::core::fits(All, Teams_.Teams_[*Team].Limit_.Work_))
+    if (findInfeasibility(Cell_, Job) ||
+        !masticdrift::core::fits(All, Teams_.Teams_[*Team].Limit_.Resources_))
       return;
-    Known_[Job.Id_] = Job;
+    Submitted_[Job.Id_] = Job;
     addPending(Pending_, Job);
   }
 
-  void requeue(const Placement &Gone) {
-    PendingJob Job = Known_.at(Gone.Job_);
-    Job.Waiting_ = {Gone.Task_};
+  void requeue(const Placement &Removed) {
+    PendingJob Job = Submitted_.at(Removed.Job_);
+    Job.Waiting_ = {Removed.Task_};
     addPending(Pending_, Job);
   }
 
   /// Real run times differ from the expected ones by up to four times in both directions.
-  void started(const Decision &One) {
-    const Placement *What = findPlacement(Cell_, One.Job_, One.Task_);
-    const Duration Run = What->Kind_ == JobKind::Service
+  void scheduleEnd(const Decision &Decided) {
+    const Placement *Placed = findPlacement(Cell_, Decided.Job_, Decided.Task_);
+    const Duration Run = Placed->Kind_ == JobKind::Service
                              ? seconds(100 + below(200))
-                             : Known_.at(One.Job_).Run_ * (1 + below(16)) / 4;
-    Ends_.emplace(Now_ + Run, std::pair{One.Job_, One.Task_});
+                             : Submitted_.at(Decided.Job_).RunTime_ * (1 + below(16)) / 4;
+    Ends_.emplace(Now_ + Run, std::pair{Decided.Job_, Decided.Task_});
   }
 
   void endDue() {
@@ -79,36 +80,36 @@
   }
 
   void forgetEnd(const std::string &Job, std::uint32_t Task) {
-    std::erase_if(Ends_, [&](const auto &One) { return One.second == std::pair{Job, Task}; });
+    std::erase_if(Ends_, [&](const auto &Entry) { return Entry.second == std::pair{Job, Task}; });
   }
 
   void confirmPreempted() {
-    for (const Decision &One : std::exchange(Preempted_, {})) {
-      const Placement *What = findPlacement(Cell_, One.Job_, One.Task_);
-      if (What == nullptr)
+    for (const Decision &Decided : std::exchange(Preempted_, {})) {
+      const Placement *Placed = findPlacement(Cell_, Decided.Job_, Decided.Task_);
+      if (Placed == nullptr)
         continue;
       if (below(10) == 0) {
-        preemptFailed(Cell_, One.Job_, One.Task_);
-      } else if (One.How_ == PreemptHow::Throttle) {
-        taskThrottled(Cell_, Teams_, One.Job_, One.Task_, Now_);
+        preemptFailed(Cell_, Decided.Job_, Decided.Task_);
+      } else if (Decided.Method_ == PreemptionMethod::Throttle) {
+        taskThrottled(Cell_, Teams_, Decided.Job_, Decided.Task_, Now_);
       } else {
-        forgetEnd(One.Job_, One.Task_);
-        requeue(*taskEnded(Cell_, Teams_, One.Job_, One.Task_, Now_));
+        forgetEnd(Decided.Job_, Decided.Task_);
+        requeue(*taskEnded(Cell_, Teams_, Decided.Job_, Decided.Task_, Now_));
       }
     }
   }
 
   void loseWorker() {
-    const auto Where = static_cast<WorkerIndex>(below(12));
-    Worker &Host = Cell_.Workers_[Where];
+    const auto HostIndex = static_cast<WorkerIndex>(below(12));
+    Worker &Host = Cell_.Workers_[HostIndex];
     if (!Host.Present_)
       return;
     removeWorker(Cell_, Host.Name_);
-    const std::vector<PlacementIndex> Lost = Host.Placements_;
-    for (const PlacementIndex Index : Lost) {
-      const Placement Copy = Cell_.Placements_[Index];
-      forgetEnd(Copy.Job_, Copy.Task_);
-      requeue(*taskEnded(Cell_, Teams_, Copy.Job_, Copy.Task_, Now_));
+    const std::vector<PlacementIndex> LostPlacements = Host.Placements_;
+    for (const PlacementIndex Index : LostPlacements) {
+      const Placement Lost = Cell_.Placements_[Index];
+      forgetEnd(Lost.Job_, Lost.Task_);
+      requeue(*taskEnded(Cell_, Teams_, Lost.Job_, Lost.Task_, Now_));
     }
   }
 
@@ -119,22 +120,22 @@
   }
 
   void decideAll(std::uint64_t Seed, int Step) {
-    Budget Limits;
+    DecideLimits Limits;
     Limits.MaxDecisions_ = 100'000;
-    Limits.MaxExamined_ = 100'000;
+    Limits.MaxShapesTried_ = 100'000;
     std::map<std::string, std::size_t> GangWaiting;
     for (const auto &[Id, Index] : Pending_.ById_)
       if (Pending_.Jobs_[Index].Kind_ == JobKind::Gang)
         GangWaiting[Id] = Pending_.Jobs_[Index].Waiting_.size();
     std::map<std::string, std::size_t> GangStarted;
-    for (const Decision &One : decide(Cell_, Pending_, Teams_, Now_, Limits)) {
-      if (One.Kind_ == DecisionKind::Preempt) {
-        Preempted_.push_back(One);
+    for (const Decision &Decided : decide(Cell_, Pending_, Teams_, Now_, Limits)) {
+      if (Decided.Kind_ == DecisionKind::Preempt) {
+        Preempted_.push_back(Decided);
         continue;
       }
-      started(One);
-      if (Known_.at(One.Job_).Kind_ == JobKind::Gang)
-        ++GangStarted[One.Job_];
+      scheduleEnd(Decided);
+      if (Submitted_.at(Decided.Job_).Kind_ == JobKind::Gang)
+        ++GangStarted[Decided.Job_];
     }
     for (const auto &[Id, Count] : GangStarted)
       cr_assert_eq(Count, GangWaiting.at(Id), "seed %lu step %d: gang %s started in part", Seed,
@@ -146,18 +147,18 @@
     cr_assert(Faults.empty(), "seed %lu step %d: %s", Seed, Step, Faults.c_str());
     std::vector<Resources> Used(Cell_.Workers_.size());
     std::map<std::string, Resources> PerTeam;
-    for (const Placement &One : Cell_.Placements_)
-      if (One.Live_) {
-        Used[One.Worker_] += One.Size_;
-        PerTeam[One.Team_] += One.Size_;
+    for (const Placement &Placed : Cell_.Placements_)
+      if (Placed.InUse_) {
+        Used[Placed.Worker_] += Placed.Size_;
+        PerTeam[Placed.Team_] += Placed.Size_;
       }
     for (std::size_t I = 0; I < Used.size(); ++I)
       cr_assert(masticdrift::core::fits(Used[I], Cell_.Workers_[I].Capacity_),
                 "seed %lu step %d: worker %zu is overcommitted", Seed, Step, I);
     for (const TeamShare &Team : Teams_.Teams_) {
-      cr_assert(PerTeam[Team.Name_] == Team.Running_, "seed %lu step %d: usage of %s", Seed, Step,
-                Team.Name_.c_str());
-      cr_assert(masticdrift::core::fits(Team.Running_, Team.Limit_.Work_),
+      cr_assert(PerTeam[Team.Name_] == Team.CurrentUsage_, "seed %lu step %d: usage of %s", Seed,
+                Step, Team.Name_.c_str());
+      cr_assert(masticdrift::core::fits(Team.CurrentUsage_, Team.Limit_.Resources_),
                 "seed %lu step %d: team %s is above its limit", Seed, Step, Team.Name_.c_str());
     }
     std::vector<std::array<std::int64_t, 3>> Free;
@@ -170,8 +171,8 @@
       checkNotIdle(Pending_.Jobs_[Index], Free, Seed, Step);
     }
     cr_assert_eq(Tasks, Pending_.Tasks_, "seed %lu step %d: count of waiting tasks", Seed, Step);
-    for (const auto &[Id, Kept] : Pending_.Reservations_)
-      cr_assert(Kept.Workers_.size() <= 6, "seed %lu step %d: reservation of %s", Seed, Step,
+    for (const auto &[Id, Reserved] : Pending_.Reservations_)
+      cr_assert(Reserved.Workers_.size() <= 6, "seed %lu step %d: reservation of %s", Seed, Step,
                 Id.c_str());
   }
 
@@ -179,19 +180,20 @@
   void checkNotIdle(const PendingJob &Job, const std::vector<std::array<std::int64_t, 3>> &Free,
                     std::uint64_t Seed, int Step) const {
     const bool Gang = Job.Kind_ == JobKind::Gang;
-    const auto Asked = static_cast<std::int64_t>(Gang ? Job.Waiting_.size() : 1);
-    if (!withinLimit(Teams_, *findTeam(Teams_, Job.Team_), Job.Size_ * Asked))
+    const auto Needed = static_cast<std::int64_t>(Gang ? Job.Waiting_.size() : 1);
+    if (!withinLimit(Teams_, *findTeam(Teams_, Job.Team_), Job.Size_ * Needed))
       return;
-    std::int64_t Room = 0;
-    const auto Need = amounts(Job.Size_);
-    for (const auto &Has : Free) {
-      std::int64_t Copies = Asked;
-      for (std::size_t I = 0; I < Need.size() && Copies > 0; ++I)
-        if (Need[I] > 0)
-          Copies = Need[I] > Has[I] ? 0 : std::min(Copies, Has[I] / Need[I]);
-      Room += Copies;
+    std::int64_t FittingTasks = 0;
+    const auto Requested = amounts(Job.Size_);
+    for (const auto &Available : Free) {
+      std::int64_t Fitting = Needed;
+      for (std::size_t I = 0; I < Requested.size() && Fitting > 0; ++I)
+        if (Requested[I] > 0)
+          Fitting =
+              Requested[I] > Available[I] ? 0 : std::min(Fitting, Available[I] / Requested[I]);
+      FittingTasks += Fitting;
     }
-    cr_assert(Room < Asked, "seed %lu step %d: %s waits although it fits", Seed, Step,
+    cr_assert(FittingTasks < Needed, "seed %lu step %d: %s waits although it fits", Seed, Step,
               Job.Id_.c_str());
   }
 
@@ -200,7 +202,7 @@
   CellView Cell_;
   PendingWork Pending_;
   Shares Teams_;
-  std::map<std::string, PendingJob> Known_;
+  std::map<std::string, PendingJob> Submitted_;
   std::multimap<TimePoint, std::pair<std::string, std::uint32_t>> Ends_;
   std::vector<Decision> Preempted_;
   int NextJob_ = 0;
@@ -208,37 +210,38 @@
 
 void run(std::uint64_t Seed) {
   std::printf("seed %lu\n", Seed);
-  World It(Seed);
+  Simulation Sim(Seed);
   for (int Step = 0; Step < 1500; ++Step) {
-    It.Now_ += milliseconds(200 + It.below(1500));
-    It.endDue();
-    It.confirmPreempted();
-    for (std::uint32_t I = It.below(4); I > 0; --I)
-      It.submit();
-    if (It.below(100) == 0)
-      It.loseWorker();
-    if (It.below(30) == 0)
-      It.returnWorkers();
-    if (It.below(20) == 0 && !It.Pending_.ById_.empty())
-      cancel(It.Pending_, std::string(It.Pending_.ById_.begin()->first));
-    It.decideAll(Seed, Step);
-    It.check(Seed, Step);
+    Sim.Now_ += milliseconds(200 + Sim.below(1500));
+    Sim.endDue();
+    Sim.confirmPreempted();
+    for (std::uint32_t I = Sim.below(4); I > 0; --I)
+      Sim.submit();
+    if (Sim.below(100) == 0)
+      Sim.loseWorker();
+    if (Sim.below(30) == 0)
+      Sim.returnWorkers();
+    if (Sim.below(20) == 0 && !Sim.Pending_.ById_.empty())
+      cancel(Sim.Pending_, std::string(Sim.Pending_.ById_.begin()->first));
+    Sim.decideAll(Seed, Step);
+    Sim.check(Seed, Step);
   }
   // No starvation: with no new work, everything that waits is started in the end.
   for (int I = 0; I < 12; ++I)
-    addWorker(It.Cell_, "w" + std::to_string(I), "r" + std::to_string(I / 4), World::capacity(I));
+    addWorker(Sim.Cell_, "w" + std::to_string(I), "r" + std::to_string(I / 4),
+              Simulation::capacity(I));
   int Step = 1500;
-  for (; Step < 200'000 && (It.Pending_.Tasks_ > 0 || !It.Ends_.empty()); ++Step) {
-    It.Now_ += seconds(1);
-    It.endDue();
-    It.confirmPreempted();
-    It.decideAll(Seed, Step);
+  for (; Step < 200'000 && (Sim.Pending_.Tasks_ > 0 || !Sim.Ends_.empty()); ++Step) {
+    Sim.Now_ += seconds(1);
+    Sim.endDue();
+    Sim.confirmPreempted();
+    Sim.decideAll(Seed, Step);
     if (Step % 50 == 0)
-      It.check(Seed, Step);
+      Sim.check(Seed, Step);
   }
-  cr_assert_eq(It.Pending_.Tasks_, 0, "seed %lu: %zu tasks never started", Seed,
-               It.Pending_.Tasks_);
-  cr_assert(It.Cell_.Used_ == Resources{}, "seed %lu: room is still used at the end", Seed);
+  cr_assert_eq(Sim.Pending_.Tasks_, 0, "seed %lu: %zu tasks never started", Seed,
+               Sim.Pending_.Tasks_);
+  cr_assert(Sim.Cell_.Used_ == Resources{}, "seed %lu: room is still used at the end", Seed);
 }
 
 PendingJob makeJob(std::string Id, std::string Team, JobKind Kind, Resources Size, Duration Run,
@@ -248,8 +251,8 @@
   Job.Team_ = std::move(Team);
   Job.Kind_ = Kind;
   Job.Size_ = Size;
-  Job.Run_ = Run;
-  Job.Queued_ = Queued;
+  Job.RunTime_ = Run;
+  Job.QueuedAt_ = Queued;
   for (std::uint32_t I = 0; I < Tasks; ++I)
     Job.Waiting_.push_back(I);
   return Job;
@@ -291,10 +294,10 @@
     if (Now == Submitted)
       addPending(Pending,
                  makeJob("gang", "large", JobKind::Gang, {12'000, 8192, 0}, seconds(60), 8, Now));
-    for (const Decision &One : decide(Cell, Pending, Teams, Now, {})) {
-      if (One.Job_ == "gang")
+    for (const Decision &Decided : decide(Cell, Pending, Teams, Now, {})) {
+      if (Decided.Job_ == "gang")
         GangStarted = Now;
-      Ends.emplace(Now + seconds(5 + Random() % 30), std::pair{One.Job_, One.Task_});
+      Ends.emplace(Now + seconds(5 + Random() % 30), std::pair{Decided.Job_, Decided.Task_});
     }
   }
   cr_assert(GangStarted != TimePoint{}, "the gang did not start within 500 s");
@@ -331,8 +334,8 @@
     }
     const auto Decisions = decide(Cell, Pending, Teams, Now, {});
     cr_assert(Decisions.empty() || Decisions.size() == 4);
-    for (const Decision &One : Decisions)
-      Ends.emplace(Now + seconds(10), std::pair{One.Job_, One.Task_});
+    for (const Decision &Decided : Decisions)
+      Ends.emplace(Now + seconds(10), std::pair{Decided.Job_, Decided.Task_});
     if (!Decisions.empty())
       Order.push_back(Decisions.front().Job_);
   }
@@ -342,7 +345,7 @@
 // Guards against urgent work that stops tasks although a checkpoint would do.
 Test(PolicyPreemption, checkpointThenThrottleThenStop) {
   TimePoint Now{seconds(1000)};
-  const auto Chosen = [&](bool CanCheckpoint, bool CanThrottle) {
+  const auto MethodChosen = [&](bool CanCheckpoint, bool CanThrottle) {
     CellView Cell;
     PendingWork Pending;
     Shares Teams;
@@ -365,18 +368,18 @@
     cr_assert_eq(First.size(), 1);
     cr_assert(First[0].Kind_ == DecisionKind::Preempt);
     cr_assert(decide(Cell, Pending, Teams, Now, {}).empty(), "room was freed twice");
-    if (First[0].How_ == PreemptHow::Throttle)
+    if (First[0].Method_ == PreemptionMethod::Throttle)
       taskThrottled(Cell, Teams, First[0].Job_, First[0].Task_, Now);
     else
       taskEnded(Cell, Teams, First[0].Job_, First[0].Task_, Now);
     const auto Second = decide(Cell, Pending, Teams, Now, {});
     cr_assert_eq(Second.size(), 1);
     cr_assert(Second[0].Kind_ == DecisionKind::Start && Second[0].Job_ == "u");
-    return First[0].How_;
+    return First[0].Method_;
   };
-  cr_assert(Chosen(true, true) == PreemptHow::Checkpoint);
-  cr_assert(Chosen(false, true) == PreemptHow::Throttle);
-  cr_assert(Chosen(false, false) == PreemptHow::Stop);
+  cr_assert(MethodChosen(true, true) == PreemptionMethod::Checkpoint);
+  cr_assert(MethodChosen(false, true) == PreemptionMethod::Throttle);
+  cr_assert(MethodChosen(false, false) == PreemptionMethod::Stop);
 }
 
 // Guards against a print batch that is stopped and could then not be run again.
@@ -410,8 +413,8 @@
     addWorker(Cell, "w" + std::to_string(I), "r" + std::to_string(I / 4), {16'000, 32'768, 0});
   addPending(Pending, makeJob("s", "a", JobKind::Service, {1000, 1024, 0}, seconds(1), 6, Now));
   std::map<std::string, int> Racks;
-  for (const Decision &One : decide(Cell, Pending, Teams, Now, {}))
-    ++Racks[Cell.Workers_[One.WorkerIndex_].Rack_];
+  for (const Decision &Decided : decide(Cell, Pending, Teams, Now, {}))
+    ++Racks[Cell.Workers_[Decided.WorkerIndex_].Rack_];
   cr_assert_eq(Racks.size(), 3);
   for (const auto &[Rack, Count] : Racks)
     cr_assert_eq(Count, 2);
@@ -429,8 +432,8 @@
   addPending(Pending, makeJob("one", "a", JobKind::Batch, {1000, 1024, 1}, seconds(60), 4, Now));
   addPending(Pending, makeJob("none", "a", JobKind::Batch, {1000, 1024, 0}, seconds(60), 3, Now));
   std::map<std::string, std::set<std::string>> Workers;
-  for (const Decision &One : decide(Cell, Pending, Teams, Now, {}))
-    Workers[One.Job_].insert(One.Worker_);
+  for (const Decision &Decided : decide(Cell, Pending, Teams, Now, {}))
+    Workers[Decided.Job_].insert(Decided.Worker_);
   cr_assert_eq(Workers["one"].size(), 1, "single accelerators were spread over workers");
   cr_assert(Workers["none"].size() == 1);
 }
