--- a/tests/unit/PolicyQueueTest.cpp
+++ b/tests/unit/PolicyQueueTest.cpp
@@ -15,7 +15,7 @@
   Job.Team_ = "a";
   Job.Kind_ = Kind;
   Job.Size_ = Size;
-  Job.Queued_ = TimePoint{seconds(1000)};
+  Job.QueuedAt_ = TimePoint{seconds(1000)};
   for (std::uint32_t I = 0; I < Tasks; ++I)
     Job.Waiting_.push_back(I);
   return Job;
@@ -33,20 +33,20 @@
 // Guards against accepting a job that can never run, and against naming the wrong resource.
 Test(PolicyImpossible, namesTheResourceAndTheLargestAmount) {
   const CellView Cell = makeCell();
-  auto Why = impossible(Cell, makeJob("j", JobKind::Batch, {17'000, 1024, 0}, 1));
+  auto Why = findInfeasibility(Cell, makeJob("j", JobKind::Batch, {17'000, 1024, 0}, 1));
   cr_assert(Why && Why->Kind_ == 0 && Why->Largest_ == 16'000);
-  Why = impossible(Cell, makeJob("j", JobKind::Batch, {1000, 1024, 5}, 1));
+  Why = findInfeasibility(Cell, makeJob("j", JobKind::Batch, {1000, 1024, 5}, 1));
   cr_assert(Why && Why->Kind_ == 2 && Why->Largest_ == 4);
   // Each amount exists, but not on one worker: with 4 accelerators only 8 cores are available.
-  Why = impossible(Cell, makeJob("j", JobKind::Batch, {12'000, 1024, 4}, 1));
+  Why = findInfeasibility(Cell, makeJob("j", JobKind::Batch, {12'000, 1024, 4}, 1));
   cr_assert(Why && Why->Kind_ == 0 && Why->Largest_ == 8000);
-  Why = impossible(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 4));
-  cr_assert(Why && Why->Kind_ == 0 && Why->Asked_ == 32'000 && Why->Largest_ == 24'000);
-  cr_assert(!impossible(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 3)));
+  Why = findInfeasibility(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 4));
+  cr_assert(Why && Why->Kind_ == 0 && Why->Requested_ == 32'000 && Why->Largest_ == 24'000);
+  cr_assert(!findInfeasibility(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 3)));
 }
 
 // Guards against a wave of cancellations that blocks the loop or leaves entries behind.
-Test(PolicyCancel, aWaveIsWorkedOffInSteps) {
+Test(PolicyCancel, manyCancellationsAreProcessedInSteps) {
   PendingWork Pending;
   std::vector<std::string> Ids;
   for (int I = 0; I < 3000; ++I) {
@@ -80,67 +80,67 @@
 }
 
 // Guards against shares that ignore weights or the decayed past.
-Test(PolicyShares, theHeavierTeamMayUseMore) {
-  Shares All;
-  setCapacity(All, {100'000, 100'000, 10});
-  setTeam(All, "a", 3, {});
-  setTeam(All, "b", 1, {});
+Test(PolicyShares, aTeamWithMoreWeightMayUseMore) {
+  Shares Teams;
+  setCapacity(Teams, {100'000, 100'000, 10});
+  setTeam(Teams, "a", 3, {});
+  setTeam(Teams, "b", 1, {});
   const TimePoint Now{seconds(1000)};
-  addUsage(All, 0, {30'000, 1000, 0}, Now);
-  addUsage(All, 1, {1000, 0, 1}, Now);
-  cr_assert_float_eq(rankOf(All, 0), rankOf(All, 1), 1e-9);
-  addUsage(All, 0, {-30'000, -1000, 0}, Now + seconds(600));
-  addUsage(All, 1, {-1000, 0, -1}, Now + seconds(600));
-  cr_assert(rankOf(All, 0) > 0.04, "past usage was forgotten at once");
-  decay(All, 0, Now + seconds(2000));
-  cr_assert(rankOf(All, 0) < 0.001, "past usage was not forgotten");
+  addUsage(Teams, 0, {30'000, 1000, 0}, Now);
+  addUsage(Teams, 1, {1000, 0, 1}, Now);
+  cr_assert_float_eq(rankOf(Teams, 0), rankOf(Teams, 1), 1e-9);
+  addUsage(Teams, 0, {-30'000, -1000, 0}, Now + seconds(600));
+  addUsage(Teams, 1, {-1000, 0, -1}, Now + seconds(600));
+  cr_assert(rankOf(Teams, 0) > 0.04, "past usage was forgotten at once");
+  decay(Teams, 0, Now + seconds(2000));
+  cr_assert(rankOf(Teams, 0) < 0.001, "past usage was not forgotten");
 }
 
 // Guards against one outlier changing the estimate, and against unbounded memory.
 Test(PolicyLearn, outliersAndMemory) {
-  Learned Known;
-  Known.MostFamilies_ = 10;
+  RunHistory History;
+  History.MaxFamilies_ = 10;
   const Resources Declared{4000, 8192, 1};
   for (int I = 0; I < 20; ++I)
-    observe(Known, "a", "f", seconds(100), seconds(I == 10 ? 100'000 : 20), Declared,
-            {1000, 2048, 0});
-  const Estimate Seen = estimate(Known, "a", "f", seconds(100), Declared);
-  cr_assert(Seen.Run_ >= seconds(19) && Seen.Run_ <= seconds(21));
-  cr_assert(Seen.Size_.MilliCores_ >= 1000 && Seen.Size_.MilliCores_ <= 1200);
-  cr_assert(Seen.Size_.MemoryMb_ >= 2048 && Seen.Size_.MemoryMb_ <= 2432);
-  cr_assert_eq(Seen.Size_.Accelerators_, 1);
-  cr_assert(estimate(Known, "b", "f", seconds(100), Declared).Run_ == seconds(100));
+    recordObservation(History, "a", "f", seconds(100), seconds(I == 10 ? 100'000 : 20), Declared,
+                      {1000, 2048, 0});
+  const Estimate Learned = estimate(History, "a", "f", seconds(100), Declared);
+  cr_assert(Learned.RunTime_ >= seconds(19) && Learned.RunTime_ <= seconds(21));
+  cr_assert(Learned.Size_.MilliCores_ >= 1000 && Learned.Size_.MilliCores_ <= 1200);
+  cr_assert(Learned.Size_.MemoryMb_ >= 2048 && Learned.Size_.MemoryMb_ <= 2432);
+  cr_assert_eq(Learned.Size_.Accelerators_, 1);
+  cr_assert(estimate(History, "b", "f", seconds(100), Declared).RunTime_ == seconds(100));
   for (int I = 0; I < 100; ++I)
-    observe(Known, "a", "g" + std::to_string(I), seconds(1), seconds(1), Declared, {});
-  cr_assert_eq(Known.Recent_.size(), 10);
-  cr_assert_eq(Known.ByKey_.size(), 10);
+    recordObservation(History, "a", "g" + std::to_string(I), seconds(1), seconds(1), Declared, {});
+  cr_assert_eq(History.Recent_.size(), 10);
+  cr_assert_eq(History.ByKey_.size(), 10);
 }
 
 // Guards against a worker that fails everything and drains the queue, and against quarantining a
 // worker because of one bad job.
 Test(PolicyQuarantine, threeDifferentJobsThenProbesWithBackOff) {
   CellView Cell = makeCell();
-  Quarantine All;
+  Quarantine Records;
   TimePoint Now{seconds(1000)};
   for (int I = 0; I < 10; ++I)
-    cr_assert(!recordEnd(All, Cell, 0, "same", Now, false, Now));
-  recordEnd(All, Cell, 0, "second", Now, false, Now);
+    cr_assert(!recordTaskEnd(Records, Cell, 0, "same", Now, false, Now));
+  recordTaskEnd(Records, Cell, 0, "second", Now, false, Now);
   cr_assert(Cell.Workers_[0].Health_ == Health::Healthy);
-  cr_assert(recordEnd(All, Cell, 0, "third", Now, false, Now));
+  cr_assert(recordTaskEnd(Records, Cell, 0, "third", Now, false, Now));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
   // A task that started before the failures ends well; the worker is not fit again for that.
-  cr_assert(!recordEnd(All, Cell, 0, "earlier", Now - seconds(60), true, Now));
+  cr_assert(!recordTaskEnd(Records, Cell, 0, "earlier", Now - seconds(60), true, Now));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
-  openProbes(All, Cell, Now + seconds(29));
+  allowProbes(Records, Cell, Now + seconds(29));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
   Now += seconds(30);
-  openProbes(All, Cell, Now);
+  allowProbes(Records, Cell, Now);
   cr_assert(Cell.Workers_[0].Health_ == Health::Probing);
-  recordEnd(All, Cell, 0, "fourth", Now, false, Now);
-  openProbes(All, Cell, Now + seconds(59));
+  recordTaskEnd(Records, Cell, 0, "fourth", Now, false, Now);
+  allowProbes(Records, Cell, Now + seconds(59));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined, "the back-off did not grow");
   Now += seconds(60);
-  openProbes(All, Cell, Now);
+  allowProbes(Records, Cell, Now);
   // A probing worker gets one idempotent batch task and nothing else.
   PendingWork Pending;
   Shares Teams;
@@ -152,11 +152,11 @@
   const auto Started = decide(Cell, Pending, Teams, Now, {});
   cr_assert_eq(Started.size(), 3);
   cr_assert_eq(std::count_if(Started.begin(), Started.end(),
-                             [](const Decision &One) { return One.WorkerIndex_ == 0; }),
+                             [](const Decision &Decided) { return Decided.WorkerIndex_ == 0; }),
                1);
-  cr_assert(recordEnd(All, Cell, 0, "probe", Now, true, Now));
+  cr_assert(recordTaskEnd(Records, Cell, 0, "probe", Now, true, Now));
   cr_assert(Cell.Workers_[0].Health_ == Health::Healthy);
-  cr_assert(All.Workers_.empty());
+  cr_assert(Records.Workers_.empty());
 }
 
 // Guards against explanations that name the wrong cause.
@@ -189,15 +189,15 @@
   cr_assert(Full.Reason_ == WaitReason::NoRoom);
   cr_assert(Full.EstimatedStart_ == Now + seconds(50));
   // A team without usage waits as well, so room that appears goes there first.
-  Teams.Teams_[teamIndex(Teams, "a")].Usage_ = 0.5;
-  PendingJob Poor = makeJob("poor", JobKind::Batch, {16'000, 1024, 0}, 1);
-  Poor.Team_ = "c";
-  teamIndex(Teams, "c");
-  addPending(Pending, Poor);
+  Teams.Teams_[findOrAddTeam(Teams, "a")].DecayedUsage_ = 0.5;
+  PendingJob LowUsage = makeJob("poor", JobKind::Batch, {16'000, 1024, 0}, 1);
+  LowUsage.Team_ = "c";
+  findOrAddTeam(Teams, "c");
+  addPending(Pending, LowUsage);
   cr_assert(Why("full").Reason_ == WaitReason::Share);
   cr_assert(!Why("full").EstimatedStart_);
   cancel(Pending, "poor");
-  Teams.Teams_[teamIndex(Teams, "a")].Usage_ = 0;
+  Teams.Teams_[findOrAddTeam(Teams, "a")].DecayedUsage_ = 0;
   taskRunning(Cell, Teams, 1,
               {.Job_ = "mine",
                .Team_ = "a",
--- a/tests/unit/PolicyRequestTest.cpp
+++ b/tests/unit/PolicyRequestTest.cpp
@@ -34,11 +34,11 @@
     pushRequest(Queue, {1000 + I, "a", Start, Start + Millis(2000)}, Start);
   }
   std::vector<QueuedRequest> Shed;
-  std::map<std::string, int> Got;
+  std::map<std::string, int> Counts;
   for (int I = 0; I < 80; ++I)
-    ++Got[popRequest(Queue, Start, Shed)->Team_];
-  cr_assert_eq(Got["a"], 60);
-  cr_assert_eq(Got["b"], 20);
+    ++Counts[popRequest(Queue, Start, Shed)->Team_];
+  cr_assert_eq(Counts["a"], 60);
+  cr_assert_eq(Counts["b"], 20);
 }
 
 // Guards against a team above its slot allotment, and against other teams waiting behind it.
@@ -49,11 +49,11 @@
     pushRequest(Queue, {I, "a", Start, Start + Millis(2000)}, Start);
   pushRequest(Queue, {9, "b", Start, Start + Millis(2000)}, Start);
   std::vector<QueuedRequest> Shed;
-  std::map<std::string, int> Got;
+  std::map<std::string, int> Counts;
   while (auto Next = popRequest(Queue, Start, Shed))
-    ++Got[Next->Team_];
-  cr_assert_eq(Got["a"], 2);
-  cr_assert_eq(Got["b"], 1);
+    ++Counts[Next->Team_];
+  cr_assert_eq(Counts["a"], 2);
+  cr_assert_eq(Counts["b"], 1);
   finishSlot(Queue, "a", Millis(50));
   cr_assert(popRequest(Queue, Start, Shed)->Team_ == "a");
   cr_assert(!popRequest(Queue, Start, Shed));
@@ -62,13 +62,13 @@
 // Guards against an expired request that takes a slot, and against a queue without bound.
 Test(PolicyRequests, expiredAndExcessRequestsAreShed) {
   RequestQueue Queue = makeQueue();
-  Queue.Limits_.PerTeam_ = 3;
+  Queue.Limits_.MaxPerTeam_ = 3;
   pushRequest(Queue, {1, "a", Start, Start + Millis(10)}, Start);
   pushRequest(Queue, {2, "a", Start, Start + Millis(500)}, Start);
   pushRequest(Queue, {3, "a", Start, Start + Millis(500)}, Start);
-  cr_assert(pushRequest(Queue, {4, "a", Start, Start + Millis(500)}, Start).Verdict_ ==
+  cr_assert(pushRequest(Queue, {4, "a", Start, Start + Millis(500)}, Start).Admission_ ==
             Admission::QueueFull);
-  cr_assert(pushRequest(Queue, {5, "b", Start, Start}, Start).Verdict_ == Admission::TooLate);
+  cr_assert(pushRequest(Queue, {5, "b", Start, Start}, Start).Admission_ == Admission::TooLate);
   std::vector<QueuedRequest> Shed;
   cr_assert_eq(popRequest(Queue, Start + Millis(20), Shed)->Id_, 2);
   cr_assert_eq(Shed.size(), 1);
@@ -86,7 +86,7 @@
   int Refused = 0;
   for (std::uint64_t I = 0; I < 200; ++I) {
     const auto Answer = pushRequest(Queue, {I, "a", Start, Start + Millis(200)}, Start);
-    if (Answer.Verdict_ == Admission::TooLate) {
+    if (Answer.Admission_ == Admission::TooLate) {
       ++Refused;
       cr_assert(Answer.RetryAfter_ > Millis(0));
     }
@@ -127,10 +127,10 @@
     for (const RequestTeam &Team : Queue.Teams_) {
       Waiting += Team.Waiting_.size();
       cr_assert(Team.Slots_ <= Team.SlotLimit_);
-      std::size_t Mine = 0;
+      std::size_t Held = 0;
       for (const auto &[At, Name] : Running)
-        Mine += Name == Team.Name_ ? 1 : 0;
-      cr_assert_eq(Mine, Team.Slots_);
+        Held += Name == Team.Name_ ? 1 : 0;
+      cr_assert_eq(Held, Team.Slots_);
       // Nothing waits while a slot is free.
       cr_assert(Running.size() >= 6 || Team.Waiting_.empty() || Team.Slots_ == Team.SlotLimit_);
     }
@@ -141,16 +141,16 @@
 
 // Guards against more than 8 requests or 16 connections at one executor.
 Test(PolicyExecutors, slotsAndConnectionsAreBounded) {
-  Executors Pool;
+  ExecutorPool Pool;
   addExecutor(Pool, "e0");
   addExecutor(Pool, "e1");
-  std::map<std::size_t, int> Got;
+  std::map<std::size_t, int> Counts;
   while (auto Index = chooseExecutor(Pool, Start)) {
     takeSlot(Pool, *Index, Start);
-    ++Got[*Index];
-    cr_assert(std::abs(Got[0] - Got[1]) <= 1, "requests are not balanced");
+    ++Counts[*Index];
+    cr_assert(std::abs(Counts[0] - Counts[1]) <= 1, "requests are not balanced");
   }
-  cr_assert(Got[0] == 8 && Got[1] == 8);
+  cr_assert(Counts[0] == 8 && Counts[1] == 8);
   int Opened = 0;
   while (openConnection(Pool, 0))
     ++Opened;
@@ -159,7 +159,7 @@
 
 // Guards against a slot given out again while the executor still works on a timed-out request.
 Test(PolicyExecutors, theSlotOfATimedOutRequestStaysTaken) {
-  Executors Pool;
+  ExecutorPool Pool;
   addExecutor(Pool, "e0");
   for (int I = 0; I < 8; ++I)
     takeSlot(Pool, 0, Start);
@@ -173,8 +173,8 @@
 // Pattern: all executors of a pool are ejected, so requests grow old in the queue and the next
 // trial has little time left. Guards against an executor that works again and stays ejected, for
 // twice as long after each such trial.
-Test(PolicyExecutors, aTrialWithoutTimeSaysNothing) {
-  Executors Pool;
+Test(PolicyExecutors, aTrialWithTooLittleTimeIsIgnored) {
+  ExecutorPool Pool;
   addExecutor(Pool, "e0");
   for (int I = 0; I < 64; ++I) {
     takeSlot(Pool, 0, Start);
@@ -197,7 +197,7 @@
 
 // Guards against an ejected executor that gets more than one request at a time, or none ever.
 Test(PolicyExecutors, ejectionAndSingleTrials) {
-  Executors Pool;
+  ExecutorPool Pool;
   addExecutor(Pool, "bad");
   addExecutor(Pool, "good");
   for (int I = 0; I < 5; ++I) {
@@ -215,41 +215,41 @@
   cr_assert(chooseExecutor(Pool, Last) == 0U);
   takeSlot(Pool, 0, Last);
   finishRequest(Pool, 0, Last, Millis(10), true);
-  cr_assert(!Pool.All_[0].EjectedUntil_);
+  cr_assert(!Pool.Members_[0].EjectedUntil_);
 }
 
 // Guards against a slow executor that delays every eighth request.
 Test(PolicyExecutors, anExecutorThreeTimesSlowerThanTheMedianIsEjected) {
-  Executors Pool;
+  ExecutorPool Pool;
   for (int I = 0; I < 5; ++I)
     addExecutor(Pool, "e" + std::to_string(I));
   for (int Round = 0; Round < 100; ++Round)
     for (std::size_t I = 0; I < 5; ++I) {
-      if (Pool.All_[I].EjectedUntil_)
+      if (Pool.Members_[I].EjectedUntil_)
         continue;
       takeSlot(Pool, I, Start);
       finishRequest(Pool, I, Start, Millis(I == 3 ? 100 : 20), true);
     }
   for (std::size_t I = 0; I < 5; ++I)
-    cr_assert_eq(Pool.All_[I].EjectedUntil_.has_value(), I == 3, "executor %zu", I);
+    cr_assert_eq(Pool.Members_[I].EjectedUntil_.has_value(), I == 3, "executor %zu", I);
 }
 
 // Guards against the loss of a whole pool: when the load rises, all executors become slower than
 // the median of before.
-Test(PolicyExecutors, aPoolThatBecomesSlowAsAWholeIsKept) {
-  Executors Pool;
+Test(PolicyExecutors, aPoolThatSlowsDownAsAWholeIsNotEjected) {
+  ExecutorPool Pool;
   for (int I = 0; I < 4; ++I)
     addExecutor(Pool, "e" + std::to_string(I));
   for (const int Latency : {1, 8, 300})
     for (int Round = 0; Round < 50; ++Round)
       for (std::size_t I = 0; I < 4; ++I) {
-        if (Pool.All_[I].EjectedUntil_)
+        if (Pool.Members_[I].EjectedUntil_)
           continue;
         takeSlot(Pool, I, Start);
         finishRequest(Pool, I, Start, Millis(Latency), true);
       }
   const auto Ejected = std::ranges::count_if(
-      Pool.All_, [](const Executor &One) { return One.EjectedUntil_.has_value(); });
+      Pool.Members_, [](const Executor &Member) { return Member.EjectedUntil_.has_value(); });
   cr_assert_leq(Ejected, 2, "%ld of 4 executors are ejected", static_cast<long>(Ejected));
 }
 
