--- a/include/masticdrift/policy/Cell.h
+++ b/include/masticdrift/policy/Cell.h
@@ -1,9 +1,9 @@
 /// \file
-/// The view of one failure domain on which placements are decided.
+/// Scheduler's view of one failure domain: workers, placements and reservations.
 ///
-/// All changes go through the functions below, because they keep the sums and the index of free
-/// amounts. The view is a plain value: the owner rebuilds it by replay, and a copy may be used for
-/// trials.
+/// Modify the view only through the functions below: they keep the resource totals and the index of
+/// free resources consistent. The view is a plain value. The owner rebuilds it by replay, and
+/// callers may work on a copy to evaluate alternatives.
 #ifndef MASTICDRIFT_POLICY_CELL_H
 #define MASTICDRIFT_POLICY_CELL_H
 
@@ -27,21 +27,23 @@
 using core::Resources;
 using core::TimePoint;
 
+/// Kind of work: a service runs without an end, batch tasks start independently of each other, and
+/// the tasks of a gang start together.
 enum class JobKind : std::uint8_t { Service, Batch, Gang };
 
-/// Whether a worker gets work. A quarantined worker gets none; a probing worker gets one idempotent
+/// Health of a worker. A quarantined worker gets no tasks; a probing worker gets one idempotent
 /// batch task at a time.
 enum class Health : std::uint8_t { Healthy, Quarantined, Probing };
 
-/// How a placement frees room, in the order of preference.
+/// How a placement is made to free resources, in order of preference.
 enum class PreemptionMethod : std::uint8_t { Checkpoint, Throttle, Stop };
 
-/// Index of a worker in CellView::Workers_; not reused.
+/// Index into CellView::Workers_; never reused.
 using WorkerIndex = std::uint32_t;
-/// Index of a placement in CellView::Placements_; reused after release().
+/// Index into CellView::Placements_; reused after release().
 using PlacementIndex = std::uint32_t;
 
-/// One task on one worker.
+/// A task placed on a worker.
 struct Placement {
   std::string Job_;
   std::uint32_t Task_ = 0;
@@ -51,28 +53,29 @@
   bool Urgent_ = false;
   bool Checkpointable_ = false;
   bool Throttleable_ = false;
-  bool Idempotent_ = true; ///< a task that is not is never stopped for other work
-  Resources Size_;         ///< reserved on the worker; lowered when the task is throttled
+  bool Idempotent_ = true; ///< if false, the task is never stopped for other work
+  Resources Size_;         ///< allocated on the worker; lowered when the task is throttled
   Resources FullSize_;     ///< size before throttling
   TimePoint Started_;
-  TimePoint ExpectedEnd_ = TimePoint::max(); ///< max for services
+  TimePoint ExpectedEnd_ = TimePoint::max(); ///< TimePoint::max() for services
   WorkerIndex Worker_ = 0;
-  std::optional<PreemptionMethod> PendingPreemption_; ///< decided, not confirmed by the worker yet
+  std::optional<PreemptionMethod> PendingPreemption_; ///< not yet confirmed by the worker
   bool Throttled_ = false;
-  bool InUse_ = false; ///< false when the entry is free
+  bool InUse_ = false; ///< false when the entry can be reused
 };
 
-/// Room kept on a worker for a waiting job.
+/// Resources of one worker that are reserved for a waiting job.
 struct WorkerReservation {
   std::string Job_;
   Resources Amount_;
-  /// Other work may use the room if it ends before this time.
+  /// Backfill: other tasks may use the resources if they end by this time.
   TimePoint Until_;
-  /// No other work may use the room; set when the reservation is old.
+  /// Disables backfill. Set when the reservation is older than DecideLimits::ExclusiveAfter_.
   bool Exclusive_ = false;
   bool Urgent_ = false;
 };
 
+/// A worker, its resources and the tasks placed on it.
 struct Worker {
   std::string Name_;
   std::string Rack_;
@@ -80,31 +83,32 @@
   Resources Used_;
   Health Health_ = Health::Healthy;
   bool Leaving_ = false;
-  bool Present_ = true; ///< false after removeWorker
+  bool Present_ = true; ///< false after removeWorker()
   std::vector<PlacementIndex> Placements_;
   std::vector<WorkerReservation> Reserved_;
-  std::uint32_t BucketIndex_ = UINT32_MAX; ///< place in the index, see FreeIndex
-  std::uint32_t PositionInBucket_ = 0;     ///< within the bucket
+  std::uint32_t BucketIndex_ = UINT32_MAX; ///< into FreeIndex; UINT32_MAX: not indexed
+  std::uint32_t PositionInBucket_ = 0;     ///< index within the bucket
 };
 
 namespace detail {
 
-/// Workers by free accelerators, free amount of the scarce resource and of the other one.
+/// Index of workers by free accelerators, by the free amount of the scarce resource and by that of
+/// the other one (cores or memory).
 ///
-/// Amounts fall into 48 buckets of about a quarter octave, so that a search skips all workers that
-/// are too full without touching them.
+/// Amounts fall into 48 logarithmic buckets, about four per power of two, so that a search skips
+/// workers that are too full without examining them.
 struct FreeIndex {
   static constexpr std::uint32_t BucketsPerKind = 48;
   static constexpr std::uint32_t AcceleratorLevels = 17;  ///< 0 to 15, and 16 or more
   std::vector<std::vector<WorkerIndex>> WorkersByBucket_; ///< [level][scarce][other]
   std::array<std::array<std::uint64_t, BucketsPerKind>, AcceleratorLevels>
-      NonEmptyOther_{};                                           ///< bits: other
-  std::array<std::uint64_t, AcceleratorLevels> NonEmptyScarce_{}; ///< bits: scarce
+      NonEmptyOther_{}; ///< bit per bucket of the other resource
+  std::array<std::uint64_t, AcceleratorLevels> NonEmptyScarce_{}; ///< bit per scarce bucket
 };
 
 } // namespace detail
 
-/// The workers and placements of one failure domain.
+/// Workers and placements of one failure domain.
 struct CellView {
   std::vector<Worker> Workers_;
   std::unordered_map<std::string, WorkerIndex> WorkersByName_;
@@ -112,27 +116,28 @@
   std::vector<PlacementIndex> FreePlacements_;
   std::unordered_map<std::string, std::map<std::uint32_t, PlacementIndex>> ByJob_;
   std::map<std::string, std::vector<WorkerIndex>, std::less<>> Racks_;
-  Resources Capacity_; ///< of present workers that are not leaving and not quarantined
-  Resources Used_;     ///< of all placements
+  Resources Capacity_; ///< of the workers that accept new work, see acceptsWork()
+  Resources Used_;     ///< by all placements
   std::uint32_t Present_ = 0;
   std::set<WorkerIndex> Probing_;
-  /// Tasks of each service per rack, to spread them.
+  /// Number of tasks per service and rack, for spreading services over racks.
   std::unordered_map<std::string, std::map<std::string, std::uint32_t>> ServiceRacks_;
-  /// Kind of resource (0 cores, 1 memory) by which the index is ordered.
+  /// Resource by which the index is ordered first: 0 is cores, 1 is memory.
   std::size_t ScarceResource_ = 0;
   detail::FreeIndex Index_;
-  /// Workers on which room appeared, in order, so that a shape of work that did not fit is tried
-  /// only on these. FreedLogStart_ is the number of the first entry.
+  /// Log of the workers on which resources became free, oldest first. A shape that did not fit is
+  /// retried only on these workers. FreedLogStart_ is the sequence number of the first entry.
   std::vector<WorkerIndex> FreedLog_;
   std::uint64_t FreedLogStart_ = 0;
 };
 
-/// Adds a worker or updates the capacity, rack and leaving state of a known one.
+/// Adds a worker, or updates the rack, capacity and leaving state of a known one.
+/// \returns the worker's index.
 WorkerIndex addWorker(CellView &Cell, std::string_view Name, std::string_view Rack,
                       const Resources &Capacity, bool Leaving = false);
 
-/// Takes a worker out of the cell. Its placements stay until the caller releases them, because the
-/// tasks may still run until the worker's lease ends.
+/// Removes a worker from the cell. Its placements stay until the caller releases them, because the
+/// tasks may run on until the worker's lease expires.
 void removeWorker(CellView &Cell, std::string_view Name);
 
 void setLeaving(CellView &Cell, WorkerIndex Index, bool Leaving);
@@ -140,66 +145,71 @@
 
 std::optional<WorkerIndex> findWorker(const CellView &Cell, std::string_view Name);
 
-/// Adds a placement, whether decided here or found by replay or on the worker. Room is not checked:
-/// what a worker reports as running is counted even if it overfills the worker.
-/// \param What all fields but Worker_ and InUse_.
-/// \returns its index; the existing one when (job, task) is already placed.
+/// Adds a placement that was decided here, replayed, or reported by a worker. Free resources are
+/// not checked: a task that a worker reports as running is counted even if the worker is then
+/// overcommitted.
+/// \param NewPlacement all fields except Worker_ and InUse_.
+/// \returns the index of the placement; that of the existing one if (job, task) is already placed.
 PlacementIndex place(CellView &Cell, WorkerIndex HostIndex, Placement NewPlacement);
 
-/// Removes a placement after its task ended or its worker's lease is over.
-/// \returns the removed placement, or nothing when (job, task) is not placed.
+/// Removes a placement after its task ended or its worker's lease expired.
+/// \returns the removed placement, or nothing if (job, task) is not placed.
 std::optional<Placement> release(CellView &Cell, std::string_view Job, std::uint32_t Task);
 
-/// Undoes a place() of the same decision; notes no freed room.
+/// Reverts a place() of the same decision without adding an entry to CellView::FreedLog_.
 void undoPlace(CellView &Cell, std::string_view Job, std::uint32_t Task);
 
-/// Confirms that a worker throttled a task; frees the room above throttledSize().
+/// Records that a worker throttled a task, and frees the resources above throttledSize().
 void applyThrottle(CellView &Cell, std::string_view Job, std::uint32_t Task);
 
-/// Records that a preemption was refused or its answer lost; the task may be chosen again.
+/// Records that a preemption was refused or its answer was lost; the task may be preempted again.
 void preemptFailed(CellView &Cell, std::string_view Job, std::uint32_t Task);
 
 const Placement *findPlacement(const CellView &Cell, std::string_view Job, std::uint32_t Task);
 
-/// \returns what a throttled task keeps: all memory and accelerators, a quarter of the cores.
+/// Returns what a throttled task keeps: all memory and accelerators, and a quarter of the cores.
 Resources throttledSize(const Resources &Full);
 
 inline Resources freeOf(const Worker &Host) { return Host.Capacity_ - Host.Used_; }
 
-/// \returns true when new work may be placed on \p One.
+/// Returns whether new tasks may be placed on \p Host.
 inline bool acceptsWork(const Worker &Host) {
   return Host.Present_ && !Host.Leaving_ && Host.Health_ == Health::Healthy;
 }
 
-/// \returns the number of the next entry of CellView::FreedLog_.
+/// Returns the sequence number of the next entry of CellView::FreedLog_.
 inline std::uint64_t freedLogEnd(const CellView &Cell) {
   return Cell.FreedLogStart_ + Cell.FreedLog_.size();
 }
 
-/// Records that room appeared on a worker.
+/// Records in CellView::FreedLog_ that resources became free on a worker.
 void recordFreed(CellView &Cell, WorkerIndex Index);
 
-/// Keeps \p Part on a worker for \p Job.
+/// Reserves resources of a worker for the job named in \p NewReservation.
 void reserve(CellView &Cell, WorkerIndex HostIndex, WorkerReservation NewReservation);
-/// Drops all parts of \p Job on a worker.
+/// Drops all reservations of \p Job on a worker.
 void unreserve(CellView &Cell, WorkerIndex HostIndex, std::string_view Job);
 
-/// Chooses the kind of resource by which work is packed: the one (cores or memory) of which the
-/// larger part is used. Rebuilds the index when the choice changes. Cost: constant otherwise.
+/// Selects the resource by which tasks are packed: cores or memory, whichever has the higher
+/// utilization. Rebuilds the index if the selection changes.
+/// Cost: linear in the number of workers for a rebuild, constant otherwise.
 void updateScarceResource(CellView &Cell);
 
-/// \returns part of the capacity of the scarcest resource (of all three) that is used.
+/// Returns the highest utilization of the three resources, as a fraction of the capacity.
 double utilization(const CellView &Cell);
 
-/// \returns the reasons why the view contradicts itself, empty when it is sound. For tests. Cost:
-/// linear.
+/// Checks the invariants of the view; for tests.
+/// \returns a description of every violation; empty if there is none.
+/// Cost: linear in the number of workers and placements.
 std::string checkCell(const CellView &Cell);
 
 namespace detail {
 
+/// Returns the bucket of an amount: exact below 4, then four buckets per power of two.
 std::uint32_t bucketOf(std::int64_t Units);
-/// Bucket of the scarce and of the other kind for an amount.
+/// Returns the buckets of \p Amount for the scarce resource and for the other one.
 std::pair<std::uint32_t, std::uint32_t> bucketsOf(const CellView &Cell, const Resources &Amount);
+/// Returns the index level for a number of accelerators, see FreeIndex::AcceleratorLevels.
 std::uint32_t levelOf(std::int64_t Accelerators);
 
 } // namespace detail
--- a/include/masticdrift/policy/RetryBudget.h
+++ b/include/masticdrift/policy/RetryBudget.h
@@ -1,5 +1,5 @@
 /// \file
-/// Limits retries to a fraction of the requests.
+/// Retry budget: limits retries to a fraction of the requests.
 #ifndef MASTICDRIFT_POLICY_RETRYBUDGET_H
 #define MASTICDRIFT_POLICY_RETRYBUDGET_H
 
@@ -8,11 +8,11 @@
 
 namespace masticdrift::policy {
 
-/// Token bucket in thousandths of a retry. It starts empty, so that the retries never exceed the
+/// Token bucket; 1000 tokens allow one retry. It starts empty, so that retries never exceed the
 /// fraction of the requests seen so far.
 struct RetryBudget {
-  std::int64_t TokensPerRequest_ = 100; ///< thousandths earned per request; 100 is 10%
-  std::int64_t MaxTokens_ = 20'000; ///< bound of saved retries, so that an outage causes no burst
+  std::int64_t TokensPerRequest_ = 100; ///< added per request; 100 allows 10% retries
+  std::int64_t MaxTokens_ = 20'000; ///< limits unused retries, so that an outage causes no burst
   std::int64_t Tokens_ = 0;
 };
 
@@ -21,8 +21,8 @@
   Budget.Tokens_ = std::min(Budget.MaxTokens_, Budget.Tokens_ + Budget.TokensPerRequest_);
 }
 
-/// Takes the right to retry once.
-/// \returns false when the budget is used up; the request must then not be retried.
+/// Takes the tokens for one retry.
+/// \returns false if there are too few tokens; the request must then not be retried.
 inline bool takeRetry(RetryBudget &Budget) {
   if (Budget.Tokens_ < 1000)
     return false;
--- a/src/policy/Cell.cpp
+++ b/src/policy/Cell.cpp
@@ -6,7 +6,7 @@
 namespace masticdrift::policy {
 namespace {
 
-/// Size of the log of freed workers; older entries are dropped by half.
+/// Maximum number of entries of CellView::FreedLog_; a full log drops its older half.
 constexpr std::size_t FreedLogCapacity = 4096;
 
 bool countsInCapacity(const Worker &Host) { return acceptsWork(Host); }
@@ -50,7 +50,7 @@
   Cell.Index_.NonEmptyScarce_[Level] |= 1ULL << ScarceBucket;
 }
 
-/// Changes a worker and keeps the sums and the index.
+/// Applies a change to a worker and keeps the cell's capacity and the index consistent.
 template <typename Change> void updateWorker(CellView &Cell, WorkerIndex Index, Change Apply) {
   if (Cell.Index_.WorkersByBucket_.empty())
     Cell.Index_.WorkersByBucket_.resize(
@@ -108,7 +108,7 @@
 }
 
 std::pair<std::uint32_t, std::uint32_t> bucketsOf(const CellView &Cell, const Resources &Amount) {
-  // Units of a tenth of a core and of 128 MB: 48 buckets reach 800 cores and 1 TB.
+  // In units of 0.1 core and of 128 MB, 48 buckets cover 800 cores and 1 TB.
   const std::uint32_t Cores = bucketOf(Amount.MilliCores_ / 100);
   const std::uint32_t Memory = bucketOf(Amount.MemoryMb_ / 128);
   return Cell.ScarceResource_ == 0 ? std::pair{Cores, Memory} : std::pair{Memory, Cores};
@@ -302,7 +302,7 @@
     return;
   const double Cores = static_cast<double>(Used[0]) / static_cast<double>(Capacity[0]);
   const double Memory = static_cast<double>(Used[1]) / static_cast<double>(Capacity[1]);
-  // The margin prevents rebuilding the index when both are used about equally.
+  // The margin of 0.05 prevents repeated rebuilds when both resources are used about equally.
   const std::size_t Scarce =
       Cell.ScarceResource_ == 0 ? (Memory > Cores + 0.05 ? 1 : 0) : (Cores > Memory + 0.05 ? 0 : 1);
   if (Scarce == Cell.ScarceResource_)
@@ -337,24 +337,25 @@
     PerWorker[Placed.Worker_] += Placed.Size_;
   }
   if (Used != Cell.Used_)
-    Faults += "sum of placements differs from Used_; ";
+    Faults += "sum of the placements' sizes differs from Used_; ";
   if (InUse + Cell.FreePlacements_.size() != Cell.Placements_.size())
-    Faults += "free placements are miscounted; ";
+    Faults += "number of free placement entries is wrong; ";
   Resources Capacity;
   for (WorkerIndex I = 0; I < Cell.Workers_.size(); ++I) {
     const Worker &Host = Cell.Workers_[I];
     if (Host.Used_ != PerWorker[I])
-      Faults += "worker " + Host.Name_ + " has a wrong sum; ";
+      Faults += "worker " + Host.Name_ + ": Used_ differs from the sum of its placements; ";
     if (countsInCapacity(Host))
       Capacity += Host.Capacity_;
     if ((Host.BucketIndex_ != UINT32_MAX) != isIndexable(Host))
-      Faults += "worker " + Host.Name_ + " is wrongly indexed; ";
+      Faults += "worker " + Host.Name_ + ": must be indexed if and only if it accepts work; ";
     else if (Host.BucketIndex_ != UINT32_MAX &&
              Cell.Index_.WorkersByBucket_[Host.BucketIndex_][Host.PositionInBucket_] != I)
-      Faults += "worker " + Host.Name_ + " is not where the index says; ";
+      Faults +=
+          "worker " + Host.Name_ + ": index bucket does not contain it at the recorded position; ";
   }
   if (Capacity != Cell.Capacity_)
-    Faults += "sum of capacities differs from Capacity_; ";
+    Faults += "sum of the workers' capacities differs from Capacity_; ";
   return Faults;
 }
 
--- a/src/policy/Executors.cpp
+++ b/src/policy/Executors.cpp
@@ -5,7 +5,7 @@
 namespace masticdrift::policy {
 namespace {
 
-/// Weight of a new latency in the smoothed value.
+/// Weight of a new latency in the moving average.
 constexpr double NewLatencyWeight = 0.2;
 
 std::uint32_t slotsInUse(const Executor &Member, core::TimePoint Now) {
@@ -49,8 +49,8 @@
   Pool.MedianLatencyMs_ = *Median;
 }
 
-/// \returns true when \p One is an outlier. The median is refreshed first: under rising load it
-/// would lag behind, and the whole pool would look slow.
+/// Returns whether \p Member is a latency outlier that may be ejected. Updates the median before
+/// the final comparison: under rising load an old median would make the whole pool look slow.
 bool isSlow(ExecutorPool &Pool, const Executor &Member) {
   const auto AboveMedian = [&] {
     return Member.LatencyMs_ > Pool.Limits_.SlowFactor_ * Pool.MedianLatencyMs_ &&
@@ -157,7 +157,7 @@
   const bool WasTrial = Member.TrialInProgress_;
   Member.TrialInProgress_ = false;
   Member.ConsecutiveFailures_ = 0;
-  // The latency before the ejection says nothing about an executor that works again.
+  // Latencies from before the ejection are not representative of an executor that has recovered.
   Member.LatencyMs_ = Member.LatencyMs_ == 0 || WasTrial
                           ? Ms
                           : Member.LatencyMs_ + NewLatencyWeight * (Ms - Member.LatencyMs_);
@@ -179,7 +179,7 @@
 
 void releaseSlot(ExecutorPool &Pool, std::size_t Index) {
   dropOutstanding(Pool.Members_[Index]);
-  // The next request may be the trial.
+  // If the request was a trial, the next one becomes the trial instead.
   Pool.Members_[Index].TrialInProgress_ = false;
 }
 
@@ -189,7 +189,7 @@
   Pool.Members_[Index].HeldUntil_.push_back(Until);
   const double TimeGivenMs = std::chrono::duration<double, std::milli>(TimeGiven).count();
   if (TimeGivenMs < Pool.Limits_.MinTimeFactor_ * Pool.MedianLatencyMs_)
-    Pool.Members_[Index].TrialInProgress_ = false; // the next request is the trial
+    Pool.Members_[Index].TrialInProgress_ = false; // the next request becomes the trial
   else
     recordFailure(Pool, Index, Now);
 }
--- a/src/policy/Explain.cpp
+++ b/src/policy/Explain.cpp
@@ -15,7 +15,7 @@
   return static_cast<std::uint32_t>(Count);
 }
 
-/// Earliest time at which one task fits on a worker if running tasks end as expected.
+/// Returns the earliest time at which one task fits on a worker if running tasks end as expected.
 std::optional<TimePoint> earliestStart(const CellView &Cell, const PendingJob &Job, TimePoint Now) {
   std::optional<TimePoint> Earliest;
   for (const Worker &Host : Cell.Workers_) {
@@ -56,8 +56,8 @@
     Result.EstimatedStart_ = std::max(Now, Reserved->second.EstimatedStart_);
   if (const auto Infeasible = findInfeasibility(Cell, *Job)) {
     Result.Reason_ = WaitReason::NoFittingWorker;
-    Result.Text_ = "no fitting worker: asks for " + std::to_string(Infeasible->Requested_) + " " +
-                   std::string(core::ResourceNames[Infeasible->Kind_]) +
+    Result.Text_ = "no worker fits: the job requests " + std::to_string(Infeasible->Requested_) +
+                   " " + std::string(core::ResourceNames[Infeasible->Kind_]) +
                    (Infeasible->Kind_ == 0 ? " (thousandths)" : "") +
                    ", the largest available amount is " + std::to_string(Infeasible->Largest_);
     return Result;
@@ -74,7 +74,7 @@
   }
   if (Reserved != Pending.Reservations_.end() && Reserved->second.Urgent_) {
     Result.Reason_ = WaitReason::FreeingRoom;
-    Result.Text_ = "room is being freed by preemption";
+    Result.Text_ = "resources are being freed by preemption";
     return Result;
   }
   const TimePoint End = Job->Kind_ == JobKind::Service ? TimePoint::max() : Now + Job->RunTime_;
@@ -105,9 +105,9 @@
                                 rankOf(Teams, *Index) < rankOf(Teams, *Team));
     }
   if (FittingUnreserved >= Needed) {
-    // Room for the job is free right now, so only the order of the queue holds it back.
+    // The job fits now, so only the order of the queue delays it.
     Result.Reason_ = Outranked ? WaitReason::Share : WaitReason::Next;
-    Result.Text_ = Outranked ? "teams further below their share go first" : "starts next";
+    Result.Text_ = Outranked ? "teams further below their share go first" : "the job starts next";
     if (!Outranked)
       Result.EstimatedStart_ = Now;
     return Result;
@@ -116,18 +116,19 @@
     Result.EstimatedStart_ = earliestStart(Cell, *Job, Now);
   if (FittingHealthy >= Needed) {
     Result.Reason_ = WaitReason::ReservedForGang;
-    Result.Text_ = "the free room is reserved for a gang or a large task that waits longer";
+    Result.Text_ =
+        "the free resources are reserved for a gang or a large task that has waited longer";
   } else if (FittingHealthy + FittingQuarantined >= Needed) {
     Result.Reason_ = WaitReason::Quarantine;
-    Result.Text_ = "the free room is on quarantined workers";
+    Result.Text_ = "the free resources are on quarantined workers";
   } else if (Gang) {
     Result.Reason_ = WaitReason::GangTasks;
-    Result.Text_ = "room for " + std::to_string(Result.FittingTasks_) + " of " +
+    Result.Text_ = "resources are free for " + std::to_string(Result.FittingTasks_) + " of " +
                    std::to_string(Result.Tasks_) + " gang tasks";
   } else if (Outranked) {
     Result.Reason_ = WaitReason::Share;
     Result.Text_ = "all fitting workers are full, and teams further below their share go first";
-    // Room that appears first goes to those teams.
+    // Resources that become free go to those teams first, so there is no estimate.
     Result.EstimatedStart_.reset();
   } else {
     Result.Reason_ = WaitReason::NoRoom;
--- a/src/policy/Learn.cpp
+++ b/src/policy/Learn.cpp
@@ -8,13 +8,13 @@
 
 std::string familyKey(std::string_view Team, std::string_view Family) {
   std::string Key(Team);
-  Key += '\n'; // not allowed in names
+  Key += '\n'; // not allowed in names, so keys are unique
   Key += Family;
   return Key;
 }
 
 void addRatio(RatioWindow &Window, double Ratio) {
-  // Bounds keep one absurd declaration from producing infinite or zero estimates.
+  // Clamping prevents infinite or zero estimates from extreme declared values.
   Window.Values_[Window.Count_ % RatioWindow::Capacity] =
       static_cast<float>(std::clamp(Ratio, 0.001, 1000.0));
   ++Window.Count_;
@@ -24,7 +24,8 @@
   if (Window.Count_ == 0 || Declared <= 0)
     return Declared;
   const double Ratio = std::clamp(quantile(Window, 1) * 1.1, 0.1, 4.0);
-  // Steps keep the number of different sizes small, so that work shares shapes in the queue.
+  // Rounding up to steps limits the number of distinct sizes, so that jobs share shapes in the
+  // queue.
   const auto Steps = static_cast<std::int64_t>(
       std::ceil(static_cast<double>(Declared) * Ratio / static_cast<double>(Step)));
   return std::max<std::int64_t>(1, Steps) * Step;
@@ -96,7 +97,7 @@
 void applyEstimate(const RunHistory &History, PendingJob &Job, const Resources &Largest) {
   const Estimate Expected = estimate(History, Job.Team_, Job.Family_, Job.RunTime_, Job.Size_);
   Job.RunTime_ = Expected.RunTime_;
-  // A declared size above the largest worker stays as it is, so that impossible() names it.
+  // Keep a declared size above the largest worker, so that findInfeasibility() reports it.
   const auto CapAtLargest = [](std::int64_t Value, std::int64_t Declared, std::int64_t Max) {
     return Declared > Max ? Declared : std::min(Value, Max);
   };
--- a/src/policy/Place.cpp
+++ b/src/policy/Place.cpp
@@ -9,15 +9,15 @@
 
 using std::chrono::seconds;
 
-/// fits() over the kinds that are asked for, so that a worker that is overfull in one kind can
-/// still take work that needs none of it.
+/// Like fits(), but ignores resources that are not requested, so that a worker that is
+/// overcommitted in one resource can still take tasks that need none of it.
 bool fitsRequested(const Resources &Need, const Resources &Available) {
   return (Need.MilliCores_ <= 0 || Need.MilliCores_ <= Available.MilliCores_) &&
          (Need.MemoryMb_ <= 0 || Need.MemoryMb_ <= Available.MemoryMb_) &&
          (Need.Accelerators_ <= 0 || Need.Accelerators_ <= Available.Accelerators_);
 }
 
-/// Room that a preemption frees.
+/// Returns the resources that a preemption frees.
 Resources resourcesFreedBy(const Placement &Placed, PreemptionMethod Method) {
   return Method == PreemptionMethod::Throttle ? Placed.Size_ - throttledSize(Placed.FullSize_)
                                               : Placed.Size_;
@@ -27,12 +27,14 @@
   return Job.Kind_ == JobKind::Service ? TimePoint::max() : Now + Job.RunTime_;
 }
 
-/// Takes a PendingJob or a Shape.
+/// Returns whether a task may run on a probing worker.
+/// \param Job a PendingJob or a Shape.
 template <typename Work> bool mayRunAsProbe(const Work &Job) {
   return Job.Kind_ == JobKind::Batch && !Job.Urgent_ && Job.Idempotent_;
 }
 
-/// Best fit over the index: fewest free accelerators, then least free of the scarce resource.
+/// Searches the index for the best fit: fewest free accelerators, then the smallest free amount of
+/// the scarce resource.
 std::optional<WorkerIndex> bestFit(const CellView &Cell, const PendingJob &Job, TimePoint End) {
   constexpr std::uint32_t PerKind = detail::FreeIndex::BucketsPerKind;
   const detail::FreeIndex &Free = Cell.Index_;
@@ -66,7 +68,7 @@
   return Found == Racks->second.end() ? 0 : Found->second;
 }
 
-/// Worker in the rack with the fewest tasks of the service; best fit within the rack.
+/// Returns a worker in the rack with the fewest tasks of the service; best fit within the rack.
 std::optional<WorkerIndex> spreadOverRacks(const CellView &Cell, const PendingJob &Job,
                                            WorkerIndex BestFitHost) {
   std::uint32_t Fewest = tasksInRack(Cell, Job.Id_, Cell.Workers_[BestFitHost].Rack_);
@@ -92,7 +94,8 @@
   return Best;
 }
 
-/// Workers on which room appeared since an entry of CellView::FreedLog_, with what was free then.
+/// Workers on which resources became free since an entry of CellView::FreedLog_, with their free
+/// resources when the list was made.
 struct FreedWorkers {
   std::uint64_t FirstEntry_ = UINT64_MAX;
   std::uint64_t EndEntry_ = 0;
@@ -141,7 +144,7 @@
   Context.Pending_.Reservations_.erase(Found);
 }
 
-/// Gives back the room reserved for one task, preferably on the worker where it starts.
+/// Drops the reservation of one task, preferably the one on the worker where the task starts.
 void consumeReservation(DecideContext &Context, const std::string &Job, WorkerIndex HostIndex) {
   const auto Found = Context.Pending_.Reservations_.find(Job);
   if (Found == Context.Pending_.Reservations_.end())
@@ -156,7 +159,7 @@
                    [&](const WorkerReservation &Candidate) { return Candidate.Job_ == Job; });
   if (HostReservation != Reserved.end()) {
     Reserved.erase(HostReservation);
-    // Room that was kept is free again when the task starts elsewhere.
+    // If the task starts on another worker, the reserved resources become free.
     if (*HostEntry != HostIndex)
       recordFreed(Context.Cell_, *HostEntry);
   }
@@ -186,7 +189,8 @@
                                 .WorkerIndex_ = HostIndex});
 }
 
-/// Starts one task, or all of a gang.
+/// Starts one task of a job, or all tasks of a gang.
+/// \returns false if not all of them fit; no task is started then.
 bool startJob(DecideContext &Context, JobIndex Index) {
   PendingWork &Pending = Context.Pending_;
   const TeamIndex Team = findOrAddTeam(Context.Teams_, Pending.Jobs_[Index].Team_);
@@ -225,11 +229,12 @@
   return true;
 }
 
-/// Collects the workers on which room appeared since entry \p From, each once.
+/// Returns the distinct workers on which resources became free since entry \p From of the log.
 const FreedWorkers &freedSince(DecideContext &Context, std::uint64_t From) {
   FreedWorkers &Freed = Context.FreedSince_;
   const std::uint64_t End = freedLogEnd(Context.Cell_);
-  // A list that starts earlier holds more workers than needed, which costs less than a new list.
+  // A list with an earlier first entry contains more workers than needed, but reusing it is cheaper
+  // than building a new one.
   if (Freed.FirstEntry_ <= From && Freed.EndEntry_ == End)
     return Freed;
   Freed = {.FirstEntry_ = From, .EndEntry_ = End};
@@ -251,10 +256,10 @@
   return Freed;
 }
 
-/// \returns true when no task of the shape fits, known from its last trial and the workers on which
-/// room appeared since. The free amounts may be older than the last start of this pass, which only
-/// lets a worker pass the first check. Room reserved for a job itself counts as taken, because jobs
-/// with a reservation are tried before.
+/// Returns whether no task of a shape fits, based on its last attempt and the workers on which
+/// resources became free since then. The recorded free amounts may be older than the last start of
+/// this decide() call; this can only let a worker pass the first check. A job's own reservation
+/// counts as used, because jobs with a reservation are tried before.
 bool stillDoesNotFit(DecideContext &Context, ShapeIndex Index) {
   Shape &TaskShape = Context.Pending_.Shapes_[Index];
   if (TaskShape.CheckedUpTo_ == UINT64_MAX || TaskShape.CheckedUpTo_ < Context.Cell_.FreedLogStart_)
@@ -283,12 +288,13 @@
                                     : Job.Size_;
 }
 
-/// Times at which tasks of \p Job fit on workers, earliest first, one entry per task.
+/// Plans at which times and on which workers tasks of \p Job fit.
+/// \returns one entry per task, earliest first; empty if too few starts were found.
 std::vector<std::pair<TimePoint, WorkerIndex>>
 planStarts(DecideContext &Context, const PendingJob &Job, std::size_t Tasks) {
   std::vector<std::pair<TimePoint, WorkerIndex>> Starts;
   std::vector<std::pair<TimePoint, Resources>> Ends;
-  // A part of a large cell is enough for a good plan; all of it takes milliseconds.
+  // Part of a large cell is enough for a good plan; examining the whole cell takes milliseconds.
   constexpr WorkerIndex MinHosts = 256;
   const auto Count = static_cast<WorkerIndex>(Context.Cell_.Workers_.size());
   for (WorkerIndex I = 0; I < Count && (I < MinHosts || Starts.size() < 2 * Tasks); ++I) {
@@ -330,7 +336,8 @@
   return Starts;
 }
 
-/// Reserves room for all waiting tasks of a gang, or for one task of another job.
+/// Reserves resources for all waiting tasks of a gang, or for one task of another job.
+/// \returns false if there is no plan for all of them.
 bool makeReservation(DecideContext &Context, const PendingJob &Job, TimePoint Since) {
   const std::size_t Tasks = Job.Kind_ == JobKind::Gang ? Job.Waiting_.size() : 1;
   const auto Starts = planStarts(Context, Job, Tasks);
@@ -357,7 +364,7 @@
   return dominantShare(Context.Teams_, Sum);
 }
 
-/// Drops reservations of jobs that are gone and renews those that cannot be kept.
+/// Drops reservations of jobs that are no longer pending, and replaces those that cannot be met.
 void maintainReservations(DecideContext &Context) {
   std::vector<std::string> ToDrop;
   std::vector<std::string> ToRenew;
@@ -371,7 +378,7 @@
         std::any_of(Reserved.Workers_.begin(), Reserved.Workers_.end(),
                     [&](WorkerIndex Index) { return !acceptsWork(Context.Cell_.Workers_[Index]); });
     if (Reserved.Urgent_) {
-      // The preemption took too long or its worker is gone; look for other victims.
+      // The preemption took longer than 10 s or its worker no longer accepts work: choose others.
       if (HostLost || Context.Now_ - Reserved.Since_ > seconds(10))
         ToDrop.push_back(Id);
       continue;
@@ -388,7 +395,7 @@
   }
   for (const std::string &Id : ToDrop)
     dropReservation(Context, Id);
-  // One plan per call bounds its time; the others are renewed by the next calls.
+  // Planning once per call bounds its duration; the next calls replace the others.
   if (ToRenew.size() > 1)
     ToRenew.resize(1);
   for (const std::string &Id : ToRenew) {
@@ -401,7 +408,7 @@
 bool mayReserve(const DecideContext &Context, const PendingJob &Job, double Rank) {
   if (Context.Now_ - Job.QueuedAt_ < Context.Limits_.ReserveAfter_)
     return false;
-  // Teams above their share get no room kept, unless the job has waited very long.
+  // No reservations for teams above the mean rank, unless the job has waited very long.
   if (Rank > Context.MeanRank_ &&
       Context.Now_ - Job.QueuedAt_ < Context.Limits_.ExclusiveAfter_ * 2)
     return false;
@@ -434,7 +441,9 @@
   return std::nullopt;
 }
 
-/// Victims on one worker that free room for \p Job, the cheapest first.
+/// Selects victims on one worker whose preemption makes a task of \p Job fit, cheapest first.
+/// \param LastAllowed methods after this one in order of preference are not used.
+/// \returns nothing if the task cannot be made to fit.
 std::optional<PreemptionPlan> planPreemption(const DecideContext &Context, const PendingJob &Job,
                                              WorkerIndex HostIndex, PreemptionMethod LastAllowed) {
   const Worker &Host = Context.Cell_.Workers_[HostIndex];
@@ -459,8 +468,8 @@
   std::sort(Candidates.begin(), Candidates.end(), [&](const Victim &A, const Victim &B) {
     const bool GangA = Context.Cell_.Placements_[A.Index_].Kind_ == JobKind::Gang;
     const bool GangB = Context.Cell_.Placements_[B.Index_].Kind_ == JobKind::Gang;
-    // A gang is preempted as a whole, so its tasks come last among equals. Among the rest, teams
-    // furthest above their share come first, then the work that loses least.
+    // A gang is preempted as a whole, so for equal methods its tasks come last. Then the teams with
+    // the highest rank come first, then the tasks that lose the least run time.
     return std::tuple{A.Method_, GangA, -A.Rank_, A.LostRunTime_} <
            std::tuple{B.Method_, GangB, -B.Rank_, B.LostRunTime_};
   });
@@ -470,7 +479,7 @@
       break;
     const Resources Gain =
         resourcesFreedBy(Context.Cell_.Placements_[Candidate.Index_], Candidate.Method_);
-    // A throttled task frees no memory; do not disturb it in vain.
+    // Throttling frees no memory, so skip victims that free nothing that is needed.
     const bool Helps = (Job.Size_.MilliCores_ > Free.MilliCores_ && Gain.MilliCores_ > 0) ||
                        (Job.Size_.MemoryMb_ > Free.MemoryMb_ && Gain.MemoryMb_ > 0) ||
                        (Job.Size_.Accelerators_ > Free.Accelerators_ && Gain.Accelerators_ > 0);
@@ -514,9 +523,10 @@
                                 .WorkerIndex_ = Placed.Worker_});
 }
 
-/// Frees room for one task of an urgent job by checkpoint, throttle or stop, in that order.
+/// Preempts tasks for one task of an urgent job by checkpoint, throttle or stop, in that order.
+/// \returns false if no worker can be freed.
 bool preemptFor(DecideContext &Context, const PendingJob &Job) {
-  // Enough workers for a cheap choice without looking at all of a large cell.
+  // Enough candidates for a cheap choice without examining all workers of a large cell.
   constexpr std::size_t MaxPlans = 8;
   const auto Count = static_cast<WorkerIndex>(Context.Cell_.Workers_.size());
   std::optional<PreemptionPlan> Best;
@@ -556,7 +566,7 @@
   return true;
 }
 
-/// Frees room for the urgent jobs that did not fit, by share and age.
+/// Preempts tasks for the urgent jobs that did not fit, ordered by team rank and age.
 void preemptForUrgent(DecideContext &Context) {
   std::vector<std::tuple<double, AgeKey>> Blocked;
   for (const TeamQueue &Queue : Context.Pending_.Teams_)
@@ -580,7 +590,7 @@
   }
 }
 
-/// Reserves room for the oldest job of each team, the team with the lowest rank first.
+/// Makes one reservation, for the oldest job of the lowest-ranked team that may have one.
 void reserveForOldest(DecideContext &Context, std::size_t ClassIndex) {
   PendingWork &Pending = Context.Pending_;
   const std::size_t MaxReservations = 2 + Context.Cell_.Present_ / 48;
@@ -595,7 +605,7 @@
         Oldest.emplace_back(Rank, Age);
     }
   std::sort(Oldest.begin(), Oldest.end());
-  // Planning looks at all workers, so only one plan is made at a time.
+  // Planning can examine all workers, so only one reservation is made per call.
   for (const auto &[Rank, Age] : Oldest) {
     const PendingJob &Job = Pending.Jobs_[std::get<2>(Age)];
     if (!withinLimit(Context.Teams_, findOrAddTeam(Context.Teams_, Job.Team_),
@@ -610,7 +620,8 @@
   }
 }
 
-/// Shapes of one class that may fit. It only shrinks during a pass, because starts take room.
+/// Shapes of one class that may fit. The set only shrinks during a decide() call, because starts
+/// consume resources.
 class FittingShapes {
 public:
   FittingShapes(DecideContext &Context, std::size_t ClassIndex)
@@ -625,7 +636,7 @@
   [[nodiscard]] bool empty() const { return Shapes_.empty(); }
   [[nodiscard]] std::size_t size() const { return Shapes_.size(); }
 
-  /// \returns the queues with a job of a shape that may fit.
+  /// Returns the indices of the queues with a job of a shape that may fit.
   [[nodiscard]] std::set<std::uint32_t> queues() const {
     std::set<std::uint32_t> Result;
     for (const ShapeIndex ShapeId : Shapes_)
@@ -634,7 +645,7 @@
     return Result;
   }
 
-  /// Drops the shapes that no longer fit or have no waiting jobs.
+  /// Drops shapes that no longer fit or have no waiting jobs.
   void refresh() {
     std::erase_if(Shapes_, [&](ShapeIndex ShapeId) {
       if (Context_.Pending_.Shapes_[ShapeId].Jobs_ > 0 && !stillDoesNotFit(Context_, ShapeId))
@@ -650,7 +661,7 @@
     std::erase(Shapes_, ShapeId);
   }
 
-  /// \returns the team's oldest job of a shape that may fit and within the team's limit.
+  /// Returns the team's oldest job that has a shape that may fit and is within the team's limit.
   [[nodiscard]] std::optional<JobIndex> oldestFitting(std::uint32_t Queue,
                                                       std::size_t ClassIndex) const {
     const PendingWork &Pending = Context_.Pending_;
@@ -659,7 +670,7 @@
     const auto Allowed = [&](JobIndex Index) {
       return withinLimit(Context_.Teams_, Team, requestedAtOnce(Pending.Jobs_[Index]));
     };
-    // A long queue is not walked when few shapes can fit.
+    // Do not scan a long queue if few shapes can fit.
     if (Waiting.size() <= 4 * Shapes_.size()) {
       for (const AgeKey &Age : Waiting) {
         const JobIndex Index = std::get<2>(Age);
@@ -685,10 +696,10 @@
 private:
   DecideContext &Context_;
   std::vector<ShapeIndex> Shapes_;
-  std::vector<std::uint8_t> MayFit_; ///< by shape; small enough to stay in the cache
+  std::vector<std::uint8_t> MayFit_; ///< by shape; small enough to stay in the CPU cache
 };
 
-/// Works through one class: the team with the lowest rank starts its oldest work that fits.
+/// Schedules one class: repeatedly starts the oldest fitting job of the lowest-ranked team.
 void scheduleClass(DecideContext &Context, WorkClass Class) {
   PendingWork &Pending = Context.Pending_;
   const auto ClassIndex = static_cast<std::size_t>(Class);
@@ -698,7 +709,7 @@
   const auto RankOf = [&](std::uint32_t Queue) {
     return rankOf(Context.Teams_, findOrAddTeam(Context.Teams_, Pending.Teams_[Queue].Team_));
   };
-  // With few shapes left, most teams have none of them and need no turn.
+  // With few shapes left, most teams have no job of these shapes and are skipped.
   constexpr std::size_t FewShapes = 64;
   bool Narrowed = false;
   const auto Narrow = [&] {
@@ -741,7 +752,7 @@
   }
 }
 
-/// Tries the jobs with reserved room, the oldest first.
+/// Tries to start the jobs with a reservation, oldest reservation first.
 void startReserved(DecideContext &Context, bool Urgent) {
   std::vector<std::pair<TimePoint, std::string>> Order;
   for (const auto &[Id, Reserved] : Context.Pending_.Reservations_)
@@ -792,7 +803,7 @@
   }
   if (!AnyReserved)
     return true;
-  // The task may stay beyond the start of the reserved work if there is room for both then.
+  // The task may outlast the start of the reserved work if both fit at that time.
   Resources FreeThen = Free;
   for (const PlacementIndex Index : Host.Placements_) {
     const Placement &Placed = Cell.Placements_[Index];
@@ -810,7 +821,7 @@
 std::optional<WorkerIndex> findWorkerFor(const CellView &Cell, const PendingJob &Job,
                                          TimePoint Now) {
   const TimePoint End = endIfStarted(Job, Now);
-  // Probes come first: otherwise a worker would stay unused until the cell is full.
+  // Probing workers come first; otherwise they would stay unused until the cell is full.
   if (mayRunAsProbe(Job))
     for (const WorkerIndex Index : Cell.Probing_)
       if (fitsOn(Cell, Cell.Workers_[Index], Job.Size_, Job.Id_, End, false))
--- a/src/policy/Quarantine.cpp
+++ b/src/policy/Quarantine.cpp
@@ -28,7 +28,7 @@
     return false;
   if (Before == Health::Probing)
     ++Record.FailedProbes_;
-  // Tasks started before the quarantine may still fail; they do not extend it.
+  // Failures of tasks that started before the quarantine do not extend it.
   if (Before != Health::Quarantined)
     Record.NextProbeAt_ =
         Now + std::min<Duration>(Records.Rules_.MaxBackOff_,
--- a/src/policy/Queue.cpp
+++ b/src/policy/Queue.cpp
@@ -5,7 +5,7 @@
 namespace masticdrift::policy {
 namespace {
 
-/// Steps of four keep the number of shapes small.
+/// Rounds up to a power of four, at most 2^30. The coarse steps keep the number of shapes small.
 std::int64_t nextPowerOfFour(std::int64_t Min) {
   std::int64_t Value = 1;
   while (Value < Min && Value < (std::int64_t{1} << 30))
@@ -178,7 +178,7 @@
     removeFromQueues(Pending, Index);
     freeJobEntry(Pending, Index);
   } else {
-    // The shape of a job that is not a gang does not depend on the number of waiting tasks.
+    // Only a gang's shape depends on the number of waiting tasks.
     Taken.push_back(Job.Waiting_.back());
     Job.Waiting_.pop_back();
   }
@@ -214,8 +214,8 @@
   for (std::size_t I = 0; I < Need.size(); ++I)
     if (Need[I] > Largest[I])
       return Infeasibility{I, Need[I], Largest[I]};
-  // Every amount exists on some worker, but no worker has all of them: name the kind that comes
-  // closest.
+  // Each amount is available on some worker, but no worker has all of them: report the resource
+  // that comes closest.
   if (FittingTasks == 0) {
     std::size_t Closest = 0;
     double BestFraction = -1;
@@ -233,7 +233,7 @@
   }
   if (Job.Kind_ != JobKind::Gang || FittingTasks >= Tasks)
     return std::nullopt;
-  // The kind of which the whole gang takes the largest part of the cell.
+  // Report the resource of which the gang needs the largest fraction of the cell's capacity.
   const auto CellCapacity = amounts(Sum);
   std::size_t Bottleneck = 0;
   double LargestFraction = -1;
--- a/src/policy/RequestQueue.cpp
+++ b/src/policy/RequestQueue.cpp
@@ -16,7 +16,7 @@
   return !Team.Waiting_.empty() && Team.Slots_ < Team.SlotLimit_;
 }
 
-/// Changes a team and keeps the order of the ready teams.
+/// Applies a change to a team and keeps RequestQueue::Ready_ consistent.
 template <typename Change> void updateTeam(RequestQueue &Queue, std::size_t Index, Change Apply) {
   RequestTeam &Team = Queue.Teams_[Index];
   if (isReady(Team))
@@ -31,7 +31,7 @@
       std::chrono::duration<double, std::milli>(Value));
 }
 
-/// Wait in milliseconds of a request at position \p Ahead of \p Team.
+/// Returns the expected wait in milliseconds of a request behind \p Ahead requests of \p Team.
 double expectedWaitMs(const RequestQueue &Queue, const RequestTeam &Team, std::size_t Ahead) {
   if (Queue.SlotCapacity_ == 0)
     return 0;
--- a/tests/unit/PolicyPropertyTest.cpp
+++ b/tests/unit/PolicyPropertyTest.cpp
@@ -1,5 +1,6 @@
-// Random work on a small cell. After every step the rules that hold for every placement are checked
-// against the plain lists of workers and placements, without the index that the decisions use.
+// Property tests of the placement policy: random jobs on a small cell. After every step, the
+// invariants of placements are checked against the plain lists of workers and placements, without
+// the index that the decisions use.
 #include "masticdrift/policy/Place.h"
 #include "masticdrift/policy/Quarantine.h"
 
@@ -62,7 +63,8 @@
     addPending(Pending_, Job);
   }
 
-  /// Real run times differ from the expected ones by up to four times in both directions.
+  /// Schedules the end of a started task. Actual run times are between a quarter and four times of
+  /// the expected ones.
   void scheduleEnd(const Decision &Decided) {
     const Placement *Placed = findPlacement(Cell_, Decided.Job_, Decided.Task_);
     const Duration Run = Placed->Kind_ == JobKind::Service
@@ -138,8 +140,8 @@
         ++GangStarted[Decided.Job_];
     }
     for (const auto &[Id, Count] : GangStarted)
-      cr_assert_eq(Count, GangWaiting.at(Id), "seed %lu step %d: gang %s started in part", Seed,
-                   Step, Id.c_str());
+      cr_assert_eq(Count, GangWaiting.at(Id), "seed %lu step %d: gang %s was started partially",
+                   Seed, Step, Id.c_str());
   }
 
   void check(std::uint64_t Seed, int Step) const {
@@ -156,8 +158,9 @@
       cr_assert(masticdrift::core::fits(Used[I], Cell_.Workers_[I].Capacity_),
                 "seed %lu step %d: worker %zu is overcommitted", Seed, Step, I);
     for (const TeamShare &Team : Teams_.Teams_) {
-      cr_assert(PerTeam[Team.Name_] == Team.CurrentUsage_, "seed %lu step %d: usage of %s", Seed,
-                Step, Team.Name_.c_str());
+      cr_assert(PerTeam[Team.Name_] == Team.CurrentUsage_,
+                "seed %lu step %d: usage of team %s differs from its placements", Seed, Step,
+                Team.Name_.c_str());
       cr_assert(masticdrift::core::fits(Team.CurrentUsage_, Team.Limit_.Resources_),
                 "seed %lu step %d: team %s is above its limit", Seed, Step, Team.Name_.c_str());
     }
@@ -170,13 +173,15 @@
       Tasks += Pending_.Jobs_[Index].Waiting_.size();
       checkNotIdle(Pending_.Jobs_[Index], Free, Seed, Step);
     }
-    cr_assert_eq(Tasks, Pending_.Tasks_, "seed %lu step %d: count of waiting tasks", Seed, Step);
+    cr_assert_eq(Tasks, Pending_.Tasks_, "seed %lu step %d: number of waiting tasks is wrong", Seed,
+                 Step);
     for (const auto &[Id, Reserved] : Pending_.Reservations_)
-      cr_assert(Reserved.Workers_.size() <= 6, "seed %lu step %d: reservation of %s", Seed, Step,
+      cr_assert(Reserved.Workers_.size() <= 6,
+                "seed %lu step %d: reservation of job %s has too many workers", Seed, Step,
                 Id.c_str());
   }
 
-  /// No waiting work fits, except where room is reserved for other work or its team is at a limit.
+  /// Checks that a waiting job fits only where resources are reserved or its team is at its limit.
   void checkNotIdle(const PendingJob &Job, const std::vector<std::array<std::int64_t, 3>> &Free,
                     std::uint64_t Seed, int Step) const {
     const bool Gang = Job.Kind_ == JobKind::Gang;
@@ -193,7 +198,7 @@
               Requested[I] > Available[I] ? 0 : std::min(Fitting, Available[I] / Requested[I]);
       FittingTasks += Fitting;
     }
-    cr_assert(FittingTasks < Needed, "seed %lu step %d: %s waits although it fits", Seed, Step,
+    cr_assert(FittingTasks < Needed, "seed %lu step %d: job %s waits although it fits", Seed, Step,
               Job.Id_.c_str());
   }
 
@@ -226,7 +231,7 @@
     Sim.decideAll(Seed, Step);
     Sim.check(Seed, Step);
   }
-  // No starvation: with no new work, everything that waits is started in the end.
+  // No starvation: without new jobs, every waiting task is started eventually.
   for (int I = 0; I < 12; ++I)
     addWorker(Sim.Cell_, "w" + std::to_string(I), "r" + std::to_string(I / 4),
               Simulation::capacity(I));
@@ -239,9 +244,10 @@
     if (Step % 50 == 0)
       Sim.check(Seed, Step);
   }
-  cr_assert_eq(Sim.Pending_.Tasks_, 0, "seed %lu: %zu tasks never started", Seed,
+  cr_assert_eq(Sim.Pending_.Tasks_, 0, "seed %lu: %zu tasks were never started", Seed,
                Sim.Pending_.Tasks_);
-  cr_assert(Sim.Cell_.Used_ == Resources{}, "seed %lu: room is still used at the end", Seed);
+  cr_assert(Sim.Cell_.Used_ == Resources{}, "seed %lu: resources are still in use at the end",
+            Seed);
 }
 
 PendingJob makeJob(std::string Id, std::string Team, JobKind Kind, Resources Size, Duration Run,
@@ -260,14 +266,15 @@
 
 } // namespace
 
-// Guards against overcommitment, broken limits, partial gangs, idle capacity and lost work.
+// Guards against overcommitted workers, exceeded limits, partially started gangs, idle capacity and
+// lost tasks.
 Test(PolicyProperties, randomWorkSeed1) { run(1); }
 Test(PolicyProperties, randomWorkSeed2) { run(2); }
 Test(PolicyProperties, randomWorkSeed3) { run(3); }
 Test(PolicyProperties, randomWorkSeed4) { run(4); }
 
-// Guards against a gang that waits for ever behind a steady stream of small tasks whose run times
-// are declared far too short.
+// Guards against starvation of a gang by a steady stream of small tasks whose declared run times
+// are far too short, so that backfill delays the gang.
 Test(PolicyProperties, aGangStartsDespiteASteadyStreamOfSmallTasks) {
   constexpr std::uint64_t Seed = 5;
   std::printf("seed %lu\n", Seed);
@@ -301,12 +308,12 @@
     }
   }
   cr_assert(GangStarted != TimePoint{}, "the gang did not start within 500 s");
-  // 120 s until the reservation admits no backfill, then the longest task of 35 s.
+  // 120 s until the reservation disables backfill, then at most 35 s for the longest task.
   cr_assert(GangStarted - Submitted <= seconds(170), "the gang waited %ld s",
             static_cast<long>((GangStarted - Submitted) / seconds(1)));
 }
 
-// Guards against two gangs that each hold half of the room the other needs.
+// Guards against a deadlock of two gangs that each hold half of the resources the other needs.
 Test(PolicyProperties, twoGangsThatNeedTheWholeCellRunOneAfterTheOther) {
   CellView Cell;
   PendingWork Pending;
@@ -342,7 +349,7 @@
   cr_assert_eq(Order.size(), 2);
 }
 
-// Guards against urgent work that stops tasks although a checkpoint would do.
+// Guards against stopping tasks for an urgent job when a checkpoint or throttling is enough.
 Test(PolicyPreemption, checkpointThenThrottleThenStop) {
   TimePoint Now{seconds(1000)};
   const auto MethodChosen = [&](bool CanCheckpoint, bool CanThrottle) {
@@ -367,7 +374,8 @@
     const auto First = decide(Cell, Pending, Teams, Now, {});
     cr_assert_eq(First.size(), 1);
     cr_assert(First[0].Kind_ == DecisionKind::Preempt);
-    cr_assert(decide(Cell, Pending, Teams, Now, {}).empty(), "room was freed twice");
+    cr_assert(decide(Cell, Pending, Teams, Now, {}).empty(),
+              "a second preemption was decided for the same task");
     if (First[0].Method_ == PreemptionMethod::Throttle)
       taskThrottled(Cell, Teams, First[0].Job_, First[0].Task_, Now);
     else
@@ -382,7 +390,7 @@
   cr_assert(MethodChosen(false, false) == PreemptionMethod::Stop);
 }
 
-// Guards against a print batch that is stopped and could then not be run again.
+// Guards against preempting a task that cannot be run again, for example a print job.
 Test(PolicyPreemption, aTaskThatIsNotIdempotentIsNeverStopped) {
   TimePoint Now{seconds(1000)};
   CellView Cell;
@@ -403,7 +411,7 @@
   cr_assert(decide(Cell, Pending, Teams, Now, {}).empty());
 }
 
-// Guards against all replicas of a service in one rack.
+// Guards against placing all replicas of a service in one rack.
 Test(PolicyPlacement, servicesAreSpreadOverRacks) {
   CellView Cell;
   PendingWork Pending;
@@ -420,7 +428,7 @@
     cr_assert_eq(Count, 2);
 }
 
-// Guards against single accelerators left over on many workers.
+// Guards against fragmentation: single free accelerators on many workers.
 Test(PolicyPlacement, acceleratorsStayUnfragmented) {
   CellView Cell;
   PendingWork Pending;
@@ -434,11 +442,11 @@
   std::map<std::string, std::set<std::string>> Workers;
   for (const Decision &Decided : decide(Cell, Pending, Teams, Now, {}))
     Workers[Decided.Job_].insert(Decided.Worker_);
-  cr_assert_eq(Workers["one"].size(), 1, "single accelerators were spread over workers");
+  cr_assert_eq(Workers["one"].size(), 1, "tasks with one accelerator were spread over workers");
   cr_assert(Workers["none"].size() == 1);
 }
 
-// Guards against backfill that takes room reserved for a gang, and against no backfill at all.
+// Guards against backfill that uses resources reserved for a gang, and against missing backfill.
 Test(PolicyPlacement, shortWorkRunsBehindAReservationAndLongWorkDoesNot) {
   CellView Cell;
   PendingWork Pending;
--- a/tests/unit/PolicyQueueTest.cpp
+++ b/tests/unit/PolicyQueueTest.cpp
@@ -30,14 +30,14 @@
 
 } // namespace
 
-// Guards against accepting a job that can never run, and against naming the wrong resource.
+// Guards against accepting a job that can never run, and against reporting the wrong resource.
 Test(PolicyImpossible, namesTheResourceAndTheLargestAmount) {
   const CellView Cell = makeCell();
   auto Why = findInfeasibility(Cell, makeJob("j", JobKind::Batch, {17'000, 1024, 0}, 1));
   cr_assert(Why && Why->Kind_ == 0 && Why->Largest_ == 16'000);
   Why = findInfeasibility(Cell, makeJob("j", JobKind::Batch, {1000, 1024, 5}, 1));
   cr_assert(Why && Why->Kind_ == 2 && Why->Largest_ == 4);
-  // Each amount exists, but not on one worker: with 4 accelerators only 8 cores are available.
+  // Each amount is available, but not on one worker: with 4 accelerators there are only 8 cores.
   Why = findInfeasibility(Cell, makeJob("j", JobKind::Batch, {12'000, 1024, 4}, 1));
   cr_assert(Why && Why->Kind_ == 0 && Why->Largest_ == 8000);
   Why = findInfeasibility(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 4));
@@ -45,7 +45,7 @@
   cr_assert(!findInfeasibility(Cell, makeJob("j", JobKind::Gang, {8000, 1024, 0}, 3)));
 }
 
-// Guards against a wave of cancellations that blocks the loop or leaves entries behind.
+// Guards against cancellations in large numbers that block the event loop or leave entries behind.
 Test(PolicyCancel, manyCancellationsAreProcessedInSteps) {
   PendingWork Pending;
   std::vector<std::string> Ids;
@@ -65,7 +65,7 @@
   cr_assert_eq(Pending.ShapesByKey_.size(), 1);
 }
 
-// Guards against duplicate tasks when a task is queued again while others of its job still wait.
+// Guards against duplicate tasks when a task is requeued while others of its job are waiting.
 Test(PolicyQueue, aTaskQueuedAgainJoinsItsJob) {
   PendingWork Pending;
   addPending(Pending, makeJob("j", JobKind::Batch, {1000, 1024, 0}, 3));
@@ -79,7 +79,7 @@
   cr_assert_eq(Pending.Tasks_, 0);
 }
 
-// Guards against shares that ignore weights or the decayed past.
+// Guards against shares that ignore weights or past usage.
 Test(PolicyShares, aTeamWithMoreWeightMayUseMore) {
   Shares Teams;
   setCapacity(Teams, {100'000, 100'000, 10});
@@ -91,12 +91,12 @@
   cr_assert_float_eq(rankOf(Teams, 0), rankOf(Teams, 1), 1e-9);
   addUsage(Teams, 0, {-30'000, -1000, 0}, Now + seconds(600));
   addUsage(Teams, 1, {-1000, 0, -1}, Now + seconds(600));
-  cr_assert(rankOf(Teams, 0) > 0.04, "past usage was forgotten at once");
+  cr_assert(rankOf(Teams, 0) > 0.04, "past usage was dropped immediately");
   decay(Teams, 0, Now + seconds(2000));
-  cr_assert(rankOf(Teams, 0) < 0.001, "past usage was not forgotten");
+  cr_assert(rankOf(Teams, 0) < 0.001, "past usage did not decay");
 }
 
-// Guards against one outlier changing the estimate, and against unbounded memory.
+// Guards against an estimate that depends on one outlier, and against unbounded memory.
 Test(PolicyLearn, outliersAndMemory) {
   RunHistory History;
   History.MaxFamilies_ = 10;
@@ -116,8 +116,8 @@
   cr_assert_eq(History.ByKey_.size(), 10);
 }
 
-// Guards against a worker that fails everything and drains the queue, and against quarantining a
-// worker because of one bad job.
+// Guards against a worker that fails every task and so empties the queue, and against quarantining
+// a worker because of one failing job.
 Test(PolicyQuarantine, threeDifferentJobsThenProbesWithBackOff) {
   CellView Cell = makeCell();
   Quarantine Records;
@@ -128,7 +128,7 @@
   cr_assert(Cell.Workers_[0].Health_ == Health::Healthy);
   cr_assert(recordTaskEnd(Records, Cell, 0, "third", Now, false, Now));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
-  // A task that started before the failures ends well; the worker is not fit again for that.
+  // The success of a task that started before the failures does not end the quarantine.
   cr_assert(!recordTaskEnd(Records, Cell, 0, "earlier", Now - seconds(60), true, Now));
   cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined);
   allowProbes(Records, Cell, Now + seconds(29));
@@ -138,10 +138,10 @@
   cr_assert(Cell.Workers_[0].Health_ == Health::Probing);
   recordTaskEnd(Records, Cell, 0, "fourth", Now, false, Now);
   allowProbes(Records, Cell, Now + seconds(59));
-  cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined, "the back-off did not grow");
+  cr_assert(Cell.Workers_[0].Health_ == Health::Quarantined, "the back-off did not increase");
   Now += seconds(60);
   allowProbes(Records, Cell, Now);
-  // A probing worker gets one idempotent batch task and nothing else.
+  // A probing worker gets only one task, which is an idempotent batch task.
   PendingWork Pending;
   Shares Teams;
   PendingJob Fixed = makeJob("fixed", JobKind::Batch, {12'000, 1024, 0}, 1);
@@ -159,7 +159,7 @@
   cr_assert(Records.Workers_.empty());
 }
 
-// Guards against explanations that name the wrong cause.
+// Guards against explanations that give the wrong reason.
 Test(PolicyExplain, eachReasonIsNamed) {
   CellView Cell = makeCell();
   PendingWork Pending;
@@ -183,12 +183,12 @@
   const auto Gang = Why("gang");
   cr_assert(Gang.Reason_ == WaitReason::GangTasks);
   cr_assert_eq(Gang.FittingTasks_, 1);
-  cr_assert(Gang.Text_ == "room for 1 of 2 gang tasks", "%s", Gang.Text_.c_str());
+  cr_assert(Gang.Text_ == "resources are free for 1 of 2 gang tasks", "%s", Gang.Text_.c_str());
   addPending(Pending, makeJob("full", JobKind::Batch, {16'000, 1024, 0}, 1));
   const auto Full = Why("full");
   cr_assert(Full.Reason_ == WaitReason::NoRoom);
   cr_assert(Full.EstimatedStart_ == Now + seconds(50));
-  // A team without usage waits as well, so room that appears goes there first.
+  // A team without usage is waiting too, so freed resources go to that team first.
   Teams.Teams_[findOrAddTeam(Teams, "a")].DecayedUsage_ = 0.5;
   PendingJob LowUsage = makeJob("poor", JobKind::Batch, {16'000, 1024, 0}, 1);
   LowUsage.Team_ = "c";
--- a/tests/unit/PolicyRequestTest.cpp
+++ b/tests/unit/PolicyRequestTest.cpp
@@ -18,13 +18,13 @@
 
 RequestQueue makeQueue() {
   RequestQueue Queue;
-  Queue.Limits_.WaitFraction_ = 1000; // no shedding by expected wait unless a test asks for it
+  Queue.Limits_.WaitFraction_ = 1000; // no refusals by expected wait unless a test enables them
   setSlotCapacity(Queue, 8);
   return Queue;
 }
 } // namespace
 
-// Guards against slots that are handed out by arrival instead of by share.
+// Guards against slots that are assigned by arrival order instead of by share.
 Test(PolicyRequests, slotsGoByShare) {
   RequestQueue Queue = makeQueue();
   setTeam(Queue, "a", 3, 100);
@@ -41,7 +41,7 @@
   cr_assert_eq(Counts["b"], 20);
 }
 
-// Guards against a team above its slot allotment, and against other teams waiting behind it.
+// Guards against a team that exceeds its slot limit, and against one that blocks other teams.
 Test(PolicyRequests, theSlotLimitHoldsForOneTeamOnly) {
   RequestQueue Queue = makeQueue();
   setTeam(Queue, "a", 1, 2);
@@ -59,7 +59,7 @@
   cr_assert(!popRequest(Queue, Start, Shed));
 }
 
-// Guards against an expired request that takes a slot, and against a queue without bound.
+// Guards against an expired request that takes a slot, and against an unbounded queue.
 Test(PolicyRequests, expiredAndExcessRequestsAreShed) {
   RequestQueue Queue = makeQueue();
   Queue.Limits_.MaxPerTeam_ = 3;
@@ -78,7 +78,7 @@
   cr_assert(!popRequest(Queue, Start + Millis(20), Shed));
 }
 
-// Guards against queueing a request whose caller would get its refusal only at the deadline.
+// Guards against queueing a request that would be refused only at its deadline.
 Test(PolicyRequests, aRequestThatWouldWaitTooLongIsRefusedAtOnce) {
   RequestQueue Queue = makeQueue();
   Queue.Limits_.WaitFraction_ = 0.5;
@@ -91,11 +91,11 @@
       cr_assert(Answer.RetryAfter_ > Millis(0));
     }
   }
-  cr_assert(Refused > 150, "%d refused", Refused);
+  cr_assert(Refused > 150, "only %d of 200 requests were refused", Refused);
   cr_assert(Queue.Waiting_ > 0);
 }
 
-// Guards against miscounted slots under random use.
+// Guards against wrong slot counts, with random requests.
 Test(PolicyRequests, randomUseKeepsTheCounts) {
   constexpr std::uint64_t Seed = 11;
   std::printf("seed %lu\n", Seed);
@@ -131,7 +131,7 @@
       for (const auto &[At, Name] : Running)
         Held += Name == Team.Name_ ? 1 : 0;
       cr_assert_eq(Held, Team.Slots_);
-      // Nothing waits while a slot is free.
+      // No request waits while a slot is free and its team is below its limit.
       cr_assert(Running.size() >= 6 || Team.Waiting_.empty() || Team.Slots_ == Team.SlotLimit_);
     }
     cr_assert_eq(Waiting, Queue.Waiting_);
@@ -139,7 +139,7 @@
   }
 }
 
-// Guards against more than 8 requests or 16 connections at one executor.
+// Guards against more than 8 requests or 16 connections per executor.
 Test(PolicyExecutors, slotsAndConnectionsAreBounded) {
   ExecutorPool Pool;
   addExecutor(Pool, "e0");
@@ -157,7 +157,7 @@
   cr_assert_eq(Opened, 16);
 }
 
-// Guards against a slot given out again while the executor still works on a timed-out request.
+// Guards against reusing a slot while the executor is still working on a timed-out request.
 Test(PolicyExecutors, theSlotOfATimedOutRequestStaysTaken) {
   ExecutorPool Pool;
   addExecutor(Pool, "e0");
@@ -170,9 +170,9 @@
   cr_assert(!chooseExecutor(Pool, Start + Millis(251)));
 }
 
-// Pattern: all executors of a pool are ejected, so requests grow old in the queue and the next
-// trial has little time left. Guards against an executor that works again and stays ejected, for
-// twice as long after each such trial.
+// While all executors of a pool are ejected, requests wait in the queue until the next trial has
+// little time left, and its timeout was counted as a failure. Guards against an executor that has
+// recovered but stays ejected, twice as long after each such trial.
 Test(PolicyExecutors, aTrialWithTooLittleTimeIsIgnored) {
   ExecutorPool Pool;
   addExecutor(Pool, "e0");
@@ -184,18 +184,19 @@
     takeSlot(Pool, 0, Start);
     finishRequest(Pool, 0, Start, Millis(100), false);
   }
-  cr_assert(!chooseExecutor(Pool, Start + Millis(1999)), "ejected");
+  cr_assert(!chooseExecutor(Pool, Start + Millis(1999)), "the executor was not ejected");
   const core::TimePoint Trial = Start + Millis(2000);
   cr_assert(chooseExecutor(Pool, Trial));
   takeSlot(Pool, 0, Trial);
   holdSlot(Pool, 0, Trial + Millis(50), Trial + Millis(300), Millis(50));
-  cr_expect(chooseExecutor(Pool, Trial + Millis(51)), "the next request is the trial");
+  cr_expect(chooseExecutor(Pool, Trial + Millis(51)), "the next request did not become the trial");
   takeSlot(Pool, 0, Trial + Millis(51));
   holdSlot(Pool, 0, Trial + Millis(500), Trial + Millis(800), Millis(449));
-  cr_expect(!chooseExecutor(Pool, Trial + Millis(3000)), "that one had time enough");
+  cr_expect(!chooseExecutor(Pool, Trial + Millis(3000)),
+            "the second trial had enough time, but its timeout was not counted");
 }
 
-// Guards against an ejected executor that gets more than one request at a time, or none ever.
+// Guards against an ejected executor that gets several trial requests at a time, or none at all.
 Test(PolicyExecutors, ejectionAndSingleTrials) {
   ExecutorPool Pool;
   addExecutor(Pool, "bad");
@@ -206,11 +207,11 @@
   }
   cr_assert(chooseExecutor(Pool, Start) == 1U);
   const TimePoint Later = Start + Millis(2000);
-  cr_assert(chooseExecutor(Pool, Later) == 0U, "no trial request");
+  cr_assert(chooseExecutor(Pool, Later) == 0U, "no trial request after the ejection expired");
   takeSlot(Pool, 0, Later);
-  cr_assert(chooseExecutor(Pool, Later) == 1U, "two trial requests at once");
+  cr_assert(chooseExecutor(Pool, Later) == 1U, "a second trial request was sent during the first");
   finishRequest(Pool, 0, Later, Millis(10), false);
-  cr_assert(chooseExecutor(Pool, Later + Millis(3900)) == 1U, "the back-off did not grow");
+  cr_assert(chooseExecutor(Pool, Later + Millis(3900)) == 1U, "the back-off did not increase");
   const TimePoint Last = Later + Millis(4000);
   cr_assert(chooseExecutor(Pool, Last) == 0U);
   takeSlot(Pool, 0, Last);
@@ -218,7 +219,7 @@
   cr_assert(!Pool.Members_[0].EjectedUntil_);
 }
 
-// Guards against a slow executor that delays every eighth request.
+// Guards against a slow executor in a pool that delays every eighth request.
 Test(PolicyExecutors, anExecutorThreeTimesSlowerThanTheMedianIsEjected) {
   ExecutorPool Pool;
   for (int I = 0; I < 5; ++I)
@@ -234,8 +235,8 @@
     cr_assert_eq(Pool.Members_[I].EjectedUntil_.has_value(), I == 3, "executor %zu", I);
 }
 
-// Guards against the loss of a whole pool: when the load rises, all executors become slower than
-// the median of before.
+// Guards against ejecting a whole pool: when the load rises, all executors become slow compared to
+// the previous median.
 Test(PolicyExecutors, aPoolThatSlowsDownAsAWholeIsNotEjected) {
   ExecutorPool Pool;
   for (int I = 0; I < 4; ++I)
@@ -250,7 +251,7 @@
       }
   const auto Ejected = std::ranges::count_if(
       Pool.Members_, [](const Executor &Member) { return Member.EjectedUntil_.has_value(); });
-  cr_assert_leq(Ejected, 2, "%ld of 4 executors are ejected", static_cast<long>(Ejected));
+  cr_assert_leq(Ejected, 2, "%ld of 4 executors were ejected", static_cast<long>(Ejected));
 }
 
 // Guards against retries that multiply the load during an outage.
