policy: rename counters and limits after what they count

MaxShapesTried_ counts attempts to start a job, Present_ of the cell counts workers, and Tasks_ of the pending work counts waiting tasks; the names say so now.

--- a/include/masticdrift/policy/Cell.h
+++ b/include/masticdrift/policy/Cell.h
@@ -118,7 +118,7 @@
   std::map<std::string, std::vector<WorkerIndex>, std::less<>> Racks_;
   Resources Capacity_; ///< of the workers that accept new work, see acceptsWork()
   Resources Used_;     ///< by all placements
-  std::uint32_t Present_ = 0;
+  std::uint32_t PresentWorkers_ = 0;
   std::set<WorkerIndex> Probing_;
   /// Number of tasks per service and rack, for spreading services over racks.
   std::unordered_map<std::string, std::map<std::string, std::uint32_t>> ServiceRacks_;
--- a/include/masticdrift/policy/Place.h
+++ b/include/masticdrift/policy/Place.h
@@ -23,7 +23,7 @@
 /// Limits of one decide() call and parameters of reservations.
 struct DecideLimits {
   std::size_t MaxDecisions_ = 64;
-  std::size_t MaxShapesTried_ = 2000; ///< attempts to start a job
+  std::size_t MaxStartAttempts_ = 2000; ///< attempts to start a job
   /// Waiting time after which resources are reserved for a gang or a task that does not fit.
   Duration ReserveAfter_ = std::chrono::seconds(5);
   /// Age from which a reservation allows no backfill, so that wrong run time estimates cannot delay
--- a/include/masticdrift/policy/Queue.h
+++ b/include/masticdrift/policy/Queue.h
@@ -95,7 +95,7 @@
       ShapesByKey_;
   std::map<std::string, Reservation, std::less<>> Reservations_;
   std::uint64_t NextSequence_ = 1;
-  std::size_t Tasks_ = 0;           ///< number of waiting tasks
+  std::size_t WaitingTasks_ = 0;
   TimePoint NextReservationAt_{};   ///< new reservations are made at a limited rate
   std::uint32_t PreemptOffset_ = 0; ///< worker at which the next search for victims starts
   std::uint32_t PlanOffset_ = 0;    ///< worker at which the next reservation plan starts
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -153,7 +153,7 @@
     core::log(core::LogLevel::Info, "controller active",
               {{"term", std::to_string(Term)},
                {"running", std::to_string(Active_.size())},
-               {"waiting", std::to_string(Pending_.Tasks_)}});
+               {"waiting", std::to_string(Pending_.WaitingTasks_)}});
   }
 
   void lost() {
@@ -821,7 +821,7 @@
     for (const auto &[Name, Entry] : Workers_)
       if (usable(Entry.Lease_, Options_.Lease_, Now))
         ++New.UsableWorkers_;
-    New.Waiting_ = Pending_.Tasks_;
+    New.Waiting_ = Pending_.WaitingTasks_;
     New.Running_ = Active_.size();
     New.Free_ = Cell_.Capacity_ - Cell_.Used_;
     New.UsedPart_ = policy::utilization(Cell_);
--- a/src/policy/Cell.cpp
+++ b/src/policy/Cell.cpp
@@ -139,7 +139,7 @@
   if (Old.Present_ && Old.Capacity_ == Capacity && Old.Leaving_ == Leaving)
     return Index;
   if (!Old.Present_)
-    ++Cell.Present_;
+    ++Cell.PresentWorkers_;
   updateWorker(Cell, Index, [&](Worker &Host) {
     Host.Capacity_ = Capacity;
     Host.Leaving_ = Leaving;
@@ -154,7 +154,7 @@
   const auto Found = findWorker(Cell, Name);
   if (!Found || !Cell.Workers_[*Found].Present_)
     return;
-  --Cell.Present_;
+  --Cell.PresentWorkers_;
   updateWorker(Cell, *Found, [](Worker &Host) {
     Host.Present_ = false;
     Host.Reserved_.clear();
--- a/src/policy/Place.cpp
+++ b/src/policy/Place.cpp
@@ -111,12 +111,13 @@
   TimePoint Now_;
   const DecideLimits &Limits_;
   std::vector<Decision> Decisions_;
-  std::size_t ShapesTried_ = 0;
+  std::size_t StartAttempts_ = 0;
   double MeanRank_ = 0;
   FreedWorkers FreedSince_;
 
   [[nodiscard]] bool limitsReached() const {
-    return Decisions_.size() >= Limits_.MaxDecisions_ || ShapesTried_ >= Limits_.MaxShapesTried_;
+    return Decisions_.size() >= Limits_.MaxDecisions_ ||
+           StartAttempts_ >= Limits_.MaxStartAttempts_;
   }
 };
 
@@ -593,7 +594,7 @@
 /// Makes one reservation, for the oldest job of the lowest-ranked team that may have one.
 void reserveForOldest(DecideContext &Context, std::size_t ClassIndex) {
   PendingWork &Pending = Context.Pending_;
-  const std::size_t MaxReservations = 2 + Context.Cell_.Present_ / 48;
+  const std::size_t MaxReservations = 2 + Context.Cell_.PresentWorkers_ / 48;
   if (Pending.Reservations_.size() >= MaxReservations)
     return;
   std::vector<std::tuple<double, AgeKey>> Oldest;
@@ -735,7 +736,7 @@
     const auto Index = Shapes.oldestFitting(Queue, ClassIndex);
     if (!Index)
       continue;
-    ++Context.ShapesTried_;
+    ++Context.StartAttempts_;
     const ShapeIndex ShapeId = Pending.Jobs_[*Index].Shape_;
     if (startJob(Context, *Index))
       Shapes.refresh();
--- a/src/policy/Queue.cpp
+++ b/src/policy/Queue.cpp
@@ -112,11 +112,11 @@
     const JobIndex Index = Existing->second;
     removeFromQueues(Pending, Index);
     std::vector<std::uint32_t> &Waiting = Pending.Jobs_[Index].Waiting_;
-    Pending.Tasks_ -= Waiting.size();
+    Pending.WaitingTasks_ -= Waiting.size();
     Waiting.insert(Waiting.end(), Job.Waiting_.begin(), Job.Waiting_.end());
     std::sort(Waiting.begin(), Waiting.end(), std::greater<>());
     Waiting.erase(std::unique(Waiting.begin(), Waiting.end()), Waiting.end());
-    Pending.Tasks_ += Waiting.size();
+    Pending.WaitingTasks_ += Waiting.size();
     addToQueues(Pending, Index);
     return;
   }
@@ -131,7 +131,7 @@
   Job.Sequence_ = Pending.NextSequence_++;
   std::sort(Job.Waiting_.begin(), Job.Waiting_.end(), std::greater<>());
   Job.Waiting_.erase(std::unique(Job.Waiting_.begin(), Job.Waiting_.end()), Job.Waiting_.end());
-  Pending.Tasks_ += Job.Waiting_.size();
+  Pending.WaitingTasks_ += Job.Waiting_.size();
   Pending.ById_.emplace(Job.Id_, Index);
   Pending.Jobs_[Index] = std::move(Job);
   addToQueues(Pending, Index);
@@ -147,7 +147,7 @@
   if (Found == Pending.ById_.end())
     return false;
   const JobIndex Index = Found->second;
-  Pending.Tasks_ -= Pending.Jobs_[Index].Waiting_.size();
+  Pending.WaitingTasks_ -= Pending.Jobs_[Index].Waiting_.size();
   removeFromQueues(Pending, Index);
   freeJobEntry(Pending, Index);
   return true;
@@ -182,7 +182,7 @@
     Taken.push_back(Job.Waiting_.back());
     Job.Waiting_.pop_back();
   }
-  Pending.Tasks_ -= Taken.size();
+  Pending.WaitingTasks_ -= Taken.size();
   return Taken;
 }
 
--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -527,7 +527,7 @@
 
   /// Every second: use of the scarce resource and distances from the shares.
   void sample() {
-    const std::size_t Waiting = How_.Baseline_ ? Waiting_ : Pending_.Tasks_;
+    const std::size_t Waiting = How_.Baseline_ ? Waiting_ : Pending_.WaitingTasks_;
     ++Samples_;
     const auto Whole = amounts(Cell_.Capacity_);
     if (Waiting > 0) {
@@ -583,7 +583,7 @@
       handleEvents();
       allowProbes(Quarantine_, Cell_, Now_);
       decideNow();
-      if ((How_.Baseline_ ? Waiting_ : Pending_.Tasks_) == 0)
+      if ((How_.Baseline_ ? Waiting_ : Pending_.WaitingTasks_) == 0)
         break;
     }
     for (const auto &[Id, Job] : Jobs_)
--- a/tests/measure/Scale.cpp
+++ b/tests/measure/Scale.cpp
@@ -118,7 +118,7 @@
     const auto Before = Wall::now();
     // Ends and arrivals balance; gangs count as several starts.
     It.endSome(PerTick);
-    while (It.Pending_.Tasks_ < (Full ? 10 * Workers : PerTick))
+    while (It.Pending_.WaitingTasks_ < (Full ? 10 * Workers : PerTick))
       addPending(It.Pending_, It.make(It.below(20) == 0));
     It.confirmPreempted();
     Policy += std::chrono::duration<double>(Wall::now() - Before).count();
@@ -139,7 +139,7 @@
   Out["workers"] = Workers;
   Out["cell"] = Full ? "full" : "70% used";
   Out["running_tasks"] = It.Running_.size();
-  Out["pending_tasks"] = It.Pending_.Tasks_;
+  Out["pending_tasks"] = It.Pending_.WaitingTasks_;
   Out["decide_p50_ms"] = percentile(Times, 0.5);
   Out["decide_p99_ms"] = percentile(Times, 0.99);
   Out["decide_max_ms"] = percentile(Times, 1);
--- a/tests/unit/PolicyPropertyTest.cpp
+++ b/tests/unit/PolicyPropertyTest.cpp
@@ -124,7 +124,7 @@
   void decideAll(std::uint64_t Seed, int Step) {
     DecideLimits Limits;
     Limits.MaxDecisions_ = 100'000;
-    Limits.MaxShapesTried_ = 100'000;
+    Limits.MaxStartAttempts_ = 100'000;
     std::map<std::string, std::size_t> GangWaiting;
     for (const auto &[Id, Index] : Pending_.ById_)
       if (Pending_.Jobs_[Index].Kind_ == JobKind::Gang)
@@ -173,8 +173,8 @@
       Tasks += Pending_.Jobs_[Index].Waiting_.size();
       checkNotIdle(Pending_.Jobs_[Index], Free, Seed, Step);
     }
-    cr_assert_eq(Tasks, Pending_.Tasks_, "seed %lu step %d: number of waiting tasks is wrong", Seed,
-                 Step);
+    cr_assert_eq(Tasks, Pending_.WaitingTasks_,
+                 "seed %lu step %d: number of waiting tasks is wrong", Seed, Step);
     for (const auto &[Id, Reserved] : Pending_.Reservations_)
       cr_assert(Reserved.Workers_.size() <= 6,
                 "seed %lu step %d: reservation of job %s has too many workers", Seed, Step,
@@ -236,7 +236,7 @@
     addWorker(Sim.Cell_, "w" + std::to_string(I), "r" + std::to_string(I / 4),
               Simulation::capacity(I));
   int Step = 1500;
-  for (; Step < 200'000 && (Sim.Pending_.Tasks_ > 0 || !Sim.Ends_.empty()); ++Step) {
+  for (; Step < 200'000 && (Sim.Pending_.WaitingTasks_ > 0 || !Sim.Ends_.empty()); ++Step) {
     Sim.Now_ += seconds(1);
     Sim.endDue();
     Sim.confirmPreempted();
@@ -244,8 +244,8 @@
     if (Step % 50 == 0)
       Sim.check(Seed, Step);
   }
-  cr_assert_eq(Sim.Pending_.Tasks_, 0, "seed %lu: %zu tasks were never started", Seed,
-               Sim.Pending_.Tasks_);
+  cr_assert_eq(Sim.Pending_.WaitingTasks_, 0, "seed %lu: %zu tasks were never started", Seed,
+               Sim.Pending_.WaitingTasks_);
   cr_assert(Sim.Cell_.Used_ == Resources{}, "seed %lu: resources are still in use at the end",
             Seed);
 }
@@ -295,7 +295,7 @@
       taskEnded(Cell, Teams, Ends.begin()->second.first, Ends.begin()->second.second, Now);
       Ends.erase(Ends.begin());
     }
-    while (Pending.Tasks_ < 200)
+    while (Pending.WaitingTasks_ < 200)
       addPending(Pending, makeJob("s" + std::to_string(Next++), "small", JobKind::Batch,
                                   {1000, 1024, 0}, seconds(1), 1, Now));
     if (Now == Submitted)
--- a/tests/unit/PolicyQueueTest.cpp
+++ b/tests/unit/PolicyQueueTest.cpp
@@ -61,7 +61,7 @@
     Cancelled += cancelSome(Pending, Ids, 100);
   cr_assert_eq(Cancelled, 2000);
   cr_assert_eq(Steps, 21);
-  cr_assert_eq(Pending.Tasks_, 2000);
+  cr_assert_eq(Pending.WaitingTasks_, 2000);
   cr_assert_eq(Pending.ShapesByKey_.size(), 1);
 }
 
@@ -72,11 +72,11 @@
   cr_assert(takeWaiting(Pending, "j") == std::vector<std::uint32_t>{0});
   addPending(Pending, makeJob("j", JobKind::Batch, {1000, 1024, 0}, 1));
   addPending(Pending, makeJob("j", JobKind::Batch, {1000, 1024, 0}, 1));
-  cr_assert_eq(Pending.Tasks_, 3);
+  cr_assert_eq(Pending.WaitingTasks_, 3);
   for (std::uint32_t I = 0; I < 3; ++I)
     cr_assert(takeWaiting(Pending, "j") == std::vector<std::uint32_t>{I});
   cr_assert(findPending(Pending, "j") == nullptr);
-  cr_assert_eq(Pending.Tasks_, 0);
+  cr_assert_eq(Pending.WaitingTasks_, 0);
 }
 
 // Guards against shares that ignore weights or past usage.
