--- a/include/masticdrift/policy/Executors.h
+++ b/include/masticdrift/policy/Executors.h
@@ -33,7 +33,7 @@
   std::uint32_t ConsecutiveFailures_ = 0;
   std::uint32_t Ejections_ = 0; ///< consecutive, for the back-off
   std::optional<core::TimePoint> EjectedUntil_;
-  bool TrialInProgress_ = false; ///< a trial request is in progress
+  bool TrialInProgress_ = false;
   bool Leaving_ = false;
 };
 
