--- a/tests/measure/Scale.cpp
+++ b/tests/measure/Scale.cpp
@@ -34,8 +34,8 @@
     Job.Checkpointable_ = below(2) == 0;
     Job.Throttleable_ = below(2) == 0;
     Job.Size_ = {500L * (1 + below(8)), 512L * (1 + below(16)), below(10) == 0 ? 1 + below(2) : 0};
-    Job.Run_ = std::chrono::seconds(5 + below(300));
-    Job.Queued_ = Now_;
+    Job.RunTime_ = std::chrono::seconds(5 + below(300));
+    Job.QueuedAt_ = Now_;
     const std::uint32_t Tasks = Job.Kind_ == JobKind::Gang ? 2 + below(15) : 1;
     for (std::uint32_t I = 0; I < Tasks; ++I)
       Job.Waiting_.push_back(I);
@@ -69,7 +69,7 @@
 
   void confirmPreempted() {
     for (const Decision &One : Preempted_) {
-      if (One.How_ == PreemptHow::Throttle)
+      if (One.Method_ == PreemptionMethod::Throttle)
         taskThrottled(Cell_, Teams_, One.Job_, One.Task_, Now_);
       else
         taskEnded(Cell_, Teams_, One.Job_, One.Task_, Now_);
@@ -91,7 +91,7 @@
 
 void fill(BigCell &It, bool Full) {
   const double Target = Full ? 0.97 : 0.7;
-  for (int Round = 0; Round < 3000 && usedPart(It.Cell_) < Target; ++Round) {
+  for (int Round = 0; Round < 3000 && utilization(It.Cell_) < Target; ++Round) {
     for (std::uint32_t I = 0; I < 64; ++I)
       addPending(It.Pending_, It.make(false));
     It.Now_ += std::chrono::milliseconds(50);
@@ -118,7 +118,7 @@
     const auto Before = Wall::now();
     // Ends and arrivals balance; gangs count as several starts.
     It.endSome(PerTick);
-    while (It.Pending_.Tasks_ < (Full ? 10 * Workers : PerTick))
+    while (It.Pending_.WaitingTasks_ < (Full ? 10 * Workers : PerTick))
       addPending(It.Pending_, It.make(It.below(20) == 0));
     It.confirmPreempted();
     Policy += std::chrono::duration<double>(Wall::now() - Before).count();
@@ -139,7 +139,7 @@
   Out["workers"] = Workers;
   Out["cell"] = Full ? "full" : "70% used";
   Out["running_tasks"] = It.Running_.size();
-  Out["pending_tasks"] = It.Pending_.Tasks_;
+  Out["pending_tasks"] = It.Pending_.WaitingTasks_;
   Out["decide_p50_ms"] = percentile(Times, 0.5);
   Out["decide_p99_ms"] = percentile(Times, 0.99);
   Out["decide_max_ms"] = percentile(Times, 1);
