daemon, protocol: rename files after their new names

AdviceDesk, LookDesk and OrderDesk become AdviceDispatcher, JobStateWaiters and OrderRouter; protocol/Fleet.h and Relay.h become PeerMessages.h and RelayMessages.h.

--- a/include/masticdrift/daemon/AdviceDesk.h
+++ b/include/masticdrift/daemon/AdviceDispatcher.h
@@ -1,7 +1,7 @@
 /// \file
 /// Spreads calls for advice over the daemons; the service takes one call at a time from each.
-#ifndef MASTICDRIFT_DAEMON_ADVICEDESK_H
-#define MASTICDRIFT_DAEMON_ADVICEDESK_H
+#ifndef MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
+#define MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
 
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/fleet/Orders.h"
@@ -57,4 +57,4 @@
 
 } // namespace masticdrift::daemon
 
-#endif // MASTICDRIFT_DAEMON_ADVICEDESK_H
+#endif // MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -8,7 +8,7 @@
 #include "masticdrift/daemon/LeaderDriver.h"
 #include "masticdrift/daemon/TopicTail.h"
 #include "masticdrift/http/Server.h"
-#include "masticdrift/protocol/Fleet.h"
+#include "masticdrift/protocol/PeerMessages.h"
 #include "platform/Ingress.h"
 
 #include <functional>
--- a/include/masticdrift/daemon/LookDesk.h
+++ b/include/masticdrift/daemon/JobStateWaiters.h
@@ -1,10 +1,10 @@
 /// \file
 /// The leader's answers about the states of jobs.
-#ifndef MASTICDRIFT_DAEMON_LOOKDESK_H
-#define MASTICDRIFT_DAEMON_LOOKDESK_H
+#ifndef MASTICDRIFT_DAEMON_JOBSTATEWAITERS_H
+#define MASTICDRIFT_DAEMON_JOBSTATEWAITERS_H
 
 #include "masticdrift/core/Clock.h"
-#include "masticdrift/protocol/Fleet.h"
+#include "masticdrift/protocol/PeerMessages.h"
 #include "masticdrift/work/Ledger.h"
 
 #include <functional>
@@ -42,4 +42,4 @@
 
 } // namespace masticdrift::daemon
 
-#endif // MASTICDRIFT_DAEMON_LOOKDESK_H
+#endif // MASTICDRIFT_DAEMON_JOBSTATEWAITERS_H
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -4,10 +4,10 @@
 #define MASTICDRIFT_DAEMON_LEADERDRIVER_H
 
 #include "masticdrift/daemon/FleetContext.h"
-#include "masticdrift/daemon/LookDesk.h"
+#include "masticdrift/daemon/JobStateWaiters.h"
 #include "masticdrift/daemon/TopicTail.h"
-#include "masticdrift/protocol/Fleet.h"
-#include "masticdrift/protocol/Relay.h"
+#include "masticdrift/protocol/PeerMessages.h"
+#include "masticdrift/protocol/RelayMessages.h"
 
 #include <functional>
 #include <memory>
--- a/include/masticdrift/daemon/OrderRelay.h
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -4,7 +4,7 @@
 #define MASTICDRIFT_DAEMON_ORDERRELAY_H
 
 #include "masticdrift/daemon/FleetContext.h"
-#include "masticdrift/protocol/Relay.h"
+#include "masticdrift/protocol/RelayMessages.h"
 
 #include <map>
 #include <memory>
--- a/include/masticdrift/daemon/OrderDesk.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -1,12 +1,12 @@
 /// \file
 /// The leader's way to executors: directly, or through daemons near them when there are many.
-#ifndef MASTICDRIFT_DAEMON_ORDERDESK_H
-#define MASTICDRIFT_DAEMON_ORDERDESK_H
+#ifndef MASTICDRIFT_DAEMON_ORDERROUTER_H
+#define MASTICDRIFT_DAEMON_ORDERROUTER_H
 
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/RelayTable.h"
 #include "masticdrift/lead/Model.h"
-#include "masticdrift/protocol/Relay.h"
+#include "masticdrift/protocol/RelayMessages.h"
 #include "platform/Executors.h"
 
 #include <functional>
@@ -71,4 +71,4 @@
 
 } // namespace masticdrift::daemon
 
-#endif // MASTICDRIFT_DAEMON_ORDERDESK_H
+#endif // MASTICDRIFT_DAEMON_ORDERROUTER_H
--- a/include/masticdrift/daemon/RelayTable.h
+++ b/include/masticdrift/daemon/RelayTable.h
@@ -4,7 +4,7 @@
 #define MASTICDRIFT_DAEMON_RELAYTABLE_H
 
 #include "masticdrift/core/Clock.h"
-#include "masticdrift/protocol/Fleet.h"
+#include "masticdrift/protocol/PeerMessages.h"
 
 #include <map>
 #include <string>
--- a/include/masticdrift/protocol/Fleet.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -1,8 +1,8 @@
 /// \file
 /// Messages between a leader and the other daemons. They travel as msgpack in HTTP bodies: every
 /// exchange is a call with a time limit of its own, which also bounds silent connections.
-#ifndef MASTICDRIFT_PROTOCOL_FLEET_H
-#define MASTICDRIFT_PROTOCOL_FLEET_H
+#ifndef MASTICDRIFT_PROTOCOL_PEERMESSAGES_H
+#define MASTICDRIFT_PROTOCOL_PEERMESSAGES_H
 
 #include <cstdint>
 #include <string>
@@ -76,4 +76,4 @@
 
 } // namespace masticdrift::protocol
 
-#endif // MASTICDRIFT_PROTOCOL_FLEET_H
+#endif // MASTICDRIFT_PROTOCOL_PEERMESSAGES_H
--- a/include/masticdrift/protocol/Relay.h
+++ b/include/masticdrift/protocol/RelayMessages.h
@@ -3,8 +3,8 @@
 ///
 /// Both go one way in batches. A batch that is lost is an order without an answer, which the leader
 /// has to expect of executors anyway.
-#ifndef MASTICDRIFT_PROTOCOL_RELAY_H
-#define MASTICDRIFT_PROTOCOL_RELAY_H
+#ifndef MASTICDRIFT_PROTOCOL_RELAYMESSAGES_H
+#define MASTICDRIFT_PROTOCOL_RELAYMESSAGES_H
 
 #include "masticdrift/fleet/Orders.h"
 
@@ -59,4 +59,4 @@
 
 } // namespace masticdrift::protocol
 
-#endif // MASTICDRIFT_PROTOCOL_RELAY_H
+#endif // MASTICDRIFT_PROTOCOL_RELAYMESSAGES_H
--- a/src/daemon/AdviceDesk.cpp
+++ b/src/daemon/AdviceDispatcher.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/daemon/AdviceDesk.h"
+#include "masticdrift/daemon/AdviceDispatcher.h"
 
 #include <algorithm>
 
--- a/src/daemon/LookDesk.cpp
+++ b/src/daemon/JobStateWaiters.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/daemon/LookDesk.h"
+#include "masticdrift/daemon/JobStateWaiters.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -2,7 +2,7 @@
 
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Pack.h"
-#include "masticdrift/daemon/OrderDesk.h"
+#include "masticdrift/daemon/OrderRouter.h"
 
 #include <algorithm>
 
--- a/src/daemon/OrderDesk.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/daemon/OrderDesk.h"
+#include "masticdrift/daemon/OrderRouter.h"
 
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -1,6 +1,6 @@
 // When a daemon claims the leadership, the table of jobs, and how calls for advice are spread.
 #include "masticdrift/lead/Election.h"
-#include "masticdrift/daemon/AdviceDesk.h"
+#include "masticdrift/daemon/AdviceDispatcher.h"
 #include "masticdrift/work/Ledger.h"
 
 #include <criterion/criterion.h>
--- a/tests/unit/LookDeskTest.cpp
+++ b/tests/unit/JobStateWaitersTest.cpp
@@ -1,5 +1,5 @@
 // When the leader answers looks at jobs whose end is being written.
-#include "masticdrift/daemon/LookDesk.h"
+#include "masticdrift/daemon/JobStateWaiters.h"
 
 #include <criterion/criterion.h>
 
