daemon: rename the executor entries and the leadership topic

"Roster" and "Lead" said too little: RosterEntry and Roster_ are now ExecutorEntry and ExecutorEntries_, LeadTopic is LeadershipTopic. The topic's own name stays.

--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -20,13 +20,13 @@
 
 inline constexpr const char *JobsTopic = "keyed.jobs";
 inline constexpr const char *SpecsTopic = "keyed.specs";
-inline constexpr const char *LeadTopic = "keyed.lead";
+inline constexpr const char *LeadershipTopic = "keyed.lead";
 inline constexpr const char *ConfigTopic = "keyed.op";
 inline constexpr const char *ConfigKey = "config";
 inline constexpr const char *ExecutorsTopic = "keyed.servers";
 
 /// An executor of the list, kept for a while after its entry went away.
-struct RosterEntry {
+struct ExecutorEntry {
   fleet::ExecutorInfo Info_;
   bool Listed_ = true;
   core::TimePoint ChangedAt_{};
@@ -42,7 +42,7 @@
   core::TimePoint StartedAt_;
   work::Ledger Ledger_;
   std::optional<work::Manifest> Manifest_;
-  std::map<std::string, RosterEntry, std::less<>> Roster_;
+  std::map<std::string, ExecutorEntry, std::less<>> ExecutorEntries_;
   bool Stopping_ = false;
 };
 
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -221,13 +221,13 @@
                   {{"executor", One.Key_}, {"offset", std::to_string(One.Offset_)}});
       return;
     }
-    Context_.Roster_[One.Key_] = {std::move(*Info), true, core::Clock::now()};
+    Context_.ExecutorEntries_[One.Key_] = {std::move(*Info), true, core::Clock::now()};
     Leader_.onExecutor(One.Key_);
   }
 
   void executorGone(const std::string &Id) {
-    const auto Found = Context_.Roster_.find(Id);
-    if (Found == Context_.Roster_.end() || !Found->second.Listed_)
+    const auto Found = Context_.ExecutorEntries_.find(Id);
+    if (Found == Context_.ExecutorEntries_.end() || !Found->second.Listed_)
       return;
     Found->second.Listed_ = false;
     Found->second.ChangedAt_ = core::Clock::now();
@@ -237,7 +237,7 @@
 
   void onExecutorsLoaded(const std::set<std::string> &Keys) {
     std::vector<std::string> Gone;
-    for (const auto &[Id, Entry] : Context_.Roster_)
+    for (const auto &[Id, Entry] : Context_.ExecutorEntries_)
       if (!Keys.contains(Id))
         Gone.push_back(Id);
     for (const std::string &Id : Gone)
@@ -337,7 +337,7 @@
     const core::TimePoint Now = core::Clock::now();
     SpecWriter_.expire(Now);
     Writer_.expire(Now);
-    std::erase_if(Context_.Roster_, [&](const auto &One) {
+    std::erase_if(Context_.ExecutorEntries_, [&](const auto &One) {
       return !One.second.Listed_ && Now - One.second.ChangedAt_ > RosterMemory;
     });
     ExpiryTimer_.expires_after(ExpiryInterval);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -59,7 +59,7 @@
   Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors)
       : Context_(Context), Jobs_(Jobs), Specs_(Specs), Executors_(Executors),
         Lead_(Context.Loop_, Context.Store_,
-              {LeadTopic, core::Millis(2000), [] { return core::Millis(50); }},
+              {LeadershipTopic, core::Millis(2000), [] { return core::Millis(50); }},
               {[this](const platform::KeyedRecord &One) { onLeadRecord(One); },
                [this](const auto &) { onLeadLoaded(); }}),
         ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
@@ -150,7 +150,7 @@
     const std::vector<platform::KeyedRecord> Records{leadRecord(Term, Released)};
     platform::AppendTerms Terms;
     Terms.At_ = At;
-    Context_.Store_.append(LeadTopic, Records, Terms, BeatTimeout,
+    Context_.Store_.append(LeadershipTopic, Records, Terms, BeatTimeout,
                            [Self = shared_from_this(), Record = Records.front(),
                             Done = std::move(Done)](const platform::AppendResult &Result) mutable {
                              if (Self->Closed_)
@@ -262,7 +262,7 @@
     Scheduler_.emplace(Term_, Times, ports(), Now, ListMayLack);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
-    for (const auto &[Id, Entry] : Context_.Roster_) {
+    for (const auto &[Id, Entry] : Context_.ExecutorEntries_) {
       // The earlier leader's beats name the executors without an entry that it still counted on;
       // later losses are known from the list.
       if (!Entry.Listed_ && Entry.ChangedAt_ < NewsAt_ - UnlistedOverlap)
@@ -272,10 +272,10 @@
         Scheduler_->onExecutorGone(Id, Now);
     }
     for (const lead::UnlistedExecutor &One : Newest_->Unlisted_)
-      if (const auto Known = Context_.Roster_.find(One.Id_);
-          Known == Context_.Roster_.end() || !Known->second.Listed_) {
+      if (const auto Known = Context_.ExecutorEntries_.find(One.Id_);
+          Known == Context_.ExecutorEntries_.end() || !Known->second.Listed_) {
         fleet::ExecutorInfo Info;
-        if (Known != Context_.Roster_.end())
+        if (Known != Context_.ExecutorEntries_.end())
           Info = Known->second.Info_;
         Info.Id_ = One.Id_;
         Info.Address_ = One.Address_;
@@ -750,8 +750,8 @@
 void LeaderDriver::onExecutor(std::string_view Id) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
-  const auto Found = Impl_->Context_.Roster_.find(Id);
-  if (Found == Impl_->Context_.Roster_.end() || !Found->second.Listed_)
+  const auto Found = Impl_->Context_.ExecutorEntries_.find(Id);
+  if (Found == Impl_->Context_.ExecutorEntries_.end() || !Found->second.Listed_)
     Impl_->Scheduler_->onExecutorGone(Id, core::Clock::now());
   else
     Impl_->Scheduler_->onExecutor(Found->second.Info_, core::Clock::now());
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -107,7 +107,7 @@
   Order.Address_ = At.Address_;
   Order.Executor_ = At.Id_;
   const core::TimePoint Now = core::Clock::now();
-  const std::string_view Relay = Context_.Roster_.size() > DirectExecutors
+  const std::string_view Relay = Context_.ExecutorEntries_.size() > DirectExecutors
                                      ? Relays_.pick(At.Domain_, Now)
                                      : std::string_view();
   if (Relay.empty()) {
