protocol: rename the messages between daemons

The messages were called calls and looks. They are requests and replies now, as usual for RPC: AdviseRequest, SubmitRequest, JobStateRequest and JobStateReply, OrdersRequest, ResultsRequest. Ids of jobs, orders and executors say that they are ids. Paths and packed layouts stay.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -27,7 +27,7 @@
   void handle(const http::Request &From, const http::Responder &To);
 
   /// Appends a record for a daemon that can't reach the store.
-  void submitFor(protocol::SubmitCall Call, std::function<void(protocol::SubmitReply)> Done);
+  void submitFor(protocol::SubmitRequest Call, std::function<void(protocol::SubmitReply)> Done);
 
   /// \returns requests that have no answer yet.
   std::size_t open() const { return Open_; }
@@ -46,7 +46,7 @@
   void askLeader(const std::shared_ptr<Call> &Of, const std::string &Leader, Found Then);
   void resolveHere(const std::shared_ptr<Call> &Of, const Found &Then);
   void resolved(const std::shared_ptr<Call> &Of, std::string_view Source,
-                const protocol::LookReply &Reply, const Found &Then);
+                const protocol::JobStateReply &Reply, const Found &Then);
   /// A record and the job's steps, which are empty for a cancel.
   struct Submission {
     work::LedgerEntry Record_;
--- a/include/masticdrift/daemon/JobStateWaiters.h
+++ b/include/masticdrift/daemon/JobStateWaiters.h
@@ -15,13 +15,13 @@
 namespace masticdrift::daemon {
 
 /// \returns what the ledger says about a job.
-protocol::LookReply lookedUp(const work::Ledger &Known, std::string_view Job);
+protocol::JobStateReply lookedUp(const work::Ledger &Known, std::string_view Job);
 
 /// Holds looks at jobs whose end is being written, until it is durable or their time is over. No
 /// I/O.
 class LookDesk {
 public:
-  using Done = std::function<void(const protocol::LookReply &)>;
+  using Done = std::function<void(const protocol::JobStateReply &)>;
 
   /// \param Until the job's durable state is the answer then, whatever it is.
   void wait(std::string Job, core::TimePoint Until, Done Answer);
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -40,7 +40,7 @@
   bool onHello(const protocol::Hello &From);
 
   /// Results of orders that another daemon has carried for this one.
-  void onResults(const protocol::ResultsCall &Call);
+  void onResults(const protocol::ResultsRequest &Call);
 
   /// Answers for a job's state. While the job's end is being written, the answer waits for that, up
   /// to \c MostLookWait.
--- a/include/masticdrift/daemon/OrderRelay.h
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -19,7 +19,7 @@
 public:
   explicit OrderRelay(FleetContext &Context) : Context_(Context), Timer_(Context.Loop_) {}
 
-  void carry(const protocol::OrdersCall &Call);
+  void carry(const protocol::OrdersRequest &Call);
 
 private:
   void add(const std::string &ReplyTo, protocol::RelayedResult Result);
--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -39,7 +39,7 @@
   void flush(core::TimePoint Now);
 
   /// Results of orders that another daemon has carried.
-  void onResults(const protocol::ResultsCall &Call);
+  void onResults(const protocol::ResultsRequest &Call);
 
 private:
   struct Pending {
--- a/include/masticdrift/protocol/PeerMessages.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -15,7 +15,7 @@
 inline constexpr const char *HelloPath = "/peer/hello";
 inline constexpr const char *AdvisePath = "/peer/advise";
 inline constexpr const char *SubmitPath = "/peer/submit";
-inline constexpr const char *LookPath = "/peer/look";
+inline constexpr const char *JobStatePath = "/peer/look";
 
 /// A daemon offers its help to the leader, about twice a second.
 struct Hello {
@@ -28,13 +28,13 @@
 };
 
 /// The leader asks a daemon to make one call for advice.
-struct AdviseCall {
-  std::string Job_;
+struct AdviseRequest {
+  std::string JobId_;
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   std::vector<std::string> Executors_;
   std::int64_t TimeoutMs_ = 0;
-  MSGPACK_DEFINE_ARRAY(Job_, Occurrence_, Step_, Executors_, TimeoutMs_)
+  MSGPACK_DEFINE_ARRAY(JobId_, Occurrence_, Step_, Executors_, TimeoutMs_)
 };
 
 struct AdviseReply {
@@ -45,7 +45,7 @@
 };
 
 /// A daemon asks the leader to append a record for it.
-struct SubmitCall {
+struct SubmitRequest {
   std::string Key_;
   std::string Value_;
   std::string Spec_; ///< the job's steps, stored before the record; empty for a cancel
@@ -61,12 +61,12 @@
 };
 
 /// A daemon asks the leader for a job's state.
-struct LookCall {
-  std::string Job_;
-  MSGPACK_DEFINE_ARRAY(Job_)
+struct JobStateRequest {
+  std::string JobId_;
+  MSGPACK_DEFINE_ARRAY(JobId_)
 };
 
-struct LookReply {
+struct JobStateReply {
   bool Answered_ = false;  ///< false from a daemon that does not lead
   bool Known_ = false;     ///< false may only mean that the leader has not read the job yet
   std::string Customer_;   ///< whose job it is
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -236,7 +236,7 @@
   Call.Method_ = "POST";
   Call.Url_ = "http://" + Leader + protocol::SubmitPath;
   Call.Body_ = core::pack(
-      protocol::SubmitCall{What.Record_.Key_, What.Record_.Value_, What.Spec_, Wait.count()});
+      protocol::SubmitRequest{What.Record_.Key_, What.Record_.Value_, What.Spec_, Wait.count()});
   Call.Timeout_ = Wait + RelayMargin;
   Context_.Client_.send(std::move(Call), [this, Of, What = std::move(What), Done = std::move(Done)](
                                              const http::ClientResult &Result) mutable {
@@ -270,7 +270,7 @@
   });
 }
 
-void EntryService::submitFor(protocol::SubmitCall Call,
+void EntryService::submitFor(protocol::SubmitRequest Call,
                              std::function<void(protocol::SubmitReply)> Done) {
   if (Jobs_.failing()) {
     Done({false, true, 0});
@@ -296,16 +296,17 @@
 }
 
 void EntryService::resolve(const std::shared_ptr<Call> &Of, Found Then) {
-  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  const protocol::JobStateReply Own = lookedUp(Context_.Ledger_, Of->Job_);
   if (Own.Known_ && work::isFinal(static_cast<work::JobState>(Own.State_))) {
     resolved(Of, "own", Own, Then);
     return;
   }
   const std::string Leader = Leader_.leaderAddress();
   if (Leader_.leading())
-    Leader_.look(Of->Job_, [this, Of, Then = std::move(Then)](const protocol::LookReply &Reply) {
-      resolved(Of, "leader", Reply, Then);
-    });
+    Leader_.look(Of->Job_,
+                 [this, Of, Then = std::move(Then)](const protocol::JobStateReply &Reply) {
+                   resolved(Of, "leader", Reply, Then);
+                 });
   else if (!Leader.empty() && Leader_.leaderHeard())
     askLeader(Of, Leader, std::move(Then));
   else
@@ -316,25 +317,25 @@
                              Found Then) {
   http::ClientRequest Call;
   Call.Method_ = "POST";
-  Call.Url_ = "http://" + Leader + protocol::LookPath;
-  Call.Body_ = core::pack(protocol::LookCall{Of->Job_});
+  Call.Url_ = "http://" + Leader + protocol::JobStatePath;
+  Call.Body_ = core::pack(protocol::JobStateRequest{Of->Job_});
   Call.Timeout_ = LookRelayTimeout;
   Context_.Client_.send(
       std::move(Call), [this, Of, Then = std::move(Then)](const http::ClientResult &Result) {
         const auto Reply = Result.Transfer_ == http::Transfer::Complete
-                               ? core::unpack<protocol::LookReply>(Result.Answer_.Body_)
+                               ? core::unpack<protocol::JobStateReply>(Result.Answer_.Body_)
                                : std::nullopt;
         if (!Reply) {
           core::log(core::LogLevel::Warning, "leader did not tell a job's state",
                     {{"request_id", Of->Job_}, {"detail", Result.Error_}});
           Leader_.leaderFailed();
         }
-        resolved(Of, "leader", Reply.value_or(protocol::LookReply{}), Then);
+        resolved(Of, "leader", Reply.value_or(protocol::JobStateReply{}), Then);
       });
 }
 
 void EntryService::resolveHere(const std::shared_ptr<Call> &Of, const Found &Then) {
-  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  const protocol::JobStateReply Own = lookedUp(Context_.Ledger_, Of->Job_);
   if (Own.Known_) {
     resolved(Of, "own", Own, Then);
     return;
@@ -345,7 +346,7 @@
   }
   // "No such job" is only true of the whole log.
   Jobs_.catchUp(LookTimeout, [this, Of, Then](bool Complete) {
-    const protocol::LookReply Read = lookedUp(Context_.Ledger_, Of->Job_);
+    const protocol::JobStateReply Read = lookedUp(Context_.Ledger_, Of->Job_);
     if (Read.Known_)
       resolved(Of, "own", Read, Then);
     else if (Complete)
@@ -356,7 +357,7 @@
 }
 
 void EntryService::resolved(const std::shared_ptr<Call> &Of, std::string_view Source,
-                            const protocol::LookReply &Reply, const Found &Then) {
+                            const protocol::JobStateReply &Reply, const Found &Then) {
   if (!Reply.Answered_ || !Reply.Known_) {
     resolveHere(Of, Then);
     return;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -267,12 +267,13 @@
       advise(From, To);
     } else if (From.Path_ == protocol::SubmitPath) {
       submitFor(From, To);
-    } else if (From.Path_ == protocol::LookPath) {
+    } else if (From.Path_ == protocol::JobStatePath) {
       lookFor(From, To);
     } else if (From.Path_ == protocol::OrdersPath) {
-      take<protocol::OrdersCall>(From, To, [this](const auto &Call) { Relay_.carry(Call); });
+      take<protocol::OrdersRequest>(From, To, [this](const auto &Call) { Relay_.carry(Call); });
     } else if (From.Path_ == protocol::ResultsPath) {
-      take<protocol::ResultsCall>(From, To, [this](const auto &Call) { Leader_.onResults(Call); });
+      take<protocol::ResultsRequest>(From, To,
+                                     [this](const auto &Call) { Leader_.onResults(Call); });
     } else {
       To({404, {}, "text/plain", {}, false});
     }
@@ -291,13 +292,13 @@
   }
 
   void advise(const http::Request &From, const http::Responder &To) {
-    const auto Call = core::unpack<protocol::AdviseCall>(From.Body_);
+    const auto Call = core::unpack<protocol::AdviseRequest>(From.Body_);
     if (!Call) {
       To({400, {}, "text/plain", {}, false});
       return;
     }
     platform::askAdvice(Client_, Settings_.AdviceAddress_,
-                        {Call->Job_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
+                        {Call->JobId_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
                         core::Millis(Call->TimeoutMs_),
                         [To](const std::optional<std::vector<fleet::Advised>> &Good) {
                           protocol::AdviseReply Reply;
@@ -312,7 +313,7 @@
   }
 
   void submitFor(const http::Request &From, const http::Responder &To) {
-    auto Call = core::unpack<protocol::SubmitCall>(From.Body_);
+    auto Call = core::unpack<protocol::SubmitRequest>(From.Body_);
     if (!Call) {
       To({400, {}, "text/plain", {}, false});
       return;
@@ -323,12 +324,12 @@
   }
 
   void lookFor(const http::Request &From, const http::Responder &To) {
-    const auto Call = core::unpack<protocol::LookCall>(From.Body_);
+    const auto Call = core::unpack<protocol::JobStateRequest>(From.Body_);
     if (!Call) {
       To({400, {}, "text/plain", {}, false});
       return;
     }
-    Leader_.look(Call->Job_, [To](const protocol::LookReply &Reply) {
+    Leader_.look(Call->JobId_, [To](const protocol::JobStateReply &Reply) {
       To({200, core::pack(Reply), "application/msgpack", {}, false});
     });
   }
--- a/src/daemon/JobStateWaiters.cpp
+++ b/src/daemon/JobStateWaiters.cpp
@@ -5,7 +5,7 @@
 
 namespace masticdrift::daemon {
 
-protocol::LookReply lookedUp(const work::Ledger &Known, std::string_view Job) {
+protocol::JobStateReply lookedUp(const work::Ledger &Known, std::string_view Job) {
   const work::LedgerJob *Found = Known.find(Job);
   if (Found == nullptr)
     return {true, false, {}, 0};
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -552,7 +552,7 @@
   }
 
   void look(const std::string &Job, LookDesk::Done Answer) {
-    protocol::LookReply Durable = lookedUp(Context_.Ledger_, Job);
+    protocol::JobStateReply Durable = lookedUp(Context_.Ledger_, Job);
     Durable.Answered_ = Role_ == Role::Leading;
     const bool EndIsWritten = Durable.Answered_ && Durable.Known_ && !Jobs_.failing() &&
                               !work::isFinal(static_cast<work::JobState>(Durable.State_)) &&
@@ -583,8 +583,8 @@
     Call.Method_ = "POST";
     Call.Url_ = "http://" + Adviser + protocol::AdvisePath;
     Call.Body_ =
-        core::pack(protocol::AdviseCall{Asked->Step_.Job_, Asked->Step_.Occurrence_,
-                                        Asked->Step_.Step_, Asked->Executors_, Timeout.count()});
+        core::pack(protocol::AdviseRequest{Asked->Step_.Job_, Asked->Step_.Occurrence_,
+                                           Asked->Step_.Step_, Asked->Executors_, Timeout.count()});
     Call.Timeout_ = Timeout;
     Context_.Client_.send(
         std::move(Call), [Done = std::move(Done)](const http::ClientResult &Result) {
@@ -771,7 +771,9 @@
   return true;
 }
 
-void LeaderDriver::onResults(const protocol::ResultsCall &Call) { Impl_->Orders_.onResults(Call); }
+void LeaderDriver::onResults(const protocol::ResultsRequest &Call) {
+  Impl_->Orders_.onResults(Call);
+}
 
 bool LeaderDriver::cutOff() const {
   return leading() && Impl_->Lead_.failing() && Impl_->Jobs_.failing();
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -17,10 +17,10 @@
 
 } // namespace
 
-void OrderRelay::carry(const protocol::OrdersCall &Call) {
+void OrderRelay::carry(const protocol::OrdersRequest &Call) {
   for (const protocol::RelayedOrder &One : Call.Orders_)
     carryOrder(Context_.Client_, One,
-               [this, Held = std::weak_ptr<bool>(Alive_), Number = One.Number_,
+               [this, Held = std::weak_ptr<bool>(Alive_), Number = One.OrderId_,
                 ReplyTo = Call.ReplyTo_](const platform::HoldAnswer &Answer) {
                  if (!Held.expired())
                    add(ReplyTo, {Number, Answer.Outcome_, Answer.Report_.ClockMs_, Answer.Report_});
@@ -47,7 +47,7 @@
     http::ClientRequest Call;
     Call.Method_ = "POST";
     Call.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
-    Call.Body_ = core::pack(protocol::ResultsCall{std::move(Results)});
+    Call.Body_ = core::pack(protocol::ResultsRequest{std::move(Results)});
     Call.Timeout_ = ResultTimeout;
     Context_.Client_.send(std::move(Call), [Leader = ReplyTo](const http::ClientResult &Result) {
       if (Result.Transfer_ != http::Transfer::Complete)
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -49,7 +49,7 @@
 
 void carryOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
                 OrderDesk::Listed Done) {
-  const platform::Target To{Order.Address_, Order.Executor_};
+  const platform::Target To{Order.ExecutorAddress_, Order.ExecutorId_};
   const core::Millis Timeout(Order.TimeoutMs_);
   const fleet::StartOrder &What = Order.Order_;
   const auto Plain = [Done](const platform::OrderAnswer &Answer) { Done(withoutReport(Answer)); };
@@ -104,8 +104,8 @@
 }
 
 void OrderDesk::give(const fleet::ExecutorInfo &At, protocol::RelayedOrder Order, Listed Done) {
-  Order.Address_ = At.Address_;
-  Order.Executor_ = At.Id_;
+  Order.ExecutorAddress_ = At.Address_;
+  Order.ExecutorId_ = At.Id_;
   const core::TimePoint Now = core::Clock::now();
   const std::string_view Relay = Context_.ExecutorEntries_.size() > DirectExecutors
                                      ? Relays_.pick(At.Domain_, Now)
@@ -114,9 +114,9 @@
     carryOrder(Context_.Client_, Order, std::move(Done));
     return;
   }
-  Order.Number_ = NextNumber_++;
-  Pending_[Order.Number_] = {std::string(Relay), Now + core::Millis(Order.TimeoutMs_) + RelayTime,
-                             std::move(Done)};
+  Order.OrderId_ = NextNumber_++;
+  Pending_[Order.OrderId_] = {std::string(Relay), Now + core::Millis(Order.TimeoutMs_) + RelayTime,
+                              std::move(Done)};
   Batches_[std::string(Relay)].Orders_.push_back(std::move(Order));
 }
 
@@ -133,7 +133,7 @@
   Call.Method_ = "POST";
   Call.Url_ = "http://" + Relay + protocol::OrdersPath;
   Call.Body_ =
-      core::pack(protocol::OrdersCall{Context_.PeerAddress_, std::exchange(What.Orders_, {})});
+      core::pack(protocol::OrdersRequest{Context_.PeerAddress_, std::exchange(What.Orders_, {})});
   Call.Timeout_ = BatchTimeout;
   // Its orders may have gone out all the same, so their results are waited for.
   Context_.Client_.send(std::move(Call), [this, Relay, Held = std::weak_ptr<bool>(Alive_)](
@@ -168,9 +168,9 @@
   }
 }
 
-void OrderDesk::onResults(const protocol::ResultsCall &Call) {
+void OrderDesk::onResults(const protocol::ResultsRequest &Call) {
   for (const protocol::RelayedResult &One : Call.Results_) {
-    auto Node = Pending_.extract(One.Number_);
+    auto Node = Pending_.extract(One.OrderId_);
     if (Node.empty())
       continue; // counted as lost already
     platform::HoldAnswer Answer;
--- a/tests/unit/JobStateWaitersTest.cpp
+++ b/tests/unit/JobStateWaitersTest.cpp
@@ -34,7 +34,7 @@
 Test(LookDesk, aLookIsAnsweredOnceTheEndIsDurable) {
   work::Ledger Known = ledgerWith("j1");
   daemon::LookDesk Desk;
-  std::vector<protocol::LookReply> Replies;
+  std::vector<protocol::JobStateReply> Replies;
   Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
   Desk.settle(Known, Start + Millis(10));
   cr_assert(Replies.empty());
@@ -51,7 +51,7 @@
 Test(LookDesk, aLookWaitsNoLongerThanItsTime) {
   const work::Ledger Known = ledgerWith("j1");
   daemon::LookDesk Desk;
-  std::vector<protocol::LookReply> Replies;
+  std::vector<protocol::JobStateReply> Replies;
   Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
   Desk.settle(Known, Start + Millis(199));
   cr_expect(Replies.empty());
@@ -64,7 +64,7 @@
 Test(LookDesk, aLookAtAForgottenJobIsAnswered) {
   work::Ledger Known = ledgerWith("j1");
   daemon::LookDesk Desk;
-  std::vector<protocol::LookReply> Replies;
+  std::vector<protocol::JobStateReply> Replies;
   Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
   for (const work::LedgerEntry &One : work::forgetEntries("j1"))
     put(Known, One);
