--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -37,17 +37,17 @@
 
   /// A daemon offers help.
   /// \returns true while this daemon leads.
-  bool onHello(const protocol::Hello &From);
+  bool onHello(const protocol::Hello &Sender);
 
   /// Results of orders that another daemon has carried for this one.
   void onResults(const protocol::ResultsRequest &Call);
 
   /// Answers for a job's state. While the job's end is being written, the answer waits for that, up
-  /// to \c MostLookWait.
-  void look(const std::string &Job, LookDesk::Done Answer);
+  /// to \c MaxJobStateWait.
+  void queryJobState(const std::string &JobId, LookDesk::Done OnReply);
 
   /// \returns true while this daemon leads and the store refuses it: another one should take over.
-  bool cutOff() const;
+  bool leadsWithoutStore() const;
   bool leading() const;
   /// \returns the term of the leadership, while this daemon leads.
   std::uint64_t term() const;
@@ -56,9 +56,9 @@
   /// \returns the leader's peer address, empty when none is known or it is this daemon.
   std::string leaderAddress() const;
   /// \returns true while the leader answers this daemon's offers of help.
-  bool leaderHeard() const;
+  bool leaderResponsive() const;
   /// A call to the leader brought no answer; it counts as not heard until the next offer.
-  void leaderFailed();
+  void onLeaderFailure();
 
 private:
   struct Impl;
@@ -66,7 +66,7 @@
 };
 
 /// An append at a sound store takes 5 to 40 ms; callers look again after about 250 ms.
-inline constexpr core::Millis MostLookWait{200};
+inline constexpr core::Millis MaxJobStateWait{200};
 
 } // namespace masticdrift::daemon
 
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -23,7 +23,7 @@
 /// A leader that takes longer is left aside; enough for an append at a very slow store.
 constexpr core::Millis MostRelayTime{1700};
 /// The leader's own wait for a write and twice a slow link's way.
-constexpr core::Millis LookRelayTimeout = MostLookWait + core::Millis(300);
+constexpr core::Millis LookRelayTimeout = MaxJobStateWait + core::Millis(300);
 /// Whole seconds, the smallest that the header can say. Another daemon takes the retry.
 constexpr const char *RetryAfterSeconds = "1";
 
@@ -190,7 +190,7 @@
   // One writer at a time keeps the partition's queue short when the store is slow, and tells the
   // leader of the job at once.
   const std::string Leader = Leader_.leaderAddress();
-  if (!Leader.empty() && (Leader_.leaderHeard() || Jobs_.failing())) {
+  if (!Leader.empty() && (Leader_.leaderResponsive() || Jobs_.failing())) {
     relay(Of, Leader, std::move(What), std::move(Done));
     return;
   }
@@ -255,7 +255,7 @@
                {"uncertain", NothingDone ? "false" : "true"},
                {"detail", Reply ? "leader could not store" : Result.Error_}});
     if (!Reply)
-      Leader_.leaderFailed();
+      Leader_.onLeaderFailure();
     if (Jobs_.failing()) {
       Done(NothingDone ? WriteOutcome::Refused : WriteOutcome::Unknown);
       return;
@@ -303,11 +303,11 @@
   }
   const std::string Leader = Leader_.leaderAddress();
   if (Leader_.leading())
-    Leader_.look(Of->Job_,
-                 [this, Of, Then = std::move(Then)](const protocol::JobStateReply &Reply) {
-                   resolved(Of, "leader", Reply, Then);
-                 });
-  else if (!Leader.empty() && Leader_.leaderHeard())
+    Leader_.queryJobState(Of->Job_,
+                          [this, Of, Then = std::move(Then)](const protocol::JobStateReply &Reply) {
+                            resolved(Of, "leader", Reply, Then);
+                          });
+  else if (!Leader.empty() && Leader_.leaderResponsive())
     askLeader(Of, Leader, std::move(Then));
   else
     resolveHere(Of, Then);
@@ -328,7 +328,7 @@
         if (!Reply) {
           core::log(core::LogLevel::Warning, "leader did not tell a job's state",
                     {{"request_id", Of->Job_}, {"detail", Result.Error_}});
-          Leader_.leaderFailed();
+          Leader_.onLeaderFailure();
         }
         resolved(Of, "leader", Reply.value_or(protocol::JobStateReply{}), Then);
       });
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -97,7 +97,7 @@
              [this] {
                if (Leader_.leading())
                  return LeaderJobsRest;
-               return Leader_.leaderHeard() ? FollowerJobsRest : UnledJobsRest;
+               return Leader_.leaderResponsive() ? FollowerJobsRest : UnledJobsRest;
              },
              !lead::mayLead(Settings.Cores_)},
             {[this](const platform::KeyedRecord &One) { onJobRecord(One); }, [](const auto &) {}}),
@@ -248,7 +248,7 @@
     http::Response Out;
     // Until the jobs are loaded the leader tells their states.
     const bool Ready = !Context_.Stopping_ && Context_.Manifest_ &&
-                       (Jobs_.loaded() || Leader_.leaderHeard()) && !Jobs_.failing() &&
+                       (Jobs_.loaded() || Leader_.leaderResponsive()) && !Jobs_.failing() &&
                        !Config_.failing();
     Out.Status_ = Ready ? 200 : 503;
     Out.ContentType_ = "text/plain";
@@ -262,7 +262,7 @@
     } else if (From.Path_ == protocol::HelloPath) {
       if (const auto Hello = core::unpack<protocol::Hello>(From.Body_))
         Leader_.onHello(*Hello);
-      To({Leader_.cutOff() ? 503 : 200, Context_.Incarnation_, "text/plain", {}, false});
+      To({Leader_.leadsWithoutStore() ? 503 : 200, Context_.Incarnation_, "text/plain", {}, false});
     } else if (From.Path_ == protocol::AdvisePath) {
       advise(From, To);
     } else if (From.Path_ == protocol::SubmitPath) {
@@ -329,7 +329,7 @@
       To({400, {}, "text/plain", {}, false});
       return;
     }
-    Leader_.look(Call->JobId_, [To](const protocol::JobStateReply &Reply) {
+    Leader_.queryJobState(Call->JobId_, [To](const protocol::JobStateReply &Reply) {
       To({200, core::pack(Reply), "application/msgpack", {}, false});
     });
   }
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr const char *LeadKey = "leader";
+constexpr const char *LeaderKey = "leader";
 constexpr const char *LeaderProducer = "leader";
 
 /// Between looks at the election.
@@ -30,26 +30,26 @@
 constexpr core::Millis HelloInterval{500};
 constexpr core::Millis HelloTimeout{900};
 /// A failed connection that took less was refused, not timed out.
-constexpr core::Millis RefusalTime{200};
+constexpr core::Millis MaxRefusalTime{200};
 /// Between two rounds of the scheduler without an event, and after an event.
 constexpr core::Millis TickInterval{30};
 constexpr core::Millis EventDelay{3};
 /// After an event the next round waits for this many times the length of the last one, so that
 /// rounds leave four fifths of the processor to orders and answers.
-constexpr int RoundSpacing = 4;
+constexpr int RoundRestFactor = 4;
 /// Between two appends of progress.
-constexpr core::Millis FlushSpacing{30};
-constexpr core::Millis BeatTimeout{1500};
+constexpr core::Millis MinFlushInterval{30};
+constexpr core::Millis HeartbeatTimeout{1500};
 constexpr core::Millis FenceTimeout{1500};
 constexpr core::Millis RetryDelay{100};
 /// Added to the expected time of a call for advice.
-constexpr core::Millis AdviceSlack{900};
+constexpr core::Millis AdviceTimeoutMargin{900};
 /// A list read by a process younger than this may lack entries, if the store was away before.
-constexpr core::Millis FreshProcess{12'000};
+constexpr core::Millis FreshProcessAge{12'000};
 /// The list and the beats are read at different times.
-constexpr core::Millis UnlistedOverlap{4000};
+constexpr core::Millis UnlistedReadSkew{4000};
 /// Between updates of the leader's gauges.
-constexpr core::Millis GaugeInterval{2000};
+constexpr core::Millis GaugeUpdateInterval{2000};
 
 } // namespace
 
@@ -58,69 +58,71 @@
 
   Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors)
       : Context_(Context), Jobs_(Jobs), Specs_(Specs), Executors_(Executors),
-        Lead_(Context.Loop_, Context.Store_,
-              {LeadershipTopic, core::Millis(2000), [] { return core::Millis(50); }},
-              {[this](const platform::KeyedRecord &One) { onLeadRecord(One); },
-               [this](const auto &) { onLeadLoaded(); }}),
+        Leadership_(Context.Loop_, Context.Store_,
+                    {LeadershipTopic, core::Millis(2000), [] { return core::Millis(50); }},
+                    {[this](const platform::KeyedRecord &Entry) { onLeadershipRecord(Entry); },
+                     [this](const auto &) { onLeadershipLoaded(); }}),
         ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
-        BeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), Orders_(Context),
-        Retention_(Context), Desk_([this](const std::string &Adviser, AdviceJob Job) {
-          sendAdvice(Adviser, std::move(Job));
+        HeartbeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), Orders_(Context),
+        Retention_(Context), Desk_([this](const std::string &Adviser, AdviceJob Request) {
+          sendAdviceRequest(Adviser, std::move(Request));
         }) {}
 
   // -- election --
 
-  void onLeadLoaded() {
-    if (!Newest_)
-      NewsAt_ = core::Clock::now();
-    Loaded_ = true;
+  void onLeadershipLoaded() {
+    if (!NewestRecord_)
+      NewestReadAt_ = core::Clock::now();
+    LeadershipLoaded_ = true;
   }
 
-  void onLeadRecord(const platform::KeyedRecord &One) {
-    if (One.Key_ != LeadKey || (Newest_ && One.Offset_ <= NewestOffset_))
+  void onLeadershipRecord(const platform::KeyedRecord &Entry) {
+    if (Entry.Key_ != LeaderKey || (NewestRecord_ && Entry.Offset_ <= NewestRecordOffset_))
       return;
-    auto Record = core::unpack<lead::LeadRecord>(One.Value_);
+    auto Record = core::unpack<lead::LeadRecord>(Entry.Value_);
     if (!Record) {
       core::log(core::LogLevel::Warning, "leadership record is unreadable",
-                {{"offset", std::to_string(One.Offset_)}});
+                {{"offset", std::to_string(Entry.Offset_)}});
       return;
     }
-    const bool Change = !Newest_ || Newest_->Term_ != Record->Term_;
-    FoundOnStart_ = !Loaded_;
-    Newest_ = std::move(*Record);
-    NewestOffset_ = One.Offset_;
-    NewsAt_ = core::Clock::now();
-    Refused_ = false;
-    LeaderCutOff_ = false;
-    LeaderHeard_ = LeaderHeard_ && !Change;
-    if (Change)
+    const bool TermChanged = !NewestRecord_ || NewestRecord_->Term_ != Record->Term_;
+    RecordFoundOnStart_ = !LeadershipLoaded_;
+    NewestRecord_ = std::move(*Record);
+    NewestRecordOffset_ = Entry.Offset_;
+    NewestReadAt_ = core::Clock::now();
+    LeaderGone_ = false;
+    LeaderWithoutStore_ = false;
+    LeaderResponsive_ = LeaderResponsive_ && !TermChanged;
+    if (TermChanged)
       core::log(core::LogLevel::Info, "leader is known",
-                {{"leader", Newest_->Instance_},
-                 {"term", std::to_string(Newest_->Term_)},
-                 {"offset", std::to_string(NewestOffset_)}});
-    const bool Mine = mine();
-    if (Mine && !Newest_->Released_ && Role_ == Role::Follower && !Context_.Stopping_)
-      prepare();
-    else if (Role_ != Role::Follower && (!Mine || Newest_->Term_ != Term_))
+                {{"leader", NewestRecord_->Instance_},
+                 {"term", std::to_string(NewestRecord_->Term_)},
+                 {"offset", std::to_string(NewestRecordOffset_)}});
+    const bool OwnRecord = ownsNewestRecord();
+    if (OwnRecord && !NewestRecord_->Released_ && Role_ == Role::Follower && !Context_.Stopping_)
+      beginTerm();
+    else if (Role_ != Role::Follower && (!OwnRecord || NewestRecord_->Term_ != Term_))
       stepDown("another daemon leads");
   }
 
-  bool mine() const { return Newest_ && Newest_->Incarnation_ == Context_.Incarnation_; }
+  bool ownsNewestRecord() const {
+    return NewestRecord_ && NewestRecord_->Incarnation_ == Context_.Incarnation_;
+  }
 
   void electionTick() {
-    after(ElectionTimer_, ElectionInterval, [this] { electionTick(); });
-    if (Claiming_)
+    runAfter(ElectionTimer_, ElectionInterval, [this] { electionTick(); });
+    if (ClaimOutstanding_)
       return;
-    if (Context_.Stopping_ || Role_ != Role::Follower || !Loaded_ || !Context_.Manifest_ ||
-        !Jobs_.loaded()) {
+    if (Context_.Stopping_ || Role_ != Role::Follower || !LeadershipLoaded_ ||
+        !Context_.Manifest_ || !Jobs_.loaded()) {
       GoneSince_ = {};
       return;
     }
     lead::ElectionView View{
-        core::Clock::now(), Lead_.lastAnswer(), NewsAt_, Newest_ ? &*Newest_ : nullptr,
-        core::wallMillis(), FoundOnStart_,
+        core::Clock::now(), Leadership_.lastAnswer(), NewestReadAt_,
+        NewestRecord_ ? &*NewestRecord_ : nullptr, core::wallMillis(), RecordFoundOnStart_,
         // While the store is away from this daemon too, nothing is gained by a claim.
-        Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
+        LeaderGone_ || (LeaderWithoutStore_ && !Leadership_.failing() && !Jobs_.failing()),
         lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_,
         Context_.Store_.fastest()};
     if (!lead::leaderIsGone(View, {})) {
@@ -130,109 +132,113 @@
     if (GoneSince_ == core::TimePoint{})
       View.GoneSince_ = GoneSince_ = View.Now_;
     if (lead::shouldClaim(View, {}))
-      claim();
+      claimLeadership();
   }
 
-  platform::KeyedRecord leadRecord(std::uint64_t Term, bool Released) const {
+  platform::KeyedRecord makeLeadershipRecord(std::uint64_t Term, bool Released) const {
     lead::LeadRecord Record{Context_.Settings_.Instance_, Context_.PeerAddress_, Term, Released,
                             core::wallMillis(),           Context_.Incarnation_, {}};
     if (Scheduler_) {
-      for (const fleet::ExecutorInfo &One : Scheduler_->unlisted())
-        Record.Unlisted_.push_back({One.Id_, One.Address_});
-    } else if (Newest_) {
-      Record.Unlisted_ = Newest_->Unlisted_;
+      for (const fleet::ExecutorInfo &Executor : Scheduler_->unlisted())
+        Record.Unlisted_.push_back({Executor.Id_, Executor.Address_});
+    } else if (NewestRecord_) {
+      Record.Unlisted_ = NewestRecord_->Unlisted_;
     }
-    return {0, LeadKey, core::pack(Record)};
+    return {0, LeaderKey, core::pack(Record)};
   }
 
-  void appendLead(std::uint64_t At, std::uint64_t Term, bool Released,
-                  std::function<void(platform::AppendOutcome)> Done) {
-    const std::vector<platform::KeyedRecord> Records{leadRecord(Term, Released)};
-    platform::AppendTerms Terms;
-    Terms.At_ = At;
-    Context_.Store_.append(LeadershipTopic, Records, Terms, BeatTimeout,
+  void appendLeadershipRecord(std::uint64_t Offset, std::uint64_t Term, bool Released,
+                              std::function<void(platform::AppendOutcome)> Done) {
+    const std::vector<platform::KeyedRecord> Records{makeLeadershipRecord(Term, Released)};
+    platform::AppendTerms Conditions;
+    Conditions.At_ = Offset;
+    Context_.Store_.append(LeadershipTopic, Records, Conditions, HeartbeatTimeout,
                            [Self = shared_from_this(), Record = Records.front(),
                             Done = std::move(Done)](const platform::AppendResult &Result) mutable {
                              if (Self->Closed_)
                                return;
                              if (Result.Outcome_ == platform::AppendOutcome::Stored) {
                                Record.Offset_ = Result.Offset_;
-                               Self->onLeadRecord(Record);
+                               Self->onLeadershipRecord(Record);
                              }
                              Done(Result.Outcome_);
                            });
   }
 
-  void claim() {
-    Claiming_ = true;
-    const std::uint64_t At = std::max(Lead_.next(), Newest_ ? NewestOffset_ + 1 : 0);
-    BeatGap_ = Newest_ ? core::Millis(core::wallMillis() - Newest_->WallMs_) : core::Millis(0);
+  void claimLeadership() {
+    ClaimOutstanding_ = true;
+    const std::uint64_t Offset =
+        std::max(Leadership_.next(), NewestRecord_ ? NewestRecordOffset_ + 1 : 0);
+    HeartbeatGap_ =
+        NewestRecord_ ? core::Millis(core::wallMillis() - NewestRecord_->WallMs_) : core::Millis(0);
     core::log(core::LogLevel::Info, "claims the leadership",
-              {{"at", std::to_string(At)},
-               {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewsAt_))},
-               {"refused", Refused_ ? "true" : "false"}});
-    appendLead(At, At + 1, false, [this](platform::AppendOutcome) { Claiming_ = false; });
+              {{"at", std::to_string(Offset)},
+               {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewestReadAt_))},
+               {"refused", LeaderGone_ ? "true" : "false"}});
+    appendLeadershipRecord(Offset, Offset + 1, false,
+                           [this](platform::AppendOutcome) { ClaimOutstanding_ = false; });
   }
 
-  void beat() {
+  void sendHeartbeat() {
     if (Role_ == Role::Follower)
       return;
-    after(BeatTimer_, lead::ElectionTiming{}.Beat_, [this] { beat(); });
-    if (Beating_)
+    runAfter(HeartbeatTimer_, lead::ElectionTiming{}.Beat_, [this] { sendHeartbeat(); });
+    if (HeartbeatOutstanding_)
       return;
-    Beating_ = true;
-    appendLead(NewestOffset_ + 1, Term_, false,
-               [this](platform::AppendOutcome) { Beating_ = false; });
+    HeartbeatOutstanding_ = true;
+    appendLeadershipRecord(NewestRecordOffset_ + 1, Term_, false,
+                           [this](platform::AppendOutcome) { HeartbeatOutstanding_ = false; });
   }
 
   // -- a term --
 
-  void prepare() {
+  void beginTerm() {
     Role_ = Role::Preparing;
-    Term_ = Newest_->Term_;
+    Term_ = NewestRecord_->Term_;
     Sequence_ = 0;
     Specs_.start();
     Specs_.hurry();
     Executors_.hurry();
     core::count("masticdrift_takeovers_total");
     core::log(core::LogLevel::Info, "term begins", {{"term", std::to_string(Term_)}});
-    fence();
-    after(BeatTimer_, lead::ElectionTiming{}.Beat_, [this] { beat(); });
+    fenceEarlierLeaders();
+    runAfter(HeartbeatTimer_, lead::ElectionTiming{}.Beat_, [this] { sendHeartbeat(); });
   }
 
   /// Shuts earlier leaders out of the jobs topic; after that its end is known to be final for them.
-  void fence() {
-    platform::AppendTerms Terms;
-    Terms.Producer_ = LeaderProducer;
-    Terms.Epoch_ = Term_;
+  void fenceEarlierLeaders() {
+    platform::AppendTerms Conditions;
+    Conditions.Producer_ = LeaderProducer;
+    Conditions.Epoch_ = Term_;
     Context_.Store_.append(
-        JobsTopic, {}, Terms, FenceTimeout,
+        JobsTopic, {}, Conditions, FenceTimeout,
         [Self = shared_from_this(), Term = Term_](const platform::AppendResult &Result) {
           if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
             return;
           if (Result.Outcome_ == platform::AppendOutcome::Fenced)
             Self->stepDown("jobs topic is fenced");
           else if (Result.Outcome_ == platform::AppendOutcome::Stored)
-            Self->readUp();
+            Self->catchUpTopics();
           else
-            after(Self->RetryTimer_, RetryDelay, [Self] { Self->retryFence(); });
+            runAfter(Self->RetryTimer_, RetryDelay, [Self] { Self->retryFence(); });
         });
   }
 
   void retryFence() {
     if (Role_ == Role::Preparing)
-      fence();
+      fenceEarlierLeaders();
   }
 
   /// Steps are stored before the acceptance, so they are read after it. Executors come last: the
   /// earlier leader may have started something on one that has just joined.
-  void readUp() {
-    readTopic(Jobs_,
-              [this] { readTopic(Specs_, [this] { readTopic(Executors_, [this] { lead(); }); }); });
+  void catchUpTopics() {
+    catchUpTopic(Jobs_, [this] {
+      catchUpTopic(Specs_, [this] { catchUpTopic(Executors_, [this] { startLeading(); }); });
+    });
   }
 
   /// Reads up to the present and goes on with \p Then, or begins anew with readUp().
-  void readTopic(TopicTail &Topic, std::function<void()> Then) {
+  void catchUpTopic(TopicTail &Topic, std::function<void()> Then) {
     Topic.catchUp(FenceTimeout, [Self = shared_from_this(), &Topic, Term = Term_,
                                  Then = std::move(Then)](bool Complete) {
       if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
@@ -240,14 +246,14 @@
       if (Complete && Topic.loaded())
         Then();
       else
-        after(Self->RetryTimer_, RetryDelay, [Self] {
+        runAfter(Self->RetryTimer_, RetryDelay, [Self] {
           if (Self->Role_ == Role::Preparing)
-            Self->readUp();
+            Self->catchUpTopics();
         });
     });
   }
 
-  void lead() {
+  void startLeading() {
     const core::TimePoint Now = core::Clock::now();
     Role_ = Role::Leading;
     Flushing_ = false;
@@ -255,32 +261,33 @@
     Sequence_ = 1;
     FlushTimeout_ = LeastAppendTimeout;
     // Entries lapse after three heartbeats; beats that came until then show a store that was there.
-    const bool ListMayLack = Now - Context_.StartedAt_ < FreshProcess &&
-                             BeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
-    lead::Timing Times;
-    Times.LongestLease_ = core::Millis(Context_.Settings_.HoldMaxMs_);
-    Scheduler_.emplace(Term_, Times, ports(), Now, ListMayLack);
+    const bool ListMayBeIncomplete =
+        Now - Context_.StartedAt_ < FreshProcessAge &&
+        HeartbeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
+    lead::Timing Timings;
+    Timings.LongestLease_ = core::Millis(Context_.Settings_.HoldMaxMs_);
+    Scheduler_.emplace(Term_, Timings, makePorts(), Now, ListMayBeIncomplete);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
     for (const auto &[Id, Entry] : Context_.ExecutorEntries_) {
       // The earlier leader's beats name the executors without an entry that it still counted on;
       // later losses are known from the list.
-      if (!Entry.Listed_ && Entry.ChangedAt_ < NewsAt_ - UnlistedOverlap)
+      if (!Entry.Listed_ && Entry.ChangedAt_ < NewestReadAt_ - UnlistedReadSkew)
         continue;
       Scheduler_->onExecutor(Entry.Info_, Now);
       if (!Entry.Listed_)
         Scheduler_->onExecutorGone(Id, Now);
     }
-    for (const lead::UnlistedExecutor &One : Newest_->Unlisted_)
-      if (const auto Known = Context_.ExecutorEntries_.find(One.Id_);
-          Known == Context_.ExecutorEntries_.end() || !Known->second.Listed_) {
+    for (const lead::UnlistedExecutor &Unlisted : NewestRecord_->Unlisted_)
+      if (const auto Entry = Context_.ExecutorEntries_.find(Unlisted.Id_);
+          Entry == Context_.ExecutorEntries_.end() || !Entry->second.Listed_) {
         fleet::ExecutorInfo Info;
-        if (Known != Context_.ExecutorEntries_.end())
-          Info = Known->second.Info_;
-        Info.Id_ = One.Id_;
-        Info.Address_ = One.Address_;
+        if (Entry != Context_.ExecutorEntries_.end())
+          Info = Entry->second.Info_;
+        Info.Id_ = Unlisted.Id_;
+        Info.Address_ = Unlisted.Address_;
         Scheduler_->onExecutor(Info, Now);
-        Scheduler_->onExecutorGone(One.Id_, Now);
+        Scheduler_->onExecutorGone(Unlisted.Id_, Now);
       }
     for (const auto &[Id, Job] : Context_.Ledger_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
@@ -297,59 +304,61 @@
     tick();
   }
 
-  void stepDown(std::string_view Why) {
+  void stepDown(std::string_view Reason) {
     if (Role_ == Role::Follower)
       return;
     core::log(core::LogLevel::Warning, "term ends",
-              {{"term", std::to_string(Term_)}, {"reason", std::string(Why)}});
+              {{"term", std::to_string(Term_)}, {"reason", std::string(Reason)}});
     Role_ = Role::Follower;
     Scheduler_.reset();
-    Looks_.settle(Context_.Ledger_, core::Clock::now() + MostLookWait);
+    Looks_.settle(Context_.Ledger_, core::Clock::now() + MaxJobStateWait);
     core::setGauge("masticdrift_leader", 0);
-    NewsAt_ = core::Clock::now();
+    NewestReadAt_ = core::Clock::now();
   }
 
-  void release(std::string_view Why) {
+  void release(std::string_view Reason) {
     if (Role_ == Role::Follower || Releasing_)
       return;
     Releasing_ = true;
     const std::uint64_t Term = Term_;
-    stepDown(Why);
-    releaseNow(Term, 0);
+    stepDown(Reason);
+    appendRelease(Term, 0);
   }
 
-  void releaseNow(std::uint64_t Term, int Attempt) {
+  void appendRelease(std::uint64_t Term, int Attempt) {
     constexpr int MaxAttempts = 3;
-    appendLead(NewestOffset_ + 1, Term, true,
-               [this, Term, Attempt](platform::AppendOutcome Outcome) {
-                 const bool Again = Outcome != platform::AppendOutcome::Stored && mine() &&
-                                    !Newest_->Released_ && Attempt < MaxAttempts;
-                 if (Again)
-                   releaseNow(Term, Attempt + 1);
-                 else
-                   Releasing_ = false;
-               });
+    appendLeadershipRecord(NewestRecordOffset_ + 1, Term, true,
+                           [this, Term, Attempt](platform::AppendOutcome Outcome) {
+                             const bool Retry = Outcome != platform::AppendOutcome::Stored &&
+                                                ownsNewestRecord() && !NewestRecord_->Released_ &&
+                                                Attempt < MaxAttempts;
+                             if (Retry)
+                               appendRelease(Term, Attempt + 1);
+                             else
+                               Releasing_ = false;
+                           });
   }
 
   // -- leading --
 
-  void tickSoon() {
-    if (Role_ != Role::Leading || TickSoon_)
+  void scheduleTick() {
+    if (Role_ != Role::Leading || TickScheduled_)
       return;
-    TickSoon_ = true;
-    const core::Millis Rest = std::chrono::duration_cast<core::Millis>(RoundSpacing * LastRound_);
-    after(TickTimer_, std::clamp(Rest, EventDelay, TickInterval), [this] { tick(); });
+    TickScheduled_ = true;
+    const core::Millis Delay =
+        std::chrono::duration_cast<core::Millis>(RoundRestFactor * LastRoundDuration_);
+    runAfter(TickTimer_, std::clamp(Delay, EventDelay, TickInterval), [this] { tick(); });
   }
 
   void tick() {
     if (Role_ != Role::Leading)
       return;
-    TickSoon_ = false;
+    TickScheduled_ = false;
     const core::TimePoint Now = core::Clock::now();
     Scheduler_->tick(Now, core::wallMillis());
-    LastRound_ = core::Clock::now() - Now;
+    LastRoundDuration_ = core::Clock::now() - Now;
     core::observe("masticdrift_decision_seconds",
-                  std::chrono::duration<double>(LastRound_).count());
+                  std::chrono::duration<double>(LastRoundDuration_).count());
     if (Scheduler_->fenced()) {
       stepDown("an executor has seen a newer term");
       return;
@@ -358,15 +367,15 @@
     Desk_.dispatch(Now);
     Orders_.flush(Now);
     Retention_.tidy(Now, core::wallMillis());
-    flush(Now);
+    flushProgress(Now);
     Looks_.settle(Context_.Ledger_, Now);
-    if (Now - GaugesAt_ >= GaugeInterval)
-      gauges(Now);
-    after(TickTimer_, TickInterval, [this] { tick(); });
+    if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
+      updateGauges(Now);
+    runAfter(TickTimer_, TickInterval, [this] { tick(); });
   }
 
-  void gauges(core::TimePoint Now) {
-    GaugesAt_ = Now;
+  void updateGauges(core::TimePoint Now) {
+    GaugesUpdatedAt_ = Now;
     const auto Counts = Scheduler_->counts();
     core::setGauge("masticdrift_waiting_tasks", static_cast<double>(Counts.Waiting_));
     core::setGauge("masticdrift_running_tasks", static_cast<double>(Counts.Running_));
@@ -381,76 +390,78 @@
                {"accounted", Counts.Accounted_ ? "true" : "false"}});
   }
 
-  void flush(core::TimePoint Now) {
-    if (Flushing_ || Now - FlushedAt_ < FlushSpacing)
+  void flushProgress(core::TimePoint Now) {
+    if (Flushing_ || Now - LastFlushAt_ < MinFlushInterval)
       return;
-    auto [Number, Entries] = Scheduler_->takeProgress();
-    if (Number == 0)
+    auto [FlushNumber, Entries] = Scheduler_->takeProgress();
+    if (FlushNumber == 0)
       return;
     std::vector<platform::KeyedRecord> Records;
-    for (work::LedgerEntry &One : Entries)
-      Records.push_back({0, std::move(One.Key_), std::move(One.Value_)});
+    for (work::LedgerEntry &Entry : Entries)
+      Records.push_back({0, std::move(Entry.Key_), std::move(Entry.Value_)});
     if (Records.empty()) {
-      Scheduler_->onFlushed(Number, Now);
+      Scheduler_->onFlushed(FlushNumber, Now);
       return;
     }
     Flushing_ = true;
-    FlushedAt_ = Now;
-    FlushNumber_ = Number;
-    Flushed_ = std::make_shared<std::vector<platform::KeyedRecord>>(std::move(Records));
-    append(Number, Flushed_);
-  }
-
-  void append(std::uint64_t Number, std::shared_ptr<std::vector<platform::KeyedRecord>> Records) {
-    platform::AppendTerms Terms;
-    Terms.Producer_ = LeaderProducer;
-    Terms.Epoch_ = Term_;
-    Terms.Sequence_ = Sequence_;
-    Context_.Store_.append(JobsTopic, *Records, Terms, FlushTimeout_,
-                           [Self = shared_from_this(), Term = Term_, Number, Records,
+    LastFlushAt_ = Now;
+    FlushNumber_ = FlushNumber;
+    FlushedRecords_ = std::make_shared<std::vector<platform::KeyedRecord>>(std::move(Records));
+    appendProgress(FlushNumber, FlushedRecords_);
+  }
+
+  void appendProgress(std::uint64_t FlushNumber,
+                      std::shared_ptr<std::vector<platform::KeyedRecord>> Records) {
+    platform::AppendTerms Conditions;
+    Conditions.Producer_ = LeaderProducer;
+    Conditions.Epoch_ = Term_;
+    Conditions.Sequence_ = Sequence_;
+    Context_.Store_.append(JobsTopic, *Records, Conditions, FlushTimeout_,
+                           [Self = shared_from_this(), Term = Term_, FlushNumber, Records,
                             SentAt = core::Clock::now()](const platform::AppendResult &Result) {
                              if (Self->Closed_ || Self->Role_ != Role::Leading ||
-                                 Self->Term_ != Term || Self->FlushNumber_ != Number)
+                                 Self->Term_ != Term || Self->FlushNumber_ != FlushNumber)
                                return;
                              if (Result.Outcome_ != platform::AppendOutcome::Refused)
                                Self->FlushTimeout_ = nextAppendTimeout(core::Clock::now() - SentAt);
-                             Self->onAppended(Number, Records, Result);
+                             Self->onProgressAppended(FlushNumber, Records, Result);
                            });
   }
 
   /// A progress record was read back from the log.
   void onProgressRead(std::string_view Key, std::string_view Value) {
     // Later records of a call are stored with the earlier ones, so the last one settles it.
-    if (Role_ != Role::Leading || !Flushing_ || !Flushed_ || Flushed_->back().Key_ != Key ||
-        Flushed_->back().Value_ != Value)
+    if (Role_ != Role::Leading || !Flushing_ || !FlushedRecords_ ||
+        FlushedRecords_->back().Key_ != Key || FlushedRecords_->back().Value_ != Value)
       return;
-    confirmed();
+    onFlushConfirmed();
   }
 
-  void confirmed() {
+  void onFlushConfirmed() {
     ++Sequence_;
     Flushing_ = false;
-    const std::uint64_t Number = std::exchange(FlushNumber_, 0);
-    Flushed_.reset();
-    Scheduler_->onFlushed(Number, core::Clock::now());
+    const std::uint64_t FlushNumber = std::exchange(FlushNumber_, 0);
+    FlushedRecords_.reset();
+    Scheduler_->onFlushed(FlushNumber, core::Clock::now());
     Looks_.settle(Context_.Ledger_, core::Clock::now());
-    tickSoon();
+    scheduleTick();
   }
 
-  void onAppended(std::uint64_t Number,
-                  const std::shared_ptr<std::vector<platform::KeyedRecord>> &Records,
-                  const platform::AppendResult &Result) {
+  void onProgressAppended(std::uint64_t FlushNumber,
+                          const std::shared_ptr<std::vector<platform::KeyedRecord>> &Records,
+                          const platform::AppendResult &Result) {
     using enum platform::AppendOutcome;
     switch (Result.Outcome_) {
     case Stored: {
       std::uint64_t Offset = Result.Offset_;
-      for (const platform::KeyedRecord &One : *Records) {
-        const work::LedgerChange Change = Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
+      for (const platform::KeyedRecord &Record : *Records) {
+        const work::LedgerChange Change =
+            Context_.Ledger_.apply(Offset++, Record.Key_, Record.Value_);
         const work::LedgerJob *Job = Context_.Ledger_.find(Change.Id_);
         if (Job != nullptr && work::isFinal(Job->state()))
           Retention_.ended(Change.Id_);
       }
-      confirmed();
+      onFlushConfirmed();
       return;
     }
     case Fenced:
@@ -471,56 +482,59 @@
       break;
     }
     // The same records under the same sequence: a copy that was stored meanwhile is not repeated.
-    after(RetryTimer_, RetryDelay, [this, Number, Records, Term = Term_] {
-      if (Role_ == Role::Leading && Term_ == Term && FlushNumber_ == Number)
-        append(Number, Records);
+    runAfter(RetryTimer_, RetryDelay, [this, FlushNumber, Records, Term = Term_] {
+      if (Role_ == Role::Leading && Term_ == Term && FlushNumber_ == FlushNumber)
+        appendProgress(FlushNumber, Records);
     });
   }
 
-  lead::Ports ports() {
-    lead::Ports Out;
-    Out.Start_ = [this](const fleet::ExecutorInfo &At, const fleet::StartOrder &Order) {
+  lead::Ports makePorts() {
+    lead::Ports SchedulerPorts;
+    SchedulerPorts.Start_ = [this](const fleet::ExecutorInfo &Executor,
+                                   const fleet::StartOrder &Order) {
       core::count("masticdrift_task_starts_total");
-      Orders_.start(At, Order,
-                    led<platform::OrderAnswer>(
-                        [this, Id = At.Id_, Key = lead::RunKey{Order.Task_, Order.Run_}](
+      Orders_.start(Executor, Order,
+                    whileLeading<platform::OrderAnswer>(
+                        [this, Id = Executor.Id_, Run = lead::RunKey{Order.Task_, Order.Run_}](
                             const platform::OrderAnswer &Answer) {
-                          Scheduler_->onStarted(Id, Key, Answer.Outcome_, Answer.ClockMs_,
+                          Scheduler_->onStarted(Id, Run, Answer.Outcome_, Answer.ClockMs_,
                                                 core::Clock::now());
                         }));
     };
-    Out.Stop_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key) {
-      Orders_.stop(
-          At, Key, Term_,
-          led<platform::OrderAnswer>([this, Id = At.Id_, Key](const platform::OrderAnswer &Answer) {
-            Scheduler_->onStopped(Id, Key, Answer.Outcome_, core::Clock::now());
-          }));
+    SchedulerPorts.Stop_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run) {
+      Orders_.stop(Executor, Run, Term_,
+                   whileLeading<platform::OrderAnswer>(
+                       [this, Id = Executor.Id_, Run](const platform::OrderAnswer &Answer) {
+                         Scheduler_->onStopped(Id, Run, Answer.Outcome_, core::Clock::now());
+                       }));
     };
-    Out.Pace_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key, int Percent) {
-      Orders_.pace(At, Key, Term_, Percent, [Key](const platform::OrderAnswer &Answer) {
+    SchedulerPorts.Pace_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
+                                  int Percent) {
+      Orders_.pace(Executor, Run, Term_, Percent, [Run](const platform::OrderAnswer &Answer) {
         if (Answer.Outcome_ != fleet::OrderOutcome::Done)
           core::log(core::LogLevel::Warning, "pace was not set",
-                    {{"task", platform::taskName(Key.first)},
+                    {{"task", platform::taskName(Run.first)},
                      {"outcome", std::string(nameOf(Answer.Outcome_))}});
       });
     };
-    Out.Hold_ = [this](const fleet::ExecutorInfo &At, std::uint64_t Seen, std::int64_t Until,
-                       core::Millis Wait) {
+    SchedulerPorts.Hold_ = [this](const fleet::ExecutorInfo &Executor, std::uint64_t SeenUpTo,
+                                  std::int64_t UntilMs, core::Millis Wait) {
       Orders_.hold(
-          At, Term_, Seen, Until, Wait,
-          led<platform::HoldAnswer>([this, Id = At.Id_, SentAt = core::Clock::now()](
-                                        const platform::HoldAnswer &Answer) {
-            for (const fleet::EndRow &One : Answer.Report_.Ended_)
-              core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(One.Kind_))}});
+          Executor, Term_, SeenUpTo, UntilMs, Wait,
+          whileLeading<platform::HoldAnswer>([this, Id = Executor.Id_, SentAt = core::Clock::now()](
+                                                 const platform::HoldAnswer &Answer) {
+            for (const fleet::EndRow &End : Answer.Report_.Ended_)
+              core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(End.Kind_))}});
             Scheduler_->onHold(Id, Answer.Outcome_, Answer.Report_, SentAt, core::Clock::now());
           }));
     };
-    Out.Advise_ = [this](const work::TaskRef &Step, std::vector<std::string> Executors,
-                         double ExpectedMs, std::pair<int, core::TimePoint> Urgency) {
-      Desk_.ask({Step, std::move(Executors), ExpectedMs, Urgency}, core::Clock::now());
+    SchedulerPorts.Advise_ = [this](const work::TaskRef &Step, std::vector<std::string> Executors,
+                                    double ExpectedMs, std::pair<int, core::TimePoint> Priority) {
+      Desk_.ask({Step, std::move(Executors), ExpectedMs, Priority}, core::Clock::now());
     };
-    Out.Note_ = [this](std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
-                       std::string_view Executor, std::string_view Detail) {
+    SchedulerPorts.Note_ = [this](std::string_view Event, const work::TaskRef &Task,
+                                  std::uint64_t Run, std::string_view Executor,
+                                  std::string_view Detail) {
       if (Task.Job_.empty()) { // about an executor as a whole
         core::log(core::LogLevel::Info, Event,
                   {{"executor", std::string(Executor)},
@@ -536,182 +550,183 @@
                  {"detail", std::string(Detail)},
                  {"term", std::to_string(Term_)}});
     };
-    return Out;
+    return SchedulerPorts;
   }
 
   /// Wraps a result's handler: it runs only within the term that gave the order.
   template <typename Answer>
-  std::function<void(Answer)> led(std::function<void(const Answer &)> Handle) {
+  std::function<void(Answer)> whileLeading(std::function<void(const Answer &)> Handler) {
     return [Self = shared_from_this(), Term = Term_,
-            Handle = std::move(Handle)](const Answer &Result) {
+            Handler = std::move(Handler)](const Answer &Result) {
       if (Self->Closed_ || Self->Role_ != Role::Leading || Self->Term_ != Term)
         return;
-      Handle(Result);
-      Self->tickSoon();
+      Handler(Result);
+      Self->scheduleTick();
     };
   }
 
-  void look(const std::string &Job, LookDesk::Done Answer) {
-    protocol::JobStateReply Durable = lookedUp(Context_.Ledger_, Job);
+  void queryJobState(const std::string &JobId, LookDesk::Done OnReply) {
+    protocol::JobStateReply Durable = lookedUp(Context_.Ledger_, JobId);
     Durable.Answered_ = Role_ == Role::Leading;
-    const bool EndIsWritten = Durable.Answered_ && Durable.Known_ && !Jobs_.failing() &&
-                              !work::isFinal(static_cast<work::JobState>(Durable.State_)) &&
-                              Scheduler_->hasEnded(Job);
-    if (EndIsWritten)
-      Looks_.wait(Job, core::Clock::now() + MostLookWait, std::move(Answer));
+    const bool EndBeingWritten = Durable.Answered_ && Durable.Known_ && !Jobs_.failing() &&
+                                 !work::isFinal(static_cast<work::JobState>(Durable.State_)) &&
+                                 Scheduler_->hasEnded(JobId);
+    if (EndBeingWritten)
+      Looks_.wait(JobId, core::Clock::now() + MaxJobStateWait, std::move(OnReply));
     else
-      Answer(Durable);
+      OnReply(Durable);
   }
 
   // -- advice --
 
-  void sendAdvice(const std::string &Adviser, AdviceJob Job) {
+  void sendAdviceRequest(const std::string &Adviser, AdviceJob Request) {
     const core::Millis Timeout =
-        core::Millis(static_cast<std::int64_t>(Job.ExpectedMs_)) + AdviceSlack;
-    const auto Asked = std::make_shared<AdviceJob>(std::move(Job));
-    auto Done = [Self = shared_from_this(), Adviser, Asked, SentAt = core::Clock::now()](
-                    const std::optional<std::vector<fleet::Advised>> &Good) {
+        core::Millis(static_cast<std::int64_t>(Request.ExpectedMs_)) + AdviceTimeoutMargin;
+    const auto SharedRequest = std::make_shared<AdviceJob>(std::move(Request));
+    auto OnReply = [Self = shared_from_this(), Adviser, SharedRequest, SentAt = core::Clock::now()](
+                       const std::optional<std::vector<fleet::Advised>> &Usable) {
       if (!Self->Closed_)
-        Self->onAdvice(Adviser, *Asked, Good, SentAt);
+        Self->onAdvice(Adviser, *SharedRequest, Usable, SentAt);
     };
     if (Adviser.empty()) {
-      platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, Asked->Step_,
-                          Asked->Executors_, Timeout, std::move(Done));
+      platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, SharedRequest->Step_,
+                          SharedRequest->Executors_, Timeout, std::move(OnReply));
       return;
     }
-    http::ClientRequest Call;
-    Call.Method_ = "POST";
-    Call.Url_ = "http://" + Adviser + protocol::AdvisePath;
-    Call.Body_ =
-        core::pack(protocol::AdviseRequest{Asked->Step_.Job_, Asked->Step_.Occurrence_,
-                                           Asked->Step_.Step_, Asked->Executors_, Timeout.count()});
-    Call.Timeout_ = Timeout;
+    http::ClientRequest HttpRequest;
+    HttpRequest.Method_ = "POST";
+    HttpRequest.Url_ = "http://" + Adviser + protocol::AdvisePath;
+    HttpRequest.Body_ = core::pack(protocol::AdviseRequest{
+        SharedRequest->Step_.Job_, SharedRequest->Step_.Occurrence_, SharedRequest->Step_.Step_,
+        SharedRequest->Executors_, Timeout.count()});
+    HttpRequest.Timeout_ = Timeout;
     Context_.Client_.send(
-        std::move(Call), [Done = std::move(Done)](const http::ClientResult &Result) {
+        std::move(HttpRequest), [OnReply = std::move(OnReply)](const http::ClientResult &Result) {
           auto Reply = core::unpack<protocol::AdviseReply>(Result.Answer_.Body_);
           if (Result.Transfer_ != http::Transfer::Complete || !Reply || !Reply->Answered_ ||
               Reply->Executors_.size() != Reply->Tickets_.size()) {
-            Done(std::nullopt);
+            OnReply(std::nullopt);
             return;
           }
-          std::vector<fleet::Advised> Good;
+          std::vector<fleet::Advised> Usable;
           for (std::size_t I = 0; I < Reply->Executors_.size(); ++I)
-            Good.push_back({std::move(Reply->Executors_[I]), std::move(Reply->Tickets_[I])});
-          Done(std::move(Good));
+            Usable.push_back({std::move(Reply->Executors_[I]), std::move(Reply->Tickets_[I])});
+          OnReply(std::move(Usable));
         });
   }
 
-  void onAdvice(const std::string &Adviser, const AdviceJob &Job,
-                const std::optional<std::vector<fleet::Advised>> &Good, core::TimePoint SentAt) {
+  void onAdvice(const std::string &Adviser, const AdviceJob &Request,
+                const std::optional<std::vector<fleet::Advised>> &Usable, core::TimePoint SentAt) {
     const core::TimePoint Now = core::Clock::now();
     core::observe("masticdrift_advice_seconds",
                   std::chrono::duration<double>(Now - SentAt).count());
     core::log(core::LogLevel::Info, "advice",
-              {{"request_id", Job.Step_.Job_},
-               {"step", std::to_string(Job.Step_.Step_)},
+              {{"request_id", Request.Step_.Job_},
+               {"step", std::to_string(Request.Step_.Step_)},
                {"adviser", Adviser},
-               {"asked", std::to_string(Job.Executors_.size())},
-               {"good", Good ? std::to_string(Good->size()) : "no answer"},
+               {"asked", std::to_string(Request.Executors_.size())},
+               {"good", Usable ? std::to_string(Usable->size()) : "no answer"},
                {"ms", std::to_string(core::toMillis(Now - SentAt))}});
-    Desk_.done(Adviser, Good.has_value(), Now);
+    Desk_.done(Adviser, Usable.has_value(), Now);
     if (Role_ != Role::Leading)
       return;
-    Scheduler_->onAdvice(Job.Step_, Job.Executors_, Good, Now);
-    tickSoon();
+    Scheduler_->onAdvice(Request.Step_, Request.Executors_, Usable, Now);
+    scheduleTick();
   }
 
   // -- followers --
 
   void helloTick() {
-    after(HelloTimer_, HelloInterval, [this] { helloTick(); });
-    if (Role_ != Role::Follower || !Newest_ || mine() || Newest_->Released_)
+    runAfter(HelloTimer_, HelloInterval, [this] { helloTick(); });
+    if (Role_ != Role::Follower || !NewestRecord_ || ownsNewestRecord() || NewestRecord_->Released_)
       return;
-    http::ClientRequest Call;
-    Call.Method_ = "POST";
-    Call.Url_ = "http://" + Newest_->PeerAddress_ + protocol::HelloPath;
+    http::ClientRequest HttpRequest;
+    HttpRequest.Method_ = "POST";
+    HttpRequest.Url_ = "http://" + NewestRecord_->PeerAddress_ + protocol::HelloPath;
     const bool CanLead = lead::mayLead(Context_.Settings_.Cores_) && !Context_.Stopping_ &&
-                         Jobs_.loaded() && !Jobs_.failing() && !Lead_.failing();
-    Call.Body_ =
+                         Jobs_.loaded() && !Jobs_.failing() && !Leadership_.failing();
+    HttpRequest.Body_ =
         core::pack(protocol::Hello{Context_.Settings_.Instance_, Context_.PeerAddress_,
                                    Context_.Settings_.Domain_, Context_.Settings_.Cores_, CanLead});
-    Call.Timeout_ = HelloTimeout;
+    HttpRequest.Timeout_ = HelloTimeout;
     Context_.Client_.send(
-        std::move(Call), [Self = shared_from_this(), Term = Newest_->Term_,
-                          SentAt = core::Clock::now()](const http::ClientResult &Result) {
-          if (Self->Closed_ || !Self->Newest_ || Self->Newest_->Term_ != Term)
+        std::move(HttpRequest), [Self = shared_from_this(), Term = NewestRecord_->Term_,
+                                 SentAt = core::Clock::now()](const http::ClientResult &Result) {
+          if (Self->Closed_ || !Self->NewestRecord_ || Self->NewestRecord_->Term_ != Term)
             return;
           const bool Refused = Result.Transfer_ == http::Transfer::NotConnected &&
-                               core::Clock::now() - SentAt < RefusalTime;
+                               core::Clock::now() - SentAt < MaxRefusalTime;
           // Another process may answer at the address of a leader that is gone.
           const bool Replaced = Result.Transfer_ == http::Transfer::Complete &&
-                                Result.Answer_.Body_ != Self->Newest_->Incarnation_;
-          Self->Refused_ = Refused || Replaced;
+                                Result.Answer_.Body_ != Self->NewestRecord_->Incarnation_;
+          Self->LeaderGone_ = Refused || Replaced;
           // Its own answer tells that the store refuses it.
-          Self->LeaderCutOff_ =
+          Self->LeaderWithoutStore_ =
               Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ != 200;
-          Self->hear(Result.Transfer_ == http::Transfer::Complete && !Replaced);
+          Self->setLeaderResponsive(Result.Transfer_ == http::Transfer::Complete && !Replaced);
         });
   }
 
   /// Without a leader that answers, this daemon's own reads are all that callers have.
-  void hear(bool Heard) {
-    if (std::exchange(LeaderHeard_, Heard) && !Heard)
+  void setLeaderResponsive(bool Responsive) {
+    if (std::exchange(LeaderResponsive_, Responsive) && !Responsive)
       Jobs_.hurry();
   }
 
-  static void after(asio::steady_timer &Timer, core::Millis Delay, std::function<void()> Work) {
+  static void runAfter(asio::steady_timer &Timer, core::Millis Delay,
+                       std::function<void()> Callback) {
     Timer.expires_after(Delay);
-    Timer.async_wait([Work = std::move(Work)](std::error_code Error) {
+    Timer.async_wait([Callback = std::move(Callback)](std::error_code Error) {
       if (!Error)
-        Work();
+        Callback();
     });
   }
 
   void close() {
     Closed_ = true;
-    for (asio::steady_timer *One :
-         {&ElectionTimer_, &HelloTimer_, &TickTimer_, &BeatTimer_, &RetryTimer_})
-      One->cancel();
+    for (asio::steady_timer *Timer :
+         {&ElectionTimer_, &HelloTimer_, &TickTimer_, &HeartbeatTimer_, &RetryTimer_})
+      Timer->cancel();
   }
 
   FleetContext &Context_;
   TopicTail &Jobs_;
   TopicTail &Specs_;
   TopicTail &Executors_;
-  TopicTail Lead_;
+  TopicTail Leadership_;
   asio::steady_timer ElectionTimer_;
   asio::steady_timer HelloTimer_;
   asio::steady_timer TickTimer_;
-  asio::steady_timer BeatTimer_;
+  asio::steady_timer HeartbeatTimer_;
   asio::steady_timer RetryTimer_;
   OrderDesk Orders_;
   Retention Retention_;
   AdviceDesk Desk_;
   LookDesk Looks_;
   bool Closed_ = false;
-  bool Loaded_ = false;
-  bool Claiming_ = false;
-  bool Beating_ = false;
+  bool LeadershipLoaded_ = false;
+  bool ClaimOutstanding_ = false;
+  bool HeartbeatOutstanding_ = false;
   bool Releasing_ = false;
-  bool FoundOnStart_ = false;
-  bool Refused_ = false;
-  bool LeaderCutOff_ = false;
-  bool LeaderHeard_ = false; ///< the leader answered the last offer of help
+  bool RecordFoundOnStart_ = false;
+  bool LeaderGone_ = false;
+  bool LeaderWithoutStore_ = false;
+  bool LeaderResponsive_ = false; ///< the leader answered the last offer of help
   Role Role_ = Role::Follower;
-  std::optional<lead::LeadRecord> Newest_;
-  std::uint64_t NewestOffset_ = 0;
-  core::TimePoint NewsAt_{};
-  core::TimePoint GoneSince_{}; ///< since when no leader is known; zero while there is one
-  core::Millis BeatGap_{0};     ///< between the last beat of the earlier leader and the claim
+  std::optional<lead::LeadRecord> NewestRecord_;
+  std::uint64_t NewestRecordOffset_ = 0;
+  core::TimePoint NewestReadAt_{};
+  core::TimePoint GoneSince_{};  ///< since when no leader is known; zero while there is one
+  core::Millis HeartbeatGap_{0}; ///< between the last beat of the earlier leader and the claim
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0;
   bool Flushing_ = false;
-  bool TickSoon_ = false;
-  core::Duration LastRound_{0}; ///< time that the last round took
-  core::TimePoint FlushedAt_{};
-  core::TimePoint GaugesAt_{};
+  bool TickScheduled_ = false;
+  core::Duration LastRoundDuration_{0}; ///< time that the last round took
+  core::TimePoint LastFlushAt_{};
+  core::TimePoint GaugesUpdatedAt_{};
   std::uint64_t FlushNumber_ = 0; ///< of the append that is waited for, 0 for none
-  std::shared_ptr<std::vector<platform::KeyedRecord>> Flushed_;
+  std::shared_ptr<std::vector<platform::KeyedRecord>> FlushedRecords_;
   core::Millis FlushTimeout_ = LeastAppendTimeout;
   std::optional<lead::Scheduler> Scheduler_;
 };
@@ -723,7 +738,7 @@
 LeaderDriver::~LeaderDriver() { Impl_->close(); }
 
 void LeaderDriver::start() {
-  Impl_->Lead_.start();
+  Impl_->Leadership_.start();
   Impl_->electionTick();
   Impl_->helloTick();
 }
@@ -733,13 +748,13 @@
 void LeaderDriver::onJob(std::string_view Id) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
-  const auto Found = Impl_->Context_.Ledger_.jobs().find(std::string(Id));
-  if (Found == Impl_->Context_.Ledger_.jobs().end()) {
+  const auto Entry = Impl_->Context_.Ledger_.jobs().find(std::string(Id));
+  if (Entry == Impl_->Context_.Ledger_.jobs().end()) {
     Impl_->Scheduler_->onJobForgotten(std::string(Id));
     return;
   }
-  Impl_->Scheduler_->onJob(Found->second, core::Clock::now(), core::wallMillis());
-  Impl_->tickSoon();
+  Impl_->Scheduler_->onJob(Entry->second, core::Clock::now(), core::wallMillis());
+  Impl_->scheduleTick();
 }
 
 void LeaderDriver::onManifest() {
@@ -750,23 +765,23 @@
 void LeaderDriver::onExecutor(std::string_view Id) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
-  const auto Found = Impl_->Context_.ExecutorEntries_.find(Id);
-  if (Found == Impl_->Context_.ExecutorEntries_.end() || !Found->second.Listed_)
+  const auto Entry = Impl_->Context_.ExecutorEntries_.find(Id);
+  if (Entry == Impl_->Context_.ExecutorEntries_.end() || !Entry->second.Listed_)
     Impl_->Scheduler_->onExecutorGone(Id, core::Clock::now());
   else
-    Impl_->Scheduler_->onExecutor(Found->second.Info_, core::Clock::now());
+    Impl_->Scheduler_->onExecutor(Entry->second.Info_, core::Clock::now());
 }
 
 void LeaderDriver::onProgressRead(std::string_view Key, std::string_view Value) {
   Impl_->onProgressRead(Key, Value);
 }
 
-bool LeaderDriver::onHello(const protocol::Hello &From) {
+bool LeaderDriver::onHello(const protocol::Hello &Sender) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return false;
-  Impl_->Desk_.offer(From.PeerAddress_, core::Clock::now());
-  Impl_->Orders_.offer(From, core::Clock::now());
-  if (From.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
+  Impl_->Desk_.offer(Sender.PeerAddress_, core::Clock::now());
+  Impl_->Orders_.offer(Sender, core::Clock::now());
+  if (Sender.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
     Impl_->release("a larger machine can lead");
   return true;
 }
@@ -775,8 +790,8 @@
   Impl_->Orders_.onResults(Call);
 }
 
-bool LeaderDriver::cutOff() const {
-  return leading() && Impl_->Lead_.failing() && Impl_->Jobs_.failing();
+bool LeaderDriver::leadsWithoutStore() const {
+  return leading() && Impl_->Leadership_.failing() && Impl_->Jobs_.failing();
 }
 
 bool LeaderDriver::leading() const { return Impl_->Role_ == Impl::Role::Leading; }
@@ -788,17 +803,17 @@
 }
 
 std::string LeaderDriver::leaderAddress() const {
-  return Impl_->Newest_ && !Impl_->mine() && !Impl_->Newest_->Released_
-             ? Impl_->Newest_->PeerAddress_
+  return Impl_->NewestRecord_ && !Impl_->ownsNewestRecord() && !Impl_->NewestRecord_->Released_
+             ? Impl_->NewestRecord_->PeerAddress_
              : std::string();
 }
 
-bool LeaderDriver::leaderHeard() const { return Impl_->LeaderHeard_; }
+bool LeaderDriver::leaderResponsive() const { return Impl_->LeaderResponsive_; }
 
-void LeaderDriver::leaderFailed() { Impl_->hear(false); }
+void LeaderDriver::onLeaderFailure() { Impl_->setLeaderResponsive(false); }
 
-void LeaderDriver::look(const std::string &Job, LookDesk::Done Answer) {
-  Impl_->look(Job, std::move(Answer));
+void LeaderDriver::queryJobState(const std::string &JobId, LookDesk::Done OnReply) {
+  Impl_->queryJobState(JobId, std::move(OnReply));
 }
 
 } // namespace masticdrift::daemon
