daemon: rename AdviceDesk to AdviceDispatcher

It queues calls to the advice service and hands them out to free daemons. A queued call is an AdviceCall with a priority; advisers register, time out and back off after a failure.

--- a/include/masticdrift/daemon/AdviceDispatcher.h
+++ b/include/masticdrift/daemon/AdviceDispatcher.h
@@ -15,45 +15,45 @@
 namespace masticdrift::daemon {
 
 /// One call for advice.
-struct AdviceJob {
+struct AdviceCall {
   work::TaskRef Step_;
   std::vector<std::string> Executors_;
   double ExpectedMs_ = 0;
-  std::pair<int, core::TimePoint> Urgency_; ///< lower goes first
+  std::pair<int, core::TimePoint> Priority_; ///< lower goes first
 };
 
 /// Decides which call goes to which daemon when. No I/O.
-class AdviceDesk {
+class AdviceDispatcher {
 public:
   /// Carries a call out at the daemon with this peer address; empty for this one.
-  using Send = std::function<void(const std::string &Adviser, AdviceJob Job)>;
+  using SendFunction = std::function<void(const std::string &Address, AdviceCall Call)>;
 
-  explicit AdviceDesk(Send Out) : Out_(std::move(Out)) {}
+  explicit AdviceDispatcher(SendFunction Send) : Send_(std::move(Send)) {}
 
-  /// A daemon can make calls. Repeated at least every \c AdviserLife.
-  void offer(const std::string &Adviser, core::TimePoint Now);
+  /// A daemon can make calls. Repeated at least every \c AdviserTimeout.
+  void registerAdviser(const std::string &Address, core::TimePoint Now);
 
-  void ask(AdviceJob Job, core::TimePoint Now);
+  void enqueue(AdviceCall Call, core::TimePoint Now);
 
-  /// A call at \p Adviser ended.
-  void done(const std::string &Adviser, bool Answered, core::TimePoint Now);
+  /// A call at \p Address ended.
+  void onCallFinished(const std::string &Address, bool Answered, core::TimePoint Now);
 
   /// Hands out what can be handed out.
   void dispatch(core::TimePoint Now);
 
 private:
   struct Adviser {
-    core::TimePoint SeenAt_;
-    core::TimePoint RestUntil_{};
+    core::TimePoint LastSeenAt_;
+    core::TimePoint BackoffUntil_{};
     bool Busy_ = false;
   };
-  const Send Out_;
+  const SendFunction Send_;
   std::map<std::string, Adviser> Advisers_;
-  std::vector<AdviceJob> Waiting_;
+  std::vector<AdviceCall> WaitingCalls_;
 };
 
 /// An adviser that was not heard from for this long is not asked.
-inline constexpr core::Millis AdviserLife{1600};
+inline constexpr core::Millis AdviserTimeout{1600};
 
 } // namespace masticdrift::daemon
 
--- a/src/daemon/AdviceDispatcher.cpp
+++ b/src/daemon/AdviceDispatcher.cpp
@@ -7,55 +7,59 @@
 namespace {
 
 /// Calls above this time leave the last free daemon to shorter ones.
-constexpr double LongCallMs = 150;
-constexpr std::size_t KeptForShortCalls = 1;
+constexpr double LongCallThresholdMs = 150;
+constexpr std::size_t AdvisersKeptForShortCalls = 1;
 /// Rest of an adviser whose call brought no answer.
-constexpr core::Millis FailedRest{800};
+constexpr core::Millis FailureBackoff{800};
 
 } // namespace
 
-void AdviceDesk::offer(const std::string &Adviser, core::TimePoint Now) {
-  Advisers_[Adviser].SeenAt_ = Now;
+void AdviceDispatcher::registerAdviser(const std::string &Address, core::TimePoint Now) {
+  Advisers_[Address].LastSeenAt_ = Now;
 }
 
-void AdviceDesk::ask(AdviceJob Job, core::TimePoint Now) {
-  Waiting_.push_back(std::move(Job));
+void AdviceDispatcher::enqueue(AdviceCall Call, core::TimePoint Now) {
+  WaitingCalls_.push_back(std::move(Call));
   dispatch(Now);
 }
 
-void AdviceDesk::done(const std::string &Adviser, bool Answered, core::TimePoint Now) {
-  const auto Found = Advisers_.find(Adviser);
-  if (Found == Advisers_.end())
+void AdviceDispatcher::onCallFinished(const std::string &Address, bool Answered,
+                                      core::TimePoint Now) {
+  const auto Entry = Advisers_.find(Address);
+  if (Entry == Advisers_.end())
     return;
-  Found->second.Busy_ = false;
+  Entry->second.Busy_ = false;
   if (!Answered)
-    Found->second.RestUntil_ = Now + FailedRest;
+    Entry->second.BackoffUntil_ = Now + FailureBackoff;
   dispatch(Now);
 }
 
-void AdviceDesk::dispatch(core::TimePoint Now) {
-  std::erase_if(Advisers_, [&](const auto &One) {
-    return !One.second.Busy_ && !One.first.empty() && Now - One.second.SeenAt_ > AdviserLife;
+void AdviceDispatcher::dispatch(core::TimePoint Now) {
+  std::erase_if(Advisers_, [&](const auto &Entry) {
+    return !Entry.second.Busy_ && !Entry.first.empty() &&
+           Now - Entry.second.LastSeenAt_ > AdviserTimeout;
   });
-  std::ranges::sort(Waiting_, {}, &AdviceJob::Urgency_);
-  std::vector<std::string> Free;
-  for (const auto &[Name, One] : Advisers_)
-    if (!One.Busy_ && Now >= One.RestUntil_ && (Name.empty() || Now - One.SeenAt_ <= AdviserLife))
-      Free.push_back(Name);
-  const std::size_t Reserve = Advisers_.size() > 1 ? KeptForShortCalls : 0;
+  std::ranges::sort(WaitingCalls_, {}, &AdviceCall::Priority_);
+  std::vector<std::string> FreeAdvisers;
+  for (const auto &[Address, State] : Advisers_)
+    if (!State.Busy_ && Now >= State.BackoffUntil_ &&
+        (Address.empty() || Now - State.LastSeenAt_ <= AdviserTimeout))
+      FreeAdvisers.push_back(Address);
+  const std::size_t KeptAdvisers = Advisers_.size() > 1 ? AdvisersKeptForShortCalls : 0;
   // This daemon, with the empty name, comes first in the map and is asked last.
-  std::vector<AdviceJob> Left;
-  for (AdviceJob &Job : Waiting_) {
-    if (Free.empty() || (Job.ExpectedMs_ > LongCallMs && Free.size() <= Reserve)) {
-      Left.push_back(std::move(Job));
+  std::vector<AdviceCall> Remaining;
+  for (AdviceCall &Call : WaitingCalls_) {
+    if (FreeAdvisers.empty() ||
+        (Call.ExpectedMs_ > LongCallThresholdMs && FreeAdvisers.size() <= KeptAdvisers)) {
+      Remaining.push_back(std::move(Call));
       continue;
     }
-    const std::string Name = Free.back();
-    Free.pop_back();
-    Advisers_[Name].Busy_ = true;
-    Out_(Name, std::move(Job));
+    const std::string Address = FreeAdvisers.back();
+    FreeAdvisers.pop_back();
+    Advisers_[Address].Busy_ = true;
+    Send_(Address, std::move(Call));
   }
-  Waiting_ = std::move(Left);
+  WaitingCalls_ = std::move(Remaining);
 }
 
 } // namespace masticdrift::daemon
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -64,8 +64,8 @@
                      [this](const auto &) { onLeadershipLoaded(); }}),
         ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
         HeartbeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), Orders_(Context),
-        Retention_(Context), Desk_([this](const std::string &Adviser, AdviceJob Request) {
-          sendAdviceRequest(Adviser, std::move(Request));
+        Retention_(Context), AdviceDispatcher_([this](const std::string &Adviser, AdviceCall Call) {
+          sendAdviceRequest(Adviser, std::move(Call));
         }) {}
 
   // -- election --
@@ -291,7 +291,7 @@
       }
     for (const auto &[Id, Job] : Context_.Ledger_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
-    Desk_.offer({}, Now);
+    AdviceDispatcher_.registerAdviser({}, Now);
     // From now on these reads rest as a leader's do.
     Jobs_.hurry();
     Specs_.hurry();
@@ -363,8 +363,8 @@
       stepDown("an executor has seen a newer term");
       return;
     }
-    Desk_.offer({}, Now);
-    Desk_.dispatch(Now);
+    AdviceDispatcher_.registerAdviser({}, Now);
+    AdviceDispatcher_.dispatch(Now);
     Orders_.flush(Now);
     Retention_.tidy(Now, core::wallMillis());
     flushProgress(Now);
@@ -530,7 +530,8 @@
     };
     SchedulerPorts.Advise_ = [this](const work::TaskRef &Step, std::vector<std::string> Executors,
                                     double ExpectedMs, std::pair<int, core::TimePoint> Priority) {
-      Desk_.ask({Step, std::move(Executors), ExpectedMs, Priority}, core::Clock::now());
+      AdviceDispatcher_.enqueue({Step, std::move(Executors), ExpectedMs, Priority},
+                                core::Clock::now());
     };
     SchedulerPorts.Note_ = [this](std::string_view Event, const work::TaskRef &Task,
                                   std::uint64_t Run, std::string_view Executor,
@@ -579,26 +580,26 @@
 
   // -- advice --
 
-  void sendAdviceRequest(const std::string &Adviser, AdviceJob Request) {
+  void sendAdviceRequest(const std::string &Adviser, AdviceCall Call) {
     const core::Millis Timeout =
-        core::Millis(static_cast<std::int64_t>(Request.ExpectedMs_)) + AdviceTimeoutMargin;
-    const auto SharedRequest = std::make_shared<AdviceJob>(std::move(Request));
-    auto OnReply = [Self = shared_from_this(), Adviser, SharedRequest, SentAt = core::Clock::now()](
+        core::Millis(static_cast<std::int64_t>(Call.ExpectedMs_)) + AdviceTimeoutMargin;
+    const auto SharedCall = std::make_shared<AdviceCall>(std::move(Call));
+    auto OnReply = [Self = shared_from_this(), Adviser, SharedCall, SentAt = core::Clock::now()](
                        const std::optional<std::vector<fleet::Advised>> &Usable) {
       if (!Self->Closed_)
-        Self->onAdvice(Adviser, *SharedRequest, Usable, SentAt);
+        Self->onAdvice(Adviser, *SharedCall, Usable, SentAt);
     };
     if (Adviser.empty()) {
-      platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, SharedRequest->Step_,
-                          SharedRequest->Executors_, Timeout, std::move(OnReply));
+      platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, SharedCall->Step_,
+                          SharedCall->Executors_, Timeout, std::move(OnReply));
       return;
     }
     http::ClientRequest HttpRequest;
     HttpRequest.Method_ = "POST";
     HttpRequest.Url_ = "http://" + Adviser + protocol::AdvisePath;
-    HttpRequest.Body_ = core::pack(protocol::AdviseRequest{
-        SharedRequest->Step_.Job_, SharedRequest->Step_.Occurrence_, SharedRequest->Step_.Step_,
-        SharedRequest->Executors_, Timeout.count()});
+    HttpRequest.Body_ = core::pack(
+        protocol::AdviseRequest{SharedCall->Step_.Job_, SharedCall->Step_.Occurrence_,
+                                SharedCall->Step_.Step_, SharedCall->Executors_, Timeout.count()});
     HttpRequest.Timeout_ = Timeout;
     Context_.Client_.send(
         std::move(HttpRequest), [OnReply = std::move(OnReply)](const http::ClientResult &Result) {
@@ -615,22 +616,22 @@
         });
   }
 
-  void onAdvice(const std::string &Adviser, const AdviceJob &Request,
+  void onAdvice(const std::string &Adviser, const AdviceCall &Call,
                 const std::optional<std::vector<fleet::Advised>> &Usable, core::TimePoint SentAt) {
     const core::TimePoint Now = core::Clock::now();
     core::observe("masticdrift_advice_seconds",
                   std::chrono::duration<double>(Now - SentAt).count());
     core::log(core::LogLevel::Info, "advice",
-              {{"request_id", Request.Step_.Job_},
-               {"step", std::to_string(Request.Step_.Step_)},
+              {{"request_id", Call.Step_.Job_},
+               {"step", std::to_string(Call.Step_.Step_)},
                {"adviser", Adviser},
-               {"asked", std::to_string(Request.Executors_.size())},
+               {"asked", std::to_string(Call.Executors_.size())},
                {"good", Usable ? std::to_string(Usable->size()) : "no answer"},
                {"ms", std::to_string(core::toMillis(Now - SentAt))}});
-    Desk_.done(Adviser, Usable.has_value(), Now);
+    AdviceDispatcher_.onCallFinished(Adviser, Usable.has_value(), Now);
     if (Role_ != Role::Leading)
       return;
-    Scheduler_->onAdvice(Request.Step_, Request.Executors_, Usable, Now);
+    Scheduler_->onAdvice(Call.Step_, Call.Executors_, Usable, Now);
     scheduleTick();
   }
 
@@ -701,7 +702,7 @@
   asio::steady_timer RetryTimer_;
   OrderDesk Orders_;
   Retention Retention_;
-  AdviceDesk Desk_;
+  AdviceDispatcher AdviceDispatcher_;
   LookDesk Looks_;
   bool Closed_ = false;
   bool LeadershipLoaded_ = false;
@@ -779,7 +780,7 @@
 bool LeaderDriver::onHello(const protocol::Hello &Sender) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return false;
-  Impl_->Desk_.offer(Sender.PeerAddress_, core::Clock::now());
+  Impl_->AdviceDispatcher_.registerAdviser(Sender.PeerAddress_, core::Clock::now());
   Impl_->Orders_.offer(Sender, core::Clock::now());
   if (Sender.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
     Impl_->release("a larger machine can lead");
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -203,35 +203,35 @@
 // checks that wait behind them at every daemon.
 Test(Advice, longCallsLeaveADaemonToShortOnes) {
   std::vector<std::pair<std::string, double>> Sent;
-  daemon::AdviceDesk Desk([&](const std::string &Adviser, const daemon::AdviceJob &Job) {
+  daemon::AdviceDispatcher Desk([&](const std::string &Adviser, const daemon::AdviceCall &Job) {
     Sent.emplace_back(Adviser, Job.ExpectedMs_);
   });
-  Desk.offer("", Start);
-  Desk.offer("p1", Start);
-  Desk.offer("p2", Start);
+  Desk.registerAdviser("", Start);
+  Desk.registerAdviser("p1", Start);
+  Desk.registerAdviser("p2", Start);
   for (int I = 0; I < 5; ++I)
-    Desk.ask({{}, {}, 500, {2, Start}}, Start);
+    Desk.enqueue({{}, {}, 500, {2, Start}}, Start);
   cr_assert_eq(Sent.size(), 2);
-  Desk.ask({{}, {}, 30, {0, Start}}, Start);
+  Desk.enqueue({{}, {}, 30, {0, Start}}, Start);
   cr_assert_eq(Sent.size(), 3);
   cr_expect(Sent.back().first.empty());
   // One free daemon is kept; with a second one the next long call goes out.
-  Desk.done("p1", true, Start);
+  Desk.onCallFinished("p1", true, Start);
   cr_expect_eq(Sent.size(), 3);
-  Desk.done("", true, Start);
+  Desk.onCallFinished("", true, Start);
   cr_expect_eq(Sent.size(), 4);
 }
 
 // Guards against an adviser that is asked again and again though it does not answer.
 Test(Advice, anAdviserWithoutAnswerRests) {
   std::vector<std::string> Sent;
-  daemon::AdviceDesk Desk(
-      [&](const std::string &Adviser, const daemon::AdviceJob &) { Sent.push_back(Adviser); });
-  Desk.offer("", Start);
-  Desk.offer("p1", Start);
-  Desk.ask({{}, {}, 30, {0, Start}}, Start);
+  daemon::AdviceDispatcher Desk(
+      [&](const std::string &Adviser, const daemon::AdviceCall &) { Sent.push_back(Adviser); });
+  Desk.registerAdviser("", Start);
+  Desk.registerAdviser("p1", Start);
+  Desk.enqueue({{}, {}, 30, {0, Start}}, Start);
   cr_assert(Sent.back() == "p1");
-  Desk.done("p1", false, Start);
-  Desk.ask({{}, {}, 30, {0, Start}}, Start);
+  Desk.onCallFinished("p1", false, Start);
+  Desk.enqueue({{}, {}, 30, {0, Start}}, Start);
   cr_expect(Sent.back().empty());
 }
