--- a/include/masticdrift/daemon/JobStateWaiters.h
+++ b/include/masticdrift/daemon/JobStateWaiters.h
@@ -15,29 +15,29 @@
 namespace masticdrift::daemon {
 
 /// \returns what the ledger says about a job.
-protocol::JobStateReply lookedUp(const work::Ledger &Known, std::string_view Job);
+protocol::JobStateReply jobStateReply(const work::Ledger &Ledger, std::string_view JobId);
 
 /// Holds looks at jobs whose end is being written, until it is durable or their time is over. No
 /// I/O.
-class LookDesk {
+class JobStateWaiters {
 public:
-  using Done = std::function<void(const protocol::JobStateReply &)>;
+  using ReplyCallback = std::function<void(const protocol::JobStateReply &)>;
 
   /// \param Until the job's durable state is the answer then, whatever it is.
-  void wait(std::string Job, core::TimePoint Until, Done Answer);
+  void add(std::string JobId, core::TimePoint Deadline, ReplyCallback OnReply);
 
   /// Answers looks at jobs that are final now, and those whose time is over.
-  void settle(const work::Ledger &Known, core::TimePoint Now);
+  void answerReady(const work::Ledger &Ledger, core::TimePoint Now);
 
-  std::size_t waiting() const { return Looks_.size(); }
+  std::size_t size() const { return Waiters_.size(); }
 
 private:
-  struct Look {
-    std::string Job_;
-    core::TimePoint Until_;
-    Done Answer_;
+  struct Waiter {
+    std::string JobId_;
+    core::TimePoint Deadline_;
+    ReplyCallback OnReply_;
   };
-  std::vector<Look> Looks_;
+  std::vector<Waiter> Waiters_;
 };
 
 } // namespace masticdrift::daemon
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -44,7 +44,7 @@
 
   /// Answers for a job's state. While the job's end is being written, the answer waits for that, up
   /// to \c MaxJobStateWait.
-  void queryJobState(const std::string &JobId, LookDesk::Done OnReply);
+  void queryJobState(const std::string &JobId, JobStateWaiters::ReplyCallback OnReply);
 
   /// \returns true while this daemon leads and the store refuses it: another one should take over.
   bool leadsWithoutStore() const;
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -296,7 +296,7 @@
 }
 
 void EntryService::resolve(const std::shared_ptr<Call> &Of, Found Then) {
-  const protocol::JobStateReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  const protocol::JobStateReply Own = jobStateReply(Context_.Ledger_, Of->Job_);
   if (Own.Known_ && work::isFinal(static_cast<work::JobState>(Own.State_))) {
     resolved(Of, "own", Own, Then);
     return;
@@ -335,7 +335,7 @@
 }
 
 void EntryService::resolveHere(const std::shared_ptr<Call> &Of, const Found &Then) {
-  const protocol::JobStateReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  const protocol::JobStateReply Own = jobStateReply(Context_.Ledger_, Of->Job_);
   if (Own.Known_) {
     resolved(Of, "own", Own, Then);
     return;
@@ -346,7 +346,7 @@
   }
   // "No such job" is only true of the whole log.
   Jobs_.catchUp(LookTimeout, [this, Of, Then](bool Complete) {
-    const protocol::JobStateReply Read = lookedUp(Context_.Ledger_, Of->Job_);
+    const protocol::JobStateReply Read = jobStateReply(Context_.Ledger_, Of->Job_);
     if (Read.Known_)
       resolved(Of, "own", Read, Then);
     else if (Complete)
--- a/src/daemon/JobStateWaiters.cpp
+++ b/src/daemon/JobStateWaiters.cpp
@@ -5,27 +5,29 @@
 
 namespace masticdrift::daemon {
 
-protocol::JobStateReply lookedUp(const work::Ledger &Known, std::string_view Job) {
-  const work::LedgerJob *Found = Known.find(Job);
-  if (Found == nullptr)
+protocol::JobStateReply jobStateReply(const work::Ledger &Ledger, std::string_view JobId) {
+  const work::LedgerJob *Job = Ledger.find(JobId);
+  if (Job == nullptr)
     return {true, false, {}, 0};
-  return {true, true, Found->What_.Customer_, static_cast<std::uint8_t>(Found->state())};
+  return {true, true, Job->What_.Customer_, static_cast<std::uint8_t>(Job->state())};
 }
 
-void LookDesk::wait(std::string Job, core::TimePoint Until, Done Answer) {
-  Looks_.push_back({std::move(Job), Until, std::move(Answer)});
+void JobStateWaiters::add(std::string JobId, core::TimePoint Deadline, ReplyCallback OnReply) {
+  Waiters_.push_back({std::move(JobId), Deadline, std::move(OnReply)});
 }
 
-void LookDesk::settle(const work::Ledger &Known, core::TimePoint Now) {
-  const auto Due = std::partition(Looks_.begin(), Looks_.end(), [&](const Look &One) {
-    const work::LedgerJob *Job = Known.find(One.Job_);
-    return Job != nullptr && !work::isFinal(Job->state()) && Now < One.Until_;
-  });
-  std::vector<Look> Answered(std::make_move_iterator(Due), std::make_move_iterator(Looks_.end()));
-  Looks_.erase(Due, Looks_.end());
+void JobStateWaiters::answerReady(const work::Ledger &Ledger, core::TimePoint Now) {
+  const auto FirstReady =
+      std::partition(Waiters_.begin(), Waiters_.end(), [&](const Waiter &Entry) {
+        const work::LedgerJob *Job = Ledger.find(Entry.JobId_);
+        return Job != nullptr && !work::isFinal(Job->state()) && Now < Entry.Deadline_;
+      });
+  std::vector<Waiter> ReadyWaiters(std::make_move_iterator(FirstReady),
+                                   std::make_move_iterator(Waiters_.end()));
+  Waiters_.erase(FirstReady, Waiters_.end());
   // An answer may bring the next look.
-  for (const Look &One : Answered)
-    One.Answer_(lookedUp(Known, One.Job_));
+  for (const Waiter &Entry : ReadyWaiters)
+    Entry.OnReply_(jobStateReply(Ledger, Entry.JobId_));
 }
 
 } // namespace masticdrift::daemon
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -311,7 +311,7 @@
               {{"term", std::to_string(Term_)}, {"reason", std::string(Reason)}});
     Role_ = Role::Follower;
     Scheduler_.reset();
-    Looks_.settle(Context_.Ledger_, core::Clock::now() + MaxJobStateWait);
+    JobStateWaiters_.answerReady(Context_.Ledger_, core::Clock::now() + MaxJobStateWait);
     core::setGauge("masticdrift_leader", 0);
     NewestReadAt_ = core::Clock::now();
   }
@@ -368,7 +368,7 @@
     Orders_.flush(Now);
     Retention_.tidy(Now, core::wallMillis());
     flushProgress(Now);
-    Looks_.settle(Context_.Ledger_, Now);
+    JobStateWaiters_.answerReady(Context_.Ledger_, Now);
     if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
       updateGauges(Now);
     runAfter(TickTimer_, TickInterval, [this] { tick(); });
@@ -443,7 +443,7 @@
     const std::uint64_t FlushNumber = std::exchange(FlushNumber_, 0);
     FlushedRecords_.reset();
     Scheduler_->onFlushed(FlushNumber, core::Clock::now());
-    Looks_.settle(Context_.Ledger_, core::Clock::now());
+    JobStateWaiters_.answerReady(Context_.Ledger_, core::Clock::now());
     scheduleTick();
   }
 
@@ -566,14 +566,14 @@
     };
   }
 
-  void queryJobState(const std::string &JobId, LookDesk::Done OnReply) {
-    protocol::JobStateReply Durable = lookedUp(Context_.Ledger_, JobId);
+  void queryJobState(const std::string &JobId, JobStateWaiters::ReplyCallback OnReply) {
+    protocol::JobStateReply Durable = jobStateReply(Context_.Ledger_, JobId);
     Durable.Answered_ = Role_ == Role::Leading;
     const bool EndBeingWritten = Durable.Answered_ && Durable.Known_ && !Jobs_.failing() &&
                                  !work::isFinal(static_cast<work::JobState>(Durable.State_)) &&
                                  Scheduler_->hasEnded(JobId);
     if (EndBeingWritten)
-      Looks_.wait(JobId, core::Clock::now() + MaxJobStateWait, std::move(OnReply));
+      JobStateWaiters_.add(JobId, core::Clock::now() + MaxJobStateWait, std::move(OnReply));
     else
       OnReply(Durable);
   }
@@ -703,7 +703,7 @@
   OrderDesk Orders_;
   Retention Retention_;
   AdviceDispatcher AdviceDispatcher_;
-  LookDesk Looks_;
+  JobStateWaiters JobStateWaiters_;
   bool Closed_ = false;
   bool LeadershipLoaded_ = false;
   bool ClaimOutstanding_ = false;
@@ -813,7 +813,7 @@
 
 void LeaderDriver::onLeaderFailure() { Impl_->setLeaderResponsive(false); }
 
-void LeaderDriver::queryJobState(const std::string &JobId, LookDesk::Done OnReply) {
+void LeaderDriver::queryJobState(const std::string &JobId, JobStateWaiters::ReplyCallback OnReply) {
   Impl_->queryJobState(JobId, std::move(OnReply));
 }
 
--- a/tests/unit/JobStateWaitersTest.cpp
+++ b/tests/unit/JobStateWaitersTest.cpp
@@ -8,67 +8,67 @@
 
 namespace {
 
-const core::TimePoint Start{std::chrono::hours(1)};
+const core::TimePoint StartTime{std::chrono::hours(1)};
 
-void put(work::Ledger &To, const work::LedgerEntry &Entry) {
+void applyEntry(work::Ledger &Ledger, const work::LedgerEntry &Entry) {
   static std::uint64_t Offset = 0;
-  To.apply(++Offset, Entry.Key_, Entry.Value_);
+  Ledger.apply(++Offset, Entry.Key_, Entry.Value_);
 }
 
-void putState(work::Ledger &To, std::string_view Id, work::JobState State) {
+void applyState(work::Ledger &Ledger, std::string_view JobId, work::JobState State) {
   work::ProgressRecord Record;
   Record.State_ = State;
-  put(To, work::progressEntry(Id, Record));
+  applyEntry(Ledger, work::progressEntry(JobId, Record));
 }
 
-work::Ledger ledgerWith(std::string_view Id) {
-  work::Ledger Out;
-  put(Out, work::acceptedEntry(Id, {{}, "c", 0}));
-  putState(Out, Id, work::JobState::Running);
-  return Out;
+work::Ledger ledgerWithRunningJob(std::string_view JobId) {
+  work::Ledger Ledger;
+  applyEntry(Ledger, work::acceptedEntry(JobId, {{}, "c", 0}));
+  applyState(Ledger, JobId, work::JobState::Running);
+  return Ledger;
 }
 
 } // namespace
 
 // Guards against callers who learn of the end of their job one look late.
-Test(LookDesk, aLookIsAnsweredOnceTheEndIsDurable) {
-  work::Ledger Known = ledgerWith("j1");
-  daemon::LookDesk Desk;
+Test(JobStateWaiters, answersOnceTheEndIsDurable) {
+  work::Ledger Ledger = ledgerWithRunningJob("j1");
+  daemon::JobStateWaiters Waiters;
   std::vector<protocol::JobStateReply> Replies;
-  Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
-  Desk.settle(Known, Start + Millis(10));
+  Waiters.add("j1", StartTime + Millis(200), [&](const auto &Reply) { Replies.push_back(Reply); });
+  Waiters.answerReady(Ledger, StartTime + Millis(10));
   cr_assert(Replies.empty());
-  putState(Known, "j1", work::JobState::Completed);
-  Desk.settle(Known, Start + Millis(20));
+  applyState(Ledger, "j1", work::JobState::Completed);
+  Waiters.answerReady(Ledger, StartTime + Millis(20));
   cr_assert_eq(Replies.size(), 1);
   cr_expect(Replies[0].Known_);
   cr_expect(Replies[0].Customer_ == "c");
   cr_expect_eq(Replies[0].State_, static_cast<std::uint8_t>(work::JobState::Completed));
-  cr_expect_eq(Desk.waiting(), 0);
+  cr_expect_eq(Waiters.size(), 0);
 }
 
 // Guards against answers that are held back while the store is slow or away.
-Test(LookDesk, aLookWaitsNoLongerThanItsTime) {
-  const work::Ledger Known = ledgerWith("j1");
-  daemon::LookDesk Desk;
+Test(JobStateWaiters, answersAtTheDeadline) {
+  const work::Ledger Ledger = ledgerWithRunningJob("j1");
+  daemon::JobStateWaiters Waiters;
   std::vector<protocol::JobStateReply> Replies;
-  Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
-  Desk.settle(Known, Start + Millis(199));
+  Waiters.add("j1", StartTime + Millis(200), [&](const auto &Reply) { Replies.push_back(Reply); });
+  Waiters.answerReady(Ledger, StartTime + Millis(199));
   cr_expect(Replies.empty());
-  Desk.settle(Known, Start + Millis(200));
+  Waiters.answerReady(Ledger, StartTime + Millis(200));
   cr_assert_eq(Replies.size(), 1);
   cr_expect_eq(Replies[0].State_, static_cast<std::uint8_t>(work::JobState::Running));
 }
 
 // Guards against a look that is never answered because its job was removed from the log meanwhile.
-Test(LookDesk, aLookAtAForgottenJobIsAnswered) {
-  work::Ledger Known = ledgerWith("j1");
-  daemon::LookDesk Desk;
+Test(JobStateWaiters, answersForARemovedJob) {
+  work::Ledger Ledger = ledgerWithRunningJob("j1");
+  daemon::JobStateWaiters Waiters;
   std::vector<protocol::JobStateReply> Replies;
-  Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
-  for (const work::LedgerEntry &One : work::forgetEntries("j1"))
-    put(Known, One);
-  Desk.settle(Known, Start);
+  Waiters.add("j1", StartTime + Millis(200), [&](const auto &Reply) { Replies.push_back(Reply); });
+  for (const work::LedgerEntry &Entry : work::forgetEntries("j1"))
+    applyEntry(Ledger, Entry);
+  Waiters.answerReady(Ledger, StartTime);
   cr_assert_eq(Replies.size(), 1);
   cr_expect(Replies[0].Answered_);
   cr_expect_not(Replies[0].Known_);
