--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -24,7 +24,7 @@
 
   explicit OrderDesk(FleetContext &Context) : Context_(Context) {}
 
-  void offer(const protocol::Hello &From, core::TimePoint Now) { Relays_.offer(From, Now); }
+  void offer(const protocol::Hello &From, core::TimePoint Now) { Relays_.registerRelay(From, Now); }
 
   void start(const fleet::ExecutorInfo &At, const fleet::StartOrder &Order, Answered Done);
   void stop(const fleet::ExecutorInfo &At, const lead::RunKey &Which, std::uint64_t Token,
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -107,8 +107,8 @@
   Order.ExecutorAddress_ = At.Address_;
   Order.ExecutorId_ = At.Id_;
   const core::TimePoint Now = core::Clock::now();
-  const std::string_view Relay = Context_.ExecutorEntries_.size() > DirectExecutors
-                                     ? Relays_.pick(At.Domain_, Now)
+  const std::string_view Relay = Context_.ExecutorEntries_.size() > MaxDirectExecutors
+                                     ? Relays_.relayFor(At.Domain_, Now)
                                      : std::string_view();
   if (Relay.empty()) {
     carryOrder(Context_.Client_, Order, std::move(Done));
@@ -142,7 +142,7 @@
       return;
     core::log(core::LogLevel::Warning, "orders were not taken",
               {{"relay", Relay}, {"detail", Result.Error_}});
-    Relays_.failed(Relay, core::Clock::now());
+    Relays_.markFailed(Relay, core::Clock::now());
   });
 }
 
@@ -163,7 +163,7 @@
     core::count("masticdrift_relayed_orders_lost_total", {}, static_cast<double>(Overdue.size()));
   }
   for (const Pending &One : Overdue) {
-    Relays_.failed(One.Relay_, Now);
+    Relays_.markFailed(One.Relay_, Now);
     One.Done_({});
   }
 }
--- a/tests/unit/RelayTableTest.cpp
+++ b/tests/unit/RelayTableTest.cpp
@@ -8,39 +8,39 @@
 
 namespace {
 
-const core::TimePoint Start{std::chrono::hours(1)};
-
-daemon::RelayTable tableOf() {
-  daemon::RelayTable Out;
-  Out.offer({"small", "10.0.0.1:1", "multan-a", 0.12}, Start);
-  Out.offer({"large-1", "10.0.0.2:1", "multan-a", 0.5}, Start);
-  Out.offer({"large-2", "10.0.0.3:1", "multan-a", 0.5}, Start);
-  Out.offer({"other", "10.0.0.4:1", "sukkur-a", 0.5}, Start);
-  return Out;
+const core::TimePoint StartTime{std::chrono::hours(1)};
+
+daemon::RelayTable makeTable() {
+  daemon::RelayTable Table;
+  Table.registerRelay({"small", "10.0.0.1:1", "multan-a", 0.12}, StartTime);
+  Table.registerRelay({"large-1", "10.0.0.2:1", "multan-a", 0.5}, StartTime);
+  Table.registerRelay({"large-2", "10.0.0.3:1", "multan-a", 0.5}, StartTime);
+  Table.registerRelay({"other", "10.0.0.4:1", "sukkur-a", 0.5}, StartTime);
+  return Table;
 }
 
 } // namespace
 
-Test(RelayTable, picksTheLargestOfTheDomainAndStaysWithIt) {
-  daemon::RelayTable Table = tableOf();
-  cr_expect(Table.pick("multan-a", Start) == "10.0.0.2:1");
-  Table.offer({"large-2", "10.0.0.3:1", "multan-a", 0.5}, Start + Millis(500));
-  cr_expect(Table.pick("multan-a", Start + Millis(600)) == "10.0.0.2:1");
+Test(RelayTable, prefersTheLargestMachineOfTheDomainAndKeepsIt) {
+  daemon::RelayTable Table = makeTable();
+  cr_expect(Table.relayFor("multan-a", StartTime) == "10.0.0.2:1");
+  Table.registerRelay({"large-2", "10.0.0.3:1", "multan-a", 0.5}, StartTime + Millis(500));
+  cr_expect(Table.relayFor("multan-a", StartTime + Millis(600)) == "10.0.0.2:1");
 }
 
 // Guards against small machines that can't carry orders beside their callers.
-Test(RelayTable, leavesADomainWithoutALargeMachineToTheLeader) {
+Test(RelayTable, returnsNothingForADomainOfSmallMachines) {
   daemon::RelayTable Table;
-  Table.offer({"small", "10.0.0.1:1", "multan-a", 0.12}, Start);
-  cr_expect(Table.pick("multan-a", Start).empty());
+  Table.registerRelay({"small", "10.0.0.1:1", "multan-a", 0.12}, StartTime);
+  cr_expect(Table.relayFor("multan-a", StartTime).empty());
 }
 
 // Guards against orders that go to a daemon that is gone.
-Test(RelayTable, leavesOutWhoIsNotHeardOrHasFailed) {
-  daemon::RelayTable Table = tableOf();
-  Table.failed("10.0.0.2:1", Start);
-  cr_expect(Table.pick("multan-a", Start) == "10.0.0.3:1");
-  Table.offer({"large-1", "10.0.0.2:1", "multan-a", 0.5}, Start + Millis(3000));
-  cr_expect(Table.pick("multan-a", Start + Millis(3000)) == "10.0.0.2:1");
-  cr_expect(Table.pick("sukkur-a", Start + Millis(3000)).empty());
+Test(RelayTable, skipsDaemonsThatFailedOrTimedOut) {
+  daemon::RelayTable Table = makeTable();
+  Table.markFailed("10.0.0.2:1", StartTime);
+  cr_expect(Table.relayFor("multan-a", StartTime) == "10.0.0.3:1");
+  Table.registerRelay({"large-1", "10.0.0.2:1", "multan-a", 0.5}, StartTime + Millis(3000));
+  cr_expect(Table.relayFor("multan-a", StartTime + Millis(3000)) == "10.0.0.2:1");
+  cr_expect(Table.relayFor("sukkur-a", StartTime + Millis(3000)).empty());
 }
