daemon: rename OrderDesk to OrderRouter

It routes orders to executors directly or through a relay. Orders are routed, sent and forwarded instead of given and carried; callbacks, intervals and margins are named after their use.

--- a/include/masticdrift/daemon/OrderRelay.h
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -19,16 +19,16 @@
 public:
   explicit OrderRelay(FleetContext &Context) : Context_(Context), Timer_(Context.Loop_) {}
 
-  void carry(const protocol::OrdersRequest &Call);
+  void forward(const protocol::OrdersRequest &Request);
 
 private:
-  void add(const std::string &ReplyTo, protocol::RelayedResult Result);
+  void addResult(const std::string &ReplyTo, protocol::RelayedResult Result);
   void flush();
 
   FleetContext &Context_;
   asio::steady_timer Timer_;
-  bool Armed_ = false;
-  core::TimePoint FlushedAt_{};
+  bool TimerArmed_ = false;
+  core::TimePoint LastFlushAt_{};
   std::map<std::string, std::vector<protocol::RelayedResult>> Results_; ///< by leader's address
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -17,57 +17,61 @@
 
 /// Each order gets exactly one result, also when the daemon that carries it is lost. Orders for
 /// other daemons leave in batches with flush().
-class OrderDesk {
+class OrderRouter {
 public:
-  using Answered = std::function<void(const platform::OrderAnswer &)>;
-  using Listed = std::function<void(const platform::HoldAnswer &)>;
+  using OrderCallback = std::function<void(const platform::OrderAnswer &)>;
+  using HoldCallback = std::function<void(const platform::HoldAnswer &)>;
 
-  explicit OrderDesk(FleetContext &Context) : Context_(Context) {}
+  explicit OrderRouter(FleetContext &Context) : Context_(Context) {}
 
-  void offer(const protocol::Hello &From, core::TimePoint Now) { Relays_.registerRelay(From, Now); }
+  void registerRelay(const protocol::Hello &Hello, core::TimePoint Now) {
+    Relays_.registerRelay(Hello, Now);
+  }
 
-  void start(const fleet::ExecutorInfo &At, const fleet::StartOrder &Order, Answered Done);
-  void stop(const fleet::ExecutorInfo &At, const lead::RunKey &Which, std::uint64_t Token,
-            Answered Done);
-  void pace(const fleet::ExecutorInfo &At, const lead::RunKey &Which, std::uint64_t Token,
-            int Percent, Answered Done);
+  void start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
+             OrderCallback OnAnswer);
+  void stop(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run, std::uint64_t Token,
+            OrderCallback OnAnswer);
+  void pace(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run, std::uint64_t Token,
+            int Percent, OrderCallback OnAnswer);
   /// \param UntilMs end of the lease on the executor's clock, 0 to leave it.
-  void hold(const fleet::ExecutorInfo &At, std::uint64_t Token, std::uint64_t SeenUpTo,
-            std::int64_t UntilMs, core::Millis Wait, Listed Done);
+  void hold(const fleet::ExecutorInfo &Executor, std::uint64_t Token, std::uint64_t SeenUpTo,
+            std::int64_t UntilMs, core::Millis Wait, HoldCallback OnAnswer);
 
   /// Sends what has been collected, and ends the waiting for results that are overdue.
   void flush(core::TimePoint Now);
 
   /// Results of orders that another daemon has carried.
-  void onResults(const protocol::ResultsRequest &Call);
+  void onResults(const protocol::ResultsRequest &Request);
 
 private:
-  struct Pending {
-    std::string Relay_;
+  struct PendingOrder {
+    std::string RelayAddress_;
     core::TimePoint Deadline_;
-    Listed Done_;
+    HoldCallback OnAnswer_;
   };
   struct Batch {
     std::vector<protocol::RelayedOrder> Orders_;
     core::TimePoint SentAt_{};
   };
 
-  void give(const fleet::ExecutorInfo &At, protocol::RelayedOrder Order, Listed Done);
-  void send(const std::string &Relay, Batch &What, core::TimePoint Now);
-  void expire(core::TimePoint Now);
+  void route(const fleet::ExecutorInfo &Executor, protocol::RelayedOrder Order,
+             HoldCallback OnAnswer);
+  void send(const std::string &RelayAddress, Batch &Outgoing, core::TimePoint Now);
+  void expireOverdue(core::TimePoint Now);
 
   FleetContext &Context_;
   RelayTable Relays_;
-  std::uint64_t NextNumber_ = 1;
-  std::unordered_map<std::uint64_t, Pending> Pending_;
+  std::uint64_t NextOrderId_ = 1;
+  std::unordered_map<std::uint64_t, PendingOrder> PendingOrders_;
   std::map<std::string, Batch, std::less<>> Batches_; ///< by relay
-  core::TimePoint ExpiredAt_{};
+  core::TimePoint LastExpiryCheckAt_{};
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
 /// Carries one order to its executor. \param Done runs once.
-void carryOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
-                OrderDesk::Listed Done);
+void sendOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
+               OrderRouter::HoldCallback OnAnswer);
 
 } // namespace masticdrift::daemon
 
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -270,7 +270,7 @@
     } else if (From.Path_ == protocol::JobStatePath) {
       lookFor(From, To);
     } else if (From.Path_ == protocol::OrdersPath) {
-      take<protocol::OrdersRequest>(From, To, [this](const auto &Call) { Relay_.carry(Call); });
+      take<protocol::OrdersRequest>(From, To, [this](const auto &Call) { Relay_.forward(Call); });
     } else if (From.Path_ == protocol::ResultsPath) {
       take<protocol::ResultsRequest>(From, To,
                                      [this](const auto &Call) { Leader_.onResults(Call); });
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -63,7 +63,7 @@
                     {[this](const platform::KeyedRecord &Entry) { onLeadershipRecord(Entry); },
                      [this](const auto &) { onLeadershipLoaded(); }}),
         ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
-        HeartbeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), Orders_(Context),
+        HeartbeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), OrderRouter_(Context),
         Retention_(Context), AdviceDispatcher_([this](const std::string &Adviser, AdviceCall Call) {
           sendAdviceRequest(Adviser, std::move(Call));
         }) {}
@@ -365,7 +365,7 @@
     }
     AdviceDispatcher_.registerAdviser({}, Now);
     AdviceDispatcher_.dispatch(Now);
-    Orders_.flush(Now);
+    OrderRouter_.flush(Now);
     Retention_.tidy(Now, core::wallMillis());
     flushProgress(Now);
     JobStateWaiters_.answerReady(Context_.Ledger_, Now);
@@ -493,24 +493,24 @@
     SchedulerPorts.Start_ = [this](const fleet::ExecutorInfo &Executor,
                                    const fleet::StartOrder &Order) {
       core::count("masticdrift_task_starts_total");
-      Orders_.start(Executor, Order,
-                    whileLeading<platform::OrderAnswer>(
-                        [this, Id = Executor.Id_, Run = lead::RunKey{Order.Task_, Order.Run_}](
-                            const platform::OrderAnswer &Answer) {
-                          Scheduler_->onStarted(Id, Run, Answer.Outcome_, Answer.ClockMs_,
-                                                core::Clock::now());
-                        }));
+      OrderRouter_.start(Executor, Order,
+                         whileLeading<platform::OrderAnswer>(
+                             [this, Id = Executor.Id_, Run = lead::RunKey{Order.Task_, Order.Run_}](
+                                 const platform::OrderAnswer &Answer) {
+                               Scheduler_->onStarted(Id, Run, Answer.Outcome_, Answer.ClockMs_,
+                                                     core::Clock::now());
+                             }));
     };
     SchedulerPorts.Stop_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run) {
-      Orders_.stop(Executor, Run, Term_,
-                   whileLeading<platform::OrderAnswer>(
-                       [this, Id = Executor.Id_, Run](const platform::OrderAnswer &Answer) {
-                         Scheduler_->onStopped(Id, Run, Answer.Outcome_, core::Clock::now());
-                       }));
+      OrderRouter_.stop(Executor, Run, Term_,
+                        whileLeading<platform::OrderAnswer>(
+                            [this, Id = Executor.Id_, Run](const platform::OrderAnswer &Answer) {
+                              Scheduler_->onStopped(Id, Run, Answer.Outcome_, core::Clock::now());
+                            }));
     };
     SchedulerPorts.Pace_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
                                   int Percent) {
-      Orders_.pace(Executor, Run, Term_, Percent, [Run](const platform::OrderAnswer &Answer) {
+      OrderRouter_.pace(Executor, Run, Term_, Percent, [Run](const platform::OrderAnswer &Answer) {
         if (Answer.Outcome_ != fleet::OrderOutcome::Done)
           core::log(core::LogLevel::Warning, "pace was not set",
                     {{"task", platform::taskName(Run.first)},
@@ -519,7 +519,7 @@
     };
     SchedulerPorts.Hold_ = [this](const fleet::ExecutorInfo &Executor, std::uint64_t SeenUpTo,
                                   std::int64_t UntilMs, core::Millis Wait) {
-      Orders_.hold(
+      OrderRouter_.hold(
           Executor, Term_, SeenUpTo, UntilMs, Wait,
           whileLeading<platform::HoldAnswer>([this, Id = Executor.Id_, SentAt = core::Clock::now()](
                                                  const platform::HoldAnswer &Answer) {
@@ -700,7 +700,7 @@
   asio::steady_timer TickTimer_;
   asio::steady_timer HeartbeatTimer_;
   asio::steady_timer RetryTimer_;
-  OrderDesk Orders_;
+  OrderRouter OrderRouter_;
   Retention Retention_;
   AdviceDispatcher AdviceDispatcher_;
   JobStateWaiters JobStateWaiters_;
@@ -781,14 +781,14 @@
   if (Impl_->Role_ != Impl::Role::Leading)
     return false;
   Impl_->AdviceDispatcher_.registerAdviser(Sender.PeerAddress_, core::Clock::now());
-  Impl_->Orders_.offer(Sender, core::Clock::now());
+  Impl_->OrderRouter_.registerRelay(Sender, core::Clock::now());
   if (Sender.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
     Impl_->release("a larger machine can lead");
   return true;
 }
 
 void LeaderDriver::onResults(const protocol::ResultsRequest &Call) {
-  Impl_->Orders_.onResults(Call);
+  Impl_->OrderRouter_.onResults(Call);
 }
 
 bool LeaderDriver::leadsWithoutStore() const {
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -12,48 +12,50 @@
 
 /// Between two batches to the same leader. Each batch costs the leader about 0.1 ms, so that six
 /// domains take 6% of a core at most.
-constexpr core::Millis ResultSpacing{10};
+constexpr core::Millis MinResultInterval{10};
 constexpr core::Millis ResultTimeout{600};
 
 } // namespace
 
-void OrderRelay::carry(const protocol::OrdersRequest &Call) {
-  for (const protocol::RelayedOrder &One : Call.Orders_)
-    carryOrder(Context_.Client_, One,
-               [this, Held = std::weak_ptr<bool>(Alive_), Number = One.OrderId_,
-                ReplyTo = Call.ReplyTo_](const platform::HoldAnswer &Answer) {
-                 if (!Held.expired())
-                   add(ReplyTo, {Number, Answer.Outcome_, Answer.Report_.ClockMs_, Answer.Report_});
-               });
+void OrderRelay::forward(const protocol::OrdersRequest &Request) {
+  for (const protocol::RelayedOrder &Order : Request.Orders_)
+    sendOrder(
+        Context_.Client_, Order,
+        [this, Alive = std::weak_ptr<bool>(Alive_), OrderId = Order.OrderId_,
+         ReplyTo = Request.ReplyTo_](const platform::HoldAnswer &Answer) {
+          if (!Alive.expired())
+            addResult(ReplyTo, {OrderId, Answer.Outcome_, Answer.Report_.ClockMs_, Answer.Report_});
+        });
 }
 
-void OrderRelay::add(const std::string &ReplyTo, protocol::RelayedResult Result) {
+void OrderRelay::addResult(const std::string &ReplyTo, protocol::RelayedResult Result) {
   Results_[ReplyTo].push_back(std::move(Result));
-  if (std::exchange(Armed_, true))
+  if (std::exchange(TimerArmed_, true))
     return;
   // The first result after a rest goes at once.
   Timer_.expires_after(
-      std::max(core::Duration(0), FlushedAt_ + ResultSpacing - core::Clock::now()));
-  Timer_.async_wait([this, Held = std::weak_ptr<bool>(Alive_)](std::error_code Error) {
-    if (!Error && !Held.expired())
+      std::max(core::Duration(0), LastFlushAt_ + MinResultInterval - core::Clock::now()));
+  Timer_.async_wait([this, Alive = std::weak_ptr<bool>(Alive_)](std::error_code Error) {
+    if (!Error && !Alive.expired())
       flush();
   });
 }
 
 void OrderRelay::flush() {
-  Armed_ = false;
-  FlushedAt_ = core::Clock::now();
+  TimerArmed_ = false;
+  LastFlushAt_ = core::Clock::now();
   for (auto &[ReplyTo, Results] : std::exchange(Results_, {})) {
-    http::ClientRequest Call;
-    Call.Method_ = "POST";
-    Call.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
-    Call.Body_ = core::pack(protocol::ResultsRequest{std::move(Results)});
-    Call.Timeout_ = ResultTimeout;
-    Context_.Client_.send(std::move(Call), [Leader = ReplyTo](const http::ClientResult &Result) {
-      if (Result.Transfer_ != http::Transfer::Complete)
-        core::log(core::LogLevel::Warning, "results of orders were not taken",
-                  {{"leader", Leader}, {"detail", Result.Error_}});
-    });
+    http::ClientRequest Request;
+    Request.Method_ = "POST";
+    Request.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
+    Request.Body_ = core::pack(protocol::ResultsRequest{std::move(Results)});
+    Request.Timeout_ = ResultTimeout;
+    Context_.Client_.send(std::move(Request),
+                          [LeaderAddress = ReplyTo](const http::ClientResult &Result) {
+                            if (Result.Transfer_ != http::Transfer::Complete)
+                              core::log(core::LogLevel::Warning, "results of orders were not taken",
+                                        {{"leader", LeaderAddress}, {"detail", Result.Error_}});
+                          });
   }
 }
 
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -13,171 +13,180 @@
 /// An executor answers an order in a few milliseconds; one five times slower in tens.
 constexpr core::Millis OrderTimeout{450};
 /// Added to the wait of a request for an executor's lists.
-constexpr core::Millis HoldAnswerTime{350};
+constexpr core::Millis HoldAnswerMargin{350};
 /// Added for the way through another daemon: two batches, two hops and its loop.
-constexpr core::Millis RelayTime{400};
+constexpr core::Millis RelayAllowance{400};
 /// Between two batches to the same daemon.
-constexpr core::Millis BatchSpacing{20};
+constexpr core::Millis MinBatchInterval{20};
 constexpr core::Millis BatchTimeout{600};
 /// Between looks for overdue results.
-constexpr core::Millis ExpireSpacing{50};
+constexpr core::Millis ExpiryCheckInterval{50};
 
-platform::HoldAnswer withoutReport(const platform::OrderAnswer &Answer) {
-  platform::HoldAnswer Out;
-  Out.Outcome_ = Answer.Outcome_;
-  Out.Report_.ClockMs_ = Answer.ClockMs_;
-  return Out;
+platform::HoldAnswer toHoldAnswer(const platform::OrderAnswer &Answer) {
+  platform::HoldAnswer HoldAnswer;
+  HoldAnswer.Outcome_ = Answer.Outcome_;
+  HoldAnswer.Report_.ClockMs_ = Answer.ClockMs_;
+  return HoldAnswer;
 }
 
-OrderDesk::Listed listing(OrderDesk::Answered Done) {
-  return [Done = std::move(Done)](const platform::HoldAnswer &Answer) {
-    Done({Answer.Outcome_, Answer.Report_.ClockMs_});
+OrderRouter::HoldCallback toHoldCallback(OrderRouter::OrderCallback OnAnswer) {
+  return [OnAnswer = std::move(OnAnswer)](const platform::HoldAnswer &Answer) {
+    OnAnswer({Answer.Outcome_, Answer.Report_.ClockMs_});
   };
 }
 
-protocol::RelayedOrder orderOf(RelayKind Kind, const lead::RunKey &Which, std::uint64_t Token) {
-  protocol::RelayedOrder Out;
-  Out.Kind_ = static_cast<std::uint8_t>(Kind);
-  Out.Order_.Task_ = Which.first;
-  Out.Order_.Run_ = Which.second;
-  Out.Order_.Token_ = Token;
-  Out.TimeoutMs_ = OrderTimeout.count();
-  return Out;
+protocol::RelayedOrder makeOrder(RelayKind Kind, const lead::RunKey &Run, std::uint64_t Token) {
+  protocol::RelayedOrder Order;
+  Order.Kind_ = static_cast<std::uint8_t>(Kind);
+  Order.Order_.Task_ = Run.first;
+  Order.Order_.Run_ = Run.second;
+  Order.Order_.Token_ = Token;
+  Order.TimeoutMs_ = OrderTimeout.count();
+  return Order;
 }
 
 } // namespace
 
-void carryOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
-                OrderDesk::Listed Done) {
-  const platform::Target To{Order.ExecutorAddress_, Order.ExecutorId_};
+void sendOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
+               OrderRouter::HoldCallback OnAnswer) {
+  const platform::Target Target{Order.ExecutorAddress_, Order.ExecutorId_};
   const core::Millis Timeout(Order.TimeoutMs_);
-  const fleet::StartOrder &What = Order.Order_;
-  const auto Plain = [Done](const platform::OrderAnswer &Answer) { Done(withoutReport(Answer)); };
+  const fleet::StartOrder &Details = Order.Order_;
+  const auto OnOrderAnswer = [OnAnswer](const platform::OrderAnswer &Answer) {
+    OnAnswer(toHoldAnswer(Answer));
+  };
   switch (static_cast<RelayKind>(Order.Kind_)) {
   case RelayKind::Start:
-    platform::sendStart(Client, To, What, Timeout, Plain);
+    platform::sendStart(Client, Target, Details, Timeout, OnOrderAnswer);
     return;
   case RelayKind::Stop:
-    platform::sendStop(Client, To, What.Task_, What.Run_, What.Token_, Timeout, Plain);
+    platform::sendStop(Client, Target, Details.Task_, Details.Run_, Details.Token_, Timeout,
+                       OnOrderAnswer);
     return;
   case RelayKind::Pace:
-    platform::sendPace(Client, To, What.Task_, What.Run_, What.Token_, Order.Percent_, Timeout,
-                       Plain);
+    platform::sendPace(Client, Target, Details.Task_, Details.Run_, Details.Token_, Order.Percent_,
+                       Timeout, OnOrderAnswer);
     return;
   case RelayKind::Hold:
-    platform::sendHold(Client, To, What.Token_, Order.SeenUpTo_, What.UntilMs_,
-                       core::Millis(Order.WaitMs_), Timeout, std::move(Done));
+    platform::sendHold(Client, Target, Details.Token_, Order.SeenUpTo_, Details.UntilMs_,
+                       core::Millis(Order.WaitMs_), Timeout, std::move(OnAnswer));
     return;
   }
-  platform::HoldAnswer Unknown;
-  Unknown.Outcome_ = fleet::OrderOutcome::NotSent;
-  Done(Unknown);
+  platform::HoldAnswer UnknownKindAnswer;
+  UnknownKindAnswer.Outcome_ = fleet::OrderOutcome::NotSent;
+  OnAnswer(UnknownKindAnswer);
 }
 
-void OrderDesk::start(const fleet::ExecutorInfo &At, const fleet::StartOrder &Order,
-                      Answered Done) {
-  protocol::RelayedOrder Out = orderOf(RelayKind::Start, {Order.Task_, Order.Run_}, Order.Token_);
-  Out.Order_ = Order;
-  give(At, std::move(Out), listing(std::move(Done)));
+void OrderRouter::start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
+                        OrderCallback OnAnswer) {
+  protocol::RelayedOrder Relayed =
+      makeOrder(RelayKind::Start, {Order.Task_, Order.Run_}, Order.Token_);
+  Relayed.Order_ = Order;
+  route(Executor, std::move(Relayed), toHoldCallback(std::move(OnAnswer)));
 }
 
-void OrderDesk::stop(const fleet::ExecutorInfo &At, const lead::RunKey &Which, std::uint64_t Token,
-                     Answered Done) {
-  give(At, orderOf(RelayKind::Stop, Which, Token), listing(std::move(Done)));
+void OrderRouter::stop(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
+                       std::uint64_t Token, OrderCallback OnAnswer) {
+  route(Executor, makeOrder(RelayKind::Stop, Run, Token), toHoldCallback(std::move(OnAnswer)));
 }
 
-void OrderDesk::pace(const fleet::ExecutorInfo &At, const lead::RunKey &Which, std::uint64_t Token,
-                     int Percent, Answered Done) {
-  protocol::RelayedOrder Out = orderOf(RelayKind::Pace, Which, Token);
-  Out.Percent_ = Percent;
-  give(At, std::move(Out), listing(std::move(Done)));
+void OrderRouter::pace(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
+                       std::uint64_t Token, int Percent, OrderCallback OnAnswer) {
+  protocol::RelayedOrder Relayed = makeOrder(RelayKind::Pace, Run, Token);
+  Relayed.Percent_ = Percent;
+  route(Executor, std::move(Relayed), toHoldCallback(std::move(OnAnswer)));
 }
 
-void OrderDesk::hold(const fleet::ExecutorInfo &At, std::uint64_t Token, std::uint64_t SeenUpTo,
-                     std::int64_t UntilMs, core::Millis Wait, Listed Done) {
-  protocol::RelayedOrder Out = orderOf(RelayKind::Hold, {}, Token);
-  Out.Order_.UntilMs_ = UntilMs;
-  Out.SeenUpTo_ = SeenUpTo;
-  Out.WaitMs_ = Wait.count();
-  Out.TimeoutMs_ = (Wait + HoldAnswerTime).count();
-  give(At, std::move(Out), std::move(Done));
+void OrderRouter::hold(const fleet::ExecutorInfo &Executor, std::uint64_t Token,
+                       std::uint64_t SeenUpTo, std::int64_t UntilMs, core::Millis Wait,
+                       HoldCallback OnAnswer) {
+  protocol::RelayedOrder Relayed = makeOrder(RelayKind::Hold, {}, Token);
+  Relayed.Order_.UntilMs_ = UntilMs;
+  Relayed.SeenUpTo_ = SeenUpTo;
+  Relayed.WaitMs_ = Wait.count();
+  Relayed.TimeoutMs_ = (Wait + HoldAnswerMargin).count();
+  route(Executor, std::move(Relayed), std::move(OnAnswer));
 }
 
-void OrderDesk::give(const fleet::ExecutorInfo &At, protocol::RelayedOrder Order, Listed Done) {
-  Order.ExecutorAddress_ = At.Address_;
-  Order.ExecutorId_ = At.Id_;
+void OrderRouter::route(const fleet::ExecutorInfo &Executor, protocol::RelayedOrder Order,
+                        HoldCallback OnAnswer) {
+  Order.ExecutorAddress_ = Executor.Address_;
+  Order.ExecutorId_ = Executor.Id_;
   const core::TimePoint Now = core::Clock::now();
-  const std::string_view Relay = Context_.ExecutorEntries_.size() > MaxDirectExecutors
-                                     ? Relays_.relayFor(At.Domain_, Now)
-                                     : std::string_view();
-  if (Relay.empty()) {
-    carryOrder(Context_.Client_, Order, std::move(Done));
+  const std::string_view RelayAddress = Context_.ExecutorEntries_.size() > MaxDirectExecutors
+                                            ? Relays_.relayFor(Executor.Domain_, Now)
+                                            : std::string_view();
+  if (RelayAddress.empty()) {
+    sendOrder(Context_.Client_, Order, std::move(OnAnswer));
     return;
   }
-  Order.OrderId_ = NextNumber_++;
-  Pending_[Order.OrderId_] = {std::string(Relay), Now + core::Millis(Order.TimeoutMs_) + RelayTime,
-                              std::move(Done)};
-  Batches_[std::string(Relay)].Orders_.push_back(std::move(Order));
+  Order.OrderId_ = NextOrderId_++;
+  PendingOrders_[Order.OrderId_] = {std::string(RelayAddress),
+                                    Now + core::Millis(Order.TimeoutMs_) + RelayAllowance,
+                                    std::move(OnAnswer)};
+  Batches_[std::string(RelayAddress)].Orders_.push_back(std::move(Order));
 }
 
-void OrderDesk::flush(core::TimePoint Now) {
-  for (auto &[Relay, What] : Batches_)
-    if (!What.Orders_.empty() && Now - What.SentAt_ >= BatchSpacing)
-      send(Relay, What, Now);
-  expire(Now);
+void OrderRouter::flush(core::TimePoint Now) {
+  for (auto &[RelayAddress, Outgoing] : Batches_)
+    if (!Outgoing.Orders_.empty() && Now - Outgoing.SentAt_ >= MinBatchInterval)
+      send(RelayAddress, Outgoing, Now);
+  expireOverdue(Now);
 }
 
-void OrderDesk::send(const std::string &Relay, Batch &What, core::TimePoint Now) {
-  What.SentAt_ = Now;
-  http::ClientRequest Call;
-  Call.Method_ = "POST";
-  Call.Url_ = "http://" + Relay + protocol::OrdersPath;
-  Call.Body_ =
-      core::pack(protocol::OrdersRequest{Context_.PeerAddress_, std::exchange(What.Orders_, {})});
-  Call.Timeout_ = BatchTimeout;
+void OrderRouter::send(const std::string &RelayAddress, Batch &Outgoing, core::TimePoint Now) {
+  Outgoing.SentAt_ = Now;
+  http::ClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Url_ = "http://" + RelayAddress + protocol::OrdersPath;
+  Request.Body_ = core::pack(
+      protocol::OrdersRequest{Context_.PeerAddress_, std::exchange(Outgoing.Orders_, {})});
+  Request.Timeout_ = BatchTimeout;
   // Its orders may have gone out all the same, so their results are waited for.
-  Context_.Client_.send(std::move(Call), [this, Relay, Held = std::weak_ptr<bool>(Alive_)](
-                                             const http::ClientResult &Result) {
-    if (Held.expired() || Result.Transfer_ == http::Transfer::Complete)
-      return;
-    core::log(core::LogLevel::Warning, "orders were not taken",
-              {{"relay", Relay}, {"detail", Result.Error_}});
-    Relays_.markFailed(Relay, core::Clock::now());
-  });
+  Context_.Client_.send(
+      std::move(Request),
+      [this, RelayAddress, Alive = std::weak_ptr<bool>(Alive_)](const http::ClientResult &Result) {
+        if (Alive.expired() || Result.Transfer_ == http::Transfer::Complete)
+          return;
+        core::log(core::LogLevel::Warning, "orders were not taken",
+                  {{"relay", RelayAddress}, {"detail", Result.Error_}});
+        Relays_.markFailed(RelayAddress, core::Clock::now());
+      });
 }
 
-void OrderDesk::expire(core::TimePoint Now) {
-  if (Now - ExpiredAt_ < ExpireSpacing)
+void OrderRouter::expireOverdue(core::TimePoint Now) {
+  if (Now - LastExpiryCheckAt_ < ExpiryCheckInterval)
     return;
-  ExpiredAt_ = Now;
-  std::vector<Pending> Overdue;
-  std::erase_if(Pending_, [&](auto &One) {
-    if (Now < One.second.Deadline_)
+  LastExpiryCheckAt_ = Now;
+  std::vector<PendingOrder> Overdue;
+  std::erase_if(PendingOrders_, [&](auto &Entry) {
+    if (Now < Entry.second.Deadline_)
       return false;
-    Overdue.push_back(std::move(One.second));
+    Overdue.push_back(std::move(Entry.second));
     return true;
   });
   if (!Overdue.empty()) {
-    core::log(core::LogLevel::Warning, "relayed orders have no result",
-              {{"count", std::to_string(Overdue.size())}, {"relay", Overdue.front().Relay_}});
+    core::log(
+        core::LogLevel::Warning, "relayed orders have no result",
+        {{"count", std::to_string(Overdue.size())}, {"relay", Overdue.front().RelayAddress_}});
     core::count("masticdrift_relayed_orders_lost_total", {}, static_cast<double>(Overdue.size()));
   }
-  for (const Pending &One : Overdue) {
-    Relays_.markFailed(One.Relay_, Now);
-    One.Done_({});
+  for (const PendingOrder &Order : Overdue) {
+    Relays_.markFailed(Order.RelayAddress_, Now);
+    Order.OnAnswer_({});
   }
 }
 
-void OrderDesk::onResults(const protocol::ResultsRequest &Call) {
-  for (const protocol::RelayedResult &One : Call.Results_) {
-    auto Node = Pending_.extract(One.OrderId_);
+void OrderRouter::onResults(const protocol::ResultsRequest &Request) {
+  for (const protocol::RelayedResult &Result : Request.Results_) {
+    auto Node = PendingOrders_.extract(Result.OrderId_);
     if (Node.empty())
       continue; // counted as lost already
     platform::HoldAnswer Answer;
-    Answer.Outcome_ = One.Outcome_;
-    Answer.Report_ = One.Report_;
-    Answer.Report_.ClockMs_ = One.ClockMs_;
-    Node.mapped().Done_(Answer);
+    Answer.Outcome_ = Result.Outcome_;
+    Answer.Report_ = Result.Report_;
+    Answer.Report_.ClockMs_ = Result.ClockMs_;
+    Node.mapped().OnAnswer_(Answer);
   }
 }
 
