--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -30,17 +30,17 @@
   /// Gives the leadership up so that another daemon takes over at once, and claims no more.
   void release();
 
-  void onJob(std::string_view Id);
+  void onJob(std::string_view JobId);
   void onProgressRead(std::string_view Key, std::string_view Value);
   void onManifest();
-  void onExecutor(std::string_view Id);
+  void onExecutor(std::string_view ExecutorId);
 
   /// A daemon offers help.
   /// \returns true while this daemon leads.
-  bool onHello(const protocol::Hello &Sender);
+  bool onHello(const protocol::Hello &Hello);
 
   /// Results of orders that another daemon has carried for this one.
-  void onResults(const protocol::ResultsRequest &Call);
+  void onResults(const protocol::ResultsRequest &Request);
 
   /// Answers for a job's state. While the job's end is being written, the answer waits for that, up
   /// to \c MaxJobStateWait.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -33,10 +33,10 @@
 constexpr core::Millis MaxRefusalTime{200};
 /// Between two rounds of the scheduler without an event, and after an event.
 constexpr core::Millis TickInterval{30};
-constexpr core::Millis EventDelay{3};
+constexpr core::Millis MinEventDelay{3};
 /// After an event the next round waits for this many times the length of the last one, so that
 /// rounds leave four fifths of the processor to orders and answers.
-constexpr int RoundRestFactor = 4;
+constexpr int RoundDelayFactor = 4;
 /// Between two appends of progress.
 constexpr core::Millis MinFlushInterval{30};
 constexpr core::Millis HeartbeatTimeout{1500};
@@ -148,21 +148,22 @@
   }
 
   void appendLeadershipRecord(std::uint64_t Offset, std::uint64_t Term, bool Released,
-                              std::function<void(platform::AppendOutcome)> Done) {
+                              std::function<void(platform::AppendOutcome)> OnOutcome) {
     const std::vector<platform::KeyedRecord> Records{makeLeadershipRecord(Term, Released)};
     platform::AppendTerms Conditions;
     Conditions.At_ = Offset;
-    Context_.Store_.append(LeadershipTopic, Records, Conditions, HeartbeatTimeout,
-                           [Self = shared_from_this(), Record = Records.front(),
-                            Done = std::move(Done)](const platform::AppendResult &Result) mutable {
-                             if (Self->Closed_)
-                               return;
-                             if (Result.Outcome_ == platform::AppendOutcome::Stored) {
-                               Record.Offset_ = Result.Offset_;
-                               Self->onLeadershipRecord(Record);
-                             }
-                             Done(Result.Outcome_);
-                           });
+    Context_.Store_.append(
+        LeadershipTopic, Records, Conditions, HeartbeatTimeout,
+        [Self = shared_from_this(), Record = Records.front(),
+         OnOutcome = std::move(OnOutcome)](const platform::AppendResult &Result) mutable {
+          if (Self->Closed_)
+            return;
+          if (Result.Outcome_ == platform::AppendOutcome::Stored) {
+            Record.Offset_ = Result.Offset_;
+            Self->onLeadershipRecord(Record);
+          }
+          OnOutcome(Result.Outcome_);
+        });
   }
 
   void claimLeadership() {
@@ -238,13 +239,13 @@
   }
 
   /// Reads up to the present and goes on with \p Then, or begins anew with readUp().
-  void catchUpTopic(TopicTail &Topic, std::function<void()> Then) {
+  void catchUpTopic(TopicTail &Topic, std::function<void()> OnCaughtUp) {
     Topic.catchUp(FenceTimeout, [Self = shared_from_this(), &Topic, Term = Term_,
-                                 Then = std::move(Then)](bool Complete) {
+                                 OnCaughtUp = std::move(OnCaughtUp)](bool Complete) {
       if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
         return;
       if (Complete && Topic.loaded())
-        Then();
+        OnCaughtUp();
       else
         runAfter(Self->RetryTimer_, RetryDelay, [Self] {
           if (Self->Role_ == Role::Preparing)
@@ -278,16 +279,16 @@
       if (!Entry.Listed_)
         Scheduler_->onExecutorGone(Id, Now);
     }
-    for (const lead::UnlistedExecutor &Unlisted : NewestRecord_->Unlisted_)
-      if (const auto Entry = Context_.ExecutorEntries_.find(Unlisted.Id_);
+    for (const lead::UnlistedExecutor &Executor : NewestRecord_->Unlisted_)
+      if (const auto Entry = Context_.ExecutorEntries_.find(Executor.Id_);
           Entry == Context_.ExecutorEntries_.end() || !Entry->second.Listed_) {
         fleet::ExecutorInfo Info;
         if (Entry != Context_.ExecutorEntries_.end())
           Info = Entry->second.Info_;
-        Info.Id_ = Unlisted.Id_;
-        Info.Address_ = Unlisted.Address_;
+        Info.Id_ = Executor.Id_;
+        Info.Address_ = Executor.Address_;
         Scheduler_->onExecutor(Info, Now);
-        Scheduler_->onExecutorGone(Unlisted.Id_, Now);
+        Scheduler_->onExecutorGone(Executor.Id_, Now);
       }
     for (const auto &[Id, Job] : Context_.Ledger_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
@@ -346,8 +347,8 @@
       return;
     TickScheduled_ = true;
     const core::Millis Delay =
-        std::chrono::duration_cast<core::Millis>(RoundRestFactor * LastRoundDuration_);
-    runAfter(TickTimer_, std::clamp(Delay, EventDelay, TickInterval), [this] { tick(); });
+        std::chrono::duration_cast<core::Millis>(RoundDelayFactor * LastRoundDuration_);
+    runAfter(TickTimer_, std::clamp(Delay, MinEventDelay, TickInterval), [this] { tick(); });
   }
 
   void tick() {
@@ -567,15 +568,16 @@
   }
 
   void queryJobState(const std::string &JobId, JobStateWaiters::ReplyCallback OnReply) {
-    protocol::JobStateReply Durable = jobStateReply(Context_.Ledger_, JobId);
-    Durable.Answered_ = Role_ == Role::Leading;
-    const bool EndBeingWritten = Durable.Answered_ && Durable.Known_ && !Jobs_.failing() &&
-                                 !work::isFinal(static_cast<work::JobState>(Durable.State_)) &&
+    protocol::JobStateReply DurableState = jobStateReply(Context_.Ledger_, JobId);
+    DurableState.Answered_ = Role_ == Role::Leading;
+    const bool EndBeingWritten = DurableState.Answered_ && DurableState.Known_ &&
+                                 !Jobs_.failing() &&
+                                 !work::isFinal(static_cast<work::JobState>(DurableState.State_)) &&
                                  Scheduler_->hasEnded(JobId);
     if (EndBeingWritten)
       JobStateWaiters_.add(JobId, core::Clock::now() + MaxJobStateWait, std::move(OnReply));
     else
-      OnReply(Durable);
+      OnReply(DurableState);
   }
 
   // -- advice --
@@ -585,9 +587,9 @@
         core::Millis(static_cast<std::int64_t>(Call.ExpectedMs_)) + AdviceTimeoutMargin;
     const auto SharedCall = std::make_shared<AdviceCall>(std::move(Call));
     auto OnReply = [Self = shared_from_this(), Adviser, SharedCall, SentAt = core::Clock::now()](
-                       const std::optional<std::vector<fleet::Advised>> &Usable) {
+                       const std::optional<std::vector<fleet::Advised>> &UsableExecutors) {
       if (!Self->Closed_)
-        Self->onAdvice(Adviser, *SharedCall, Usable, SentAt);
+        Self->onAdvice(Adviser, *SharedCall, UsableExecutors, SentAt);
     };
     if (Adviser.empty()) {
       platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, SharedCall->Step_,
@@ -601,23 +603,24 @@
         protocol::AdviseRequest{SharedCall->Step_.Job_, SharedCall->Step_.Occurrence_,
                                 SharedCall->Step_.Step_, SharedCall->Executors_, Timeout.count()});
     HttpRequest.Timeout_ = Timeout;
-    Context_.Client_.send(
-        std::move(HttpRequest), [OnReply = std::move(OnReply)](const http::ClientResult &Result) {
-          auto Reply = core::unpack<protocol::AdviseReply>(Result.Answer_.Body_);
-          if (Result.Transfer_ != http::Transfer::Complete || !Reply || !Reply->Answered_ ||
-              Reply->Executors_.size() != Reply->Tickets_.size()) {
-            OnReply(std::nullopt);
-            return;
-          }
-          std::vector<fleet::Advised> Usable;
-          for (std::size_t I = 0; I < Reply->Executors_.size(); ++I)
-            Usable.push_back({std::move(Reply->Executors_[I]), std::move(Reply->Tickets_[I])});
-          OnReply(std::move(Usable));
-        });
+    Context_.Client_.send(std::move(HttpRequest), [OnReply = std::move(OnReply)](
+                                                      const http::ClientResult &Result) {
+      auto Reply = core::unpack<protocol::AdviseReply>(Result.Answer_.Body_);
+      if (Result.Transfer_ != http::Transfer::Complete || !Reply || !Reply->Answered_ ||
+          Reply->Executors_.size() != Reply->Tickets_.size()) {
+        OnReply(std::nullopt);
+        return;
+      }
+      std::vector<fleet::Advised> UsableExecutors;
+      for (std::size_t I = 0; I < Reply->Executors_.size(); ++I)
+        UsableExecutors.push_back({std::move(Reply->Executors_[I]), std::move(Reply->Tickets_[I])});
+      OnReply(std::move(UsableExecutors));
+    });
   }
 
   void onAdvice(const std::string &Adviser, const AdviceCall &Call,
-                const std::optional<std::vector<fleet::Advised>> &Usable, core::TimePoint SentAt) {
+                const std::optional<std::vector<fleet::Advised>> &UsableExecutors,
+                core::TimePoint SentAt) {
     const core::TimePoint Now = core::Clock::now();
     core::observe("masticdrift_advice_seconds",
                   std::chrono::duration<double>(Now - SentAt).count());
@@ -626,12 +629,12 @@
                {"step", std::to_string(Call.Step_.Step_)},
                {"adviser", Adviser},
                {"asked", std::to_string(Call.Executors_.size())},
-               {"good", Usable ? std::to_string(Usable->size()) : "no answer"},
+               {"good", UsableExecutors ? std::to_string(UsableExecutors->size()) : "no answer"},
                {"ms", std::to_string(core::toMillis(Now - SentAt))}});
-    AdviceDispatcher_.onCallFinished(Adviser, Usable.has_value(), Now);
+    AdviceDispatcher_.onCallFinished(Adviser, UsableExecutors.has_value(), Now);
     if (Role_ != Role::Leading)
       return;
-    Scheduler_->onAdvice(Call.Step_, Call.Executors_, Usable, Now);
+    Scheduler_->onAdvice(Call.Step_, Call.Executors_, UsableExecutors, Now);
     scheduleTick();
   }
 
@@ -746,12 +749,12 @@
 
 void LeaderDriver::release() { Impl_->release("stopping"); }
 
-void LeaderDriver::onJob(std::string_view Id) {
+void LeaderDriver::onJob(std::string_view JobId) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
-  const auto Entry = Impl_->Context_.Ledger_.jobs().find(std::string(Id));
+  const auto Entry = Impl_->Context_.Ledger_.jobs().find(std::string(JobId));
   if (Entry == Impl_->Context_.Ledger_.jobs().end()) {
-    Impl_->Scheduler_->onJobForgotten(std::string(Id));
+    Impl_->Scheduler_->onJobForgotten(std::string(JobId));
     return;
   }
   Impl_->Scheduler_->onJob(Entry->second, core::Clock::now(), core::wallMillis());
@@ -763,12 +766,12 @@
     Impl_->Scheduler_->setManifest(*Impl_->Context_.Manifest_, core::Clock::now());
 }
 
-void LeaderDriver::onExecutor(std::string_view Id) {
+void LeaderDriver::onExecutor(std::string_view ExecutorId) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
-  const auto Entry = Impl_->Context_.ExecutorEntries_.find(Id);
+  const auto Entry = Impl_->Context_.ExecutorEntries_.find(ExecutorId);
   if (Entry == Impl_->Context_.ExecutorEntries_.end() || !Entry->second.Listed_)
-    Impl_->Scheduler_->onExecutorGone(Id, core::Clock::now());
+    Impl_->Scheduler_->onExecutorGone(ExecutorId, core::Clock::now());
   else
     Impl_->Scheduler_->onExecutor(Entry->second.Info_, core::Clock::now());
 }
@@ -777,18 +780,18 @@
   Impl_->onProgressRead(Key, Value);
 }
 
-bool LeaderDriver::onHello(const protocol::Hello &Sender) {
+bool LeaderDriver::onHello(const protocol::Hello &Hello) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return false;
-  Impl_->AdviceDispatcher_.registerAdviser(Sender.PeerAddress_, core::Clock::now());
-  Impl_->OrderRouter_.registerRelay(Sender, core::Clock::now());
-  if (Sender.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
+  Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, core::Clock::now());
+  Impl_->OrderRouter_.registerRelay(Hello, core::Clock::now());
+  if (Hello.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
     Impl_->release("a larger machine can lead");
   return true;
 }
 
-void LeaderDriver::onResults(const protocol::ResultsRequest &Call) {
-  Impl_->OrderRouter_.onResults(Call);
+void LeaderDriver::onResults(const protocol::ResultsRequest &Request) {
+  Impl_->OrderRouter_.onResults(Request);
 }
 
 bool LeaderDriver::leadsWithoutStore() const {
