--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -1,5 +1,5 @@
 /// \file
-/// What the parts of a daemon on the platform share. All of it is used on one loop.
+/// State shared by the components of a daemon on the platform. All of it is used on one event loop.
 #ifndef MASTICDRIFT_DAEMON_FLEETCONTEXT_H
 #define MASTICDRIFT_DAEMON_FLEETCONTEXT_H
 
@@ -18,32 +18,36 @@
 
 namespace masticdrift::daemon {
 
-inline constexpr const char *JobsTopic = "keyed.jobs";
-inline constexpr const char *SpecsTopic = "keyed.specs";
-inline constexpr const char *LeadershipTopic = "keyed.lead";
-inline constexpr const char *ConfigTopic = "keyed.op";
-inline constexpr const char *ConfigKey = "config";
-inline constexpr const char *ExecutorsTopic = "keyed.servers";
-
-/// An executor of the list, kept for a while after its entry went away.
+// Topics of the log service.
+inline constexpr const char *JobsTopic = "keyed.jobs"; ///< job records, except the steps
+inline constexpr const char *SpecsTopic =
+    "keyed.specs"; ///< steps of jobs, which only a leader needs
+inline constexpr const char *LeadershipTopic =
+    "keyed.lead"; ///< claims, heartbeats and releases of the leadership
+inline constexpr const char *ConfigTopic = "keyed.op";         ///< configuration
+inline constexpr const char *ConfigKey = "config";             ///< key of the configuration record
+inline constexpr const char *ExecutorsTopic = "keyed.servers"; ///< executor list
+
+/// An executor of the executor list, kept for some time after its entry was removed.
 struct ExecutorEntry {
   fleet::ExecutorInfo Info_;
-  bool Listed_ = true;
-  core::TimePoint ChangedAt_{};
+  bool Listed_ = true;          ///< has an entry in the executor list
+  core::TimePoint ChangedAt_{}; ///< when the entry was last written or removed
 };
 
+/// State shared by the components of a daemon.
 struct FleetContext {
   asio::io_context &Loop_;
   http::LoopClient &Client_;
   platform::Store &Store_;
   const platform::MachineSettings &Settings_;
-  std::string PeerAddress_;
-  std::string Incarnation_; ///< of this process
+  std::string PeerAddress_; ///< where other daemons reach this one
+  std::string Incarnation_; ///< random id of this process
   core::TimePoint StartedAt_;
-  work::Ledger Ledger_;
-  std::optional<work::Manifest> Manifest_;
-  std::map<std::string, ExecutorEntry, std::less<>> ExecutorEntries_;
-  bool Stopping_ = false;
+  work::Ledger Ledger_;                    ///< jobs, as far as they were read
+  std::optional<work::Manifest> Manifest_; ///< configuration in force, if it was read
+  std::map<std::string, ExecutorEntry, std::less<>> ExecutorEntries_; ///< by executor id
+  bool Stopping_ = false;                                             ///< the daemon shuts down
 };
 
 } // namespace masticdrift::daemon
--- a/include/masticdrift/protocol/PeerMessages.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -1,6 +1,7 @@
 /// \file
-/// Messages between a leader and the other daemons. They travel as msgpack in HTTP bodies: every
-/// exchange is a call with a time limit of its own, which also bounds silent connections.
+/// Messages between the leader and the other daemons, encoded as MessagePack in HTTP bodies.
+///
+/// Each request has its own timeout, which also bounds the wait on connections that went silent.
 #ifndef MASTICDRIFT_PROTOCOL_PEERMESSAGES_H
 #define MASTICDRIFT_PROTOCOL_PEERMESSAGES_H
 
@@ -17,59 +18,63 @@
 inline constexpr const char *SubmitPath = "/peer/submit";
 inline constexpr const char *JobStatePath = "/peer/look";
 
-/// A daemon offers its help to the leader, about twice a second.
+/// Announces a daemon to the leader, about twice a second. The daemon can call the advice service
+/// and relay orders for it.
 struct Hello {
   std::string Instance_;
   std::string PeerAddress_;
-  std::string Domain_;   ///< its failure domain
-  double Cores_ = 0;     ///< processor share of its machine
-  bool CanLead_ = false; ///< large enough, and the store answers it
+  std::string Domain_;   ///< failure domain of the daemon
+  double Cores_ = 0;     ///< processor share of its machine, in cores
+  bool CanLead_ = false; ///< its machine is large enough and it can read the store
   MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_, CanLead_)
 };
 
-/// The leader asks a daemon to make one call for advice.
+/// Asks a daemon to make one call to the advice service for the leader.
 struct AdviseRequest {
   std::string JobId_;
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   std::vector<std::string> Executors_;
-  std::int64_t TimeoutMs_ = 0;
+  std::int64_t TimeoutMs_ = 0; ///< of the call
   MSGPACK_DEFINE_ARRAY(JobId_, Occurrence_, Step_, Executors_, TimeoutMs_)
 };
 
+/// The advice service's answer to an AdviseRequest.
 struct AdviseReply {
-  bool Answered_ = false;
-  std::vector<std::string> Executors_; ///< that may run the step
-  std::vector<std::string> Tickets_;   ///< in the same order
+  bool Answered_ = false;              ///< the advice service gave a usable answer
+  std::vector<std::string> Executors_; ///< those that may run the step
+  std::vector<std::string> Tickets_;   ///< of Executors_, in the same order
   MSGPACK_DEFINE_ARRAY(Answered_, Executors_, Tickets_)
 };
 
-/// A daemon asks the leader to append a record for it.
+/// Asks the leader to append a job record for a daemon.
 struct SubmitRequest {
   std::string Key_;
   std::string Value_;
-  std::string Spec_; ///< the job's steps, stored before the record; empty for a cancel
-  std::int64_t TimeoutMs_ = 0;
+  std::string Spec_; ///< the job's steps, stored before the record; empty for a cancellation
+  std::int64_t TimeoutMs_ = 0; ///< of the append
   MSGPACK_DEFINE_ARRAY(Key_, Value_, Spec_, TimeoutMs_)
 };
 
+/// Outcome of a SubmitRequest; unknown when neither flag is set.
 struct SubmitReply {
   bool Stored_ = false;
-  bool Refused_ = false; ///< nothing was done; neither flag means unknown
-  std::uint64_t Offset_ = 0;
+  bool Refused_ = false;     ///< nothing was stored and nothing will be
+  std::uint64_t Offset_ = 0; ///< of the job's acceptance record
   MSGPACK_DEFINE_ARRAY(Stored_, Refused_, Offset_)
 };
 
-/// A daemon asks the leader for a job's state.
+/// Asks the leader for the state of a job.
 struct JobStateRequest {
   std::string JobId_;
   MSGPACK_DEFINE_ARRAY(JobId_)
 };
 
+/// The state of a job.
 struct JobStateReply {
-  bool Answered_ = false;  ///< false from a daemon that does not lead
-  bool Known_ = false;     ///< false may only mean that the leader has not read the job yet
-  std::string Customer_;   ///< whose job it is
+  bool Answered_ = false;  ///< false if the daemon does not lead
+  bool Known_ = false;     ///< the job was found; a leader may not have read a new job yet
+  std::string Customer_;   ///< owner of the job
   std::uint8_t State_ = 0; ///< a work::JobState
   MSGPACK_DEFINE_ARRAY(Answered_, Known_, Customer_, State_)
 };
--- a/include/masticdrift/protocol/RelayMessages.h
+++ b/include/masticdrift/protocol/RelayMessages.h
@@ -1,8 +1,9 @@
 /// \file
-/// Orders that a leader lets other daemons carry to executors near them, and their results.
+/// Orders that the leader sends to executors through daemons in their failure domain (relays), and
+/// the results.
 ///
-/// Both go one way in batches. A batch that is lost is an order without an answer, which the leader
-/// has to expect of executors anyway.
+/// Both are one-way messages with a batch of items. To the leader a lost batch looks like executors
+/// that did not answer, which it has to handle anyway.
 #ifndef MASTICDRIFT_PROTOCOL_RELAYMESSAGES_H
 #define MASTICDRIFT_PROTOCOL_RELAYMESSAGES_H
 
@@ -19,39 +20,43 @@
 inline constexpr const char *OrdersPath = "/peer/orders";
 inline constexpr const char *ResultsPath = "/peer/results";
 
+/// Kind of a relayed order.
 enum class RelayKind : std::uint8_t { Start, Stop, Pace, Hold };
 
-/// One order on its way to an executor.
+/// One order for an executor.
 struct RelayedOrder {
-  std::uint64_t OrderId_ = 0;   ///< names the order within the leader's process
-  std::uint8_t Kind_ = 0;       ///< a RelayKind
-  std::string ExecutorAddress_; ///< of the executor
+  std::uint64_t OrderId_ = 0; ///< unique within the leader's process
+  std::uint8_t Kind_ = 0;     ///< a RelayKind
+  std::string ExecutorAddress_;
   std::string ExecutorId_;
-  fleet::StartOrder Order_;    ///< a stop and a pace use its task, run and token; a hold its token
-                               ///< and the end of the lease, 0 to leave it
-  std::uint64_t SeenUpTo_ = 0; ///< ends acknowledged by a hold
-  std::int64_t WaitMs_ = 0;    ///< of a hold
-  int Percent_ = 0;            ///< of a pace
-  std::int64_t TimeoutMs_ = 0; ///< for the executor's answer
+  /// Stop and pace orders use the task, run and token; a hold uses the token and the lease end, 0
+  /// to leave the lease unchanged.
+  fleet::StartOrder Order_;
+  std::uint64_t SeenUpTo_ = 0; ///< hold: highest number of the acknowledged run ends
+  std::int64_t WaitMs_ = 0;    ///< hold: the executor answers after this time at the latest
+  int Percent_ = 0;            ///< pace: share of the full speed
+  std::int64_t TimeoutMs_ = 0; ///< of the wait for the executor's answer
   MSGPACK_DEFINE_ARRAY(OrderId_, Kind_, ExecutorAddress_, ExecutorId_, Order_, SeenUpTo_, WaitMs_,
                        Percent_, TimeoutMs_)
 };
 
+/// A batch of orders for a relay.
 struct OrdersRequest {
   std::string ReplyTo_; ///< the leader's peer address
   std::vector<RelayedOrder> Orders_;
   MSGPACK_DEFINE_ARRAY(ReplyTo_, Orders_)
 };
 
-/// What an executor answered.
+/// An executor's answer to a relayed order.
 struct RelayedResult {
   std::uint64_t OrderId_ = 0;
   fleet::OrderOutcome Outcome_ = fleet::OrderOutcome::NoAnswer;
-  std::int64_t ClockMs_ = 0;
-  fleet::Report Report_; ///< of a hold
+  std::int64_t ClockMs_ = 0; ///< the executor's clock when it answered
+  fleet::Report Report_;     ///< answer to a hold
   MSGPACK_DEFINE_ARRAY(OrderId_, Outcome_, ClockMs_, Report_)
 };
 
+/// A batch of results for the leader.
 struct ResultsRequest {
   std::vector<RelayedResult> Results_;
   MSGPACK_DEFINE_ARRAY(Results_)
