daemon: reword comments and logs of the leader driver

Comments give the reason in the usual terms; log lines name the event or what failed. Keys and one-word events stay. A leader that loses the jobs topic logs that a newer term fenced it.

--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -1,5 +1,5 @@
 /// \file
-/// Takes part in the election and, while leading, carries out what the scheduler decides.
+/// Takes part in the leader election and, while leading, carries out the scheduler's decisions.
 #ifndef MASTICDRIFT_DAEMON_LEADERDRIVER_H
 #define MASTICDRIFT_DAEMON_LEADERDRIVER_H
 
@@ -15,49 +15,61 @@
 
 namespace masticdrift::daemon {
 
+/// Runs this daemon's part of the election, and the scheduler with its I/O while the daemon leads.
 class LeaderDriver {
 public:
-  /// \param Jobs the tail that fills the context's ledger.
-  /// \param Specs the tail that adds the steps of jobs to it.
-  /// \param Executors the tail that fills the context's roster.
+  /// \param Jobs reader of the job records; it fills the context's ledger.
+  /// \param Specs reader of the jobs' steps; it adds them to the ledger.
+  /// \param Executors reader of the executor list; it fills the context's executor entries.
   LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors);
   LeaderDriver(const LeaderDriver &) = delete;
   LeaderDriver &operator=(const LeaderDriver &) = delete;
   ~LeaderDriver();
 
+  /// Starts to follow the leadership topic and to take part in elections.
   void start();
 
-  /// Gives the leadership up so that another daemon takes over at once, and claims no more.
+  /// Releases the leadership so that another daemon takes over at once. Called when the daemon
+  /// stops; it makes no further claims then.
   void release();
 
+  /// Passes a job on to the scheduler after its ledger entry changed or was removed.
   void onJob(std::string_view JobId);
+  /// Handles a progress record that was read from the log; it may confirm an outstanding append.
   void onProgressRead(std::string_view Key, std::string_view Value);
+  /// Passes a new configuration on to the scheduler.
   void onManifest();
+  /// Passes an executor on to the scheduler after its entry changed or was removed.
   void onExecutor(std::string_view ExecutorId);
 
-  /// A daemon offers help.
+  /// Registers another daemon as an adviser and a relay. Releases the leadership if only the other
+  /// machine is large enough to lead.
+  ///
   /// \returns true while this daemon leads.
   bool onHello(const protocol::Hello &Hello);
 
-  /// Results of orders that another daemon has carried for this one.
+  /// Handles results of orders that were sent through a relay.
   void onResults(const protocol::ResultsRequest &Request);
 
-  /// Answers for a job's state. While the job's end is being written, the answer waits for that, up
-  /// to \c MaxJobStateWait.
+  /// Looks up the state of a job. While the end of the job is being written, the reply waits until
+  /// it is durable, at most \c MaxJobStateWait.
   void queryJobState(const std::string &JobId, JobStateWaiters::ReplyCallback OnReply);
 
-  /// \returns true while this daemon leads and the store refuses it: another one should take over.
+  /// \returns true while this daemon leads but can't read the store, so that another one should
+  /// take over.
   bool leadsWithoutStore() const;
+  /// \returns true while this daemon leads.
   bool leading() const;
-  /// \returns the term of the leadership, while this daemon leads.
+  /// \returns the term of the leadership; only meaningful while this daemon leads.
   std::uint64_t term() const;
-  /// \returns true once nothing of the leadership is left to hand over.
+  /// \returns true when this daemon does not lead and no release is being written.
   bool released() const;
-  /// \returns the leader's peer address, empty when none is known or it is this daemon.
+  /// \returns the leader's peer address, or an empty string when no leader is known or this daemon
+  /// leads.
   std::string leaderAddress() const;
-  /// \returns true while the leader answers this daemon's offers of help.
+  /// \returns true while the leader answers this daemon's hellos.
   bool leaderResponsive() const;
-  /// A call to the leader brought no answer; it counts as not heard until the next offer.
+  /// Marks the leader as unresponsive, after a request without an answer, until it answers a hello.
   void onLeaderFailure();
 
 private:
@@ -65,7 +77,8 @@
   std::shared_ptr<Impl> Impl_;
 };
 
-/// An append at a sound store takes 5 to 40 ms; callers look again after about 250 ms.
+/// Limit of the wait in queryJobState(). An append to a healthy store takes 5 to 40 ms; callers
+/// poll about every 250 ms.
 inline constexpr core::Millis MaxJobStateWait{200};
 
 } // namespace masticdrift::daemon
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -24,31 +24,33 @@
 constexpr const char *LeaderKey = "leader";
 constexpr const char *LeaderProducer = "leader";
 
-/// Between looks at the election.
+/// Interval between checks whether to claim the leadership.
 constexpr core::Millis ElectionInterval{120};
-/// Between offers of help to the leader.
+/// Interval between hellos to the leader.
 constexpr core::Millis HelloInterval{500};
 constexpr core::Millis HelloTimeout{900};
-/// A failed connection that took less was refused, not timed out.
+/// A connection attempt that fails faster was refused; a slower one timed out.
 constexpr core::Millis MaxRefusalTime{200};
-/// Between two rounds of the scheduler without an event, and after an event.
+/// Interval between scheduling rounds without events, which is also the longest delay after an
+/// event, and the shortest delay after an event.
 constexpr core::Millis TickInterval{30};
 constexpr core::Millis MinEventDelay{3};
-/// After an event the next round waits for this many times the length of the last one, so that
-/// rounds leave four fifths of the processor to orders and answers.
+/// Delay of the round after an event, in multiples of the last round's duration, so that rounds
+/// leave four fifths of the processor time to orders and answers.
 constexpr int RoundDelayFactor = 4;
-/// Between two appends of progress.
+/// Shortest interval between two appends of progress records.
 constexpr core::Millis MinFlushInterval{30};
 constexpr core::Millis HeartbeatTimeout{1500};
 constexpr core::Millis FenceTimeout{1500};
 constexpr core::Millis RetryDelay{100};
-/// Added to the expected time of a call for advice.
+/// Added to the expected duration of a call to the advice service.
 constexpr core::Millis AdviceTimeoutMargin{900};
-/// A list read by a process younger than this may lack entries, if the store was away before.
+/// The executor list that a younger process has read may be incomplete if the store was unavailable
+/// before.
 constexpr core::Millis FreshProcessAge{12'000};
-/// The list and the beats are read at different times.
+/// Tolerance, because the executor list and the leader's heartbeats are read at different times.
 constexpr core::Millis UnlistedReadSkew{4000};
-/// Between updates of the leader's gauges.
+/// Interval between updates of the leader's gauges.
 constexpr core::Millis GaugeUpdateInterval{2000};
 
 } // namespace
@@ -81,7 +83,7 @@
       return;
     auto Record = core::unpack<lead::LeadRecord>(Entry.Value_);
     if (!Record) {
-      core::log(core::LogLevel::Warning, "leadership record is unreadable",
+      core::log(core::LogLevel::Warning, "failed to decode leadership record",
                 {{"offset", std::to_string(Entry.Offset_)}});
       return;
     }
@@ -94,7 +96,7 @@
     LeaderWithoutStore_ = false;
     LeaderResponsive_ = LeaderResponsive_ && !TermChanged;
     if (TermChanged)
-      core::log(core::LogLevel::Info, "leader is known",
+      core::log(core::LogLevel::Info, "leader changed",
                 {{"leader", NewestRecord_->Instance_},
                  {"term", std::to_string(NewestRecord_->Term_)},
                  {"offset", std::to_string(NewestRecordOffset_)}});
@@ -102,7 +104,7 @@
     if (OwnRecord && !NewestRecord_->Released_ && Role_ == Role::Follower && !Context_.Stopping_)
       beginTerm();
     else if (Role_ != Role::Follower && (!OwnRecord || NewestRecord_->Term_ != Term_))
-      stepDown("another daemon leads");
+      stepDown("another daemon became the leader");
   }
 
   bool ownsNewestRecord() const {
@@ -121,7 +123,7 @@
     lead::ElectionView View{
         core::Clock::now(), Leadership_.lastAnswer(), NewestReadAt_,
         NewestRecord_ ? &*NewestRecord_ : nullptr, core::wallMillis(), RecordFoundOnStart_,
-        // While the store is away from this daemon too, nothing is gained by a claim.
+        // A claim gains nothing while this daemon can't read the store either.
         LeaderGone_ || (LeaderWithoutStore_ && !Leadership_.failing() && !Jobs_.failing()),
         lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_,
         Context_.Store_.fastest()};
@@ -172,7 +174,7 @@
         std::max(Leadership_.next(), NewestRecord_ ? NewestRecordOffset_ + 1 : 0);
     HeartbeatGap_ =
         NewestRecord_ ? core::Millis(core::wallMillis() - NewestRecord_->WallMs_) : core::Millis(0);
-    core::log(core::LogLevel::Info, "claims the leadership",
+    core::log(core::LogLevel::Info, "claiming the leadership",
               {{"at", std::to_string(Offset)},
                {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewestReadAt_))},
                {"refused", LeaderGone_ ? "true" : "false"}});
@@ -191,7 +193,7 @@
                            [this](platform::AppendOutcome) { HeartbeatOutstanding_ = false; });
   }
 
-  // -- a term --
+  // -- terms --
 
   void beginTerm() {
     Role_ = Role::Preparing;
@@ -201,12 +203,13 @@
     Specs_.hurry();
     Executors_.hurry();
     core::count("masticdrift_takeovers_total");
-    core::log(core::LogLevel::Info, "term begins", {{"term", std::to_string(Term_)}});
+    core::log(core::LogLevel::Info, "term started", {{"term", std::to_string(Term_)}});
     fenceEarlierLeaders();
     runAfter(HeartbeatTimer_, lead::ElectionTiming{}.Beat_, [this] { sendHeartbeat(); });
   }
 
-  /// Shuts earlier leaders out of the jobs topic; after that its end is known to be final for them.
+  /// Fences the producers of earlier leaders, so that they can't append to the jobs topic behind
+  /// its current end any more.
   void fenceEarlierLeaders() {
     platform::AppendTerms Conditions;
     Conditions.Producer_ = LeaderProducer;
@@ -217,7 +220,7 @@
           if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
             return;
           if (Result.Outcome_ == platform::AppendOutcome::Fenced)
-            Self->stepDown("jobs topic is fenced");
+            Self->stepDown("jobs topic was fenced by a newer term");
           else if (Result.Outcome_ == platform::AppendOutcome::Stored)
             Self->catchUpTopics();
           else
@@ -230,15 +233,17 @@
       fenceEarlierLeaders();
   }
 
-  /// Steps are stored before the acceptance, so they are read after it. Executors come last: the
-  /// earlier leader may have started something on one that has just joined.
+  /// Reads all topics up to their present ends and then leads. Steps are read after the jobs
+  /// because they are stored before the job's acceptance record. Executors are read last because
+  /// the earlier leader may have started runs on one that has just joined.
   void catchUpTopics() {
     catchUpTopic(Jobs_, [this] {
       catchUpTopic(Specs_, [this] { catchUpTopic(Executors_, [this] { startLeading(); }); });
     });
   }
 
-  /// Reads up to the present and goes on with \p Then, or begins anew with readUp().
+  /// Reads a topic up to its present end and calls \p OnCaughtUp; on failure starts again with
+  /// catchUpTopics().
   void catchUpTopic(TopicTail &Topic, std::function<void()> OnCaughtUp) {
     Topic.catchUp(FenceTimeout, [Self = shared_from_this(), &Topic, Term = Term_,
                                  OnCaughtUp = std::move(OnCaughtUp)](bool Complete) {
@@ -261,7 +266,8 @@
     FlushNumber_ = 0;
     Sequence_ = 1;
     FlushTimeout_ = LeastAppendTimeout;
-    // Entries lapse after three heartbeats; beats that came until then show a store that was there.
+    // Entries expire after three heartbeats of an executor. If the earlier leader's heartbeats
+    // paused for less than that, the store was available and no entry was lost.
     const bool ListMayBeIncomplete =
         Now - Context_.StartedAt_ < FreshProcessAge &&
         HeartbeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
@@ -271,8 +277,8 @@
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
     for (const auto &[Id, Entry] : Context_.ExecutorEntries_) {
-      // The earlier leader's beats name the executors without an entry that it still counted on;
-      // later losses are known from the list.
+      // The earlier leader's heartbeats name the executors without an entry that may still run
+      // something; entries that were removed later are known from the list.
       if (!Entry.Listed_ && Entry.ChangedAt_ < NewestReadAt_ - UnlistedReadSkew)
         continue;
       Scheduler_->onExecutor(Entry.Info_, Now);
@@ -293,7 +299,7 @@
     for (const auto &[Id, Job] : Context_.Ledger_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
     AdviceDispatcher_.registerAdviser({}, Now);
-    // From now on these reads rest as a leader's do.
+    // Ends the follower's longer rests between reads.
     Jobs_.hurry();
     Specs_.hurry();
     const auto Counts = Scheduler_->counts();
@@ -308,7 +314,7 @@
   void stepDown(std::string_view Reason) {
     if (Role_ == Role::Follower)
       return;
-    core::log(core::LogLevel::Warning, "term ends",
+    core::log(core::LogLevel::Warning, "term ended",
               {{"term", std::to_string(Term_)}, {"reason", std::string(Reason)}});
     Role_ = Role::Follower;
     Scheduler_.reset();
@@ -361,7 +367,7 @@
     core::observe("masticdrift_decision_seconds",
                   std::chrono::duration<double>(LastRoundDuration_).count());
     if (Scheduler_->fenced()) {
-      stepDown("an executor has seen a newer term");
+      stepDown("an executor has seen a higher fencing token");
       return;
     }
     AdviceDispatcher_.registerAdviser({}, Now);
@@ -429,9 +435,9 @@
                            });
   }
 
-  /// A progress record was read back from the log.
+  /// Handles a progress record that was read back from the log.
   void onProgressRead(std::string_view Key, std::string_view Value) {
-    // Later records of a call are stored with the earlier ones, so the last one settles it.
+    // An append stores all of its records or none, so the last one confirms the whole flush.
     if (Role_ != Role::Leading || !Flushing_ || !FlushedRecords_ ||
         FlushedRecords_->back().Key_ != Key || FlushedRecords_->back().Value_ != Value)
       return;
@@ -466,23 +472,24 @@
       return;
     }
     case Fenced:
-      stepDown("jobs topic is fenced");
+      stepDown("jobs topic was fenced by a newer term");
       return;
     case WrongSequence:
       core::log(
-          core::LogLevel::Warning, "sequence is corrected",
+          core::LogLevel::Warning, "producer sequence corrected",
           {{"sent", std::to_string(Sequence_)}, {"expected", std::to_string(Result.Expected_)}});
       Sequence_ = Result.Expected_;
       break;
     default:
       core::count("masticdrift_store_failures_total", {{"topic", JobsTopic}});
-      core::log(core::LogLevel::Warning, "progress was not confirmed",
+      core::log(core::LogLevel::Warning, "append of progress records was not confirmed",
                 {{"sequence", std::to_string(Sequence_)},
                  {"records", std::to_string(Records->size())},
                  {"detail", Result.Detail_}});
       break;
     }
-    // The same records under the same sequence: a copy that was stored meanwhile is not repeated.
+    // Repeats the same records under the same sequence number, so that the store drops them if the
+    // earlier append was stored after all.
     runAfter(RetryTimer_, RetryDelay, [this, FlushNumber, Records, Term = Term_] {
       if (Role_ == Role::Leading && Term_ == Term && FlushNumber_ == FlushNumber)
         appendProgress(FlushNumber, Records);
@@ -513,7 +520,7 @@
                                   int Percent) {
       OrderRouter_.pace(Executor, Run, Term_, Percent, [Run](const platform::OrderAnswer &Answer) {
         if (Answer.Outcome_ != fleet::OrderOutcome::Done)
-          core::log(core::LogLevel::Warning, "pace was not set",
+          core::log(core::LogLevel::Warning, "failed to set the pace of a run",
                     {{"task", platform::taskName(Run.first)},
                      {"outcome", std::string(nameOf(Answer.Outcome_))}});
       });
@@ -537,7 +544,7 @@
     SchedulerPorts.Note_ = [this](std::string_view Event, const work::TaskRef &Task,
                                   std::uint64_t Run, std::string_view Executor,
                                   std::string_view Detail) {
-      if (Task.Job_.empty()) { // about an executor as a whole
+      if (Task.Job_.empty()) { // concerns the executor, not one of its tasks
         core::log(core::LogLevel::Info, Event,
                   {{"executor", std::string(Executor)},
                    {"detail", std::string(Detail)},
@@ -555,7 +562,8 @@
     return SchedulerPorts;
   }
 
-  /// Wraps a result's handler: it runs only within the term that gave the order.
+  /// Wraps the handler of an order's answer so that it only runs within the term that sent the
+  /// order.
   template <typename Answer>
   std::function<void(Answer)> whileLeading(std::function<void(const Answer &)> Handler) {
     return [Self = shared_from_this(), Term = Term_,
@@ -660,18 +668,19 @@
             return;
           const bool Refused = Result.Transfer_ == http::Transfer::NotConnected &&
                                core::Clock::now() - SentAt < MaxRefusalTime;
-          // Another process may answer at the address of a leader that is gone.
+          // After the leader is gone, another process may answer at its address.
           const bool Replaced = Result.Transfer_ == http::Transfer::Complete &&
                                 Result.Answer_.Body_ != Self->NewestRecord_->Incarnation_;
           Self->LeaderGone_ = Refused || Replaced;
-          // Its own answer tells that the store refuses it.
+          // A leader that can't read the store answers hellos with 503.
           Self->LeaderWithoutStore_ =
               Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ != 200;
           Self->setLeaderResponsive(Result.Transfer_ == http::Transfer::Complete && !Replaced);
         });
   }
 
-  /// Without a leader that answers, this daemon's own reads are all that callers have.
+  /// Callers depend on this daemon's own reads once the leader stops answering, so these must not
+  /// rest any longer.
   void setLeaderResponsive(bool Responsive) {
     if (std::exchange(LeaderResponsive_, Responsive) && !Responsive)
       Jobs_.hurry();
@@ -712,25 +721,25 @@
   bool ClaimOutstanding_ = false;
   bool HeartbeatOutstanding_ = false;
   bool Releasing_ = false;
-  bool RecordFoundOnStart_ = false;
-  bool LeaderGone_ = false;
-  bool LeaderWithoutStore_ = false;
-  bool LeaderResponsive_ = false; ///< the leader answered the last offer of help
+  bool RecordFoundOnStart_ = false; ///< the newest record is older than this process
+  bool LeaderGone_ = false; ///< its address refuses connections or belongs to another process
+  bool LeaderWithoutStore_ = false; ///< the leader reports that it can't read the store
+  bool LeaderResponsive_ = false;   ///< the leader answered the last hello
   Role Role_ = Role::Follower;
   std::optional<lead::LeadRecord> NewestRecord_;
   std::uint64_t NewestRecordOffset_ = 0;
-  core::TimePoint NewestReadAt_{};
-  core::TimePoint GoneSince_{};  ///< since when no leader is known; zero while there is one
-  core::Millis HeartbeatGap_{0}; ///< between the last beat of the earlier leader and the claim
+  core::TimePoint NewestReadAt_{}; ///< when the newest record was read, or this daemon's term ended
+  core::TimePoint GoneSince_{};  ///< when the leader was found to be gone; zero while there is one
+  core::Millis HeartbeatGap_{0}; ///< from the earlier leader's last heartbeat to the claim
   std::uint64_t Term_ = 0;
-  std::uint64_t Sequence_ = 0;
+  std::uint64_t Sequence_ = 0; ///< producer sequence of the next append to the jobs topic
   bool Flushing_ = false;
   bool TickScheduled_ = false;
-  core::Duration LastRoundDuration_{0}; ///< time that the last round took
+  core::Duration LastRoundDuration_{0};
   core::TimePoint LastFlushAt_{};
   core::TimePoint GaugesUpdatedAt_{};
-  std::uint64_t FlushNumber_ = 0; ///< of the append that is waited for, 0 for none
-  std::shared_ptr<std::vector<platform::KeyedRecord>> FlushedRecords_;
+  std::uint64_t FlushNumber_ = 0; ///< number of the outstanding flush, 0 for none
+  std::shared_ptr<std::vector<platform::KeyedRecord>> FlushedRecords_; ///< of the outstanding flush
   core::Millis FlushTimeout_ = LeastAppendTimeout;
   std::optional<lead::Scheduler> Scheduler_;
 };
@@ -786,7 +795,7 @@
   Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, core::Clock::now());
   Impl_->OrderRouter_.registerRelay(Hello, core::Clock::now());
   if (Hello.CanLead_ && !lead::mayLead(Impl_->Context_.Settings_.Cores_))
-    Impl_->release("a larger machine can lead");
+    Impl_->release("a larger machine can take over");
   return true;
 }
 
