daemon: reword comments and logs of orders, advice and job state queries

Comments use the usual terms (relay, adviser, query, fencing token, timeout) and keep each figure and reason. Log lines name the operation that failed.

--- a/include/masticdrift/daemon/AdviceDispatcher.h
+++ b/include/masticdrift/daemon/AdviceDispatcher.h
@@ -1,5 +1,6 @@
 /// \file
-/// Spreads calls for advice over the daemons; the service takes one call at a time from each.
+/// Distributes calls to the advice service over the daemons, because the service handles one call
+/// at a time from each.
 #ifndef MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
 #define MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
 
@@ -14,31 +15,34 @@
 
 namespace masticdrift::daemon {
 
-/// One call for advice.
+/// One call to the advice service.
 struct AdviceCall {
   work::TaskRef Step_;
   std::vector<std::string> Executors_;
-  double ExpectedMs_ = 0;
-  std::pair<int, core::TimePoint> Priority_; ///< lower goes first
+  double ExpectedMs_ = 0;                    ///< expected duration
+  std::pair<int, core::TimePoint> Priority_; ///< lower values go first
 };
 
-/// Decides which call goes to which daemon when. No I/O.
+/// Decides which daemon makes which call, and when. Does no I/O.
 class AdviceDispatcher {
 public:
-  /// Carries a call out at the daemon with this peer address; empty for this one.
+  /// Makes a call at the daemon with this peer address; this daemon has the empty address.
   using SendFunction = std::function<void(const std::string &Address, AdviceCall Call)>;
 
   explicit AdviceDispatcher(SendFunction Send) : Send_(std::move(Send)) {}
 
-  /// A daemon can make calls. Repeated at least every \c AdviserTimeout.
+  /// Adds a daemon that can make calls, or renews it. Must be repeated within \c AdviserTimeout.
   void registerAdviser(const std::string &Address, core::TimePoint Now);
 
+  /// Queues a call and dispatches.
   void enqueue(AdviceCall Call, core::TimePoint Now);
 
-  /// A call at \p Address ended.
+  /// Marks the daemon at \p Address as free again and dispatches.
+  ///
+  /// \param Answered false makes the daemon pause before its next call.
   void onCallFinished(const std::string &Address, bool Answered, core::TimePoint Now);
 
-  /// Hands out what can be handed out.
+  /// Sends waiting calls to free daemons, in the order of their priorities.
   void dispatch(core::TimePoint Now);
 
 private:
@@ -52,7 +56,7 @@
   std::vector<AdviceCall> WaitingCalls_;
 };
 
-/// An adviser that was not heard from for this long is not asked.
+/// Daemons that were silent for longer get no calls.
 inline constexpr core::Millis AdviserTimeout{1600};
 
 } // namespace masticdrift::daemon
--- a/include/masticdrift/daemon/JobStateWaiters.h
+++ b/include/masticdrift/daemon/JobStateWaiters.h
@@ -1,5 +1,5 @@
 /// \file
-/// The leader's answers about the states of jobs.
+/// The leader's replies to queries for the states of jobs.
 #ifndef MASTICDRIFT_DAEMON_JOBSTATEWAITERS_H
 #define MASTICDRIFT_DAEMON_JOBSTATEWAITERS_H
 
@@ -14,21 +14,24 @@
 
 namespace masticdrift::daemon {
 
-/// \returns what the ledger says about a job.
+/// \returns the state of a job according to the ledger.
 protocol::JobStateReply jobStateReply(const work::Ledger &Ledger, std::string_view JobId);
 
-/// Holds looks at jobs whose end is being written, until it is durable or their time is over. No
-/// I/O.
+/// Holds queries for jobs whose end is being written, until the end is durable or a deadline
+/// passes. Does no I/O.
 class JobStateWaiters {
 public:
   using ReplyCallback = std::function<void(const protocol::JobStateReply &)>;
 
-  /// \param Until the job's durable state is the answer then, whatever it is.
+  /// Adds a query.
+  ///
+  /// \param Deadline when the job's durable state is the reply, whatever it is.
   void add(std::string JobId, core::TimePoint Deadline, ReplyCallback OnReply);
 
-  /// Answers looks at jobs that are final now, and those whose time is over.
+  /// Answers the queries whose job is final or was removed, and those whose deadline has passed.
   void answerReady(const work::Ledger &Ledger, core::TimePoint Now);
 
+  /// \returns the number of waiting queries.
   std::size_t size() const { return Waiters_.size(); }
 
 private:
--- a/include/masticdrift/daemon/OrderRelay.h
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -1,5 +1,5 @@
 /// \file
-/// Carries orders of a leader to executors and returns the results in batches.
+/// Forwards orders of a leader to executors and returns the results in batches.
 #ifndef MASTICDRIFT_DAEMON_ORDERRELAY_H
 #define MASTICDRIFT_DAEMON_ORDERRELAY_H
 
@@ -13,12 +13,13 @@
 
 namespace masticdrift::daemon {
 
-/// Decides nothing: the orders carry the leader's token, so an executor refuses those of a leader
-/// that was replaced.
+/// Makes no decisions. Orders carry the leader's fencing token, so executors refuse those of a
+/// leader that was replaced.
 class OrderRelay {
 public:
   explicit OrderRelay(FleetContext &Context) : Context_(Context), Timer_(Context.Loop_) {}
 
+  /// Sends orders to their executors; the results go to the leader that is named in the request.
   void forward(const protocol::OrdersRequest &Request);
 
 private:
@@ -29,7 +30,8 @@
   asio::steady_timer Timer_;
   bool TimerArmed_ = false;
   core::TimePoint LastFlushAt_{};
-  std::map<std::string, std::vector<protocol::RelayedResult>> Results_; ///< by leader's address
+  std::map<std::string, std::vector<protocol::RelayedResult>>
+      Results_; ///< by the leader's peer address
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -1,5 +1,6 @@
 /// \file
-/// The leader's way to executors: directly, or through daemons near them when there are many.
+/// Sends the leader's orders to executors, directly or, when there are many executors, through
+/// daemons in their failure domains (relays).
 #ifndef MASTICDRIFT_DAEMON_ORDERROUTER_H
 #define MASTICDRIFT_DAEMON_ORDERROUTER_H
 
@@ -15,8 +16,8 @@
 
 namespace masticdrift::daemon {
 
-/// Each order gets exactly one result, also when the daemon that carries it is lost. Orders for
-/// other daemons leave in batches with flush().
+/// Reports exactly one result for each order, also when its relay is lost. Orders for relays are
+/// collected and sent in batches by flush().
 class OrderRouter {
 public:
   using OrderCallback = std::function<void(const platform::OrderAnswer &)>;
@@ -24,24 +25,35 @@
 
   explicit OrderRouter(FleetContext &Context) : Context_(Context) {}
 
+  /// Adds a daemon that can relay orders, or renews it.
   void registerRelay(const protocol::Hello &Hello, core::TimePoint Now) {
     Relays_.registerRelay(Hello, Now);
   }
 
+  /// Starts one run of a task.
   void start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
              OrderCallback OnAnswer);
+  /// Stops a run.
+  ///
+  /// \param Token the leader's fencing token.
   void stop(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run, std::uint64_t Token,
             OrderCallback OnAnswer);
+  /// Sets the speed of a run, in percent of its full speed.
   void pace(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run, std::uint64_t Token,
             int Percent, OrderCallback OnAnswer);
-  /// \param UntilMs end of the lease on the executor's clock, 0 to leave it.
+  /// Renews the leases on an executor, acknowledges run ends and requests the executor's report.
+  ///
+  /// \param SeenUpTo highest number of the acknowledged run ends.
+  /// \param UntilMs end of the lease on the executor's clock, 0 to leave it unchanged.
+  /// \param Wait the executor answers after this time, or at once when a run has ended.
   void hold(const fleet::ExecutorInfo &Executor, std::uint64_t Token, std::uint64_t SeenUpTo,
             std::int64_t UntilMs, core::Millis Wait, HoldCallback OnAnswer);
 
-  /// Sends what has been collected, and ends the waiting for results that are overdue.
+  /// Sends the collected orders, and reports relayed orders as unanswered when their results are
+  /// overdue.
   void flush(core::TimePoint Now);
 
-  /// Results of orders that another daemon has carried.
+  /// Handles results of orders that were sent through a relay.
   void onResults(const protocol::ResultsRequest &Request);
 
 private:
@@ -64,12 +76,14 @@
   RelayTable Relays_;
   std::uint64_t NextOrderId_ = 1;
   std::unordered_map<std::uint64_t, PendingOrder> PendingOrders_;
-  std::map<std::string, Batch, std::less<>> Batches_; ///< by relay
+  std::map<std::string, Batch, std::less<>> Batches_; ///< by the relay's peer address
   core::TimePoint LastExpiryCheckAt_{};
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
-/// Carries one order to its executor. \param Done runs once.
+/// Sends one order to its executor.
+///
+/// \param OnAnswer is called once.
 void sendOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
                OrderRouter::HoldCallback OnAnswer);
 
--- a/include/masticdrift/daemon/RelayTable.h
+++ b/include/masticdrift/daemon/RelayTable.h
@@ -1,5 +1,5 @@
 /// \file
-/// Which daemon carries the orders for the executors of a failure domain. No I/O.
+/// Selects the daemon that relays orders to the executors of a failure domain. Does no I/O.
 #ifndef MASTICDRIFT_DAEMON_RELAYTABLE_H
 #define MASTICDRIFT_DAEMON_RELAYTABLE_H
 
@@ -12,18 +12,19 @@
 
 namespace masticdrift::daemon {
 
-/// Daemons that have offered help.
+/// The daemons that can relay orders.
 class RelayTable {
 public:
-  /// A daemon can carry orders. Repeated at least every \c RelayTimeout.
+  /// Adds a daemon that can relay orders, or renews it. Must be repeated within \c RelayTimeout.
   void registerRelay(const protocol::Hello &Hello, core::TimePoint Now);
 
-  /// A call to the daemon failed; it rests.
+  /// Excludes a daemon for some time after a request to it failed.
   void markFailed(std::string_view PeerAddress, core::TimePoint Now);
 
-  /// \returns the peer address of the daemon for a failure domain: the largest machine there that
-  /// was heard from, or an empty view when the leader has to do it itself. Stays the same while the
-  /// daemon is heard, so that its connections are used again.
+  /// Selects the daemon on the largest machine of a failure domain. The selection stays the same
+  /// while that daemon is available, so that its connections are reused.
+  ///
+  /// \returns its peer address, or an empty view when the leader has to send the orders itself.
   std::string_view relayFor(std::string_view Domain, core::TimePoint Now) const;
 
 private:
@@ -36,10 +37,10 @@
   std::map<std::string, Relay, std::less<>> Relays_; ///< by peer address
 };
 
-/// A daemon that was not heard from for this long gets no orders; three offers.
+/// Daemons that were silent for longer, about three hellos, get no orders.
 inline constexpr core::Millis RelayTimeout{1600};
-/// Executors that a leader serves itself. 48 take a fifth of the smallest leader seen (0.07 of 0.25
-/// cores); 350 take all of 0.5 cores in bursts.
+/// Number of executors to which a leader sends orders itself. 48 executors take a fifth of the
+/// smallest leader seen (0.07 of 0.25 cores); 350 take all of 0.5 cores in bursts.
 inline constexpr std::size_t MaxDirectExecutors = 100;
 
 } // namespace masticdrift::daemon
--- a/src/daemon/AdviceDispatcher.cpp
+++ b/src/daemon/AdviceDispatcher.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-/// Calls above this time leave the last free daemon to shorter ones.
+/// Calls that are expected to take longer leave the last free daemon to shorter ones.
 constexpr double LongCallThresholdMs = 150;
 constexpr std::size_t AdvisersKeptForShortCalls = 1;
-/// Rest of an adviser whose call brought no answer.
+/// Pause of an adviser after a call without an answer.
 constexpr core::Millis FailureBackoff{800};
 
 } // namespace
@@ -46,7 +46,7 @@
         (Address.empty() || Now - State.LastSeenAt_ <= AdviserTimeout))
       FreeAdvisers.push_back(Address);
   const std::size_t KeptAdvisers = Advisers_.size() > 1 ? AdvisersKeptForShortCalls : 0;
-  // This daemon, with the empty name, comes first in the map and is asked last.
+  // This daemon's empty address sorts first, so this daemon is used last.
   std::vector<AdviceCall> Remaining;
   for (AdviceCall &Call : WaitingCalls_) {
     if (FreeAdvisers.empty() ||
--- a/src/daemon/JobStateWaiters.cpp
+++ b/src/daemon/JobStateWaiters.cpp
@@ -25,7 +25,7 @@
   std::vector<Waiter> ReadyWaiters(std::make_move_iterator(FirstReady),
                                    std::make_move_iterator(Waiters_.end()));
   Waiters_.erase(FirstReady, Waiters_.end());
-  // An answer may bring the next look.
+  // A callback may add the next query, so the ready ones were removed first.
   for (const Waiter &Entry : ReadyWaiters)
     Entry.OnReply_(jobStateReply(Ledger, Entry.JobId_));
 }
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -208,8 +208,8 @@
     runAfter(HeartbeatTimer_, lead::ElectionTiming{}.Beat_, [this] { sendHeartbeat(); });
   }
 
-  /// Fences the producers of earlier leaders, so that they can't append to the jobs topic behind
-  /// its current end any more.
+  /// Fences earlier leaders: nothing that they still send is appended to the jobs topic, so it
+  /// holds all that they will ever have written.
   void fenceEarlierLeaders() {
     platform::AppendTerms Conditions;
     Conditions.Producer_ = LeaderProducer;
@@ -299,7 +299,7 @@
     for (const auto &[Id, Job] : Context_.Ledger_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
     AdviceDispatcher_.registerAdviser({}, Now);
-    // Ends the follower's longer rests between reads.
+    // Ends the longer pauses between a follower's reads.
     Jobs_.hurry();
     Specs_.hurry();
     const auto Counts = Scheduler_->counts();
@@ -680,7 +680,7 @@
   }
 
   /// Callers depend on this daemon's own reads once the leader stops answering, so these must not
-  /// rest any longer.
+  /// pause any longer.
   void setLeaderResponsive(bool Responsive) {
     if (std::exchange(LeaderResponsive_, Responsive) && !Responsive)
       Jobs_.hurry();
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Between two batches to the same leader. Each batch costs the leader about 0.1 ms, so that six
-/// domains take 6% of a core at most.
+/// Shortest interval between batches to the same leader. Each batch costs the leader about 0.1 ms
+/// of processor time, so that relays of six failure domains take at most 6% of a core.
 constexpr core::Millis MinResultInterval{10};
 constexpr core::Millis ResultTimeout{600};
 
@@ -32,7 +32,7 @@
   Results_[ReplyTo].push_back(std::move(Result));
   if (std::exchange(TimerArmed_, true))
     return;
-  // The first result after a rest goes at once.
+  // The first result after an idle time is sent at once.
   Timer_.expires_after(
       std::max(core::Duration(0), LastFlushAt_ + MinResultInterval - core::Clock::now()));
   Timer_.async_wait([this, Alive = std::weak_ptr<bool>(Alive_)](std::error_code Error) {
@@ -50,12 +50,12 @@
     Request.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
     Request.Body_ = core::pack(protocol::ResultsRequest{std::move(Results)});
     Request.Timeout_ = ResultTimeout;
-    Context_.Client_.send(std::move(Request),
-                          [LeaderAddress = ReplyTo](const http::ClientResult &Result) {
-                            if (Result.Transfer_ != http::Transfer::Complete)
-                              core::log(core::LogLevel::Warning, "results of orders were not taken",
-                                        {{"leader", LeaderAddress}, {"detail", Result.Error_}});
-                          });
+    Context_.Client_.send(
+        std::move(Request), [LeaderAddress = ReplyTo](const http::ClientResult &Result) {
+          if (Result.Transfer_ != http::Transfer::Complete)
+            core::log(core::LogLevel::Warning, "failed to return results of orders to leader",
+                      {{"leader", LeaderAddress}, {"detail", Result.Error_}});
+        });
   }
 }
 
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -10,16 +10,17 @@
 
 using protocol::RelayKind;
 
-/// An executor answers an order in a few milliseconds; one five times slower in tens.
+/// Executors answer orders within a few milliseconds; one that is five times slower takes tens.
 constexpr core::Millis OrderTimeout{450};
-/// Added to the wait of a request for an executor's lists.
+/// Added to the wait of a hold order, which returns the executor's lists of runs.
 constexpr core::Millis HoldAnswerMargin{350};
-/// Added for the way through another daemon: two batches, two hops and its loop.
+/// Added to an order's timeout for the way through a relay: two batches, two hops and the relay's
+/// event loop.
 constexpr core::Millis RelayAllowance{400};
-/// Between two batches to the same daemon.
+/// Shortest interval between batches to the same relay.
 constexpr core::Millis MinBatchInterval{20};
 constexpr core::Millis BatchTimeout{600};
-/// Between looks for overdue results.
+/// Interval between checks for overdue results.
 constexpr core::Millis ExpiryCheckInterval{50};
 
 platform::HoldAnswer toHoldAnswer(const platform::OrderAnswer &Answer) {
@@ -142,13 +143,14 @@
   Request.Body_ = core::pack(
       protocol::OrdersRequest{Context_.PeerAddress_, std::exchange(Outgoing.Orders_, {})});
   Request.Timeout_ = BatchTimeout;
-  // Its orders may have gone out all the same, so their results are waited for.
+  // The relay may have sent the orders even if this request fails, so they stay pending until their
+  // results arrive or are overdue.
   Context_.Client_.send(
       std::move(Request),
       [this, RelayAddress, Alive = std::weak_ptr<bool>(Alive_)](const http::ClientResult &Result) {
         if (Alive.expired() || Result.Transfer_ == http::Transfer::Complete)
           return;
-        core::log(core::LogLevel::Warning, "orders were not taken",
+        core::log(core::LogLevel::Warning, "failed to send orders to relay",
                   {{"relay", RelayAddress}, {"detail", Result.Error_}});
         Relays_.markFailed(RelayAddress, core::Clock::now());
       });
@@ -167,7 +169,7 @@
   });
   if (!Overdue.empty()) {
     core::log(
-        core::LogLevel::Warning, "relayed orders have no result",
+        core::LogLevel::Warning, "no results of relayed orders before their deadlines",
         {{"count", std::to_string(Overdue.size())}, {"relay", Overdue.front().RelayAddress_}});
     core::count("masticdrift_relayed_orders_lost_total", {}, static_cast<double>(Overdue.size()));
   }
@@ -181,7 +183,7 @@
   for (const protocol::RelayedResult &Result : Request.Results_) {
     auto Node = PendingOrders_.extract(Result.OrderId_);
     if (Node.empty())
-      continue; // counted as lost already
+      continue; // already counted as lost
     platform::HoldAnswer Answer;
     Answer.Outcome_ = Result.Outcome_;
     Answer.Report_ = Result.Report_;
--- a/src/daemon/RelayTable.cpp
+++ b/src/daemon/RelayTable.cpp
@@ -4,9 +4,10 @@
 
 namespace {
 
-/// Smaller machines need their processor for their own callers.
+/// Smaller machines need their processor time for their own callers.
 constexpr double MinRelayCores = 0.2;
-/// Rest of a daemon whose call failed; long enough for its offers to stop if it is gone.
+/// Pause of a daemon after a failed request; longer than RelayTimeout, so that a daemon that is
+/// gone has timed out by then.
 constexpr core::Millis FailureBackoff{2000};
 
 } // namespace
