--- a/tests/unit/JobStateWaitersTest.cpp
+++ b/tests/unit/JobStateWaitersTest.cpp
@@ -1,4 +1,4 @@
-// When the leader answers looks at jobs whose end is being written.
+// When the leader answers queries for jobs whose end is being written.
 #include "masticdrift/daemon/JobStateWaiters.h"
 
 #include <criterion/criterion.h>
@@ -30,7 +30,8 @@
 
 } // namespace
 
-// Guards against callers who learn of the end of their job one look late.
+// Guards against callers who learn of the end of their job only with their next poll, because the
+// query was answered just before the end was durable.
 Test(JobStateWaiters, answersOnceTheEndIsDurable) {
   work::Ledger Ledger = ledgerWithRunningJob("j1");
   daemon::JobStateWaiters Waiters;
@@ -47,7 +48,7 @@
   cr_expect_eq(Waiters.size(), 0);
 }
 
-// Guards against answers that are held back while the store is slow or away.
+// Guards against replies that are held back for as long as the store is slow or unavailable.
 Test(JobStateWaiters, answersAtTheDeadline) {
   const work::Ledger Ledger = ledgerWithRunningJob("j1");
   daemon::JobStateWaiters Waiters;
@@ -60,7 +61,7 @@
   cr_expect_eq(Replies[0].State_, static_cast<std::uint8_t>(work::JobState::Running));
 }
 
-// Guards against a look that is never answered because its job was removed from the log meanwhile.
+// Guards against a query that is never answered because its job was removed from the log meanwhile.
 Test(JobStateWaiters, answersForARemovedJob) {
   work::Ledger Ledger = ledgerWithRunningJob("j1");
   daemon::JobStateWaiters Waiters;
--- a/tests/unit/RelayTableTest.cpp
+++ b/tests/unit/RelayTableTest.cpp
@@ -1,4 +1,4 @@
-// Which daemon carries the orders for the executors of a failure domain.
+// Selection of the daemon that relays orders to the executors of a failure domain.
 #include "masticdrift/daemon/RelayTable.h"
 
 #include <criterion/criterion.h>
@@ -21,6 +21,7 @@
 
 } // namespace
 
+// Guards against relays that alternate between equal machines, so that connections are not reused.
 Test(RelayTable, prefersTheLargestMachineOfTheDomainAndKeepsIt) {
   daemon::RelayTable Table = makeTable();
   cr_expect(Table.relayFor("multan-a", StartTime) == "10.0.0.2:1");
@@ -28,14 +29,14 @@
   cr_expect(Table.relayFor("multan-a", StartTime + Millis(600)) == "10.0.0.2:1");
 }
 
-// Guards against small machines that can't carry orders beside their callers.
+// Guards against relays on machines that are too small to relay orders and serve callers as well.
 Test(RelayTable, returnsNothingForADomainOfSmallMachines) {
   daemon::RelayTable Table;
   Table.registerRelay({"small", "10.0.0.1:1", "multan-a", 0.12}, StartTime);
   cr_expect(Table.relayFor("multan-a", StartTime).empty());
 }
 
-// Guards against orders that go to a daemon that is gone.
+// Guards against orders that are sent to a daemon that is gone.
 Test(RelayTable, skipsDaemonsThatFailedOrTimedOut) {
   daemon::RelayTable Table = makeTable();
   Table.markFailed("10.0.0.2:1", StartTime);
