--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -19,11 +19,9 @@
 namespace masticdrift::daemon {
 
 // Topics of the log service.
-inline constexpr const char *JobsTopic = "keyed.jobs"; ///< job records, except the steps
-inline constexpr const char *SpecsTopic =
-    "keyed.specs"; ///< steps of jobs, which only a leader needs
-inline constexpr const char *LeadershipTopic =
-    "keyed.lead"; ///< claims, heartbeats and releases of the leadership
+inline constexpr const char *JobsTopic = "keyed.jobs";         ///< job records, except the steps
+inline constexpr const char *SpecsTopic = "keyed.specs";       ///< steps of jobs, read by leaders
+inline constexpr const char *LeadershipTopic = "keyed.lead";   ///< records of the leader election
 inline constexpr const char *ConfigTopic = "keyed.op";         ///< configuration
 inline constexpr const char *ConfigKey = "config";             ///< key of the configuration record
 inline constexpr const char *ExecutorsTopic = "keyed.servers"; ///< executor list
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -50,7 +50,6 @@
 constexpr core::Millis FreshProcessAge{12'000};
 /// Tolerance, because the executor list and the leader's heartbeats are read at different times.
 constexpr core::Millis UnlistedReadSkew{4000};
-/// Interval between updates of the leader's gauges.
 constexpr core::Millis GaugeUpdateInterval{2000};
 
 } // namespace
