--- /dev/null
+++ b/include/masticdrift/daemon/AdviceDispatcher.h
@@ -0,0 +1,64 @@
+/// \file
+/// Distributes calls to the advice service over the daemons, because the service handles one call
+/// at a time from each.
+#ifndef MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
+#define MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
+
+#include "masticdrift/core/Clock.h"
+#include "masticdrift/fleet/Orders.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticdrift::daemon {
+
+/// One call to the advice service.
+struct AdviceCall {
+  work::TaskRef Step_;
+  std::vector<std::string> Executors_;
+  double ExpectedMs_ = 0;                    ///< expected duration
+  std::pair<int, core::TimePoint> Priority_; ///< lower values go first
+};
+
+/// Decides which daemon makes which call, and when. Does no I/O.
+class AdviceDispatcher {
+public:
+  /// Makes a call at the daemon with this peer address; this daemon has the empty address.
+  using SendFunction = std::function<void(const std::string &Address, AdviceCall Call)>;
+
+  explicit AdviceDispatcher(SendFunction Send) : Send_(std::move(Send)) {}
+
+  /// Adds a daemon that can make calls, or renews it. Must be repeated within \c AdviserTimeout.
+  void registerAdviser(const std::string &Address, core::TimePoint Now);
+
+  /// Queues a call and dispatches.
+  void enqueue(AdviceCall Call, core::TimePoint Now);
+
+  /// Marks the daemon at \p Address as free again and dispatches.
+  ///
+  /// \param Answered false makes the daemon pause before its next call.
+  void onCallFinished(const std::string &Address, bool Answered, core::TimePoint Now);
+
+  /// Sends waiting calls to free daemons, in the order of their priorities.
+  void dispatch(core::TimePoint Now);
+
+private:
+  struct Adviser {
+    core::TimePoint LastSeenAt_;
+    core::TimePoint BackoffUntil_{};
+    bool Busy_ = false;
+  };
+  const SendFunction Send_;
+  std::map<std::string, Adviser> Advisers_;
+  std::vector<AdviceCall> WaitingCalls_;
+};
+
+/// Daemons that were silent for longer get no calls.
+inline constexpr core::Millis AdviserTimeout{1600};
+
+} // namespace masticdrift::daemon
+
+#endif // MASTICDRIFT_DAEMON_ADVICEDISPATCHER_H
--- a/include/masticdrift/daemon/OrderRelay.h
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -1,10 +1,10 @@
 /// \file
-/// Carries orders of a leader to executors and returns the results in batches.
+/// Forwards orders of a leader to executors and returns the results in batches.
 #ifndef MASTICDRIFT_DAEMON_ORDERRELAY_H
 #define MASTICDRIFT_DAEMON_ORDERRELAY_H
 
 #include "masticdrift/daemon/FleetContext.h"
-#include "masticdrift/protocol/Relay.h"
+#include "masticdrift/protocol/RelayMessages.h"
 
 #include <map>
 #include <memory>
@@ -13,23 +13,25 @@
 
 namespace masticdrift::daemon {
 
-/// Decides nothing: the orders carry the leader's token, so an executor refuses those of a leader
-/// that was replaced.
+/// Makes no decisions. Orders carry the leader's fencing token, so executors refuse those of a
+/// leader that was replaced.
 class OrderRelay {
 public:
   explicit OrderRelay(FleetContext &Context) : Context_(Context), Timer_(Context.Loop_) {}
 
-  void carry(const protocol::OrdersCall &Call);
+  /// Sends orders to their executors; the results go to the leader that is named in the request.
+  void forward(const protocol::OrdersRequest &Request);
 
 private:
-  void add(const std::string &ReplyTo, protocol::RelayedResult Result);
+  void addResult(const std::string &ReplyTo, protocol::RelayedResult Result);
   void flush();
 
   FleetContext &Context_;
   asio::steady_timer Timer_;
-  bool Armed_ = false;
-  core::TimePoint FlushedAt_{};
-  std::map<std::string, std::vector<protocol::RelayedResult>> Results_; ///< by leader's address
+  bool TimerArmed_ = false;
+  core::TimePoint LastFlushAt_{};
+  std::map<std::string, std::vector<protocol::RelayedResult>>
+      Results_; ///< by the leader's peer address
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -23,7 +23,7 @@
 /// A leader that takes longer is left aside; enough for an append at a very slow store.
 constexpr core::Millis MostRelayTime{1700};
 /// The leader's own wait for a write and twice a slow link's way.
-constexpr core::Millis LookRelayTimeout = MostLookWait + core::Millis(300);
+constexpr core::Millis LookRelayTimeout = MaxJobStateWait + core::Millis(300);
 /// Whole seconds, the smallest that the header can say. Another daemon takes the retry.
 constexpr const char *RetryAfterSeconds = "1";
 
@@ -190,7 +190,7 @@
   // One writer at a time keeps the partition's queue short when the store is slow, and tells the
   // leader of the job at once.
   const std::string Leader = Leader_.leaderAddress();
-  if (!Leader.empty() && (Leader_.leaderHeard() || Jobs_.failing())) {
+  if (!Leader.empty() && (Leader_.leaderResponsive() || Jobs_.failing())) {
     relay(Of, Leader, std::move(What), std::move(Done));
     return;
   }
@@ -236,7 +236,7 @@
   Call.Method_ = "POST";
   Call.Url_ = "http://" + Leader + protocol::SubmitPath;
   Call.Body_ = core::pack(
-      protocol::SubmitCall{What.Record_.Key_, What.Record_.Value_, What.Spec_, Wait.count()});
+      protocol::SubmitRequest{What.Record_.Key_, What.Record_.Value_, What.Spec_, Wait.count()});
   Call.Timeout_ = Wait + RelayMargin;
   Context_.Client_.send(std::move(Call), [this, Of, What = std::move(What), Done = std::move(Done)](
                                              const http::ClientResult &Result) mutable {
@@ -255,7 +255,7 @@
                {"uncertain", NothingDone ? "false" : "true"},
                {"detail", Reply ? "leader could not store" : Result.Error_}});
     if (!Reply)
-      Leader_.leaderFailed();
+      Leader_.onLeaderFailure();
     if (Jobs_.failing()) {
       Done(NothingDone ? WriteOutcome::Refused : WriteOutcome::Unknown);
       return;
@@ -270,7 +270,7 @@
   });
 }
 
-void EntryService::submitFor(protocol::SubmitCall Call,
+void EntryService::submitFor(protocol::SubmitRequest Call,
                              std::function<void(protocol::SubmitReply)> Done) {
   if (Jobs_.failing()) {
     Done({false, true, 0});
@@ -296,17 +296,18 @@
 }
 
 void EntryService::resolve(const std::shared_ptr<Call> &Of, Found Then) {
-  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  const protocol::JobStateReply Own = jobStateReply(Context_.Ledger_, Of->Job_);
   if (Own.Known_ && work::isFinal(static_cast<work::JobState>(Own.State_))) {
     resolved(Of, "own", Own, Then);
     return;
   }
   const std::string Leader = Leader_.leaderAddress();
   if (Leader_.leading())
-    Leader_.look(Of->Job_, [this, Of, Then = std::move(Then)](const protocol::LookReply &Reply) {
-      resolved(Of, "leader", Reply, Then);
-    });
-  else if (!Leader.empty() && Leader_.leaderHeard())
+    Leader_.queryJobState(Of->Job_,
+                          [this, Of, Then = std::move(Then)](const protocol::JobStateReply &Reply) {
+                            resolved(Of, "leader", Reply, Then);
+                          });
+  else if (!Leader.empty() && Leader_.leaderResponsive())
     askLeader(Of, Leader, std::move(Then));
   else
     resolveHere(Of, Then);
@@ -316,25 +317,25 @@
                              Found Then) {
   http::ClientRequest Call;
   Call.Method_ = "POST";
-  Call.Url_ = "http://" + Leader + protocol::LookPath;
-  Call.Body_ = core::pack(protocol::LookCall{Of->Job_});
+  Call.Url_ = "http://" + Leader + protocol::JobStatePath;
+  Call.Body_ = core::pack(protocol::JobStateRequest{Of->Job_});
   Call.Timeout_ = LookRelayTimeout;
   Context_.Client_.send(
       std::move(Call), [this, Of, Then = std::move(Then)](const http::ClientResult &Result) {
         const auto Reply = Result.Transfer_ == http::Transfer::Complete
-                               ? core::unpack<protocol::LookReply>(Result.Answer_.Body_)
+                               ? core::unpack<protocol::JobStateReply>(Result.Answer_.Body_)
                                : std::nullopt;
         if (!Reply) {
           core::log(core::LogLevel::Warning, "leader did not tell a job's state",
                     {{"request_id", Of->Job_}, {"detail", Result.Error_}});
-          Leader_.leaderFailed();
+          Leader_.onLeaderFailure();
         }
-        resolved(Of, "leader", Reply.value_or(protocol::LookReply{}), Then);
+        resolved(Of, "leader", Reply.value_or(protocol::JobStateReply{}), Then);
       });
 }
 
 void EntryService::resolveHere(const std::shared_ptr<Call> &Of, const Found &Then) {
-  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
+  const protocol::JobStateReply Own = jobStateReply(Context_.Ledger_, Of->Job_);
   if (Own.Known_) {
     resolved(Of, "own", Own, Then);
     return;
@@ -345,7 +346,7 @@
   }
   // "No such job" is only true of the whole log.
   Jobs_.catchUp(LookTimeout, [this, Of, Then](bool Complete) {
-    const protocol::LookReply Read = lookedUp(Context_.Ledger_, Of->Job_);
+    const protocol::JobStateReply Read = jobStateReply(Context_.Ledger_, Of->Job_);
     if (Read.Known_)
       resolved(Of, "own", Read, Then);
     else if (Complete)
@@ -356,7 +357,7 @@
 }
 
 void EntryService::resolved(const std::shared_ptr<Call> &Of, std::string_view Source,
-                            const protocol::LookReply &Reply, const Found &Then) {
+                            const protocol::JobStateReply &Reply, const Found &Then) {
   if (!Reply.Answered_ || !Reply.Known_) {
     resolveHere(Of, Then);
     return;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -97,7 +97,7 @@
              [this] {
                if (Leader_.leading())
                  return LeaderJobsRest;
-               return Leader_.leaderHeard() ? FollowerJobsRest : UnledJobsRest;
+               return Leader_.leaderResponsive() ? FollowerJobsRest : UnledJobsRest;
              },
              !lead::isPreferredLeader(Settings.Cores_)},
             {[this](const platform::KeyedRecord &One) { onJobRecord(One); }, [](const auto &) {}}),
@@ -221,13 +221,13 @@
                   {{"executor", One.Key_}, {"offset", std::to_string(One.Offset_)}});
       return;
     }
-    Context_.Roster_[One.Key_] = {std::move(*Info), true, core::Clock::now()};
+    Context_.ExecutorEntries_[One.Key_] = {std::move(*Info), true, core::Clock::now()};
     Leader_.onExecutor(One.Key_);
   }
 
   void executorGone(const std::string &Id) {
-    const auto Found = Context_.Roster_.find(Id);
-    if (Found == Context_.Roster_.end() || !Found->second.Listed_)
+    const auto Found = Context_.ExecutorEntries_.find(Id);
+    if (Found == Context_.ExecutorEntries_.end() || !Found->second.Listed_)
       return;
     Found->second.Listed_ = false;
     Found->second.ChangedAt_ = core::Clock::now();
@@ -237,7 +237,7 @@
 
   void onExecutorsLoaded(const std::set<std::string> &Keys) {
     std::vector<std::string> Gone;
-    for (const auto &[Id, Entry] : Context_.Roster_)
+    for (const auto &[Id, Entry] : Context_.ExecutorEntries_)
       if (!Keys.contains(Id))
         Gone.push_back(Id);
     for (const std::string &Id : Gone)
@@ -248,7 +248,7 @@
     http::Response Out;
     // Until the jobs are loaded the leader tells their states.
     const bool Ready = !Context_.Stopping_ && Context_.Manifest_ &&
-                       (Jobs_.loaded() || Leader_.leaderHeard()) && !Jobs_.failing() &&
+                       (Jobs_.loaded() || Leader_.leaderResponsive()) && !Jobs_.failing() &&
                        !Config_.failing();
     Out.Status_ = Ready ? 200 : 503;
     Out.ContentType_ = "text/plain";
@@ -262,17 +262,18 @@
     } else if (From.Path_ == protocol::HelloPath) {
       if (const auto Hello = core::unpack<protocol::Hello>(From.Body_))
         Leader_.onHello(*Hello);
-      To({Leader_.cutOff() ? 503 : 200, Context_.Incarnation_, "text/plain", {}, false});
+      To({Leader_.leadsWithoutStore() ? 503 : 200, Context_.Incarnation_, "text/plain", {}, false});
     } else if (From.Path_ == protocol::AdvisePath) {
       advise(From, To);
     } else if (From.Path_ == protocol::SubmitPath) {
       submitFor(From, To);
-    } else if (From.Path_ == protocol::LookPath) {
+    } else if (From.Path_ == protocol::JobStatePath) {
       lookFor(From, To);
     } else if (From.Path_ == protocol::OrdersPath) {
-      take<protocol::OrdersCall>(From, To, [this](const auto &Call) { Relay_.carry(Call); });
+      take<protocol::OrdersRequest>(From, To, [this](const auto &Call) { Relay_.forward(Call); });
     } else if (From.Path_ == protocol::ResultsPath) {
-      take<protocol::ResultsCall>(From, To, [this](const auto &Call) { Leader_.onResults(Call); });
+      take<protocol::ResultsRequest>(From, To,
+                                     [this](const auto &Call) { Leader_.onResults(Call); });
     } else {
       To({404, {}, "text/plain", {}, false});
     }
@@ -291,13 +292,13 @@
   }
 
   void advise(const http::Request &From, const http::Responder &To) {
-    const auto Call = core::unpack<protocol::AdviseCall>(From.Body_);
+    const auto Call = core::unpack<protocol::AdviseRequest>(From.Body_);
     if (!Call) {
       To({400, {}, "text/plain", {}, false});
       return;
     }
     platform::askAdvice(Client_, Settings_.AdviceAddress_,
-                        {Call->Job_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
+                        {Call->JobId_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
                         core::Millis(Call->TimeoutMs_),
                         [To](const std::optional<std::vector<fleet::Advised>> &Good) {
                           protocol::AdviseReply Reply;
@@ -312,7 +313,7 @@
   }
 
   void submitFor(const http::Request &From, const http::Responder &To) {
-    auto Call = core::unpack<protocol::SubmitCall>(From.Body_);
+    auto Call = core::unpack<protocol::SubmitRequest>(From.Body_);
     if (!Call) {
       To({400, {}, "text/plain", {}, false});
       return;
@@ -323,12 +324,12 @@
   }
 
   void lookFor(const http::Request &From, const http::Responder &To) {
-    const auto Call = core::unpack<protocol::LookCall>(From.Body_);
+    const auto Call = core::unpack<protocol::JobStateRequest>(From.Body_);
     if (!Call) {
       To({400, {}, "text/plain", {}, false});
       return;
     }
-    Leader_.look(Call->Job_, [To](const protocol::LookReply &Reply) {
+    Leader_.queryJobState(Call->JobId_, [To](const protocol::JobStateReply &Reply) {
       To({200, core::pack(Reply), "application/msgpack", {}, false});
     });
   }
@@ -337,7 +338,7 @@
     const core::TimePoint Now = core::Clock::now();
     SpecWriter_.expire(Now);
     Writer_.expire(Now);
-    std::erase_if(Context_.Roster_, [&](const auto &One) {
+    std::erase_if(Context_.ExecutorEntries_, [&](const auto &One) {
       return !One.second.Listed_ && Now - One.second.ChangedAt_ > RosterMemory;
     });
     ExpiryTimer_.expires_after(ExpiryInterval);
--- /dev/null
+++ b/src/daemon/JobStateWaiters.cpp
@@ -0,0 +1,33 @@
+#include "masticdrift/daemon/JobStateWaiters.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace masticdrift::daemon {
+
+protocol::JobStateReply jobStateReply(const work::Ledger &Ledger, std::string_view JobId) {
+  const work::LedgerJob *Job = Ledger.find(JobId);
+  if (Job == nullptr)
+    return {true, false, {}, 0};
+  return {true, true, Job->What_.Customer_, static_cast<std::uint8_t>(Job->state())};
+}
+
+void JobStateWaiters::add(std::string JobId, core::TimePoint Deadline, ReplyCallback OnReply) {
+  Waiters_.push_back({std::move(JobId), Deadline, std::move(OnReply)});
+}
+
+void JobStateWaiters::answerReady(const work::Ledger &Ledger, core::TimePoint Now) {
+  const auto FirstReady =
+      std::partition(Waiters_.begin(), Waiters_.end(), [&](const Waiter &Entry) {
+        const work::LedgerJob *Job = Ledger.find(Entry.JobId_);
+        return Job != nullptr && !work::isFinal(Job->state()) && Now < Entry.Deadline_;
+      });
+  std::vector<Waiter> ReadyWaiters(std::make_move_iterator(FirstReady),
+                                   std::make_move_iterator(Waiters_.end()));
+  Waiters_.erase(FirstReady, Waiters_.end());
+  // A callback may add the next query, so the ready ones were removed first.
+  for (const Waiter &Entry : ReadyWaiters)
+    Entry.OnReply_(jobStateReply(Ledger, Entry.JobId_));
+}
+
+} // namespace masticdrift::daemon
--- /dev/null
+++ b/src/daemon/OrderRouter.cpp
@@ -0,0 +1,195 @@
+#include "masticdrift/daemon/OrderRouter.h"
+
+#include "masticdrift/core/Log.h"
+#include "masticdrift/core/Metrics.h"
+#include "masticdrift/core/Pack.h"
+
+namespace masticdrift::daemon {
+
+namespace {
+
+using protocol::RelayKind;
+
+/// Executors answer orders within a few milliseconds; one that is five times slower takes tens.
+constexpr core::Millis OrderTimeout{450};
+/// Added to the wait of a hold order, which returns the executor's lists of runs.
+constexpr core::Millis HoldAnswerMargin{350};
+/// Added to an order's timeout for the way through a relay: two batches, two hops and the relay's
+/// event loop.
+constexpr core::Millis RelayAllowance{400};
+/// Shortest interval between batches to the same relay.
+constexpr core::Millis MinBatchInterval{20};
+constexpr core::Millis BatchTimeout{600};
+/// Interval between checks for overdue results.
+constexpr core::Millis ExpiryCheckInterval{50};
+
+platform::HoldAnswer toHoldAnswer(const platform::OrderAnswer &Answer) {
+  platform::HoldAnswer HoldAnswer;
+  HoldAnswer.Outcome_ = Answer.Outcome_;
+  HoldAnswer.Report_.ClockMs_ = Answer.ClockMs_;
+  return HoldAnswer;
+}
+
+OrderRouter::HoldCallback toHoldCallback(OrderRouter::OrderCallback OnAnswer) {
+  return [OnAnswer = std::move(OnAnswer)](const platform::HoldAnswer &Answer) {
+    OnAnswer({Answer.Outcome_, Answer.Report_.ClockMs_});
+  };
+}
+
+protocol::RelayedOrder makeOrder(RelayKind Kind, const lead::RunKey &Run, std::uint64_t Token) {
+  protocol::RelayedOrder Order;
+  Order.Kind_ = static_cast<std::uint8_t>(Kind);
+  Order.Order_.Task_ = Run.first;
+  Order.Order_.Run_ = Run.second;
+  Order.Order_.Token_ = Token;
+  Order.TimeoutMs_ = OrderTimeout.count();
+  return Order;
+}
+
+} // namespace
+
+void sendOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
+               OrderRouter::HoldCallback OnAnswer) {
+  const platform::Target Target{Order.ExecutorAddress_, Order.ExecutorId_};
+  const core::Millis Timeout(Order.TimeoutMs_);
+  const fleet::StartOrder &Details = Order.Order_;
+  const auto OnOrderAnswer = [OnAnswer](const platform::OrderAnswer &Answer) {
+    OnAnswer(toHoldAnswer(Answer));
+  };
+  switch (static_cast<RelayKind>(Order.Kind_)) {
+  case RelayKind::Start:
+    platform::sendStart(Client, Target, Details, Timeout, OnOrderAnswer);
+    return;
+  case RelayKind::Stop:
+    platform::sendStop(Client, Target, Details.Task_, Details.Run_, Details.Token_, Timeout,
+                       OnOrderAnswer);
+    return;
+  case RelayKind::Pace:
+    platform::sendPace(Client, Target, Details.Task_, Details.Run_, Details.Token_, Order.Percent_,
+                       Timeout, OnOrderAnswer);
+    return;
+  case RelayKind::Hold:
+    platform::sendHold(Client, Target, Details.Token_, Order.SeenUpTo_, Details.UntilMs_,
+                       core::Millis(Order.WaitMs_), Timeout, std::move(OnAnswer));
+    return;
+  }
+  platform::HoldAnswer UnknownKindAnswer;
+  UnknownKindAnswer.Outcome_ = fleet::OrderOutcome::NotSent;
+  OnAnswer(UnknownKindAnswer);
+}
+
+void OrderRouter::start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
+                        OrderCallback OnAnswer) {
+  protocol::RelayedOrder Relayed =
+      makeOrder(RelayKind::Start, {Order.Task_, Order.Run_}, Order.Token_);
+  Relayed.Order_ = Order;
+  route(Executor, std::move(Relayed), toHoldCallback(std::move(OnAnswer)));
+}
+
+void OrderRouter::stop(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
+                       std::uint64_t Token, OrderCallback OnAnswer) {
+  route(Executor, makeOrder(RelayKind::Stop, Run, Token), toHoldCallback(std::move(OnAnswer)));
+}
+
+void OrderRouter::pace(const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
+                       std::uint64_t Token, int Percent, OrderCallback OnAnswer) {
+  protocol::RelayedOrder Relayed = makeOrder(RelayKind::Pace, Run, Token);
+  Relayed.Percent_ = Percent;
+  route(Executor, std::move(Relayed), toHoldCallback(std::move(OnAnswer)));
+}
+
+void OrderRouter::hold(const fleet::ExecutorInfo &Executor, std::uint64_t Token,
+                       std::uint64_t SeenUpTo, std::int64_t UntilMs, core::Millis Wait,
+                       HoldCallback OnAnswer) {
+  protocol::RelayedOrder Relayed = makeOrder(RelayKind::Hold, {}, Token);
+  Relayed.Order_.UntilMs_ = UntilMs;
+  Relayed.SeenUpTo_ = SeenUpTo;
+  Relayed.WaitMs_ = Wait.count();
+  Relayed.TimeoutMs_ = (Wait + HoldAnswerMargin).count();
+  route(Executor, std::move(Relayed), std::move(OnAnswer));
+}
+
+void OrderRouter::route(const fleet::ExecutorInfo &Executor, protocol::RelayedOrder Order,
+                        HoldCallback OnAnswer) {
+  Order.ExecutorAddress_ = Executor.Address_;
+  Order.ExecutorId_ = Executor.Id_;
+  const core::TimePoint Now = core::Clock::now();
+  const std::string_view RelayAddress = Context_.ExecutorEntries_.size() > MaxDirectExecutors
+                                            ? Relays_.relayFor(Executor.Domain_, Now)
+                                            : std::string_view();
+  if (RelayAddress.empty()) {
+    sendOrder(Context_.Client_, Order, std::move(OnAnswer));
+    return;
+  }
+  Order.OrderId_ = NextOrderId_++;
+  PendingOrders_[Order.OrderId_] = {std::string(RelayAddress),
+                                    Now + core::Millis(Order.TimeoutMs_) + RelayAllowance,
+                                    std::move(OnAnswer)};
+  Batches_[std::string(RelayAddress)].Orders_.push_back(std::move(Order));
+}
+
+void OrderRouter::flush(core::TimePoint Now) {
+  for (auto &[RelayAddress, Outgoing] : Batches_)
+    if (!Outgoing.Orders_.empty() && Now - Outgoing.SentAt_ >= MinBatchInterval)
+      send(RelayAddress, Outgoing, Now);
+  expireOverdue(Now);
+}
+
+void OrderRouter::send(const std::string &RelayAddress, Batch &Outgoing, core::TimePoint Now) {
+  Outgoing.SentAt_ = Now;
+  http::ClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Url_ = "http://" + RelayAddress + protocol::OrdersPath;
+  Request.Body_ = core::pack(
+      protocol::OrdersRequest{Context_.PeerAddress_, std::exchange(Outgoing.Orders_, {})});
+  Request.Timeout_ = BatchTimeout;
+  // The relay may have sent the orders even if this request fails, so they stay pending until their
+  // results arrive or are overdue.
+  Context_.Client_.send(
+      std::move(Request),
+      [this, RelayAddress, Alive = std::weak_ptr<bool>(Alive_)](const http::ClientResult &Result) {
+        if (Alive.expired() || Result.Transfer_ == http::Transfer::Complete)
+          return;
+        core::log(core::LogLevel::Warning, "failed to send orders to relay",
+                  {{"relay", RelayAddress}, {"detail", Result.Error_}});
+        Relays_.markFailed(RelayAddress, core::Clock::now());
+      });
+}
+
+void OrderRouter::expireOverdue(core::TimePoint Now) {
+  if (Now - LastExpiryCheckAt_ < ExpiryCheckInterval)
+    return;
+  LastExpiryCheckAt_ = Now;
+  std::vector<PendingOrder> Overdue;
+  std::erase_if(PendingOrders_, [&](auto &Entry) {
+    if (Now < Entry.second.Deadline_)
+      return false;
+    Overdue.push_back(std::move(Entry.second));
+    return true;
+  });
+  if (!Overdue.empty()) {
+    core::log(
+        core::LogLevel::Warning, "no results of relayed orders before their deadlines",
+        {{"count", std::to_string(Overdue.size())}, {"relay", Overdue.front().RelayAddress_}});
+    core::count("masticdrift_relayed_orders_lost_total", {}, static_cast<double>(Overdue.size()));
+  }
+  for (const PendingOrder &Order : Overdue) {
+    Relays_.markFailed(Order.RelayAddress_, Now);
+    Order.OnAnswer_({});
+  }
+}
+
+void OrderRouter::onResults(const protocol::ResultsRequest &Request) {
+  for (const protocol::RelayedResult &Result : Request.Results_) {
+    auto Node = PendingOrders_.extract(Result.OrderId_);
+    if (Node.empty())
+      continue; // already counted as lost
+    platform::HoldAnswer Answer;
+    Answer.Outcome_ = Result.Outcome_;
+    Answer.Report_ = Result.Report_;
+    Answer.Report_.ClockMs_ = Result.ClockMs_;
+    Node.mapped().OnAnswer_(Answer);
+  }
+}
+
+} // namespace masticdrift::daemon
