daemon: rename the topic tail's options, hooks and calls

Words such as rest, gentle, hurry and sink don't tell what the options and calls do. They are named after pauses, throttling and callbacks now; offsets, delays and sizes carry their meaning in the name.

--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -68,7 +68,7 @@
              {"status", std::to_string(Out.Status_)},
              {"message", std::string(Message)},
              {"config", Context_.Manifest_ ? std::to_string(Context_.Manifest_->Version_) : "none"},
-             {"read_to", std::to_string(Jobs_.next())}});
+             {"read_to", std::to_string(Jobs_.nextOffset())}});
   Of->Finish_(std::move(Out));
 }
 
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -117,7 +117,7 @@
       return;
     }
     lead::ElectionView View{
-        core::Clock::now(), Lead_.lastAnswer(), NewsAt_, Newest_ ? &*Newest_ : nullptr,
+        core::Clock::now(), Lead_.lastAnsweredAt(), NewsAt_, Newest_ ? &*Newest_ : nullptr,
         core::wallMillis(), FoundOnStart_,
         // While the store is away from this daemon too, nothing is gained by a claim.
         Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
@@ -165,7 +165,7 @@
 
   void claim() {
     Claiming_ = true;
-    const std::uint64_t At = std::max(Lead_.next(), Newest_ ? NewestOffset_ + 1 : 0);
+    const std::uint64_t At = std::max(Lead_.nextOffset(), Newest_ ? NewestOffset_ + 1 : 0);
     BeatGap_ = Newest_ ? core::Millis(core::wallMillis() - Newest_->WallMs_) : core::Millis(0);
     core::log(core::LogLevel::Info, "claims the leadership",
               {{"at", std::to_string(At)},
@@ -192,8 +192,8 @@
     Term_ = Newest_->Term_;
     Sequence_ = 0;
     Specs_.start();
-    Specs_.hurry();
-    Executors_.hurry();
+    Specs_.expedite();
+    Executors_.expedite();
     core::count("masticdrift_takeovers_total");
     core::log(core::LogLevel::Info, "term begins", {{"term", std::to_string(Term_)}});
     fence();
@@ -286,8 +286,8 @@
       Scheduler_->onJob(Job, Now, core::wallMillis());
     Desk_.offer({}, Now);
     // From now on these reads rest as a leader's do.
-    Jobs_.hurry();
-    Specs_.hurry();
+    Jobs_.expedite();
+    Specs_.expedite();
     const auto Counts = Scheduler_->counts();
     core::setGauge("masticdrift_leader", 1);
     core::log(core::LogLevel::Info, "leads",
@@ -656,7 +656,7 @@
   /// Without a leader that answers, this daemon's own reads are all that callers have.
   void hear(bool Heard) {
     if (std::exchange(LeaderHeard_, Heard) && !Heard)
-      Jobs_.hurry();
+      Jobs_.expedite();
   }
 
   static void after(asio::steady_timer &Timer, core::Millis Delay, std::function<void()> Work) {
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -13,73 +13,76 @@
 
 /// Added to the wait of a read for the answer itself; a store sixty times slower than usual
 /// answers in 0.3 s.
-constexpr core::Millis AnswerTime{1300};
+constexpr core::Millis ResponseTimeout{1300};
 /// Of one read. Two dozen daemons that catch up over a link of 60 Mbit/s at the same time must
 /// neither miss the time limit of a read nor crowd out the calls to executors.
-constexpr int ReadKb = 96;
+constexpr int MaxReadKb = 96;
 /// Between reads while catching up, for the same reason.
-constexpr core::Millis CatchUpRest{120};
+constexpr core::Millis CatchUpPause{120};
 /// Between pages of a gentle load: this long at least, and this many times as long as a page took.
 /// 17 small machines that start together then leave half of a link of 60 Mbit/s free.
-constexpr core::Millis LeastPageRest{200};
-constexpr int PageRestFactor = 3;
-constexpr core::Millis FirstRetry{100};
-constexpr core::Millis LastRetry{800};
+constexpr core::Millis MinPagePause{200};
+constexpr int PagePauseFactor = 3;
+constexpr core::Millis MinRetryDelay{100};
+constexpr core::Millis MaxRetryDelay{800};
 
 } // namespace
 
 struct TopicTail::Impl : std::enable_shared_from_this<TopicTail::Impl> {
-  Impl(asio::io_context &Loop, platform::Store &Store, TailOptions Options, Sink To)
-      : Store_(Store), Options_(std::move(Options)), To_(std::move(To)), Timer_(Loop) {}
-
-  void load(const std::string &After) {
-    PageAskedAt_ = core::Clock::now();
-    Store_.newest(Options_.Topic_, After, AnswerTime,
-                  [Self = shared_from_this(), After](platform::NewestResult Page) {
+  Impl(asio::io_context &Loop, platform::Store &Store, TailOptions Options, Hooks Callbacks)
+      : Store_(Store), Options_(std::move(Options)), Callbacks_(std::move(Callbacks)),
+        Timer_(Loop) {}
+
+  void load(const std::string &AfterKey) {
+    PageRequestedAt_ = core::Clock::now();
+    Store_.newest(Options_.Topic_, AfterKey, ResponseTimeout,
+                  [Self = shared_from_this(), AfterKey](platform::NewestResult Page) {
                     if (!Self->Closed_)
-                      Self->onPage(After, std::move(Page));
+                      Self->onPage(AfterKey, std::move(Page));
                   });
   }
 
-  void onPage(const std::string &After, platform::NewestResult Page) {
+  void onPage(const std::string &AfterKey, platform::NewestResult Page) {
     if (!Page.Complete_) {
-      failed(Page.Detail_);
-      later(Retry_, [this] { load({}); });
+      onFailure(Page.Detail_);
+      schedule(RetryDelay_, [this] { load({}); });
       return;
     }
-    answered();
-    if (After.empty()) {
+    onAnswered();
+    if (AfterKey.empty()) {
       // Pages are no snapshot: what changes meanwhile comes again with the reads.
       LoadEnd_ = Page.End_;
-      Keys_.clear();
+      LoadedKeys_.clear();
     }
-    for (const platform::KeyedRecord &One : Page.Records_) {
-      Keys_.insert(One.Key_);
-      To_.Record_(One);
+    for (const platform::KeyedRecord &Record : Page.Records_) {
+      LoadedKeys_.insert(Record.Key_);
+      Callbacks_.OnRecord_(Record);
     }
     if (Page.More_ && !Page.Records_.empty()) {
-      loadAfter(Page.Records_.back().Key_);
+      loadNextPage(Page.Records_.back().Key_);
       return;
     }
-    Next_ = LoadEnd_;
+    NextOffset_ = LoadEnd_;
     Loaded_ = true;
-    To_.Loaded_(Keys_);
-    Keys_.clear();
+    Callbacks_.OnLoaded_(LoadedKeys_);
+    LoadedKeys_.clear();
     read();
   }
 
-  void loadAfter(const std::string &Key) {
-    if (!Options_.Gentle_ || Hurried_) {
-      load(Key);
+  void loadNextPage(const std::string &AfterKey) {
+    if (!Options_.ThrottleLoad_ || Expedited_) {
+      load(AfterKey);
       return;
     }
-    const core::Duration Took = core::Clock::now() - PageAskedAt_;
-    rest(std::max(LeastPageRest, std::chrono::duration_cast<core::Millis>(PageRestFactor * Took)),
-         [this, Key] { load(Key); });
+    const core::Duration PageTime = core::Clock::now() - PageRequestedAt_;
+    pause(std::max(MinPagePause,
+                   std::chrono::duration_cast<core::Millis>(PagePauseFactor * PageTime)),
+          [this, AfterKey] { load(AfterKey); });
   }
 
   void read() {
-    Store_.read(Options_.Topic_, Next_, Options_.Wait_, ReadKb, Options_.Wait_ + AnswerTime,
+    Store_.read(Options_.Topic_, NextOffset_, Options_.LongPollTime_, MaxReadKb,
+                Options_.LongPollTime_ + ResponseTimeout,
                 [Self = shared_from_this()](platform::ReadResult Result) {
                   if (!Self->Closed_)
                     Self->onRead(std::move(Result));
@@ -89,112 +92,115 @@
   void onRead(platform::ReadResult Result) {
     switch (Result.Outcome_) {
     case platform::ReadOutcome::Failed:
-      failed(Result.Detail_);
-      later(Retry_, [this] { read(); });
+      onFailure(Result.Detail_);
+      schedule(RetryDelay_, [this] { read(); });
       return;
     case platform::ReadOutcome::Expired:
-      answered();
+      onAnswered();
       core::log(core::LogLevel::Info, "topic history expired",
-                {{"topic", Options_.Topic_}, {"from", std::to_string(Next_)}});
+                {{"topic", Options_.Topic_}, {"from", std::to_string(NextOffset_)}});
       load({});
       return;
     case platform::ReadOutcome::Complete:
       break;
     }
-    answered();
-    const bool News = !Result.Records_.empty();
-    take(Result);
-    const core::Millis Rest =
-        !CaughtUp_ ? CatchUpRest : (News ? Options_.Rest_() : core::Millis(0));
-    if (Rest.count() == 0) {
+    onAnswered();
+    const bool HasRecords = !Result.Records_.empty();
+    deliver(Result);
+    const core::Millis Pause =
+        !CaughtUp_ ? CatchUpPause : (HasRecords ? Options_.ReadPause_() : core::Millis(0));
+    if (Pause.count() == 0) {
       read();
       return;
     }
-    rest(Rest, [this] { read(); });
+    pause(Pause, [this] { read(); });
   }
 
-  void rest(core::Millis Time, std::function<void()> Then) {
-    AfterRest_ = std::move(Then);
-    later(Time, [this] { endRest(); });
+  void pause(core::Millis Delay, std::function<void()> Continue) {
+    AfterPause_ = std::move(Continue);
+    schedule(Delay, [this] { endPause(); });
   }
 
-  void endRest() {
-    if (const auto Then = std::exchange(AfterRest_, nullptr)) {
+  void endPause() {
+    if (const auto Continue = std::exchange(AfterPause_, nullptr)) {
       Timer_.cancel();
-      Then();
+      Continue();
     }
   }
 
-  void take(const platform::ReadResult &Result) {
-    for (const platform::KeyedRecord &One : Result.Records_) {
-      To_.Record_(One);
-      Next_ = std::max(Next_, One.Offset_ + 1);
+  void deliver(const platform::ReadResult &Result) {
+    for (const platform::KeyedRecord &Record : Result.Records_) {
+      Callbacks_.OnRecord_(Record);
+      NextOffset_ = std::max(NextOffset_, Record.Offset_ + 1);
     }
-    CaughtUp_ = Next_ >= Result.End_;
+    CaughtUp_ = NextOffset_ >= Result.End_;
   }
 
-  void catchUp(core::Millis Timeout, std::function<void(bool)> Done) {
+  void catchUp(core::Millis Timeout, std::function<void(bool)> OnDone) {
     // In one call: the caller waits for it.
-    constexpr int WholeKb = 1024;
-    Store_.read(Options_.Topic_, Next_, core::Millis(0), WholeKb, Timeout,
-                [Self = shared_from_this(), Done = std::move(Done)](platform::ReadResult Result) {
-                  if (Self->Closed_)
-                    return;
-                  const bool Complete = Result.Outcome_ == platform::ReadOutcome::Complete;
-                  if (Complete) {
-                    Self->answered();
-                    Self->take(Result);
-                  }
-                  Done(Complete && Self->CaughtUp_);
-                });
+    constexpr int CatchUpReadKb = 1024;
+    Store_.read(
+        Options_.Topic_, NextOffset_, core::Millis(0), CatchUpReadKb, Timeout,
+        [Self = shared_from_this(), OnDone = std::move(OnDone)](platform::ReadResult Result) {
+          if (Self->Closed_)
+            return;
+          const bool Complete = Result.Outcome_ == platform::ReadOutcome::Complete;
+          if (Complete) {
+            Self->onAnswered();
+            Self->deliver(Result);
+          }
+          OnDone(Complete && Self->CaughtUp_);
+        });
   }
 
-  void answered() {
+  void onAnswered() {
     if (Failing_)
       core::log(core::LogLevel::Info, "topic answers again", {{"topic", Options_.Topic_}});
     Failing_ = false;
-    Retry_ = FirstRetry;
-    LastAnswer_ = core::Clock::now();
+    RetryDelay_ = MinRetryDelay;
+    LastAnsweredAt_ = core::Clock::now();
   }
 
-  void failed(const std::string &Detail) {
+  void onFailure(const std::string &Detail) {
     core::count("masticdrift_store_failures_total", {{"topic", Options_.Topic_}});
     if (!Failing_)
       core::log(core::LogLevel::Warning, "topic can't be read",
                 {{"topic", Options_.Topic_}, {"detail", Detail}});
     Failing_ = true;
-    Retry_ = std::min(2 * Retry_, LastRetry);
+    RetryDelay_ = std::min(2 * RetryDelay_, MaxRetryDelay);
   }
 
-  void later(core::Millis Delay, std::function<void()> Work) {
+  void schedule(core::Millis Delay, std::function<void()> Action) {
     Timer_.expires_after(Delay);
-    Timer_.async_wait([Self = shared_from_this(), Work = std::move(Work)](std::error_code Error) {
-      if (!Error && !Self->Closed_)
-        Work();
-    });
+    Timer_.async_wait(
+        [Self = shared_from_this(), Action = std::move(Action)](std::error_code Error) {
+          if (!Error && !Self->Closed_)
+            Action();
+        });
   }
 
   platform::Store &Store_;
   const TailOptions Options_;
-  const Sink To_;
+  const Hooks Callbacks_;
   asio::steady_timer Timer_;
-  core::Millis Retry_ = FirstRetry;
+  core::Millis RetryDelay_ = MinRetryDelay;
   bool Closed_ = false;
   bool Started_ = false;
   bool Failing_ = false;
   bool Loaded_ = false;
   bool CaughtUp_ = false;
-  bool Hurried_ = false;
-  std::function<void()> AfterRest_; ///< set between two calls
+  bool Expedited_ = false;
+  std::function<void()> AfterPause_; ///< set between two calls
   std::uint64_t LoadEnd_ = 0;
-  std::uint64_t Next_ = 0;
-  std::set<std::string> Keys_;
-  core::TimePoint LastAnswer_{};
-  core::TimePoint PageAskedAt_{};
+  std::uint64_t NextOffset_ = 0;
+  std::set<std::string> LoadedKeys_;
+  core::TimePoint LastAnsweredAt_{};
+  core::TimePoint PageRequestedAt_{};
 };
 
-TopicTail::TopicTail(asio::io_context &Loop, platform::Store &Store, TailOptions Options, Sink To)
-    : Impl_(std::make_shared<Impl>(Loop, Store, std::move(Options), std::move(To))) {}
+TopicTail::TopicTail(asio::io_context &Loop, platform::Store &Store, TailOptions Options,
+                     Hooks Callbacks)
+    : Impl_(std::make_shared<Impl>(Loop, Store, std::move(Options), std::move(Callbacks))) {}
 
 TopicTail::~TopicTail() {
   Impl_->Closed_ = true;
@@ -206,20 +212,20 @@
     Impl_->load({});
 }
 
-void TopicTail::hurry() {
-  Impl_->Hurried_ = true;
-  Impl_->endRest();
+void TopicTail::expedite() {
+  Impl_->Expedited_ = true;
+  Impl_->endPause();
 }
 
-void TopicTail::catchUp(core::Millis Timeout, std::function<void(bool)> Done) {
-  Impl_->catchUp(Timeout, std::move(Done));
+void TopicTail::catchUp(core::Millis Timeout, std::function<void(bool)> OnDone) {
+  Impl_->catchUp(Timeout, std::move(OnDone));
 }
 
 bool TopicTail::started() const { return Impl_->Started_; }
 bool TopicTail::loaded() const { return Impl_->Loaded_; }
 bool TopicTail::caughtUp() const { return Impl_->Loaded_ && Impl_->CaughtUp_; }
 bool TopicTail::failing() const { return Impl_->Failing_; }
-core::TimePoint TopicTail::lastAnswer() const { return Impl_->LastAnswer_; }
-std::uint64_t TopicTail::next() const { return Impl_->Next_; }
+core::TimePoint TopicTail::lastAnsweredAt() const { return Impl_->LastAnsweredAt_; }
+std::uint64_t TopicTail::nextOffset() const { return Impl_->NextOffset_; }
 
 } // namespace masticdrift::daemon
