daemon: rename the state and callbacks of the job writer

Sent, waiting, settled and seen writes are named as queued, in flight and confirmed; limits are minimum and maximum; callbacks carry the event.

--- a/include/masticdrift/daemon/JobWriter.h
+++ b/include/masticdrift/daemon/JobWriter.h
@@ -30,54 +30,54 @@
 public:
   using Callback = std::function<void(WriteOutcome)>;
 
-  /// \param Applied gets each stored record before its callback runs.
+  /// \param OnStored gets each stored record before its callback runs.
   JobWriter(platform::Store &Store, std::string Topic,
-            std::function<void(std::uint64_t Offset, const work::LedgerEntry &)> Applied);
+            std::function<void(std::uint64_t Offset, const work::LedgerEntry &)> OnStored);
 
-  /// Appends \p Entries together; \p Done runs once, by \p Deadline at the latest (see expire).
-  void write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline, Callback Done);
+  /// Appends \p Entries together; \p OnDone runs once, by \p Deadline at the latest (see expire).
+  void write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline, Callback OnDone);
 
   /// The record with this key was read back from the log, so what ends with it is stored.
-  void seen(std::string_view Key);
+  void confirmStored(std::string_view Key);
 
   /// Ends the waiting of records whose deadline has passed. To be called every 50 ms or so.
   void expire(core::TimePoint Now);
 
-  bool idle() const { return Waiting_.empty() && Sent_.empty(); }
+  bool idle() const { return Queued_.empty() && InFlight_.empty(); }
 
 private:
-  struct Item {
+  struct PendingWrite {
     std::vector<work::LedgerEntry> Entries_;
     core::TimePoint Deadline_;
-    Callback Done_;
-    bool Uncertain_ = false; ///< was in an unanswered call
+    Callback OnDone_;
+    bool MayBeStored_ = false; ///< was in an unanswered call
   };
   void flush();
   void onAppended(const platform::AppendResult &Result, core::TimePoint SentAt);
-  void logFailure(const std::vector<Item> &Batch, const platform::AppendResult &Result,
+  void logFailure(const std::vector<PendingWrite> &Batch, const platform::AppendResult &Result,
                   core::TimePoint SentAt) const;
 
   platform::Store &Store_;
   const std::string Topic_;
-  const std::function<void(std::uint64_t, const work::LedgerEntry &)> Applied_;
-  std::deque<Item> Waiting_;
-  std::vector<Item> Sent_;
-  bool Outstanding_ = false;
-  std::uint64_t Call_ = 0; ///< number of the call that is waited for
-  core::Millis Timeout_;
+  const std::function<void(std::uint64_t, const work::LedgerEntry &)> OnStored_;
+  std::deque<PendingWrite> Queued_;
+  std::vector<PendingWrite> InFlight_;
+  bool CallInFlight_ = false;
+  std::uint64_t CallNumber_ = 0; ///< number of the call that is waited for
+  core::Millis AppendTimeout_;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
 /// Limit of an append call while the service answers quickly, at least.
-inline constexpr core::Millis LeastAppendTimeout{500};
+inline constexpr core::Millis MinAppendTimeout{500};
 /// Limit otherwise. A store a hundred times slower than usual takes 0.4 s for the answer and 0.3 s
 /// for each append before it; a repeat only adds to that queue.
-inline constexpr core::Millis MostAppendTimeout{2000};
+inline constexpr core::Millis MaxAppendTimeout{2000};
 /// Limit in multiples of the last call's time.
 inline constexpr int AppendTimeoutFactor = 4;
 
-/// \returns the limit of the next append after one that took \p Took.
-core::Millis nextAppendTimeout(core::Duration Took);
+/// \returns the limit of the next append after one that took \p CallTime.
+core::Millis nextAppendTimeout(core::Duration CallTime);
 
 } // namespace masticdrift::daemon
 
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -171,7 +171,7 @@
     if (Change.Kind_ == Forgotten)
       Leader_.onJob(Change.Id_);
     if (Change.Kind_ == Accepted || Change.Kind_ == Cancelled) {
-      Writer_.seen(One.Key_);
+      Writer_.confirmStored(One.Key_);
       Leader_.onJob(Change.Id_);
     }
   }
@@ -183,7 +183,7 @@
       core::log(core::LogLevel::Warning, "job specification is unreadable",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
     if (Change.Kind_ == Specified) {
-      SpecWriter_.seen(One.Key_);
+      SpecWriter_.confirmStored(One.Key_);
       Leader_.onJob(Change.Id_);
     }
   }
--- a/src/daemon/JobWriter.cpp
+++ b/src/daemon/JobWriter.cpp
@@ -14,127 +14,128 @@
 
 } // namespace
 
-core::Millis nextAppendTimeout(core::Duration Took) {
-  return std::clamp(std::chrono::duration_cast<core::Millis>(AppendTimeoutFactor * Took),
-                    LeastAppendTimeout, MostAppendTimeout);
+core::Millis nextAppendTimeout(core::Duration CallTime) {
+  return std::clamp(std::chrono::duration_cast<core::Millis>(AppendTimeoutFactor * CallTime),
+                    MinAppendTimeout, MaxAppendTimeout);
 }
 
 JobWriter::JobWriter(platform::Store &Store, std::string Topic,
-                     std::function<void(std::uint64_t, const work::LedgerEntry &)> Applied)
-    : Store_(Store), Topic_(std::move(Topic)), Applied_(std::move(Applied)),
-      Timeout_(LeastAppendTimeout) {}
+                     std::function<void(std::uint64_t, const work::LedgerEntry &)> OnStored)
+    : Store_(Store), Topic_(std::move(Topic)), OnStored_(std::move(OnStored)),
+      AppendTimeout_(MinAppendTimeout) {}
 
 void JobWriter::write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline,
-                      Callback Done) {
-  Waiting_.push_back({std::move(Entries), Deadline, std::move(Done)});
+                      Callback OnDone) {
+  Queued_.push_back({std::move(Entries), Deadline, std::move(OnDone)});
   flush();
 }
 
 void JobWriter::flush() {
-  if (Outstanding_ || Waiting_.empty())
+  if (CallInFlight_ || Queued_.empty())
     return;
   std::vector<platform::KeyedRecord> Records;
-  for (std::size_t Bytes = 0; !Waiting_.empty() && Bytes < MaxBatchBytes;) {
-    Item &Next = Waiting_.front();
-    for (const work::LedgerEntry &One : Next.Entries_) {
-      Bytes += One.Key_.size() + One.Value_.size();
-      Records.push_back({0, One.Key_, One.Value_});
+  for (std::size_t Bytes = 0; !Queued_.empty() && Bytes < MaxBatchBytes;) {
+    PendingWrite &Write = Queued_.front();
+    for (const work::LedgerEntry &Entry : Write.Entries_) {
+      Bytes += Entry.Key_.size() + Entry.Value_.size();
+      Records.push_back({0, Entry.Key_, Entry.Value_});
     }
-    Sent_.push_back(std::move(Next));
-    Waiting_.pop_front();
+    InFlight_.push_back(std::move(Write));
+    Queued_.pop_front();
   }
-  Outstanding_ = true;
+  CallInFlight_ = true;
   const core::TimePoint SentAt = core::Clock::now();
-  Store_.append(Topic_, Records, {}, Timeout_,
-                [this, Held = std::weak_ptr<bool>(Alive_), SentAt,
-                 Call = ++Call_](const platform::AppendResult &Result) {
-                  if (!Held.expired() && Call == Call_)
+  Store_.append(Topic_, Records, {}, AppendTimeout_,
+                [this, WeakAlive = std::weak_ptr<bool>(Alive_), SentAt,
+                 CallNumber = ++CallNumber_](const platform::AppendResult &Result) {
+                  if (!WeakAlive.expired() && CallNumber == CallNumber_)
                     onAppended(Result, SentAt);
                 });
 }
 
-void JobWriter::logFailure(const std::vector<Item> &Batch, const platform::AppendResult &Result,
-                           core::TimePoint SentAt) const {
+void JobWriter::logFailure(const std::vector<PendingWrite> &Batch,
+                           const platform::AppendResult &Result, core::TimePoint SentAt) const {
   core::count("masticdrift_store_failures_total", {{"topic", Topic_}});
-  const bool Certain = Result.Outcome_ == platform::AppendOutcome::Refused;
+  const bool KnownRefused = Result.Outcome_ == platform::AppendOutcome::Refused;
   core::log(core::LogLevel::Warning, "append was not confirmed",
             {{"topic", Topic_},
              {"first_key", Batch.front().Entries_.back().Key_},
              {"records", std::to_string(Batch.size())},
-             {"uncertain", Certain ? "false" : "true"},
+             {"uncertain", KnownRefused ? "false" : "true"},
              {"detail", Result.Detail_},
              {"ms", std::to_string(core::toMillis(core::Clock::now() - SentAt))}});
 }
 
 void JobWriter::onAppended(const platform::AppendResult &Result, core::TimePoint SentAt) {
   using enum platform::AppendOutcome;
-  const core::Duration Took = core::Clock::now() - SentAt;
-  Outstanding_ = false;
-  std::vector<Item> Batch;
-  Batch.swap(Sent_);
+  const core::Duration CallTime = core::Clock::now() - SentAt;
+  CallInFlight_ = false;
+  std::vector<PendingWrite> Batch;
+  Batch.swap(InFlight_);
   if (Result.Outcome_ == Stored) {
-    core::observe("masticdrift_store_seconds", std::chrono::duration<double>(Took).count(),
+    core::observe("masticdrift_store_seconds", std::chrono::duration<double>(CallTime).count(),
                   {{"call", "append"}});
     // Callbacks come last: one of them may write again.
     std::uint64_t Offset = Result.Offset_;
-    for (const Item &One : Batch)
-      for (const work::LedgerEntry &Entry : One.Entries_)
-        Applied_(Offset++, Entry);
+    for (const PendingWrite &Write : Batch)
+      for (const work::LedgerEntry &Entry : Write.Entries_)
+        OnStored_(Offset++, Entry);
   } else {
     logFailure(Batch, Result, SentAt);
   }
   if (Result.Outcome_ != Refused)
-    Timeout_ = nextAppendTimeout(Took);
-  std::vector<Item> Again;
-  for (Item &One : Batch) {
-    if (!One.Done_)
+    AppendTimeout_ = nextAppendTimeout(CallTime);
+  std::vector<PendingWrite> Retries;
+  for (PendingWrite &Write : Batch) {
+    if (!Write.OnDone_)
       continue; // answered meanwhile
     if (Result.Outcome_ == Stored) {
-      One.Done_(WriteOutcome::Stored);
-    } else if (Result.Outcome_ == Refused && !One.Uncertain_) {
-      One.Done_(WriteOutcome::Refused);
+      Write.OnDone_(WriteOutcome::Stored);
+    } else if (Result.Outcome_ == Refused && !Write.MayBeStored_) {
+      Write.OnDone_(WriteOutcome::Refused);
     } else {
-      One.Uncertain_ = One.Uncertain_ || Result.Outcome_ != Refused;
-      Again.push_back(std::move(One));
+      Write.MayBeStored_ = Write.MayBeStored_ || Result.Outcome_ != Refused;
+      Retries.push_back(std::move(Write));
     }
   }
-  Waiting_.insert(Waiting_.begin(), std::make_move_iterator(Again.begin()),
-                  std::make_move_iterator(Again.end()));
+  Queued_.insert(Queued_.begin(), std::make_move_iterator(Retries.begin()),
+                 std::make_move_iterator(Retries.end()));
   // A refusing service is asked again by expire(), not at once.
   if (Result.Outcome_ != Refused)
     flush();
 }
 
-void JobWriter::seen(std::string_view Key) {
-  const auto Settle = [Key](auto &Items) {
-    for (Item &One : Items)
-      if (One.Entries_.back().Key_ == Key && One.Done_)
-        std::exchange(One.Done_, nullptr)(WriteOutcome::Stored);
+void JobWriter::confirmStored(std::string_view Key) {
+  const auto Confirm = [Key](auto &Writes) {
+    for (PendingWrite &Write : Writes)
+      if (Write.Entries_.back().Key_ == Key && Write.OnDone_)
+        std::exchange(Write.OnDone_, nullptr)(WriteOutcome::Stored);
   };
-  Settle(Sent_);
-  Settle(Waiting_);
-  std::erase_if(Waiting_, [](const Item &One) { return !One.Done_; });
-  if (!Outstanding_ || Sent_.empty() ||
-      std::ranges::any_of(Sent_, [](const Item &One) { return One.Done_ != nullptr; }))
+  Confirm(InFlight_);
+  Confirm(Queued_);
+  std::erase_if(Queued_, [](const PendingWrite &Write) { return !Write.OnDone_; });
+  if (!CallInFlight_ || InFlight_.empty() ||
+      std::ranges::any_of(InFlight_,
+                          [](const PendingWrite &Write) { return Write.OnDone_ != nullptr; }))
     return;
   // All of the call's records are in the log, so its answer is late or lost: go on without it.
-  ++Call_;
-  Outstanding_ = false;
-  Sent_.clear();
+  ++CallNumber_;
+  CallInFlight_ = false;
+  InFlight_.clear();
   flush();
 }
 
 void JobWriter::expire(core::TimePoint Now) {
-  for (Item &One : Sent_)
-    if (One.Done_ && Now >= One.Deadline_)
-      std::exchange(One.Done_, nullptr)(WriteOutcome::Unknown);
-  std::deque<Item> Kept;
-  for (Item &One : Waiting_)
-    if (Now >= One.Deadline_)
-      One.Done_(One.Uncertain_ ? WriteOutcome::Unknown : WriteOutcome::Refused);
+  for (PendingWrite &Write : InFlight_)
+    if (Write.OnDone_ && Now >= Write.Deadline_)
+      std::exchange(Write.OnDone_, nullptr)(WriteOutcome::Unknown);
+  std::deque<PendingWrite> Unexpired;
+  for (PendingWrite &Write : Queued_)
+    if (Now >= Write.Deadline_)
+      Write.OnDone_(Write.MayBeStored_ ? WriteOutcome::Unknown : WriteOutcome::Refused);
     else
-      Kept.push_back(std::move(One));
-  Waiting_ = std::move(Kept);
+      Unexpired.push_back(std::move(Write));
+  Queued_ = std::move(Unexpired);
   flush();
 }
 
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -253,7 +253,7 @@
     Flushing_ = false;
     FlushNumber_ = 0;
     Sequence_ = 1;
-    FlushTimeout_ = LeastAppendTimeout;
+    FlushTimeout_ = MinAppendTimeout;
     // Entries lapse after three heartbeats; beats that came until then show a store that was there.
     const bool ListMayLack = Now - Context_.StartedAt_ < FreshProcess &&
                              BeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
@@ -712,7 +712,7 @@
   core::TimePoint GaugesAt_{};
   std::uint64_t FlushNumber_ = 0; ///< of the append that is waited for, 0 for none
   std::shared_ptr<std::vector<platform::KeyedRecord>> Flushed_;
-  core::Millis FlushTimeout_ = LeastAppendTimeout;
+  core::Millis FlushTimeout_ = MinAppendTimeout;
   std::optional<lead::Scheduler> Scheduler_;
 };
 
