--- a/include/masticdrift/daemon/Retention.h
+++ b/include/masticdrift/daemon/Retention.h
@@ -19,23 +19,23 @@
   explicit Retention(FleetContext &Context) : Context_(Context) {}
 
   /// The end of a job is durable.
-  void ended(const std::string &Id) { Ended_.push_back(Id); }
+  void onJobEnded(const std::string &Id) { EndedJobs_.push_back(Id); }
 
   /// Removes what is due; cheap when called often.
   /// \param WallMs wall clock.
-  void tidy(core::TimePoint Now, std::int64_t WallMs);
+  void removeDue(core::TimePoint Now, std::int64_t WallMs);
 
 private:
-  void dropSpecs();
-  void forgetJobs(std::int64_t WallMs);
+  void removeSpecs();
+  void removeJobs(std::int64_t WallMs);
   void append(const char *Topic, std::vector<platform::KeyedRecord> Records,
-              std::vector<std::string> Again);
+              std::vector<std::string> RetryIds);
 
   FleetContext &Context_;
-  std::vector<std::string> Ended_; ///< jobs whose steps still stand in the log
-  core::TimePoint NextSpecs_{};
-  core::TimePoint NextJobs_{};
-  int Calls_ = 0; ///< appends without an answer
+  std::vector<std::string> EndedJobs_; ///< jobs whose steps still stand in the log
+  core::TimePoint NextSpecRemoval_{};
+  core::TimePoint NextJobRemoval_{};
+  int AppendsInFlight_ = 0; ///< appends without an answer
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -357,7 +357,7 @@
     Desk_.offer({}, Now);
     Desk_.dispatch(Now);
     Orders_.flush(Now);
-    Retention_.tidy(Now, core::wallMillis());
+    Retention_.removeDue(Now, core::wallMillis());
     flush(Now);
     Looks_.settle(Context_.Ledger_, Now);
     if (Now - GaugesAt_ >= GaugeInterval)
@@ -448,7 +448,7 @@
         const work::LedgerChange Change = Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
         const work::LedgerJob *Job = Context_.Ledger_.find(Change.Id_);
         if (Job != nullptr && work::isFinal(Job->state()))
-          Retention_.ended(Change.Id_);
+          Retention_.onJobEnded(Change.Id_);
       }
       confirmed();
       return;
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -7,49 +7,49 @@
 namespace {
 
 /// Between removals; they share the budget of calls with everything else.
-constexpr core::Millis SpecsSpacing{1000};
-constexpr core::Millis JobsSpacing{5000};
+constexpr core::Millis SpecRemovalInterval{1000};
+constexpr core::Millis JobRemovalInterval{5000};
 /// Jobs forgotten in one call.
-constexpr std::size_t MostForgotten = 200;
+constexpr std::size_t MaxJobsPerAppend = 200;
 /// Beyond the time that a job's state has to be known: clocks differ.
-constexpr std::int64_t ForgetMarginMs = 15'000;
+constexpr std::int64_t RetentionMarginMs = 15'000;
 constexpr core::Millis AppendTimeout{2000};
 
 } // namespace
 
-void Retention::tidy(core::TimePoint Now, std::int64_t WallMs) {
-  if (Calls_ > 0)
+void Retention::removeDue(core::TimePoint Now, std::int64_t WallMs) {
+  if (AppendsInFlight_ > 0)
     return;
-  if (Now >= NextSpecs_ && !Ended_.empty()) {
-    NextSpecs_ = Now + SpecsSpacing;
-    dropSpecs();
+  if (Now >= NextSpecRemoval_ && !EndedJobs_.empty()) {
+    NextSpecRemoval_ = Now + SpecRemovalInterval;
+    removeSpecs();
   }
-  if (Now >= NextJobs_) {
-    NextJobs_ = Now + JobsSpacing;
-    forgetJobs(WallMs);
+  if (Now >= NextJobRemoval_) {
+    NextJobRemoval_ = Now + JobRemovalInterval;
+    removeJobs(WallMs);
   }
 }
 
-void Retention::dropSpecs() {
+void Retention::removeSpecs() {
   std::vector<platform::KeyedRecord> Records;
-  for (const std::string &Id : Ended_)
+  for (const std::string &Id : EndedJobs_)
     Records.push_back({0, Id, {}});
-  append(SpecsTopic, std::move(Records), std::exchange(Ended_, {}));
+  append(SpecsTopic, std::move(Records), std::exchange(EndedJobs_, {}));
 }
 
-void Retention::forgetJobs(std::int64_t WallMs) {
-  const std::int64_t Before = WallMs - Context_.Settings_.StatusMs_ - ForgetMarginMs;
+void Retention::removeJobs(std::int64_t WallMs) {
+  const std::int64_t FinalBeforeMs = WallMs - Context_.Settings_.StatusMs_ - RetentionMarginMs;
   std::vector<platform::KeyedRecord> Records;
   std::size_t Count = 0;
   for (const auto &[Id, Job] : Context_.Ledger_.jobs()) {
-    if (Count == MostForgotten)
+    if (Count == MaxJobsPerAppend)
       break;
     if (!Job.Accepted_ || !Job.Progress_ || !work::isFinal(Job.Progress_->State_) ||
-        Job.Progress_->FinalMs_ >= Before)
+        Job.Progress_->FinalMs_ >= FinalBeforeMs)
       continue;
     ++Count;
-    for (work::LedgerEntry &One : work::forgetEntries(Id))
-      Records.push_back({0, std::move(One.Key_), {}});
+    for (work::LedgerEntry &Entry : work::forgetEntries(Id))
+      Records.push_back({0, std::move(Entry.Key_), {}});
   }
   if (Count == 0)
     return;
@@ -58,19 +58,19 @@
 }
 
 void Retention::append(const char *Topic, std::vector<platform::KeyedRecord> Records,
-                       std::vector<std::string> Again) {
-  ++Calls_;
+                       std::vector<std::string> RetryIds) {
+  ++AppendsInFlight_;
   Context_.Store_.append(Topic, Records, {}, AppendTimeout,
-                         [this, Held = std::weak_ptr<bool>(Alive_), Topic = std::string(Topic),
-                          Again = std::move(Again)](const platform::AppendResult &Result) {
-                           if (Held.expired())
+                         [this, WeakAlive = std::weak_ptr<bool>(Alive_), Topic = std::string(Topic),
+                          RetryIds = std::move(RetryIds)](const platform::AppendResult &Result) {
+                           if (WeakAlive.expired())
                              return;
-                           --Calls_;
+                           --AppendsInFlight_;
                            if (Result.Outcome_ == platform::AppendOutcome::Stored)
                              return;
                            core::log(core::LogLevel::Warning, "removal was not confirmed",
                                      {{"topic", Topic}, {"detail", Result.Detail_}});
-                           Ended_.insert(Ended_.end(), Again.begin(), Again.end());
+                           EndedJobs_.insert(EndedJobs_.end(), RetryIds.begin(), RetryIds.end());
                          });
 }
 
