daemon: rename the requests, calls and limits of the entry service

The request in hand was called Of, what it carries What, and its callbacks Then, Done and Found. They are named after the pending request, the record to store and the event now; look, resolve and relay tell what they query and where they forward to.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -20,54 +20,58 @@
 /// Answers callers. Every daemon takes every job; what it can't do it refuses at once.
 class EntryService {
 public:
-  /// \param Specs writes the steps of jobs, \p Writer everything else about them.
-  EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Specs, JobWriter &Writer,
-               LeaderDriver &Leader);
+  /// \param SpecWriter writes the steps of jobs, \p RecordWriter everything else about them.
+  EntryService(FleetContext &Context, TopicTail &JobTail, JobWriter &SpecWriter,
+               JobWriter &RecordWriter, LeaderDriver &Leader);
 
-  void handle(const http::Request &From, const http::Responder &To);
+  void handle(const http::Request &HttpRequest, const http::Responder &Respond);
 
   /// Appends a record for a daemon that can't reach the store.
-  void submitFor(protocol::SubmitCall Call, std::function<void(protocol::SubmitReply)> Done);
+  void submitForPeer(protocol::SubmitCall Call, std::function<void(protocol::SubmitReply)> OnDone);
 
   /// \returns requests that have no answer yet.
-  std::size_t open() const { return Open_; }
+  std::size_t openRequests() const { return OpenRequests_; }
 
 private:
-  struct Call;
-  using Found = std::function<void(work::JobState)>;
-  void submit(const std::shared_ptr<Call> &Of, const std::string &Body);
-  void cancel(const std::shared_ptr<Call> &Of);
-  void look(const std::shared_ptr<Call> &Of);
+  struct PendingRequest;
+  using StateCallback = std::function<void(work::JobState)>;
+  void submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body);
+  void cancel(const std::shared_ptr<PendingRequest> &Request);
+  void queryState(const std::shared_ptr<PendingRequest> &Request);
   /// Finds out whose job it is and its state: from this daemon's table when it is final there, from
   /// the leader, or from the whole log.
   ///
-  /// \param Then gets the state; an unknown job, or one of another customer, is refused instead.
-  void resolve(const std::shared_ptr<Call> &Of, Found Then);
-  void askLeader(const std::shared_ptr<Call> &Of, const std::string &Leader, Found Then);
-  void resolveHere(const std::shared_ptr<Call> &Of, const Found &Then);
-  void resolved(const std::shared_ptr<Call> &Of, std::string_view Source,
-                const protocol::LookReply &Reply, const Found &Then);
+  /// \param OnState gets the state; an unknown job, or one of another customer, is refused instead.
+  void resolveState(const std::shared_ptr<PendingRequest> &Request, StateCallback OnState);
+  void queryLeader(const std::shared_ptr<PendingRequest> &Request, const std::string &LeaderAddress,
+                   StateCallback OnState);
+  void resolveLocally(const std::shared_ptr<PendingRequest> &Request, const StateCallback &OnState);
+  void onStateReply(const std::shared_ptr<PendingRequest> &Request, std::string_view Source,
+                    const protocol::LookReply &Reply, const StateCallback &OnState);
   /// A record and the job's steps, which are empty for a cancel.
-  struct Submission {
+  struct StoreRequest {
     work::LedgerEntry Record_;
     std::string Spec_;
   };
-  void store(const std::shared_ptr<Call> &Of, Submission What,
-             std::function<void(WriteOutcome)> Done);
+  void store(const std::shared_ptr<PendingRequest> &Request, StoreRequest Write,
+             std::function<void(WriteOutcome)> OnDone);
   /// Appends the steps and then the record, so that no record stands without its steps.
-  void append(Submission What, core::TimePoint Deadline, std::function<void(WriteOutcome)> Done);
+  void append(StoreRequest Write, core::TimePoint Deadline,
+              std::function<void(WriteOutcome)> OnDone);
   std::vector<work::LedgerEntry> entriesFor(work::LedgerEntry Entry) const;
-  void relay(const std::shared_ptr<Call> &Of, const std::string &Leader, Submission What,
-             std::function<void(WriteOutcome)> Done);
-  void answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome);
-  void refuse(const std::shared_ptr<Call> &Of, core::ErrorKind Kind, std::string_view Message);
+  void forwardToLeader(const std::shared_ptr<PendingRequest> &Request,
+                       const std::string &LeaderAddress, StoreRequest Write,
+                       std::function<void(WriteOutcome)> OnDone);
+  void answerWrite(const std::shared_ptr<PendingRequest> &Request, WriteOutcome Outcome);
+  void refuse(const std::shared_ptr<PendingRequest> &Request, core::ErrorKind Kind,
+              std::string_view Message);
 
   FleetContext &Context_;
-  TopicTail &Jobs_;
-  JobWriter &Specs_;
-  JobWriter &Writer_;
+  TopicTail &JobTail_;
+  JobWriter &SpecWriter_;
+  JobWriter &RecordWriter_;
   LeaderDriver &Leader_;
-  std::size_t Open_ = 0;
+  std::size_t OpenRequests_ = 0;
 };
 
 } // namespace masticdrift::daemon
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -15,265 +15,276 @@
 /// A write is given up this long before its caller gives up, so that the answer still arrives.
 constexpr core::Millis AnswerMargin{250};
 /// For callers that do not say how long they wait.
-constexpr core::Millis DefaultDeadline{3000};
-constexpr core::Millis MaxDeadline{10'000};
-constexpr core::Millis LookTimeout{1500};
+constexpr core::Millis DefaultCallerTimeout{3000};
+constexpr core::Millis MaxCallerTimeout{10'000};
+constexpr core::Millis CatchUpTimeout{1500};
 /// Time for the relay's own exchange.
-constexpr core::Millis RelayMargin{100};
+constexpr core::Millis ForwardMargin{100};
 /// A leader that takes longer is left aside; enough for an append at a very slow store.
-constexpr core::Millis MostRelayTime{1700};
+constexpr core::Millis MaxForwardTime{1700};
 /// The leader's own wait for a write and twice a slow link's way.
-constexpr core::Millis LookRelayTimeout = MostLookWait + core::Millis(300);
+constexpr core::Millis StateQueryTimeout = MostLookWait + core::Millis(300);
 /// Whole seconds, the smallest that the header can say. Another daemon takes the retry.
 constexpr const char *RetryAfterSeconds = "1";
 
 } // namespace
 
 /// One request until it is answered.
-struct EntryService::Call {
-  platform::CallerCall What_;
-  http::Responder To_;
-  std::string Job_;
+struct EntryService::PendingRequest {
+  platform::CallerCall Call_;
+  http::Responder Respond_;
+  std::string JobId_;
   const work::Queue *Queue_ = nullptr; ///< valid while the request is first handled
   std::string Customer_;
   core::TimePoint ReceivedAt_;
   core::TimePoint Deadline_;
   bool Answered_ = false;
-  std::function<void(http::Response)> Finish_;
+  std::function<void(http::Response)> SendResponse_;
 
   void answer(int Status, std::string Body) {
-    http::Response Out;
-    Out.Status_ = Status;
-    Out.Body_ = std::move(Body);
-    Finish_(std::move(Out));
+    http::Response Response;
+    Response.Status_ = Status;
+    Response.Body_ = std::move(Body);
+    SendResponse_(std::move(Response));
   }
 };
 
-EntryService::EntryService(FleetContext &Context, TopicTail &Jobs, JobWriter &Specs,
-                           JobWriter &Writer, LeaderDriver &Leader)
-    : Context_(Context), Jobs_(Jobs), Specs_(Specs), Writer_(Writer), Leader_(Leader) {}
+EntryService::EntryService(FleetContext &Context, TopicTail &JobTail, JobWriter &SpecWriter,
+                           JobWriter &RecordWriter, LeaderDriver &Leader)
+    : Context_(Context), JobTail_(JobTail), SpecWriter_(SpecWriter), RecordWriter_(RecordWriter),
+      Leader_(Leader) {}
 
-void EntryService::refuse(const std::shared_ptr<Call> &Of, ErrorKind Kind,
+void EntryService::refuse(const std::shared_ptr<PendingRequest> &Request, ErrorKind Kind,
                           std::string_view Message) {
   const core::ErrorInfo &Info = core::describe(Kind);
-  http::Response Out;
-  Out.Status_ = platform::statusOf(Kind);
-  Out.Body_ = core::errorBody(Kind, Message, Of->Job_);
-  if (Out.Status_ == 503 || Out.Status_ == 429)
-    Out.Headers_.emplace_back("Retry-After", RetryAfterSeconds);
+  http::Response Response;
+  Response.Status_ = platform::statusOf(Kind);
+  Response.Body_ = core::errorBody(Kind, Message, Request->JobId_);
+  if (Response.Status_ == 503 || Response.Status_ == 429)
+    Response.Headers_.emplace_back("Retry-After", RetryAfterSeconds);
   core::count("masticdrift_submissions_total", {{"outcome", std::string(Info.Name_)}});
   core::log(core::LogLevel::Info, "refused",
-            {{"request_id", Of->Job_},
+            {{"request_id", Request->JobId_},
              {"error", std::string(Info.Id_)},
-             {"status", std::to_string(Out.Status_)},
+             {"status", std::to_string(Response.Status_)},
              {"message", std::string(Message)},
              {"config", Context_.Manifest_ ? std::to_string(Context_.Manifest_->Version_) : "none"},
-             {"read_to", std::to_string(Jobs_.nextOffset())}});
-  Of->Finish_(std::move(Out));
+             {"read_to", std::to_string(JobTail_.nextOffset())}});
+  Request->SendResponse_(std::move(Response));
 }
 
-void EntryService::handle(const http::Request &From, const http::Responder &To) {
-  const auto Of = std::make_shared<Call>();
-  Of->What_ = platform::decodeCall(From);
-  Of->ReceivedAt_ = core::Clock::now();
-  const core::Millis Wait = Of->What_.DeadlineMs_ > 0
-                                ? std::min(core::Millis(Of->What_.DeadlineMs_), MaxDeadline)
-                                : DefaultDeadline;
-  Of->Deadline_ = Of->ReceivedAt_ + Wait - AnswerMargin;
-  ++Open_;
-  Of->Finish_ = [this, To, Held = std::weak_ptr<Call>(Of)](http::Response Out) {
-    const auto Call = Held.lock();
-    if (!Call || std::exchange(Call->Answered_, true))
+void EntryService::handle(const http::Request &HttpRequest, const http::Responder &Respond) {
+  const auto Request = std::make_shared<PendingRequest>();
+  Request->Call_ = platform::decodeCall(HttpRequest);
+  Request->ReceivedAt_ = core::Clock::now();
+  const core::Millis CallerTimeout =
+      Request->Call_.DeadlineMs_ > 0
+          ? std::min(core::Millis(Request->Call_.DeadlineMs_), MaxCallerTimeout)
+          : DefaultCallerTimeout;
+  Request->Deadline_ = Request->ReceivedAt_ + CallerTimeout - AnswerMargin;
+  ++OpenRequests_;
+  Request->SendResponse_ = [this, Respond, WeakRequest = std::weak_ptr<PendingRequest>(Request)](
+                               http::Response Response) {
+    const auto LockedRequest = WeakRequest.lock();
+    if (!LockedRequest || std::exchange(LockedRequest->Answered_, true))
       return;
-    --Open_;
-    Out.Close_ = Context_.Stopping_;
-    To(std::move(Out));
+    --OpenRequests_;
+    Response.Close_ = Context_.Stopping_;
+    Respond(std::move(Response));
   };
   if (!Context_.Manifest_) {
-    refuse(Of, ErrorKind::ConfigurationStale, "no configuration has been read yet");
+    refuse(Request, ErrorKind::ConfigurationStale, "no configuration has been read yet");
     return;
   }
   const work::Manifest &Manifest = *Context_.Manifest_;
-  Of->Queue_ = work::findQueue(Manifest, Of->What_.Host_, Of->What_.Path_);
-  if (Of->Queue_ == nullptr) {
-    refuse(Of, ErrorKind::UnknownQueue, "no queue has this host and path");
+  Request->Queue_ = work::findQueue(Manifest, Request->Call_.Host_, Request->Call_.Path_);
+  if (Request->Queue_ == nullptr) {
+    refuse(Request, ErrorKind::UnknownQueue, "no queue has this host and path");
     return;
   }
-  const std::string_view Rest =
-      std::string_view(Of->What_.Path_).substr(Of->Queue_->PathPrefix_.size());
-  if (platform::isJobId(Rest))
-    Of->Job_ = Rest;
-  const auto Key = Manifest.CustomerOfKey_.find(Of->What_.Key_);
-  if (Key != Manifest.CustomerOfKey_.end()) {
-    Of->Customer_ = Key->second;
-  } else if (!Of->Queue_->Open_) {
-    refuse(Of, Of->What_.Key_.empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
+  const std::string_view PathSuffix =
+      std::string_view(Request->Call_.Path_).substr(Request->Queue_->PathPrefix_.size());
+  if (platform::isJobId(PathSuffix))
+    Request->JobId_ = PathSuffix;
+  const auto CustomerEntry = Manifest.CustomerOfKey_.find(Request->Call_.Key_);
+  if (CustomerEntry != Manifest.CustomerOfKey_.end()) {
+    Request->Customer_ = CustomerEntry->second;
+  } else if (!Request->Queue_->Open_) {
+    refuse(Request, Request->Call_.Key_.empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
            "the request carries no key of the configuration in force");
     return;
   }
-  if (Rest.empty() && Of->What_.Method_ == platform::CallMethod::Look) {
-    if (!Jobs_.loaded()) {
-      refuse(Of, ErrorKind::StoreUnavailable, "the jobs are still being read");
+  if (PathSuffix.empty() && Request->Call_.Method_ == platform::CallMethod::Look) {
+    if (!JobTail_.loaded()) {
+      refuse(Request, ErrorKind::StoreUnavailable, "the jobs are still being read");
       return;
     }
-    Of->answer(200, platform::encodePending(Context_.Ledger_.pendingOf(Of->Queue_->Name_)));
+    Request->answer(200,
+                    platform::encodePending(Context_.Ledger_.pendingOf(Request->Queue_->Name_)));
     return;
   }
-  if (Of->Job_.empty()) {
-    refuse(Of, ErrorKind::UnknownPath, "the path does not end with a job id");
+  if (Request->JobId_.empty()) {
+    refuse(Request, ErrorKind::UnknownPath, "the path does not end with a job id");
     return;
   }
-  switch (Of->What_.Method_) {
+  switch (Request->Call_.Method_) {
   case platform::CallMethod::Submit:
-    submit(Of, From.Body_);
+    submit(Request, HttpRequest.Body_);
     return;
   case platform::CallMethod::Look:
-    look(Of);
+    queryState(Request);
     return;
   case platform::CallMethod::Cancel:
-    cancel(Of);
+    cancel(Request);
     return;
   case platform::CallMethod::Other:
-    refuse(Of, ErrorKind::MethodNotAllowed, "a job takes POST, GET and DELETE");
+    refuse(Request, ErrorKind::MethodNotAllowed, "a job takes POST, GET and DELETE");
     return;
   }
 }
 
-void EntryService::submit(const std::shared_ptr<Call> &Of, const std::string &Body) {
-  if (Context_.Ledger_.find(Of->Job_) != nullptr) {
+void EntryService::submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body) {
+  if (Context_.Ledger_.find(Request->JobId_) != nullptr) {
     // A repeat of a submission whose answer was lost.
-    answerWrite(Of, WriteOutcome::Stored);
+    answerWrite(Request, WriteOutcome::Stored);
     return;
   }
   if (Context_.Manifest_->MaxBodyBytes_ > 0 && Body.size() > Context_.Manifest_->MaxBodyBytes_) {
-    refuse(Of, ErrorKind::BodyTooLarge, "the body has " + std::to_string(Body.size()) + " bytes");
+    refuse(Request, ErrorKind::BodyTooLarge,
+           "the body has " + std::to_string(Body.size()) + " bytes");
     return;
   }
-  auto [Spec, Mistake] = platform::decodeJob(Body);
+  auto [Spec, ParseError] = platform::decodeJob(Body);
   if (!Spec) {
-    refuse(Of, ErrorKind::MalformedJson, Mistake);
+    refuse(Request, ErrorKind::MalformedJson, ParseError);
     return;
   }
-  const work::AcceptedRecord Record{*Of->Queue_, Of->Customer_, core::wallMillis()};
-  store(Of, {work::acceptedEntry(Of->Job_, Record), core::pack(*Spec)},
-        [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
+  const work::AcceptedRecord Record{*Request->Queue_, Request->Customer_, core::wallMillis()};
+  store(Request, {work::acceptedEntry(Request->JobId_, Record), core::pack(*Spec)},
+        [this, Request](WriteOutcome Outcome) { answerWrite(Request, Outcome); });
 }
 
-void EntryService::answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome) {
+void EntryService::answerWrite(const std::shared_ptr<PendingRequest> &Request,
+                               WriteOutcome Outcome) {
   switch (Outcome) {
   case WriteOutcome::Refused:
-    refuse(Of, ErrorKind::StoreUnavailable, "the job store refuses writes; nothing was stored");
+    refuse(Request, ErrorKind::StoreUnavailable,
+           "the job store refuses writes; nothing was stored");
     return;
   case WriteOutcome::Unknown:
-    refuse(Of, ErrorKind::AppendUnknown, "the job store has not answered; ask with the same id");
+    refuse(Request, ErrorKind::AppendUnknown,
+           "the job store has not answered; ask with the same id");
     return;
   case WriteOutcome::Stored:
     break;
   }
   const double Seconds =
-      std::chrono::duration<double>(core::Clock::now() - Of->ReceivedAt_).count();
-  const bool Submit = Of->What_.Method_ == platform::CallMethod::Submit;
-  if (Submit) {
+      std::chrono::duration<double>(core::Clock::now() - Request->ReceivedAt_).count();
+  const bool IsSubmission = Request->Call_.Method_ == platform::CallMethod::Submit;
+  if (IsSubmission) {
     core::count("masticdrift_submissions_total", {{"outcome", "accepted"}});
     core::observe("masticdrift_submission_seconds", Seconds);
   }
-  core::log(core::LogLevel::Info, Submit ? "accepted" : "cancelled",
-            {{"request_id", Of->Job_},
-             {"customer", Of->Customer_},
+  core::log(core::LogLevel::Info, IsSubmission ? "accepted" : "cancelled",
+            {{"request_id", Request->JobId_},
+             {"customer", Request->Customer_},
              {"config", std::to_string(Context_.Manifest_->Version_)},
              {"ms", std::to_string(static_cast<int>(Seconds * 1000))}});
-  Of->answer(200, "{}");
+  Request->answer(200, "{}");
 }
 
-void EntryService::store(const std::shared_ptr<Call> &Of, Submission What,
-                         std::function<void(WriteOutcome)> Done) {
+void EntryService::store(const std::shared_ptr<PendingRequest> &Request, StoreRequest Write,
+                         std::function<void(WriteOutcome)> OnDone) {
   // One writer at a time keeps the partition's queue short when the store is slow, and tells the
   // leader of the job at once.
-  const std::string Leader = Leader_.leaderAddress();
-  if (!Leader.empty() && (Leader_.leaderHeard() || Jobs_.failing())) {
-    relay(Of, Leader, std::move(What), std::move(Done));
+  const std::string LeaderAddress = Leader_.leaderAddress();
+  if (!LeaderAddress.empty() && (Leader_.leaderHeard() || JobTail_.failing())) {
+    forwardToLeader(Request, LeaderAddress, std::move(Write), std::move(OnDone));
     return;
   }
-  if (Jobs_.failing())
-    Done(WriteOutcome::Refused);
+  if (JobTail_.failing())
+    OnDone(WriteOutcome::Refused);
   else
-    append(std::move(What), Of->Deadline_, std::move(Done));
+    append(std::move(Write), Request->Deadline_, std::move(OnDone));
 }
 
-void EntryService::append(Submission What, core::TimePoint Deadline,
-                          std::function<void(WriteOutcome)> Done) {
-  if (What.Spec_.empty()) {
-    Writer_.write(entriesFor(std::move(What.Record_)), Deadline, std::move(Done));
+void EntryService::append(StoreRequest Write, core::TimePoint Deadline,
+                          std::function<void(WriteOutcome)> OnDone) {
+  if (Write.Spec_.empty()) {
+    RecordWriter_.write(entriesFor(std::move(Write.Record_)), Deadline, std::move(OnDone));
     return;
   }
-  const std::string Id(work::acceptedIdOf(What.Record_));
-  Specs_.write({{Id, std::move(What.Spec_)}}, Deadline,
-               [this, Record = std::move(What.Record_), Deadline,
-                Done = std::move(Done)](WriteOutcome Outcome) mutable {
-                 // Steps alone are no job, so nothing will run.
-                 if (Outcome != WriteOutcome::Stored)
-                   Done(WriteOutcome::Refused);
-                 else
-                   Writer_.write(entriesFor(std::move(Record)), Deadline, std::move(Done));
-               });
+  const std::string Id(work::acceptedIdOf(Write.Record_));
+  SpecWriter_.write({{Id, std::move(Write.Spec_)}}, Deadline,
+                    [this, Record = std::move(Write.Record_), Deadline,
+                     OnDone = std::move(OnDone)](WriteOutcome Outcome) mutable {
+                      // Steps alone are no job, so nothing will run.
+                      if (Outcome != WriteOutcome::Stored)
+                        OnDone(WriteOutcome::Refused);
+                      else
+                        RecordWriter_.write(entriesFor(std::move(Record)), Deadline,
+                                            std::move(OnDone));
+                    });
 }
 
 std::vector<work::LedgerEntry> EntryService::entriesFor(work::LedgerEntry Entry) const {
-  std::vector<work::LedgerEntry> Out;
+  std::vector<work::LedgerEntry> Entries;
   // The leader begins a job with its acceptance, which saves an append before the first start.
   if (const std::string_view Id = work::acceptedIdOf(Entry); !Id.empty() && Leader_.leading())
-    Out.push_back(work::begunEntry(Id, Leader_.term()));
-  Out.push_back(std::move(Entry));
-  return Out;
+    Entries.push_back(work::begunEntry(Id, Leader_.term()));
+  Entries.push_back(std::move(Entry));
+  return Entries;
 }
 
-void EntryService::relay(const std::shared_ptr<Call> &Of, const std::string &Leader,
-                         Submission What, std::function<void(WriteOutcome)> Done) {
-  const core::Millis Left =
-      std::chrono::duration_cast<core::Millis>(Of->Deadline_ - core::Clock::now());
-  const core::Millis Wait = std::min(Left - RelayMargin, MostRelayTime);
-  http::ClientRequest Call;
-  Call.Method_ = "POST";
-  Call.Url_ = "http://" + Leader + protocol::SubmitPath;
-  Call.Body_ = core::pack(
-      protocol::SubmitCall{What.Record_.Key_, What.Record_.Value_, What.Spec_, Wait.count()});
-  Call.Timeout_ = Wait + RelayMargin;
-  Context_.Client_.send(std::move(Call), [this, Of, What = std::move(What), Done = std::move(Done)](
-                                             const http::ClientResult &Result) mutable {
+void EntryService::forwardToLeader(const std::shared_ptr<PendingRequest> &Request,
+                                   const std::string &LeaderAddress, StoreRequest Write,
+                                   std::function<void(WriteOutcome)> OnDone) {
+  const core::Millis Remaining =
+      std::chrono::duration_cast<core::Millis>(Request->Deadline_ - core::Clock::now());
+  const core::Millis LeaderTimeout = std::min(Remaining - ForwardMargin, MaxForwardTime);
+  http::ClientRequest LeaderRequest;
+  LeaderRequest.Method_ = "POST";
+  LeaderRequest.Url_ = "http://" + LeaderAddress + protocol::SubmitPath;
+  LeaderRequest.Body_ = core::pack(protocol::SubmitCall{Write.Record_.Key_, Write.Record_.Value_,
+                                                        Write.Spec_, LeaderTimeout.count()});
+  LeaderRequest.Timeout_ = LeaderTimeout + ForwardMargin;
+  Context_.Client_.send(std::move(LeaderRequest), [this, Request, Write = std::move(Write),
+                                                   OnDone = std::move(OnDone)](
+                                                      const http::ClientResult &Result) mutable {
     const auto Reply = Result.Transfer_ == http::Transfer::Complete
                            ? core::unpack<protocol::SubmitReply>(Result.Answer_.Body_)
                            : std::nullopt;
     if (Reply && Reply->Stored_) {
-      Context_.Ledger_.apply(Reply->Offset_, What.Record_.Key_, What.Record_.Value_);
-      Done(WriteOutcome::Stored);
+      Context_.Ledger_.apply(Reply->Offset_, Write.Record_.Key_, Write.Record_.Value_);
+      OnDone(WriteOutcome::Stored);
       return;
     }
-    const bool NothingDone =
+    const bool KnownNotStored =
         (Reply && Reply->Refused_) || Result.Transfer_ == http::Transfer::NotConnected;
     core::log(core::LogLevel::Warning, "relay was not confirmed",
-              {{"request_id", Of->Job_},
-               {"uncertain", NothingDone ? "false" : "true"},
+              {{"request_id", Request->JobId_},
+               {"uncertain", KnownNotStored ? "false" : "true"},
                {"detail", Reply ? "leader could not store" : Result.Error_}});
     if (!Reply)
       Leader_.leaderFailed();
-    if (Jobs_.failing()) {
-      Done(NothingDone ? WriteOutcome::Refused : WriteOutcome::Unknown);
+    if (JobTail_.failing()) {
+      OnDone(KnownNotStored ? WriteOutcome::Refused : WriteOutcome::Unknown);
       return;
     }
     // A second copy under the same key does no harm. What the relay may have stored can't be
     // called refused any more.
-    append(std::move(What), Of->Deadline_,
-           [NothingDone, Done = std::move(Done)](WriteOutcome Outcome) {
-             const bool Unsure = Outcome == WriteOutcome::Refused && !NothingDone;
-             Done(Unsure ? WriteOutcome::Unknown : Outcome);
+    append(std::move(Write), Request->Deadline_,
+           [KnownNotStored, OnDone = std::move(OnDone)](WriteOutcome Outcome) {
+             const bool MayBeStored = Outcome == WriteOutcome::Refused && !KnownNotStored;
+             OnDone(MayBeStored ? WriteOutcome::Unknown : Outcome);
            });
   });
 }
 
-void EntryService::submitFor(protocol::SubmitCall Call,
-                             std::function<void(protocol::SubmitReply)> Done) {
-  if (Jobs_.failing()) {
-    Done({false, true, 0});
+void EntryService::submitForPeer(protocol::SubmitCall Call,
+                                 std::function<void(protocol::SubmitReply)> OnDone) {
+  if (JobTail_.failing()) {
+    OnDone({false, true, 0});
     return;
   }
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
@@ -281,106 +292,112 @@
   if (const work::LedgerJob *Job = Context_.Ledger_.find(Id);
       Job != nullptr && !Call.Spec_.empty()) {
     // A repeat that reached another daemon.
-    Done({true, false, Job->AcceptedOffset_});
+    OnDone({true, false, Job->AcceptedOffset_});
     return;
   }
   append({{std::move(Call.Key_), std::move(Call.Value_)}, std::move(Call.Spec_)}, Deadline,
-         [this, Id, Done = std::move(Done)](WriteOutcome Outcome) {
+         [this, Id, OnDone = std::move(OnDone)](WriteOutcome Outcome) {
            protocol::SubmitReply Reply;
            Reply.Stored_ = Outcome == WriteOutcome::Stored;
            Reply.Refused_ = Outcome == WriteOutcome::Refused;
            if (const work::LedgerJob *Job = Context_.Ledger_.find(Id))
              Reply.Offset_ = Job->AcceptedOffset_;
-           Done(Reply);
+           OnDone(Reply);
          });
 }
 
-void EntryService::resolve(const std::shared_ptr<Call> &Of, Found Then) {
-  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
-  if (Own.Known_ && work::isFinal(static_cast<work::JobState>(Own.State_))) {
-    resolved(Of, "own", Own, Then);
+void EntryService::resolveState(const std::shared_ptr<PendingRequest> &Request,
+                                StateCallback OnState) {
+  const protocol::LookReply LocalReply = lookedUp(Context_.Ledger_, Request->JobId_);
+  if (LocalReply.Known_ && work::isFinal(static_cast<work::JobState>(LocalReply.State_))) {
+    onStateReply(Request, "own", LocalReply, OnState);
     return;
   }
-  const std::string Leader = Leader_.leaderAddress();
+  const std::string LeaderAddress = Leader_.leaderAddress();
   if (Leader_.leading())
-    Leader_.look(Of->Job_, [this, Of, Then = std::move(Then)](const protocol::LookReply &Reply) {
-      resolved(Of, "leader", Reply, Then);
-    });
-  else if (!Leader.empty() && Leader_.leaderHeard())
-    askLeader(Of, Leader, std::move(Then));
+    Leader_.look(Request->JobId_,
+                 [this, Request, OnState = std::move(OnState)](const protocol::LookReply &Reply) {
+                   onStateReply(Request, "leader", Reply, OnState);
+                 });
+  else if (!LeaderAddress.empty() && Leader_.leaderHeard())
+    queryLeader(Request, LeaderAddress, std::move(OnState));
   else
-    resolveHere(Of, Then);
+    resolveLocally(Request, OnState);
 }
 
-void EntryService::askLeader(const std::shared_ptr<Call> &Of, const std::string &Leader,
-                             Found Then) {
-  http::ClientRequest Call;
-  Call.Method_ = "POST";
-  Call.Url_ = "http://" + Leader + protocol::LookPath;
-  Call.Body_ = core::pack(protocol::LookCall{Of->Job_});
-  Call.Timeout_ = LookRelayTimeout;
-  Context_.Client_.send(
-      std::move(Call), [this, Of, Then = std::move(Then)](const http::ClientResult &Result) {
-        const auto Reply = Result.Transfer_ == http::Transfer::Complete
-                               ? core::unpack<protocol::LookReply>(Result.Answer_.Body_)
-                               : std::nullopt;
-        if (!Reply) {
-          core::log(core::LogLevel::Warning, "leader did not tell a job's state",
-                    {{"request_id", Of->Job_}, {"detail", Result.Error_}});
-          Leader_.leaderFailed();
-        }
-        resolved(Of, "leader", Reply.value_or(protocol::LookReply{}), Then);
-      });
+void EntryService::queryLeader(const std::shared_ptr<PendingRequest> &Request,
+                               const std::string &LeaderAddress, StateCallback OnState) {
+  http::ClientRequest LeaderRequest;
+  LeaderRequest.Method_ = "POST";
+  LeaderRequest.Url_ = "http://" + LeaderAddress + protocol::LookPath;
+  LeaderRequest.Body_ = core::pack(protocol::LookCall{Request->JobId_});
+  LeaderRequest.Timeout_ = StateQueryTimeout;
+  Context_.Client_.send(std::move(LeaderRequest), [this, Request, OnState = std::move(OnState)](
+                                                      const http::ClientResult &Result) {
+    const auto Reply = Result.Transfer_ == http::Transfer::Complete
+                           ? core::unpack<protocol::LookReply>(Result.Answer_.Body_)
+                           : std::nullopt;
+    if (!Reply) {
+      core::log(core::LogLevel::Warning, "leader did not tell a job's state",
+                {{"request_id", Request->JobId_}, {"detail", Result.Error_}});
+      Leader_.leaderFailed();
+    }
+    onStateReply(Request, "leader", Reply.value_or(protocol::LookReply{}), OnState);
+  });
 }
 
-void EntryService::resolveHere(const std::shared_ptr<Call> &Of, const Found &Then) {
-  const protocol::LookReply Own = lookedUp(Context_.Ledger_, Of->Job_);
-  if (Own.Known_) {
-    resolved(Of, "own", Own, Then);
+void EntryService::resolveLocally(const std::shared_ptr<PendingRequest> &Request,
+                                  const StateCallback &OnState) {
+  const protocol::LookReply LocalReply = lookedUp(Context_.Ledger_, Request->JobId_);
+  if (LocalReply.Known_) {
+    onStateReply(Request, "own", LocalReply, OnState);
     return;
   }
-  if (!Jobs_.loaded() || Jobs_.failing()) {
-    refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
+  if (!JobTail_.loaded() || JobTail_.failing()) {
+    refuse(Request, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
     return;
   }
   // "No such job" is only true of the whole log.
-  Jobs_.catchUp(LookTimeout, [this, Of, Then](bool Complete) {
-    const protocol::LookReply Read = lookedUp(Context_.Ledger_, Of->Job_);
-    if (Read.Known_)
-      resolved(Of, "own", Read, Then);
+  JobTail_.catchUp(CatchUpTimeout, [this, Request, OnState](bool Complete) {
+    const protocol::LookReply UpdatedReply = lookedUp(Context_.Ledger_, Request->JobId_);
+    if (UpdatedReply.Known_)
+      onStateReply(Request, "own", UpdatedReply, OnState);
     else if (Complete)
-      refuse(Of, ErrorKind::UnknownJob, "no such job");
+      refuse(Request, ErrorKind::UnknownJob, "no such job");
     else
-      refuse(Of, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
+      refuse(Request, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
   });
 }
 
-void EntryService::resolved(const std::shared_ptr<Call> &Of, std::string_view Source,
-                            const protocol::LookReply &Reply, const Found &Then) {
+void EntryService::onStateReply(const std::shared_ptr<PendingRequest> &Request,
+                                std::string_view Source, const protocol::LookReply &Reply,
+                                const StateCallback &OnState) {
   if (!Reply.Answered_ || !Reply.Known_) {
-    resolveHere(Of, Then);
+    resolveLocally(Request, OnState);
     return;
   }
-  if (Reply.Customer_ != Of->Customer_) {
-    refuse(Of, ErrorKind::UnknownJob, "no such job");
+  if (Reply.Customer_ != Request->Customer_) {
+    refuse(Request, ErrorKind::UnknownJob, "no such job");
     return;
   }
   core::count("masticdrift_looks_total", {{"source", std::string(Source)}});
-  Then(static_cast<work::JobState>(Reply.State_));
+  OnState(static_cast<work::JobState>(Reply.State_));
 }
 
-void EntryService::look(const std::shared_ptr<Call> &Of) {
-  resolve(Of, [Of](work::JobState State) { Of->answer(200, platform::encodeState(State)); });
+void EntryService::queryState(const std::shared_ptr<PendingRequest> &Request) {
+  resolveState(Request, [Request](work::JobState State) {
+    Request->answer(200, platform::encodeState(State));
+  });
 }
 
-void EntryService::cancel(const std::shared_ptr<Call> &Of) {
-  resolve(Of, [this, Of](work::JobState State) {
+void EntryService::cancel(const std::shared_ptr<PendingRequest> &Request) {
+  resolveState(Request, [this, Request](work::JobState State) {
     if (work::isFinal(State)) {
-      answerWrite(Of, WriteOutcome::Stored);
+      answerWrite(Request, WriteOutcome::Stored);
       return;
     }
-    store(Of, {work::cancelledEntry(Of->Job_, {core::wallMillis()}), {}},
-          [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
+    store(Request, {work::cancelledEntry(Request->JobId_, {core::wallMillis()}), {}},
+          [this, Request](WriteOutcome Outcome) { answerWrite(Request, Outcome); });
   });
 }
 
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -154,9 +154,9 @@
     expire();
     Loop_.run();
     core::log(core::LogLevel::Info, "stop",
-              {{"open_requests", std::to_string(Entry_.open())},
+              {{"open_requests", std::to_string(Entry_.openRequests())},
                {"log_lines_dropped", std::to_string(core::droppedLogLines())}});
-    return Entry_.open() == 0;
+    return Entry_.openRequests() == 0;
   }
 
 private:
@@ -317,7 +317,7 @@
       To({400, {}, "text/plain", {}, false});
       return;
     }
-    Entry_.submitFor(std::move(*Call), [To](const protocol::SubmitReply &Reply) {
+    Entry_.submitForPeer(std::move(*Call), [To](const protocol::SubmitReply &Reply) {
       To({200, core::pack(Reply), "application/msgpack", {}, false});
     });
   }
@@ -381,7 +381,7 @@
     Context_.Stopping_ = true;
     StopAt_ = core::Clock::now();
     core::log(core::LogLevel::Info, "stopping",
-              {{"open_requests", std::to_string(Entry_.open())},
+              {{"open_requests", std::to_string(Entry_.openRequests())},
                {"leading", Leader_.leading() ? "true" : "false"}});
     Leader_.release();
     awaitEnd();
@@ -390,7 +390,7 @@
   void awaitEnd() {
     const core::Duration Spent = core::Clock::now() - StopAt_;
     const bool Idle =
-        Entry_.open() == 0 && SpecWriter_.idle() && Writer_.idle() && Leader_.released();
+        Entry_.openRequests() == 0 && SpecWriter_.idle() && Writer_.idle() && Leader_.released();
     if ((Idle && Spent >= LeastStopTime) ||
         Spent >= core::Millis(Settings_.GraceMs_) - StopMargin) {
       Loop_.stop();
