daemon: rename the parts, limits and handlers of the fleet daemon

Servers, topic tails and writers shared plural names with what they carry. They are named after their role now, limits after what they limit, and the handlers of peers' calls after the call.

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -28,33 +28,33 @@
 /// Connections kept open for reuse: four to each of 350 executors and some to the platform, within
 /// the 3,900 descriptors that the smallest machines have for sockets.
 constexpr long MaxKeptConnections = 1500;
-constexpr std::chrono::seconds IdleConnections{30};
+constexpr std::chrono::seconds IdleConnectionTimeout{30};
 /// Bodies up to this size are read; the configuration's own limit is lower.
-constexpr std::size_t MaxBody = 1U << 20U;
+constexpr std::size_t MaxBodyBytes = 1U << 20U;
 /// A configuration must be in force within 2.5 s, also when its connection has gone silent.
-constexpr core::Millis ConfigWait{1200};
-constexpr core::Millis JobsWait{700};
-constexpr core::Millis SpecsWait{1000};
-constexpr core::Millis ExecutorsWait{1000};
+constexpr core::Millis ConfigLongPoll{1200};
+constexpr core::Millis JobsLongPoll{700};
+constexpr core::Millis SpecsLongPoll{1000};
+constexpr core::Millis ExecutorsLongPoll{1000};
 /// Rests between reads with records. The leader appends nearly all of them itself and answers the
 /// looks at jobs of the others, whose own records are needed for the number of pending jobs, which
 /// may be 2 s old, and at the next takeover.
-constexpr core::Millis LeaderJobsRest{80};
-constexpr core::Millis FollowerJobsRest{1200};
+constexpr core::Millis LeaderReadPause{80};
+constexpr core::Millis FollowerJobsPause{1200};
 /// While no leader answers, callers are told what was read; they look about every 250 ms.
-constexpr core::Millis UnledJobsRest{180};
+constexpr core::Millis NoLeaderJobsPause{180};
 /// Steps of jobs are needed at the next takeover only.
-constexpr core::Millis FollowerSpecsRest{2000};
-constexpr core::Millis LeaderExecutorsRest{200};
-constexpr core::Millis FollowerExecutorsRest{1800};
+constexpr core::Millis FollowerSpecsPause{2000};
+constexpr core::Millis LeaderExecutorsPause{200};
+constexpr core::Millis FollowerExecutorsPause{1800};
 constexpr core::Millis ExpiryInterval{50};
 /// An executor whose entry went away may still run what an earlier leader started.
-constexpr core::Millis RosterMemory{15'000};
+constexpr core::Millis UnlistedExecutorRetention{15'000};
 /// The load balancer needs two missed looks, one a second, to send new connections elsewhere.
-constexpr core::Millis LeastStopTime{2300};
+constexpr core::Millis MinStopTime{2300};
 /// The process ends this long before the platform kills it.
 constexpr core::Millis StopMargin{800};
-constexpr core::Millis StopPoll{50};
+constexpr core::Millis StopPollInterval{50};
 
 std::string newIncarnation() {
   std::random_device Random;
@@ -63,22 +63,22 @@
   return Text.str();
 }
 
-http::ServerOptions serverOptions(asio::io_context &Loop, const platform::Endpoint &At) {
-  http::ServerOptions Out;
-  Out.Address_ = At.Address_;
-  Out.Port_ = At.Port_;
-  Out.Loop_ = &Loop;
-  Out.MaxBody_ = MaxBody;
+http::ServerOptions serverOptions(asio::io_context &Loop, const platform::Endpoint &Listen) {
+  http::ServerOptions Options;
+  Options.Address_ = Listen.Address_;
+  Options.Port_ = Listen.Port_;
+  Options.Loop_ = &Loop;
+  Options.MaxBody_ = MaxBodyBytes;
   // Callers keep connections open between requests.
-  Out.ReadTimeout_ = std::chrono::seconds(60);
-  return Out;
+  Options.ReadTimeout_ = std::chrono::seconds(60);
+  return Options;
 }
 
 class FleetDaemon {
 public:
   FleetDaemon(const platform::MachineSettings &Settings, std::string SettingsPath)
       : Settings_(Settings), SettingsPath_(std::move(SettingsPath)),
-        Client_(Loop_, IdleConnections, MaxKeptConnections),
+        Client_(Loop_, IdleConnectionTimeout, MaxKeptConnections),
         Store_(Client_, Settings.StoreAddress_), Context_{Loop_,
                                                           Client_,
                                                           Store_,
@@ -91,51 +91,55 @@
                                                           {},
                                                           {},
                                                           false},
-        Jobs_(
+        JobTail_(Loop_, Store_,
+                 {JobsTopic, JobsLongPoll,
+                  [this] {
+                    if (Leader_.leading())
+                      return LeaderReadPause;
+                    return Leader_.leaderHeard() ? FollowerJobsPause : NoLeaderJobsPause;
+                  },
+                  !lead::mayLead(Settings.Cores_)},
+                 {[this](const platform::KeyedRecord &Record) { onJobRecord(Record); },
+                  [](const auto &) {}}),
+        SpecTail_(Loop_, Store_,
+                  {SpecsTopic, SpecsLongPoll,
+                   [this] { return Leader_.leading() ? LeaderReadPause : FollowerSpecsPause; },
+                   true},
+                  {[this](const platform::KeyedRecord &Record) { onSpecRecord(Record); },
+                   [](const auto &) {}}),
+        ConfigTail_(Loop_, Store_, {ConfigTopic, ConfigLongPoll},
+                    {[this](const platform::KeyedRecord &Record) { onConfigRecord(Record); },
+                     [](const auto &) {}}),
+        ExecutorTail_(
             Loop_, Store_,
-            {JobsTopic, JobsWait,
-             [this] {
-               if (Leader_.leading())
-                 return LeaderJobsRest;
-               return Leader_.leaderHeard() ? FollowerJobsRest : UnledJobsRest;
-             },
-             !lead::mayLead(Settings.Cores_)},
-            {[this](const platform::KeyedRecord &One) { onJobRecord(One); }, [](const auto &) {}}),
-        Specs_(
-            Loop_, Store_,
-            {SpecsTopic, SpecsWait,
-             [this] { return Leader_.leading() ? LeaderJobsRest : FollowerSpecsRest; }, true},
-            {[this](const platform::KeyedRecord &One) { onSpecRecord(One); }, [](const auto &) {}}),
-        Config_(Loop_, Store_, {ConfigTopic, ConfigWait},
-                {[this](const platform::KeyedRecord &One) { onConfigRecord(One); },
-                 [](const auto &) {}}),
-        Executors_(
-            Loop_, Store_,
-            {ExecutorsTopic, ExecutorsWait,
-             [this] { return Leader_.leading() ? LeaderExecutorsRest : FollowerExecutorsRest; },
+            {ExecutorsTopic, ExecutorsLongPoll,
+             [this] { return Leader_.leading() ? LeaderExecutorsPause : FollowerExecutorsPause; },
              true},
-            {[this](const platform::KeyedRecord &One) { onExecutorRecord(One); },
+            {[this](const platform::KeyedRecord &Record) { onExecutorRecord(Record); },
              [this](const std::set<std::string> &Keys) { onExecutorsLoaded(Keys); }}),
-        Writer_(Store_, JobsTopic,
-                [this](std::uint64_t Offset, const work::LedgerEntry &One) {
-                  onJobRecord({Offset, One.Key_, One.Value_});
-                }),
+        RecordWriter_(Store_, JobsTopic,
+                      [this](std::uint64_t Offset, const work::LedgerEntry &Entry) {
+                        onJobRecord({Offset, Entry.Key_, Entry.Value_});
+                      }),
         SpecWriter_(Store_, SpecsTopic,
-                    [this](std::uint64_t Offset, const work::LedgerEntry &One) {
-                      if (Specs_.started())
-                        onSpecRecord({Offset, One.Key_, One.Value_});
+                    [this](std::uint64_t Offset, const work::LedgerEntry &Entry) {
+                      if (SpecTail_.started())
+                        onSpecRecord({Offset, Entry.Key_, Entry.Value_});
+                    }),
+        Leader_(Context_, JobTail_, SpecTail_, ExecutorTail_), OrderRelay_(Context_),
+        EntryService_(Context_, JobTail_, SpecWriter_, RecordWriter_, Leader_),
+        CallerServer_(serverOptions(Loop_, Settings.Callers_),
+                      [this](const http::Request &HttpRequest, const http::Responder &Respond) {
+                        EntryService_.handle(HttpRequest, Respond);
+                      }),
+        ReadyServer_(serverOptions(Loop_, Settings.Ready_),
+                     [this](const http::Request &, const http::Responder &Respond) {
+                       answerReadiness(Respond);
+                     }),
+        PeerServer_(serverOptions(Loop_, Settings.Peers_),
+                    [this](const http::Request &HttpRequest, const http::Responder &Respond) {
+                      handlePeerRequest(HttpRequest, Respond);
                     }),
-        Leader_(Context_, Jobs_, Specs_, Executors_), Relay_(Context_),
-        Entry_(Context_, Jobs_, SpecWriter_, Writer_, Leader_),
-        Callers_(serverOptions(Loop_, Settings.Callers_),
-                 [this](const http::Request &From, const http::Responder &To) {
-                   Entry_.handle(From, To);
-                 }),
-        Ready_(serverOptions(Loop_, Settings.Ready_),
-               [this](const http::Request &, const http::Responder &To) { answerReady(To); }),
-        Peers_(
-            serverOptions(Loop_, Settings.Peers_),
-            [this](const http::Request &From, const http::Responder &To) { answerPeer(From, To); }),
         Signals_(Loop_, SIGTERM, SIGINT, SIGHUP), ExpiryTimer_(Loop_), StopTimer_(Loop_) {}
 
   bool run() {
@@ -144,64 +148,65 @@
                {"domain", Settings_.Domain_},
                {"incarnation", Context_.Incarnation_},
                {"store", Settings_.StoreAddress_}});
-    Jobs_.start();
+    JobTail_.start();
     if (lead::mayLead(Settings_.Cores_))
-      Specs_.start();
-    Config_.start();
-    Executors_.start();
+      SpecTail_.start();
+    ConfigTail_.start();
+    ExecutorTail_.start();
     Leader_.start();
     awaitSignal();
-    expire();
+    removeExpired();
     Loop_.run();
     core::log(core::LogLevel::Info, "stop",
-              {{"open_requests", std::to_string(Entry_.openRequests())},
+              {{"open_requests", std::to_string(EntryService_.openRequests())},
                {"log_lines_dropped", std::to_string(core::droppedLogLines())}});
-    return Entry_.openRequests() == 0;
+    return EntryService_.openRequests() == 0;
   }
 
 private:
-  void onJobRecord(const platform::KeyedRecord &One) {
-    const work::LedgerChange Change = Context_.Ledger_.apply(One.Offset_, One.Key_, One.Value_);
+  void onJobRecord(const platform::KeyedRecord &Record) {
+    const work::LedgerChange Change =
+        Context_.Ledger_.apply(Record.Offset_, Record.Key_, Record.Value_);
     using enum work::LedgerChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job record is unreadable",
-                {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
+                {{"request_id", Change.Id_}, {"offset", std::to_string(Record.Offset_)}});
     if (Change.Kind_ == Progressed)
-      Leader_.onProgressRead(One.Key_, One.Value_);
+      Leader_.onProgressRead(Record.Key_, Record.Value_);
     if (Change.Kind_ == Forgotten)
       Leader_.onJob(Change.Id_);
     if (Change.Kind_ == Accepted || Change.Kind_ == Cancelled) {
-      Writer_.confirmStored(One.Key_);
+      RecordWriter_.confirmStored(Record.Key_);
       Leader_.onJob(Change.Id_);
     }
   }
 
-  void onSpecRecord(const platform::KeyedRecord &One) {
-    const work::LedgerChange Change = Context_.Ledger_.applySpec(One.Key_, One.Value_);
+  void onSpecRecord(const platform::KeyedRecord &Record) {
+    const work::LedgerChange Change = Context_.Ledger_.applySpec(Record.Key_, Record.Value_);
     using enum work::LedgerChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job specification is unreadable",
-                {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
+                {{"request_id", Change.Id_}, {"offset", std::to_string(Record.Offset_)}});
     if (Change.Kind_ == Specified) {
-      SpecWriter_.confirmStored(One.Key_);
+      SpecWriter_.confirmStored(Record.Key_);
       Leader_.onJob(Change.Id_);
     }
   }
 
-  void onConfigRecord(const platform::KeyedRecord &One) {
-    if (One.Key_ != ConfigKey || One.Value_.empty())
+  void onConfigRecord(const platform::KeyedRecord &Record) {
+    if (Record.Key_ != ConfigKey || Record.Value_.empty())
       return;
-    auto Manifest = platform::decodeManifest(One.Value_);
+    auto Manifest = platform::decodeManifest(Record.Value_);
     if (!Manifest) {
       core::log(core::LogLevel::Warning, "configuration is unreadable",
-                {{"offset", std::to_string(One.Offset_)}});
+                {{"offset", std::to_string(Record.Offset_)}});
       return;
     }
     if (Context_.Manifest_ && Manifest->Version_ <= Context_.Manifest_->Version_)
       return;
     core::log(core::LogLevel::Info, "configuration in force",
               {{"version", std::to_string(Manifest->Version_)},
-               {"offset", std::to_string(One.Offset_)},
+               {"offset", std::to_string(Record.Offset_)},
                {"queues", std::to_string(Manifest->Queues_.size())},
                {"customers", std::to_string(Manifest->Customers_.size())}});
     core::setGauge("masticdrift_config_version", static_cast<double>(Manifest->Version_));
@@ -209,23 +214,23 @@
     Leader_.onManifest();
   }
 
-  void onExecutorRecord(const platform::KeyedRecord &One) {
-    if (One.Value_.empty()) {
-      executorGone(One.Key_);
+  void onExecutorRecord(const platform::KeyedRecord &Record) {
+    if (Record.Value_.empty()) {
+      unlistExecutor(Record.Key_);
       return;
     }
-    auto Info = platform::decodeExecutor(One.Key_, One.Value_);
+    auto Info = platform::decodeExecutor(Record.Key_, Record.Value_);
     if (!Info) {
-      if (Malformed_.insert(One.Key_).second)
+      if (MalformedExecutors_.insert(Record.Key_).second)
         core::log(core::LogLevel::Warning, "executor entry names no executor",
-                  {{"executor", One.Key_}, {"offset", std::to_string(One.Offset_)}});
+                  {{"executor", Record.Key_}, {"offset", std::to_string(Record.Offset_)}});
       return;
     }
-    Context_.Roster_[One.Key_] = {std::move(*Info), true, core::Clock::now()};
-    Leader_.onExecutor(One.Key_);
+    Context_.Roster_[Record.Key_] = {std::move(*Info), true, core::Clock::now()};
+    Leader_.onExecutor(Record.Key_);
   }
 
-  void executorGone(const std::string &Id) {
+  void unlistExecutor(const std::string &Id) {
     const auto Found = Context_.Roster_.find(Id);
     if (Found == Context_.Roster_.end() || !Found->second.Listed_)
       return;
@@ -236,114 +241,117 @@
   }
 
   void onExecutorsLoaded(const std::set<std::string> &Keys) {
-    std::vector<std::string> Gone;
+    std::vector<std::string> UnlistedIds;
     for (const auto &[Id, Entry] : Context_.Roster_)
       if (!Keys.contains(Id))
-        Gone.push_back(Id);
-    for (const std::string &Id : Gone)
-      executorGone(Id);
+        UnlistedIds.push_back(Id);
+    for (const std::string &Id : UnlistedIds)
+      unlistExecutor(Id);
   }
 
-  void answerReady(const http::Responder &To) const {
-    http::Response Out;
+  void answerReadiness(const http::Responder &Respond) const {
+    http::Response Response;
     // Until the jobs are loaded the leader tells their states.
     const bool Ready = !Context_.Stopping_ && Context_.Manifest_ &&
-                       (Jobs_.loaded() || Leader_.leaderHeard()) && !Jobs_.failing() &&
-                       !Config_.failing();
-    Out.Status_ = Ready ? 200 : 503;
-    Out.ContentType_ = "text/plain";
-    To(std::move(Out));
+                       (JobTail_.loaded() || Leader_.leaderHeard()) && !JobTail_.failing() &&
+                       !ConfigTail_.failing();
+    Response.Status_ = Ready ? 200 : 503;
+    Response.ContentType_ = "text/plain";
+    Respond(std::move(Response));
   }
 
-  void answerPeer(const http::Request &From, const http::Responder &To) {
-    if (From.Path_ == "/metrics") {
+  void handlePeerRequest(const http::Request &HttpRequest, const http::Responder &Respond) {
+    if (HttpRequest.Path_ == "/metrics") {
       core::setGauge("masticdrift_log_lines_dropped", static_cast<double>(core::droppedLogLines()));
-      To({200, core::renderMetrics(), "text/plain; version=0.0.4", {}, false});
-    } else if (From.Path_ == protocol::HelloPath) {
-      if (const auto Hello = core::unpack<protocol::Hello>(From.Body_))
+      Respond({200, core::renderMetrics(), "text/plain; version=0.0.4", {}, false});
+    } else if (HttpRequest.Path_ == protocol::HelloPath) {
+      if (const auto Hello = core::unpack<protocol::Hello>(HttpRequest.Body_))
         Leader_.onHello(*Hello);
-      To({Leader_.cutOff() ? 503 : 200, Context_.Incarnation_, "text/plain", {}, false});
-    } else if (From.Path_ == protocol::AdvisePath) {
-      advise(From, To);
-    } else if (From.Path_ == protocol::SubmitPath) {
-      submitFor(From, To);
-    } else if (From.Path_ == protocol::LookPath) {
-      lookFor(From, To);
-    } else if (From.Path_ == protocol::OrdersPath) {
-      take<protocol::OrdersCall>(From, To, [this](const auto &Call) { Relay_.carry(Call); });
-    } else if (From.Path_ == protocol::ResultsPath) {
-      take<protocol::ResultsCall>(From, To, [this](const auto &Call) { Leader_.onResults(Call); });
+      Respond({Leader_.cutOff() ? 503 : 200, Context_.Incarnation_, "text/plain", {}, false});
+    } else if (HttpRequest.Path_ == protocol::AdvisePath) {
+      handleAdvise(HttpRequest, Respond);
+    } else if (HttpRequest.Path_ == protocol::SubmitPath) {
+      handlePeerSubmit(HttpRequest, Respond);
+    } else if (HttpRequest.Path_ == protocol::LookPath) {
+      handlePeerStateQuery(HttpRequest, Respond);
+    } else if (HttpRequest.Path_ == protocol::OrdersPath) {
+      handleOneWay<protocol::OrdersCall>(HttpRequest, Respond,
+                                         [this](const auto &Call) { OrderRelay_.carry(Call); });
+    } else if (HttpRequest.Path_ == protocol::ResultsPath) {
+      handleOneWay<protocol::ResultsCall>(HttpRequest, Respond,
+                                          [this](const auto &Call) { Leader_.onResults(Call); });
     } else {
-      To({404, {}, "text/plain", {}, false});
+      Respond({404, {}, "text/plain", {}, false});
     }
   }
 
   /// Answers a one-way message and handles it.
-  template <typename Message, typename Work>
-  static void take(const http::Request &From, const http::Responder &To, Work Do) {
-    const auto Call = core::unpack<Message>(From.Body_);
-    To({Call ? 200 : 400, {}, "text/plain", {}, false});
+  template <typename Message, typename Handler>
+  static void handleOneWay(const http::Request &HttpRequest, const http::Responder &Respond,
+                           Handler Handle) {
+    const auto Call = core::unpack<Message>(HttpRequest.Body_);
+    Respond({Call ? 200 : 400, {}, "text/plain", {}, false});
     if (Call)
-      Do(*Call);
+      Handle(*Call);
     else
       core::log(core::LogLevel::Warning, "message of another daemon is unreadable",
-                {{"path", From.Path_}});
+                {{"path", HttpRequest.Path_}});
   }
 
-  void advise(const http::Request &From, const http::Responder &To) {
-    const auto Call = core::unpack<protocol::AdviseCall>(From.Body_);
+  void handleAdvise(const http::Request &HttpRequest, const http::Responder &Respond) {
+    const auto Call = core::unpack<protocol::AdviseCall>(HttpRequest.Body_);
     if (!Call) {
-      To({400, {}, "text/plain", {}, false});
+      Respond({400, {}, "text/plain", {}, false});
       return;
     }
     platform::askAdvice(Client_, Settings_.AdviceAddress_,
                         {Call->Job_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
                         core::Millis(Call->TimeoutMs_),
-                        [To](const std::optional<std::vector<fleet::Advised>> &Good) {
+                        [Respond](const std::optional<std::vector<fleet::Advised>> &Advice) {
                           protocol::AdviseReply Reply;
-                          Reply.Answered_ = Good.has_value();
-                          if (Good)
-                            for (const fleet::Advised &One : *Good) {
-                              Reply.Executors_.push_back(One.Executor_);
-                              Reply.Tickets_.push_back(One.Ticket_);
+                          Reply.Answered_ = Advice.has_value();
+                          if (Advice)
+                            for (const fleet::Advised &Candidate : *Advice) {
+                              Reply.Executors_.push_back(Candidate.Executor_);
+                              Reply.Tickets_.push_back(Candidate.Ticket_);
                             }
-                          To({200, core::pack(Reply), "application/msgpack", {}, false});
+                          Respond({200, core::pack(Reply), "application/msgpack", {}, false});
                         });
   }
 
-  void submitFor(const http::Request &From, const http::Responder &To) {
-    auto Call = core::unpack<protocol::SubmitCall>(From.Body_);
+  void handlePeerSubmit(const http::Request &HttpRequest, const http::Responder &Respond) {
+    auto Call = core::unpack<protocol::SubmitCall>(HttpRequest.Body_);
     if (!Call) {
-      To({400, {}, "text/plain", {}, false});
+      Respond({400, {}, "text/plain", {}, false});
       return;
     }
-    Entry_.submitForPeer(std::move(*Call), [To](const protocol::SubmitReply &Reply) {
-      To({200, core::pack(Reply), "application/msgpack", {}, false});
+    EntryService_.submitForPeer(std::move(*Call), [Respond](const protocol::SubmitReply &Reply) {
+      Respond({200, core::pack(Reply), "application/msgpack", {}, false});
     });
   }
 
-  void lookFor(const http::Request &From, const http::Responder &To) {
-    const auto Call = core::unpack<protocol::LookCall>(From.Body_);
+  void handlePeerStateQuery(const http::Request &HttpRequest, const http::Responder &Respond) {
+    const auto Call = core::unpack<protocol::LookCall>(HttpRequest.Body_);
     if (!Call) {
-      To({400, {}, "text/plain", {}, false});
+      Respond({400, {}, "text/plain", {}, false});
       return;
     }
-    Leader_.look(Call->Job_, [To](const protocol::LookReply &Reply) {
-      To({200, core::pack(Reply), "application/msgpack", {}, false});
+    Leader_.look(Call->Job_, [Respond](const protocol::LookReply &Reply) {
+      Respond({200, core::pack(Reply), "application/msgpack", {}, false});
     });
   }
 
-  void expire() {
+  void removeExpired() {
     const core::TimePoint Now = core::Clock::now();
     SpecWriter_.expire(Now);
-    Writer_.expire(Now);
-    std::erase_if(Context_.Roster_, [&](const auto &One) {
-      return !One.second.Listed_ && Now - One.second.ChangedAt_ > RosterMemory;
+    RecordWriter_.expire(Now);
+    std::erase_if(Context_.Roster_, [&](const auto &Entry) {
+      return !Entry.second.Listed_ && Now - Entry.second.ChangedAt_ > UnlistedExecutorRetention;
     });
     ExpiryTimer_.expires_after(ExpiryInterval);
     ExpiryTimer_.async_wait([this](std::error_code Error) {
       if (!Error)
-        expire();
+        removeExpired();
     });
   }
 
@@ -353,25 +361,25 @@
         return;
       awaitSignal();
       if (Signal == SIGHUP)
-        reload();
+        reloadSettings();
       else
         stop();
     });
   }
 
-  void reload() {
-    std::ifstream In(SettingsPath_, std::ios::binary);
+  void reloadSettings() {
+    std::ifstream File(SettingsPath_, std::ios::binary);
     std::ostringstream Text;
-    Text << In.rdbuf();
-    platform::MachineSettings Fresh;
-    std::string Mistake;
-    if (!platform::decodeSettings(Text.str(), Fresh, Mistake)) {
+    Text << File.rdbuf();
+    platform::MachineSettings NewSettings;
+    std::string ParseError;
+    if (!platform::decodeSettings(Text.str(), NewSettings, ParseError)) {
       core::log(core::LogLevel::Warning, "settings are invalid, the old ones stay",
-                {{"mistake", Mistake}});
+                {{"mistake", ParseError}});
       return;
     }
-    Settings_.AdviceAddress_ = Fresh.AdviceAddress_;
-    Settings_.GraceMs_ = Fresh.GraceMs_;
+    Settings_.AdviceAddress_ = NewSettings.AdviceAddress_;
+    Settings_.GraceMs_ = NewSettings.GraceMs_;
     core::log(core::LogLevel::Info, "settings are read again");
   }
 
@@ -379,27 +387,27 @@
     if (Context_.Stopping_)
       return;
     Context_.Stopping_ = true;
-    StopAt_ = core::Clock::now();
+    StopStartedAt_ = core::Clock::now();
     core::log(core::LogLevel::Info, "stopping",
-              {{"open_requests", std::to_string(Entry_.openRequests())},
+              {{"open_requests", std::to_string(EntryService_.openRequests())},
                {"leading", Leader_.leading() ? "true" : "false"}});
     Leader_.release();
-    awaitEnd();
+    awaitIdle();
   }
 
-  void awaitEnd() {
-    const core::Duration Spent = core::Clock::now() - StopAt_;
-    const bool Idle =
-        Entry_.openRequests() == 0 && SpecWriter_.idle() && Writer_.idle() && Leader_.released();
-    if ((Idle && Spent >= LeastStopTime) ||
-        Spent >= core::Millis(Settings_.GraceMs_) - StopMargin) {
+  void awaitIdle() {
+    const core::Duration Elapsed = core::Clock::now() - StopStartedAt_;
+    const bool Idle = EntryService_.openRequests() == 0 && SpecWriter_.idle() &&
+                      RecordWriter_.idle() && Leader_.released();
+    if ((Idle && Elapsed >= MinStopTime) ||
+        Elapsed >= core::Millis(Settings_.GraceMs_) - StopMargin) {
       Loop_.stop();
       return;
     }
-    StopTimer_.expires_after(StopPoll);
+    StopTimer_.expires_after(StopPollInterval);
     StopTimer_.async_wait([this](std::error_code Error) {
       if (!Error)
-        awaitEnd();
+        awaitIdle();
     });
   }
 
@@ -409,23 +417,23 @@
   http::LoopClient Client_;
   platform::Store Store_;
   FleetContext Context_;
-  TopicTail Jobs_;
-  TopicTail Specs_;
-  TopicTail Config_;
-  TopicTail Executors_;
-  JobWriter Writer_;
+  TopicTail JobTail_;
+  TopicTail SpecTail_;
+  TopicTail ConfigTail_;
+  TopicTail ExecutorTail_;
+  JobWriter RecordWriter_;
   JobWriter SpecWriter_;
   LeaderDriver Leader_;
-  OrderRelay Relay_;
-  EntryService Entry_;
-  http::Server Callers_;
-  http::Server Ready_;
-  http::Server Peers_;
+  OrderRelay OrderRelay_;
+  EntryService EntryService_;
+  http::Server CallerServer_;
+  http::Server ReadyServer_;
+  http::Server PeerServer_;
   asio::signal_set Signals_;
   asio::steady_timer ExpiryTimer_;
   asio::steady_timer StopTimer_;
-  core::TimePoint StopAt_{};
-  std::set<std::string> Malformed_;
+  core::TimePoint StopStartedAt_{};
+  std::set<std::string> MalformedExecutors_;
 };
 
 } // namespace
