--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -11,13 +11,13 @@
 
 namespace {
 
-constexpr core::Millis StartTime{10'000};
-constexpr core::Millis CallTime{5000};
-constexpr int PortsOfDaemon = 3; ///< callers, ready, peers
+constexpr core::Millis StartTimeout{10'000};
+constexpr core::Millis CallTimeout{5000};
+constexpr int PortsPerDaemon = 3; ///< callers, ready, peers
 
 /// \returns the first of \p Count ports in a row that are free now.
 int freePorts(int Count) {
-  for (int Try = 0; Try < 100; ++Try) {
+  for (int Attempt = 0; Attempt < 100; ++Attempt) {
     asio::io_context Io;
     asio::ip::tcp::acceptor First(Io, {asio::ip::make_address("127.0.0.1"), 0});
     const int Port = First.local_endpoint().port();
@@ -37,7 +37,7 @@
   throw std::runtime_error("no free ports");
 }
 
-std::string at(int Port) { return "127.0.0.1:" + std::to_string(Port); }
+std::string loopbackAddress(int Port) { return "127.0.0.1:" + std::to_string(Port); }
 
 Json manifest() {
   return {{"version", 1},
@@ -66,39 +66,41 @@
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
     throw std::runtime_error("can't create " + Path);
-  Folder_ = Path;
+  Directory_ = Path;
   Platform_ = std::make_unique<Process>(
       "standin-platform", std::vector<std::string>{"--executors", std::to_string(Executors)},
-      Folder_ + "/platform.log");
+      Directory_ + "/platform.log");
   PlatformPort_ = Platform_->ready().at("port").get<int>();
   control({{"manifest", manifest()}});
   for (int I = 0; I < Daemons; ++I)
-    add(Cores);
+    addDaemon(Cores);
   for (int I = 0; I < Daemons; ++I)
-    if (!waitFor(StartTime, [&] { return ready(I); }))
+    if (!waitFor(StartTimeout, [&] { return ready(I); }))
       throw std::runtime_error("daemon " + std::to_string(I + 1) +
                                " is not ready: " + Daemons_[static_cast<std::size_t>(I)]->errors());
-  if (!waitFor(StartTime, [&] { return leader() >= 0; }))
+  if (!waitFor(StartTimeout, [&] { return leader() >= 0; }))
     throw std::runtime_error("no daemon leads");
 }
 
-void PlatformFleet::add(double Cores) {
-  const int Port = freePorts(PortsOfDaemon);
+void PlatformFleet::addDaemon(double Cores) {
+  const int Port = freePorts(PortsPerDaemon);
   const std::string Name = nameOf(static_cast<int>(Daemons_.size()));
-  FirstPorts_.push_back(Port);
-  const std::string File = Folder_ + "/" + Name + ".json";
-  std::ofstream(File) << Json{{"node_name", Name},
-                              {"ip", "127.0.0.1"},
-                              {"zone", "lahore-a"},
-                              {"region", "punjab"},
-                              {"bind_addresses", {{"frontend", at(Port)}, {"ready", at(Port + 1)}}},
-                              {"internal_ports", {Port + 2, Port + 2}},
-                              {"limits", {{"cpu_share", Cores}, {"cores", 1}}},
-                              {"platform", {{"address", at(PlatformPort_) + "/d/" + Name}}},
-                              {"advice", at(PlatformPort_)}};
+  BasePorts_.push_back(Port);
+  const std::string File = Directory_ + "/" + Name + ".json";
+  std::ofstream(File) << Json{
+      {"node_name", Name},
+      {"ip", "127.0.0.1"},
+      {"zone", "lahore-a"},
+      {"region", "punjab"},
+      {"bind_addresses",
+       {{"frontend", loopbackAddress(Port)}, {"ready", loopbackAddress(Port + 1)}}},
+      {"internal_ports", {Port + 2, Port + 2}},
+      {"limits", {{"cpu_share", Cores}, {"cores", 1}}},
+      {"platform", {{"address", loopbackAddress(PlatformPort_) + "/d/" + Name}}},
+      {"advice", loopbackAddress(PlatformPort_)}};
   Daemons_.push_back(std::make_unique<Process>(
       "masticdriftd", std::vector<std::string>{"--platform", "--settings", File},
-      Folder_ + "/" + Name + ".log"));
+      Directory_ + "/" + Name + ".log"));
 }
 
 PlatformFleet::~PlatformFleet() {
@@ -106,21 +108,21 @@
   Platform_.reset();
   if (std::getenv("MASTICDRIFT_KEEP") == nullptr) {
     std::error_code Ignored; // a leftover directory harms nobody
-    std::filesystem::remove_all(Folder_, Ignored);
+    std::filesystem::remove_all(Directory_, Ignored);
   }
 }
 
 http::ClientResult PlatformFleet::send(const std::string &Method, const std::string &Url,
                                        std::string Body, http::Headers Headers,
                                        core::Millis Timeout) {
-  http::ClientRequest Call;
-  Call.Method_ = Method;
-  Call.Url_ = "http://" + Url;
-  Call.Body_ = std::move(Body);
-  Call.Headers_ = std::move(Headers);
-  Call.Timeout_ = Timeout;
-  Call.FreshConnection_ = true;
-  return Client_.sendAndWait(std::move(Call));
+  http::ClientRequest Request;
+  Request.Method_ = Method;
+  Request.Url_ = "http://" + Url;
+  Request.Body_ = std::move(Body);
+  Request.Headers_ = std::move(Headers);
+  Request.Timeout_ = Timeout;
+  Request.FreshConnection_ = true;
+  return Client_.sendAndWait(std::move(Request));
 }
 
 http::ClientResult PlatformFleet::call(int Daemon, const std::string &Method,
@@ -131,20 +133,22 @@
                         {"X-Masticdrift-Request-Deadline", "3000"}};
   if (!Key.empty())
     Headers.emplace_back("Authorization", "Token " + Key);
-  return send(Method, at(FirstPorts_.at(static_cast<std::size_t>(Daemon))) + Path, std::move(Body),
-              std::move(Headers), CallTime);
+  return send(Method, loopbackAddress(BasePorts_.at(static_cast<std::size_t>(Daemon))) + Path,
+              std::move(Body), std::move(Headers), CallTimeout);
 }
 
-http::ClientResult PlatformFleet::submit(int Daemon, const std::string &Id, const SimpleJob &What) {
+http::ClientResult PlatformFleet::submit(int Daemon, const std::string &Id, const SimpleJob &Job) {
   Json Steps = Json::array();
-  for (int I = 0; I < What.Steps_; ++I) {
-    Steps.push_back(
-        {{"count", What.Tasks_}, {"cpu", 500}, {"mem_mb", 100}, {"estimated_ms", What.Ms_}});
+  for (int I = 0; I < Job.StepCount_; ++I) {
+    Steps.push_back({{"count", Job.TasksPerStep_},
+                     {"cpu", 500},
+                     {"mem_mb", 100},
+                     {"estimated_ms", Job.TaskMs_}});
     if (I > 0)
       Steps.back()["depends_on"] = {I - 1};
   }
   return call(Daemon, "POST", "/q/" + Id,
-              Json{{"spec", "ms=" + std::to_string(What.Ms_)}, {"steps", Steps}}.dump());
+              Json{{"spec", "ms=" + std::to_string(Job.TaskMs_)}, {"steps", Steps}}.dump());
 }
 
 std::string PlatformFleet::stateOf(int Daemon, const std::string &Id) {
@@ -160,16 +164,18 @@
 }
 
 void PlatformFleet::control(const Json &Switches) {
-  send("POST", at(PlatformPort_) + "/control", Switches.dump(), {}, CallTime);
+  send("POST", loopbackAddress(PlatformPort_) + "/control", Switches.dump(), {}, CallTimeout);
 }
 
 Json PlatformFleet::evidence() {
-  return Json::parse(send("GET", at(PlatformPort_) + "/evidence", {}, {}, CallTime).Answer_.Body_);
+  return Json::parse(
+      send("GET", loopbackAddress(PlatformPort_) + "/evidence", {}, {}, CallTimeout).Answer_.Body_);
 }
 
 bool PlatformFleet::ready(int Daemon) {
-  const int Port = FirstPorts_.at(static_cast<std::size_t>(Daemon)) + 1;
-  const http::ClientResult Result = send("GET", at(Port) + "/ready", {}, {}, CallTime);
+  const int Port = BasePorts_.at(static_cast<std::size_t>(Daemon)) + 1;
+  const http::ClientResult Result =
+      send("GET", loopbackAddress(Port) + "/ready", {}, {}, CallTimeout);
   return Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ == 200;
 }
 
@@ -178,7 +184,7 @@
     if (!Daemons_[I]->running())
       continue;
     const http::ClientResult Result =
-        send("GET", at(FirstPorts_[I] + 2) + "/metrics", {}, {}, CallTime);
+        send("GET", loopbackAddress(BasePorts_[I] + 2) + "/metrics", {}, {}, CallTimeout);
     if (Result.Answer_.Body_.find("\nmasticdrift_leader 1") != std::string::npos)
       return static_cast<int>(I);
   }
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -17,9 +17,9 @@
 
 /// A submission with one step of equal tasks, each running for some time.
 struct SimpleJob {
-  int Tasks_ = 1;
-  int Ms_ = 100;
-  int Steps_ = 1; ///< one after the other
+  int TasksPerStep_ = 1;
+  int TaskMs_ = 100;
+  int StepCount_ = 1; ///< one after the other
 };
 
 /// Starts the stand-in and the daemons, and stops them on destruction.
@@ -35,12 +35,12 @@
   static std::string nameOf(int Daemon);
 
   /// Starts one more daemon on a machine with this processor share.
-  void add(double Cores);
+  void addDaemon(double Cores);
 
   /// A caller's request to one daemon. \param Path of the queue ("/q/") and the job's id.
   http::ClientResult call(int Daemon, const std::string &Method, const std::string &Path,
                           std::string Body = {}, const std::string &Key = CallerKey);
-  http::ClientResult submit(int Daemon, const std::string &Id, const SimpleJob &What);
+  http::ClientResult submit(int Daemon, const std::string &Id, const SimpleJob &Job);
   /// \returns the state that a daemon shows for a job, empty when it shows none.
   std::string stateOf(int Daemon, const std::string &Id);
   bool awaitState(int Daemon, const std::string &Id, const std::string &State,
@@ -52,17 +52,17 @@
   bool ready(int Daemon);
   /// \returns the daemon that says that it leads, or -1.
   int leader();
-  Process &daemon(int Number) { return *Daemons_.at(static_cast<std::size_t>(Number)); }
+  Process &daemon(int Daemon) { return *Daemons_.at(static_cast<std::size_t>(Daemon)); }
 
 private:
   http::ClientResult send(const std::string &Method, const std::string &Url, std::string Body,
                           http::Headers Headers, core::Millis Timeout);
 
-  std::string Folder_;
+  std::string Directory_;
   http::Client Client_;
   std::unique_ptr<Process> Platform_;
   int PlatformPort_ = 0;
-  std::vector<int> FirstPorts_; ///< callers; ready and peers follow
+  std::vector<int> BasePorts_; ///< callers; ready and peers follow
   std::vector<std::unique_ptr<Process>> Daemons_;
 };
 
