--- a/include/masticdrift/daemon/Daemon.h
+++ b/include/masticdrift/daemon/Daemon.h
@@ -21,9 +21,9 @@
 class Daemon {
 public:
   /// Binds all listeners and starts all threads.
-  /// \param Drain called when an operator asks for the graceful stop.
+  /// \param OnDrain called when an operator asks for the graceful stop.
   /// \throws std::exception when a listener can't be bound.
-  Daemon(settings::Settings Settings, std::function<void()> Drain);
+  Daemon(settings::Settings Settings, std::function<void()> OnDrain);
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
   ~Daemon();
@@ -32,9 +32,9 @@
 
   /// Stops gracefully: announces, refuses new work, waits for what runs, releases the lease.
   ///
-  /// \param Forced asked between the steps; true ends the wait.
+  /// \param StopForced asked between the steps; true ends the wait.
   /// \returns true when everything had ended within the grace period of the settings.
-  bool stop(const std::function<bool()> &Forced);
+  bool stop(const std::function<bool()> &StopForced);
 
 private:
   struct Impl;
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -18,15 +18,15 @@
 enum ExitCode : int { Stopped = 0, Failed = 1, BadSettings = 2, NotIdle = 3 };
 
 std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream In(Path, std::ios::binary);
-  if (!In)
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
     return std::nullopt;
-  std::ostringstream Text;
-  Text << In.rdbuf();
-  return Text.str();
+  std::ostringstream Content;
+  Content << File.rdbuf();
+  return Content.str();
 }
 
-core::LogLevel levelOf(std::string_view Name) {
+core::LogLevel parseLogLevel(std::string_view Name) {
   if (Name == "debug")
     return core::LogLevel::Debug;
   if (Name == "warning")
@@ -36,55 +36,55 @@
 
 /// Signals that are handled by waiting for them, blocked in all threads.
 sigset_t stopSignals() {
-  sigset_t Set;
-  sigemptyset(&Set);
-  sigaddset(&Set, SIGTERM);
-  sigaddset(&Set, SIGINT);
-  return Set;
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  return Signals;
 }
 
-bool signalPending(const sigset_t &Set) {
+bool signalPending(const sigset_t &Signals) {
   const timespec NoWait{};
-  return sigtimedwait(&Set, nullptr, &NoWait) > 0;
+  return sigtimedwait(&Signals, nullptr, &NoWait) > 0;
 }
 
 int run(const settings::Settings &Settings) {
   const sigset_t Signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  core::initLog(Settings.Instance_.Name_, levelOf(Settings.LogLevel_));
+  core::initLog(Settings.Instance_.Name_, parseLogLevel(Settings.LogLevel_));
   daemon::Daemon Daemon(Settings, [] { ::kill(::getpid(), SIGTERM); });
   const daemon::Ports Ports = Daemon.ports();
   std::cout << "{\"caller_port\":" << Ports.Caller_ << ",\"operator_port\":" << Ports.Operator_
             << ",\"peer_port\":" << Ports.Peer_ << "}" << std::endl;
-  int Received = 0;
-  sigwait(&Signals, &Received);
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
   // Remembered, because each step of the stop asks and the signal is taken only once.
-  bool Forced = false;
-  const bool Idle = Daemon.stop([&] { return Forced = Forced || signalPending(Signals); });
+  bool StopForced = false;
+  const bool Idle = Daemon.stop([&] { return StopForced = StopForced || signalPending(Signals); });
   return Idle ? Stopped : NotIdle;
 }
 
 /// Runs on the deployments of the first version, with settings of the product's own.
-int runAlone(const std::string &Path, const std::string &Text, bool Check) {
-  const settings::ParsedSettings Parsed = settings::parse(Text);
-  for (const settings::Mistake &One : Parsed.Mistakes_)
-    std::cerr << "masticdriftd: " << Path << ": " << core::describe(One.Kind_).Id_ << ' '
-              << One.text() << '\n';
+int runFirstVersion(const std::string &Path, const std::string &SettingsText, bool CheckOnly) {
+  const settings::ParsedSettings Parsed = settings::parse(SettingsText);
+  for (const settings::Mistake &Mistake : Parsed.Mistakes_)
+    std::cerr << "masticdriftd: " << Path << ": " << core::describe(Mistake.Kind_).Id_ << ' '
+              << Mistake.text() << '\n';
   if (!Parsed.Mistakes_.empty())
     return BadSettings;
-  return Check ? Stopped : run(Parsed.Settings_);
+  return CheckOnly ? Stopped : run(Parsed.Settings_);
 }
 
-int runOnPlatform(const std::string &Path, const std::string &Text, bool Check) {
+int runOnPlatform(const std::string &Path, const std::string &SettingsText, bool CheckOnly) {
   platform::MachineSettings Settings;
-  std::string Mistake;
-  if (!platform::decodeSettings(Text, Settings, Mistake)) {
+  std::string ParseError;
+  if (!platform::decodeSettings(SettingsText, Settings, ParseError)) {
     std::cerr << "masticdriftd: " << Path << ": "
-              << core::describe(core::ErrorKind::SettingsInvalid).Id_ << ' ' << Mistake << '\n';
+              << core::describe(core::ErrorKind::SettingsInvalid).Id_ << ' ' << ParseError << '\n';
     return BadSettings;
   }
-  if (Check)
+  if (CheckOnly)
     return Stopped;
   std::signal(SIGPIPE, SIG_IGN);
   core::initLog(Settings.Instance_, core::LogLevel::Info, core::LogTarget::StandardOutput);
@@ -96,26 +96,27 @@
 int main(int Argc, char **Argv) {
   CLI::App App("masticdrift daemon: one on each entry instance");
   std::string Path;
-  bool Check = false;
+  bool CheckOnly = false;
   App.set_version_flag("--version", MASTICDRIFT_VERSION);
   bool OnPlatform = false;
   App.add_option("--settings", Path, "Settings file (JSON)")
       ->envname("MASTICDRIFT_SETTINGS")
       ->required();
   App.add_flag("--platform", OnPlatform, "The settings file is the machine's, in its own format");
-  App.add_flag("--check", Check, "Check the settings and exit");
+  App.add_flag("--check", CheckOnly, "Check the settings and exit");
   App.footer("Exit codes: 0 stopped or settings are valid, 1 can't start, 2 settings are invalid, "
              "3 stopped before all work had ended");
   CLI11_PARSE(App, Argc, Argv);
-  const auto Text = readFile(Path);
-  if (!Text) {
+  const auto SettingsText = readFile(Path);
+  if (!SettingsText) {
     std::cerr << "masticdriftd: can't read " << Path << '\n';
     return BadSettings;
   }
   try {
-    return OnPlatform ? runOnPlatform(Path, *Text, Check) : runAlone(Path, *Text, Check);
-  } catch (const std::exception &Reason) {
-    std::cerr << "masticdriftd: " << Reason.what() << '\n';
+    return OnPlatform ? runOnPlatform(Path, *SettingsText, CheckOnly)
+                      : runFirstVersion(Path, *SettingsText, CheckOnly);
+  } catch (const std::exception &Error) {
+    std::cerr << "masticdriftd: " << Error.what() << '\n';
     return Failed;
   }
 }
