daemon: reword comments and texts of the entry service

Comments and messages described requests and writes in figures (relay, left aside, tell a state). They state the condition, the reason and the term of the field now; log keys and numbers are unchanged.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -1,5 +1,5 @@
 /// \file
-/// Callers' requests: submit, look, cancel, and the number of waiting jobs.
+/// Requests of callers: submitting, querying and cancelling jobs, and the number of pending jobs.
 #ifndef MASTICDRIFT_DAEMON_ENTRYSERVICE_H
 #define MASTICDRIFT_DAEMON_ENTRYSERVICE_H
 
@@ -17,19 +17,26 @@
 
 namespace masticdrift::daemon {
 
-/// Answers callers. Every daemon takes every job; what it can't do it refuses at once.
+/// Serves the requests of callers. Every daemon accepts every job and refuses at once what it
+/// cannot serve.
 class EntryService {
 public:
-  /// \param SpecWriter writes the steps of jobs, \p RecordWriter everything else about them.
+  /// \param JobTail the tail that fills the context's ledger.
+  /// \param SpecWriter appends the steps of jobs.
+  /// \param RecordWriter appends all other records of jobs.
+  /// \param Leader tells which daemon leads.
   EntryService(FleetContext &Context, TopicTail &JobTail, JobWriter &SpecWriter,
                JobWriter &RecordWriter, LeaderDriver &Leader);
 
   void handle(const http::Request &HttpRequest, const http::Responder &Respond);
 
-  /// Appends a record for a daemon that can't reach the store.
+  /// Appends a record that another daemon forwards, because this one leads or because the other one
+  /// cannot reach the store.
+  ///
+  /// \param OnDone called once with the outcome.
   void submitForPeer(protocol::SubmitCall Call, std::function<void(protocol::SubmitReply)> OnDone);
 
-  /// \returns requests that have no answer yet.
+  /// \returns the number of requests that have not been answered.
   std::size_t openRequests() const { return OpenRequests_; }
 
 private:
@@ -38,24 +45,26 @@
   void submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body);
   void cancel(const std::shared_ptr<PendingRequest> &Request);
   void queryState(const std::shared_ptr<PendingRequest> &Request);
-  /// Finds out whose job it is and its state: from this daemon's table when it is final there, from
-  /// the leader, or from the whole log.
+  /// Determines the customer and the state of a job: from this daemon's ledger if the job is final
+  /// there, otherwise from the leader or from the complete log.
   ///
-  /// \param OnState gets the state; an unknown job, or one of another customer, is refused instead.
+  /// \param OnState called with the state; a request for an unknown job, or for one of another
+  ///   customer, is refused instead.
   void resolveState(const std::shared_ptr<PendingRequest> &Request, StateCallback OnState);
   void queryLeader(const std::shared_ptr<PendingRequest> &Request, const std::string &LeaderAddress,
                    StateCallback OnState);
   void resolveLocally(const std::shared_ptr<PendingRequest> &Request, const StateCallback &OnState);
   void onStateReply(const std::shared_ptr<PendingRequest> &Request, std::string_view Source,
                     const protocol::LookReply &Reply, const StateCallback &OnState);
-  /// A record and the job's steps, which are empty for a cancel.
+  /// A job record to store and the job's steps, which are empty for a cancellation.
   struct StoreRequest {
     work::LedgerEntry Record_;
     std::string Spec_;
   };
   void store(const std::shared_ptr<PendingRequest> &Request, StoreRequest Write,
              std::function<void(WriteOutcome)> OnDone);
-  /// Appends the steps and then the record, so that no record stands without its steps.
+  /// Appends the steps before the record, so that the log never contains a record without its
+  /// steps.
   void append(StoreRequest Write, core::TimePoint Deadline,
               std::function<void(WriteOutcome)> OnDone);
   std::vector<work::LedgerEntry> entriesFor(work::LedgerEntry Entry) const;
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -12,29 +12,30 @@
 
 using core::ErrorKind;
 
-/// A write is given up this long before its caller gives up, so that the answer still arrives.
+/// A write is abandoned this long before its caller's deadline, so that the answer still arrives.
 constexpr core::Millis AnswerMargin{250};
-/// For callers that do not say how long they wait.
+/// Applies to requests without a deadline.
 constexpr core::Millis DefaultCallerTimeout{3000};
 constexpr core::Millis MaxCallerTimeout{10'000};
 constexpr core::Millis CatchUpTimeout{1500};
-/// Time for the relay's own exchange.
+/// Reserved for the HTTP exchange with the leader.
 constexpr core::Millis ForwardMargin{100};
-/// A leader that takes longer is left aside; enough for an append at a very slow store.
+/// A leader that takes longer is bypassed. Covers an append to a very slow store.
 constexpr core::Millis MaxForwardTime{1700};
-/// The leader's own wait for a write and twice a slow link's way.
+/// The leader's own wait for a write plus a round trip over a slow link.
 constexpr core::Millis StateQueryTimeout = MostLookWait + core::Millis(300);
-/// Whole seconds, the smallest that the header can say. Another daemon takes the retry.
+/// The smallest delay that the header can express, in whole seconds. Another daemon serves the
+/// retry.
 constexpr const char *RetryAfterSeconds = "1";
 
 } // namespace
 
-/// One request until it is answered.
+/// A request that has not been answered yet.
 struct EntryService::PendingRequest {
   platform::CallerCall Call_;
   http::Responder Respond_;
   std::string JobId_;
-  const work::Queue *Queue_ = nullptr; ///< valid while the request is first handled
+  const work::Queue *Queue_ = nullptr; ///< valid during handle() only
   std::string Customer_;
   core::TimePoint ReceivedAt_;
   core::TimePoint Deadline_;
@@ -93,13 +94,13 @@
     Respond(std::move(Response));
   };
   if (!Context_.Manifest_) {
-    refuse(Request, ErrorKind::ConfigurationStale, "no configuration has been read yet");
+    refuse(Request, ErrorKind::ConfigurationStale, "no configuration has been loaded yet");
     return;
   }
   const work::Manifest &Manifest = *Context_.Manifest_;
   Request->Queue_ = work::findQueue(Manifest, Request->Call_.Host_, Request->Call_.Path_);
   if (Request->Queue_ == nullptr) {
-    refuse(Request, ErrorKind::UnknownQueue, "no queue has this host and path");
+    refuse(Request, ErrorKind::UnknownQueue, "no queue matches the host and path of the request");
     return;
   }
   const std::string_view PathSuffix =
@@ -111,12 +112,13 @@
     Request->Customer_ = CustomerEntry->second;
   } else if (!Request->Queue_->Open_) {
     refuse(Request, Request->Call_.Key_.empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
-           "the request carries no key of the configuration in force");
+           "the API key is missing or not part of the configuration in force");
     return;
   }
   if (PathSuffix.empty() && Request->Call_.Method_ == platform::CallMethod::Look) {
     if (!JobTail_.loaded()) {
-      refuse(Request, ErrorKind::StoreUnavailable, "the jobs are still being read");
+      refuse(Request, ErrorKind::StoreUnavailable,
+             "the number of pending jobs is unknown until all jobs are loaded");
       return;
     }
     Request->answer(200,
@@ -138,20 +140,20 @@
     cancel(Request);
     return;
   case platform::CallMethod::Other:
-    refuse(Request, ErrorKind::MethodNotAllowed, "a job takes POST, GET and DELETE");
+    refuse(Request, ErrorKind::MethodNotAllowed, "a job supports only POST, GET and DELETE");
     return;
   }
 }
 
 void EntryService::submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body) {
   if (Context_.Ledger_.find(Request->JobId_) != nullptr) {
-    // A repeat of a submission whose answer was lost.
+    // Repeated submission whose first answer was lost.
     answerWrite(Request, WriteOutcome::Stored);
     return;
   }
   if (Context_.Manifest_->MaxBodyBytes_ > 0 && Body.size() > Context_.Manifest_->MaxBodyBytes_) {
     refuse(Request, ErrorKind::BodyTooLarge,
-           "the body has " + std::to_string(Body.size()) + " bytes");
+           "the request body of " + std::to_string(Body.size()) + " bytes is too large");
     return;
   }
   auto [Spec, ParseError] = platform::decodeJob(Body);
@@ -169,11 +171,11 @@
   switch (Outcome) {
   case WriteOutcome::Refused:
     refuse(Request, ErrorKind::StoreUnavailable,
-           "the job store refuses writes; nothing was stored");
+           "the job store does not accept writes; nothing was stored");
     return;
   case WriteOutcome::Unknown:
     refuse(Request, ErrorKind::AppendUnknown,
-           "the job store has not answered; ask with the same id");
+           "the job store did not answer in time; retry with the same job id");
     return;
   case WriteOutcome::Stored:
     break;
@@ -195,8 +197,8 @@
 
 void EntryService::store(const std::shared_ptr<PendingRequest> &Request, StoreRequest Write,
                          std::function<void(WriteOutcome)> OnDone) {
-  // One writer at a time keeps the partition's queue short when the store is slow, and tells the
-  // leader of the job at once.
+  // Writing through the leader keeps the partition's queue short when the store is slow, because
+  // only one daemon writes, and informs the leader of the job at once.
   const std::string LeaderAddress = Leader_.leaderAddress();
   if (!LeaderAddress.empty() && (Leader_.leaderHeard() || JobTail_.failing())) {
     forwardToLeader(Request, LeaderAddress, std::move(Write), std::move(OnDone));
@@ -218,7 +220,7 @@
   SpecWriter_.write({{Id, std::move(Write.Spec_)}}, Deadline,
                     [this, Record = std::move(Write.Record_), Deadline,
                      OnDone = std::move(OnDone)](WriteOutcome Outcome) mutable {
-                      // Steps alone are no job, so nothing will run.
+                      // Without its record the job does not exist, so nothing will run.
                       if (Outcome != WriteOutcome::Stored)
                         OnDone(WriteOutcome::Refused);
                       else
@@ -229,7 +231,8 @@
 
 std::vector<work::LedgerEntry> EntryService::entriesFor(work::LedgerEntry Entry) const {
   std::vector<work::LedgerEntry> Entries;
-  // The leader begins a job with its acceptance, which saves an append before the first start.
+  // The leader appends the begin record together with the acceptance, which saves an append before
+  // the first task starts.
   if (const std::string_view Id = work::acceptedIdOf(Entry); !Id.empty() && Leader_.leading())
     Entries.push_back(work::begunEntry(Id, Leader_.term()));
   Entries.push_back(std::move(Entry));
@@ -261,18 +264,18 @@
     }
     const bool KnownNotStored =
         (Reply && Reply->Refused_) || Result.Transfer_ == http::Transfer::NotConnected;
-    core::log(core::LogLevel::Warning, "relay was not confirmed",
+    core::log(core::LogLevel::Warning, "leader did not confirm a forwarded write",
               {{"request_id", Request->JobId_},
                {"uncertain", KnownNotStored ? "false" : "true"},
-               {"detail", Reply ? "leader could not store" : Result.Error_}});
+               {"detail", Reply ? "the leader could not store the record" : Result.Error_}});
     if (!Reply)
       Leader_.leaderFailed();
     if (JobTail_.failing()) {
       OnDone(KnownNotStored ? WriteOutcome::Refused : WriteOutcome::Unknown);
       return;
     }
-    // A second copy under the same key does no harm. What the relay may have stored can't be
-    // called refused any more.
+    // A second copy under the same key is harmless. A write that the leader may have stored must
+    // not be reported as refused.
     append(std::move(Write), Request->Deadline_,
            [KnownNotStored, OnDone = std::move(OnDone)](WriteOutcome Outcome) {
              const bool MayBeStored = Outcome == WriteOutcome::Refused && !KnownNotStored;
@@ -291,7 +294,7 @@
   const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
   if (const work::LedgerJob *Job = Context_.Ledger_.find(Id);
       Job != nullptr && !Call.Spec_.empty()) {
-    // A repeat that reached another daemon.
+    // Repeated submission that was sent to another daemon.
     OnDone({true, false, Job->AcceptedOffset_});
     return;
   }
@@ -338,7 +341,7 @@
                            ? core::unpack<protocol::LookReply>(Result.Answer_.Body_)
                            : std::nullopt;
     if (!Reply) {
-      core::log(core::LogLevel::Warning, "leader did not tell a job's state",
+      core::log(core::LogLevel::Warning, "leader did not answer a job state query",
                 {{"request_id", Request->JobId_}, {"detail", Result.Error_}});
       Leader_.leaderFailed();
     }
@@ -354,18 +357,18 @@
     return;
   }
   if (!JobTail_.loaded() || JobTail_.failing()) {
-    refuse(Request, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
+    refuse(Request, ErrorKind::StoreUnavailable, "the job store cannot be read at the moment");
     return;
   }
-  // "No such job" is only true of the whole log.
+  // Only the complete log shows that a job does not exist.
   JobTail_.catchUp(CatchUpTimeout, [this, Request, OnState](bool Complete) {
     const protocol::LookReply UpdatedReply = lookedUp(Context_.Ledger_, Request->JobId_);
     if (UpdatedReply.Known_)
       onStateReply(Request, "own", UpdatedReply, OnState);
     else if (Complete)
-      refuse(Request, ErrorKind::UnknownJob, "no such job");
+      refuse(Request, ErrorKind::UnknownJob, "the job does not exist");
     else
-      refuse(Request, ErrorKind::StoreUnavailable, "the job store can't be read at the moment");
+      refuse(Request, ErrorKind::StoreUnavailable, "the job store cannot be read at the moment");
   });
 }
 
@@ -377,7 +380,7 @@
     return;
   }
   if (Reply.Customer_ != Request->Customer_) {
-    refuse(Request, ErrorKind::UnknownJob, "no such job");
+    refuse(Request, ErrorKind::UnknownJob, "the job does not exist");
     return;
   }
   core::count("masticdrift_looks_total", {{"source", std::string(Source)}});
