daemon: reword comments and texts of the fleet daemon

Records that cannot be decoded and removed executors are logged as such, and the reasons behind pauses and limits are stated in plain sentences.

--- a/include/masticdrift/daemon/FleetDaemon.h
+++ b/include/masticdrift/daemon/FleetDaemon.h
@@ -1,5 +1,5 @@
 /// \file
-/// The daemon on the users' platform: wiring, start and graceful stop.
+/// The daemon on the platform: construction, start and graceful stop.
 #ifndef MASTICDRIFT_DAEMON_FLEETDAEMON_H
 #define MASTICDRIFT_DAEMON_FLEETDAEMON_H
 
@@ -9,11 +9,11 @@
 
 namespace masticdrift::daemon {
 
-/// Runs until a stop signal has been served.
+/// Runs the daemon until a stop signal has been handled.
 ///
-/// \param SettingsPath read again on SIGHUP.
-/// \returns true when every request had its answer before the end.
-/// \throws std::system_error when an address can't be bound.
+/// \param SettingsPath settings file, read again on SIGHUP.
+/// \returns true if every request was answered before the daemon stopped.
+/// \throws std::system_error if an address cannot be bound.
 bool runFleetDaemon(const platform::MachineSettings &Settings, const std::string &SettingsPath);
 
 } // namespace masticdrift::daemon
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -25,34 +25,36 @@
 
 namespace {
 
-/// Connections kept open for reuse: four to each of 350 executors and some to the platform, within
-/// the 3,900 descriptors that the smallest machines have for sockets.
+/// Connections kept open for reuse: four for each of 350 executors plus some for the platform,
+/// within the 3,900 descriptors that the smallest machines have for sockets.
 constexpr long MaxKeptConnections = 1500;
 constexpr std::chrono::seconds IdleConnectionTimeout{30};
-/// Bodies up to this size are read; the configuration's own limit is lower.
+/// Largest request body that is read; the limit of the configuration is lower.
 constexpr std::size_t MaxBodyBytes = 1U << 20U;
-/// A configuration must be in force within 2.5 s, also when its connection has gone silent.
+/// A new configuration must be in force within 2.5 s, even if the connection that reads it stalls.
 constexpr core::Millis ConfigLongPoll{1200};
 constexpr core::Millis JobsLongPoll{700};
 constexpr core::Millis SpecsLongPoll{1000};
 constexpr core::Millis ExecutorsLongPoll{1000};
-/// Rests between reads with records. The leader appends nearly all of them itself and answers the
-/// looks at jobs of the others, whose own records are needed for the number of pending jobs, which
-/// may be 2 s old, and at the next takeover.
+/// Pauses after a read that returned records. The leader appends nearly all records itself and
+/// answers the state queries of the followers. Followers need the records only for the number of
+/// pending jobs, which may be 2 s old, and for the next takeover.
 constexpr core::Millis LeaderReadPause{80};
 constexpr core::Millis FollowerJobsPause{1200};
-/// While no leader answers, callers are told what was read; they look about every 250 ms.
+/// While no leader answers, callers get the state that this daemon has read; they poll about every
+/// 250 ms.
 constexpr core::Millis NoLeaderJobsPause{180};
-/// Steps of jobs are needed at the next takeover only.
+/// Followers need the steps of jobs only for the next takeover.
 constexpr core::Millis FollowerSpecsPause{2000};
 constexpr core::Millis LeaderExecutorsPause{200};
 constexpr core::Millis FollowerExecutorsPause{1800};
 constexpr core::Millis ExpiryInterval{50};
-/// An executor whose entry went away may still run what an earlier leader started.
+/// An executor that was removed from the list may still run tasks that an earlier leader started.
 constexpr core::Millis UnlistedExecutorRetention{15'000};
-/// The load balancer needs two missed looks, one a second, to send new connections elsewhere.
+/// The load balancer stops sending new connections after two failed readiness checks, made once per
+/// second.
 constexpr core::Millis MinStopTime{2300};
-/// The process ends this long before the platform kills it.
+/// The process exits this long before the platform kills it.
 constexpr core::Millis StopMargin{800};
 constexpr core::Millis StopPollInterval{50};
 
@@ -169,7 +171,7 @@
         Context_.Ledger_.apply(Record.Offset_, Record.Key_, Record.Value_);
     using enum work::LedgerChange::Kind;
     if (Change.Kind_ == Unreadable)
-      core::log(core::LogLevel::Warning, "job record is unreadable",
+      core::log(core::LogLevel::Warning, "job record cannot be decoded",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(Record.Offset_)}});
     if (Change.Kind_ == Progressed)
       Leader_.onProgressRead(Record.Key_, Record.Value_);
@@ -185,7 +187,7 @@
     const work::LedgerChange Change = Context_.Ledger_.applySpec(Record.Key_, Record.Value_);
     using enum work::LedgerChange::Kind;
     if (Change.Kind_ == Unreadable)
-      core::log(core::LogLevel::Warning, "job specification is unreadable",
+      core::log(core::LogLevel::Warning, "job specification cannot be decoded",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(Record.Offset_)}});
     if (Change.Kind_ == Specified) {
       SpecWriter_.confirmStored(Record.Key_);
@@ -198,7 +200,7 @@
       return;
     auto Manifest = platform::decodeManifest(Record.Value_);
     if (!Manifest) {
-      core::log(core::LogLevel::Warning, "configuration is unreadable",
+      core::log(core::LogLevel::Warning, "configuration cannot be decoded",
                 {{"offset", std::to_string(Record.Offset_)}});
       return;
     }
@@ -222,7 +224,7 @@
     auto Info = platform::decodeExecutor(Record.Key_, Record.Value_);
     if (!Info) {
       if (MalformedExecutors_.insert(Record.Key_).second)
-        core::log(core::LogLevel::Warning, "executor entry names no executor",
+        core::log(core::LogLevel::Warning, "executor entry cannot be decoded",
                   {{"executor", Record.Key_}, {"offset", std::to_string(Record.Offset_)}});
       return;
     }
@@ -236,7 +238,7 @@
       return;
     Found->second.Listed_ = false;
     Found->second.ChangedAt_ = core::Clock::now();
-    core::log(core::LogLevel::Info, "executor entry is gone", {{"executor", Id}});
+    core::log(core::LogLevel::Info, "executor was removed from the list", {{"executor", Id}});
     Leader_.onExecutor(Id);
   }
 
@@ -251,7 +253,7 @@
 
   void answerReadiness(const http::Responder &Respond) const {
     http::Response Response;
-    // Until the jobs are loaded the leader tells their states.
+    // While the jobs are being loaded, the leader answers state queries.
     const bool Ready = !Context_.Stopping_ && Context_.Manifest_ &&
                        (JobTail_.loaded() || Leader_.leaderHeard()) && !JobTail_.failing() &&
                        !ConfigTail_.failing();
@@ -285,7 +287,7 @@
     }
   }
 
-  /// Answers a one-way message and handles it.
+  /// Acknowledges a one-way message and then handles it.
   template <typename Message, typename Handler>
   static void handleOneWay(const http::Request &HttpRequest, const http::Responder &Respond,
                            Handler Handle) {
@@ -294,7 +296,7 @@
     if (Call)
       Handle(*Call);
     else
-      core::log(core::LogLevel::Warning, "message of another daemon is unreadable",
+      core::log(core::LogLevel::Warning, "message from another daemon cannot be decoded",
                 {{"path", HttpRequest.Path_}});
   }
 
@@ -374,13 +376,13 @@
     platform::MachineSettings NewSettings;
     std::string ParseError;
     if (!platform::decodeSettings(Text.str(), NewSettings, ParseError)) {
-      core::log(core::LogLevel::Warning, "settings are invalid, the old ones stay",
+      core::log(core::LogLevel::Warning, "settings are invalid, keeping the current ones",
                 {{"mistake", ParseError}});
       return;
     }
     Settings_.AdviceAddress_ = NewSettings.AdviceAddress_;
     Settings_.GraceMs_ = NewSettings.GraceMs_;
-    core::log(core::LogLevel::Info, "settings are read again");
+    core::log(core::LogLevel::Info, "settings reloaded");
   }
 
   void stop() {
