daemon: reword comments and texts of job writer, topic tail and retention

Doc comments name parameters, results and cost, constants their reason, and log lines the operation that failed. The catch-up's result is documented as it is: false also when records remain.

--- a/include/masticdrift/daemon/JobWriter.h
+++ b/include/masticdrift/daemon/JobWriter.h
@@ -1,5 +1,5 @@
 /// \file
-/// Group commit of accepted and cancelled jobs.
+/// Group commit of job records to a topic of the log service.
 #ifndef MASTICDRIFT_DAEMON_JOBWRITER_H
 #define MASTICDRIFT_DAEMON_JOBWRITER_H
 
@@ -15,32 +15,37 @@
 
 namespace masticdrift::daemon {
 
-/// How an append on behalf of a caller ended.
+/// Outcome of an append on behalf of a caller.
 enum class WriteOutcome {
   Stored,
-  Refused, ///< nothing was done and nothing will be
-  Unknown, ///< may be stored now or later
+  Refused, ///< not stored now and not stored later
+  Unknown, ///< may be stored already or later
 };
 
-/// Appends records of callers, several in one call, one call at a time.
+/// Appends the records of callers in batches, with one append call at a time.
 ///
-/// Records are repeated after an unanswered call; that is safe because each stands for itself under
-/// its key. A record that was once in an unanswered call is never reported as refused.
+/// The records of an unanswered call are sent again, which is safe because each record is complete
+/// under its own key. A record that was part of an unanswered call is never reported as refused.
 class JobWriter {
 public:
   using Callback = std::function<void(WriteOutcome)>;
 
-  /// \param OnStored gets each stored record before its callback runs.
+  /// \param OnStored called for each stored record, before the callback of its write.
   JobWriter(platform::Store &Store, std::string Topic,
             std::function<void(std::uint64_t Offset, const work::LedgerEntry &)> OnStored);
 
-  /// Appends \p Entries together; \p OnDone runs once, by \p Deadline at the latest (see expire).
+  /// Appends \p Entries in one call.
+  ///
+  /// \param Deadline latest time for \p OnDone; enforced by expire().
+  /// \param OnDone called once with the outcome.
   void write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline, Callback OnDone);
 
-  /// The record with this key was read back from the log, so what ends with it is stored.
+  /// Completes the write whose last record has this key as stored, because the record was read back
+  /// from the log.
   void confirmStored(std::string_view Key);
 
-  /// Ends the waiting of records whose deadline has passed. To be called every 50 ms or so.
+  /// Completes the writes whose deadline has passed and sends the queued ones. To be called about
+  /// every 50 ms.
   void expire(core::TimePoint Now);
 
   bool idle() const { return Queued_.empty() && InFlight_.empty(); }
@@ -50,7 +55,7 @@
     std::vector<work::LedgerEntry> Entries_;
     core::TimePoint Deadline_;
     Callback OnDone_;
-    bool MayBeStored_ = false; ///< was in an unanswered call
+    bool MayBeStored_ = false; ///< was part of an unanswered call
   };
   void flush();
   void onAppended(const platform::AppendResult &Result, core::TimePoint SentAt);
@@ -63,20 +68,20 @@
   std::deque<PendingWrite> Queued_;
   std::vector<PendingWrite> InFlight_;
   bool CallInFlight_ = false;
-  std::uint64_t CallNumber_ = 0; ///< number of the call that is waited for
+  std::uint64_t CallNumber_ = 0; ///< of the last call; answers of earlier calls are ignored
   core::Millis AppendTimeout_;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
-/// Limit of an append call while the service answers quickly, at least.
+/// Shortest timeout of an append call, for a service that answers quickly.
 inline constexpr core::Millis MinAppendTimeout{500};
-/// Limit otherwise. A store a hundred times slower than usual takes 0.4 s for the answer and 0.3 s
-/// for each append before it; a repeat only adds to that queue.
+/// Longest timeout of an append call. A store that is a hundred times slower than usual takes 0.4 s
+/// for the answer and 0.3 s for each append queued before it; a retry only lengthens that queue.
 inline constexpr core::Millis MaxAppendTimeout{2000};
-/// Limit in multiples of the last call's time.
+/// Timeout of the next call as a multiple of the last call's duration.
 inline constexpr int AppendTimeoutFactor = 4;
 
-/// \returns the limit of the next append after one that took \p CallTime.
+/// \returns the timeout of the next append call after one that took \p CallTime.
 core::Millis nextAppendTimeout(core::Duration CallTime);
 
 } // namespace masticdrift::daemon
--- a/include/masticdrift/daemon/Retention.h
+++ b/include/masticdrift/daemon/Retention.h
@@ -1,6 +1,6 @@
 /// \file
-/// Removes what is not needed any more from the log: the steps of ended jobs at once, the jobs
-/// themselves after the time that their state has to be known.
+/// Removes obsolete records from the log: the steps of a job as soon as it has ended, the job
+/// itself once its state no longer has to be reported.
 #ifndef MASTICDRIFT_DAEMON_RETENTION_H
 #define MASTICDRIFT_DAEMON_RETENTION_H
 
@@ -13,16 +13,19 @@
 
 namespace masticdrift::daemon {
 
-/// Used by the leader. What it could not remove it tries again; a lost removal costs space only.
+/// Runs on the leader. A failed removal is retried; a lost one only costs space.
 class Retention {
 public:
   explicit Retention(FleetContext &Context) : Context_(Context) {}
 
-  /// The end of a job is durable.
+  /// Schedules the removal of a job's steps; the end of the job must be durable.
   void onJobEnded(const std::string &Id) { EndedJobs_.push_back(Id); }
 
-  /// Removes what is due; cheap when called often.
-  /// \param WallMs wall clock.
+  /// Starts the removals that are due.
+  ///
+  /// \param WallMs wall-clock time.
+  ///
+  /// Cost: low while nothing is due, so it may be called often.
   void removeDue(core::TimePoint Now, std::int64_t WallMs);
 
 private:
@@ -32,10 +35,10 @@
               std::vector<std::string> RetryIds);
 
   FleetContext &Context_;
-  std::vector<std::string> EndedJobs_; ///< jobs whose steps still stand in the log
+  std::vector<std::string> EndedJobs_; ///< jobs whose steps are still in the log
   core::TimePoint NextSpecRemoval_{};
   core::TimePoint NextJobRemoval_{};
-  int AppendsInFlight_ = 0; ///< appends without an answer
+  int AppendsInFlight_ = 0;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/masticdrift/daemon/TopicTail.h
+++ b/include/masticdrift/daemon/TopicTail.h
@@ -1,5 +1,5 @@
 /// \file
-/// Follows a topic of the log service from its newest records on.
+/// Follows a topic of the log service, starting with the newest record of each key.
 #ifndef MASTICDRIFT_DAEMON_TOPICTAIL_H
 #define MASTICDRIFT_DAEMON_TOPICTAIL_H
 
@@ -17,20 +17,21 @@
 
 struct TailOptions {
   std::string Topic_;
-  core::Millis LongPollTime_{1000}; ///< the service answers an empty read after this time
-  /// Rest between an answer with records and the next read; bounds calls and bytes.
+  core::Millis LongPollTime_{1000}; ///< after this time the service answers a read without records
+  /// Pause between an answer with records and the next read; limits the calls and the traffic.
   std::function<core::Millis()> ReadPause_ = [] { return core::Millis(0); };
-  /// Leaves most of the link to others while the newest records are loaded.
+  /// Pauses between the pages while the newest records are loaded, which leaves most of the link's
+  /// bandwidth to others.
   bool ThrottleLoad_ = false;
 };
 
-/// Reads a topic for as long as it lives: first the newest record of each key, then new records.
-/// When the service has dropped what comes next, it starts again with the newest records.
+/// Reads a topic until destruction: first the newest record of each key, then new records. If the
+/// service has expired the next records, reading starts again with the newest ones.
 class TopicTail {
 public:
   struct Hooks {
     std::function<void(const platform::KeyedRecord &)> OnRecord_;
-    /// All newest records were delivered; the argument has their keys.
+    /// Called after all newest records were delivered, with their keys.
     std::function<void(const std::set<std::string> &)> OnLoaded_;
   };
 
@@ -39,26 +40,27 @@
   TopicTail &operator=(const TopicTail &) = delete;
   ~TopicTail();
 
-  /// Does nothing when it was called before.
+  /// Starts reading; repeated calls have no effect.
   void start();
 
-  /// Ends a rest between two calls, and loads without rests from now on.
+  /// Ends the current pause between two calls and loads without pauses from now on.
   void expedite();
 
-  /// Reads up to the present now, beside the running read.
+  /// Reads up to the current end of the topic at once, in parallel to the running read.
   ///
-  /// \param OnDone gets false when the service did not answer.
+  /// \param OnDone called with true if the end was reached, and with false if the service did not
+  ///   answer or more records remain.
   void catchUp(core::Millis Timeout, std::function<void(bool)> OnDone);
 
   bool started() const;
   bool loaded() const;
-  /// \returns true when the last read reached the end of the topic.
+  /// \returns true if the last read reached the end of the topic.
   bool caughtUp() const;
-  /// \returns true from a read that failed until one that was answered.
+  /// \returns true after a failed read, until the service answers again.
   bool failing() const;
-  /// \returns when the service last answered.
+  /// \returns the time of the service's last answer.
   core::TimePoint lastAnsweredAt() const;
-  /// \returns the offset that the next new record will have, as far as known.
+  /// \returns the offset of the next new record, as far as known.
   std::uint64_t nextOffset() const;
 
 private:
--- a/src/daemon/JobWriter.cpp
+++ b/src/daemon/JobWriter.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Records of one call; the service takes 2 MB.
+/// Once a batch has this size, no further write is added; the service accepts 2 MB.
 constexpr std::size_t MaxBatchBytes = 1U << 20U;
 
 } // namespace
@@ -57,7 +57,7 @@
                            const platform::AppendResult &Result, core::TimePoint SentAt) const {
   core::count("masticdrift_store_failures_total", {{"topic", Topic_}});
   const bool KnownRefused = Result.Outcome_ == platform::AppendOutcome::Refused;
-  core::log(core::LogLevel::Warning, "append was not confirmed",
+  core::log(core::LogLevel::Warning, "append call was not confirmed",
             {{"topic", Topic_},
              {"first_key", Batch.front().Entries_.back().Key_},
              {"records", std::to_string(Batch.size())},
@@ -75,7 +75,7 @@
   if (Result.Outcome_ == Stored) {
     core::observe("masticdrift_store_seconds", std::chrono::duration<double>(CallTime).count(),
                   {{"call", "append"}});
-    // Callbacks come last: one of them may write again.
+    // The callbacks run last because they may call write().
     std::uint64_t Offset = Result.Offset_;
     for (const PendingWrite &Write : Batch)
       for (const work::LedgerEntry &Entry : Write.Entries_)
@@ -88,7 +88,7 @@
   std::vector<PendingWrite> Retries;
   for (PendingWrite &Write : Batch) {
     if (!Write.OnDone_)
-      continue; // answered meanwhile
+      continue; // completed while the call was in flight
     if (Result.Outcome_ == Stored) {
       Write.OnDone_(WriteOutcome::Stored);
     } else if (Result.Outcome_ == Refused && !Write.MayBeStored_) {
@@ -100,7 +100,7 @@
   }
   Queued_.insert(Queued_.begin(), std::make_move_iterator(Retries.begin()),
                  std::make_move_iterator(Retries.end()));
-  // A refusing service is asked again by expire(), not at once.
+  // After a refusal the next call is left to expire(), instead of retrying at once.
   if (Result.Outcome_ != Refused)
     flush();
 }
@@ -118,7 +118,7 @@
       std::ranges::any_of(InFlight_,
                           [](const PendingWrite &Write) { return Write.OnDone_ != nullptr; }))
     return;
-  // All of the call's records are in the log, so its answer is late or lost: go on without it.
+  // All records of the call are in the log, so its answer is late or lost. Continue without it.
   ++CallNumber_;
   CallInFlight_ = false;
   InFlight_.clear();
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -6,12 +6,11 @@
 
 namespace {
 
-/// Between removals; they share the budget of calls with everything else.
+/// Intervals between removals, which share the limit of store calls with all other calls.
 constexpr core::Millis SpecRemovalInterval{1000};
 constexpr core::Millis JobRemovalInterval{5000};
-/// Jobs forgotten in one call.
 constexpr std::size_t MaxJobsPerAppend = 200;
-/// Beyond the time that a job's state has to be known: clocks differ.
+/// Added to the time for which a job's state must be reported, because clocks differ.
 constexpr std::int64_t RetentionMarginMs = 15'000;
 constexpr core::Millis AppendTimeout{2000};
 
@@ -53,7 +52,7 @@
   }
   if (Count == 0)
     return;
-  core::log(core::LogLevel::Info, "forgets ended jobs", {{"count", std::to_string(Count)}});
+  core::log(core::LogLevel::Info, "removing ended jobs", {{"count", std::to_string(Count)}});
   append(JobsTopic, std::move(Records), {});
 }
 
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -11,16 +11,17 @@
 
 namespace {
 
-/// Added to the wait of a read for the answer itself; a store sixty times slower than usual
-/// answers in 0.3 s.
+/// Time for the answer itself, in addition to the long-poll time of a read. A store that is sixty
+/// times slower than usual answers in 0.3 s.
 constexpr core::Millis ResponseTimeout{1300};
-/// Of one read. Two dozen daemons that catch up over a link of 60 Mbit/s at the same time must
-/// neither miss the time limit of a read nor crowd out the calls to executors.
+/// When two dozen daemons catch up over a link of 60 Mbit/s at the same time, their reads must
+/// neither time out nor delay the calls to executors.
 constexpr int MaxReadKb = 96;
-/// Between reads while catching up, for the same reason.
+/// Pause between reads while catching up, for the same reason.
 constexpr core::Millis CatchUpPause{120};
-/// Between pages of a gentle load: this long at least, and this many times as long as a page took.
-/// 17 small machines that start together then leave half of a link of 60 Mbit/s free.
+/// Pauses between the pages of a throttled load last at least this long, and PagePauseFactor times
+/// as long as the last page took. 17 small machines that start together then leave half of a link
+/// of 60 Mbit/s free.
 constexpr core::Millis MinPagePause{200};
 constexpr int PagePauseFactor = 3;
 constexpr core::Millis MinRetryDelay{100};
@@ -50,7 +51,8 @@
     }
     onAnswered();
     if (AfterKey.empty()) {
-      // Pages are no snapshot: what changes meanwhile comes again with the reads.
+      // The pages are not a snapshot: records that change during the load are read again
+      // afterwards.
       LoadEnd_ = Page.End_;
       LoadedKeys_.clear();
     }
@@ -97,7 +99,7 @@
       return;
     case platform::ReadOutcome::Expired:
       onAnswered();
-      core::log(core::LogLevel::Info, "topic history expired",
+      core::log(core::LogLevel::Info, "topic history expired, loading the newest records again",
                 {{"topic", Options_.Topic_}, {"from", std::to_string(NextOffset_)}});
       load({});
       return;
@@ -137,7 +139,7 @@
   }
 
   void catchUp(core::Millis Timeout, std::function<void(bool)> OnDone) {
-    // In one call: the caller waits for it.
+    // Large enough to catch up in one call, because a caller waits for it.
     constexpr int CatchUpReadKb = 1024;
     Store_.read(
         Options_.Topic_, NextOffset_, core::Millis(0), CatchUpReadKb, Timeout,
@@ -155,7 +157,7 @@
 
   void onAnswered() {
     if (Failing_)
-      core::log(core::LogLevel::Info, "topic answers again", {{"topic", Options_.Topic_}});
+      core::log(core::LogLevel::Info, "topic can be read again", {{"topic", Options_.Topic_}});
     Failing_ = false;
     RetryDelay_ = MinRetryDelay;
     LastAnsweredAt_ = core::Clock::now();
@@ -164,7 +166,7 @@
   void onFailure(const std::string &Detail) {
     core::count("masticdrift_store_failures_total", {{"topic", Options_.Topic_}});
     if (!Failing_)
-      core::log(core::LogLevel::Warning, "topic can't be read",
+      core::log(core::LogLevel::Warning, "topic cannot be read",
                 {{"topic", Options_.Topic_}, {"detail", Detail}});
     Failing_ = true;
     RetryDelay_ = std::min(2 * RetryDelay_, MaxRetryDelay);
@@ -190,7 +192,7 @@
   bool Loaded_ = false;
   bool CaughtUp_ = false;
   bool Expedited_ = false;
-  std::function<void()> AfterPause_; ///< set between two calls
+  std::function<void()> AfterPause_; ///< set during a pause between two calls
   std::uint64_t LoadEnd_ = 0;
   std::uint64_t NextOffset_ = 0;
   std::set<std::string> LoadedKeys_;
