tests: reword the topic tail's and the platform fleet's comments and texts

Each names the failure that it guards against and how it comes about; the harness's errors name what failed.

--- a/tests/integration/PlatformFleetTest.cpp
+++ b/tests/integration/PlatformFleetTest.cpp
@@ -1,4 +1,4 @@
-// The path on the users' platform through real processes: entry, log service, election, orders.
+// Entry service, log service, election and orders of daemons in platform mode, as real processes.
 #include "support/PlatformFleet.h"
 
 #include <csignal>
@@ -14,7 +14,7 @@
 constexpr const char *FirstJob = "00000000000000a1";
 constexpr const char *SecondJob = "00000000000000a2";
 
-/// A kill is noticed and settled within 2.5 s; the rest is the job's own time and a slow machine.
+/// A killed leader is replaced within 2.5 s; the rest covers the job's run time and slow machines.
 constexpr Millis TakeoverTimeout{15'000};
 
 void expectTasksStartedOnce(PlatformFleet &Fleet, std::size_t TaskCount) {
@@ -25,7 +25,7 @@
 
 } // namespace
 
-// --- A calm day ---
+// --- Normal operation ---
 
 Test(PlatformNormal, anyDaemonAcceptsAJobAndReportsItsState) {
   PlatformFleet Fleet;
@@ -37,7 +37,8 @@
   expectTasksStartedOnce(Fleet, 18);
 }
 
-// Guards against a job that is accepted twice because its first answer was lost.
+// Guards against a job that is accepted twice because the first answer was lost and it was
+// submitted again.
 Test(PlatformNormal, aRepeatedSubmissionStartsOneJob) {
   PlatformFleet Fleet;
   for (int I = 0; I < 3; ++I)
@@ -55,9 +56,9 @@
   cr_expect(Fleet.awaitState(1, FirstJob, "cancelled", Millis(5000)));
 }
 
-// --- Bad input ---
+// --- Invalid input ---
 
-// Guards against a malformed request that is stored, or that harms the next one.
+// Guards against malformed requests that are stored or that affect later requests.
 Test(PlatformInput, badRequestsAreRefusedAndNothingIsLost) {
   PlatformFleet Fleet(1);
   const std::string Path = std::string("/q/") + FirstJob;
@@ -76,9 +77,9 @@
   expectTasksStartedOnce(Fleet, 1);
 }
 
-// --- The leader is lost ---
+// --- Loss of the leader ---
 
-// Guards against tasks that are lost or run twice when the leader is killed.
+// Guards against tasks that are lost or started twice when the leader is killed.
 Test(PlatformTakeover, aKilledLeaderLosesNoJob) {
   PlatformFleet Fleet;
   const int Leader = Fleet.leader();
@@ -92,27 +93,27 @@
   expectTasksStartedOnce(Fleet, 10);
 }
 
-// Guards against a new leader that does not know of an executor that has joined moments ago: what
-// the last one started there would start again elsewhere.
+// Guards against a new leader that has not read the entry of an executor that joined shortly before
+// the takeover: it would start the tasks that run there again elsewhere.
 Test(PlatformTakeover, executorsThatHaveJustJoinedAreAccountedFor) {
   PlatformFleet Fleet(3, 1);
   const int Leader = Fleet.leader();
   const int OtherDaemon = (Leader + 1) % 3;
-  // Followers rest after the first news and miss the second for a while.
+  // Followers pause after the first entry, so they read the second one later.
   Fleet.control({{"join", "i-first"}});
   cr_assert_eq(Fleet.submit(OtherDaemon, FirstJob, {16, 500}).Answer_.Status_, 200);
   cr_assert(waitFor(Millis(5000), [&] { return Fleet.evidence()["starts"].size() == 16; }));
   Fleet.control({{"join", "i-last"}});
   cr_assert_eq(Fleet.submit(OtherDaemon, SecondJob, {4, 5000}).Answer_.Status_, 200);
   cr_assert(waitFor(Millis(5000), [&] { return Fleet.evidence()["starts"].size() == 20; }));
-  // The other executors have room again when the next leader begins.
+  // The other executors have free slots again when the next leader takes over.
   cr_assert(Fleet.awaitState(Leader, FirstJob, "completed", Millis(5000)));
   Fleet.daemon(Leader).signal(SIGTERM);
   cr_expect(Fleet.awaitState(OtherDaemon, SecondJob, "completed", TakeoverTimeout));
   expectTasksStartedOnce(Fleet, 20);
 }
 
-// Guards against a leader on the smallest machine for longer than it takes a larger one to join.
+// Guards against a leader that stays on the smallest machine although a larger one has joined.
 Test(PlatformTakeover, aSmallLeaderHandsOverToALargerMachine) {
   PlatformFleet Fleet(1, 4, 0.12);
   cr_assert_eq(Fleet.submit(0, FirstJob, {2, 4000}).Answer_.Status_, 200);
@@ -122,7 +123,7 @@
   expectTasksStartedOnce(Fleet, 2);
 }
 
-// Guards against a planned stop that cuts requests or leaves a gap.
+// Guards against a planned stop that aborts requests or leaves the fleet without a leader.
 Test(PlatformTakeover, aStoppedLeaderHandsOver) {
   PlatformFleet Fleet;
   const int Leader = Fleet.leader();
@@ -134,9 +135,9 @@
   expectTasksStartedOnce(Fleet, 2);
 }
 
-// --- The store is away ---
+// --- Store failures ---
 
-// Guards against refusals that come late or are not true.
+// Guards against refusals that are sent late or for jobs that were stored.
 Test(PlatformStore, submissionsAreRefusedAtOnceAndJobsContinueWhileTheStoreRefuses) {
   PlatformFleet Fleet;
   cr_assert_eq(Fleet.submit(0, FirstJob, {2, 1500}).Answer_.Status_, 200);
@@ -155,8 +156,8 @@
   expectTasksStartedOnce(Fleet, 2);
 }
 
-// Guards against a leader that the store refuses and that keeps everybody waiting until its silence
-// is noticed.
+// Guards against a leader that the store refuses and that is replaced only after the full silence
+// timeout.
 Test(PlatformStore, aLeaderThatTheStoreRefusesIsReplaced) {
   PlatformFleet Fleet;
   const int Leader = Fleet.leader();
@@ -167,15 +168,16 @@
     const int CurrentLeader = Fleet.leader();
     return CurrentLeader >= 0 && CurrentLeader != Leader;
   }));
-  // 0.5 s of silence after the refusal is known, and the turns of two daemons; 2.3 s without that.
+  // 0.5 s of silence once the refusal is known, plus the staggered claims of two daemons. Without
+  // the shorter timeout the silence alone is 2.3 s.
   cr_expect_lt(core::toMillis(core::Clock::now() - StartedAt), 2200);
   cr_expect_eq(Fleet.submit(OtherDaemon, FirstJob, {2, 100}).Answer_.Status_, 200);
   cr_expect(Fleet.awaitState(OtherDaemon, FirstJob, "completed", Millis(8000)));
   expectTasksStartedOnce(Fleet, 2);
 }
 
-// Guards against states that are out of date at a daemon that the store refuses: callers there
-// would wait for the store although their jobs are done.
+// Guards against outdated states at a daemon that the store refuses: its callers would wait for the
+// store although their jobs have completed.
 Test(PlatformStore, aDaemonThatTheStoreRefusesReportsCurrentStates) {
   PlatformFleet Fleet;
   const int Leader = Fleet.leader();
@@ -187,9 +189,9 @@
   cr_expect(Fleet.awaitState(OtherDaemon, FirstJob, "completed", Millis(5000)));
 }
 
-// Pattern: a small machine starts and loads many jobs gently. Guards against a number of pending
-// jobs that is too low because most have not been read, and against a daemon that takes no callers
-// until then.
+// A small machine starts and loads many jobs with pauses. Guards against a number of pending jobs
+// that is too low because most jobs have not been read yet, and against a daemon that is not ready
+// until it has read them all.
 Test(PlatformStore, aDaemonThatStillLoadsRefusesThePendingCount) {
   PlatformFleet Fleet(1, 1);
   for (int I = 0; I < 8; ++I)
@@ -206,7 +208,8 @@
   }));
 }
 
-// Guards against an accepted job that is answered with a refusal because its answer was lost.
+// Guards against a refusal of a job that was stored, after the store's answer to the append was
+// lost.
 Test(PlatformStore, aLostStoreAnswerIsNotReportedAsRefusal) {
   PlatformFleet Fleet;
   Fleet.control({{"store", "lose"}});
@@ -220,9 +223,9 @@
   expectTasksStartedOnce(Fleet, 1);
 }
 
-// --- Executors misbehave ---
+// --- Executor failures ---
 
-// Guards against a job that waits for an executor that has died.
+// Guards against a job that waits for a crashed executor.
 Test(PlatformExecutors, tasksOfACrashedExecutorAreRestarted) {
   PlatformFleet Fleet(3, 2);
   cr_assert_eq(Fleet.submit(0, FirstJob, {6, 2000}).Answer_.Status_, 200);
--- a/tests/integration/TopicTailTest.cpp
+++ b/tests/integration/TopicTailTest.cpp
@@ -1,4 +1,4 @@
-// How a topic is loaded and followed, against a log service of our own.
+// Loading a topic, tested against a fake log service.
 #include "masticdrift/daemon/TopicTail.h"
 
 #include "masticdrift/http/Server.h"
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// Serves three pages of newest records, one record each, and leaves reads unanswered.
+/// Serves the newest records as three pages of one record each and leaves reads unanswered.
 struct FakeLogService {
   asio::io_context Loop_;
   std::vector<http::Responder> UnansweredReads_;
@@ -49,7 +49,7 @@
              false});
   }
 
-  /// \returns how long it takes until all records are loaded.
+  /// \returns the time until all records are loaded.
   Millis measureLoad(daemon::TailOptions Options, bool Expedite) {
     bool Loaded = false;
     std::size_t Records = 0;
@@ -74,20 +74,20 @@
   return Options;
 }
 
-/// Two rests between three pages.
+/// Two pauses of at least 200 ms between three pages.
 constexpr Millis MinThrottledLoadTime{400};
 
 } // namespace
 
-// Pattern: all machines start at the same time. Guards against a link between regions that is full
-// of records that only a later leader needs, while the new leader looks for the executors.
+// Guards against machines that start at the same time and fill the link between regions with
+// records that only a later leader needs, while the new leader discovers the executors.
 Test(TopicTail, aThrottledLoadPausesBetweenPages) {
   FakeLogService LogService;
   cr_expect_geq(LogService.measureLoad(tailOptions(true), false).count(),
                 MinThrottledLoadTime.count());
 }
 
-// Guards against a takeover that waits for rests.
+// Guards against a takeover that waits for the pauses of a throttled load.
 Test(TopicTail, anExpeditedLoadDoesNotPause) {
   FakeLogService LogService;
   cr_expect_lt(LogService.measureLoad(tailOptions(true), true).count(),
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -15,7 +15,7 @@
 constexpr core::Millis CallTimeout{5000};
 constexpr int PortsPerDaemon = 3; ///< callers, ready, peers
 
-/// \returns the first of \p Count ports in a row that are free now.
+/// \returns the first of \p Count consecutive ports that are free now.
 int freePorts(int Count) {
   for (int Attempt = 0; Attempt < 100; ++Attempt) {
     asio::io_context Io;
@@ -26,7 +26,7 @@
       asio::ip::tcp::acceptor Next(Io);
       std::error_code Error;
       Next.open(asio::ip::tcp::v4());
-      // As the daemons do: other tests leave thousands of closed connections behind.
+      // Set as in the daemons, because other tests leave thousands of closed connections behind.
       Next.set_option(asio::socket_base::reuse_address(true));
       Next.bind({asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(Port + I)}, Error);
       Free = !Error;
@@ -34,7 +34,7 @@
     if (Free)
       return Port;
   }
-  throw std::runtime_error("no free ports");
+  throw std::runtime_error("no consecutive free ports found");
 }
 
 std::string loopbackAddress(int Port) { return "127.0.0.1:" + std::to_string(Port); }
@@ -65,7 +65,7 @@
 PlatformFleet::PlatformFleet(int Daemons, int Executors, double Cores) {
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
-    throw std::runtime_error("can't create " + Path);
+    throw std::runtime_error("cannot create directory " + Path);
   Directory_ = Path;
   Platform_ = std::make_unique<Process>(
       "standin-platform", std::vector<std::string>{"--executors", std::to_string(Executors)},
@@ -79,7 +79,7 @@
       throw std::runtime_error("daemon " + std::to_string(I + 1) +
                                " is not ready: " + Daemons_[static_cast<std::size_t>(I)]->errors());
   if (!waitFor(StartTimeout, [&] { return leader() >= 0; }))
-    throw std::runtime_error("no daemon leads");
+    throw std::runtime_error("no daemon became leader in time");
 }
 
 void PlatformFleet::addDaemon(double Cores) {
@@ -107,7 +107,7 @@
   Daemons_.clear();
   Platform_.reset();
   if (std::getenv("MASTICDRIFT_KEEP") == nullptr) {
-    std::error_code Ignored; // a leftover directory harms nobody
+    std::error_code Ignored; // a leftover directory is harmless
     std::filesystem::remove_all(Directory_, Ignored);
   }
 }
