--- a/include/masticdrift/daemon/Daemon.h
+++ b/include/masticdrift/daemon/Daemon.h
@@ -1,5 +1,5 @@
 /// \file
-/// The daemon: builds all parts from the settings and connects them.
+/// The daemon: creates all components from the settings and connects them.
 #ifndef MASTICDRIFT_DAEMON_DAEMON_H
 #define MASTICDRIFT_DAEMON_DAEMON_H
 
@@ -21,8 +21,9 @@
 class Daemon {
 public:
   /// Binds all listeners and starts all threads.
-  /// \param OnDrain called when an operator asks for the graceful stop.
-  /// \throws std::exception when a listener can't be bound.
+  ///
+  /// \param OnDrain called when an operator requests a graceful stop.
+  /// \throws std::exception if a listener cannot be bound.
   Daemon(settings::Settings Settings, std::function<void()> OnDrain);
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
@@ -30,10 +31,11 @@
 
   Ports ports() const;
 
-  /// Stops gracefully: announces, refuses new work, waits for what runs, releases the lease.
+  /// Stops gracefully: announces the stop, refuses new work, waits for the requests in flight and
+  /// releases the lease.
   ///
-  /// \param StopForced asked between the steps; true ends the wait.
-  /// \returns true when everything had ended within the grace period of the settings.
+  /// \param StopForced polled while waiting; true ends the wait.
+  /// \returns true if all work ended within the grace period of the settings.
   bool stop(const std::function<bool()> &StopForced);
 
 private:
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -35,24 +35,24 @@
 using core::TimePoint;
 using protocol::MessageKind;
 
-/// How often the view of the domains for routing is rebuilt.
+/// Between rebuilds of the routing view of the domains.
 constexpr core::Millis ViewInterval{50};
-/// How often the service jobs are compared with the configuration.
+/// Between comparisons of the service jobs with the configuration.
 constexpr core::Millis ServiceInterval{500};
 constexpr core::Millis MetricsInterval{1'000};
 /// A peer that answered a probe within this time counts as reachable.
 constexpr core::Millis ReachabilityTimeout{4'000};
-/// Time for the balancer to notice that readiness fails, while requests are still served.
+/// Time for the load balancer to notice that readiness fails; requests are still served.
 constexpr core::Millis StopAnnouncementTime{1'000};
 constexpr core::Millis StopPollInterval{10};
-/// Time for the release of the lease to be read back.
+/// Time for reading the release of the lease back from the log.
 constexpr core::Millis LeaseReleaseTimeout{5'000};
 constexpr core::Millis ConsentTimeout{1'000};
-/// An instance counts as terminated only by a list at most this old.
+/// A missing instance counts as terminated only if the list is at most this old.
 constexpr core::Millis MaxInstanceListAge{5'000};
 
-/// Rises with every start of the instance, because the clock of the platform's instances only goes
-/// forward by more than a start takes.
+/// Increases with every start of the instance, because the clocks of the platform's instances are
+/// never set back by more than a start takes.
 std::uint64_t newIncarnation() { return static_cast<std::uint64_t>(core::wallMillis()); }
 
 cell::WorkerLeaseTiming leaseTiming(const settings::Timing &Timing) {
@@ -322,7 +322,7 @@
       Reply.Free_ = Controller_.stats().Free_;
       return;
     }
-    // A representative that is not the owner passes on what it heard from the owner.
+    // A representative that is not the owner reports the last values that the owner sent to it.
     if (const auto Owner = PeerTable_.find(Reply.Owner_)) {
       Reply.FreeSlots_ = Owner->FreeSlots_;
       Reply.Free_ = Owner->Free_;
@@ -369,7 +369,7 @@
     return Options;
   }
 
-  // --- Messages of other daemons ---
+  // --- Messages from other daemons ---
 
   void onMessage(const protocol::Envelope &Message) {
     if (!AcceptsMessages_)
@@ -413,7 +413,7 @@
       Config_.readNow();
   }
 
-  // --- Changes of instances and configuration ---
+  // --- Changes to instances and configuration ---
 
   void applyInstances() {
     const auto List = InstanceList_.current();
@@ -482,8 +482,8 @@
                    [this](std::error_code, std::uint64_t) { ServiceAppendInFlight_ = false; });
   }
 
-  /// Whether a service that has no replica in this domain runs in another one; asked again every
-  /// few rounds.
+  /// \returns whether a service that has no replica in this domain runs in another one, as last
+  ///   known; starts a query that updates this for a later round.
   bool runsElsewhere(const config::Service &Service) {
     const auto Configuration = Config_.state().current();
     const std::string Domain(cell::domainOfReplica(*Configuration, Service, 0));
@@ -689,7 +689,7 @@
   std::vector<routing::DomainView> Views_;
   // Only the timer thread uses the members below.
   std::map<std::string, bool>
-      ServicesElsewhere_; ///< services without a replica here that run in another domain
+      ServicesElsewhere_; ///< whether a service without a replica here runs in another domain
   std::atomic<bool> ServiceAppendInFlight_{false};
 };
 
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -1,4 +1,4 @@
-// masticdriftd: the daemon.
+// Entry point of the daemon, masticdriftd.
 #include "masticdrift/core/Log.h"
 #include "masticdrift/daemon/Daemon.h"
 #include "masticdrift/daemon/FleetDaemon.h"
@@ -34,7 +34,7 @@
   return Name == "error" ? core::LogLevel::Error : core::LogLevel::Info;
 }
 
-/// Signals that are handled by waiting for them, blocked in all threads.
+/// Signals that stop the daemon; they are blocked in all threads and received by waiting for them.
 sigset_t stopSignals() {
   sigset_t Signals;
   sigemptyset(&Signals);
@@ -59,13 +59,13 @@
             << ",\"peer_port\":" << Ports.Peer_ << "}" << std::endl;
   int Signal = 0;
   sigwait(&Signals, &Signal);
-  // Remembered, because each step of the stop asks and the signal is taken only once.
+  // Stored because every step of the stop checks it, but the signal can be received only once.
   bool StopForced = false;
   const bool Idle = Daemon.stop([&] { return StopForced = StopForced || signalPending(Signals); });
   return Idle ? Stopped : NotIdle;
 }
 
-/// Runs on the deployments of the first version, with settings of the product's own.
+/// Runs in deployments of the first version, which use the product's own settings format.
 int runFirstVersion(const std::string &Path, const std::string &SettingsText, bool CheckOnly) {
   const settings::ParsedSettings Parsed = settings::parse(SettingsText);
   for (const settings::Mistake &Mistake : Parsed.Mistakes_)
@@ -94,7 +94,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  CLI::App App("masticdrift daemon: one on each entry instance");
+  CLI::App App("masticdrift daemon, runs on each entry instance");
   std::string Path;
   bool CheckOnly = false;
   App.set_version_flag("--version", MASTICDRIFT_VERSION);
@@ -102,14 +102,15 @@
   App.add_option("--settings", Path, "Settings file (JSON)")
       ->envname("MASTICDRIFT_SETTINGS")
       ->required();
-  App.add_flag("--platform", OnPlatform, "The settings file is the machine's, in its own format");
+  App.add_flag("--platform", OnPlatform,
+               "Read the settings file in the format of the platform's machines");
   App.add_flag("--check", CheckOnly, "Check the settings and exit");
   App.footer("Exit codes: 0 stopped or settings are valid, 1 can't start, 2 settings are invalid, "
              "3 stopped before all work had ended");
   CLI11_PARSE(App, Argc, Argv);
   const auto SettingsText = readFile(Path);
   if (!SettingsText) {
-    std::cerr << "masticdriftd: can't read " << Path << '\n';
+    std::cerr << "masticdriftd: cannot read settings file " << Path << '\n';
     return BadSettings;
   }
   try {
