--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -579,8 +579,8 @@
   std::string statusJson() const {
     const TimePoint Now = core::Clock::now();
     const ownership::ClaimState Claims = Stream_.ownership().state();
-    const cell::ControllerStats Cell = Controller_.stats();
-    const routing::DispatcherStats Slots = Dispatcher_.stats();
+    const cell::ControllerStats TaskStats = Controller_.stats();
+    const routing::DispatcherStats SlotStats = Dispatcher_.stats();
     const auto Age = Config_.age(Now);
     nlohmann::ordered_json Status{
         {"instance", Settings_.Instance_.Name_},
@@ -595,17 +595,17 @@
         {"term", Claims.Term_},
         {"is_owner", Stream_.ownership().holds(Now)},
         {"reachable_domains", Router_.reachableDomains()},
-        {"free_slots", Slots.FreeSlots_},
-        {"requests_waiting", Slots.Waiting_},
-        {"requests_in_flight", Slots.InFlight_},
-        {"workers", Cell.Workers_},
-        {"usable_workers", Cell.UsableWorkers_},
-        {"tasks_running", Cell.Running_},
-        {"tasks_waiting", Cell.Waiting_}};
-    nlohmann::ordered_json Jobs = nlohmann::ordered_json::object();
+        {"free_slots", SlotStats.FreeSlots_},
+        {"requests_waiting", SlotStats.Waiting_},
+        {"requests_in_flight", SlotStats.InFlight_},
+        {"workers", TaskStats.Workers_},
+        {"usable_workers", TaskStats.UsableWorkers_},
+        {"tasks_running", TaskStats.Running_},
+        {"tasks_waiting", TaskStats.Waiting_}};
+    nlohmann::ordered_json JobCounts = nlohmann::ordered_json::object();
     for (const auto &[State, Count] : Stream_.jobs().counts())
-      Jobs[std::string(jobs::nameOf(State))] = Count;
-    Status["jobs"] = std::move(Jobs);
+      JobCounts[std::string(jobs::nameOf(State))] = Count;
+    Status["jobs"] = std::move(JobCounts);
     return Status.dump();
   }
 
