--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -43,7 +43,7 @@
   return Signals;
 }
 
-bool signalPending(const sigset_t &Signals) {
+bool consumePendingSignal(const sigset_t &Signals) {
   const timespec NoWait{};
   return sigtimedwait(&Signals, nullptr, &NoWait) > 0;
 }
@@ -61,7 +61,8 @@
   sigwait(&Signals, &Signal);
   // Stored because every step of the stop checks it, but the signal can be received only once.
   bool StopForced = false;
-  const bool Idle = Daemon.stop([&] { return StopForced = StopForced || signalPending(Signals); });
+  const bool Idle =
+      Daemon.stop([&] { return StopForced = StopForced || consumePendingSignal(Signals); });
   return Idle ? Stopped : NotIdle;
 }
 
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -159,8 +159,8 @@
 }
 
 bool PlatformFleet::awaitState(int Daemon, const std::string &Id, const std::string &State,
-                               core::Millis Deadline) {
-  return waitFor(Deadline, [&] { return stateOf(Daemon, Id) == State; });
+                               core::Millis Timeout) {
+  return waitFor(Timeout, [&] { return stateOf(Daemon, Id) == State; });
 }
 
 void PlatformFleet::control(const Json &Switches) {
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -47,7 +47,7 @@
   /// \returns the state that a daemon reports for a job, empty if it reports none.
   std::string stateOf(int Daemon, const std::string &Id);
   bool awaitState(int Daemon, const std::string &Id, const std::string &State,
-                  core::Millis Deadline);
+                  core::Millis Timeout);
 
   /// Sends control switches to the stand-in.
   void control(const Json &Switches);
