--- a/include/masticdrift/daemon/Daemon.h
+++ b/include/masticdrift/daemon/Daemon.h
@@ -31,7 +31,7 @@
 
   Ports ports() const;
 
-  /// Stops gracefully: announces the stop, refuses new work, waits for the requests in flight and
+  /// Stops gracefully: announces the stop, refuses new work, waits for work in progress and
   /// releases the lease.
   ///
   /// \param StopForced polled while waiting; true ends the wait.
