--- a/include/masticdrift/daemon/Daemon.h
+++ b/include/masticdrift/daemon/Daemon.h
@@ -1,5 +1,5 @@
 /// \file
-/// The daemon: builds all parts from the settings and connects them.
+/// The daemon: creates all components from the settings and connects them.
 #ifndef MASTICDRIFT_DAEMON_DAEMON_H
 #define MASTICDRIFT_DAEMON_DAEMON_H
 
@@ -21,20 +21,22 @@
 class Daemon {
 public:
   /// Binds all listeners and starts all threads.
-  /// \param Drain called when an operator asks for the graceful stop.
-  /// \throws std::exception when a listener can't be bound.
-  Daemon(settings::Settings Settings, std::function<void()> Drain);
+  ///
+  /// \param OnDrain called when an operator requests a graceful stop.
+  /// \throws std::exception if a listener cannot be bound.
+  Daemon(settings::Settings Settings, std::function<void()> OnDrain);
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
   ~Daemon();
 
   Ports ports() const;
 
-  /// Stops gracefully: announces, refuses new work, waits for what runs, releases the lease.
+  /// Stops gracefully: announces the stop, refuses new work, waits for work in progress and
+  /// releases the lease.
   ///
-  /// \param Forced asked between the steps; true ends the wait.
-  /// \returns true when everything had ended within the grace period of the settings.
-  bool stop(const std::function<bool()> &Forced);
+  /// \param StopForced polled while waiting; true ends the wait.
+  /// \returns true if all work ended within the grace period of the settings.
+  bool stop(const std::function<bool()> &StopForced);
 
 private:
   struct Impl;
--- a/include/masticdrift/daemon/Retention.h
+++ b/include/masticdrift/daemon/Retention.h
@@ -1,6 +1,6 @@
 /// \file
-/// Removes what is not needed any more from the log: the steps of ended jobs at once, the jobs
-/// themselves after the time that their state has to be known.
+/// Removes obsolete records from the log: the steps of a job as soon as it has ended, the job
+/// itself once its state no longer has to be reported.
 #ifndef MASTICDRIFT_DAEMON_RETENTION_H
 #define MASTICDRIFT_DAEMON_RETENTION_H
 
@@ -13,29 +13,32 @@
 
 namespace masticdrift::daemon {
 
-/// Used by the leader. What it could not remove it tries again; a lost removal costs space only.
+/// Runs on the leader. A failed removal is retried; a lost one only costs space.
 class Retention {
 public:
   explicit Retention(FleetContext &Context) : Context_(Context) {}
 
-  /// The end of a job is durable.
-  void ended(const std::string &Id) { Ended_.push_back(Id); }
+  /// Schedules the removal of a job's steps; the end of the job must be durable.
+  void onJobEnded(const std::string &Id) { EndedJobs_.push_back(Id); }
 
-  /// Removes what is due; cheap when called often.
-  /// \param WallMs wall clock.
-  void tidy(core::TimePoint Now, std::int64_t WallMs);
+  /// Starts the removals that are due.
+  ///
+  /// \param WallMs wall-clock time.
+  ///
+  /// Cost: low while nothing is due, so it may be called often.
+  void removeDue(core::TimePoint Now, std::int64_t WallMs);
 
 private:
-  void dropSpecs();
-  void forgetJobs(std::int64_t WallMs);
+  void removeSpecs();
+  void removeJobs(std::int64_t WallMs);
   void append(const char *Topic, std::vector<platform::KeyedRecord> Records,
-              std::vector<std::string> Again);
+              std::vector<std::string> RetryIds);
 
   FleetContext &Context_;
-  std::vector<std::string> Ended_; ///< jobs whose steps still stand in the log
-  core::TimePoint NextSpecs_{};
-  core::TimePoint NextJobs_{};
-  int Calls_ = 0; ///< appends without an answer
+  std::vector<std::string> EndedJobs_; ///< jobs whose steps are still in the log
+  core::TimePoint NextSpecRemoval_{};
+  core::TimePoint NextJobRemoval_{};
+  int AppendsInFlight_ = 0;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -120,7 +120,7 @@
       return;
     }
     lead::ElectionView View{
-        core::Clock::now(), Leadership_.lastAnswer(), NewestReadAt_,
+        core::Clock::now(), Leadership_.lastAnsweredAt(), NewestReadAt_,
         NewestRecord_ ? &*NewestRecord_ : nullptr, core::wallMillis(), RecordFoundOnStart_,
         // A claim gains nothing while this daemon can't read the store either.
         LeaderGone_ || (LeaderWithoutStore_ && !Leadership_.failing() && !Jobs_.failing()),
@@ -171,7 +171,7 @@
   void claimLeadership() {
     ClaimOutstanding_ = true;
     const std::uint64_t Offset =
-        std::max(Leadership_.next(), NewestRecord_ ? NewestRecordOffset_ + 1 : 0);
+        std::max(Leadership_.nextOffset(), NewestRecord_ ? NewestRecordOffset_ + 1 : 0);
     HeartbeatGap_ =
         NewestRecord_ ? core::Millis(core::wallMillis() - NewestRecord_->WallMs_) : core::Millis(0);
     core::log(core::LogLevel::Info, "claiming the leadership",
@@ -201,8 +201,8 @@
     Term_ = NewestRecord_->Term_;
     Sequence_ = 0;
     Specs_.start();
-    Specs_.hurry();
-    Executors_.hurry();
+    Specs_.expedite();
+    Executors_.expedite();
     core::count("masticdrift_takeovers_total");
     core::log(core::LogLevel::Info, "term started", {{"term", std::to_string(Term_)}});
     fenceEarlierLeaders();
@@ -267,7 +267,7 @@
     Flushing_ = false;
     FlushNumber_ = 0;
     Sequence_ = 1;
-    FlushTimeout_ = LeastAppendTimeout;
+    FlushTimeout_ = MinAppendTimeout;
     // Entries expire after three heartbeats of an executor. If the earlier leader's heartbeats
     // paused for less than that, the store was available and no entry was lost.
     const bool ListMayBeIncomplete =
@@ -302,8 +302,8 @@
       Scheduler_->onJob(Job, Now, core::wallMillis());
     AdviceDispatcher_.registerAdviser({}, Now);
     // Ends the longer pauses between a follower's reads.
-    Jobs_.hurry();
-    Specs_.hurry();
+    Jobs_.expedite();
+    Specs_.expedite();
     const auto Counts = Scheduler_->counts();
     core::setGauge("masticdrift_leader", 1);
     core::log(core::LogLevel::Info, "leads",
@@ -375,7 +375,7 @@
     AdviceDispatcher_.registerAdviser({}, Now);
     AdviceDispatcher_.dispatch(Now);
     OrderRouter_.flush(Now);
-    Retention_.tidy(Now, core::wallMillis());
+    Retention_.removeDue(Now, core::wallMillis());
     flushProgress(Now);
     JobStateWaiters_.answerReady(Context_.Ledger_, Now);
     if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
@@ -468,7 +468,7 @@
             Context_.Ledger_.apply(Offset++, Record.Key_, Record.Value_);
         const work::LedgerJob *Job = Context_.Ledger_.find(Change.Id_);
         if (Job != nullptr && work::isFinal(Job->state()))
-          Retention_.ended(Change.Id_);
+          Retention_.onJobEnded(Change.Id_);
       }
       onFlushConfirmed();
       return;
@@ -689,7 +689,7 @@
   /// pause any longer.
   void setLeaderResponsive(bool Responsive) {
     if (std::exchange(LeaderResponsive_, Responsive) && !Responsive)
-      Jobs_.hurry();
+      Jobs_.expedite();
   }
 
   static void runAfter(asio::steady_timer &Timer, core::Millis Delay,
@@ -746,7 +746,7 @@
   core::TimePoint GaugesUpdatedAt_{};
   std::uint64_t FlushNumber_ = 0; ///< number of the outstanding flush, 0 for none
   std::shared_ptr<std::vector<platform::KeyedRecord>> FlushedRecords_; ///< of the outstanding flush
-  core::Millis FlushTimeout_ = LeastAppendTimeout;
+  core::Millis FlushTimeout_ = MinAppendTimeout;
   std::optional<lead::Scheduler> Scheduler_;
 };
 
