--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -49,14 +49,14 @@
                 const protocol::LookReply &Reply, const Found &Then);
   /// A record and the job's steps, which are empty for a cancel.
   struct Submission {
-    work::LedgerEntry Record_;
+    work::LogRecord Record_;
     std::string Spec_;
   };
   void store(const std::shared_ptr<Call> &Of, Submission What,
              std::function<void(WriteOutcome)> Done);
   /// Appends the steps and then the record, so that no record stands without its steps.
   void append(Submission What, core::TimePoint Deadline, std::function<void(WriteOutcome)> Done);
-  std::vector<work::LedgerEntry> entriesFor(work::LedgerEntry Entry) const;
+  std::vector<work::LogRecord> entriesFor(work::LogRecord Entry) const;
   void relay(const std::shared_ptr<Call> &Of, const std::string &Leader, Submission What,
              std::function<void(WriteOutcome)> Done);
   void answerWrite(const std::shared_ptr<Call> &Of, WriteOutcome Outcome);
--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -40,7 +40,7 @@
   std::string PeerAddress_;
   std::string Incarnation_; ///< of this process
   core::TimePoint StartedAt_;
-  work::Ledger Ledger_;
+  work::JobTable Ledger_;
   std::optional<work::Manifest> Manifest_;
   std::map<std::string, RosterEntry, std::less<>> Roster_;
   bool Stopping_ = false;
--- a/include/masticdrift/daemon/JobWriter.h
+++ b/include/masticdrift/daemon/JobWriter.h
@@ -32,10 +32,10 @@
 
   /// \param Applied gets each stored record before its callback runs.
   JobWriter(platform::Store &Store, std::string Topic,
-            std::function<void(std::uint64_t Offset, const work::LedgerEntry &)> Applied);
+            std::function<void(std::uint64_t Offset, const work::LogRecord &)> Applied);
 
   /// Appends \p Entries together; \p Done runs once, by \p Deadline at the latest (see expire).
-  void write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline, Callback Done);
+  void write(std::vector<work::LogRecord> Entries, core::TimePoint Deadline, Callback Done);
 
   /// The record with this key was read back from the log, so what ends with it is stored.
   void seen(std::string_view Key);
@@ -47,7 +47,7 @@
 
 private:
   struct Item {
-    std::vector<work::LedgerEntry> Entries_;
+    std::vector<work::LogRecord> Entries_;
     core::TimePoint Deadline_;
     Callback Done_;
     bool Uncertain_ = false; ///< was in an unanswered call
@@ -59,7 +59,7 @@
 
   platform::Store &Store_;
   const std::string Topic_;
-  const std::function<void(std::uint64_t, const work::LedgerEntry &)> Applied_;
+  const std::function<void(std::uint64_t, const work::LogRecord &)> Applied_;
   std::deque<Item> Waiting_;
   std::vector<Item> Sent_;
   bool Outstanding_ = false;
--- a/include/masticdrift/daemon/LookDesk.h
+++ b/include/masticdrift/daemon/LookDesk.h
@@ -15,7 +15,7 @@
 namespace masticdrift::daemon {
 
 /// \returns what the ledger says about a job.
-protocol::LookReply lookedUp(const work::Ledger &Known, std::string_view Job);
+protocol::LookReply lookedUp(const work::JobTable &Known, std::string_view Job);
 
 /// Holds looks at jobs whose end is being written, until it is durable or their time is over. No
 /// I/O.
@@ -27,7 +27,7 @@
   void wait(std::string Job, core::TimePoint Until, Done Answer);
 
   /// Answers looks at jobs that are final now, and those whose time is over.
-  void settle(const work::Ledger &Known, core::TimePoint Now);
+  void settle(const work::JobTable &Known, core::TimePoint Now);
 
   std::size_t waiting() const { return Looks_.size(); }
 
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -88,7 +88,7 @@
   void setManifest(const work::Manifest &Manifest, core::TimePoint Now);
 
   /// Takes over or updates a job after a record of it was applied.
-  void onJob(const work::LedgerJob &Job, core::TimePoint Now, std::int64_t WallMs);
+  void onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs);
 
   /// \returns true when a job has ended by this leader's decision; its record may not be durable
   /// yet.
@@ -116,7 +116,7 @@
   void tick(core::TimePoint Now, std::int64_t WallMs);
 
   /// \returns the progress records to append now, and their flush number; empty when none are due.
-  std::pair<std::uint64_t, std::vector<work::LedgerEntry>> takeProgress();
+  std::pair<std::uint64_t, std::vector<work::LogRecord>> takeProgress();
   /// The flush is durable.
   void onFlushed(std::uint64_t Flush, core::TimePoint Now);
 
--- a/include/masticdrift/work/Job.h
+++ b/include/masticdrift/work/Job.h
@@ -17,7 +17,7 @@
 
 /// A group of equal tasks of a job.
 struct StepSpec {
-  std::uint32_t Count_ = 1;
+  std::uint32_t TaskCount_ = 1;
   core::Resources Need_; ///< of one task
   std::int64_t EstimatedMs_ = 0;
   std::vector<std::uint32_t> DependsOn_; ///< earlier steps that must have ended
@@ -26,16 +26,16 @@
   bool SameRack_ = false;        ///< slower when spread over racks
   bool AllowDuplicates_ = false; ///< copies may run at the same time
   bool LongRunning_ = false;     ///< runs until the job is cancelled
-  bool Fills_ = false;           ///< uses only processor time that others leave
+  bool BestEffort_ = false;      ///< uses only processor time that others leave
   std::string RequiredLabel_;
   std::string PreferredRack_;
   std::string Image_;
   std::uint32_t MaxPerExecutor_ = 0; ///< 0 for no limit
-  std::uint32_t MayMiss_ = 0;        ///< tasks that may be unavailable at the same time
+  std::uint32_t MaxUnavailable_ = 0; ///< tasks that may be unavailable at the same time
   std::int64_t TargetMs_ = 0;        ///< limit of the task's own response times, 0 for none
-  MSGPACK_DEFINE_ARRAY(Count_, Need_, EstimatedMs_, DependsOn_, Checkpointing_, Gang_, SameRack_,
-                       AllowDuplicates_, LongRunning_, Fills_, RequiredLabel_, PreferredRack_,
-                       Image_, MaxPerExecutor_, MayMiss_, TargetMs_)
+  MSGPACK_DEFINE_ARRAY(TaskCount_, Need_, EstimatedMs_, DependsOn_, Checkpointing_, Gang_,
+                       SameRack_, AllowDuplicates_, LongRunning_, BestEffort_, RequiredLabel_,
+                       PreferredRack_, Image_, MaxPerExecutor_, MaxUnavailable_, TargetMs_)
 
   bool operator==(const StepSpec &) const = default;
 };
@@ -76,13 +76,13 @@
 std::string_view nameOf(JobState State);
 
 /// \returns how many occurrences a job has, at least 1.
-constexpr std::uint32_t occurrencesOf(const JobSpec &Spec) {
+constexpr std::uint32_t occurrenceCount(const JobSpec &Spec) {
   return Spec.RunCount_ == 0 ? 1 : Spec.RunCount_;
 }
 
 /// \returns why the steps can't form a job (empty, no tasks, a step that depends on a later one),
 /// or an empty view when they can.
-std::string_view mistakeIn(const JobSpec &Spec);
+std::string_view validationError(const JobSpec &Spec);
 
 } // namespace masticdrift::work
 
--- a/include/masticdrift/work/Ledger.h
+++ b/include/masticdrift/work/Ledger.h
@@ -67,15 +67,15 @@
 };
 
 /// One job of the table.
-struct LedgerJob {
+struct JobTableEntry {
   std::string Id_;
   bool Accepted_ = false;
   std::uint64_t AcceptedOffset_ = 0;
-  AcceptedRecord What_;
-  bool Specified_ = false; ///< Spec_ has been read; daemons that can't lead leave it out
+  AcceptedRecord Acceptance_;
+  bool HasSpec_ = false; ///< Spec_ has been read; daemons that can't lead leave it out
   JobSpec Spec_;
   bool Cancelled_ = false;
-  std::uint64_t BegunTerm_ = 0; ///< of the leader that accepted and began it in one append
+  std::uint64_t StartedTerm_ = 0; ///< of the leader that accepted and began it in one append
   std::optional<ProgressRecord> Progress_;
   std::uint64_t ProgressOffset_ = 0;
 
@@ -84,54 +84,54 @@
 };
 
 /// A record ready to be appended.
-struct LedgerEntry {
+struct LogRecord {
   std::string Key_;
   std::string Value_;
 };
 
-LedgerEntry acceptedEntry(std::string_view Id, const AcceptedRecord &Record);
-LedgerEntry cancelledEntry(std::string_view Id, const CancelledRecord &Record);
-LedgerEntry progressEntry(std::string_view Id, const ProgressRecord &Record);
+LogRecord encodeAccepted(std::string_view Id, const AcceptedRecord &Record);
+LogRecord encodeCancelled(std::string_view Id, const CancelledRecord &Record);
+LogRecord encodeProgress(std::string_view Id, const ProgressRecord &Record);
 /// The leader of \p Term takes the job on with its acceptance. Goes before the accepted entry, in
 /// the same append. It is not the leader's alone to write, so it says no more than who may have
 /// begun.
-LedgerEntry begunEntry(std::string_view Id, std::uint64_t Term);
+LogRecord encodeStarted(std::string_view Id, std::uint64_t Term);
 /// \returns the job that an accepted entry is about, or an empty view for another entry.
-std::string_view acceptedIdOf(const LedgerEntry &Entry);
+std::string_view acceptedJobId(const LogRecord &Entry);
 /// The steps of a job, for the topic of specifications.
-LedgerEntry specEntry(std::string_view Id, const JobSpec &Spec);
+LogRecord encodeSpec(std::string_view Id, const JobSpec &Spec);
 /// Entries without values that make the log forget a job.
-std::vector<LedgerEntry> forgetEntries(std::string_view Id);
+std::vector<LogRecord> encodeTombstones(std::string_view Id);
 
 /// What applying a record changed.
-struct LedgerChange {
-  enum class Kind { None, Accepted, Specified, Cancelled, Progressed, Forgotten, Unreadable };
+struct JobTableChange {
+  enum class Kind { None, Accepted, Specified, Cancelled, Progressed, Removed, Unreadable };
   Kind Kind_ = Kind::None;
   std::string Id_;
 };
 
 /// The table. Records may be applied more than once; the result is the same.
-class Ledger {
+class JobTable {
 public:
   /// Applies the record at \p Offset.
-  LedgerChange apply(std::uint64_t Offset, std::string_view Key, std::string_view Value);
+  JobTableChange apply(std::uint64_t Offset, std::string_view Key, std::string_view Value);
 
   /// Applies a record of the topic of specifications; no value when the job has ended.
-  LedgerChange applySpec(std::string_view Id, std::string_view Value);
+  JobTableChange applySpec(std::string_view Id, std::string_view Value);
 
   /// \returns the job, or null when it was never accepted.
-  const LedgerJob *find(std::string_view Id) const;
+  const JobTableEntry *find(std::string_view Id) const;
 
   /// \returns accepted, uncancelled jobs of \p Queue whose first task has not started.
-  std::size_t pendingOf(std::string_view Queue) const;
+  std::size_t pendingCount(std::string_view Queue) const;
 
-  const std::unordered_map<std::string, LedgerJob> &jobs() const { return Jobs_; }
+  const std::unordered_map<std::string, JobTableEntry> &jobs() const { return Jobs_; }
 
 private:
-  void track(const LedgerJob &Job);
+  void updateQueued(const JobTableEntry &Job);
 
-  std::unordered_map<std::string, LedgerJob> Jobs_;
-  std::map<std::string, std::set<std::string>, std::less<>> QueuedOf_;
+  std::unordered_map<std::string, JobTableEntry> Jobs_;
+  std::map<std::string, std::set<std::string>, std::less<>> QueuedByQueue_;
 };
 
 } // namespace masticdrift::work
--- a/include/masticdrift/work/Manifest.h
+++ b/include/masticdrift/work/Manifest.h
@@ -19,10 +19,10 @@
 
 /// Cost and validity of the advice that a queue's starts need.
 struct AdvicePolicy {
-  double DecideMs_ = 0;      ///< fixed time of one call
-  double EachMs_ = 0;        ///< added for each executor named
-  std::int64_t ValidMs_ = 0; ///< life of a ticket
-  MSGPACK_DEFINE_ARRAY(DecideMs_, EachMs_, ValidMs_)
+  double FixedMs_ = 0;             ///< fixed time of one call
+  double PerExecutorMs_ = 0;       ///< added for each executor named
+  std::int64_t TicketValidMs_ = 0; ///< life of a ticket
+  MSGPACK_DEFINE_ARRAY(FixedMs_, PerExecutorMs_, TicketValidMs_)
 };
 
 /// A queue that takes jobs.
@@ -33,9 +33,9 @@
   std::string Pool_; ///< executors that run its tasks
   int Priority_ = 0; ///< 0 comes first
   std::uint32_t MaxAttempts_ = 1;
-  double Stretch_ = 1;        ///< objective in multiples of the longest chain of work
-  std::int64_t TargetMs_ = 0; ///< added to the objective
-  bool Open_ = false;         ///< needs no key
+  double Stretch_ = 1;           ///< objective in multiples of the longest chain of work
+  std::int64_t TargetMs_ = 0;    ///< added to the objective
+  bool AllowsAnonymous_ = false; ///< needs no key
   std::optional<AdvicePolicy> Advice_;
   MSGPACK_DEFINE_ARRAY(Name_, Pool_, Priority_, MaxAttempts_, Stretch_, TargetMs_, Advice_)
 };
@@ -43,7 +43,7 @@
 /// A group of executors.
 struct Pool {
   std::string Name_;
-  bool Guards_ = false; ///< its executors refuse what does not fit
+  bool ChecksAdmission_ = false; ///< its executors refuse what does not fit
 };
 
 /// A customer with its share and limit.
@@ -66,10 +66,10 @@
 /// \returns the queue whose host matches and whose prefix is the longest that \p Path begins with,
 /// or null.
 /// \remark Cost: linear in the number of queues.
-const Queue *findQueue(const Manifest &In, std::string_view Host, std::string_view Path);
+const Queue *findQueue(const Manifest &Configuration, std::string_view Host, std::string_view Path);
 
 /// \returns the queue called \p Name, or null.
-const Queue *queueNamed(const Manifest &In, std::string_view Name);
+const Queue *findQueueByName(const Manifest &Configuration, std::string_view Name);
 
 } // namespace masticdrift::work
 
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -106,7 +106,7 @@
   const auto Key = Manifest.CustomerOfKey_.find(Of->What_.Key_);
   if (Key != Manifest.CustomerOfKey_.end()) {
     Of->Customer_ = Key->second;
-  } else if (!Of->Queue_->Open_) {
+  } else if (!Of->Queue_->AllowsAnonymous_) {
     refuse(Of, Of->What_.Key_.empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
            "the request carries no key of the configuration in force");
     return;
@@ -116,7 +116,7 @@
       refuse(Of, ErrorKind::StoreUnavailable, "the jobs are still being read");
       return;
     }
-    Of->answer(200, platform::encodePending(Context_.Ledger_.pendingOf(Of->Queue_->Name_)));
+    Of->answer(200, platform::encodePending(Context_.Ledger_.pendingCount(Of->Queue_->Name_)));
     return;
   }
   if (Of->Job_.empty()) {
@@ -155,7 +155,7 @@
     return;
   }
   const work::AcceptedRecord Record{*Of->Queue_, Of->Customer_, core::wallMillis()};
-  store(Of, {work::acceptedEntry(Of->Job_, Record), core::pack(*Spec)},
+  store(Of, {work::encodeAccepted(Of->Job_, Record), core::pack(*Spec)},
         [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
 }
 
@@ -206,7 +206,7 @@
     Writer_.write(entriesFor(std::move(What.Record_)), Deadline, std::move(Done));
     return;
   }
-  const std::string Id(work::acceptedIdOf(What.Record_));
+  const std::string Id(work::acceptedJobId(What.Record_));
   Specs_.write({{Id, std::move(What.Spec_)}}, Deadline,
                [this, Record = std::move(What.Record_), Deadline,
                 Done = std::move(Done)](WriteOutcome Outcome) mutable {
@@ -218,11 +218,11 @@
                });
 }
 
-std::vector<work::LedgerEntry> EntryService::entriesFor(work::LedgerEntry Entry) const {
-  std::vector<work::LedgerEntry> Out;
+std::vector<work::LogRecord> EntryService::entriesFor(work::LogRecord Entry) const {
+  std::vector<work::LogRecord> Out;
   // The leader begins a job with its acceptance, which saves an append before the first start.
-  if (const std::string_view Id = work::acceptedIdOf(Entry); !Id.empty() && Leader_.leading())
-    Out.push_back(work::begunEntry(Id, Leader_.term()));
+  if (const std::string_view Id = work::acceptedJobId(Entry); !Id.empty() && Leader_.leading())
+    Out.push_back(work::encodeStarted(Id, Leader_.term()));
   Out.push_back(std::move(Entry));
   return Out;
 }
@@ -278,7 +278,7 @@
   }
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
   const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
-  if (const work::LedgerJob *Job = Context_.Ledger_.find(Id);
+  if (const work::JobTableEntry *Job = Context_.Ledger_.find(Id);
       Job != nullptr && !Call.Spec_.empty()) {
     // A repeat that reached another daemon.
     Done({true, false, Job->AcceptedOffset_});
@@ -289,7 +289,7 @@
            protocol::SubmitReply Reply;
            Reply.Stored_ = Outcome == WriteOutcome::Stored;
            Reply.Refused_ = Outcome == WriteOutcome::Refused;
-           if (const work::LedgerJob *Job = Context_.Ledger_.find(Id))
+           if (const work::JobTableEntry *Job = Context_.Ledger_.find(Id))
              Reply.Offset_ = Job->AcceptedOffset_;
            Done(Reply);
          });
@@ -379,7 +379,7 @@
       answerWrite(Of, WriteOutcome::Stored);
       return;
     }
-    store(Of, {work::cancelledEntry(Of->Job_, {core::wallMillis()}), {}},
+    store(Of, {work::encodeCancelled(Of->Job_, {core::wallMillis()}), {}},
           [this, Of](WriteOutcome Outcome) { answerWrite(Of, Outcome); });
   });
 }
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -117,11 +117,11 @@
             {[this](const platform::KeyedRecord &One) { onExecutorRecord(One); },
              [this](const std::set<std::string> &Keys) { onExecutorsLoaded(Keys); }}),
         Writer_(Store_, JobsTopic,
-                [this](std::uint64_t Offset, const work::LedgerEntry &One) {
+                [this](std::uint64_t Offset, const work::LogRecord &One) {
                   onJobRecord({Offset, One.Key_, One.Value_});
                 }),
         SpecWriter_(Store_, SpecsTopic,
-                    [this](std::uint64_t Offset, const work::LedgerEntry &One) {
+                    [this](std::uint64_t Offset, const work::LogRecord &One) {
                       if (Specs_.started())
                         onSpecRecord({Offset, One.Key_, One.Value_});
                     }),
@@ -161,14 +161,14 @@
 
 private:
   void onJobRecord(const platform::KeyedRecord &One) {
-    const work::LedgerChange Change = Context_.Ledger_.apply(One.Offset_, One.Key_, One.Value_);
-    using enum work::LedgerChange::Kind;
+    const work::JobTableChange Change = Context_.Ledger_.apply(One.Offset_, One.Key_, One.Value_);
+    using enum work::JobTableChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job record is unreadable",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
     if (Change.Kind_ == Progressed)
       Leader_.onProgressRead(One.Key_, One.Value_);
-    if (Change.Kind_ == Forgotten)
+    if (Change.Kind_ == Removed)
       Leader_.onJob(Change.Id_);
     if (Change.Kind_ == Accepted || Change.Kind_ == Cancelled) {
       Writer_.seen(One.Key_);
@@ -177,8 +177,8 @@
   }
 
   void onSpecRecord(const platform::KeyedRecord &One) {
-    const work::LedgerChange Change = Context_.Ledger_.applySpec(One.Key_, One.Value_);
-    using enum work::LedgerChange::Kind;
+    const work::JobTableChange Change = Context_.Ledger_.applySpec(One.Key_, One.Value_);
+    using enum work::JobTableChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job specification is unreadable",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(One.Offset_)}});
--- a/src/daemon/JobWriter.cpp
+++ b/src/daemon/JobWriter.cpp
@@ -20,11 +20,11 @@
 }
 
 JobWriter::JobWriter(platform::Store &Store, std::string Topic,
-                     std::function<void(std::uint64_t, const work::LedgerEntry &)> Applied)
+                     std::function<void(std::uint64_t, const work::LogRecord &)> Applied)
     : Store_(Store), Topic_(std::move(Topic)), Applied_(std::move(Applied)),
       Timeout_(LeastAppendTimeout) {}
 
-void JobWriter::write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline,
+void JobWriter::write(std::vector<work::LogRecord> Entries, core::TimePoint Deadline,
                       Callback Done) {
   Waiting_.push_back({std::move(Entries), Deadline, std::move(Done)});
   flush();
@@ -36,7 +36,7 @@
   std::vector<platform::KeyedRecord> Records;
   for (std::size_t Bytes = 0; !Waiting_.empty() && Bytes < MaxBatchBytes;) {
     Item &Next = Waiting_.front();
-    for (const work::LedgerEntry &One : Next.Entries_) {
+    for (const work::LogRecord &One : Next.Entries_) {
       Bytes += One.Key_.size() + One.Value_.size();
       Records.push_back({0, One.Key_, One.Value_});
     }
@@ -78,7 +78,7 @@
     // Callbacks come last: one of them may write again.
     std::uint64_t Offset = Result.Offset_;
     for (const Item &One : Batch)
-      for (const work::LedgerEntry &Entry : One.Entries_)
+      for (const work::LogRecord &Entry : One.Entries_)
         Applied_(Offset++, Entry);
   } else {
     logFailure(Batch, Result, SentAt);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -388,7 +388,7 @@
     if (Number == 0)
       return;
     std::vector<platform::KeyedRecord> Records;
-    for (work::LedgerEntry &One : Entries)
+    for (work::LogRecord &One : Entries)
       Records.push_back({0, std::move(One.Key_), std::move(One.Value_)});
     if (Records.empty()) {
       Scheduler_->onFlushed(Number, Now);
@@ -445,8 +445,8 @@
     case Stored: {
       std::uint64_t Offset = Result.Offset_;
       for (const platform::KeyedRecord &One : *Records) {
-        const work::LedgerChange Change = Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
-        const work::LedgerJob *Job = Context_.Ledger_.find(Change.Id_);
+        const work::JobTableChange Change = Context_.Ledger_.apply(Offset++, One.Key_, One.Value_);
+        const work::JobTableEntry *Job = Context_.Ledger_.find(Change.Id_);
         if (Job != nullptr && work::isFinal(Job->state()))
           Retention_.ended(Change.Id_);
       }
--- a/src/daemon/LookDesk.cpp
+++ b/src/daemon/LookDesk.cpp
@@ -5,20 +5,20 @@
 
 namespace masticdrift::daemon {
 
-protocol::LookReply lookedUp(const work::Ledger &Known, std::string_view Job) {
-  const work::LedgerJob *Found = Known.find(Job);
+protocol::LookReply lookedUp(const work::JobTable &Known, std::string_view Job) {
+  const work::JobTableEntry *Found = Known.find(Job);
   if (Found == nullptr)
     return {true, false, {}, 0};
-  return {true, true, Found->What_.Customer_, static_cast<std::uint8_t>(Found->state())};
+  return {true, true, Found->Acceptance_.Customer_, static_cast<std::uint8_t>(Found->state())};
 }
 
 void LookDesk::wait(std::string Job, core::TimePoint Until, Done Answer) {
   Looks_.push_back({std::move(Job), Until, std::move(Answer)});
 }
 
-void LookDesk::settle(const work::Ledger &Known, core::TimePoint Now) {
+void LookDesk::settle(const work::JobTable &Known, core::TimePoint Now) {
   const auto Due = std::partition(Looks_.begin(), Looks_.end(), [&](const Look &One) {
-    const work::LedgerJob *Job = Known.find(One.Job_);
+    const work::JobTableEntry *Job = Known.find(One.Job_);
     return Job != nullptr && !work::isFinal(Job->state()) && Now < One.Until_;
   });
   std::vector<Look> Answered(std::make_move_iterator(Due), std::make_move_iterator(Looks_.end()));
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -48,7 +48,7 @@
         Job.Progress_->FinalMs_ >= Before)
       continue;
     ++Count;
-    for (work::LedgerEntry &One : work::forgetEntries(Id))
+    for (work::LogRecord &One : work::encodeTombstones(Id))
       Records.push_back({0, std::move(One.Key_), {}});
   }
   if (Count == 0)
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -140,7 +140,7 @@
                       std::uint32_t Most) const {
     core::Resources Room = At.Info_.Capacity_ - At.Used_;
     core::Resources Need = Spec.Need_;
-    if (Spec.Fills_)
+    if (Spec.BestEffort_)
       Need.MilliCores_ = 0;
     std::uint32_t Count = 0;
     std::uint32_t Here = 0;
@@ -156,7 +156,7 @@
 
   bool disturbs(const ExecutorState &At, const work::StepSpec &Spec) const {
     return std::ranges::any_of(At.Runs_, [&](const auto &One) {
-      return (Spec.Fills_ && One.second.Serves_) || (Spec.TargetMs_ > 0 && One.second.Fills_);
+      return (Spec.BestEffort_ && One.second.Serves_) || (Spec.TargetMs_ > 0 && One.second.Fills_);
     });
   }
 
@@ -184,7 +184,7 @@
     double Least = std::numeric_limits<double>::infinity();
     visitAllowed(Job, Step, Spec, [&](ExecutorState &At) {
       if (slots(At, Step, Spec, 1) == 0 || (!Rack.empty() && fleet::rackOf(At.Info_) != Rack) ||
-          (Spec.Fills_ && disturbs(At, Spec)))
+          (Spec.BestEffort_ && disturbs(At, Spec)))
         return;
       const double Cost = costOf(At, Spec, Task);
       // Equal costs go by number, so that the choice does not depend on the order of a table.
@@ -284,7 +284,7 @@
   /// Starts all tasks of a gang or none.
   void placeGang(const Candidate &What, StepRun &Step, const work::StepSpec &Spec) const {
     if (Of_.StartsOnTheWay_ >= Of_.Times_.StartsOnTheWay_ || Step.Waiting_ < Step.Tasks_.size() ||
-        !withinLimit(*What.Job_, Spec.Need_ * Spec.Count_))
+        !withinLimit(*What.Job_, Spec.Need_ * Spec.TaskCount_))
       return;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
@@ -302,9 +302,9 @@
     // Room is taken provisionally, so that later members see it.
     std::vector<ExecutorState *> Hosts;
     core::Resources Counted = Spec.Need_;
-    if (Spec.Fills_)
+    if (Spec.BestEffort_)
       Counted.MilliCores_ = 0;
-    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+    for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       ExecutorState *At = choose(*What.Job_, Step, Spec, Step.Tasks_[I], Rack);
       if (At == nullptr)
         break;
@@ -316,14 +316,14 @@
       At->Used_ -= Counted;
       --Step.PerExecutor_[At->Slot_];
     }
-    if (Hosts.size() < Spec.Count_)
+    if (Hosts.size() < Spec.TaskCount_)
       return false;
     std::string Checkpoint;
     for (const TaskRun &One : Step.Tasks_)
       if (!One.Checkpoint_.empty())
         Checkpoint = One.Checkpoint_;
     Step.GangCounter_ = std::max(Step.GangCounter_ + 1, runNumber(Of_.Token_, 1));
-    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+    for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       Step.Tasks_[I].Checkpoint_ = Checkpoint;
       start(*Hosts[I], *What.Job_, Step, {What.Job_->Id_, What.Occurrence_, What.Step_, I},
             Step.GangCounter_);
@@ -354,8 +354,8 @@
     std::ranges::sort(Open, {}, &std::pair<double, const ExecutorState *>::first);
     const double Missing = (Wanted - Have) * AdviceReserve;
     const work::AdvicePolicy &Policy = *What.Job_->Queue_.Advice_;
-    const auto Least =
-        static_cast<std::size_t>(AdviceWidening * Policy.DecideMs_ / std::max(Policy.EachMs_, 0.1));
+    const auto Least = static_cast<std::size_t>(AdviceWidening * Policy.FixedMs_ /
+                                                std::max(Policy.PerExecutorMs_, 0.1));
     std::vector<std::string> Names;
     for (double Expected = 0; const auto &[Price, At] : Open) {
       if ((Expected >= Missing && Names.size() >= Least) || Names.size() >= MaxAdvised)
@@ -364,7 +364,7 @@
       Expected += slots(*At, Step, Spec, Wanted) * (Known ? 1.0 : yieldOf(*What.Job_));
       Names.push_back(At->Info_.Id_);
     }
-    const double Cost = Policy.DecideMs_ + Policy.EachMs_ * static_cast<double>(Names.size());
+    const double Cost = Policy.FixedMs_ + Policy.PerExecutorMs_ * static_cast<double>(Names.size());
     Step.Asking_ = true;
     Of_.Out_.Advise_({What.Job_->Id_, What.Occurrence_, What.Step_, 0}, std::move(Names), Cost,
                      {What.Class_ * 100 + What.Priority_, What.Deadline_});
@@ -381,7 +381,7 @@
     if (!Job.Queue_.Advice_ || Spec.DependsOn_.empty())
       return false;
     const auto Cost = core::Millis(static_cast<std::int64_t>(
-        Job.Queue_.Advice_->DecideMs_ + Job.Queue_.Advice_->EachMs_ * Spec.Count_ * 2));
+        Job.Queue_.Advice_->FixedMs_ + Job.Queue_.Advice_->PerExecutorMs_ * Spec.TaskCount_ * 2));
     for (const std::uint32_t Earlier : Spec.DependsOn_) {
       const StepRun &Before = Job.Occurrences_[Occurrence].Steps_[Earlier];
       if (Before.Done_ == Before.Tasks_.size())
@@ -455,7 +455,7 @@
   for (const std::string &Id : Asked)
     if (const auto Host = Executors_.find(Id); Host != Executors_.end())
       Step.Advice_[Host->second.Slot_].May_ = false;
-  const core::Millis Valid(Job->Queue_.Advice_->ValidMs_);
+  const core::Millis Valid(Job->Queue_.Advice_->TicketValidMs_);
   for (const fleet::Advised &One : *Good) {
     const auto Host = Executors_.find(One.Executor_);
     if (Host != Executors_.end())
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -187,7 +187,7 @@
     return;
   }
   work::TaskRef Member = End.Task_;
-  for (Member.Index_ = 0; Member.Index_ < Spec.Count_; ++Member.Index_)
+  for (Member.Index_ = 0; Member.Index_ < Spec.TaskCount_; ++Member.Index_)
     finishTask(Job, Member, Now);
 }
 
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -84,7 +84,7 @@
   const work::StepSpec &Spec = specOf(*Job, Task);
   Made.Counted_ = true;
   Made.Need_ = Spec.Need_;
-  Made.Fills_ = Spec.Fills_;
+  Made.Fills_ = Spec.BestEffort_;
   Made.Serves_ = Spec.TargetMs_ > 0;
   Made.TargetMs_ = Spec.TargetMs_;
   Made.Customer_ = Job->What_.Customer_;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -16,8 +16,8 @@
 std::int64_t chainMs(const work::JobSpec &Spec, const work::Queue &Queue) {
   std::int64_t Advice = 0;
   if (Queue.Advice_)
-    Advice = static_cast<std::int64_t>(Queue.Advice_->DecideMs_ +
-                                       Queue.Advice_->EachMs_ * AdviceExecutorsInChain);
+    Advice = static_cast<std::int64_t>(Queue.Advice_->FixedMs_ +
+                                       Queue.Advice_->PerExecutorMs_ * AdviceExecutorsInChain);
   std::vector<std::int64_t> Until(Spec.Steps_.size());
   std::int64_t Longest = 0;
   for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
@@ -47,13 +47,13 @@
 void Scheduler::setManifest(const work::Manifest &Manifest, core::TimePoint Now) {
   Manifest_ = Manifest;
   for (auto &[Id, Job] : Jobs_)
-    if (const work::Queue *Queue = work::queueNamed(Manifest_, Job.What_.Queue_.Name_))
+    if (const work::Queue *Queue = work::findQueueByName(Manifest_, Job.What_.Queue_.Name_))
       Job.Queue_ = *Queue;
   PlaceDue_ = true;
   NextPlace_ = std::min(NextPlace_, Now);
 }
 
-void Scheduler::onJob(const work::LedgerJob &Job, core::TimePoint Now, std::int64_t WallMs) {
+void Scheduler::onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs) {
   if (const auto Found = Jobs_.find(Job.Id_); Found != Jobs_.end()) {
     if (Job.Cancelled_ && !Found->second.Ended_)
       endJob(Found->second, work::JobState::Cancelled, Now);
@@ -61,19 +61,19 @@
   }
   if (Job.Accepted_ && work::isFinal(Job.state()))
     Final_.insert(Job.Id_);
-  if (!Job.Accepted_ || !Job.Specified_ || work::isFinal(Job.state()))
+  if (!Job.Accepted_ || !Job.HasSpec_ || work::isFinal(Job.state()))
     return;
   JobRun &Made = Jobs_[Job.Id_];
   Made.Id_ = Job.Id_;
-  Made.What_ = Job.What_;
+  Made.What_ = Job.Acceptance_;
   Made.Spec_ = Job.Spec_;
-  Made.Queue_ = Job.What_.Queue_;
-  if (const work::Queue *Queue = work::queueNamed(Manifest_, Made.Queue_.Name_))
+  Made.Queue_ = Job.Acceptance_.Queue_;
+  if (const work::Queue *Queue = work::findQueueByName(Manifest_, Made.Queue_.Name_))
     Made.Queue_ = *Queue;
   if (Job.Progress_)
     Made.Progress_ = *Job.Progress_;
-  const bool Mine = Made.Progress_.Term_ == Token_ || Job.BegunTerm_ == Token_;
-  Made.Inherited_ = !Mine && (Made.Progress_.Term_ != 0 || Job.BegunTerm_ != 0);
+  const bool Mine = Made.Progress_.Term_ == Token_ || Job.StartedTerm_ == Token_;
+  Made.Inherited_ = !Mine && (Made.Progress_.Term_ != 0 || Job.StartedTerm_ != 0);
   build(Made, Now, WallMs);
   if (!Mine && !Made.Inherited_) {
     // Durable before the first start, so that a later leader knows which jobs were never begun.
@@ -114,15 +114,15 @@
     if (!Job.OverShare_)
       Tokens -= 1;
   }
-  Job.Occurrences_.resize(work::occurrencesOf(Spec));
+  Job.Occurrences_.resize(work::occurrenceCount(Spec));
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K) {
     OccurrenceRun &Occurrence = Job.Occurrences_[K];
     Occurrence.DueMs_ = Spec.RunCount_ == 0 ? 0 : Spec.FirstRunMs_ + K * Spec.IntervalMs_;
     Occurrence.Due_ = Occurrence.DueMs_ <= WallMs;
     Occurrence.Steps_.resize(Spec.Steps_.size());
     for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
-      Occurrence.Steps_[I].Tasks_.resize(Spec.Steps_[I].Count_);
-      Occurrence.Steps_[I].Waiting_ = Spec.Steps_[I].Count_;
+      Occurrence.Steps_[I].Tasks_.resize(Spec.Steps_[I].TaskCount_);
+      Occurrence.Steps_[I].Waiting_ = Spec.Steps_[I].TaskCount_;
     }
   }
   for (const work::StepProgress &Done : Job.Progress_.Steps_) {
@@ -242,13 +242,13 @@
   return Job.Spec_.Steps_[Task.Step_];
 }
 
-std::pair<std::uint64_t, std::vector<work::LedgerEntry>> Scheduler::takeProgress() {
+std::pair<std::uint64_t, std::vector<work::LogRecord>> Scheduler::takeProgress() {
   if (Dirty_.empty())
     return {0, {}};
-  std::vector<work::LedgerEntry> Out;
+  std::vector<work::LogRecord> Out;
   for (const std::string &Id : Dirty_)
     if (const auto Found = Jobs_.find(Id); Found != Jobs_.end())
-      Out.push_back(work::progressEntry(Id, Found->second.Progress_));
+      Out.push_back(work::encodeProgress(Id, Found->second.Progress_));
   Dirty_.clear();
   return {NextFlush_++, std::move(Out)};
 }
--- a/src/lead/Watch.cpp
+++ b/src/lead/Watch.cpp
@@ -23,7 +23,7 @@
 
 /// Tasks that fill take what is left, and far from its data a task is slow on every executor.
 bool paceIsItsOwn(const ExecutorState &At, const work::StepSpec &Spec) {
-  return !Spec.Fills_ &&
+  return !Spec.BestEffort_ &&
          (Spec.PreferredRack_.empty() ||
           std::ranges::find(At.Info_.Labels_, Spec.PreferredRack_) != At.Info_.Labels_.end());
 }
@@ -77,7 +77,7 @@
       continue;
     const work::StepSpec &Spec = specOf(*Job, One.Task_);
     // Tasks that last are at work at 100 percent; before that they start up like any other.
-    if (Spec.Fills_ || (!ends(Spec) && One.Progress_.Percent_ >= 100))
+    if (Spec.BestEffort_ || (!ends(Spec) && One.Progress_.Percent_ >= 100))
       continue;
     if (standsStill(One.Progress_, core::Millis(Spec.EstimatedMs_), Now)) {
       At.AvoidUntil_ = std::max(At.AvoidUntil_, Now + Times_.AvoidStill_);
--- a/src/work/Job.cpp
+++ b/src/work/Job.cpp
@@ -20,11 +20,11 @@
   return "queued";
 }
 
-std::string_view mistakeIn(const JobSpec &Spec) {
+std::string_view validationError(const JobSpec &Spec) {
   if (Spec.Steps_.empty())
     return "the job has no steps";
   for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
-    if (Spec.Steps_[I].Count_ == 0)
+    if (Spec.Steps_[I].TaskCount_ == 0)
       return "a step has no tasks";
     if (std::ranges::any_of(Spec.Steps_[I].DependsOn_,
                             [I](std::uint32_t Earlier) { return Earlier >= I; }))
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
-constexpr char AcceptedKind = 'a';
-constexpr char CancelledKind = 'c';
-constexpr char ProgressKind = 'p';
-constexpr char BegunKind = 'b';
+constexpr char AcceptedPrefix = 'a';
+constexpr char CancelledPrefix = 'c';
+constexpr char ProgressPrefix = 'p';
+constexpr char StartedPrefix = 'b';
 
-std::string keyOf(char Kind, std::string_view Id) { return Kind + std::string(Id); }
+std::string recordKey(char Kind, std::string_view Id) { return Kind + std::string(Id); }
 
 } // namespace
 
-JobState LedgerJob::state() const {
+JobState JobTableEntry::state() const {
   if (Progress_ && isFinal(Progress_->State_))
     return Progress_->State_;
   if (Cancelled_)
@@ -23,72 +23,72 @@
   return Progress_ ? Progress_->State_ : JobState::Queued;
 }
 
-LedgerEntry acceptedEntry(std::string_view Id, const AcceptedRecord &Record) {
-  return {keyOf(AcceptedKind, Id), core::pack(Record)};
+LogRecord encodeAccepted(std::string_view Id, const AcceptedRecord &Record) {
+  return {recordKey(AcceptedPrefix, Id), core::pack(Record)};
 }
 
-LedgerEntry cancelledEntry(std::string_view Id, const CancelledRecord &Record) {
-  return {keyOf(CancelledKind, Id), core::pack(Record)};
+LogRecord encodeCancelled(std::string_view Id, const CancelledRecord &Record) {
+  return {recordKey(CancelledPrefix, Id), core::pack(Record)};
 }
 
-LedgerEntry progressEntry(std::string_view Id, const ProgressRecord &Record) {
-  return {keyOf(ProgressKind, Id), core::pack(Record)};
+LogRecord encodeProgress(std::string_view Id, const ProgressRecord &Record) {
+  return {recordKey(ProgressPrefix, Id), core::pack(Record)};
 }
 
-LedgerEntry specEntry(std::string_view Id, const JobSpec &Spec) {
+LogRecord encodeSpec(std::string_view Id, const JobSpec &Spec) {
   return {std::string(Id), core::pack(Spec)};
 }
 
-std::vector<LedgerEntry> forgetEntries(std::string_view Id) {
-  return {{keyOf(AcceptedKind, Id), {}},
-          {keyOf(CancelledKind, Id), {}},
-          {keyOf(ProgressKind, Id), {}},
-          {keyOf(BegunKind, Id), {}}};
+std::vector<LogRecord> encodeTombstones(std::string_view Id) {
+  return {{recordKey(AcceptedPrefix, Id), {}},
+          {recordKey(CancelledPrefix, Id), {}},
+          {recordKey(ProgressPrefix, Id), {}},
+          {recordKey(StartedPrefix, Id), {}}};
 }
 
-LedgerEntry begunEntry(std::string_view Id, std::uint64_t Term) {
-  return {keyOf(BegunKind, Id), core::pack(Term)};
+LogRecord encodeStarted(std::string_view Id, std::uint64_t Term) {
+  return {recordKey(StartedPrefix, Id), core::pack(Term)};
 }
 
-std::string_view acceptedIdOf(const LedgerEntry &Entry) {
-  return Entry.Key_.starts_with(AcceptedKind) ? std::string_view(Entry.Key_).substr(1)
-                                              : std::string_view();
+std::string_view acceptedJobId(const LogRecord &Entry) {
+  return Entry.Key_.starts_with(AcceptedPrefix) ? std::string_view(Entry.Key_).substr(1)
+                                                : std::string_view();
 }
 
-LedgerChange Ledger::apply(std::uint64_t Offset, std::string_view Key, std::string_view Value) {
-  using enum LedgerChange::Kind;
+JobTableChange JobTable::apply(std::uint64_t Offset, std::string_view Key, std::string_view Value) {
+  using enum JobTableChange::Kind;
   if (Key.size() < 2)
     return {Unreadable, std::string(Key)};
   const char Kind = Key.front();
   std::string Id(Key.substr(1));
   if (Value.empty()) {
     const auto Found = Jobs_.find(Id);
-    if (Found == Jobs_.end() || Kind != AcceptedKind)
+    if (Found == Jobs_.end() || Kind != AcceptedPrefix)
       return {None, std::move(Id)};
-    QueuedOf_[Found->second.What_.Queue_.Name_].erase(Id);
+    QueuedByQueue_[Found->second.Acceptance_.Queue_.Name_].erase(Id);
     Jobs_.erase(Found);
-    return {Forgotten, std::move(Id)};
+    return {Removed, std::move(Id)};
   }
-  LedgerJob &Job = Jobs_[Id];
+  JobTableEntry &Job = Jobs_[Id];
   Job.Id_ = Id;
-  LedgerChange Change{None, Id};
-  if (Kind == AcceptedKind && !Job.Accepted_) {
+  JobTableChange Change{None, Id};
+  if (Kind == AcceptedPrefix && !Job.Accepted_) {
     auto Record = core::unpack<AcceptedRecord>(Value);
     if (!Record)
       return {Unreadable, std::move(Id)};
-    Job.What_ = std::move(*Record);
+    Job.Acceptance_ = std::move(*Record);
     Job.Accepted_ = true;
     Job.AcceptedOffset_ = Offset;
     Change.Kind_ = Accepted;
-  } else if (Kind == CancelledKind && !Job.Cancelled_) {
+  } else if (Kind == CancelledPrefix && !Job.Cancelled_) {
     Job.Cancelled_ = true;
     Change.Kind_ = Cancelled;
-  } else if (Kind == BegunKind) {
+  } else if (Kind == StartedPrefix) {
     const auto Term = core::unpack<std::uint64_t>(Value);
     if (!Term)
       return {Unreadable, std::move(Id)};
-    Job.BegunTerm_ = *Term;
-  } else if (Kind == ProgressKind && (!Job.Progress_ || Offset > Job.ProgressOffset_)) {
+    Job.StartedTerm_ = *Term;
+  } else if (Kind == ProgressPrefix && (!Job.Progress_ || Offset > Job.ProgressOffset_)) {
     auto Record = core::unpack<ProgressRecord>(Value);
     if (!Record)
       return {Unreadable, std::move(Id)};
@@ -102,12 +102,12 @@
       Job.Progress_->Failures_.clear();
     }
   }
-  track(Job);
+  updateQueued(Job);
   return Change;
 }
 
-LedgerChange Ledger::applySpec(std::string_view Id, std::string_view Value) {
-  using enum LedgerChange::Kind;
+JobTableChange JobTable::applySpec(std::string_view Id, std::string_view Value) {
+  using enum JobTableChange::Kind;
   const auto Found = Jobs_.find(std::string(Id));
   const bool Known = Found != Jobs_.end();
   if (Value.empty()) {
@@ -116,36 +116,36 @@
       Jobs_.erase(Found);
     return {None, std::string(Id)};
   }
-  if (Known && (Found->second.Specified_ || isFinal(Found->second.state())))
+  if (Known && (Found->second.HasSpec_ || isFinal(Found->second.state())))
     return {None, std::string(Id)};
   auto Spec = core::unpack<JobSpec>(Value);
   if (!Spec)
     return {Unreadable, std::string(Id)};
-  LedgerJob &Job = Known ? Found->second : Jobs_[std::string(Id)];
+  JobTableEntry &Job = Known ? Found->second : Jobs_[std::string(Id)];
   Job.Id_ = Id;
   Job.Spec_ = std::move(*Spec);
-  Job.Specified_ = true;
+  Job.HasSpec_ = true;
   return {Specified, std::string(Id)};
 }
 
-void Ledger::track(const LedgerJob &Job) {
+void JobTable::updateQueued(const JobTableEntry &Job) {
   if (!Job.Accepted_)
     return;
-  auto &Queued = QueuedOf_[Job.What_.Queue_.Name_];
+  auto &Queued = QueuedByQueue_[Job.Acceptance_.Queue_.Name_];
   if (Job.state() == JobState::Queued)
     Queued.insert(Job.Id_);
   else
     Queued.erase(Job.Id_);
 }
 
-const LedgerJob *Ledger::find(std::string_view Id) const {
+const JobTableEntry *JobTable::find(std::string_view Id) const {
   const auto Found = Jobs_.find(std::string(Id));
   return Found == Jobs_.end() || !Found->second.Accepted_ ? nullptr : &Found->second;
 }
 
-std::size_t Ledger::pendingOf(std::string_view Queue) const {
-  const auto Found = QueuedOf_.find(Queue);
-  return Found == QueuedOf_.end() ? 0 : Found->second.size();
+std::size_t JobTable::pendingCount(std::string_view Queue) const {
+  const auto Found = QueuedByQueue_.find(Queue);
+  return Found == QueuedByQueue_.end() ? 0 : Found->second.size();
 }
 
 } // namespace masticdrift::work
--- a/src/work/Manifest.cpp
+++ b/src/work/Manifest.cpp
@@ -4,19 +4,20 @@
 
 namespace masticdrift::work {
 
-const Queue *findQueue(const Manifest &In, std::string_view Host, std::string_view Path) {
+const Queue *findQueue(const Manifest &Configuration, std::string_view Host,
+                       std::string_view Path) {
   Host = Host.substr(0, Host.find(':'));
   const Queue *Best = nullptr;
-  for (const Queue &One : In.Queues_)
-    if (One.Host_ == Host && Path.starts_with(One.PathPrefix_) &&
-        (Best == nullptr || One.PathPrefix_.size() > Best->PathPrefix_.size()))
-      Best = &One;
+  for (const Queue &Candidate : Configuration.Queues_)
+    if (Candidate.Host_ == Host && Path.starts_with(Candidate.PathPrefix_) &&
+        (Best == nullptr || Candidate.PathPrefix_.size() > Best->PathPrefix_.size()))
+      Best = &Candidate;
   return Best;
 }
 
-const Queue *queueNamed(const Manifest &In, std::string_view Name) {
-  const auto Found = std::ranges::find(In.Queues_, Name, &Queue::Name_);
-  return Found == In.Queues_.end() ? nullptr : &*Found;
+const Queue *findQueueByName(const Manifest &Configuration, std::string_view Name) {
+  const auto Found = std::ranges::find(Configuration.Queues_, Name, &Queue::Name_);
+  return Found == Configuration.Queues_.end() ? nullptr : &*Found;
 }
 
 } // namespace masticdrift::work
--- a/tests/measure/Lead.cpp
+++ b/tests/measure/Lead.cpp
@@ -55,7 +55,7 @@
   const std::uint32_t Steps = std::min<std::uint32_t>(Draw(Of.Steps_), 4);
   for (std::uint32_t I = 0; I < Steps; ++I) {
     work::StepSpec Step;
-    Step.Count_ = std::min<std::uint32_t>(Draw(Of.Width_), 60);
+    Step.TaskCount_ = std::min<std::uint32_t>(Draw(Of.Width_), 60);
     Step.Need_ = Of.Need_;
     Step.EstimatedMs_ = std::max<std::int64_t>(
         100, static_cast<std::int64_t>(static_cast<double>(Of.Ms_) * (0.5 + Around(Random) / 2)));
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -95,9 +95,9 @@
 void FakeFleet::submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue) {
   Submitted_[Id] = Spec;
   SubmittedAt_[Id] = Now_;
-  Ledger_.applySpec(Id, work::specEntry(Id, Spec).Value_);
-  const work::LedgerEntry Entry =
-      work::acceptedEntry(Id, {*work::queueNamed(Manifest_, Queue), "c", wallOf(Now_)});
+  Ledger_.applySpec(Id, work::encodeSpec(Id, Spec).Value_);
+  const work::LogRecord Entry =
+      work::encodeAccepted(Id, {*work::findQueueByName(Manifest_, Queue), "c", wallOf(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
@@ -105,13 +105,13 @@
 }
 
 void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
-  const work::LedgerEntry Entry = work::begunEntry(Id, Term);
+  const work::LogRecord Entry = work::encodeStarted(Id, Term);
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   submit(Id, std::move(Spec));
 }
 
 void FakeFleet::cancel(const std::string &Id) {
-  const work::LedgerEntry Entry = work::cancelledEntry(Id, {wallOf(Now_)});
+  const work::LogRecord Entry = work::encodeCancelled(Id, {wallOf(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
@@ -307,7 +307,7 @@
           Of->Alive_ = false;
           return;
         }
-        for (const work::LedgerEntry &One : Entries)
+        for (const work::LogRecord &One : Entries)
           Ledger_.apply(Offset_++, One.Key_, One.Value_);
         timed([&] { Target.onFlushed(Number, Now_); });
       });
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -172,7 +172,7 @@
   std::map<std::string, core::TimePoint> SubmittedAt_;
   std::map<std::string, core::TimePoint> LastEnd_;
   std::vector<std::string> Broken_;
-  work::Ledger Ledger_;
+  work::JobTable Ledger_;
   work::Manifest Manifest_;
   std::uint64_t Offset_ = 0;
   std::uint64_t Fence_ = 0;
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -127,73 +127,74 @@
 
 // --- The table of jobs ---
 
-Test(Ledger, recordsInAnyNumberGiveTheSameTable) {
-  work::Ledger Table;
+Test(JobTable, recordsInAnyNumberGiveTheSameTable) {
+  work::JobTable Table;
   work::AcceptedRecord Job;
   Job.Queue_.Name_ = "q";
-  const work::LedgerEntry Accepted = work::acceptedEntry("j", Job);
+  const work::LogRecord Accepted = work::encodeAccepted("j", Job);
   cr_expect(Table.apply(3, Accepted.Key_, Accepted.Value_).Kind_ ==
-            work::LedgerChange::Kind::Accepted);
-  cr_expect(Table.apply(9, Accepted.Key_, Accepted.Value_).Kind_ == work::LedgerChange::Kind::None);
-  cr_expect_eq(Table.pendingOf("q"), 1);
+            work::JobTableChange::Kind::Accepted);
+  cr_expect(Table.apply(9, Accepted.Key_, Accepted.Value_).Kind_ ==
+            work::JobTableChange::Kind::None);
+  cr_expect_eq(Table.pendingCount("q"), 1);
   work::ProgressRecord Progress;
   Progress.State_ = work::JobState::Completed;
-  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  const work::LogRecord Final = work::encodeProgress("j", Progress);
   Table.apply(7, Final.Key_, Final.Value_);
   // An older record that is read again must not bring the job back.
   Progress.State_ = work::JobState::Running;
-  const work::LedgerEntry Older = work::progressEntry("j", Progress);
+  const work::LogRecord Older = work::encodeProgress("j", Progress);
   Table.apply(5, Older.Key_, Older.Value_);
   cr_expect(Table.find("j")->state() == work::JobState::Completed);
-  cr_expect_eq(Table.pendingOf("q"), 0);
-  for (const work::LedgerEntry &One : work::forgetEntries("j"))
+  cr_expect_eq(Table.pendingCount("q"), 0);
+  for (const work::LogRecord &One : work::encodeTombstones("j"))
     Table.apply(11, One.Key_, One.Value_);
   cr_expect_null(Table.find("j"));
 }
 
 // Guards against a job that a leader starts without its steps, and against steps that stay in
 // memory after the job has ended.
-Test(Ledger, stepsComeBeforeOrAfterTheRecord) {
+Test(JobTable, stepsComeBeforeOrAfterTheRecord) {
   work::JobSpec Spec;
   Spec.Steps_.resize(2);
-  const std::string Steps = work::specEntry("j", Spec).Value_;
-  const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
-  work::Ledger Before;
-  cr_expect(Before.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::Specified);
+  const std::string Steps = work::encodeSpec("j", Spec).Value_;
+  const work::LogRecord Accepted = work::encodeAccepted("j", {});
+  work::JobTable Before;
+  cr_expect(Before.applySpec("j", Steps).Kind_ == work::JobTableChange::Kind::Specified);
   cr_expect_null(Before.find("j"), "steps alone are no job");
   Before.apply(1, Accepted.Key_, Accepted.Value_);
-  cr_expect(Before.find("j")->Specified_);
+  cr_expect(Before.find("j")->HasSpec_);
   cr_expect_eq(Before.find("j")->Spec_.Steps_.size(), 2);
-  work::Ledger After;
+  work::JobTable After;
   After.apply(1, Accepted.Key_, Accepted.Value_);
-  cr_expect_not(After.find("j")->Specified_);
+  cr_expect_not(After.find("j")->HasSpec_);
   After.applySpec("j", Steps);
-  cr_expect(After.find("j")->Specified_);
+  cr_expect(After.find("j")->HasSpec_);
   work::ProgressRecord Progress;
   Progress.State_ = work::JobState::Completed;
-  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  const work::LogRecord Final = work::encodeProgress("j", Progress);
   After.apply(2, Final.Key_, Final.Value_);
   cr_expect(After.find("j")->Spec_.Steps_.empty());
-  cr_expect(After.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::None);
+  cr_expect(After.applySpec("j", Steps).Kind_ == work::JobTableChange::Kind::None);
 }
 
 // Guards against a completed job that a late cancel turns into a cancelled one.
-Test(Ledger, aFinalStateStays) {
-  work::Ledger Table;
-  const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
+Test(JobTable, aFinalStateStays) {
+  work::JobTable Table;
+  const work::LogRecord Accepted = work::encodeAccepted("j", {});
   Table.apply(1, Accepted.Key_, Accepted.Value_);
   work::ProgressRecord Progress;
   Progress.State_ = work::JobState::Completed;
-  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  const work::LogRecord Final = work::encodeProgress("j", Progress);
   Table.apply(2, Final.Key_, Final.Value_);
-  const work::LedgerEntry Cancel = work::cancelledEntry("j", {5});
+  const work::LogRecord Cancel = work::encodeCancelled("j", {5});
   Table.apply(3, Cancel.Key_, Cancel.Value_);
   cr_expect(Table.find("j")->state() == work::JobState::Completed);
 }
 
-Test(Ledger, unreadableRecordsChangeNothing) {
-  work::Ledger Table;
-  cr_expect(Table.apply(1, "aj", "\xc1").Kind_ == work::LedgerChange::Kind::Unreadable);
+Test(JobTable, unreadableRecordsChangeNothing) {
+  work::JobTable Table;
+  cr_expect(Table.apply(1, "aj", "\xc1").Kind_ == work::JobTableChange::Kind::Unreadable);
   cr_expect_null(Table.find("j"));
 }
 
--- a/tests/unit/LookDeskTest.cpp
+++ b/tests/unit/LookDeskTest.cpp
@@ -10,20 +10,20 @@
 
 const core::TimePoint Start{std::chrono::hours(1)};
 
-void put(work::Ledger &To, const work::LedgerEntry &Entry) {
+void put(work::JobTable &To, const work::LogRecord &Entry) {
   static std::uint64_t Offset = 0;
   To.apply(++Offset, Entry.Key_, Entry.Value_);
 }
 
-void putState(work::Ledger &To, std::string_view Id, work::JobState State) {
+void putState(work::JobTable &To, std::string_view Id, work::JobState State) {
   work::ProgressRecord Record;
   Record.State_ = State;
-  put(To, work::progressEntry(Id, Record));
+  put(To, work::encodeProgress(Id, Record));
 }
 
-work::Ledger ledgerWith(std::string_view Id) {
-  work::Ledger Out;
-  put(Out, work::acceptedEntry(Id, {{}, "c", 0}));
+work::JobTable ledgerWith(std::string_view Id) {
+  work::JobTable Out;
+  put(Out, work::encodeAccepted(Id, {{}, "c", 0}));
   putState(Out, Id, work::JobState::Running);
   return Out;
 }
@@ -32,7 +32,7 @@
 
 // Guards against callers who learn of the end of their job one look late.
 Test(LookDesk, aLookIsAnsweredOnceTheEndIsDurable) {
-  work::Ledger Known = ledgerWith("j1");
+  work::JobTable Known = ledgerWith("j1");
   daemon::LookDesk Desk;
   std::vector<protocol::LookReply> Replies;
   Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
@@ -49,7 +49,7 @@
 
 // Guards against answers that are held back while the store is slow or away.
 Test(LookDesk, aLookWaitsNoLongerThanItsTime) {
-  const work::Ledger Known = ledgerWith("j1");
+  const work::JobTable Known = ledgerWith("j1");
   daemon::LookDesk Desk;
   std::vector<protocol::LookReply> Replies;
   Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
@@ -62,11 +62,11 @@
 
 // Guards against a look that is never answered because its job was removed from the log meanwhile.
 Test(LookDesk, aLookAtAForgottenJobIsAnswered) {
-  work::Ledger Known = ledgerWith("j1");
+  work::JobTable Known = ledgerWith("j1");
   daemon::LookDesk Desk;
   std::vector<protocol::LookReply> Replies;
   Desk.wait("j1", Start + Millis(200), [&](const auto &One) { Replies.push_back(One); });
-  for (const work::LedgerEntry &One : work::forgetEntries("j1"))
+  for (const work::LogRecord &One : work::encodeTombstones("j1"))
     put(Known, One);
   Desk.settle(Known, Start);
   cr_assert_eq(Replies.size(), 1);
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -57,8 +57,8 @@
   cr_assert(Manifest.has_value());
   cr_expect_eq(Manifest->Version_, 7);
   cr_assert_eq(Manifest->Queues_.size(), 1);
-  cr_expect(Manifest->Queues_[0].Advice_->ValidMs_ == 2500);
-  cr_expect(Manifest->Pools_.at("s").Guards_);
+  cr_expect(Manifest->Queues_[0].Advice_->TicketValidMs_ == 2500);
+  cr_expect(Manifest->Pools_.at("s").ChecksAdmission_);
   cr_expect(Manifest->CustomerOfKey_.at("k2") == "t");
   cr_expect_eq(Manifest->Customers_.at("t").UpperLimit_.MilliCores_, 5);
 }
--- a/tests/unit/SchedulerTest.cpp
+++ b/tests/unit/SchedulerTest.cpp
@@ -17,7 +17,7 @@
   Spec.Payload_ = "payload";
   for (std::uint32_t I = 0; I < Steps; ++I) {
     work::StepSpec Step;
-    Step.Count_ = Tasks;
+    Step.TaskCount_ = Tasks;
     Step.Need_ = {1000, 100, 0};
     Step.EstimatedMs_ = Ms;
     if (I > 0)
