fleet: rename vague fields and the rows of an executor's report

Cause: Born_, Figure_, Number_, Percent_, UntilMs_ and Token_ did not say what they hold, and RunningRow, EndRow and Advised were named after their layout or grammar. Change: the fields name their content (IncarnationStartMs_, LoadMetric_, SequenceNumber_, ProgressPercent_, LeaseEndMs_, FencingToken_); the types are ReportedRun, ReportedEnd and AdvisedExecutor. Order and types of packed members stay.

--- a/include/masticdrift/fleet/Orders.h
+++ b/include/masticdrift/fleet/Orders.h
@@ -21,13 +21,13 @@
   std::vector<std::string> Labels_; ///< kind and rack
   core::Resources Capacity_;
   bool Draining_ = false;
-  std::int64_t DrainRemainingMs_ = 0; ///< least time left while draining
-  std::int64_t Born_ = 0;             ///< start of this incarnation, Unix milliseconds
+  std::int64_t DrainRemainingMs_ = 0;   ///< least time left while draining
+  std::int64_t IncarnationStartMs_ = 0; ///< start of this incarnation, Unix milliseconds
 };
 
 /// \returns the label that names the executor's rack, or an empty view.
-inline std::string_view rackOf(const ExecutorInfo &Of) {
-  return Of.Labels_.empty() ? std::string_view{} : std::string_view(Of.Labels_.back());
+inline std::string_view rackOf(const ExecutorInfo &Executor) {
+  return Executor.Labels_.empty() ? std::string_view{} : std::string_view(Executor.Labels_.back());
 }
 
 /// An order to start one run of a task.
@@ -35,11 +35,11 @@
   work::TaskRef Task_;
   std::uint64_t Run_ = 0;
   std::string Payload_;
-  std::int64_t UntilMs_ = 0; ///< end of the lease on the executor's clock
-  std::uint64_t Token_ = 0;  ///< fencing token
-  std::string Checkpoint_;   ///< empty for a start from the beginning
-  std::string Ticket_;       ///< empty on queues without advice
-  MSGPACK_DEFINE_ARRAY(Task_, Run_, Payload_, UntilMs_, Token_, Checkpoint_, Ticket_)
+  std::int64_t LeaseEndMs_ = 0;    ///< end of the lease on the executor's clock
+  std::uint64_t FencingToken_ = 0; ///< fencing token
+  std::string Checkpoint_;         ///< empty for a start from the beginning
+  std::string Ticket_;             ///< empty on queues without advice
+  MSGPACK_DEFINE_ARRAY(Task_, Run_, Payload_, LeaseEndMs_, FencingToken_, Checkpoint_, Ticket_)
 };
 
 enum class OrderOutcome {
@@ -60,13 +60,14 @@
 std::string_view nameOf(OrderOutcome Outcome);
 
 /// A run that an executor lists as running.
-struct RunningRow {
+struct ReportedRun {
   work::TaskRef Task_;
   std::uint64_t Run_ = 0;
   std::string Checkpoint_;
-  int Percent_ = 0;
-  double Figure_ = 0; ///< response time (ms) of a serving task, else thousandths of a core in use
-  MSGPACK_DEFINE_ARRAY(Task_, Run_, Checkpoint_, Percent_, Figure_)
+  int ProgressPercent_ = 0;
+  double LoadMetric_ =
+      0; ///< response time (ms) of a serving task, else thousandths of a core in use
+  MSGPACK_DEFINE_ARRAY(Task_, Run_, Checkpoint_, ProgressPercent_, LoadMetric_)
 };
 
 enum class EndKind { Done, Failed, Stopped, LeaseLapsed, GangBroken, GangIncomplete };
@@ -81,26 +82,26 @@
 namespace masticdrift::fleet {
 
 /// A run that an executor lists as ended.
-struct EndRow {
-  std::uint64_t Number_ = 0; ///< rises by one within an incarnation
+struct ReportedEnd {
+  std::uint64_t SequenceNumber_ = 0; ///< rises by one within an incarnation
   work::TaskRef Task_;
   std::uint64_t Run_ = 0;
   EndKind Kind_ = EndKind::Done;
   std::string Checkpoint_;
-  MSGPACK_DEFINE_ARRAY(Number_, Task_, Run_, Kind_, Checkpoint_)
+  MSGPACK_DEFINE_ARRAY(SequenceNumber_, Task_, Run_, Kind_, Checkpoint_)
 };
 
 /// An executor's lists of runs.
 struct Report {
-  std::int64_t ClockMs_ = 0; ///< the executor's clock when it answered
-  std::int64_t Born_ = 0;    ///< 0 when not reported
-  std::vector<RunningRow> Running_;
-  std::vector<EndRow> Ended_;
-  MSGPACK_DEFINE_ARRAY(ClockMs_, Born_, Running_, Ended_)
+  std::int64_t ClockMs_ = 0;            ///< the executor's clock when it answered
+  std::int64_t IncarnationStartMs_ = 0; ///< 0 when not reported
+  std::vector<ReportedRun> Running_;
+  std::vector<ReportedEnd> Ended_;
+  MSGPACK_DEFINE_ARRAY(ClockMs_, IncarnationStartMs_, Running_, Ended_)
 };
 
 /// An executor that may run a step and the ticket that shows it.
-struct Advised {
+struct AdvisedExecutor {
   std::string Executor_;
   std::string Ticket_;
 };
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -141,7 +141,7 @@
   std::vector<std::pair<RunKey, core::TimePoint>> LostStarts_;
   std::set<std::string> FailedJobs_; ///< whose runs failed here since the last success
   core::TimePoint UnknownSince_{};   ///< when the end of a run of an unknown job was first listed
-  std::vector<fleet::EndRow> Postponed_; ///< that end and the later ones of the last list
+  std::vector<fleet::ReportedEnd> Postponed_; ///< that end and the later ones of the last list
   core::TimePoint AvoidUntil_{};
   Slowness Slowness_;
   core::TimePoint DrainEnd_{}; ///< zero while not draining
--- a/include/masticdrift/lead/Progress.h
+++ b/include/masticdrift/lead/Progress.h
@@ -6,7 +6,7 @@
 ///
 /// Example:
 /// \code
-///   observe(Run.Progress_, Row.Percent_, Now);
+///   observe(Run.Progress_, Row.ProgressPercent_, Now);
 ///   if (shouldMove({Run.Progress_, Typical, Overhead}, Now))
 ///     stopAndStartElsewhere(Run);
 /// \endcode
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -110,7 +110,8 @@
                  core::TimePoint Now);
   /// \param Good empty optional when no usable answer came.
   void onAdvice(const work::TaskRef &Step, std::span<const std::string> Asked,
-                const std::optional<std::vector<fleet::Advised>> &Good, core::TimePoint Now);
+                const std::optional<std::vector<fleet::AdvisedExecutor>> &Good,
+                core::TimePoint Now);
 
   /// Does everything that is due: orders, holds, placements.
   void tick(core::TimePoint Now, std::int64_t WallMs);
@@ -159,16 +160,16 @@
   void stopRun(ExecutorState &At, Run &Which, std::string_view Why, core::TimePoint Now);
   void stopAllOf(JobRun &Job, std::string_view Why, core::TimePoint Now);
   void stopStep(JobRun &Job, const work::TaskRef &Task, std::string_view Why, core::TimePoint Now);
-  void takeEnd(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
-  void judgeFailure(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
-  void applyEnd(JobRun &Job, const fleet::EndRow &End, std::string_view Executor, bool RunWasKnown,
-                core::TimePoint Now);
-  void takeRunning(ExecutorState &At, const fleet::RunningRow &Row, core::TimePoint Now);
+  void takeEnd(ExecutorState &At, const fleet::ReportedEnd &End, core::TimePoint Now);
+  void judgeFailure(ExecutorState &At, const fleet::ReportedEnd &End, core::TimePoint Now);
+  void applyEnd(JobRun &Job, const fleet::ReportedEnd &End, std::string_view Executor,
+                bool RunWasKnown, core::TimePoint Now);
+  void takeRunning(ExecutorState &At, const fleet::ReportedRun &Row, core::TimePoint Now);
   void settleMissing(ExecutorState &At, const fleet::Report &Report, core::TimePoint SentAt,
                      core::TimePoint Now);
-  void takeEnds(ExecutorState &At, std::span<const fleet::EndRow> Rows, core::TimePoint Now);
+  void takeEnds(ExecutorState &At, std::span<const fleet::ReportedEnd> Rows, core::TimePoint Now);
   void settleLateJob(JobRun &Job, core::TimePoint Now);
-  bool mustWaitForJob(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now);
+  bool mustWaitForJob(ExecutorState &At, const fleet::ReportedEnd &End, core::TimePoint Now);
   void preventLostStarts(ExecutorState &At, core::TimePoint Now);
   void reborn(ExecutorState &At, const fleet::Report &Report, core::TimePoint Now);
   static void forgetIncarnation(ExecutorState &At);
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -299,11 +299,11 @@
     platform::askAdvice(Client_, Settings_.AdviceAddress_,
                         {Call->Job_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
                         core::Millis(Call->TimeoutMs_),
-                        [To](const std::optional<std::vector<fleet::Advised>> &Good) {
+                        [To](const std::optional<std::vector<fleet::AdvisedExecutor>> &Good) {
                           protocol::AdviseReply Reply;
                           Reply.Answered_ = Good.has_value();
                           if (Good)
-                            for (const fleet::Advised &One : *Good) {
+                            for (const fleet::AdvisedExecutor &One : *Good) {
                               Reply.Executors_.push_back(One.Executor_);
                               Reply.Tickets_.push_back(One.Ticket_);
                             }
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -510,7 +510,7 @@
           At, Term_, Seen, Until, Wait,
           led<platform::HoldAnswer>([this, Id = At.Id_, SentAt = core::Clock::now()](
                                         const platform::HoldAnswer &Answer) {
-            for (const fleet::EndRow &One : Answer.Report_.Ended_)
+            for (const fleet::ReportedEnd &One : Answer.Report_.Ended_)
               core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(One.Kind_))}});
             Scheduler_->onHold(Id, Answer.Outcome_, Answer.Report_, SentAt, core::Clock::now());
           }));
@@ -570,7 +570,7 @@
         core::Millis(static_cast<std::int64_t>(Job.ExpectedMs_)) + AdviceSlack;
     const auto Asked = std::make_shared<AdviceJob>(std::move(Job));
     auto Done = [Self = shared_from_this(), Adviser, Asked, SentAt = core::Clock::now()](
-                    const std::optional<std::vector<fleet::Advised>> &Good) {
+                    const std::optional<std::vector<fleet::AdvisedExecutor>> &Good) {
       if (!Self->Closed_)
         Self->onAdvice(Adviser, *Asked, Good, SentAt);
     };
@@ -594,7 +594,7 @@
             Done(std::nullopt);
             return;
           }
-          std::vector<fleet::Advised> Good;
+          std::vector<fleet::AdvisedExecutor> Good;
           for (std::size_t I = 0; I < Reply->Executors_.size(); ++I)
             Good.push_back({std::move(Reply->Executors_[I]), std::move(Reply->Tickets_[I])});
           Done(std::move(Good));
@@ -602,7 +602,8 @@
   }
 
   void onAdvice(const std::string &Adviser, const AdviceJob &Job,
-                const std::optional<std::vector<fleet::Advised>> &Good, core::TimePoint SentAt) {
+                const std::optional<std::vector<fleet::AdvisedExecutor>> &Good,
+                core::TimePoint SentAt) {
     const core::TimePoint Now = core::Clock::now();
     core::observe("masticdrift_advice_seconds",
                   std::chrono::duration<double>(Now - SentAt).count());
--- a/src/daemon/OrderDesk.cpp
+++ b/src/daemon/OrderDesk.cpp
@@ -40,7 +40,7 @@
   Out.Kind_ = static_cast<std::uint8_t>(Kind);
   Out.Order_.Task_ = Which.first;
   Out.Order_.Run_ = Which.second;
-  Out.Order_.Token_ = Token;
+  Out.Order_.FencingToken_ = Token;
   Out.TimeoutMs_ = OrderTimeout.count();
   return Out;
 }
@@ -58,14 +58,14 @@
     platform::sendStart(Client, To, What, Timeout, Plain);
     return;
   case RelayKind::Stop:
-    platform::sendStop(Client, To, What.Task_, What.Run_, What.Token_, Timeout, Plain);
+    platform::sendStop(Client, To, What.Task_, What.Run_, What.FencingToken_, Timeout, Plain);
     return;
   case RelayKind::Pace:
-    platform::sendPace(Client, To, What.Task_, What.Run_, What.Token_, Order.Percent_, Timeout,
-                       Plain);
+    platform::sendPace(Client, To, What.Task_, What.Run_, What.FencingToken_, Order.Percent_,
+                       Timeout, Plain);
     return;
   case RelayKind::Hold:
-    platform::sendHold(Client, To, What.Token_, Order.SeenUpTo_, What.UntilMs_,
+    platform::sendHold(Client, To, What.FencingToken_, Order.SeenUpTo_, What.LeaseEndMs_,
                        core::Millis(Order.WaitMs_), Timeout, std::move(Done));
     return;
   }
@@ -76,7 +76,8 @@
 
 void OrderDesk::start(const fleet::ExecutorInfo &At, const fleet::StartOrder &Order,
                       Answered Done) {
-  protocol::RelayedOrder Out = orderOf(RelayKind::Start, {Order.Task_, Order.Run_}, Order.Token_);
+  protocol::RelayedOrder Out =
+      orderOf(RelayKind::Start, {Order.Task_, Order.Run_}, Order.FencingToken_);
   Out.Order_ = Order;
   give(At, std::move(Out), listing(std::move(Done)));
 }
@@ -96,7 +97,7 @@
 void OrderDesk::hold(const fleet::ExecutorInfo &At, std::uint64_t Token, std::uint64_t SeenUpTo,
                      std::int64_t UntilMs, core::Millis Wait, Listed Done) {
   protocol::RelayedOrder Out = orderOf(RelayKind::Hold, {}, Token);
-  Out.Order_.UntilMs_ = UntilMs;
+  Out.Order_.LeaseEndMs_ = UntilMs;
   Out.SeenUpTo_ = SeenUpTo;
   Out.WaitMs_ = Wait.count();
   Out.TimeoutMs_ = (Wait + HoldAnswerTime).count();
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -437,7 +437,7 @@
 }
 
 void Scheduler::onAdvice(const work::TaskRef &Task, std::span<const std::string> Asked,
-                         const std::optional<std::vector<fleet::Advised>> &Good,
+                         const std::optional<std::vector<fleet::AdvisedExecutor>> &Good,
                          core::TimePoint Now) {
   JobRun *Job = jobOf(Task);
   if (Job == nullptr)
@@ -456,7 +456,7 @@
     if (const auto Host = Executors_.find(Id); Host != Executors_.end())
       Step.Advice_[Host->second.Slot_].May_ = false;
   const core::Millis Valid(Job->Queue_.Advice_->TicketValidMs_);
-  for (const fleet::Advised &One : *Good) {
+  for (const fleet::AdvisedExecutor &One : *Good) {
     const auto Host = Executors_.find(One.Executor_);
     if (Host != Executors_.end())
       Step.Advice_[Host->second.Slot_] = {true, One.Ticket_, Now + Valid - Times_.TicketMargin_,
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -43,16 +43,16 @@
   if (At.Silent_ || !At.Held_)
     note("executor_answers", {}, 0, Executor, std::to_string(Report.Running_.size()));
   At.Silent_ = false;
-  if (Report.Born_ != 0 && At.Born_ != 0 && Report.Born_ != At.Born_)
+  if (Report.IncarnationStartMs_ != 0 && At.Born_ != 0 && Report.IncarnationStartMs_ != At.Born_)
     reborn(At, Report, Now);
-  if (Report.Born_ != 0)
-    At.Born_ = Report.Born_;
+  if (Report.IncarnationStartMs_ != 0)
+    At.Born_ = Report.IncarnationStartMs_;
   At.Held_ = true;
   At.LastAnswer_ = Now;
   At.ClockMs_ = Report.ClockMs_;
   At.ClockAt_ = Now;
   takeEnds(At, Report.Ended_, Now);
-  for (const fleet::RunningRow &Row : Report.Running_)
+  for (const fleet::ReportedRun &Row : Report.Running_)
     takeRunning(At, Row, Now);
   settleMissing(At, Report, SentAt, Now);
   watchProgress(At, Now);
@@ -63,7 +63,7 @@
   PlaceDue_ = true;
 }
 
-void Scheduler::takeEnds(ExecutorState &At, std::span<const fleet::EndRow> Rows,
+void Scheduler::takeEnds(ExecutorState &At, std::span<const fleet::ReportedEnd> Rows,
                          core::TimePoint Now) {
   At.Postponed_.clear();
   for (std::size_t I = 0; I < Rows.size(); ++I) {
@@ -94,14 +94,15 @@
       Made.Checkpoint_ = One.Checkpoint_;
     }
     if (!At.Postponed_.empty())
-      takeEnds(At, std::vector<fleet::EndRow>(At.Postponed_), Now);
+      takeEnds(At, std::vector<fleet::ReportedEnd>(At.Postponed_), Now);
   }
 }
 
 /// An earlier leader that goes on for a while may have accepted and run a job that this one has not
 /// read yet. To acknowledge the end of its run would lose it.
-bool Scheduler::mustWaitForJob(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now) {
-  if (End.Number_ <= At.Processed_ || Jobs_.contains(End.Task_.Job_) ||
+bool Scheduler::mustWaitForJob(ExecutorState &At, const fleet::ReportedEnd &End,
+                               core::TimePoint Now) {
+  if (End.SequenceNumber_ <= At.Processed_ || Jobs_.contains(End.Task_.Job_) ||
       Final_.contains(End.Task_.Job_)) {
     At.UnknownSince_ = {};
     return false;
@@ -113,10 +114,10 @@
   return Now - At.UnknownSince_ < Times_.UnknownJob_;
 }
 
-void Scheduler::takeEnd(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now) {
-  if (End.Number_ <= At.Processed_)
+void Scheduler::takeEnd(ExecutorState &At, const fleet::ReportedEnd &End, core::TimePoint Now) {
+  if (End.SequenceNumber_ <= At.Processed_)
     return;
-  At.Processed_ = End.Number_;
+  At.Processed_ = End.SequenceNumber_;
   note("end", End.Task_, End.Run_, At.Info_.Id_, fleet::nameOf(End.Kind_));
   if (End.Kind_ == fleet::EndKind::Done)
     At.FailedJobs_.clear();
@@ -139,7 +140,7 @@
   dropRun(At, {End.Task_, End.Run_}, Now);
   const bool Durable =
       Job == nullptr || (Dirty_.size() == DirtyBefore && !Dirty_.contains(End.Task_.Job_));
-  At.Unacked_.emplace_back(End.Number_, Durable ? 0 : NextFlush_);
+  At.Unacked_.emplace_back(End.SequenceNumber_, Durable ? 0 : NextFlush_);
   // Ends that change nothing durable are acknowledged with the next request.
   while (!At.Unacked_.empty() && At.Unacked_.front().second <= Flushed_) {
     At.Seen_ = At.Unacked_.front().first;
@@ -147,7 +148,8 @@
   }
 }
 
-void Scheduler::judgeFailure(ExecutorState &At, const fleet::EndRow &End, core::TimePoint Now) {
+void Scheduler::judgeFailure(ExecutorState &At, const fleet::ReportedEnd &End,
+                             core::TimePoint Now) {
   JobRun *Job = jobOf(End.Task_);
   if (Job == nullptr)
     return;
@@ -167,7 +169,7 @@
        std::to_string(At.FailedJobs_.size()) + " jobs failed in a row");
 }
 
-void Scheduler::applyEnd(JobRun &Job, const fleet::EndRow &End, std::string_view Executor,
+void Scheduler::applyEnd(JobRun &Job, const fleet::ReportedEnd &End, std::string_view Executor,
                          bool RunWasKnown, core::TimePoint Now) {
   const work::StepSpec &Spec = specOf(Job, End.Task_);
   TaskRun &Task = stepOf(Job, End.Task_)->Tasks_[End.Task_.Index_];
@@ -191,7 +193,7 @@
     finishTask(Job, Member, Now);
 }
 
-void Scheduler::takeRunning(ExecutorState &At, const fleet::RunningRow &Row, core::TimePoint Now) {
+void Scheduler::takeRunning(ExecutorState &At, const fleet::ReportedRun &Row, core::TimePoint Now) {
   const auto Found = At.Runs_.find({Row.Task_, Row.Run_});
   if (Found == At.Runs_.end()) {
     JobRun *Job = jobOf(Row.Task_);
@@ -201,7 +203,7 @@
     Run &Made = addRun(At, Job, Row.Task_, Row.Run_, RunState::Running, Now);
     Made.ConfirmedAt_ = Now;
     Made.Progress_.FromStart_ = false;
-    observe(Made.Progress_, Row.Percent_, Now);
+    observe(Made.Progress_, Row.ProgressPercent_, Now);
     Made.Checkpoint_ = Row.Checkpoint_;
     if (Job == nullptr)
       At.AvoidUntil_ = Now + UnknownRunRest;
@@ -220,8 +222,8 @@
   Known.Unanswered_ = 0;
   if (Known.State_ == RunState::Starting)
     Known.State_ = RunState::Running;
-  observe(Known.Progress_, Row.Percent_, Now);
-  Known.Figure_ = Row.Figure_;
+  observe(Known.Progress_, Row.ProgressPercent_, Now);
+  Known.Figure_ = Row.LoadMetric_;
   if (!Row.Checkpoint_.empty())
     Known.Checkpoint_ = Row.Checkpoint_;
 }
@@ -229,7 +231,7 @@
 void Scheduler::settleMissing(ExecutorState &At, const fleet::Report &Report,
                               core::TimePoint SentAt, core::TimePoint Now) {
   std::set<RunKey> There;
-  for (const fleet::RunningRow &Row : Report.Running_)
+  for (const fleet::ReportedRun &Row : Report.Running_)
     There.insert({Row.Task_, Row.Run_});
   std::vector<RunKey> Over;
   for (const auto &[Key, One] : At.Runs_) {
@@ -250,9 +252,9 @@
   note("runs_lost", {}, 0, At.Info_.Id_, "executor started again");
   At.LeaseEnd_ = std::max(At.LeaseEnd_, Now + stretched(Times_.LongestLease_, Times_.LeaseMargin_));
   std::set<RunKey> There;
-  for (const fleet::RunningRow &Row : Report.Running_)
+  for (const fleet::ReportedRun &Row : Report.Running_)
     There.insert({Row.Task_, Row.Run_});
-  for (const fleet::EndRow &Row : Report.Ended_)
+  for (const fleet::ReportedEnd &Row : Report.Ended_)
     There.insert({Row.Task_, Row.Run_});
   std::vector<RunKey> Over;
   At.Unsettled_ = true;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -34,9 +34,9 @@
     BySlot_.push_back(&At);
     At.LeaseEnd_ = TermStart_ + stretched(Times_.Lease_, Times_.LeaseMargin_) + Times_.StaleLeader_;
     At.NextHold_ = Now;
-    At.Born_ = Info.Born_;
+    At.Born_ = Info.IncarnationStartMs_;
   }
-  if (Known && Info.Born_ > At.Born_ && At.Born_ != 0 && At.Held_) {
+  if (Known && Info.IncarnationStartMs_ > At.Born_ && At.Born_ != 0 && At.Held_) {
     // Only its own lists tell which orders have reached the new incarnation.
     note("executor_reborn", {}, 0, Info.Id_, "the list shows a new incarnation");
     At.Held_ = false;
@@ -139,7 +139,7 @@
 
 void Scheduler::orderStart(ExecutorState &At, Run &Which, core::TimePoint Now) {
   Which.OrderOutstanding_ = true;
-  Which.Order_.UntilMs_ = untilOf(At, Now);
+  Which.Order_.LeaseEndMs_ = untilOf(At, Now);
   renewed(At, Now);
   ++StartsOnTheWay_;
   Out_.Start_(At.Info_, Which.Order_);
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -60,7 +60,7 @@
   Made.Info_.Pool_ = "pool";
   Made.Info_.Capacity_ = Capacity;
   Made.Info_.Labels_ = {"a", "r1"};
-  Made.Info_.Born_ = wallOf(Now_);
+  Made.Info_.IncarnationStartMs_ = wallOf(Now_);
   Made.ClockZero_ = Now_;
   for (auto &[Of, One] : Terms_)
     if (Of->Alive_)
@@ -77,7 +77,7 @@
     const fleet::ExecutorInfo Info = Again.Info_;
     Again = {};
     Again.Info_ = Info;
-    Again.Info_.Born_ = wallOf(Now_);
+    Again.Info_.IncarnationStartMs_ = wallOf(Now_);
     Again.ClockZero_ = Now_;
     // The list lags behind.
     at(Now_ + core::Millis(800), [this, Fresh = Again.Info_] {
@@ -167,10 +167,11 @@
                   : core::Millis(std::uniform_int_distribution<>(
                         2000, static_cast<int>(LatestOrder.count()))(Random_));
     at(Now_ + Delay, [this, Of, Target, Order, Id, Key, Lost, Late, Answered,
-                      Born = Executors_.at(Id).Info_.Born_] {
+                      Born = Executors_.at(Id).Info_.IncarnationStartMs_] {
       Executor &One = Executors_.at(Id);
       // An order that the executor has put off dies with it.
-      if (!reaches(One) || (Late && !Options_.LateSurvives_ && One.Info_.Born_ != Born))
+      if (!reaches(One) ||
+          (Late && !Options_.LateSurvives_ && One.Info_.IncarnationStartMs_ != Born))
         return;
       const OrderOutcome Outcome = start(One, Order);
       if (Lost)
@@ -254,7 +255,7 @@
                                    double ExpectedMs, std::pair<int, core::TimePoint>) {
     at(Now_ + core::Millis(static_cast<std::int64_t>(ExpectedMs)),
        [this, Of, Target, Step, Asked = std::move(Asked)] {
-         std::vector<fleet::Advised> Good;
+         std::vector<fleet::AdvisedExecutor> Good;
          for (const std::string &One : Asked)
            if ((std::hash<std::string>{}(Step.Job_ + One) % 10) < 6)
              Good.push_back({One, "ticket"});
@@ -327,17 +328,17 @@
 }
 
 OrderOutcome FakeFleet::start(Executor &At, const fleet::StartOrder &Order) {
-  if (Order.Token_ < At.Token_)
+  if (Order.FencingToken_ < At.Token_)
     return OrderOutcome::Fenced;
-  At.Token_ = Order.Token_;
+  At.Token_ = Order.FencingToken_;
   if (const auto Over = At.Over_.find(Order.Task_);
       Over != At.Over_.end() && Order.Run_ <= Over->second)
     return OrderOutcome::Superseded;
-  if (Order.UntilMs_ <= clockOf(At))
+  if (Order.LeaseEndMs_ <= clockOf(At))
     return OrderOutcome::LeaseOver;
   if (const auto There = At.Running_.find(Order.Task_); There != At.Running_.end())
     return There->second.Run_ == Order.Run_ ? OrderOutcome::Done : OrderOutcome::Superseded;
-  renew(At, Order.UntilMs_);
+  renew(At, Order.LeaseEndMs_);
   const work::StepSpec &Spec = specOf(Order.Task_);
   for (const auto &[Id, Other] : Executors_)
     if (Other.Up_ && Other.Running_.contains(Order.Task_) && !Spec.AllowDuplicates_)
@@ -394,7 +395,8 @@
   Over = std::max(Over, Number);
   At.Ended_.push_back({At.NextEnd_++, Task, Number, Kind, {}});
   if (Kind == fleet::EndKind::Done) {
-    Dones_[Task].push_back({Now_, At.Info_.Id_, At.Ended_.back().Number_, At.Info_.Born_, false});
+    Dones_[Task].push_back({Now_, At.Info_.Id_, At.Ended_.back().SequenceNumber_,
+                            At.Info_.IncarnationStartMs_, false});
     LastEnd_[Task.Job_] = Now_;
   }
   if (auto Waiting = std::exchange(At.Waiting_, nullptr))
@@ -402,12 +404,12 @@
 }
 
 void FakeFleet::note(Executor &At, std::uint64_t Seen) {
-  for (const fleet::EndRow &One : At.Ended_) {
-    if (One.Number_ > Seen || One.Kind_ != fleet::EndKind::Done)
+  for (const fleet::ReportedEnd &One : At.Ended_) {
+    if (One.SequenceNumber_ > Seen || One.Kind_ != fleet::EndKind::Done)
       continue;
     for (Done &Each : Dones_[One.Task_])
-      if (Each.Executor_ == At.Info_.Id_ && Each.Number_ == One.Number_ &&
-          Each.Born_ == At.Info_.Born_) {
+      if (Each.Executor_ == At.Info_.Id_ && Each.Number_ == One.SequenceNumber_ &&
+          Each.Born_ == At.Info_.IncarnationStartMs_) {
         // An end before a lapse does not count: its task may have started elsewhere.
         if (std::ranges::any_of(At.Lapses_, [&](core::TimePoint When) { return When >= Each.At_; }))
           continue;
@@ -418,13 +420,14 @@
           broke(nameOf(One.Task_) + " was started after an end that was noted later");
       }
   }
-  std::erase_if(At.Ended_, [Seen](const fleet::EndRow &One) { return One.Number_ <= Seen; });
+  std::erase_if(At.Ended_,
+                [Seen](const fleet::ReportedEnd &One) { return One.SequenceNumber_ <= Seen; });
 }
 
 fleet::Report FakeFleet::reportOf(const Executor &One) const {
   fleet::Report Out;
   Out.ClockMs_ = clockOf(One);
-  Out.Born_ = One.Info_.Born_;
+  Out.IncarnationStartMs_ = One.Info_.IncarnationStartMs_;
   for (const auto &[Task, Run] : One.Running_) {
     const double Part = Run.Work_.count() == 0 || One.Halted_
                             ? 0
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -114,7 +114,7 @@
     std::vector<core::TimePoint> Lapses_;
     std::map<work::TaskRef, Running> Running_;
     std::map<work::TaskRef, std::uint64_t> Over_;
-    std::vector<fleet::EndRow> Ended_;
+    std::vector<fleet::ReportedEnd> Ended_;
     std::uint64_t NextEnd_ = 1;
     std::function<void()> Waiting_; ///< a request that waits for an end
   };
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -92,7 +92,7 @@
       R"("labels":["a","r1-3"],"born":5})";
   const auto Info = platform::decodeExecutor("i-1", Good);
   cr_assert(Info.has_value());
-  cr_expect(Info->Draining_ && Info->DrainRemainingMs_ == 900 && Info->Born_ == 5);
+  cr_expect(Info->Draining_ && Info->DrainRemainingMs_ == 900 && Info->IncarnationStartMs_ == 5);
   cr_expect(fleet::rackOf(*Info) == "r1-3");
   for (const char *Text :
        {"\x80\x81", "5", "{}", R"({"service":"s","address":"a","state":"odd","capacity":{}})",
