--- a/include/masticdrift/daemon/OrderDesk.h
+++ b/include/masticdrift/daemon/OrderDesk.h
@@ -19,8 +19,8 @@
 /// other daemons leave in batches with flush().
 class OrderDesk {
 public:
-  using Answered = std::function<void(const platform::OrderAnswer &)>;
-  using Listed = std::function<void(const platform::HoldAnswer &)>;
+  using Answered = std::function<void(const platform::OrderResponse &)>;
+  using Listed = std::function<void(const platform::LeaseRenewalResult &)>;
 
   explicit OrderDesk(FleetContext &Context) : Context_(Context) {}
 
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -31,7 +31,7 @@
 
 /// One request until it is answered.
 struct EntryService::Call {
-  platform::CallerCall What_;
+  platform::CallerRequest What_;
   http::Responder To_;
   std::string Job_;
   const work::Queue *Queue_ = nullptr; ///< valid while the request is first handled
@@ -57,7 +57,7 @@
                           std::string_view Message) {
   const core::ErrorInfo &Info = core::describe(Kind);
   http::Response Out;
-  Out.Status_ = platform::statusOf(Kind);
+  Out.Status_ = platform::httpStatusOf(Kind);
   Out.Body_ = core::errorBody(Kind, Message, Of->Job_);
   if (Out.Status_ == 503 || Out.Status_ == 429)
     Out.Headers_.emplace_back("Retry-After", RetryAfterSeconds);
@@ -74,7 +74,7 @@
 
 void EntryService::handle(const http::Request &From, const http::Responder &To) {
   const auto Of = std::make_shared<Call>();
-  Of->What_ = platform::decodeCall(From);
+  Of->What_ = platform::decodeCallerRequest(From);
   Of->ReceivedAt_ = core::Clock::now();
   const core::Millis Wait = Of->What_.DeadlineMs_ > 0
                                 ? std::min(core::Millis(Of->What_.DeadlineMs_), MaxDeadline)
@@ -111,7 +111,7 @@
            "the request carries no key of the configuration in force");
     return;
   }
-  if (Rest.empty() && Of->What_.Method_ == platform::CallMethod::Look) {
+  if (Rest.empty() && Of->What_.Method_ == platform::CallerMethod::Query) {
     if (!Jobs_.loaded()) {
       refuse(Of, ErrorKind::StoreUnavailable, "the jobs are still being read");
       return;
@@ -124,16 +124,16 @@
     return;
   }
   switch (Of->What_.Method_) {
-  case platform::CallMethod::Submit:
+  case platform::CallerMethod::Submit:
     submit(Of, From.Body_);
     return;
-  case platform::CallMethod::Look:
+  case platform::CallerMethod::Query:
     look(Of);
     return;
-  case platform::CallMethod::Cancel:
+  case platform::CallerMethod::Cancel:
     cancel(Of);
     return;
-  case platform::CallMethod::Other:
+  case platform::CallerMethod::Other:
     refuse(Of, ErrorKind::MethodNotAllowed, "a job takes POST, GET and DELETE");
     return;
   }
@@ -172,7 +172,7 @@
   }
   const double Seconds =
       std::chrono::duration<double>(core::Clock::now() - Of->ReceivedAt_).count();
-  const bool Submit = Of->What_.Method_ == platform::CallMethod::Submit;
+  const bool Submit = Of->What_.Method_ == platform::CallerMethod::Submit;
   if (Submit) {
     core::count("masticdrift_submissions_total", {{"outcome", "accepted"}});
     core::observe("masticdrift_submission_seconds", Seconds);
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -83,8 +83,9 @@
                                                           Client_,
                                                           Store_,
                                                           Settings_,
-                                                          Settings.Peers_.Address_ + ':' +
-                                                              std::to_string(Settings.Peers_.Port_),
+                                                          Settings.PeerEndpoint_.Address_ + ':' +
+                                                              std::to_string(
+                                                                  Settings.PeerEndpoint_.Port_),
                                                           newIncarnation(),
                                                           core::Clock::now(),
                                                           {},
@@ -127,14 +128,14 @@
                     }),
         Leader_(Context_, Jobs_, Specs_, Executors_), Relay_(Context_),
         Entry_(Context_, Jobs_, SpecWriter_, Writer_, Leader_),
-        Callers_(serverOptions(Loop_, Settings.Callers_),
+        Callers_(serverOptions(Loop_, Settings.CallerEndpoint_),
                  [this](const http::Request &From, const http::Responder &To) {
                    Entry_.handle(From, To);
                  }),
-        Ready_(serverOptions(Loop_, Settings.Ready_),
+        Ready_(serverOptions(Loop_, Settings.ReadyEndpoint_),
                [this](const http::Request &, const http::Responder &To) { answerReady(To); }),
         Peers_(
-            serverOptions(Loop_, Settings.Peers_),
+            serverOptions(Loop_, Settings.PeerEndpoint_),
             [this](const http::Request &From, const http::Responder &To) { answerPeer(From, To); }),
         Signals_(Loop_, SIGTERM, SIGINT, SIGHUP), ExpiryTimer_(Loop_), StopTimer_(Loop_) {}
 
@@ -296,19 +297,19 @@
       To({400, {}, "text/plain", {}, false});
       return;
     }
-    platform::askAdvice(Client_, Settings_.AdviceAddress_,
-                        {Call->Job_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
-                        core::Millis(Call->TimeoutMs_),
-                        [To](const std::optional<std::vector<fleet::AdvisedExecutor>> &Good) {
-                          protocol::AdviseReply Reply;
-                          Reply.Answered_ = Good.has_value();
-                          if (Good)
-                            for (const fleet::AdvisedExecutor &One : *Good) {
-                              Reply.Executors_.push_back(One.Executor_);
-                              Reply.Tickets_.push_back(One.Ticket_);
-                            }
-                          To({200, core::pack(Reply), "application/msgpack", {}, false});
-                        });
+    platform::requestAdvice(Client_, Settings_.AdviceAddress_,
+                            {Call->Job_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
+                            core::Millis(Call->TimeoutMs_),
+                            [To](const std::optional<std::vector<fleet::AdvisedExecutor>> &Good) {
+                              protocol::AdviseReply Reply;
+                              Reply.Answered_ = Good.has_value();
+                              if (Good)
+                                for (const fleet::AdvisedExecutor &One : *Good) {
+                                  Reply.Executors_.push_back(One.Executor_);
+                                  Reply.Tickets_.push_back(One.Ticket_);
+                                }
+                              To({200, core::pack(Reply), "application/msgpack", {}, false});
+                            });
   }
 
   void submitFor(const http::Request &From, const http::Responder &To) {
@@ -371,7 +372,7 @@
       return;
     }
     Settings_.AdviceAddress_ = Fresh.AdviceAddress_;
-    Settings_.GraceMs_ = Fresh.GraceMs_;
+    Settings_.StopGraceMs_ = Fresh.StopGraceMs_;
     core::log(core::LogLevel::Info, "settings are read again");
   }
 
@@ -392,7 +393,7 @@
     const bool Idle =
         Entry_.open() == 0 && SpecWriter_.idle() && Writer_.idle() && Leader_.released();
     if ((Idle && Spent >= LeastStopTime) ||
-        Spent >= core::Millis(Settings_.GraceMs_) - StopMargin) {
+        Spent >= core::Millis(Settings_.StopGraceMs_) - StopMargin) {
       Loop_.stop();
       return;
     }
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -122,7 +122,7 @@
         // While the store is away from this daemon too, nothing is gained by a claim.
         Refused_ || (LeaderCutOff_ && !Lead_.failing() && !Jobs_.failing()),
         lead::rankOf(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_,
-        Context_.Store_.fastest()};
+        Context_.Store_.shortestCallTime()};
     if (!lead::leaderIsGone(View, {})) {
       GoneSince_ = {};
       return;
@@ -148,8 +148,8 @@
   void appendLead(std::uint64_t At, std::uint64_t Term, bool Released,
                   std::function<void(platform::AppendOutcome)> Done) {
     const std::vector<platform::KeyedRecord> Records{leadRecord(Term, Released)};
-    platform::AppendTerms Terms;
-    Terms.At_ = At;
+    platform::AppendConditions Terms;
+    Terms.ExpectedEnd_ = At;
     Context_.Store_.append(LeadTopic, Records, Terms, BeatTimeout,
                            [Self = shared_from_this(), Record = Records.front(),
                             Done = std::move(Done)](const platform::AppendResult &Result) mutable {
@@ -202,7 +202,7 @@
 
   /// Shuts earlier leaders out of the jobs topic; after that its end is known to be final for them.
   void fence() {
-    platform::AppendTerms Terms;
+    platform::AppendConditions Terms;
     Terms.Producer_ = LeaderProducer;
     Terms.Epoch_ = Term_;
     Context_.Store_.append(
@@ -258,7 +258,7 @@
     const bool ListMayLack = Now - Context_.StartedAt_ < FreshProcess &&
                              BeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
     lead::Timing Times;
-    Times.LongestLease_ = core::Millis(Context_.Settings_.HoldMaxMs_);
+    Times.LongestLease_ = core::Millis(Context_.Settings_.MaxLeaseMs_);
     Scheduler_.emplace(Term_, Times, ports(), Now, ListMayLack);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
@@ -402,7 +402,7 @@
   }
 
   void append(std::uint64_t Number, std::shared_ptr<std::vector<platform::KeyedRecord>> Records) {
-    platform::AppendTerms Terms;
+    platform::AppendConditions Terms;
     Terms.Producer_ = LeaderProducer;
     Terms.Epoch_ = Term_;
     Terms.Sequence_ = Sequence_;
@@ -457,10 +457,10 @@
       stepDown("jobs topic is fenced");
       return;
     case WrongSequence:
-      core::log(
-          core::LogLevel::Warning, "sequence is corrected",
-          {{"sent", std::to_string(Sequence_)}, {"expected", std::to_string(Result.Expected_)}});
-      Sequence_ = Result.Expected_;
+      core::log(core::LogLevel::Warning, "sequence is corrected",
+                {{"sent", std::to_string(Sequence_)},
+                 {"expected", std::to_string(Result.ExpectedSequence_)}});
+      Sequence_ = Result.ExpectedSequence_;
       break;
     default:
       core::count("masticdrift_store_failures_total", {{"topic", JobsTopic}});
@@ -482,22 +482,22 @@
     Out.Start_ = [this](const fleet::ExecutorInfo &At, const fleet::StartOrder &Order) {
       core::count("masticdrift_task_starts_total");
       Orders_.start(At, Order,
-                    led<platform::OrderAnswer>(
+                    led<platform::OrderResponse>(
                         [this, Id = At.Id_, Key = lead::RunKey{Order.Task_, Order.Run_}](
-                            const platform::OrderAnswer &Answer) {
+                            const platform::OrderResponse &Answer) {
                           Scheduler_->onStarted(Id, Key, Answer.Outcome_, Answer.ClockMs_,
                                                 core::Clock::now());
                         }));
     };
     Out.Stop_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key) {
-      Orders_.stop(
-          At, Key, Term_,
-          led<platform::OrderAnswer>([this, Id = At.Id_, Key](const platform::OrderAnswer &Answer) {
-            Scheduler_->onStopped(Id, Key, Answer.Outcome_, core::Clock::now());
-          }));
+      Orders_.stop(At, Key, Term_,
+                   led<platform::OrderResponse>(
+                       [this, Id = At.Id_, Key](const platform::OrderResponse &Answer) {
+                         Scheduler_->onStopped(Id, Key, Answer.Outcome_, core::Clock::now());
+                       }));
     };
     Out.Pace_ = [this](const fleet::ExecutorInfo &At, const lead::RunKey &Key, int Percent) {
-      Orders_.pace(At, Key, Term_, Percent, [Key](const platform::OrderAnswer &Answer) {
+      Orders_.pace(At, Key, Term_, Percent, [Key](const platform::OrderResponse &Answer) {
         if (Answer.Outcome_ != fleet::OrderOutcome::Done)
           core::log(core::LogLevel::Warning, "pace was not set",
                     {{"task", platform::taskName(Key.first)},
@@ -508,8 +508,8 @@
                        core::Millis Wait) {
       Orders_.hold(
           At, Term_, Seen, Until, Wait,
-          led<platform::HoldAnswer>([this, Id = At.Id_, SentAt = core::Clock::now()](
-                                        const platform::HoldAnswer &Answer) {
+          led<platform::LeaseRenewalResult>([this, Id = At.Id_, SentAt = core::Clock::now()](
+                                                const platform::LeaseRenewalResult &Answer) {
             for (const fleet::ReportedEnd &One : Answer.Report_.Ended_)
               core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(One.Kind_))}});
             Scheduler_->onHold(Id, Answer.Outcome_, Answer.Report_, SentAt, core::Clock::now());
@@ -575,8 +575,8 @@
         Self->onAdvice(Adviser, *Asked, Good, SentAt);
     };
     if (Adviser.empty()) {
-      platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, Asked->Step_,
-                          Asked->Executors_, Timeout, std::move(Done));
+      platform::requestAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, Asked->Step_,
+                              Asked->Executors_, Timeout, std::move(Done));
       return;
     }
     http::ClientRequest Call;
--- a/src/daemon/OrderDesk.cpp
+++ b/src/daemon/OrderDesk.cpp
@@ -22,15 +22,15 @@
 /// Between looks for overdue results.
 constexpr core::Millis ExpireSpacing{50};
 
-platform::HoldAnswer withoutReport(const platform::OrderAnswer &Answer) {
-  platform::HoldAnswer Out;
+platform::LeaseRenewalResult withoutReport(const platform::OrderResponse &Answer) {
+  platform::LeaseRenewalResult Out;
   Out.Outcome_ = Answer.Outcome_;
   Out.Report_.ClockMs_ = Answer.ClockMs_;
   return Out;
 }
 
 OrderDesk::Listed listing(OrderDesk::Answered Done) {
-  return [Done = std::move(Done)](const platform::HoldAnswer &Answer) {
+  return [Done = std::move(Done)](const platform::LeaseRenewalResult &Answer) {
     Done({Answer.Outcome_, Answer.Report_.ClockMs_});
   };
 }
@@ -49,10 +49,10 @@
 
 void carryOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
                 OrderDesk::Listed Done) {
-  const platform::Target To{Order.Address_, Order.Executor_};
+  const platform::ExecutorEndpoint To{Order.Address_, Order.Executor_};
   const core::Millis Timeout(Order.TimeoutMs_);
   const fleet::StartOrder &What = Order.Order_;
-  const auto Plain = [Done](const platform::OrderAnswer &Answer) { Done(withoutReport(Answer)); };
+  const auto Plain = [Done](const platform::OrderResponse &Answer) { Done(withoutReport(Answer)); };
   switch (static_cast<RelayKind>(Order.Kind_)) {
   case RelayKind::Start:
     platform::sendStart(Client, To, What, Timeout, Plain);
@@ -65,11 +65,11 @@
                        Timeout, Plain);
     return;
   case RelayKind::Hold:
-    platform::sendHold(Client, To, What.FencingToken_, Order.SeenUpTo_, What.LeaseEndMs_,
-                       core::Millis(Order.WaitMs_), Timeout, std::move(Done));
+    platform::sendLeaseRenewal(Client, To, What.FencingToken_, Order.SeenUpTo_, What.LeaseEndMs_,
+                               core::Millis(Order.WaitMs_), Timeout, std::move(Done));
     return;
   }
-  platform::HoldAnswer Unknown;
+  platform::LeaseRenewalResult Unknown;
   Unknown.Outcome_ = fleet::OrderOutcome::NotSent;
   Done(Unknown);
 }
@@ -174,7 +174,7 @@
     auto Node = Pending_.extract(One.Number_);
     if (Node.empty())
       continue; // counted as lost already
-    platform::HoldAnswer Answer;
+    platform::LeaseRenewalResult Answer;
     Answer.Outcome_ = One.Outcome_;
     Answer.Report_ = One.Report_;
     Answer.Report_.ClockMs_ = One.ClockMs_;
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -21,7 +21,7 @@
   for (const protocol::RelayedOrder &One : Call.Orders_)
     carryOrder(Context_.Client_, One,
                [this, Held = std::weak_ptr<bool>(Alive_), Number = One.Number_,
-                ReplyTo = Call.ReplyTo_](const platform::HoldAnswer &Answer) {
+                ReplyTo = Call.ReplyTo_](const platform::LeaseRenewalResult &Answer) {
                  if (!Held.expired())
                    add(ReplyTo, {Number, Answer.Outcome_, Answer.Report_.ClockMs_, Answer.Report_});
                });
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -38,7 +38,7 @@
 }
 
 void Retention::forgetJobs(std::int64_t WallMs) {
-  const std::int64_t Before = WallMs - Context_.Settings_.StatusMs_ - ForgetMarginMs;
+  const std::int64_t Before = WallMs - Context_.Settings_.EndedJobRetentionMs_ - ForgetMarginMs;
   std::vector<platform::KeyedRecord> Records;
   std::size_t Count = 0;
   for (const auto &[Id, Job] : Context_.Ledger_.jobs()) {
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -34,14 +34,14 @@
 
   void load(const std::string &After) {
     PageAskedAt_ = core::Clock::now();
-    Store_.newest(Options_.Topic_, After, AnswerTime,
-                  [Self = shared_from_this(), After](platform::NewestResult Page) {
-                    if (!Self->Closed_)
-                      Self->onPage(After, std::move(Page));
-                  });
+    Store_.readNewest(Options_.Topic_, After, AnswerTime,
+                      [Self = shared_from_this(), After](platform::NewestRecordsPage Page) {
+                        if (!Self->Closed_)
+                          Self->onPage(After, std::move(Page));
+                      });
   }
 
-  void onPage(const std::string &After, platform::NewestResult Page) {
+  void onPage(const std::string &After, platform::NewestRecordsPage Page) {
     if (!Page.Complete_) {
       failed(Page.Detail_);
       later(Retry_, [this] { load({}); });
@@ -57,7 +57,7 @@
       Keys_.insert(One.Key_);
       To_.Record_(One);
     }
-    if (Page.More_ && !Page.Records_.empty()) {
+    if (Page.HasMore_ && !Page.Records_.empty()) {
       loadAfter(Page.Records_.back().Key_);
       return;
     }
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -11,11 +11,11 @@
 // --- Submissions ---
 
 Test(PlatformJob, aSubmissionIsDecodedWhole) {
-  const auto [Spec, Mistake] = platform::decodeJob(
+  const auto [Spec, Error] = platform::decodeJob(
       R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900,)"
       R"("affinity":"r1-3"},{"count":20,"cpu":2000,"depends_on":[0],"checkpointing":true,)"
       R"("gang":true,"max_per_server":2,"allow_duplicates":true,"new_field":1}]})");
-  cr_assert(Spec.has_value(), "%s", Mistake.c_str());
+  cr_assert(Spec.has_value(), "%s", Error.c_str());
   cr_expect(Spec->Payload_ == "text");
   cr_assert_eq(Spec->Steps_.size(), 2);
   cr_expect(Spec->Steps_[0].Need_ == (core::Resources{500, 256, 0}));
@@ -33,9 +33,9 @@
         R"({"steps":[1]})", R"({"steps":[{"count":1,"depends_on":[0]}]})",
         R"({"steps":[{"count":4000000000}]})", R"({"steps":[{"count":-1}]})",
         R"({"steps":[{"count":1}],"run_count":3})"}) {
-    const auto [Spec, Mistake] = platform::decodeJob(Body);
+    const auto [Spec, Error] = platform::decodeJob(Body);
     cr_expect(!Spec.has_value(), "%s", Body);
-    cr_expect(!Mistake.empty(), "%s", Body);
+    cr_expect(!Error.empty(), "%s", Body);
   }
 }
 
@@ -111,13 +111,13 @@
   cr_assert_eq(Report->Ended_.size(), 1);
   cr_expect_eq(Report->Ended_[0].Task_.Occurrence_, 2);
   using enum fleet::OrderOutcome;
-  cr_expect(platform::decodeOrderAnswer(200, R"({"clock_ms":5})").ClockMs_ == 5);
-  cr_expect(platform::decodeOrderAnswer(409, R"({"reason":"fence"})").Outcome_ == Fenced);
-  cr_expect(platform::decodeOrderAnswer(409, R"({"reason":"old"})").Outcome_ == Superseded);
-  cr_expect(platform::decodeOrderAnswer(421, "").Outcome_ == OtherInstance);
-  cr_expect(platform::decodeOrderAnswer(503, "").Outcome_ == Unhealthy);
+  cr_expect(platform::decodeOrderResponse(200, R"({"clock_ms":5})").ClockMs_ == 5);
+  cr_expect(platform::decodeOrderResponse(409, R"({"reason":"fence"})").Outcome_ == Fenced);
+  cr_expect(platform::decodeOrderResponse(409, R"({"reason":"old"})").Outcome_ == Superseded);
+  cr_expect(platform::decodeOrderResponse(421, "").Outcome_ == OtherInstance);
+  cr_expect(platform::decodeOrderResponse(503, "").Outcome_ == Unhealthy);
   // What can't be told counts as possibly carried out.
-  cr_expect(platform::decodeOrderAnswer(500, "").Outcome_ == NoAnswer);
+  cr_expect(platform::decodeOrderResponse(500, "").Outcome_ == NoAnswer);
 }
 
 // --- The log ---
@@ -147,15 +147,15 @@
 
 Test(PlatformSettings, aMissingFieldIsNamed) {
   platform::MachineSettings Settings;
-  std::string Mistake;
-  cr_expect(!platform::decodeSettings("{}", Settings, Mistake));
-  cr_expect(Mistake.find("/node_name") != std::string::npos, "%s", Mistake.c_str());
+  std::string Error;
+  cr_expect(!platform::decodeSettings("{}", Settings, Error));
+  cr_expect(Error.find("/node_name") != std::string::npos, "%s", Error.c_str());
   cr_assert(platform::decodeSettings(
                 R"({"node_name":"n","zone":"z","ip":"10.0.0.1","internal_ports":[7420,7435],)"
                 R"("bind_addresses":{"frontend":"10.0.0.1:8183","ready":"10.0.0.1:8184"},)"
                 R"("platform":{"address":"10.0.0.2:1"},"bounds":{"status_s":120},"odd":[]})",
-                Settings, Mistake),
-            "%s", Mistake.c_str());
-  cr_expect_eq(Settings.Peers_.Port_, 7420);
-  cr_expect_eq(Settings.StatusMs_, 120'000);
+                Settings, Error),
+            "%s", Error.c_str());
+  cr_expect_eq(Settings.PeerEndpoint_.Port_, 7420);
+  cr_expect_eq(Settings.EndedJobRetentionMs_, 120'000);
 }
