jobs: rename fields and locals to terms of the field

Cause: Again_, By_, Exit_, Boot_ and Tasks_ of a specification did not say what they hold, KeepFinished_ had no noun, and the locals Of, One, Found and From named their role in the sentence. Packed records keep order and types.

--- a/include/masticdrift/jobs/DomainState.h
+++ b/include/masticdrift/jobs/DomainState.h
@@ -65,7 +65,7 @@
   std::uint64_t Term_ = 0;
   std::uint64_t StartOffset_ = 0;
   bool CancelRequested_ = false;
-  std::string Boot_; ///< generation of the worker's lease that the Start names
+  std::string LeaseGeneration_; ///< generation of the worker's lease that the Start names
 };
 
 /// One task with what belongs to its job.
@@ -78,7 +78,7 @@
 struct DomainStateOptions {
   /// Finished jobs that are kept, so that a resubmission returns the first outcome. Must be the
   /// same at all daemons of a domain, since replay drops the oldest ones above it.
-  std::size_t KeepFinished_ = 5'000;
+  std::size_t MaxFinishedJobs_ = 5'000;
 };
 
 /// Numbers of jobs by state.
@@ -110,7 +110,7 @@
 
   /// \returns one task of a job, nothing when it is not known (any more). Cost: constant, unlike
   /// find().
-  std::optional<TaskView> findTask(std::string_view Id, std::uint32_t Number) const;
+  std::optional<TaskView> findTask(std::string_view Id, std::uint32_t TaskIndex) const;
 
   /// \returns copies of all jobs of \p Team in order of acceptance, all teams when it is empty.
   std::vector<Job> list(std::string_view Team = {}) const;
--- a/include/masticdrift/jobs/Job.h
+++ b/include/masticdrift/jobs/Job.h
@@ -47,17 +47,17 @@
   std::string Team_;
   std::string Queue_;
   JobKind Kind_ = JobKind::Batch;
-  std::uint32_t Tasks_ = 1;
-  core::Resources Need_;         ///< of each task
-  std::int64_t DeclaredRun_ = 0; ///< milliseconds, 0 when not declared
+  std::uint32_t TaskCount_ = 1;
+  core::Resources Need_;           ///< of each task
+  std::int64_t DeclaredRunMs_ = 0; ///< milliseconds, 0 when not declared
   bool Idempotent_ = false;
   bool Urgent_ = false;
   std::string RequestId_;
   std::string Command_;
   std::int64_t AcceptedWallMs_ = 0;
   std::string Family_; ///< jobs of one family have similar run times
-  MSGPACK_DEFINE_ARRAY(Id_, Team_, Queue_, Kind_, Tasks_, Need_, DeclaredRun_, Idempotent_, Urgent_,
-                       RequestId_, Command_, AcceptedWallMs_, Family_)
+  MSGPACK_DEFINE_ARRAY(Id_, Team_, Queue_, Kind_, TaskCount_, Need_, DeclaredRunMs_, Idempotent_,
+                       Urgent_, RequestId_, Command_, AcceptedWallMs_, Family_)
   bool operator==(const JobSpec &) const = default;
 };
 
@@ -67,10 +67,11 @@
   std::string Worker_;        ///< of the last Start
   std::uint64_t Term_ = 0;    ///< of the last Start
   std::uint64_t Offset_ = 0;  ///< of the record that led to this state
-  std::int32_t Exit_ = 0;
-  std::string Reason_; ///< of a Hold
-  std::string Boot_;   ///< of the last Start
-  MSGPACK_DEFINE_ARRAY(State_, Attempt_, Worker_, Term_, Offset_, Exit_, Reason_, Boot_)
+  std::int32_t ExitCode_ = 0;
+  std::string Reason_;          ///< of a Hold
+  std::string LeaseGeneration_; ///< of the last Start
+  MSGPACK_DEFINE_ARRAY(State_, Attempt_, Worker_, Term_, Offset_, ExitCode_, Reason_,
+                       LeaseGeneration_)
   bool operator==(const Task &) const = default;
 };
 
--- a/include/masticdrift/jobs/Records.h
+++ b/include/masticdrift/jobs/Records.h
@@ -25,8 +25,8 @@
 struct Cancel {
   static constexpr journal::RecordType Type = journal::RecordType::Cancel;
   std::string Job_;
-  std::string By_;
-  MSGPACK_DEFINE_ARRAY(Job_, By_)
+  std::string RequestedBy_;
+  MSGPACK_DEFINE_ARRAY(Job_, RequestedBy_)
 };
 
 /// The owner starts an attempt of a task.
@@ -37,8 +37,8 @@
   std::uint32_t Attempt_ = 0; ///< one above the task's last attempt
   std::string Worker_;
   std::uint64_t Term_ = 0;
-  std::string Boot_; ///< generation of the worker's lease under which the task may run
-  MSGPACK_DEFINE_ARRAY(Job_, Task_, Attempt_, Worker_, Term_, Boot_)
+  std::string LeaseGeneration_; ///< generation of the worker's lease under which the task may run
+  MSGPACK_DEFINE_ARRAY(Job_, Task_, Attempt_, Worker_, Term_, LeaseGeneration_)
 };
 
 /// The owner knows how an attempt ended.
@@ -49,10 +49,10 @@
   std::uint32_t Attempt_ = 0;
   TaskOutcome Outcome_ = TaskOutcome::Succeeded;
   std::uint64_t Term_ = 0;
-  std::int32_t Exit_ = 0;
+  std::int32_t ExitCode_ = 0;
   /// The owner wants the task to run again; has no effect where mayRunAgain() is false.
-  bool Again_ = false;
-  MSGPACK_DEFINE_ARRAY(Job_, Task_, Attempt_, Outcome_, Term_, Exit_, Again_)
+  bool RunAgain_ = false;
+  MSGPACK_DEFINE_ARRAY(Job_, Task_, Attempt_, Outcome_, Term_, ExitCode_, RunAgain_)
 };
 
 /// The owner can't determine whether an attempt ran, and the task must not run twice.
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -96,7 +96,7 @@
 constexpr core::Duration DefaultRun = std::chrono::minutes(1);
 
 core::Duration declaredRun(const jobs::JobSpec &Spec) {
-  return Spec.DeclaredRun_ > 0 ? core::Duration(core::Millis(Spec.DeclaredRun_)) : DefaultRun;
+  return Spec.DeclaredRunMs_ > 0 ? core::Duration(core::Millis(Spec.DeclaredRunMs_)) : DefaultRun;
 }
 
 policy::PendingJob pendingOf(const jobs::JobSpec &Spec, std::vector<std::uint32_t> Tasks,
@@ -207,7 +207,7 @@
     addActive({One.Spec_->Id_, One.Task_}, std::move(Task));
   }
 
-  static std::string bootOf(const jobs::RunningTask &One) { return One.Boot_; }
+  static std::string bootOf(const jobs::RunningTask &One) { return One.LeaseGeneration_; }
 
   WorkerEntry &entryOf(const std::string &Name, TimePoint Now) {
     auto [Place, Added] = Workers_.try_emplace(Name);
@@ -322,7 +322,7 @@
     const auto Job = State_.find(Id);
     if (!Job || Job->CancelRequested_)
       return;
-    std::vector<std::uint32_t> Tasks(Job->Spec_->Tasks_);
+    std::vector<std::uint32_t> Tasks(Job->Spec_->TaskCount_);
     for (std::uint32_t I = 0; I < Tasks.size(); ++I)
       Tasks[I] = I;
     addWaiting(*Job->Spec_, std::move(Tasks), Now);
@@ -416,7 +416,7 @@
     Record.Task_ = One.Task_;
     Record.Attempt_ = Task.Attempt_;
     Record.Worker_ = One.Worker_;
-    Record.Boot_ = Task.Boot_;
+    Record.LeaseGeneration_ = Task.Boot_;
     Record.Term_ = Term_;
     Records.push_back(jobs::toEntry(Record));
     Keys.emplace_back(One.Job_, One.Task_);
@@ -468,7 +468,7 @@
     Out.Boot_ = Task.Boot_;
     Out.Attempt_ = Task.Attempt_;
     Out.Need_ = Task.Spec_->Need_;
-    Out.RunMs_ = Task.Spec_->Kind_ == jobs::JobKind::Service ? 0 : Task.Spec_->DeclaredRun_;
+    Out.RunMs_ = Task.Spec_->Kind_ == jobs::JobKind::Service ? 0 : Task.Spec_->DeclaredRunMs_;
     Out.Command_ = Task.Spec_->Command_;
     Task.InFlight_ = true;
     core::count("masticdrift_task_starts_total");
@@ -595,8 +595,8 @@
     Record.Attempt_ = Task.Attempt_;
     Record.Outcome_ = Outcome;
     Record.Term_ = Term_;
-    Record.Exit_ = Exit;
-    Record.Again_ = Outcome != TaskOutcome::Failed || Task.Attempt_ < Options_.MostAttempts_;
+    Record.ExitCode_ = Exit;
+    Record.RunAgain_ = Outcome != TaskOutcome::Failed || Task.Attempt_ < Options_.MostAttempts_;
     enter(Task, Phase::Ending, Now);
     Hooks_.Append_({jobs::toEntry(Record)}, [Weak = weak_from_this(), Key, Attempt = Task.Attempt_,
                                              Term = Term_](std::error_code Error, std::uint64_t) {
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -60,8 +60,8 @@
   Json To{{"task", Number}, {"state", jobs::nameOf(One.State_)}, {"attempt", One.Attempt_}};
   if (!One.Worker_.empty())
     To["worker"] = One.Worker_;
-  if (One.Exit_ != 0)
-    To["exit"] = One.Exit_;
+  if (One.ExitCode_ != 0)
+    To["exit"] = One.ExitCode_;
   if (!One.Reason_.empty())
     To["reason"] = One.Reason_;
   return To;
--- a/src/gateway/JobRequest.cpp
+++ b/src/gateway/JobRequest.cpp
@@ -44,11 +44,11 @@
   const settings::Node Root = Reader.root();
   jobs::JobSpec &Spec = To.Spec_;
   Spec.Kind_ = kindOf(Root.choice("kind", Kinds, "batch"));
-  Spec.Tasks_ = static_cast<std::uint32_t>(Root.integer("tasks", 1, jobs::MaxTasks, 1));
+  Spec.TaskCount_ = static_cast<std::uint32_t>(Root.integer("tasks", 1, jobs::MaxTasks, 1));
   Spec.Need_.MilliCores_ = Root.milli("cores", 1, MostMilliCores, 1000);
   Spec.Need_.MemoryMb_ = Root.integer("memory_mb", 0, MostMemoryMb, 256);
   Spec.Need_.Accelerators_ = Root.integer("accelerators", 0, MostAccelerators, 0);
-  Spec.DeclaredRun_ = Root.integer("run_ms", 0, MostRunMs, 0);
+  Spec.DeclaredRunMs_ = Root.integer("run_ms", 0, MostRunMs, 0);
   Spec.Idempotent_ = Root.boolean("idempotent", false);
   Spec.Command_ = Root.string("command", "");
   Spec.Family_ = Root.string("family", "");
@@ -87,7 +87,7 @@
     return {};
   const auto Need = core::amounts(Spec.Need_);
   const bool Gang = Spec.Kind_ == jobs::JobKind::Gang;
-  const core::Resources Together = Gang ? Spec.Need_ * Spec.Tasks_ : Spec.Need_;
+  const core::Resources Together = Gang ? Spec.Need_ * Spec.TaskCount_ : Spec.Need_;
   const auto Whole = core::amounts(Together);
   const auto Limit = core::amounts(Allotment.Resources_);
   for (std::size_t I = 0; I < Need.size(); ++I) {
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -20,27 +20,29 @@
 }
 
 JobState stateOf(const std::vector<Task> &Tasks) {
-  std::array<std::size_t, 6> Count{};
-  for (const Task &One : Tasks)
-    ++Count.at(static_cast<std::size_t>(One.State_));
-  const auto Of = [&](TaskState State) { return Count.at(static_cast<std::size_t>(State)); };
-  if (Of(TaskState::Queued) == Tasks.size())
+  std::array<std::size_t, 6> CountByState{};
+  for (const Task &JobTask : Tasks)
+    ++CountByState.at(static_cast<std::size_t>(JobTask.State_));
+  const auto CountOf = [&](TaskState State) {
+    return CountByState.at(static_cast<std::size_t>(State));
+  };
+  if (CountOf(TaskState::Queued) == Tasks.size())
     return JobState::Queued;
-  if (Of(TaskState::Running) + Of(TaskState::Queued) > 0)
+  if (CountOf(TaskState::Running) + CountOf(TaskState::Queued) > 0)
     return JobState::Running;
-  if (Of(TaskState::Held) > 0)
+  if (CountOf(TaskState::Held) > 0)
     return JobState::Unknown;
-  if (Of(TaskState::Failed) > 0)
+  if (CountOf(TaskState::Failed) > 0)
     return JobState::Failed;
-  if (Of(TaskState::Cancelled) > 0)
+  if (CountOf(TaskState::Cancelled) > 0)
     return JobState::Cancelled;
   return JobState::Succeeded;
 }
 
 bool isValid(const JobSpec &Spec) {
-  return !Spec.Id_.empty() && Spec.Kind_ <= JobKind::Service && Spec.Tasks_ >= 1 &&
-         Spec.Tasks_ <= MaxTasks && Spec.Need_.MilliCores_ >= 0 && Spec.Need_.MemoryMb_ >= 0 &&
-         Spec.Need_.Accelerators_ >= 0 && Spec.DeclaredRun_ >= 0;
+  return !Spec.Id_.empty() && Spec.Kind_ <= JobKind::Service && Spec.TaskCount_ >= 1 &&
+         Spec.TaskCount_ <= MaxTasks && Spec.Need_.MilliCores_ >= 0 && Spec.Need_.MemoryMb_ >= 0 &&
+         Spec.Need_.Accelerators_ >= 0 && Spec.DeclaredRunMs_ >= 0;
 }
 
 std::string_view nameOf(JobKind Kind) {
--- a/tests/unit/DomainStateTest.cpp
+++ b/tests/unit/DomainStateTest.cpp
@@ -17,7 +17,7 @@
   Spec.Team_ = "sindh";
   Spec.Queue_ = "print";
   Spec.Kind_ = Kind;
-  Spec.Tasks_ = Tasks;
+  Spec.TaskCount_ = Tasks;
   Spec.Need_ = {1000, 512, 0};
   Spec.Idempotent_ = Idempotent;
   return Spec;
