work, fleet: reword comments

Cause: comments told the design in words private to the project. Change: they use the terms of the field (compacted log, critical path, final state) and give the meaning of the fields; every reason and number is kept.

--- a/include/masticdrift/fleet/Orders.h
+++ b/include/masticdrift/fleet/Orders.h
@@ -1,5 +1,5 @@
 /// \file
-/// Executors, the orders they get and what they report, free of any wire format.
+/// Executors, the orders sent to them and their reports, independent of any wire format.
 #ifndef MASTICDRIFT_FLEET_ORDERS_H
 #define MASTICDRIFT_FLEET_ORDERS_H
 
@@ -12,17 +12,17 @@
 
 namespace masticdrift::fleet {
 
-/// One executor as the instance list describes it.
+/// An executor as described by the instance list.
 struct ExecutorInfo {
   std::string Id_;
   std::string Address_;
   std::string Pool_;
   std::string Domain_;
-  std::vector<std::string> Labels_; ///< kind and rack
+  std::vector<std::string> Labels_; ///< kind and, last, the rack
   core::Resources Capacity_;
   bool Draining_ = false;
-  std::int64_t DrainRemainingMs_ = 0;   ///< least time left while draining
-  std::int64_t IncarnationStartMs_ = 0; ///< start of this incarnation, Unix milliseconds
+  std::int64_t DrainRemainingMs_ = 0;   ///< minimum time left while draining
+  std::int64_t IncarnationStartMs_ = 0; ///< start time of this incarnation, Unix milliseconds
 };
 
 /// \returns the label that names the executor's rack, or an empty view.
@@ -30,46 +30,47 @@
   return Executor.Labels_.empty() ? std::string_view{} : std::string_view(Executor.Labels_.back());
 }
 
-/// An order to start one run of a task.
+/// Order to start one run of a task.
 struct StartOrder {
   work::TaskRef Task_;
   std::uint64_t Run_ = 0;
   std::string Payload_;
-  std::int64_t LeaseEndMs_ = 0;    ///< end of the lease on the executor's clock
-  std::uint64_t FencingToken_ = 0; ///< fencing token
-  std::string Checkpoint_;         ///< empty for a start from the beginning
-  std::string Ticket_;             ///< empty on queues without advice
+  std::int64_t LeaseEndMs_ = 0; ///< end of the lease, by the executor's clock
+  std::uint64_t FencingToken_ = 0;
+  std::string Checkpoint_; ///< empty for a start from the beginning
+  std::string Ticket_;     ///< empty on queues without advice
   MSGPACK_DEFINE_ARRAY(Task_, Run_, Payload_, LeaseEndMs_, FencingToken_, Checkpoint_, Ticket_)
 };
 
+/// Result of an order to an executor.
 enum class OrderOutcome {
-  Done,          ///< carried out, now or before
-  Fenced,        ///< a higher token was seen
-  Superseded,    ///< an equal or higher run was stopped or ended there
-  LeaseOver,     ///< the lease end lies in the past
-  NoRoom,        ///< the executor guards its capacity
+  Done,          ///< executed, now or by an earlier order
+  Fenced,        ///< the executor has seen a higher fencing token
+  Superseded,    ///< a run with the same or a higher number was stopped or has ended
+  LeaseOver,     ///< the end of the lease is in the past
+  NoRoom,        ///< the executor checks its capacity and has none left
   TicketInvalid, ///< a new ticket is needed
-  OtherInstance, ///< another incarnation answers at the address
-  Unhealthy,     ///< refused, nothing was done
-  Malformed,     ///< the executor does not understand the order
-  NoAnswer,      ///< may have been carried out, or may be later
-  NotSent,       ///< no connection, nothing was sent
+  OtherInstance, ///< another incarnation listens on the address
+  Unhealthy,     ///< rejected without effect
+  Malformed,     ///< the executor cannot decode the order
+  NoAnswer,      ///< unknown: the order may have been executed, or may be later
+  NotSent,       ///< not sent, because no connection could be opened
 };
 
 /// \returns the stable lower-case name of \p Outcome.
 std::string_view nameOf(OrderOutcome Outcome);
 
-/// A run that an executor lists as running.
+/// A run that an executor reports as running.
 struct ReportedRun {
   work::TaskRef Task_;
   std::uint64_t Run_ = 0;
   std::string Checkpoint_;
   int ProgressPercent_ = 0;
-  double LoadMetric_ =
-      0; ///< response time (ms) of a serving task, else thousandths of a core in use
+  double LoadMetric_ = 0; ///< response time (ms) of a serving task, else CPU use (millicores)
   MSGPACK_DEFINE_ARRAY(Task_, Run_, Checkpoint_, ProgressPercent_, LoadMetric_)
 };
 
+/// Reason for the end of a run.
 enum class EndKind { Done, Failed, Stopped, LeaseLapsed, GangBroken, GangIncomplete };
 
 /// \returns the stable lower-case name of \p Kind.
@@ -81,9 +82,9 @@
 
 namespace masticdrift::fleet {
 
-/// A run that an executor lists as ended.
+/// A run that an executor reports as ended.
 struct ReportedEnd {
-  std::uint64_t SequenceNumber_ = 0; ///< rises by one within an incarnation
+  std::uint64_t SequenceNumber_ = 0; ///< increases by one within an incarnation
   work::TaskRef Task_;
   std::uint64_t Run_ = 0;
   EndKind Kind_ = EndKind::Done;
@@ -91,16 +92,16 @@
   MSGPACK_DEFINE_ARRAY(SequenceNumber_, Task_, Run_, Kind_, Checkpoint_)
 };
 
-/// An executor's lists of runs.
+/// Running and ended runs of an executor.
 struct Report {
-  std::int64_t ClockMs_ = 0;            ///< the executor's clock when it answered
+  std::int64_t ClockMs_ = 0;            ///< executor's clock at the time of the response
   std::int64_t IncarnationStartMs_ = 0; ///< 0 when not reported
   std::vector<ReportedRun> Running_;
   std::vector<ReportedEnd> Ended_;
   MSGPACK_DEFINE_ARRAY(ClockMs_, IncarnationStartMs_, Running_, Ended_)
 };
 
-/// An executor that may run a step and the ticket that shows it.
+/// An executor that is allowed to run a step, with the ticket that proves it.
 struct AdvisedExecutor {
   std::string Executor_;
   std::string Ticket_;
--- a/include/masticdrift/work/Manifest.h
+++ b/include/masticdrift/work/Manifest.h
@@ -1,5 +1,5 @@
 /// \file
-/// The configuration in force: queues, executor pools, customers and their keys.
+/// Configuration of the cluster: queues, executor pools, customers and their API keys.
 #ifndef MASTICDRIFT_WORK_MANIFEST_H
 #define MASTICDRIFT_WORK_MANIFEST_H
 
@@ -17,40 +17,40 @@
 
 namespace masticdrift::work {
 
-/// Cost and validity of the advice that a queue's starts need.
+/// Cost and validity of the advice that a queue requires before a task may start.
 struct AdvicePolicy {
-  double FixedMs_ = 0;             ///< fixed time of one call
-  double PerExecutorMs_ = 0;       ///< added for each executor named
-  std::int64_t TicketValidMs_ = 0; ///< life of a ticket
+  double FixedMs_ = 0;             ///< fixed time of one call to the advice service
+  double PerExecutorMs_ = 0;       ///< additional time for each executor in the call
+  std::int64_t TicketValidMs_ = 0; ///< validity of a ticket
   MSGPACK_DEFINE_ARRAY(FixedMs_, PerExecutorMs_, TicketValidMs_)
 };
 
-/// A queue that takes jobs.
+/// A queue to which jobs are submitted.
 struct Queue {
   std::string Name_;
   std::string Host_;
   std::string PathPrefix_;
-  std::string Pool_; ///< executors that run its tasks
-  int Priority_ = 0; ///< 0 comes first
+  std::string Pool_; ///< pool of executors that run its tasks
+  int Priority_ = 0; ///< 0 is the highest priority
   std::uint32_t MaxAttempts_ = 1;
-  double Stretch_ = 1;           ///< objective in multiples of the longest chain of work
-  std::int64_t TargetMs_ = 0;    ///< added to the objective
-  bool AllowsAnonymous_ = false; ///< needs no key
+  double Stretch_ = 1;           ///< target completion time as a multiple of the critical path
+  std::int64_t TargetMs_ = 0;    ///< added to the target completion time
+  bool AllowsAnonymous_ = false; ///< accepts jobs without an API key
   std::optional<AdvicePolicy> Advice_;
   MSGPACK_DEFINE_ARRAY(Name_, Pool_, Priority_, MaxAttempts_, Stretch_, TargetMs_, Advice_)
 };
 
-/// A group of executors.
+/// A pool of executors.
 struct Pool {
   std::string Name_;
-  bool ChecksAdmission_ = false; ///< its executors refuse what does not fit
+  bool ChecksAdmission_ = false; ///< its executors reject tasks that do not fit
 };
 
-/// A customer with its share and limit.
+/// A customer with its share of the cluster and its resource limit.
 struct Customer {
   std::string Name_;
   double Weight_ = 1;
-  core::Resources UpperLimit_; ///< 0 in a kind for no limit
+  core::Resources UpperLimit_; ///< 0 of a resource for no limit
 };
 
 /// One version of the configuration.
@@ -63,12 +63,13 @@
   std::size_t MaxBodyBytes_ = 0; ///< 0 for no limit
 };
 
-/// \returns the queue whose host matches and whose prefix is the longest that \p Path begins with,
-/// or null.
+/// Selects the queue for a request by host and longest matching path prefix.
+///
+/// \returns the queue, or null when none matches.
 /// \remark Cost: linear in the number of queues.
 const Queue *findQueue(const Manifest &Configuration, std::string_view Host, std::string_view Path);
 
-/// \returns the queue called \p Name, or null.
+/// \returns the queue named \p Name, or null.
 const Queue *findQueueByName(const Manifest &Configuration, std::string_view Name);
 
 } // namespace masticdrift::work
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -50,9 +50,9 @@
   return {recordKey(StartedPrefix, Id), core::pack(Term)};
 }
 
-std::string_view acceptedJobId(const LogRecord &Entry) {
-  return Entry.Key_.starts_with(AcceptedPrefix) ? std::string_view(Entry.Key_).substr(1)
-                                                : std::string_view();
+std::string_view acceptedJobId(const LogRecord &Record) {
+  return Record.Key_.starts_with(AcceptedPrefix) ? std::string_view(Record.Key_).substr(1)
+                                                 : std::string_view();
 }
 
 JobTableChange JobTable::apply(std::uint64_t Offset, std::string_view Key, std::string_view Value) {
@@ -95,7 +95,7 @@
     Job.Progress_ = std::move(*Record);
     Job.ProgressOffset_ = Offset;
     Change.Kind_ = Progressed;
-    // What a final job was made of is not needed any more.
+    // The specification and the progress of a final job are no longer needed.
     if (isFinal(Job.Progress_->State_)) {
       Job.Spec_ = {};
       Job.Progress_->Steps_.clear();
@@ -111,7 +111,7 @@
   const auto Found = Jobs_.find(std::string(Id));
   const bool Known = Found != Jobs_.end();
   if (Value.empty()) {
-    // A specification whose job was never accepted.
+    // Remove the entry of a specification whose job was never accepted.
     if (Known && !Found->second.Accepted_ && !Found->second.Progress_)
       Jobs_.erase(Found);
     return {None, std::string(Id)};
