--- a/src/work/Job.cpp
+++ b/src/work/Job.cpp
@@ -31,7 +31,7 @@
       return "a step depends on itself or a later one";
   }
   if (Spec.RunCount_ > 1 && Spec.IntervalMs_ <= 0)
-    return "a timed job has no interval";
+    return "a recurring job has no interval";
   return {};
 }
 
