--- a/src/work/Job.cpp
+++ b/src/work/Job.cpp
@@ -27,7 +27,7 @@
     if (Spec.Steps_[I].TaskCount_ == 0)
       return "a step has no tasks";
     if (std::ranges::any_of(Spec.Steps_[I].DependsOn_,
-                            [I](std::uint32_t Earlier) { return Earlier >= I; }))
+                            [I](std::uint32_t StepIndex) { return StepIndex >= I; }))
       return "a step depends on itself or a later one";
   }
   if (Spec.RunCount_ > 1 && Spec.IntervalMs_ <= 0)
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -11,7 +11,7 @@
 constexpr char ProgressPrefix = 'p';
 constexpr char StartedPrefix = 'b';
 
-std::string recordKey(char Kind, std::string_view Id) { return Kind + std::string(Id); }
+std::string recordKey(char Prefix, std::string_view Id) { return Prefix + std::string(Id); }
 
 } // namespace
 
@@ -62,11 +62,11 @@
   const char Kind = Key.front();
   std::string Id(Key.substr(1));
   if (Value.empty()) {
-    const auto Found = Jobs_.find(Id);
-    if (Found == Jobs_.end() || Kind != AcceptedPrefix)
+    const auto Position = Jobs_.find(Id);
+    if (Position == Jobs_.end() || Kind != AcceptedPrefix)
       return {None, std::move(Id)};
-    QueuedByQueue_[Found->second.Acceptance_.Queue_.Name_].erase(Id);
-    Jobs_.erase(Found);
+    QueuedByQueue_[Position->second.Acceptance_.Queue_.Name_].erase(Id);
+    Jobs_.erase(Position);
     return {Removed, std::move(Id)};
   }
   JobTableEntry &Job = Jobs_[Id];
@@ -108,20 +108,20 @@
 
 JobTableChange JobTable::applySpec(std::string_view Id, std::string_view Value) {
   using enum JobTableChange::Kind;
-  const auto Found = Jobs_.find(std::string(Id));
-  const bool Known = Found != Jobs_.end();
+  const auto Position = Jobs_.find(std::string(Id));
+  const bool IsKnown = Position != Jobs_.end();
   if (Value.empty()) {
     // Remove the entry of a specification whose job was never accepted.
-    if (Known && !Found->second.Accepted_ && !Found->second.Progress_)
-      Jobs_.erase(Found);
+    if (IsKnown && !Position->second.Accepted_ && !Position->second.Progress_)
+      Jobs_.erase(Position);
     return {None, std::string(Id)};
   }
-  if (Known && (Found->second.HasSpec_ || isFinal(Found->second.state())))
+  if (IsKnown && (Position->second.HasSpec_ || isFinal(Position->second.state())))
     return {None, std::string(Id)};
   auto Spec = core::unpack<JobSpec>(Value);
   if (!Spec)
     return {Unreadable, std::string(Id)};
-  JobTableEntry &Job = Known ? Found->second : Jobs_[std::string(Id)];
+  JobTableEntry &Job = IsKnown ? Position->second : Jobs_[std::string(Id)];
   Job.Id_ = Id;
   Job.Spec_ = std::move(*Spec);
   Job.HasSpec_ = true;
@@ -139,13 +139,13 @@
 }
 
 const JobTableEntry *JobTable::find(std::string_view Id) const {
-  const auto Found = Jobs_.find(std::string(Id));
-  return Found == Jobs_.end() || !Found->second.Accepted_ ? nullptr : &Found->second;
+  const auto Position = Jobs_.find(std::string(Id));
+  return Position == Jobs_.end() || !Position->second.Accepted_ ? nullptr : &Position->second;
 }
 
 std::size_t JobTable::pendingCount(std::string_view Queue) const {
-  const auto Found = QueuedByQueue_.find(Queue);
-  return Found == QueuedByQueue_.end() ? 0 : Found->second.size();
+  const auto Position = QueuedByQueue_.find(Queue);
+  return Position == QueuedByQueue_.end() ? 0 : Position->second.size();
 }
 
 } // namespace masticdrift::work
--- a/src/work/Manifest.cpp
+++ b/src/work/Manifest.cpp
@@ -16,8 +16,8 @@
 }
 
 const Queue *findQueueByName(const Manifest &Configuration, std::string_view Name) {
-  const auto Found = std::ranges::find(Configuration.Queues_, Name, &Queue::Name_);
-  return Found == Configuration.Queues_.end() ? nullptr : &*Found;
+  const auto Position = std::ranges::find(Configuration.Queues_, Name, &Queue::Name_);
+  return Position == Configuration.Queues_.end() ? nullptr : &*Position;
 }
 
 } // namespace masticdrift::work
