jobs: reword comments

Cause: several comments named a member by a fragment ("of the last Start") or used words private to the project. Change: full doc comments in the usual terms, with result, error and cost in order.

--- a/include/masticdrift/jobs/DomainState.h
+++ b/include/masticdrift/jobs/DomainState.h
@@ -1,5 +1,5 @@
 /// \file
-/// Replayed state of a domain's durable work.
+/// State of a domain's durable jobs, built by replaying its log records.
 #ifndef MASTICDRIFT_JOBS_DOMAINSTATE_H
 #define MASTICDRIFT_JOBS_DOMAINSTATE_H
 
@@ -17,35 +17,37 @@
 
 namespace masticdrift::jobs {
 
-/// What a record did.
+/// Effect of a record.
 enum class ChangeKind : std::uint8_t {
-  None,            ///< not a record of durable work
-  Malformed,       ///< undecodable or out of range
-  StaleTerm,       ///< carries a term that is not in force
-  UnknownJob,      ///< names a job or task that does not exist (any more)
-  NotApplicable,   ///< does not fit the task's state, for example an attempt that is not current
-  Accepted,        ///< first Accept of an id
-  Duplicate,       ///< later Accept of an id; the job's state is the answer
+  None,            ///< the record does not concern durable jobs
+  Malformed,       ///< cannot be decoded, or a field is out of range
+  StaleTerm,       ///< the term of the record is not in force
+  UnknownJob,      ///< the job or task does not exist or is no longer kept
+  NotApplicable,   ///< not valid in the task's state, for example not the current attempt
+  Accepted,        ///< first Accept of a job id
+  Duplicate,       ///< later Accept of a job id; the existing job is unchanged
   CancelRequested, ///< first Cancel of an unfinished job
-  Started,         ///< the attempt is in force and may be sent to the worker
-  Ended,           ///< the task is finished
-  Requeued,        ///< the attempt ended and the task waits for another one
+  Started,         ///< the attempt is recorded and may be sent to the worker
+  Ended,           ///< the task has finished
+  Requeued,        ///< the attempt ended and the task waits for the next one
   Held,            ///< the task is held
 };
 
+/// Effect of a record on a job or task.
 struct Change {
   ChangeKind Kind_ = ChangeKind::None;
   std::string Job_;
   std::uint32_t Task_ = 0;
   std::uint32_t Attempt_ = 0;
-  std::string Worker_;       ///< of Started, Ended, Requeued and Held
-  bool JobFinished_ = false; ///< the job reached a final state, or a held one was settled
+  std::string Worker_; ///< set for Started, Ended, Requeued and Held
+  bool JobFinished_ =
+      false; ///< the job reached a final state, or the outcome of a held task was settled
 };
 
-/// A task that waits for a start.
+/// A task that waits to be started.
 struct RunnableTask {
   std::uint32_t Task_ = 0;
-  std::uint32_t Attempt_ = 0; ///< the attempt that a Start has to name
+  std::uint32_t Attempt_ = 0; ///< attempt number that the next Start must have
 };
 
 /// The waiting tasks of one job.
@@ -56,7 +58,7 @@
   std::uint32_t Running_ = 0; ///< number of the job's running tasks
 };
 
-/// A task whose Start is in force.
+/// A task that runs according to its last Start.
 struct RunningTask {
   std::shared_ptr<const JobSpec> Spec_;
   std::uint32_t Task_ = 0;
@@ -65,30 +67,32 @@
   std::uint64_t Term_ = 0;
   std::uint64_t StartOffset_ = 0;
   bool CancelRequested_ = false;
-  std::string LeaseGeneration_; ///< generation of the worker's lease that the Start names
+  std::string LeaseGeneration_; ///< generation of the worker's lease, from the Start
 };
 
-/// One task with what belongs to its job.
+/// A task together with the properties of its job.
 struct TaskView {
   std::shared_ptr<const JobSpec> Spec_;
   Task Task_;
   bool CancelRequested_ = false;
 };
 
+/// Options of DomainState.
 struct DomainStateOptions {
-  /// Finished jobs that are kept, so that a resubmission returns the first outcome. Must be the
-  /// same at all daemons of a domain, since replay drops the oldest ones above it.
+  /// Maximum number of finished jobs that are kept, so that a resubmission returns the first
+  /// outcome. Must be the same on all daemons of a domain, because replay drops the oldest finished
+  /// jobs above this number.
   std::size_t MaxFinishedJobs_ = 5'000;
 };
 
-/// Numbers of jobs by state.
+/// Number of jobs in each state.
 using JobCounts = std::map<JobState, std::size_t>;
 
-/// Applies records in offset order. apply(), encode() and decode() are for the replay thread; all
-/// reads are thread-safe.
+/// Replays records in offset order. apply(), encode() and decode() may be called only by the replay
+/// thread; all other functions are thread-safe.
 ///
-/// Jobs are sharded by hash of the id, each shard under its own lock. The result depends only on
-/// the records applied, so all daemons reach the same state.
+/// Jobs are sharded by the hash of their id, and each shard has its own lock. The state depends
+/// only on the applied records, so all daemons reach the same state.
 class DomainState {
 public:
   explicit DomainState(DomainStateOptions Options = {});
@@ -98,24 +102,26 @@
 
   /// Applies one record.
   ///
-  /// \param Record any entry of the domain stream; others than those of Records.h have no effect.
-  /// \param Offset of the batch.
-  /// \param TermInForce term in force at this record; Start, End and Hold of another term have no
+  /// \param Record any entry of the domain's stream; types not in Records.h have no effect.
+  /// \param Offset offset of the batch that contains the record.
+  /// \param TermInForce term in force at the record; a Start, End or Hold with another term has no
   /// effect.
   /// \returns what changed.
   Change apply(const journal::Entry &Record, std::uint64_t Offset, std::uint64_t TermInForce);
 
-  /// \returns a copy of the job, nothing when it is not known (any more).
+  /// \returns a copy of the job, or no value when it does not exist or is no longer kept.
   std::optional<Job> find(std::string_view Id) const;
 
-  /// \returns one task of a job, nothing when it is not known (any more). Cost: constant, unlike
-  /// find().
+  /// \returns one task of a job, or no value when it does not exist or is no longer kept.
+  /// \remark Cost: constant, whereas find() copies all tasks.
   std::optional<TaskView> findTask(std::string_view Id, std::uint32_t TaskIndex) const;
 
-  /// \returns copies of all jobs of \p Team in order of acceptance, all teams when it is empty.
+  /// \returns copies of the jobs of \p Team, or of all teams when it is empty, in order of
+  /// acceptance.
   std::vector<Job> list(std::string_view Team = {}) const;
 
-  /// \returns waiting tasks of unfinished jobs that are not being cancelled, by acceptance.
+  /// \returns the waiting tasks of unfinished jobs without a cancel request, in order of
+  /// acceptance.
   std::vector<RunnableJob> runnable() const;
 
   /// \returns the running tasks of \p Worker, ordered by job and task.
@@ -126,12 +132,12 @@
 
   JobCounts counts() const;
 
-  /// \returns the state as bytes; equal for equal histories.
+  /// \returns the encoded state; equal sequences of records give equal bytes.
   std::string encode() const;
 
-  /// Replaces the state.
+  /// Replaces the state by a decoded one.
   ///
-  /// \returns false when \p Bytes are malformed; the state is then unchanged.
+  /// \returns false when \p Bytes are malformed, in which case the state is unchanged.
   bool decode(std::string_view Bytes);
 
 private:
--- a/src/jobs/DomainState.cpp
+++ b/src/jobs/DomainState.cpp
@@ -17,14 +17,14 @@
 
 constexpr std::size_t ShardCount = 16;
 
-/// Jobs in one array of a snapshot; core::unpack refuses arrays above 100,000 elements.
+/// Jobs per array of a snapshot, because core::unpack rejects arrays of more than 100,000 elements.
 constexpr std::size_t MaxJobsPerChunk = 10'000;
 
 std::size_t shardIndex(std::string_view Id) {
   return XXH3_64bits(Id.data(), Id.size()) % ShardCount;
 }
 
-/// State of a task after its current attempt has ended.
+/// \returns the state of a task after its current attempt has ended.
 TaskState stateAfter(const Job &ParentJob, const End &Record) {
   const JobSpec &Spec = *ParentJob.Spec_;
   const bool IsService = Spec.Kind_ == JobKind::Service;
@@ -59,7 +59,7 @@
   return State == TaskState::Held ? ChangeKind::Held : ChangeKind::Ended;
 }
 
-/// A job as it is kept in snapshots; its state follows from its tasks.
+/// A job in a snapshot. Its state is not stored, because it is derived from its tasks.
 struct SnapshotJob {
   JobSpec Spec_;
   std::uint64_t AcceptOffset_ = 0;
@@ -72,6 +72,7 @@
                        CancelledBy_, Tasks_)
 };
 
+/// Content of a snapshot.
 struct SnapshotState {
   std::uint32_t Version_ = 1;
   std::uint64_t Accepted_ = 0;
@@ -107,12 +108,12 @@
   struct Shard {
     mutable std::mutex Mutex_;
     JobMap Jobs_;
-    ActiveMap Active_; ///< unfinished jobs by order of acceptance
+    ActiveMap Active_; ///< unfinished jobs in order of acceptance
   };
 
   Shard &shard(std::string_view Id) { return Shards_.at(shardIndex(Id)); }
 
-  /// A job under its shard's lock.
+  /// A job, null when unknown, and the lock of its shard.
   struct LockedJob {
     std::unique_lock<std::mutex> Lock_;
     Shard *Shard_;
@@ -197,7 +198,7 @@
     Task &JobTask = Handle.Job_->Tasks_[Record.Task_];
     TaskState NewState = stateAfter(*Handle.Job_, Record);
     if (JobTask.State_ == TaskState::Held) {
-      // The owner has learned how a held attempt ended. It is settled, but never run again.
+      // The owner has learned how a held attempt ended: the task finishes, but never runs again.
       const bool Settles =
           Record.Outcome_ == TaskOutcome::Succeeded || Record.Outcome_ == TaskOutcome::Failed;
       NewState =
@@ -234,9 +235,9 @@
     return Result;
   }
 
-  /// Derives the job's state again.
+  /// Updates the job's state from its tasks.
   ///
-  /// \returns true when the job reached another final state.
+  /// \returns true when the job changed to a final state.
   bool updateState(LockedJob &Handle) {
     Job &TargetJob = *Handle.Job_;
     const JobState Before = std::exchange(TargetJob.State_, stateOf(TargetJob.Tasks_));
@@ -250,7 +251,7 @@
     return true;
   }
 
-  /// Drops the oldest finished jobs. Called without a shard lock.
+  /// Removes the oldest finished jobs above the limit. The caller must not hold a shard lock.
   void prune() {
     while (FinishedIds_.size() > Options_.MaxFinishedJobs_) {
       const std::string Id = std::move(FinishedIds_.front());
@@ -277,7 +278,7 @@
       Index_.erase(WorkerTasks);
   }
 
-  /// Decodes a record that carries a term, checks the term and applies the record.
+  /// Decodes a record with a term and applies it if its term is in force.
   template <typename T, typename F>
   static Change withTerm(const journal::Entry &LogEntry, std::uint64_t TermInForce, F Apply) {
     const auto Record = core::unpack<T>(LogEntry.Body_);
@@ -324,12 +325,12 @@
 
   const DomainStateOptions Options_;
   std::array<Shard, ShardCount> Shards_;
-  mutable std::mutex IndexMutex_; ///< taken after a shard's lock
+  mutable std::mutex IndexMutex_; ///< lock order: after the mutex of a shard
   WorkerIndex Index_;
-  // Only the replay thread uses the members below.
+  // The following members are used only by the replay thread.
   std::uint64_t Accepted_ = 0;
   std::uint64_t Finished_ = 0;
-  std::deque<std::string> FinishedIds_; ///< finished jobs, oldest first
+  std::deque<std::string> FinishedIds_; ///< ids of finished jobs, oldest first
 
   explicit Impl(DomainStateOptions Options) : Options_(Options) {}
 };
@@ -429,7 +430,7 @@
   SnapshotState State;
   State.Accepted_ = Impl_->Accepted_;
   State.Finished_ = Impl_->Finished_;
-  // Only the replay thread changes jobs, and it is the caller: no lock is needed to read them.
+  // No lock is needed: only the replay thread changes jobs, and it is the caller.
   for (const Job *KnownJob : Impl_->byAcceptance()) {
     if (State.Chunks_.empty() || State.Chunks_.back().size() >= MaxJobsPerChunk)
       State.Chunks_.emplace_back();
