tests: rename the locals and cases of the platform and domain state tests

Cause: names such as Away, Good, A and B did not say which server, list or state they are; some case names were figurative. Change: locals and cases say what they hold or check. No assertion changes.

--- a/tests/unit/DomainStateTest.cpp
+++ b/tests/unit/DomainStateTest.cpp
@@ -24,17 +24,17 @@
 }
 
 /// Applies records one after another under one term.
-struct Replayer {
+struct ReplayedState {
   template <typename T> Change operator()(const T &Record) {
     return State_.apply(toEntry(Record), Offset_++, Term_);
   }
-  explicit Replayer(DomainStateOptions Options = {}) : State_(Options) {}
+  explicit ReplayedState(DomainStateOptions Options = {}) : State_(Options) {}
   DomainState State_;
   std::uint64_t Offset_ = 1;
   std::uint64_t Term_ = 5;
 };
 
-bool finishedAs(const DomainState &State, const std::string &Id, JobState Expected) {
+bool jobHasState(const DomainState &State, const std::string &Id, JobState Expected) {
   const auto Found = State.find(Id);
   return Found && Found->State_ == Expected;
 }
@@ -73,19 +73,19 @@
 } // namespace
 
 // Guards against a resubmission that runs a job twice or changes its content.
-Test(JobLife, theFirstAcceptOfAnIdCounts) {
-  Replayer Apply;
+Test(JobLifecycle, theFirstAcceptOfAnIdCounts) {
+  ReplayedState Apply;
   cr_assert(Apply(Accept{spec("d/t/1", 2)}).Kind_ == ChangeKind::Accepted);
-  const Change Second = Apply(Accept{spec("d/t/1", 3)});
-  cr_assert(Second.Kind_ == ChangeKind::Duplicate);
-  cr_assert(Second.Job_ == "d/t/1");
+  const Change Resubmission = Apply(Accept{spec("d/t/1", 3)});
+  cr_assert(Resubmission.Kind_ == ChangeKind::Duplicate);
+  cr_assert(Resubmission.Job_ == "d/t/1");
   cr_assert_eq(Apply.State_.find("d/t/1")->Tasks_.size(), 2);
   cr_assert_eq(Apply.State_.runnable().size(), 1);
 }
 
 // Guards against losing a step between acceptance and the end of a job.
-Test(JobLife, aJobRunsToItsEnd) {
-  Replayer Apply;
+Test(JobLifecycle, aJobRunsToItsEnd) {
+  ReplayedState Apply;
   Apply(Accept{spec("d/t/1", 2)});
   const auto Runnable = Apply.State_.runnable();
   cr_assert_eq(Runnable.at(0).Tasks_.size(), 2);
@@ -96,19 +96,20 @@
   cr_assert_eq(Apply.State_.runningOn("w1").size(), 1);
   cr_assert_eq(Apply.State_.runningOn("w1")[0].StartOffset_, 2);
   cr_assert_eq(Apply.State_.runningByWorker().size(), 2);
-  cr_assert(finishedAs(Apply.State_, "d/t/1", JobState::Running));
-  Change Last = Apply(End{"d/t/1", 0, 1, TaskOutcome::Succeeded, 5, 0, false});
-  cr_assert(Last.Kind_ == ChangeKind::Ended && !Last.JobFinished_ && Last.Worker_ == "w1");
-  Last = Apply(End{"d/t/1", 1, 1, TaskOutcome::Succeeded, 5, 0, false});
-  cr_assert(Last.JobFinished_);
-  cr_assert(finishedAs(Apply.State_, "d/t/1", JobState::Succeeded));
+  cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Running));
+  Change EndChange = Apply(End{"d/t/1", 0, 1, TaskOutcome::Succeeded, 5, 0, false});
+  cr_assert(EndChange.Kind_ == ChangeKind::Ended && !EndChange.JobFinished_ &&
+            EndChange.Worker_ == "w1");
+  EndChange = Apply(End{"d/t/1", 1, 1, TaskOutcome::Succeeded, 5, 0, false});
+  cr_assert(EndChange.JobFinished_);
+  cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Succeeded));
   cr_assert(Apply.State_.runningByWorker().empty());
   cr_assert_eq(Apply.State_.counts().at(JobState::Succeeded), 1);
 }
 
 // Guards against an old owner whose records arrive after a takeover.
-Test(JobLife, recordsOfAnotherTermHaveNoEffect) {
-  Replayer Apply;
+Test(JobLifecycle, recordsOfAnotherTermHaveNoEffect) {
+  ReplayedState Apply;
   Apply(Accept{spec("d/t/1")});
   const std::string Before = Apply.State_.encode();
   cr_assert(Apply(Start{"d/t/1", 0, 1, "w1", 4}).Kind_ == ChangeKind::StaleTerm);
@@ -125,8 +126,8 @@
 }
 
 // Guards against an attempt that is started twice or ended by another attempt's record.
-Test(JobLife, onlyTheCurrentAttemptCounts) {
-  Replayer Apply;
+Test(JobLifecycle, onlyTheCurrentAttemptCounts) {
+  ReplayedState Apply;
   Apply(Accept{spec("d/t/1", 1, true)});
   cr_assert(Apply(Start{"d/t/1", 0, 2, "w1", 5}).Kind_ == ChangeKind::NotApplicable);
   Apply(Start{"d/t/1", 0, 1, "w1", 5});
@@ -137,20 +138,20 @@
   Apply(Start{"d/t/1", 0, 2, "w2", 5});
   cr_assert(Apply(End{"d/t/1", 0, 1, TaskOutcome::Succeeded, 5, 0, false}).Kind_ ==
             ChangeKind::NotApplicable);
-  cr_assert(finishedAs(Apply.State_, "d/t/1", JobState::Running));
+  cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Running));
   cr_assert(Apply(End{"d/t/1", 7, 1, TaskOutcome::Succeeded, 5, 0, false}).Kind_ ==
             ChangeKind::UnknownJob);
 }
 
 // Guards against a second run of a task that is not idempotent and may have run.
-Test(JobLife, aTaskThatMayHaveRunIsHeld) {
-  Replayer Apply;
+Test(JobLifecycle, aTaskThatMayHaveRunIsHeld) {
+  ReplayedState Apply;
   Apply(Accept{spec("d/t/1")});
   Apply(Start{"d/t/1", 0, 1, "w1", 5});
   // The owner's wish to run it again has no effect.
-  const Change Lost = Apply(End{"d/t/1", 0, 1, TaskOutcome::Lost, 5, 0, true});
-  cr_assert(Lost.Kind_ == ChangeKind::Held && Lost.JobFinished_);
-  cr_assert(finishedAs(Apply.State_, "d/t/1", JobState::Unknown));
+  const Change LostChange = Apply(End{"d/t/1", 0, 1, TaskOutcome::Lost, 5, 0, true});
+  cr_assert(LostChange.Kind_ == ChangeKind::Held && LostChange.JobFinished_);
+  cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Unknown));
   cr_assert(Apply.State_.runnable().empty());
   cr_assert(Apply(Start{"d/t/1", 0, 2, "w2", 5}).Kind_ == ChangeKind::NotApplicable);
   cr_assert(Apply(End{"d/t/1", 0, 1, TaskOutcome::NeverRan, 5, 0, true}).Kind_ ==
@@ -158,7 +159,7 @@
   // A worker that comes back tells how the attempt ended.
   cr_assert(Apply(End{"d/t/1", 0, 1, TaskOutcome::Succeeded, 5, 0, false}).Kind_ ==
             ChangeKind::Ended);
-  cr_assert(finishedAs(Apply.State_, "d/t/1", JobState::Succeeded));
+  cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Succeeded));
 
   Apply(Accept{spec("d/t/2")});
   Apply(Start{"d/t/2", 0, 1, "w1", 5});
@@ -171,8 +172,8 @@
 }
 
 // Guards against a service that stays down, and against a cancelled one that is restarted.
-Test(JobLife, aServiceRestartsUntilItIsCancelled) {
-  Replayer Apply;
+Test(JobLifecycle, aServiceRestartsUntilItIsCancelled) {
+  ReplayedState Apply;
   Apply(Accept{spec("d/t/s", 1, false, JobKind::Service)});
   std::uint32_t Attempt = 0;
   for (const TaskOutcome Outcome :
@@ -183,24 +184,24 @@
   Apply(Start{"d/t/s", 0, ++Attempt, "w1", 5});
   Apply(Cancel{"d/t/s", "amina"});
   Apply(End{"d/t/s", 0, Attempt, TaskOutcome::Stopped, 5, 0, true});
-  cr_assert(finishedAs(Apply.State_, "d/t/s", JobState::Cancelled));
+  cr_assert(jobHasState(Apply.State_, "d/t/s", JobState::Cancelled));
 }
 
 // Guards against cancellations that hit nothing, and against starts after a cancellation.
 Test(Cancellation, aCancelStopsWhatWaitsAndMarksWhatRuns) {
-  Replayer Apply;
+  ReplayedState Apply;
   cr_assert(Apply(Cancel{"d/t/none", "amina"}).Kind_ == ChangeKind::UnknownJob);
   Apply(Accept{spec("d/t/1", 2)});
   Apply(Start{"d/t/1", 0, 1, "w1", 5});
-  const Change First = Apply(Cancel{"d/t/1", "amina"});
-  cr_assert(First.Kind_ == ChangeKind::CancelRequested && !First.JobFinished_);
+  const Change CancelChange = Apply(Cancel{"d/t/1", "amina"});
+  cr_assert(CancelChange.Kind_ == ChangeKind::CancelRequested && !CancelChange.JobFinished_);
   cr_assert(Apply(Cancel{"d/t/1", "bela"}).Kind_ == ChangeKind::NotApplicable);
   cr_assert(Apply.State_.find("d/t/1")->CancelledBy_ == "amina");
   cr_assert(Apply.State_.runningOn("w1").at(0).CancelRequested_);
   cr_assert(Apply.State_.runnable().empty());
   cr_assert(Apply(Start{"d/t/1", 1, 1, "w2", 5}).Kind_ == ChangeKind::NotApplicable);
   Apply(End{"d/t/1", 0, 1, TaskOutcome::Stopped, 5, 0, false});
-  cr_assert(finishedAs(Apply.State_, "d/t/1", JobState::Cancelled));
+  cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Cancelled));
   cr_assert(Apply(Cancel{"d/t/1", "amina"}).Kind_ == ChangeKind::NotApplicable);
 
   Apply(Accept{spec("d/t/2", 3)});
@@ -209,7 +210,7 @@
 
 // Guards against unbounded memory, and against dropping jobs that have not finished.
 Test(Retention, theOldestFinishedJobsAreDropped) {
-  Replayer Apply({3});
+  ReplayedState Apply({3});
   Apply(Accept{spec("d/t/open")});
   for (int I = 0; I < 6; ++I) {
     Apply(Accept{spec("d/t/" + std::to_string(I))});
@@ -231,26 +232,27 @@
     std::mt19937 Random(Seed);
     DomainState Full({10});
     DomainState Restored({10});
-    const std::uint64_t Length = 200 + Random() % 800;
-    const std::uint64_t Base = Random() % Length;
-    for (std::uint64_t Offset = 0; Offset < Length; ++Offset) {
+    const std::uint64_t RecordCount = 200 + Random() % 800;
+    const std::uint64_t SnapshotOffset = Random() % RecordCount;
+    for (std::uint64_t Offset = 0; Offset < RecordCount; ++Offset) {
       const journal::Entry Record = randomRecord(Random, Full);
-      const Change First = Full.apply(Record, Offset, 5);
-      if (Offset == Base)
+      const Change FullChange = Full.apply(Record, Offset, 5);
+      if (Offset == SnapshotOffset)
         cr_assert(Restored.decode(Full.encode()), "seed %u", Seed);
-      if (Offset <= Base)
+      if (Offset <= SnapshotOffset)
         continue;
-      const Change Second = Restored.apply(Record, Offset, 5);
-      cr_assert(First.Kind_ == Second.Kind_, "seed %u offset %lu", Seed, Offset);
-      cr_assert_eq(First.JobFinished_, Second.JobFinished_, "seed %u offset %lu", Seed, Offset);
+      const Change RestoredChange = Restored.apply(Record, Offset, 5);
+      cr_assert(FullChange.Kind_ == RestoredChange.Kind_, "seed %u offset %lu", Seed, Offset);
+      cr_assert_eq(FullChange.JobFinished_, RestoredChange.JobFinished_, "seed %u offset %lu", Seed,
+                   Offset);
     }
     cr_assert(Full.encode() == Restored.encode(), "seed %u", Seed);
     cr_assert(Full.counts() == Restored.counts(), "seed %u", Seed);
-    const auto A = Full.runningByWorker();
-    const auto B = Restored.runningByWorker();
-    cr_assert_eq(A.size(), B.size(), "seed %u", Seed);
-    for (const auto &[Worker, Tasks] : A)
-      cr_assert_eq(Tasks.size(), B.at(Worker).size(), "seed %u", Seed);
+    const auto FullRunning = Full.runningByWorker();
+    const auto RestoredRunning = Restored.runningByWorker();
+    cr_assert_eq(FullRunning.size(), RestoredRunning.size(), "seed %u", Seed);
+    for (const auto &[Worker, Tasks] : FullRunning)
+      cr_assert_eq(Tasks.size(), RestoredRunning.at(Worker).size(), "seed %u", Seed);
     cr_assert_eq(Full.runnable().size(), Restored.runnable().size(), "seed %u", Seed);
   }
 }
@@ -262,24 +264,24 @@
     DomainState State({10});
     for (std::uint64_t Offset = 0; Offset < 1000; ++Offset)
       State.apply(randomRecord(Random, State), Offset, 5);
-    std::size_t Running = 0;
-    for (const Job &One : State.list())
-      for (const Task &Each : One.Tasks_)
-        Running += Each.State_ == TaskState::Running ? 1 : 0;
-    std::size_t Indexed = 0;
+    std::size_t RunningCount = 0;
+    for (const Job &KnownJob : State.list())
+      for (const Task &JobTask : KnownJob.Tasks_)
+        RunningCount += JobTask.State_ == TaskState::Running ? 1 : 0;
+    std::size_t IndexedCount = 0;
     for (const auto &[Worker, Tasks] : State.runningByWorker())
-      Indexed += Tasks.size();
-    cr_assert_eq(Running, Indexed, "seed %u", Seed);
+      IndexedCount += Tasks.size();
+    cr_assert_eq(RunningCount, IndexedCount, "seed %u", Seed);
   }
 }
 
 // Guards against crashes on damaged records and snapshots, and against a damaged snapshot that
 // replaces the state.
 Test(Snapshots, randomBytesNeverCrashOrChangeTheState) {
-  Replayer Apply;
+  ReplayedState Apply;
   Apply(Accept{spec("d/t/1", 2)});
   Apply(Start{"d/t/1", 0, 1, "w1", 5});
-  const std::string Valid = Apply.State_.encode();
+  const std::string ValidBytes = Apply.State_.encode();
   const std::vector<journal::Entry> Records{
       toEntry(Accept{spec("d/t/1", 2)}), toEntry(Cancel{"d/t/1", "a"}),
       toEntry(Start{"d/t/1", 1, 1, "w", 5}),
@@ -288,27 +290,27 @@
   for (const unsigned Seed : {21U, 22U, 23U}) {
     cr_log_info("seed %u", Seed);
     std::mt19937 Random(Seed);
-    DomainState Other;
+    DomainState Replayed;
     for (int Round = 0; Round < 20'000; ++Round) {
       journal::Entry Record = Records[Random() % Records.size()];
       Record.Body_[Random() % Record.Body_.size()] = static_cast<char>(Random());
       if (Random() % 4 == 0)
         Record.Body_.resize(Random() % Record.Body_.size());
-      Other.apply(Record, static_cast<std::uint64_t>(Round), 5);
-      std::string Damaged = Valid;
-      Damaged.resize(Random() % Damaged.size());
-      cr_assert(!Apply.State_.decode(Damaged), "seed %u", Seed);
-      Damaged = Valid;
-      Damaged[Random() % Damaged.size()] = static_cast<char>(Random());
-      DomainState Scratch;
-      const std::string Empty = Scratch.encode();
-      if (!Scratch.decode(Damaged))
-        cr_assert(Scratch.encode() == Empty, "seed %u", Seed);
+      Replayed.apply(Record, static_cast<std::uint64_t>(Round), 5);
+      std::string DamagedBytes = ValidBytes;
+      DamagedBytes.resize(Random() % DamagedBytes.size());
+      cr_assert(!Apply.State_.decode(DamagedBytes), "seed %u", Seed);
+      DamagedBytes = ValidBytes;
+      DamagedBytes[Random() % DamagedBytes.size()] = static_cast<char>(Random());
+      DomainState Restored;
+      const std::string InitialBytes = Restored.encode();
+      if (!Restored.decode(DamagedBytes))
+        cr_assert(Restored.encode() == InitialBytes, "seed %u", Seed);
       else
-        (void)Scratch.runnable();
+        (void)Restored.runnable();
     }
   }
-  cr_assert(Apply.State_.encode() == Valid);
+  cr_assert(Apply.State_.encode() == ValidBytes);
 }
 
 // Guards against a data race between replay and status queries.
@@ -331,8 +333,8 @@
   for (std::uint64_t Offset = 0; Offset < 5000; ++Offset)
     State.apply(randomRecord(Random, State), Offset, 5);
   Done = true;
-  for (auto &One : Readers)
-    One.join();
-  DomainState Copy({20});
-  cr_assert(Copy.decode(State.encode()));
+  for (auto &Reader : Readers)
+    Reader.join();
+  DomainState Restored({20});
+  cr_assert(Restored.decode(State.encode()));
 }
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -45,15 +45,16 @@
 /// A server that gives the same answer to every request and keeps the requests.
 struct FixedServer {
   explicit FixedServer(http::Response Answer)
-      : Answer_(std::move(Answer)), Server_({}, [this](http::Request In, http::Responder Respond) {
+      : Response_(std::move(Answer)),
+        Server_({}, [this](http::Request In, http::Responder Respond) {
           const std::lock_guard Lock(Mutex_);
           Requests_.push_back(std::move(In));
-          Respond(Answer_);
+          Respond(Response_);
         }) {}
 
   void set(http::Response Answer) {
     const std::lock_guard Lock(Mutex_);
-    Answer_ = std::move(Answer);
+    Response_ = std::move(Answer);
   }
   http::Request last() {
     const std::lock_guard Lock(Mutex_);
@@ -66,7 +67,7 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(Server_.port()); }
 
   std::mutex Mutex_;
-  http::Response Answer_;
+  http::Response Response_;
   std::vector<http::Request> Requests_;
   http::Server Server_;
 };
@@ -97,23 +98,24 @@
 
 // Guards against reporting a record as certainly not written although it may have been, which
 // would make a refusal "not run" untrue.
-Test(LogClientOutcome, eachAnswerIsCertainOrUnknown) {
+Test(LogClientOutcome, eachResponseHasACertainOrUnknownOutcome) {
   LogService Service;
   http::Client Http;
   LogClient Log(Http, {Service.url(), std::chrono::milliseconds(150)});
   Service.plan({OnAppend::Take, OnAppend::Refuse, OnAppend::TooMany, OnAppend::Fail,
                 OnAppend::TakeSilent, OnAppend::DropSilent});
-  const auto Taken = appendAndWait(Log, "a");
-  cr_assert(Taken.first == ErrorKind::None);
-  cr_assert_eq(Taken.second, 0);
+  const auto Accepted = appendAndWait(Log, "a");
+  cr_assert(Accepted.first == ErrorKind::None);
+  cr_assert_eq(Accepted.second, 0);
   cr_expect(appendAndWait(Log, "b").first == ErrorKind::StoreUnavailable, "503");
   cr_expect(appendAndWait(Log, "c").first == ErrorKind::StoreUnavailable, "429");
   cr_expect(appendAndWait(Log, "d").first == ErrorKind::AppendUnknown, "500");
   cr_expect(appendAndWait(Log, "e").first == ErrorKind::AppendUnknown, "taken, no answer");
   cr_expect(appendAndWait(Log, "f").first == ErrorKind::AppendUnknown, "not taken, no answer");
 
-  LogClient Away(Http, {"http://127.0.0.1:" + std::to_string(closedPort())});
-  cr_expect(appendAndWait(Away, "g").first == ErrorKind::StoreUnavailable, "not connected");
+  LogClient UnreachableLog(Http, {"http://127.0.0.1:" + std::to_string(closedPort())});
+  cr_expect(appendAndWait(UnreachableLog, "g").first == ErrorKind::StoreUnavailable,
+            "not connected");
 }
 
 // Guards against losing the end of the stream or the oldest offset when decoding a read.
@@ -124,8 +126,8 @@
   Service.expire(1);
   http::Client Http;
   LogClient Log(Http, {Service.url()});
-  const auto [Error, Read] = readAndWait(Log, 2, 2);
-  cr_assert(Error == ErrorKind::None);
+  const auto [Kind, Read] = readAndWait(Log, 2, 2);
+  cr_assert(Kind == ErrorKind::None);
   cr_assert_eq(Read.First_, 1);
   cr_assert_eq(Read.Next_, 5);
   cr_assert_eq(Read.Records_.size(), 2);
@@ -194,8 +196,8 @@
 }
 
 // Guards against forgetting all instances while the list service is away or damaged.
-Test(InstanceListPolling, theLastGoodListIsKept) {
-  const std::string Good =
+Test(InstanceListPolling, theLastValidListIsKept) {
+  const std::string ValidList =
       R"({"instances":[{"name":"a","kind":"entry","address":"1.2.3.4:5","state":"live"}]})";
   FixedServer Server({503, "{}"});
   core::Timers Timers;
@@ -209,14 +211,15 @@
   cr_assert(List.current() == nullptr);
   cr_assert(!List.age(core::Clock::now()));
 
-  Server.set({200, Good});
+  Server.set({200, ValidList});
   cr_assert(waitFor([&] { return List.current() != nullptr; }));
   cr_assert(List.current()->Instances_.at(0).Name_ == "a");
 
-  for (const http::Response &Bad : {http::Response{500, "{}"}, http::Response{200, "{\"inst"}}) {
-    Server.set(Bad);
-    const std::size_t Before = Server.requests();
-    cr_assert(waitFor([&] { return Server.requests() >= Before + 3; }));
+  for (const http::Response &InvalidResponse :
+       {http::Response{500, "{}"}, http::Response{200, "{\"inst"}}) {
+    Server.set(InvalidResponse);
+    const std::size_t RequestsBefore = Server.requests();
+    cr_assert(waitFor([&] { return Server.requests() >= RequestsBefore + 3; }));
     cr_assert_eq(List.current()->Instances_.size(), 1);
   }
   const auto SentAt = List.current()->SentAt_;
@@ -227,7 +230,7 @@
 }
 
 // Guards against treating a command that may have been carried out as one without effect.
-Test(WorkerCommands, everyAnswerMapsToOneStatus) {
+Test(WorkerCommands, everyResponseMapsToOneStatus) {
   FixedServer Server({201, "{}"});
   http::Client Http;
   WorkerClient Client(Http, std::chrono::milliseconds(200));
@@ -247,11 +250,11 @@
     Server.set(Answer);
     cr_expect(startAndWait(Client, Address) == Expected, "status %d", Answer.Status_);
   }
-  const std::string Away = "127.0.0.1:" + std::to_string(closedPort());
-  cr_expect(startAndWait(Client, Away) == WorkerStatus::NotConnected);
-  const http::Server Silent(
+  const std::string UnreachableAddress = "127.0.0.1:" + std::to_string(closedPort());
+  cr_expect(startAndWait(Client, UnreachableAddress) == WorkerStatus::NotConnected);
+  const http::Server SlowServer(
       {}, [](auto, auto) { std::this_thread::sleep_for(std::chrono::milliseconds(400)); });
-  cr_expect(startAndWait(Client, "127.0.0.1:" + std::to_string(Silent.port())) ==
+  cr_expect(startAndWait(Client, "127.0.0.1:" + std::to_string(SlowServer.port())) ==
             WorkerStatus::NoAnswer);
 }
 
@@ -271,7 +274,7 @@
 }
 
 // Guards against losing a task of the answer: a task that is missing counts as never run.
-Test(WorkerCommands, aLeaseAnswerIsCompleteOrUnknown) {
+Test(WorkerCommands, aLeaseResponseIsCompleteOrUnknown) {
   FixedServer Server({200, R"({"boot":"b1","term":3,"leaving":true,"tasks":[
       {"id":"j#0","attempt":1,"state":"finished","exit":0},
       {"id":"j#1","attempt":2,"state":"stopped","exit":15,"reason":"checkpoint"}],
@@ -291,7 +294,7 @@
   Server.set({200, R"({"boot":"b1","term":3,"tasks":[{"id":"j#0","attempt":1,"state":"odd"}]})"});
   cr_assert(leaseAndWait(Client, Server.address()).first == WorkerStatus::NoAnswer);
   Server.set({409, R"({"term":12})"});
-  const auto [Refusal, Higher] = leaseAndWait(Client, Server.address());
-  cr_assert(Refusal == WorkerStatus::StaleTerm);
-  cr_assert_eq(Higher.Term_, 12);
+  const auto [RefusalStatus, HigherTermAnswer] = leaseAndWait(Client, Server.address());
+  cr_assert(RefusalStatus == WorkerStatus::StaleTerm);
+  cr_assert_eq(HigherTermAnswer.Term_, 12);
 }
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -10,7 +10,7 @@
 
 // --- Submissions ---
 
-Test(PlatformJob, aSubmissionIsDecodedWhole) {
+Test(PlatformJob, allFieldsOfASubmissionAreDecoded) {
   const auto [Spec, Error] = platform::decodeJob(
       R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900,)"
       R"("affinity":"r1-3"},{"count":20,"cpu":2000,"depends_on":[0],"checkpointing":true,)"
@@ -27,7 +27,7 @@
 }
 
 // Guards against bodies that are accepted and can never run, or that make the daemon allocate.
-Test(PlatformJob, malformedSubmissionsAreRefusedWithAReason) {
+Test(PlatformJob, malformedSubmissionsAreRejectedWithAReason) {
   for (const char *Body :
        {"", "[]", "{", R"({"spec":"x"})", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
         R"({"steps":[1]})", R"({"steps":[{"count":1,"depends_on":[0]}]})",
@@ -85,15 +85,16 @@
 
 // --- Executors ---
 
-Test(PlatformExecutor, entriesThatNameNoExecutorAreLeftOut) {
-  const std::string Good =
+Test(PlatformExecutor, entriesThatDescribeNoExecutorAreLeftOut) {
+  const std::string ValidEntry =
       R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"draining",)"
       R"("drain_remaining_ms":900,"capacity":{"cpu":16000,"mem_mb":1,"gpu":0},)"
       R"("labels":["a","r1-3"],"born":5})";
-  const auto Info = platform::decodeExecutor("i-1", Good);
-  cr_assert(Info.has_value());
-  cr_expect(Info->Draining_ && Info->DrainRemainingMs_ == 900 && Info->IncarnationStartMs_ == 5);
-  cr_expect(fleet::rackOf(*Info) == "r1-3");
+  const auto Executor = platform::decodeExecutor("i-1", ValidEntry);
+  cr_assert(Executor.has_value());
+  cr_expect(Executor->Draining_ && Executor->DrainRemainingMs_ == 900 &&
+            Executor->IncarnationStartMs_ == 5);
+  cr_expect(fleet::rackOf(*Executor) == "r1-3");
   for (const char *Text :
        {"\x80\x81", "5", "{}", R"({"service":"s","address":"a","state":"odd","capacity":{}})",
         R"({"service":1,"address":"a","state":"ready","capacity":{}})",
@@ -101,7 +102,7 @@
     cr_expect(!platform::decodeExecutor("i-1", Text).has_value(), "%s", Text);
 }
 
-Test(PlatformExecutor, listsAndAnswersAreDecoded) {
+Test(PlatformExecutor, reportsAndOrderResponsesAreDecoded) {
   const auto Report = platform::decodeReport(
       R"({"clock_ms":9,"born":3,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,7],["bad",1,"",0]],)"
       R"("ended":[[58,"5c0e7a21d94b36f8.2.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.0.0",1,"odd"]]})");
@@ -122,7 +123,7 @@
 
 // --- The log ---
 
-Test(PlatformLog, recordsSurviveTheirEncoding) {
+Test(PlatformLog, encodedRecordsAreDecodedUnchanged) {
   const std::vector<platform::KeyedRecord> Records{{0, "k1", "value"}, {0, "k2", ""}};
   const std::string Header("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0", 16);
   const auto Read = platform::decodeRead(Header + platform::encodeRecords(Records), 7);
@@ -134,7 +135,7 @@
 }
 
 // Guards against reads beyond a truncated answer.
-Test(PlatformLog, aTruncatedAnswerLosesOnlyItsLastRecord) {
+Test(PlatformLog, aTruncatedResponseLosesOnlyItsLastRecord) {
   const std::vector<platform::KeyedRecord> Records{{0, "k1", "value"}, {0, "k2", "other"}};
   const std::string Header("\0\0\0\0\0\0\0\x02\0\0\0\0\0\0\0\0", 16);
   std::string Body = Header + platform::encodeRecords(Records);
