tests: reword comments of the platform and domain state tests

Cause: comments at the heads of tests used words private to the project. Change: each says in plain terms which fault the test guards against.

--- a/tests/unit/DomainStateTest.cpp
+++ b/tests/unit/DomainStateTest.cpp
@@ -23,7 +23,7 @@
   return Spec;
 }
 
-/// Applies records one after another under one term.
+/// A state to which records are applied at consecutive offsets under one term.
 struct ReplayedState {
   template <typename T> Change operator()(const T &Record) {
     return State_.apply(toEntry(Record), Offset_++, Term_);
@@ -39,7 +39,7 @@
   return Found && Found->State_ == Expected;
 }
 
-/// A random record; most refer to jobs that exist and to current attempts.
+/// \returns a random record; most refer to existing jobs and current attempts.
 journal::Entry randomRecord(std::mt19937 &Random, const DomainState &State) {
   const std::string Id = "d/t/" + std::to_string(Random() % 30);
   const auto Job = State.find(Id);
@@ -72,7 +72,7 @@
 
 } // namespace
 
-// Guards against a resubmission that runs a job twice or changes its content.
+// Guards against a resubmission that runs a job twice or changes its specification.
 Test(JobLifecycle, theFirstAcceptOfAnIdCounts) {
   ReplayedState Apply;
   cr_assert(Apply(Accept{spec("d/t/1", 2)}).Kind_ == ChangeKind::Accepted);
@@ -83,7 +83,7 @@
   cr_assert_eq(Apply.State_.runnable().size(), 1);
 }
 
-// Guards against losing a step between acceptance and the end of a job.
+// Guards against lost state changes between acceptance and completion of a job.
 Test(JobLifecycle, aJobRunsToItsEnd) {
   ReplayedState Apply;
   Apply(Accept{spec("d/t/1", 2)});
@@ -107,7 +107,7 @@
   cr_assert_eq(Apply.State_.counts().at(JobState::Succeeded), 1);
 }
 
-// Guards against an old owner whose records arrive after a takeover.
+// Guards against applying records of a previous owner that arrive after a takeover.
 Test(JobLifecycle, recordsOfAnotherTermHaveNoEffect) {
   ReplayedState Apply;
   Apply(Accept{spec("d/t/1")});
@@ -119,13 +119,13 @@
   cr_assert(Apply(Start{"d/t/1", 0, 1, "w1", 5}).Kind_ == ChangeKind::Started);
   cr_assert(Apply(End{"d/t/1", 0, 1, TaskOutcome::Failed, 4, 1, false}).Kind_ ==
             ChangeKind::StaleTerm);
-  // The next owner ends what the previous one started.
+  // The next owner may end an attempt that the previous one started.
   Apply.Term_ = 6;
   cr_assert(Apply(End{"d/t/1", 0, 1, TaskOutcome::Succeeded, 6, 0, false}).Kind_ ==
             ChangeKind::Ended);
 }
 
-// Guards against an attempt that is started twice or ended by another attempt's record.
+// Guards against starting an attempt twice or ending it by a record of another attempt.
 Test(JobLifecycle, onlyTheCurrentAttemptCounts) {
   ReplayedState Apply;
   Apply(Accept{spec("d/t/1", 1, true)});
@@ -143,12 +143,12 @@
             ChangeKind::UnknownJob);
 }
 
-// Guards against a second run of a task that is not idempotent and may have run.
+// Guards against running a task again that is not idempotent and may have run.
 Test(JobLifecycle, aTaskThatMayHaveRunIsHeld) {
   ReplayedState Apply;
   Apply(Accept{spec("d/t/1")});
   Apply(Start{"d/t/1", 0, 1, "w1", 5});
-  // The owner's wish to run it again has no effect.
+  // The owner's request for another attempt is ignored.
   const Change LostChange = Apply(End{"d/t/1", 0, 1, TaskOutcome::Lost, 5, 0, true});
   cr_assert(LostChange.Kind_ == ChangeKind::Held && LostChange.JobFinished_);
   cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Unknown));
@@ -156,7 +156,7 @@
   cr_assert(Apply(Start{"d/t/1", 0, 2, "w2", 5}).Kind_ == ChangeKind::NotApplicable);
   cr_assert(Apply(End{"d/t/1", 0, 1, TaskOutcome::NeverRan, 5, 0, true}).Kind_ ==
             ChangeKind::NotApplicable);
-  // A worker that comes back tells how the attempt ended.
+  // A worker that reconnects reports how the attempt ended.
   cr_assert(Apply(End{"d/t/1", 0, 1, TaskOutcome::Succeeded, 5, 0, false}).Kind_ ==
             ChangeKind::Ended);
   cr_assert(jobHasState(Apply.State_, "d/t/1", JobState::Succeeded));
@@ -171,7 +171,7 @@
   cr_assert(Apply.State_.runningOn("w1").empty());
 }
 
-// Guards against a service that stays down, and against a cancelled one that is restarted.
+// Guards against not restarting a service, and against restarting a cancelled one.
 Test(JobLifecycle, aServiceRestartsUntilItIsCancelled) {
   ReplayedState Apply;
   Apply(Accept{spec("d/t/s", 1, false, JobKind::Service)});
@@ -187,7 +187,7 @@
   cr_assert(jobHasState(Apply.State_, "d/t/s", JobState::Cancelled));
 }
 
-// Guards against cancellations that hit nothing, and against starts after a cancellation.
+// Guards against accepting a cancellation without a target and against starts after a cancellation.
 Test(Cancellation, aCancelStopsWhatWaitsAndMarksWhatRuns) {
   ReplayedState Apply;
   cr_assert(Apply(Cancel{"d/t/none", "amina"}).Kind_ == ChangeKind::UnknownJob);
@@ -208,7 +208,7 @@
   cr_assert(Apply(Cancel{"d/t/2", "amina"}).JobFinished_);
 }
 
-// Guards against unbounded memory, and against dropping jobs that have not finished.
+// Guards against keeping finished jobs without limit and against dropping unfinished ones.
 Test(Retention, theOldestFinishedJobsAreDropped) {
   ReplayedState Apply({3});
   Apply(Accept{spec("d/t/open")});
@@ -224,8 +224,8 @@
   cr_assert(Apply.State_.list("other").empty());
 }
 
-// Guards against a snapshot that loses or changes anything: a reader that starts from it must reach
-// the state of one that replayed everything.
+// Guards against a snapshot that loses or changes state: replay from a snapshot must reach the same
+// state as full replay.
 Test(Snapshots, aSnapshotPlusTheTailEqualsFullReplay) {
   for (unsigned Seed = 1; Seed <= 40; ++Seed) {
     cr_log_info("seed %u", Seed);
@@ -257,7 +257,7 @@
   }
 }
 
-// Guards against an index of running tasks that differs from the tasks' states.
+// Guards against an index of running tasks that disagrees with the states of the tasks.
 Test(Snapshots, theWorkerIndexMatchesTheTasks) {
   for (unsigned Seed = 100; Seed < 110; ++Seed) {
     std::mt19937 Random(Seed);
@@ -275,8 +275,8 @@
   }
 }
 
-// Guards against crashes on damaged records and snapshots, and against a damaged snapshot that
-// replaces the state.
+// Guards against crashes on damaged records or snapshots, and against replacing the state by a
+// damaged snapshot.
 Test(Snapshots, randomBytesNeverCrashOrChangeTheState) {
   ReplayedState Apply;
   Apply(Accept{spec("d/t/1", 2)});
@@ -313,7 +313,7 @@
   cr_assert(Apply.State_.encode() == ValidBytes);
 }
 
-// Guards against a data race between replay and status queries.
+// Guards against data races between replay and status queries.
 Test(Sharding, readersRunBesideReplay) {
   DomainState State({20});
   std::atomic<bool> Done{false};
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -36,13 +36,13 @@
   return Promise.get_future().get();
 }
 
-/// A port that nothing listens on.
+/// \returns a port without a listener.
 std::uint16_t closedPort() {
   const http::Server Server({}, [](auto, auto) {});
   return Server.port();
 }
 
-/// A server that gives the same answer to every request and keeps the requests.
+/// A server that sends the same response to every request and records the requests.
 struct FixedServer {
   explicit FixedServer(http::Response Answer)
       : Response_(std::move(Answer)),
@@ -96,8 +96,8 @@
 
 } // namespace
 
-// Guards against reporting a record as certainly not written although it may have been, which
-// would make a refusal "not run" untrue.
+// Guards against reporting an append as failed although the record may have been written. The
+// caller would then be told "not run" for a job that may run.
 Test(LogClientOutcome, eachResponseHasACertainOrUnknownOutcome) {
   LogService Service;
   http::Client Http;
@@ -110,15 +110,15 @@
   cr_expect(appendAndWait(Log, "b").first == ErrorKind::StoreUnavailable, "503");
   cr_expect(appendAndWait(Log, "c").first == ErrorKind::StoreUnavailable, "429");
   cr_expect(appendAndWait(Log, "d").first == ErrorKind::AppendUnknown, "500");
-  cr_expect(appendAndWait(Log, "e").first == ErrorKind::AppendUnknown, "taken, no answer");
-  cr_expect(appendAndWait(Log, "f").first == ErrorKind::AppendUnknown, "not taken, no answer");
+  cr_expect(appendAndWait(Log, "e").first == ErrorKind::AppendUnknown, "accepted, no response");
+  cr_expect(appendAndWait(Log, "f").first == ErrorKind::AppendUnknown, "not accepted, no response");
 
   LogClient UnreachableLog(Http, {"http://127.0.0.1:" + std::to_string(closedPort())});
   cr_expect(appendAndWait(UnreachableLog, "g").first == ErrorKind::StoreUnavailable,
             "not connected");
 }
 
-// Guards against losing the end of the stream or the oldest offset when decoding a read.
+// Guards against a decoder that drops the end of the stream or its oldest offset.
 Test(LogClientOutcome, aReadReturnsRecordsAndBounds) {
   LogService Service;
   for (int I = 0; I < 5; ++I)
@@ -137,7 +137,8 @@
   cr_assert(readAndWait(Log, 2, 2).first == ErrorKind::StoreUnavailable);
 }
 
-// Guards against taking a malformed answer for an empty stream, which would count as caught up.
+// Guards against decoding a malformed response as an empty stream: the reader would believe that it
+// has caught up.
 Test(LogClientOutcome, aMalformedReadIsAnError) {
   FixedServer Server({200, ""});
   http::Client Http;
@@ -157,7 +158,7 @@
   }
 }
 
-// Guards against rounding fractional cores and against losing fields of the list.
+// Guards against rounding fractional cores to whole ones and against dropped fields.
 Test(InstanceListParsing, aCompleteListIsDecoded) {
   const auto List = parseInstances(R"({"instances":[
     {"name":"w1","kind":"worker","domain":"lahore-a","region":"punjab","rack":"r1",
@@ -182,7 +183,7 @@
   cr_assert_eq(Executor.Connections_, 64);
 }
 
-// Guards against accepting a damaged list, after which instances would seem to be gone.
+// Guards against accepting a damaged list, which would make instances disappear.
 Test(InstanceListParsing, aMalformedListIsRefused) {
   for (const char *Text :
        {"", "[]", "{}", R"({"instances":{}})", R"({"instances":[1]})",
@@ -195,7 +196,7 @@
     cr_expect(!parseInstances(Text), "%s", Text);
 }
 
-// Guards against forgetting all instances while the list service is away or damaged.
+// Guards against dropping all instances while the list service fails or sends invalid lists.
 Test(InstanceListPolling, theLastValidListIsKept) {
   const std::string ValidList =
       R"({"instances":[{"name":"a","kind":"entry","address":"1.2.3.4:5","state":"live"}]})";
@@ -229,7 +230,7 @@
   Timers.stop();
 }
 
-// Guards against treating a command that may have been carried out as one without effect.
+// Guards against reporting a command as without effect although it may have been executed.
 Test(WorkerCommands, everyResponseMapsToOneStatus) {
   FixedServer Server({201, "{}"});
   http::Client Http;
@@ -258,7 +259,7 @@
             WorkerStatus::NoAnswer);
 }
 
-// Guards against ids with '/' or '#' being read as a path or fragment by the worker.
+// Guards against unescaped '/' and '#' in ids, which the worker would parse as path or fragment.
 Test(WorkerCommands, anIdIsOnePathSegment) {
   FixedServer Server({201, "{}"});
   http::Client Http;
@@ -273,7 +274,7 @@
   cr_assert(Seen.Body_.find("\"cores\":1.5") != std::string::npos, "%s", Seen.Body_.c_str());
 }
 
-// Guards against losing a task of the answer: a task that is missing counts as never run.
+// Guards against dropping a task of the response: a missing task counts as never run.
 Test(WorkerCommands, aLeaseResponseIsCompleteOrUnknown) {
   FixedServer Server({200, R"({"boot":"b1","term":3,"leaving":true,"tasks":[
       {"id":"j#0","attempt":1,"state":"finished","exit":0},
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -1,4 +1,4 @@
-// The platform's bodies, decoded into the product's types.
+// Decoding and encoding of the platform's bodies.
 #include "platform/Ingress.h"
 #include "platform/Settings.h"
 #include "platform/Store.h"
@@ -26,7 +26,7 @@
   cr_expect_eq(Spec->Steps_[1].MaxPerExecutor_, 2);
 }
 
-// Guards against bodies that are accepted and can never run, or that make the daemon allocate.
+// Guards against accepting jobs that can never run or that make the daemon allocate without limit.
 Test(PlatformJob, malformedSubmissionsAreRejectedWithAReason) {
   for (const char *Body :
        {"", "[]", "{", R"({"spec":"x"})", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
@@ -63,7 +63,7 @@
   cr_expect_eq(Manifest->Customers_.at("t").UpperLimit_.MilliCores_, 5);
 }
 
-// Guards against a daemon that stops over a configuration from another writer.
+// Guards against a daemon that fails on a configuration with unexpected types.
 Test(PlatformManifest, fieldsOfWrongTypesAreLeftOut) {
   cr_expect(!platform::decodeManifest("not json").has_value());
   cr_expect(!platform::decodeManifest(R"({"routes":[]})").has_value());
@@ -117,11 +117,11 @@
   cr_expect(platform::decodeOrderResponse(409, R"({"reason":"old"})").Outcome_ == Superseded);
   cr_expect(platform::decodeOrderResponse(421, "").Outcome_ == OtherInstance);
   cr_expect(platform::decodeOrderResponse(503, "").Outcome_ == Unhealthy);
-  // What can't be told counts as possibly carried out.
+  // An order with an ambiguous response may have been executed.
   cr_expect(platform::decodeOrderResponse(500, "").Outcome_ == NoAnswer);
 }
 
-// --- The log ---
+// --- Log service ---
 
 Test(PlatformLog, encodedRecordsAreDecodedUnchanged) {
   const std::vector<platform::KeyedRecord> Records{{0, "k1", "value"}, {0, "k2", ""}};
@@ -134,7 +134,7 @@
   cr_expect(Read.Records_[1].Offset_ == 8 && Read.Records_[1].Value_.empty());
 }
 
-// Guards against reads beyond a truncated answer.
+// Guards against reading past the end of a truncated response.
 Test(PlatformLog, aTruncatedResponseLosesOnlyItsLastRecord) {
   const std::vector<platform::KeyedRecord> Records{{0, "k1", "value"}, {0, "k2", "other"}};
   const std::string Header("\0\0\0\0\0\0\0\x02\0\0\0\0\0\0\0\0", 16);
