--- a/tests/unit/DomainStateTest.cpp
+++ b/tests/unit/DomainStateTest.cpp
@@ -35,8 +35,8 @@
 };
 
 bool jobHasState(const DomainState &State, const std::string &Id, JobState Expected) {
-  const auto Found = State.find(Id);
-  return Found && Found->State_ == Expected;
+  const auto KnownJob = State.find(Id);
+  return KnownJob && KnownJob->State_ == Expected;
 }
 
 /// \returns a random record; most refer to existing jobs and current attempts.
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -27,10 +27,10 @@
   return Promise.get_future().get();
 }
 
-std::pair<ErrorKind, ReadResult> readAndWait(LogClient &Log, std::uint64_t From,
-                                             std::uint32_t Max) {
+std::pair<ErrorKind, ReadResult> readAndWait(LogClient &Log, std::uint64_t FromOffset,
+                                             std::uint32_t MaxRecords) {
   std::promise<std::pair<ErrorKind, ReadResult>> Promise;
-  Log.read("domain.a", From, Max, [&](std::error_code Error, ReadResult Result) {
+  Log.read("domain.a", FromOffset, MaxRecords, [&](std::error_code Error, ReadResult Result) {
     Promise.set_value({core::kindOf(Error), std::move(Result)});
   });
   return Promise.get_future().get();
@@ -46,9 +46,9 @@
 struct FixedServer {
   explicit FixedServer(http::Response Answer)
       : Response_(std::move(Answer)),
-        Server_({}, [this](http::Request In, http::Responder Respond) {
+        Server_({}, [this](http::Request Incoming, http::Responder Respond) {
           const std::lock_guard Lock(Mutex_);
-          Requests_.push_back(std::move(In));
+          Requests_.push_back(std::move(Incoming));
           Respond(Response_);
         }) {}
 
