--- a/include/masticdrift/jobs/DomainState.h
+++ b/include/masticdrift/jobs/DomainState.h
@@ -39,9 +39,8 @@
   std::string Job_;
   std::uint32_t Task_ = 0;
   std::uint32_t Attempt_ = 0;
-  std::string Worker_; ///< set for Started, Ended, Requeued and Held
-  bool JobFinished_ =
-      false; ///< the job reached a final state, or the outcome of a held task was settled
+  std::string Worker_;       ///< set for Started, Ended, Requeued and Held
+  bool JobFinished_ = false; ///< the job reached a final state or a held one was settled
 };
 
 /// A task that waits to be started.
@@ -130,6 +129,7 @@
   /// \returns all running tasks by worker.
   std::map<std::string, std::vector<RunningTask>> runningByWorker() const;
 
+  /// \returns the number of jobs in each state.
   JobCounts counts() const;
 
   /// \returns the encoded state; equal sequences of records give equal bytes.
--- a/include/masticdrift/jobs/Job.h
+++ b/include/masticdrift/jobs/Job.h
@@ -73,7 +73,7 @@
   std::uint64_t Offset_ = 0;  ///< offset of the record that led to this state
   std::int32_t ExitCode_ = 0;
   std::string Reason_;          ///< reason of a Hold
-  std::string LeaseGeneration_; ///< of the last Start
+  std::string LeaseGeneration_; ///< generation of the worker's lease, from the last Start
   MSGPACK_DEFINE_ARRAY(State_, Attempt_, Worker_, Term_, Offset_, ExitCode_, Reason_,
                        LeaseGeneration_)
   bool operator==(const Task &) const = default;
@@ -85,8 +85,7 @@
   JobState State_ = JobState::Queued;
   std::uint64_t AcceptOffset_ = 0;
   std::uint64_t AcceptSequence_ = 0; ///< position in the domain's order of acceptance, from 1
-  std::uint64_t FinishSequence_ =
-      0; ///< position in the domain's order of completion, 0 while unfinished
+  std::uint64_t FinishSequence_ = 0; ///< position in the order of completion, 0 while unfinished
   bool CancelRequested_ = false;
   std::string CancelledBy_;
   std::vector<Task> Tasks_;
