--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -59,7 +59,7 @@
                     const protocol::JobStateReply &Reply, const StateCallback &OnState);
   /// A job record to store and the job's steps, which are empty for a cancellation.
   struct StoreRequest {
-    work::LedgerEntry Record_;
+    work::LogRecord Record_;
     std::string Spec_;
   };
   void store(const std::shared_ptr<PendingRequest> &Request, StoreRequest Write,
@@ -68,7 +68,7 @@
   /// steps.
   void append(StoreRequest Write, core::TimePoint Deadline,
               std::function<void(WriteOutcome)> OnDone);
-  std::vector<work::LedgerEntry> entriesFor(work::LedgerEntry Entry) const;
+  std::vector<work::LogRecord> entriesFor(work::LogRecord Entry) const;
   void forwardToLeader(const std::shared_ptr<PendingRequest> &Request,
                        const std::string &LeaderAddress, StoreRequest Write,
                        std::function<void(WriteOutcome)> OnDone);
--- a/include/masticdrift/daemon/JobStateWaiters.h
+++ b/include/masticdrift/daemon/JobStateWaiters.h
@@ -15,7 +15,7 @@
 namespace masticdrift::daemon {
 
 /// \returns the state of a job according to the ledger.
-protocol::JobStateReply jobStateReply(const work::Ledger &Ledger, std::string_view JobId);
+protocol::JobStateReply jobStateReply(const work::JobTable &Ledger, std::string_view JobId);
 
 /// Holds queries for jobs whose end is being written, until the end is durable or a deadline
 /// passes. Does no I/O.
@@ -29,7 +29,7 @@
   void add(std::string JobId, core::TimePoint Deadline, ReplyCallback OnReply);
 
   /// Answers the queries whose job is final or was removed, and those whose deadline has passed.
-  void answerReady(const work::Ledger &Ledger, core::TimePoint Now);
+  void answerReady(const work::JobTable &Ledger, core::TimePoint Now);
 
   /// \returns the number of waiting queries.
   std::size_t size() const { return Waiters_.size(); }
--- a/include/masticdrift/daemon/JobWriter.h
+++ b/include/masticdrift/daemon/JobWriter.h
@@ -32,13 +32,13 @@
 
   /// \param OnStored called for each stored record, before the callback of its write.
   JobWriter(platform::Store &Store, std::string Topic,
-            std::function<void(std::uint64_t Offset, const work::LedgerEntry &)> OnStored);
+            std::function<void(std::uint64_t Offset, const work::LogRecord &)> OnStored);
 
   /// Appends \p Entries in one call.
   ///
   /// \param Deadline latest time for \p OnDone; enforced by expire().
   /// \param OnDone called once with the outcome.
-  void write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline, Callback OnDone);
+  void write(std::vector<work::LogRecord> Entries, core::TimePoint Deadline, Callback OnDone);
 
   /// Completes the write whose last record has this key as stored, because the record was read back
   /// from the log.
@@ -52,7 +52,7 @@
 
 private:
   struct PendingWrite {
-    std::vector<work::LedgerEntry> Entries_;
+    std::vector<work::LogRecord> Entries_;
     core::TimePoint Deadline_;
     Callback OnDone_;
     bool MayBeStored_ = false; ///< was part of an unanswered call
@@ -64,7 +64,7 @@
 
   platform::Store &Store_;
   const std::string Topic_;
-  const std::function<void(std::uint64_t, const work::LedgerEntry &)> OnStored_;
+  const std::function<void(std::uint64_t, const work::LogRecord &)> OnStored_;
   std::deque<PendingWrite> Queued_;
   std::vector<PendingWrite> InFlight_;
   bool CallInFlight_ = false;
--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -20,8 +20,8 @@
 /// collected and sent in batches by flush().
 class OrderRouter {
 public:
-  using OrderCallback = std::function<void(const platform::OrderAnswer &)>;
-  using HoldCallback = std::function<void(const platform::HoldAnswer &)>;
+  using OrderCallback = std::function<void(const platform::OrderResponse &)>;
+  using HoldCallback = std::function<void(const platform::LeaseRenewalResult &)>;
 
   explicit OrderRouter(FleetContext &Context) : Context_(Context) {}
 
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -157,7 +157,7 @@
   /// When an end of a run of an unknown job was first reported; zero without one.
   core::TimePoint UnknownJobSince_{};
   /// That end and all later ones of the last report.
-  std::vector<fleet::EndRow> PostponedEnds_;
+  std::vector<fleet::ReportedEnd> PostponedEnds_;
   core::TimePoint AvoidUntil_{}; ///< no new runs before this time
   Slowness Slowness_;
   core::TimePoint DrainEnd_{}; ///< zero while not draining
--- a/include/masticdrift/lead/Progress.h
+++ b/include/masticdrift/lead/Progress.h
@@ -6,7 +6,7 @@
 ///
 /// Example:
 /// \code
-///   addSample(Run.Progress_, Row.Percent_, Now);
+///   addSample(Run.Progress_, Row.ProgressPercent_, Now);
 ///   if (shouldMove({Run.Progress_, TypicalTime, RestartOverhead}, Now))
 ///     stopAndRestartElsewhere(Run);
 /// \endcode
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -102,7 +102,7 @@
   void setManifest(const work::Manifest &Manifest, core::TimePoint Now);
 
   /// Adds or updates a job after one of its records was applied to the ledger.
-  void onJob(const work::LedgerJob &Job, core::TimePoint Now, std::int64_t WallMs);
+  void onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs);
 
   /// \returns true when the leader has ended the job; the record of the end may not be durable yet.
   bool hasEnded(const std::string &Id) const;
@@ -128,14 +128,15 @@
   /// Handles the answer to a request for advice.
   /// \param Allowed executors that may run the step, or nothing without a usable answer.
   void onAdvice(const work::TaskRef &Step, std::span<const std::string> Asked,
-                const std::optional<std::vector<fleet::Advised>> &Allowed, core::TimePoint Now);
+                const std::optional<std::vector<fleet::AdvisedExecutor>> &Allowed,
+                core::TimePoint Now);
 
   /// Performs all due work: orders, hold requests and placement.
   void tick(core::TimePoint Now, std::int64_t WallMs);
 
   /// Takes the progress records that changed since the last call.
   /// \returns the number of the flush and the records to append; 0 and no records without changes.
-  std::pair<std::uint64_t, std::vector<work::LedgerEntry>> takeProgress();
+  std::pair<std::uint64_t, std::vector<work::LogRecord>> takeProgress();
   /// Handles that the records of \p Flush are durable.
   void onFlushed(std::uint64_t Flush, core::TimePoint Now);
 
@@ -181,17 +182,17 @@
   void stopJobRuns(TrackedJob &Job, std::string_view Reason, core::TimePoint Now);
   void stopStepRuns(TrackedJob &Job, const work::TaskRef &Task, std::string_view Reason,
                     core::TimePoint Now);
-  void processEnd(ExecutorState &Executor, const fleet::EndRow &End, core::TimePoint Now);
-  void recordFailure(ExecutorState &Executor, const fleet::EndRow &End, core::TimePoint Now);
-  void applyEnd(TrackedJob &Job, const fleet::EndRow &End, std::string_view ExecutorId,
+  void processEnd(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
+  void recordFailure(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
+  void applyEnd(TrackedJob &Job, const fleet::ReportedEnd &End, std::string_view ExecutorId,
                 bool RunWasKnown, core::TimePoint Now);
-  void processRunning(ExecutorState &Executor, const fleet::RunningRow &Row, core::TimePoint Now);
+  void processRunning(ExecutorState &Executor, const fleet::ReportedRun &Row, core::TimePoint Now);
   void removeMissingRuns(ExecutorState &Executor, const fleet::Report &Report,
                          core::TimePoint SentAt, core::TimePoint Now);
-  void processEnds(ExecutorState &Executor, std::span<const fleet::EndRow> Rows,
+  void processEnds(ExecutorState &Executor, std::span<const fleet::ReportedEnd> Rows,
                    core::TimePoint Now);
   void reconcileLateJob(TrackedJob &Job, core::TimePoint Now);
-  bool mustWaitForJob(ExecutorState &Executor, const fleet::EndRow &End, core::TimePoint Now);
+  bool mustWaitForJob(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
   void preventLostStarts(ExecutorState &Executor, core::TimePoint Now);
   void handleRestart(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
   static void resetIncarnation(ExecutorState &Executor);
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -32,7 +32,7 @@
 
 /// A request that has not been answered yet.
 struct EntryService::PendingRequest {
-  platform::CallerCall Call_;
+  platform::CallerRequest Call_;
   http::Responder Respond_;
   std::string JobId_;
   const work::Queue *Queue_ = nullptr; ///< valid during handle() only
@@ -59,7 +59,7 @@
                           std::string_view Message) {
   const core::ErrorInfo &Info = core::describe(Kind);
   http::Response Response;
-  Response.Status_ = platform::statusOf(Kind);
+  Response.Status_ = platform::httpStatusOf(Kind);
   Response.Body_ = core::errorBody(Kind, Message, Request->JobId_);
   if (Response.Status_ == 503 || Response.Status_ == 429)
     Response.Headers_.emplace_back("Retry-After", RetryAfterSeconds);
@@ -76,7 +76,7 @@
 
 void EntryService::handle(const http::Request &HttpRequest, const http::Responder &Respond) {
   const auto Request = std::make_shared<PendingRequest>();
-  Request->Call_ = platform::decodeCall(HttpRequest);
+  Request->Call_ = platform::decodeCallerRequest(HttpRequest);
   Request->ReceivedAt_ = core::Clock::now();
   const core::Millis CallerTimeout =
       Request->Call_.DeadlineMs_ > 0
@@ -110,19 +110,19 @@
   const auto CustomerEntry = Manifest.CustomerOfKey_.find(Request->Call_.Key_);
   if (CustomerEntry != Manifest.CustomerOfKey_.end()) {
     Request->Customer_ = CustomerEntry->second;
-  } else if (!Request->Queue_->Open_) {
+  } else if (!Request->Queue_->AllowsAnonymous_) {
     refuse(Request, Request->Call_.Key_.empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
            "the API key is missing or not part of the configuration in force");
     return;
   }
-  if (PathSuffix.empty() && Request->Call_.Method_ == platform::CallMethod::Look) {
+  if (PathSuffix.empty() && Request->Call_.Method_ == platform::CallerMethod::Query) {
     if (!JobTail_.loaded()) {
       refuse(Request, ErrorKind::StoreUnavailable,
              "the number of pending jobs is unknown until all jobs are loaded");
       return;
     }
     Request->answer(200,
-                    platform::encodePending(Context_.Ledger_.pendingOf(Request->Queue_->Name_)));
+                    platform::encodePending(Context_.Ledger_.pendingCount(Request->Queue_->Name_)));
     return;
   }
   if (Request->JobId_.empty()) {
@@ -130,16 +130,16 @@
     return;
   }
   switch (Request->Call_.Method_) {
-  case platform::CallMethod::Submit:
+  case platform::CallerMethod::Submit:
     submit(Request, HttpRequest.Body_);
     return;
-  case platform::CallMethod::Look:
+  case platform::CallerMethod::Query:
     queryState(Request);
     return;
-  case platform::CallMethod::Cancel:
+  case platform::CallerMethod::Cancel:
     cancel(Request);
     return;
-  case platform::CallMethod::Other:
+  case platform::CallerMethod::Other:
     refuse(Request, ErrorKind::MethodNotAllowed, "a job supports only POST, GET and DELETE");
     return;
   }
@@ -162,7 +162,7 @@
     return;
   }
   const work::AcceptedRecord Record{*Request->Queue_, Request->Customer_, core::wallMillis()};
-  store(Request, {work::acceptedEntry(Request->JobId_, Record), core::pack(*Spec)},
+  store(Request, {work::encodeAccepted(Request->JobId_, Record), core::pack(*Spec)},
         [this, Request](WriteOutcome Outcome) { answerWrite(Request, Outcome); });
 }
 
@@ -182,7 +182,7 @@
   }
   const double Seconds =
       std::chrono::duration<double>(core::Clock::now() - Request->ReceivedAt_).count();
-  const bool IsSubmission = Request->Call_.Method_ == platform::CallMethod::Submit;
+  const bool IsSubmission = Request->Call_.Method_ == platform::CallerMethod::Submit;
   if (IsSubmission) {
     core::count("masticdrift_submissions_total", {{"outcome", "accepted"}});
     core::observe("masticdrift_submission_seconds", Seconds);
@@ -216,7 +216,7 @@
     RecordWriter_.write(entriesFor(std::move(Write.Record_)), Deadline, std::move(OnDone));
     return;
   }
-  const std::string Id(work::acceptedIdOf(Write.Record_));
+  const std::string Id(work::acceptedJobId(Write.Record_));
   SpecWriter_.write({{Id, std::move(Write.Spec_)}}, Deadline,
                     [this, Record = std::move(Write.Record_), Deadline,
                      OnDone = std::move(OnDone)](WriteOutcome Outcome) mutable {
@@ -229,12 +229,12 @@
                     });
 }
 
-std::vector<work::LedgerEntry> EntryService::entriesFor(work::LedgerEntry Entry) const {
-  std::vector<work::LedgerEntry> Entries;
+std::vector<work::LogRecord> EntryService::entriesFor(work::LogRecord Entry) const {
+  std::vector<work::LogRecord> Entries;
   // The leader appends the begin record together with the acceptance, which saves an append before
   // the first task starts.
-  if (const std::string_view Id = work::acceptedIdOf(Entry); !Id.empty() && Leader_.leading())
-    Entries.push_back(work::begunEntry(Id, Leader_.term()));
+  if (const std::string_view Id = work::acceptedJobId(Entry); !Id.empty() && Leader_.leading())
+    Entries.push_back(work::encodeStarted(Id, Leader_.term()));
   Entries.push_back(std::move(Entry));
   return Entries;
 }
@@ -292,7 +292,7 @@
   }
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
   const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
-  if (const work::LedgerJob *Job = Context_.Ledger_.find(Id);
+  if (const work::JobTableEntry *Job = Context_.Ledger_.find(Id);
       Job != nullptr && !Call.Spec_.empty()) {
     // Repeated submission that was sent to another daemon.
     OnDone({true, false, Job->AcceptedOffset_});
@@ -303,7 +303,7 @@
            protocol::SubmitReply Reply;
            Reply.Stored_ = Outcome == WriteOutcome::Stored;
            Reply.Refused_ = Outcome == WriteOutcome::Refused;
-           if (const work::LedgerJob *Job = Context_.Ledger_.find(Id))
+           if (const work::JobTableEntry *Job = Context_.Ledger_.find(Id))
              Reply.Offset_ = Job->AcceptedOffset_;
            OnDone(Reply);
          });
@@ -399,7 +399,7 @@
       answerWrite(Request, WriteOutcome::Stored);
       return;
     }
-    store(Request, {work::cancelledEntry(Request->JobId_, {core::wallMillis()}), {}},
+    store(Request, {work::encodeCancelled(Request->JobId_, {core::wallMillis()}), {}},
           [this, Request](WriteOutcome Outcome) { answerWrite(Request, Outcome); });
   });
 }
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -85,8 +85,9 @@
                                                           Client_,
                                                           Store_,
                                                           Settings_,
-                                                          Settings.Peers_.Address_ + ':' +
-                                                              std::to_string(Settings.Peers_.Port_),
+                                                          Settings.PeerEndpoint_.Address_ + ':' +
+                                                              std::to_string(
+                                                                  Settings.PeerEndpoint_.Port_),
                                                           newIncarnation(),
                                                           core::Clock::now(),
                                                           {},
@@ -120,25 +121,25 @@
             {[this](const platform::KeyedRecord &Record) { onExecutorRecord(Record); },
              [this](const std::set<std::string> &Keys) { onExecutorsLoaded(Keys); }}),
         RecordWriter_(Store_, JobsTopic,
-                      [this](std::uint64_t Offset, const work::LedgerEntry &Entry) {
+                      [this](std::uint64_t Offset, const work::LogRecord &Entry) {
                         onJobRecord({Offset, Entry.Key_, Entry.Value_});
                       }),
         SpecWriter_(Store_, SpecsTopic,
-                    [this](std::uint64_t Offset, const work::LedgerEntry &Entry) {
+                    [this](std::uint64_t Offset, const work::LogRecord &Entry) {
                       if (SpecTail_.started())
                         onSpecRecord({Offset, Entry.Key_, Entry.Value_});
                     }),
         Leader_(Context_, JobTail_, SpecTail_, ExecutorTail_), OrderRelay_(Context_),
         EntryService_(Context_, JobTail_, SpecWriter_, RecordWriter_, Leader_),
-        CallerServer_(serverOptions(Loop_, Settings.Callers_),
+        CallerServer_(serverOptions(Loop_, Settings.CallerEndpoint_),
                       [this](const http::Request &HttpRequest, const http::Responder &Respond) {
                         EntryService_.handle(HttpRequest, Respond);
                       }),
-        ReadyServer_(serverOptions(Loop_, Settings.Ready_),
+        ReadyServer_(serverOptions(Loop_, Settings.ReadyEndpoint_),
                      [this](const http::Request &, const http::Responder &Respond) {
                        answerReadiness(Respond);
                      }),
-        PeerServer_(serverOptions(Loop_, Settings.Peers_),
+        PeerServer_(serverOptions(Loop_, Settings.PeerEndpoint_),
                     [this](const http::Request &HttpRequest, const http::Responder &Respond) {
                       handlePeerRequest(HttpRequest, Respond);
                     }),
@@ -167,15 +168,15 @@
 
 private:
   void onJobRecord(const platform::KeyedRecord &Record) {
-    const work::LedgerChange Change =
+    const work::JobTableChange Change =
         Context_.Ledger_.apply(Record.Offset_, Record.Key_, Record.Value_);
-    using enum work::LedgerChange::Kind;
+    using enum work::JobTableChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job record cannot be decoded",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(Record.Offset_)}});
     if (Change.Kind_ == Progressed)
       Leader_.onProgressRead(Record.Key_, Record.Value_);
-    if (Change.Kind_ == Forgotten)
+    if (Change.Kind_ == Removed)
       Leader_.onJob(Change.Id_);
     if (Change.Kind_ == Accepted || Change.Kind_ == Cancelled) {
       RecordWriter_.confirmStored(Record.Key_);
@@ -184,8 +185,8 @@
   }
 
   void onSpecRecord(const platform::KeyedRecord &Record) {
-    const work::LedgerChange Change = Context_.Ledger_.applySpec(Record.Key_, Record.Value_);
-    using enum work::LedgerChange::Kind;
+    const work::JobTableChange Change = Context_.Ledger_.applySpec(Record.Key_, Record.Value_);
+    using enum work::JobTableChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job specification cannot be decoded",
                 {{"request_id", Change.Id_}, {"offset", std::to_string(Record.Offset_)}});
@@ -310,19 +311,19 @@
       Respond({400, {}, "text/plain", {}, false});
       return;
     }
-    platform::askAdvice(Client_, Settings_.AdviceAddress_,
-                        {Call->JobId_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
-                        core::Millis(Call->TimeoutMs_),
-                        [Respond](const std::optional<std::vector<fleet::Advised>> &Advice) {
-                          protocol::AdviseReply Reply;
-                          Reply.Answered_ = Advice.has_value();
-                          if (Advice)
-                            for (const fleet::Advised &Candidate : *Advice) {
-                              Reply.Executors_.push_back(Candidate.Executor_);
-                              Reply.Tickets_.push_back(Candidate.Ticket_);
-                            }
-                          Respond({200, core::pack(Reply), "application/msgpack", {}, false});
-                        });
+    platform::requestAdvice(
+        Client_, Settings_.AdviceAddress_, {Call->JobId_, Call->Occurrence_, Call->Step_, 0},
+        Call->Executors_, core::Millis(Call->TimeoutMs_),
+        [Respond](const std::optional<std::vector<fleet::AdvisedExecutor>> &Advice) {
+          protocol::AdviseReply Reply;
+          Reply.Answered_ = Advice.has_value();
+          if (Advice)
+            for (const fleet::AdvisedExecutor &Candidate : *Advice) {
+              Reply.Executors_.push_back(Candidate.Executor_);
+              Reply.Tickets_.push_back(Candidate.Ticket_);
+            }
+          Respond({200, core::pack(Reply), "application/msgpack", {}, false});
+        });
   }
 
   void handlePeerSubmit(const http::Request &HttpRequest, const http::Responder &Respond) {
@@ -385,7 +386,7 @@
       return;
     }
     Settings_.AdviceAddress_ = NewSettings.AdviceAddress_;
-    Settings_.GraceMs_ = NewSettings.GraceMs_;
+    Settings_.StopGraceMs_ = NewSettings.StopGraceMs_;
     core::log(core::LogLevel::Info, "settings reloaded");
   }
 
@@ -406,7 +407,7 @@
     const bool Idle = EntryService_.openRequests() == 0 && SpecWriter_.idle() &&
                       RecordWriter_.idle() && Leader_.released();
     if ((Idle && Elapsed >= MinStopTime) ||
-        Elapsed >= core::Millis(Settings_.GraceMs_) - StopMargin) {
+        Elapsed >= core::Millis(Settings_.StopGraceMs_) - StopMargin) {
       Loop_.stop();
       return;
     }
--- a/src/daemon/JobStateWaiters.cpp
+++ b/src/daemon/JobStateWaiters.cpp
@@ -5,21 +5,21 @@
 
 namespace masticdrift::daemon {
 
-protocol::JobStateReply jobStateReply(const work::Ledger &Ledger, std::string_view JobId) {
-  const work::LedgerJob *Job = Ledger.find(JobId);
+protocol::JobStateReply jobStateReply(const work::JobTable &Ledger, std::string_view JobId) {
+  const work::JobTableEntry *Job = Ledger.find(JobId);
   if (Job == nullptr)
     return {true, false, {}, 0};
-  return {true, true, Job->What_.Customer_, static_cast<std::uint8_t>(Job->state())};
+  return {true, true, Job->Acceptance_.Customer_, static_cast<std::uint8_t>(Job->state())};
 }
 
 void JobStateWaiters::add(std::string JobId, core::TimePoint Deadline, ReplyCallback OnReply) {
   Waiters_.push_back({std::move(JobId), Deadline, std::move(OnReply)});
 }
 
-void JobStateWaiters::answerReady(const work::Ledger &Ledger, core::TimePoint Now) {
+void JobStateWaiters::answerReady(const work::JobTable &Ledger, core::TimePoint Now) {
   const auto FirstReady =
       std::partition(Waiters_.begin(), Waiters_.end(), [&](const Waiter &Entry) {
-        const work::LedgerJob *Job = Ledger.find(Entry.JobId_);
+        const work::JobTableEntry *Job = Ledger.find(Entry.JobId_);
         return Job != nullptr && !work::isFinal(Job->state()) && Now < Entry.Deadline_;
       });
   std::vector<Waiter> ReadyWaiters(std::make_move_iterator(FirstReady),
--- a/src/daemon/JobWriter.cpp
+++ b/src/daemon/JobWriter.cpp
@@ -20,11 +20,11 @@
 }
 
 JobWriter::JobWriter(platform::Store &Store, std::string Topic,
-                     std::function<void(std::uint64_t, const work::LedgerEntry &)> OnStored)
+                     std::function<void(std::uint64_t, const work::LogRecord &)> OnStored)
     : Store_(Store), Topic_(std::move(Topic)), OnStored_(std::move(OnStored)),
       AppendTimeout_(MinAppendTimeout) {}
 
-void JobWriter::write(std::vector<work::LedgerEntry> Entries, core::TimePoint Deadline,
+void JobWriter::write(std::vector<work::LogRecord> Entries, core::TimePoint Deadline,
                       Callback OnDone) {
   Queued_.push_back({std::move(Entries), Deadline, std::move(OnDone)});
   flush();
@@ -36,7 +36,7 @@
   std::vector<platform::KeyedRecord> Records;
   for (std::size_t Bytes = 0; !Queued_.empty() && Bytes < MaxBatchBytes;) {
     PendingWrite &Write = Queued_.front();
-    for (const work::LedgerEntry &Entry : Write.Entries_) {
+    for (const work::LogRecord &Entry : Write.Entries_) {
       Bytes += Entry.Key_.size() + Entry.Value_.size();
       Records.push_back({0, Entry.Key_, Entry.Value_});
     }
@@ -78,7 +78,7 @@
     // The callbacks run last because they may call write().
     std::uint64_t Offset = Result.Offset_;
     for (const PendingWrite &Write : Batch)
-      for (const work::LedgerEntry &Entry : Write.Entries_)
+      for (const work::LogRecord &Entry : Write.Entries_)
         OnStored_(Offset++, Entry);
   } else {
     logFailure(Batch, Result, SentAt);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -125,7 +125,7 @@
         // A claim gains nothing while this daemon can't read the store either.
         LeaderGone_ || (LeaderWithoutStore_ && !Leadership_.failing() && !Jobs_.failing()),
         lead::claimRank(Context_.Settings_.Instance_, Context_.Settings_.Cores_), GoneSince_,
-        Context_.Store_.fastest()};
+        Context_.Store_.shortestCallTime()};
     if (!lead::isLeaderGone(View, {})) {
       GoneSince_ = {};
       return;
@@ -152,8 +152,8 @@
   void appendLeadershipRecord(std::uint64_t Offset, std::uint64_t Term, bool Released,
                               std::function<void(platform::AppendOutcome)> OnOutcome) {
     const std::vector<platform::KeyedRecord> Records{makeLeadershipRecord(Term, Released)};
-    platform::AppendTerms Conditions;
-    Conditions.At_ = Offset;
+    platform::AppendConditions Conditions;
+    Conditions.ExpectedEnd_ = Offset;
     Context_.Store_.append(
         LeadershipTopic, Records, Conditions, HeartbeatTimeout,
         [Self = shared_from_this(), Record = Records.front(),
@@ -213,7 +213,7 @@
   /// Fences earlier leaders: nothing that they still send is appended to the jobs topic, so it
   /// holds all that they will ever have written.
   void fenceEarlierLeaders() {
-    platform::AppendTerms Conditions;
+    platform::AppendConditions Conditions;
     Conditions.Producer_ = LeaderProducer;
     Conditions.Epoch_ = Term_;
     Context_.Store_.append(
@@ -274,7 +274,7 @@
         Now - Context_.StartedAt_ < FreshProcessAge &&
         HeartbeatGap_ >= core::Millis(3 * Context_.Settings_.HeartbeatMs_);
     lead::SchedulerTiming Timings;
-    Timings.MaxLease_ = core::Millis(Context_.Settings_.HoldMaxMs_);
+    Timings.MaxLease_ = core::Millis(Context_.Settings_.MaxLeaseMs_);
     Scheduler_.emplace(Term_, Timings, makePorts(), Now, ListMayBeIncomplete);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
@@ -406,7 +406,7 @@
     if (FlushNumber == 0)
       return;
     std::vector<platform::KeyedRecord> Records;
-    for (work::LedgerEntry &Entry : Entries)
+    for (work::LogRecord &Entry : Entries)
       Records.push_back({0, std::move(Entry.Key_), std::move(Entry.Value_)});
     if (Records.empty()) {
       Scheduler_->onFlushed(FlushNumber, Now);
@@ -421,7 +421,7 @@
 
   void appendProgress(std::uint64_t FlushNumber,
                       std::shared_ptr<std::vector<platform::KeyedRecord>> Records) {
-    platform::AppendTerms Conditions;
+    platform::AppendConditions Conditions;
     Conditions.Producer_ = LeaderProducer;
     Conditions.Epoch_ = Term_;
     Conditions.Sequence_ = Sequence_;
@@ -464,9 +464,9 @@
     case Stored: {
       std::uint64_t Offset = Result.Offset_;
       for (const platform::KeyedRecord &Record : *Records) {
-        const work::LedgerChange Change =
+        const work::JobTableChange Change =
             Context_.Ledger_.apply(Offset++, Record.Key_, Record.Value_);
-        const work::LedgerJob *Job = Context_.Ledger_.find(Change.Id_);
+        const work::JobTableEntry *Job = Context_.Ledger_.find(Change.Id_);
         if (Job != nullptr && work::isFinal(Job->state()))
           Retention_.onJobEnded(Change.Id_);
       }
@@ -477,10 +477,10 @@
       stepDown("jobs topic was fenced by a newer term");
       return;
     case WrongSequence:
-      core::log(
-          core::LogLevel::Warning, "producer sequence corrected",
-          {{"sent", std::to_string(Sequence_)}, {"expected", std::to_string(Result.Expected_)}});
-      Sequence_ = Result.Expected_;
+      core::log(core::LogLevel::Warning, "producer sequence corrected",
+                {{"sent", std::to_string(Sequence_)},
+                 {"expected", std::to_string(Result.ExpectedSequence_)}});
+      Sequence_ = Result.ExpectedSequence_;
       break;
     default:
       core::count("masticdrift_store_failures_total", {{"topic", JobsTopic}});
@@ -504,37 +504,40 @@
                                    const fleet::StartOrder &Order) {
       core::count("masticdrift_task_starts_total");
       OrderRouter_.start(Executor, Order,
-                         whileLeading<platform::OrderAnswer>(
+                         whileLeading<platform::OrderResponse>(
                              [this, Id = Executor.Id_, Run = lead::RunKey{Order.Task_, Order.Run_}](
-                                 const platform::OrderAnswer &Answer) {
+                                 const platform::OrderResponse &Answer) {
                                Scheduler_->onStartResult(Id, Run, Answer.Outcome_, Answer.ClockMs_,
                                                          core::Clock::now());
                              }));
     };
     SchedulerPorts.Stop_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run) {
       OrderRouter_.stop(Executor, Run, Term_,
-                        whileLeading<platform::OrderAnswer>(
-                            [this, Id = Executor.Id_, Run](const platform::OrderAnswer &Answer) {
+                        whileLeading<platform::OrderResponse>(
+                            [this, Id = Executor.Id_, Run](const platform::OrderResponse &Answer) {
                               Scheduler_->onStopResult(Id, Run, Answer.Outcome_,
                                                        core::Clock::now());
                             }));
     };
     SchedulerPorts.Pace_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
                                   int Percent) {
-      OrderRouter_.pace(Executor, Run, Term_, Percent, [Run](const platform::OrderAnswer &Answer) {
-        if (Answer.Outcome_ != fleet::OrderOutcome::Done)
-          core::log(core::LogLevel::Warning, "failed to set the pace of a run",
-                    {{"task", platform::taskName(Run.first)},
-                     {"outcome", std::string(nameOf(Answer.Outcome_))}});
-      });
+      OrderRouter_.pace(Executor, Run, Term_, Percent,
+                        [Run](const platform::OrderResponse &Answer) {
+                          if (Answer.Outcome_ != fleet::OrderOutcome::Done)
+                            core::log(core::LogLevel::Warning, "failed to set the pace of a run",
+                                      {{"task", platform::taskName(Run.first)},
+                                       {"outcome", std::string(nameOf(Answer.Outcome_))}});
+                        });
     };
     SchedulerPorts.Hold_ = [this](const fleet::ExecutorInfo &Executor, std::uint64_t SeenUpTo,
                                   std::int64_t UntilMs, core::Millis Wait) {
       OrderRouter_.hold(
           Executor, Term_, SeenUpTo, UntilMs, Wait,
-          whileLeading<platform::HoldAnswer>([this, Id = Executor.Id_, SentAt = core::Clock::now()](
-                                                 const platform::HoldAnswer &Answer) {
-            for (const fleet::EndRow &End : Answer.Report_.Ended_)
+          whileLeading<platform::LeaseRenewalResult>([this, Id = Executor.Id_,
+                                                      SentAt = core::Clock::now()](
+                                                         const platform::LeaseRenewalResult
+                                                             &Answer) {
+            for (const fleet::ReportedEnd &End : Answer.Report_.Ended_)
               core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(End.Kind_))}});
             Scheduler_->onHoldResult(Id, Answer.Outcome_, Answer.Report_, SentAt,
                                      core::Clock::now());
@@ -600,13 +603,14 @@
         core::Millis(static_cast<std::int64_t>(Call.ExpectedMs_)) + AdviceTimeoutMargin;
     const auto SharedCall = std::make_shared<AdviceCall>(std::move(Call));
     auto OnReply = [Self = shared_from_this(), Adviser, SharedCall, SentAt = core::Clock::now()](
-                       const std::optional<std::vector<fleet::Advised>> &UsableExecutors) {
+                       const std::optional<std::vector<fleet::AdvisedExecutor>> &UsableExecutors) {
       if (!Self->Closed_)
         Self->onAdvice(Adviser, *SharedCall, UsableExecutors, SentAt);
     };
     if (Adviser.empty()) {
-      platform::askAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_, SharedCall->Step_,
-                          SharedCall->Executors_, Timeout, std::move(OnReply));
+      platform::requestAdvice(Context_.Client_, Context_.Settings_.AdviceAddress_,
+                              SharedCall->Step_, SharedCall->Executors_, Timeout,
+                              std::move(OnReply));
       return;
     }
     http::ClientRequest HttpRequest;
@@ -624,7 +628,7 @@
         OnReply(std::nullopt);
         return;
       }
-      std::vector<fleet::Advised> UsableExecutors;
+      std::vector<fleet::AdvisedExecutor> UsableExecutors;
       for (std::size_t I = 0; I < Reply->Executors_.size(); ++I)
         UsableExecutors.push_back({std::move(Reply->Executors_[I]), std::move(Reply->Tickets_[I])});
       OnReply(std::move(UsableExecutors));
@@ -632,7 +636,7 @@
   }
 
   void onAdvice(const std::string &Adviser, const AdviceCall &Call,
-                const std::optional<std::vector<fleet::Advised>> &UsableExecutors,
+                const std::optional<std::vector<fleet::AdvisedExecutor>> &UsableExecutors,
                 core::TimePoint SentAt) {
     const core::TimePoint Now = core::Clock::now();
     core::observe("masticdrift_advice_seconds",
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -22,7 +22,7 @@
     sendOrder(
         Context_.Client_, Order,
         [this, Alive = std::weak_ptr<bool>(Alive_), OrderId = Order.OrderId_,
-         ReplyTo = Request.ReplyTo_](const platform::HoldAnswer &Answer) {
+         ReplyTo = Request.ReplyTo_](const platform::LeaseRenewalResult &Answer) {
           if (!Alive.expired())
             addResult(ReplyTo, {OrderId, Answer.Outcome_, Answer.Report_.ClockMs_, Answer.Report_});
         });
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -23,15 +23,15 @@
 /// Interval between checks for overdue results.
 constexpr core::Millis ExpiryCheckInterval{50};
 
-platform::HoldAnswer toHoldAnswer(const platform::OrderAnswer &Answer) {
-  platform::HoldAnswer HoldAnswer;
+platform::LeaseRenewalResult toHoldAnswer(const platform::OrderResponse &Answer) {
+  platform::LeaseRenewalResult HoldAnswer;
   HoldAnswer.Outcome_ = Answer.Outcome_;
   HoldAnswer.Report_.ClockMs_ = Answer.ClockMs_;
   return HoldAnswer;
 }
 
 OrderRouter::HoldCallback toHoldCallback(OrderRouter::OrderCallback OnAnswer) {
-  return [OnAnswer = std::move(OnAnswer)](const platform::HoldAnswer &Answer) {
+  return [OnAnswer = std::move(OnAnswer)](const platform::LeaseRenewalResult &Answer) {
     OnAnswer({Answer.Outcome_, Answer.Report_.ClockMs_});
   };
 }
@@ -41,7 +41,7 @@
   Order.Kind_ = static_cast<std::uint8_t>(Kind);
   Order.Order_.Task_ = Run.first;
   Order.Order_.Run_ = Run.second;
-  Order.Order_.Token_ = Token;
+  Order.Order_.FencingToken_ = Token;
   Order.TimeoutMs_ = OrderTimeout.count();
   return Order;
 }
@@ -50,10 +50,10 @@
 
 void sendOrder(http::LoopClient &Client, const protocol::RelayedOrder &Order,
                OrderRouter::HoldCallback OnAnswer) {
-  const platform::Target Target{Order.ExecutorAddress_, Order.ExecutorId_};
+  const platform::ExecutorEndpoint Target{Order.ExecutorAddress_, Order.ExecutorId_};
   const core::Millis Timeout(Order.TimeoutMs_);
   const fleet::StartOrder &Details = Order.Order_;
-  const auto OnOrderAnswer = [OnAnswer](const platform::OrderAnswer &Answer) {
+  const auto OnOrderAnswer = [OnAnswer](const platform::OrderResponse &Answer) {
     OnAnswer(toHoldAnswer(Answer));
   };
   switch (static_cast<RelayKind>(Order.Kind_)) {
@@ -61,19 +61,20 @@
     platform::sendStart(Client, Target, Details, Timeout, OnOrderAnswer);
     return;
   case RelayKind::Stop:
-    platform::sendStop(Client, Target, Details.Task_, Details.Run_, Details.Token_, Timeout,
+    platform::sendStop(Client, Target, Details.Task_, Details.Run_, Details.FencingToken_, Timeout,
                        OnOrderAnswer);
     return;
   case RelayKind::Pace:
-    platform::sendPace(Client, Target, Details.Task_, Details.Run_, Details.Token_, Order.Percent_,
-                       Timeout, OnOrderAnswer);
+    platform::sendPace(Client, Target, Details.Task_, Details.Run_, Details.FencingToken_,
+                       Order.Percent_, Timeout, OnOrderAnswer);
     return;
   case RelayKind::Hold:
-    platform::sendHold(Client, Target, Details.Token_, Order.SeenUpTo_, Details.UntilMs_,
-                       core::Millis(Order.WaitMs_), Timeout, std::move(OnAnswer));
+    platform::sendLeaseRenewal(Client, Target, Details.FencingToken_, Order.SeenUpTo_,
+                               Details.LeaseEndMs_, core::Millis(Order.WaitMs_), Timeout,
+                               std::move(OnAnswer));
     return;
   }
-  platform::HoldAnswer UnknownKindAnswer;
+  platform::LeaseRenewalResult UnknownKindAnswer;
   UnknownKindAnswer.Outcome_ = fleet::OrderOutcome::NotSent;
   OnAnswer(UnknownKindAnswer);
 }
@@ -81,7 +82,7 @@
 void OrderRouter::start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
                         OrderCallback OnAnswer) {
   protocol::RelayedOrder Relayed =
-      makeOrder(RelayKind::Start, {Order.Task_, Order.Run_}, Order.Token_);
+      makeOrder(RelayKind::Start, {Order.Task_, Order.Run_}, Order.FencingToken_);
   Relayed.Order_ = Order;
   route(Executor, std::move(Relayed), toHoldCallback(std::move(OnAnswer)));
 }
@@ -102,7 +103,7 @@
                        std::uint64_t SeenUpTo, std::int64_t UntilMs, core::Millis Wait,
                        HoldCallback OnAnswer) {
   protocol::RelayedOrder Relayed = makeOrder(RelayKind::Hold, {}, Token);
-  Relayed.Order_.UntilMs_ = UntilMs;
+  Relayed.Order_.LeaseEndMs_ = UntilMs;
   Relayed.SeenUpTo_ = SeenUpTo;
   Relayed.WaitMs_ = Wait.count();
   Relayed.TimeoutMs_ = (Wait + HoldAnswerMargin).count();
@@ -184,7 +185,7 @@
     auto Node = PendingOrders_.extract(Result.OrderId_);
     if (Node.empty())
       continue; // already counted as lost
-    platform::HoldAnswer Answer;
+    platform::LeaseRenewalResult Answer;
     Answer.Outcome_ = Result.Outcome_;
     Answer.Report_ = Result.Report_;
     Answer.Report_.ClockMs_ = Result.ClockMs_;
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -37,7 +37,8 @@
 }
 
 void Retention::removeJobs(std::int64_t WallMs) {
-  const std::int64_t FinalBeforeMs = WallMs - Context_.Settings_.StatusMs_ - RetentionMarginMs;
+  const std::int64_t FinalBeforeMs =
+      WallMs - Context_.Settings_.EndedJobRetentionMs_ - RetentionMarginMs;
   std::vector<platform::KeyedRecord> Records;
   std::size_t Count = 0;
   for (const auto &[Id, Job] : Context_.Ledger_.jobs()) {
@@ -47,7 +48,7 @@
         Job.Progress_->FinalMs_ >= FinalBeforeMs)
       continue;
     ++Count;
-    for (work::LedgerEntry &Entry : work::forgetEntries(Id))
+    for (work::LogRecord &Entry : work::encodeTombstones(Id))
       Records.push_back({0, std::move(Entry.Key_), {}});
   }
   if (Count == 0)
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -36,14 +36,14 @@
 
   void load(const std::string &AfterKey) {
     PageRequestedAt_ = core::Clock::now();
-    Store_.newest(Options_.Topic_, AfterKey, ResponseTimeout,
-                  [Self = shared_from_this(), AfterKey](platform::NewestResult Page) {
-                    if (!Self->Closed_)
-                      Self->onPage(AfterKey, std::move(Page));
-                  });
+    Store_.readNewest(Options_.Topic_, AfterKey, ResponseTimeout,
+                      [Self = shared_from_this(), AfterKey](platform::NewestRecordsPage Page) {
+                        if (!Self->Closed_)
+                          Self->onPage(AfterKey, std::move(Page));
+                      });
   }
 
-  void onPage(const std::string &AfterKey, platform::NewestResult Page) {
+  void onPage(const std::string &AfterKey, platform::NewestRecordsPage Page) {
     if (!Page.Complete_) {
       onFailure(Page.Detail_);
       schedule(RetryDelay_, [this] { load({}); });
@@ -60,7 +60,7 @@
       LoadedKeys_.insert(Record.Key_);
       Callbacks_.OnRecord_(Record);
     }
-    if (Page.More_ && !Page.Records_.empty()) {
+    if (Page.HasMore_ && !Page.Records_.empty()) {
       loadNextPage(Page.Records_.back().Key_);
       return;
     }
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -152,7 +152,7 @@
                           const work::StepSpec &Spec, std::uint32_t MaxTasks) const {
     core::Resources FreeRoom = Executor.Info_.Capacity_ - Executor.Used_;
     core::Resources Need = Spec.Need_;
-    if (Spec.Fills_)
+    if (Spec.BestEffort_)
       Need.MilliCores_ = 0;
     std::uint32_t Count = 0;
     std::uint32_t RunsHere = 0;
@@ -171,7 +171,7 @@
   /// executor.
   bool interferes(const ExecutorState &Executor, const work::StepSpec &Spec) const {
     return std::ranges::any_of(Executor.Runs_, [&](const auto &Entry) {
-      return (Spec.Fills_ && Entry.second.HasResponseTarget_) ||
+      return (Spec.BestEffort_ && Entry.second.HasResponseTarget_) ||
              (Spec.TargetMs_ > 0 && Entry.second.Fills_);
     });
   }
@@ -203,7 +203,7 @@
     visitAllowed(Job, Step, Spec, [&](ExecutorState &Executor) {
       if (freeSlots(Executor, Step, Spec, 1) == 0 ||
           (!Rack.empty() && fleet::rackOf(Executor.Info_) != Rack) ||
-          (Spec.Fills_ && interferes(Executor, Spec)))
+          (Spec.BestEffort_ && interferes(Executor, Spec)))
         return;
       const double Cost = placementCost(Executor, Spec, Task);
       // Ties are broken by ordinal, so that the choice does not depend on hash table order.
@@ -311,7 +311,7 @@
   void placeGang(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
     if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_ ||
         Step.WaitingTasks_ < Step.Tasks_.size() ||
-        !withinLimit(*Waiting.Job_, Spec.Need_ * Spec.Count_))
+        !withinLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_))
       return;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
@@ -329,9 +329,9 @@
     // Resources are reserved temporarily, so that the choice of later members accounts for them.
     std::vector<ExecutorState *> Chosen;
     core::Resources CountedNeed = Spec.Need_;
-    if (Spec.Fills_)
+    if (Spec.BestEffort_)
       CountedNeed.MilliCores_ = 0;
-    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+    for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       ExecutorState *Executor = chooseExecutor(*Waiting.Job_, Step, Spec, Step.Tasks_[I], Rack);
       if (Executor == nullptr)
         break;
@@ -343,14 +343,14 @@
       Executor->Used_ -= CountedNeed;
       --Step.RunsPerExecutor_[Executor->Ordinal_];
     }
-    if (Chosen.size() < Spec.Count_)
+    if (Chosen.size() < Spec.TaskCount_)
       return false;
     std::string Checkpoint;
     for (const TrackedTask &Tracked : Step.Tasks_)
       if (!Tracked.Checkpoint_.empty())
         Checkpoint = Tracked.Checkpoint_;
     Step.LastGangRun_ = std::max(Step.LastGangRun_ + 1, runNumber(Scheduler_.Token_, 1));
-    for (std::uint32_t I = 0; I < Spec.Count_; ++I) {
+    for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       Step.Tasks_[I].Checkpoint_ = Checkpoint;
       startTask(*Chosen[I], *Waiting.Job_, Step,
                 {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, I}, Step.LastGangRun_);
@@ -383,8 +383,8 @@
     std::ranges::sort(Unadvised, {}, &std::pair<double, const ExecutorState *>::first);
     const double MissingSlots = (Wanted - FreeWithTicket) * AdviceReserveFactor;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
-    const auto MinExecutors = static_cast<std::size_t>(MinExecutorTimeFraction * Policy.DecideMs_ /
-                                                       std::max(Policy.EachMs_, 0.1));
+    const auto MinExecutors = static_cast<std::size_t>(MinExecutorTimeFraction * Policy.FixedMs_ /
+                                                       std::max(Policy.PerExecutorMs_, 0.1));
     std::vector<std::string> ExecutorIds;
     for (double ExpectedSlots = 0; const auto &[Cost, Executor] : Unadvised) {
       if ((ExpectedSlots >= MissingSlots && ExecutorIds.size() >= MinExecutors) ||
@@ -396,7 +396,7 @@
       ExecutorIds.push_back(Executor->Info_.Id_);
     }
     const double CallTimeMs =
-        Policy.DecideMs_ + Policy.EachMs_ * static_cast<double>(ExecutorIds.size());
+        Policy.FixedMs_ + Policy.PerExecutorMs_ * static_cast<double>(ExecutorIds.size());
     Step.AdvicePending_ = true;
     Scheduler_.Actions_.RequestAdvice_(
         {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0}, std::move(ExecutorIds),
@@ -416,7 +416,7 @@
     if (!Job.Queue_.Advice_ || Spec.DependsOn_.empty())
       return false;
     const auto AdviceTime = core::Millis(static_cast<std::int64_t>(
-        Job.Queue_.Advice_->DecideMs_ + Job.Queue_.Advice_->EachMs_ * Spec.Count_ * 2));
+        Job.Queue_.Advice_->FixedMs_ + Job.Queue_.Advice_->PerExecutorMs_ * Spec.TaskCount_ * 2));
     for (const std::uint32_t Earlier : Spec.DependsOn_) {
       const TrackedStep &EarlierStep = Job.Occurrences_[Occurrence].Steps_[Earlier];
       if (EarlierStep.DoneTasks_ == EarlierStep.Tasks_.size())
@@ -474,7 +474,7 @@
 }
 
 void Scheduler::onAdvice(const work::TaskRef &Task, std::span<const std::string> Asked,
-                         const std::optional<std::vector<fleet::Advised>> &Allowed,
+                         const std::optional<std::vector<fleet::AdvisedExecutor>> &Allowed,
                          core::TimePoint Now) {
   TrackedJob *Job = findJob(Task);
   if (Job == nullptr)
@@ -492,8 +492,8 @@
   for (const std::string &Id : Asked)
     if (const auto Found = Executors_.find(Id); Found != Executors_.end())
       Step.Advice_[Found->second.Ordinal_].Allowed_ = false;
-  const core::Millis TicketLife(Job->Queue_.Advice_->ValidMs_);
-  for (const fleet::Advised &Advised : *Allowed) {
+  const core::Millis TicketLife(Job->Queue_.Advice_->TicketValidMs_);
+  for (const fleet::AdvisedExecutor &Advised : *Allowed) {
     const auto Found = Executors_.find(Advised.Executor_);
     if (Found != Executors_.end())
       Step.Advice_[Found->second.Ordinal_] = {true, Advised.Ticket_,
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -45,16 +45,17 @@
   if (Executor.Silent_ || !Executor.Reported_)
     logDecision("executor_answers", {}, 0, ExecutorId, std::to_string(Report.Running_.size()));
   Executor.Silent_ = false;
-  if (Report.Born_ != 0 && Executor.Incarnation_ != 0 && Report.Born_ != Executor.Incarnation_)
+  if (Report.IncarnationStartMs_ != 0 && Executor.Incarnation_ != 0 &&
+      Report.IncarnationStartMs_ != Executor.Incarnation_)
     handleRestart(Executor, Report, Now);
-  if (Report.Born_ != 0)
-    Executor.Incarnation_ = Report.Born_;
+  if (Report.IncarnationStartMs_ != 0)
+    Executor.Incarnation_ = Report.IncarnationStartMs_;
   Executor.Reported_ = true;
   Executor.LastAnswerAt_ = Now;
   Executor.ClockMs_ = Report.ClockMs_;
   Executor.ClockReadAt_ = Now;
   processEnds(Executor, Report.Ended_, Now);
-  for (const fleet::RunningRow &Row : Report.Running_)
+  for (const fleet::ReportedRun &Row : Report.Running_)
     processRunning(Executor, Row, Now);
   removeMissingRuns(Executor, Report, SentAt, Now);
   checkProgress(Executor, Now);
@@ -66,7 +67,7 @@
   PlacementDue_ = true;
 }
 
-void Scheduler::processEnds(ExecutorState &Executor, std::span<const fleet::EndRow> Rows,
+void Scheduler::processEnds(ExecutorState &Executor, std::span<const fleet::ReportedEnd> Rows,
                             core::TimePoint Now) {
   Executor.PostponedEnds_.clear();
   for (std::size_t I = 0; I < Rows.size(); ++I) {
@@ -98,16 +99,16 @@
       NewRun.Checkpoint_ = EarlyRun.Checkpoint_;
     }
     if (!Executor.PostponedEnds_.empty())
-      processEnds(Executor, std::vector<fleet::EndRow>(Executor.PostponedEnds_), Now);
+      processEnds(Executor, std::vector<fleet::ReportedEnd>(Executor.PostponedEnds_), Now);
   }
 }
 
 /// \returns true while the end of a run must not be acknowledged because its job is unknown. An
 /// earlier leader that is still active may have accepted and started a job that this leader has not
 /// read yet; an acknowledgement would lose the result of the run.
-bool Scheduler::mustWaitForJob(ExecutorState &Executor, const fleet::EndRow &End,
+bool Scheduler::mustWaitForJob(ExecutorState &Executor, const fleet::ReportedEnd &End,
                                core::TimePoint Now) {
-  if (End.Number_ <= Executor.ProcessedEnd_ || Jobs_.contains(End.Task_.Job_) ||
+  if (End.SequenceNumber_ <= Executor.ProcessedEnd_ || Jobs_.contains(End.Task_.Job_) ||
       FinalJobs_.contains(End.Task_.Job_)) {
     Executor.UnknownJobSince_ = {};
     return false;
@@ -120,10 +121,11 @@
   return Now - Executor.UnknownJobSince_ < Timing_.UnknownJobWait_;
 }
 
-void Scheduler::processEnd(ExecutorState &Executor, const fleet::EndRow &End, core::TimePoint Now) {
-  if (End.Number_ <= Executor.ProcessedEnd_)
+void Scheduler::processEnd(ExecutorState &Executor, const fleet::ReportedEnd &End,
+                           core::TimePoint Now) {
+  if (End.SequenceNumber_ <= Executor.ProcessedEnd_)
     return;
-  Executor.ProcessedEnd_ = End.Number_;
+  Executor.ProcessedEnd_ = End.SequenceNumber_;
   logDecision("end", End.Task_, End.Run_, Executor.Info_.Id_, fleet::nameOf(End.Kind_));
   if (End.Kind_ == fleet::EndKind::Done)
     Executor.FailedJobs_.clear();
@@ -146,7 +148,7 @@
   removeRun(Executor, {End.Task_, End.Run_}, Now);
   const bool Durable =
       Job == nullptr || (DirtyJobs_.size() == DirtyBefore && !DirtyJobs_.contains(End.Task_.Job_));
-  Executor.UnackedEnds_.emplace_back(End.Number_, Durable ? 0 : NextFlush_);
+  Executor.UnackedEnds_.emplace_back(End.SequenceNumber_, Durable ? 0 : NextFlush_);
   // Ends without a durable effect are acknowledged with the next hold request.
   while (!Executor.UnackedEnds_.empty() && Executor.UnackedEnds_.front().second <= DurableFlush_) {
     Executor.DurableEnd_ = Executor.UnackedEnds_.front().first;
@@ -154,7 +156,7 @@
   }
 }
 
-void Scheduler::recordFailure(ExecutorState &Executor, const fleet::EndRow &End,
+void Scheduler::recordFailure(ExecutorState &Executor, const fleet::ReportedEnd &End,
                               core::TimePoint Now) {
   TrackedJob *Job = findJob(End.Task_);
   if (Job == nullptr)
@@ -175,8 +177,8 @@
               std::to_string(Executor.FailedJobs_.size()) + " jobs failed in a row");
 }
 
-void Scheduler::applyEnd(TrackedJob &Job, const fleet::EndRow &End, std::string_view ExecutorId,
-                         bool RunWasKnown, core::TimePoint Now) {
+void Scheduler::applyEnd(TrackedJob &Job, const fleet::ReportedEnd &End,
+                         std::string_view ExecutorId, bool RunWasKnown, core::TimePoint Now) {
   const work::StepSpec &Spec = stepSpec(Job, End.Task_);
   TrackedTask &Task = findStep(Job, End.Task_)->Tasks_[End.Task_.Index_];
   if (End.Kind_ == fleet::EndKind::Failed) {
@@ -196,11 +198,11 @@
     return;
   }
   work::TaskRef Member = End.Task_;
-  for (Member.Index_ = 0; Member.Index_ < Spec.Count_; ++Member.Index_)
+  for (Member.Index_ = 0; Member.Index_ < Spec.TaskCount_; ++Member.Index_)
     finishTask(Job, Member, Now);
 }
 
-void Scheduler::processRunning(ExecutorState &Executor, const fleet::RunningRow &Row,
+void Scheduler::processRunning(ExecutorState &Executor, const fleet::ReportedRun &Row,
                                core::TimePoint Now) {
   const auto Found = Executor.Runs_.find({Row.Task_, Row.Run_});
   if (Found == Executor.Runs_.end()) {
@@ -211,7 +213,7 @@
     Run &NewRun = addRun(Executor, Job, Row.Task_, Row.Run_, RunState::Running, Now);
     NewRun.ConfirmedAt_ = Now;
     NewRun.Progress_.FromStart_ = false;
-    addSample(NewRun.Progress_, Row.Percent_, Now);
+    addSample(NewRun.Progress_, Row.ProgressPercent_, Now);
     NewRun.Checkpoint_ = Row.Checkpoint_;
     if (Job == nullptr)
       Executor.AvoidUntil_ = Now + AvoidAfterUnknownRun;
@@ -230,8 +232,8 @@
   KnownRun.UnansweredStarts_ = 0;
   if (KnownRun.State_ == RunState::Starting)
     KnownRun.State_ = RunState::Running;
-  addSample(KnownRun.Progress_, Row.Percent_, Now);
-  KnownRun.ReportedMetric_ = Row.Figure_;
+  addSample(KnownRun.Progress_, Row.ProgressPercent_, Now);
+  KnownRun.ReportedMetric_ = Row.LoadMetric_;
   if (!Row.Checkpoint_.empty())
     KnownRun.Checkpoint_ = Row.Checkpoint_;
 }
@@ -239,7 +241,7 @@
 void Scheduler::removeMissingRuns(ExecutorState &Executor, const fleet::Report &Report,
                                   core::TimePoint SentAt, core::TimePoint Now) {
   std::set<RunKey> ListedRuns;
-  for (const fleet::RunningRow &Row : Report.Running_)
+  for (const fleet::ReportedRun &Row : Report.Running_)
     ListedRuns.insert({Row.Task_, Row.Run_});
   std::vector<RunKey> EndedRuns;
   for (const auto &[Key, ActiveRun] : Executor.Runs_) {
@@ -264,9 +266,9 @@
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
   std::set<RunKey> ListedRuns;
-  for (const fleet::RunningRow &Row : Report.Running_)
+  for (const fleet::ReportedRun &Row : Report.Running_)
     ListedRuns.insert({Row.Task_, Row.Run_});
-  for (const fleet::EndRow &Row : Report.Ended_)
+  for (const fleet::ReportedEnd &Row : Report.Ended_)
     ListedRuns.insert({Row.Task_, Row.Run_});
   std::vector<RunKey> EndedRuns;
   Executor.OrdersPending_ = true;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -36,9 +36,9 @@
     Executor.LeaseEnd_ = TermStart_ + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_) +
                          Timing_.StaleLeaderTime_;
     Executor.NextHoldAt_ = Now;
-    Executor.Incarnation_ = Info.Born_;
+    Executor.Incarnation_ = Info.IncarnationStartMs_;
   }
-  if (WasKnown && Info.Born_ > Executor.Incarnation_ && Executor.Incarnation_ != 0 &&
+  if (WasKnown && Info.IncarnationStartMs_ > Executor.Incarnation_ && Executor.Incarnation_ != 0 &&
       Executor.Reported_) {
     // Only the executor's own reports show which orders have reached the new incarnation.
     logDecision("executor_reborn", {}, 0, Info.Id_, "the executor list shows a new incarnation");
@@ -88,7 +88,7 @@
   const work::StepSpec &Spec = stepSpec(*Job, Task);
   NewRun.CountedInUse_ = true;
   NewRun.Need_ = Spec.Need_;
-  NewRun.Fills_ = Spec.Fills_;
+  NewRun.Fills_ = Spec.BestEffort_;
   NewRun.HasResponseTarget_ = Spec.TargetMs_ > 0;
   NewRun.TargetMs_ = Spec.TargetMs_;
   NewRun.Customer_ = Job->Acceptance_.Customer_;
@@ -143,7 +143,7 @@
 
 void Scheduler::sendStart(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now) {
   ActiveRun.OrderInFlight_ = true;
-  ActiveRun.Order_.UntilMs_ = leaseEndMs(Executor, Now);
+  ActiveRun.Order_.LeaseEndMs_ = leaseEndMs(Executor, Now);
   extendLeaseEnd(Executor, Now);
   ++StartsInFlight_;
   Actions_.Start_(Executor.Info_, ActiveRun.Order_);
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -17,8 +17,8 @@
 std::int64_t longestChainMs(const work::JobSpec &Spec, const work::Queue &Queue) {
   std::int64_t AdviceMs = 0;
   if (Queue.Advice_)
-    AdviceMs = static_cast<std::int64_t>(Queue.Advice_->DecideMs_ +
-                                         Queue.Advice_->EachMs_ * AdviceExecutorsPerCall);
+    AdviceMs = static_cast<std::int64_t>(Queue.Advice_->FixedMs_ +
+                                         Queue.Advice_->PerExecutorMs_ * AdviceExecutorsPerCall);
   std::vector<std::int64_t> EndMs(Spec.Steps_.size());
   std::int64_t LongestMs = 0;
   for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
@@ -50,13 +50,13 @@
 void Scheduler::setManifest(const work::Manifest &Manifest, core::TimePoint Now) {
   Manifest_ = Manifest;
   for (auto &[Id, Job] : Jobs_)
-    if (const work::Queue *Queue = work::queueNamed(Manifest_, Job.Acceptance_.Queue_.Name_))
+    if (const work::Queue *Queue = work::findQueueByName(Manifest_, Job.Acceptance_.Queue_.Name_))
       Job.Queue_ = *Queue;
   PlacementDue_ = true;
   NextPlacementAt_ = std::min(NextPlacementAt_, Now);
 }
 
-void Scheduler::onJob(const work::LedgerJob &Job, core::TimePoint Now, std::int64_t WallMs) {
+void Scheduler::onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs) {
   if (const auto Found = Jobs_.find(Job.Id_); Found != Jobs_.end()) {
     if (Job.Cancelled_ && !Found->second.Ended_)
       endJob(Found->second, work::JobState::Cancelled, Now);
@@ -64,19 +64,19 @@
   }
   if (Job.Accepted_ && work::isFinal(Job.state()))
     FinalJobs_.insert(Job.Id_);
-  if (!Job.Accepted_ || !Job.Specified_ || work::isFinal(Job.state()))
+  if (!Job.Accepted_ || !Job.HasSpec_ || work::isFinal(Job.state()))
     return;
   TrackedJob &NewJob = Jobs_[Job.Id_];
   NewJob.Id_ = Job.Id_;
-  NewJob.Acceptance_ = Job.What_;
+  NewJob.Acceptance_ = Job.Acceptance_;
   NewJob.Spec_ = Job.Spec_;
-  NewJob.Queue_ = Job.What_.Queue_;
-  if (const work::Queue *Queue = work::queueNamed(Manifest_, NewJob.Queue_.Name_))
+  NewJob.Queue_ = Job.Acceptance_.Queue_;
+  if (const work::Queue *Queue = work::findQueueByName(Manifest_, NewJob.Queue_.Name_))
     NewJob.Queue_ = *Queue;
   if (Job.Progress_)
     NewJob.Progress_ = *Job.Progress_;
-  const bool BegunByThisTerm = NewJob.Progress_.Term_ == Token_ || Job.BegunTerm_ == Token_;
-  NewJob.Inherited_ = !BegunByThisTerm && (NewJob.Progress_.Term_ != 0 || Job.BegunTerm_ != 0);
+  const bool BegunByThisTerm = NewJob.Progress_.Term_ == Token_ || Job.StartedTerm_ == Token_;
+  NewJob.Inherited_ = !BegunByThisTerm && (NewJob.Progress_.Term_ != 0 || Job.StartedTerm_ != 0);
   initJob(NewJob, Now, WallMs);
   if (!BegunByThisTerm && !NewJob.Inherited_) {
     // Made durable before the first start, so that a later leader knows which jobs never started.
@@ -119,15 +119,15 @@
     if (!Job.OverRate_)
       Tokens -= 1;
   }
-  Job.Occurrences_.resize(work::occurrencesOf(Spec));
+  Job.Occurrences_.resize(work::occurrenceCount(Spec));
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K) {
     TrackedOccurrence &Occurrence = Job.Occurrences_[K];
     Occurrence.DueMs_ = Spec.RunCount_ == 0 ? 0 : Spec.FirstRunMs_ + K * Spec.IntervalMs_;
     Occurrence.Due_ = Occurrence.DueMs_ <= WallMs;
     Occurrence.Steps_.resize(Spec.Steps_.size());
     for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
-      Occurrence.Steps_[I].Tasks_.resize(Spec.Steps_[I].Count_);
-      Occurrence.Steps_[I].WaitingTasks_ = Spec.Steps_[I].Count_;
+      Occurrence.Steps_[I].Tasks_.resize(Spec.Steps_[I].TaskCount_);
+      Occurrence.Steps_[I].WaitingTasks_ = Spec.Steps_[I].TaskCount_;
     }
   }
   for (const work::StepProgress &Saved : Job.Progress_.Steps_) {
@@ -249,13 +249,13 @@
   return Job.Spec_.Steps_[Task.Step_];
 }
 
-std::pair<std::uint64_t, std::vector<work::LedgerEntry>> Scheduler::takeProgress() {
+std::pair<std::uint64_t, std::vector<work::LogRecord>> Scheduler::takeProgress() {
   if (DirtyJobs_.empty())
     return {0, {}};
-  std::vector<work::LedgerEntry> Entries;
+  std::vector<work::LogRecord> Entries;
   for (const std::string &Id : DirtyJobs_)
     if (const auto Found = Jobs_.find(Id); Found != Jobs_.end())
-      Entries.push_back(work::progressEntry(Id, Found->second.Progress_));
+      Entries.push_back(work::encodeProgress(Id, Found->second.Progress_));
   DirtyJobs_.clear();
   return {NextFlush_++, std::move(Entries)};
 }
--- a/src/lead/Watch.cpp
+++ b/src/lead/Watch.cpp
@@ -24,9 +24,9 @@
 /// \returns true when the run time reflects the speed of the executor. Filling tasks only get the
 /// processor time that is left, and a task outside its preferred rack is slow on every executor.
 bool speedIsComparable(const ExecutorState &Executor, const work::StepSpec &Spec) {
-  return !Spec.Fills_ && (Spec.PreferredRack_.empty() ||
-                          std::ranges::find(Executor.Info_.Labels_, Spec.PreferredRack_) !=
-                              Executor.Info_.Labels_.end());
+  return !Spec.BestEffort_ && (Spec.PreferredRack_.empty() ||
+                               std::ranges::find(Executor.Info_.Labels_, Spec.PreferredRack_) !=
+                                   Executor.Info_.Labels_.end());
 }
 
 double ratioToExpected(core::Duration RunTime, core::Millis Expected) {
@@ -81,7 +81,7 @@
       continue;
     const work::StepSpec &Spec = stepSpec(*Job, ActiveRun.Task_);
     // A long-running task reports 100 percent while it works; below that it is still starting up.
-    if (Spec.Fills_ || (!runsToEnd(Spec) && ActiveRun.Progress_.Percent_ >= 100))
+    if (Spec.BestEffort_ || (!runsToEnd(Spec) && ActiveRun.Progress_.Percent_ >= 100))
       continue;
     if (isStalled(ActiveRun.Progress_, core::Millis(Spec.EstimatedMs_), Now)) {
       Executor.AvoidUntil_ = std::max(Executor.AvoidUntil_, Now + Timing_.AvoidStalledTime_);
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -60,7 +60,7 @@
   NewExecutor.Info_.Pool_ = "pool";
   NewExecutor.Info_.Capacity_ = Capacity;
   NewExecutor.Info_.Labels_ = {"a", "r1"};
-  NewExecutor.Info_.Born_ = wallMs(Now_);
+  NewExecutor.Info_.IncarnationStartMs_ = wallMs(Now_);
   NewExecutor.ClockStart_ = Now_;
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
@@ -77,7 +77,7 @@
     const fleet::ExecutorInfo Info = Restarted.Info_;
     Restarted = {};
     Restarted.Info_ = Info;
-    Restarted.Info_.Born_ = wallMs(Now_);
+    Restarted.Info_.IncarnationStartMs_ = wallMs(Now_);
     Restarted.ClockStart_ = Now_;
     // The executor list shows a restart with a delay.
     schedule(Now_ + core::Millis(800), [this, ListedInfo = Restarted.Info_] {
@@ -95,9 +95,9 @@
 void FakeFleet::submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue) {
   Submitted_[Id] = Spec;
   SubmittedAt_[Id] = Now_;
-  Ledger_.applySpec(Id, work::specEntry(Id, Spec).Value_);
-  const work::LedgerEntry Entry =
-      work::acceptedEntry(Id, {*work::queueNamed(Manifest_, Queue), "c", wallMs(Now_)});
+  Ledger_.applySpec(Id, work::encodeSpec(Id, Spec).Value_);
+  const work::LogRecord Entry =
+      work::encodeAccepted(Id, {*work::findQueueByName(Manifest_, Queue), "c", wallMs(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
@@ -107,13 +107,13 @@
 }
 
 void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
-  const work::LedgerEntry Entry = work::begunEntry(Id, Term);
+  const work::LogRecord Entry = work::encodeStarted(Id, Term);
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   submit(Id, std::move(Spec));
 }
 
 void FakeFleet::cancel(const std::string &Id) {
-  const work::LedgerEntry Entry = work::cancelledEntry(Id, {wallMs(Now_)});
+  const work::LogRecord Entry = work::encodeCancelled(Id, {wallMs(Now_)});
   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
@@ -174,11 +174,11 @@
                   : core::Millis(std::uniform_int_distribution<>(
                         2000, static_cast<int>(MaxOrderDelay.count()))(Random_));
     schedule(Now_ + Delay, [this, ThisTerm, Scheduler, Order, Id, Key, Lost, Late, Answered,
-                            Born = Executors_.at(Id).Info_.Born_] {
+                            Born = Executors_.at(Id).Info_.IncarnationStartMs_] {
       FakeExecutor &Target = Executors_.at(Id);
       // A delayed order is lost when its executor restarts.
       if (!isReachable(Target) ||
-          (Late && !Options_.LateOrdersSurviveRestart_ && Target.Info_.Born_ != Born))
+          (Late && !Options_.LateOrdersSurviveRestart_ && Target.Info_.IncarnationStartMs_ != Born))
         return;
       const OrderOutcome Outcome = handleStart(Target, Order);
       if (Lost)
@@ -269,7 +269,7 @@
                                        double ExpectedMs, std::pair<int, core::TimePoint>) {
     schedule(Now_ + core::Millis(static_cast<std::int64_t>(ExpectedMs)),
              [this, ThisTerm, Scheduler, Step, Asked = std::move(Asked)] {
-               std::vector<fleet::Advised> Allowed;
+               std::vector<fleet::AdvisedExecutor> Allowed;
                for (const std::string &ExecutorId : Asked)
                  if ((std::hash<std::string>{}(Step.Job_ + ExecutorId) % 10) < 6)
                    Allowed.push_back({ExecutorId, "ticket"});
@@ -325,7 +325,7 @@
                    ThisTerm->Alive_ = false;
                    return;
                  }
-                 for (const work::LedgerEntry &Entry : Entries)
+                 for (const work::LogRecord &Entry : Entries)
                    Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
                  measureDecision([&] { Scheduler.onFlushed(Number, Now_); });
                });
@@ -346,18 +346,18 @@
 }
 
 OrderOutcome FakeFleet::handleStart(FakeExecutor &Executor, const fleet::StartOrder &Order) {
-  if (Order.Token_ < Executor.Token_)
+  if (Order.FencingToken_ < Executor.Token_)
     return OrderOutcome::Fenced;
-  Executor.Token_ = Order.Token_;
+  Executor.Token_ = Order.FencingToken_;
   if (const auto Ended = Executor.HighestEndedRuns_.find(Order.Task_);
       Ended != Executor.HighestEndedRuns_.end() && Order.Run_ <= Ended->second)
     return OrderOutcome::Superseded;
-  if (Order.UntilMs_ <= clockOf(Executor))
+  if (Order.LeaseEndMs_ <= clockOf(Executor))
     return OrderOutcome::LeaseOver;
   if (const auto Existing = Executor.Running_.find(Order.Task_);
       Existing != Executor.Running_.end())
     return Existing->second.Run_ == Order.Run_ ? OrderOutcome::Done : OrderOutcome::Superseded;
-  renewLease(Executor, Order.UntilMs_);
+  renewLease(Executor, Order.LeaseEndMs_);
   const work::StepSpec &Spec = stepSpec(Order.Task_);
   for (const auto &[Id, Other] : Executors_)
     if (Other.Up_ && Other.Running_.contains(Order.Task_) && !Spec.AllowDuplicates_)
@@ -420,8 +420,8 @@
   HighestEndedRun = std::max(HighestEndedRun, Number);
   Executor.Ended_.push_back({Executor.NextEnd_++, Task, Number, Kind, {}});
   if (Kind == fleet::EndKind::Done) {
-    Completions_[Task].push_back(
-        {Now_, Executor.Info_.Id_, Executor.Ended_.back().Number_, Executor.Info_.Born_, false});
+    Completions_[Task].push_back({Now_, Executor.Info_.Id_, Executor.Ended_.back().SequenceNumber_,
+                                  Executor.Info_.IncarnationStartMs_, false});
     LastCompletionAt_[Task.Job_] = Now_;
   }
   if (auto PendingHold = std::exchange(Executor.PendingHold_, nullptr))
@@ -429,12 +429,12 @@
 }
 
 void FakeFleet::acknowledgeEnds(FakeExecutor &Executor, std::uint64_t SeenUpTo) {
-  for (const fleet::EndRow &End : Executor.Ended_) {
-    if (End.Number_ > SeenUpTo || End.Kind_ != fleet::EndKind::Done)
+  for (const fleet::ReportedEnd &End : Executor.Ended_) {
+    if (End.SequenceNumber_ > SeenUpTo || End.Kind_ != fleet::EndKind::Done)
       continue;
     for (Completion &Completed : Completions_[End.Task_])
-      if (Completed.Executor_ == Executor.Info_.Id_ && Completed.Number_ == End.Number_ &&
-          Completed.Incarnation_ == Executor.Info_.Born_) {
+      if (Completed.Executor_ == Executor.Info_.Id_ && Completed.Number_ == End.SequenceNumber_ &&
+          Completed.Incarnation_ == Executor.Info_.IncarnationStartMs_) {
         // A completion before a lease lapse does not count, because the task may have been
         // restarted elsewhere.
         if (std::ranges::any_of(Executor.LeaseLapses_,
@@ -448,14 +448,15 @@
                        " was started after a completion that was acknowledged later");
       }
   }
-  std::erase_if(Executor.Ended_,
-                [SeenUpTo](const fleet::EndRow &End) { return End.Number_ <= SeenUpTo; });
+  std::erase_if(Executor.Ended_, [SeenUpTo](const fleet::ReportedEnd &End) {
+    return End.SequenceNumber_ <= SeenUpTo;
+  });
 }
 
 fleet::Report FakeFleet::reportOf(const FakeExecutor &Executor) const {
   fleet::Report Result;
   Result.ClockMs_ = clockOf(Executor);
-  Result.Born_ = Executor.Info_.Born_;
+  Result.IncarnationStartMs_ = Executor.Info_.IncarnationStartMs_;
   for (const auto &[Task, Run] : Executor.Running_) {
     const double WorkFraction = Run.RunTime_.count() == 0 || Executor.Stalled_
                                     ? 0
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -122,7 +122,7 @@
     std::vector<core::TimePoint> LeaseLapses_;
     std::map<work::TaskRef, FakeRun> Running_;
     std::map<work::TaskRef, std::uint64_t> HighestEndedRuns_;
-    std::vector<fleet::EndRow> Ended_;
+    std::vector<fleet::ReportedEnd> Ended_;
     std::uint64_t NextEnd_ = 1;
     std::function<void()> PendingHold_; ///< hold request that waits for an end
   };
@@ -185,7 +185,7 @@
   std::map<std::string, core::TimePoint> SubmittedAt_;
   std::map<std::string, core::TimePoint> LastCompletionAt_;
   std::vector<std::string> Violations_;
-  work::Ledger Ledger_;
+  work::JobTable Ledger_;
   work::Manifest Manifest_;
   std::uint64_t Offset_ = 0;
   std::uint64_t Fence_ = 0;
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -128,73 +128,74 @@
 
 // --- Job ledger ---
 
-Test(Ledger, repeatedRecordsGiveTheSameTable) {
-  work::Ledger Table;
+Test(JobTable, repeatedRecordsGiveTheSameTable) {
+  work::JobTable Table;
   work::AcceptedRecord Job;
   Job.Queue_.Name_ = "q";
-  const work::LedgerEntry Accepted = work::acceptedEntry("j", Job);
+  const work::LogRecord Accepted = work::encodeAccepted("j", Job);
   cr_expect(Table.apply(3, Accepted.Key_, Accepted.Value_).Kind_ ==
-            work::LedgerChange::Kind::Accepted);
-  cr_expect(Table.apply(9, Accepted.Key_, Accepted.Value_).Kind_ == work::LedgerChange::Kind::None);
-  cr_expect_eq(Table.pendingOf("q"), 1);
+            work::JobTableChange::Kind::Accepted);
+  cr_expect(Table.apply(9, Accepted.Key_, Accepted.Value_).Kind_ ==
+            work::JobTableChange::Kind::None);
+  cr_expect_eq(Table.pendingCount("q"), 1);
   work::ProgressRecord Progress;
   Progress.State_ = work::JobState::Completed;
-  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  const work::LogRecord Final = work::encodeProgress("j", Progress);
   Table.apply(7, Final.Key_, Final.Value_);
   // An older record that is read again must not reopen the job.
   Progress.State_ = work::JobState::Running;
-  const work::LedgerEntry OlderEntry = work::progressEntry("j", Progress);
+  const work::LogRecord OlderEntry = work::encodeProgress("j", Progress);
   Table.apply(5, OlderEntry.Key_, OlderEntry.Value_);
   cr_expect(Table.find("j")->state() == work::JobState::Completed);
-  cr_expect_eq(Table.pendingOf("q"), 0);
-  for (const work::LedgerEntry &Entry : work::forgetEntries("j"))
+  cr_expect_eq(Table.pendingCount("q"), 0);
+  for (const work::LogRecord &Entry : work::encodeTombstones("j"))
     Table.apply(11, Entry.Key_, Entry.Value_);
   cr_expect_null(Table.find("j"));
 }
 
 // Guards against jobs that are started without their steps, and against steps that stay in memory
 // after their job has ended.
-Test(Ledger, stepsMayArriveBeforeOrAfterTheAcceptance) {
+Test(JobTable, stepsMayArriveBeforeOrAfterTheAcceptance) {
   work::JobSpec Spec;
   Spec.Steps_.resize(2);
-  const std::string Steps = work::specEntry("j", Spec).Value_;
-  const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
-  work::Ledger Before;
-  cr_expect(Before.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::Specified);
+  const std::string Steps = work::encodeSpec("j", Spec).Value_;
+  const work::LogRecord Accepted = work::encodeAccepted("j", {});
+  work::JobTable Before;
+  cr_expect(Before.applySpec("j", Steps).Kind_ == work::JobTableChange::Kind::Specified);
   cr_expect_null(Before.find("j"), "steps alone do not make a job");
   Before.apply(1, Accepted.Key_, Accepted.Value_);
-  cr_expect(Before.find("j")->Specified_);
+  cr_expect(Before.find("j")->HasSpec_);
   cr_expect_eq(Before.find("j")->Spec_.Steps_.size(), 2);
-  work::Ledger After;
+  work::JobTable After;
   After.apply(1, Accepted.Key_, Accepted.Value_);
-  cr_expect_not(After.find("j")->Specified_);
+  cr_expect_not(After.find("j")->HasSpec_);
   After.applySpec("j", Steps);
-  cr_expect(After.find("j")->Specified_);
+  cr_expect(After.find("j")->HasSpec_);
   work::ProgressRecord Progress;
   Progress.State_ = work::JobState::Completed;
-  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  const work::LogRecord Final = work::encodeProgress("j", Progress);
   After.apply(2, Final.Key_, Final.Value_);
   cr_expect(After.find("j")->Spec_.Steps_.empty());
-  cr_expect(After.applySpec("j", Steps).Kind_ == work::LedgerChange::Kind::None);
+  cr_expect(After.applySpec("j", Steps).Kind_ == work::JobTableChange::Kind::None);
 }
 
 // Guards against a late cancellation that changes the state of a completed job.
-Test(Ledger, finalStateDoesNotChange) {
-  work::Ledger Table;
-  const work::LedgerEntry Accepted = work::acceptedEntry("j", {});
+Test(JobTable, finalStateDoesNotChange) {
+  work::JobTable Table;
+  const work::LogRecord Accepted = work::encodeAccepted("j", {});
   Table.apply(1, Accepted.Key_, Accepted.Value_);
   work::ProgressRecord Progress;
   Progress.State_ = work::JobState::Completed;
-  const work::LedgerEntry Final = work::progressEntry("j", Progress);
+  const work::LogRecord Final = work::encodeProgress("j", Progress);
   Table.apply(2, Final.Key_, Final.Value_);
-  const work::LedgerEntry Cancel = work::cancelledEntry("j", {5});
+  const work::LogRecord Cancel = work::encodeCancelled("j", {5});
   Table.apply(3, Cancel.Key_, Cancel.Value_);
   cr_expect(Table.find("j")->state() == work::JobState::Completed);
 }
 
-Test(Ledger, unreadableRecordsChangeNothing) {
-  work::Ledger Table;
-  cr_expect(Table.apply(1, "aj", "\xc1").Kind_ == work::LedgerChange::Kind::Unreadable);
+Test(JobTable, unreadableRecordsChangeNothing) {
+  work::JobTable Table;
+  cr_expect(Table.apply(1, "aj", "\xc1").Kind_ == work::JobTableChange::Kind::Unreadable);
   cr_expect_null(Table.find("j"));
 }
 
--- a/tests/unit/JobStateWaitersTest.cpp
+++ b/tests/unit/JobStateWaitersTest.cpp
@@ -10,20 +10,20 @@
 
 const core::TimePoint StartTime{std::chrono::hours(1)};
 
-void applyEntry(work::Ledger &Ledger, const work::LedgerEntry &Entry) {
+void applyEntry(work::JobTable &Ledger, const work::LogRecord &Entry) {
   static std::uint64_t Offset = 0;
   Ledger.apply(++Offset, Entry.Key_, Entry.Value_);
 }
 
-void applyState(work::Ledger &Ledger, std::string_view JobId, work::JobState State) {
+void applyState(work::JobTable &Ledger, std::string_view JobId, work::JobState State) {
   work::ProgressRecord Record;
   Record.State_ = State;
-  applyEntry(Ledger, work::progressEntry(JobId, Record));
+  applyEntry(Ledger, work::encodeProgress(JobId, Record));
 }
 
-work::Ledger ledgerWithRunningJob(std::string_view JobId) {
-  work::Ledger Ledger;
-  applyEntry(Ledger, work::acceptedEntry(JobId, {{}, "c", 0}));
+work::JobTable ledgerWithRunningJob(std::string_view JobId) {
+  work::JobTable Ledger;
+  applyEntry(Ledger, work::encodeAccepted(JobId, {{}, "c", 0}));
   applyState(Ledger, JobId, work::JobState::Running);
   return Ledger;
 }
@@ -33,7 +33,7 @@
 // Guards against callers who learn of the end of their job only with their next poll, because the
 // query was answered just before the end was durable.
 Test(JobStateWaiters, answersOnceTheEndIsDurable) {
-  work::Ledger Ledger = ledgerWithRunningJob("j1");
+  work::JobTable Ledger = ledgerWithRunningJob("j1");
   daemon::JobStateWaiters Waiters;
   std::vector<protocol::JobStateReply> Replies;
   Waiters.add("j1", StartTime + Millis(200), [&](const auto &Reply) { Replies.push_back(Reply); });
@@ -50,7 +50,7 @@
 
 // Guards against replies that are held back for as long as the store is slow or unavailable.
 Test(JobStateWaiters, answersAtTheDeadline) {
-  const work::Ledger Ledger = ledgerWithRunningJob("j1");
+  const work::JobTable Ledger = ledgerWithRunningJob("j1");
   daemon::JobStateWaiters Waiters;
   std::vector<protocol::JobStateReply> Replies;
   Waiters.add("j1", StartTime + Millis(200), [&](const auto &Reply) { Replies.push_back(Reply); });
@@ -63,11 +63,11 @@
 
 // Guards against a query that is never answered because its job was removed from the log meanwhile.
 Test(JobStateWaiters, answersForARemovedJob) {
-  work::Ledger Ledger = ledgerWithRunningJob("j1");
+  work::JobTable Ledger = ledgerWithRunningJob("j1");
   daemon::JobStateWaiters Waiters;
   std::vector<protocol::JobStateReply> Replies;
   Waiters.add("j1", StartTime + Millis(200), [&](const auto &Reply) { Replies.push_back(Reply); });
-  for (const work::LedgerEntry &Entry : work::forgetEntries("j1"))
+  for (const work::LogRecord &Entry : work::encodeTombstones("j1"))
     applyEntry(Ledger, Entry);
   Waiters.answerReady(Ledger, StartTime);
   cr_assert_eq(Replies.size(), 1);
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -27,33 +27,34 @@
   return Promise.get_future().get();
 }
 
-std::pair<ErrorKind, ReadResult> readAndWait(LogClient &Log, std::uint64_t From,
-                                             std::uint32_t Max) {
+std::pair<ErrorKind, ReadResult> readAndWait(LogClient &Log, std::uint64_t FromOffset,
+                                             std::uint32_t MaxRecords) {
   std::promise<std::pair<ErrorKind, ReadResult>> Promise;
-  Log.read("domain.a", From, Max, [&](std::error_code Error, ReadResult Result) {
+  Log.read("domain.a", FromOffset, MaxRecords, [&](std::error_code Error, ReadResult Result) {
     Promise.set_value({core::kindOf(Error), std::move(Result)});
   });
   return Promise.get_future().get();
 }
 
-/// A port that nothing listens on.
+/// \returns a port without a listener.
 std::uint16_t closedPort() {
   const http::Server Server({}, [](auto, auto) {});
   return Server.port();
 }
 
-/// A server that gives the same answer to every request and keeps the requests.
+/// A server that sends the same response to every request and records the requests.
 struct FixedServer {
   explicit FixedServer(http::Response Answer)
-      : Answer_(std::move(Answer)), Server_({}, [this](http::Request In, http::Responder Respond) {
+      : Response_(std::move(Answer)),
+        Server_({}, [this](http::Request Incoming, http::Responder Respond) {
           const std::lock_guard Lock(Mutex_);
-          Requests_.push_back(std::move(In));
-          Respond(Answer_);
+          Requests_.push_back(std::move(Incoming));
+          Respond(Response_);
         }) {}
 
   void set(http::Response Answer) {
     const std::lock_guard Lock(Mutex_);
-    Answer_ = std::move(Answer);
+    Response_ = std::move(Answer);
   }
   http::Request last() {
     const std::lock_guard Lock(Mutex_);
@@ -66,7 +67,7 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(Server_.port()); }
 
   std::mutex Mutex_;
-  http::Response Answer_;
+  http::Response Response_;
   std::vector<http::Request> Requests_;
   http::Server Server_;
 };
@@ -95,28 +96,29 @@
 
 } // namespace
 
-// Guards against reporting a record as certainly not written although it may have been, which
-// would make a refusal "not run" untrue.
-Test(LogClientOutcome, eachAnswerIsCertainOrUnknown) {
+// Guards against reporting an append as failed although the record may have been written. The
+// caller would then be told "not run" for a job that may run.
+Test(LogClientOutcome, eachResponseHasACertainOrUnknownOutcome) {
   LogService Service;
   http::Client Http;
   LogClient Log(Http, {Service.url(), std::chrono::milliseconds(150)});
   Service.plan({OnAppend::Take, OnAppend::Refuse, OnAppend::TooMany, OnAppend::Fail,
                 OnAppend::TakeSilent, OnAppend::DropSilent});
-  const auto Taken = appendAndWait(Log, "a");
-  cr_assert(Taken.first == ErrorKind::None);
-  cr_assert_eq(Taken.second, 0);
+  const auto Accepted = appendAndWait(Log, "a");
+  cr_assert(Accepted.first == ErrorKind::None);
+  cr_assert_eq(Accepted.second, 0);
   cr_expect(appendAndWait(Log, "b").first == ErrorKind::StoreUnavailable, "503");
   cr_expect(appendAndWait(Log, "c").first == ErrorKind::StoreUnavailable, "429");
   cr_expect(appendAndWait(Log, "d").first == ErrorKind::AppendUnknown, "500");
-  cr_expect(appendAndWait(Log, "e").first == ErrorKind::AppendUnknown, "taken, no answer");
-  cr_expect(appendAndWait(Log, "f").first == ErrorKind::AppendUnknown, "not taken, no answer");
+  cr_expect(appendAndWait(Log, "e").first == ErrorKind::AppendUnknown, "accepted, no response");
+  cr_expect(appendAndWait(Log, "f").first == ErrorKind::AppendUnknown, "not accepted, no response");
 
-  LogClient Away(Http, {"http://127.0.0.1:" + std::to_string(closedPort())});
-  cr_expect(appendAndWait(Away, "g").first == ErrorKind::StoreUnavailable, "not connected");
+  LogClient UnreachableLog(Http, {"http://127.0.0.1:" + std::to_string(closedPort())});
+  cr_expect(appendAndWait(UnreachableLog, "g").first == ErrorKind::StoreUnavailable,
+            "not connected");
 }
 
-// Guards against losing the end of the stream or the oldest offset when decoding a read.
+// Guards against a decoder that drops the end of the stream or its oldest offset.
 Test(LogClientOutcome, aReadReturnsRecordsAndBounds) {
   LogService Service;
   for (int I = 0; I < 5; ++I)
@@ -124,8 +126,8 @@
   Service.expire(1);
   http::Client Http;
   LogClient Log(Http, {Service.url()});
-  const auto [Error, Read] = readAndWait(Log, 2, 2);
-  cr_assert(Error == ErrorKind::None);
+  const auto [Kind, Read] = readAndWait(Log, 2, 2);
+  cr_assert(Kind == ErrorKind::None);
   cr_assert_eq(Read.First_, 1);
   cr_assert_eq(Read.Next_, 5);
   cr_assert_eq(Read.Records_.size(), 2);
@@ -135,7 +137,8 @@
   cr_assert(readAndWait(Log, 2, 2).first == ErrorKind::StoreUnavailable);
 }
 
-// Guards against taking a malformed answer for an empty stream, which would count as caught up.
+// Guards against decoding a malformed response as an empty stream: the reader would believe that it
+// has caught up.
 Test(LogClientOutcome, aMalformedReadIsAnError) {
   FixedServer Server({200, ""});
   http::Client Http;
@@ -155,7 +158,7 @@
   }
 }
 
-// Guards against rounding fractional cores and against losing fields of the list.
+// Guards against rounding fractional cores to whole ones and against dropped fields.
 Test(InstanceListParsing, aCompleteListIsDecoded) {
   const auto List = parseInstances(R"({"instances":[
     {"name":"w1","kind":"worker","domain":"lahore-a","region":"punjab","rack":"r1",
@@ -180,7 +183,7 @@
   cr_assert_eq(Executor.Connections_, 64);
 }
 
-// Guards against accepting a damaged list, after which instances would seem to be gone.
+// Guards against accepting a damaged list, which would make instances disappear.
 Test(InstanceListParsing, aMalformedListIsRefused) {
   for (const char *Text :
        {"", "[]", "{}", R"({"instances":{}})", R"({"instances":[1]})",
@@ -193,9 +196,9 @@
     cr_expect(!parseInstances(Text), "%s", Text);
 }
 
-// Guards against forgetting all instances while the list service is away or damaged.
-Test(InstanceListPolling, theLastGoodListIsKept) {
-  const std::string Good =
+// Guards against dropping all instances while the list service fails or sends invalid lists.
+Test(InstanceListPolling, theLastValidListIsKept) {
+  const std::string ValidList =
       R"({"instances":[{"name":"a","kind":"entry","address":"1.2.3.4:5","state":"live"}]})";
   FixedServer Server({503, "{}"});
   core::Timers Timers;
@@ -209,14 +212,15 @@
   cr_assert(List.current() == nullptr);
   cr_assert(!List.age(core::Clock::now()));
 
-  Server.set({200, Good});
+  Server.set({200, ValidList});
   cr_assert(waitFor([&] { return List.current() != nullptr; }));
   cr_assert(List.current()->Instances_.at(0).Name_ == "a");
 
-  for (const http::Response &Bad : {http::Response{500, "{}"}, http::Response{200, "{\"inst"}}) {
-    Server.set(Bad);
-    const std::size_t Before = Server.requests();
-    cr_assert(waitFor([&] { return Server.requests() >= Before + 3; }));
+  for (const http::Response &InvalidResponse :
+       {http::Response{500, "{}"}, http::Response{200, "{\"inst"}}) {
+    Server.set(InvalidResponse);
+    const std::size_t RequestsBefore = Server.requests();
+    cr_assert(waitFor([&] { return Server.requests() >= RequestsBefore + 3; }));
     cr_assert_eq(List.current()->Instances_.size(), 1);
   }
   const auto SentAt = List.current()->SentAt_;
@@ -226,8 +230,8 @@
   Timers.stop();
 }
 
-// Guards against treating a command that may have been carried out as one without effect.
-Test(WorkerCommands, everyAnswerMapsToOneStatus) {
+// Guards against reporting a command as without effect although it may have been executed.
+Test(WorkerCommands, everyResponseMapsToOneStatus) {
   FixedServer Server({201, "{}"});
   http::Client Http;
   WorkerClient Client(Http, std::chrono::milliseconds(200));
@@ -247,15 +251,15 @@
     Server.set(Answer);
     cr_expect(startAndWait(Client, Address) == Expected, "status %d", Answer.Status_);
   }
-  const std::string Away = "127.0.0.1:" + std::to_string(closedPort());
-  cr_expect(startAndWait(Client, Away) == WorkerStatus::NotConnected);
-  const http::Server Silent(
+  const std::string UnreachableAddress = "127.0.0.1:" + std::to_string(closedPort());
+  cr_expect(startAndWait(Client, UnreachableAddress) == WorkerStatus::NotConnected);
+  const http::Server SlowServer(
       {}, [](auto, auto) { std::this_thread::sleep_for(std::chrono::milliseconds(400)); });
-  cr_expect(startAndWait(Client, "127.0.0.1:" + std::to_string(Silent.port())) ==
+  cr_expect(startAndWait(Client, "127.0.0.1:" + std::to_string(SlowServer.port())) ==
             WorkerStatus::NoAnswer);
 }
 
-// Guards against ids with '/' or '#' being read as a path or fragment by the worker.
+// Guards against unescaped '/' and '#' in ids, which the worker would parse as path or fragment.
 Test(WorkerCommands, anIdIsOnePathSegment) {
   FixedServer Server({201, "{}"});
   http::Client Http;
@@ -270,8 +274,8 @@
   cr_assert(Seen.Body_.find("\"cores\":1.5") != std::string::npos, "%s", Seen.Body_.c_str());
 }
 
-// Guards against losing a task of the answer: a task that is missing counts as never run.
-Test(WorkerCommands, aLeaseAnswerIsCompleteOrUnknown) {
+// Guards against dropping a task of the response: a missing task counts as never run.
+Test(WorkerCommands, aLeaseResponseIsCompleteOrUnknown) {
   FixedServer Server({200, R"({"boot":"b1","term":3,"leaving":true,"tasks":[
       {"id":"j#0","attempt":1,"state":"finished","exit":0},
       {"id":"j#1","attempt":2,"state":"stopped","exit":15,"reason":"checkpoint"}],
@@ -291,7 +295,7 @@
   Server.set({200, R"({"boot":"b1","term":3,"tasks":[{"id":"j#0","attempt":1,"state":"odd"}]})"});
   cr_assert(leaseAndWait(Client, Server.address()).first == WorkerStatus::NoAnswer);
   Server.set({409, R"({"term":12})"});
-  const auto [Refusal, Higher] = leaseAndWait(Client, Server.address());
-  cr_assert(Refusal == WorkerStatus::StaleTerm);
-  cr_assert_eq(Higher.Term_, 12);
+  const auto [RefusalStatus, HigherTermAnswer] = leaseAndWait(Client, Server.address());
+  cr_assert(RefusalStatus == WorkerStatus::StaleTerm);
+  cr_assert_eq(HigherTermAnswer.Term_, 12);
 }
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -1,4 +1,4 @@
-// The platform's bodies, decoded into the product's types.
+// Decoding and encoding of the platform's bodies.
 #include "platform/Ingress.h"
 #include "platform/Settings.h"
 #include "platform/Store.h"
@@ -10,12 +10,12 @@
 
 // --- Submissions ---
 
-Test(PlatformJob, aSubmissionIsDecodedWhole) {
-  const auto [Spec, Mistake] = platform::decodeJob(
+Test(PlatformJob, allFieldsOfASubmissionAreDecoded) {
+  const auto [Spec, Error] = platform::decodeJob(
       R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900,)"
       R"("affinity":"r1-3"},{"count":20,"cpu":2000,"depends_on":[0],"checkpointing":true,)"
       R"("gang":true,"max_per_server":2,"allow_duplicates":true,"new_field":1}]})");
-  cr_assert(Spec.has_value(), "%s", Mistake.c_str());
+  cr_assert(Spec.has_value(), "%s", Error.c_str());
   cr_expect(Spec->Payload_ == "text");
   cr_assert_eq(Spec->Steps_.size(), 2);
   cr_expect(Spec->Steps_[0].Need_ == (core::Resources{500, 256, 0}));
@@ -26,16 +26,16 @@
   cr_expect_eq(Spec->Steps_[1].MaxPerExecutor_, 2);
 }
 
-// Guards against bodies that are accepted and can never run, or that make the daemon allocate.
-Test(PlatformJob, malformedSubmissionsAreRefusedWithAReason) {
+// Guards against accepting jobs that can never run or that make the daemon allocate without limit.
+Test(PlatformJob, malformedSubmissionsAreRejectedWithAReason) {
   for (const char *Body :
        {"", "[]", "{", R"({"spec":"x"})", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
         R"({"steps":[1]})", R"({"steps":[{"count":1,"depends_on":[0]}]})",
         R"({"steps":[{"count":4000000000}]})", R"({"steps":[{"count":-1}]})",
         R"({"steps":[{"count":1}],"run_count":3})"}) {
-    const auto [Spec, Mistake] = platform::decodeJob(Body);
+    const auto [Spec, Error] = platform::decodeJob(Body);
     cr_expect(!Spec.has_value(), "%s", Body);
-    cr_expect(!Mistake.empty(), "%s", Body);
+    cr_expect(!Error.empty(), "%s", Body);
   }
 }
 
@@ -57,13 +57,13 @@
   cr_assert(Manifest.has_value());
   cr_expect_eq(Manifest->Version_, 7);
   cr_assert_eq(Manifest->Queues_.size(), 1);
-  cr_expect(Manifest->Queues_[0].Advice_->ValidMs_ == 2500);
-  cr_expect(Manifest->Pools_.at("s").Guards_);
+  cr_expect(Manifest->Queues_[0].Advice_->TicketValidMs_ == 2500);
+  cr_expect(Manifest->Pools_.at("s").ChecksAdmission_);
   cr_expect(Manifest->CustomerOfKey_.at("k2") == "t");
   cr_expect_eq(Manifest->Customers_.at("t").UpperLimit_.MilliCores_, 5);
 }
 
-// Guards against a daemon that stops over a configuration from another writer.
+// Guards against a daemon that fails on a configuration with unexpected types.
 Test(PlatformManifest, fieldsOfWrongTypesAreLeftOut) {
   cr_expect(!platform::decodeManifest("not json").has_value());
   cr_expect(!platform::decodeManifest(R"({"routes":[]})").has_value());
@@ -85,15 +85,16 @@
 
 // --- Executors ---
 
-Test(PlatformExecutor, entriesThatNameNoExecutorAreLeftOut) {
-  const std::string Good =
+Test(PlatformExecutor, entriesThatDescribeNoExecutorAreLeftOut) {
+  const std::string ValidEntry =
       R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"draining",)"
       R"("drain_remaining_ms":900,"capacity":{"cpu":16000,"mem_mb":1,"gpu":0},)"
       R"("labels":["a","r1-3"],"born":5})";
-  const auto Info = platform::decodeExecutor("i-1", Good);
-  cr_assert(Info.has_value());
-  cr_expect(Info->Draining_ && Info->DrainRemainingMs_ == 900 && Info->Born_ == 5);
-  cr_expect(fleet::rackOf(*Info) == "r1-3");
+  const auto Executor = platform::decodeExecutor("i-1", ValidEntry);
+  cr_assert(Executor.has_value());
+  cr_expect(Executor->Draining_ && Executor->DrainRemainingMs_ == 900 &&
+            Executor->IncarnationStartMs_ == 5);
+  cr_expect(fleet::rackOf(*Executor) == "r1-3");
   for (const char *Text :
        {"\x80\x81", "5", "{}", R"({"service":"s","address":"a","state":"odd","capacity":{}})",
         R"({"service":1,"address":"a","state":"ready","capacity":{}})",
@@ -101,7 +102,7 @@
     cr_expect(!platform::decodeExecutor("i-1", Text).has_value(), "%s", Text);
 }
 
-Test(PlatformExecutor, listsAndAnswersAreDecoded) {
+Test(PlatformExecutor, reportsAndOrderResponsesAreDecoded) {
   const auto Report = platform::decodeReport(
       R"({"clock_ms":9,"born":3,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,7],["bad",1,"",0]],)"
       R"("ended":[[58,"5c0e7a21d94b36f8.2.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.0.0",1,"odd"]]})");
@@ -111,18 +112,18 @@
   cr_assert_eq(Report->Ended_.size(), 1);
   cr_expect_eq(Report->Ended_[0].Task_.Occurrence_, 2);
   using enum fleet::OrderOutcome;
-  cr_expect(platform::decodeOrderAnswer(200, R"({"clock_ms":5})").ClockMs_ == 5);
-  cr_expect(platform::decodeOrderAnswer(409, R"({"reason":"fence"})").Outcome_ == Fenced);
-  cr_expect(platform::decodeOrderAnswer(409, R"({"reason":"old"})").Outcome_ == Superseded);
-  cr_expect(platform::decodeOrderAnswer(421, "").Outcome_ == OtherInstance);
-  cr_expect(platform::decodeOrderAnswer(503, "").Outcome_ == Unhealthy);
-  // What can't be told counts as possibly carried out.
-  cr_expect(platform::decodeOrderAnswer(500, "").Outcome_ == NoAnswer);
+  cr_expect(platform::decodeOrderResponse(200, R"({"clock_ms":5})").ClockMs_ == 5);
+  cr_expect(platform::decodeOrderResponse(409, R"({"reason":"fence"})").Outcome_ == Fenced);
+  cr_expect(platform::decodeOrderResponse(409, R"({"reason":"old"})").Outcome_ == Superseded);
+  cr_expect(platform::decodeOrderResponse(421, "").Outcome_ == OtherInstance);
+  cr_expect(platform::decodeOrderResponse(503, "").Outcome_ == Unhealthy);
+  // An order with an ambiguous response may have been executed.
+  cr_expect(platform::decodeOrderResponse(500, "").Outcome_ == NoAnswer);
 }
 
-// --- The log ---
+// --- Log service ---
 
-Test(PlatformLog, recordsSurviveTheirEncoding) {
+Test(PlatformLog, encodedRecordsAreDecodedUnchanged) {
   const std::vector<platform::KeyedRecord> Records{{0, "k1", "value"}, {0, "k2", ""}};
   const std::string Header("\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0", 16);
   const auto Read = platform::decodeRead(Header + platform::encodeRecords(Records), 7);
@@ -133,8 +134,8 @@
   cr_expect(Read.Records_[1].Offset_ == 8 && Read.Records_[1].Value_.empty());
 }
 
-// Guards against reads beyond a truncated answer.
-Test(PlatformLog, aTruncatedAnswerLosesOnlyItsLastRecord) {
+// Guards against reading past the end of a truncated response.
+Test(PlatformLog, aTruncatedResponseLosesOnlyItsLastRecord) {
   const std::vector<platform::KeyedRecord> Records{{0, "k1", "value"}, {0, "k2", "other"}};
   const std::string Header("\0\0\0\0\0\0\0\x02\0\0\0\0\0\0\0\0", 16);
   std::string Body = Header + platform::encodeRecords(Records);
@@ -147,15 +148,15 @@
 
 Test(PlatformSettings, aMissingFieldIsNamed) {
   platform::MachineSettings Settings;
-  std::string Mistake;
-  cr_expect(!platform::decodeSettings("{}", Settings, Mistake));
-  cr_expect(Mistake.find("/node_name") != std::string::npos, "%s", Mistake.c_str());
+  std::string Error;
+  cr_expect(!platform::decodeSettings("{}", Settings, Error));
+  cr_expect(Error.find("/node_name") != std::string::npos, "%s", Error.c_str());
   cr_assert(platform::decodeSettings(
                 R"({"node_name":"n","zone":"z","ip":"10.0.0.1","internal_ports":[7420,7435],)"
                 R"("bind_addresses":{"frontend":"10.0.0.1:8183","ready":"10.0.0.1:8184"},)"
                 R"("platform":{"address":"10.0.0.2:1"},"bounds":{"status_s":120},"odd":[]})",
-                Settings, Mistake),
-            "%s", Mistake.c_str());
-  cr_expect_eq(Settings.Peers_.Port_, 7420);
-  cr_expect_eq(Settings.StatusMs_, 120'000);
+                Settings, Error),
+            "%s", Error.c_str());
+  cr_expect_eq(Settings.PeerEndpoint_.Port_, 7420);
+  cr_expect_eq(Settings.EndedJobRetentionMs_, 120'000);
 }
