--- a/include/masticdrift/gateway/Answer.h
+++ b/include/masticdrift/gateway/Response.h
@@ -1,7 +1,7 @@
 /// \file
 /// Answers that all HTTP interfaces share.
-#ifndef MASTICDRIFT_GATEWAY_ANSWER_H
-#define MASTICDRIFT_GATEWAY_ANSWER_H
+#ifndef MASTICDRIFT_GATEWAY_RESPONSE_H
+#define MASTICDRIFT_GATEWAY_RESPONSE_H
 
 #include "masticdrift/core/Error.h"
 #include "masticdrift/http/Message.h"
@@ -26,4 +26,4 @@
 
 } // namespace masticdrift::gateway
 
-#endif // MASTICDRIFT_GATEWAY_ANSWER_H
+#endif // MASTICDRIFT_GATEWAY_RESPONSE_H
--- a/include/masticdrift/routing/Choose.h
+++ b/include/masticdrift/routing/DomainRanking.h
@@ -1,7 +1,7 @@
 /// \file
 /// Which failure domain should serve an interactive request.
-#ifndef MASTICDRIFT_ROUTING_CHOOSE_H
-#define MASTICDRIFT_ROUTING_CHOOSE_H
+#ifndef MASTICDRIFT_ROUTING_DOMAINRANKING_H
+#define MASTICDRIFT_ROUTING_DOMAINRANKING_H
 
 #include <cstdint>
 #include <span>
@@ -35,4 +35,4 @@
 
 } // namespace masticdrift::routing
 
-#endif // MASTICDRIFT_ROUTING_CHOOSE_H
+#endif // MASTICDRIFT_ROUTING_DOMAINRANKING_H
--- a/include/masticdrift/routing/Router.h
+++ b/include/masticdrift/routing/Router.h
@@ -4,8 +4,8 @@
 #define MASTICDRIFT_ROUTING_ROUTER_H
 
 #include "masticdrift/protocol/Link.h"
-#include "masticdrift/routing/Choose.h"
 #include "masticdrift/routing/Dispatcher.h"
+#include "masticdrift/routing/DomainRanking.h"
 
 #include <functional>
 #include <memory>
--- a/src/gateway/CallerApi.cpp
+++ b/src/gateway/CallerApi.cpp
@@ -2,8 +2,8 @@
 
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
-#include "masticdrift/gateway/Answer.h"
 #include "masticdrift/gateway/JobRequest.h"
+#include "masticdrift/gateway/Response.h"
 
 #include <charconv>
 #include <optional>
--- a/src/gateway/OperatorApi.cpp
+++ b/src/gateway/OperatorApi.cpp
@@ -2,7 +2,7 @@
 
 #include "masticdrift/config/Key.h"
 #include "masticdrift/core/Metrics.h"
-#include "masticdrift/gateway/Answer.h"
+#include "masticdrift/gateway/Response.h"
 #include "masticdrift/settings/Reader.h"
 
 #include <algorithm>
--- a/src/gateway/Answer.cpp
+++ b/src/gateway/Response.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/gateway/Answer.h"
+#include "masticdrift/gateway/Response.h"
 
 #include <array>
 #include <cstdint>
--- a/src/routing/Choose.cpp
+++ b/src/routing/DomainRanking.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/routing/Choose.h"
+#include "masticdrift/routing/DomainRanking.h"
 
 #include <algorithm>
 #include <tuple>
