--- a/include/masticdrift/routing/Dispatcher.h
+++ b/include/masticdrift/routing/Dispatcher.h
@@ -22,7 +22,7 @@
   std::size_t MaxQueuedPerTeam_ = 200;
   std::int64_t RetryPercent_ = 10;
   core::Duration SlotGrace_ = core::Millis(250); ///< a slot stays taken this long after a timeout
-  core::Duration EjectionTime_ = core::Millis(5000); ///< until the first trial request; doubles
+  core::Duration EjectionPeriod_ = core::Millis(5000); ///< until the first trial request; doubles
   std::chrono::seconds IdleConnectionTimeout_{10};
   std::chrono::seconds MaxConnectionAge_{60};
 };
@@ -57,7 +57,7 @@
   void setExecutors(std::span<const legacy::Instance> Executors);
 
   /// Replaces weights and allotments.
-  void setTeams(std::span<const TeamSlotQuota> Teams);
+  void setTeamQuotas(std::span<const TeamSlotQuota> Teams);
 
   /// The lease was won; nothing is sent before \p SlotsFreeAt.
   void onLeaseAcquired(core::TimePoint SlotsFreeAt);
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -260,7 +260,7 @@
     To.MaxQueuedPerTeam_ = static_cast<std::size_t>(Settings_.Limits_.QueuePerTeam_);
     To.RetryPercent_ = Settings_.Limits_.RetryPercent_;
     To.SlotGrace_ = Settings_.Timing_.SlotGrace_;
-    To.EjectionTime_ = Settings_.Timing_.EjectExecutor_;
+    To.EjectionPeriod_ = Settings_.Timing_.EjectExecutor_;
     To.IdleConnectionTimeout_ =
         std::chrono::ceil<std::chrono::seconds>(Settings_.Timing_.IdleConnection_);
     To.MaxConnectionAge_ =
@@ -443,7 +443,7 @@
       Slots.push_back({One.Name_, static_cast<double>(One.Share_), Part.Slots_});
       Quotas.push_back({One.Name_, static_cast<double>(One.Share_), Part.Resources_});
     }
-    Dispatcher_.setTeams(Slots);
+    Dispatcher_.setTeamQuotas(Slots);
     Controller_.setTeams(std::move(Quotas));
   }
 
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -55,7 +55,7 @@
 
 using Completions = std::vector<std::pair<OutcomeCallback, Outcome>>;
 
-void callAll(Completions &Finished) {
+void invokeCallbacks(Completions &Finished) {
   for (auto &[OnDone, Result] : Finished)
     OnDone(std::move(Result));
 }
@@ -145,7 +145,7 @@
       Pool->Name_ = Name;
       Pool->Executors_.Limits_.Slots_ = Options_.SlotsPerExecutor_;
       Pool->Executors_.Limits_.Connections_ = Options_.ConnectionsPerExecutor_;
-      Pool->Executors_.Limits_.EjectFor_ = Options_.EjectionTime_;
+      Pool->Executors_.Limits_.EjectFor_ = Options_.EjectionPeriod_;
       Pool->Queue_.Limits_.PerTeam_ = Options_.MaxQueuedPerTeam_;
     }
     return Pool;
@@ -186,10 +186,10 @@
     policy::setSlotCapacity(Pool.Queue_, UsableExecutors * Pool.Executors_.Limits_.Slots_);
   }
 
-  void setTeams(std::span<const TeamSlotQuota> Teams) {
+  void setTeamQuotas(std::span<const TeamSlotQuota> Teams) {
     {
       const std::lock_guard Lock(PoolsMutex_);
-      Teams_.assign(Teams.begin(), Teams.end());
+      TeamQuotas_.assign(Teams.begin(), Teams.end());
     }
     applyTeamQuotas();
     dispatchAll();
@@ -201,7 +201,7 @@
     std::vector<TeamSlotQuota> Teams;
     {
       const std::lock_guard Lock(PoolsMutex_);
-      Teams = Teams_;
+      Teams = TeamQuotas_;
     }
     std::vector<std::int64_t> PoolWeights;
     for (const auto &Pool : Pools) {
@@ -241,7 +241,7 @@
       }
       Pool->QueuedRequests_.clear();
     }
-    callAll(Finished);
+    invokeCallbacks(Finished);
   }
 
   void submit(InteractiveRequest Request, OutcomeCallback OnDone) {
@@ -325,7 +325,7 @@
       Pool->SweepScheduled_ = false;
       collectExpired(*Pool, policy::shedExpired(Pool->Queue_, core::Clock::now()), Finished);
     }
-    callAll(Finished);
+    invokeCallbacks(Finished);
     dispatchQueued(Pool);
     scheduleSweep(Pool);
   }
@@ -367,7 +367,7 @@
       }
       collectExpired(*Pool, Expired, Finished);
     }
-    callAll(Finished);
+    invokeCallbacks(Finished);
     for (ExecutorAttempt &Attempt : Attempts)
       send(Pool, std::move(Attempt));
   }
@@ -542,7 +542,7 @@
   std::atomic<std::int64_t> InFlight_{0};
   mutable std::mutex PoolsMutex_;
   std::map<std::string, std::shared_ptr<ExecutorPool>> Pools_;
-  std::vector<TeamSlotQuota> Teams_;
+  std::vector<TeamSlotQuota> TeamQuotas_;
   std::mutex RetryBudgetMutex_;
   policy::RetryBudget RetryBudget_;
   legacy::ExecutorClient Client_; // last member: its callbacks use the others
@@ -557,7 +557,9 @@
 void Dispatcher::setExecutors(std::span<const legacy::Instance> Executors) {
   Impl_->setExecutors(Executors);
 }
-void Dispatcher::setTeams(std::span<const TeamSlotQuota> Teams) { Impl_->setTeams(Teams); }
+void Dispatcher::setTeamQuotas(std::span<const TeamSlotQuota> Teams) {
+  Impl_->setTeamQuotas(Teams);
+}
 void Dispatcher::onLeaseAcquired(TimePoint SlotsFreeAt) { Impl_->onLeaseAcquired(SlotsFreeAt); }
 void Dispatcher::onLeaseLost() { Impl_->onLeaseLost(); }
 void Dispatcher::submit(InteractiveRequest Request, OutcomeCallback OnDone) {
