routing: reword comments, error texts and test messages

Comments used images and private terms (swept, pumped, promises, claims), and some error texts did not name the thing that failed. They now say what the code does and why. Texts that the error table gives as examples stay, and so do keys and ids.

--- a/include/masticdrift/gateway/CallerApi.h
+++ b/include/masticdrift/gateway/CallerApi.h
@@ -22,7 +22,7 @@
   core::Duration FreshnessBound_ = core::Millis(5000);
 };
 
-/// Handles requests of callers: interactive requests, jobs, health. Thread-safe.
+/// Serves interactive requests, jobs and health checks of callers. Thread-safe.
 class CallerApi {
 public:
   CallerApi(CallerApiOptions Options, replica::ConfigReplica &Config, routing::Router &Router,
@@ -31,17 +31,17 @@
   CallerApi &operator=(const CallerApi &) = delete;
   ~CallerApi();
 
-  /// The handler of an http::Server.
+  /// Handles one HTTP request; passed to an http::Server.
   void handle(http::Request Request, http::Responder Respond);
 
-  /// Readiness fails from here on, so that the balancer sends no new callers; requests are still
-  /// served.
+  /// From now on, /readyz answers 503, so that the load balancer sends no new callers. Requests are
+  /// still served.
   void reportNotReady();
 
-  /// Refuses new work with Stopping.
+  /// From now on, refuses new requests with the error Stopping.
   void refuseNewRequests();
 
-  /// \returns requests that have not been answered.
+  /// \returns the number of requests without an answer.
   std::int64_t inFlight() const;
 
 private:
--- a/include/masticdrift/gateway/JobRequest.h
+++ b/include/masticdrift/gateway/JobRequest.h
@@ -1,5 +1,5 @@
 /// \file
-/// Reads a submitted job.
+/// Parses and checks job submissions.
 #ifndef MASTICDRIFT_GATEWAY_JOBREQUEST_H
 #define MASTICDRIFT_GATEWAY_JOBREQUEST_H
 
@@ -13,25 +13,25 @@
 
 namespace masticdrift::gateway {
 
-/// A job as read from a request body, or the first mistake.
+/// A job parsed from a request body, or the first error in it.
 struct ParsedJob {
   core::Failure Error_;
-  jobs::JobSpec Spec_;     ///< without id
-  std::string HomeDomain_; ///< home domain named by the caller, may be empty
+  jobs::JobSpec Spec_;     ///< without job id
+  std::string HomeDomain_; ///< home domain given by the caller, may be empty
 };
 
-/// Reads the JSON body of a job submission: kind, tasks, cores, memory_mb, accelerators, run_ms,
+/// Parses the JSON body of a job submission: kind, tasks, cores, memory_mb, accelerators, run_ms,
 /// idempotent, command, family, request_id, domain.
 ParsedJob parseJob(std::string_view Body);
 
 /// Checks whether a job can ever run in its home domain.
 ///
 /// \param Spec the job.
-/// \param HomeDomain its home domain.
-/// \param Instances the platform's list.
-/// \param Allotment what the team may use in the domain.
-/// \returns ImpossibleSize with the resource and the largest amount available, or no failure.
-/// Nothing is refused while no worker of the domain is listed.
+/// \param HomeDomain the home domain of the job.
+/// \param Instances the platform's instance list.
+/// \param Allotment the team's resource limit in the domain.
+/// \returns ImpossibleSize with the resource and the largest available amount, or no failure. No
+/// job is refused while no worker of the domain is listed.
 core::Failure checkJobFits(const jobs::JobSpec &Spec, std::string_view HomeDomain,
                            std::span<const legacy::Instance> Instances,
                            const config::Limit &Allotment);
--- a/include/masticdrift/gateway/OperatorApi.h
+++ b/include/masticdrift/gateway/OperatorApi.h
@@ -13,7 +13,7 @@
 
 namespace masticdrift::gateway {
 
-/// Config offset of one daemon, as last heard.
+/// Last reported configuration offset of one daemon.
 struct InstanceConfigOffset {
   std::string Name_;
   std::uint64_t ConfigOffset_ = 0;
@@ -21,26 +21,26 @@
 };
 
 struct OperatorApiHooks {
-  /// JSON text of the daemon's status.
+  /// \returns the daemon's status as JSON text.
   std::function<std::string()> StatusJson_;
-  /// All daemons of the fleet that are known, this one included.
+  /// Configuration offsets of all known daemons of the fleet, including this one.
   std::function<std::vector<InstanceConfigOffset>()> ConfigOffsets_;
-  /// Starts the graceful stop.
+  /// Starts the graceful shutdown.
   std::function<void()> Drain_;
 };
 
-/// Thread-safe.
+/// Serves configuration, keys, audit log, status and metrics to operators. Thread-safe.
 class OperatorApi {
 public:
-  /// \param KeyHashes SHA-256 hashes of the operators' keys; none refuses everything but health and
-  /// metrics.
+  /// \param KeyHashes SHA-256 hashes of the operators' keys; if empty, everything except health and
+  /// metrics is refused.
   OperatorApi(std::vector<std::string> KeyHashes, std::size_t FleetSize,
               replica::ConfigReplica &Config, OperatorApiHooks Hooks);
   OperatorApi(const OperatorApi &) = delete;
   OperatorApi &operator=(const OperatorApi &) = delete;
   ~OperatorApi();
 
-  /// The handler of an http::Server.
+  /// Handles one HTTP request; passed to an http::Server.
   void handle(http::Request Request, http::Responder Respond);
 
 private:
--- a/include/masticdrift/gateway/Response.h
+++ b/include/masticdrift/gateway/Response.h
@@ -1,5 +1,5 @@
 /// \file
-/// Answers that all HTTP interfaces share.
+/// Responses and request helpers shared by the HTTP interfaces.
 #ifndef MASTICDRIFT_GATEWAY_RESPONSE_H
 #define MASTICDRIFT_GATEWAY_RESPONSE_H
 
@@ -11,14 +11,14 @@
 
 namespace masticdrift::gateway {
 
-/// \returns the answer of an error kind, with the headers Masticdrift-Outcome and, when retrying
-/// can help, Retry-After.
+/// \returns the response for an error, with the header Masticdrift-Outcome and, if a retry can
+/// succeed, Retry-After.
 http::Response errorResponse(const core::Failure &Error, std::string_view RequestId = {});
 
-/// \returns \p Json with status 200.
+/// \returns a response with the body \p Json and \p Status, 200 by default.
 http::Response jsonResponse(std::string Json, int Status = 200);
 
-/// \returns the token of "Authorization: Bearer TOKEN", empty when there is none.
+/// \returns the token of "Authorization: Bearer TOKEN", empty if there is none.
 std::string_view bearerToken(const http::Request &Request);
 
 /// \returns a new request id of 128 random bits.
--- a/include/masticdrift/routing/DomainRanking.h
+++ b/include/masticdrift/routing/DomainRanking.h
@@ -1,5 +1,5 @@
 /// \file
-/// Which failure domain should serve an interactive request.
+/// Ranks the failure domains that can serve an interactive request.
 #ifndef MASTICDRIFT_ROUTING_DOMAINRANKING_H
 #define MASTICDRIFT_ROUTING_DOMAINRANKING_H
 
@@ -11,25 +11,27 @@
 
 namespace masticdrift::routing {
 
-/// What is known of one failure domain at the daemon that received a request.
+/// State of one failure domain as known to the daemon that received a request.
 struct DomainView {
   std::string Name_;
   std::string Region_;
-  std::string Owner_;               ///< instance that owns the domain, empty when none is known
-  std::int64_t FreeSlots_ = 0;      ///< executor slots free when the owner was last heard
-  std::int64_t QueuedRequests_ = 0; ///< requests waiting there
-  bool OwnerReachable_ = false;     ///< the owner answered a recent probe, or is this daemon
+  std::string Owner_;               ///< instance that owns the domain, empty if unknown
+  std::int64_t FreeSlots_ = 0;      ///< free executor slots in the owner's last report
+  std::int64_t QueuedRequests_ = 0; ///< requests queued at the owner
+  bool OwnerReachable_ = false;     ///< the owner answered a recent probe or is this daemon
 };
 
-/// Orders the domains in which a request may be served.
+/// Ranks the domains in which a request may be served.
 ///
-/// Domains with a free slot come before full ones; then the own domain, then the own region, so
-/// that requests cross the link between regions only when everything nearer is full or gone.
+/// Domains with a free slot come before full ones; among equals, the receiver's own region comes
+/// first, and in it the receiver's own domain. Requests thus cross the link between regions only if
+/// every domain of the own region is full or unreachable.
 ///
-/// \param Domains all domains known.
+/// \param Domains all known domains.
 /// \param OwnDomain the receiving daemon's failure domain.
-/// \param OwnRegion its region.
-/// \returns indexes into \p Domains, best first; domains without a reachable owner are left out.
+/// \param OwnRegion the receiving daemon's region.
+/// \returns indexes into \p Domains, best first; domains without a reachable owner are
+/// left out.
 std::vector<std::size_t> rankDomains(std::span<const DomainView> Domains,
                                      std::string_view OwnDomain, std::string_view OwnRegion);
 
--- a/include/masticdrift/routing/Request.h
+++ b/include/masticdrift/routing/Request.h
@@ -1,5 +1,5 @@
 /// \file
-/// An interactive request and its outcome, as they pass between the parts of a daemon.
+/// An interactive request and its outcome inside a daemon.
 #ifndef MASTICDRIFT_ROUTING_REQUEST_H
 #define MASTICDRIFT_ROUTING_REQUEST_H
 
@@ -11,36 +11,36 @@
 
 namespace masticdrift::routing {
 
-/// One interactive request. Deadlines are local times; between daemons the remaining time travels.
+/// One interactive request. Deadlines are local times; daemons send each other the remaining time.
 struct InteractiveRequest {
   std::string RequestId_;
-  std::string Team_; ///< empty on a queue open to all without a key
+  std::string Team_; ///< empty for a request without a key on an open queue
   std::string KeyId_;
   std::string Queue_;
-  std::string Pool_; ///< executors that serve the queue
+  std::string Pool_; ///< executor pool that serves the queue
   bool Idempotent_ = false;
   core::TimePoint Deadline_;
   std::string ContentType_;
   std::string Body_;
 };
 
-/// How a request ended. Kind_ None means completed with the whole answer.
+/// How a request ended. Kind_ is None if it completed with the whole answer.
 struct Outcome {
   core::ErrorKind Kind_ = core::ErrorKind::None;
-  std::string Message_;                         ///< for people, when Kind_ is not None
-  core::RunState Ran_ = core::RunState::NotRun; ///< what is known of the work
-  int Status_ = 0;                              ///< upstream's status, when it answered
+  std::string Message_;                         ///< human-readable, set if Kind_ is not None
+  core::RunState Ran_ = core::RunState::NotRun; ///< whether the work ran, as far as known
+  int Status_ = 0;                              ///< HTTP status of the upstream, if it answered
   std::string ContentType_;
   std::string Body_;
 };
 
 using OutcomeCallback = std::function<void(Outcome)>;
 
-/// \returns an outcome of \p Kind whose run state is the table's.
+/// \returns an outcome of \p Kind with the run state that the error table gives for it.
 Outcome failedOutcome(core::ErrorKind Kind, std::string Message);
 
-/// \returns true when the work certainly did not run, so that it may be sent again even if it is
-/// not idempotent.
+/// \returns true if the work certainly did not run, so that even a non-idempotent request may be
+/// sent again.
 bool certainlyNotRun(const Outcome &Result);
 
 } // namespace masticdrift::routing
--- a/include/masticdrift/routing/Router.h
+++ b/include/masticdrift/routing/Router.h
@@ -1,5 +1,5 @@
 /// \file
-/// Receiver side of interactive requests: chooses the domain and forwards to its owner.
+/// Selects the domain for a received interactive request and forwards it to the domain's owner.
 #ifndef MASTICDRIFT_ROUTING_ROUTER_H
 #define MASTICDRIFT_ROUTING_ROUTER_H
 
@@ -19,33 +19,34 @@
   std::string Domain_;
   std::string Region_;
   std::int64_t RetryPercent_ = 10;
-  /// Time that an owner's answer may take after the deadline before the outcome counts as unknown.
+  /// How long after the deadline an owner's answer is awaited before the outcome counts as unknown.
   core::Duration AnswerGrace_ = core::Millis(250);
 };
 
-/// Sends requests to the owner of a domain, one hop, and receives forwarded ones. Thread-safe.
+/// Sends requests to the owner of a domain and serves forwarded ones. A request is forwarded at
+/// most once. Thread-safe.
 class Router {
 public:
-  /// \param ListDomains returns what is known of all domains now.
+  /// \param ListDomains returns the currently known state of all domains.
   Router(RouterOptions Options, protocol::Link &PeerLink, Dispatcher &LocalDispatcher,
          std::function<std::vector<DomainView>()> ListDomains);
   Router(const Router &) = delete;
   Router &operator=(const Router &) = delete;
   ~Router();
 
-  /// Serves a request in the nearest domain that can. \p OnDone is called exactly once.
+  /// Serves a request in the best-ranked domain that accepts it. \p OnDone is called exactly once.
   void submit(InteractiveRequest Request, OutcomeCallback OnDone);
 
-  /// Serves a Forward message of another daemon.
+  /// Serves a request that another daemon forwarded.
   void onForward(const protocol::Envelope &Message);
 
-  /// \returns the number of domains whose owner is reachable now.
+  /// \returns the number of domains whose owner is reachable.
   std::size_t reachableDomains() const;
 
-  /// Refuses forwarded requests with Stopping from here on.
+  /// From now on, refuses forwarded requests with the error Stopping.
   void refuseForwards();
 
-  /// \returns requests accepted here and not answered, own and forwarded ones.
+  /// \returns the number of accepted requests without an answer, direct and forwarded ones.
   std::int64_t inFlight() const;
 
 private:
--- a/src/gateway/CallerApi.cpp
+++ b/src/gateway/CallerApi.cpp
@@ -18,10 +18,10 @@
 using core::Failure;
 using core::TimePoint;
 
-/// Most job ids in one bulk cancellation.
+/// Maximum number of job ids in one bulk cancellation.
 constexpr std::size_t MaxCancelledJobs = 10'000;
 
-/// Who is asking, and for which queue.
+/// Team and key of a caller, or why the caller was refused.
 struct CallerIdentity {
   Failure Error_;
   std::string Team_;
@@ -130,8 +130,8 @@
                 std::to_string(core::toMillis(Options_.FreshnessBound_)) + " ms"};
   }
 
-  /// Identifies the team by the presented key. Only a fresh configuration shows that a key is not
-  /// revoked.
+  /// Identifies the team by its key. Keys are accepted only while the configuration is fresh,
+  /// because a stale one may lack a revocation.
   CallerIdentity identify(const http::Request &Request, TimePoint Now) const {
     const std::string_view Token = bearerToken(Request);
     if (Token.empty())
@@ -158,7 +158,7 @@
     if (Queue->Open_ && bearerToken(Request).empty())
       return {};
     CallerIdentity Caller = identify(Request, Now);
-    // A queue that is open to all serves callers also while nothing can be said about their key.
+    // An open queue serves callers even while a stale configuration prevents checking their key.
     if (Queue->Open_ && Caller.Error_.Kind_ == ErrorKind::ConfigurationStale)
       return {};
     if (!Caller.Error_ && !Queue->Open_ && !config::allows(*Queue, Caller.Team_))
@@ -181,7 +181,7 @@
     const config::Queue *Queue = Current->queue(QueueName);
     if (!Caller.Error_ && Queue->Class_ != config::QueueClass::Interactive)
       Caller.Error_ = {ErrorKind::UnknownQueue,
-                       "queue \"" + QueueName + "\" takes jobs, not interactive requests"};
+                       "queue \"" + QueueName + "\" accepts jobs, not interactive requests"};
     routing::InteractiveRequest Submission;
     if (!Caller.Error_)
       Caller.Error_ = readOptions(Request, Now, Submission);
@@ -225,7 +225,7 @@
     const auto Value =
         Deadline.empty() ? Options_.DefaultDeadline_.count() : parseInteger(Deadline);
     if (!Value || *Value < 1 || *Value > Options_.MaxDeadline_.count())
-      return {ErrorKind::OutOfRange, "Masticdrift-Deadline-Ms: expected a whole number of 1.." +
+      return {ErrorKind::OutOfRange, "Masticdrift-Deadline-Ms: expected an integer from 1 to " +
                                          std::to_string(Options_.MaxDeadline_.count())};
     Submission.Deadline_ = Now + core::Millis(*Value);
     const std::string_view Idempotent =
@@ -249,7 +249,7 @@
     if (Queue->Class_ == config::QueueClass::Interactive)
       return Respond(
           errorResponse({ErrorKind::UnknownQueue,
-                         "queue \"" + QueueName + "\" takes interactive requests, not jobs"}));
+                         "queue \"" + QueueName + "\" accepts interactive requests, not jobs"}));
     ParsedJob Parsed = parseJob(Request.Body_);
     if (Parsed.Error_)
       return Respond(errorResponse(Parsed.Error_));
@@ -320,7 +320,7 @@
     Jobs_.status(JobId, Caller.Team_,
                  [Self = shared_from_this(), JobId, KeyId = Caller.KeyId_,
                   Respond = std::move(Respond)](const Failure &Error, const std::string &) {
-                   // A job that can't be looked up now is cancelled all the same; a cancel of an
+                   // A job whose status can't be read now is cancelled anyway: cancelling an
                    // unknown job has no effect.
                    if (Error.Kind_ == ErrorKind::UnknownJob)
                      return Respond(errorResponse(Error));
@@ -341,8 +341,8 @@
       if (!Entry.is_string() ||
           !belongsToTeam(Entry.get_ref<const std::string &>(), Caller.Team_) ||
           !domainExists(Entry.get_ref<const std::string &>()))
-        return Respond(
-            errorResponse({ErrorKind::UnknownJob, "not a job of this team: " + Entry.dump()}));
+        return Respond(errorResponse(
+            {ErrorKind::UnknownJob, "entry is not a job of this team: " + Entry.dump()}));
       JobIds.push_back(Entry.get<std::string>());
     }
     cancel(JobIds, Caller.KeyId_, Respond);
--- a/src/gateway/OperatorApi.cpp
+++ b/src/gateway/OperatorApi.cpp
@@ -23,7 +23,7 @@
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-/// \returns a whole number that is not negative, or nothing for any other text.
+/// \returns the value of a non-negative integer, or nothing for any other text.
 std::optional<std::int64_t> parseNonNegative(std::string_view Text) {
   std::int64_t Value = 0;
   const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
@@ -33,11 +33,11 @@
 }
 
 http::Response invalidNumberResponse(std::string_view FieldName) {
-  return errorResponse({ErrorKind::OutOfRange,
-                        std::string(FieldName) + ": expected a whole number that is not negative"});
+  return errorResponse(
+      {ErrorKind::OutOfRange, std::string(FieldName) + ": expected a non-negative integer"});
 }
 
-/// Every path of the interface; "*" stands for a key id.
+/// All paths of the interface; "*" stands for a key id.
 constexpr std::array<std::string_view, 10> KnownPaths{
     "metrics", "healthz",   "v1/config", "v1/config/history", "v1/inforce",
     "v1/keys", "v1/keys/*", "v1/audit",  "v1/status",         "v1/drain"};
@@ -116,7 +116,7 @@
     if (!isAuthorized(Request))
       return Respond(errorResponse(
           {bearerToken(Request).empty() ? ErrorKind::MissingKey : ErrorKind::UnknownKey,
-           "an operator's key is needed"}));
+           "an operator key is required"}));
     if (Route == "GET v1/config")
       return Respond(currentConfig());
     if (Route == "GET v1/config/history")
@@ -192,7 +192,8 @@
     Json Instances = Json::array();
     std::size_t InForceCount = 0;
     for (const InstanceConfigOffset &Instance : Hooks_.ConfigOffsets_()) {
-      // Offsets count applied records, so a version is in force above its own offset.
+      // An offset is the number of applied records, so a version is in force at a daemon whose
+      // offset is greater than the offset of the version's record.
       const bool InForce = Instance.Reachable_ && Instance.ConfigOffset_ > VersionOffset;
       InForceCount += InForce ? 1 : 0;
       Instances.push_back(
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -22,20 +22,20 @@
 using core::TimePoint;
 using legacy::ExecutorResult;
 
-/// Sends of one request, the first included.
+/// Maximum number of sends of one request, including the first.
 constexpr int MaxAttempts = 3;
-/// An idempotent request gives its executor this part of the time left, so that a silent one leaves
-/// room for a retry.
+/// An attempt of an idempotent request gets the remaining time divided by this, so that a retry is
+/// still possible if the executor does not answer.
 constexpr int IdempotentTimeDivisor = 2;
-/// Shorter attempts would time out on a healthy executor.
+/// Shorter attempts would time out even on a healthy executor.
 constexpr core::Millis MinAttemptTime{100};
 
-/// Interval in which waiting requests are looked at when nothing else happens. An executor that
-/// becomes usable after an ejection raises no event, and a new request that is refused because of
-/// the length of the queue would not send the waiting ones either.
+/// Interval at which queued requests are checked in the absence of other events. The end of an
+/// executor's ejection raises no event, and a new request that is refused because the queue is full
+/// does not dispatch the queued ones either.
 constexpr core::Millis SweepInterval{50};
 
-/// A request between submit() and its outcome.
+/// A submitted request that has no final outcome yet.
 struct PendingRequest {
   InteractiveRequest Request_;
   OutcomeCallback OnDone_;
@@ -43,14 +43,14 @@
   std::optional<Outcome> EarlierOutcome_; ///< of the last attempt that may have run
 };
 
-/// One request on its way to one executor.
+/// One attempt to run a request on an executor.
 struct ExecutorAttempt {
   std::uint64_t Id_ = 0;
   std::size_t ExecutorIndex_ = 0;
   std::string Address_;
   std::shared_ptr<PendingRequest> Pending_;
   TimePoint SentAt_;
-  TimePoint AttemptDeadline_; ///< deadline given to the executor
+  TimePoint AttemptDeadline_; ///< deadline sent to the executor
 };
 
 using Completions = std::vector<std::pair<OutcomeCallback, Outcome>>;
@@ -60,7 +60,7 @@
     OnDone(std::move(Result));
 }
 
-/// Executors and queue of one pool, the unit of locking.
+/// Executors and request queue of one pool. Each pool has its own lock.
 struct ExecutorPool {
   std::string Name_;
   std::mutex Mutex_;
@@ -72,8 +72,8 @@
   bool SweepScheduled_ = false;
 };
 
-/// \returns the outcome of the whole request: a retry that did not run says nothing about an
-/// earlier attempt that may have.
+/// \returns the outcome of the whole request. If the last attempt did not run, an earlier attempt
+/// that may have run determines the outcome.
 Outcome finalOutcome(const PendingRequest &Pending, Outcome LastOutcome) {
   if (Pending.EarlierOutcome_ && certainlyNotRun(LastOutcome))
     return *Pending.EarlierOutcome_;
@@ -106,11 +106,12 @@
   case ExecutorResult::NotConnected:
     return failedOutcome(ErrorKind::NoUpstream, "executor is not reachable: " + Answer.Error_);
   case ExecutorResult::Truncated:
-    return failedOutcome(ErrorKind::AnswerTruncated, "answer is not whole: " + Answer.Error_);
+    return failedOutcome(ErrorKind::AnswerTruncated,
+                         "executor's answer is incomplete: " + Answer.Error_);
   case ExecutorResult::NoAnswer:
     break;
   }
-  return failedOutcome(ErrorKind::OutcomeUnknown, "no answer: " + Answer.Error_);
+  return failedOutcome(ErrorKind::OutcomeUnknown, "executor did not answer: " + Answer.Error_);
 }
 
 } // namespace
@@ -195,7 +196,8 @@
     dispatchAll();
   }
 
-  /// Splits each team's allotment over the pools by their executors, so that the parts sum to it.
+  /// Splits each team's slot quota over the pools in proportion to their executors. The parts add
+  /// up to the quota.
   void applyTeamQuotas() {
     const auto Pools = allPools();
     std::vector<TeamSlotQuota> Teams;
@@ -235,9 +237,10 @@
       const std::lock_guard Lock(Pool->Mutex_);
       for (const auto &[Id, Pending] : Pool->QueuedRequests_) {
         policy::removeRequest(Pool->Queue_, Pending->Request_.Team_, Id);
-        Finished.emplace_back(Pending->OnDone_,
-                              finalOutcome(*Pending, failedOutcome(ErrorKind::NotOwner,
-                                                                   "the domain has a new owner")));
+        Finished.emplace_back(
+            Pending->OnDone_,
+            finalOutcome(*Pending, failedOutcome(ErrorKind::NotOwner,
+                                                 "this daemon lost the ownership of the domain")));
       }
       Pool->QueuedRequests_.clear();
     }
@@ -254,7 +257,7 @@
     const auto Pool = findPool(Request.Pool_);
     if (!Pool)
       return OnDone(failedOutcome(ErrorKind::NoUpstream,
-                                  "pool \"" + Request.Pool_ + "\" has no executor here"));
+                                  "pool \"" + Request.Pool_ + "\" has no executor in this domain"));
     {
       const std::lock_guard Lock(RetryBudgetMutex_);
       policy::countRequest(RetryBudget_);
@@ -270,9 +273,11 @@
     std::optional<Outcome> Refusal;
     {
       const std::lock_guard Lock(Pool->Mutex_);
-      // Under the lock: a request queued after lost() emptied the queue would never be answered.
+      // Checked under the lock: a request queued after onLeaseLost() cleared the queue would never
+      // be answered.
       if (!IsOwner_)
-        Refusal = failedOutcome(ErrorKind::NotOwner, "the domain has a new owner");
+        Refusal =
+            failedOutcome(ErrorKind::NotOwner, "this daemon lost the ownership of the domain");
       else
         Refusal = pushToQueue(*Pool, Pending, Now);
     }
@@ -282,7 +287,8 @@
     scheduleSweep(Pool);
   }
 
-  /// \returns the refusal, or nothing when the request was queued. Needs the pool's lock.
+  /// Queues a request; the caller holds the pool's lock.
+  /// \returns the refusal, or nothing if the request was queued.
   static std::optional<Outcome>
   pushToQueue(ExecutorPool &Pool, const std::shared_ptr<PendingRequest> &Pending, TimePoint Now) {
     const std::uint64_t Id = Pool.NextId_++;
@@ -300,10 +306,11 @@
     return Admission.Verdict_ == policy::Admission::QueueFull
                ? failedOutcome(ErrorKind::QueueFull, "the team's queue is full" + RetryHint)
                : failedOutcome(ErrorKind::DeadlineExpired,
-                               "no slot is expected before the deadline" + RetryHint);
+                               "no executor slot is expected to be free before the deadline" +
+                                   RetryHint);
   }
 
-  /// Plans a sweep if requests are waiting and none is planned.
+  /// Schedules a sweep if requests are queued and no sweep is scheduled.
   void scheduleSweep(const std::shared_ptr<ExecutorPool> &Pool) {
     {
       const std::lock_guard Lock(Pool->Mutex_);
@@ -317,7 +324,7 @@
     });
   }
 
-  /// Answers expired requests and sends others for which there is room.
+  /// Fails expired requests and dispatches queued ones while slots are free.
   void sweepQueue(const std::shared_ptr<ExecutorPool> &Pool) {
     Completions Finished;
     {
@@ -330,7 +337,7 @@
     scheduleSweep(Pool);
   }
 
-  /// Needs the pool's lock.
+  /// Moves expired requests from the pool to \p Finished; the caller holds the pool's lock.
   static void collectExpired(ExecutorPool &Pool, const std::vector<policy::QueuedRequest> &Expired,
                              Completions &Finished) {
     for (const policy::QueuedRequest &Request : Expired) {
@@ -349,7 +356,7 @@
       dispatchQueued(Pool);
   }
 
-  /// Sends waiting requests while slots are free.
+  /// Sends queued requests while slots are free.
   void dispatchQueued(const std::shared_ptr<ExecutorPool> &Pool) {
     const TimePoint Now = core::Clock::now();
     if (!IsOwner_ || Now < SlotsFreeAt_.load())
@@ -392,13 +399,14 @@
   }
 
   void send(const std::shared_ptr<ExecutorPool> &Pool, ExecutorAttempt Attempt) {
-    // The lease is checked here, immediately before the bytes leave, and not where the slot was
-    // taken.
+    // The lease is checked immediately before the send, not when the slot was taken, because it can
+    // expire in between.
     const TimePoint Now = core::Clock::now();
     if (!HoldsLease_(Now)) {
       releaseSlots(*Pool, Attempt, core::Duration::zero());
-      return finish(*Attempt.Pending_,
-                    failedOutcome(ErrorKind::LeaseLapsed, "the domain's lease has ended"));
+      return finish(
+          *Attempt.Pending_,
+          failedOutcome(ErrorKind::LeaseLapsed, "this daemon's lease on the domain has expired"));
     }
     legacy::ExecutorRequest Outgoing;
     const InteractiveRequest &Request = Attempt.Pending_->Request_;
@@ -407,10 +415,10 @@
     Outgoing.ContentType_ = Request.ContentType_;
     Outgoing.Body_ = Request.Body_;
     Outgoing.Idempotent_ = Request.Idempotent_;
-    // At least 1 ms: zero would mean no timeout to libcurl.
+    // At least 1 ms, because libcurl takes zero as no timeout.
     Outgoing.Remaining_ = std::max(
         core::Millis(1), std::chrono::duration_cast<core::Millis>(Attempt.AttemptDeadline_ - Now));
-    // Checked again when the connection is there: the daemon may have been paused since.
+    // Checked again once the connection is established: the daemon may have been paused meanwhile.
     Outgoing.MaySend_ = [Weak = weak_from_this()] {
       const auto Self = Weak.lock();
       return Self && Self->HoldsLease_(core::Clock::now());
@@ -469,8 +477,8 @@
     policy::finishSlot(Pool.Queue_, Attempt.Pending_->Request_.Team_, Now - Attempt.SentAt_);
   }
 
-  /// The executor may still be working: the slots of executor and team stay taken until its
-  /// deadline plus grace.
+  /// Keeps the slots of the executor and the team occupied until the attempt's deadline plus
+  /// SlotGrace_, because the executor may still be running the request.
   void holdSlots(const std::shared_ptr<ExecutorPool> &Pool, const ExecutorAttempt &Attempt,
                  TimePoint Now) {
     const TimePoint Until = Attempt.AttemptDeadline_ + Options_.SlotGrace_;
@@ -545,7 +553,7 @@
   std::vector<TeamSlotQuota> TeamQuotas_;
   std::mutex RetryBudgetMutex_;
   policy::RetryBudget RetryBudget_;
-  legacy::ExecutorClient Client_; // last member: its callbacks use the others
+  legacy::ExecutorClient Client_; // declared last, because its callbacks use the other members
 };
 
 Dispatcher::Dispatcher(DispatcherOptions Options, core::Timers &Timers,
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -14,17 +14,17 @@
 using core::ErrorKind;
 using core::TimePoint;
 
-/// A request while domains are tried one after another.
+/// A request and the ranked domains that are tried for it one after another.
 struct RoutedRequest {
   InteractiveRequest Request_;
   OutcomeCallback OnDone_;
   std::vector<DomainView> Domains_;
-  std::vector<std::size_t> RankedDomains_; ///< into Domains_
-  std::size_t Position_ = 0;               ///< position in Order_
-  std::optional<Outcome> EarlierOutcome_;  ///< of the last domain where the work may have run
+  std::vector<std::size_t> RankedDomains_; ///< indexes into Domains_
+  std::size_t Position_ = 0;               ///< current index into RankedDomains_
+  std::optional<Outcome> EarlierOutcome_;  ///< of the last domain in which the work may have run
 };
 
-/// \returns true for refusals that another domain may not repeat.
+/// \returns true for errors that another domain may not return.
 bool mayRetryInOtherDomain(ErrorKind Kind) {
   switch (Kind) {
   case ErrorKind::QueueFull:
@@ -160,12 +160,13 @@
     if (Error) {
       const ErrorKind Kind = core::kindOf(Error);
       return failedOutcome(Kind, Kind == ErrorKind::OutcomeUnknown
-                                     ? "the owner did not answer in time"
-                                     : "the owner is not reachable");
+                                     ? "the domain's owner did not answer in time"
+                                     : "the domain's owner is not reachable");
     }
     auto Answer = core::unpack<protocol::Answer>(Reply.Body_);
     if (!Answer)
-      return failedOutcome(ErrorKind::OutcomeUnknown, "the owner's answer is malformed");
+      return failedOutcome(ErrorKind::OutcomeUnknown,
+                           "the answer of the domain's owner is malformed");
     return fromAnswer(std::move(*Answer));
   }
 
@@ -186,8 +187,7 @@
       return false;
     if (certainlyNotRun(Result))
       return mayRetryInOtherDomain(Result.Kind_);
-    // The work may have run: only an idempotent request may be sent again, and only within the
-    // budget.
+    // The work may have run, so only an idempotent request is sent again, within the retry budget.
     if (!Routed.Request_.Idempotent_)
       return false;
     const std::lock_guard Lock(RetryBudgetMutex_);
@@ -196,7 +196,8 @@
 
   void finish(const RoutedRequest &Routed, Outcome Result) {
     --InFlight_;
-    // A domain that did not run the request says nothing about an earlier one that may have.
+    // If the last domain did not run the request, an earlier domain that may have run it determines
+    // the outcome.
     if (Routed.EarlierOutcome_ && certainlyNotRun(Result))
       Result = *Routed.EarlierOutcome_;
     Routed.OnDone_(std::move(Result));
@@ -205,9 +206,11 @@
   void onForward(const protocol::Envelope &Message) {
     auto Forwarded = core::unpack<protocol::Forward>(Message.Body_);
     if (!Forwarded)
-      return reply(Message, failedOutcome(ErrorKind::MalformedMessage, "Forward is malformed"));
+      return reply(Message,
+                   failedOutcome(ErrorKind::MalformedMessage, "the Forward message is malformed"));
     if (RefuseForwards_)
-      return reply(Message, failedOutcome(ErrorKind::Stopping, "the owner is shutting down"));
+      return reply(Message,
+                   failedOutcome(ErrorKind::Stopping, "the domain's owner is shutting down"));
     if (Forwarded->Hops_ > 1)
       return reply(Message,
                    failedOutcome(ErrorKind::ForwardLimit, "request was forwarded already"));
--- a/tests/integration/BadInputTest.cpp
+++ b/tests/integration/BadInputTest.cpp
@@ -1,5 +1,5 @@
-// Wrong and hostile input at the callers' and operators' ports: each gets the documented answer,
-// and the daemon goes on serving.
+// Invalid and hostile input on the caller and operator ports gets the documented error, and the
+// daemon keeps serving requests.
 #include "support/Api.h"
 
 #include <arpa/inet.h>
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// A TCP connection that can send what no HTTP client sends.
+/// A TCP connection that sends arbitrary bytes, including invalid HTTP.
 class RawConnection {
 public:
   explicit RawConnection(const std::string &Url) : Socket_(socket(AF_INET, SOCK_STREAM, 0)) {
@@ -34,7 +34,7 @@
 
   bool connected() const { return Connected_; }
 
-  /// \returns whether everything was taken; the peer may close before that.
+  /// \returns true if all bytes were sent; the peer may close the connection earlier.
   bool write(std::string_view Bytes) const {
     while (!Bytes.empty()) {
       const ssize_t Sent = send(Socket_, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
@@ -46,7 +46,7 @@
   }
 
   /// Waits for the peer to close the connection.
-  /// \returns whether it did within \p Deadline.
+  /// \returns true if it did so within \p Timeout.
   bool awaitClose(core::Millis Timeout) {
     const core::TimePoint End = core::Clock::now() + Timeout;
     while (core::Clock::now() < End) {
@@ -71,24 +71,28 @@
 };
 
 void expectRefused(const char *Scope, const Reply &Answer, int Status, const std::string &ErrorId) {
-  cr_expect(Answer.Complete_, "%s: no complete answer", Scope);
-  cr_expect_eq(Answer.Status_, Status, "%s: %d %s", Scope, Answer.Status_, Answer.Body_.c_str());
-  cr_expect(Answer.errorId() == ErrorId, "%s: %s", Scope, Answer.Body_.c_str());
+  cr_expect(Answer.Complete_, "%s: the answer is incomplete", Scope);
+  cr_expect_eq(Answer.Status_, Status, "%s: status %d, body %s", Scope, Answer.Status_,
+               Answer.Body_.c_str());
+  cr_expect(Answer.errorId() == ErrorId, "%s: unexpected error id, body %s", Scope,
+            Answer.Body_.c_str());
   cr_expect(Answer.Outcome_ == "not_run", "%s: outcome \"%s\"", Scope, Answer.Outcome_.c_str());
 }
 
-/// The daemon still serves a normal request.
+/// Expects that the daemon still serves a valid request.
 void expectServes(const char *Scope, Api &Daemon, const std::string &Key) {
   const Reply Answer = Daemon.request("reorder", "still here", {.Key_ = Key});
-  cr_expect_eq(Answer.Status_, 200, "after %s: %d %s", Scope, Answer.Status_, Answer.Body_.c_str());
-  cr_expect(Answer.Outcome_ == "completed", "after %s: %s", Scope, Answer.Outcome_.c_str());
+  cr_expect_eq(Answer.Status_, 200, "after %s: status %d, body %s", Scope, Answer.Status_,
+               Answer.Body_.c_str());
+  cr_expect(Answer.Outcome_ == "completed", "after %s: outcome %s", Scope, Answer.Outcome_.c_str());
   cr_expect(Answer.Body_.find("still here") != std::string::npos, "after %s: %s", Scope,
             Answer.Body_.c_str());
 }
 
 } // namespace
 
-// Guards against answers without a stable id, a false outcome, and damage to later requests.
+// Guards against errors without a stable id or with a wrong outcome, and against invalid requests
+// that make later ones fail.
 Test(BadInput, callersGetTheDocumentedAnswerAndTheDaemonKeepsServing) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -124,8 +128,8 @@
         "MD-109");
 }
 
-// Guards against a daemon that reads without bounds or waits without end. The outcome of an
-// oversized body is checked in OversizedBodyTest.
+// Guards against a daemon that reads or waits without a limit. The outcome of an oversized body is
+// checked in OversizedBodyTest.
 Test(BadInput, oversizedAndSlowRequestsAreCutOff) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -144,13 +148,13 @@
     Connection.write("POST /v1/queues/reorder/requests HTTP/1.1\r\nHost: a\r\nX-Large: " +
                      std::string(20'000, 'x') + "\r\nContent-Length: 1\r\n\r\nx");
     cr_expect(Connection.awaitClose(core::Millis(3000)),
-              "oversized header: the connection stays open");
+              "oversized header: the daemon did not close the connection");
     cr_expect(Connection.received().find(" 200 ") == std::string::npos, "%s",
               Connection.received().c_str());
   }
   expectServes("an oversized header", Daemon, Key);
 
-  // The read timeout is 5 s for the whole request, so single bytes must not extend it.
+  // The read timeout of 5 s covers the whole request, so single bytes must not extend it.
   RawConnection SlowConnection(Url);
   cr_assert(SlowConnection.connected());
   SlowConnection.write(
@@ -161,13 +165,13 @@
     SlowConnection.write("x");
     Closed = SlowConnection.awaitClose(core::Millis(500));
   }
-  cr_expect(Closed, "slow sender: the connection stays open");
+  cr_expect(Closed, "slow sender: the daemon did not close the connection");
   cr_expect(SlowConnection.received().find(" 200 ") == std::string::npos, "%s",
             SlowConnection.received().c_str());
   expectServes("a slow sender", Daemon, Key);
 }
 
-// Guards against operator answers without a stable id.
+// Guards against errors on the operator port without a stable id.
 Test(BadInput, operatorsGetTheDocumentedAnswer) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
--- a/tests/integration/PathTest.cpp
+++ b/tests/integration/PathTest.cpp
@@ -1,5 +1,5 @@
-// The whole path through separate processes: configuration, keys, an interactive request and
-// durable jobs.
+// End-to-end test over separate processes: configuration, keys, interactive requests and a durable
+// job.
 #include "support/Api.h"
 
 #include <criterion/criterion.h>
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// Waits until a job reaches \p State; returns the last status seen.
+/// Waits until a job reaches \p State.
+/// \returns the last status read.
 Json awaitJob(Api &Caller, const std::string &JobId, const std::string &Key,
               const std::string &State, core::Millis Deadline = core::Millis(10'000)) {
   Json Status;
@@ -28,7 +29,8 @@
   Api FirstDaemon(TestFleet, TestFleet.names().front());
   const std::string Key = FirstDaemon.newKey("mfi");
 
-  // An interactive request through each daemon; the key was granted at the first one.
+  // An interactive request through each daemon. The key was granted at the first one, so the others
+  // may not know it yet (MD-202).
   for (const std::string &Name : TestFleet.names()) {
     Api Daemon(TestFleet, Name);
     Reply LastReply;
@@ -41,7 +43,7 @@
     cr_assert(LastReply.Body_.find("check 17") != std::string::npos, "%s", LastReply.Body_.c_str());
   }
 
-  // A batch, submitted at one daemon and read at another.
+  // A batch job, submitted to one daemon and read from another.
   Api LastDaemon(TestFleet, TestFleet.names().back());
   const Reply Accepted = FirstDaemon.submitJob(
       "print", {{"kind", "batch"}, {"tasks", 3}, {"run_ms", 200}, {"request_id", "b1"}}, Key);
@@ -50,7 +52,7 @@
   const Json FinalStatus = awaitJob(LastDaemon, JobId, Key, "succeeded");
   cr_assert(FinalStatus.value("state", "") == "succeeded", "%s", FinalStatus.dump().c_str());
 
-  // The stand-in's record: each task ran once.
+  // The worker stand-in recorded that each task ran once.
   const Json Evidence = TestFleet.evidence(Standin::Worker);
   cr_assert_eq(Evidence.at("tasks").size(), 3U, "%s", Evidence.dump().c_str());
   cr_assert_eq(Evidence.at("peak_copies").get<int>(), 1);
--- a/tests/invariant/Callers.h
+++ b/tests/invariant/Callers.h
@@ -1,5 +1,5 @@
 /// \file
-/// Concurrent callers and the comparison of their answers with the evidence of the executors.
+/// Load from concurrent callers, and checks of their answers against the executors' records.
 #ifndef MASTICDRIFT_INVARIANT_CALLERS_H
 #define MASTICDRIFT_INVARIANT_CALLERS_H
 
@@ -16,7 +16,7 @@
 
 namespace masticdrift::testing {
 
-/// One request as its caller saw it.
+/// One request and its answer as seen by the caller.
 struct RequestRecord {
   std::string RequestId_;
   std::string RequestBody_;
@@ -35,11 +35,11 @@
   int IdempotentEvery_ = 0;
 };
 
-/// A caller waits this long after an answer that is not "completed", as the retry hint asks.
+/// Pause of a caller after an answer that is not "completed", as the retry hint asks for.
 constexpr core::Millis RetryPause{20};
 
-/// Callers on threads of their own, each sending its next request after the last answer, through
-/// the given daemons in turn.
+/// Runs each caller on its own thread. A caller sends its next request after the previous answer
+/// and uses the given daemons in turn.
 class LoadGenerator {
 public:
   LoadGenerator(Fleet &TestFleet, std::vector<std::string> Daemons, LoadOptions Options,
@@ -53,7 +53,8 @@
   LoadGenerator &operator=(const LoadGenerator &) = delete;
   ~LoadGenerator() { stop(); }
 
-  /// Ends the load and waits for the outstanding answers.
+  /// Stops the callers after their outstanding answers.
+  /// \returns all requests and answers.
   const std::vector<RequestRecord> &stop() {
     StopRequested_ = true;
     for (std::thread &Thread : Threads_)
@@ -62,7 +63,7 @@
     return Records_;
   }
 
-  /// \returns the number of answers so far whose outcome is \p Outcome, of all when it is empty.
+  /// \returns the number of answers so far with \p Outcome, or of all answers if it is empty.
   std::size_t countAnswers(const std::string &Outcome = {}) {
     const std::lock_guard Lock(Mutex_);
     return static_cast<std::size_t>(
@@ -71,7 +72,8 @@
         }));
   }
 
-  /// Waits until \p Count further answers with \p Outcome have arrived.
+  /// Waits until \p Count more answers with \p Outcome have arrived.
+  /// \returns false if they did not arrive within \p Deadline.
   bool awaitAnswers(std::size_t Count, core::Millis Deadline, const std::string &Outcome = {}) {
     const std::size_t Target = countAnswers(Outcome) + Count;
     return waitFor(Deadline, [&] { return countAnswers(Outcome) >= Target; });
@@ -83,7 +85,8 @@
       RequestRecord Record;
       Record.RequestId_ =
           Prefix_ + "-" + std::to_string(Caller) + "-" + std::to_string(RequestNumber);
-      // Long enough that a cut answer differs from a whole one, and different for each request.
+      // Long enough that a truncated answer differs from a complete one, and unique to each
+      // request.
       Record.RequestBody_ = "work-ms=" + std::to_string(Options_.WorkMs_) + " ";
       for (int I = 0; I < 20; ++I)
         Record.RequestBody_ += Record.RequestId_ + "/";
@@ -120,7 +123,8 @@
   std::vector<std::thread> Threads_;
 };
 
-/// \returns the executors' evidence after their last run has ended.
+/// Waits up to 6 s until no executor runs a request.
+/// \returns the executors' records.
 inline Json evidenceWhenIdle(Fleet &TestFleet) {
   Json Executors;
   waitFor(core::Millis(6000), [&] {
@@ -131,7 +135,7 @@
   return Executors;
 }
 
-/// \returns how often each request ran, over all executors.
+/// \returns how often each request ran on all executors together, by request id.
 inline std::map<std::string, int> runsByRequest(const Json &Executors) {
   std::map<std::string, int> Runs;
   for (const Json &Executor : Executors)
@@ -140,10 +144,12 @@
   return Runs;
 }
 
-/// What the answers and the evidence say about P5, P6 and P7.
+/// Result of checking answers against the executors' records: whether P5 (completed answers are
+/// complete and belong to their request), P6 (what is answered "not_run" did not run) and P7 (a
+/// non-idempotent request runs at most once) hold.
 struct CheckResult {
-  std::map<std::string, int> Outcomes_; ///< answers by outcome and error id
-  std::vector<std::string> Violations_; ///< one line per broken promise
+  std::map<std::string, int> Outcomes_; ///< number of answers by outcome and error id
+  std::vector<std::string> Violations_; ///< one line per violated invariant
 
   std::string summary() const {
     std::string Text;
@@ -156,9 +162,10 @@
   }
 };
 
-/// \param ConnectionsMayBreak true when a daemon that callers were connected to was killed or
-/// paused: their
-///        connections then end without an answer.
+/// Checks P5, P6 and P7.
+///
+/// \param ConnectionsMayBreak true if a daemon with connected callers was killed or paused, so that
+///        connections may end without an answer.
 inline CheckResult checkAnswers(const std::vector<RequestRecord> &Records, const Json &Executors,
                                 bool ConnectionsMayBreak) {
   const std::map<std::string, int> RunCounts = runsByRequest(Executors);
@@ -183,13 +190,14 @@
                                    "\"");
     if (Outcome != "completed" && Outcome != "not_run" && Outcome != "failed" &&
         Outcome != "unknown" && !(ConnectionsMayBreak && Outcome.empty()))
-      Result.Violations_.push_back(Description + "outcome is not one of the closed list");
+      Result.Violations_.push_back(Description +
+                                   "outcome is not completed, not_run, failed or unknown");
   }
   return Result;
 }
 
-/// \returns one line for every executor that was sent more than it can take. A full executor
-/// refuses, so refusals show an overcommitment that the peak alone can't show.
+/// \returns one line for each executor that was sent more than its capacity. A full executor
+/// refuses requests, so refusals show an overcommitment that the peak alone can't show.
 inline std::string overcommittedExecutors(const Json &Executors) {
   std::string Text;
   for (const auto &[Name, Executor] : Executors.items())
@@ -202,7 +210,7 @@
   return Text;
 }
 
-/// \returns the owner of a domain, empty when no daemon in \p Among says that it is.
+/// \returns the daemon in \p Daemons that reports itself as the owner, or an empty name.
 inline std::string findOwner(Fleet &TestFleet, const std::vector<std::string> &Daemons) {
   for (const std::string &Name : Daemons) {
     const Json Status = Api(TestFleet, Name).status();
--- a/tests/invariant/RequestChecks.h
+++ b/tests/invariant/RequestChecks.h
@@ -1,5 +1,5 @@
 /// \file
-/// Checks shared by the scenarios about interactive requests.
+/// Checks shared by the tests of interactive requests.
 #ifndef MASTICDRIFT_TESTS_INVARIANT_REQUESTCHECKS_H
 #define MASTICDRIFT_TESTS_INVARIANT_REQUESTCHECKS_H
 
@@ -14,7 +14,7 @@
 
 inline const std::vector<std::string> DomainNames{"lahore-a", "faisalabad-b", "karachi-a"};
 
-/// Applies switches to one executor of each domain.
+/// Sets fault switches of one executor stand-in in each domain.
 inline void setExecutorSwitches(Fleet &TestFleet, int ExecutorNumber, Json Switches) {
   for (const std::string &Domain : DomainNames) {
     Switches["executor"] = Domain + "-executor-" + std::to_string(ExecutorNumber);
@@ -22,8 +22,8 @@
   }
 }
 
-/// \returns true when every member of the fleet that is not in \p Except accepts requests of the
-/// key.
+/// Waits until every daemon of the fleet accepts requests with the key.
+/// \returns false if a daemon did not accept one within 5 s.
 inline bool awaitKeyEverywhere(Fleet &TestFleet, const std::string &Key) {
   return std::ranges::all_of(TestFleet.names(), [&](const std::string &Name) {
     return waitFor(core::Millis(5000), [&] {
@@ -32,7 +32,7 @@
   });
 }
 
-/// \returns the requests that one executor has received.
+/// \returns the number of requests that one executor has received.
 inline std::size_t requestsReceived(Fleet &TestFleet, const std::string &Executor) {
   return TestFleet.control(Standin::Executor, {{"executor", Executor}})
       .at("received")
@@ -40,8 +40,9 @@
       .get<std::size_t>();
 }
 
-/// \returns true when the healthy executor with this number of every domain receives requests again
-/// within the longest ejection; each failed trial doubles the ejection.
+/// Waits until the executor with this number, healthy again, receives requests in every domain.
+/// \returns false if one of them got none within the longest ejection period. Each failed trial
+/// request doubles the period up to that limit.
 inline bool awaitReadmission(Fleet &TestFleet, int ExecutorNumber) {
   const auto MaxEjection =
       std::chrono::duration_cast<core::Millis>(policy::ExecutorLimits{}.EjectAtMost_);
@@ -53,7 +54,8 @@
   });
 }
 
-/// \returns the sum of one number, or of the sizes of one list, over the executors of a domain.
+/// \returns the sum of a numeric field, or of the sizes of a list field, over the executors of a
+/// domain.
 inline std::size_t sumOverDomain(Fleet &TestFleet, const std::string &Domain, const char *Field) {
   const Json Executors = TestFleet.evidence(Standin::Executor).at("executors");
   std::size_t Sum = 0;
@@ -64,7 +66,7 @@
   return Sum;
 }
 
-/// Checks P5, P6 and P7 and that no executor was sent too much.
+/// Expects that P5, P6 and P7 hold and that no executor was overcommitted (P1).
 inline void expectInvariants(const char *Scope, const std::vector<RequestRecord> &Records,
                              const Json &Executors, bool ConnectionsMayBreak) {
   const CheckResult Result = checkAnswers(Records, Executors, ConnectionsMayBreak);
