--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -203,14 +203,14 @@
       core::count("masticdrift_takeovers_total");
       core::log(core::LogLevel::Info, "lease acquired",
                 {{"domain", Settings_.Instance_.Domain_}, {"term", std::to_string(Term)}});
-      Dispatcher_.acquired(SlotsFreeAt);
+      Dispatcher_.onLeaseAcquired(SlotsFreeAt);
       Controller_.acquired(Term);
       Timers_.post([this] { rebuildViews(); });
     };
     Hooks.OnLost_ = [this](std::uint64_t Term) {
       core::log(core::LogLevel::Warning, "lease lost",
                 {{"domain", Settings_.Instance_.Domain_}, {"term", std::to_string(Term)}});
-      Dispatcher_.lost();
+      Dispatcher_.onLeaseLost();
       Controller_.lost();
       Timers_.post([this] { rebuildViews(); });
     };
@@ -264,13 +264,13 @@
     Options.SlotsPerExecutor_ = static_cast<std::uint32_t>(Settings_.Limits_.SlotsPerExecutor_);
     Options.ConnectionsPerExecutor_ =
         static_cast<std::uint32_t>(Settings_.Limits_.ConnectionsPerExecutor_);
-    Options.QueuePerTeam_ = static_cast<std::size_t>(Settings_.Limits_.QueuePerTeam_);
+    Options.MaxQueuedPerTeam_ = static_cast<std::size_t>(Settings_.Limits_.QueuePerTeam_);
     Options.RetryPercent_ = Settings_.Limits_.RetryPercent_;
     Options.SlotGrace_ = Settings_.Timing_.SlotGrace_;
-    Options.EjectFor_ = Settings_.Timing_.EjectExecutor_;
-    Options.IdleConnection_ =
+    Options.EjectionPeriod_ = Settings_.Timing_.EjectExecutor_;
+    Options.IdleConnectionTimeout_ =
         std::chrono::ceil<std::chrono::seconds>(Settings_.Timing_.IdleConnection_);
-    Options.ConnectionLife_ =
+    Options.MaxConnectionAge_ =
         std::chrono::ceil<std::chrono::seconds>(Settings_.Timing_.ConnectionLife_);
     return Options;
   }
@@ -344,8 +344,8 @@
 
   gateway::OperatorApiHooks operatorHooks() {
     gateway::OperatorApiHooks Hooks;
-    Hooks.Status_ = [this] { return statusJson(); };
-    Hooks.Offsets_ = [this] { return offsets(); };
+    Hooks.StatusJson_ = [this] { return statusJson(); };
+    Hooks.ConfigOffsets_ = [this] { return offsets(); };
     Hooks.Drain_ = OnDrain_;
     return Hooks;
   }
@@ -444,7 +444,7 @@
 
   void applyTeams() {
     const auto Configuration = Config_.state().current();
-    std::vector<routing::TeamSlots> Slots;
+    std::vector<routing::TeamSlotQuota> Slots;
     std::vector<cell::TeamQuota> Quotas;
     for (const config::Team &Team : Configuration->Teams_) {
       const config::Limit Allotment =
@@ -452,7 +452,7 @@
       Slots.push_back({Team.Name_, static_cast<double>(Team.Share_), Allotment.Slots_});
       Quotas.push_back({Team.Name_, static_cast<double>(Team.Share_), Allotment.Resources_});
     }
-    Dispatcher_.setTeams(Slots);
+    Dispatcher_.setTeamQuotas(Slots);
     Controller_.setTeams(std::move(Quotas));
   }
 
@@ -525,7 +525,7 @@
       else if (const auto Found = RemoteDomains.find(Domain.Name_); Found != RemoteDomains.end()) {
         View.Owner_ = Found->second.Owner_;
         View.FreeSlots_ = Found->second.FreeSlots_;
-        View.Reachable_ = Now - Found->second.AsOf_ < ReachabilityTimeout;
+        View.OwnerReachable_ = Now - Found->second.AsOf_ < ReachabilityTimeout;
       }
       Views.push_back(std::move(View));
     }
@@ -538,8 +538,8 @@
       const routing::DispatcherStats Stats = Dispatcher_.stats();
       View.Owner_ = Settings_.Instance_.Name_;
       View.FreeSlots_ = Stats.FreeSlots_;
-      View.Queued_ = Stats.Waiting_;
-      View.Reachable_ = true;
+      View.QueuedRequests_ = Stats.QueuedRequests_;
+      View.OwnerReachable_ = true;
       return;
     }
     const auto Owner = PeerTable_.owner(View.Name_);
@@ -548,28 +548,29 @@
       return;
     View.Owner_ = Owner->Owner_;
     View.FreeSlots_ = Peer->FreeSlots_;
-    View.Reachable_ = Peer->LastReplySent_ && Now - *Peer->LastReplySent_ < ReachabilityTimeout;
+    View.OwnerReachable_ =
+        Peer->LastReplySent_ && Now - *Peer->LastReplySent_ < ReachabilityTimeout;
   }
 
-  std::vector<gateway::InstanceOffset> offsets() const {
+  std::vector<gateway::InstanceConfigOffset> offsets() const {
     const TimePoint Now = core::Clock::now();
-    std::map<std::string, gateway::InstanceOffset> OffsetsByInstance;
+    std::map<std::string, gateway::InstanceConfigOffset> OffsetsByInstance;
     OffsetsByInstance[Settings_.Instance_.Name_] = {Settings_.Instance_.Name_, Config_.offset(),
                                                     true};
     for (const membership::Peer &Peer : PeerTable_.peers()) {
-      gateway::InstanceOffset &Entry = OffsetsByInstance[Peer.Member_.Name_];
+      gateway::InstanceConfigOffset &Entry = OffsetsByInstance[Peer.Member_.Name_];
       Entry.Name_ = Peer.Member_.Name_;
       if (Peer.LastReplySent_ && Now - *Peer.LastReplySent_ < ReachabilityTimeout)
         Entry = {Entry.Name_, std::max(Entry.ConfigOffset_, Peer.ConfigOffset_), true};
     }
     for (const auto &[Domain, View] : PeerTable_.domains())
       for (const protocol::MemberSummary &Member : View.Members_) {
-        gateway::InstanceOffset &Entry = OffsetsByInstance[Member.Name_];
+        gateway::InstanceConfigOffset &Entry = OffsetsByInstance[Member.Name_];
         Entry.Name_ = Member.Name_;
         if (Now - View.AsOf_ + core::Millis(Member.AgeMs_) < ReachabilityTimeout)
           Entry = {Entry.Name_, std::max(Entry.ConfigOffset_, Member.ConfigOffset_), true};
       }
-    std::vector<gateway::InstanceOffset> List;
+    std::vector<gateway::InstanceConfigOffset> List;
     List.reserve(OffsetsByInstance.size());
     for (auto &[Name, Entry] : OffsetsByInstance)
       List.push_back(std::move(Entry));
@@ -596,8 +597,8 @@
         {"is_owner", Stream_.ownership().holds(Now)},
         {"reachable_domains", Router_.reachableDomains()},
         {"free_slots", SlotStats.FreeSlots_},
-        {"requests_waiting", SlotStats.Waiting_},
-        {"requests_in_flight", SlotStats.InFlight_},
+        {"requests_waiting", SlotStats.QueuedRequests_},
+        {"requests_in_flight", SlotStats.RequestsInFlight_},
         {"workers", TaskStats.Workers_},
         {"usable_workers", TaskStats.UsableWorkers_},
         {"tasks_running", TaskStats.Running_},
@@ -618,8 +619,8 @@
         "masticdrift_lease_seconds",
         IsOwner ? std::chrono::duration<double>(Stream_.ownership().leaseUntil() - Now).count()
                 : 0);
-    core::setGauge("masticdrift_slots_in_use", static_cast<double>(Stats.InFlight_));
-    core::setGauge("masticdrift_queue_length", static_cast<double>(Stats.Waiting_));
+    core::setGauge("masticdrift_slots_in_use", static_cast<double>(Stats.RequestsInFlight_));
+    core::setGauge("masticdrift_queue_length", static_cast<double>(Stats.QueuedRequests_));
     for (const auto &[State, Count] : Stream_.jobs().counts())
       core::setGauge("masticdrift_jobs", static_cast<double>(Count),
                      {{"state", std::string(jobs::nameOf(State))}});
@@ -630,14 +631,14 @@
   bool stop(const std::function<bool()> &StopForced) {
     const TimePoint Deadline = core::Clock::now() + Settings_.Timing_.StopGrace_;
     core::log(core::LogLevel::Info, "stopping");
-    CallerApi_.announceStop();
+    CallerApi_.reportNotReady();
     Stream_.ownership().beginStop();
     waitUntil(core::Clock::now() + StopAnnouncementTime, StopForced, [] { return false; });
-    CallerApi_.refuseNew();
+    CallerApi_.refuseNewRequests();
     Router_.refuseForwards();
     const bool Idle = waitUntil(Deadline, StopForced, [this] {
       return CallerApi_.inFlight() == 0 && Router_.inFlight() == 0 &&
-             Dispatcher_.stats().InFlight_ == 0;
+             Dispatcher_.stats().RequestsInFlight_ == 0;
     });
     Controller_.lost();
     const bool Written = waitUntil(Deadline, StopForced, [this] { return Stream_.idle(); });
