--- a/include/masticdrift/config/Allotment.h
+++ b/include/masticdrift/config/Allotment.h
@@ -24,7 +24,7 @@
 ///
 /// \returns one part per domain, in the order of \p Domains. The parts sum to the limit in every
 /// kind and do not depend on the order of the domains.
-std::vector<Limit> splitLimit(const Limit &Whole, std::span<const Domain> Domains);
+std::vector<Limit> splitLimit(const Limit &TeamLimit, std::span<const Domain> Domains);
 
 } // namespace masticdrift::config
 
--- a/include/masticdrift/config/ConfigState.h
+++ b/include/masticdrift/config/ConfigState.h
@@ -39,7 +39,7 @@
 struct SubmitResult {
   SubmitOutcome Outcome_ = SubmitOutcome::Invalid;
   std::uint64_t Version_ = 0; ///< Accepted: its version; Conflict: the version that won
-  std::string Winner_;        ///< Conflict: author of the version that won
+  std::string WinningAuthor_; ///< Conflict: author of the version that won
   std::string Message_;       ///< Invalid: the first mistake
 };
 
@@ -67,12 +67,12 @@
 
 /// Replayed state. All functions are thread-safe; apply() and load() are called by one thread.
 ///
-/// Audit entries, versions and submission results are kept up to KeptEntries each; older ones are
-/// dropped in the same way everywhere.
+/// Audit entries, versions and submission results are kept up to MaxRetainedEntries each; older
+/// ones are dropped in the same way everywhere.
 class ConfigState {
 public:
   /// About two days at the target of 2,400 changes a day; under 2 MB in a snapshot.
-  static constexpr std::size_t KeptEntries = 5000;
+  static constexpr std::size_t MaxRetainedEntries = 5000;
 
   ConfigState();
   ConfigState(const ConfigState &) = delete;
@@ -105,7 +105,7 @@
 
   /// Looks up a key by its id and compares its hash in constant time. A key whose team is not in
   /// the current configuration is Unknown.
-  KeyLookup findKey(std::string_view Presented) const;
+  KeyLookup findKey(std::string_view PresentedKey) const;
   std::optional<KeyInfo> key(std::string_view KeyId) const;
   /// \returns all keys, ordered by id.
   std::vector<KeyInfo> keys() const;
--- a/include/masticdrift/config/Configuration.h
+++ b/include/masticdrift/config/Configuration.h
@@ -39,7 +39,7 @@
 enum class QueueClass { Interactive, Batch, Urgent };
 
 /// \returns "interactive", "batch" or "urgent".
-std::string_view className(QueueClass Class);
+std::string_view queueClassName(QueueClass Class);
 
 struct Queue {
   std::string Name_;
@@ -54,7 +54,7 @@
   std::string Name_, Team_;
   std::string Domain_; ///< empty: any domain
   std::int64_t Replicas_ = 1;
-  core::Resources Each_; ///< resources of one replica
+  core::Resources ReplicaResources_; ///< resources of one replica
   std::string Run_;
   std::vector<std::string> DependsOn_;
   bool operator==(const Service &) const = default;
@@ -81,7 +81,7 @@
 
 struct ParsedConfiguration {
   Configuration Configuration_; ///< meaningful only without mistakes
-  std::vector<settings::Mistake> Mistakes_;
+  std::vector<settings::ValidationError> Errors_;
 };
 
 /// Reads and checks a configuration text: types, ranges, names, duplicates, references and
@@ -90,7 +90,7 @@
 
 /// \returns indices into Services_ such that every service follows all that it depends on; among
 /// the possible orders the one whose names sort first. Stop order is the reverse.
-std::vector<std::size_t> startOrder(const Configuration &Of);
+std::vector<std::size_t> startOrder(const Configuration &Config);
 
 /// \returns one line per added ("+"), removed ("-") or changed ("~") object, for people.
 std::vector<std::string> diff(const Configuration &Old, const Configuration &New);
--- a/include/masticdrift/config/Key.h
+++ b/include/masticdrift/config/Key.h
@@ -26,7 +26,7 @@
 std::string_view keyIdOf(std::string_view Text);
 
 /// Compares two hashes in a time that depends only on their length.
-bool sameHash(std::string_view A, std::string_view B);
+bool constantTimeEqual(std::string_view A, std::string_view B);
 
 } // namespace masticdrift::config
 
--- a/include/masticdrift/config/Records.h
+++ b/include/masticdrift/config/Records.h
@@ -40,26 +40,27 @@
   MSGPACK_DEFINE_ARRAY(KeyId_, Author_, WallMs_)
 };
 
-/// Moves part of a team's allotment. Written by the owner of From_ after it lowered its own use.
-struct Give {
+/// Moves part of a team's allotment. Written by the owner of FromDomain_ after it lowered its own
+/// use.
+struct AllotmentTransfer {
   static constexpr auto Type = journal::RecordType::Give;
-  std::string Team_, From_, To_;
+  std::string Team_, FromDomain_, ToDomain_;
   Limit Amount_;
   std::uint64_t LimitVersion_ = 0; ///< ConfigState::limitVersion() that the move was made under
-  MSGPACK_DEFINE_ARRAY(Team_, From_, To_, Amount_, LimitVersion_)
+  MSGPACK_DEFINE_ARRAY(Team_, FromDomain_, ToDomain_, Amount_, LimitVersion_)
 };
 
 /// One part of ConfigState::encode().
 struct ConfigSnapshot {
   static constexpr auto Type = journal::RecordType::ConfigSnapshot;
   std::uint64_t BaseOffset_ = 0; ///< last offset whose records the snapshot contains
-  std::uint32_t Part_ = 0, Parts_ = 0;
+  std::uint32_t PartIndex_ = 0, PartCount_ = 0;
   std::string Bytes_;
-  MSGPACK_DEFINE_ARRAY(BaseOffset_, Part_, Parts_, Bytes_)
+  MSGPACK_DEFINE_ARRAY(BaseOffset_, PartIndex_, PartCount_, Bytes_)
 };
 
 /// \returns \p Record as a log entry.
-template <typename T> journal::Entry entryOf(const T &Record) {
+template <typename T> journal::Entry makeEntry(const T &Record) {
   return {T::Type, core::pack(Record)};
 }
 
--- a/include/masticdrift/replica/ConfigReplica.h
+++ b/include/masticdrift/replica/ConfigReplica.h
@@ -21,16 +21,16 @@
 namespace masticdrift::replica {
 
 struct ConfigReplicaOptions {
-  std::string Self_;
+  std::string InstanceName_;
   std::uint64_t Incarnation_ = 0;
   std::size_t FleetSize_ = 0; ///< daemons of the fleet
-  core::Duration Bound_ = core::Millis(5000);
+  core::Duration FreshnessBound_ = core::Millis(5000);
   /// No submission is started when the store has not been read for this time.
-  core::Duration StoreReachable_ = core::Millis(3000);
-  core::Duration Poll_ = core::Millis(250);
-  core::Duration BatchClose_ = core::Millis(20);
+  core::Duration MaxStoreAge_ = core::Millis(3000);
+  core::Duration PollInterval_ = core::Millis(250);
+  core::Duration BatchWindow_ = core::Millis(20);
   double AppendsPerSecond_ = 20;
-  core::Duration Retention_ = std::chrono::hours(24);
+  core::Duration LogRetention_ = std::chrono::hours(24);
 };
 
 struct ConfigReplicaHooks {
@@ -43,7 +43,7 @@
 };
 
 /// Answer to a submission, a grant or a revocation.
-struct ConfigAnswer {
+struct ConfigResponse {
   core::Failure Error_;       ///< none when accepted
   std::uint64_t Version_ = 0; ///< version in force after it, or the one that won
   std::string KeyId_;         ///< of a grant or revocation
@@ -53,7 +53,7 @@
 /// Thread-safe. Callbacks run on the timer thread.
 class ConfigReplica {
 public:
-  using Callback = std::function<void(ConfigAnswer)>;
+  using Callback = std::function<void(ConfigResponse)>;
 
   ConfigReplica(ConfigReplicaOptions Options, ConfigReplicaHooks Hooks, legacy::LogClient &Log,
                 core::Timers &Timers, protocol::Link &Peers, membership::PeerTable &Table);
@@ -82,10 +82,10 @@
   /// \returns the offset up to which the stream has been applied.
   std::uint64_t offset() const;
 
-  /// Submits a new version that builds on \p Base. A repeated \p SubmissionId has no second effect.
-  /// Errors: ConfigurationInvalid and its kin, VersionConflict, StoreUnavailable (certainly not
-  /// taken), AppendUnknown.
-  void submit(std::string_view SubmissionId, std::string_view Text, std::uint64_t Base,
+  /// Submits a new version that builds on \p BaseVersion. A repeated \p SubmissionId has no second
+  /// effect. Errors: ConfigurationInvalid and its kin, VersionConflict, StoreUnavailable (certainly
+  /// not taken), AppendUnknown.
+  void submit(std::string_view SubmissionId, std::string_view Text, std::uint64_t BaseVersion,
               std::string_view Author, Callback Done);
 
   /// Grants a new key to a team. Errors: ConfigurationInvalid for an unknown team,
@@ -96,16 +96,16 @@
   void revoke(std::string_view KeyId, std::string_view Author, Callback Done);
 
   /// Fills config offset, store age and confirmation of a reply to a probe.
-  void fillReply(protocol::ProbeReply &Reply, core::TimePoint Now) const;
+  void fillProbeReply(protocol::ProbeReply &Reply, core::TimePoint Now) const;
 
-  /// Takes a reply to a probe that was created at \p Sent.
-  void onReply(core::TimePoint Sent, const protocol::ProbeReply &Reply);
+  /// Takes a reply to a probe that was created at \p SentAt.
+  void onProbeReply(core::TimePoint SentAt, const protocol::ProbeReply &Reply);
 
   /// Another daemon is about to append.
   void onPending(const protocol::Pending &Message);
 
   /// \returns the answer to a peer that has no access to the store.
-  protocol::ConfigCopy copyFor(const protocol::ConfigFetch &Request) const;
+  protocol::ConfigCopy copyForPeer(const protocol::ConfigFetch &Request) const;
 
 private:
   struct Impl;
--- a/include/masticdrift/settings/Reader.h
+++ b/include/masticdrift/settings/Reader.h
@@ -28,7 +28,7 @@
 namespace masticdrift::settings {
 
 /// One mistake in a JSON text.
-struct Mistake {
+struct ValidationError {
   core::ErrorKind Kind_ = core::ErrorKind::None;
   std::string Pointer_; ///< JSON pointer; empty for the whole document
   std::string Message_; ///< what was expected and what was found
@@ -133,12 +133,12 @@
   Node root() const;
 
   /// \returns how many mistakes were recorded so far.
-  std::size_t mistakeCount() const;
+  std::size_t errorCount() const;
 
   /// Ends the reading: every member that nobody asked for becomes an UnknownField mistake.
   ///
   /// \returns all mistakes in the order of their discovery. Repeated calls return the same.
-  std::vector<Mistake> finish();
+  std::vector<ValidationError> finish();
 
 private:
   std::unique_ptr<detail::ReaderState> State_;
--- a/include/masticdrift/settings/Settings.h
+++ b/include/masticdrift/settings/Settings.h
@@ -31,7 +31,7 @@
 };
 
 /// Listener for callers.
-struct Caller {
+struct CallerListener {
   std::string Address_ = "127.0.0.1";
   std::uint16_t Port_ = 0; ///< 0: chosen by the kernel
   std::int64_t Threads_ = 4;
@@ -40,14 +40,14 @@
 };
 
 /// Listener for operators.
-struct Operator {
+struct OperatorListener {
   std::string Address_ = "127.0.0.1";
   std::uint16_t Port_ = 0;
   std::vector<std::string> KeyHashes_; ///< SHA-256 of operator keys, hex in lower case
 };
 
 /// Listener for other daemons.
-struct Peer {
+struct PeerListener {
   std::string Address_ = "127.0.0.1";
   std::uint16_t Port_ = 0;
 };
@@ -97,9 +97,9 @@
 struct Settings {
   Instance Instance_;
   Fleet Fleet_;
-  Caller Caller_;
-  Operator Operator_;
-  Peer Peer_;
+  CallerListener Caller_;
+  OperatorListener Operator_;
+  PeerListener Peer_;
   Platform Platform_;
   /// Addresses ("host:port") that replace the listed peer address of the named instances.
   std::map<std::string, std::string, std::less<>> Routes_;
@@ -126,7 +126,7 @@
 
 struct ParsedSettings {
   Settings Settings_; ///< meaningful only without mistakes
-  std::vector<Mistake> Mistakes_;
+  std::vector<ValidationError> Errors_;
 };
 
 /// Reads and checks a settings text.
--- a/src/cell/Services.cpp
+++ b/src/cell/Services.cpp
@@ -63,7 +63,7 @@
   To.Team_ = Service.Team_;
   To.Queue_ = "service";
   To.Kind_ = jobs::JobKind::Service;
-  To.Need_ = Service.Each_;
+  To.Need_ = Service.ReplicaResources_;
   To.Idempotent_ = true;
   To.RequestId_ = std::string(ServicePrefix) + Service.Name_ + "." + std::to_string(Replica) + "." +
                   std::to_string(Generation);
@@ -75,7 +75,7 @@
 }
 
 bool sameDefinition(const jobs::JobSpec &Running, const config::Service &Wanted) {
-  return Running.Team_ == Wanted.Team_ && Running.Need_ == Wanted.Each_ &&
+  return Running.Team_ == Wanted.Team_ && Running.Need_ == Wanted.ReplicaResources_ &&
          Running.Command_ == Wanted.Run_;
 }
 
--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 /// Lines of diff() kept per version; the whole difference can be computed from the texts.
-constexpr std::size_t KeptChanges = 8;
-constexpr std::size_t LongestChange = 200;
+constexpr std::size_t MaxChangeLines = 8;
+constexpr std::size_t MaxChangeLineBytes = 200;
 
 struct KeyRow {
   std::string KeyId_, Team_, Hash_, GrantedBy_;
@@ -31,46 +31,46 @@
   std::string SubmissionId_;
   std::uint8_t Outcome_ = 0;
   std::uint64_t Version_ = 0;
-  std::string Winner_, Message_;
-  MSGPACK_DEFINE_ARRAY(SubmissionId_, Outcome_, Version_, Winner_, Message_)
+  std::string WinningAuthor_, Message_;
+  MSGPACK_DEFINE_ARRAY(SubmissionId_, Outcome_, Version_, WinningAuthor_, Message_)
 };
 
 /// Allotments of one team, by domain name.
-struct TeamRow {
+struct TeamAllotments {
   std::uint64_t LimitVersion_ = 0;
-  std::map<std::string, Limit> Parts_;
-  MSGPACK_DEFINE_ARRAY(LimitVersion_, Parts_)
+  std::map<std::string, Limit> LimitsByDomain_;
+  MSGPACK_DEFINE_ARRAY(LimitVersion_, LimitsByDomain_)
 };
 
 /// Everything that replay determines; encoded as the snapshot.
-struct Data {
-  std::uint32_t Format_ = 1;
-  bool Any_ = false; ///< whether Offset_ and Index_ are set
+struct ReplayedState {
+  std::uint32_t FormatVersion_ = 1;
+  bool HasPosition_ = false; ///< whether Offset_ and Index_ are set
   std::uint64_t Offset_ = 0;
   std::uint32_t Index_ = 0;
   std::uint64_t Version_ = 0;
   std::string Text_;
   std::map<std::string, KeyRow> Keys_;
-  std::map<std::string, TeamRow> Teams_;
+  std::map<std::string, TeamAllotments> Teams_;
   std::deque<VersionInfo> History_;
   std::deque<AuditEntry> Audit_;
   std::deque<ResultRow> Results_;
-  MSGPACK_DEFINE_ARRAY(Format_, Any_, Offset_, Index_, Version_, Text_, Keys_, Teams_, History_,
-                       Audit_, Results_)
+  MSGPACK_DEFINE_ARRAY(FormatVersion_, HasPosition_, Offset_, Index_, Version_, Text_, Keys_,
+                       Teams_, History_, Audit_, Results_)
 };
 
-template <typename T> void keep(std::deque<T> &In, T Value) {
-  In.push_back(std::move(Value));
-  if (In.size() > ConfigState::KeptEntries)
-    In.pop_front();
+template <typename T> void appendBounded(std::deque<T> &List, T Value) {
+  List.push_back(std::move(Value));
+  if (List.size() > ConfigState::MaxRetainedEntries)
+    List.pop_front();
 }
 
-bool anyNegative(const Limit &Of) {
-  return Of.Slots_ < 0 || Of.Resources_.MilliCores_ < 0 || Of.Resources_.MemoryMb_ < 0 ||
-         Of.Resources_.Accelerators_ < 0;
+bool hasNegative(const Limit &Amount) {
+  return Amount.Slots_ < 0 || Amount.Resources_.MilliCores_ < 0 ||
+         Amount.Resources_.MemoryMb_ < 0 || Amount.Resources_.Accelerators_ < 0;
 }
 
-KeyInfo infoOf(const KeyRow &Row) {
+KeyInfo toKeyInfo(const KeyRow &Row) {
   return {Row.KeyId_,   Row.Team_,      Row.GrantedBy_, Row.GrantedMs_,
           Row.Revoked_, Row.RevokedBy_, Row.RevokedMs_};
 }
@@ -79,20 +79,20 @@
 
 struct ConfigState::Impl {
   mutable std::shared_mutex Mutex_;
-  Data Data_;
+  ReplayedState Replayed_;
   std::shared_ptr<const Configuration> Current_ = std::make_shared<const Configuration>();
   std::map<std::string, SubmitResult, std::less<>> ResultIndex_;
 
   bool apply(std::uint64_t Offset, const journal::Entry &Entry);
   bool submit(std::uint64_t Offset, Submit Record);
-  void give(std::uint64_t Offset, const Give &Record);
+  void transfer(std::uint64_t Offset, const AllotmentTransfer &Record);
   bool grant(std::uint64_t Offset, KeyGrant Record);
   bool revoke(std::uint64_t Offset, const KeyRevoke &Record);
-  void updateTeams(const Configuration &New);
-  void note(std::uint64_t Offset, std::int64_t WallMs, std::string Author, std::string Action,
-            std::string Object, bool Accepted, std::string Detail) {
-    keep(Data_.Audit_, AuditEntry{Offset, WallMs, std::move(Author), std::move(Action),
-                                  std::move(Object), Accepted, std::move(Detail)});
+  void updateAllotments(const Configuration &New);
+  void addAuditEntry(std::uint64_t Offset, std::int64_t WallMs, std::string Author,
+                     std::string Action, std::string Object, bool Accepted, std::string Detail) {
+    appendBounded(Replayed_.Audit_, AuditEntry{Offset, WallMs, std::move(Author), std::move(Action),
+                                               std::move(Object), Accepted, std::move(Detail)});
   }
 };
 
@@ -103,37 +103,38 @@
   std::string Detail;
   Configuration New;
   std::string Text;
-  if (Record.BaseVersion_ != Data_.Version_) {
+  if (Record.BaseVersion_ != Replayed_.Version_) {
     Result.Outcome_ = SubmitOutcome::Conflict;
     // The winner is the first submission on the same base, or the current version when that one is
     // no longer kept or the base does not exist.
     const auto Winner =
-        std::ranges::find(Data_.History_, Record.BaseVersion_ + 1, &VersionInfo::Version_);
-    const bool Kept = Winner != Data_.History_.end();
-    Result.Version_ = Kept ? Winner->Version_ : Data_.Version_;
-    if (Kept)
-      Result.Winner_ = Winner->Author_;
-    else if (!Data_.History_.empty())
-      Result.Winner_ = Data_.History_.back().Author_;
-    Detail = "conflict with version " + std::to_string(Result.Version_) + " by " + Result.Winner_;
+        std::ranges::find(Replayed_.History_, Record.BaseVersion_ + 1, &VersionInfo::Version_);
+    const bool Retained = Winner != Replayed_.History_.end();
+    Result.Version_ = Retained ? Winner->Version_ : Replayed_.Version_;
+    if (Retained)
+      Result.WinningAuthor_ = Winner->Author_;
+    else if (!Replayed_.History_.empty())
+      Result.WinningAuthor_ = Replayed_.History_.back().Author_;
+    Detail =
+        "conflict with version " + std::to_string(Result.Version_) + " by " + Result.WinningAuthor_;
   } else {
-    const std::optional<std::string> Whole = Record.Delta_.empty()
-                                                 ? canonicalText(Record.Text_)
-                                                 : applyDelta(Data_.Text_, Record.Delta_);
+    const std::optional<std::string> CanonicalText =
+        Record.Delta_.empty() ? canonicalText(Record.Text_)
+                              : applyDelta(Replayed_.Text_, Record.Delta_);
     if (Record.Version_ != Record.BaseVersion_ + 1) {
       Result.Message_ = "version " + std::to_string(Record.Version_) + " does not follow version " +
                         std::to_string(Record.BaseVersion_);
     } else if (Record.Delta_.empty() == Record.Text_.empty()) {
       Result.Message_ = "expected either a text or a delta";
-    } else if (!Record.Delta_.empty() && !Whole) {
+    } else if (!Record.Delta_.empty() && !CanonicalText) {
       Result.Message_ = "the delta does not apply to the base version";
     } else {
       // The submitted text is checked rather than the canonical one, which hides duplicate keys.
-      Text = Whole.value_or("");
+      Text = CanonicalText.value_or("");
       ParsedConfiguration Parsed = parse(Record.Delta_.empty() ? Record.Text_ : Text);
-      if (!Parsed.Mistakes_.empty())
-        Result.Message_ = Parsed.Mistakes_.front().text();
-      else if (!Whole)
+      if (!Parsed.Errors_.empty())
+        Result.Message_ = Parsed.Errors_.front().text();
+      else if (!CanonicalText)
         Result.Message_ = "the text has no canonical form";
       New = std::move(Parsed.Configuration_);
     }
@@ -147,73 +148,75 @@
     New.Version_ = Record.Version_;
     std::vector<std::string> Changes = diff(*Current_, New);
     Detail = std::to_string(Changes.size()) + " changes";
-    if (Changes.size() > KeptChanges) {
-      const std::size_t More = Changes.size() - KeptChanges;
-      Changes.resize(KeptChanges);
-      Changes.push_back("and " + std::to_string(More) + " more");
+    if (Changes.size() > MaxChangeLines) {
+      const std::size_t Omitted = Changes.size() - MaxChangeLines;
+      Changes.resize(MaxChangeLines);
+      Changes.push_back("and " + std::to_string(Omitted) + " more");
     }
     for (std::string &Line : Changes)
-      if (Line.size() > LongestChange)
-        Line = Line.substr(0, LongestChange) + "...";
-    Data_.Version_ = Record.Version_;
-    Data_.Text_ = std::move(Text);
-    updateTeams(New);
-    keep(Data_.History_, VersionInfo{Record.Version_, Offset, Record.Author_, Record.SubmissionId_,
-                                     Record.WallMs_, std::move(Changes)});
+      if (Line.size() > MaxChangeLineBytes)
+        Line = Line.substr(0, MaxChangeLineBytes) + "...";
+    Replayed_.Version_ = Record.Version_;
+    Replayed_.Text_ = std::move(Text);
+    updateAllotments(New);
+    appendBounded(Replayed_.History_,
+                  VersionInfo{Record.Version_, Offset, Record.Author_, Record.SubmissionId_,
+                              Record.WallMs_, std::move(Changes)});
     Current_ = std::make_shared<const Configuration>(std::move(New));
   }
-  note(Offset, Record.WallMs_, Record.Author_, "submit",
-       "version " + std::to_string(Record.Version_), Accepted, Detail);
-  if (Data_.Results_.size() == KeptEntries) // keep() drops this row
-    ResultIndex_.erase(Data_.Results_.front().SubmissionId_);
-  keep(Data_.Results_, ResultRow{Record.SubmissionId_, static_cast<std::uint8_t>(Result.Outcome_),
-                                 Result.Version_, Result.Winner_, Result.Message_});
+  addAuditEntry(Offset, Record.WallMs_, Record.Author_, "submit",
+                "version " + std::to_string(Record.Version_), Accepted, Detail);
+  if (Replayed_.Results_.size() == MaxRetainedEntries) // keep() drops this row
+    ResultIndex_.erase(Replayed_.Results_.front().SubmissionId_);
+  appendBounded(Replayed_.Results_,
+                ResultRow{Record.SubmissionId_, static_cast<std::uint8_t>(Result.Outcome_),
+                          Result.Version_, Result.WinningAuthor_, Result.Message_});
   ResultIndex_.emplace(Record.SubmissionId_, std::move(Result));
   return Accepted;
 }
 
-void ConfigState::Impl::updateTeams(const Configuration &New) {
+void ConfigState::Impl::updateAllotments(const Configuration &New) {
   const bool SameDomains =
       std::ranges::is_permutation(Current_->Domains_, New.Domains_, std::ranges::equal_to{});
-  std::map<std::string, TeamRow> Rows;
-  for (const Team &Each : New.Teams_) {
-    const Team *Before = Current_->team(Each.Name_);
-    const auto Row = Data_.Teams_.find(Each.Name_);
+  std::map<std::string, TeamAllotments> Rows;
+  for (const Team &NewTeam : New.Teams_) {
+    const Team *OldTeam = Current_->team(NewTeam.Name_);
+    const auto Row = Replayed_.Teams_.find(NewTeam.Name_);
     // A changed limit or split voids the moves made under the old one.
-    if (SameDomains && Before != nullptr && Before->Limit_ == Each.Limit_ &&
-        Row != Data_.Teams_.end()) {
-      Rows.emplace(Each.Name_, std::move(Row->second));
+    if (SameDomains && OldTeam != nullptr && OldTeam->Limit_ == NewTeam.Limit_ &&
+        Row != Replayed_.Teams_.end()) {
+      Rows.emplace(NewTeam.Name_, std::move(Row->second));
       continue;
     }
-    TeamRow Fresh;
-    Fresh.LimitVersion_ = New.Version_;
-    const std::vector<Limit> Parts = splitLimit(Each.Limit_, New.Domains_);
+    TeamAllotments NewRow;
+    NewRow.LimitVersion_ = New.Version_;
+    const std::vector<Limit> Parts = splitLimit(NewTeam.Limit_, New.Domains_);
     for (std::size_t I = 0; I < Parts.size(); ++I)
-      Fresh.Parts_.emplace(New.Domains_[I].Name_, Parts[I]);
-    Rows.emplace(Each.Name_, std::move(Fresh));
+      NewRow.LimitsByDomain_.emplace(New.Domains_[I].Name_, Parts[I]);
+    Rows.emplace(NewTeam.Name_, std::move(NewRow));
   }
-  Data_.Teams_ = std::move(Rows);
+  Replayed_.Teams_ = std::move(Rows);
 }
 
-void ConfigState::Impl::give(std::uint64_t Offset, const Give &Record) {
+void ConfigState::Impl::transfer(std::uint64_t Offset, const AllotmentTransfer &Record) {
   std::string Reason;
-  const auto Row = Data_.Teams_.find(Record.Team_);
-  if (Row == Data_.Teams_.end()) {
+  const auto Row = Replayed_.Teams_.find(Record.Team_);
+  if (Row == Replayed_.Teams_.end()) {
     Reason = "unknown team";
   } else if (Row->second.LimitVersion_ != Record.LimitVersion_) {
     Reason = "the limit changed in version " + std::to_string(Row->second.LimitVersion_);
   } else {
-    auto &Parts = Row->second.Parts_;
-    const auto From = Parts.find(Record.From_);
-    const auto To = Parts.find(Record.To_);
+    auto &Parts = Row->second.LimitsByDomain_;
+    const auto From = Parts.find(Record.FromDomain_);
+    const auto To = Parts.find(Record.ToDomain_);
     const Limit &Amount = Record.Amount_;
     if (From == Parts.end() || To == Parts.end() || From == To)
       Reason = "unknown domain or the same domain twice";
-    else if (anyNegative(Amount))
+    else if (hasNegative(Amount))
       Reason = "negative amount";
     else if (Amount.Slots_ > From->second.Slots_ ||
              !core::fits(Amount.Resources_, From->second.Resources_))
-      Reason = "more than the allotment of " + Record.From_;
+      Reason = "more than the allotment of " + Record.FromDomain_;
     if (Reason.empty()) {
       From->second.Slots_ -= Amount.Slots_;
       From->second.Resources_ -= Amount.Resources_;
@@ -223,28 +226,28 @@
   }
   // Accepted moves are frequent and made by daemons, so only rejected ones enter the audit trail.
   if (!Reason.empty())
-    note(Offset, 0, Record.From_, "give", Record.Team_, false, Reason);
+    addAuditEntry(Offset, 0, Record.FromDomain_, "give", Record.Team_, false, Reason);
 }
 
 bool ConfigState::Impl::grant(std::uint64_t Offset, KeyGrant Record) {
   std::string Reason;
   if (Current_->team(Record.Team_) == nullptr)
     Reason = "unknown team " + Record.Team_;
-  else if (Data_.Keys_.contains(Record.KeyId_))
+  else if (Replayed_.Keys_.contains(Record.KeyId_))
     Reason = "key id is already in use";
   const bool Accepted = Reason.empty();
-  note(Offset, Record.WallMs_, Record.Author_, "key_grant", Record.KeyId_, Accepted,
-       Accepted ? "team " + Record.Team_ : Reason);
+  addAuditEntry(Offset, Record.WallMs_, Record.Author_, "key_grant", Record.KeyId_, Accepted,
+                Accepted ? "team " + Record.Team_ : Reason);
   if (Accepted)
-    Data_.Keys_.emplace(Record.KeyId_, KeyRow{Record.KeyId_, Record.Team_, Record.Hash_,
-                                              Record.Author_, Record.WallMs_, false, "", 0});
+    Replayed_.Keys_.emplace(Record.KeyId_, KeyRow{Record.KeyId_, Record.Team_, Record.Hash_,
+                                                  Record.Author_, Record.WallMs_, false, "", 0});
   return Accepted;
 }
 
 bool ConfigState::Impl::revoke(std::uint64_t Offset, const KeyRevoke &Record) {
-  const auto Found = Data_.Keys_.find(Record.KeyId_);
+  const auto Found = Replayed_.Keys_.find(Record.KeyId_);
   std::string Reason;
-  if (Found == Data_.Keys_.end())
+  if (Found == Replayed_.Keys_.end())
     Reason = "unknown key id";
   else if (Found->second.Revoked_)
     Reason = "already revoked";
@@ -254,8 +257,8 @@
     Found->second.RevokedBy_ = Record.Author_;
     Found->second.RevokedMs_ = Record.WallMs_;
   }
-  note(Offset, Record.WallMs_, Record.Author_, "key_revoke", Record.KeyId_, Accepted,
-       Accepted ? "team " + Found->second.Team_ : Reason);
+  addAuditEntry(Offset, Record.WallMs_, Record.Author_, "key_revoke", Record.KeyId_, Accepted,
+                Accepted ? "team " + Found->second.Team_ : Reason);
   return Accepted;
 }
 
@@ -274,8 +277,8 @@
       return revoke(Offset, *Record);
     return false;
   case journal::RecordType::Give:
-    if (const auto Record = core::unpack<Give>(Entry.Body_))
-      give(Offset, *Record);
+    if (const auto Record = core::unpack<AllotmentTransfer>(Entry.Body_))
+      transfer(Offset, *Record);
     return false;
   default:
     return false;
@@ -287,43 +290,46 @@
 
 bool ConfigState::apply(std::uint64_t Offset, std::uint32_t Index, const journal::Entry &Entry) {
   const std::unique_lock Lock(Impl_->Mutex_);
-  Data &In = Impl_->Data_;
-  if (In.Any_ && std::pair(Offset, Index) <= std::pair(In.Offset_, In.Index_))
+  ReplayedState &Replayed = Impl_->Replayed_;
+  if (Replayed.HasPosition_ &&
+      std::pair(Offset, Index) <= std::pair(Replayed.Offset_, Replayed.Index_))
     return false;
-  In.Any_ = true;
-  In.Offset_ = Offset;
-  In.Index_ = Index;
+  Replayed.HasPosition_ = true;
+  Replayed.Offset_ = Offset;
+  Replayed.Index_ = Index;
   return Impl_->apply(Offset, Entry);
 }
 
 std::string ConfigState::encode() const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  return core::pack(Impl_->Data_);
+  return core::pack(Impl_->Replayed_);
 }
 
 bool ConfigState::load(std::string_view Bytes) {
-  auto Loaded = core::unpack<Data>(Bytes);
-  if (!Loaded || Loaded->Format_ != Data().Format_ || !Loaded->Any_)
+  auto Loaded = core::unpack<ReplayedState>(Bytes);
+  if (!Loaded || Loaded->FormatVersion_ != ReplayedState().FormatVersion_ || !Loaded->HasPosition_)
     return false;
   auto Current = std::make_shared<Configuration>();
   if (Loaded->Version_ > 0) {
     ParsedConfiguration Parsed = parse(Loaded->Text_);
-    if (!Parsed.Mistakes_.empty())
+    if (!Parsed.Errors_.empty())
       return false;
     *Current = std::move(Parsed.Configuration_);
     Current->Version_ = Loaded->Version_;
   }
-  std::map<std::string, SubmitResult, std::less<>> Index;
+  std::map<std::string, SubmitResult, std::less<>> ResultIndex;
   for (const ResultRow &Row : Loaded->Results_)
-    Index.emplace(Row.SubmissionId_, SubmitResult{static_cast<SubmitOutcome>(Row.Outcome_),
-                                                  Row.Version_, Row.Winner_, Row.Message_});
+    ResultIndex.emplace(Row.SubmissionId_,
+                        SubmitResult{static_cast<SubmitOutcome>(Row.Outcome_), Row.Version_,
+                                     Row.WinningAuthor_, Row.Message_});
   const std::unique_lock Lock(Impl_->Mutex_);
-  const Data &Now = Impl_->Data_;
-  if (Now.Any_ && std::pair(Loaded->Offset_, Loaded->Index_) <= std::pair(Now.Offset_, Now.Index_))
+  const ReplayedState &Replayed = Impl_->Replayed_;
+  if (Replayed.HasPosition_ &&
+      std::pair(Loaded->Offset_, Loaded->Index_) <= std::pair(Replayed.Offset_, Replayed.Index_))
     return false;
-  Impl_->Data_ = std::move(*Loaded);
+  Impl_->Replayed_ = std::move(*Loaded);
   Impl_->Current_ = std::move(Current);
-  Impl_->ResultIndex_ = std::move(Index);
+  Impl_->ResultIndex_ = std::move(ResultIndex);
   return true;
 }
 
@@ -334,27 +340,27 @@
 
 std::uint64_t ConfigState::version() const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  return Impl_->Data_.Version_;
+  return Impl_->Replayed_.Version_;
 }
 
 std::string ConfigState::text() const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  return Impl_->Data_.Text_;
+  return Impl_->Replayed_.Text_;
 }
 
 std::optional<std::uint64_t> ConfigState::appliedOffset() const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  if (!Impl_->Data_.Any_)
+  if (!Impl_->Replayed_.HasPosition_)
     return std::nullopt;
-  return Impl_->Data_.Offset_;
+  return Impl_->Replayed_.Offset_;
 }
 
-KeyLookup ConfigState::findKey(std::string_view Presented) const {
-  const std::string Id(keyIdOf(Presented));
-  const std::string Hash = hashKey(Presented);
+KeyLookup ConfigState::findKey(std::string_view PresentedKey) const {
+  const std::string Id(keyIdOf(PresentedKey));
+  const std::string Hash = hashKey(PresentedKey);
   const std::shared_lock Lock(Impl_->Mutex_);
-  const auto Found = Impl_->Data_.Keys_.find(Id);
-  if (Found == Impl_->Data_.Keys_.end() || !sameHash(Found->second.Hash_, Hash))
+  const auto Found = Impl_->Replayed_.Keys_.find(Id);
+  if (Found == Impl_->Replayed_.Keys_.end() || !constantTimeEqual(Found->second.Hash_, Hash))
     return {};
   const KeyRow &Row = Found->second;
   if (Row.Revoked_)
@@ -366,17 +372,17 @@
 
 std::optional<KeyInfo> ConfigState::key(std::string_view KeyId) const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  const auto Found = Impl_->Data_.Keys_.find(std::string(KeyId));
-  if (Found == Impl_->Data_.Keys_.end())
+  const auto Found = Impl_->Replayed_.Keys_.find(std::string(KeyId));
+  if (Found == Impl_->Replayed_.Keys_.end())
     return std::nullopt;
-  return infoOf(Found->second);
+  return toKeyInfo(Found->second);
 }
 
 std::vector<KeyInfo> ConfigState::keys() const {
   const std::shared_lock Lock(Impl_->Mutex_);
   std::vector<KeyInfo> Out;
-  for (const auto &[Id, Row] : Impl_->Data_.Keys_)
-    Out.push_back(infoOf(Row));
+  for (const auto &[Id, Row] : Impl_->Replayed_.Keys_)
+    Out.push_back(toKeyInfo(Row));
   return Out;
 }
 
@@ -390,27 +396,27 @@
 
 std::vector<VersionInfo> ConfigState::history() const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  return {Impl_->Data_.History_.begin(), Impl_->Data_.History_.end()};
+  return {Impl_->Replayed_.History_.begin(), Impl_->Replayed_.History_.end()};
 }
 
 std::vector<AuditEntry> ConfigState::audit() const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  return {Impl_->Data_.Audit_.begin(), Impl_->Data_.Audit_.end()};
+  return {Impl_->Replayed_.Audit_.begin(), Impl_->Replayed_.Audit_.end()};
 }
 
 Limit ConfigState::allotment(std::string_view Team, std::string_view Domain) const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  const auto Row = Impl_->Data_.Teams_.find(std::string(Team));
-  if (Row == Impl_->Data_.Teams_.end())
+  const auto Row = Impl_->Replayed_.Teams_.find(std::string(Team));
+  if (Row == Impl_->Replayed_.Teams_.end())
     return {};
-  const auto Part = Row->second.Parts_.find(std::string(Domain));
-  return Part == Row->second.Parts_.end() ? Limit{} : Part->second;
+  const auto DomainLimit = Row->second.LimitsByDomain_.find(std::string(Domain));
+  return DomainLimit == Row->second.LimitsByDomain_.end() ? Limit{} : DomainLimit->second;
 }
 
 std::uint64_t ConfigState::limitVersion(std::string_view Team) const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  const auto Row = Impl_->Data_.Teams_.find(std::string(Team));
-  return Row == Impl_->Data_.Teams_.end() ? 0 : Row->second.LimitVersion_;
+  const auto Row = Impl_->Replayed_.Teams_.find(std::string(Team));
+  return Row == Impl_->Replayed_.Teams_.end() ? 0 : Row->second.LimitVersion_;
 }
 
 } // namespace masticdrift::config
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -19,76 +19,78 @@
 constexpr std::int64_t MaxWeight = 100'000;
 constexpr std::int64_t MaxAmount = 10'000'000'000;
 constexpr std::int64_t MaxReplicas = 100'000;
-constexpr std::size_t MaxName = 63;
-constexpr std::array<std::string_view, 3> Classes{"interactive", "batch", "urgent"};
+constexpr std::size_t MaxNameLength = 63;
+constexpr std::array<std::string_view, 3> QueueClassNames{"interactive", "batch", "urgent"};
 
-template <typename T> const T *findByName(const std::vector<T> &In, std::string_view Name) {
-  const auto Found = std::ranges::find(In, Name, &T::Name_);
-  return Found == In.end() ? nullptr : &*Found;
+template <typename T> const T *findByName(const std::vector<T> &Elements, std::string_view Name) {
+  const auto Found = std::ranges::find(Elements, Name, &T::Name_);
+  return Found == Elements.end() ? nullptr : &*Found;
 }
 
 std::string quote(std::string_view Text) { return "\"" + std::string(Text) + "\""; }
 
 /// Names are parts of job ids, paths and stream names, so only lower-case letters, digits and
 /// hyphens are allowed.
-std::string readName(const Node &From, std::string_view Key) {
-  const Node Value = From.required(Key);
+std::string readName(const Node &Parent, std::string_view Key) {
+  const Node Value = Parent.required(Key);
   std::string Name = Value.asString();
   if (!Value.present() || Name.empty()) {
     if (Value.present())
       Value.fail(ErrorKind::OutOfRange, "must not be empty");
     return Name;
   }
-  const bool Correct =
-      Name.size() <= MaxName && Name.front() != '-' && std::ranges::all_of(Name, [](char C) {
+  const bool Valid =
+      Name.size() <= MaxNameLength && Name.front() != '-' && std::ranges::all_of(Name, [](char C) {
         return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-';
       });
-  if (!Correct)
-    Value.fail(ErrorKind::OutOfRange, "expected at most " + std::to_string(MaxName) +
+  if (!Valid)
+    Value.fail(ErrorKind::OutOfRange, "expected at most " + std::to_string(MaxNameLength) +
                                           " lower-case letters, digits and hyphens");
   return Name;
 }
 
-template <typename T> std::vector<std::string_view> namesOf(const std::vector<T> &In) {
+template <typename T> std::vector<std::string_view> namesOf(const std::vector<T> &Elements) {
   std::vector<std::string_view> Names;
-  Names.reserve(In.size());
-  for (const T &Each : In)
-    Names.emplace_back(Each.Name_);
+  Names.reserve(Elements.size());
+  for (const T &Element : Elements)
+    Names.emplace_back(Element.Name_);
   return Names;
 }
 
 /// Positions of what has to be checked after all objects are known.
 class References {
 public:
-  void add(Node At, std::string Name) { All_.emplace_back(std::move(At), std::move(Name)); }
+  void add(Node Value, std::string Name) {
+    References_.emplace_back(std::move(Value), std::move(Name));
+  }
 
   template <typename T>
-  void check(const std::vector<T> &In, std::string_view What, ErrorKind Kind) const {
-    const std::vector<std::string_view> Names = namesOf(In);
-    const std::set<std::string_view> Known(Names.begin(), Names.end());
-    for (const auto &[At, Name] : All_) {
-      if (!At.present() || Name.empty() || Known.contains(Name))
+  void check(const std::vector<T> &Elements, std::string_view ElementType, ErrorKind Kind) const {
+    const std::vector<std::string_view> Names = namesOf(Elements);
+    const std::set<std::string_view> KnownNames(Names.begin(), Names.end());
+    for (const auto &[Value, Name] : References_) {
+      if (!Value.present() || Name.empty() || KnownNames.contains(Name))
         continue;
       const std::string_view Nearest = settings::nearestName(Name, Names);
-      At.fail(Kind, quote(Name) + " is not a known " + std::string(What) +
-                        (Nearest.empty() ? "" : ", nearest is " + quote(Nearest)));
+      Value.fail(Kind, quote(Name) + " is not a known " + std::string(ElementType) +
+                           (Nearest.empty() ? "" : ", nearest is " + quote(Nearest)));
     }
   }
 
 private:
-  std::vector<std::pair<Node, std::string>> All_;
+  std::vector<std::pair<Node, std::string>> References_;
 };
 
-core::Resources readResources(const Node &From, bool Required) {
+core::Resources readResources(const Node &Object, bool Required) {
   core::Resources Out;
   if (Required) {
-    Out.MilliCores_ = From.milli("cores", 0, MaxAmount);
-    Out.MemoryMb_ = From.integer("memory_mb", 0, MaxAmount);
+    Out.MilliCores_ = Object.milli("cores", 0, MaxAmount);
+    Out.MemoryMb_ = Object.integer("memory_mb", 0, MaxAmount);
   } else {
-    Out.MilliCores_ = From.milli("cores", 0, MaxAmount, 0);
-    Out.MemoryMb_ = From.integer("memory_mb", 0, MaxAmount, 0);
+    Out.MilliCores_ = Object.milli("cores", 0, MaxAmount, 0);
+    Out.MemoryMb_ = Object.integer("memory_mb", 0, MaxAmount, 0);
   }
-  Out.Accelerators_ = From.integer("accelerators", 0, MaxAmount, 0);
+  Out.Accelerators_ = Object.integer("accelerators", 0, MaxAmount, 0);
   return Out;
 }
 
@@ -99,14 +101,14 @@
   const Node List = Root.optional(Key);
   if (Required)
     Root.required(Key);
-  std::map<std::string, std::string> Seen;
-  for (const Node &Each : List.items()) {
-    Out.push_back(ReadOne(Each));
+  std::map<std::string, std::string> PointersByName;
+  for (const Node &Element : List.items()) {
+    Out.push_back(ReadOne(Element));
     const std::string &Name = Out.back().Name_;
-    const auto [First, New] = Seen.emplace(Name, Each.pointer());
-    if (!New && !Name.empty())
-      Each.optional("name").fail(ErrorKind::OutOfRange,
-                                 quote(Name) + " is already the name of " + First->second);
+    const auto [FirstUse, Inserted] = PointersByName.emplace(Name, Element.pointer());
+    if (!Inserted && !Name.empty())
+      Element.optional("name").fail(ErrorKind::OutOfRange,
+                                    quote(Name) + " is already the name of " + FirstUse->second);
   }
 }
 
@@ -123,39 +125,39 @@
   /// be as long as the text.
   template <typename Report> void run(Report OnCycle) {
     for (std::size_t Start = 0; Start < Services_.size(); ++Start) {
-      if (Marks_[Start] != Mark::New)
+      if (Marks_[Start] != Mark::Unvisited)
         continue;
       std::vector<std::pair<std::size_t, std::size_t>> Path{{Start, 0}};
       Marks_[Start] = Mark::OnPath;
       while (!Path.empty()) {
-        auto &[At, Next] = Path.back();
-        if (Next == Services_[At].DependsOn_.size()) {
-          Marks_[At] = Mark::Done;
+        auto &[Current, NextEdge] = Path.back();
+        if (NextEdge == Services_[Current].DependsOn_.size()) {
+          Marks_[Current] = Mark::Done;
           Path.pop_back();
           continue;
         }
-        const std::size_t Edge = Next++;
-        const std::size_t From = At;
-        const auto Found = Index_.find(Services_[From].DependsOn_[Edge]);
+        const std::size_t Edge = NextEdge++;
+        const std::size_t Dependent = Current;
+        const auto Found = Index_.find(Services_[Dependent].DependsOn_[Edge]);
         if (Found == Index_.end() || Marks_[Found->second] == Mark::Done)
           continue;
-        if (Marks_[Found->second] == Mark::New) {
+        if (Marks_[Found->second] == Mark::Unvisited) {
           Marks_[Found->second] = Mark::OnPath;
           Path.emplace_back(Found->second, 0);
           continue;
         }
-        std::string Text;
-        const auto Begin =
+        std::string CyclePath;
+        const auto CycleStart =
             std::ranges::find(Path, Found->second, &std::pair<std::size_t, std::size_t>::first);
-        for (auto Step = Begin; Step != Path.end(); ++Step)
-          Text += Services_[Step->first].Name_ + " -> ";
-        OnCycle(From, Edge, Text + Services_[Found->second].Name_);
+        for (auto Entry = CycleStart; Entry != Path.end(); ++Entry)
+          CyclePath += Services_[Entry->first].Name_ + " -> ";
+        OnCycle(Dependent, Edge, CyclePath + Services_[Found->second].Name_);
       }
     }
   }
 
 private:
-  enum class Mark : std::uint8_t { New, OnPath, Done };
+  enum class Mark : std::uint8_t { Unvisited, OnPath, Done };
   const std::vector<Service> &Services_;
   std::map<std::string_view, std::size_t> Index_;
   std::vector<Mark> Marks_;
@@ -166,84 +168,87 @@
                            : json(static_cast<double>(Milli) / 1000).dump();
 }
 
-std::string joined(const std::vector<std::string> &Names) {
+std::string joinNames(const std::vector<std::string> &Names) {
   std::string Out;
-  for (const std::string &Each : Names)
-    Out += (Out.empty() ? "" : " ") + Each;
+  for (const std::string &Name : Names)
+    Out += (Out.empty() ? "" : " ") + Name;
   return "[" + Out + "]";
 }
 
 using Fields = std::vector<std::pair<std::string_view, std::string>>;
 
-void addResources(Fields &Out, const core::Resources &Of) {
-  Out.emplace_back("cores", coresText(Of.MilliCores_));
-  Out.emplace_back("memory_mb", std::to_string(Of.MemoryMb_));
-  Out.emplace_back("accelerators", std::to_string(Of.Accelerators_));
+void addResources(Fields &Out, const core::Resources &Resources) {
+  Out.emplace_back("cores", coresText(Resources.MilliCores_));
+  Out.emplace_back("memory_mb", std::to_string(Resources.MemoryMb_));
+  Out.emplace_back("accelerators", std::to_string(Resources.Accelerators_));
 }
 
-Fields fieldsOf(const Domain &Of) {
-  return {{"region", Of.Region_}, {"weight", std::to_string(Of.Weight_)}};
+Fields fieldsOf(const Domain &Object) {
+  return {{"region", Object.Region_}, {"weight", std::to_string(Object.Weight_)}};
 }
 
-Fields fieldsOf(const Team &Of) {
-  Fields Out{{"share", std::to_string(Of.Share_)}, {"slots", std::to_string(Of.Limit_.Slots_)}};
-  addResources(Out, Of.Limit_.Resources_);
+Fields fieldsOf(const Team &Object) {
+  Fields Out{{"share", std::to_string(Object.Share_)},
+             {"slots", std::to_string(Object.Limit_.Slots_)}};
+  addResources(Out, Object.Limit_.Resources_);
   return Out;
 }
 
-Fields fieldsOf(const Queue &Of) {
-  return {{"pool", Of.Pool_},
-          {"class", std::string(className(Of.Class_))},
-          {"open", Of.Open_ ? "true" : "false"},
-          {"teams", joined(Of.Teams_)}};
+Fields fieldsOf(const Queue &Object) {
+  return {{"pool", Object.Pool_},
+          {"class", std::string(queueClassName(Object.Class_))},
+          {"open", Object.Open_ ? "true" : "false"},
+          {"teams", joinNames(Object.Teams_)}};
 }
 
-Fields fieldsOf(const Service &Of) {
-  Fields Out{{"team", Of.Team_},
-             {"domain", Of.Domain_.empty() ? "any" : Of.Domain_},
-             {"replicas", std::to_string(Of.Replicas_)}};
-  addResources(Out, Of.Each_);
-  Out.emplace_back("run", Of.Run_);
-  Out.emplace_back("depends_on", joined(Of.DependsOn_));
+Fields fieldsOf(const Service &Object) {
+  Fields Out{{"team", Object.Team_},
+             {"domain", Object.Domain_.empty() ? "any" : Object.Domain_},
+             {"replicas", std::to_string(Object.Replicas_)}};
+  addResources(Out, Object.ReplicaResources_);
+  Out.emplace_back("run", Object.Run_);
+  Out.emplace_back("depends_on", joinNames(Object.DependsOn_));
   return Out;
 }
 
 template <typename T>
-void diffList(std::string_view What, const std::vector<T> &Old, const std::vector<T> &New,
+void diffList(std::string_view ObjectType, const std::vector<T> &Old, const std::vector<T> &New,
               std::vector<std::string> &Out) {
-  std::map<std::string_view, const T *> Before;
-  std::map<std::string_view, const T *> After;
-  for (const T &Each : Old)
-    Before.emplace(Each.Name_, &Each);
-  for (const T &Each : New)
-    After.emplace(Each.Name_, &Each);
-  const std::string Prefix = std::string(What) + " ";
-  for (const T &Each : Old)
-    if (!After.contains(Each.Name_))
-      Out.push_back("- " + Prefix + Each.Name_);
-  for (const T &Each : New) {
-    const Fields Now = fieldsOf(Each);
-    const auto Found = Before.find(Each.Name_);
+  std::map<std::string_view, const T *> OldByName;
+  std::map<std::string_view, const T *> NewByName;
+  for (const T &Element : Old)
+    OldByName.emplace(Element.Name_, &Element);
+  for (const T &Element : New)
+    NewByName.emplace(Element.Name_, &Element);
+  const std::string Prefix = std::string(ObjectType) + " ";
+  for (const T &Element : Old)
+    if (!NewByName.contains(Element.Name_))
+      Out.push_back("- " + Prefix + Element.Name_);
+  for (const T &Element : New) {
+    const Fields NewFields = fieldsOf(Element);
+    const auto Found = OldByName.find(Element.Name_);
     std::string Line;
-    if (Found == Before.end()) {
-      for (const auto &[Key, Value] : Now)
+    if (Found == OldByName.end()) {
+      for (const auto &[Key, Value] : NewFields)
         Line += (Line.empty() ? "" : ", ") + std::string(Key) + " " + Value;
-      Out.push_back("+ " + Prefix + Each.Name_ + ": " + Line);
+      Out.push_back("+ " + Prefix + Element.Name_ + ": " + Line);
       continue;
     }
-    const Fields Then = fieldsOf(*Found->second);
-    for (std::size_t I = 0; I < Now.size(); ++I)
-      if (Now[I].second != Then[I].second)
-        Line += (Line.empty() ? "" : ", ") + std::string(Now[I].first) + " " + Then[I].second +
-                " -> " + Now[I].second;
+    const Fields OldFields = fieldsOf(*Found->second);
+    for (std::size_t I = 0; I < NewFields.size(); ++I)
+      if (NewFields[I].second != OldFields[I].second)
+        Line += (Line.empty() ? "" : ", ") + std::string(NewFields[I].first) + " " +
+                OldFields[I].second + " -> " + NewFields[I].second;
     if (!Line.empty())
-      Out.push_back("~ " + Prefix + Each.Name_ + ": " + Line);
+      Out.push_back("~ " + Prefix + Element.Name_ + ": " + Line);
   }
 }
 
 } // namespace
 
-std::string_view className(QueueClass Class) { return Classes[static_cast<std::size_t>(Class)]; }
+std::string_view queueClassName(QueueClass Class) {
+  return QueueClassNames[static_cast<std::size_t>(Class)];
+}
 
 const Domain *Configuration::domain(std::string_view Name) const {
   return findByName(Domains_, Name);
@@ -270,96 +275,101 @@
   std::vector<Node> ServiceNodes;
 
   Out.Fleet_ = readName(Root, "fleet");
-  readList(Root, "domains", true, Out.Domains_, [&](const Node &From) {
-    return Domain{readName(From, "name"), From.string("region"),
-                  From.integer("weight", 0, MaxWeight, 1)};
+  readList(Root, "domains", true, Out.Domains_, [&](const Node &Object) {
+    return Domain{readName(Object, "name"), Object.string("region"),
+                  Object.integer("weight", 0, MaxWeight, 1)};
   });
   if (Root.optional("domains").present() && Out.Domains_.empty())
     Root.optional("domains").fail(ErrorKind::OutOfRange, "expected at least one domain");
-  readList(Root, "teams", true, Out.Teams_, [&](const Node &From) {
-    const Node Whole = From.required("limit");
-    return Team{readName(From, "name"), From.integer("share", 1, MaxWeight),
-                Limit{Whole.integer("slots", 0, MaxAmount), readResources(Whole, true)}};
+  readList(Root, "teams", true, Out.Teams_, [&](const Node &Object) {
+    const Node LimitObject = Object.required("limit");
+    return Team{
+        readName(Object, "name"), Object.integer("share", 1, MaxWeight),
+        Limit{LimitObject.integer("slots", 0, MaxAmount), readResources(LimitObject, true)}};
   });
-  readList(Root, "queues", true, Out.Queues_, [&](const Node &From) {
-    Queue One;
-    One.Name_ = readName(From, "name");
-    const std::string Class = From.choice("class", Classes);
-    One.Class_ = static_cast<QueueClass>(
-        std::max<std::ptrdiff_t>(0, std::ranges::find(Classes, Class) - Classes.begin()) % 3);
-    One.Pool_ = From.string("pool", "");
-    if (From.present() && Class == Classes[0] && One.Pool_.empty())
-      From.optional("pool").fail(ErrorKind::MissingField,
-                                 "an interactive queue needs a pool of executors");
-    One.Open_ = From.boolean("open", false);
-    for (const Node &Each : From.optional("teams").items()) {
-      One.Teams_.push_back(Each.asString());
-      Teams.add(Each, One.Teams_.back());
+  readList(Root, "queues", true, Out.Queues_, [&](const Node &Object) {
+    Queue NewQueue;
+    NewQueue.Name_ = readName(Object, "name");
+    const std::string Class = Object.choice("class", QueueClassNames);
+    NewQueue.Class_ = static_cast<QueueClass>(
+        std::max<std::ptrdiff_t>(0, std::ranges::find(QueueClassNames, Class) -
+                                        QueueClassNames.begin()) %
+        3);
+    NewQueue.Pool_ = Object.string("pool", "");
+    if (Object.present() && Class == QueueClassNames[0] && NewQueue.Pool_.empty())
+      Object.optional("pool").fail(ErrorKind::MissingField,
+                                   "an interactive queue needs a pool of executors");
+    NewQueue.Open_ = Object.boolean("open", false);
+    for (const Node &TeamNode : Object.optional("teams").items()) {
+      NewQueue.Teams_.push_back(TeamNode.asString());
+      Teams.add(TeamNode, NewQueue.Teams_.back());
     }
-    return One;
+    return NewQueue;
   });
-  readList(Root, "services", false, Out.Services_, [&](const Node &From) {
-    Service One;
-    One.Name_ = readName(From, "name");
-    One.Team_ = From.string("team");
-    Teams.add(From.optional("team"), One.Team_);
-    One.Domain_ = From.string("domain", "");
-    Domains.add(From.optional("domain"), One.Domain_);
-    One.Replicas_ = From.integer("replicas", 0, MaxReplicas, 1);
-    One.Each_ = readResources(From, true);
-    One.Run_ = From.string("run");
-    DependencyNodes.emplace_back(From.optional("depends_on").items());
-    ServiceNodes.push_back(From);
-    for (const Node &Each : DependencyNodes.back()) {
-      One.DependsOn_.push_back(Each.asString());
-      Dependencies.add(Each, One.DependsOn_.back());
+  readList(Root, "services", false, Out.Services_, [&](const Node &Object) {
+    Service NewService;
+    NewService.Name_ = readName(Object, "name");
+    NewService.Team_ = Object.string("team");
+    Teams.add(Object.optional("team"), NewService.Team_);
+    NewService.Domain_ = Object.string("domain", "");
+    Domains.add(Object.optional("domain"), NewService.Domain_);
+    NewService.Replicas_ = Object.integer("replicas", 0, MaxReplicas, 1);
+    NewService.ReplicaResources_ = readResources(Object, true);
+    NewService.Run_ = Object.string("run");
+    DependencyNodes.emplace_back(Object.optional("depends_on").items());
+    ServiceNodes.push_back(Object);
+    for (const Node &DependencyNode : DependencyNodes.back()) {
+      NewService.DependsOn_.push_back(DependencyNode.asString());
+      Dependencies.add(DependencyNode, NewService.DependsOn_.back());
     }
-    return One;
+    return NewService;
   });
 
   Domains.check(Out.Domains_, "domain", ErrorKind::OutOfRange);
   Teams.check(Out.Teams_, "team", ErrorKind::OutOfRange);
   Dependencies.check(Out.Services_, "service", ErrorKind::UnknownDependency);
-  CycleSearch(Out.Services_).run([&](std::size_t From, std::size_t Edge, const std::string &Path) {
-    DependencyNodes[From][Edge].fail(ErrorKind::DependencyCycle, "cycle " + Path);
-  });
+  CycleSearch(Out.Services_)
+      .run([&](std::size_t Dependent, std::size_t Edge, const std::string &Path) {
+        DependencyNodes[Dependent][Edge].fail(ErrorKind::DependencyCycle, "cycle " + Path);
+      });
   // Only on a correct text: a mistaken limit reads as 0 and would make every service too large.
-  const bool Correct = Reader.mistakeCount() == 0;
-  for (std::size_t I = 0; Correct && I < Out.Services_.size(); ++I) {
-    const Service &One = Out.Services_[I];
-    const Team *Owner = Out.team(One.Team_);
-    if (Owner != nullptr && !core::fits(One.Each_, Owner->Limit_.Resources_))
-      ServiceNodes[I].fail(ErrorKind::OutOfRange,
-                           "one replica needs more than the limit of team " + quote(One.Team_));
+  const bool NoErrors = Reader.errorCount() == 0;
+  for (std::size_t I = 0; NoErrors && I < Out.Services_.size(); ++I) {
+    const Service &ParsedService = Out.Services_[I];
+    const Team *OwningTeam = Out.team(ParsedService.Team_);
+    if (OwningTeam != nullptr &&
+        !core::fits(ParsedService.ReplicaResources_, OwningTeam->Limit_.Resources_))
+      ServiceNodes[I].fail(ErrorKind::OutOfRange, "one replica needs more than the limit of team " +
+                                                      quote(ParsedService.Team_));
   }
-  Parsed.Mistakes_ = Reader.finish();
+  Parsed.Errors_ = Reader.finish();
   return Parsed;
 }
 
-std::vector<std::size_t> startOrder(const Configuration &Of) {
-  const std::vector<Service> &All = Of.Services_;
+std::vector<std::size_t> startOrder(const Configuration &Config) {
+  const std::vector<Service> &Services = Config.Services_;
   std::map<std::string_view, std::size_t> Index;
-  for (std::size_t I = 0; I < All.size(); ++I)
-    Index.emplace(All[I].Name_, I);
-  std::vector<std::size_t> Waiting(All.size(), 0);
-  std::vector<std::vector<std::size_t>> Dependents(All.size());
-  for (std::size_t I = 0; I < All.size(); ++I)
-    for (const std::string &Name : All[I].DependsOn_)
+  for (std::size_t I = 0; I < Services.size(); ++I)
+    Index.emplace(Services[I].Name_, I);
+  std::vector<std::size_t> UnmetDependencies(Services.size(), 0);
+  std::vector<std::vector<std::size_t>> Dependents(Services.size());
+  for (std::size_t I = 0; I < Services.size(); ++I)
+    for (const std::string &Name : Services[I].DependsOn_)
       if (const auto Found = Index.find(Name); Found != Index.end()) {
-        ++Waiting[I];
+        ++UnmetDependencies[I];
         Dependents[Found->second].push_back(I);
       }
   std::map<std::string_view, std::size_t> Ready;
-  for (std::size_t I = 0; I < All.size(); ++I)
-    if (Waiting[I] == 0)
-      Ready.emplace(All[I].Name_, I);
+  for (std::size_t I = 0; I < Services.size(); ++I)
+    if (UnmetDependencies[I] == 0)
+      Ready.emplace(Services[I].Name_, I);
   std::vector<std::size_t> Order;
   while (!Ready.empty()) {
     const std::size_t Next = Ready.extract(Ready.begin()).mapped();
     Order.push_back(Next);
-    for (const std::size_t Each : Dependents[Next])
-      if (--Waiting[Each] == 0)
-        Ready.emplace(All[Each].Name_, Each);
+    for (const std::size_t Dependent : Dependents[Next])
+      if (--UnmetDependencies[Dependent] == 0)
+        Ready.emplace(Services[Dependent].Name_, Dependent);
   }
   return Order;
 }
--- a/src/config/Key.cpp
+++ b/src/config/Key.cpp
@@ -57,7 +57,7 @@
   return HasId ? Id : std::string_view();
 }
 
-bool sameHash(std::string_view A, std::string_view B) {
+bool constantTimeEqual(std::string_view A, std::string_view B) {
   return A.size() == B.size() && !A.empty() && CRYPTO_memcmp(A.data(), B.data(), A.size()) == 0;
 }
 
--- a/src/ctl/Main.cpp
+++ b/src/ctl/Main.cpp
@@ -88,9 +88,9 @@
   }
   Text = std::move(*Read);
   auto Parsed = config::parse(Text);
-  if (Parsed.Mistakes_.empty())
+  if (Parsed.Errors_.empty())
     return Parsed;
-  for (const auto &Each : Parsed.Mistakes_)
+  for (const auto &Each : Parsed.Errors_)
     std::cerr << Name << ": " << core::describe(Each.Kind_).Id_ << ' ' << Each.text() << '\n';
   Code = Exit::Refused;
   return std::nullopt;
@@ -109,13 +109,13 @@
   if (!Read)
     return Exit::Usage;
   const auto Parsed = config::parse(*Read);
-  json Out{{"correct", Parsed.Mistakes_.empty()}, {"mistakes", json::array()}};
-  for (const auto &Each : Parsed.Mistakes_)
+  json Out{{"correct", Parsed.Errors_.empty()}, {"mistakes", json::array()}};
+  for (const auto &Each : Parsed.Errors_)
     Out["mistakes"].push_back({{"id", core::describe(Each.Kind_).Id_},
                                {"pointer", Each.Pointer_},
                                {"message", Each.Message_}});
   std::cout << Out.dump(-1, ' ', false, json::error_handler_t::replace) << '\n';
-  return Parsed.Mistakes_.empty() ? Exit::Ok : Exit::Refused;
+  return Parsed.Errors_.empty() ? Exit::Ok : Exit::Refused;
 }
 
 Exit configDiff(const Options &In) {
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -137,15 +137,15 @@
 
   replica::ConfigReplicaOptions configOptions() const {
     replica::ConfigReplicaOptions To;
-    To.Self_ = Settings_.Instance_.Name_;
+    To.InstanceName_ = Settings_.Instance_.Name_;
     To.Incarnation_ = Incarnation_;
     To.FleetSize_ = static_cast<std::size_t>(Settings_.Fleet_.EntryInstances_);
-    To.Bound_ = Settings_.Timing_.ConfigurationFresh_;
-    To.StoreReachable_ = Settings_.Timing_.StoreReachable_;
-    To.Poll_ = Settings_.Timing_.PollStream_;
-    To.BatchClose_ = Settings_.Timing_.BatchClose_;
+    To.FreshnessBound_ = Settings_.Timing_.ConfigurationFresh_;
+    To.MaxStoreAge_ = Settings_.Timing_.StoreReachable_;
+    To.PollInterval_ = Settings_.Timing_.PollStream_;
+    To.BatchWindow_ = Settings_.Timing_.BatchClose_;
     To.AppendsPerSecond_ = static_cast<double>(Settings_.Limits_.AppendsPerSecond_);
-    To.Retention_ = Settings_.Timing_.StoreRetention_;
+    To.LogRetention_ = Settings_.Timing_.StoreRetention_;
     return To;
   }
 
@@ -296,7 +296,7 @@
                            protocol::ProbeReply &Reply) { fillReply(From, Message, Reply); };
     To.OnReply_ = [this](const membership::Member &From, std::uint64_t Incarnation, TimePoint Sent,
                          const protocol::ProbeReply &Reply) {
-      Config_.onReply(Sent, Reply);
+      Config_.onProbeReply(Sent, Reply);
       if (From.Domain_ == Settings_.Instance_.Domain_)
         Stream_.ownership().onProbeReply(From.Name_, Incarnation, Sent, Reply);
     };
@@ -306,7 +306,7 @@
   void fillReply(const protocol::Envelope &From, const protocol::Probe &Message,
                  protocol::ProbeReply &Reply) {
     const TimePoint Now = core::Clock::now();
-    Config_.fillReply(Reply, Now);
+    Config_.fillProbeReply(Reply, Now);
     Stream_.ownership().fillReply(From.Sender_, From.Incarnation_, Message, Reply, Now);
     if (Stream_.ownership().holds(Now)) {
       Reply.FreeSlots_ = Dispatcher_.stats().FreeSlots_;
@@ -380,7 +380,7 @@
       return;
     case MessageKind::ConfigFetch:
       if (const auto Request = core::unpack<protocol::ConfigFetch>(Message.Body_))
-        Link_.reply(Message, MessageKind::ConfigCopy, core::pack(Config_.copyFor(*Request)));
+        Link_.reply(Message, MessageKind::ConfigCopy, core::pack(Config_.copyForPeer(*Request)));
       return;
     case MessageKind::Pending:
       if (const auto Body = core::unpack<protocol::Pending>(Message.Body_))
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -68,10 +68,10 @@
 /// Runs on the deployments of the first version, with settings of the product's own.
 int runAlone(const std::string &Path, const std::string &Text, bool Check) {
   const settings::ParsedSettings Parsed = settings::parse(Text);
-  for (const settings::Mistake &One : Parsed.Mistakes_)
+  for (const settings::ValidationError &One : Parsed.Errors_)
     std::cerr << "masticdriftd: " << Path << ": " << core::describe(One.Kind_).Id_ << ' '
               << One.text() << '\n';
-  if (!Parsed.Mistakes_.empty())
+  if (!Parsed.Errors_.empty())
     return BadSettings;
   return Check ? Stopped : run(Parsed.Settings_);
 }
--- a/src/gateway/OperatorApi.cpp
+++ b/src/gateway/OperatorApi.cpp
@@ -77,7 +77,7 @@
           {"detail", One.Detail_}};
 }
 
-http::Response configAnswer(const replica::ConfigAnswer &From) {
+http::Response configAnswer(const replica::ConfigResponse &From) {
   if (!From.Error_)
     return jsonAnswer(dump({{"version", From.Version_}}));
   http::Response To = errorAnswer(From.Error_);
@@ -101,7 +101,7 @@
     const std::string Hash = config::hashKey(bearerToken(Incoming));
     bool Found = false;
     for (const std::string &Known : KeyHashes_)
-      Found = config::sameHash(Known, Hash) || Found;
+      Found = config::constantTimeEqual(Known, Hash) || Found;
     return Found;
   }
 
@@ -215,7 +215,7 @@
       return Respond(
           errorAnswer({ErrorKind::MissingField, "Masticdrift-Author: required header is missing"}));
     Config_.submit(Id, Incoming.Body_, static_cast<std::uint64_t>(*Number), Author,
-                   [Respond = std::move(Respond)](const replica::ConfigAnswer &From) {
+                   [Respond = std::move(Respond)](const replica::ConfigResponse &From) {
                      Respond(configAnswer(From));
                    });
   }
@@ -227,7 +227,7 @@
     if (const auto Mistakes = Reader.finish(); !Mistakes.empty())
       return Respond(errorAnswer(Mistakes.front().failure()));
     Config_.grant(
-        Team, Author, [Team, Respond = std::move(Respond)](const replica::ConfigAnswer &From) {
+        Team, Author, [Team, Respond = std::move(Respond)](const replica::ConfigResponse &From) {
           Respond(
               From.Error_
                   ? errorAnswer(From.Error_)
@@ -242,7 +242,7 @@
       return Respond(
           errorAnswer({ErrorKind::MissingField, "Masticdrift-Author: required header is missing"}));
     Config_.revoke(
-        KeyId, Author, [Respond = std::move(Respond)](const replica::ConfigAnswer &From) {
+        KeyId, Author, [Respond = std::move(Respond)](const replica::ConfigResponse &From) {
           Respond(From.Error_ ? errorAnswer(From.Error_)
                               : jsonAnswer(dump({{"key_id", From.KeyId_}, {"revoked", true}})));
         });
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -23,11 +23,11 @@
 constexpr std::string_view StateSection = "config";
 /// An append that was started by now is in the log after this time or never: batch deadline (3 s),
 /// one more exchange (1 s), and a margin for bytes that are still in a closed connection.
-constexpr core::Millis PendingDecided{10'000};
+constexpr core::Millis PendingAppendTimeout{10'000};
 /// A caller waits this long for its record to be read back.
-constexpr core::Millis ReadBackLimit{4'000};
+constexpr core::Millis ReadBackTimeout{4'000};
 /// A daemon that has not reached the store for this time asks peers that have read further.
-constexpr core::Millis AskPeersAfter{1'000};
+constexpr core::Millis PeerFetchDelay{1'000};
 constexpr core::Millis TickPeriod{250};
 
 } // namespace
@@ -36,57 +36,57 @@
   Impl(ConfigReplicaOptions Options, ConfigReplicaHooks Hooks, legacy::LogClient &Log,
        core::Timers &Timers, protocol::Link &Peers, membership::PeerTable &Table)
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Timers), Peers_(Peers),
-        Table_(Table), Freshness_(Options_.Bound_), StartedAt_(core::Clock::now()),
+        Table_(Table), Freshness_(Options_.FreshnessBound_), StartedAt_(core::Clock::now()),
         Appender_(appenderOptions(Options_), journal::appendTo(Log, std::string(StreamName)),
                   Timers),
         Tailer_(tailerOptions(Options_), journal::readFrom(Log, std::string(StreamName)), Timers,
                 tailerHooks()) {}
 
-  static journal::AppenderOptions appenderOptions(const ConfigReplicaOptions &From) {
-    journal::AppenderOptions To;
-    To.Stream_ = StreamName;
-    To.Writer_ = From.Self_;
-    To.Incarnation_ = From.Incarnation_;
-    To.CloseAfter_ = From.BatchClose_;
-    To.AppendsPerSecond_ = From.AppendsPerSecond_;
-    return To;
+  static journal::AppenderOptions appenderOptions(const ConfigReplicaOptions &ReplicaOptions) {
+    journal::AppenderOptions Result;
+    Result.Stream_ = StreamName;
+    Result.Writer_ = ReplicaOptions.InstanceName_;
+    Result.Incarnation_ = ReplicaOptions.Incarnation_;
+    Result.CloseAfter_ = ReplicaOptions.BatchWindow_;
+    Result.AppendsPerSecond_ = ReplicaOptions.AppendsPerSecond_;
+    return Result;
   }
 
-  static journal::TailerOptions tailerOptions(const ConfigReplicaOptions &From) {
-    journal::TailerOptions To;
-    To.Stream_ = StreamName;
-    To.Interval_ = From.Poll_;
-    To.SnapshotType_ = journal::RecordType::ConfigSnapshot;
-    return To;
+  static journal::TailerOptions tailerOptions(const ConfigReplicaOptions &ReplicaOptions) {
+    journal::TailerOptions Result;
+    Result.Stream_ = StreamName;
+    Result.Interval_ = ReplicaOptions.PollInterval_;
+    Result.SnapshotType_ = journal::RecordType::ConfigSnapshot;
+    return Result;
   }
 
   journal::TailerHooks tailerHooks() {
-    journal::TailerHooks To;
-    To.Entry_ = [this](std::uint64_t Offset, std::uint32_t Index, const journal::BatchInfo &,
-                       const journal::Entry &Record) {
+    journal::TailerHooks Result;
+    Result.Entry_ = [this](std::uint64_t Offset, std::uint32_t Index, const journal::BatchInfo &,
+                           const journal::Entry &Record) {
       if (State_.apply(Offset, Index, Record))
         Changed_ = true;
     };
-    To.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
+    Result.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
       Appender_.observed(Info, Offset);
       Offset_ = Tailer_.nextOffset();
       checkWaiters();
     };
-    To.CaughtUp_ = [this] { caughtUp(); };
-    To.Gap_ = [](const journal::Gap &Missing) {
+    Result.CaughtUp_ = [this] { onCaughtUp(); };
+    Result.Gap_ = [](const journal::Gap &Missing) {
       core::log(
           core::LogLevel::Error, "config records expired before they were read",
           {{"needed", std::to_string(Missing.Needed_)}, {"first", std::to_string(Missing.First_)}});
     };
-    To.LoadSnapshot_ = [this](const journal::SnapshotBody &Body, std::uint64_t) {
+    Result.LoadSnapshot_ = [this](const journal::SnapshotBody &Body, std::uint64_t) {
       const auto Section = Body.section(StateSection);
       Changed_ = true;
       return Section && State_.load(*Section);
     };
-    return To;
+    return Result;
   }
 
-  void caughtUp() {
+  void onCaughtUp() {
     const auto AsOf = Tailer_.completeAsOf();
     if (!AsOf)
       return;
@@ -95,11 +95,12 @@
       Freshness_.direct(*AsOf);
       StoreAsOf_ = *AsOf;
       Offset_ = Tailer_.nextOffset();
-      std::erase_if(Pending_, [&](const OpenAppend &One) {
-        return State_.version() >= One.Version_ || *AsOf > One.Heard_ + PendingDecided;
+      std::erase_if(PendingAppends_, [&](const PendingAppend &Append) {
+        return State_.version() >= Append.Version_ ||
+               *AsOf > Append.AnnouncedAt_ + PendingAppendTimeout;
       });
-      if (UnknownSince_ && *AsOf > *UnknownSince_ + PendingDecided)
-        UnknownSince_.reset();
+      if (UnknownAppendAt_ && *AsOf > *UnknownAppendAt_ + PendingAppendTimeout)
+        UnknownAppendAt_.reset();
     }
     Loaded_ = true;
     notifyIfChanged();
@@ -121,8 +122,8 @@
     notifyIfChanged();
     expireWaiters(Now);
     const auto ReadAt = Tailer_.completeAsOf();
-    if (!ReadAt || Now - *ReadAt > AskPeersAfter)
-      askPeers(Now);
+    if (!ReadAt || Now - *ReadAt > PeerFetchDelay)
+      fetchFromPeer(Now);
     confirmUnanimously(Now);
     core::setGauge("masticdrift_config_fresh", fresh(Now) ? 1 : 0);
     if (ReadAt)
@@ -135,52 +136,53 @@
   void confirmUnanimously(TimePoint Now) {
     const auto Evidence = Table_.evidence();
     const std::lock_guard Lock(Mutex_);
-    const membership::OwnConfig Own{Options_.Self_, Offset_, confirmsLocked()};
+    const membership::OwnConfig Own{Options_.InstanceName_, Offset_, confirmsConfigLocked()};
     if (const auto AsOf =
             membership::unanimousAsOf(Own, Evidence, Hooks_.Members_(), Options_.FleetSize_, Now))
       Freshness_.unanimous(*AsOf);
   }
 
-  bool confirmsLocked() const {
+  bool confirmsConfigLocked() const {
     // A record of this daemon that is in the log but not read back is newer than the state.
-    return StoreAsOf_ && Pending_.empty() && !UnknownSince_ && OpenAppends_ == 0 &&
-           Offset_ >= AppendedUpTo_;
+    return StoreAsOf_ && PendingAppends_.empty() && !UnknownAppendAt_ && AppendsInFlight_ == 0 &&
+           Offset_ >= AppendedEndOffset_;
   }
 
   /// Without the store: takes the state of the peer that has read furthest.
-  void askPeers(TimePoint Now) {
-    if (Now - StartedAt_ < AskPeersAfter || Asking_.exchange(true))
+  void fetchFromPeer(TimePoint Now) {
+    if (Now - StartedAt_ < PeerFetchDelay || FetchInProgress_.exchange(true))
       return;
-    std::string Best;
-    std::uint64_t BestOffset = 0;
-    for (const membership::Peer &One : Table_.peers())
-      if (One.LastReplySent_ && (Best.empty() || One.ConfigOffset_ > BestOffset)) {
-        Best = One.Member_.Name_;
-        BestOffset = One.ConfigOffset_;
+    std::string BestPeer;
+    std::uint64_t BestPeerOffset = 0;
+    for (const membership::Peer &Candidate : Table_.peers())
+      if (Candidate.LastReplySent_ &&
+          (BestPeer.empty() || Candidate.ConfigOffset_ > BestPeerOffset)) {
+        BestPeer = Candidate.Member_.Name_;
+        BestPeerOffset = Candidate.ConfigOffset_;
       }
-    if (Best.empty() || (Loaded_ && BestOffset <= Offset_)) {
-      Asking_ = false;
+    if (BestPeer.empty() || (Loaded_ && BestPeerOffset <= Offset_)) {
+      FetchInProgress_ = false;
       return;
     }
     Peers_.call(
-        Best, protocol::MessageKind::ConfigFetch, core::pack(protocol::ConfigFetch{Offset_}),
+        BestPeer, protocol::MessageKind::ConfigFetch, core::pack(protocol::ConfigFetch{Offset_}),
         core::Millis(2000),
         [Self = shared_from_this()](std::error_code Error, const protocol::Envelope &Reply) {
           Self->Timers_.post([Self, Error, Body = Reply.Body_] {
-            Self->Asking_ = false;
+            Self->FetchInProgress_ = false;
             if (!Error)
-              Self->takeCopy(Body);
+              Self->loadPeerCopy(Body);
           });
         });
   }
 
-  void takeCopy(const std::string &Body) {
+  void loadPeerCopy(const std::string &Body) {
     const auto Copy = core::unpack<protocol::ConfigCopy>(Body);
     if (!Copy || !Copy->Present_)
       return;
-    const auto Position = core::unpack<journal::SnapshotBody>(Copy->State_);
-    const auto Section = Position ? Position->section(StateSection) : std::nullopt;
-    if (!Section || !Tailer_.resume({Copy->Offset_, Position->Sequences_}))
+    const auto Snapshot = core::unpack<journal::SnapshotBody>(Copy->State_);
+    const auto Section = Snapshot ? Snapshot->section(StateSection) : std::nullopt;
+    if (!Section || !Tailer_.resume({Copy->Offset_, Snapshot->Sequences_}))
       return;
     State_.load(*Section);
     Offset_ = Copy->Offset_;
@@ -191,47 +193,48 @@
     notifyIfChanged();
   }
 
-  protocol::ConfigCopy copyFor() {
-    protocol::ConfigCopy To;
-    To.Present_ = Loaded_;
-    if (!To.Present_)
-      return To;
+  protocol::ConfigCopy copyForPeer() {
+    protocol::ConfigCopy Copy;
+    Copy.Present_ = Loaded_;
+    if (!Copy.Present_)
+      return Copy;
     // Position and state are taken on the timer thread, so that they belong together.
-    const std::lock_guard Lock(CopyMutex_);
-    To.Offset_ = Copy_.Offset_;
-    To.State_ = Copy_.State_;
-    To.Present_ = !To.State_.empty();
-    return To;
+    const std::lock_guard Lock(PeerCopyMutex_);
+    Copy.Offset_ = PeerCopy_.Offset_;
+    Copy.State_ = PeerCopy_.State_;
+    Copy.Present_ = !Copy.State_.empty();
+    return Copy;
   }
 
   /// Keeps an encoded copy for peers; taken on the timer thread.
-  void refreshCopy() {
-    const journal::Position At = Tailer_.position();
-    if (At.NextOffset_ == Copy_.Offset_ && !Copy_.State_.empty())
+  void refreshPeerCopy() {
+    const journal::Position Position = Tailer_.position();
+    if (Position.NextOffset_ == PeerCopy_.Offset_ && !PeerCopy_.State_.empty())
       return;
-    journal::SnapshotBody Body;
-    Body.Sequences_ = At.Sequences_;
-    Body.Sections_.emplace_back(StateSection, State_.encode());
-    const std::lock_guard Lock(CopyMutex_);
-    Copy_.Offset_ = At.NextOffset_;
-    Copy_.State_ = core::pack(Body);
+    journal::SnapshotBody Snapshot;
+    Snapshot.Sequences_ = Position.Sequences_;
+    Snapshot.Sections_.emplace_back(StateSection, State_.encode());
+    const std::lock_guard Lock(PeerCopyMutex_);
+    PeerCopy_.Offset_ = Position.NextOffset_;
+    PeerCopy_.State_ = core::pack(Snapshot);
   }
 
   void writeSnapshotIfDue() {
     const TimePoint Now = core::Clock::now();
-    refreshCopy();
-    const auto Seen = Tailer_.lastSnapshot();
-    if (Seen && Seen->Offset_ != SeenSnapshot_) {
-      SeenSnapshot_ = Seen->Offset_;
-      SnapshotAt_ = Now;
+    refreshPeerCopy();
+    const auto LatestSnapshot = Tailer_.lastSnapshot();
+    if (LatestSnapshot && LatestSnapshot->Offset_ != LastSnapshotOffset_) {
+      LastSnapshotOffset_ = LatestSnapshot->Offset_;
+      LastSnapshotAt_ = Now;
     }
-    const TimePoint Due =
-        SnapshotAt_ ? *SnapshotAt_ + Options_.Retention_ / 2 : StartedAt_ + Options_.Retention_ / 8;
+    const TimePoint Due = LastSnapshotAt_ ? *LastSnapshotAt_ + Options_.LogRetention_ / 2
+                                          : StartedAt_ + Options_.LogRetention_ / 8;
     if (Now < Due || !Hooks_.WritesSnapshots_() || Tailer_.nextOffset() == 0)
       return;
-    SnapshotAt_ = Now;
-    const std::uint64_t Base = Copy_.Offset_ - 1;
-    auto Parts = journal::splitSnapshot(journal::RecordType::ConfigSnapshot, Base, Copy_.State_);
+    LastSnapshotAt_ = Now;
+    const std::uint64_t BaseOffset = PeerCopy_.Offset_ - 1;
+    auto Parts =
+        journal::splitSnapshot(journal::RecordType::ConfigSnapshot, BaseOffset, PeerCopy_.State_);
     for (journal::Entry &Part : Parts)
       Appender_.append({std::move(Part)}, [](std::error_code, std::uint64_t) {});
   }
@@ -239,206 +242,208 @@
   // --- Submissions ---
 
   struct Waiter {
-    TimePoint Since_;
+    TimePoint WaitingSince_;
     /// \returns the answer once replay has decided it.
-    std::function<std::optional<ConfigAnswer>()> Check_;
+    std::function<std::optional<ConfigResponse>()> Check_;
     Callback Done_;
   };
 
   /// Announces, appends and waits for the read-back.
   void append(journal::Entry Record, std::uint64_t Version,
-              std::function<std::optional<ConfigAnswer>()> Check, Callback Done) {
+              std::function<std::optional<ConfigResponse>()> Check, Callback Done) {
     // Nothing is announced while the store is known to be away: an announcement without an outcome
     // ends the unanimous confirmation, and with it keyed work in the whole fleet.
     if (!storeReachable(core::Clock::now())) {
-      ConfigAnswer Answer;
-      Answer.Error_ = {ErrorKind::StoreUnavailable, "the log service can't be reached"};
-      return Done(std::move(Answer));
+      ConfigResponse Response;
+      Response.Error_ = {ErrorKind::StoreUnavailable, "the log service can't be reached"};
+      return Done(std::move(Response));
     }
-    announce(Version);
+    announceAppend(Version);
     {
       const std::lock_guard Lock(Mutex_);
-      ++OpenAppends_;
+      ++AppendsInFlight_;
     }
     Appender_.append({std::move(Record)},
                      [Self = shared_from_this(), Check = std::move(Check),
                       Done = std::move(Done)](std::error_code Error, std::uint64_t Offset) mutable {
-                       Self->appended(Error, Offset, std::move(Check), std::move(Done));
+                       Self->onAppended(Error, Offset, std::move(Check), std::move(Done));
                      });
   }
 
   /// Tells all daemons to read the stream, so that they don't wait for their next poll.
-  void notify(std::uint64_t Offset) {
+  void notifyPeers(std::uint64_t Offset) {
     const std::string Body = core::pack(protocol::Notice{std::string(StreamName), Offset});
-    for (const membership::Peer &One : Table_.peers())
-      Peers_.send(One.Member_.Name_, protocol::MessageKind::Notice, 0, Body);
+    for (const membership::Peer &Recipient : Table_.peers())
+      Peers_.send(Recipient.Member_.Name_, protocol::MessageKind::Notice, 0, Body);
   }
 
   bool storeReachable(TimePoint Now) const {
     const std::lock_guard Lock(Mutex_);
-    return StoreAsOf_ && Now - *StoreAsOf_ <= Options_.StoreReachable_;
+    return StoreAsOf_ && Now - *StoreAsOf_ <= Options_.MaxStoreAge_;
   }
 
-  void announce(std::uint64_t Version) {
-    const std::string Body = core::pack(protocol::Pending{Version, Options_.Self_});
-    for (const membership::Peer &One : Table_.peers())
-      Peers_.send(One.Member_.Name_, protocol::MessageKind::Pending, 0, Body);
+  void announceAppend(std::uint64_t Version) {
+    const std::string Body = core::pack(protocol::Pending{Version, Options_.InstanceName_});
+    for (const membership::Peer &Recipient : Table_.peers())
+      Peers_.send(Recipient.Member_.Name_, protocol::MessageKind::Pending, 0, Body);
   }
 
-  void appended(std::error_code Error, std::uint64_t Offset,
-                std::function<std::optional<ConfigAnswer>()> Check, Callback Done) {
+  void onAppended(std::error_code Error, std::uint64_t Offset,
+                  std::function<std::optional<ConfigResponse>()> Check, Callback Done) {
     {
       const std::lock_guard Lock(Mutex_);
-      --OpenAppends_;
+      --AppendsInFlight_;
       if (!Error)
-        AppendedUpTo_ = std::max(AppendedUpTo_, Offset + 1);
+        AppendedEndOffset_ = std::max(AppendedEndOffset_, Offset + 1);
       if (core::kindOf(Error) == ErrorKind::AppendUnknown)
-        UnknownSince_ = core::Clock::now();
+        UnknownAppendAt_ = core::Clock::now();
     }
     if (Error && core::kindOf(Error) != ErrorKind::AppendUnknown) {
-      ConfigAnswer Answer;
-      Answer.Error_ = {core::kindOf(Error), "the log service did not take the record"};
-      return Done(std::move(Answer));
+      ConfigResponse Response;
+      Response.Error_ = {core::kindOf(Error), "the log service did not take the record"};
+      return Done(std::move(Response));
     }
-    notify(Offset);
+    notifyPeers(Offset);
     Waiters_.push_back({core::Clock::now(), std::move(Check), std::move(Done)});
     Tailer_.readNow();
   }
 
   void checkWaiters() {
-    std::vector<std::pair<Callback, ConfigAnswer>> Ready;
-    for (auto Place = Waiters_.begin(); Place != Waiters_.end();) {
-      if (auto Answer = Place->Check_()) {
-        Ready.emplace_back(std::move(Place->Done_), std::move(*Answer));
-        Place = Waiters_.erase(Place);
+    std::vector<std::pair<Callback, ConfigResponse>> Ready;
+    for (auto It = Waiters_.begin(); It != Waiters_.end();) {
+      if (auto Response = It->Check_()) {
+        Ready.emplace_back(std::move(It->Done_), std::move(*Response));
+        It = Waiters_.erase(It);
       } else {
-        ++Place;
+        ++It;
       }
     }
-    for (auto &[Done, Answer] : Ready)
-      Done(std::move(Answer));
+    for (auto &[Done, Response] : Ready)
+      Done(std::move(Response));
   }
 
   void expireWaiters(TimePoint Now) {
     std::vector<Callback> Expired;
-    for (auto Place = Waiters_.begin(); Place != Waiters_.end();) {
-      if (Now - Place->Since_ > ReadBackLimit) {
-        Expired.push_back(std::move(Place->Done_));
-        Place = Waiters_.erase(Place);
+    for (auto It = Waiters_.begin(); It != Waiters_.end();) {
+      if (Now - It->WaitingSince_ > ReadBackTimeout) {
+        Expired.push_back(std::move(It->Done_));
+        It = Waiters_.erase(It);
       } else {
-        ++Place;
+        ++It;
       }
     }
     for (Callback &Done : Expired) {
-      ConfigAnswer Answer;
-      Answer.Error_ = {ErrorKind::AppendUnknown,
-                       "the record was not read back in time; it may be in force"};
-      Done(std::move(Answer));
+      ConfigResponse Response;
+      Response.Error_ = {ErrorKind::AppendUnknown,
+                         "the record was not read back in time; it may be in force"};
+      Done(std::move(Response));
     }
   }
 
-  void submit(std::string Id, std::string Text, std::uint64_t Base, std::string Author,
+  void submit(std::string Id, std::string Text, std::uint64_t BaseVersion, std::string Author,
               Callback Done) {
-    if (auto Known = decided(Id, Base))
-      return Done(std::move(*Known));
+    if (auto EarlierResponse = findResponse(Id, BaseVersion))
+      return Done(std::move(*EarlierResponse));
     const config::ParsedConfiguration Parsed = config::parse(Text);
-    ConfigAnswer Refusal;
-    Refusal.Version_ = State_.version();
-    if (!Parsed.Mistakes_.empty()) {
-      Refusal.Error_ = Parsed.Mistakes_.front().failure();
-      for (std::size_t I = 1; I < Parsed.Mistakes_.size(); ++I)
-        Refusal.Error_.Message_ += "\n" + Parsed.Mistakes_[I].text();
-      return Done(std::move(Refusal));
+    ConfigResponse Rejection;
+    Rejection.Version_ = State_.version();
+    if (!Parsed.Errors_.empty()) {
+      Rejection.Error_ = Parsed.Errors_.front().failure();
+      for (std::size_t I = 1; I < Parsed.Errors_.size(); ++I)
+        Rejection.Error_.Message_ += "\n" + Parsed.Errors_[I].text();
+      return Done(std::move(Rejection));
     }
-    if (Base != State_.version()) {
-      Refusal.Error_ = {ErrorKind::VersionConflict,
-                        conflictText(State_.version(), authorOf(State_.version()), Base)};
-      return Done(std::move(Refusal));
+    if (BaseVersion != State_.version()) {
+      Rejection.Error_ = {ErrorKind::VersionConflict,
+                          conflictText(State_.version(), authorOf(State_.version()), BaseVersion)};
+      return Done(std::move(Rejection));
     }
     config::Submit Record;
     Record.SubmissionId_ = std::move(Id);
-    Record.BaseVersion_ = Base;
-    Record.Version_ = Base + 1;
+    Record.BaseVersion_ = BaseVersion;
+    Record.Version_ = BaseVersion + 1;
     Record.Author_ = std::move(Author);
     Record.WallMs_ = core::wallMillis();
-    const auto Delta = Base > 0 ? config::delta(State_.text(), Text) : std::nullopt;
+    const auto Delta = BaseVersion > 0 ? config::delta(State_.text(), Text) : std::nullopt;
     if (Delta && Delta->size() < Text.size())
       Record.Delta_ = *Delta;
     else
       Record.Text_ = std::move(Text);
     append(
-        config::entryOf(Record), Record.Version_,
-        [this, Id = Record.SubmissionId_, Base] { return decided(Id, Base); }, std::move(Done));
+        config::makeEntry(Record), Record.Version_,
+        [this, Id = Record.SubmissionId_, BaseVersion] { return findResponse(Id, BaseVersion); },
+        std::move(Done));
   }
 
-  std::optional<ConfigAnswer> decided(const std::string &SubmissionId, std::uint64_t Base) const {
+  std::optional<ConfigResponse> findResponse(const std::string &SubmissionId,
+                                             std::uint64_t BaseVersion) const {
     const auto Result = State_.result(SubmissionId);
     if (!Result)
       return std::nullopt;
-    ConfigAnswer Answer;
-    Answer.Version_ = Result->Version_;
+    ConfigResponse Response;
+    Response.Version_ = Result->Version_;
     if (Result->Outcome_ == config::SubmitOutcome::Conflict)
-      Answer.Error_ = {ErrorKind::VersionConflict,
-                       conflictText(Result->Version_, Result->Winner_, Base)};
+      Response.Error_ = {ErrorKind::VersionConflict,
+                         conflictText(Result->Version_, Result->WinningAuthor_, BaseVersion)};
     else if (Result->Outcome_ == config::SubmitOutcome::Invalid)
-      Answer.Error_ = {ErrorKind::ConfigurationInvalid, Result->Message_};
-    return Answer;
+      Response.Error_ = {ErrorKind::ConfigurationInvalid, Result->Message_};
+    return Response;
   }
 
   std::string authorOf(std::uint64_t Version) const {
-    for (const config::VersionInfo &One : State_.history())
-      if (One.Version_ == Version)
-        return One.Author_;
+    for (const config::VersionInfo &Accepted : State_.history())
+      if (Accepted.Version_ == Version)
+        return Accepted.Author_;
     return {};
   }
 
   static std::string conflictText(std::uint64_t Version, const std::string &Winner,
-                                  std::uint64_t Base) {
+                                  std::uint64_t BaseVersion) {
     return "version " + std::to_string(Version) + " was submitted by \"" + Winner +
-           "\" first; this submission builds on version " + std::to_string(Base);
+           "\" first; this submission builds on version " + std::to_string(BaseVersion);
   }
 
   void grant(std::string Team, std::string Author, Callback Done) {
-    ConfigAnswer Answer;
-    Answer.Version_ = State_.version();
+    ConfigResponse Response;
+    Response.Version_ = State_.version();
     if (!State_.current()->team(Team)) {
-      Answer.Error_ = {ErrorKind::ConfigurationInvalid, "team \"" + Team + "\" does not exist"};
-      return Done(std::move(Answer));
+      Response.Error_ = {ErrorKind::ConfigurationInvalid, "team \"" + Team + "\" does not exist"};
+      return Done(std::move(Response));
     }
     config::NewKey Key;
     try {
       Key = config::newKey();
-    } catch (const std::exception &Reason) {
-      Answer.Error_ = {ErrorKind::Internal, Reason.what()};
-      return Done(std::move(Answer));
+    } catch (const std::exception &Error) {
+      Response.Error_ = {ErrorKind::Internal, Error.what()};
+      return Done(std::move(Response));
     }
-    Answer.KeyId_ = Key.KeyId_;
-    Answer.Key_ = Key.Text_;
+    Response.KeyId_ = Key.KeyId_;
+    Response.Key_ = Key.Text_;
     const config::KeyGrant Record{Team, Key.KeyId_, Key.Hash_, std::move(Author),
                                   core::wallMillis()};
     append(
-        config::entryOf(Record), 0,
-        [this, Answer]() -> std::optional<ConfigAnswer> {
-          return State_.key(Answer.KeyId_) ? std::optional(Answer) : std::nullopt;
+        config::makeEntry(Record), 0,
+        [this, Response]() -> std::optional<ConfigResponse> {
+          return State_.key(Response.KeyId_) ? std::optional(Response) : std::nullopt;
         },
         std::move(Done));
   }
 
   void revoke(std::string KeyId, std::string Author, Callback Done) {
-    ConfigAnswer Answer;
-    Answer.Version_ = State_.version();
-    Answer.KeyId_ = KeyId;
+    ConfigResponse Response;
+    Response.Version_ = State_.version();
+    Response.KeyId_ = KeyId;
     if (!State_.key(KeyId)) {
-      Answer.Error_ = {ErrorKind::UnknownKey, "key " + KeyId + " does not exist"};
-      return Done(std::move(Answer));
+      Response.Error_ = {ErrorKind::UnknownKey, "key " + KeyId + " does not exist"};
+      return Done(std::move(Response));
     }
     const config::KeyRevoke Record{KeyId, std::move(Author), core::wallMillis()};
     // A revocation changes no version, so peers wait for a read that is late enough.
     append(
-        config::entryOf(Record), UINT64_MAX,
-        [this, Answer]() -> std::optional<ConfigAnswer> {
-          const auto Known = State_.key(Answer.KeyId_);
-          return Known && Known->Revoked_ ? std::optional(Answer) : std::nullopt;
+        config::makeEntry(Record), UINT64_MAX,
+        [this, Response]() -> std::optional<ConfigResponse> {
+          const auto Key = State_.key(Response.KeyId_);
+          return Key && Key->Revoked_ ? std::optional(Response) : std::nullopt;
         },
         std::move(Done));
   }
@@ -449,9 +454,9 @@
   }
 
   /// An announced append of this or another daemon that replay has not decided.
-  struct OpenAppend {
+  struct PendingAppend {
     std::uint64_t Version_;
-    TimePoint Heard_;
+    TimePoint AnnouncedAt_;
   };
 
   const ConfigReplicaOptions Options_;
@@ -466,21 +471,21 @@
   mutable std::mutex Mutex_; ///< guards the members up to the next comment
   membership::Freshness Freshness_;
   std::optional<TimePoint> StoreAsOf_;
-  std::vector<OpenAppend> Pending_;
-  std::optional<TimePoint> UnknownSince_;
-  int OpenAppends_ = 0;
-  std::uint64_t AppendedUpTo_ = 0; ///< the offset after this daemon's last confirmed record
+  std::vector<PendingAppend> PendingAppends_;
+  std::optional<TimePoint> UnknownAppendAt_;
+  int AppendsInFlight_ = 0;
+  std::uint64_t AppendedEndOffset_ = 0; ///< the offset after this daemon's last confirmed record
 
-  std::mutex CopyMutex_;
-  protocol::ConfigCopy Copy_;
+  std::mutex PeerCopyMutex_;
+  protocol::ConfigCopy PeerCopy_;
 
   // Only the timer thread uses the members below.
   const TimePoint StartedAt_;
   bool Changed_ = false;
-  std::atomic<bool> Asking_{false};
+  std::atomic<bool> FetchInProgress_{false};
   std::list<Waiter> Waiters_;
-  std::optional<TimePoint> SnapshotAt_;
-  std::uint64_t SeenSnapshot_ = 0;
+  std::optional<TimePoint> LastSnapshotAt_;
+  std::uint64_t LastSnapshotOffset_ = 0;
   journal::Appender Appender_;
   journal::Tailer Tailer_;
 };
@@ -516,11 +521,12 @@
   return AsOf ? std::optional(Now - *AsOf) : std::nullopt;
 }
 
-void ConfigReplica::submit(std::string_view SubmissionId, std::string_view Text, std::uint64_t Base,
-                           std::string_view Author, Callback Done) {
-  Impl_->Timers_.post([Self = Impl_, Id = std::string(SubmissionId), Text = std::string(Text), Base,
-                       Author = std::string(Author), Done = std::move(Done)]() mutable {
-    Self->submit(std::move(Id), std::move(Text), Base, std::move(Author), std::move(Done));
+void ConfigReplica::submit(std::string_view SubmissionId, std::string_view Text,
+                           std::uint64_t BaseVersion, std::string_view Author, Callback Done) {
+  Impl_->Timers_.post([Self = Impl_, Id = std::string(SubmissionId), Text = std::string(Text),
+                       BaseVersion, Author = std::string(Author),
+                       Done = std::move(Done)]() mutable {
+    Self->submit(std::move(Id), std::move(Text), BaseVersion, std::move(Author), std::move(Done));
   });
 }
 
@@ -538,29 +544,29 @@
   });
 }
 
-void ConfigReplica::fillReply(protocol::ProbeReply &Reply, TimePoint Now) const {
+void ConfigReplica::fillProbeReply(protocol::ProbeReply &Reply, TimePoint Now) const {
   const std::lock_guard Lock(Impl_->Mutex_);
   Reply.ConfigOffset_ = Impl_->Offset_;
   Reply.StoreAgeMs_ = Impl_->StoreAsOf_ ? core::toMillis(Now - *Impl_->StoreAsOf_) : -1;
-  Reply.Confirms_ = Impl_->confirmsLocked();
+  Reply.Confirms_ = Impl_->confirmsConfigLocked();
 }
 
-void ConfigReplica::onReply(TimePoint Sent, const protocol::ProbeReply &Reply) {
+void ConfigReplica::onProbeReply(TimePoint SentAt, const protocol::ProbeReply &Reply) {
   if (Reply.StoreAgeMs_ < 0)
     return;
   const std::lock_guard Lock(Impl_->Mutex_);
   // One millisecond more, because the age was rounded down.
-  Impl_->Freshness_.relayed(Sent, core::Millis(Reply.StoreAgeMs_ + 1), Reply.ConfigOffset_,
+  Impl_->Freshness_.relayed(SentAt, core::Millis(Reply.StoreAgeMs_ + 1), Reply.ConfigOffset_,
                             Impl_->Offset_);
 }
 
 void ConfigReplica::onPending(const protocol::Pending &Message) {
   const std::lock_guard Lock(Impl_->Mutex_);
-  Impl_->Pending_.push_back({Message.Version_, core::Clock::now()});
+  Impl_->PendingAppends_.push_back({Message.Version_, core::Clock::now()});
 }
 
-protocol::ConfigCopy ConfigReplica::copyFor(const protocol::ConfigFetch &) const {
-  return Impl_->copyFor();
+protocol::ConfigCopy ConfigReplica::copyForPeer(const protocol::ConfigFetch &) const {
+  return Impl_->copyForPeer();
 }
 
 } // namespace masticdrift::replica
--- a/src/settings/Reader.cpp
+++ b/src/settings/Reader.cpp
@@ -19,9 +19,9 @@
   json Document_;
   bool Parsed_ = false;
   bool Finished_ = false;
-  std::vector<Mistake> Mistakes_;
+  std::vector<ValidationError> Errors_;
   /// Objects that were read, with the member names that were asked for.
-  std::map<const json *, std::pair<std::string, std::set<std::string, std::less<>>>> Known_;
+  std::map<const json *, std::pair<std::string, std::set<std::string, std::less<>>>> KnownMembers_;
 };
 
 } // namespace detail
@@ -79,13 +79,13 @@
 /// Text for people: quoted, shortened, control characters and invalid UTF-8 escaped.
 std::string quote(std::string_view Text) {
   // Long names would make error answers as large as the request.
-  constexpr std::size_t Longest = 80;
-  const bool Short = Text.size() <= Longest;
-  return json(std::string(Text.substr(0, Longest)) + (Short ? "" : "..."))
+  constexpr std::size_t MaxQuotedBytes = 80;
+  const bool Short = Text.size() <= MaxQuotedBytes;
+  return json(std::string(Text.substr(0, MaxQuotedBytes)) + (Short ? "" : "..."))
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string hint(std::string_view Name, std::span<const std::string_view> Known) {
+std::string nearestNameHint(std::string_view Name, std::span<const std::string_view> Known) {
   const std::string_view Nearest = nearestName(Name, Known);
   return Nearest.empty() ? "" : ", nearest is " + quote(Nearest);
 }
@@ -98,33 +98,33 @@
 }
 
 /// Finds duplicate keys and excessive depth while the parser runs.
-class Watcher {
+class StructureChecker {
 public:
-  explicit Watcher(std::vector<Mistake> &Mistakes) : Mistakes_(Mistakes) {}
+  explicit StructureChecker(std::vector<ValidationError> &Mistakes) : Errors_(Mistakes) {}
 
   bool operator()(int Depth, json::parse_event_t Event, json &Parsed) {
-    using Kind = json::parse_event_t;
+    using EventType = json::parse_event_t;
     if (TooDeep_) // the parser reports no end events for what was discarded
       return false;
-    if (Event == Kind::object_start || Event == Kind::array_start) {
+    if (Event == EventType::object_start || Event == EventType::array_start) {
       if (Depth >= MaxDepth) {
-        Mistakes_.push_back({ErrorKind::MalformedJson, pointer(),
-                             "nested deeper than " + std::to_string(MaxDepth) + " levels"});
+        Errors_.push_back({ErrorKind::MalformedJson, pointer(),
+                           "nested deeper than " + std::to_string(MaxDepth) + " levels"});
         TooDeep_ = true;
         return false;
       }
-      Levels_.push_back({Event == Kind::array_start, 0, {}, {}});
-    } else if (Event == Kind::object_end || Event == Kind::array_end) {
+      Levels_.push_back({Event == EventType::array_start, 0, {}, {}});
+    } else if (Event == EventType::object_end || Event == EventType::array_end) {
       if (!Levels_.empty())
         Levels_.pop_back();
       elementDone();
-    } else if (Event == Kind::value) {
+    } else if (Event == EventType::value) {
       elementDone();
-    } else if (Event == Kind::key && !Levels_.empty()) {
+    } else if (Event == EventType::key && !Levels_.empty()) {
       Level &Top = Levels_.back();
       Top.Key_ = Parsed.get<std::string>();
       if (!Top.Keys_.insert(Top.Key_).second)
-        Mistakes_.push_back({ErrorKind::MalformedJson, pointer(), "key appears twice"});
+        Errors_.push_back({ErrorKind::MalformedJson, pointer(), "key appears twice"});
     }
     return true;
   }
@@ -144,38 +144,39 @@
 
   std::string pointer() const {
     std::string Out;
-    for (const Level &Each : Levels_)
-      Out += "/" + (Each.Array_ ? std::to_string(Each.Index_) : escapeToken(Each.Key_));
+    for (const Level &Nested : Levels_)
+      Out += "/" + (Nested.Array_ ? std::to_string(Nested.Index_) : escapeToken(Nested.Key_));
     return Out;
   }
 
-  std::vector<Mistake> &Mistakes_;
+  std::vector<ValidationError> &Errors_;
   std::vector<Level> Levels_;
   bool TooDeep_ = false;
 };
 
-const json &valueOf(const void *Value) { return *static_cast<const json *>(Value); }
+const json &jsonValue(const void *Value) { return *static_cast<const json *>(Value); }
 
 } // namespace
 
-std::string Mistake::text() const {
+std::string ValidationError::text() const {
   return Pointer_.empty() ? Message_ : Pointer_ + ": " + Message_;
 }
 
 std::string_view nearestName(std::string_view Name, std::span<const std::string_view> Known) {
   // Names are short; a longer text is no misspelling and would only cost time.
-  constexpr std::size_t LongestName = 200;
+  constexpr std::size_t MaxNameLength = 200;
   std::string_view Best;
-  std::size_t BestDistance = LongestName;
-  if (Name.size() > LongestName)
+  std::size_t BestDistance = MaxNameLength;
+  if (Name.size() > MaxNameLength)
     return Best;
-  for (const std::string_view Each : Known) {
-    const std::size_t Allowed = std::max<std::size_t>(2, std::max(Name.size(), Each.size()) / 3);
-    const std::size_t Distance = editDistance(Name, Each);
+  for (const std::string_view Candidate : Known) {
+    const std::size_t MaxDistance =
+        std::max<std::size_t>(2, std::max(Name.size(), Candidate.size()) / 3);
+    const std::size_t Distance = editDistance(Name, Candidate);
     // A distance of the whole length shares no character with the name.
-    if (Distance <= Allowed && Distance < std::max(Name.size(), Each.size()) &&
+    if (Distance <= MaxDistance && Distance < std::max(Name.size(), Candidate.size()) &&
         Distance < BestDistance) {
-      Best = Each;
+      Best = Candidate;
       BestDistance = Distance;
     }
   }
@@ -183,27 +184,27 @@
 }
 
 void Node::fail(ErrorKind Kind, std::string Message) const {
-  State_->Mistakes_.push_back({Kind, Pointer_, std::move(Message)});
+  State_->Errors_.push_back({Kind, Pointer_, std::move(Message)});
 }
 
 void Node::wrongType(std::string_view Expected) const {
   fail(ErrorKind::WrongType,
-       "expected " + std::string(Expected) + ", found " + std::string(typeName(valueOf(Value_))));
+       "expected " + std::string(Expected) + ", found " + std::string(typeName(jsonValue(Value_))));
 }
 
 Node Node::child(std::string_view Name) const {
   std::string Pointer = Pointer_ + "/" + escapeToken(Name);
   if (Value_ == nullptr)
     return {State_, nullptr, std::move(Pointer)};
-  const json &Value = valueOf(Value_);
-  const auto [Known, New] =
-      State_->Known_.try_emplace(&Value, Pointer_, std::set<std::string, std::less<>>());
+  const json &Value = jsonValue(Value_);
+  const auto [KnownMembers, FirstRead] =
+      State_->KnownMembers_.try_emplace(&Value, Pointer_, std::set<std::string, std::less<>>());
   if (!Value.is_object()) {
-    if (New)
+    if (FirstRead)
       wrongType("an object");
     return {State_, nullptr, std::move(Pointer)};
   }
-  Known->second.second.emplace(Name);
+  KnownMembers->second.second.emplace(Name);
   const auto Found = Value.find(Name);
   const bool Missing = Found == Value.end() || Found->is_null();
   return {State_, Missing ? nullptr : &*Found, std::move(Pointer)};
@@ -213,7 +214,7 @@
 
 Node Node::required(std::string_view Name) const {
   Node Child = child(Name);
-  if (!Child.present() && present() && valueOf(Value_).is_object())
+  if (!Child.present() && present() && jsonValue(Value_).is_object())
     Child.fail(ErrorKind::MissingField, "required field is missing");
   return Child;
 }
@@ -222,7 +223,7 @@
   std::vector<Node> Items;
   if (Value_ == nullptr)
     return Items;
-  const json &Value = valueOf(Value_);
+  const json &Value = jsonValue(Value_);
   if (!Value.is_array()) {
     wrongType("an array");
     return Items;
@@ -237,20 +238,20 @@
   std::vector<std::pair<std::string, Node>> Members;
   if (Value_ == nullptr)
     return Members;
-  const json &Value = valueOf(Value_);
+  const json &Value = jsonValue(Value_);
   if (!Value.is_object()) {
     wrongType("an object");
     return Members;
   }
-  for (const auto &[Name, Each] : Value.items())
-    Members.emplace_back(Name, Node(State_, &Each, Pointer_ + "/" + escapeToken(Name)));
+  for (const auto &[Name, Member] : Value.items())
+    Members.emplace_back(Name, Node(State_, &Member, Pointer_ + "/" + escapeToken(Name)));
   return Members;
 }
 
 std::string Node::asString(std::string_view Default) const {
   if (Value_ == nullptr)
     return std::string(Default);
-  const json &Value = valueOf(Value_);
+  const json &Value = jsonValue(Value_);
   if (Value.is_string())
     return Value.get<std::string>();
   wrongType("a string");
@@ -260,7 +261,7 @@
 std::int64_t Node::asInteger(std::int64_t Min, std::int64_t Max, std::int64_t Default) const {
   if (Value_ == nullptr)
     return Default;
-  const json &Value = valueOf(Value_);
+  const json &Value = jsonValue(Value_);
   if (!Value.is_number_integer()) {
     wrongType(Value.is_number() ? "a whole number" : "a number");
     return Default;
@@ -280,7 +281,7 @@
 double Node::asNumber(double Min, double Max, double Default) const {
   if (Value_ == nullptr)
     return Default;
-  const json &Value = valueOf(Value_);
+  const json &Value = jsonValue(Value_);
   if (!Value.is_number()) {
     wrongType("a number");
     return Default;
@@ -297,7 +298,7 @@
                            std::int64_t DefaultMilli) const {
   if (Value_ == nullptr)
     return DefaultMilli;
-  const json &Value = valueOf(Value_);
+  const json &Value = jsonValue(Value_);
   if (!Value.is_number()) {
     wrongType("a number");
     return DefaultMilli;
@@ -321,7 +322,7 @@
 bool Node::asBoolean(bool Default) const {
   if (Value_ == nullptr)
     return Default;
-  const json &Value = valueOf(Value_);
+  const json &Value = jsonValue(Value_);
   if (Value.is_boolean())
     return Value.get<bool>();
   wrongType("true or false");
@@ -332,38 +333,39 @@
                            std::string_view Default) const {
   if (Value_ == nullptr)
     return std::string(Default);
-  const std::size_t Before = State_->Mistakes_.size();
+  const std::size_t ErrorCountBefore = State_->Errors_.size();
   std::string Chosen = asString();
-  if (State_->Mistakes_.size() != Before)
+  if (State_->Errors_.size() != ErrorCountBefore)
     return std::string(Default);
   if (std::ranges::find(Choices, Chosen) != Choices.end())
     return Chosen;
   std::string Expected;
-  for (const std::string_view Each : Choices)
-    Expected += (Expected.empty() ? "" : ", ") + quote(Each);
-  fail(ErrorKind::OutOfRange, quote(Chosen) + " is not one of " + Expected + hint(Chosen, Choices));
+  for (const std::string_view Choice : Choices)
+    Expected += (Expected.empty() ? "" : ", ") + quote(Choice);
+  fail(ErrorKind::OutOfRange,
+       quote(Chosen) + " is not one of " + Expected + nearestNameHint(Chosen, Choices));
   return std::string(Default);
 }
 
 Reader::Reader(std::string_view Text) : State_(std::make_unique<detail::ReaderState>()) {
-  std::vector<Mistake> Structure;
+  std::vector<ValidationError> StructureErrors;
   try {
-    State_->Document_ = json::parse(Text, Watcher(Structure));
-    State_->Parsed_ = Structure.empty();
-    State_->Mistakes_ = std::move(Structure);
+    State_->Document_ = json::parse(Text, StructureChecker(StructureErrors));
+    State_->Parsed_ = StructureErrors.empty();
+    State_->Errors_ = std::move(StructureErrors);
   } catch (const json::parse_error &Error) {
     const std::size_t Byte = std::min<std::size_t>(Error.byte, Text.size());
     const auto Line = 1 + std::count(Text.begin(), Text.begin() + static_cast<long>(Byte), '\n');
     // The library's message begins with its own id in brackets.
-    std::string_view What = Error.what();
-    const std::size_t Start = What.find("] ");
+    std::string_view Message = Error.what();
+    const std::size_t Start = Message.find("] ");
     if (Start != std::string_view::npos)
-      What.remove_prefix(Start + 2);
-    State_->Mistakes_ = {{ErrorKind::MalformedJson, "",
-                          "byte " + std::to_string(Byte) + ", line " + std::to_string(Line) + ": " +
-                              std::string(What)}};
+      Message.remove_prefix(Start + 2);
+    State_->Errors_ = {{ErrorKind::MalformedJson, "",
+                        "byte " + std::to_string(Byte) + ", line " + std::to_string(Line) + ": " +
+                            std::string(Message)}};
   } catch (const json::exception &Error) {
-    State_->Mistakes_ = {{ErrorKind::MalformedJson, "", Error.what()}};
+    State_->Errors_ = {{ErrorKind::MalformedJson, "", Error.what()}};
   }
 }
 
@@ -373,28 +375,28 @@
   return {State_.get(), State_->Parsed_ ? &State_->Document_ : nullptr, ""};
 }
 
-std::size_t Reader::mistakeCount() const { return State_->Mistakes_.size(); }
+std::size_t Reader::errorCount() const { return State_->Errors_.size(); }
 
-std::vector<Mistake> Reader::finish() {
+std::vector<ValidationError> Reader::finish() {
   if (State_->Finished_)
-    return State_->Mistakes_;
+    return State_->Errors_;
   State_->Finished_ = true;
   // Objects are visited in the order of their pointers, so that the result is deterministic.
   std::map<std::string, std::pair<const json *, const std::set<std::string, std::less<>> *>>
-      Ordered;
-  for (const auto &[Value, Known] : State_->Known_)
-    Ordered[Known.first] = {Value, &Known.second};
-  for (const auto &[Pointer, Object] : Ordered) {
-    const auto &[Value, Known] = Object;
+      ByPointer;
+  for (const auto &[Value, KnownMembers] : State_->KnownMembers_)
+    ByPointer[KnownMembers.first] = {Value, &KnownMembers.second};
+  for (const auto &[Pointer, Object] : ByPointer) {
+    const auto &[Value, KnownMembers] = Object;
     if (!Value->is_object())
       continue;
-    const std::vector<std::string_view> Names(Known->begin(), Known->end());
-    for (const auto &[Name, Each] : Value->items())
-      if (!Known->contains(Name))
-        State_->Mistakes_.push_back({ErrorKind::UnknownField, Pointer + "/" + escapeToken(Name),
-                                     "unknown key" + hint(Name, Names)});
+    const std::vector<std::string_view> Names(KnownMembers->begin(), KnownMembers->end());
+    for (const auto &[Name, Member] : Value->items())
+      if (!KnownMembers->contains(Name))
+        State_->Errors_.push_back({ErrorKind::UnknownField, Pointer + "/" + escapeToken(Name),
+                                   "unknown key" + nearestNameHint(Name, Names)});
   }
-  return State_->Mistakes_;
+  return State_->Errors_;
 }
 
 } // namespace masticdrift::settings
--- a/tests/unit/AllotmentTest.cpp
+++ b/tests/unit/AllotmentTest.cpp
@@ -17,25 +17,25 @@
     };
     for (int Round = 0; Round < 100; ++Round) {
       std::vector<config::Domain> Domains;
-      const auto Count = 1 + Draw(12);
-      for (std::int64_t I = 0; I < Count; ++I)
+      const auto DomainCount = 1 + Draw(12);
+      for (std::int64_t I = 0; I < DomainCount; ++I)
         Domains.push_back({"d" + std::to_string(I), "r", Draw(Round % 2 == 0 ? 5 : 100'000)});
-      const config::Limit Whole{Draw(10'000'000'000),
-                                {Draw(10'000'000'000), Draw(100), Draw(Round % 3)}};
-      const auto Parts = config::splitLimit(Whole, Domains);
+      const config::Limit TeamLimit{Draw(10'000'000'000),
+                                    {Draw(10'000'000'000), Draw(100), Draw(Round % 3)}};
+      const auto Parts = config::splitLimit(TeamLimit, Domains);
       config::Limit Sum;
-      for (const config::Limit &Each : Parts) {
-        cr_assert(Each.Slots_ >= 0 && core::fits({}, Each.Resources_));
-        Sum.Slots_ += Each.Slots_;
-        Sum.Resources_ += Each.Resources_;
+      for (const config::Limit &Part : Parts) {
+        cr_assert(Part.Slots_ >= 0 && core::fits({}, Part.Resources_));
+        Sum.Slots_ += Part.Slots_;
+        Sum.Resources_ += Part.Resources_;
       }
-      cr_assert(Sum == Whole, "seed %u round %d", Seed, Round);
+      cr_assert(Sum == TeamLimit, "seed %u round %d", Seed, Round);
       // Every domain gets its exact part rounded up or down.
-      const std::int64_t Weights = std::accumulate(
+      const std::int64_t WeightSum = std::accumulate(
           Domains.begin(), Domains.end(), std::int64_t{0},
-          [](std::int64_t Total, const config::Domain &Each) { return Total + Each.Weight_; });
-      for (std::size_t I = 0; I < Parts.size() && Weights > 0; ++I) {
-        const std::int64_t Exact = Whole.Slots_ * Domains[I].Weight_ / Weights;
+          [](std::int64_t Total, const config::Domain &Domain) { return Total + Domain.Weight_; });
+      for (std::size_t I = 0; I < Parts.size() && WeightSum > 0; ++I) {
+        const std::int64_t Exact = TeamLimit.Slots_ * Domains[I].Weight_ / WeightSum;
         cr_assert(Parts[I].Slots_ == Exact || Parts[I].Slots_ == Exact + 1);
       }
     }
@@ -45,12 +45,12 @@
 // Daemons may hold the same domains in another order; their allotments must agree.
 Test(AllotmentSplit, theOrderOfTheDomainsDoesNotMatter) {
   const std::vector<config::Domain> Domains{{"a", "r", 1}, {"b", "r", 1}, {"c", "r", 1}};
-  const config::Limit Whole{10, {10'000, 100, 1}};
-  const auto Parts = config::splitLimit(Whole, Domains);
+  const config::Limit TeamLimit{10, {10'000, 100, 1}};
+  const auto Parts = config::splitLimit(TeamLimit, Domains);
   std::vector<config::Domain> Reversed(Domains.rbegin(), Domains.rend());
-  auto Others = config::splitLimit(Whole, Reversed);
-  std::ranges::reverse(Others);
-  cr_assert(Parts == Others);
+  auto PartsOfReversed = config::splitLimit(TeamLimit, Reversed);
+  std::ranges::reverse(PartsOfReversed);
+  cr_assert(Parts == PartsOfReversed);
   cr_assert_eq(Parts[0].Slots_, 4);
   cr_assert_eq(Parts[1].Slots_, 3);
 }
@@ -58,8 +58,8 @@
 // Fractions of a core in each domain would be room that no task fits.
 Test(AllotmentSplit, wholeCoresStayWhole) {
   const std::vector<config::Domain> Domains{{"a", "r", 1}, {"b", "r", 1}, {"c", "r", 1}};
-  for (const config::Limit &Each : config::splitLimit({0, {10'000, 0, 0}}, Domains))
-    cr_assert_eq(Each.Resources_.MilliCores_ % 1000, 0);
+  for (const config::Limit &Part : config::splitLimit({0, {10'000, 0, 0}}, Domains))
+    cr_assert_eq(Part.Resources_.MilliCores_ % 1000, 0);
 }
 
 Test(AllotmentSplit, withoutWeightsThePartsAreEqual) {
--- a/tests/unit/ExamplesTest.cpp
+++ b/tests/unit/ExamplesTest.cpp
@@ -18,13 +18,13 @@
 
 void expectCorrect(const std::string &Folder, const std::string &SettingsName) {
   const auto Settings = settings::parse(readExample(Folder + "/" + SettingsName));
-  for (const auto &Each : Settings.Mistakes_)
+  for (const auto &Each : Settings.Errors_)
     cr_log_error("%s", Each.text().c_str());
-  cr_assert(Settings.Mistakes_.empty());
+  cr_assert(Settings.Errors_.empty());
   const auto Text = config::parse(readExample(Folder + "/configuration.json"));
-  for (const auto &Each : Text.Mistakes_)
+  for (const auto &Each : Text.Errors_)
     cr_log_error("%s", Each.text().c_str());
-  cr_assert(Text.Mistakes_.empty());
+  cr_assert(Text.Errors_.empty());
   const config::Configuration &All = Text.Configuration_;
   cr_assert_eq(All.Teams_.size(), 6);
   cr_assert(All.Fleet_ == Settings.Settings_.Fleet_.Name_);
--- a/tests/unit/KeyTest.cpp
+++ b/tests/unit/KeyTest.cpp
@@ -32,10 +32,10 @@
   const std::string Hash = config::hashKey("abc");
   std::string Other = Hash;
   Other.back() = Other.back() == '0' ? '1' : '0';
-  cr_assert(config::sameHash(Hash, Hash));
-  cr_assert(!config::sameHash(Hash, Other));
-  cr_assert(!config::sameHash(Hash, Hash.substr(1)));
-  cr_assert(!config::sameHash("", ""));
+  cr_assert(config::constantTimeEqual(Hash, Hash));
+  cr_assert(!config::constantTimeEqual(Hash, Other));
+  cr_assert(!config::constantTimeEqual(Hash, Hash.substr(1)));
+  cr_assert(!config::constantTimeEqual("", ""));
 }
 
 // The id is logged; a malformed key must never be taken for an id.
