--- a/include/masticdrift/config/Configuration.h
+++ b/include/masticdrift/config/Configuration.h
@@ -1,5 +1,5 @@
 /// \file
-/// Model of the operators' configuration text; parse, start order, diff and delta.
+/// Model of the configuration that operators submit: parsing, start order, diff and delta.
 #ifndef MASTICDRIFT_CONFIG_CONFIGURATION_H
 #define MASTICDRIFT_CONFIG_CONFIGURATION_H
 
@@ -15,44 +15,49 @@
 
 namespace masticdrift::config {
 
+/// A failure domain.
 struct Domain {
   std::string Name_, Region_;
-  std::int64_t Weight_ = 1; ///< part of every team limit, relative to the other domains
+  std::int64_t Weight_ = 1; ///< relative part of every team limit that this domain receives
   bool operator==(const Domain &) const = default;
 };
 
-/// Upper limit of a team, or the part of it that a domain may use.
+/// Resource limit of a team, or the part of it that one domain may use.
 struct Limit {
-  std::int64_t Slots_ = 0; ///< interactive requests at executors at the same time
+  std::int64_t Slots_ = 0; ///< concurrent interactive requests at executors
   core::Resources Resources_;
   MSGPACK_DEFINE_ARRAY(Slots_, Resources_)
   bool operator==(const Limit &) const = default;
 };
 
+/// A team with its share and its limit.
 struct Team {
   std::string Name_;
-  std::int64_t Share_ = 1; ///< weight among teams when the cell is full
-  Limit Limit_;            ///< across the fleet
+  std::int64_t Share_ = 1; ///< weight among teams when capacity is scarce
+  Limit Limit_;            ///< total over the whole fleet
   bool operator==(const Team &) const = default;
 };
 
+/// Kind of work that a queue accepts.
 enum class QueueClass { Interactive, Batch, Urgent };
 
 /// \returns "interactive", "batch" or "urgent".
 std::string_view queueClassName(QueueClass Class);
 
+/// A queue that requests or jobs are submitted to.
 struct Queue {
   std::string Name_;
-  std::string Pool_; ///< executor pool; empty for queues of durable work
+  std::string Pool_; ///< executor pool of interactive requests; empty for queues of durable work
   QueueClass Class_ = QueueClass::Batch;
-  bool Open_ = false;              ///< open to all, needs no key
-  std::vector<std::string> Teams_; ///< teams that may use a queue that is not open
+  bool Open_ = false;              ///< accepts requests of everyone, without a key
+  std::vector<std::string> Teams_; ///< teams that may use the queue when it is not open
   bool operator==(const Queue &) const = default;
 };
 
+/// A long-running service with a fixed number of replicas.
 struct Service {
   std::string Name_, Team_;
-  std::string Domain_; ///< empty: any domain
+  std::string Domain_; ///< empty when any domain may run it
   std::int64_t Replicas_ = 1;
   core::Resources ReplicaResources_; ///< resources of one replica
   std::string Run_;
@@ -60,43 +65,45 @@
   bool operator==(const Service &) const = default;
 };
 
-/// One checked version of the configuration. Elements keep the order of the text.
+/// One version of the configuration. Elements are in the order of the text.
 struct Configuration {
-  std::uint64_t Version_ = 0; ///< set by ConfigState; 0 before the first version
+  std::uint64_t Version_ = 0; ///< assigned by ConfigState; 0 before the first version
   std::string Fleet_;
   std::vector<Domain> Domains_;
   std::vector<Team> Teams_;
   std::vector<Queue> Queues_;
   std::vector<Service> Services_;
 
-  // \returns the named element or nullptr. Cost: linear.
+  /// \returns the named element, or nullptr when it does not exist. Cost: linear.
   const Domain *domain(std::string_view Name) const;
   const Team *team(std::string_view Name) const;
   const Queue *queue(std::string_view Name) const;
   const Service *service(std::string_view Name) const;
 };
 
-/// \returns true when \p Team may use \p Queue.
+/// \returns whether \p Team may use \p Queue.
 bool allows(const Queue &Queue, std::string_view Team);
 
+/// Result of parse().
 struct ParsedConfiguration {
-  Configuration Configuration_; ///< meaningful only without mistakes
+  Configuration Configuration_; ///< valid only when Errors_ is empty
   std::vector<settings::ValidationError> Errors_;
 };
 
-/// Reads and checks a configuration text: types, ranges, names, duplicates, references and
-/// dependency cycles. Every mistake has a JSON pointer.
+/// Parses and validates a configuration text: types, ranges, names, duplicates, references and
+/// dependency cycles. Every error has a JSON pointer.
 ParsedConfiguration parse(std::string_view Text);
 
-/// \returns indices into Services_ such that every service follows all that it depends on; among
-/// the possible orders the one whose names sort first. Stop order is the reverse.
+/// \returns indices into Services_ in topological order: every service follows its dependencies,
+/// and of the services that are ready the one with the smallest name comes first. The stop order is
+/// the reverse.
 std::vector<std::size_t> startOrder(const Configuration &Config);
 
-/// \returns one line per added ("+"), removed ("-") or changed ("~") object, for people.
+/// \returns one readable line per added ("+"), removed ("-") or changed ("~") object.
 std::vector<std::string> diff(const Configuration &Old, const Configuration &New);
 
 /// \returns \p Text as JSON with sorted keys and two spaces of indentation, or nothing when it is
-/// not JSON. Versions in force are kept in this form.
+/// not JSON. Accepted versions are stored in this form.
 std::optional<std::string> canonicalText(std::string_view Text);
 
 /// \returns the RFC 6902 patch that turns \p OldText into \p NewText, or nothing when either is not
--- a/include/masticdrift/config/Records.h
+++ b/include/masticdrift/config/Records.h
@@ -1,5 +1,5 @@
 /// \file
-/// Records of the "config" stream.
+/// Record types of the "config" stream.
 #ifndef MASTICDRIFT_CONFIG_RECORDS_H
 #define MASTICDRIFT_CONFIG_RECORDS_H
 
@@ -12,11 +12,11 @@
 
 namespace masticdrift::config {
 
-/// A new version of the configuration. Takes effect only when BaseVersion_ is the current version
-/// at its offset. Exactly one of Delta_ and Text_ is not empty.
+/// Submits a new version of the configuration. Accepted only when BaseVersion_ is the current
+/// version at the record's offset. Exactly one of Delta_ and Text_ is not empty.
 struct Submit {
   static constexpr auto Type = journal::RecordType::Submit;
-  std::string SubmissionId_;      ///< unique; a repeated id has no second effect
+  std::string SubmissionId_;      ///< idempotency key; a record with a known id is ignored
   std::uint64_t Version_ = 0;     ///< BaseVersion_ + 1
   std::uint64_t BaseVersion_ = 0; ///< 0 for the first version
   std::string Author_;
@@ -26,6 +26,7 @@
   MSGPACK_DEFINE_ARRAY(SubmissionId_, Version_, BaseVersion_, Author_, WallMs_, Delta_, Text_)
 };
 
+/// Adds a key of a team.
 struct KeyGrant {
   static constexpr auto Type = journal::RecordType::KeyGrant;
   std::string Team_, KeyId_, Hash_, Author_;
@@ -33,6 +34,7 @@
   MSGPACK_DEFINE_ARRAY(Team_, KeyId_, Hash_, Author_, WallMs_)
 };
 
+/// Revokes a key.
 struct KeyRevoke {
   static constexpr auto Type = journal::RecordType::KeyRevoke;
   std::string KeyId_, Author_;
@@ -40,17 +42,17 @@
   MSGPACK_DEFINE_ARRAY(KeyId_, Author_, WallMs_)
 };
 
-/// Moves part of a team's allotment. Written by the owner of FromDomain_ after it lowered its own
-/// use.
+/// Transfers part of a team's allotment to another domain. The owner of FromDomain_ writes it after
+/// it has lowered its own use.
 struct AllotmentTransfer {
   static constexpr auto Type = journal::RecordType::Give;
   std::string Team_, FromDomain_, ToDomain_;
   Limit Amount_;
-  std::uint64_t LimitVersion_ = 0; ///< ConfigState::limitVersion() that the move was made under
+  std::uint64_t LimitVersion_ = 0; ///< ConfigState::limitVersion() at the time of the transfer
   MSGPACK_DEFINE_ARRAY(Team_, FromDomain_, ToDomain_, Amount_, LimitVersion_)
 };
 
-/// One part of ConfigState::encode().
+/// One part of a snapshot from ConfigState::encode().
 struct ConfigSnapshot {
   static constexpr auto Type = journal::RecordType::ConfigSnapshot;
   std::uint64_t BaseOffset_ = 0; ///< last offset whose records the snapshot contains
@@ -59,7 +61,7 @@
   MSGPACK_DEFINE_ARRAY(BaseOffset_, PartIndex_, PartCount_, Bytes_)
 };
 
-/// \returns \p Record as a log entry.
+/// \returns \p Record serialized as a log entry.
 template <typename T> journal::Entry makeEntry(const T &Record) {
   return {T::Type, core::pack(Record)};
 }
--- a/include/masticdrift/replica/ConfigReplica.h
+++ b/include/masticdrift/replica/ConfigReplica.h
@@ -1,5 +1,5 @@
 /// \file
-/// This daemon's copy of the "config" stream: replay, freshness, submissions, keys.
+/// Local replica of the "config" stream: replay, freshness, submissions and keys.
 #ifndef MASTICDRIFT_REPLICA_CONFIGREPLICA_H
 #define MASTICDRIFT_REPLICA_CONFIGREPLICA_H
 
@@ -20,12 +20,13 @@
 
 namespace masticdrift::replica {
 
+/// Parameters of a ConfigReplica.
 struct ConfigReplicaOptions {
   std::string InstanceName_;
   std::uint64_t Incarnation_ = 0;
-  std::size_t FleetSize_ = 0; ///< daemons of the fleet
+  std::size_t FleetSize_ = 0; ///< number of daemons in the fleet
   core::Duration FreshnessBound_ = core::Millis(5000);
-  /// No submission is started when the store has not been read for this time.
+  /// Submissions are refused when the last complete read of the store is older than this.
   core::Duration MaxStoreAge_ = core::Millis(3000);
   core::Duration PollInterval_ = core::Millis(250);
   core::Duration BatchWindow_ = core::Millis(20);
@@ -33,24 +34,26 @@
   core::Duration LogRetention_ = std::chrono::hours(24);
 };
 
+/// Callbacks of a ConfigReplica.
 struct ConfigReplicaHooks {
-  /// The version in force or an allotment changed.
+  /// Called after a new version, a change of the valid keys or a loaded snapshot.
   std::function<void()> OnChange_;
-  /// Whether this daemon writes the snapshots of the stream.
+  /// Returns whether this daemon writes the snapshots of the stream.
   std::function<bool()> WritesSnapshots_;
-  /// Names of the members of the own domain, from its stream.
+  /// Returns the names of the members of the local domain, as its stream lists them.
   std::function<std::set<std::string>()> Members_;
 };
 
-/// Answer to a submission, a grant or a revocation.
+/// Result of a submission, a grant or a revocation.
 struct ConfigResponse {
-  core::Failure Error_;       ///< none when accepted
-  std::uint64_t Version_ = 0; ///< version in force after it, or the one that won
-  std::string KeyId_;         ///< of a grant or revocation
-  std::string Key_;           ///< of a grant: the secret, told once
+  core::Failure Error_;       ///< no error when accepted
+  std::uint64_t Version_ = 0; ///< version in force, or the version accepted instead on a conflict
+  std::string KeyId_;         ///< of the granted or revoked key
+  std::string Key_;           ///< secret of a granted key; returned only here
 };
 
-/// Thread-safe. Callbacks run on the timer thread.
+/// Replays the "config" stream, tracks how fresh the replica is and appends changes. Thread-safe.
+/// Callbacks run on the timer thread.
 class ConfigReplica {
 public:
   using Callback = std::function<void(ConfigResponse)>;
@@ -64,47 +67,54 @@
   void start();
   void stop();
 
-  /// Reads the stream as soon as possible.
+  /// Starts a read of the stream without waiting for the next poll.
   void readNow();
 
+  /// \returns the replayed state.
   const config::ConfigState &state() const;
 
-  /// \returns whether a configuration has been loaded since the start, from the log or a peer.
+  /// \returns whether the state has been loaded since the start, from the log or from a peer.
   bool loaded() const;
 
-  /// \returns whether keyed work may be accepted: the configuration was current at most the bound
-  /// ago.
+  /// \returns whether requests with a key may be accepted: the configuration was confirmed to be
+  /// current within the freshness bound.
   bool fresh(core::TimePoint Now) const;
 
-  /// \returns the age of the last confirmation; nothing when there was none.
+  /// \returns the time since the configuration was last known to be current; nothing when it never
+  /// was.
   std::optional<core::Duration> age(core::TimePoint Now) const;
 
   /// \returns the offset up to which the stream has been applied.
   std::uint64_t offset() const;
 
-  /// Submits a new version that builds on \p BaseVersion. A repeated \p SubmissionId has no second
-  /// effect. Errors: ConfigurationInvalid and its kin, VersionConflict, StoreUnavailable (certainly
-  /// not taken), AppendUnknown.
+  /// Submits a new version based on \p BaseVersion. Idempotent by \p SubmissionId.
+  ///
+  /// Errors: ConfigurationInvalid and other validation errors, VersionConflict, StoreUnavailable
+  /// (not appended), AppendUnknown.
   void submit(std::string_view SubmissionId, std::string_view Text, std::uint64_t BaseVersion,
               std::string_view Author, Callback Done);
 
-  /// Grants a new key to a team. Errors: ConfigurationInvalid for an unknown team,
+  /// Grants a new key to a team.
+  ///
+  /// Errors: ConfigurationInvalid for an unknown team, Internal when no key can be generated,
   /// StoreUnavailable, AppendUnknown.
   void grant(std::string_view Team, std::string_view Author, Callback Done);
 
-  /// Revokes a key. Errors: UnknownKey, StoreUnavailable, AppendUnknown.
+  /// Revokes a key.
+  ///
+  /// Errors: UnknownKey, StoreUnavailable, AppendUnknown.
   void revoke(std::string_view KeyId, std::string_view Author, Callback Done);
 
-  /// Fills config offset, store age and confirmation of a reply to a probe.
+  /// Sets the config offset, the store age and the confirmation in a probe reply.
   void fillProbeReply(protocol::ProbeReply &Reply, core::TimePoint Now) const;
 
-  /// Takes a reply to a probe that was created at \p SentAt.
+  /// Updates the freshness from a peer's reply to a probe that was created at \p SentAt.
   void onProbeReply(core::TimePoint SentAt, const protocol::ProbeReply &Reply);
 
-  /// Another daemon is about to append.
+  /// Handles the announcement that another daemon is about to append a record.
   void onPending(const protocol::Pending &Message);
 
-  /// \returns the answer to a peer that has no access to the store.
+  /// \returns the encoded state for a peer that cannot reach the store.
   protocol::ConfigCopy copyForPeer(const protocol::ConfigFetch &Request) const;
 
 private:
--- a/include/masticdrift/settings/Reader.h
+++ b/include/masticdrift/settings/Reader.h
@@ -1,14 +1,14 @@
 /// \file
-/// Checked JSON reader: every mistake is reported with its JSON pointer, what was expected and the
-/// nearest known name.
+/// Validating JSON reader: reports every error with its JSON pointer, the expected value and the
+/// most similar known name.
 ///
 /// \code
 /// settings::Reader Reader(Text);
 /// const settings::Node Root = Reader.root();
 /// const std::string Kind = Root.choice("kind", Kinds);
 /// const std::int64_t Tasks = Root.integer("tasks", 1, 10'000, 1);
-/// if (const auto Mistakes = Reader.finish(); !Mistakes.empty())
-///   return Mistakes.front().failure();
+/// if (const auto Errors = Reader.finish(); !Errors.empty())
+///   return Errors.front().failure();
 /// \endcode
 #ifndef MASTICDRIFT_SETTINGS_READER_H
 #define MASTICDRIFT_SETTINGS_READER_H
@@ -27,7 +27,7 @@
 
 namespace masticdrift::settings {
 
-/// One mistake in a JSON text.
+/// One validation error of a JSON text.
 struct ValidationError {
   core::ErrorKind Kind_ = core::ErrorKind::None;
   std::string Pointer_; ///< JSON pointer; empty for the whole document
@@ -35,7 +35,7 @@
 
   /// \returns "<pointer>: <message>".
   std::string text() const;
-  /// \returns the mistake as a failure whose message is text().
+  /// \returns the error as a failure whose message is text().
   core::Failure failure() const { return {Kind_, text()}; }
 };
 
@@ -43,40 +43,40 @@
 struct ReaderState;
 } // namespace detail
 
-/// One value of the document, or a missing one. Cheap to copy; valid while its Reader lives.
+/// A value of the document, or a missing value. Cheap to copy; valid while its Reader exists.
 ///
-/// Reads of a missing or mistaken value return the default (or zero) and record at most one
-/// mistake, so that a caller reads everything and looks at the mistakes once at the end.
+/// Reading a missing or invalid value returns the default (or zero) and records at most one error,
+/// so that a caller can read the whole document and check the errors once at the end.
 class Node {
 public:
   /// \returns true when the value exists in the document and is not null.
   bool present() const { return Value_ != nullptr; }
   /// \returns the JSON pointer of this value.
   const std::string &pointer() const { return Pointer_; }
-  /// Records a mistake at this value.
+  /// Records an error at this value.
   void fail(core::ErrorKind Kind, std::string Message) const;
 
-  /// \returns the member, possibly missing. The name becomes known.
+  /// \returns the member, which may be missing. Its name is then known to finish().
   Node optional(std::string_view Name) const;
   /// \returns the member; records MissingField when it does not exist.
   Node required(std::string_view Name) const;
   /// \returns the elements of an array; none for a missing value.
   std::vector<Node> items() const;
-  /// \returns all members of an object with free keys, in the order of their names.
+  /// \returns all members of an object with arbitrary keys, sorted by name.
   std::vector<std::pair<std::string, Node>> members() const;
 
   std::string asString(std::string_view Default = {}) const;
   std::int64_t asInteger(std::int64_t Min, std::int64_t Max, std::int64_t Default = 0) const;
   double asNumber(double Min, double Max, double Default = 0) const;
   bool asBoolean(bool Default = false) const;
-  /// Reads a number with at most three decimals in thousandths, exactly ("0.5" is 500).
+  /// Reads a number with at most three decimals as an exact number of thousandths ("0.5" is 500).
   std::int64_t asMilli(std::int64_t MinMilli, std::int64_t MaxMilli,
                        std::int64_t DefaultMilli = 0) const;
-  /// Reads one of \p Choices; records OutOfRange with the nearest one otherwise.
+  /// Reads one of \p Choices; records OutOfRange with the most similar choice otherwise.
   std::string asChoice(std::span<const std::string_view> Choices,
                        std::string_view Default = {}) const;
 
-  // Members by name. Without a default the member is required.
+  // Typed access to members by name. A member without a default is required.
   std::string string(std::string_view Name) const { return required(Name).asString(); }
   std::string string(std::string_view Name, std::string_view Default) const {
     return optional(Name).asString(Default);
@@ -115,15 +115,15 @@
   void wrongType(std::string_view Expected) const;
 
   detail::ReaderState *State_;
-  const void *Value_; ///< the JSON value, nullptr when missing
+  const void *Value_; ///< the nlohmann::json value; nullptr when missing
   std::string Pointer_;
 };
 
-/// Parses one JSON document and collects the mistakes of reading it.
+/// Parses one JSON document and collects the errors found while it is read.
 class Reader {
 public:
-  /// Malformed JSON (with byte and line), duplicate keys and nesting over 64 levels become
-  /// mistakes; the root is then missing and reading it adds no further mistakes.
+  /// Parses \p Text. Malformed JSON (with byte and line), duplicate keys and nesting over 64 levels
+  /// are recorded as errors; the root is then missing and reading it adds no further errors.
   explicit Reader(std::string_view Text);
   Reader(const Reader &) = delete;
   Reader &operator=(const Reader &) = delete;
@@ -132,12 +132,12 @@
   /// \returns the whole document.
   Node root() const;
 
-  /// \returns how many mistakes were recorded so far.
+  /// \returns the number of errors recorded so far.
   std::size_t errorCount() const;
 
-  /// Ends the reading: every member that nobody asked for becomes an UnknownField mistake.
+  /// Ends the reading and records an UnknownField error for every member that was never requested.
   ///
-  /// \returns all mistakes in the order of their discovery. Repeated calls return the same.
+  /// \returns all errors in the order of their detection. Repeated calls return the same.
   std::vector<ValidationError> finish();
 
 private:
@@ -145,7 +145,8 @@
 };
 
 /// \returns the element of \p Known with the smallest edit distance to \p Name, or an empty view
-/// when none is within a third of the longer name (at least 2). Cost: product of the lengths.
+/// when no distance is within a third of the longer name (at least 2). Cost: the product of the
+/// lengths for each element.
 std::string_view nearestName(std::string_view Name, std::span<const std::string_view> Known);
 
 } // namespace masticdrift::settings
--- a/include/masticdrift/settings/Settings.h
+++ b/include/masticdrift/settings/Settings.h
@@ -1,5 +1,5 @@
 /// \file
-/// Settings of one daemon.
+/// Settings file of a daemon.
 #ifndef MASTICDRIFT_SETTINGS_SETTINGS_H
 #define MASTICDRIFT_SETTINGS_SETTINGS_H
 
@@ -16,21 +16,24 @@
 
 namespace masticdrift::settings {
 
+/// Identity of this daemon.
 struct Instance {
   std::string Name_, Domain_, Region_;
 };
 
+/// A failure domain of the fleet.
 struct FleetDomain {
   std::string Name_, Region_;
 };
 
+/// The fleet that this daemon belongs to.
 struct Fleet {
   std::string Name_;
-  std::int64_t EntryInstances_ = 0; ///< daemons of the whole fleet
+  std::int64_t EntryInstances_ = 0; ///< number of daemons in the whole fleet
   std::vector<FleetDomain> Domains_;
 };
 
-/// Listener for callers.
+/// HTTP listener for callers.
 struct CallerListener {
   std::string Address_ = "127.0.0.1";
   std::uint16_t Port_ = 0; ///< 0: chosen by the kernel
@@ -39,11 +42,11 @@
   core::Millis ReadTimeout_{5000};
 };
 
-/// Listener for operators.
+/// HTTP listener for operators.
 struct OperatorListener {
   std::string Address_ = "127.0.0.1";
   std::uint16_t Port_ = 0;
-  std::vector<std::string> KeyHashes_; ///< SHA-256 of operator keys, hex in lower case
+  std::vector<std::string> KeyHashes_; ///< SHA-256 of operator keys, in lower-case hexadecimal
 };
 
 /// Listener for other daemons.
@@ -52,40 +55,42 @@
   std::uint16_t Port_ = 0;
 };
 
+/// Services of the platform that the daemon uses.
 struct Platform {
   std::string LogUrl_, InstancesUrl_;
 };
 
-/// Durations of sections 6 to 13 of the design page.
+/// Durations; sections 6 to 13 of the design explain them.
 struct Timing {
-  core::Millis ProbeOwnDomain_{1000};     ///< between probes to a member of the own domain
-  core::Millis ProbeOtherDomain_{2000};   ///< between probes to another domain
-  core::Millis OwnerLease_{4000};         ///< from the send time of a renewal; also of promises
-  core::Millis OwnerRenew_{1000};         ///< between renewals
-  core::Millis LeaseMargin_{500};         ///< added by claimants and to worker leases
-  core::Millis StoreGiveUp_{10000};       ///< an owner without the store this long gives up
-  core::Millis StoreReachable_{3000};     ///< a member counts as reaching the store below this age
-  core::Millis ConfigurationFresh_{5000}; ///< bound of the configuration's age for keyed work
-  core::Millis PollStream_{1000};         ///< between reads of a stream
-  core::Millis PollInstances_{1000};      ///< between reads of the instance list
-  core::Millis StoreTimeout_{2000};       ///< one exchange with the log or instance list
-  core::Millis BatchClose_{20};           ///< a group commit closes after this time
-  core::Millis StoreRetention_{86400000}; ///< how long the log keeps records
-  core::Millis DefaultDeadline_{2000};    ///< of requests that name none
-  core::Millis SlotGrace_{250};           ///< a slot stays taken this long after the deadline
-  core::Millis IdleConnection_{10000};    ///< idle executor connections are closed
-  core::Millis ConnectionLife_{60000};    ///< every executor connection is closed
-  core::Millis EjectExecutor_{5000};      ///< an ejected executor gets its first trial request
+  core::Millis ProbeOwnDomain_{1000};     ///< interval of probes to a member of the local domain
+  core::Millis ProbeOtherDomain_{2000};   ///< interval of probes to each other domain
+  core::Millis OwnerLease_{4000};         ///< lease and promises, from the send time of a renewal
+  core::Millis OwnerRenew_{1000};         ///< interval of lease renewals
+  core::Millis LeaseMargin_{500};         ///< clock margin before a claim and on worker leases
+  core::Millis StoreGiveUp_{10000};       ///< store outage after which an owner gives up its lease
+  core::Millis StoreReachable_{3000};     ///< largest store age of a member that reaches the store
+  core::Millis ConfigurationFresh_{5000}; ///< largest age of the configuration for keyed work
+  core::Millis PollStream_{1000};         ///< interval of reads of a stream
+  core::Millis PollInstances_{1000};      ///< interval of reads of the instance list
+  core::Millis StoreTimeout_{2000};       ///< timeout of a call to the log or the instance list
+  core::Millis BatchClose_{20};           ///< time that a group commit collects records
+  core::Millis StoreRetention_{86400000}; ///< retention time of the log
+  core::Millis DefaultDeadline_{2000};    ///< deadline of requests that state none
+  core::Millis SlotGrace_{250};           ///< time that a slot stays taken after the deadline
+  core::Millis IdleConnection_{10000};    ///< idle time after which an executor connection closes
+  core::Millis ConnectionLife_{60000};    ///< maximum age of an executor connection
+  core::Millis EjectExecutor_{5000};      ///< time from an ejection to the first trial request
   core::Millis WorkerLease_{10000};       ///< lease of a worker's tasks
-  core::Millis WorkerRenew_{3333};        ///< between renewals of a worker's lease
-  core::Millis WorkerTimeout_{2000};      ///< one exchange with a worker
-  core::Millis QuarantineProbe_{30000};   ///< between probes of a quarantined worker
-  core::Millis EvictMember_{30000};       ///< an unheard member is evicted
-  core::Millis StopGrace_{30000};         ///< a graceful stop waits at most this long
+  core::Millis WorkerRenew_{3333};        ///< interval of renewals of a worker's lease
+  core::Millis WorkerTimeout_{2000};      ///< timeout of a call to a worker
+  core::Millis QuarantineProbe_{30000};   ///< interval of probes of a quarantined worker
+  core::Millis EvictMember_{30000};       ///< silence after which a member is evicted
+  core::Millis StopGrace_{30000};         ///< longest wait of a graceful stop
 };
 
+/// Limits on load and concurrency.
 struct Limits {
-  std::int64_t QueuePerTeam_ = 200; ///< interactive requests waiting per team
+  std::int64_t QueuePerTeam_ = 200; ///< waiting interactive requests per team
   core::Millis MaxDeadline_{5000};  ///< longest request deadline
   std::int64_t SlotsPerExecutor_ = 8;
   std::int64_t ConnectionsPerExecutor_ = 16;
@@ -101,35 +106,36 @@
   OperatorListener Operator_;
   PeerListener Peer_;
   Platform Platform_;
-  /// Addresses ("host:port") that replace the listed peer address of the named instances.
+  /// Peer addresses ("host:port") by instance name; they override the instance list.
   std::map<std::string, std::string, std::less<>> Routes_;
   Timing Timing_;
   Limits Limits_;
   std::string LogLevel_ = "info"; ///< debug, info, warning or error
 };
 
-/// One row of the table of all settings.
+/// Description of one setting.
 struct SettingInfo {
-  std::string Pointer_;                   ///< JSON pointer; "*" stands for any element or key
+  std::string Pointer_;                   ///< JSON pointer; "*" matches any element or key
   std::string_view Type_;                 ///< string, integer, choice
-  std::string_view Unit_;                 ///< empty without a unit
+  std::string_view Unit_;                 ///< empty when the setting has no unit
   std::optional<std::int64_t> Min_, Max_; ///< inclusive range of integers
-  std::string Default_;                   ///< as JSON; empty for required settings
+  std::string Default_;                   ///< as JSON; empty when the setting is required
   std::string_view Help_;
 };
 
-/// \returns every setting in the order of the documentation. parse() checks ranges against it.
+/// \returns all settings in the order of the documentation, with the ranges that parse() enforces.
 std::span<const SettingInfo> settingTable();
 
 /// \returns the table as Markdown, for docs/settings.md.
 std::string settingTableMarkdown();
 
+/// Result of parse().
 struct ParsedSettings {
-  Settings Settings_; ///< meaningful only without mistakes
+  Settings Settings_; ///< valid only when Errors_ is empty
   std::vector<ValidationError> Errors_;
 };
 
-/// Reads and checks a settings text.
+/// Parses and validates a settings text.
 ParsedSettings parse(std::string_view Text);
 
 } // namespace masticdrift::settings
--- a/src/config/Allotment.cpp
+++ b/src/config/Allotment.cpp
@@ -27,7 +27,7 @@
   std::iota(ByRemainder.begin(), ByRemainder.end(), 0);
   std::ranges::stable_sort(ByRemainder, std::ranges::greater{},
                            [&](std::size_t I) { return Remainders[I]; });
-  // Fewer than one unit per part is left, because each part was rounded down by less than one.
+  // Each part was rounded down by less than one unit, so one extra unit per part is enough.
   for (std::size_t I = 0; Unassigned > 0; ++I, --Unassigned)
     ++Parts[ByRemainder[I]];
   return Parts;
@@ -36,7 +36,7 @@
 std::vector<Limit> splitLimit(const Limit &TeamLimit, std::span<const Domain> Domains) {
   std::vector<std::size_t> ByName(Domains.size());
   std::iota(ByName.begin(), ByName.end(), 0);
-  // By name, so that reordering the text moves nothing.
+  // Sorted by name, so that reordering the domains in the configuration changes no allotment.
   std::ranges::sort(ByName, {},
                     [&](std::size_t I) -> const std::string & { return Domains[I].Name_; });
   std::vector<std::int64_t> Weights;
--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -13,8 +13,9 @@
 
 namespace {
 
-/// Lines of diff() kept per version; the whole difference can be computed from the texts.
+/// Lines of diff() stored per version; the full diff can be computed from the texts.
 constexpr std::size_t MaxChangeLines = 8;
+/// Longer lines of diff() are truncated.
 constexpr std::size_t MaxChangeLineBytes = 200;
 
 struct KeyRow {
@@ -35,14 +36,14 @@
   MSGPACK_DEFINE_ARRAY(SubmissionId_, Outcome_, Version_, WinningAuthor_, Message_)
 };
 
-/// Allotments of one team, by domain name.
+/// Allotments of one team by domain name, and the version of the limit they were split from.
 struct TeamAllotments {
   std::uint64_t LimitVersion_ = 0;
   std::map<std::string, Limit> LimitsByDomain_;
   MSGPACK_DEFINE_ARRAY(LimitVersion_, LimitsByDomain_)
 };
 
-/// Everything that replay determines; encoded as the snapshot.
+/// The complete result of replay; serialized as the snapshot.
 struct ReplayedState {
   std::uint32_t FormatVersion_ = 1;
   bool HasPosition_ = false; ///< whether Offset_ and Index_ are set
@@ -59,6 +60,7 @@
                        Teams_, History_, Audit_, Results_)
 };
 
+/// Appends an element and drops the oldest one when the list is full.
 template <typename T> void appendBounded(std::deque<T> &List, T Value) {
   List.push_back(std::move(Value));
   if (List.size() > ConfigState::MaxRetainedEntries)
@@ -105,8 +107,8 @@
   std::string Text;
   if (Record.BaseVersion_ != Replayed_.Version_) {
     Result.Outcome_ = SubmitOutcome::Conflict;
-    // The winner is the first submission on the same base, or the current version when that one is
-    // no longer kept or the base does not exist.
+    // The winner is the version that followed the same base, or the current version when that one
+    // is no longer retained or the base does not exist.
     const auto Winner =
         std::ranges::find(Replayed_.History_, Record.BaseVersion_ + 1, &VersionInfo::Version_);
     const bool Retained = Winner != Replayed_.History_.end();
@@ -129,7 +131,7 @@
     } else if (!Record.Delta_.empty() && !CanonicalText) {
       Result.Message_ = "the delta does not apply to the base version";
     } else {
-      // The submitted text is checked rather than the canonical one, which hides duplicate keys.
+      // The submitted text is validated, because the canonical form hides duplicate keys.
       Text = CanonicalText.value_or("");
       ParsedConfiguration Parsed = parse(Record.Delta_.empty() ? Record.Text_ : Text);
       if (!Parsed.Errors_.empty())
@@ -166,7 +168,7 @@
   }
   addAuditEntry(Offset, Record.WallMs_, Record.Author_, "submit",
                 "version " + std::to_string(Record.Version_), Accepted, Detail);
-  if (Replayed_.Results_.size() == MaxRetainedEntries) // keep() drops this row
+  if (Replayed_.Results_.size() == MaxRetainedEntries) // appendBounded() drops this row
     ResultIndex_.erase(Replayed_.Results_.front().SubmissionId_);
   appendBounded(Replayed_.Results_,
                 ResultRow{Record.SubmissionId_, static_cast<std::uint8_t>(Result.Outcome_),
@@ -182,7 +184,7 @@
   for (const Team &NewTeam : New.Teams_) {
     const Team *OldTeam = Current_->team(NewTeam.Name_);
     const auto Row = Replayed_.Teams_.find(NewTeam.Name_);
-    // A changed limit or split voids the moves made under the old one.
+    // A changed limit or set of domains discards the transfers made under the old one.
     if (SameDomains && OldTeam != nullptr && OldTeam->Limit_ == NewTeam.Limit_ &&
         Row != Replayed_.Teams_.end()) {
       Rows.emplace(NewTeam.Name_, std::move(Row->second));
@@ -224,7 +226,7 @@
       To->second.Resources_ += Amount.Resources_;
     }
   }
-  // Accepted moves are frequent and made by daemons, so only rejected ones enter the audit trail.
+  // Daemons make accepted transfers frequently, so the audit trail contains only rejected ones.
   if (!Reason.empty())
     addAuditEntry(Offset, 0, Record.FromDomain_, "give", Record.Team_, false, Reason);
 }
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 using settings::Node;
 
-// Bounds keep the products of the allotment split within 63 bits: 10^10 times 10^5.
+// The limits keep the products in splitAmount() within 63 bits: 10^10 times 10^5.
 constexpr std::int64_t MaxWeight = 100'000;
 constexpr std::int64_t MaxAmount = 10'000'000'000;
 constexpr std::int64_t MaxReplicas = 100'000;
@@ -29,8 +29,8 @@
 
 std::string quote(std::string_view Text) { return "\"" + std::string(Text) + "\""; }
 
-/// Names are parts of job ids, paths and stream names, so only lower-case letters, digits and
-/// hyphens are allowed.
+/// Reads a name. Names are parts of job ids, paths and stream names, so only lower-case letters,
+/// digits and hyphens are allowed.
 std::string readName(const Node &Parent, std::string_view Key) {
   const Node Value = Parent.required(Key);
   std::string Name = Value.asString();
@@ -57,7 +57,7 @@
   return Names;
 }
 
-/// Positions of what has to be checked after all objects are known.
+/// References by name, which are checked after all elements have been read.
 class References {
 public:
   void add(Node Value, std::string Name) {
@@ -94,7 +94,7 @@
   return Out;
 }
 
-/// Reads the elements of one list and reports names that appear twice.
+/// Reads the elements of one array and reports duplicate names.
 template <typename T, typename Read>
 void readList(const Node &Root, std::string_view Key, bool Required, std::vector<T> &Out,
               Read ReadOne) {
@@ -112,7 +112,7 @@
   }
 }
 
-/// Finds one cycle through the dependencies, starting with the first service of the text.
+/// Depth-first search for dependency cycles, in the order of the services in the text.
 class CycleSearch {
 public:
   explicit CycleSearch(const std::vector<Service> &Services) : Services_(Services) {
@@ -121,8 +121,8 @@
     Marks_.resize(Services.size());
   }
 
-  /// Reports every dependency that closes a cycle. Iterative, because a chain of dependencies can
-  /// be as long as the text.
+  /// Calls \p OnCycle for every back edge. Iterative, because recursion over a long chain of
+  /// dependencies would overflow the stack.
   template <typename Report> void run(Report OnCycle) {
     for (std::size_t Start = 0; Start < Services_.size(); ++Start) {
       if (Marks_[Start] != Mark::Unvisited)
@@ -332,7 +332,7 @@
       .run([&](std::size_t Dependent, std::size_t Edge, const std::string &Path) {
         DependencyNodes[Dependent][Edge].fail(ErrorKind::DependencyCycle, "cycle " + Path);
       });
-  // Only on a correct text: a mistaken limit reads as 0 and would make every service too large.
+  // Skipped after other errors: an invalid limit reads as 0, and every service would exceed it.
   const bool NoErrors = Reader.errorCount() == 0;
   for (std::size_t I = 0; NoErrors && I < Out.Services_.size(); ++I) {
     const Service &ParsedService = Out.Services_[I];
--- a/src/config/Key.cpp
+++ b/src/config/Key.cpp
@@ -33,7 +33,7 @@
   std::array<unsigned char, IdDigits / 2> Id{};
   std::array<unsigned char, SecretBytes> Secret{};
   if (RAND_bytes(Id.data(), Id.size()) != 1 || RAND_bytes(Secret.data(), Secret.size()) != 1)
-    throw std::runtime_error("random generator of OpenSSL failed");
+    throw std::runtime_error("RAND_bytes of OpenSSL failed to generate a key");
   NewKey Key;
   Key.KeyId_ = "k" + hex(Id);
   Key.Text_ = Key.KeyId_ + "." + hex(Secret);
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -21,12 +21,12 @@
 
 constexpr std::string_view StreamName = "config";
 constexpr std::string_view StateSection = "config";
-/// An append that was started by now is in the log after this time or never: batch deadline (3 s),
-/// one more exchange (1 s), and a margin for bytes that are still in a closed connection.
+/// An append that has started is either in the log or lost after this time: batch deadline (3 s),
+/// one more exchange (1 s), and a margin for bytes still in flight on a closed connection.
 constexpr core::Millis PendingAppendTimeout{10'000};
-/// A caller waits this long for its record to be read back.
+/// Limit on the wait for an appended record to be read back.
 constexpr core::Millis ReadBackTimeout{4'000};
-/// A daemon that has not reached the store for this time asks peers that have read further.
+/// A daemon that has not read the store for this time fetches the state from a peer.
 constexpr core::Millis PeerFetchDelay{1'000};
 constexpr core::Millis TickPeriod{250};
 
@@ -131,8 +131,8 @@
                      std::chrono::duration<double>(Now - *ReadAt).count());
   }
 
-  /// Section 9 of the design: with the store away, all daemons of the fleet confirm the same
-  /// configuration.
+  /// Renews the freshness during a store outage, when all daemons of the fleet confirm the same
+  /// configuration (section 9 of the design).
   void confirmUnanimously(TimePoint Now) {
     const auto Evidence = Table_.evidence();
     const std::lock_guard Lock(Mutex_);
@@ -143,12 +143,12 @@
   }
 
   bool confirmsConfigLocked() const {
-    // A record of this daemon that is in the log but not read back is newer than the state.
+    // The state is outdated while a record that this daemon appended has not been read back.
     return StoreAsOf_ && PendingAppends_.empty() && !UnknownAppendAt_ && AppendsInFlight_ == 0 &&
            Offset_ >= AppendedEndOffset_;
   }
 
-  /// Without the store: takes the state of the peer that has read furthest.
+  /// Without the store, loads the state of the peer with the highest config offset.
   void fetchFromPeer(TimePoint Now) {
     if (Now - StartedAt_ < PeerFetchDelay || FetchInProgress_.exchange(true))
       return;
@@ -198,7 +198,7 @@
     Copy.Present_ = Loaded_;
     if (!Copy.Present_)
       return Copy;
-    // Position and state are taken on the timer thread, so that they belong together.
+    // The copy is made on the timer thread, so that its position matches its state.
     const std::lock_guard Lock(PeerCopyMutex_);
     Copy.Offset_ = PeerCopy_.Offset_;
     Copy.State_ = PeerCopy_.State_;
@@ -206,7 +206,7 @@
     return Copy;
   }
 
-  /// Keeps an encoded copy for peers; taken on the timer thread.
+  /// Encodes the state for peers. Runs on the timer thread.
   void refreshPeerCopy() {
     const journal::Position Position = Tailer_.position();
     if (Position.NextOffset_ == PeerCopy_.Offset_ && !PeerCopy_.State_.empty())
@@ -241,21 +241,23 @@
 
   // --- Submissions ---
 
+  /// A caller that waits for its record to be read back.
   struct Waiter {
     TimePoint WaitingSince_;
-    /// \returns the answer once replay has decided it.
+    /// Returns the response once replay has applied the record.
     std::function<std::optional<ConfigResponse>()> Check_;
     Callback Done_;
   };
 
-  /// Announces, appends and waits for the read-back.
+  /// Announces the append to all peers, appends the record and waits until it is read back.
   void append(journal::Entry Record, std::uint64_t Version,
               std::function<std::optional<ConfigResponse>()> Check, Callback Done) {
-    // Nothing is announced while the store is known to be away: an announcement without an outcome
-    // ends the unanimous confirmation, and with it keyed work in the whole fleet.
+    // Nothing is announced during a known store outage: an announced append without an outcome
+    // prevents the unanimous confirmation, and the whole fleet would refuse requests with a key.
     if (!storeReachable(core::Clock::now())) {
       ConfigResponse Response;
-      Response.Error_ = {ErrorKind::StoreUnavailable, "the log service can't be reached"};
+      Response.Error_ = {ErrorKind::StoreUnavailable,
+                         "the log service is unreachable, so the record was not appended"};
       return Done(std::move(Response));
     }
     announceAppend(Version);
@@ -270,7 +272,7 @@
                      });
   }
 
-  /// Tells all daemons to read the stream, so that they don't wait for their next poll.
+  /// Tells all peers to read the stream now instead of at their next poll.
   void notifyPeers(std::uint64_t Offset) {
     const std::string Body = core::pack(protocol::Notice{std::string(StreamName), Offset});
     for (const membership::Peer &Recipient : Table_.peers())
@@ -300,7 +302,7 @@
     }
     if (Error && core::kindOf(Error) != ErrorKind::AppendUnknown) {
       ConfigResponse Response;
-      Response.Error_ = {core::kindOf(Error), "the log service did not take the record"};
+      Response.Error_ = {core::kindOf(Error), "the log service did not append the record"};
       return Done(std::move(Response));
     }
     notifyPeers(Offset);
@@ -335,7 +337,7 @@
     for (Callback &Done : Expired) {
       ConfigResponse Response;
       Response.Error_ = {ErrorKind::AppendUnknown,
-                         "the record was not read back in time; it may be in force"};
+                         "the appended record was not read back in time and may be in force"};
       Done(std::move(Response));
     }
   }
@@ -438,7 +440,8 @@
       return Done(std::move(Response));
     }
     const config::KeyRevoke Record{KeyId, std::move(Author), core::wallMillis()};
-    // A revocation changes no version, so peers wait for a read that is late enough.
+    // A revocation changes no version; peers treat it as pending until PendingAppendTimeout has
+    // passed.
     append(
         config::makeEntry(Record), UINT64_MAX,
         [this, Response]() -> std::optional<ConfigResponse> {
@@ -453,7 +456,7 @@
     return Freshness_.fresh(Now);
   }
 
-  /// An announced append of this or another daemon that replay has not decided.
+  /// An append announced by a peer whose record has not been replayed.
   struct PendingAppend {
     std::uint64_t Version_;
     TimePoint AnnouncedAt_;
@@ -468,18 +471,18 @@
   std::atomic<std::uint64_t> Offset_{0};
   std::atomic<bool> Loaded_{false};
 
-  mutable std::mutex Mutex_; ///< guards the members up to the next comment
+  mutable std::mutex Mutex_; ///< guards the members up to PeerCopyMutex_
   membership::Freshness Freshness_;
   std::optional<TimePoint> StoreAsOf_;
   std::vector<PendingAppend> PendingAppends_;
   std::optional<TimePoint> UnknownAppendAt_;
   int AppendsInFlight_ = 0;
-  std::uint64_t AppendedEndOffset_ = 0; ///< the offset after this daemon's last confirmed record
+  std::uint64_t AppendedEndOffset_ = 0; ///< offset after the last record that this daemon appended
 
-  std::mutex PeerCopyMutex_;
+  std::mutex PeerCopyMutex_; ///< guards PeerCopy_
   protocol::ConfigCopy PeerCopy_;
 
-  // Only the timer thread uses the members below.
+  // The members below are used only on the timer thread.
   const TimePoint StartedAt_;
   bool Changed_ = false;
   std::atomic<bool> FetchInProgress_{false};
@@ -555,7 +558,7 @@
   if (Reply.StoreAgeMs_ < 0)
     return;
   const std::lock_guard Lock(Impl_->Mutex_);
-  // One millisecond more, because the age was rounded down.
+  // Plus one millisecond, because the reported age was rounded down.
   Impl_->Freshness_.relayed(SentAt, core::Millis(Reply.StoreAgeMs_ + 1), Reply.ConfigOffset_,
                             Impl_->Offset_);
 }
--- a/src/settings/Reader.cpp
+++ b/src/settings/Reader.cpp
@@ -20,7 +20,7 @@
   bool Parsed_ = false;
   bool Finished_ = false;
   std::vector<ValidationError> Errors_;
-  /// Objects that were read, with the member names that were asked for.
+  /// Objects that were read, with their JSON pointer and the requested member names.
   std::map<const json *, std::pair<std::string, std::set<std::string, std::less<>>>> KnownMembers_;
 };
 
@@ -28,7 +28,7 @@
 
 namespace {
 
-/// Deeper documents are refused, because copying and printing a document is recursive.
+/// Deeper documents are rejected, because copying and printing a document is recursive.
 constexpr int MaxDepth = 64;
 
 std::string escapeToken(std::string_view Token) {
@@ -61,6 +61,7 @@
   }
 }
 
+/// \returns the Levenshtein distance. Cost: the product of the lengths.
 std::size_t editDistance(std::string_view A, std::string_view B) {
   std::vector<std::size_t> Row(B.size() + 1);
   std::iota(Row.begin(), Row.end(), 0);
@@ -76,9 +77,9 @@
   return Row.back();
 }
 
-/// Text for people: quoted, shortened, control characters and invalid UTF-8 escaped.
+/// Quotes text for a message: truncated, with control characters and invalid UTF-8 escaped.
 std::string quote(std::string_view Text) {
-  // Long names would make error answers as large as the request.
+  // Long names would make error responses as large as the request.
   constexpr std::size_t MaxQuotedBytes = 80;
   const bool Short = Text.size() <= MaxQuotedBytes;
   return json(std::string(Text.substr(0, MaxQuotedBytes)) + (Short ? "" : "..."))
@@ -97,14 +98,14 @@
   return Value.dump();
 }
 
-/// Finds duplicate keys and excessive depth while the parser runs.
+/// Parser callback that detects duplicate keys and excessive nesting.
 class StructureChecker {
 public:
   explicit StructureChecker(std::vector<ValidationError> &Mistakes) : Errors_(Mistakes) {}
 
   bool operator()(int Depth, json::parse_event_t Event, json &Parsed) {
     using EventType = json::parse_event_t;
-    if (TooDeep_) // the parser reports no end events for what was discarded
+    if (TooDeep_) // the parser sends no end events for discarded values
       return false;
     if (Event == EventType::object_start || Event == EventType::array_start) {
       if (Depth >= MaxDepth) {
@@ -163,7 +164,7 @@
 }
 
 std::string_view nearestName(std::string_view Name, std::span<const std::string_view> Known) {
-  // Names are short; a longer text is no misspelling and would only cost time.
+  // Longer texts are no misspelled names, and comparing them would be slow.
   constexpr std::size_t MaxNameLength = 200;
   std::string_view Best;
   std::size_t BestDistance = MaxNameLength;
@@ -173,7 +174,7 @@
     const std::size_t MaxDistance =
         std::max<std::size_t>(2, std::max(Name.size(), Candidate.size()) / 3);
     const std::size_t Distance = editDistance(Name, Candidate);
-    // A distance of the whole length shares no character with the name.
+    // At a distance of the full length, the names have no character in common.
     if (Distance <= MaxDistance && Distance < std::max(Name.size(), Candidate.size()) &&
         Distance < BestDistance) {
       Best = Candidate;
@@ -266,7 +267,7 @@
     wrongType(Value.is_number() ? "a whole number" : "a number");
     return Default;
   }
-  // Unsigned values above 2^63 would turn negative.
+  // Unsigned values of 2^63 and above would become negative.
   const bool TooLarge =
       Value.is_number_unsigned() && Value.get<std::uint64_t>() > static_cast<std::uint64_t>(Max);
   const std::int64_t Number = TooLarge && Max >= 0 ? Max : Value.get<std::int64_t>();
@@ -311,7 +312,8 @@
     return DefaultMilli;
   }
   const auto Rounded = static_cast<std::int64_t>(std::llround(Thousandths));
-  // 0.1 * 1000 is not exactly 100 in binary; a real fourth decimal is at least 0.1 away.
+  // In binary, 0.1 * 1000 may differ slightly from 100; a real fourth decimal differs by 0.1 or
+  // more.
   if (std::abs(Thousandths - static_cast<double>(Rounded)) > 0.01) {
     fail(ErrorKind::OutOfRange, Value.dump() + " has more than three decimals");
     return DefaultMilli;
@@ -356,7 +358,7 @@
   } catch (const json::parse_error &Error) {
     const std::size_t Byte = std::min<std::size_t>(Error.byte, Text.size());
     const auto Line = 1 + std::count(Text.begin(), Text.begin() + static_cast<long>(Byte), '\n');
-    // The library's message begins with its own id in brackets.
+    // The message of nlohmann/json begins with its exception id in brackets.
     std::string_view Message = Error.what();
     const std::size_t Start = Message.find("] ");
     if (Start != std::string_view::npos)
@@ -381,7 +383,7 @@
   if (State_->Finished_)
     return State_->Errors_;
   State_->Finished_ = true;
-  // Objects are visited in the order of their pointers, so that the result is deterministic.
+  // Objects are visited in the order of their JSON pointers, so that the result is deterministic.
   std::map<std::string, std::pair<const json *, const std::set<std::string, std::less<>> *>>
       ByPointer;
   for (const auto &[Value, KnownMembers] : State_->KnownMembers_)
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -11,7 +11,7 @@
 using core::ErrorKind;
 using core::Millis;
 
-/// Reads and writes one integer setting as a number, whatever its type in the struct.
+/// Gets and sets one setting as an integer, independent of its type in the struct.
 struct IntegerAccessor {
   std::int64_t (*Get_)(const Settings &);
   void (*Set_)(Settings &, std::int64_t);
@@ -31,7 +31,7 @@
           }};
 }
 
-/// An optional integer setting.
+/// Description of an optional integer setting.
 struct IntegerSetting {
   std::string_view Section_, Name_, Unit_;
   std::int64_t Min_, Max_;
@@ -257,7 +257,8 @@
   }
 }
 
-/// Relations without which a lease could end before its renewal or outlive its checks.
+/// Checks settings against each other, so that no lease ends before its renewal or outlasts the
+/// checks on it.
 void checkUpperBounds(const Node &Root, const Settings &Parsed) {
   struct UpperBound {
     std::string_view Section_, Name_, BoundName_;
@@ -269,7 +270,7 @@
       UpperBound{"timing", "owner_renew_ms", "half of owner_lease_ms", T.OwnerRenew_,
                  T.OwnerLease_ / 2, "one lost renewal would end the lease"},
       UpperBound{"timing", "probe_own_domain_ms", "half of owner_lease_ms", T.ProbeOwnDomain_,
-                 T.OwnerLease_ / 2, "promises travel with probes"},
+                 T.OwnerLease_ / 2, "probes carry the promises that renew the lease"},
       UpperBound{"timing", "lease_margin_ms", "owner_lease_ms", T.LeaseMargin_, T.OwnerLease_,
                  "the margin is a part of the lease"},
       UpperBound{"timing", "worker_renew_ms", "half of worker_lease_ms", T.WorkerRenew_,
@@ -277,11 +278,12 @@
       UpperBound{"timing", "poll_stream_ms", "half of configuration_fresh_ms", T.PollStream_,
                  T.ConfigurationFresh_ / 2, "the configuration would go stale between reads"},
       UpperBound{"timing", "store_reachable_ms", "store_give_up_ms", T.StoreReachable_,
-                 T.StoreGiveUp_, "an owner would give up while members still count as connected"},
+                 T.StoreGiveUp_,
+                 "an owner would give up while members still count as reaching the store"},
       UpperBound{"timing", "default_deadline_ms", "limits/max_deadline_ms", T.DefaultDeadline_,
                  Parsed.Limits_.MaxDeadline_, "the default deadline must be allowed"},
       UpperBound{"timing", "idle_connection_ms", "connection_life_ms", T.IdleConnection_,
-                 T.ConnectionLife_, "an idle connection ends first"},
+                 T.ConnectionLife_, "a connection must not idle longer than its lifetime"},
   };
   for (const UpperBound &Check : UpperBounds)
     if (Check.Value_ > Check.Bound_)
--- a/tests/invariant/ConfigTest.cpp
+++ b/tests/invariant/ConfigTest.cpp
@@ -1,4 +1,4 @@
-// Keys and configuration under faults: P3 and P10, and sections 8 and 9 of the design.
+// Keys and configuration under faults: invariants P3 and P10, sections 8 and 9 of the design.
 #include "DaemonTraffic.h"
 
 #include <algorithm>
@@ -11,9 +11,9 @@
 
 namespace {
 
-/// The freshness bound of 5 s and 1 s for the measurement.
+/// The freshness bound of 5 s plus 1 s of tolerance for the measurement.
 constexpr core::Millis RevokedWithin{6000};
-/// Everything is served this long after the end of all faults.
+/// All requests are served again within this time after the end of all faults.
 constexpr core::Millis RecoveredWithin{10'000};
 
 std::vector<std::string> without(std::vector<std::string> Names,
@@ -24,7 +24,7 @@
   return Names;
 }
 
-/// The configuration in force at a daemon, or 0 while it has none.
+/// \returns the version in force at a daemon, or 0 when it has none or does not respond.
 std::uint64_t versionAt(Fleet &Cluster, const std::string &Name) {
   const Json Status = Api(Cluster, Name).status();
   return Status.is_object() ? Status.value("config_version", std::uint64_t{0}) : 0;
@@ -35,10 +35,10 @@
       Daemons, [&](const std::string &Name) { return versionAt(Cluster, Name) == Version; });
 }
 
-/// Reads config_version at all daemons until finish() and records the first decrease.
+/// Polls config_version of all daemons until finish() and records a decrease.
 class VersionMonitor {
 public:
-  /// The daemon whose ports change during the watch; the scenario reads it itself.
+  /// This daemon is restarted on other ports during the test, which polls it separately.
   static constexpr const char *Excluded = "karachi-a-2";
 
   explicit VersionMonitor(Fleet &Cluster) : Thread_([this, &Cluster] { run(Cluster); }) {}
@@ -64,7 +64,7 @@
         if (Name == Excluded)
           continue;
         const std::uint64_t Version = versionAt(Cluster, Name);
-        if (Version == 0) // no answer
+        if (Version == 0) // no response
           continue;
         ++Readings_;
         if (Version < Highest[Name])
@@ -79,7 +79,7 @@
   std::atomic<bool> Stop_{false};
   std::atomic<std::size_t> Readings_{0};
   std::string Decrease_;
-  std::thread Thread_; ///< last, because it uses the members above
+  std::thread Thread_; ///< declared last, because it uses the members above
 };
 
 Json configurationWithShare(int Share) {
@@ -101,7 +101,7 @@
 
 } // namespace
 
-// Guards against a revoked key that goes on working at a daemon that did not hear of the
+// Guards against a revoked key that is still accepted by a daemon that cannot receive the
 // revocation.
 Test(RevokedKey, stopsWorkingEverywhereWithinTheFreshnessBound) {
   Fleet Cluster;
@@ -110,7 +110,7 @@
   std::string Key;
   std::string KeyId;
   {
-    const Step Label("granted at one daemon, works at all");
+    const Step Label("key granted at one daemon is accepted by all");
     const Reply Granted =
         Api(Cluster, Names.front())
             .operatorCall("POST", "/v1/keys", Json{{"team", "mfi"}, {"author", "test"}}.dump());
@@ -121,7 +121,8 @@
     cr_assert(Refusal.empty(), "%s", Refusal.c_str());
   }
 
-  // karachi-a keeps its links inside, so its owner keeps the lease and could run the work.
+  // The daemons of karachi-a still reach each other, so the owner keeps its lease and could run
+  // requests.
   const std::string Isolated = notOwnerIn(Cluster, "lahore-a");
   const std::vector<std::string> CutDomain = Cluster.namesIn("karachi-a");
   Traffic Keyed(Cluster, Names, {.Queue_ = "reorder", .Key_ = Key, .DeadlineMs_ = 500});
@@ -129,7 +130,7 @@
   cr_assert(waitFor(core::Millis(2000), [&] { return Keyed.samples().size() > 50; }));
   core::TimePoint Revoked;
   {
-    const Step Label("cut one daemon alone and one domain, then revoke");
+    const Step Label("isolate one daemon and one domain, then revoke the key");
     cutAlone(Cluster, Isolated);
     Cluster.cutDomain("karachi-a");
     const Reply Response =
@@ -139,7 +140,7 @@
     cr_assert_eq(Response.Status_, 200, "%d %s", Response.Status_, Response.Body_.c_str());
   }
   {
-    const Step Label("traffic until 3 s after the bound");
+    const Step Label("requests until 3 s after the freshness bound");
     cr_assert(waitFor(RevokedWithin + core::Millis(4000), [&] {
       return core::Clock::now() > Revoked + RevokedWithin + core::Millis(3000);
     }));
@@ -168,7 +169,7 @@
       cr_expect(Id == "MD-203" || Id == "MD-205", "%s: %s", Name.c_str(), Id.c_str());
     }
     std::fprintf(stderr, "\n");
-    cr_expect(!Refusals[Name].empty(), "%s was not asked after the bound", Name.c_str());
+    cr_expect(!Refusals[Name].empty(), "%s received no request after the bound", Name.c_str());
   }
   cr_expect(Refusals[Isolated] == std::set<std::string>{"MD-205"});
 
@@ -188,8 +189,8 @@
   cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
 }
 
-// Guards against a lost or reverted configuration when operators submit at the same time and the
-// store's answers are lost.
+// Guards against a lost or reverted configuration when operators submit concurrently and responses
+// of the store are lost.
 Test(ConcurrentOperators, oneVersionWinsAndIsNeverReverted) {
   Fleet Cluster;
   cr_assert(bringUp(Cluster), "the fleet did not come up");
@@ -199,7 +200,7 @@
   std::uint64_t Version = versionAt(Cluster, Names.front());
   std::uint64_t LastSeen = Version;
   for (const char *Mode : {"close", "hang", "close", "hang"}) {
-    const Step Label(std::string("two submissions, lost answers: ") + Mode);
+    const Step Label(std::string("two submissions, lost responses: ") + Mode);
     const std::int64_t LostBefore = Cluster.evidence(Standin::Log).at("answers_lost");
     Cluster.control(Standin::Log, {{"lose_answers", 6}, {"lose_mode", Mode}});
     Reply First;
@@ -217,7 +218,7 @@
       Other.join();
     }
     const std::int64_t LostAfter = Cluster.evidence(Standin::Log).at("answers_lost");
-    cr_assert(LostAfter > LostBefore, "no answer was lost");
+    cr_assert(LostAfter > LostBefore, "no response was lost");
     cr_assert(First.Status_ == 200 || Second.Status_ == 200, "%s %s", First.Body_.c_str(),
               Second.Body_.c_str());
     const bool FirstWon = First.Status_ == 200;
@@ -239,7 +240,7 @@
                                         .json()
                                         .at("text")
                                         .get<std::string>());
-      cr_assert(Text == Winner, "%s has another text", Name.c_str());
+      cr_assert(Text == Winner, "%s serves another configuration", Name.c_str());
     }
     const std::uint64_t CurrentVersion = versionAt(Cluster, Restarted);
     cr_assert(CurrentVersion >= LastSeen);
@@ -264,12 +265,12 @@
       }
       return Seen == Version && Response.Status_ == 200;
     });
-    cr_assert(Copied, "no configuration from a peer");
+    cr_assert(Copied, "no configuration was copied from a peer");
     std::fprintf(stderr, "  %zu readings before the copy\n", BeforeCopy);
     cr_assert(allAt(Cluster, Names, Version));
   }
   {
-    const Step Label("store back: all fresh");
+    const Step Label("store restored: every configuration is fresh");
     Cluster.healAll();
     cr_assert(waitFor(RecoveredWithin, [&] {
       return std::ranges::all_of(Names, [&](const std::string &Name) {
@@ -286,7 +287,7 @@
 
 namespace {
 
-/// Interactive requests with all daemons connected while the store is away.
+/// Sends interactive requests during a store outage, first with all daemons connected.
 void runStoreOutage(const char *Mode) {
   Fleet Cluster;
   cr_assert(bringUp(Cluster), "the fleet did not come up");
@@ -302,7 +303,7 @@
   Reply Refused;
   const Json Changed = configurationWithShare(9);
   {
-    const Step Label(std::string("15 s of outage, mode ") + Mode);
+    const Step Label(std::string("15 s of store outage, mode ") + Mode);
     Traffic Keyed(Cluster, Names, {.Queue_ = "reorder", .Key_ = Key});
     const core::TimePoint Start = core::Clock::now();
     Cluster.control(Standin::Log, {{"outage", Mode}});
@@ -331,7 +332,7 @@
     cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
   }
   {
-    const Step Label("one daemon cut off as well");
+    const Step Label("one daemon isolated as well");
     const std::string Isolated = notOwnerIn(Cluster, "lahore-a");
     const std::vector<std::string> Others = without(Names, {Isolated});
     Traffic Open(Cluster, Others, {.Queue_ = "status"});
@@ -356,7 +357,7 @@
     cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
   }
   {
-    const Step Label("healed: everything is back");
+    const Step Label("faults ended: all requests are served again");
     const core::TimePoint Start = core::Clock::now();
     Cluster.healAll();
     Refusal = awaitServing(Cluster, Names, "reorder", Key, RecoveredWithin);
@@ -367,14 +368,14 @@
         submitUntilKnown(Api(Cluster, "lahore-a-2"), Changed, Version, "ayesha", "outage-1");
     cr_expect_eq(Retried.Status_, 200, "%d %s", Retried.Status_, Retried.Body_.c_str());
     cr_expect(waitFor(RecoveredWithin, [&] { return allAt(Cluster, Names, Version + 1); }));
-    cr_expect(core::Clock::now() - Start <= RecoveredWithin, "took longer than 10 s");
+    cr_expect(core::Clock::now() - Start <= RecoveredWithin, "recovery took longer than 10 s");
   }
 }
 
 } // namespace
 
-// Guards against a store outage that stops interactive work, or that lets a daemon accept keys
-// without knowing that they are current.
+// Guards against a store outage that stops interactive requests, or during which a daemon accepts
+// keys that it does not know to be current.
 Test(StoreOutage, servesWhileTheStoreHangs) { runStoreOutage("hang"); }
 
 Test(StoreOutage, servesWhileTheStoreRefuses) { runStoreOutage("refuse"); }
--- a/tests/unit/AllotmentTest.cpp
+++ b/tests/unit/AllotmentTest.cpp
@@ -8,7 +8,7 @@
 
 using namespace masticdrift;
 
-// Guards against rounding that gives a team more or less than its limit (P4).
+// Guards against rounding errors that give a team more or less than its limit (P4).
 Test(AllotmentSplit, partsSumExactlyToTheLimitForRandomInputs) {
   for (unsigned Seed = 1; Seed <= 50; ++Seed) {
     std::mt19937_64 Random(Seed);
@@ -30,7 +30,7 @@
         Sum.Resources_ += Part.Resources_;
       }
       cr_assert(Sum == TeamLimit, "seed %u round %d", Seed, Round);
-      // Every domain gets its exact part rounded up or down.
+      // Every domain gets its exact proportion, rounded up or down.
       const std::int64_t WeightSum = std::accumulate(
           Domains.begin(), Domains.end(), std::int64_t{0},
           [](std::int64_t Total, const config::Domain &Domain) { return Total + Domain.Weight_; });
@@ -42,7 +42,7 @@
   }
 }
 
-// Daemons may hold the same domains in another order; their allotments must agree.
+// Guards against allotments that differ when the same domains are listed in another order.
 Test(AllotmentSplit, theOrderOfTheDomainsDoesNotMatter) {
   const std::vector<config::Domain> Domains{{"a", "r", 1}, {"b", "r", 1}, {"c", "r", 1}};
   const config::Limit TeamLimit{10, {10'000, 100, 1}};
@@ -55,7 +55,7 @@
   cr_assert_eq(Parts[1].Slots_, 3);
 }
 
-// Fractions of a core in each domain would be room that no task fits.
+// Guards against fractions of a core, which would be capacity that no task can use.
 Test(AllotmentSplit, wholeCoresStayWhole) {
   const std::vector<config::Domain> Domains{{"a", "r", 1}, {"b", "r", 1}, {"c", "r", 1}};
   for (const config::Limit &Part : config::splitLimit({0, {10'000, 0, 0}}, Domains))
--- a/tests/unit/ConfigStateTest.cpp
+++ b/tests/unit/ConfigStateTest.cpp
@@ -40,7 +40,7 @@
 
 } // namespace
 
-// Guards against a version that wins on one daemon and loses on another (P10).
+// Guards against a submission that is accepted on one daemon and rejected on another (P10).
 Test(ConfigStateConflict, theFirstOfTwoSubmissionsOnOneBaseWinsAndNothingReverts) {
   ConfigState State;
   cr_assert_eq(State.current()->Version_, 0);
@@ -56,7 +56,7 @@
   cr_assert_eq(Conflict->Version_, 2);
   cr_assert(State.result("s2")->Outcome_ == SubmitOutcome::Accepted);
   cr_assert(!State.result("s4"));
-  // A submission on a base that was overtaken twice names the version that followed its base.
+  // When the base is two versions old, the result names the version that followed that base.
   State.apply(8, 0, submit("s5", 2, "chandni", text(40)));
   State.apply(9, 0, submit("s6", 1, "dawood", text(50)));
   cr_assert_eq(State.result("s6")->Version_, 2);
@@ -73,7 +73,7 @@
   cr_assert_eq(State.version(), 1);
 }
 
-// The writer may repeat a submission whose outcome it does not know.
+// A writer repeats a submission when it does not know the outcome.
 Test(ConfigStateConflict, aRepeatedSubmissionIdHasNoSecondEffect) {
   ConfigState State;
   State.apply(0, 0, submit("s1", 0, "amina", text(10)));
@@ -103,7 +103,7 @@
   cr_assert(Result->Outcome_ == SubmitOutcome::Invalid);
   cr_assert(Result->Message_.find("/queues/0/teams/0") == 0, "%s", Result->Message_.c_str());
   cr_assert_eq(State.version(), 1);
-  // The canonical form keeps only one of two equal keys, so the text itself must be checked.
+  // The canonical form keeps only one of two duplicate keys, so the submitted text is validated.
   const std::string DuplicateKey = R"({"fleet":"x",)" + text().dump().substr(1);
   State.apply(2, 0, makeEntry(Submit{"s3", 2, 1, "bilal", 0, "", DuplicateKey}));
   cr_assert(State.result("s3")->Outcome_ == SubmitOutcome::Invalid);
@@ -136,7 +136,7 @@
 
 namespace {
 
-/// A mix of all records, valid and not, from a fixed seed.
+/// Random valid and invalid records of all types, from a fixed seed.
 std::vector<Entry> randomRecords(unsigned Seed) {
   std::mt19937 Random(Seed);
   const auto RandomUpTo = [&](int Max) {
@@ -147,7 +147,7 @@
   for (int I = 0; I < 60; ++I) {
     const std::string Id = "k" + std::to_string(RandomUpTo(9));
     switch (RandomUpTo(4)) {
-    case 0: // right or outdated base
+    case 0: // current or outdated base
       Out.push_back(submit("s" + std::to_string(I),
                            NextVersion - static_cast<unsigned>(RandomUpTo(1)),
                            "author" + std::to_string(RandomUpTo(3)), text(RandomUpTo(20))));
@@ -171,7 +171,7 @@
 
 } // namespace
 
-// Guards against a snapshot that loses or adds anything compared with replay.
+// Guards against a snapshot whose state differs from that of a full replay.
 Test(ConfigStateSnapshot, snapshotPlusRestEqualsReplayAtEveryPosition) {
   for (unsigned Seed = 1; Seed <= 5; ++Seed) {
     const auto Records = randomRecords(Seed);
@@ -185,7 +185,7 @@
       ConfigState Restored;
       cr_assert(Restored.load(Snapshots[I]));
       cr_assert(Restored.encode() == Snapshots[I]);
-      // Starting too early is harmless: applied positions are skipped.
+      // Replay from an earlier position is allowed, because applied positions are skipped.
       for (std::size_t J = I / 2; J < Records.size(); ++J)
         Restored.apply(J / 3, J % 3, Records[J]);
       cr_assert(Restored.encode() == Snapshots.back(), "seed %u position %zu", Seed, I);
@@ -218,7 +218,7 @@
   cr_assert(Found.Status_ == KeyStatus::Valid);
   cr_assert(Found.Team_ == "punjab-rural");
   cr_assert(Found.KeyId_ == Key.KeyId_);
-  // The id alone, or another secret under the same id, is not the key.
+  // The id alone, or the id with another secret, is not accepted.
   cr_assert(State.findKey(Key.KeyId_).Status_ == KeyStatus::Unknown);
   cr_assert(State.findKey(Key.KeyId_ + "." + std::string(64, '0')).Status_ == KeyStatus::Unknown);
   cr_assert(State.findKey("").Status_ == KeyStatus::Unknown);
@@ -226,7 +226,7 @@
   cr_assert(State.apply(2, 0, makeEntry(KeyRevoke{Key.KeyId_, "bilal", 20})));
   cr_assert(State.findKey(Key.Text_).Status_ == KeyStatus::Revoked);
   cr_assert(State.key(Key.KeyId_)->RevokedBy_ == "bilal");
-  // A second grant under the same id does not bring a revoked key back.
+  // A second grant with the same id does not restore a revoked key.
   cr_assert(
       !State.apply(3, 0, makeEntry(KeyGrant{"punjab-rural", Key.KeyId_, Key.Hash_, "amina", 30})));
   cr_assert(State.findKey(Key.Text_).Status_ == KeyStatus::Revoked);
@@ -265,7 +265,7 @@
   cr_assert_eq(State.history().size(), 1);
 }
 
-// Unbounded lists would grow the snapshot with the age of the fleet.
+// Without a bound, the snapshot would grow with the age of the fleet.
 Test(ConfigStateAudit, oldEntriesAreDropped) {
   ConfigState State;
   State.apply(0, 0, submit("first", 0, "amina", text()));
@@ -278,7 +278,7 @@
   cr_assert_eq(State.version(), 1);
 }
 
-// Guards the size that the comment of MaxRetainedEntries states, for versions of one change each.
+// Guards the snapshot size documented at MaxRetainedEntries, for versions of one change each.
 Test(ConfigStateSnapshot, fullListsStayUnderTwoMegabytes) {
   ConfigState State;
   for (std::uint64_t I = 0; I < ConfigState::MaxRetainedEntries; ++I)
@@ -300,7 +300,7 @@
               makeEntry(AllotmentTransfer{"punjab-rural", "lahore-a", "karachi-a", Amount, 1}));
   cr_assert_eq(State.allotment("punjab-rural", "lahore-a").Slots_, 2);
   cr_assert_eq(State.allotment("punjab-rural", "karachi-a").Slots_, 8);
-  // More than is left, a negative amount, the wrong limit version and unknown names move nothing.
+  // Rejected: more than the allotment, a negative amount, a wrong limit version, unknown names.
   State.apply(2, 0,
               makeEntry(AllotmentTransfer{"punjab-rural", "lahore-a", "karachi-a", Amount, 1}));
   State.apply(
@@ -313,13 +313,13 @@
   State.apply(6, 0, makeEntry(AllotmentTransfer{"nobody", "karachi-a", "lahore-a", Amount, 1}));
   cr_assert_eq(State.allotment("punjab-rural", "lahore-a").Slots_, 2);
   cr_assert_eq(State.allotment("punjab-rural", "karachi-a").Slots_, 8);
-  // A version that leaves the limit alone keeps the moves.
+  // A version with the same limit preserves the transfers.
   json ChangedShare = text(10);
   ChangedShare["teams"][0]["share"] = 9;
   State.apply(7, 0, submit("s2", 1, "amina", ChangedShare));
   cr_assert_eq(State.allotment("punjab-rural", "lahore-a").Slots_, 2);
   cr_assert_eq(State.limitVersion("punjab-rural"), 1);
-  // A new limit voids them, and later moves made under the old limit do nothing.
+  // A new limit discards them, and transfers made under the old limit are rejected.
   State.apply(8, 0, submit("s3", 2, "amina", text(12)));
   cr_assert_eq(State.limitVersion("punjab-rural"), 3);
   State.apply(9, 0,
@@ -328,7 +328,7 @@
   cr_assert_eq(State.allotment("punjab-rural", "karachi-a").Slots_, 6);
 }
 
-// Guards against a reader that sees a configuration of one version with the number of another.
+// Guards against a reader that sees the content of one version with the number of another.
 Test(ConfigStateThreads, readersSeeWholeVersionsWhileRecordsAreApplied) {
   ConfigState State;
   State.apply(0, 0, submit("s0", 0, "amina", text(1)));
--- a/tests/unit/ConfigurationTest.cpp
+++ b/tests/unit/ConfigurationTest.cpp
@@ -70,7 +70,7 @@
   cr_assert_null(Config.service("nothing"));
 }
 
-// Guards against work for a team that the queue does not list (P3).
+// Guards against accepting work of a team that the queue does not list (P3).
 Test(ConfigurationParse, onlyListedTeamsMayUseAQueueThatIsNotOpen) {
   const Configuration Config = parseValid(baseConfiguration());
   cr_assert(config::allows(*Config.queue("reorder-check"), "punjab-rural"));
@@ -104,7 +104,7 @@
       ErrorKind::OutOfRange, "/teams/1/name", "already the name of /teams/0");
 }
 
-// Names become parts of job ids and paths; a slash would make two ids equal.
+// Names are parts of job ids and paths; with a slash, two different jobs could have the same id.
 Test(ConfigurationMistakes, aNameWithASlashIsRefused) {
   expectSingleError(errorsWith("/queues/1/name", "a/b"), ErrorKind::OutOfRange, "/queues/1/name",
                     "lower-case letters");
@@ -136,7 +136,7 @@
                     "/services/1/depends_on/0", "cycle register -> register");
 }
 
-// A recursive search would exhaust the stack here.
+// Guards against a recursive cycle search, which would overflow the stack.
 Test(ConfigurationCycles, aLongChainIsNoCycle) {
   json Text = baseConfiguration();
   Text["services"] = json::array();
--- a/tests/unit/KeyTest.cpp
+++ b/tests/unit/KeyTest.cpp
@@ -12,7 +12,7 @@
   cr_assert_eq(Key.Text_.size(), 13 + 1 + 64);
   cr_assert(config::keyIdOf(Key.Text_) == Key.KeyId_);
   cr_assert(Key.Hash_ == config::hashKey(Key.Text_));
-  // The id is public, so it must not be a part of the secret.
+  // The id is logged, so the secret must not contain it.
   cr_assert(Key.Text_.substr(14).find(Key.KeyId_.substr(1)) == std::string::npos);
 }
 
@@ -23,7 +23,7 @@
 }
 
 Test(KeyHash, matchesThePublishedTestVector) {
-  // FIPS 180-2, "abc".
+  // Test vector of FIPS 180-2 for "abc".
   cr_assert(config::hashKey("abc") ==
             "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
@@ -38,7 +38,7 @@
   cr_assert(!config::constantTimeEqual("", ""));
 }
 
-// The id is logged; a malformed key must never be taken for an id.
+// Guards against logging a part of a malformed key as its id.
 Test(KeyId, textThatIsNoKeyHasNoId) {
   for (const char *Text : {"", "k", "k123456789abc", "x123456789abc.00", "k123456789abZ.00",
                            "0000000000000000000000000000"})
--- a/tests/unit/ReaderTest.cpp
+++ b/tests/unit/ReaderTest.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Fails the test unless there is exactly one mistake of this kind at this position, with \p Part
-/// in its message.
+/// Fails the test unless there is exactly one error, of this kind, at this JSON pointer and with
+/// \p MessagePart in its message.
 void expectSingleError(const std::vector<ValidationError> &Errors, ErrorKind Kind,
                        std::string_view Pointer, std::string_view MessagePart) {
   for (const ValidationError &Error : Errors)
@@ -40,7 +40,7 @@
 
 } // namespace
 
-// Guards against mistakes that are accepted in silence or reported without their place.
+// Guards against errors that are silently accepted or reported without their location.
 Test(ReaderMistakes, anUnknownKeyNamesTheNearest) {
   expectSingleError(readJob(R"({"tasks":1,"corse":2})"), ErrorKind::UnknownField, "/corse",
                     "nearest is \"cores\"");
@@ -85,7 +85,7 @@
   expectSingleError(readJob(""), ErrorKind::MalformedJson, "", "line 1");
 }
 
-// nlohmann/json keeps the last of two equal keys, so one of the values would be ignored.
+// nlohmann/json keeps only the last of two duplicate keys and would ignore the other value.
 Test(ReaderMistakes, aDuplicateKeyIsReported) {
   expectSingleError(readJob(R"({"tasks":1,"tasks":2})"), ErrorKind::MalformedJson, "/tasks",
                     "twice");
@@ -93,7 +93,7 @@
   expectSingleError(Nested.finish(), ErrorKind::MalformedJson, "/a/1/x", "twice");
 }
 
-// Deep nesting would exhaust the stack where documents are printed or copied.
+// Deep nesting would overflow the stack when a document is printed or copied.
 Test(ReaderMistakes, deepNestingIsRefused) {
   Reader Deep(std::string(100'000, '[') + std::string(100'000, ']'));
   const auto Errors = Deep.finish();
@@ -110,7 +110,7 @@
                     "unknown");
 }
 
-// 0.1 and 0.3 have no exact binary form; a sum of cores must still be exact.
+// 0.1 and 0.3 have no exact binary representation, but sums of cores must be exact.
 Test(ReaderValues, decimalsAreReadExactlyInThousandths) {
   Reader Reader(R"({"a":0.1,"b":0.3,"c":15.999,"d":0.0001})");
   cr_assert_eq(Reader.root().milli("a", 0, 64'000), 100);
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -75,7 +75,7 @@
   cr_assert(Result.LogLevel_ == "debug");
 }
 
-// Each kind of mistake: a daemon that starts with a misread setting breaks promises to others.
+// Guards against a daemon that starts with misread settings and breaks guarantees to its peers.
 Test(SettingsMistakes, anUnknownKeyNamesTheNearest) {
   expectSingleError(errorsWith("/timing/owner_leese_ms", 1), ErrorKind::UnknownField,
                     "/timing/owner_leese_ms", "nearest is \"owner_lease_ms\"");
@@ -136,7 +136,7 @@
                     "/timing/worker_renew_ms", "half of worker_lease_ms");
 }
 
-// Guards against a table that documents other ranges or defaults than those in force.
+// Guards against a table whose ranges or defaults differ from the enforced ones.
 Test(SettingsTable, everyIntegerRowIsEnforced) {
   std::set<std::string> Seen;
   for (const settings::SettingInfo &Row : settings::settingTable()) {
