config: rename the remaining vague identifiers

A few parameters and locals of the configuration, the reader and their tests still had names such as Known, From, To and Sampled. Name the values instead.

--- a/include/masticdrift/settings/Reader.h
+++ b/include/masticdrift/settings/Reader.h
@@ -144,10 +144,10 @@
   std::unique_ptr<detail::ReaderState> State_;
 };
 
-/// \returns the element of \p Known with the smallest edit distance to \p Name, or an empty view
-/// when no distance is within a third of the longer name (at least 2). Cost: the product of the
-/// lengths for each element.
-std::string_view nearestName(std::string_view Name, std::span<const std::string_view> Known);
+/// \returns the element of \p KnownNames with the smallest edit distance to \p Name, or an empty
+/// view when no distance is within a third of the longer name (at least 2). Cost: the product of
+/// the lengths for each element.
+std::string_view nearestName(std::string_view Name, std::span<const std::string_view> KnownNames);
 
 } // namespace masticdrift::settings
 
--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -209,21 +209,21 @@
     Reason = "the limit changed in version " + std::to_string(Row->second.LimitVersion_);
   } else {
     auto &Parts = Row->second.LimitsByDomain_;
-    const auto From = Parts.find(Record.FromDomain_);
-    const auto To = Parts.find(Record.ToDomain_);
+    const auto Source = Parts.find(Record.FromDomain_);
+    const auto Destination = Parts.find(Record.ToDomain_);
     const Limit &Amount = Record.Amount_;
-    if (From == Parts.end() || To == Parts.end() || From == To)
+    if (Source == Parts.end() || Destination == Parts.end() || Source == Destination)
       Reason = "unknown domain or the same domain twice";
     else if (hasNegative(Amount))
       Reason = "negative amount";
-    else if (Amount.Slots_ > From->second.Slots_ ||
-             !core::fits(Amount.Resources_, From->second.Resources_))
+    else if (Amount.Slots_ > Source->second.Slots_ ||
+             !core::fits(Amount.Resources_, Source->second.Resources_))
       Reason = "more than the allotment of " + Record.FromDomain_;
     if (Reason.empty()) {
-      From->second.Slots_ -= Amount.Slots_;
-      From->second.Resources_ -= Amount.Resources_;
-      To->second.Slots_ += Amount.Slots_;
-      To->second.Resources_ += Amount.Resources_;
+      Source->second.Slots_ -= Amount.Slots_;
+      Source->second.Resources_ -= Amount.Resources_;
+      Destination->second.Slots_ += Amount.Slots_;
+      Destination->second.Resources_ += Amount.Resources_;
     }
   }
   // Daemons make accepted transfers frequently, so the audit trail contains only rejected ones.
--- a/src/settings/Reader.cpp
+++ b/src/settings/Reader.cpp
@@ -86,8 +86,8 @@
       .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string nearestNameHint(std::string_view Name, std::span<const std::string_view> Known) {
-  const std::string_view Nearest = nearestName(Name, Known);
+std::string nearestNameHint(std::string_view Name, std::span<const std::string_view> KnownNames) {
+  const std::string_view Nearest = nearestName(Name, KnownNames);
   return Nearest.empty() ? "" : ", nearest is " + quote(Nearest);
 }
 
@@ -101,7 +101,7 @@
 /// Parser callback that detects duplicate keys and excessive nesting.
 class StructureChecker {
 public:
-  explicit StructureChecker(std::vector<ValidationError> &Mistakes) : Errors_(Mistakes) {}
+  explicit StructureChecker(std::vector<ValidationError> &Errors) : Errors_(Errors) {}
 
   bool operator()(int Depth, json::parse_event_t Event, json &Parsed) {
     using EventType = json::parse_event_t;
@@ -163,14 +163,14 @@
   return Pointer_.empty() ? Message_ : Pointer_ + ": " + Message_;
 }
 
-std::string_view nearestName(std::string_view Name, std::span<const std::string_view> Known) {
+std::string_view nearestName(std::string_view Name, std::span<const std::string_view> KnownNames) {
   // Longer texts are no misspelled names, and comparing them would be slow.
   constexpr std::size_t MaxNameLength = 200;
   std::string_view Best;
   std::size_t BestDistance = MaxNameLength;
   if (Name.size() > MaxNameLength)
     return Best;
-  for (const std::string_view Candidate : Known) {
+  for (const std::string_view Candidate : KnownNames) {
     const std::size_t MaxDistance =
         std::max<std::size_t>(2, std::max(Name.size(), Candidate.size()) / 3);
     const std::size_t Distance = editDistance(Name, Candidate);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -244,8 +244,8 @@
       std::ranges::find(Out.Fleet_.Domains_, Out.Instance_.Domain_, &FleetDomain::Name_);
   if (Found == Out.Fleet_.Domains_.end()) {
     std::vector<std::string_view> Names;
-    for (const FleetDomain &Known : Out.Fleet_.Domains_)
-      Names.emplace_back(Known.Name_);
+    for (const FleetDomain &ListedDomain : Out.Fleet_.Domains_)
+      Names.emplace_back(ListedDomain.Name_);
     const std::string_view Nearest = nearestName(Out.Instance_.Domain_, Names);
     Domain.fail(ErrorKind::OutOfRange,
                 "\"" + Out.Instance_.Domain_ + "\" is not in /fleet/domains" +
--- a/tests/invariant/ConfigTest.cpp
+++ b/tests/invariant/ConfigTest.cpp
@@ -150,16 +150,16 @@
 
   std::map<std::string, std::int64_t> LastAccepted;
   std::map<std::string, std::set<std::string>> Refusals;
-  for (const Sample &Sampled : KeyedSamples) {
-    const std::int64_t After = core::toMillis(Sampled.Sent_ - Revoked);
-    if (Sampled.completed())
-      LastAccepted[Sampled.Daemon_] = std::max(LastAccepted[Sampled.Daemon_], After);
-    if (Sampled.Sent_ <= Revoked + RevokedWithin)
+  for (const Sample &RequestSample : KeyedSamples) {
+    const std::int64_t After = core::toMillis(RequestSample.Sent_ - Revoked);
+    if (RequestSample.completed())
+      LastAccepted[RequestSample.Daemon_] = std::max(LastAccepted[RequestSample.Daemon_], After);
+    if (RequestSample.Sent_ <= Revoked + RevokedWithin)
       continue;
-    Refusals[Sampled.Daemon_].insert(Sampled.Answer_.errorId());
-    cr_expect(!Sampled.completed(), "accepted %lld ms after the revocation: %s",
-              static_cast<long long>(After), Sampled.text().c_str());
-    cr_expect(Sampled.Answer_.Outcome_ == "not_run", "%s", Sampled.text().c_str());
+    Refusals[RequestSample.Daemon_].insert(RequestSample.Answer_.errorId());
+    cr_expect(!RequestSample.completed(), "accepted %lld ms after the revocation: %s",
+              static_cast<long long>(After), RequestSample.text().c_str());
+    cr_expect(RequestSample.Answer_.Outcome_ == "not_run", "%s", RequestSample.text().c_str());
   }
   for (const std::string &Name : Names) {
     std::fprintf(stderr, "  %s: last accepted request sent %lld ms after the revocation, then",
@@ -174,12 +174,12 @@
   cr_expect(Refusals[Isolated] == std::set<std::string>{"MD-205"});
 
   std::size_t OpenRefused = 0;
-  for (const Sample &Sampled : OpenSamples)
-    if (!Sampled.completed()) {
+  for (const Sample &RequestSample : OpenSamples)
+    if (!RequestSample.completed()) {
       ++OpenRefused;
       std::fprintf(stderr, "  open: %lld ms after the revocation: %s\n",
-                   static_cast<long long>(core::toMillis(Sampled.Sent_ - Revoked)),
-                   Sampled.text().c_str());
+                   static_cast<long long>(core::toMillis(RequestSample.Sent_ - Revoked)),
+                   RequestSample.text().c_str());
     }
   cr_expect_eq(OpenRefused, 0U, "%zu of %zu open requests were not served", OpenRefused,
                OpenSamples.size());
@@ -318,11 +318,11 @@
     WaitUntil(core::Millis(15'000));
     const std::vector<Sample> Samples = Keyed.finish();
     std::size_t NotServed = 0;
-    for (const Sample &Sampled : Samples)
-      if (!Sampled.completed() && ++NotServed <= 5)
+    for (const Sample &RequestSample : Samples)
+      if (!RequestSample.completed() && ++NotServed <= 5)
         std::fprintf(stderr, "  %lld ms into the outage: %s\n",
-                     static_cast<long long>(core::toMillis(Sampled.Sent_ - Start)),
-                     Sampled.text().c_str());
+                     static_cast<long long>(core::toMillis(RequestSample.Sent_ - Start)),
+                     RequestSample.text().c_str());
     cr_expect_eq(NotServed, 0U, "%zu of %zu keyed requests were not served", NotServed,
                  Samples.size());
     std::fprintf(stderr, "  %zu keyed requests, %zu not served\n", Samples.size(), NotServed);
@@ -342,17 +342,18 @@
     cr_assert(waitFor(core::Millis(10'000),
                       [&] { return core::Clock::now() >= Start + core::Millis(8000); }));
     std::set<std::string> StaleDaemons;
-    for (const Sample &Sampled : Keyed.finish())
-      if (Sampled.Sent_ > Start + RevokedWithin) {
-        cr_expect(Sampled.Answer_.errorId() == "MD-205" && Sampled.Answer_.Outcome_ == "not_run",
-                  "%s", Sampled.text().c_str());
-        StaleDaemons.insert(Sampled.Daemon_);
+    for (const Sample &RequestSample : Keyed.finish())
+      if (RequestSample.Sent_ > Start + RevokedWithin) {
+        cr_expect(RequestSample.Answer_.errorId() == "MD-205" &&
+                      RequestSample.Answer_.Outcome_ == "not_run",
+                  "%s", RequestSample.text().c_str());
+        StaleDaemons.insert(RequestSample.Daemon_);
       }
     cr_expect_eq(StaleDaemons.size(), Names.size());
-    for (const Sample &Sampled : Open.finish())
-      cr_expect(Sampled.completed(), "%lld ms after the cut: %s",
-                static_cast<long long>(core::toMillis(Sampled.Sent_ - Start)),
-                Sampled.text().c_str());
+    for (const Sample &RequestSample : Open.finish())
+      cr_expect(RequestSample.completed(), "%lld ms after the cut: %s",
+                static_cast<long long>(core::toMillis(RequestSample.Sent_ - Start)),
+                RequestSample.text().c_str());
     const std::string Contradiction = contradiction(Cluster, Open.finish());
     cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
   }
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -153,8 +153,8 @@
 }
 
 Test(SettingsTable, theDocumentationPageIsCurrent) {
-  std::ifstream In(MASTICDRIFT_SOURCE_DIR "/docs/settings.md");
-  const std::string Page{std::istreambuf_iterator<char>(In), {}};
+  std::ifstream File(MASTICDRIFT_SOURCE_DIR "/docs/settings.md");
+  const std::string Page{std::istreambuf_iterator<char>(File), {}};
   cr_assert(Page.find(settings::settingTableMarkdown()) != std::string::npos,
             "docs/settings.md differs from settingTableMarkdown()");
 }
