--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -141,15 +141,15 @@
 
   replica::ConfigReplicaOptions configOptions() const {
     replica::ConfigReplicaOptions Options;
-    Options.Self_ = Settings_.Instance_.Name_;
+    Options.InstanceName_ = Settings_.Instance_.Name_;
     Options.Incarnation_ = Incarnation_;
     Options.FleetSize_ = static_cast<std::size_t>(Settings_.Fleet_.EntryInstances_);
-    Options.Bound_ = Settings_.Timing_.ConfigurationFresh_;
-    Options.StoreReachable_ = Settings_.Timing_.StoreReachable_;
-    Options.Poll_ = Settings_.Timing_.PollStream_;
-    Options.BatchClose_ = Settings_.Timing_.BatchClose_;
+    Options.FreshnessBound_ = Settings_.Timing_.ConfigurationFresh_;
+    Options.MaxStoreAge_ = Settings_.Timing_.StoreReachable_;
+    Options.PollInterval_ = Settings_.Timing_.PollStream_;
+    Options.BatchWindow_ = Settings_.Timing_.BatchClose_;
     Options.AppendsPerSecond_ = static_cast<double>(Settings_.Limits_.AppendsPerSecond_);
-    Options.Retention_ = Settings_.Timing_.StoreRetention_;
+    Options.LogRetention_ = Settings_.Timing_.StoreRetention_;
     return Options;
   }
 
@@ -305,7 +305,7 @@
                               protocol::ProbeReply &Reply) { fillReply(Sender, Message, Reply); };
     Hooks.OnReply_ = [this](const membership::Member &Sender, std::uint64_t Incarnation,
                             TimePoint Sent, const protocol::ProbeReply &Reply) {
-      Config_.onReply(Sent, Reply);
+      Config_.onProbeReply(Sent, Reply);
       if (Sender.Domain_ == Settings_.Instance_.Domain_)
         Stream_.ownership().onProbeReply(Sender.Name_, Incarnation, Sent, Reply);
     };
@@ -315,7 +315,7 @@
   void fillReply(const protocol::Envelope &Sender, const protocol::Probe &Message,
                  protocol::ProbeReply &Reply) {
     const TimePoint Now = core::Clock::now();
-    Config_.fillReply(Reply, Now);
+    Config_.fillProbeReply(Reply, Now);
     Stream_.ownership().fillReply(Sender.Sender_, Sender.Incarnation_, Message, Reply, Now);
     if (Stream_.ownership().holds(Now)) {
       Reply.FreeSlots_ = Dispatcher_.stats().FreeSlots_;
@@ -389,7 +389,7 @@
       return;
     case MessageKind::ConfigFetch:
       if (const auto Request = core::unpack<protocol::ConfigFetch>(Message.Body_))
-        Link_.reply(Message, MessageKind::ConfigCopy, core::pack(Config_.copyFor(*Request)));
+        Link_.reply(Message, MessageKind::ConfigCopy, core::pack(Config_.copyForPeer(*Request)));
       return;
     case MessageKind::Pending:
       if (const auto Body = core::unpack<protocol::Pending>(Message.Body_))
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -69,10 +69,10 @@
 /// Runs in deployments of the first version, which use the product's own settings format.
 int runFirstVersion(const std::string &Path, const std::string &SettingsText, bool CheckOnly) {
   const settings::ParsedSettings Parsed = settings::parse(SettingsText);
-  for (const settings::Mistake &Mistake : Parsed.Mistakes_)
+  for (const settings::ValidationError &Mistake : Parsed.Errors_)
     std::cerr << "masticdriftd: " << Path << ": " << core::describe(Mistake.Kind_).Id_ << ' '
               << Mistake.text() << '\n';
-  if (!Parsed.Mistakes_.empty())
+  if (!Parsed.Errors_.empty())
     return BadSettings;
   return CheckOnly ? Stopped : run(Parsed.Settings_);
 }
--- a/src/gateway/OperatorApi.cpp
+++ b/src/gateway/OperatorApi.cpp
@@ -77,7 +77,7 @@
           {"detail", Entry.Detail_}};
 }
 
-http::Response configResponse(const replica::ConfigAnswer &Result) {
+http::Response configResponse(const replica::ConfigResponse &Result) {
   if (!Result.Error_)
     return jsonResponse(dump({{"version", Result.Version_}}));
   http::Response Response = errorResponse(Result.Error_);
@@ -101,7 +101,7 @@
     const std::string Hash = config::hashKey(bearerToken(Request));
     bool Matches = false;
     for (const std::string &KnownHash : KeyHashes_)
-      Matches = config::sameHash(KnownHash, Hash) || Matches;
+      Matches = config::constantTimeEqual(KnownHash, Hash) || Matches;
     return Matches;
   }
 
@@ -221,7 +221,7 @@
       return Respond(errorResponse(
           {ErrorKind::MissingField, "Masticdrift-Author: required header is missing"}));
     Config_.submit(RequestId, Request.Body_, static_cast<std::uint64_t>(*BaseVersion), Author,
-                   [Respond = std::move(Respond)](const replica::ConfigAnswer &Result) {
+                   [Respond = std::move(Respond)](const replica::ConfigResponse &Result) {
                      Respond(configResponse(Result));
                    });
   }
@@ -233,7 +233,7 @@
     if (const auto Errors = Reader.finish(); !Errors.empty())
       return Respond(errorResponse(Errors.front().failure()));
     Config_.grant(
-        Team, Author, [Team, Respond = std::move(Respond)](const replica::ConfigAnswer &Result) {
+        Team, Author, [Team, Respond = std::move(Respond)](const replica::ConfigResponse &Result) {
           Respond(Result.Error_
                       ? errorResponse(Result.Error_)
                       : jsonResponse(
@@ -248,7 +248,7 @@
       return Respond(errorResponse(
           {ErrorKind::MissingField, "Masticdrift-Author: required header is missing"}));
     Config_.revoke(
-        KeyId, Author, [Respond = std::move(Respond)](const replica::ConfigAnswer &Result) {
+        KeyId, Author, [Respond = std::move(Respond)](const replica::ConfigResponse &Result) {
           Respond(Result.Error_
                       ? errorResponse(Result.Error_)
                       : jsonResponse(dump({{"key_id", Result.KeyId_}, {"revoked", true}})));
