--- a/include/masticdrift/cell/Controller.h
+++ b/include/masticdrift/cell/Controller.h
@@ -23,17 +23,17 @@
 struct ControllerOptions {
   std::string Instance_;
   std::string Domain_;
-  WorkerLeaseTiming Lease_;
-  core::Duration Tick_ = core::Millis(50);
-  std::uint32_t MostAttempts_ = 5;                            ///< of an idempotent task that fails
-  core::Duration QuarantineProbe_ = std::chrono::seconds(30); ///< until the first probe; doubles
+  WorkerLeaseTiming LeaseTiming_;
+  core::Duration TickInterval_ = core::Millis(50);
+  std::uint32_t MaxAttempts_ = 5;                             ///< of an idempotent task that fails
+  core::Duration FirstProbeDelay_ = std::chrono::seconds(30); ///< until the first probe; doubles
 };
 
 /// A team's part of this domain.
 struct TeamQuota {
   std::string Name_;
   double Weight_ = 1;
-  core::Resources Work_; ///< the domain's allotment of the team's limit
+  core::Resources Allotment_; ///< the domain's allotment of the team's limit
 };
 
 using AppendFunction = std::function<void(std::vector<journal::Entry>,
@@ -50,10 +50,10 @@
   bool Active_ = false;
   std::size_t Workers_ = 0;
   std::size_t UsableWorkers_ = 0;
-  std::size_t Waiting_ = 0; ///< tasks
-  std::size_t Running_ = 0; ///< tasks
-  core::Resources Free_;
-  double UsedPart_ = 0; ///< of the scarcest resource
+  std::size_t WaitingTasks_ = 0; ///< tasks
+  std::size_t RunningTasks_ = 0; ///< tasks
+  core::Resources FreeResources_;
+  double Utilization_ = 0; ///< of the scarcest resource
 };
 
 /// Runs on the timer thread it is given; all functions are thread-safe.
@@ -73,9 +73,9 @@
   void start();
 
   /// The domain's lease was won for \p Term. Rebuilds everything from the replayed state.
-  void acquired(std::uint64_t Term);
+  void onLeaseAcquired(std::uint64_t Term);
   /// The lease was lost; nothing more is sent.
-  void lost();
+  void onLeaseLost();
 
   /// Replaces the list of workers of this domain.
   void setWorkers(std::vector<legacy::Instance> Workers);
@@ -83,7 +83,7 @@
   void setTeams(std::vector<TeamQuota> Teams);
 
   /// A record was replayed.
-  void onChange(const jobs::Change &What);
+  void onChange(const jobs::Change &Change);
 
   /// Explains why a job waits; \p Done is called on the timer thread.
   void explain(std::string_view Job, std::function<void(policy::Explanation)> Done) const;
--- a/include/masticdrift/cell/DomainStream.h
+++ b/include/masticdrift/cell/DomainStream.h
@@ -18,8 +18,8 @@
 
 struct DomainStreamOptions {
   std::string Stream_;
-  core::Duration Poll_ = core::Millis(250);
-  core::Duration BatchClose_ = core::Millis(20);
+  core::Duration PollInterval_ = core::Millis(250);
+  core::Duration BatchCloseDelay_ = core::Millis(20);
   double AppendsPerSecond_ = 20;
   core::Duration Retention_ = std::chrono::hours(24); ///< how long the log keeps records
   ownership::OwnershipOptions Ownership_;
@@ -31,12 +31,12 @@
   std::function<void(std::uint64_t Term)> OnLost_;
   std::function<void(const std::string &Member, const protocol::ConsentRequest &,
                      std::function<void(std::optional<protocol::Consent>)>)>
-      AskConsent_;
+      RequestConsent_;
   std::function<std::optional<core::Duration>(const std::string &Member, core::TimePoint Now)>
-      MissedFor_;
+      TimeSinceReply_;
   std::function<std::optional<core::Duration>(const std::string &Member, core::TimePoint Now)>
-      StoreAge_;
-  std::function<bool(const std::string &Member)> IsGone_;
+      StoreReadAge_;
+  std::function<bool(const std::string &Member)> IsTerminated_;
 };
 
 /// Runs on the timer thread it is given.
--- a/include/masticdrift/cell/JobService.h
+++ b/include/masticdrift/cell/JobService.h
@@ -18,10 +18,10 @@
 namespace masticdrift::cell {
 
 struct JobServiceOptions {
-  std::string Self_;
+  std::string Instance_;
   std::string Domain_;
   std::uint64_t Incarnation_ = 0;
-  core::Duration BatchClose_ = core::Millis(20);
+  core::Duration BatchCloseDelay_ = core::Millis(20);
   double AppendsPerSecond_ = 20;
 };
 
@@ -31,10 +31,10 @@
                             std::string_view RequestId);
 
 /// \returns the stream of a domain.
-std::string streamOf(std::string_view Domain);
+std::string domainStreamName(std::string_view Domain);
 
 /// \returns the domain part of a job id, empty when it has none.
-std::string_view domainOf(std::string_view JobId);
+std::string_view domainOfJob(std::string_view JobId);
 
 /// Answer to a read or a submission: JSON text, or an error.
 using JobCallback = std::function<void(core::Failure, std::string Json)>;
@@ -42,9 +42,9 @@
 /// Thread-safe. Callbacks may run on any thread and must not block.
 class JobService {
 public:
-  JobService(JobServiceOptions Options, DomainStream &Own, const Controller &Cell,
-             legacy::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
-             const membership::PeerTable &Table);
+  JobService(JobServiceOptions Options, DomainStream &OwnStream, const Controller &DomainController,
+             legacy::LogClient &Log, core::Timers &Timers, protocol::Link &PeerLink,
+             const membership::PeerTable &PeerTable);
   JobService(const JobService &) = delete;
   JobService &operator=(const JobService &) = delete;
   ~JobService();
--- a/include/masticdrift/cell/Services.h
+++ b/include/masticdrift/cell/Services.h
@@ -15,7 +15,7 @@
 namespace masticdrift::cell {
 
 /// Prefix of the request ids of service jobs; callers can't use it.
-inline constexpr std::string_view ServicePrefix = "service.";
+inline constexpr std::string_view ServiceRequestIdPrefix = "service.";
 
 /// Changes that bring a domain's service jobs in line with the configuration.
 struct ServicePlan {
@@ -24,8 +24,8 @@
 };
 
 /// \returns the domain that runs a replica: the service's own, or the domains in turn.
-std::string_view domainOfReplica(const config::Configuration &Of, const config::Service &Service,
-                                 std::int64_t Replica);
+std::string_view domainOfReplica(const config::Configuration &Config,
+                                 const config::Service &Service, std::int64_t Replica);
 
 /// Plans the service jobs of one domain.
 ///
@@ -33,13 +33,13 @@
 /// replica whose definition changed is cancelled first and accepted again, under a new generation,
 /// once it has ended.
 ///
-/// \param Of the configuration in force.
+/// \param Config the configuration in force.
 /// \param Domain the domain.
 /// \param Existing the domain's service jobs, finished ones included.
-/// \param RunsElsewhere whether a service without a replica in this domain is known to run.
-ServicePlan planServices(const config::Configuration &Of, std::string_view Domain,
+/// \param RunsInOtherDomain whether a service without a replica in this domain is known to run.
+ServicePlan planServices(const config::Configuration &Config, std::string_view Domain,
                          std::span<const jobs::Job> Existing,
-                         const std::function<bool(const config::Service &)> &RunsElsewhere);
+                         const std::function<bool(const config::Service &)> &RunsInOtherDomain);
 
 } // namespace masticdrift::cell
 
--- a/include/masticdrift/cell/WorkerLease.h
+++ b/include/masticdrift/cell/WorkerLease.h
@@ -12,18 +12,20 @@
 namespace masticdrift::cell {
 
 struct WorkerLeaseTiming {
-  core::Duration Ttl_ = core::Millis(10'000);    ///< lease that one renewal grants
-  core::Duration Renew_ = core::Millis(3'333);   ///< between renewals
-  core::Duration Timeout_ = core::Millis(2'000); ///< of one exchange
-  core::Duration Margin_ = core::Millis(500);    ///< for clock drift and pauses
+  core::Duration Ttl_ = core::Millis(10'000);           ///< lease that one renewal grants
+  core::Duration RenewInterval_ = core::Millis(3'333);  ///< between renewals
+  core::Duration RequestTimeout_ = core::Millis(2'000); ///< of one exchange
+  core::Duration SafetyMargin_ = core::Millis(500);     ///< for clock drift and pauses
 };
 
 /// Lease of one worker as its owner sees it. Plain data; see the functions below.
 struct WorkerLease {
-  std::string Boot_; ///< generation of the lease; a new one means that all earlier tasks have ended
-  core::TimePoint Since_{};                     ///< when this owner first dealt with the worker
-  std::optional<core::TimePoint> AnsweredSent_; ///< send time of the last renewal that was answered
-  std::optional<core::TimePoint> LastSent_;     ///< send time of the last renewal
+  std::string
+      Generation_; ///< generation of the lease; a new one means that all earlier tasks have ended
+  core::TimePoint FirstContact_{}; ///< when this owner first dealt with the worker
+  std::optional<core::TimePoint>
+      LastAnsweredSentAt_;                    ///< send time of the last renewal that was answered
+  std::optional<core::TimePoint> LastSentAt_; ///< send time of the last renewal
   bool InFlight_ = false;
 };
 
@@ -34,10 +36,10 @@
 bool shouldRenew(const WorkerLease &Lease, const WorkerLeaseTiming &Timing, core::TimePoint Now);
 
 /// \returns true when the worker has certainly stopped all tasks of the last known generation.
-bool certainlyEnded(const WorkerLease &Lease, const WorkerLeaseTiming &Timing, core::TimePoint Now);
+bool hasExpired(const WorkerLease &Lease, const WorkerLeaseTiming &Timing, core::TimePoint Now);
 
 /// \returns true when the worker may get new tasks: it answered within its lease.
-bool usable(const WorkerLease &Lease, const WorkerLeaseTiming &Timing, core::TimePoint Now);
+bool isUsable(const WorkerLease &Lease, const WorkerLeaseTiming &Timing, core::TimePoint Now);
 
 } // namespace masticdrift::cell
 
--- a/include/masticdrift/ownership/ClaimTable.h
+++ b/include/masticdrift/ownership/ClaimTable.h
@@ -31,11 +31,11 @@
   /// Offset of the last valid Claim, Renew or Release, or of the last record that removed a
   /// member. Removals count because a consent given by a removed member must not be used any more.
   std::uint64_t Version_ = 0;
-  std::uint64_t MemberOffset_ = 0; ///< prefix that the owner is known to have read
-  std::uint64_t ReadTo_ = 0;       ///< last offset applied
-  bool Released_ = false;          ///< the last owner released the lease
+  std::uint64_t OwnerReadOffset_ = 0; ///< prefix that the owner is known to have read
+  std::uint64_t AppliedOffset_ = 0;   ///< last offset applied
+  bool Released_ = false;             ///< the last owner released the lease
   std::map<std::string, DomainMember> Members_;
-  MSGPACK_DEFINE_ARRAY(Term_, Owner_, OwnerIncarnation_, Version_, MemberOffset_, ReadTo_,
+  MSGPACK_DEFINE_ARRAY(Term_, Owner_, OwnerIncarnation_, Version_, OwnerReadOffset_, AppliedOffset_,
                        Released_, Members_)
   bool operator==(const ClaimState &) const = default;
 };
@@ -44,7 +44,7 @@
 enum class ClaimEvent { Ignored, MembersChanged, Claimed, Renewed, Released };
 
 /// Result of applying one record.
-struct Applied {
+struct ApplyResult {
   ClaimEvent Event_ = ClaimEvent::Ignored;
   bool VersionChanged_ = false;
   std::string Instance_;          ///< author of a Claim, Renew or Release
@@ -59,7 +59,7 @@
   explicit ClaimTable(bool CheckVersion = true) : CheckVersion_(CheckVersion) {}
 
   /// Applies one record. Records of other types and malformed ones only advance the position.
-  Applied apply(std::uint64_t Offset, journal::RecordType Type, std::string_view Body);
+  ApplyResult apply(std::uint64_t Offset, journal::RecordType Type, std::string_view Body);
 
   const ClaimState &state() const { return State_; }
   void restore(ClaimState State) { State_ = std::move(State); }
@@ -69,11 +69,11 @@
 
   /// Members of which one has to consent before \p Instance may claim.
   ///
-  /// The owner's member view is at least the prefix MemberOffset_. Any view that the owner can
+  /// The owner's member view is at least the prefix OwnerReadOffset_. Any view that the owner can
   /// have contains all members that joined in that prefix, or, when none is left of them, the
   /// member that joined first (an owner without other members cannot use promises).
   /// \returns an empty list when \p Instance is such a member itself or no consent is needed.
-  std::vector<std::string> consenters(std::string_view Instance) const;
+  std::vector<std::string> requiredConsenters(std::string_view Instance) const;
 
 private:
   bool CheckVersion_;
--- a/include/masticdrift/ownership/OwnerLease.h
+++ b/include/masticdrift/ownership/OwnerLease.h
@@ -21,25 +21,25 @@
 public:
   explicit OwnerLease(core::Duration Length) : Length_(Length) {}
 
-  /// Starts a term whose claim was sent at \p Sent.
-  void begin(std::uint64_t Term, core::TimePoint Sent);
+  /// Starts a term whose claim was sent at \p SentAt.
+  void beginTerm(std::uint64_t Term, core::TimePoint SentAt);
 
   /// Ends the term.
-  void end();
+  void endTerm();
 
-  /// A renewal that was sent at \p Sent has been read back.
-  void confirm(core::TimePoint Sent);
+  /// A renewal that was sent at \p SentAt has been read back.
+  void confirmRenewal(core::TimePoint SentAt);
 
-  /// \p From promised in reply to a probe sent at \p Sent.
-  void promised(const MemberId &From, std::uint64_t Term, core::TimePoint Sent);
+  /// \p Member promised in reply to a probe sent at \p SentAt.
+  void addPromise(const MemberId &Member, std::uint64_t Term, core::TimePoint SentAt);
 
   /// Extends the lease to the oldest of the latest promises plus the length, if all members of
   /// the view promised.
   ///
   /// \param View all other members, from the last read of the stream.
-  /// \param Leaving members whose eviction has been sent and not read back; at least one member
+  /// \param Evicting members whose eviction has been sent and not read back; at least one member
   /// of the view must be outside it, since a claimant may already have read the eviction.
-  void applyPromises(const std::set<MemberId> &View, const std::set<MemberId> &Leaving);
+  void applyPromises(const std::set<MemberId> &View, const std::set<MemberId> &Evicting);
 
   /// \returns whether the lease is held at \p Now.
   bool holds(core::TimePoint Now) const { return Term_ != 0 && Now < Until_; }
--- a/include/masticdrift/ownership/OwnershipDriver.h
+++ b/include/masticdrift/ownership/OwnershipDriver.h
@@ -24,21 +24,23 @@
   std::string Instance_;
   std::uint64_t Incarnation_ = 0; ///< rises with every start of the instance
   std::string Address_;           ///< "host:port" of the peer port
-  core::Duration Lease_ = core::Millis(4000);
-  core::Duration Margin_ = core::Millis(500); ///< for clock drift and pauses
-  core::Duration RenewEvery_ = core::Millis(1000);
+  core::Duration LeaseDuration_ = core::Millis(4000);
+  core::Duration SafetyMargin_ = core::Millis(500); ///< for clock drift and pauses
+  core::Duration RenewInterval_ = core::Millis(1000);
   core::Duration YieldAfter_ = core::Millis(10000);
-  core::Duration YieldMemberAge_ = core::Millis(3000); ///< a member with a younger read is better
+  core::Duration MaxYieldTargetReadAge_ =
+      core::Millis(3000); ///< a member with a younger read is better
   core::Duration EvictAfter_ = core::Millis(30000);
-  core::Duration LongestDeadline_ = core::Millis(5000);
+  core::Duration MaxRequestDeadline_ = core::Millis(5000);
   core::Duration SlotGrace_ = core::Millis(250);
-  core::Duration ClaimReadAge_ = core::Millis(2000); ///< a claimant has read the stream so recently
-  core::Duration RetryAfter_ = core::Millis(1000);   ///< before an unanswered append is repeated
+  core::Duration MaxClaimReadAge_ =
+      core::Millis(2000); ///< a claimant has read the stream so recently
+  core::Duration RetryInterval_ = core::Millis(1000); ///< before an unanswered append is repeated
   /// The following are false only in tests that show what each mechanism prevents.
   bool CheckVersion_ = true;
   bool HonourPromises_ = true;
   bool BlockWhileClaimOpen_ = true;
-  bool AskConsent_ = true;
+  bool RequireConsent_ = true;
 };
 
 /// Connections to the rest of the daemon. All are called without the driver's lock held, from the
@@ -53,16 +55,16 @@
   /// Sends a ConsentRequest to a member; the callback gets the answer or nothing.
   std::function<void(const std::string &Member, const protocol::ConsentRequest &,
                      std::function<void(std::optional<protocol::Consent>)>)>
-      AskConsent_;
+      RequestConsent_;
   /// How long a member has not replied; nothing when unknown.
   std::function<std::optional<core::Duration>(const std::string &Member, core::TimePoint Now)>
-      MissedFor_;
+      TimeSinceReply_;
   /// Age of a member's last read of the store; nothing when unknown.
   std::function<std::optional<core::Duration>(const std::string &Member, core::TimePoint Now)>
-      StoreAge_;
+      StoreReadAge_;
   /// Whether the platform has terminated an instance for good. Without an owner, any member evicts
   /// such instances, since otherwise a domain whose instances were all replaced had no consenter.
-  std::function<bool(const std::string &Member)> IsGone_;
+  std::function<bool(const std::string &Member)> IsTerminated_;
   /// This daemon won \p Term and holds its lease; executor slots may be used from \p SlotsFreeAt
   /// on. holds() is false until it has returned. The two callbacks are called in order, one at a
   /// time, and must not call onRecord(), tick() or finishStop().
@@ -109,7 +111,7 @@
   bool holds(core::TimePoint Now) const;
 
   /// \returns the end of the lease; the clock's epoch when no term is owned.
-  core::TimePoint leaseUntil() const;
+  core::TimePoint leaseEnd() const;
 
   /// \returns the term that this daemon owns, 0 for none.
   std::uint64_t ownTerm() const;
@@ -129,7 +131,7 @@
 
   /// \returns whether the records of finishStop() have been read back. Without the store this stays
   /// false; the caller bounds the wait, and the instance is evicted later.
-  bool left() const;
+  bool hasLeft() const;
 
 private:
   struct Impl;
--- a/include/masticdrift/ownership/PromiseBook.h
+++ b/include/masticdrift/ownership/PromiseBook.h
@@ -11,16 +11,16 @@
 namespace masticdrift::ownership {
 
 /// Keeps the promise of one member incarnation. Pure; all times are passed in.
-class PromiseBook {
+class PromiseTracker {
 public:
   /// \param Length how long a promise lasts on this member's clock, margin included.
-  explicit PromiseBook(core::Duration Length) : Length_(Length) {}
+  explicit PromiseTracker(core::Duration Length) : Length_(Length) {}
 
   /// Promises not to claim until Now + length.
   ///
   /// \param Version claim version that the asking owner has read.
   /// \returns false while a claim or a consent on that version or a later one is open.
-  bool promise(std::uint64_t Version, core::TimePoint Now);
+  bool grant(std::uint64_t Version, core::TimePoint Now);
 
   /// \returns whether no promise is running.
   bool expired(core::TimePoint Now) const { return !Until_ || Now >= *Until_; }
@@ -30,20 +30,20 @@
 
   /// Refuses promises to owners that have read no further than \p Version: a claim that names it
   /// was sent by this member, or with its consent, and can still take effect.
-  void block(std::uint64_t Version);
+  void blockVersion(std::uint64_t Version);
 
   /// Refuses all promises from now on; the member is about to leave.
-  void close() { Closed_ = true; }
+  void refuseAll() { RefusesAll_ = true; }
 
   /// \returns the version on which a claim or consent may be open, 0 for none.
-  std::uint64_t blockedAt() const { return Blocked_; }
+  std::uint64_t blockedVersion() const { return BlockedVersion_; }
 
 private:
   core::Duration Length_;
   std::optional<core::TimePoint> Until_;
-  std::uint64_t Blocked_ = 0;
-  bool HasBlock_ = false;
-  bool Closed_ = false;
+  std::uint64_t BlockedVersion_ = 0;
+  bool HasBlockedVersion_ = false;
+  bool RefusesAll_ = false;
 };
 
 } // namespace masticdrift::ownership
--- a/include/masticdrift/ownership/Records.h
+++ b/include/masticdrift/ownership/Records.h
@@ -49,9 +49,9 @@
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
   std::uint64_t Term_ = 0;
-  std::uint64_t MemberOffset_ = 0; ///< offset up to which the owner had read
+  std::uint64_t OwnerReadOffset_ = 0; ///< offset up to which the owner had read
   std::uint64_t Nonce_ = 0;
-  MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_, Term_, MemberOffset_, Nonce_)
+  MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_, Term_, OwnerReadOffset_, Nonce_)
 };
 
 /// The owner gives the lease up after its last request has ended.
--- a/src/cell/DomainStream.cpp
+++ b/src/cell/DomainStream.cpp
@@ -14,11 +14,11 @@
 
 using core::TimePoint;
 
-constexpr core::Millis OwnershipTick{100};
+constexpr core::Millis OwnershipTickInterval{100};
 constexpr std::string_view OwnershipSection = "ownership";
 constexpr std::string_view JobsSection = "jobs";
 /// A new owner that has seen no snapshot writes one after this time.
-constexpr core::Duration FirstSnapshotAfter = std::chrono::minutes(5);
+constexpr core::Duration MaxFirstSnapshotDelay = std::chrono::minutes(5);
 
 } // namespace
 
@@ -31,71 +31,71 @@
         Tailer_(tailerOptions(Options_), journal::readFrom(Log, Options_.Stream_), Timers,
                 tailerHooks()) {}
 
-  static journal::AppenderOptions appenderOptions(const DomainStreamOptions &From) {
-    journal::AppenderOptions To;
-    To.Stream_ = From.Stream_;
-    To.Writer_ = From.Ownership_.Instance_;
-    To.Incarnation_ = From.Ownership_.Incarnation_;
-    To.CloseAfter_ = From.BatchClose_;
-    To.AppendsPerSecond_ = From.AppendsPerSecond_;
-    return To;
+  static journal::AppenderOptions appenderOptions(const DomainStreamOptions &Options) {
+    journal::AppenderOptions Result;
+    Result.Stream_ = Options.Stream_;
+    Result.Writer_ = Options.Ownership_.Instance_;
+    Result.Incarnation_ = Options.Ownership_.Incarnation_;
+    Result.CloseAfter_ = Options.BatchCloseDelay_;
+    Result.AppendsPerSecond_ = Options.AppendsPerSecond_;
+    return Result;
   }
 
-  static journal::TailerOptions tailerOptions(const DomainStreamOptions &From) {
-    journal::TailerOptions To;
-    To.Stream_ = From.Stream_;
-    To.Interval_ = From.Poll_;
-    return To;
+  static journal::TailerOptions tailerOptions(const DomainStreamOptions &Options) {
+    journal::TailerOptions Result;
+    Result.Stream_ = Options.Stream_;
+    Result.Interval_ = Options.PollInterval_;
+    return Result;
   }
 
   ownership::OwnershipHooks ownershipHooks() {
-    ownership::OwnershipHooks To;
-    To.Append_ = [this](auto Entries, auto Done) {
+    ownership::OwnershipHooks Hooks;
+    Hooks.Append_ = [this](auto Entries, auto Done) {
       Appender_.append(std::move(Entries), std::move(Done));
     };
-    To.ReadNow_ = [this] { Tailer_.readNow(); };
-    To.AskConsent_ = Hooks_.AskConsent_;
-    To.MissedFor_ = Hooks_.MissedFor_;
-    To.StoreAge_ = Hooks_.StoreAge_;
-    To.IsGone_ = Hooks_.IsGone_;
-    To.OnAcquired_ = [this](std::uint64_t Term, TimePoint SlotsFreeAt) {
+    Hooks.ReadNow_ = [this] { Tailer_.readNow(); };
+    Hooks.RequestConsent_ = Hooks_.RequestConsent_;
+    Hooks.TimeSinceReply_ = Hooks_.TimeSinceReply_;
+    Hooks.StoreReadAge_ = Hooks_.StoreReadAge_;
+    Hooks.IsTerminated_ = Hooks_.IsTerminated_;
+    Hooks.OnAcquired_ = [this](std::uint64_t Term, TimePoint SlotsFreeAt) {
       AcquiredAt_ = core::Clock::now();
       Hooks_.OnAcquired_(Term, SlotsFreeAt);
     };
-    To.OnLost_ = Hooks_.OnLost_;
-    return To;
+    Hooks.OnLost_ = Hooks_.OnLost_;
+    return Hooks;
   }
 
   journal::TailerHooks tailerHooks() {
-    journal::TailerHooks To;
-    To.Entry_ = [this](std::uint64_t Offset, std::uint32_t, const journal::BatchInfo &,
-                       const journal::Entry &Record) { replay(Offset, Record); };
-    To.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
+    journal::TailerHooks Hooks;
+    Hooks.Entry_ = [this](std::uint64_t Offset, std::uint32_t, const journal::BatchInfo &,
+                          const journal::Entry &Record) { replay(Offset, Record); };
+    Hooks.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
       Appender_.observed(Info, Offset);
     };
-    To.CaughtUp_ = [this] { caughtUp(); };
-    To.Gap_ = [this](const journal::Gap &Missing) {
+    Hooks.CaughtUp_ = [this] { onCaughtUp(); };
+    Hooks.Gap_ = [this](const journal::Gap &Gap) {
       core::log(core::LogLevel::Error, "records expired before they were read",
                 {{"stream", Options_.Stream_},
-                 {"needed", std::to_string(Missing.Needed_)},
-                 {"first", std::to_string(Missing.First_)}});
+                 {"needed", std::to_string(Gap.Needed_)},
+                 {"first", std::to_string(Gap.First_)}});
     };
-    To.LoadSnapshot_ = [this](const journal::SnapshotBody &Body, std::uint64_t) {
-      return load(Body);
+    Hooks.LoadSnapshot_ = [this](const journal::SnapshotBody &Body, std::uint64_t) {
+      return loadSnapshot(Body);
     };
-    return To;
+    return Hooks;
   }
 
   void replay(std::uint64_t Offset, const journal::Entry &Record) {
     Ownership_.onRecord(Offset, Record.Type_, Record.Body_, core::Clock::now());
     if (Record.Type_ == journal::RecordType::Claim)
       Term_ = Ownership_.state().Term_;
-    const jobs::Change What = Jobs_.apply(Record, Offset, Term_);
-    if (What.Kind_ != jobs::ChangeKind::None)
-      Hooks_.OnChange_(What);
+    const jobs::Change Change = Jobs_.apply(Record, Offset, Term_);
+    if (Change.Kind_ != jobs::ChangeKind::None)
+      Hooks_.OnChange_(Change);
   }
 
-  bool load(const journal::SnapshotBody &Body) {
+  bool loadSnapshot(const journal::SnapshotBody &Body) {
     const auto Ownership = Body.section(OwnershipSection);
     const auto Jobs = Body.section(JobsSection);
     if (!Ownership || !Jobs)
@@ -108,20 +108,20 @@
     return true;
   }
 
-  void caughtUp() {
+  void onCaughtUp() {
     const auto AsOf = Tailer_.completeAsOf();
     if (!AsOf)
       return;
     Ownership_.onReadComplete(*AsOf);
-    std::list<Barrier> Ready;
-    for (auto Place = Barriers_.begin(); Place != Barriers_.end();) {
-      const auto Next = std::next(Place);
-      if (Place->Since_ <= *AsOf)
-        Ready.splice(Ready.end(), Barriers_, Place);
-      Place = Next;
+    std::list<Barrier> Passed;
+    for (auto It = Barriers_.begin(); It != Barriers_.end();) {
+      const auto Next = std::next(It);
+      if (It->RequestedAt_ <= *AsOf)
+        Passed.splice(Passed.end(), Barriers_, It);
+      It = Next;
     }
-    for (Barrier &One : Ready)
-      One.Done_({});
+    for (Barrier &Reader : Passed)
+      Reader.Done_({});
     writeSnapshotIfDue();
   }
 
@@ -129,51 +129,52 @@
     const TimePoint Now = core::Clock::now();
     if (!Ownership_.holds(Now) || SnapshotInFlight_)
       return;
-    const auto Seen = Tailer_.lastSnapshot();
-    if (Seen && Seen->Offset_ != SeenSnapshot_) {
-      SeenSnapshot_ = Seen->Offset_;
-      SnapshotAt_ = Now;
+    const auto LastSnapshot = Tailer_.lastSnapshot();
+    if (LastSnapshot && LastSnapshot->Offset_ != LastSnapshotOffset_) {
+      LastSnapshotOffset_ = LastSnapshot->Offset_;
+      LastSnapshotAt_ = Now;
     }
-    const TimePoint Due = SnapshotAt_
-                              ? *SnapshotAt_ + Options_.Retention_ / 2
-                              : AcquiredAt_ + std::min(FirstSnapshotAfter, Options_.Retention_ / 8);
+    const TimePoint Due =
+        LastSnapshotAt_ ? *LastSnapshotAt_ + Options_.Retention_ / 2
+                        : AcquiredAt_ + std::min(MaxFirstSnapshotDelay, Options_.Retention_ / 8);
     if (Now < Due)
       return;
     SnapshotInFlight_ = true;
-    SnapshotAt_ = Now;
-    const journal::Position At = Tailer_.position();
+    LastSnapshotAt_ = Now;
+    const journal::Position Position = Tailer_.position();
     journal::SnapshotBody Body;
-    Body.Sequences_ = At.Sequences_;
+    Body.Sequences_ = Position.Sequences_;
     Body.Sections_.emplace_back(OwnershipSection, core::pack(Ownership_.state()));
     Body.Sections_.emplace_back(JobsSection, Jobs_.encode());
-    auto Parts =
-        journal::splitSnapshot(journal::RecordType::Snapshot, At.NextOffset_ - 1, core::pack(Body));
+    auto Parts = journal::splitSnapshot(journal::RecordType::Snapshot, Position.NextOffset_ - 1,
+                                        core::pack(Body));
     core::log(core::LogLevel::Info, "writing snapshot",
               {{"stream", Options_.Stream_},
-               {"base", std::to_string(At.NextOffset_ - 1)},
+               {"base", std::to_string(Position.NextOffset_ - 1)},
                {"parts", std::to_string(Parts.size())}});
-    for (std::size_t I = 0; I < Parts.size(); ++I)
-      Appender_.append({std::move(Parts[I])},
-                       [this, Last = I + 1 == Parts.size()](std::error_code, std::uint64_t) {
-                         if (Last)
-                           SnapshotInFlight_ = false;
-                       });
+    for (std::size_t PartIndex = 0; PartIndex < Parts.size(); ++PartIndex)
+      Appender_.append(
+          {std::move(Parts[PartIndex])},
+          [this, IsLast = PartIndex + 1 == Parts.size()](std::error_code, std::uint64_t) {
+            if (IsLast)
+              SnapshotInFlight_ = false;
+          });
   }
 
   void barrier(core::Duration Timeout, std::function<void(std::error_code)> Done) {
     Timers_.post([Self = shared_from_this(), Timeout, Done = std::move(Done)]() mutable {
-      const std::uint64_t Id = ++Self->NextBarrier_;
+      const std::uint64_t Id = ++Self->LastBarrierId_;
       Self->Barriers_.push_back({Id, core::Clock::now(), std::move(Done)});
       Self->Tailer_.readNow();
-      Self->Timers_.after(Timeout, [Self, Id] { Self->expire(Id); });
+      Self->Timers_.after(Timeout, [Self, Id] { Self->expireBarrier(Id); });
     });
   }
 
-  void expire(std::uint64_t Id) {
-    for (auto Place = Barriers_.begin(); Place != Barriers_.end(); ++Place)
-      if (Place->Id_ == Id) {
-        const auto Done = std::move(Place->Done_);
-        Barriers_.erase(Place);
+  void expireBarrier(std::uint64_t Id) {
+    for (auto It = Barriers_.begin(); It != Barriers_.end(); ++It)
+      if (It->Id_ == Id) {
+        const auto Done = std::move(It->Done_);
+        Barriers_.erase(It);
         return Done(core::ErrorKind::StoreUnavailable);
       }
   }
@@ -181,7 +182,7 @@
   /// A reader that waits for replay to pass the moment of its call.
   struct Barrier {
     std::uint64_t Id_;
-    TimePoint Since_;
+    TimePoint RequestedAt_;
     std::function<void(std::error_code)> Done_;
   };
 
@@ -195,10 +196,10 @@
   // Only the timer thread uses the members below.
   std::uint64_t Term_ = 0; ///< in force at the last replayed record
   std::list<Barrier> Barriers_;
-  std::uint64_t NextBarrier_ = 0;
+  std::uint64_t LastBarrierId_ = 0;
   TimePoint AcquiredAt_{};
-  std::optional<TimePoint> SnapshotAt_;
-  std::uint64_t SeenSnapshot_ = 0;
+  std::optional<TimePoint> LastSnapshotAt_;
+  std::uint64_t LastSnapshotOffset_ = 0;
   bool SnapshotInFlight_ = false;
 };
 
@@ -210,7 +211,7 @@
 
 void DomainStream::start() {
   Impl_->Tailer_.start();
-  Impl_->Timers_.every(OwnershipTick, [Weak = std::weak_ptr(Impl_)] {
+  Impl_->Timers_.every(OwnershipTickInterval, [Weak = std::weak_ptr(Impl_)] {
     if (const auto Self = Weak.lock())
       Self->Ownership_.tick(core::Clock::now());
   });
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -20,17 +20,17 @@
 
 /// A read waits this long for replay to pass the moment of the query; then it is answered from what
 /// is known.
-constexpr core::Millis ReadBarrier{1'000};
+constexpr core::Millis ReadBarrierTimeout{1'000};
 /// A query to another domain's daemon.
 constexpr core::Millis QueryTimeout{2'500};
 /// Tasks listed in full in a status answer.
-constexpr std::size_t MostTasksListed = 200;
+constexpr std::size_t MaxTasksListed = 200;
 
 std::string dump(const Json &Value) {
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::string_view reasonName(policy::WaitReason Reason) {
+std::string_view waitReasonName(policy::WaitReason Reason) {
   switch (Reason) {
   case policy::WaitReason::NotWaiting:
     return "not_waiting";
@@ -56,38 +56,38 @@
   return "unknown";
 }
 
-Json taskJson(const jobs::Task &One, std::size_t Number) {
-  Json To{{"task", Number}, {"state", jobs::nameOf(One.State_)}, {"attempt", One.Attempt_}};
-  if (!One.Worker_.empty())
-    To["worker"] = One.Worker_;
-  if (One.ExitCode_ != 0)
-    To["exit"] = One.ExitCode_;
-  if (!One.Reason_.empty())
-    To["reason"] = One.Reason_;
-  return To;
+Json taskJson(const jobs::Task &Task, std::size_t Index) {
+  Json Result{{"task", Index}, {"state", jobs::nameOf(Task.State_)}, {"attempt", Task.Attempt_}};
+  if (!Task.Worker_.empty())
+    Result["worker"] = Task.Worker_;
+  if (Task.ExitCode_ != 0)
+    Result["exit"] = Task.ExitCode_;
+  if (!Task.Reason_.empty())
+    Result["reason"] = Task.Reason_;
+  return Result;
 }
 
-Json jobJson(const jobs::Job &Of) {
-  Json To{{"id", Of.Spec_->Id_},
-          {"team", Of.Spec_->Team_},
-          {"queue", Of.Spec_->Queue_},
-          {"kind", jobs::nameOf(Of.Spec_->Kind_)},
-          {"state", jobs::nameOf(Of.State_)},
-          {"accepted_ms", Of.Spec_->AcceptedWallMs_}};
-  if (Of.CancelRequested_)
-    To["cancelled_by"] = Of.CancelledBy_;
+Json jobJson(const jobs::Job &Job) {
+  Json Result{{"id", Job.Spec_->Id_},
+              {"team", Job.Spec_->Team_},
+              {"queue", Job.Spec_->Queue_},
+              {"kind", jobs::nameOf(Job.Spec_->Kind_)},
+              {"state", jobs::nameOf(Job.State_)},
+              {"accepted_ms", Job.Spec_->AcceptedWallMs_}};
+  if (Job.CancelRequested_)
+    Result["cancelled_by"] = Job.CancelledBy_;
   std::map<std::string_view, std::size_t> Counts;
-  for (const jobs::Task &One : Of.Tasks_)
-    ++Counts[jobs::nameOf(One.State_)];
-  To["task_counts"] = Counts;
+  for (const jobs::Task &Task : Job.Tasks_)
+    ++Counts[jobs::nameOf(Task.State_)];
+  Result["task_counts"] = Counts;
   Json Tasks = Json::array();
-  for (std::size_t I = 0; I < std::min(Of.Tasks_.size(), MostTasksListed); ++I)
-    Tasks.push_back(taskJson(Of.Tasks_[I], I));
-  To["tasks"] = std::move(Tasks);
-  return To;
+  for (std::size_t I = 0; I < std::min(Job.Tasks_.size(), MaxTasksListed); ++I)
+    Tasks.push_back(taskJson(Job.Tasks_[I], I));
+  Result["tasks"] = std::move(Tasks);
+  return Result;
 }
 
-core::Failure failureOf(std::error_code Error) {
+core::Failure appendFailure(std::error_code Error) {
   const ErrorKind Kind = core::kindOf(Error);
   if (Kind == ErrorKind::None)
     return {};
@@ -102,65 +102,68 @@
                             std::string_view RequestId) {
   std::string_view Best;
   XXH64_hash_t BestHash = 0;
-  for (const config::Domain &One : Domains) {
-    const std::string Key = One.Name_ + '\0' + std::string(Team) + '\0' + std::string(RequestId);
+  for (const config::Domain &Candidate : Domains) {
+    const std::string Key =
+        Candidate.Name_ + '\0' + std::string(Team) + '\0' + std::string(RequestId);
     const XXH64_hash_t Hash = XXH3_64bits(Key.data(), Key.size());
     if (Best.empty() || Hash > BestHash) {
-      Best = One.Name_;
+      Best = Candidate.Name_;
       BestHash = Hash;
     }
   }
   return Best;
 }
 
-std::string streamOf(std::string_view Domain) { return "domain." + std::string(Domain); }
+std::string domainStreamName(std::string_view Domain) { return "domain." + std::string(Domain); }
 
-std::string_view domainOf(std::string_view JobId) {
+std::string_view domainOfJob(std::string_view JobId) {
   const std::size_t Slash = JobId.find('/');
   return Slash == std::string_view::npos ? std::string_view() : JobId.substr(0, Slash);
 }
 
 struct JobService::Impl : std::enable_shared_from_this<Impl> {
-  Impl(JobServiceOptions Options, DomainStream &Own, const Controller &Cell, legacy::LogClient &Log,
-       core::Timers &Timers, protocol::Link &Peers, const membership::PeerTable &Table)
-      : Options_(std::move(Options)), Own_(Own), Cell_(Cell), Log_(Log), Timers_(Timers),
-        Peers_(Peers), Table_(Table) {}
+  Impl(JobServiceOptions Options, DomainStream &OwnStream, const Controller &DomainController,
+       legacy::LogClient &Log, core::Timers &Timers, protocol::Link &PeerLink,
+       const membership::PeerTable &PeerTable)
+      : Options_(std::move(Options)), OwnStream_(OwnStream), Controller_(DomainController),
+        Log_(Log), Timers_(Timers), PeerLink_(PeerLink), PeerTable_(PeerTable) {}
 
   void append(std::string_view Domain, std::vector<journal::Entry> Entries,
               std::function<void(std::error_code, std::uint64_t)> Done) {
     if (Domain == Options_.Domain_)
-      return Own_.append(std::move(Entries), std::move(Done));
-    appenderOf(Domain).append(
+      return OwnStream_.append(std::move(Entries), std::move(Done));
+    appenderFor(Domain).append(
         std::move(Entries), [Self = shared_from_this(), Domain = std::string(Domain),
                              Done = std::move(Done)](std::error_code Error, std::uint64_t Offset) {
           if (!Error)
-            Self->notify(Domain, Offset);
+            Self->notifyOwner(Domain, Offset);
           Done(Error, Offset);
         });
   }
 
   /// Other domains' streams are written rarely, so their appenders are made when needed.
-  journal::Appender &appenderOf(std::string_view Domain) {
+  journal::Appender &appenderFor(std::string_view Domain) {
     const std::lock_guard Lock(Mutex_);
-    auto &Slot = Appenders_[std::string(Domain)];
-    if (!Slot) {
-      journal::AppenderOptions To;
-      To.Stream_ = streamOf(Domain);
-      To.Writer_ = Options_.Self_;
-      To.Incarnation_ = Options_.Incarnation_;
-      To.CloseAfter_ = Options_.BatchClose_;
-      To.AppendsPerSecond_ = Options_.AppendsPerSecond_;
-      Slot = std::make_unique<journal::Appender>(To, journal::appendTo(Log_, To.Stream_), Timers_);
+    auto &Appender = Appenders_[std::string(Domain)];
+    if (!Appender) {
+      journal::AppenderOptions Options;
+      Options.Stream_ = domainStreamName(Domain);
+      Options.Writer_ = Options_.Instance_;
+      Options.Incarnation_ = Options_.Incarnation_;
+      Options.CloseAfter_ = Options_.BatchCloseDelay_;
+      Options.AppendsPerSecond_ = Options_.AppendsPerSecond_;
+      Appender = std::make_unique<journal::Appender>(
+          Options, journal::appendTo(Log_, Options.Stream_), Timers_);
     }
-    return *Slot;
+    return *Appender;
   }
 
   /// Tells the owner, so that it doesn't wait for its next poll.
-  void notify(const std::string &Domain, std::uint64_t Offset) {
-    const auto Owner = Table_.owner(Domain);
-    if (Owner && Owner->Owner_ != Options_.Self_)
-      Peers_.send(Owner->Owner_, protocol::MessageKind::Notice, 0,
-                  core::pack(protocol::Notice{streamOf(Domain), Offset}));
+  void notifyOwner(const std::string &Domain, std::uint64_t Offset) {
+    const auto Owner = PeerTable_.owner(Domain);
+    if (Owner && Owner->Owner_ != Options_.Instance_)
+      PeerLink_.send(Owner->Owner_, protocol::MessageKind::Notice, 0,
+                     core::pack(protocol::Notice{domainStreamName(Domain), Offset}));
   }
 
   void accept(jobs::JobSpec Spec, JobCallback Done) {
@@ -168,11 +171,11 @@
     const std::string Team = Spec.Team_;
     const std::int64_t AcceptedMs = Spec.AcceptedWallMs_;
     Json Fallback{{"id", Id}, {"team", Team}, {"queue", Spec.Queue_}, {"state", "accepted"}};
-    append(domainOf(Id), {jobs::toEntry(jobs::Accept{std::move(Spec)})},
+    append(domainOfJob(Id), {jobs::toEntry(jobs::Accept{std::move(Spec)})},
            [Self = shared_from_this(), Id, Team, AcceptedMs, Fallback = std::move(Fallback),
             Done = std::move(Done)](std::error_code Error, std::uint64_t) {
              if (Error)
-               return Done(failureOf(Error), {});
+               return Done(appendFailure(Error), {});
              Self->reportAccepted(Id, Team, AcceptedMs, Fallback, Done);
            });
   }
@@ -196,76 +199,77 @@
               std::function<void(core::Failure)> Done) {
     std::map<std::string, std::vector<journal::Entry>, std::less<>> ByDomain;
     for (const std::string &Id : Ids)
-      ByDomain[std::string(domainOf(Id))].push_back(
+      ByDomain[std::string(domainOfJob(Id))].push_back(
           jobs::toEntry(jobs::Cancel{Id, std::string(By)}));
     if (ByDomain.empty())
       return Done({});
-    struct Wave {
-      std::atomic<std::size_t> Left_;
+    struct PendingAppends {
+      std::atomic<std::size_t> Remaining_;
       std::mutex Mutex_;
-      core::Failure First_;
+      core::Failure FirstFailure_;
     };
-    auto All = std::make_shared<Wave>();
-    All->Left_ = ByDomain.size();
+    auto Pending = std::make_shared<PendingAppends>();
+    Pending->Remaining_ = ByDomain.size();
     for (auto &[Domain, Entries] : ByDomain)
-      append(Domain, std::move(Entries), [All, Done](std::error_code Error, std::uint64_t) {
+      append(Domain, std::move(Entries), [Pending, Done](std::error_code Error, std::uint64_t) {
         {
-          const std::lock_guard Lock(All->Mutex_);
-          if (Error && !All->First_)
-            All->First_ = failureOf(Error);
+          const std::lock_guard Lock(Pending->Mutex_);
+          if (Error && !Pending->FirstFailure_)
+            Pending->FirstFailure_ = appendFailure(Error);
         }
-        if (--All->Left_ == 0)
-          Done(All->First_);
+        if (--Pending->Remaining_ == 0)
+          Done(Pending->FirstFailure_);
       });
   }
 
   void status(std::string_view Id, std::string_view Team, JobCallback Done) {
-    if (domainOf(Id) == Options_.Domain_)
+    if (domainOfJob(Id) == Options_.Domain_)
       return localStatus(std::string(Id), std::string(Team), std::move(Done));
-    query(std::string(domainOf(Id)), {{"op", "status"}, {"id", Id}, {"team", Team}},
+    query(std::string(domainOfJob(Id)), {{"op", "status"}, {"id", Id}, {"team", Team}},
           std::move(Done));
   }
 
   void localStatus(std::string Id, std::string Team, JobCallback Done) {
-    Own_.barrier(ReadBarrier,
-                 [Self = shared_from_this(), Id = std::move(Id), Team = std::move(Team),
-                  Done = std::move(Done)](std::error_code Stale) {
-                   const auto Job = Self->Own_.jobs().find(Id);
-                   if (!Job || (!Team.empty() && Job->Spec_->Team_ != Team))
-                     return Done({ErrorKind::UnknownJob, "job \"" + Id + "\" does not exist"}, {});
-                   Json To = jobJson(*Job);
-                   if (Stale)
-                     To["stale"] = true; // the store is away: the state is as of the last read
-                   Self->explainIfWaiting(*Job, std::move(To), Done);
-                 });
+    OwnStream_.barrier(ReadBarrierTimeout, [Self = shared_from_this(), Id = std::move(Id),
+                                            Team = std::move(Team),
+                                            Done = std::move(Done)](std::error_code BarrierError) {
+      const auto Job = Self->OwnStream_.jobs().find(Id);
+      if (!Job || (!Team.empty() && Job->Spec_->Team_ != Team))
+        return Done({ErrorKind::UnknownJob, "job \"" + Id + "\" does not exist"}, {});
+      Json Result = jobJson(*Job);
+      if (BarrierError)
+        Result["stale"] = true; // the store is away: the state is as of the last read
+      Self->explainIfWaiting(*Job, std::move(Result), Done);
+    });
   }
 
   /// The owner adds why the job waits.
-  void explainIfWaiting(const jobs::Job &Job, Json To, const JobCallback &Done) {
-    if (jobs::isFinished(Job.State_) || !Own_.ownership().holds(core::Clock::now()))
-      return Done({}, dump(To));
-    Cell_.explain(Job.Spec_->Id_,
-                  [To = std::move(To), Done](const policy::Explanation &Why) mutable {
-                    addExplanation(To, Why);
-                    Done({}, dump(To));
-                  });
+  void explainIfWaiting(const jobs::Job &Job, Json Result, const JobCallback &Done) {
+    if (jobs::isFinished(Job.State_) || !OwnStream_.ownership().holds(core::Clock::now()))
+      return Done({}, dump(Result));
+    Controller_.explain(Job.Spec_->Id_, [Result = std::move(Result),
+                                         Done](const policy::Explanation &Explanation) mutable {
+      addExplanation(Result, Explanation);
+      Done({}, dump(Result));
+    });
   }
 
-  static void addExplanation(Json &To, const policy::Explanation &Why) {
-    if (Why.Reason_ == policy::WaitReason::NotWaiting)
+  static void addExplanation(Json &Result, const policy::Explanation &Explanation) {
+    if (Explanation.Reason_ == policy::WaitReason::NotWaiting)
       return;
-    Json Part{{"reason", reasonName(Why.Reason_)}, {"text", Why.Text_}};
-    if (Why.Tasks_ > 1)
-      Part["fitting_tasks"] = Why.FittingTasks_;
-    if (Why.EstimatedStart_)
-      Part["estimated_start_in_ms"] = core::toMillis(*Why.EstimatedStart_ - core::Clock::now());
-    To["waits_for"] = std::move(Part);
+    Json WaitJson{{"reason", waitReasonName(Explanation.Reason_)}, {"text", Explanation.Text_}};
+    if (Explanation.Tasks_ > 1)
+      WaitJson["fitting_tasks"] = Explanation.FittingTasks_;
+    if (Explanation.EstimatedStart_)
+      WaitJson["estimated_start_in_ms"] =
+          core::toMillis(*Explanation.EstimatedStart_ - core::Clock::now());
+    Result["waits_for"] = std::move(WaitJson);
   }
 
   void localList(const std::string &Team, const JobCallback &Done) const {
     Json Rows = Json::array();
-    for (const jobs::Job &One : Own_.jobs().list(Team)) {
-      Json Row = jobJson(One);
+    for (const jobs::Job &Job : OwnStream_.jobs().list(Team)) {
+      Json Row = jobJson(Job);
       Row.erase("tasks");
       Rows.push_back(std::move(Row));
     }
@@ -273,13 +277,13 @@
   }
 
   /// Asks the owner of a domain, else any other daemon of it.
-  void query(const std::string &Domain, const Json &Question, JobCallback Done) {
-    const std::string Target = daemonOf(Domain);
+  void query(const std::string &Domain, const Json &Request, JobCallback Done) {
+    const std::string Target = daemonInDomain(Domain);
     if (Target.empty())
       return Done({ErrorKind::PeerUnreachable, "no daemon of domain \"" + Domain + "\" is known"},
                   {});
-    Peers_.call(
-        Target, protocol::MessageKind::JobQuery, core::pack(protocol::JobQuery{dump(Question)}),
+    PeerLink_.call(
+        Target, protocol::MessageKind::JobQuery, core::pack(protocol::JobQuery{dump(Request)}),
         QueryTimeout,
         [Target, Done = std::move(Done)](std::error_code Error, const protocol::Envelope &Reply) {
           const auto Answer = Error ? std::nullopt : core::unpack<protocol::JobReply>(Reply.Body_);
@@ -292,76 +296,80 @@
         });
   }
 
-  std::string daemonOf(const std::string &Domain) const {
-    if (const auto Owner = Table_.owner(Domain); Owner && !Owner->Owner_.empty())
+  std::string daemonInDomain(const std::string &Domain) const {
+    if (const auto Owner = PeerTable_.owner(Domain); Owner && !Owner->Owner_.empty())
       return Owner->Owner_;
-    for (const membership::Peer &One : Table_.peers())
-      if (One.Member_.Domain_ == Domain)
-        return One.Member_.Name_;
+    for (const membership::Peer &Peer : PeerTable_.peers())
+      if (Peer.Member_.Domain_ == Domain)
+        return Peer.Member_.Name_;
     return {};
   }
 
   void list(std::string_view Team, std::span<const std::string> Domains, JobCallback Done) {
-    struct Collected {
+    struct DomainListing {
       std::mutex Mutex_;
       Json Rows_ = Json::array();
-      Json Missing_ = Json::array();
-      std::size_t Left_ = 0;
+      Json UnreachableDomains_ = Json::array();
+      std::size_t Remaining_ = 0;
     };
-    auto All = std::make_shared<Collected>();
-    All->Left_ = Domains.size();
+    auto Listing = std::make_shared<DomainListing>();
+    Listing->Remaining_ = Domains.size();
     if (Domains.empty())
       return Done({}, dump(Json{{"jobs", Json::array()}, {"unreachable_domains", Json::array()}}));
     for (const std::string &Domain : Domains) {
-      auto Part = [All, Domain, Done](const core::Failure &Error, const std::string &Text) {
-        const std::unique_lock Lock(All->Mutex_);
+      auto OnDomainAnswer = [Listing, Domain, Done](const core::Failure &Error,
+                                                    const std::string &Text) {
+        const std::unique_lock Lock(Listing->Mutex_);
         const Json Rows = Error ? Json() : Json::parse(Text, nullptr, false);
         if (Rows.is_array())
-          All->Rows_.insert(All->Rows_.end(), Rows.begin(), Rows.end());
+          Listing->Rows_.insert(Listing->Rows_.end(), Rows.begin(), Rows.end());
         else
-          All->Missing_.push_back(Domain);
-        if (--All->Left_ == 0)
-          Done({}, dump(Json{{"jobs", All->Rows_}, {"unreachable_domains", All->Missing_}}));
+          Listing->UnreachableDomains_.push_back(Domain);
+        if (--Listing->Remaining_ == 0)
+          Done({}, dump(Json{{"jobs", Listing->Rows_},
+                             {"unreachable_domains", Listing->UnreachableDomains_}}));
       };
       if (Domain == Options_.Domain_)
-        localList(std::string(Team), Part);
+        localList(std::string(Team), OnDomainAnswer);
       else
-        query(Domain, {{"op", "list"}, {"team", Team}}, Part);
+        query(Domain, {{"op", "list"}, {"team", Team}}, OnDomainAnswer);
     }
   }
 
   void onQuery(const protocol::Envelope &Message) {
     const auto Query = core::unpack<protocol::JobQuery>(Message.Body_);
-    const Json Question = Query ? Json::parse(Query->Text_, nullptr, false) : Json();
+    const Json Request = Query ? Json::parse(Query->Text_, nullptr, false) : Json();
     const auto Reply = [Self = shared_from_this(), Message](const core::Failure &Error,
                                                             const std::string &Text) {
-      const protocol::JobReply To{static_cast<std::int32_t>(Error.Kind_),
-                                  Error ? Error.Message_ : Text};
-      Self->Peers_.reply(Message, protocol::MessageKind::JobReply, core::pack(To));
+      const protocol::JobReply Answer{static_cast<std::int32_t>(Error.Kind_),
+                                      Error ? Error.Message_ : Text};
+      Self->PeerLink_.reply(Message, protocol::MessageKind::JobReply, core::pack(Answer));
     };
-    if (!Question.is_object())
+    if (!Request.is_object())
       return Reply({ErrorKind::MalformedMessage, "JobQuery is malformed"}, {});
-    const std::string Team = Question.value("team", "");
-    if (Question.value("op", "") == "list")
+    const std::string Team = Request.value("team", "");
+    if (Request.value("op", "") == "list")
       return localList(Team, Reply);
-    localStatus(Question.value("id", ""), Team, Reply);
+    localStatus(Request.value("id", ""), Team, Reply);
   }
 
   const JobServiceOptions Options_;
-  DomainStream &Own_;
-  const Controller &Cell_;
+  DomainStream &OwnStream_;
+  const Controller &Controller_;
   legacy::LogClient &Log_;
   core::Timers &Timers_;
-  protocol::Link &Peers_;
-  const membership::PeerTable &Table_;
+  protocol::Link &PeerLink_;
+  const membership::PeerTable &PeerTable_;
   std::mutex Mutex_;
   std::map<std::string, std::unique_ptr<journal::Appender>> Appenders_;
 };
 
-JobService::JobService(JobServiceOptions Options, DomainStream &Own, const Controller &Cell,
-                       legacy::LogClient &Log, core::Timers &Timers, protocol::Link &Peers,
-                       const membership::PeerTable &Table)
-    : Impl_(std::make_shared<Impl>(std::move(Options), Own, Cell, Log, Timers, Peers, Table)) {}
+JobService::JobService(JobServiceOptions Options, DomainStream &OwnStream,
+                       const Controller &DomainController, legacy::LogClient &Log,
+                       core::Timers &Timers, protocol::Link &PeerLink,
+                       const membership::PeerTable &PeerTable)
+    : Impl_(std::make_shared<Impl>(std::move(Options), OwnStream, DomainController, Log, Timers,
+                                   PeerLink, PeerTable)) {}
 
 JobService::~JobService() = default;
 
--- a/src/cell/Services.cpp
+++ b/src/cell/Services.cpp
@@ -18,119 +18,125 @@
 using ReplicaKey = std::pair<std::string, std::int64_t>;
 
 /// What exists of one replica.
-struct Generations {
-  const jobs::Job *Live_ = nullptr;
-  std::uint64_t Next_ = 0; ///< generation of the next job
+struct ReplicaJobs {
+  const jobs::Job *LiveJob_ = nullptr;
+  std::uint64_t NextGeneration_ = 0; ///< generation of the next job
 };
 
 /// Splits "service.<name>.<replica>.<generation>"; the name may contain dots.
 bool parseRequestId(std::string_view Id, ReplicaKey &Key, std::uint64_t &Generation) {
-  if (!Id.starts_with(ServicePrefix))
+  if (!Id.starts_with(ServiceRequestIdPrefix))
     return false;
-  Id.remove_prefix(ServicePrefix.size());
-  const std::size_t Last = Id.rfind('.');
-  const std::size_t Before =
-      Last == std::string_view::npos || Last == 0 ? Last : Id.rfind('.', Last - 1);
-  if (Last == std::string_view::npos || Before == std::string_view::npos || Before >= Last)
+  Id.remove_prefix(ServiceRequestIdPrefix.size());
+  const std::size_t LastDot = Id.rfind('.');
+  const std::size_t ReplicaDot =
+      LastDot == std::string_view::npos || LastDot == 0 ? LastDot : Id.rfind('.', LastDot - 1);
+  if (LastDot == std::string_view::npos || ReplicaDot == std::string_view::npos ||
+      ReplicaDot >= LastDot)
     return false;
-  const std::string_view Replica = Id.substr(Before + 1, Last - Before - 1);
-  const std::string_view Number = Id.substr(Last + 1);
-  Key.first = std::string(Id.substr(0, Before));
-  const auto First = std::from_chars(Replica.data(), Replica.data() + Replica.size(), Key.second);
-  const auto Second = std::from_chars(Number.data(), Number.data() + Number.size(), Generation);
-  return First.ec == std::errc() && Second.ec == std::errc();
+  const std::string_view ReplicaText = Id.substr(ReplicaDot + 1, LastDot - ReplicaDot - 1);
+  const std::string_view GenerationText = Id.substr(LastDot + 1);
+  Key.first = std::string(Id.substr(0, ReplicaDot));
+  const auto ReplicaResult =
+      std::from_chars(ReplicaText.data(), ReplicaText.data() + ReplicaText.size(), Key.second);
+  const auto GenerationResult = std::from_chars(
+      GenerationText.data(), GenerationText.data() + GenerationText.size(), Generation);
+  return ReplicaResult.ec == std::errc() && GenerationResult.ec == std::errc();
 }
 
-std::map<ReplicaKey, Generations> group(std::span<const jobs::Job> Existing) {
-  std::map<ReplicaKey, Generations> All;
-  for (const jobs::Job &One : Existing) {
+std::map<ReplicaKey, ReplicaJobs> groupByReplica(std::span<const jobs::Job> Existing) {
+  std::map<ReplicaKey, ReplicaJobs> Replicas;
+  for (const jobs::Job &Job : Existing) {
     ReplicaKey Key;
     std::uint64_t Generation = 0;
-    if (One.Spec_->Kind_ != jobs::JobKind::Service ||
-        !parseRequestId(One.Spec_->RequestId_, Key, Generation))
+    if (Job.Spec_->Kind_ != jobs::JobKind::Service ||
+        !parseRequestId(Job.Spec_->RequestId_, Key, Generation))
       continue;
-    Generations &Of = All[Key];
-    Of.Next_ = std::max(Of.Next_, Generation + 1);
-    if (!jobs::isFinished(One.State_))
-      Of.Live_ = &One;
+    ReplicaJobs &Replica = Replicas[Key];
+    Replica.NextGeneration_ = std::max(Replica.NextGeneration_, Generation + 1);
+    if (!jobs::isFinished(Job.State_))
+      Replica.LiveJob_ = &Job;
   }
-  return All;
+  return Replicas;
 }
 
-jobs::JobSpec specOf(const config::Service &Service, std::string_view Domain, std::int64_t Replica,
-                     std::uint64_t Generation) {
-  jobs::JobSpec To;
-  To.Team_ = Service.Team_;
-  To.Queue_ = "service";
-  To.Kind_ = jobs::JobKind::Service;
-  To.Need_ = Service.Each_;
-  To.Idempotent_ = true;
-  To.RequestId_ = std::string(ServicePrefix) + Service.Name_ + "." + std::to_string(Replica) + "." +
-                  std::to_string(Generation);
-  To.Id_ = std::string(Domain) + "/" + Service.Team_ + "/" + To.RequestId_;
-  To.Command_ = Service.Run_;
-  To.AcceptedWallMs_ = core::wallMillis();
-  To.Family_ = Service.Name_;
-  return To;
+jobs::JobSpec makeSpec(const config::Service &Service, std::string_view Domain,
+                       std::int64_t Replica, std::uint64_t Generation) {
+  jobs::JobSpec Spec;
+  Spec.Team_ = Service.Team_;
+  Spec.Queue_ = "service";
+  Spec.Kind_ = jobs::JobKind::Service;
+  Spec.Need_ = Service.Each_;
+  Spec.Idempotent_ = true;
+  Spec.RequestId_ = std::string(ServiceRequestIdPrefix) + Service.Name_ + "." +
+                    std::to_string(Replica) + "." + std::to_string(Generation);
+  Spec.Id_ = std::string(Domain) + "/" + Service.Team_ + "/" + Spec.RequestId_;
+  Spec.Command_ = Service.Run_;
+  Spec.AcceptedWallMs_ = core::wallMillis();
+  Spec.Family_ = Service.Name_;
+  return Spec;
 }
 
-bool sameDefinition(const jobs::JobSpec &Running, const config::Service &Wanted) {
+bool hasSameDefinition(const jobs::JobSpec &Running, const config::Service &Wanted) {
   return Running.Team_ == Wanted.Team_ && Running.Need_ == Wanted.Each_ &&
          Running.Command_ == Wanted.Run_;
 }
 
-bool isRunning(const jobs::Job &Of) {
+bool isRunning(const jobs::Job &Job) {
   return std::ranges::any_of(
-      Of.Tasks_, [](const jobs::Task &One) { return One.State_ == jobs::TaskState::Running; });
+      Job.Tasks_, [](const jobs::Task &Task) { return Task.State_ == jobs::TaskState::Running; });
 }
 
 } // namespace
 
-std::string_view domainOfReplica(const config::Configuration &Of, const config::Service &Service,
-                                 std::int64_t Replica) {
-  if (!Service.Domain_.empty() || Of.Domains_.empty())
+std::string_view domainOfReplica(const config::Configuration &Config,
+                                 const config::Service &Service, std::int64_t Replica) {
+  if (!Service.Domain_.empty() || Config.Domains_.empty())
     return Service.Domain_;
-  const std::uint64_t First = XXH3_64bits(Service.Name_.data(), Service.Name_.size());
-  return Of.Domains_[(First + static_cast<std::uint64_t>(Replica)) % Of.Domains_.size()].Name_;
+  const std::uint64_t FirstDomain = XXH3_64bits(Service.Name_.data(), Service.Name_.size());
+  return Config
+      .Domains_[(FirstDomain + static_cast<std::uint64_t>(Replica)) % Config.Domains_.size()]
+      .Name_;
 }
 
-ServicePlan planServices(const config::Configuration &Of, std::string_view Domain,
+ServicePlan planServices(const config::Configuration &Config, std::string_view Domain,
                          std::span<const jobs::Job> Existing,
-                         const std::function<bool(const config::Service &)> &RunsElsewhere) {
+                         const std::function<bool(const config::Service &)> &RunsInOtherDomain) {
   ServicePlan Plan;
-  const auto Present = group(Existing);
+  const auto Present = groupByReplica(Existing);
   std::set<ReplicaKey> Wanted;
   std::set<std::string_view> RunsHere;
   std::set<std::string_view> HasReplicaHere;
-  for (const std::size_t Index : config::startOrder(Of)) {
-    const config::Service &Service = Of.Services_[Index];
-    const bool Ready = std::ranges::all_of(Service.DependsOn_, [&](const std::string &Name) {
-      const config::Service *Other = Of.service(Name);
-      return RunsHere.contains(Name) ||
-             (Other && !HasReplicaHere.contains(Name) && RunsElsewhere(*Other));
-    });
+  for (const std::size_t Index : config::startOrder(Config)) {
+    const config::Service &Service = Config.Services_[Index];
+    const bool DependenciesRun =
+        std::ranges::all_of(Service.DependsOn_, [&](const std::string &Name) {
+          const config::Service *Dependency = Config.service(Name);
+          return RunsHere.contains(Name) ||
+                 (Dependency && !HasReplicaHere.contains(Name) && RunsInOtherDomain(*Dependency));
+        });
     for (std::int64_t Replica = 0; Replica < Service.Replicas_; ++Replica) {
-      if (domainOfReplica(Of, Service, Replica) != Domain)
+      if (domainOfReplica(Config, Service, Replica) != Domain)
         continue;
       HasReplicaHere.insert(Service.Name_);
       const ReplicaKey Key{Service.Name_, Replica};
       Wanted.insert(Key);
       const auto Found = Present.find(Key);
-      const jobs::Job *Live = Found == Present.end() ? nullptr : Found->second.Live_;
+      const jobs::Job *Live = Found == Present.end() ? nullptr : Found->second.LiveJob_;
       if (Live && isRunning(*Live))
         RunsHere.insert(Service.Name_);
-      if (Live && !Live->CancelRequested_ && !sameDefinition(*Live->Spec_, Service))
+      if (Live && !Live->CancelRequested_ && !hasSameDefinition(*Live->Spec_, Service))
         Plan.Cancel_.push_back(Live->Spec_->Id_);
-      if (!Live && Ready)
-        Plan.Accept_.push_back(
-            specOf(Service, Domain, Replica, Found == Present.end() ? 0 : Found->second.Next_));
+      if (!Live && DependenciesRun)
+        Plan.Accept_.push_back(makeSpec(
+            Service, Domain, Replica, Found == Present.end() ? 0 : Found->second.NextGeneration_));
     }
   }
   // What depends on others stops first.
   std::ranges::reverse(Plan.Cancel_);
-  for (const auto &[Key, Of] : Present)
-    if (!Wanted.contains(Key) && Of.Live_ && !Of.Live_->CancelRequested_)
-      Plan.Cancel_.push_back(Of.Live_->Spec_->Id_);
+  for (const auto &[Key, Replica] : Present)
+    if (!Wanted.contains(Key) && Replica.LiveJob_ && !Replica.LiveJob_->CancelRequested_)
+      Plan.Cancel_.push_back(Replica.LiveJob_->Spec_->Id_);
   return Plan;
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -58,9 +58,9 @@
 cell::WorkerLeaseTiming leaseTiming(const settings::Timing &Timing) {
   cell::WorkerLeaseTiming LeaseTiming;
   LeaseTiming.Ttl_ = Timing.WorkerLease_;
-  LeaseTiming.Renew_ = Timing.WorkerRenew_;
-  LeaseTiming.Timeout_ = Timing.WorkerTimeout_;
-  LeaseTiming.Margin_ = Timing.LeaseMargin_;
+  LeaseTiming.RenewInterval_ = Timing.WorkerRenew_;
+  LeaseTiming.RequestTimeout_ = Timing.WorkerTimeout_;
+  LeaseTiming.SafetyMargin_ = Timing.LeaseMargin_;
   return LeaseTiming;
 }
 
@@ -177,21 +177,21 @@
   cell::DomainStreamOptions streamOptions() const {
     cell::DomainStreamOptions Options;
     const settings::Timing &Timing = Settings_.Timing_;
-    Options.Stream_ = cell::streamOf(Settings_.Instance_.Domain_);
-    Options.Poll_ = Timing.PollStream_;
-    Options.BatchClose_ = Timing.BatchClose_;
+    Options.Stream_ = cell::domainStreamName(Settings_.Instance_.Domain_);
+    Options.PollInterval_ = Timing.PollStream_;
+    Options.BatchCloseDelay_ = Timing.BatchClose_;
     Options.AppendsPerSecond_ = static_cast<double>(Settings_.Limits_.AppendsPerSecond_);
     Options.Retention_ = Timing.StoreRetention_;
     Options.Ownership_.Instance_ = Settings_.Instance_.Name_;
     Options.Ownership_.Incarnation_ = Incarnation_;
     Options.Ownership_.Address_ = Settings_.Peer_.Address_ + ":" + std::to_string(Link_.port());
-    Options.Ownership_.Lease_ = Timing.OwnerLease_;
-    Options.Ownership_.Margin_ = Timing.LeaseMargin_;
-    Options.Ownership_.RenewEvery_ = Timing.OwnerRenew_;
+    Options.Ownership_.LeaseDuration_ = Timing.OwnerLease_;
+    Options.Ownership_.SafetyMargin_ = Timing.LeaseMargin_;
+    Options.Ownership_.RenewInterval_ = Timing.OwnerRenew_;
     Options.Ownership_.YieldAfter_ = Timing.StoreGiveUp_;
-    Options.Ownership_.YieldMemberAge_ = Timing.StoreReachable_;
+    Options.Ownership_.MaxYieldTargetReadAge_ = Timing.StoreReachable_;
     Options.Ownership_.EvictAfter_ = Timing.EvictMember_;
-    Options.Ownership_.LongestDeadline_ = Settings_.Limits_.MaxDeadline_;
+    Options.Ownership_.MaxRequestDeadline_ = Settings_.Limits_.MaxDeadline_;
     Options.Ownership_.SlotGrace_ = Timing.SlotGrace_;
     return Options;
   }
@@ -204,31 +204,31 @@
       core::log(core::LogLevel::Info, "lease acquired",
                 {{"domain", Settings_.Instance_.Domain_}, {"term", std::to_string(Term)}});
       Dispatcher_.acquired(SlotsFreeAt);
-      Controller_.acquired(Term);
+      Controller_.onLeaseAcquired(Term);
       Timers_.post([this] { rebuildViews(); });
     };
     Hooks.OnLost_ = [this](std::uint64_t Term) {
       core::log(core::LogLevel::Warning, "lease lost",
                 {{"domain", Settings_.Instance_.Domain_}, {"term", std::to_string(Term)}});
       Dispatcher_.lost();
-      Controller_.lost();
+      Controller_.onLeaseLost();
       Timers_.post([this] { rebuildViews(); });
     };
-    Hooks.AskConsent_ = [this](const std::string &Member, const protocol::ConsentRequest &Request,
-                               auto OnDone) {
+    Hooks.RequestConsent_ = [this](const std::string &Member,
+                                   const protocol::ConsentRequest &Request, auto OnDone) {
       Link_.call(
           Member, MessageKind::ConsentRequest, core::pack(Request), ConsentTimeout,
           [OnDone = std::move(OnDone)](std::error_code Error, const protocol::Envelope &Reply) {
             OnDone(Error ? std::nullopt : core::unpack<protocol::Consent>(Reply.Body_));
           });
     };
-    Hooks.MissedFor_ = [this](const std::string &Member, TimePoint Now) {
+    Hooks.TimeSinceReply_ = [this](const std::string &Member, TimePoint Now) {
       return PeerTable_.missedFor(Member, Now);
     };
-    Hooks.StoreAge_ = [this](const std::string &Member, TimePoint Now) {
+    Hooks.StoreReadAge_ = [this](const std::string &Member, TimePoint Now) {
       return PeerTable_.storeAge(Member, Now);
     };
-    Hooks.IsGone_ = [this](const std::string &Member) { return hasTerminated(Member); };
+    Hooks.IsTerminated_ = [this](const std::string &Member) { return hasTerminated(Member); };
     return Hooks;
   }
 
@@ -245,8 +245,8 @@
     cell::ControllerOptions Options;
     Options.Instance_ = Settings_.Instance_.Name_;
     Options.Domain_ = Settings_.Instance_.Domain_;
-    Options.Lease_ = leaseTiming(Settings_.Timing_);
-    Options.QuarantineProbe_ = Settings_.Timing_.QuarantineProbe_;
+    Options.LeaseTiming_ = leaseTiming(Settings_.Timing_);
+    Options.FirstProbeDelay_ = Settings_.Timing_.QuarantineProbe_;
     return Options;
   }
 
@@ -319,7 +319,7 @@
     Stream_.ownership().fillReply(Sender.Sender_, Sender.Incarnation_, Message, Reply, Now);
     if (Stream_.ownership().holds(Now)) {
       Reply.FreeSlots_ = Dispatcher_.stats().FreeSlots_;
-      Reply.Free_ = Controller_.stats().Free_;
+      Reply.Free_ = Controller_.stats().FreeResources_;
       return;
     }
     // A representative that is not the owner reports the last values that the owner sent to it.
@@ -407,7 +407,7 @@
 
   void onNotice(const protocol::Envelope &Message) {
     const auto Body = core::unpack<protocol::Notice>(Message.Body_);
-    if (Body && Body->Stream_ == cell::streamOf(Settings_.Instance_.Domain_))
+    if (Body && Body->Stream_ == cell::domainStreamName(Settings_.Instance_.Domain_))
       Stream_.readNow();
     else if (Body && Body->Stream_ == "config")
       Config_.readNow();
@@ -488,7 +488,7 @@
     const auto Configuration = Config_.state().current();
     const std::string Domain(cell::domainOfReplica(*Configuration, Service, 0));
     const std::string IdPrefix = Domain + "/" + Service.Team_ + "/" +
-                                 std::string(cell::ServicePrefix) + Service.Name_ + ".0.";
+                                 std::string(cell::ServiceRequestIdPrefix) + Service.Name_ + ".0.";
     JobService_.list(
         Service.Team_, std::span(&Domain, 1),
         [this, IdPrefix, Name = Service.Name_](const core::Failure &Error,
@@ -600,8 +600,8 @@
         {"requests_in_flight", SlotStats.InFlight_},
         {"workers", TaskStats.Workers_},
         {"usable_workers", TaskStats.UsableWorkers_},
-        {"tasks_running", TaskStats.Running_},
-        {"tasks_waiting", TaskStats.Waiting_}};
+        {"tasks_running", TaskStats.RunningTasks_},
+        {"tasks_waiting", TaskStats.WaitingTasks_}};
     nlohmann::ordered_json JobCounts = nlohmann::ordered_json::object();
     for (const auto &[State, Count] : Stream_.jobs().counts())
       JobCounts[std::string(jobs::nameOf(State))] = Count;
@@ -616,8 +616,7 @@
     core::setGauge("masticdrift_owner", IsOwner ? 1 : 0);
     core::setGauge(
         "masticdrift_lease_seconds",
-        IsOwner ? std::chrono::duration<double>(Stream_.ownership().leaseUntil() - Now).count()
-                : 0);
+        IsOwner ? std::chrono::duration<double>(Stream_.ownership().leaseEnd() - Now).count() : 0);
     core::setGauge("masticdrift_slots_in_use", static_cast<double>(Stats.InFlight_));
     core::setGauge("masticdrift_queue_length", static_cast<double>(Stats.Waiting_));
     for (const auto &[State, Count] : Stream_.jobs().counts())
@@ -639,12 +638,12 @@
       return CallerApi_.inFlight() == 0 && Router_.inFlight() == 0 &&
              Dispatcher_.stats().InFlight_ == 0;
     });
-    Controller_.lost();
+    Controller_.onLeaseLost();
     const bool Written = waitUntil(Deadline, StopForced, [this] { return Stream_.idle(); });
     Stream_.ownership().finishStop(core::Clock::now());
     const bool LeaseReleased =
         waitUntil(std::min(Deadline, core::Clock::now() + LeaseReleaseTimeout), StopForced,
-                  [this] { return Stream_.ownership().left(); });
+                  [this] { return Stream_.ownership().hasLeft(); });
     core::log(core::LogLevel::Info, "stopped",
               {{"idle", Idle ? "true" : "false"}, {"left", LeaseReleased ? "true" : "false"}});
     return Idle && Written;
--- a/src/gateway/CallerApi.cpp
+++ b/src/gateway/CallerApi.cpp
@@ -297,7 +297,7 @@
   }
 
   bool known(std::string_view JobId) const {
-    return Config_.state().current()->domain(cell::domainOf(JobId)) != nullptr;
+    return Config_.state().current()->domain(cell::domainOfJob(JobId)) != nullptr;
   }
 
   void cancelOne(const std::string &Id, const Admission &Who, http::Responder Done) {
--- a/src/ownership/ClaimTable.cpp
+++ b/src/ownership/ClaimTable.cpp
@@ -17,8 +17,8 @@
   return Found != State.Members_.end() && Found->second.Incarnation_ == Incarnation;
 }
 
-Applied removeMember(ClaimState &State, std::uint64_t Offset, const std::string &Instance,
-                     std::uint64_t Incarnation) {
+ApplyResult removeMember(ClaimState &State, std::uint64_t Offset, const std::string &Instance,
+                         std::uint64_t Incarnation) {
   if (!hasMember(State, Instance, Incarnation))
     return {};
   State.Members_.erase(Instance);
@@ -26,19 +26,19 @@
   return {ClaimEvent::MembersChanged, true, Instance, Incarnation, 0};
 }
 
-Applied applyJoin(ClaimState &State, std::uint64_t Offset, const Join &Record) {
+ApplyResult applyJoin(ClaimState &State, std::uint64_t Offset, const Join &Record) {
   const auto Found = State.Members_.find(Record.Instance_);
-  const bool Known = Found != State.Members_.end();
-  if (Known && Record.Incarnation_ <= Found->second.Incarnation_)
+  const bool IsRejoin = Found != State.Members_.end();
+  if (IsRejoin && Record.Incarnation_ <= Found->second.Incarnation_)
     return {};
   State.Members_[Record.Instance_] = {Record.Incarnation_, Record.Address_, Offset};
-  if (Known)
+  if (IsRejoin)
     State.Version_ = Offset;
-  return {ClaimEvent::MembersChanged, Known, Record.Instance_, Record.Incarnation_, 0};
+  return {ClaimEvent::MembersChanged, IsRejoin, Record.Instance_, Record.Incarnation_, 0};
 }
 
-Applied applyClaim(ClaimState &State, std::uint64_t Offset, const Claim &Record,
-                   bool CheckVersion) {
+ApplyResult applyClaim(ClaimState &State, std::uint64_t Offset, const Claim &Record,
+                       bool CheckVersion) {
   if (!hasMember(State, Record.Instance_, Record.Incarnation_) || Record.Term_ != State.Term_ + 1 ||
       (CheckVersion && Record.BaseVersion_ != State.Version_))
     return {};
@@ -47,21 +47,22 @@
   State.OwnerIncarnation_ = Record.Incarnation_;
   State.Version_ = Offset;
   // The claimant holds nothing before it has read its own claim, and with it this prefix.
-  State.MemberOffset_ = Offset;
+  State.OwnerReadOffset_ = Offset;
   State.Released_ = false;
   return {ClaimEvent::Claimed, true, Record.Instance_, Record.Incarnation_, Record.Nonce_};
 }
 
-Applied applyRenew(ClaimState &State, std::uint64_t Offset, const Renew &Record) {
+ApplyResult applyRenew(ClaimState &State, std::uint64_t Offset, const Renew &Record) {
   if (Record.Term_ != State.Term_ || !ownedBy(State, Record.Instance_, Record.Incarnation_) ||
       !hasMember(State, Record.Instance_, Record.Incarnation_))
     return {};
   State.Version_ = Offset;
-  State.MemberOffset_ = std::max(State.MemberOffset_, std::min(Record.MemberOffset_, Offset));
+  State.OwnerReadOffset_ =
+      std::max(State.OwnerReadOffset_, std::min(Record.OwnerReadOffset_, Offset));
   return {ClaimEvent::Renewed, true, Record.Instance_, Record.Incarnation_, Record.Nonce_};
 }
 
-Applied applyRelease(ClaimState &State, std::uint64_t Offset, const Release &Record) {
+ApplyResult applyRelease(ClaimState &State, std::uint64_t Offset, const Release &Record) {
   if (Record.Term_ != State.Term_ || !ownedBy(State, Record.Instance_, Record.Incarnation_))
     return {};
   State.Owner_.clear();
@@ -71,39 +72,44 @@
   return {ClaimEvent::Released, true, Record.Instance_, Record.Incarnation_, 0};
 }
 
-template <typename T, typename Apply> Applied decoded(std::string_view Body, Apply With) {
+template <typename T, typename HandlerFunction>
+ApplyResult decodeAndApply(std::string_view Body, HandlerFunction Handler) {
   const auto Record = core::unpack<T>(Body);
-  return Record ? With(*Record) : Applied{};
+  return Record ? Handler(*Record) : ApplyResult{};
 }
 
 } // namespace
 
-Applied ClaimTable::apply(std::uint64_t Offset, RecordType Type, std::string_view Body) {
-  State_.ReadTo_ = std::max(State_.ReadTo_, Offset);
+ApplyResult ClaimTable::apply(std::uint64_t Offset, RecordType Type, std::string_view Body) {
+  State_.AppliedOffset_ = std::max(State_.AppliedOffset_, Offset);
   switch (Type) {
   case RecordType::Join:
-    return decoded<Join>(Body, [&](const Join &R) { return applyJoin(State_, Offset, R); });
+    return decodeAndApply<Join>(
+        Body, [&](const Join &Record) { return applyJoin(State_, Offset, Record); });
   case RecordType::Leave:
-    return decoded<Leave>(Body, [&](const Leave &R) {
+    return decodeAndApply<Leave>(Body, [&](const Leave &Record) {
       // An instance that stops before its Join took effect also ends its earlier incarnations.
-      const auto Found = State_.Members_.find(R.Instance_);
-      return Found != State_.Members_.end() && Found->second.Incarnation_ <= R.Incarnation_
-                 ? removeMember(State_, Offset, R.Instance_, Found->second.Incarnation_)
-                 : Applied{};
+      const auto Found = State_.Members_.find(Record.Instance_);
+      return Found != State_.Members_.end() && Found->second.Incarnation_ <= Record.Incarnation_
+                 ? removeMember(State_, Offset, Record.Instance_, Found->second.Incarnation_)
+                 : ApplyResult{};
     });
   case RecordType::Evict:
-    return decoded<Evict>(Body, [&](const Evict &R) {
-      return R.Term_ == State_.Term_ ? removeMember(State_, Offset, R.Instance_, R.Incarnation_)
-                                     : Applied{};
+    return decodeAndApply<Evict>(Body, [&](const Evict &Record) {
+      return Record.Term_ == State_.Term_
+                 ? removeMember(State_, Offset, Record.Instance_, Record.Incarnation_)
+                 : ApplyResult{};
     });
   case RecordType::Claim:
-    return decoded<Claim>(
-        Body, [&](const Claim &R) { return applyClaim(State_, Offset, R, CheckVersion_); });
+    return decodeAndApply<Claim>(Body, [&](const Claim &Record) {
+      return applyClaim(State_, Offset, Record, CheckVersion_);
+    });
   case RecordType::Renew:
-    return decoded<Renew>(Body, [&](const Renew &R) { return applyRenew(State_, Offset, R); });
+    return decodeAndApply<Renew>(
+        Body, [&](const Renew &Record) { return applyRenew(State_, Offset, Record); });
   case RecordType::Release:
-    return decoded<Release>(Body,
-                            [&](const Release &R) { return applyRelease(State_, Offset, R); });
+    return decodeAndApply<Release>(
+        Body, [&](const Release &Record) { return applyRelease(State_, Offset, Record); });
   default:
     return {};
   }
@@ -113,26 +119,26 @@
   return hasMember(State_, std::string(Instance), Incarnation);
 }
 
-std::vector<std::string> ClaimTable::consenters(std::string_view Instance) const {
+std::vector<std::string> ClaimTable::requiredConsenters(std::string_view Instance) const {
   if (State_.Owner_.empty())
     return {};
-  std::vector<std::string> InView;
-  const std::pair<const std::string, DomainMember> *First = nullptr;
-  for (const auto &Each : State_.Members_) {
-    if (ownedBy(State_, Each.first, Each.second.Incarnation_))
+  std::vector<std::string> ViewMembers;
+  const std::pair<const std::string, DomainMember> *FirstJoined = nullptr;
+  for (const auto &Member : State_.Members_) {
+    if (ownedBy(State_, Member.first, Member.second.Incarnation_))
       continue;
-    if (Each.second.JoinOffset_ <= State_.MemberOffset_)
-      InView.push_back(Each.first);
-    if (First == nullptr || Each.second.JoinOffset_ < First->second.JoinOffset_)
-      First = &Each;
+    if (Member.second.JoinOffset_ <= State_.OwnerReadOffset_)
+      ViewMembers.push_back(Member.first);
+    if (FirstJoined == nullptr || Member.second.JoinOffset_ < FirstJoined->second.JoinOffset_)
+      FirstJoined = &Member;
   }
-  if (std::ranges::find(InView, Instance) != InView.end())
+  if (std::ranges::find(ViewMembers, Instance) != ViewMembers.end())
     return {};
-  if (!InView.empty())
-    return InView;
-  if (First == nullptr || First->first == Instance)
+  if (!ViewMembers.empty())
+    return ViewMembers;
+  if (FirstJoined == nullptr || FirstJoined->first == Instance)
     return {};
-  return {First->first};
+  return {FirstJoined->first};
 }
 
 } // namespace masticdrift::ownership
--- a/src/ownership/OwnershipDriver.cpp
+++ b/src/ownership/OwnershipDriver.cpp
@@ -16,25 +16,26 @@
 using journal::Entry;
 using journal::RecordType;
 
-template <typename T> Entry entryOf(RecordType Type, const T &Record) {
+template <typename T> Entry makeEntry(RecordType Type, const T &Record) {
   return {Type, core::pack(Record)};
 }
 
 /// Calls to make after the lock was released.
-using Actions = std::vector<std::function<void()>>;
+using DeferredCalls = std::vector<std::function<void()>>;
 
 } // namespace
 
 /// A claim that was sent on the current version.
 struct OpenClaim {
-  TimePoint Sent_;
+  TimePoint SentAt_;
   std::optional<TimePoint> OldLeaseEnd_; ///< nothing when the old owner released
 };
 
 struct OwnershipDriver::Impl : std::enable_shared_from_this<OwnershipDriver::Impl> {
   Impl(OwnershipOptions Options, OwnershipHooks Hooks)
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Table_(Options_.CheckVersion_),
-        Book_(Options_.Lease_ + Options_.Margin_), Lease_(Options_.Lease_) {}
+        PromiseTracker_(Options_.LeaseDuration_ + Options_.SafetyMargin_),
+        Lease_(Options_.LeaseDuration_) {}
 
   const ClaimState &state() const { return Table_.state(); }
 
@@ -45,77 +46,78 @@
 
   bool isMember() const { return Table_.isMember(Options_.Instance_, Options_.Incarnation_); }
 
-  void publish() {
+  void publishLease() {
     // Nobody may act on a term whose start the callback has not been told.
-    const bool Announced = Lease_.term() != 0 && Lease_.term() == Announced_;
-    Until_.store(Announced ? Lease_.until().time_since_epoch().count() : 0);
+    const bool Announced = Lease_.term() != 0 && Lease_.term() == AnnouncedTerm_;
+    LeaseUntilNs_.store(Announced ? Lease_.until().time_since_epoch().count() : 0);
     OwnTerm_.store(Announced ? Lease_.term() : 0);
   }
 
   /// Appends without blocking; \p Busy is false again when the append was answered.
-  void append(std::vector<Entry> Records, bool Impl::*Busy, Actions &Todo) {
-    this->*Busy = true;
-    Todo.push_back([this, Self = weak_from_this(), Records = std::move(Records), Busy] {
-      Hooks_.Append_(Records, [Self, Busy](std::error_code Error, std::uint64_t) {
-        const auto Alive = Self.lock();
-        if (!Alive)
+  void append(std::vector<Entry> Records, bool Impl::*InFlight, DeferredCalls &Calls) {
+    this->*InFlight = true;
+    Calls.push_back([this, Weak = weak_from_this(), Records = std::move(Records), InFlight] {
+      Hooks_.Append_(Records, [Weak, InFlight](std::error_code Error, std::uint64_t) {
+        const auto Self = Weak.lock();
+        if (!Self)
           return;
         {
-          const std::lock_guard Lock(Alive->Mutex_);
-          (*Alive).*Busy = false;
+          const std::lock_guard Lock(Self->Mutex_);
+          (*Self).*InFlight = false;
         }
-        if (!Error && Alive->Hooks_.ReadNow_)
-          Alive->Hooks_.ReadNow_();
+        if (!Error && Self->Hooks_.ReadNow_)
+          Self->Hooks_.ReadNow_();
       });
     });
   }
 
   /// All other members, in the owner's view as of its last read.
-  std::set<MemberId> view() const {
-    std::set<MemberId> Out;
-    for (const auto &[Name, Each] : state().Members_)
-      if (Name != Options_.Instance_ || Each.Incarnation_ != Options_.Incarnation_)
-        Out.emplace(Name, Each.Incarnation_);
-    return Out;
+  std::set<MemberId> otherMembers() const {
+    std::set<MemberId> Members;
+    for (const auto &[Name, Member] : state().Members_)
+      if (Name != Options_.Instance_ || Member.Incarnation_ != Options_.Incarnation_)
+        Members.emplace(Name, Member.Incarnation_);
+    return Members;
   }
 
-  void loseTerm() {
+  void onTermLost() {
     const auto Term = Lease_.term();
     if (Term == 0)
       return;
-    Lease_.end();
-    RenewSent_.clear();
-    publish();
-    if (Reported_ == Term)
+    Lease_.endTerm();
+    RenewSentAt_.clear();
+    publishLease();
+    if (QueuedTerm_ == Term)
       Transitions_.push_back({false, Term, {}});
   }
 
-  void onClaimed(const Applied &Result, TimePoint Now) {
-    loseTerm();
+  void onClaimed(const ApplyResult &Result, TimePoint Now) {
+    onTermLost();
     Evicting_.clear();
     if (Result.Instance_ != Options_.Instance_ || Result.Incarnation_ != Options_.Incarnation_)
       return;
-    const auto Found = Claims_.find(Result.Nonce_);
-    if (Found == Claims_.end())
+    const auto Claim = OpenClaims_.find(Result.Nonce_);
+    if (Claim == OpenClaims_.end())
       return; // cannot happen within one incarnation; without a send time there is no lease
-    Lease_.begin(state().Term_, Found->second.Sent_);
-    SlotsFreeAt_ = Found->second.OldLeaseEnd_ ? *Found->second.OldLeaseEnd_ +
-                                                    Options_.LongestDeadline_ + Options_.SlotGrace_
-                                              : Now;
-    LastRenew_ = Found->second.Sent_;
+    Lease_.beginTerm(state().Term_, Claim->second.SentAt_);
+    SlotsFreeAt_ =
+        Claim->second.OldLeaseEnd_
+            ? *Claim->second.OldLeaseEnd_ + Options_.MaxRequestDeadline_ + Options_.SlotGrace_
+            : Now;
+    LastRenewAt_ = Claim->second.SentAt_;
   }
 
   /// Reports a term once its lease is held. A claim that is read late, when others may have owned
   /// the domain since, is not reported.
-  void report(TimePoint Now) {
-    if (!isOwner() || !Lease_.holds(Now) || Reported_ == Lease_.term())
+  void queueAcquired(TimePoint Now) {
+    if (!isOwner() || !Lease_.holds(Now) || QueuedTerm_ == Lease_.term())
       return;
-    Reported_ = Lease_.term();
-    Transitions_.push_back({true, Reported_, SlotsFreeAt_});
+    QueuedTerm_ = Lease_.term();
+    Transitions_.push_back({true, QueuedTerm_, SlotsFreeAt_});
   }
 
   /// Calls the callbacks in the order of the transitions, without the lock.
-  void deliver() {
+  void deliverTransitions() {
     const std::lock_guard Delivering(DeliverMutex_);
     for (;;) {
       Transition Next;
@@ -134,8 +136,8 @@
       if (Hooks_.OnAcquired_)
         Hooks_.OnAcquired_(Next.Term_, Next.SlotsFreeAt_);
       const std::lock_guard Lock(Mutex_);
-      Announced_ = Next.Term_;
-      publish();
+      AnnouncedTerm_ = Next.Term_;
+      publishLease();
     }
   }
 
@@ -143,251 +145,257 @@
     {
       const std::lock_guard Lock(Mutex_);
       // Records of one batch share an offset: a prefix counts as read when the next batch begins.
-      if (Offset > state().ReadTo_)
-        SettledTo_ = state().ReadTo_;
-      Settled_ = false;
-      const Applied Result = Table_.apply(Offset, Type, Body);
+      if (Offset > state().AppliedOffset_)
+        CompleteOffset_ = state().AppliedOffset_;
+      CaughtUp_ = false;
+      const ApplyResult Result = Table_.apply(Offset, Type, Body);
       if (Result.VersionChanged_)
-        VersionRead_ = Now;
+        VersionReadAt_ = Now;
       switch (Result.Event_) {
       case ClaimEvent::Ignored:
         break;
       case ClaimEvent::MembersChanged:
         std::erase_if(Evicting_,
-                      [&](const auto &Each) { return !Table_.isMember(Each.first, Each.second); });
+                      [&](const auto &Id) { return !Table_.isMember(Id.first, Id.second); });
         break;
       case ClaimEvent::Claimed:
         onClaimed(Result, Now);
         break;
       case ClaimEvent::Renewed:
         if (isOwner())
-          if (const auto Sent = RenewSent_.find(Result.Nonce_); Sent != RenewSent_.end()) {
-            Lease_.confirm(Sent->second);
-            RenewSent_.erase(RenewSent_.begin(), std::next(Sent));
-            publish();
+          if (const auto Sent = RenewSentAt_.find(Result.Nonce_); Sent != RenewSentAt_.end()) {
+            Lease_.confirmRenewal(Sent->second);
+            RenewSentAt_.erase(RenewSentAt_.begin(), std::next(Sent));
+            publishLease();
           }
         break;
       case ClaimEvent::Released:
-        loseTerm();
+        onTermLost();
         break;
       }
       if (Result.Event_ == ClaimEvent::Claimed)
-        Claims_.clear();
+        OpenClaims_.clear();
       if (Result.VersionChanged_)
         ConsentVersion_.reset();
       if (Type == RecordType::Leave)
-        if (const auto Own = core::unpack<Leave>(Body); Own &&
-                                                        Own->Instance_ == Options_.Instance_ &&
-                                                        Own->Incarnation_ == Options_.Incarnation_)
-          LeaveRead_ = true;
-      report(Now);
+        if (const auto OwnLeave = core::unpack<Leave>(Body);
+            OwnLeave && OwnLeave->Instance_ == Options_.Instance_ &&
+            OwnLeave->Incarnation_ == Options_.Incarnation_)
+          OwnLeaveRead_ = true;
+      queueAcquired(Now);
     }
-    deliver();
+    deliverTransitions();
   }
 
-  static void run(Actions &Todo) {
-    for (auto &Each : Todo)
-      Each();
+  static void runCalls(DeferredCalls &Calls) {
+    for (auto &Call : Calls)
+      Call();
   }
 
-  void tickJoin(TimePoint Now, Actions &Todo) {
-    if (isMember() || Stopping_ || JoinBusy_ || !due(LastJoin_, Now))
+  void tickJoin(TimePoint Now, DeferredCalls &Calls) {
+    if (isMember() || Stopping_ || JoinInFlight_ || !isDue(LastJoinAt_, Now))
       return;
-    LastJoin_ = Now;
-    append({entryOf(RecordType::Join,
-                    Join{Options_.Instance_, Options_.Incarnation_, Options_.Address_})},
-           &Impl::JoinBusy_, Todo);
+    LastJoinAt_ = Now;
+    append({makeEntry(RecordType::Join,
+                      Join{Options_.Instance_, Options_.Incarnation_, Options_.Address_})},
+           &Impl::JoinInFlight_, Calls);
   }
 
-  bool due(const std::optional<TimePoint> &Last, TimePoint Now) const {
-    return !Last || Now - *Last >= Options_.RetryAfter_;
+  bool isDue(const std::optional<TimePoint> &Last, TimePoint Now) const {
+    return !Last || Now - *Last >= Options_.RetryInterval_;
   }
 
-  void tickOwner(TimePoint Now, Actions &Todo) {
-    if (!RenewBusy_ && Now - LastRenew_ >= Options_.RenewEvery_) {
-      LastRenew_ = Now;
+  void tickOwner(TimePoint Now, DeferredCalls &Calls) {
+    if (!RenewInFlight_ && Now - LastRenewAt_ >= Options_.RenewInterval_) {
+      LastRenewAt_ = Now;
       // Confirming one of these would not extend the lease any more.
-      std::erase_if(RenewSent_,
-                    [&](const auto &Each) { return Now - Each.second > Options_.Lease_; });
-      const std::uint64_t Nonce = ++NextNonce_;
-      RenewSent_[Nonce] = Now;
-      append({entryOf(RecordType::Renew,
-                      Renew{Options_.Instance_, Options_.Incarnation_, state().Term_,
-                            Settled_ ? state().ReadTo_ : SettledTo_, Nonce})},
-             &Impl::RenewBusy_, Todo);
+      std::erase_if(RenewSentAt_, [&](const auto &Renewal) {
+        return Now - Renewal.second > Options_.LeaseDuration_;
+      });
+      const std::uint64_t Nonce = ++LastNonce_;
+      RenewSentAt_[Nonce] = Now;
+      append({makeEntry(RecordType::Renew,
+                        Renew{Options_.Instance_, Options_.Incarnation_, state().Term_,
+                              CaughtUp_ ? state().AppliedOffset_ : CompleteOffset_, Nonce})},
+             &Impl::RenewInFlight_, Calls);
     }
     if (Stopping_)
       return;
-    std::vector<MemberId> Dead;
-    for (const auto &Id : view())
-      if (missedTooLong(Id, Now))
-        Dead.push_back(Id);
-    evict(Dead, Now, Todo);
+    std::vector<MemberId> Unresponsive;
+    for (const auto &Id : otherMembers())
+      if (isUnresponsive(Id, Now))
+        Unresponsive.push_back(Id);
+    evict(Unresponsive, Now, Calls);
   }
 
-  bool missedTooLong(const MemberId &Id, TimePoint Now) {
-    const auto Known = SeenSince_.try_emplace(Id, Now).first->second;
-    const auto Missed = Hooks_.MissedFor_ ? Hooks_.MissedFor_(Id.first, Now) : std::nullopt;
-    return std::min(Missed.value_or(Now - Known), Now - Known) > Options_.EvictAfter_;
+  bool isUnresponsive(const MemberId &Id, TimePoint Now) {
+    const auto FirstSeen = FirstSeenAt_.try_emplace(Id, Now).first->second;
+    const auto SinceReply =
+        Hooks_.TimeSinceReply_ ? Hooks_.TimeSinceReply_(Id.first, Now) : std::nullopt;
+    return std::min(SinceReply.value_or(Now - FirstSeen), Now - FirstSeen) > Options_.EvictAfter_;
   }
 
-  void evict(const std::vector<MemberId> &Dead, TimePoint Now, Actions &Todo) {
-    if (Dead.empty() || EvictBusy_ || !due(LastEvict_, Now))
+  void evict(const std::vector<MemberId> &Members, TimePoint Now, DeferredCalls &Calls) {
+    if (Members.empty() || EvictInFlight_ || !isDue(LastEvictAt_, Now))
       return;
-    LastEvict_ = Now;
+    LastEvictAt_ = Now;
     std::vector<Entry> Records;
-    for (const auto &Id : Dead) {
+    for (const auto &Id : Members) {
       Evicting_.insert(Id);
-      Records.push_back(entryOf(RecordType::Evict, Evict{Id.first, Id.second, state().Term_}));
+      Records.push_back(makeEntry(RecordType::Evict, Evict{Id.first, Id.second, state().Term_}));
     }
-    append(std::move(Records), &Impl::EvictBusy_, Todo);
+    append(std::move(Records), &Impl::EvictInFlight_, Calls);
   }
 
   /// Whether the old lease has ended for this member, consent aside.
   bool oldLeaseEnded(TimePoint Now) const {
     if (state().Owner_.empty())
       return true;
-    if (Now < VersionRead_ + Options_.Lease_ + Options_.Margin_)
+    if (Now < VersionReadAt_ + Options_.LeaseDuration_ + Options_.SafetyMargin_)
       return false;
-    return !Options_.HonourPromises_ || Book_.expired(Now);
+    return !Options_.HonourPromises_ || PromiseTracker_.expired(Now);
   }
 
-  void tickClaimant(TimePoint Now, Actions &Todo) {
-    const bool Current = Settled_ && LastRead_ && Now - *LastRead_ <= Options_.ClaimReadAge_;
-    if (Stopping_ || !isMember() || !Current)
+  void tickClaimant(TimePoint Now, DeferredCalls &Calls) {
+    const bool HasFreshRead =
+        CaughtUp_ && LastCompleteReadAt_ && Now - *LastCompleteReadAt_ <= Options_.MaxClaimReadAge_;
+    if (Stopping_ || !isMember() || !HasFreshRead)
       return;
     // Two missed renewals; earlier than the claim, since the removal starts its wait anew.
-    if (Now - VersionRead_ > 3 * Options_.RenewEvery_)
-      evictGone(Now, Todo);
+    if (Now - VersionReadAt_ > 3 * Options_.RenewInterval_)
+      evictTerminated(Now, Calls);
     if (!oldLeaseEnded(Now))
       return;
-    const auto Consenters =
-        Options_.AskConsent_ ? Table_.consenters(Options_.Instance_) : std::vector<std::string>();
+    const auto Consenters = Options_.RequireConsent_ ? Table_.requiredConsenters(Options_.Instance_)
+                                                     : std::vector<std::string>();
     if (!Consenters.empty() && ConsentVersion_ != state().Version_) {
-      askConsent(Consenters, Now, Todo);
+      requestConsent(Consenters, Now, Calls);
       return;
     }
-    if (ClaimBusy_ || !due(LastClaim_, Now))
+    if (ClaimInFlight_ || !isDue(LastClaimAt_, Now))
       return;
-    LastClaim_ = Now;
-    const std::uint64_t Nonce = ++NextNonce_;
-    OpenClaim Open{Now, std::nullopt};
+    LastClaimAt_ = Now;
+    const std::uint64_t Nonce = ++LastNonce_;
+    OpenClaim NewClaim{Now, std::nullopt};
     if (!state().Owner_.empty()) {
       // All conditions hold by now, so the old lease ended at the latest when the last one did.
-      Open.OldLeaseEnd_ = std::max(VersionRead_ + Options_.Lease_ + Options_.Margin_,
-                                   Book_.until().value_or(TimePoint{}));
+      NewClaim.OldLeaseEnd_ =
+          std::max(VersionReadAt_ + Options_.LeaseDuration_ + Options_.SafetyMargin_,
+                   PromiseTracker_.until().value_or(TimePoint{}));
       if (!Consenters.empty())
-        Open.OldLeaseEnd_ = std::max(*Open.OldLeaseEnd_, ConsentAt_);
+        NewClaim.OldLeaseEnd_ = std::max(*NewClaim.OldLeaseEnd_, ConsentReceivedAt_);
     }
-    Claims_[Nonce] = Open;
+    OpenClaims_[Nonce] = NewClaim;
     if (Options_.BlockWhileClaimOpen_)
-      Book_.block(state().Version_);
-    append({entryOf(RecordType::Claim, Claim{Options_.Instance_, Options_.Incarnation_,
-                                             state().Term_ + 1, state().Version_, Nonce})},
-           &Impl::ClaimBusy_, Todo);
+      PromiseTracker_.blockVersion(state().Version_);
+    append({makeEntry(RecordType::Claim, Claim{Options_.Instance_, Options_.Incarnation_,
+                                               state().Term_ + 1, state().Version_, Nonce})},
+           &Impl::ClaimInFlight_, Calls);
   }
 
   /// Evicts terminated instances while no owner does it.
-  void evictGone(TimePoint Now, Actions &Todo) {
-    if (!Hooks_.IsGone_)
+  void evictTerminated(TimePoint Now, DeferredCalls &Calls) {
+    if (!Hooks_.IsTerminated_)
       return;
-    std::vector<MemberId> Gone;
-    for (const auto &Id : view())
-      if (Hooks_.IsGone_(Id.first))
-        Gone.push_back(Id);
-    evict(Gone, Now, Todo);
+    std::vector<MemberId> Terminated;
+    for (const auto &Id : otherMembers())
+      if (Hooks_.IsTerminated_(Id.first))
+        Terminated.push_back(Id);
+    evict(Terminated, Now, Calls);
   }
 
-  void askConsent(const std::vector<std::string> &Members, TimePoint Now, Actions &Todo) {
-    if (!due(LastAsk_, Now) || !Hooks_.AskConsent_)
+  void requestConsent(const std::vector<std::string> &Members, TimePoint Now,
+                      DeferredCalls &Calls) {
+    if (!isDue(LastConsentRequestAt_, Now) || !Hooks_.RequestConsent_)
       return;
-    LastAsk_ = Now;
+    LastConsentRequestAt_ = Now;
     for (const auto &Member : Members)
-      Todo.push_back([this, Self = weak_from_this(), Member,
-                      Request = protocol::ConsentRequest{state().Term_, state().Version_}] {
-        Hooks_.AskConsent_(
-            Member, Request, [Self, Request](const std::optional<protocol::Consent> &Answer) {
-              const auto Alive = Self.lock();
-              if (!Alive || !Answer || !Answer->Granted_ || Answer->Version_ != Request.Version_ ||
+      Calls.push_back([this, Weak = weak_from_this(), Member,
+                       Request = protocol::ConsentRequest{state().Term_, state().Version_}] {
+        Hooks_.RequestConsent_(
+            Member, Request, [Weak, Request](const std::optional<protocol::Consent> &Answer) {
+              const auto Self = Weak.lock();
+              if (!Self || !Answer || !Answer->Granted_ || Answer->Version_ != Request.Version_ ||
                   Answer->Term_ != Request.Term_)
                 return;
-              const std::lock_guard Lock(Alive->Mutex_);
-              if (Alive->state().Version_ != Request.Version_)
+              const std::lock_guard Lock(Self->Mutex_);
+              if (Self->state().Version_ != Request.Version_)
                 return;
-              Alive->ConsentVersion_ = Request.Version_;
-              Alive->ConsentAt_ = core::TimePoint{};
-              Alive->ConsentPending_ = true;
+              Self->ConsentVersion_ = Request.Version_;
+              Self->ConsentReceivedAt_ = core::TimePoint{};
+              Self->ConsentArrived_ = true;
             });
       });
   }
 
   /// Whether a Leave has to be written.
-  bool leaves() const {
-    return (LastJoin_ && !LeaveRead_) || state().Members_.contains(Options_.Instance_);
+  bool mustLeave() const {
+    return (LastJoinAt_ && !OwnLeaveRead_) || state().Members_.contains(Options_.Instance_);
   }
 
-  void tickStop(TimePoint Now, Actions &Todo) {
+  void tickStop(TimePoint Now, DeferredCalls &Calls) {
     if (isOwner() && Now < SlotsFreeAt_) {
-      tickOwner(Now, Todo);
+      tickOwner(Now, Calls);
       return;
     }
-    Book_.close();
+    PromiseTracker_.refuseAll();
     const auto Term = Lease_.term();
-    const bool Owns = isOwner();
-    loseTerm();
-    if (Owns)
+    const bool WasOwner = isOwner();
+    onTermLost();
+    if (WasOwner)
       ReleaseTerm_ = Term;
-    if (StopBusy_ || !due(LastStop_, Now))
+    if (StopInFlight_ || !isDue(LastStopAt_, Now))
       return;
     std::vector<Entry> Records;
     if (ReleaseTerm_ != 0 && state().Term_ == ReleaseTerm_ && state().Owner_ == Options_.Instance_)
-      Records.push_back(entryOf(RecordType::Release,
-                                Release{Options_.Instance_, Options_.Incarnation_, ReleaseTerm_}));
+      Records.push_back(makeEntry(
+          RecordType::Release, Release{Options_.Instance_, Options_.Incarnation_, ReleaseTerm_}));
     // Also when no Join was read back: it may have been written.
-    if (leaves())
+    if (mustLeave())
       Records.push_back(
-          entryOf(RecordType::Leave, Leave{Options_.Instance_, Options_.Incarnation_}));
+          makeEntry(RecordType::Leave, Leave{Options_.Instance_, Options_.Incarnation_}));
     if (Records.empty())
       return;
-    LastStop_ = Now;
-    append(std::move(Records), &Impl::StopBusy_, Todo);
+    LastStopAt_ = Now;
+    append(std::move(Records), &Impl::StopInFlight_, Calls);
   }
 
   void tick(TimePoint Now) {
-    Actions Todo;
+    DeferredCalls Calls;
     {
       const std::lock_guard Lock(Mutex_);
-      if (std::exchange(ConsentPending_, false))
-        ConsentAt_ = Now;
-      std::erase_if(SeenSince_, [&](const auto &Each) {
-        return !Table_.isMember(Each.first.first, Each.first.second);
+      if (std::exchange(ConsentArrived_, false))
+        ConsentReceivedAt_ = Now;
+      std::erase_if(FirstSeenAt_, [&](const auto &Seen) {
+        return !Table_.isMember(Seen.first.first, Seen.first.second);
       });
-      if (Finished_) {
-        tickStop(Now, Todo);
+      if (FinishRequested_) {
+        tickStop(Now, Calls);
       } else {
-        if (!LastRead_)
+        if (!LastCompleteReadAt_)
           return; // the stream has not been replayed yet
-        tickJoin(Now, Todo);
+        tickJoin(Now, Calls);
         if (isOwner())
-          tickOwner(Now, Todo);
+          tickOwner(Now, Calls);
         else
-          tickClaimant(Now, Todo);
+          tickClaimant(Now, Calls);
       }
-      report(Now);
+      queueAcquired(Now);
     }
-    deliver();
-    run(Todo);
+    deliverTransitions();
+    runCalls(Calls);
   }
 
   /// Whether another member has to take over because only this owner is cut off from the store.
-  bool yields(TimePoint Now) const {
-    if (!LastRead_ || Now - *LastRead_ <= Options_.YieldAfter_ || !Hooks_.StoreAge_)
+  bool shouldYield(TimePoint Now) const {
+    if (!LastCompleteReadAt_ || Now - *LastCompleteReadAt_ <= Options_.YieldAfter_ ||
+        !Hooks_.StoreReadAge_)
       return false;
-    return std::ranges::any_of(state().Members_, [&](const auto &Each) {
-      if (Each.first == Options_.Instance_)
+    return std::ranges::any_of(state().Members_, [&](const auto &Member) {
+      if (Member.first == Options_.Instance_)
         return false;
-      const auto Age = Hooks_.StoreAge_(Each.first, Now);
-      return Age && *Age < Options_.YieldMemberAge_;
+      const auto Age = Hooks_.StoreReadAge_(Member.first, Now);
+      return Age && *Age < Options_.MaxYieldTargetReadAge_;
     });
   }
 
@@ -399,11 +407,13 @@
     if (!Message.AsksPromise_)
       return;
     const bool Stale = Message.Term_ < state().Term_;
-    const bool Foreign = Message.Term_ == state().Term_ &&
-                         (state().Owner_ != Sender || state().OwnerIncarnation_ != Incarnation);
-    if (Stale || Foreign || Lease_.holds(Now))
+    const bool FromNonOwner =
+        Message.Term_ == state().Term_ &&
+        (state().Owner_ != Sender || state().OwnerIncarnation_ != Incarnation);
+    if (Stale || FromNonOwner || Lease_.holds(Now))
       return;
-    Reply.PromiseGranted_ = Book_.promise(std::max(Message.Version_, state().Version_), Now);
+    Reply.PromiseGranted_ =
+        PromiseTracker_.grant(std::max(Message.Version_, state().Version_), Now);
     Reply.PromiseTerm_ = Message.Term_;
   }
 
@@ -411,9 +421,9 @@
     const std::lock_guard Lock(Mutex_);
     protocol::Consent Answer{false, Request.Term_, Request.Version_};
     if (Request.Term_ < state().Term_ || Request.Version_ < state().Version_ || Lease_.holds(Now) ||
-        !Book_.expired(Now) || Finished_ || !LastRead_)
+        !PromiseTracker_.expired(Now) || FinishRequested_ || !LastCompleteReadAt_)
       return Answer;
-    Book_.block(Request.Version_);
+    PromiseTracker_.blockVersion(Request.Version_);
     Answer.Granted_ = true;
     return Answer;
   }
@@ -429,42 +439,42 @@
   std::mutex DeliverMutex_; ///< taken before Mutex_; keeps callbacks in order
   mutable std::mutex Mutex_;
   std::deque<Transition> Transitions_; ///< not delivered yet
-  std::uint64_t Reported_ = 0;         ///< last term put into Transitions_ as acquired
-  std::uint64_t Announced_ = 0;        ///< last term whose OnAcquired_ has returned
-  bool LeaveRead_ = false;             ///< the own Leave was read back
+  std::uint64_t QueuedTerm_ = 0;       ///< last term put into Transitions_ as acquired
+  std::uint64_t AnnouncedTerm_ = 0;    ///< last term whose OnAcquired_ has returned
+  bool OwnLeaveRead_ = false;          ///< the own Leave was read back
   ClaimTable Table_;
-  PromiseBook Book_;
+  PromiseTracker PromiseTracker_;
   OwnerLease Lease_;
-  std::atomic<std::int64_t> Until_{0};
+  std::atomic<std::int64_t> LeaseUntilNs_{0};
   std::atomic<std::uint64_t> OwnTerm_{0};
-  TimePoint VersionRead_{};
-  std::optional<TimePoint> LastRead_; ///< send time of the last complete read
-  bool Settled_ = false;              ///< nothing was read since the last complete read
-  std::uint64_t SettledTo_ = 0;       ///< all records up to this offset are applied
-  std::uint64_t NextNonce_ = 0;
-  std::map<std::uint64_t, OpenClaim> Claims_;    ///< by nonce, on the current version
-  std::map<std::uint64_t, TimePoint> RenewSent_; ///< by nonce
+  TimePoint VersionReadAt_{};
+  std::optional<TimePoint> LastCompleteReadAt_; ///< send time of the last complete read
+  bool CaughtUp_ = false;                       ///< nothing was read since the last complete read
+  std::uint64_t CompleteOffset_ = 0;            ///< all records up to this offset are applied
+  std::uint64_t LastNonce_ = 0;
+  std::map<std::uint64_t, OpenClaim> OpenClaims_;  ///< by nonce, on the current version
+  std::map<std::uint64_t, TimePoint> RenewSentAt_; ///< by nonce
   /// Evictions that may have taken effect without having been read back.
   std::set<MemberId> Evicting_;
-  std::map<MemberId, TimePoint> SeenSince_;
+  std::map<MemberId, TimePoint> FirstSeenAt_;
   std::optional<std::uint64_t> ConsentVersion_;
-  TimePoint ConsentAt_{};
-  bool ConsentPending_ = false; ///< a consent arrived; the next tick dates it
+  TimePoint ConsentReceivedAt_{};
+  bool ConsentArrived_ = false; ///< a consent arrived; the next tick dates it
   TimePoint SlotsFreeAt_{};
-  TimePoint LastRenew_{};
-  std::optional<TimePoint> LastJoin_;
-  std::optional<TimePoint> LastClaim_;
-  std::optional<TimePoint> LastAsk_;
-  std::optional<TimePoint> LastEvict_;
-  std::optional<TimePoint> LastStop_;
+  TimePoint LastRenewAt_{};
+  std::optional<TimePoint> LastJoinAt_;
+  std::optional<TimePoint> LastClaimAt_;
+  std::optional<TimePoint> LastConsentRequestAt_;
+  std::optional<TimePoint> LastEvictAt_;
+  std::optional<TimePoint> LastStopAt_;
   std::uint64_t ReleaseTerm_ = 0;
-  bool JoinBusy_ = false;
-  bool RenewBusy_ = false;
-  bool ClaimBusy_ = false;
-  bool EvictBusy_ = false;
-  bool StopBusy_ = false;
+  bool JoinInFlight_ = false;
+  bool RenewInFlight_ = false;
+  bool ClaimInFlight_ = false;
+  bool EvictInFlight_ = false;
+  bool StopInFlight_ = false;
   bool Stopping_ = false;
-  bool Finished_ = false;
+  bool FinishRequested_ = false;
 };
 
 OwnershipDriver::OwnershipDriver(OwnershipOptions Options, OwnershipHooks Hooks)
@@ -479,9 +489,9 @@
 
 void OwnershipDriver::onReadComplete(TimePoint Sent) {
   const std::lock_guard Lock(Impl_->Mutex_);
-  Impl_->Settled_ = true;
-  Impl_->SettledTo_ = Impl_->state().ReadTo_;
-  Impl_->LastRead_ = std::max(Impl_->LastRead_.value_or(Sent), Sent);
+  Impl_->CaughtUp_ = true;
+  Impl_->CompleteOffset_ = Impl_->state().AppliedOffset_;
+  Impl_->LastCompleteReadAt_ = std::max(Impl_->LastCompleteReadAt_.value_or(Sent), Sent);
 }
 
 void OwnershipDriver::tick(TimePoint Now) { Impl_->tick(Now); }
@@ -490,7 +500,7 @@
   const std::lock_guard Lock(Impl_->Mutex_);
   Message.Term_ = Impl_->state().Term_;
   Message.Version_ = Impl_->state().Version_;
-  Message.AsksPromise_ = Impl_->isOwner() && !Impl_->yields(Now);
+  Message.AsksPromise_ = Impl_->isOwner() && !Impl_->shouldYield(Now);
 }
 
 void OwnershipDriver::fillReply(std::string_view Sender, std::uint64_t Incarnation,
@@ -504,9 +514,9 @@
   const std::lock_guard Lock(Impl_->Mutex_);
   if (!Reply.PromiseGranted_ || !Impl_->isOwner())
     return;
-  Impl_->Lease_.promised({std::string(Member), Incarnation}, Reply.PromiseTerm_, Sent);
-  Impl_->Lease_.applyPromises(Impl_->view(), Impl_->Evicting_);
-  Impl_->publish();
+  Impl_->Lease_.addPromise({std::string(Member), Incarnation}, Reply.PromiseTerm_, Sent);
+  Impl_->Lease_.applyPromises(Impl_->otherMembers(), Impl_->Evicting_);
+  Impl_->publishLease();
 }
 
 protocol::Consent OwnershipDriver::onConsentRequest(const protocol::ConsentRequest &Request,
@@ -515,11 +525,11 @@
 }
 
 bool OwnershipDriver::holds(TimePoint Now) const {
-  return Now.time_since_epoch().count() < Impl_->Until_.load();
+  return Now.time_since_epoch().count() < Impl_->LeaseUntilNs_.load();
 }
 
-TimePoint OwnershipDriver::leaseUntil() const {
-  return TimePoint(core::Duration(Impl_->Until_.load()));
+TimePoint OwnershipDriver::leaseEnd() const {
+  return TimePoint(core::Duration(Impl_->LeaseUntilNs_.load()));
 }
 
 std::uint64_t OwnershipDriver::ownTerm() const { return Impl_->OwnTerm_.load(); }
@@ -532,8 +542,8 @@
 void OwnershipDriver::restore(ClaimState State, TimePoint Now) {
   const std::lock_guard Lock(Impl_->Mutex_);
   Impl_->Table_.restore(std::move(State));
-  Impl_->VersionRead_ = Now;
-  Impl_->Settled_ = false;
+  Impl_->VersionReadAt_ = Now;
+  Impl_->CaughtUp_ = false;
 }
 
 void OwnershipDriver::beginStop() {
@@ -545,14 +555,14 @@
   {
     const std::lock_guard Lock(Impl_->Mutex_);
     Impl_->Stopping_ = true;
-    Impl_->Finished_ = true;
+    Impl_->FinishRequested_ = true;
   }
   Impl_->tick(Now);
 }
 
-bool OwnershipDriver::left() const {
+bool OwnershipDriver::hasLeft() const {
   const std::lock_guard Lock(Impl_->Mutex_);
-  return Impl_->Finished_ && !Impl_->leaves() &&
+  return Impl_->FinishRequested_ && !Impl_->mustLeave() &&
          (Impl_->state().Owner_ != Impl_->Options_.Instance_ ||
           Impl_->state().OwnerIncarnation_ != Impl_->Options_.Incarnation_);
 }
--- a/src/ownership/PromiseBook.cpp
+++ b/src/ownership/PromiseBook.cpp
@@ -4,16 +4,16 @@
 
 namespace masticdrift::ownership {
 
-bool PromiseBook::promise(std::uint64_t Version, core::TimePoint Now) {
-  if (Closed_ || (HasBlock_ && Version <= Blocked_))
+bool PromiseTracker::grant(std::uint64_t Version, core::TimePoint Now) {
+  if (RefusesAll_ || (HasBlockedVersion_ && Version <= BlockedVersion_))
     return false;
   Until_ = std::max(Until_.value_or(Now), Now + Length_);
   return true;
 }
 
-void PromiseBook::block(std::uint64_t Version) {
-  Blocked_ = HasBlock_ ? std::max(Blocked_, Version) : Version;
-  HasBlock_ = true;
+void PromiseTracker::blockVersion(std::uint64_t Version) {
+  BlockedVersion_ = HasBlockedVersion_ ? std::max(BlockedVersion_, Version) : Version;
+  HasBlockedVersion_ = true;
 }
 
 } // namespace masticdrift::ownership
--- a/tests/unit/MessagesTest.cpp
+++ b/tests/unit/MessagesTest.cpp
@@ -112,6 +112,6 @@
       Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
     Table.apply(Offset, static_cast<journal::RecordType>(Random() % 7), Bytes);
   }
-  cr_assert_eq(Table.state().ReadTo_, 19'999U);
+  cr_assert_eq(Table.state().AppliedOffset_, 19'999U);
   cr_assert(Table.state().Owner_.empty() || Table.state().Term_ > 0);
 }
--- a/tests/unit/OwnershipModelTest.cpp
+++ b/tests/unit/OwnershipModelTest.cpp
@@ -20,28 +20,28 @@
 namespace {
 
 constexpr std::int64_t StepMs = 50;
-constexpr std::int64_t FaultsMs = 120'000;
+constexpr std::int64_t FaultPhaseMs = 120'000;
 constexpr std::int64_t RecoveryMs = 10'000;
-constexpr int Seeds = 1000;
+constexpr int SeedCount = 1000;
 
-using Work = std::function<void()>;
+using Callback = std::function<void()>;
 
 struct Node {
   std::string Name_;
   std::uint64_t Incarnation_ = 0;
-  std::int64_t ClockOffset_ = 0;
+  std::int64_t ClockOffsetMs_ = 0;
   double ClockRate_ = 1;
-  std::int64_t PausedUntil_ = 0;
-  std::int64_t CutUntil_ = 0; ///< from the store
-  std::size_t ReadTo_ = 0;
-  std::int64_t NextRead_ = 0;
-  std::int64_t NextProbe_ = 0;
-  std::int64_t LastReadAt_ = -1;
+  std::int64_t PausedUntilMs_ = 0;
+  std::int64_t StoreCutUntilMs_ = 0; ///< from the store
+  std::size_t NextLogIndex_ = 0;
+  std::int64_t NextReadMs_ = 0;
+  std::int64_t NextProbeMs_ = 0;
+  std::int64_t LastReadMs_ = -1;
   std::uint64_t NextSequence_ = 0;
   std::map<std::uint64_t, std::uint64_t> LastSequence_; ///< of the replay, by writer
-  std::map<std::string, std::int64_t> Heard_;           ///< by member
-  std::map<std::string, std::int64_t> StoreRead_;       ///< reported by member
-  std::vector<Work> Inbox_;                             ///< delivered while paused
+  std::map<std::string, std::int64_t> LastReplyMs_;     ///< by member
+  std::map<std::string, std::int64_t> StoreReadMs_;     ///< reported by member
+  std::vector<Callback> Inbox_;                         ///< delivered while paused
   std::unique_ptr<OwnershipDriver> Driver_;
 };
 
@@ -51,43 +51,44 @@
   std::vector<journal::Entry> Entries_;
 };
 
-struct Flight {
-  std::int64_t At_;
-  Work Do_;
+struct ScheduledEvent {
+  std::int64_t DueMs_;
+  Callback Run_;
 };
 
 /// Failure found by a run; empty when all properties held.
-struct Verdict {
+struct RunResult {
   std::string TwoHolders_;
   std::string SlotsTooEarly_;
   std::string NoOwner_;
   int Acquisitions_ = 0;
 };
 
-class World {
+class ClusterModel {
 public:
-  World(std::uint64_t Seed, OwnershipOptions Options)
+  ClusterModel(std::uint64_t Seed, OwnershipOptions Options)
       : Random_(Seed), Options_(std::move(Options)) {
     // Each seed has its own mix of faults; rare ones need the others to stay away.
-    constexpr double Rates[] = {0, 0.5, 1, 3};
-    for (double *Rate : {&LossRate_, &OutageRate_, &CutRate_, &PauseRate_, &PairRate_, &ChurnRate_})
-      *Rate = Rates[pick(4)];
-    const auto Members = 2 + pick(3);
+    constexpr double Scales[] = {0, 0.5, 1, 3};
+    for (double *Scale :
+         {&LossScale_, &OutageScale_, &StoreCutScale_, &PauseScale_, &LinkCutScale_, &ChurnScale_})
+      *Scale = Scales[randomBelow(4)];
+    const auto Members = 2 + randomBelow(3);
     for (std::int64_t I = 0; I < Members; ++I)
-      add("m" + std::to_string(I));
-    NextName_ = Members;
+      addNode("m" + std::to_string(I));
+    NextNameNumber_ = Members;
   }
 
-  Verdict run() {
+  RunResult run() {
     // The first owner is established before faults begin.
-    while (Now_ < 8'000)
+    while (NowMs_ < 8'000)
       step(false);
-    while (Now_ < FaultsMs)
+    while (NowMs_ < FaultPhaseMs)
       step(true);
     endFaults();
-    const auto Deadline = Now_ + RecoveryMs;
+    const auto RecoveryEndMs = NowMs_ + RecoveryMs;
     bool Held = false;
-    while (Now_ < Deadline && !Held) {
+    while (NowMs_ < RecoveryEndMs && !Held) {
       step(false);
       Held = !holders().empty();
     }
@@ -97,96 +98,101 @@
   }
 
 private:
-  std::int64_t pick(std::int64_t Below) {
+  std::int64_t randomBelow(std::int64_t Below) {
     return std::uniform_int_distribution<std::int64_t>(0, Below - 1)(Random_);
   }
   bool chance(double Probability) {
     return std::uniform_real_distribution<>(0, 1)(Random_) < Probability;
   }
-  static core::TimePoint at(const Node &Of, std::int64_t Now) {
-    return core::TimePoint(core::Duration(static_cast<std::int64_t>(
-        1e6 * (static_cast<double>(Of.ClockOffset_) + static_cast<double>(Now) * Of.ClockRate_))));
+  static core::TimePoint nodeTime(const Node &Member, std::int64_t ModelMs) {
+    return core::TimePoint(core::Duration(
+        static_cast<std::int64_t>(1e6 * (static_cast<double>(Member.ClockOffsetMs_) +
+                                         static_cast<double>(ModelMs) * Member.ClockRate_))));
   }
-  static std::int64_t back(const Node &Of, core::TimePoint Time) {
+  static std::int64_t modelTimeMs(const Node &Member, core::TimePoint Time) {
     return static_cast<std::int64_t>((static_cast<double>(Time.time_since_epoch().count()) / 1e6 -
-                                      static_cast<double>(Of.ClockOffset_)) /
-                                     Of.ClockRate_);
+                                      static_cast<double>(Member.ClockOffsetMs_)) /
+                                     Member.ClockRate_);
   }
   std::shared_ptr<Node> find(const std::string &Name, std::uint64_t Incarnation = 0) {
-    for (const auto &Each : Nodes_)
-      if (Each->Name_ == Name && (Incarnation == 0 || Each->Incarnation_ == Incarnation))
-        return Each;
+    for (const auto &Candidate : Nodes_)
+      if (Candidate->Name_ == Name && (Incarnation == 0 || Candidate->Incarnation_ == Incarnation))
+        return Candidate;
     return nullptr;
   }
-  bool storeReachable(const Node &Of) const {
-    return Now_ >= StoreDownUntil_ && Now_ >= Of.CutUntil_;
+  bool storeReachable(const Node &Member) const {
+    return NowMs_ >= StoreDownUntilMs_ && NowMs_ >= Member.StoreCutUntilMs_;
   }
 
-  void later(std::int64_t Delay, Work Do) { Flights_.push_back({Now_ + Delay, std::move(Do)}); }
+  void schedule(std::int64_t DelayMs, Callback Run) {
+    Events_.push_back({NowMs_ + DelayMs, std::move(Run)});
+  }
 
-  void add(const std::string &Name) {
-    auto Fresh = std::make_shared<Node>();
-    Fresh->Name_ = Name;
-    Fresh->Incarnation_ = ++NextIncarnation_;
-    Fresh->ClockOffset_ = 100'000 + pick(1'000'000);
-    Fresh->ClockRate_ = 0.995 + 0.001 * static_cast<double>(pick(11));
+  void addNode(const std::string &Name) {
+    auto NewNode = std::make_shared<Node>();
+    NewNode->Name_ = Name;
+    NewNode->Incarnation_ = ++NextIncarnation_;
+    NewNode->ClockOffsetMs_ = 100'000 + randomBelow(1'000'000);
+    NewNode->ClockRate_ = 0.995 + 0.001 * static_cast<double>(randomBelow(11));
     OwnershipOptions Options = Options_;
     Options.Instance_ = Name;
-    Options.Incarnation_ = Fresh->Incarnation_;
+    Options.Incarnation_ = NewNode->Incarnation_;
     Options.Address_ = Name + ":1";
     OwnershipHooks Hooks;
-    const std::weak_ptr<Node> Weak = Fresh;
+    const std::weak_ptr<Node> Weak = NewNode;
     Hooks.Append_ = [this, Weak](auto Entries, auto Done) { append(Weak, Entries, Done); };
     Hooks.ReadNow_ = [Weak] {
       if (const auto Self = Weak.lock())
-        Self->NextRead_ = 0;
+        Self->NextReadMs_ = 0;
+    };
+    Hooks.RequestConsent_ = [this, Weak](const std::string &Member,
+                                         const protocol::ConsentRequest &Request, auto Done) {
+      requestConsent(Weak, Member, Request, Done);
     };
-    Hooks.AskConsent_ = [this, Weak](const std::string &Member, const protocol::ConsentRequest &Ask,
-                                     auto Done) { askConsent(Weak, Member, Ask, Done); };
-    Hooks.MissedFor_ = [this, Weak](const std::string &Member,
-                                    core::TimePoint) -> std::optional<core::Duration> {
+    Hooks.TimeSinceReply_ = [this, Weak](const std::string &Member,
+                                         core::TimePoint) -> std::optional<core::Duration> {
       const auto Self = Weak.lock();
-      const auto Heard = Self->Heard_.find(Member);
-      return Heard == Self->Heard_.end()
+      const auto LastReply = Self->LastReplyMs_.find(Member);
+      return LastReply == Self->LastReplyMs_.end()
                  ? std::nullopt
-                 : std::optional<core::Duration>(core::Millis(Now_ - Heard->second));
+                 : std::optional<core::Duration>(core::Millis(NowMs_ - LastReply->second));
     };
-    Hooks.StoreAge_ = [this, Weak](const std::string &Member,
-                                   core::TimePoint) -> std::optional<core::Duration> {
+    Hooks.StoreReadAge_ = [this, Weak](const std::string &Member,
+                                       core::TimePoint) -> std::optional<core::Duration> {
       const auto Self = Weak.lock();
-      const auto Read = Self->StoreRead_.find(Member);
-      return Read == Self->StoreRead_.end()
+      const auto LastRead = Self->StoreReadMs_.find(Member);
+      return LastRead == Self->StoreReadMs_.end()
                  ? std::nullopt
-                 : std::optional<core::Duration>(core::Millis(Now_ - Read->second));
+                 : std::optional<core::Duration>(core::Millis(NowMs_ - LastRead->second));
     };
-    Hooks.IsGone_ = [this](const std::string &Member) {
-      const auto Since = Terminated_.find(Member);
-      return Since != Terminated_.end() && Now_ - Since->second > 20'000;
+    Hooks.IsTerminated_ = [this](const std::string &Member) {
+      const auto TerminatedAt = TerminatedAtMs_.find(Member);
+      return TerminatedAt != TerminatedAtMs_.end() && NowMs_ - TerminatedAt->second > 20'000;
     };
     Hooks.OnAcquired_ = [this, Weak](std::uint64_t Term, core::TimePoint SlotsFreeAt) {
       acquired(*Weak.lock(), Term, SlotsFreeAt);
     };
-    Fresh->Driver_ = std::make_unique<OwnershipDriver>(Options, std::move(Hooks));
-    Nodes_.push_back(Fresh);
+    NewNode->Driver_ = std::make_unique<OwnershipDriver>(Options, std::move(Hooks));
+    Nodes_.push_back(NewNode);
   }
 
-  void acquired(const Node &By, std::uint64_t Term, core::TimePoint SlotsFreeAt) {
+  void acquired(const Node &NewOwner, std::uint64_t Term, core::TimePoint SlotsFreeAt) {
     ++Result_.Acquisitions_;
-    for (const auto &[Id, Last] : LastHeld_)
-      if (Id.second != By.Incarnation_ && !Finished_.contains(Id.second) &&
-          back(By, SlotsFreeAt) < Last + 5'000)
-        Result_.SlotsTooEarly_ = By.Name_ + " uses slots of term " + std::to_string(Term) +
+    for (const auto &[Id, LastHeldAtMs] : LastHeldMs_)
+      if (Id.second != NewOwner.Incarnation_ && !Finished_.contains(Id.second) &&
+          modelTimeMs(NewOwner, SlotsFreeAt) < LastHeldAtMs + 5'000)
+        Result_.SlotsTooEarly_ = NewOwner.Name_ + " uses slots of term " + std::to_string(Term) +
                                  " too early after " + Id.first;
   }
 
-  void land(const Batch &Record) { Log_.push_back(Record); }
+  void appendToLog(const Batch &Record) { Log_.push_back(Record); }
 
-  void append(const std::weak_ptr<Node> &By, const std::vector<journal::Entry> &Entries,
+  void append(const std::weak_ptr<Node> &Writer, const std::vector<journal::Entry> &Entries,
               const std::function<void(std::error_code, std::uint64_t)> &Done) {
-    const auto Self = By.lock();
-    const auto Answer = [this, By, Done](std::error_code Error, std::int64_t Delay) {
-      later(Delay, [this, By, Done, Error] {
-        if (const auto Alive = By.lock())
+    const auto Self = Writer.lock();
+    const auto Answer = [this, Writer, Done](std::error_code Error, std::int64_t DelayMs) {
+      schedule(DelayMs, [this, Writer, Done, Error] {
+        if (const auto Alive = Writer.lock())
           deliver(Alive, [Done, Error] { Done(Error, 0); });
       });
     };
@@ -194,288 +200,292 @@
     if (!storeReachable(*Self)) {
       // The connection may be cut after the request left: it can land much later, or never.
       if (Faults_ && chance(0.5))
-        later(pick(25'000), [this, Record] { whenStoreIsUp(Record); });
+        schedule(randomBelow(25'000), [this, Record] { appendWhenStoreIsUp(Record); });
       Answer(core::ErrorKind::AppendUnknown, 1'000);
       return;
     }
     if (Faults_ && chance(0.1)) { // lost or delayed
       if (chance(0.7))
-        later(pick(20'000), [this, Record] { whenStoreIsUp(Record); });
+        schedule(randomBelow(20'000), [this, Record] { appendWhenStoreIsUp(Record); });
       Answer(core::ErrorKind::AppendUnknown, 1'000);
       return;
     }
-    const auto Delay = pick(200);
-    later(Delay, [this, Record] { whenStoreIsUp(Record); });
+    const auto DelayMs = randomBelow(200);
+    schedule(DelayMs, [this, Record] { appendWhenStoreIsUp(Record); });
     if (Faults_ && chance(0.1))
       Answer(core::ErrorKind::AppendUnknown, 1'000);
     else
-      Answer({}, Delay + pick(100));
+      Answer({}, DelayMs + randomBelow(100));
   }
 
-  void whenStoreIsUp(const Batch &Record) {
-    if (Now_ >= StoreDownUntil_)
-      land(Record);
+  void appendWhenStoreIsUp(const Batch &Record) {
+    if (NowMs_ >= StoreDownUntilMs_)
+      appendToLog(Record);
     else
-      later(StoreDownUntil_ - Now_ + pick(500), [this, Record] { whenStoreIsUp(Record); });
+      schedule(StoreDownUntilMs_ - NowMs_ + randomBelow(500),
+               [this, Record] { appendWhenStoreIsUp(Record); });
   }
 
-  void deliver(const std::shared_ptr<Node> &To, Work Do) {
-    if (Now_ < To->PausedUntil_)
-      To->Inbox_.push_back(std::move(Do));
+  void deliver(const std::shared_ptr<Node> &To, Callback Run) {
+    if (NowMs_ < To->PausedUntilMs_)
+      To->Inbox_.push_back(std::move(Run));
     else
-      Do();
+      Run();
   }
 
   /// One message; may be lost or late while faults last.
-  void message(const Node &From, const std::weak_ptr<Node> &To, Work Do) {
+  void send(const Node &From, const std::weak_ptr<Node> &To, Callback Run) {
     const auto Target = To.lock();
     if (!Target)
       return;
     const auto Pair = std::minmax(From.Name_, Target->Name_);
-    const auto Cut = PairCut_.find({Pair.first, Pair.second});
-    if (Cut != PairCut_.end() && Now_ < Cut->second)
+    const auto Cut = LinkCutUntilMs_.find({Pair.first, Pair.second});
+    if (Cut != LinkCutUntilMs_.end() && NowMs_ < Cut->second)
       return;
-    if (Faults_ && chance(Loss_))
+    if (Faults_ && chance(LossProbability_))
       return;
-    const auto Delay = Faults_ && chance(0.02) ? pick(10'000) : pick(150);
-    later(Delay, [this, To, Do = std::move(Do)] {
+    const auto DelayMs = Faults_ && chance(0.02) ? randomBelow(10'000) : randomBelow(150);
+    schedule(DelayMs, [this, To, Run = std::move(Run)] {
       if (const auto Alive = To.lock())
-        deliver(Alive, Do);
+        deliver(Alive, Run);
     });
   }
 
-  void askConsent(const std::weak_ptr<Node> &By, const std::string &Member,
-                  const protocol::ConsentRequest &Ask,
-                  const std::function<void(std::optional<protocol::Consent>)> &Done) {
+  void requestConsent(const std::weak_ptr<Node> &Claimant, const std::string &Member,
+                      const protocol::ConsentRequest &Request,
+                      const std::function<void(std::optional<protocol::Consent>)> &Done) {
     const auto Target = find(Member);
     if (!Target)
       return;
     const std::weak_ptr<Node> To = Target;
-    message(*By.lock(), To, [this, By, To, Ask, Done] {
+    send(*Claimant.lock(), To, [this, Claimant, To, Request, Done] {
       const auto Voter = To.lock();
-      const auto Answer = Voter->Driver_->onConsentRequest(Ask, at(*Voter, Now_));
-      message(*Voter, By, [Answer, Done] { Done(Answer); });
+      const auto Answer = Voter->Driver_->onConsentRequest(Request, nodeTime(*Voter, NowMs_));
+      send(*Voter, Claimant, [Answer, Done] { Done(Answer); });
     });
   }
 
   void probe(const std::shared_ptr<Node> &From, const std::shared_ptr<Node> &To) {
-    const std::weak_ptr<Node> Asker = From;
-    const std::weak_ptr<Node> Member = To;
-    protocol::Probe Ask;
-    const auto Sent = at(*From, Now_);
-    const auto SentAt = Now_;
-    From->Driver_->fillProbe(Ask, Sent);
-    message(*From, Member, [=, this, Name = From->Name_, Incarnation = From->Incarnation_] {
-      const auto Replier = Member.lock();
+    const std::weak_ptr<Node> WeakProber = From;
+    const std::weak_ptr<Node> WeakReplier = To;
+    protocol::Probe Request;
+    const auto Sent = nodeTime(*From, NowMs_);
+    const auto SentMs = NowMs_;
+    From->Driver_->fillProbe(Request, Sent);
+    send(*From, WeakReplier, [=, this, Name = From->Name_, Incarnation = From->Incarnation_] {
+      const auto Replier = WeakReplier.lock();
       protocol::ProbeReply Reply;
-      Replier->Driver_->fillReply(Name, Incarnation, Ask, Reply, at(*Replier, Now_));
-      const auto Read = Replier->LastReadAt_;
-      message(*Replier, Asker,
-              [=, this, By = Replier->Name_, ByIncarnation = Replier->Incarnation_] {
-                const auto Back = Asker.lock();
-                Back->Heard_[By] = Now_;
-                if (Read >= 0)
-                  Back->StoreRead_[By] = Read;
-                Back->Driver_->onProbeReply(By, ByIncarnation, Sent, Reply);
-                (void)SentAt;
-              });
+      Replier->Driver_->fillReply(Name, Incarnation, Request, Reply, nodeTime(*Replier, NowMs_));
+      const auto LastReadMs = Replier->LastReadMs_;
+      send(*Replier, WeakProber,
+           [=, this, ReplierName = Replier->Name_, ReplierIncarnation = Replier->Incarnation_] {
+             const auto Prober = WeakProber.lock();
+             Prober->LastReplyMs_[ReplierName] = NowMs_;
+             if (LastReadMs >= 0)
+               Prober->StoreReadMs_[ReplierName] = LastReadMs;
+             Prober->Driver_->onProbeReply(ReplierName, ReplierIncarnation, Sent, Reply);
+             (void)SentMs;
+           });
     });
   }
 
-  void read(Node &By) {
-    By.NextRead_ = Now_ + 200;
-    if (!storeReachable(By))
+  void read(Node &Reader) {
+    Reader.NextReadMs_ = NowMs_ + 200;
+    if (!storeReachable(Reader))
       return;
     auto End = Log_.size();
-    if (Faults_ && chance(0.1) && End > By.ReadTo_) // a partial answer
-      End = By.ReadTo_ +
-            static_cast<std::size_t>(pick(static_cast<std::int64_t>(End - By.ReadTo_) + 1));
-    for (; By.ReadTo_ < End; ++By.ReadTo_) {
-      auto &Last = By.LastSequence_[Log_[By.ReadTo_].Writer_];
-      if (Log_[By.ReadTo_].Sequence_ <= Last)
+    if (Faults_ && chance(0.1) && End > Reader.NextLogIndex_) // a partial answer
+      End = Reader.NextLogIndex_ + static_cast<std::size_t>(randomBelow(
+                                       static_cast<std::int64_t>(End - Reader.NextLogIndex_) + 1));
+    for (; Reader.NextLogIndex_ < End; ++Reader.NextLogIndex_) {
+      auto &Last = Reader.LastSequence_[Log_[Reader.NextLogIndex_].Writer_];
+      if (Log_[Reader.NextLogIndex_].Sequence_ <= Last)
         continue; // a delayed copy of an abandoned append
-      Last = Log_[By.ReadTo_].Sequence_;
-      for (const auto &Each : Log_[By.ReadTo_].Entries_) {
-        By.Driver_->onRecord(By.ReadTo_ + 1, Each.Type_, Each.Body_, at(By, Now_));
+      Last = Log_[Reader.NextLogIndex_].Sequence_;
+      for (const auto &Entry : Log_[Reader.NextLogIndex_].Entries_) {
+        Reader.Driver_->onRecord(Reader.NextLogIndex_ + 1, Entry.Type_, Entry.Body_,
+                                 nodeTime(Reader, NowMs_));
         if (Faults_ && chance(0.05)) // the timer thread runs between two records
-          By.Driver_->tick(at(By, Now_));
+          Reader.Driver_->tick(nodeTime(Reader, NowMs_));
       }
     }
     if (End == Log_.size()) {
-      By.Driver_->onReadComplete(at(By, Now_));
-      By.LastReadAt_ = Now_;
+      Reader.Driver_->onReadComplete(nodeTime(Reader, NowMs_));
+      Reader.LastReadMs_ = NowMs_;
     }
   }
 
-  void kill(std::size_t Index) {
-    LastHeldOfDead(*Nodes_[Index]);
+  void killNode(std::size_t Index) {
+    recordLastHeld(*Nodes_[Index]);
     Nodes_.erase(Nodes_.begin() + static_cast<std::ptrdiff_t>(Index));
   }
 
-  void LastHeldOfDead(const Node &Of) { // NOLINT(readability-identifier-naming)
-    if (Of.Driver_->holds(at(Of, Now_)))
-      LastHeld_[{Of.Name_, Of.Incarnation_}] = Now_;
+  void recordLastHeld(const Node &Member) { // NOLINT(readability-identifier-naming)
+    if (Member.Driver_->holds(nodeTime(Member, NowMs_)))
+      LastHeldMs_[{Member.Name_, Member.Incarnation_}] = NowMs_;
   }
 
-  void faults() {
+  void injectFaults() {
     if (chance(0.003))
-      Loss_ = LossRate_ * (chance(0.5) ? 0.02 : 0.15);
-    if (chance(0.004 * OutageRate_) && Now_ >= StoreDownUntil_)
-      StoreDownUntil_ = Now_ + pick(20'000);
-    for (const auto &Each : Nodes_) {
-      if (chance(0.003 * CutRate_))
-        Each->CutUntil_ = Now_ + pick(25'000);
-      if (chance(0.002 * PauseRate_))
-        Each->PausedUntil_ = Now_ + pick(9'000);
+      LossProbability_ = LossScale_ * (chance(0.5) ? 0.02 : 0.15);
+    if (chance(0.004 * OutageScale_) && NowMs_ >= StoreDownUntilMs_)
+      StoreDownUntilMs_ = NowMs_ + randomBelow(20'000);
+    for (const auto &Member : Nodes_) {
+      if (chance(0.003 * StoreCutScale_))
+        Member->StoreCutUntilMs_ = NowMs_ + randomBelow(25'000);
+      if (chance(0.002 * PauseScale_))
+        Member->PausedUntilMs_ = NowMs_ + randomBelow(9'000);
       for (const auto &Other : Nodes_)
-        if (Each->Name_ < Other->Name_ && chance(0.002 * PairRate_))
-          PairCut_[{Each->Name_, Other->Name_}] = Now_ + pick(15'000);
+        if (Member->Name_ < Other->Name_ && chance(0.002 * LinkCutScale_))
+          LinkCutUntilMs_[{Member->Name_, Other->Name_}] = NowMs_ + randomBelow(15'000);
     }
-    if (!Nodes_.empty() && chance(0.005 * ChurnRate_)) {
-      const auto Index = static_cast<std::size_t>(pick(static_cast<std::int64_t>(Nodes_.size())));
+    if (!Nodes_.empty() && chance(0.005 * ChurnScale_)) {
+      const auto Index =
+          static_cast<std::size_t>(randomBelow(static_cast<std::int64_t>(Nodes_.size())));
       const auto Name = Nodes_[Index]->Name_;
       if (chance(0.3)) {
         Nodes_[Index]->Driver_->beginStop();
-        Nodes_[Index]->Driver_->finishStop(at(*Nodes_[Index], Now_));
-        Finishing_.insert(Nodes_[Index]->Incarnation_);
+        Nodes_[Index]->Driver_->finishStop(nodeTime(*Nodes_[Index], NowMs_));
+        GracefullyStopping_.insert(Nodes_[Index]->Incarnation_);
       } else if (chance(0.6)) {
-        kill(Index);
-        Restart_[Name] = Now_ + pick(5'000);
+        killNode(Index);
+        RestartAtMs_[Name] = NowMs_ + randomBelow(5'000);
       } else {
-        kill(Index);
-        Terminated_[Name] = Now_;
+        killNode(Index);
+        TerminatedAtMs_[Name] = NowMs_;
       }
     }
-    if (Nodes_.size() + Restart_.size() < 4 && chance(0.01))
-      add("m" + std::to_string(NextName_++));
+    if (Nodes_.size() + RestartAtMs_.size() < 4 && chance(0.01))
+      addNode("m" + std::to_string(NextNameNumber_++));
   }
 
-  void restarts() {
-    for (auto Each = Restart_.begin(); Each != Restart_.end();)
-      if (Now_ >= Each->second) {
-        add(Each->first);
-        Each = Restart_.erase(Each);
+  void restartDueNodes() {
+    for (auto It = RestartAtMs_.begin(); It != RestartAtMs_.end();)
+      if (NowMs_ >= It->second) {
+        addNode(It->first);
+        It = RestartAtMs_.erase(It);
       } else {
-        ++Each;
+        ++It;
       }
   }
 
   void endFaults() {
     Faults_ = false;
-    StoreDownUntil_ = 0;
-    PairCut_.clear();
-    for (const auto &Each : Nodes_)
-      Each->CutUntil_ = Each->PausedUntil_ = 0;
-    for (auto &Each : Restart_)
-      Each.second = Now_;
-    for (auto &Each : Terminated_)
-      Each.second = Now_ - 30'000;
+    StoreDownUntilMs_ = 0;
+    LinkCutUntilMs_.clear();
+    for (const auto &Member : Nodes_)
+      Member->StoreCutUntilMs_ = Member->PausedUntilMs_ = 0;
+    for (auto &Restart : RestartAtMs_)
+      Restart.second = NowMs_;
+    for (auto &Termination : TerminatedAtMs_)
+      Termination.second = NowMs_ - 30'000;
     // Delayed messages and appends arrive now.
-    for (auto &Each : Flights_)
-      Each.At_ = std::min(Each.At_, Now_ + 300);
-    const bool AllStop = std::ranges::all_of(
-        Nodes_, [&](const auto &Each) { return Finishing_.contains(Each->Incarnation_); });
-    if (AllStop && Restart_.empty()) // nobody would be left to own the domain
-      add("m" + std::to_string(NextName_++));
+    for (auto &Event : Events_)
+      Event.DueMs_ = std::min(Event.DueMs_, NowMs_ + 300);
+    const bool AllStop = std::ranges::all_of(Nodes_, [&](const auto &Member) {
+      return GracefullyStopping_.contains(Member->Incarnation_);
+    });
+    if (AllStop && RestartAtMs_.empty()) // nobody would be left to own the domain
+      addNode("m" + std::to_string(NextNameNumber_++));
   }
 
   std::vector<const Node *> holders() {
-    std::vector<const Node *> Out;
-    for (const auto &Each : Nodes_)
-      if (Each->Driver_->holds(at(*Each, Now_)))
-        Out.push_back(Each.get());
-    return Out;
+    std::vector<const Node *> Holders;
+    for (const auto &Member : Nodes_)
+      if (Member->Driver_->holds(nodeTime(*Member, NowMs_)))
+        Holders.push_back(Member.get());
+    return Holders;
   }
 
-  void check() {
+  void checkSingleHolder() {
     const auto Holders = holders();
     if (Holders.size() > 1)
-      Result_.TwoHolders_ = "at " + std::to_string(Now_) + " ms both " + Holders[0]->Name_ +
+      Result_.TwoHolders_ = "at " + std::to_string(NowMs_) + " ms both " + Holders[0]->Name_ +
                             " (term " + std::to_string(Holders[0]->Driver_->ownTerm()) + ") and " +
                             Holders[1]->Name_ + " (term " +
                             std::to_string(Holders[1]->Driver_->ownTerm()) + ") hold the lease";
-    for (const auto *Each : Holders)
-      LastHeld_[{Each->Name_, Each->Incarnation_}] = Now_;
+    for (const auto *Holder : Holders)
+      LastHeldMs_[{Holder->Name_, Holder->Incarnation_}] = NowMs_;
   }
 
   void step(bool WithFaults) {
-    Now_ += StepMs;
+    NowMs_ += StepMs;
     Faults_ = WithFaults;
     if (WithFaults)
-      faults();
-    restarts();
-    std::vector<Flight> Due;
-    for (std::size_t I = 0; I < Flights_.size();)
-      if (Flights_[I].At_ <= Now_) {
-        Due.push_back(std::move(Flights_[I]));
-        Flights_[I] = std::move(Flights_.back());
-        Flights_.pop_back();
+      injectFaults();
+    restartDueNodes();
+    std::vector<ScheduledEvent> Due;
+    for (std::size_t I = 0; I < Events_.size();)
+      if (Events_[I].DueMs_ <= NowMs_) {
+        Due.push_back(std::move(Events_[I]));
+        Events_[I] = std::move(Events_.modelTimeMs());
+        Events_.pop_back();
       } else {
         ++I;
       }
-    for (auto &Each : Due)
-      Each.Do_();
+    for (auto &Event : Due)
+      Event.Run_();
     const auto Nodes = Nodes_; // hooks do not change the list, graceful stops below do
-    for (const auto &Each : Nodes) {
-      if (Now_ < Each->PausedUntil_)
+    for (const auto &Member : Nodes) {
+      if (NowMs_ < Member->PausedUntilMs_)
         continue;
-      auto Inbox = std::exchange(Each->Inbox_, {});
+      auto Inbox = std::exchange(Member->Inbox_, {});
       // What runs first after a pause is arbitrary.
       const bool TickFirst = chance(0.5);
       if (TickFirst)
-        Each->Driver_->tick(at(*Each, Now_));
+        Member->Driver_->tick(nodeTime(*Member, NowMs_));
       std::ranges::shuffle(Inbox, Random_);
-      for (auto &Do : Inbox)
-        Do();
-      if (Now_ >= Each->NextRead_)
-        read(*Each);
+      for (auto &Run : Inbox)
+        Run();
+      if (NowMs_ >= Member->NextReadMs_)
+        read(*Member);
       if (!TickFirst)
-        Each->Driver_->tick(at(*Each, Now_));
-      if (Now_ >= Each->NextProbe_) {
-        Each->NextProbe_ = Now_ + 1'000;
+        Member->Driver_->tick(nodeTime(*Member, NowMs_));
+      if (NowMs_ >= Member->NextProbeMs_) {
+        Member->NextProbeMs_ = NowMs_ + 1'000;
         for (const auto &Other : Nodes)
-          if (Other != Each)
-            probe(Each, Other);
+          if (Other != Member)
+            probe(Member, Other);
       }
     }
-    check();
-    std::erase_if(Nodes_, [&](const auto &Each) {
-      if (!Each->Driver_->left())
+    checkSingleHolder();
+    std::erase_if(Nodes_, [&](const auto &Member) {
+      if (!Member->Driver_->hasLeft())
         return false;
-      Finished_.insert(Each->Incarnation_);
-      Terminated_[Each->Name_] = Now_;
+      Finished_.insert(Member->Incarnation_);
+      TerminatedAtMs_[Member->Name_] = NowMs_;
       return true;
     });
     // A released lease may be taken while its old owner still waits to read the record back.
-    for (const auto &Each : Nodes_)
-      if (Finishing_.contains(Each->Incarnation_) && Each->Driver_->ownTerm() == 0)
-        Finished_.insert(Each->Incarnation_);
+    for (const auto &Member : Nodes_)
+      if (GracefullyStopping_.contains(Member->Incarnation_) && Member->Driver_->ownTerm() == 0)
+        Finished_.insert(Member->Incarnation_);
   }
 
   std::mt19937_64 Random_;
   OwnershipOptions Options_;
-  std::int64_t Now_ = 0;
+  std::int64_t NowMs_ = 0;
   bool Faults_ = false;
-  double Loss_ = 0.05;
-  double LossRate_ = 1;
-  double OutageRate_ = 1;
-  double CutRate_ = 1;
-  double PauseRate_ = 1;
-  double PairRate_ = 1;
-  double ChurnRate_ = 1;
-  std::int64_t StoreDownUntil_ = 0;
-  std::int64_t NextName_ = 0;
+  double LossProbability_ = 0.05;
+  double LossScale_ = 1;
+  double OutageScale_ = 1;
+  double StoreCutScale_ = 1;
+  double PauseScale_ = 1;
+  double LinkCutScale_ = 1;
+  double ChurnScale_ = 1;
+  std::int64_t StoreDownUntilMs_ = 0;
+  std::int64_t NextNameNumber_ = 0;
   std::uint64_t NextIncarnation_ = 0;
   std::vector<std::shared_ptr<Node>> Nodes_;
   std::vector<Batch> Log_;
-  std::vector<Flight> Flights_;
-  std::map<std::pair<std::string, std::string>, std::int64_t> PairCut_;
-  std::map<std::string, std::int64_t> Restart_;
-  std::map<std::string, std::int64_t> Terminated_;
-  std::map<std::pair<std::string, std::uint64_t>, std::int64_t> LastHeld_;
-  std::set<std::uint64_t> Finishing_; ///< incarnations that stop gracefully
-  std::set<std::uint64_t> Finished_;  ///< of these, the ones that gave up their lease
-  Verdict Result_;
+  std::vector<ScheduledEvent> Events_;
+  std::map<std::pair<std::string, std::string>, std::int64_t> LinkCutUntilMs_;
+  std::map<std::string, std::int64_t> RestartAtMs_;
+  std::map<std::string, std::int64_t> TerminatedAtMs_;
+  std::map<std::pair<std::string, std::uint64_t>, std::int64_t> LastHeldMs_;
+  std::set<std::uint64_t> GracefullyStopping_; ///< incarnations that stop gracefully
+  std::set<std::uint64_t> Finished_;           ///< of these, the ones that gave up their lease
+  RunResult Result_;
 };
 
 /// Runs all seeds and prints those that fail.
@@ -487,59 +497,60 @@
 };
 
 /// \param Expected with all mechanisms; otherwise the first seed with two holders ends the run.
-Totals runAll(const char *Label, const OwnershipOptions &Options, bool Expected) {
+Totals runAll(const char *Label, const OwnershipOptions &Options, bool RunAllSeeds) {
   Totals Sum;
-  for (int Seed = 1; Seed <= Seeds; ++Seed) {
-    const auto Result = World(static_cast<std::uint64_t>(Seed), Options).run();
-    for (const auto *Text : {&Result.TwoHolders_, &Result.SlotsTooEarly_, &Result.NoOwner_})
-      if (!Text->empty())
-        std::fprintf(stderr, "%s: seed %d: %s\n", Label, Seed, Text->c_str());
+  for (int Seed = 1; Seed <= SeedCount; ++Seed) {
+    const auto Result = ClusterModel(static_cast<std::uint64_t>(Seed), Options).run();
+    for (const auto *Failure : {&Result.TwoHolders_, &Result.SlotsTooEarly_, &Result.NoOwner_})
+      if (!Failure->empty())
+        std::fprintf(stderr, "%s: seed %d: %s\n", Label, Seed, Failure->c_str());
     Sum.TwoHolders_ += Result.TwoHolders_.empty() ? 0 : 1;
     Sum.SlotsTooEarly_ += Result.SlotsTooEarly_.empty() ? 0 : 1;
     Sum.NoOwner_ += Result.NoOwner_.empty() ? 0 : 1;
     Sum.Acquisitions_ += Result.Acquisitions_;
-    if (!Expected && Sum.TwoHolders_ > 0)
+    if (!RunAllSeeds && Sum.TwoHolders_ > 0)
       return Sum;
   }
   std::fprintf(stderr,
                "%s: seeds 1-%d: %d with two holders, %d with slots used early, %d without an owner "
                "after recovery, %d acquisitions\n",
-               Label, Seeds, Sum.TwoHolders_, Sum.SlotsTooEarly_, Sum.NoOwner_, Sum.Acquisitions_);
+               Label, SeedCount, Sum.TwoHolders_, Sum.SlotsTooEarly_, Sum.NoOwner_,
+               Sum.Acquisitions_);
   return Sum;
 }
 
 } // namespace
 
 // Guards against two owners of one domain (P2) and against a domain that stays without one.
-Test(OwnershipModel, atMostOneMemberHoldsTheLeaseAndOneIsFoundAfterFaults) {
+Test(OwnershipModel, keepsSingleHolderAndRecoversAfterFaults) {
   const auto Sum = runAll("all mechanisms", {}, true);
   cr_assert_eq(Sum.TwoHolders_, 0);
   cr_assert_eq(Sum.SlotsTooEarly_, 0);
   cr_assert_eq(Sum.NoOwner_, 0);
-  cr_assert_gt(Sum.Acquisitions_, 2 * Seeds, "the model hardly ever changed owners");
+  cr_assert_gt(Sum.Acquisitions_, 2 * SeedCount, "the model hardly ever changed owners");
 }
 
 // The following show that the model can see the faults that each mechanism prevents.
-Test(OwnershipModel, claimsWithoutTheVersionAreSeenToFail) {
+Test(OwnershipModel, detectsTwoHoldersWithoutVersionCheck) {
   OwnershipOptions Options;
   Options.CheckVersion_ = false;
   cr_assert_gt(runAll("no version check", Options, false).TwoHolders_, 0);
 }
 
-Test(OwnershipModel, aClaimantThatIgnoresItsPromiseIsSeenToFail) {
+Test(OwnershipModel, detectsTwoHoldersWhenPromisesAreIgnored) {
   OwnershipOptions Options;
   Options.HonourPromises_ = false;
   cr_assert_gt(runAll("promises ignored", Options, false).TwoHolders_, 0);
 }
 
-Test(OwnershipModel, promisesDuringAnOpenClaimAreSeenToFail) {
+Test(OwnershipModel, detectsTwoHoldersWhenPromisesAreGrantedDuringOpenClaim) {
   OwnershipOptions Options;
   Options.BlockWhileClaimOpen_ = false;
   cr_assert_gt(runAll("promises during an open claim", Options, false).TwoHolders_, 0);
 }
 
-Test(OwnershipModel, aNewMemberWithoutConsentIsSeenToFail) {
+Test(OwnershipModel, detectsTwoHoldersWithoutConsent) {
   OwnershipOptions Options;
-  Options.AskConsent_ = false;
+  Options.RequireConsent_ = false;
   cr_assert_gt(runAll("no consent", Options, false).TwoHolders_, 0);
 }
