--- a/include/masticdrift/ownership/OwnershipDriver.h
+++ b/include/masticdrift/ownership/OwnershipDriver.h
@@ -6,7 +6,7 @@
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/ownership/ClaimTable.h"
 #include "masticdrift/ownership/OwnerLease.h"
-#include "masticdrift/ownership/PromiseBook.h"
+#include "masticdrift/ownership/PromiseTracker.h"
 #include "masticdrift/protocol/Messages.h"
 
 #include <cstdint>
--- a/include/masticdrift/ownership/PromiseBook.h
+++ b/include/masticdrift/ownership/PromiseTracker.h
@@ -1,7 +1,7 @@
 /// \file
 /// Promises not to claim that a member has given.
-#ifndef MASTICDRIFT_OWNERSHIP_PROMISEBOOK_H
-#define MASTICDRIFT_OWNERSHIP_PROMISEBOOK_H
+#ifndef MASTICDRIFT_OWNERSHIP_PROMISETRACKER_H
+#define MASTICDRIFT_OWNERSHIP_PROMISETRACKER_H
 
 #include "masticdrift/core/Clock.h"
 
@@ -48,4 +48,4 @@
 
 } // namespace masticdrift::ownership
 
-#endif // MASTICDRIFT_OWNERSHIP_PROMISEBOOK_H
+#endif // MASTICDRIFT_OWNERSHIP_PROMISETRACKER_H
--- a/src/ownership/PromiseBook.cpp
+++ b/src/ownership/PromiseTracker.cpp
@@ -1,4 +1,4 @@
-#include "masticdrift/ownership/PromiseBook.h"
+#include "masticdrift/ownership/PromiseTracker.h"
 
 #include <algorithm>
 
