--- a/src/ownership/OwnershipDriver.cpp
+++ b/src/ownership/OwnershipDriver.cpp
@@ -225,7 +225,7 @@
     for (const auto &Id : otherMembers())
       if (isUnresponsive(Id, Now))
         Unresponsive.push_back(Id);
-    evict(Unresponsive, Now, Calls);
+    evictMembers(Unresponsive, Now, Calls);
   }
 
   bool isUnresponsive(const MemberId &Id, TimePoint Now) {
@@ -235,7 +235,7 @@
     return std::min(SinceReply.value_or(Now - FirstSeen), Now - FirstSeen) > Options_.EvictAfter_;
   }
 
-  void evict(const std::vector<MemberId> &Members, TimePoint Now, DeferredCalls &Calls) {
+  void evictMembers(const std::vector<MemberId> &Members, TimePoint Now, DeferredCalls &Calls) {
     if (Members.empty() || EvictInFlight_ || !isDue(LastEvictAt_, Now))
       return;
     LastEvictAt_ = Now;
@@ -301,7 +301,7 @@
     for (const auto &Id : otherMembers())
       if (Hooks_.IsTerminated_(Id.first))
         Terminated.push_back(Id);
-    evict(Terminated, Now, Calls);
+    evictMembers(Terminated, Now, Calls);
   }
 
   void requestConsent(const std::vector<std::string> &Members, TimePoint Now,
--- a/tests/unit/OwnershipModelTest.cpp
+++ b/tests/unit/OwnershipModelTest.cpp
@@ -226,67 +226,70 @@
                [this, Record] { appendWhenStoreIsUp(Record); });
   }
 
-  void deliver(const std::shared_ptr<Node> &To, Callback Run) {
-    if (NowMs_ < To->PausedUntilMs_)
-      To->Inbox_.push_back(std::move(Run));
+  void deliver(const std::shared_ptr<Node> &Recipient, Callback Run) {
+    if (NowMs_ < Recipient->PausedUntilMs_)
+      Recipient->Inbox_.push_back(std::move(Run));
     else
       Run();
   }
 
   /// One message; may be lost or late while faults last.
-  void send(const Node &From, const std::weak_ptr<Node> &To, Callback Run) {
-    const auto Target = To.lock();
+  void send(const Node &Sender, const std::weak_ptr<Node> &Recipient, Callback Run) {
+    const auto Target = Recipient.lock();
     if (!Target)
       return;
-    const auto Pair = std::minmax(From.Name_, Target->Name_);
+    const auto Pair = std::minmax(Sender.Name_, Target->Name_);
     const auto Cut = LinkCutUntilMs_.find({Pair.first, Pair.second});
     if (Cut != LinkCutUntilMs_.end() && NowMs_ < Cut->second)
       return;
     if (Faults_ && chance(LossProbability_))
       return;
     const auto DelayMs = Faults_ && chance(0.02) ? randomBelow(10'000) : randomBelow(150);
-    schedule(DelayMs, [this, To, Run = std::move(Run)] {
-      if (const auto Alive = To.lock())
-        deliver(Alive, Run);
+    schedule(DelayMs, [this, Recipient, Run = std::move(Run)] {
+      if (const auto Receiver = Recipient.lock())
+        deliver(Receiver, Run);
     });
   }
 
   void requestConsent(const std::weak_ptr<Node> &Claimant, const std::string &Member,
                       const protocol::ConsentRequest &Request,
                       const std::function<void(std::optional<protocol::Consent>)> &Done) {
-    const auto Target = find(Member);
-    if (!Target)
+    const auto VoterNode = find(Member);
+    if (!VoterNode)
       return;
-    const std::weak_ptr<Node> To = Target;
-    send(*Claimant.lock(), To, [this, Claimant, To, Request, Done] {
-      const auto Voter = To.lock();
+    const std::weak_ptr<Node> WeakVoter = VoterNode;
+    send(*Claimant.lock(), WeakVoter, [this, Claimant, WeakVoter, Request, Done] {
+      const auto Voter = WeakVoter.lock();
       const auto Answer = Voter->Driver_->onConsentRequest(Request, nodeTime(*Voter, NowMs_));
       send(*Voter, Claimant, [Answer, Done] { Done(Answer); });
     });
   }
 
-  void probe(const std::shared_ptr<Node> &From, const std::shared_ptr<Node> &To) {
-    const std::weak_ptr<Node> WeakProber = From;
-    const std::weak_ptr<Node> WeakReplier = To;
+  void probe(const std::shared_ptr<Node> &ProberNode, const std::shared_ptr<Node> &ReplierNode) {
+    const std::weak_ptr<Node> WeakProber = ProberNode;
+    const std::weak_ptr<Node> WeakReplier = ReplierNode;
     protocol::Probe Request;
-    const auto Sent = nodeTime(*From, NowMs_);
+    const auto Sent = nodeTime(*ProberNode, NowMs_);
     const auto SentMs = NowMs_;
-    From->Driver_->fillProbe(Request, Sent);
-    send(*From, WeakReplier, [=, this, Name = From->Name_, Incarnation = From->Incarnation_] {
-      const auto Replier = WeakReplier.lock();
-      protocol::ProbeReply Reply;
-      Replier->Driver_->fillReply(Name, Incarnation, Request, Reply, nodeTime(*Replier, NowMs_));
-      const auto LastReadMs = Replier->LastReadMs_;
-      send(*Replier, WeakProber,
-           [=, this, ReplierName = Replier->Name_, ReplierIncarnation = Replier->Incarnation_] {
-             const auto Prober = WeakProber.lock();
-             Prober->LastReplyMs_[ReplierName] = NowMs_;
-             if (LastReadMs >= 0)
-               Prober->StoreReadMs_[ReplierName] = LastReadMs;
-             Prober->Driver_->onProbeReply(ReplierName, ReplierIncarnation, Sent, Reply);
-             (void)SentMs;
-           });
-    });
+    ProberNode->Driver_->fillProbe(Request, Sent);
+    send(*ProberNode, WeakReplier,
+         [=, this, Name = ProberNode->Name_, Incarnation = ProberNode->Incarnation_] {
+           const auto Replier = WeakReplier.lock();
+           protocol::ProbeReply Reply;
+           Replier->Driver_->fillReply(Name, Incarnation, Request, Reply,
+                                       nodeTime(*Replier, NowMs_));
+           const auto LastReadMs = Replier->LastReadMs_;
+           send(
+               *Replier, WeakProber,
+               [=, this, ReplierName = Replier->Name_, ReplierIncarnation = Replier->Incarnation_] {
+                 const auto Prober = WeakProber.lock();
+                 Prober->LastReplyMs_[ReplierName] = NowMs_;
+                 if (LastReadMs >= 0)
+                   Prober->StoreReadMs_[ReplierName] = LastReadMs;
+                 Prober->Driver_->onProbeReply(ReplierName, ReplierIncarnation, Sent, Reply);
+                 (void)SentMs;
+               });
+         });
   }
 
   void read(Node &Reader) {
