cell, ownership: reword comments and a test message

Comments used figures of speech and incomplete phrases. They now say in full sentences what the code does and why; reasons and numbers are kept. Missing briefs of public types and functions were added.

--- a/include/masticdrift/cell/Controller.h
+++ b/include/masticdrift/cell/Controller.h
@@ -1,5 +1,6 @@
 /// \file
-/// The owner's loop over durable work: worker leases, starts, ends, preemption and recovery.
+/// Control loop of a domain's owner for durable jobs: worker leases, task starts and ends,
+/// preemption and recovery.
 #ifndef MASTICDRIFT_CELL_CONTROLLER_H
 #define MASTICDRIFT_CELL_CONTROLLER_H
 
@@ -25,69 +26,78 @@
   std::string Domain_;
   WorkerLeaseTiming LeaseTiming_;
   core::Duration TickInterval_ = core::Millis(50);
-  std::uint32_t MaxAttempts_ = 5;                             ///< of an idempotent task that fails
-  core::Duration FirstProbeDelay_ = std::chrono::seconds(30); ///< until the first probe; doubles
+  std::uint32_t MaxAttempts_ = 5; ///< attempts of an idempotent task that fails
+  /// Delay before the first probe of a quarantined worker; doubles with each failed probe.
+  core::Duration FirstProbeDelay_ = std::chrono::seconds(30);
 };
 
-/// A team's part of this domain.
+/// Weight and resource limit of one team in this domain.
 struct TeamQuota {
   std::string Name_;
   double Weight_ = 1;
-  core::Resources Allotment_; ///< the domain's allotment of the team's limit
+  core::Resources Allotment_; ///< part of the team's limit that this domain may use
 };
 
 using AppendFunction = std::function<void(std::vector<journal::Entry>,
                                           std::function<void(std::error_code, std::uint64_t)>)>;
 
+/// Functions that the controller calls.
 struct ControllerHooks {
-  /// Asked immediately before each command to a worker.
+  /// Returns whether this daemon holds the domain's lease; called immediately before each command
+  /// to a worker.
   std::function<bool(core::TimePoint)> HoldsLease_;
   /// Appends to the domain stream.
   AppendFunction Append_;
 };
 
+/// Snapshot of the controller's state for status and metrics.
 struct ControllerStats {
   bool Active_ = false;
   std::size_t Workers_ = 0;
   std::size_t UsableWorkers_ = 0;
-  std::size_t WaitingTasks_ = 0; ///< tasks
-  std::size_t RunningTasks_ = 0; ///< tasks
+  std::size_t WaitingTasks_ = 0;
+  std::size_t RunningTasks_ = 0;
   core::Resources FreeResources_;
-  double Utilization_ = 0; ///< of the scarcest resource
+  double Utilization_ = 0; ///< used fraction of the scarcest resource, 0 to 1
 };
 
-/// Runs on the timer thread it is given; all functions are thread-safe.
+/// Schedules the tasks of one domain while this daemon owns it.
+///
+/// Runs on the thread of the given timers; all functions are thread-safe.
 ///
 /// A task is sent to a worker only after its Start record has been replayed under the owner's own
 /// term, and its end is acknowledged to the worker only after the End record has been replayed.
 class Controller {
 public:
-  /// \param Timers a thread of its own, so that decisions don't delay heartbeats. Must be stopped
-  /// before this object is destroyed.
+  /// \param Timers timers with a dedicated thread, so that decisions don't delay heartbeats. They
+  /// must be stopped before this object is destroyed.
   Controller(ControllerOptions Options, ControllerHooks Hooks, core::Timers &Timers,
              legacy::WorkerClient &Client, const jobs::DomainState &State);
   Controller(const Controller &) = delete;
   Controller &operator=(const Controller &) = delete;
   ~Controller();
 
+  /// Starts the periodic tick.
   void start();
 
-  /// The domain's lease was won for \p Term. Rebuilds everything from the replayed state.
+  /// Starts scheduling under \p Term, whose lease was acquired. Rebuilds the scheduling state from
+  /// the replayed records.
   void onLeaseAcquired(std::uint64_t Term);
-  /// The lease was lost; nothing more is sent.
+  /// Stops scheduling after the lease was lost; no further command is sent to a worker.
   void onLeaseLost();
 
   /// Replaces the list of workers of this domain.
   void setWorkers(std::vector<legacy::Instance> Workers);
-  /// Replaces weights and allotments.
+  /// Replaces the teams' weights and resource limits.
   void setTeams(std::vector<TeamQuota> Teams);
 
-  /// A record was replayed.
+  /// Applies the effect of a replayed record.
   void onChange(const jobs::Change &Change);
 
   /// Explains why a job waits; \p Done is called on the timer thread.
   void explain(std::string_view Job, std::function<void(policy::Explanation)> Done) const;
 
+  /// \returns a copy of the statistics as of the last tick.
   ControllerStats stats() const;
 
 private:
--- a/include/masticdrift/cell/DomainStream.h
+++ b/include/masticdrift/cell/DomainStream.h
@@ -1,5 +1,5 @@
 /// \file
-/// The own domain's stream: replay, group commit, ownership and snapshots.
+/// Stream of this daemon's domain: replay, group commit, ownership and snapshots.
 #ifndef MASTICDRIFT_CELL_DOMAINSTREAM_H
 #define MASTICDRIFT_CELL_DOMAINSTREAM_H
 
@@ -25,6 +25,7 @@
   ownership::OwnershipOptions Ownership_;
 };
 
+/// Functions that the stream calls; the ones after OnLost_ are described at OwnershipHooks.
 struct DomainStreamHooks {
   std::function<void(const jobs::Change &)> OnChange_;
   std::function<void(std::uint64_t Term, core::TimePoint SlotsFreeAt)> OnAcquired_;
@@ -39,7 +40,8 @@
   std::function<bool(const std::string &Member)> IsTerminated_;
 };
 
-/// Runs on the timer thread it is given.
+/// Replays the stream of this daemon's domain and appends to it. Runs on the thread of the given
+/// timers.
 class DomainStream {
 public:
   DomainStream(DomainStreamOptions Options, DomainStreamHooks Hooks, legacy::LogClient &Log,
@@ -48,28 +50,31 @@
   DomainStream &operator=(const DomainStream &) = delete;
   ~DomainStream();
 
+  /// Starts reading the stream and the ownership tick.
   void start();
+  /// Stops reading the stream.
   void stop();
 
-  /// Appends to the own domain's stream; see journal::Appender::append().
+  /// Appends to the domain's stream; see journal::Appender::append().
   void append(std::vector<journal::Entry> Entries,
               std::function<void(std::error_code, std::uint64_t)> Done);
 
-  /// Reads the stream as soon as possible.
+  /// Reads the stream now instead of at the next poll.
   void readNow();
 
-  /// Calls \p Done on the timer thread once everything that was in the stream before this call has
-  /// been replayed, or with StoreUnavailable after \p Timeout.
+  /// Calls \p Done on the timer thread once all records that were in the stream before this call
+  /// have been replayed, or with StoreUnavailable after \p Timeout.
   void barrier(core::Duration Timeout, std::function<void(std::error_code)> Done);
 
   const jobs::DomainState &jobs() const;
   ownership::OwnershipDriver &ownership();
   const ownership::OwnershipDriver &ownership() const;
 
-  /// \returns the send time of the last read that reached the end.
+  /// \returns the send time of the last read that reached the end of the stream.
   std::optional<core::TimePoint> completeAsOf() const;
+  /// \returns the records that expired before they were read, if any.
   std::optional<journal::Gap> gap() const;
-  /// \returns true when nothing waits to be appended.
+  /// \returns true when no append is queued or in flight.
   bool idle() const;
 
 private:
--- a/include/masticdrift/cell/JobService.h
+++ b/include/masticdrift/cell/JobService.h
@@ -1,5 +1,5 @@
 /// \file
-/// Accepts, cancels and reports durable jobs of all domains.
+/// Submission, cancellation and status of durable jobs in all domains.
 #ifndef MASTICDRIFT_CELL_JOBSERVICE_H
 #define MASTICDRIFT_CELL_JOBSERVICE_H
 
@@ -25,20 +25,24 @@
   double AppendsPerSecond_ = 20;
 };
 
-/// \returns the home domain of a job, the same at every daemon: the highest hash of domain, team
-/// and request id. Empty without domains.
+/// Selects the home domain of a job by rendezvous hashing of domain, team and request id, so that
+/// all daemons select the same one.
+///
+/// \returns the domain's name; empty if \p Domains is empty.
 std::string_view homeDomain(std::span<const config::Domain> Domains, std::string_view Team,
                             std::string_view RequestId);
 
-/// \returns the stream of a domain.
+/// \returns the name of a domain's stream.
 std::string domainStreamName(std::string_view Domain);
 
-/// \returns the domain part of a job id, empty when it has none.
+/// \returns the domain part of a job id; empty if it has none.
 std::string_view domainOfJob(std::string_view JobId);
 
-/// Answer to a read or a submission: JSON text, or an error.
+/// Receives the result of a read or a submission: a failure, or the answer as JSON text.
 using JobCallback = std::function<void(core::Failure, std::string Json)>;
 
+/// Handles durable jobs of all domains, through the owners of the other domains where needed.
+///
 /// Thread-safe. Callbacks may run on any thread and must not block.
 class JobService {
 public:
@@ -49,23 +53,30 @@
   JobService &operator=(const JobService &) = delete;
   ~JobService();
 
-  /// Accepts a job durably. The JSON is the job's state; for a repeated request id that of the
-  /// first submission, with "duplicate": true. Errors: StoreUnavailable (certainly not accepted),
-  /// AppendUnknown.
+  /// Accepts a job durably. The answer is the job's state; for a repeated request id it is the
+  /// state of the first submission, with "duplicate": true.
+  ///
+  /// Errors: StoreUnavailable if the job was certainly not accepted, AppendUnknown if it may have
+  /// been accepted.
   void accept(jobs::JobSpec Spec, JobCallback Done);
 
-  /// Asks for the end of jobs, all in one append per domain. Errors as accept().
+  /// Requests the cancellation of jobs, with one append per domain.
+  ///
+  /// Errors: as accept().
   void cancel(std::span<const std::string> Ids, std::string_view By,
               std::function<void(core::Failure)> Done);
 
-  /// Reports one job. \p Team restricts to a team's jobs, empty for operators. Errors: UnknownJob,
-  /// PeerUnreachable.
+  /// Reports the state of one job.
+  ///
+  /// \param Team the team whose jobs are visible; empty for operators, who see all.
+  ///
+  /// Errors: UnknownJob, PeerUnreachable.
   void status(std::string_view Id, std::string_view Team, JobCallback Done);
 
-  /// Lists the jobs of a team in all reachable domains.
+  /// Lists the jobs of a team in all reachable domains, and the domains that were not reachable.
   void list(std::string_view Team, std::span<const std::string> Domains, JobCallback Done);
 
-  /// Answers a JobQuery of another daemon.
+  /// Answers a JobQuery from another daemon.
   void onQuery(const protocol::Envelope &Message);
 
 private:
--- a/include/masticdrift/cell/Services.h
+++ b/include/masticdrift/cell/Services.h
@@ -1,5 +1,5 @@
 /// \file
-/// Which service jobs of the configuration should exist in a domain.
+/// Planning of the service jobs that the configuration requires in a domain.
 #ifndef MASTICDRIFT_CELL_SERVICES_H
 #define MASTICDRIFT_CELL_SERVICES_H
 
@@ -17,13 +17,15 @@
 /// Prefix of the request ids of service jobs; callers can't use it.
 inline constexpr std::string_view ServiceRequestIdPrefix = "service.";
 
-/// Changes that bring a domain's service jobs in line with the configuration.
+/// Changes that make a domain's service jobs match the configuration.
 struct ServicePlan {
   std::vector<jobs::JobSpec> Accept_;
-  std::vector<std::string> Cancel_; ///< job ids, in reverse order of dependency
+  /// Job ids, dependents before their dependencies; jobs of removed replicas come last.
+  std::vector<std::string> Cancel_;
 };
 
-/// \returns the domain that runs a replica: the service's own, or the domains in turn.
+/// \returns the domain that runs a replica: the domain set for the service, else one chosen round
+/// robin.
 std::string_view domainOfReplica(const config::Configuration &Config,
                                  const config::Service &Service, std::int64_t Replica);
 
@@ -34,9 +36,10 @@
 /// once it has ended.
 ///
 /// \param Config the configuration in force.
-/// \param Domain the domain.
+/// \param Domain the domain to plan for.
 /// \param Existing the domain's service jobs, finished ones included.
-/// \param RunsInOtherDomain whether a service without a replica in this domain is known to run.
+/// \param RunsInOtherDomain returns whether a service without a replica in this domain is known to
+/// run.
 ServicePlan planServices(const config::Configuration &Config, std::string_view Domain,
                          std::span<const jobs::Job> Existing,
                          const std::function<bool(const config::Service &)> &RunsInOtherDomain);
--- a/include/masticdrift/ownership/OwnerLease.h
+++ b/include/masticdrift/ownership/OwnerLease.h
@@ -1,5 +1,5 @@
 /// \file
-/// End of the lease that this daemon holds.
+/// The ownership lease that this daemon holds.
 #ifndef MASTICDRIFT_OWNERSHIP_OWNERLEASE_H
 #define MASTICDRIFT_OWNERSHIP_OWNERLEASE_H
 
@@ -16,9 +16,11 @@
 /// A member and its incarnation.
 using MemberId = std::pair<std::string, std::uint64_t>;
 
-/// Lease of one term, from confirmed renewals and from promises. Pure; all times are passed in.
+/// Lease of one term, extended by confirmed renewals and by promises. Reads no clock: the caller
+/// passes all times.
 class OwnerLease {
 public:
+  /// \param Length duration for which a claim, a renewal or a promise extends the lease.
   explicit OwnerLease(core::Duration Length) : Length_(Length) {}
 
   /// Starts a term whose claim was sent at \p SentAt.
@@ -27,18 +29,18 @@
   /// Ends the term.
   void endTerm();
 
-  /// A renewal that was sent at \p SentAt has been read back.
+  /// Extends the lease by a renewal that was sent at \p SentAt and has been read back.
   void confirmRenewal(core::TimePoint SentAt);
 
-  /// \p Member promised in reply to a probe sent at \p SentAt.
+  /// Stores the promise that \p Member gave in reply to a probe sent at \p SentAt.
   void addPromise(const MemberId &Member, std::uint64_t Term, core::TimePoint SentAt);
 
-  /// Extends the lease to the oldest of the latest promises plus the length, if all members of
-  /// the view promised.
+  /// Extends the lease to the oldest of the members' latest promises plus the lease length, if all
+  /// members in \p View have promised.
   ///
   /// \param View all other members, from the last read of the stream.
-  /// \param Evicting members whose eviction has been sent and not read back; at least one member
-  /// of the view must be outside it, since a claimant may already have read the eviction.
+  /// \param Evicting members whose eviction has been sent and not read back. At least one member of
+  /// \p View must not be among them, since a claimant may already have read the eviction.
   void applyPromises(const std::set<MemberId> &View, const std::set<MemberId> &Evicting);
 
   /// \returns whether the lease is held at \p Now.
--- a/include/masticdrift/ownership/Records.h
+++ b/include/masticdrift/ownership/Records.h
@@ -1,5 +1,5 @@
 /// \file
-/// Records of the ownership lease in a domain stream.
+/// Records of the ownership protocol in a domain stream.
 #ifndef MASTICDRIFT_OWNERSHIP_RECORDS_H
 #define MASTICDRIFT_OWNERSHIP_RECORDS_H
 
@@ -11,7 +11,7 @@
 
 namespace masticdrift::ownership {
 
-/// An instance becomes a member of the domain. A higher incarnation replaces the lower one.
+/// Adds an instance to the domain's members. A higher incarnation replaces a lower one.
 struct Join {
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
@@ -19,14 +19,14 @@
   MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_, Address_)
 };
 
-/// A member leaves as planned. Ends this incarnation and all earlier ones.
+/// Removes a member that stops gracefully; ends this incarnation and all earlier ones.
 struct Leave {
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
   MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_)
 };
 
-/// A dead member is removed.
+/// Removes a member that no longer replies or was terminated.
 struct Evict {
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
@@ -34,27 +34,27 @@
   MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_, Term_)
 };
 
-/// A member takes the lease if \p BaseVersion_ is still the version.
+/// Acquires the lease for a member if \p BaseVersion_ is still the current version.
 struct Claim {
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
   std::uint64_t Term_ = 0;
   std::uint64_t BaseVersion_ = 0;
-  std::uint64_t Nonce_ = 0; ///< lets the claimant find the send time of this copy
+  std::uint64_t Nonce_ = 0; ///< identifies the append, so that the claimant finds its send time
   MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_, Term_, BaseVersion_, Nonce_)
 };
 
-/// The owner extends its lease.
+/// Extends the owner's lease.
 struct Renew {
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
   std::uint64_t Term_ = 0;
-  std::uint64_t OwnerReadOffset_ = 0; ///< offset up to which the owner had read
+  std::uint64_t OwnerReadOffset_ = 0; ///< the owner had read all records up to here
   std::uint64_t Nonce_ = 0;
   MSGPACK_DEFINE_ARRAY(Instance_, Incarnation_, Term_, OwnerReadOffset_, Nonce_)
 };
 
-/// The owner gives the lease up after its last request has ended.
+/// Ends the owner's lease; written after its last request has ended.
 struct Release {
   std::string Instance_;
   std::uint64_t Incarnation_ = 0;
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -21,47 +21,46 @@
 using legacy::WorkerStatus;
 using legacy::WorkerTaskState;
 
-/// Most start decisions of one round; the rest follows in the next one, after the timer thread has
-/// served others.
+/// Further decisions follow in the next round, so that the timer thread can run other work in
+/// between.
 constexpr std::size_t MaxDecisionsPerRound = 256;
-/// A start whose append had an unknown result is looked up in the replayed state after this time.
+/// Delay after which a start whose append had an unknown result is looked up in the replayed state.
 constexpr core::Millis UnknownAppendTimeout{5000};
-/// A worker is asked this long after the expected end of a task, then after growing parts of the
-/// time it has run.
+/// A worker is queried this long after the expected end of a task. Later queries follow after the
+/// task's run time so far divided by EndQueryDivisor, at least MinEndQueryInterval apart.
 constexpr core::Millis EndQueryMargin{30};
 constexpr core::Millis MinEndQueryInterval{200};
 constexpr int EndQueryDivisor = 4;
 
 using TaskKey = std::pair<std::string, std::uint32_t>;
 
-/// Progress of a task whose start was decided or found by replay.
+/// State of a task whose start was decided or replayed.
 enum class Phase {
-  Recording, ///< the Start record is on its way
-  Sending,   ///< the Start is in force and the worker has not confirmed it
+  Recording, ///< the Start record is being appended
+  Sending,   ///< the Start record was replayed; the worker has not confirmed the task
   Running,   ///< the worker has confirmed the task
   Recovered, ///< started by an earlier owner; the worker has not reported yet
-  Ending,    ///< the End record is on its way
+  Ending,    ///< the End record is being appended
 };
 
 struct ActiveTask {
   std::shared_ptr<const jobs::JobSpec> Spec_;
   std::uint32_t Attempt_ = 0;
   std::string Worker_;
-  std::string LeaseGeneration_; ///< generation of the worker's lease that the start names
+  std::string LeaseGeneration_; ///< worker's lease generation in the Start record
   Phase Phase_ = Phase::Recording;
   TimePoint PhaseSince_; ///< start of the phase
   TimePoint Started_;
-  TimePoint EndQueryAt_ =
-      TimePoint::max();   ///< when the worker should be asked whether it has ended
-  bool InFlight_ = false; ///< a start command is outstanding
-  bool Stopping_ = false; ///< the worker was told to stop it
+  TimePoint EndQueryAt_ = TimePoint::max(); ///< when to query the worker for the task's end
+  bool InFlight_ = false;                   ///< a start command is outstanding
+  bool Stopping_ = false;                   ///< a stop or checkpoint command was sent
 };
 
 struct WorkerEntry {
   legacy::Instance Instance_;
   WorkerLease Lease_;
   std::vector<legacy::TaskAck> Acks_;
-  std::string EndedGeneration_; ///< last generation whose tasks were declared ended
+  std::string EndedGeneration_; ///< last generation whose tasks were recorded as ended
 };
 
 std::string workerTaskId(std::string_view Job, std::uint32_t Task) {
@@ -93,7 +92,7 @@
   return policy::JobKind::Batch;
 }
 
-/// Run time that is assumed when none is declared.
+/// Assumed run time of a job that declares none.
 constexpr core::Duration DefaultRunTime = std::chrono::minutes(1);
 
 core::Duration declaredRunTime(const jobs::JobSpec &Spec) {
@@ -147,7 +146,7 @@
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Timers), Client_(Client),
         State_(State) {}
 
-  // --- Changes from outside, on the timer thread ---
+  // --- Changes of ownership, workers and teams ---
 
   void onLeaseAcquired(std::uint64_t Term) {
     Term_ = Term;
@@ -170,8 +169,8 @@
     Quarantine_.Rules_.FirstBackOff_ = Options_.FirstProbeDelay_;
   }
 
-  /// Builds the policy's view from the replayed state. Workers get work once they have answered
-  /// this owner.
+  /// Builds the scheduling state from the replayed records. A worker gets tasks once it has
+  /// answered a renewal of this owner.
   void rebuild() {
     const TimePoint Now = core::Clock::now();
     const auto Workers = std::move(WorkerList_);
@@ -269,7 +268,8 @@
   }
 
   void addPendingTasks(const jobs::JobSpec &Spec, std::vector<std::uint32_t> Tasks, TimePoint Now) {
-    // A record that was replayed while the view was rebuilt is in both; it must not count twice.
+    // A record replayed during rebuild() is in the replayed state and arrives as a change too; its
+    // tasks must not be added twice.
     const policy::PendingJob *Existing = policy::findPending(Pending_, Spec.Id_);
     std::erase_if(Tasks, [&](std::uint32_t Task) {
       return Active_.contains({Spec.Id_, Task}) ||
@@ -293,7 +293,7 @@
     Active_.erase(It);
   }
 
-  /// Calls \p Work for each active task of a worker.
+  /// Calls \p Callback for each active task of a worker.
   template <typename Function> void forEachTaskOn(const std::string &Worker, Function Callback) {
     const auto Keys = ByWorker_.find(Worker);
     if (Keys == ByWorker_.end())
@@ -443,7 +443,7 @@
     });
   }
 
-  /// The Start was certainly not recorded: the task waits again.
+  /// Returns a task to the queue after its Start record was certainly not appended.
   void revertStart(const TaskKey &Key) {
     const auto Found = Active_.find(Key);
     if (Found == Active_.end() || Found->second.Phase_ != Phase::Recording)
@@ -508,12 +508,15 @@
     } else if (legacy::hadNoEffect(Status) && Status != WorkerStatus::StaleTerm) {
       recordEnd(Key, Task, TaskOutcome::NeverRan, 0, Now);
     }
-    // NoAnswer: the same attempt is sent again with the next tick until the worker answers or its
-    // lease has ended.
+    // NoAnswer: each tick sends the same attempt again until the worker answers or its lease has
+    // expired.
   }
 
-  /// A task's end is learned with a lease renewal. Waiting for the regular one would leave its room
-  /// unused for seconds, so the worker is asked when the task is expected to have ended.
+  /// \returns when to query the worker for the end of a task that has just started.
+  ///
+  /// Workers report ended tasks in the answer to a lease renewal. Waiting for the regular renewal
+  /// would leave the task's resources unused for seconds, so an extra renewal is sent when the task
+  /// is expected to have ended.
   TimePoint firstEndQuery(const jobs::JobSpec &Spec, TimePoint Now) const {
     if (Spec.Kind_ == jobs::JobKind::Service)
       return TimePoint::max();
@@ -594,7 +597,8 @@
     }
   }
 
-  /// Records how an attempt ended. The task keeps its room until the record has been replayed.
+  /// Appends the End record of an attempt. The task's resources stay allocated until the record has
+  /// been replayed.
   void recordEnd(const TaskKey &Key, ActiveTask &Task, TaskOutcome Outcome, std::int32_t ExitCode,
                  TimePoint Now) {
     jobs::End Record;
@@ -616,8 +620,9 @@
     });
   }
 
-  /// The End was not recorded, or it is not known. The worker keeps the task's outcome and reports
-  /// it again with the next renewal; a second End of the same attempt has no effect.
+  /// Handles an End record that was not appended, or whose append had an unknown result. The worker
+  /// keeps the task's outcome and reports it again with the next renewal; a second End of the same
+  /// attempt has no effect.
   void onEndNotRecorded(const TaskKey &Key, std::uint32_t Attempt, std::uint64_t Term) {
     const auto Found = Active_.find(Key);
     if (Term_ == Term && Found != Active_.end() && Found->second.Attempt_ == Attempt &&
@@ -706,7 +711,7 @@
     scheduleDecisionRound();
   }
 
-  /// Compares what the worker reports with what is recorded.
+  /// Compares the tasks that the worker reports with the recorded ones.
   void reconcile(const std::string &Name, WorkerEntry &Entry, TimePoint SentAt,
                  const legacy::LeaseAnswer &Answer, TimePoint Now) {
     std::map<TaskKey, const legacy::WorkerTask *> ReportedTasks;
@@ -731,8 +736,8 @@
     });
   }
 
-  /// A task that is not recorded as running there: an attempt that is over, or one of an abandoned
-  /// Start.
+  /// Stops or acknowledges a task that is not recorded as running on this worker: an attempt that
+  /// has ended, or one of an abandoned Start.
   void discardUnknownTask(WorkerEntry &Entry, const legacy::WorkerTask &WorkerTask) {
     if (WorkerTask.State_ == WorkerTaskState::Running)
       Client_.stopTask(Entry.Instance_.Address_, WorkerTask.Id_, Term_, [](WorkerStatus) {});
@@ -770,7 +775,7 @@
     recordEnd(Key, Task, Outcome, WorkerTask.Exit_, Now);
   }
 
-  /// The worker answered and does not know the task.
+  /// Handles a task that the worker does not know.
   void onTaskMissing(const TaskKey &Key, ActiveTask &Task, const std::string &Generation,
                      TimePoint Now) {
     switch (Task.Phase_) {
@@ -778,14 +783,14 @@
     case Phase::Ending:
       return;
     case Phase::Sending:
-      // A start that is still on its way names the old generation and will be refused.
-      // It may have reached the worker in the old generation, so the task may have run.
+      // A start command still in flight names the old generation and will be refused. But it may
+      // have reached the worker in the old generation, so the task may have run.
       if (Generation != Task.LeaseGeneration_)
         recordEnd(Key, Task, TaskOutcome::Lost, 0, Now);
       return;
     case Phase::Recovered:
-      // The worker has accepted the higher term, so a start of the earlier owner can't arrive any
-      // more. In the same generation it would still know a task that it had started.
+      // The worker has accepted the higher term, so it refuses start commands of the earlier owner.
+      // In the same generation it would still know a task that it had started.
       return recordEnd(
           Key, Task,
           Generation == Task.LeaseGeneration_ ? TaskOutcome::NeverRan : TaskOutcome::Lost, 0, Now);
@@ -794,7 +799,7 @@
     }
   }
 
-  /// The worker's lease has certainly ended, and with it all its tasks.
+  /// Records the worker's tasks as lost: its lease has certainly expired, so it has stopped them.
   void onWorkerLeaseExpired(const std::string &Name, WorkerEntry &Entry, TimePoint Now) {
     forEachTaskOn(Name, [&](const TaskKey &Key, ActiveTask &Task) {
       if (Task.Phase_ != Phase::Recording && Task.Phase_ != Phase::Ending)
@@ -803,12 +808,12 @@
     if (const auto Index = policy::findWorker(Cell_, Name))
       policy::setLeaving(Cell_, *Index, true);
     policy::setCapacity(Shares_, Cell_.Capacity_);
-    // From here the worker is treated as new: renewals start again.
+    // The worker is treated as new from here on, so renewals start again.
     Entry.Lease_ = {};
     Entry.Lease_.FirstContact_ = Now;
   }
 
-  /// Looks up starts whose append had an unknown result.
+  /// Resolves starts whose append had an unknown result from the replayed state.
   void resolveUnknownStarts(TimePoint Now) {
     std::vector<TaskKey> NotRecorded;
     for (auto &[Key, Task] : Active_) {
@@ -848,11 +853,11 @@
   legacy::WorkerClient &Client_;
   const jobs::DomainState &State_;
 
-  // Only the timer thread uses the members below.
-  std::uint64_t Term_ = 0; ///< 0 while this daemon is not the owner
+  // Used on the timer thread only:
+  std::uint64_t Term_ = 0; ///< 0 unless this daemon is the owner
   std::map<std::string, WorkerEntry> Workers_;
   std::map<TaskKey, ActiveTask> Active_;
-  std::map<std::string, std::set<TaskKey>> ByWorker_; ///< keys of Active_
+  std::map<std::string, std::set<TaskKey>> ByWorker_; ///< keys of Active_, by worker name
   policy::CellView Cell_;
   policy::PendingWork Pending_;
   policy::Shares Shares_;
--- a/src/cell/DomainStream.cpp
+++ b/src/cell/DomainStream.cpp
@@ -17,7 +17,7 @@
 constexpr core::Millis OwnershipTickInterval{100};
 constexpr std::string_view OwnershipSection = "ownership";
 constexpr std::string_view JobsSection = "jobs";
-/// A new owner that has seen no snapshot writes one after this time.
+/// A new owner that has read no snapshot writes one at the latest after this time.
 constexpr core::Duration MaxFirstSnapshotDelay = std::chrono::minutes(5);
 
 } // namespace
@@ -179,7 +179,7 @@
       }
   }
 
-  /// A reader that waits for replay to pass the moment of its call.
+  /// A pending barrier() call: it waits until a read sent after the call has been replayed.
   struct Barrier {
     std::uint64_t Id_;
     TimePoint RequestedAt_;
@@ -193,8 +193,8 @@
   journal::Appender Appender_;
   ownership::OwnershipDriver Ownership_;
   journal::Tailer Tailer_;
-  // Only the timer thread uses the members below.
-  std::uint64_t Term_ = 0; ///< in force at the last replayed record
+  // Used on the timer thread only:
+  std::uint64_t Term_ = 0; ///< term as of the last replayed record
   std::list<Barrier> Barriers_;
   std::uint64_t LastBarrierId_ = 0;
   TimePoint AcquiredAt_{};
@@ -223,7 +223,8 @@
                           std::function<void(std::error_code, std::uint64_t)> Done) {
   Impl_->Appender_.append(std::move(Entries), [Self = Impl_, Done = std::move(Done)](
                                                   std::error_code Error, std::uint64_t Offset) {
-    // Replay gives the records their effect, so it follows without waiting for the next poll.
+    // Records take effect when they are replayed, so they are read without waiting for the next
+    // poll.
     Self->Tailer_.readNow();
     Done(Error, Offset);
   });
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -18,12 +18,12 @@
 using core::TimePoint;
 using Json = nlohmann::ordered_json;
 
-/// A read waits this long for replay to pass the moment of the query; then it is answered from what
-/// is known.
+/// Longest wait of a status query for the replay of earlier records; after it, the query is
+/// answered from the state replayed so far.
 constexpr core::Millis ReadBarrierTimeout{1'000};
-/// A query to another domain's daemon.
+/// Timeout of a query to a daemon of another domain.
 constexpr core::Millis QueryTimeout{2'500};
-/// Tasks listed in full in a status answer.
+/// Limits the size of a status answer; the task counts cover all tasks.
 constexpr std::size_t MaxTasksListed = 200;
 
 std::string dump(const Json &Value) {
@@ -141,7 +141,8 @@
         });
   }
 
-  /// Other domains' streams are written rarely, so their appenders are made when needed.
+  /// Returns the appender of another domain's stream. Such streams are written rarely, so the
+  /// appender is created at the first use.
   journal::Appender &appenderFor(std::string_view Domain) {
     const std::lock_guard Lock(Mutex_);
     auto &Appender = Appenders_[std::string(Domain)];
@@ -158,7 +159,7 @@
     return *Appender;
   }
 
-  /// Tells the owner, so that it doesn't wait for its next poll.
+  /// Notifies the domain's owner of an append, so that it reads the record before its next poll.
   void notifyOwner(const std::string &Domain, std::uint64_t Offset) {
     const auto Owner = PeerTable_.owner(Domain);
     if (Owner && Owner->Owner_ != Options_.Instance_)
@@ -180,8 +181,8 @@
            });
   }
 
-  /// Reads the job back, because an earlier submission with the same id counts. If it can't be
-  /// read, the job is accepted all the same.
+  /// Reads the job back, because an earlier submission with the same request id takes precedence.
+  /// If the read fails, the job is accepted all the same and \p Fallback is reported.
   void reportAccepted(const std::string &Id, const std::string &Team, std::int64_t AcceptedMs,
                       const Json &Fallback, const JobCallback &Done) {
     status(Id, Team,
@@ -238,12 +239,12 @@
         return Done({ErrorKind::UnknownJob, "job \"" + Id + "\" does not exist"}, {});
       Json Result = jobJson(*Job);
       if (BarrierError)
-        Result["stale"] = true; // the store is away: the state is as of the last read
+        Result["stale"] = true; // the store did not answer: the state is as of the last read
       Self->explainIfWaiting(*Job, std::move(Result), Done);
     });
   }
 
-  /// The owner adds why the job waits.
+  /// Adds why the job waits; only the owner knows it.
   void explainIfWaiting(const jobs::Job &Job, Json Result, const JobCallback &Done) {
     if (jobs::isFinished(Job.State_) || !OwnStream_.ownership().holds(core::Clock::now()))
       return Done({}, dump(Result));
@@ -276,7 +277,7 @@
     Done({}, dump(Rows));
   }
 
-  /// Asks the owner of a domain, else any other daemon of it.
+  /// Queries the owner of a domain or, if none is known, another daemon of the domain.
   void query(const std::string &Domain, const Json &Request, JobCallback Done) {
     const std::string Target = daemonInDomain(Domain);
     if (Target.empty())
--- a/src/cell/Services.cpp
+++ b/src/cell/Services.cpp
@@ -14,10 +14,10 @@
 
 namespace {
 
-/// One wanted replica: service name and number.
+/// Identifies a replica by service name and number.
 using ReplicaKey = std::pair<std::string, std::int64_t>;
 
-/// What exists of one replica.
+/// Existing jobs of one replica.
 struct ReplicaJobs {
   const jobs::Job *LiveJob_ = nullptr;
   std::uint64_t NextGeneration_ = 0; ///< generation of the next job
@@ -132,7 +132,7 @@
             Service, Domain, Replica, Found == Present.end() ? 0 : Found->second.NextGeneration_));
     }
   }
-  // What depends on others stops first.
+  // Dependents stop before their dependencies.
   std::ranges::reverse(Plan.Cancel_);
   for (const auto &[Key, Replica] : Present)
     if (!Wanted.contains(Key) && Replica.LiveJob_ && !Replica.LiveJob_->CancelRequested_)
--- a/src/cell/WorkerLease.cpp
+++ b/src/cell/WorkerLease.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-/// Latest time at which a renewal can have reached the worker: this owner's last one, or one of an
-/// earlier owner, which sent nothing after this owner won the lease.
+/// \returns the latest time at which a renewal can have reached the worker: this owner's last one,
+/// or one of an earlier owner, which sent nothing after this owner acquired the domain's lease.
 core::TimePoint latestRenewalArrival(const WorkerLease &Lease, const WorkerLeaseTiming &Timing) {
   const core::TimePoint OwnArrival =
       Lease.LastSentAt_ ? *Lease.LastSentAt_ + Timing.RequestTimeout_ : Lease.FirstContact_;
   return std::max(OwnArrival, Lease.FirstContact_ + Timing.RequestTimeout_);
 }
 
-/// True while renewals are withheld so that the lease can end.
+/// \returns true while renewals are withheld so that the lease can expire.
 bool isUnresponsive(const WorkerLease &Lease, const WorkerLeaseTiming &Timing,
                     core::TimePoint Now) {
   return Now - Lease.LastAnsweredSentAt_.value_or(Lease.FirstContact_) > Timing.Ttl_;
--- a/src/ownership/ClaimTable.cpp
+++ b/src/ownership/ClaimTable.cpp
@@ -46,7 +46,7 @@
   State.Owner_ = Record.Instance_;
   State.OwnerIncarnation_ = Record.Incarnation_;
   State.Version_ = Offset;
-  // The claimant holds nothing before it has read its own claim, and with it this prefix.
+  // The claimant holds no lease before it has read its own claim, and with it all earlier records.
   State.OwnerReadOffset_ = Offset;
   State.Released_ = false;
   return {ClaimEvent::Claimed, true, Record.Instance_, Record.Incarnation_, Record.Nonce_};
@@ -88,7 +88,8 @@
         Body, [&](const Join &Record) { return applyJoin(State_, Offset, Record); });
   case RecordType::Leave:
     return decodeAndApply<Leave>(Body, [&](const Leave &Record) {
-      // An instance that stops before its Join took effect also ends its earlier incarnations.
+      // A Leave also ends earlier incarnations: the instance may stop before its own Join took
+      // effect.
       const auto Found = State_.Members_.find(Record.Instance_);
       return Found != State_.Members_.end() && Found->second.Incarnation_ <= Record.Incarnation_
                  ? removeMember(State_, Offset, Record.Instance_, Found->second.Incarnation_)
--- a/src/ownership/OwnershipDriver.cpp
+++ b/src/ownership/OwnershipDriver.cpp
@@ -20,15 +20,15 @@
   return {Type, core::pack(Record)};
 }
 
-/// Calls to make after the lock was released.
+/// Calls to run after the lock is released.
 using DeferredCalls = std::vector<std::function<void()>>;
 
 } // namespace
 
-/// A claim that was sent on the current version.
+/// A claim on the current version that was sent and not read back.
 struct OpenClaim {
   TimePoint SentAt_;
-  std::optional<TimePoint> OldLeaseEnd_; ///< nothing when the old owner released
+  std::optional<TimePoint> OldLeaseEnd_; ///< nothing if the old owner released the lease
 };
 
 struct OwnershipDriver::Impl : std::enable_shared_from_this<OwnershipDriver::Impl> {
@@ -47,13 +47,13 @@
   bool isMember() const { return Table_.isMember(Options_.Instance_, Options_.Incarnation_); }
 
   void publishLease() {
-    // Nobody may act on a term whose start the callback has not been told.
+    // A term takes effect only after OnAcquired_ has returned for it.
     const bool Announced = Lease_.term() != 0 && Lease_.term() == AnnouncedTerm_;
     LeaseUntilNs_.store(Announced ? Lease_.until().time_since_epoch().count() : 0);
     OwnTerm_.store(Announced ? Lease_.term() : 0);
   }
 
-  /// Appends without blocking; \p Busy is false again when the append was answered.
+  /// Appends without blocking; \p InFlight is true until the append is answered.
   void append(std::vector<Entry> Records, bool Impl::*InFlight, DeferredCalls &Calls) {
     this->*InFlight = true;
     Calls.push_back([this, Weak = weak_from_this(), Records = std::move(Records), InFlight] {
@@ -71,7 +71,7 @@
     });
   }
 
-  /// All other members, in the owner's view as of its last read.
+  /// \returns all other members, as of the last read.
   std::set<MemberId> otherMembers() const {
     std::set<MemberId> Members;
     for (const auto &[Name, Member] : state().Members_)
@@ -98,7 +98,7 @@
       return;
     const auto Claim = OpenClaims_.find(Result.Nonce_);
     if (Claim == OpenClaims_.end())
-      return; // cannot happen within one incarnation; without a send time there is no lease
+      return; // not possible within one incarnation; without a send time there is no lease
     Lease_.beginTerm(state().Term_, Claim->second.SentAt_);
     SlotsFreeAt_ =
         Claim->second.OldLeaseEnd_
@@ -107,8 +107,8 @@
     LastRenewAt_ = Claim->second.SentAt_;
   }
 
-  /// Reports a term once its lease is held. A claim that is read late, when others may have owned
-  /// the domain since, is not reported.
+  /// Queues the acquisition of a term once its lease is held. A claim that is read too late, when
+  /// another member may have owned the domain since, is not queued.
   void queueAcquired(TimePoint Now) {
     if (!isOwner() || !Lease_.holds(Now) || QueuedTerm_ == Lease_.term())
       return;
@@ -116,7 +116,7 @@
     Transitions_.push_back({true, QueuedTerm_, SlotsFreeAt_});
   }
 
-  /// Calls the callbacks in the order of the transitions, without the lock.
+  /// Calls OnAcquired_ and OnLost_ in the order of the transitions, without holding the lock.
   void deliverTransitions() {
     const std::lock_guard Delivering(DeliverMutex_);
     for (;;) {
@@ -144,7 +144,7 @@
   void onRecord(std::uint64_t Offset, RecordType Type, std::string_view Body, TimePoint Now) {
     {
       const std::lock_guard Lock(Mutex_);
-      // Records of one batch share an offset: a prefix counts as read when the next batch begins.
+      // Records of one batch share an offset: a batch is complete when the next one begins.
       if (Offset > state().AppliedOffset_)
         CompleteOffset_ = state().AppliedOffset_;
       CaughtUp_ = false;
@@ -208,7 +208,7 @@
   void tickOwner(TimePoint Now, DeferredCalls &Calls) {
     if (!RenewInFlight_ && Now - LastRenewAt_ >= Options_.RenewInterval_) {
       LastRenewAt_ = Now;
-      // Confirming one of these would not extend the lease any more.
+      // A renewal older than the lease duration can't extend the lease any more.
       std::erase_if(RenewSentAt_, [&](const auto &Renewal) {
         return Now - Renewal.second > Options_.LeaseDuration_;
       });
@@ -247,7 +247,7 @@
     append(std::move(Records), &Impl::EvictInFlight_, Calls);
   }
 
-  /// Whether the old lease has ended for this member, consent aside.
+  /// \returns whether the old lease has ended as far as this member can tell without a consent.
   bool oldLeaseEnded(TimePoint Now) const {
     if (state().Owner_.empty())
       return true;
@@ -261,7 +261,8 @@
         CaughtUp_ && LastCompleteReadAt_ && Now - *LastCompleteReadAt_ <= Options_.MaxClaimReadAge_;
     if (Stopping_ || !isMember() || !HasFreshRead)
       return;
-    // Two missed renewals; earlier than the claim, since the removal starts its wait anew.
+    // Two renewals were missed. Evicting comes before claiming, since the removal of a member
+    // restarts the wait for the old lease's end.
     if (Now - VersionReadAt_ > 3 * Options_.RenewInterval_)
       evictTerminated(Now, Calls);
     if (!oldLeaseEnded(Now))
@@ -278,7 +279,7 @@
     const std::uint64_t Nonce = ++LastNonce_;
     OpenClaim NewClaim{Now, std::nullopt};
     if (!state().Owner_.empty()) {
-      // All conditions hold by now, so the old lease ended at the latest when the last one did.
+      // All conditions for a claim hold, so the old lease ended no later than the last one was met.
       NewClaim.OldLeaseEnd_ =
           std::max(VersionReadAt_ + Options_.LeaseDuration_ + Options_.SafetyMargin_,
                    PromiseTracker_.until().value_or(TimePoint{}));
@@ -293,7 +294,7 @@
            &Impl::ClaimInFlight_, Calls);
   }
 
-  /// Evicts terminated instances while no owner does it.
+  /// Evicts terminated instances while there is no owner to do it.
   void evictTerminated(TimePoint Now, DeferredCalls &Calls) {
     if (!Hooks_.IsTerminated_)
       return;
@@ -328,7 +329,7 @@
       });
   }
 
-  /// Whether a Leave has to be written.
+  /// \returns whether a Leave record must be written.
   bool mustLeave() const {
     return (LastJoinAt_ && !OwnLeaveRead_) || state().Members_.contains(Options_.Instance_);
   }
@@ -350,7 +351,7 @@
     if (ReleaseTerm_ != 0 && state().Term_ == ReleaseTerm_ && state().Owner_ == Options_.Instance_)
       Records.push_back(makeEntry(
           RecordType::Release, Release{Options_.Instance_, Options_.Incarnation_, ReleaseTerm_}));
-    // Also when no Join was read back: it may have been written.
+    // Written even if no Join was read back, since the Join may have been appended.
     if (mustLeave())
       Records.push_back(
           makeEntry(RecordType::Leave, Leave{Options_.Instance_, Options_.Incarnation_}));
@@ -386,7 +387,8 @@
     runCalls(Calls);
   }
 
-  /// Whether another member has to take over because only this owner is cut off from the store.
+  /// \returns whether this owner cannot reach the store while another member can, so that the other
+  /// has to take over.
   bool shouldYield(TimePoint Now) const {
     if (!LastCompleteReadAt_ || Now - *LastCompleteReadAt_ <= Options_.YieldAfter_ ||
         !Hooks_.StoreReadAge_)
@@ -436,12 +438,12 @@
     TimePoint SlotsFreeAt_{};
   };
 
-  std::mutex DeliverMutex_; ///< taken before Mutex_; keeps callbacks in order
+  std::mutex DeliverMutex_; ///< locked before Mutex_; keeps callbacks in order
   mutable std::mutex Mutex_;
   std::deque<Transition> Transitions_; ///< not delivered yet
-  std::uint64_t QueuedTerm_ = 0;       ///< last term put into Transitions_ as acquired
+  std::uint64_t QueuedTerm_ = 0;       ///< last acquired term put into Transitions_
   std::uint64_t AnnouncedTerm_ = 0;    ///< last term whose OnAcquired_ has returned
-  bool OwnLeaveRead_ = false;          ///< the own Leave was read back
+  bool OwnLeaveRead_ = false;          ///< this daemon's Leave was read back
   ClaimTable Table_;
   PromiseTracker PromiseTracker_;
   OwnerLease Lease_;
@@ -449,7 +451,7 @@
   std::atomic<std::uint64_t> OwnTerm_{0};
   TimePoint VersionReadAt_{};
   std::optional<TimePoint> LastCompleteReadAt_; ///< send time of the last complete read
-  bool CaughtUp_ = false;                       ///< nothing was read since the last complete read
+  bool CaughtUp_ = false;                       ///< no record was read since the last complete read
   std::uint64_t CompleteOffset_ = 0;            ///< all records up to this offset are applied
   std::uint64_t LastNonce_ = 0;
   std::map<std::uint64_t, OpenClaim> OpenClaims_;  ///< by nonce, on the current version
@@ -459,7 +461,7 @@
   std::map<MemberId, TimePoint> FirstSeenAt_;
   std::optional<std::uint64_t> ConsentVersion_;
   TimePoint ConsentReceivedAt_{};
-  bool ConsentArrived_ = false; ///< a consent arrived; the next tick dates it
+  bool ConsentArrived_ = false; ///< the next tick sets ConsentReceivedAt_
   TimePoint SlotsFreeAt_{};
   TimePoint LastRenewAt_{};
   std::optional<TimePoint> LastJoinAt_;
--- a/tests/unit/OwnershipModelTest.cpp
+++ b/tests/unit/OwnershipModelTest.cpp
@@ -32,16 +32,16 @@
   std::int64_t ClockOffsetMs_ = 0;
   double ClockRate_ = 1;
   std::int64_t PausedUntilMs_ = 0;
-  std::int64_t StoreCutUntilMs_ = 0; ///< from the store
+  std::int64_t StoreCutUntilMs_ = 0; ///< the store is unreachable until then
   std::size_t NextLogIndex_ = 0;
   std::int64_t NextReadMs_ = 0;
   std::int64_t NextProbeMs_ = 0;
   std::int64_t LastReadMs_ = -1;
   std::uint64_t NextSequence_ = 0;
-  std::map<std::uint64_t, std::uint64_t> LastSequence_; ///< of the replay, by writer
-  std::map<std::string, std::int64_t> LastReplyMs_;     ///< by member
-  std::map<std::string, std::int64_t> StoreReadMs_;     ///< reported by member
-  std::vector<Callback> Inbox_;                         ///< delivered while paused
+  std::map<std::uint64_t, std::uint64_t> LastSequence_; ///< last replayed sequence, by writer
+  std::map<std::string, std::int64_t> LastReplyMs_;     ///< time of the last reply, by member
+  std::map<std::string, std::int64_t> StoreReadMs_;     ///< last store read that a member reported
+  std::vector<Callback> Inbox_;                         ///< callbacks that arrived while paused
   std::unique_ptr<OwnershipDriver> Driver_;
 };
 
@@ -56,7 +56,7 @@
   Callback Run_;
 };
 
-/// Failure found by a run; empty when all properties held.
+/// Result of one run. The texts describe violated properties; empty if a property held.
 struct RunResult {
   std::string TwoHolders_;
   std::string SlotsTooEarly_;
@@ -68,7 +68,7 @@
 public:
   ClusterModel(std::uint64_t Seed, OwnershipOptions Options)
       : Random_(Seed), Options_(std::move(Options)) {
-    // Each seed has its own mix of faults; rare ones need the others to stay away.
+    // Each seed has its own mix of faults: some faults are found only while others are absent.
     constexpr double Scales[] = {0, 0.5, 1, 3};
     for (double *Scale :
          {&LossScale_, &OutageScale_, &StoreCutScale_, &PauseScale_, &LinkCutScale_, &ChurnScale_})
@@ -198,7 +198,7 @@
     };
     const Batch Record{Self->Incarnation_, ++Self->NextSequence_, Entries};
     if (!storeReachable(*Self)) {
-      // The connection may be cut after the request left: it can land much later, or never.
+      // The connection may be cut after the request left: the record arrives much later, or never.
       if (Faults_ && chance(0.5))
         schedule(randomBelow(25'000), [this, Record] { appendWhenStoreIsUp(Record); });
       Answer(core::ErrorKind::AppendUnknown, 1'000);
@@ -233,7 +233,7 @@
       Run();
   }
 
-  /// One message; may be lost or late while faults last.
+  /// Sends one message; it may be lost or delayed while faults are injected.
   void send(const Node &Sender, const std::weak_ptr<Node> &Recipient, Callback Run) {
     const auto Target = Recipient.lock();
     if (!Target)
@@ -303,7 +303,7 @@
     for (; Reader.NextLogIndex_ < End; ++Reader.NextLogIndex_) {
       auto &Last = Reader.LastSequence_[Log_[Reader.NextLogIndex_].Writer_];
       if (Log_[Reader.NextLogIndex_].Sequence_ <= Last)
-        continue; // a delayed copy of an abandoned append
+        continue; // a delayed append that a later one has overtaken
       Last = Log_[Reader.NextLogIndex_].Sequence_;
       for (const auto &Entry : Log_[Reader.NextLogIndex_].Entries_) {
         Reader.Driver_->onRecord(Reader.NextLogIndex_ + 1, Entry.Type_, Entry.Body_,
@@ -323,7 +323,7 @@
     Nodes_.erase(Nodes_.begin() + static_cast<std::ptrdiff_t>(Index));
   }
 
-  void recordLastHeld(const Node &Member) { // NOLINT(readability-identifier-naming)
+  void recordLastHeld(const Node &Member) {
     if (Member.Driver_->holds(nodeTime(Member, NowMs_)))
       LastHeldMs_[{Member.Name_, Member.Incarnation_}] = NowMs_;
   }
@@ -388,7 +388,7 @@
     const bool AllStop = std::ranges::all_of(Nodes_, [&](const auto &Member) {
       return GracefullyStopping_.contains(Member->Incarnation_);
     });
-    if (AllStop && RestartAtMs_.empty()) // nobody would be left to own the domain
+    if (AllStop && RestartAtMs_.empty()) // otherwise no member could own the domain
       addNode("m" + std::to_string(NextNameNumber_++));
   }
 
@@ -428,12 +428,12 @@
       }
     for (auto &Event : Due)
       Event.Run_();
-    const auto Nodes = Nodes_; // hooks do not change the list, graceful stops below do
+    const auto Nodes = Nodes_; // copy: graceful stops below change the list
     for (const auto &Member : Nodes) {
       if (NowMs_ < Member->PausedUntilMs_)
         continue;
       auto Inbox = std::exchange(Member->Inbox_, {});
-      // What runs first after a pause is arbitrary.
+      // The order of tick, messages and reads after a pause is arbitrary.
       const bool TickFirst = chance(0.5);
       if (TickFirst)
         Member->Driver_->tick(nodeTime(*Member, NowMs_));
@@ -459,7 +459,7 @@
       TerminatedAtMs_[Member->Name_] = NowMs_;
       return true;
     });
-    // A released lease may be taken while its old owner still waits to read the record back.
+    // Another member may acquire a released lease before the old owner has read its Release back.
     for (const auto &Member : Nodes_)
       if (GracefullyStopping_.contains(Member->Incarnation_) && Member->Driver_->ownTerm() == 0)
         Finished_.insert(Member->Incarnation_);
@@ -487,11 +487,11 @@
   std::map<std::string, std::int64_t> TerminatedAtMs_;
   std::map<std::pair<std::string, std::uint64_t>, std::int64_t> LastHeldMs_;
   std::set<std::uint64_t> GracefullyStopping_; ///< incarnations that stop gracefully
-  std::set<std::uint64_t> Finished_;           ///< of these, the ones that gave up their lease
+  std::set<std::uint64_t> Finished_;           ///< of these, the ones that released their lease
   RunResult Result_;
 };
 
-/// Runs all seeds and prints those that fail.
+/// Number of seeds that violated a property, and of acquisitions in all runs.
 struct Totals {
   int TwoHolders_ = 0;
   int SlotsTooEarly_ = 0;
@@ -499,7 +499,9 @@
   int Acquisitions_ = 0;
 };
 
-/// \param Expected with all mechanisms; otherwise the first seed with two holders ends the run.
+/// Runs the model with all seeds and prints those that violate a property.
+///
+/// \param RunAllSeeds false to stop at the first seed with two holders.
 Totals runAll(const char *Label, const OwnershipOptions &Options, bool RunAllSeeds) {
   Totals Sum;
   for (int Seed = 1; Seed <= SeedCount; ++Seed) {
@@ -524,16 +526,17 @@
 
 } // namespace
 
-// Guards against two owners of one domain (P2) and against a domain that stays without one.
+// Guards against two owners of one domain (P2), and against a domain that has no owner after faults
+// have ended.
 Test(OwnershipModel, keepsSingleHolderAndRecoversAfterFaults) {
   const auto Sum = runAll("all mechanisms", {}, true);
   cr_assert_eq(Sum.TwoHolders_, 0);
   cr_assert_eq(Sum.SlotsTooEarly_, 0);
   cr_assert_eq(Sum.NoOwner_, 0);
-  cr_assert_gt(Sum.Acquisitions_, 2 * SeedCount, "the model hardly ever changed owners");
+  cr_assert_gt(Sum.Acquisitions_, 2 * SeedCount, "too few changes of owner for a meaningful test");
 }
 
-// The following show that the model can see the faults that each mechanism prevents.
+// The following tests disable one mechanism each and check that the model detects two holders then.
 Test(OwnershipModel, detectsTwoHoldersWithoutVersionCheck) {
   OwnershipOptions Options;
   Options.CheckVersion_ = false;
