--- a/src/ownership/OwnershipDriver.cpp
+++ b/src/ownership/OwnershipDriver.cpp
@@ -96,15 +96,15 @@
     Evicting_.clear();
     if (Result.Instance_ != Options_.Instance_ || Result.Incarnation_ != Options_.Incarnation_)
       return;
-    const auto Claim = OpenClaims_.find(Result.Nonce_);
-    if (Claim == OpenClaims_.end())
+    const auto OwnClaim = OpenClaims_.find(Result.Nonce_);
+    if (OwnClaim == OpenClaims_.end())
       return; // not possible within one incarnation; without a send time there is no lease
-    Lease_.beginTerm(state().Term_, Claim->second.SentAt_);
+    Lease_.beginTerm(state().Term_, OwnClaim->second.SentAt_);
     SlotsFreeAt_ =
-        Claim->second.OldLeaseEnd_
-            ? *Claim->second.OldLeaseEnd_ + Options_.MaxRequestDeadline_ + Options_.SlotGrace_
+        OwnClaim->second.OldLeaseEnd_
+            ? *OwnClaim->second.OldLeaseEnd_ + Options_.MaxRequestDeadline_ + Options_.SlotGrace_
             : Now;
-    LastRenewAt_ = Claim->second.SentAt_;
+    LastRenewAt_ = OwnClaim->second.SentAt_;
   }
 
   /// Queues the acquisition of a term once its lease is held. A claim that is read too late, when
