--- a/tests/unit/OwnershipModelTest.cpp
+++ b/tests/unit/OwnershipModelTest.cpp
@@ -421,7 +421,7 @@
     for (std::size_t I = 0; I < Events_.size();)
       if (Events_[I].DueMs_ <= NowMs_) {
         Due.push_back(std::move(Events_[I]));
-        Events_[I] = std::move(Events_.modelTimeMs());
+        Events_[I] = std::move(Events_.back());
         Events_.pop_back();
       } else {
         ++I;
