--- a/src/gateway/CallerApi.cpp
+++ b/src/gateway/CallerApi.cpp
@@ -310,7 +310,7 @@
   }
 
   bool domainExists(std::string_view JobId) const {
-    return Config_.state().current()->domain(cell::domainOf(JobId)) != nullptr;
+    return Config_.state().current()->domain(cell::domainOfJob(JobId)) != nullptr;
   }
 
   void cancelJob(const std::string &JobId, const CallerIdentity &Caller, http::Responder Respond) {
