--- a/include/masticdrift/membership/Freshness.h
+++ b/include/masticdrift/membership/Freshness.h
@@ -19,7 +19,7 @@
   std::string Name_;
   std::uint64_t Incarnation_ = 0;
   std::uint64_t ConfigOffset_ = 0;
-  bool Confirms_ = false;
+  bool ConfirmsConfig_ = false;
   core::TimePoint AsOf_; ///< when the probe that it answered was sent, on this daemon's clock
 };
 
@@ -27,7 +27,7 @@
 struct OwnConfig {
   std::string Name_;
   std::uint64_t ConfigOffset_ = 0;
-  bool Confirms_ = false;
+  bool ConfirmsConfig_ = false;
 };
 
 /// Decides whether all daemons of the fleet confirm the same configuration.
--- a/include/masticdrift/membership/PeerTable.h
+++ b/include/masticdrift/membership/PeerTable.h
@@ -34,7 +34,7 @@
   std::optional<core::TimePoint> LastReplySent_; ///< send time of the last probe it answered
   std::uint64_t Incarnation_ = 0;
   std::uint64_t ConfigOffset_ = 0;
-  bool Confirms_ = false;
+  bool ConfirmsConfig_ = false;
   std::optional<core::TimePoint> StoreAsOf_; ///< its last complete config read, at the latest
   std::string Owner_;
   std::uint64_t Term_ = 0;
--- a/include/masticdrift/protocol/Link.h
+++ b/include/masticdrift/protocol/Link.h
@@ -19,10 +19,10 @@
 struct LinkOptions {
   std::string Name_; ///< own instance name
   std::uint64_t Incarnation_ = 0;
-  std::string Listen_ = "127.0.0.1:0";              ///< port 0 lets the kernel choose
-  std::size_t QueueMessages_ = 1024;                ///< for each peer
-  std::size_t QueueBytes_ = 8U << 20U;              ///< for each peer
-  std::size_t MaxMessage_ = 4U << 20U;              ///< encoded size
+  std::string ListenAddress_ = "127.0.0.1:0";       ///< port 0 lets the kernel choose
+  std::size_t MaxQueuedMessages_ = 1024;            ///< for each peer
+  std::size_t MaxQueuedBytes_ = 8U << 20U;          ///< for each peer
+  std::size_t MaxMessageBytes_ = 4U << 20U;         ///< encoded size
   core::Duration SendTimeout_ = core::Millis(5000); ///< deadline of messages sent without one
 };
 
--- a/include/masticdrift/protocol/Messages.h
+++ b/include/masticdrift/protocol/Messages.h
@@ -57,12 +57,12 @@
 
 /// Asks for a member's state and, when sent by an owner, for its promise not to claim.
 struct Probe {
-  std::string Domain_;        ///< of the prober
-  bool AsksPromise_ = false;  ///< the prober owns the domain and asks for a promise
-  std::uint64_t Term_ = 0;    ///< term for which the promise is asked
-  std::uint64_t Version_ = 0; ///< claim version that the owner has read
-  bool WantsSummary_ = false; ///< the prober is in another domain
-  MSGPACK_DEFINE_ARRAY(Domain_, AsksPromise_, Term_, Version_, WantsSummary_)
+  std::string Domain_;           ///< of the prober
+  bool RequestsPromise_ = false; ///< the prober owns the domain and asks for a promise
+  std::uint64_t Term_ = 0;       ///< term for which the promise is asked
+  std::uint64_t Version_ = 0;    ///< claim version that the owner has read
+  bool RequestsSummary_ = false; ///< the prober is in another domain
+  MSGPACK_DEFINE_ARRAY(Domain_, RequestsPromise_, Term_, Version_, RequestsSummary_)
 };
 
 /// What a representative knows of one member of its domain.
@@ -70,9 +70,9 @@
   std::string Name_;
   std::uint64_t Incarnation_ = 0;
   std::uint64_t ConfigOffset_ = 0;
-  bool Confirms_ = false;
+  bool ConfirmsConfig_ = false;
   std::int64_t AgeMs_ = 0; ///< since the probe that the member answered was sent
-  MSGPACK_DEFINE_ARRAY(Name_, Incarnation_, ConfigOffset_, Confirms_, AgeMs_)
+  MSGPACK_DEFINE_ARRAY(Name_, Incarnation_, ConfigOffset_, ConfirmsConfig_, AgeMs_)
 };
 
 /// State of the replier.
@@ -80,15 +80,15 @@
   std::string Domain_;
   std::uint64_t ConfigOffset_ = 0;
   std::int64_t StoreAgeMs_ = -1; ///< since its last complete config read was sent; -1 for never
-  bool Confirms_ = false;        ///< it can confirm its configuration (design, section 9)
+  bool ConfirmsConfig_ = false;  ///< it can confirm its configuration (design, section 9)
   std::string Owner_;            ///< owner of its domain, empty when none is known
   std::uint64_t Term_ = 0;
   core::Resources Free_;               ///< free capacity of its domain, filled by owners
   std::int64_t FreeSlots_ = 0;         ///< free executor slots, filled by owners
-  bool PromiseGranted_ = false;        ///< answer to Probe::AsksPromise_
+  bool PromiseGranted_ = false;        ///< answer to Probe::RequestsPromise_
   std::uint64_t PromiseTerm_ = 0;      ///< term of the promise
   std::vector<MemberSummary> Members_; ///< of its domain, only when asked for
-  MSGPACK_DEFINE_ARRAY(Domain_, ConfigOffset_, StoreAgeMs_, Confirms_, Owner_, Term_, Free_,
+  MSGPACK_DEFINE_ARRAY(Domain_, ConfigOffset_, StoreAgeMs_, ConfirmsConfig_, Owner_, Term_, Free_,
                        FreeSlots_, PromiseGranted_, PromiseTerm_, Members_)
 };
 
@@ -101,11 +101,11 @@
   std::string Pool_;
   bool Idempotent_ = false;
   std::int64_t DeadlineMs_ = 0; ///< time left for the request
-  std::uint32_t Hops_ = 0;
+  std::uint32_t HopCount_ = 0;
   std::string Body_;
   std::string ContentType_;
-  MSGPACK_DEFINE_ARRAY(RequestId_, Team_, KeyId_, Queue_, Pool_, Idempotent_, DeadlineMs_, Hops_,
-                       Body_, ContentType_)
+  MSGPACK_DEFINE_ARRAY(RequestId_, Team_, KeyId_, Queue_, Pool_, Idempotent_, DeadlineMs_,
+                       HopCount_, Body_, ContentType_)
 };
 
 /// Outcome of an interactive request, a closed list.
@@ -119,8 +119,8 @@
   std::string ContentType_;
   std::string Body_;
   std::string Message_;       ///< for people
-  std::uint8_t RanState_ = 0; ///< a core::RunState
-  MSGPACK_DEFINE_ARRAY(Outcome_, ErrorKind_, Status_, ContentType_, Body_, Message_, RanState_)
+  std::uint8_t RunState_ = 0; ///< a core::RunState
+  MSGPACK_DEFINE_ARRAY(Outcome_, ErrorKind_, Status_, ContentType_, Body_, Message_, RunState_)
 };
 
 /// Tells an owner that its stream has grown.
@@ -158,8 +158,8 @@
 
 /// Asks a peer for its configuration when the store cannot be reached.
 struct ConfigFetch {
-  std::uint64_t HaveOffset_ = 0; ///< config offset of the asker
-  MSGPACK_DEFINE_ARRAY(HaveOffset_)
+  std::uint64_t KnownConfigOffset_ = 0; ///< config offset of the asker
+  MSGPACK_DEFINE_ARRAY(KnownConfigOffset_)
 };
 
 /// A peer's replayed configuration state.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -128,7 +128,7 @@
     protocol::LinkOptions Options;
     Options.Name_ = Settings_.Instance_.Name_;
     Options.Incarnation_ = Incarnation_;
-    Options.Listen_ = Settings_.Peer_.Address_ + ":" + std::to_string(Settings_.Peer_.Port_);
+    Options.ListenAddress_ = Settings_.Peer_.Address_ + ":" + std::to_string(Settings_.Peer_.Port_);
     return Options;
   }
 
--- a/src/membership/Freshness.cpp
+++ b/src/membership/Freshness.cpp
@@ -8,7 +8,7 @@
                                              std::span<const ConfigEvidence> Others,
                                              const std::set<std::string> &Members,
                                              std::size_t FleetSize, core::TimePoint Now) {
-  if (!Self.Confirms_)
+  if (!Self.ConfirmsConfig_)
     return std::nullopt;
   std::set<std::string> Missing = Members;
   Missing.erase(Self.Name_);
@@ -18,7 +18,7 @@
     if (Each.Name_ == Self.Name_)
       continue;
     // A daemon that differs or is uncertain may know of a newer configuration, member or not.
-    if (!Each.Confirms_ || Each.ConfigOffset_ != Self.ConfigOffset_)
+    if (!Each.ConfirmsConfig_ || Each.ConfigOffset_ != Self.ConfigOffset_)
       return std::nullopt;
     Oldest = std::min(Oldest, Each.AsOf_);
     Missing.erase(Each.Name_);
--- a/src/membership/Heartbeat.cpp
+++ b/src/membership/Heartbeat.cpp
@@ -45,13 +45,13 @@
   void probe(const Member &To) {
     protocol::Probe Message;
     Message.Domain_ = Options_.Domain_;
-    Message.WantsSummary_ = To.Domain_ != Options_.Domain_;
+    Message.RequestsSummary_ = To.Domain_ != Options_.Domain_;
     // Taken before the hook runs: leases count from here.
     const core::TimePoint Sent = core::Clock::now();
     if (Hooks_.FillProbe_)
       Hooks_.FillProbe_(To, Message);
     const core::Duration Timeout =
-        Message.WantsSummary_ ? Options_.OtherDomainEvery_ : Options_.OwnDomainEvery_;
+        Message.RequestsSummary_ ? Options_.OtherDomainEvery_ : Options_.OwnDomainEvery_;
     Link_.call(To.Name_, protocol::MessageKind::Probe, core::pack(Message), Timeout,
                [Weak = weak_from_this(), To, Sent](std::error_code Error,
                                                    const protocol::Envelope &Reply) {
@@ -160,7 +160,7 @@
     return;
   protocol::ProbeReply Reply;
   Reply.Domain_ = Impl_->Options_.Domain_;
-  if (Probe->WantsSummary_)
+  if (Probe->RequestsSummary_)
     Reply.Members_ = Impl_->Table_.summary(core::Clock::now());
   if (Impl_->Hooks_.FillReply_)
     Impl_->Hooks_.FillReply_(Message, *Probe, Reply);
--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -44,7 +44,7 @@
   Entry.Incarnation_ = Incarnation;
   Entry.LastReplySent_ = Sent;
   Entry.ConfigOffset_ = Reply.ConfigOffset_;
-  Entry.Confirms_ = Reply.Confirms_;
+  Entry.ConfirmsConfig_ = Reply.ConfirmsConfig_;
   if (Reply.StoreAgeMs_ >= 0)
     Entry.StoreAsOf_ = Sent - core::Millis(Reply.StoreAgeMs_);
   Entry.Owner_ = Reply.Owner_;
@@ -106,7 +106,7 @@
     if (Entry.Member_.Domain_ != Domain_ || !Entry.LastReplySent_)
       continue;
     // Rounded up, so that the age is never understated.
-    All.push_back({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.Confirms_,
+    All.push_back({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
                    core::toMillis(Now - *Entry.LastReplySent_) + 1});
   }
   return All;
@@ -123,11 +123,12 @@
   };
   for (const auto &[Name, Entry] : Peers_)
     if (Entry.LastReplySent_)
-      Add({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.Confirms_, *Entry.LastReplySent_});
+      Add({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
+           *Entry.LastReplySent_});
   for (const auto &[Domain, View] : Domains_)
     for (const auto &Each : View.Members_)
       if (Each.Name_ != Self_)
-        Add({Each.Name_, Each.Incarnation_, Each.ConfigOffset_, Each.Confirms_,
+        Add({Each.Name_, Each.Incarnation_, Each.ConfigOffset_, Each.ConfirmsConfig_,
              View.AsOf_ - core::Millis(std::max<std::int64_t>(Each.AgeMs_, 0))});
   std::vector<ConfigEvidence> All;
   All.reserve(Newest.size());
--- a/src/ownership/OwnershipDriver.cpp
+++ b/src/ownership/OwnershipDriver.cpp
@@ -396,7 +396,7 @@
     const std::lock_guard Lock(Mutex_);
     Reply.Owner_ = state().Owner_;
     Reply.Term_ = state().Term_;
-    if (!Message.AsksPromise_)
+    if (!Message.RequestsPromise_)
       return;
     const bool Stale = Message.Term_ < state().Term_;
     const bool Foreign = Message.Term_ == state().Term_ &&
@@ -490,7 +490,7 @@
   const std::lock_guard Lock(Impl_->Mutex_);
   Message.Term_ = Impl_->state().Term_;
   Message.Version_ = Impl_->state().Version_;
-  Message.AsksPromise_ = Impl_->isOwner() && !Impl_->yields(Now);
+  Message.RequestsPromise_ = Impl_->isOwner() && !Impl_->yields(Now);
 }
 
 void OwnershipDriver::fillReply(std::string_view Sender, std::uint64_t Incarnation,
--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -32,14 +32,14 @@
 constexpr nng_duration RedialMaxMs = 500;
 /// Receivers look this often whether the link stops. nng 1.5.2 can miss a receiver when its socket
 /// is closed meanwhile, and then neither of them returns. A stop must not take longer than this.
-constexpr nng_duration ReceiveWaitMs = 25;
+constexpr nng_duration ReceiveTimeoutMs = 25;
 // Frame fields beside the body, so that a body of the full size still fits.
-constexpr std::size_t FrameRoom = 4096;
+constexpr std::size_t EnvelopeOverheadBytes = 4096;
 
 std::int64_t bootMillis() { return core::toMillis(core::Clock::now().time_since_epoch()); }
 
 /// A message that no connection has taken yet.
-struct Queued {
+struct QueuedMessage {
   std::uint64_t CallId_ = 0; ///< 0 when no call waits for it
   TimePoint Deadline_;
   Envelope Frame_;
@@ -52,47 +52,47 @@
 class DelayFilter {
 public:
   /// \returns how much longer than the fastest message this one took, in milliseconds.
-  std::int64_t excess(std::uint64_t Incarnation, std::int64_t SentMs, std::int64_t NowMs) {
-    const std::int64_t Difference = NowMs - SentMs;
+  std::int64_t excessDelayMs(std::uint64_t Incarnation, std::int64_t SentMs, std::int64_t NowMs) {
+    const std::int64_t DifferenceMs = NowMs - SentMs;
     if (Incarnation != Incarnation_) {
       Incarnation_ = Incarnation;
-      Smallest_ = Difference;
-      LastMs_ = NowMs;
+      MinDifferenceMs_ = DifferenceMs;
+      LastAdjustedMs_ = NowMs;
       return 0;
     }
     // The estimate rises by 1/2000 of the time, above the drift of any working clock.
-    const std::int64_t Rise = (NowMs - LastMs_) / 2000;
-    if (Rise > 0) {
-      Smallest_ += Rise;
-      LastMs_ = NowMs;
+    const std::int64_t DriftAllowanceMs = (NowMs - LastAdjustedMs_) / 2000;
+    if (DriftAllowanceMs > 0) {
+      MinDifferenceMs_ += DriftAllowanceMs;
+      LastAdjustedMs_ = NowMs;
     }
-    Smallest_ = std::min(Smallest_, Difference);
-    return Difference - Smallest_;
+    MinDifferenceMs_ = std::min(MinDifferenceMs_, DifferenceMs);
+    return DifferenceMs - MinDifferenceMs_;
   }
 
 private:
   std::uint64_t Incarnation_ = 0;
-  std::int64_t Smallest_ = 0;
-  std::int64_t LastMs_ = 0;
+  std::int64_t MinDifferenceMs_ = 0;
+  std::int64_t LastAdjustedMs_ = 0;
 };
 
 /// A younger connection is not replaced again.
-constexpr core::Millis SettleTime{200};
+constexpr core::Millis MinAgeToReplace{200};
 /// A replaced connection is closed this long after its last use.
-constexpr core::Millis RetireTime{5000};
+constexpr core::Millis CloseDelay{5000};
 
 /// One push socket. nng redials on its own while the socket is open.
 class Connection {
 public:
   /// Called when a message was not taken by the connection: nothing was sent.
-  using Dropped = std::function<void(std::uint64_t CallId)>;
+  using DropCallback = std::function<void(std::uint64_t CallId)>;
   /// Called immediately before a message is handed to nng.
-  using Handed = std::function<void(std::uint64_t CallId)>;
+  using HandoffCallback = std::function<void(std::uint64_t CallId)>;
 
   Connection(const std::string &Address, std::size_t MaxMessages, std::size_t MaxBytes,
-             Handed OnHanded, Dropped OnDropped)
-      : MaxMessages_(MaxMessages), MaxBytes_(MaxBytes), OnHanded_(std::move(OnHanded)),
-        OnDropped_(std::move(OnDropped)) {
+             HandoffCallback OnHandoff, DropCallback OnDrop)
+      : MaxMessages_(MaxMessages), MaxBytes_(MaxBytes), OnHandoff_(std::move(OnHandoff)),
+        OnDrop_(std::move(OnDrop)) {
     if (nng_push0_open(&Socket_) != 0)
       throw std::runtime_error("cannot open a push socket");
     nng_aio_alloc(
@@ -100,7 +100,7 @@
     nng_socket_set_ms(Socket_, NNG_OPT_RECONNMINT, RedialMinMs);
     nng_socket_set_ms(Socket_, NNG_OPT_RECONNMAXT, RedialMaxMs);
     const auto Notify = [](nng_pipe, nng_pipe_ev Event, void *Self) {
-      static_cast<Connection *>(Self)->onPipe(Event);
+      static_cast<Connection *>(Self)->onPipeEvent(Event);
     };
     nng_pipe_notify(Socket_, NNG_PIPE_EV_ADD_POST, Notify, this);
     nng_pipe_notify(Socket_, NNG_PIPE_EV_REM_POST, Notify, this);
@@ -122,7 +122,7 @@
     nng_close(Socket_);
     nng_aio_stop(Aio_);
     nng_aio_free(Aio_);
-    dropAll();
+    dropQueued();
   }
 
   /// Sends nothing from here on: waiting messages are dropped, the one inside nng is cancelled.
@@ -132,99 +132,100 @@
       Closed_ = true;
     }
     nng_aio_cancel(Aio_);
-    dropAll();
+    dropQueued();
   }
 
   /// \returns whether the connection has existed long enough to be judged.
-  bool settled() const { return core::Clock::now() - Since_ >= SettleTime; }
+  bool oldEnoughToReplace() const { return core::Clock::now() - CreatedAt_ >= MinAgeToReplace; }
 
   bool connected() const {
     const std::lock_guard Lock(Mutex_);
-    return Pipes_ > 0 && !Closed_;
+    return OpenPipes_ > 0 && !Closed_;
   }
 
   /// \returns false when the peer is not connected or the queue is full.
-  bool enqueue(Queued Message) {
+  bool enqueue(QueuedMessage Message) {
     {
       const std::lock_guard Lock(Mutex_);
-      if (Closed_ || Pipes_ <= 0 || Queue_.size() >= MaxMessages_ ||
-          Bytes_ + Message.Frame_.Body_.size() > MaxBytes_)
+      if (Closed_ || OpenPipes_ <= 0 || Queue_.size() >= MaxMessages_ ||
+          QueuedBytes_ + Message.Frame_.Body_.size() > MaxBytes_)
         return false;
-      Bytes_ += Message.Frame_.Body_.size();
+      QueuedBytes_ += Message.Frame_.Body_.size();
       Queue_.push_back(std::move(Message));
     }
-    pump();
+    sendNext();
     return true;
   }
 
 private:
-  void onPipe(nng_pipe_ev Event) {
+  void onPipeEvent(nng_pipe_ev Event) {
     if (Event == NNG_PIPE_EV_ADD_POST) {
       const std::lock_guard Lock(Mutex_);
-      ++Pipes_;
+      ++OpenPipes_;
       return;
     }
-    bool Lost = false;
+    bool Disconnected = false;
     {
       const std::lock_guard Lock(Mutex_);
-      Lost = --Pipes_ <= 0;
+      Disconnected = --OpenPipes_ <= 0;
     }
-    if (Lost) {
+    if (Disconnected) {
       // The message that waits inside nng must not go out on a later connection.
       nng_aio_cancel(Aio_);
-      dropAll();
+      dropQueued();
     }
   }
 
-  void dropAll() {
-    std::deque<Queued> Taken;
+  void dropQueued() {
+    std::deque<QueuedMessage> DroppedMessages;
     {
       const std::lock_guard Lock(Mutex_);
-      Taken.swap(Queue_);
-      Bytes_ = 0;
+      DroppedMessages.swap(Queue_);
+      QueuedBytes_ = 0;
     }
-    for (const auto &Message : Taken)
+    for (const auto &Message : DroppedMessages)
       if (Message.CallId_ != 0)
-        OnDropped_(Message.CallId_);
+        OnDrop_(Message.CallId_);
   }
 
   /// Hands the next message to nng unless one is on its way.
-  void pump() {
+  void sendNext() {
     std::vector<std::uint64_t> Expired;
-    nng_msg *Out = nullptr;
+    nng_msg *NngMessage = nullptr;
     {
       const std::lock_guard Lock(Mutex_);
-      while (!Closed_ && !Busy_ && Pipes_ > 0 && !Queue_.empty() && Out == nullptr) {
-        Queued Next = std::move(Queue_.front());
+      while (!Closed_ && !Sending_ && OpenPipes_ > 0 && !Queue_.empty() && NngMessage == nullptr) {
+        QueuedMessage Next = std::move(Queue_.front());
         Queue_.pop_front();
-        Bytes_ -= Next.Frame_.Body_.size();
-        const std::int64_t Left = core::toMillis(Next.Deadline_ - core::Clock::now());
-        if (Left <= 0) {
+        QueuedBytes_ -= Next.Frame_.Body_.size();
+        const std::int64_t RemainingMs = core::toMillis(Next.Deadline_ - core::Clock::now());
+        if (RemainingMs <= 0) {
           Expired.push_back(Next.CallId_);
           continue;
         }
-        Next.Frame_.DeadlineMs_ = Left;
+        Next.Frame_.DeadlineMs_ = RemainingMs;
         Next.Frame_.SentMs_ = bootMillis();
         const std::string Bytes = core::pack(Next.Frame_);
-        if (nng_msg_alloc(&Out, 0) != 0 || nng_msg_append(Out, Bytes.data(), Bytes.size()) != 0) {
+        if (nng_msg_alloc(&NngMessage, 0) != 0 ||
+            nng_msg_append(NngMessage, Bytes.data(), Bytes.size()) != 0) {
           Expired.push_back(Next.CallId_);
-          if (Out != nullptr)
-            nng_msg_free(Out);
-          Out = nullptr;
+          if (NngMessage != nullptr)
+            nng_msg_free(NngMessage);
+          NngMessage = nullptr;
           continue;
         }
-        Busy_ = true;
-        InFlight_ = Next.CallId_;
+        Sending_ = true;
+        InFlightCallId_ = Next.CallId_;
         InFlightBytes_ = Bytes.size();
-        nng_aio_set_msg(Aio_, Out);
-        nng_aio_set_timeout(Aio_, static_cast<nng_duration>(Left));
+        nng_aio_set_msg(Aio_, NngMessage);
+        nng_aio_set_timeout(Aio_, static_cast<nng_duration>(RemainingMs));
       }
     }
     for (const auto CallId : Expired)
       if (CallId != 0)
-        OnDropped_(CallId);
-    if (Out != nullptr) {
-      OnHanded_(InFlight_);
+        OnDrop_(CallId);
+    if (NngMessage != nullptr) {
+      OnHandoff_(InFlightCallId_);
       nng_send_aio(Socket_, Aio_);
     }
   }
@@ -235,43 +236,43 @@
     const int Error = nng_aio_result(Aio_);
     {
       const std::lock_guard Lock(Mutex_);
-      CallId = InFlight_;
+      CallId = InFlightCallId_;
       Bytes = InFlightBytes_;
     }
     if (Error != 0) {
       // The message stays with the aio when the socket has not taken it.
-      if (nng_msg *Back = nng_aio_get_msg(Aio_); Back != nullptr) {
-        nng_msg_free(Back);
+      if (nng_msg *Unsent = nng_aio_get_msg(Aio_); Unsent != nullptr) {
+        nng_msg_free(Unsent);
         nng_aio_set_msg(Aio_, nullptr);
       }
       if (CallId != 0)
-        OnDropped_(CallId);
+        OnDrop_(CallId);
     } else {
       core::count("masticdrift_peer_bytes_total", {{"direction", "out"}},
                   static_cast<double>(Bytes));
     }
     {
       const std::lock_guard Lock(Mutex_);
-      Busy_ = false;
-      InFlight_ = 0;
+      Sending_ = false;
+      InFlightCallId_ = 0;
     }
-    pump();
+    sendNext();
   }
 
-  const core::TimePoint Since_ = core::Clock::now();
+  const core::TimePoint CreatedAt_ = core::Clock::now();
   const std::size_t MaxMessages_;
   const std::size_t MaxBytes_;
-  Handed OnHanded_;
-  Dropped OnDropped_;
+  HandoffCallback OnHandoff_;
+  DropCallback OnDrop_;
   nng_socket Socket_ = NNG_SOCKET_INITIALIZER;
   nng_aio *Aio_ = nullptr;
   mutable std::mutex Mutex_;
-  std::deque<Queued> Queue_;
-  std::size_t Bytes_ = 0;
-  int Pipes_ = 0;
-  bool Busy_ = false;
+  std::deque<QueuedMessage> Queue_;
+  std::size_t QueuedBytes_ = 0;
+  int OpenPipes_ = 0;
+  bool Sending_ = false;
   bool Closed_ = false;
-  std::uint64_t InFlight_ = 0;
+  std::uint64_t InFlightCallId_ = 0;
   std::size_t InFlightBytes_ = 0;
 };
 
@@ -280,8 +281,8 @@
 struct Link::Impl {
   struct OpenCall {
     std::string Peer_;
-    MessageKind Expected_{};
-    bool Handed_ = false; ///< nng has or had the message, it may have been sent
+    MessageKind ExpectedKind_{};
+    bool HandedToNng_ = false; ///< nng has or had the message, it may have been sent
     Callback Done_;
   };
 
@@ -289,31 +290,34 @@
       : Options_(std::move(Options)), OnMessage_(std::move(OnMessage)) {
     std::random_device Random;
     // Replies to an earlier incarnation must not match the ids of this one.
-    NextCall_ = (static_cast<std::uint64_t>(Random()) << 32U) | 1U;
-    if (nng_pull0_open(&Pull_) != 0)
+    NextCallId_ = (static_cast<std::uint64_t>(Random()) << 32U) | 1U;
+    if (nng_pull0_open(&PullSocket_) != 0)
       throw std::runtime_error("cannot open a pull socket");
-    nng_socket_set_ms(Pull_, NNG_OPT_RECVTIMEO, ReceiveWaitMs);
-    nng_socket_set_size(Pull_, NNG_OPT_RECVMAXSZ, Options_.MaxMessage_ + FrameRoom);
+    nng_socket_set_ms(PullSocket_, NNG_OPT_RECVTIMEO, ReceiveTimeoutMs);
+    nng_socket_set_size(PullSocket_, NNG_OPT_RECVMAXSZ,
+                        Options_.MaxMessageBytes_ + EnvelopeOverheadBytes);
     nng_listener Listener = NNG_LISTENER_INITIALIZER;
-    int Error = nng_listener_create(&Listener, Pull_, ("tcp://" + Options_.Listen_).c_str());
+    int Error =
+        nng_listener_create(&Listener, PullSocket_, ("tcp://" + Options_.ListenAddress_).c_str());
     if (Error == 0)
       Error = nng_listener_start(Listener, 0);
     int Port = 0;
     if (Error == 0)
       Error = nng_listener_get_int(Listener, NNG_OPT_TCP_BOUND_PORT, &Port);
     if (Error != 0) {
-      nng_close(Pull_);
-      throw std::runtime_error("cannot listen on " + Options_.Listen_ + ": " + nng_strerror(Error));
+      nng_close(PullSocket_);
+      throw std::runtime_error("cannot listen on " + Options_.ListenAddress_ + ": " +
+                               nng_strerror(Error));
     }
     Port_ = static_cast<std::uint16_t>(Port);
-    for (auto &Receiver : Receivers_)
+    for (auto &Receiver : ReceiverThreads_)
       Receiver = std::thread([this] { receive(); });
   }
 
   void receive() {
-    while (!ReceiversStop_) {
+    while (!StopReceivers_) {
       nng_msg *Message = nullptr;
-      if (nng_recvmsg(Pull_, &Message, 0) != 0)
+      if (nng_recvmsg(PullSocket_, &Message, 0) != 0)
         continue; // nothing came in time
       const std::string_view Bytes(static_cast<const char *>(nng_msg_body(Message)),
                                    nng_msg_len(Message));
@@ -332,8 +336,8 @@
   void dispatch(Envelope &Frame) {
     {
       const std::lock_guard Lock(Mutex_);
-      Frame.DeadlineMs_ -=
-          Delays_[Frame.Sender_].excess(Frame.Incarnation_, Frame.SentMs_, bootMillis());
+      Frame.DeadlineMs_ -= DelayFilters_[Frame.Sender_].excessDelayMs(Frame.Incarnation_,
+                                                                      Frame.SentMs_, bootMillis());
     }
     if (Frame.DeadlineMs_ <= 0)
       return;
@@ -346,12 +350,12 @@
     Callback Done;
     {
       const std::lock_guard Lock(Mutex_);
-      const auto Found = Calls_.find(Frame.Correlation_);
-      if (Found == Calls_.end() || Found->second.Peer_ != Frame.Sender_ ||
-          Found->second.Expected_ != Kind)
+      const auto Found = OpenCalls_.find(Frame.Correlation_);
+      if (Found == OpenCalls_.end() || Found->second.Peer_ != Frame.Sender_ ||
+          Found->second.ExpectedKind_ != Kind)
         return; // late or foreign
       Done = std::move(Found->second.Done_);
-      Calls_.erase(Found);
+      OpenCalls_.erase(Found);
     }
     Done({}, Frame);
   }
@@ -361,51 +365,51 @@
     Callback Done;
     {
       const std::lock_guard Lock(Mutex_);
-      const auto Found = Calls_.find(CallId);
-      if (Found == Calls_.end())
+      const auto Found = OpenCalls_.find(CallId);
+      if (Found == OpenCalls_.end())
         return;
       Done = std::move(Found->second.Done_);
-      Calls_.erase(Found);
+      OpenCalls_.erase(Found);
     }
     Done(Error, {});
   }
 
   /// As fail(), on the timer thread: callers may be nng callbacks, in which sockets must not be
   /// closed, or hold locks of their own.
-  void failLater(std::uint64_t CallId, std::error_code Error) {
-    Schedule_.post([this, CallId, Error] { fail(CallId, Error); });
+  void failAsync(std::uint64_t CallId, std::error_code Error) {
+    Timers_.post([this, CallId, Error] { fail(CallId, Error); });
   }
 
-  void timeOut(std::uint64_t CallId) {
-    bool Handed = false;
+  void onTimeout(std::uint64_t CallId) {
+    bool HandedToNng = false;
     {
       const std::lock_guard Lock(Mutex_);
-      const auto Found = Calls_.find(CallId);
-      if (Found == Calls_.end())
+      const auto Found = OpenCalls_.find(CallId);
+      if (Found == OpenCalls_.end())
         return;
-      Handed = Found->second.Handed_;
+      HandedToNng = Found->second.HandedToNng_;
     }
-    fail(CallId, Handed ? ErrorKind::OutcomeUnknown : ErrorKind::PeerUnreachable);
+    fail(CallId, HandedToNng ? ErrorKind::OutcomeUnknown : ErrorKind::PeerUnreachable);
   }
 
   std::shared_ptr<Connection> connect(const std::string &Address) {
     return std::make_shared<Connection>(
-        Address, Options_.QueueMessages_, Options_.QueueBytes_,
+        Address, Options_.MaxQueuedMessages_, Options_.MaxQueuedBytes_,
         [this](std::uint64_t CallId) {
           if (CallId == 0)
             return;
           const std::lock_guard Lock(Mutex_);
-          if (const auto Found = Calls_.find(CallId); Found != Calls_.end())
-            Found->second.Handed_ = true;
+          if (const auto Found = OpenCalls_.find(CallId); Found != OpenCalls_.end())
+            Found->second.HandedToNng_ = true;
         },
-        [this](std::uint64_t CallId) { failLater(CallId, ErrorKind::PeerUnreachable); });
+        [this](std::uint64_t CallId) { failAsync(CallId, ErrorKind::PeerUnreachable); });
   }
 
   std::error_code post(std::string_view Peer, MessageKind Kind, std::uint64_t Correlation,
                        std::uint64_t CallId, std::string Body, TimePoint Deadline) {
-    if (Body.size() > Options_.MaxMessage_)
+    if (Body.size() > Options_.MaxMessageBytes_)
       return ErrorKind::BodyTooLarge;
-    std::shared_ptr<Connection> Out;
+    std::shared_ptr<Connection> Target;
     {
       const std::lock_guard Lock(Mutex_);
       if (Stopped_)
@@ -413,11 +417,11 @@
       const auto Found = Peers_.find(Peer);
       if (Found == Peers_.end())
         return ErrorKind::PeerUnreachable;
-      Out = Found->second.Connection_;
+      Target = Found->second.Connection_;
     }
-    if (Out == nullptr)
+    if (Target == nullptr)
       return ErrorKind::PeerUnreachable;
-    Queued Message;
+    QueuedMessage Message;
     Message.CallId_ = CallId;
     Message.Deadline_ = Deadline;
     Message.Frame_ = {static_cast<std::uint8_t>(Kind),
@@ -427,37 +431,37 @@
                       0,
                       0,
                       std::move(Body)};
-    if (!Out->enqueue(std::move(Message)))
+    if (!Target->enqueue(std::move(Message)))
       return ErrorKind::PeerUnreachable;
     return {};
   }
 
   /// Sets the connection of \p Peer; the old one is closed after the lock was released.
   void replace(std::string_view Peer, const std::string &Address) {
-    auto Fresh = connect(Address);
-    const std::lock_guard Replacing(ReplaceMutex_);
-    std::shared_ptr<Connection> Old;
+    auto NewConnection = connect(Address);
+    const std::lock_guard ReplaceLock(ReplaceMutex_);
+    std::shared_ptr<Connection> OldConnection;
     {
       const std::lock_guard Lock(Mutex_);
       if (Stopped_) {
-        Old = std::move(Fresh);
+        OldConnection = std::move(NewConnection);
       } else {
         auto &Entry = Peers_[std::string(Peer)];
         Entry.Address_ = Address;
-        Old = std::exchange(Entry.Connection_, std::move(Fresh));
+        OldConnection = std::exchange(Entry.Connection_, std::move(NewConnection));
       }
     }
-    retire(std::move(Old));
+    retire(std::move(OldConnection));
   }
 
   /// Closes a connection later, on the timer thread. The last reference must not be dropped by a
   /// callback of nng, and nng 1.5.2 can abort in nng_close() while the dialer or a pipe of the
   /// socket is still starting.
-  void retire(std::shared_ptr<Connection> Old) {
-    if (Old == nullptr)
+  void retire(std::shared_ptr<Connection> OldConnection) {
+    if (OldConnection == nullptr)
       return;
-    Old->retire();
-    Schedule_.after(RetireTime, [Kept = std::move(Old)] {});
+    OldConnection->retire();
+    Timers_.after(CloseDelay, [Retired = std::move(OldConnection)] {});
   }
 
   void stop() {
@@ -466,24 +470,24 @@
       if (std::exchange(Stopped_, true))
         return;
     }
-    ReceiversStop_ = true;
-    for (auto &Receiver : Receivers_)
+    StopReceivers_ = true;
+    for (auto &Receiver : ReceiverThreads_)
       Receiver.join();
-    nng_close(Pull_);
+    nng_close(PullSocket_);
     decltype(Peers_) Peers;
     {
       const std::lock_guard Lock(Mutex_);
       Peers.swap(Peers_);
     }
     Peers.clear();
-    Schedule_.stop();
-    decltype(Calls_) Calls;
+    Timers_.stop();
+    decltype(OpenCalls_) Calls;
     {
       const std::lock_guard Lock(Mutex_);
-      Calls.swap(Calls_);
+      Calls.swap(OpenCalls_);
     }
-    for (auto &[CallId, Open] : Calls)
-      Open.Done_(Open.Handed_ ? ErrorKind::OutcomeUnknown : ErrorKind::Stopping, {});
+    for (auto &[CallId, OpenEntry] : Calls)
+      OpenEntry.Done_(OpenEntry.HandedToNng_ ? ErrorKind::OutcomeUnknown : ErrorKind::Stopping, {});
   }
 
   struct PeerEntry {
@@ -493,18 +497,18 @@
 
   LinkOptions Options_;
   Handler OnMessage_;
-  nng_socket Pull_ = NNG_SOCKET_INITIALIZER;
+  nng_socket PullSocket_ = NNG_SOCKET_INITIALIZER;
   std::uint16_t Port_ = 0;
   std::mutex ReplaceMutex_;
   mutable std::mutex Mutex_;
   bool Stopped_ = false;
-  std::uint64_t NextCall_ = 1;
+  std::uint64_t NextCallId_ = 1;
   std::map<std::string, PeerEntry, std::less<>> Peers_;
-  std::unordered_map<std::uint64_t, OpenCall> Calls_;
-  std::unordered_map<std::string, DelayFilter> Delays_;
-  core::Timers Schedule_;
-  std::atomic<bool> ReceiversStop_{false};
-  std::array<std::thread, 2> Receivers_;
+  std::unordered_map<std::uint64_t, OpenCall> OpenCalls_;
+  std::unordered_map<std::string, DelayFilter> DelayFilters_;
+  core::Timers Timers_;
+  std::atomic<bool> StopReceivers_{false};
+  std::array<std::thread, 2> ReceiverThreads_;
 };
 
 Link::Link(LinkOptions Options, Handler OnMessage)
@@ -525,15 +529,15 @@
 }
 
 void Link::removeRoute(std::string_view Peer) {
-  std::shared_ptr<Connection> Old;
+  std::shared_ptr<Connection> OldConnection;
   {
     const std::lock_guard Lock(Impl_->Mutex_);
     if (const auto Found = Impl_->Peers_.find(Peer); Found != Impl_->Peers_.end()) {
-      Old = std::move(Found->second.Connection_);
+      OldConnection = std::move(Found->second.Connection_);
       Impl_->Peers_.erase(Found);
     }
   }
-  Impl_->retire(std::move(Old));
+  Impl_->retire(std::move(OldConnection));
 }
 
 void Link::reconnect(std::string_view Peer) {
@@ -542,7 +546,7 @@
     const std::lock_guard Lock(Impl_->Mutex_);
     const auto Found = Impl_->Peers_.find(Peer);
     if (Found == Impl_->Peers_.end() ||
-        (Found->second.Connection_ != nullptr && !Found->second.Connection_->settled()))
+        (Found->second.Connection_ != nullptr && !Found->second.Connection_->oldEnoughToReplace()))
       return;
     Address = Found->second.Address_;
   }
@@ -565,32 +569,33 @@
 
 std::error_code Link::reply(const Envelope &Request, MessageKind Kind, std::string Body) {
   // A floor, so that an answer is still sent when its request has just run out of time.
-  const core::Duration Left = core::Millis(std::max<std::int64_t>(Request.DeadlineMs_, 250));
+  const core::Duration Remaining = core::Millis(std::max<std::int64_t>(Request.DeadlineMs_, 250));
   return Impl_->post(Request.Sender_, Kind, Request.Correlation_, 0, std::move(Body),
-                     core::Clock::now() + Left);
+                     core::Clock::now() + Remaining);
 }
 
 void Link::call(std::string_view Peer, MessageKind Kind, std::string Body, core::Duration Timeout,
                 Callback Done) {
-  const auto Expected = replyTo(Kind);
+  const auto ExpectedKind = replyTo(Kind);
   std::uint64_t CallId = 0;
   {
     const std::lock_guard Lock(Impl_->Mutex_);
-    CallId = Impl_->Stopped_ ? 0 : Impl_->NextCall_++;
+    CallId = Impl_->Stopped_ ? 0 : Impl_->NextCallId_++;
     if (CallId != 0)
-      Impl_->Calls_[CallId] = {std::string(Peer), Expected.value_or(Kind), false, Done};
+      Impl_->OpenCalls_[CallId] = {std::string(Peer), ExpectedKind.value_or(Kind), false, Done};
   }
   if (CallId == 0) {
     Done(ErrorKind::Stopping, {});
     return;
   }
-  const std::error_code Error = Expected ? Impl_->post(Peer, Kind, CallId, CallId, std::move(Body),
-                                                       core::Clock::now() + Timeout)
-                                         : std::error_code(ErrorKind::Internal);
+  const std::error_code Error =
+      ExpectedKind
+          ? Impl_->post(Peer, Kind, CallId, CallId, std::move(Body), core::Clock::now() + Timeout)
+          : std::error_code(ErrorKind::Internal);
   if (Error)
-    Impl_->failLater(CallId, Error);
+    Impl_->failAsync(CallId, Error);
   else
-    Impl_->Schedule_.after(Timeout, [Impl = Impl_.get(), CallId] { Impl->timeOut(CallId); });
+    Impl_->Timers_.after(Timeout, [Impl = Impl_.get(), CallId] { Impl->onTimeout(CallId); });
 }
 
 void Link::stop() { Impl_->stop(); }
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -542,7 +542,7 @@
   const std::lock_guard Lock(Impl_->Mutex_);
   Reply.ConfigOffset_ = Impl_->Offset_;
   Reply.StoreAgeMs_ = Impl_->StoreAsOf_ ? core::toMillis(Now - *Impl_->StoreAsOf_) : -1;
-  Reply.Confirms_ = Impl_->confirmsLocked();
+  Reply.ConfirmsConfig_ = Impl_->confirmsLocked();
 }
 
 void ConfigReplica::onReply(TimePoint Sent, const protocol::ProbeReply &Reply) {
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -64,7 +64,7 @@
   To.ContentType_ = std::move(From.ContentType_);
   To.Body_ = std::move(From.Body_);
   To.Message_ = std::move(From.Message_);
-  To.RanState_ = static_cast<std::uint8_t>(From.Ran_);
+  To.RunState_ = static_cast<std::uint8_t>(From.Ran_);
   return To;
 }
 
@@ -72,7 +72,7 @@
   Outcome To;
   To.Kind_ = static_cast<ErrorKind>(From.ErrorKind_);
   To.Message_ = std::move(From.Message_);
-  To.Ran_ = static_cast<core::RunState>(From.RanState_);
+  To.Ran_ = static_cast<core::RunState>(From.RunState_);
   To.Status_ = From.Status_;
   To.ContentType_ = std::move(From.ContentType_);
   To.Body_ = std::move(From.Body_);
@@ -88,7 +88,7 @@
   To.Pool_ = From.Pool_;
   To.Idempotent_ = From.Idempotent_;
   To.DeadlineMs_ = core::toMillis(From.Deadline_ - Now);
-  To.Hops_ = 1;
+  To.HopCount_ = 1;
   To.Body_ = From.Body_;
   To.ContentType_ = From.ContentType_;
   return To;
@@ -204,7 +204,7 @@
       return reply(Message, failed(ErrorKind::MalformedMessage, "Forward is malformed"));
     if (Refusing_)
       return reply(Message, failed(ErrorKind::Stopping, "the owner is shutting down"));
-    if (Forwarded->Hops_ > 1)
+    if (Forwarded->HopCount_ > 1)
       return reply(Message, failed(ErrorKind::ForwardLimit, "request was forwarded already"));
     ++InFlight_;
     Local_.submit(fromForward(std::move(*Forwarded), core::Clock::now()),
--- a/tests/support/LinkPeers.h
+++ b/tests/support/LinkPeers.h
@@ -37,25 +37,25 @@
 }
 
 /// TCP relay that can cut its connections, or silence them for good while new ones work.
-class Relay {
+class TcpProxy {
 public:
-  explicit Relay(std::uint16_t Target)
+  explicit TcpProxy(std::uint16_t Target)
       : Target_(asio::ip::make_address("127.0.0.1"), Target),
         Acceptor_(Context_, {asio::ip::make_address("127.0.0.1"), 0}),
         Port_(Acceptor_.local_endpoint().port()) {
     accept();
     Thread_ = std::thread([this] { Context_.run(); });
   }
-  ~Relay() {
+  ~TcpProxy() {
     Context_.stop();
     Thread_.join();
   }
-  Relay(const Relay &) = delete;
-  Relay &operator=(const Relay &) = delete;
+  TcpProxy(const TcpProxy &) = delete;
+  TcpProxy &operator=(const TcpProxy &) = delete;
 
   std::uint16_t port() const { return Port_; }
 
-  void cut() {
+  void closeConnections() {
     asio::post(Context_, [this] {
       for (auto &Each : Pipes_) {
         std::error_code Ignored;
@@ -67,17 +67,17 @@
   }
 
   /// Existing connections stay open and carry nothing more until release().
-  void silence() {
+  void stall() {
     asio::post(Context_, [this] {
       for (auto &Each : Pipes_)
-        Each->Silent_ = true;
+        Each->Stalled_ = true;
     });
   }
 
-  void release() {
+  void resume() {
     asio::post(Context_, [this] {
       for (auto &Each : Pipes_)
-        if (std::exchange(Each->Silent_, false)) {
+        if (std::exchange(Each->Stalled_, false)) {
           forward(Each, true);
           forward(Each, false);
         }
@@ -90,54 +90,57 @@
         : Client_(std::move(Client)), Server_(Client_.get_executor()) {}
     asio::ip::tcp::socket Client_;
     asio::ip::tcp::socket Server_;
-    std::array<char, 4096> Up_{};
-    std::array<char, 4096> Down_{};
-    std::size_t UpHeld_ = 0;
-    std::size_t DownHeld_ = 0;
-    bool Silent_ = false;
+    std::array<char, 4096> UpBuffer_{};
+    std::array<char, 4096> DownBuffer_{};
+    std::size_t UpPendingBytes_ = 0;
+    std::size_t DownPendingBytes_ = 0;
+    bool Stalled_ = false;
   };
 
   void accept() {
     Acceptor_.async_accept([this](std::error_code Error, asio::ip::tcp::socket Client) {
       if (Error)
         return;
-      auto Fresh = std::make_shared<Pipe>(std::move(Client));
+      auto NewPipe = std::make_shared<Pipe>(std::move(Client));
       std::error_code Refused;
-      Fresh->Server_.connect(Target_, Refused);
+      NewPipe->Server_.connect(Target_, Refused);
       if (!Refused) {
-        Pipes_.push_back(Fresh);
-        read(Fresh, true);
-        read(Fresh, false);
+        Pipes_.push_back(NewPipe);
+        read(NewPipe, true);
+        read(NewPipe, false);
       }
       accept();
     });
   }
 
-  void read(const std::shared_ptr<Pipe> &On, bool Up) {
-    auto &From = Up ? On->Client_ : On->Server_;
-    From.async_read_some(asio::buffer(Up ? On->Up_ : On->Down_),
-                         [this, On, Up](std::error_code Error, std::size_t Size) {
+  void read(const std::shared_ptr<Pipe> &Connection, bool Up) {
+    auto &From = Up ? Connection->Client_ : Connection->Server_;
+    From.async_read_some(asio::buffer(Up ? Connection->UpBuffer_ : Connection->DownBuffer_),
+                         [this, Connection, Up](std::error_code Error, std::size_t Size) {
                            if (Error) {
                              std::error_code Ignored;
-                             if (!On->Silent_)
-                               (Up ? On->Server_ : On->Client_).close(Ignored);
+                             if (!Connection->Stalled_)
+                               (Up ? Connection->Server_ : Connection->Client_).close(Ignored);
                              return;
                            }
-                           (Up ? On->UpHeld_ : On->DownHeld_) = Size;
-                           if (!On->Silent_)
-                             forward(On, Up);
+                           (Up ? Connection->UpPendingBytes_ : Connection->DownPendingBytes_) =
+                               Size;
+                           if (!Connection->Stalled_)
+                             forward(Connection, Up);
                          });
   }
 
-  void forward(const std::shared_ptr<Pipe> &On, bool Up) {
-    auto &Held = Up ? On->UpHeld_ : On->DownHeld_;
-    if (Held == 0)
+  void forward(const std::shared_ptr<Pipe> &Connection, bool Up) {
+    auto &PendingBytes = Up ? Connection->UpPendingBytes_ : Connection->DownPendingBytes_;
+    if (PendingBytes == 0)
       return;
     std::error_code Error;
-    asio::write(Up ? On->Server_ : On->Client_,
-                asio::buffer((Up ? On->Up_ : On->Down_).data(), std::exchange(Held, 0)), Error);
+    asio::write(Up ? Connection->Server_ : Connection->Client_,
+                asio::buffer((Up ? Connection->UpBuffer_ : Connection->DownBuffer_).data(),
+                             std::exchange(PendingBytes, 0)),
+                Error);
     if (!Error)
-      read(On, Up);
+      read(Connection, Up);
   }
 
   asio::io_context Context_;
@@ -157,7 +160,7 @@
             ++Received_[In.Body_];
           }
           if (static_cast<protocol::MessageKind>(In.Kind_) == protocol::MessageKind::ConfigFetch &&
-              Answers_)
+              Replies_)
             Link_.reply(In, protocol::MessageKind::ConfigCopy, "answer to " + In.Body_);
         }) {}
 
@@ -177,23 +180,23 @@
 
   std::mutex Mutex_;
   std::map<std::string, int> Received_;
-  std::atomic<bool> Answers_{true};
+  std::atomic<bool> Replies_{true};
   protocol::Link Link_;
 };
 
-inline std::pair<std::error_code, std::string> callAndWait(protocol::Link &By,
+inline std::pair<std::error_code, std::string> callAndWait(protocol::Link &Caller,
                                                            const std::string &To,
                                                            const std::string &Body,
                                                            core::Duration Timeout) {
   auto Done = std::make_shared<std::promise<std::pair<std::error_code, std::string>>>();
-  By.call(To, protocol::MessageKind::ConfigFetch, Body, Timeout,
-          [Done](std::error_code Error, const protocol::Envelope &Reply) {
-            Done->set_value({Error, Reply.Body_}); // throws when called twice
-          });
+  Caller.call(To, protocol::MessageKind::ConfigFetch, Body, Timeout,
+              [Done](std::error_code Error, const protocol::Envelope &Reply) {
+                Done->set_value({Error, Reply.Body_}); // throws when called twice
+              });
   return Done->get_future().get();
 }
 
-inline void join(Peer &A, Peer &B) {
+inline void connectPeers(Peer &A, Peer &B) {
   A.Link_.setRoute("b", addressOf(B.Link_.port()));
   B.Link_.setRoute("a", addressOf(A.Link_.port()));
   cr_assert(eventually([&] { return A.Link_.connected("b") && B.Link_.connected("a"); },
--- a/tests/unit/LinkCutTest.cpp
+++ b/tests/unit/LinkCutTest.cpp
@@ -11,13 +11,13 @@
 // Guards against a second delivery after a connection is lost (P7).
 Test(LinkCut, aMessageIsDeliveredAtMostOnceWhenConnectionsAreCut) {
   Peer B("b");
-  Relay Between(B.Link_.port());
+  TcpProxy Proxy(B.Link_.port());
   Peer A("a");
-  A.Link_.setRoute("b", addressOf(Between.port()));
+  A.Link_.setRoute("b", addressOf(Proxy.port()));
   int Accepted = 0;
   for (int I = 0; I < 3000; ++I) {
     if (I % 150 == 149)
-      Between.cut();
+      Proxy.closeConnections();
     if (I % 400 == 399)
       A.Link_.reconnect("b");
     const auto Error =
--- a/tests/unit/LinkTest.cpp
+++ b/tests/unit/LinkTest.cpp
@@ -12,15 +12,15 @@
 Test(Link, everyCallGetsItsOwnReply) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
-  std::atomic<int> Right{0};
+  connectPeers(A, B);
+  std::atomic<int> Matched{0};
   for (int I = 0; I < 200; ++I)
     A.Link_.call("b", MessageKind::ConfigFetch, std::to_string(I), 5s,
-                 [&Right, I](std::error_code Error, const Envelope &Reply) {
+                 [&Matched, I](std::error_code Error, const Envelope &Reply) {
                    if (!Error && Reply.Body_ == "answer to " + std::to_string(I))
-                     ++Right;
+                     ++Matched;
                  });
-  cr_assert(eventually([&] { return Right == 200; }, 5s), "%d of 200", Right.load());
+  cr_assert(eventually([&] { return Matched == 200; }, 5s), "%d of 200", Matched.load());
 }
 
 // Guards against a "nothing was sent" that is untrue, and against waiting for a dead peer.
@@ -43,8 +43,8 @@
 Test(Link, aSilentPeerGivesAnUnknownOutcome) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
-  B.Answers_ = false;
+  connectPeers(A, B);
+  B.Replies_ = false;
   cr_assert(callAndWait(A.Link_, "b", "x", 300ms).first == core::ErrorKind::OutcomeUnknown);
   cr_assert_eq(B.received("x"), 1);
 }
@@ -54,10 +54,10 @@
   Peer A("a");
   Peer B("b");
   Peer C("c");
-  join(A, B);
+  connectPeers(A, B);
   C.Link_.setRoute("a", addressOf(A.Link_.port()));
   cr_assert(eventually([&] { return C.Link_.connected("a"); }, 5s));
-  B.Answers_ = false;
+  B.Replies_ = false;
   std::atomic<int> Calls{0};
   std::error_code Last;
   A.Link_.call("b", MessageKind::ConfigFetch, "x", 500ms,
@@ -80,7 +80,7 @@
 Test(Link, sizesAreLimited) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
+  connectPeers(A, B);
   const std::string Largest(4U << 20U, 'x');
   const auto [Error, Reply] = callAndWait(A.Link_, "b", Largest.substr(0, (4U << 20U) - 100), 5s);
   cr_assert(!Error, "%s", Error.message().c_str());
@@ -91,13 +91,13 @@
 // Guards against a full queue that blocks or hides that a message was not sent.
 Test(Link, aFullQueueRefuses) {
   Peer B("b");
-  Relay Between(B.Link_.port());
+  TcpProxy Proxy(B.Link_.port());
   Peer A("a");
-  A.Link_.setRoute("b", addressOf(Between.port()));
+  A.Link_.setRoute("b", addressOf(Proxy.port()));
   cr_assert(eventually([&] { return A.Link_.connected("b"); }, 5s));
   cr_assert(!A.Link_.send("b", MessageKind::Notice, 0, "first"));
   cr_assert(eventually([&] { return B.received("first") == 1; }, 5s));
-  Between.silence();
+  Proxy.stall();
   std::this_thread::sleep_for(100ms);
   std::error_code Error;
   for (int I = 0; I < 100 && !Error; ++I) // 100 MB, far more than the kernel buffers
@@ -109,13 +109,13 @@
 // and against messages that come out of it after their deadline.
 Test(Link, aSilentConnectionIsReplacedAndItsMessagesExpire) {
   Peer B("b");
-  Relay Between(B.Link_.port());
+  TcpProxy Proxy(B.Link_.port());
   Peer A("a", 400ms);
-  A.Link_.setRoute("b", addressOf(Between.port()));
+  A.Link_.setRoute("b", addressOf(Proxy.port()));
   B.Link_.setRoute("a", addressOf(A.Link_.port()));
   cr_assert(eventually([&] { return A.Link_.connected("b") && B.Link_.connected("a"); }, 5s));
   cr_assert(!callAndWait(A.Link_, "b", "before", 2s).first);
-  Between.silence();
+  Proxy.stall();
   std::this_thread::sleep_for(50ms);
   cr_assert(!A.Link_.send("b", MessageKind::Notice, 0, "stuck"));
   cr_assert(callAndWait(A.Link_, "b", "unanswered", 300ms).first ==
@@ -125,7 +125,7 @@
   const auto [Error, Reply] = callAndWait(A.Link_, "b", "after", 2s);
   cr_assert(!Error, "%s", Error.message().c_str());
   std::this_thread::sleep_for(400ms);
-  Between.release();
+  Proxy.resume();
   std::this_thread::sleep_for(300ms);
   cr_assert_eq(B.received("stuck"), 0, "delivered after its deadline");
   cr_assert_eq(B.received("unanswered"), 0, "delivered after its deadline");
@@ -135,10 +135,10 @@
 Test(Link, stopEndsOpenCalls) {
   std::atomic<int> Ended{0};
   Peer B("b");
-  B.Answers_ = false;
+  B.Replies_ = false;
   {
     Peer A("a");
-    join(A, B);
+    connectPeers(A, B);
     for (int I = 0; I < 20; ++I)
       A.Link_.call("b", MessageKind::ConfigFetch, std::to_string(I), 10s,
                    [&](std::error_code Error, const Envelope &) { Ended += Error ? 1 : 0; });
@@ -152,7 +152,7 @@
 Test(Link, connectionsCanBeReplacedUnderLoad) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
+  connectPeers(A, B);
   std::atomic<int> Ended{0};
   for (int I = 0; I < 300; ++I) {
     for (int J = 0; J < 5; ++J)
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -70,7 +70,7 @@
   cr_assert_eq(Table.peers().size(), 2U);
   protocol::ProbeReply Reply;
   Reply.ConfigOffset_ = 7;
-  Reply.Confirms_ = true;
+  Reply.ConfirmsConfig_ = true;
   Reply.Owner_ = "c";
   Reply.Term_ = 4;
   Reply.StoreAgeMs_ = 300;
--- a/tests/unit/MessagesTest.cpp
+++ b/tests/unit/MessagesTest.cpp
@@ -12,17 +12,18 @@
 
 constexpr std::uint32_t Seed = 20261204;
 
-template <typename T> std::size_t decodeAll(std::string_view Bytes) {
+template <typename T> std::size_t countDecoded(std::string_view Bytes) {
   return core::unpack<T>(Bytes) ? 1 : 0;
 }
 
-std::size_t decodeAsEverything(std::string_view Bytes) {
-  return (decodeEnvelope(Bytes) ? 1U : 0U) + decodeAll<Probe>(Bytes) +
-         decodeAll<ProbeReply>(Bytes) + decodeAll<Forward>(Bytes) + decodeAll<Answer>(Bytes) +
-         decodeAll<Notice>(Bytes) + decodeAll<JobQuery>(Bytes) + decodeAll<JobReply>(Bytes) +
-         decodeAll<StatusQuery>(Bytes) + decodeAll<StatusReply>(Bytes) +
-         decodeAll<ConfigFetch>(Bytes) + decodeAll<ConfigCopy>(Bytes) +
-         decodeAll<ConsentRequest>(Bytes) + decodeAll<Consent>(Bytes) + decodeAll<Pending>(Bytes);
+std::size_t countDecodable(std::string_view Bytes) {
+  return (decodeEnvelope(Bytes) ? 1U : 0U) + countDecoded<Probe>(Bytes) +
+         countDecoded<ProbeReply>(Bytes) + countDecoded<Forward>(Bytes) +
+         countDecoded<Answer>(Bytes) + countDecoded<Notice>(Bytes) + countDecoded<JobQuery>(Bytes) +
+         countDecoded<JobReply>(Bytes) + countDecoded<StatusQuery>(Bytes) +
+         countDecoded<StatusReply>(Bytes) + countDecoded<ConfigFetch>(Bytes) +
+         countDecoded<ConfigCopy>(Bytes) + countDecoded<ConsentRequest>(Bytes) +
+         countDecoded<Consent>(Bytes) + countDecoded<Pending>(Bytes);
 }
 
 ProbeReply sampleReply() {
@@ -30,7 +31,7 @@
   Reply.Domain_ = "lahore-a";
   Reply.ConfigOffset_ = 812;
   Reply.StoreAgeMs_ = 240;
-  Reply.Confirms_ = true;
+  Reply.ConfirmsConfig_ = true;
   Reply.Owner_ = "entry-2";
   Reply.Term_ = 9;
   Reply.Free_ = {64000, 128000, 2};
@@ -42,12 +43,12 @@
 
 // Guards against fields that are lost or swapped on the wire.
 Test(Messages, aReplyKeepsItsFields) {
-  const auto Back = core::unpack<ProbeReply>(core::pack(sampleReply()));
-  cr_assert(Back.has_value());
-  cr_assert_eq(Back->Term_, 9U);
-  cr_assert_eq(Back->Members_.size(), 2U);
-  cr_assert_eq(Back->Members_[1].AgeMs_, 900);
-  cr_assert(Back->Free_ == sampleReply().Free_);
+  const auto Decoded = core::unpack<ProbeReply>(core::pack(sampleReply()));
+  cr_assert(Decoded.has_value());
+  cr_assert_eq(Decoded->Term_, 9U);
+  cr_assert_eq(Decoded->Members_.size(), 2U);
+  cr_assert_eq(Decoded->Members_[1].AgeMs_, 900);
+  cr_assert(Decoded->Free_ == sampleReply().Free_);
 }
 
 // Guards against kinds that a later version may add being taken for known ones.
@@ -75,7 +76,7 @@
     std::string Bytes(Random() % 200, '\0');
     for (char &Each : Bytes)
       Each = static_cast<char>(Random());
-    Decoded += decodeAsEverything(Bytes);
+    Decoded += countDecodable(Bytes);
   }
   cr_log_info("seed %u: %zu of the random inputs decoded", Seed, Decoded);
 }
@@ -90,15 +91,15 @@
       core::pack(Answer{1, 0, 200, "text/plain", "body", "m", 2})};
   for (int Round = 0; Round < 20'000; ++Round) {
     std::string Bytes = Samples[Random() % 4];
-    for (auto Changes = 1 + Random() % 4; Changes > 0; --Changes)
+    for (auto Mutations = 1 + Random() % 4; Mutations > 0; --Mutations)
       Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
     if (Random() % 3 == 0)
       Bytes.resize(Random() % (Bytes.size() + 1));
-    (void)decodeAsEverything(Bytes);
+    (void)countDecodable(Bytes);
   }
-  for (const auto &Whole : Samples)
-    for (std::size_t Size = 0; Size < Whole.size(); ++Size)
-      cr_assert_eq(decodeAsEverything(std::string_view(Whole).substr(0, Size)), 0U,
+  for (const auto &Sample : Samples)
+    for (std::size_t Size = 0; Size < Sample.size(); ++Size)
+      cr_assert_eq(countDecodable(std::string_view(Sample).substr(0, Size)), 0U,
                    "a cut message was decoded");
 }
 
@@ -108,7 +109,7 @@
   ownership::ClaimTable Table;
   for (std::uint64_t Offset = 1; Offset < 20'000; ++Offset) {
     std::string Bytes = core::pack(ownership::Renew{"entry-1", 1, 1, 1, 1});
-    for (auto Changes = Random() % 4; Changes > 0; --Changes)
+    for (auto Mutations = Random() % 4; Mutations > 0; --Mutations)
       Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
     Table.apply(Offset, static_cast<journal::RecordType>(Random() % 7), Bytes);
   }
