protocol: reword comments, log lines and error texts

Cause: comments and texts used figurative wording and did not name the object that failed. Change: plain technical wording; reasons, numbers and the nng 1.5.2 faults are kept.

--- a/include/masticdrift/protocol/Link.h
+++ b/include/masticdrift/protocol/Link.h
@@ -1,5 +1,6 @@
 /// \file
-/// Messages between daemons over nng: one pull socket, one push socket for each peer.
+/// Message transport between daemons over nng: one pull socket for incoming messages and one push
+/// socket per peer.
 #ifndef MASTICDRIFT_PROTOCOL_LINK_H
 #define MASTICDRIFT_PROTOCOL_LINK_H
 
@@ -16,39 +17,40 @@
 
 namespace masticdrift::protocol {
 
+/// Settings of a Link.
 struct LinkOptions {
-  std::string Name_; ///< own instance name
-  std::uint64_t Incarnation_ = 0;
-  std::string ListenAddress_ = "127.0.0.1:0";       ///< port 0 lets the kernel choose
-  std::size_t MaxQueuedMessages_ = 1024;            ///< for each peer
-  std::size_t MaxQueuedBytes_ = 8U << 20U;          ///< for each peer
-  std::size_t MaxMessageBytes_ = 4U << 20U;         ///< encoded size
-  core::Duration SendTimeout_ = core::Millis(5000); ///< deadline of messages sent without one
+  std::string Name_;                                ///< instance name of this daemon
+  std::uint64_t Incarnation_ = 0;                   ///< increases with each start of the instance
+  std::string ListenAddress_ = "127.0.0.1:0";       ///< "host:port"; port 0 selects a free port
+  std::size_t MaxQueuedMessages_ = 1024;            ///< per peer
+  std::size_t MaxQueuedBytes_ = 8U << 20U;          ///< per peer, message bodies only
+  std::size_t MaxMessageBytes_ = 4U << 20U;         ///< largest message body
+  core::Duration SendTimeout_ = core::Millis(5000); ///< deadline of messages sent by send()
 };
 
-/// Sends and receives messages. All methods are thread-safe.
+/// Sends messages to peers and receives theirs. All methods are thread-safe.
 ///
-/// A message is sent at most once: it waits in a bounded queue of its peer until the connection
-/// takes it and is never repeated. Callbacks and the handler must not block.
+/// Delivery is at most once: a message waits in the bounded queue of its peer until the connection
+/// accepts it, and is never retransmitted. Callbacks and the handler must not block.
 class Link {
 public:
-  /// Receives messages that are not replies. Runs on one of the two threads of the link.
+  /// Handles messages that are not replies. Runs on one of the two receiver threads.
   using Handler = std::function<void(const Envelope &Message)>;
-  /// Receives the reply, or an error with an empty envelope.
+  /// Completes a call with its reply, or with an error and an empty envelope.
   using Callback = std::function<void(std::error_code Error, const Envelope &Reply)>;
 
-  /// Listens and starts to receive.
+  /// Binds the listening socket and starts the receiver threads.
   ///
-  /// Errors: throws std::runtime_error when the address cannot be used.
+  /// \throws std::runtime_error when the address cannot be bound.
   Link(LinkOptions Options, Handler OnMessage);
   Link(const Link &) = delete;
   Link &operator=(const Link &) = delete;
   ~Link();
 
-  /// \returns the port that is listened on.
+  /// \returns the TCP port that the link listens on.
   std::uint16_t port() const;
 
-  /// Sets or changes the address of a peer and dials it without blocking.
+  /// Sets or changes the address of a peer and starts to connect to it without blocking.
   ///
   /// \param Peer instance name.
   /// \param Address "host:port".
@@ -57,35 +59,36 @@
   /// Closes the connection to \p Peer and forgets its address.
   void removeRoute(std::string_view Peer);
 
-  /// Replaces the connection to \p Peer by a new one. Messages that the old one has not taken are
-  /// dropped, their calls fail with PeerUnreachable.
+  /// Replaces the connection to \p Peer with a new one. Messages that the old connection has not
+  /// accepted are dropped and their calls fail with PeerUnreachable.
   void reconnect(std::string_view Peer);
 
   /// \returns whether a connection to \p Peer is established.
   bool connected(std::string_view Peer) const;
 
-  /// Queues a message.
+  /// Queues a message that expects no reply.
   ///
-  /// \returns success; PeerUnreachable when the peer is unknown, not connected or its queue is
-  /// full, BodyTooLarge, Stopping. An error means that nothing was sent.
+  /// \returns success, or an error that means that nothing was sent: PeerUnreachable (unknown peer,
+  /// not connected, or queue full), BodyTooLarge or Stopping.
   std::error_code send(std::string_view Peer, MessageKind Kind, std::uint64_t Correlation,
                        std::string Body);
 
-  /// Sends a reply to the sender of \p Request with its correlation id and remaining time.
+  /// Sends a reply to the sender of \p Request, with the request's correlation id and remaining
+  /// time.
   ///
-  /// \returns as send().
+  /// \returns the same results as send().
   std::error_code reply(const Envelope &Request, MessageKind Kind, std::string Body);
 
-  /// Sends a request and waits for its reply without blocking.
+  /// Sends a request asynchronously and reports its reply to \p Done.
   ///
-  /// \param Done called exactly once, on a thread of the link; from within call() only after
-  /// stop(). Errors: PeerUnreachable, BodyTooLarge and Stopping mean that nothing was sent;
-  /// OutcomeUnknown means that the peer may have received it (no reply within \p Timeout, or the
-  /// link was stopped).
+  /// \param Done called exactly once, on a thread of the link, or from within call() when the link
+  /// has been stopped. Errors: PeerUnreachable, BodyTooLarge and Stopping mean that nothing was
+  /// sent; OutcomeUnknown means that the peer may have received the request (no reply within
+  /// \p Timeout, or the link was stopped).
   void call(std::string_view Peer, MessageKind Kind, std::string Body, core::Duration Timeout,
             Callback Done);
 
-  /// Closes all connections, fails open calls and joins the threads. Idempotent; must not be
+  /// Closes all connections, fails pending calls and joins the threads. Idempotent. Must not be
   /// called from the handler or a callback.
   void stop();
 
--- a/include/masticdrift/protocol/Messages.h
+++ b/include/masticdrift/protocol/Messages.h
@@ -1,5 +1,5 @@
 /// \file
-/// Messages between daemons: the closed list of kinds and one struct for each.
+/// Messages between daemons: the message kinds and the body struct of each kind.
 #ifndef MASTICDRIFT_PROTOCOL_MESSAGES_H
 #define MASTICDRIFT_PROTOCOL_MESSAGES_H
 
@@ -14,7 +14,7 @@
 
 namespace masticdrift::protocol {
 
-/// Kind of a message. The numbers are on the wire and never change meaning.
+/// Message kinds. The numbers are part of the wire format and are never reused.
 enum class MessageKind : std::uint8_t {
   Probe = 1,
   ProbeReply = 2,
@@ -32,75 +32,77 @@
   Pending = 14,
 };
 
-/// \returns whether \p Kind answers a request and is matched by its correlation id.
+/// \returns whether \p Kind is a reply, which is matched to its request by correlation id.
 bool isReply(MessageKind Kind);
 
-/// \returns the kind that answers \p Request; nothing for a kind that has no answer.
+/// \returns the reply kind of \p Request; nothing for a kind without a reply.
 std::optional<MessageKind> replyTo(MessageKind Request);
 
-/// Frame of every message.
+/// Header and body of every message.
 struct Envelope {
-  std::uint8_t Kind_ = 0;         ///< a MessageKind
-  std::uint64_t Correlation_ = 0; ///< chosen by the requester and repeated in the reply
-  std::string Sender_;            ///< instance name
-  std::uint64_t Incarnation_ = 0; ///< of the sender
-  std::int64_t DeadlineMs_ = 0; ///< time left when the sender handed the message to the connection
-  std::int64_t SentMs_ = 0;     ///< sender's boot clock at that moment, comparable only with itself
-  std::string Body_;            ///< msgpack of the kind's struct
+  std::uint8_t Kind_ = 0;         ///< MessageKind
+  std::uint64_t Correlation_ = 0; ///< set by the requester and copied to the reply
+  std::string Sender_;            ///< instance name of the sender
+  std::uint64_t Incarnation_ = 0; ///< incarnation of the sender
+  std::int64_t DeadlineMs_ =
+      0; ///< remaining time when the sender passed the message to the connection
+  std::int64_t SentMs_ =
+      0; ///< boot clock of the sender at that moment; comparable only with its own times
+  std::string Body_; ///< msgpack of the kind's struct
   MSGPACK_DEFINE_ARRAY(Kind_, Correlation_, Sender_, Incarnation_, DeadlineMs_, SentMs_, Body_)
 };
 
-/// Decodes a frame.
+/// Decodes an envelope.
 ///
-/// \returns nothing when the bytes are not an envelope of a known kind.
+/// \returns the envelope; nothing when \p Bytes are not a valid envelope of a known kind.
 std::optional<Envelope> decodeEnvelope(std::string_view Bytes);
 
-/// Asks for a member's state and, when sent by an owner, for its promise not to claim.
+/// Requests the state of a member and, from an owner, its promise not to claim the domain.
 struct Probe {
-  std::string Domain_;           ///< of the prober
-  bool RequestsPromise_ = false; ///< the prober owns the domain and asks for a promise
-  std::uint64_t Term_ = 0;       ///< term for which the promise is asked
+  std::string Domain_;           ///< domain of the prober
+  bool RequestsPromise_ = false; ///< the prober owns the domain and requests a promise
+  std::uint64_t Term_ = 0;       ///< term of the requested promise
   std::uint64_t Version_ = 0;    ///< claim version that the owner has read
   bool RequestsSummary_ = false; ///< the prober is in another domain
   MSGPACK_DEFINE_ARRAY(Domain_, RequestsPromise_, Term_, Version_, RequestsSummary_)
 };
 
-/// What a representative knows of one member of its domain.
+/// State of one domain member as reported by the representative of the domain.
 struct MemberSummary {
   std::string Name_;
   std::uint64_t Incarnation_ = 0;
   std::uint64_t ConfigOffset_ = 0;
   bool ConfirmsConfig_ = false;
-  std::int64_t AgeMs_ = 0; ///< since the probe that the member answered was sent
+  std::int64_t AgeMs_ = 0; ///< time since the probe that the member answered was sent
   MSGPACK_DEFINE_ARRAY(Name_, Incarnation_, ConfigOffset_, ConfirmsConfig_, AgeMs_)
 };
 
-/// State of the replier.
+/// Reply to Probe: state of the replier.
 struct ProbeReply {
   std::string Domain_;
   std::uint64_t ConfigOffset_ = 0;
-  std::int64_t StoreAgeMs_ = -1; ///< since its last complete config read was sent; -1 for never
+  std::int64_t StoreAgeMs_ = -1; ///< time since its last complete config read was sent; -1: never
   bool ConfirmsConfig_ = false;  ///< it can confirm its configuration (design, section 9)
   std::string Owner_;            ///< owner of its domain, empty when none is known
   std::uint64_t Term_ = 0;
   core::Resources Free_;               ///< free capacity of its domain, filled by owners
   std::int64_t FreeSlots_ = 0;         ///< free executor slots, filled by owners
-  bool PromiseGranted_ = false;        ///< answer to Probe::RequestsPromise_
+  bool PromiseGranted_ = false;        ///< reply to Probe::RequestsPromise_
   std::uint64_t PromiseTerm_ = 0;      ///< term of the promise
-  std::vector<MemberSummary> Members_; ///< of its domain, only when asked for
+  std::vector<MemberSummary> Members_; ///< members of its domain, only on request
   MSGPACK_DEFINE_ARRAY(Domain_, ConfigOffset_, StoreAgeMs_, ConfirmsConfig_, Owner_, Term_, Free_,
                        FreeSlots_, PromiseGranted_, PromiseTerm_, Members_)
 };
 
-/// An interactive request on its way to an owner.
+/// Interactive request that is forwarded to the owner of a domain.
 struct Forward {
   std::string RequestId_;
   std::string Team_;
-  std::string KeyId_; ///< id of the key, never the key
+  std::string KeyId_; ///< id of the key, never the key itself
   std::string Queue_;
   std::string Pool_;
   bool Idempotent_ = false;
-  std::int64_t DeadlineMs_ = 0; ///< time left for the request
+  std::int64_t DeadlineMs_ = 0; ///< remaining time of the request
   std::uint32_t HopCount_ = 0;
   std::string Body_;
   std::string ContentType_;
@@ -108,76 +110,77 @@
                        HopCount_, Body_, ContentType_)
 };
 
-/// Outcome of an interactive request, a closed list.
+/// Outcome of an interactive request.
 enum class Outcome : std::uint8_t { Completed = 1, RefusedNotRun = 2, Failed = 3, Unknown = 4 };
 
-/// The outcome of a forwarded request.
+/// Reply to Forward: outcome of the request.
 struct Answer {
   std::uint8_t Outcome_ = static_cast<std::uint8_t>(Outcome::Unknown);
   std::int32_t ErrorKind_ = 0; ///< a core::ErrorKind
   std::int32_t Status_ = 0;    ///< HTTP status of the upstream
   std::string ContentType_;
   std::string Body_;
-  std::string Message_;       ///< for people
-  std::uint8_t RunState_ = 0; ///< a core::RunState
+  std::string Message_;       ///< human-readable
+  std::uint8_t RunState_ = 0; ///< core::RunState
   MSGPACK_DEFINE_ARRAY(Outcome_, ErrorKind_, Status_, ContentType_, Body_, Message_, RunState_)
 };
 
-/// Tells an owner that its stream has grown.
+/// Notifies an owner that records were appended to its stream.
 struct Notice {
   std::string Stream_;
   std::uint64_t Offset_ = 0;
   MSGPACK_DEFINE_ARRAY(Stream_, Offset_)
 };
 
-/// Reads a job at the owner; \p Text_ is JSON.
+/// Requests the state of a job from the owner.
 struct JobQuery {
-  std::string Text_;
+  std::string Text_; ///< JSON
   MSGPACK_DEFINE_ARRAY(Text_)
 };
 
-/// Answer to JobQuery.
+/// Reply to JobQuery.
 struct JobReply {
   std::int32_t ErrorKind_ = 0;
   std::string Text_; ///< JSON
   MSGPACK_DEFINE_ARRAY(ErrorKind_, Text_)
 };
 
-/// Reads an owner's status; \p Text_ is JSON.
+/// Requests the status of an owner.
 struct StatusQuery {
-  std::string Text_;
+  std::string Text_; ///< JSON
   MSGPACK_DEFINE_ARRAY(Text_)
 };
 
-/// Answer to StatusQuery.
+/// Reply to StatusQuery.
 struct StatusReply {
   std::int32_t ErrorKind_ = 0;
   std::string Text_; ///< JSON
   MSGPACK_DEFINE_ARRAY(ErrorKind_, Text_)
 };
 
-/// Asks a peer for its configuration when the store cannot be reached.
+/// Requests the configuration from a peer when the store is unreachable.
 struct ConfigFetch {
-  std::uint64_t KnownConfigOffset_ = 0; ///< config offset of the asker
+  std::uint64_t KnownConfigOffset_ = 0; ///< config offset of the requester
   MSGPACK_DEFINE_ARRAY(KnownConfigOffset_)
 };
 
-/// A peer's replayed configuration state.
+/// Reply to ConfigFetch: the replayed configuration state of the peer.
 struct ConfigCopy {
-  bool Present_ = false; ///< false when the peer is not caught up itself
+  bool Present_ = false; ///< false when the peer has not caught up with the log
   std::uint64_t Offset_ = 0;
   std::string State_; ///< encoded by package config
   MSGPACK_DEFINE_ARRAY(Present_, Offset_, State_)
 };
 
-/// A claimant outside the owner's member view asks a member inside it.
+/// Requests consent to a claim; sent by a claimant outside the owner's member view to a member
+/// inside it.
 struct ConsentRequest {
-  std::uint64_t Term_ = 0;    ///< term of the lapsed owner
-  std::uint64_t Version_ = 0; ///< claim version that the claim will name
+  std::uint64_t Term_ = 0;    ///< term of the owner whose lease expired
+  std::uint64_t Version_ = 0; ///< claim version on which the claim will be based
   MSGPACK_DEFINE_ARRAY(Term_, Version_)
 };
 
-/// Answer to ConsentRequest.
+/// Reply to ConsentRequest.
 struct Consent {
   bool Granted_ = false;
   std::uint64_t Term_ = 0;
@@ -185,7 +188,7 @@
   MSGPACK_DEFINE_ARRAY(Granted_, Term_, Version_)
 };
 
-/// Sent to all daemons before a configuration or a revocation is appended.
+/// Announces to all daemons that a configuration or a revocation is about to be appended.
 struct Pending {
   std::uint64_t Version_ = 0;
   std::string Submitter_;
--- a/src/protocol/Link.cpp
+++ b/src/protocol/Link.cpp
@@ -30,28 +30,30 @@
 
 constexpr nng_duration RedialMinMs = 50;
 constexpr nng_duration RedialMaxMs = 500;
-/// Receivers look this often whether the link stops. nng 1.5.2 can miss a receiver when its socket
-/// is closed meanwhile, and then neither of them returns. A stop must not take longer than this.
+/// Interval at which receiver threads check for a stop; it bounds the duration of a stop. The
+/// threads must not rely on nng_close() to wake them: nng 1.5.2 can miss a receiver while its
+/// socket is being closed, and then neither call returns.
 constexpr nng_duration ReceiveTimeoutMs = 25;
-// Frame fields beside the body, so that a body of the full size still fits.
+/// Allowance for the envelope fields, so that a body of the maximum size still fits.
 constexpr std::size_t EnvelopeOverheadBytes = 4096;
 
+/// \returns the time of the boot clock in milliseconds.
 std::int64_t bootMillis() { return core::toMillis(core::Clock::now().time_since_epoch()); }
 
-/// A message that no connection has taken yet.
+/// A message that nng has not accepted yet.
 struct QueuedMessage {
-  std::uint64_t CallId_ = 0; ///< 0 when no call waits for it
+  std::uint64_t CallId_ = 0; ///< 0 when no call is waiting for a reply
   TimePoint Deadline_;
   Envelope Frame_;
 };
 
-/// Delays of one sender's messages, relative to its fastest one.
+/// Estimates how long messages of one sender were delayed, relative to its fastest message.
 ///
-/// The two clocks have an unknown offset; the smallest difference seen stands for it, so that a
-/// message that was held up in a connection shows as a larger difference.
+/// The offset between the two clocks is unknown. The smallest difference seen serves as its
+/// estimate, so a message that was delayed in a connection shows a larger difference.
 class DelayFilter {
 public:
-  /// \returns how much longer than the fastest message this one took, in milliseconds.
+  /// \returns the delay beyond that of the fastest message, in milliseconds.
   std::int64_t excessDelayMs(std::uint64_t Incarnation, std::int64_t SentMs, std::int64_t NowMs) {
     const std::int64_t DifferenceMs = NowMs - SentMs;
     if (Incarnation != Incarnation_) {
@@ -60,7 +62,8 @@
       LastAdjustedMs_ = NowMs;
       return 0;
     }
-    // The estimate rises by 1/2000 of the time, above the drift of any working clock.
+    // Raises the estimate by 1/2000 of the elapsed time, which exceeds the drift of any working
+    // clock.
     const std::int64_t DriftAllowanceMs = (NowMs - LastAdjustedMs_) / 2000;
     if (DriftAllowanceMs > 0) {
       MinDifferenceMs_ += DriftAllowanceMs;
@@ -76,15 +79,15 @@
   std::int64_t LastAdjustedMs_ = 0;
 };
 
-/// A younger connection is not replaced again.
+/// Connections younger than this are not replaced.
 constexpr core::Millis MinAgeToReplace{200};
-/// A replaced connection is closed this long after its last use.
+/// Delay before a replaced or removed connection is closed.
 constexpr core::Millis CloseDelay{5000};
 
-/// One push socket. nng redials on its own while the socket is open.
+/// Push socket to one peer. nng reconnects automatically while the socket is open.
 class Connection {
 public:
-  /// Called when a message was not taken by the connection: nothing was sent.
+  /// Called when nng did not accept a message, so nothing was sent.
   using DropCallback = std::function<void(std::uint64_t CallId)>;
   /// Called immediately before a message is handed to nng.
   using HandoffCallback = std::function<void(std::uint64_t CallId)>;
@@ -94,7 +97,7 @@
       : MaxMessages_(MaxMessages), MaxBytes_(MaxBytes), OnHandoff_(std::move(OnHandoff)),
         OnDrop_(std::move(OnDrop)) {
     if (nng_push0_open(&Socket_) != 0)
-      throw std::runtime_error("cannot open a push socket");
+      throw std::runtime_error("cannot open the nng push socket of a peer");
     nng_aio_alloc(
         &Aio_, [](void *Self) { static_cast<Connection *>(Self)->onSent(); }, this);
     nng_socket_set_ms(Socket_, NNG_OPT_RECONNMINT, RedialMinMs);
@@ -107,13 +110,13 @@
     if (const int Error =
             nng_dial(Socket_, ("tcp://" + Address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
         Error != 0)
-      core::log(core::LogLevel::Warning, "cannot dial a peer",
+      core::log(core::LogLevel::Warning, "cannot dial peer",
                 {{"address", Address}, {"error", nng_strerror(Error)}});
   }
   Connection(const Connection &) = delete;
   Connection &operator=(const Connection &) = delete;
 
-  /// Waits for callbacks that are running; must not be called from one.
+  /// Waits for running callbacks; must not be called from one.
   ~Connection() {
     {
       const std::lock_guard Lock(Mutex_);
@@ -125,7 +128,7 @@
     dropQueued();
   }
 
-  /// Sends nothing from here on: waiting messages are dropped, the one inside nng is cancelled.
+  /// Stops sending: queued messages are dropped and the message held by nng is cancelled.
   void retire() {
     {
       const std::lock_guard Lock(Mutex_);
@@ -135,7 +138,7 @@
     dropQueued();
   }
 
-  /// \returns whether the connection has existed long enough to be judged.
+  /// \returns whether the connection has had time to connect and may be replaced.
   bool oldEnoughToReplace() const { return core::Clock::now() - CreatedAt_ >= MinAgeToReplace; }
 
   bool connected() const {
@@ -170,7 +173,7 @@
       Disconnected = --OpenPipes_ <= 0;
     }
     if (Disconnected) {
-      // The message that waits inside nng must not go out on a later connection.
+      // The message that nng still holds must not be sent on a later connection.
       nng_aio_cancel(Aio_);
       dropQueued();
     }
@@ -188,7 +191,7 @@
         OnDrop_(Message.CallId_);
   }
 
-  /// Hands the next message to nng unless one is on its way.
+  /// Passes the next message to nng unless a send is in progress.
   void sendNext() {
     std::vector<std::uint64_t> Expired;
     nng_msg *NngMessage = nullptr;
@@ -240,7 +243,7 @@
       Bytes = InFlightBytes_;
     }
     if (Error != 0) {
-      // The message stays with the aio when the socket has not taken it.
+      // The aio still owns the message when the socket has not accepted it.
       if (nng_msg *Unsent = nng_aio_get_msg(Aio_); Unsent != nullptr) {
         nng_msg_free(Unsent);
         nng_aio_set_msg(Aio_, nullptr);
@@ -282,17 +285,17 @@
   struct OpenCall {
     std::string Peer_;
     MessageKind ExpectedKind_{};
-    bool HandedToNng_ = false; ///< nng has or had the message, it may have been sent
+    bool HandedToNng_ = false; ///< the message may have been sent
     Callback Done_;
   };
 
   Impl(LinkOptions Options, Handler OnMessage)
       : Options_(std::move(Options)), OnMessage_(std::move(OnMessage)) {
     std::random_device Random;
-    // Replies to an earlier incarnation must not match the ids of this one.
+    // Starts at a random id, so that replies to an earlier incarnation match no call of this one.
     NextCallId_ = (static_cast<std::uint64_t>(Random()) << 32U) | 1U;
     if (nng_pull0_open(&PullSocket_) != 0)
-      throw std::runtime_error("cannot open a pull socket");
+      throw std::runtime_error("cannot open the nng pull socket of the link");
     nng_socket_set_ms(PullSocket_, NNG_OPT_RECVTIMEO, ReceiveTimeoutMs);
     nng_socket_set_size(PullSocket_, NNG_OPT_RECVMAXSZ,
                         Options_.MaxMessageBytes_ + EnvelopeOverheadBytes);
@@ -318,7 +321,7 @@
     while (!StopReceivers_) {
       nng_msg *Message = nullptr;
       if (nng_recvmsg(PullSocket_, &Message, 0) != 0)
-        continue; // nothing came in time
+        continue; // receive timeout
       const std::string_view Bytes(static_cast<const char *>(nng_msg_body(Message)),
                                    nng_msg_len(Message));
       core::count("masticdrift_peer_bytes_total", {{"direction", "in"}},
@@ -326,7 +329,7 @@
       auto Frame = decodeEnvelope(Bytes);
       nng_msg_free(Message);
       if (!Frame) {
-        core::log(core::LogLevel::Warning, "dropped a malformed message from a peer");
+        core::log(core::LogLevel::Warning, "malformed peer message dropped");
         continue;
       }
       dispatch(*Frame);
@@ -353,14 +356,14 @@
       const auto Found = OpenCalls_.find(Frame.Correlation_);
       if (Found == OpenCalls_.end() || Found->second.Peer_ != Frame.Sender_ ||
           Found->second.ExpectedKind_ != Kind)
-        return; // late or foreign
+        return; // late reply, or a reply from another peer
       Done = std::move(Found->second.Done_);
       OpenCalls_.erase(Found);
     }
     Done({}, Frame);
   }
 
-  /// Ends a call with an error unless it has ended.
+  /// Completes a call with an error if it is still open.
   void fail(std::uint64_t CallId, std::error_code Error) {
     Callback Done;
     {
@@ -374,8 +377,8 @@
     Done(Error, {});
   }
 
-  /// As fail(), on the timer thread: callers may be nng callbacks, in which sockets must not be
-  /// closed, or hold locks of their own.
+  /// Runs fail() on the timer thread, because callers may hold locks or may be nng callbacks, which
+  /// must not close sockets.
   void failAsync(std::uint64_t CallId, std::error_code Error) {
     Timers_.post([this, CallId, Error] { fail(CallId, Error); });
   }
@@ -436,7 +439,7 @@
     return {};
   }
 
-  /// Sets the connection of \p Peer; the old one is closed after the lock was released.
+  /// Sets the connection of \p Peer; the old connection is closed after the lock is released.
   void replace(std::string_view Peer, const std::string &Address) {
     auto NewConnection = connect(Address);
     const std::lock_guard ReplaceLock(ReplaceMutex_);
@@ -454,9 +457,9 @@
     retire(std::move(OldConnection));
   }
 
-  /// Closes a connection later, on the timer thread. The last reference must not be dropped by a
-  /// callback of nng, and nng 1.5.2 can abort in nng_close() while the dialer or a pipe of the
-  /// socket is still starting.
+  /// Closes a connection later, on the timer thread: an nng callback must not release the last
+  /// reference, and nng 1.5.2 can abort in nng_close() while the dialer or a pipe of the socket is
+  /// still starting.
   void retire(std::shared_ptr<Connection> OldConnection) {
     if (OldConnection == nullptr)
       return;
@@ -568,7 +571,7 @@
 }
 
 std::error_code Link::reply(const Envelope &Request, MessageKind Kind, std::string Body) {
-  // A floor, so that an answer is still sent when its request has just run out of time.
+  // The lower bound lets a reply go out whose request has just passed its deadline.
   const core::Duration Remaining = core::Millis(std::max<std::int64_t>(Request.DeadlineMs_, 250));
   return Impl_->post(Request.Sender_, Kind, Request.Correlation_, 0, std::move(Body),
                      core::Clock::now() + Remaining);
--- a/tests/support/LinkPeers.h
+++ b/tests/support/LinkPeers.h
@@ -1,5 +1,5 @@
 /// \file
-/// Peers and a relay between them for the tests of the link.
+/// Test peers and a TCP proxy between them for the tests of Link.
 #ifndef MASTICDRIFT_TESTING_LINKPEERS_H
 #define MASTICDRIFT_TESTING_LINKPEERS_H
 
@@ -36,7 +36,7 @@
   return Check();
 }
 
-/// TCP relay that can cut its connections, or silence them for good while new ones work.
+/// TCP proxy that can close its connections, or stall them while new connections still work.
 class TcpProxy {
 public:
   explicit TcpProxy(std::uint16_t Target)
@@ -66,7 +66,7 @@
     });
   }
 
-  /// Existing connections stay open and carry nothing more until release().
+  /// Existing connections stay open and forward no data until resume().
   void stall() {
     asio::post(Context_, [this] {
       for (auto &Each : Pipes_)
@@ -151,7 +151,7 @@
   std::thread Thread_;
 };
 
-/// A link that answers every ConfigFetch and counts what it receives by body.
+/// Link that replies to every ConfigFetch and counts received messages by body.
 struct Peer {
   explicit Peer(const std::string &Name, core::Duration SendTimeout = std::chrono::seconds(5))
       : Link_(options(Name, SendTimeout), [this](const protocol::Envelope &In) {
--- a/tests/unit/LinkCutTest.cpp
+++ b/tests/unit/LinkCutTest.cpp
@@ -1,4 +1,4 @@
-// Messages between daemons whose connections are cut while they carry traffic.
+// Tests of the message transport when connections are closed under traffic.
 #include "support/LinkPeers.h"
 
 #include <criterion/criterion.h>
@@ -8,7 +8,7 @@
 using namespace masticdrift::testing;
 using namespace std::chrono_literals;
 
-// Guards against a second delivery after a connection is lost (P7).
+// Guards against duplicate delivery after a lost connection (P7).
 Test(LinkCut, aMessageIsDeliveredAtMostOnceWhenConnectionsAreCut) {
   Peer B("b");
   TcpProxy Proxy(B.Link_.port());
@@ -30,5 +30,6 @@
   for (const auto &[Body, Times] : B.Received_)
     cr_assert_eq(Times, 1, "%s was delivered %d times", Body.substr(0, 8).c_str(), Times);
   cr_assert_leq(B.Received_.size(), static_cast<std::size_t>(Accepted));
-  cr_assert_gt(B.Received_.size(), 500U, "only %zu of %d arrived", B.Received_.size(), Accepted);
+  cr_assert_gt(B.Received_.size(), 500U, "only %zu of %d accepted messages were delivered",
+               B.Received_.size(), Accepted);
 }
--- a/tests/unit/LinkTest.cpp
+++ b/tests/unit/LinkTest.cpp
@@ -1,4 +1,4 @@
-// Messages between daemons.
+// Tests of the message transport between daemons.
 #include "support/LinkPeers.h"
 
 #include <criterion/criterion.h>
@@ -8,7 +8,7 @@
 using namespace masticdrift::testing;
 using namespace std::chrono_literals;
 
-// Guards against replies that reach the wrong call.
+// Guards against a reply that is delivered to the wrong call.
 Test(Link, everyCallGetsItsOwnReply) {
   Peer A("a");
   Peer B("b");
@@ -20,10 +20,12 @@
                    if (!Error && Reply.Body_ == "answer to " + std::to_string(I))
                      ++Matched;
                  });
-  cr_assert(eventually([&] { return Matched == 200; }, 5s), "%d of 200", Matched.load());
+  cr_assert(eventually([&] { return Matched == 200; }, 5s), "%d of 200 calls got their own reply",
+            Matched.load());
 }
 
-// Guards against a "nothing was sent" that is untrue, and against waiting for a dead peer.
+// Guards against a PeerUnreachable ("nothing was sent") for a message that was sent, and against
+// waiting for a disconnected peer.
 Test(Link, anUnreachablePeerIsReportedAtOnce) {
   Peer A("a");
   cr_assert(A.Link_.send("b", MessageKind::Notice, 0, "x") == core::ErrorKind::PeerUnreachable);
@@ -38,8 +40,8 @@
   cr_assert(std::chrono::steady_clock::now() - Start < 2s);
 }
 
-// Guards against calls that end twice or with the wrong verdict on whether the peer has the
-// message.
+// Guards against calls that complete twice, or that misreport whether the peer may have received
+// the message.
 Test(Link, aSilentPeerGivesAnUnknownOutcome) {
   Peer A("a");
   Peer B("b");
@@ -49,7 +51,7 @@
   cr_assert_eq(B.received("x"), 1);
 }
 
-// Guards against a reply that is taken from a daemon that was not asked.
+// Guards against accepting a reply from a daemon that is not the callee.
 Test(Link, lateAndForeignRepliesAreDropped) {
   Peer A("a");
   Peer B("b");
@@ -66,8 +68,8 @@
                  ++Calls;
                });
   cr_assert(eventually([&] { return B.received("x") == 1; }, 2s));
-  // c answers with every id that a can have used: the ids start at a random number, so it learns
-  // the right one from nobody; b's own id space is used for the late reply below.
+  // c replies with guessed ids: the call ids of a start at a random number that c does not know.
+  // The id space of b is used for the late reply below.
   for (std::uint64_t Id = 0; Id < 10; ++Id)
     C.Link_.send("a", MessageKind::ConfigCopy, Id, "foreign");
   cr_assert(eventually([&] { return Calls == 1; }, 2s));
@@ -76,7 +78,7 @@
   cr_assert_eq(Calls.load(), 1);
 }
 
-// Guards against memory that grows without bound and against frames that are cut.
+// Guards against unbounded memory growth and truncated messages.
 Test(Link, sizesAreLimited) {
   Peer A("a");
   Peer B("b");
@@ -88,7 +90,7 @@
             core::ErrorKind::BodyTooLarge);
 }
 
-// Guards against a full queue that blocks or hides that a message was not sent.
+// Guards against a full queue that blocks the sender or does not report the unsent message.
 Test(Link, aFullQueueRefuses) {
   Peer B("b");
   TcpProxy Proxy(B.Link_.port());
@@ -105,8 +107,8 @@
   cr_assert(Error == core::ErrorKind::PeerUnreachable);
 }
 
-// Guards against a peer that stays unreachable behind a connection whose state a device has lost,
-// and against messages that come out of it after their deadline.
+// Guards against a peer that stays unreachable after a network device lost the state of the
+// connection, and against messages that arrive from such a connection after their deadline.
 Test(Link, aSilentConnectionIsReplacedAndItsMessagesExpire) {
   Peer B("b");
   TcpProxy Proxy(B.Link_.port());
@@ -131,7 +133,7 @@
   cr_assert_eq(B.received("unanswered"), 0, "delivered after its deadline");
 }
 
-// Guards against use of a closed link and against calls that never end.
+// Guards against use of a stopped link and calls that never complete.
 Test(Link, stopEndsOpenCalls) {
   std::atomic<int> Ended{0};
   Peer B("b");
@@ -148,7 +150,7 @@
   cr_assert_eq(Ended.load(), 20);
 }
 
-// Guards against callbacks of nng that run after their connection was destroyed.
+// Guards against nng callbacks that run after their connection was destroyed.
 Test(Link, connectionsCanBeReplacedUnderLoad) {
   Peer A("a");
   Peer B("b");
@@ -164,5 +166,6 @@
       B.Link_.reconnect("a");
     std::this_thread::sleep_for(2ms);
   }
-  cr_assert(eventually([&] { return Ended == 1500; }, 5s), "%d of 1500", Ended.load());
+  cr_assert(eventually([&] { return Ended == 1500; }, 5s), "%d of 1500 calls completed",
+            Ended.load());
 }
--- a/tests/unit/MessagesTest.cpp
+++ b/tests/unit/MessagesTest.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-// Guards against fields that are lost or swapped on the wire.
+// Guards against fields that are lost or swapped in encoding or decoding.
 Test(Messages, aReplyKeepsItsFields) {
   const auto Decoded = core::unpack<ProbeReply>(core::pack(sampleReply()));
   cr_assert(Decoded.has_value());
@@ -51,7 +51,7 @@
   cr_assert(Decoded->Free_ == sampleReply().Free_);
 }
 
-// Guards against kinds that a later version may add being taken for known ones.
+// Guards against decoding a kind of a later version as a known kind.
 Test(Messages, anUnknownKindIsRefused) {
   Envelope Frame;
   Frame.Sender_ = "entry-1";
@@ -68,7 +68,7 @@
       cr_assert(isReply(*Reply) && !isReply(static_cast<MessageKind>(Kind)));
 }
 
-// Guards against crashes, hangs and large allocations on hostile input.
+// Guards against crashes, hangs and large allocations on malicious input.
 Test(Messages, randomBytesAreRefusedOrDecoded) {
   std::mt19937 Random(Seed);
   std::size_t Decoded = 0;
@@ -81,7 +81,7 @@
   cr_log_info("seed %u: %zu of the random inputs decoded", Seed, Decoded);
 }
 
-// As above, with input that is nearly right.
+// Same failures, with mutated valid messages as input.
 Test(Messages, damagedMessagesAreRefusedOrDecoded) {
   std::mt19937 Random(Seed + 1);
   Envelope Frame{2, 77, "entry-1", 3, 1000, 5, core::pack(sampleReply())};
@@ -100,10 +100,10 @@
   for (const auto &Sample : Samples)
     for (std::size_t Size = 0; Size < Sample.size(); ++Size)
       cr_assert_eq(countDecodable(std::string_view(Sample).substr(0, Size)), 0U,
-                   "a cut message was decoded");
+                   "a truncated message was decoded");
 }
 
-// Guards against records in the log that stop the replay of a domain.
+// Guards against corrupt log records that stop the replay of a domain.
 Test(Messages, damagedOwnershipRecordsAreIgnored) {
   std::mt19937 Random(Seed + 2);
   ownership::ClaimTable Table;
