http: rename vague identifiers and add units

Cause: names such as Work, Withheld_, Wanted_, act and onSocketWish did not name the thing, and limits lacked their unit. Change: terms of libcurl and HTTP (Operation, SendDenied_, PollEvents_, processEvent, socketCallback) and units. ServerOptions::MaxBody_ and Threads_ became MaxBodyBytes_ and ThreadCount_.

--- a/include/masticdrift/http/Client.h
+++ b/include/masticdrift/http/Client.h
@@ -48,12 +48,12 @@
 class Client {
 public:
   /// \param ConnectionsPerHost upper limit of connections to one address, 0 for none.
-  /// \param IdleLimit connections idle longer are closed.
-  /// \param LifeLimit connections older than this are not reused, so that a silently dead one is
-  /// not kept for long.
+  /// \param MaxIdleTime connections idle longer are closed.
+  /// \param MaxConnectionAge connections older than this are not reused, so that a silently dead
+  /// one is not kept for long.
   explicit Client(long ConnectionsPerHost = 0,
-                  std::chrono::seconds IdleLimit = std::chrono::seconds(10),
-                  std::chrono::seconds LifeLimit = std::chrono::seconds(60));
+                  std::chrono::seconds MaxIdleTime = std::chrono::seconds(10),
+                  std::chrono::seconds MaxConnectionAge = std::chrono::seconds(60));
   Client(const Client &) = delete;
   Client &operator=(const Client &) = delete;
   /// Cancels what is in flight; its callbacks report NoAnswer.
--- a/include/masticdrift/http/LoopClient.h
+++ b/include/masticdrift/http/LoopClient.h
@@ -15,9 +15,9 @@
 class LoopClient {
 public:
   /// \param Loop must outlive the client and be run by one thread.
-  /// \param IdleLimit connections idle longer are closed.
-  /// \param MaxConnections kept connections over all hosts.
-  LoopClient(asio::io_context &Loop, std::chrono::seconds IdleLimit, long MaxConnections);
+  /// \param MaxIdleTime connections idle longer are closed.
+  /// \param MaxCachedConnections kept connections over all hosts.
+  LoopClient(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections);
   LoopClient(const LoopClient &) = delete;
   LoopClient &operator=(const LoopClient &) = delete;
   /// Drops what is in flight without calling back.
--- a/include/masticdrift/http/Message.h
+++ b/include/masticdrift/http/Message.h
@@ -31,7 +31,7 @@
 };
 
 /// \returns the value of the first header called \p Name (case does not matter), or an empty view.
-std::string_view findHeader(const Headers &All, std::string_view Name);
+std::string_view findHeader(const Headers &HeaderList, std::string_view Name);
 
 /// \returns the decoded value of \p Name in a query string, or an empty string.
 std::string queryValue(std::string_view Query, std::string_view Name);
--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -26,10 +26,10 @@
 struct ServerOptions {
   std::string Address_ = "127.0.0.1";
   std::uint16_t Port_ = 0;                      ///< 0 lets the kernel choose
-  unsigned Threads_ = 2;                        ///< worker threads
-  std::size_t MaxBody_ = 1U << 20U;             ///< bytes; larger bodies get BodyTooLarge
+  unsigned ThreadCount_ = 2;                    ///< worker threads
+  std::size_t MaxBodyBytes_ = 1U << 20U;        ///< bytes; larger bodies get BodyTooLarge
   std::chrono::milliseconds ReadTimeout_{5000}; ///< time for one whole request to arrive
-  asio::io_context *Loop_ = nullptr; ///< runs the server on this loop; Threads_ is ignored then
+  asio::io_context *Loop_ = nullptr; ///< runs the server on this loop; ThreadCount_ is ignored then
 };
 
 /// Runs until destroyed. Answers oversized bodies with BodyTooLarge; a body over four times the
--- a/include/masticdrift/http/detail/Exchange.h
+++ b/include/masticdrift/http/detail/Exchange.h
@@ -13,22 +13,22 @@
 struct Exchange {
   ClientRequest Request_;
   Callback Done_;
-  CURL *Easy_ = nullptr;
+  CURL *EasyHandle_ = nullptr;
   curl_slist *HeaderList_ = nullptr;
   Response Answer_;
-  bool HeadersSeen_ = false;
-  bool Permitted_ = false; ///< bytes may have been sent
-  bool Withheld_ = false;  ///< MaySend_ said no
+  bool HeaderReceived_ = false;
+  bool SendAllowed_ = false; ///< bytes may have been sent
+  bool SendDenied_ = false;  ///< MaySend_ said no
 };
 
-/// Sets all options of \p Work's handle.
+/// Sets all options of \p Operation's handle.
 ///
-/// \param IdleSeconds connections idle longer are not reused.
-/// \param LifeSeconds connections older than this are not reused.
-void prepare(Exchange &Work, long IdleSeconds, long LifeSeconds);
+/// \param MaxIdleSeconds connections idle longer are not reused.
+/// \param MaxConnectionAgeSeconds connections older than this are not reused.
+void setOptions(Exchange &Operation, long MaxIdleSeconds, long MaxConnectionAgeSeconds);
 
-/// \returns the outcome of a finished exchange; takes the answer out of \p Work.
-ClientResult resultOf(CURLcode Code, Exchange &Work);
+/// \returns the outcome of a finished exchange; takes the answer out of \p Operation.
+ClientResult takeResult(CURLcode Code, Exchange &Operation);
 
 } // namespace masticdrift::http::detail
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -354,8 +354,8 @@
     http::ServerOptions Options;
     Options.Address_ = Settings_.Caller_.Address_;
     Options.Port_ = Settings_.Caller_.Port_;
-    Options.Threads_ = static_cast<unsigned>(Settings_.Caller_.Threads_);
-    Options.MaxBody_ = static_cast<std::size_t>(Settings_.Caller_.MaxBodyBytes_);
+    Options.ThreadCount_ = static_cast<unsigned>(Settings_.Caller_.Threads_);
+    Options.MaxBodyBytes_ = static_cast<std::size_t>(Settings_.Caller_.MaxBodyBytes_);
     Options.ReadTimeout_ = Settings_.Caller_.ReadTimeout_;
     return Options;
   }
@@ -364,7 +364,7 @@
     http::ServerOptions Options;
     Options.Address_ = Settings_.Operator_.Address_;
     Options.Port_ = Settings_.Operator_.Port_;
-    Options.Threads_ = 1;
+    Options.ThreadCount_ = 1;
     Options.ReadTimeout_ = Settings_.Caller_.ReadTimeout_;
     return Options;
   }
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -70,7 +70,7 @@
   Options.Address_ = Listen.Address_;
   Options.Port_ = Listen.Port_;
   Options.Loop_ = &Loop;
-  Options.MaxBody_ = MaxBodyBytes;
+  Options.MaxBodyBytes_ = MaxBodyBytes;
   // Callers keep connections open between requests.
   Options.ReadTimeout_ = std::chrono::seconds(60);
   return Options;
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -16,31 +16,32 @@
 using detail::Exchange;
 
 struct Client::Impl {
-  Impl(long ConnectionsPerHost, std::chrono::seconds IdleLimit, std::chrono::seconds LifeLimit)
-      : IdleSeconds_(static_cast<long>(IdleLimit.count())),
-        LifeSeconds_(static_cast<long>(LifeLimit.count())) {
+  Impl(long ConnectionsPerHost, std::chrono::seconds MaxIdleTime,
+       std::chrono::seconds MaxConnectionAge)
+      : MaxIdleSeconds_(static_cast<long>(MaxIdleTime.count())),
+        MaxConnectionAgeSeconds_(static_cast<long>(MaxConnectionAge.count())) {
     static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
     (void)Initialized;
-    Multi_ = curl_multi_init();
+    MultiHandle_ = curl_multi_init();
     if (ConnectionsPerHost > 0)
-      curl_multi_setopt(Multi_, CURLMOPT_MAX_HOST_CONNECTIONS, ConnectionsPerHost);
+      curl_multi_setopt(MultiHandle_, CURLMOPT_MAX_HOST_CONNECTIONS, ConnectionsPerHost);
     Thread_ = std::thread([this] { run(); });
   }
 
   ~Impl() {
     Stopping_ = true;
-    curl_multi_wakeup(Multi_);
+    curl_multi_wakeup(MultiHandle_);
     Thread_.join();
-    curl_multi_cleanup(Multi_);
+    curl_multi_cleanup(MultiHandle_);
   }
 
   void run() {
     while (!Stopping_) {
       startPending();
       int Running = 0;
-      curl_multi_perform(Multi_, &Running);
-      finishDone();
-      curl_multi_poll(Multi_, nullptr, 0, 1000, nullptr);
+      curl_multi_perform(MultiHandle_, &Running);
+      finishCompleted();
+      curl_multi_poll(MultiHandle_, nullptr, 0, 1000, nullptr);
     }
     startPending();
     while (!Active_.empty())
@@ -53,17 +54,17 @@
       const std::lock_guard Lock(Mutex_);
       Batch.swap(Pending_);
     }
-    for (auto &Work : Batch) {
-      Work->Easy_ = curl_easy_init();
-      prepare(*Work, IdleSeconds_, LifeSeconds_);
-      curl_multi_add_handle(Multi_, Work->Easy_);
-      Active_.emplace(Work->Easy_, std::move(Work));
+    for (auto &Operation : Batch) {
+      Operation->EasyHandle_ = curl_easy_init();
+      setOptions(*Operation, MaxIdleSeconds_, MaxConnectionAgeSeconds_);
+      curl_multi_add_handle(MultiHandle_, Operation->EasyHandle_);
+      Active_.emplace(Operation->EasyHandle_, std::move(Operation));
     }
   }
 
-  void finishDone() {
-    int Left = 0;
-    while (CURLMsg *Message = curl_multi_info_read(Multi_, &Left)) {
+  void finishCompleted() {
+    int RemainingMessages = 0;
+    while (CURLMsg *Message = curl_multi_info_read(MultiHandle_, &RemainingMessages)) {
       if (Message->msg != CURLMSG_DONE)
         continue;
       const CURLcode Code = Message->data.result;
@@ -71,18 +72,18 @@
     }
   }
 
-  void finish(Exchange *Work, CURLcode Code) {
-    ClientResult Result = resultOf(Code, *Work);
-    curl_multi_remove_handle(Multi_, Work->Easy_);
-    curl_slist_free_all(Work->HeaderList_);
-    curl_easy_cleanup(Work->Easy_);
-    auto Node = Active_.extract(Work->Easy_);
-    Node.mapped()->Done_(std::move(Result));
+  void finish(Exchange *Operation, CURLcode Code) {
+    ClientResult Result = takeResult(Code, *Operation);
+    curl_multi_remove_handle(MultiHandle_, Operation->EasyHandle_);
+    curl_slist_free_all(Operation->HeaderList_);
+    curl_easy_cleanup(Operation->EasyHandle_);
+    auto Entry = Active_.extract(Operation->EasyHandle_);
+    Entry.mapped()->Done_(std::move(Result));
   }
 
-  const long IdleSeconds_;
-  const long LifeSeconds_;
-  CURLM *Multi_ = nullptr;
+  const long MaxIdleSeconds_;
+  const long MaxConnectionAgeSeconds_;
+  CURLM *MultiHandle_ = nullptr;
   std::atomic<bool> Stopping_{false};
   std::mutex Mutex_;
   std::deque<std::unique_ptr<Exchange>> Pending_;
@@ -90,21 +91,21 @@
   std::thread Thread_;
 };
 
-Client::Client(long ConnectionsPerHost, std::chrono::seconds IdleLimit,
-               std::chrono::seconds LifeLimit)
-    : Impl_(std::make_unique<Impl>(ConnectionsPerHost, IdleLimit, LifeLimit)) {}
+Client::Client(long ConnectionsPerHost, std::chrono::seconds MaxIdleTime,
+               std::chrono::seconds MaxConnectionAge)
+    : Impl_(std::make_unique<Impl>(ConnectionsPerHost, MaxIdleTime, MaxConnectionAge)) {}
 
 Client::~Client() = default;
 
 void Client::send(ClientRequest Request, Callback Done) {
-  auto Work = std::make_unique<Exchange>();
-  Work->Request_ = std::move(Request);
-  Work->Done_ = std::move(Done);
+  auto Operation = std::make_unique<Exchange>();
+  Operation->Request_ = std::move(Request);
+  Operation->Done_ = std::move(Done);
   {
     const std::lock_guard Lock(Impl_->Mutex_);
-    Impl_->Pending_.push_back(std::move(Work));
+    Impl_->Pending_.push_back(std::move(Operation));
   }
-  curl_multi_wakeup(Impl_->Multi_);
+  curl_multi_wakeup(Impl_->MultiHandle_);
 }
 
 ClientResult Client::sendAndWait(ClientRequest Request) {
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -20,54 +20,54 @@
 using detail::Exchange;
 
 /// Handles kept for reuse; making one costs about ten allocations.
-constexpr std::size_t MaxSpareHandles = 64;
+constexpr std::size_t MaxIdleHandles = 64;
 /// Time limits grow by this many times the loop's lag: once for the request, once for the answer.
-constexpr int LagFactor = 2;
+constexpr int TimeoutLagFactor = 2;
 /// Connections older than this are not reused.
-constexpr long LifeSeconds = 600;
+constexpr long MaxConnectionAgeSeconds = 600;
 
 /// A connection's socket as libcurl knows it.
-struct Watched {
-  explicit Watched(asio::io_context &Loop) : Socket_(Loop) {}
+struct WatchedSocket {
+  explicit WatchedSocket(asio::io_context &Loop) : Socket_(Loop) {}
   asio::ip::tcp::socket Socket_;
-  int Wanted_ = CURL_POLL_NONE;
-  bool Reading_ = false;
-  bool Writing_ = false;
+  int PollEvents_ = CURL_POLL_NONE;
+  bool ReadWaitPending_ = false;
+  bool WriteWaitPending_ = false;
   bool Closed_ = false;
 };
 
 } // namespace
 
 struct LoopClient::Impl : std::enable_shared_from_this<LoopClient::Impl> {
-  Impl(asio::io_context &Loop, std::chrono::seconds IdleLimit, long MaxConnections)
-      : Loop_(Loop), IdleSeconds_(static_cast<long>(IdleLimit.count())), Timer_(Loop) {
+  Impl(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections)
+      : Loop_(Loop), MaxIdleSeconds_(static_cast<long>(MaxIdleTime.count())), Timer_(Loop) {
     static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
     (void)Initialized;
-    Multi_ = curl_multi_init();
-    curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, MaxConnections);
-    curl_multi_setopt(Multi_, CURLMOPT_SOCKETFUNCTION, &onSocketWish);
-    curl_multi_setopt(Multi_, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, &onTimerWish);
-    curl_multi_setopt(Multi_, CURLMOPT_TIMERDATA, this);
+    MultiHandle_ = curl_multi_init();
+    curl_multi_setopt(MultiHandle_, CURLMOPT_MAXCONNECTS, MaxCachedConnections);
+    curl_multi_setopt(MultiHandle_, CURLMOPT_SOCKETFUNCTION, &socketCallback);
+    curl_multi_setopt(MultiHandle_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(MultiHandle_, CURLMOPT_TIMERFUNCTION, &timerCallback);
+    curl_multi_setopt(MultiHandle_, CURLMOPT_TIMERDATA, this);
   }
 
   void close() {
     Closed_ = true;
     Timer_.cancel();
-    for (auto &[Easy, Work] : Active_) {
-      curl_multi_remove_handle(Multi_, Easy);
-      curl_slist_free_all(Work->HeaderList_);
-      curl_easy_cleanup(Easy);
+    for (auto &[EasyHandle, Operation] : Active_) {
+      curl_multi_remove_handle(MultiHandle_, EasyHandle);
+      curl_slist_free_all(Operation->HeaderList_);
+      curl_easy_cleanup(EasyHandle);
     }
     Active_.clear();
-    for (CURL *Easy : Spare_)
-      curl_easy_cleanup(Easy);
-    curl_multi_cleanup(Multi_);
+    for (CURL *EasyHandle : IdleHandles_)
+      curl_easy_cleanup(EasyHandle);
+    curl_multi_cleanup(MultiHandle_);
   }
 
-  static curl_socket_t openSocket(void *User, curlsocktype, curl_sockaddr *Address) {
+  static curl_socket_t openSocketCallback(void *User, curlsocktype, curl_sockaddr *Address) {
     auto &Self = *static_cast<Impl *>(User);
-    auto Socket = std::make_shared<Watched>(Self.Loop_);
+    auto Socket = std::make_shared<WatchedSocket>(Self.Loop_);
     std::error_code Error;
     Socket->Socket_.open(Address->family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(),
                          Error);
@@ -78,7 +78,7 @@
     return Handle;
   }
 
-  static int closeSocket(void *User, curl_socket_t Handle) {
+  static int closeSocketCallback(void *User, curl_socket_t Handle) {
     auto &Self = *static_cast<Impl *>(User);
     const auto Found = Self.Sockets_.find(Handle);
     if (Found == Self.Sockets_.end())
@@ -91,167 +91,169 @@
     return 0;
   }
 
-  static int onSocketWish(CURL *, curl_socket_t Handle, int What, void *User, void *) {
+  static int socketCallback(CURL *, curl_socket_t Handle, int PollEvents, void *User, void *) {
     auto &Self = *static_cast<Impl *>(User);
     const auto Found = Self.Sockets_.find(Handle);
     if (Found == Self.Sockets_.end())
       return 0;
-    Found->second->Wanted_ = What == CURL_POLL_REMOVE ? CURL_POLL_NONE : What;
-    Self.watch(Handle, Found->second);
+    Found->second->PollEvents_ = PollEvents == CURL_POLL_REMOVE ? CURL_POLL_NONE : PollEvents;
+    Self.startWaits(Handle, Found->second);
     return 0;
   }
 
-  void watch(curl_socket_t Handle, const std::shared_ptr<Watched> &Socket) {
-    if ((Socket->Wanted_ & CURL_POLL_IN) != 0 && !Socket->Reading_) {
-      Socket->Reading_ = true;
-      await(Handle, Socket, asio::ip::tcp::socket::wait_read, CURL_CSELECT_IN);
+  void startWaits(curl_socket_t Handle, const std::shared_ptr<WatchedSocket> &Socket) {
+    if ((Socket->PollEvents_ & CURL_POLL_IN) != 0 && !Socket->ReadWaitPending_) {
+      Socket->ReadWaitPending_ = true;
+      waitForEvent(Handle, Socket, asio::ip::tcp::socket::wait_read, CURL_CSELECT_IN);
     }
-    if ((Socket->Wanted_ & CURL_POLL_OUT) != 0 && !Socket->Writing_) {
-      Socket->Writing_ = true;
-      await(Handle, Socket, asio::ip::tcp::socket::wait_write, CURL_CSELECT_OUT);
+    if ((Socket->PollEvents_ & CURL_POLL_OUT) != 0 && !Socket->WriteWaitPending_) {
+      Socket->WriteWaitPending_ = true;
+      waitForEvent(Handle, Socket, asio::ip::tcp::socket::wait_write, CURL_CSELECT_OUT);
     }
   }
 
-  void await(curl_socket_t Handle, const std::shared_ptr<Watched> &Socket,
-             asio::ip::tcp::socket::wait_type Kind, int Event) {
+  void waitForEvent(curl_socket_t Handle, const std::shared_ptr<WatchedSocket> &Socket,
+                    asio::ip::tcp::socket::wait_type Kind, int Event) {
     Socket->Socket_.async_wait(
         Kind, [Self = shared_from_this(), Handle, Socket, Event](std::error_code Error) {
-          (Event == CURL_CSELECT_IN ? Socket->Reading_ : Socket->Writing_) = false;
+          (Event == CURL_CSELECT_IN ? Socket->ReadWaitPending_ : Socket->WriteWaitPending_) = false;
           const int Mask = Event == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT;
-          if (Self->Closed_ || Socket->Closed_ || (Socket->Wanted_ & Mask) == 0)
+          if (Self->Closed_ || Socket->Closed_ || (Socket->PollEvents_ & Mask) == 0)
             return;
-          Self->act(Handle, Error ? CURL_CSELECT_ERR : Event);
+          Self->processEvent(Handle, Error ? CURL_CSELECT_ERR : Event);
           if (!Self->Closed_ && !Socket->Closed_)
-            Self->watch(Handle, Socket);
+            Self->startWaits(Handle, Socket);
         });
   }
 
-  static int onTimerWish(CURLM *, long DelayMs, void *User) {
+  static int timerCallback(CURLM *, long DelayMs, void *User) {
     auto &Self = *static_cast<Impl *>(User);
     if (DelayMs < 0) {
-      Self.WakeAt_ = {};
+      Self.NextTimeout_ = {};
       return 0;
     }
     if (DelayMs == 0) {
       // libcurl must not be entered from its own callback.
-      if (!std::exchange(Self.WakePosted_, true))
+      if (!std::exchange(Self.TimeoutPosted_, true))
         asio::post(Self.Loop_, [Held = Self.shared_from_this()] {
-          Held->WakePosted_ = false;
+          Held->TimeoutPosted_ = false;
           if (!Held->Closed_)
-            Held->act(CURL_SOCKET_TIMEOUT, 0);
+            Held->processEvent(CURL_SOCKET_TIMEOUT, 0);
         });
       return 0;
     }
-    Self.WakeAt_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(DelayMs);
-    Self.arm();
+    Self.NextTimeout_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(DelayMs);
+    Self.armTimer();
     return 0;
   }
 
   /// A timer that fires early costs less than setting it anew for nearly every exchange.
-  void arm() {
-    if (Armed_ && Timer_.expiry() <= WakeAt_)
+  void armTimer() {
+    if (TimerPending_ && Timer_.expiry() <= NextTimeout_)
       return;
-    Armed_ = true;
-    Timer_.expires_at(WakeAt_);
+    TimerPending_ = true;
+    Timer_.expires_at(NextTimeout_);
     Timer_.async_wait([Held = shared_from_this()](std::error_code Error) {
       if (Error || Held->Closed_)
         return;
-      Held->Armed_ = false;
-      Held->noteLag();
-      if (Held->WakeAt_ == std::chrono::steady_clock::time_point{})
+      Held->TimerPending_ = false;
+      Held->measureLag();
+      if (Held->NextTimeout_ == std::chrono::steady_clock::time_point{})
         return;
-      if (std::chrono::steady_clock::now() < Held->WakeAt_)
-        Held->arm();
+      if (std::chrono::steady_clock::now() < Held->NextTimeout_)
+        Held->armTimer();
       else
-        Held->act(CURL_SOCKET_TIMEOUT, 0);
+        Held->processEvent(CURL_SOCKET_TIMEOUT, 0);
     });
   }
 
   /// How late this loop is: time that answers wait here is not the other end's.
-  void noteLag() {
+  void measureLag() {
     constexpr int Decay = 2;
     Lag_ = std::max<std::chrono::steady_clock::duration>(
         std::chrono::steady_clock::now() - Timer_.expiry(), Lag_ / Decay);
   }
 
-  void act(curl_socket_t Handle, int Events) {
+  void processEvent(curl_socket_t Handle, int Events) {
     int Running = 0;
-    curl_multi_socket_action(Multi_, Handle, Events, &Running);
-    int Left = 0;
+    curl_multi_socket_action(MultiHandle_, Handle, Events, &Running);
+    int RemainingMessages = 0;
     std::vector<std::pair<CURL *, CURLcode>> Done;
-    while (CURLMsg *Message = curl_multi_info_read(Multi_, &Left))
+    while (CURLMsg *Message = curl_multi_info_read(MultiHandle_, &RemainingMessages))
       if (Message->msg == CURLMSG_DONE)
         Done.emplace_back(Message->easy_handle, Message->data.result);
-    for (const auto &[Easy, Code] : Done)
-      finish(Easy, Code);
+    for (const auto &[EasyHandle, Code] : Done)
+      finish(EasyHandle, Code);
   }
 
-  void finish(CURL *Easy, CURLcode Code) {
-    auto Node = Active_.extract(Easy);
-    if (Node.empty())
+  void finish(CURL *EasyHandle, CURLcode Code) {
+    auto Entry = Active_.extract(EasyHandle);
+    if (Entry.empty())
       return;
-    const std::unique_ptr<Exchange> Work = std::move(Node.mapped());
-    ClientResult Result = detail::resultOf(Code, *Work);
-    curl_multi_remove_handle(Multi_, Easy);
-    curl_slist_free_all(Work->HeaderList_);
-    if (Spare_.size() < MaxSpareHandles) {
-      curl_easy_reset(Easy);
-      Spare_.push_back(Easy);
+    const std::unique_ptr<Exchange> Operation = std::move(Entry.mapped());
+    ClientResult Result = detail::takeResult(Code, *Operation);
+    curl_multi_remove_handle(MultiHandle_, EasyHandle);
+    curl_slist_free_all(Operation->HeaderList_);
+    if (IdleHandles_.size() < MaxIdleHandles) {
+      curl_easy_reset(EasyHandle);
+      IdleHandles_.push_back(EasyHandle);
     } else {
-      curl_easy_cleanup(Easy);
+      curl_easy_cleanup(EasyHandle);
     }
-    Work->Done_(std::move(Result));
+    Operation->Done_(std::move(Result));
   }
 
-  void start(std::unique_ptr<Exchange> Work) {
-    if (Spare_.empty()) {
-      Work->Easy_ = curl_easy_init();
+  void start(std::unique_ptr<Exchange> Operation) {
+    if (IdleHandles_.empty()) {
+      Operation->EasyHandle_ = curl_easy_init();
     } else {
-      Work->Easy_ = Spare_.back();
-      Spare_.pop_back();
+      Operation->EasyHandle_ = IdleHandles_.back();
+      IdleHandles_.pop_back();
     }
     // Otherwise a loop that falls behind takes answers for lost, and the repeats slow it further.
-    Work->Request_.Timeout_ +=
-        LagFactor * std::chrono::duration_cast<std::chrono::milliseconds>(Lag_);
-    detail::prepare(*Work, IdleSeconds_, LifeSeconds);
-    curl_easy_setopt(Work->Easy_, CURLOPT_OPENSOCKETFUNCTION, &openSocket);
-    curl_easy_setopt(Work->Easy_, CURLOPT_OPENSOCKETDATA, this);
-    curl_easy_setopt(Work->Easy_, CURLOPT_CLOSESOCKETFUNCTION, &closeSocket);
-    curl_easy_setopt(Work->Easy_, CURLOPT_CLOSESOCKETDATA, this);
-    CURL *Easy = Work->Easy_;
-    Active_.emplace(Easy, std::move(Work));
-    curl_multi_add_handle(Multi_, Easy);
+    Operation->Request_.Timeout_ +=
+        TimeoutLagFactor * std::chrono::duration_cast<std::chrono::milliseconds>(Lag_);
+    detail::setOptions(*Operation, MaxIdleSeconds_, MaxConnectionAgeSeconds);
+    curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETFUNCTION, &openSocketCallback);
+    curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(Operation->EasyHandle_, CURLOPT_CLOSESOCKETFUNCTION, &closeSocketCallback);
+    curl_easy_setopt(Operation->EasyHandle_, CURLOPT_CLOSESOCKETDATA, this);
+    CURL *EasyHandle = Operation->EasyHandle_;
+    Active_.emplace(EasyHandle, std::move(Operation));
+    curl_multi_add_handle(MultiHandle_, EasyHandle);
   }
 
   asio::io_context &Loop_;
-  const long IdleSeconds_;
+  const long MaxIdleSeconds_;
   asio::steady_timer Timer_;
-  std::chrono::steady_clock::time_point WakeAt_{}; ///< when libcurl wants to be called; zero: never
-  bool Armed_ = false;
+  std::chrono::steady_clock::time_point
+      NextTimeout_{}; ///< when libcurl wants to be called; zero: never
+  bool TimerPending_ = false;
   std::chrono::steady_clock::duration Lag_{0};
-  bool WakePosted_ = false;
-  CURLM *Multi_ = nullptr;
+  bool TimeoutPosted_ = false;
+  CURLM *MultiHandle_ = nullptr;
   bool Closed_ = false;
-  std::unordered_map<curl_socket_t, std::shared_ptr<Watched>> Sockets_;
+  std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> Sockets_;
   std::unordered_map<CURL *, std::unique_ptr<Exchange>> Active_;
-  std::vector<CURL *> Spare_;
+  std::vector<CURL *> IdleHandles_;
 };
 
-LoopClient::LoopClient(asio::io_context &Loop, std::chrono::seconds IdleLimit, long MaxConnections)
-    : Impl_(std::make_shared<Impl>(Loop, IdleLimit, MaxConnections)) {}
+LoopClient::LoopClient(asio::io_context &Loop, std::chrono::seconds MaxIdleTime,
+                       long MaxCachedConnections)
+    : Impl_(std::make_shared<Impl>(Loop, MaxIdleTime, MaxCachedConnections)) {}
 
 LoopClient::~LoopClient() { Impl_->close(); }
 
 void LoopClient::send(ClientRequest Request, Callback Done) {
-  auto Work = std::make_unique<Exchange>();
-  Work->Request_ = std::move(Request);
-  Work->Done_ = std::move(Done);
+  auto Operation = std::make_unique<Exchange>();
+  Operation->Request_ = std::move(Request);
+  Operation->Done_ = std::move(Done);
   // libcurl must not be entered from one of its own callbacks, so a new exchange starts later.
-  asio::post(Impl_->Loop_,
-             [Self = Impl_, Held = std::make_shared<std::unique_ptr<Exchange>>(std::move(Work))] {
-               if (!Self->Closed_)
-                 Self->start(std::move(*Held));
-             });
+  asio::post(Impl_->Loop_, [Self = Impl_, Held = std::make_shared<std::unique_ptr<Exchange>>(
+                                              std::move(Operation))] {
+    if (!Self->Closed_)
+      Self->start(std::move(*Held));
+  });
 }
 
 } // namespace masticdrift::http
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -39,8 +39,8 @@
 
 } // namespace
 
-std::string_view findHeader(const Headers &All, std::string_view Name) {
-  for (const auto &[Key, Value] : All)
+std::string_view findHeader(const Headers &HeaderList, std::string_view Name) {
+  for (const auto &[Key, Value] : HeaderList)
     if (sameIgnoringCase(Key, Name))
       return Value;
   return {};
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -15,13 +15,13 @@
 using RestinioTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
 
 /// Headers above this size close the connection inside the parser.
-constexpr std::size_t MaxHeaderValue = 8192;
+constexpr std::size_t MaxHeaderValueBytes = 8192;
 constexpr std::size_t MaxHeaderCount = 64;
 /// Bodies up to this many times the limit are read, so that the sender gets an answer with an error
 /// id.
-constexpr std::size_t OversizeFactor = 4;
+constexpr std::size_t ReadableOversizeFactor = 4;
 
-Request convert(restinio::request_t &From) {
+Request convertRequest(restinio::request_t &From) {
   Request To;
   To.Method_ = From.header().method().c_str();
   To.Path_ = std::string(From.header().path());
@@ -46,7 +46,7 @@
   Out.done();
 }
 
-Response tooLarge(std::size_t Size, std::size_t Limit) {
+Response bodyTooLargeResponse(std::size_t Size, std::size_t Limit) {
   Response Answer;
   Answer.Status_ = core::describe(core::ErrorKind::BodyTooLarge).HttpStatus_;
   Answer.Body_ = core::errorBody(
@@ -56,7 +56,7 @@
   return Answer;
 }
 
-auto contextOf(const ServerOptions &Options) {
+auto ioContextFor(const ServerOptions &Options) {
   return Options.Loop_ != nullptr ? restinio::external_io_context(*Options.Loop_)
                                   : restinio::own_io_context();
 }
@@ -67,8 +67,8 @@
   using Restinio = restinio::http_server_t<RestinioTraits>;
 
   Impl(const ServerOptions &Options, Handler OnRequest)
-      : External_(Options.Loop_ != nullptr),
-        Server_(contextOf(Options), [&](restinio::server_settings_t<RestinioTraits> &Settings) {
+      : ExternalLoop_(Options.Loop_ != nullptr),
+        Server_(ioContextFor(Options), [&](restinio::server_settings_t<RestinioTraits> &Settings) {
           configure(Settings, Options, std::move(OnRequest));
         }) {
     std::atomic<bool> Opened{false};
@@ -79,13 +79,13 @@
       Server_.io_context().run_one();
     if (Error)
       std::rethrow_exception(Error);
-    for (unsigned I = 0; !External_ && I < Options.Threads_; ++I)
+    for (unsigned I = 0; !ExternalLoop_ && I < Options.ThreadCount_; ++I)
       Threads_.emplace_back([this] { Server_.io_context().run(); });
   }
 
   void configure(restinio::server_settings_t<RestinioTraits> &Settings,
                  const ServerOptions &Options, Handler OnRequest) {
-    const std::size_t MaxBody = Options.MaxBody_;
+    const std::size_t MaxBodyBytes = Options.MaxBodyBytes_;
     Settings.address(Options.Address_)
         .port(Options.Port_)
         .concurrent_accepts_count(2)
@@ -94,8 +94,8 @@
         .write_http_response_timelimit(std::chrono::seconds(10))
         .max_pipelined_requests(1)
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                      .max_body_size(MaxBody * OversizeFactor)
-                                      .max_field_value_size(MaxHeaderValue)
+                                      .max_body_size(MaxBodyBytes * ReadableOversizeFactor)
+                                      .max_field_value_size(MaxHeaderValueBytes)
                                       .max_field_count(MaxHeaderCount))
         .socket_options_setter(
             [](auto &Socket) { Socket.set_option(restinio::asio_ns::ip::tcp::no_delay{true}); })
@@ -104,12 +104,12 @@
         })
         .acceptor_post_bind_hook(
             [this](auto &Acceptor) { Port_ = Acceptor.local_endpoint().port(); })
-        .request_handler([MaxBody, OnRequest = std::move(OnRequest)](auto Incoming) {
-          if (Incoming->body().size() > MaxBody) {
-            respond(Incoming, tooLarge(Incoming->body().size(), MaxBody));
+        .request_handler([MaxBodyBytes, OnRequest = std::move(OnRequest)](auto Incoming) {
+          if (Incoming->body().size() > MaxBodyBytes) {
+            respond(Incoming, bodyTooLargeResponse(Incoming->body().size(), MaxBodyBytes));
             return restinio::request_accepted();
           }
-          OnRequest(convert(*Incoming),
+          OnRequest(convertRequest(*Incoming),
                     [Incoming](Response Answer) { respond(Incoming, std::move(Answer)); });
           return restinio::request_accepted();
         });
@@ -118,7 +118,7 @@
   void stop() {
     if (Stopped_.exchange(true))
       return;
-    if (External_) {
+    if (ExternalLoop_) {
       Server_.close_async([] {}, [](std::exception_ptr) {});
       return;
     }
@@ -127,7 +127,7 @@
       Thread.join();
   }
 
-  const bool External_;
+  const bool ExternalLoop_;
   std::atomic<bool> Stopped_{false};
   std::uint16_t Port_ = 0;
   Restinio Server_;
--- a/tests/integration/LoopClientTest.cpp
+++ b/tests/integration/LoopClientTest.cpp
@@ -11,21 +11,22 @@
 namespace {
 
 http::ClientResult exchange(asio::io_context &Loop, http::LoopClient &Client,
-                            http::ClientRequest Call) {
+                            http::ClientRequest Outgoing) {
   std::optional<http::ClientResult> Result;
-  Client.send(std::move(Call), [&](http::ClientResult Got) { Result = std::move(Got); });
+  Client.send(std::move(Outgoing),
+              [&](http::ClientResult Outcome) { Result = std::move(Outcome); });
   while (!Result)
     Loop.run_one();
   return *Result;
 }
 
-http::ClientRequest call(const http::Server &Server, const std::string &Path) {
-  http::ClientRequest Call;
-  Call.Method_ = "POST";
-  Call.Url_ = "http://127.0.0.1:" + std::to_string(Server.port()) + Path;
-  Call.Body_ = "body";
-  Call.Timeout_ = std::chrono::milliseconds(300);
-  return Call;
+http::ClientRequest makeRequest(const http::Server &Server, const std::string &Path) {
+  http::ClientRequest Outgoing;
+  Outgoing.Method_ = "POST";
+  Outgoing.Url_ = "http://127.0.0.1:" + std::to_string(Server.port()) + Path;
+  Outgoing.Body_ = "body";
+  Outgoing.Timeout_ = std::chrono::milliseconds(300);
+  return Outgoing;
 }
 
 } // namespace
@@ -34,16 +35,17 @@
 // the caller was then told that nothing had been done.
 Test(LoopClient, aTimeOutOnAReusedConnectionIsNotCalledUnsent) {
   asio::io_context Loop;
-  std::vector<http::Responder> Held;
+  std::vector<http::Responder> PendingResponders;
   http::Server Server({}, [&](const http::Request &From, const http::Responder &To) {
     if (From.Path_ == "/silent")
-      Held.push_back(To);
+      PendingResponders.push_back(To);
     else
       To({200, From.Body_, "text/plain", {}, false});
   });
   http::LoopClient Client(Loop, std::chrono::seconds(10), 10);
-  cr_assert(exchange(Loop, Client, call(Server, "/echo")).Answer_.Body_ == "body");
-  cr_expect(exchange(Loop, Client, call(Server, "/silent")).Transfer_ == http::Transfer::NoAnswer);
+  cr_assert(exchange(Loop, Client, makeRequest(Server, "/echo")).Answer_.Body_ == "body");
+  cr_expect(exchange(Loop, Client, makeRequest(Server, "/silent")).Transfer_ ==
+            http::Transfer::NoAnswer);
 }
 
 Test(LoopClient, aRefusedConnectionIsCalledUnsent) {
@@ -51,7 +53,7 @@
   http::LoopClient Client(Loop, std::chrono::seconds(10), 10);
   auto Server = std::make_unique<http::Server>(
       http::ServerOptions{}, [](const http::Request &, const http::Responder &) {});
-  const http::ClientRequest Call = call(*Server, "/gone");
+  const http::ClientRequest Outgoing = makeRequest(*Server, "/gone");
   Server.reset();
-  cr_expect(exchange(Loop, Client, Call).Transfer_ == http::Transfer::NotConnected);
+  cr_expect(exchange(Loop, Client, Outgoing).Transfer_ == http::Transfer::NotConnected);
 }
--- a/tests/integration/OversizedBodyTest.cpp
+++ b/tests/integration/OversizedBodyTest.cpp
@@ -13,8 +13,8 @@
   cr_assert(bringUp(All), "the fleet did not come up");
   Api At(All, All.names().front());
   const std::string Key = At.newKey("mfi");
-  const Reply Got = At.request("reorder", std::string(1'048'577, 'x'), {.Key_ = Key});
-  cr_expect_eq(Got.Status_, 413, "%d %s", Got.Status_, Got.Body_.c_str());
-  cr_expect(Got.errorId() == "MD-102", "%s", Got.Body_.c_str());
-  cr_expect(Got.Outcome_ == "not_run", "outcome \"%s\"", Got.Outcome_.c_str());
+  const Reply Answer = At.request("reorder", std::string(1'048'577, 'x'), {.Key_ = Key});
+  cr_expect_eq(Answer.Status_, 413, "%d %s", Answer.Status_, Answer.Body_.c_str());
+  cr_expect(Answer.errorId() == "MD-102", "%s", Answer.Body_.c_str());
+  cr_expect(Answer.Outcome_ == "not_run", "outcome \"%s\"", Answer.Outcome_.c_str());
 }
--- a/tests/unit/HttpTest.cpp
+++ b/tests/unit/HttpTest.cpp
@@ -30,7 +30,7 @@
 
 Test(HttpExchange, anOversizedBodyGetsAStableId) {
   http::ServerOptions Options;
-  Options.MaxBody_ = 100;
+  Options.MaxBodyBytes_ = 100;
   http::Server Server(Options, [](auto, http::Responder Respond) { Respond({}); });
   http::Client Client;
   const auto Result = Client.sendAndWait({"POST",
