--- a/include/masticdrift/http/LoopClient.h
+++ b/include/masticdrift/http/LoopClient.h
@@ -1,5 +1,5 @@
 /// \file
-/// Asynchronous HTTP client on libcurl that runs on a caller's Asio loop.
+/// Asynchronous HTTP client based on libcurl that runs on the caller's Asio event loop.
 #ifndef MASTICDRIFT_HTTP_LOOPCLIENT_H
 #define MASTICDRIFT_HTTP_LOOPCLIENT_H
 
@@ -9,21 +9,23 @@
 
 namespace masticdrift::http {
 
-/// Same contract as Client without a thread: exchanges and callbacks run on the loop's thread.
+/// HTTP client with the contract of Client, but without its own thread: exchanges and callbacks run
+/// on the thread of the event loop.
 ///
-/// Cost: one readiness wake-up for each event of a connection; idle exchanges cost nothing.
+/// Cost: one readiness notification per event of a connection; an idle exchange costs nothing.
 class LoopClient {
 public:
-  /// \param Loop must outlive the client and be run by one thread.
-  /// \param MaxIdleTime connections idle longer are closed.
-  /// \param MaxCachedConnections kept connections over all hosts.
+  /// \param Loop event loop; must outlive the client and be run by a single thread.
+  /// \param MaxIdleTime idle time after which a connection is closed.
+  /// \param MaxCachedConnections maximum number of cached connections over all hosts.
   LoopClient(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections);
   LoopClient(const LoopClient &) = delete;
   LoopClient &operator=(const LoopClient &) = delete;
-  /// Drops what is in flight without calling back.
+  /// Cancels the exchanges in flight without calling their callbacks.
   ~LoopClient();
 
-  /// Starts an exchange. \p Done is called exactly once, later, on the loop.
+  /// Starts an exchange. \p Done is called exactly once, from the event loop and never from within
+  /// send().
   void send(ClientRequest Request, Callback Done);
 
 private:
--- a/include/masticdrift/http/Message.h
+++ b/include/masticdrift/http/Message.h
@@ -1,5 +1,5 @@
 /// \file
-/// Plain HTTP messages, free of any library's types.
+/// HTTP messages, independent of the types of any HTTP library.
 #ifndef MASTICDRIFT_HTTP_MESSAGE_H
 #define MASTICDRIFT_HTTP_MESSAGE_H
 
@@ -10,6 +10,7 @@
 
 namespace masticdrift::http {
 
+/// Header fields, each with its name and value.
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
 /// A request as received by the server.
@@ -21,22 +22,24 @@
   Headers Headers_;
 };
 
-/// An answer, sent by the server or received by the client.
+/// A response, sent by the server or received by the client.
 struct Response {
   int Status_ = 200;
   std::string Body_;
   std::string ContentType_ = "application/json";
   Headers Headers_;
-  bool Close_ = false; ///< the server closes the connection after this answer
+  bool Close_ = false; ///< the server closes the connection after this response
 };
 
-/// \returns the value of the first header called \p Name (case does not matter), or an empty view.
+/// \returns the value of the first header \p Name (case-insensitive), or an empty view.
 std::string_view findHeader(const Headers &HeaderList, std::string_view Name);
 
-/// \returns the decoded value of \p Name in a query string, or an empty string.
+/// \returns the percent-decoded value of the query parameter \p Name, or an empty string.
 std::string queryValue(std::string_view Query, std::string_view Name);
 
-/// Splits a path at '/', skipping empty segments; segments are percent-decoded.
+/// Splits a path at '/'.
+///
+/// \returns the percent-decoded segments without the empty ones.
 std::vector<std::string> pathSegments(std::string_view Path);
 
 } // namespace masticdrift::http
--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -1,5 +1,5 @@
 /// \file
-/// HTTP server on RESTinio and Asio.
+/// HTTP server based on RESTinio and Asio.
 #ifndef MASTICDRIFT_HTTP_SERVER_H
 #define MASTICDRIFT_HTTP_SERVER_H
 
@@ -17,27 +17,32 @@
 
 namespace masticdrift::http {
 
-/// Answers one request; may be called once, from any thread, also after the handler returned.
+/// Sends the response to one request. May be called once, from any thread, also after the handler
+/// has returned.
 using Responder = std::function<void(Response)>;
 
-/// Called on a server thread for each request. Must not block.
+/// Handles a request on a server thread. Must not block.
 using Handler = std::function<void(Request, Responder)>;
 
+/// Settings of a Server.
 struct ServerOptions {
   std::string Address_ = "127.0.0.1";
-  std::uint16_t Port_ = 0;                      ///< 0 lets the kernel choose
+  std::uint16_t Port_ = 0;                      ///< 0 selects a free port
   unsigned ThreadCount_ = 2;                    ///< worker threads
-  std::size_t MaxBodyBytes_ = 1U << 20U;        ///< bytes; larger bodies get BodyTooLarge
-  std::chrono::milliseconds ReadTimeout_{5000}; ///< time for one whole request to arrive
-  asio::io_context *Loop_ = nullptr; ///< runs the server on this loop; ThreadCount_ is ignored then
+  std::size_t MaxBodyBytes_ = 1U << 20U;        ///< larger bodies are rejected with BodyTooLarge
+  std::chrono::milliseconds ReadTimeout_{5000}; ///< for one complete request
+  asio::io_context *Loop_ = nullptr;            ///< event loop to run on; ThreadCount_ is ignored
 };
 
-/// Runs until destroyed. Answers oversized bodies with BodyTooLarge; a body over four times the
-/// limit, an oversized header or a slow sender loses its connection without an answer.
+/// HTTP server that runs until it is destroyed.
+///
+/// Rejects oversized bodies with BodyTooLarge. A body over four times the limit, an oversized
+/// header or a read timeout closes the connection without a response.
 class Server {
 public:
-  /// Binds and starts.
-  /// \throws std::system_error when the address can't be bound.
+  /// Binds the address and starts serving.
+  ///
+  /// \throws std::system_error when the address cannot be bound.
   Server(const ServerOptions &Options, Handler OnRequest);
   Server(const Server &) = delete;
   Server &operator=(const Server &) = delete;
@@ -46,7 +51,7 @@
   /// \returns the bound port.
   std::uint16_t port() const;
 
-  /// Stops and joins all threads; open connections are closed. Idempotent.
+  /// Closes open connections and joins all threads. Idempotent.
   void stop();
 
 private:
--- a/include/masticdrift/http/detail/Exchange.h
+++ b/include/masticdrift/http/detail/Exchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// One HTTP exchange on a libcurl handle, shared by the threaded and the loop client.
+/// HTTP exchange on a libcurl easy handle, used by Client and LoopClient.
 #ifndef MASTICDRIFT_HTTP_DETAIL_EXCHANGE_H
 #define MASTICDRIFT_HTTP_DETAIL_EXCHANGE_H
 
@@ -9,7 +9,7 @@
 
 namespace masticdrift::http::detail {
 
-/// One exchange; lives until its callback has run.
+/// State of one exchange, kept until its callback has returned.
 struct Exchange {
   ClientRequest Request_;
   Callback Done_;
@@ -17,17 +17,19 @@
   curl_slist *HeaderList_ = nullptr;
   Response Answer_;
   bool HeaderReceived_ = false;
-  bool SendAllowed_ = false; ///< bytes may have been sent
-  bool SendDenied_ = false;  ///< MaySend_ said no
+  bool SendAllowed_ = false; ///< MaySend_ allowed it, so bytes may have been sent
+  bool SendDenied_ = false;  ///< MaySend_ returned false
 };
 
-/// Sets all options of \p Operation's handle.
+/// Sets all options of the easy handle of \p Operation.
 ///
-/// \param MaxIdleSeconds connections idle longer are not reused.
-/// \param MaxConnectionAgeSeconds connections older than this are not reused.
+/// \param MaxIdleSeconds idle time after which a connection is not reused.
+/// \param MaxConnectionAgeSeconds age after which a connection is not reused.
 void setOptions(Exchange &Operation, long MaxIdleSeconds, long MaxConnectionAgeSeconds);
 
-/// \returns the outcome of a finished exchange; takes the answer out of \p Operation.
+/// Moves the response out of a finished exchange.
+///
+/// \returns the result of the exchange.
 ClientResult takeResult(CURLcode Code, Exchange &Operation);
 
 } // namespace masticdrift::http::detail
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -25,7 +25,7 @@
   return Size * Count;
 }
 
-/// libcurl calls this for each connection on which it is about to send the request.
+/// Called by libcurl on each connection immediately before it sends the request.
 int preRequestCallback(void *User, char *, char *, int, int) {
   auto &Self = *static_cast<Exchange *>(User);
   if (Self.Request_.MaySend_ && !Self.Request_.MaySend_()) {
@@ -49,7 +49,7 @@
     return Transfer::Truncated;
   if (Operation.SendDenied_)
     return Operation.SendAllowed_ ? Transfer::NoAnswer : Transfer::NotConnected;
-  // The permission is asked for when a connection is there, immediately before the first byte.
+  // MaySend_ is called on an established connection, immediately before the first byte.
   return Operation.SendAllowed_ ? Transfer::NoAnswer : Transfer::NotConnected;
 }
 
@@ -83,7 +83,7 @@
     curl_easy_setopt(EasyHandle, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(Operation.Request_.Body_.size()));
   }
-  // No "Expect: 100-continue": libcurl would send the body again by itself on some answers.
+  // Disables "Expect: 100-continue", with which libcurl resends the body after some responses.
   Operation.HeaderList_ = curl_slist_append(nullptr, "Expect:");
   for (const auto &[Name, Value] : Operation.Request_.Headers_)
     Operation.HeaderList_ = curl_slist_append(Operation.HeaderList_, (Name + ": " + Value).c_str());
@@ -106,11 +106,11 @@
   Result.BytesIn_ = static_cast<std::size_t>(HeaderBytesIn) + Operation.Answer_.Body_.size();
   Result.Transfer_ = classify(Code, Operation);
   if (Operation.SendDenied_)
-    Result.Error_ = "the request was withheld before it was sent";
+    Result.Error_ = "request not sent: MaySend_ returned false";
   else if (Code != CURLE_OK)
     Result.Error_ = curl_easy_strerror(Code);
   else if (Result.Transfer_ == Transfer::Truncated)
-    Result.Error_ = "answer has no declared length";
+    Result.Error_ = "response declares no length";
   Operation.Answer_.ContentType_ = findHeader(Operation.Answer_.Headers_, "Content-Type");
   Result.Answer_ = std::move(Operation.Answer_);
   return Result;
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -19,14 +19,15 @@
 
 using detail::Exchange;
 
-/// Handles kept for reuse; making one costs about ten allocations.
+/// Easy handles kept for reuse; creating one costs about ten allocations.
 constexpr std::size_t MaxIdleHandles = 64;
-/// Time limits grow by this many times the loop's lag: once for the request, once for the answer.
+/// Timeouts are extended by this multiple of the event loop lag: once for the request and once for
+/// the response.
 constexpr int TimeoutLagFactor = 2;
-/// Connections older than this are not reused.
+/// Age after which a connection is not reused.
 constexpr long MaxConnectionAgeSeconds = 600;
 
-/// A connection's socket as libcurl knows it.
+/// Socket of a libcurl connection with the poll events that libcurl requested.
 struct WatchedSocket {
   explicit WatchedSocket(asio::io_context &Loop) : Socket_(Loop) {}
   asio::ip::tcp::socket Socket_;
@@ -86,7 +87,7 @@
     const auto Socket = Found->second;
     Self.Sockets_.erase(Found);
     Socket->Closed_ = true;
-    std::error_code Ignored; // nothing is left to do for a socket that fails to close
+    std::error_code Ignored; // a failed close needs no further handling
     Socket->Socket_.close(Ignored);
     return 0;
   }
@@ -133,7 +134,7 @@
       return 0;
     }
     if (DelayMs == 0) {
-      // libcurl must not be entered from its own callback.
+      // libcurl must not be called from its own callbacks.
       if (!std::exchange(Self.TimeoutPosted_, true))
         asio::post(Self.Loop_, [Held = Self.shared_from_this()] {
           Held->TimeoutPosted_ = false;
@@ -147,7 +148,8 @@
     return 0;
   }
 
-  /// A timer that fires early costs less than setting it anew for nearly every exchange.
+  /// Keeps a pending timer that fires too early: that costs less than resetting it for nearly every
+  /// exchange.
   void armTimer() {
     if (TimerPending_ && Timer_.expiry() <= NextTimeout_)
       return;
@@ -167,7 +169,8 @@
     });
   }
 
-  /// How late this loop is: time that answers wait here is not the other end's.
+  /// Measures how late the event loop runs, because the time that responses wait here is not the
+  /// server's.
   void measureLag() {
     constexpr int Decay = 2;
     Lag_ = std::max<std::chrono::steady_clock::duration>(
@@ -210,7 +213,8 @@
       Operation->EasyHandle_ = IdleHandles_.back();
       IdleHandles_.pop_back();
     }
-    // Otherwise a loop that falls behind takes answers for lost, and the repeats slow it further.
+    // Without the extension an overloaded event loop times out responses that have arrived, and the
+    // retries add to its load.
     Operation->Request_.Timeout_ +=
         TimeoutLagFactor * std::chrono::duration_cast<std::chrono::milliseconds>(Lag_);
     detail::setOptions(*Operation, MaxIdleSeconds_, MaxConnectionAgeSeconds);
@@ -227,7 +231,7 @@
   const long MaxIdleSeconds_;
   asio::steady_timer Timer_;
   std::chrono::steady_clock::time_point
-      NextTimeout_{}; ///< when libcurl wants to be called; zero: never
+      NextTimeout_{}; ///< when libcurl must be called next; zero: never
   bool TimerPending_ = false;
   std::chrono::steady_clock::duration Lag_{0};
   bool TimeoutPosted_ = false;
@@ -248,7 +252,7 @@
   auto Operation = std::make_unique<Exchange>();
   Operation->Request_ = std::move(Request);
   Operation->Done_ = std::move(Done);
-  // libcurl must not be entered from one of its own callbacks, so a new exchange starts later.
+  // libcurl must not be called from its own callbacks, so the exchange starts in a posted handler.
   asio::post(Impl_->Loop_, [Self = Impl_, Held = std::make_shared<std::unique_ptr<Exchange>>(
                                               std::move(Operation))] {
     if (!Self->Closed_)
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -14,11 +14,11 @@
 
 using RestinioTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
 
-/// Headers above this size close the connection inside the parser.
+/// The parser closes the connection when a header value or the header count exceeds its limit.
 constexpr std::size_t MaxHeaderValueBytes = 8192;
 constexpr std::size_t MaxHeaderCount = 64;
-/// Bodies up to this many times the limit are read, so that the sender gets an answer with an error
-/// id.
+/// Bodies up to this multiple of the limit are read, so that the client gets a response with an
+/// error id.
 constexpr std::size_t ReadableOversizeFactor = 4;
 
 Request convertRequest(restinio::request_t &From) {
--- a/tests/integration/LoopClientTest.cpp
+++ b/tests/integration/LoopClientTest.cpp
@@ -1,4 +1,4 @@
-// The HTTP client on a loop against a server of our own.
+// Tests of LoopClient against http::Server.
 #include "masticdrift/http/LoopClient.h"
 #include "masticdrift/http/Server.h"
 
@@ -31,8 +31,8 @@
 
 } // namespace
 
-// Guards against a request that timed out on a reused connection and was reported as never sent:
-// the caller was then told that nothing had been done.
+// Guards against a timeout on a reused connection that is reported as NotConnected: the caller was
+// then told that the request had not been sent.
 Test(LoopClient, aTimeOutOnAReusedConnectionIsNotCalledUnsent) {
   asio::io_context Loop;
   std::vector<http::Responder> PendingResponders;
