membership: rename vague identifiers

Cause: Freshness::direct, relayed and unanimous did not say that they record something, and other names were figurative. Change: recordRead, recordPeerReport, recordUnanimous, isFresh, confirmedAsOf, timeSinceReply, LastAnsweredProbeSent_ and intervals instead of Every.

--- a/include/masticdrift/membership/Freshness.h
+++ b/include/masticdrift/membership/Freshness.h
@@ -39,7 +39,7 @@
 /// \param Now the present.
 /// \returns the time as of which the configuration was current: the oldest probe; nothing when a
 /// daemon is missing, differs or does not confirm.
-std::optional<core::TimePoint> unanimousAsOf(const OwnConfig &Self,
+std::optional<core::TimePoint> confirmedAsOf(const OwnConfig &Self,
                                              std::span<const ConfigEvidence> Others,
                                              const std::set<std::string> &Members,
                                              std::size_t FleetSize, core::TimePoint Now);
@@ -47,32 +47,32 @@
 /// Keeps the latest time as of which the configuration is known to have been current.
 class Freshness {
 public:
-  explicit Freshness(core::Duration Bound = core::Millis(5000)) : Bound_(Bound) {}
+  explicit Freshness(core::Duration MaxAge = core::Millis(5000)) : MaxAge_(MaxAge) {}
 
   /// Records a complete read of the config stream that was sent at \p ReadSent.
-  void direct(core::TimePoint ReadSent);
+  void recordRead(core::TimePoint ReadSent);
 
   /// Records a reply to a probe sent at \p ProbeSent.
   ///
   /// \param StoreAge age of the replier's last complete read.
   /// \param PeerOffset config offset of the replier.
   /// \param OwnOffset config offset of this daemon; a lower one than the replier's shows nothing.
-  void relayed(core::TimePoint ProbeSent, core::Duration StoreAge, std::uint64_t PeerOffset,
-               std::uint64_t OwnOffset);
+  void recordPeerReport(core::TimePoint ProbeSent, core::Duration StoreAge,
+                        std::uint64_t PeerOffset, std::uint64_t OwnOffset);
 
   /// Records a unanimous confirmation.
-  void unanimous(core::TimePoint AsOf);
+  void recordUnanimous(core::TimePoint AsOf);
 
   /// \returns the latest time as of which the configuration was current.
   std::optional<core::TimePoint> currentAsOf() const { return AsOf_; }
 
   /// \returns whether the configuration was current at most the bound before \p Now.
-  bool fresh(core::TimePoint Now) const;
+  bool isFresh(core::TimePoint Now) const;
 
 private:
-  void advance(core::TimePoint To);
+  void advance(core::TimePoint AsOf);
 
-  core::Duration Bound_;
+  core::Duration MaxAge_;
   std::optional<core::TimePoint> AsOf_;
 };
 
--- a/include/masticdrift/membership/Heartbeat.h
+++ b/include/masticdrift/membership/Heartbeat.h
@@ -17,8 +17,8 @@
 struct HeartbeatOptions {
   std::string Self_;
   std::string Domain_;
-  core::Duration OwnDomainEvery_ = core::Millis(1000);
-  core::Duration OtherDomainEvery_ = core::Millis(2000);
+  core::Duration OwnDomainInterval_ = core::Millis(1000);
+  core::Duration OtherDomainInterval_ = core::Millis(2000);
   int MissesBeforeReconnect_ = 3;
 };
 
--- a/include/masticdrift/membership/PeerTable.h
+++ b/include/masticdrift/membership/PeerTable.h
@@ -30,8 +30,9 @@
 /// One peer and its last reply.
 struct Peer {
   Member Member_;
-  core::TimePoint Since_;                        ///< when it was first listed
-  std::optional<core::TimePoint> LastReplySent_; ///< send time of the last probe it answered
+  core::TimePoint ListedSince_; ///< when it was first listed
+  std::optional<core::TimePoint>
+      LastAnsweredProbeSent_; ///< send time of the last probe it answered
   std::uint64_t Incarnation_ = 0;
   std::uint64_t ConfigOffset_ = 0;
   bool ConfirmsConfig_ = false;
@@ -72,7 +73,7 @@
   std::map<std::string, DomainView> domains() const;
 
   /// \returns how long \p Name has not replied; nothing for an unknown name.
-  std::optional<core::Duration> missedFor(std::string_view Name, core::TimePoint Now) const;
+  std::optional<core::Duration> timeSinceReply(std::string_view Name, core::TimePoint Now) const;
 
   /// \returns the age of the store read that \p Name reported, grown by the time since; nothing
   /// when it never reached the store.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -223,7 +223,7 @@
           });
     };
     Hooks.MissedFor_ = [this](const std::string &Member, TimePoint Now) {
-      return PeerTable_.missedFor(Member, Now);
+      return PeerTable_.timeSinceReply(Member, Now);
     };
     Hooks.StoreAge_ = [this](const std::string &Member, TimePoint Now) {
       return PeerTable_.storeAge(Member, Now);
@@ -290,8 +290,8 @@
     membership::HeartbeatOptions Options;
     Options.Self_ = Settings_.Instance_.Name_;
     Options.Domain_ = Settings_.Instance_.Domain_;
-    Options.OwnDomainEvery_ = Settings_.Timing_.ProbeOwnDomain_;
-    Options.OtherDomainEvery_ = Settings_.Timing_.ProbeOtherDomain_;
+    Options.OwnDomainInterval_ = Settings_.Timing_.ProbeOwnDomain_;
+    Options.OtherDomainInterval_ = Settings_.Timing_.ProbeOtherDomain_;
     return Options;
   }
 
@@ -548,7 +548,8 @@
       return;
     View.Owner_ = Owner->Owner_;
     View.FreeSlots_ = Peer->FreeSlots_;
-    View.Reachable_ = Peer->LastReplySent_ && Now - *Peer->LastReplySent_ < ReachabilityTimeout;
+    View.Reachable_ =
+        Peer->LastAnsweredProbeSent_ && Now - *Peer->LastAnsweredProbeSent_ < ReachabilityTimeout;
   }
 
   std::vector<gateway::InstanceOffset> offsets() const {
@@ -559,7 +560,7 @@
     for (const membership::Peer &Peer : PeerTable_.peers()) {
       gateway::InstanceOffset &Entry = OffsetsByInstance[Peer.Member_.Name_];
       Entry.Name_ = Peer.Member_.Name_;
-      if (Peer.LastReplySent_ && Now - *Peer.LastReplySent_ < ReachabilityTimeout)
+      if (Peer.LastAnsweredProbeSent_ && Now - *Peer.LastAnsweredProbeSent_ < ReachabilityTimeout)
         Entry = {Entry.Name_, std::max(Entry.ConfigOffset_, Peer.ConfigOffset_), true};
     }
     for (const auto &[Domain, View] : PeerTable_.domains())
--- a/src/membership/Heartbeat.cpp
+++ b/src/membership/Heartbeat.cpp
@@ -13,33 +13,33 @@
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Schedule_(Schedule),
         Link_(Connection), Table_(Table) {}
 
-  struct Target {
+  struct ProbeTarget {
     Member Member_;
     int Misses_ = 0;
   };
 
   /// \returns the members of the own domain.
-  std::vector<Member> ownDomain() {
+  std::vector<Member> ownDomainMembers() {
     const std::lock_guard Lock(Mutex_);
-    std::vector<Member> Out;
-    for (const auto &[Name, Each] : Targets_)
+    std::vector<Member> Result;
+    for (const auto &[Name, Each] : ProbeTargets_)
       if (Each.Member_.Domain_ == Options_.Domain_)
-        Out.push_back(Each.Member_);
-    return Out;
+        Result.push_back(Each.Member_);
+    return Result;
   }
 
   /// \returns one daemon of each other domain.
   std::vector<Member> representatives() {
     const std::lock_guard Lock(Mutex_);
     std::map<std::string, std::vector<Member>> ByDomain;
-    for (const auto &[Name, Each] : Targets_)
+    for (const auto &[Name, Each] : ProbeTargets_)
       if (Each.Member_.Domain_ != Options_.Domain_)
         ByDomain[Each.Member_.Domain_].push_back(Each.Member_);
-    std::vector<Member> Out;
-    Out.reserve(ByDomain.size());
+    std::vector<Member> Result;
+    Result.reserve(ByDomain.size());
     for (const auto &[Domain, Members] : ByDomain)
-      Out.push_back(Members[Rotation_[Domain] % Members.size()]);
-    return Out;
+      Result.push_back(Members[RepresentativeIndex_[Domain] % Members.size()]);
+    return Result;
   }
 
   void probe(const Member &To) {
@@ -51,7 +51,7 @@
     if (Hooks_.FillProbe_)
       Hooks_.FillProbe_(To, Message);
     const core::Duration Timeout =
-        Message.RequestsSummary_ ? Options_.OtherDomainEvery_ : Options_.OwnDomainEvery_;
+        Message.RequestsSummary_ ? Options_.OtherDomainInterval_ : Options_.OwnDomainInterval_;
     Link_.call(To.Name_, protocol::MessageKind::Probe, core::pack(Message), Timeout,
                [Weak = weak_from_this(), To, Sent](std::error_code Error,
                                                    const protocol::Envelope &Reply) {
@@ -71,7 +71,7 @@
                const protocol::ProbeReply &Reply) {
     {
       const std::lock_guard Lock(Mutex_);
-      if (const auto Found = Targets_.find(From.Name_); Found != Targets_.end())
+      if (const auto Found = ProbeTargets_.find(From.Name_); Found != ProbeTargets_.end())
         Found->second.Misses_ = 0;
     }
     Table_.onReply(From.Name_, Incarnation, Sent, Reply);
@@ -83,14 +83,14 @@
     bool Reconnect = false;
     {
       const std::lock_guard Lock(Mutex_);
-      const auto Found = Targets_.find(To.Name_);
-      if (Found == Targets_.end())
+      const auto Found = ProbeTargets_.find(To.Name_);
+      if (Found == ProbeTargets_.end())
         return;
       Reconnect = ++Found->second.Misses_ >= Options_.MissesBeforeReconnect_;
       if (Reconnect)
         Found->second.Misses_ = 0;
       if (To.Domain_ != Options_.Domain_)
-        ++Rotation_[To.Domain_];
+        ++RepresentativeIndex_[To.Domain_];
     }
     if (Reconnect)
       Link_.reconnect(To.Name_);
@@ -104,8 +104,8 @@
   protocol::Link &Link_;
   PeerTable &Table_;
   std::mutex Mutex_;
-  std::map<std::string, Target, std::less<>> Targets_;
-  std::map<std::string, std::size_t> Rotation_;
+  std::map<std::string, ProbeTarget, std::less<>> ProbeTargets_;
+  std::map<std::string, std::size_t> RepresentativeIndex_;
 };
 
 Heartbeat::Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule,
@@ -116,12 +116,12 @@
 Heartbeat::~Heartbeat() = default;
 
 void Heartbeat::start() {
-  Impl_->Schedule_.every(Impl_->Options_.OwnDomainEvery_, [Weak = std::weak_ptr(Impl_)] {
+  Impl_->Schedule_.every(Impl_->Options_.OwnDomainInterval_, [Weak = std::weak_ptr(Impl_)] {
     if (const auto Self = Weak.lock())
-      for (const auto &To : Self->ownDomain())
+      for (const auto &To : Self->ownDomainMembers())
         Self->probe(To);
   });
-  Impl_->Schedule_.every(Impl_->Options_.OtherDomainEvery_, [Weak = std::weak_ptr(Impl_)] {
+  Impl_->Schedule_.every(Impl_->Options_.OtherDomainInterval_, [Weak = std::weak_ptr(Impl_)] {
     if (const auto Self = Weak.lock())
       for (const auto &To : Self->representatives())
         Self->probe(To);
@@ -129,25 +129,26 @@
 }
 
 void Heartbeat::setMembers(const std::vector<Member> &Members) {
-  std::vector<std::string> Gone;
+  std::vector<std::string> RemovedNames;
   {
     const std::lock_guard Lock(Impl_->Mutex_);
-    std::map<std::string, Impl::Target, std::less<>> Next;
+    std::map<std::string, Impl::ProbeTarget, std::less<>> Next;
     for (const auto &Each : Members) {
       if (Each.Name_ == Impl_->Options_.Self_)
         continue;
       auto &Entry = Next[Each.Name_];
-      if (const auto Known = Impl_->Targets_.find(Each.Name_); Known != Impl_->Targets_.end())
+      if (const auto Known = Impl_->ProbeTargets_.find(Each.Name_);
+          Known != Impl_->ProbeTargets_.end())
         Entry = Known->second;
       Entry.Member_ = Each;
     }
-    for (const auto &[Name, Each] : Impl_->Targets_)
+    for (const auto &[Name, Each] : Impl_->ProbeTargets_)
       if (!Next.contains(Name))
-        Gone.push_back(Name);
-    Impl_->Targets_ = std::move(Next);
+        RemovedNames.push_back(Name);
+    Impl_->ProbeTargets_ = std::move(Next);
   }
   Impl_->Table_.setMembers(Members, core::Clock::now());
-  for (const auto &Name : Gone)
+  for (const auto &Name : RemovedNames)
     Impl_->Link_.removeRoute(Name);
   for (const auto &Each : Members)
     if (Each.Name_ != Impl_->Options_.Self_)
--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -18,7 +18,7 @@
     if (const auto Known = Peers_.find(Each.Name_); Known != Peers_.end())
       Entry = std::move(Known->second);
     else
-      Entry.Since_ = Now;
+      Entry.ListedSince_ = Now;
     Entry.Member_ = Each;
   }
   Peers_ = std::move(Next);
@@ -37,12 +37,13 @@
   Peer &Entry = Found->second;
   if (Incarnation < Entry.Incarnation_)
     return;
-  if (Incarnation == Entry.Incarnation_ && Entry.LastReplySent_ && Sent < *Entry.LastReplySent_)
+  if (Incarnation == Entry.Incarnation_ && Entry.LastAnsweredProbeSent_ &&
+      Sent < *Entry.LastAnsweredProbeSent_)
     return; // overtaken by a newer reply
   if (Incarnation > Entry.Incarnation_)
     Entry.StoreAsOf_.reset();
   Entry.Incarnation_ = Incarnation;
-  Entry.LastReplySent_ = Sent;
+  Entry.LastAnsweredProbeSent_ = Sent;
   Entry.ConfigOffset_ = Reply.ConfigOffset_;
   Entry.ConfirmsConfig_ = Reply.ConfirmsConfig_;
   if (Reply.StoreAgeMs_ >= 0)
@@ -81,13 +82,13 @@
   return Domains_;
 }
 
-std::optional<core::Duration> PeerTable::missedFor(std::string_view Name,
-                                                   core::TimePoint Now) const {
+std::optional<core::Duration> PeerTable::timeSinceReply(std::string_view Name,
+                                                        core::TimePoint Now) const {
   const std::lock_guard Lock(Mutex_);
   const auto Found = Peers_.find(Name);
   if (Found == Peers_.end())
     return std::nullopt;
-  return Now - Found->second.LastReplySent_.value_or(Found->second.Since_);
+  return Now - Found->second.LastAnsweredProbeSent_.value_or(Found->second.ListedSince_);
 }
 
 std::optional<core::Duration> PeerTable::storeAge(std::string_view Name,
@@ -103,11 +104,11 @@
   const std::lock_guard Lock(Mutex_);
   std::vector<protocol::MemberSummary> All;
   for (const auto &[Name, Entry] : Peers_) {
-    if (Entry.Member_.Domain_ != Domain_ || !Entry.LastReplySent_)
+    if (Entry.Member_.Domain_ != Domain_ || !Entry.LastAnsweredProbeSent_)
       continue;
     // Rounded up, so that the age is never understated.
     All.push_back({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
-                   core::toMillis(Now - *Entry.LastReplySent_) + 1});
+                   core::toMillis(Now - *Entry.LastAnsweredProbeSent_) + 1});
   }
   return All;
 }
@@ -122,9 +123,9 @@
       Newest[Each.Name_] = std::move(Each);
   };
   for (const auto &[Name, Entry] : Peers_)
-    if (Entry.LastReplySent_)
+    if (Entry.LastAnsweredProbeSent_)
       Add({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
-           *Entry.LastReplySent_});
+           *Entry.LastAnsweredProbeSent_});
   for (const auto &[Domain, View] : Domains_)
     for (const auto &Each : View.Members_)
       if (Each.Name_ != Self_)
@@ -139,12 +140,12 @@
 
 std::optional<PeerTable::KnownOwner> PeerTable::owner(std::string_view Domain) const {
   const std::lock_guard Lock(Mutex_);
-  std::optional<KnownOwner> Best;
+  std::optional<KnownOwner> Highest;
   for (const auto &[Name, Entry] : Peers_)
     if (Entry.Member_.Domain_ == Domain && !Entry.Owner_.empty() &&
-        (!Best || Entry.Term_ > Best->Term_))
-      Best = KnownOwner{Entry.Owner_, Entry.Term_};
-  return Best;
+        (!Highest || Entry.Term_ > Highest->Term_))
+      Highest = KnownOwner{Entry.Owner_, Entry.Term_};
+  return Highest;
 }
 
 } // namespace masticdrift::membership
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -92,7 +92,7 @@
       return;
     {
       const std::lock_guard Lock(Mutex_);
-      Freshness_.direct(*AsOf);
+      Freshness_.recordRead(*AsOf);
       StoreAsOf_ = *AsOf;
       Offset_ = Tailer_.nextOffset();
       std::erase_if(Pending_, [&](const OpenAppend &One) {
@@ -137,8 +137,8 @@
     const std::lock_guard Lock(Mutex_);
     const membership::OwnConfig Own{Options_.Self_, Offset_, confirmsLocked()};
     if (const auto AsOf =
-            membership::unanimousAsOf(Own, Evidence, Hooks_.Members_(), Options_.FleetSize_, Now))
-      Freshness_.unanimous(*AsOf);
+            membership::confirmedAsOf(Own, Evidence, Hooks_.Members_(), Options_.FleetSize_, Now))
+      Freshness_.recordUnanimous(*AsOf);
   }
 
   bool confirmsLocked() const {
@@ -154,7 +154,7 @@
     std::string Best;
     std::uint64_t BestOffset = 0;
     for (const membership::Peer &One : Table_.peers())
-      if (One.LastReplySent_ && (Best.empty() || One.ConfigOffset_ > BestOffset)) {
+      if (One.LastAnsweredProbeSent_ && (Best.empty() || One.ConfigOffset_ > BestOffset)) {
         Best = One.Member_.Name_;
         BestOffset = One.ConfigOffset_;
       }
@@ -445,7 +445,7 @@
 
   bool fresh(TimePoint Now) const {
     const std::lock_guard Lock(Mutex_);
-    return Freshness_.fresh(Now);
+    return Freshness_.isFresh(Now);
   }
 
   /// An announced append of this or another daemon that replay has not decided.
@@ -550,8 +550,8 @@
     return;
   const std::lock_guard Lock(Impl_->Mutex_);
   // One millisecond more, because the age was rounded down.
-  Impl_->Freshness_.relayed(Sent, core::Millis(Reply.StoreAgeMs_ + 1), Reply.ConfigOffset_,
-                            Impl_->Offset_);
+  Impl_->Freshness_.recordPeerReport(Sent, core::Millis(Reply.StoreAgeMs_ + 1), Reply.ConfigOffset_,
+                                     Impl_->Offset_);
 }
 
 void ConfigReplica::onPending(const protocol::Pending &Message) {
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -18,8 +18,8 @@
 
 core::TimePoint at(std::int64_t Millis) { return core::TimePoint(core::Millis(Millis)); }
 
-ConfigEvidence says(const std::string &Name, std::uint64_t Offset, bool Confirms,
-                    std::int64_t AsOf) {
+ConfigEvidence evidenceFrom(const std::string &Name, std::uint64_t Offset, bool Confirms,
+                            std::int64_t AsOf) {
   return {Name, 1, Offset, Confirms, at(AsOf)};
 }
 
@@ -30,38 +30,39 @@
 // Guards against keyed work on a configuration that may have been replaced (P3, P10).
 Test(Freshness, aDirectReadLastsFiveSeconds) {
   Freshness State;
-  cr_assert(!State.fresh(at(0)));
-  State.direct(at(1000));
-  cr_assert(State.fresh(at(6000)));
-  cr_assert(!State.fresh(at(6001)));
-  State.direct(at(500)); // an older read that ended later
+  cr_assert(!State.isFresh(at(0)));
+  State.recordRead(at(1000));
+  cr_assert(State.isFresh(at(6000)));
+  cr_assert(!State.isFresh(at(6001)));
+  State.recordRead(at(500)); // an older read that ended later
   cr_assert(State.currentAsOf() == at(1000));
 }
 
 Test(Freshness, aRelayedAgeIsAddedAndNeedsTheSameOffset) {
   Freshness State;
-  State.relayed(at(3000), 2000ms, 8, 7);
+  State.recordPeerReport(at(3000), 2000ms, 8, 7);
   cr_assert(!State.currentAsOf(), "the replier knows a newer configuration");
-  State.relayed(at(3000), core::Millis(-1), 7, 7);
+  State.recordPeerReport(at(3000), core::Millis(-1), 7, 7);
   cr_assert(!State.currentAsOf(), "the replier never reached the store");
-  State.relayed(at(3000), 2000ms, 7, 7);
+  State.recordPeerReport(at(3000), 2000ms, 7, 7);
   cr_assert(State.currentAsOf() == at(1000));
 }
 
 Test(Freshness, unanimityNeedsEveryDaemon) {
   const std::set<std::string> Members{"a", "b", "c"};
-  const std::vector<ConfigEvidence> Both{says("b", 7, true, 900), says("c", 7, true, 400)};
-  cr_assert(unanimousAsOf(Self, Both, Members, 3, at(1000)) == at(400), "the oldest probe counts");
-  cr_assert(!unanimousAsOf(Self, std::vector{Both[0]}, Members, 2, at(1000)), "c is missing");
-  cr_assert(!unanimousAsOf(Self, Both, Members, 4, at(1000)), "the fleet has a fourth daemon");
-  cr_assert(
-      !unanimousAsOf(Self, std::vector{Both[0], says("c", 6, true, 400)}, Members, 3, at(1000)));
-  cr_assert(
-      !unanimousAsOf(Self, std::vector{Both[0], says("c", 7, false, 400)}, Members, 3, at(1000)));
-  cr_assert(!unanimousAsOf({"a", 7, false}, Both, Members, 3, at(1000)));
-  // A daemon that is not in the log yet and knows more.
-  cr_assert(!unanimousAsOf(Self, std::vector{Both[0], Both[1], says("d", 9, true, 900)}, Members, 3,
+  const std::vector<ConfigEvidence> Both{evidenceFrom("b", 7, true, 900),
+                                         evidenceFrom("c", 7, true, 400)};
+  cr_assert(confirmedAsOf(Self, Both, Members, 3, at(1000)) == at(400), "the oldest probe counts");
+  cr_assert(!confirmedAsOf(Self, std::vector{Both[0]}, Members, 2, at(1000)), "c is missing");
+  cr_assert(!confirmedAsOf(Self, Both, Members, 4, at(1000)), "the fleet has a fourth daemon");
+  cr_assert(!confirmedAsOf(Self, std::vector{Both[0], evidenceFrom("c", 6, true, 400)}, Members, 3,
+                           at(1000)));
+  cr_assert(!confirmedAsOf(Self, std::vector{Both[0], evidenceFrom("c", 7, false, 400)}, Members, 3,
                            at(1000)));
+  cr_assert(!confirmedAsOf({"a", 7, false}, Both, Members, 3, at(1000)));
+  // A daemon that is not in the log yet and knows more.
+  cr_assert(!confirmedAsOf(Self, std::vector{Both[0], Both[1], evidenceFrom("d", 9, true, 900)},
+                           Members, 3, at(1000)));
 }
 
 Test(PeerTable, summariesAddTheirAge) {
@@ -81,8 +82,8 @@
   for (const auto &Each : Evidence)
     cr_assert(Each.AsOf_ == (Each.Name_ == "d" ? at(750) : at(1000)));
   cr_assert(Table.storeAge("c", at(1500)) == core::Duration(800ms));
-  cr_assert(Table.missedFor("b", at(1500)) == core::Duration(1500ms));
-  cr_assert(!Table.missedFor("z", at(1500)));
+  cr_assert(Table.timeSinceReply("b", at(1500)) == core::Duration(1500ms));
+  cr_assert(!Table.timeSinceReply("z", at(1500)));
   cr_assert_str_eq(Table.owner("y")->Owner_.c_str(), "c");
   // A reply that was overtaken, and one of an earlier incarnation, change nothing.
   Reply.Term_ = 3;
@@ -99,14 +100,14 @@
   explicit Daemon(const std::string &Name, const std::string &Domain, HeartbeatHooks Hooks = {})
       : Table_(Name, Domain), Link_(options(Name),
                                     [this](const protocol::Envelope &In) {
-                                      if (Beat_ != nullptr)
-                                        Beat_.load()->onProbe(In);
+                                      if (ActiveHeartbeat_ != nullptr)
+                                        ActiveHeartbeat_.load()->onProbe(In);
                                     }),
         Self_{Name, Domain, "r", "127.0.0.1:" + std::to_string(Link_.port())} {
-    Fresh_ = std::make_unique<Heartbeat>(HeartbeatOptions{Name, Domain, 50ms, 100ms, 3},
-                                         std::move(Hooks), Schedule_, Link_, Table_);
-    Beat_ = Fresh_.get();
-    Fresh_->start();
+    Heartbeat_ = std::make_unique<Heartbeat>(HeartbeatOptions{Name, Domain, 50ms, 100ms, 3},
+                                             std::move(Hooks), Schedule_, Link_, Table_);
+    ActiveHeartbeat_ = Heartbeat_.get();
+    Heartbeat_->start();
   }
   ~Daemon() {
     Schedule_.stop();
@@ -121,10 +122,10 @@
 
   core::Timers Schedule_;
   PeerTable Table_;
-  std::atomic<Heartbeat *> Beat_{nullptr};
+  std::atomic<Heartbeat *> ActiveHeartbeat_{nullptr};
   protocol::Link Link_;
   Member Self_;
-  std::unique_ptr<Heartbeat> Fresh_;
+  std::unique_ptr<Heartbeat> Heartbeat_;
 };
 
 template <typename Condition> bool eventually(Condition Check) {
@@ -140,16 +141,16 @@
 
 // Guards against members and other domains that are not heard of.
 Test(Heartbeat, membersAndOneDaemonOfEachOtherDomainAnswer) {
-  HeartbeatHooks Answers;
-  Answers.FillReply_ = [](const protocol::Envelope &, const protocol::Probe &,
-                          protocol::ProbeReply &Reply) { Reply.ConfigOffset_ = 7; };
+  HeartbeatHooks ReplyHooks;
+  ReplyHooks.FillReply_ = [](const protocol::Envelope &, const protocol::Probe &,
+                             protocol::ProbeReply &Reply) { Reply.ConfigOffset_ = 7; };
   Daemon A("a", "x");
-  Daemon B("b", "x", Answers);
-  Daemon C("c", "y", Answers);
-  Daemon D("d", "y", Answers);
+  Daemon B("b", "x", ReplyHooks);
+  Daemon C("c", "y", ReplyHooks);
+  Daemon D("d", "y", ReplyHooks);
   const std::vector<Member> All{A.Self_, B.Self_, C.Self_, D.Self_};
   for (Daemon *Each : {&A, &B, &C, &D})
-    Each->Fresh_->setMembers(All);
+    Each->Heartbeat_->setMembers(All);
   cr_assert(eventually([&] {
     const auto Evidence = A.Table_.evidence();
     return Evidence.size() == 3 && std::ranges::all_of(Evidence, [](const auto &Each) {
@@ -164,7 +165,7 @@
   Daemon D("d", "y");
   const std::vector<Member> All{
       A.Self_, {"c", "y", "r", "127.0.0.1:1"}, D.Self_}; // nothing listens on port 1
-  A.Fresh_->setMembers(All);
-  D.Fresh_->setMembers(All);
-  cr_assert(eventually([&] { return A.Table_.find("d")->LastReplySent_.has_value(); }));
+  A.Heartbeat_->setMembers(All);
+  D.Heartbeat_->setMembers(All);
+  cr_assert(eventually([&] { return A.Table_.find("d")->LastAnsweredProbeSent_.has_value(); }));
 }
