membership: reword comments

Cause: doc comments used figurative wording and left out what is ignored or returned without data. Change: plain technical wording; reasons and property numbers are kept.

--- a/include/masticdrift/membership/Freshness.h
+++ b/include/masticdrift/membership/Freshness.h
@@ -1,5 +1,5 @@
 /// \file
-/// Whether the configuration is known to have been current recently (design, section 9).
+/// Tracks how recently the configuration is known to have been current (design, section 9).
 #ifndef MASTICDRIFT_MEMBERSHIP_FRESHNESS_H
 #define MASTICDRIFT_MEMBERSHIP_FRESHNESS_H
 
@@ -14,59 +14,60 @@
 
 namespace masticdrift::membership {
 
-/// What one daemon said about its configuration.
+/// Configuration state that another daemon reported.
 struct ConfigEvidence {
   std::string Name_;
   std::uint64_t Incarnation_ = 0;
   std::uint64_t ConfigOffset_ = 0;
   bool ConfirmsConfig_ = false;
-  core::TimePoint AsOf_; ///< when the probe that it answered was sent, on this daemon's clock
+  core::TimePoint AsOf_; ///< send time of the answered probe, on the clock of this daemon
 };
 
-/// This daemon's own part of a unanimous confirmation.
+/// Configuration state of this daemon, its part of a unanimous confirmation.
 struct OwnConfig {
   std::string Name_;
   std::uint64_t ConfigOffset_ = 0;
   bool ConfirmsConfig_ = false;
 };
 
-/// Decides whether all daemons of the fleet confirm the same configuration.
+/// Determines whether all daemons of the fleet confirm the same configuration.
 ///
-/// \param Self this daemon.
+/// \param Self configuration state of this daemon.
 /// \param Others the newest evidence of every other daemon.
-/// \param Members names of all members known from the log that have not left.
-/// \param FleetSize number of daemons in the settings.
-/// \param Now the present.
-/// \returns the time as of which the configuration was current: the oldest probe; nothing when a
-/// daemon is missing, differs or does not confirm.
+/// \param Members names of all members that the log lists as not having left.
+/// \param FleetSize number of daemons according to the settings.
+/// \param Now current time.
+/// \returns the time as of which the configuration was current, which is the send time of the
+/// oldest probe; nothing when a daemon is missing, has another offset or does not confirm.
 std::optional<core::TimePoint> confirmedAsOf(const OwnConfig &Self,
                                              std::span<const ConfigEvidence> Others,
                                              const std::set<std::string> &Members,
                                              std::size_t FleetSize, core::TimePoint Now);
 
-/// Keeps the latest time as of which the configuration is known to have been current.
+/// Holds the latest time as of which the configuration is known to have been current.
 class Freshness {
 public:
   explicit Freshness(core::Duration MaxAge = core::Millis(5000)) : MaxAge_(MaxAge) {}
 
-  /// Records a complete read of the config stream that was sent at \p ReadSent.
+  /// Records a complete read of the config stream whose request was sent at \p ReadSent.
   void recordRead(core::TimePoint ReadSent);
 
   /// Records a reply to a probe sent at \p ProbeSent.
   ///
-  /// \param StoreAge age of the replier's last complete read.
+  /// \param StoreAge age of the replier's last complete read; negative when there was none.
   /// \param PeerOffset config offset of the replier.
-  /// \param OwnOffset config offset of this daemon; a lower one than the replier's shows nothing.
+  /// \param OwnOffset config offset of this daemon; the report is ignored when it is lower than
+  /// \p PeerOffset.
   void recordPeerReport(core::TimePoint ProbeSent, core::Duration StoreAge,
                         std::uint64_t PeerOffset, std::uint64_t OwnOffset);
 
-  /// Records a unanimous confirmation.
+  /// Records a unanimous confirmation, see confirmedAsOf().
   void recordUnanimous(core::TimePoint AsOf);
 
   /// \returns the latest time as of which the configuration was current.
   std::optional<core::TimePoint> currentAsOf() const { return AsOf_; }
 
-  /// \returns whether the configuration was current at most the bound before \p Now.
+  /// \returns whether the configuration was current within the maximum age before \p Now.
   bool isFresh(core::TimePoint Now) const;
 
 private:
--- a/include/masticdrift/membership/Heartbeat.h
+++ b/include/masticdrift/membership/Heartbeat.h
@@ -1,5 +1,5 @@
 /// \file
-/// Sends probes to the other daemons and answers theirs.
+/// Periodic probes between daemons.
 #ifndef MASTICDRIFT_MEMBERSHIP_HEARTBEAT_H
 #define MASTICDRIFT_MEMBERSHIP_HEARTBEAT_H
 
@@ -14,34 +14,35 @@
 
 namespace masticdrift::membership {
 
+/// Settings of a Heartbeat.
 struct HeartbeatOptions {
-  std::string Self_;
+  std::string Self_; ///< instance name of this daemon
   std::string Domain_;
   core::Duration OwnDomainInterval_ = core::Millis(1000);
   core::Duration OtherDomainInterval_ = core::Millis(2000);
   int MissesBeforeReconnect_ = 3;
 };
 
-/// Called from the timer thread or a thread of the link; must not block. Empty ones are skipped.
+/// Hooks that run on the timer thread or a thread of the link. Must not block; each may be empty.
 struct HeartbeatHooks {
-  /// Completes a probe before it is sent, for example with the request for a promise.
+  /// Fills in a probe before it is sent, for example the request for a promise.
   std::function<void(const Member &To, protocol::Probe &Message)> FillProbe_;
-  /// Fills the reply to a probe; Domain_ and Members_ are already set.
+  /// Fills in the reply to a probe; Domain_ and Members_ are already set.
   std::function<void(const protocol::Envelope &From, const protocol::Probe &Message,
                      protocol::ProbeReply &Reply)>
       FillReply_;
-  /// A peer replied to a probe that was created at \p Sent. Runs after the table was updated.
+  /// Called after a peer replied to the probe created at \p Sent and the table was updated.
   std::function<void(const Member &From, std::uint64_t Incarnation, core::TimePoint Sent,
                      const protocol::ProbeReply &Reply)>
       OnReply_;
-  /// A probe was not answered in time or could not be sent.
+  /// Called when a probe was not answered in time or could not be sent.
   std::function<void(const Member &To)> OnMiss_;
 };
 
-/// Drives the heartbeats of one daemon.
+/// Probes the other daemons periodically and answers their probes.
 ///
-/// \p Schedule, \p Connection and \p Table must outlive it, and the link must be stopped before
-/// it is destroyed.
+/// The timers, the link and the table must outlive it, and the link must be stopped before it is
+/// destroyed.
 class Heartbeat {
 public:
   Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule,
@@ -50,13 +51,13 @@
   Heartbeat &operator=(const Heartbeat &) = delete;
   ~Heartbeat();
 
-  /// Starts the periodic probes; call once.
+  /// Starts the periodic probes. Must be called once.
   void start();
 
-  /// Replaces the list of daemons, updates the table and the routes of the link.
+  /// Replaces the list of daemons and updates the table and the routes of the link.
   void setMembers(const std::vector<Member> &Members);
 
-  /// Answers a Probe; the link's handler passes messages of that kind here.
+  /// Replies to a Probe message received by the handler of the link.
   void onProbe(const protocol::Envelope &Message);
 
 private:
--- a/include/masticdrift/membership/PeerTable.h
+++ b/include/masticdrift/membership/PeerTable.h
@@ -1,5 +1,5 @@
 /// \file
-/// What this daemon knows of every other daemon, from heartbeats.
+/// State of the other daemons as reported by heartbeats.
 #ifndef MASTICDRIFT_MEMBERSHIP_PEERTABLE_H
 #define MASTICDRIFT_MEMBERSHIP_PEERTABLE_H
 
@@ -18,7 +18,7 @@
 
 namespace masticdrift::membership {
 
-/// A daemon as listed from outside.
+/// A daemon as given by the list of daemons.
 struct Member {
   std::string Name_;
   std::string Domain_;
@@ -27,7 +27,7 @@
   bool operator==(const Member &) const = default;
 };
 
-/// One peer and its last reply.
+/// A peer and its last reply.
 struct Peer {
   Member Member_;
   core::TimePoint ListedSince_; ///< when it was first listed
@@ -36,14 +36,15 @@
   std::uint64_t Incarnation_ = 0;
   std::uint64_t ConfigOffset_ = 0;
   bool ConfirmsConfig_ = false;
-  std::optional<core::TimePoint> StoreAsOf_; ///< its last complete config read, at the latest
+  std::optional<core::TimePoint>
+      StoreAsOf_; ///< time as of which its last complete config read was current
   std::string Owner_;
   std::uint64_t Term_ = 0;
   core::Resources Free_;
   std::int64_t FreeSlots_ = 0;
 };
 
-/// What the representative of another domain reported.
+/// State of another domain as reported by its representative.
 struct DomainView {
   std::string Domain_;
   std::string Representative_;
@@ -55,15 +56,16 @@
   std::vector<protocol::MemberSummary> Members_;
 };
 
-/// Table of peers. Thread-safe.
+/// Table of peers and other domains. Thread-safe.
 class PeerTable {
 public:
   PeerTable(std::string Self, std::string Domain);
 
-  /// Replaces the list of daemons; this daemon itself is skipped.
+  /// Replaces the list of daemons; the entry of this daemon is skipped.
   void setMembers(const std::vector<Member> &Members, core::TimePoint Now);
 
-  /// Records the reply of \p Name to a probe sent at \p Sent.
+  /// Records the reply of \p Name to the probe sent at \p Sent. Ignores replies of earlier
+  /// incarnations and replies that a newer one has overtaken.
   void onReply(std::string_view Name, std::uint64_t Incarnation, core::TimePoint Sent,
                const protocol::ProbeReply &Reply);
 
@@ -72,24 +74,28 @@
   /// \returns the latest reports of other domains, by domain.
   std::map<std::string, DomainView> domains() const;
 
-  /// \returns how long \p Name has not replied; nothing for an unknown name.
+  /// \returns the time since \p Name last replied or, without a reply, since it was listed; nothing
+  /// for an unknown name.
   std::optional<core::Duration> timeSinceReply(std::string_view Name, core::TimePoint Now) const;
 
-  /// \returns the age of the store read that \p Name reported, grown by the time since; nothing
-  /// when it never reached the store.
+  /// \returns the age of the last complete store read that \p Name reported; nothing for an unknown
+  /// name or without such a read.
   std::optional<core::Duration> storeAge(std::string_view Name, core::TimePoint Now) const;
 
-  /// \returns one entry for each peer of the own domain, for replies to other domains.
+  /// \returns one entry per peer of this daemon's domain that has replied, for replies to other
+  /// domains.
   std::vector<protocol::MemberSummary> summary(core::TimePoint Now) const;
 
-  /// \returns the newest evidence of every other daemon, own domain and others.
+  /// \returns the newest evidence of every other daemon in this and the other domains.
   std::vector<ConfigEvidence> evidence() const;
 
-  /// Owner of \p Domain with the highest term that any peer reported.
+  /// An owner and its term, as reported by a peer.
   struct KnownOwner {
     std::string Owner_;
     std::uint64_t Term_ = 0;
   };
+  /// \returns the owner of \p Domain with the highest term that any of its members reported;
+  /// nothing when none reported one.
   std::optional<KnownOwner> owner(std::string_view Domain) const;
 
 private:
--- a/src/membership/Freshness.cpp
+++ b/src/membership/Freshness.cpp
@@ -17,7 +17,8 @@
   for (const auto &Evidence : Others) {
     if (Evidence.Name_ == Self.Name_)
       continue;
-    // A daemon that differs or is uncertain may know of a newer configuration, member or not.
+    // A daemon with another offset or without confirmation may know a newer configuration, even if
+    // it is not a member.
     if (!Evidence.ConfirmsConfig_ || Evidence.ConfigOffset_ != Self.ConfigOffset_)
       return std::nullopt;
     Oldest = std::min(Oldest, Evidence.AsOf_);
--- a/src/membership/Heartbeat.cpp
+++ b/src/membership/Heartbeat.cpp
@@ -18,7 +18,7 @@
     int Misses_ = 0;
   };
 
-  /// \returns the members of the own domain.
+  /// \returns the other members of this daemon's domain.
   std::vector<Member> ownDomainMembers() {
     const std::lock_guard Lock(Mutex_);
     std::vector<Member> Result;
@@ -46,7 +46,7 @@
     protocol::Probe Message;
     Message.Domain_ = Options_.Domain_;
     Message.RequestsSummary_ = To.Domain_ != Options_.Domain_;
-    // Taken before the hook runs: leases count from here.
+    // Read before the hook runs, because leases start at this time.
     const core::TimePoint Sent = core::Clock::now();
     if (Hooks_.FillProbe_)
       Hooks_.FillProbe_(To, Message);
--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -106,7 +106,7 @@
   for (const auto &[Name, Entry] : Peers_) {
     if (Entry.Member_.Domain_ != Domain_ || !Entry.LastAnsweredProbeSent_)
       continue;
-    // Rounded up, so that the age is never understated.
+    // Rounds up, so that the reported age is never too low.
     All.push_back({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
                    core::toMillis(Now - *Entry.LastAnsweredProbeSent_) + 1});
   }
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -27,14 +27,15 @@
 
 } // namespace
 
-// Guards against keyed work on a configuration that may have been replaced (P3, P10).
+// Guards against accepting requests with a key under a configuration that may have been replaced
+// (P3, P10).
 Test(Freshness, aDirectReadLastsFiveSeconds) {
   Freshness State;
   cr_assert(!State.isFresh(at(0)));
   State.recordRead(at(1000));
   cr_assert(State.isFresh(at(6000)));
   cr_assert(!State.isFresh(at(6001)));
-  State.recordRead(at(500)); // an older read that ended later
+  State.recordRead(at(500)); // an older read that completed later
   cr_assert(State.currentAsOf() == at(1000));
 }
 
@@ -60,7 +61,7 @@
   cr_assert(!confirmedAsOf(Self, std::vector{Both[0], evidenceFrom("c", 7, false, 400)}, Members, 3,
                            at(1000)));
   cr_assert(!confirmedAsOf({"a", 7, false}, Both, Members, 3, at(1000)));
-  // A daemon that is not in the log yet and knows more.
+  // A daemon with a newer configuration that is not in the log yet.
   cr_assert(!confirmedAsOf(Self, std::vector{Both[0], Both[1], evidenceFrom("d", 9, true, 900)},
                            Members, 3, at(1000)));
 }
@@ -85,7 +86,7 @@
   cr_assert(Table.timeSinceReply("b", at(1500)) == core::Duration(1500ms));
   cr_assert(!Table.timeSinceReply("z", at(1500)));
   cr_assert_str_eq(Table.owner("y")->Owner_.c_str(), "c");
-  // A reply that was overtaken, and one of an earlier incarnation, change nothing.
+  // An overtaken reply and a reply of an earlier incarnation are ignored.
   Reply.Term_ = 3;
   Table.onReply("c", 2, at(900), Reply);
   Table.onReply("c", 1, at(2000), Reply);
@@ -139,7 +140,7 @@
 
 } // namespace
 
-// Guards against members and other domains that are not heard of.
+// Guards against missing evidence from members of the domain or from other domains.
 Test(Heartbeat, membersAndOneDaemonOfEachOtherDomainAnswer) {
   HeartbeatHooks ReplyHooks;
   ReplyHooks.FillReply_ = [](const protocol::Envelope &, const protocol::Probe &,
@@ -159,7 +160,7 @@
   }));
 }
 
-// Guards against a domain that looks dead because its representative is.
+// Guards against a domain that appears unreachable because its representative has failed.
 Test(Heartbeat, anotherRepresentativeIsAskedWhenOneFails) {
   Daemon A("a", "x");
   Daemon D("d", "y");
