--- a/include/masticdrift/membership/PeerTable.h
+++ b/include/masticdrift/membership/PeerTable.h
@@ -74,8 +74,8 @@
   /// \returns the latest reports of other domains, by domain.
   std::map<std::string, DomainView> domains() const;
 
-  /// \returns the time since \p Name last replied or, without a reply, since it was listed; nothing
-  /// for an unknown name.
+  /// \returns the time since the last probe that \p Name answered was sent or, without a reply,
+  /// since it was first listed; nothing for an unknown name.
   std::optional<core::Duration> timeSinceReply(std::string_view Name, core::TimePoint Now) const;
 
   /// \returns the age of the last complete store read that \p Name reported; nothing for an unknown
