--- a/include/masticdrift/membership/Heartbeat.h
+++ b/include/masticdrift/membership/Heartbeat.h
@@ -16,7 +16,7 @@
 
 /// Settings of a Heartbeat.
 struct HeartbeatOptions {
-  std::string Self_; ///< instance name of this daemon
+  std::string InstanceName_; ///< instance name of this daemon
   std::string Domain_;
   core::Duration OwnDomainInterval_ = core::Millis(1000);
   core::Duration OtherDomainInterval_ = core::Millis(2000);
@@ -46,7 +46,7 @@
 class Heartbeat {
 public:
   Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule,
-            protocol::Link &Connection, PeerTable &Table);
+            protocol::Link &Link, PeerTable &Table);
   Heartbeat(const Heartbeat &) = delete;
   Heartbeat &operator=(const Heartbeat &) = delete;
   ~Heartbeat();
--- a/include/masticdrift/membership/PeerTable.h
+++ b/include/masticdrift/membership/PeerTable.h
@@ -59,7 +59,7 @@
 /// Table of peers and other domains. Thread-safe.
 class PeerTable {
 public:
-  PeerTable(std::string Self, std::string Domain);
+  PeerTable(std::string OwnName, std::string Domain);
 
   /// Replaces the list of daemons; the entry of this daemon is skipped.
   void setMembers(const std::vector<Member> &Members, core::TimePoint Now);
@@ -99,7 +99,7 @@
   std::optional<KnownOwner> owner(std::string_view Domain) const;
 
 private:
-  std::string Self_;
+  std::string OwnName_;
   std::string Domain_;
   mutable std::mutex Mutex_;
   std::map<std::string, Peer, std::less<>> Peers_;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -288,7 +288,7 @@
 
   membership::HeartbeatOptions heartbeatOptions() const {
     membership::HeartbeatOptions Options;
-    Options.Self_ = Settings_.Instance_.Name_;
+    Options.InstanceName_ = Settings_.Instance_.Name_;
     Options.Domain_ = Settings_.Instance_.Domain_;
     Options.OwnDomainInterval_ = Settings_.Timing_.ProbeOwnDomain_;
     Options.OtherDomainInterval_ = Settings_.Timing_.ProbeOtherDomain_;
--- a/src/membership/Heartbeat.cpp
+++ b/src/membership/Heartbeat.cpp
@@ -8,10 +8,10 @@
 namespace masticdrift::membership {
 
 struct Heartbeat::Impl : std::enable_shared_from_this<Heartbeat::Impl> {
-  Impl(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule,
-       protocol::Link &Connection, PeerTable &Table)
-      : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Schedule_(Schedule),
-        Link_(Connection), Table_(Table) {}
+  Impl(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule, protocol::Link &Link,
+       PeerTable &Table)
+      : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Schedule), Link_(Link),
+        Table_(Table) {}
 
   struct ProbeTarget {
     Member Member_;
@@ -100,7 +100,7 @@
 
   HeartbeatOptions Options_;
   HeartbeatHooks Hooks_;
-  core::Timers &Schedule_;
+  core::Timers &Timers_;
   protocol::Link &Link_;
   PeerTable &Table_;
   std::mutex Mutex_;
@@ -109,19 +109,18 @@
 };
 
 Heartbeat::Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule,
-                     protocol::Link &Connection, PeerTable &Table)
-    : Impl_(std::make_shared<Impl>(std::move(Options), std::move(Hooks), Schedule, Connection,
-                                   Table)) {}
+                     protocol::Link &Link, PeerTable &Table)
+    : Impl_(std::make_shared<Impl>(std::move(Options), std::move(Hooks), Schedule, Link, Table)) {}
 
 Heartbeat::~Heartbeat() = default;
 
 void Heartbeat::start() {
-  Impl_->Schedule_.every(Impl_->Options_.OwnDomainInterval_, [Weak = std::weak_ptr(Impl_)] {
+  Impl_->Timers_.every(Impl_->Options_.OwnDomainInterval_, [Weak = std::weak_ptr(Impl_)] {
     if (const auto Self = Weak.lock())
       for (const auto &To : Self->ownDomainMembers())
         Self->probe(To);
   });
-  Impl_->Schedule_.every(Impl_->Options_.OtherDomainInterval_, [Weak = std::weak_ptr(Impl_)] {
+  Impl_->Timers_.every(Impl_->Options_.OtherDomainInterval_, [Weak = std::weak_ptr(Impl_)] {
     if (const auto Self = Weak.lock())
       for (const auto &To : Self->representatives())
         Self->probe(To);
@@ -132,26 +131,26 @@
   std::vector<std::string> RemovedNames;
   {
     const std::lock_guard Lock(Impl_->Mutex_);
-    std::map<std::string, Impl::ProbeTarget, std::less<>> Next;
+    std::map<std::string, Impl::ProbeTarget, std::less<>> NewTargets;
     for (const auto &Each : Members) {
-      if (Each.Name_ == Impl_->Options_.Self_)
+      if (Each.Name_ == Impl_->Options_.InstanceName_)
         continue;
-      auto &Entry = Next[Each.Name_];
+      auto &Entry = NewTargets[Each.Name_];
       if (const auto Known = Impl_->ProbeTargets_.find(Each.Name_);
           Known != Impl_->ProbeTargets_.end())
         Entry = Known->second;
       Entry.Member_ = Each;
     }
     for (const auto &[Name, Each] : Impl_->ProbeTargets_)
-      if (!Next.contains(Name))
+      if (!NewTargets.contains(Name))
         RemovedNames.push_back(Name);
-    Impl_->ProbeTargets_ = std::move(Next);
+    Impl_->ProbeTargets_ = std::move(NewTargets);
   }
   Impl_->Table_.setMembers(Members, core::Clock::now());
   for (const auto &Name : RemovedNames)
     Impl_->Link_.removeRoute(Name);
   for (const auto &Each : Members)
-    if (Each.Name_ != Impl_->Options_.Self_)
+    if (Each.Name_ != Impl_->Options_.InstanceName_)
       Impl_->Link_.setRoute(Each.Name_, Each.Address_);
 }
 
--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -5,23 +5,23 @@
 
 namespace masticdrift::membership {
 
-PeerTable::PeerTable(std::string Self, std::string Domain)
-    : Self_(std::move(Self)), Domain_(std::move(Domain)) {}
+PeerTable::PeerTable(std::string OwnName, std::string Domain)
+    : OwnName_(std::move(OwnName)), Domain_(std::move(Domain)) {}
 
 void PeerTable::setMembers(const std::vector<Member> &Members, core::TimePoint Now) {
   const std::lock_guard Lock(Mutex_);
-  std::map<std::string, Peer, std::less<>> Next;
+  std::map<std::string, Peer, std::less<>> NewPeers;
   for (const auto &Each : Members) {
-    if (Each.Name_ == Self_)
+    if (Each.Name_ == OwnName_)
       continue;
-    auto &Entry = Next[Each.Name_];
+    auto &Entry = NewPeers[Each.Name_];
     if (const auto Known = Peers_.find(Each.Name_); Known != Peers_.end())
       Entry = std::move(Known->second);
     else
       Entry.ListedSince_ = Now;
     Entry.Member_ = Each;
   }
-  Peers_ = std::move(Next);
+  Peers_ = std::move(NewPeers);
   std::erase_if(Domains_, [&](const auto &Entry) {
     return std::ranges::none_of(
         Peers_, [&](const auto &Each) { return Each.second.Member_.Domain_ == Entry.first; });
@@ -64,11 +64,11 @@
 
 std::vector<Peer> PeerTable::peers() const {
   const std::lock_guard Lock(Mutex_);
-  std::vector<Peer> All;
-  All.reserve(Peers_.size());
+  std::vector<Peer> Result;
+  Result.reserve(Peers_.size());
   for (const auto &[Name, Entry] : Peers_)
-    All.push_back(Entry);
-  return All;
+    Result.push_back(Entry);
+  return Result;
 }
 
 std::optional<Peer> PeerTable::find(std::string_view Name) const {
@@ -102,21 +102,21 @@
 
 std::vector<protocol::MemberSummary> PeerTable::summary(core::TimePoint Now) const {
   const std::lock_guard Lock(Mutex_);
-  std::vector<protocol::MemberSummary> All;
+  std::vector<protocol::MemberSummary> Result;
   for (const auto &[Name, Entry] : Peers_) {
     if (Entry.Member_.Domain_ != Domain_ || !Entry.LastAnsweredProbeSent_)
       continue;
     // Rounds up, so that the reported age is never too low.
-    All.push_back({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
-                   core::toMillis(Now - *Entry.LastAnsweredProbeSent_) + 1});
+    Result.push_back({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
+                      core::toMillis(Now - *Entry.LastAnsweredProbeSent_) + 1});
   }
-  return All;
+  return Result;
 }
 
 std::vector<ConfigEvidence> PeerTable::evidence() const {
   const std::lock_guard Lock(Mutex_);
   std::map<std::string, ConfigEvidence, std::less<>> Newest;
-  const auto Add = [&](ConfigEvidence Each) {
+  const auto AddIfNewer = [&](ConfigEvidence Each) {
     const auto Known = Newest.find(Each.Name_);
     if (Known == Newest.end() || Each.Incarnation_ > Known->second.Incarnation_ ||
         (Each.Incarnation_ == Known->second.Incarnation_ && Each.AsOf_ > Known->second.AsOf_))
@@ -124,18 +124,18 @@
   };
   for (const auto &[Name, Entry] : Peers_)
     if (Entry.LastAnsweredProbeSent_)
-      Add({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
-           *Entry.LastAnsweredProbeSent_});
+      AddIfNewer({Name, Entry.Incarnation_, Entry.ConfigOffset_, Entry.ConfirmsConfig_,
+                  *Entry.LastAnsweredProbeSent_});
   for (const auto &[Domain, View] : Domains_)
     for (const auto &Each : View.Members_)
-      if (Each.Name_ != Self_)
-        Add({Each.Name_, Each.Incarnation_, Each.ConfigOffset_, Each.ConfirmsConfig_,
-             View.AsOf_ - core::Millis(std::max<std::int64_t>(Each.AgeMs_, 0))});
-  std::vector<ConfigEvidence> All;
-  All.reserve(Newest.size());
+      if (Each.Name_ != OwnName_)
+        AddIfNewer({Each.Name_, Each.Incarnation_, Each.ConfigOffset_, Each.ConfirmsConfig_,
+                    View.AsOf_ - core::Millis(std::max<std::int64_t>(Each.AgeMs_, 0))});
+  std::vector<ConfigEvidence> Result;
+  Result.reserve(Newest.size());
   for (auto &[Name, Each] : Newest)
-    All.push_back(std::move(Each));
-  return All;
+    Result.push_back(std::move(Each));
+  return Result;
 }
 
 std::optional<PeerTable::KnownOwner> PeerTable::owner(std::string_view Domain) const {
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -23,7 +23,7 @@
   return {Name, 1, Offset, Confirms, at(AsOf)};
 }
 
-const OwnConfig Self{"a", 7, true};
+const OwnConfig OwnState{"a", 7, true};
 
 } // namespace
 
@@ -53,16 +53,17 @@
   const std::set<std::string> Members{"a", "b", "c"};
   const std::vector<ConfigEvidence> Both{evidenceFrom("b", 7, true, 900),
                                          evidenceFrom("c", 7, true, 400)};
-  cr_assert(confirmedAsOf(Self, Both, Members, 3, at(1000)) == at(400), "the oldest probe counts");
-  cr_assert(!confirmedAsOf(Self, std::vector{Both[0]}, Members, 2, at(1000)), "c is missing");
-  cr_assert(!confirmedAsOf(Self, Both, Members, 4, at(1000)), "the fleet has a fourth daemon");
-  cr_assert(!confirmedAsOf(Self, std::vector{Both[0], evidenceFrom("c", 6, true, 400)}, Members, 3,
-                           at(1000)));
-  cr_assert(!confirmedAsOf(Self, std::vector{Both[0], evidenceFrom("c", 7, false, 400)}, Members, 3,
-                           at(1000)));
+  cr_assert(confirmedAsOf(OwnState, Both, Members, 3, at(1000)) == at(400),
+            "the oldest probe counts");
+  cr_assert(!confirmedAsOf(OwnState, std::vector{Both[0]}, Members, 2, at(1000)), "c is missing");
+  cr_assert(!confirmedAsOf(OwnState, Both, Members, 4, at(1000)), "the fleet has a fourth daemon");
+  cr_assert(!confirmedAsOf(OwnState, std::vector{Both[0], evidenceFrom("c", 6, true, 400)}, Members,
+                           3, at(1000)));
+  cr_assert(!confirmedAsOf(OwnState, std::vector{Both[0], evidenceFrom("c", 7, false, 400)},
+                           Members, 3, at(1000)));
   cr_assert(!confirmedAsOf({"a", 7, false}, Both, Members, 3, at(1000)));
   // A daemon with a newer configuration that is not in the log yet.
-  cr_assert(!confirmedAsOf(Self, std::vector{Both[0], Both[1], evidenceFrom("d", 9, true, 900)},
+  cr_assert(!confirmedAsOf(OwnState, std::vector{Both[0], Both[1], evidenceFrom("d", 9, true, 900)},
                            Members, 3, at(1000)));
 }
 
@@ -104,14 +105,14 @@
                                       if (ActiveHeartbeat_ != nullptr)
                                         ActiveHeartbeat_.load()->onProbe(In);
                                     }),
-        Self_{Name, Domain, "r", "127.0.0.1:" + std::to_string(Link_.port())} {
+        Member_{Name, Domain, "r", "127.0.0.1:" + std::to_string(Link_.port())} {
     Heartbeat_ = std::make_unique<Heartbeat>(HeartbeatOptions{Name, Domain, 50ms, 100ms, 3},
-                                             std::move(Hooks), Schedule_, Link_, Table_);
+                                             std::move(Hooks), Timers_, Link_, Table_);
     ActiveHeartbeat_ = Heartbeat_.get();
     Heartbeat_->start();
   }
   ~Daemon() {
-    Schedule_.stop();
+    Timers_.stop();
     Link_.stop();
   }
   static protocol::LinkOptions options(const std::string &Name) {
@@ -121,11 +122,11 @@
     return Options;
   }
 
-  core::Timers Schedule_;
+  core::Timers Timers_;
   PeerTable Table_;
   std::atomic<Heartbeat *> ActiveHeartbeat_{nullptr};
   protocol::Link Link_;
-  Member Self_;
+  Member Member_;
   std::unique_ptr<Heartbeat> Heartbeat_;
 };
 
@@ -149,7 +150,7 @@
   Daemon B("b", "x", ReplyHooks);
   Daemon C("c", "y", ReplyHooks);
   Daemon D("d", "y", ReplyHooks);
-  const std::vector<Member> All{A.Self_, B.Self_, C.Self_, D.Self_};
+  const std::vector<Member> All{A.Member_, B.Member_, C.Member_, D.Member_};
   for (Daemon *Each : {&A, &B, &C, &D})
     Each->Heartbeat_->setMembers(All);
   cr_assert(eventually([&] {
@@ -165,7 +166,7 @@
   Daemon A("a", "x");
   Daemon D("d", "y");
   const std::vector<Member> All{
-      A.Self_, {"c", "y", "r", "127.0.0.1:1"}, D.Self_}; // nothing listens on port 1
+      A.Member_, {"c", "y", "r", "127.0.0.1:1"}, D.Member_}; // nothing listens on port 1
   A.Heartbeat_->setMembers(All);
   D.Heartbeat_->setMembers(All);
   cr_assert(eventually([&] { return A.Table_.find("d")->LastAnsweredProbeSent_.has_value(); }));
