--- a/include/masticdrift/http/detail/Exchange.h
+++ b/include/masticdrift/http/detail/Exchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// One HTTP exchange on a libcurl handle, shared by the threaded and the loop client.
+/// HTTP exchange on a libcurl easy handle, used by Client and LoopClient.
 #ifndef MASTICDRIFT_HTTP_DETAIL_EXCHANGE_H
 #define MASTICDRIFT_HTTP_DETAIL_EXCHANGE_H
 
@@ -9,26 +9,28 @@
 
 namespace masticdrift::http::detail {
 
-/// One exchange; lives until its callback has run.
+/// State of one exchange, kept until its callback has returned.
 struct Exchange {
   ClientRequest Request_;
   Callback Done_;
-  CURL *Easy_ = nullptr;
+  CURL *EasyHandle_ = nullptr;
   curl_slist *HeaderList_ = nullptr;
   Response Answer_;
-  bool HeadersSeen_ = false;
-  bool Permitted_ = false; ///< bytes may have been sent
-  bool Withheld_ = false;  ///< MaySend_ said no
+  bool HeaderReceived_ = false;
+  bool SendAllowed_ = false; ///< MaySend_ allowed it, so bytes may have been sent
+  bool SendDenied_ = false;  ///< MaySend_ returned false
 };
 
-/// Sets all options of \p Work's handle.
+/// Sets all options of the easy handle of \p Operation.
 ///
-/// \param IdleSeconds connections idle longer are not reused.
-/// \param LifeSeconds connections older than this are not reused.
-void prepare(Exchange &Work, long IdleSeconds, long LifeSeconds);
+/// \param MaxIdleSeconds idle time after which a connection is not reused.
+/// \param MaxConnectionAgeSeconds age after which a connection is not reused.
+void setOptions(Exchange &Operation, long MaxIdleSeconds, long MaxConnectionAgeSeconds);
 
-/// \returns the outcome of a finished exchange; takes the answer out of \p Work.
-ClientResult resultOf(CURLcode Code, Exchange &Work);
+/// Moves the response out of a finished exchange.
+///
+/// \returns the result of the exchange.
+ClientResult takeResult(CURLcode Code, Exchange &Operation);
 
 } // namespace masticdrift::http::detail
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -128,7 +128,7 @@
     protocol::LinkOptions Options;
     Options.Name_ = Settings_.Instance_.Name_;
     Options.Incarnation_ = Incarnation_;
-    Options.Listen_ = Settings_.Peer_.Address_ + ":" + std::to_string(Settings_.Peer_.Port_);
+    Options.ListenAddress_ = Settings_.Peer_.Address_ + ":" + std::to_string(Settings_.Peer_.Port_);
     return Options;
   }
 
@@ -223,7 +223,7 @@
           });
     };
     Hooks.TimeSinceReply_ = [this](const std::string &Member, TimePoint Now) {
-      return PeerTable_.missedFor(Member, Now);
+      return PeerTable_.timeSinceReply(Member, Now);
     };
     Hooks.StoreReadAge_ = [this](const std::string &Member, TimePoint Now) {
       return PeerTable_.storeAge(Member, Now);
@@ -288,10 +288,10 @@
 
   membership::HeartbeatOptions heartbeatOptions() const {
     membership::HeartbeatOptions Options;
-    Options.Self_ = Settings_.Instance_.Name_;
+    Options.InstanceName_ = Settings_.Instance_.Name_;
     Options.Domain_ = Settings_.Instance_.Domain_;
-    Options.OwnDomainEvery_ = Settings_.Timing_.ProbeOwnDomain_;
-    Options.OtherDomainEvery_ = Settings_.Timing_.ProbeOtherDomain_;
+    Options.OwnDomainInterval_ = Settings_.Timing_.ProbeOwnDomain_;
+    Options.OtherDomainInterval_ = Settings_.Timing_.ProbeOtherDomain_;
     return Options;
   }
 
@@ -354,8 +354,8 @@
     http::ServerOptions Options;
     Options.Address_ = Settings_.Caller_.Address_;
     Options.Port_ = Settings_.Caller_.Port_;
-    Options.Threads_ = static_cast<unsigned>(Settings_.Caller_.Threads_);
-    Options.MaxBody_ = static_cast<std::size_t>(Settings_.Caller_.MaxBodyBytes_);
+    Options.ThreadCount_ = static_cast<unsigned>(Settings_.Caller_.Threads_);
+    Options.MaxBodyBytes_ = static_cast<std::size_t>(Settings_.Caller_.MaxBodyBytes_);
     Options.ReadTimeout_ = Settings_.Caller_.ReadTimeout_;
     return Options;
   }
@@ -364,7 +364,7 @@
     http::ServerOptions Options;
     Options.Address_ = Settings_.Operator_.Address_;
     Options.Port_ = Settings_.Operator_.Port_;
-    Options.Threads_ = 1;
+    Options.ThreadCount_ = 1;
     Options.ReadTimeout_ = Settings_.Caller_.ReadTimeout_;
     return Options;
   }
@@ -549,7 +549,7 @@
     View.Owner_ = Owner->Owner_;
     View.FreeSlots_ = Peer->FreeSlots_;
     View.OwnerReachable_ =
-        Peer->LastReplySent_ && Now - *Peer->LastReplySent_ < ReachabilityTimeout;
+        Peer->LastAnsweredProbeSent_ && Now - *Peer->LastAnsweredProbeSent_ < ReachabilityTimeout;
   }
 
   std::vector<gateway::InstanceConfigOffset> offsets() const {
@@ -560,7 +560,7 @@
     for (const membership::Peer &Peer : PeerTable_.peers()) {
       gateway::InstanceConfigOffset &Entry = OffsetsByInstance[Peer.Member_.Name_];
       Entry.Name_ = Peer.Member_.Name_;
-      if (Peer.LastReplySent_ && Now - *Peer.LastReplySent_ < ReachabilityTimeout)
+      if (Peer.LastAnsweredProbeSent_ && Now - *Peer.LastAnsweredProbeSent_ < ReachabilityTimeout)
         Entry = {Entry.Name_, std::max(Entry.ConfigOffset_, Peer.ConfigOffset_), true};
     }
     for (const auto &[Domain, View] : PeerTable_.domains())
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -92,7 +92,7 @@
       return;
     {
       const std::lock_guard Lock(Mutex_);
-      Freshness_.direct(*AsOf);
+      Freshness_.recordRead(*AsOf);
       StoreAsOf_ = *AsOf;
       Offset_ = Tailer_.nextOffset();
       std::erase_if(PendingAppends_, [&](const PendingAppend &Append) {
@@ -138,8 +138,8 @@
     const std::lock_guard Lock(Mutex_);
     const membership::OwnConfig Own{Options_.InstanceName_, Offset_, confirmsConfigLocked()};
     if (const auto AsOf =
-            membership::unanimousAsOf(Own, Evidence, Hooks_.Members_(), Options_.FleetSize_, Now))
-      Freshness_.unanimous(*AsOf);
+            membership::confirmedAsOf(Own, Evidence, Hooks_.Members_(), Options_.FleetSize_, Now))
+      Freshness_.recordUnanimous(*AsOf);
   }
 
   bool confirmsConfigLocked() const {
@@ -155,7 +155,7 @@
     std::string BestPeer;
     std::uint64_t BestPeerOffset = 0;
     for (const membership::Peer &Candidate : Table_.peers())
-      if (Candidate.LastReplySent_ &&
+      if (Candidate.LastAnsweredProbeSent_ &&
           (BestPeer.empty() || Candidate.ConfigOffset_ > BestPeerOffset)) {
         BestPeer = Candidate.Member_.Name_;
         BestPeerOffset = Candidate.ConfigOffset_;
@@ -453,7 +453,7 @@
 
   bool fresh(TimePoint Now) const {
     const std::lock_guard Lock(Mutex_);
-    return Freshness_.fresh(Now);
+    return Freshness_.isFresh(Now);
   }
 
   /// An append announced by a peer whose record has not been replayed.
@@ -551,7 +551,7 @@
   const std::lock_guard Lock(Impl_->Mutex_);
   Reply.ConfigOffset_ = Impl_->Offset_;
   Reply.StoreAgeMs_ = Impl_->StoreAsOf_ ? core::toMillis(Now - *Impl_->StoreAsOf_) : -1;
-  Reply.Confirms_ = Impl_->confirmsConfigLocked();
+  Reply.ConfirmsConfig_ = Impl_->confirmsConfigLocked();
 }
 
 void ConfigReplica::onProbeReply(TimePoint SentAt, const protocol::ProbeReply &Reply) {
@@ -559,8 +559,8 @@
     return;
   const std::lock_guard Lock(Impl_->Mutex_);
   // Plus one millisecond, because the reported age was rounded down.
-  Impl_->Freshness_.relayed(SentAt, core::Millis(Reply.StoreAgeMs_ + 1), Reply.ConfigOffset_,
-                            Impl_->Offset_);
+  Impl_->Freshness_.recordPeerReport(SentAt, core::Millis(Reply.StoreAgeMs_ + 1),
+                                     Reply.ConfigOffset_, Impl_->Offset_);
 }
 
 void ConfigReplica::onPending(const protocol::Pending &Message) {
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -64,7 +64,7 @@
   Message.ContentType_ = std::move(Result.ContentType_);
   Message.Body_ = std::move(Result.Body_);
   Message.Message_ = std::move(Result.Message_);
-  Message.RanState_ = static_cast<std::uint8_t>(Result.Ran_);
+  Message.RunState_ = static_cast<std::uint8_t>(Result.Ran_);
   return Message;
 }
 
@@ -72,7 +72,7 @@
   Outcome Result;
   Result.Kind_ = static_cast<ErrorKind>(Message.ErrorKind_);
   Result.Message_ = std::move(Message.Message_);
-  Result.Ran_ = static_cast<core::RunState>(Message.RanState_);
+  Result.Ran_ = static_cast<core::RunState>(Message.RunState_);
   Result.Status_ = Message.Status_;
   Result.ContentType_ = std::move(Message.ContentType_);
   Result.Body_ = std::move(Message.Body_);
@@ -88,7 +88,7 @@
   Message.Pool_ = Request.Pool_;
   Message.Idempotent_ = Request.Idempotent_;
   Message.DeadlineMs_ = core::toMillis(Request.Deadline_ - Now);
-  Message.Hops_ = 1;
+  Message.HopCount_ = 1;
   Message.Body_ = Request.Body_;
   Message.ContentType_ = Request.ContentType_;
   return Message;
@@ -211,7 +211,7 @@
     if (RefuseForwards_)
       return reply(Message,
                    failedOutcome(ErrorKind::Stopping, "the domain's owner is shutting down"));
-    if (Forwarded->Hops_ > 1)
+    if (Forwarded->HopCount_ > 1)
       return reply(Message,
                    failedOutcome(ErrorKind::ForwardLimit, "request was forwarded already"));
     ++InFlight_;
--- a/tests/unit/LinkTest.cpp
+++ b/tests/unit/LinkTest.cpp
@@ -1,4 +1,4 @@
-// Messages between daemons.
+// Tests of the message transport between daemons.
 #include "support/LinkPeers.h"
 
 #include <criterion/criterion.h>
@@ -8,22 +8,24 @@
 using namespace masticdrift::testing;
 using namespace std::chrono_literals;
 
-// Guards against replies that reach the wrong call.
+// Guards against a reply that is delivered to the wrong call.
 Test(Link, everyCallGetsItsOwnReply) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
-  std::atomic<int> Right{0};
+  connectPeers(A, B);
+  std::atomic<int> Matched{0};
   for (int I = 0; I < 200; ++I)
     A.Link_.call("b", MessageKind::ConfigFetch, std::to_string(I), 5s,
-                 [&Right, I](std::error_code Error, const Envelope &Reply) {
+                 [&Matched, I](std::error_code Error, const Envelope &Reply) {
                    if (!Error && Reply.Body_ == "answer to " + std::to_string(I))
-                     ++Right;
+                     ++Matched;
                  });
-  cr_assert(eventually([&] { return Right == 200; }, 5s), "%d of 200", Right.load());
+  cr_assert(eventually([&] { return Matched == 200; }, 5s), "%d of 200 calls got their own reply",
+            Matched.load());
 }
 
-// Guards against a "nothing was sent" that is untrue, and against waiting for a dead peer.
+// Guards against a PeerUnreachable ("nothing was sent") for a message that was sent, and against
+// waiting for a disconnected peer.
 Test(Link, anUnreachablePeerIsReportedAtOnce) {
   Peer A("a");
   cr_assert(A.Link_.send("b", MessageKind::Notice, 0, "x") == core::ErrorKind::PeerUnreachable);
@@ -38,26 +40,26 @@
   cr_assert(std::chrono::steady_clock::now() - Start < 2s);
 }
 
-// Guards against calls that end twice or with the wrong verdict on whether the peer has the
-// message.
+// Guards against calls that complete twice, or that misreport whether the peer may have received
+// the message.
 Test(Link, aSilentPeerGivesAnUnknownOutcome) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
-  B.Answers_ = false;
+  connectPeers(A, B);
+  B.Replies_ = false;
   cr_assert(callAndWait(A.Link_, "b", "x", 300ms).first == core::ErrorKind::OutcomeUnknown);
   cr_assert_eq(B.received("x"), 1);
 }
 
-// Guards against a reply that is taken from a daemon that was not asked.
+// Guards against accepting a reply from a daemon that is not the callee.
 Test(Link, lateAndForeignRepliesAreDropped) {
   Peer A("a");
   Peer B("b");
   Peer C("c");
-  join(A, B);
+  connectPeers(A, B);
   C.Link_.setRoute("a", addressOf(A.Link_.port()));
   cr_assert(eventually([&] { return C.Link_.connected("a"); }, 5s));
-  B.Answers_ = false;
+  B.Replies_ = false;
   std::atomic<int> Calls{0};
   std::error_code Last;
   A.Link_.call("b", MessageKind::ConfigFetch, "x", 500ms,
@@ -66,8 +68,8 @@
                  ++Calls;
                });
   cr_assert(eventually([&] { return B.received("x") == 1; }, 2s));
-  // c answers with every id that a can have used: the ids start at a random number, so it learns
-  // the right one from nobody; b's own id space is used for the late reply below.
+  // c replies with guessed ids: the call ids of a start at a random number that c does not know.
+  // The id space of b is used for the late reply below.
   for (std::uint64_t Id = 0; Id < 10; ++Id)
     C.Link_.send("a", MessageKind::ConfigCopy, Id, "foreign");
   cr_assert(eventually([&] { return Calls == 1; }, 2s));
@@ -76,11 +78,11 @@
   cr_assert_eq(Calls.load(), 1);
 }
 
-// Guards against memory that grows without bound and against frames that are cut.
+// Guards against unbounded memory growth and truncated messages.
 Test(Link, sizesAreLimited) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
+  connectPeers(A, B);
   const std::string Largest(4U << 20U, 'x');
   const auto [Error, Reply] = callAndWait(A.Link_, "b", Largest.substr(0, (4U << 20U) - 100), 5s);
   cr_assert(!Error, "%s", Error.message().c_str());
@@ -88,16 +90,16 @@
             core::ErrorKind::BodyTooLarge);
 }
 
-// Guards against a full queue that blocks or hides that a message was not sent.
+// Guards against a full queue that blocks the sender or does not report the unsent message.
 Test(Link, aFullQueueRefuses) {
   Peer B("b");
-  Relay Between(B.Link_.port());
+  TcpProxy Proxy(B.Link_.port());
   Peer A("a");
-  A.Link_.setRoute("b", addressOf(Between.port()));
+  A.Link_.setRoute("b", addressOf(Proxy.port()));
   cr_assert(eventually([&] { return A.Link_.connected("b"); }, 5s));
   cr_assert(!A.Link_.send("b", MessageKind::Notice, 0, "first"));
   cr_assert(eventually([&] { return B.received("first") == 1; }, 5s));
-  Between.silence();
+  Proxy.stall();
   std::this_thread::sleep_for(100ms);
   std::error_code Error;
   for (int I = 0; I < 100 && !Error; ++I) // 100 MB, far more than the kernel buffers
@@ -105,17 +107,17 @@
   cr_assert(Error == core::ErrorKind::PeerUnreachable);
 }
 
-// Guards against a peer that stays unreachable behind a connection whose state a device has lost,
-// and against messages that come out of it after their deadline.
+// Guards against a peer that stays unreachable after a network device lost the state of the
+// connection, and against messages that arrive from such a connection after their deadline.
 Test(Link, aSilentConnectionIsReplacedAndItsMessagesExpire) {
   Peer B("b");
-  Relay Between(B.Link_.port());
+  TcpProxy Proxy(B.Link_.port());
   Peer A("a", 400ms);
-  A.Link_.setRoute("b", addressOf(Between.port()));
+  A.Link_.setRoute("b", addressOf(Proxy.port()));
   B.Link_.setRoute("a", addressOf(A.Link_.port()));
   cr_assert(eventually([&] { return A.Link_.connected("b") && B.Link_.connected("a"); }, 5s));
   cr_assert(!callAndWait(A.Link_, "b", "before", 2s).first);
-  Between.silence();
+  Proxy.stall();
   std::this_thread::sleep_for(50ms);
   cr_assert(!A.Link_.send("b", MessageKind::Notice, 0, "stuck"));
   cr_assert(callAndWait(A.Link_, "b", "unanswered", 300ms).first ==
@@ -125,20 +127,20 @@
   const auto [Error, Reply] = callAndWait(A.Link_, "b", "after", 2s);
   cr_assert(!Error, "%s", Error.message().c_str());
   std::this_thread::sleep_for(400ms);
-  Between.release();
+  Proxy.resume();
   std::this_thread::sleep_for(300ms);
   cr_assert_eq(B.received("stuck"), 0, "delivered after its deadline");
   cr_assert_eq(B.received("unanswered"), 0, "delivered after its deadline");
 }
 
-// Guards against use of a closed link and against calls that never end.
+// Guards against use of a stopped link and calls that never complete.
 Test(Link, stopEndsOpenCalls) {
   std::atomic<int> Ended{0};
   Peer B("b");
-  B.Answers_ = false;
+  B.Replies_ = false;
   {
     Peer A("a");
-    join(A, B);
+    connectPeers(A, B);
     for (int I = 0; I < 20; ++I)
       A.Link_.call("b", MessageKind::ConfigFetch, std::to_string(I), 10s,
                    [&](std::error_code Error, const Envelope &) { Ended += Error ? 1 : 0; });
@@ -148,11 +150,11 @@
   cr_assert_eq(Ended.load(), 20);
 }
 
-// Guards against callbacks of nng that run after their connection was destroyed.
+// Guards against nng callbacks that run after their connection was destroyed.
 Test(Link, connectionsCanBeReplacedUnderLoad) {
   Peer A("a");
   Peer B("b");
-  join(A, B);
+  connectPeers(A, B);
   std::atomic<int> Ended{0};
   for (int I = 0; I < 300; ++I) {
     for (int J = 0; J < 5; ++J)
@@ -164,5 +166,6 @@
       B.Link_.reconnect("a");
     std::this_thread::sleep_for(2ms);
   }
-  cr_assert(eventually([&] { return Ended == 1500; }, 5s), "%d of 1500", Ended.load());
+  cr_assert(eventually([&] { return Ended == 1500; }, 5s), "%d of 1500 calls completed",
+            Ended.load());
 }
--- a/tests/unit/MessagesTest.cpp
+++ b/tests/unit/MessagesTest.cpp
@@ -12,17 +12,18 @@
 
 constexpr std::uint32_t Seed = 20261204;
 
-template <typename T> std::size_t decodeAll(std::string_view Bytes) {
+template <typename T> std::size_t countDecoded(std::string_view Bytes) {
   return core::unpack<T>(Bytes) ? 1 : 0;
 }
 
-std::size_t decodeAsEverything(std::string_view Bytes) {
-  return (decodeEnvelope(Bytes) ? 1U : 0U) + decodeAll<Probe>(Bytes) +
-         decodeAll<ProbeReply>(Bytes) + decodeAll<Forward>(Bytes) + decodeAll<Answer>(Bytes) +
-         decodeAll<Notice>(Bytes) + decodeAll<JobQuery>(Bytes) + decodeAll<JobReply>(Bytes) +
-         decodeAll<StatusQuery>(Bytes) + decodeAll<StatusReply>(Bytes) +
-         decodeAll<ConfigFetch>(Bytes) + decodeAll<ConfigCopy>(Bytes) +
-         decodeAll<ConsentRequest>(Bytes) + decodeAll<Consent>(Bytes) + decodeAll<Pending>(Bytes);
+std::size_t countDecodable(std::string_view Bytes) {
+  return (decodeEnvelope(Bytes) ? 1U : 0U) + countDecoded<Probe>(Bytes) +
+         countDecoded<ProbeReply>(Bytes) + countDecoded<Forward>(Bytes) +
+         countDecoded<Answer>(Bytes) + countDecoded<Notice>(Bytes) + countDecoded<JobQuery>(Bytes) +
+         countDecoded<JobReply>(Bytes) + countDecoded<StatusQuery>(Bytes) +
+         countDecoded<StatusReply>(Bytes) + countDecoded<ConfigFetch>(Bytes) +
+         countDecoded<ConfigCopy>(Bytes) + countDecoded<ConsentRequest>(Bytes) +
+         countDecoded<Consent>(Bytes) + countDecoded<Pending>(Bytes);
 }
 
 ProbeReply sampleReply() {
@@ -30,7 +31,7 @@
   Reply.Domain_ = "lahore-a";
   Reply.ConfigOffset_ = 812;
   Reply.StoreAgeMs_ = 240;
-  Reply.Confirms_ = true;
+  Reply.ConfirmsConfig_ = true;
   Reply.Owner_ = "entry-2";
   Reply.Term_ = 9;
   Reply.Free_ = {64000, 128000, 2};
@@ -40,17 +41,17 @@
 
 } // namespace
 
-// Guards against fields that are lost or swapped on the wire.
+// Guards against fields that are lost or swapped in encoding or decoding.
 Test(Messages, aReplyKeepsItsFields) {
-  const auto Back = core::unpack<ProbeReply>(core::pack(sampleReply()));
-  cr_assert(Back.has_value());
-  cr_assert_eq(Back->Term_, 9U);
-  cr_assert_eq(Back->Members_.size(), 2U);
-  cr_assert_eq(Back->Members_[1].AgeMs_, 900);
-  cr_assert(Back->Free_ == sampleReply().Free_);
+  const auto Decoded = core::unpack<ProbeReply>(core::pack(sampleReply()));
+  cr_assert(Decoded.has_value());
+  cr_assert_eq(Decoded->Term_, 9U);
+  cr_assert_eq(Decoded->Members_.size(), 2U);
+  cr_assert_eq(Decoded->Members_[1].AgeMs_, 900);
+  cr_assert(Decoded->Free_ == sampleReply().Free_);
 }
 
-// Guards against kinds that a later version may add being taken for known ones.
+// Guards against decoding a kind of a later version as a known kind.
 Test(Messages, anUnknownKindIsRefused) {
   Envelope Frame;
   Frame.Sender_ = "entry-1";
@@ -67,7 +68,7 @@
       cr_assert(isReply(*Reply) && !isReply(static_cast<MessageKind>(Kind)));
 }
 
-// Guards against crashes, hangs and large allocations on hostile input.
+// Guards against crashes, hangs and large allocations on malicious input.
 Test(Messages, randomBytesAreRefusedOrDecoded) {
   std::mt19937 Random(Seed);
   std::size_t Decoded = 0;
@@ -75,12 +76,12 @@
     std::string Bytes(Random() % 200, '\0');
     for (char &Each : Bytes)
       Each = static_cast<char>(Random());
-    Decoded += decodeAsEverything(Bytes);
+    Decoded += countDecodable(Bytes);
   }
   cr_log_info("seed %u: %zu of the random inputs decoded", Seed, Decoded);
 }
 
-// As above, with input that is nearly right.
+// Same failures, with mutated valid messages as input.
 Test(Messages, damagedMessagesAreRefusedOrDecoded) {
   std::mt19937 Random(Seed + 1);
   Envelope Frame{2, 77, "entry-1", 3, 1000, 5, core::pack(sampleReply())};
@@ -90,25 +91,25 @@
       core::pack(Answer{1, 0, 200, "text/plain", "body", "m", 2})};
   for (int Round = 0; Round < 20'000; ++Round) {
     std::string Bytes = Samples[Random() % 4];
-    for (auto Changes = 1 + Random() % 4; Changes > 0; --Changes)
+    for (auto Mutations = 1 + Random() % 4; Mutations > 0; --Mutations)
       Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
     if (Random() % 3 == 0)
       Bytes.resize(Random() % (Bytes.size() + 1));
-    (void)decodeAsEverything(Bytes);
+    (void)countDecodable(Bytes);
   }
-  for (const auto &Whole : Samples)
-    for (std::size_t Size = 0; Size < Whole.size(); ++Size)
-      cr_assert_eq(decodeAsEverything(std::string_view(Whole).substr(0, Size)), 0U,
-                   "a cut message was decoded");
+  for (const auto &Sample : Samples)
+    for (std::size_t Size = 0; Size < Sample.size(); ++Size)
+      cr_assert_eq(countDecodable(std::string_view(Sample).substr(0, Size)), 0U,
+                   "a truncated message was decoded");
 }
 
-// Guards against records in the log that stop the replay of a domain.
+// Guards against corrupt log records that stop the replay of a domain.
 Test(Messages, damagedOwnershipRecordsAreIgnored) {
   std::mt19937 Random(Seed + 2);
   ownership::ClaimTable Table;
   for (std::uint64_t Offset = 1; Offset < 20'000; ++Offset) {
     std::string Bytes = core::pack(ownership::Renew{"entry-1", 1, 1, 1, 1});
-    for (auto Changes = Random() % 4; Changes > 0; --Changes)
+    for (auto Mutations = Random() % 4; Mutations > 0; --Mutations)
       Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
     Table.apply(Offset, static_cast<journal::RecordType>(Random() % 7), Bytes);
   }
