--- a/include/masticdrift/core/Log.h
+++ b/include/masticdrift/core/Log.h
@@ -27,7 +27,7 @@
 
 /// Sets the instance name that every line carries and the lowest level that is written.
 /// Must come before the first line when \p Target is not standard error.
-void initLog(std::string_view Instance, LogLevel Lowest,
+void initLog(std::string_view Instance, LogLevel MinLevel,
              LogTarget Target = LogTarget::StandardError);
 
 /// \returns how many lines were dropped because the writer lagged.
--- a/include/masticdrift/core/Pack.h
+++ b/include/masticdrift/core/Pack.h
@@ -25,12 +25,12 @@
 /// \returns the value, or nothing when the bytes are not exactly one value of this type.
 template <typename T> std::optional<T> unpack(std::string_view Bytes) {
   // Bounds what hostile lengths can make the decoder reserve.
-  const msgpack::unpack_limit Limit(100'000, 100'000, 64U << 20U, 64U << 20U, 1U << 20U, 32);
+  const msgpack::unpack_limit Limits(100'000, 100'000, 64U << 20U, 64U << 20U, 1U << 20U, 32);
   try {
-    std::size_t Used = 0;
+    std::size_t ConsumedBytes = 0;
     const msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size(), Used, nullptr, nullptr, Limit);
-    if (Used != Bytes.size())
+        msgpack::unpack(Bytes.data(), Bytes.size(), ConsumedBytes, nullptr, nullptr, Limits);
+    if (ConsumedBytes != Bytes.size())
       return std::nullopt;
     return Handle.get().as<T>();
   } catch (const std::exception &) {
--- a/include/masticdrift/core/Resources.h
+++ b/include/masticdrift/core/Resources.h
@@ -38,8 +38,8 @@
   }
   friend Resources operator+(Resources A, const Resources &B) { return A += B; }
   friend Resources operator-(Resources A, const Resources &B) { return A -= B; }
-  friend Resources operator*(Resources A, std::int64_t Times) {
-    return {A.MilliCores_ * Times, A.MemoryMb_ * Times, A.Accelerators_ * Times};
+  friend Resources operator*(Resources A, std::int64_t Factor) {
+    return {A.MilliCores_ * Factor, A.MemoryMb_ * Factor, A.Accelerators_ * Factor};
   }
 };
 
@@ -49,14 +49,15 @@
                                                                            "accelerators"};
 
 /// \returns the amounts in the order of ResourceNames (cores in thousandths).
-constexpr std::array<std::int64_t, ResourceKinds> amounts(const Resources &Of) {
-  return {Of.MilliCores_, Of.MemoryMb_, Of.Accelerators_};
+constexpr std::array<std::int64_t, ResourceKinds> amounts(const Resources &Value) {
+  return {Value.MilliCores_, Value.MemoryMb_, Value.Accelerators_};
 }
 
-/// \returns true when \p Need is at most \p Room in every kind.
-constexpr bool fits(const Resources &Need, const Resources &Room) {
-  return Need.MilliCores_ <= Room.MilliCores_ && Need.MemoryMb_ <= Room.MemoryMb_ &&
-         Need.Accelerators_ <= Room.Accelerators_;
+/// \returns true when \p Required is at most \p Available in every kind.
+constexpr bool fits(const Resources &Required, const Resources &Available) {
+  return Required.MilliCores_ <= Available.MilliCores_ &&
+         Required.MemoryMb_ <= Available.MemoryMb_ &&
+         Required.Accelerators_ <= Available.Accelerators_;
 }
 
 } // namespace masticdrift::core
--- a/include/masticdrift/core/Timers.h
+++ b/include/masticdrift/core/Timers.h
@@ -19,15 +19,15 @@
   /// Stops and joins; what has not run is dropped.
   ~Timers();
 
-  /// Runs \p Work on the timer thread as soon as possible.
-  void post(std::function<void()> Work);
+  /// Runs \p Callback on the timer thread as soon as possible.
+  void post(std::function<void()> Callback);
 
-  /// Runs \p Work once after \p Delay.
-  void after(Duration Delay, std::function<void()> Work);
+  /// Runs \p Callback once after \p Delay.
+  void after(Duration Delay, std::function<void()> Callback);
 
-  /// Runs \p Work every \p Period, first after one period; a late run does not shift the later
+  /// Runs \p Callback every \p Period, first after one period; a late run does not shift the later
   /// ones.
-  void every(Duration Period, std::function<void()> Work);
+  void every(Duration Period, std::function<void()> Callback);
 
   /// Stops and joins. Idempotent; must not be called from a timer function.
   void stop();
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -19,16 +19,16 @@
 namespace {
 
 /// Lines that may wait for the writer: a second at several times the usual rate.
-constexpr std::size_t MaxWaitingBytes = 1U << 20U;
+constexpr std::size_t MaxBufferedBytes = 1U << 20U;
 /// Lines within this time are written together.
-constexpr std::chrono::milliseconds BatchTime{40};
+constexpr std::chrono::milliseconds BatchDelay{40};
 /// Bytes that a pipe takes in one piece (PIPE_BUF).
-constexpr std::size_t PipePiece = 4096;
+constexpr std::size_t AtomicPipeWriteBytes = 4096;
 /// Bytes of a line about a task.
-constexpr std::size_t UsualLine = 256;
+constexpr std::size_t TypicalLineBytes = 256;
 
-std::string InstanceName;                         // NOLINT: set once before threads start
-LogTarget Destination = LogTarget::StandardError; // NOLINT: set once before threads start
+std::string InstanceName;                          // NOLINT: set once before threads start
+LogTarget ActiveTarget = LogTarget::StandardError; // NOLINT: set once before threads start
 
 /// Collects lines and writes them from a thread of its own, many at a time: a wake-up and a system
 /// call a line cost a small machine more than the line.
@@ -41,28 +41,28 @@
       const std::lock_guard Lock(BatchMutex_);
       Closed_ = true;
     }
-    Filled_.notify_one();
+    BatchReady_.notify_one();
     Writer_.join();
   }
 
-  std::size_t dropped() const { return Dropped_; }
+  std::size_t droppedLines() const { return DroppedLines_; }
 
 protected:
   void sink_it_(const spdlog::details::log_msg &Message) override {
     spdlog::memory_buf_t Line;
     formatter_->format(Message, Line);
-    bool First = false;
+    bool WasEmpty = false;
     {
       const std::lock_guard Lock(BatchMutex_);
-      if (Batch_.size() + Line.size() > MaxWaitingBytes) {
-        ++Dropped_;
+      if (Batch_.size() + Line.size() > MaxBufferedBytes) {
+        ++DroppedLines_;
         return;
       }
-      First = Batch_.empty();
+      WasEmpty = Batch_.empty();
       Batch_.append(Line.data(), Line.size());
     }
-    if (First)
-      Filled_.notify_one();
+    if (WasEmpty)
+      BatchReady_.notify_one();
   }
 
   /// The writer flushes; the caller never waits for it.
@@ -72,9 +72,9 @@
   void run() {
     std::unique_lock Lock(BatchMutex_);
     while (!Closed_ || !Batch_.empty()) {
-      Filled_.wait(Lock, [this] { return Closed_ || !Batch_.empty(); });
+      BatchReady_.wait(Lock, [this] { return Closed_ || !Batch_.empty(); });
       // Lines that follow soon join this batch.
-      Filled_.wait_for(Lock, BatchTime, [this] { return Closed_; });
+      BatchReady_.wait_for(Lock, BatchDelay, [this] { return Closed_; });
       const std::string Text = std::exchange(Batch_, {});
       Lock.unlock();
       writeLines(Text);
@@ -86,8 +86,8 @@
   static void writeLines(std::string_view Text) {
     while (!Text.empty()) {
       std::size_t Size = Text.size();
-      if (Size > PipePiece) {
-        const std::size_t End = Text.rfind('\n', PipePiece - 1);
+      if (Size > AtomicPipeWriteBytes) {
+        const std::size_t End = Text.rfind('\n', AtomicPipeWriteBytes - 1);
         Size = (End == std::string_view::npos ? Text.find('\n') : End) + 1;
       }
       std::fwrite(Text.data(), 1, Size, stdout);
@@ -97,9 +97,9 @@
   }
 
   std::mutex BatchMutex_;
-  std::condition_variable Filled_;
+  std::condition_variable BatchReady_;
   std::string Batch_;
-  std::atomic<std::size_t> Dropped_{0};
+  std::atomic<std::size_t> DroppedLines_{0};
   bool Closed_ = false;
   std::thread Writer_;
 };
@@ -111,11 +111,11 @@
 
 std::shared_ptr<spdlog::logger> makeLogger() {
   constexpr const char *Name = "masticdrift";
-  if (Destination == LogTarget::StandardError) {
-    auto Made =
+  if (ActiveTarget == LogTarget::StandardError) {
+    auto NewLogger =
         std::make_shared<spdlog::logger>(Name, std::make_shared<spdlog::sinks::stderr_sink_mt>());
-    Made->flush_on(spdlog::level::info);
-    return Made;
+    NewLogger->flush_on(spdlog::level::info);
+    return NewLogger;
   }
   batchSink() = std::make_shared<BatchSink>();
   return std::make_shared<spdlog::logger>(Name, batchSink());
@@ -137,16 +137,17 @@
 
 spdlog::logger &logger() {
   static const std::shared_ptr<spdlog::logger> Logger = [] {
-    auto Made = makeLogger();
-    Made->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",%v}");
-    return Made;
+    auto NewLogger = makeLogger();
+    NewLogger->set_pattern("{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",%v}");
+    return NewLogger;
   }();
   return *Logger;
 }
 
-bool isPlain(std::string_view Text) {
-  return std::ranges::all_of(
-      Text, [](char One) { return One >= ' ' && One <= '~' && One != '"' && One != '\\'; });
+bool needsNoEscaping(std::string_view Text) {
+  return std::ranges::all_of(Text, [](char Character) {
+    return Character >= ' ' && Character <= '~' && Character != '"' && Character != '\\';
+  });
 }
 
 /// Appends "key":"value". Nearly all values are plain, and a JSON object per line costs five times
@@ -155,7 +156,7 @@
   Line += '"';
   Line += Key;
   Line += "\":";
-  if (!isPlain(Value)) {
+  if (!needsNoEscaping(Value)) {
     Line += nlohmann::json(Value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return;
   }
@@ -166,19 +167,19 @@
 
 } // namespace
 
-void initLog(std::string_view Instance, LogLevel Lowest, LogTarget Target) {
+void initLog(std::string_view Instance, LogLevel MinLevel, LogTarget Target) {
   InstanceName = Instance;
-  Destination = Target;
-  logger().set_level(toSpdlog(Lowest));
+  ActiveTarget = Target;
+  logger().set_level(toSpdlog(MinLevel));
 }
 
-std::size_t droppedLogLines() { return batchSink() == nullptr ? 0 : batchSink()->dropped(); }
+std::size_t droppedLogLines() { return batchSink() == nullptr ? 0 : batchSink()->droppedLines(); }
 
 void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields) {
   if (!logger().should_log(toSpdlog(Level)))
     return;
   std::string Line;
-  Line.reserve(UsualLine);
+  Line.reserve(TypicalLineBytes);
   appendField(Line, "instance", InstanceName);
   Line += ',';
   appendField(Line, "event", Event);
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -56,7 +56,7 @@
 };
 
 // Exponential from 0.1 ms to 6.5 s.
-const prometheus::Histogram::BucketBoundaries Buckets{
+const prometheus::Histogram::BucketBoundaries BucketBoundsSeconds{
     0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 6.5};
 
 const MetricInfo &infoOf(std::string_view Name) {
@@ -69,14 +69,16 @@
 /// Families by name over one registry.
 class Families {
 public:
-  template <typename Builder> auto &family(std::string_view Name, Builder Make) {
+  template <typename Builder> auto &family(std::string_view Name, Builder MakeBuilder) {
     const std::lock_guard Lock(Mutex_);
-    auto &Slot = ByName_[std::string(Name)];
-    if (Slot == nullptr)
-      Slot =
-          &Make().Name(std::string(Name)).Help(std::string(infoOf(Name).Help_)).Register(Registry_);
-    using Family = std::remove_reference_t<decltype(Make().Register(Registry_))>;
-    return *static_cast<Family *>(Slot);
+    auto &RegisteredFamily = ByName_[std::string(Name)];
+    if (RegisteredFamily == nullptr)
+      RegisteredFamily = &MakeBuilder()
+                              .Name(std::string(Name))
+                              .Help(std::string(infoOf(Name).Help_))
+                              .Register(Registry_);
+    using Family = std::remove_reference_t<decltype(MakeBuilder().Register(Registry_))>;
+    return *static_cast<Family *>(RegisteredFamily);
   }
   std::string render() const { return prometheus::TextSerializer().Serialize(Registry_.Collect()); }
 
@@ -116,7 +118,7 @@
 void observe(std::string_view Name, double Seconds, Labels LabelValues) {
   families()
       .family(Name, [] { return prometheus::BuildHistogram(); })
-      .Add(toMap(LabelValues), Buckets)
+      .Add(toMap(LabelValues), BucketBoundsSeconds)
       .Observe(Seconds);
 }
 
--- a/src/core/Timers.cpp
+++ b/src/core/Timers.cpp
@@ -14,18 +14,18 @@
   Impl() : Guard_(Context_.get_executor()), Thread_([this] { Context_.run(); }) {}
 
   void repeat(const std::shared_ptr<asio::steady_timer> &Timer, Duration Period,
-              const std::shared_ptr<std::function<void()>> &Work) {
-    Timer->async_wait([this, Timer, Period, Work](std::error_code Error) {
+              const std::shared_ptr<std::function<void()>> &Callback) {
+    Timer->async_wait([this, Timer, Period, Callback](std::error_code Error) {
       if (Error)
         return;
-      (*Work)();
+      (*Callback)();
       // After a pause longer than a period, missed runs are skipped.
       const auto Now = asio::steady_timer::clock_type::now();
       auto Next = Timer->expiry() + Period;
       if (Next < Now)
         Next = Now + Period;
       Timer->expires_at(Next);
-      repeat(Timer, Period, Work);
+      repeat(Timer, Period, Callback);
     });
   }
 
@@ -39,19 +39,21 @@
 
 Timers::~Timers() { stop(); }
 
-void Timers::post(std::function<void()> Work) { asio::post(Impl_->Context_, std::move(Work)); }
+void Timers::post(std::function<void()> Callback) {
+  asio::post(Impl_->Context_, std::move(Callback));
+}
 
-void Timers::after(Duration Delay, std::function<void()> Work) {
+void Timers::after(Duration Delay, std::function<void()> Callback) {
   auto Timer = std::make_shared<asio::steady_timer>(Impl_->Context_, Delay);
-  Timer->async_wait([Timer, Work = std::move(Work)](std::error_code Error) {
+  Timer->async_wait([Timer, Callback = std::move(Callback)](std::error_code Error) {
     if (!Error)
-      Work();
+      Callback();
   });
 }
 
-void Timers::every(Duration Period, std::function<void()> Work) {
+void Timers::every(Duration Period, std::function<void()> Callback) {
   Impl_->repeat(std::make_shared<asio::steady_timer>(Impl_->Context_, Period), Period,
-                std::make_shared<std::function<void()>>(std::move(Work)));
+                std::make_shared<std::function<void()>>(std::move(Callback)));
 }
 
 void Timers::stop() {
--- a/tests/unit/LogTest.cpp
+++ b/tests/unit/LogTest.cpp
@@ -13,18 +13,18 @@
 
 namespace {
 
-/// \returns what is written to standard error while \p Work runs.
-template <typename Work> std::string written(Work Do) {
-  std::FILE *To = std::tmpfile();
-  const int Saved = ::dup(STDERR_FILENO);
-  ::dup2(::fileno(To), STDERR_FILENO);
-  Do();
+/// \returns what is written to standard error while \p Callable runs.
+template <typename Callable> std::string captureStandardError(Callable Function) {
+  std::FILE *CaptureFile = std::tmpfile();
+  const int SavedDescriptor = ::dup(STDERR_FILENO);
+  ::dup2(::fileno(CaptureFile), STDERR_FILENO);
+  Function();
   std::fflush(stderr);
-  ::dup2(Saved, STDERR_FILENO);
+  ::dup2(SavedDescriptor, STDERR_FILENO);
   std::string Text(4096, '\0');
-  std::rewind(To);
-  Text.resize(std::fread(Text.data(), 1, Text.size(), To));
-  std::fclose(To);
+  std::rewind(CaptureFile);
+  Text.resize(std::fread(Text.data(), 1, Text.size(), CaptureFile));
+  std::fclose(CaptureFile);
   return Text;
 }
 
@@ -33,9 +33,9 @@
 // Guards against a line that a reader of JSON can't parse because of what a field holds.
 Test(LogLine, isOneJsonObjectWhateverItsFieldsHold) {
   core::initLog("lahore-a-1", core::LogLevel::Info);
-  const std::string Strange = "a \"quoted\" path\\with\nlines \x01 and \xff";
-  const std::string Text = written([&] {
-    core::log(core::LogLevel::Info, "refused", {{"message", Strange}});
+  const std::string EscapedText = "a \"quoted\" path\\with\nlines \x01 and \xff";
+  const std::string Text = captureStandardError([&] {
+    core::log(core::LogLevel::Info, "refused", {{"message", EscapedText}});
   });
   const auto Line = nlohmann::json::parse(Text, nullptr, false);
   cr_assert(Line.is_object(), "%s", Text.c_str());
@@ -47,7 +47,7 @@
 
 Test(LogLine, keepsPlainFieldsInTheirOrder) {
   core::initLog("lahore-a-1", core::LogLevel::Info);
-  const std::string Text = written([] {
+  const std::string Text = captureStandardError([] {
     core::log(core::LogLevel::Info, "start", {{"request_id", "5c0e"}, {"detail", ""}});
   });
   cr_expect_neq(Text.find(R"("event":"start","request_id":"5c0e","detail":"")"), std::string::npos,
