core: reword comments

Cause: several comments used figurative or private wording. Change: they say in plain terms what the code does and why; every number and reason stays.

--- a/include/masticdrift/core/Clock.h
+++ b/include/masticdrift/core/Clock.h
@@ -1,5 +1,5 @@
 /// \file
-/// The clock of every lease and deadline.
+/// The clock that measures leases and deadlines, and wall-clock time for logs.
 #ifndef MASTICDRIFT_CORE_CLOCK_H
 #define MASTICDRIFT_CORE_CLOCK_H
 
@@ -9,8 +9,8 @@
 
 /// Monotonic clock that also counts while the machine is suspended.
 ///
-/// std::chrono::steady_clock stops during suspension, so a lease measured with it would outlive its
-/// real end.
+/// std::chrono::steady_clock stops during suspension, so a lease measured with it would last longer
+/// than its holder was granted.
 struct Clock {
   using duration = std::chrono::nanoseconds;
   using rep = duration::rep;
@@ -31,8 +31,9 @@
   return std::chrono::duration_cast<Millis>(Value).count();
 }
 
-/// \returns wall-clock time in milliseconds since the Unix epoch, for logs and the audit trail
-/// only.
+/// Reads the wall clock, which can jump. Use it only for logs and the audit trail.
+///
+/// \returns milliseconds since the Unix epoch.
 std::int64_t wallMillis() noexcept;
 
 } // namespace masticdrift::core
--- a/include/masticdrift/core/Error.h
+++ b/include/masticdrift/core/Error.h
@@ -1,5 +1,5 @@
 /// \file
-/// The closed list of error kinds and the table from kind to answer.
+/// The error kinds and the table that maps each kind to its answer.
 #ifndef MASTICDRIFT_CORE_ERROR_H
 #define MASTICDRIFT_CORE_ERROR_H
 
@@ -10,7 +10,7 @@
 
 namespace masticdrift::core {
 
-/// Every way in which an operation can fail. The value is the number in the stable id ("MD-101").
+/// The kinds of failure. The value of a kind is the number in its stable id ("MD-101").
 enum class ErrorKind : int {
   None = 0,
   MalformedJson = 101,
@@ -58,10 +58,10 @@
   Internal = 901,
 };
 
-/// What an error says about whether the work ran.
+/// Whether the requested work ran before the error.
 enum class RunState { NotRun, MayHaveRun, Ran };
 
-/// One row of the table from kind to answer.
+/// The answer that belongs to one error kind.
 struct ErrorInfo {
   ErrorKind Kind_;
   std::string_view Id_;      ///< stable id, for example "MD-203"
@@ -73,7 +73,7 @@
   std::string_view Example_; ///< an example of the message
 };
 
-/// \returns the row of \p Kind; the row of Internal for a value outside the list.
+/// \returns the table row of \p Kind, or the row of Internal for an unknown value.
 const ErrorInfo &describe(ErrorKind Kind);
 
 /// \returns all rows, ordered by kind.
@@ -82,13 +82,13 @@
 /// \returns the category named "masticdrift" whose values are ErrorKind.
 const std::error_category &errorCategory() noexcept;
 
-/// Found by std::error_code's constructor.
+/// Lets an ErrorKind convert to std::error_code; found by argument-dependent lookup.
 std::error_code make_error_code(ErrorKind Kind) noexcept; // NOLINT(readability-identifier-naming)
 
-/// \returns the kind of \p Code; Internal for a code of another category, None for success.
+/// \returns the kind of \p Code, Internal for a code of another category, or None for success.
 ErrorKind kindOf(std::error_code Code) noexcept;
 
-/// A failure with its kind and a message for people.
+/// A failure: its kind and a human-readable message.
 struct Failure {
   ErrorKind Kind_ = ErrorKind::None;
   std::string Message_;
@@ -97,13 +97,13 @@
   explicit operator bool() const { return Kind_ != ErrorKind::None; }
 };
 
-/// Renders the answer body that every HTTP error carries.
+/// Renders the JSON body of an HTTP error response.
 ///
 /// \param Kind the kind of failure.
-/// \param Message what happened, for people.
-/// \param RequestId the request's id, may be empty.
+/// \param Message human-readable description of the failure.
+/// \param RequestId the id of the request; left out of the body when empty.
 /// \returns a JSON object with id, name, message, ran ("not_run", "may_have_run", "ran"), retry,
-/// hint.
+/// hint and, unless empty, request_id. Invalid UTF-8 is replaced.
 std::string errorBody(ErrorKind Kind, std::string_view Message, std::string_view RequestId);
 
 } // namespace masticdrift::core
--- a/include/masticdrift/core/Log.h
+++ b/include/masticdrift/core/Log.h
@@ -1,6 +1,6 @@
 /// \file
-/// Structured logging: one JSON object a line, on standard error or, without ever blocking the
-/// caller, on standard output.
+/// Structured logging: one JSON object per line, written to standard error, or to standard output
+/// without blocking the caller.
 #ifndef MASTICDRIFT_CORE_LOG_H
 #define MASTICDRIFT_CORE_LOG_H
 
@@ -19,26 +19,26 @@
   std::string Value_;
 };
 
-/// Where lines go.
+/// Destination of log lines.
 enum class LogTarget {
-  StandardError,  ///< written by the caller
-  StandardOutput, ///< written by a thread of its own; lines are dropped when it lags
+  StandardError,  ///< written synchronously by the calling thread
+  StandardOutput, ///< written by a background thread; lines are dropped when it lags
 };
 
-/// Sets the instance name that every line carries and the lowest level that is written.
-/// Must come before the first line when \p Target is not standard error.
+/// Sets the instance name in every line, the lowest level that is written, and the destination.
+/// When \p Target is not standard error, call this before the first log line.
 void initLog(std::string_view Instance, LogLevel MinLevel,
              LogTarget Target = LogTarget::StandardError);
 
-/// \returns how many lines were dropped because the writer lagged.
+/// \returns the number of lines dropped because the background writer lagged.
 std::size_t droppedLogLines();
 
 /// Writes one line. Thread-safe.
 ///
 /// \param Level the severity.
-/// \param Event a short sentence that says what happened.
-/// \param Fields values of this event; the request id goes under "request_id". Never a key in clear
-/// text.
+/// \param Event a short description of what happened.
+/// \param Fields values of this event; the request id goes under "request_id". Must not contain an
+/// API key in clear text.
 void log(LogLevel Level, std::string_view Event, std::initializer_list<LogField> Fields = {});
 
 } // namespace masticdrift::core
--- a/include/masticdrift/core/Metrics.h
+++ b/include/masticdrift/core/Metrics.h
@@ -13,25 +13,26 @@
 
 enum class MetricType { Counter, Gauge, Histogram };
 
-/// One row of the closed list of metrics.
+/// Name, type and help text of one exported metric.
 struct MetricInfo {
   std::string_view Name_;
   MetricType Type_;
   std::string_view Help_;
 };
 
-/// \returns every metric that the daemon exports. A name outside this list is a programming error.
+/// \returns all metrics that the daemon exports. The functions below throw std::logic_error for a
+/// name that is not in this table.
 std::span<const MetricInfo> metricTable();
 
 using Labels = std::initializer_list<std::pair<std::string, std::string>>;
 
-/// Adds \p Amount to a counter. Thread-safe.
+/// Adds \p Amount to the counter \p Name. Thread-safe.
 void count(std::string_view Name, Labels LabelValues = {}, double Amount = 1);
 
-/// Sets a gauge. Thread-safe.
+/// Sets the gauge \p Name to \p Value. Thread-safe.
 void setGauge(std::string_view Name, double Value, Labels LabelValues = {});
 
-/// Records \p Seconds in a histogram. Thread-safe.
+/// Records \p Seconds in the histogram \p Name. Thread-safe.
 void observe(std::string_view Name, double Seconds, Labels LabelValues = {});
 
 /// \returns all metrics in the Prometheus text format.
--- a/include/masticdrift/core/Pack.h
+++ b/include/masticdrift/core/Pack.h
@@ -1,5 +1,5 @@
 /// \file
-/// msgpack encoding and decoding of plain structs that carry MSGPACK_DEFINE_ARRAY.
+/// msgpack encoding and decoding of structs that declare MSGPACK_DEFINE_ARRAY.
 #ifndef MASTICDRIFT_CORE_PACK_H
 #define MASTICDRIFT_CORE_PACK_H
 
@@ -12,19 +12,19 @@
 
 namespace masticdrift::core {
 
-/// \returns \p Value as msgpack.
+/// \returns \p Value encoded as msgpack.
 template <typename T> std::string pack(const T &Value) {
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer, Value);
   return {Buffer.data(), Buffer.size()};
 }
 
-/// Decodes input that may come from the network.
+/// Decodes untrusted input.
 ///
 /// \param Bytes the encoded value.
-/// \returns the value, or nothing when the bytes are not exactly one value of this type.
+/// \returns the value, or std::nullopt when \p Bytes is not exactly one value of type T.
 template <typename T> std::optional<T> unpack(std::string_view Bytes) {
-  // Bounds what hostile lengths can make the decoder reserve.
+  // Limits the memory that forged length fields can make the decoder allocate.
   const msgpack::unpack_limit Limits(100'000, 100'000, 64U << 20U, 64U << 20U, 1U << 20U, 32);
   try {
     std::size_t ConsumedBytes = 0;
--- a/include/masticdrift/core/Resources.h
+++ b/include/masticdrift/core/Resources.h
@@ -1,5 +1,5 @@
 /// \file
-/// Amounts of a worker's resources.
+/// Resource amounts of workers and tasks.
 #ifndef MASTICDRIFT_CORE_RESOURCES_H
 #define MASTICDRIFT_CORE_RESOURCES_H
 
@@ -14,7 +14,7 @@
 
 namespace masticdrift::core {
 
-/// Processor time, memory and accelerators of a worker or a task. Whole numbers, so that sums are
+/// Cores, memory and accelerators of a worker or a task. The amounts are integers so that sums are
 /// exact.
 struct Resources {
   std::int64_t MilliCores_ = 0; ///< thousandths of a core
@@ -43,17 +43,17 @@
   }
 };
 
-/// The kinds of resource in a fixed order, for loops over all of them.
+/// Number of resource kinds; amounts() and ResourceNames list them in the same order.
 inline constexpr std::size_t ResourceKinds = 3;
 inline constexpr std::array<std::string_view, ResourceKinds> ResourceNames{"cores", "memory_mb",
                                                                            "accelerators"};
 
-/// \returns the amounts in the order of ResourceNames (cores in thousandths).
+/// \returns the amounts in the order of ResourceNames (cores in thousandths of a core).
 constexpr std::array<std::int64_t, ResourceKinds> amounts(const Resources &Value) {
   return {Value.MilliCores_, Value.MemoryMb_, Value.Accelerators_};
 }
 
-/// \returns true when \p Required is at most \p Available in every kind.
+/// \returns true when \p Required is at most \p Available for every resource kind.
 constexpr bool fits(const Resources &Required, const Resources &Available) {
   return Required.MilliCores_ <= Available.MilliCores_ &&
          Required.MemoryMb_ <= Available.MemoryMb_ &&
--- a/include/masticdrift/core/Timers.h
+++ b/include/masticdrift/core/Timers.h
@@ -1,5 +1,5 @@
 /// \file
-/// Timers on one thread.
+/// Timers that run their callbacks on one thread.
 #ifndef MASTICDRIFT_CORE_TIMERS_H
 #define MASTICDRIFT_CORE_TIMERS_H
 
@@ -10,13 +10,13 @@
 
 namespace masticdrift::core {
 
-/// Runs functions later on a thread of its own. The functions must not block.
+/// Runs callbacks on one dedicated thread. A callback must not block: it would delay all others.
 class Timers {
 public:
   Timers();
   Timers(const Timers &) = delete;
   Timers &operator=(const Timers &) = delete;
-  /// Stops and joins; what has not run is dropped.
+  /// Calls stop().
   ~Timers();
 
   /// Runs \p Callback on the timer thread as soon as possible.
@@ -25,11 +25,12 @@
   /// Runs \p Callback once after \p Delay.
   void after(Duration Delay, std::function<void()> Callback);
 
-  /// Runs \p Callback every \p Period, first after one period; a late run does not shift the later
-  /// ones.
+  /// Runs \p Callback every \p Period, first after one period. A late run does not shift later
+  /// ones; after a pause longer than a period, missed runs are skipped.
   void every(Duration Period, std::function<void()> Callback);
 
-  /// Stops and joins. Idempotent; must not be called from a timer function.
+  /// Stops the thread and joins it; callbacks that have not run are dropped. Idempotent. Must not
+  /// be called from a callback.
   void stop();
 
 private:
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -18,20 +18,20 @@
 
 namespace {
 
-/// Lines that may wait for the writer: a second at several times the usual rate.
+/// Limit of the lines buffered for the writer: one second at several times the usual log rate.
 constexpr std::size_t MaxBufferedBytes = 1U << 20U;
-/// Lines within this time are written together.
+/// How long the writer waits for more lines before it writes a batch.
 constexpr std::chrono::milliseconds BatchDelay{40};
-/// Bytes that a pipe takes in one piece (PIPE_BUF).
+/// Largest write that a pipe accepts atomically (PIPE_BUF).
 constexpr std::size_t AtomicPipeWriteBytes = 4096;
-/// Bytes of a line about a task.
+/// Initial buffer size, enough for a line about a task.
 constexpr std::size_t TypicalLineBytes = 256;
 
 std::string InstanceName;                          // NOLINT: set once before threads start
 LogTarget ActiveTarget = LogTarget::StandardError; // NOLINT: set once before threads start
 
-/// Collects lines and writes them from a thread of its own, many at a time: a wake-up and a system
-/// call a line cost a small machine more than the line.
+/// Buffers lines and writes them in batches from a background thread. On a small machine, one
+/// wake-up and one system call per line cost more than formatting the line.
 class BatchSink final : public spdlog::sinks::base_sink<std::mutex> {
 public:
   BatchSink() : Writer_([this] { run(); }) {}
@@ -65,7 +65,7 @@
       BatchReady_.notify_one();
   }
 
-  /// The writer flushes; the caller never waits for it.
+  /// Does nothing: the writer thread flushes, and callers never wait for it.
   void flush_() override {}
 
 private:
@@ -73,7 +73,7 @@
     std::unique_lock Lock(BatchMutex_);
     while (!Closed_ || !Batch_.empty()) {
       BatchReady_.wait(Lock, [this] { return Closed_ || !Batch_.empty(); });
-      // Lines that follow soon join this batch.
+      // Waits for lines that can share this write.
       BatchReady_.wait_for(Lock, BatchDelay, [this] { return Closed_; });
       const std::string Text = std::exchange(Batch_, {});
       Lock.unlock();
@@ -82,7 +82,8 @@
     }
   }
 
-  /// Whole lines only, in pieces that a pipe takes at once, so that no reader sees half a line.
+  /// Writes whole lines in chunks of at most AtomicPipeWriteBytes, so that a reader of a pipe sees
+  /// no partial line. A longer line is written on its own.
   static void writeLines(std::string_view Text) {
     while (!Text.empty()) {
       std::size_t Size = Text.size();
@@ -150,8 +151,8 @@
   });
 }
 
-/// Appends "key":"value". Nearly all values are plain, and a JSON object per line costs five times
-/// as much as the rest of the line.
+/// Appends "key":"value" without a JSON library unless the value needs escaping, which is rare:
+/// building a JSON object per line costs five times as much as the rest of the line.
 void appendField(std::string &Line, std::string_view Key, std::string_view Value) {
   Line += '"';
   Line += Key;
@@ -187,7 +188,7 @@
     Line += ',';
     appendField(Line, Field.Key_, Field.Value_);
   }
-  // The pattern supplies the braces, so that time and level come first.
+  // The pattern adds the braces and puts time and level first.
   logger().log(toSpdlog(Level), std::string_view(Line));
 }
 
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -55,7 +55,7 @@
     MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
 };
 
-// Exponential from 0.1 ms to 6.5 s.
+// Roughly exponential, from 0.1 ms to 6.5 s.
 const prometheus::Histogram::BucketBoundaries BucketBoundsSeconds{
     0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 6.5};
 
@@ -66,7 +66,7 @@
   return *Found;
 }
 
-/// Families by name over one registry.
+/// Registers metric families on first use and finds them by name.
 class Families {
 public:
   template <typename Builder> auto &family(std::string_view Name, Builder MakeBuilder) {
--- a/src/core/Timers.cpp
+++ b/src/core/Timers.cpp
@@ -19,7 +19,7 @@
       if (Error)
         return;
       (*Callback)();
-      // After a pause longer than a period, missed runs are skipped.
+      // Skips the runs that were missed during a pause longer than a period.
       const auto Now = asio::steady_timer::clock_type::now();
       auto Next = Timer->expiry() + Period;
       if (Next < Now)
--- a/tests/unit/LogTest.cpp
+++ b/tests/unit/LogTest.cpp
@@ -1,4 +1,4 @@
-// Log lines as their readers parse them.
+// Tests that log lines are valid JSON with their fields in order.
 #include "masticdrift/core/Log.h"
 
 #include <cstdio>
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// \returns what is written to standard error while \p Callable runs.
+/// \returns what \p Function writes to standard error, up to 4096 bytes.
 template <typename Callable> std::string captureStandardError(Callable Function) {
   std::FILE *CaptureFile = std::tmpfile();
   const int SavedDescriptor = ::dup(STDERR_FILENO);
@@ -30,7 +30,8 @@
 
 } // namespace
 
-// Guards against a line that a reader of JSON can't parse because of what a field holds.
+// Guards against an unparsable log line when a field holds quotes, control characters or invalid
+// UTF-8.
 Test(LogLine, isOneJsonObjectWhateverItsFieldsHold) {
   core::initLog("lahore-a-1", core::LogLevel::Info);
   const std::string EscapedText = "a \"quoted\" path\\with\nlines \x01 and \xff";
@@ -45,6 +46,7 @@
   cr_expect(Line.contains("time") && Line.contains("level"));
 }
 
+// Guards against reordered or missing fields on the path that bypasses the JSON library.
 Test(LogLine, keepsPlainFieldsInTheirOrder) {
   core::initLog("lahore-a-1", core::LogLevel::Info);
   const std::string Text = captureStandardError([] {
