--- a/include/masticdrift/journal/Appender.h
+++ b/include/masticdrift/journal/Appender.h
@@ -22,8 +22,8 @@
   std::string Stream_; ///< also the label of the metrics
   std::string Writer_;
   std::uint64_t Incarnation_ = 0;
-  core::Duration CloseAfter_ = std::chrono::milliseconds(20); ///< age at which a batch is closed
-  std::size_t CloseAtBytes_ = 64U << 10U;                     ///< size at which a batch is closed
+  core::Duration MaxBatchAge_ = std::chrono::milliseconds(20); ///< age at which a batch is closed
+  std::size_t MaxBatchBytes_ = 64U << 10U;                     ///< size at which a batch is closed
   double AppendsPerSecond_ = 20;
   double Burst_ = 20; ///< appends that can follow each other without waiting
   /// Counted from the first entry of a batch. After it no new attempt is started.
--- a/include/masticdrift/journal/Snapshot.h
+++ b/include/masticdrift/journal/Snapshot.h
@@ -88,7 +88,7 @@
 private:
   struct Partial {
     BatchInfo Info_;
-    SnapshotPart Head_;
+    SnapshotPart Header_;
     std::string Bytes_;
   };
   std::vector<Partial> Partials_;
--- a/include/masticdrift/journal/Tailer.h
+++ b/include/masticdrift/journal/Tailer.h
@@ -31,17 +31,17 @@
   std::vector<WriterSequence> Sequences_;
 };
 
-/// Functions that replay calls, all on the timer thread. Only Entry_ is required.
+/// Functions that replay calls, all on the timer thread. Only OnEntry_ is required.
 struct TailerHooks {
   /// Called for each entry in order, exactly once. \p Index counts the entries of a batch from 0.
   std::function<void(std::uint64_t Offset, std::uint32_t Index, const BatchInfo &, const Entry &)>
-      Entry_;
+      OnEntry_;
   /// Called after the last entry of a batch, and for each copy that was skipped (\p Copy true).
-  std::function<void(std::uint64_t Offset, const BatchInfo &, bool Copy)> EndOfBatch_;
+  std::function<void(std::uint64_t Offset, const BatchInfo &, bool Copy)> OnBatchEnd_;
   /// Called when a read reached the end of the stream and everything up to it has been applied.
-  std::function<void()> CaughtUp_;
+  std::function<void()> OnCaughtUp_;
   /// Called once for each gap that no snapshot covers; repeated when the gap changes.
-  std::function<void(const Gap &)> Gap_;
+  std::function<void(const Gap &)> OnGap_;
   /// Replaces the replayed state by a snapshot. \returns false when it can't be decoded; the gap
   /// is then reported.
   std::function<bool(const SnapshotBody &, std::uint64_t BaseOffset)> LoadSnapshot_;
@@ -92,7 +92,7 @@
   /// on the timer thread or before start(). Positions behind the present one are ignored.
   ///
   /// \returns true when the position was taken.
-  bool resume(const Position &From);
+  bool resume(const Position &Start);
 
   /// \returns the send time of the last read that reached the end of the stream and was applied;
   /// nothing before the first one or while there is a gap.
@@ -102,7 +102,8 @@
   std::uint64_t nextOffset() const;
 
   /// \returns where replay stands. Consistent with the replayed state when called on the timer
-  /// thread outside the hook Entry_, for example in EndOfBatch_: that is where snapshots are taken.
+  /// thread outside the hook OnEntry_, for example in OnBatchEnd_: that is where snapshots are
+  /// taken.
   Position position() const;
 
   /// \returns the gap that no snapshot covers, if any.
--- a/src/cell/DomainStream.cpp
+++ b/src/cell/DomainStream.cpp
@@ -36,7 +36,7 @@
     To.Stream_ = From.Stream_;
     To.Writer_ = From.Ownership_.Instance_;
     To.Incarnation_ = From.Ownership_.Incarnation_;
-    To.CloseAfter_ = From.BatchClose_;
+    To.MaxBatchAge_ = From.BatchClose_;
     To.AppendsPerSecond_ = From.AppendsPerSecond_;
     return To;
   }
@@ -68,13 +68,13 @@
 
   journal::TailerHooks tailerHooks() {
     journal::TailerHooks To;
-    To.Entry_ = [this](std::uint64_t Offset, std::uint32_t, const journal::BatchInfo &,
-                       const journal::Entry &Record) { replay(Offset, Record); };
-    To.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
+    To.OnEntry_ = [this](std::uint64_t Offset, std::uint32_t, const journal::BatchInfo &,
+                         const journal::Entry &Record) { replay(Offset, Record); };
+    To.OnBatchEnd_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
       Appender_.observed(Info, Offset);
     };
-    To.CaughtUp_ = [this] { caughtUp(); };
-    To.Gap_ = [this](const journal::Gap &Missing) {
+    To.OnCaughtUp_ = [this] { caughtUp(); };
+    To.OnGap_ = [this](const journal::Gap &Missing) {
       core::log(core::LogLevel::Error, "records expired before they were read",
                 {{"stream", Options_.Stream_},
                  {"needed", std::to_string(Missing.Needed_)},
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -148,7 +148,7 @@
       To.Stream_ = streamOf(Domain);
       To.Writer_ = Options_.Self_;
       To.Incarnation_ = Options_.Incarnation_;
-      To.CloseAfter_ = Options_.BatchClose_;
+      To.MaxBatchAge_ = Options_.BatchClose_;
       To.AppendsPerSecond_ = Options_.AppendsPerSecond_;
       Slot = std::make_unique<journal::Appender>(To, journal::appendTo(Log_, To.Stream_), Timers_);
     }
--- a/src/journal/Appender.cpp
+++ b/src/journal/Appender.cpp
@@ -19,14 +19,14 @@
 /// Largest multiple of RetryDelay_ between two attempts.
 constexpr int MaxRetryFactor = 4;
 
-std::size_t sizeOf(const std::vector<Entry> &Entries) {
+std::size_t encodedSize(const std::vector<Entry> &Entries) {
   std::size_t Total = 0;
-  for (const Entry &One : Entries)
-    Total += One.Body_.size() + EntryOverhead;
+  for (const Entry &Element : Entries)
+    Total += Element.Body_.size() + EntryOverhead;
   return Total;
 }
 
-core::Duration seconds(double Value) {
+core::Duration toDuration(double Value) {
   return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(Value));
 }
 
@@ -41,7 +41,7 @@
 
 struct Appender::Impl : std::enable_shared_from_this<Appender::Impl> {
   /// A batch from its first entry until its callers have their answer.
-  struct Pending {
+  struct PendingBatch {
     std::vector<Entry> Entries_;
     std::vector<Callback> Callbacks_;
     std::size_t Bytes_ = 0;
@@ -50,84 +50,84 @@
     std::uint64_t Sequence_ = 0; ///< 0 until the first attempt
     std::string Encoded_;
     int Attempts_ = 0;
-    bool MayBeTaken_ = false; ///< an attempt ended without a certain answer
-    bool Settled_ = false;    ///< callers have their answer
+    bool MayBeWritten_ = false; ///< an attempt ended without a certain answer
+    bool Settled_ = false;      ///< callers have their answer
   };
 
-  /// Answers that are given after the lock has been released.
-  struct Answer {
+  /// Completions that are given after the lock has been released.
+  struct Completion {
     std::vector<Callback> Callbacks_;
     std::error_code Error_;
     std::uint64_t Offset_ = 0;
   };
-  using Answers = std::vector<Answer>;
+  using Completions = std::vector<Completion>;
 
   Impl(AppenderOptions Options, AppendFunction Send, core::Timers &Timers, ClockFunction Now)
       : Options_(std::move(Options)), Send_(std::move(Send)), Timers_(Timers), Now_(std::move(Now)),
         Tokens_(Options_.Burst_), RefilledAt_(Now_()) {}
 
   void append(std::vector<Entry> Entries, Callback Done) {
-    const std::size_t Bytes = sizeOf(Entries);
+    const std::size_t Bytes = encodedSize(Entries);
     std::unique_lock Lock(Mutex_);
-    if (const std::error_code Refusal = refusalOf(Bytes)) {
+    if (const std::error_code Refusal = admissionError(Bytes)) {
       Lock.unlock();
       Timers_.post([Done = std::move(Done), Refusal] { Done(Refusal, 0); });
       return;
     }
-    const bool Open = !Queue_.empty() && Queue_.back().Sequence_ == 0 &&
-                      Queue_.back().Bytes_ + Bytes <= Options_.CloseAtBytes_;
-    if (!Open) {
+    const bool FitsOpenBatch = !Queue_.empty() && Queue_.back().Sequence_ == 0 &&
+                               Queue_.back().Bytes_ + Bytes <= Options_.MaxBatchBytes_;
+    if (!FitsOpenBatch) {
       Queue_.emplace_back();
       Queue_.back().OpenedAt_ = Now_();
     }
-    Pending &Into = Queue_.back();
-    Into.Entries_.insert(Into.Entries_.end(), std::make_move_iterator(Entries.begin()),
-                         std::make_move_iterator(Entries.end()));
-    Into.Callbacks_.push_back(std::move(Done));
-    Into.Bytes_ += Bytes;
-    Buffered_ += Bytes;
-    if (!Open || isFull(Into)) {
+    PendingBatch &OpenBatch = Queue_.back();
+    OpenBatch.Entries_.insert(OpenBatch.Entries_.end(), std::make_move_iterator(Entries.begin()),
+                              std::make_move_iterator(Entries.end()));
+    OpenBatch.Callbacks_.push_back(std::move(Done));
+    OpenBatch.Bytes_ += Bytes;
+    BufferedBytes_ += Bytes;
+    if (!FitsOpenBatch || isFull(OpenBatch)) {
       Lock.unlock();
-      Timers_.post(pumpLater());
+      Timers_.post(makeSendTask());
     }
   }
 
-  std::error_code refusalOf(std::size_t Bytes) const {
+  std::error_code admissionError(std::size_t Bytes) const {
     if (Stopping_)
       return core::ErrorKind::Stopping;
     if (Bytes > Options_.MaxAppendBytes_)
       return core::ErrorKind::BodyTooLarge;
-    if (Buffered_ + Bytes > Options_.MaxBufferedBytes_)
+    if (BufferedBytes_ + Bytes > Options_.MaxBufferedBytes_)
       return core::ErrorKind::StoreUnavailable;
     return {};
   }
 
   /// A batch that is followed by another one takes no more entries.
-  bool isFull(const Pending &One) const {
-    return One.Bytes_ >= Options_.CloseAtBytes_ || &One != &Queue_.back();
+  bool isFull(const PendingBatch &Item) const {
+    return Item.Bytes_ >= Options_.MaxBatchBytes_ || &Item != &Queue_.back();
   }
 
-  std::function<void()> pumpLater() {
+  std::function<void()> makeSendTask() {
     return [Weak = weak_from_this()] {
       if (const auto Self = Weak.lock())
-        Self->pump();
+        Self->sendIfDue();
     };
   }
 
   /// Sends the next batch if it is due. Runs on the timer thread.
-  void pump() {
-    Answers Due;
+  void sendIfDue() {
+    Completions Finished;
     std::string Bytes;
     std::uint64_t Sequence = 0;
     {
       const std::lock_guard Lock(Mutex_);
-      dropDone(Due);
+      removeFinished(Finished);
       if (!Queue_.empty() && !InFlight_ && isDue(Queue_.front())) {
         Bytes = startAttempt(Queue_.front());
         Sequence = Queue_.front().Sequence_;
       }
     }
-    give(Due);
+    invokeCallbacks(Finished);
     if (Sequence == 0)
       return;
     Send_(std::move(Bytes),
@@ -144,37 +144,37 @@
 
   /// Removes settled batches and those past their deadline from the front. A batch stays in front
   /// while its attempt is outstanding, so that at most one append is.
-  void dropDone(Answers &Due) {
+  void removeFinished(Completions &Finished) {
     const core::TimePoint Now = Now_();
     while (!Queue_.empty() && !InFlight_) {
-      Pending &Front = Queue_.front();
+      PendingBatch &Front = Queue_.front();
       if (!Front.Settled_ && Now - Front.OpenedAt_ >= Options_.BatchDeadline_)
         settle(Front,
-               Front.MayBeTaken_ ? core::ErrorKind::AppendUnknown
-                                 : core::ErrorKind::StoreUnavailable,
-               0, Due);
+               Front.MayBeWritten_ ? core::ErrorKind::AppendUnknown
+                                   : core::ErrorKind::StoreUnavailable,
+               0, Finished);
       if (!Front.Settled_)
         return;
-      Buffered_ -= Front.Bytes_;
+      BufferedBytes_ -= Front.Bytes_;
       Queue_.pop_front();
     }
   }
 
   /// \returns true when the batch can be sent now; otherwise sets a timer for when it may be.
-  bool isDue(Pending &Front) {
+  bool isDue(PendingBatch &Front) {
     const core::TimePoint Now = Now_();
-    core::TimePoint At = Front.NextAttempt_;
+    core::TimePoint SendTime = Front.NextAttempt_;
     if (Front.Sequence_ == 0 && !isFull(Front) && !Stopping_)
-      At = std::max(At, Front.OpenedAt_ + Options_.CloseAfter_);
+      SendTime = std::max(SendTime, Front.OpenedAt_ + Options_.MaxBatchAge_);
     refill(Now);
     if (Tokens_ < 1)
-      At = std::max(At, Now + seconds((1 - Tokens_) / Options_.AppendsPerSecond_));
-    if (At <= Now)
+      SendTime = std::max(SendTime, Now + toDuration((1 - Tokens_) / Options_.AppendsPerSecond_));
+    if (SendTime <= Now)
       return true;
-    At = std::min(At, Front.OpenedAt_ + Options_.BatchDeadline_);
+    SendTime = std::min(SendTime, Front.OpenedAt_ + Options_.BatchDeadline_);
     // Rounded up, so that the timer does not fire just before the instant.
-    Timers_.after(std::max(At - Now, core::Duration::zero()) + std::chrono::microseconds(200),
-                  pumpLater());
+    Timers_.after(std::max(SendTime - Now, core::Duration::zero()) + std::chrono::microseconds(200),
+                  makeSendTask());
     return false;
   }
 
@@ -184,13 +184,13 @@
     RefilledAt_ = Now;
   }
 
-  std::string startAttempt(Pending &Front) {
+  std::string startAttempt(PendingBatch &Front) {
     Tokens_ -= 1;
     InFlight_ = true;
     ++Front.Attempts_;
     if (Front.Sequence_ == 0) {
       Front.Sequence_ = ++LastSequence_;
-      Records_ = Front.Entries_.size();
+      FrontEntryCount_ = Front.Entries_.size();
       Front.Encoded_ = encodeBatch(
           {Options_.Writer_, Options_.Incarnation_, Front.Sequence_, std::move(Front.Entries_)});
       Front.Entries_.clear();
@@ -199,18 +199,18 @@
   }
 
   void attemptEnded(std::uint64_t Sequence, std::error_code Error, std::uint64_t Offset) {
-    Answers Due;
+    Completions Finished;
     {
       const std::lock_guard Lock(Mutex_);
       if (!InFlight_ || Queue_.empty() || Queue_.front().Sequence_ != Sequence)
         return;
       InFlight_ = false;
-      Pending &Front = Queue_.front();
+      PendingBatch &Front = Queue_.front();
       if (!Error) {
-        settle(Front, {}, Offset, Due);
+        settle(Front, {}, Offset, Finished);
       } else {
         const core::ErrorKind Kind = core::kindOf(Error);
-        Front.MayBeTaken_ |= Kind != core::ErrorKind::StoreUnavailable;
+        Front.MayBeWritten_ |= Kind != core::ErrorKind::StoreUnavailable;
         core::count(
             "masticdrift_appends_total",
             {{"stream", Options_.Stream_}, {"result", std::string(core::describe(Kind).Name_)}});
@@ -218,8 +218,8 @@
         Front.NextAttempt_ = Now_() + Options_.RetryDelay_ * Factor;
       }
     }
-    give(Due);
-    pump();
+    invokeCallbacks(Finished);
+    sendIfDue();
   }
 
   void observed(const BatchInfo &Info, std::uint64_t Offset) {
@@ -237,31 +237,32 @@
   }
 
   void settleObserved(std::uint64_t Sequence, std::uint64_t Offset) {
-    Answers Due;
+    Completions Finished;
     {
       const std::lock_guard Lock(Mutex_);
       if (!Queue_.empty() && Queue_.front().Sequence_ == Sequence && !Queue_.front().Settled_)
-        settle(Queue_.front(), {}, Offset, Due);
+        settle(Queue_.front(), {}, Offset, Finished);
     }
-    give(Due);
-    pump();
+    invokeCallbacks(Finished);
+    sendIfDue();
   }
 
-  void settle(Pending &One, std::error_code Error, std::uint64_t Offset, Answers &Due) {
-    One.Settled_ = true;
+  void settle(PendingBatch &Item, std::error_code Error, std::uint64_t Offset,
+              Completions &Finished) {
+    Item.Settled_ = true;
     if (!Error) {
       core::count("masticdrift_appends_total", {{"stream", Options_.Stream_}, {"result", "ok"}});
       core::count("masticdrift_records_total", {{"stream", Options_.Stream_}},
-                  static_cast<double>(Records_));
+                  static_cast<double>(FrontEntryCount_));
     }
-    Due.push_back({std::move(One.Callbacks_), Error, Offset});
-    One.Callbacks_.clear();
+    Finished.push_back({std::move(Item.Callbacks_), Error, Offset});
+    Item.Callbacks_.clear();
   }
 
-  static void give(const Answers &Due) {
-    for (const Answer &One : Due)
-      for (const Callback &Done : One.Callbacks_)
-        Done(One.Error_, One.Offset_);
+  static void invokeCallbacks(const Completions &Finished) {
+    for (const Completion &Element : Finished)
+      for (const Callback &Done : Element.Callbacks_)
+        Done(Element.Error_, Element.Offset_);
   }
 
   const AppenderOptions Options_;
@@ -269,9 +270,9 @@
   core::Timers &Timers_;
   const ClockFunction Now_;
   mutable std::mutex Mutex_;
-  std::deque<Pending> Queue_; ///< the front one is being sent, the back one takes entries
-  std::size_t Buffered_ = 0;
-  std::size_t Records_ = 0; ///< entries of the front batch
+  std::deque<PendingBatch> Queue_; ///< the front one is being sent, the back one takes entries
+  std::size_t BufferedBytes_ = 0;
+  std::size_t FrontEntryCount_ = 0; ///< entries of the front batch
   std::uint64_t LastSequence_ = 0;
   double Tokens_;
   core::TimePoint RefilledAt_;
@@ -305,7 +306,7 @@
 
 std::size_t Appender::bufferedBytes() const {
   const std::lock_guard Lock(Impl_->Mutex_);
-  return Impl_->Buffered_;
+  return Impl_->BufferedBytes_;
 }
 
 } // namespace masticdrift::journal
--- a/src/journal/Batch.cpp
+++ b/src/journal/Batch.cpp
@@ -7,17 +7,17 @@
 namespace {
 
 /// Reads the elements of an array of exactly their number; std::tuple accepts short arrays.
-template <typename... T> void convertArray(const msgpack::object &From, T &...To) {
-  if (From.type != msgpack::type::ARRAY || From.via.array.size != sizeof...(To))
+template <typename... T> void convertArray(const msgpack::object &Object, T &...Fields) {
+  if (Object.type != msgpack::type::ARRAY || Object.via.array.size != sizeof...(Fields))
     throw msgpack::type_error();
-  const msgpack::object *Element = From.via.array.ptr;
-  (Element++->convert(To), ...);
+  const msgpack::object *Element = Object.via.array.ptr;
+  (Element++->convert(Fields), ...);
 }
 
 struct WireEntry {
   std::uint8_t Type_ = 0;
   std::string Body_;
-  void msgpack_unpack(const msgpack::object &From) { convertArray(From, Type_, Body_); }
+  void msgpack_unpack(const msgpack::object &Object) { convertArray(Object, Type_, Body_); }
 };
 
 struct WireBatch {
@@ -25,8 +25,8 @@
   std::uint64_t Incarnation_ = 0;
   std::uint64_t Sequence_ = 0;
   std::vector<WireEntry> Entries_;
-  void msgpack_unpack(const msgpack::object &From) {
-    convertArray(From, Writer_, Incarnation_, Sequence_, Entries_);
+  void msgpack_unpack(const msgpack::object &Object) {
+    convertArray(Object, Writer_, Incarnation_, Sequence_, Entries_);
   }
 };
 
@@ -40,12 +40,13 @@
   Packer.pack(Value.Incarnation_);
   Packer.pack(Value.Sequence_);
   Packer.pack_array(static_cast<std::uint32_t>(Value.Entries_.size()));
-  for (const Entry &One : Value.Entries_) {
+  for (const Entry &BatchEntry : Value.Entries_) {
     Packer.pack_array(2);
-    Packer.pack(static_cast<std::uint8_t>(One.Type_));
+    Packer.pack(static_cast<std::uint8_t>(BatchEntry.Type_));
     // Bin and not str: the body is msgpack, not text.
-    Packer.pack_bin(static_cast<std::uint32_t>(One.Body_.size()));
-    Packer.pack_bin_body(One.Body_.data(), static_cast<std::uint32_t>(One.Body_.size()));
+    Packer.pack_bin(static_cast<std::uint32_t>(BatchEntry.Body_.size()));
+    Packer.pack_bin_body(BatchEntry.Body_.data(),
+                         static_cast<std::uint32_t>(BatchEntry.Body_.size()));
   }
   return {Buffer.data(), Buffer.size()};
 }
@@ -56,8 +57,9 @@
     return std::nullopt;
   Batch Result{std::move(Wire->Writer_), Wire->Incarnation_, Wire->Sequence_, {}};
   Result.Entries_.reserve(Wire->Entries_.size());
-  for (WireEntry &One : Wire->Entries_)
-    Result.Entries_.push_back({static_cast<RecordType>(One.Type_), std::move(One.Body_)});
+  for (WireEntry &BatchEntry : Wire->Entries_)
+    Result.Entries_.push_back(
+        {static_cast<RecordType>(BatchEntry.Type_), std::move(BatchEntry.Body_)});
   return Result;
 }
 
--- a/src/journal/Snapshot.cpp
+++ b/src/journal/Snapshot.cpp
@@ -40,10 +40,10 @@
   std::vector<Entry> Result;
   Result.reserve(Parts);
   for (std::size_t Part = 0; Part < Parts; ++Part) {
-    const SnapshotPart One{BaseOffset, static_cast<std::uint32_t>(Part),
-                           static_cast<std::uint32_t>(Parts), Digest,
-                           std::string(Bytes.substr(Part * PartBytes, PartBytes))};
-    Result.push_back(makeEntry(Type, One));
+    const SnapshotPart NewPart{BaseOffset, static_cast<std::uint32_t>(Part),
+                               static_cast<std::uint32_t>(Parts), Digest,
+                               std::string(Bytes.substr(Part * PartBytes, PartBytes))};
+    Result.push_back(makeEntry(Type, NewPart));
   }
   return Result;
 }
@@ -53,16 +53,16 @@
   if (!Part || Part->Parts_ == 0 || Part->Parts_ > MaxSnapshotParts || Part->Part_ >= Part->Parts_)
     return false;
   auto Found = std::ranges::find_if(
-      Partials_, [&](const Partial &One) { return sameWriter(One.Info_, Info); });
-  if (Found != Partials_.end() && sameSnapshot(Found->Head_, *Part)) {
+      Partials_, [&](const Partial &Candidate) { return sameWriter(Candidate.Info_, Info); });
+  if (Found != Partials_.end() && sameSnapshot(Found->Header_, *Part)) {
     // A part whose append had an unknown outcome is written again.
-    if (Part->Part_ <= Found->Head_.Part_)
+    if (Part->Part_ <= Found->Header_.Part_)
       return false;
-    if (Part->Part_ != Found->Head_.Part_ + 1) {
+    if (Part->Part_ != Found->Header_.Part_ + 1) {
       Partials_.erase(Found);
       return false;
     }
-    Found->Head_.Part_ = Part->Part_;
+    Found->Header_.Part_ = Part->Part_;
   } else {
     // Another snapshot of the same writer replaces what it left unfinished.
     if (Found != Partials_.end())
--- a/src/journal/Tailer.cpp
+++ b/src/journal/Tailer.cpp
@@ -21,17 +21,17 @@
 class SequenceTable {
 public:
   SequenceTable() = default;
-  explicit SequenceTable(const std::vector<WriterSequence> &From) {
-    for (const WriterSequence &One : From)
-      Last_[{One.Writer_, One.Incarnation_}] = One;
+  explicit SequenceTable(const std::vector<WriterSequence> &Sequences) {
+    for (const WriterSequence &Element : Sequences)
+      Last_[{Element.Writer_, Element.Incarnation_}] = Element;
   }
 
   /// \returns false for a copy, that is a sequence not above the last one.
-  bool advance(const Batch &From, std::uint64_t Offset) {
-    auto [Place, Added] = Last_.try_emplace({From.Writer_, From.Incarnation_});
-    if (!Added && From.Sequence_ <= Place->second.Sequence_)
+  bool advance(const Batch &Source, std::uint64_t Offset) {
+    auto [Slot, Added] = Last_.try_emplace({Source.Writer_, Source.Incarnation_});
+    if (!Added && Source.Sequence_ <= Slot->second.Sequence_)
       return false;
-    Place->second = {From.Writer_, From.Incarnation_, From.Sequence_, Offset};
+    Slot->second = {Source.Writer_, Source.Incarnation_, Source.Sequence_, Offset};
     // The oldest one goes, by offset, so that all readers drop the same one.
     if (Last_.size() > MaxWriters)
       Last_.erase(std::ranges::min_element(Last_, {},
@@ -76,10 +76,10 @@
       : Options_(std::move(Options)), Read_(std::move(Read)), Timers_(Timers),
         Hooks_(std::move(Hooks)), Now_(std::move(Now)) {}
 
-  std::function<void()> later(void (Impl::*What)()) {
-    return [Weak = weak_from_this(), What] {
+  std::function<void()> makeTask(void (Impl::*Method)()) {
+    return [Weak = weak_from_this(), Method] {
       if (const auto Self = Weak.lock())
-        ((*Self).*What)();
+        ((*Self).*Method)();
     };
   }
 
@@ -134,15 +134,15 @@
     schedule(SentAt);
   }
 
-  /// One chain of timers: a nudge reads in between and does not start a second chain.
+  /// Element chain of timers: a nudge reads in between and does not start a second chain.
   void schedule(core::TimePoint SentAt) {
     {
       const std::lock_guard Lock(Mutex_);
       if (std::exchange(Scheduled_, true))
         return;
     }
-    const core::Duration Left = SentAt + Options_.Interval_ - Now_();
-    Timers_.after(std::max(Left, core::Duration::zero()), later(&Impl::scheduledPoll));
+    const core::Duration Delay = SentAt + Options_.Interval_ - Now_();
+    Timers_.after(std::max(Delay, core::Duration::zero()), makeTask(&Impl::scheduledPoll));
   }
 
   void scheduledPoll() {
@@ -191,17 +191,17 @@
         return Progress;
       CompleteAsOf_ = SentAt;
     }
-    if (Hooks_.CaughtUp_)
-      Hooks_.CaughtUp_();
+    if (Hooks_.OnCaughtUp_)
+      Hooks_.OnCaughtUp_();
     return false;
   }
 
   void startCollecting(std::uint64_t First) {
     const std::lock_guard Lock(Mutex_);
-    Collected Fresh;
-    Fresh.From_ = First;
-    Fresh.Next_ = First;
-    Collected_ = std::move(Fresh);
+    Collected NewBuffer;
+    NewBuffer.From_ = First;
+    NewBuffer.Next_ = First;
+    Collected_ = std::move(NewBuffer);
   }
 
   bool collecting() const {
@@ -223,30 +223,30 @@
   void collect(legacy::LogRecord Record) {
     const auto Decoded = decodeBatch(Record.Bytes_);
     const std::lock_guard Lock(Mutex_);
-    Collected &Into = *Collected_;
+    Collected &Buffer = *Collected_;
     if (Decoded && addSnapshotParts(*Decoded, Record.Offset_))
-      Into.LoadFailed_ = false;
-    Into.Next_ = Record.Offset_ + 1;
-    Into.Bytes_ += Record.Bytes_.size();
-    Into.Records_.push_back(std::move(Record));
+      Buffer.LoadFailed_ = false;
+    Buffer.Next_ = Record.Offset_ + 1;
+    Buffer.Bytes_ += Record.Bytes_.size();
+    Buffer.Records_.push_back(std::move(Record));
     const auto &Last = Assembler_.last();
     const bool Usable = Last && !Last->Bytes_.empty();
-    while (!Into.Records_.empty() &&
-           (Into.Bytes_ > Options_.MaxCollectedBytes_ ||
-            (Usable && Into.Records_.front().Offset_ <= Last->BaseOffset_))) {
-      Into.Bytes_ -= Into.Records_.front().Bytes_.size();
-      Into.From_ = Into.Records_.front().Offset_ + 1;
-      Into.Records_.pop_front();
+    while (!Buffer.Records_.empty() &&
+           (Buffer.Bytes_ > Options_.MaxCollectedBytes_ ||
+            (Usable && Buffer.Records_.front().Offset_ <= Last->BaseOffset_))) {
+      Buffer.Bytes_ -= Buffer.Records_.front().Bytes_.size();
+      Buffer.From_ = Buffer.Records_.front().Offset_ + 1;
+      Buffer.Records_.pop_front();
     }
   }
 
   /// \returns true when a snapshot was completed.
-  bool addSnapshotParts(const Batch &From, std::uint64_t Offset) {
+  bool addSnapshotParts(const Batch &Source, std::uint64_t Offset) {
     bool Completed = false;
-    for (const Entry &One : From.Entries_)
-      if (One.Type_ == Options_.SnapshotType_)
-        Completed |=
-            Assembler_.add(Offset, {From.Writer_, From.Incarnation_, From.Sequence_}, One.Body_);
+    for (const Entry &Element : Source.Entries_)
+      if (Element.Type_ == Options_.SnapshotType_)
+        Completed |= Assembler_.add(Offset, {Source.Writer_, Source.Incarnation_, Source.Sequence_},
+                                    Element.Body_);
     return Completed;
   }
 
@@ -269,12 +269,12 @@
       reportGap(Last.has_value());
       return false;
     }
-    std::vector<legacy::LogRecord> Rest;
+    std::vector<legacy::LogRecord> RecordsAfterBase;
     {
       const std::lock_guard Lock(Mutex_);
       for (legacy::LogRecord &Record : Collected_->Records_)
         if (Record.Offset_ > Last->BaseOffset_)
-          Rest.push_back(std::move(Record));
+          RecordsAfterBase.push_back(std::move(Record));
       Collected_.reset();
       Gap_.reset();
       Assembler_.dropBytes();
@@ -283,26 +283,26 @@
     }
     core::log(core::LogLevel::Info, "snapshot loaded",
               {{"stream", Options_.Stream_}, {"base", std::to_string(Last->BaseOffset_)}});
-    return deliverAll(Rest);
+    return deliverAll(RecordsAfterBase);
   }
 
   void reportGap(bool LoadFailed) {
-    Gap Now;
+    Gap NewGap;
     {
       const std::lock_guard Lock(Mutex_);
       Collected_->LoadFailed_ |= LoadFailed;
-      Now = {NextOffset_, Collected_->From_};
-      if (Gap_ && Gap_->Needed_ == Now.Needed_ && Gap_->First_ == Now.First_)
+      NewGap = {NextOffset_, Collected_->From_};
+      if (Gap_ && Gap_->Needed_ == NewGap.Needed_ && Gap_->First_ == NewGap.First_)
         return;
-      Gap_ = Now;
+      Gap_ = NewGap;
       CompleteAsOf_.reset();
     }
     core::log(core::LogLevel::Error, "records expired without a complete snapshot",
               {{"stream", Options_.Stream_},
-               {"needed", std::to_string(Now.Needed_)},
-               {"first", std::to_string(Now.First_)}});
-    if (Hooks_.Gap_)
-      Hooks_.Gap_(Now);
+               {"needed", std::to_string(NewGap.Needed_)},
+               {"first", std::to_string(NewGap.First_)}});
+    if (Hooks_.OnGap_)
+      Hooks_.OnGap_(NewGap);
   }
 
   /// \returns false when a hook stopped or moved the tailer.
@@ -319,21 +319,21 @@
 
   void deliver(const legacy::LogRecord &Record) {
     const auto Decoded = decodeBatch(Record.Bytes_);
-    bool Fresh = false;
+    bool IsNew = false;
     {
       const std::lock_guard Lock(Mutex_);
       if (Decoded)
-        Fresh = Sequences_.advance(*Decoded, Record.Offset_);
-      if (Fresh && addSnapshotParts(*Decoded, Record.Offset_))
+        IsNew = Sequences_.advance(*Decoded, Record.Offset_);
+      if (IsNew && addSnapshotParts(*Decoded, Record.Offset_))
         Assembler_.dropBytes();
     }
     const BatchInfo Info =
         Decoded ? BatchInfo{Decoded->Writer_, Decoded->Incarnation_, Decoded->Sequence_}
                 : BatchInfo{};
-    if (Fresh && Hooks_.Entry_) {
+    if (IsNew && Hooks_.OnEntry_) {
       std::uint32_t Index = 0;
-      for (const Entry &One : Decoded->Entries_)
-        Hooks_.Entry_(Record.Offset_, Index++, Info, One);
+      for (const Entry &Element : Decoded->Entries_)
+        Hooks_.OnEntry_(Record.Offset_, Index++, Info, Element);
     }
     {
       const std::lock_guard Lock(Mutex_);
@@ -342,16 +342,16 @@
     if (!Decoded)
       core::log(core::LogLevel::Error, "record is not a batch and is skipped",
                 {{"stream", Options_.Stream_}, {"offset", std::to_string(Record.Offset_)}});
-    else if (Hooks_.EndOfBatch_)
-      Hooks_.EndOfBatch_(Record.Offset_, Info, !Fresh);
+    else if (Hooks_.OnBatchEnd_)
+      Hooks_.OnBatchEnd_(Record.Offset_, Info, !IsNew);
   }
 
-  bool resume(const Position &From) {
+  bool resume(const Position &Start) {
     const std::lock_guard Lock(Mutex_);
-    if (From.NextOffset_ <= NextOffset_)
+    if (Start.NextOffset_ <= NextOffset_)
       return false;
-    NextOffset_ = From.NextOffset_;
-    Sequences_ = SequenceTable(From.Sequences_);
+    NextOffset_ = Start.NextOffset_;
+    Sequences_ = SequenceTable(Start.Sequences_);
     Collected_.reset();
     Gap_.reset();
     Assembler_.dropBytes();
@@ -393,7 +393,7 @@
     if (std::exchange(Impl_->Started_, true))
       return;
   }
-  Impl_->Timers_.post(Impl_->later(&Impl::poll));
+  Impl_->Timers_.post(Impl_->makeTask(&Impl::poll));
 }
 
 void Tailer::stop() {
@@ -407,10 +407,10 @@
     if (!Impl_->Started_)
       return;
   }
-  Impl_->Timers_.post(Impl_->later(&Impl::poll));
+  Impl_->Timers_.post(Impl_->makeTask(&Impl::poll));
 }
 
-bool Tailer::resume(const Position &From) { return Impl_->resume(From); }
+bool Tailer::resume(const Position &Start) { return Impl_->resume(Start); }
 
 std::optional<core::TimePoint> Tailer::completeAsOf() const {
   const std::lock_guard Lock(Impl_->Mutex_);
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -47,7 +47,7 @@
     To.Stream_ = StreamName;
     To.Writer_ = From.Self_;
     To.Incarnation_ = From.Incarnation_;
-    To.CloseAfter_ = From.BatchClose_;
+    To.MaxBatchAge_ = From.BatchClose_;
     To.AppendsPerSecond_ = From.AppendsPerSecond_;
     return To;
   }
@@ -62,18 +62,18 @@
 
   journal::TailerHooks tailerHooks() {
     journal::TailerHooks To;
-    To.Entry_ = [this](std::uint64_t Offset, std::uint32_t Index, const journal::BatchInfo &,
-                       const journal::Entry &Record) {
+    To.OnEntry_ = [this](std::uint64_t Offset, std::uint32_t Index, const journal::BatchInfo &,
+                         const journal::Entry &Record) {
       if (State_.apply(Offset, Index, Record))
         Changed_ = true;
     };
-    To.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
+    To.OnBatchEnd_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
       Appender_.observed(Info, Offset);
       Offset_ = Tailer_.nextOffset();
       checkWaiters();
     };
-    To.CaughtUp_ = [this] { caughtUp(); };
-    To.Gap_ = [](const journal::Gap &Missing) {
+    To.OnCaughtUp_ = [this] { caughtUp(); };
+    To.OnGap_ = [](const journal::Gap &Missing) {
       core::log(
           core::LogLevel::Error, "config records expired before they were read",
           {{"needed", std::to_string(Missing.Needed_)}, {"first", std::to_string(Missing.First_)}});
