--- a/include/masticdrift/journal/Appender.h
+++ b/include/masticdrift/journal/Appender.h
@@ -1,5 +1,5 @@
 /// \file
-/// Group commit to one stream.
+/// Group commit of entries to one log stream.
 #ifndef MASTICDRIFT_JOURNAL_APPENDER_H
 #define MASTICDRIFT_JOURNAL_APPENDER_H
 
@@ -18,67 +18,69 @@
 
 namespace masticdrift::journal {
 
+/// Settings of an Appender.
 struct AppenderOptions {
-  std::string Stream_; ///< also the label of the metrics
+  std::string Stream_; ///< also the "stream" label of the metrics
   std::string Writer_;
   std::uint64_t Incarnation_ = 0;
-  core::Duration MaxBatchAge_ = std::chrono::milliseconds(20); ///< age at which a batch is closed
-  std::size_t MaxBatchBytes_ = 64U << 10U;                     ///< size at which a batch is closed
+  core::Duration MaxBatchAge_ = std::chrono::milliseconds(20); ///< age at which a batch is sent
+  std::size_t MaxBatchBytes_ = 64U << 10U;                     ///< size at which a batch is sent
   double AppendsPerSecond_ = 20;
-  double Burst_ = 20; ///< appends that can follow each other without waiting
-  /// Counted from the first entry of a batch. After it no new attempt is started.
+  double Burst_ = 20; ///< size of the token bucket, in appends
+  /// Counted from the first entry of a batch. No attempt is started after it.
   core::Duration BatchDeadline_ = std::chrono::seconds(3);
   core::Duration RetryDelay_ =
-      std::chrono::milliseconds(100);        ///< doubled per attempt, up to 4 times
-  std::size_t MaxBufferedBytes_ = 4U << 20U; ///< the batch being sent included
-  std::size_t MaxAppendBytes_ = 512U << 10U; ///< of one call
+      std::chrono::milliseconds(100);        ///< doubled per attempt, up to 4 times this
+  std::size_t MaxBufferedBytes_ = 4U << 20U; ///< including the batch being sent
+  std::size_t MaxAppendBytes_ = 512U << 10U; ///< limit of one append() call
 };
 
-/// Sends bytes to the log; the signature of legacy::LogClient::append bound to a stream.
+/// Appends bytes to one stream, as legacy::LogClient::append does.
 using AppendFunction =
     std::function<void(std::string Bytes, std::function<void(std::error_code, std::uint64_t)>)>;
 
-/// \returns an AppendFunction on \p Client, which must outlive it.
+/// \returns an AppendFunction that appends to \p Stream through \p Client, which must outlive it.
 AppendFunction appendTo(legacy::LogClient &Client, std::string Stream);
 
-/// Collects entries into batches and appends them one after another. Thread-safe.
+/// Groups entries into batches and appends the batches one after another. Thread-safe.
 ///
-/// At most one append is outstanding. An attempt whose answer is lost is repeated with the same
-/// sequence; replay skips the copies.
+/// At most one append is in flight. After a lost answer the batch is sent again with the same
+/// sequence number; replay skips the duplicates.
 class Appender {
 public:
   using Callback = std::function<void(std::error_code, std::uint64_t Offset)>;
   using ClockFunction = std::function<core::TimePoint()>;
 
   /// \param Timers must outlive this object and the HTTP client behind \p Send, whose callbacks
-  /// post to it. Stop it before what the callbacks use is destroyed. \param Now the clock of batch
-  /// deadlines and of the append budget.
+  /// post to it. Stop it before destroying what the callbacks use.
+  /// \param Now the clock for batch deadlines and the append rate.
   Appender(AppenderOptions Options, AppendFunction Send, core::Timers &Timers,
            ClockFunction Now = core::Clock::now);
   Appender(const Appender &) = delete;
   Appender &operator=(const Appender &) = delete;
-  /// Drops what is buffered; callbacks that have not run are not called.
+  /// Drops the buffered entries without calling their callbacks.
   ~Appender();
 
-  /// Appends \p Entries in order and within one batch.
+  /// Appends \p Entries in order, all in the same batch.
   ///
   /// \param Done called once, on the timer thread, with the offset of the batch. Errors:
-  /// StoreUnavailable when the entries were certainly not written (buffer full, no attempt could be
-  /// made, every attempt certainly failed); AppendUnknown when they may have been; BodyTooLarge for
-  /// a call over MaxAppendBytes_; Stopping after stop().
+  /// StoreUnavailable when the entries were not written (buffer full, no attempt made, or every
+  /// attempt definitely failed); AppendUnknown when they may have been written; BodyTooLarge above
+  /// MaxAppendBytes_; Stopping after stop().
   void append(std::vector<Entry> Entries, Callback Done);
 
-  /// Tells the appender that replay has seen one of its own batches, which settles a batch whose
-  /// answer was lost. Call it from the tailer's end-of-batch hook; batches of others are ignored.
+  /// Reports a batch that replay has read. When it is the batch in flight, its callers succeed even
+  /// if the answer was lost. Call it from TailerHooks::OnBatchEnd_; batches of other writers are
+  /// ignored.
   void observed(const BatchInfo &Info, std::uint64_t Offset);
 
-  /// Refuses new entries with Stopping; what is buffered is still sent.
+  /// Refuses new entries with Stopping; buffered entries are still sent.
   void stop();
 
-  /// \returns true when nothing is buffered or outstanding.
+  /// \returns true when nothing is buffered or in flight.
   bool idle() const;
 
-  /// \returns bytes waiting, the batch being sent included.
+  /// \returns the number of buffered bytes, including the batch being sent.
   std::size_t bufferedBytes() const;
 
 private:
--- a/include/masticdrift/journal/Batch.h
+++ b/include/masticdrift/journal/Batch.h
@@ -1,5 +1,5 @@
 /// \file
-/// One log record: the records of a group commit.
+/// Encoding of a log record, which holds the entries of one group commit.
 #ifndef MASTICDRIFT_JOURNAL_BATCH_H
 #define MASTICDRIFT_JOURNAL_BATCH_H
 
@@ -14,11 +14,11 @@
 
 namespace masticdrift::journal {
 
-/// Identity of a batch. A batch that is sent again keeps its identity.
+/// Identifies a batch. A batch that is sent again keeps its identity.
 struct BatchInfo {
   std::string Writer_;
-  std::uint64_t Incarnation_ = 0; ///< differs between two starts of the same writer
-  std::uint64_t Sequence_ = 0;    ///< rises with every batch of an incarnation
+  std::uint64_t Incarnation_ = 0; ///< differs between restarts of the same writer
+  std::uint64_t Sequence_ = 0;    ///< increases with every batch of an incarnation
 };
 
 /// The content of one log record.
@@ -29,13 +29,13 @@
   std::vector<Entry> Entries_;
 };
 
-/// \returns \p Value as msgpack [writer, incarnation, sequence, [[type, body], ...]].
+/// \returns \p Value encoded as msgpack [writer, incarnation, sequence, [[type, body], ...]].
 std::string encodeBatch(const Batch &Value);
 
-/// \returns the batch, or nothing when the bytes are not a batch.
+/// \returns the batch, or std::nullopt when \p Bytes is not an encoded batch.
 std::optional<Batch> decodeBatch(std::string_view Bytes);
 
-/// Makes an entry from a struct that carries MSGPACK_DEFINE_ARRAY.
+/// Makes an entry from a struct that declares MSGPACK_DEFINE_ARRAY.
 template <typename T> Entry makeEntry(RecordType Type, const T &Value) {
   return {Type, core::pack(Value)};
 }
--- a/include/masticdrift/journal/RecordType.h
+++ b/include/masticdrift/journal/RecordType.h
@@ -1,5 +1,5 @@
 /// \file
-/// Numbers of all records in the log, one list so that no two packages use the same.
+/// Numbers of all record types in the log, in one list so that no two packages reuse a number.
 #ifndef MASTICDRIFT_JOURNAL_RECORDTYPE_H
 #define MASTICDRIFT_JOURNAL_RECORDTYPE_H
 
@@ -10,7 +10,7 @@
 
 namespace masticdrift::journal {
 
-/// Type of one record. The numbers are kept in the log and never change meaning.
+/// Type of one record. The numbers are stored in the log and must never be reused.
 enum class RecordType : std::uint8_t {
   // Package ownership, domain streams.
   Join = 1,
--- a/include/masticdrift/journal/Snapshot.h
+++ b/include/masticdrift/journal/Snapshot.h
@@ -17,7 +17,7 @@
 
 namespace masticdrift::journal {
 
-/// Last sequence that replay has seen of one writer incarnation.
+/// Last sequence number that replay has read from one writer incarnation.
 struct WriterSequence {
   std::string Writer_;
   std::uint64_t Incarnation_ = 0;
@@ -27,37 +27,39 @@
   bool operator==(const WriterSequence &) const = default;
 };
 
-/// The state of a stream as of an offset: one section for each package that replays it.
+/// Replayed state of a stream at an offset, with one section per package that replays it.
 struct SnapshotBody {
   std::vector<WriterSequence> Sequences_;
-  std::vector<std::pair<std::string, std::string>> Sections_; ///< name and bytes
+  std::vector<std::pair<std::string, std::string>> Sections_; ///< name and encoded state
   MSGPACK_DEFINE_ARRAY(Sequences_, Sections_)
 
-  /// \returns the bytes of the section called \p Name, nothing when there is none.
+  /// \returns the bytes of the section \p Name, or std::nullopt when there is none.
   std::optional<std::string_view> section(std::string_view Name) const;
 };
 
 /// Body of Snapshot and ConfigSnapshot records.
 struct SnapshotPart {
-  std::uint64_t BaseOffset_ = 0; ///< last offset whose effect the snapshot contains
-  std::uint32_t Part_ = 0;       ///< from 0
+  std::uint64_t BaseOffset_ = 0; ///< last offset that the snapshot includes
+  std::uint32_t Part_ = 0;       ///< index from 0
   std::uint32_t Parts_ = 0;
-  std::uint64_t Digest_ = 0; ///< XXH3 of the whole byte string
+  std::uint64_t Digest_ = 0; ///< XXH3 hash of the whole snapshot
   std::string Bytes_;
   MSGPACK_DEFINE_ARRAY(BaseOffset_, Part_, Parts_, Digest_, Bytes_)
 };
 
-/// Bytes of one part; below the batch size of 64 KB with room for the headers.
+/// Size of one part: the batch limit of 64 KB less space for headers.
 inline constexpr std::size_t SnapshotPartBytes = 60U << 10U;
 
 /// Largest number of parts that readers accept.
 inline constexpr std::uint32_t MaxSnapshotParts = 4096;
 
-/// Splits a byte string into records. Append each entry with a call of its own.
+/// Splits an encoded snapshot into parts. Append each entry in a separate call.
 ///
 /// \param Type Snapshot or ConfigSnapshot.
-/// \param BaseOffset last offset whose effect \p Bytes contains.
+/// \param BaseOffset last offset that \p Bytes includes.
 /// \param Bytes the encoded SnapshotBody.
+/// \param PartBytes largest number of bytes per part.
+/// \returns the parts in order, at least one.
 std::vector<Entry> splitSnapshot(RecordType Type, std::uint64_t BaseOffset, std::string_view Bytes,
                                  std::size_t PartBytes = SnapshotPartBytes);
 
@@ -68,7 +70,7 @@
   std::string Bytes_;
 };
 
-/// Puts parts together again. Not thread-safe.
+/// Reassembles snapshots from their parts. Not thread-safe.
 ///
 /// Parts of one snapshot come in order from one writer incarnation; parts of different writers may
 /// be interleaved.
@@ -76,13 +78,13 @@
 public:
   /// Adds one part; malformed bodies and parts out of order are dropped.
   ///
-  /// \returns true when the part completed a snapshot, which then is the one last() returns.
+  /// \returns true when the part completed a snapshot, which last() then returns.
   bool add(std::uint64_t Offset, const BatchInfo &Info, std::string_view Body);
 
   /// \returns the last complete snapshot.
   const std::optional<CompleteSnapshot> &last() const { return Last_; }
 
-  /// Releases the bytes of the last complete snapshot; its offsets stay.
+  /// Frees the bytes of the last complete snapshot but keeps its offsets.
   void dropBytes();
 
 private:
--- a/src/journal/Appender.cpp
+++ b/src/journal/Appender.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// Counted per entry on top of its body: type, length and array headers.
+/// Encoded bytes of an entry besides its body: type, length and array headers.
 constexpr std::size_t EntryOverhead = 8;
 
 /// Largest multiple of RetryDelay_ between two attempts.
@@ -40,7 +40,7 @@
 }
 
 struct Appender::Impl : std::enable_shared_from_this<Appender::Impl> {
-  /// A batch from its first entry until its callers have their answer.
+  /// A batch that takes entries or is being sent; it ends when its callbacks have been called.
   struct PendingBatch {
     std::vector<Entry> Entries_;
     std::vector<Callback> Callbacks_;
@@ -50,11 +50,11 @@
     std::uint64_t Sequence_ = 0; ///< 0 until the first attempt
     std::string Encoded_;
     int Attempts_ = 0;
-    bool MayBeWritten_ = false; ///< an attempt ended without a certain answer
-    bool Settled_ = false;      ///< callers have their answer
+    bool MayBeWritten_ = false; ///< an attempt had an unknown outcome
+    bool Settled_ = false;      ///< the result is decided
   };
 
-  /// Completions that are given after the lock has been released.
+  /// Result of a batch, whose callbacks run after the lock has been released.
   struct Completion {
     std::vector<Callback> Callbacks_;
     std::error_code Error_;
@@ -102,7 +102,7 @@
     return {};
   }
 
-  /// A batch that is followed by another one takes no more entries.
+  /// A batch that is followed by another one accepts no more entries.
   bool isFull(const PendingBatch &Item) const {
     return Item.Bytes_ >= Options_.MaxBatchBytes_ || &Item != &Queue_.back();
   }
@@ -142,8 +142,8 @@
           });
   }
 
-  /// Removes settled batches and those past their deadline from the front. A batch stays in front
-  /// while its attempt is outstanding, so that at most one append is.
+  /// Removes settled and expired batches from the front. A batch stays at the front while its
+  /// append is in flight, so that at most one is in flight.
   void removeFinished(Completions &Finished) {
     const core::TimePoint Now = Now_();
     while (!Queue_.empty() && !InFlight_) {
@@ -160,7 +160,9 @@
     }
   }
 
-  /// \returns true when the batch can be sent now; otherwise sets a timer for when it may be.
+  /// Sets a timer for the send time when the batch cannot be sent yet.
+  ///
+  /// \returns true when the batch can be sent now.
   bool isDue(PendingBatch &Front) {
     const core::TimePoint Now = Now_();
     core::TimePoint SendTime = Front.NextAttempt_;
@@ -172,7 +174,7 @@
     if (SendTime <= Now)
       return true;
     SendTime = std::min(SendTime, Front.OpenedAt_ + Options_.BatchDeadline_);
-    // Rounded up, so that the timer does not fire just before the instant.
+    // The added time keeps the timer from firing just before the send time.
     Timers_.after(std::max(SendTime - Now, core::Duration::zero()) + std::chrono::microseconds(200),
                   makeSendTask());
     return false;
@@ -270,9 +272,9 @@
   core::Timers &Timers_;
   const ClockFunction Now_;
   mutable std::mutex Mutex_;
-  std::deque<PendingBatch> Queue_; ///< the front one is being sent, the back one takes entries
+  std::deque<PendingBatch> Queue_; ///< the front is sent, the back accepts entries
   std::size_t BufferedBytes_ = 0;
-  std::size_t FrontEntryCount_ = 0; ///< entries of the front batch
+  std::size_t FrontEntryCount_ = 0; ///< number of entries in the front batch
   std::uint64_t LastSequence_ = 0;
   double Tokens_;
   core::TimePoint RefilledAt_;
--- a/src/journal/Batch.cpp
+++ b/src/journal/Batch.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Reads the elements of an array of exactly their number; std::tuple accepts short arrays.
+/// Decodes an array with exactly one element per field. Decoding to std::tuple would accept shorter
+/// arrays.
 template <typename... T> void convertArray(const msgpack::object &Object, T &...Fields) {
   if (Object.type != msgpack::type::ARRAY || Object.via.array.size != sizeof...(Fields))
     throw msgpack::type_error();
@@ -43,7 +44,7 @@
   for (const Entry &BatchEntry : Value.Entries_) {
     Packer.pack_array(2);
     Packer.pack(static_cast<std::uint8_t>(BatchEntry.Type_));
-    // Bin and not str: the body is msgpack, not text.
+    // Encoded as bin instead of str: the body is msgpack, not text.
     Packer.pack_bin(static_cast<std::uint32_t>(BatchEntry.Body_.size()));
     Packer.pack_bin_body(BatchEntry.Body_.data(),
                          static_cast<std::uint32_t>(BatchEntry.Body_.size()));
--- a/src/journal/Snapshot.cpp
+++ b/src/journal/Snapshot.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Bounds the memory that abandoned snapshots hold: owners write one at a time, so more unfinished
-/// ones than this are left from writers that have died.
+/// Limits the memory of incomplete snapshots. Owners write one snapshot at a time, so any above
+/// this number come from writers that have crashed.
 constexpr std::size_t MaxPartials = 4;
 
 std::uint64_t digestOf(std::string_view Bytes) { return XXH3_64bits(Bytes.data(), Bytes.size()); }
@@ -55,7 +55,7 @@
   auto Found = std::ranges::find_if(
       Partials_, [&](const Partial &Candidate) { return sameWriter(Candidate.Info_, Info); });
   if (Found != Partials_.end() && sameSnapshot(Found->Header_, *Part)) {
-    // A part whose append had an unknown outcome is written again.
+    // Skips a duplicate: a part is written again when the outcome of its append was unknown.
     if (Part->Part_ <= Found->Header_.Part_)
       return false;
     if (Part->Part_ != Found->Header_.Part_ + 1) {
@@ -64,7 +64,7 @@
     }
     Found->Header_.Part_ = Part->Part_;
   } else {
-    // Another snapshot of the same writer replaces what it left unfinished.
+    // A new snapshot replaces the incomplete one of the same writer.
     if (Found != Partials_.end())
       Partials_.erase(Found);
     if (Part->Part_ != 0)
@@ -79,10 +79,11 @@
     return false;
   CompleteSnapshot Complete{Part->BaseOffset_, Offset, std::move(Found->Bytes_)};
   Partials_.erase(Found);
-  // The base must lie before the parts, otherwise the records between would be lost.
+  // The base offset must precede the parts, otherwise the records in between would be lost.
   if (digestOf(Complete.Bytes_) != Part->Digest_ || Complete.BaseOffset_ >= Offset)
     return false;
-  // A slower writer can complete an older snapshot later; its base may have expired by then.
+  // A slow writer can complete an older snapshot later, when the records after its base may have
+  // expired.
   if (Last_ && Complete.BaseOffset_ < Last_->BaseOffset_)
     return false;
   Last_ = std::move(Complete);
--- a/src/journal/Tailer.cpp
+++ b/src/journal/Tailer.cpp
@@ -13,11 +13,11 @@
 
 namespace {
 
-/// Writer incarnations whose last sequence is kept. A copy of an abandoned append arrives within
-/// minutes at most, while a few hundred daemons restart on an ordinary day.
+/// Limit of the writer incarnations whose last sequence is kept. A duplicate of an abandoned append
+/// arrives within minutes, while a few hundred daemons restart on an ordinary day.
 constexpr std::size_t MaxWriters = 4096;
 
-/// Last sequences by writer incarnation.
+/// Last sequence number of each writer incarnation.
 class SequenceTable {
 public:
   SequenceTable() = default;
@@ -26,13 +26,13 @@
       Last_[{Element.Writer_, Element.Incarnation_}] = Element;
   }
 
-  /// \returns false for a copy, that is a sequence not above the last one.
+  /// \returns false for a duplicate, that is, a sequence number not above the last one.
   bool advance(const Batch &Source, std::uint64_t Offset) {
     auto [Slot, Added] = Last_.try_emplace({Source.Writer_, Source.Incarnation_});
     if (!Added && Source.Sequence_ <= Slot->second.Sequence_)
       return false;
     Slot->second = {Source.Writer_, Source.Incarnation_, Source.Sequence_, Offset};
-    // The oldest one goes, by offset, so that all readers drop the same one.
+    // Drops the lowest offset, so that all readers drop the same incarnation.
     if (Last_.size() > MaxWriters)
       Last_.erase(std::ranges::min_element(Last_, {},
                                            [](const auto &Item) { return Item.second.Offset_; }));
@@ -62,13 +62,13 @@
 }
 
 struct Tailer::Impl : std::enable_shared_from_this<Tailer::Impl> {
-  /// Records read past a gap, kept until a complete snapshot is found.
+  /// Records read after a gap, buffered until a snapshot is complete.
   struct Collected {
     std::uint64_t From_ = 0; ///< every record from here to Next_ is in Records_
     std::uint64_t Next_ = 0;
     std::size_t Bytes_ = 0;
     std::deque<legacy::LogRecord> Records_;
-    bool LoadFailed_ = false; ///< the last snapshot could not be decoded
+    bool LoadFailed_ = false; ///< the last complete snapshot could not be decoded
   };
 
   Impl(TailerOptions Options, ReadFunction Read, core::Timers &Timers, TailerHooks Hooks,
@@ -83,7 +83,7 @@
     };
   }
 
-  /// Sends a read unless one is under way. Runs on the timer thread.
+  /// Sends a read unless one is in flight. Runs on the timer thread.
   void poll() {
     std::uint64_t From = 0;
     std::uint64_t Epoch = 0;
@@ -134,7 +134,8 @@
     schedule(SentAt);
   }
 
-  /// Element chain of timers: a nudge reads in between and does not start a second chain.
+  /// Sets the timer of the next poll unless it is set: a call of readNow() must not start a second
+  /// chain of timers.
   void schedule(core::TimePoint SentAt) {
     {
       const std::lock_guard Lock(Mutex_);
@@ -149,14 +150,14 @@
     {
       const std::lock_guard Lock(Mutex_);
       Scheduled_ = false;
-      // The read under way sets the next timer.
+      // The read in flight sets the next timer.
       if (Reading_)
         return;
     }
     poll();
   }
 
-  /// \returns true when there is more to read at once.
+  /// \returns true when there is more to read immediately.
   bool process(legacy::ReadResult &Result, std::uint64_t From, core::TimePoint SentAt) {
     if (Result.Next_ < From) {
       core::log(core::LogLevel::Error, "stream ends before the offset that was read up to",
@@ -171,7 +172,7 @@
     if (collecting()) {
       for (legacy::LogRecord &Record : Result.Records_)
         collect(std::move(Record));
-      // The end is compared with what was collected: an empty answer may have moved it.
+      // Compares the end with the collected offset: an empty answer may have moved the end.
       if (collectedUpTo() < Result.Next_)
         return Progress;
       if (!loadSnapshot())
@@ -219,7 +220,7 @@
     return Epoch_;
   }
 
-  /// Keeps a record for later and drops those that a complete snapshot covers.
+  /// Buffers a record and drops those that a complete snapshot covers or that exceed the limit.
   void collect(legacy::LogRecord Record) {
     const auto Decoded = decodeBatch(Record.Bytes_);
     const std::lock_guard Lock(Mutex_);
@@ -252,7 +253,8 @@
 
   /// Loads the last complete snapshot and applies the records after it.
   ///
-  /// \returns false when there is none that joins the records; the gap has then been reported.
+  /// \returns false when no snapshot is contiguous with the buffered records; the gap has then been
+  /// reported.
   bool loadSnapshot() {
     std::optional<CompleteSnapshot> Last;
     {
@@ -305,7 +307,7 @@
       Hooks_.OnGap_(NewGap);
   }
 
-  /// \returns false when a hook stopped or moved the tailer.
+  /// \returns false when a hook stopped the tailer or changed its position.
   bool deliverAll(const std::vector<legacy::LogRecord> &Records) {
     const std::uint64_t Epoch = epoch();
     for (const legacy::LogRecord &Record : Records) {
@@ -372,7 +374,7 @@
   std::optional<Gap> Gap_;
   std::optional<core::TimePoint> CompleteAsOf_;
   std::uint64_t Reads_ = 0;
-  std::uint64_t Epoch_ = 0; ///< rises with resume(), so that an older read is not applied
+  std::uint64_t Epoch_ = 0; ///< incremented by resume(), so that earlier reads are not applied
   bool Reading_ = false;
   bool ReadAgain_ = false;
   bool Scheduled_ = false;
--- a/tests/unit/JournalTest.cpp
+++ b/tests/unit/JournalTest.cpp
@@ -27,7 +27,7 @@
   return encodeBatch({Writer, 1, Sequence, {entry(Text)}});
 }
 
-/// A service with a client. The timers outlive the client, whose callbacks post to them.
+/// A log service and its client. The timers outlive the client, whose callbacks post to them.
 struct LogFixture {
   core::Timers Timers_;
   LogService Service_;
@@ -56,7 +56,7 @@
   return Promise->get_future();
 }
 
-/// Collects what a tailer delivers.
+/// Records what a tailer delivers.
 struct Collector {
   std::vector<std::string> entries() {
     const std::lock_guard Lock(Mutex_);
@@ -94,7 +94,7 @@
   std::atomic<int> Copies_{0};
 };
 
-/// A tailer on a store; one a store.
+/// A tailer on a fixture; one per fixture, because it stops the timers.
 struct Reader {
   explicit Reader(LogFixture &Fixture, TailerOptions Options = {})
       : Fixture_(Fixture),
@@ -133,7 +133,7 @@
   cr_assert(Read->Entries_[0].Body_ == std::string("\x00\xff", 2));
 }
 
-// Guards against a truncated record that is taken for a batch without entries.
+// Guards against decoding a truncated record as a batch without entries.
 Test(BatchCodec, aShortArrayIsNotABatch) {
   for (const std::string &Bytes :
        {std::string("\x90"), core::pack(std::make_tuple("d1", 1)),
@@ -163,7 +163,7 @@
   }
 }
 
-// Guards against an append for each call, which would exceed the store's capacity.
+// Guards against one append per call, which would exceed the store's capacity.
 Test(GroupCommit, callsAtTheSameTimeShareOneAppend) {
   core::Timers Timers;
   LogFixture Fixture;
@@ -200,7 +200,7 @@
   cr_assert_eq(decodeBatch(Fixture.Service_.records().at(0))->Entries_.size(), 2);
 }
 
-// Guards against a daemon that takes more of the store's capacity than its budget.
+// Guards against a daemon that exceeds its append rate and so its share of the store's capacity.
 Test(GroupCommit, appendsStayWithinTheBudget) {
   core::Timers Timers;
   LogFixture Fixture;
@@ -217,7 +217,7 @@
   cr_assert(Spent >= std::chrono::milliseconds(195));
 }
 
-// Guards against two effects of a record whose first answer was lost.
+// Guards against applying a record twice after its first answer was lost.
 Test(LostAnswer, aRetryHasOneEffect) {
   core::Timers Timers;
   LogFixture Fixture;
@@ -247,7 +247,7 @@
   cr_assert(Result.get() == (Outcome{ErrorKind::None, 0}));
 }
 
-// Guards against calling an append "not run" when one of its attempts may have been taken.
+// Guards against reporting "not run" for an append when one of its attempts may have been written.
 Test(LostAnswer, theDeadlineTellsCertainFromUnknown) {
   core::Timers Timers;
   LogFixture Fixture;
@@ -262,7 +262,8 @@
   cr_assert_eq(decodeBatch(Fixture.Service_.records().at(0))->Sequence_, 3);
 }
 
-// Guards against memory growth while the store is away, and against losing what was accepted.
+// Guards against unbounded memory while the store is unavailable, and against losing accepted
+// entries.
 Test(LostAnswer, theBufferIsBounded) {
   core::Timers Timers;
   LogFixture Fixture;
@@ -281,7 +282,7 @@
   cr_assert(append(BatchAppender, {entry("d")}).get().first == ErrorKind::Stopping);
 }
 
-// Guards against a second append while the first is outstanding: their order would be undefined.
+// Guards against a second append while the first is in flight: their order would be undefined.
 Test(LostAnswer, oneAppendIsOutstanding) {
   core::Timers Timers;
   std::mutex Mutex;
@@ -310,7 +311,7 @@
   Timers.stop();
 }
 
-// Guards against an abandoned batch that arrives late and takes effect after newer ones.
+// Guards against applying an abandoned batch that reaches the log after newer ones.
 Test(Replay, aDelayedCopyOfAnAbandonedBatchHasNoEffect) {
   LogFixture Fixture;
   Fixture.Service_.put(batch("d1", 2, "second"));
@@ -322,7 +323,7 @@
   cr_assert(StreamReader.Collected_.entries() == (Texts{"second", "third"}));
 }
 
-// Guards against sequences of one writer or incarnation hiding batches of another.
+// Guards against skipping a batch because of the sequence of another writer or incarnation.
 Test(Replay, twoWritersAreInterleaved) {
   LogFixture Fixture;
   Fixture.Service_.put(batch("d1", 5, "a"));
@@ -340,7 +341,7 @@
   cr_assert(StreamReader.Collected_.entries() == (Texts{"a", "b", "c", "restarted", "twice", "d"}));
 }
 
-// Guards against counting a failed read as one that showed the end of the stream.
+// Guards against counting a failed read as one that reached the end of the stream.
 Test(Replay, completenessCountsFromTheLastGoodRead) {
   LogFixture Fixture;
   Reader StreamReader(Fixture);
@@ -358,7 +359,7 @@
   cr_assert(waitFor([&] { return StreamReader.Tailer_.completeAsOf() > Before; }));
 }
 
-// Guards against waiting for a whole interval after a Notice.
+// Guards against waiting a whole interval after a Notice.
 Test(Replay, aNudgeReadsAtOnce) {
   core::Timers Timers;
   LogFixture Fixture;
@@ -375,7 +376,7 @@
   Timers.stop();
 }
 
-// Guards against serving a state that misses expired records.
+// Guards against serving a state that lacks expired records.
 Test(Gaps, aGapWithoutASnapshotIsReported) {
   LogFixture Fixture;
   for (int I = 1; I <= 4; ++I)
@@ -400,8 +401,8 @@
   cr_assert(StreamReader.Collected_.entries() == (Texts{"1", "2", "3", "4", "5"}));
 }
 
-// Guards against a snapshot that reverts records after its base, and against copies of batches
-// from before the base taking effect after it.
+// Guards against a snapshot that reverts records after its base, and against applying duplicates of
+// batches from before the base.
 Test(Gaps, theLastCompleteSnapshotIsLoadedAndTheRestApplied) {
   LogFixture Fixture;
   for (int I = 1; I <= 6; ++I)
@@ -424,7 +425,7 @@
   cr_assert(StreamReader.Collected_.Gaps_.empty());
 }
 
-// Guards against a caught-up daemon being reverted by a snapshot.
+// Guards against reverting a caught-up reader to a snapshot.
 Test(Gaps, aCaughtUpReaderIgnoresSnapshots) {
   LogFixture Fixture;
   Fixture.Service_.put(batch("d1", 1, "1"));
