--- a/src/ctl/Api.cpp
+++ b/src/ctl/Api.cpp
@@ -14,45 +14,48 @@
 
 using nlohmann::json;
 
-std::string field(const json &Of, std::string_view Name) {
-  const auto Found = Of.is_object() ? Of.find(Name) : Of.end();
-  return Of.is_object() && Found != Of.end() && Found->is_string() ? Found->get<std::string>() : "";
+std::string field(const json &Object, std::string_view Name) {
+  const auto Member = Object.is_object() ? Object.find(Name) : Object.end();
+  return Object.is_object() && Member != Object.end() && Member->is_string()
+             ? Member->get<std::string>()
+             : "";
 }
 
-Exit report(const http::Response &Response, bool Writes) {
+Exit printFailure(const http::Response &Response, bool ChangesState) {
   const json Body = json::parse(Response.Body_, nullptr, false);
   const std::string Id = field(Body, "id");
   const std::string Message = field(Body, "message");
   const std::string Hint = field(Body, "hint");
-  std::string Ran = field(Body, "ran");
-  if (Ran == "not_run")
-    Ran = " (not run)";
-  else if (Ran == "may_have_run")
-    Ran = " (may have run)";
+  std::string RunNote = field(Body, "ran");
+  if (RunNote == "not_run")
+    RunNote = " (not run)";
+  else if (RunNote == "may_have_run")
+    RunNote = " (may have run)";
   else
-    Ran.clear();
+    RunNote.clear();
   std::cerr << "masticdriftctl: " << (Id.empty() ? std::to_string(Response.Status_) : Id) << ": "
-            << (Message.empty() ? Response.Body_ : Message) << Ran << '\n';
+            << (Message.empty() ? Response.Body_ : Message) << RunNote << '\n';
   if (!Hint.empty())
     std::cerr << "masticdriftctl: hint: " << Hint << '\n';
   if (Id == "MD-601")
     return Exit::Conflict;
-  if (Writes && field(Body, "ran") == "may_have_run")
+  if (ChangesState && field(Body, "ran") == "may_have_run")
     return Exit::Unknown;
   return Exit::Refused;
 }
 
 } // namespace
 
-Answer exchange(const Target &To, std::string Method, std::string PathAndQuery, std::string Body,
-                http::Headers Headers, std::chrono::milliseconds Timeout, bool Writes) {
-  std::string Server = To.Server_;
+Answer exchange(const Target &Endpoint, std::string Method, std::string PathAndQuery,
+                std::string Body, http::Headers Headers, std::chrono::milliseconds Timeout,
+                bool ChangesState) {
+  std::string Server = Endpoint.Server_;
   while (Server.ends_with('/'))
     Server.pop_back();
   if (!Server.starts_with("http://") && !Server.starts_with("https://"))
     Server = "http://" + Server;
-  if (!To.Key_.empty())
-    Headers.emplace_back("Authorization", "Bearer " + To.Key_);
+  if (!Endpoint.Key_.empty())
+    Headers.emplace_back("Authorization", "Bearer " + Endpoint.Key_);
   http::ClientRequest Request;
   Request.Method_ = std::move(Method);
   Request.Url_ = Server + PathAndQuery;
@@ -62,42 +65,43 @@
   Request.FreshConnection_ = true;
   http::Client Client;
   http::ClientResult Result = Client.sendAndWait(std::move(Request));
-  Answer Out;
-  Out.Response_ = std::move(Result.Answer_);
+  Answer Reply;
+  Reply.Response_ = std::move(Result.Answer_);
   switch (Result.Transfer_) {
   case http::Transfer::NotConnected:
     std::cerr << "masticdriftctl: no connection to " << Server << ": " << Result.Error_
               << " (not run)\n";
-    Out.Exit_ = Exit::Unreachable;
+    Reply.Exit_ = Exit::Unreachable;
     break;
   case http::Transfer::Truncated:
   case http::Transfer::NoAnswer:
     std::cerr << "masticdriftctl: no complete answer from " << Server << ": " << Result.Error_
-              << (Writes ? " (may have taken effect)" : "") << '\n';
-    Out.Exit_ = Writes ? Exit::Unknown : Exit::Unreachable;
+              << (ChangesState ? " (may have taken effect)" : "") << '\n';
+    Reply.Exit_ = ChangesState ? Exit::Unknown : Exit::Unreachable;
     break;
   case http::Transfer::Complete:
-    if (Out.Response_.Status_ < 200 || Out.Response_.Status_ > 299)
-      Out.Exit_ = report(Out.Response_, Writes);
+    if (Reply.Response_.Status_ < 200 || Reply.Response_.Status_ > 299)
+      Reply.Exit_ = printFailure(Reply.Response_, ChangesState);
     break;
   }
-  return Out;
+  return Reply;
 }
 
 std::string encodeSegment(std::string_view Text) {
   constexpr std::string_view Digits = "0123456789ABCDEF";
-  std::string Out;
-  for (const char C : Text) {
-    const auto Byte = static_cast<unsigned char>(C);
-    if (std::isalnum(Byte) != 0 || C == '-' || C == '_' || C == '.' || C == '~') {
-      Out += C;
+  std::string Encoded;
+  for (const char Character : Text) {
+    const auto Byte = static_cast<unsigned char>(Character);
+    if (std::isalnum(Byte) != 0 || Character == '-' || Character == '_' || Character == '.' ||
+        Character == '~') {
+      Encoded += Character;
       continue;
     }
-    Out += '%';
-    Out += Digits[Byte >> 4U];
-    Out += Digits[Byte & 15U];
+    Encoded += '%';
+    Encoded += Digits[Byte >> 4U];
+    Encoded += Digits[Byte & 15U];
   }
-  return Out;
+  return Encoded;
 }
 
 std::string randomId() {
--- a/src/ctl/Api.h
+++ b/src/ctl/Api.h
@@ -27,10 +27,11 @@
 /// Sends one request on a fresh connection, so that it is sent at most once, and prints failures on
 /// standard error.
 ///
-/// \param Writes whether the request changes something: a lost answer is then Exit::Unknown,
+/// \param ChangesState whether the request changes something: a lost answer is then Exit::Unknown,
 /// otherwise Exit::Unreachable.
-Answer exchange(const Target &To, std::string Method, std::string PathAndQuery, std::string Body,
-                http::Headers Headers, std::chrono::milliseconds Timeout, bool Writes);
+Answer exchange(const Target &Endpoint, std::string Method, std::string PathAndQuery,
+                std::string Body, http::Headers Headers, std::chrono::milliseconds Timeout,
+                bool ChangesState);
 
 /// \returns \p Text percent-encoded as one path segment or query value.
 std::string encodeSegment(std::string_view Text);
--- a/src/ctl/Completion.cpp
+++ b/src/ctl/Completion.cpp
@@ -4,16 +4,17 @@
 
 namespace {
 
-void addCases(const CLI::App &At, const std::string &Path, std::string &Out) {
+void addCases(const CLI::App &Command, const std::string &Path, std::string &CaseClauses) {
   std::string Words;
-  for (const CLI::App *Each : At.get_subcommands([](const CLI::App *) { return true; }))
-    Words += " " + Each->get_name();
-  for (const CLI::Option *Each : At.get_options())
-    for (const std::string &Name : Each->get_lnames())
+  for (const CLI::App *Child : Command.get_subcommands([](const CLI::App *) { return true; }))
+    Words += " " + Child->get_name();
+  for (const CLI::Option *Child : Command.get_options())
+    for (const std::string &Name : Child->get_lnames())
       Words += " --" + Name;
-  Out += "    '" + Path + "') words='" + (Words.empty() ? "" : Words.substr(1)) + "' ;;\n";
-  for (const CLI::App *Each : At.get_subcommands([](const CLI::App *) { return true; }))
-    addCases(*Each, Path.empty() ? Each->get_name() : Path + " " + Each->get_name(), Out);
+  CaseClauses += "    '" + Path + "') words='" + (Words.empty() ? "" : Words.substr(1)) + "' ;;\n";
+  for (const CLI::App *Child : Command.get_subcommands([](const CLI::App *) { return true; }))
+    addCases(*Child, Path.empty() ? Child->get_name() : Path + " " + Child->get_name(),
+             CaseClauses);
 }
 
 } // namespace
--- a/src/ctl/Print.cpp
+++ b/src/ctl/Print.cpp
@@ -63,18 +63,18 @@
   if (isTable(Value)) {
     printTable(Value);
   } else if (Value.is_array()) {
-    for (const json &Each : Value)
-      std::cout << cell(Each) << '\n';
+    for (const json &Element : Value)
+      std::cout << cell(Element) << '\n';
   } else if (!Value.is_object()) {
     std::cout << cell(Value) << '\n';
   } else {
-    for (const auto &[Name, Each] : Value.items()) {
-      if (!isTable(Each)) {
-        std::cout << Name << ' ' << cell(Each) << '\n';
+    for (const auto &[Name, Element] : Value.items()) {
+      if (!isTable(Element)) {
+        std::cout << Name << ' ' << cell(Element) << '\n';
         continue;
       }
       std::cout << Name << ":\n";
-      printTable(Each);
+      printTable(Element);
     }
   }
 }
