--- a/src/ctl/Completion.cpp
+++ b/src/ctl/Completion.cpp
@@ -8,8 +8,8 @@
   std::string Words;
   for (const CLI::App *Child : Command.get_subcommands([](const CLI::App *) { return true; }))
     Words += " " + Child->get_name();
-  for (const CLI::Option *Child : Command.get_options())
-    for (const std::string &Name : Child->get_lnames())
+  for (const CLI::Option *NamedOption : Command.get_options())
+    for (const std::string &Name : NamedOption->get_lnames())
       Words += " --" + Name;
   CaseClauses += "    '" + Path + "') words='" + (Words.empty() ? "" : Words.substr(1)) + "' ;;\n";
   for (const CLI::App *Child : Command.get_subcommands([](const CLI::App *) { return true; }))
