ctl: reword comments

Cause: several comments were vague about results, units or the reason of a rule. Change: they state them in plain terms; options, help texts and messages stay.

--- a/src/ctl/Api.cpp
+++ b/src/ctl/Api.cpp
@@ -105,7 +105,7 @@
 }
 
 std::string randomId() {
-  // The digits after the key id are random.
+  // A key ends in random digits after its id.
   constexpr std::size_t Digits = 32;
   const config::NewKey Key = config::newKey();
   return Key.Text_.substr(Key.KeyId_.size() + 1, Digits);
--- a/src/ctl/Api.h
+++ b/src/ctl/Api.h
@@ -1,5 +1,5 @@
 /// \file
-/// Exchanges with a daemon and their exit codes.
+/// HTTP requests to a daemon and the exit codes of their results.
 #ifndef MASTICDRIFT_CTL_API_H
 #define MASTICDRIFT_CTL_API_H
 
@@ -13,21 +13,22 @@
 
 namespace masticdrift::ctl {
 
-/// Where and with which key a command talks.
+/// The server and the key that a command uses.
 struct Target {
   std::string Server_; ///< base URL
-  std::string Key_;    ///< sent as bearer token; never printed
+  std::string Key_;    ///< sent as a bearer token; never printed
 };
 
+/// Response of the daemon and the exit code that follows from it.
 struct Answer {
   Exit Exit_ = Exit::Ok;
   http::Response Response_;
 };
 
-/// Sends one request on a fresh connection, so that it is sent at most once, and prints failures on
+/// Sends one request on a new connection, so that it is sent at most once, and prints a failure to
 /// standard error.
 ///
-/// \param ChangesState whether the request changes something: a lost answer is then Exit::Unknown,
+/// \param ChangesState whether the request can change state: a lost answer is then Exit::Unknown,
 /// otherwise Exit::Unreachable.
 Answer exchange(const Target &Endpoint, std::string Method, std::string PathAndQuery,
                 std::string Body, http::Headers Headers, std::chrono::milliseconds Timeout,
@@ -36,7 +37,7 @@
 /// \returns \p Text percent-encoded as one path segment or query value.
 std::string encodeSegment(std::string_view Text);
 
-/// \returns a random id of 128 bits in hexadecimal digits, for requests that name none.
+/// \returns a random 128-bit id in hexadecimal, for requests without an id.
 std::string randomId();
 
 } // namespace masticdrift::ctl
--- a/src/ctl/Completion.h
+++ b/src/ctl/Completion.h
@@ -1,5 +1,5 @@
 /// \file
-/// Bash completion derived from the command tree.
+/// Bash completion generated from the command tree.
 #ifndef MASTICDRIFT_CTL_COMPLETION_H
 #define MASTICDRIFT_CTL_COMPLETION_H
 
@@ -9,7 +9,7 @@
 
 namespace masticdrift::ctl {
 
-/// \returns a bash script that completes commands, options and file names.
+/// \returns a bash script that completes the commands and options under \p Root, and file names.
 std::string completionScript(const CLI::App &Root);
 
 } // namespace masticdrift::ctl
--- a/src/ctl/Exit.h
+++ b/src/ctl/Exit.h
@@ -1,5 +1,5 @@
 /// \file
-/// Exit codes of masticdriftctl, one table for the program and its help.
+/// Exit codes of masticdriftctl, in one table for the program and its help text.
 #ifndef MASTICDRIFT_CTL_EXIT_H
 #define MASTICDRIFT_CTL_EXIT_H
 
@@ -10,6 +10,7 @@
 
 enum class Exit { Ok = 0, Refused = 1, Usage = 2, Unreachable = 3, Conflict = 4, Unknown = 5 };
 
+/// An exit code and its description in the help text.
 struct ExitRow {
   Exit Code_;
   std::string_view Meaning_;
--- a/src/ctl/Main.cpp
+++ b/src/ctl/Main.cpp
@@ -26,11 +26,12 @@
 using json = nlohmann::ordered_json;
 
 constexpr milliseconds ReadTimeout{5000};
-// A submission is answered after the log has confirmed it, which takes seconds when it is slow.
+// The daemon answers a submission after the log has confirmed it, which takes seconds when the log
+// is slow.
 constexpr milliseconds WriteTimeout{15000};
 constexpr milliseconds InForcePollInterval{200};
 
-/// Values of all options.
+/// Values of the options of all commands.
 struct Options {
   Target Operator_, Caller_;
   bool Json_ = false;
@@ -57,7 +58,9 @@
   return std::nullopt;
 }
 
-/// A key given as "@FILE" is read from the file.
+/// Replaces a key given as "@FILE" by the first line of the file.
+///
+/// \returns false when the file cannot be read.
 bool resolveKey(Target &Credentials) {
   if (!Credentials.Key_.starts_with('@'))
     return true;
@@ -78,7 +81,11 @@
   return printReply(exchange(Server, "GET", Path, "", {}, ReadTimeout, false), Json);
 }
 
-/// Reads and checks a configuration file and prints its mistakes.
+/// Reads and checks a configuration file, and prints its mistakes to standard error.
+///
+/// \param Text receives the content of the file.
+/// \param Code receives the exit code when the file cannot be read or has mistakes.
+/// \returns the configuration, or std::nullopt when Code is set.
 std::optional<config::ParsedConfiguration> loadConfiguration(const std::string &Name,
                                                              std::string &Text, Exit &Code) {
   auto Content = readFile(Name);
@@ -149,7 +156,7 @@
   return Exit::Ok;
 }
 
-/// Asks until the daemon reports that every instance has the version in force.
+/// Polls until the daemon reports the version in force at every instance or WaitMs_ has passed.
 Exit waitInForce(const Options &Values, const std::string &Version) {
   const auto End = std::chrono::steady_clock::now() + milliseconds(Values.WaitMs_);
   std::string LastBody;
@@ -234,7 +241,7 @@
     std::cerr << "masticdriftctl: " << Values.File_ << " is not a JSON object\n";
     return Exit::Usage;
   }
-  // With an id, a submission whose answer was lost can be repeated without a second job.
+  // With a request id, a submission whose answer was lost can be repeated without a second job.
   if (!Values.RequestId_.empty())
     Body["request_id"] = Values.RequestId_;
   else if (!Body.contains("request_id"))
@@ -248,7 +255,8 @@
   return printReply(Reply, Values.Json_);
 }
 
-/// \returns the path of a job id "<domain>/<team>/<request id>", or nothing when it is malformed.
+/// \returns the path of a job id "<domain>/<team>/<request id>", or std::nullopt when it is
+/// malformed.
 std::optional<std::string> jobPath(const std::string &Id) {
   const std::size_t First = Id.find('/');
   const std::size_t Second = First == std::string::npos ? First : Id.find('/', First + 1);
@@ -277,7 +285,7 @@
     return Exit::Usage;
   if (Values.RequestId_.empty())
     Values.RequestId_ = randomId();
-  // The daemon answers within the deadline; the rest is for the way there and back.
+  // The daemon answers within the deadline; the added second covers the network round trip.
   const milliseconds Timeout = milliseconds(Values.DeadlineMs_) + milliseconds(1000);
   const Answer Reply = exchange(Values.Caller_, "POST",
                                 "/v1/queues/" + encodeSegment(Values.Queue_) + "/requests", *Body,
@@ -292,7 +300,7 @@
 
 /// Overwrites keys in the argument list, which every user of the machine can read.
 ///
-/// \returns the keys.
+/// \returns the overwritten keys.
 std::vector<std::string> redactArguments(int Count, char **Arguments) {
   std::vector<std::string> Keys;
   const auto Redact = [&](char *Argument) {
@@ -311,7 +319,8 @@
   return Keys;
 }
 
-/// \returns \p Text without the keys; messages about unexpected arguments repeat them.
+/// \returns \p Text with the keys replaced by "***": CLI11 repeats unexpected arguments in its
+/// messages.
 std::string redactKeys(std::string Text, const std::vector<std::string> &Keys) {
   for (const std::string &Key : Keys)
     for (std::size_t Position = 0;
@@ -345,8 +354,8 @@
     return NewCommand;
   }
 
-  // The environment is read here and not through CLI11's envname(), which also runs for commands
-  // that were not given and then overwrites the shared value of the given one.
+  // Reads the environment without CLI11's envname(), which also runs for commands that were not
+  // given and then overwrites the value that they share with the given command.
   static void targetOptions(CLI::App *Command, Target &Endpoint, std::string_view ServerVariable,
                             std::string_view KeyOption, std::string_view KeyVariable) {
     const auto ReadVariable = [](std::string_view Name) {
@@ -395,7 +404,7 @@
         command(*Group, "submit", "submit a new version", [this] { return configSubmit(Values_); });
     Submit->add_option("file", Values_.File_, "configuration text, - for standard input")
         ->required();
-    // Not filled in from the server: a change made on an old version would silently undo others.
+    // Not read from the server: a text based on an older version would silently undo later changes.
     Submit
         ->add_option("--base-version", Values_.BaseVersion_,
                      "version the text builds on, 0 for none")
--- a/src/ctl/Print.h
+++ b/src/ctl/Print.h
@@ -1,5 +1,5 @@
 /// \file
-/// Output of answers for people.
+/// Human-readable output of response bodies.
 #ifndef MASTICDRIFT_CTL_PRINT_H
 #define MASTICDRIFT_CTL_PRINT_H
 
@@ -8,11 +8,12 @@
 
 namespace masticdrift::ctl {
 
-/// Prints an answer body: as it is with \p Json, otherwise arrays of objects as a table and objects
-/// as lines of "name value". A body that is not JSON is printed as it is.
+/// Prints a response body to standard output: unchanged with \p Json, otherwise arrays of objects
+/// as tables and objects as lines of "name value". A body that is not JSON is printed unchanged.
 void printBody(std::string_view Body, bool Json);
 
-/// \returns the named string or number of a JSON object as text, or an empty string.
+/// \returns the member \p Name of the JSON object \p Body as text, or an empty string when there is
+/// none.
 std::string memberText(std::string_view Body, std::string_view Name);
 
 } // namespace masticdrift::ctl
--- a/tests/unit/CtlTest.cpp
+++ b/tests/unit/CtlTest.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+/// Exit code and output of one run of masticdriftctl.
 struct Run {
   int ExitCode_ = -1;
   std::string Output_; ///< standard output and standard error
@@ -43,7 +44,7 @@
 const std::string ExampleConfiguration =
     MASTICDRIFT_SOURCE_DIR "/examples/roshan/configuration.json";
 
-/// Answers every request with what the test sets, and keeps the requests.
+/// HTTP server that answers with a function of the test and records the requests.
 class Stub {
 public:
   explicit Stub(std::function<http::Response(const http::Request &)> Answer)
@@ -70,7 +71,7 @@
 
 } // namespace
 
-// Scripts decide by the exit code, so each row of the table is checked.
+// Guards against wrong exit codes, which scripts depend on; the tests check each row of the table.
 Test(CtlOffline, checkAndDiff) {
   cr_assert_eq(run("config check " + ExampleConfiguration).ExitCode_, 0);
   cr_assert_eq(run("config check /nonexistent").ExitCode_, 2);
@@ -170,7 +171,7 @@
   cr_assert(outputContains(Late, "missing: lahore-a-2"));
 }
 
-// A wrong text must not reach the daemon: it would use up an append.
+// Guards against sending an invalid text to the daemon, which would cost an append to the log.
 Test(CtlConfig, aWrongTextIsNotSent) {
   Stub Daemon([](const http::Request &) { return http::Response{200, R"({"version":8})"}; });
   cr_assert_eq(run("config submit " MASTICDRIFT_SOURCE_DIR
@@ -189,7 +190,8 @@
   cr_assert(outputContains(run("config show --json" + Daemon.option()), R"({"version":8,)"));
 }
 
-// CLI11's own handling of the environment let it override an option of the same command.
+// Guards against an environment variable that overrides an option of the same command, as CLI11's
+// own environment handling did.
 Test(CtlKeys, keysComeFromTheEnvironmentOrAFile) {
   Stub Daemon([](const http::Request &) {
     return http::Response{200, R"([{"key_id":"k1","team":"punjab-rural"}])"};
@@ -243,7 +245,7 @@
   cr_assert(Daemon.seen()[1].Method_ == "POST" && Daemon.seen()[1].Path_ == "/v1/drain");
 }
 
-// Messages about arguments end up in terminals' and CI logs.
+// Guards against keys in usage errors, which end up in terminal and CI logs.
 Test(CtlKeys, aKeyIsNotRepeatedInUsageErrors) {
   for (const char *Key : {"--operator-key topsecret", "--operator-key=topsecret"}) {
     const Run Wrong = run("config check " + ExampleConfiguration + " " + Key);
