--- a/src/journal/Appender.cpp
+++ b/src/journal/Appender.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Encoded bytes of an entry besides its body: type, length and array headers.
-constexpr std::size_t EntryOverhead = 8;
+constexpr std::size_t EntryOverheadBytes = 8;
 
 /// Largest multiple of RetryDelay_ between two attempts.
 constexpr int MaxRetryFactor = 4;
@@ -22,7 +22,7 @@
 std::size_t encodedSize(const std::vector<Entry> &Entries) {
   std::size_t Total = 0;
   for (const Entry &Element : Entries)
-    Total += Element.Body_.size() + EntryOverhead;
+    Total += Element.Body_.size() + EntryOverheadBytes;
   return Total;
 }
 
--- a/tests/unit/LogTest.cpp
+++ b/tests/unit/LogTest.cpp
@@ -34,9 +34,9 @@
 // UTF-8.
 Test(LogLine, isOneJsonObjectWhateverItsFieldsHold) {
   core::initLog("lahore-a-1", core::LogLevel::Info);
-  const std::string EscapedText = "a \"quoted\" path\\with\nlines \x01 and \xff";
+  const std::string TextToEscape = "a \"quoted\" path\\with\nlines \x01 and \xff";
   const std::string Text = captureStandardError([&] {
-    core::log(core::LogLevel::Info, "refused", {{"message", EscapedText}});
+    core::log(core::LogLevel::Info, "refused", {{"message", TextToEscape}});
   });
   const auto Line = nlohmann::json::parse(Text, nullptr, false);
   cr_assert(Line.is_object(), "%s", Text.c_str());
