--- a/include/masticdrift/core/Resources.h
+++ b/include/masticdrift/core/Resources.h
@@ -1,5 +1,5 @@
 /// \file
-/// Amounts of a worker's resources.
+/// Resource amounts of workers and tasks.
 #ifndef MASTICDRIFT_CORE_RESOURCES_H
 #define MASTICDRIFT_CORE_RESOURCES_H
 
@@ -14,7 +14,7 @@
 
 namespace masticdrift::core {
 
-/// Processor time, memory and accelerators of a worker or a task. Whole numbers, so that sums are
+/// Cores, memory and accelerators of a worker or a task. The amounts are integers so that sums are
 /// exact.
 struct Resources {
   std::int64_t MilliCores_ = 0; ///< thousandths of a core
@@ -38,25 +38,26 @@
   }
   friend Resources operator+(Resources A, const Resources &B) { return A += B; }
   friend Resources operator-(Resources A, const Resources &B) { return A -= B; }
-  friend Resources operator*(Resources A, std::int64_t Times) {
-    return {A.MilliCores_ * Times, A.MemoryMb_ * Times, A.Accelerators_ * Times};
+  friend Resources operator*(Resources A, std::int64_t Factor) {
+    return {A.MilliCores_ * Factor, A.MemoryMb_ * Factor, A.Accelerators_ * Factor};
   }
 };
 
-/// The kinds of resource in a fixed order, for loops over all of them.
+/// Number of resource kinds; amounts() and ResourceNames list them in the same order.
 inline constexpr std::size_t ResourceKinds = 3;
 inline constexpr std::array<std::string_view, ResourceKinds> ResourceNames{"cores", "memory_mb",
                                                                            "accelerators"};
 
-/// \returns the amounts in the order of ResourceNames (cores in thousandths).
-constexpr std::array<std::int64_t, ResourceKinds> amounts(const Resources &Of) {
-  return {Of.MilliCores_, Of.MemoryMb_, Of.Accelerators_};
+/// \returns the amounts in the order of ResourceNames (cores in thousandths of a core).
+constexpr std::array<std::int64_t, ResourceKinds> amounts(const Resources &Value) {
+  return {Value.MilliCores_, Value.MemoryMb_, Value.Accelerators_};
 }
 
-/// \returns true when \p Need is at most \p Room in every kind.
-constexpr bool fits(const Resources &Need, const Resources &Room) {
-  return Need.MilliCores_ <= Room.MilliCores_ && Need.MemoryMb_ <= Room.MemoryMb_ &&
-         Need.Accelerators_ <= Room.Accelerators_;
+/// \returns true when \p Required is at most \p Available for every resource kind.
+constexpr bool fits(const Resources &Required, const Resources &Available) {
+  return Required.MilliCores_ <= Available.MilliCores_ &&
+         Required.MemoryMb_ <= Available.MemoryMb_ &&
+         Required.Accelerators_ <= Available.Accelerators_;
 }
 
 } // namespace masticdrift::core
--- a/src/cell/DomainStream.cpp
+++ b/src/cell/DomainStream.cpp
@@ -36,7 +36,7 @@
     Result.Stream_ = Options.Stream_;
     Result.Writer_ = Options.Ownership_.Instance_;
     Result.Incarnation_ = Options.Ownership_.Incarnation_;
-    Result.CloseAfter_ = Options.BatchCloseDelay_;
+    Result.MaxBatchAge_ = Options.BatchCloseDelay_;
     Result.AppendsPerSecond_ = Options.AppendsPerSecond_;
     return Result;
   }
@@ -68,13 +68,13 @@
 
   journal::TailerHooks tailerHooks() {
     journal::TailerHooks Hooks;
-    Hooks.Entry_ = [this](std::uint64_t Offset, std::uint32_t, const journal::BatchInfo &,
-                          const journal::Entry &Record) { replay(Offset, Record); };
-    Hooks.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
+    Hooks.OnEntry_ = [this](std::uint64_t Offset, std::uint32_t, const journal::BatchInfo &,
+                            const journal::Entry &Record) { replay(Offset, Record); };
+    Hooks.OnBatchEnd_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
       Appender_.observed(Info, Offset);
     };
-    Hooks.CaughtUp_ = [this] { onCaughtUp(); };
-    Hooks.Gap_ = [this](const journal::Gap &Gap) {
+    Hooks.OnCaughtUp_ = [this] { onCaughtUp(); };
+    Hooks.OnGap_ = [this](const journal::Gap &Gap) {
       core::log(core::LogLevel::Error, "records expired before they were read",
                 {{"stream", Options_.Stream_},
                  {"needed", std::to_string(Gap.Needed_)},
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -151,7 +151,7 @@
       Options.Stream_ = domainStreamName(Domain);
       Options.Writer_ = Options_.Instance_;
       Options.Incarnation_ = Options_.Incarnation_;
-      Options.CloseAfter_ = Options_.BatchCloseDelay_;
+      Options.MaxBatchAge_ = Options_.BatchCloseDelay_;
       Options.AppendsPerSecond_ = Options_.AppendsPerSecond_;
       Appender = std::make_unique<journal::Appender>(
           Options, journal::appendTo(Log_, Options.Stream_), Timers_);
--- a/src/replica/ConfigReplica.cpp
+++ b/src/replica/ConfigReplica.cpp
@@ -47,7 +47,7 @@
     Result.Stream_ = StreamName;
     Result.Writer_ = ReplicaOptions.InstanceName_;
     Result.Incarnation_ = ReplicaOptions.Incarnation_;
-    Result.CloseAfter_ = ReplicaOptions.BatchWindow_;
+    Result.MaxBatchAge_ = ReplicaOptions.BatchWindow_;
     Result.AppendsPerSecond_ = ReplicaOptions.AppendsPerSecond_;
     return Result;
   }
@@ -62,18 +62,18 @@
 
   journal::TailerHooks tailerHooks() {
     journal::TailerHooks Result;
-    Result.Entry_ = [this](std::uint64_t Offset, std::uint32_t Index, const journal::BatchInfo &,
-                           const journal::Entry &Record) {
+    Result.OnEntry_ = [this](std::uint64_t Offset, std::uint32_t Index, const journal::BatchInfo &,
+                             const journal::Entry &Record) {
       if (State_.apply(Offset, Index, Record))
         Changed_ = true;
     };
-    Result.EndOfBatch_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
+    Result.OnBatchEnd_ = [this](std::uint64_t Offset, const journal::BatchInfo &Info, bool) {
       Appender_.observed(Info, Offset);
       Offset_ = Tailer_.nextOffset();
       checkWaiters();
     };
-    Result.CaughtUp_ = [this] { onCaughtUp(); };
-    Result.Gap_ = [](const journal::Gap &Missing) {
+    Result.OnCaughtUp_ = [this] { onCaughtUp(); };
+    Result.OnGap_ = [](const journal::Gap &Missing) {
       core::log(
           core::LogLevel::Error, "config records expired before they were read",
           {{"needed", std::to_string(Missing.Needed_)}, {"first", std::to_string(Missing.First_)}});
--- a/tests/unit/LogTest.cpp
+++ b/tests/unit/LogTest.cpp
@@ -1,4 +1,4 @@
-// Log lines as their readers parse them.
+// Tests that log lines are valid JSON with their fields in order.
 #include "masticdrift/core/Log.h"
 
 #include <cstdio>
@@ -13,29 +13,30 @@
 
 namespace {
 
-/// \returns what is written to standard error while \p Work runs.
-template <typename Work> std::string written(Work Do) {
-  std::FILE *To = std::tmpfile();
-  const int Saved = ::dup(STDERR_FILENO);
-  ::dup2(::fileno(To), STDERR_FILENO);
-  Do();
+/// \returns what \p Function writes to standard error, up to 4096 bytes.
+template <typename Callable> std::string captureStandardError(Callable Function) {
+  std::FILE *CaptureFile = std::tmpfile();
+  const int SavedDescriptor = ::dup(STDERR_FILENO);
+  ::dup2(::fileno(CaptureFile), STDERR_FILENO);
+  Function();
   std::fflush(stderr);
-  ::dup2(Saved, STDERR_FILENO);
+  ::dup2(SavedDescriptor, STDERR_FILENO);
   std::string Text(4096, '\0');
-  std::rewind(To);
-  Text.resize(std::fread(Text.data(), 1, Text.size(), To));
-  std::fclose(To);
+  std::rewind(CaptureFile);
+  Text.resize(std::fread(Text.data(), 1, Text.size(), CaptureFile));
+  std::fclose(CaptureFile);
   return Text;
 }
 
 } // namespace
 
-// Guards against a line that a reader of JSON can't parse because of what a field holds.
+// Guards against an unparsable log line when a field holds quotes, control characters or invalid
+// UTF-8.
 Test(LogLine, isOneJsonObjectWhateverItsFieldsHold) {
   core::initLog("lahore-a-1", core::LogLevel::Info);
-  const std::string Strange = "a \"quoted\" path\\with\nlines \x01 and \xff";
-  const std::string Text = written([&] {
-    core::log(core::LogLevel::Info, "refused", {{"message", Strange}});
+  const std::string TextToEscape = "a \"quoted\" path\\with\nlines \x01 and \xff";
+  const std::string Text = captureStandardError([&] {
+    core::log(core::LogLevel::Info, "refused", {{"message", TextToEscape}});
   });
   const auto Line = nlohmann::json::parse(Text, nullptr, false);
   cr_assert(Line.is_object(), "%s", Text.c_str());
@@ -45,9 +46,10 @@
   cr_expect(Line.contains("time") && Line.contains("level"));
 }
 
+// Guards against reordered or missing fields on the path that bypasses the JSON library.
 Test(LogLine, keepsPlainFieldsInTheirOrder) {
   core::initLog("lahore-a-1", core::LogLevel::Info);
-  const std::string Text = written([] {
+  const std::string Text = captureStandardError([] {
     core::log(core::LogLevel::Info, "start", {{"request_id", "5c0e"}, {"detail", ""}});
   });
   cr_expect_neq(Text.find(R"("event":"start","request_id":"5c0e","detail":"")"), std::string::npos,
