--- a/include/masticdrift/legacy/ExecutorClient.h
+++ b/include/masticdrift/legacy/ExecutorClient.h
@@ -49,17 +49,17 @@
 class ExecutorClient {
 public:
   /// \param ConnectionsPerExecutor upper limit of connections to one executor.
-  /// \param IdleLimit connections idle longer are closed.
-  /// \param LifeLimit older connections are not reused.
-  ExecutorClient(int ConnectionsPerExecutor, std::chrono::seconds IdleLimit,
-                 std::chrono::seconds LifeLimit);
+  /// \param IdleTimeout connections idle longer are closed.
+  /// \param MaxConnectionAge older connections are not reused.
+  ExecutorClient(int ConnectionsPerExecutor, std::chrono::seconds IdleTimeout,
+                 std::chrono::seconds MaxConnectionAge);
   ~ExecutorClient();
 
   /// Sends \p Request; \p Done is called exactly once, on the client's thread.
   void send(ExecutorRequest Request, std::function<void(ExecutorAnswer)> Done);
 
 private:
-  std::unique_ptr<http::Client> Client_;
+  std::unique_ptr<http::Client> HttpClient_;
 };
 
 } // namespace masticdrift::legacy
--- a/include/masticdrift/legacy/InstanceList.h
+++ b/include/masticdrift/legacy/InstanceList.h
@@ -39,13 +39,13 @@
 
 /// Decodes the list.
 ///
-/// \param Json the answer's body.
+/// \param Body the answer's body.
 /// \returns the instances; nothing when the document is malformed, an element lacks a name, kind
 /// or address, or an amount is not a number in range. Elements of an unknown kind are left out.
-std::optional<std::vector<Instance>> parseInstances(std::string_view Json);
+std::optional<std::vector<Instance>> parseInstances(std::string_view Body);
 
 /// The last good list.
-struct InstanceView {
+struct InstanceSnapshot {
   std::vector<Instance> Instances_;
   core::TimePoint SentAt_{}; ///< when the request was sent that returned this list
 };
@@ -77,7 +77,7 @@
   void stop();
 
   /// \returns the last good list, null before the first one.
-  std::shared_ptr<const InstanceView> current() const;
+  std::shared_ptr<const InstanceSnapshot> current() const;
 
   /// \returns the age of the last good list, nothing before the first one.
   std::optional<core::Duration> age(core::TimePoint Now) const;
--- a/include/masticdrift/legacy/LogClient.h
+++ b/include/masticdrift/legacy/LogClient.h
@@ -59,10 +59,11 @@
 
   /// Reads records in offset order.
   ///
-  /// \param From first offset wanted.
-  /// \param Max largest number of records wanted.
+  /// \param FromOffset first offset wanted.
+  /// \param MaxRecords largest number of records wanted.
   /// \param Done called once. Errors: StoreUnavailable for every failed or malformed answer.
-  void read(std::string_view Stream, std::uint64_t From, std::uint32_t Max, ReadCallback Done);
+  void read(std::string_view Stream, std::uint64_t FromOffset, std::uint32_t MaxRecords,
+            ReadCallback Done);
 
 private:
   http::Client &Http_;
--- a/include/masticdrift/legacy/WorkerClient.h
+++ b/include/masticdrift/legacy/WorkerClient.h
@@ -103,8 +103,8 @@
   void throttle(std::string_view Address, std::string_view Id, std::uint64_t Term, Callback Done);
 
 private:
-  void post(std::string_view Address, std::string_view Id, std::string_view Command,
-            std::uint64_t Term, Callback Done);
+  void postTaskCommand(std::string_view Address, std::string_view Id, std::string_view Command,
+                       std::uint64_t Term, Callback Done);
 
   http::Client &Http_;
   std::chrono::milliseconds Timeout_;
--- a/src/legacy/ExecutorClient.cpp
+++ b/src/legacy/ExecutorClient.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-ExecutorResult classify(const http::ClientResult &From) {
-  switch (From.Transfer_) {
+ExecutorResult classify(const http::ClientResult &HttpResult) {
+  switch (HttpResult.Transfer_) {
   case http::Transfer::NotConnected:
     return ExecutorResult::NotConnected;
   case http::Transfer::Truncated:
@@ -17,41 +17,44 @@
   case http::Transfer::Complete:
     break;
   }
-  if (http::findHeader(From.Answer_.Headers_, "Masticdrift-Not-Run") == "true")
+  if (http::findHeader(HttpResult.Answer_.Headers_, "Masticdrift-Not-Run") == "true")
     return ExecutorResult::Refused;
-  return From.Answer_.Status_ >= 500 ? ExecutorResult::Failed : ExecutorResult::Completed;
+  return HttpResult.Answer_.Status_ >= 500 ? ExecutorResult::Failed : ExecutorResult::Completed;
 }
 
 } // namespace
 
-ExecutorClient::ExecutorClient(int ConnectionsPerExecutor, std::chrono::seconds IdleLimit,
-                               std::chrono::seconds LifeLimit)
-    : Client_(std::make_unique<http::Client>(ConnectionsPerExecutor, IdleLimit, LifeLimit)) {}
+ExecutorClient::ExecutorClient(int ConnectionsPerExecutor, std::chrono::seconds IdleTimeout,
+                               std::chrono::seconds MaxConnectionAge)
+    : HttpClient_(
+          std::make_unique<http::Client>(ConnectionsPerExecutor, IdleTimeout, MaxConnectionAge)) {}
 
 ExecutorClient::~ExecutorClient() = default;
 
 void ExecutorClient::send(ExecutorRequest Request, std::function<void(ExecutorAnswer)> Done) {
-  http::ClientRequest Out;
-  Out.Method_ = "POST";
-  Out.Url_ = "http://" + Request.Address_ + "/run";
-  Out.Body_ = std::move(Request.Body_);
-  Out.Timeout_ = Request.Remaining_;
-  Out.FreshConnection_ = !Request.Idempotent_;
-  Out.MaySend_ = std::move(Request.MaySend_);
-  Out.Headers_ = {{"Masticdrift-Request-Id", Request.RequestId_},
-                  {"Masticdrift-Deadline-Ms", std::to_string(Request.Remaining_.count())}};
+  http::ClientRequest HttpRequest;
+  HttpRequest.Method_ = "POST";
+  HttpRequest.Url_ = "http://" + Request.Address_ + "/run";
+  HttpRequest.Body_ = std::move(Request.Body_);
+  HttpRequest.Timeout_ = Request.Remaining_;
+  HttpRequest.FreshConnection_ = !Request.Idempotent_;
+  HttpRequest.MaySend_ = std::move(Request.MaySend_);
+  HttpRequest.Headers_ = {{"Masticdrift-Request-Id", Request.RequestId_},
+                          {"Masticdrift-Deadline-Ms", std::to_string(Request.Remaining_.count())}};
   if (!Request.ContentType_.empty())
-    Out.Headers_.emplace_back("Content-Type", Request.ContentType_);
-  Client_->send(std::move(Out), [Done = std::move(Done)](http::ClientResult From) {
-    ExecutorAnswer To;
-    To.Result_ = classify(From);
-    To.Status_ = From.Answer_.Status_;
-    To.Leaving_ = http::findHeader(From.Answer_.Headers_, "Masticdrift-Leaving") == "true";
-    To.ContentType_ = std::move(From.Answer_.ContentType_);
-    To.Body_ = std::move(From.Answer_.Body_);
-    To.Error_ = std::move(From.Error_);
-    Done(std::move(To));
-  });
+    HttpRequest.Headers_.emplace_back("Content-Type", Request.ContentType_);
+  HttpClient_->send(
+      std::move(HttpRequest), [Done = std::move(Done)](http::ClientResult HttpResult) {
+        ExecutorAnswer Answer;
+        Answer.Result_ = classify(HttpResult);
+        Answer.Status_ = HttpResult.Answer_.Status_;
+        Answer.Leaving_ =
+            http::findHeader(HttpResult.Answer_.Headers_, "Masticdrift-Leaving") == "true";
+        Answer.ContentType_ = std::move(HttpResult.Answer_.ContentType_);
+        Answer.Body_ = std::move(HttpResult.Answer_.Body_);
+        Answer.Error_ = std::move(HttpResult.Error_);
+        Done(std::move(Answer));
+      });
 }
 
 } // namespace masticdrift::legacy
--- a/src/legacy/InstanceList.cpp
+++ b/src/legacy/InstanceList.cpp
@@ -17,34 +17,34 @@
 using Json = nlohmann::json;
 
 /// Reads an optional string; \returns false when it has another type.
-bool readText(const Json &From, const char *Key, std::string &To) {
-  const auto Found = From.find(Key);
-  if (Found == From.end())
+bool readOptionalString(const Json &Object, const char *Key, std::string &Target) {
+  const auto Member = Object.find(Key);
+  if (Member == Object.end())
     return true;
-  if (!Found->is_string())
+  if (!Member->is_string())
     return false;
-  To = Found->get<std::string>();
+  Target = Member->get<std::string>();
   return true;
 }
 
 /// Reads an optional non-negative number, scaled and rounded down.
 template <typename T>
-bool readAmount(const Json &From, const char *Key, T &To, double Scale = 1.0) {
-  const auto Found = From.find(Key);
-  if (Found == From.end())
+bool readScaledNumber(const Json &Object, const char *Key, T &Target, double Scale = 1.0) {
+  const auto Member = Object.find(Key);
+  if (Member == Object.end())
     return true;
-  if (!Found->is_number())
+  if (!Member->is_number())
     return false;
   // The addend keeps products such as 0.29 * 1000 from being rounded down to 289.
-  const double Value = std::floor(Found->get<double>() * Scale + 1e-6);
-  constexpr double Limit = std::numeric_limits<std::int32_t>::max();
-  if (!(Value >= 0) || Value > Limit)
+  const double Value = std::floor(Member->get<double>() * Scale + 1e-6);
+  constexpr double MaxValue = std::numeric_limits<std::int32_t>::max();
+  if (!(Value >= 0) || Value > MaxValue)
     return false;
-  To = static_cast<T>(Value);
+  Target = static_cast<T>(Value);
   return true;
 }
 
-std::optional<InstanceKind> kindNamed(std::string_view Name) {
+std::optional<InstanceKind> parseInstanceKind(std::string_view Name) {
   if (Name == "entry")
     return InstanceKind::Entry;
   if (Name == "executor")
@@ -54,43 +54,47 @@
   return std::nullopt;
 }
 
-bool readInstance(const Json &From, Instance &To, std::string &State) {
-  return readText(From, "name", To.Name_) && readText(From, "domain", To.Domain_) &&
-         readText(From, "region", To.Region_) && readText(From, "rack", To.Rack_) &&
-         readText(From, "address", To.Address_) && readText(From, "pool", To.Pool_) &&
-         readText(From, "state", State) && readAmount(From, "slots", To.Slots_) &&
-         readAmount(From, "connections", To.Connections_) &&
-         readAmount(From, "cores", To.Capacity_.MilliCores_, 1000.0) &&
-         readAmount(From, "memory_mb", To.Capacity_.MemoryMb_) &&
-         readAmount(From, "accelerators", To.Capacity_.Accelerators_) && !To.Name_.empty() &&
-         !To.Address_.empty();
+bool readInstance(const Json &Object, Instance &Target, std::string &State) {
+  return readOptionalString(Object, "name", Target.Name_) &&
+         readOptionalString(Object, "domain", Target.Domain_) &&
+         readOptionalString(Object, "region", Target.Region_) &&
+         readOptionalString(Object, "rack", Target.Rack_) &&
+         readOptionalString(Object, "address", Target.Address_) &&
+         readOptionalString(Object, "pool", Target.Pool_) &&
+         readOptionalString(Object, "state", State) &&
+         readScaledNumber(Object, "slots", Target.Slots_) &&
+         readScaledNumber(Object, "connections", Target.Connections_) &&
+         readScaledNumber(Object, "cores", Target.Capacity_.MilliCores_, 1000.0) &&
+         readScaledNumber(Object, "memory_mb", Target.Capacity_.MemoryMb_) &&
+         readScaledNumber(Object, "accelerators", Target.Capacity_.Accelerators_) &&
+         !Target.Name_.empty() && !Target.Address_.empty();
 }
 
 } // namespace
 
-std::optional<std::vector<Instance>> parseInstances(std::string_view Text) {
-  const Json Document = Json::parse(Text, nullptr, false);
+std::optional<std::vector<Instance>> parseInstances(std::string_view Body) {
+  const Json Document = Json::parse(Body, nullptr, false);
   if (!Document.is_object())
     return std::nullopt;
-  const auto List = Document.find("instances");
-  if (List == Document.end() || !List->is_array())
+  const auto Elements = Document.find("instances");
+  if (Elements == Document.end() || !Elements->is_array())
     return std::nullopt;
   std::vector<Instance> Result;
-  Result.reserve(List->size());
-  for (const Json &Element : *List) {
+  Result.reserve(Elements->size());
+  for (const Json &Element : *Elements) {
     std::string Kind;
     std::string State;
-    Instance One;
-    if (!Element.is_object() || !readText(Element, "kind", Kind) || Kind.empty())
+    Instance Decoded;
+    if (!Element.is_object() || !readOptionalString(Element, "kind", Kind) || Kind.empty())
       return std::nullopt;
-    const auto Known = kindNamed(Kind);
-    if (!Known)
+    const auto ParsedKind = parseInstanceKind(Kind);
+    if (!ParsedKind)
       continue;
-    One.Kind_ = *Known;
-    if (!readInstance(Element, One, State))
+    Decoded.Kind_ = *ParsedKind;
+    if (!readInstance(Element, Decoded, State))
       return std::nullopt;
-    One.Leaving_ = State == "leaving";
-    Result.push_back(std::move(One));
+    Decoded.Leaving_ = State == "leaving";
+    Result.push_back(std::move(Decoded));
   }
   return Result;
 }
@@ -109,20 +113,20 @@
         return;
       // At the target size the list has some hundred kilobytes, so an unchanged one is not sent
       // again.
-      if (!Tag_.empty())
-        Request.Headers_.emplace_back("If-None-Match", Tag_);
+      if (!ETag_.empty())
+        Request.Headers_.emplace_back("If-None-Match", ETag_);
     }
     Request.Url_ = Options_.Url_;
     Request.Timeout_ = Options_.Timeout_;
     const core::TimePoint SentAt = core::Clock::now();
     Http_.send(std::move(Request),
-               [Weak = weak_from_this(), SentAt](const http::ClientResult &Result) {
-                 if (const auto Self = Weak.lock())
-                   Self->received(Result, SentAt);
+               [WeakSelf = weak_from_this(), SentAt](const http::ClientResult &Result) {
+                 if (const auto Self = WeakSelf.lock())
+                   Self->handleResponse(Result, SentAt);
                });
   }
 
-  void received(const http::ClientResult &Result, core::TimePoint SentAt) {
+  void handleResponse(const http::ClientResult &Result, core::TimePoint SentAt) {
     core::count("masticdrift_control_bytes_total", {{"link", "instances"}, {"direction", "out"}},
                 static_cast<double>(Result.BytesOut_));
     core::count("masticdrift_control_bytes_total", {{"link", "instances"}, {"direction", "in"}},
@@ -134,47 +138,47 @@
       if (!Parsed)
         core::log(core::LogLevel::Warning, "instance list is malformed; the last one is kept");
       const std::lock_guard Lock(Mutex_);
-      Tag_ = Parsed ? http::findHeader(Result.Answer_.Headers_, "ETag") : std::string_view();
+      ETag_ = Parsed ? http::findHeader(Result.Answer_.Headers_, "ETag") : std::string_view();
     } else if (Complete && Result.Answer_.Status_ == 304) {
-      confirm(SentAt);
+      refreshTimestamp(SentAt);
     }
     {
       // Held during OnChange_, so that stop() returns only after a running call.
-      const std::lock_guard CallLock(CallMutex_);
-      if (Parsed && take(std::move(*Parsed), SentAt) && OnChange_)
+      const std::lock_guard CallbackLock(CallbackMutex_);
+      if (Parsed && replaceView(std::move(*Parsed), SentAt) && OnChange_)
         OnChange_();
     }
-    const core::Duration Spent = core::Clock::now() - SentAt;
-    const core::Duration Left = Options_.Interval_ - Spent;
+    const core::Duration Elapsed = core::Clock::now() - SentAt;
+    const core::Duration Remaining = Options_.Interval_ - Elapsed;
     const std::lock_guard Lock(Mutex_);
     if (Stopped_)
       return;
-    Timers_.after(std::max(Left, core::Duration::zero()), [Weak = weak_from_this()] {
-      if (const auto Self = Weak.lock())
+    Timers_.after(std::max(Remaining, core::Duration::zero()), [WeakSelf = weak_from_this()] {
+      if (const auto Self = WeakSelf.lock())
         Self->poll();
     });
   }
 
   /// \returns true when the content changed and polling has not been stopped.
   /// The list that is kept was still the current one.
-  void confirm(core::TimePoint SentAt) {
+  void refreshTimestamp(core::TimePoint SentAt) {
     const std::lock_guard Lock(Mutex_);
-    if (!View_)
+    if (!Snapshot_)
       return;
-    auto Same = std::make_shared<InstanceView>(*View_);
-    Same->SentAt_ = SentAt;
-    View_ = std::move(Same);
+    auto Refreshed = std::make_shared<InstanceSnapshot>(*Snapshot_);
+    Refreshed->SentAt_ = SentAt;
+    Snapshot_ = std::move(Refreshed);
   }
 
-  bool take(std::vector<Instance> Instances, core::TimePoint SentAt) {
-    auto View = std::make_shared<InstanceView>();
-    View->Instances_ = std::move(Instances);
-    View->SentAt_ = SentAt;
+  bool replaceView(std::vector<Instance> Instances, core::TimePoint SentAt) {
+    auto Snapshot = std::make_shared<InstanceSnapshot>();
+    Snapshot->Instances_ = std::move(Instances);
+    Snapshot->SentAt_ = SentAt;
     const std::lock_guard Lock(Mutex_);
     if (Stopped_)
       return false;
-    const bool Changed = !View_ || View_->Instances_ != View->Instances_;
-    View_ = std::move(View);
+    const bool Changed = !Snapshot_ || Snapshot_->Instances_ != Snapshot->Instances_;
+    Snapshot_ = std::move(Snapshot);
     return Changed;
   }
 
@@ -182,12 +186,12 @@
   core::Timers &Timers_;
   const InstanceListOptions Options_;
   const std::function<void()> OnChange_;
-  std::recursive_mutex CallMutex_; ///< recursive: OnChange_ may call stop()
+  std::recursive_mutex CallbackMutex_; ///< recursive: OnChange_ may call stop()
   mutable std::mutex Mutex_;
   bool Started_ = false;
   bool Stopped_ = false;
-  std::shared_ptr<const InstanceView> View_;
-  std::string Tag_; ///< entity tag of the list that is kept
+  std::shared_ptr<const InstanceSnapshot> Snapshot_;
+  std::string ETag_; ///< entity tag of the list that is kept
 };
 
 InstanceList::InstanceList(http::Client &Http, core::Timers &Timers, InstanceListOptions Options,
@@ -206,21 +210,21 @@
 }
 
 void InstanceList::stop() {
-  const std::lock_guard CallLock(Impl_->CallMutex_);
+  const std::lock_guard CallbackLock(Impl_->CallbackMutex_);
   const std::lock_guard Lock(Impl_->Mutex_);
   Impl_->Stopped_ = true;
 }
 
-std::shared_ptr<const InstanceView> InstanceList::current() const {
+std::shared_ptr<const InstanceSnapshot> InstanceList::current() const {
   const std::lock_guard Lock(Impl_->Mutex_);
-  return Impl_->View_;
+  return Impl_->Snapshot_;
 }
 
 std::optional<core::Duration> InstanceList::age(core::TimePoint Now) const {
-  const auto View = current();
-  if (!View)
+  const auto Snapshot = current();
+  if (!Snapshot)
     return std::nullopt;
-  return Now - View->SentAt_;
+  return Now - Snapshot->SentAt_;
 }
 
 } // namespace masticdrift::legacy
--- a/src/legacy/LogClient.cpp
+++ b/src/legacy/LogClient.cpp
@@ -30,14 +30,14 @@
 
 /// \returns whether a status says that the record was not taken. Statuses of 5xx other than 503
 /// may come from a gateway after the service took the record.
-bool saysNotTaken(int Status) { return (Status >= 400 && Status < 500) || Status == 503; }
+bool isDefiniteRejection(int Status) { return (Status >= 400 && Status < 500) || Status == 503; }
 
-void finishAppend(const http::ClientResult &Result, const LogClient::AppendCallback &Done) {
+void completeAppend(const http::ClientResult &Result, const LogClient::AppendCallback &Done) {
   if (Result.Transfer_ == http::Transfer::NotConnected)
     return Done(core::ErrorKind::StoreUnavailable, 0);
   if (Result.Transfer_ != http::Transfer::Complete)
     return Done(core::ErrorKind::AppendUnknown, 0);
-  if (saysNotTaken(Result.Answer_.Status_))
+  if (isDefiniteRejection(Result.Answer_.Status_))
     return Done(core::ErrorKind::StoreUnavailable, 0);
   if (Result.Answer_.Status_ < 200 || Result.Answer_.Status_ > 299)
     return Done(core::ErrorKind::AppendUnknown, 0);
@@ -49,47 +49,49 @@
 
 /// Reads the elements of an array of exactly their number. MSGPACK_DEFINE_ARRAY and std::tuple
 /// accept short arrays, and an empty array must not count as an empty stream.
-template <typename... T> void convertArray(const msgpack::object &From, T &...To) {
-  if (From.type != msgpack::type::ARRAY || From.via.array.size != sizeof...(To))
+template <typename... T> void convertExactArray(const msgpack::object &Packed, T &...Elements) {
+  if (Packed.type != msgpack::type::ARRAY || Packed.via.array.size != sizeof...(Elements))
     throw msgpack::type_error();
-  const msgpack::object *Element = From.via.array.ptr;
-  (Element++->convert(To), ...);
+  const msgpack::object *Element = Packed.via.array.ptr;
+  (Element++->convert(Elements), ...);
 }
 
-struct WireRecord {
-  LogRecord Value_;
-  void msgpack_unpack(const msgpack::object &From) {
-    convertArray(From, Value_.Offset_, Value_.Bytes_);
+struct PackedRecord {
+  LogRecord Record_;
+  void msgpack_unpack(const msgpack::object &Packed) {
+    convertExactArray(Packed, Record_.Offset_, Record_.Bytes_);
   }
 };
 
-struct WireRead {
+struct PackedReadResult {
   std::uint64_t First_ = 0;
   std::uint64_t Next_ = 0;
-  std::vector<WireRecord> Records_;
-  void msgpack_unpack(const msgpack::object &From) { convertArray(From, First_, Next_, Records_); }
+  std::vector<PackedRecord> Records_;
+  void msgpack_unpack(const msgpack::object &Packed) {
+    convertExactArray(Packed, First_, Next_, Records_);
+  }
 };
 
-std::optional<ReadResult> decodeRead(std::string_view Body) {
-  auto Wire = core::unpack<WireRead>(Body);
-  if (!Wire)
+std::optional<ReadResult> decodeReadResult(std::string_view Body) {
+  auto Packed = core::unpack<PackedReadResult>(Body);
+  if (!Packed)
     return std::nullopt;
   ReadResult Result;
-  Result.First_ = Wire->First_;
-  Result.Next_ = Wire->Next_;
-  Result.Records_.reserve(Wire->Records_.size());
-  for (WireRecord &Record : Wire->Records_)
-    Result.Records_.push_back(std::move(Record.Value_));
+  Result.First_ = Packed->First_;
+  Result.Next_ = Packed->Next_;
+  Result.Records_.reserve(Packed->Records_.size());
+  for (PackedRecord &Record : Packed->Records_)
+    Result.Records_.push_back(std::move(Record.Record_));
   return Result;
 }
 
-/// Rejects answers that replay could not use: records out of order or outside [From, next).
-bool isOrdered(const ReadResult &Read, std::uint64_t From) {
-  std::uint64_t Lowest = From;
+/// Rejects answers that replay could not use: records out of order or outside [FromOffset, next).
+bool hasValidOffsets(const ReadResult &Read, std::uint64_t FromOffset) {
+  std::uint64_t MinOffset = FromOffset;
   for (const LogRecord &Record : Read.Records_) {
-    if (Record.Offset_ < Lowest || Record.Offset_ >= Read.Next_)
+    if (Record.Offset_ < MinOffset || Record.Offset_ >= Read.Next_)
       return false;
-    Lowest = Record.Offset_ + 1;
+    MinOffset = Record.Offset_ + 1;
   }
   return true;
 }
@@ -108,25 +110,26 @@
   Request.Timeout_ = Options_.AppendTimeout_;
   Http_.send(std::move(Request), [Done = std::move(Done)](const http::ClientResult &Result) {
     countBytes(Result);
-    finishAppend(Result, Done);
+    completeAppend(Result, Done);
   });
 }
 
-void LogClient::read(std::string_view Stream, std::uint64_t From, std::uint32_t Max,
+void LogClient::read(std::string_view Stream, std::uint64_t FromOffset, std::uint32_t MaxRecords,
                      ReadCallback Done) {
   http::ClientRequest Request;
-  Request.Url_ =
-      streamUrl(Options_, Stream) + "?from=" + std::to_string(From) + "&max=" + std::to_string(Max);
+  Request.Url_ = streamUrl(Options_, Stream) + "?from=" + std::to_string(FromOffset) +
+                 "&max=" + std::to_string(MaxRecords);
   Request.Timeout_ = Options_.ReadTimeout_;
-  Http_.send(std::move(Request), [Done = std::move(Done), From](const http::ClientResult &Result) {
-    countBytes(Result);
-    if (Result.Transfer_ != http::Transfer::Complete || Result.Answer_.Status_ != 200)
-      return Done(core::ErrorKind::StoreUnavailable, {});
-    auto Read = decodeRead(Result.Answer_.Body_);
-    if (!Read || !isOrdered(*Read, From))
-      return Done(core::ErrorKind::StoreUnavailable, {});
-    Done({}, std::move(*Read));
-  });
+  Http_.send(std::move(Request),
+             [Done = std::move(Done), FromOffset](const http::ClientResult &Result) {
+               countBytes(Result);
+               if (Result.Transfer_ != http::Transfer::Complete || Result.Answer_.Status_ != 200)
+                 return Done(core::ErrorKind::StoreUnavailable, {});
+               auto Read = decodeReadResult(Result.Answer_.Body_);
+               if (!Read || !hasValidOffsets(*Read, FromOffset))
+                 return Done(core::ErrorKind::StoreUnavailable, {});
+               Done({}, std::move(*Read));
+             });
 }
 
 } // namespace masticdrift::legacy
--- a/src/legacy/WorkerClient.cpp
+++ b/src/legacy/WorkerClient.cpp
@@ -15,27 +15,27 @@
 
 using Json = nlohmann::json;
 
-constexpr auto Replace = Json::error_handler_t::replace;
+constexpr auto ReplaceInvalidUtf8 = Json::error_handler_t::replace;
 
 /// Encodes an id as one path segment; job ids contain '/'.
 std::string encodeSegment(std::string_view Id) {
-  static constexpr std::string_view Digits = "0123456789ABCDEF";
+  static constexpr std::string_view HexDigits = "0123456789ABCDEF";
   std::string Result;
-  for (const char Letter : Id) {
-    const auto Byte = static_cast<unsigned char>(Letter);
-    if (std::isalnum(Byte) != 0 || Letter == '-' || Letter == '_' || Letter == '.' ||
-        Letter == '~') {
-      Result += Letter;
+  for (const char Character : Id) {
+    const auto Byte = static_cast<unsigned char>(Character);
+    if (std::isalnum(Byte) != 0 || Character == '-' || Character == '_' || Character == '.' ||
+        Character == '~') {
+      Result += Character;
     } else {
       Result += '%';
-      Result += Digits[Byte >> 4U];
-      Result += Digits[Byte & 15U];
+      Result += HexDigits[Byte >> 4U];
+      Result += HexDigits[Byte & 15U];
     }
   }
   return Result;
 }
 
-std::string urlOf(std::string_view Address, std::string_view Path) {
+std::string makeUrl(std::string_view Address, std::string_view Path) {
   std::string Url = "http://";
   Url += Address;
   Url += Path;
@@ -51,13 +51,13 @@
 
 /// A 409 whose body names the accepted term refuses a lower term. Workers also answer 409 to
 /// commands that don't fit the task's state; those bodies name no term.
-WorkerStatus refusalOf(const std::string &Body) {
+WorkerStatus classifyConflict(const std::string &Body) {
   const Json Document = Json::parse(Body, nullptr, false);
   return Document.is_object() && !Document.contains("term") ? WorkerStatus::Refused
                                                             : WorkerStatus::StaleTerm;
 }
 
-WorkerStatus statusOf(const http::ClientResult &Result) {
+WorkerStatus toWorkerStatus(const http::ClientResult &Result) {
   if (Result.Transfer_ == http::Transfer::NotConnected)
     return WorkerStatus::NotConnected;
   if (Result.Transfer_ != http::Transfer::Complete)
@@ -67,7 +67,7 @@
     return WorkerStatus::Done;
   switch (Status) {
   case 409:
-    return refusalOf(Result.Answer_.Body_);
+    return classifyConflict(Result.Answer_.Body_);
   case 503:
     return WorkerStatus::Leaving;
   case 507:
@@ -80,13 +80,13 @@
 }
 
 /// \returns cores as a JSON number: whole when possible.
-Json coresOf(std::int64_t MilliCores) {
+Json coresToJson(std::int64_t MilliCores) {
   if (MilliCores % 1000 == 0)
     return MilliCores / 1000;
   return static_cast<double>(MilliCores) / 1000.0;
 }
 
-std::optional<WorkerTaskState> taskStateNamed(std::string_view Name) {
+std::optional<WorkerTaskState> parseTaskState(std::string_view Name) {
   if (Name == "running")
     return WorkerTaskState::Running;
   if (Name == "finished")
@@ -98,33 +98,33 @@
   return std::nullopt;
 }
 
-std::int64_t amountOf(const Json &From, const char *Key, double Scale) {
-  const auto Found = From.find(Key);
-  if (Found == From.end() || !Found->is_number())
+std::int64_t readScaledNumber(const Json &Object, const char *Key, double Scale) {
+  const auto Member = Object.find(Key);
+  if (Member == Object.end() || !Member->is_number())
     return 0;
-  const double Value = Found->get<double>() * Scale;
+  const double Value = Member->get<double>() * Scale;
   return Value >= 0 && Value < 1e12 ? std::llround(Value) : 0;
 }
 
-std::optional<WorkerTask> readTask(const Json &From) {
-  const auto State = taskStateNamed(From.at("state").get<std::string>());
-  const Json &Attempt = From.at("attempt");
+std::optional<WorkerTask> parseTask(const Json &Object) {
+  const auto State = parseTaskState(Object.at("state").get<std::string>());
+  const Json &Attempt = Object.at("attempt");
   if (!State || !Attempt.is_number_unsigned())
     return std::nullopt;
   WorkerTask Task;
-  Task.Id_ = From.at("id").get<std::string>();
+  Task.Id_ = Object.at("id").get<std::string>();
   Task.Attempt_ = Attempt.get<std::uint32_t>();
   Task.State_ = *State;
-  const auto Exit = From.find("exit");
-  if (Exit != From.end() && Exit->is_number_integer())
+  const auto Exit = Object.find("exit");
+  if (Exit != Object.end() && Exit->is_number_integer())
     Task.Exit_ = Exit->get<std::int32_t>();
-  Task.Reason_ = From.value("reason", std::string());
+  Task.Reason_ = Object.value("reason", std::string());
   return Task;
 }
 
 /// \returns nothing when the answer is malformed: a task that is missing from the list would count
 /// as one that never ran.
-std::optional<LeaseAnswer> readLease(const std::string &Body) {
+std::optional<LeaseAnswer> parseLeaseAnswer(const std::string &Body) {
   try {
     const Json Document = Json::parse(Body);
     LeaseAnswer Answer;
@@ -132,7 +132,7 @@
     Answer.Boot_ = Boot.is_string() ? Boot.get<std::string>() : Boot.dump();
     Answer.Term_ = Document.at("term").get<std::uint64_t>();
     for (const Json &Element : Document.at("tasks")) {
-      auto Task = readTask(Element);
+      auto Task = parseTask(Element);
       if (!Task)
         return std::nullopt;
       Answer.Tasks_.push_back(std::move(*Task));
@@ -140,8 +140,9 @@
     Answer.Leaving_ = Document.value("leaving", false);
     const auto Usage = Document.find("usage");
     if (Usage != Document.end() && Usage->is_object())
-      Answer.Usage_ = {amountOf(*Usage, "cores", 1000.0), amountOf(*Usage, "memory_mb", 1.0),
-                       amountOf(*Usage, "accelerators", 1.0)};
+      Answer.Usage_ = {readScaledNumber(*Usage, "cores", 1000.0),
+                       readScaledNumber(*Usage, "memory_mb", 1.0),
+                       readScaledNumber(*Usage, "accelerators", 1.0)};
     return Answer;
   } catch (const Json::exception &) {
     return std::nullopt;
@@ -149,24 +150,24 @@
 }
 
 /// \returns the higher term that a refusal names, 0 when it names none.
-std::uint64_t termOf(const std::string &Body) {
+std::uint64_t parseAcceptedTerm(const std::string &Body) {
   const Json Document = Json::parse(Body, nullptr, false);
   if (!Document.is_object() || !Document.contains("term") || !Document["term"].is_number_unsigned())
     return 0;
   return Document["term"].get<std::uint64_t>();
 }
 
-void finishLease(const http::ClientResult &Result, const WorkerClient::LeaseCallback &Done) {
-  const WorkerStatus Status = statusOf(Result);
+void completeLease(const http::ClientResult &Result, const WorkerClient::LeaseCallback &Done) {
+  const WorkerStatus Status = toWorkerStatus(Result);
   LeaseAnswer Answer;
   if (Status == WorkerStatus::StaleTerm)
-    Answer.Term_ = termOf(Result.Answer_.Body_);
+    Answer.Term_ = parseAcceptedTerm(Result.Answer_.Body_);
   if (Status != WorkerStatus::Done)
     return Done(Status, std::move(Answer));
-  auto Read = readLease(Result.Answer_.Body_);
-  if (!Read)
+  auto ParsedLease = parseLeaseAnswer(Result.Answer_.Body_);
+  if (!ParsedLease)
     return Done(WorkerStatus::NoAnswer, {});
-  Done(WorkerStatus::Done, std::move(*Read));
+  Done(WorkerStatus::Done, std::move(*ParsedLease));
 }
 
 } // namespace
@@ -183,15 +184,15 @@
                   {"owner", Request.Owner_},
                   {"ttl_ms", Request.TtlMs_},
                   {"ack", std::move(Acks)}};
-  http::ClientRequest Out;
-  Out.Method_ = "PUT";
-  Out.Url_ = urlOf(Address, "/lease");
-  Out.Body_ = Body.dump(-1, ' ', false, Replace);
-  Out.Headers_ = {{"Content-Type", "application/json"}};
-  Out.Timeout_ = Timeout_;
-  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+  http::ClientRequest HttpRequest;
+  HttpRequest.Method_ = "PUT";
+  HttpRequest.Url_ = makeUrl(Address, "/lease");
+  HttpRequest.Body_ = Body.dump(-1, ' ', false, ReplaceInvalidUtf8);
+  HttpRequest.Headers_ = {{"Content-Type", "application/json"}};
+  HttpRequest.Timeout_ = Timeout_;
+  Http_.send(std::move(HttpRequest), [Done = std::move(Done)](const http::ClientResult &Result) {
     countBytes(Result);
-    finishLease(Result, Done);
+    completeLease(Result, Done);
   });
 }
 
@@ -199,62 +200,63 @@
   const Json Body{{"term", Request.Term_},
                   {"boot", Request.Boot_},
                   {"attempt", Request.Attempt_},
-                  {"cores", coresOf(Request.Need_.MilliCores_)},
+                  {"cores", coresToJson(Request.Need_.MilliCores_)},
                   {"memory_mb", Request.Need_.MemoryMb_},
                   {"accelerators", Request.Need_.Accelerators_},
                   {"run_ms", Request.RunMs_},
                   {"command", Request.Command_},
                   {"fail", Request.Fail_}};
-  http::ClientRequest Out;
-  Out.Method_ = "PUT";
-  Out.Url_ = urlOf(Address, "/tasks/" + encodeSegment(Request.Id_));
-  Out.Body_ = Body.dump(-1, ' ', false, Replace);
-  Out.Headers_ = {{"Content-Type", "application/json"}};
-  Out.Timeout_ = Timeout_;
+  http::ClientRequest HttpRequest;
+  HttpRequest.Method_ = "PUT";
+  HttpRequest.Url_ = makeUrl(Address, "/tasks/" + encodeSegment(Request.Id_));
+  HttpRequest.Body_ = Body.dump(-1, ' ', false, ReplaceInvalidUtf8);
+  HttpRequest.Headers_ = {{"Content-Type", "application/json"}};
+  HttpRequest.Timeout_ = Timeout_;
   // libcurl repeats a request when a reused connection dies before the first answer byte.
-  Out.FreshConnection_ = true;
-  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+  HttpRequest.FreshConnection_ = true;
+  Http_.send(std::move(HttpRequest), [Done = std::move(Done)](const http::ClientResult &Result) {
     countBytes(Result);
-    Done(statusOf(Result));
+    Done(toWorkerStatus(Result));
   });
 }
 
 void WorkerClient::stopTask(std::string_view Address, std::string_view Id, std::uint64_t Term,
                             Callback Done) {
-  http::ClientRequest Out;
-  Out.Method_ = "DELETE";
-  Out.Url_ = urlOf(Address, "/tasks/" + encodeSegment(Id) + "?term=" + std::to_string(Term));
-  Out.Timeout_ = Timeout_;
-  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+  http::ClientRequest HttpRequest;
+  HttpRequest.Method_ = "DELETE";
+  HttpRequest.Url_ =
+      makeUrl(Address, "/tasks/" + encodeSegment(Id) + "?term=" + std::to_string(Term));
+  HttpRequest.Timeout_ = Timeout_;
+  Http_.send(std::move(HttpRequest), [Done = std::move(Done)](const http::ClientResult &Result) {
     countBytes(Result);
-    const bool Unknown =
+    const bool IsUnknownTask =
         Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ == 404;
-    Done(Unknown ? WorkerStatus::Done : statusOf(Result));
+    Done(IsUnknownTask ? WorkerStatus::Done : toWorkerStatus(Result));
   });
 }
 
 void WorkerClient::checkpoint(std::string_view Address, std::string_view Id, std::uint64_t Term,
                               Callback Done) {
-  post(Address, Id, "/checkpoint", Term, std::move(Done));
+  postTaskCommand(Address, Id, "/checkpoint", Term, std::move(Done));
 }
 
 void WorkerClient::throttle(std::string_view Address, std::string_view Id, std::uint64_t Term,
                             Callback Done) {
-  post(Address, Id, "/throttle", Term, std::move(Done));
+  postTaskCommand(Address, Id, "/throttle", Term, std::move(Done));
 }
 
-void WorkerClient::post(std::string_view Address, std::string_view Id, std::string_view Command,
-                        std::uint64_t Term, Callback Done) {
-  http::ClientRequest Out;
-  Out.Method_ = "POST";
-  Out.Url_ = urlOf(Address, "/tasks/" + encodeSegment(Id) + std::string(Command) +
-                                "?term=" + std::to_string(Term));
-  Out.Body_ = Json{{"term", Term}}.dump();
-  Out.Headers_ = {{"Content-Type", "application/json"}};
-  Out.Timeout_ = Timeout_;
-  Http_.send(std::move(Out), [Done = std::move(Done)](const http::ClientResult &Result) {
+void WorkerClient::postTaskCommand(std::string_view Address, std::string_view Id,
+                                   std::string_view Command, std::uint64_t Term, Callback Done) {
+  http::ClientRequest HttpRequest;
+  HttpRequest.Method_ = "POST";
+  HttpRequest.Url_ = makeUrl(Address, "/tasks/" + encodeSegment(Id) + std::string(Command) +
+                                          "?term=" + std::to_string(Term));
+  HttpRequest.Body_ = Json{{"term", Term}}.dump();
+  HttpRequest.Headers_ = {{"Content-Type", "application/json"}};
+  HttpRequest.Timeout_ = Timeout_;
+  Http_.send(std::move(HttpRequest), [Done = std::move(Done)](const http::ClientResult &Result) {
     countBytes(Result);
-    Done(statusOf(Result));
+    Done(toWorkerStatus(Result));
   });
 }
 
