legacy: reword comments and a warning in plain English

The comments use the usual terms of HTTP clients, such as response, timeout and reject. The description of replaceView() stood at refreshTimestamp() and now stands at its own function. The warning about a malformed instance list is reworded.

--- a/include/masticdrift/legacy/ExecutorClient.h
+++ b/include/masticdrift/legacy/ExecutorClient.h
@@ -1,5 +1,5 @@
 /// \file
-/// Sends one interactive request to one executor.
+/// HTTP client that forwards interactive requests to executors.
 #ifndef MASTICDRIFT_LEGACY_EXECUTORCLIENT_H
 #define MASTICDRIFT_LEGACY_EXECUTORCLIENT_H
 
@@ -15,14 +15,14 @@
 
 namespace masticdrift::legacy {
 
-/// How one send to an executor ended.
+/// Result of sending one request to an executor.
 enum class ExecutorResult {
-  Completed,    ///< whole answer with a status below 500
-  Failed,       ///< whole answer with a status of 500 or more: the executor ran it and failed
-  Refused,      ///< the executor says that it did not run it
+  Completed,    ///< complete response with a status below 500
+  Failed,       ///< complete response with a status of 500 or more: the request ran and failed
+  Refused,      ///< the executor reported that it did not run the request
   NotConnected, ///< nothing was sent
-  Truncated,    ///< the answer is not whole
-  NoAnswer,     ///< sent, no answer: the work may have run
+  Truncated,    ///< the response is incomplete
+  NoAnswer,     ///< sent without a response: the request may have run
 };
 
 struct ExecutorRequest {
@@ -30,9 +30,10 @@
   std::string RequestId_;
   std::string ContentType_;
   std::string Body_;
-  core::Millis Remaining_{0}; ///< time left for the answer; sent along as the executor's deadline
-  bool Idempotent_ = false;   ///< false forces a fresh connection, so that the library can't resend
-  /// Asked immediately before the first byte is sent; false ends the request as NotConnected.
+  core::Millis Remaining_{0}; ///< response timeout; also sent to the executor as its deadline
+  bool Idempotent_ = false;   ///< false forces a new connection, so that libcurl can't resend
+  /// Called immediately before the first byte is sent; returning false ends the request with
+  /// NotConnected.
   std::function<bool()> MaySend_;
 };
 
@@ -42,20 +43,22 @@
   std::string ContentType_;
   std::string Body_;
   std::string Error_;
-  bool Leaving_ = false; ///< the executor announced that it is leaving
+  bool Leaving_ = false; ///< the executor announced that it is shutting down
 };
 
-/// Client of all executors of a domain. Thread-safe.
+/// HTTP client for all executors of a failure domain. Thread-safe.
 class ExecutorClient {
 public:
-  /// \param ConnectionsPerExecutor upper limit of connections to one executor.
-  /// \param IdleTimeout connections idle longer are closed.
-  /// \param MaxConnectionAge older connections are not reused.
+  /// \param ConnectionsPerExecutor maximum number of connections to one executor.
+  /// \param IdleTimeout connections that stay idle longer are closed.
+  /// \param MaxConnectionAge connections older than this are not reused.
   ExecutorClient(int ConnectionsPerExecutor, std::chrono::seconds IdleTimeout,
                  std::chrono::seconds MaxConnectionAge);
   ~ExecutorClient();
 
-  /// Sends \p Request; \p Done is called exactly once, on the client's thread.
+  /// Sends \p Request asynchronously.
+  ///
+  /// \param Done called exactly once, on the HTTP client's thread.
   void send(ExecutorRequest Request, std::function<void(ExecutorAnswer)> Done);
 
 private:
--- a/include/masticdrift/legacy/InstanceList.h
+++ b/include/masticdrift/legacy/InstanceList.h
@@ -1,5 +1,5 @@
 /// \file
-/// The platform's list of live and leaving instances.
+/// Client of the platform's registry of live and leaving instances.
 #ifndef MASTICDRIFT_LEGACY_INSTANCELIST_H
 #define MASTICDRIFT_LEGACY_INSTANCELIST_H
 
@@ -18,68 +18,71 @@
 
 namespace masticdrift::legacy {
 
+/// Role of an instance.
 enum class InstanceKind : std::uint8_t { Entry, Executor, Worker };
 
-/// One instance of the list.
+/// One registered instance.
 struct Instance {
   std::string Name_;
   InstanceKind Kind_ = InstanceKind::Worker;
   std::string Domain_;
   std::string Region_;
   std::string Rack_;
-  std::string Address_; ///< "address:port", may continue with a base path
-  std::string Pool_;    ///< executors: pool that queues refer to
+  std::string Address_; ///< "address:port", optionally followed by a base path
+  std::string Pool_;    ///< executors only: name of the pool that queues refer to
   std::uint32_t Slots_ = 0;
   std::uint32_t Connections_ = 0;
-  bool Leaving_ = false;
+  bool Leaving_ = false; ///< the instance is shutting down
   core::Resources Capacity_;
 
   bool operator==(const Instance &) const = default;
 };
 
-/// Decodes the list.
+/// Parses the instance list.
 ///
-/// \param Body the answer's body.
-/// \returns the instances; nothing when the document is malformed, an element lacks a name, kind
-/// or address, or an amount is not a number in range. Elements of an unknown kind are left out.
+/// \param Body JSON body of the response.
+/// \returns the instances, without those of an unknown kind; std::nullopt when the document is
+/// malformed, an element lacks a name, kind or address, or a quantity is not a number in range.
 std::optional<std::vector<Instance>> parseInstances(std::string_view Body);
 
-/// The last good list.
+/// The last valid instance list.
 struct InstanceSnapshot {
   std::vector<Instance> Instances_;
-  core::TimePoint SentAt_{}; ///< when the request was sent that returned this list
+  core::TimePoint SentAt_{}; ///< send time of the request that last returned or confirmed this list
 };
 
 struct InstanceListOptions {
-  std::string Url_; ///< whole URL, for example "http://address:port/instances"
+  std::string Url_; ///< full URL, for example "http://address:port/instances"
+  /// Polling period, measured from one request to the next.
   core::Duration Interval_ = std::chrono::seconds(1);
-  std::chrono::milliseconds Timeout_{2000};
+  std::chrono::milliseconds Timeout_{2000}; ///< per request
 };
 
-/// Polls the list and keeps the last good one while the service is away. Thread-safe.
+/// Polls the instance list and keeps the last valid one while the service is unavailable.
+/// Thread-safe.
 class InstanceList {
 public:
   /// \param Http must outlive this object.
   /// \param Timers must outlive this object and the HTTP client behind \p Http, whose callbacks
-  /// post to it. Stop it before what the callbacks use is destroyed. \param OnChange called on the
-  /// HTTP client's thread after the list's content has changed; may be empty. Not called any more
-  /// once stop() has returned.
+  /// schedule timers on it. Stop it before destroying anything that the callbacks use.
+  /// \param OnChange called on the HTTP client's thread after the list has changed; may be empty.
+  /// It is not called after stop() has returned.
   InstanceList(http::Client &Http, core::Timers &Timers, InstanceListOptions Options,
                std::function<void()> OnChange = {});
   InstanceList(const InstanceList &) = delete;
   InstanceList &operator=(const InstanceList &) = delete;
   ~InstanceList();
 
-  /// Starts polling, first at once.
+  /// Starts polling; the first request is sent immediately.
   void start();
 
   /// Stops polling. Idempotent.
   void stop();
 
-  /// \returns the last good list, null before the first one.
+  /// \returns the last valid list; null before the first one.
   std::shared_ptr<const InstanceSnapshot> current() const;
 
-  /// \returns the age of the last good list, nothing before the first one.
+  /// \returns the age of the last valid list; std::nullopt before the first one.
   std::optional<core::Duration> age(core::TimePoint Now) const;
 
 private:
--- a/include/masticdrift/legacy/LogClient.h
+++ b/include/masticdrift/legacy/LogClient.h
@@ -24,17 +24,17 @@
   MSGPACK_DEFINE_ARRAY(Offset_, Bytes_)
 };
 
-/// Answer to a read; on the wire the msgpack array [first, next, [[offset, bin], ...]].
+/// Result of a read. Wire format: the MessagePack array [first, next, [[offset, bin], ...]].
 struct ReadResult {
-  std::uint64_t First_ = 0; ///< oldest offset that the service still keeps
-  std::uint64_t Next_ = 0;  ///< offset that the next append to the stream gets
+  std::uint64_t First_ = 0; ///< oldest retained offset
+  std::uint64_t Next_ = 0;  ///< offset that the next appended record will get
   std::vector<LogRecord> Records_;
   MSGPACK_DEFINE_ARRAY(First_, Next_, Records_)
 };
 
 struct LogClientOptions {
   std::string BaseUrl_; ///< "http://address:port", without a trailing slash
-  /// Time for one append. A retry needs a new connection when the old one has become silent, so
+  /// Timeout of one append. A retry needs a new connection when the old one stops responding, so
   /// several attempts have to fit into the appender's batch deadline.
   std::chrono::milliseconds AppendTimeout_{1000};
   std::chrono::milliseconds ReadTimeout_{2000};
@@ -53,15 +53,16 @@
   /// Appends one record.
   ///
   /// \param Done called once with the record's offset. Errors: StoreUnavailable when the record
-  /// was certainly not taken (not connected, 429, 503, other refusals with 4xx); AppendUnknown when
-  /// it may have been taken.
+  /// was definitely not stored (not connected, 429, 503 or another 4xx status); AppendUnknown when
+  /// it may have been stored.
   void append(std::string_view Stream, std::string Bytes, AppendCallback Done);
 
   /// Reads records in offset order.
   ///
-  /// \param FromOffset first offset wanted.
-  /// \param MaxRecords largest number of records wanted.
-  /// \param Done called once. Errors: StoreUnavailable for every failed or malformed answer.
+  /// \param FromOffset first offset to read.
+  /// \param MaxRecords maximum number of records to return.
+  /// \param Done called once. Errors: StoreUnavailable for every failed request or malformed
+  /// response.
   void read(std::string_view Stream, std::uint64_t FromOffset, std::uint32_t MaxRecords,
             ReadCallback Done);
 
--- a/include/masticdrift/legacy/WorkerClient.h
+++ b/include/masticdrift/legacy/WorkerClient.h
@@ -1,5 +1,5 @@
 /// \file
-/// Client of the workers: leases and tasks.
+/// HTTP client for the lease and task commands of workers.
 #ifndef MASTICDRIFT_LEGACY_WORKERCLIENT_H
 #define MASTICDRIFT_LEGACY_WORKERCLIENT_H
 
@@ -15,40 +15,41 @@
 
 namespace masticdrift::legacy {
 
-/// How a command to a worker ended.
+/// Result of a command to a worker.
 enum class WorkerStatus : std::uint8_t {
-  Done,         ///< carried out, now or by an earlier copy of the command
-  Refused,      ///< malformed, unknown or not fitting the task's state; had no effect
+  Done,         ///< executed, now or by an earlier copy of the command
+  Refused,      ///< malformed, unknown or invalid in the task's state; had no effect
   StaleTerm,    ///< the worker has accepted a higher term; had no effect
   NoRoom,       ///< not enough free resources; had no effect
-  Leaving,      ///< the worker is leaving and takes no new work; had no effect
+  Leaving,      ///< the worker is shutting down and accepts no new work; had no effect
   NotConnected, ///< nothing was sent
-  NoAnswer,     ///< the command may have been carried out
+  NoAnswer,     ///< no valid response; the command may have been executed
 };
 
-/// \returns true when the command certainly had no effect.
+/// \returns true when the command definitely had no effect.
 constexpr bool hadNoEffect(WorkerStatus Status) {
   return Status != WorkerStatus::Done && Status != WorkerStatus::NoAnswer;
 }
 
-/// State of a task as its worker reports it.
+/// Task state reported by the worker.
 enum class WorkerTaskState : std::uint8_t { Running, Finished, Failed, Stopped };
 
-/// One task of a lease answer.
+/// One task in the response to a lease renewal.
 struct WorkerTask {
   std::string Id_;
   std::uint32_t Attempt_ = 0;
   WorkerTaskState State_ = WorkerTaskState::Running;
-  std::int32_t Exit_ = 0;
-  std::string Reason_; ///< why a task was stopped, for example "checkpoint"; may be empty
+  std::int32_t Exit_ = 0; ///< exit code
+  std::string Reason_;    ///< why the task was stopped, for example "checkpoint"; may be empty
 };
 
-/// A finished task that the worker may forget.
+/// Acknowledges the end of a task attempt, so that the worker can delete its record.
 struct TaskAck {
   std::string Id_;
   std::uint32_t Attempt_ = 0;
 };
 
+/// Request to renew the lease of a worker.
 struct LeaseRequest {
   std::uint64_t Term_ = 0;
   std::string Owner_;
@@ -56,23 +57,25 @@
   std::vector<TaskAck> Acks_;
 };
 
+/// Response to a lease renewal.
 struct LeaseAnswer {
-  std::string Boot_; ///< changes when the worker restarts
+  std::string Boot_; ///< lease generation; changes when the worker restarts
   std::uint64_t Term_ = 0;
   std::vector<WorkerTask> Tasks_;
   core::Resources Usage_;
-  bool Leaving_ = false; ///< the worker takes no new work
+  bool Leaving_ = false; ///< the worker accepts no new work
 };
 
+/// Request to start one attempt of a task.
 struct StartRequest {
   std::string Id_;
   std::uint64_t Term_ = 0;
   std::uint32_t Attempt_ = 0;
   core::Resources Need_;
-  std::string Boot_; ///< generation of the lease; a worker refuses a start that names another one
+  std::string Boot_; ///< lease generation; a worker rejects a start that names a different one
   std::int64_t RunMs_ = 0;
   std::string Command_;
-  bool Fail_ = false; ///< stand-in workers end the task with a failure
+  bool Fail_ = false; ///< makes stand-in workers report the task as failed
 };
 
 /// Sends commands to workers. Thread-safe; callbacks run on the HTTP client's thread and must not
@@ -88,14 +91,16 @@
   explicit WorkerClient(http::Client &Http,
                         std::chrono::milliseconds Timeout = std::chrono::milliseconds(1000));
 
-  /// Renews the lease of all tasks of a worker. The answer is empty unless the status is Done; on
-  /// StaleTerm its Term_ holds the higher term when the worker told it.
+  /// Renews the lease that covers all tasks of a worker.
+  ///
+  /// \param Done gets an empty LeaseAnswer unless the status is Done; on StaleTerm its Term_ holds
+  /// the higher term if the worker reported it.
   void lease(std::string_view Address, const LeaseRequest &Request, LeaseCallback Done);
 
-  /// Starts a task; a repeated start of the same attempt has no second effect.
+  /// Starts a task. Idempotent for the same attempt.
   void startTask(std::string_view Address, const StartRequest &Request, Callback Done);
 
-  /// Stops a task; a task that the worker does not know counts as Done.
+  /// Stops a task. A task that the worker does not know yields Done.
   void stopTask(std::string_view Address, std::string_view Id, std::uint64_t Term, Callback Done);
 
   void checkpoint(std::string_view Address, std::string_view Id, std::uint64_t Term, Callback Done);
--- a/src/legacy/InstanceList.cpp
+++ b/src/legacy/InstanceList.cpp
@@ -16,7 +16,9 @@
 
 using Json = nlohmann::json;
 
-/// Reads an optional string; \returns false when it has another type.
+/// Reads an optional string member.
+///
+/// \returns false when the member has a different type.
 bool readOptionalString(const Json &Object, const char *Key, std::string &Target) {
   const auto Member = Object.find(Key);
   if (Member == Object.end())
@@ -27,7 +29,9 @@
   return true;
 }
 
-/// Reads an optional non-negative number, scaled and rounded down.
+/// Reads an optional non-negative number, multiplies it by \p Scale and rounds it down.
+///
+/// \returns false when the member is not a number or out of range.
 template <typename T>
 bool readScaledNumber(const Json &Object, const char *Key, T &Target, double Scale = 1.0) {
   const auto Member = Object.find(Key);
@@ -35,7 +39,7 @@
     return true;
   if (!Member->is_number())
     return false;
-  // The addend keeps products such as 0.29 * 1000 from being rounded down to 289.
+  // 1e-6 compensates for floating-point error: 0.29 * 1000 would be rounded down to 289.
   const double Value = std::floor(Member->get<double>() * Scale + 1e-6);
   constexpr double MaxValue = std::numeric_limits<std::int32_t>::max();
   if (!(Value >= 0) || Value > MaxValue)
@@ -111,8 +115,8 @@
       const std::lock_guard Lock(Mutex_);
       if (Stopped_)
         return;
-      // At the target size the list has some hundred kilobytes, so an unchanged one is not sent
-      // again.
+      // The list takes some hundred kilobytes at the target cluster size, so the service sends it
+      // only when it has changed.
       if (!ETag_.empty())
         Request.Headers_.emplace_back("If-None-Match", ETag_);
     }
@@ -136,14 +140,14 @@
     if (Complete && Result.Answer_.Status_ == 200) {
       Parsed = parseInstances(Result.Answer_.Body_);
       if (!Parsed)
-        core::log(core::LogLevel::Warning, "instance list is malformed; the last one is kept");
+        core::log(core::LogLevel::Warning, "malformed instance list; keeping the last valid one");
       const std::lock_guard Lock(Mutex_);
       ETag_ = Parsed ? http::findHeader(Result.Answer_.Headers_, "ETag") : std::string_view();
     } else if (Complete && Result.Answer_.Status_ == 304) {
       refreshTimestamp(SentAt);
     }
     {
-      // Held during OnChange_, so that stop() returns only after a running call.
+      // Held during OnChange_, so that stop() waits for a running callback.
       const std::lock_guard CallbackLock(CallbackMutex_);
       if (Parsed && replaceView(std::move(*Parsed), SentAt) && OnChange_)
         OnChange_();
@@ -159,8 +163,7 @@
     });
   }
 
-  /// \returns true when the content changed and polling has not been stopped.
-  /// The list that is kept was still the current one.
+  /// Updates the timestamp of the stored list after a 304 response.
   void refreshTimestamp(core::TimePoint SentAt) {
     const std::lock_guard Lock(Mutex_);
     if (!Snapshot_)
@@ -170,6 +173,9 @@
     Snapshot_ = std::move(Refreshed);
   }
 
+  /// Stores a new list.
+  ///
+  /// \returns true when the content changed and polling has not been stopped.
   bool replaceView(std::vector<Instance> Instances, core::TimePoint SentAt) {
     auto Snapshot = std::make_shared<InstanceSnapshot>();
     Snapshot->Instances_ = std::move(Instances);
@@ -186,12 +192,12 @@
   core::Timers &Timers_;
   const InstanceListOptions Options_;
   const std::function<void()> OnChange_;
-  std::recursive_mutex CallbackMutex_; ///< recursive: OnChange_ may call stop()
+  std::recursive_mutex CallbackMutex_; ///< recursive because OnChange_ may call stop()
   mutable std::mutex Mutex_;
   bool Started_ = false;
   bool Stopped_ = false;
   std::shared_ptr<const InstanceSnapshot> Snapshot_;
-  std::string ETag_; ///< entity tag of the list that is kept
+  std::string ETag_; ///< entity tag of the stored list
 };
 
 InstanceList::InstanceList(http::Client &Http, core::Timers &Timers, InstanceListOptions Options,
--- a/src/legacy/LogClient.cpp
+++ b/src/legacy/LogClient.cpp
@@ -28,8 +28,8 @@
   return Url;
 }
 
-/// \returns whether a status says that the record was not taken. Statuses of 5xx other than 503
-/// may come from a gateway after the service took the record.
+/// \returns true when the status means that the record was not stored. Any 5xx status other than
+/// 503 may come from a gateway after the service has stored the record.
 bool isDefiniteRejection(int Status) { return (Status >= 400 && Status < 500) || Status == 503; }
 
 void completeAppend(const http::ClientResult &Result, const LogClient::AppendCallback &Done) {
@@ -47,8 +47,8 @@
   Done({}, Body["offset"].get<std::uint64_t>());
 }
 
-/// Reads the elements of an array of exactly their number. MSGPACK_DEFINE_ARRAY and std::tuple
-/// accept short arrays, and an empty array must not count as an empty stream.
+/// Converts an array of exactly sizeof...(Elements) elements. MSGPACK_DEFINE_ARRAY and std::tuple
+/// accept shorter arrays, but an empty array must not be taken for an empty stream.
 template <typename... T> void convertExactArray(const msgpack::object &Packed, T &...Elements) {
   if (Packed.type != msgpack::type::ARRAY || Packed.via.array.size != sizeof...(Elements))
     throw msgpack::type_error();
@@ -85,7 +85,8 @@
   return Result;
 }
 
-/// Rejects answers that replay could not use: records out of order or outside [FromOffset, next).
+/// \returns false when the records are out of order or outside [FromOffset, next), which replay
+/// can't use.
 bool hasValidOffsets(const ReadResult &Read, std::uint64_t FromOffset) {
   std::uint64_t MinOffset = FromOffset;
   for (const LogRecord &Record : Read.Records_) {
--- a/src/legacy/WorkerClient.cpp
+++ b/src/legacy/WorkerClient.cpp
@@ -17,7 +17,7 @@
 
 constexpr auto ReplaceInvalidUtf8 = Json::error_handler_t::replace;
 
-/// Encodes an id as one path segment; job ids contain '/'.
+/// Percent-encodes an id as one path segment, because job ids contain '/'.
 std::string encodeSegment(std::string_view Id) {
   static constexpr std::string_view HexDigits = "0123456789ABCDEF";
   std::string Result;
@@ -49,8 +49,9 @@
               static_cast<double>(Result.BytesIn_));
 }
 
-/// A 409 whose body names the accepted term refuses a lower term. Workers also answer 409 to
-/// commands that don't fit the task's state; those bodies name no term.
+/// Classifies a 409 response. Its body contains the accepted term when the command's term was
+/// lower. Workers also return 409 for commands that are invalid in the task's state, without a
+/// term in the body.
 WorkerStatus classifyConflict(const std::string &Body) {
   const Json Document = Json::parse(Body, nullptr, false);
   return Document.is_object() && !Document.contains("term") ? WorkerStatus::Refused
@@ -75,11 +76,12 @@
   default:
     break;
   }
-  // A 5xx outside the published list doesn't say whether the command had an effect.
+  // Any other 5xx status is outside the published list and doesn't tell whether the command had an
+  // effect.
   return Status >= 400 && Status < 500 ? WorkerStatus::Refused : WorkerStatus::NoAnswer;
 }
 
-/// \returns cores as a JSON number: whole when possible.
+/// \returns the number of cores as a JSON integer if possible, otherwise as a float.
 Json coresToJson(std::int64_t MilliCores) {
   if (MilliCores % 1000 == 0)
     return MilliCores / 1000;
@@ -122,8 +124,8 @@
   return Task;
 }
 
-/// \returns nothing when the answer is malformed: a task that is missing from the list would count
-/// as one that never ran.
+/// \returns the decoded response; std::nullopt when any part of it is malformed, because a task
+/// that is missing from the list would be treated as one that never ran.
 std::optional<LeaseAnswer> parseLeaseAnswer(const std::string &Body) {
   try {
     const Json Document = Json::parse(Body);
@@ -149,7 +151,7 @@
   }
 }
 
-/// \returns the higher term that a refusal names, 0 when it names none.
+/// \returns the higher term in the body of a rejection; 0 when it contains none.
 std::uint64_t parseAcceptedTerm(const std::string &Body) {
   const Json Document = Json::parse(Body, nullptr, false);
   if (!Document.is_object() || !Document.contains("term") || !Document["term"].is_number_unsigned())
@@ -212,7 +214,7 @@
   HttpRequest.Body_ = Body.dump(-1, ' ', false, ReplaceInvalidUtf8);
   HttpRequest.Headers_ = {{"Content-Type", "application/json"}};
   HttpRequest.Timeout_ = Timeout_;
-  // libcurl repeats a request when a reused connection dies before the first answer byte.
+  // libcurl resends a request when a reused connection closes before the first response byte.
   HttpRequest.FreshConnection_ = true;
   Http_.send(std::move(HttpRequest), [Done = std::move(Done)](const http::ClientResult &Result) {
     countBytes(Result);
