--- a/tests/integration/StandinTest.cpp
+++ b/tests/integration/StandinTest.cpp
@@ -30,9 +30,10 @@
 };
 
 /// One stand-in and a client for it.
-class Running {
+class StandinProcess {
 public:
-  explicit Running(const std::string &Program, const std::vector<std::string> &Arguments = {})
+  explicit StandinProcess(const std::string &Program,
+                          const std::vector<std::string> &Arguments = {})
       : Process_(Program, Arguments, "/dev/null"), Ready_(Process_.ready()) {}
 
   http::ClientResult send(const std::string &Method, const std::string &Path,
@@ -61,7 +62,7 @@
   http::Client Client_;
 };
 
-StoredRecords readStream(Running &Log, const std::string &Query) {
+StoredRecords readStream(StandinProcess &Log, const std::string &Query) {
   const auto Result = Log.send("GET", "/streams/s/records?" + Query);
   const auto Read = core::unpack<StoredRecords>(Result.Answer_.Body_);
   cr_assert(Read.has_value());
@@ -72,15 +73,15 @@
   return Result.Transfer_ == Transfer::Complete ? Result.Answer_.Status_ : 0;
 }
 
-const std::string Append = "/streams/s/records";
+const std::string AppendPath = "/streams/s/records";
 
 } // namespace
 
 // Guards against wrong offsets, which replay depends on.
 Test(StandinLogService, offsetsRiseAndReadsStartWhereAsked) {
-  Running Log("standin-log");
+  StandinProcess Log("standin-log");
   for (const char *Bytes : {"a", "b", "c"})
-    cr_assert_eq(status(Log.send("POST", Append, Bytes)), 200);
+    cr_assert_eq(status(Log.send("POST", AppendPath, Bytes)), 200);
   const StoredRecords Read = readStream(Log, "from=1&max=1");
   cr_assert_eq(Read.First_, 0);
   cr_assert_eq(Read.Next_, 3);
@@ -91,32 +92,32 @@
 
 // Guards against an outage that still lets appends take effect.
 Test(StandinLogService, anOutageRefusesOrHangsWithoutEffect) {
-  Running Log("standin-log");
+  StandinProcess Log("standin-log");
   Log.control({{"outage", "refuse"}});
-  cr_assert_eq(status(Log.send("POST", Append, "x")), 503);
+  cr_assert_eq(status(Log.send("POST", AppendPath, "x")), 503);
   Log.control({{"outage", "hang"}});
-  cr_assert(Log.send("POST", Append, "x").Transfer_ == Transfer::NoAnswer);
+  cr_assert(Log.send("POST", AppendPath, "x").Transfer_ == Transfer::NoAnswer);
   Log.control({{"outage", "none"}});
   cr_assert_eq(readStream(Log, "from=0").Next_, 0);
 }
 
 // Guards against a lost answer whose append has no effect, or has it twice.
 Test(StandinLogService, aLostAnswerStillTakesEffectOnce) {
-  Running Log("standin-log");
+  StandinProcess Log("standin-log");
   Log.control({{"lose_answers", 1}});
-  cr_assert(Log.send("POST", Append, "x").Transfer_ == Transfer::NoAnswer);
+  cr_assert(Log.send("POST", AppendPath, "x").Transfer_ == Transfer::NoAnswer);
   Log.control({{"lose_answers", 1}, {"lose_mode", "hang"}});
-  cr_assert(Log.send("POST", Append, "y").Transfer_ == Transfer::NoAnswer);
-  cr_assert_eq(status(Log.send("POST", Append, "z")), 200);
+  cr_assert(Log.send("POST", AppendPath, "y").Transfer_ == Transfer::NoAnswer);
+  cr_assert_eq(status(Log.send("POST", AppendPath, "z")), 200);
   cr_assert_eq(readStream(Log, "from=0").Next_, 3);
 }
 
 // Guards against a store without limits, which would hide daemons that append too much.
 Test(StandinLogService, rateAndRetentionAreLimited) {
-  Running Log("standin-log");
+  StandinProcess Log("standin-log");
   Log.control({{"retention_records", 2}});
   for (int I = 0; I < 5; ++I)
-    Log.send("POST", Append, "x");
+    Log.send("POST", AppendPath, "x");
   const StoredRecords Read = readStream(Log, "from=0");
   cr_assert(Read.First_ == 3 && Read.Next_ == 5 && Read.Records_.front().Offset_ == 3);
   Log.control({{"retention_ms", 50}});
@@ -124,13 +125,13 @@
   Log.control({{"rate_limit", 2}});
   int Refused = 0;
   for (int I = 0; I < 5; ++I)
-    Refused += status(Log.send("POST", Append, "x")) == 429 ? 1 : 0;
+    Refused += status(Log.send("POST", AppendPath, "x")) == 429 ? 1 : 0;
   cr_assert_geq(Refused, 2);
 }
 
 // Guards against a list that is always current, which the platform's is not.
 Test(StandinInstanceList, changesBecomeVisibleAfterTheLag) {
-  Running List("standin-instances");
+  StandinProcess List("standin-instances");
   const auto Read = [&] { return Json::parse(List.send("GET", "/instances").Answer_.Body_); };
   List.control({{"set", Json::array({{{"name", "a"}, {"kind", "entry"}}})}});
   cr_assert_eq(Read()["instances"][0]["state"], "live");
@@ -147,7 +148,7 @@
 
 constexpr const char *OneWorker = "--worker=w";
 
-int renew(Running &Worker, int Term, int TtlMs, Json *Body = nullptr, const Json &Ack = {}) {
+int renew(StandinProcess &Worker, int Term, int TtlMs, Json *Body = nullptr, const Json &Ack = {}) {
   Json Lease = {{"term", Term}, {"owner", "o"}, {"ttl_ms", TtlMs}};
   if (!Ack.is_null())
     Lease["ack"] = Ack;
@@ -157,7 +158,8 @@
   return status(Result);
 }
 
-int startTask(Running &Worker, const std::string &Id, int Term, int RunMs, double Cores = 1) {
+int startTask(StandinProcess &Worker, const std::string &Id, int Term, int RunMs,
+              double Cores = 1) {
   const Json Task = {
       {"term", Term}, {"attempt", 1}, {"cores", Cores}, {"memory_mb", 100}, {"run_ms", RunMs}};
   return status(Worker.send("PUT", "/w/w/tasks/" + Id, Task.dump()));
@@ -167,7 +169,7 @@
 
 // Guards against workers that accept commands of an owner that has been replaced.
 Test(StandinWorkers, commandsOfALowerTermAreRefused) {
-  Running Worker("standin-worker", {OneWorker});
+  StandinProcess Worker("standin-worker", {OneWorker});
   cr_assert_eq(startTask(Worker, "t", 1, 0), 410); // no lease yet
   cr_assert_eq(renew(Worker, 5, 5000), 200);
   cr_assert_eq(startTask(Worker, "t", 5, 0), 201);
@@ -181,7 +183,7 @@
 
 // Guards against lost ends and against tasks that run twice after a repeated start.
 Test(StandinWorkers, aTaskRunsOnceAndIsKeptUntilAcknowledged) {
-  Running Worker("standin-worker", {OneWorker});
+  StandinProcess Worker("standin-worker", {OneWorker});
   renew(Worker, 1, 5000);
   cr_assert_eq(startTask(Worker, "d%2Ft%2F1", 1, 30), 201);
   cr_assert_eq(startTask(Worker, "d%2Ft%2F1", 1, 30), 200);
@@ -193,29 +195,29 @@
   cr_assert_eq(Lease["tasks"][0]["id"], "d/t/1");
   renew(Worker, 1, 5000, &Lease, {"d/t/1"});
   cr_assert(Lease["tasks"].empty());
-  const Json Seen = Worker.evidence();
-  cr_assert_eq(Seen["tasks"].size(), 1);
-  cr_assert_eq(Seen["peak_copies"], 1);
+  const Json Evidence = Worker.evidence();
+  cr_assert_eq(Evidence["tasks"].size(), 1);
+  cr_assert_eq(Evidence["peak_copies"], 1);
 }
 
 // Guards against overcommitted workers (P1).
 Test(StandinWorkers, aTaskWithoutRoomIsRefused) {
-  Running Worker("standin-worker", {OneWorker, "--cores=2"});
+  StandinProcess Worker("standin-worker", {OneWorker, "--cores=2"});
   renew(Worker, 1, 5000);
   cr_assert_eq(startTask(Worker, "a", 1, 0, 1.5), 201);
   cr_assert_eq(startTask(Worker, "b", 1, 0, 1), 507);
   cr_assert_eq(status(Worker.send("POST", "/w/w/tasks/a/throttle", R"({"term":1,"cores":1})")),
                200);
   cr_assert_eq(startTask(Worker, "b", 1, 0, 1), 201);
-  const Json Seen = Worker.evidence();
-  cr_assert_eq(Seen["overcommitted"], false);
-  cr_assert_eq(Seen["workers"]["w"]["no_room"], 1);
-  cr_assert_eq(Seen["workers"]["w"]["peak"]["cores"], 2.0);
+  const Json Evidence = Worker.evidence();
+  cr_assert_eq(Evidence["overcommitted"], false);
+  cr_assert_eq(Evidence["workers"]["w"]["no_room"], 1);
+  cr_assert_eq(Evidence["workers"]["w"]["peak"]["cores"], 2.0);
 }
 
 // Guards against tasks that outlive their lease, also when the worker itself was paused (P2).
 Test(StandinWorkers, theEndOfALeaseStopsAllTasks) {
-  Running Worker("standin-worker", {OneWorker});
+  StandinProcess Worker("standin-worker", {OneWorker});
   renew(Worker, 1, 300);
   startTask(Worker, "a", 1, 0);
   startTask(Worker, "b", 1, 500);
@@ -232,7 +234,7 @@
 
 // Guards against fault switches without effect.
 Test(StandinWorkers, faultsCanBeSwitchedOnAndOff) {
-  Running Worker("standin-worker", {OneWorker});
+  StandinProcess Worker("standin-worker", {OneWorker});
   renew(Worker, 1, 5000);
   Worker.control({{"worker", "w"}, {"lose_answers", 1}});
   cr_assert_eq(startTask(Worker, "lost", 1, 0), 0);
@@ -260,7 +262,7 @@
 
 const std::vector<std::string> OneExecutor{"--executor=e", "--slots=2", "--connections=3"};
 
-http::ClientResult run(Running &Executor, const std::string &Id, const std::string &Body,
+http::ClientResult run(StandinProcess &Executor, const std::string &Id, const std::string &Body,
                        http::Headers Extra = {}) {
   Extra.emplace_back("Masticdrift-Request-Id", Id);
   return Executor.send("POST", "/run", Body, std::move(Extra),
@@ -271,19 +273,19 @@
 
 // Guards against answers that are incomplete or belong to another request (P5).
 Test(StandinExecutors, anAnswerEchoesItsOwnRequest) {
-  Running Executor("standin-executor", OneExecutor);
+  StandinProcess Executor("standin-executor", OneExecutor);
   const auto Result = run(Executor, "r", "body");
   cr_assert_eq(status(Result), 200);
   cr_assert(Result.Answer_.Body_ == "echo:body");
   cr_assert_eq(status(run(Executor, "r", "body")), 200);
-  const Json Seen = Executor.evidence();
-  cr_assert_eq(Seen["repeated"]["r"], 2);
-  cr_assert_eq(Seen["executors"]["e"]["peak_slots"], 1);
+  const Json Evidence = Executor.evidence();
+  cr_assert_eq(Evidence["repeated"]["r"], 2);
+  cr_assert_eq(Evidence["executors"]["e"]["peak_slots"], 1);
 }
 
 // Guards against a refusal that says "not run" although the request ran (P6).
 Test(StandinExecutors, aFullOrLeavingExecutorRunsNothing) {
-  Running Executor("standin-executor", OneExecutor);
+  StandinProcess Executor("standin-executor", OneExecutor);
   std::atomic<int> Done{0};
   for (const char *Id : {"a", "b"}) {
     http::ClientRequest Request{
@@ -306,7 +308,7 @@
 
 // Guards against work that goes on past its deadline, when its slot counts as free.
 Test(StandinExecutors, workStopsAtItsDeadline) {
-  Running Executor("standin-executor", OneExecutor);
+  StandinProcess Executor("standin-executor", OneExecutor);
   cr_assert_eq(
       status(run(Executor, "a", "x", {{"X-Work-Ms", "5000"}, {"Masticdrift-Deadline-Ms", "50"}})),
       504);
@@ -315,36 +317,37 @@
 
 // Guards against broken answers that look complete.
 Test(StandinExecutors, brokenAnswersAreBrokenAsChosen) {
-  Running Executor("standin-executor", OneExecutor);
-  const auto With = [&](const char *Failure) {
+  StandinProcess Executor("standin-executor", OneExecutor);
+  const auto RunWithFailure = [&](const char *Failure) {
     Executor.control({{"executor", "e"}, {"failure", Failure}});
     return run(Executor, Failure, "body");
   };
-  cr_assert_eq(status(With("fail")), 500);
-  cr_assert(With("silent").Transfer_ == Transfer::NoAnswer);
-  cr_assert(With("close_without_answer").Transfer_ == Transfer::NoAnswer);
-  cr_assert(With("truncate").Transfer_ == Transfer::Truncated);
-  cr_assert(With("no_length").Transfer_ == Transfer::Truncated);
-  cr_assert_eq(status(With("none")), 200);
+  cr_assert_eq(status(RunWithFailure("fail")), 500);
+  cr_assert(RunWithFailure("silent").Transfer_ == Transfer::NoAnswer);
+  cr_assert(RunWithFailure("close_without_answer").Transfer_ == Transfer::NoAnswer);
+  cr_assert(RunWithFailure("truncate").Transfer_ == Transfer::Truncated);
+  cr_assert(RunWithFailure("no_length").Transfer_ == Transfer::Truncated);
+  cr_assert_eq(status(RunWithFailure("none")), 200);
   cr_assert_eq(Executor.evidence()["executors"]["e"]["requests"].size(), 6);
 }
 
 namespace {
 
 /// A proxy in front of a log service.
-struct Proxied {
-  Running Log_{"standin-log"};
-  Running Proxy_{"standin-proxy",
-                 {"--target=127.0.0.1:" + std::to_string(Log_.Ready_["port"].get<int>())}};
+struct ProxiedLog {
+  StandinProcess Log_{"standin-log"};
+  StandinProcess Proxy_{"standin-proxy",
+                        {"--target=127.0.0.1:" + std::to_string(Log_.Ready_["port"].get<int>())}};
 
-  http::ClientResult append(bool Fresh = true) {
+  http::ClientResult append(bool FreshConnection = true) {
     http::ClientRequest Request{
         "POST",
-        "http://127.0.0.1:" + std::to_string(Proxy_.Ready_["links"]["default"].get<int>()) + Append,
+        "http://127.0.0.1:" + std::to_string(Proxy_.Ready_["links"]["default"].get<int>()) +
+            AppendPath,
         std::string(1000, 'x'),
         {}};
     Request.Timeout_ = core::Millis(400);
-    Request.FreshConnection_ = Fresh;
+    Request.FreshConnection_ = FreshConnection;
     return Proxy_.Client_.sendAndWait(std::move(Request));
   }
 
@@ -356,7 +359,7 @@
 
 // Guards against a cut that lets bytes pass, or a healed link that stays cut.
 Test(StandinProxy, aCutLinkRefusesUntilHealed) {
-  Proxied Path;
+  ProxiedLog Path;
   cr_assert_eq(status(Path.append(false)), 200);
   cr_assert_eq(Path.link()["open"], 1);
   cr_assert_geq(Path.link()["bytes_up"].get<int>(), 1000);
@@ -370,7 +373,7 @@
 
 // Guards against silence that is visible as an error, or that also stops new connections.
 Test(StandinProxy, silencedConnectionsStaySilentWhileNewOnesWork) {
-  Proxied Path;
+  ProxiedLog Path;
   cr_assert_eq(status(Path.append(false)), 200);
   Path.Proxy_.control({{"silence_existing", true}});
   cr_assert(Path.append(false).Transfer_ == Transfer::NoAnswer);
@@ -384,7 +387,7 @@
 
 // Guards against dropped answers whose request had no effect.
 Test(StandinProxy, droppedAnswersHaveTakenEffect) {
-  Proxied Path;
+  ProxiedLog Path;
   Path.Proxy_.control({{"drop_answers", 1}});
   cr_assert(Path.append().Transfer_ == Transfer::NoAnswer);
   cr_assert_eq(status(Path.append()), 200);
@@ -393,7 +396,7 @@
 
 // Guards against truncation in the wrong direction or at the wrong place.
 Test(StandinProxy, connectionsAreTruncatedPerDirection) {
-  Proxied Path;
+  ProxiedLog Path;
   Path.Proxy_.control({{"direction", "up"}, {"truncate_after_bytes", 500}});
   cr_assert(Path.append().Transfer_ == Transfer::NoAnswer);
   cr_assert_eq(Path.appended(), 0);
@@ -405,25 +408,25 @@
 
 // Guards against links that are faster than set.
 Test(StandinProxy, delayAndBandwidthSlowALink) {
-  Proxied Path;
-  const auto Took = [&] {
+  ProxiedLog Path;
+  const auto MeasureAppendMs = [&] {
     const core::TimePoint Start = core::Clock::now();
     cr_assert_eq(status(Path.append()), 200);
     return core::toMillis(core::Clock::now() - Start);
   };
   Path.Proxy_.control({{"delay_ms", 50}});
-  cr_assert_geq(Took(), 100);
+  cr_assert_geq(MeasureAppendMs(), 100);
   Path.Proxy_.control({{"heal", true}});
   Path.Proxy_.control({{"direction", "up"}, {"bandwidth_bytes_per_s", 10'000}});
-  cr_assert_geq(Took(), 100);
+  cr_assert_geq(MeasureAppendMs(), 100);
 }
 
 // Guards against processes that are left over or reported wrongly.
 Test(ProcessHarness, exitsAndSignalsAreReported) {
-  Running Log("standin-log");
+  StandinProcess Log("standin-log");
   Log.Process_.signal(SIGTERM);
   cr_assert_eq(Log.Process_.wait(core::Millis(3000)).value_or(-1), 0);
-  Running Killed("standin-log");
+  StandinProcess Killed("standin-log");
   Killed.Process_.signal(SIGKILL);
   cr_assert_eq(Killed.Process_.wait(core::Millis(3000)).value_or(-1), 128 + SIGKILL);
   bool Thrown = false;
@@ -447,12 +450,12 @@
   std::filesystem::permissions(Script, std::filesystem::perms::owner_all);
   FleetSpec Spec = roshan();
   Spec.Daemon_ = Script;
-  Fleet Under(Spec);
-  cr_assert_eq(Under.names().size(), 7);
-  cr_assert_eq(Under.namesIn("lahore-a").size(), 3);
-  cr_assert(Under.operatorUrl("karachi-a-2") == "http://127.0.0.1:2");
+  Fleet TestFleet(Spec);
+  cr_assert_eq(TestFleet.names().size(), 7);
+  cr_assert_eq(TestFleet.namesIn("lahore-a").size(), 3);
+  cr_assert(TestFleet.operatorUrl("karachi-a-2") == "http://127.0.0.1:2");
 
-  const Json Settings = Under.settings("karachi-a-2");
+  const Json Settings = TestFleet.settings("karachi-a-2");
   cr_assert_eq(Settings["instance"]["region"], "Sindh");
   cr_assert_eq(Settings["fleet"]["entry_instances"], 7);
   cr_assert_eq(Settings["fleet"]["domains"].size(), 3);
@@ -462,29 +465,30 @@
                "ec585b7be286a5088d8687af4ce027f389cd098e2bb0dee876d5521fa4468f59");
 
   const auto Entry = [&](const std::string &Name) {
-    const auto Result = Under.client().sendAndWait(
+    const auto Result = TestFleet.client().sendAndWait(
         {"GET", Settings["platform"]["instances_url"].get<std::string>() + "/instances", "", {}});
     const Json All = Json::parse(Result.Answer_.Body_)["instances"];
     cr_assert_eq(All.size(), 7 + 6 + 6);
-    for (const Json &Each : All)
-      if (Each["name"] == Name)
-        return Each;
+    for (const Json &Instance : All)
+      if (Instance["name"] == Name)
+        return Instance;
     return Json();
   };
   cr_assert_eq(Entry("karachi-a-worker-2")["cores"], 16);
   cr_assert_eq(Entry("karachi-a-executor-2")["pool"], "reorder-desk");
   const Json Before = Entry("karachi-a-2");
   cr_assert_eq(Before["kind"], "entry");
-  Under.restart("karachi-a-2");
+  TestFleet.restart("karachi-a-2");
   cr_assert(Entry("karachi-a-2")["address"] != Before["address"]);
 
-  const std::string Log = Settings["platform"]["log_url"].get<std::string>() + Append;
-  Under.cutDomain("karachi-a");
-  cr_assert(Under.client().sendAndWait({"POST", Log, "x", {}}).Transfer_ == Transfer::NotConnected);
-  Under.healAll();
-  cr_assert_eq(status(Under.client().sendAndWait({"POST", Log, "x", {}})), 200);
-  Under.pause("lahore-a-1");
-  Under.kill("lahore-a-1");
-  cr_assert_not(Under.process("lahore-a-1").running());
+  const std::string Log = Settings["platform"]["log_url"].get<std::string>() + AppendPath;
+  TestFleet.cutDomain("karachi-a");
+  cr_assert(TestFleet.client().sendAndWait({"POST", Log, "x", {}}).Transfer_ ==
+            Transfer::NotConnected);
+  TestFleet.healAll();
+  cr_assert_eq(status(TestFleet.client().sendAndWait({"POST", Log, "x", {}})), 200);
+  TestFleet.pause("lahore-a-1");
+  TestFleet.kill("lahore-a-1");
+  cr_assert_not(TestFleet.process("lahore-a-1").running());
   std::filesystem::remove(Script);
 }
--- a/tests/standins/StandinExecutor.cpp
+++ b/tests/standins/StandinExecutor.cpp
@@ -12,52 +12,53 @@
 
 namespace {
 
-struct Run {
+struct RunRecord {
   std::string Id_;
-  int Times_ = 0;
+  int RunCount_ = 0;
   std::int64_t StartMs_ = 0; ///< of the last run
   std::int64_t EndMs_ = 0;   ///< 0 while running
 };
 
-struct Switches {
+struct Settings {
   std::int64_t ServiceMs_ = 0;   ///< service time when the request names none
   std::int64_t SlowMs_ = 0;      ///< added to the service time
   std::string Failure_ = "none"; ///< none, fail, silent, truncate, no_length, close_without_answer
   bool Leaving_ = false;
 };
 
-std::int64_t numberOr(std::string_view Text, std::int64_t Default) {
+std::int64_t parseIntOr(std::string_view Text, std::int64_t Default) {
   std::from_chars(Text.data(), Text.data() + Text.size(), Default);
   return Default;
 }
 
-/// The service time that the request names: header X-Work-Ms, or a body that starts with
+/// The service time that the request names: header X-WorkMs-Ms, or a body that starts with
 /// "work-ms=N " for clients behind a daemon, which forwards only the body.
 std::int64_t workMillis(const http::Request &Incoming, std::int64_t Default) {
   constexpr std::string_view Prefix = "work-ms=";
   std::string_view Body = Incoming.Body_;
   if (Body.starts_with(Prefix))
-    Default = numberOr(Body.substr(Prefix.size()), Default);
-  return numberOr(http::findHeader(Incoming.Headers_, "X-Work-Ms"), Default);
+    Default = parseIntOr(Body.substr(Prefix.size()), Default);
+  return parseIntOr(http::findHeader(Incoming.Headers_, "X-Work-Ms"), Default);
 }
 
 class Executor {
 public:
   Executor(asio::io_context &Io, std::size_t Slots, std::size_t Connections)
-      : Io_(Io), Slots_(Slots), Server_(
-                                    Io, 0,
-                                    [this](const http::Request &Incoming, const Respond &Answer) {
-                                      handle(Incoming, Answer);
-                                    },
-                                    Connections) {}
+      : Io_(Io), Slots_(Slots),
+        Server_(
+            Io, 0,
+            [this](const http::Request &Incoming, const ReplyCallback &Answer) {
+              handle(Incoming, Answer);
+            },
+            Connections) {}
 
   std::uint16_t port() const { return Server_.port(); }
 
   void control(const Json &Body) {
-    assignIfPresent(Body, "service_ms", Switches_.ServiceMs_);
-    assignIfPresent(Body, "slow_ms", Switches_.SlowMs_);
-    assignIfPresent(Body, "failure", Switches_.Failure_);
-    assignIfPresent(Body, "leaving", Switches_.Leaving_);
+    assignIfPresent(Body, "service_ms", Settings_.ServiceMs_);
+    assignIfPresent(Body, "slow_ms", Settings_.SlowMs_);
+    assignIfPresent(Body, "failure", Settings_.Failure_);
+    assignIfPresent(Body, "leaving", Settings_.Leaving_);
   }
 
   /// Requests that were not refused.
@@ -65,13 +66,15 @@
 
   Json evidence() const {
     Json All = Json::array();
-    for (const auto &[Id, Of] : Runs_)
-      All.push_back(
-          {{"id", Id}, {"times", Of.Times_}, {"start_ms", Of.StartMs_}, {"end_ms", Of.EndMs_}});
+    for (const auto &[Id, Entry] : Runs_)
+      All.push_back({{"id", Id},
+                     {"times", Entry.RunCount_},
+                     {"start_ms", Entry.StartMs_},
+                     {"end_ms", Entry.EndMs_}});
     return {{"slots", Slots_},
-            {"busy", Busy_},
-            {"peak_slots", Peak_},
-            {"peak_connections", Server_.counts().Peak_},
+            {"busy", BusySlots_},
+            {"peak_slots", PeakSlots_},
+            {"peak_connections", Server_.counts().PeakSlots_},
             {"open_connections", Server_.counts().Open_},
             {"refused_connections", Server_.counts().Refused_},
             {"refused_full", RefusedFull_},
@@ -80,77 +83,77 @@
   }
 
 private:
-  void handle(const http::Request &Incoming, const Respond &Answer) {
+  void handle(const http::Request &Incoming, const ReplyCallback &Answer) {
     if (Incoming.Method_ != "POST" || Incoming.Path_ != "/run")
       return Answer(errorReply(404, "unknown path"));
-    if (Switches_.Leaving_ || Busy_ >= Slots_) {
-      ++(Switches_.Leaving_ ? RefusedLeaving_ : RefusedFull_);
-      Reply Out = errorReply(503, Switches_.Leaving_ ? "leaving" : "full");
-      Out.Headers_.emplace_back("Masticdrift-Not-Run", "true");
-      if (Switches_.Leaving_)
-        Out.Headers_.emplace_back("Masticdrift-Leaving", "true");
-      return Answer(std::move(Out));
+    if (Settings_.Leaving_ || BusySlots_ >= Slots_) {
+      ++(Settings_.Leaving_ ? RefusedLeaving_ : RefusedFull_);
+      Reply Response = errorReply(503, Settings_.Leaving_ ? "leaving" : "full");
+      Response.Headers_.emplace_back("Masticdrift-Not-Run", "true");
+      if (Settings_.Leaving_)
+        Response.Headers_.emplace_back("Masticdrift-Leaving", "true");
+      return Answer(std::move(Response));
     }
     ++Received_;
-    Peak_ = std::max(Peak_, ++Busy_);
+    PeakSlots_ = std::max(PeakSlots_, ++BusySlots_);
     const std::string Id(http::findHeader(Incoming.Headers_, "Masticdrift-Request-Id"));
-    Run &Of = Runs_[Id];
-    ++Of.Times_;
-    Of.StartMs_ = core::wallMillis();
-    Of.EndMs_ = 0;
-    const std::int64_t Work = workMillis(Incoming, Switches_.ServiceMs_) + Switches_.SlowMs_;
-    const std::int64_t Deadline =
-        numberOr(http::findHeader(Incoming.Headers_, "Masticdrift-Deadline-Ms"), INT64_MAX);
-    later(Io_, core::Millis(std::min(Work, Deadline)),
-          [this, Id, Answer, Body = Incoming.Body_, InTime = Work < Deadline] {
-            --Busy_;
-            Runs_[Id].EndMs_ = core::wallMillis();
-            Answer(InTime ? answerFor(Body) : errorReply(504, "deadline passed"));
-          });
+    RunRecord &Entry = Runs_[Id];
+    ++Entry.RunCount_;
+    Entry.StartMs_ = core::wallMillis();
+    Entry.EndMs_ = 0;
+    const std::int64_t WorkMs = workMillis(Incoming, Settings_.ServiceMs_) + Settings_.SlowMs_;
+    const std::int64_t DeadlineMs =
+        parseIntOr(http::findHeader(Incoming.Headers_, "Masticdrift-Deadline-Ms"), INT64_MAX);
+    runAfter(Io_, core::Millis(std::min(WorkMs, DeadlineMs)),
+             [this, Id, Answer, Body = Incoming.Body_, BeforeDeadline = WorkMs < DeadlineMs] {
+               --BusySlots_;
+               Runs_[Id].EndMs_ = core::wallMillis();
+               Answer(BeforeDeadline ? makeReply(Body) : errorReply(504, "deadline passed"));
+             });
   }
 
-  Reply answerFor(const std::string &Body) const {
-    if (Switches_.Failure_ == "fail")
+  Reply makeReply(const std::string &Body) const {
+    if (Settings_.Failure_ == "fail")
       return errorReply(500, "failed on request");
-    Reply Out{200, "echo:" + Body, "application/octet-stream"};
-    if (Switches_.Failure_ == "silent")
-      Out.Form_ = Form::Hang;
-    else if (Switches_.Failure_ == "truncate")
-      Out.Form_ = Form::Truncate;
-    else if (Switches_.Failure_ == "no_length")
-      Out.Form_ = Form::NoLength;
-    else if (Switches_.Failure_ == "close_without_answer")
-      Out.Form_ = Form::Close;
-    return Out;
+    Reply Response{200, "echo:" + Body, "application/octet-stream"};
+    if (Settings_.Failure_ == "silent")
+      Response.Mode_ = ReplyMode::Hang;
+    else if (Settings_.Failure_ == "truncate")
+      Response.Mode_ = ReplyMode::Truncate;
+    else if (Settings_.Failure_ == "no_length")
+      Response.Mode_ = ReplyMode::NoContentLength;
+    else if (Settings_.Failure_ == "close_without_answer")
+      Response.Mode_ = ReplyMode::Close;
+    return Response;
   }
 
   asio::io_context &Io_;
   std::size_t Slots_;
-  std::size_t Busy_ = 0;
-  std::size_t Peak_ = 0;
+  std::size_t BusySlots_ = 0;
+  std::size_t PeakSlots_ = 0;
   std::uint64_t Received_ = 0;
   std::uint64_t RefusedFull_ = 0;
   std::uint64_t RefusedLeaving_ = 0;
-  Switches Switches_;
-  std::map<std::string, Run> Runs_;
+  Settings Settings_;
+  std::map<std::string, RunRecord> Runs_;
   HttpStub Server_;
 };
 
 using Executors = std::map<std::string, std::unique_ptr<Executor>>;
 
 Json evidenceOf(const Executors &All) {
-  Json Out = Json::object();
-  std::map<std::string, int> Times;
-  for (const auto &[Name, Of] : All) {
-    Out[Name] = Of->evidence();
-    for (const Json &Request : Out[Name]["requests"])
-      Times[Request["id"].get<std::string>()] += Request["times"].get<int>();
+  Json Response = Json::object();
+  std::map<std::string, int> RunCounts;
+  for (const auto &[Name, Entry] : All) {
+    Response[Name] = Entry->evidence();
+    for (const Json &Request : Response[Name]["requests"])
+      RunCounts[Request["id"].get<std::string>()] += Request["times"].get<int>();
   }
   Json Repeated = Json::object();
-  for (const auto &[Id, Count] : Times)
+  for (const auto &[Id, Count] : RunCounts)
     if (Count > 1)
       Repeated[Id] = Count;
-  return {{"executors", Out}, {"repeated", Repeated}};
+  return {{"executors", Response}, {"repeated", Repeated}};
 }
 
 } // namespace
@@ -175,22 +178,22 @@
     Ports[Name] = All[Name]->port();
   }
   // Without "executor" a switch applies to all of them.
-  const auto Change = [&](const Json &Body) {
+  const auto ApplyControl = [&](const Json &Body) {
     if (const auto Name = Body.find("executor"); Name != Body.end())
       All.at(Name->get<std::string>())->control(Body);
     else
-      for (auto &[Unused, Of] : All)
-        Of->control(Body);
+      for (auto &[Unused, Entry] : All)
+        Entry->control(Body);
     // Cheap to ask for, unlike the evidence, which lists every request.
     Json Received = Json::object();
-    for (const auto &[Name, Of] : All)
-      Received[Name] = Of->received();
+    for (const auto &[Name, Entry] : All)
+      Received[Name] = Entry->received();
     return Json{{"received", Received}};
   };
   const HttpStub Control(Io, Port,
-                         withControls(
-                             Change, [&] { return evidenceOf(All); },
-                             [](const http::Request &, const Respond &Answer) {
+                         withControlRoutes(
+                             ApplyControl, [&] { return evidenceOf(All); },
+                             [](const http::Request &, const ReplyCallback &Answer) {
                                Answer(errorReply(404, "unknown path"));
                              }));
   return runProgram(Io, {{"port", Control.port()}, {"executors", Ports}});
--- a/tests/standins/StandinInstances.cpp
+++ b/tests/standins/StandinInstances.cpp
@@ -14,27 +14,27 @@
 public:
   explicit InstanceList(asio::io_context &Io) : Io_(Io) {}
 
-  void handle(const http::Request &Incoming, const Respond &Answer) {
+  void handle(const http::Request &Incoming, const ReplyCallback &Answer) {
     if (Incoming.Path_ != "/instances")
       return Answer(errorReply(404, "unknown path"));
     ++Reads_;
     if (Outage_ != "none") {
-      Reply Out = errorReply(503, "outage");
-      Out.Form_ = Outage_ == "hang" ? Form::Hang : Form::Whole;
-      return Answer(std::move(Out));
+      Reply Response = errorReply(503, "outage");
+      Response.Mode_ = Outage_ == "hang" ? ReplyMode::Hang : ReplyMode::Complete;
+      return Answer(std::move(Response));
     }
-    Json All = Json::array();
-    for (const auto &[Name, Entry] : Visible_)
-      All.push_back(Entry);
-    Reply Out = jsonReply({{"instances", All}});
-    const std::string Tag = '"' + std::to_string(std::hash<std::string>{}(Out.Body_)) + '"';
-    if (http::findHeader(Incoming.Headers_, "If-None-Match") == Tag)
-      Out = {304, ""};
-    Out.Headers_.emplace_back("ETag", Tag);
-    later(Io_, std::chrono::milliseconds(DelayMs_), [Answer, Out] { Answer(Out); });
+    Json Entries = Json::array();
+    for (const auto &[Name, Entry] : VisibleEntries_)
+      Entries.push_back(Entry);
+    Reply Response = jsonReply({{"instances", Entries}});
+    const std::string ETag = '"' + std::to_string(std::hash<std::string>{}(Response.Body_)) + '"';
+    if (http::findHeader(Incoming.Headers_, "If-None-Match") == ETag)
+      Response = {304, ""};
+    Response.Headers_.emplace_back("ETag", ETag);
+    runAfter(Io_, std::chrono::milliseconds(DelayMs_), [Answer, Response] { Answer(Response); });
   }
 
-  Json evidence() const { return {{"reads", Reads_}, {"entries", Visible_.size()}}; }
+  Json evidence() const { return {{"reads", Reads_}, {"entries", VisibleEntries_.size()}}; }
 
   /// "set" merges members into the entry of the same name, so a state can be changed alone.
   Json control(const Json &Body) {
@@ -43,22 +43,22 @@
     assignIfPresent(Body, "lag_ms", LagMs_);
     const Json Set = Body.value("set", Json::array());
     const Json Remove = Body.value("remove", Json::array());
-    later(Io_, std::chrono::milliseconds(LagMs_), [this, Set, Remove] {
+    runAfter(Io_, std::chrono::milliseconds(LagMs_), [this, Set, Remove] {
       for (const Json &Entry : Set) {
-        Json &Kept = Visible_[Entry.at("name").get<std::string>()];
-        if (Kept.is_null())
-          Kept = {{"state", "live"}};
-        Kept.update(Entry);
+        Json &Current = VisibleEntries_[Entry.at("name").get<std::string>()];
+        if (Current.is_null())
+          Current = {{"state", "live"}};
+        Current.update(Entry);
       }
       for (const Json &Name : Remove)
-        Visible_.erase(Name.get<std::string>());
+        VisibleEntries_.erase(Name.get<std::string>());
     });
     return Json::object();
   }
 
 private:
   asio::io_context &Io_;
-  std::map<std::string, Json> Visible_;
+  std::map<std::string, Json> VisibleEntries_;
   std::string Outage_ = "none"; ///< none, refuse (503) or hang (no answer)
   std::int64_t DelayMs_ = 0;
   std::int64_t LagMs_ = 0; ///< time until a change becomes visible
@@ -75,11 +75,12 @@
   CLI11_PARSE(App, Argc, Argv);
   asio::io_context Io;
   InstanceList List(Io);
-  const HttpStub Server(Io, Port,
-                        withControls([&](const Json &Body) { return List.control(Body); },
-                                     [&] { return List.evidence(); },
-                                     [&](const http::Request &Incoming, const Respond &Answer) {
-                                       List.handle(Incoming, Answer);
-                                     }));
+  const HttpStub Server(
+      Io, Port,
+      withControlRoutes([&](const Json &Body) { return List.control(Body); },
+                        [&] { return List.evidence(); },
+                        [&](const http::Request &Incoming, const ReplyCallback &Answer) {
+                          List.handle(Incoming, Answer);
+                        }));
   return runProgram(Io, {{"port", Server.port()}});
 }
--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -10,12 +10,12 @@
 namespace {
 
 /// Every executor may run every step.
-void advise(const http::Request &Incoming, const Respond &Answer) {
+void advise(const http::Request &Incoming, const ReplyCallback &Answer) {
   withJson(Incoming, Answer, [&](const Json &Body) {
-    Json Good = Json::array();
-    for (const Json &One : Body.at("workers"))
-      Good.push_back(Json::array({One, "ticket"}));
-    Answer(jsonReply({{"good", Good}, {"valid_ms", 2500}}));
+    Json Permitted = Json::array();
+    for (const Json &Worker : Body.at("workers"))
+      Permitted.push_back(Json::array({Worker, "ticket"}));
+    Answer(jsonReply({{"good", Permitted}, {"valid_ms", 2500}}));
   });
 }
 
@@ -25,15 +25,15 @@
   dieWithParent();
   CLI::App App("The users' platform: log service, executors and advice");
   std::uint16_t Port = 0;
-  int Count = 4;
+  int ExecutorCount = 4;
   int Cores = 4;
   App.add_option("--port", Port, "Port on 127.0.0.1, 0 for any");
-  App.add_option("--executors", Count, "Number of executors");
+  App.add_option("--executors", ExecutorCount, "Number of executors");
   App.add_option("--cores", Cores, "Cores of each executor");
   CLI11_PARSE(App, Argc, Argv);
   asio::io_context Io;
   TopicLog Log(Io);
-  TaskExecutors Executors(Io, Count, Cores);
+  TaskExecutors Executors(Io, ExecutorCount, Cores);
   std::string Address;
   const auto Announce = [&] {
     for (const auto &[Id, Entry] : Executors.entries(Address))
@@ -41,7 +41,7 @@
   };
   const HttpStub Server(
       Io, Port,
-      withControls(
+      withControlRoutes(
           [&](const Json &Body) {
             Log.control(Body);
             Executors.control(Body);
@@ -57,11 +57,11 @@
             return Json::object();
           },
           [&] {
-            Json Out = Executors.evidence();
-            Out["records"] = Log.evidence();
-            return Out;
+            Json Evidence = Executors.evidence();
+            Evidence["records"] = Log.evidence();
+            return Evidence;
           },
-          [&](const http::Request &Incoming, const Respond &Answer) {
+          [&](const http::Request &Incoming, const ReplyCallback &Answer) {
             if (Incoming.Path_ == "/advise")
               advise(Incoming, Answer);
             else if (!Log.handle(Incoming, Answer) && !Executors.handle(Incoming, Answer))
--- a/tests/standins/StandinProxy.cpp
+++ b/tests/standins/StandinProxy.cpp
@@ -16,17 +16,20 @@
 namespace {
 
 /// A connection stops reading while this much waits for its other side.
-constexpr std::size_t MaxQueued = 1U << 20U;
+constexpr std::size_t MaxQueuedBytes = 1U << 20U;
 
-enum Way : std::size_t { Up, Down }; ///< client to target, target to client
+enum FlowDirection : std::size_t {
+  ClientToTarget,
+  TargetToClient
+}; ///< client to target, target to client
 
 /// Switches and counts of one direction of a link.
-struct Direction {
+struct DirectionState {
   std::int64_t DelayMs_ = 0;
   double BytesPerSecond_ = 0; ///< 0: no limit; shared by the link's connections
   bool SilenceAll_ = false;
   std::int64_t TruncateAfter_ = -1; ///< bytes of a connection, -1: no limit
-  core::TimePoint FreeAt_;          ///< when the bandwidth is free again
+  core::TimePoint BandwidthFreeAt_; ///< when the bandwidth is free again
   std::uint64_t Bytes_ = 0;
 };
 
@@ -34,21 +37,21 @@
 
 /// One listening port and its target.
 struct Link {
-  Link(asio::io_context &Io, std::uint16_t Port) : Reserved_(Io, tcp::v4()), Acceptor_(Io) {
-    Reserved_.set_option(tcp::socket::reuse_address(true));
-    Reserved_.bind({asio::ip::address_v4::loopback(), Port});
+  Link(asio::io_context &Io, std::uint16_t Port) : PortReservation_(Io, tcp::v4()), Acceptor_(Io) {
+    PortReservation_.set_option(tcp::socket::reuse_address(true));
+    PortReservation_.bind({asio::ip::address_v4::loopback(), Port});
   }
 
-  std::uint16_t port() const { return Reserved_.local_endpoint().port(); }
+  std::uint16_t port() const { return PortReservation_.local_endpoint().port(); }
 
   tcp::endpoint Target_;
   bool Cut_ = false;
   std::int64_t DropAnswers_ = 0; ///< so many answers are dropped
-  std::array<Direction, 2> Ways_;
+  std::array<DirectionState, 2> Directions_;
   std::uint64_t Accepted_ = 0;
   std::set<std::shared_ptr<Connection>> Open_;
   /// Bound without listening: keeps the port while the link is cut and refuses connections.
-  tcp::socket Reserved_;
+  tcp::socket PortReservation_;
   tcp::acceptor Acceptor_;
 };
 
@@ -56,32 +59,33 @@
 public:
   Connection(asio::io_context &Io, Link &Owner, tcp::socket Client)
       : Link_(Owner), Sides_{Side(Io), Side(Io)} {
-    Sides_[Up].Socket_ = std::move(Client);
+    Sides_[ClientToTarget].Socket_ = std::move(Client);
   }
 
   void start() {
-    for (const Way From : {Up, Down})
-      Sides_[From].Silent_ = Link_.Ways_[From].SilenceAll_;
-    if (Sides_[Up].Silent_) // as if the connection attempt were lost: the target sees nothing
-      return read(Up);
-    Sides_[Down].Socket_.async_connect(
+    for (const FlowDirection Flow : {ClientToTarget, TargetToClient})
+      Sides_[Flow].Silent_ = Link_.Directions_[Flow].SilenceAll_;
+    if (Sides_[ClientToTarget]
+            .Silent_) // as if the connection attempt were lost: the target sees nothing
+      return read(ClientToTarget);
+    Sides_[TargetToClient].Socket_.async_connect(
         Link_.Target_, [Self = shared_from_this()](std::error_code Error) {
           if (Error)
             return Self->close();
-          for (const Way From : {Up, Down}) {
-            Self->Sides_[From].Socket_.set_option(tcp::no_delay(true), Error);
-            Self->read(From);
+          for (const FlowDirection Flow : {ClientToTarget, TargetToClient}) {
+            Self->Sides_[Flow].Socket_.set_option(tcp::no_delay(true), Error);
+            Self->read(Flow);
           }
         });
   }
 
-  /// From now on no bytes and no end pass in this direction.
-  void silence(Way From) {
-    Sides_[From].Silent_ = true;
-    Sides_[From].Queue_.clear();
+  /// Flow now on no bytes and no end pass in this direction.
+  void silence(FlowDirection Flow) {
+    Sides_[Flow].Silent_ = true;
+    Sides_[Flow].Queue_.clear();
   }
 
-  void resetCount(Way From) { Sides_[From].Carried_ = 0; }
+  void resetByteCount(FlowDirection Flow) { Sides_[Flow].DeliveredBytes_ = 0; }
 
   void close() {
     if (!Open_)
@@ -97,7 +101,7 @@
 
 private:
   struct Chunk {
-    core::TimePoint Due_;
+    core::TimePoint DueTime_;
     std::string Bytes_; ///< empty: end of the stream
   };
 
@@ -108,121 +112,124 @@
     asio::steady_timer Timer_;
     std::array<char, 16384> Buffer_{};
     std::deque<Chunk> Queue_;
-    std::size_t Queued_ = 0;
+    std::size_t QueuedBytes_ = 0;
     bool Writing_ = false;
     bool Reading_ = false;
     bool Silent_ = false;
-    bool Ended_ = false;
-    std::int64_t Carried_ = 0;
+    bool EndOfStream_ = false;
+    std::int64_t DeliveredBytes_ = 0;
   };
 
-  static Way other(Way From) { return From == Up ? Down : Up; }
+  static FlowDirection opposite(FlowDirection Flow) {
+    return Flow == ClientToTarget ? TargetToClient : ClientToTarget;
+  }
 
-  void read(Way From) {
-    Side &Source = Sides_[From];
+  void read(FlowDirection Flow) {
+    Side &Source = Sides_[Flow];
     Source.Reading_ = true;
     Source.Socket_.async_read_some(
         asio::buffer(Source.Buffer_),
-        [Self = shared_from_this(), From](std::error_code Error, std::size_t Size) {
-          Self->onRead(From, Error, Size);
+        [Self = shared_from_this(), Flow](std::error_code Error, std::size_t Size) {
+          Self->onRead(Flow, Error, Size);
         });
   }
 
-  void onRead(Way From, std::error_code Error, std::size_t Size) {
-    Side &Source = Sides_[From];
-    Direction &Rules = Link_.Ways_[From];
+  void onRead(FlowDirection Flow, std::error_code Error, std::size_t Size) {
+    Side &Source = Sides_[Flow];
+    DirectionState &Rules = Link_.Directions_[Flow];
     Source.Reading_ = false;
     if (!Open_)
       return;
     if (Rules.SilenceAll_)
-      silence(From);
+      silence(Flow);
     if (Source.Silent_) {
       // Bytes are discarded; the other side never learns of the end.
-      Source.Ended_ = Source.Ended_ || Error;
+      Source.EndOfStream_ = Source.EndOfStream_ || Error;
       if (!Error)
-        return read(From);
-      if (Sides_[other(From)].Ended_ || !Sides_[other(From)].Socket_.is_open())
+        return read(Flow);
+      if (Sides_[opposite(Flow)].EndOfStream_ || !Sides_[opposite(Flow)].Socket_.is_open())
         close();
       return;
     }
     if (Error && Error != asio::error::eof)
       return close();
-    if (From == Down && !Error && Link_.DropAnswers_ > 0) {
+    if (Flow == TargetToClient && !Error && Link_.DropAnswers_ > 0) {
       --Link_.DropAnswers_;
       return close();
     }
     enqueue(Source, Rules, Size);
-    if (!Error && Source.Queued_ < MaxQueued)
-      read(From);
-    write(From);
+    if (!Error && Source.QueuedBytes_ < MaxQueuedBytes)
+      read(Flow);
+    write(Flow);
   }
 
-  static void enqueue(Side &Source, Direction &Rules, std::size_t Size) {
-    core::TimePoint Due = core::Clock::now();
+  static void enqueue(Side &Source, DirectionState &Rules, std::size_t Size) {
+    core::TimePoint DueTime = core::Clock::now();
     if (Rules.BytesPerSecond_ > 0) {
-      const auto Cost = std::chrono::duration_cast<core::Duration>(
+      const auto TransmitTime = std::chrono::duration_cast<core::Duration>(
           std::chrono::duration<double>(static_cast<double>(Size) / Rules.BytesPerSecond_));
-      Due = std::max(Due, Rules.FreeAt_) + Cost;
-      Rules.FreeAt_ = Due;
+      DueTime = std::max(DueTime, Rules.BandwidthFreeAt_) + TransmitTime;
+      Rules.BandwidthFreeAt_ = DueTime;
     }
-    Due += core::Millis(Rules.DelayMs_);
+    DueTime += core::Millis(Rules.DelayMs_);
     if (!Source.Queue_.empty())
-      Due = std::max(Due, Source.Queue_.back().Due_);
-    Source.Queue_.push_back({Due, std::string(Source.Buffer_.data(), Size)});
-    Source.Queued_ += Size;
+      DueTime = std::max(DueTime, Source.Queue_.back().DueTime_);
+    Source.Queue_.push_back({DueTime, std::string(Source.Buffer_.data(), Size)});
+    Source.QueuedBytes_ += Size;
   }
 
   /// Writes the first chunk when it is due; one write or timer at a time.
-  void write(Way From) {
-    Side &Source = Sides_[From];
+  void write(FlowDirection Flow) {
+    Side &Source = Sides_[Flow];
     if (!Open_ || Source.Writing_ || Source.Queue_.empty())
       return;
     Source.Writing_ = true;
     Source.Timer_.expires_after(
-        std::max(core::Duration::zero(), Source.Queue_.front().Due_ - core::Clock::now()));
-    Source.Timer_.async_wait([Self = shared_from_this(), From](std::error_code Error) {
-      Self->Sides_[From].Writing_ = false;
+        std::max(core::Duration::zero(), Source.Queue_.front().DueTime_ - core::Clock::now()));
+    Source.Timer_.async_wait([Self = shared_from_this(), Flow](std::error_code Error) {
+      Self->Sides_[Flow].Writing_ = false;
       if (!Error)
-        Self->deliver(From);
+        Self->deliver(Flow);
     });
   }
 
-  void deliver(Way From) {
-    Side &Source = Sides_[From];
+  void deliver(FlowDirection Flow) {
+    Side &Source = Sides_[Flow];
     if (!Open_ || Source.Queue_.empty()) // silenced while waiting
       return;
     auto Bytes = std::make_shared<std::string>(std::move(Source.Queue_.front().Bytes_));
     Source.Queue_.pop_front();
-    Source.Queued_ -= std::min(Source.Queued_, Bytes->size());
+    Source.QueuedBytes_ -= std::min(Source.QueuedBytes_, Bytes->size());
     if (Bytes->empty())
-      return end(From);
-    const std::int64_t Limit = Link_.Ways_[From].TruncateAfter_;
-    const std::int64_t Left =
-        Limit < 0 ? INT64_MAX : std::max<std::int64_t>(0, Limit - Source.Carried_);
-    const bool Last = static_cast<std::int64_t>(Bytes->size()) > Left;
-    if (Last)
-      Bytes->resize(static_cast<std::size_t>(Left));
-    Source.Carried_ += static_cast<std::int64_t>(Bytes->size());
-    Link_.Ways_[From].Bytes_ += Bytes->size();
+      return end(Flow);
+    const std::int64_t ByteLimit = Link_.Directions_[Flow].TruncateAfter_;
+    const std::int64_t RemainingBytes =
+        ByteLimit < 0 ? INT64_MAX : std::max<std::int64_t>(0, ByteLimit - Source.DeliveredBytes_);
+    const bool LimitReached = static_cast<std::int64_t>(Bytes->size()) > RemainingBytes;
+    if (LimitReached)
+      Bytes->resize(static_cast<std::size_t>(RemainingBytes));
+    Source.DeliveredBytes_ += static_cast<std::int64_t>(Bytes->size());
+    Link_.Directions_[Flow].Bytes_ += Bytes->size();
     Source.Writing_ = true;
     asio::async_write(
-        Sides_[other(From)].Socket_, asio::buffer(*Bytes),
-        [Self = shared_from_this(), From, Bytes, Last](std::error_code Error, std::size_t) {
-          Side &Done = Self->Sides_[From];
-          Done.Writing_ = false;
-          if (Error || Last)
+        Sides_[opposite(Flow)].Socket_, asio::buffer(*Bytes),
+        [Self = shared_from_this(), Flow, Bytes, LimitReached](std::error_code Error, std::size_t) {
+          Side &SourceSide = Self->Sides_[Flow];
+          SourceSide.Writing_ = false;
+          if (Error || LimitReached)
             return Self->close();
-          if (!Done.Reading_ && !Done.Ended_ && Done.Queued_ < MaxQueued)
-            Self->read(From);
-          Self->write(From);
+          if (!SourceSide.Reading_ && !SourceSide.EndOfStream_ &&
+              SourceSide.QueuedBytes_ < MaxQueuedBytes)
+            Self->read(Flow);
+          Self->write(Flow);
         });
   }
 
-  void end(Way From) {
-    Sides_[From].Ended_ = true;
+  void end(FlowDirection Flow) {
+    Sides_[Flow].EndOfStream_ = true;
     std::error_code Ignored;
-    Sides_[other(From)].Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
-    if (Sides_[other(From)].Ended_)
+    Sides_[opposite(Flow)].Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+    if (Sides_[opposite(Flow)].EndOfStream_)
       close();
   }
 
@@ -266,83 +273,83 @@
     if (Body.contains("link"))
       Names.push_back(Body.at("link"));
     if (Names.empty() && !Body.contains("links"))
-      for (const auto &[Name, Of] : Links_)
+      for (const auto &[Name, Entry] : Links_)
         Names.push_back(Name);
     for (const std::string &Name : Names)
-      change(*Links_.at(Name), Body);
+      applySettings(*Links_.at(Name), Body);
     return {{"links", Ports}};
   }
 
   Json evidence() const {
     Json All = Json::object();
-    for (const auto &[Name, Of] : Links_)
-      All[Name] = {{"port", Of->port()},
-                   {"bytes_up", Of->Ways_[Up].Bytes_},
-                   {"bytes_down", Of->Ways_[Down].Bytes_},
-                   {"connections", Of->Accepted_},
-                   {"open", Of->Open_.size()}};
+    for (const auto &[Name, Entry] : Links_)
+      All[Name] = {{"port", Entry->port()},
+                   {"bytes_up", Entry->Directions_[ClientToTarget].Bytes_},
+                   {"bytes_down", Entry->Directions_[TargetToClient].Bytes_},
+                   {"connections", Entry->Accepted_},
+                   {"open", Entry->Open_.size()}};
     return {{"links", All}};
   }
 
 private:
-  void listen(Link &Of) {
-    Of.Acceptor_.open(tcp::v4());
-    Of.Acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    Of.Acceptor_.bind(Of.Reserved_.local_endpoint());
-    Of.Acceptor_.listen();
-    accept(Of);
+  void listen(Link &Entry) {
+    Entry.Acceptor_.open(tcp::v4());
+    Entry.Acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    Entry.Acceptor_.bind(Entry.PortReservation_.local_endpoint());
+    Entry.Acceptor_.listen();
+    accept(Entry);
   }
 
-  void accept(Link &Of) {
-    Of.Acceptor_.async_accept([this, &Of](std::error_code Error, tcp::socket Client) {
+  void accept(Link &Entry) {
+    Entry.Acceptor_.async_accept([this, &Entry](std::error_code Error, tcp::socket Client) {
       if (Error)
         return; // the link was cut
-      ++Of.Accepted_;
-      const auto New = std::make_shared<Connection>(Io_, Of, std::move(Client));
-      Of.Open_.insert(New);
+      ++Entry.Accepted_;
+      const auto New = std::make_shared<Connection>(Io_, Entry, std::move(Client));
+      Entry.Open_.insert(New);
       New->start();
-      accept(Of);
+      accept(Entry);
     });
   }
 
-  void change(Link &Of, const Json &Body) {
+  void applySettings(Link &Entry, const Json &Body) {
     if (Body.value("heal", false)) {
-      cut(Of, false);
-      Of.DropAnswers_ = 0;
-      for (Direction &Each : Of.Ways_)
+      cut(Entry, false);
+      Entry.DropAnswers_ = 0;
+      for (DirectionState &Each : Entry.Directions_)
         Each = {.Bytes_ = Each.Bytes_};
     }
     if (const auto Target = Body.find("target"); Target != Body.end())
-      Of.Target_ = parseEndpoint(Target->get<std::string>());
+      Entry.Target_ = parseEndpoint(Target->get<std::string>());
     if (const auto Cut = Body.find("cut"); Cut != Body.end())
-      cut(Of, Cut->get<bool>());
-    assignIfPresent(Body, "drop_answers", Of.DropAnswers_);
-    const std::string Chosen = Body.value("direction", std::string("both"));
-    for (const Way From : {Up, Down}) {
-      if (Chosen != "both" && Chosen != (From == Up ? "up" : "down"))
+      cut(Entry, Cut->get<bool>());
+    assignIfPresent(Body, "drop_answers", Entry.DropAnswers_);
+    const std::string DirectionName = Body.value("direction", std::string("both"));
+    for (const FlowDirection Flow : {ClientToTarget, TargetToClient}) {
+      if (DirectionName != "both" && DirectionName != (Flow == ClientToTarget ? "up" : "down"))
         continue;
-      Direction &Rules = Of.Ways_[From];
+      DirectionState &Rules = Entry.Directions_[Flow];
       assignIfPresent(Body, "delay_ms", Rules.DelayMs_);
       assignIfPresent(Body, "bandwidth_bytes_per_s", Rules.BytesPerSecond_);
       assignIfPresent(Body, "silence_all", Rules.SilenceAll_);
       assignIfPresent(Body, "truncate_after_bytes", Rules.TruncateAfter_);
-      for (const auto &Each : Of.Open_) {
+      for (const auto &Each : Entry.Open_) {
         if (Body.value("silence_existing", false) || Body.value("silence_all", false))
-          Each->silence(From);
+          Each->silence(Flow);
         if (Body.contains("truncate_after_bytes"))
-          Each->resetCount(From);
+          Each->resetByteCount(Flow);
       }
     }
   }
 
-  void cut(Link &Of, bool Cut) {
-    if (Of.Cut_ == Cut)
+  void cut(Link &Entry, bool Cut) {
+    if (Entry.Cut_ == Cut)
       return;
-    Of.Cut_ = Cut;
+    Entry.Cut_ = Cut;
     if (!Cut)
-      return listen(Of);
-    Of.Acceptor_.close();
-    const auto Open = Of.Open_; // close() removes from the set
+      return listen(Entry);
+    Entry.Acceptor_.close();
+    const auto Open = Entry.Open_; // close() removes from the set
     for (const auto &Each : Open)
       Each->close();
   }
@@ -367,10 +374,10 @@
   if (!Target.empty())
     Ready["default"] = All.add("default", Target, 0);
   const HttpStub Control(Io, Port,
-                         withControls([&](const Json &Body) { return All.control(Body); },
-                                      [&] { return All.evidence(); },
-                                      [](const http::Request &, const Respond &Answer) {
-                                        Answer(errorReply(404, "unknown path"));
-                                      }));
+                         withControlRoutes([&](const Json &Body) { return All.control(Body); },
+                                           [&] { return All.evidence(); },
+                                           [](const http::Request &, const ReplyCallback &Answer) {
+                                             Answer(errorReply(404, "unknown path"));
+                                           }));
   return runProgram(Io, {{"port", Control.port()}, {"links", Ready}});
 }
--- a/tests/standins/StandinWorker.cpp
+++ b/tests/standins/StandinWorker.cpp
@@ -23,14 +23,14 @@
   std::int64_t Attempt_ = 0;
   std::string State_ = "running"; ///< running, finished, failed or stopped
   std::string Reason_;            ///< why it ended
-  int Exit_ = 0;
-  Resources Size_;
-  TimePoint Start_;
-  TimePoint End_ = Never; ///< planned end
-  std::size_t Event_ = 0; ///< index in the evidence
+  int ExitCode_ = 0;
+  Resources Allocation_;
+  TimePoint StartTime_;
+  TimePoint PlannedEnd_ = Never; ///< planned end
+  std::size_t EventIndex_ = 0;   ///< index in the evidence
 };
 
-struct Switches {
+struct Settings {
   bool FailAll_ = false;
   bool Refuse_ = false;
   bool Silent_ = false;
@@ -41,24 +41,24 @@
 };
 
 struct Worker {
-  std::string Boot_;
+  std::string BootId_;
   Resources Capacity_;
   Resources Used_;
-  Resources Peak_;
+  Resources PeakUsage_;
   std::int64_t Term_ = 0;
   std::string Owner_;
   TimePoint LeaseEnd_; ///< no lease when in the past
   bool Overcommitted_ = false;
-  std::uint64_t NoRoom_ = 0;
-  std::uint64_t LowerTerm_ = 0;
-  Switches Switches_;
+  std::uint64_t NoRoomCount_ = 0;
+  std::uint64_t LowerTermCount_ = 0;
+  Settings Settings_;
   std::map<std::string, Task> Tasks_;
 };
 
-Json toJson(const Resources &Of) {
-  return {{"cores", static_cast<double>(Of.MilliCores_) / 1000},
-          {"memory_mb", Of.MemoryMb_},
-          {"accelerators", Of.Accelerators_}};
+Json toJson(const Resources &Entry) {
+  return {{"cores", static_cast<double>(Entry.MilliCores_) / 1000},
+          {"memory_mb", Entry.MemoryMb_},
+          {"accelerators", Entry.Accelerators_}};
 }
 
 Resources resourcesFrom(const Json &Body) {
@@ -66,46 +66,47 @@
           Body.value("accelerators", std::int64_t{0})};
 }
 
-std::string newBoot() {
+std::string newBootId() {
   static std::random_device Source;
   return std::to_string(Source()) + "-" + std::to_string(Source());
 }
 
 /// Converts a point of the boot clock for the evidence.
-std::int64_t wallOf(TimePoint Time) {
+std::int64_t toWallMillis(TimePoint Time) {
   return core::wallMillis() - core::toMillis(core::Clock::now() - Time);
 }
 
 class Workers {
 public:
-  explicit Workers(asio::io_context &Io) : Io_(Io), Ticker_(Io) { tick(); }
+  explicit Workers(asio::io_context &Io) : Io_(Io), ExpiryTimer_(Io) { scheduleExpiryCheck(); }
 
   void add(const std::string &Name, const Resources &Capacity) {
     Worker &New = Workers_[Name];
-    New.Boot_ = newBoot();
+    New.BootId_ = newBootId();
     New.Capacity_ = Capacity;
   }
 
-  void handle(const http::Request &Incoming, const Respond &Answer) {
+  void handle(const http::Request &Incoming, const ReplyCallback &Answer) {
     // A process that was stopped sees the end of its leases before anything else.
-    sweep();
+    endExpired();
     const auto Path = http::pathSegments(Incoming.Path_);
     if (Path.size() < 3 || Path[0] != "w" || !Workers_.contains(Path[1]))
       return Answer(errorReply(404, "unknown worker"));
-    Worker &At = Workers_[Path[1]];
-    if (At.Switches_.Silent_)
-      return Answer({.Form_ = Form::Hang});
-    const bool Starts = Path[2] == "tasks" && Incoming.Method_ == "PUT";
-    const std::int64_t Delay = At.Switches_.DelayMs_ + (Starts ? At.Switches_.SlowStartMs_ : 0);
-    later(Io_, core::Millis(Delay), [this, Name = Path[1], &At, Path, Incoming, Answer] {
-      sweep();
+    Worker &Target = Workers_[Path[1]];
+    if (Target.Settings_.Silent_)
+      return Answer({.Mode_ = ReplyMode::Hang});
+    const bool IsStart = Path[2] == "tasks" && Incoming.Method_ == "PUT";
+    const std::int64_t Delay =
+        Target.Settings_.DelayMs_ + (IsStart ? Target.Settings_.SlowStartMs_ : 0);
+    runAfter(Io_, core::Millis(Delay), [this, Name = Path[1], &Target, Path, Incoming, Answer] {
+      endExpired();
       withJson(Incoming, Answer, [&](const Json &Body) {
-        Reply Out = command(Name, At, Path, Incoming, Body);
-        if (At.Switches_.LoseAnswers_ > 0) {
-          --At.Switches_.LoseAnswers_;
-          Out.Form_ = Form::Close;
+        Reply Response = handleCommand(Name, Target, Path, Incoming, Body);
+        if (Target.Settings_.LoseAnswers_ > 0) {
+          --Target.Settings_.LoseAnswers_;
+          Response.Mode_ = ReplyMode::Close;
         }
-        Answer(std::move(Out));
+        Answer(std::move(Response));
       });
     });
   }
@@ -113,35 +114,35 @@
   /// "worker" names one worker, otherwise a switch applies to all. "add" adds or replaces workers,
   /// "restart": true gives a new boot id and loses tasks, lease and term.
   Json control(const Json &Body) {
-    sweep();
+    endExpired();
     for (const Json &New : Body.value("add", Json::array()))
       add(New.at("name"), resourcesFrom(New));
     if (const auto Name = Body.find("worker"); Name != Body.end())
-      change(Workers_.at(Name->get<std::string>()), Body);
+      applySettings(Workers_.at(Name->get<std::string>()), Body);
     else
-      for (auto &[Unused, At] : Workers_)
-        change(At, Body);
+      for (auto &[Unused, Target] : Workers_)
+        applySettings(Target, Body);
     return Json::object();
   }
 
   Json evidence() {
-    sweep();
+    endExpired();
     Json All = Json::object();
     bool Overcommitted = false;
-    for (const auto &[Name, At] : Workers_) {
-      Overcommitted = Overcommitted || At.Overcommitted_;
-      All[Name] = {{"capacity", toJson(At.Capacity_)},
-                   {"used", toJson(At.Used_)},
-                   {"peak", toJson(At.Peak_)},
-                   {"overcommitted", At.Overcommitted_},
-                   {"no_room", At.NoRoom_},
-                   {"lower_term", At.LowerTerm_},
-                   {"term", At.Term_},
-                   {"owner", At.Owner_}};
+    for (const auto &[Name, Target] : Workers_) {
+      Overcommitted = Overcommitted || Target.Overcommitted_;
+      All[Name] = {{"capacity", toJson(Target.Capacity_)},
+                   {"used", toJson(Target.Used_)},
+                   {"peak", toJson(Target.PeakUsage_)},
+                   {"overcommitted", Target.Overcommitted_},
+                   {"no_room", Target.NoRoomCount_},
+                   {"lower_term", Target.LowerTermCount_},
+                   {"term", Target.Term_},
+                   {"owner", Target.Owner_}};
     }
     int Peak = 0;
     Json Duplicates = Json::object();
-    for (const auto &[Id, Count] : Copies_) {
+    for (const auto &[Id, Count] : RunningCopies_) {
       Peak = std::max(Peak, Count.second);
       if (Count.second > 1)
         Duplicates[Id] = Count.second;
@@ -154,18 +155,18 @@
   }
 
 private:
-  Reply command(const std::string &Name, Worker &At, const std::vector<std::string> &Path,
-                const http::Request &Incoming, const Json &Body) {
+  Reply handleCommand(const std::string &Name, Worker &Target, const std::vector<std::string> &Path,
+                      const http::Request &Incoming, const Json &Body) {
     const std::string QueryTerm = http::queryValue(Incoming.Query_, "term");
     const std::int64_t Term = QueryTerm.empty() ? Body.value("term", std::int64_t{0})
                                                 : std::strtoll(QueryTerm.c_str(), nullptr, 10);
-    if (Term < At.Term_) {
-      ++At.LowerTerm_;
-      return jsonReply({{"error", "lower term"}, {"term", At.Term_}}, 409);
+    if (Term < Target.Term_) {
+      ++Target.LowerTermCount_;
+      return jsonReply({{"error", "lower term"}, {"term", Target.Term_}}, 409);
     }
     const std::string &Method = Incoming.Method_;
     if (Path[2] == "lease" && Method == "PUT")
-      return renew(At, Term, Body);
+      return renew(Target, Term, Body);
     if (Path[2] != "tasks" || Path.size() < 4)
       return errorReply(404, "unknown path");
     // Task ids may contain '/', encoded or not; an action is the last segment of a POST.
@@ -174,85 +175,86 @@
     for (std::size_t I = 4; I < IdEnd; ++I)
       Id += "/" + Path[I];
     if (Method == "PUT")
-      return start(Name, At, Id, Term, Body);
-    const auto Found = At.Tasks_.find(Id);
-    if (Found == At.Tasks_.end())
+      return start(Name, Target, Id, Term, Body);
+    const auto Found = Target.Tasks_.find(Id);
+    if (Found == Target.Tasks_.end())
       return errorReply(404, "unknown task");
     if (Method == "DELETE") {
-      finish(At, Found->second, "stopped", "stopped by owner", core::Clock::now());
+      finish(Target, Found->second, "stopped", "stopped by owner", core::Clock::now());
       return jsonReply(taskJson(Id, Found->second));
     }
     if (Method == "POST" && Path.back() == "checkpoint")
-      return checkpoint(At, Id, Found->second);
+      return checkpoint(Target, Id, Found->second);
     if (Method == "POST" && Path.back() == "throttle")
-      return throttle(At, Id, Found->second, Body);
+      return throttle(Target, Id, Found->second, Body);
     return errorReply(404, "unknown path");
   }
 
-  static Json taskJson(const std::string &Id, const Task &Of) {
+  static Json taskJson(const std::string &Id, const Task &Entry) {
     return {{"id", Id},
-            {"attempt", Of.Attempt_},
-            {"state", Of.State_},
-            {"exit", Of.Exit_},
-            {"reason", Of.Reason_}};
+            {"attempt", Entry.Attempt_},
+            {"state", Entry.State_},
+            {"exit", Entry.ExitCode_},
+            {"reason", Entry.Reason_}};
   }
 
-  Reply renew(Worker &At, std::int64_t Term, const Json &Body) {
-    At.Term_ = Term;
-    At.Owner_ = Body.value("owner", std::string());
-    At.LeaseEnd_ = core::Clock::now() + core::Millis(Body.value("ttl_ms", std::int64_t{10'000}));
+  Reply renew(Worker &Target, std::int64_t Term, const Json &Body) {
+    Target.Term_ = Term;
+    Target.Owner_ = Body.value("owner", std::string());
+    Target.LeaseEnd_ =
+        core::Clock::now() + core::Millis(Body.value("ttl_ms", std::int64_t{10'000}));
     for (const Json &Ack : Body.value("ack", Json::array())) {
       // An ack is a task id, or {"id", "attempt"} to acknowledge exactly one attempt.
       const std::string Id =
           Ack.is_string() ? Ack.get<std::string>() : Ack.at("id").get<std::string>();
-      const auto Found = At.Tasks_.find(Id);
-      if (Found != At.Tasks_.end() && Found->second.State_ != "running" &&
+      const auto Found = Target.Tasks_.find(Id);
+      if (Found != Target.Tasks_.end() && Found->second.State_ != "running" &&
           (Ack.is_string() || Ack.at("attempt") == Found->second.Attempt_))
-        At.Tasks_.erase(Found);
+        Target.Tasks_.erase(Found);
     }
     Json Tasks = Json::array();
-    for (const auto &[Id, Of] : At.Tasks_)
-      Tasks.push_back(taskJson(Id, Of));
-    return jsonReply({{"boot", At.Boot_},
-                      {"term", At.Term_},
+    for (const auto &[Id, Entry] : Target.Tasks_)
+      Tasks.push_back(taskJson(Id, Entry));
+    return jsonReply({{"boot", Target.BootId_},
+                      {"term", Target.Term_},
                       {"tasks", Tasks},
-                      {"leaving", At.Switches_.Leaving_},
-                      {"usage", toJson(At.Used_)}});
+                      {"leaving", Target.Settings_.Leaving_},
+                      {"usage", toJson(Target.Used_)}});
   }
 
-  Reply start(const std::string &Name, Worker &At, const std::string &Id, std::int64_t Term,
+  Reply start(const std::string &Name, Worker &Target, const std::string &Id, std::int64_t Term,
               const Json &Body) {
     const auto Attempt = Body.value("attempt", std::int64_t{0});
-    const auto Known = At.Tasks_.find(Id);
-    if (Known != At.Tasks_.end() && Known->second.Attempt_ == Attempt)
-      return jsonReply(taskJson(Id, Known->second));
-    if (Known != At.Tasks_.end() &&
-        (Known->second.State_ == "running" || Attempt < Known->second.Attempt_))
+    const auto Existing = Target.Tasks_.find(Id);
+    if (Existing != Target.Tasks_.end() && Existing->second.Attempt_ == Attempt)
+      return jsonReply(taskJson(Id, Existing->second));
+    if (Existing != Target.Tasks_.end() &&
+        (Existing->second.State_ == "running" || Attempt < Existing->second.Attempt_))
       return errorReply(409, "another attempt of the task is known");
     const TimePoint Now = core::Clock::now();
-    if (Term > At.Term_ || At.LeaseEnd_ <= Now)
+    if (Term > Target.Term_ || Target.LeaseEnd_ <= Now)
       return errorReply(410, "no lease under this term");
-    if (Body.value("boot", At.Boot_) != At.Boot_)
+    if (Body.value("boot", Target.BootId_) != Target.BootId_)
       return errorReply(410, "start names an earlier generation of the lease");
-    if (At.Switches_.Leaving_ || At.Switches_.Refuse_)
-      return errorReply(503, At.Switches_.Leaving_ ? "leaving" : "refused");
+    if (Target.Settings_.Leaving_ || Target.Settings_.Refuse_)
+      return errorReply(503, Target.Settings_.Leaving_ ? "leaving" : "refused");
     Task New;
     New.Attempt_ = Attempt;
-    New.Size_ = resourcesFrom(Body);
-    New.Start_ = Now;
-    if (!core::fits(At.Used_ + New.Size_, At.Capacity_)) {
-      ++At.NoRoom_;
+    New.Allocation_ = resourcesFrom(Body);
+    New.StartTime_ = Now;
+    if (!core::fits(Target.Used_ + New.Allocation_, Target.Capacity_)) {
+      ++Target.NoRoomCount_;
       return errorReply(507, "no room");
     }
-    const bool Fails = Body.value("fail", false) || At.Switches_.FailAll_;
-    New.Exit_ = Fails ? 1 : Body.value("exit", 0);
+    const bool ShouldFail = Body.value("fail", false) || Target.Settings_.FailAll_;
+    New.ExitCode_ = ShouldFail ? 1 : Body.value("exit", 0);
     const auto RunMs = Body.value("run_ms", std::int64_t{0});
-    if (At.Switches_.FailAll_)
-      New.End_ = Now + core::Millis(10);
+    if (Target.Settings_.FailAll_)
+      New.PlannedEnd_ = Now + core::Millis(10);
     else if (RunMs > 0)
-      New.End_ = Now + core::Millis(std::max<std::int64_t>(
-                           1, RunMs - Body.value("progress_ms", std::int64_t{0})));
-    New.Event_ = Events_.size();
+      New.PlannedEnd_ = Now + core::Millis(std::max<std::int64_t>(
+                                  1, RunMs - Body.value("progress_ms", std::int64_t{0})));
+    New.EventIndex_ = Events_.size();
     Events_.push_back({{"worker", Name},
                        {"id", Id},
                        {"attempt", Attempt},
@@ -260,120 +262,123 @@
                        {"start_ms", core::wallMillis()},
                        {"end_ms", nullptr},
                        {"reason", nullptr}});
-    use(At, New.Size_);
-    At.Tasks_[Id] = New;
-    Copies_[Id].second = std::max(Copies_[Id].second, ++Copies_[Id].first);
+    allocate(Target, New.Allocation_);
+    Target.Tasks_[Id] = New;
+    RunningCopies_[Id].second = std::max(RunningCopies_[Id].second, ++RunningCopies_[Id].first);
     return jsonReply(taskJson(Id, New), 201);
   }
 
   /// Stops the task and reports its progress; a later start with "progress_ms" continues there.
-  Reply checkpoint(Worker &At, const std::string &Id, Task &Of) {
-    if (Of.State_ != "running")
+  Reply checkpoint(Worker &Target, const std::string &Id, Task &Entry) {
+    if (Entry.State_ != "running")
       return errorReply(409, "task has ended");
     const TimePoint Now = core::Clock::now();
-    finish(At, Of, "stopped", "checkpoint", Now);
-    Json Out = taskJson(Id, Of);
-    Out["progress_ms"] = core::toMillis(Now - Of.Start_);
-    return jsonReply(Out);
+    finish(Target, Entry, "stopped", "checkpoint", Now);
+    Json Response = taskJson(Id, Entry);
+    Response["progress_ms"] = core::toMillis(Now - Entry.StartTime_);
+    return jsonReply(Response);
   }
 
   /// Changes the task's cores ("cores", default half of them); its remaining run time grows in
   /// proportion.
-  Reply throttle(Worker &At, const std::string &Id, Task &Of, const Json &Body) {
-    if (Of.State_ != "running")
+  Reply throttle(Worker &Target, const std::string &Id, Task &Entry, const Json &Body) {
+    if (Entry.State_ != "running")
       return errorReply(409, "task has ended");
-    Resources Size = Of.Size_;
-    Size.MilliCores_ = Body.contains("cores") ? resourcesFrom(Body).MilliCores_
-                                              : std::max<std::int64_t>(1, Size.MilliCores_ / 2);
-    if (Size.MilliCores_ <= 0)
+    Resources Allocation = Entry.Allocation_;
+    Allocation.MilliCores_ = Body.contains("cores")
+                                 ? resourcesFrom(Body).MilliCores_
+                                 : std::max<std::int64_t>(1, Allocation.MilliCores_ / 2);
+    if (Allocation.MilliCores_ <= 0)
       return errorReply(400, "cores must be positive");
-    if (!core::fits(At.Used_ - Of.Size_ + Size, At.Capacity_)) {
-      ++At.NoRoom_;
+    if (!core::fits(Target.Used_ - Entry.Allocation_ + Allocation, Target.Capacity_)) {
+      ++Target.NoRoomCount_;
       return errorReply(507, "no room");
     }
     const TimePoint Now = core::Clock::now();
-    if (Of.End_ != Never)
-      Of.End_ = Now + core::Millis(core::toMillis(Of.End_ - Now) * Of.Size_.MilliCores_ /
-                                   Size.MilliCores_);
-    At.Used_ -= Of.Size_;
-    use(At, Size);
-    Of.Size_ = Size;
-    return jsonReply(taskJson(Id, Of));
+    if (Entry.PlannedEnd_ != Never)
+      Entry.PlannedEnd_ =
+          Now + core::Millis(core::toMillis(Entry.PlannedEnd_ - Now) *
+                             Entry.Allocation_.MilliCores_ / Allocation.MilliCores_);
+    Target.Used_ -= Entry.Allocation_;
+    allocate(Target, Allocation);
+    Entry.Allocation_ = Allocation;
+    return jsonReply(taskJson(Id, Entry));
   }
 
-  static void use(Worker &At, const Resources &Size) {
-    At.Used_ += Size;
-    At.Overcommitted_ = At.Overcommitted_ || !core::fits(At.Used_, At.Capacity_);
-    At.Peak_ = {std::max(At.Peak_.MilliCores_, At.Used_.MilliCores_),
-                std::max(At.Peak_.MemoryMb_, At.Used_.MemoryMb_),
-                std::max(At.Peak_.Accelerators_, At.Used_.Accelerators_)};
+  static void allocate(Worker &Target, const Resources &Allocation) {
+    Target.Used_ += Allocation;
+    Target.Overcommitted_ = Target.Overcommitted_ || !core::fits(Target.Used_, Target.Capacity_);
+    Target.PeakUsage_ = {std::max(Target.PeakUsage_.MilliCores_, Target.Used_.MilliCores_),
+                         std::max(Target.PeakUsage_.MemoryMb_, Target.Used_.MemoryMb_),
+                         std::max(Target.PeakUsage_.Accelerators_, Target.Used_.Accelerators_)};
   }
 
-  void finish(Worker &At, Task &Of, const char *State, const char *Reason, TimePoint When) {
-    if (Of.State_ != "running")
+  void finish(Worker &Target, Task &Entry, const char *State, const char *Reason,
+              TimePoint EndTime) {
+    if (Entry.State_ != "running")
       return;
-    Of.State_ = State;
-    Of.Reason_ = Reason;
-    if (Of.State_ == "stopped")
-      Of.Exit_ = 143; // as after SIGTERM
-    At.Used_ -= Of.Size_;
-    Json &Event = Events_[Of.Event_];
-    Event["end_ms"] = wallOf(When);
+    Entry.State_ = State;
+    Entry.Reason_ = Reason;
+    if (Entry.State_ == "stopped")
+      Entry.ExitCode_ = 143; // as after SIGTERM
+    Target.Used_ -= Entry.Allocation_;
+    Json &Event = Events_[Entry.EventIndex_];
+    Event["end_ms"] = toWallMillis(EndTime);
     Event["reason"] = Reason;
-    --Copies_[Event["id"].get<std::string>()].first;
+    --RunningCopies_[Event["id"].get<std::string>()].first;
   }
 
   /// Ends what has ended by now: leases first, then tasks whose run time is over.
-  void sweep() {
+  void endExpired() {
     const TimePoint Now = core::Clock::now();
-    for (auto &[Name, At] : Workers_) {
-      const bool Lapsed = At.LeaseEnd_ != TimePoint{} && At.LeaseEnd_ <= Now;
-      for (auto &[Id, Of] : At.Tasks_)
-        if (Lapsed)
-          finish(At, Of, "stopped", "lease ended", At.LeaseEnd_);
-        else if (Of.End_ <= Now)
-          finish(At, Of, Of.Exit_ == 0 ? "finished" : "failed", Of.Exit_ == 0 ? "done" : "failed",
-                 Of.End_);
-      if (Lapsed) {
+    for (auto &[Name, Target] : Workers_) {
+      const bool LeaseExpired = Target.LeaseEnd_ != TimePoint{} && Target.LeaseEnd_ <= Now;
+      for (auto &[Id, Entry] : Target.Tasks_)
+        if (LeaseExpired)
+          finish(Target, Entry, "stopped", "lease ended", Target.LeaseEnd_);
+        else if (Entry.PlannedEnd_ <= Now)
+          finish(Target, Entry, Entry.ExitCode_ == 0 ? "finished" : "failed",
+                 Entry.ExitCode_ == 0 ? "done" : "failed", Entry.PlannedEnd_);
+      if (LeaseExpired) {
         // A start that names the old generation may still be on its way and must not run.
-        At.Boot_ = newBoot();
-        At.LeaseEnd_ = {};
+        Target.BootId_ = newBootId();
+        Target.LeaseEnd_ = {};
       }
     }
   }
 
-  void tick() {
-    sweep();
-    Ticker_.expires_after(core::Millis(5));
-    Ticker_.async_wait([this](std::error_code Error) {
+  void scheduleExpiryCheck() {
+    endExpired();
+    ExpiryTimer_.expires_after(core::Millis(5));
+    ExpiryTimer_.async_wait([this](std::error_code Error) {
       if (!Error)
-        tick();
+        scheduleExpiryCheck();
     });
   }
 
-  void change(Worker &At, const Json &Body) {
-    assignIfPresent(Body, "fail_all", At.Switches_.FailAll_);
-    assignIfPresent(Body, "refuse", At.Switches_.Refuse_);
-    assignIfPresent(Body, "silent", At.Switches_.Silent_);
-    assignIfPresent(Body, "leaving", At.Switches_.Leaving_);
-    assignIfPresent(Body, "lose_answers", At.Switches_.LoseAnswers_);
-    assignIfPresent(Body, "slow_start_ms", At.Switches_.SlowStartMs_);
-    assignIfPresent(Body, "delay_ms", At.Switches_.DelayMs_);
+  void applySettings(Worker &Target, const Json &Body) {
+    assignIfPresent(Body, "fail_all", Target.Settings_.FailAll_);
+    assignIfPresent(Body, "refuse", Target.Settings_.Refuse_);
+    assignIfPresent(Body, "silent", Target.Settings_.Silent_);
+    assignIfPresent(Body, "leaving", Target.Settings_.Leaving_);
+    assignIfPresent(Body, "lose_answers", Target.Settings_.LoseAnswers_);
+    assignIfPresent(Body, "slow_start_ms", Target.Settings_.SlowStartMs_);
+    assignIfPresent(Body, "delay_ms", Target.Settings_.DelayMs_);
     if (!Body.value("restart", false))
       return;
-    for (auto &[Id, Of] : At.Tasks_)
-      finish(At, Of, "stopped", "worker restarted", core::Clock::now());
-    At.Tasks_.clear();
-    At.Boot_ = newBoot();
-    At.Term_ = 0;
-    At.LeaseEnd_ = {};
+    for (auto &[Id, Entry] : Target.Tasks_)
+      finish(Target, Entry, "stopped", "worker restarted", core::Clock::now());
+    Target.Tasks_.clear();
+    Target.BootId_ = newBootId();
+    Target.Term_ = 0;
+    Target.LeaseEnd_ = {};
   }
 
   asio::io_context &Io_;
-  asio::steady_timer Ticker_;
+  asio::steady_timer ExpiryTimer_;
   std::map<std::string, Worker> Workers_;
   Json Events_ = Json::array();
-  std::map<std::string, std::pair<int, int>> Copies_; ///< task id: running now, peak
+  std::map<std::string, std::pair<int, int>> RunningCopies_; ///< task id: running now, peak
 };
 
 } // namespace
@@ -396,11 +401,12 @@
   Workers All(Io);
   for (const std::string &Name : Names)
     All.add(Name, Capacity);
-  const HttpStub Server(Io, Port,
-                        withControls([&](const Json &Body) { return All.control(Body); },
-                                     [&] { return All.evidence(); },
-                                     [&](const http::Request &Incoming, const Respond &Answer) {
-                                       All.handle(Incoming, Answer);
-                                     }));
+  const HttpStub Server(
+      Io, Port,
+      withControlRoutes([&](const Json &Body) { return All.control(Body); },
+                        [&] { return All.evidence(); },
+                        [&](const http::Request &Incoming, const ReplyCallback &Answer) {
+                          All.handle(Incoming, Answer);
+                        }));
   return runProgram(Io, {{"port", Server.port()}});
 }
--- a/tests/standins/common/HttpStub.cpp
+++ b/tests/standins/common/HttpStub.cpp
@@ -16,44 +16,45 @@
 }
 
 /// Parses the request line and the header lines.
-http::Request parseHead(std::string_view Head) {
-  http::Request Out;
+http::Request parseRequestHead(std::string_view Head) {
+  http::Request Result;
   std::size_t End = Head.find("\r\n");
   const std::string_view Line = Head.substr(0, End);
-  const std::size_t First = Line.find(' ');
-  const std::size_t Second = Line.find(' ', First + 1);
-  if (First == std::string_view::npos || Second == std::string_view::npos)
-    return Out;
-  Out.Method_ = Line.substr(0, First);
-  const std::string_view Target = Line.substr(First + 1, Second - First - 1);
-  const std::size_t Mark = Target.find('?');
-  Out.Path_ = Target.substr(0, Mark);
-  if (Mark != std::string_view::npos)
-    Out.Query_ = Target.substr(Mark + 1);
+  const std::size_t FirstSpace = Line.find(' ');
+  const std::size_t SecondSpace = Line.find(' ', FirstSpace + 1);
+  if (FirstSpace == std::string_view::npos || SecondSpace == std::string_view::npos)
+    return Result;
+  Result.Method_ = Line.substr(0, FirstSpace);
+  const std::string_view Target = Line.substr(FirstSpace + 1, SecondSpace - FirstSpace - 1);
+  const std::size_t QueryStart = Target.find('?');
+  Result.Path_ = Target.substr(0, QueryStart);
+  if (QueryStart != std::string_view::npos)
+    Result.Query_ = Target.substr(QueryStart + 1);
   while (End != std::string_view::npos && End + 2 < Head.size()) {
     const std::size_t Start = End + 2;
     End = Head.find("\r\n", Start);
-    const std::string_view Field =
+    const std::string_view HeaderLine =
         Head.substr(Start, End == std::string_view::npos ? End : End - Start);
-    const std::size_t Colon = Field.find(':');
+    const std::size_t Colon = HeaderLine.find(':');
     if (Colon != std::string_view::npos)
-      Out.Headers_.emplace_back(Field.substr(0, Colon), trim(Field.substr(Colon + 1)));
+      Result.Headers_.emplace_back(HeaderLine.substr(0, Colon), trim(HeaderLine.substr(Colon + 1)));
   }
-  return Out;
+  return Result;
 }
 
-std::string render(const Reply &Answer) {
-  std::string Out = "HTTP/1.1 " + std::to_string(Answer.Status_) +
-                    (Answer.Status_ < 400 ? " OK" : " Error") +
-                    "\r\nContent-Type: " + Answer.ContentType_ + "\r\n";
-  for (const auto &[Name, Value] : Answer.Headers_)
-    Out += Name + ": " + Value + "\r\n";
-  if (Answer.Form_ == Form::NoLength)
-    Out += "Connection: close\r\n\r\n";
+std::string serializeReply(const Reply &Response) {
+  std::string Result = "HTTP/1.1 " + std::to_string(Response.Status_) +
+                       (Response.Status_ < 400 ? " OK" : " Error") +
+                       "\r\nContent-Type: " + Response.ContentType_ + "\r\n";
+  for (const auto &[Name, Value] : Response.Headers_)
+    Result += Name + ": " + Value + "\r\n";
+  if (Response.Mode_ == ReplyMode::NoContentLength)
+    Result += "Connection: close\r\n\r\n";
   else
-    Out += "Content-Length: " + std::to_string(Answer.Body_.size()) + "\r\n\r\n";
-  return Out + (Answer.Form_ == Form::Truncate ? Answer.Body_.substr(0, Answer.Body_.size() / 2)
-                                               : Answer.Body_);
+    Result += "Content-Length: " + std::to_string(Response.Body_.size()) + "\r\n\r\n";
+  return Result + (Response.Mode_ == ReplyMode::Truncate
+                       ? Response.Body_.substr(0, Response.Body_.size() / 2)
+                       : Response.Body_);
 }
 
 } // namespace
@@ -62,19 +63,19 @@
 /// its request is served.
 class StubConnection : public std::enable_shared_from_this<StubConnection> {
 public:
-  StubConnection(asio::ip::tcp::socket Socket, HttpStub &Owner)
-      : Socket_(std::move(Socket)), Owner_(Owner) {
-    ++Owner_.Counts_.Open_;
-    Owner_.Counts_.Peak_ = std::max(Owner_.Counts_.Peak_, Owner_.Counts_.Open_);
+  StubConnection(asio::ip::tcp::socket Socket, HttpStub &Server)
+      : Socket_(std::move(Socket)), Server_(Server) {
+    ++Server_.Counts_.Open_;
+    Server_.Counts_.Peak_ = std::max(Server_.Counts_.Peak_, Server_.Counts_.Open_);
   }
 
   void read() {
-    Socket_.async_read_some(asio::buffer(Chunk_),
+    Socket_.async_read_some(asio::buffer(ReadBuffer_),
                             [Self = shared_from_this()](std::error_code Error, std::size_t Size) {
                               if (Error)
                                 return Self->close();
-                              Self->Owner_.Counts_.BytesIn_ += Size;
-                              Self->Input_.append(Self->Chunk_.data(), Size);
+                              Self->Server_.Counts_.BytesIn_ += Size;
+                              Self->Input_.append(Self->ReadBuffer_.data(), Size);
                               Self->serveNext();
                               if (Self->Open_)
                                 Self->read();
@@ -84,9 +85,9 @@
 private:
   void serveNext() {
     const std::size_t HeadEnd = Input_.find("\r\n\r\n");
-    if (Busy_ || !Open_ || HeadEnd == std::string::npos)
+    if (ServingRequest_ || !Open_ || HeadEnd == std::string::npos)
       return;
-    http::Request Incoming = parseHead(std::string_view(Input_).substr(0, HeadEnd));
+    http::Request Incoming = parseRequestHead(std::string_view(Input_).substr(0, HeadEnd));
     const std::string_view Length = http::findHeader(Incoming.Headers_, "Content-Length");
     std::size_t Size = 0;
     std::from_chars(Length.data(), Length.data() + Length.size(), Size);
@@ -96,45 +97,46 @@
       return;
     Incoming.Body_ = Input_.substr(HeadEnd + 4, Size);
     Input_.erase(0, HeadEnd + 4 + Size);
-    Busy_ = true;
-    Owner_.OnRequest_(std::move(Incoming), [Self = shared_from_this()](Reply Answer) {
-      Self->respond(std::move(Answer));
+    ServingRequest_ = true;
+    Server_.OnRequest_(std::move(Incoming), [Self = shared_from_this()](Reply Response) {
+      Self->respond(std::move(Response));
     });
   }
 
-  void respond(Reply Answer) {
-    if (!Open_ || Answer.Form_ == Form::Hang)
+  void respond(Reply Response) {
+    if (!Open_ || Response.Mode_ == ReplyMode::Hang)
       return;
-    if (Answer.Form_ == Form::Close)
+    if (Response.Mode_ == ReplyMode::Close)
       return close();
-    Output_ = render(Answer);
-    asio::async_write(Socket_, asio::buffer(Output_),
-                      [Self = shared_from_this(), Last = Answer.Form_ != Form::Whole](
-                          std::error_code Error, std::size_t Size) {
-                        Self->Owner_.Counts_.BytesOut_ += Size;
-                        if (Error || Last)
-                          return Self->close();
-                        Self->Busy_ = false;
-                        Self->serveNext();
-                      });
+    Output_ = serializeReply(Response);
+    asio::async_write(
+        Socket_, asio::buffer(Output_),
+        [Self = shared_from_this(), CloseAfterWrite = Response.Mode_ != ReplyMode::Complete](
+            std::error_code Error, std::size_t Size) {
+          Self->Server_.Counts_.BytesOut_ += Size;
+          if (Error || CloseAfterWrite)
+            return Self->close();
+          Self->ServingRequest_ = false;
+          Self->serveNext();
+        });
   }
 
   void close() {
     if (!Open_)
       return;
     Open_ = false;
-    --Owner_.Counts_.Open_;
+    --Server_.Counts_.Open_;
     std::error_code Ignored;
     Socket_.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
     Socket_.close(Ignored);
   }
 
   asio::ip::tcp::socket Socket_;
-  HttpStub &Owner_;
-  std::array<char, 16384> Chunk_{};
+  HttpStub &Server_;
+  std::array<char, 16384> ReadBuffer_{};
   std::string Input_;
   std::string Output_;
-  bool Busy_ = false;
+  bool ServingRequest_ = false;
   bool Open_ = true;
 };
 
--- a/tests/standins/common/HttpStub.h
+++ b/tests/standins/common/HttpStub.h
@@ -18,12 +18,12 @@
 namespace masticdrift::standins {
 
 /// How an answer is put on the connection.
-enum class Form {
-  Whole,    ///< with its declared length
+enum class ReplyMode {
+  Complete, ///< with its declared length
   Close,    ///< nothing is sent, the connection is closed
   Hang,     ///< nothing is sent, the connection stays open
   Truncate, ///< the declared length is sent, half of the body follows, the connection is closed
-  NoLength, ///< no declared length, the body ends with the connection
+  NoContentLength, ///< no declared length, the body ends with the connection
 };
 
 struct Reply {
@@ -31,12 +31,12 @@
   std::string Body_;
   std::string ContentType_ = "application/json";
   http::Headers Headers_;
-  Form Form_ = Form::Whole;
+  ReplyMode Mode_ = ReplyMode::Complete;
 };
 
 /// Answers one request; call at most once, on the thread of the io_context.
-using Respond = std::function<void(Reply)>;
-using StubHandler = std::function<void(http::Request, Respond)>;
+using ReplyCallback = std::function<void(Reply)>;
+using StubHandler = std::function<void(http::Request, ReplyCallback)>;
 
 /// Listens on 127.0.0.1 and counts its connections and bytes.
 class HttpStub {
--- a/tests/standins/common/Program.cpp
+++ b/tests/standins/common/Program.cpp
@@ -20,13 +20,14 @@
   return 0;
 }
 
-void later(asio::io_context &Io, std::chrono::milliseconds Delay, std::function<void()> Work) {
+void runAfter(asio::io_context &Io, std::chrono::milliseconds Delay,
+              std::function<void()> Callback) {
   if (Delay.count() <= 0)
-    return Work();
+    return Callback();
   auto Timer = std::make_shared<asio::steady_timer>(Io, Delay);
-  Timer->async_wait([Timer, Work = std::move(Work)](std::error_code Error) {
+  Timer->async_wait([Timer, Callback = std::move(Callback)](std::error_code Error) {
     if (!Error)
-      Work();
+      Callback();
   });
 }
 
@@ -36,22 +37,22 @@
   return jsonReply({{"error", std::string(Text)}}, Status);
 }
 
-void withJson(const http::Request &Incoming, const Respond &Answer,
-              const std::function<void(const Json &)> &Work) {
+void withJson(const http::Request &Incoming, const ReplyCallback &Answer,
+              const std::function<void(const Json &)> &Callback) {
   try {
-    Work(Incoming.Body_.empty() ? Json::object() : Json::parse(Incoming.Body_));
+    Callback(Incoming.Body_.empty() ? Json::object() : Json::parse(Incoming.Body_));
   } catch (const std::exception &Error) {
     Answer(errorReply(400, Error.what()));
   }
 }
 
-StubHandler withControls(std::function<Json(const Json &)> Control, std::function<Json()> Evidence,
-                         StubHandler Rest) {
-  return [=](http::Request Incoming, Respond Answer) {
+StubHandler withControlRoutes(std::function<Json(const Json &)> Control,
+                              std::function<Json()> Evidence, StubHandler NextHandler) {
+  return [=](http::Request Incoming, ReplyCallback Answer) {
     if (Incoming.Path_ == "/evidence")
       return Answer(jsonReply(Evidence()));
     if (Incoming.Path_ != "/control")
-      return Rest(std::move(Incoming), std::move(Answer));
+      return NextHandler(std::move(Incoming), std::move(Answer));
     withJson(Incoming, Answer, [&](const Json &Body) { Answer(jsonReply(Control(Body))); });
   };
 }
--- a/tests/standins/common/Program.h
+++ b/tests/standins/common/Program.h
@@ -22,8 +22,9 @@
 /// Asks the kernel to kill this process when its parent thread ends. Call first in main.
 void dieWithParent();
 
-/// Runs \p Work once after \p Delay; at once when \p Delay is not positive.
-void later(asio::io_context &Io, std::chrono::milliseconds Delay, std::function<void()> Work);
+/// Runs \p Callback once after \p Delay; at once when \p Delay is not positive.
+void runAfter(asio::io_context &Io, std::chrono::milliseconds Delay,
+              std::function<void()> Callback);
 
 /// \returns an answer with \p Body as JSON.
 Reply jsonReply(const Json &Body, int Status = 200);
@@ -31,15 +32,15 @@
 /// \returns an answer with {"error": Text}.
 Reply errorReply(int Status, std::string_view Text);
 
-/// Parses a JSON object and runs \p Work with it; anything that throws becomes an answer with
+/// Parses a JSON object and runs \p Callback with it; anything that throws becomes an answer with
 /// status 400.
-void withJson(const http::Request &Incoming, const Respond &Answer,
-              const std::function<void(const Json &)> &Work);
+void withJson(const http::Request &Incoming, const ReplyCallback &Answer,
+              const std::function<void(const Json &)> &Callback);
 
 /// \returns a handler that serves POST /control with \p Control, whose result is the answer, and
-/// GET /evidence with \p Evidence, and passes all other requests to \p Rest.
-StubHandler withControls(std::function<Json(const Json &)> Control, std::function<Json()> Evidence,
-                         StubHandler Rest);
+/// GET /evidence with \p Evidence, and passes all other requests to \p NextHandler.
+StubHandler withControlRoutes(std::function<Json(const Json &)> Control,
+                              std::function<Json()> Evidence, StubHandler NextHandler);
 
 /// Sets \p Target when \p Body has a member called \p Name.
 template <typename T> void assignIfPresent(const Json &Body, const char *Name, T &Target) {
--- a/tests/standins/common/TaskExecutors.h
+++ b/tests/standins/common/TaskExecutors.h
@@ -22,7 +22,7 @@
   void add(const std::string &Id);
 
   /// Serves /e/ID/run-start, run-stop, hold and pace. \returns false for another path.
-  bool handle(const http::Request &Incoming, const Respond &Answer);
+  bool handle(const http::Request &Incoming, const ReplyCallback &Answer);
 
   /// \returns the list entry of each executor, by id. \param Address of this process.
   std::map<std::string, Json> entries(const std::string &Address) const;
@@ -39,40 +39,40 @@
   struct Task {
     std::uint64_t Run_ = 0;
     Instant StartedAt_;
-    std::chrono::milliseconds Work_{0};
+    std::chrono::milliseconds RunTime_{0};
     std::uint64_t Generation_ = 0;
   };
   struct Executor {
     std::string Id_;
-    Instant Born_;
-    std::int64_t BornMs_ = 0;
-    std::uint64_t Token_ = 0;
+    Instant StartTime_;
+    std::int64_t StartWallMs_ = 0;
+    std::uint64_t FencingToken_ = 0;
     Instant LeaseEnd_{};
     std::map<std::string, Task> Running_;
-    std::map<std::string, std::uint64_t> Over_;
-    std::vector<Json> Ended_;
-    std::uint64_t NextEnd_ = 1;
-    std::vector<std::function<void()>> Waiting_;
+    std::map<std::string, std::uint64_t> LastEndedRuns_;
+    std::vector<Json> EndedTasks_;
+    std::uint64_t NextEndSequence_ = 1;
+    std::vector<std::function<void()>> PendingHolds_;
     bool Silent_ = false;
-    bool Still_ = false;
+    bool Stalled_ = false;
   };
 
-  std::int64_t clockOf(const Executor &At) const;
-  Json lists(const Executor &At) const;
-  Reply start(Executor &At, const Json &Order);
-  Reply stop(Executor &At, const Json &Order);
-  void hold(Executor &At, const Json &Order, const Respond &Answer);
-  void renew(Executor &At, const Json &Order);
-  void end(Executor &At, const std::string &Name, const char *How);
+  std::int64_t clockMs(const Executor &Target) const;
+  Json taskReport(const Executor &Target) const;
+  Reply start(Executor &Target, const Json &Order);
+  Reply stop(Executor &Target, const Json &Order);
+  void hold(Executor &Target, const Json &Order, const ReplyCallback &Answer);
+  void renewLease(Executor &Target, const Json &Order);
+  void end(Executor &Target, const std::string &Name, const char *Outcome);
   void finish(const std::string &Id, const std::string &Name, std::uint64_t Generation);
-  bool runsElsewhere(const Executor &At, const std::string &Name) const;
+  bool isRunningElsewhere(const Executor &Target, const std::string &Name) const;
 
   asio::io_context &Io_;
   const int Cores_;
-  std::map<std::string, Executor> All_;
+  std::map<std::string, Executor> Executors_;
   std::map<std::string, int> Starts_;
-  std::set<std::string> Doubled_;
-  std::set<std::string> Noted_; ///< tasks whose end as done was acknowledged
+  std::set<std::string> DuplicatedTasks_;
+  std::set<std::string> AcknowledgedTasks_; ///< tasks whose end as done was acknowledged
   std::uint64_t Generation_ = 0;
 };
 
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -18,7 +18,7 @@
 
   /// Paths may begin with /d/NAME, which names the daemon that calls.
   /// \returns false when the path is not one of the log's.
-  bool handle(http::Request Incoming, const Respond &Answer);
+  bool handle(http::Request Incoming, const ReplyCallback &Answer);
 
   /// Appends a record on behalf of the platform.
   void put(const std::string &Topic, const std::string &Key, const std::string &Value);
@@ -38,28 +38,28 @@
   };
   struct Producer {
     std::uint64_t Epoch_ = 0;
-    std::uint64_t Next_ = 0;
-    std::map<std::uint64_t, Reply> Answers_; ///< of earlier appends, by sequence
+    std::uint64_t NextSequence_ = 0;
+    std::map<std::uint64_t, Reply> RepliesBySequence_; ///< of earlier appends, by sequence
   };
   struct Topic {
     std::vector<Record> Records_;
-    std::map<std::string, std::size_t> Newest_; ///< offset by key
+    std::map<std::string, std::size_t> NewestOffsets_; ///< offset by key
     std::map<std::string, Producer> Producers_;
-    std::vector<std::function<void()>> Waiting_; ///< reads at the end
+    std::vector<std::function<void()>> PendingReads_; ///< reads at the end
   };
 
-  void append(const http::Request &Incoming, const Respond &Answer);
-  Reply appendTo(Topic &To, const http::Request &Incoming);
-  Reply store(Topic &To, const std::string &Body);
-  void read(const http::Request &Incoming, const Respond &Answer);
-  void newest(const http::Request &Incoming, const Respond &Answer);
+  void append(const http::Request &Incoming, const ReplyCallback &Answer);
+  Reply appendToTopic(Topic &TargetTopic, const http::Request &Incoming);
+  Reply storeRecords(Topic &TargetTopic, const std::string &Body);
+  void read(const http::Request &Incoming, const ReplyCallback &Answer);
+  void readNewest(const http::Request &Incoming, const ReplyCallback &Answer);
   static Reply readReply(const Topic &From, std::size_t Offset);
 
   asio::io_context &Io_;
   std::map<std::string, Topic> Topics_;
-  std::string State_ = "up";
-  std::string Refused_ = "none";
-  std::size_t PageRecords_ = 1000;
+  std::string StoreMode_ = "up";
+  std::string RefusedDaemon_ = "none";
+  std::size_t MaxPageRecords_ = 1000;
 };
 
 } // namespace masticdrift::standins
