standins: reword comments in plain English

The comments use the usual terms: response, fault setting, pending read, run time. The comment of TaskExecutors::evidence() promised a count of starts over capacity, which the function never returned; it now says what it returns.

--- a/tests/integration/StandinTest.cpp
+++ b/tests/integration/StandinTest.cpp
@@ -1,4 +1,5 @@
-// The stand-ins themselves: a stand-in that misbehaves would make every other test meaningless.
+// Tests of the stand-ins and the test harness, because a faulty one would invalidate all other
+// integration tests.
 #include "masticdrift/core/Pack.h"
 #include "support/Fleet.h"
 
@@ -29,7 +30,7 @@
   MSGPACK_DEFINE_ARRAY(First_, Next_, Records_)
 };
 
-/// One stand-in and a client for it.
+/// A running stand-in and an HTTP client for it.
 class StandinProcess {
 public:
   explicit StandinProcess(const std::string &Program,
@@ -101,7 +102,7 @@
   cr_assert_eq(readStream(Log, "from=0").Next_, 0);
 }
 
-// Guards against a lost answer whose append has no effect, or has it twice.
+// Guards against a lost response whose append is not stored, or is stored twice.
 Test(StandinLogService, aLostAnswerStillTakesEffectOnce) {
   StandinProcess Log("standin-log");
   Log.control({{"lose_answers", 1}});
@@ -112,7 +113,7 @@
   cr_assert_eq(readStream(Log, "from=0").Next_, 3);
 }
 
-// Guards against a store without limits, which would hide daemons that append too much.
+// Guards against a log without limits, which would hide daemons that append too much.
 Test(StandinLogService, rateAndRetentionAreLimited) {
   StandinProcess Log("standin-log");
   Log.control({{"retention_records", 2}});
@@ -129,7 +130,7 @@
   cr_assert_geq(Refused, 2);
 }
 
-// Guards against a list that is always current, which the platform's is not.
+// Guards against a list without lag: the platform's list is updated with a delay.
 Test(StandinInstanceList, changesBecomeVisibleAfterTheLag) {
   StandinProcess List("standin-instances");
   const auto Read = [&] { return Json::parse(List.send("GET", "/instances").Answer_.Body_); };
@@ -167,7 +168,7 @@
 
 } // namespace
 
-// Guards against workers that accept commands of an owner that has been replaced.
+// Guards against workers that accept commands from a replaced owner.
 Test(StandinWorkers, commandsOfALowerTermAreRefused) {
   StandinProcess Worker("standin-worker", {OneWorker});
   cr_assert_eq(startTask(Worker, "t", 1, 0), 410); // no lease yet
@@ -181,7 +182,7 @@
   cr_assert_eq(Worker.evidence()["workers"]["w"]["used"]["memory_mb"], 100);
 }
 
-// Guards against lost ends and against tasks that run twice after a repeated start.
+// Guards against lost task ends and against a second run after a repeated start.
 Test(StandinWorkers, aTaskRunsOnceAndIsKeptUntilAcknowledged) {
   StandinProcess Worker("standin-worker", {OneWorker});
   renew(Worker, 1, 5000);
@@ -215,7 +216,7 @@
   cr_assert_eq(Evidence["workers"]["w"]["peak"]["cores"], 2.0);
 }
 
-// Guards against tasks that outlive their lease, also when the worker itself was paused (P2).
+// Guards against tasks that outlive their lease, even if the worker process was paused (P2).
 Test(StandinWorkers, theEndOfALeaseStopsAllTasks) {
   StandinProcess Worker("standin-worker", {OneWorker});
   renew(Worker, 1, 300);
@@ -232,7 +233,7 @@
   }
 }
 
-// Guards against fault switches without effect.
+// Guards against fault settings without effect.
 Test(StandinWorkers, faultsCanBeSwitchedOnAndOff) {
   StandinProcess Worker("standin-worker", {OneWorker});
   renew(Worker, 1, 5000);
@@ -271,7 +272,7 @@
 
 } // namespace
 
-// Guards against answers that are incomplete or belong to another request (P5).
+// Guards against responses that are incomplete or belong to another request (P5).
 Test(StandinExecutors, anAnswerEchoesItsOwnRequest) {
   StandinProcess Executor("standin-executor", OneExecutor);
   const auto Result = run(Executor, "r", "body");
@@ -283,7 +284,7 @@
   cr_assert_eq(Evidence["executors"]["e"]["peak_slots"], 1);
 }
 
-// Guards against a refusal that says "not run" although the request ran (P6).
+// Guards against a rejection that reports "not run" although the request ran (P6).
 Test(StandinExecutors, aFullOrLeavingExecutorRunsNothing) {
   StandinProcess Executor("standin-executor", OneExecutor);
   std::atomic<int> Done{0};
@@ -306,7 +307,7 @@
   cr_assert_eq(Executor.evidence()["executors"]["e"]["requests"].size(), 2);
 }
 
-// Guards against work that goes on past its deadline, when its slot counts as free.
+// Guards against requests that keep running past their deadline, when their slot counts as free.
 Test(StandinExecutors, workStopsAtItsDeadline) {
   StandinProcess Executor("standin-executor", OneExecutor);
   cr_assert_eq(
@@ -315,7 +316,7 @@
   cr_assert_eq(Executor.evidence()["executors"]["e"]["busy"], 0);
 }
 
-// Guards against broken answers that look complete.
+// Guards against injected faults whose responses look complete.
 Test(StandinExecutors, brokenAnswersAreBrokenAsChosen) {
   StandinProcess Executor("standin-executor", OneExecutor);
   const auto RunWithFailure = [&](const char *Failure) {
@@ -357,7 +358,7 @@
 
 } // namespace
 
-// Guards against a cut that lets bytes pass, or a healed link that stays cut.
+// Guards against a cut link that forwards bytes, or a healed link that stays cut.
 Test(StandinProxy, aCutLinkRefusesUntilHealed) {
   ProxiedLog Path;
   cr_assert_eq(status(Path.append(false)), 200);
@@ -371,7 +372,7 @@
   cr_assert_eq(Path.appended(), 2);
 }
 
-// Guards against silence that is visible as an error, or that also stops new connections.
+// Guards against silenced connections that report an error, or that also affect new connections.
 Test(StandinProxy, silencedConnectionsStaySilentWhileNewOnesWork) {
   ProxiedLog Path;
   cr_assert_eq(status(Path.append(false)), 200);
@@ -385,7 +386,7 @@
   cr_assert_eq(Path.appended(), 3);
 }
 
-// Guards against dropped answers whose request had no effect.
+// Guards against dropped responses whose request had no effect.
 Test(StandinProxy, droppedAnswersHaveTakenEffect) {
   ProxiedLog Path;
   Path.Proxy_.control({{"drop_answers", 1}});
@@ -394,7 +395,7 @@
   cr_assert_eq(Path.appended(), 2);
 }
 
-// Guards against truncation in the wrong direction or at the wrong place.
+// Guards against truncation in the wrong direction or at the wrong offset.
 Test(StandinProxy, connectionsAreTruncatedPerDirection) {
   ProxiedLog Path;
   Path.Proxy_.control({{"direction", "up"}, {"truncate_after_bytes", 500}});
@@ -406,7 +407,7 @@
   cr_assert_eq(Path.appended(), 1);
 }
 
-// Guards against links that are faster than set.
+// Guards against links that are faster than configured.
 Test(StandinProxy, delayAndBandwidthSlowALink) {
   ProxiedLog Path;
   const auto MeasureAppendMs = [&] {
@@ -421,7 +422,7 @@
   cr_assert_geq(MeasureAppendMs(), 100);
 }
 
-// Guards against processes that are left over or reported wrongly.
+// Guards against leftover processes and wrong exit codes.
 Test(ProcessHarness, exitsAndSignalsAreReported) {
   StandinProcess Log("standin-log");
   Log.Process_.signal(SIGTERM);
@@ -439,8 +440,8 @@
   cr_assert(Thrown);
 }
 
-// Guards against a harness that gives daemons wrong settings or loses them after a restart. The
-// daemon is a script, so this does not depend on masticdriftd.
+// Guards against a harness that passes wrong settings to daemons or loses them after a restart. A
+// script replaces the daemon, so that the test does not depend on masticdriftd.
 Test(FleetHarness, settingsLinksAndEntriesFollowTheDaemons) {
   const std::string Script =
       (std::filesystem::temp_directory_path() / ("fleet-" + std::to_string(getpid()))).string();
--- a/tests/standins/StandinExecutor.cpp
+++ b/tests/standins/StandinExecutor.cpp
@@ -1,4 +1,4 @@
-// standin-executor: many executors in one process, each on its own port.
+// standin-executor: simulates several executors in one process, each on its own port.
 #include "masticdrift/core/Clock.h"
 #include "standins/common/Program.h"
 
@@ -15,12 +15,12 @@
 struct RunRecord {
   std::string Id_;
   int RunCount_ = 0;
-  std::int64_t StartMs_ = 0; ///< of the last run
-  std::int64_t EndMs_ = 0;   ///< 0 while running
+  std::int64_t StartMs_ = 0; ///< start of the last run
+  std::int64_t EndMs_ = 0;   ///< end of the last run; 0 while it is running
 };
 
 struct Settings {
-  std::int64_t ServiceMs_ = 0;   ///< service time when the request names none
+  std::int64_t ServiceMs_ = 0;   ///< default for requests without a service time
   std::int64_t SlowMs_ = 0;      ///< added to the service time
   std::string Failure_ = "none"; ///< none, fail, silent, truncate, no_length, close_without_answer
   bool Leaving_ = false;
@@ -31,8 +31,9 @@
   return Default;
 }
 
-/// The service time that the request names: header X-WorkMs-Ms, or a body that starts with
-/// "work-ms=N " for clients behind a daemon, which forwards only the body.
+/// \returns the service time that the request asks for in the X-Work-Ms header, or in a body that
+/// starts with "work-ms=N " for clients behind a daemon, which forwards only the body; otherwise
+/// \p Default.
 std::int64_t workMillis(const http::Request &Incoming, std::int64_t Default) {
   constexpr std::string_view Prefix = "work-ms=";
   std::string_view Body = Incoming.Body_;
@@ -61,7 +62,7 @@
     assignIfPresent(Body, "leaving", Settings_.Leaving_);
   }
 
-  /// Requests that were not refused.
+  /// \returns the number of requests that were not rejected.
   std::uint64_t received() const { return Received_; }
 
   Json evidence() const {
@@ -177,14 +178,14 @@
     All[Name] = std::make_unique<Executor>(Io, Slots, Connections);
     Ports[Name] = All[Name]->port();
   }
-  // Without "executor" a switch applies to all of them.
+  // Without "executor" the settings apply to all executors.
   const auto ApplyControl = [&](const Json &Body) {
     if (const auto Name = Body.find("executor"); Name != Body.end())
       All.at(Name->get<std::string>())->control(Body);
     else
       for (auto &[Unused, Entry] : All)
         Entry->control(Body);
-    // Cheap to ask for, unlike the evidence, which lists every request.
+    // Cheap to query, unlike GET /evidence, which lists every request.
     Json Received = Json::object();
     for (const auto &[Name, Entry] : All)
       Received[Name] = Entry->received();
--- a/tests/standins/StandinInstances.cpp
+++ b/tests/standins/StandinInstances.cpp
@@ -1,4 +1,4 @@
-// standin-instances: the platform's list of live and leaving instances.
+// standin-instances: simulates the platform's list of live and leaving instances.
 #include "standins/common/Program.h"
 
 #include <map>
@@ -36,7 +36,7 @@
 
   Json evidence() const { return {{"reads", Reads_}, {"entries", VisibleEntries_.size()}}; }
 
-  /// "set" merges members into the entry of the same name, so a state can be changed alone.
+  /// "set" merges members into the entry with the same name, so that one member can change alone.
   Json control(const Json &Body) {
     assignIfPresent(Body, "outage", Outage_);
     assignIfPresent(Body, "delay_ms", DelayMs_);
@@ -59,9 +59,9 @@
 private:
   asio::io_context &Io_;
   std::map<std::string, Json> VisibleEntries_;
-  std::string Outage_ = "none"; ///< none, refuse (503) or hang (no answer)
+  std::string Outage_ = "none"; ///< none, refuse (503) or hang (no response)
   std::int64_t DelayMs_ = 0;
-  std::int64_t LagMs_ = 0; ///< time until a change becomes visible
+  std::int64_t LagMs_ = 0; ///< delay before a change becomes visible
   std::uint64_t Reads_ = 0;
 };
 
--- a/tests/standins/StandinLog.cpp
+++ b/tests/standins/StandinLog.cpp
@@ -1,4 +1,4 @@
-// standin-log: the platform's append-only log service, in memory.
+// standin-log: simulates the platform's append-only log service in memory.
 #include "masticdrift/core/Clock.h"
 #include "standins/common/Program.h"
 
@@ -13,7 +13,8 @@
 
 namespace {
 
-/// A read answer is closed at this size, so that a reader makes progress on a slow link.
+/// A read response ends with the record that reaches this size, so that a reader makes progress on
+/// a slow link.
 constexpr std::size_t MaxReadBytes = 1U << 20U;
 
 struct StoredRecord {
@@ -32,14 +33,14 @@
 };
 
 struct Settings {
-  std::string Outage_ = "none";              ///< none, refuse (503) or hang (no answer)
-  std::int64_t DelayMs_ = 0;                 ///< between the effect and the answer
-  std::int64_t EffectDelayMs_ = 0;           ///< before the effect of an append
-  std::int64_t LoseAnswers_ = 0;             ///< so many appends take effect without an answer
+  std::string Outage_ = "none";              ///< none, refuse (503) or hang (no response)
+  std::int64_t DelayMs_ = 0;                 ///< delay between the effect and the response
+  std::int64_t EffectDelayMs_ = 0;           ///< delay before an append takes effect
+  std::int64_t LoseAnswers_ = 0;             ///< number of appends to store without a response
   std::string LoseMode_ = "close";           ///< close or hang
-  double RateLimit_ = 500;                   ///< appends a second, over all streams
+  double RateLimit_ = 500;                   ///< appends per second, over all streams
   std::size_t RetentionRecords_ = 1'000'000; ///< per stream
-  std::int64_t RetentionMs_ = 0;             ///< 0: no limit by age
+  std::int64_t RetentionMs_ = 0;             ///< maximum record age, 0 for no limit
 };
 
 class LogService {
@@ -141,7 +142,9 @@
              [Answer, Response = std::move(Response)] { Answer(Response); });
   }
 
-  /// Token bucket that holds one second's appends.
+  /// Takes one token from a bucket whose capacity is one second's appends.
+  ///
+  /// \returns false when the rate limit is exceeded.
   bool takeAppendToken() {
     const core::TimePoint Now = core::Clock::now();
     const double Elapsed = std::chrono::duration<double>(Now - LastRefill_).count();
--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -1,4 +1,5 @@
-// standin-platform: the users' platform on one address: log service, executors and advice.
+// standin-platform: simulates the users' platform on one address: log service, executors and
+// placement advice.
 #include "standins/common/TaskExecutors.h"
 #include "standins/common/TopicLog.h"
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-/// Every executor may run every step.
+/// Answers that every executor may run every step.
 void advise(const http::Request &Incoming, const ReplyCallback &Answer) {
   withJson(Incoming, Answer, [&](const Json &Body) {
     Json Permitted = Json::array();
--- a/tests/standins/StandinProxy.cpp
+++ b/tests/standins/StandinProxy.cpp
@@ -1,4 +1,4 @@
-// standin-proxy: TCP proxy that injects network faults; one process holds many links.
+// standin-proxy: TCP proxy that injects network faults; one process serves several links.
 #include "masticdrift/core/Clock.h"
 #include "standins/common/Program.h"
 
@@ -15,21 +15,19 @@
 
 namespace {
 
-/// A connection stops reading while this much waits for its other side.
+/// A connection stops reading from one side while this many bytes wait for the other.
 constexpr std::size_t MaxQueuedBytes = 1U << 20U;
 
-enum FlowDirection : std::size_t {
-  ClientToTarget,
-  TargetToClient
-}; ///< client to target, target to client
+/// Direction of a byte stream; index of the side that the bytes are read from.
+enum FlowDirection : std::size_t { ClientToTarget, TargetToClient };
 
-/// Switches and counts of one direction of a link.
+/// Fault settings and counters of one direction of a link.
 struct DirectionState {
   std::int64_t DelayMs_ = 0;
-  double BytesPerSecond_ = 0; ///< 0: no limit; shared by the link's connections
+  double BytesPerSecond_ = 0; ///< 0 for no limit; shared by the link's connections
   bool SilenceAll_ = false;
-  std::int64_t TruncateAfter_ = -1; ///< bytes of a connection, -1: no limit
-  core::TimePoint BandwidthFreeAt_; ///< when the bandwidth is free again
+  std::int64_t TruncateAfter_ = -1; ///< bytes per connection, -1 for no limit
+  core::TimePoint BandwidthFreeAt_; ///< end of transmission of the bytes queued so far
   std::uint64_t Bytes_ = 0;
 };
 
@@ -46,11 +44,11 @@
 
   tcp::endpoint Target_;
   bool Cut_ = false;
-  std::int64_t DropAnswers_ = 0; ///< so many answers are dropped
+  std::int64_t DropAnswers_ = 0; ///< number of responses to drop
   std::array<DirectionState, 2> Directions_;
   std::uint64_t Accepted_ = 0;
   std::set<std::shared_ptr<Connection>> Open_;
-  /// Bound without listening: keeps the port while the link is cut and refuses connections.
+  /// Bound but not listening: reserves the port and refuses connections while the link is cut.
   tcp::socket PortReservation_;
   tcp::acceptor Acceptor_;
 };
@@ -65,8 +63,8 @@
   void start() {
     for (const FlowDirection Flow : {ClientToTarget, TargetToClient})
       Sides_[Flow].Silent_ = Link_.Directions_[Flow].SilenceAll_;
-    if (Sides_[ClientToTarget]
-            .Silent_) // as if the connection attempt were lost: the target sees nothing
+    // Simulates a lost connection attempt: the target sees nothing.
+    if (Sides_[ClientToTarget].Silent_)
       return read(ClientToTarget);
     Sides_[TargetToClient].Socket_.async_connect(
         Link_.Target_, [Self = shared_from_this()](std::error_code Error) {
@@ -79,7 +77,7 @@
         });
   }
 
-  /// Flow now on no bytes and no end pass in this direction.
+  /// Stops forwarding both bytes and the end of the stream in this direction.
   void silence(FlowDirection Flow) {
     Sides_[Flow].Silent_ = true;
     Sides_[Flow].Queue_.clear();
@@ -105,7 +103,7 @@
     std::string Bytes_; ///< empty: end of the stream
   };
 
-  /// One end, with what was read from it and waits to be written to the other.
+  /// One side of the connection, with the data read from it that waits to be written to the other.
   struct Side {
     explicit Side(asio::io_context &Io) : Socket_(Io), Timer_(Io) {}
     tcp::socket Socket_;
@@ -143,7 +141,7 @@
     if (Rules.SilenceAll_)
       silence(Flow);
     if (Source.Silent_) {
-      // Bytes are discarded; the other side never learns of the end.
+      // Bytes are discarded, and the end of the stream is not forwarded.
       Source.EndOfStream_ = Source.EndOfStream_ || Error;
       if (!Error)
         return read(Flow);
@@ -178,7 +176,7 @@
     Source.QueuedBytes_ += Size;
   }
 
-  /// Writes the first chunk when it is due; one write or timer at a time.
+  /// Schedules the write of the first chunk; at most one write or timer is pending.
   void write(FlowDirection Flow) {
     Side &Source = Sides_[Flow];
     if (!Open_ || Source.Writing_ || Source.Queue_.empty())
@@ -261,9 +259,9 @@
     return Added.port();
   }
 
-  /// "add": [{name, target, port}]; "link" or "links" name what the switches apply to, default
-  /// all; "direction": up (client to target), down or both; "heal": true resets all switches.
-  /// \returns the ports of added links.
+  /// "add": [{name, target, port}]; "link" or "links" name the links that the settings apply to,
+  /// by default all; "direction": up (client to target), down or both; "heal": true resets all
+  /// settings. \returns the ports of added links.
   Json control(const Json &Body) {
     Json Ports = Json::object();
     for (const Json &New : Body.value("add", Json::array()))
@@ -349,7 +347,7 @@
     if (!Cut)
       return listen(Entry);
     Entry.Acceptor_.close();
-    const auto Open = Entry.Open_; // close() removes from the set
+    const auto Open = Entry.Open_; // copied, because close() modifies the set
     for (const auto &Each : Open)
       Each->close();
   }
--- a/tests/standins/StandinWorker.cpp
+++ b/tests/standins/StandinWorker.cpp
@@ -1,4 +1,4 @@
-// standin-worker: many workers in one process, on one port under /w/NAME.
+// standin-worker: simulates several workers in one process, on one port under /w/NAME.
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/core/Resources.h"
 #include "standins/common/Program.h"
@@ -18,16 +18,16 @@
 
 constexpr TimePoint Never = TimePoint::max();
 
-/// One attempt of a task, from its start until the owner acknowledges its end.
+/// One task attempt, kept from its start until the owner acknowledges its end.
 struct Task {
   std::int64_t Attempt_ = 0;
   std::string State_ = "running"; ///< running, finished, failed or stopped
-  std::string Reason_;            ///< why it ended
+  std::string Reason_;            ///< why the attempt ended
   int ExitCode_ = 0;
   Resources Allocation_;
   TimePoint StartTime_;
-  TimePoint PlannedEnd_ = Never; ///< planned end
-  std::size_t EventIndex_ = 0;   ///< index in the evidence
+  TimePoint PlannedEnd_ = Never;
+  std::size_t EventIndex_ = 0; ///< index in the evidence
 };
 
 struct Settings {
@@ -47,7 +47,7 @@
   Resources PeakUsage_;
   std::int64_t Term_ = 0;
   std::string Owner_;
-  TimePoint LeaseEnd_; ///< no lease when in the past
+  TimePoint LeaseEnd_; ///< there is no lease when this is in the past
   bool Overcommitted_ = false;
   std::uint64_t NoRoomCount_ = 0;
   std::uint64_t LowerTermCount_ = 0;
@@ -71,7 +71,7 @@
   return std::to_string(Source()) + "-" + std::to_string(Source());
 }
 
-/// Converts a point of the boot clock for the evidence.
+/// Converts a time of the boot clock to wall-clock milliseconds.
 std::int64_t toWallMillis(TimePoint Time) {
   return core::wallMillis() - core::toMillis(core::Clock::now() - Time);
 }
@@ -87,7 +87,7 @@
   }
 
   void handle(const http::Request &Incoming, const ReplyCallback &Answer) {
-    // A process that was stopped sees the end of its leases before anything else.
+    // After the process was paused (SIGSTOP), expired leases end before any request is served.
     endExpired();
     const auto Path = http::pathSegments(Incoming.Path_);
     if (Path.size() < 3 || Path[0] != "w" || !Workers_.contains(Path[1]))
@@ -111,8 +111,8 @@
     });
   }
 
-  /// "worker" names one worker, otherwise a switch applies to all. "add" adds or replaces workers,
-  /// "restart": true gives a new boot id and loses tasks, lease and term.
+  /// "worker" names one worker, otherwise the settings apply to all. "add" adds or replaces
+  /// workers, "restart": true assigns a new boot id and drops tasks, lease and term.
   Json control(const Json &Body) {
     endExpired();
     for (const Json &New : Body.value("add", Json::array()))
@@ -268,7 +268,7 @@
     return jsonReply(taskJson(Id, New), 201);
   }
 
-  /// Stops the task and reports its progress; a later start with "progress_ms" continues there.
+  /// Stops the task and reports its progress; a later start with "progress_ms" resumes there.
   Reply checkpoint(Worker &Target, const std::string &Id, Task &Entry) {
     if (Entry.State_ != "running")
       return errorReply(409, "task has ended");
@@ -279,8 +279,8 @@
     return jsonReply(Response);
   }
 
-  /// Changes the task's cores ("cores", default half of them); its remaining run time grows in
-  /// proportion.
+  /// Changes the task's cores ("cores", by default half of them); the remaining run time scales
+  /// inversely.
   Reply throttle(Worker &Target, const std::string &Id, Task &Entry, const Json &Body) {
     if (Entry.State_ != "running")
       return errorReply(409, "task has ended");
@@ -320,7 +320,7 @@
     Entry.State_ = State;
     Entry.Reason_ = Reason;
     if (Entry.State_ == "stopped")
-      Entry.ExitCode_ = 143; // as after SIGTERM
+      Entry.ExitCode_ = 143; // exit code after SIGTERM
     Target.Used_ -= Entry.Allocation_;
     Json &Event = Events_[Entry.EventIndex_];
     Event["end_ms"] = toWallMillis(EndTime);
@@ -328,7 +328,7 @@
     --RunningCopies_[Event["id"].get<std::string>()].first;
   }
 
-  /// Ends what has ended by now: leases first, then tasks whose run time is over.
+  /// Ends expired leases with their tasks, and tasks whose run time is over.
   void endExpired() {
     const TimePoint Now = core::Clock::now();
     for (auto &[Name, Target] : Workers_) {
@@ -340,7 +340,7 @@
           finish(Target, Entry, Entry.ExitCode_ == 0 ? "finished" : "failed",
                  Entry.ExitCode_ == 0 ? "done" : "failed", Entry.PlannedEnd_);
       if (LeaseExpired) {
-        // A start that names the old generation may still be on its way and must not run.
+        // A start with the old generation may still be in flight and must not run.
         Target.BootId_ = newBootId();
         Target.LeaseEnd_ = {};
       }
@@ -378,7 +378,8 @@
   asio::steady_timer ExpiryTimer_;
   std::map<std::string, Worker> Workers_;
   Json Events_ = Json::array();
-  std::map<std::string, std::pair<int, int>> RunningCopies_; ///< task id: running now, peak
+  std::map<std::string, std::pair<int, int>>
+      RunningCopies_; ///< by task id: current and peak number
 };
 
 } // namespace
--- a/tests/standins/common/HttpStub.cpp
+++ b/tests/standins/common/HttpStub.cpp
@@ -59,8 +59,8 @@
 
 } // namespace
 
-/// One connection. It always has a read outstanding, so that a client that closes is noticed while
-/// its request is served.
+/// One connection. A read is always pending, so that a close by the client is detected while its
+/// request is being served.
 class StubConnection : public std::enable_shared_from_this<StubConnection> {
 public:
   StubConnection(asio::ip::tcp::socket Socket, HttpStub &Server)
--- a/tests/standins/common/HttpStub.h
+++ b/tests/standins/common/HttpStub.h
@@ -1,6 +1,6 @@
 /// \file
-/// HTTP server of the stand-ins on Asio: one thread, no locks, and answers that can be broken on
-/// purpose.
+/// Single-threaded Asio HTTP server of the stand-ins, without locks, that can send faulty
+/// responses.
 #ifndef MASTICDRIFT_STANDINS_COMMON_HTTPSTUB_H
 #define MASTICDRIFT_STANDINS_COMMON_HTTPSTUB_H
 
@@ -17,13 +17,13 @@
 
 namespace masticdrift::standins {
 
-/// How an answer is put on the connection.
+/// How a response is sent.
 enum class ReplyMode {
-  Complete, ///< with its declared length
-  Close,    ///< nothing is sent, the connection is closed
-  Hang,     ///< nothing is sent, the connection stays open
-  Truncate, ///< the declared length is sent, half of the body follows, the connection is closed
-  NoContentLength, ///< no declared length, the body ends with the connection
+  Complete,        ///< with a Content-Length
+  Close,           ///< nothing is sent, the connection is closed
+  Hang,            ///< nothing is sent, the connection stays open
+  Truncate,        ///< full Content-Length with half of the body; then the connection is closed
+  NoContentLength, ///< without a Content-Length; the end of the connection ends the body
 };
 
 struct Reply {
@@ -34,14 +34,15 @@
   ReplyMode Mode_ = ReplyMode::Complete;
 };
 
-/// Answers one request; call at most once, on the thread of the io_context.
+/// Sends the response to one request. Call at most once, on the thread of the io_context.
 using ReplyCallback = std::function<void(Reply)>;
 using StubHandler = std::function<void(http::Request, ReplyCallback)>;
 
-/// Listens on 127.0.0.1 and counts its connections and bytes.
+/// HTTP server on 127.0.0.1 that counts connections and bytes.
 class HttpStub {
 public:
-  /// \param MaxConnections further connections are closed at once and counted as refused.
+  /// \param MaxConnections connections beyond this limit are closed immediately and counted as
+  /// refused.
   /// \throws std::system_error when the port can't be bound.
   HttpStub(asio::io_context &Io, std::uint16_t Port, StubHandler OnRequest,
            std::size_t MaxConnections = SIZE_MAX);
--- a/tests/standins/common/TaskExecutors.cpp
+++ b/tests/standins/common/TaskExecutors.cpp
@@ -13,7 +13,7 @@
 constexpr std::int64_t MaxLeaseMs = 10'000;
 constexpr int MemoryMb = 32'768;
 
-/// Run time of a task: the payload says "ms=N".
+/// \returns the run time in a payload with "ms=N", 100 ms without one.
 milliseconds parseRunTime(const std::string &Payload) {
   const std::size_t Target = Payload.find("ms=");
   return milliseconds(Target == std::string::npos ? 100 : std::stoi(Payload.substr(Target + 3)));
--- a/tests/standins/common/TaskExecutors.h
+++ b/tests/standins/common/TaskExecutors.h
@@ -1,6 +1,6 @@
 /// \file
-/// The platform's executors: orders, leases on the executor's clock, ends until they are
-/// acknowledged. What breaks a promise is counted.
+/// Simulates the platform's executors: orders, leases on the executor's clock, and task ends that
+/// are kept until they are acknowledged. Duplicate runs are recorded.
 #ifndef MASTICDRIFT_STANDINS_COMMON_TASKEXECUTORS_H
 #define MASTICDRIFT_STANDINS_COMMON_TASKEXECUTORS_H
 
@@ -13,25 +13,29 @@
 
 namespace masticdrift::standins {
 
-/// Executors that share one address; the first part of the path names one of them.
+/// Executors that share one address; the path /e/ID selects one of them.
 class TaskExecutors {
 public:
-  /// \param Cores of each executor.
+  /// \param Cores cores of each executor.
   TaskExecutors(asio::io_context &Io, int Count, int Cores);
 
   void add(const std::string &Id);
 
-  /// Serves /e/ID/run-start, run-stop, hold and pace. \returns false for another path.
+  /// Serves /e/ID/run-start, run-stop, hold and pace.
+  ///
+  /// \returns false for any other path.
   bool handle(const http::Request &Incoming, const ReplyCallback &Answer);
 
-  /// \returns the list entry of each executor, by id. \param Address of this process.
+  /// \param Address address of this process.
+  /// \returns the list entry of each executor, by id.
   std::map<std::string, Json> entries(const std::string &Address) const;
 
-  /// Switches of one executor ("executor"): "silent" answers nothing, "crash" starts it again
-  /// empty, "still" lets its tasks stand still.
+  /// Sets faults of the executor named by "executor": "silent" sends no responses, "crash" restarts
+  /// it without tasks, "still" stops the progress of its tasks.
   void control(const Json &Body);
 
-  /// \returns starts by task, tasks that ran twice at a time, and starts over capacity.
+  /// \returns the number of starts by task, and the tasks that were started while they ran
+  /// elsewhere or after their end was acknowledged.
   Json evidence() const;
 
 private:
@@ -72,7 +76,7 @@
   std::map<std::string, Executor> Executors_;
   std::map<std::string, int> Starts_;
   std::set<std::string> DuplicatedTasks_;
-  std::set<std::string> AcknowledgedTasks_; ///< tasks whose end as done was acknowledged
+  std::set<std::string> AcknowledgedTasks_; ///< tasks whose end with "done" was acknowledged
   std::uint64_t Generation_ = 0;
 };
 
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -84,7 +84,7 @@
   if (const auto EarlierReply = From.RepliesBySequence_.find(Sequence);
       EarlierReply != From.RepliesBySequence_.end())
     return EarlierReply->second;
-  // The first append of an epoch may start at any number.
+  // The first append of an epoch may have any sequence number.
   if (!From.RepliesBySequence_.empty() && Sequence != From.NextSequence_)
     return jsonReply({{"reason", "seq"}, {"sequence", From.NextSequence_}}, 409);
   From.NextSequence_ = Sequence + 1;
@@ -92,7 +92,7 @@
 }
 
 Reply TopicLog::storeRecords(Topic &TargetTopic, const std::string &Body) {
-  // The product's decoder reads records behind the two offsets of a read.
+  // decodeRead() expects two offsets before the records, as in the response to a read.
   const platform::ReadResult Records = platform::decodeRead(bigEndian(0) + bigEndian(0) + Body, 0);
   const std::size_t Offset = TargetTopic.Records_.size();
   for (const platform::KeyedRecord &One : Records.Records_) {
@@ -132,7 +132,7 @@
 
 void TopicLog::readNewest(const http::Request &Incoming, const ReplyCallback &Answer) {
   const Topic &From = Topics_[http::queryValue(Incoming.Query_, "topic")];
-  // The service calls the key to continue after "depends_on".
+  // In the platform's API, "depends_on" is the key after which the page starts.
   const std::string AfterKey = http::queryValue(Incoming.Query_, "depends_on");
   Json Items = Json::array();
   auto Next =
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -1,5 +1,6 @@
 /// \file
-/// The platform's log service: topics of one partition that keep the newest record of each key.
+/// Simulates the platform's log service: single-partition topics with an index of the newest
+/// record of each key.
 #ifndef MASTICDRIFT_STANDINS_COMMON_TOPICLOG_H
 #define MASTICDRIFT_STANDINS_COMMON_TOPICLOG_H
 
@@ -11,21 +12,22 @@
 
 namespace masticdrift::standins {
 
-/// Serves appends, reads that wait and newest records on the platform's wire.
+/// Serves appends, long-polling reads and queries of the newest records in the platform's format.
 class TopicLog {
 public:
   explicit TopicLog(asio::io_context &Io) : Io_(Io) {}
 
-  /// Paths may begin with /d/NAME, which names the daemon that calls.
-  /// \returns false when the path is not one of the log's.
+  /// Serves log requests. The path may start with /d/NAME, the name of the calling daemon.
+  ///
+  /// \returns false when the path does not belong to the log service.
   bool handle(http::Request Incoming, const ReplyCallback &Answer);
 
   /// Appends a record on behalf of the platform.
   void put(const std::string &Topic, const std::string &Key, const std::string &Value);
 
-  /// Switches: "store" is "up", "refuse" (503), "silent" (no answer) or "lose" (appends are stored
-  /// and not answered); "refused_daemon" names one daemon that alone is refused;
-  /// "page_records" is how many newest records one answer has.
+  /// Sets faults: "store" is "up", "refuse" (503), "silent" (no response) or "lose" (appends are
+  /// stored without a response); "refused_daemon" names a single daemon whose requests get a 503;
+  /// "page_records" is the maximum number of newest records in one response.
   void control(const Json &Body);
 
   /// \returns the number of records of each topic.
@@ -39,13 +41,14 @@
   struct Producer {
     std::uint64_t Epoch_ = 0;
     std::uint64_t NextSequence_ = 0;
-    std::map<std::uint64_t, Reply> RepliesBySequence_; ///< of earlier appends, by sequence
+    std::map<std::uint64_t, Reply> RepliesBySequence_; ///< replies to earlier appends
   };
   struct Topic {
     std::vector<Record> Records_;
     std::map<std::string, std::size_t> NewestOffsets_; ///< offset by key
     std::map<std::string, Producer> Producers_;
-    std::vector<std::function<void()>> PendingReads_; ///< reads at the end
+    std::vector<std::function<void()>>
+        PendingReads_; ///< long-polling reads at the end of the topic
   };
 
   void append(const http::Request &Incoming, const ReplyCallback &Answer);
