--- a/tests/standins/StandinExecutor.cpp
+++ b/tests/standins/StandinExecutor.cpp
@@ -75,7 +75,7 @@
     return {{"slots", Slots_},
             {"busy", BusySlots_},
             {"peak_slots", PeakSlots_},
-            {"peak_connections", Server_.counts().PeakSlots_},
+            {"peak_connections", Server_.counts().Peak_},
             {"open_connections", Server_.counts().Open_},
             {"refused_connections", Server_.counts().Refused_},
             {"refused_full", RefusedFull_},
