legacy, standins: rename the remaining vague locals and WorkerTask::Exit_

WorkerTask::Exit_ holds an exit code, so it is now ExitCode_, also in the controller. From, One, All and Each in the stand-ins now name the topic, the record, the executors and so on. The doc comment that said "exit code" went, because the name says it now.

--- a/include/masticdrift/legacy/WorkerClient.h
+++ b/include/masticdrift/legacy/WorkerClient.h
@@ -39,8 +39,8 @@
   std::string Id_;
   std::uint32_t Attempt_ = 0;
   WorkerTaskState State_ = WorkerTaskState::Running;
-  std::int32_t Exit_ = 0; ///< exit code
-  std::string Reason_;    ///< why the task was stopped, for example "checkpoint"; may be empty
+  std::int32_t ExitCode_ = 0;
+  std::string Reason_; ///< why the task was stopped, for example "checkpoint"; may be empty
 };
 
 /// Acknowledges the end of a task attempt, so that the worker can delete its record.
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -756,7 +756,7 @@
     const TaskOutcome Outcome = Succeeded                               ? TaskOutcome::Succeeded
                                 : One.State_ == WorkerTaskState::Failed ? TaskOutcome::Failed
                                                                         : TaskOutcome::Stopped;
-    recordEnd(Key, Task, Outcome, One.Exit_, Now);
+    recordEnd(Key, Task, Outcome, One.ExitCode_, Now);
   }
 
   /// The worker answered and does not know the task.
--- a/src/legacy/WorkerClient.cpp
+++ b/src/legacy/WorkerClient.cpp
@@ -119,7 +119,7 @@
   Task.State_ = *State;
   const auto Exit = Object.find("exit");
   if (Exit != Object.end() && Exit->is_number_integer())
-    Task.Exit_ = Exit->get<std::int32_t>();
+    Task.ExitCode_ = Exit->get<std::int32_t>();
   Task.Reason_ = Object.value("reason", std::string());
   return Task;
 }
--- a/tests/standins/StandinExecutor.cpp
+++ b/tests/standins/StandinExecutor.cpp
@@ -66,12 +66,12 @@
   std::uint64_t received() const { return Received_; }
 
   Json evidence() const {
-    Json All = Json::array();
+    Json Requests = Json::array();
     for (const auto &[Id, Entry] : Runs_)
-      All.push_back({{"id", Id},
-                     {"times", Entry.RunCount_},
-                     {"start_ms", Entry.StartMs_},
-                     {"end_ms", Entry.EndMs_}});
+      Requests.push_back({{"id", Id},
+                          {"times", Entry.RunCount_},
+                          {"start_ms", Entry.StartMs_},
+                          {"end_ms", Entry.EndMs_}});
     return {{"slots", Slots_},
             {"busy", BusySlots_},
             {"peak_slots", PeakSlots_},
@@ -80,7 +80,7 @@
             {"refused_connections", Server_.counts().Refused_},
             {"refused_full", RefusedFull_},
             {"refused_leaving", RefusedLeaving_},
-            {"requests", All}};
+            {"requests", Requests}};
   }
 
 private:
@@ -142,10 +142,10 @@
 
 using Executors = std::map<std::string, std::unique_ptr<Executor>>;
 
-Json evidenceOf(const Executors &All) {
+Json evidenceOf(const Executors &AllExecutors) {
   Json Response = Json::object();
   std::map<std::string, int> RunCounts;
-  for (const auto &[Name, Entry] : All) {
+  for (const auto &[Name, Entry] : AllExecutors) {
     Response[Name] = Entry->evidence();
     for (const Json &Request : Response[Name]["requests"])
       RunCounts[Request["id"].get<std::string>()] += Request["times"].get<int>();
@@ -172,28 +172,28 @@
   App.add_option("--connections", Connections, "Connection limit of each executor");
   CLI11_PARSE(App, Argc, Argv);
   asio::io_context Io;
-  Executors All;
+  Executors AllExecutors;
   Json Ports = Json::object();
   for (const std::string &Name : Names) {
-    All[Name] = std::make_unique<Executor>(Io, Slots, Connections);
-    Ports[Name] = All[Name]->port();
+    AllExecutors[Name] = std::make_unique<Executor>(Io, Slots, Connections);
+    Ports[Name] = AllExecutors[Name]->port();
   }
   // Without "executor" the settings apply to all executors.
   const auto ApplyControl = [&](const Json &Body) {
     if (const auto Name = Body.find("executor"); Name != Body.end())
-      All.at(Name->get<std::string>())->control(Body);
+      AllExecutors.at(Name->get<std::string>())->control(Body);
     else
-      for (auto &[Unused, Entry] : All)
+      for (auto &[Unused, Entry] : AllExecutors)
         Entry->control(Body);
     // Cheap to query, unlike GET /evidence, which lists every request.
     Json Received = Json::object();
-    for (const auto &[Name, Entry] : All)
+    for (const auto &[Name, Entry] : AllExecutors)
       Received[Name] = Entry->received();
     return Json{{"received", Received}};
   };
   const HttpStub Control(Io, Port,
                          withControlRoutes(
-                             ApplyControl, [&] { return evidenceOf(All); },
+                             ApplyControl, [&] { return evidenceOf(AllExecutors); },
                              [](const http::Request &, const ReplyCallback &Answer) {
                                Answer(errorReply(404, "unknown path"));
                              }));
--- a/tests/standins/StandinLog.cpp
+++ b/tests/standins/StandinLog.cpp
@@ -116,9 +116,10 @@
     expireRecords(Source);
     const std::string FromText = http::queryValue(Query, "from");
     const std::string MaxText = http::queryValue(Query, "max");
-    const std::uint64_t From = FromText.empty() ? 0 : std::strtoull(FromText.c_str(), nullptr, 10);
+    const std::uint64_t FromOffset =
+        FromText.empty() ? 0 : std::strtoull(FromText.c_str(), nullptr, 10);
     const std::uint64_t Max = MaxText.empty() ? 1000 : std::strtoull(MaxText.c_str(), nullptr, 10);
-    const std::uint64_t Begin = std::max(From, Source.FirstOffset_);
+    const std::uint64_t Begin = std::max(FromOffset, Source.FirstOffset_);
     std::uint64_t End = Begin;
     std::size_t Size = 0;
     while (End < Source.nextOffset() && End - Begin < Max && Size < MaxReadBytes)
--- a/tests/standins/StandinProxy.cpp
+++ b/tests/standins/StandinProxy.cpp
@@ -90,9 +90,9 @@
       return;
     Open_ = false;
     std::error_code Ignored;
-    for (Side &Each : Sides_) {
-      Each.Socket_.close(Ignored);
-      Each.Timer_.cancel();
+    for (Side &Endpoint : Sides_) {
+      Endpoint.Socket_.close(Ignored);
+      Endpoint.Timer_.cancel();
     }
     Link_.Open_.erase(shared_from_this());
   }
@@ -279,14 +279,14 @@
   }
 
   Json evidence() const {
-    Json All = Json::object();
+    Json LinkStats = Json::object();
     for (const auto &[Name, Entry] : Links_)
-      All[Name] = {{"port", Entry->port()},
-                   {"bytes_up", Entry->Directions_[ClientToTarget].Bytes_},
-                   {"bytes_down", Entry->Directions_[TargetToClient].Bytes_},
-                   {"connections", Entry->Accepted_},
-                   {"open", Entry->Open_.size()}};
-    return {{"links", All}};
+      LinkStats[Name] = {{"port", Entry->port()},
+                         {"bytes_up", Entry->Directions_[ClientToTarget].Bytes_},
+                         {"bytes_down", Entry->Directions_[TargetToClient].Bytes_},
+                         {"connections", Entry->Accepted_},
+                         {"open", Entry->Open_.size()}};
+    return {{"links", LinkStats}};
   }
 
 private:
@@ -314,8 +314,8 @@
     if (Body.value("heal", false)) {
       cut(Entry, false);
       Entry.DropAnswers_ = 0;
-      for (DirectionState &Each : Entry.Directions_)
-        Each = {.Bytes_ = Each.Bytes_};
+      for (DirectionState &State : Entry.Directions_)
+        State = {.Bytes_ = State.Bytes_};
     }
     if (const auto Target = Body.find("target"); Target != Body.end())
       Entry.Target_ = parseEndpoint(Target->get<std::string>());
@@ -331,11 +331,11 @@
       assignIfPresent(Body, "bandwidth_bytes_per_s", Rules.BytesPerSecond_);
       assignIfPresent(Body, "silence_all", Rules.SilenceAll_);
       assignIfPresent(Body, "truncate_after_bytes", Rules.TruncateAfter_);
-      for (const auto &Each : Entry.Open_) {
+      for (const auto &Current : Entry.Open_) {
         if (Body.value("silence_existing", false) || Body.value("silence_all", false))
-          Each->silence(Flow);
+          Current->silence(Flow);
         if (Body.contains("truncate_after_bytes"))
-          Each->resetByteCount(Flow);
+          Current->resetByteCount(Flow);
       }
     }
   }
@@ -348,8 +348,8 @@
       return listen(Entry);
     Entry.Acceptor_.close();
     const auto Open = Entry.Open_; // copied, because close() modifies the set
-    for (const auto &Each : Open)
-      Each->close();
+    for (const auto &Current : Open)
+      Current->close();
   }
 
   asio::io_context &Io_;
@@ -367,15 +367,16 @@
   App.add_option("--target", Target, "host:port; adds a link called \"default\"");
   CLI11_PARSE(App, Argc, Argv);
   asio::io_context Io;
-  Proxy All(Io);
+  Proxy LinkProxy(Io);
   Json Ready = Json::object();
   if (!Target.empty())
-    Ready["default"] = All.add("default", Target, 0);
-  const HttpStub Control(Io, Port,
-                         withControlRoutes([&](const Json &Body) { return All.control(Body); },
-                                           [&] { return All.evidence(); },
-                                           [](const http::Request &, const ReplyCallback &Answer) {
-                                             Answer(errorReply(404, "unknown path"));
-                                           }));
+    Ready["default"] = LinkProxy.add("default", Target, 0);
+  const HttpStub Control(
+      Io, Port,
+      withControlRoutes([&](const Json &Body) { return LinkProxy.control(Body); },
+                        [&] { return LinkProxy.evidence(); },
+                        [](const http::Request &, const ReplyCallback &Answer) {
+                          Answer(errorReply(404, "unknown path"));
+                        }));
   return runProgram(Io, {{"port", Control.port()}, {"links", Ready}});
 }
--- a/tests/standins/StandinWorker.cpp
+++ b/tests/standins/StandinWorker.cpp
@@ -127,18 +127,18 @@
 
   Json evidence() {
     endExpired();
-    Json All = Json::object();
+    Json WorkerStats = Json::object();
     bool Overcommitted = false;
     for (const auto &[Name, Target] : Workers_) {
       Overcommitted = Overcommitted || Target.Overcommitted_;
-      All[Name] = {{"capacity", toJson(Target.Capacity_)},
-                   {"used", toJson(Target.Used_)},
-                   {"peak", toJson(Target.PeakUsage_)},
-                   {"overcommitted", Target.Overcommitted_},
-                   {"no_room", Target.NoRoomCount_},
-                   {"lower_term", Target.LowerTermCount_},
-                   {"term", Target.Term_},
-                   {"owner", Target.Owner_}};
+      WorkerStats[Name] = {{"capacity", toJson(Target.Capacity_)},
+                           {"used", toJson(Target.Used_)},
+                           {"peak", toJson(Target.PeakUsage_)},
+                           {"overcommitted", Target.Overcommitted_},
+                           {"no_room", Target.NoRoomCount_},
+                           {"lower_term", Target.LowerTermCount_},
+                           {"term", Target.Term_},
+                           {"owner", Target.Owner_}};
     }
     int Peak = 0;
     Json Duplicates = Json::object();
@@ -147,7 +147,7 @@
       if (Count.second > 1)
         Duplicates[Id] = Count.second;
     }
-    return {{"workers", All},
+    return {{"workers", WorkerStats},
             {"tasks", Events_},
             {"overcommitted", Overcommitted},
             {"peak_copies", Peak},
@@ -399,15 +399,15 @@
   CLI11_PARSE(App, Argc, Argv);
   Capacity.MilliCores_ = std::llround(Cores * 1000);
   asio::io_context Io;
-  Workers All(Io);
+  Workers AllWorkers(Io);
   for (const std::string &Name : Names)
-    All.add(Name, Capacity);
+    AllWorkers.add(Name, Capacity);
   const HttpStub Server(
       Io, Port,
-      withControlRoutes([&](const Json &Body) { return All.control(Body); },
-                        [&] { return All.evidence(); },
+      withControlRoutes([&](const Json &Body) { return AllWorkers.control(Body); },
+                        [&] { return AllWorkers.evidence(); },
                         [&](const http::Request &Incoming, const ReplyCallback &Answer) {
-                          All.handle(Incoming, Answer);
+                          AllWorkers.handle(Incoming, Answer);
                         }));
   return runProgram(Io, {{"port", Server.port()}});
 }
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -23,8 +23,8 @@
   return Out;
 }
 
-std::uint64_t queryNumber(const http::Request &From, std::string_view Name) {
-  const std::string Text = http::queryValue(From.Query_, Name);
+std::uint64_t queryNumber(const http::Request &Incoming, std::string_view Name) {
+  const std::string Text = http::queryValue(Incoming.Query_, Name);
   return Text.empty() ? 0 : std::stoull(Text);
 }
 
@@ -72,78 +72,79 @@
     return storeRecords(TargetTopic, Incoming.Body_);
   const std::uint64_t Epoch = queryNumber(Incoming, "epoch");
   const std::uint64_t Sequence = queryNumber(Incoming, "sequence");
-  Producer &From = TargetTopic.Producers_[Name];
-  if (Epoch < From.Epoch_)
+  Producer &ProducerState = TargetTopic.Producers_[Name];
+  if (Epoch < ProducerState.Epoch_)
     return jsonReply({{"reason", "fenced"}}, 409);
-  const bool IsNewEpoch = Epoch > From.Epoch_;
+  const bool IsNewEpoch = Epoch > ProducerState.Epoch_;
   if (IsNewEpoch)
-    From = {Epoch, Sequence, {}};
+    ProducerState = {Epoch, Sequence, {}};
   if (Incoming.Body_.empty())
     return jsonReply(
         {{"offset", TargetTopic.Records_.size()}, {"end", TargetTopic.Records_.size()}});
-  if (const auto EarlierReply = From.RepliesBySequence_.find(Sequence);
-      EarlierReply != From.RepliesBySequence_.end())
+  if (const auto EarlierReply = ProducerState.RepliesBySequence_.find(Sequence);
+      EarlierReply != ProducerState.RepliesBySequence_.end())
     return EarlierReply->second;
   // The first append of an epoch may have any sequence number.
-  if (!From.RepliesBySequence_.empty() && Sequence != From.NextSequence_)
-    return jsonReply({{"reason", "seq"}, {"sequence", From.NextSequence_}}, 409);
-  From.NextSequence_ = Sequence + 1;
-  return From.RepliesBySequence_[Sequence] = storeRecords(TargetTopic, Incoming.Body_);
+  if (!ProducerState.RepliesBySequence_.empty() && Sequence != ProducerState.NextSequence_)
+    return jsonReply({{"reason", "seq"}, {"sequence", ProducerState.NextSequence_}}, 409);
+  ProducerState.NextSequence_ = Sequence + 1;
+  return ProducerState.RepliesBySequence_[Sequence] = storeRecords(TargetTopic, Incoming.Body_);
 }
 
 Reply TopicLog::storeRecords(Topic &TargetTopic, const std::string &Body) {
   // decodeRead() expects two offsets before the records, as in the response to a read.
   const platform::ReadResult Records = platform::decodeRead(bigEndian(0) + bigEndian(0) + Body, 0);
   const std::size_t Offset = TargetTopic.Records_.size();
-  for (const platform::KeyedRecord &One : Records.Records_) {
-    if (One.Value_.empty())
-      TargetTopic.NewestOffsets_.erase(One.Key_);
+  for (const platform::KeyedRecord &Added : Records.Records_) {
+    if (Added.Value_.empty())
+      TargetTopic.NewestOffsets_.erase(Added.Key_);
     else
-      TargetTopic.NewestOffsets_[One.Key_] = TargetTopic.Records_.size();
-    TargetTopic.Records_.push_back({One.Key_, One.Value_});
+      TargetTopic.NewestOffsets_[Added.Key_] = TargetTopic.Records_.size();
+    TargetTopic.Records_.push_back({Added.Key_, Added.Value_});
   }
   for (auto &Resume : std::exchange(TargetTopic.PendingReads_, {}))
     Resume();
   return jsonReply({{"offset", Offset}, {"end", TargetTopic.Records_.size()}});
 }
 
-Reply TopicLog::readReply(const Topic &From, std::size_t Offset) {
+Reply TopicLog::readReply(const Topic &SourceTopic, std::size_t Offset) {
   std::vector<platform::KeyedRecord> Records;
-  for (std::size_t I = Offset; I < From.Records_.size(); ++I)
-    Records.push_back({I, From.Records_[I].Key_, From.Records_[I].Value_});
-  return {200, bigEndian(From.Records_.size()) + bigEndian(0) + platform::encodeRecords(Records),
+  for (std::size_t I = Offset; I < SourceTopic.Records_.size(); ++I)
+    Records.push_back({I, SourceTopic.Records_[I].Key_, SourceTopic.Records_[I].Value_});
+  return {200,
+          bigEndian(SourceTopic.Records_.size()) + bigEndian(0) + platform::encodeRecords(Records),
           "application/octet-stream"};
 }
 
 void TopicLog::read(const http::Request &Incoming, const ReplyCallback &Answer) {
-  Topic &From = Topics_[http::queryValue(Incoming.Query_, "topic")];
+  Topic &SourceTopic = Topics_[http::queryValue(Incoming.Query_, "topic")];
   const auto Offset = static_cast<std::size_t>(queryNumber(Incoming, "from"));
   const std::chrono::milliseconds Wait(queryNumber(Incoming, "wait_ms"));
-  if (Offset < From.Records_.size() || Wait.count() == 0)
-    return Answer(readReply(From, Offset));
+  if (Offset < SourceTopic.Records_.size() || Wait.count() == 0)
+    return Answer(readReply(SourceTopic, Offset));
   const auto Sent = std::make_shared<bool>(false);
-  const auto SendOnce = [&From, Offset, Answer, Sent] {
+  const auto SendOnce = [&SourceTopic, Offset, Answer, Sent] {
     if (!std::exchange(*Sent, true))
-      Answer(readReply(From, Offset));
+      Answer(readReply(SourceTopic, Offset));
   };
-  From.PendingReads_.push_back(SendOnce);
+  SourceTopic.PendingReads_.push_back(SendOnce);
   runAfter(Io_, Wait, SendOnce);
 }
 
 void TopicLog::readNewest(const http::Request &Incoming, const ReplyCallback &Answer) {
-  const Topic &From = Topics_[http::queryValue(Incoming.Query_, "topic")];
+  const Topic &SourceTopic = Topics_[http::queryValue(Incoming.Query_, "topic")];
   // In the platform's API, "depends_on" is the key after which the page starts.
   const std::string AfterKey = http::queryValue(Incoming.Query_, "depends_on");
   Json Items = Json::array();
-  auto Next =
-      AfterKey.empty() ? From.NewestOffsets_.begin() : From.NewestOffsets_.upper_bound(AfterKey);
-  for (; Next != From.NewestOffsets_.end() && Items.size() < MaxPageRecords_; ++Next)
+  auto Next = AfterKey.empty() ? SourceTopic.NewestOffsets_.begin()
+                               : SourceTopic.NewestOffsets_.upper_bound(AfterKey);
+  for (; Next != SourceTopic.NewestOffsets_.end() && Items.size() < MaxPageRecords_; ++Next)
     Items.push_back({{"key", Next->first},
-                     {"value", base64(From.Records_[Next->second].Value_)},
+                     {"value", base64(SourceTopic.Records_[Next->second].Value_)},
                      {"offset", Next->second}});
   Answer(jsonReply({{"items", Items},
-                    {"has_more", Next != From.NewestOffsets_.end()},
-                    {"end", From.Records_.size()}}));
+                    {"has_more", Next != SourceTopic.NewestOffsets_.end()},
+                    {"end", SourceTopic.Records_.size()}}));
 }
 
 void TopicLog::put(const std::string &Topic, const std::string &Key, const std::string &Value) {
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -56,7 +56,7 @@
   Reply storeRecords(Topic &TargetTopic, const std::string &Body);
   void read(const http::Request &Incoming, const ReplyCallback &Answer);
   void readNewest(const http::Request &Incoming, const ReplyCallback &Answer);
-  static Reply readReply(const Topic &From, std::size_t Offset);
+  static Reply readReply(const Topic &SourceTopic, std::size_t Offset);
 
   asio::io_context &Io_;
   std::map<std::string, Topic> Topics_;
