--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -772,7 +772,7 @@
                                 : WorkerTask.State_ == WorkerTaskState::Failed
                                     ? TaskOutcome::Failed
                                     : TaskOutcome::Stopped;
-    recordEnd(Key, Task, Outcome, WorkerTask.Exit_, Now);
+    recordEnd(Key, Task, Outcome, WorkerTask.ExitCode_, Now);
   }
 
   /// Handles a task that the worker does not know.
