--- a/tests/integration/BadInputTest.cpp
+++ b/tests/integration/BadInputTest.cpp
@@ -92,7 +92,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
   Api At(All, All.names().front());
-  const std::string Key = At.newKey("mfi");
+  const std::string Key = At.createKey("mfi");
   const std::string Url = All.callerUrl(All.names().front());
   const http::Headers WithKey{{"Authorization", "Bearer " + Key}};
   const auto Check = [&](const char *Scope, const Reply &Got, int Status, const std::string &Id) {
@@ -128,7 +128,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
   Api At(All, All.names().front());
-  const std::string Key = At.newKey("mfi");
+  const std::string Key = At.createKey("mfi");
   const std::string Url = All.callerUrl(All.names().front());
 
   const Reply Large = At.request("reorder", std::string(1'048'577, 'x'), {.Key_ = Key});
@@ -167,7 +167,7 @@
   cr_assert(bringUp(All), "the fleet did not come up");
   const std::string Name = All.names().front();
   Api At(All, Name);
-  const std::string Key = At.newKey("mfi");
+  const std::string Key = At.createKey("mfi");
   const http::Headers Submission{{"Masticdrift-Base-Version", "1"}, {"Masticdrift-Author", "test"}};
 
   expectRefused("no key", call("GET", All.operatorUrl(Name) + "/v1/status"), 401, "MD-201");
--- a/tests/integration/OversizedBodyTest.cpp
+++ b/tests/integration/OversizedBodyTest.cpp
@@ -12,7 +12,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
   Api At(All, All.names().front());
-  const std::string Key = At.newKey("mfi");
+  const std::string Key = At.createKey("mfi");
   const Reply Got = At.request("reorder", std::string(1'048'577, 'x'), {.Key_ = Key});
   cr_expect_eq(Got.Status_, 413, "%d %s", Got.Status_, Got.Body_.c_str());
   cr_expect(Got.errorId() == "MD-102", "%s", Got.Body_.c_str());
--- a/tests/integration/PathTest.cpp
+++ b/tests/integration/PathTest.cpp
@@ -26,7 +26,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
   Api First(All, All.names().front());
-  const std::string Key = First.newKey("mfi");
+  const std::string Key = First.createKey("mfi");
 
   // An interactive request through each daemon; the key was granted at the first one.
   for (const std::string &Name : All.names()) {
--- a/tests/integration/StandinTest.cpp
+++ b/tests/integration/StandinTest.cpp
@@ -481,7 +481,7 @@
   const std::string Log = Settings["platform"]["log_url"].get<std::string>() + Append;
   Under.cutDomain("karachi-a");
   cr_assert(Under.client().sendAndWait({"POST", Log, "x", {}}).Transfer_ == Transfer::NotConnected);
-  Under.healAll();
+  Under.clearFaults();
   cr_assert_eq(status(Under.client().sendAndWait({"POST", Log, "x", {}})), 200);
   Under.pause("lahore-a-1");
   Under.kill("lahore-a-1");
--- a/tests/invariant/Callers.h
+++ b/tests/invariant/Callers.h
@@ -92,7 +92,7 @@
                                   .Id_ = One.Id_,
                                   .Idempotent_ = One.Idempotent_,
                                   .DeadlineMs_ = How_.DeadlineMs_,
-                                  .More_ = {}});
+                                  .ExtraHeaders_ = {}});
       One.TookMs_ = core::toMillis(core::Clock::now() - Begin);
       const bool Completed = One.Answer_.Outcome_ == "completed";
       {
--- a/tests/invariant/ConfigTest.cpp
+++ b/tests/invariant/ConfigTest.cpp
@@ -265,7 +265,7 @@
   }
   {
     const Step Label("store back: all fresh");
-    All.healAll();
+    All.clearFaults();
     cr_assert(waitFor(RecoveredWithin, [&] {
       return std::ranges::all_of(Names, [&](const std::string &Name) {
         const Json Status = Api(All, Name).status();
@@ -286,7 +286,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
   const std::vector<std::string> Names = All.names();
-  const std::string Key = Api(All, Names.front()).newKey("mfi");
+  const std::string Key = Api(All, Names.front()).createKey("mfi");
   std::string Refusal = awaitServing(All, Names, "reorder", Key, core::Millis(5000));
   cr_assert(Refusal.empty(), "%s", Refusal.c_str());
   const std::uint64_t Version = versionAt(All, Names.front());
@@ -351,7 +351,7 @@
   {
     const Step Label("healed: everything is back");
     const core::TimePoint Since = core::Clock::now();
-    All.healAll();
+    All.clearFaults();
     Refusal = awaitServing(All, Names, "reorder", Key, RecoveredWithin);
     cr_expect(Refusal.empty(), "%s", Refusal.c_str());
     if (Refused.errorId() == "MD-501")
--- a/tests/invariant/DurableRecoveryTest.cpp
+++ b/tests/invariant/DurableRecoveryTest.cpp
@@ -67,7 +67,7 @@
 void recoverWith(std::size_t Count) {
   Fleet All(tinyCell());
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   const std::int64_t Begin = core::wallMillis();
   cr_assert_eq(submitMany(All, Key, Count, 3'000), Count);
   const std::int64_t Submitted = core::wallMillis() - Begin;
@@ -126,7 +126,7 @@
   }
   cr_assert(bringUp(All, defaultConfiguration(), core::Millis(40'000)),
             "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   cr_assert_eq(submitMany(All, Key, Count, 3'000), Count);
   const std::string Stream = std::string("domain.") + Domain;
   const auto LogOf = [&] { return All.evidence(Standin::Log).at("streams").at(Stream); };
--- a/tests/invariant/DurableStoreTest.cpp
+++ b/tests/invariant/DurableStoreTest.cpp
@@ -56,7 +56,7 @@
 void runOutage(const char *Mode) {
   Fleet All(roshan(1, 2));
   cr_assert(bringUp(All, configurationWithService()), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   std::vector<SubmittedJob> Accepted;
   Accepted.reserve(6);
   for (int I = 0; I < 6; ++I)
@@ -178,7 +178,7 @@
 Test(LostAnswers, nothingTwiceAndNothingLost) {
   Fleet All(roshan(1, 2));
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   std::vector<SubmittedJob> Jobs;
   { // Accepts, starts and ends among the lost answers; the switch counts down, so set it anew.
     for (int I = 0; I < 20; ++I) {
--- a/tests/invariant/DurableTest.cpp
+++ b/tests/invariant/DurableTest.cpp
@@ -36,7 +36,7 @@
 void assertAccepted(const std::vector<SubmittedJob> &Jobs) {
   for (const SubmittedJob &One : Jobs)
     cr_assert_not(One.Id_.empty(), "%s was not accepted through %s", One.Body_.dump().c_str(),
-                  One.Through_.c_str());
+                  One.Daemon_.c_str());
 }
 
 /// Submits every job again through another daemon: the first job is returned and nothing runs.
@@ -62,7 +62,7 @@
 Test(KilledOwners, everyTaskSucceedsExactlyOnce) {
   Fleet All(smallCell());
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   const std::vector<SubmittedJob> Jobs = submitThirty(All, Key);
   assertAccepted(Jobs);
 
@@ -110,7 +110,7 @@
 Test(PausedOwners, oldOwnerHasNoEffect) {
   Fleet All(smallCell());
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   const std::vector<SubmittedJob> Jobs = submitThirty(All, Key);
   assertAccepted(Jobs);
 
@@ -186,7 +186,7 @@
 Test(SilentWorkers, rerunsOnlyAfterTheWorkersLease) {
   Fleet All(roshan(1, 2));
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   Api At(All, All.names().front());
   const auto Submit = [&](bool Idempotent) {
     // Longer than a worker's lease of 10 s, so that a rerun before its end would overlap.
--- a/tests/invariant/FailingExecutorsTest.cpp
+++ b/tests/invariant/FailingExecutorsTest.cpp
@@ -9,7 +9,7 @@
 Test(FailingExecutors, answersAreTrueAndNothingRunsTwice) {
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   cr_assert(keyWorksEverywhere(All, Key));
   for (const int IdempotentEvery : {0, 2}) {
     const std::string Scope = IdempotentEvery == 0 ? "non-idempotent" : "mixed";
--- a/tests/invariant/LimitTest.cpp
+++ b/tests/invariant/LimitTest.cpp
@@ -50,7 +50,7 @@
 Test(TeamLimit, isKeptAcrossAllDomains) {
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("small");
+  const std::string Key = Api(All, All.names().front()).createKey("small");
   Callers Load(All, All.names(), {.Callers_ = 30, .WorkMs_ = 100, .DeadlineMs_ = 2000, .Key_ = Key},
                "limit");
   cr_expect(Load.await(60, core::Millis(20'000), "completed"),
@@ -70,7 +70,7 @@
 Test(LeavingExecutor, getsNoNewRequestAfterAFewSeconds) {
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   Callers Load(All, All.names(), {.Callers_ = 24, .WorkMs_ = 50, .Key_ = Key}, "leave");
   cr_expect(Load.await(200, core::Millis(20'000), "completed"), "no load");
   const std::string Leaving = "lahore-a-executor-1";
@@ -107,7 +107,7 @@
 Test(SilentPeers, requestsEndTruthfullyAndAreServedAgain) {
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   const std::vector<std::string> Members = All.namesIn("lahore-a");
   const std::string Owner = ownerOf(All, Members);
   const std::string Other = Members.front() == Owner ? Members.back() : Members.front();
--- a/tests/invariant/RequestTest.cpp
+++ b/tests/invariant/RequestTest.cpp
@@ -10,7 +10,7 @@
 Test(OverloadAndTakeover, slotsAreNeverOvercommitted) {
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   cr_assert(keyWorksEverywhere(All, Key));
   const std::string Domain = "lahore-a";
   const std::vector<std::string> Members = All.namesIn(Domain);
@@ -48,7 +48,7 @@
 Test(PausedOwner, sendsNothingWithItsOldClaim) {
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).newKey("mfi");
+  const std::string Key = Api(All, All.names().front()).createKey("mfi");
   cr_assert(keyWorksEverywhere(All, Key));
   const std::string Domain = "lahore-a";
   const std::vector<std::string> Members = All.namesIn(Domain);
--- a/tests/invariant/StopTest.cpp
+++ b/tests/invariant/StopTest.cpp
@@ -39,7 +39,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not come up");
   const std::vector<std::string> Names = All.names();
-  const std::string Key = Api(All, Names.front()).newKey("mfi");
+  const std::string Key = Api(All, Names.front()).createKey("mfi");
   const std::string Refusal = awaitServing(All, Names, "reorder", Key, core::Millis(5000));
   cr_assert(Refusal.empty(), "%s", Refusal.c_str());
   const std::string Owner = ownerIn(All, "lahore-a");
@@ -139,7 +139,7 @@
   const std::vector<std::string> Names = All.names();
   const std::vector<std::string> Cut = All.namesIn("karachi-a");
   const std::vector<std::string> Others = without(Names, Cut);
-  const std::string Key = Api(All, Names.front()).newKey("mfi");
+  const std::string Key = Api(All, Names.front()).createKey("mfi");
   std::string Refusal = awaitServing(All, Names, "reorder", Key, core::Millis(5000));
   cr_assert(Refusal.empty(), "%s", Refusal.c_str());
 
@@ -157,7 +157,7 @@
   }
   {
     const Step Label("healed: everything is served");
-    All.healAll();
+    All.clearFaults();
     Healed = core::Clock::now();
     Refusal = awaitServing(All, Names, "reorder", Key, RecoveredWithin);
     cr_expect(Refusal.empty(), "%s", Refusal.c_str());
--- a/tests/measure/daemon/Main.cpp
+++ b/tests/measure/daemon/Main.cpp
@@ -282,7 +282,7 @@
     std::cerr << "the fleet did not come up\n";
     return 1;
   }
-  const std::string Key = Api(All, ownerOf(All, "lahore-a")).newKey("mfi");
+  const std::string Key = Api(All, ownerOf(All, "lahore-a")).createKey("mfi");
   if (Of.Tasks_ > 0) {
     startTasks(All, Key, Of.Tasks_);
     idleFor(SettleTime); // the start commands are not part of the cost at rest
--- a/tests/support/Api.cpp
+++ b/tests/support/Api.cpp
@@ -13,20 +13,20 @@
 Reply call(const std::string &Method, const std::string &Url, const std::string &Body,
            const http::Headers &Headers, core::Millis Timeout) {
   static http::Client Client;
-  http::ClientRequest Out;
-  Out.Method_ = Method;
-  Out.Url_ = Url;
-  Out.Body_ = Body;
-  Out.Headers_ = Headers;
-  Out.Timeout_ = Timeout;
-  Out.FreshConnection_ = true;
-  const http::ClientResult Result = Client.sendAndWait(std::move(Out));
-  Reply To;
-  To.Complete_ = Result.Transfer_ == http::Transfer::Complete;
-  To.Status_ = Result.Answer_.Status_;
-  To.Body_ = Result.Answer_.Body_;
-  To.Outcome_ = std::string(http::findHeader(Result.Answer_.Headers_, "Masticdrift-Outcome"));
-  return To;
+  http::ClientRequest Request;
+  Request.Method_ = Method;
+  Request.Url_ = Url;
+  Request.Body_ = Body;
+  Request.Headers_ = Headers;
+  Request.Timeout_ = Timeout;
+  Request.FreshConnection_ = true;
+  const http::ClientResult Result = Client.sendAndWait(std::move(Request));
+  Reply Answer;
+  Answer.Complete_ = Result.Transfer_ == http::Transfer::Complete;
+  Answer.Status_ = Result.Answer_.Status_;
+  Answer.Body_ = Result.Answer_.Body_;
+  Answer.Outcome_ = std::string(http::findHeader(Result.Answer_.Headers_, "Masticdrift-Outcome"));
+  return Answer;
 }
 
 Json defaultConfiguration() {
@@ -54,16 +54,16 @@
   return call(Method, Fleet_.operatorUrl(Daemon_) + Path, Body, Headers);
 }
 
-Reply Api::submitConfig(const Json &Text, std::uint64_t Base, const std::string &Author,
-                        const std::string &Id) {
-  http::Headers Headers{{"Masticdrift-Base-Version", std::to_string(Base)},
+Reply Api::submitConfig(const Json &Configuration, std::uint64_t BaseVersion,
+                        const std::string &Author, const std::string &RequestId) {
+  http::Headers Headers{{"Masticdrift-Base-Version", std::to_string(BaseVersion)},
                         {"Masticdrift-Author", Author}};
-  if (!Id.empty())
-    Headers.emplace_back("Masticdrift-Request-Id", Id);
-  return operatorCall("POST", "/v1/config", Text.dump(), std::move(Headers));
+  if (!RequestId.empty())
+    Headers.emplace_back("Masticdrift-Request-Id", RequestId);
+  return operatorCall("POST", "/v1/config", Configuration.dump(), std::move(Headers));
 }
 
-std::string Api::newKey(const std::string &Team) {
+std::string Api::createKey(const std::string &Team) {
   const Reply Answer =
       operatorCall("POST", "/v1/keys", Json{{"team", Team}, {"author", "test"}}.dump());
   if (Answer.Status_ != 201)
@@ -80,7 +80,7 @@
     Headers.emplace_back("Authorization", "Bearer " + Options.Key_);
   if (!Options.Id_.empty())
     Headers.emplace_back("Masticdrift-Request-Id", Options.Id_);
-  Headers.insert(Headers.end(), Options.More_.begin(), Options.More_.end());
+  Headers.insert(Headers.end(), Options.ExtraHeaders_.begin(), Options.ExtraHeaders_.end());
   return call("POST", Fleet_.callerUrl(Daemon_) + "/v1/queues/" + Queue + "/requests", Body,
               Headers, core::Millis(Options.DeadlineMs_ + 2000));
 }
@@ -95,36 +95,37 @@
               {{"Authorization", "Bearer " + Key}});
 }
 
-Reply Api::cancelJob(const std::string &Id, const std::string &Key) {
-  return call("DELETE", Fleet_.callerUrl(Daemon_) + "/v1/jobs/" + Id, {},
+Reply Api::cancelJob(const std::string &JobId, const std::string &Key) {
+  return call("DELETE", Fleet_.callerUrl(Daemon_) + "/v1/jobs/" + JobId, {},
               {{"Authorization", "Bearer " + Key}});
 }
 
 Json Api::status() { return operatorCall("GET", "/v1/status").json(); }
 
-bool bringUp(Fleet &Of, const Json &Configuration, core::Millis Deadline) {
-  const core::TimePoint End = core::Clock::now() + Deadline;
-  const auto Left = [&] {
-    return std::chrono::duration_cast<core::Millis>(End - core::Clock::now());
+bool bringUp(Fleet &Cluster, const Json &Configuration, core::Millis Deadline) {
+  const core::TimePoint DeadlineTime = core::Clock::now() + Deadline;
+  const auto RemainingTime = [&] {
+    return std::chrono::duration_cast<core::Millis>(DeadlineTime - core::Clock::now());
   };
-  Api First(Of, Of.names().front());
-  if (!waitFor(Left(), [&] { return First.submitConfig(Configuration, 0).Status_ == 200; }))
+  Api FirstDaemon(Cluster, Cluster.names().front());
+  if (!waitFor(RemainingTime(),
+               [&] { return FirstDaemon.submitConfig(Configuration, 0).Status_ == 200; }))
     return false;
-  return waitFor(Left(), [&] {
+  return waitFor(RemainingTime(), [&] {
     std::set<std::string> Domains;
-    std::set<std::string> Owned;
-    for (const std::string &Name : Of.names()) {
-      const Json Status = Api(Of, Name).status();
+    std::set<std::string> OwnedDomains;
+    for (const std::string &Name : Cluster.names()) {
+      const Json Status = Api(Cluster, Name).status();
       if (!Status.is_object() || Status.value("config_version", 0) < 1 ||
           !Status.value("config_fresh", false) ||
-          Status.value("reachable_domains", 0U) < Of.domains())
+          Status.value("reachable_domains", 0U) < Cluster.domains())
         return false;
       Domains.insert(Status.at("domain"));
       if (Status.value("is_owner", false) && Status.value("free_slots", 0) > 0 &&
           Status.value("usable_workers", 0) > 0)
-        Owned.insert(Status.at("domain"));
+        OwnedDomains.insert(Status.at("domain"));
     }
-    return Owned == Domains;
+    return OwnedDomains == Domains;
   });
 }
 
--- a/tests/support/Api.h
+++ b/tests/support/Api.h
@@ -28,7 +28,7 @@
   std::string Id_;
   bool Idempotent_ = false;
   int DeadlineMs_ = 2000;
-  http::Headers More_;
+  http::Headers ExtraHeaders_;
 };
 
 /// Sends one HTTP request on a fresh connection.
@@ -43,19 +43,19 @@
 /// Interface of one daemon.
 class Api {
 public:
-  Api(Fleet &Of, std::string Daemon) : Fleet_(Of), Daemon_(std::move(Daemon)) {}
+  Api(Fleet &Cluster, std::string Daemon) : Fleet_(Cluster), Daemon_(std::move(Daemon)) {}
 
   Reply operatorCall(const std::string &Method, const std::string &Path,
                      const std::string &Body = {}, http::Headers Headers = {});
-  Reply submitConfig(const Json &Text, std::uint64_t Base, const std::string &Author = "test",
-                     const std::string &Id = {});
+  Reply submitConfig(const Json &Configuration, std::uint64_t BaseVersion,
+                     const std::string &Author = "test", const std::string &RequestId = {});
   /// \returns the secret; fails the process when it is refused.
-  std::string newKey(const std::string &Team);
+  std::string createKey(const std::string &Team);
   Reply request(const std::string &Queue, const std::string &Body,
                 const RequestOptions &Options = {});
   Reply submitJob(const std::string &Queue, const Json &Job, const std::string &Key);
-  Reply job(const std::string &Id, const std::string &Key);
-  Reply cancelJob(const std::string &Id, const std::string &Key);
+  Reply job(const std::string &JobId, const std::string &Key);
+  Reply cancelJob(const std::string &JobId, const std::string &Key);
   Json status();
 
 private:
@@ -66,7 +66,7 @@
 /// Submits the default configuration through the first daemon and waits until it is in force
 /// everywhere and every domain has an owner with free slots. Returns false when this takes longer
 /// than \p Deadline.
-bool bringUp(Fleet &Of, const Json &Configuration = defaultConfiguration(),
+bool bringUp(Fleet &Cluster, const Json &Configuration = defaultConfiguration(),
              core::Millis Deadline = core::Millis(20'000));
 
 } // namespace masticdrift::testing
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -18,12 +18,12 @@
   unsigned Size = 0;
   EVP_Digest(Text.data(), Text.size(), Digest.data(), &Size, EVP_sha256(), nullptr);
   constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Out;
+  std::string Hex;
   for (unsigned I = 0; I < Size; ++I) {
-    Out += Digits[Digest[I] >> 4U];
-    Out += Digits[Digest[I] & 15U];
+    Hex += Digits[Digest[I] >> 4U];
+    Hex += Digits[Digest[I] & 15U];
   }
-  return Out;
+  return Hex;
 }
 
 std::string localAddress(const Json &Port) {
@@ -66,7 +66,7 @@
 
 Fleet::Fleet(FleetSpec Spec) : Spec_(std::move(Spec)), Directory_(makeDirectory()) {
   for (const DomainSpec &Domain : Spec_.Domains_)
-    for (int I = 1; I <= Domain.Entries_; ++I) {
+    for (int I = 1; I <= Domain.DaemonCount_; ++I) {
       Names_.push_back(Domain.Name_ + "-" + std::to_string(I));
       Daemons_[Names_.back()] = {Domain.Name_, Domain.Region_, nullptr, {}};
     }
@@ -83,14 +83,14 @@
 
 Fleet::~Fleet() {
   // All at once, because each destructor waits for its process.
-  for (auto &[Name, Of] : Daemons_)
-    if (Of.Process_)
-      Of.Process_->signal(SIGKILL);
+  for (auto &[Name, Entry] : Daemons_)
+    if (Entry.Process_)
+      Entry.Process_->signal(SIGKILL);
   Daemons_.clear();
   Standins_.clear();
-  std::error_code Ignored;
+  std::error_code IgnoredError;
   if (std::getenv("MASTICDRIFT_KEEP") == nullptr)
-    std::filesystem::remove_all(Directory_, Ignored);
+    std::filesystem::remove_all(Directory_, IgnoredError);
 }
 
 void Fleet::startStandins() {
@@ -98,76 +98,78 @@
       "--cores",        std::to_string(Spec_.WorkerSize_.MilliCores_ / 1000),
       "--memory-mb",    std::to_string(Spec_.WorkerSize_.MemoryMb_),
       "--accelerators", std::to_string(Spec_.WorkerSize_.Accelerators_)};
-  std::vector<std::string> Executors{"--slots", std::to_string(Spec_.Slots_), "--connections",
-                                     std::to_string(Spec_.Connections_)};
+  std::vector<std::string> Executors{"--slots", std::to_string(Spec_.SlotsPerExecutor_),
+                                     "--connections",
+                                     std::to_string(Spec_.ConnectionsPerExecutor_)};
   for (const DomainSpec &Domain : Spec_.Domains_) {
-    for (int I = 1; I <= Domain.Workers_; ++I)
+    for (int I = 1; I <= Domain.WorkerCount_; ++I)
       Workers.insert(Workers.end(), {"--worker", Domain.Name_ + "-worker-" + std::to_string(I)});
-    for (int I = 1; I <= Domain.Executors_; ++I)
+    for (int I = 1; I <= Domain.ExecutorCount_; ++I)
       Executors.insert(Executors.end(),
                        {"--executor", Domain.Name_ + "-executor-" + std::to_string(I)});
   }
-  const auto Start = [this](Standin Of, const std::string &Program,
-                            const std::vector<std::string> &Arguments) {
-    Standins_[Of] =
+  const auto StartStandin = [this](Standin Kind, const std::string &Program,
+                                   const std::vector<std::string> &Arguments) {
+    Standins_[Kind] =
         std::make_unique<Process>(Program, Arguments, Directory_ + "/" + Program + ".log");
   };
-  Start(Standin::Log, "standin-log", {});
-  Start(Standin::Instances, "standin-instances", {});
-  Start(Standin::Proxy, "standin-proxy", {});
-  Start(Standin::Worker, "standin-worker", Workers);
-  Start(Standin::Executor, "standin-executor", Executors);
-  for (auto &[Of, Child] : Standins_)
-    Ready_[Of] = Child->ready();
+  StartStandin(Standin::Log, "standin-log", {});
+  StartStandin(Standin::Instances, "standin-instances", {});
+  StartStandin(Standin::Proxy, "standin-proxy", {});
+  StartStandin(Standin::Worker, "standin-worker", Workers);
+  StartStandin(Standin::Executor, "standin-executor", Executors);
+  for (auto &[Kind, Child] : Standins_)
+    Ready_[Kind] = Child->ready();
 }
 
 void Fleet::addLinks() {
-  Json Add = Json::array();
+  Json NewLinks = Json::array();
   for (const std::string &Name : Names_) {
-    Add.push_back(
+    NewLinks.push_back(
         {{"name", "log." + Name}, {"target", localAddress(Ready_[Standin::Log]["port"])}});
-    Add.push_back({{"name", "instances." + Name},
-                   {"target", localAddress(Ready_[Standin::Instances]["port"])}});
+    NewLinks.push_back({{"name", "instances." + Name},
+                        {"target", localAddress(Ready_[Standin::Instances]["port"])}});
     for (const std::string &Peer : Names_)
       if (Peer != Name)
-        Add.push_back({{"name", peerLink(Name, Peer)}});
+        NewLinks.push_back({{"name", peerLink(Name, Peer)}});
   }
-  Links_ = control(Standin::Proxy, {{"add", Add}})["links"];
+  Links_ = control(Standin::Proxy, {{"add", NewLinks}})["links"];
 }
 
 void Fleet::registerUpstreams() {
-  Json Set = Json::array();
+  Json Entries = Json::array();
   const Json &Ports = Ready_[Standin::Executor]["executors"];
   const std::string Workers = localAddress(Ready_[Standin::Worker]["port"]) + "/w/";
   for (const DomainSpec &Domain : Spec_.Domains_) {
-    const auto Common = [&](const std::string &Name, const char *Kind, int Number) -> Json {
+    const auto MakeEntry = [&](const std::string &Name, const char *Kind, int Number) -> Json {
       const std::string Rack =
           Domain.Name_ + "-rack-" + std::to_string((Number - 1) / WorkersPerRack + 1);
       return {{"name", Name},           {"kind", Kind},
               {"domain", Domain.Name_}, {"region", Domain.Region_},
               {"rack", Rack},           {"state", "live"}};
     };
-    for (int I = 1; I <= Domain.Executors_; ++I) {
-      Json Entry = Common(Domain.Name_ + "-executor-" + std::to_string(I), "executor", I);
+    for (int I = 1; I <= Domain.ExecutorCount_; ++I) {
+      Json Entry = MakeEntry(Domain.Name_ + "-executor-" + std::to_string(I), "executor", I);
       Entry["address"] = localAddress(Ports.at(Entry["name"].get<std::string>()));
-      Entry.update(
-          {{"pool", Spec_.Pool_}, {"slots", Spec_.Slots_}, {"connections", Spec_.Connections_}});
-      Set.push_back(Entry);
+      Entry.update({{"pool", Spec_.Pool_},
+                    {"slots", Spec_.SlotsPerExecutor_},
+                    {"connections", Spec_.ConnectionsPerExecutor_}});
+      Entries.push_back(Entry);
     }
-    for (int I = 1; I <= Domain.Workers_; ++I) {
-      Json Entry = Common(Domain.Name_ + "-worker-" + std::to_string(I), "worker", I);
+    for (int I = 1; I <= Domain.WorkerCount_; ++I) {
+      Json Entry = MakeEntry(Domain.Name_ + "-worker-" + std::to_string(I), "worker", I);
       Entry["address"] = Workers + Entry["name"].get<std::string>();
       Entry.update({{"cores", Spec_.WorkerSize_.MilliCores_ / 1000},
                     {"memory_mb", Spec_.WorkerSize_.MemoryMb_},
                     {"accelerators", Spec_.WorkerSize_.Accelerators_}});
-      Set.push_back(Entry);
+      Entries.push_back(Entry);
     }
   }
-  control(Standin::Instances, {{"set", Set}});
+  control(Standin::Instances, {{"set", Entries}});
 }
 
 void Fleet::writeSettings(const std::string &Name) {
-  const Daemon &Of = daemon(Name);
+  const Daemon &Instance = daemon(Name);
   Json Domains = Json::array();
   for (const DomainSpec &Domain : Spec_.Domains_)
     Domains.push_back({{"name", Domain.Name_}, {"region", Domain.Region_}});
@@ -175,21 +177,21 @@
   for (const std::string &Peer : Names_)
     if (Peer != Name)
       Routes[Peer] = localAddress(Links_[peerLink(Name, Peer)]);
-  const Json Any = {{"address", "127.0.0.1"}, {"port", 0}};
-  Json Operator = Any;
+  const Json Listener = {{"address", "127.0.0.1"}, {"port", 0}};
+  Json Operator = Listener;
   Operator["key_hashes"] = Json::array({sha256Hex(OperatorToken)});
-  const Json All = {
-      {"instance", {{"name", Name}, {"domain", Of.Domain_}, {"region", Of.Region_}}},
+  const Json Settings = {
+      {"instance", {{"name", Name}, {"domain", Instance.Domain_}, {"region", Instance.Region_}}},
       {"fleet", {{"name", Spec_.Name_}, {"entry_instances", Names_.size()}, {"domains", Domains}}},
-      {"caller", Any},
+      {"caller", Listener},
       {"operator", Operator},
-      {"peer", Any},
+      {"peer", Listener},
       {"platform",
        {{"log_url", "http://" + localAddress(Links_["log." + Name])},
         {"instances_url", "http://" + localAddress(Links_["instances." + Name])}}},
       {"routes", Routes},
       {"log_level", "info"}};
-  std::ofstream(Directory_ + "/" + Name + ".json") << All.dump(2) << "\n";
+  std::ofstream(Directory_ + "/" + Name + ".json") << Settings.dump(2) << "\n";
 }
 
 void Fleet::launch(const std::string &Name) {
@@ -199,26 +201,30 @@
 }
 
 void Fleet::awaitReady(const std::string &Name) {
-  Daemon &Of = daemon(Name);
-  Of.Ports_ = Of.Process_->ready(core::Millis(10'000));
-  const std::string Address = localAddress(Of.Ports_.at("peer_port"));
-  Json Inbound = Json::array();
+  Daemon &Instance = daemon(Name);
+  Instance.Ports_ = Instance.Process_->ready(core::Millis(10'000));
+  const std::string Address = localAddress(Instance.Ports_.at("peer_port"));
+  Json InboundLinks = Json::array();
   for (const std::string &Peer : Names_)
     if (Peer != Name)
-      Inbound.push_back(peerLink(Peer, Name));
-  control(Standin::Proxy, {{"links", Inbound}, {"target", Address}});
-  const Json Entry = {{"name", Name},         {"kind", "entry"}, {"domain", Of.Domain_},
-                      {"region", Of.Region_}, {"rack", Name},    {"address", Address},
+      InboundLinks.push_back(peerLink(Peer, Name));
+  control(Standin::Proxy, {{"links", InboundLinks}, {"target", Address}});
+  const Json Entry = {{"name", Name},
+                      {"kind", "entry"},
+                      {"domain", Instance.Domain_},
+                      {"region", Instance.Region_},
+                      {"rack", Name},
+                      {"address", Address},
                       {"state", "live"}};
   control(Standin::Instances, {{"set", Json::array({Entry})}});
 }
 
 std::vector<std::string> Fleet::namesIn(const std::string &Domain) const {
-  std::vector<std::string> Out;
+  std::vector<std::string> DomainNames;
   for (const std::string &Name : Names_)
     if (Daemons_.at(Name).Domain_ == Domain)
-      Out.push_back(Name);
-  return Out;
+      DomainNames.push_back(Name);
+  return DomainNames;
 }
 
 std::string Fleet::callerUrl(const std::string &Name) const {
@@ -268,53 +274,54 @@
   control(Standin::Proxy, {{"link", "log." + Name}, {"cut", true}});
 }
 
-void Fleet::cutDomain(const std::string &Domain, bool Platform) {
-  Json Cut = Json::array();
+void Fleet::cutDomain(const std::string &Domain, bool IncludingPlatform) {
+  Json CutLinks = Json::array();
   for (const std::string &Name : namesIn(Domain)) {
     for (const std::string &Peer : Names_)
       if (daemon(Peer).Domain_ != Domain) {
-        Cut.push_back(peerLink(Name, Peer));
-        Cut.push_back(peerLink(Peer, Name));
+        CutLinks.push_back(peerLink(Name, Peer));
+        CutLinks.push_back(peerLink(Peer, Name));
       }
-    if (Platform) {
-      Cut.push_back("log." + Name);
-      Cut.push_back("instances." + Name);
+    if (IncludingPlatform) {
+      CutLinks.push_back("log." + Name);
+      CutLinks.push_back("instances." + Name);
     }
   }
-  control(Standin::Proxy, {{"links", Cut}, {"cut", true}});
+  control(Standin::Proxy, {{"links", CutLinks}, {"cut", true}});
 }
 
-void Fleet::shape(core::Millis InRegion, core::Millis BetweenRegions) {
-  Json Near = Json::array();
-  Json Far = Json::array();
+void Fleet::setLatencies(core::Millis InRegion, core::Millis BetweenRegions) {
+  Json SameRegionLinks = Json::array();
+  Json CrossRegionLinks = Json::array();
   for (const std::string &From : Names_)
     for (const std::string &To : Names_)
       if (From != To)
-        (daemon(From).Region_ == daemon(To).Region_ ? Near : Far).push_back(peerLink(From, To));
-  control(Standin::Proxy, {{"links", Near}, {"delay_ms", InRegion.count()}});
-  control(Standin::Proxy, {{"links", Far}, {"delay_ms", BetweenRegions.count()}});
+        (daemon(From).Region_ == daemon(To).Region_ ? SameRegionLinks : CrossRegionLinks)
+            .push_back(peerLink(From, To));
+  control(Standin::Proxy, {{"links", SameRegionLinks}, {"delay_ms", InRegion.count()}});
+  control(Standin::Proxy, {{"links", CrossRegionLinks}, {"delay_ms", BetweenRegions.count()}});
 }
 
-void Fleet::healAll() {
-  for (auto &[Name, Of] : Daemons_)
-    Of.Process_->signal(SIGCONT);
+void Fleet::clearFaults() {
+  for (auto &[Name, Instance] : Daemons_)
+    Instance.Process_->signal(SIGCONT);
   control(Standin::Proxy, {{"heal", true}});
   control(Standin::Log,
           {{"outage", "none"}, {"delay_ms", 0}, {"effect_delay_ms", 0}, {"lose_answers", 0}});
   control(Standin::Instances, {{"outage", "none"}, {"delay_ms", 0}});
 }
 
-Json Fleet::evidence(Standin Of) { return exchange(Of, "GET", "/evidence", {}); }
+Json Fleet::evidence(Standin Kind) { return sendToStandin(Kind, "GET", "/evidence", {}); }
 
-Json Fleet::control(Standin Of, const Json &Body) {
-  return exchange(Of, "POST", "/control", Body.dump());
+Json Fleet::control(Standin Kind, const Json &Body) {
+  return sendToStandin(Kind, "POST", "/control", Body.dump());
 }
 
-Json Fleet::exchange(Standin Of, const std::string &Method, const std::string &Path,
-                     const std::string &Body) {
+Json Fleet::sendToStandin(Standin Kind, const std::string &Method, const std::string &Path,
+                          const std::string &Body) {
   http::ClientRequest Request;
   Request.Method_ = Method;
-  Request.Url_ = "http://" + localAddress(Ready_.at(Of)["port"]) + Path;
+  Request.Url_ = "http://" + localAddress(Ready_.at(Kind)["port"]) + Path;
   Request.Body_ = Body;
   Request.Timeout_ = core::Millis(5000);
   const http::ClientResult Result = Client_.sendAndWait(std::move(Request));
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -20,9 +20,9 @@
 struct DomainSpec {
   std::string Name_;
   std::string Region_;
-  int Entries_ = 0; ///< daemons
-  int Executors_ = 0;
-  int Workers_ = 0;
+  int DaemonCount_ = 0; ///< daemons
+  int ExecutorCount_ = 0;
+  int WorkerCount_ = 0;
 };
 
 struct FleetSpec {
@@ -30,8 +30,8 @@
   std::vector<DomainSpec> Domains_;
   std::string Pool_; ///< pool of all executors
   core::Resources WorkerSize_;
-  int Slots_ = 8;        ///< of each executor
-  int Connections_ = 64; ///< of each executor
+  int SlotsPerExecutor_ = 8;        ///< of each executor
+  int ConnectionsPerExecutor_ = 64; ///< of each executor
   std::string Daemon_ = "masticdriftd";
 };
 
@@ -88,22 +88,23 @@
   void silencePeer(const std::string &A, const std::string &B);
   /// Cuts a daemon off from the log service.
   void cutStore(const std::string &Name);
-  /// Cuts a domain off from all other domains, and from the platform when \p Platform is set.
-  void cutDomain(const std::string &Domain, bool Platform = true);
+  /// Cuts a domain off from all other domains, and from the platform when \p IncludingPlatform is
+  /// set.
+  void cutDomain(const std::string &Domain, bool IncludingPlatform = true);
   /// Delays the links between daemons by the one-way latency inside and between regions.
-  void shape(core::Millis InRegion = core::Millis(1),
-             core::Millis BetweenRegions = core::Millis(8));
+  void setLatencies(core::Millis InRegion = core::Millis(1),
+                    core::Millis BetweenRegions = core::Millis(8));
   /// Ends all faults of the network, the log service and the instance list and resumes paused
   /// daemons. Latencies set by shape() end too.
-  void healAll();
+  void clearFaults();
 
   /// \returns the line with which a stand-in reported its ports.
-  const Json &ready(Standin Of) const { return Ready_.at(Of); }
+  const Json &ready(Standin Kind) const { return Ready_.at(Kind); }
   /// \returns the answer of the stand-in's GET /evidence.
-  Json evidence(Standin Of);
+  Json evidence(Standin Kind);
   /// Sends switches to a stand-in.
   /// \returns its answer.
-  Json control(Standin Of, const Json &Body);
+  Json control(Standin Kind, const Json &Body);
 
 private:
   struct Daemon {
@@ -119,8 +120,8 @@
   void writeSettings(const std::string &Name);
   void launch(const std::string &Name);
   void awaitReady(const std::string &Name);
-  Json exchange(Standin Of, const std::string &Method, const std::string &Path,
-                const std::string &Body);
+  Json sendToStandin(Standin Kind, const std::string &Method, const std::string &Path,
+                     const std::string &Body);
   Daemon &daemon(const std::string &Name) { return Daemons_.at(Name); }
 
   FleetSpec Spec_;
--- a/tests/support/JobChecks.cpp
+++ b/tests/support/JobChecks.cpp
@@ -12,94 +12,96 @@
           {"request_id", RequestId}};
 }
 
-SubmittedJob submitUntilAccepted(Fleet &Of, const std::string &Daemon, const Json &Job,
+SubmittedJob submitUntilAccepted(Fleet &Cluster, const std::string &Daemon, const Json &Job,
                                  const std::string &Key, core::Millis Deadline) {
-  SubmittedJob To{{}, Job, Daemon};
-  Api At(Of, Daemon);
+  SubmittedJob Submitted{{}, Job, Daemon};
+  Api DaemonApi(Cluster, Daemon);
   waitFor(Deadline, [&] {
-    const Reply Answer = At.submitJob("print", Job, Key);
+    const Reply Answer = DaemonApi.submitJob("print", Job, Key);
     if (Answer.Status_ == 202 || Answer.Status_ == 200)
-      To.Id_ = Answer.json().value("id", "");
-    return !To.Id_.empty();
+      Submitted.Id_ = Answer.json().value("id", "");
+    return !Submitted.Id_.empty();
   });
-  return To;
+  return Submitted;
 }
 
-std::string ownerOf(Fleet &Of, const std::string &Domain) {
-  for (const std::string &Name : Of.namesIn(Domain)) {
+std::string ownerOf(Fleet &Cluster, const std::string &Domain) {
+  for (const std::string &Name : Cluster.namesIn(Domain)) {
     // A stopped or ended daemon does not answer.
-    const Json Status = Of.process(Name).running() ? Api(Of, Name).status() : Json();
+    const Json Status = Cluster.process(Name).running() ? Api(Cluster, Name).status() : Json();
     if (Status.is_object() && Status.value("is_owner", false))
       return Name;
   }
   return {};
 }
 
-std::vector<std::string> domainsOf(Fleet &Of) {
-  std::vector<std::string> To;
-  for (const std::string &Name : Of.names()) {
+std::vector<std::string> domainsOf(Fleet &Cluster) {
+  std::vector<std::string> Domains;
+  for (const std::string &Name : Cluster.names()) {
     const std::string Domain = Name.substr(0, Name.rfind('-'));
-    if (To.empty() || To.back() != Domain)
-      To.push_back(Domain);
+    if (Domains.empty() || Domains.back() != Domain)
+      Domains.push_back(Domain);
   }
-  return To;
+  return Domains;
 }
 
-Json awaitAllSucceeded(Fleet &Of, const std::vector<SubmittedJob> &Jobs, const std::string &Through,
-                       const std::string &Key, core::Millis Deadline) {
-  Api At(Of, Through);
-  Json Last;
-  std::size_t Done = 0;
-  const bool All = waitFor(Deadline, [&] {
-    for (; Done < Jobs.size(); ++Done) {
-      Last = At.job(Jobs[Done].Id_, Key).json();
-      if (!Last.is_object() || Last.value("state", "") != "succeeded")
+Json awaitAllSucceeded(Fleet &Cluster, const std::vector<SubmittedJob> &Jobs,
+                       const std::string &QueriedDaemon, const std::string &Key,
+                       core::Millis Deadline) {
+  Api DaemonApi(Cluster, QueriedDaemon);
+  Json LastStatus;
+  std::size_t SucceededCount = 0;
+  const bool AllSucceeded = waitFor(Deadline, [&] {
+    for (; SucceededCount < Jobs.size(); ++SucceededCount) {
+      LastStatus = DaemonApi.job(Jobs[SucceededCount].Id_, Key).json();
+      if (!LastStatus.is_object() || LastStatus.value("state", "") != "succeeded")
         return false;
     }
     return true;
   });
-  return All ? Json() : Last.is_null() ? Json("no answer") : Last;
+  return AllSucceeded ? Json() : LastStatus.is_null() ? Json("no answer") : LastStatus;
 }
 
 std::vector<std::string> violations(const Json &Evidence, const std::vector<SubmittedJob> &Jobs) {
-  std::vector<std::string> To;
+  std::vector<std::string> Violations;
   if (Evidence.at("overcommitted").get<bool>())
-    To.push_back("a worker was overcommitted");
+    Violations.push_back("a worker was overcommitted");
   if (Evidence.at("peak_copies").get<int>() > 1)
-    To.push_back("tasks in two places at once: " + Evidence.at("duplicates").dump());
+    Violations.push_back("tasks in two places at once: " + Evidence.at("duplicates").dump());
   std::map<std::string, int> Succeeded;
   for (const Json &Event : Evidence.at("tasks"))
     if (Event.at("reason") == "done")
       ++Succeeded[Event.at("id").get<std::string>()];
   std::size_t Expected = 0;
-  for (const SubmittedJob &One : Jobs)
-    for (int Task = 0; Task < One.Body_.at("tasks").get<int>(); ++Task) {
+  for (const SubmittedJob &Job : Jobs)
+    for (int Task = 0; Task < Job.Body_.at("tasks").get<int>(); ++Task) {
       ++Expected;
-      const std::string Id = One.Id_ + "#" + std::to_string(Task);
+      const std::string Id = Job.Id_ + "#" + std::to_string(Task);
       if (Succeeded[Id] != 1)
-        To.push_back(Id + " succeeded " + std::to_string(Succeeded[Id]) + " times");
+        Violations.push_back(Id + " succeeded " + std::to_string(Succeeded[Id]) + " times");
     }
   if (Succeeded.size() > Expected)
-    To.push_back(std::to_string(Succeeded.size() - Expected) + " tasks of no accepted job ran");
-  return To;
+    Violations.push_back(std::to_string(Succeeded.size() - Expected) +
+                         " tasks of no accepted job ran");
+  return Violations;
 }
 
 std::int64_t firstStartAfter(const Json &Evidence, const std::string &Domain, std::int64_t WallMs) {
-  std::int64_t Best = -1;
+  std::int64_t EarliestMs = -1;
   for (const Json &Event : Evidence.at("tasks")) {
-    const auto Wait = Event.at("start_ms").get<std::int64_t>() - WallMs;
-    if (Event.at("id").get<std::string>().starts_with(Domain + "/") && Wait > 0 &&
-        (Best < 0 || Wait < Best))
-      Best = Wait;
+    const auto DelayMs = Event.at("start_ms").get<std::int64_t>() - WallMs;
+    if (Event.at("id").get<std::string>().starts_with(Domain + "/") && DelayMs > 0 &&
+        (EarliestMs < 0 || DelayMs < EarliestMs))
+      EarliestMs = DelayMs;
   }
-  return Best;
+  return EarliestMs;
 }
 
 std::string join(const std::vector<std::string> &Lines) {
-  std::string To;
+  std::string Text;
   for (const std::string &Line : Lines)
-    To += Line + "\n";
-  return To;
+    Text += Line + "\n";
+  return Text;
 }
 
 } // namespace masticdrift::testing
--- a/tests/support/JobChecks.h
+++ b/tests/support/JobChecks.h
@@ -14,26 +14,27 @@
 struct SubmittedJob {
   std::string Id_; ///< empty when it was not accepted
   Json Body_;
-  std::string Through_; ///< daemon that took it
+  std::string Daemon_; ///< daemon that took it
 };
 
 /// A job of the mix used by the durable scenarios: 2 to 4 tasks of 300 to 1500 ms.
 Json mixedJob(const std::string &RequestId, int Number);
 
 /// Submits through a daemon, again with the same request id until it is accepted.
-SubmittedJob submitUntilAccepted(Fleet &Of, const std::string &Daemon, const Json &Job,
+SubmittedJob submitUntilAccepted(Fleet &Cluster, const std::string &Daemon, const Json &Job,
                                  const std::string &Key, core::Millis Deadline);
 
 /// \returns the daemon that says that it owns the domain, empty when none does.
-std::string ownerOf(Fleet &Of, const std::string &Domain);
+std::string ownerOf(Fleet &Cluster, const std::string &Domain);
 
 /// \returns the names of all failure domains of the fleet.
-std::vector<std::string> domainsOf(Fleet &Of);
+std::vector<std::string> domainsOf(Fleet &Cluster);
 
 /// Waits until all jobs have succeeded.
 /// \returns the status of the first job that has not, or null.
-Json awaitAllSucceeded(Fleet &Of, const std::vector<SubmittedJob> &Jobs, const std::string &Through,
-                       const std::string &Key, core::Millis Deadline);
+Json awaitAllSucceeded(Fleet &Cluster, const std::vector<SubmittedJob> &Jobs,
+                       const std::string &QueriedDaemon, const std::string &Key,
+                       core::Millis Deadline);
 
 /// Checks at the workers that every task of \p Jobs reached its own end exactly once, that no task
 /// ran in two places at once and that no worker was overcommitted.
--- a/tests/support/LogService.h
+++ b/tests/support/LogService.h
@@ -20,34 +20,34 @@
 namespace masticdrift::tests {
 
 /// What the service does with one append.
-enum class OnAppend {
-  Take,       ///< takes the record and answers
-  TakeSilent, ///< takes the record and never answers
-  DropSilent, ///< does not take the record and never answers
-  Refuse,     ///< 503
-  TooMany,    ///< 429
-  Fail,       ///< takes the record and answers 500
+enum class AppendBehavior {
+  Acknowledge,         ///< takes the record and answers
+  AcceptWithoutAnswer, ///< takes the record and never answers
+  DropWithoutAnswer,   ///< does not take the record and never answers
+  Refuse,              ///< 503
+  TooMany,             ///< 429
+  Fail,                ///< takes the record and answers 500
 };
 
 /// One stream, whatever its name. Appends follow a plan; without one they are taken.
 class LogService {
 public:
   LogService()
-      : Server_({}, [this](http::Request In, http::Responder Respond) {
-          handle(In, std::move(Respond));
+      : Server_({}, [this](http::Request HttpRequest, http::Responder Respond) {
+          handle(HttpRequest, std::move(Respond));
         }) {}
 
   std::string url() const { return "http://127.0.0.1:" + std::to_string(Server_.port()); }
 
-  void plan(std::initializer_list<OnAppend> Next) {
+  void plan(std::initializer_list<AppendBehavior> Behaviors) {
     const std::lock_guard Lock(Mutex_);
-    Plan_.insert(Plan_.end(), Next);
+    Plan_.insert(Plan_.end(), Behaviors);
   }
 
   /// Used for appends that the plan does not name.
-  void otherwise(OnAppend What) {
+  void setDefaultBehavior(AppendBehavior Behavior) {
     const std::lock_guard Lock(Mutex_);
-    Otherwise_ = What;
+    DefaultBehavior_ = Behavior;
   }
 
   /// Answers all reads with 503.
@@ -63,10 +63,10 @@
     return Records_.size() - 1;
   }
 
-  /// Drops all records below \p First.
-  void expire(std::uint64_t First) {
+  /// Drops all records below \p FirstOffset.
+  void expire(std::uint64_t FirstOffset) {
     const std::lock_guard Lock(Mutex_);
-    First_ = First;
+    FirstOffset_ = FirstOffset;
   }
 
   std::vector<std::string> records() const {
@@ -80,52 +80,54 @@
   }
 
 private:
-  void handle(const http::Request &In, http::Responder Respond) {
+  void handle(const http::Request &HttpRequest, http::Responder Respond) {
     const std::lock_guard Lock(Mutex_);
-    if (In.Method_ == "GET")
-      return read(In, Respond);
+    if (HttpRequest.Method_ == "GET")
+      return read(HttpRequest, Respond);
     ++Appends_;
-    OnAppend What = Otherwise_;
+    AppendBehavior Behavior = DefaultBehavior_;
     if (!Plan_.empty()) {
-      What = Plan_.front();
+      Behavior = Plan_.front();
       Plan_.pop_front();
     }
-    if (What == OnAppend::Refuse)
+    if (Behavior == AppendBehavior::Refuse)
       return Respond({503, "{}"});
-    if (What == OnAppend::TooMany)
+    if (Behavior == AppendBehavior::TooMany)
       return Respond({429, "{}"});
-    if (What != OnAppend::DropSilent)
-      Records_.push_back(In.Body_);
-    if (What == OnAppend::Take)
+    if (Behavior != AppendBehavior::DropWithoutAnswer)
+      Records_.push_back(HttpRequest.Body_);
+    if (Behavior == AppendBehavior::Acknowledge)
       return Respond({200, "{\"offset\":" + std::to_string(Records_.size() - 1) + "}"});
-    if (What == OnAppend::Fail)
+    if (Behavior == AppendBehavior::Fail)
       return Respond({500, "{}"});
-    Silent_.push_back(std::move(Respond));
+    Unanswered_.push_back(std::move(Respond));
   }
 
-  void read(const http::Request &In, const http::Responder &Respond) {
+  void read(const http::Request &HttpRequest, const http::Responder &Respond) {
     if (FailReads_)
       return Respond({503, "{}"});
-    const std::uint64_t From =
-        std::max<std::uint64_t>(First_, std::stoull(http::queryValue(In.Query_, "from")));
-    const std::uint64_t Max = std::stoull(http::queryValue(In.Query_, "max"));
-    std::vector<std::tuple<std::uint64_t, std::vector<char>>> Out;
-    for (std::uint64_t At = From; At < Records_.size() && Out.size() < Max; ++At)
-      Out.emplace_back(At, std::vector<char>(Records_[At].begin(), Records_[At].end()));
+    const std::uint64_t From = std::max<std::uint64_t>(
+        FirstOffset_, std::stoull(http::queryValue(HttpRequest.Query_, "from")));
+    const std::uint64_t Max = std::stoull(http::queryValue(HttpRequest.Query_, "max"));
+    std::vector<std::tuple<std::uint64_t, std::vector<char>>> Entries;
+    for (std::uint64_t Offset = From; Offset < Records_.size() && Entries.size() < Max; ++Offset)
+      Entries.emplace_back(Offset,
+                           std::vector<char>(Records_[Offset].begin(), Records_[Offset].end()));
     Respond({200,
-             core::pack(std::make_tuple(First_, static_cast<std::uint64_t>(Records_.size()), Out)),
+             core::pack(std::make_tuple(FirstOffset_, static_cast<std::uint64_t>(Records_.size()),
+                                        Entries)),
              "application/msgpack"});
   }
 
   mutable std::mutex Mutex_;
-  std::deque<OnAppend> Plan_;
-  OnAppend Otherwise_ = OnAppend::Take;
+  std::deque<AppendBehavior> Plan_;
+  AppendBehavior DefaultBehavior_ = AppendBehavior::Acknowledge;
   bool FailReads_ = false;
   std::vector<std::string> Records_;
-  std::uint64_t First_ = 0;
+  std::uint64_t FirstOffset_ = 0;
   std::size_t Appends_ = 0;
-  std::vector<http::Responder> Silent_; ///< kept, so that the connections stay open
-  http::Server Server_;                 ///< last, so that it stops first
+  std::vector<http::Responder> Unanswered_; ///< kept, so that the connections stay open
+  http::Server Server_;                     ///< last, so that it stops first
 };
 
 /// Waits until \p Condition holds.
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -30,9 +30,9 @@
   dup2(Output, STDOUT_FILENO);
   dup2(Errors, STDERR_FILENO);
   close_range(3, ~0U, 0);
-  sigset_t None;
-  sigemptyset(&None);
-  sigprocmask(SIG_SETMASK, &None, nullptr);
+  sigset_t EmptyMask;
+  sigemptyset(&EmptyMask);
+  sigprocmask(SIG_SETMASK, &EmptyMask, nullptr);
   execv(Path, Arguments);
   _exit(127);
 }
@@ -43,9 +43,9 @@
                  std::string ErrorFile)
     : Name_(Program), ErrorFile_(std::move(ErrorFile)) {
   std::string Path = Program.starts_with('/') ? Program : MASTICDRIFT_BIN_DIR + Program;
-  std::vector<std::string> Owned(Arguments);
+  std::vector<std::string> ArgumentCopies(Arguments);
   std::vector<char *> Pointers{Path.data()};
-  for (std::string &Argument : Owned)
+  for (std::string &Argument : ArgumentCopies)
     Pointers.push_back(Argument.data());
   Pointers.push_back(nullptr);
   std::array<int, 2> Pipe{};
@@ -74,12 +74,12 @@
 }
 
 Json Process::ready(core::Millis Deadline) {
-  const core::TimePoint End = core::Clock::now() + Deadline;
+  const core::TimePoint DeadlineTime = core::Clock::now() + Deadline;
   std::string Line;
   while (Line.find('\n') == std::string::npos) {
-    const std::int64_t Left = core::toMillis(End - core::Clock::now());
+    const std::int64_t RemainingMs = core::toMillis(DeadlineTime - core::Clock::now());
     pollfd Poll{Output_, POLLIN, 0};
-    if (Left <= 0 || poll(&Poll, 1, static_cast<int>(Left)) <= 0)
+    if (RemainingMs <= 0 || poll(&Poll, 1, static_cast<int>(RemainingMs)) <= 0)
       throw std::runtime_error(Name_ + " printed no line in time; standard error: " + errors());
     std::array<char, 4096> Buffer{};
     const ssize_t Size = read(Output_, Buffer.data(), Buffer.size());
@@ -113,10 +113,10 @@
   return Text.str();
 }
 
-bool waitFor(core::Millis Deadline, const std::function<bool()> &Done) {
-  const core::TimePoint End = core::Clock::now() + Deadline;
-  while (!Done()) {
-    if (core::Clock::now() >= End)
+bool waitFor(core::Millis Deadline, const std::function<bool()> &Condition) {
+  const core::TimePoint DeadlineTime = core::Clock::now() + Deadline;
+  while (!Condition()) {
+    if (core::Clock::now() >= DeadlineTime)
       return false;
     std::this_thread::sleep_for(core::Millis(20));
   }
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -59,9 +59,9 @@
   std::optional<int> Exit_;
 };
 
-/// Evaluates \p Done every 20 ms until it holds.
+/// Evaluates \p Condition every 20 ms until it holds.
 /// \returns false when it does not hold within \p Deadline.
-bool waitFor(core::Millis Deadline, const std::function<bool()> &Done);
+bool waitFor(core::Millis Deadline, const std::function<bool()> &Condition);
 
 } // namespace masticdrift::testing
 
--- a/tests/unit/JournalTest.cpp
+++ b/tests/unit/JournalTest.cpp
@@ -13,8 +13,8 @@
 using namespace masticdrift;
 using namespace masticdrift::journal;
 using core::ErrorKind;
+using tests::AppendBehavior;
 using tests::LogService;
-using tests::OnAppend;
 using tests::waitFor;
 
 namespace {
@@ -220,7 +220,7 @@
 Test(LostAnswer, aRetryHasOneEffect) {
   core::Timers Timers;
   Store On;
-  On.Service_.plan({OnAppend::TakeSilent});
+  On.Service_.plan({AppendBehavior::AcceptWithoutAnswer});
   Appender Out(fastOptions(), appendTo(On.Log_, "domain.a"), Timers);
   cr_assert(append(Out, {entry("once")}).get().first == ErrorKind::None);
   cr_assert_eq(On.Service_.records().size(), 2);
@@ -236,7 +236,7 @@
 Test(LostAnswer, replaySettlesTheBatch) {
   core::Timers Timers;
   Store On;
-  On.Service_.otherwise(OnAppend::TakeSilent);
+  On.Service_.setDefaultBehavior(AppendBehavior::AcceptWithoutAnswer);
   Appender Out(fastOptions(), appendTo(On.Log_, "domain.a"), Timers);
   auto Result = append(Out, {entry("seen")});
   cr_assert(waitFor([&] { return On.Service_.appends() >= 1; }));
@@ -251,12 +251,12 @@
   core::Timers Timers;
   Store On;
   Appender Out(fastOptions(), appendTo(On.Log_, "domain.a"), Timers);
-  On.Service_.otherwise(OnAppend::Refuse);
+  On.Service_.setDefaultBehavior(AppendBehavior::Refuse);
   cr_assert(append(Out, {entry("a")}).get().first == ErrorKind::StoreUnavailable);
-  On.Service_.plan({OnAppend::DropSilent});
+  On.Service_.plan({AppendBehavior::DropWithoutAnswer});
   cr_assert(append(Out, {entry("b")}).get().first == ErrorKind::AppendUnknown);
   cr_assert(On.Service_.records().empty());
-  On.Service_.otherwise(OnAppend::Take);
+  On.Service_.setDefaultBehavior(AppendBehavior::Acknowledge);
   cr_assert(append(Out, {entry("c")}).get() == (Outcome{ErrorKind::None, 0}));
   cr_assert_eq(decodeBatch(On.Service_.records().at(0))->Sequence_, 3);
 }
@@ -268,7 +268,7 @@
   auto Options = fastOptions();
   Options.MaxBufferedBytes_ = 1000;
   Options.MaxAppendBytes_ = 900;
-  On.Service_.plan({OnAppend::Refuse, OnAppend::Refuse});
+  On.Service_.plan({AppendBehavior::Refuse, AppendBehavior::Refuse});
   Appender Out(Options, appendTo(On.Log_, "domain.a"), Timers);
   auto Kept = append(Out, {entry(std::string(600, 'a'))});
   cr_assert(append(Out, {entry(std::string(600, 'b'))}).get().first == ErrorKind::StoreUnavailable);
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -13,8 +13,8 @@
 using namespace masticdrift;
 using namespace masticdrift::legacy;
 using core::ErrorKind;
+using tests::AppendBehavior;
 using tests::LogService;
-using tests::OnAppend;
 using tests::waitFor;
 
 namespace {
@@ -102,8 +102,9 @@
   LogService Service;
   http::Client Http;
   LogClient Log(Http, {Service.url(), std::chrono::milliseconds(150)});
-  Service.plan({OnAppend::Take, OnAppend::Refuse, OnAppend::TooMany, OnAppend::Fail,
-                OnAppend::TakeSilent, OnAppend::DropSilent});
+  Service.plan({AppendBehavior::Acknowledge, AppendBehavior::Refuse, AppendBehavior::TooMany,
+                AppendBehavior::Fail, AppendBehavior::AcceptWithoutAnswer,
+                AppendBehavior::DropWithoutAnswer});
   const auto Accepted = appendAndWait(Log, "a");
   cr_assert(Accepted.first == ErrorKind::None);
   cr_assert_eq(Accepted.second, 0);
