tests: reword the comments and messages of the support library

The doc comments used terms private to this project and left out results and errors. They now say in the usual terms what each function does and returns.

--- a/tests/support/Api.cpp
+++ b/tests/support/Api.cpp
@@ -67,8 +67,8 @@
   const Reply Answer =
       operatorCall("POST", "/v1/keys", Json{{"team", Team}, {"author", "test"}}.dump());
   if (Answer.Status_ != 201)
-    throw std::runtime_error("no key for " + Team + ": " + std::to_string(Answer.Status_) + " " +
-                             Answer.Body_);
+    throw std::runtime_error("cannot create a key for team " + Team + ": " +
+                             std::to_string(Answer.Status_) + " " + Answer.Body_);
   return Answer.json().at("key");
 }
 
--- a/tests/support/Api.h
+++ b/tests/support/Api.h
@@ -23,6 +23,7 @@
   std::string errorId() const;
 };
 
+/// Key, id and headers of an interactive request.
 struct RequestOptions {
   std::string Key_;
   std::string Id_;
@@ -31,7 +32,7 @@
   http::Headers ExtraHeaders_;
 };
 
-/// Sends one HTTP request on a fresh connection.
+/// Sends one HTTP request on a new connection.
 Reply call(const std::string &Method, const std::string &Url, const std::string &Body = {},
            const http::Headers &Headers = {}, core::Millis Timeout = core::Millis(8000));
 
@@ -40,7 +41,7 @@
 /// (batch), "urgent-print" (urgent).
 Json defaultConfiguration();
 
-/// Interface of one daemon.
+/// Client of the caller and operator interfaces of one daemon.
 class Api {
 public:
   Api(Fleet &Cluster, std::string Daemon) : Fleet_(Cluster), Daemon_(std::move(Daemon)) {}
@@ -49,7 +50,8 @@
                      const std::string &Body = {}, http::Headers Headers = {});
   Reply submitConfig(const Json &Configuration, std::uint64_t BaseVersion,
                      const std::string &Author = "test", const std::string &RequestId = {});
-  /// \returns the secret; fails the process when it is refused.
+  /// \returns the secret of a new key of the team.
+  /// \throws std::runtime_error when the daemon refuses it.
   std::string createKey(const std::string &Team);
   Reply request(const std::string &Queue, const std::string &Body,
                 const RequestOptions &Options = {});
@@ -64,8 +66,8 @@
 };
 
 /// Submits the default configuration through the first daemon and waits until it is in force
-/// everywhere and every domain has an owner with free slots. Returns false when this takes longer
-/// than \p Deadline.
+/// at every daemon and every domain has an owner with free slots and usable workers.
+/// \returns false when this takes longer than \p Deadline.
 bool bringUp(Fleet &Cluster, const Json &Configuration = defaultConfiguration(),
              core::Millis Deadline = core::Millis(20'000));
 
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -33,11 +33,11 @@
 std::string makeDirectory() {
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
-    throw std::runtime_error("can't create " + Path);
+    throw std::runtime_error("cannot create the directory " + Path);
   return Path;
 }
 
-/// Workers of one rack share its failures.
+/// Number of workers that share a rack and its failures.
 constexpr int WorkersPerRack = 8;
 
 std::string peerLink(const std::string &From, const std::string &To) {
@@ -82,7 +82,7 @@
 }
 
 Fleet::~Fleet() {
-  // All at once, because each destructor waits for its process.
+  // Signals all processes first, because each destructor waits for its process.
   for (auto &[Name, Entry] : Daemons_)
     if (Entry.Process_)
       Entry.Process_->signal(SIGKILL);
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -17,41 +17,44 @@
 /// Bearer token of operators in tests.
 inline constexpr const char *OperatorToken = "operator-secret";
 
+/// Instances of one failure domain.
 struct DomainSpec {
   std::string Name_;
   std::string Region_;
-  int DaemonCount_ = 0; ///< daemons
+  int DaemonCount_ = 0;
   int ExecutorCount_ = 0;
   int WorkerCount_ = 0;
 };
 
+/// Domains and sizes of a test deployment.
 struct FleetSpec {
   std::string Name_;
   std::vector<DomainSpec> Domains_;
-  std::string Pool_; ///< pool of all executors
-  core::Resources WorkerSize_;
-  int SlotsPerExecutor_ = 8;        ///< of each executor
-  int ConnectionsPerExecutor_ = 64; ///< of each executor
-  std::string Daemon_ = "masticdriftd";
+  std::string Pool_;           ///< pool of all executors
+  core::Resources WorkerSize_; ///< capacity of each worker
+  int SlotsPerExecutor_ = 8;
+  int ConnectionsPerExecutor_ = 64;
+  std::string Daemon_ = "masticdriftd"; ///< program of the daemons
 };
 
-/// Roshan Cheque Services Trust with 7 daemons.
+/// Deployment of Roshan Cheque Services Trust with 7 daemons.
+///
 /// \param Executors executors in each domain.
 /// \param Workers workers in each domain.
 FleetSpec roshan(int Executors = 2, int Workers = 2);
 
-/// Samvarp Varalestrar with 7 daemons.
+/// Deployment of Samvarp Varalestrar with 7 daemons.
 FleetSpec samvarp(int Executors = 2, int Workers = 2);
 
 /// The stand-ins of a fleet.
 enum class Standin { Log, Instances, Worker, Executor, Proxy };
 
-/// Starts everything and stops it on destruction. Daemons are called DOMAIN-1, DOMAIN-2, ...,
-/// executors DOMAIN-executor-1, ..., workers DOMAIN-worker-1, ...
+/// Starts all processes of a deployment and stops them on destruction. Daemons are called DOMAIN-1,
+/// DOMAIN-2, ..., executors DOMAIN-executor-1, ..., workers DOMAIN-worker-1, ...
 ///
 /// Every connection of a daemon to another daemon, to the log service and to the instance list
-/// passes the proxy, on links called peer.FROM.TO, log.NAME and instances.NAME. Files are kept when
-/// the environment variable MASTICDRIFT_KEEP is set.
+/// goes through the proxy, on links called peer.FROM.TO, log.NAME and instances.NAME. Files are
+/// kept when the environment variable MASTICDRIFT_KEEP is set.
 class Fleet {
 public:
   /// Returns when every daemon has printed its ports.
@@ -84,25 +87,26 @@
 
   /// Cuts two daemons off from each other, in both directions.
   void cutPeer(const std::string &A, const std::string &B);
-  /// Makes existing connections between two daemons silent for good; new ones work.
+  /// Stops all traffic on the existing connections between two daemons without closing them; new
+  /// connections work.
   void silencePeer(const std::string &A, const std::string &B);
   /// Cuts a daemon off from the log service.
   void cutStore(const std::string &Name);
   /// Cuts a domain off from all other domains, and from the platform when \p IncludingPlatform is
   /// set.
   void cutDomain(const std::string &Domain, bool IncludingPlatform = true);
-  /// Delays the links between daemons by the one-way latency inside and between regions.
+  /// Sets the one-way latency of the links between daemons, within and between regions.
   void setLatencies(core::Millis InRegion = core::Millis(1),
                     core::Millis BetweenRegions = core::Millis(8));
   /// Ends all faults of the network, the log service and the instance list and resumes paused
-  /// daemons. Latencies set by shape() end too.
+  /// daemons. Also removes the latencies set by setLatencies().
   void clearFaults();
 
   /// \returns the line with which a stand-in reported its ports.
   const Json &ready(Standin Kind) const { return Ready_.at(Kind); }
   /// \returns the answer of the stand-in's GET /evidence.
   Json evidence(Standin Kind);
-  /// Sends switches to a stand-in.
+  /// Sends fault switches or entries to the stand-in's POST /control.
   /// \returns its answer.
   Json control(Standin Kind, const Json &Body);
 
--- a/tests/support/JobChecks.cpp
+++ b/tests/support/JobChecks.cpp
@@ -27,7 +27,7 @@
 
 std::string ownerOf(Fleet &Cluster, const std::string &Domain) {
   for (const std::string &Name : Cluster.namesIn(Domain)) {
-    // A stopped or ended daemon does not answer.
+    // Skips daemons that have exited, because they do not answer.
     const Json Status = Cluster.process(Name).running() ? Api(Cluster, Name).status() : Json();
     if (Status.is_object() && Status.value("is_owner", false))
       return Name;
@@ -67,7 +67,8 @@
   if (Evidence.at("overcommitted").get<bool>())
     Violations.push_back("a worker was overcommitted");
   if (Evidence.at("peak_copies").get<int>() > 1)
-    Violations.push_back("tasks in two places at once: " + Evidence.at("duplicates").dump());
+    Violations.push_back("tasks that ran on two workers at once: " +
+                         Evidence.at("duplicates").dump());
   std::map<std::string, int> Succeeded;
   for (const Json &Event : Evidence.at("tasks"))
     if (Event.at("reason") == "done")
@@ -82,7 +83,7 @@
     }
   if (Succeeded.size() > Expected)
     Violations.push_back(std::to_string(Succeeded.size() - Expected) +
-                         " tasks of no accepted job ran");
+                         " tasks that belong to no accepted job ran");
   return Violations;
 }
 
--- a/tests/support/LogService.h
+++ b/tests/support/LogService.h
@@ -19,17 +19,18 @@
 
 namespace masticdrift::tests {
 
-/// What the service does with one append.
+/// Response of the service to one append.
 enum class AppendBehavior {
-  Acknowledge,         ///< takes the record and answers
-  AcceptWithoutAnswer, ///< takes the record and never answers
-  DropWithoutAnswer,   ///< does not take the record and never answers
-  Refuse,              ///< 503
-  TooMany,             ///< 429
-  Fail,                ///< takes the record and answers 500
+  Acknowledge,         ///< stores the record and answers with its offset
+  AcceptWithoutAnswer, ///< stores the record and never answers
+  DropWithoutAnswer,   ///< discards the record and never answers
+  Refuse,              ///< discards the record and answers 503
+  TooMany,             ///< discards the record and answers 429
+  Fail,                ///< stores the record and answers 500
 };
 
-/// One stream, whatever its name. Appends follow a plan; without one they are taken.
+/// Serves one stream under every name. Each append consumes the next planned behavior; without a
+/// plan, records are acknowledged.
 class LogService {
 public:
   LogService()
@@ -44,7 +45,7 @@
     Plan_.insert(Plan_.end(), Behaviors);
   }
 
-  /// Used for appends that the plan does not name.
+  /// Sets the behavior of appends after the end of the plan.
   void setDefaultBehavior(AppendBehavior Behavior) {
     const std::lock_guard Lock(Mutex_);
     DefaultBehavior_ = Behavior;
@@ -56,7 +57,8 @@
     FailReads_ = On;
   }
 
-  /// Adds a record as another writer would.
+  /// Appends a record as another writer would.
+  /// \returns its offset.
   std::uint64_t put(std::string Bytes) {
     const std::lock_guard Lock(Mutex_);
     Records_.push_back(std::move(Bytes));
@@ -126,11 +128,11 @@
   std::vector<std::string> Records_;
   std::uint64_t FirstOffset_ = 0;
   std::size_t Appends_ = 0;
-  std::vector<http::Responder> Unanswered_; ///< kept, so that the connections stay open
-  http::Server Server_;                     ///< last, so that it stops first
+  std::vector<http::Responder> Unanswered_; ///< held to keep the connections open
+  http::Server Server_;                     ///< declared last, so that it stops first
 };
 
-/// Waits until \p Condition holds.
+/// Polls \p Condition every 2 ms until it holds.
 ///
 /// \returns false after \p Limit.
 inline bool waitFor(const std::function<bool()> &Condition,
--- a/tests/support/Process.cpp
+++ b/tests/support/Process.cpp
@@ -80,18 +80,20 @@
     const std::int64_t RemainingMs = core::toMillis(DeadlineTime - core::Clock::now());
     pollfd Poll{Output_, POLLIN, 0};
     if (RemainingMs <= 0 || poll(&Poll, 1, static_cast<int>(RemainingMs)) <= 0)
-      throw std::runtime_error(Name_ + " printed no line in time; standard error: " + errors());
+      throw std::runtime_error(
+          Name_ + " printed no ready line before the deadline; standard error: " + errors());
     std::array<char, 4096> Buffer{};
     const ssize_t Size = read(Output_, Buffer.data(), Buffer.size());
     if (Size <= 0)
-      throw std::runtime_error(Name_ + " ended before it was ready; standard error: " + errors());
+      throw std::runtime_error(Name_ + " exited before it was ready; standard error: " + errors());
     Line.append(Buffer.data(), static_cast<std::size_t>(Size));
   }
   return Json::parse(Line.substr(0, Line.find('\n')));
 }
 
 bool Process::signal(int Number) {
-  // A process that was not waited for keeps its id, so the signal can't reach another one.
+  // The kernel does not reuse the id of a process until its exit status has been collected, so the
+  // signal cannot reach another process.
   return !Exit_ && kill(Pid_, Number) == 0;
 }
 
--- a/tests/support/Process.h
+++ b/tests/support/Process.h
@@ -18,8 +18,8 @@
 
 using Json = nlohmann::json;
 
-/// One child process. Killed on destruction, and by the kernel when the thread that started it
-/// ends, so start processes on the main thread of the test.
+/// One child process. It is killed on destruction, and by the kernel when the thread that started
+/// it ends, so start processes on the main thread of the test.
 class Process {
 public:
   /// Starts a program.
@@ -27,7 +27,7 @@
   /// \param Program an absolute path, or a name in MASTICDRIFT_BIN_DIR.
   /// \param Arguments without the program's name.
   /// \param ErrorFile receives standard error.
-  /// \throws std::system_error when the process can't be created.
+  /// \throws std::system_error when the process cannot be created.
   Process(const std::string &Program, const std::vector<std::string> &Arguments,
           std::string ErrorFile);
   Process(const Process &) = delete;
@@ -38,11 +38,13 @@
   /// \throws std::runtime_error, with the end of standard error, when none arrives in time.
   Json ready(core::Millis Deadline = core::Millis(5000));
 
-  /// \returns false when the process has already been waited for.
+  /// Sends a signal to the process.
+  /// \returns false when its exit status has already been collected.
   bool signal(int Number);
 
   /// Waits for the end of the process.
-  /// \returns the exit code, 128 plus the signal's number after a signal, or nothing in time.
+  /// \returns the exit code, 128 plus the signal number when a signal ended it, or no value
+  /// after \p Deadline.
   std::optional<int> wait(core::Millis Deadline);
 
   bool running();
@@ -59,7 +61,7 @@
   std::optional<int> Exit_;
 };
 
-/// Evaluates \p Condition every 20 ms until it holds.
+/// Polls \p Condition every 20 ms until it holds.
 /// \returns false when it does not hold within \p Deadline.
 bool waitFor(core::Millis Deadline, const std::function<bool()> &Condition);
 
