--- a/tests/invariant/ConfigTest.cpp
+++ b/tests/invariant/ConfigTest.cpp
@@ -122,7 +122,7 @@
   }
 
   // karachi-a keeps its links inside, so its owner keeps the lease and could run the work.
-  const std::string Alone = notOwnerIn(All, "lahore-a");
+  const std::string Alone = nonOwnerIn(All, "lahore-a");
   const std::vector<std::string> CutDomain = All.namesIn("karachi-a");
   Traffic Keyed(All, Names, {.Queue_ = "reorder", .Key_ = Key, .DeadlineMs_ = 500});
   Traffic Open(All, without(Names, {Alone}), {.Queue_ = "status"});
@@ -130,7 +130,7 @@
   core::TimePoint Revoked;
   {
     const Step Label("cut one daemon alone and one domain, then revoke");
-    cutAlone(All, Alone);
+    isolateDaemon(All, Alone);
     All.cutDomain("karachi-a");
     const Reply Answer =
         Api(All, "faisalabad-b-1")
@@ -183,7 +183,7 @@
                OpenSamples.size());
   std::vector<Sample> Both = KeyedSamples;
   Both.insert(Both.end(), OpenSamples.begin(), OpenSamples.end());
-  const std::string Wrong = contradiction(All, Both);
+  const std::string Wrong = findContradiction(All, Both);
   cr_expect(Wrong.empty(), "%s", Wrong.c_str());
 }
 
@@ -321,15 +321,15 @@
     std::fprintf(stderr, "  %zu keyed requests, %zu not served\n", Samples.size(), NotServed);
     for (const auto &[Domain, Owner] : Owners)
       cr_expect_eq(ownerIn(All, Domain), Owner, "the lease of %s moved", Domain.c_str());
-    const std::string Wrong = contradiction(All, Samples);
+    const std::string Wrong = findContradiction(All, Samples);
     cr_expect(Wrong.empty(), "%s", Wrong.c_str());
   }
   {
     const Step Label("one daemon cut off as well");
-    const std::string Alone = notOwnerIn(All, "lahore-a");
+    const std::string Alone = nonOwnerIn(All, "lahore-a");
     const std::vector<std::string> Others = without(Names, {Alone});
     Traffic Open(All, Others, {.Queue_ = "status"});
-    cutAlone(All, Alone);
+    isolateDaemon(All, Alone);
     const core::TimePoint Since = core::Clock::now();
     Traffic Keyed(All, Names, {.Queue_ = "reorder", .Key_ = Key});
     cr_assert(waitFor(core::Millis(10'000),
@@ -345,7 +345,7 @@
     for (const Sample &One : Open.finish())
       cr_expect(One.completed(), "%lld ms after the cut: %s",
                 static_cast<long long>(core::toMillis(One.Sent_ - Since)), One.text().c_str());
-    const std::string Wrong = contradiction(All, Open.finish());
+    const std::string Wrong = findContradiction(All, Open.finish());
     cr_expect(Wrong.empty(), "%s", Wrong.c_str());
   }
   {
--- a/tests/invariant/DaemonTraffic.h
+++ b/tests/invariant/DaemonTraffic.h
@@ -26,11 +26,11 @@
   ~Step() {
     std::fprintf(stderr, "  %s: %lld ms\n", Label_.c_str(), static_cast<long long>(elapsed()));
   }
-  std::int64_t elapsed() const { return core::toMillis(core::Clock::now() - Since_); }
+  std::int64_t elapsed() const { return core::toMillis(core::Clock::now() - StartedAt_); }
 
 private:
   std::string Label_;
-  core::TimePoint Since_ = core::Clock::now();
+  core::TimePoint StartedAt_ = core::Clock::now();
 };
 
 /// One request and its answer.
@@ -53,19 +53,21 @@
   std::string Key_; ///< empty for an open queue
   int WorkMs_ = 0;
   int DeadlineMs_ = 1000;
-  int PerDaemon_ = 1; ///< concurrent senders at each daemon
+  int SendersPerDaemon_ = 1; ///< concurrent senders at each daemon
   /// Time between the requests of a sender, so that a refusing daemon is not flooded.
-  core::Millis Pace_{25};
+  core::Millis SendInterval_{25};
 };
 
 /// Sends requests one after another at every given daemon until finish().
 class Traffic {
 public:
-  Traffic(Fleet &Of, const std::vector<std::string> &Daemons, TrafficOptions Options)
+  Traffic(Fleet &TestFleet, const std::vector<std::string> &Daemons, TrafficOptions Options)
       : Options_(std::move(Options)) {
     for (const std::string &Name : Daemons)
-      for (int I = 0; I < Options_.PerDaemon_; ++I)
-        Senders_.emplace_back([this, Name, I, At = Api(Of, Name)]() mutable { run(At, Name, I); });
+      for (int I = 0; I < Options_.SendersPerDaemon_; ++I)
+        Senders_.emplace_back([this, Name, I, DaemonApi = Api(TestFleet, Name)]() mutable {
+          run(DaemonApi, Name, I);
+        });
   }
   Traffic(const Traffic &) = delete;
   Traffic &operator=(const Traffic &) = delete;
@@ -74,10 +76,10 @@
   /// Ends the senders after their last answers.
   /// \returns all samples.
   const std::vector<Sample> &finish() {
-    Stop_ = true;
-    for (std::thread &One : Senders_)
-      if (One.joinable())
-        One.join();
+    Stopping_ = true;
+    for (std::thread &Thread : Senders_)
+      if (Thread.joinable())
+        Thread.join();
     return Samples_;
   }
 
@@ -88,34 +90,34 @@
   }
 
 private:
-  void run(Api &At, const std::string &Name, int Sender) {
-    for (int I = 0; !Stop_; ++I) {
-      Sample One;
-      One.Daemon_ = Name;
-      One.Id_ = Options_.Queue_ + "-" + Name + "-" + std::to_string(Sender) + "-" +
-                std::to_string(I) + "-" + std::to_string(Serial_);
-      One.Body_ = "work-ms=" + std::to_string(Options_.WorkMs_) + " " + One.Id_;
-      One.Sent_ = core::Clock::now();
-      One.Answer_ =
-          At.request(Options_.Queue_, One.Body_,
-                     {.Key_ = Options_.Key_, .Id_ = One.Id_, .DeadlineMs_ = Options_.DeadlineMs_});
-      One.Answered_ = core::Clock::now();
+  void run(Api &DaemonApi, const std::string &Name, int Sender) {
+    for (int I = 0; !Stopping_; ++I) {
+      Sample Request;
+      Request.Daemon_ = Name;
+      Request.Id_ = Options_.Queue_ + "-" + Name + "-" + std::to_string(Sender) + "-" +
+                    std::to_string(I) + "-" + std::to_string(ObjectNumber_);
+      Request.Body_ = "work-ms=" + std::to_string(Options_.WorkMs_) + " " + Request.Id_;
+      Request.Sent_ = core::Clock::now();
+      Request.Answer_ = DaemonApi.request(
+          Options_.Queue_, Request.Body_,
+          {.Key_ = Options_.Key_, .Id_ = Request.Id_, .DeadlineMs_ = Options_.DeadlineMs_});
+      Request.Answered_ = core::Clock::now();
       {
         const std::lock_guard Lock(Mutex_);
-        Samples_.push_back(std::move(One));
+        Samples_.push_back(std::move(Request));
       }
-      std::this_thread::sleep_for(Options_.Pace_);
+      std::this_thread::sleep_for(Options_.SendInterval_);
     }
   }
 
-  static std::uint64_t nextSerial() {
+  static std::uint64_t nextObjectNumber() {
     static std::atomic<std::uint64_t> Next{0};
     return Next++;
   }
 
   const TrafficOptions Options_;
-  const std::uint64_t Serial_ = nextSerial(); ///< keeps ids of several objects apart
-  std::atomic<bool> Stop_{false};
+  const std::uint64_t ObjectNumber_ = nextObjectNumber(); ///< keeps ids of several objects apart
+  std::atomic<bool> Stopping_{false};
   mutable std::mutex Mutex_;
   std::vector<Sample> Samples_;
   std::vector<std::thread> Senders_;
@@ -125,31 +127,32 @@
 /// \returns the first contradiction, empty if there is none: a completed request that did not run
 /// once or whose answer is not its own, a request reported as not run that ran, a request that ran
 /// twice, an executor above 8 slots.
-inline std::string contradiction(Fleet &Of, const std::vector<Sample> &Samples) {
-  const Json Evidence = Of.evidence(Standin::Executor);
-  std::set<std::string> Ran;
-  for (const auto &[Name, One] : Evidence.at("executors").items()) {
-    if (One.at("peak_slots").get<int>() > 8)
-      return Name + " ran " + One.at("peak_slots").dump() + " requests at once";
-    for (const Json &Request : One.at("requests"))
-      Ran.insert(Request.at("id").get<std::string>());
+inline std::string findContradiction(Fleet &TestFleet, const std::vector<Sample> &Samples) {
+  const Json Evidence = TestFleet.evidence(Standin::Executor);
+  std::set<std::string> RunIds;
+  for (const auto &[Name, Executor] : Evidence.at("executors").items()) {
+    if (Executor.at("peak_slots").get<int>() > 8)
+      return Name + " ran " + Executor.at("peak_slots").dump() + " requests at once";
+    for (const Json &Request : Executor.at("requests"))
+      RunIds.insert(Request.at("id").get<std::string>());
   }
   if (!Evidence.at("repeated").empty())
     return "ran more than once: " + Evidence.at("repeated").dump();
-  for (const Sample &One : Samples) {
-    if (One.completed() && (!Ran.contains(One.Id_) || One.Answer_.Body_ != "echo:" + One.Body_))
-      return "wrong answer: " + One.text();
-    if (One.Answer_.Outcome_ == "not_run" && Ran.contains(One.Id_))
-      return "reported as not run, but ran: " + One.text();
+  for (const Sample &Request : Samples) {
+    if (Request.completed() &&
+        (!RunIds.contains(Request.Id_) || Request.Answer_.Body_ != "echo:" + Request.Body_))
+      return "wrong answer: " + Request.text();
+    if (Request.Answer_.Outcome_ == "not_run" && RunIds.contains(Request.Id_))
+      return "reported as not run, but ran: " + Request.text();
   }
   return {};
 }
 
 /// \returns the first daemon that does not complete a request, empty when all do.
-inline std::string firstNotServing(Fleet &Of, const std::vector<std::string> &Daemons,
-                                   const std::string &Queue, const std::string &Key) {
+inline std::string findNotServing(Fleet &TestFleet, const std::vector<std::string> &Daemons,
+                                  const std::string &Queue, const std::string &Key) {
   for (const std::string &Name : Daemons) {
-    const Reply Answer = Api(Of, Name).request(Queue, "ping", {.Key_ = Key});
+    const Reply Answer = Api(TestFleet, Name).request(Queue, "ping", {.Key_ = Key});
     if (!Answer.Complete_ || Answer.Status_ != 200)
       return Name + ": " + std::to_string(Answer.Status_) + " " + Answer.Body_;
   }
@@ -158,29 +161,29 @@
 
 /// Waits until every daemon completes a request.
 /// \returns the last refusal, empty on success.
-inline std::string awaitServing(Fleet &Of, const std::vector<std::string> &Daemons,
+inline std::string awaitServing(Fleet &TestFleet, const std::vector<std::string> &Daemons,
                                 const std::string &Queue, const std::string &Key,
                                 core::Millis Deadline) {
-  std::string Last;
+  std::string LastRefusal;
   waitFor(Deadline, [&] {
-    Last = firstNotServing(Of, Daemons, Queue, Key);
-    return Last.empty();
+    LastRefusal = findNotServing(TestFleet, Daemons, Queue, Key);
+    return LastRefusal.empty();
   });
-  return Last;
+  return LastRefusal;
 }
 
 /// \returns a daemon of the domain that does not hold its lease.
-inline std::string notOwnerIn(Fleet &Of, const std::string &Domain) {
-  for (const std::string &Name : Of.namesIn(Domain))
-    if (!Api(Of, Name).status().value("is_owner", false))
+inline std::string nonOwnerIn(Fleet &TestFleet, const std::string &Domain) {
+  for (const std::string &Name : TestFleet.namesIn(Domain))
+    if (!Api(TestFleet, Name).status().value("is_owner", false))
       return Name;
   return {};
 }
 
 /// \returns the daemon of the domain that holds its lease, empty if none does.
-inline std::string ownerIn(Fleet &Of, const std::string &Domain) {
-  for (const std::string &Name : Of.namesIn(Domain)) {
-    const Json Status = Api(Of, Name).status();
+inline std::string ownerIn(Fleet &TestFleet, const std::string &Domain) {
+  for (const std::string &Name : TestFleet.namesIn(Domain)) {
+    const Json Status = Api(TestFleet, Name).status();
     if (Status.is_object() && Status.value("is_owner", false))
       return Name;
   }
@@ -188,11 +191,11 @@
 }
 
 /// Cuts a daemon off from the store and from all peers.
-inline void cutAlone(Fleet &Of, const std::string &Name) {
-  Of.cutStore(Name);
-  for (const std::string &Peer : Of.names())
+inline void isolateDaemon(Fleet &TestFleet, const std::string &Name) {
+  TestFleet.cutStore(Name);
+  for (const std::string &Peer : TestFleet.names())
     if (Peer != Name)
-      Of.cutPeer(Name, Peer);
+      TestFleet.cutPeer(Name, Peer);
 }
 
 } // namespace masticdrift::testing
--- a/tests/invariant/DurableRecoveryTest.cpp
+++ b/tests/invariant/DurableRecoveryTest.cpp
@@ -17,89 +17,89 @@
 
 /// Jobs of one task that needs a whole worker, accepted in one domain.
 /// \returns the number of accepted jobs.
-std::size_t submitMany(Fleet &All, const std::string &Key, std::size_t Count, int RunMs) {
+std::size_t submitJobs(Fleet &TestFleet, const std::string &Key, std::size_t Count, int RunMs) {
   std::atomic<std::size_t> Next = 0;
   std::atomic<std::size_t> Accepted = 0;
-  std::vector<std::thread> Callers;
+  std::vector<std::thread> Submitters;
   // A submission waits for its group commit, so many callers share one.
   for (std::size_t I = 0; I < 16; ++I)
-    Callers.emplace_back([&, I] {
+    Submitters.emplace_back([&, I] {
       for (std::size_t Number = Next++; Number < Count; Number = Next++) {
         const Json Job{{"kind", "batch"},
                        {"cores", 4},
                        {"run_ms", RunMs},
                        {"domain", Domain},
                        {"request_id", "many-" + std::to_string(Number)}};
-        const auto &Through = All.names()[I % All.names().size()];
-        if (!submitUntilAccepted(All, Through, Job, Key, core::Millis(20'000)).Id_.empty())
+        const auto &Daemon = TestFleet.names()[I % TestFleet.names().size()];
+        if (!submitUntilAccepted(TestFleet, Daemon, Job, Key, core::Millis(20'000)).Id_.empty())
           ++Accepted;
       }
     });
-  for (std::thread &One : Callers)
-    One.join();
+  for (std::thread &Submitter : Submitters)
+    Submitter.join();
   return Accepted;
 }
 
-FleetSpec tinyCell() {
+FleetSpec tinyFleet() {
   FleetSpec Spec = roshan(1, 2);
   Spec.WorkerSize_ = {4'000, 8'192, 0};
   return Spec;
 }
 
-std::size_t jobsKnownTo(Fleet &All, const std::string &Name) {
-  const Json Status = Api(All, Name).status();
-  std::size_t Sum = 0;
+std::size_t jobsKnownTo(Fleet &TestFleet, const std::string &Name) {
+  const Json Status = Api(TestFleet, Name).status();
+  std::size_t JobCount = 0;
   if (Status.is_object())
-    for (const auto &[State, Number] : Status.at("jobs").items())
-      Sum += Number.get<std::size_t>();
-  return Sum;
+    for (const auto &[State, Count] : Status.at("jobs").items())
+      JobCount += Count.get<std::size_t>();
+  return JobCount;
 }
 
 /// Milliseconds from the start of a new process until it knows all jobs, -1 if it never does.
-std::int64_t replayTime(Fleet &All, const std::string &Name, std::size_t Jobs) {
-  const core::TimePoint Begin = core::Clock::now();
-  All.restart(Name);
-  if (!waitFor(core::Millis(20'000), [&] { return jobsKnownTo(All, Name) == Jobs; }))
+std::int64_t measureReplayMs(Fleet &TestFleet, const std::string &Name, std::size_t Jobs) {
+  const core::TimePoint Start = core::Clock::now();
+  TestFleet.restart(Name);
+  if (!waitFor(core::Millis(20'000), [&] { return jobsKnownTo(TestFleet, Name) == Jobs; }))
     return -1;
-  return core::toMillis(core::Clock::now() - Begin);
+  return core::toMillis(core::Clock::now() - Start);
 }
 
-void recoverWith(std::size_t Count) {
-  Fleet All(tinyCell());
-  cr_assert(bringUp(All), "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).createKey("mfi");
-  const std::int64_t Begin = core::wallMillis();
-  cr_assert_eq(submitMany(All, Key, Count, 3'000), Count);
-  const std::int64_t Submitted = core::wallMillis() - Begin;
+void testRecovery(std::size_t Count) {
+  Fleet TestFleet(tinyFleet());
+  cr_assert(bringUp(TestFleet), "the fleet did not come up");
+  const std::string Key = Api(TestFleet, TestFleet.names().front()).createKey("mfi");
+  const std::int64_t BeginMs = core::wallMillis();
+  cr_assert_eq(submitJobs(TestFleet, Key, Count, 3'000), Count);
+  const std::int64_t SubmitMs = core::wallMillis() - BeginMs;
 
   std::string Standby;
-  std::int64_t ToStart = -1;
+  std::int64_t KillToStartMs = -1;
   { // The owner dies.
-    const std::string Owner = ownerOf(All, Domain);
+    const std::string Owner = ownerOf(TestFleet, Domain);
     cr_assert_not(Owner.empty());
-    for (const std::string &Name : All.namesIn(Domain))
+    for (const std::string &Name : TestFleet.namesIn(Domain))
       if (Name != Owner)
         Standby = Name;
-    const std::int64_t Killed = core::wallMillis();
-    All.kill(Owner);
+    const std::int64_t KillMs = core::wallMillis();
+    TestFleet.kill(Owner);
     cr_assert(waitFor(core::Millis(20'000), [&] {
-      ToStart = firstStartAfter(All.evidence(Standin::Worker), Domain, Killed);
-      return ToStart > 0;
+      KillToStartMs = firstStartAfter(TestFleet.evidence(Standin::Worker), Domain, KillMs);
+      return KillToStartMs > 0;
     }));
-    cr_assert_eq(jobsKnownTo(All, Standby), Count);
-    All.restart(Owner);
+    cr_assert_eq(jobsKnownTo(TestFleet, Standby), Count);
+    TestFleet.restart(Owner);
     Standby = Owner;
   }
-  const std::int64_t Replay = replayTime(All, Standby, Count);
+  const std::int64_t ReplayMs = measureReplayMs(TestFleet, Standby, Count);
   std::printf(
       "{\"scenario\":\"recovery\",\"jobs\":%zu,\"submit_ms\":%lld,\"kill_to_start_ms\":%lld,"
       "\"start_to_replayed_ms\":%lld,\"command\":\"build/tests/"
       "invariant_DurableRecoveryTest --jobs 1 --filter Recovery/*\"}\n",
-      Count, static_cast<long long>(Submitted), static_cast<long long>(ToStart),
-      static_cast<long long>(Replay));
+      Count, static_cast<long long>(SubmitMs), static_cast<long long>(KillToStartMs),
+      static_cast<long long>(ReplayMs));
   std::fflush(stdout);
-  cr_assert_geq(Replay, 0, "%s knows %zu jobs", Standby.c_str(), jobsKnownTo(All, Standby));
-  const Json Evidence = All.evidence(Standin::Worker);
+  cr_assert_geq(ReplayMs, 0, "%s knows %zu jobs", Standby.c_str(), jobsKnownTo(TestFleet, Standby));
+  const Json Evidence = TestFleet.evidence(Standin::Worker);
   cr_assert_eq(Evidence.at("peak_copies").get<int>(), 1);
   cr_assert_not(Evidence.at("overcommitted").get<bool>());
 }
@@ -108,63 +108,68 @@
 
 // Guards against a takeover whose length grows with the number of waiting jobs, and against jobs
 // that a new owner or a new daemon does not know.
-Test(Recovery, newOwnerStartsOneThousandJobs) { recoverWith(1'000); }
+Test(Recovery, newOwnerStartsOneThousandJobs) { testRecovery(1'000); }
 
-Test(Recovery, newOwnerStartsTenThousandJobs) { recoverWith(10'000); }
+Test(Recovery, newOwnerStartsTenThousandJobs) { testRecovery(10'000); }
 
 // Guards against jobs that are lost when the log has dropped the records that accepted them.
 Test(Retention, newDaemonLoadsTheSnapshot) {
   constexpr std::size_t Count = 200;
-  Fleet All(tinyCell());
+  Fleet TestFleet(tinyFleet());
   { // Snapshots every 4 s.
-    for (const std::string &Name : All.names()) {
-      Json Settings = All.settings(Name);
+    for (const std::string &Name : TestFleet.names()) {
+      Json Settings = TestFleet.settings(Name);
       Settings["timing"]["store_retention_ms"] = 8'000;
-      std::ofstream(All.directory() + "/" + Name + ".json") << Settings.dump(2) << "\n";
-      All.restart(Name);
+      std::ofstream(TestFleet.directory() + "/" + Name + ".json") << Settings.dump(2) << "\n";
+      TestFleet.restart(Name);
     }
   }
-  cr_assert(bringUp(All, defaultConfiguration(), core::Millis(40'000)),
+  cr_assert(bringUp(TestFleet, defaultConfiguration(), core::Millis(40'000)),
             "the fleet did not come up");
-  const std::string Key = Api(All, All.names().front()).createKey("mfi");
-  cr_assert_eq(submitMany(All, Key, Count, 3'000), Count);
+  const std::string Key = Api(TestFleet, TestFleet.names().front()).createKey("mfi");
+  cr_assert_eq(submitJobs(TestFleet, Key, Count, 3'000), Count);
   const std::string Stream = std::string("domain.") + Domain;
-  const auto LogOf = [&] { return All.evidence(Standin::Log).at("streams").at(Stream); };
-  const auto Next = LogOf().at("next").get<std::uint64_t>();
+  const auto StreamEvidence = [&] {
+    return TestFleet.evidence(Standin::Log).at("streams").at(Stream);
+  };
+  const auto NextOffset = StreamEvidence().at("next").get<std::uint64_t>();
   { // The log drops every record that accepted a job.
-    All.control(Standin::Log, {{"retention_records", 40}});
-    cr_assert(waitFor(core::Millis(60'000),
-                      [&] { return LogOf().at("first").get<std::uint64_t>() > Next; }),
-              "%s", LogOf().dump().c_str());
+    TestFleet.control(Standin::Log, {{"retention_records", 40}});
+    cr_assert(
+        waitFor(core::Millis(60'000),
+                [&] { return StreamEvidence().at("first").get<std::uint64_t>() > NextOffset; }),
+        "%s", StreamEvidence().dump().c_str());
   }
-  const std::string Owner = ownerOf(All, Domain);
+  const std::string Owner = ownerOf(TestFleet, Domain);
   cr_assert_not(Owner.empty());
-  std::string Fresh;
-  for (const std::string &Name : All.namesIn(Domain))
+  std::string NewDaemon;
+  for (const std::string &Name : TestFleet.namesIn(Domain))
     if (Name != Owner)
-      Fresh = Name;
+      NewDaemon = Name;
   { // A new daemon has all jobs.
-    const std::int64_t Replay = replayTime(All, Fresh, Count);
+    const std::int64_t ReplayMs = measureReplayMs(TestFleet, NewDaemon, Count);
     std::printf("{\"scenario\":\"retention\",\"jobs\":%zu,\"log\":%s,\"start_to_replayed_ms\":%lld}"
                 "\n",
-                Count, LogOf().dump().c_str(), static_cast<long long>(Replay));
+                Count, StreamEvidence().dump().c_str(), static_cast<long long>(ReplayMs));
     std::fflush(stdout);
-    cr_assert_geq(Replay, 0, "%s knows %zu jobs", Fresh.c_str(), jobsKnownTo(All, Fresh));
+    cr_assert_geq(ReplayMs, 0, "%s knows %zu jobs", NewDaemon.c_str(),
+                  jobsKnownTo(TestFleet, NewDaemon));
   }
   { // And goes on with them as the owner, after all others of its domain have died.
     // It may claim once the owner's renewals name it as a member; an owner renews every second.
-    const auto Joined = LogOf().at("next").get<std::uint64_t>();
-    cr_assert(waitFor(core::Millis(20'000),
-                      [&] { return LogOf().at("next").get<std::uint64_t>() >= Joined + 10; }));
-    for (const std::string &Name : All.namesIn(Domain))
-      if (Name != Fresh)
-        All.kill(Name);
-    const std::int64_t Killed = core::wallMillis();
+    const auto OffsetAtJoin = StreamEvidence().at("next").get<std::uint64_t>();
     cr_assert(waitFor(core::Millis(20'000), [&] {
-      return firstStartAfter(All.evidence(Standin::Worker), Domain, Killed) > 0;
+      return StreamEvidence().at("next").get<std::uint64_t>() >= OffsetAtJoin + 10;
     }));
-    const Json Evidence = All.evidence(Standin::Worker);
+    for (const std::string &Name : TestFleet.namesIn(Domain))
+      if (Name != NewDaemon)
+        TestFleet.kill(Name);
+    const std::int64_t KillMs = core::wallMillis();
+    cr_assert(waitFor(core::Millis(20'000), [&] {
+      return firstStartAfter(TestFleet.evidence(Standin::Worker), Domain, KillMs) > 0;
+    }));
+    const Json Evidence = TestFleet.evidence(Standin::Worker);
     cr_assert_eq(Evidence.at("peak_copies").get<int>(), 1);
-    cr_assert_eq(ownerOf(All, Domain), Fresh);
+    cr_assert_eq(ownerOf(TestFleet, Domain), NewDaemon);
   }
 }
