--- a/tests/invariant/DaemonTraffic.h
+++ b/tests/invariant/DaemonTraffic.h
@@ -1,5 +1,5 @@
 /// \file
-/// Interactive requests at chosen daemons while a scenario runs, with a check of their outcomes.
+/// Interactive load on selected daemons during a scenario, with a check of the outcomes.
 #ifndef MASTICDRIFT_INVARIANT_DAEMONTRAFFIC_H
 #define MASTICDRIFT_INVARIANT_DAEMONTRAFFIC_H
 
@@ -17,7 +17,7 @@
 
 namespace masticdrift::testing {
 
-/// Prints the label and the duration of one step of a scenario.
+/// Prints the label and the duration of one step of a scenario on destruction.
 class Step {
 public:
   explicit Step(std::string Label) : Label_(std::move(Label)) {}
@@ -48,17 +48,18 @@
   }
 };
 
+/// Queue, size and rate of the requests.
 struct TrafficOptions {
   std::string Queue_;
   std::string Key_; ///< empty for an open queue
   int WorkMs_ = 0;
   int DeadlineMs_ = 1000;
   int SendersPerDaemon_ = 1; ///< concurrent senders at each daemon
-  /// Time between the requests of a sender, so that a refusing daemon is not flooded.
+  /// Pause between the requests of a sender, so that a daemon that refuses them is not flooded.
   core::Millis SendInterval_{25};
 };
 
-/// Sends requests one after another at every given daemon until finish().
+/// Sends requests to every given daemon until finish(); each sender has one request in flight.
 class Traffic {
 public:
   Traffic(Fleet &TestFleet, const std::vector<std::string> &Daemons, TrafficOptions Options)
@@ -73,7 +74,7 @@
   Traffic &operator=(const Traffic &) = delete;
   ~Traffic() { finish(); }
 
-  /// Ends the senders after their last answers.
+  /// Stops the senders after their current requests are answered.
   /// \returns all samples.
   const std::vector<Sample> &finish() {
     Stopping_ = true;
@@ -116,17 +117,18 @@
   }
 
   const TrafficOptions Options_;
-  const std::uint64_t ObjectNumber_ = nextObjectNumber(); ///< keeps ids of several objects apart
+  const std::uint64_t ObjectNumber_ =
+      nextObjectNumber(); ///< makes request ids unique across objects
   std::atomic<bool> Stopping_{false};
   mutable std::mutex Mutex_;
   std::vector<Sample> Samples_;
   std::vector<std::thread> Senders_;
 };
 
-/// Compares the answers with the executors' own records.
+/// Compares the answers with the executors' records.
 /// \returns the first contradiction, empty if there is none: a completed request that did not run
-/// once or whose answer is not its own, a request reported as not run that ran, a request that ran
-/// twice, an executor above 8 slots.
+/// once or whose answer belongs to another request, a request reported as not run that ran, a
+/// request that ran twice, an executor above 8 slots.
 inline std::string findContradiction(Fleet &TestFleet, const std::vector<Sample> &Samples) {
   const Json Evidence = TestFleet.evidence(Standin::Executor);
   std::set<std::string> RunIds;
@@ -148,7 +150,7 @@
   return {};
 }
 
-/// \returns the first daemon that does not complete a request, empty when all do.
+/// \returns the first daemon that does not complete a request and its answer, empty when all do.
 inline std::string findNotServing(Fleet &TestFleet, const std::vector<std::string> &Daemons,
                                   const std::string &Queue, const std::string &Key) {
   for (const std::string &Name : Daemons) {
@@ -190,7 +192,7 @@
   return {};
 }
 
-/// Cuts a daemon off from the store and from all peers.
+/// Disconnects a daemon from the store and from all peers.
 inline void isolateDaemon(Fleet &TestFleet, const std::string &Name) {
   TestFleet.cutStore(Name);
   for (const std::string &Peer : TestFleet.names())
--- a/tests/invariant/DurableRecoveryTest.cpp
+++ b/tests/invariant/DurableRecoveryTest.cpp
@@ -1,4 +1,4 @@
-// Recovery of a domain with many accepted jobs, and from a log that has forgotten their records.
+// Recovery of a domain with many accepted jobs, also after the log has expired their records.
 #include "support/JobChecks.h"
 
 #include <atomic>
@@ -15,13 +15,13 @@
 
 constexpr const char *Domain = "lahore-a";
 
-/// Jobs of one task that needs a whole worker, accepted in one domain.
+/// Submits jobs to one domain, each with one task that needs a whole worker.
 /// \returns the number of accepted jobs.
 std::size_t submitJobs(Fleet &TestFleet, const std::string &Key, std::size_t Count, int RunMs) {
   std::atomic<std::size_t> Next = 0;
   std::atomic<std::size_t> Accepted = 0;
   std::vector<std::thread> Submitters;
-  // A submission waits for its group commit, so many callers share one.
+  // Each submission waits for a group commit, so concurrent callers share one.
   for (std::size_t I = 0; I < 16; ++I)
     Submitters.emplace_back([&, I] {
       for (std::size_t Number = Next++; Number < Count; Number = Next++) {
@@ -40,6 +40,7 @@
   return Accepted;
 }
 
+/// Two workers per domain that run one task each.
 FleetSpec tinyFleet() {
   FleetSpec Spec = roshan(1, 2);
   Spec.WorkerSize_ = {4'000, 8'192, 0};
@@ -55,7 +56,8 @@
   return JobCount;
 }
 
-/// Milliseconds from the start of a new process until it knows all jobs, -1 if it never does.
+/// Restarts a daemon.
+/// \returns the milliseconds until it knows all jobs, -1 when it does not within 20 s.
 std::int64_t measureReplayMs(Fleet &TestFleet, const std::string &Name, std::size_t Jobs) {
   const core::TimePoint Start = core::Clock::now();
   TestFleet.restart(Name);
@@ -74,7 +76,7 @@
 
   std::string Standby;
   std::int64_t KillToStartMs = -1;
-  { // The owner dies.
+  { // Kill the owner.
     const std::string Owner = ownerOf(TestFleet, Domain);
     cr_assert_not(Owner.empty());
     for (const std::string &Name : TestFleet.namesIn(Domain))
@@ -106,17 +108,17 @@
 
 } // namespace
 
-// Guards against a takeover whose length grows with the number of waiting jobs, and against jobs
-// that a new owner or a new daemon does not know.
+// Guards against a takeover time that grows with the number of waiting jobs, and against jobs that
+// are unknown to a new owner or a restarted daemon.
 Test(Recovery, newOwnerStartsOneThousandJobs) { testRecovery(1'000); }
 
 Test(Recovery, newOwnerStartsTenThousandJobs) { testRecovery(10'000); }
 
-// Guards against jobs that are lost when the log has dropped the records that accepted them.
+// Guards against jobs that are lost when the log has expired the records that accepted them.
 Test(Retention, newDaemonLoadsTheSnapshot) {
   constexpr std::size_t Count = 200;
   Fleet TestFleet(tinyFleet());
-  { // Snapshots every 4 s.
+  { // A retention of 8 s makes the daemons write a snapshot every 4 s.
     for (const std::string &Name : TestFleet.names()) {
       Json Settings = TestFleet.settings(Name);
       Settings["timing"]["store_retention_ms"] = 8'000;
@@ -133,7 +135,7 @@
     return TestFleet.evidence(Standin::Log).at("streams").at(Stream);
   };
   const auto NextOffset = StreamEvidence().at("next").get<std::uint64_t>();
-  { // The log drops every record that accepted a job.
+  { // Expire every record that accepted a job.
     TestFleet.control(Standin::Log, {{"retention_records", 40}});
     cr_assert(
         waitFor(core::Millis(60'000),
@@ -146,7 +148,7 @@
   for (const std::string &Name : TestFleet.namesIn(Domain))
     if (Name != Owner)
       NewDaemon = Name;
-  { // A new daemon has all jobs.
+  { // A restarted daemon knows all jobs.
     const std::int64_t ReplayMs = measureReplayMs(TestFleet, NewDaemon, Count);
     std::printf("{\"scenario\":\"retention\",\"jobs\":%zu,\"log\":%s,\"start_to_replayed_ms\":%lld}"
                 "\n",
@@ -155,8 +157,9 @@
     cr_assert_geq(ReplayMs, 0, "%s knows %zu jobs", NewDaemon.c_str(),
                   jobsKnownTo(TestFleet, NewDaemon));
   }
-  { // And goes on with them as the owner, after all others of its domain have died.
-    // It may claim once the owner's renewals name it as a member; an owner renews every second.
+  { // It starts the remaining jobs as the owner after all other daemons of its domain are killed.
+    // It may claim only once the owner's renewals name it as a member; an owner renews every
+    // second.
     const auto OffsetAtJoin = StreamEvidence().at("next").get<std::uint64_t>();
     cr_assert(waitFor(core::Millis(20'000), [&] {
       return StreamEvidence().at("next").get<std::uint64_t>() >= OffsetAtJoin + 10;
--- a/tests/invariant/DurableStoreTest.cpp
+++ b/tests/invariant/DurableStoreTest.cpp
@@ -1,4 +1,4 @@
-// Durable work while the log service is away, loses its answers, or forgets old records.
+// Durable work while the log service is unavailable or its answers are lost.
 #include "support/JobChecks.h"
 
 #include <atomic>
@@ -25,7 +25,7 @@
   return Count;
 }
 
-/// One submission during an outage and what its caller was told.
+/// One submission during an outage and the answer to its caller.
 struct Submission {
   Json Body_;
   std::string Id_;
@@ -80,7 +80,7 @@
   std::vector<std::vector<Submission>> SubmissionsByDaemon(TestFleet.names().size());
   std::vector<std::thread> Submitters;
   std::atomic<bool> Stop = false;
-  { // The store is away: work goes on, new work is refused.
+  { // During the outage accepted tasks continue and new jobs are refused.
     TestFleet.control(Standin::Log, {{"outage", Mode}});
     for (std::size_t I = 0; I < TestFleet.names().size(); ++I)
       Submitters.emplace_back([&, I] {
@@ -95,13 +95,13 @@
     EndMs = core::wallMillis();
     std::printf("{\"scenario\":\"store_outage\",\"mode\":\"%s\",\"ended_during\":%zu}\n", Mode,
                 endedBetween(Evidence, BeginMs, EndMs));
-    cr_assert_eq(endedBetween(Evidence, BeginMs, EndMs), 12U, "tasks did not go on: %s",
-                 Evidence.dump().c_str());
+    cr_assert_eq(endedBetween(Evidence, BeginMs, EndMs), 12U,
+                 "accepted tasks did not finish during the outage: %s", Evidence.dump().c_str());
     for (const Json &Event : Evidence.at("tasks"))
       cr_assert(Event.at("reason").is_null() || Event.at("reason") == "done", "%s",
                 Event.dump().c_str());
     TestFleet.control(Standin::Log, {{"outage", "none"}});
-    // Submissions across the end of the outage, until one is accepted again.
+    // Continue to submit past the end of the outage until a job is accepted.
     const std::string RequestId = "after-" + std::string(Mode);
     Accepted.push_back(submitUntilAccepted(
         TestFleet, TestFleet.names().back(),
@@ -114,7 +114,7 @@
     for (const auto &DaemonSubmissions : SubmissionsByDaemon)
       Submissions.insert(Submissions.end(), DaemonSubmissions.begin(), DaemonSubmissions.end());
   }
-  { // Ends of the outage are recorded.
+  { // Tasks that ended during the outage are recorded afterwards.
     const Json Unfinished =
         awaitAllSucceeded(TestFleet, Accepted, TestFleet.names().back(), Key, CompletionDeadline);
     cr_assert(Unfinished.is_null(), "%s", Unfinished.dump().c_str());
@@ -122,7 +122,7 @@
   std::map<std::string, std::size_t> CountByResult;
   std::vector<std::string> RefusedIds;
   std::vector<SubmittedJob> UnknownOutcome;
-  { // Each caller was told the truth.
+  { // Classify the answers and resubmit jobs whose outcome is unknown.
     for (const Submission &Attempt : Submissions) {
       ++CountByResult[Attempt.Id_.empty() ? Attempt.Error_ : "accepted"];
       if (!Attempt.Id_.empty())
@@ -141,7 +141,8 @@
                   Mode, Result.c_str(), Number);
     std::fflush(stdout);
     cr_assert_gt(Submissions.size(), 0U);
-    // An unknown one that is submitted again with its id runs once, whether it was taken or not.
+    // A job with an unknown outcome that is resubmitted with its request id runs once, whether or
+    // not the first submission was recorded.
     for (const SubmittedJob &Job : UnknownOutcome) {
       cr_assert_not(Job.Id_.empty(), "%s", Job.Body_.dump().c_str());
       Accepted.push_back(Job);
@@ -150,8 +151,8 @@
         awaitAllSucceeded(TestFleet, Accepted, TestFleet.names().back(), Key, CompletionDeadline);
     cr_assert(Unfinished.is_null(), "%s", Unfinished.dump().c_str());
   }
-  { // No refused submission has a job, every accepted one ran once, the services are the first
-    // ones.
+  { // No refused submission created a job, every accepted job ran once, and no service replica was
+    // restarted.
     const Json Evidence = TestFleet.evidence(Standin::Worker);
     cr_assert_eq(Evidence.at("peak_copies").get<int>(), 1);
     cr_assert_not(Evidence.at("overcommitted").get<bool>());
@@ -175,18 +176,20 @@
 
 } // namespace
 
-// Guards against work that stops with the store, and against an untrue "not run" to a new job.
+// Guards against tasks that stop during a store outage, and against a "not run" answer for a job
+// that was recorded.
 Test(StoreRefuses, callersAreToldTheTruth) { runOutage("refuse"); }
 
 Test(StoreHangs, callersAreToldTheTruth) { runOutage("hang"); }
 
-// Guards against a second copy of a record whose append took effect without an answer.
+// Guards against a duplicate record when an append took effect but its answer was lost.
 Test(LostAnswers, nothingTwiceAndNothingLost) {
   Fleet TestFleet(roshan(1, 2));
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
   const std::string Key = Api(TestFleet, TestFleet.names().front()).createKey("mfi");
   std::vector<SubmittedJob> Jobs;
-  { // Accepts, starts and ends among the lost answers; the switch counts down, so set it anew.
+  { // Lose answers to records of acceptance, start and end. The switch counts down, so it is set
+    // again for each job.
     for (int I = 0; I < 20; ++I) {
       TestFleet.control(Standin::Log,
                         {{"lose_answers", 3}, {"lose_mode", I % 2 == 0 ? "close" : "hang"}});
@@ -196,7 +199,7 @@
       cr_assert_not(Jobs.back().Id_.empty(), "%s", Jobs.back().Body_.dump().c_str());
     }
   }
-  { // Everything ran once.
+  { // Every task ran once.
     const Json Unfinished =
         awaitAllSucceeded(TestFleet, Jobs, TestFleet.names().back(), Key, CompletionDeadline);
     cr_assert(Unfinished.is_null(), "%s", Unfinished.dump().c_str());
--- a/tests/invariant/DurableTest.cpp
+++ b/tests/invariant/DurableTest.cpp
@@ -1,4 +1,4 @@
-// Durable work runs exactly once while owners die or pause and workers fall silent.
+// Durable tasks succeed exactly once while owners are killed or paused and workers stop answering.
 #include "support/JobChecks.h"
 
 #include <cstdio>
@@ -11,11 +11,11 @@
 
 namespace {
 
-/// A claim is won about 5 s after the owner's end; the rest is for the jobs themselves.
+/// A new owner holds the lease about 5 s after the old one ends; the rest is for the jobs to run.
 constexpr core::Millis CompletionDeadline{40'000};
 constexpr core::Millis TakeoverDeadline{15'000};
 
-/// Submits 30 jobs, each through the next daemon.
+/// Submits 30 jobs, through all daemons in turn.
 std::vector<SubmittedJob> submitThirtyJobs(Fleet &TestFleet, const std::string &Key) {
   std::vector<SubmittedJob> Jobs;
   Jobs.reserve(30);
@@ -26,7 +26,7 @@
   return Jobs;
 }
 
-/// A small cell, so that work is still waiting when the fault comes.
+/// Small workers, so that tasks are still waiting when the fault is injected.
 FleetSpec smallFleet() {
   FleetSpec Spec = roshan(1, 2);
   Spec.WorkerSize_ = {2'000, 8'192, 0};
@@ -39,7 +39,8 @@
                   Job.Daemon_.c_str());
 }
 
-/// Submits every job again through another daemon: the first job is returned and nothing runs.
+/// Submits every job again through another daemon and checks that the existing job is returned and
+/// no task starts.
 void assertResubmissionsAreDuplicates(Fleet &TestFleet, const std::vector<SubmittedJob> &Jobs,
                                       const std::string &Daemon, const std::string &Key) {
   const std::size_t Before = TestFleet.evidence(Standin::Worker).at("tasks").size();
@@ -49,8 +50,8 @@
     const Json Body = Answer.json();
     cr_assert(Body.is_object() && Body.value("id", "") == Job.Id_ &&
                   Body.value("duplicate", false) && Body.value("state", "") == "succeeded",
-              "%s again through %s: %d %s", Job.Id_.c_str(), Daemon.c_str(), Answer.Status_,
-              Answer.Body_.c_str());
+              "resubmission of %s through %s: %d %s", Job.Id_.c_str(), Daemon.c_str(),
+              Answer.Status_, Answer.Body_.c_str());
   }
   cr_assert_eq(TestFleet.evidence(Standin::Worker).at("tasks").size(), Before,
                "a resubmission started tasks");
@@ -58,7 +59,7 @@
 
 } // namespace
 
-// Guards against a task that is started twice, or never, because its owner died around the start.
+// Guards against a task that runs twice or never because its owner was killed while starting it.
 Test(KilledOwners, everyTaskSucceedsExactlyOnce) {
   Fleet TestFleet(smallFleet());
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -69,7 +70,7 @@
   std::map<std::string, std::int64_t> KillMsByDomain;
   std::int64_t LastKillMs = 0;
   std::string LiveDaemon;
-  { // Kill the owner of each domain while its tasks run and others wait.
+  { // Kill the owner of each domain while some tasks run and others wait.
     for (const std::string &Domain : domainsOf(TestFleet)) {
       const std::string Owner = ownerOf(TestFleet, Domain);
       cr_assert_not(Owner.empty(), "%s has no owner", Domain.c_str());
@@ -80,7 +81,7 @@
           LiveDaemon = Name;
     }
   }
-  { // Every job succeeds, every task once.
+  { // Every job succeeds and every task runs once.
     const Json Unfinished = awaitAllSucceeded(TestFleet, Jobs, LiveDaemon, Key, CompletionDeadline);
     cr_assert(Unfinished.is_null(), "%s", Unfinished.dump().c_str());
     const Json Evidence = TestFleet.evidence(Standin::Worker);
@@ -95,19 +96,20 @@
     std::printf("{\"scenario\":\"killed_owner\",\"starts_after_kill\":%zu,"
                 "\"kill_to_last_end_ms\":%lld}\n",
                 LaterStarts, static_cast<long long>(LastEndMs - LastKillMs));
-    cr_assert_gt(LaterStarts, 0U, "no work was left when the owners were killed");
+    cr_assert_gt(LaterStarts, 0U, "no task was waiting when the owners were killed");
     for (const auto &[Domain, KillMs] : KillMsByDomain)
       std::printf("{\"scenario\":\"killed_owner\",\"domain\":\"%s\",\"kill_to_start_ms\":%lld}\n",
                   Domain.c_str(),
                   static_cast<long long>(firstStartAfter(Evidence, Domain, KillMs)));
     std::fflush(stdout);
   }
-  { // The same request ids again, through another daemon.
+  { // Submit the same request ids through another daemon.
     assertResubmissionsAreDuplicates(TestFleet, Jobs, LiveDaemon, Key);
   }
 }
 
-// Guards against an owner that goes on with its decisions after it slept through its lease.
+// Guards against an owner that continues to act on its decisions after a pause longer than its
+// lease.
 Test(PausedOwners, oldOwnerHasNoEffect) {
   Fleet TestFleet(smallFleet());
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -117,7 +119,7 @@
 
   std::map<std::string, std::string> PausedByDomain;
   std::string ActiveDaemon;
-  { // Stop the owner of each domain beyond its lease and the takeover.
+  { // Pause the owner of each domain until its lease has expired and another daemon took over.
     for (const std::string &Domain : domainsOf(TestFleet)) {
       PausedByDomain[Domain] = ownerOf(TestFleet, Domain);
       cr_assert_not(PausedByDomain[Domain].empty(), "%s has no owner", Domain.c_str());
@@ -142,7 +144,7 @@
                         return true;
                       }),
               "a paused owner was not replaced");
-    // The new owners have reached the workers with their higher terms.
+    // Wait until the new owners have registered their higher terms with the workers.
     cr_assert(waitFor(TakeoverDeadline,
                       [&] {
                         const Json Workers = TestFleet.evidence(Standin::Worker).at("workers");
@@ -152,10 +154,10 @@
                               return false;
                         return true;
                       }),
-              "a worker was not taken over");
+              "a worker still belongs to a paused owner");
   }
   std::int64_t ResumedMs = 0;
-  { // Wake the old owners while the work goes on.
+  { // Resume the old owners while tasks still run.
     ResumedMs = core::wallMillis();
     for (const auto &[Domain, Owner] : PausedByDomain)
       TestFleet.resume(Owner);
@@ -163,20 +165,20 @@
         awaitAllSucceeded(TestFleet, Jobs, ActiveDaemon, Key, CompletionDeadline);
     cr_assert(Unfinished.is_null(), "%s", Unfinished.dump().c_str());
   }
-  { // Once each, and the workers still belong to the new owners.
+  { // Every task ran once, and the workers still belong to the new owners.
     const Json Evidence = TestFleet.evidence(Standin::Worker);
     const auto Violations = violations(Evidence, Jobs);
     cr_assert(Violations.empty(), "%s", join(Violations).c_str());
     std::size_t LaterStarts = 0;
     for (const Json &Event : Evidence.at("tasks"))
       LaterStarts += Event.at("start_ms").get<std::int64_t>() > ResumedMs ? 1U : 0U;
-    cr_assert_gt(LaterStarts, 0U, "no work was left when the owners woke");
+    cr_assert_gt(LaterStarts, 0U, "no task was waiting when the owners resumed");
     std::uint64_t LowerTerm = 0;
     for (const auto &[Name, WorkerState] : Evidence.at("workers").items()) {
       LowerTerm += WorkerState.at("lower_term").get<std::uint64_t>();
       for (const auto &[Domain, FormerOwner] : PausedByDomain)
-        cr_assert(WorkerState.at("owner") != FormerOwner, "%s went back to %s", Name.c_str(),
-                  FormerOwner.c_str());
+        cr_assert(WorkerState.at("owner") != FormerOwner, "%s belongs to the old owner %s again",
+                  Name.c_str(), FormerOwner.c_str());
     }
     std::printf("{\"scenario\":\"paused_owner\",\"lower_term\":%llu}\n",
                 static_cast<unsigned long long>(LowerTerm));
@@ -185,7 +187,7 @@
   }
 }
 
-// Guards against a second copy of a task while a cut-off worker may still run the first.
+// Guards against a second copy of a task while an unreachable worker may still run the first.
 Test(SilentWorkers, rerunsOnlyAfterTheWorkersLease) {
   Fleet TestFleet(roshan(1, 2));
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -211,8 +213,10 @@
             "the tasks did not start");
 
   std::string SilentWorker;
-  std::map<std::string, bool> TasksOnSilentWorker; ///< task id: idempotent
-  { // A worker that runs tasks of both kinds stops answering; best fit fills one worker first.
+  std::map<std::string, bool> TasksOnSilentWorker; ///< by task id; true for idempotent
+  { // A worker that runs idempotent and other tasks stops answering. Best fit fills one worker
+    // first,
+    // so it has both kinds.
     const Json Evidence = TestFleet.evidence(Standin::Worker);
     SilentWorker = Evidence.at("tasks").front().at("worker");
     for (const Json &Event : Evidence.at("tasks"))
@@ -223,7 +227,7 @@
     cr_assert_not(TasksOnSilentWorker.empty(), "no task ran on %s", SilentWorker.c_str());
     TestFleet.control(Standin::Worker, {{"worker", SilentWorker}, {"silent", true}});
   }
-  { // Idempotent tasks succeed elsewhere; the others are held.
+  { // Idempotent tasks succeed on another worker; the others stay in state "unknown".
     const Json Unfinished = awaitAllSucceeded(TestFleet, {IdempotentJob}, TestFleet.names().back(),
                                               Key, core::Millis(70'000));
     cr_assert(Unfinished.is_null(), "%s", Unfinished.dump().c_str());
@@ -236,7 +240,7 @@
               "%s", Status.dump().c_str());
     TestFleet.control(Standin::Worker, {{"worker", SilentWorker}, {"silent", false}});
   }
-  { // Starts and ends at the workers.
+  { // Compare the starts and ends in the workers' records.
     const Json Evidence = TestFleet.evidence(Standin::Worker);
     cr_assert_eq(Evidence.at("peak_copies").get<int>(), 1, "%s", Evidence.dump().c_str());
     cr_assert_not(Evidence.at("overcommitted").get<bool>());
@@ -262,6 +266,6 @@
                 TasksOnSilentWorker.size() - Reruns);
     std::fflush(stdout);
     cr_assert(Reruns > 0 && Reruns < TasksOnSilentWorker.size(),
-              "one kind of task did not run on the worker");
+              "the silent worker did not run both idempotent and other tasks");
   }
 }
--- a/tests/invariant/LimitTest.cpp
+++ b/tests/invariant/LimitTest.cpp
@@ -1,4 +1,4 @@
-// Team limits, leaving executors and silent connections between daemons.
+// Limits of teams, executors in state "leaving" and silent connections between daemons.
 #include "Callers.h"
 
 #include <cstdio>
@@ -15,7 +15,7 @@
   std::int64_t End_ = 0;
 };
 
-/// \returns all runs of requests whose id starts with \p Prefix, over all executors.
+/// \returns the runs on all executors of requests whose id starts with \p Prefix.
 std::vector<Interval> runsOfPrefix(const Json &Executors, const std::string &Prefix) {
   std::vector<Interval> Intervals;
   for (const Json &Executor : Executors)
@@ -46,7 +46,7 @@
 
 } // namespace
 
-// Guards against a team that runs more than its limit because several owners each give it slots.
+// Guards against a team that exceeds its limit because several owners each grant it slots.
 Test(TeamLimit, isKeptAcrossAllDomains) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -54,26 +54,26 @@
   Callers Requests(TestFleet, TestFleet.names(),
                    {.Callers_ = 30, .WorkMs_ = 100, .DeadlineMs_ = 2000, .Key_ = Key}, "limit");
   cr_expect(Requests.await(60, core::Millis(20'000), "completed"),
-            "the team's requests are not served");
+            "fewer than 60 requests of the team completed within 20 s");
   const auto &Answers = Requests.finish();
   const Json Executors = settledEvidence(TestFleet);
   const int Peak = maxConcurrent(runsOfPrefix(Executors, "limit-"));
   std::printf("most at once: %d of 6\n", Peak);
   cr_expect_leq(Peak, 6, "limit of 6 slots across the fleet, %d ran at once", Peak);
-  // The split must not starve a domain: together the parts reach the limit.
+  // The split of the limit must not starve a domain: at least half of the limit is used under load.
   cr_expect_geq(Peak, 3, "only %d of 6 slots were used under load", Peak);
   const Verdict Check = judge(Answers, Executors, false);
   cr_expect(Check.Faults_.empty(), "%s", Check.text().c_str());
 }
 
-// Guards against new work for an executor that the platform is about to take away.
+// Guards against new requests to an executor that the platform is about to remove.
 Test(LeavingExecutor, getsNoNewRequestAfterAFewSeconds) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
   const std::string Key = Api(TestFleet, TestFleet.names().front()).createKey("mfi");
   Callers Requests(TestFleet, TestFleet.names(), {.Callers_ = 24, .WorkMs_ = 50, .Key_ = Key},
                    "leave");
-  cr_expect(Requests.await(200, core::Millis(20'000), "completed"), "no load");
+  cr_expect(Requests.await(200, core::Millis(20'000), "completed"), "the load did not start");
   const std::string LeavingName = "lahore-a-executor-1";
   const std::string InstancesUrl =
       TestFleet.settings(TestFleet.names().front()).at("platform").at("instances_url");
@@ -100,13 +100,13 @@
   cr_expect_leq(LastStartMs, ChangedMs + ReactionLimitMs,
                 "a request started %lld ms after the list said leaving",
                 static_cast<long long>(LastStartMs - ChangedMs));
-  cr_expect_gt(LastStartMs, 0, "the executor was never used");
+  cr_expect_gt(LastStartMs, 0, "the executor never ran a request");
   const Verdict Check = judge(Answers, Executors, false);
   cr_expect(Check.Faults_.empty(), "%s", Check.text().c_str());
 }
 
-// Guards against a connection between daemons that has become silent: requests on it must not run
-// twice, and a new connection must take its place.
+// Guards against requests that run twice or stay unserved when a connection between daemons carries
+// no more traffic without being closed; a new connection must replace it.
 Test(SilentPeers, requestsEndTruthfullyAndAreServedAgain) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -118,9 +118,10 @@
       TestFleet, {OtherDaemon},
       {.Callers_ = 12, .WorkMs_ = 30, .DeadlineMs_ = 1500, .Key_ = Key, .IdempotentEvery_ = 2},
       "silent");
-  cr_expect(Requests.await(100, core::Millis(20'000), "completed"), "no load");
+  cr_expect(Requests.await(100, core::Millis(20'000), "completed"), "the load did not start");
   TestFleet.silencePeer(OtherDaemon, Owner);
-  // Three missed heartbeats of a second, a new connection, and the deadline of what was under way.
+  // 8 s cover three missed heartbeats of 1 s, a new connection and the deadline of requests in
+  // flight.
   cr_expect(Requests.await(100, core::Millis(8'000), "completed"), "not served again within 8 s");
   const auto &Answers = Requests.finish();
   const Verdict Check = judge(Answers, settledEvidence(TestFleet), false);
--- a/tests/invariant/StopTest.cpp
+++ b/tests/invariant/StopTest.cpp
@@ -1,4 +1,5 @@
-// Graceful stop and a failure domain that is cut off: P9, P6, and section 13 of the design.
+// Graceful stop of an owner and isolation of a failure domain: properties P9 and P6, and section 13
+// of the design.
 #include "DaemonTraffic.h"
 
 #include <algorithm>
@@ -12,10 +13,10 @@
 namespace {
 
 /// A claim waits for 4.5 s without a renewal, and executor slots wait 5 s more. A released lease
-/// needs neither, so the next owner serves within less than the claim's wait.
+/// needs neither, so the next owner must serve sooner than a claim could.
 constexpr core::Millis ReleasedTakeoverDeadline{4000};
 constexpr core::Millis StopDeadline{20'000};
-/// Everything is served this long after the end of all faults.
+/// Time after the end of all faults within which every daemon serves all queues again.
 constexpr core::Millis RecoveryDeadline{10'000};
 
 std::vector<std::string> difference(std::vector<std::string> Names,
@@ -33,8 +34,8 @@
 
 } // namespace
 
-// Guards against a planned stop that cuts answers off, loses requests, or leaves the domain idle
-// until the lease has expired.
+// Guards against a graceful stop that truncates answers, loses requests, or leaves the domain
+// without an owner until the lease expires.
 Test(OwnerStops, everyCallerHasItsAnswerAndTheNextOwnerServes) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -65,7 +66,7 @@
     SignalledAt = core::Clock::now();
     const auto Code = TestFleet.stop(Owner, StopDeadline);
     ExitedAt = core::Clock::now();
-    cr_expect(Code.has_value(), "did not end within 20 s");
+    cr_expect(Code.has_value(), "the owner did not exit within 20 s");
     cr_expect_eq(Code.value_or(-1), 0, "exit code %d", Code.value_or(-1));
   }
   {
@@ -91,8 +92,8 @@
       ++InFlight;
       cr_expect(Request.completed(), "in flight at the signal: %s", Text.c_str());
     }
-    // A request of 800 ms that was cut off by the exit was sent long before it; one that was sent
-    // at the exit met a closed port.
+    // A request of 800 ms that the exit interrupts was sent long before it; a request sent within
+    // 100 ms of the exit may find the port closed.
     const bool Refused =
         Request.Sent_ >= ExitedAt - core::Millis(100) && !Request.Answer_.Complete_;
     cr_expect(Request.completed() || Request.Answer_.Outcome_ == "not_run" || Refused,
@@ -115,7 +116,7 @@
   cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
 }
 
-// Guards against a daemon that can't be stopped while a request hangs.
+// Guards against a daemon that cannot be stopped while a request hangs.
 Test(OwnerStops, aSecondSignalForcesTheEnd) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -129,7 +130,8 @@
   const Step Label("two signals");
   Process &Daemon = TestFleet.process(Owner);
   Daemon.signal(SIGTERM);
-  // The first signal has been taken when the daemon says so; a second one before that is merged.
+  // The kernel merges a second signal that arrives before the first is handled, so wait until the
+  // daemon logs that it is stopping.
   cr_assert(waitFor(core::Millis(1000),
                     [&] { return Daemon.errors().find("stopping") != std::string::npos; }));
   Daemon.signal(SIGTERM);
@@ -138,8 +140,8 @@
   cr_assert_eq(*Code, 3, "exit code %d", *Code);
 }
 
-// Guards against a domain that stops serving open queues when it is cut off, or that accepts keys
-// without knowing that they are current, or that does not recover.
+// Guards against an isolated domain that stops serving open queues, accepts keys that may have been
+// revoked, or does not recover.
 Test(DomainCut, servesWhatItCanAndRecovers) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
@@ -165,7 +167,7 @@
                       [&] { return core::Clock::now() >= CutAt + core::Millis(10'000); }));
   }
   {
-    const Step Label("healed: everything is served");
+    const Step Label("after the end of the fault all queues are served");
     TestFleet.clearFaults();
     HealedAt = core::Clock::now();
     Refusal = awaitServing(TestFleet, Names, "reorder", Key, RecoveryDeadline);
