--- a/tests/unit/DocsTest.cpp
+++ b/tests/unit/DocsTest.cpp
@@ -19,9 +19,9 @@
 
 namespace {
 
-std::string page(const std::string &Name) {
-  std::ifstream In(MASTICDRIFT_SOURCE_DIR "/" + Name);
-  std::string Text{std::istreambuf_iterator<char>(In), {}};
+std::string readPage(const std::string &Name) {
+  std::ifstream File(MASTICDRIFT_SOURCE_DIR "/" + Name);
+  std::string Text{std::istreambuf_iterator<char>(File), {}};
   cr_assert(!Text.empty(), "%s is missing or empty", Name.c_str());
   return Text;
 }
@@ -38,7 +38,7 @@
   return Type == core::MetricType::Gauge ? "gauge" : "histogram";
 }
 
-std::string row(std::initializer_list<std::string_view> Cells) {
+std::string tableRow(std::initializer_list<std::string_view> Cells) {
   std::string Line = "|";
   for (const std::string_view Cell : Cells)
     Line += " " + std::string(Cell) + " |";
@@ -48,44 +48,46 @@
 std::string quoted(std::string_view Text) { return "`" + std::string(Text) + "`"; }
 
 std::string errorTableMarkdown() {
-  std::string To = row({"id", "name", "HTTP status", "ran", "retry", "hint", "example"}) +
-                   row({"---", "---", "---", "---", "---", "---", "---"});
-  for (const core::ErrorInfo &One : core::errorTable())
-    To += row({One.Id_, quoted(One.Name_), std::to_string(One.HttpStatus_), nameOf(One.Ran_),
-               One.Retry_ ? "yes" : "no", One.Hint_, quoted(One.Example_)});
-  return To;
+  std::string Table = tableRow({"id", "name", "HTTP status", "ran", "retry", "hint", "example"}) +
+                      tableRow({"---", "---", "---", "---", "---", "---", "---"});
+  for (const core::ErrorInfo &Info : core::errorTable())
+    Table +=
+        tableRow({Info.Id_, quoted(Info.Name_), std::to_string(Info.HttpStatus_), nameOf(Info.Ran_),
+                  Info.Retry_ ? "yes" : "no", Info.Hint_, quoted(Info.Example_)});
+  return Table;
 }
 
 std::string metricTableMarkdown() {
-  std::string To = row({"metric", "type", "meaning"}) + row({"---", "---", "---"});
-  for (const core::MetricInfo &One : core::metricTable())
-    To += row({quoted(One.Name_), nameOf(One.Type_), One.Help_});
-  return To;
+  std::string Table = tableRow({"metric", "type", "meaning"}) + tableRow({"---", "---", "---"});
+  for (const core::MetricInfo &Info : core::metricTable())
+    Table += tableRow({quoted(Info.Name_), nameOf(Info.Type_), Info.Help_});
+  return Table;
 }
 
 void expectTable(const std::string &Name, const std::string &Table) {
-  const bool Found = page(Name).find(Table) != std::string::npos;
+  const bool Found = readPage(Name).find(Table) != std::string::npos;
   if (!Found)
     std::cerr << Table;
   cr_expect(Found, "%s does not contain the table above", Name.c_str());
 }
 
 /// \returns every match of \p Pattern's first group in \p Text.
-std::set<std::string> named(const std::string &Text, const char *Pattern) {
+std::set<std::string> findNames(const std::string &Text, const char *Pattern) {
   const std::regex Expression(Pattern);
-  std::set<std::string> To;
-  for (std::sregex_iterator I(Text.begin(), Text.end(), Expression), End; I != End; ++I)
-    To.insert((*I)[1]);
-  return To;
+  std::set<std::string> Names;
+  for (std::sregex_iterator Match(Text.begin(), Text.end(), Expression), End; Match != End; ++Match)
+    Names.insert((*Match)[1]);
+  return Names;
 }
 
 bool isMetric(const std::string &Name) {
-  return std::ranges::any_of(core::metricTable(), [&](const core::MetricInfo &One) {
-    if (Name == One.Name_)
+  return std::ranges::any_of(core::metricTable(), [&](const core::MetricInfo &Info) {
+    if (Name == Info.Name_)
       return true;
-    const std::string Full(One.Name_);
-    return One.Type_ == core::MetricType::Histogram &&
-           (Name == Full + "_bucket" || Name == Full + "_sum" || Name == Full + "_count");
+    const std::string MetricName(Info.Name_);
+    return Info.Type_ == core::MetricType::Histogram &&
+           (Name == MetricName + "_bucket" || Name == MetricName + "_sum" ||
+            Name == MetricName + "_count");
   });
 }
 
@@ -95,36 +97,37 @@
 } // namespace
 
 // Guards against an error, a metric or a setting that the pages leave out or describe differently.
-Test(Docs, theTablesAreComplete) {
+Test(Docs, pagesContainTheTables) {
   expectTable("docs/errors.md", errorTableMarkdown());
   expectTable("docs/OPERATIONS.md", metricTableMarkdown());
   expectTable("docs/settings.md", settings::settingTableMarkdown());
 }
 
 // Guards against pages that name what the code no longer has.
-Test(Docs, thePagesNameOnlyWhatExists) {
+Test(Docs, pagesNameOnlyKnownItems) {
   for (const std::string &Name : Pages) {
-    const std::string Text = page(Name);
-    for (const std::string &Id : named(Text, R"((MD-[0-9]+))"))
+    const std::string Text = readPage(Name);
+    for (const std::string &Id : findNames(Text, R"((MD-[0-9]+))"))
       cr_expect(std::ranges::any_of(core::errorTable(),
-                                    [&](const core::ErrorInfo &One) { return One.Id_ == Id; }),
+                                    [&](const core::ErrorInfo &Info) { return Info.Id_ == Id; }),
                 "%s names the unknown error %s", Name.c_str(), Id.c_str());
-    for (const std::string &Metric : named(Text, R"(\b(masticdrift_[a-z_]+))"))
+    for (const std::string &Metric : findNames(Text, R"(\b(masticdrift_[a-z_]+))"))
       cr_expect(isMetric(Metric), "%s names the unknown metric %s", Name.c_str(), Metric.c_str());
-    for (const std::string &Setting :
-         named(Text, R"(`(/(?:instance|fleet|caller|operator|peer|platform|routes|timing|limits|)"
-                     R"(log_level)(?:/[a-z_*]+)*)`)"))
+    for (const std::string &Setting : findNames(
+             Text, R"(`(/(?:instance|fleet|caller|operator|peer|platform|routes|timing|limits|)"
+                   R"(log_level)(?:/[a-z_*]+)*)`)"))
       cr_expect(std::ranges::any_of(
                     settings::settingTable(),
-                    [&](const settings::SettingInfo &One) { return One.Pointer_ == Setting; }),
+                    [&](const settings::SettingInfo &Info) { return Info.Pointer_ == Setting; }),
                 "%s names the unknown setting %s", Name.c_str(), Setting.c_str());
   }
 }
 
 // Guards against a checker that finds nothing: each pattern must match what the pages contain.
-Test(Docs, theCheckFindsNames) {
-  cr_expect_geq(named(page("docs/errors.md"), R"((MD-[0-9]+))").size(), core::errorTable().size());
-  cr_expect_geq(named(page("docs/OPERATIONS.md"), R"(\b(masticdrift_[a-z_]+))").size(),
+Test(Docs, patternsFindNames) {
+  cr_expect_geq(findNames(readPage("docs/errors.md"), R"((MD-[0-9]+))").size(),
+                core::errorTable().size());
+  cr_expect_geq(findNames(readPage("docs/OPERATIONS.md"), R"(\b(masticdrift_[a-z_]+))").size(),
                 core::metricTable().size());
   cr_expect(!isMetric("masticdrift_nothing"));
 }
