tests: reword the tests of pages and examples

Comments and messages spoke of names and tables without saying which. They now name the files, the tables and the fault that each test guards against.

--- a/tests/unit/DocsTest.cpp
+++ b/tests/unit/DocsTest.cpp
@@ -1,5 +1,5 @@
-// The reference pages agree with the tables in the code. A failing table test prints the expected
-// table.
+// The reference pages match the tables of errors, metrics and settings in the code. A failing table
+// test prints the expected table.
 #include "masticdrift/core/Error.h"
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/settings/Settings.h"
@@ -71,7 +71,7 @@
   cr_expect(Found, "%s does not contain the table above", Name.c_str());
 }
 
-/// \returns every match of \p Pattern's first group in \p Text.
+/// \returns the first capture group of every match of \p Pattern in \p Text.
 std::set<std::string> findNames(const std::string &Text, const char *Pattern) {
   const std::regex Expression(Pattern);
   std::set<std::string> Names;
@@ -96,34 +96,35 @@
 
 } // namespace
 
-// Guards against an error, a metric or a setting that the pages leave out or describe differently.
+// Guards against an error, a metric or a setting that the pages omit or describe differently.
 Test(Docs, pagesContainTheTables) {
   expectTable("docs/errors.md", errorTableMarkdown());
   expectTable("docs/OPERATIONS.md", metricTableMarkdown());
   expectTable("docs/settings.md", settings::settingTableMarkdown());
 }
 
-// Guards against pages that name what the code no longer has.
+// Guards against pages that mention an error, a metric or a setting that the code does not have.
 Test(Docs, pagesNameOnlyKnownItems) {
   for (const std::string &Name : Pages) {
     const std::string Text = readPage(Name);
     for (const std::string &Id : findNames(Text, R"((MD-[0-9]+))"))
       cr_expect(std::ranges::any_of(core::errorTable(),
                                     [&](const core::ErrorInfo &Info) { return Info.Id_ == Id; }),
-                "%s names the unknown error %s", Name.c_str(), Id.c_str());
+                "%s mentions the unknown error %s", Name.c_str(), Id.c_str());
     for (const std::string &Metric : findNames(Text, R"(\b(masticdrift_[a-z_]+))"))
-      cr_expect(isMetric(Metric), "%s names the unknown metric %s", Name.c_str(), Metric.c_str());
+      cr_expect(isMetric(Metric), "%s mentions the unknown metric %s", Name.c_str(),
+                Metric.c_str());
     for (const std::string &Setting : findNames(
              Text, R"(`(/(?:instance|fleet|caller|operator|peer|platform|routes|timing|limits|)"
                    R"(log_level)(?:/[a-z_*]+)*)`)"))
       cr_expect(std::ranges::any_of(
                     settings::settingTable(),
                     [&](const settings::SettingInfo &Info) { return Info.Pointer_ == Setting; }),
-                "%s names the unknown setting %s", Name.c_str(), Setting.c_str());
+                "%s mentions the unknown setting %s", Name.c_str(), Setting.c_str());
   }
 }
 
-// Guards against a checker that finds nothing: each pattern must match what the pages contain.
+// Guards against patterns that match nothing, which would let the test above pass on any page.
 Test(Docs, patternsFindNames) {
   cr_expect_geq(findNames(readPage("docs/errors.md"), R"((MD-[0-9]+))").size(),
                 core::errorTable().size());
--- a/tests/unit/ExamplesTest.cpp
+++ b/tests/unit/ExamplesTest.cpp
@@ -12,7 +12,7 @@
 
 std::string readExample(const std::string &Name) {
   std::ifstream File(std::string(MASTICDRIFT_SOURCE_DIR "/examples/") + Name);
-  cr_assert(File.is_open(), "%s", Name.c_str());
+  cr_assert(File.is_open(), "cannot open the example %s", Name.c_str());
   return {std::istreambuf_iterator<char>(File), {}};
 }
 
@@ -38,7 +38,7 @@
 
 } // namespace
 
-// Guards against examples that the programs no longer accept.
+// Guards against example files that the parsers no longer accept or that contradict each other.
 Test(Examples, roshanIsValid) { assertExampleIsValid("roshan", "settings-lahore-a-1.json"); }
 
 Test(Examples, samvarpIsValid) { assertExampleIsValid("samvarp", "settings-sudvestur-a-1.json"); }
