--- a/tests/measure/Interactive.cpp
+++ b/tests/measure/Interactive.cpp
@@ -10,30 +10,30 @@
 
 nlohmann::ordered_json runInteractive(std::uint64_t Seed, bool Baseline, double Load) {
   using core::Millis;
-  constexpr int Count = 48;
+  constexpr int ExecutorCount = 48;
   constexpr double ServiceMs = 80; // median; the mean is 90 ms
-  const double PerSecond = Load * Count * 8 / 0.0906;
+  const double PerSecond = Load * ExecutorCount * 8 / 0.0906;
   const std::array<double, 6> Weights{6, 4, 2, 1, 1, 1};
   const std::array<double, 6> Demand{11.4, 4.8, 2.4, 1.3, 1.3, 1.3};
   std::mt19937_64 Random(Seed);
-  std::exponential_distribution<double> Gap(PerSecond);
+  std::exponential_distribution<double> ArrivalGap(PerSecond);
   std::normal_distribution<double> Normal(0, 0.5);
-  std::discrete_distribution<int> WhichTeam(Demand.begin(), Demand.end());
+  std::discrete_distribution<int> TeamDistribution(Demand.begin(), Demand.end());
   RequestQueue Queue;
   ExecutorPool Pool;
-  for (int I = 0; I < Count; ++I)
+  for (int I = 0; I < ExecutorCount; ++I)
     addExecutor(Pool, "e" + std::to_string(I));
   for (std::size_t I = 0; I < Weights.size(); ++I)
     setTeam(Queue, "t" + std::to_string(I), Weights[I], 1000);
-  setSlotCapacity(Queue, Count * 8);
-  struct Busy {
+  setSlotCapacity(Queue, ExecutorCount * 8);
+  struct RunningRequest {
     std::string Team_;
     std::size_t Executor_;
     core::Duration Ran_;
     TimePoint Deadline_;
     bool Late_;
   };
-  std::multimap<TimePoint, Busy> Ends;
+  std::multimap<TimePoint, RunningRequest> Ends;
   std::deque<QueuedRequest> Fifo;
   std::vector<double> Waits;
   std::array<double, 6> Slots{};
@@ -43,50 +43,51 @@
   std::size_t Expired = 0;
   std::size_t InTime = 0;
   const TimePoint Begin{std::chrono::seconds(1000)};
-  const TimePoint Warm = Begin + std::chrono::seconds(10);
+  const TimePoint WarmUpEnd = Begin + std::chrono::seconds(10);
   const TimePoint Stop = Begin + std::chrono::seconds(60);
   TimePoint Now = Begin;
-  TimePoint NextSample = Warm;
-  TimePoint Next = Begin;
+  TimePoint NextSample = WarmUpEnd;
+  TimePoint NextArrival = Begin;
   std::uint64_t Id = 0;
-  std::vector<QueuedRequest> Shed;
+  std::vector<QueuedRequest> ExpiredRequests;
   while (Now < Stop) {
-    if (!Ends.empty() && Ends.begin()->first <= Next) {
+    if (!Ends.empty() && Ends.begin()->first <= NextArrival) {
       Now = Ends.begin()->first;
-      const Busy One = Ends.begin()->second;
+      const RunningRequest One = Ends.begin()->second;
       Ends.erase(Ends.begin());
       if (One.Late_)
         holdSlot(Pool, One.Executor_, Now, Now + Millis(250), One.Ran_);
       else
         finishRequest(Pool, One.Executor_, Now, One.Ran_, true);
       finishSlot(Queue, One.Team_, One.Ran_);
-      if (Now >= Warm)
+      if (Now >= WarmUpEnd)
         InTime += One.Late_ ? 0 : 1;
     } else {
-      Now = Next;
-      Next +=
-          std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(Gap(Random)));
-      QueuedRequest One{++Id, "t" + std::to_string(WhichTeam(Random)), Now, Now + Millis(2000)};
-      Offered += Now >= Warm ? 1 : 0;
+      Now = NextArrival;
+      NextArrival += std::chrono::duration_cast<core::Duration>(
+          std::chrono::duration<double>(ArrivalGap(Random)));
+      QueuedRequest One{++Id, "t" + std::to_string(TeamDistribution(Random)), Now,
+                        Now + Millis(2000)};
+      Offered += Now >= WarmUpEnd ? 1 : 0;
       if (Baseline)
         Fifo.push_back(std::move(One));
       else if (pushRequest(Queue, std::move(One), Now).Admission_ != Admission::Queued)
-        Refused += Now >= Warm ? 1 : 0;
+        Refused += Now >= WarmUpEnd ? 1 : 0;
     }
     for (;;) {
-      const auto Where = chooseExecutor(Pool, Now);
-      if (!Where)
+      const auto Executor = chooseExecutor(Pool, Now);
+      if (!Executor)
         break;
       std::optional<QueuedRequest> One;
       if (!Baseline) {
-        Shed.clear();
-        One = popRequest(Queue, Now, Shed);
-        Expired += Now >= Warm ? Shed.size() : 0;
+        ExpiredRequests.clear();
+        One = popRequest(Queue, Now, ExpiredRequests);
+        Expired += Now >= WarmUpEnd ? ExpiredRequests.size() : 0;
       } else {
         // The baseline drops expired requests too; without that its waits grow without bound.
         while (!Fifo.empty() && Fifo.front().Deadline_ <= Now) {
           Fifo.pop_front();
-          Expired += Now >= Warm ? 1 : 0;
+          Expired += Now >= WarmUpEnd ? 1 : 0;
         }
         if (!Fifo.empty()) {
           One = Fifo.front();
@@ -95,15 +96,15 @@
       }
       if (!One)
         break;
-      takeSlot(Pool, *Where, Now);
-      if (Now >= Warm)
+      takeSlot(Pool, *Executor, Now);
+      if (Now >= WarmUpEnd)
         Waits.push_back(std::chrono::duration<double>(Now - One->Arrived_).count());
       auto Run = std::chrono::duration_cast<core::Duration>(
           std::chrono::duration<double, std::milli>(ServiceMs * std::exp(Normal(Random))));
       const bool Late = Now + Run > One->Deadline_;
       if (Late)
         Run = One->Deadline_ - Now;
-      Ends.emplace(Now + Run, Busy{One->Team_, *Where, Run, One->Deadline_, Late});
+      Ends.emplace(Now + Run, RunningRequest{One->Team_, *Executor, Run, One->Deadline_, Late});
     }
     if (Now >= NextSample) {
       NextSample += Millis(10);
@@ -112,9 +113,10 @@
         Slots[static_cast<std::size_t>(One.Team_[1] - '0')] += 1;
     }
   }
-  double Most = 0;
+  double MaxDeviation = 0;
   for (std::size_t I = 0; I < Slots.size(); ++I)
-    Most = std::max(Most, std::abs(Slots[I] / Samples / (Count * 8) - Weights[I] / 15));
+    MaxDeviation = std::max(MaxDeviation,
+                            std::abs(Slots[I] / Samples / (ExecutorCount * 8) - Weights[I] / 15));
   nlohmann::ordered_json Out;
   Out["measure"] = "interactive";
   Out["policy"] = Baseline ? "fifo-first-fit" : "masticdrift";
@@ -126,7 +128,7 @@
   Out["expired_in_queue"] = Expired;
   Out["wait_p50_s"] = percentile(Waits, 0.5);
   Out["wait_p99_s"] = percentile(Waits, 0.99);
-  Out["share_distance_mean"] = Most;
+  Out["share_distance_mean"] = MaxDeviation;
   return Out;
 }
 
--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -12,16 +12,16 @@
 using std::chrono::seconds;
 
 constexpr int Workers = 48;
-constexpr int PerRack = 8;
+constexpr int WorkersPerRack = 8;
 const TimePoint Begin{seconds(10'000)};
 /// Interval of decisions, as in a group commit of the log.
 constexpr Duration Tick = milliseconds(50);
 /// Assumed times from the decision until the worker has confirmed.
-constexpr Duration CheckpointTakes = milliseconds(1500);
-constexpr Duration ThrottleTakes = milliseconds(100);
-constexpr Duration StopTakes = milliseconds(300);
+constexpr Duration CheckpointTime = milliseconds(1500);
+constexpr Duration ThrottleTime = milliseconds(100);
+constexpr Duration StopTime = milliseconds(300);
 /// Lease of a worker plus margin: its tasks run elsewhere only after that.
-constexpr Duration LeaseEnds = milliseconds(10'500);
+constexpr Duration LeaseWithMargin = milliseconds(10'500);
 
 struct Team {
   const char *Name_;
@@ -39,24 +39,24 @@
                                      {"small-c", 1, 1.3}}};
 
 /// A job with what only the driver knows.
-struct RealJob {
+struct SimulatedJob {
   PendingJob Declared_;
-  TimePoint Arrives_;
-  Duration Run_{};
+  TimePoint ArrivesAt_;
+  Duration RunTime_{};
   Resources Size_;
   bool AlwaysFails_ = false;
   std::set<WorkerIndex> FailedOn_;
-  std::map<std::uint32_t, Duration> Left_; ///< after a checkpoint
+  std::map<std::uint32_t, Duration> Remaining_; ///< after a checkpoint
   std::set<std::uint32_t> Started_;
   std::uint32_t Tasks_ = 0;
-  std::uint32_t Done_ = 0;
-  bool Over_ = false;
+  std::uint32_t SucceededTasks_ = 0;
+  bool Ended_ = false;
 };
 
 struct Running {
-  TimePoint Ends_;
-  TimePoint Since_;
-  Duration Left_{};
+  TimePoint EndsAt_;
+  TimePoint StartedAt_;
+  Duration Remaining_{};
   std::uint64_t Ticket_ = 0;
   bool Throttled_ = false;
   bool Fails_ = false;
@@ -69,15 +69,17 @@
   std::string Job_;
   std::uint32_t Task_ = 0;
   std::uint64_t Ticket_ = 0;
-  PreemptionMethod How_ = PreemptionMethod::Stop;
+  PreemptionMethod Method_ = PreemptionMethod::Stop;
   WorkerIndex Worker_ = 0;
 };
 
 class Driver {
 public:
-  Driver(const User &Who, const Setting &How) : Who_(Who), How_(How), Random_(How.Seed_) {
+  Driver(const DeploymentProfile &Profile, const LoadOptions &Options)
+      : Profile_(Profile), Options_(Options), Random_(Options.Seed_) {
     for (int I = 0; I < Workers; ++I)
-      addWorker(Cell_, "w" + std::to_string(I), "r" + std::to_string(I / PerRack), capacity(I));
+      addWorker(Cell_, "w" + std::to_string(I), "r" + std::to_string(I / WorkersPerRack),
+                capacity(I));
     for (const Team &One : Teams)
       setTeam(Shares_, One.Name_, One.Weight_, {});
     setCapacity(Shares_, Cell_.Capacity_);
@@ -85,20 +87,21 @@
   }
 
   nlohmann::ordered_json run() {
-    const TimePoint Stop = Begin + seconds(How_.Seconds_);
+    const TimePoint Stop = Begin + seconds(Options_.Seconds_);
     std::size_t Next = 0;
     for (Now_ = Begin; Now_ < Stop; Now_ += Tick) {
-      while (Next < Order_.size() && Jobs_.at(Order_[Next]).Arrives_ <= Now_)
+      while (Next < Order_.size() && Jobs_.at(Order_[Next]).ArrivesAt_ <= Now_)
         submit(Jobs_.at(Order_[Next++]));
       handleEvents();
-      if (How_.Faults_)
+      if (Options_.Faults_)
         injectFaults();
       if ((Now_ - Begin) % seconds(300) == Duration{} && Now_ > Begin)
         cancelWave();
       if ((Now_ - Begin) % seconds(1) == Duration{})
         allowProbes(Quarantine_, Cell_, Now_);
       decideNow();
-      if ((Now_ - Begin) % seconds(1) == Duration{} && Now_ - Begin >= seconds(How_.WarmUp_))
+      if ((Now_ - Begin) % seconds(1) == Duration{} &&
+          Now_ - Begin >= seconds(Options_.WarmUpSeconds_))
         sample();
     }
     drain();
@@ -107,10 +110,10 @@
 
 private:
   [[nodiscard]] Resources capacity(int I) const {
-    Resources Has = Who_.Worker_;
-    if (Who_.AcceleratorsEvery_ > 0 && I % Who_.AcceleratorsEvery_ == 0)
-      Has.Accelerators_ = 4;
-    return Has;
+    Resources Capacity = Profile_.Worker_;
+    if (Profile_.AcceleratorsEvery_ > 0 && I % Profile_.AcceleratorsEvery_ == 0)
+      Capacity.Accelerators_ = 4;
+    return Capacity;
   }
 
   double uniform(double From, double To) {
@@ -133,8 +136,8 @@
   void generate() {
     const double Cores = static_cast<double>(Cell_.Capacity_.MilliCores_) / 1000;
     const double Weights = 15;
-    const double PerCore = static_cast<double>(Who_.Worker_.MemoryMb_) * 1000 /
-                           static_cast<double>(Who_.Worker_.MilliCores_);
+    const double MemoryMbPerCore = static_cast<double>(Profile_.Worker_.MemoryMb_) * 1000 /
+                                   static_cast<double>(Profile_.Worker_.MilliCores_);
     for (const Team &Owner : Teams) {
       std::vector<Family> Families;
       Families.reserve(8);
@@ -142,163 +145,165 @@
         Families.push_back({logNormal(1.5, 0.8), std::max(0.8, logNormal(1.7, 0.4)),
                             std::max(0.8, logNormal(1.7, 0.4)), logNormal(25, 0.6),
                             std::clamp(logNormal(1.2, 0.7), 0.3, 6.0),
-                            PerCore * uniform(0.3, 0.7)});
+                            MemoryMbPerCore * uniform(0.3, 0.7)});
       const double Offered =
-          Cores * How_.Load_ / 1.5 * Owner.Weight_ / Weights * Owner.Demand_; // cores in use
+          Cores * Options_.Load_ / 1.5 * Owner.Weight_ / Weights * Owner.Demand_; // cores in use
       // Services take a tenth of the work and run to the end.
       double Services = Offered * 0.1;
       while (Services > 0) {
-        RealJob Job = make(Owner, Families[0], JobKind::Service, 3);
-        Job.Arrives_ = Begin + milliseconds(static_cast<int>(uniform(0, 10'000)));
+        SimulatedJob Job = make(Owner, Families[0], JobKind::Service, 3);
+        Job.ArrivesAt_ = Begin + milliseconds(static_cast<int>(uniform(0, 10'000)));
         Services -= static_cast<double>(Job.Size_.MilliCores_) * 3 / 1000;
         store(std::move(Job));
       }
       double Seconds = 0;
-      double Debt = 0; // core seconds submitted ahead of the offered rate
-      while (Seconds < How_.Seconds_) {
+      double SubmittedAheadCoreSeconds = 0; // core seconds submitted ahead of the offered rate
+      while (Seconds < Options_.Seconds_) {
         const double Pick = uniform(0, 1);
         const bool Gang = Pick < 0.04;
         const bool Urgent = Pick > 0.95;
         const Family &Kind = Families[static_cast<std::size_t>(uniform(0, 8))];
         const auto Tasks = static_cast<std::uint32_t>(
             Gang ? uniform(4, 17) : (uniform(0, 1) < 0.3 ? uniform(2, 9) : 1));
-        RealJob Job = make(Owner, Kind, Gang ? JobKind::Gang : JobKind::Batch, Urgent ? 1 : Tasks);
+        SimulatedJob Job =
+            make(Owner, Kind, Gang ? JobKind::Gang : JobKind::Batch, Urgent ? 1 : Tasks);
         Job.Declared_.Urgent_ = Urgent;
         const double Rare = uniform(0, 1);
         if (Rare < 0.01)
-          Job.Declared_.Size_.MilliCores_ = Who_.Worker_.MilliCores_ * 2; // can never run
+          Job.Declared_.Size_.MilliCores_ = Profile_.Worker_.MilliCores_ * 2; // can never run
         else if (Rare < 0.02)
           Job.AlwaysFails_ = true;
         else
-          Debt += static_cast<double>(Job.Size_.MilliCores_) / 1000 * Job.Tasks_ *
-                  std::chrono::duration<double>(Job.Run_).count();
-        Job.Arrives_ = Begin + milliseconds(static_cast<std::int64_t>(Seconds * 1000));
+          SubmittedAheadCoreSeconds += static_cast<double>(Job.Size_.MilliCores_) / 1000 *
+                                       Job.Tasks_ *
+                                       std::chrono::duration<double>(Job.RunTime_).count();
+        Job.ArrivesAt_ = Begin + milliseconds(static_cast<std::int64_t>(Seconds * 1000));
         store(std::move(Job));
         // Jobs arrive in bursts, but the mean rate is as offered.
-        const double Gap = Debt / (Offered * 0.9) * uniform(0, 2);
+        const double Gap = SubmittedAheadCoreSeconds / (Offered * 0.9) * uniform(0, 2);
         Seconds += Gap;
-        Debt = std::max(0.0, Debt - Gap * Offered * 0.9);
+        SubmittedAheadCoreSeconds = std::max(0.0, SubmittedAheadCoreSeconds - Gap * Offered * 0.9);
       }
     }
     std::sort(Order_.begin(), Order_.end(), [&](const auto &A, const auto &B) {
-      return std::tie(Jobs_.at(A).Arrives_, A) < std::tie(Jobs_.at(B).Arrives_, B);
+      return std::tie(Jobs_.at(A).ArrivesAt_, A) < std::tie(Jobs_.at(B).ArrivesAt_, B);
     });
   }
 
-  RealJob make(const Team &Owner, const Family &Kind, JobKind What, std::uint32_t Tasks) {
-    RealJob Job;
+  SimulatedJob make(const Team &Owner, const Family &Kind, JobKind What, std::uint32_t Tasks) {
+    SimulatedJob Job;
     Job.Tasks_ = Tasks;
-    PendingJob &Said = Job.Declared_;
-    Said.Id_ = std::string(Owner.Name_) + "/" + std::to_string(Jobs_.size());
-    Said.Team_ = Owner.Name_;
-    Said.Family_ = "f" + std::to_string(static_cast<int>(Kind.RunMedian_ * 1000));
-    Said.Kind_ = What;
-    Said.Checkpointable_ = uniform(0, 1) < 0.6;
-    Said.Throttleable_ = uniform(0, 1) < 0.5;
-    Said.Idempotent_ = uniform(0, 1) < 0.8;
+    PendingJob &Declared = Job.Declared_;
+    Declared.Id_ = std::string(Owner.Name_) + "/" + std::to_string(Jobs_.size());
+    Declared.Team_ = Owner.Name_;
+    Declared.Family_ = "f" + std::to_string(static_cast<int>(Kind.RunMedian_ * 1000));
+    Declared.Kind_ = What;
+    Declared.Checkpointable_ = uniform(0, 1) < 0.6;
+    Declared.Throttleable_ = uniform(0, 1) < 0.5;
+    Declared.Idempotent_ = uniform(0, 1) < 0.8;
     const double Cores = std::clamp(Kind.Cores_ * logNormal(1, 0.1), 0.2, 8.0);
     const double Memory = Cores * Kind.MemoryPerCore_ * logNormal(1, 0.1);
     const double Run = std::clamp(logNormal(Kind.RunMedian_, 0.5), 1.0, 400.0);
     Job.Size_ = {static_cast<std::int64_t>(Cores * 1000), static_cast<std::int64_t>(Memory), 0};
-    if (Who_.AcceleratorsEvery_ > 0 && What != JobKind::Service && uniform(0, 1) < 0.05)
+    if (Profile_.AcceleratorsEvery_ > 0 && What != JobKind::Service && uniform(0, 1) < 0.05)
       Job.Size_.Accelerators_ = uniform(0, 1) < 0.7 ? 1 : 2;
-    Job.Run_ = milliseconds(static_cast<std::int64_t>(Run * 1000));
-    Said.RunTime_ = milliseconds(
+    Job.RunTime_ = milliseconds(static_cast<std::int64_t>(Run * 1000));
+    Declared.RunTime_ = milliseconds(
         static_cast<std::int64_t>(std::max(1.0, Run * Kind.RunRatio_ * logNormal(1, 0.3)) * 1000));
     // Sizes are declared in steps of half a core and 512 MB.
     // A gang task is declared with at most half a worker; services, which never end, run on most
     // workers and would block a larger one for ever.
-    Said.Size_ = {std::min<std::int64_t>(
-                      Who_.Worker_.MilliCores_ / (What == JobKind::Gang ? 2 : 1),
-                      500 * static_cast<std::int64_t>(std::ceil(Cores * Kind.CoresRatio_ * 2))),
-                  std::min<std::int64_t>(
-                      Who_.Worker_.MemoryMb_,
-                      512 * static_cast<std::int64_t>(std::ceil(Memory * Kind.MemoryRatio_ / 512))),
-                  Job.Size_.Accelerators_};
+    Declared.Size_ = {std::min<std::int64_t>(
+                          Profile_.Worker_.MilliCores_ / (What == JobKind::Gang ? 2 : 1),
+                          500 * static_cast<std::int64_t>(std::ceil(Cores * Kind.CoresRatio_ * 2))),
+                      std::min<std::int64_t>(Profile_.Worker_.MemoryMb_,
+                                             512 * static_cast<std::int64_t>(std::ceil(
+                                                       Memory * Kind.MemoryRatio_ / 512))),
+                      Job.Size_.Accelerators_};
     for (std::uint32_t I = 0; I < Tasks; ++I)
-      Said.Waiting_.push_back(I);
+      Declared.Waiting_.push_back(I);
     return Job;
   }
 
-  void store(RealJob Job) {
+  void store(SimulatedJob Job) {
     std::string Id = Job.Declared_.Id_;
     Order_.push_back(Id);
     Jobs_.emplace(std::move(Id), std::move(Job));
   }
 
-  void submit(RealJob &Job) {
+  void submit(SimulatedJob &Job) {
     Job.Declared_.QueuedAt_ = Now_;
     if (findInfeasibility(Cell_, Job.Declared_)) {
       ++Refused_;
-      Job.Over_ = true;
+      Job.Ended_ = true;
       return;
     }
     enqueue(Job, Job.Declared_.Waiting_);
   }
 
-  void enqueue(RealJob &Job, std::vector<std::uint32_t> Tasks) {
-    if (Job.Over_)
+  void enqueue(SimulatedJob &Job, std::vector<std::uint32_t> Tasks) {
+    if (Job.Ended_)
       return;
     PendingJob What = Job.Declared_;
     What.Waiting_ = std::move(Tasks);
-    if (How_.Baseline_) {
+    if (Options_.Baseline_) {
       Waiting_ += What.Waiting_.size();
-      WaitingOf_[What.Team_] += What.Waiting_.size();
+      WaitingByTeam_[What.Team_] += What.Waiting_.size();
       Fifo_.push_back(std::move(What));
       return;
     }
-    applyEstimate(Learned_, What, Who_.Worker_);
+    applyEstimate(RunHistory_, What, Profile_.Worker_);
     addPending(Pending_, std::move(What));
   }
 
-  void started(const std::string &Id, std::uint32_t Task, WorkerIndex Where) {
-    RealJob &Job = Jobs_.at(Id);
+  void started(const std::string &Id, std::uint32_t Task, WorkerIndex Worker) {
+    SimulatedJob &Job = Jobs_.at(Id);
     ++Starts_;
-    noteStartOn(Where);
-    if (Job.Started_.insert(Task).second && Now_ - Begin >= seconds(How_.WarmUp_)) {
+    recordStartOn(Worker);
+    if (Job.Started_.insert(Task).second && Now_ - Begin >= seconds(Options_.WarmUpSeconds_)) {
       const double Wait = std::chrono::duration<double>(Now_ - Job.Declared_.QueuedAt_).count();
       (Job.Declared_.Urgent_ ? UrgentWaits_ : Waits_).push_back(Wait);
       if (Job.Declared_.Kind_ == JobKind::Gang)
         GangWaits_.push_back(Wait);
     }
-    const auto Left = Job.Left_.find(Task);
-    Running Now{.Since_ = Now_,
-                .Left_ = Left != Job.Left_.end() ? Left->second : Job.Run_,
+    const auto Remaining = Job.Remaining_.find(Task);
+    Running Now{.StartedAt_ = Now_,
+                .Remaining_ = Remaining != Job.Remaining_.end() ? Remaining->second : Job.RunTime_,
                 .Ticket_ = ++Ticket_};
     if (Job.Declared_.Kind_ == JobKind::Service)
-      Now.Left_ = seconds(How_.Seconds_ * 10);
-    if (Job.AlwaysFails_ || bad(Where)) {
+      Now.Remaining_ = seconds(Options_.Seconds_ * 10);
+    if (Job.AlwaysFails_ || isFaulty(Worker)) {
       Now.Fails_ = true;
-      Now.Left_ = milliseconds(500);
+      Now.Remaining_ = milliseconds(500);
     }
-    Now.Ends_ = Now_ + Now.Left_;
+    Now.EndsAt_ = Now_ + Now.Remaining_;
     Events_.emplace(
-        Now.Ends_,
+        Now.EndsAt_,
         Event{.Kind_ = EventKind::TaskEnd, .Job_ = Id, .Task_ = Task, .Ticket_ = Ticket_});
     RealUsed_ += Job.Size_;
-    RealOn_[Where] += Job.Size_;
+    RealUsedByWorker_[Worker] += Job.Size_;
     Running_[{Id, Task}] = Now;
   }
 
-  [[nodiscard]] bool bad(WorkerIndex Where) const {
-    return How_.Faults_ && (Where == 5 || Where == 29) && Now_ >= Begin + seconds(400) &&
+  [[nodiscard]] bool isFaulty(WorkerIndex Worker) const {
+    return Options_.Faults_ && (Worker == 5 || Worker == 29) && Now_ >= Begin + seconds(400) &&
            Now_ < Begin + seconds(1500);
   }
 
-  void noteStartOn(WorkerIndex Where) {
-    if (!How_.Faults_ || Now_ < Begin + seconds(400) || Now_ >= Begin + seconds(1500))
+  void recordStartOn(WorkerIndex Worker) {
+    if (!Options_.Faults_ || Now_ < Begin + seconds(400) || Now_ >= Begin + seconds(1500))
       return;
-    ++StartsWhileBad_;
-    if (bad(Where) && ++BadStarts_[Where] > 10)
-      ++BadStartsAfterTen_;
+    ++StartsDuringFault_;
+    if (isFaulty(Worker) && ++StartsOnFaulty_[Worker] > 10)
+      ++FaultyStartsAfterTen_;
   }
 
-  void stopRunning(const std::string &Id, std::uint32_t Task, WorkerIndex Where) {
+  void stopRunning(const std::string &Id, std::uint32_t Task, WorkerIndex Worker) {
     const auto Found = Running_.find({Id, Task});
     if (Found == Running_.end())
       return;
     RealUsed_ -= Jobs_.at(Id).Size_;
-    RealOn_[Where] -= Jobs_.at(Id).Size_;
+    RealUsedByWorker_[Worker] -= Jobs_.at(Id).Size_;
     Running_.erase(Found);
   }
 
@@ -317,7 +322,7 @@
         leaseEnd(One.Worker_);
         break;
       case EventKind::WorkerBack:
-        Down_.erase(One.Worker_);
+        LostWorkers_.erase(One.Worker_);
         addWorker(Cell_, Cell_.Workers_[One.Worker_].Name_, Cell_.Workers_[One.Worker_].Rack_,
                   Cell_.Workers_[One.Worker_].Capacity_);
         break;
@@ -329,66 +334,66 @@
     const auto Found = Running_.find({One.Job_, One.Task_});
     if (Found == Running_.end() || Found->second.Ticket_ != One.Ticket_)
       return;
-    const Running Was = Found->second;
-    const Placement *Where = findPlacement(Cell_, One.Job_, One.Task_);
-    if (Where == nullptr || Down_.contains(Where->Worker_))
+    const Running State = Found->second;
+    const Placement *Current = findPlacement(Cell_, One.Job_, One.Task_);
+    if (Current == nullptr || LostWorkers_.contains(Current->Worker_))
       return; // the end is known only after the lease
-    const WorkerIndex Host = Where->Worker_;
+    const WorkerIndex Host = Current->Worker_;
     stopRunning(One.Job_, One.Task_, Host);
-    const auto Gone = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
-    RealJob &Job = Jobs_.at(One.Job_);
-    if (!How_.Baseline_)
-      recordTaskEnd(Quarantine_, Cell_, Host, One.Job_, Was.Since_, !Was.Fails_, Now_);
-    if (Was.Fails_) {
+    const auto CancelledIds = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
+    SimulatedJob &Job = Jobs_.at(One.Job_);
+    if (!Options_.Baseline_)
+      recordTaskEnd(Quarantine_, Cell_, Host, One.Job_, State.StartedAt_, !State.Fails_, Now_);
+    if (State.Fails_) {
       Job.FailedOn_.insert(Host);
       // A job is given up after failures on three different workers.
       if (Job.FailedOn_.size() >= 3) {
-        Job.Over_ = true;
-        LostGood_ += Job.AlwaysFails_ ? 0 : 1;
+        Job.Ended_ = true;
+        GoodJobsGivenUp_ += Job.AlwaysFails_ ? 0 : 1;
         dropWaiting(One.Job_);
         return;
       }
       enqueue(Job, {One.Task_});
       return;
     }
-    if (!How_.Baseline_ && !Was.Throttled_ && !Job.Left_.contains(One.Task_))
-      recordObservation(Learned_, Job.Declared_.Team_, Job.Declared_.Family_,
-                        Job.Declared_.RunTime_, Job.Run_, Job.Declared_.Size_, Job.Size_);
-    if (++Job.Done_ == Job.Tasks_)
-      Job.Over_ = true;
+    if (!Options_.Baseline_ && !State.Throttled_ && !Job.Remaining_.contains(One.Task_))
+      recordObservation(RunHistory_, Job.Declared_.Team_, Job.Declared_.Family_,
+                        Job.Declared_.RunTime_, Job.RunTime_, Job.Declared_.Size_, Job.Size_);
+    if (++Job.SucceededTasks_ == Job.Tasks_)
+      Job.Ended_ = true;
     ++Finished_;
     FinishedCoreSeconds_ += static_cast<double>(Job.Size_.MilliCores_) / 1000 *
-                            std::chrono::duration<double>(Job.Run_).count();
+                            std::chrono::duration<double>(Job.RunTime_).count();
   }
 
   void preempted(const Event &One) {
     const auto Found = Running_.find({One.Job_, One.Task_});
     if (Found == Running_.end() || Found->second.Ticket_ != One.Ticket_)
       return;
-    Running &Was = Found->second;
-    const Placement *Where = findPlacement(Cell_, One.Job_, One.Task_);
-    if (Where == nullptr || Down_.contains(Where->Worker_))
+    Running &State = Found->second;
+    const Placement *Current = findPlacement(Cell_, One.Job_, One.Task_);
+    if (Current == nullptr || LostWorkers_.contains(Current->Worker_))
       return;
-    RealJob &Job = Jobs_.at(One.Job_);
-    ++Preemptions_[static_cast<std::size_t>(One.How_)];
-    if (One.How_ == PreemptionMethod::Throttle) {
+    SimulatedJob &Job = Jobs_.at(One.Job_);
+    ++Preemptions_[static_cast<std::size_t>(One.Method_)];
+    if (One.Method_ == PreemptionMethod::Throttle) {
       // A throttled task keeps a quarter of its cores, so the rest takes four times as long.
-      Was.Throttled_ = true;
-      Was.Ends_ = Now_ + (Was.Ends_ - Now_) * 4;
-      Was.Ticket_ = ++Ticket_;
-      Events_.emplace(Was.Ends_, Event{.Kind_ = EventKind::TaskEnd,
-                                       .Job_ = One.Job_,
-                                       .Task_ = One.Task_,
-                                       .Ticket_ = Ticket_});
+      State.Throttled_ = true;
+      State.EndsAt_ = Now_ + (State.EndsAt_ - Now_) * 4;
+      State.Ticket_ = ++Ticket_;
+      Events_.emplace(State.EndsAt_, Event{.Kind_ = EventKind::TaskEnd,
+                                           .Job_ = One.Job_,
+                                           .Task_ = One.Task_,
+                                           .Ticket_ = Ticket_});
       taskThrottled(Cell_, Shares_, One.Job_, One.Task_, Now_);
       return;
     }
-    if (One.How_ == PreemptionMethod::Checkpoint)
-      Job.Left_[One.Task_] = std::max<Duration>(milliseconds(100), Was.Ends_ - Now_);
+    if (One.Method_ == PreemptionMethod::Checkpoint)
+      Job.Remaining_[One.Task_] = std::max<Duration>(milliseconds(100), State.EndsAt_ - Now_);
     else
       LostCoreSeconds_ += static_cast<double>(Job.Size_.MilliCores_) / 1000 *
-                          std::chrono::duration<double>(Now_ - Was.Since_).count();
-    stopRunning(One.Job_, One.Task_, Where->Worker_);
+                          std::chrono::duration<double>(Now_ - State.StartedAt_).count();
+    stopRunning(One.Job_, One.Task_, Current->Worker_);
     taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
     enqueue(Job, {One.Task_});
   }
@@ -396,28 +401,28 @@
   void injectFaults() {
     if ((Now_ - Begin) % seconds(60) != Duration{} || Now_ == Begin)
       return;
-    const auto Where = static_cast<WorkerIndex>(uniform(0, Workers));
-    if (Down_.contains(Where) || Where == 5 || Where == 29)
+    const auto Worker = static_cast<WorkerIndex>(uniform(0, Workers));
+    if (LostWorkers_.contains(Worker) || Worker == 5 || Worker == 29)
       return;
-    Down_.insert(Where);
-    removeWorker(Cell_, Cell_.Workers_[Where].Name_);
-    Events_.emplace(Now_ + LeaseEnds, Event{.Kind_ = EventKind::LeaseEnd, .Worker_ = Where});
-    Events_.emplace(Now_ + seconds(120), Event{.Kind_ = EventKind::WorkerBack, .Worker_ = Where});
+    LostWorkers_.insert(Worker);
+    removeWorker(Cell_, Cell_.Workers_[Worker].Name_);
+    Events_.emplace(Now_ + LeaseWithMargin, Event{.Kind_ = EventKind::LeaseEnd, .Worker_ = Worker});
+    Events_.emplace(Now_ + seconds(120), Event{.Kind_ = EventKind::WorkerBack, .Worker_ = Worker});
   }
 
-  void leaseEnd(WorkerIndex Where) {
-    const std::vector<PlacementIndex> Lost = Cell_.Workers_[Where].Placements_;
+  void leaseEnd(WorkerIndex Worker) {
+    const std::vector<PlacementIndex> Lost = Cell_.Workers_[Worker].Placements_;
     for (const PlacementIndex Index : Lost) {
       const std::string Id = Cell_.Placements_[Index].Job_;
       const std::uint32_t Task = Cell_.Placements_[Index].Task_;
-      stopRunning(Id, Task, Where);
+      stopRunning(Id, Task, Worker);
       taskEnded(Cell_, Shares_, Id, Task, Now_);
       enqueue(Jobs_.at(Id), {Task});
     }
   }
 
   void dropWaiting(const std::string &Id) {
-    if (!How_.Baseline_) {
+    if (!Options_.Baseline_) {
       cancel(Pending_, Id);
       return;
     }
@@ -425,7 +430,7 @@
       if (Job.Id_ != Id)
         return false;
       Waiting_ -= Job.Waiting_.size();
-      WaitingOf_[Job.Team_] -= Job.Waiting_.size();
+      WaitingByTeam_[Job.Team_] -= Job.Waiting_.size();
       return true;
     });
   }
@@ -434,34 +439,34 @@
   void cancelWave() {
     std::vector<std::string> Ids;
     for (const std::string &Id : Order_) {
-      RealJob &Job = Jobs_.at(Id);
-      if (Job.Arrives_ > Now_ || Ids.size() >= 200)
+      SimulatedJob &Job = Jobs_.at(Id);
+      if (Job.ArrivesAt_ > Now_ || Ids.size() >= 200)
         break;
-      if (!Job.Over_ && Job.Started_.empty() && Job.Declared_.Team_ == "large" &&
+      if (!Job.Ended_ && Job.Started_.empty() && Job.Declared_.Team_ == "large" &&
           !Job.Declared_.Urgent_ && Job.Declared_.Kind_ != JobKind::Service && uniform(0, 1) < 0.3)
         Ids.push_back(Id);
     }
     Cancelled_ += Ids.size();
     for (const std::string &Id : Ids)
-      Jobs_.at(Id).Over_ = true;
-    if (!How_.Baseline_) {
+      Jobs_.at(Id).Ended_ = true;
+    if (!Options_.Baseline_) {
       while (!Ids.empty())
         cancelSome(Pending_, Ids, 64);
       return;
     }
-    const std::unordered_set<std::string> Gone(Ids.begin(), Ids.end());
+    const std::unordered_set<std::string> CancelledIds(Ids.begin(), Ids.end());
     std::erase_if(Fifo_, [&](const PendingJob &Job) {
-      if (!Gone.contains(Job.Id_))
+      if (!CancelledIds.contains(Job.Id_))
         return false;
       Waiting_ -= Job.Waiting_.size();
-      WaitingOf_[Job.Team_] -= Job.Waiting_.size();
+      WaitingByTeam_[Job.Team_] -= Job.Waiting_.size();
       return true;
     });
   }
 
   void decideNow() {
-    if (How_.Baseline_) {
-      firstInFirstOut();
+    if (Options_.Baseline_) {
+      placeFirstInFirstOut();
       return;
     }
     for (const Decision &One : decide(Cell_, Pending_, Shares_, Now_, {})) {
@@ -469,35 +474,35 @@
         started(One.Job_, One.Task_, One.WorkerIndex_);
         continue;
       }
-      const Duration Takes = One.Method_ == PreemptionMethod::Checkpoint ? CheckpointTakes
-                             : One.Method_ == PreemptionMethod::Throttle ? ThrottleTakes
-                                                                         : StopTakes;
+      const Duration Delay = One.Method_ == PreemptionMethod::Checkpoint ? CheckpointTime
+                             : One.Method_ == PreemptionMethod::Throttle ? ThrottleTime
+                                                                         : StopTime;
       const auto Found = Running_.find({One.Job_, One.Task_});
       if (Found != Running_.end())
-        Events_.emplace(Now_ + Takes, Event{.Kind_ = EventKind::Preempted,
+        Events_.emplace(Now_ + Delay, Event{.Kind_ = EventKind::Preempted,
                                             .Job_ = One.Job_,
                                             .Task_ = One.Task_,
                                             .Ticket_ = Found->second.Ticket_,
-                                            .How_ = One.Method_});
+                                            .Method_ = One.Method_});
     }
   }
 
   /// The baseline: the oldest job starts on the first worker with room; the rest waits behind it.
-  void firstInFirstOut() {
+  void placeFirstInFirstOut() {
     while (!Fifo_.empty()) {
       PendingJob &Job = Fifo_.front();
       std::vector<std::uint32_t> Placed;
       bool Blocked = false;
       for (const std::uint32_t Task : Job.Waiting_) {
-        WorkerIndex Where = 0;
-        while (Where < Workers && !(acceptsWork(Cell_.Workers_[Where]) &&
-                                    core::fits(Job.Size_, freeOf(Cell_.Workers_[Where]))))
-          ++Where;
-        if (Where == Workers) {
+        WorkerIndex Worker = 0;
+        while (Worker < Workers && !(acceptsWork(Cell_.Workers_[Worker]) &&
+                                     core::fits(Job.Size_, freeOf(Cell_.Workers_[Worker]))))
+          ++Worker;
+        if (Worker == Workers) {
           Blocked = true;
           break;
         }
-        taskRunning(Cell_, Shares_, Where,
+        taskRunning(Cell_, Shares_, Worker,
                     {.Job_ = Job.Id_,
                      .Task_ = Task,
                      .Team_ = Job.Team_,
@@ -515,7 +520,7 @@
       for (const std::uint32_t Task : Placed)
         started(Job.Id_, Task, findPlacement(Cell_, Job.Id_, Task)->Worker_);
       Waiting_ -= Placed.size();
-      WaitingOf_[Job.Team_] -= Placed.size();
+      WaitingByTeam_[Job.Team_] -= Placed.size();
       std::erase_if(Job.Waiting_, [&](std::uint32_t Task) {
         return std::find(Placed.begin(), Placed.end(), Task) != Placed.end();
       });
@@ -527,7 +532,7 @@
 
   /// Every second: use of the scarce resource and distances from the shares.
   void sample() {
-    const std::size_t Waiting = How_.Baseline_ ? Waiting_ : Pending_.WaitingTasks_;
+    const std::size_t Waiting = Options_.Baseline_ ? Waiting_ : Pending_.WaitingTasks_;
     ++Samples_;
     const auto Whole = amounts(Cell_.Capacity_);
     if (Waiting > 0) {
@@ -540,8 +545,10 @@
     }
     for (WorkerIndex I = 0; I < Workers; ++I) {
       ++WorkerSamples_;
-      Overfull_ += RealOn_[I].MemoryMb_ > Cell_.Workers_[I].Capacity_.MemoryMb_ ? 1 : 0;
-      OverfullCores_ += RealOn_[I].MilliCores_ > Cell_.Workers_[I].Capacity_.MilliCores_ ? 1 : 0;
+      MemoryOverloads_ +=
+          RealUsedByWorker_[I].MemoryMb_ > Cell_.Workers_[I].Capacity_.MemoryMb_ ? 1 : 0;
+      CoreOverloads_ +=
+          RealUsedByWorker_[I].MilliCores_ > Cell_.Workers_[I].Capacity_.MilliCores_ ? 1 : 0;
     }
     std::vector<TeamIndex> Busy;
     for (const Team &One : Teams)
@@ -549,20 +556,20 @@
         Busy.push_back(*findTeam(Shares_, One.Name_));
     if (Busy.size() != Teams.size())
       return;
-    const std::vector<double> Apart = shareDeviations(Shares_, Busy);
-    double Most = 0;
+    const std::vector<double> Deviations = shareDeviations(Shares_, Busy);
+    double MaxDeviation = 0;
     ++FullSamples_;
-    for (std::size_t I = 0; I < Apart.size(); ++I) {
-      Most = std::max(Most, std::abs(Apart[I]));
-      DistanceSum_[I] += Apart[I];
+    for (std::size_t I = 0; I < Deviations.size(); ++I) {
+      MaxDeviation = std::max(MaxDeviation, std::abs(Deviations[I]));
+      DistanceSum_[I] += Deviations[I];
     }
-    Distances_.push_back(Most);
+    Distances_.push_back(MaxDeviation);
   }
 
   [[nodiscard]] std::size_t waitingOf(const std::string &Name) const {
-    if (How_.Baseline_) {
-      const auto Found = WaitingOf_.find(Name);
-      return Found == WaitingOf_.end() ? 0 : Found->second;
+    if (Options_.Baseline_) {
+      const auto Found = WaitingByTeam_.find(Name);
+      return Found == WaitingByTeam_.end() ? 0 : Found->second;
     }
     const auto Found = Pending_.TeamsByName_.find(Name);
     if (Found == Pending_.TeamsByName_.end())
@@ -576,18 +583,18 @@
   /// Runs on without new work until everything has ended, to count lost jobs.
   void drain() {
     for (const std::string &Id : Order_)
-      if (Jobs_.at(Id).Arrives_ > Now_ - Tick)
+      if (Jobs_.at(Id).ArrivesAt_ > Now_ - Tick)
         submit(Jobs_.at(Id));
     const TimePoint Last = Now_ + seconds(7200);
     for (; Now_ < Last; Now_ += milliseconds(500)) {
       handleEvents();
       allowProbes(Quarantine_, Cell_, Now_);
       decideNow();
-      if ((How_.Baseline_ ? Waiting_ : Pending_.WaitingTasks_) == 0)
+      if ((Options_.Baseline_ ? Waiting_ : Pending_.WaitingTasks_) == 0)
         break;
     }
     for (const auto &[Id, Job] : Jobs_)
-      if (!Job.Over_ && Job.Started_.size() < Job.Tasks_)
+      if (!Job.Ended_ && Job.Started_.size() < Job.Tasks_)
         ++NeverStarted_;
   }
 
@@ -599,15 +606,15 @@
   }
 
   nlohmann::ordered_json result() {
-    double Apart = 0;
+    double MeanDeviation = 0;
     for (const double Sum : DistanceSum_)
-      Apart = std::max(Apart, FullSamples_ > 0 ? std::abs(Sum) / FullSamples_ : 0);
+      MeanDeviation = std::max(MeanDeviation, FullSamples_ > 0 ? std::abs(Sum) / FullSamples_ : 0);
     nlohmann::ordered_json Out;
-    Out["measure"] = How_.Name_;
-    Out["user"] = Who_.Name_;
-    Out["policy"] = How_.Baseline_ ? "fifo-first-fit" : "masticdrift";
-    Out["seed"] = How_.Seed_;
-    Out["load"] = How_.Load_;
+    Out["measure"] = Options_.Name_;
+    Out["user"] = Profile_.Name_;
+    Out["policy"] = Options_.Baseline_ ? "fifo-first-fit" : "masticdrift";
+    Out["seed"] = Options_.Seed_;
+    Out["load"] = Options_.Load_;
     Out["jobs"] = Jobs_.size();
     Out["finished_tasks"] = Finished_;
     Out["finished_core_s"] = std::round(FinishedCoreSeconds_);
@@ -621,71 +628,71 @@
     Out["reserved_cores_while_waiting"] = mean(ReservedCores_);
     Out["reserved_memory_while_waiting"] = mean(ReservedMemory_);
     Out["real_cores_while_waiting"] = mean(RealCores_);
-    Out["overfull_memory_part"] = Overfull_ / std::max(1.0, WorkerSamples_);
-    Out["overfull_cores_part"] = OverfullCores_ / std::max(1.0, WorkerSamples_);
-    Out["share_distance_mean"] = Apart;
+    Out["overfull_memory_part"] = MemoryOverloads_ / std::max(1.0, WorkerSamples_);
+    Out["overfull_cores_part"] = CoreOverloads_ / std::max(1.0, WorkerSamples_);
+    Out["share_distance_mean"] = MeanDeviation;
     Out["share_distance_p95_1s"] = percentile(Distances_, 0.95);
     Out["share_samples"] = FullSamples_;
     Out["checkpoints"] = Preemptions_[0];
     Out["throttles"] = Preemptions_[1];
     Out["stops"] = Preemptions_[2];
     Out["stopped_core_s"] = std::round(LostCoreSeconds_);
-    if (How_.Faults_) {
-      Out["bad_worker_starts_after_ten"] = BadStartsAfterTen_;
+    if (Options_.Faults_) {
+      Out["bad_worker_starts_after_ten"] = FaultyStartsAfterTen_;
       Out["bad_worker_part_of_starts"] =
-          static_cast<double>(BadStartsAfterTen_) / std::max(1.0, StartsWhileBad_);
-      Out["good_jobs_given_up"] = LostGood_;
+          static_cast<double>(FaultyStartsAfterTen_) / std::max(1.0, StartsDuringFault_);
+      Out["good_jobs_given_up"] = GoodJobsGivenUp_;
     }
     Out["never_started"] = NeverStarted_;
     return Out;
   }
 
-  User Who_;
-  Setting How_;
+  DeploymentProfile Profile_;
+  LoadOptions Options_;
   std::mt19937_64 Random_;
   TimePoint Now_ = Begin;
   CellView Cell_;
   PendingWork Pending_;
   Shares Shares_;
-  RunHistory Learned_;
+  RunHistory RunHistory_;
   Quarantine Quarantine_;
   std::deque<PendingJob> Fifo_;
   std::size_t Waiting_ = 0;
-  std::map<std::string, std::size_t> WaitingOf_;
-  std::unordered_map<std::string, RealJob> Jobs_;
+  std::map<std::string, std::size_t> WaitingByTeam_;
+  std::unordered_map<std::string, SimulatedJob> Jobs_;
   std::vector<std::string> Order_;
   std::map<std::pair<std::string, std::uint32_t>, Running> Running_;
   std::multimap<TimePoint, Event> Events_;
-  std::set<WorkerIndex> Down_;
+  std::set<WorkerIndex> LostWorkers_;
   std::uint64_t Ticket_ = 0;
   Resources RealUsed_;
-  std::array<Resources, Workers> RealOn_{};
+  std::array<Resources, Workers> RealUsedByWorker_{};
   std::vector<double> UrgentWaits_, Waits_, GangWaits_, ReservedCores_, ReservedMemory_, RealCores_,
       Distances_;
   std::array<double, Teams.size()> DistanceSum_{};
   std::array<std::size_t, 3> Preemptions_{};
-  std::map<WorkerIndex, std::size_t> BadStarts_;
-  std::size_t Starts_ = 0, Finished_ = 0, Refused_ = 0, Cancelled_ = 0, BadStartsAfterTen_ = 0,
-              LostGood_ = 0, NeverStarted_ = 0, Samples_ = 0;
-  double FinishedCoreSeconds_ = 0, LostCoreSeconds_ = 0, Overfull_ = 0, OverfullCores_ = 0,
-         WorkerSamples_ = 0, FullSamples_ = 0, StartsWhileBad_ = 0;
+  std::map<WorkerIndex, std::size_t> StartsOnFaulty_;
+  std::size_t Starts_ = 0, Finished_ = 0, Refused_ = 0, Cancelled_ = 0, FaultyStartsAfterTen_ = 0,
+              GoodJobsGivenUp_ = 0, NeverStarted_ = 0, Samples_ = 0;
+  double FinishedCoreSeconds_ = 0, LostCoreSeconds_ = 0, MemoryOverloads_ = 0, CoreOverloads_ = 0,
+         WorkerSamples_ = 0, FullSamples_ = 0, StartsDuringFault_ = 0;
 };
 
 } // namespace
 
-User roshan() { return {"roshan", {16'000, 32'768, 0}, 0}; }
-User samvarp() { return {"samvarp", {32'000, 65'536, 0}, 3}; }
+DeploymentProfile roshan() { return {"roshan", {16'000, 32'768, 0}, 0}; }
+DeploymentProfile samvarp() { return {"samvarp", {32'000, 65'536, 0}, 3}; }
 
-double percentile(std::vector<double> Values, double Part) {
+double percentile(std::vector<double> Values, double Quantile) {
   if (Values.empty())
     return 0;
-  const auto At = static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1));
+  const auto At = static_cast<std::size_t>(Quantile * static_cast<double>(Values.size() - 1));
   std::nth_element(Values.begin(), Values.begin() + static_cast<std::ptrdiff_t>(At), Values.end());
   return Values[At];
 }
 
-nlohmann::ordered_json runLoad(const User &Who, const Setting &How) {
-  return Driver(Who, How).run();
+nlohmann::ordered_json runLoad(const DeploymentProfile &Profile, const LoadOptions &Options) {
+  return Driver(Profile, Options).run();
 }
 
 } // namespace masticdrift::measure
--- a/tests/measure/Load.h
+++ b/tests/measure/Load.h
@@ -18,27 +18,27 @@
 using namespace masticdrift::policy;
 
 /// One user of section 1.6 of the design page.
-struct User {
+struct DeploymentProfile {
   std::string Name_;
   Resources Worker_;
   std::int64_t AcceleratorsEvery_ = 0; ///< every n-th worker has 4; 0 for none
 };
 
-User roshan();
-User samvarp();
+DeploymentProfile roshan();
+DeploymentProfile samvarp();
 
-struct Setting {
+struct LoadOptions {
   std::string Name_;  ///< steady, overload or faults
   double Load_ = 0.8; ///< offered work as part of the capacity
   bool Faults_ = false;
   std::uint64_t Seed_ = 1;
   bool Baseline_ = false;
   int Seconds_ = 1800;
-  int WarmUp_ = 300;
+  int WarmUpSeconds_ = 300;
 };
 
 /// Runs one load. \returns the measured values.
-nlohmann::ordered_json runLoad(const User &Who, const Setting &How);
+nlohmann::ordered_json runLoad(const DeploymentProfile &Profile, const LoadOptions &Options);
 
 /// Interactive requests at 1.5 times the capacity of 48 executors.
 nlohmann::ordered_json runInteractive(std::uint64_t Seed, bool Baseline, double Load);
@@ -51,7 +51,7 @@
 /// checks and long batches on \p Executors executors, advice on every queue.
 nlohmann::ordered_json runLead(std::uint64_t Seed, int Executors);
 
-double percentile(std::vector<double> Values, double Part);
+double percentile(std::vector<double> Values, double Quantile);
 
 } // namespace masticdrift::measure
 
--- a/tests/measure/Scale.cpp
+++ b/tests/measure/Scale.cpp
@@ -5,11 +5,11 @@
 namespace masticdrift::measure {
 namespace {
 
-using Wall = std::chrono::steady_clock;
+using SteadyClock = std::chrono::steady_clock;
 
 /// A filled cell: a third of the workers have 4 accelerators, 340 teams, a fifth services.
-struct BigCell {
-  BigCell(std::uint64_t Seed, std::uint32_t Workers) : Random_(Seed), Workers_(Workers) {
+struct LargeCell {
+  LargeCell(std::uint64_t Seed, std::uint32_t Workers) : Random_(Seed), Workers_(Workers) {
     for (std::uint32_t I = 0; I < Workers; ++I)
       addWorker(Cell_, "worker-" + std::to_string(I), "rack-" + std::to_string(I / 8),
                 {32'000, 65'536, I % 3 == 0 ? 4 : 0});
@@ -22,7 +22,7 @@
     return std::uniform_int_distribution<std::uint32_t>(0, Bound - 1)(Random_);
   }
 
-  PendingJob make(bool Urgent) {
+  PendingJob makeJob(bool Urgent) {
     PendingJob Job;
     Job.Id_ = "domain/team/" + std::to_string(Next_++);
     Job.Team_ = "team-" + std::to_string(below(340));
@@ -43,21 +43,21 @@
   }
 
   std::vector<Decision> decideNow() {
-    const auto Before = Wall::now();
-    auto Made = decide(Cell_, Pending_, Teams_, Now_, {});
-    LastMs_ = std::chrono::duration<double, std::milli>(Wall::now() - Before).count();
-    return Made;
+    const auto Before = SteadyClock::now();
+    auto Decisions = decide(Cell_, Pending_, Teams_, Now_, {});
+    LastMs_ = std::chrono::duration<double, std::milli>(SteadyClock::now() - Before).count();
+    return Decisions;
   }
 
-  void note(const std::vector<Decision> &Made) {
-    for (const Decision &One : Made)
+  void recordDecisions(const std::vector<Decision> &Decisions) {
+    for (const Decision &One : Decisions)
       if (One.Kind_ == DecisionKind::Start)
         Running_.emplace_back(One.Job_, One.Task_);
       else
         Preempted_.push_back(One);
   }
 
-  void endSome(std::size_t Count) {
+  void endTasks(std::size_t Count) {
     for (; Count > 0 && !Running_.empty(); --Count) {
       const std::uint32_t At = below(static_cast<std::uint32_t>(Running_.size()));
       std::swap(Running_[At], Running_.back());
@@ -89,125 +89,127 @@
   double LastMs_ = 0;
 };
 
-void fill(BigCell &It, bool Full) {
+void fill(LargeCell &Cell, bool Full) {
   const double Target = Full ? 0.97 : 0.7;
-  for (int Round = 0; Round < 3000 && utilization(It.Cell_) < Target; ++Round) {
+  for (int Round = 0; Round < 3000 && utilization(Cell.Cell_) < Target; ++Round) {
     for (std::uint32_t I = 0; I < 64; ++I)
-      addPending(It.Pending_, It.make(false));
-    It.Now_ += std::chrono::milliseconds(50);
-    It.note(It.decideNow());
-    It.confirmPreempted();
+      addPending(Cell.Pending_, Cell.makeJob(false));
+    Cell.Now_ += std::chrono::milliseconds(50);
+    Cell.recordDecisions(Cell.decideNow());
+    Cell.confirmPreempted();
   }
 }
 
 } // namespace
 
 nlohmann::ordered_json runScale(std::uint64_t Seed, std::uint32_t Workers, bool Full) {
-  BigCell It(Seed, Workers);
-  fill(It, Full);
-  const std::uint32_t PerTick = std::max(1U, 10 * Workers / 1800); // 200 starts/s at 1,800
+  LargeCell Cell(Seed, Workers);
+  fill(Cell, Full);
+  const std::uint32_t StartsPerRound = std::max(1U, 10 * Workers / 1800); // 200 starts/s at 1,800
   if (Full)
     for (std::uint32_t I = 0; I < 10 * Workers; ++I)
-      addPending(It.Pending_, It.make(false));
-  std::vector<double> Times;
+      addPending(Cell.Pending_, Cell.makeJob(false));
+  std::vector<double> DecisionMs;
   std::size_t Starts = 0;
-  double Policy = 0;
+  double PolicySeconds = 0;
   constexpr int Rounds = 3000;
   for (int Round = 0; Round < Rounds; ++Round) {
-    It.Now_ += std::chrono::milliseconds(50);
-    const auto Before = Wall::now();
+    Cell.Now_ += std::chrono::milliseconds(50);
+    const auto Before = SteadyClock::now();
     // Ends and arrivals balance; gangs count as several starts.
-    It.endSome(PerTick);
-    while (It.Pending_.WaitingTasks_ < (Full ? 10 * Workers : PerTick))
-      addPending(It.Pending_, It.make(It.below(20) == 0));
-    It.confirmPreempted();
-    Policy += std::chrono::duration<double>(Wall::now() - Before).count();
-    const auto Made = It.decideNow();
-    Policy += It.LastMs_ / 1000;
+    Cell.endTasks(StartsPerRound);
+    while (Cell.Pending_.WaitingTasks_ < (Full ? 10 * Workers : StartsPerRound))
+      addPending(Cell.Pending_, Cell.makeJob(Cell.below(20) == 0));
+    Cell.confirmPreempted();
+    PolicySeconds += std::chrono::duration<double>(SteadyClock::now() - Before).count();
+    const auto Decisions = Cell.decideNow();
+    PolicySeconds += Cell.LastMs_ / 1000;
     if (Round >= 200) {
-      Times.push_back(It.LastMs_);
-      for (const Decision &One : Made)
+      DecisionMs.push_back(Cell.LastMs_);
+      for (const Decision &One : Decisions)
         Starts += One.Kind_ == DecisionKind::Start ? 1 : 0;
     } else {
-      Policy = 0;
+      PolicySeconds = 0;
     }
-    It.note(Made);
+    Cell.recordDecisions(Decisions);
   }
   nlohmann::ordered_json Out;
   Out["measure"] = "scale";
   Out["seed"] = Seed;
   Out["workers"] = Workers;
   Out["cell"] = Full ? "full" : "70% used";
-  Out["running_tasks"] = It.Running_.size();
-  Out["pending_tasks"] = It.Pending_.WaitingTasks_;
-  Out["decide_p50_ms"] = percentile(Times, 0.5);
-  Out["decide_p99_ms"] = percentile(Times, 0.99);
-  Out["decide_max_ms"] = percentile(Times, 1);
+  Out["running_tasks"] = Cell.Running_.size();
+  Out["pending_tasks"] = Cell.Pending_.WaitingTasks_;
+  Out["decide_p50_ms"] = percentile(DecisionMs, 0.5);
+  Out["decide_p99_ms"] = percentile(DecisionMs, 0.99);
+  Out["decide_max_ms"] = percentile(DecisionMs, 1);
   Out["starts"] = Starts;
-  Out["placements_per_s"] = static_cast<double>(Starts) / Policy;
+  Out["placements_per_s"] = static_cast<double>(Starts) / PolicySeconds;
   return Out;
 }
 
 nlohmann::ordered_json runCancelWave(std::uint64_t Seed) {
-  BigCell It(Seed, 1800);
-  fill(It, true);
-  std::vector<double> With;
-  std::vector<double> Without;
+  LargeCell Cell(Seed, 1800);
+  fill(Cell, true);
+  std::vector<double> WithWaveMs;
+  std::vector<double> WithoutWaveMs;
   for (int Round = 0; Round < 60; ++Round) {
     const bool Wave = Round % 2 == 0;
     std::vector<std::string> Ids;
     for (int I = 0; I < 1000; ++I) {
-      PendingJob Job = It.make(false);
+      PendingJob Job = Cell.makeJob(false);
       if (Wave)
         Ids.push_back(Job.Id_);
-      addPending(It.Pending_, std::move(Job));
+      addPending(Cell.Pending_, std::move(Job));
     }
-    It.endSome(40);
-    It.Now_ += std::chrono::milliseconds(50);
-    It.note(It.decideNow());
-    It.confirmPreempted();
-    PendingJob Urgent = It.make(true);
+    Cell.endTasks(40);
+    Cell.Now_ += std::chrono::milliseconds(50);
+    Cell.recordDecisions(Cell.decideNow());
+    Cell.confirmPreempted();
+    PendingJob Urgent = Cell.makeJob(true);
     Urgent.Size_ = {500, 512, 0};
     const std::string Id = Urgent.Id_;
-    It.endSome(40);
+    Cell.endTasks(40);
     // The urgent job arrives right behind the wave; both are worked off in one loop.
-    const auto Before = Wall::now();
+    const auto Before = SteadyClock::now();
     bool Started = false;
-    addPending(It.Pending_, std::move(Urgent));
-    for (int Turn = 0; Turn < 200 && !Started; ++Turn) {
-      cancelSome(It.Pending_, Ids, 128);
-      const auto Made = It.decideNow();
-      for (const Decision &One : Made)
+    addPending(Cell.Pending_, std::move(Urgent));
+    for (int Attempt = 0; Attempt < 200 && !Started; ++Attempt) {
+      cancelSome(Cell.Pending_, Ids, 128);
+      const auto Decisions = Cell.decideNow();
+      for (const Decision &One : Decisions)
         Started = Started || (One.Kind_ == DecisionKind::Start && One.Job_ == Id);
-      It.note(Made);
+      Cell.recordDecisions(Decisions);
       if (!Started)
-        It.confirmPreempted();
+        Cell.confirmPreempted();
     }
-    const double Ms = std::chrono::duration<double, std::milli>(Wall::now() - Before).count();
+    const double Ms =
+        std::chrono::duration<double, std::milli>(SteadyClock::now() - Before).count();
     if (Started)
-      (Wave ? With : Without).push_back(Ms);
+      (Wave ? WithWaveMs : WithoutWaveMs).push_back(Ms);
     while (!Ids.empty())
-      cancelSome(It.Pending_, Ids, 128);
-    It.confirmPreempted();
+      cancelSome(Cell.Pending_, Ids, 128);
+    Cell.confirmPreempted();
   }
   // The cost of the whole wave when it is worked off in one go.
   std::vector<std::string> Ids;
   for (int I = 0; I < 1000; ++I) {
-    PendingJob Job = It.make(false);
+    PendingJob Job = Cell.makeJob(false);
     Ids.push_back(Job.Id_);
-    addPending(It.Pending_, std::move(Job));
+    addPending(Cell.Pending_, std::move(Job));
   }
-  const auto Before = Wall::now();
-  cancelSome(It.Pending_, Ids, 1000);
-  const double Whole = std::chrono::duration<double, std::milli>(Wall::now() - Before).count();
+  const auto Before = SteadyClock::now();
+  cancelSome(Cell.Pending_, Ids, 1000);
+  const double WaveMs =
+      std::chrono::duration<double, std::milli>(SteadyClock::now() - Before).count();
   nlohmann::ordered_json Out;
   Out["measure"] = "cancel-wave";
   Out["seed"] = Seed;
   Out["workers"] = 1800;
-  Out["urgent_start_with_wave_max_ms"] = percentile(With, 1);
-  Out["urgent_start_without_wave_max_ms"] = percentile(Without, 1);
-  Out["urgent_starts"] = With.size() + Without.size();
-  Out["cancel_1000_ms"] = Whole;
+  Out["urgent_start_with_wave_max_ms"] = percentile(WithWaveMs, 1);
+  Out["urgent_start_without_wave_max_ms"] = percentile(WithoutWaveMs, 1);
+  Out["urgent_starts"] = WithWaveMs.size() + WithoutWaveMs.size();
+  Out["cancel_1000_ms"] = WaveMs;
   return Out;
 }
 
--- a/tests/measure/daemon/Main.cpp
+++ b/tests/measure/daemon/Main.cpp
@@ -18,7 +18,7 @@
 constexpr int LatencyRequests = 2000;
 constexpr int LoadThreads = 48;
 constexpr core::Millis LoadTime{5000};
-constexpr core::Millis RestTime{20'000};
+constexpr core::Millis IdleTime{20'000};
 constexpr core::Millis SettleTime{10'000};
 constexpr int StartedTasks = 1000;
 constexpr int WaitingJobs = 5000;
@@ -42,11 +42,11 @@
 
 void print(const OrderedJson &Line) { std::cout << Line.dump() << std::endl; }
 
-double percentile(std::vector<double> &Values, double Part) {
+double percentile(std::vector<double> &Values, double Quantile) {
   std::ranges::sort(Values);
   return Values.empty()
              ? 0
-             : Values[static_cast<std::size_t>(Part * static_cast<double>(Values.size() - 1))];
+             : Values[static_cast<std::size_t>(Quantile * static_cast<double>(Values.size() - 1))];
 }
 
 struct Target {
@@ -55,10 +55,11 @@
 };
 
 /// Sends requests one after another and returns their times in milliseconds.
-std::vector<double> timesOf(http::Client &Client, const Target &To) {
+std::vector<double> measureTimes(http::Client &Client, const Target &Destination) {
   std::vector<double> Times;
   for (int I = 0; I < LatencyRequests; ++I) {
-    http::ClientRequest Out{"POST", To.Url_, "check " + std::to_string(I), To.Headers_};
+    http::ClientRequest Out{"POST", Destination.Url_, "check " + std::to_string(I),
+                            Destination.Headers_};
     const TimePoint Start = core::Clock::now();
     const http::ClientResult Answer = Client.sendAndWait(std::move(Out));
     if (Answer.Answer_.Status_ == 200)
@@ -68,33 +69,35 @@
   return Times;
 }
 
-std::string ownerOf(Fleet &Of, const std::string &Domain) {
-  for (const std::string &Name : Of.namesIn(Domain))
-    if (Api(Of, Name).status().value("is_owner", false))
+std::string ownerOf(Fleet &TestFleet, const std::string &Domain) {
+  for (const std::string &Name : TestFleet.namesIn(Domain))
+    if (Api(TestFleet, Name).status().value("is_owner", false))
       return Name;
   return {};
 }
 
-std::string otherThan(Fleet &Of, const std::string &Domain, const std::string &Owner) {
-  for (const std::string &Name : Of.namesIn(Domain))
+std::string daemonOtherThan(Fleet &TestFleet, const std::string &Domain, const std::string &Owner) {
+  for (const std::string &Name : TestFleet.namesIn(Domain))
     if (Name != Owner)
       return Name;
   return Owner;
 }
 
-void measureLatency(Fleet &Of) {
-  const std::string Owner = ownerOf(Of, "lahore-a");
-  const std::string Other = otherThan(Of, "lahore-a", Owner);
-  const int Port = Of.ready(Standin::Executor).at("executors").at("lahore-a-executor-1");
+void measureLatency(Fleet &TestFleet) {
+  const std::string Owner = ownerOf(TestFleet, "lahore-a");
+  const std::string Other = daemonOtherThan(TestFleet, "lahore-a", Owner);
+  const int Port = TestFleet.ready(Standin::Executor).at("executors").at("lahore-a-executor-1");
   const std::string Path = "/v1/queues/status/requests";
   http::Client Client;
-  const std::vector<std::pair<std::string, Target>> Ways{
+  const std::vector<std::pair<std::string, Target>> Paths{
       {"direct", {"http://127.0.0.1:" + std::to_string(Port) + "/run", {}}},
-      {"owner_idempotent", {Of.callerUrl(Owner) + Path, {{"Masticdrift-Idempotent", "true"}}}},
-      {"owner_non_idempotent", {Of.callerUrl(Owner) + Path, {}}},
-      {"one_hop_idempotent", {Of.callerUrl(Other) + Path, {{"Masticdrift-Idempotent", "true"}}}}};
-  for (const auto &[Name, To] : Ways) {
-    std::vector<double> Times = timesOf(Client, To);
+      {"owner_idempotent",
+       {TestFleet.callerUrl(Owner) + Path, {{"Masticdrift-Idempotent", "true"}}}},
+      {"owner_non_idempotent", {TestFleet.callerUrl(Owner) + Path, {}}},
+      {"one_hop_idempotent",
+       {TestFleet.callerUrl(Other) + Path, {{"Masticdrift-Idempotent", "true"}}}}};
+  for (const auto &[Name, Destination] : Paths) {
+    std::vector<double> Times = measureTimes(Client, Destination);
     print({{"measure", "latency"},
            {"way", Name},
            {"answered", Times.size()},
@@ -103,9 +106,9 @@
   }
 }
 
-void measureThroughput(Fleet &Of) {
-  const std::string Owner = ownerOf(Of, "lahore-a");
-  const pid_t Pid = Of.process(Owner).pid();
+void measureThroughput(Fleet &TestFleet) {
+  const std::string Owner = ownerOf(TestFleet, "lahore-a");
+  const pid_t Pid = TestFleet.process(Owner).pid();
   const measure::Usage Before = measure::usageOf(Pid);
   std::atomic<std::int64_t> Answered{0};
   const TimePoint End = core::Clock::now() + LoadTime;
@@ -115,10 +118,11 @@
     Threads.emplace_back([&] {
       http::Client Client;
       while (core::Clock::now() < End) {
-        const auto Answer = Client.sendAndWait({"POST",
-                                                Of.callerUrl(Owner) + "/v1/queues/status/requests",
-                                                "check",
-                                                {{"Masticdrift-Idempotent", "true"}}});
+        const auto Answer =
+            Client.sendAndWait({"POST",
+                                TestFleet.callerUrl(Owner) + "/v1/queues/status/requests",
+                                "check",
+                                {{"Masticdrift-Idempotent", "true"}}});
         if (Answer.Answer_.Status_ == 200)
           ++Answered;
       }
@@ -134,99 +138,99 @@
          {"daemon_cpu_cores", Cpu / Seconds}});
 }
 
-std::string metricsOf(Fleet &Of, const std::string &Name) {
-  return call("GET", Of.operatorUrl(Name) + "/metrics").Body_;
+std::string metricsOf(Fleet &TestFleet, const std::string &Name) {
+  return call("GET", TestFleet.operatorUrl(Name) + "/metrics").Body_;
 }
 
-/// Lets \p Wait pass; the pause is the measurement itself.
-void idleFor(core::Duration Wait) { std::this_thread::sleep_for(Wait); }
+/// Lets \p IdleDuration pass; the pause is the measurement itself.
+void idleFor(core::Duration IdleDuration) { std::this_thread::sleep_for(IdleDuration); }
 
-void startTasks(Fleet &Of, const std::string &Key, int Tasks) {
-  Api At(Of, ownerOf(Of, "lahore-a"));
-  const Reply Accepted = At.submitJob("print",
-                                      {{"kind", "batch"},
-                                       {"tasks", Tasks},
-                                       {"run_ms", 3'600'000},
-                                       {"cores", 0.5},
-                                       {"memory_mb", 64},
-                                       {"request_id", "long"},
-                                       {"domain", "lahore-a"}},
-                                      Key);
+void startTasks(Fleet &TestFleet, const std::string &Key, int Tasks) {
+  Api DaemonApi(TestFleet, ownerOf(TestFleet, "lahore-a"));
+  const Reply Accepted = DaemonApi.submitJob("print",
+                                             {{"kind", "batch"},
+                                              {"tasks", Tasks},
+                                              {"run_ms", 3'600'000},
+                                              {"cores", 0.5},
+                                              {"memory_mb", 64},
+                                              {"request_id", "long"},
+                                              {"domain", "lahore-a"}},
+                                             Key);
   const std::string Id = Accepted.json().value("id", "");
   const TimePoint Start = core::Clock::now();
-  const bool All = waitFor(core::Millis(120'000), [&] {
-    const Json Status = At.job(Id, Key).json();
+  const bool AllRunning = waitFor(core::Millis(120'000), [&] {
+    const Json Status = DaemonApi.job(Id, Key).json();
     return Status.is_object() && Status.contains("task_counts") &&
            Status.at("task_counts").value("running", 0) == Tasks;
   });
   print({{"measure", "start_long_tasks"},
          {"tasks", Tasks},
-         {"all_running", All},
+         {"all_running", AllRunning},
          {"seconds", std::chrono::duration<double>(core::Clock::now() - Start).count()}});
 }
 
-void measureRest(Fleet &Of, const Size &Scale) {
+void measureIdle(Fleet &TestFleet, const Size &FleetSize) {
   struct Sample {
     measure::Usage Usage_;
     double Peer_ = 0, Control_ = 0, Appends_ = 0;
   };
   const auto Read = [&](const std::string &Name) {
-    const std::string Text = metricsOf(Of, Name);
-    return Sample{measure::usageOf(Of.process(Name).pid()),
+    const std::string Text = metricsOf(TestFleet, Name);
+    return Sample{measure::usageOf(TestFleet.process(Name).pid()),
                   measure::metricSum(Text, "masticdrift_peer_bytes_total"),
                   measure::metricSum(Text, "masticdrift_control_bytes_total"),
                   measure::metricSum(Text, "masticdrift_appends_total")};
   };
   std::map<std::string, Sample> Before;
-  for (const std::string &Name : Of.names())
+  for (const std::string &Name : TestFleet.names())
     Before[Name] = Read(Name);
-  idleFor(RestTime);
-  const double Seconds = std::chrono::duration<double>(RestTime).count();
-  for (const std::string &Name : Of.names()) {
+  idleFor(IdleTime);
+  const double Seconds = std::chrono::duration<double>(IdleTime).count();
+  for (const std::string &Name : TestFleet.names()) {
     const Sample After = Read(Name);
-    const Sample &First = Before[Name];
+    const Sample &StartSample = Before[Name];
     print({{"measure", "rest"},
-           {"executors", Scale.Executors_},
-           {"workers", Scale.Workers_},
-           {"tasks", Name.starts_with("lahore-a") ? Scale.Tasks_ : 0},
+           {"executors", FleetSize.Executors_},
+           {"workers", FleetSize.Workers_},
+           {"tasks", Name.starts_with("lahore-a") ? FleetSize.Tasks_ : 0},
            {"daemon", Name},
-           {"owner", Api(Of, Name).status().value("is_owner", false)},
+           {"owner", Api(TestFleet, Name).status().value("is_owner", false)},
            {"cpu_percent_of_core",
-            100 * (After.Usage_.CpuSeconds_ - First.Usage_.CpuSeconds_) / Seconds},
+            100 * (After.Usage_.CpuSeconds_ - StartSample.Usage_.CpuSeconds_) / Seconds},
            {"resident_mb", After.Usage_.ResidentMb_},
-           {"peer_bytes_per_s", (After.Peer_ - First.Peer_) / Seconds},
-           {"platform_bytes_per_s", (After.Control_ - First.Control_) / Seconds},
-           {"appends_per_s", (After.Appends_ - First.Appends_) / Seconds}});
+           {"peer_bytes_per_s", (After.Peer_ - StartSample.Peer_) / Seconds},
+           {"platform_bytes_per_s", (After.Control_ - StartSample.Control_) / Seconds},
+           {"appends_per_s", (After.Appends_ - StartSample.Appends_) / Seconds}});
   }
 }
 
-double appendsAt(Fleet &Of) {
+double appendsAt(Fleet &TestFleet) {
   double Sum = 0;
-  const Json Evidence = Of.evidence(Standin::Log);
+  const Json Evidence = TestFleet.evidence(Standin::Log);
   for (const auto &[Name, Stream] : Evidence.at("streams").items())
     Sum += Stream.value("appends", 0.0);
   return Sum;
 }
 
-void measureStarts(Fleet &Of, const std::string &Key) {
-  const std::string Owner = ownerOf(Of, "lahore-a");
-  const pid_t Pid = Of.process(Owner).pid();
+void measureStarts(Fleet &TestFleet, const std::string &Key) {
+  const std::string Owner = ownerOf(TestFleet, "lahore-a");
+  const pid_t Pid = TestFleet.process(Owner).pid();
   const measure::Usage Before = measure::usageOf(Pid);
-  const double AppendsBefore = appendsAt(Of);
+  const double AppendsBefore = appendsAt(TestFleet);
   const TimePoint Start = core::Clock::now();
-  Api At(Of, Owner);
-  const Reply Accepted = At.submitJob("print",
-                                      {{"kind", "batch"},
-                                       {"tasks", StartedTasks},
-                                       {"run_ms", 50},
-                                       {"cores", 0.5},
-                                       {"memory_mb", 64},
-                                       {"request_id", "starts"},
-                                       {"domain", "lahore-a"}},
-                                      Key);
+  Api DaemonApi(TestFleet, Owner);
+  const Reply Accepted = DaemonApi.submitJob("print",
+                                             {{"kind", "batch"},
+                                              {"tasks", StartedTasks},
+                                              {"run_ms", 50},
+                                              {"cores", 0.5},
+                                              {"memory_mb", 64},
+                                              {"request_id", "starts"},
+                                              {"domain", "lahore-a"}},
+                                             Key);
   const std::string Id = Accepted.json().value("id", "");
   const bool Done = waitFor(core::Millis(60'000), [&] {
-    return At.job(Id, Key).json().value("state", "") == "succeeded";
+    return DaemonApi.job(Id, Key).json().value("state", "") == "succeeded";
   });
   const double Seconds = std::chrono::duration<double>(core::Clock::now() - Start).count();
   const double Cpu = measure::usageOf(Pid).CpuSeconds_ - Before.CpuSeconds_;
@@ -235,12 +239,12 @@
          {"all_succeeded", Done},
          {"tasks_per_s", StartedTasks / Seconds},
          {"cpu_ms_per_task", 1000 * Cpu / StartedTasks},
-         {"appends_per_task", (appendsAt(Of) - AppendsBefore) / StartedTasks}});
+         {"appends_per_task", (appendsAt(TestFleet) - AppendsBefore) / StartedTasks}});
 }
 
-void measureMemory(Fleet &Of, const std::string &Key) {
-  const std::string Owner = ownerOf(Of, "lahore-a");
-  const pid_t Pid = Of.process(Owner).pid();
+void measureMemory(Fleet &TestFleet, const std::string &Key) {
+  const std::string Owner = ownerOf(TestFleet, "lahore-a");
+  const pid_t Pid = TestFleet.process(Owner).pid();
   const measure::Usage Before = measure::usageOf(Pid);
   std::atomic<int> Next{0};
   std::atomic<int> Accepted{0};
@@ -256,18 +260,18 @@
                        {"run_ms", 3'600'000},
                        {"request_id", "m" + std::to_string(Number)},
                        {"domain", "lahore-a"}};
-        if (Api(Of, Owner).submitJob("print", Job, Key).Status_ == 202)
+        if (Api(TestFleet, Owner).submitJob("print", Job, Key).Status_ == 202)
           ++Accepted;
       }
     });
   for (std::thread &One : Threads)
     One.join();
   const double Seconds = std::chrono::duration<double>(core::Clock::now() - Start).count();
-  const double Grown = measure::usageOf(Pid).ResidentMb_ - Before.ResidentMb_;
+  const double GrowthMb = measure::usageOf(Pid).ResidentMb_ - Before.ResidentMb_;
   print({{"measure", "waiting_jobs"},
          {"accepted", Accepted.load()},
          {"accepts_per_s", Accepted / Seconds},
-         {"owner_kb_per_job", 1024 * Grown / std::max(1, Accepted.load())}});
+         {"owner_kb_per_job", 1024 * GrowthMb / std::max(1, Accepted.load())}});
 }
 
 } // namespace
@@ -276,23 +280,23 @@
   const auto Argument = [&](int Position, int Default) {
     return Argc > Position ? std::atoi(Argv[Position]) : Default;
   };
-  const Size Of{Argument(1, 4), Argument(2, 4), Argument(3, 0)};
-  Fleet All(roshan(Of.Executors_, Of.Workers_));
-  if (!bringUp(All, largeLimits(defaultConfiguration()))) {
+  const Size FleetSize{Argument(1, 4), Argument(2, 4), Argument(3, 0)};
+  Fleet TestFleet(roshan(FleetSize.Executors_, FleetSize.Workers_));
+  if (!bringUp(TestFleet, largeLimits(defaultConfiguration()))) {
     std::cerr << "the fleet did not come up\n";
     return 1;
   }
-  const std::string Key = Api(All, ownerOf(All, "lahore-a")).createKey("mfi");
-  if (Of.Tasks_ > 0) {
-    startTasks(All, Key, Of.Tasks_);
+  const std::string Key = Api(TestFleet, ownerOf(TestFleet, "lahore-a")).createKey("mfi");
+  if (FleetSize.Tasks_ > 0) {
+    startTasks(TestFleet, Key, FleetSize.Tasks_);
     idleFor(SettleTime); // the start commands are not part of the cost at rest
   }
-  measureRest(All, Of);
+  measureIdle(TestFleet, FleetSize);
   if (Argc > 1)
     return 0;
-  measureLatency(All);
-  measureThroughput(All);
-  measureStarts(All, Key);
-  measureMemory(All, Key);
+  measureLatency(TestFleet);
+  measureThroughput(TestFleet);
+  measureStarts(TestFleet, Key);
+  measureMemory(TestFleet, Key);
   return 0;
 }
--- a/tests/measure/daemon/Usage.cpp
+++ b/tests/measure/daemon/Usage.cpp
@@ -9,7 +9,7 @@
 namespace masticdrift::measure {
 
 Usage usageOf(pid_t Process) {
-  Usage To;
+  Usage Result;
   std::ifstream Stat("/proc/" + std::to_string(Process) + "/stat");
   std::string Text((std::istreambuf_iterator<char>(Stat)), {});
   // The command name may contain spaces and ends with ')'; utime and stime are fields 14 and 15.
@@ -19,23 +19,23 @@
   for (int I = 3; I <= 15 && Rest >> Field; ++I)
     if (I >= 14)
       Ticks += std::atol(Field.c_str());
-  To.CpuSeconds_ = static_cast<double>(Ticks) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  Result.CpuSeconds_ = static_cast<double>(Ticks) / static_cast<double>(::sysconf(_SC_CLK_TCK));
   std::ifstream Memory("/proc/" + std::to_string(Process) + "/statm");
   long Total = 0;
   long Resident = 0;
   Memory >> Total >> Resident;
-  To.ResidentMb_ =
+  Result.ResidentMb_ =
       static_cast<double>(Resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1048576.0;
-  return To;
+  return Result;
 }
 
 double metricSum(std::string_view Text, std::string_view Name) {
   double Sum = 0;
   std::istringstream Lines{std::string(Text)};
   for (std::string Line; std::getline(Lines, Line);) {
-    const bool Same = Line.starts_with(Name) && Line.size() > Name.size() &&
-                      (Line[Name.size()] == '{' || Line[Name.size()] == ' ');
-    if (Same)
+    const bool IsMetric = Line.starts_with(Name) && Line.size() > Name.size() &&
+                          (Line[Name.size()] == '{' || Line[Name.size()] == ' ');
+    if (IsMetric)
       Sum += std::strtod(Line.c_str() + Line.rfind(' ') + 1, nullptr);
   }
   return Sum;
