tests: reword the measurements

Comments used figurative terms and one described a parameter that does not exist. They now state what is measured; the share of services in the large cell is given as the code draws it (2 of 20, not a fifth).

--- a/tests/measure/Interactive.cpp
+++ b/tests/measure/Interactive.cpp
@@ -84,7 +84,7 @@
         One = popRequest(Queue, Now, ExpiredRequests);
         Expired += Now >= WarmUpEnd ? ExpiredRequests.size() : 0;
       } else {
-        // The baseline drops expired requests too; without that its waits grow without bound.
+        // The baseline also drops expired requests; otherwise its waiting times grow without bound.
         while (!Fifo.empty() && Fifo.front().Deadline_ <= Now) {
           Fifo.pop_front();
           Expired += Now >= WarmUpEnd ? 1 : 0;
--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -14,13 +14,13 @@
 constexpr int Workers = 48;
 constexpr int WorkersPerRack = 8;
 const TimePoint Begin{seconds(10'000)};
-/// Interval of decisions, as in a group commit of the log.
+/// Interval between decisions, equal to that of a group commit of the log.
 constexpr Duration Tick = milliseconds(50);
-/// Assumed times from the decision until the worker has confirmed.
+/// Assumed times from the decision to the confirmation by the worker.
 constexpr Duration CheckpointTime = milliseconds(1500);
 constexpr Duration ThrottleTime = milliseconds(100);
 constexpr Duration StopTime = milliseconds(300);
-/// Lease of a worker plus margin: its tasks run elsewhere only after that.
+/// Lease of a worker plus margin; its tasks may run on another worker only after this time.
 constexpr Duration LeaseWithMargin = milliseconds(10'500);
 
 struct Team {
@@ -38,7 +38,7 @@
                                      {"small-b", 1, 1.3},
                                      {"small-c", 1, 1.3}}};
 
-/// A job with what only the driver knows.
+/// A job as declared, with its true size and run time, which the policy does not see.
 struct SimulatedJob {
   PendingJob Declared_;
   TimePoint ArrivesAt_;
@@ -46,7 +46,7 @@
   Resources Size_;
   bool AlwaysFails_ = false;
   std::set<WorkerIndex> FailedOn_;
-  std::map<std::uint32_t, Duration> Remaining_; ///< after a checkpoint
+  std::map<std::uint32_t, Duration> Remaining_; ///< by task, after a checkpoint
   std::set<std::uint32_t> Started_;
   std::uint32_t Tasks_ = 0;
   std::uint32_t SucceededTasks_ = 0;
@@ -132,7 +132,7 @@
     double MemoryPerCore_;
   };
 
-  /// Makes all jobs of the run in order of arrival.
+  /// Generates all jobs of the run and sorts them by arrival.
   void generate() {
     const double Cores = static_cast<double>(Cell_.Capacity_.MilliCores_) / 1000;
     const double Weights = 15;
@@ -148,7 +148,7 @@
                             MemoryMbPerCore * uniform(0.3, 0.7)});
       const double Offered =
           Cores * Options_.Load_ / 1.5 * Owner.Weight_ / Weights * Owner.Demand_; // cores in use
-      // Services take a tenth of the work and run to the end.
+      // Services make up a tenth of the offered work and run until the end.
       double Services = Offered * 0.1;
       while (Services > 0) {
         SimulatedJob Job = make(Owner, Families[0], JobKind::Service, 3);
@@ -157,7 +157,7 @@
         store(std::move(Job));
       }
       double Seconds = 0;
-      double SubmittedAheadCoreSeconds = 0; // core seconds submitted ahead of the offered rate
+      double SubmittedAheadCoreSeconds = 0; // relative to the offered rate
       while (Seconds < Options_.Seconds_) {
         const double Pick = uniform(0, 1);
         const bool Gang = Pick < 0.04;
@@ -170,7 +170,8 @@
         Job.Declared_.Urgent_ = Urgent;
         const double Rare = uniform(0, 1);
         if (Rare < 0.01)
-          Job.Declared_.Size_.MilliCores_ = Profile_.Worker_.MilliCores_ * 2; // can never run
+          Job.Declared_.Size_.MilliCores_ =
+              Profile_.Worker_.MilliCores_ * 2; // exceeds every worker
         else if (Rare < 0.02)
           Job.AlwaysFails_ = true;
         else
@@ -179,7 +180,7 @@
                                        std::chrono::duration<double>(Job.RunTime_).count();
         Job.ArrivesAt_ = Begin + milliseconds(static_cast<std::int64_t>(Seconds * 1000));
         store(std::move(Job));
-        // Jobs arrive in bursts, but the mean rate is as offered.
+        // Arrivals are bursty, but their mean rate equals the offered rate.
         const double Gap = SubmittedAheadCoreSeconds / (Offered * 0.9) * uniform(0, 2);
         Seconds += Gap;
         SubmittedAheadCoreSeconds = std::max(0.0, SubmittedAheadCoreSeconds - Gap * Offered * 0.9);
@@ -212,7 +213,7 @@
         static_cast<std::int64_t>(std::max(1.0, Run * Kind.RunRatio_ * logNormal(1, 0.3)) * 1000));
     // Sizes are declared in steps of half a core and 512 MB.
     // A gang task is declared with at most half a worker; services, which never end, run on most
-    // workers and would block a larger one for ever.
+    // workers and would block a larger task indefinitely.
     Declared.Size_ = {std::min<std::int64_t>(
                           Profile_.Worker_.MilliCores_ / (What == JobKind::Gang ? 2 : 1),
                           500 * static_cast<std::int64_t>(std::ceil(Cores * Kind.CoresRatio_ * 2))),
@@ -337,7 +338,7 @@
     const Running State = Found->second;
     const Placement *Current = findPlacement(Cell_, One.Job_, One.Task_);
     if (Current == nullptr || LostWorkers_.contains(Current->Worker_))
-      return; // the end is known only after the lease
+      return; // the scheduler learns of the end only after the lease
     const WorkerIndex Host = Current->Worker_;
     stopRunning(One.Job_, One.Task_, Host);
     const auto CancelledIds = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
@@ -346,7 +347,7 @@
       recordTaskEnd(Quarantine_, Cell_, Host, One.Job_, State.StartedAt_, !State.Fails_, Now_);
     if (State.Fails_) {
       Job.FailedOn_.insert(Host);
-      // A job is given up after failures on three different workers.
+      // A job is abandoned after failures on three different workers.
       if (Job.FailedOn_.size() >= 3) {
         Job.Ended_ = true;
         GoodJobsGivenUp_ += Job.AlwaysFails_ ? 0 : 1;
@@ -487,7 +488,8 @@
     }
   }
 
-  /// The baseline: the oldest job starts on the first worker with room; the rest waits behind it.
+  /// Baseline policy: the oldest job starts on the first worker with enough free resources, and all
+  /// others wait behind it.
   void placeFirstInFirstOut() {
     while (!Fifo_.empty()) {
       PendingJob &Job = Fifo_.front();
@@ -530,14 +532,14 @@
     }
   }
 
-  /// Every second: use of the scarce resource and distances from the shares.
+  /// Records the use of the scarce resource and the deviations from the shares, once per second.
   void sample() {
     const std::size_t Waiting = Options_.Baseline_ ? Waiting_ : Pending_.WaitingTasks_;
     ++Samples_;
     const auto Whole = amounts(Cell_.Capacity_);
     if (Waiting > 0) {
       const auto Reserved = amounts(Cell_.Used_);
-      // The scarce resource of both users is cores; memory is reported beside it.
+      // Cores are the scarce resource of both deployments; memory is reported as well.
       ReservedCores_.push_back(static_cast<double>(Reserved[0]) / static_cast<double>(Whole[0]));
       ReservedMemory_.push_back(static_cast<double>(Reserved[1]) / static_cast<double>(Whole[1]));
       RealCores_.push_back(static_cast<double>(RealUsed_.MilliCores_) /
@@ -580,7 +582,8 @@
     return Sum;
   }
 
-  /// Runs on without new work until everything has ended, to count lost jobs.
+  /// Submits the remaining jobs and runs until none waits, for at most 7200 s, to count jobs that
+  /// never started.
   void drain() {
     for (const std::string &Id : Order_)
       if (Jobs_.at(Id).ArrivesAt_ > Now_ - Tick)
--- a/tests/measure/Main.cpp
+++ b/tests/measure/Main.cpp
@@ -1,5 +1,5 @@
-// Measures the decisions of package policy under load; prints one JSON object per line.
-// Usage: measure-policy [steady|overload|faults|interactive|scale|cancel|lead|all] [SEED]
+// Measures the scheduling decisions of package policy under load and prints one JSON object per
+// line. Usage: measure-policy [steady|overload|faults|interactive|scale|cancel|lead|all] [SEED]
 #include "Load.h"
 
 #include <cstdio>
--- a/tests/measure/Scale.cpp
+++ b/tests/measure/Scale.cpp
@@ -7,7 +7,8 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-/// A filled cell: a third of the workers have 4 accelerators, 340 teams, a fifth services.
+/// A cell with 340 teams in which a third of the workers have 4 accelerators; a twentieth of
+/// the jobs are gangs and a tenth services.
 struct LargeCell {
   LargeCell(std::uint64_t Seed, std::uint32_t Workers) : Random_(Seed), Workers_(Workers) {
     for (std::uint32_t I = 0; I < Workers; ++I)
@@ -116,7 +117,7 @@
   for (int Round = 0; Round < Rounds; ++Round) {
     Cell.Now_ += std::chrono::milliseconds(50);
     const auto Before = SteadyClock::now();
-    // Ends and arrivals balance; gangs count as several starts.
+    // As many tasks arrive as end; a gang counts as several starts.
     Cell.endTasks(StartsPerRound);
     while (Cell.Pending_.WaitingTasks_ < (Full ? 10 * Workers : StartsPerRound))
       addPending(Cell.Pending_, Cell.makeJob(Cell.below(20) == 0));
@@ -170,7 +171,7 @@
     Urgent.Size_ = {500, 512, 0};
     const std::string Id = Urgent.Id_;
     Cell.endTasks(40);
-    // The urgent job arrives right behind the wave; both are worked off in one loop.
+    // The urgent job arrives directly after the cancellations; one loop processes both.
     const auto Before = SteadyClock::now();
     bool Started = false;
     addPending(Cell.Pending_, std::move(Urgent));
@@ -191,7 +192,7 @@
       cancelSome(Cell.Pending_, Ids, 128);
     Cell.confirmPreempted();
   }
-  // The cost of the whole wave when it is worked off in one go.
+  // Measure all cancellations in a single call.
   std::vector<std::string> Ids;
   for (int I = 0; I < 1000; ++I) {
     PendingJob Job = Cell.makeJob(false);
--- a/tests/measure/daemon/Main.cpp
+++ b/tests/measure/daemon/Main.cpp
@@ -1,6 +1,6 @@
-// Measurements of running daemons: added latency, CPU per request, cost at rest, durable starts,
-// memory per job. Prints one JSON object per line. No randomness; figures are wall time on the
-// machine at hand.
+// Measures running daemons: added latency, CPU time per request, idle cost, durable starts and
+// memory per job. Prints one JSON object per line. Nothing is random; times are wall-clock times of
+// the machine that runs the program.
 #include "Usage.h"
 #include "support/Api.h"
 
@@ -25,14 +25,14 @@
 
 using OrderedJson = nlohmann::ordered_json;
 
-/// Size of the fleet in each domain.
+/// Number of executors and workers in each domain, and of tasks.
 struct Size {
   int Executors_ = 0;
   int Workers_ = 0;
   int Tasks_ = 0; ///< long-running ones, in domain lahore-a
 };
 
-/// Raises the limits, so that they don't bound the measurement.
+/// Raises the team limits so that they do not restrict the measurement.
 Json largeLimits(Json Configuration) {
   for (Json &Team : Configuration["teams"])
     Team["limit"] = {
@@ -54,7 +54,8 @@
   http::Headers Headers_;
 };
 
-/// Sends requests one after another and returns their times in milliseconds.
+/// Sends requests one after another.
+/// \returns the times of the successful ones in milliseconds.
 std::vector<double> measureTimes(http::Client &Client, const Target &Destination) {
   std::vector<double> Times;
   for (int I = 0; I < LatencyRequests; ++I) {
@@ -142,7 +143,7 @@
   return call("GET", TestFleet.operatorUrl(Name) + "/metrics").Body_;
 }
 
-/// Lets \p IdleDuration pass; the pause is the measurement itself.
+/// Sleeps for \p IdleDuration while the daemons are idle; the measurement covers this time.
 void idleFor(core::Duration IdleDuration) { std::this_thread::sleep_for(IdleDuration); }
 
 void startTasks(Fleet &TestFleet, const std::string &Key, int Tasks) {
@@ -289,7 +290,7 @@
   const std::string Key = Api(TestFleet, ownerOf(TestFleet, "lahore-a")).createKey("mfi");
   if (FleetSize.Tasks_ > 0) {
     startTasks(TestFleet, Key, FleetSize.Tasks_);
-    idleFor(SettleTime); // the start commands are not part of the cost at rest
+    idleFor(SettleTime); // excludes the start commands from the idle cost
   }
   measureIdle(TestFleet, FleetSize);
   if (Argc > 1)
--- a/tests/measure/daemon/Usage.cpp
+++ b/tests/measure/daemon/Usage.cpp
@@ -12,7 +12,7 @@
   Usage Result;
   std::ifstream Stat("/proc/" + std::to_string(Process) + "/stat");
   std::string Text((std::istreambuf_iterator<char>(Stat)), {});
-  // The command name may contain spaces and ends with ')'; utime and stime are fields 14 and 15.
+  // The command name may contain spaces and is closed by ')'; utime and stime are fields 14 and 15.
   std::istringstream Rest(Text.substr(Text.rfind(')') + 1));
   std::string Field;
   long Ticks = 0;
--- a/tests/measure/daemon/Usage.h
+++ b/tests/measure/daemon/Usage.h
@@ -11,6 +11,7 @@
 
 namespace masticdrift::measure {
 
+/// CPU time and memory of a process.
 struct Usage {
   double CpuSeconds_ = 0; ///< user and system time
   double ResidentMb_ = 0;
@@ -19,8 +20,7 @@
 /// \returns the usage of a process so far.
 Usage usageOf(pid_t Process);
 
-/// \returns the sum of all samples of a metric in the Prometheus text format, by nothing else than
-/// its name.
+/// \returns the sum over all label values of a metric in the Prometheus text format.
 double metricSum(std::string_view Text, std::string_view Name);
 
 } // namespace masticdrift::measure
