--- a/tests/measure/Interactive.cpp
+++ b/tests/measure/Interactive.cpp
@@ -53,35 +53,35 @@
   while (Now < Stop) {
     if (!Ends.empty() && Ends.begin()->first <= NextArrival) {
       Now = Ends.begin()->first;
-      const RunningRequest One = Ends.begin()->second;
+      const RunningRequest Finished = Ends.begin()->second;
       Ends.erase(Ends.begin());
-      if (One.Late_)
-        holdSlot(Pool, One.Executor_, Now, Now + Millis(250), One.Ran_);
+      if (Finished.Late_)
+        holdSlot(Pool, Finished.Executor_, Now, Now + Millis(250), Finished.Ran_);
       else
-        finishRequest(Pool, One.Executor_, Now, One.Ran_, true);
-      finishSlot(Queue, One.Team_, One.Ran_);
+        finishRequest(Pool, Finished.Executor_, Now, Finished.Ran_, true);
+      finishSlot(Queue, Finished.Team_, Finished.Ran_);
       if (Now >= WarmUpEnd)
-        InTime += One.Late_ ? 0 : 1;
+        InTime += Finished.Late_ ? 0 : 1;
     } else {
       Now = NextArrival;
       NextArrival += std::chrono::duration_cast<core::Duration>(
           std::chrono::duration<double>(ArrivalGap(Random)));
-      QueuedRequest One{++Id, "t" + std::to_string(TeamDistribution(Random)), Now,
-                        Now + Millis(2000)};
+      QueuedRequest Arriving{++Id, "t" + std::to_string(TeamDistribution(Random)), Now,
+                             Now + Millis(2000)};
       Offered += Now >= WarmUpEnd ? 1 : 0;
       if (Baseline)
-        Fifo.push_back(std::move(One));
-      else if (pushRequest(Queue, std::move(One), Now).Admission_ != Admission::Queued)
+        Fifo.push_back(std::move(Arriving));
+      else if (pushRequest(Queue, std::move(Arriving), Now).Admission_ != Admission::Queued)
         Refused += Now >= WarmUpEnd ? 1 : 0;
     }
     for (;;) {
       const auto Executor = chooseExecutor(Pool, Now);
       if (!Executor)
         break;
-      std::optional<QueuedRequest> One;
+      std::optional<QueuedRequest> Request;
       if (!Baseline) {
         ExpiredRequests.clear();
-        One = popRequest(Queue, Now, ExpiredRequests);
+        Request = popRequest(Queue, Now, ExpiredRequests);
         Expired += Now >= WarmUpEnd ? ExpiredRequests.size() : 0;
       } else {
         // The baseline also drops expired requests; otherwise its waiting times grow without bound.
@@ -90,46 +90,47 @@
           Expired += Now >= WarmUpEnd ? 1 : 0;
         }
         if (!Fifo.empty()) {
-          One = Fifo.front();
+          Request = Fifo.front();
           Fifo.pop_front();
         }
       }
-      if (!One)
+      if (!Request)
         break;
       takeSlot(Pool, *Executor, Now);
       if (Now >= WarmUpEnd)
-        Waits.push_back(std::chrono::duration<double>(Now - One->Arrived_).count());
+        Waits.push_back(std::chrono::duration<double>(Now - Request->Arrived_).count());
       auto Run = std::chrono::duration_cast<core::Duration>(
           std::chrono::duration<double, std::milli>(ServiceMs * std::exp(Normal(Random))));
-      const bool Late = Now + Run > One->Deadline_;
+      const bool Late = Now + Run > Request->Deadline_;
       if (Late)
-        Run = One->Deadline_ - Now;
-      Ends.emplace(Now + Run, RunningRequest{One->Team_, *Executor, Run, One->Deadline_, Late});
+        Run = Request->Deadline_ - Now;
+      Ends.emplace(Now + Run,
+                   RunningRequest{Request->Team_, *Executor, Run, Request->Deadline_, Late});
     }
     if (Now >= NextSample) {
       NextSample += Millis(10);
       ++Samples;
-      for (const auto &[At, One] : Ends)
-        Slots[static_cast<std::size_t>(One.Team_[1] - '0')] += 1;
+      for (const auto &[At, Running] : Ends)
+        Slots[static_cast<std::size_t>(Running.Team_[1] - '0')] += 1;
     }
   }
   double MaxDeviation = 0;
   for (std::size_t I = 0; I < Slots.size(); ++I)
     MaxDeviation = std::max(MaxDeviation,
                             std::abs(Slots[I] / Samples / (ExecutorCount * 8) - Weights[I] / 15));
-  nlohmann::ordered_json Out;
-  Out["measure"] = "interactive";
-  Out["policy"] = Baseline ? "fifo-first-fit" : "masticdrift";
-  Out["seed"] = Seed;
-  Out["load"] = Load;
-  Out["offered"] = Offered;
-  Out["in_time"] = InTime;
-  Out["refused_at_once"] = Refused;
-  Out["expired_in_queue"] = Expired;
-  Out["wait_p50_s"] = percentile(Waits, 0.5);
-  Out["wait_p99_s"] = percentile(Waits, 0.99);
-  Out["share_distance_mean"] = MaxDeviation;
-  return Out;
+  nlohmann::ordered_json Result;
+  Result["measure"] = "interactive";
+  Result["policy"] = Baseline ? "fifo-first-fit" : "masticdrift";
+  Result["seed"] = Seed;
+  Result["load"] = Load;
+  Result["offered"] = Offered;
+  Result["in_time"] = InTime;
+  Result["refused_at_once"] = Refused;
+  Result["expired_in_queue"] = Expired;
+  Result["wait_p50_s"] = percentile(Waits, 0.5);
+  Result["wait_p99_s"] = percentile(Waits, 0.99);
+  Result["share_distance_mean"] = MaxDeviation;
+  return Result;
 }
 
 } // namespace masticdrift::measure
--- a/tests/measure/Load.cpp
+++ b/tests/measure/Load.cpp
@@ -80,8 +80,8 @@
     for (int I = 0; I < Workers; ++I)
       addWorker(Cell_, "w" + std::to_string(I), "r" + std::to_string(I / WorkersPerRack),
                 capacity(I));
-    for (const Team &One : Teams)
-      setTeam(Shares_, One.Name_, One.Weight_, {});
+    for (const Team &Owner : Teams)
+      setTeam(Shares_, Owner.Name_, Owner.Weight_, {});
     setCapacity(Shares_, Cell_.Capacity_);
     generate();
   }
@@ -310,54 +310,55 @@
 
   void handleEvents() {
     while (!Events_.empty() && Events_.begin()->first <= Now_) {
-      const Event One = std::move(Events_.begin()->second);
+      const Event DueEvent = std::move(Events_.begin()->second);
       Events_.erase(Events_.begin());
-      switch (One.Kind_) {
+      switch (DueEvent.Kind_) {
       case EventKind::TaskEnd:
-        taskEnd(One);
+        taskEnd(DueEvent);
         break;
       case EventKind::Preempted:
-        preempted(One);
+        preempted(DueEvent);
         break;
       case EventKind::LeaseEnd:
-        leaseEnd(One.Worker_);
+        leaseEnd(DueEvent.Worker_);
         break;
       case EventKind::WorkerBack:
-        LostWorkers_.erase(One.Worker_);
-        addWorker(Cell_, Cell_.Workers_[One.Worker_].Name_, Cell_.Workers_[One.Worker_].Rack_,
-                  Cell_.Workers_[One.Worker_].Capacity_);
+        LostWorkers_.erase(DueEvent.Worker_);
+        addWorker(Cell_, Cell_.Workers_[DueEvent.Worker_].Name_,
+                  Cell_.Workers_[DueEvent.Worker_].Rack_,
+                  Cell_.Workers_[DueEvent.Worker_].Capacity_);
         break;
       }
     }
   }
 
-  void taskEnd(const Event &One) {
-    const auto Found = Running_.find({One.Job_, One.Task_});
-    if (Found == Running_.end() || Found->second.Ticket_ != One.Ticket_)
+  void taskEnd(const Event &DueEvent) {
+    const auto Found = Running_.find({DueEvent.Job_, DueEvent.Task_});
+    if (Found == Running_.end() || Found->second.Ticket_ != DueEvent.Ticket_)
       return;
     const Running State = Found->second;
-    const Placement *Current = findPlacement(Cell_, One.Job_, One.Task_);
+    const Placement *Current = findPlacement(Cell_, DueEvent.Job_, DueEvent.Task_);
     if (Current == nullptr || LostWorkers_.contains(Current->Worker_))
       return; // the scheduler learns of the end only after the lease
     const WorkerIndex Host = Current->Worker_;
-    stopRunning(One.Job_, One.Task_, Host);
-    const auto CancelledIds = taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
-    SimulatedJob &Job = Jobs_.at(One.Job_);
+    stopRunning(DueEvent.Job_, DueEvent.Task_, Host);
+    const auto EndedPlacement = taskEnded(Cell_, Shares_, DueEvent.Job_, DueEvent.Task_, Now_);
+    SimulatedJob &Job = Jobs_.at(DueEvent.Job_);
     if (!Options_.Baseline_)
-      recordTaskEnd(Quarantine_, Cell_, Host, One.Job_, State.StartedAt_, !State.Fails_, Now_);
+      recordTaskEnd(Quarantine_, Cell_, Host, DueEvent.Job_, State.StartedAt_, !State.Fails_, Now_);
     if (State.Fails_) {
       Job.FailedOn_.insert(Host);
       // A job is abandoned after failures on three different workers.
       if (Job.FailedOn_.size() >= 3) {
         Job.Ended_ = true;
         GoodJobsGivenUp_ += Job.AlwaysFails_ ? 0 : 1;
-        dropWaiting(One.Job_);
+        dropWaiting(DueEvent.Job_);
         return;
       }
-      enqueue(Job, {One.Task_});
+      enqueue(Job, {DueEvent.Task_});
       return;
     }
-    if (!Options_.Baseline_ && !State.Throttled_ && !Job.Remaining_.contains(One.Task_))
+    if (!Options_.Baseline_ && !State.Throttled_ && !Job.Remaining_.contains(DueEvent.Task_))
       recordObservation(RunHistory_, Job.Declared_.Team_, Job.Declared_.Family_,
                         Job.Declared_.RunTime_, Job.RunTime_, Job.Declared_.Size_, Job.Size_);
     if (++Job.SucceededTasks_ == Job.Tasks_)
@@ -367,36 +368,36 @@
                             std::chrono::duration<double>(Job.RunTime_).count();
   }
 
-  void preempted(const Event &One) {
-    const auto Found = Running_.find({One.Job_, One.Task_});
-    if (Found == Running_.end() || Found->second.Ticket_ != One.Ticket_)
+  void preempted(const Event &DueEvent) {
+    const auto Found = Running_.find({DueEvent.Job_, DueEvent.Task_});
+    if (Found == Running_.end() || Found->second.Ticket_ != DueEvent.Ticket_)
       return;
     Running &State = Found->second;
-    const Placement *Current = findPlacement(Cell_, One.Job_, One.Task_);
+    const Placement *Current = findPlacement(Cell_, DueEvent.Job_, DueEvent.Task_);
     if (Current == nullptr || LostWorkers_.contains(Current->Worker_))
       return;
-    SimulatedJob &Job = Jobs_.at(One.Job_);
-    ++Preemptions_[static_cast<std::size_t>(One.Method_)];
-    if (One.Method_ == PreemptionMethod::Throttle) {
+    SimulatedJob &Job = Jobs_.at(DueEvent.Job_);
+    ++Preemptions_[static_cast<std::size_t>(DueEvent.Method_)];
+    if (DueEvent.Method_ == PreemptionMethod::Throttle) {
       // A throttled task keeps a quarter of its cores, so the rest takes four times as long.
       State.Throttled_ = true;
       State.EndsAt_ = Now_ + (State.EndsAt_ - Now_) * 4;
       State.Ticket_ = ++Ticket_;
       Events_.emplace(State.EndsAt_, Event{.Kind_ = EventKind::TaskEnd,
-                                           .Job_ = One.Job_,
-                                           .Task_ = One.Task_,
+                                           .Job_ = DueEvent.Job_,
+                                           .Task_ = DueEvent.Task_,
                                            .Ticket_ = Ticket_});
-      taskThrottled(Cell_, Shares_, One.Job_, One.Task_, Now_);
+      taskThrottled(Cell_, Shares_, DueEvent.Job_, DueEvent.Task_, Now_);
       return;
     }
-    if (One.Method_ == PreemptionMethod::Checkpoint)
-      Job.Remaining_[One.Task_] = std::max<Duration>(milliseconds(100), State.EndsAt_ - Now_);
+    if (DueEvent.Method_ == PreemptionMethod::Checkpoint)
+      Job.Remaining_[DueEvent.Task_] = std::max<Duration>(milliseconds(100), State.EndsAt_ - Now_);
     else
       LostCoreSeconds_ += static_cast<double>(Job.Size_.MilliCores_) / 1000 *
                           std::chrono::duration<double>(Now_ - State.StartedAt_).count();
-    stopRunning(One.Job_, One.Task_, Current->Worker_);
-    taskEnded(Cell_, Shares_, One.Job_, One.Task_, Now_);
-    enqueue(Job, {One.Task_});
+    stopRunning(DueEvent.Job_, DueEvent.Task_, Current->Worker_);
+    taskEnded(Cell_, Shares_, DueEvent.Job_, DueEvent.Task_, Now_);
+    enqueue(Job, {DueEvent.Task_});
   }
 
   void injectFaults() {
@@ -470,21 +471,21 @@
       placeFirstInFirstOut();
       return;
     }
-    for (const Decision &One : decide(Cell_, Pending_, Shares_, Now_, {})) {
-      if (One.Kind_ == DecisionKind::Start) {
-        started(One.Job_, One.Task_, One.WorkerIndex_);
+    for (const Decision &Decided : decide(Cell_, Pending_, Shares_, Now_, {})) {
+      if (Decided.Kind_ == DecisionKind::Start) {
+        started(Decided.Job_, Decided.Task_, Decided.WorkerIndex_);
         continue;
       }
-      const Duration Delay = One.Method_ == PreemptionMethod::Checkpoint ? CheckpointTime
-                             : One.Method_ == PreemptionMethod::Throttle ? ThrottleTime
-                                                                         : StopTime;
-      const auto Found = Running_.find({One.Job_, One.Task_});
+      const Duration Delay = Decided.Method_ == PreemptionMethod::Checkpoint ? CheckpointTime
+                             : Decided.Method_ == PreemptionMethod::Throttle ? ThrottleTime
+                                                                             : StopTime;
+      const auto Found = Running_.find({Decided.Job_, Decided.Task_});
       if (Found != Running_.end())
         Events_.emplace(Now_ + Delay, Event{.Kind_ = EventKind::Preempted,
-                                            .Job_ = One.Job_,
-                                            .Task_ = One.Task_,
+                                            .Job_ = Decided.Job_,
+                                            .Task_ = Decided.Task_,
                                             .Ticket_ = Found->second.Ticket_,
-                                            .Method_ = One.Method_});
+                                            .Method_ = Decided.Method_});
     }
   }
 
@@ -553,9 +554,9 @@
           RealUsedByWorker_[I].MilliCores_ > Cell_.Workers_[I].Capacity_.MilliCores_ ? 1 : 0;
     }
     std::vector<TeamIndex> Busy;
-    for (const Team &One : Teams)
-      if (waitingOf(One.Name_) > 0)
-        Busy.push_back(*findTeam(Shares_, One.Name_));
+    for (const Team &Owner : Teams)
+      if (waitingOf(Owner.Name_) > 0)
+        Busy.push_back(*findTeam(Shares_, Owner.Name_));
     if (Busy.size() != Teams.size())
       return;
     const std::vector<double> Deviations = shareDeviations(Shares_, Busy);
@@ -603,8 +604,8 @@
 
   static double mean(const std::vector<double> &Values) {
     double Sum = 0;
-    for (const double One : Values)
-      Sum += One;
+    for (const double Value : Values)
+      Sum += Value;
     return Values.empty() ? 0 : Sum / static_cast<double>(Values.size());
   }
 
@@ -612,42 +613,42 @@
     double MeanDeviation = 0;
     for (const double Sum : DistanceSum_)
       MeanDeviation = std::max(MeanDeviation, FullSamples_ > 0 ? std::abs(Sum) / FullSamples_ : 0);
-    nlohmann::ordered_json Out;
-    Out["measure"] = Options_.Name_;
-    Out["user"] = Profile_.Name_;
-    Out["policy"] = Options_.Baseline_ ? "fifo-first-fit" : "masticdrift";
-    Out["seed"] = Options_.Seed_;
-    Out["load"] = Options_.Load_;
-    Out["jobs"] = Jobs_.size();
-    Out["finished_tasks"] = Finished_;
-    Out["finished_core_s"] = std::round(FinishedCoreSeconds_);
-    Out["refused_impossible"] = Refused_;
-    Out["cancelled"] = Cancelled_;
-    Out["urgent_wait_p50_s"] = percentile(UrgentWaits_, 0.5);
-    Out["urgent_wait_p99_s"] = percentile(UrgentWaits_, 0.99);
-    Out["wait_p50_s"] = percentile(Waits_, 0.5);
-    Out["wait_p99_s"] = percentile(Waits_, 0.99);
-    Out["gang_wait_p99_s"] = percentile(GangWaits_, 0.99);
-    Out["reserved_cores_while_waiting"] = mean(ReservedCores_);
-    Out["reserved_memory_while_waiting"] = mean(ReservedMemory_);
-    Out["real_cores_while_waiting"] = mean(RealCores_);
-    Out["overfull_memory_part"] = MemoryOverloads_ / std::max(1.0, WorkerSamples_);
-    Out["overfull_cores_part"] = CoreOverloads_ / std::max(1.0, WorkerSamples_);
-    Out["share_distance_mean"] = MeanDeviation;
-    Out["share_distance_p95_1s"] = percentile(Distances_, 0.95);
-    Out["share_samples"] = FullSamples_;
-    Out["checkpoints"] = Preemptions_[0];
-    Out["throttles"] = Preemptions_[1];
-    Out["stops"] = Preemptions_[2];
-    Out["stopped_core_s"] = std::round(LostCoreSeconds_);
+    nlohmann::ordered_json Result;
+    Result["measure"] = Options_.Name_;
+    Result["user"] = Profile_.Name_;
+    Result["policy"] = Options_.Baseline_ ? "fifo-first-fit" : "masticdrift";
+    Result["seed"] = Options_.Seed_;
+    Result["load"] = Options_.Load_;
+    Result["jobs"] = Jobs_.size();
+    Result["finished_tasks"] = Finished_;
+    Result["finished_core_s"] = std::round(FinishedCoreSeconds_);
+    Result["refused_impossible"] = Refused_;
+    Result["cancelled"] = Cancelled_;
+    Result["urgent_wait_p50_s"] = percentile(UrgentWaits_, 0.5);
+    Result["urgent_wait_p99_s"] = percentile(UrgentWaits_, 0.99);
+    Result["wait_p50_s"] = percentile(Waits_, 0.5);
+    Result["wait_p99_s"] = percentile(Waits_, 0.99);
+    Result["gang_wait_p99_s"] = percentile(GangWaits_, 0.99);
+    Result["reserved_cores_while_waiting"] = mean(ReservedCores_);
+    Result["reserved_memory_while_waiting"] = mean(ReservedMemory_);
+    Result["real_cores_while_waiting"] = mean(RealCores_);
+    Result["overfull_memory_part"] = MemoryOverloads_ / std::max(1.0, WorkerSamples_);
+    Result["overfull_cores_part"] = CoreOverloads_ / std::max(1.0, WorkerSamples_);
+    Result["share_distance_mean"] = MeanDeviation;
+    Result["share_distance_p95_1s"] = percentile(Distances_, 0.95);
+    Result["share_samples"] = FullSamples_;
+    Result["checkpoints"] = Preemptions_[0];
+    Result["throttles"] = Preemptions_[1];
+    Result["stops"] = Preemptions_[2];
+    Result["stopped_core_s"] = std::round(LostCoreSeconds_);
     if (Options_.Faults_) {
-      Out["bad_worker_starts_after_ten"] = FaultyStartsAfterTen_;
-      Out["bad_worker_part_of_starts"] =
+      Result["bad_worker_starts_after_ten"] = FaultyStartsAfterTen_;
+      Result["bad_worker_part_of_starts"] =
           static_cast<double>(FaultyStartsAfterTen_) / std::max(1.0, StartsDuringFault_);
-      Out["good_jobs_given_up"] = GoodJobsGivenUp_;
+      Result["good_jobs_given_up"] = GoodJobsGivenUp_;
     }
-    Out["never_started"] = NeverStarted_;
-    return Out;
+    Result["never_started"] = NeverStarted_;
+    return Result;
   }
 
   DeploymentProfile Profile_;
--- a/tests/measure/Scale.cpp
+++ b/tests/measure/Scale.cpp
@@ -51,11 +51,11 @@
   }
 
   void recordDecisions(const std::vector<Decision> &Decisions) {
-    for (const Decision &One : Decisions)
-      if (One.Kind_ == DecisionKind::Start)
-        Running_.emplace_back(One.Job_, One.Task_);
+    for (const Decision &Decided : Decisions)
+      if (Decided.Kind_ == DecisionKind::Start)
+        Running_.emplace_back(Decided.Job_, Decided.Task_);
       else
-        Preempted_.push_back(One);
+        Preempted_.push_back(Decided);
   }
 
   void endTasks(std::size_t Count) {
@@ -69,11 +69,11 @@
   }
 
   void confirmPreempted() {
-    for (const Decision &One : Preempted_) {
-      if (One.Method_ == PreemptionMethod::Throttle)
-        taskThrottled(Cell_, Teams_, One.Job_, One.Task_, Now_);
+    for (const Decision &Decided : Preempted_) {
+      if (Decided.Method_ == PreemptionMethod::Throttle)
+        taskThrottled(Cell_, Teams_, Decided.Job_, Decided.Task_, Now_);
       else
-        taskEnded(Cell_, Teams_, One.Job_, One.Task_, Now_);
+        taskEnded(Cell_, Teams_, Decided.Job_, Decided.Task_, Now_);
     }
     Preempted_.clear();
   }
@@ -127,26 +127,26 @@
     PolicySeconds += Cell.LastMs_ / 1000;
     if (Round >= 200) {
       DecisionMs.push_back(Cell.LastMs_);
-      for (const Decision &One : Decisions)
-        Starts += One.Kind_ == DecisionKind::Start ? 1 : 0;
+      for (const Decision &Decided : Decisions)
+        Starts += Decided.Kind_ == DecisionKind::Start ? 1 : 0;
     } else {
       PolicySeconds = 0;
     }
     Cell.recordDecisions(Decisions);
   }
-  nlohmann::ordered_json Out;
-  Out["measure"] = "scale";
-  Out["seed"] = Seed;
-  Out["workers"] = Workers;
-  Out["cell"] = Full ? "full" : "70% used";
-  Out["running_tasks"] = Cell.Running_.size();
-  Out["pending_tasks"] = Cell.Pending_.WaitingTasks_;
-  Out["decide_p50_ms"] = percentile(DecisionMs, 0.5);
-  Out["decide_p99_ms"] = percentile(DecisionMs, 0.99);
-  Out["decide_max_ms"] = percentile(DecisionMs, 1);
-  Out["starts"] = Starts;
-  Out["placements_per_s"] = static_cast<double>(Starts) / PolicySeconds;
-  return Out;
+  nlohmann::ordered_json Result;
+  Result["measure"] = "scale";
+  Result["seed"] = Seed;
+  Result["workers"] = Workers;
+  Result["cell"] = Full ? "full" : "70% used";
+  Result["running_tasks"] = Cell.Running_.size();
+  Result["pending_tasks"] = Cell.Pending_.WaitingTasks_;
+  Result["decide_p50_ms"] = percentile(DecisionMs, 0.5);
+  Result["decide_p99_ms"] = percentile(DecisionMs, 0.99);
+  Result["decide_max_ms"] = percentile(DecisionMs, 1);
+  Result["starts"] = Starts;
+  Result["placements_per_s"] = static_cast<double>(Starts) / PolicySeconds;
+  return Result;
 }
 
 nlohmann::ordered_json runCancelWave(std::uint64_t Seed) {
@@ -178,8 +178,8 @@
     for (int Attempt = 0; Attempt < 200 && !Started; ++Attempt) {
       cancelSome(Cell.Pending_, Ids, 128);
       const auto Decisions = Cell.decideNow();
-      for (const Decision &One : Decisions)
-        Started = Started || (One.Kind_ == DecisionKind::Start && One.Job_ == Id);
+      for (const Decision &Decided : Decisions)
+        Started = Started || (Decided.Kind_ == DecisionKind::Start && Decided.Job_ == Id);
       Cell.recordDecisions(Decisions);
       if (!Started)
         Cell.confirmPreempted();
@@ -203,15 +203,15 @@
   cancelSome(Cell.Pending_, Ids, 1000);
   const double WaveMs =
       std::chrono::duration<double, std::milli>(SteadyClock::now() - Before).count();
-  nlohmann::ordered_json Out;
-  Out["measure"] = "cancel-wave";
-  Out["seed"] = Seed;
-  Out["workers"] = 1800;
-  Out["urgent_start_with_wave_max_ms"] = percentile(WithWaveMs, 1);
-  Out["urgent_start_without_wave_max_ms"] = percentile(WithoutWaveMs, 1);
-  Out["urgent_starts"] = WithWaveMs.size() + WithoutWaveMs.size();
-  Out["cancel_1000_ms"] = WaveMs;
-  return Out;
+  nlohmann::ordered_json Result;
+  Result["measure"] = "cancel-wave";
+  Result["seed"] = Seed;
+  Result["workers"] = 1800;
+  Result["urgent_start_with_wave_max_ms"] = percentile(WithWaveMs, 1);
+  Result["urgent_start_without_wave_max_ms"] = percentile(WithoutWaveMs, 1);
+  Result["urgent_starts"] = WithWaveMs.size() + WithoutWaveMs.size();
+  Result["cancel_1000_ms"] = WaveMs;
+  return Result;
 }
 
 } // namespace masticdrift::measure
--- a/tests/measure/daemon/Main.cpp
+++ b/tests/measure/daemon/Main.cpp
@@ -59,10 +59,10 @@
 std::vector<double> measureTimes(http::Client &Client, const Target &Destination) {
   std::vector<double> Times;
   for (int I = 0; I < LatencyRequests; ++I) {
-    http::ClientRequest Out{"POST", Destination.Url_, "check " + std::to_string(I),
-                            Destination.Headers_};
+    http::ClientRequest Result{"POST", Destination.Url_, "check " + std::to_string(I),
+                               Destination.Headers_};
     const TimePoint Start = core::Clock::now();
-    const http::ClientResult Answer = Client.sendAndWait(std::move(Out));
+    const http::ClientResult Answer = Client.sendAndWait(std::move(Result));
     if (Answer.Answer_.Status_ == 200)
       Times.push_back(
           std::chrono::duration<double, std::milli>(core::Clock::now() - Start).count());
@@ -128,8 +128,8 @@
           ++Answered;
       }
     });
-  for (std::thread &One : Threads)
-    One.join();
+  for (std::thread &Thread : Threads)
+    Thread.join();
   const double Cpu = measure::usageOf(Pid).CpuSeconds_ - Before.CpuSeconds_;
   const double Seconds = std::chrono::duration<double>(LoadTime).count();
   print({{"measure", "throughput"},
@@ -265,8 +265,8 @@
           ++Accepted;
       }
     });
-  for (std::thread &One : Threads)
-    One.join();
+  for (std::thread &Thread : Threads)
+    Thread.join();
   const double Seconds = std::chrono::duration<double>(core::Clock::now() - Start).count();
   const double GrowthMb = measure::usageOf(Pid).ResidentMb_ - Before.ResidentMb_;
   print({{"measure", "waiting_jobs"},
--- a/tests/unit/ExamplesTest.cpp
+++ b/tests/unit/ExamplesTest.cpp
@@ -18,21 +18,21 @@
 
 void assertExampleIsValid(const std::string &Folder, const std::string &SettingsName) {
   const auto ParsedSettings = settings::parse(readExample(Folder + "/" + SettingsName));
-  for (const auto &Each : ParsedSettings.Mistakes_)
-    cr_log_error("%s", Each.text().c_str());
+  for (const auto &Mistake : ParsedSettings.Mistakes_)
+    cr_log_error("%s", Mistake.text().c_str());
   cr_assert(ParsedSettings.Mistakes_.empty());
   const auto Parsed = config::parse(readExample(Folder + "/configuration.json"));
-  for (const auto &Each : Parsed.Mistakes_)
-    cr_log_error("%s", Each.text().c_str());
+  for (const auto &Mistake : Parsed.Mistakes_)
+    cr_log_error("%s", Mistake.text().c_str());
   cr_assert(Parsed.Mistakes_.empty());
   const config::Configuration &FleetConfiguration = Parsed.Configuration_;
   cr_assert_eq(FleetConfiguration.Teams_.size(), 6);
   cr_assert(FleetConfiguration.Fleet_ == ParsedSettings.Settings_.Fleet_.Name_);
   cr_assert_eq(ParsedSettings.Settings_.Fleet_.EntryInstances_, 7);
   cr_assert_eq(FleetConfiguration.Domains_.size(), ParsedSettings.Settings_.Fleet_.Domains_.size());
-  for (const auto &Each : ParsedSettings.Settings_.Fleet_.Domains_)
-    cr_assert(FleetConfiguration.domain(Each.Name_) != nullptr &&
-              FleetConfiguration.domain(Each.Name_)->Region_ == Each.Region_);
+  for (const auto &Domain : ParsedSettings.Settings_.Fleet_.Domains_)
+    cr_assert(FleetConfiguration.domain(Domain.Name_) != nullptr &&
+              FleetConfiguration.domain(Domain.Name_)->Region_ == Domain.Region_);
   cr_assert_eq(config::startOrder(FleetConfiguration).size(), FleetConfiguration.Services_.size());
 }
 
