--- a/tests/measure/daemon/Main.cpp
+++ b/tests/measure/daemon/Main.cpp
@@ -59,10 +59,10 @@
 std::vector<double> measureTimes(http::Client &Client, const Target &Destination) {
   std::vector<double> Times;
   for (int I = 0; I < LatencyRequests; ++I) {
-    http::ClientRequest Result{"POST", Destination.Url_, "check " + std::to_string(I),
-                               Destination.Headers_};
+    http::ClientRequest Request{"POST", Destination.Url_, "check " + std::to_string(I),
+                                Destination.Headers_};
     const TimePoint Start = core::Clock::now();
-    const http::ClientResult Answer = Client.sendAndWait(std::move(Result));
+    const http::ClientResult Answer = Client.sendAndWait(std::move(Request));
     if (Answer.Answer_.Status_ == 200)
       Times.push_back(
           std::chrono::duration<double, std::milli>(core::Clock::now() - Start).count());
