--- a/tests/integration/BadInputTest.cpp
+++ b/tests/integration/BadInputTest.cpp
@@ -97,7 +97,7 @@
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
   Api Daemon(TestFleet, TestFleet.names().front());
-  const std::string Key = Daemon.newKey("mfi");
+  const std::string Key = Daemon.createKey("mfi");
   const std::string Url = TestFleet.callerUrl(TestFleet.names().front());
   const http::Headers WithKey{{"Authorization", "Bearer " + Key}};
   const auto Check = [&](const char *Scope, const Reply &Answer, int Status,
@@ -134,7 +134,7 @@
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
   Api Daemon(TestFleet, TestFleet.names().front());
-  const std::string Key = Daemon.newKey("mfi");
+  const std::string Key = Daemon.createKey("mfi");
   const std::string Url = TestFleet.callerUrl(TestFleet.names().front());
 
   const Reply Large = Daemon.request("reorder", std::string(1'048'577, 'x'), {.Key_ = Key});
@@ -177,7 +177,7 @@
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
   const std::string Name = TestFleet.names().front();
   Api Daemon(TestFleet, Name);
-  const std::string Key = Daemon.newKey("mfi");
+  const std::string Key = Daemon.createKey("mfi");
   const http::Headers Submission{{"Masticdrift-Base-Version", "1"}, {"Masticdrift-Author", "test"}};
 
   expectRefused("no key", call("GET", TestFleet.operatorUrl(Name) + "/v1/status"), 401, "MD-201");
--- a/tests/integration/OversizedBodyTest.cpp
+++ b/tests/integration/OversizedBodyTest.cpp
@@ -12,7 +12,7 @@
   Fleet All;
   cr_assert(bringUp(All), "the fleet did not start");
   Api At(All, All.names().front());
-  const std::string Key = At.newKey("mfi");
+  const std::string Key = At.createKey("mfi");
   const Reply Answer = At.request("reorder", std::string(1'048'577, 'x'), {.Key_ = Key});
   cr_expect_eq(Answer.Status_, 413, "%d %s", Answer.Status_, Answer.Body_.c_str());
   cr_expect(Answer.errorId() == "MD-102", "%s", Answer.Body_.c_str());
--- a/tests/integration/PathTest.cpp
+++ b/tests/integration/PathTest.cpp
@@ -27,7 +27,7 @@
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
   Api FirstDaemon(TestFleet, TestFleet.names().front());
-  const std::string Key = FirstDaemon.newKey("mfi");
+  const std::string Key = FirstDaemon.createKey("mfi");
 
   // An interactive request through each daemon. The key was granted at the first one, so the others
   // may not know it yet (MD-202).
--- a/tests/integration/StandinTest.cpp
+++ b/tests/integration/StandinTest.cpp
@@ -486,7 +486,7 @@
   TestFleet.cutDomain("karachi-a");
   cr_assert(TestFleet.client().sendAndWait({"POST", Log, "x", {}}).Transfer_ ==
             Transfer::NotConnected);
-  TestFleet.healAll();
+  TestFleet.clearFaults();
   cr_assert_eq(status(TestFleet.client().sendAndWait({"POST", Log, "x", {}})), 200);
   TestFleet.pause("lahore-a-1");
   TestFleet.kill("lahore-a-1");
--- a/tests/invariant/Callers.h
+++ b/tests/invariant/Callers.h
@@ -101,7 +101,7 @@
                                     .Id_ = Record.RequestId_,
                                     .Idempotent_ = Record.Idempotent_,
                                     .DeadlineMs_ = Options_.DeadlineMs_,
-                                    .More_ = {}});
+                                    .ExtraHeaders_ = {}});
       Record.DurationMs_ = core::toMillis(core::Clock::now() - Start);
       const bool Completed = Record.Reply_.Outcome_ == "completed";
       {
--- a/tests/invariant/ConfigTest.cpp
+++ b/tests/invariant/ConfigTest.cpp
@@ -123,7 +123,7 @@
 
   // The daemons of karachi-a still reach each other, so the owner keeps its lease and could run
   // requests.
-  const std::string Isolated = notOwnerIn(Cluster, "lahore-a");
+  const std::string Isolated = nonOwnerIn(Cluster, "lahore-a");
   const std::vector<std::string> CutDomain = Cluster.namesIn("karachi-a");
   Traffic Keyed(Cluster, Names, {.Queue_ = "reorder", .Key_ = Key, .DeadlineMs_ = 500});
   Traffic Open(Cluster, without(Names, {Isolated}), {.Queue_ = "status"});
@@ -131,7 +131,7 @@
   core::TimePoint Revoked;
   {
     const Step Label("isolate one daemon and one domain, then revoke the key");
-    cutAlone(Cluster, Isolated);
+    isolateDaemon(Cluster, Isolated);
     Cluster.cutDomain("karachi-a");
     const Reply Response =
         Api(Cluster, "faisalabad-b-1")
@@ -185,7 +185,7 @@
                OpenSamples.size());
   std::vector<Sample> AllSamples = KeyedSamples;
   AllSamples.insert(AllSamples.end(), OpenSamples.begin(), OpenSamples.end());
-  const std::string Contradiction = contradiction(Cluster, AllSamples);
+  const std::string Contradiction = findContradiction(Cluster, AllSamples);
   cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
 }
 
@@ -271,7 +271,7 @@
   }
   {
     const Step Label("store restored: every configuration is fresh");
-    Cluster.healAll();
+    Cluster.clearFaults();
     cr_assert(waitFor(RecoveredWithin, [&] {
       return std::ranges::all_of(Names, [&](const std::string &Name) {
         const Json Status = Api(Cluster, Name).status();
@@ -292,7 +292,7 @@
   Fleet Cluster;
   cr_assert(bringUp(Cluster), "the fleet did not come up");
   const std::vector<std::string> Names = Cluster.names();
-  const std::string Key = Api(Cluster, Names.front()).newKey("mfi");
+  const std::string Key = Api(Cluster, Names.front()).createKey("mfi");
   std::string Refusal = awaitServing(Cluster, Names, "reorder", Key, core::Millis(5000));
   cr_assert(Refusal.empty(), "%s", Refusal.c_str());
   const std::uint64_t Version = versionAt(Cluster, Names.front());
@@ -328,15 +328,15 @@
     std::fprintf(stderr, "  %zu keyed requests, %zu not served\n", Samples.size(), NotServed);
     for (const auto &[Domain, Owner] : Owners)
       cr_expect_eq(ownerIn(Cluster, Domain), Owner, "the lease of %s moved", Domain.c_str());
-    const std::string Contradiction = contradiction(Cluster, Samples);
+    const std::string Contradiction = findContradiction(Cluster, Samples);
     cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
   }
   {
     const Step Label("one daemon isolated as well");
-    const std::string Isolated = notOwnerIn(Cluster, "lahore-a");
+    const std::string Isolated = nonOwnerIn(Cluster, "lahore-a");
     const std::vector<std::string> Others = without(Names, {Isolated});
     Traffic Open(Cluster, Others, {.Queue_ = "status"});
-    cutAlone(Cluster, Isolated);
+    isolateDaemon(Cluster, Isolated);
     const core::TimePoint Start = core::Clock::now();
     Traffic Keyed(Cluster, Names, {.Queue_ = "reorder", .Key_ = Key});
     cr_assert(waitFor(core::Millis(10'000),
@@ -354,13 +354,13 @@
       cr_expect(RequestSample.completed(), "%lld ms after the cut: %s",
                 static_cast<long long>(core::toMillis(RequestSample.Sent_ - Start)),
                 RequestSample.text().c_str());
-    const std::string Contradiction = contradiction(Cluster, Open.finish());
+    const std::string Contradiction = findContradiction(Cluster, Open.finish());
     cr_expect(Contradiction.empty(), "%s", Contradiction.c_str());
   }
   {
     const Step Label("faults ended: all requests are served again");
     const core::TimePoint Start = core::Clock::now();
-    Cluster.healAll();
+    Cluster.clearFaults();
     Refusal = awaitServing(Cluster, Names, "reorder", Key, RecoveredWithin);
     cr_expect(Refusal.empty(), "%s", Refusal.c_str());
     if (Refused.errorId() == "MD-501")
--- a/tests/invariant/FailingExecutorsTest.cpp
+++ b/tests/invariant/FailingExecutorsTest.cpp
@@ -9,7 +9,7 @@
 Test(FailingExecutors, outcomesAreCorrectAndNothingRunsTwice) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
-  const std::string Key = Api(TestFleet, TestFleet.names().front()).newKey("mfi");
+  const std::string Key = Api(TestFleet, TestFleet.names().front()).createKey("mfi");
   cr_assert(awaitKeyEverywhere(TestFleet, Key));
   for (const int IdempotentEvery : {0, 2}) {
     const std::string Scope = IdempotentEvery == 0 ? "non-idempotent" : "mixed";
--- a/tests/invariant/RequestTest.cpp
+++ b/tests/invariant/RequestTest.cpp
@@ -10,7 +10,7 @@
 Test(OverloadAndTakeover, slotsAreNeverOvercommitted) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
-  const std::string Key = Api(TestFleet, TestFleet.names().front()).newKey("mfi");
+  const std::string Key = Api(TestFleet, TestFleet.names().front()).createKey("mfi");
   cr_assert(awaitKeyEverywhere(TestFleet, Key));
   const std::string Domain = "lahore-a";
   const std::vector<std::string> Daemons = TestFleet.namesIn(Domain);
@@ -56,7 +56,7 @@
 Test(PausedOwner, sendsNothingAfterLosingTheLease) {
   Fleet TestFleet;
   cr_assert(bringUp(TestFleet), "the fleet did not come up");
-  const std::string Key = Api(TestFleet, TestFleet.names().front()).newKey("mfi");
+  const std::string Key = Api(TestFleet, TestFleet.names().front()).createKey("mfi");
   cr_assert(awaitKeyEverywhere(TestFleet, Key));
   const std::string Domain = "lahore-a";
   const std::vector<std::string> Daemons = TestFleet.namesIn(Domain);
--- a/tests/unit/JournalTest.cpp
+++ b/tests/unit/JournalTest.cpp
@@ -13,8 +13,8 @@
 using namespace masticdrift;
 using namespace masticdrift::journal;
 using core::ErrorKind;
+using tests::AppendBehavior;
 using tests::LogService;
-using tests::OnAppend;
 using tests::waitFor;
 
 namespace {
@@ -221,7 +221,7 @@
 Test(LostAnswer, aRetryHasOneEffect) {
   core::Timers Timers;
   LogFixture Fixture;
-  Fixture.Service_.plan({OnAppend::TakeSilent});
+  Fixture.Service_.plan({AppendBehavior::AcceptWithoutAnswer});
   Appender BatchAppender(fastOptions(), appendTo(Fixture.Log_, "domain.a"), Timers);
   cr_assert(append(BatchAppender, {entry("once")}).get().first == ErrorKind::None);
   cr_assert_eq(Fixture.Service_.records().size(), 2);
@@ -237,7 +237,7 @@
 Test(LostAnswer, replaySettlesTheBatch) {
   core::Timers Timers;
   LogFixture Fixture;
-  Fixture.Service_.otherwise(OnAppend::TakeSilent);
+  Fixture.Service_.setDefaultBehavior(AppendBehavior::AcceptWithoutAnswer);
   Appender BatchAppender(fastOptions(), appendTo(Fixture.Log_, "domain.a"), Timers);
   auto Result = append(BatchAppender, {entry("seen")});
   cr_assert(waitFor([&] { return Fixture.Service_.appends() >= 1; }));
@@ -252,12 +252,12 @@
   core::Timers Timers;
   LogFixture Fixture;
   Appender BatchAppender(fastOptions(), appendTo(Fixture.Log_, "domain.a"), Timers);
-  Fixture.Service_.otherwise(OnAppend::Refuse);
+  Fixture.Service_.setDefaultBehavior(AppendBehavior::Refuse);
   cr_assert(append(BatchAppender, {entry("a")}).get().first == ErrorKind::StoreUnavailable);
-  Fixture.Service_.plan({OnAppend::DropSilent});
+  Fixture.Service_.plan({AppendBehavior::DropWithoutAnswer});
   cr_assert(append(BatchAppender, {entry("b")}).get().first == ErrorKind::AppendUnknown);
   cr_assert(Fixture.Service_.records().empty());
-  Fixture.Service_.otherwise(OnAppend::Take);
+  Fixture.Service_.setDefaultBehavior(AppendBehavior::Acknowledge);
   cr_assert(append(BatchAppender, {entry("c")}).get() == (Outcome{ErrorKind::None, 0}));
   cr_assert_eq(decodeBatch(Fixture.Service_.records().at(0))->Sequence_, 3);
 }
@@ -270,7 +270,7 @@
   auto Options = fastOptions();
   Options.MaxBufferedBytes_ = 1000;
   Options.MaxAppendBytes_ = 900;
-  Fixture.Service_.plan({OnAppend::Refuse, OnAppend::Refuse});
+  Fixture.Service_.plan({AppendBehavior::Refuse, AppendBehavior::Refuse});
   Appender BatchAppender(Options, appendTo(Fixture.Log_, "domain.a"), Timers);
   auto Kept = append(BatchAppender, {entry(std::string(600, 'a'))});
   cr_assert(append(BatchAppender, {entry(std::string(600, 'b'))}).get().first ==
