lead, daemon: say what each timing constant limits

Some comments on the constants of the scheduler, the election, the placement and the daemon had no subject or gave only the reason for a value. Each now says what the constant limits; the reasons and their numbers follow.

--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -41,25 +41,28 @@
 /// Timeouts and delays of the election.
 struct ElectionTiming {
   core::Millis HeartbeatInterval_{700};
-  /// Covers three heartbeats plus one answer of a slow store.
+  /// Time without a new record after which the leader counts as gone. Covers three heartbeats plus
+  /// one answer of a slow store.
   core::Millis SilenceTimeout_{2300};
-  /// Replaces SilenceTimeout_ when the leader's process is gone (its address refuses connections)
-  /// or when the leader reports that the store refuses it.
+  /// Silence timeout that replaces SilenceTimeout_ when the leader's process is gone (its address
+  /// refuses connections) or when the leader reports that the store refuses it.
   core::Millis RefusedSilenceTimeout_{500};
   /// Delay between the claims of daemons with consecutive ranks, so that few
   /// claims are made in vain.
   core::Millis ClaimInterval_{120};
-  /// When the leader has already been gone for this long at the time that a daemon notices it,
-  /// claim delays count from that time on. Equals the eight turns of the larger machines.
+  /// Maximum delay in noticing the loss of the leader that is deducted from a daemon's claim delay.
+  /// A daemon that notices the loss this late or later counts its claim delay from that time on.
+  /// Equals the eight turns of the larger machines.
   core::Millis RestartTurnsAfter_{960};
   /// Multiplier from a daemon's additional store latency to its additional claim delay. A leader
   /// calls the store twice for each submission and once for each end of a run, and loses the store
   /// when the regions are cut off from each other.
   int StoreDelayFactor_ = 40;
-  /// Above the time of a call within a region (0.9 ms one way), below that of a call between
-  /// regions (8 ms).
+  /// Store latency up to which a daemon's claims are not delayed. Above the time of a call within a
+  /// region (0.9 ms one way), below that of a call between regions (8 ms).
   core::Millis NearStoreTime_{6};
-  /// Four turns: a leader in another region is still better than none.
+  /// Maximum additional claim delay due to store latency. Equals four turns: a leader in another
+  /// region is still better than none.
   core::Millis MaxStoreDelay_{480};
 };
 
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -137,11 +137,13 @@
   /// Any lease that the executor may hold has ended by this time.
   core::TimePoint LeaseEnd_{};
   bool Silent_ = false;
+  /// A hold request, which requests the executor's report, acknowledges ends and renews the lease,
+  /// is awaiting its result.
   bool HoldInFlight_ = false;
-  core::TimePoint NextHoldAt_{};
-  core::TimePoint LastHoldAt_{};
+  core::TimePoint NextHoldAt_{};   ///< earliest time of the next hold request
+  core::TimePoint LastHoldAt_{};   ///< when the last hold request was sent
   std::uint64_t ProcessedEnd_ = 0; ///< highest processed end number
-  /// Highest end number whose effect is durable; acknowledged with the next hold.
+  /// Highest end number whose effect is durable; acknowledged with the next hold request.
   std::uint64_t DurableEnd_ = 0;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> UnackedEnds_; ///< end number, flush
   /// Resources of all runs, without the processor time of filling runs.
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -34,21 +34,33 @@
   core::Millis ListSettleTime_{2500};
   /// Wait time of a hold request before an executor without new ends answers.
   core::Millis HoldWait_{900};
-  core::Millis HoldSpacing_{25};      ///< between an answer with ends and the next request
-  core::Millis OverdueHoldWait_{250}; ///< the same while a run there should have ended
-  /// An unanswered order can still be carried out until then (12 s plus its transit time).
+  /// Delay between a report with ends and the next hold request.
+  core::Millis HoldSpacing_{25};
+  /// Minimum wait time of a hold request while a run with a known typical run time is about to end
+  /// or overdue.
+  core::Millis OverdueHoldWait_{250};
+  /// Time after which an unanswered order can no longer be carried out (12 s plus its transit
+  /// time).
   core::Millis MaxOrderDelay_{13'000};
-  core::Millis HoldRetryDelay_{300};     ///< before a failed hold or stop is repeated
-  core::Millis UnackedHoldSpacing_{400}; ///< between hold requests while ends are not durable
-  core::Millis OrderRetryDelay_{60};     ///< before an unanswered start order is repeated
-  /// An accepted job has been read by then: the long-poll time of a read, the answer of a slow
-  /// store and the pause between reads.
+  /// Delay before a failed hold request or stop order is repeated.
+  core::Millis HoldRetryDelay_{300};
+  /// Minimum interval of hold requests while the effects of reported ends are not durable or ends
+  /// are left unprocessed.
+  core::Millis UnackedHoldSpacing_{400};
+  /// Delay before an unanswered start order is repeated.
+  core::Millis OrderRetryDelay_{60};
+  /// Time for which the end of a run of an unknown job is left unprocessed. Afterwards the end is
+  /// processed without the job and acknowledged. An accepted job has been read by then: the time
+  /// covers the long poll of a read, the answer of a slow store and the pause between reads.
   core::Millis UnknownJobWait_{3000};
-  core::Millis AvoidFailingTime_{4000}; ///< no new runs on an executor with consecutive failures
-  core::Millis TicketMargin_{200};      ///< tickets are treated as expired this much earlier
-  core::Millis AdviceRetryDelay_{150};  ///< after a request for advice without a usable answer
-  core::Millis AvoidStalledTime_{1500}; ///< no new runs on an executor with stalled runs
-  core::Millis MoveTime_{400};          ///< time lost by stopping a run and restarting it elsewhere
+  /// Time for which an executor with consecutive failures gets no new runs.
+  core::Millis AvoidFailingTime_{4000};
+  core::Millis TicketMargin_{200}; ///< tickets are treated as expired this much earlier
+  /// Delay before advice is requested again after a request without a usable answer.
+  core::Millis AdviceRetryDelay_{150};
+  /// Time for which an executor with stalled runs gets no new runs.
+  core::Millis AvoidStalledTime_{1500};
+  core::Millis MoveTime_{400}; ///< time lost by stopping a run and restarting it elsewhere
   /// Runs on a draining executor are stopped this long before it shuts down.
   core::Millis DrainMargin_{700};
   /// A request sent this long after a draining executor left the list no longer reaches it.
@@ -72,9 +84,9 @@
   std::function<void(const fleet::ExecutorInfo &, const RunKey &)> Stop_;
   /// Limits a filling run to \c Percent of its speed.
   std::function<void(const fleet::ExecutorInfo &, const RunKey &, int Percent)> Pace_;
-  /// Requests the report of an executor. The request acknowledges ends up to \c SeenUpTo and renews
-  /// the executor's lease until \c UntilMs on its clock (0 leaves the lease unchanged). The
-  /// executor answers after \c Wait, or as soon as a run ends.
+  /// Sends a hold request: requests the report of an executor, acknowledges ends up to \c SeenUpTo
+  /// and renews the executor's lease until \c UntilMs on its clock (0 leaves the lease unchanged).
+  /// The executor answers after \c Wait, or as soon as a run ends.
   std::function<void(const fleet::ExecutorInfo &, std::uint64_t SeenUpTo, std::int64_t UntilMs,
                      core::Millis Wait)>
       Hold_;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -25,13 +25,14 @@
 
 namespace {
 
-/// Connections kept open for reuse: four for each of 350 executors plus some for the platform,
-/// within the 3,900 descriptors that the smallest machines have for sockets.
+/// Maximum number of connections kept open for reuse: four for each of 350 executors plus some for
+/// the platform, within the 3,900 descriptors that the smallest machines have for sockets.
 constexpr long MaxKeptConnections = 1500;
 constexpr std::chrono::seconds IdleConnectionTimeout{30};
 /// Largest request body that is read; the limit of the configuration is lower.
 constexpr std::size_t MaxBodyBytes = 1U << 20U;
-/// A new configuration must be in force within 2.5 s, even if the connection that reads it stalls.
+/// Long-poll time of a read of the configuration. A new configuration must be in force within 2.5
+/// s, even if the connection that reads it stalls.
 constexpr core::Millis ConfigLongPoll{1200};
 constexpr core::Millis JobsLongPoll{700};
 constexpr core::Millis SpecsLongPoll{1000};
@@ -41,18 +42,19 @@
 /// pending jobs, which may be 2 s old, and for the next takeover.
 constexpr core::Millis LeaderReadPause{80};
 constexpr core::Millis FollowerJobsPause{1200};
-/// While no leader answers, callers get the state that this daemon has read; they poll about every
-/// 250 ms.
+/// Pause between a follower's reads of the jobs while no leader answers. Callers then get the state
+/// that this daemon has read; they poll about every 250 ms.
 constexpr core::Millis NoLeaderJobsPause{180};
-/// Followers need the steps of jobs only for the next takeover.
+/// Pause between a follower's reads of the job steps, which it needs only for the next takeover.
 constexpr core::Millis FollowerSpecsPause{2000};
 constexpr core::Millis LeaderExecutorsPause{200};
 constexpr core::Millis FollowerExecutorsPause{1800};
 constexpr core::Millis ExpiryInterval{50};
-/// An executor that was removed from the list may still run tasks that an earlier leader started.
+/// Time for which the entry of an executor that was removed from the list is kept. It may still run
+/// tasks that an earlier leader started.
 constexpr core::Millis UnlistedExecutorRetention{15'000};
-/// The load balancer stops sending new connections after two failed readiness checks, made once per
-/// second.
+/// Minimum time for which a stopping daemon keeps serving. The load balancer stops sending new
+/// connections after two failed readiness checks, made once per second.
 constexpr core::Millis MinStopTime{2300};
 /// The process exits this long before the platform kills it.
 constexpr core::Millis StopMargin{800};
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -15,20 +15,24 @@
 constexpr core::Millis PlacementInterval{100};
 /// Limit of executors in one advice request; the service accepts 100.
 constexpr std::size_t MaxExecutorsPerCall = 60;
-/// Advice is requested for more slots than needed, because executors may fill up in the meantime.
+/// Ratio of the slots for which advice is requested to the slots needed, because executors may fill
+/// up in the meantime.
 constexpr double AdviceReserveFactor = 1.3;
-/// A request names at least as many executors as extend its fixed time by this fraction.
+/// Determines the minimum number of executors in an advice request: so many that their time per
+/// executor adds up to this fraction of the request's fixed time.
 constexpr double MinExecutorTimeFraction = 0.3;
-/// Fraction of executors that advice allows: the initial estimate, the weight of a new sample, and
-/// the minimum that is assumed.
+/// Initial estimate of the yield, the fraction of executors that advice allows.
 constexpr double InitialYield = 0.5;
+/// Weight of a new sample of the yield.
 constexpr double YieldWeight = 0.1;
+/// Minimum yield that is assumed.
 constexpr double MinYield = 0.1;
 /// Advice for the next step is requested when the current step is expected to end within the
 /// duration of the request plus this time.
 constexpr core::Millis PrefetchSlack{400};
 
-/// Half-life of the share of a customer's limit that is reserved for its first-priority work.
+/// Half-life of the peak demand of a customer's first-priority work. The part of the customer's
+/// limit that this peak covers is reserved for such work.
 constexpr double PeakHalfLifeS = 8;
 /// At most 1/MaxReserveDivisor of a limit is reserved.
 constexpr std::int64_t MaxReserveDivisor = 2;
--- a/src/lead/Progress.cpp
+++ b/src/lead/Progress.cpp
@@ -15,11 +15,12 @@
 /// average, and for at least MinStallTime, which spans several reports.
 constexpr int StallPercent = 6;
 constexpr core::Millis MinStallTime{700};
-/// The same for a run that is still at 0%: a fraction of its declared run time, and the minimum.
+/// A run that is still at 0% is stalled after this fraction of its declared run time, but not
+/// before MinInitialStallTime.
 constexpr double InitialStallFraction = 0.5;
 constexpr core::Millis MinInitialStallTime{1200};
-/// Number of samples from which a ratio is trusted, and their maximum mean deviation relative to
-/// it.
+/// A ratio is trusted from this number of samples on, if their mean deviation relative to it is at
+/// most MaxRelativeDeviation.
 constexpr std::uint32_t MinRatioSamples = 8;
 constexpr double MaxRelativeDeviation = 0.3;
 /// Minimum weight of the newest sample of a ratio.
