fleet, protocol, platform, daemon: complete the comments on values and fields

The end kinds, some message fields and the times of the settings had no comment or no unit, and the comment on Notice contradicted its senders.

--- a/include/masticdrift/fleet/Orders.h
+++ b/include/masticdrift/fleet/Orders.h
@@ -50,8 +50,8 @@
   LeaseOver,     ///< the end of the lease is in the past
   NoRoom,        ///< the executor checks its capacity and has none left
   TicketInvalid, ///< a new ticket is needed
-  OtherInstance, ///< another incarnation listens on the address
-  Unhealthy,     ///< rejected without effect
+  OtherInstance, ///< another incarnation of the executor listens on the address
+  Unhealthy,     ///< the executor rejected the order without effect (status 429 or 503)
   Malformed,     ///< the executor cannot decode the order
   NoAnswer,      ///< unknown: the order may have been executed, or may be later
   NotSent,       ///< not sent, because no connection could be opened
@@ -71,7 +71,14 @@
 };
 
 /// Reason for the end of a run.
-enum class EndKind { Done, Failed, Stopped, LeaseLapsed, GangBroken, GangIncomplete };
+enum class EndKind {
+  Done,          ///< the task completed
+  Failed,        ///< the task failed
+  Stopped,       ///< ended by a stop order
+  LeaseLapsed,   ///< the lease ended without a renewal
+  GangBroken,    ///< another run of the gang ended
+  GangIncomplete ///< the other runs of the gang did not start
+};
 
 /// \returns the stable lower-case name of \p Kind.
 std::string_view nameOf(EndKind Kind);
--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -58,8 +58,8 @@
   /// calls the store twice for each submission and once for each end of a run, and loses the store
   /// when the regions are cut off from each other.
   int StoreDelayFactor_ = 40;
-  /// Store latency up to which a daemon's claims are not delayed. Above the time of a call within a
-  /// region (0.9 ms one way), below that of a call between regions (8 ms).
+  /// Store latency up to which a daemon's claim gets no additional delay. Above the time of a call
+  /// within a region (0.9 ms one way), below that of a call between regions (8 ms).
   core::Millis NearStoreTime_{6};
   /// Maximum additional claim delay due to store latency. Equals four turns: a leader in another
   /// region is still better than none.
--- a/include/masticdrift/protocol/Messages.h
+++ b/include/masticdrift/protocol/Messages.h
@@ -125,23 +125,24 @@
   MSGPACK_DEFINE_ARRAY(Outcome_, ErrorKind_, Status_, ContentType_, Body_, Message_, RunState_)
 };
 
-/// Notifies an owner that records were appended to its stream.
+/// Announces that a record was appended to a stream, so that the recipients read it before their
+/// next poll. Sent to all peers for the configuration and to the owner for a domain's stream.
 struct Notice {
   std::string Stream_;
-  std::uint64_t Offset_ = 0;
+  std::uint64_t Offset_ = 0; ///< offset of the appended record
   MSGPACK_DEFINE_ARRAY(Stream_, Offset_)
 };
 
 /// Requests the state of a job from the owner.
 struct JobQuery {
-  std::string Text_; ///< JSON
+  std::string Text_; ///< JSON object with the parameters of the query
   MSGPACK_DEFINE_ARRAY(Text_)
 };
 
 /// Reply to JobQuery.
 struct JobReply {
-  std::int32_t ErrorKind_ = 0;
-  std::string Text_; ///< JSON
+  std::int32_t ErrorKind_ = 0; ///< a core::ErrorKind, 0 on success
+  std::string Text_;           ///< JSON reply; the error message when ErrorKind_ is not 0
   MSGPACK_DEFINE_ARRAY(ErrorKind_, Text_)
 };
 
@@ -154,7 +155,7 @@
 /// Reply to StatusQuery.
 struct StatusReply {
   std::int32_t ErrorKind_ = 0;
-  std::string Text_; ///< JSON
+  std::string Text_; ///< status of the owner as JSON
   MSGPACK_DEFINE_ARRAY(ErrorKind_, Text_)
 };
 
@@ -166,9 +167,9 @@
 
 /// Reply to ConfigFetch: the replayed configuration state of the peer.
 struct ConfigCopy {
-  bool Present_ = false; ///< false when the peer has not caught up with the log
-  std::uint64_t Offset_ = 0;
-  std::string State_; ///< encoded by package config
+  bool Present_ = false;     ///< false when the peer has not caught up with the log
+  std::uint64_t Offset_ = 0; ///< offset of the first record that State_ does not include
+  std::string State_;        ///< encoded by package config
   MSGPACK_DEFINE_ARRAY(Present_, Offset_, State_)
 };
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -35,9 +35,9 @@
 using core::TimePoint;
 using protocol::MessageKind;
 
-/// Between rebuilds of the routing view of the domains.
+/// Interval at which the routing view of the domains is rebuilt.
 constexpr core::Millis ViewInterval{50};
-/// Between comparisons of the service jobs with the configuration.
+/// Interval at which the service jobs are compared with the configuration.
 constexpr core::Millis ServiceInterval{500};
 constexpr core::Millis MetricsInterval{1'000};
 /// A peer that answered a probe within this time counts as reachable.
@@ -664,6 +664,9 @@
   const settings::Settings Settings_;
   const std::function<void()> OnDrain_;
   const std::uint64_t Incarnation_;
+  /// Messages are dropped while this is false: until all members are constructed, because Link_ is
+  /// constructed before the members that handle messages, and from the start of destruction on,
+  /// because those members are then being stopped.
   std::atomic<bool> AcceptsMessages_{false};
   core::Timers Timers_;
   core::Timers CellTimers_;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -31,8 +31,8 @@
 constexpr std::chrono::seconds IdleConnectionTimeout{30};
 /// Largest request body that is read; the limit of the configuration is lower.
 constexpr std::size_t MaxBodyBytes = 1U << 20U;
-/// Long-poll time of a read of the configuration. A new configuration must be in force within 2.5
-/// s, even if the connection that reads it stalls.
+/// Long-poll time of a read of the configuration. A new configuration must be in force within
+/// 2.5 s, even if the connection that reads it stalls.
 constexpr core::Millis ConfigLongPoll{1200};
 constexpr core::Millis JobsLongPoll{700};
 constexpr core::Millis SpecsLongPoll{1000};
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -31,8 +31,8 @@
 /// duration of the request plus this time.
 constexpr core::Millis PrefetchSlack{400};
 
-/// Half-life of the peak demand of a customer's first-priority work. The part of the customer's
-/// limit that this peak covers is reserved for such work.
+/// Half-life of the peak demand of a customer's first-priority work. The part of this peak that is
+/// not in use is reserved within the customer's limit.
 constexpr double PeakHalfLifeS = 8;
 /// At most 1/MaxReserveDivisor of a limit is reserved.
 constexpr std::int64_t MaxReserveDivisor = 2;
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -105,9 +105,8 @@
 
 /// \returns true while the end of a run must not be acknowledged because its job is unknown. An
 /// earlier leader that is still active may have accepted and started a job that this leader has not
-/// read yet; an acknowledgement would lose the result of the run. Returns
-/// false after SchedulerTiming::UnknownJobWait_: the end is then processed without its job and
-/// acknowledged.
+/// read yet; an acknowledgement would lose the result of the run. Returns false after
+/// SchedulerTiming::UnknownJobWait_: the end is then processed without its job and acknowledged.
 bool Scheduler::mustWaitForJob(ExecutorState &Executor, const fleet::ReportedEnd &End,
                                core::TimePoint Now) {
   if (End.SequenceNumber_ <= Executor.ProcessedEnd_ || Jobs_.contains(End.Task_.Job_) ||
