daemon, tests: name the job table and the dispatcher by their types

The type of the jobs' state is JobTable, while the members that hold it were still called Ledger_: they are now JobTable_. In the election tests the AdviceDispatcher was called Desk: it is now Dispatcher.

--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -42,7 +42,7 @@
   std::string PeerAddress_; ///< where other daemons reach this one
   std::string Incarnation_; ///< random id of this process
   core::TimePoint StartedAt_;
-  work::JobTable Ledger_;                  ///< jobs, as far as they were read
+  work::JobTable JobTable_;                ///< jobs, as far as they were read
   std::optional<work::Manifest> Manifest_; ///< configuration in force, if it was read
   std::map<std::string, ExecutorEntry, std::less<>> ExecutorEntries_; ///< by executor id
   bool Stopping_ = false;                                             ///< the daemon shuts down
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -121,8 +121,8 @@
              "the number of pending jobs is unknown until all jobs are loaded");
       return;
     }
-    Request->answer(200,
-                    platform::encodePending(Context_.Ledger_.pendingCount(Request->Queue_->Name_)));
+    Request->answer(
+        200, platform::encodePending(Context_.JobTable_.pendingCount(Request->Queue_->Name_)));
     return;
   }
   if (Request->JobId_.empty()) {
@@ -146,7 +146,7 @@
 }
 
 void EntryService::submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body) {
-  if (Context_.Ledger_.find(Request->JobId_) != nullptr) {
+  if (Context_.JobTable_.find(Request->JobId_) != nullptr) {
     // Repeated submission whose first answer was lost.
     answerWrite(Request, WriteOutcome::Stored);
     return;
@@ -258,7 +258,7 @@
                            ? core::unpack<protocol::SubmitReply>(Result.Answer_.Body_)
                            : std::nullopt;
     if (Reply && Reply->Stored_) {
-      Context_.Ledger_.apply(Reply->Offset_, Write.Record_.Key_, Write.Record_.Value_);
+      Context_.JobTable_.apply(Reply->Offset_, Write.Record_.Key_, Write.Record_.Value_);
       OnDone(WriteOutcome::Stored);
       return;
     }
@@ -292,7 +292,7 @@
   }
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
   const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
-  if (const work::JobTableEntry *Job = Context_.Ledger_.find(Id);
+  if (const work::JobTableEntry *Job = Context_.JobTable_.find(Id);
       Job != nullptr && !Call.Spec_.empty()) {
     // Repeated submission that was sent to another daemon.
     OnDone({true, false, Job->AcceptedOffset_});
@@ -303,7 +303,7 @@
            protocol::SubmitReply Reply;
            Reply.Stored_ = Outcome == WriteOutcome::Stored;
            Reply.Refused_ = Outcome == WriteOutcome::Refused;
-           if (const work::JobTableEntry *Job = Context_.Ledger_.find(Id))
+           if (const work::JobTableEntry *Job = Context_.JobTable_.find(Id))
              Reply.Offset_ = Job->AcceptedOffset_;
            OnDone(Reply);
          });
@@ -311,7 +311,7 @@
 
 void EntryService::resolveState(const std::shared_ptr<PendingRequest> &Request,
                                 StateCallback OnState) {
-  const protocol::JobStateReply LocalReply = jobStateReply(Context_.Ledger_, Request->JobId_);
+  const protocol::JobStateReply LocalReply = jobStateReply(Context_.JobTable_, Request->JobId_);
   if (LocalReply.Known_ && work::isFinal(static_cast<work::JobState>(LocalReply.State_))) {
     onStateReply(Request, "own", LocalReply, OnState);
     return;
@@ -351,7 +351,7 @@
 
 void EntryService::resolveLocally(const std::shared_ptr<PendingRequest> &Request,
                                   const StateCallback &OnState) {
-  const protocol::JobStateReply LocalReply = jobStateReply(Context_.Ledger_, Request->JobId_);
+  const protocol::JobStateReply LocalReply = jobStateReply(Context_.JobTable_, Request->JobId_);
   if (LocalReply.Known_) {
     onStateReply(Request, "own", LocalReply, OnState);
     return;
@@ -362,7 +362,7 @@
   }
   // Only the complete log shows that a job does not exist.
   JobTail_.catchUp(CatchUpTimeout, [this, Request, OnState](bool Complete) {
-    const protocol::JobStateReply UpdatedReply = jobStateReply(Context_.Ledger_, Request->JobId_);
+    const protocol::JobStateReply UpdatedReply = jobStateReply(Context_.JobTable_, Request->JobId_);
     if (UpdatedReply.Known_)
       onStateReply(Request, "own", UpdatedReply, OnState);
     else if (Complete)
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -171,7 +171,7 @@
 private:
   void onJobRecord(const platform::KeyedRecord &Record) {
     const work::JobTableChange Change =
-        Context_.Ledger_.apply(Record.Offset_, Record.Key_, Record.Value_);
+        Context_.JobTable_.apply(Record.Offset_, Record.Key_, Record.Value_);
     using enum work::JobTableChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job record cannot be decoded",
@@ -187,7 +187,7 @@
   }
 
   void onSpecRecord(const platform::KeyedRecord &Record) {
-    const work::JobTableChange Change = Context_.Ledger_.applySpec(Record.Key_, Record.Value_);
+    const work::JobTableChange Change = Context_.JobTable_.applySpec(Record.Key_, Record.Value_);
     using enum work::JobTableChange::Kind;
     if (Change.Kind_ == Unreadable)
       core::log(core::LogLevel::Warning, "job specification cannot be decoded",
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -298,7 +298,7 @@
         Scheduler_->onExecutor(Info, Now);
         Scheduler_->onExecutorGone(Executor.Id_, Now);
       }
-    for (const auto &[Id, Job] : Context_.Ledger_.jobs())
+    for (const auto &[Id, Job] : Context_.JobTable_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
     AdviceDispatcher_.registerAdviser({}, Now);
     // Ends the longer pauses between a follower's reads.
@@ -320,7 +320,7 @@
               {{"term", std::to_string(Term_)}, {"reason", std::string(Reason)}});
     Role_ = Role::Follower;
     Scheduler_.reset();
-    JobStateWaiters_.answerReady(Context_.Ledger_, core::Clock::now() + MaxJobStateWait);
+    JobStateWaiters_.answerReady(Context_.JobTable_, core::Clock::now() + MaxJobStateWait);
     core::setGauge("masticdrift_leader", 0);
     NewestReadAt_ = core::Clock::now();
   }
@@ -377,7 +377,7 @@
     OrderRouter_.flush(Now);
     Retention_.removeDue(Now, core::wallMillis());
     flushProgress(Now);
-    JobStateWaiters_.answerReady(Context_.Ledger_, Now);
+    JobStateWaiters_.answerReady(Context_.JobTable_, Now);
     if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
       updateGauges(Now);
     runAfter(TickTimer_, TickInterval, [this] { tick(); });
@@ -452,7 +452,7 @@
     const std::uint64_t FlushNumber = std::exchange(FlushNumber_, 0);
     FlushedRecords_.reset();
     Scheduler_->onFlushed(FlushNumber, core::Clock::now());
-    JobStateWaiters_.answerReady(Context_.Ledger_, core::Clock::now());
+    JobStateWaiters_.answerReady(Context_.JobTable_, core::Clock::now());
     scheduleTick();
   }
 
@@ -465,8 +465,8 @@
       std::uint64_t Offset = Result.Offset_;
       for (const platform::KeyedRecord &Record : *Records) {
         const work::JobTableChange Change =
-            Context_.Ledger_.apply(Offset++, Record.Key_, Record.Value_);
-        const work::JobTableEntry *Job = Context_.Ledger_.find(Change.Id_);
+            Context_.JobTable_.apply(Offset++, Record.Key_, Record.Value_);
+        const work::JobTableEntry *Job = Context_.JobTable_.find(Change.Id_);
         if (Job != nullptr && work::isFinal(Job->state()))
           Retention_.onJobEnded(Change.Id_);
       }
@@ -584,7 +584,7 @@
   }
 
   void queryJobState(const std::string &JobId, JobStateWaiters::ReplyCallback OnReply) {
-    protocol::JobStateReply DurableState = jobStateReply(Context_.Ledger_, JobId);
+    protocol::JobStateReply DurableState = jobStateReply(Context_.JobTable_, JobId);
     DurableState.Answered_ = Role_ == Role::Leading;
     const bool EndBeingWritten = DurableState.Answered_ && DurableState.Known_ &&
                                  !Jobs_.failing() &&
@@ -771,8 +771,8 @@
 void LeaderDriver::onJob(std::string_view JobId) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
-  const auto Entry = Impl_->Context_.Ledger_.jobs().find(std::string(JobId));
-  if (Entry == Impl_->Context_.Ledger_.jobs().end()) {
+  const auto Entry = Impl_->Context_.JobTable_.jobs().find(std::string(JobId));
+  if (Entry == Impl_->Context_.JobTable_.jobs().end()) {
     Impl_->Scheduler_->onJobForgotten(std::string(JobId));
     return;
   }
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -41,7 +41,7 @@
       WallMs - Context_.Settings_.EndedJobRetentionMs_ - RetentionMarginMs;
   std::vector<platform::KeyedRecord> Records;
   std::size_t Count = 0;
-  for (const auto &[Id, Job] : Context_.Ledger_.jobs()) {
+  for (const auto &[Id, Job] : Context_.JobTable_.jobs()) {
     if (Count == MaxJobsPerAppend)
       break;
     if (!Job.Accepted_ || !Job.Progress_ || !work::isFinal(Job.Progress_->State_) ||
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -95,30 +95,30 @@
 void FakeFleet::submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue) {
   Submitted_[Id] = Spec;
   SubmittedAt_[Id] = Now_;
-  Ledger_.applySpec(Id, work::encodeSpec(Id, Spec).Value_);
+  JobTable_.applySpec(Id, work::encodeSpec(Id, Spec).Value_);
   const work::LogRecord Entry =
       work::encodeAccepted(Id, {*work::findQueueByName(Manifest_, Queue), "c", wallMs(Now_)});
-  Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
+  JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
       measureDecision([this, &Leader = Scheduler, &Id] {
-        Leader->onJob(*Ledger_.find(Id), Now_, wallMs(Now_));
+        Leader->onJob(*JobTable_.find(Id), Now_, wallMs(Now_));
       });
 }
 
 void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
   const work::LogRecord Entry = work::encodeStarted(Id, Term);
-  Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
+  JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
   submit(Id, std::move(Spec));
 }
 
 void FakeFleet::cancel(const std::string &Id) {
   const work::LogRecord Entry = work::encodeCancelled(Id, {wallMs(Now_)});
-  Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
+  JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
       measureDecision([this, &Leader = Scheduler, &Id] {
-        Leader->onJob(*Ledger_.find(Id), Now_, wallMs(Now_));
+        Leader->onJob(*JobTable_.find(Id), Now_, wallMs(Now_));
       });
 }
 
@@ -291,13 +291,13 @@
   Leader_->setManifest(Manifest_, Now_);
   for (const auto &[Id, Executor] : Executors_)
     Leader_->onExecutor(Executor.Info_, Now_);
-  for (const auto &[Id, Job] : Ledger_.jobs())
+  for (const auto &[Id, Job] : JobTable_.jobs())
     if (!ReadDelays_.contains(Id))
       Leader_->onJob(Job, Now_, wallMs(Now_));
   for (const auto &[Id, Time] : std::exchange(ReadDelays_, {}))
     schedule(Now_ + Time, [this, ThisTerm, Scheduler, Job = Id] {
       if (ThisTerm->Alive_)
-        Scheduler().onJob(*Ledger_.find(Job), Now_, wallMs(Now_));
+        Scheduler().onJob(*JobTable_.find(Job), Now_, wallMs(Now_));
     });
   tick(ThisTerm);
 }
@@ -326,7 +326,7 @@
                    return;
                  }
                  for (const work::LogRecord &Entry : Entries)
-                   Ledger_.apply(Offset_++, Entry.Key_, Entry.Value_);
+                   JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
                  measureDecision([&] { Scheduler.onFlushed(Number, Now_); });
                });
     }
@@ -487,7 +487,9 @@
   Now_ = End;
 }
 
-work::JobState FakeFleet::stateOf(const std::string &Id) const { return Ledger_.find(Id)->state(); }
+work::JobState FakeFleet::stateOf(const std::string &Id) const {
+  return JobTable_.find(Id)->state();
+}
 
 int FakeFleet::startsOf(const work::TaskRef &Task) const {
   const auto Found = Starts_.find(Task);
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -185,7 +185,7 @@
   std::map<std::string, core::TimePoint> SubmittedAt_;
   std::map<std::string, core::TimePoint> LastCompletionAt_;
   std::vector<std::string> Violations_;
-  work::JobTable Ledger_;
+  work::JobTable JobTable_;
   work::Manifest Manifest_;
   std::uint64_t Offset_ = 0;
   std::uint64_t Fence_ = 0;
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -205,35 +205,36 @@
 // checks that wait behind long requests at every daemon.
 Test(Advice, longCallsLeaveOneAdviserFree) {
   std::vector<std::pair<std::string, double>> Sent;
-  daemon::AdviceDispatcher Desk([&](const std::string &Adviser, const daemon::AdviceCall &Job) {
-    Sent.emplace_back(Adviser, Job.ExpectedMs_);
-  });
-  Desk.registerAdviser("", Start);
-  Desk.registerAdviser("p1", Start);
-  Desk.registerAdviser("p2", Start);
+  daemon::AdviceDispatcher Dispatcher(
+      [&](const std::string &Adviser, const daemon::AdviceCall &Job) {
+        Sent.emplace_back(Adviser, Job.ExpectedMs_);
+      });
+  Dispatcher.registerAdviser("", Start);
+  Dispatcher.registerAdviser("p1", Start);
+  Dispatcher.registerAdviser("p2", Start);
   for (int I = 0; I < 5; ++I)
-    Desk.enqueue({{}, {}, 500, {2, Start}}, Start);
+    Dispatcher.enqueue({{}, {}, 500, {2, Start}}, Start);
   cr_assert_eq(Sent.size(), 2);
-  Desk.enqueue({{}, {}, 30, {0, Start}}, Start);
+  Dispatcher.enqueue({{}, {}, 30, {0, Start}}, Start);
   cr_assert_eq(Sent.size(), 3);
   cr_expect(Sent.back().first.empty());
   // One free daemon is reserved; with a second one the next long request is sent.
-  Desk.onCallFinished("p1", true, Start);
+  Dispatcher.onCallFinished("p1", true, Start);
   cr_expect_eq(Sent.size(), 3);
-  Desk.onCallFinished("", true, Start);
+  Dispatcher.onCallFinished("", true, Start);
   cr_expect_eq(Sent.size(), 4);
 }
 
 // Guards against repeated requests to an adviser that does not answer.
 Test(Advice, adviserWithoutAnswerIsNotAskedAgain) {
   std::vector<std::string> Sent;
-  daemon::AdviceDispatcher Desk(
+  daemon::AdviceDispatcher Dispatcher(
       [&](const std::string &Adviser, const daemon::AdviceCall &) { Sent.push_back(Adviser); });
-  Desk.registerAdviser("", Start);
-  Desk.registerAdviser("p1", Start);
-  Desk.enqueue({{}, {}, 30, {0, Start}}, Start);
+  Dispatcher.registerAdviser("", Start);
+  Dispatcher.registerAdviser("p1", Start);
+  Dispatcher.enqueue({{}, {}, 30, {0, Start}}, Start);
   cr_assert(Sent.back() == "p1");
-  Desk.onCallFinished("p1", false, Start);
-  Desk.enqueue({{}, {}, 30, {0, Start}}, Start);
+  Dispatcher.onCallFinished("p1", false, Start);
+  Dispatcher.enqueue({{}, {}, 30, {0, Start}}, Start);
   cr_expect(Sent.back().empty());
 }
