--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -21,7 +21,7 @@
 /// cannot serve.
 class EntryService {
 public:
-  /// \param JobTail the tail that fills the context's ledger.
+  /// \param JobTail the tail that fills the context's job table.
   /// \param SpecWriter appends the steps of jobs.
   /// \param RecordWriter appends all other records of jobs.
   /// \param Leader tells which daemon leads.
@@ -46,8 +46,8 @@
   void submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body);
   void cancel(const std::shared_ptr<PendingRequest> &Request);
   void queryState(const std::shared_ptr<PendingRequest> &Request);
-  /// Determines the customer and the state of a job: from this daemon's ledger if the job is final
-  /// there, otherwise from the leader or from the complete log.
+  /// Determines the customer and the state of a job: from this daemon's job table if the job is
+  /// final there, otherwise from the leader or from the complete log.
   ///
   /// \param OnState called with the state; a request for an unknown job, or for one of another
   ///   customer, is refused instead.
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -18,8 +18,8 @@
 /// Runs this daemon's part of the election, and the scheduler with its I/O while the daemon leads.
 class LeaderDriver {
 public:
-  /// \param Jobs reader of the job records; it fills the context's ledger.
-  /// \param Specs reader of the jobs' steps; it adds them to the ledger.
+  /// \param Jobs reader of the job records; it fills the context's job table.
+  /// \param Specs reader of the jobs' steps; it adds them to the job table.
   /// \param Executors reader of the executor list; it fills the context's executor entries.
   LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors);
   LeaderDriver(const LeaderDriver &) = delete;
@@ -33,7 +33,7 @@
   /// stops; it makes no further claims then.
   void release();
 
-  /// Passes a job on to the scheduler after its ledger entry changed or was removed.
+  /// Passes a job on to the scheduler after its job table entry changed or was removed.
   void onJob(std::string_view JobId);
   /// Handles a progress record that was read from the log; it may confirm an outstanding append.
   void onProgressRead(std::string_view Key, std::string_view Value);
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -113,7 +113,7 @@
   /// Applies a new configuration.
   void setManifest(const work::Manifest &Manifest, core::TimePoint Now);
 
-  /// Adds or updates a job after one of its records was applied to the ledger.
+  /// Adds or updates a job after one of its records was applied to the job table.
   void onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs);
 
   /// \returns true when the leader has ended the job; the record of the end may not be durable yet.
