fleet: explain Unhealthy without the status codes

The header describes orders independently of any wire format, so the comment names the executor's condition instead of the codes that report it.

--- a/include/masticdrift/fleet/Orders.h
+++ b/include/masticdrift/fleet/Orders.h
@@ -51,7 +51,7 @@
   NoRoom,        ///< the executor checks its capacity and has none left
   TicketInvalid, ///< a new ticket is needed
   OtherInstance, ///< another incarnation of the executor listens on the address
-  Unhealthy,     ///< the executor rejected the order without effect (status 429 or 503)
+  Unhealthy,     ///< overloaded or unavailable; the order was rejected without effect
   Malformed,     ///< the executor cannot decode the order
   NoAnswer,      ///< unknown: the order may have been executed, or may be later
   NotSent,       ///< not sent, because no connection could be opened
