legacy, policy, ctl, settings, membership: rename misleading identifiers

Some names hid what they stand for: Remaining_ was a response timeout, closeConnection() closes nothing but updates a count, authorOption() adds an option, exitCodes() returns help text, escapeToken() escapes JSON pointer tokens, a parameter of type Timers was called Schedule, Largest_ combined the maxima of several workers, and locals called Out are results.

Renamed: ExecutorRequest::Remaining_ to ResponseTimeout_, openConnection() and closeConnection() to recordConnectionOpened() and recordConnectionClosed(), jsonOption() and authorOption() to addJsonOption() and addAuthorOption(), exitCodes() to exitCodeHelp(), escapeToken() to escapeJsonPointerToken(), Schedule to Timers, FreedWorkers::Largest_ to MaxPerResource_, and Out to Result, Table or Decoded. Names on the wire and in stored data stay.

--- a/include/masticdrift/legacy/ExecutorClient.h
+++ b/include/masticdrift/legacy/ExecutorClient.h
@@ -30,8 +30,8 @@
   std::string RequestId_;
   std::string ContentType_;
   std::string Body_;
-  core::Millis Remaining_{0}; ///< response timeout; also sent to the executor as its deadline
-  bool Idempotent_ = false;   ///< false forces a new connection, so that libcurl can't resend
+  core::Millis ResponseTimeout_{0}; ///< response timeout; also sent to the executor as its deadline
+  bool Idempotent_ = false;         ///< false forces a new connection, so that libcurl can't resend
   /// Called immediately before the first byte is sent; returning false ends the request with
   /// NotConnected.
   std::function<bool()> MaySend_;
--- a/include/masticdrift/membership/Heartbeat.h
+++ b/include/masticdrift/membership/Heartbeat.h
@@ -45,7 +45,7 @@
 /// destroyed.
 class Heartbeat {
 public:
-  Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule,
+  Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Timers,
             protocol::Link &Link, PeerTable &Table);
   Heartbeat(const Heartbeat &) = delete;
   Heartbeat &operator=(const Heartbeat &) = delete;
--- a/include/masticdrift/policy/Executors.h
+++ b/include/masticdrift/policy/Executors.h
@@ -28,7 +28,7 @@
   std::string Name_;
   std::uint32_t Outstanding_ = 0;          ///< requests in progress
   std::vector<core::TimePoint> HeldUntil_; ///< slots still occupied by timed-out requests
-  std::uint32_t Connections_ = 0;          ///< open connections, see openConnection()
+  std::uint32_t Connections_ = 0;          ///< open connections, see recordConnectionOpened()
   double LatencyMs_ = 0;                   ///< moving average; 0 until the first answer
   std::uint32_t ConsecutiveFailures_ = 0;
   std::uint32_t Ejections_ = 0; ///< consecutive, for the back-off
@@ -89,9 +89,9 @@
 
 /// Records that a connection to an executor is opened.
 /// \returns false if the limit is reached; the connection must then not be opened.
-bool openConnection(ExecutorPool &Pool, std::size_t Index);
+bool recordConnectionOpened(ExecutorPool &Pool, std::size_t Index);
 /// Records that a connection to an executor was closed.
-void closeConnection(ExecutorPool &Pool, std::size_t Index);
+void recordConnectionClosed(ExecutorPool &Pool, std::size_t Index);
 
 /// Frees the slot of a completed request and updates latency and failure counts.
 /// \param Succeeded false after an error of the transfer or of the executor. If the executor
--- a/src/config/ConfigState.cpp
+++ b/src/config/ConfigState.cpp
@@ -382,10 +382,10 @@
 
 std::vector<KeyInfo> ConfigState::keys() const {
   const std::shared_lock Lock(Impl_->Mutex_);
-  std::vector<KeyInfo> Out;
+  std::vector<KeyInfo> Result;
   for (const auto &[Id, Row] : Impl_->Replayed_.Keys_)
-    Out.push_back(toKeyInfo(Row));
-  return Out;
+    Result.push_back(toKeyInfo(Row));
+  return Result;
 }
 
 std::optional<SubmitResult> ConfigState::result(std::string_view SubmissionId) const {
--- a/src/config/Configuration.cpp
+++ b/src/config/Configuration.cpp
@@ -82,16 +82,16 @@
 };
 
 core::Resources readResources(const Node &Object, bool Required) {
-  core::Resources Out;
+  core::Resources Result;
   if (Required) {
-    Out.MilliCores_ = Object.milli("cores", 0, MaxAmount);
-    Out.MemoryMb_ = Object.integer("memory_mb", 0, MaxAmount);
+    Result.MilliCores_ = Object.milli("cores", 0, MaxAmount);
+    Result.MemoryMb_ = Object.integer("memory_mb", 0, MaxAmount);
   } else {
-    Out.MilliCores_ = Object.milli("cores", 0, MaxAmount, 0);
-    Out.MemoryMb_ = Object.integer("memory_mb", 0, MaxAmount, 0);
+    Result.MilliCores_ = Object.milli("cores", 0, MaxAmount, 0);
+    Result.MemoryMb_ = Object.integer("memory_mb", 0, MaxAmount, 0);
   }
-  Out.Accelerators_ = Object.integer("accelerators", 0, MaxAmount, 0);
-  return Out;
+  Result.Accelerators_ = Object.integer("accelerators", 0, MaxAmount, 0);
+  return Result;
 }
 
 /// Reads the elements of one array and reports duplicate names.
@@ -169,10 +169,10 @@
 }
 
 std::string joinNames(const std::vector<std::string> &Names) {
-  std::string Out;
+  std::string Result;
   for (const std::string &Name : Names)
-    Out += (Out.empty() ? "" : " ") + Name;
-  return "[" + Out + "]";
+    Result += (Result.empty() ? "" : " ") + Name;
+  return "[" + Result + "]";
 }
 
 using Fields = std::vector<std::pair<std::string_view, std::string>>;
--- a/src/config/Key.cpp
+++ b/src/config/Key.cpp
@@ -18,13 +18,13 @@
 
 std::string hex(std::span<const unsigned char> Bytes) {
   constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Out;
-  Out.reserve(Bytes.size() * 2);
+  std::string Result;
+  Result.reserve(Bytes.size() * 2);
   for (const unsigned char Byte : Bytes) {
-    Out += Digits[Byte >> 4U];
-    Out += Digits[Byte & 15U];
+    Result += Digits[Byte >> 4U];
+    Result += Digits[Byte & 15U];
   }
-  return Out;
+  return Result;
 }
 
 } // namespace
--- a/src/ctl/Main.cpp
+++ b/src/ctl/Main.cpp
@@ -381,9 +381,11 @@
     targetOptions(Command, Values_.Caller_, "MASTICDRIFT_SERVER", "--key", "MASTICDRIFT_KEY");
   }
 
-  void jsonOption(CLI::App *Command) { Command->add_flag("--json", Values_.Json_, "print JSON"); }
+  void addJsonOption(CLI::App *Command) {
+    Command->add_flag("--json", Values_.Json_, "print JSON");
+  }
 
-  void authorOption(CLI::App *Command) {
+  void addAuthorOption(CLI::App *Command) {
     Command->add_option("--author", Values_.Author_, "name for the audit trail, default $USER");
   }
 
@@ -394,12 +396,12 @@
         command(*Group, "check", "check a text offline", [this] { return configCheck(Values_); });
     Check->add_option("file", Values_.File_, "configuration text, - for standard input")
         ->required();
-    jsonOption(Check);
+    addJsonOption(Check);
     CLI::App *Diff = command(*Group, "diff", "compare two texts offline",
                              [this] { return configDiff(Values_); });
     Diff->add_option("old", Values_.File_, "configuration text")->required();
     Diff->add_option("new", Values_.OtherFile_, "configuration text")->required();
-    jsonOption(Diff);
+    addJsonOption(Diff);
     CLI::App *Submit =
         command(*Group, "submit", "submit a new version", [this] { return configSubmit(Values_); });
     Submit->add_option("file", Values_.File_, "configuration text, - for standard input")
@@ -414,17 +416,17 @@
     Submit->add_flag("--wait", Values_.Wait_, "wait until the version is in force everywhere");
     Submit->add_option("--wait-ms", Values_.WaitMs_, "longest wait")->capture_default_str();
     operatorOptions(Submit);
-    authorOption(Submit);
-    jsonOption(Submit);
+    addAuthorOption(Submit);
+    addJsonOption(Submit);
     CLI::App *Show = command(*Group, "show", "print the version in force",
                              [this] { return configShow(Values_); });
     operatorOptions(Show);
-    jsonOption(Show);
+    addJsonOption(Show);
     CLI::App *History = command(*Group, "history", "list accepted versions", [this] {
       return fetchAndPrint(Values_.Operator_, "/v1/config/history", Values_.Json_);
     });
     operatorOptions(History);
-    jsonOption(History);
+    addJsonOption(History);
   }
 
   void addKeys() {
@@ -434,19 +436,19 @@
         command(*Group, "new", "grant a key; it is shown once", [this] { return keyNew(Values_); });
     New->add_option("team", Values_.Team_, "team")->required();
     operatorOptions(New);
-    authorOption(New);
-    jsonOption(New);
+    addAuthorOption(New);
+    addJsonOption(New);
     CLI::App *Revoke =
         command(*Group, "revoke", "revoke a key", [this] { return keyRevoke(Values_); });
     Revoke->add_option("key_id", Values_.KeyId_, "id of the key, not the key itself")->required();
     operatorOptions(Revoke);
-    authorOption(Revoke);
-    jsonOption(Revoke);
+    addAuthorOption(Revoke);
+    addJsonOption(Revoke);
     CLI::App *List = command(*Group, "list", "list keys", [this] {
       return fetchAndPrint(Values_.Operator_, "/v1/keys", Values_.Json_);
     });
     operatorOptions(List);
-    jsonOption(List);
+    addJsonOption(List);
   }
 
   void addJobs() {
@@ -459,22 +461,22 @@
     Submit->add_option("--request-id", Values_.RequestId_,
                        "id of this job; a repeated id has no second effect");
     callerOptions(Submit);
-    jsonOption(Submit);
+    addJsonOption(Submit);
     CLI::App *Status =
         command(*Group, "status", "show a job", [this] { return jobRequest(Values_, "GET"); });
     Status->add_option("job", Values_.JobId_, "DOMAIN/TEAM/REQUEST")->required();
     callerOptions(Status);
-    jsonOption(Status);
+    addJsonOption(Status);
     CLI::App *Cancel =
         command(*Group, "cancel", "cancel a job", [this] { return jobRequest(Values_, "DELETE"); });
     Cancel->add_option("job", Values_.JobId_, "DOMAIN/TEAM/REQUEST")->required();
     callerOptions(Cancel);
-    jsonOption(Cancel);
+    addJsonOption(Cancel);
     CLI::App *List = command(*Group, "list", "list the team's jobs", [this] {
       return fetchAndPrint(Values_.Caller_, "/v1/jobs", Values_.Json_);
     });
     callerOptions(List);
-    jsonOption(List);
+    addJsonOption(List);
   }
 
   void addOperations() {
@@ -490,22 +492,22 @@
       return fetchAndPrint(Values_.Operator_, "/v1/status", Values_.Json_);
     });
     operatorOptions(Status);
-    jsonOption(Status);
+    addJsonOption(Status);
     CLI::App *Drain = command(Root_, "drain", "stop the addressed daemon gracefully", [this] {
       return printReply(exchange(Values_.Operator_, "POST", "/v1/drain", "",
                                  {{"Masticdrift-Author", Values_.Author_}}, WriteTimeout, true),
                         Values_.Json_);
     });
     operatorOptions(Drain);
-    authorOption(Drain);
-    jsonOption(Drain);
+    addAuthorOption(Drain);
+    addJsonOption(Drain);
     CLI::App *Audit =
         command(Root_, "audit", "show the audit trail", [this] { return auditTrail(Values_); });
     Audit->add_option("--since", Values_.Since_, "milliseconds since the Unix epoch");
     Audit->add_option("--by", Values_.AuditAuthor_, "only entries of this author");
     Audit->add_option("--object", Values_.Object_, "only entries on this object");
     operatorOptions(Audit);
-    jsonOption(Audit);
+    addJsonOption(Audit);
     command(Root_, "completion", "print a bash completion script", [this] {
       std::cout << completionScript(Root_);
       return Exit::Ok;
@@ -517,7 +519,7 @@
   std::function<Exit()> Action_;
 };
 
-std::string exitCodes() {
+std::string exitCodeHelp() {
   std::string Text = "Exit codes:\n";
   for (const ExitRow &Row : ExitTable)
     Text += "  " + std::to_string(static_cast<int>(Row.Code_)) + "  " + std::string(Row.Meaning_) +
@@ -529,7 +531,7 @@
   CLI::App Root("Controls and uses a masticdrift cluster.", "masticdriftctl");
   Root.set_version_flag("--version", MASTICDRIFT_VERSION);
   Root.require_subcommand(1);
-  Root.footer(exitCodes());
+  Root.footer(exitCodeHelp());
   Commands CommandTree(Root);
   try {
     Root.parse(Count, Arguments);
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -23,18 +23,18 @@
 }
 
 std::string percentDecode(std::string_view Text) {
-  std::string Out;
+  std::string Decoded;
   for (std::size_t I = 0; I < Text.size(); ++I) {
     const bool Escaped = Text[I] == '%' && I + 2 < Text.size() && hexDigit(Text[I + 1]) >= 0 &&
                          hexDigit(Text[I + 2]) >= 0;
     if (!Escaped) {
-      Out += Text[I];
+      Decoded += Text[I];
       continue;
     }
-    Out += static_cast<char>(hexDigit(Text[I + 1]) * 16 + hexDigit(Text[I + 2]));
+    Decoded += static_cast<char>(hexDigit(Text[I + 1]) * 16 + hexDigit(Text[I + 2]));
     I += 2;
   }
-  return Out;
+  return Decoded;
 }
 
 } // namespace
--- a/src/legacy/ExecutorClient.cpp
+++ b/src/legacy/ExecutorClient.cpp
@@ -36,11 +36,12 @@
   HttpRequest.Method_ = "POST";
   HttpRequest.Url_ = "http://" + Request.Address_ + "/run";
   HttpRequest.Body_ = std::move(Request.Body_);
-  HttpRequest.Timeout_ = Request.Remaining_;
+  HttpRequest.Timeout_ = Request.ResponseTimeout_;
   HttpRequest.FreshConnection_ = !Request.Idempotent_;
   HttpRequest.MaySend_ = std::move(Request.MaySend_);
-  HttpRequest.Headers_ = {{"Masticdrift-Request-Id", Request.RequestId_},
-                          {"Masticdrift-Deadline-Ms", std::to_string(Request.Remaining_.count())}};
+  HttpRequest.Headers_ = {
+      {"Masticdrift-Request-Id", Request.RequestId_},
+      {"Masticdrift-Deadline-Ms", std::to_string(Request.ResponseTimeout_.count())}};
   if (!Request.ContentType_.empty())
     HttpRequest.Headers_.emplace_back("Content-Type", Request.ContentType_);
   HttpClient_->send(
--- a/src/membership/Heartbeat.cpp
+++ b/src/membership/Heartbeat.cpp
@@ -8,9 +8,9 @@
 namespace masticdrift::membership {
 
 struct Heartbeat::Impl : std::enable_shared_from_this<Heartbeat::Impl> {
-  Impl(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule, protocol::Link &Link,
+  Impl(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Timers, protocol::Link &Link,
        PeerTable &Table)
-      : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Schedule), Link_(Link),
+      : Options_(std::move(Options)), Hooks_(std::move(Hooks)), Timers_(Timers), Link_(Link),
         Table_(Table) {}
 
   struct ProbeTarget {
@@ -108,9 +108,9 @@
   std::map<std::string, std::size_t> RepresentativeIndex_;
 };
 
-Heartbeat::Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Schedule,
+Heartbeat::Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Timers,
                      protocol::Link &Link, PeerTable &Table)
-    : Impl_(std::make_shared<Impl>(std::move(Options), std::move(Hooks), Schedule, Link, Table)) {}
+    : Impl_(std::make_shared<Impl>(std::move(Options), std::move(Hooks), Timers, Link, Table)) {}
 
 Heartbeat::~Heartbeat() = default;
 
--- a/src/policy/Executors.cpp
+++ b/src/policy/Executors.cpp
@@ -132,7 +132,7 @@
     Member.TrialInProgress_ = true;
 }
 
-bool openConnection(ExecutorPool &Pool, std::size_t Index) {
+bool recordConnectionOpened(ExecutorPool &Pool, std::size_t Index) {
   Executor &Member = Pool.Members_[Index];
   if (Member.Connections_ >= Pool.Limits_.Connections_)
     return false;
@@ -140,7 +140,7 @@
   return true;
 }
 
-void closeConnection(ExecutorPool &Pool, std::size_t Index) {
+void recordConnectionClosed(ExecutorPool &Pool, std::size_t Index) {
   if (Pool.Members_[Index].Connections_ > 0)
     --Pool.Members_[Index].Connections_;
 }
--- a/src/policy/Place.cpp
+++ b/src/policy/Place.cpp
@@ -100,7 +100,7 @@
   std::uint64_t FirstEntry_ = UINT64_MAX;
   std::uint64_t EndEntry_ = 0;
   std::vector<std::pair<Resources, WorkerIndex>> Workers_;
-  Resources Largest_;
+  Resources MaxPerResource_;
 };
 
 /// State of one decide() call.
@@ -250,9 +250,9 @@
       continue;
     const Resources Free = freeOf(Host);
     Freed.Workers_.emplace_back(Free, Index);
-    Freed.Largest_ = {std::max(Freed.Largest_.MilliCores_, Free.MilliCores_),
-                      std::max(Freed.Largest_.MemoryMb_, Free.MemoryMb_),
-                      std::max(Freed.Largest_.Accelerators_, Free.Accelerators_)};
+    Freed.MaxPerResource_ = {std::max(Freed.MaxPerResource_.MilliCores_, Free.MilliCores_),
+                             std::max(Freed.MaxPerResource_.MemoryMb_, Free.MemoryMb_),
+                             std::max(Freed.MaxPerResource_.Accelerators_, Free.Accelerators_)};
   }
   return Freed;
 }
@@ -269,7 +269,7 @@
   const TimePoint EarliestEnd = TaskShape.Kind_ == JobKind::Service
                                     ? TimePoint::max()
                                     : Context.Now_ + TaskShape.RunTime_ / 4;
-  if (fitsRequested(TaskShape.Size_, Freed.Largest_))
+  if (fitsRequested(TaskShape.Size_, Freed.MaxPerResource_))
     for (const auto &[Free, HostIndex] : Freed.Workers_) {
       if (!fitsRequested(TaskShape.Size_, Free))
         continue;
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -416,7 +416,7 @@
     Outgoing.Body_ = Request.Body_;
     Outgoing.Idempotent_ = Request.Idempotent_;
     // At least 1 ms, because libcurl takes zero as no timeout.
-    Outgoing.Remaining_ = std::max(
+    Outgoing.ResponseTimeout_ = std::max(
         core::Millis(1), std::chrono::duration_cast<core::Millis>(Attempt.AttemptDeadline_ - Now));
     // Checked again once the connection is established: the daemon may have been paused meanwhile.
     Outgoing.MaySend_ = [Weak = weak_from_this()] {
--- a/src/settings/Reader.cpp
+++ b/src/settings/Reader.cpp
@@ -31,17 +31,17 @@
 /// Deeper documents are rejected, because copying and printing a document is recursive.
 constexpr int MaxDepth = 64;
 
-std::string escapeToken(std::string_view Token) {
-  std::string Out;
+std::string escapeJsonPointerToken(std::string_view Token) {
+  std::string Result;
   for (const char C : Token) {
     if (C == '~')
-      Out += "~0";
+      Result += "~0";
     else if (C == '/')
-      Out += "~1";
+      Result += "~1";
     else
-      Out += C;
+      Result += C;
   }
-  return Out;
+  return Result;
 }
 
 std::string_view typeName(const json &Value) {
@@ -144,10 +144,11 @@
   }
 
   std::string pointer() const {
-    std::string Out;
+    std::string Result;
     for (const Level &Nested : Levels_)
-      Out += "/" + (Nested.Array_ ? std::to_string(Nested.Index_) : escapeToken(Nested.Key_));
-    return Out;
+      Result += "/" + (Nested.Array_ ? std::to_string(Nested.Index_)
+                                     : escapeJsonPointerToken(Nested.Key_));
+    return Result;
   }
 
   std::vector<ValidationError> &Errors_;
@@ -194,7 +195,7 @@
 }
 
 Node Node::child(std::string_view Name) const {
-  std::string Pointer = Pointer_ + "/" + escapeToken(Name);
+  std::string Pointer = Pointer_ + "/" + escapeJsonPointerToken(Name);
   if (Value_ == nullptr)
     return {State_, nullptr, std::move(Pointer)};
   const json &Value = jsonValue(Value_);
@@ -245,7 +246,8 @@
     return Members;
   }
   for (const auto &[Name, Member] : Value.items())
-    Members.emplace_back(Name, Node(State_, &Member, Pointer_ + "/" + escapeToken(Name)));
+    Members.emplace_back(Name,
+                         Node(State_, &Member, Pointer_ + "/" + escapeJsonPointerToken(Name)));
   return Members;
 }
 
@@ -395,7 +397,8 @@
     const std::vector<std::string_view> Names(KnownMembers->begin(), KnownMembers->end());
     for (const auto &[Name, Member] : Value->items())
       if (!KnownMembers->contains(Name))
-        State_->Errors_.push_back({ErrorKind::UnknownField, Pointer + "/" + escapeToken(Name),
+        State_->Errors_.push_back({ErrorKind::UnknownField,
+                                   Pointer + "/" + escapeJsonPointerToken(Name),
                                    "unknown key" + nearestNameHint(Name, Names)});
   }
   return State_->Errors_;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -303,17 +303,17 @@
 }
 
 std::string settingTableMarkdown() {
-  std::string Out = "| setting | type | unit | range | default | meaning |\n"
-                    "| --- | --- | --- | --- | --- | --- |\n";
+  std::string Table = "| setting | type | unit | range | default | meaning |\n"
+                      "| --- | --- | --- | --- | --- | --- |\n";
   for (const SettingInfo &Row : settingTable()) {
     const std::string Range =
         Row.Min_ ? std::to_string(*Row.Min_) + ".." + std::to_string(*Row.Max_) : "";
-    Out += "| `" + Row.Pointer_ + "` | " + std::string(Row.Type_) + " | " + std::string(Row.Unit_) +
-           " | " + Range + " | " +
-           (Row.Default_.empty() ? std::string("required") : "`" + Row.Default_ + "`") + " | " +
-           std::string(Row.Help_) + " |\n";
+    Table += "| `" + Row.Pointer_ + "` | " + std::string(Row.Type_) + " | " +
+             std::string(Row.Unit_) + " | " + Range + " | " +
+             (Row.Default_.empty() ? std::string("required") : "`" + Row.Default_ + "`") + " | " +
+             std::string(Row.Help_) + " |\n";
   }
-  return Out;
+  return Table;
 }
 
 ParsedSettings parse(std::string_view Text) {
--- a/tests/unit/PolicyRequestTest.cpp
+++ b/tests/unit/PolicyRequestTest.cpp
@@ -152,7 +152,7 @@
   }
   cr_assert(Counts[0] == 8 && Counts[1] == 8);
   int Opened = 0;
-  while (openConnection(Pool, 0))
+  while (recordConnectionOpened(Pool, 0))
     ++Opened;
   cr_assert_eq(Opened, 16);
 }
