cell, http, legacy, policy, membership: state missing facts in comments and messages

Several comments left out a case or a subject: the StaleTerm case of a start answer, a 409 body that is not a JSON object, the workers that freedSince() skips, the errors of JobService::cancel() and status(), what the namespace legacy holds, which table gives the run state, and the 4 s behind "within the last seconds". A message showed the internal name MaySend_, and the job service said "did not take the record" where the configuration replica says "did not append the record".

The comments now say so, and the three messages use the terms of their neighbours. No test matches them.

--- a/include/masticdrift/cell/JobService.h
+++ b/include/masticdrift/cell/JobService.h
@@ -62,7 +62,9 @@
 
   /// Requests the cancellation of jobs, with one append per domain.
   ///
-  /// Errors: as accept().
+  /// Errors: StoreUnavailable if a domain's cancellations were certainly not recorded,
+  /// AppendUnknown if they may have been recorded. If several appends fail, the first failure is
+  /// reported; the cancellations of the other domains may have been recorded all the same.
   void cancel(std::span<const std::string> Ids, std::string_view By,
               std::function<void(core::Failure)> Done);
 
@@ -70,7 +72,8 @@
   ///
   /// \param Team the team whose jobs are visible; empty for operators, who see all.
   ///
-  /// Errors: UnknownJob, PeerUnreachable.
+  /// Errors: UnknownJob if the job does not exist or belongs to another team, PeerUnreachable if no
+  /// daemon of the job's domain is known or the queried one does not answer.
   void status(std::string_view Id, std::string_view Team, JobCallback Done);
 
   /// Lists the jobs of a team in all reachable domains, and the domains that were not reachable.
--- a/include/masticdrift/gateway/OperatorApi.h
+++ b/include/masticdrift/gateway/OperatorApi.h
@@ -17,7 +17,7 @@
 struct InstanceConfigOffset {
   std::string Name_;
   std::uint64_t ConfigOffset_ = 0;
-  bool Reachable_ = false; ///< answered a probe within the last seconds
+  bool Reachable_ = false; ///< answered a probe sent less than 4 s ago
 };
 
 struct OperatorApiHooks {
--- a/include/masticdrift/legacy/ExecutorClient.h
+++ b/include/masticdrift/legacy/ExecutorClient.h
@@ -1,5 +1,8 @@
 /// \file
 /// HTTP client that forwards interactive requests to executors.
+///
+/// The namespace legacy holds the clients of the platform's first version, which masticdriftd uses
+/// when it runs without --platform.
 #ifndef MASTICDRIFT_LEGACY_EXECUTORCLIENT_H
 #define MASTICDRIFT_LEGACY_EXECUTORCLIENT_H
 
@@ -30,7 +33,7 @@
   std::string RequestId_;
   std::string ContentType_;
   std::string Body_;
-  core::Millis ResponseTimeout_{0}; ///< response timeout; also sent to the executor as its deadline
+  core::Millis ResponseTimeout_{0}; ///< also sent to the executor as its deadline
   bool Idempotent_ = false;         ///< false forces a new connection, so that libcurl can't resend
   /// Called immediately before the first byte is sent; returning false ends the request with
   /// NotConnected.
@@ -42,7 +45,7 @@
   int Status_ = 0;
   std::string ContentType_;
   std::string Body_;
-  std::string Error_;
+  std::string Error_;    ///< error message; empty if the response is complete
   bool Leaving_ = false; ///< the executor announced that it is shutting down
 };
 
--- a/include/masticdrift/legacy/InstanceList.h
+++ b/include/masticdrift/legacy/InstanceList.h
@@ -1,5 +1,8 @@
 /// \file
 /// Client of the platform's registry of live and leaving instances.
+///
+/// The namespace legacy holds the clients of the platform's first version, which masticdriftd uses
+/// when it runs without --platform.
 #ifndef MASTICDRIFT_LEGACY_INSTANCELIST_H
 #define MASTICDRIFT_LEGACY_INSTANCELIST_H
 
--- a/include/masticdrift/legacy/LogClient.h
+++ b/include/masticdrift/legacy/LogClient.h
@@ -1,5 +1,8 @@
 /// \file
 /// Client of the platform's append-only log service.
+///
+/// The namespace legacy holds the clients of the platform's first version, which masticdriftd uses
+/// when it runs without --platform.
 #ifndef MASTICDRIFT_LEGACY_LOGCLIENT_H
 #define MASTICDRIFT_LEGACY_LOGCLIENT_H
 
--- a/include/masticdrift/legacy/WorkerClient.h
+++ b/include/masticdrift/legacy/WorkerClient.h
@@ -1,5 +1,8 @@
 /// \file
 /// HTTP client for the lease and task commands of workers.
+///
+/// The namespace legacy holds the clients of the platform's first version, which masticdriftd uses
+/// when it runs without --platform.
 #ifndef MASTICDRIFT_LEGACY_WORKERCLIENT_H
 #define MASTICDRIFT_LEGACY_WORKERCLIENT_H
 
--- a/include/masticdrift/membership/Heartbeat.h
+++ b/include/masticdrift/membership/Heartbeat.h
@@ -25,7 +25,8 @@
 
 /// Hooks that run on the timer thread or a thread of the link. Must not block; each may be empty.
 struct HeartbeatHooks {
-  /// Fills in a probe before it is sent, for example the request for a promise.
+  /// Fills in a probe before it is sent, for example the request for a promise, with which the
+  /// owner of a domain asks a member not to claim the domain for a limited time.
   std::function<void(const Member &To, protocol::Probe &Message)> FillProbe_;
   /// Fills in the reply to a probe; Domain_ and Members_ are already set.
   std::function<void(const protocol::Envelope &From, const protocol::Probe &Message,
@@ -41,8 +42,8 @@
 
 /// Probes the other daemons periodically and answers their probes.
 ///
-/// The timers, the link and the table must outlive it, and the link must be stopped before it is
-/// destroyed.
+/// The timers, the link and the table must outlive the Heartbeat, and the link must be stopped
+/// before the Heartbeat is destroyed.
 class Heartbeat {
 public:
   Heartbeat(HeartbeatOptions Options, HeartbeatHooks Hooks, core::Timers &Timers,
--- a/include/masticdrift/policy/Executors.h
+++ b/include/masticdrift/policy/Executors.h
@@ -90,7 +90,8 @@
 /// Records that a connection to an executor is opened.
 /// \returns false if the limit is reached; the connection must then not be opened.
 bool recordConnectionOpened(ExecutorPool &Pool, std::size_t Index);
-/// Records that a connection to an executor was closed.
+/// Records that a connection to an executor was closed. A count of 0 stays 0: the connection may
+/// not have been recorded as opened, for example because the limit was reached.
 void recordConnectionClosed(ExecutorPool &Pool, std::size_t Index);
 
 /// Frees the slot of a completed request and updates latency and failure counts.
--- a/include/masticdrift/policy/Explain.h
+++ b/include/masticdrift/policy/Explain.h
@@ -17,7 +17,7 @@
   NoRoom,          ///< all workers with enough capacity are full
   GangTasks,       ///< the gang's tasks do not all fit yet
   Quarantine,      ///< only quarantined workers have free resources
-  ReservedForGang, ///< the free resources are reserved for another job
+  ReservedForGang, ///< the free resources are reserved for a gang or a large task
   FreeingRoom,     ///< other tasks are being preempted for this urgent job
 };
 
--- a/include/masticdrift/routing/Request.h
+++ b/include/masticdrift/routing/Request.h
@@ -36,7 +36,7 @@
 
 using OutcomeCallback = std::function<void(Outcome)>;
 
-/// \returns an outcome of \p Kind with the run state that the error table gives for it.
+/// \returns an outcome of \p Kind with the run state that core::errorTable() gives for it.
 Outcome failedOutcome(core::ErrorKind Kind, std::string Message);
 
 /// \returns true if the work certainly did not run, so that even a non-idempotent request may be
--- a/src/cell/Controller.cpp
+++ b/src/cell/Controller.cpp
@@ -508,8 +508,8 @@
     } else if (legacy::hadNoEffect(Status) && Status != WorkerStatus::StaleTerm) {
       recordEnd(Key, Task, TaskOutcome::NeverRan, 0, Now);
     }
-    // NoAnswer: each tick sends the same attempt again until the worker answers or its lease has
-    // expired.
+    // After NoAnswer or StaleTerm the task stays in the phase Sending: each tick sends the same
+    // attempt again until the worker answers otherwise or its lease has expired.
   }
 
   /// \returns when to query the worker for the end of a task that has just started.
--- a/src/cell/JobService.cpp
+++ b/src/cell/JobService.cpp
@@ -92,8 +92,8 @@
   if (Kind == ErrorKind::None)
     return {};
   return {Kind, std::string(Kind == ErrorKind::AppendUnknown
-                                ? "the log service did not answer; the record may have been taken"
-                                : "the log service did not take the record")};
+                                ? "the log service did not answer; it may have appended the record"
+                                : "the log service did not append the record")};
 }
 
 } // namespace
@@ -190,6 +190,7 @@
              Json State = Error ? Fallback : Json::parse(Text, nullptr, false);
              if (!State.is_object())
                State = Fallback;
+             // A different acceptance time is that of an earlier submission with the same id.
              if (!Error && State.value("accepted_ms", AcceptedMs) != AcceptedMs)
                State["duplicate"] = true;
              Done({}, dump(State));
--- a/src/gateway/CallerApi.cpp
+++ b/src/gateway/CallerApi.cpp
@@ -345,6 +345,7 @@
             {ErrorKind::UnknownJob, "entry is not a job of this team: " + Entry.dump()}));
       JobIds.push_back(Entry.get<std::string>());
     }
+    // The jobs are not looked up, so the count in the answer may include jobs that do not exist.
     cancel(JobIds, Caller.KeyId_, Respond);
   }
 
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -106,7 +106,7 @@
   Result.BytesIn_ = static_cast<std::size_t>(HeaderBytesIn) + Operation.Answer_.Body_.size();
   Result.Transfer_ = classify(Code, Operation);
   if (Operation.SendDenied_)
-    Result.Error_ = "request not sent: MaySend_ returned false";
+    Result.Error_ = "request not sent: sending was no longer allowed when the request's turn came";
   else if (Code != CURLE_OK)
     Result.Error_ = curl_easy_strerror(Code);
   else if (Result.Transfer_ == Transfer::Truncated)
--- a/src/legacy/WorkerClient.cpp
+++ b/src/legacy/WorkerClient.cpp
@@ -51,7 +51,7 @@
 
 /// Classifies a 409 response. Its body contains the accepted term when the command's term was
 /// lower. Workers also return 409 for commands that are invalid in the task's state, without a
-/// term in the body.
+/// term in the body. A body that is not a JSON object counts as a stale term.
 WorkerStatus classifyConflict(const std::string &Body) {
   const Json Document = Json::parse(Body, nullptr, false);
   return Document.is_object() && !Document.contains("term") ? WorkerStatus::Refused
--- a/src/policy/Place.cpp
+++ b/src/policy/Place.cpp
@@ -100,6 +100,7 @@
   std::uint64_t FirstEntry_ = UINT64_MAX;
   std::uint64_t EndEntry_ = 0;
   std::vector<std::pair<Resources, WorkerIndex>> Workers_;
+  /// Maximum free amount of each resource; the maxima may be those of different workers.
   Resources MaxPerResource_;
 };
 
@@ -230,7 +231,9 @@
   return true;
 }
 
-/// Returns the distinct workers on which resources became free since entry \p From of the log.
+/// Returns the distinct workers on which resources became free since entry \p From of the log or an
+/// earlier one. Workers that do not accept work and are not probing are left out.
+/// \pre \p From is at least CellView::FreedLogStart_, because older entries have been dropped.
 const FreedWorkers &freedSince(DecideContext &Context, std::uint64_t From) {
   FreedWorkers &Freed = Context.FreedSince_;
   const std::uint64_t End = freedLogEnd(Context.Cell_);
--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -84,6 +84,8 @@
   Pending.OnDone_(finalOutcome(Pending, std::move(LastOutcome)));
 }
 
+/// Converts the answer of an executor, which is the upstream of the error kinds and of
+/// Outcome::Status_.
 Outcome toOutcome(legacy::ExecutorAnswer Answer) {
   switch (Answer.Result_) {
   case ExecutorResult::Completed: {
--- a/src/settings/Reader.cpp
+++ b/src/settings/Reader.cpp
@@ -31,6 +31,7 @@
 /// Deeper documents are rejected, because copying and printing a document is recursive.
 constexpr int MaxDepth = 64;
 
+/// Escapes a member name for use as a token of a JSON pointer (RFC 6901).
 std::string escapeJsonPointerToken(std::string_view Token) {
   std::string Result;
   for (const char C : Token) {
