include: complete comments that have no subject

Trailing comments such as "of the author", "between renewals" or "consecutive" leave it to the reader to find what is meant. They now name it.

--- a/include/masticdrift/cell/JobService.h
+++ b/include/masticdrift/cell/JobService.h
@@ -62,9 +62,10 @@
 
   /// Requests the cancellation of jobs, with one append per domain.
   ///
-  /// Errors: StoreUnavailable if a domain's cancellations were certainly not recorded,
-  /// AppendUnknown if they may have been recorded. If several appends fail, the first failure is
-  /// reported; the cancellations of the other domains may have been recorded all the same.
+  /// Errors: StoreUnavailable, BodyTooLarge or Stopping if a domain's cancellations were certainly
+  /// not recorded, AppendUnknown if they may have been recorded. If several appends fail, the first
+  /// failure is reported; the cancellations of the other domains may have been recorded all the
+  /// same.
   void cancel(std::span<const std::string> Ids, std::string_view By,
               std::function<void(core::Failure)> Done);
 
--- a/include/masticdrift/cell/WorkerLease.h
+++ b/include/masticdrift/cell/WorkerLease.h
@@ -14,9 +14,9 @@
 /// Durations of the lease protocol between an owner and a worker.
 struct WorkerLeaseTiming {
   core::Duration Ttl_ = core::Millis(10'000);           ///< lease duration that one renewal grants
-  core::Duration RenewInterval_ = core::Millis(3'333);  ///< between renewals
-  core::Duration RequestTimeout_ = core::Millis(2'000); ///< of one lease request
-  core::Duration SafetyMargin_ = core::Millis(500);     ///< for clock drift and pauses
+  core::Duration RenewInterval_ = core::Millis(3'333);  ///< time between renewals
+  core::Duration RequestTimeout_ = core::Millis(2'000); ///< timeout of one lease request
+  core::Duration SafetyMargin_ = core::Millis(500);     ///< margin for clock drift and pauses
 };
 
 /// State of one worker's lease as known to the owner. Plain data; the functions below interpret it.
--- a/include/masticdrift/http/Client.h
+++ b/include/masticdrift/http/Client.h
@@ -18,7 +18,7 @@
   std::string Url_;
   std::string Body_;
   Headers Headers_;
-  std::chrono::milliseconds Timeout_{2000}; ///< for the whole exchange, including the connect
+  std::chrono::milliseconds Timeout_{2000}; ///< timeout of the whole exchange, connect included
   /// Opens a new connection that is not reused. Required for requests that must not be sent twice:
   /// libcurl resends a request when a reused connection fails before the first response byte.
   bool FreshConnection_ = false;
@@ -39,7 +39,7 @@
 struct ClientResult {
   Transfer Transfer_ = Transfer::NoAnswer;
   Response Answer_;          ///< valid when Transfer_ is Complete
-  std::string Error_;        ///< error message otherwise
+  std::string Error_;        ///< error message; empty when Transfer_ is Complete
   std::size_t BytesOut_ = 0; ///< header and body bytes sent
   std::size_t BytesIn_ = 0;  ///< header and body bytes received
 };
--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -30,7 +30,7 @@
   std::uint16_t Port_ = 0;                      ///< 0 selects a free port
   unsigned ThreadCount_ = 2;                    ///< worker threads
   std::size_t MaxBodyBytes_ = 1U << 20U;        ///< larger bodies are rejected with BodyTooLarge
-  std::chrono::milliseconds ReadTimeout_{5000}; ///< for one complete request
+  std::chrono::milliseconds ReadTimeout_{5000}; ///< timeout for reading one complete request
   asio::io_context *Loop_ = nullptr;            ///< event loop to run on; ThreadCount_ is ignored
 };
 
--- a/include/masticdrift/journal/Appender.h
+++ b/include/masticdrift/journal/Appender.h
@@ -20,18 +20,18 @@
 
 /// Settings of an Appender.
 struct AppenderOptions {
-  std::string Stream_; ///< also the "stream" label of the metrics
+  std::string Stream_; ///< name of the stream; also the "stream" label of the metrics
   std::string Writer_;
   std::uint64_t Incarnation_ = 0;
   core::Duration MaxBatchAge_ = std::chrono::milliseconds(20); ///< age at which a batch is sent
   std::size_t MaxBatchBytes_ = 64U << 10U;                     ///< size at which a batch is sent
   double AppendsPerSecond_ = 20;
   double Burst_ = 20; ///< size of the token bucket, in appends
-  /// Counted from the first entry of a batch. No attempt is started after it.
+  /// Deadline of a batch, counted from its first entry. No attempt is started after it.
   core::Duration BatchDeadline_ = std::chrono::seconds(3);
-  core::Duration RetryDelay_ =
-      std::chrono::milliseconds(100);        ///< doubled per attempt, up to 4 times this
-  std::size_t MaxBufferedBytes_ = 4U << 20U; ///< including the batch being sent
+  /// Delay after the first attempt; doubled per attempt, up to 4 times this.
+  core::Duration RetryDelay_ = std::chrono::milliseconds(100);
+  std::size_t MaxBufferedBytes_ = 4U << 20U; ///< buffer limit, including the batch being sent
   std::size_t MaxAppendBytes_ = 512U << 10U; ///< limit of one append() call
 };
 
--- a/include/masticdrift/membership/Heartbeat.h
+++ b/include/masticdrift/membership/Heartbeat.h
@@ -23,7 +23,8 @@
   int MissesBeforeReconnect_ = 3;
 };
 
-/// Hooks that run on the timer thread or a thread of the link. Must not block; each may be empty.
+/// Hooks that run on the timer thread or a thread of the link. They must not block; each may be
+/// empty.
 struct HeartbeatHooks {
   /// Fills in a probe before it is sent, for example the request for a promise, with which the
   /// owner of a domain asks a member not to claim the domain for a limited time.
--- a/include/masticdrift/ownership/ClaimTable.h
+++ b/include/masticdrift/ownership/ClaimTable.h
@@ -48,8 +48,8 @@
   ClaimEvent Event_ = ClaimEvent::Ignored;
   bool VersionChanged_ = false;
   std::string Instance_;          ///< author of a Claim, Renew or Release
-  std::uint64_t Incarnation_ = 0; ///< of the author
-  std::uint64_t Nonce_ = 0;       ///< of a Claim or Renew
+  std::uint64_t Incarnation_ = 0; ///< incarnation of the author
+  std::uint64_t Nonce_ = 0;       ///< nonce of a Claim or Renew
 };
 
 /// Replays ownership records in offset order. Deterministic: the same records give the same state
--- a/include/masticdrift/ownership/OwnershipDriver.h
+++ b/include/masticdrift/ownership/OwnershipDriver.h
@@ -25,7 +25,7 @@
   std::uint64_t Incarnation_ = 0; ///< increases with every start of the instance
   std::string Address_;           ///< "host:port" of the peer port
   core::Duration LeaseDuration_ = core::Millis(4000);
-  core::Duration SafetyMargin_ = core::Millis(500); ///< for clock drift and pauses
+  core::Duration SafetyMargin_ = core::Millis(500); ///< margin for clock drift and pauses
   core::Duration RenewInterval_ = core::Millis(1000);
   core::Duration YieldAfter_ = core::Millis(10000);
   /// The owner yields only to a member whose last read of the store is younger.
@@ -33,8 +33,10 @@
   core::Duration EvictAfter_ = core::Millis(30000);
   core::Duration MaxRequestDeadline_ = core::Millis(5000);
   core::Duration SlotGrace_ = core::Millis(250);
-  core::Duration MaxClaimReadAge_ = core::Millis(2000); ///< of a claimant's last complete read
-  core::Duration RetryInterval_ = core::Millis(1000);   ///< before an unanswered append is repeated
+  /// Maximum age of a claimant's last complete read.
+  core::Duration MaxClaimReadAge_ = core::Millis(2000);
+  /// Time before an unanswered append is repeated.
+  core::Duration RetryInterval_ = core::Millis(1000);
   /// The following are false only in tests, which show the faults that each mechanism prevents.
   bool CheckVersion_ = true;
   bool HonourPromises_ = true;
--- a/include/masticdrift/policy/Cell.h
+++ b/include/masticdrift/policy/Cell.h
@@ -59,7 +59,8 @@
   TimePoint Started_;
   TimePoint ExpectedEnd_ = TimePoint::max(); ///< TimePoint::max() for services
   WorkerIndex Worker_ = 0;
-  std::optional<PreemptionMethod> PendingPreemption_; ///< not yet confirmed by the worker
+  /// Preemption that the worker has not yet confirmed.
+  std::optional<PreemptionMethod> PendingPreemption_;
   bool Throttled_ = false;
   bool InUse_ = false; ///< false when the entry can be reused
 };
@@ -86,7 +87,7 @@
   bool Present_ = true; ///< false after removeWorker()
   std::vector<PlacementIndex> Placements_;
   std::vector<WorkerReservation> Reserved_;
-  std::uint32_t BucketIndex_ = UINT32_MAX; ///< into FreeIndex; UINT32_MAX: not indexed
+  std::uint32_t BucketIndex_ = UINT32_MAX; ///< index into FreeIndex; UINT32_MAX: not indexed
   std::uint32_t PositionInBucket_ = 0;     ///< index within the bucket
 };
 
@@ -116,8 +117,8 @@
   std::vector<PlacementIndex> FreePlacements_;
   std::unordered_map<std::string, std::map<std::uint32_t, PlacementIndex>> ByJob_;
   std::map<std::string, std::vector<WorkerIndex>, std::less<>> Racks_;
-  Resources Capacity_; ///< of the workers that accept new work, see acceptsWork()
-  Resources Used_;     ///< by all placements
+  Resources Capacity_; ///< capacity of the workers that accept new work, see acceptsWork()
+  Resources Used_;     ///< resources used by all placements
   std::uint32_t PresentWorkers_ = 0;
   std::set<WorkerIndex> Probing_;
   /// Number of tasks per service and rack, for spreading services over racks.
--- a/include/masticdrift/policy/Executors.h
+++ b/include/masticdrift/policy/Executors.h
@@ -31,7 +31,7 @@
   std::uint32_t Connections_ = 0;          ///< open connections, see recordConnectionOpened()
   double LatencyMs_ = 0;                   ///< moving average; 0 until the first answer
   std::uint32_t ConsecutiveFailures_ = 0;
-  std::uint32_t Ejections_ = 0; ///< consecutive, for the back-off
+  std::uint32_t Ejections_ = 0; ///< number of consecutive ejections, for the back-off
   std::optional<core::TimePoint> EjectedUntil_;
   bool TrialInProgress_ = false;
   bool Leaving_ = false;
--- a/include/masticdrift/policy/Quarantine.h
+++ b/include/masticdrift/policy/Quarantine.h
@@ -9,9 +9,10 @@
 
 /// Recent failures of one worker.
 struct WorkerRecord {
-  std::vector<std::string> FailedJobs_; ///< distinct, consecutive; at most ConsecutiveFailures_
-  TimePoint FirstFailureAt_{};          ///< of the consecutive failures
-  std::uint32_t FailedProbes_ = 0;      ///< consecutive
+  /// Distinct jobs that failed consecutively; at most ConsecutiveFailures_.
+  std::vector<std::string> FailedJobs_;
+  TimePoint FirstFailureAt_{};     ///< time of the first of the consecutive failures
+  std::uint32_t FailedProbes_ = 0; ///< number of consecutive failed probes
   TimePoint NextProbeAt_{};
 };
 
--- a/include/masticdrift/policy/Queue.h
+++ b/include/masticdrift/policy/Queue.h
@@ -54,7 +54,7 @@
   bool Urgent_ = false;
   bool Idempotent_ = true;
   Resources Size_;
-  std::uint32_t Tasks_ = 1; ///< of a gang; otherwise 1
+  std::uint32_t Tasks_ = 1; ///< number of tasks of a gang; otherwise 1
   Duration RunTime_{};      ///< rounded up to a power of four seconds; for backfill
   /// freedLogEnd() of the cell when a task last did not fit; UINT64_MAX if never tried.
   std::uint64_t CheckedUpTo_ = UINT64_MAX;
--- a/include/masticdrift/replica/ConfigReplica.h
+++ b/include/masticdrift/replica/ConfigReplica.h
@@ -48,7 +48,7 @@
 struct ConfigResponse {
   core::Failure Error_;       ///< no error when accepted
   std::uint64_t Version_ = 0; ///< version in force, or the version accepted instead on a conflict
-  std::string KeyId_;         ///< of the granted or revoked key
+  std::string KeyId_;         ///< id of the granted or revoked key
   std::string Key_;           ///< secret of a granted key; returned only here
 };
 
