--- a/src/routing/Dispatcher.cpp
+++ b/src/routing/Dispatcher.cpp
@@ -84,6 +84,8 @@
   Pending.OnDone_(finalOutcome(Pending, std::move(LastOutcome)));
 }
 
+/// Converts the answer of an executor, which is the upstream of the error kinds and of
+/// Outcome::Status_.
 Outcome toOutcome(legacy::ExecutorAnswer Answer) {
   switch (Answer.Result_) {
   case ExecutorResult::Completed: {
@@ -416,7 +418,7 @@
     Outgoing.Body_ = Request.Body_;
     Outgoing.Idempotent_ = Request.Idempotent_;
     // At least 1 ms, because libcurl takes zero as no timeout.
-    Outgoing.Remaining_ = std::max(
+    Outgoing.ResponseTimeout_ = std::max(
         core::Millis(1), std::chrono::duration_cast<core::Millis>(Attempt.AttemptDeadline_ - Now));
     // Checked again once the connection is established: the daemon may have been paused meanwhile.
     Outgoing.MaySend_ = [Weak = weak_from_this()] {
