--- a/tests/invariant/DaemonTraffic.h
+++ b/tests/invariant/DaemonTraffic.h
@@ -5,6 +5,7 @@
 
 #include "support/Api.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <functional>
@@ -200,6 +201,22 @@
       TestFleet.cutPeer(Name, Peer);
 }
 
+/// \returns \p Names without \p Removed.
+inline std::vector<std::string> difference(std::vector<std::string> Names,
+                                           const std::vector<std::string> &Removed) {
+  std::erase_if(Names, [&](const std::string &Name) {
+    return std::ranges::find(Removed, Name) != Removed.end();
+  });
+  return Names;
+}
+
+/// \returns both lists of samples in one.
+inline std::vector<Sample> concatenated(std::vector<Sample> First,
+                                        const std::vector<Sample> &Second) {
+  First.insert(First.end(), Second.begin(), Second.end());
+  return First;
+}
+
 } // namespace masticdrift::testing
 
 #endif // MASTICDRIFT_INVARIANT_DAEMONTRAFFIC_H
