lead: changes of an executor's capacity are logged

An executor's capacity may shrink and grow while it runs. The leader took a changed entry over without a trace, so that an executor without starts could not be told from one without room.

`capacity_changed` tells the capacity before and after and what is in use; `masticdrift_executors_over_capacity` counts the executors whose runs need more than their capacity.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -181,7 +181,8 @@
 
   struct Counts {
     std::size_t Jobs_ = 0, Waiting_ = 0, Running_ = 0, Executors_ = 0, Silent_ = 0;
-    std::size_t Unlisted_ = 0; ///< executors without an entry in the executor list
+    std::size_t Unlisted_ = 0;     ///< executors without an entry in the executor list
+    std::size_t OverCapacity_ = 0; ///< listed executors whose runs need more than their capacity
     /// Runs of earlier terms that were reported only after the runs of all earlier terms counted as
     /// known or over. Their tasks may have been started a second time.
     std::size_t UnaccountedRuns_ = 0;
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -49,6 +49,8 @@
     MetricInfo{"masticdrift_waiting_tasks", Gauge, "Tasks that could start, at the leader"},
     MetricInfo{"masticdrift_running_tasks", Gauge, "Runs at executors, at the leader"},
     MetricInfo{"masticdrift_silent_executors", Gauge, "Executors that don't answer"},
+    MetricInfo{"masticdrift_executors_over_capacity", Gauge,
+               "Executors whose runs need more than their capacity"},
     MetricInfo{"masticdrift_unaccounted_runs", Gauge,
                "Runs of earlier terms that were reported too late to rule out a second start"},
     MetricInfo{"masticdrift_relayed_orders_lost_total", Counter,
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -452,6 +452,8 @@
     core::setGauge("masticdrift_waiting_tasks", static_cast<double>(Counts.Waiting_));
     core::setGauge("masticdrift_running_tasks", static_cast<double>(Counts.Running_));
     core::setGauge("masticdrift_silent_executors", static_cast<double>(Counts.Silent_));
+    core::setGauge("masticdrift_executors_over_capacity",
+                   static_cast<double>(Counts.OverCapacity_));
     core::setGauge("masticdrift_unaccounted_runs", static_cast<double>(Counts.UnaccountedRuns_));
     core::log(core::LogLevel::Info, "leader state",
               {{"term", std::to_string(Term_)},
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -1,4 +1,5 @@
 // Executors, their leases, and the start and stop orders of their runs.
+#include "masticdrift/lead/Capacity.h"
 #include "masticdrift/lead/Scheduler.h"
 #include "masticdrift/lead/detail/Times.h"
 
@@ -58,6 +59,9 @@
   } else if (!Info.Draining_) {
     Executor.DrainEnd_ = {};
   }
+  if (WasKnown && Executor.Info_.Capacity_ != Info.Capacity_)
+    logDecision("capacity_changed", {}, 0, Info.Id_,
+                describeCapacityChange(Executor, Info.Capacity_));
   Executor.Info_ = Info;
   Executor.Listed_ = true;
   PlacementDue_ = true;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -1,5 +1,7 @@
 #include "masticdrift/lead/Scheduler.h"
 
+#include "masticdrift/lead/Capacity.h"
+
 #include <algorithm>
 
 namespace masticdrift::lead {
@@ -337,6 +339,7 @@
     Result.Running_ += Executor.Runs_.size();
     Result.Silent_ += Executor.Silent_ ? 1 : 0;
     Result.Unlisted_ += Executor.Listed_ ? 0 : 1;
+    Result.OverCapacity_ += Executor.Listed_ && exceedsCapacity(Executor) ? 1 : 0;
   }
   for (const auto &[Id, Job] : Jobs_)
     for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
