lead: an unanswered start is not repeated on an executor that has shrunk

A start order without an answer is repeated up to twice, and again when an executor answers after a cut. Placement checks the capacity, the repetition did not: with an executor that shrank during a cut of 6.5 s, the repeated orders brought it over its capacity.

While an executor's runs need more than its capacity, an unanswered start is stopped instead, which also rules the lost order out. The task starts again where it fits.

anUnansweredStartIsNotRepeatedOnAnExecutorThatHasShrunk failed before ("next.0.0.0 brings e0 over its capacity", and next.0.0.1).

--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -437,6 +437,8 @@
     sendStop(Executor, ActiveRun, Now);
   else if (ActiveRun.UnansweredStarts_ >= Timing_.MaxStartAttempts_)
     stopRun(Executor, ActiveRun, "start order was not answered", Now);
+  else if (exceedsCapacity(Executor))
+    stopRun(Executor, ActiveRun, "capacity has shrunk before the start was answered", Now);
   else if (!Executor.Silent_ && Executor.Recorded_)
     sendStart(Executor, ActiveRun, Now);
   return true;
--- a/tests/unit/SchedulerCapacityTest.cpp
+++ b/tests/unit/SchedulerCapacityTest.cpp
@@ -96,6 +96,27 @@
   expectNoViolations(Fleet);
 }
 
+// The connection to an executor is cut before it carries out a start order, and it shrinks
+// meanwhile. Guards against a repeated start order that brings it over its capacity.
+Test(SchedulerCapacity, anUnansweredStartIsNotRepeatedOnAnExecutorThatHasShrunk) {
+  FakeFleet Fleet(makeOptions());
+  addExecutors(Fleet, 1);
+  Fleet.submit("long", makeJob(2, 60'000));
+  Fleet.run(Millis(2000));
+  Fleet.disconnect("e0", Millis(6500));
+  Fleet.run(Millis(1000));
+  Fleet.submit("next", makeJob(2, 500));
+  Fleet.setCapacity("e0", SmallCapacity);
+  Fleet.run(Millis(20'000));
+  cr_expect_eq(Fleet.executorsRunning("long").size(), 2);
+  cr_expect_eq(Fleet.executorsRunning("next").size(), 0);
+  expectNoViolations(Fleet);
+  Fleet.setCapacity("e0", FullCapacity);
+  Fleet.run(Millis(5000));
+  cr_expect(Fleet.stateOf("next") == work::JobState::Completed);
+  expectNoViolations(Fleet);
+}
+
 // Guards against a gang of which some members start on an executor that has shrunk, or that starts
 // in part.
 Test(SchedulerCapacity, aGangStartsOnceAllMembersFit) {
