lead: a new incarnation gets no starts before its entry is read

An executor that starts again under its id may come back with another capacity and other labels. Its report usually arrives before its entry, and the leader then placed tasks by the entry of the earlier incarnation: an executor of four cores that came back with one got four tasks.

Nothing is placed on a new incarnation until the executor list shows it, for at most contact_ms and a heartbeat after its first report (from the settings file): while the store is away its last known capacity has to do.

--- a/include/masticdrift/lead/Capacity.h
+++ b/include/masticdrift/lead/Capacity.h
@@ -13,6 +13,13 @@
 /// need more than its capacity.
 bool exceedsCapacity(const ExecutorState &Executor);
 
+/// \returns false while the executor list may still show the capacity and the labels of an earlier
+/// incarnation.
+///
+/// \param MaxListDelay time after the first report of an incarnation for which its entry is waited
+/// for.
+bool isEntryCurrent(const ExecutorState &Executor, core::TimePoint Now, core::Millis MaxListDelay);
+
 /// Describes a change of an executor's capacity for the log.
 ///
 /// \param NewCapacity the capacity that is about to replace the known one.
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -30,6 +30,9 @@
   /// By this time an earlier leader has been fenced by some executor, because it contacts each
   /// executor about once a second.
   core::Millis StaleLeaderTime_{3000};
+  /// Longest time in which a change of an executor reaches the executor list. New incarnations get
+  /// no runs before their entry is read or this time has passed.
+  core::Millis MaxListDelay_{4500};
   /// Wait time of a hold request before an executor without new ends answers.
   core::Millis HoldWait_{900};
   /// Delay between a report with ends and the next hold request.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -329,6 +329,7 @@
     FlushTimeout_ = MinAppendTimeout;
     lead::SchedulerTiming Timings;
     Timings.MaxLease_ = core::Millis(Context_.Settings_.MaxLeaseMs_);
+    Timings.MaxListDelay_ = core::Millis(Context_.Settings_.MaxListDelayMs_);
     Scheduler_.emplace(Term_, Timings, makePorts(), Now, NewestRecord_->RosterComplete_);
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
--- a/src/lead/Capacity.cpp
+++ b/src/lead/Capacity.cpp
@@ -15,6 +15,12 @@
   return !core::fits(Executor.Used_, Executor.Info_.Capacity_);
 }
 
+bool isEntryCurrent(const ExecutorState &Executor, core::TimePoint Now, core::Millis MaxListDelay) {
+  const std::int64_t ListedIncarnation = Executor.Info_.IncarnationStartMs_;
+  return ListedIncarnation == 0 || ListedIncarnation >= Executor.Incarnation_ ||
+         Now - Executor.MetAt_ >= MaxListDelay;
+}
+
 std::string describeCapacityChange(const ExecutorState &Executor,
                                    const core::Resources &NewCapacity) {
   return "before " + toText(Executor.Info_.Capacity_) + " after " + toText(NewCapacity) +
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -1,4 +1,5 @@
 // Placement: decides which waiting task starts next, and on which executor.
+#include "masticdrift/lead/Capacity.h"
 #include "masticdrift/lead/Scheduler.h"
 #include "masticdrift/lead/detail/Times.h"
 
@@ -113,7 +114,9 @@
 
   bool acceptsWork(const ExecutorState &Executor) const {
     return Executor.Listed_ && Executor.Recorded_ && Executor.Reported_ && !Executor.Silent_ &&
-           !Executor.Info_.Draining_ && Now_ >= Executor.AvoidUntil_ && Executor.UnsizedRuns_ == 0;
+           !Executor.Info_.Draining_ && Now_ >= Executor.AvoidUntil_ &&
+           Executor.UnsizedRuns_ == 0 &&
+           isEntryCurrent(Executor, Now_, Scheduler_.Timing_.MaxListDelay_);
   }
 
   std::span<ExecutorState *const> openExecutorsOf(const TrackedJob &Job) const {
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -154,9 +154,11 @@
   cr_assert(platform::decodeSettings(
                 R"({"node_name":"n","zone":"z","ip":"10.0.0.1","internal_ports":[7420,7435],)"
                 R"("bind_addresses":{"frontend":"10.0.0.1:8183","ready":"10.0.0.1:8184"},)"
-                R"("platform":{"address":"10.0.0.2:1"},"bounds":{"status_s":120},"odd":[]})",
+                R"("platform":{"address":"10.0.0.2:1"},"heartbeat_ms":1000,)"
+                R"("bounds":{"status_s":120,"contact_ms":4000},"odd":[]})",
                 Settings, Error),
             "%s", Error.c_str());
   cr_expect_eq(Settings.PeerEndpoint_.Port_, 7420);
   cr_expect_eq(Settings.EndedJobRetentionMs_, 120'000);
+  cr_expect_eq(Settings.MaxListDelayMs_, 5'000);
 }
--- a/tests/unit/SchedulerCapacityTest.cpp
+++ b/tests/unit/SchedulerCapacityTest.cpp
@@ -117,6 +117,41 @@
   expectNoViolations(Fleet);
 }
 
+// An executor crashes and comes back smaller; its report arrives before its entry. Guards against
+// starts by the capacity of the earlier incarnation.
+Test(SchedulerCapacity, aNewIncarnationGetsNoStartsBeforeItsEntryIsRead) {
+  FakeFleetOptions Options = makeOptions();
+  Options.RestartListDelay_ = Millis(1500);
+  FakeFleet Fleet(Options);
+  addExecutors(Fleet, 1);
+  Fleet.crash("e0", Millis(6000));
+  Fleet.setCapacity("e0", SmallCapacity);
+  Fleet.run(Millis(5000));
+  Fleet.submit("next", makeJob(4, 60'000));
+  Fleet.run(Millis(2400));
+  cr_expect_eq(Fleet.executorsRunning("next").size(), 0);
+  Fleet.run(Millis(300));
+  cr_expect_eq(Fleet.executorsRunning("next").size(), 1);
+  expectNoViolations(Fleet);
+}
+
+// Guards against an executor that stays idle because its entry cannot be read, while the store is
+// away.
+Test(SchedulerCapacity, aNewIncarnationGetsStartsWhileItsEntryCannotBeRead) {
+  FakeFleetOptions Options = makeOptions();
+  Options.RestartListDelay_ = std::nullopt;
+  FakeFleet Fleet(Options);
+  addExecutors(Fleet, 1);
+  Fleet.crash("e0", Millis(1000));
+  Fleet.run(Millis(4000));
+  Fleet.submitBegun("next", makeJob(1, 60'000), Fleet.term());
+  Fleet.run(Millis(500));
+  cr_expect_eq(Fleet.executorsRunning("next").size(), 0);
+  Fleet.run(Millis(3500));
+  cr_expect_eq(Fleet.executorsRunning("next").size(), 1);
+  expectNoViolations(Fleet);
+}
+
 // Guards against a gang of which some members start on an executor that has shrunk, or that starts
 // in part.
 Test(SchedulerCapacity, aGangStartsOnceAllMembersFit) {
@@ -193,3 +228,56 @@
   cr_assert_eq(Asked.size(), 1);
   cr_expect_str_eq(Asked.front().c_str(), "e1");
 }
+
+// --- Random changes ---
+
+// Random changes of capacities with crashes, cuts, lost and late orders and takeovers. Guards
+// against starts beyond the capacity, against duplicate runs, and against jobs that never end.
+Test(SchedulerCapacity, randomChangesBringNoExecutorOverItsCapacity) {
+  const char *Seeds = std::getenv("MASTICDRIFT_STORM_SEEDS");
+  const unsigned LastSeed = Seeds == nullptr ? 150 : static_cast<unsigned>(std::atoi(Seeds));
+  for (unsigned Seed = 1; Seed <= LastSeed; ++Seed) {
+    FakeFleetOptions Options = makeOptions(Seed);
+    Options.LostAnswerProbability_ = 0.08;
+    Options.LateOrderProbability_ = 0.05;
+    Options.LateAnswerProbability_ = 0.1;
+    Options.FailedRunProbability_ = 0.03;
+    FakeFleet Fleet(Options);
+    std::mt19937 Random(Seed);
+    addExecutors(Fleet, 6);
+    for (int I = 0; I < 60; ++I) {
+      Fleet.submit("j" + std::to_string(I),
+                   makeJob(1 + Random() % 6, static_cast<std::int64_t>(200 + Random() % 4000)));
+      const std::string ExecutorId = "e" + std::to_string(Random() % 6);
+      switch (Random() % 8) {
+      case 0:
+        Fleet.crash(ExecutorId, Millis(300 + Random() % 4000));
+        break;
+      case 1:
+        Fleet.disconnect(ExecutorId, Millis(500 + Random() % 12'000));
+        break;
+      case 2:
+        if (Seed % 2 == 0)
+          Fleet.takeOver(Millis(Random() % 2 == 0 ? 0 : Random() % 3000));
+        break;
+      case 3:
+      case 4:
+      case 5:
+        // An executor writes its entry every 1.5 s, and the leader reads it within 0.5 s.
+        Fleet.setCapacity(ExecutorId, {static_cast<std::int64_t>(500 * (Random() % 9)), 8000, 0},
+                          Millis(Random() % 2000));
+        break;
+      default:
+        break;
+      }
+      Fleet.run(Millis(Random() % 900));
+    }
+    for (int I = 0; I < 6; ++I)
+      Fleet.setCapacity("e" + std::to_string(I), FullCapacity);
+    Fleet.run(Millis(150'000));
+    for (int I = 0; I < 60; ++I)
+      cr_expect(work::isFinal(Fleet.stateOf("j" + std::to_string(I))), "seed %u: job %d is open",
+                Seed, I);
+    expectNoViolations(Fleet, Seed);
+  }
+}
