tests: a process test of an executor that shrinks and grows

The stand-in's executors change their capacity on a control switch, announce it, and record the tasks that brought one over it. The test covers the way of an entry from the list to the leader and to the next one.

--- a/tests/integration/PlatformFleetTest.cpp
+++ b/tests/integration/PlatformFleetTest.cpp
@@ -2,6 +2,7 @@
 #include "support/PlatformFleet.h"
 
 #include <csignal>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -17,6 +18,9 @@
 /// A killed leader is replaced within 2.5 s; the rest covers the job's run time and slow machines.
 constexpr Millis TakeoverTimeout{15'000};
 
+/// A leader reads a changed entry of the executor list within 0.3 s; the rest covers slow machines.
+constexpr Millis ListReadTime{1500};
+
 void expectTasksStartedOnce(PlatformFleet &Fleet, std::size_t TaskCount) {
   const Json Evidence = Fleet.evidence();
   cr_expect(Evidence["doubled"].empty(), "%s", Evidence.dump().c_str());
@@ -234,3 +238,22 @@
   cr_expect(Fleet.awaitState(0, FirstJob, "completed", TakeoverTimeout));
   cr_expect(Fleet.evidence()["doubled"].empty());
 }
+
+// Guards against starts on an executor that has shrunk, also by the next leader, and against free
+// capacity that stays unused after it has grown again.
+Test(PlatformExecutors, anExecutorThatHasShrunkIsNotOverfilled) {
+  PlatformFleet Fleet(3, 1);
+  const int Leader = Fleet.leader();
+  const int OtherDaemon = (Leader + 1) % 3;
+  Fleet.control({{"executor", "i-0"}, {"cpu", 1000}});
+  std::this_thread::sleep_for(ListReadTime);
+  cr_assert_eq(Fleet.submit(OtherDaemon, FirstJob, {6, 1000}).Answer_.Status_, 200);
+  cr_assert(waitFor(Millis(5000), [&] { return Fleet.evidence()["starts"].size() >= 3; }));
+  Fleet.daemon(Leader).signal(SIGKILL);
+  cr_expect(Fleet.awaitState(OtherDaemon, FirstJob, "completed", TakeoverTimeout));
+  Fleet.control({{"executor", "i-0"}, {"cpu", 4000}});
+  cr_assert_eq(Fleet.submit(OtherDaemon, SecondJob, {8, 5000}).Answer_.Status_, 200);
+  cr_expect(waitFor(Millis(3000), [&] { return Fleet.evidence()["running"].size() == 8; }));
+  cr_expect(Fleet.evidence()["over_capacity"].empty(), "%s", Fleet.evidence().dump().c_str());
+  expectTasksStartedOnce(Fleet, 14);
+}
--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -56,7 +56,7 @@
             // The entry expires as if the executor had lost the store; its tasks run on.
             if (Body.contains("unlist"))
               Log.put("keyed.servers", Body["unlist"].get<std::string>(), {});
-            if (Body.value("crash", false))
+            if (Body.value("crash", false) || Body.contains("cpu"))
               Announce();
             return Json::object();
           },
--- a/tests/standins/common/TaskExecutors.cpp
+++ b/tests/standins/common/TaskExecutors.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds StopDelay{50};
 constexpr std::int64_t MaxLeaseMs = 10'000;
 constexpr int MemoryMb = 32'768;
+/// Need of each task of PlatformFleet::submit(); start orders do not tell it.
+constexpr int MilliCoresPerTask = 500;
 
 /// \returns the run time in a payload with "ms=N", 100 ms without one.
 milliseconds parseRunTime(const std::string &Payload) {
@@ -31,6 +33,7 @@
   Added.Id_ = Id;
   Added.StartTime_ = steady_clock::now();
   Added.StartWallMs_ = core::wallMillis();
+  Added.MilliCores_ = 1000 * Cores_;
 }
 
 std::map<std::string, Json> TaskExecutors::entries(const std::string &Address) const {
@@ -42,7 +45,7 @@
                {"version", "v1"},
                {"slots", 8},
                {"state", "ready"},
-               {"capacity", {{"cpu", 1000 * Cores_}, {"mem_mb", MemoryMb}, {"gpu", 0}}},
+               {"capacity", {{"cpu", Entry.MilliCores_}, {"mem_mb", MemoryMb}, {"gpu", 0}}},
                {"labels", {"a", "r1-1"}},
                {"born", Entry.StartWallMs_},
                {"sequence", 1}};
@@ -122,6 +125,8 @@
   ++Starts_[Name];
   Target.Running_[Name] = {Run, steady_clock::now(), parseRunTime(Order.value("spec", "")),
                            ++Generation_};
+  if (static_cast<int>(Target.Running_.size()) * MilliCoresPerTask > Target.MilliCores_)
+    OverCapacityTasks_.insert(Name);
   runAfter(Io_, Target.Running_[Name].RunTime_,
            [this, Id = Target.Id_, Name, TaskGeneration = Generation_] {
              finish(Id, Name, TaskGeneration);
@@ -205,6 +210,7 @@
   Executor &Target = Executors_.at(Body["executor"].get<std::string>());
   assignIfPresent(Body, "silent", Target.Silent_);
   assignIfPresent(Body, "still", Target.Stalled_);
+  assignIfPresent(Body, "cpu", Target.MilliCores_);
   if (Body.value("crash", false)) {
     const std::string Id = Target.Id_;
     Target = {};
@@ -217,7 +223,10 @@
   for (const auto &[Id, One] : Executors_)
     for (const auto &[Name, Entry] : One.Running_)
       Running.push_back(Name);
-  return {{"starts", Starts_}, {"doubled", DuplicatedTasks_}, {"running", Running}};
+  return {{"starts", Starts_},
+          {"doubled", DuplicatedTasks_},
+          {"running", Running},
+          {"over_capacity", OverCapacityTasks_}};
 }
 
 } // namespace masticdrift::standins
--- a/tests/standins/common/TaskExecutors.h
+++ b/tests/standins/common/TaskExecutors.h
@@ -31,11 +31,12 @@
   std::map<std::string, Json> entries(const std::string &Address) const;
 
   /// Sets faults of the executor named by "executor": "silent" sends no responses, "crash" restarts
-  /// it without tasks, "still" stops the progress of its tasks.
+  /// it without tasks, "still" stops the progress of its tasks, "cpu" changes its capacity.
   void control(const Json &Body);
 
-  /// \returns the number of starts by task, the tasks that run now, and the tasks that were started
-  /// while they ran elsewhere or after their end was acknowledged.
+  /// \returns the number of starts by task, the tasks that run now, the tasks that were started
+  /// while they ran elsewhere or after their end was acknowledged, and those that brought their
+  /// executor over its capacity.
   Json evidence() const;
 
 private:
@@ -59,6 +60,7 @@
     std::vector<std::function<void()>> PendingHolds_;
     bool Silent_ = false;
     bool Stalled_ = false;
+    int MilliCores_ = 0;
   };
 
   std::int64_t clockMs(const Executor &Target) const;
@@ -76,6 +78,7 @@
   std::map<std::string, Executor> Executors_;
   std::map<std::string, int> Starts_;
   std::set<std::string> DuplicatedTasks_;
+  std::set<std::string> OverCapacityTasks_;
   std::set<std::string> AcknowledgedTasks_; ///< tasks whose end with "done" was acknowledged
   std::uint64_t Generation_ = 0;
 };
