tests: tasks that crash the executors that start them

FakeFleet plays tasks that crash each executor which starts them; the executor is back after some seconds under its id or as another one at the same address. Connections to such an executor are reset and refused meanwhile, and orders to its old id are answered with other_instance. A violation is recorded when such a task is started three times more after three crashes, and when a job is shown as failed that has no such task and has not spent its attempts.

--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <limits>
 
 namespace masticdrift::tests {
 
@@ -19,6 +20,12 @@
 constexpr core::Millis MaxAnswerDelay{600};
 /// A stop that the leader sends when it meets an incarnation has arrived after this time.
 constexpr core::Millis PreventionTime{20};
+/// A task under which so many executors have crashed may be started fewer than \c
+/// MaxStartsAfterCrashes times more.
+constexpr int MaxDeadlyCrashes = 3;
+constexpr int MaxStartsAfterCrashes = 3;
+/// Time after which the entry of an executor that does not come back leaves the list.
+constexpr core::Millis EntryLifetime{3000};
 /// Rate of the executors' clocks, the lowest that the platform allows.
 constexpr double ClockRate = 0.98;
 /// Wall-clock time at the start of the virtual clock.
@@ -87,6 +94,7 @@
 
 void FakeFleet::crash(const std::string &Id, core::Millis DownTime) {
   FakeExecutor &Executor = Executors_.at(Id);
+  countCrash(Executor);
   Executor.Up_ = false;
   Executor.Running_.clear();
   Executor.PendingHold_ = nullptr;
@@ -122,6 +130,107 @@
   });
 }
 
+void FakeFleet::abort(const std::string &Id, core::Millis DownTime, ReturnAs Return) {
+  FakeExecutor &Executor = Executors_.at(Id);
+  const auto Resets = std::exchange(Executor.Resets_, {});
+  if (Return == ReturnAs::SameId) {
+    crash(Id, DownTime);
+  } else {
+    countCrash(Executor);
+    Executor.Up_ = false;
+    Executor.Running_.clear();
+    Executor.PendingHold_ = nullptr;
+    schedule(Now_ + Options_.ListExpiry_.value_or(EntryLifetime), [this, Id] {
+      if (Executors_.at(Id).Listed_)
+        setListed(Id, false);
+    });
+    schedule(Now_ + DownTime, [this, Id] { startSuccessor(Id); });
+  }
+  Executor.Refuses_ = true;
+  for (const auto &[Answered, Reset] : Resets)
+    Reset();
+}
+
+void FakeFleet::startSuccessor(const std::string &Id) {
+  FakeExecutor &Old = Executors_.at(Id);
+  if (Old.ShutDown_)
+    return;
+  const std::string NewId = Id.substr(0, Id.find('~')) + '~' + std::to_string(++Generation_);
+  Old.ShutDown_ = true;
+  Old.Successor_ = NewId;
+  FakeExecutor &Successor = Executors_[NewId];
+  Successor.Info_ = Old.Info_;
+  Successor.Info_.Id_ = NewId;
+  Successor.Info_.Draining_ = false;
+  Successor.Info_.IncarnationStartMs_ = wallMs(Now_);
+  Successor.ClockStart_ = Now_;
+  Successor.DisconnectedUntil_ = Old.DisconnectedUntil_;
+  for (const auto &[Path, Until] : std::map(CutPaths_))
+    if (Path.second == Id)
+      CutPaths_[{Path.first, NewId}] = Until;
+  schedule(Now_ + Options_.RestartListDelay_.value_or(core::Millis(0)), [this, NewId] {
+    setListed(NewId, Executors_.at(NewId).Listed_);
+    if (!StoreDown_)
+      recordExecutors();
+  });
+}
+
+std::optional<OrderOutcome> FakeFleet::machineAnswer(std::uint64_t Token,
+                                                     const FakeExecutor &Target) const {
+  const FakeExecutor &Latest = Executors_.at(latestAt(Target.Info_.Id_));
+  for (const FakeExecutor *Executor : {&Target, &Latest})
+    if (Now_ < Executor->DisconnectedUntil_ || isCut(Token, Executor->Info_.Id_))
+      return std::nullopt;
+  if (Target.ShutDown_ && (Target.Successor_.empty() || Latest.Up_))
+    return OrderOutcome::OtherInstance;
+  if (!Latest.Up_ && Latest.Refuses_)
+    return OrderOutcome::NotSent;
+  return std::nullopt;
+}
+
+void FakeFleet::countCrash(const FakeExecutor &Executor) {
+  for (const auto &[Task, Run] : Executor.Running_)
+    ++CrashesMet_[Task];
+}
+
+void FakeFleet::scheduleDeadlyCrash(const FakeExecutor &Executor, const work::TaskRef &Task,
+                                    int RunGeneration) {
+  schedule(Now_ + Options_.DeadlyDelay_, [this, Id = Executor.Info_.Id_, Task, RunGeneration] {
+    const FakeExecutor &Target = Executors_.at(Id);
+    const auto Found = Target.Running_.find(Task);
+    if (!Target.Up_ || Found == Target.Running_.end() || Found->second.Generation_ != RunGeneration)
+      return;
+    for (const auto &[Other, Run] : Target.Running_)
+      if (DeadlyTasks_.contains(Other))
+        ++Crashes_[Other];
+    if (Options_.Trace_)
+      std::cerr << core::toMillis(Now_.time_since_epoch()) % 3'600'000 << " -- " << nameOf(Task)
+                << " crashes " << Id << '\n';
+    abort(Id, Options_.DeadlyDownTime_, Options_.DeadlyReturn_);
+  });
+}
+
+void FakeFleet::checkFailedJob(const std::string &Id) {
+  if (!CheckedJobs_.insert(Id).second)
+    return;
+  const auto IsOfJob = [&](const work::TaskRef &Task) { return Task.Job_ == Id; };
+  if (std::ranges::any_of(DeadlyTasks_, IsOfJob))
+    return;
+  std::size_t Attempts = std::numeric_limits<std::size_t>::max();
+  for (const work::Queue &Queue : Manifest_.Queues_)
+    Attempts = std::min<std::size_t>(Attempts, Queue.MaxAttempts_);
+  if (std::ranges::any_of(FailedRuns_, [&](const auto &Entry) {
+        return IsOfJob(Entry.first) && Entry.second.size() >= Attempts;
+      }))
+    return;
+  int Met = 0;
+  for (const auto &[Task, Count] : CrashesMet_)
+    if (IsOfJob(Task))
+      Met = std::max(Met, Count);
+  addViolation(Id + " is shown as failed without a deadly task, with at most " +
+               std::to_string(Met) + " crashes under one of its tasks");
+}
+
 void FakeFleet::disconnect(const std::string &Id, core::Millis Time) {
   Executors_.at(Id).DisconnectedUntil_ = Now_ + Time;
 }
@@ -265,6 +374,15 @@
     schedule(Now_ + Delay, [this, ThisTerm, Scheduler, Order, Id, Key, Lost, Late, Answered,
                             Born = Executors_.at(Id).Info_.IncarnationStartMs_] {
       FakeExecutor &Target = Executors_.at(Id);
+      if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
+        if (!Lost)
+          schedule(
+              Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered] {
+                if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                  measureDecision([&] { Scheduler().onStartResult(Id, Key, *Outcome, 0, Now_); });
+              });
+        return;
+      }
       // A delayed order is lost when its executor restarts.
       if (!isReachableFrom(ThisTerm->Token_, Target) || (Late && !isCarriedOutLate(Target, Born)))
         return;
@@ -295,6 +413,15 @@
     schedule(Now_ + Delay.value_or(Options_.Latency_), [this, ThisTerm, Scheduler, Id, Key, Lost,
                                                         Answered] {
       FakeExecutor &Target = Executors_.at(Id);
+      if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
+        if (!Lost)
+          schedule(Now_ + Options_.Latency_,
+                   [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered] {
+                     if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                       measureDecision([&] { Scheduler().onStopResult(Id, Key, *Outcome, Now_); });
+                   });
+        return;
+      }
       if (!isReachableFrom(ThisTerm->Token_, Target) || Now_ < Target.StopsLostUntil_)
         return;
       const OrderOutcome Outcome = handleStop(Target, Key, ThisTerm->Token_);
@@ -323,11 +450,10 @@
     schedule(Now_ + Options_.Latency_ + Jitter, [this, ThisTerm, Scheduler, Id, SeenUpTo, UntilMs,
                                                  Wait, SentAt, Lost, Answered] {
       FakeExecutor &Target = Executors_.at(Id);
-      if (Target.ShutDown_ && Now_ >= Target.DisconnectedUntil_ && !isCut(ThisTerm->Token_, Id)) {
+      if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
         *Answered = true;
         if (ThisTerm->Alive_)
-          measureDecision(
-              [&] { Scheduler().onHoldResult(Id, OrderOutcome::OtherInstance, {}, SentAt, Now_); });
+          measureDecision([&] { Scheduler().onHoldResult(Id, *Outcome, {}, SentAt, Now_); });
         return;
       }
       if (!isReachableFrom(ThisTerm->Token_, Target))
@@ -356,6 +482,16 @@
         Reply(OrderOutcome::Done);
         return;
       }
+      std::erase_if(Target.Resets_, [](const auto &Entry) { return *Entry.first; });
+      Target.Resets_.emplace_back(Answered, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
+        schedule(Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
+          if (Now_ < Executors_.at(Id).DisconnectedUntil_ || isCut(ThisTerm->Token_, Id) ||
+              std::exchange(*Answered, true) || !ThisTerm->Alive_)
+            return;
+          measureDecision(
+              [&] { Scheduler().onHoldResult(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
+        });
+      });
       Target.PendingHold_ = [Reply] { Reply(OrderOutcome::Done); };
       schedule(Now_ + Wait, [Reply] { Reply(OrderOutcome::Done); });
     });
@@ -392,6 +528,10 @@
   Leader_->setManifest(Manifest_, Now_);
   const lead::Scheduler *Predecessor = Index == 0 ? nullptr : Terms_[Index - 1].second.get();
   for (const auto &[Id, Executor] : Executors_) {
+    // Nothing names an executor that is neither listed nor in the roster to a new leader.
+    if (Executor.ShutDown_ && !Executor.Listed_ && Predecessor != nullptr &&
+        !Predecessor->belongsInRoster(Id))
+      continue;
     Leader_->onExecutor(Executor.Info_, Now_);
     if (Predecessor == nullptr || Predecessor->belongsInRoster(Id))
       Leader_->onInheritedExecutor(Id, Executor.Info_.Address_);
@@ -437,8 +577,12 @@
                    ThisTerm->Alive_ = false;
                    return;
                  }
-                 for (const work::LogRecord &Entry : Entries)
-                   JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
+                 for (const work::LogRecord &Entry : Entries) {
+                   const std::string Id = JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_).Id_;
+                   const work::JobTableEntry *Job = JobTable_.find(Id);
+                   if (Job != nullptr && Job->state() == work::JobState::Failed)
+                     checkFailedJob(Id);
+                 }
                  measureDecision([&] { Scheduler.onFlushed(Number, Now_); });
                });
     }
@@ -481,6 +625,11 @@
                    Executor.Info_.Id_ + " after its completion on " + Completed.Executor_ +
                    " was acknowledged");
   Starts_[Order.Task_].push_back(Now_);
+  if (DeadlyTasks_.contains(Order.Task_) && crashesBy(Order.Task_) >= MaxDeadlyCrashes &&
+      ++StartsAfterLastCrash_[Order.Task_] == MaxStartsAfterCrashes)
+    addViolation(nameOf(Order.Task_) + " was started " + std::to_string(MaxStartsAfterCrashes) +
+                 " times more after " + std::to_string(MaxDeadlyCrashes) +
+                 " executors had crashed under it");
   ++StartCount_;
   FakeRun &NewRun = Executor.Running_[Order.Task_];
   NewRun.Run_ = Order.Run_;
@@ -490,6 +639,8 @@
   NewRun.Fails_ = Executor.FailsAllRuns_ || FailingJobs_.contains(Order.Task_.Job_) ||
                   happens(Options_.FailedRunProbability_);
   NewRun.Generation_ = ++Generation_;
+  if (DeadlyTasks_.contains(Order.Task_))
+    scheduleDeadlyCrash(Executor, Order.Task_, NewRun.Generation_);
   core::Resources Used;
   for (const auto &[Task, Run] : Executor.Running_)
     Used += Run.Need_;
@@ -531,6 +682,11 @@
   std::uint64_t &HighestEndedRun = Executor.HighestEndedRuns_[Task];
   HighestEndedRun = std::max(HighestEndedRun, Number);
   Executor.Ended_.push_back({Executor.NextEnd_++, Task, Number, Kind, {}});
+  if (Kind == fleet::EndKind::Failed) {
+    work::TaskRef Counted = Task;
+    Counted.Index_ = stepSpec(Task).Gang_ ? 0 : Task.Index_;
+    FailedRuns_[Counted].insert(Number);
+  }
   if (Kind == fleet::EndKind::Done) {
     Completions_[Task].push_back({Now_, Executor.Info_.Id_, Executor.Ended_.back().SequenceNumber_,
                                   Executor.Info_.IncarnationStartMs_, false});
@@ -610,6 +766,16 @@
   return Found == Starts_.end() ? 0 : static_cast<int>(Found->second.size());
 }
 
+int FakeFleet::crashesBy(const work::TaskRef &Task) const {
+  const auto Found = Crashes_.find(Task);
+  return Found == Crashes_.end() ? 0 : Found->second;
+}
+
+std::string FakeFleet::latestAt(const std::string &Id) const {
+  const std::string &Successor = Executors_.at(Id).Successor_;
+  return Successor.empty() ? Id : latestAt(Successor);
+}
+
 std::vector<std::string> FakeFleet::executorsRunning(const std::string &Job) const {
   std::vector<std::string> Result;
   for (const auto &[Id, Executor] : Executors_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -24,6 +24,12 @@
 
 namespace masticdrift::tests {
 
+/// How a crashed executor comes back.
+enum class ReturnAs {
+  SameId, ///< as a new incarnation
+  NewId,  ///< as another executor at the same address
+};
+
 /// Probabilities and delays of the simulated faults.
 struct FakeFleetOptions {
   unsigned Seed_ = 1;
@@ -48,6 +54,12 @@
   std::optional<core::Millis> RestartListDelay_ = core::Millis(800);
   /// Time after which a stopped executor leaves the list, or nothing when it stays.
   std::optional<core::Millis> ListExpiry_;
+  /// Time from the start of a deadly task to the crash of its executor.
+  core::Millis DeadlyDelay_{10};
+  /// Time after which an executor that a deadly task has crashed is back.
+  core::Millis DeadlyDownTime_{3000};
+  /// How executors come back that a deadly task has crashed.
+  ReturnAs DeadlyReturn_ = ReturnAs::NewId;
   core::Millis Latency_{1};
   int MaxHoldJitterMs_ = 0; ///< maximum additional latency of hold requests
   bool Trace_ = false;      ///< prints all decisions to standard error
@@ -62,6 +74,11 @@
   void addExecutor(const std::string &Id, core::Resources Capacity);
   /// Stops an executor and all its runs; it restarts without runs after \p DownTime.
   void crash(const std::string &Id, core::Millis DownTime);
+  /// Ends the process of an executor with all its runs, while its machine stays up: open
+  /// connections are reset and new ones are refused until it is back.
+  void abort(const std::string &Id, core::Millis DownTime, ReturnAs Return);
+  /// Makes each start of a task crash its executor.
+  void makeDeadly(const work::TaskRef &Task) { DeadlyTasks_.insert(Task); }
   /// Cuts the connection to an executor in both directions for \p Time.
   void disconnect(const std::string &Id, core::Millis Time);
   /// Submits a job, which is accepted immediately.
@@ -82,6 +99,11 @@
   const std::vector<std::string> &violations() const { return Violations_; }
   /// \returns how often a task was started, on all executors together.
   int startsOf(const work::TaskRef &Task) const;
+  /// \returns how many executors have crashed under a deadly task.
+  int crashesBy(const work::TaskRef &Task) const;
+  /// \returns the executor that was started last at the address of \p Id, maybe itself.
+  std::string latestAt(const std::string &Id) const;
+  bool isUp(const std::string &Id) const { return Executors_.at(Id).Up_; }
   /// \returns the executor of each current run of a job.
   std::vector<std::string> executorsRunning(const std::string &Job) const;
   core::TimePoint now() const { return Now_; }
@@ -148,7 +170,11 @@
     fleet::ExecutorInfo Info_;
     bool Up_ = true;
     bool Listed_ = true;
-    bool ShutDown_ = false;
+    bool ShutDown_ = false; ///< does not come back under its id
+    bool Refuses_ = false;  ///< while down, connections are refused
+    std::string Successor_; ///< the executor that was started at its address
+    /// Resets the connections of hold requests, unless the flag tells that they were answered.
+    std::vector<std::pair<std::shared_ptr<bool>, std::function<void()>>> Resets_;
     bool LoseNextHoldAnswer_ = false;
     core::TimePoint StopsLostUntil_{};
     bool FailsAllRuns_ = false;
@@ -209,6 +235,17 @@
     Decide();
     DecisionTime_ += std::chrono::steady_clock::now() - Begin;
   }
+  /// \returns the outcome of a request to an executor that does not run, when its machine answers.
+  std::optional<fleet::OrderOutcome> machineAnswer(std::uint64_t Token,
+                                                   const FakeExecutor &Target) const;
+  /// Starts another executor at the address of a crashed one.
+  void startSuccessor(const std::string &Id);
+  /// Counts the crash of an executor for the tasks that ran there.
+  void countCrash(const FakeExecutor &Executor);
+  void scheduleDeadlyCrash(const FakeExecutor &Executor, const work::TaskRef &Task,
+                           int RunGeneration);
+  /// Checks that a job which is shown as failed has a reason for it.
+  void checkFailedJob(const std::string &Id);
   /// \returns the delay of the next scripted order, or nothing.
   static std::optional<core::Millis> takeDelay(std::deque<core::Millis> &Delays);
   core::Millis answerDelay();
@@ -242,6 +279,13 @@
   std::map<std::string, core::TimePoint> SubmittedAt_;
   std::map<std::string, core::TimePoint> LastCompletionAt_;
   std::vector<std::string> Violations_;
+  std::set<work::TaskRef> DeadlyTasks_;
+  std::map<work::TaskRef, int> Crashes_;              ///< executors that deadly tasks have crashed
+  std::map<work::TaskRef, int> StartsAfterLastCrash_; ///< starts after MaxDeadlyCrashes crashes
+  std::map<work::TaskRef, int> CrashesMet_;           ///< crashes of executors by running task
+  /// Numbers of the failed runs; those of a gang count for its first task.
+  std::map<work::TaskRef, std::set<std::uint64_t>> FailedRuns_;
+  std::set<std::string> CheckedJobs_; ///< failed jobs that were checked
   work::JobTable JobTable_;
   work::Manifest Manifest_;
   std::uint64_t Offset_ = 0;
