tests: a task that crashes executors, with daemons as real processes

The platform stand-in ends an executor 10 ms after it has started a task that the test names; 3 s later another executor with a new id answers at its address, and requests for the old id get status 421. The test expects that the job is shown as failed with its reason after at most five crashes, that the other jobs complete, and the same when the leader is killed after the first or the second crash.

--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -40,6 +40,10 @@
     for (const auto &[Id, Entry] : Executors.entries(Address))
       Log.put("keyed.servers", Id, Entry.dump());
   };
+  Executors.onReplacement([&](const std::string &OldId, const std::string &NewId) {
+    Log.put("keyed.servers", OldId, {});
+    Log.put("keyed.servers", NewId, Executors.entries(Address).at(NewId).dump());
+  });
   const HttpStub Server(
       Io, Port,
       withControlRoutes(
--- a/tests/standins/common/TaskExecutors.cpp
+++ b/tests/standins/common/TaskExecutors.cpp
@@ -10,9 +10,17 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds StopDelay{50};
+constexpr milliseconds CrashDelay{10}; ///< from the start of a deadly task to the crash
+constexpr milliseconds DownTime{3000}; ///< until another executor answers after a crash
 constexpr std::int64_t MaxLeaseMs = 10'000;
 constexpr int MemoryMb = 32'768;
 
+Reply closedConnection() {
+  Reply Out;
+  Out.Mode_ = ReplyMode::Close;
+  return Out;
+}
+
 /// \returns the run time in a payload with "ms=N", 100 ms without one.
 milliseconds parseRunTime(const std::string &Payload) {
   const std::size_t Target = Payload.find("ms=");
@@ -28,6 +36,7 @@
 
 void TaskExecutors::add(const std::string &Id) {
   Executor &Added = Executors_[Id];
+  Added.Name_ = Id;
   Added.Id_ = Id;
   Added.StartTime_ = steady_clock::now();
   Added.StartWallMs_ = core::wallMillis();
@@ -35,17 +44,18 @@
 
 std::map<std::string, Json> TaskExecutors::entries(const std::string &Address) const {
   std::map<std::string, Json> Out;
-  for (const auto &[Id, Entry] : Executors_)
-    Out[Id] = {{"service", "pool"},
-               {"address", Address + "/e/" + Id},
-               {"zone", "lahore-a"},
-               {"version", "v1"},
-               {"slots", 8},
-               {"state", "ready"},
-               {"capacity", {{"cpu", 1000 * Cores_}, {"mem_mb", MemoryMb}, {"gpu", 0}}},
-               {"labels", {"a", "r1-1"}},
-               {"born", Entry.StartWallMs_},
-               {"sequence", 1}};
+  for (const auto &[Name, Entry] : Executors_)
+    if (!Entry.Crashed_)
+      Out[Entry.Id_] = {{"service", "pool"},
+                        {"address", Address + "/e/" + Name},
+                        {"zone", "lahore-a"},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", "ready"},
+                        {"capacity", {{"cpu", 1000 * Cores_}, {"mem_mb", MemoryMb}, {"gpu", 0}}},
+                        {"labels", {"a", "r1-1"}},
+                        {"born", Entry.StartWallMs_},
+                        {"sequence", 1}};
   return Out;
 }
 
@@ -69,6 +79,16 @@
     Answer(std::move(Out));
     return true;
   }
+  if (Target.Crashed_) {
+    Answer(closedConnection());
+    return true;
+  }
+  if (const std::string_view Wanted =
+          http::findHeader(Incoming.Headers_, "X-Masticdrift-Target-Instance");
+      !Wanted.empty() && Wanted != Target.Id_) {
+    Answer(errorReply(421, "another executor"));
+    return true;
+  }
   withJson(Incoming, Answer, [&](const Json &Order) {
     const auto Token = Order.value("fencing_token", std::uint64_t{0});
     if (Token < Target.FencingToken_)
@@ -89,7 +109,7 @@
       std::min(Order.value("until_ms", std::int64_t{0}), clockMs(Target) + MaxLeaseMs);
   Target.LeaseEnd_ = std::max(Target.LeaseEnd_, Target.StartTime_ + milliseconds(LeaseEndMs));
   runAfter(Io_, std::chrono::duration_cast<milliseconds>(Target.LeaseEnd_ - steady_clock::now()),
-           [this, Id = Target.Id_] {
+           [this, Id = Target.Name_] {
              Executor &Current = Executors_.at(Id);
              while (steady_clock::now() >= Current.LeaseEnd_ && !Current.Running_.empty())
                end(Current, Current.Running_.begin()->first, "lapsed");
@@ -123,15 +143,46 @@
   Target.Running_[Name] = {Run, steady_clock::now(), parseRunTime(Order.value("spec", "")),
                            ++Generation_};
   runAfter(Io_, Target.Running_[Name].RunTime_,
-           [this, Id = Target.Id_, Name, TaskGeneration = Generation_] {
+           [this, Id = Target.Name_, Name, TaskGeneration = Generation_] {
              finish(Id, Name, TaskGeneration);
            });
+  if (DeadlyTasks_.contains(Name))
+    runAfter(Io_, CrashDelay, [this, Id = Target.Name_, Name, TaskGeneration = Generation_] {
+      crash(Id, Name, TaskGeneration);
+    });
   return jsonReply({{"clock_ms", clockMs(Target)}});
 }
 
-void TaskExecutors::finish(const std::string &Id, const std::string &Name,
+void TaskExecutors::crash(const std::string &ExecutorName, const std::string &Name,
+                          std::uint64_t Generation) {
+  auto &Target = Executors_.at(ExecutorName);
+  const auto Found = Target.Running_.find(Name);
+  if (Found == Target.Running_.end() || Found->second.Generation_ != Generation)
+    return;
+  ++Crashes_[Name];
+  const auto PendingHolds = std::exchange(Target.PendingHolds_, {});
+  const std::string Id = Target.Id_;
+  Target = {};
+  Target.Name_ = ExecutorName;
+  Target.Id_ = Id;
+  Target.Crashed_ = true;
+  for (const auto &Resume : PendingHolds)
+    Resume();
+  runAfter(Io_, DownTime, [this, ExecutorName] { replace(ExecutorName); });
+}
+
+void TaskExecutors::replace(const std::string &ExecutorName) {
+  const std::string OldId = Executors_.at(ExecutorName).Id_;
+  Executors_.at(ExecutorName) = {};
+  add(ExecutorName);
+  const std::string NewId = ExecutorName + "-" + std::to_string(++Generation_);
+  Executors_.at(ExecutorName).Id_ = NewId;
+  OnReplacement_(OldId, NewId);
+}
+
+void TaskExecutors::finish(const std::string &ExecutorName, const std::string &Name,
                            std::uint64_t Generation) {
-  Executor &Target = Executors_.at(Id);
+  auto &Target = Executors_.at(ExecutorName);
   const auto Found = Target.Running_.find(Name);
   if (Found != Target.Running_.end() && Found->second.Generation_ == Generation && !Target.Stalled_)
     end(Target, Name, "done");
@@ -142,7 +193,7 @@
   const auto Run = Order.at("run").get<std::uint64_t>();
   Target.LastEndedRuns_[Name] = std::max(Target.LastEndedRuns_[Name], Run);
   if (Target.Running_.contains(Name))
-    runAfter(Io_, StopDelay, [this, Id = Target.Id_, Name, Run] {
+    runAfter(Io_, StopDelay, [this, Id = Target.Name_, Name, Run] {
       Executor &Current = Executors_.at(Id);
       const auto Found = Current.Running_.find(Name);
       if (Found != Current.Running_.end() && Found->second.Run_ <= Run)
@@ -191,24 +242,31 @@
   if (Wait.count() == 0 || !Target.EndedTasks_.empty())
     return Answer(jsonReply(taskReport(Target)));
   const auto Sent = std::make_shared<bool>(false);
-  const auto SendOnce = [this, Id = Target.Id_, Answer, Sent] {
-    if (!std::exchange(*Sent, true) && !Executors_.at(Id).Silent_)
-      Answer(jsonReply(taskReport(Executors_.at(Id))));
+  const auto SendOnce = [this, Name = Target.Name_, Id = Target.Id_, Answer, Sent] {
+    const Executor &Current = Executors_.at(Name);
+    if (std::exchange(*Sent, true) || Current.Silent_)
+      return;
+    if (Current.Crashed_ || Current.Id_ != Id)
+      Answer(closedConnection());
+    else
+      Answer(jsonReply(taskReport(Current)));
   };
   Target.PendingHolds_.push_back(SendOnce);
   runAfter(Io_, Wait, SendOnce);
 }
 
 void TaskExecutors::control(const Json &Body) {
+  if (Body.contains("deadly"))
+    DeadlyTasks_.insert(Body["deadly"].get<std::string>());
   if (!Body.contains("executor"))
     return;
   Executor &Target = Executors_.at(Body["executor"].get<std::string>());
   assignIfPresent(Body, "silent", Target.Silent_);
   assignIfPresent(Body, "still", Target.Stalled_);
   if (Body.value("crash", false)) {
-    const std::string Id = Target.Id_;
+    const std::string Name = Target.Name_;
     Target = {};
-    add(Id);
+    add(Name);
   }
 }
 
@@ -217,7 +275,10 @@
   for (const auto &[Id, One] : Executors_)
     for (const auto &[Name, Entry] : One.Running_)
       Running.push_back(Name);
-  return {{"starts", Starts_}, {"doubled", DuplicatedTasks_}, {"running", Running}};
+  return {{"starts", Starts_},
+          {"doubled", DuplicatedTasks_},
+          {"running", Running},
+          {"crashes", Crashes_}};
 }
 
 } // namespace masticdrift::standins
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -191,15 +191,15 @@
   return Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ == 200;
 }
 
+std::string PlatformFleet::metrics(int Daemon) {
+  const int Port = BasePorts_.at(static_cast<std::size_t>(Daemon)) + 2;
+  return send("GET", loopbackAddress(Port) + "/metrics", {}, {}, CallTimeout).Answer_.Body_;
+}
+
 int PlatformFleet::leader() {
-  for (std::size_t I = 0; I < Daemons_.size(); ++I) {
-    if (!Daemons_[I]->running())
-      continue;
-    const http::ClientResult Result =
-        send("GET", loopbackAddress(BasePorts_[I] + 2) + "/metrics", {}, {}, CallTimeout);
-    if (Result.Answer_.Body_.find("\nmasticdrift_leader 1") != std::string::npos)
-      return static_cast<int>(I);
-  }
+  for (int I = 0; I < static_cast<int>(Daemons_.size()); ++I)
+    if (daemon(I).running() && metrics(I).find("\nmasticdrift_leader 1") != std::string::npos)
+      return I;
   return -1;
 }
 
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -53,6 +53,8 @@
   void control(const Json &Switches);
   Json evidence();
   bool ready(int Daemon);
+  /// \returns the metrics of a daemon as text, empty when it does not answer.
+  std::string metrics(int Daemon);
   /// \returns the index of the daemon that reports itself as leader, or -1.
   int leader();
   Process &daemon(int Daemon) { return *Daemons_.at(static_cast<std::size_t>(Daemon)); }
