tests: gangs of the fake fleet end only when complete; one or two leaders lost

A run of a gang ended as done in FakeFleet although another member had gone with its executor, so that a job with a deadly member completed before the crash was known. A case for one or two leaders that are lost with a crash joins the one with a leader lost at every crash.

--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -12,6 +12,7 @@
 
 constexpr core::Millis TickInterval{10};
 constexpr core::Millis FlushTime{8};
+constexpr core::Millis GangCheckInterval{100};
 constexpr core::Millis OrderTimeout{700};
 constexpr core::Millis HoldTimeoutMargin{700};
 constexpr core::Millis StopTime{100};
@@ -648,14 +649,8 @@
     addViolation(Executor.Info_.Id_ + " exceeds its capacity");
   if (!Spec.LongRunning_)
     schedule(Now_ + NewRun.RunTime_,
-             [this, Id = Executor.Info_.Id_, Task = Order.Task_, Generation = NewRun.Generation_] {
-               FakeExecutor &Target = Executors_.at(Id);
-               const auto Existing = Target.Running_.find(Task);
-               if (Existing != Target.Running_.end() &&
-                   Existing->second.Generation_ == Generation && !Target.Stalled_)
-                 endRun(Target, Task,
-                        Existing->second.Fails_ ? fleet::EndKind::Failed : fleet::EndKind::Done);
-             });
+             [this, Id = Executor.Info_.Id_, Task = Order.Task_,
+              RunGeneration = NewRun.Generation_] { finishRun(Id, Task, RunGeneration); });
   return OrderOutcome::Done;
 }
 
@@ -676,6 +671,37 @@
   return OrderOutcome::Done;
 }
 
+void FakeFleet::finishRun(const std::string &Id, const work::TaskRef &Task, int RunGeneration) {
+  FakeExecutor &Target = Executors_.at(Id);
+  const auto Existing = Target.Running_.find(Task);
+  if (Existing == Target.Running_.end() || Existing->second.Generation_ != RunGeneration ||
+      Target.Stalled_)
+    return;
+  const FakeRun &Run = Existing->second;
+  if (!Run.Fails_ && stepSpec(Task).Gang_ && !isGangComplete(Task, Run.Run_)) {
+    schedule(Now_ + GangCheckInterval,
+             [this, Id, Task, RunGeneration] { finishRun(Id, Task, RunGeneration); });
+    return;
+  }
+  endRun(Target, Task, Run.Fails_ ? fleet::EndKind::Failed : fleet::EndKind::Done);
+}
+
+bool FakeFleet::isGangComplete(const work::TaskRef &Member, std::uint64_t Run) {
+  work::TaskRef Task = Member;
+  Task.Index_ = 0;
+  const std::pair Gang(Task, Run);
+  if (FinishedGangs_.contains(Gang))
+    return true;
+  for (; Task.Index_ < stepSpec(Member).TaskCount_; ++Task.Index_)
+    if (std::ranges::none_of(Executors_, [&](const auto &Entry) {
+          const auto Found = Entry.second.Running_.find(Task);
+          return Found != Entry.second.Running_.end() && Found->second.Run_ == Run;
+        }))
+      return false;
+  FinishedGangs_.insert(Gang);
+  return true;
+}
+
 void FakeFleet::endRun(FakeExecutor &Executor, const work::TaskRef &Task, fleet::EndKind Kind) {
   const std::uint64_t Number = Executor.Running_.at(Task).Run_;
   Executor.Running_.erase(Task);
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -259,6 +259,10 @@
   fleet::OrderOutcome handleStart(FakeExecutor &Executor, const fleet::StartOrder &Order);
   fleet::OrderOutcome handleStop(FakeExecutor &Executor, const lead::RunKey &Key,
                                  std::uint64_t Token);
+  /// Ends a run as done or failed, unless it has ended otherwise. A run of a gang is done only if
+  /// all members run at the same time.
+  void finishRun(const std::string &Id, const work::TaskRef &Task, int RunGeneration);
+  bool isGangComplete(const work::TaskRef &Member, std::uint64_t Run);
   void endRun(FakeExecutor &Executor, const work::TaskRef &Task, fleet::EndKind Kind);
   void acknowledgeEnds(FakeExecutor &Executor, std::uint64_t SeenUpTo);
   std::int64_t clockOf(const FakeExecutor &Executor) const;
@@ -285,6 +289,7 @@
   std::map<work::TaskRef, int> CrashesMet_;           ///< crashes of executors by running task
   /// Numbers of the failed runs; those of a gang count for its first task.
   std::map<work::TaskRef, std::set<std::uint64_t>> FailedRuns_;
+  std::set<std::pair<work::TaskRef, std::uint64_t>> FinishedGangs_; ///< first task and run number
   std::set<std::string> CheckedJobs_; ///< failed jobs that were checked
   work::JobTable JobTable_;
   work::Manifest Manifest_;
--- a/tests/unit/SchedulerCrashTest.cpp
+++ b/tests/unit/SchedulerCrashTest.cpp
@@ -422,13 +422,14 @@
 
 namespace {
 
-/// Replaces the leader \p Delay after each of the first crashes of a deadly task.
-void playTakeovers(ReturnAs Return, Millis Delay, Millis OldLeaderTime) {
+/// Replaces the leader \p Delay after crashes \p First to \p Last of a deadly task.
+void playTakeovers(ReturnAs Return, Millis Delay, Millis OldLeaderTime, int First = 1,
+                   int Last = MaxCrashes) {
   FakeFleet Fleet(makeOptions(Return));
   addExecutors(Fleet, 5);
   submitSound(Fleet, 5, 3, 3000);
   submitDeadly(Fleet);
-  for (int I = 1; I <= MaxCrashes; ++I) {
+  for (int I = First; I <= Last; ++I) {
     if (!awaitCrashes(Fleet, I))
       break;
     Fleet.run(Delay);
@@ -445,6 +446,17 @@
 
 } // namespace
 
+// Guards against a count that starts again with the next leader: it is lost once or twice, at any
+// moment from the crash to the next start.
+Test(SchedulerCrash, theCountSurvivesOneOrTwoTakeovers) {
+  for (const ReturnAs Return : Returns)
+    for (const Millis OldLeaderTime : {Millis(0), Millis(4000)})
+      for (const int Delay : {0, 1, 5, 15, 300, 2000, 3000, 3100, 3700, 3850, 4500})
+        for (const int First : {1, 2, 3})
+          for (const int Last : {First, First + 1})
+            playTakeovers(Return, Millis(Delay), OldLeaderTime, First, Last);
+}
+
 // Guards against a count that starts again with each leader: the leader is lost right after the
 // crash, before the executor is back, before the next start or after it.
 Test(SchedulerCrash, theCountSurvivesTakeovers) {
