lead: a task that crashes the executors which start it is given up

Cause: countFailure() counts ends that an executor reports as failed. A crashed executor reports nothing, so its runs went back to the queue as if they had never started.

Change: runs that an executor has not been seen to survive by 0.3 s are recorded as suspect in the job's progress record when it falls silent, and count when another executor or a new incarnation answers. A task with a counted crash starts on an executor without other fresh starts, not where one has crashed under it, once the count is durable; nothing starts beside it until the executor has survived it, which clears the task. The third crash fails the job with reason crashes_executors. A hold request may overlap with a waiting one, so that a trial ends in time. A failed job's reason is in its state, job_ended and masticdrift_failed_jobs_total.

Why it works: a deadly task crashes its executor 10 ms after the start, so from the second crash on there is one possible cause. Silence, cuts, lapsed leases and draining count nothing.

The cases in which the leader is lost within 15 ms of each crash stay red, in unit.SchedulerCrashTakeoverTest.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -42,7 +42,7 @@
 
 private:
   struct PendingRequest;
-  using StateCallback = std::function<void(work::JobState)>;
+  using StateCallback = std::function<void(work::JobState, work::FailureReason)>;
   void submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body);
   void cancel(const std::shared_ptr<PendingRequest> &Request);
   void queryState(const std::shared_ptr<PendingRequest> &Request);
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -41,6 +42,8 @@
   RunState State_ = RunState::Starting;
   core::TimePoint OrderedAt_;     ///< time of the first start order
   core::TimePoint ConfirmedAt_{}; ///< when the executor confirmed the run; zero before
+  /// The executor's clock soon after the start; 0 until the present incarnation has confirmed it.
+  std::int64_t StartClockMs_ = 0;
   /// Included in the resources in use of its job, customer and executor.
   bool CountedInUse_ = false;
   int UnansweredStarts_ = 0;         ///< start orders without an answer so far
@@ -123,6 +126,7 @@
   work::ProgressRecord Progress_;
   bool Inherited_ = false;       ///< started by an earlier leader
   std::uint64_t BegunFlush_ = 0; ///< flush that makes the start of the job durable
+  std::uint64_t CrashFlush_ = 0; ///< flush that makes the last counted crash durable
   bool OverRate_ = false;        ///< exceeds its customer's submission rate
   bool Ended_ = false;           ///< final; the job is kept until all its runs are over
   int ActiveRuns_ = 0;
@@ -163,6 +167,8 @@
   bool HoldInFlight_ = false;
   core::TimePoint NextHoldAt_{}; ///< earliest time of the next hold request
   core::TimePoint LastHoldAt_{}; ///< when the last hold request was sent
+  /// Answers to hold requests that were sent earlier are outdated or of an earlier incarnation.
+  core::TimePoint HoldsValidSince_{};
   /// Highest processed end number; lower ones may be postponed.
   std::uint64_t ProcessedEnd_ = 0;
   /// Highest end number whose effect is durable; acknowledged with the next hold request.
@@ -177,6 +183,10 @@
   std::size_t UnsizedRuns_ =
       0;                       ///< runs that are not counted in Used_, because their job is unknown
   bool OrdersPending_ = false; ///< some run may need an order
+  /// Run of a suspect task that the executor has not been seen to survive. Nothing is started
+  /// beside it, so that a crash has one possible cause.
+  std::optional<RunKey> Trial_;
+  core::TimePoint TrialReportAt_{}; ///< when to ask whether the trial was survived; zero for never
   /// Start orders that are in flight or got no answer. Later incarnations may carry them out too.
   std::map<RunKey, OpenStart> OpenStarts_;
   std::set<std::string> FailedJobs_; ///< jobs with failed runs here since the last success
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -67,6 +67,17 @@
   int MinSlowJobs_ = 2;   ///< jobs with slow runs that mark an executor as slow
   int MaxMoves_ = 3;      ///< how often a task may be moved because it is slow or stalled
   int MinFailedJobs_ = 2; ///< jobs failing in a row that mark an executor as failing
+  /// An executor that still answers this long after a start has survived it. Tasks that crash
+  /// executors do so 10 ms after the start on the platform; the rest is for slower ones. A longer
+  /// time blames more crashes that have other causes on tasks that had just started.
+  core::Millis StartSurvivalTime_{300};
+  /// Time by which a crash is noticed: its connections are reset, and a daemon that relays orders
+  /// reports that at once. Runs that started earlier before a loss are not suspect.
+  core::Millis LossNoticeTime_{500};
+  /// Executors that may crash right after they have started a task before its job fails. The
+  /// platform allows two and forbids further starts after three; the third crash shows that those
+  /// before were no coincidence.
+  std::size_t MaxCrashes_ = 3;
 };
 
 /// Operations that the driver carries out for the scheduler. Results are passed to
@@ -91,6 +102,10 @@
   std::function<void(std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
                      std::string_view ExecutorId, std::string_view Detail)>
       LogDecision_;
+  /// Counts a crash of an executor that had just started \p Suspects runs.
+  std::function<void(std::size_t Suspects)> CountCrash_;
+  /// Counts a job that has ended as failed.
+  std::function<void(work::FailureReason)> CountFailedJob_;
 };
 
 /// What a scheduler knows of a job.
@@ -198,7 +213,8 @@
   void finishTask(TrackedJob &Job, const work::TaskRef &Task, core::TimePoint Now);
   void finishStep(TrackedJob &Job, std::uint32_t Occurrence, std::uint32_t Step,
                   core::TimePoint Now);
-  void endJob(TrackedJob &Job, work::JobState State, core::TimePoint Now);
+  void endJob(TrackedJob &Job, work::JobState State, core::TimePoint Now,
+              work::FailureReason Reason = work::FailureReason::None);
   void countFailure(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t Number,
                     core::TimePoint Now);
   void markDirty(const TrackedJob &Job);
@@ -246,6 +262,22 @@
   void handleRestart(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
   static void resetIncarnation(ExecutorState &Executor);
   void removeAllRuns(ExecutorState &Executor, std::string_view Reason, core::TimePoint Now);
+
+  // Crashes.
+  bool hasSurvivedStart(const ExecutorState &Executor, const Run &ActiveRun) const;
+  void suspectStartedRuns(ExecutorState &Executor, bool Crashed,
+                          std::span<const fleet::ReportedRun> Survivors, core::TimePoint Now);
+  void onExecutorCrashed(ExecutorState &Executor, std::span<const fleet::ReportedRun> Survivors,
+                         core::TimePoint Now);
+  void onAnswerAfterSilence(const ExecutorState &Executor, std::int64_t Incarnation,
+                            core::TimePoint Now);
+  void countCrash(TrackedJob &Job, const work::TaskRef &Task, std::string_view ExecutorId,
+                  core::TimePoint Now);
+  void onExecutorReplaced(std::string_view Address, std::string_view ExecutorId,
+                          core::TimePoint Now);
+  void forgetSettledSuspects();
+  void checkTrial(ExecutorState &Executor);
+
   void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the end of a lease that starts now, on the executor's clock.
   std::int64_t leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const;
@@ -307,7 +339,9 @@
   std::unordered_map<std::string, DemandPeak> UrgentPeaks_; ///< by customer
   /// Token buckets by customer: tokens and time of the last refill.
   std::unordered_map<std::string, std::pair<double, core::TimePoint>> RateTokens_;
-  std::set<std::string> DirtyJobs_;                     ///< jobs whose progress record has changed
+  std::set<std::string> DirtyJobs_; ///< jobs whose progress record has changed
+  std::set<std::string>
+      SuspectJobs_; ///< jobs with suspicions against their tasks, and maybe others
   std::unordered_map<std::string, double> AdviceYield_; ///< fraction of allowed executors by queue
   std::unordered_map<std::string, RunTimeRatio> RunTimeRatios_; ///< by queue and image
   std::uint64_t NextFlush_ = 1;
--- a/include/masticdrift/protocol/PeerMessages.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -72,11 +72,12 @@
 
 /// The state of a job.
 struct JobStateReply {
-  bool Answered_ = false;  ///< false if the daemon does not lead
-  bool Known_ = false;     ///< the job was found; a leader may not have read a new job yet
-  std::string Customer_;   ///< owner of the job
-  std::uint8_t State_ = 0; ///< a work::JobState
-  MSGPACK_DEFINE_ARRAY(Answered_, Known_, Customer_, State_)
+  bool Answered_ = false;          ///< false if the daemon does not lead
+  bool Known_ = false;             ///< the job was found; a leader may not have read a new job yet
+  std::string Customer_;           ///< owner of the job
+  std::uint8_t State_ = 0;         ///< a work::JobState
+  std::uint8_t FailureReason_ = 0; ///< a work::FailureReason
+  MSGPACK_DEFINE_ARRAY(Answered_, Known_, Customer_, State_, FailureReason_)
 };
 
 } // namespace masticdrift::protocol
--- a/include/masticdrift/work/Job.h
+++ b/include/masticdrift/work/Job.h
@@ -76,6 +76,16 @@
 /// \returns the stable lower-case name of \p State.
 std::string_view nameOf(JobState State);
 
+/// Why a job ended as failed.
+enum class FailureReason : std::uint8_t {
+  None,
+  AttemptsSpent,   ///< a task or gang failed as often as its queue allows
+  CrashesExecutors ///< executors crashed whenever they started one of its tasks
+};
+
+/// \returns the stable lower-case name of \p Reason, empty for None.
+std::string_view nameOf(FailureReason Reason);
+
 /// \returns the number of occurrences of a job, at least 1.
 constexpr std::uint32_t occurrenceCount(const JobSpec &Spec) {
   return Spec.RunCount_ == 0 ? 1 : Spec.RunCount_;
@@ -90,5 +100,6 @@
 } // namespace masticdrift::work
 
 MSGPACK_ADD_ENUM(masticdrift::work::JobState)
+MSGPACK_ADD_ENUM(masticdrift::work::FailureReason)
 
 #endif // MASTICDRIFT_WORK_JOB_H
--- a/include/masticdrift/work/Ledger.h
+++ b/include/masticdrift/work/Ledger.h
@@ -49,6 +49,28 @@
   MSGPACK_DEFINE_ARRAY(Occurrence_, Step_, Index_, Runs_)
 };
 
+/// A run whose executor was lost right after it had started the run.
+struct SuspectRun {
+  std::uint64_t Run_ = 0;
+  std::string ExecutorId_;
+  std::int64_t Incarnation_ = 0; ///< of the executor, 0 when unknown
+  /// The executor has crashed. False while it is only known not to answer.
+  bool Crashed_ = false;
+  std::string Address_; ///< of the executor
+  MSGPACK_DEFINE_ARRAY(Run_, ExecutorId_, Incarnation_, Crashed_, Address_)
+
+  bool operator==(const SuspectRun &) const = default;
+};
+
+/// A task that may crash the executors that start it.
+struct SuspectTask {
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::uint32_t Index_ = 0;
+  std::vector<SuspectRun> Runs_;
+  MSGPACK_DEFINE_ARRAY(Occurrence_, Step_, Index_, Runs_)
+};
+
 /// Finished tasks of one step of one occurrence.
 struct StepProgress {
   std::uint32_t Occurrence_ = 0;
@@ -65,7 +87,10 @@
   std::vector<StepProgress> Steps_;
   std::vector<FailureCount> Failures_;
   std::int64_t FinalMs_ = 0; ///< wall-clock time at which the job reached a final state
-  MSGPACK_DEFINE_ARRAY(State_, Term_, FinishedOccurrences_, Steps_, Failures_, FinalMs_)
+  std::vector<SuspectTask> Suspects_;
+  FailureReason FailureReason_ = FailureReason::None;
+  MSGPACK_DEFINE_ARRAY(State_, Term_, FinishedOccurrences_, Steps_, Failures_, FinalMs_, Suspects_,
+                       FailureReason_)
 };
 
 /// A row of the job table.
@@ -83,6 +108,8 @@
 
   /// \returns the state that is reported to callers.
   JobState state() const;
+  /// \returns why the job has failed, None unless state() is Failed.
+  FailureReason failureReason() const;
 };
 
 /// An encoded record, ready to be appended to the log.
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -55,6 +55,9 @@
                "Orders through other daemons without a result"},
     MetricInfo{"masticdrift_missed_jobs_total", Counter,
                "Stored jobs that the leader's check found missing, by kind"},
+    MetricInfo{"masticdrift_executor_crashes_total", Counter,
+               "Crashes of executors by the number of runs that they had just started"},
+    MetricInfo{"masticdrift_failed_jobs_total", Counter, "Jobs that ended as failed, by reason"},
     MetricInfo{"masticdrift_log_lines_dropped", Gauge, "Log lines dropped by a slow reader"},
     MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
 };
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -384,17 +384,18 @@
     return;
   }
   core::count("masticdrift_looks_total", {{"source", std::string(Source)}});
-  OnState(static_cast<work::JobState>(Reply.State_));
+  OnState(static_cast<work::JobState>(Reply.State_),
+          static_cast<work::FailureReason>(Reply.FailureReason_));
 }
 
 void EntryService::queryState(const std::shared_ptr<PendingRequest> &Request) {
-  resolveState(Request, [Request](work::JobState State) {
-    Request->answer(200, platform::encodeState(State));
+  resolveState(Request, [Request](work::JobState State, work::FailureReason Reason) {
+    Request->answer(200, platform::encodeState(State, Reason));
   });
 }
 
 void EntryService::cancel(const std::shared_ptr<PendingRequest> &Request) {
-  resolveState(Request, [this, Request](work::JobState State) {
+  resolveState(Request, [this, Request](work::JobState State, work::FailureReason) {
     if (work::isFinal(State)) {
       answerWrite(Request, WriteOutcome::Stored);
       return;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -636,6 +636,13 @@
       AdviceDispatcher_.enqueue({Step, std::move(Executors), ExpectedMs, Priority},
                                 core::Clock::now());
     };
+    SchedulerPorts.CountCrash_ = [](std::size_t Suspects) {
+      core::count("masticdrift_executor_crashes_total",
+                  {{"suspects", Suspects > 1 ? "several" : (Suspects == 1 ? "one" : "none")}});
+    };
+    SchedulerPorts.CountFailedJob_ = [](work::FailureReason Reason) {
+      core::count("masticdrift_failed_jobs_total", {{"reason", std::string(nameOf(Reason))}});
+    };
     SchedulerPorts.LogDecision_ = [this](std::string_view Event, const work::TaskRef &Task,
                                          std::uint64_t Run, std::string_view Executor,
                                          std::string_view Detail) {
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -1,5 +1,6 @@
 // Placement: decides which waiting task starts next, and on which executor.
 #include "masticdrift/lead/Scheduler.h"
+#include "masticdrift/lead/Suspicion.h"
 #include "masticdrift/lead/detail/Times.h"
 
 #include <algorithm>
@@ -42,6 +43,8 @@
 constexpr double FailedTaskPenalty = 1.5;
 constexpr double InterferencePenalty = 3;
 constexpr double FailingExecutorPenalty = 0.5;
+/// Added to the cost of starting a suspect task for each run that a crash would take along.
+constexpr double TrialLoadPenalty = 0.5;
 /// Added for each multiple of the typical run time beyond the first.
 constexpr double SlownessPenalty = 0.5;
 
@@ -116,6 +119,16 @@
            !Executor.Info_.Draining_ && Now_ >= Executor.AvoidUntil_ && Executor.UnsizedRuns_ == 0;
   }
 
+  /// \returns true when a crash of the executor could only come from a run that starts there now.
+  bool isFreeOfFreshRuns(const ExecutorState &Executor) const {
+    return std::ranges::all_of(Executor.Runs_, [&](const auto &Entry) {
+      const Run &Other = Entry.second;
+      const core::TimePoint StartedAt =
+          isUnset(Other.ConfirmedAt_) ? Other.OrderedAt_ : Other.ConfirmedAt_;
+      return Now_ - StartedAt >= Scheduler_.Timing_.StartSurvivalTime_;
+    });
+  }
+
   std::span<ExecutorState *const> openExecutorsOf(const TrackedJob &Job) const {
     const auto Found = OpenExecutors_.find(Job.Queue_.Pool_);
     return Found == OpenExecutors_.end() ? std::span<ExecutorState *const>() : Found->second;
@@ -199,17 +212,37 @@
     return Cost;
   }
 
-  ExecutorState *chooseExecutor(const TrackedJob &Job, const TrackedStep &Step,
-                                const work::StepSpec &Spec, const TrackedTask &Task,
-                                std::string_view Rack = {}) const {
+  /// \returns true when the step may start on an executor at whose address none has crashed under
+  /// the task.
+  bool hasUncrashedExecutor(const Candidate &Waiting, const TrackedStep &Step,
+                            const work::StepSpec &Spec, const work::TaskRef &Task) const {
+    bool Found = false;
+    visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
+      Found = Found || !hasCrashedAt(Waiting.Job_->Progress_, Task, Executor.Info_.Address_);
+    });
+    return Found;
+  }
+
+  /// \param Isolated true for a task that may have crashed executors: it goes to one without other
+  /// runs that start now, and not where one has crashed under it while there are others. An
+  /// executor that crashes by itself again and again is empty each time.
+  ExecutorState *chooseExecutor(const Candidate &Waiting, const TrackedStep &Step,
+                                const work::StepSpec &Spec, const work::TaskRef &Task,
+                                bool Isolated, std::string_view Rack = {}) const {
+    const TrackedJob &Job = *Waiting.Job_;
+    const bool AvoidsCrashed = Isolated && hasUncrashedExecutor(Waiting, Step, Spec, Task);
     ExecutorState *Best = nullptr;
     double LowestCost = std::numeric_limits<double>::infinity();
     visitAllowed(Job, Step, Spec, [&](ExecutorState &Executor) {
-      if (freeSlots(Executor, Step, Spec, 1) == 0 ||
+      if (freeSlots(Executor, Step, Spec, 1) == 0 || Executor.Trial_ ||
           (!Rack.empty() && fleet::rackOf(Executor.Info_) != Rack) ||
-          (Spec.BestEffort_ && interferes(Executor, Spec)))
+          (Spec.BestEffort_ && interferes(Executor, Spec)) ||
+          (Isolated && !isFreeOfFreshRuns(Executor)) ||
+          (AvoidsCrashed && hasCrashedAt(Job.Progress_, Task, Executor.Info_.Address_)))
         return;
-      const double Cost = placementCost(Executor, Spec, Task);
+      double Cost = placementCost(Executor, Spec, Step.Tasks_[Task.Index_]);
+      if (Isolated)
+        Cost += TrialLoadPenalty * static_cast<double>(Executor.Runs_.size());
       // Ties are broken by ordinal, so that the choice does not depend on hash table order.
       if (Cost < LowestCost || (Cost == LowestCost && Executor.Ordinal_ < Best->Ordinal_)) {
         LowestCost = Cost;
@@ -290,10 +323,23 @@
       NewRun.Order_.Ticket_ = Found->second.Ticket_;
     if (isUnset(Step.FirstStartAt_))
       Step.FirstStartAt_ = Now_;
+    if (const std::size_t Crashes = crashCount(Job.Progress_, Task); Crashes > 0) {
+      Executor.Trial_ = {Task, Number};
+      Scheduler_.logDecision("suspect_starts", Task, Number, Executor.Info_.Id_,
+                             std::to_string(Crashes) + " crashes");
+    }
     Scheduler_.logDecision("start", Task, Number, Executor.Info_.Id_, Tracked.Checkpoint_);
     Scheduler_.sendStart(Executor, NewRun, Now_);
   }
 
+  /// \returns true while another crash under the task might not be counted: the last one is not
+  /// durable yet, or it is open whether one has happened under an earlier leader.
+  bool waitsForSuspicion(const Candidate &Waiting, const work::TaskRef &Task) const {
+    const TrackedJob &Job = *Waiting.Job_;
+    return (Scheduler_.DurableFlush_ < Job.CrashFlush_ && crashCount(Job.Progress_, Task) > 0) ||
+           (!Scheduler_.Accounted_ && hasOpenSuspicion(Job.Progress_, Task));
+  }
+
   void placeTasks(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
     work::TaskRef Task{Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0};
     for (; Task.Index_ < Step.Tasks_.size() && Step.WaitingTasks_ > 0; ++Task.Index_) {
@@ -303,7 +349,12 @@
       if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_ ||
           !withinLimit(*Waiting.Job_, Spec.Need_))
         return;
-      ExecutorState *Executor = chooseExecutor(*Waiting.Job_, Step, Spec, Tracked);
+      if (waitsForSuspicion(Waiting, Task))
+        continue;
+      const bool Suspect = crashCount(Waiting.Job_->Progress_, Task) > 0;
+      ExecutorState *Executor = chooseExecutor(Waiting, Step, Spec, Task, Suspect);
+      if (Executor == nullptr && Suspect)
+        continue; // other tasks of the step need no executor of their own
       if (Executor == nullptr)
         return;
       startTask(*Executor, *Waiting.Job_, Step, Task,
@@ -323,20 +374,33 @@
         if (std::ranges::find(Racks, fleet::rackOf(Executor.Info_)) == Racks.end())
           Racks.emplace_back(fleet::rackOf(Executor.Info_));
     Racks.emplace_back(); // no rack in particular, as the last choice
-    for (const std::string &Rack : Racks)
-      if (placeGangInRack(Waiting, Step, Spec, Rack))
+    bool Suspect = false;
+    for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
+      if (waitsForSuspicion(Waiting, memberOf(Waiting, I)))
         return;
+      Suspect = Suspect || crashCount(Waiting.Job_->Progress_, memberOf(Waiting, I)) > 0;
+    }
+    // A gang that finds no room apart from other starts runs beside them.
+    for (const bool Isolated : {Suspect, false})
+      for (const std::string &Rack : Racks)
+        if (placeGangInRack(Waiting, Step, Spec, Isolated, Rack))
+          return;
+  }
+
+  static work::TaskRef memberOf(const Candidate &Waiting, std::uint32_t Index) {
+    return {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, Index};
   }
 
   bool placeGangInRack(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
-                       std::string_view Rack) const {
+                       bool Isolated, std::string_view Rack) const {
     // Resources are reserved temporarily, so that the choice of later members accounts for them.
     std::vector<ExecutorState *> Chosen;
     core::Resources CountedNeed = Spec.Need_;
     if (Spec.BestEffort_)
       CountedNeed.MilliCores_ = 0;
     for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
-      ExecutorState *Executor = chooseExecutor(*Waiting.Job_, Step, Spec, Step.Tasks_[I], Rack);
+      ExecutorState *Executor =
+          chooseExecutor(Waiting, Step, Spec, memberOf(Waiting, I), Isolated, Rack);
       if (Executor == nullptr)
         break;
       Executor->Used_ += CountedNeed;
@@ -356,8 +420,7 @@
     Step.LastGangRun_ = std::max(Step.LastGangRun_ + 1, runNumber(Scheduler_.Token_, 1));
     for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       Step.Tasks_[I].Checkpoint_ = Checkpoint;
-      startTask(*Chosen[I], *Waiting.Job_, Step,
-                {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, I}, Step.LastGangRun_);
+      startTask(*Chosen[I], *Waiting.Job_, Step, memberOf(Waiting, I), Step.LastGangRun_);
     }
     return true;
   }
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -1,5 +1,6 @@
 // Processes the reports of executors: running and ended runs, and new incarnations.
 #include "masticdrift/lead/Scheduler.h"
+#include "masticdrift/lead/Suspicion.h"
 #include "masticdrift/lead/detail/Times.h"
 
 #include <algorithm>
@@ -29,32 +30,45 @@
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
-  if (SentAt < Executor.LastHoldAt_)
-    return; // a newer request is in flight
-  Executor.HoldInFlight_ = false;
+  if (SentAt < Executor.HoldsValidSince_)
+    return;
+  const bool NewerInFlight = Executor.HoldInFlight_ && SentAt < Executor.LastHoldAt_;
+  Executor.HoldInFlight_ = NewerInFlight;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   if (Outcome != OrderOutcome::Done) {
+    if (NewerInFlight)
+      return; // its outcome tells more
     // Once another executor answers at its address, this one has crashed or shut down, and its runs
     // have ended with it. A missing answer or a refused connection proves nothing, because paths
     // can be cut while the runs go on; then only the end of the lease does.
     if (Outcome == OrderOutcome::OtherInstance && !Executor.Replaced_) {
+      onExecutorCrashed(Executor, {}, Now);
       removeAllRuns(Executor, "another executor answers at its address", Now);
       Executor.Replaced_ = true;
       Executor.LeaseEnd_ = Now;
     }
-    if (!Executor.Silent_)
+    if (!Executor.Silent_) {
       logDecision("executor_silent", {}, 0, ExecutorId, fleet::nameOf(Outcome));
+      if (Outcome == OrderOutcome::NoAnswer || Outcome == OrderOutcome::NotSent)
+        suspectStartedRuns(Executor, false, {}, Now);
+    }
     Executor.Silent_ = true;
     Executor.NextHoldAt_ = Now + Timing_.HoldRetryDelay_;
     return;
   }
-  if (Executor.Silent_ || !Executor.Reported_)
+  Executor.HoldsValidSince_ = SentAt;
+  const bool WasLost = Executor.Silent_ || !Executor.Reported_;
+  if (WasLost)
     logDecision("executor_answers", {}, 0, ExecutorId, std::to_string(Report.Running_.size()));
   Executor.Silent_ = false;
   Executor.Replaced_ = false;
   if (Report.IncarnationStartMs_ != 0 && Executor.Incarnation_ != 0 &&
-      Report.IncarnationStartMs_ != Executor.Incarnation_)
+      Report.IncarnationStartMs_ != Executor.Incarnation_) {
+    onExecutorCrashed(Executor, Report.Running_, Now);
     handleRestart(Executor, Report, Now);
+  }
+  if (WasLost)
+    onAnswerAfterSilence(Executor, Report.IncarnationStartMs_, Now);
   if (Report.IncarnationStartMs_ != 0)
     Executor.Incarnation_ = Report.IncarnationStartMs_;
   Executor.Reported_ = true;
@@ -66,6 +80,7 @@
   for (const fleet::ReportedRun &Row : Report.Running_)
     processRunning(Executor, Row, Now);
   removeMissingRuns(Executor, Report, SentAt, Now);
+  checkTrial(Executor);
   checkProgress(Executor, Now);
   adjustPace(Executor, Now);
   Executor.NextHoldAt_ = Report.Ended_.empty()
@@ -106,6 +121,7 @@
       --Executor.UnsizedRuns_;
       Run &NewRun = addRun(Executor, &Job, EarlyRun.Task_, EarlyRun.Number_, EarlyRun.State_, Now);
       NewRun.ConfirmedAt_ = EarlyRun.ConfirmedAt_;
+      NewRun.StartClockMs_ = EarlyRun.StartClockMs_;
       NewRun.StopAnsweredAt_ = EarlyRun.StopAnsweredAt_;
       NewRun.OrderInFlight_ = EarlyRun.OrderInFlight_;
       NewRun.OrderSentAt_ = EarlyRun.OrderSentAt_;
@@ -250,12 +266,16 @@
       reportUnaccounted(Executor, Row.Task_, Row.Run_, "is running");
     Run &NewRun = addRun(Executor, Job, Row.Task_, Row.Run_, RunState::Running, Now);
     NewRun.ConfirmedAt_ = Now;
+    // The executor has survived the start, which another leader has ordered.
+    NewRun.StartClockMs_ = Executor.ClockMs_ - Timing_.StartSurvivalTime_.count();
     NewRun.Progress_.FromStart_ = false;
     addSample(NewRun.Progress_, Row.ProgressPercent_, Now);
     NewRun.Checkpoint_ = Row.Checkpoint_;
     if (Wanted) {
       if (stepSpec(*Job, Row.Task_).Gang_)
         Step->LastGangRun_ = std::max(Step->LastGangRun_, Row.Run_);
+      if (!Executor.Trial_ && crashCount(Job->Progress_, Row.Task_) > 0)
+        Executor.Trial_ = {Row.Task_, Row.Run_};
       logDecision("adopted", Row.Task_, Row.Run_, Executor.Info_.Id_, {});
     } else {
       stopRun(Executor, NewRun, "task needs no run", Now);
@@ -265,6 +285,8 @@
   Run &KnownRun = Found->second;
   if (isUnset(KnownRun.ConfirmedAt_))
     KnownRun.ConfirmedAt_ = Now;
+  if (KnownRun.StartClockMs_ == 0)
+    KnownRun.StartClockMs_ = Executor.ClockMs_;
   KnownRun.UnansweredStarts_ = 0;
   if (KnownRun.State_ == RunState::Starting)
     KnownRun.State_ = RunState::Running;
@@ -322,6 +344,7 @@
   Executor.OrdersPending_ = true;
   for (auto &[Key, ActiveRun] : Executor.Runs_) {
     ActiveRun.ConfirmedAt_ = {};
+    ActiveRun.StartClockMs_ = 0;
     ActiveRun.StopAnsweredAt_ = {};
     if (ListedRuns.contains(Key))
       continue;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -37,6 +37,7 @@
                          Timing_.StaleLeaderTime_;
     Executor.NextHoldAt_ = Now;
     Executor.Incarnation_ = Info.IncarnationStartMs_;
+    onExecutorReplaced(Info.Address_, Info.Id_, Now);
   }
   if (WasKnown && Info.IncarnationStartMs_ > Executor.Incarnation_ && Executor.Incarnation_ != 0 &&
       Executor.Reported_) {
@@ -44,7 +45,7 @@
     logDecision("executor_reborn", {}, 0, Info.Id_, "the executor list shows a new incarnation");
     Executor.Reported_ = false;
     Executor.HoldInFlight_ = false;
-    Executor.NextHoldAt_ = Now;
+      Executor.NextHoldAt_ = Now;
   }
   if (WasKnown && Executor.Info_.Address_ != Info.Address_)
     Executor.Recorded_ = false;
@@ -153,6 +154,8 @@
   const Run Removed = std::move(Found->second);
   Executor.Runs_.erase(Found);
   Executor.UnsizedRuns_ -= Removed.CountedInUse_ ? 0 : 1;
+  if (Executor.Trial_ == Key)
+    Executor.Trial_.reset();
   PlacementDue_ = true;
   TrackedJob *Job = findJob(Removed.Task_);
   if (Job == nullptr || !Removed.CountedInUse_)
@@ -290,6 +293,10 @@
       StartedRun.Progress_.StartedAt_ = Now;
     StartedRun.ConfirmedAt_ = Now;
     if (FromThisIncarnation && ClockMs > 0 && ClockMs >= Executor.ClockMs_) {
+      StartedRun.StartClockMs_ = ClockMs;
+      if (Executor.Trial_ == Key)
+        Executor.TrialReportAt_ = Now + std::chrono::duration_cast<core::Duration>(
+                                            Timing_.StartSurvivalTime_ * Timing_.ClockRateMargin_);
       Executor.ClockMs_ = ClockMs;
       Executor.ClockReadAt_ = Now;
     } else if (ClockMs > 0 && ClockMs < Executor.ClockMs_ &&
@@ -401,17 +408,23 @@
     for (auto &[Key, ActiveRun] : Executor.Runs_)
       Executor.OrdersPending_ = tickRun(Executor, ActiveRun, Now) || Executor.OrdersPending_;
   }
-  if (Executor.HoldInFlight_ || Now < Executor.NextHoldAt_)
+  // The request in flight may wait for an end for longer than the trial lasts.
+  const bool TrialReportDue = !isUnset(Executor.TrialReportAt_) && Now >= Executor.TrialReportAt_;
+  if (!TrialReportDue && (Executor.HoldInFlight_ || Now < Executor.NextHoldAt_))
     return;
   const bool EndsPending = !Executor.UnackedEnds_.empty();
-  if (EndsPending && Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
+  if (!TrialReportDue && EndsPending && Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
     return;
+  Executor.TrialReportAt_ = {};
   // A silent executor is only queried. Each renewal of its lease would postpone the time at which
   // its runs are certain to be over.
   const bool Renew = Executor.Reported_ && !Executor.Silent_;
   core::Millis Wait = holdWait(Executor, Now);
-  if (!Renew || EndsPending)
+  if (!Renew || EndsPending || TrialReportDue)
     Wait = core::Millis(0);
+  // Only the report on a trial overlaps with another request; else an earlier one was given up.
+  if (!Executor.HoldInFlight_)
+    Executor.HoldsValidSince_ = Now;
   Executor.HoldInFlight_ = true;
   Executor.LastHoldAt_ = Now;
   if (Renew)
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -158,6 +158,8 @@
   }
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K)
     updateReadySteps(Job, K);
+  if (!Job.Progress_.Suspects_.empty())
+    SuspectJobs_.insert(Job.Id_);
 }
 
 void Scheduler::updateReadySteps(TrackedJob &Job, std::uint32_t Occurrence) {
@@ -202,12 +204,19 @@
     endJob(Job, work::JobState::Completed, Now);
 }
 
-void Scheduler::endJob(TrackedJob &Job, work::JobState State, core::TimePoint Now) {
+void Scheduler::endJob(TrackedJob &Job, work::JobState State, core::TimePoint Now,
+                       work::FailureReason Reason) {
   Job.Ended_ = true;
   Job.Progress_.State_ = State;
+  Job.Progress_.FailureReason_ = Reason;
   Job.Progress_.FinalMs_ = core::wallMillis();
   markDirty(Job);
-  logDecision("job_ended", {Job.Id_, 0, 0, 0}, 0, {}, work::nameOf(State));
+  const bool Failed = State == work::JobState::Failed;
+  logDecision("job_ended", {Job.Id_, 0, 0, 0}, 0, {},
+              std::string(work::nameOf(State)) +
+                  (Failed ? ", " + std::string(work::nameOf(Reason)) : std::string()));
+  if (Failed && Actions_.CountFailedJob_)
+    Actions_.CountFailedJob_(Reason);
   stopJobRuns(Job, work::nameOf(State), Now);
 }
 
@@ -237,7 +246,7 @@
   Found->Runs_.push_back(Number);
   markDirty(Job);
   if (Found->Runs_.size() >= Job.Queue_.MaxAttempts_)
-    endJob(Job, work::JobState::Failed, Now);
+    endJob(Job, work::JobState::Failed, Now, work::FailureReason::AttemptsSpent);
 }
 
 void Scheduler::markDirty(const TrackedJob &Job) { DirtyJobs_.insert(Job.Id_); }
--- a/src/lead/Watch.cpp
+++ b/src/lead/Watch.cpp
@@ -16,6 +16,8 @@
 /// Wait time while a run that no report has listed is being stopped: its task waits for the next
 /// report.
 constexpr core::Millis PreventionHoldWait{50};
+/// Wait time while an executor has yet to survive the start of a suspect task.
+constexpr core::Millis TrialHoldWait{100};
 /// A run is overdue when it exceeds its typical run time by this fraction.
 constexpr double OverdueFraction = 0.25;
 /// Number of completed runs of a step from which their mean replaces the estimate.
@@ -152,7 +154,7 @@
 }
 
 core::Millis Scheduler::holdWait(const ExecutorState &Executor, core::TimePoint Now) const {
-  core::Millis Wait = MaxHoldWait;
+  core::Millis Wait = Executor.Trial_ ? TrialHoldWait : MaxHoldWait;
   bool HasTarget = false;
   bool Fills = false;
   for (const auto &[Key, ActiveRun] : Executor.Runs_) {
--- a/src/work/Job.cpp
+++ b/src/work/Job.cpp
@@ -20,6 +20,18 @@
   return "queued";
 }
 
+std::string_view nameOf(FailureReason Reason) {
+  switch (Reason) {
+  case FailureReason::None:
+    return "";
+  case FailureReason::AttemptsSpent:
+    return "attempts_spent";
+  case FailureReason::CrashesExecutors:
+    return "crashes_executors";
+  }
+  return "";
+}
+
 std::string_view validationError(const JobSpec &Spec) {
   if (Spec.Steps_.empty())
     return "the job has no steps";
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -23,6 +23,10 @@
   return Progress_ ? Progress_->State_ : JobState::Queued;
 }
 
+FailureReason JobTableEntry::failureReason() const {
+  return state() == JobState::Failed ? Progress_->FailureReason_ : FailureReason::None;
+}
+
 LogRecord encodeAccepted(std::string_view Id, const AcceptedRecord &Record) {
   return {recordKey(AcceptedPrefix, Id), core::pack(Record)};
 }
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -101,6 +101,8 @@
   int startsOf(const work::TaskRef &Task) const;
   /// \returns how many executors have crashed under a deadly task.
   int crashesBy(const work::TaskRef &Task) const;
+  /// \returns how many executors have crashed while they ran the job's task that met most crashes.
+  int crashesMetBy(const std::string &Job) const;
   /// \returns the executor that was started last at the address of \p Id, maybe itself.
   std::string latestAt(const std::string &Id) const;
   bool isUp(const std::string &Id) const { return Executors_.at(Id).Up_; }
