platform: keys in the URLs of the log service are percent-encoded

Callers would see no work done at all: a daemon that loads the executor list (500 entries or 1 MB a page) asks for the page after a key, and a key with a space, '#' or '&' that ends a page made that request invalid or asked for the same page again. The load never ended, and a daemon without the list does not come to lead.

Cause: the key, which another writer chooses, went into the URL as it was.

The fix encodes all bytes but the unreserved ones, so the service decodes the very key. Not covered: a key that is no UTF-8 and that the service changes when it puts it into the JSON of a page.

--- a/include/masticdrift/http/Message.h
+++ b/include/masticdrift/http/Message.h
@@ -37,6 +37,10 @@
 /// \returns the percent-decoded value of the query parameter \p Name, or an empty string.
 std::string queryValue(std::string_view Query, std::string_view Name);
 
+/// \returns \p Text as the value of a query parameter: '%' and two hexadecimal digits stand for
+/// each byte that is neither unreserved (RFC 3986) nor '/'.
+std::string percentEncode(std::string_view Text);
+
 /// Splits a path at '/'.
 ///
 /// \returns the percent-decoded segments without the empty ones.
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -58,6 +58,24 @@
   return {};
 }
 
+std::string percentEncode(std::string_view Text) {
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string Encoded;
+  for (const char Byte : Text) {
+    if ((Byte >= '0' && Byte <= '9') || (Byte >= 'a' && Byte <= 'z') ||
+        (Byte >= 'A' && Byte <= 'Z') ||
+        std::string_view("-._~/").find(Byte) != std::string_view::npos) {
+      Encoded += Byte;
+      continue;
+    }
+    const auto Value = static_cast<unsigned char>(Byte);
+    Encoded += '%';
+    Encoded += Digits[Value >> 4U];
+    Encoded += Digits[Value & 0xfU];
+  }
+  return Encoded;
+}
+
 std::vector<std::string> pathSegments(std::string_view Path) {
   std::vector<std::string> Segments;
   while (!Path.empty()) {
--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+/// \returns the bytes that \p Text, an even number of hexadecimal digits, stands for.
+std::string fromHex(std::string_view Text) {
+  constexpr int Base = 16;
+  std::string Bytes;
+  for (std::size_t I = 0; I + 1 < Text.size(); I += 2)
+    Bytes += static_cast<char>(std::stoi(std::string(Text.substr(I, 2)), nullptr, Base));
+  return Bytes;
+}
+
 /// Answers that every executor may run every step.
 void advise(const http::Request &Incoming, const ReplyCallback &Answer) {
   withJson(Incoming, Answer, [&](const Json &Body) {
@@ -53,6 +62,10 @@
               Executors.add(Id);
               Log.put("keyed.servers", Id, Executors.entries(Address).at(Id).dump());
             }
+            // An entry by another writer, with any bytes as key and value.
+            if (Body.contains("raw_entry"))
+              Log.put("keyed.servers", fromHex(Body["raw_entry"]["key"].get<std::string>()),
+                      fromHex(Body["raw_entry"]["value"].get<std::string>()));
             // The entry expires as if the executor had lost the store; its tasks run on.
             if (Body.contains("unlist"))
               Log.put("keyed.servers", Body["unlist"].get<std::string>(), {});
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds LateReadDelay{800};
+constexpr std::size_t MaxAppendBytes = 2U << 20U; ///< call_bytes of the platform
 
 std::string bigEndian(std::uint64_t Value) {
   std::string Out(8, '\0');
@@ -69,6 +70,8 @@
 }
 
 Reply TopicLog::appendToTopic(Topic &TargetTopic, const http::Request &Incoming) {
+  if (Incoming.Body_.size() > MaxAppendBytes)
+    return errorReply(400, "the records are too large");
   const std::string ExpectedEnd = http::queryValue(Incoming.Query_, "at");
   const std::string Name = http::queryValue(Incoming.Query_, "producer");
   if (!ExpectedEnd.empty() && std::stoull(ExpectedEnd) != TargetTopic.Records_.size())
@@ -152,9 +155,11 @@
     Items.push_back({{"key", Next->first},
                      {"value", base64(SourceTopic.Records_[Next->second].Value_)},
                      {"offset", Next->second}});
-  Answer(jsonReply({{"items", Items},
-                    {"has_more", Next != SourceTopic.NewestOffsets_.end()},
-                    {"end", SourceTopic.Records_.size()}}));
+  const Json Page{{"items", Items},
+                  {"has_more", Next != SourceTopic.NewestOffsets_.end()},
+                  {"end", SourceTopic.Records_.size()}};
+  // A key may be any bytes.
+  Answer({200, Page.dump(-1, ' ', false, Json::error_handler_t::replace)});
 }
 
 void TopicLog::put(const std::string &Topic, const std::string &Key, const std::string &Value) {
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -74,6 +74,8 @@
   return "public-lahore-a-" + std::to_string(Daemon + 1);
 }
 
+std::string PlatformFleet::platformAddress() const { return loopbackAddress(PlatformPort_); }
+
 PlatformFleet::PlatformFleet(int Daemons, int Executors, double Cores) {
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -35,6 +35,9 @@
 
   static std::string nameOf(int Daemon);
 
+  /// \returns the address of the stand-in; executor ID has /e/ID appended to it.
+  std::string platformAddress() const;
+
   /// Starts another daemon on a machine with \p Cores as its processor share.
   void addDaemon(double Cores);
 
--- a/tests/unit/HttpTest.cpp
+++ b/tests/unit/HttpTest.cpp
@@ -40,3 +40,12 @@
   cr_assert_eq(Result.Answer_.Status_, 413);
   cr_assert(Result.Answer_.Body_.find("MD-102") != std::string::npos);
 }
+
+// Guards against query values that change the request, because any bytes may be in them.
+Test(HttpMessage, anEncodedQueryValueIsDecodedUnchanged) {
+  std::string AllBytes;
+  for (int Byte = 0; Byte < 256; ++Byte)
+    AllBytes += static_cast<char>(Byte);
+  cr_expect(http::queryValue("a=1&k=" + http::percentEncode(AllBytes) + "&b=2", "k") == AllBytes);
+  cr_expect(http::percentEncode("executor/i-1.a_b~") == "executor/i-1.a_b~");
+}
