platform: only a complete entry within limits names an executor

Callers would see jobs that do not end. An entry by another writer under an id that is no UTF-8, with an address that answers, ended the leader with an exception when it asked for advice, and each leader after it. Sixteen entries with addresses of 260 KB made the heartbeat that records them exceed an append, so that nobody kept the lead. An executor whose entry had turned odd got starts by its earlier entry. Ids over 246 bytes did not fit into a key of the roster.

Cause: keys were not checked at all, and fields only for their type; numbers were cast without a look at their range.

An executor whose entry turns odd is treated as one whose entry was removed.

--- a/include/masticdrift/fleet/Orders.h
+++ b/include/masticdrift/fleet/Orders.h
@@ -12,6 +12,10 @@
 
 namespace masticdrift::fleet {
 
+/// Longest id of an executor: with the prefix that the roster puts before it, it still fits into a
+/// key of the log service.
+inline constexpr std::size_t MaxExecutorIdBytes = 246;
+
 /// An executor as described by the instance list.
 struct ExecutorInfo {
   std::string Id_;
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -55,6 +55,8 @@
                "Orders through other daemons without a result"},
     MetricInfo{"masticdrift_missed_jobs_total", Counter,
                "Stored jobs that the leader's check found missing, by kind"},
+    MetricInfo{"masticdrift_executor_entries_rejected_total", Counter,
+               "Entries of the executor list that name no executor to use, by the rejected part"},
     MetricInfo{"masticdrift_log_lines_dropped", Gauge, "Log lines dropped by a slow reader"},
     MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
 };
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -12,11 +12,14 @@
 #include "platform/Executors.h"
 #include "platform/Text.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <random>
 #include <set>
 #include <sstream>
+#include <utility>
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -53,6 +56,9 @@
 /// Time for which the entry of an executor that was removed from the list is kept. A leader that
 /// finds the executor in the roster sends its orders through the entry's failure domain.
 constexpr core::Millis UnlistedExecutorRetention{15'000};
+/// Number of rejected entries of the executor list for which it is known that they were logged.
+constexpr std::size_t MaxRememberedRejections = 1000;
+constexpr std::size_t MaxLoggedIdBytes = 64;
 /// Minimum time for which a stopping daemon keeps serving. The load balancer stops sending new
 /// connections after two failed readiness checks, made once per second.
 constexpr core::Millis MinStopTime{2300};
@@ -67,6 +73,14 @@
   return Text.str();
 }
 
+/// \returns the start of \p Id with '?' for all but printable ASCII characters.
+std::string printable(std::string_view Id) {
+  std::string Text(Id.substr(0, MaxLoggedIdBytes));
+  std::ranges::replace_if(
+      Text, [](char C) { return C < ' ' || C > '~'; }, '?');
+  return Text;
+}
+
 http::ServerOptions serverOptions(asio::io_context &Loop, const platform::Endpoint &Listen) {
   http::ServerOptions Options;
   Options.Address_ = Listen.Address_;
@@ -235,20 +249,39 @@
 
   void onExecutorRecord(const platform::KeyedRecord &Record) {
     if (Record.Value_.empty()) {
+      RejectedEntries_.erase(Record.Key_);
       unlistExecutor(Record.Key_);
       return;
     }
-    auto Info = platform::decodeExecutor(Record.Key_, Record.Value_);
+    std::string_view RejectedPart;
+    auto Info = platform::decodeExecutor(Record.Key_, Record.Value_, &RejectedPart);
     if (!Info) {
-      if (MalformedExecutors_.insert(Record.Key_).second)
-        core::log(core::LogLevel::Warning, "executor entry cannot be decoded",
-                  {{"executor", Record.Key_}, {"offset", std::to_string(Record.Offset_)}});
+      rejectExecutorEntry(Record, RejectedPart);
       return;
     }
+    RejectedEntries_.erase(Record.Key_);
     Context_.ExecutorEntries_[Record.Key_] = {std::move(*Info), true, core::Clock::now()};
     Leader_.onExecutor(Record.Key_);
   }
 
+  /// Ignores an entry that names no executor to use. An executor that had a valid entry before gets
+  /// no new runs until it has one again, as if its entry had been removed.
+  void rejectExecutorEntry(const platform::KeyedRecord &Record, std::string_view RejectedPart) {
+    core::count("masticdrift_executor_entries_rejected_total",
+                {{"part", std::string(RejectedPart)}});
+    if (RejectedEntries_.size() >= MaxRememberedRejections &&
+        !RejectedEntries_.contains(Record.Key_))
+      RejectedEntries_.clear();
+    // Logged again only when something else is wrong, because executors rewrite their entries.
+    if (std::exchange(RejectedEntries_[Record.Key_], RejectedPart) != RejectedPart)
+      core::log(core::LogLevel::Warning, "executor entry names no executor to use",
+                {{"executor", printable(Record.Key_)},
+                 {"rejected_part", std::string(RejectedPart)},
+                 {"bytes", std::to_string(Record.Value_.size())},
+                 {"offset", std::to_string(Record.Offset_)}});
+    unlistExecutor(Record.Key_);
+  }
+
   void unlistExecutor(const std::string &Id) {
     const auto Found = Context_.ExecutorEntries_.find(Id);
     if (Found == Context_.ExecutorEntries_.end() || !Found->second.Listed_)
@@ -456,7 +489,8 @@
   asio::steady_timer ExpiryTimer_;
   asio::steady_timer StopTimer_;
   core::TimePoint StopStartedAt_{};
-  std::set<std::string> MalformedExecutors_;
+  /// Rejected part of each entry that names no executor to use, by key.
+  std::map<std::string, std::string_view> RejectedEntries_;
 };
 
 } // namespace
--- a/src/lead/Roster.cpp
+++ b/src/lead/Roster.cpp
@@ -1,10 +1,15 @@
 #include "masticdrift/lead/Roster.h"
 
+#include "masticdrift/fleet/Orders.h"
+
 namespace masticdrift::lead {
 
 namespace {
 
 constexpr std::string_view KeyPrefix = "executor/";
+/// Longest key that the log service can store.
+constexpr std::size_t MaxKeyBytes = 255;
+static_assert(KeyPrefix.size() + fleet::MaxExecutorIdBytes <= MaxKeyBytes);
 
 std::string rosterKey(std::string_view ExecutorId) {
   return std::string(KeyPrefix) + std::string(ExecutorId);
