--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -39,6 +39,29 @@
   }
 }
 
+// Guards against a job with a number that is too large for it: each leader would end when it keeps
+// the state of four billion occurrences, and tasks that need less than nothing would make room.
+Test(PlatformJob, aNumberThatIsOutOfRangeIsRejectedWithAReason) {
+  for (const char *Body : {R"({"steps":[{"count":1}],"run_count":4000000000,"interval_ms":1})",
+                           R"({"steps":[{"count":1000}],"run_count":201,"interval_ms":1})",
+                           R"({"steps":[{"count":1}],"run_count":1e30,"interval_ms":1})",
+                           R"({"steps":[{"count":1}],"run_count":2,"interval_ms":9e18})",
+                           R"({"steps":[{"count":1,"cpu":-1000}]})",
+                           R"({"steps":[{"count":1,"mem_mb":9000000000000000000}]})",
+                           R"({"steps":[{"count":1,"gpu":18446744073709551615}]})",
+                           R"({"steps":[{"count":1,"estimated_ms":1e300}]})"}) {
+    const auto [Spec, Error] = platform::decodeJob(Body);
+    cr_expect(!Spec.has_value(), "%s", Body);
+    cr_expect(!Error.empty(), "%s", Body);
+  }
+  const auto [Spec, Error] = platform::decodeJob(
+      R"({"steps":[{"count":1000,"cpu":500.0}],"run_count":200,"interval_ms":60000,)"
+      R"("first_run_ms":1780000000000})");
+  cr_assert(Spec.has_value(), "%s", Error.c_str());
+  cr_expect_eq(Spec->RunCount_, 200);
+  cr_expect_eq(Spec->FirstRunMs_, 1'780'000'000'000);
+}
+
 Test(PlatformJob, aJobIdHas16HexadecimalDigits) {
   cr_expect(platform::isJobId("5c0e7a21d94b36f8"));
   for (const char *Text : {"", "5c0e7a21d94b36f", "5c0e7a21d94b36f80", "5c0e7a21d94b36g8"})
@@ -121,6 +144,29 @@
   cr_expect(platform::decodeOrderResponse(500, "").Outcome_ == NoAnswer);
 }
 
+// Guards against casts of numbers that do not fit, which differ between processors: a run would get
+// another number, and an end another place in the order.
+Test(PlatformExecutor, rowsWithNumbersOutOfRangeAreLeftOut) {
+  const auto Report = platform::decodeReport(
+      R"({"clock_ms":9,"running":[["5c0e7a21d94b36f8.0.1.1",-2,"",4],)"
+      R"(["5c0e7a21d94b36f8.0.1.2",1e30,"",4],["5c0e7a21d94b36f8.0.1.3",18446744073709551615,"",4],)"
+      R"(["5c0e7a21d94b36f8.0.1.4",2,"",1e30]],)"
+      R"("ended":[[-1,"5c0e7a21d94b36f8.0.1.5",1,"done",""],[1e30,"5c0e7a21d94b36f8.0.1.6",1,"done"],)"
+      R"([7,"5c0e7a21d94b36f8.0.1.7",-1,"done",""],[8,"5c0e7a21d94b36f8.0.1.8",3,"done",""]]})");
+  cr_assert(Report.has_value());
+  // A run whose percentage is out of range is still running.
+  cr_assert_eq(Report->Running_.size(), 1);
+  cr_expect_eq(Report->Running_[0].Run_, 2);
+  cr_expect_eq(Report->Running_[0].ProgressPercent_, 0);
+  cr_assert_eq(Report->Ended_.size(), 1);
+  cr_expect_eq(Report->Ended_[0].SequenceNumber_, 8);
+  for (const char *Number : {"1e30", "18446744073709551615", "-9000000000000000000", "\"9\""})
+    cr_expect(!platform::decodeReport(std::string(R"({"running":[],"ended":[],"clock_ms":)") +
+                                      Number + "}")
+                   .has_value(),
+              "%s", Number);
+}
+
 // --- Log service ---
 
 Test(PlatformLog, encodedRecordsAreDecodedUnchanged) {
@@ -146,6 +192,22 @@
 
 // --- Settings ---
 
+// Guards against a daemon that listens on another port than the one in its settings.
+Test(PlatformSettings, aPortOutOfRangeIsNamed) {
+  for (const char *Port : {"65536", "99999", "-1", "1e30", "\"7420\""}) {
+    platform::MachineSettings Settings;
+    std::string Error;
+    cr_expect(!platform::decodeSettings(
+                  std::string(R"({"node_name":"n","zone":"z","ip":"10.0.0.1","internal_ports":[)") +
+                      Port +
+                      R"(],"bind_addresses":{"frontend":"10.0.0.1:8183","ready":"10.0.0.1:8184"},)"
+                      R"("platform":{"address":"10.0.0.2:1"}})",
+                  Settings, Error),
+              "%s", Port);
+    cr_expect(Error.find("/internal_ports/0") != std::string::npos, "%s", Error.c_str());
+  }
+}
+
 Test(PlatformSettings, aMissingFieldIsNamed) {
   platform::MachineSettings Settings;
   std::string Error;
