--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -60,6 +60,8 @@
     MetricInfo{"masticdrift_executor_crashes_total", Counter,
                "Crashes of executors by the number of runs that they had just started"},
     MetricInfo{"masticdrift_failed_jobs_total", Counter, "Jobs that ended as failed, by reason"},
+    MetricInfo{"masticdrift_executor_entries_rejected_total", Counter,
+               "Entries of the executor list that name no executor to use, by the rejected part"},
     MetricInfo{"masticdrift_log_lines_dropped", Gauge, "Log lines dropped by a slow reader"},
     MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
 };
