--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -74,9 +74,11 @@
   /// executors do so 10 ms after the start on the platform; the rest is for slower ones. A longer
   /// time blames more crashes that have other causes on tasks that had just started.
   core::Millis StartSurvivalTime_{300};
-  /// Time by which a crash is noticed: its connections are reset, and a daemon that relays orders
-  /// reports that at once. Runs that started earlier before a loss are not suspect.
-  core::Millis LossNoticeTime_{500};
+  /// Time by which a crash is noticed: at once when its connections are reset, otherwise when the
+  /// longest hold request has timed out. Runs that started earlier before a loss are not suspect.
+  core::Millis LossNoticeTime_{3000};
+  /// The same for runs without an answer to their start. Their orders may not have arrived at all.
+  core::Millis UnansweredNoticeTime_{500};
   /// Executors that may crash right after they have started a task before its job fails. The
   /// platform allows two and forbids further starts after three; the third crash shows that those
   /// before were no coincidence.
--- a/src/lead/Crashes.cpp
+++ b/src/lead/Crashes.cpp
@@ -29,10 +29,12 @@
     const bool Listed = std::ranges::any_of(Survivors, [&](const fleet::ReportedRun &Row) {
       return Row.Task_ == Key.first && Row.Run_ == Key.second;
     });
-    const core::TimePoint StartedAt =
-        isUnset(ActiveRun.ConfirmedAt_) ? ActiveRun.OrderSentAt_ : ActiveRun.ConfirmedAt_;
+    const bool Answered = !isUnset(ActiveRun.ConfirmedAt_);
+    const core::TimePoint StartedAt = Answered ? ActiveRun.ConfirmedAt_ : ActiveRun.OrderSentAt_;
+    const core::Millis NoticeTime =
+        Answered ? Timing_.LossNoticeTime_ : Timing_.UnansweredNoticeTime_;
     if (Job == nullptr || Job->Ended_ || Listed || hasSurvivedStart(Executor, ActiveRun) ||
-        Now - StartedAt > Timing_.StartSurvivalTime_ + Timing_.LossNoticeTime_)
+        Now - StartedAt > Timing_.StartSurvivalTime_ + NoticeTime)
       continue;
     ++Suspects;
     if (!addSuspicion(Job->Progress_, Key.first,
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -46,7 +46,7 @@
     logDecision("executor_reborn", {}, 0, Info.Id_, "the executor list shows a new incarnation");
     Executor.Reported_ = false;
     Executor.HoldInFlight_ = false;
-      Executor.NextHoldAt_ = Now;
+    Executor.NextHoldAt_ = Now;
   }
   if (WasKnown && Executor.Info_.Address_ != Info.Address_)
     Executor.Recorded_ = false;
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -196,6 +196,8 @@
   Successor.Info_.Id_ = NewId;
   Successor.Info_.Draining_ = false;
   Successor.Info_.IncarnationStartMs_ = wallMs(Now_);
+  Successor.Capacity_ = Old.Capacity_;
+  Successor.EarlierCapacities_ = Old.EarlierCapacities_;
   Successor.ClockStart_ = Now_;
   Successor.DisconnectedUntil_ = Old.DisconnectedUntil_;
   for (const auto &[Path, Until] : std::map(CutPaths_))
--- a/tests/unit/LateWritesTest.cpp
+++ b/tests/unit/LateWritesTest.cpp
@@ -73,6 +73,7 @@
   /// Delivers a report of the only executor and carries out a scheduling round.
   void report(const std::vector<fleet::ReportedEnd> &Ends) {
     Now_ += Millis(100);
+    Scheduler_->onHeartbeatStored(Now_);
     Scheduler_->tick(Now_, 0);
     fleet::Report Report;
     Report.ClockMs_ = core::toMillis(Now_.time_since_epoch());
--- a/tests/unit/RosterTest.cpp
+++ b/tests/unit/RosterTest.cpp
@@ -114,8 +114,10 @@
     Scheduler.onExecutor(makeExecutor("i-1"), Start);
     Scheduler.tick(Start, 0);
     Scheduler.onHoldResult("i-1", fleet::OrderOutcome::Done, {}, Start, Start + Millis(5));
+    Scheduler.onHeartbeatStored(Start + Millis(10'000));
     Scheduler.tick(Start + Millis(10'000), 0);
     cr_expect_eq(Scheduler.counts().Accounted_, RosterComplete);
+    Scheduler.onHeartbeatStored(Start + Millis(10'600));
     Scheduler.tick(Start + Millis(10'600), 0);
     cr_expect(Scheduler.counts().Accounted_);
   }
--- a/tests/unit/SchedulerCapacityTest.cpp
+++ b/tests/unit/SchedulerCapacityTest.cpp
@@ -224,6 +224,7 @@
   const work::LogRecord Record = work::encodeAccepted("j", {Queue, "c", 1});
   Table.apply(0, Record.Key_, Record.Value_);
   Scheduler.onJob(*Table.find("j"), Now, 1);
+  Scheduler.onHeartbeatStored(Now);
   Scheduler.tick(Now + Millis(10), 11);
   cr_assert_eq(Asked.size(), 1);
   cr_expect_str_eq(Asked.front().c_str(), "e1");
