lead: an executor is forgotten only when a stored heartbeat proves its lease over

A leader without the store forgot a silent executor without an entry by time alone, counted the runs of earlier leaders as accounted for without it, and could start their tasks although a later leader had renewed the lease (two runs of one task).

Evidence: unit.RosterTest expects that the executor is tracked until a heartbeat is stored; the new assertion fails before.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -290,6 +290,10 @@
   void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the time up to which this leader may grant leases.
   core::TimePoint leaseLimit() const;
+  /// \returns false when a run that starts now would soon lapse for want of a stored heartbeat.
+  bool mayGrantLeases(core::TimePoint Now) const {
+    return leaseLimit() - Now >= Timing_.StaleLeaderTime_;
+  }
   /// \returns the end of a lease that starts now, on the executor's clock.
   std::int64_t leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const;
   void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -448,7 +448,7 @@
   // A silent executor may have restarted, and a new incarnation numbers its ends from the beginning
   // again, so nothing is acknowledged.
   Actions_.Hold_(Executor.Info_, Renew ? Executor.DurableEnd_ : 0,
-                 Renew ? leaseEndMs(Executor, Now) : 0, Wait);
+                 Renew && Now < leaseLimit() ? leaseEndMs(Executor, Now) : 0, Wait);
 }
 
 bool Scheduler::tickRun(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now) {
@@ -464,7 +464,7 @@
     stopRun(Executor, ActiveRun, "start order was not answered", Now);
   else if (exceedsCapacity(Executor))
     stopRun(Executor, ActiveRun, "capacity has shrunk before the start was answered", Now);
-  else if (!Executor.Silent_ && Executor.Recorded_)
+  else if (!Executor.Silent_ && Executor.Recorded_ && mayGrantLeases(Now))
     sendStart(Executor, ActiveRun, Now);
   return true;
 }
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -313,7 +313,7 @@
     const bool EndsDurable = std::ranges::all_of(
         Executor.UnackedEnds_, [](const auto &End) { return End.second == NoFlush; });
     if (!Executor.Listed_ && Executor.Runs_.empty() && Executor.OpenStarts_.empty() &&
-        EndsDurable && !Executor.HoldInFlight_ && Now >= Executor.LeaseEnd_)
+        EndsDurable && !Executor.HoldInFlight_ && ConfirmedAt_ >= Executor.LeaseEnd_)
       Forgotten.push_back(Id);
   }
   for (const std::string &Id : Forgotten) {
@@ -322,8 +322,8 @@
     Executors_.erase(Id);
   }
   updateAccounted();
-  EndsHidden_ = std::ranges::any_of(Executors_, [Now](const auto &Entry) {
-    return Entry.second.ReportFull_ && Now < Entry.second.LeaseEnd_;
+  EndsHidden_ = std::ranges::any_of(Executors_, [this](const auto &Entry) {
+    return Entry.second.ReportFull_ && ConfirmedAt_ < Entry.second.LeaseEnd_;
   });
   std::erase_if(Jobs_, [this](const auto &Entry) {
     const bool Finished =
@@ -332,9 +332,7 @@
       FinalJobs_.insert(Entry.first);
     return Finished;
   });
-  // A run with a short lease would lapse.
-  const bool LeaseLeft = leaseLimit() - Now >= Timing_.StaleLeaderTime_;
-  if (LeaseLeft && (PlacementDue_ || Now >= NextPlacementAt_)) {
+  if (mayGrantLeases(Now) && (PlacementDue_ || Now >= NextPlacementAt_)) {
     PlacementDue_ = false;
     placeWaiting(Now, WallMs);
   }
--- a/tests/unit/RosterTest.cpp
+++ b/tests/unit/RosterTest.cpp
@@ -137,6 +137,10 @@
   cr_expect(Scheduler.isTracked("i-1"));
   Scheduler.onHoldResult("i-1", fleet::OrderOutcome::NoAnswer, {}, Start + Millis(1000),
                          Start + Millis(10'590));
+  // A later leader may have renewed the lease while no heartbeat is stored.
+  Scheduler.tick(Start + Millis(10'600), 0);
+  cr_expect(Scheduler.isTracked("i-1"));
+  Scheduler.onHeartbeatStored(Start + Millis(10'600));
   Scheduler.tick(Start + Millis(10'600), 0);
   cr_expect(!Scheduler.isTracked("i-1"));
 }
