lead: a new leader stops gangs that have lost a member with the earlier one

The next leader adopted the other members' runs, the lost member waited, and the gang was neither complete nor started again: its job stayed running. Where the platform ends the others as broken nothing changes.

Change: when all earlier runs are accounted for, gangs with waiting members are stopped, and start again as a whole.

Evidence: unit.SchedulerGangTakeoverTest failed before and passes.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -226,6 +226,7 @@
               work::FailureReason Reason = work::FailureReason::None);
   void countFailure(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t Number,
                     core::TimePoint Now);
+  void stopIncompleteGangs(TrackedJob &Job, core::TimePoint Now);
   void markDirty(const TrackedJob &Job);
   /// \returns true when no unknown run of an earlier leader prevents a start of the step's tasks.
   bool mayStart(const TrackedJob &Job, const work::StepSpec &Spec) const;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -100,6 +100,8 @@
               NewJob.Inherited_ ? "begun by an earlier leader"
                                 : (BegunByThisTerm ? "begun with its acceptance" : "new"));
   reconcileLateJob(NewJob, Now);
+  if (Accounted_)
+    stopIncompleteGangs(NewJob, Now);
   PlacementDue_ = true;
 }
 
@@ -233,6 +235,16 @@
   return FinalJobs_.contains(Id) ? JobKnowledge::Ended : JobKnowledge::Unknown;
 }
 
+/// Stops the adopted runs of gangs that have lost a member together with the earlier leader.
+void Scheduler::stopIncompleteGangs(TrackedJob &Job, core::TimePoint Now) {
+  if (!Job.Inherited_ || Job.Ended_)
+    return;
+  for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K)
+    for (std::uint32_t I = 0; I < Job.Spec_.Steps_.size(); ++I)
+      if (Job.Spec_.Steps_[I].Gang_ && Job.Occurrences_[K].Steps_[I].WaitingTasks_ > 0)
+        stopStepRuns(Job, {Job.Id_, K, I, 0}, "gang is not complete", Now);
+}
+
 void Scheduler::countFailure(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t Number,
                              core::TimePoint Now) {
   const std::uint32_t Index = stepSpec(Job, Task).Gang_ ? 0 : Task.Index_;
@@ -321,7 +333,11 @@
     Unrecorded_.erase(Id);
     Executors_.erase(Id);
   }
+  const bool WasAccounted = Accounted_;
   updateAccounted();
+  if (Accounted_ && !WasAccounted)
+    for (auto &[Id, Job] : Jobs_)
+      stopIncompleteGangs(Job, Now);
   EndsHidden_ = std::ranges::any_of(Executors_, [this](const auto &Entry) {
     return Entry.second.ReportFull_ && ConfirmedAt_ < Entry.second.LeaseEnd_;
   });
--- a/tests/unit/SchedulerGangTakeoverTest.cpp
+++ b/tests/unit/SchedulerGangTakeoverTest.cpp
@@ -1,4 +1,4 @@
-// Gangs that lose a member together with the leader. Known red: see KNOWN-RED.txt.
+// Gangs that lose a member together with the leader.
 #include "support/FakeFleet.h"
 
 #include <cstdlib>
