lead: an unanswered start is not repeated on a restarted executor before its entry is read

A start that was in flight across a restart under the same id was repeated by the capacity and the labels of the earlier incarnation. Found by review; placement waited for the entry already. No test of its own: the storms of unit.SchedulerCapacityTest pass before and after.

--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -464,6 +464,8 @@
     stopRun(Executor, ActiveRun, "start order was not answered", Now);
   else if (exceedsCapacity(Executor))
     stopRun(Executor, ActiveRun, "capacity has shrunk before the start was answered", Now);
+  else if (!isEntryCurrent(Executor, Now, Timing_.MaxListDelay_))
+    stopRun(Executor, ActiveRun, "executor has restarted before the start was answered", Now);
   else if (!Executor.Silent_ && Executor.Recorded_ && mayGrantLeases(Now))
     sendStart(Executor, ActiveRun, Now);
   return true;
