lead: suspect tasks find room, and inherited crashes are counted

Found by review of the count of crashes: a suspect task was never placed again when the only executor with room for it was one that had crashed under it; a report without an incarnation was taken for a crash; a crash under an earlier leader whose executor had been replaced was not counted by the next.

Change: only executors that could hold the task count as alternatives, the isolation ends 10 s after the last counted crash, reports without an incarnation settle nothing, and a new leader compares inherited suspicions with the executors that are listed at their addresses.

Not changed: a start without an answer counts by its last repeat, because with the first the crashes of unit.SchedulerCrashTest crashesBehindACutCount are not counted.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -124,11 +124,12 @@
   work::JobSpec Spec_;
   work::Queue Queue_; ///< from the newest configuration that contains the queue
   work::ProgressRecord Progress_;
-  bool Inherited_ = false;       ///< started by an earlier leader
-  std::uint64_t BegunFlush_ = 0; ///< flush that makes the start of the job durable
-  std::uint64_t CrashFlush_ = 0; ///< flush that makes the last counted crash durable
-  bool OverRate_ = false;        ///< exceeds its customer's submission rate
-  bool Ended_ = false;           ///< final; the job is kept until all its runs are over
+  bool Inherited_ = false;        ///< started by an earlier leader
+  std::uint64_t BegunFlush_ = 0;  ///< flush that makes the start of the job durable
+  std::uint64_t CrashFlush_ = 0;  ///< flush that makes the last counted crash durable
+  core::TimePoint LastCrashAt_{}; ///< when a crash was counted last
+  bool OverRate_ = false;         ///< exceeds its customer's submission rate
+  bool Ended_ = false;            ///< final; the job is kept until all its runs are over
   int ActiveRuns_ = 0;
   std::set<std::string> FailedOn_; ///< executors on which runs of the job failed
   core::TimePoint AcceptedAt_;
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -83,6 +83,9 @@
   /// platform allows two and forbids further starts after three; the third crash shows that those
   /// before were no coincidence.
   std::size_t MaxCrashes_ = 3;
+  /// Time after a counted crash for which its task waits for an executor on which a crash would
+  /// have no other cause. Bounds the wait where few executors may run the task.
+  core::Millis MaxTrialWait_{10'000};
 };
 
 /// Operations that the driver carries out for the scheduler. Results are passed to
@@ -285,6 +288,7 @@
                   core::TimePoint Now);
   void onExecutorReplaced(std::string_view Address, std::string_view ExecutorId,
                           core::TimePoint Now);
+  void settleInheritedSuspicions(TrackedJob &Job, core::TimePoint Now);
   void forgetSettledSuspects();
   void checkTrial(ExecutorState &Executor);
 
--- a/include/masticdrift/lead/Suspicion.h
+++ b/include/masticdrift/lead/Suspicion.h
@@ -7,11 +7,12 @@
 ///
 /// Example:
 /// \code
-///   addSuspicion(Job.Progress_, Task, {Run.Number_, Executor.Info_.Id_, Executor.Incarnation_});
+///   addSuspicion(Job.Progress_, Task, {Run.Number_, ExecutorId, Incarnation, false, Address});
 ///   // later the executor answers as a new incarnation
-///   for (const work::TaskRef &Task : confirmCrash(Job.Progress_, Id, Incarnation))
+///   for (const work::TaskRef &Task :
+///        confirmCrash(Job.Progress_, Job.Id_, ExecutorId, NewIncarnation))
 ///     if (crashCount(Job.Progress_, Task) >= Limit)
-///       endJob(Job, work::JobState::Failed);
+///       endJob(Job, work::JobState::Failed, Now, work::FailureReason::CrashesExecutors);
 /// \endcode
 #ifndef MASTICDRIFT_LEAD_SUSPICION_H
 #define MASTICDRIFT_LEAD_SUSPICION_H
--- a/src/lead/Crashes.cpp
+++ b/src/lead/Crashes.cpp
@@ -24,7 +24,9 @@
     return;
   std::vector<work::TaskRef> Counted;
   std::size_t Suspects = 0;
-  for (const auto &[Key, ActiveRun] : Executor.Runs_) {
+  for (const auto &Entry : Executor.Runs_) {
+    const RunKey &Key = Entry.first;
+    const Run &ActiveRun = Entry.second;
     TrackedJob *Job = findJob(Key.first);
     const bool Listed = std::ranges::any_of(Survivors, [&](const fleet::ReportedRun &Row) {
       return Row.Task_ == Key.first && Row.Run_ == Key.second;
@@ -93,6 +95,20 @@
   }
 }
 
+/// Counts crashes under an earlier leader whose executors have been replaced since.
+void Scheduler::settleInheritedSuspicions(TrackedJob &Job, core::TimePoint Now) {
+  if (Job.Progress_.Suspects_.empty())
+    return;
+  Job.LastCrashAt_ = Now;
+  for (const auto &[Id, Executor] : Executors_)
+    if (Executor.Listed_)
+      for (const work::TaskRef &Task :
+           confirmReplacement(Job.Progress_, Job.Id_, Executor.Info_.Address_, Id)) {
+        markDirty(Job);
+        countCrash(Job, Task, Id, Now);
+      }
+}
+
 void Scheduler::forgetSettledSuspects() {
   std::erase_if(SuspectJobs_, [this](const std::string &Id) {
     const auto Found = Jobs_.find(Id);
@@ -106,9 +122,11 @@
                            core::TimePoint Now) {
   const std::size_t Crashes = crashCount(Job.Progress_, Task);
   Job.CrashFlush_ = NextFlush_;
+  Job.LastCrashAt_ = Now;
   logDecision("task_suspected", Task, 0, ExecutorId,
               std::to_string(Crashes) + " of " + std::to_string(Timing_.MaxCrashes_) + " crashes");
-  const bool Done = findStep(Job, Task)->Tasks_[Task.Index_].State_ == TaskState::Done;
+  const TrackedStep *Step = findStep(Job, Task);
+  const bool Done = Step == nullptr || Step->Tasks_[Task.Index_].State_ == TaskState::Done;
   if (Crashes < Timing_.MaxCrashes_ || Job.Ended_ || Done)
     return;
   endJob(Job, work::JobState::Failed, Now, work::FailureReason::CrashesExecutors);
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -221,7 +221,8 @@
                             const work::StepSpec &Spec, const work::TaskRef &Task) const {
     bool Found = false;
     visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
-      Found = Found || !hasCrashedAt(Waiting.Job_->Progress_, Task, Executor.Info_.Address_);
+      Found = Found || (core::fits(Spec.Need_, Executor.Info_.Capacity_) &&
+                        !hasCrashedAt(Waiting.Job_->Progress_, Task, Executor.Info_.Address_));
     });
     return Found;
   }
@@ -355,7 +356,9 @@
       if (waitsForSuspicion(Waiting, Task))
         continue;
       const bool Suspect = crashCount(Waiting.Job_->Progress_, Task) > 0;
-      ExecutorState *Executor = chooseExecutor(Waiting, Step, Spec, Task, Suspect);
+      const bool Isolated =
+          Suspect && Now_ - Waiting.Job_->LastCrashAt_ < Scheduler_.Timing_.MaxTrialWait_;
+      ExecutorState *Executor = chooseExecutor(Waiting, Step, Spec, Task, Isolated);
       if (Executor == nullptr && Suspect)
         continue; // other tasks of the step need no executor of their own
       if (Executor == nullptr)
@@ -384,9 +387,9 @@
       Suspect = Suspect || crashCount(Waiting.Job_->Progress_, memberOf(Waiting, I)) > 0;
     }
     // A gang that finds no room apart from other starts runs beside them.
-    for (const bool Isolated : {Suspect, false})
+    for (const bool Isolated : {true, false})
       for (const std::string &Rack : Racks)
-        if (placeGangInRack(Waiting, Step, Spec, Isolated, Rack))
+        if (Isolated <= Suspect && placeGangInRack(Waiting, Step, Spec, Isolated, Rack))
           return;
   }
 
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -37,7 +37,7 @@
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   if (Outcome != OrderOutcome::Done) {
     if (NewerInFlight)
-      return; // its outcome tells more
+      return; // the newer request shows whether the executor still answers
     // Once another executor answers at its address, this one has crashed or shut down, and its runs
     // have ended with it. A missing answer or a refused connection proves nothing, because paths
     // can be cut while the runs go on; then only the end of the lease does.
@@ -67,7 +67,7 @@
     onExecutorCrashed(Executor, Report.Running_, Now);
     handleRestart(Executor, Report, Now);
   }
-  if (WasLost)
+  if (WasLost && Report.IncarnationStartMs_ != 0)
     onAnswerAfterSilence(Executor, Report.IncarnationStartMs_, Now);
   if (Report.IncarnationStartMs_ != 0)
     Executor.Incarnation_ = Report.IncarnationStartMs_;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -100,6 +100,7 @@
               NewJob.Inherited_ ? "begun by an earlier leader"
                                 : (BegunByThisTerm ? "begun with its acceptance" : "new"));
   reconcileLateJob(NewJob, Now);
+  settleInheritedSuspicions(NewJob, Now);
   if (Accounted_)
     stopIncompleteGangs(NewJob, Now);
   PlacementDue_ = true;
