lead: crashes are counted with the tasks that were suspect since the silence

masticdrift_executor_crashes_total showed suspects="none" for most crashes, because the runs had been recorded when the executor fell silent, seconds before. It now counts the tasks for which the crash is settled.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -110,7 +110,7 @@
   std::function<void(std::string_view Event, const work::TaskRef &Task, std::uint64_t Run,
                      std::string_view ExecutorId, std::string_view Detail)>
       LogDecision_;
-  /// Counts a crash of an executor that had just started \p Suspects runs.
+  /// Counts a crash of an executor, for which \p Suspects tasks come into question.
   std::function<void(std::size_t Suspects)> CountCrash_;
   /// Counts a job that has ended as failed.
   std::function<void(work::FailureReason)> CountFailedJob_;
@@ -278,12 +278,13 @@
 
   // Crashes.
   bool hasSurvivedStart(const ExecutorState &Executor, const Run &ActiveRun) const;
-  void suspectStartedRuns(ExecutorState &Executor, bool Crashed,
-                          std::span<const fleet::ReportedRun> Survivors, core::TimePoint Now);
+  std::size_t suspectStartedRuns(ExecutorState &Executor, bool Crashed,
+                                 std::span<const fleet::ReportedRun> Survivors,
+                                 core::TimePoint Now);
   void onExecutorCrashed(ExecutorState &Executor, std::span<const fleet::ReportedRun> Survivors,
                          core::TimePoint Now);
-  void onAnswerAfterSilence(const ExecutorState &Executor, std::int64_t Incarnation,
-                            core::TimePoint Now);
+  std::size_t onAnswerAfterSilence(const ExecutorState &Executor, std::int64_t Incarnation,
+                                   core::TimePoint Now);
   void countCrash(TrackedJob &Job, const work::TaskRef &Task, std::string_view ExecutorId,
                   core::TimePoint Now);
   void onExecutorReplaced(std::string_view Address, std::string_view ExecutorId,
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -58,7 +58,7 @@
     MetricInfo{"masticdrift_missed_jobs_total", Counter,
                "Stored jobs that the leader's check found missing, by kind"},
     MetricInfo{"masticdrift_executor_crashes_total", Counter,
-               "Crashes of executors by the number of runs that they had just started"},
+               "Crashes of executors by the number of suspect tasks"},
     MetricInfo{"masticdrift_failed_jobs_total", Counter, "Jobs that ended as failed, by reason"},
     MetricInfo{"masticdrift_executor_entries_rejected_total", Counter,
                "Entries of the executor list that name no executor to use, by the rejected part"},
--- a/src/lead/Crashes.cpp
+++ b/src/lead/Crashes.cpp
@@ -17,13 +17,13 @@
 /// Records the runs that a lost executor may have started last. A draining executor leaves on
 /// purpose and gets no starts.
 /// \param Survivors runs that the executor has started after its crash.
-void Scheduler::suspectStartedRuns(ExecutorState &Executor, bool Crashed,
-                                   std::span<const fleet::ReportedRun> Survivors,
-                                   core::TimePoint Now) {
+/// \returns the number of crashes that were counted.
+std::size_t Scheduler::suspectStartedRuns(ExecutorState &Executor, bool Crashed,
+                                          std::span<const fleet::ReportedRun> Survivors,
+                                          core::TimePoint Now) {
   if (Executor.Info_.Draining_)
-    return;
+    return 0;
   std::vector<work::TaskRef> Counted;
-  std::size_t Suspects = 0;
   for (const auto &Entry : Executor.Runs_) {
     const RunKey &Key = Entry.first;
     const Run &ActiveRun = Entry.second;
@@ -38,7 +38,6 @@
     if (Job == nullptr || Job->Ended_ || Listed || hasSurvivedStart(Executor, ActiveRun) ||
         Now - StartedAt > Timing_.StartSurvivalTime_ + NoticeTime)
       continue;
-    ++Suspects;
     if (!addSuspicion(Job->Progress_, Key.first,
                       {Key.second, Executor.Info_.Id_, Executor.Incarnation_, Crashed,
                        Executor.Info_.Address_}))
@@ -48,10 +47,9 @@
     if (Crashed)
       Counted.push_back(Key.first);
   }
-  if (Crashed && Actions_.CountCrash_)
-    Actions_.CountCrash_(Suspects);
   for (const work::TaskRef &Task : Counted)
     countCrash(*findJob(Task), Task, Executor.Info_.Id_, Now);
+  return Counted.size();
 }
 
 /// Handles that an executor has crashed: another one answers at its address, or a new incarnation.
@@ -60,25 +58,31 @@
                                   core::TimePoint Now) {
   if (Executor.Info_.Draining_)
     return;
-  suspectStartedRuns(Executor, true, Survivors, Now);
-  onAnswerAfterSilence(Executor, 0, Now);
+  const std::size_t Suspects = suspectStartedRuns(Executor, true, Survivors, Now);
+  const std::size_t Recorded = onAnswerAfterSilence(Executor, 0, Now);
+  if (Actions_.CountCrash_)
+    Actions_.CountCrash_(Suspects + Recorded);
 }
 
 /// Settles what is recorded against runs on an executor that was silent, also by earlier leaders.
 /// \param Incarnation the incarnation that answers, 0 when it is another executor.
-void Scheduler::onAnswerAfterSilence(const ExecutorState &Executor, std::int64_t Incarnation,
-                                     core::TimePoint Now) {
+/// \returns the number of crashes that were counted.
+std::size_t Scheduler::onAnswerAfterSilence(const ExecutorState &Executor, std::int64_t Incarnation,
+                                            core::TimePoint Now) {
   forgetSettledSuspects();
+  std::size_t Counted = 0;
   for (const std::string &Id : SuspectJobs_) {
     TrackedJob &Job = Jobs_.at(Id);
     if (Incarnation != 0 && dismissSilence(Job.Progress_, Executor.Info_.Id_, Incarnation))
       markDirty(Job);
     for (const work::TaskRef &Task :
          confirmCrash(Job.Progress_, Id, Executor.Info_.Id_, Incarnation)) {
+      ++Counted;
       markDirty(Job);
       countCrash(Job, Task, Executor.Info_.Id_, Now);
     }
   }
+  return Counted;
 }
 
 /// Counts crashes of executors that have not been asked since: another one is listed at the
