--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -212,6 +212,8 @@
     /// Runs of earlier terms that were reported only after the runs of all earlier terms counted as
     /// known or over. Their tasks may have been started a second time.
     std::size_t UnaccountedRuns_ = 0;
+    /// Runs of this term that an executor reported after the leader had taken them for over.
+    std::size_t ReappearedRuns_ = 0;
     bool Accounted_ = false;
   };
   Counts counts() const;
@@ -257,6 +259,8 @@
   void stopStepRuns(TrackedJob &Job, const work::TaskRef &Task, std::string_view Reason,
                     core::TimePoint Now);
   void processEnd(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
+  void reportReappeared(const ExecutorState &Executor, const work::TaskRef &Task,
+                        std::uint64_t Number, std::string_view State);
   void reportUnaccounted(const ExecutorState &Executor, const work::TaskRef &Task,
                          std::uint64_t Number, std::string_view State);
   void recordFailure(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
@@ -337,6 +341,7 @@
   bool Accounted_ = false;          ///< every run of earlier leaders is known or over
   bool AccountedByReports_ = false; ///< accounted because all executors answered
   std::size_t UnaccountedRuns_ = 0;
+  std::size_t ReappearedRuns_ = 0;
   /// Like Accounted_, except for runs on executors that did not answer.
   bool AllContacted_ = false;
   bool EndsHidden_ = false; ///< some executor has ends that did not fit into its last report
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -53,6 +53,8 @@
                "Executors whose runs need more than their capacity"},
     MetricInfo{"masticdrift_unaccounted_runs", Gauge,
                "Runs of earlier terms that were reported too late to rule out a second start"},
+    MetricInfo{"masticdrift_reappeared_runs", Gauge,
+               "Runs of this term that were reported after they had been taken for over"},
     MetricInfo{"masticdrift_relayed_orders_lost_total", Counter,
                "Orders through other daemons without a result"},
     MetricInfo{"masticdrift_missed_jobs_total", Counter,
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -460,6 +460,7 @@
     core::setGauge("masticdrift_executors_over_capacity",
                    static_cast<double>(Counts.OverCapacity_));
     core::setGauge("masticdrift_unaccounted_runs", static_cast<double>(Counts.UnaccountedRuns_));
+    core::setGauge("masticdrift_reappeared_runs", static_cast<double>(Counts.ReappearedRuns_));
     core::log(core::LogLevel::Info, "leader state",
               {{"term", std::to_string(Term_)},
                {"jobs", std::to_string(Counts.Jobs_)},
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -167,6 +167,8 @@
     recordFailure(Executor, End, Now);
   const std::size_t DirtyBefore = DirtyJobs_.size();
   TrackedJob *Job = findJob(End.Task_);
+  if (tokenOf(End.Run_) == Token_ && !Executor.Runs_.contains({End.Task_, End.Run_}))
+    reportReappeared(Executor, End.Task_, End.Run_, "has ended");
   if (Job != nullptr) {
     const auto KnownRun = Executor.Runs_.find({End.Task_, End.Run_});
     // After an accounting by lapsed leases, ends of restarted tasks are expected.
@@ -200,6 +202,13 @@
   }
 }
 
+/// Logs a run of this term that the leader took for over. Its task may have been started again.
+void Scheduler::reportReappeared(const ExecutorState &Executor, const work::TaskRef &Task,
+                                 std::uint64_t Number, std::string_view State) {
+  ++ReappearedRuns_;
+  logDecision("reappeared_run", Task, Number, Executor.Info_.Id_, State);
+}
+
 /// Logs a run of an earlier term that this leader learns of after it has started inherited tasks.
 void Scheduler::reportUnaccounted(const ExecutorState &Executor, const work::TaskRef &Task,
                                   std::uint64_t Number, std::string_view State) {
@@ -262,7 +271,9 @@
     TrackedStep *Step = Job == nullptr ? nullptr : findStep(*Job, Row.Task_);
     const bool Wanted = Job != nullptr && !Job->Ended_ &&
                         Step->Tasks_[Row.Task_.Index_].State_ == TaskState::Waiting;
-    if (Accounted_ && tokenOf(Row.Run_) < Token_)
+    if (tokenOf(Row.Run_) == Token_)
+      reportReappeared(Executor, Row.Task_, Row.Run_, "is running");
+    else if (Accounted_ && tokenOf(Row.Run_) < Token_)
       reportUnaccounted(Executor, Row.Task_, Row.Run_, "is running");
     Run &NewRun = addRun(Executor, Job, Row.Task_, Row.Run_, RunState::Running, Now);
     NewRun.ConfirmedAt_ = Now;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -361,6 +361,7 @@
   Result.Executors_ = Executors_.size();
   Result.Accounted_ = Accounted_;
   Result.UnaccountedRuns_ = UnaccountedRuns_;
+  Result.ReappearedRuns_ = ReappearedRuns_;
   for (const auto &[Id, Executor] : Executors_) {
     Result.Running_ += Executor.Runs_.size();
     Result.Silent_ += Executor.Silent_ ? 1 : 0;
