daemon: the number of a relayed order is unique among all terms

Cause: each process numbered its relayed orders from 1, and the leader matched results by that number alone. After a restart at the same address a result for an order of the earlier process settled an order of the present one that was still on its way. When that result was a refusal, the leader took the run for not started and started the task elsewhere.

Change: the term, which no two processes lead, is the high half of the number, so a result of another process matches nothing. Such results are counted in masticdrift_relayed_results_unmatched_total.

--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -74,7 +74,7 @@
 
   FleetContext &Context_;
   RelayTable Relays_;
-  std::uint64_t NextOrderId_ = 1;
+  std::uint64_t NextOrder_ = 1;
   std::unordered_map<std::uint64_t, PendingOrder> PendingOrders_;
   std::map<std::string, Batch, std::less<>> Batches_; ///< by the relay's peer address
   core::TimePoint LastExpiryCheckAt_{};
--- a/include/masticdrift/protocol/RelayMessages.h
+++ b/include/masticdrift/protocol/RelayMessages.h
@@ -25,7 +25,7 @@
 
 /// One order for an executor.
 struct RelayedOrder {
-  std::uint64_t OrderId_ = 0; ///< unique within the leader's process
+  std::uint64_t OrderId_ = 0; ///< unique among the orders of all terms
   std::uint8_t Kind_ = 0;     ///< a RelayKind
   std::string ExecutorAddress_;
   std::string ExecutorId_;
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -57,6 +57,8 @@
                "Runs of this term that were reported after they had been taken for over"},
     MetricInfo{"masticdrift_relayed_orders_lost_total", Counter,
                "Orders through other daemons without a result"},
+    MetricInfo{"masticdrift_relayed_results_unmatched_total", Counter,
+               "Results of relayed orders that were lost before or that this process did not send"},
     MetricInfo{"masticdrift_missed_jobs_total", Counter,
                "Stored jobs that the leader's check found missing, by kind"},
     MetricInfo{"masticdrift_executor_crashes_total", Counter,
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -36,6 +36,12 @@
   };
 }
 
+/// \returns a number that no other order has, in any process: no two processes lead the same term.
+std::uint64_t orderId(std::uint64_t Term, std::uint64_t OrderOfTerm) {
+  constexpr unsigned OrderBits = 32;
+  return (Term << OrderBits) + OrderOfTerm;
+}
+
 protocol::RelayedOrder makeOrder(RelayKind Kind, const lead::RunKey &Run, std::uint64_t Token) {
   protocol::RelayedOrder Order;
   Order.Kind_ = static_cast<std::uint8_t>(Kind);
@@ -122,7 +128,7 @@
     sendOrder(Context_.Client_, Order, std::move(OnAnswer));
     return;
   }
-  Order.OrderId_ = NextOrderId_++;
+  Order.OrderId_ = orderId(Order.Order_.FencingToken_, NextOrder_++);
   PendingOrders_[Order.OrderId_] = {std::string(RelayAddress),
                                     Now + core::Millis(Order.TimeoutMs_) + RelayAllowance,
                                     std::move(OnAnswer)};
@@ -183,8 +189,11 @@
 void OrderRouter::onResults(const protocol::ResultsRequest &Request) {
   for (const protocol::RelayedResult &Result : Request.Results_) {
     auto Node = PendingOrders_.extract(Result.OrderId_);
-    if (Node.empty())
-      continue; // already counted as lost
+    if (Node.empty()) {
+      // Already counted as lost, or of an earlier process at this address.
+      core::count("masticdrift_relayed_results_unmatched_total");
+      continue;
+    }
     platform::LeaseRenewalResult Answer;
     Answer.Outcome_ = Result.Outcome_;
     Answer.Report_ = Result.Report_;
