lead: runs of jobs that have ended count for their customer at a takeover

Cause: a new leader kept only the id of a job that had ended when it first read the job. Runs of such a job that executors still listed had no known size and customer; they were stopped, which takes up to 900 ms there, and counted for nobody meanwhile. Runs that no executor had listed yet were left out as well, and so were those of a job that was cancelled in the term, copies of a task that had ended elsewhere, and runs of a step that the former leader had begun before it could store the end of the step before. Class: what may still run is derived from what the job needs, not from what was started.

Change: the steps of an ended job stay in the log until all its runs are known to be over. A later leader that finds them tracks the job like any other, so its runs have a size, count and are stopped, and writes the end of a job that was cancelled while nobody led (before, such a job was never removed from the log). The use of unreported runs covers ended jobs, copies and steps that are not ready by the stored progress. Executors with runs of an ended job take other starts again, since their room is known.

JobTable.stepsMayArriveBeforeOrAfterTheAcceptance said that the table drops the steps with the final record. They are needed until the log drops them, so the test now expects them until then and that they are gone, for good, afterwards.

--- a/include/masticdrift/core/Resources.h
+++ b/include/masticdrift/core/Resources.h
@@ -60,6 +60,12 @@
          Required.Accelerators_ <= Available.Accelerators_;
 }
 
+/// \returns the larger amount of each resource kind.
+constexpr Resources max(const Resources &A, const Resources &B) {
+  return {std::max(A.MilliCores_, B.MilliCores_), std::max(A.MemoryMb_, B.MemoryMb_),
+          std::max(A.Accelerators_, B.Accelerators_)};
+}
+
 } // namespace masticdrift::core
 
 #endif // MASTICDRIFT_CORE_RESOURCES_H
--- a/include/masticdrift/daemon/Retention.h
+++ b/include/masticdrift/daemon/Retention.h
@@ -18,8 +18,9 @@
 public:
   explicit Retention(FleetContext &Context) : Context_(Context) {}
 
-  /// Schedules the removal of a job's steps; the end of the job must be durable.
-  void onJobEnded(const std::string &Id) { EndedJobs_.push_back(Id); }
+  /// Schedules the removal of a job's steps; the end of the job must be durable, and all its runs
+  /// over: until then a later leader needs the steps to tell what they use.
+  void onJobFinished(const std::string &Id) { FinishedJobs_.push_back(Id); }
 
   /// Starts the removals that are due.
   ///
@@ -35,7 +36,7 @@
               std::vector<std::string> RetryIds);
 
   FleetContext &Context_;
-  std::vector<std::string> EndedJobs_; ///< jobs whose steps are still in the log
+  std::vector<std::string> FinishedJobs_; ///< jobs whose steps are still in the log
   core::TimePoint NextSpecRemoval_{};
   core::TimePoint NextJobRemoval_{};
   int AppendsInFlight_ = 0;
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -98,6 +98,7 @@
   bool Ready_ = false;
   std::uint32_t DoneTasks_ = 0;
   std::uint32_t WaitingTasks_ = 0;
+  std::uint32_t OpenWhenRead_ = 0; ///< tasks that were not done when this leader read the job
   std::vector<TrackedTask> Tasks_;
   std::unordered_map<std::uint32_t, ExecutorAdvice> Advice_; ///< by executor ordinal
   bool AdvicePending_ = false;
@@ -126,6 +127,7 @@
   work::ProgressRecord Progress_;
   bool Inherited_ = false;        ///< started by an earlier leader
   std::uint64_t BegunFlush_ = 0;  ///< flush that makes the start of the job durable
+  std::uint64_t EndFlush_ = 0;    ///< flush that makes the end of the job durable
   std::uint64_t CrashFlush_ = 0;  ///< flush that makes the last counted crash durable
   core::TimePoint LastCrashAt_{}; ///< when a crash was counted last
   bool OverRate_ = false;         ///< exceeds its customer's submission rate
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -190,6 +190,9 @@
   /// Handles that the records of \p Flush are durable.
   void onFlushed(std::uint64_t Flush, core::TimePoint Now);
 
+  /// Takes the ended jobs whose runs are all over and whose ends are durable, each once.
+  std::vector<std::string> takeFinishedJobs() { return std::exchange(FinishedJobs_, {}); }
+
   /// \returns true after an executor rejected this leader's token, or a job was read that a newer
   /// leader has begun.
   bool fenced() const { return Fenced_; }
@@ -223,6 +226,8 @@
 
   // Jobs.
   void initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs);
+  void takeUpEndedJob(TrackedJob &Job, core::TimePoint Now);
+  bool isFinished(const TrackedJob &Job) const;
   void updateReadySteps(TrackedJob &Job, std::uint32_t Occurrence);
   void finishTask(TrackedJob &Job, const work::TaskRef &Task, core::TimePoint Now);
   void finishStep(TrackedJob &Job, std::uint32_t Occurrence, std::uint32_t Step,
@@ -350,8 +355,9 @@
   core::TimePoint NextPlacementAt_{};
   work::Manifest Manifest_;
   std::unordered_map<std::string, TrackedJob> Jobs_;
-  core::TimePoint JobsReadUpTo_{};  ///< all jobs stored before this time have been read
-  std::set<std::string> FinalJobs_; ///< ended jobs that are still in the log
+  core::TimePoint JobsReadUpTo_{};        ///< all jobs stored before this time have been read
+  std::set<std::string> FinalJobs_;       ///< ended jobs without runs that are still in the log
+  std::vector<std::string> FinishedJobs_; ///< jobs that takeFinishedJobs() returns next
   std::map<std::string, ExecutorState, std::less<>> Executors_;
   std::vector<ExecutorState *> ByOrdinal_;                     ///< null for removed executors
   std::map<std::string, std::string, std::less<>> Unrecorded_; ///< addresses by executor id
--- a/include/masticdrift/work/Ledger.h
+++ b/include/masticdrift/work/Ledger.h
@@ -99,7 +99,10 @@
   bool Accepted_ = false;
   std::uint64_t AcceptedOffset_ = 0;
   AcceptedRecord Acceptance_;
-  bool HasSpec_ = false; ///< Spec_ has been read; daemons that cannot lead do not read it
+  /// Spec_ has been read; daemons that cannot lead do not read it. The log keeps the specification
+  /// of an ended job until all its runs are over.
+  bool HasSpec_ = false;
+  bool SpecRemoved_ = false; ///< its specification was removed from the log
   JobSpec Spec_;
   bool Cancelled_ = false;
   std::uint64_t StartedTerm_ = 0; ///< term of the leader that accepted and started it in one append
@@ -156,7 +159,8 @@
   /// Applies the record at \p Offset.
   JobTableChange apply(std::uint64_t Offset, std::string_view Key, std::string_view Value);
 
-  /// Applies a record of the topic of specifications; its value is empty when the job has ended.
+  /// Applies a record of the topic of specifications; its value is empty when the job has
+  /// ended and its runs are over.
   JobTableChange applySpec(std::string_view Id, std::string_view Value);
 
   /// \returns the job, or null when no acceptance is known.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -438,6 +438,8 @@
       stepDown("an executor has seen a higher fencing token");
       return;
     }
+    for (const std::string &Id : Scheduler_->takeFinishedJobs())
+      Retention_.onJobFinished(Id);
     AdviceDispatcher_.registerAdviser({}, Now);
     AdviceDispatcher_.dispatch(Now);
     OrderRouter_.flush(Now);
@@ -544,12 +546,6 @@
     ++Sequence_;
     Flushing_ = false;
     const std::uint64_t FlushNumber = std::exchange(FlushNumber_, 0);
-    for (const platform::KeyedRecord &Record : *FlushedRecords_) {
-      const std::string Id = Record.Key_.substr(1);
-      if (const work::JobTableEntry *Job = Context_.JobTable_.find(Id);
-          Job != nullptr && work::isFinal(Job->state()))
-        Retention_.onJobEnded(Id);
-    }
     FlushedRecords_.reset();
     Scheduler_->onFlushed(FlushNumber, core::Clock::now());
     JobStateWaiters_.answerReady(Context_.JobTable_, core::Clock::now());
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -19,7 +19,7 @@
 void Retention::removeDue(core::TimePoint Now, std::int64_t WallMs) {
   if (AppendsInFlight_ > 0)
     return;
-  if (Now >= NextSpecRemoval_ && !EndedJobs_.empty()) {
+  if (Now >= NextSpecRemoval_ && !FinishedJobs_.empty()) {
     NextSpecRemoval_ = Now + SpecRemovalInterval;
     removeSpecs();
   }
@@ -31,9 +31,9 @@
 
 void Retention::removeSpecs() {
   std::vector<platform::KeyedRecord> Records;
-  for (const std::string &Id : EndedJobs_)
+  for (const std::string &Id : FinishedJobs_)
     Records.push_back({0, Id, {}});
-  append(SpecsTopic, std::move(Records), std::exchange(EndedJobs_, {}));
+  append(SpecsTopic, std::move(Records), std::exchange(FinishedJobs_, {}));
 }
 
 void Retention::removeJobs(std::int64_t WallMs) {
@@ -70,7 +70,8 @@
                              return;
                            core::log(core::LogLevel::Warning, "removal was not confirmed",
                                      {{"topic", Topic}, {"detail", Result.Detail_}});
-                           EndedJobs_.insert(EndedJobs_.end(), RetryIds.begin(), RetryIds.end());
+                           FinishedJobs_.insert(FinishedJobs_.end(), RetryIds.begin(),
+                                                RetryIds.end());
                          });
 }
 
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -94,18 +94,36 @@
     if (Scheduler_.Accounted_)
       return;
     for (const auto &[Id, Job] : Scheduler_.Jobs_)
-      if (Job.Inherited_ && !Job.Ended_)
+      if (Job.Inherited_)
         for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
-          for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
-            if (const TrackedStep &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
-              const work::StepSpec &Spec = Job.Spec_.Steps_[I];
-              // A duplicate that this leader has started does not rule out the unreported run.
-              const auto OpenTasks =
-                  static_cast<std::int64_t>(Step.Tasks_.size()) - Step.DoneTasks_;
-              UnknownUse_[Job.Acceptance_.Customer_] +=
-                  Spec.Need_ *
-                  (Spec.AllowDuplicates_ ? OpenTasks : std::int64_t{Step.WaitingTasks_});
-            }
+          if (Occurrence.Due_)
+            UnknownUse_[Job.Acceptance_.Customer_] += unknownUse(Job.Spec_, Occurrence);
+  }
+
+  /// \returns the most that the unreported runs of an occurrence may use. The earlier leader may
+  /// have begun steps that are not ready by the stored progress, but never a step together with one
+  /// that it depends on; so of a chain of steps only the largest counts.
+  static core::Resources unknownUse(const work::JobSpec &Spec,
+                                    const TrackedOccurrence &Occurrence) {
+    std::map<std::size_t, core::Resources> ChainUse; // by the last step of the chain
+    for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I) {
+      const TrackedStep &Step = Occurrence.Steps_[I];
+      const work::StepSpec &StepSpec = Spec.Steps_[I];
+      // A copy of a task may run on even if another has ended.
+      core::Resources Use =
+          StepSpec.Need_ *
+          std::int64_t{StepSpec.AllowDuplicates_ ? Step.OpenWhenRead_ : Step.WaitingTasks_};
+      for (const std::uint32_t Earlier : StepSpec.DependsOn_)
+        if (const auto Chain = ChainUse.extract(Earlier); !Chain.empty()) {
+          Use = core::max(Use, Chain.mapped());
+          break;
+        }
+      ChainUse[I] = Use;
+    }
+    core::Resources Total;
+    for (const auto &[Last, Use] : ChainUse)
+      Total += Use;
+    return Total;
   }
 
   /// Collects the executors that accept new runs.
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -69,10 +69,13 @@
       endJob(Found->second, work::JobState::Cancelled, Now);
     return;
   }
-  if (Job.Accepted_ && work::isFinal(Job.state()))
+  if (!Job.Accepted_)
+    return;
+  const bool Ended = work::isFinal(Job.state());
+  if (Ended && !Job.HasSpec_) {
     FinalJobs_.insert(Job.Id_);
-  if (!Job.Accepted_ || work::isFinal(Job.state()))
     return;
+  }
   if (!Job.HasSpec_) {
     logDecision("job_waits_for_specification", {Job.Id_, 0, 0, 0}, 0, {}, {});
     return;
@@ -88,7 +91,12 @@
     NewJob.Progress_ = *Job.Progress_;
   const bool BegunByThisTerm = NewJob.Progress_.Term_ == Token_ || Job.StartedTerm_ == Token_;
   NewJob.Inherited_ = !BegunByThisTerm && (NewJob.Progress_.Term_ != 0 || Job.StartedTerm_ != 0);
+  NewJob.Ended_ = Ended;
   initJob(NewJob, Now, WallMs);
+  if (Ended) {
+    takeUpEndedJob(NewJob, Now);
+    return;
+  }
   if (!BegunByThisTerm && !NewJob.Inherited_) {
     // Made durable before the first start, so that a later leader knows which jobs never started.
     NewJob.BegunFlush_ = NextFlush_;
@@ -106,6 +114,16 @@
   PlacementDue_ = true;
 }
 
+/// Tracks a job that has ended before this leader has read it until all its runs are over.
+void Scheduler::takeUpEndedJob(TrackedJob &Job, core::TimePoint Now) {
+  logDecision("ended_job_taken", {Job.Id_, 0, 0, 0}, 0, {},
+              Job.Inherited_ ? "may have runs of an earlier leader" : "never begun");
+  reconcileLateJob(Job, Now);
+  // Nobody led when the job was cancelled.
+  if (!work::isFinal(Job.Progress_.State_))
+    endJob(Job, work::JobState::Cancelled, Now);
+}
+
 void Scheduler::initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs) {
   const work::JobSpec &Spec = Job.Spec_;
   const core::Millis Age = std::clamp(core::Millis(WallMs - Job.Acceptance_.AcceptedMs_),
@@ -118,7 +136,7 @@
   Job.Deadline_ = Job.AcceptedAt_ + Objective;
   Job.ValueExpiresAt_ = Job.AcceptedAt_ + ValueExpiryFactor * Objective;
   if (const auto Customer = Manifest_.Customers_.find(Job.Acceptance_.Customer_);
-      Customer != Manifest_.Customers_.end() && Customer->second.Weight_ > 0) {
+      Customer != Manifest_.Customers_.end() && Customer->second.Weight_ > 0 && !Job.Ended_) {
     // Token bucket with a capacity of one second; jobs over the customer's rate are placed after
     // the jobs of all customers within theirs.
     auto &[Tokens, RefilledAt] = RateTokens_[Job.Acceptance_.Customer_];
@@ -163,7 +181,10 @@
   }
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K)
     updateReadySteps(Job, K);
-  if (!Job.Progress_.Suspects_.empty())
+  for (TrackedOccurrence &Occurrence : Job.Occurrences_)
+    for (TrackedStep &Step : Occurrence.Steps_)
+      Step.OpenWhenRead_ = Step.WaitingTasks_;
+  if (!Job.Progress_.Suspects_.empty() && !Job.Ended_)
     SuspectJobs_.insert(Job.Id_);
 }
 
@@ -215,6 +236,7 @@
   Job.Progress_.State_ = State;
   Job.Progress_.FailureReason_ = Reason;
   Job.Progress_.FinalMs_ = core::wallMillis();
+  Job.EndFlush_ = NextFlush_;
   markDirty(Job);
   const bool Failed = State == work::JobState::Failed;
   logDecision("job_ended", {Job.Id_, 0, 0, 0}, 0, {},
@@ -319,6 +341,12 @@
   }
 }
 
+/// \returns true when the end of a job is durable and none of its runs may still be under way.
+bool Scheduler::isFinished(const TrackedJob &Job) const {
+  return Job.Ended_ && Job.ActiveRuns_ == 0 && (Accounted_ || !Job.Inherited_) &&
+         DurableFlush_ >= Job.EndFlush_ && !DirtyJobs_.contains(Job.Id_);
+}
+
 void Scheduler::tick(core::TimePoint Now, std::int64_t WallMs) {
   std::vector<std::string> Forgotten;
   for (auto &[Id, Executor] : Executors_) {
@@ -343,11 +371,11 @@
     return Entry.second.ReportFull_ && ConfirmedAt_ < Entry.second.LeaseEnd_;
   });
   std::erase_if(Jobs_, [this](const auto &Entry) {
-    const bool Finished =
-        Entry.second.Ended_ && Entry.second.ActiveRuns_ == 0 && !DirtyJobs_.contains(Entry.first);
-    if (Finished)
-      FinalJobs_.insert(Entry.first);
-    return Finished;
+    if (!isFinished(Entry.second))
+      return false;
+    FinalJobs_.insert(Entry.first);
+    FinishedJobs_.push_back(Entry.first);
+    return true;
   });
   if (mayGrantLeases(Now) && (PlacementDue_ || Now >= NextPlacementAt_)) {
     PlacementDue_ = false;
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -13,6 +13,16 @@
 
 std::string recordKey(char Prefix, std::string_view Id) { return Prefix + std::string(Id); }
 
+/// Drops the details of a final job, unless they are needed to tell what its runs still use.
+void dropUnneeded(JobTableEntry &Job) {
+  if (!Job.Progress_ || !isFinal(Job.Progress_->State_) || (Job.HasSpec_ && !Job.SpecRemoved_))
+    return;
+  Job.HasSpec_ = false;
+  Job.Spec_ = {};
+  Job.Progress_->Steps_.clear();
+  Job.Progress_->Failures_.clear();
+}
+
 } // namespace
 
 JobState JobTableEntry::state() const {
@@ -116,12 +126,7 @@
     Job.Progress_ = std::move(*Record);
     Job.ProgressOffset_ = Offset;
     Change.Kind_ = Progressed;
-    // The specification and the progress of a final job are no longer needed.
-    if (isFinal(Job.Progress_->State_)) {
-      Job.Spec_ = {};
-      Job.Progress_->Steps_.clear();
-      Job.Progress_->Failures_.clear();
-    }
+    dropUnneeded(Job);
   }
   updateQueued(Job);
   return Change;
@@ -133,11 +138,15 @@
   const bool IsKnown = Position != Jobs_.end();
   if (Value.empty()) {
     // Remove the entry of a specification whose job was never accepted.
-    if (IsKnown && !Position->second.Accepted_ && !Position->second.Progress_)
+    if (IsKnown && !Position->second.Accepted_ && !Position->second.Progress_) {
       Jobs_.erase(Position);
+    } else if (IsKnown) {
+      Position->second.SpecRemoved_ = true;
+      dropUnneeded(Position->second);
+    }
     return {None, std::string(Id)};
   }
-  if (IsKnown && (Position->second.HasSpec_ || isFinal(Position->second.state())))
+  if (IsKnown && (Position->second.HasSpec_ || Position->second.SpecRemoved_))
     return {None, std::string(Id)};
   auto Spec = core::unpack<JobSpec>(Value);
   if (!Spec)
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -308,12 +308,21 @@
   setListed(Id, false);
 }
 
-void FakeFleet::submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue) {
+void FakeFleet::limitCustomer(const std::string &Customer, core::Resources UpperLimit) {
+  work::Manifest Changed = Manifest_;
+  Changed.Customers_[Customer].Name_ = Customer;
+  Changed.Customers_[Customer].UpperLimit_ = UpperLimit;
+  setManifest(std::move(Changed));
+}
+
+void FakeFleet::submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue,
+                       const std::string &Customer) {
   Submitted_[Id] = Spec;
+  CustomerOf_[Id] = Customer;
   SubmittedAt_[Id] = Now_;
   JobTable_.applySpec(Id, work::encodeSpec(Id, Spec).Value_);
   const work::LogRecord Entry =
-      work::encodeAccepted(Id, {*work::findQueueByName(Manifest_, Queue), "c", wallMs(Now_)});
+      work::encodeAccepted(Id, {*work::findQueueByName(Manifest_, Queue), Customer, wallMs(Now_)});
   JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
@@ -612,6 +621,9 @@
     ThisTerm->Alive_ = false;
     return;
   }
+  // The log drops the specifications of jobs whose runs are over.
+  for (const std::string &Id : Scheduler.takeFinishedJobs())
+    JobTable_.applySpec(Id, {});
   if (!ThisTerm->Flushing_ && !StoreDown_)
     if (auto [Number, Entries] = Scheduler.takeProgress(); Number != 0) {
       ThisTerm->Flushing_ = true;
@@ -701,6 +713,7 @@
                   happens(Options_.FailedRunProbability_);
   NewRun.Generation_ = ++Generation_;
   checkCapacity(Executor, Order.Task_, SentAt);
+  checkLimit(Order.Task_);
   if (DeadlyTasks_.contains(Order.Task_))
     scheduleDeadlyCrash(Executor, Order.Task_, NewRun.Generation_);
   if (!Spec.LongRunning_)
@@ -710,6 +723,26 @@
   return OrderOutcome::Done;
 }
 
+void FakeFleet::checkLimit(const work::TaskRef &Task) {
+  const std::string &Name = CustomerOf_.at(Task.Job_);
+  const auto Customer = Manifest_.Customers_.find(Name);
+  if (Customer == Manifest_.Customers_.end())
+    return;
+  core::Resources InUse;
+  for (const auto &[Id, Executor] : Executors_)
+    for (const auto &[Running, Run] : Executor.Running_)
+      if (Executor.Up_ && CustomerOf_.at(Running.Job_) == Name)
+        InUse += Run.Need_;
+  core::Resources Limit = Customer->second.UpperLimit_;
+  for (std::int64_t *Amount : {&Limit.MilliCores_, &Limit.MemoryMb_, &Limit.Accelerators_})
+    if (*Amount == 0)
+      *Amount = std::numeric_limits<std::int64_t>::max();
+  if (!core::fits(InUse, Limit))
+    addViolation(nameOf(Task) + " brings customer " + Name + " to " +
+                 std::to_string(InUse.MilliCores_) + " millicores and " +
+                 std::to_string(InUse.MemoryMb_) + " MiB in use, over its limit");
+}
+
 OrderOutcome FakeFleet::handleStop(FakeExecutor &Executor, const lead::RunKey &Key,
                                    std::uint64_t Token) {
   if (Token < Executor.Token_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -86,12 +86,17 @@
   void setCapacity(const std::string &Id, core::Resources Capacity,
                    core::Millis ListDelay = core::Millis(800));
   /// Submits a job, which is accepted immediately.
-  void submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue = "q");
+  void submit(const std::string &Id, work::JobSpec Spec, const std::string &Queue = "q",
+              const std::string &Customer = "c");
+  /// Limits what a customer may have in use.
+  void limitCustomer(const std::string &Customer, core::Resources UpperLimit);
   /// Submits a job that the leader of \p Term has accepted and begun in one append.
   void submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term);
   std::uint64_t term() const { return Token_; }
   void cancel(const std::string &Id);
   void setManifest(work::Manifest Manifest);
+  /// Ends the leader's process. Nobody leads until takeOver() is called.
+  void loseLeader() { Current_->Alive_ = false; }
   /// Starts a new leader with a higher token.
   /// \param OldLeaderTime how long the old leader continues to send orders.
   void takeOver(core::Millis OldLeaderTime = core::Millis(0));
@@ -266,6 +271,8 @@
   void recordExecutors();
   /// Lets the executor list show the present capacity.
   void publishCapacity(const std::string &Id);
+  /// Checks that a run which has just started does not bring its customer over its limit.
+  void checkLimit(const work::TaskRef &Task);
   /// Checks that a run which has just started does not bring its executor over its capacity.
   /// \param SentAt when the start order was sent; late orders count by the capacity of that time.
   void checkCapacity(const FakeExecutor &Executor, const work::TaskRef &Task,
@@ -295,6 +302,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events_;
   std::map<std::string, FakeExecutor> Executors_;
   std::map<std::string, work::JobSpec> Submitted_;
+  std::map<std::string, std::string> CustomerOf_; ///< by job
   std::map<work::TaskRef, std::vector<core::TimePoint>> Starts_;
   std::map<work::TaskRef, std::vector<Completion>> Completions_;
   std::map<std::string, core::TimePoint> SubmittedAt_;
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -164,8 +164,8 @@
   cr_expect_null(Table.find("j"));
 }
 
-// Guards against jobs that are started without their steps, and against steps that stay in memory
-// after their job has ended.
+// Guards against jobs that are started without their steps, against steps that are missing while
+// runs of an ended job may go on, and against steps that stay in memory once they were removed.
 Test(JobTable, stepsMayArriveBeforeOrAfterTheAcceptance) {
   work::JobSpec Spec;
   Spec.Steps_.resize(2);
@@ -186,6 +186,10 @@
   Progress.State_ = work::JobState::Completed;
   const work::LogRecord Final = work::encodeProgress("j", Progress);
   After.apply(2, Final.Key_, Final.Value_);
+  cr_expect(After.find("j")->HasSpec_);
+  cr_expect_eq(After.find("j")->Spec_.Steps_.size(), 2);
+  After.applySpec("j", {});
+  cr_expect_not(After.find("j")->HasSpec_);
   cr_expect(After.find("j")->Spec_.Steps_.empty());
   cr_expect(After.applySpec("j", Steps).Kind_ == work::JobTableChange::Kind::None);
 }
