lead: the result of an order is not taken for that of a later order of the run

Cause: results of start and stop orders were matched by the run. A run that has ended while a repeated start awaits its answer is added again when its executor restarts, so that a stop prevents the first start, which may still be carried out. The refusal of the repeated start by the earlier life of the executor, or a late answer to an earlier stop, then counted as the answer to that stop: the run was over, no stop was repeated, and the first start was still open.

Change: the driver passes the time at which an order was sent with its result, as it does for reports. A result of an order that was sent before the run's latest one says nothing about the run.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -170,11 +170,14 @@
                     const fleet::Report &Report, core::TimePoint SentAt, core::TimePoint Now);
   /// Handles the result of a start order.
   /// \param ClockMs the executor's clock, 0 when unknown.
+  /// \param SentAt when the order was passed to SchedulerActions::Start_, or later; tells the
+  /// results of one run's orders apart.
   void onStartResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
-                     std::int64_t ClockMs, core::TimePoint Now);
+                     std::int64_t ClockMs, core::TimePoint SentAt, core::TimePoint Now);
   /// Handles the result of a stop order.
+  /// \param SentAt when the order was passed to SchedulerActions::Stop_, or later.
   void onStopResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
-                    core::TimePoint Now);
+                    core::TimePoint SentAt, core::TimePoint Now);
   /// Handles the answer to a request for advice.
   /// \param Allowed executors that may run the step, or nothing without a usable answer.
   void onAdvice(const work::TaskRef &Step, std::span<const std::string> Asked,
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -596,17 +596,18 @@
       core::count("masticdrift_task_starts_total");
       OrderRouter_.start(Executor, Order,
                          whileLeading<platform::OrderResponse>(
-                             [this, Id = Executor.Id_, Run = lead::RunKey{Order.Task_, Order.Run_}](
-                                 const platform::OrderResponse &Answer) {
+                             [this, Id = Executor.Id_, Run = lead::RunKey{Order.Task_, Order.Run_},
+                              SentAt = core::Clock::now()](const platform::OrderResponse &Answer) {
                                Scheduler_->onStartResult(Id, Run, Answer.Outcome_, Answer.ClockMs_,
-                                                         core::Clock::now());
+                                                         SentAt, core::Clock::now());
                              }));
     };
     SchedulerPorts.Stop_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run) {
       OrderRouter_.stop(Executor, Run, Term_,
                         whileLeading<platform::OrderResponse>(
-                            [this, Id = Executor.Id_, Run](const platform::OrderResponse &Answer) {
-                              Scheduler_->onStopResult(Id, Run, Answer.Outcome_,
+                            [this, Id = Executor.Id_, Run,
+                             SentAt = core::Clock::now()](const platform::OrderResponse &Answer) {
+                              Scheduler_->onStopResult(Id, Run, Answer.Outcome_, SentAt,
                                                        core::Clock::now());
                             }));
     };
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -276,7 +276,7 @@
 }
 
 void Scheduler::onStartResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
-                              std::int64_t ClockMs, core::TimePoint Now) {
+                              std::int64_t ClockMs, core::TimePoint SentAt, core::TimePoint Now) {
   // Placement pauses at the limit of concurrent starts and resumes as soon as one is answered.
   PlacementDue_ = PlacementDue_ || StartsInFlight_ >= Timing_.MaxStartsInFlight_;
   --StartsInFlight_;
@@ -287,11 +287,13 @@
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   settleStart(Executor, Key, Outcome, Now);
   const auto Found = Executor.Runs_.find(Key);
-  if (Found == Executor.Runs_.end())
+  // A run that was over and has to be prevented after a restart gets new orders while an earlier
+  // one awaits its result, which says nothing about these.
+  if (Found == Executor.Runs_.end() || SentAt < Found->second.OrderSentAt_)
     return;
   Run &StartedRun = Found->second;
   StartedRun.OrderInFlight_ = false;
-  const bool FromThisIncarnation = StartedRun.OrderSentAt_ >= Executor.MetAt_;
+  const bool FromThisIncarnation = SentAt >= Executor.MetAt_;
   Executor.OrdersPending_ = Executor.OrdersPending_ || Outcome != OrderOutcome::Done ||
                             StartedRun.State_ != RunState::Starting;
   if (Outcome != OrderOutcome::Done)
@@ -314,8 +316,7 @@
                                             Timing_.StartSurvivalTime_ * Timing_.ClockRateMargin_);
       Executor.ClockMs_ = ClockMs;
       Executor.ClockReadAt_ = Now;
-    } else if (ClockMs > 0 && ClockMs < Executor.ClockMs_ &&
-               StartedRun.OrderSentAt_ >= Executor.ClockReadAt_) {
+    } else if (ClockMs > 0 && ClockMs < Executor.ClockMs_ && SentAt >= Executor.ClockReadAt_) {
       onUnmetIncarnation(Executor, Now);
     }
     if (StartedRun.State_ == RunState::Starting)
@@ -374,17 +375,17 @@
 }
 
 void Scheduler::onStopResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
-                             core::TimePoint Now) {
+                             core::TimePoint SentAt, core::TimePoint Now) {
   const auto Entry = Executors_.find(ExecutorId);
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   const auto Found = Executor.Runs_.find(Key);
-  if (Found == Executor.Runs_.end())
+  if (Found == Executor.Runs_.end() || SentAt < Found->second.OrderSentAt_)
     return;
   Found->second.OrderInFlight_ = false;
-  const bool FromThisIncarnation = Found->second.OrderSentAt_ >= Executor.MetAt_;
+  const bool FromThisIncarnation = SentAt >= Executor.MetAt_;
   if (Outcome == OrderOutcome::Done && FromThisIncarnation) {
     Found->second.StopAnsweredAt_ = Now;
     return;
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -404,11 +404,12 @@
                                                const fleet::StartOrder &Order) {
     const lead::RunKey Key{Order.Task_, Order.Run_};
     const std::string Id = Info.Id_;
+    const core::TimePoint SentAt = Now_;
     if (Options_.NoConnectionProbability_ > 0 && happens(Options_.NoConnectionProbability_)) {
-      schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key] {
+      schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, SentAt] {
         if (ThisTerm->Alive_)
           measureDecision(
-              [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NotSent, 0, Now_); });
+              [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NotSent, 0, SentAt, Now_); });
       });
       return;
     }
@@ -423,16 +424,17 @@
                   ? Options_.LateOrderDelay_
                   : core::Millis(std::uniform_int_distribution<>(
                         2000, static_cast<int>(MaxOrderDelay.count()))(Random_));
-    schedule(Now_ + Delay, [this, ThisTerm, Scheduler, Order, Id, Key, Lost, Late, Answered,
-                            SentAt = Now_, Born = Executors_.at(Id).Info_.IncarnationStartMs_] {
+    schedule(Now_ + Delay, [this, ThisTerm, Scheduler, Order, Id, Key, Lost, Late, Answered, SentAt,
+                            Born = Executors_.at(Id).Info_.IncarnationStartMs_] {
       FakeExecutor &Target = Executors_.at(Id);
       if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
         if (!Lost)
-          schedule(
-              Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered] {
-                if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-                  measureDecision([&] { Scheduler().onStartResult(Id, Key, *Outcome, 0, Now_); });
-              });
+          schedule(Now_ + Options_.Latency_,
+                   [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
+                     if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                       measureDecision(
+                           [&] { Scheduler().onStartResult(Id, Key, *Outcome, 0, SentAt, Now_); });
+                   });
         return;
       }
       // A delayed order is lost when its executor restarts.
@@ -441,37 +443,38 @@
       const OrderOutcome Outcome = handleStart(Target, Order, SentAt);
       if (Lost)
         return;
-      schedule(Now_ + answerDelay(),
-               [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, Clock = clockOf(Target)] {
-                 // Without a connection the answer is lost, and the order times out.
-                 if (Executors_.at(Id).DisconnectedUntil_ > Now_ || isCut(ThisTerm->Token_, Id) ||
-                     std::exchange(*Answered, true) || !ThisTerm->Alive_)
-                   return;
-                 measureDecision([&] { Scheduler().onStartResult(Id, Key, Outcome, Clock, Now_); });
-               });
+      schedule(Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt,
+                                      Clock = clockOf(Target)] {
+        // Without a connection the answer is lost, and the order times out.
+        if (Executors_.at(Id).DisconnectedUntil_ > Now_ || isCut(ThisTerm->Token_, Id) ||
+            std::exchange(*Answered, true) || !ThisTerm->Alive_)
+          return;
+        measureDecision([&] { Scheduler().onStartResult(Id, Key, Outcome, Clock, SentAt, Now_); });
+      });
     });
-    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered] {
+    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
       if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
         measureDecision(
-            [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NoAnswer, 0, Now_); });
+            [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NoAnswer, 0, SentAt, Now_); });
     });
   };
   Actions.Stop_ = [this, ThisTerm, Scheduler](const fleet::ExecutorInfo &Info,
                                               const lead::RunKey &Key) {
     const std::string Id = Info.Id_;
+    const core::TimePoint SentAt = Now_;
     const auto Answered = std::make_shared<bool>(false);
     const auto Delay = takeDelay(StopDelays_);
     const bool Lost = Delay || happens(Options_.LostAnswerProbability_);
     schedule(Now_ + Delay.value_or(Options_.Latency_), [this, ThisTerm, Scheduler, Id, Key, Lost,
-                                                        Answered] {
+                                                        Answered, SentAt] {
       FakeExecutor &Target = Executors_.at(Id);
       if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
         if (!Lost)
-          schedule(Now_ + Options_.Latency_,
-                   [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered] {
-                     if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-                       measureDecision([&] { Scheduler().onStopResult(Id, Key, *Outcome, Now_); });
-                   });
+          schedule(Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered,
+                                              SentAt] {
+            if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+              measureDecision([&] { Scheduler().onStopResult(Id, Key, *Outcome, SentAt, Now_); });
+          });
         return;
       }
       if (!isReachableFrom(ThisTerm->Token_, Target) || Now_ < Target.StopsLostUntil_)
@@ -479,14 +482,16 @@
       const OrderOutcome Outcome = handleStop(Target, Key, ThisTerm->Token_);
       if (Lost)
         return;
-      schedule(Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered] {
-        if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-          measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, Now_); });
-      });
+      schedule(
+          Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
+            if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+              measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, SentAt, Now_); });
+          });
     });
-    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered] {
+    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
       if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision([&] { Scheduler().onStopResult(Id, Key, OrderOutcome::NoAnswer, Now_); });
+        measureDecision(
+            [&] { Scheduler().onStopResult(Id, Key, OrderOutcome::NoAnswer, SentAt, Now_); });
     });
   };
   Actions.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
--- a/tests/unit/LateWritesTest.cpp
+++ b/tests/unit/LateWritesTest.cpp
@@ -94,7 +94,7 @@
     readAccepted();
     report({});
     cr_assert_eq(Starts_.size(), 1);
-    Scheduler_->onStartResult(ExecutorId, Starts_[0], fleet::OrderOutcome::Done, 0, Now_);
+    Scheduler_->onStartResult(ExecutorId, Starts_[0], fleet::OrderOutcome::Done, 0, Now_, Now_);
   }
   daemon::StoredJobGaps checkAfter(Millis Delay) {
     Now_ += Delay;
