daemon: orders that were not sent are dropped with their term

Cause: a leader that steps down keeps the batches that it has not sent yet. When the same process led again, the first flush sent them with the old token. An executor that had met a newer token, or whose clock was past the lease, refused them; one that had restarted under its id had seen neither. Results of these orders that were overdue also marked relays as failed in the new term.

Change: a term begins without orders of an earlier one.

OrderRouter.anOrderOfAnEarlierTermIsNotSent fails without the change (tried by taking it out) and passes with it.

--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -16,8 +16,8 @@
 
 namespace masticdrift::daemon {
 
-/// Reports exactly one result for each order, also when its relay is lost. Orders for relays are
-/// collected and sent in batches by flush().
+/// Reports exactly one result for each order of the term, also when its relay is lost. Orders for
+/// relays are collected and sent in batches by flush().
 class OrderRouter {
 public:
   using OrderCallback = std::function<void(const platform::OrderResponse &)>;
@@ -30,6 +30,10 @@
     Relays_.registerRelay(Hello, Now);
   }
 
+  /// Drops the orders of an earlier term: those that were not sent are never sent, and no results
+  /// are reported for the others.
+  void beginTerm();
+
   /// Starts one run of a task.
   void start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
              OrderCallback OnAnswer);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -326,6 +326,7 @@
   void startLeading() {
     const core::TimePoint Now = core::Clock::now();
     Role_ = Role::Leading;
+    OrderRouter_.beginTerm();
     Flushing_ = false;
     FlushNumber_ = 0;
     Sequence_ = 1;
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -85,6 +85,11 @@
   OnAnswer(UnknownKindAnswer);
 }
 
+void OrderRouter::beginTerm() {
+  PendingOrders_.clear();
+  Batches_.clear();
+}
+
 void OrderRouter::start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
                         OrderCallback OnAnswer) {
   protocol::RelayedOrder Relayed =
--- a/tests/integration/OrderRouterTest.cpp
+++ b/tests/integration/OrderRouterTest.cpp
@@ -51,14 +51,20 @@
     Router_.registerRelay({"relay", Through.address(), "a", 1.0, false}, core::Clock::now());
   }
 
-  void start(const std::string &Job) {
+  /// Sends the start of a task, unless \p KeepsBatch is set.
+  void start(const std::string &Job, bool KeepsBatch = false) {
     fleet::ExecutorInfo Executor;
     Executor.Id_ = "e1";
     Executor.Domain_ = "a";
     Router_.start(
         Executor, {{Job, 0, 0, 0}, 1, {}, 1000, Term_, {}, {}},
         [this](const platform::OrderResponse &Answer) { Outcomes_.push_back(Answer.Outcome_); });
-    Router_.flush(core::Clock::now());
+    if (!KeepsBatch)
+      Router_.flush(core::Clock::now());
+  }
+  void beginTerm(std::uint64_t Term) {
+    Term_ = Term;
+    Router_.beginTerm();
   }
 
   void onResult(std::uint64_t OrderId, OrderOutcome Outcome) {
@@ -122,3 +128,16 @@
   Present.onResult(OrderId, OrderOutcome::NotSent);
   cr_expect_eq(Present.outcomes().size(), 1);
 }
+
+// Guards against an order that is sent when its leader leads again, long after the task has been
+// started by another one.
+Test(OrderRouter, anOrderOfAnEarlierTermIsNotSent) {
+  asio::io_context Loop;
+  Relay Through(Loop);
+  Leader Present(Loop, Through, 5);
+  Present.start("first", true);
+  Present.beginTerm(9);
+  Present.start("second");
+  awaitOrders(Loop, Through, 1);
+  cr_expect_str_eq(Through.orders()[0].Order_.Task_.Job_.c_str(), "second");
+}
