--- a/tests/integration/LoopClientTest.cpp
+++ b/tests/integration/LoopClientTest.cpp
@@ -81,6 +81,7 @@
     return "http://127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port()) + "/order";
   }
   int requestCount() const { return RequestCount_; }
+  int connectionCount() const { return ConnectionCount_; }
 
 private:
   struct Connection {
@@ -93,6 +94,7 @@
     Acceptor_.async_accept([this](std::error_code Error, asio::ip::tcp::socket Socket) {
       if (Error)
         return;
+      ++ConnectionCount_;
       readRequest(std::make_shared<Connection>(std::move(Socket)));
       accept();
     });
@@ -121,6 +123,7 @@
 
   asio::ip::tcp::acceptor Acceptor_;
   int RequestCount_ = 0;
+  int ConnectionCount_ = 0;
 };
 
 } // namespace
@@ -139,4 +142,5 @@
   cr_assert_eq(exchange(Loop, Client, Outgoing).Answer_.Status_, 200);
   cr_expect(exchange(Loop, Client, Outgoing).Transfer_ == http::Transfer::NoAnswer);
   cr_expect_eq(Server.requestCount(), 2);
+  cr_expect_eq(Server.connectionCount(), 1);
 }
