lead: copies, early occurrences and late starts count for their customer

A job counted as finished while a start of it was still open, so its run was unsized when it came late. A job that was cancelled before its steps were read was never ended.

Change: up to two copies of each task count while executors have not reported, beside the steps that depend on them; so do occurrences that are due within 10 s. A job is finished when none of its starts can be carried out any more. Runs that are known to be over, and steps after one with a known run, no longer count: with one executor cut off they had blocked new jobs of a customer for 11 s after a takeover. Weighed: a copy on each unreported executor, which is exact and blocks customers with wide steps as long as several do not answer.

unit.ElectionTest: the check that the steps go with the final record stands in three tests of the new rule, in either order of the topics.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -82,6 +82,7 @@
   std::string Checkpoint_;
   std::string AvoidExecutor_; ///< executor on which the last run failed or was too slow
   int ActiveRuns_ = 0;        ///< runs that are not known to be over
+  bool InheritedRun_ = false; ///< an executor has listed a run of an earlier term as running
   int Moves_ = 0;             ///< runs stopped because they were too slow or stalled
 };
 
@@ -98,7 +99,7 @@
   bool Ready_ = false;
   std::uint32_t DoneTasks_ = 0;
   std::uint32_t WaitingTasks_ = 0;
-  std::uint32_t OpenWhenRead_ = 0; ///< tasks that were not done when this leader read the job
+  std::uint32_t InheritedRuns_ = 0; ///< tasks with TrackedTask::InheritedRun_
   std::vector<TrackedTask> Tasks_;
   std::unordered_map<std::uint32_t, ExecutorAdvice> Advice_; ///< by executor ordinal
   bool AdvicePending_ = false;
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -230,7 +230,8 @@
   // Jobs.
   void initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs);
   void takeUpEndedJob(TrackedJob &Job, core::TimePoint Now);
-  bool isFinished(const TrackedJob &Job) const;
+  bool isFinished(const TrackedJob &Job,
+                  const std::set<std::string_view> &JobsWithOpenStarts) const;
   void updateReadySteps(TrackedJob &Job, std::uint32_t Occurrence);
   void finishTask(TrackedJob &Job, const work::TaskRef &Task, core::TimePoint Now);
   void finishStep(TrackedJob &Job, std::uint32_t Occurrence, std::uint32_t Step,
@@ -274,6 +275,7 @@
   void recordFailure(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
   void applyEnd(TrackedJob &Job, const fleet::ReportedEnd &End, std::string_view ExecutorId,
                 bool RunWasKnown, core::TimePoint Now);
+  static void noteInheritedRun(TrackedStep &Step, const work::TaskRef &Task);
   void processRunning(ExecutorState &Executor, const fleet::ReportedRun &Row, core::TimePoint Now);
   void removeMissingRuns(ExecutorState &Executor, const fleet::Report &Report,
                          core::TimePoint SentAt, core::TimePoint Now);
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -39,6 +39,12 @@
 /// At most 1/MaxReserveDivisor of a limit is reserved.
 constexpr std::int64_t MaxReserveDivisor = 2;
 
+/// Copies of one task that may run unreported: each leader starts at most one beside those of
+/// earlier leaders, and leases rarely outlast two takeovers.
+constexpr std::int64_t MaxUnreportedCopies = 2;
+/// Largest difference between the wall clocks of two leaders that is allowed for.
+constexpr core::Millis MaxClockDifference{10'000};
+
 /// Penalties relative to the load of an executor, which ranges from 0 to 1.
 constexpr double OtherRackPenalty = 2;
 constexpr double FailedTaskPenalty = 1.5;
@@ -90,42 +96,69 @@
   std::unordered_map<std::string, core::Resources> UnknownUse_;
   std::map<std::string_view, std::vector<ExecutorState *>> OpenExecutors_; ///< by pool
 
-  void sumUnknownUse() {
+  void sumUnknownUse(std::int64_t WallMs) {
     if (Scheduler_.Accounted_)
       return;
+    const std::int64_t DueBeforeMs = WallMs + MaxClockDifference.count();
+    const auto Unreported = std::ranges::count_if(Scheduler_.Executors_,
+                                                  [](const auto &Entry) {
+                                                    const ExecutorState &Executor = Entry.second;
+                                                    return Executor.InheritedRuns_ &&
+                                                           !Executor.Reported_ &&
+                                                           !Executor.Replaced_;
+                                                  }) +
+                            (Scheduler_.RosterComplete_ ? 0 : 1);
+    const std::int64_t Copies = std::min<std::int64_t>(Unreported, MaxUnreportedCopies);
     for (const auto &[Id, Job] : Scheduler_.Jobs_)
       if (Job.Inherited_)
         for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
-          if (Occurrence.Due_)
-            UnknownUse_[Job.Acceptance_.Customer_] += unknownUse(Job.Spec_, Occurrence);
+          if (Occurrence.DueMs_ < DueBeforeMs)
+            UnknownUse_[Job.Acceptance_.Customer_] += unknownUse(Job.Spec_, Occurrence, Copies);
   }
 
-  /// \returns the most that the unreported runs of an occurrence may use. The earlier leader may
-  /// have begun steps that are not ready by the stored progress, but never a step together with one
-  /// that it depends on; so of a chain of steps only the largest counts.
-  static core::Resources unknownUse(const work::JobSpec &Spec,
-                                    const TrackedOccurrence &Occurrence) {
+  /// \returns the most that the unreported runs of an occurrence may use, with at most \p Copies of
+  /// a task that allows them. The earlier leader may have begun steps that are not ready by the
+  /// stored progress, but no run of a step beside one of a step that it depends on; so of a chain
+  /// of steps only the largest counts. Copies are the exception: they may run on when their task is
+  /// done.
+  static core::Resources unknownUse(const work::JobSpec &Spec, const TrackedOccurrence &Occurrence,
+                                    std::int64_t Copies) {
+    core::Resources Total;
     std::map<std::size_t, core::Resources> ChainUse; // by the last step of the chain
+    std::vector<bool> RulesOutLater(Occurrence.Steps_.size());
     for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I) {
       const TrackedStep &Step = Occurrence.Steps_[I];
       const work::StepSpec &StepSpec = Spec.Steps_[I];
-      // A copy of a task may run on even if another has ended.
-      core::Resources Use =
-          StepSpec.Need_ *
-          std::int64_t{StepSpec.AllowDuplicates_ ? Step.OpenWhenRead_ : Step.WaitingTasks_};
-      for (const std::uint32_t Earlier : StepSpec.DependsOn_)
-        if (const auto Chain = ChainUse.extract(Earlier); !Chain.empty()) {
+      const auto &Earlier = StepSpec.DependsOn_;
+      const bool NotBegun =
+          std::ranges::any_of(Earlier, [&](std::uint32_t Other) { return RulesOutLater[Other]; });
+      RulesOutLater[I] = NotBegun || (!StepSpec.AllowDuplicates_ && Step.InheritedRuns_ > 0);
+      if (NotBegun)
+        continue;
+      if (StepSpec.AllowDuplicates_) {
+        Total += StepSpec.Need_ * (static_cast<std::int64_t>(Step.Tasks_.size()) * Copies);
+        continue;
+      }
+      core::Resources Use = StepSpec.Need_ * unseenTasks(Step);
+      for (const std::uint32_t Other : Earlier)
+        if (const auto Chain = ChainUse.extract(Other); !Chain.empty()) {
           Use = core::max(Use, Chain.mapped());
           break;
         }
       ChainUse[I] = Use;
     }
-    core::Resources Total;
     for (const auto &[Last, Use] : ChainUse)
       Total += Use;
     return Total;
   }
 
+  /// \returns the number of tasks that may have an unreported run.
+  static std::int64_t unseenTasks(const TrackedStep &Step) {
+    return std::ranges::count_if(Step.Tasks_, [](const TrackedTask &Task) {
+      return Task.State_ == TaskState::Waiting && !Task.InheritedRun_;
+    });
+  }
+
   /// Collects the executors that accept new runs.
   void listOpenExecutors() {
     for (auto &[Id, Executor] : Scheduler_.Executors_)
@@ -527,7 +560,7 @@
   NextPlacementAt_ = Now + PlacementInterval;
   PlacementPass Pass{*this, Now, {}, {}};
   Pass.listOpenExecutors();
-  Pass.sumUnknownUse();
+  Pass.sumUnknownUse(WallMs);
   Pass.updatePeaks();
   std::vector<Candidate> Candidates;
   for (auto &[Id, Job] : Jobs_) {
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -120,6 +120,8 @@
       Executor.Runs_.erase({EarlyRun.Task_, EarlyRun.Number_});
       --Executor.UnsizedRuns_;
       Run &NewRun = addRun(Executor, &Job, EarlyRun.Task_, EarlyRun.Number_, EarlyRun.State_, Now);
+      if (tokenOf(EarlyRun.Number_) < Token_)
+        noteInheritedRun(*findStep(Job, EarlyRun.Task_), EarlyRun.Task_);
       NewRun.ConfirmedAt_ = EarlyRun.ConfirmedAt_;
       NewRun.StartClockMs_ = EarlyRun.StartClockMs_;
       NewRun.StopAnsweredAt_ = EarlyRun.StopAnsweredAt_;
@@ -262,6 +264,11 @@
     finishTask(Job, Member, Now);
 }
 
+void Scheduler::noteInheritedRun(TrackedStep &Step, const work::TaskRef &Task) {
+  if (!std::exchange(Step.Tasks_[Task.Index_].InheritedRun_, true))
+    ++Step.InheritedRuns_;
+}
+
 void Scheduler::processRunning(ExecutorState &Executor, const fleet::ReportedRun &Row,
                                core::TimePoint Now) {
   settleListedStart(Executor, {Row.Task_, Row.Run_});
@@ -277,6 +284,8 @@
       reportUnaccounted(Executor, Row.Task_, Row.Run_, "is running");
     Run &NewRun = addRun(Executor, Job, Row.Task_, Row.Run_, RunState::Running, Now);
     NewRun.ConfirmedAt_ = Now;
+    if (Job != nullptr && tokenOf(Row.Run_) < Token_)
+      noteInheritedRun(*Step, Row.Task_);
     // The executor has survived the start, which another leader has ordered.
     NewRun.StartClockMs_ = Executor.ClockMs_ - Timing_.StartSurvivalTime_.count();
     NewRun.Progress_.FromStart_ = false;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -73,7 +73,9 @@
     return;
   const bool Ended = work::isFinal(Job.state());
   if (Ended && !Job.HasSpec_) {
-    FinalJobs_.insert(Job.Id_);
+    // A cancelled job is taken up with its specification, unless an earlier leader has ended it.
+    if (Job.SpecRemoved_ || (Job.Progress_ && work::isFinal(Job.Progress_->State_)))
+      FinalJobs_.insert(Job.Id_);
     return;
   }
   if (!Job.HasSpec_) {
@@ -165,13 +167,20 @@
       Occurrence.Steps_[I].WaitingTasks_ = Spec.Steps_[I].TaskCount_;
     }
   }
+  // The table may have dropped the done tasks of a job that has ended.
+  if (Job.Progress_.State_ == work::JobState::Completed)
+    for (TrackedOccurrence &Occurrence : Job.Occurrences_)
+      for (TrackedStep &Step : Occurrence.Steps_) {
+        std::ranges::fill(Step.Tasks_, TrackedTask{TaskState::Done});
+        Step.DoneTasks_ = std::exchange(Step.WaitingTasks_, 0);
+      }
   for (const work::StepProgress &Saved : Job.Progress_.Steps_) {
     if (Saved.Occurrence_ >= Job.Occurrences_.size() || Saved.Step_ >= Spec.Steps_.size())
       continue;
     TrackedOccurrence &Occurrence = Job.Occurrences_[Saved.Occurrence_];
     TrackedStep &Step = Occurrence.Steps_[Saved.Step_];
     for (std::size_t I = 0; I < Saved.Done_.size() && I < Step.Tasks_.size(); ++I)
-      if (Saved.Done_[I]) {
+      if (Saved.Done_[I] && Step.Tasks_[I].State_ != TaskState::Done) {
         Step.Tasks_[I].State_ = TaskState::Done;
         ++Step.DoneTasks_;
         --Step.WaitingTasks_;
@@ -181,9 +190,6 @@
   }
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K)
     updateReadySteps(Job, K);
-  for (TrackedOccurrence &Occurrence : Job.Occurrences_)
-    for (TrackedStep &Step : Occurrence.Steps_)
-      Step.OpenWhenRead_ = Step.WaitingTasks_;
   if (!Job.Progress_.Suspects_.empty() && !Job.Ended_)
     SuspectJobs_.insert(Job.Id_);
 }
@@ -342,9 +348,12 @@
 }
 
 /// \returns true when the end of a job is durable and none of its runs may still be under way.
-bool Scheduler::isFinished(const TrackedJob &Job) const {
+/// \param JobsWithOpenStarts the jobs with start orders that may still be carried out.
+bool Scheduler::isFinished(const TrackedJob &Job,
+                           const std::set<std::string_view> &JobsWithOpenStarts) const {
   return Job.Ended_ && Job.ActiveRuns_ == 0 && (Accounted_ || !Job.Inherited_) &&
-         DurableFlush_ >= Job.EndFlush_ && !DirtyJobs_.contains(Job.Id_);
+         DurableFlush_ >= Job.EndFlush_ && !DirtyJobs_.contains(Job.Id_) &&
+         !JobsWithOpenStarts.contains(Job.Id_);
 }
 
 void Scheduler::tick(core::TimePoint Now, std::int64_t WallMs) {
@@ -370,8 +379,12 @@
   EndsHidden_ = std::ranges::any_of(Executors_, [this](const auto &Entry) {
     return Entry.second.ReportFull_ && ConfirmedAt_ < Entry.second.LeaseEnd_;
   });
-  std::erase_if(Jobs_, [this](const auto &Entry) {
-    if (!isFinished(Entry.second))
+  std::set<std::string_view> JobsWithOpenStarts;
+  for (const auto &[Id, Executor] : Executors_)
+    for (const auto &[Key, Open] : Executor.OpenStarts_)
+      JobsWithOpenStarts.insert(Key.first.Job_);
+  std::erase_if(Jobs_, [&](const auto &Entry) {
+    if (!isFinished(Entry.second, JobsWithOpenStarts))
       return false;
     FinalJobs_.insert(Entry.first);
     FinishedJobs_.push_back(Entry.first);
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -264,6 +264,14 @@
                  std::to_string(Met) + " crashes under one of its tasks");
 }
 
+void FakeFleet::checkFinishedJob(const std::string &Id) {
+  const std::optional<work::ProgressRecord> &Progress = JobTable_.find(Id)->Progress_;
+  if (!Progress || !work::isFinal(Progress->State_))
+    addViolation(Id + " loses its specification before its end is stored");
+  if (!executorsRunning(Id).empty())
+    addViolation(Id + " loses its specification while it runs on " + executorsRunning(Id).front());
+}
+
 int FakeFleet::crashesMetBy(const std::string &Job) const {
   int Met = 0;
   for (const auto &[Task, Count] : CrashesMet_)
@@ -326,8 +334,8 @@
   JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
-      measureDecision([this, &Leader = Scheduler, &Id] {
-        Leader->onJob(*JobTable_.find(Id), Now_, wallMs(Now_));
+      measureDecision([this, &Leader = Scheduler, &Id, &OfTerm = *LeaderTerm] {
+        Leader->onJob(*JobTable_.find(Id), Now_, clockOf(OfTerm));
       });
 }
 
@@ -342,15 +350,15 @@
   JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
-      measureDecision([this, &Leader = Scheduler, &Id] {
-        Leader->onJob(*JobTable_.find(Id), Now_, wallMs(Now_));
+      measureDecision([this, &Leader = Scheduler, &Id, &OfTerm = *LeaderTerm] {
+        Leader->onJob(*JobTable_.find(Id), Now_, clockOf(OfTerm));
       });
 }
 
 void FakeFleet::setManifest(work::Manifest Manifest) {
   Manifest_ = std::move(Manifest);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_)
+    if (LeaderTerm->Alive_ && LeaderTerm->ReadsManifests_)
       Scheduler->setManifest(Manifest_, Now_);
 }
 
@@ -393,6 +401,7 @@
 void FakeFleet::startTerm() {
   const auto ThisTerm = std::make_shared<Term>();
   ThisTerm->Token_ = ++Token_;
+  ThisTerm->ClockAhead_ = LeaderClockAhead_;
   Fence_ = Token_;
   TookOverAt_ = Now_;
   Current_ = ThisTerm;
@@ -597,12 +606,12 @@
   }
   for (const auto &[Id, Job] : JobTable_.jobs())
     if (!ReadDelays_.contains(Id))
-      Leader_->onJob(Job, Now_, wallMs(Now_));
+      Leader_->onJob(Job, Now_, clockOf(*ThisTerm));
   for (const auto &[Id, Time] : std::exchange(ReadDelays_, {})) {
     ThisTerm->JobsUnreadUntil_ = std::max(ThisTerm->JobsUnreadUntil_, Now_ + Time);
     schedule(Now_ + Time, [this, ThisTerm, Scheduler, Job = Id] {
       if (ThisTerm->Alive_)
-        Scheduler().onJob(*JobTable_.find(Job), Now_, wallMs(Now_));
+        Scheduler().onJob(*JobTable_.find(Job), Now_, clockOf(*ThisTerm));
     });
   }
   tick(ThisTerm);
@@ -621,14 +630,16 @@
     ThisTerm->HeartbeatAt_ = Now_;
     Scheduler.onHeartbeatStored(Now_);
   }
-  measureDecision([&] { Scheduler.tick(Now_, wallMs(Now_)); });
+  measureDecision([&] { Scheduler.tick(Now_, clockOf(*ThisTerm)); });
   if (Scheduler.fenced()) {
     ThisTerm->Alive_ = false;
     return;
   }
   // The log drops the specifications of jobs whose runs are over.
-  for (const std::string &Id : Scheduler.takeFinishedJobs())
+  for (const std::string &Id : Scheduler.takeFinishedJobs()) {
+    checkFinishedJob(Id);
     JobTable_.applySpec(Id, {});
+  }
   if (!ThisTerm->Flushing_ && !StoreDown_)
     if (auto [Number, Entries] = Scheduler.takeProgress(); Number != 0) {
       ThisTerm->Flushing_ = true;
@@ -772,14 +783,25 @@
       Target.Stalled_)
     return;
   const FakeRun &Run = Existing->second;
-  if (!Run.Fails_ && stepSpec(Task).Gang_ && !isGangComplete(Task, Run.Run_)) {
-    schedule(Now_ + GangCheckInterval,
-             [this, Id, Task, RunGeneration] { finishRun(Id, Task, RunGeneration); });
+  if (!Run.Fails_ && stepSpec(Task).Gang_) {
+    if (isGangComplete(Task, Run.Run_))
+      finishGang(Task, Run.Run_);
+    else
+      schedule(Now_ + GangCheckInterval,
+               [this, Id, Task, RunGeneration] { finishRun(Id, Task, RunGeneration); });
     return;
   }
   endRun(Target, Task, Run.Fails_ ? fleet::EndKind::Failed : fleet::EndKind::Done);
 }
 
+void FakeFleet::finishGang(work::TaskRef Member, std::uint64_t Run) {
+  for (Member.Index_ = 0; Member.Index_ < stepSpec(Member).TaskCount_; ++Member.Index_)
+    for (auto &[Id, Executor] : Executors_)
+      if (const auto Found = Executor.Running_.find(Member);
+          Found != Executor.Running_.end() && Found->second.Run_ == Run && !Executor.Stalled_)
+        endRun(Executor, Member, fleet::EndKind::Done);
+}
+
 bool FakeFleet::isGangComplete(const work::TaskRef &Member, std::uint64_t Run) {
   work::TaskRef Task = Member;
   Task.Index_ = 0;
@@ -881,6 +903,8 @@
   return JobTable_.find(Id)->state();
 }
 
+std::int64_t FakeFleet::nowMs() const { return wallMs(Now_); }
+
 int FakeFleet::startsOf(const work::TaskRef &Task) const {
   const auto Found = Starts_.find(Task);
   return Found == Starts_.end() ? 0 : static_cast<int>(Found->second.size());
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -95,6 +95,10 @@
   std::uint64_t term() const { return Token_; }
   void cancel(const std::string &Id);
   void setManifest(work::Manifest Manifest);
+  /// Keeps later manifests from the present leader.
+  void withholdManifests() { Current_->ReadsManifests_ = false; }
+  /// Sets how far the wall clocks of later leaders are ahead.
+  void setLeaderClock(core::Millis Ahead) { LeaderClockAhead_ = Ahead; }
   /// Ends the leader's process. Nobody leads until takeOver() is called.
   void loseLeader() { Current_->Alive_ = false; }
   /// Starts a new leader with a higher token.
@@ -118,6 +122,8 @@
   /// \returns the executor of each current run of a job.
   std::vector<std::string> executorsRunning(const std::string &Job) const;
   core::TimePoint now() const { return Now_; }
+  /// \returns the Unix time (ms) on a clock that is neither ahead nor behind.
+  std::int64_t nowMs() const;
   lead::Scheduler &leader() { return *Leader_; }
   core::Millis sinceTakeover() const;
   /// \returns the time from acceptance to the last end of a completed job, or nothing.
@@ -226,6 +232,8 @@
     std::uint64_t Token_ = 0;
     bool Alive_ = true;
     bool Flushing_ = false;
+    bool ReadsManifests_ = true;
+    core::Millis ClockAhead_{0};
     core::TimePoint HeartbeatAt_{};     ///< last stored heartbeat
     core::TimePoint JobsUnreadUntil_{}; ///< when the last delayed job is read
   };
@@ -261,6 +269,8 @@
                            int RunGeneration);
   /// Checks that a job which is shown as failed has a reason for it.
   void checkFailedJob(const std::string &Id);
+  /// Checks that the end of a job is stored and its runs are over.
+  void checkFinishedJob(const std::string &Id);
   /// \returns the delay of the next scripted order, or nothing.
   static std::optional<core::Millis> takeDelay(std::deque<core::Millis> &Delays);
   core::Millis answerDelay();
@@ -277,6 +287,7 @@
   /// \param SentAt when the start order was sent; late orders count by the capacity of that time.
   void checkCapacity(const FakeExecutor &Executor, const work::TaskRef &Task,
                      core::TimePoint SentAt);
+  std::int64_t clockOf(const Term &OfTerm) const { return nowMs() + OfTerm.ClockAhead_.count(); }
   void tick(const std::shared_ptr<Term> &ThisTerm);
   void renewLease(FakeExecutor &Executor, std::int64_t UntilMs);
   fleet::OrderOutcome handleStart(FakeExecutor &Executor, const fleet::StartOrder &Order,
@@ -286,6 +297,8 @@
   /// Ends a run as done or failed, unless it has ended otherwise. A run of a gang is done only if
   /// all members run at the same time.
   void finishRun(const std::string &Id, const work::TaskRef &Task, int RunGeneration);
+  /// Ends the members of a gang together.
+  void finishGang(work::TaskRef Member, std::uint64_t Run);
   bool isGangComplete(const work::TaskRef &Member, std::uint64_t Run);
   void endRun(FakeExecutor &Executor, const work::TaskRef &Task, fleet::EndKind Kind);
   void acknowledgeEnds(FakeExecutor &Executor, std::uint64_t SeenUpTo);
@@ -330,6 +343,7 @@
   std::deque<core::Millis> StopDelays_;
   std::deque<core::Millis> AnswerDelays_;
   bool StoreDown_ = false;
+  core::Millis LeaderClockAhead_{0};
   int Generation_ = 0;
   std::chrono::steady_clock::duration DecisionTime_{};
   std::size_t StartCount_ = 0;
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -164,8 +164,7 @@
   cr_expect_null(Table.find("j"));
 }
 
-// Guards against jobs that are started without their steps, against steps that are missing while
-// runs of an ended job may go on, and against steps that stay in memory once they were removed.
+// Guards against jobs that are started without their steps.
 Test(JobTable, stepsMayArriveBeforeOrAfterTheAcceptance) {
   work::JobSpec Spec;
   Spec.Steps_.resize(2);
@@ -182,18 +181,95 @@
   cr_expect_not(After.find("j")->HasSpec_);
   After.applySpec("j", Steps);
   cr_expect(After.find("j")->HasSpec_);
-  work::ProgressRecord Progress;
-  Progress.State_ = work::JobState::Completed;
-  const work::LogRecord Final = work::encodeProgress("j", Progress);
-  After.apply(2, Final.Key_, Final.Value_);
-  cr_expect(After.find("j")->HasSpec_);
-  cr_expect_eq(After.find("j")->Spec_.Steps_.size(), 2);
-  After.applySpec("j", {});
-  cr_expect_not(After.find("j")->HasSpec_);
-  cr_expect(After.find("j")->Spec_.Steps_.empty());
   cr_expect(After.applySpec("j", Steps).Kind_ == work::JobTableChange::Kind::None);
 }
 
+namespace {
+
+/// Records of a job with two steps, of which the first is done.
+struct EndedJobRecords {
+  EndedJobRecords() {
+    work::JobSpec Spec;
+    Spec.Steps_.resize(2);
+    Steps_ = work::encodeSpec("j", Spec).Value_;
+    work::ProgressRecord Progress;
+    Progress.State_ = work::JobState::Failed;
+    Progress.Steps_.push_back({0, 0, {true}});
+    Progress.Failures_.push_back({0, 1, 0, {7}});
+    Final_ = work::encodeProgress("j", Progress);
+  }
+  void apply(work::JobTable &Table, std::uint64_t Offset, const work::LogRecord &Record) const {
+    Table.apply(Offset, Record.Key_, Record.Value_);
+  }
+
+  work::LogRecord Accepted_ = work::encodeAccepted("j", {});
+  std::string Steps_;
+  work::LogRecord Final_;
+};
+
+void expectKept(const work::JobTable &Table) {
+  cr_expect(Table.find("j")->HasSpec_);
+  cr_expect_eq(Table.find("j")->Spec_.Steps_.size(), 2);
+  cr_expect_eq(Table.find("j")->Progress_->Steps_.size(), 1);
+  cr_expect_eq(Table.find("j")->Progress_->Failures_.size(), 1);
+}
+
+void expectDropped(const work::JobTable &Table) {
+  cr_expect_not(Table.find("j")->HasSpec_);
+  cr_expect(Table.find("j")->Spec_.Steps_.empty());
+  cr_expect(Table.find("j")->Progress_->Steps_.empty());
+  cr_expect(Table.find("j")->Progress_->Failures_.empty());
+  cr_expect(Table.find("j")->state() == work::JobState::Failed);
+}
+
+} // namespace
+
+// Guards against a leader that cannot tell what the runs of an ended job use, and against steps
+// that stay in memory, or come back, after their removal from the log was read.
+Test(JobTable, anEndedJobKeepsItsStepsUntilTheirRemovalIsRead) {
+  const EndedJobRecords Records;
+  work::JobTable Table;
+  Table.applySpec("j", Records.Steps_);
+  Records.apply(Table, 1, Records.Accepted_);
+  Records.apply(Table, 2, Records.Final_);
+  expectKept(Table);
+  cr_expect(Table.applySpec("j", {}).Kind_ == work::JobTableChange::Kind::None);
+  expectDropped(Table);
+  cr_expect(Table.applySpec("j", Records.Steps_).Kind_ == work::JobTableChange::Kind::None);
+  Records.apply(Table, 3, Records.Final_);
+  expectDropped(Table);
+}
+
+// Guards against steps that stay in memory because their removal was read before the end of the
+// job, from the other topic, and against steps of an open job that are dropped too early.
+Test(JobTable, theRemovalOfStepsMayBeReadBeforeTheEndOfTheJob) {
+  const EndedJobRecords Records;
+  work::JobTable Table;
+  Table.applySpec("j", Records.Steps_);
+  Records.apply(Table, 1, Records.Accepted_);
+  Table.applySpec("j", {});
+  cr_expect(Table.find("j")->HasSpec_);
+  cr_expect_eq(Table.find("j")->Spec_.Steps_.size(), 2);
+  Records.apply(Table, 2, Records.Final_);
+  expectDropped(Table);
+  cr_expect(Table.applySpec("j", Records.Steps_).Kind_ == work::JobTableChange::Kind::None);
+  expectDropped(Table);
+}
+
+// Guards against the progress of ended jobs that fills the memory of daemons that read no steps,
+// and against a leader that lacks the steps because it has read them after the end.
+Test(JobTable, anEndedJobWithoutStepsDropsItsProgressAtOnce) {
+  const EndedJobRecords Records;
+  work::JobTable Table;
+  Records.apply(Table, 1, Records.Accepted_);
+  Records.apply(Table, 2, Records.Final_);
+  expectDropped(Table);
+  cr_expect(Table.applySpec("j", Records.Steps_).Kind_ == work::JobTableChange::Kind::Specified);
+  cr_expect_eq(Table.find("j")->Spec_.Steps_.size(), 2);
+  Table.applySpec("j", {});
+  expectDropped(Table);
+}
+
 // Guards against a late cancellation that changes the state of a completed job.
 Test(JobTable, finalStateDoesNotChange) {
   work::JobTable Table;
--- a/tests/unit/LateWritesTest.cpp
+++ b/tests/unit/LateWritesTest.cpp
@@ -193,6 +193,24 @@
   cr_expect_eq(Leader.Starts_.size(), 1);
 }
 
+// Guards against the removal of a specification that the next leader needs, because the record of
+// the job's end was not stored.
+Test(LateRecords, anEndedJobIsFinishedOnceItsEndIsStored) {
+  Leader Leader;
+  Leader.startTask();
+  Leader.report({{1, Leader.Starts_[0].first, Leader.Starts_[0].second, fleet::EndKind::Done, {}}});
+  cr_assert(Leader.logged("job_ended completed"));
+  cr_expect(Leader.Scheduler_->takeFinishedJobs().empty());
+  const std::uint64_t Flush = Leader.Scheduler_->takeProgress().first;
+  Leader.report({});
+  cr_expect(Leader.Scheduler_->takeFinishedJobs().empty());
+  Leader.Scheduler_->onFlushed(Flush, Leader.Now_);
+  Leader.report({});
+  cr_expect(Leader.Scheduler_->takeFinishedJobs() == OnlyJob);
+  Leader.report({});
+  cr_expect(Leader.Scheduler_->takeFinishedJobs().empty());
+}
+
 // --- Check of the stored jobs ---
 
 // Guards against false alarms: jobs that the scheduler has, whose end is not durable yet, or that
@@ -243,3 +261,20 @@
   Leader.readSpec();
   cr_expect(Leader.checkAfter(Millis(1000)).empty());
 }
+
+// Guards against a job that is cancelled before its steps are read and stays in the log for good,
+// because its end is never written.
+Test(StoredJobCheck, aJobThatIsCancelledBeforeItsStepsAreReadIsEnded) {
+  Leader Leader;
+  Leader.readAccepted();
+  Leader.read(work::encodeCancelled(Job, {1}));
+  Leader.report({});
+  cr_expect(Leader.Scheduler_->takeProgress().second.empty());
+  Leader.readSpec();
+  const auto [Flush, Records] = Leader.Scheduler_->takeProgress();
+  cr_assert_eq(Records.size(), 1);
+  cr_expect(Leader.Scheduler_->takeFinishedJobs().empty());
+  Leader.Scheduler_->onFlushed(Flush, Leader.Now_);
+  Leader.report({});
+  cr_expect(Leader.Scheduler_->takeFinishedJobs() == OnlyJob);
+}
