http: LoopClient does not close a descriptor that libcurl has closed itself

libcurl 7.88.1 closes the socket of a connection attempt that times out without calling the close callback. The socket object of Asio kept its number and closed it again later, when it could belong to another connection; from then on two connections shared a descriptor, and requests and answers reached wrong peers.

--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -12,6 +12,8 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace masticdrift::http {
 
@@ -64,21 +66,42 @@
     for (CURL *EasyHandle : IdleHandles_)
       curl_easy_cleanup(EasyHandle);
     curl_multi_cleanup(MultiHandle_);
+    for (auto &[Handle, Socket] : Sockets_)
+      disown(*Socket);
+    Sockets_.clear();
   }
 
   static curl_socket_t openSocketCallback(void *User, curlsocktype, curl_sockaddr *Address) {
     auto &Self = *static_cast<Impl *>(User);
+    const curl_socket_t Handle =
+        ::socket(Address->family, Address->socktype | SOCK_CLOEXEC, Address->protocol);
+    if (Handle == CURL_SOCKET_BAD)
+      return CURL_SOCKET_BAD;
+    // Before the new socket is registered: its number may still be that of the old one.
+    if (const auto Stale = Self.Sockets_.find(Handle); Stale != Self.Sockets_.end()) {
+      disown(*Stale->second);
+      Self.Sockets_.erase(Stale);
+    }
     auto Socket = std::make_shared<WatchedSocket>(Self.Loop_);
     std::error_code Error;
-    Socket->Socket_.open(Address->family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(),
-                         Error);
-    if (Error)
+    Socket->Socket_.assign(Address->family == AF_INET6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(),
+                           Handle, Error);
+    if (Error) {
+      ::close(Handle);
       return CURL_SOCKET_BAD;
-    const curl_socket_t Handle = Socket->Socket_.native_handle();
+    }
     Self.Sockets_[Handle] = std::move(Socket);
     return Handle;
   }
 
+  /// Forgets a socket that libcurl has closed itself: libcurl 7.88 does not call the callback for
+  /// connection attempts that time out. Its number may belong to another connection by now.
+  static void disown(WatchedSocket &Socket) {
+    Socket.Closed_ = true;
+    std::error_code Ignored; // the descriptor may be closed
+    Socket.Socket_.release(Ignored);
+  }
+
   static int closeSocketCallback(void *User, curl_socket_t Handle) {
     auto &Self = *static_cast<Impl *>(User);
     const auto Found = Self.Sockets_.find(Handle);
