--- a/include/masticdrift/http/Client.h
+++ b/include/masticdrift/http/Client.h
@@ -22,6 +22,10 @@
   /// Opens a new connection that is not reused. Required for requests that must not be sent twice:
   /// libcurl resends a request when a reused connection fails before the first response byte.
   bool FreshConnection_ = false;
+  /// Sends the request once at most, so that its response is that of its only copy. A reused
+  /// connection that fails before the first response byte ends the exchange as NoAnswer. Not
+  /// supported by Client, which offers FreshConnection_.
+  bool SendOnce_ = false;
   /// Called on the client's thread when the connection is established, immediately before the first
   /// byte is sent; false ends the exchange as NotConnected. May be empty.
   std::function<bool()> MaySend_;
--- a/include/masticdrift/http/LoopClient.h
+++ b/include/masticdrift/http/LoopClient.h
@@ -10,8 +10,7 @@
 namespace masticdrift::http {
 
 /// HTTP client with the contract of Client, but without its own thread: exchanges and callbacks run
-/// on the thread of the event loop. A request with a method other than GET is sent once at most, so
-/// the answer to it is the answer to its only copy.
+/// on the thread of the event loop.
 ///
 /// Cost: one readiness notification per event of a connection; an idle exchange costs nothing.
 class LoopClient {
--- a/include/masticdrift/http/detail/Exchange.h
+++ b/include/masticdrift/http/detail/Exchange.h
@@ -17,7 +17,6 @@
   curl_slist *HeaderList_ = nullptr;
   Response Answer_;
   bool HeaderReceived_ = false;
-  bool SendOnce_ = false;    ///< libcurl must not send the request again on another connection
   bool SendAllowed_ = false; ///< MaySend_ allowed it, so bytes may have been sent
   bool SendDenied_ = false;  ///< MaySend_ returned false
 };
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -4,6 +4,8 @@
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/core/Pack.h"
 
+#include <algorithm>
+
 namespace masticdrift::daemon {
 
 namespace {
@@ -152,6 +154,11 @@
   http::ClientRequest Request;
   Request.Method_ = "POST";
   Request.Url_ = "http://" + RelayAddress + protocol::OrdersPath;
+  // Each copy of a batch would carry out its starts; the other orders may be repeated.
+  Request.SendOnce_ =
+      std::ranges::any_of(Outgoing.Orders_, [](const protocol::RelayedOrder &Order) {
+        return static_cast<RelayKind>(Order.Kind_) == RelayKind::Start;
+      });
   Request.Body_ = core::pack(
       protocol::OrdersRequest{Context_.PeerAddress_, std::exchange(Outgoing.Orders_, {})});
   Request.Timeout_ = BatchTimeout;
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -28,7 +28,7 @@
 /// Called by libcurl on each connection immediately before it sends the request.
 int preRequestCallback(void *User, char *, char *, int, int) {
   auto &Self = *static_cast<Exchange *>(User);
-  const bool SentBefore = Self.SendOnce_ && Self.SendAllowed_;
+  const bool SentBefore = Self.Request_.SendOnce_ && Self.SendAllowed_;
   if (SentBefore || (Self.Request_.MaySend_ && !Self.Request_.MaySend_())) {
     Self.SendDenied_ = true;
     return CURL_PREREQFUNC_ABORT;
@@ -106,7 +106,7 @@
       static_cast<std::size_t>(HeaderBytesOut) + static_cast<std::size_t>(BodyBytesOut);
   Result.BytesIn_ = static_cast<std::size_t>(HeaderBytesIn) + Operation.Answer_.Body_.size();
   Result.Transfer_ = classify(Code, Operation);
-  if (Operation.SendDenied_ && Operation.SendOnce_ && Operation.SendAllowed_)
+  if (Operation.SendDenied_ && Operation.Request_.SendOnce_ && Operation.SendAllowed_)
     Result.Error_ = "request not sent again: the connection failed before the response";
   else if (Operation.SendDenied_)
     Result.Error_ = "request not sent: sending was no longer allowed when the request's turn came";
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -240,7 +240,6 @@
     // retries add to its load.
     Operation->Request_.Timeout_ +=
         TimeoutLagFactor * std::chrono::duration_cast<std::chrono::milliseconds>(Lag_);
-    Operation->SendOnce_ = Operation->Request_.Method_ != "GET";
     detail::setOptions(*Operation, MaxIdleSeconds_, MaxConnectionAgeSeconds);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETFUNCTION, &openSocketCallback);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETDATA, this);
