lead: an adopted run of a suspect task has yet to survive its start

Callers saw up to six crashes under one task (BUDGET). A new leader took every run that an executor listed for survived. When the old leader was lost between the start of a counted task and the crash, the new one cleared the task's crashes and did not count the next.

The new test showed six crashes in 8 of 16 cases before.

The survival of an adopted run counts from its adoption when executors have crashed under its task.

--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -286,8 +286,9 @@
     NewRun.ConfirmedAt_ = Now;
     if (Job != nullptr && tokenOf(Row.Run_) < Token_)
       noteInheritedRun(*Step, Row.Task_);
-    // The executor has survived the start, which another leader has ordered.
-    NewRun.StartClockMs_ = Executor.ClockMs_ - Timing_.StartSurvivalTime_.count();
+    // Another leader has ordered the start, maybe just now. Only suspect tasks have to survive it.
+    const bool Suspect = Job != nullptr && crashCount(Job->Progress_, Row.Task_) > 0;
+    NewRun.StartClockMs_ = Executor.ClockMs_ - (Suspect ? 0 : Timing_.StartSurvivalTime_.count());
     NewRun.Progress_.FromStart_ = false;
     addSample(NewRun.Progress_, Row.ProgressPercent_, Now);
     NewRun.Checkpoint_ = Row.Checkpoint_;
--- a/tests/unit/SchedulerCrashTest.cpp
+++ b/tests/unit/SchedulerCrashTest.cpp
@@ -327,6 +327,26 @@
       playTakeovers(Return, Millis(Delay), Millis(0));
 }
 
+// The next leader adopts the task's run before it crashes its executor. Guards against an adopted
+// run that counts as survived and takes the earlier crashes off the count.
+Test(SchedulerCrash, theCountSurvivesTakeoversBetweenStartAndCrash) {
+  for (const ReturnAs Return : Returns)
+    for (const int Start : {2, 3})
+      for (const int Delay : {1, 2, 5, 8}) {
+        FakeFleet Fleet(makeOptions(Return));
+        addExecutors(Fleet, 5);
+        submitDeadly(Fleet);
+        cr_assert(awaitStarts(Fleet, Deadly, Start));
+        Fleet.run(Millis(Delay));
+        Fleet.takeOver();
+        Fleet.run(Millis(90'000));
+        const std::string Case =
+            caseName(Return, "takeover at start " + std::to_string(Start) + ", after ms", Delay);
+        expectGivenUp(Fleet, Case);
+        expectNoViolations(Fleet, Case);
+      }
+}
+
 // The old leader still sends orders for seconds. Guards against a crash that counts twice because
 // two leaders see it, and against starts by both.
 Test(SchedulerCrash, theCountSurvivesTakeoversWithTwoActiveLeaders) {
