--- a/review/Standin.cpp
+++ b/review/Standin.cpp
@@ -1,15 +1,13 @@
-// standin-trial: plays one case of the review against separate processes of the project: daemons
-// and standin-platform. A proxy in this program stands between the daemons and the store.
+// standin-trial: plays one case of the review against daemons in processes of their own. This
+// program is their platform and their requester.
 //
-// Usage: standin-trial CASE DAEMON PLATFORM RECORD FOLDER. With TROUBLE=0 the disruption is left
+// Usage: standin-trial CASE DAEMON RECORD FOLDER. With TROUBLE=0 the disruption is left
 // out. Exits with 0 when the rule held, 1 when it was broken, 2 when the case could not run.
-#include "masticdrift/core/Clock.h"
 #include "masticdrift/http/Client.h"
-#include "masticdrift/http/LoopClient.h"
 #include "standins/common/HttpStub.h"
-#include "standins/common/Program.h"
+#include "standins/common/TaskExecutors.h"
+#include "standins/common/TopicLog.h"
 
-#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -17,6 +15,8 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <sstream>
@@ -35,6 +35,7 @@
 constexpr int Broken = 1;
 constexpr int NotRun = 2;
 constexpr int DaemonCount = 3;
+constexpr int ExecutorCount = 8; ///< one of them is a share of 0.125
 constexpr const char *FirstKey = "6x73d3zji9n73hh2b9wu";
 constexpr const char *SecondKey = "3fexd9dnn2ctnfzs989a";
 
@@ -75,80 +76,169 @@
   pid_t Pid_ = -1;
 };
 
-/// Stands before the store: forwards calls, and can go down while it carries out a call.
-class StoreProxy {
+/// The users' platform: store, executors and advice on one address, as in standin-platform. The
+/// store can go down while it carries out a call, and a start order can arrive late.
+class Platform {
 public:
-  explicit StoreProxy(std::string Target)
-      : Target_(std::move(Target)), Client_(Io_, 30s, 100),
+  explicit Platform(int ExecutorCount)
+      : Log_(Io_), Executors_(Io_, ExecutorCount, 8),
         Stub_(Io_, 0, [this](const http::Request &Incoming, const ReplyCallback &Answer) {
           handle(Incoming, Answer);
         }) {
+    announce();
     Thread_ = std::thread([this] { Io_.run(); });
   }
-  StoreProxy(const StoreProxy &) = delete;
-  StoreProxy &operator=(const StoreProxy &) = delete;
-  ~StoreProxy() {
+  Platform(const Platform &) = delete;
+  Platform &operator=(const Platform &) = delete;
+  ~Platform() {
     Io_.stop();
     Thread_.join();
   }
 
   std::uint16_t port() const { return Stub_.port(); }
 
+  /// Runs \p Action in the platform's own thread and waits for its result.
+  template <typename Function> auto run(Function Action) {
+    return asio::post(Io_, asio::use_future(std::move(Action))).get();
+  }
+
+  void setManifest(const Json &Manifest) {
+    run([&] { Log_.put("keyed.op", "config", Manifest.dump()); });
+  }
+
   /// The store goes down while it carries out the append of the record \p Key: the channels of
   /// calls under way are closed without a response, and for \p Time calls get 503.
   void goDownAfter(const std::string &Key, std::chrono::milliseconds Time) {
-    asio::post(Io_, [this, Key, Time] {
+    run([&] {
       LastRecord_ = Key;
       DownTime_ = Time;
     });
   }
 
-  int refusedCalls() const { return RefusedCalls_; }
-  bool wentDown() const { return WentDown_; }
+  /// The first start order of the task gets no answer and is kept until deliverLateStart().
+  void delayStartOf(const std::string &Task) {
+    run([&] { DelayedTask_ = Task; });
+  }
+
+  /// \returns the executor that the delayed order is for; empty while there is none.
+  std::string delayedFor() {
+    return run([&] { return DelayedFor_; });
+  }
+
+  void deliverLateStart() {
+    run([&] {
+      if (DelayedOrder_)
+        Executors_.handle(*DelayedOrder_, [this](const Reply &Answer) {
+          LateAnswer_ = std::to_string(Answer.Status_) + " " + Answer.Body_;
+        });
+    });
+  }
+
+  std::string lateAnswer() {
+    return run([&] { return LateAnswer_; });
+  }
+
+  /// The executor crashes, which sends nothing, and starts again under its id. Nothing runs on it
+  /// any more.
+  /// \param Heartbeat time until it first writes to the store.
+  void crash(const std::string &Id, std::chrono::milliseconds Heartbeat) {
+    run([&] {
+      const Json Running = Executors_.evidence().at("running");
+      for (const Json &Task : Running)
+        if (StartedOn_[Task.get<std::string>()] == Id)
+          ++CrashesUnder_[Task.get<std::string>()];
+      Executors_.control({{"executor", Id}, {"crash", true}});
+      runAfter(Io_, Heartbeat, [this] { announce(); });
+    });
+  }
+
+  /// \returns the most executors that have crashed under one task of the job.
+  int crashesUnder(const std::string &JobId) {
+    return run([&] {
+      int Most = 0;
+      for (const auto &[Task, Count] : CrashesUnder_)
+        if (Task.starts_with(JobId))
+          Most = std::max(Most, Count);
+      return Most;
+    });
+  }
+
+  Json evidence() {
+    return run([&] { return Executors_.evidence(); });
+  }
+
+  int refusedCalls() {
+    return run([&] { return RefusedCalls_; });
+  }
 
 private:
+  void announce() {
+    for (const auto &[Id, Entry] : Executors_.entries("127.0.0.1:" + std::to_string(Stub_.port())))
+      Log_.put("keyed.servers", Id, Entry.dump());
+  }
+
   void handle(const http::Request &Incoming, const ReplyCallback &Answer) {
+    if (Incoming.Path_.find("/log-") != std::string::npos)
+      handleStoreCall(Incoming, Answer);
+    else if (Incoming.Path_.ends_with("/run-start"))
+      handleStart(Incoming, Answer);
+    else if (!Executors_.handle(Incoming, Answer))
+      Answer(errorReply(404, "unknown path"));
+  }
+
+  void handleStoreCall(const http::Request &Incoming, const ReplyCallback &Answer) {
     if (Down_) {
       ++RefusedCalls_;
       return Answer(errorReply(503, "down"));
     }
-    const bool IsLast = !LastRecord_.empty() && Incoming.Path_.ends_with("/log-append") &&
-                        Incoming.Body_.find(LastRecord_) != std::string::npos;
-    http::ClientRequest Request;
-    Request.Method_ = Incoming.Method_;
-    Request.Url_ = "http://" + Target_ + Incoming.Path_ +
-                   (Incoming.Query_.empty() ? "" : "?" + Incoming.Query_);
-    Request.Body_ = Incoming.Body_;
-    Request.Timeout_ = 40s;
-    if (IsLast)
-      goDown();
-    Client_.send(std::move(Request), [this, Answer](const http::ClientResult &Result) {
-      Reply Out;
-      Out.Status_ = Result.Answer_.Status_;
-      Out.Body_ = Result.Answer_.Body_;
-      Out.ContentType_ = Result.Answer_.ContentType_;
+    if (!LastRecord_.empty() && Incoming.Path_.ends_with("/log-append") &&
+        Incoming.Body_.find(LastRecord_) != std::string::npos) {
+      LastRecord_.clear();
+      Down_ = true;
+      runAfter(Io_, DownTime_, [this] { Down_ = false; });
+    }
+    Log_.handle(Incoming, [this, Answer](Reply Out) {
       // What was under way when the store went down gets no response.
-      if (Down_ || Result.Transfer_ != http::Transfer::Complete)
+      if (Down_)
         Out.Mode_ = ReplyMode::Close;
       Answer(std::move(Out));
     });
   }
 
-  void goDown() {
-    LastRecord_.clear();
-    Down_ = WentDown_ = true;
-    runAfter(Io_, DownTime_, [this] { Down_ = false; });
+  void handleStart(const http::Request &Incoming, const ReplyCallback &Answer) {
+    const Json Order = Json::parse(Incoming.Body_, nullptr, false);
+    const std::string Task = Order.is_object() ? Order.value("task", "") : "";
+    const std::vector<std::string> Parts = http::pathSegments(Incoming.Path_);
+    const std::string Executor = Parts.size() == 3 ? Parts[1] : "";
+    if (!DelayedTask_.empty() && Task == DelayedTask_) {
+      DelayedTask_.clear();
+      DelayedOrder_ = Incoming;
+      DelayedFor_ = Executor;
+      Reply Out;
+      Out.Mode_ = ReplyMode::Hang;
+      return Answer(std::move(Out));
+    }
+    Executors_.handle(Incoming, [this, Answer, Task, Executor](const Reply &Out) {
+      if (Out.Status_ == 200)
+        StartedOn_[Task] = Executor;
+      Answer(Out);
+    });
   }
 
-  const std::string Target_;
   asio::io_context Io_;
-  http::LoopClient Client_;
+  TopicLog Log_;
+  TaskExecutors Executors_;
   HttpStub Stub_;
   std::string LastRecord_;
   std::chrono::milliseconds DownTime_{0};
   bool Down_ = false;
-  std::atomic<bool> WentDown_{false};
-  std::atomic<int> RefusedCalls_{0};
+  int RefusedCalls_ = 0;
+  std::string DelayedTask_;
+  std::string DelayedFor_;
+  std::optional<http::Request> DelayedOrder_;
+  std::string LateAnswer_;
+  std::map<std::string, std::string> StartedOn_;
+  std::map<std::string, int> CrashesUnder_;
   std::thread Thread_;
 };
 
@@ -179,23 +269,9 @@
 /// A small deployment.
 class Trial {
 public:
-  Trial(std::string Daemon, const std::string &Platform, const std::string &RecordFile,
-        std::string Folder)
+  Trial(std::string Daemon, const std::string &RecordFile, std::string Folder)
       : Daemon_(std::move(Daemon)), Folder_(std::move(Folder)), Record_(RecordFile),
-        Start_(std::chrono::steady_clock::now()) {
-    const std::string Output = Folder_ + "/platform.log";
-    Platform_ = std::make_unique<Child>(
-        std::vector<std::string>{Platform, "--executors", "8", "--cores", "8"}, "", Output);
-    await(10s, [&] {
-      std::ifstream File(Output);
-      std::string Line;
-      if (!std::getline(File, Line) || File.eof())
-        return false;
-      PlatformPort_ = Json::parse(Line).at("port").get<int>();
-      return true;
-    });
-    Store_ = std::make_unique<StoreProxy>(loopback(PlatformPort_));
-  }
+        Start_(std::chrono::steady_clock::now()), Platform_(ExecutorCount) {}
 
   void setManifest(int Version, const Json &Keys, bool AllowAnonymous) {
     const Json Manifest{{"version", Version},
@@ -218,7 +294,7 @@
                            {"weight", 10},
                            {"upper_limit", {{"cpu", 0}, {"mem_mb", 0}, {"gpu", 0}}}}}},
                         {"limits", {{"max_body_bytes", 262'144}}}};
-    platformCall("POST", "/control", Json{{"manifest", Manifest}});
+    Platform_.setManifest(Manifest);
     note("manifest " + std::to_string(Version) + " is stored, keys " + Keys.dump());
   }
 
@@ -246,8 +322,8 @@
           {"bounds",
            {{"contact_ms", 3000}, {"grace_s", 6}, {"hold_max_ms", 10'000}, {"status_s", 120}}},
           {"orders", "invoke"},
-          {"advice", loopback(PlatformPort_)},
-          {"platform", {{"address", loopback(Store_->port()) + "/d/" + Name}, {"form", "log"}}}};
+          {"advice", loopback(Platform_.port())},
+          {"platform", {{"address", loopback(Platform_.port()) + "/d/" + Name}, {"form", "log"}}}};
       Daemons_.push_back(std::make_unique<Child>(std::vector<std::string>{Daemon_, "--platform"},
                                                  File, Folder_ + "/" + Name + ".log"));
     }
@@ -273,7 +349,7 @@
   /// \returns how many runs of the job have started, by what the executors have seen.
   int startsOf(const std::string &Id) {
     int Starts = 0;
-    const Json Evidence = platformCall("GET", "/evidence", {});
+    const Json Evidence = Platform_.evidence();
     for (const auto &[Task, Count] : Evidence.at("starts").items())
       if (Task.starts_with(Id))
         Starts += Count.get<int>();
@@ -295,13 +371,7 @@
     }
   }
 
-  StoreProxy &store() { return *Store_; }
-
-  /// The executor crashes and starts again under its id. Nothing runs on it any more.
-  void crashExecutor(const std::string &Id) {
-    platformCall("POST", "/control", Json{{"executor", Id}, {"crash", true}});
-    note("executor " + Id + " crashes and starts again");
-  }
+  Platform &platform() { return Platform_; }
 
   /// \returns the state of a job; empty without an answer.
   std::string stateOf(const std::string &Id) {
@@ -337,20 +407,12 @@
     return Client_.sendAndWait(std::move(Request));
   }
 
-  Json platformCall(const std::string &Method, const std::string &Path, const Json &Body) {
-    const http::ClientResult Result =
-        send(Method, loopback(PlatformPort_) + Path, Body.is_null() ? "" : Body.dump(), "");
-    return Json::parse(Result.Answer_.Body_);
-  }
-
   std::string Daemon_;
   std::string Folder_;
   std::ofstream Record_;
   std::chrono::steady_clock::time_point Start_;
   http::Client Client_;
-  int PlatformPort_ = 0;
-  std::unique_ptr<Child> Platform_;
-  std::unique_ptr<StoreProxy> Store_;
+  Platform Platform_;
   std::vector<std::unique_ptr<Child>> Daemons_;
   std::vector<int> Ports_;
 };
@@ -375,7 +437,7 @@
   std::this_thread::sleep_for(2s);
   const std::string Id = "5c0e7a21d94b36f8";
   if (Trouble)
-    Play.store().goDownAfter("a" + Id, 5000ms);
+    Play.platform().goDownAfter("a" + Id, 5000ms);
   bool AllRefused = true;
   for (int I = 0; I < Attempts; ++I) {
     const int Status = Play.call(I % DaemonCount, "POST", Id, FirstKey, jobBody(false));
@@ -384,9 +446,9 @@
       break;
     std::this_thread::sleep_for(1s); // Retry-After
   }
-  Play.note("the store went down: " + std::string(Play.store().wentDown() ? "yes" : "no") +
-            ", calls refused by it: " + std::to_string(Play.store().refusedCalls()));
-  if (Trouble && !Play.store().wentDown())
+  const int RefusedCalls = Play.platform().refusedCalls();
+  Play.note("calls that the store has refused: " + std::to_string(RefusedCalls));
+  if (Trouble && RefusedCalls == 0)
     return NotRun;
   std::this_thread::sleep_for(15s);
   Play.call(0, "GET", Id, FirstKey);
@@ -421,7 +483,6 @@
 
 /// Jobs whose tasks never end as failed must not be shown as failed while executors crash.
 int playCrashes(Trial &Play, bool Trouble) {
-  constexpr int ExecutorCount = 8; // one of them is a share of 0.125
   constexpr auto JobInterval = 100ms;
   constexpr int JobsPerCrash = 3;
   constexpr int Jobs = 600;
@@ -438,7 +499,9 @@
     if (Play.call(I % DaemonCount, "POST", Id.str(), FirstKey, jobBody(false, Tasks)) == 200)
       Accepted.push_back(Id.str());
     if (Trouble && I % JobsPerCrash == 0) {
-      Play.crashExecutor("i-" + std::to_string(Random() % ExecutorCount));
+      const std::string Executor = "i-" + std::to_string(Random() % ExecutorCount);
+      Play.platform().crash(Executor, 0ms);
+      Play.note("executor " + Executor + " crashes and starts again");
       ++Crashes;
     }
     NextAt += JobInterval;
@@ -446,28 +509,68 @@
   }
   std::this_thread::sleep_for(15s); // finish_s is 14 s
   int Failed = 0;
-  for (const std::string &Id : Accepted)
-    Failed += Play.stateOf(Id) == "failed" ? 1 : 0;
+  int FewCrashes = 0;
+  for (const std::string &Id : Accepted) {
+    if (Play.stateOf(Id) != "failed")
+      continue;
+    ++Failed;
+    const int Under = Play.platform().crashesUnder(Id);
+    FewCrashes += Under < 2 ? 1 : 0;
+    Play.note("executors that have crashed under one of its tasks: " + std::to_string(Under) +
+              " at most");
+  }
   Play.note(std::to_string(Accepted.size()) + " jobs were accepted, " + std::to_string(Crashes) +
             " crashes, jobs shown as failed: " + std::to_string(Failed) +
-            "; no executor has listed an end as failed");
+            " (with less than two crashes under each task: " + std::to_string(FewCrashes) +
+            "); no executor has listed an end as failed");
   return Failed > 0 ? Broken : Held;
 }
 
+/// A task whose end was acknowledged must not be started again.
+int playLateStart(Trial &Play, bool Trouble) {
+  Play.setManifest(1, {FirstKey}, false);
+  Play.startDaemons();
+  const std::string Id = "5c0e7a21d94b36f8";
+  const std::string Task = Id + ".0.0.0";
+  Play.platform().delayStartOf(Task);
+  Trial::await(20s, [&] { return Play.call(0, "POST", Id, FirstKey, jobBody(false, 1)) == 200; });
+  Trial::await(10s, [&] { return Play.stateOf(Id) == "completed"; });
+  const std::string Executor = Play.platform().delayedFor();
+  Play.note(
+      "the job is completed; a start order of its task for " + Executor +
+      " had no answer and is still on its way; started runs: " + std::to_string(Play.startsOf(Id)));
+  std::this_thread::sleep_for(2s);
+  if (Trouble) {
+    Play.platform().crash(Executor, 1000ms); // heartbeat_ms is 1,500
+    Play.note("executor " + Executor + " crashes and starts again");
+  }
+  std::this_thread::sleep_for(200ms);
+  Play.platform().deliverLateStart();
+  Play.note("the late start order arrives at " + Executor + ": " + Play.platform().lateAnswer());
+  std::this_thread::sleep_for(4s);
+  const int Starts = Play.startsOf(Id);
+  const Json Doubled = Play.platform().evidence().at("doubled");
+  Play.note("started runs: " + std::to_string(Starts) +
+            ", tasks started after an acknowledged end or beside another run: " + Doubled.dump());
+  return Doubled.empty() ? Held : Broken;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
   const std::span<char *> Arguments(Argv, static_cast<std::size_t>(Argc));
-  if (Arguments.size() != 6)
+  if (Arguments.size() != 5)
     return NotRun;
   const char *TroubleText = std::getenv("TROUBLE");
   const bool Trouble = TroubleText == nullptr || std::string_view(TroubleText) != "0";
   const std::string Case = Arguments[1];
   try {
-    Trial Play(Arguments[2], Arguments[3], Arguments[4], Arguments[5]);
+    Trial Play(Arguments[2], Arguments[3], Arguments[4]);
     int Result = NotRun;
     if (Case == "refused")
       Result = playRefused(Play, Trouble);
+    else if (Case == "late-start")
+      Result = playLateStart(Play, Trouble);
     else if (Case == "crashes")
       Result = playCrashes(Play, Trouble);
     else if (Case == "open-route")
