A rejection after a repeated request leaves the outcome open

The result did not tell that there had been two copies.

- ClientResult::EarlierCopySent_ tells it.
An append, a forwarded submission and an append of the first version's log client count as unanswered then, unless a copy is confirmed.
- SubmissionAttempts remembers submissions of open outcome at the daemon and at the leader; refusals of further attempts are answered 504 until the log was read beyond late appends.
- The leader looks for a forwarded job in its table before it refuses for want of the store.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -6,6 +6,7 @@
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/JobWriter.h"
 #include "masticdrift/daemon/LeaderDriver.h"
+#include "masticdrift/daemon/SubmissionAttempts.h"
 #include "masticdrift/daemon/TopicTail.h"
 #include "masticdrift/http/Server.h"
 #include "masticdrift/protocol/PeerMessages.h"
@@ -37,6 +38,9 @@
   void submitForPeer(protocol::SubmitRequest Call,
                      std::function<void(protocol::SubmitReply)> OnDone);
 
+  /// Forgets attempts to submit jobs whose outcome has become clear. To be called periodically.
+  void forgetSettledAttempts() { Attempts_.forgetSettled(JobTail_.readUpTo()); }
+
   /// \returns the number of requests that have not been answered.
   std::size_t openRequests() const { return OpenRequests_; }
 
@@ -64,6 +68,9 @@
   };
   void store(const std::shared_ptr<PendingRequest> &Request, StoreRequest Write,
              std::function<void(WriteOutcome)> OnDone);
+  /// Refuses a write at once while the log service can't be read.
+  void appendUnlessFailing(StoreRequest Write, core::TimePoint Deadline,
+                           std::function<void(WriteOutcome)> OnDone);
   /// Appends the steps before the record, so that the log never contains a record without its
   /// steps.
   void append(StoreRequest Write, core::TimePoint Deadline,
@@ -81,6 +88,7 @@
   JobWriter &SpecWriter_;
   JobWriter &RecordWriter_;
   LeaderDriver &Leader_;
+  SubmissionAttempts Attempts_;
   std::size_t OpenRequests_ = 0;
 };
 
--- a/include/masticdrift/http/Client.h
+++ b/include/masticdrift/http/Client.h
@@ -46,6 +46,9 @@
   std::string Error_;        ///< error message; empty when Transfer_ is Complete
   std::size_t BytesOut_ = 0; ///< header and body bytes sent
   std::size_t BytesIn_ = 0;  ///< header and body bytes received
+  /// libcurl sent the request again after a reused connection had failed. The result is that of the
+  /// last copy; an earlier one may have been carried out, or may be later.
+  bool EarlierCopySent_ = false;
 };
 
 using Callback = std::function<void(ClientResult)>;
--- a/include/masticdrift/http/detail/Exchange.h
+++ b/include/masticdrift/http/detail/Exchange.h
@@ -19,6 +19,7 @@
   bool HeaderReceived_ = false;
   bool SendAllowed_ = false; ///< MaySend_ allowed it, so bytes may have been sent
   bool SendDenied_ = false;  ///< MaySend_ returned false
+  bool SentAgain_ = false;   ///< sending was allowed more than once
 };
 
 /// Sets all options of the easy handle of \p Operation.
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -162,8 +162,11 @@
     return;
   }
   const work::AcceptedRecord Record{*Request->Queue_, Request->Customer_, core::wallMillis()};
+  Attempts_.begin(Request->JobId_);
   store(Request, {work::encodeAccepted(Request->JobId_, Record), core::pack(*Spec)},
-        [this, Request](WriteOutcome Outcome) { answerWrite(Request, Outcome); });
+        [this, Request](WriteOutcome Outcome) {
+          answerWrite(Request, Attempts_.end(Request->JobId_, Outcome, core::Clock::now()));
+        });
 }
 
 void EntryService::answerWrite(const std::shared_ptr<PendingRequest> &Request,
@@ -204,10 +207,15 @@
     forwardToLeader(Request, LeaderAddress, std::move(Write), std::move(OnDone));
     return;
   }
+  appendUnlessFailing(std::move(Write), Request->Deadline_, std::move(OnDone));
+}
+
+void EntryService::appendUnlessFailing(StoreRequest Write, core::TimePoint Deadline,
+                                       std::function<void(WriteOutcome)> OnDone) {
   if (JobTail_.failing())
     OnDone(WriteOutcome::Refused);
   else
-    append(std::move(Write), Request->Deadline_, std::move(OnDone));
+    append(std::move(Write), Deadline, std::move(OnDone));
 }
 
 void EntryService::append(StoreRequest Write, core::TimePoint Deadline,
@@ -262,8 +270,8 @@
       OnDone(WriteOutcome::Stored);
       return;
     }
-    const bool KnownNotStored =
-        (Reply && Reply->Refused_) || Result.Transfer_ == http::Transfer::NotConnected;
+    const bool KnownNotStored = (Reply && Reply->Refused_ && !Result.EarlierCopySent_) ||
+                                Result.Transfer_ == http::Transfer::NotConnected;
     core::log(core::LogLevel::Warning, "leader did not confirm a forwarded write",
               {{"request_id", Request->JobId_},
                {"uncertain", KnownNotStored ? "false" : "true"},
@@ -286,27 +294,29 @@
 
 void EntryService::submitForPeer(protocol::SubmitRequest Call,
                                  std::function<void(protocol::SubmitReply)> OnDone) {
-  if (JobTail_.failing()) {
-    OnDone({false, true, 0});
-    return;
-  }
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
   const std::string Id = Call.Key_.empty() ? std::string() : Call.Key_.substr(1);
+  const bool IsSubmission = !Call.Spec_.empty();
   if (const work::JobTableEntry *Job = Context_.JobTable_.find(Id);
-      Job != nullptr && !Call.Spec_.empty()) {
+      Job != nullptr && IsSubmission) {
     // Repeated submission that was sent to another daemon.
     OnDone({true, false, Job->AcceptedOffset_});
     return;
   }
-  append({{std::move(Call.Key_), std::move(Call.Value_)}, std::move(Call.Spec_)}, Deadline,
-         [this, Id, OnDone = std::move(OnDone)](WriteOutcome Outcome) {
-           protocol::SubmitReply Reply;
-           Reply.Stored_ = Outcome == WriteOutcome::Stored;
-           Reply.Refused_ = Outcome == WriteOutcome::Refused;
-           if (const work::JobTableEntry *Job = Context_.JobTable_.find(Id))
-             Reply.Offset_ = Job->AcceptedOffset_;
-           OnDone(Reply);
-         });
+  if (IsSubmission)
+    Attempts_.begin(Id);
+  appendUnlessFailing({{std::move(Call.Key_), std::move(Call.Value_)}, std::move(Call.Spec_)},
+                      Deadline,
+                      [this, Id, IsSubmission, OnDone = std::move(OnDone)](WriteOutcome Outcome) {
+                        if (IsSubmission)
+                          Outcome = Attempts_.end(Id, Outcome, core::Clock::now());
+                        protocol::SubmitReply Reply;
+                        Reply.Stored_ = Outcome == WriteOutcome::Stored;
+                        Reply.Refused_ = Outcome == WriteOutcome::Refused;
+                        if (const work::JobTableEntry *Job = Context_.JobTable_.find(Id))
+                          Reply.Offset_ = Job->AcceptedOffset_;
+                        OnDone(Reply);
+                      });
 }
 
 void EntryService::resolveState(const std::shared_ptr<PendingRequest> &Request,
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -400,6 +400,7 @@
     const core::TimePoint Now = core::Clock::now();
     SpecWriter_.expire(Now);
     RecordWriter_.expire(Now);
+    EntryService_.forgetSettledAttempts();
     std::erase_if(Context_.ExecutorEntries_, [&](const auto &Entry) {
       return !Entry.second.Listed_ && Now - Entry.second.ChangedAt_ > UnlistedExecutorRetention;
     });
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -33,6 +33,7 @@
     Self.SendDenied_ = true;
     return CURL_PREREQFUNC_ABORT;
   }
+  Self.SentAgain_ = Self.SendAllowed_;
   Self.SendAllowed_ = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -106,6 +107,7 @@
       static_cast<std::size_t>(HeaderBytesOut) + static_cast<std::size_t>(BodyBytesOut);
   Result.BytesIn_ = static_cast<std::size_t>(HeaderBytesIn) + Operation.Answer_.Body_.size();
   Result.Transfer_ = classify(Code, Operation);
+  Result.EarlierCopySent_ = Operation.SentAgain_;
   if (Operation.SendDenied_ && Operation.Request_.SendOnce_ && Operation.SendAllowed_)
     Result.Error_ = "request not sent again: the connection failed before the response";
   else if (Operation.SendDenied_)
--- a/src/legacy/LogClient.cpp
+++ b/src/legacy/LogClient.cpp
@@ -38,7 +38,9 @@
   if (Result.Transfer_ != http::Transfer::Complete)
     return Done(core::ErrorKind::AppendUnknown, 0);
   if (isDefiniteRejection(Result.Answer_.Status_))
-    return Done(core::ErrorKind::StoreUnavailable, 0);
+    return Done(Result.EarlierCopySent_ ? core::ErrorKind::AppendUnknown
+                                        : core::ErrorKind::StoreUnavailable,
+                0);
   if (Result.Answer_.Status_ < 200 || Result.Answer_.Status_ > 299)
     return Done(core::ErrorKind::AppendUnknown, 0);
   const auto Body = nlohmann::json::parse(Result.Answer_.Body_, nullptr, false);
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -66,6 +66,11 @@
   Reply Out = appendToTopic(TargetTopic, Incoming);
   if (StoreMode_ == "lose")
     Out.Mode_ = ReplyMode::Hang;
+  if (!OutageAfter_.empty() && Incoming.Body_.find(OutageAfter_) != std::string::npos) {
+    OutageAfter_.clear();
+    StoreMode_ = "refuse";
+    Out.Mode_ = ReplyMode::Close;
+  }
   Answer(std::move(Out));
 }
 
@@ -170,6 +175,7 @@
 void TopicLog::control(const Json &Body) {
   assignIfPresent(Body, "store", StoreMode_);
   assignIfPresent(Body, "refused_daemon", RefusedDaemon_);
+  assignIfPresent(Body, "outage_after", OutageAfter_);
   assignIfPresent(Body, "late_reader", LateReader_);
   assignIfPresent(Body, "late_topic", LateTopic_);
   assignIfPresent(Body, "page_records", MaxPageRecords_);
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -30,6 +30,8 @@
   /// stored without a response); "refused_daemon" names a single daemon whose requests get a 503;
   /// "held_daemon" names one whose appends to "held_topics" are carried out, in order, only when
   /// the switch changes;
+  /// "outage_after" is a part of a record: the append that contains it is stored, its connection is
+  /// closed without a response, and the store mode becomes "refuse";
   /// "late_reader" names one whose long-polling reads of "late_topic" are answered 0.8 s late;
   /// "page_records" is the maximum number of newest records in one response.
   void control(const Json &Body);
@@ -67,6 +69,7 @@
   std::map<std::string, Topic> Topics_;
   std::string StoreMode_ = "up";
   std::string RefusedDaemon_ = "none";
+  std::string OutageAfter_;
   std::string HeldDaemon_ = "none";
   std::set<std::string> HeldTopics_;
   std::string LateReader_ = "none";
--- a/tests/support/ResettingServer.h
+++ b/tests/support/ResettingServer.h
@@ -17,11 +17,14 @@
 namespace masticdrift::tests {
 
 /// Answers the first request on each connection. Resets the connection after it has read a second
-/// one, as if it had carried that one out and its answer were lost.
+/// one, as if it had carried that one out and its answer were lost. From the first reset on, the
+/// status of its answers may be another one.
 class ResettingServer {
 public:
-  explicit ResettingServer(asio::io_context &Loop)
-      : Acceptor_(Loop, {asio::ip::address_v4::loopback(), 0}) {
+  /// \param StatusAfterReset status line of the answers after the first reset.
+  explicit ResettingServer(asio::io_context &Loop, std::string_view StatusAfterReset = "200 OK")
+      : Acceptor_(Loop, {asio::ip::address_v4::loopback(), 0}),
+        StatusAfterReset_(StatusAfterReset) {
     accept();
   }
 
@@ -81,14 +84,17 @@
     if (++Client->RequestCount_ > 1) {
       Client->Socket_.set_option(asio::socket_base::linger(true, 0));
       Client->Socket_.close();
+      Status_ = StatusAfterReset_;
       return;
     }
     asio::write(Client->Socket_,
-                asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")));
+                asio::buffer("HTTP/1.1 " + Status_ + "\r\nContent-Length: 2\r\n\r\n{}"));
     readRequest(Client);
   }
 
   asio::ip::tcp::acceptor Acceptor_;
+  std::string Status_ = "200 OK";
+  std::string StatusAfterReset_;
   int RequestCount_ = 0;
   int ConnectionCount_ = 0;
 };
