Calls to an open queue need no key to reach its jobs

The check of the customer took a caller without a known customer for another customer.

The check now applies to queues that need a key. On an open queue every caller may query and cancel the jobs of that queue; the leader's reply names the job's queue, so that an open queue gives no access to the jobs of others. Jobs without an owner are shown to identified callers of their queue.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -50,11 +50,13 @@
   void submit(const std::shared_ptr<PendingRequest> &Request, const std::string &Body);
   void cancel(const std::shared_ptr<PendingRequest> &Request);
   void queryState(const std::shared_ptr<PendingRequest> &Request);
+  /// \returns true if the caller may query and cancel the job.
+  static bool mayAccess(const PendingRequest &Request, const protocol::JobStateReply &Job);
   /// Determines the customer and the state of a job: from this daemon's job table if the job is
   /// final there, otherwise from the leader or from the complete log.
   ///
-  /// \param OnState called with the state; a request for an unknown job, or for one of another
-  ///   customer, is refused instead.
+  /// \param OnState called with the state; a request for an unknown job, or for one that
+  ///   mayAccess() denies, is refused instead.
   void resolveState(const std::shared_ptr<PendingRequest> &Request, StateCallback OnState);
   void queryLeader(const std::shared_ptr<PendingRequest> &Request, const std::string &LeaderAddress,
                    StateCallback OnState);
--- a/include/masticdrift/protocol/PeerMessages.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -85,7 +85,8 @@
   std::string Customer_;           ///< owner of the job
   std::uint8_t State_ = 0;         ///< a work::JobState
   std::uint8_t FailureReason_ = 0; ///< a work::FailureReason
-  MSGPACK_DEFINE_ARRAY(Answered_, Known_, Customer_, State_, FailureReason_)
+  std::string Queue_;              ///< queue of the job; empty from a daemon that does not send it
+  MSGPACK_DEFINE_ARRAY(Answered_, Known_, Customer_, State_, FailureReason_, Queue_)
 };
 
 } // namespace masticdrift::protocol
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -36,7 +36,9 @@
   http::Responder Respond_;
   std::string JobId_;
   const work::Queue *Queue_ = nullptr; ///< valid during handle() only
-  std::string Customer_;
+  std::string QueueName_;
+  bool NeedsNoKey_ = false; ///< the queue allows anonymous calls
+  std::string Customer_;    ///< empty when the caller is not identified
   core::TimePoint ReceivedAt_;
   core::TimePoint Deadline_;
   bool Answered_ = false;
@@ -50,6 +52,14 @@
   }
 };
 
+bool EntryService::mayAccess(const PendingRequest &Request, const protocol::JobStateReply &Job) {
+  if (Job.Customer_ == Request.Customer_)
+    return true;
+  // A key decides nothing on a queue that needs none, and a job without an owner belongs to whoever
+  // may call its queue. Calls through other queues are excluded, since one of them may need no key.
+  return Job.Queue_ == Request.QueueName_ && (Request.NeedsNoKey_ || Job.Customer_.empty());
+}
+
 EntryService::EntryService(FleetContext &Context, TopicTail &JobTail, JobWriter &SpecWriter,
                            JobWriter &RecordWriter, LeaderDriver &Leader)
     : Context_(Context), JobTail_(JobTail), SpecWriter_(SpecWriter), RecordWriter_(RecordWriter),
@@ -103,6 +113,8 @@
     refuse(Request, ErrorKind::UnknownQueue, "no queue matches the host and path of the request");
     return;
   }
+  Request->QueueName_ = Request->Queue_->Name_;
+  Request->NeedsNoKey_ = Request->Queue_->AllowsAnonymous_;
   const std::string_view PathSuffix =
       std::string_view(Request->Call_.Path_).substr(Request->Queue_->PathPrefix_.size());
   if (platform::isJobId(PathSuffix))
@@ -389,7 +401,7 @@
     resolveLocally(Request, OnState);
     return;
   }
-  if (Reply.Customer_ != Request->Customer_) {
+  if (!mayAccess(*Request, Reply)) {
     refuse(Request, ErrorKind::UnknownJob, "the job does not exist");
     return;
   }
--- a/src/daemon/JobStateWaiters.cpp
+++ b/src/daemon/JobStateWaiters.cpp
@@ -8,9 +8,13 @@
 protocol::JobStateReply jobStateReply(const work::JobTable &Ledger, std::string_view JobId) {
   const work::JobTableEntry *Job = Ledger.find(JobId);
   if (Job == nullptr)
-    return {true, false, {}, 0, 0};
-  return {true, true, Job->Acceptance_.Customer_, static_cast<std::uint8_t>(Job->state()),
-          static_cast<std::uint8_t>(Job->failureReason())};
+    return {true, false, {}, 0, 0, {}};
+  return {true,
+          true,
+          Job->Acceptance_.Customer_,
+          static_cast<std::uint8_t>(Job->state()),
+          static_cast<std::uint8_t>(Job->failureReason()),
+          Job->Acceptance_.Queue_.Name_};
 }
 
 void JobStateWaiters::add(std::string JobId, core::TimePoint Deadline, ReplyCallback OnReply) {
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -15,6 +15,13 @@
 /// API key of the customer in the initial configuration.
 inline constexpr const char *CallerKey = "caller-key";
 
+/// API key of a second customer in the initial configuration.
+inline constexpr const char *OtherCallerKey = "other-caller-key";
+
+/// \returns the configuration that a fleet starts with: two customers, queue "q", which needs a
+/// key, and queue "open", which needs none.
+Json initialManifest();
+
 /// A submission with one or more steps of equal tasks.
 struct SimpleJob {
   int TasksPerStep_ = 1;
