What is known of silent executors outlives the leader

After the loss of a leader, inherited tasks were held back for 10.5 s from the start of each new term while any executor did not answer, on all executors alike.

A leader now records with its heartbeats which runs a silent executor may have, and when its last lease is over. Until the record's removal is stored it grants the executor no lease and starts nothing there. A new leader takes the runs over and goes on counting from when it read the record, so several takeovers cost one wait, and holds back only these runs. Records of an unknown age, after a leader that does not keep them, are void.

--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -36,8 +36,10 @@
   std::string Incarnation_;                ///< identifies the process that wrote the record
   std::vector<UnlistedExecutor> Unlisted_; ///< always empty; keeps the positions of the fields
   bool RosterComplete_ = false;            ///< no executor outside the roster may have runs
+  /// The records of silent executors in the topic hold; see Silence.h.
+  bool SilencesHold_ = false;
   MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Term_, Released_, WallMs_, Incarnation_, Unlisted_,
-                       RosterComplete_)
+                       RosterComplete_, SilencesHold_)
 };
 
 /// Timeouts and delays of the election.
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -59,6 +59,8 @@
   /// Response time (ms) of a run with a response time target, else thousandths of a core in use.
   double ReportedMetric_ = 0;
   fleet::StartOrder Order_;
+  /// An earlier leader has recorded the run of a silent executor, which has not listed it since.
+  bool Assumed_ = false;
 };
 
 /// Task and run number.
@@ -84,6 +86,7 @@
   std::string Checkpoint_;
   std::string AvoidExecutor_; ///< executor on which the last run failed or was too slow
   int ActiveRuns_ = 0;        ///< runs that are not known to be over
+  int AssumedRuns_ = 0;       ///< of these, runs with Run::Assumed_
   bool InheritedRun_ = false; ///< an executor has listed a run of an earlier term as running
   int Moves_ = 0;             ///< runs stopped because they were too slow or stalled
 };
@@ -179,6 +182,14 @@
   /// Any lease that the executor may hold has ended by this time.
   core::TimePoint LeaseEnd_{};
   bool Silent_ = false;
+  core::TimePoint SilentSince_{}; ///< valid while Silent_
+  bool RunsKnown_ = false;        ///< has sent a report to this leader
+  bool SilenceInherited_ = false; ///< an earlier leader has recorded all its runs
+  /// A record may be stored which says that the executor gets no lease. Until its removal is
+  /// stored, nothing is started and no lease is renewed there.
+  bool LeaseWithheld_ = false;
+  core::TimePoint SilenceRecordedAt_{}; ///< when the record was last written; zero without one
+  bool SilenceSettled_ = false;         ///< the record says that nothing runs there any more
   /// A hold request, which requests the executor's report, acknowledges ends and renews the lease,
   /// is awaiting its result.
   bool HoldInFlight_ = false;
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -9,6 +9,7 @@
 
 #include "masticdrift/lead/Model.h"
 #include "masticdrift/lead/RoomPlan.h"
+#include "masticdrift/lead/Silence.h"
 
 #include <algorithm>
 #include <functional>
@@ -181,6 +182,20 @@
   /// for its runs. Nothing is started there before.
   void onExecutorRecorded(std::string_view Id, std::string_view Address);
 
+  /// Takes over what an earlier leader has recorded of a silent executor. onInheritedExecutor() and
+  /// onJob() for all jobs must have been called.
+  void onInheritedSilence(std::string_view ExecutorId, const KnownSilence &Known,
+                          core::TimePoint Now);
+  /// Takes the records of silent executors to append with the next heartbeat, in bounded size.
+  /// \returns the records, some of which remove an executor that answers again.
+  std::vector<work::LogRecord> takeSilenceChanges(core::TimePoint Now);
+  /// Handles that \p Changes are stored.
+  void onSilenceChangesStored(std::span<const work::LogRecord> Changes, core::TimePoint Now);
+  /// \returns true while an executor that answers gets no lease because its record may be stored.
+  bool hasSilenceToClear() const;
+  /// \returns true when a record of the executor's silence may be stored and is kept up to date.
+  bool isSilenceRecorded(std::string_view ExecutorId) const;
+
   /// Handles that a heartbeat which was sent at \p SentAt is stored: no later term had begun then.
   void onHeartbeatStored(core::TimePoint SentAt);
 
@@ -339,6 +354,14 @@
   void forgetSettledSuspects();
   void checkTrial(ExecutorState &Executor);
 
+  // Silent executors.
+  bool knowsRunsOf(const ExecutorState &Executor) const;
+  static SilenceRecord describeSilence(const ExecutorState &Executor, core::TimePoint Now);
+  void assumeRun(ExecutorState &Executor, const work::TaskRef &Task, std::uint64_t Number,
+                 core::TimePoint Now);
+  void settleAssumedRun(Run &Settled);
+  void dropAssumedRuns(const work::TaskRef &Task, std::uint64_t Below, core::TimePoint Now);
+
   void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the time up to which this leader may grant leases.
   core::TimePoint leaseLimit() const;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -49,6 +49,9 @@
 /// Added to the expected duration of a call to the advice service.
 constexpr core::Millis AdviceTimeoutMargin{900};
 constexpr core::Millis GaugeUpdateInterval{2000};
+/// Interval of the additional heartbeats for silent executors that answer again. Their leases last
+/// for seconds, and a store that is down must not be called in each round.
+constexpr core::Millis SilenceClearInterval{200};
 /// Interval between reloads of the specifications while a job lacks its own.
 constexpr core::Millis SpecReloadInterval{5000};
 
@@ -73,6 +76,9 @@
 
   void onLeadershipLoaded(const std::set<std::string> &Keys) {
     lead::retainRosterKeys(Roster_, Keys);
+    lead::retainSilenceKeys(Silences_, Keys);
+    if (NewestRecord_ && !NewestRecord_->SilencesHold_)
+      lead::voidSilences(Silences_);
     if (!NewestRecord_)
       NewestReadAt_ = core::Clock::now();
     LeadershipLoaded_ = true;
@@ -81,6 +87,7 @@
   /// Handles a record that was read from the topic.
   void onTopicRecord(const platform::KeyedRecord &Entry) {
     lead::applyRosterRecord(Roster_, Entry.Key_, Entry.Value_);
+    lead::applySilenceRecord(Silences_, Entry.Key_, Entry.Value_, core::Clock::now());
     onLeadershipRecord(Entry);
   }
 
@@ -96,6 +103,8 @@
     const bool TermChanged = !NewestRecord_ || NewestRecord_->Term_ != Record->Term_;
     RecordFoundOnStart_ = !LeadershipLoaded_;
     NewestRecord_ = std::move(*Record);
+    if (!NewestRecord_->SilencesHold_)
+      lead::voidSilences(Silences_);
     NewestRecordOffset_ = Entry.Offset_;
     NewestReadAt_ = core::Clock::now();
     LeaderGone_ = false;
@@ -147,8 +156,16 @@
 
   platform::KeyedRecord makeLeadershipRecord(std::uint64_t Term, bool Released) const {
     lead::LeadershipRecord Record{
-        Context_.Settings_.Instance_, Context_.PeerAddress_, Term, Released,
-        core::wallMillis(),           Context_.Incarnation_, {},   rosterComplete()};
+        Context_.Settings_.Instance_,
+        Context_.PeerAddress_,
+        Term,
+        Released,
+        core::wallMillis(),
+        Context_.Incarnation_,
+        {},
+        rosterComplete(),
+        // A heartbeat of a scheduler removes the records that it does not keep.
+        Scheduler_.has_value() || lead::allSilencesHold(Silences_)};
     return {0, LeaderKey, core::pack(Record)};
   }
 
@@ -205,28 +222,30 @@
     appendHeartbeat();
   }
 
-  /// Appends a heartbeat and the pending changes of the roster.
+  /// Appends a heartbeat and the pending changes of the roster and the silent executors.
   void appendHeartbeat() {
     if (HeartbeatOutstanding_)
       return;
     HeartbeatOutstanding_ = true;
-    const std::vector<work::LogRecord> Changes = rosterChanges();
+    const std::vector<work::LogRecord> Changes = takeRosterChanges();
     lead::Roster Added;
     for (const work::LogRecord &Change : Changes)
       lead::applyRosterRecord(Added, Change.Key_, Change.Value_);
     appendLeadershipRecord(NewestRecordOffset_ + 1, Term_, false, Changes,
-                           [this, Term = Term_, SentAt = core::Clock::now(),
+                           [this, Term = Term_, SentAt = core::Clock::now(), Changes,
                             Added = std::move(Added)](platform::AppendOutcome Outcome) {
                              HeartbeatOutstanding_ = false;
                              if (Outcome != platform::AppendOutcome::Stored ||
                                  Role_ != Role::Leading || Term_ != Term)
                                return;
                              Scheduler_->onHeartbeatStored(SentAt);
+                             Scheduler_->onSilenceChangesStored(Changes, core::Clock::now());
                              onExecutorsRecorded(Added);
                            });
   }
 
-  std::vector<work::LogRecord> rosterChanges() const {
+  /// \returns the changes of the roster and of the records of silent executors.
+  std::vector<work::LogRecord> takeRosterChanges() {
     std::vector<work::LogRecord> Changes;
     if (!Scheduler_)
       return Changes;
@@ -235,6 +254,11 @@
     for (const auto &[Id, Address] : Roster_)
       if (!Scheduler_->belongsInRoster(Id))
         Changes.push_back(lead::encodeRosterRemoval(Id));
+    for (const auto &[Id, Known] : Silences_)
+      if (!Scheduler_->isSilenceRecorded(Id))
+        Changes.push_back(lead::encodeSilenceRemoval(Id));
+    for (work::LogRecord &Change : Scheduler_->takeSilenceChanges(core::Clock::now()))
+      Changes.push_back(std::move(Change));
     return Changes;
   }
 
@@ -348,6 +372,9 @@
     }
     for (const auto &[Id, Job] : Context_.JobTable_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
+    for (const auto &[Id, Known] : Silences_)
+      if (Roster_.contains(Id))
+        Scheduler_->onInheritedSilence(Id, Known, Now);
     StoredJobCheck_.reset(Now);
     AdviceDispatcher_.registerAdviser({}, Now);
     // Ends the longer pauses between a follower's reads.
@@ -451,6 +478,10 @@
     JobStateWaiters_.answerReady(Context_.JobTable_, Now);
     if (StoredJobCheck_.due(Now))
       takeUpMissedJobs(Now);
+    if (Scheduler_->hasSilenceToClear() && Now - SilenceClearedAt_ >= SilenceClearInterval) {
+      SilenceClearedAt_ = Now;
+      appendHeartbeat();
+    }
     if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
       updateGauges(Now);
     runAfter(TickTimer_, TickInterval, [this] { tick(); });
@@ -879,6 +910,9 @@
   core::TimePoint NewestReadAt_{}; ///< when the newest record was read, or this daemon's term ended
   core::TimePoint GoneSince_{}; ///< when the leader was found to be gone; zero while there is one
   lead::Roster Roster_;         ///< as read from the leadership topic
+  lead::SilenceTable Silences_; ///< the same, of silent executors
+  core::TimePoint
+      SilenceClearedAt_{}; ///< when a heartbeat was sent for executors that answer again
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0; ///< producer sequence of the next append to the jobs topic
   bool Flushing_ = false;
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -119,14 +119,14 @@
     if (Scheduler_.Accounted_)
       return;
     const std::int64_t DueBeforeMs = WallMs + MaxClockDifference.count();
-    const auto Unreported = std::ranges::count_if(Scheduler_.Executors_,
-                                                  [](const auto &Entry) {
-                                                    const ExecutorState &Executor = Entry.second;
-                                                    return Executor.InheritedRuns_ &&
-                                                           !Executor.Reported_ &&
-                                                           !Executor.Replaced_;
-                                                  }) +
-                            (Scheduler_.RosterComplete_ ? 0 : 1);
+    const auto Unreported =
+        std::ranges::count_if(Scheduler_.Executors_,
+                              [](const auto &Entry) {
+                                const ExecutorState &Executor = Entry.second;
+                                return Executor.InheritedRuns_ && !Executor.Reported_ &&
+                                       !Executor.Replaced_ && !Executor.SilenceInherited_;
+                              }) +
+        (Scheduler_.RosterComplete_ ? 0 : 1);
     const std::int64_t Copies = std::min<std::int64_t>(Unreported, MaxUnreportedCopies);
     for (const auto &[Id, Job] : Scheduler_.Jobs_)
       if (Job.Inherited_)
@@ -225,7 +225,7 @@
 
   bool acceptsWork(const ExecutorState &Executor) const {
     return Executor.Listed_ && Executor.Recorded_ && Executor.Reported_ && !Executor.Silent_ &&
-           !Executor.Info_.Draining_ && Now_ >= Executor.AvoidUntil_ &&
+           !Executor.LeaseWithheld_ && !Executor.Info_.Draining_ && Now_ >= Executor.AvoidUntil_ &&
            Executor.UnsizedRuns_ == 0 &&
            (Executor.WithheldEnds_.empty() ||
             Executor.UnackedEnds_.size() < MaxEndsBehindWithheld) &&
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -61,6 +61,7 @@
       if (Outcome == OrderOutcome::NoAnswer || Outcome == OrderOutcome::NotSent ||
           Outcome == OrderOutcome::ResultLost)
         suspectStartedRuns(Executor, false, {}, Now);
+      Executor.SilentSince_ = Now;
     }
     Executor.Silent_ = true;
     Executor.NextHoldAt_ = Now + Timing_.HoldRetryDelay_;
@@ -82,6 +83,7 @@
   if (Report.IncarnationStartMs_ != 0)
     Executor.Incarnation_ = Report.IncarnationStartMs_;
   Executor.Reported_ = true;
+  Executor.RunsKnown_ = true;
   Executor.ReportFull_ = Report.Ended_.size() >= fleet::MaxReportedEnds;
   Executor.LastAnswerAt_ = Now;
   Executor.ClockMs_ = Report.ClockMs_;
@@ -362,8 +364,17 @@
   if (Found == Executor.Runs_.end()) {
     TrackedJob *Job = findJob(Row.Task_);
     TrackedStep *Step = Job == nullptr ? nullptr : findStep(*Job, Row.Task_);
+    bool Copies = false;
+    if (Step != nullptr) {
+      const work::StepSpec &Spec = stepSpec(*Job, Row.Task_);
+      if (!Spec.AllowDuplicates_ && !Spec.Gang_ && Step->Tasks_[Row.Task_.Index_].AssumedRuns_ > 0)
+        dropAssumedRuns(Row.Task_, Row.Run_, Now);
+      const TrackedTask &Task = Step->Tasks_[Row.Task_.Index_];
+      Copies = Spec.AllowDuplicates_ && Task.State_ == TaskState::Placed &&
+               Task.ActiveRuns_ == Task.AssumedRuns_;
+    }
     const bool Wanted = Job != nullptr && !Job->Ended_ &&
-                        Step->Tasks_[Row.Task_.Index_].State_ == TaskState::Waiting;
+                        (Copies || Step->Tasks_[Row.Task_.Index_].State_ == TaskState::Waiting);
     if (tokenOf(Row.Run_) == Token_)
       reportReappeared(Executor, Row.Task_, Row.Run_, "is running");
     else if (Accounted_ && tokenOf(Row.Run_) < Token_)
@@ -391,6 +402,7 @@
     return;
   }
   Run &KnownRun = Found->second;
+  settleAssumedRun(KnownRun);
   if (isUnset(KnownRun.ConfirmedAt_))
     KnownRun.ConfirmedAt_ = Now;
   if (KnownRun.StartClockMs_ == 0)
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -166,6 +166,7 @@
   const auto Found = Executor.Runs_.find(Key);
   if (Found == Executor.Runs_.end())
     return;
+  settleAssumedRun(Found->second);
   const Run Removed = std::move(Found->second);
   Executor.Runs_.erase(Found);
   Executor.UnsizedRuns_ -= Removed.CountedInUse_ ? 0 : 1;
@@ -435,12 +436,13 @@
   if (!TrialReportDue && (Executor.HoldInFlight_ || Now < Executor.NextHoldAt_))
     return;
   const bool EndsPending = !Executor.UnackedEnds_.empty();
-  if (!TrialReportDue && EndsPending && Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
+  if (!TrialReportDue && (EndsPending || Executor.LeaseWithheld_) &&
+      Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
     return;
   Executor.TrialReportAt_ = {};
   // A silent executor is only queried. Each renewal of its lease would postpone the time at which
   // its runs are certain to be over.
-  const bool Renew = Executor.Reported_ && !Executor.Silent_;
+  const bool Renew = Executor.Reported_ && !Executor.Silent_ && !Executor.LeaseWithheld_;
   core::Millis Wait = holdWait(Executor, Now);
   if (!Renew || EndsPending || TrialReportDue)
     Wait = core::Millis(0);
@@ -472,7 +474,8 @@
     stopRun(Executor, ActiveRun, "capacity has shrunk before the start was answered", Now);
   else if (!isEntryCurrent(Executor, Now, Timing_.MaxListDelay_))
     stopRun(Executor, ActiveRun, "executor has restarted before the start was answered", Now);
-  else if (!Executor.Silent_ && Executor.Recorded_ && mayGrantLeases(Now))
+  else if (!Executor.Silent_ && Executor.Recorded_ && !Executor.LeaseWithheld_ &&
+           mayGrantLeases(Now))
     sendStart(Executor, ActiveRun, Now);
   return true;
 }
@@ -525,7 +528,8 @@
                           Timing_.StaleLeaderTime_;
   const bool AllReported =
       !Executors_.empty() && std::ranges::all_of(Executors_, [](const auto &Entry) {
-        return Entry.second.Reported_ || Entry.second.Replaced_ || !Entry.second.InheritedRuns_;
+        return Entry.second.Reported_ || Entry.second.Replaced_ || !Entry.second.InheritedRuns_ ||
+               Entry.second.SilenceInherited_;
       });
   AllContacted_ =
       RosterComplete_ && std::ranges::all_of(Executors_, [](const auto &Entry) {
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -96,6 +96,16 @@
         Scheduler->onExecutorRecorded(Id, Address);
 }
 
+/// Stores the changes of the records of silent executors, which all daemons read at once.
+void FakeFleet::recordSilences(lead::Scheduler &Scheduler) {
+  std::erase_if(Silences_,
+                [&](const auto &Entry) { return !Scheduler.isSilenceRecorded(Entry.first); });
+  const std::vector<work::LogRecord> Changes = Scheduler.takeSilenceChanges(Now_);
+  for (const work::LogRecord &Change : Changes)
+    lead::applySilenceRecord(Silences_, Change.Key_, Change.Value_, Now_);
+  Scheduler.onSilenceChangesStored(Changes, Now_);
+}
+
 void FakeFleet::setStoreDown(bool Down) {
   StoreDown_ = Down;
   if (Down)
@@ -617,6 +627,9 @@
   for (const auto &[Id, Job] : JobTable_.jobs())
     if (!ReadDelays_.contains(Id))
       Leader_->onJob(Job, Now_, clockOf(*ThisTerm));
+  for (const auto &[Id, Known] : Silences_)
+    if (Predecessor != nullptr && Predecessor->belongsInRoster(Id))
+      Leader_->onInheritedSilence(Id, Known, Now_);
   for (const auto &[Id, Time] : std::exchange(ReadDelays_, {})) {
     ThisTerm->JobsUnreadUntil_ = std::max(ThisTerm->JobsUnreadUntil_, Now_ + Time);
     schedule(Now_ + Time, [this, ThisTerm, Scheduler, Job = Id] {
@@ -752,7 +765,10 @@
   if (!StoreDown_ && ThisTerm->Token_ == Token_ && Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatTime) {
     ThisTerm->HeartbeatAt_ = Now_;
     Scheduler.onHeartbeatStored(Now_);
+    recordSilences(Scheduler);
   }
+  if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasSilenceToClear())
+    recordSilences(Scheduler);
   if (ThisTerm->AdviceDispatcher_) {
     registerAdvisers(*ThisTerm);
     ThisTerm->AdviceDispatcher_->dispatch(Now_);
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -294,6 +294,7 @@
   /// \returns true when a late order for the incarnation that started at \p Born is carried out.
   bool isCarriedOutLate(const FakeExecutor &Executor, std::int64_t Born) const;
   void startTerm();
+  void recordSilences(lead::Scheduler &Scheduler);
   /// Adds the advisers of a term to its dispatcher, or renews them.
   void registerAdvisers(Term &OfTerm);
   void watchStarvation();
@@ -370,6 +371,8 @@
   std::deque<core::Millis> StopDelays_;
   std::deque<core::Millis> AnswerDelays_;
   bool StoreDown_ = false;
+  /// Records of silent executors, as read by the daemons that do not lead.
+  lead::SilenceTable Silences_;
   core::Millis LeaderClockAhead_{0};
   int Generation_ = 0;
   std::chrono::steady_clock::duration DecisionTime_{};
