--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -784,7 +784,7 @@
     checkFinishedJob(Id);
     JobTable_.applySpec(Id, {});
   }
-  if (!ThisTerm->Flushing_ && !StoreDown_)
+  if (!ThisTerm->Flushing_ && !StoreDown_ && !ProgressHeld_)
     if (auto [Number, Entries] = Scheduler.takeProgress(); Number != 0) {
       ThisTerm->Flushing_ = true;
       schedule(Now_ + FlushTime,
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -164,6 +164,9 @@
   /// While set, the leader's records and new executors are not stored.
   void setStoreDown(bool Down);
 
+  /// While set, the leader's progress records are not stored, but its heartbeats are.
+  void holdProgress(bool Hold) { ProgressHeld_ = Hold; }
+
   /// Removes an executor from the executor list or adds it again; it runs on either way.
   void setListed(const std::string &Id, bool Listed);
   /// Marks an executor as draining for at least \p Remaining.
@@ -373,6 +376,7 @@
   bool StoreDown_ = false;
   /// Records of silent executors, as read by the daemons that do not lead.
   lead::SilenceTable Silences_;
+  bool ProgressHeld_ = false;
   core::Millis LeaderClockAhead_{0};
   int Generation_ = 0;
   std::chrono::steady_clock::duration DecisionTime_{};
--- a/tests/unit/SchedulerSilenceTest.cpp
+++ b/tests/unit/SchedulerSilenceTest.cpp
@@ -173,6 +173,46 @@
   expectNoViolations(Fleet);
 }
 
+// Guards against two runs at the same time: the leader renews the lease of an executor that answers
+// again, while the record still tells the next leader when its lease is over.
+Test(SchedulerSilence, noLeaseIsRenewedWhileTheRecordStands) {
+  FakeFleet Fleet(FakeFleetOptions{});
+  addExecutors(Fleet, 2);
+  Fleet.submit("job", makeJob(1, 40'000));
+  cr_assert(awaitRuns(Fleet, "job", 1, Millis(2000)) < Millis(2000));
+  const std::string Silent = Fleet.executorsRunning("job").front();
+  Fleet.disconnect(Silent, Millis(5000));
+  Fleet.run(Millis(4500));
+  Fleet.setStoreDown(true);
+  Fleet.run(Millis(1500));
+  Fleet.setStoreDown(false);
+  Fleet.disconnect(Silent, Millis(20'000));
+  Fleet.takeOver();
+  Fleet.run(Millis(60'000));
+  cr_expect(Fleet.stateOf("job") == work::JobState::Completed);
+  expectNoViolations(Fleet);
+}
+
+// Guards against a second run of a task whose completion was known to the earlier leader only: the
+// record would tell that the executor has no run of it.
+Test(SchedulerSilence, runsAreUnknownWhileReportedEndsAreNotStored) {
+  FakeFleet Fleet(FakeFleetOptions{});
+  addExecutors(Fleet, 2);
+  Fleet.submit("job", makeJob(1, 1000));
+  cr_assert(awaitRuns(Fleet, "job", 1, Millis(2000)) < Millis(2000));
+  const std::string Silent = Fleet.executorsRunning("job").front();
+  Fleet.holdProgress(true);
+  Fleet.run(Millis(1500));
+  Fleet.disconnect(Silent, Millis(6500));
+  Fleet.run(Millis(4500));
+  Fleet.takeOver();
+  Fleet.holdProgress(false);
+  Fleet.run(Millis(40'000));
+  cr_expect(Fleet.stateOf("job") == work::JobState::Completed);
+  cr_expect_eq(Fleet.startsOf({"job", 0, 0, 0}), 1);
+  expectNoViolations(Fleet);
+}
+
 // Guards against two completed runs of a task: the executor that completed the first one was
 // forgotten, and its completion acknowledged when it came back.
 Test(SchedulerSilence, theCompletionOfAForgottenExecutorIsNotUsed) {
