--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -362,6 +362,8 @@
   void assumeRun(ExecutorState &Executor, const work::TaskRef &Task, std::uint64_t Number,
                  core::TimePoint Now);
   void settleAssumedRun(Run &Settled);
+  bool needsRun(const TrackedJob &Job, const TrackedStep &Step, const fleet::ReportedRun &Row,
+                core::TimePoint Now);
   void dropAssumedRuns(const work::TaskRef &Task, std::uint64_t Below, core::TimePoint Now);
 
   void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -357,6 +357,18 @@
     ++Step.InheritedRuns_;
 }
 
+/// \returns true when the task of a run that was not known needs it.
+bool Scheduler::needsRun(const TrackedJob &Job, const TrackedStep &Step,
+                         const fleet::ReportedRun &Row, core::TimePoint Now) {
+  const work::StepSpec &Spec = stepSpec(Job, Row.Task_);
+  const TrackedTask &Task = Step.Tasks_[Row.Task_.Index_];
+  if (Task.AssumedRuns_ > 0 && !Spec.AllowDuplicates_ && !Spec.Gang_)
+    dropAssumedRuns(Row.Task_, Row.Run_, Now);
+  const bool OnlyAssumed =
+      Task.State_ == TaskState::Placed && Task.ActiveRuns_ == Task.AssumedRuns_;
+  return Task.State_ == TaskState::Waiting || (Spec.AllowDuplicates_ && OnlyAssumed);
+}
+
 void Scheduler::processRunning(ExecutorState &Executor, const fleet::ReportedRun &Row,
                                core::TimePoint Now) {
   settleListedStart(Executor, {Row.Task_, Row.Run_});
@@ -364,24 +376,14 @@
   if (Found == Executor.Runs_.end()) {
     TrackedJob *Job = findJob(Row.Task_);
     TrackedStep *Step = Job == nullptr ? nullptr : findStep(*Job, Row.Task_);
-    bool Copies = false;
-    if (Step != nullptr) {
-      const work::StepSpec &Spec = stepSpec(*Job, Row.Task_);
-      if (!Spec.AllowDuplicates_ && !Spec.Gang_ && Step->Tasks_[Row.Task_.Index_].AssumedRuns_ > 0)
-        dropAssumedRuns(Row.Task_, Row.Run_, Now);
-      const TrackedTask &Task = Step->Tasks_[Row.Task_.Index_];
-      Copies = Spec.AllowDuplicates_ && Task.State_ == TaskState::Placed &&
-               Task.ActiveRuns_ == Task.AssumedRuns_;
-    }
-    const bool Wanted = Job != nullptr && !Job->Ended_ &&
-                        (Copies || Step->Tasks_[Row.Task_.Index_].State_ == TaskState::Waiting);
+    const bool Wanted = Step != nullptr && !Job->Ended_ && needsRun(*Job, *Step, Row, Now);
     if (tokenOf(Row.Run_) == Token_)
       reportReappeared(Executor, Row.Task_, Row.Run_, "is running");
     else if (Accounted_ && tokenOf(Row.Run_) < Token_)
       reportUnaccounted(Executor, Row.Task_, Row.Run_, "is running");
     Run &NewRun = addRun(Executor, Job, Row.Task_, Row.Run_, RunState::Running, Now);
     NewRun.ConfirmedAt_ = Now;
-    if (Job != nullptr && tokenOf(Row.Run_) < Token_)
+    if (Step != nullptr && tokenOf(Row.Run_) < Token_)
       noteInheritedRun(*Step, Row.Task_);
     // Another leader has ordered the start, maybe just now. Only suspect tasks have to survive it.
     const bool Suspect = Job != nullptr && crashCount(Job->Progress_, Row.Task_) > 0;
