--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -356,9 +356,7 @@
 
   // Silent executors.
   bool knowsRunsOf(const ExecutorState &Executor) const;
-  SilenceRecord describeSilence(const ExecutorState &Executor, core::TimePoint Now) const;
-  /// \returns true when no run of earlier terms on the executor is unknown.
-  bool isAccountedFor(const ExecutorState &Executor) const;
+  static SilenceRecord describeSilence(const ExecutorState &Executor, core::TimePoint Now);
   void assumeRun(ExecutorState &Executor, const work::TaskRef &Task, std::uint64_t Number,
                  core::TimePoint Now);
   void settleAssumedRun(Run &Settled);
@@ -414,8 +412,6 @@
   std::size_t ReappearedRuns_ = 0;
   /// Like Accounted_, except for runs on executors that did not answer.
   bool AllContacted_ = false;
-  /// An executor was forgotten that may have had unknown runs of earlier terms.
-  bool UnknownRunsLapsed_ = false;
   bool EndsHidden_ = false; ///< some executor has ends that did not fit into its last report
   bool PlacementDue_ = true;
   int StartsInFlight_ = 0; ///< start orders without a result
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -520,40 +520,31 @@
   }
 }
 
-bool Scheduler::isAccountedFor(const ExecutorState &Executor) const {
-  return Executor.Reported_ || Executor.Replaced_ || !Executor.InheritedRuns_ ||
-         Executor.SilenceInherited_;
-}
-
 void Scheduler::updateAccounted() {
   if (Accounted_)
     return;
   const bool LeasesLapsed =
       ConfirmedAt_ >= TermStart_ + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_) +
                           Timing_.StaleLeaderTime_;
-  bool AllReported = !Executors_.empty() && !UnknownRunsLapsed_;
-  bool AllAccountedFor = !Executors_.empty();
-  for (const auto &[Id, Executor] : Executors_) {
-    AllReported = AllReported && isAccountedFor(Executor);
-    // An earlier leader may have recorded that the leases of this one end sooner than all others.
-    AllAccountedFor =
-        AllAccountedFor &&
-        (isAccountedFor(Executor) || (!Executor.RunsKnown_ && ConfirmedAt_ >= Executor.LeaseEnd_));
-  }
+  const bool AllReported =
+      !Executors_.empty() && std::ranges::all_of(Executors_, [](const auto &Entry) {
+        return Entry.second.Reported_ || Entry.second.Replaced_ || !Entry.second.InheritedRuns_ ||
+               Entry.second.SilenceInherited_;
+      });
   AllContacted_ =
       RosterComplete_ && std::ranges::all_of(Executors_, [](const auto &Entry) {
         return Entry.second.Reported_ || Entry.second.Silent_ || !Entry.second.InheritedRuns_;
       });
-  if (!LeasesLapsed && !(RosterComplete_ && AllAccountedFor))
+  if (!LeasesLapsed && !(RosterComplete_ && AllReported))
     return;
   Accounted_ = true;
-  AccountedByReports_ = !LeasesLapsed && AllReported;
+  AccountedByReports_ = !LeasesLapsed;
   PlacementDue_ = true;
   if (!RosterComplete_ || !AllReported)
     for (auto &[Id, Job] : Jobs_)
       voidUnknownRuns(Job);
   logDecision("accounted", {}, 0, {},
-              AllReported ? "all executors answered" : "leases have lapsed");
+              LeasesLapsed && !AllReported ? "leases have lapsed" : "all executors answered");
 }
 
 } // namespace masticdrift::lead
