--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -45,6 +45,9 @@
     MetricInfo{"masticdrift_advice_seconds", Histogram, "Time of one call for advice"},
     MetricInfo{"masticdrift_store_seconds", Histogram, "Time of one store call, by call"},
     MetricInfo{"masticdrift_store_failures_total", Counter, "Store calls without a usable answer"},
+    MetricInfo{
+        "masticdrift_topic_bytes_total", Counter,
+        "Bytes read from a topic of the log service, by topic and whether the read was given up"},
     MetricInfo{"masticdrift_leader", Gauge, "1 while this daemon leads"},
     MetricInfo{"masticdrift_waiting_tasks", Gauge, "Tasks that could start, at the leader"},
     MetricInfo{"masticdrift_running_tasks", Gauge, "Runs at executors, at the leader"},
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -238,6 +238,7 @@
     core::log(core::LogLevel::Info, "configuration in force",
               {{"version", std::to_string(Manifest->Version_)},
                {"offset", std::to_string(Record.Offset_)},
+               {"bytes", std::to_string(Record.Value_.size())},
                {"queues", std::to_string(Manifest->Queues_.size())},
                {"customers", std::to_string(Manifest->Customers_.size())}});
     core::setGauge("masticdrift_config_version", static_cast<double>(Manifest->Version_));
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -58,8 +58,9 @@
   }
 
   void onPage(const std::string &AfterKey, platform::NewestRecordsPage Page) {
+    countBytes(Page.BytesReceived_, Page.Complete_);
     if (!Page.Complete_) {
-      onFailure(Page.Detail_);
+      onFailure(Page.Detail_, Page.BytesReceived_);
       schedule(RetryDelay_, [this, AfterKey] { load(AfterKey); });
       return;
     }
@@ -111,9 +112,10 @@
   }
 
   void onRead(const platform::ReadResult &Result, core::TimePoint SentAt) {
+    countBytes(Result.BytesReceived_, Result.Outcome_ != platform::ReadOutcome::Failed);
     switch (Result.Outcome_) {
     case platform::ReadOutcome::Failed:
-      onFailure(Result.Detail_);
+      onFailure(Result.Detail_, Result.BytesReceived_);
       schedule(RetryDelay_, [this] { read(); });
       return;
     case platform::ReadOutcome::Expired:
@@ -198,11 +200,20 @@
     LastAnsweredAt_ = core::Clock::now();
   }
 
-  void onFailure(const std::string &Detail) {
+  void countBytes(std::size_t Bytes, bool Complete) const {
+    core::count("masticdrift_topic_bytes_total",
+                {{"topic", Options_.Topic_}, {"result", Complete ? "complete" : "given_up"}},
+                static_cast<double>(Bytes));
+  }
+
+  /// \param BytesReceived part of the response that had arrived.
+  void onFailure(const std::string &Detail, std::size_t BytesReceived) {
     core::count("masticdrift_store_failures_total", {{"topic", Options_.Topic_}});
     if (!Failing_)
       core::log(core::LogLevel::Warning, "topic cannot be read",
-                {{"topic", Options_.Topic_}, {"detail", Detail}});
+                {{"topic", Options_.Topic_},
+                 {"detail", Detail},
+                 {"bytes", std::to_string(BytesReceived)}});
     Failing_ = true;
     RetryDelay_ = std::min(2 * RetryDelay_, MaxRetryDelay);
   }
