--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -80,6 +80,7 @@
           [&] {
             Json Evidence = Executors.evidence();
             Evidence["records"] = Log.evidence();
+            Evidence["bytes_read"] = Log.bytesRead();
             return Evidence;
           },
           [&](const http::Request &Incoming, const ReplyCallback &Answer) {
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -56,7 +56,7 @@
   } else if (Incoming.Path_ == "/log-read") {
     read(Incoming, Daemon, Answer);
   } else {
-    readNewest(Incoming, Answer);
+    readNewest(Incoming, Daemon, Answer);
   }
   return true;
 }
@@ -129,9 +129,19 @@
           "application/octet-stream"};
 }
 
+ReplyCallback TopicLog::countBytes(const std::string &TopicName, const std::string &Daemon,
+                                   const ReplyCallback &Answer) {
+  return [this, TopicName, Daemon, Answer](Reply Out) {
+    Json &Bytes = BytesRead_[TopicName][Daemon];
+    Bytes = (Bytes.is_null() ? 0 : Bytes.get<std::size_t>()) + Out.Body_.size();
+    Answer(std::move(Out));
+  };
+}
+
 void TopicLog::read(const http::Request &Incoming, const std::string &Daemon,
-                    const ReplyCallback &Answer) {
+                    const ReplyCallback &OnReply) {
   const std::string TopicName = http::queryValue(Incoming.Query_, "topic");
+  const ReplyCallback Answer = countBytes(TopicName, Daemon, OnReply);
   Topic &SourceTopic = Topics_[TopicName];
   const auto Offset = static_cast<std::size_t>(queryNumber(Incoming, "from"));
   const std::chrono::milliseconds Wait(queryNumber(Incoming, "wait_ms"));
@@ -149,8 +159,11 @@
   runAfter(Io_, Wait, SendOnce);
 }
 
-void TopicLog::readNewest(const http::Request &Incoming, const ReplyCallback &Answer) {
-  const Topic &SourceTopic = Topics_[http::queryValue(Incoming.Query_, "topic")];
+void TopicLog::readNewest(const http::Request &Incoming, const std::string &Daemon,
+                          const ReplyCallback &OnReply) {
+  const std::string TopicName = http::queryValue(Incoming.Query_, "topic");
+  const Topic &SourceTopic = Topics_[TopicName];
+  const ReplyCallback Answer = countBytes(TopicName, Daemon, OnReply);
   // In the platform's API, "depends_on" is the key after which the page starts.
   const std::string AfterKey = http::queryValue(Incoming.Query_, "depends_on");
   Json Items = Json::array();
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -39,6 +39,9 @@
   /// \returns the number of records of each topic.
   Json evidence() const;
 
+  /// \returns the bytes of the responses to reads, by topic and calling daemon.
+  Json bytesRead() const { return BytesRead_; }
+
 private:
   struct Record {
     std::string Key_;
@@ -60,13 +63,18 @@
   void append(const http::Request &Incoming, const ReplyCallback &Answer);
   Reply appendToTopic(Topic &TargetTopic, const http::Request &Incoming);
   Reply storeRecords(Topic &TargetTopic, const std::string &Body);
-  void read(const http::Request &Incoming, const std::string &Daemon, const ReplyCallback &Answer);
-  void readNewest(const http::Request &Incoming, const ReplyCallback &Answer);
+  void read(const http::Request &Incoming, const std::string &Daemon, const ReplyCallback &OnReply);
+  void readNewest(const http::Request &Incoming, const std::string &Daemon,
+                  const ReplyCallback &OnReply);
+  /// \returns a callback that counts the bytes of the response and then calls \p Answer.
+  ReplyCallback countBytes(const std::string &TopicName, const std::string &Daemon,
+                           const ReplyCallback &Answer);
   void releaseHeldAppends();
   static Reply readReply(const Topic &SourceTopic, std::size_t Offset);
 
   asio::io_context &Io_;
   std::map<std::string, Topic> Topics_;
+  Json BytesRead_ = Json::object();
   std::string StoreMode_ = "up";
   std::string RefusedDaemon_ = "none";
   std::string OutageAfter_;
