One daemon of each failure domain reads the configuration for the others

Callers of both regions saw checks that came too late for half a minute, and lasting tasks stayed down for over 9 s (LOST, SHORT), whenever the configuration had grown to thousands of queues. Cause: each daemon read each version from the log service. On the grown site 24 daemons of the other region read 0.83 MB twice through 60 Mbit/s; reads that took over 2.6 s began anew, which kept the link full, and lease renewals, starts and reports waited behind them.

Now the daemon with the widest link of each failure domain reads the configuration, and the others get a compressed copy from it. A daemon whose source has not shown for 1.5 s that it is up to date reads the log service itself.

--- /dev/null
+++ b/include/masticdrift/daemon/ConfigFeed.h
@@ -0,0 +1,62 @@
+/// \file
+/// Keeps the configuration up to date, from the log service or from another daemon that reads it.
+#ifndef MASTICDRIFT_DAEMON_CONFIGFEED_H
+#define MASTICDRIFT_DAEMON_CONFIGFEED_H
+
+#include "masticdrift/daemon/FleetContext.h"
+#include "masticdrift/daemon/TopicTail.h"
+#include "masticdrift/protocol/ConfigMessages.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticdrift::daemon {
+
+/// Delivers each new configuration of the topic.
+///
+/// Reads the log service, or follows the daemon that the leader names as source. A source tells
+/// with each answer up to which time it has read the topic. A daemon that has not been told so for
+/// \c MaxConfigAge reads the log service itself until its source is up to date again, so it depends
+/// on nobody for longer than that.
+class ConfigFeed {
+public:
+  using RecordCallback = std::function<void(const platform::KeyedRecord &)>;
+  using ReplyCallback = std::function<void(const protocol::ConfigReply &)>;
+
+  /// \param OnRecord called with each new record of the configuration's key.
+  ConfigFeed(FleetContext &Context, RecordCallback OnRecord);
+  ConfigFeed(const ConfigFeed &) = delete;
+  ConfigFeed &operator=(const ConfigFeed &) = delete;
+  ~ConfigFeed();
+
+  /// Starts reading the log service.
+  void start();
+
+  /// Sets the daemon to get the configuration from; an empty address for the log service.
+  void setSource(std::string PeerAddress);
+
+  /// Answers a daemon that follows this one, after the next read of the topic.
+  void answer(const protocol::ConfigRequest &Request, ReplyCallback OnReply);
+
+  /// Answers requests that have waited long enough, and leaves a source that is out of date. Must
+  /// be called several times a second.
+  void expire(core::TimePoint Now);
+
+  /// \returns true while the configuration cannot be read.
+  bool failing() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+/// Age of the last sign that a source is up to date, from which on a daemon reads the log service.
+/// Leaves a second for that read before a configuration has to be in force.
+inline constexpr core::Millis MaxConfigAge{1500};
+
+} // namespace masticdrift::daemon
+
+#endif // MASTICDRIFT_DAEMON_CONFIGFEED_H
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -3,6 +3,7 @@
 #ifndef MASTICDRIFT_DAEMON_LEADERDRIVER_H
 #define MASTICDRIFT_DAEMON_LEADERDRIVER_H
 
+#include "masticdrift/daemon/ConfigFeed.h"
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/JobStateWaiters.h"
 #include "masticdrift/daemon/TopicTail.h"
@@ -21,7 +22,9 @@
   /// \param Jobs reader of the job records; it fills the context's job table.
   /// \param Specs reader of the jobs' steps; it adds them to the job table.
   /// \param Executors reader of the executor list; it fills the context's executor entries.
-  LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors);
+  /// \param Config gets the configuration from the source that the leader names.
+  LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors,
+               ConfigFeed &Config);
   LeaderDriver(const LeaderDriver &) = delete;
   LeaderDriver &operator=(const LeaderDriver &) = delete;
   ~LeaderDriver();
@@ -45,9 +48,8 @@
   /// Registers another daemon as an adviser and a relay. Releases the leadership if only the other
   /// machine is large enough to lead.
   ///
-  /// \returns true when the other daemon is to prepare to take over; false while this one does not
-  /// lead.
-  bool onHello(const protocol::Hello &Hello);
+  /// \returns the answer, which assigns no tasks to the other daemon while this one does not lead.
+  protocol::HelloReply onHello(const protocol::Hello &Hello);
 
   /// Handles results of orders that were sent through a relay.
   void onResults(const protocol::ResultsRequest &Request);
--- a/include/masticdrift/daemon/TopicTail.h
+++ b/include/masticdrift/daemon/TopicTail.h
@@ -34,6 +34,8 @@
     std::function<void(const platform::KeyedRecord &)> OnRecord_;
     /// Called after all newest records were delivered, with their keys.
     std::function<void(const std::set<std::string> &)> OnLoaded_;
+    /// Called after the records of each complete read were delivered; may be empty.
+    std::function<void()> OnRead_ = nullptr;
   };
 
   TopicTail(asio::io_context &Loop, platform::Store &Store, TailOptions Options, Hooks Callbacks);
@@ -44,6 +46,10 @@
   /// Starts reading; repeated calls have no effect.
   void start();
 
+  /// Starts reading at an offset, when the records before it are known from elsewhere. Call it
+  /// before start() or after suspend().
+  void startAt(std::uint64_t Offset);
+
   /// Stops reading until the next start(), which loads the newest records again.
   void suspend();
 
--- a/include/masticdrift/protocol/PeerMessages.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -34,7 +34,12 @@
 struct HelloReply {
   std::string Incarnation_;
   bool Standby_ = false; ///< the daemon is to prepare to take over
-  MSGPACK_DEFINE_ARRAY(Incarnation_, Standby_)
+  /// The leader knows the daemons of the failure domain; false soon after it was elected.
+  bool SourceKnown_ = false;
+  /// Peer address of the daemon to get the configuration from; empty for the log service. Valid
+  /// with SourceKnown_.
+  std::string ConfigSource_;
+  MSGPACK_DEFINE_ARRAY(Incarnation_, Standby_, SourceKnown_, ConfigSource_)
 };
 
 /// Asks a daemon to make one call to the advice service for the leader.
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -3,6 +3,7 @@
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/core/Pack.h"
+#include "masticdrift/daemon/ConfigFeed.h"
 #include "masticdrift/daemon/EntryService.h"
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/LeaderDriver.h"
@@ -34,9 +35,6 @@
 constexpr std::chrono::seconds IdleConnectionTimeout{30};
 /// Largest request body that is read; the limit of the configuration is lower.
 constexpr std::size_t MaxBodyBytes = 1U << 20U;
-/// Long-poll time of a read of the configuration. A new configuration must be in force within
-/// 2.5 s, even if the connection that reads it stalls.
-constexpr core::Millis ConfigLongPoll{1200};
 constexpr core::Millis JobsLongPoll{700};
 constexpr core::Millis SpecsLongPoll{1000};
 constexpr core::Millis ExecutorsLongPoll{1000};
@@ -126,9 +124,8 @@
                    true, Settings.LinkMbps_},
                   {[this](const platform::KeyedRecord &Record) { onSpecRecord(Record); },
                    [](const auto &) {}}),
-        ConfigTail_(Loop_, Store_, {ConfigTopic, ConfigLongPoll},
-                    {[this](const platform::KeyedRecord &Record) { onConfigRecord(Record); },
-                     [](const auto &) {}}),
+        ConfigFeed_(Context_,
+                    [this](const platform::KeyedRecord &Record) { onConfigRecord(Record); }),
         ExecutorTail_(Loop_, Store_,
                       {ExecutorsTopic, ExecutorsLongPoll, [] { return LeaderExecutorsPause; },
                        false, Settings.LinkMbps_},
@@ -143,7 +140,7 @@
                       if (SpecTail_.started())
                         onSpecRecord({Offset, Entry.Key_, Entry.Value_});
                     }),
-        Leader_(Context_, JobTail_, SpecTail_, ExecutorTail_), OrderRelay_(Context_),
+        Leader_(Context_, JobTail_, SpecTail_, ExecutorTail_, ConfigFeed_), OrderRelay_(Context_),
         EntryService_(Context_, JobTail_, SpecWriter_, RecordWriter_, Leader_),
         CallerServer_(serverOptions(Loop_, Settings.CallerEndpoint_),
                       [this](const http::Request &HttpRequest, const http::Responder &Respond) {
@@ -171,7 +168,7 @@
     JobTail_.start();
     if (lead::isPreferredLeader(Settings_.Cores_))
       SpecTail_.start();
-    ConfigTail_.start();
+    ConfigFeed_.start();
     Leader_.start();
     awaitSignal();
     removeExpired();
@@ -225,8 +222,6 @@
   }
 
   void onConfigRecord(const platform::KeyedRecord &Record) {
-    if (Record.Key_ != ConfigKey || Record.Value_.empty())
-      return;
     auto Manifest = platform::decodeManifest(Record.Value_);
     if (!Manifest) {
       core::log(core::LogLevel::Warning, "configuration cannot be decoded",
@@ -305,7 +300,7 @@
     // While the jobs are being loaded, the leader answers state queries.
     const bool Ready = !Context_.Stopping_ && Context_.Manifest_ &&
                        (JobTail_.loaded() || Leader_.leaderResponsive()) && !JobTail_.failing() &&
-                       !ConfigTail_.failing();
+                       !ConfigFeed_.failing();
     Response.Status_ = Ready ? 200 : 503;
     Response.ContentType_ = "text/plain";
     Respond(std::move(Response));
@@ -318,12 +313,14 @@
     } else if (HttpRequest.Path_ == protocol::HelloPath) {
       protocol::HelloReply Reply{Context_.Incarnation_};
       if (const auto Hello = core::unpack<protocol::Hello>(HttpRequest.Body_))
-        Reply.Standby_ = Leader_.onHello(*Hello);
+        Reply = Leader_.onHello(*Hello);
       Respond({Leader_.leadsWithoutStore() ? 503 : 200,
                core::pack(Reply),
                "application/msgpack",
                {},
                false});
+    } else if (HttpRequest.Path_ == protocol::ConfigPath) {
+      handleConfigRequest(HttpRequest, Respond);
     } else if (HttpRequest.Path_ == protocol::AdvisePath) {
       handleAdvise(HttpRequest, Respond);
     } else if (HttpRequest.Path_ == protocol::SubmitPath) {
@@ -354,6 +351,17 @@
                 {{"path", HttpRequest.Path_}});
   }
 
+  void handleConfigRequest(const http::Request &HttpRequest, const http::Responder &Respond) {
+    const auto Call = core::unpack<protocol::ConfigRequest>(HttpRequest.Body_);
+    if (!Call) {
+      Respond({400, {}, "text/plain", {}, false});
+      return;
+    }
+    ConfigFeed_.answer(*Call, [Respond](const protocol::ConfigReply &Reply) {
+      Respond({200, core::pack(Reply), "application/msgpack", {}, false});
+    });
+  }
+
   void handleAdvise(const http::Request &HttpRequest, const http::Responder &Respond) {
     const auto Call = core::unpack<protocol::AdviseRequest>(HttpRequest.Body_);
     if (!Call) {
@@ -399,6 +407,7 @@
 
   void removeExpired() {
     const core::TimePoint Now = core::Clock::now();
+    ConfigFeed_.expire(Now);
     SpecWriter_.expire(Now);
     RecordWriter_.expire(Now);
     EntryService_.forgetSettledAttempts();
@@ -476,7 +485,7 @@
   FleetContext Context_;
   TopicTail JobTail_;
   TopicTail SpecTail_;
-  TopicTail ConfigTail_;
+  ConfigFeed ConfigFeed_;
   TopicTail ExecutorTail_;
   JobWriter RecordWriter_;
   JobWriter SpecWriter_;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -4,6 +4,7 @@
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/core/Pack.h"
 #include "masticdrift/daemon/AdviceDispatcher.h"
+#include "masticdrift/daemon/ConfigReaderTable.h"
 #include "masticdrift/daemon/JobWriter.h"
 #include "masticdrift/daemon/OrderRouter.h"
 #include "masticdrift/daemon/Retention.h"
@@ -60,8 +61,9 @@
 struct LeaderDriver::Impl : std::enable_shared_from_this<LeaderDriver::Impl> {
   enum class Role { Follower, Preparing, Leading };
 
-  Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors)
-      : Context_(Context), Jobs_(Jobs), Specs_(Specs), Executors_(Executors),
+  Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors,
+       ConfigFeed &Config)
+      : Context_(Context), Jobs_(Jobs), Specs_(Specs), Executors_(Executors), Config_(Config),
         Leadership_(Context.Loop_, Context.Store_,
                     {LeadershipTopic, core::Millis(2000), [] { return core::Millis(50); }},
                     {[this](const platform::KeyedRecord &Entry) { onTopicRecord(Entry); },
@@ -286,6 +288,8 @@
     Role_ = Role::Preparing;
     Term_ = NewestRecord_->Term_;
     Sequence_ = 0;
+    ConfigReaders_ = {};
+    Config_.setSource({});
     Specs_.start();
     Specs_.expedite();
     Executors_.start();
@@ -826,8 +830,11 @@
           const bool Replaced =
               Result.Transfer_ == http::Transfer::Complete &&
               (!Reply || Reply->Incarnation_ != Self->NewestRecord_->Incarnation_);
-          if (Reply && !Replaced)
+          if (Reply && !Replaced) {
             Self->setStandby(Reply->Standby_);
+            if (Reply->SourceKnown_ && Self->Role_ == Role::Follower)
+              Self->Config_.setSource(Reply->ConfigSource_);
+          }
           Self->LeaderGone_ = Refused || Replaced;
           // A leader that can't read the store answers hellos with 503.
           Self->LeaderWithoutStore_ =
@@ -882,6 +889,7 @@
   TopicTail &Jobs_;
   TopicTail &Specs_;
   TopicTail &Executors_;
+  ConfigFeed &Config_;
   TopicTail Leadership_;
   asio::steady_timer ElectionTimer_;
   asio::steady_timer HelloTimer_;
@@ -889,8 +897,9 @@
   asio::steady_timer HeartbeatTimer_;
   asio::steady_timer RetryTimer_;
   OrderRouter OrderRouter_;
-  StandbyTable Standbys_; ///< while leading
-  bool Standby_ = false;  ///< as the leader has told this daemon
+  StandbyTable Standbys_;           ///< while leading
+  ConfigReaderTable ConfigReaders_; ///< while leading
+  bool Standby_ = false;            ///< as the leader has told this daemon
   Retention Retention_;
   StoredJobCheck StoredJobCheck_;
   AdviceDispatcher AdviceDispatcher_;
@@ -928,8 +937,8 @@
 };
 
 LeaderDriver::LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs,
-                           TopicTail &Executors)
-    : Impl_(std::make_shared<Impl>(Context, Jobs, Specs, Executors)) {}
+                           TopicTail &Executors, ConfigFeed &Config)
+    : Impl_(std::make_shared<Impl>(Context, Jobs, Specs, Executors, Config)) {}
 
 LeaderDriver::~LeaderDriver() { Impl_->close(); }
 
@@ -976,15 +985,23 @@
   Impl_->onProgressRead(Key, Value);
 }
 
-bool LeaderDriver::onHello(const protocol::Hello &Hello) {
+protocol::HelloReply LeaderDriver::onHello(const protocol::Hello &Hello) {
+  protocol::HelloReply Reply{Impl_->Context_.Incarnation_};
   if (Impl_->Role_ != Impl::Role::Leading)
-    return false;
-  Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, core::Clock::now());
-  Impl_->OrderRouter_.registerRelay(Hello, core::Clock::now());
-  Impl_->Standbys_.registerDaemon(Hello, core::Clock::now());
+    return Reply;
+  const core::TimePoint Now = core::Clock::now();
+  Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
+  Impl_->OrderRouter_.registerRelay(Hello, Now);
+  Impl_->Standbys_.registerDaemon(Hello, Now);
+  Impl_->ConfigReaders_.registerDaemon(Hello, Now);
   if (Hello.CanLead_ && !lead::isPreferredLeader(Impl_->Context_.Settings_.Cores_))
     Impl_->release("a larger machine can take over");
-  return Impl_->Standbys_.isStandby(Hello.PeerAddress_, core::Clock::now());
+  Reply.Standby_ = Impl_->Standbys_.isStandby(Hello.PeerAddress_, Now);
+  if (auto Source = Impl_->ConfigReaders_.sourceFor(Hello.PeerAddress_, Now)) {
+    Reply.SourceKnown_ = true;
+    Reply.ConfigSource_ = std::move(*Source);
+  }
+  return Reply;
 }
 
 void LeaderDriver::onResults(const protocol::ResultsRequest &Request) {
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -162,6 +162,8 @@
     CaughtUp_ = NextOffset_ >= Result.End_;
     if (CaughtUp_)
       ReadUpTo_ = std::max(ReadUpTo_, SentAt);
+    if (Callbacks_.OnRead_)
+      Callbacks_.OnRead_();
   }
 
   void catchUp(core::Millis Timeout, std::function<void(bool)> OnDone) {
@@ -264,6 +266,14 @@
     Impl_->load({});
 }
 
+void TopicTail::startAt(std::uint64_t Offset) {
+  if (std::exchange(Impl_->Started_, true))
+    return;
+  Impl_->NextOffset_ = Offset;
+  Impl_->Loaded_ = true;
+  Impl_->read();
+}
+
 void TopicTail::suspend() { Impl_->suspend(); }
 
 void TopicTail::expedite() {
