A request without an answer does not prolong the wait for a lost executor

The runs of an executor that does not answer are over 7.5 s after the last order that may have renewed its lease. Through relays the result of a request counts as lost after 2.8 s, and the next one, sent in the same instant, renewed the lease of an executor that was gone. Each repetition of a start order granted a whole lease as well.

- After a lost result the executor is asked without a renewal and without a wait; the next answer renews its lease.
- A start order carries the lease that the executor has been granted already.
- Runs whose lease is over wait for a heartbeat that is sent at once, not for the next one (up to 0.7 s).
- A result that arrives after it was reported as lost shows that the executor answers.
- An executor that answers and has more ends than fit into a report hides ends, whether its lease is renewed or not.
- runs_lost tells the ages of the last answer and of the last lease.

--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -50,8 +50,10 @@
   /// \param SeenUpTo highest number of the acknowledged run ends.
   /// \param UntilMs end of the lease on the executor's clock, 0 to leave it unchanged.
   /// \param Wait the executor answers after this time, or at once when a run has ended.
+  /// \param OnLateAnswer is called when the result arrives after it was reported as lost.
   void hold(const fleet::ExecutorInfo &Executor, std::uint64_t Token, std::uint64_t SeenUpTo,
-            std::int64_t UntilMs, core::Millis Wait, HoldCallback OnAnswer);
+            std::int64_t UntilMs, core::Millis Wait, HoldCallback OnAnswer,
+            HoldCallback OnLateAnswer = nullptr);
 
   /// Sends the collected orders, and reports relayed orders as unanswered when their results are
   /// overdue.
@@ -66,6 +68,7 @@
     core::TimePoint RoutedAt_;
     core::TimePoint Deadline_;
     HoldCallback OnAnswer_;
+    HoldCallback OnLateAnswer_; ///< empty for all but holds
     bool IsHold_ = false;
     bool Sent_ = false; ///< in a batch that was sent
   };
@@ -78,11 +81,18 @@
     core::TimePoint LastResultAt_{}; ///< when results came back last
   };
 
+  /// A hold whose result was reported as lost.
+  struct LostHold {
+    core::TimePoint LostAt_;
+    HoldCallback OnLateAnswer_;
+  };
+
   void route(const fleet::ExecutorInfo &Executor, protocol::RelayedOrder Order,
-             HoldCallback OnAnswer);
+             HoldCallback OnAnswer, HoldCallback OnLateAnswer = nullptr);
   void send(const std::string &RelayAddress, Batch &Outgoing, core::TimePoint Now);
   void onBatchFailed(const std::string &RelayAddress, const http::ClientResult &Result);
   void expireOverdue(core::TimePoint Now);
+  void onLateResult(const protocol::RelayedResult &Result);
   /// \returns the shortest interval between batches from and to each relay.
   core::Millis batchInterval() const;
   bool usesRelays() const;
@@ -91,6 +101,7 @@
   RelayTable Relays_;
   std::uint64_t NextOrder_ = 1;
   std::unordered_map<std::uint64_t, PendingOrder> PendingOrders_;
+  std::unordered_map<std::uint64_t, LostHold> LostHolds_;
   std::uint64_t Generation_ = 0;                      ///< of Batches_; changes with each term
   std::map<std::string, Batch, std::less<>> Batches_; ///< by the relay's peer address
   core::TimePoint LastExpiryCheckAt_{};
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -181,8 +181,14 @@
   core::TimePoint LastAnswerAt_{};
   /// Any lease that the executor may hold has ended by this time.
   core::TimePoint LeaseEnd_{};
+  /// End of the lease that was granted last: at this leader, and on the executor's clock; zero
+  /// before the present incarnation was granted one.
+  core::TimePoint GrantedUntil_{};
+  std::int64_t GrantedUntilMs_ = 0;
   bool Silent_ = false;
   core::TimePoint SilentSince_{}; ///< valid while Silent_
+  /// The result of the last hold request was lost, and the executor has not answered since.
+  bool AnswerOverdue_ = false;
   bool RunsKnown_ = false;        ///< has sent a report to this leader
   bool SilenceInherited_ = false; ///< an earlier leader has recorded all its runs
   /// A record may be stored which says that the executor gets no lease. Until its removal is
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -50,6 +50,9 @@
   /// Time for which an executor counts as answering although relays return no results from it.
   /// Leaves more than half of a lease to settle its runs.
   core::Millis MaxResultLoss_{3000};
+  /// The first start order of a run carries the lease that the executor has been granted already if
+  /// it lasts for longer than this. Leaves more than two rounds of renewals.
+  core::Millis MinStartLease_{4000};
   /// Minimum interval of hold requests while the effects of reported ends are not durable or ends
   /// are left unprocessed.
   core::Millis UnackedHoldSpacing_{400};
@@ -196,12 +199,18 @@
   /// \returns true when a record of the executor's silence may be stored and is kept up to date.
   bool isSilenceRecorded(std::string_view ExecutorId) const;
 
+  /// \returns true when runs count as over as soon as a heartbeat is stored that is sent now.
+  bool awaitsHeartbeat(core::TimePoint Now) const;
   /// Handles that a heartbeat which was sent at \p SentAt is stored: no later term had begun then.
   void onHeartbeatStored(core::TimePoint SentAt);
 
   /// Handles the result of a hold request that was sent at \p SentAt.
   void onHoldResult(std::string_view ExecutorId, fleet::OrderOutcome Outcome,
                     const fleet::Report &Report, core::TimePoint SentAt, core::TimePoint Now);
+  /// Handles the result of a hold request that was reported as lost before. It only shows that the
+  /// executor has answered.
+  void onLateHoldResult(std::string_view ExecutorId, const fleet::Report &Report,
+                        core::TimePoint Now);
   /// Handles the result of a start order.
   /// \param ClockMs the executor's clock, 0 when unknown.
   /// \param SentAt when the order was passed to SchedulerActions::Start_, or later; tells the
@@ -365,15 +374,15 @@
                 core::TimePoint Now);
   void dropAssumedRuns(const work::TaskRef &Task, std::uint64_t Below, core::TimePoint Now);
 
-  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the time up to which this leader may grant leases.
   core::TimePoint leaseLimit() const;
   /// \returns false when a run that starts now would soon lapse for want of a stored heartbeat.
   bool mayGrantLeases(core::TimePoint Now) const {
     return leaseLimit() - Now >= Timing_.StaleLeaderTime_;
   }
-  /// \returns the end of a lease that starts now, on the executor's clock.
-  std::int64_t leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const;
+  /// Grants an executor a lease that starts now.
+  /// \returns its end on the executor's clock.
+  std::int64_t grantLease(ExecutorState &Executor, core::TimePoint Now);
   void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
   static void releaseDrained(ExecutorState &Executor);
   /// Sends the order that a run needs now.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -50,9 +50,9 @@
 /// Added to the expected duration of a call to the advice service.
 constexpr core::Millis AdviceTimeoutMargin{900};
 constexpr core::Millis GaugeUpdateInterval{2000};
-/// Interval of the additional heartbeats for silent executors that answer again. Their leases last
-/// for seconds, and a store that is down must not be called in each round.
-constexpr core::Millis SilenceClearInterval{200};
+/// Interval of the additional heartbeats for silent executors that answer again or whose leases are
+/// over. A store that is down must not be called in each round.
+constexpr core::Millis ExtraHeartbeatInterval{200};
 /// Interval between reloads of the specifications while a job lacks its own.
 constexpr core::Millis SpecReloadInterval{5000};
 
@@ -482,8 +482,9 @@
     JobStateWaiters_.answerReady(Context_.JobTable_, Now);
     if (StoredJobCheck_.due(Now))
       takeUpMissedJobs(Now);
-    if (Scheduler_->hasSilenceToClear() && Now - SilenceClearedAt_ >= SilenceClearInterval) {
-      SilenceClearedAt_ = Now;
+    if (Now - ExtraHeartbeatAt_ >= ExtraHeartbeatInterval &&
+        (Scheduler_->hasSilenceToClear() || Scheduler_->awaitsHeartbeat(Now))) {
+      ExtraHeartbeatAt_ = Now;
       appendHeartbeat();
     }
     if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
@@ -679,7 +680,11 @@
               core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(End.Kind_))}});
             Scheduler_->onHoldResult(Id, Answer.Outcome_, Answer.Report_, SentAt,
                                      core::Clock::now());
-          }));
+          }),
+          whileLeading<platform::LeaseRenewalResult>(
+              [this, Id = Executor.Id_](const platform::LeaseRenewalResult &Answer) {
+                Scheduler_->onLateHoldResult(Id, Answer.Report_, core::Clock::now());
+              }));
     };
     SchedulerPorts.RequestAdvice_ = [this](const work::TaskRef &Step,
                                            std::vector<std::string> Executors, double ExpectedMs,
@@ -920,8 +925,7 @@
   core::TimePoint GoneSince_{}; ///< when the leader was found to be gone; zero while there is one
   lead::Roster Roster_;         ///< as read from the leadership topic
   lead::SilenceTable Silences_; ///< the same, of silent executors
-  core::TimePoint
-      SilenceClearedAt_{}; ///< when a heartbeat was sent for executors that answer again
+  core::TimePoint ExtraHeartbeatAt_{}; ///< when a heartbeat was sent for silent executors
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0; ///< producer sequence of the next append to the jobs topic
   bool Flushing_ = false;
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -30,6 +30,9 @@
 constexpr core::Millis BatchTimeout{1200};
 /// A relay that has returned results within this time is not given up when a batch is late.
 constexpr core::Millis RelaySilence{1000};
+/// Time for which a result that was reported as lost is still of use: it shows that the executor
+/// has answered a moment ago.
+constexpr core::Millis LostHoldRetention{5000};
 /// Interval between checks for overdue results.
 constexpr core::Millis ExpiryCheckInterval{50};
 
@@ -97,6 +100,7 @@
 
 void OrderRouter::beginTerm() {
   PendingOrders_.clear();
+  LostHolds_.clear();
   Batches_.clear();
   ++Generation_;
 }
@@ -136,17 +140,17 @@
 
 void OrderRouter::hold(const fleet::ExecutorInfo &Executor, std::uint64_t Token,
                        std::uint64_t SeenUpTo, std::int64_t UntilMs, core::Millis Wait,
-                       HoldCallback OnAnswer) {
+                       HoldCallback OnAnswer, HoldCallback OnLateAnswer) {
   protocol::RelayedOrder Relayed = makeOrder(RelayKind::Hold, {}, Token);
   Relayed.Order_.LeaseEndMs_ = UntilMs;
   Relayed.SeenUpTo_ = SeenUpTo;
   Relayed.WaitMs_ = Wait.count();
   Relayed.TimeoutMs_ = (Wait + HoldAnswerMargin).count();
-  route(Executor, std::move(Relayed), std::move(OnAnswer));
+  route(Executor, std::move(Relayed), std::move(OnAnswer), std::move(OnLateAnswer));
 }
 
 void OrderRouter::route(const fleet::ExecutorInfo &Executor, protocol::RelayedOrder Order,
-                        HoldCallback OnAnswer) {
+                        HoldCallback OnAnswer, HoldCallback OnLateAnswer) {
   Order.ExecutorAddress_ = Executor.Address_;
   Order.ExecutorId_ = Executor.Id_;
   const core::TimePoint Now = core::Clock::now();
@@ -157,10 +161,13 @@
     return;
   }
   Order.OrderId_ = orderId(Order.Order_.FencingToken_, NextOrder_++);
-  PendingOrders_[Order.OrderId_] = {
-      std::string(RelayAddress), Now,
-      Now + core::Millis(Order.TimeoutMs_) + RelayAllowance + 2 * batchInterval(),
-      std::move(OnAnswer), static_cast<RelayKind>(Order.Kind_) == RelayKind::Hold};
+  PendingOrders_[Order.OrderId_] = {std::string(RelayAddress),
+                                    Now,
+                                    Now + core::Millis(Order.TimeoutMs_) + RelayAllowance +
+                                        2 * batchInterval(),
+                                    std::move(OnAnswer),
+                                    std::move(OnLateAnswer),
+                                    static_cast<RelayKind>(Order.Kind_) == RelayKind::Hold};
   Batches_[std::string(RelayAddress)].Orders_.push_back(std::move(Order));
 }
 
@@ -232,9 +239,14 @@
   std::erase_if(PendingOrders_, [&](auto &Entry) {
     if (Now < Entry.second.Deadline_)
       return false;
+    if (Entry.second.OnLateAnswer_ && Entry.second.Sent_)
+      LostHolds_[Entry.first] = {Now, std::move(Entry.second.OnLateAnswer_)};
     Overdue.push_back(std::move(Entry.second));
     return true;
   });
+  std::erase_if(LostHolds_, [Now](const auto &Entry) {
+    return Now - Entry.second.LostAt_ >= LostHoldRetention;
+  });
   if (!Overdue.empty()) {
     core::log(
         core::LogLevel::Warning, "no results of relayed orders before their deadlines",
@@ -252,10 +264,22 @@
   }
 }
 
+void OrderRouter::onLateResult(const protocol::RelayedResult &Result) {
+  const auto Node = LostHolds_.extract(Result.OrderId_);
+  if (Node.empty() || Result.Outcome_ != fleet::OrderOutcome::Done)
+    return;
+  platform::LeaseRenewalResult Answer;
+  Answer.Outcome_ = Result.Outcome_;
+  Answer.Report_ = Result.Report_;
+  Answer.Report_.ClockMs_ = Result.ClockMs_;
+  Node.mapped().OnLateAnswer_(Answer);
+}
+
 void OrderRouter::onResults(const protocol::ResultsRequest &Request) {
   for (const protocol::RelayedResult &Result : Request.Results_) {
     auto Node = PendingOrders_.extract(Result.OrderId_);
     if (Node.empty()) {
+      onLateResult(Result);
       // Already counted as lost, or of an earlier process at this address.
       core::count("masticdrift_relayed_results_unmatched_total");
       continue;
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -40,8 +40,9 @@
   if (Outcome != OrderOutcome::Done) {
     if (NewerInFlight)
       return; // the newer request shows whether the executor still answers
-    // A result that was lost between daemons does not make an executor silent: its lease is
-    // renewed, and the next request shows whether it answers.
+    // A result that was lost between daemons does not make an executor silent: the next request,
+    // without a wait, shows whether it answers.
+    Executor.AnswerOverdue_ = true;
     if (Outcome == OrderOutcome::ResultLost && Executor.Reported_ && !Executor.Silent_ &&
         Now - Executor.LastAnswerAt_ < Timing_.MaxResultLoss_) {
       Executor.NextHoldAt_ = Now;
@@ -72,6 +73,7 @@
   if (WasLost)
     logDecision("executor_answers", {}, 0, ExecutorId, std::to_string(Report.Running_.size()));
   Executor.Silent_ = false;
+  Executor.AnswerOverdue_ = false;
   Executor.Replaced_ = false;
   if (Report.IncarnationStartMs_ != 0 && Executor.Incarnation_ != 0 &&
       Report.IncarnationStartMs_ != Executor.Incarnation_) {
@@ -102,6 +104,26 @@
   PlacementDue_ = true;
 }
 
+void Scheduler::onLateHoldResult(std::string_view ExecutorId, const fleet::Report &Report,
+                                 core::TimePoint Now) {
+  const auto Entry = Executors_.find(ExecutorId);
+  if (Entry == Executors_.end())
+    return;
+  ExecutorState &Executor = Entry->second;
+  if (!Executor.AnswerOverdue_ || !Executor.Reported_ || Executor.Silent_ ||
+      Report.IncarnationStartMs_ != Executor.Incarnation_)
+    return;
+  // By the executor's clock, which tells how long the result was on its way.
+  const core::TimePoint AnsweredAt = std::min<core::TimePoint>(
+      Now, Executor.ClockReadAt_ + core::Millis(Report.ClockMs_ - Executor.ClockMs_));
+  if (Now - AnsweredAt >= Timing_.MaxResultLoss_)
+    return;
+  Executor.LastAnswerAt_ = Now;
+  Executor.AnswerOverdue_ = false;
+  Executor.HoldInFlight_ = false;
+  Executor.NextHoldAt_ = Now;
+}
+
 void Scheduler::processEnds(ExecutorState &Executor, std::span<const fleet::ReportedEnd> Rows,
                             core::TimePoint Now) {
   Executor.PostponedEnds_.clear();
@@ -517,6 +539,8 @@
   Executor.ProcessedEnd_ = 0;
   Executor.DurableEnd_ = 0;
   Executor.ClockMs_ = 0;
+  Executor.GrantedUntil_ = {};
+  Executor.GrantedUntilMs_ = 0;
   Executor.UnackedEnds_.clear();
   Executor.WithheldEnds_.clear();
   Executor.LastLapse_ = 0;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -26,6 +26,16 @@
 /// An executor that refused an order gets no new runs for this long.
 constexpr core::Millis AvoidAfterRefusal{1000};
 
+/// \returns the reason for giving up the runs of an executor, with the ages of what is known of it.
+std::string describeLapse(const ExecutorState &Executor, core::TimePoint Now) {
+  const auto AgeOf = [Now](core::TimePoint Time) {
+    return isUnset(Time) ? std::string("never")
+                         : std::to_string(core::toMillis(Now - Time)) + " ms ago";
+  };
+  return "lease lapsed, last answer " + AgeOf(Executor.LastAnswerAt_) + ", last lease ended " +
+         AgeOf(Executor.GrantedUntil_);
+}
+
 } // namespace
 
 void Scheduler::onExecutor(const fleet::ExecutorInfo &Info, core::TimePoint Now) {
@@ -114,14 +124,21 @@
   return ConfirmedAt_ + Timing_.StaleLeaderTime_ + Timing_.Lease_;
 }
 
-std::int64_t Scheduler::leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const {
-  const core::TimePoint End = std::min<core::TimePoint>(Now + Timing_.Lease_, leaseLimit());
-  return Executor.ClockMs_ + core::toMillis(End - Executor.ClockReadAt_);
-}
-
-void Scheduler::extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) {
+std::int64_t Scheduler::grantLease(ExecutorState &Executor, core::TimePoint Now) {
+  Executor.GrantedUntil_ = std::min<core::TimePoint>(Now + Timing_.Lease_, leaseLimit());
+  Executor.GrantedUntilMs_ =
+      Executor.ClockMs_ + core::toMillis(Executor.GrantedUntil_ - Executor.ClockReadAt_);
   Executor.LeaseEnd_ =
       std::max(Executor.LeaseEnd_, Now + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_));
+  return Executor.GrantedUntilMs_;
+}
+
+bool Scheduler::awaitsHeartbeat(core::TimePoint Now) const {
+  return std::ranges::any_of(Executors_, [&](const auto &Entry) {
+    const ExecutorState &Executor = Entry.second;
+    return (Executor.Silent_ || !Executor.Reported_) && !Executor.Runs_.empty() &&
+           ConfirmedAt_ < Executor.LeaseEnd_ && Now >= Executor.LeaseEnd_;
+  });
 }
 
 Run &Scheduler::addRun(ExecutorState &Executor, TrackedJob *Job, const work::TaskRef &Task,
@@ -234,8 +251,13 @@
   ++Open.Sent_;
   Open.InFlight_ = true;
   Open.Settled_ = false;
-  ActiveRun.Order_.LeaseEndMs_ = leaseEndMs(Executor, Now);
-  extendLeaseEnd(Executor, Now);
+  // The executor may just have been lost. A new lease for each order would prolong the time for
+  // which all its runs count.
+  const core::Millis MinLease =
+      ActiveRun.UnansweredStarts_ > 0 ? core::Millis(0) : Timing_.MinStartLease_;
+  ActiveRun.Order_.LeaseEndMs_ = Executor.GrantedUntil_ - Now > MinLease
+                                     ? Executor.GrantedUntilMs_
+                                     : grantLease(Executor, Now);
   ++StartsInFlight_;
   Actions_.Start_(Executor.Info_, ActiveRun.Order_);
 }
@@ -423,7 +445,7 @@
         voidRuns(*Job, Key.first, Key.second);
       else if (!FinalJobs_.contains(Key.first.Job_))
         LapsedBeforeRead_[Key.first] = std::max(LapsedBeforeRead_[Key.first], Key.second);
-    removeAllRuns(Executor, "lease lapsed", Now);
+    removeAllRuns(Executor, describeLapse(Executor, Now), Now);
   }
   if (!isUnset(Executor.DrainEnd_))
     stopDrainingRuns(Executor, Now);
@@ -442,9 +464,10 @@
       Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
     return;
   Executor.TrialReportAt_ = {};
-  // A silent executor is only queried. Each renewal of its lease would postpone the time at which
-  // its runs are certain to be over.
-  const bool Renew = Executor.Reported_ && !Executor.Silent_ && !Executor.LeaseWithheld_;
+  // An executor that may be lost is only queried. Each renewal of its lease would postpone the time
+  // at which its runs are certain to be over.
+  const bool Renew = Executor.Reported_ && !Executor.Silent_ && !Executor.AnswerOverdue_ &&
+                     !Executor.LeaseWithheld_;
   core::Millis Wait = holdWait(Executor, Now);
   if (!Renew || EndsPending || TrialReportDue)
     Wait = core::Millis(0);
@@ -453,12 +476,10 @@
     Executor.HoldsValidSince_ = Now;
   Executor.HoldInFlight_ = true;
   Executor.LastHoldAt_ = Now;
-  if (Renew)
-    extendLeaseEnd(Executor, Now);
+  const std::int64_t UntilMs = Renew && Now < leaseLimit() ? grantLease(Executor, Now) : 0;
   // A silent executor may have restarted, and a new incarnation numbers its ends from the beginning
   // again, so nothing is acknowledged.
-  Actions_.Hold_(Executor.Info_, Renew ? Executor.DurableEnd_ : 0,
-                 Renew && Now < leaseLimit() ? leaseEndMs(Executor, Now) : 0, Wait);
+  Actions_.Hold_(Executor.Info_, Renew ? Executor.DurableEnd_ : 0, UntilMs, Wait);
 }
 
 bool Scheduler::tickRun(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now) {
@@ -476,8 +497,8 @@
     stopRun(Executor, ActiveRun, "capacity has shrunk before the start was answered", Now);
   else if (!isEntryCurrent(Executor, Now, Timing_.MaxListDelay_))
     stopRun(Executor, ActiveRun, "executor has restarted before the start was answered", Now);
-  else if (!Executor.Silent_ && Executor.Recorded_ && !Executor.LeaseWithheld_ &&
-           mayGrantLeases(Now))
+  else if (!Executor.Silent_ && !Executor.AnswerOverdue_ && Executor.Recorded_ &&
+           !Executor.LeaseWithheld_ && mayGrantLeases(Now))
     sendStart(Executor, ActiveRun, Now);
   return true;
 }
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -391,7 +391,9 @@
     for (auto &[Id, Job] : Jobs_)
       stopIncompleteGangs(Job, Now);
   EndsHidden_ = std::ranges::any_of(Executors_, [this](const auto &Entry) {
-    return Entry.second.ReportFull_ && ConfirmedAt_ < Entry.second.LeaseEnd_;
+    const ExecutorState &Executor = Entry.second;
+    const bool Answers = Executor.Reported_ && !Executor.Silent_;
+    return Executor.ReportFull_ && (Answers || ConfirmedAt_ < Executor.LeaseEnd_);
   });
   std::set<std::string_view> JobsWithOpenStarts;
   for (const auto &[Id, Executor] : Executors_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -182,6 +182,9 @@
   /// Loses the next answer of an executor to a hold request.
   void loseNextHoldAnswer(const std::string &Id) { Executors_.at(Id).LoseNextHoldAnswer_ = true; }
 
+  /// Adds to the way back of the results of hold requests from now on.
+  void delayHoldResults(core::Millis Delay) { HoldResultDelay_ = Delay; }
+
   /// Loses all stop orders to an executor for \p Time.
   void loseStops(const std::string &Id, core::Millis Time) {
     Executors_.at(Id).StopsLostUntil_ = Now_ + Time;
@@ -379,6 +382,7 @@
   /// Paths between leaders, by token, and executors, with the time until which they are cut.
   std::map<std::pair<std::uint64_t, std::string>, core::TimePoint> CutPaths_;
   bool LoseNextStartAnswer_ = false;
+  core::Millis HoldResultDelay_{0};
   std::deque<core::Millis> StartDelays_;
   std::deque<core::Millis> StopDelays_;
   std::deque<core::Millis> AnswerDelays_;
