--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -50,6 +50,9 @@
   /// Time for which an executor counts as answering although relays return no results from it.
   /// Leaves more than half of a lease to settle its runs.
   core::Millis MaxResultLoss_{3000};
+  /// The first start order of a run carries the lease that the executor has been granted already if
+  /// it lasts for longer than this. Leaves more than two rounds of renewals.
+  core::Millis MinStartLease_{4000};
   /// Minimum interval of hold requests while the effects of reported ends are not durable or ends
   /// are left unprocessed.
   core::Millis UnackedHoldSpacing_{400};
@@ -196,12 +199,18 @@
   /// \returns true when a record of the executor's silence may be stored and is kept up to date.
   bool isSilenceRecorded(std::string_view ExecutorId) const;
 
+  /// \returns true when runs count as over as soon as a heartbeat is stored that is sent now.
+  bool awaitsHeartbeat(core::TimePoint Now) const;
   /// Handles that a heartbeat which was sent at \p SentAt is stored: no later term had begun then.
   void onHeartbeatStored(core::TimePoint SentAt);
 
   /// Handles the result of a hold request that was sent at \p SentAt.
   void onHoldResult(std::string_view ExecutorId, fleet::OrderOutcome Outcome,
                     const fleet::Report &Report, core::TimePoint SentAt, core::TimePoint Now);
+  /// Handles the result of a hold request that was reported as lost before. It only shows that the
+  /// executor has answered.
+  void onLateHoldResult(std::string_view ExecutorId, const fleet::Report &Report,
+                        core::TimePoint Now);
   /// Handles the result of a start order.
   /// \param ClockMs the executor's clock, 0 when unknown.
   /// \param SentAt when the order was passed to SchedulerActions::Start_, or later; tells the
@@ -311,6 +320,7 @@
   void processEnd(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
   void voidRuns(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t UpTo);
   void voidUnknownRuns(TrackedJob &Job);
+  void voidRunsOfLateJob(TrackedJob &Job);
   /// \returns a number that changes with each start of the task in this term.
   std::uint64_t lastStartOf(const TrackedJob &Job, const work::TaskRef &Task) const;
   bool mustWithhold(const ExecutorState &Executor, const fleet::ReportedEnd &End);
@@ -364,15 +374,15 @@
                 core::TimePoint Now);
   void dropAssumedRuns(const work::TaskRef &Task, std::uint64_t Below, core::TimePoint Now);
 
-  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the time up to which this leader may grant leases.
   core::TimePoint leaseLimit() const;
   /// \returns false when a run that starts now would soon lapse for want of a stored heartbeat.
   bool mayGrantLeases(core::TimePoint Now) const {
     return leaseLimit() - Now >= Timing_.StaleLeaderTime_;
   }
-  /// \returns the end of a lease that starts now, on the executor's clock.
-  std::int64_t leaseEndMs(const ExecutorState &Executor, core::TimePoint Now) const;
+  /// Grants an executor a lease that starts now.
+  /// \returns its end on the executor's clock.
+  std::int64_t grantLease(ExecutorState &Executor, core::TimePoint Now);
   void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
   static void releaseDrained(ExecutorState &Executor);
   /// Sends the order that a run needs now.
@@ -421,6 +431,10 @@
   core::TimePoint JobsReadUpTo_{};  ///< all jobs stored before this time have been read
   std::set<std::string> FinalJobs_; ///< ended jobs without runs that are still in the log
   std::map<work::TaskRef, VoidRecord> VoidedRuns_;
+  /// Highest number of the runs that were given up with a lease before their job was read.
+  std::map<work::TaskRef, std::uint64_t> LapsedBeforeRead_;
+  /// Runs of earlier terms that no executor has listed count as over because leases have lapsed.
+  bool UnknownRunsLapsed_ = false;
   std::vector<std::string> FinishedJobs_; ///< jobs that takeFinishedJobs() returns next
   std::map<std::string, ExecutorState, std::less<>> Executors_;
   std::vector<ExecutorState *> ByOrdinal_;                     ///< null for removed executors
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -4,6 +4,7 @@
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/core/Pack.h"
 #include "masticdrift/daemon/AdviceDispatcher.h"
+#include "masticdrift/daemon/ConfigReaderTable.h"
 #include "masticdrift/daemon/JobWriter.h"
 #include "masticdrift/daemon/OrderRouter.h"
 #include "masticdrift/daemon/Retention.h"
@@ -49,9 +50,9 @@
 /// Added to the expected duration of a call to the advice service.
 constexpr core::Millis AdviceTimeoutMargin{900};
 constexpr core::Millis GaugeUpdateInterval{2000};
-/// Interval of the additional heartbeats for silent executors that answer again. Their leases last
-/// for seconds, and a store that is down must not be called in each round.
-constexpr core::Millis SilenceClearInterval{200};
+/// Interval of the additional heartbeats for silent executors that answer again or whose leases are
+/// over. A store that is down must not be called in each round.
+constexpr core::Millis ExtraHeartbeatInterval{200};
 /// Interval between reloads of the specifications while a job lacks its own.
 constexpr core::Millis SpecReloadInterval{5000};
 
@@ -60,8 +61,9 @@
 struct LeaderDriver::Impl : std::enable_shared_from_this<LeaderDriver::Impl> {
   enum class Role { Follower, Preparing, Leading };
 
-  Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors)
-      : Context_(Context), Jobs_(Jobs), Specs_(Specs), Executors_(Executors),
+  Impl(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs, TopicTail &Executors,
+       ConfigFeed &Config)
+      : Context_(Context), Jobs_(Jobs), Specs_(Specs), Executors_(Executors), Config_(Config),
         Leadership_(Context.Loop_, Context.Store_,
                     {LeadershipTopic, core::Millis(2000), [] { return core::Millis(50); }},
                     {[this](const platform::KeyedRecord &Entry) { onTopicRecord(Entry); },
@@ -286,6 +288,8 @@
     Role_ = Role::Preparing;
     Term_ = NewestRecord_->Term_;
     Sequence_ = 0;
+    ConfigReaders_ = {};
+    Config_.setSource({});
     Specs_.start();
     Specs_.expedite();
     Executors_.start();
@@ -478,8 +482,9 @@
     JobStateWaiters_.answerReady(Context_.JobTable_, Now);
     if (StoredJobCheck_.due(Now))
       takeUpMissedJobs(Now);
-    if (Scheduler_->hasSilenceToClear() && Now - SilenceClearedAt_ >= SilenceClearInterval) {
-      SilenceClearedAt_ = Now;
+    if (Now - ExtraHeartbeatAt_ >= ExtraHeartbeatInterval &&
+        (Scheduler_->hasSilenceToClear() || Scheduler_->awaitsHeartbeat(Now))) {
+      ExtraHeartbeatAt_ = Now;
       appendHeartbeat();
     }
     if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
@@ -675,7 +680,11 @@
               core::count("masticdrift_run_ends_total", {{"kind", std::string(nameOf(End.Kind_))}});
             Scheduler_->onHoldResult(Id, Answer.Outcome_, Answer.Report_, SentAt,
                                      core::Clock::now());
-          }));
+          }),
+          whileLeading<platform::LeaseRenewalResult>(
+              [this, Id = Executor.Id_](const platform::LeaseRenewalResult &Answer) {
+                Scheduler_->onLateHoldResult(Id, Answer.Report_, core::Clock::now());
+              }));
     };
     SchedulerPorts.RequestAdvice_ = [this](const work::TaskRef &Step,
                                            std::vector<std::string> Executors, double ExpectedMs,
@@ -826,8 +835,11 @@
           const bool Replaced =
               Result.Transfer_ == http::Transfer::Complete &&
               (!Reply || Reply->Incarnation_ != Self->NewestRecord_->Incarnation_);
-          if (Reply && !Replaced)
+          if (Reply && !Replaced) {
             Self->setStandby(Reply->Standby_);
+            if (Reply->SourceKnown_ && Self->Role_ == Role::Follower)
+              Self->Config_.setSource(Reply->ConfigSource_);
+          }
           Self->LeaderGone_ = Refused || Replaced;
           // A leader that can't read the store answers hellos with 503.
           Self->LeaderWithoutStore_ =
@@ -882,6 +894,7 @@
   TopicTail &Jobs_;
   TopicTail &Specs_;
   TopicTail &Executors_;
+  ConfigFeed &Config_;
   TopicTail Leadership_;
   asio::steady_timer ElectionTimer_;
   asio::steady_timer HelloTimer_;
@@ -889,8 +902,9 @@
   asio::steady_timer HeartbeatTimer_;
   asio::steady_timer RetryTimer_;
   OrderRouter OrderRouter_;
-  StandbyTable Standbys_; ///< while leading
-  bool Standby_ = false;  ///< as the leader has told this daemon
+  StandbyTable Standbys_;           ///< while leading
+  ConfigReaderTable ConfigReaders_; ///< while leading
+  bool Standby_ = false;            ///< as the leader has told this daemon
   Retention Retention_;
   StoredJobCheck StoredJobCheck_;
   AdviceDispatcher AdviceDispatcher_;
@@ -911,8 +925,7 @@
   core::TimePoint GoneSince_{}; ///< when the leader was found to be gone; zero while there is one
   lead::Roster Roster_;         ///< as read from the leadership topic
   lead::SilenceTable Silences_; ///< the same, of silent executors
-  core::TimePoint
-      SilenceClearedAt_{}; ///< when a heartbeat was sent for executors that answer again
+  core::TimePoint ExtraHeartbeatAt_{}; ///< when a heartbeat was sent for silent executors
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0; ///< producer sequence of the next append to the jobs topic
   bool Flushing_ = false;
@@ -928,8 +941,8 @@
 };
 
 LeaderDriver::LeaderDriver(FleetContext &Context, TopicTail &Jobs, TopicTail &Specs,
-                           TopicTail &Executors)
-    : Impl_(std::make_shared<Impl>(Context, Jobs, Specs, Executors)) {}
+                           TopicTail &Executors, ConfigFeed &Config)
+    : Impl_(std::make_shared<Impl>(Context, Jobs, Specs, Executors, Config)) {}
 
 LeaderDriver::~LeaderDriver() { Impl_->close(); }
 
@@ -976,15 +989,23 @@
   Impl_->onProgressRead(Key, Value);
 }
 
-bool LeaderDriver::onHello(const protocol::Hello &Hello) {
+protocol::HelloReply LeaderDriver::onHello(const protocol::Hello &Hello) {
+  protocol::HelloReply Reply{Impl_->Context_.Incarnation_};
   if (Impl_->Role_ != Impl::Role::Leading)
-    return false;
-  Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, core::Clock::now());
-  Impl_->OrderRouter_.registerRelay(Hello, core::Clock::now());
-  Impl_->Standbys_.registerDaemon(Hello, core::Clock::now());
+    return Reply;
+  const core::TimePoint Now = core::Clock::now();
+  Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
+  Impl_->OrderRouter_.registerRelay(Hello, Now);
+  Impl_->Standbys_.registerDaemon(Hello, Now);
+  Impl_->ConfigReaders_.registerDaemon(Hello, Now);
   if (Hello.CanLead_ && !lead::isPreferredLeader(Impl_->Context_.Settings_.Cores_))
     Impl_->release("a larger machine can take over");
-  return Impl_->Standbys_.isStandby(Hello.PeerAddress_, core::Clock::now());
+  Reply.Standby_ = Impl_->Standbys_.isStandby(Hello.PeerAddress_, Now);
+  if (auto Source = Impl_->ConfigReaders_.sourceFor(Hello.PeerAddress_, Now)) {
+    Reply.SourceKnown_ = true;
+    Reply.ConfigSource_ = std::move(*Source);
+  }
+  return Reply;
 }
 
 void LeaderDriver::onResults(const protocol::ResultsRequest &Request) {
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -114,6 +114,7 @@
               NewJob.Inherited_ ? "begun by an earlier leader"
                                 : (BegunByThisTerm ? "begun with its acceptance" : "new"));
   reconcileLateJob(NewJob, Now);
+  voidRunsOfLateJob(NewJob);
   settleInheritedSuspicions(NewJob, Now);
   if (Accounted_)
     stopIncompleteGangs(NewJob, Now);
@@ -122,7 +123,9 @@
 
 void Scheduler::onJobForgotten(const std::string &Id) {
   FinalJobs_.erase(Id);
-  std::erase_if(VoidedRuns_, [&Id](const auto &Entry) { return Entry.first.Job_ == Id; });
+  const auto IsOfJob = [&Id](const auto &Entry) { return Entry.first.Job_ == Id; };
+  std::erase_if(VoidedRuns_, IsOfJob);
+  std::erase_if(LapsedBeforeRead_, IsOfJob);
 }
 
 /// Tracks a job that has ended before this leader has read it until all its runs are over.
@@ -388,7 +391,9 @@
     for (auto &[Id, Job] : Jobs_)
       stopIncompleteGangs(Job, Now);
   EndsHidden_ = std::ranges::any_of(Executors_, [this](const auto &Entry) {
-    return Entry.second.ReportFull_ && ConfirmedAt_ < Entry.second.LeaseEnd_;
+    const ExecutorState &Executor = Entry.second;
+    const bool Answers = Executor.Reported_ && !Executor.Silent_;
+    return Executor.ReportFull_ && (Answers || ConfirmedAt_ < Executor.LeaseEnd_);
   });
   std::set<std::string_view> JobsWithOpenStarts;
   for (const auto &[Id, Executor] : Executors_)
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -13,10 +13,12 @@
 constexpr core::Millis TickInterval{10};
 constexpr core::Millis FlushTime{8};
 constexpr core::Millis HeartbeatTime{700};
+constexpr core::Millis ExtraHeartbeatTime{200}; ///< when runs wait for it to count as over
 constexpr core::Millis GangCheckInterval{100};
 constexpr core::Millis StarvationCheckInterval{100};
 constexpr core::Millis OrderTimeout{700};
-constexpr core::Millis HoldTimeoutMargin{700};
+/// The same through a relay: two batches and two hops more.
+constexpr core::Millis RelayedOrderTimeout{900};
 constexpr core::Millis StopTime{100};
 constexpr core::Millis MaxOrderDelay{12'000};
 constexpr core::Millis MaxLease{10'000};
@@ -63,6 +65,10 @@
     watchStarvation();
 }
 
+core::Millis FakeFleet::orderTimeout() const {
+  return Options_.Relayed_ ? RelayedOrderTimeout : OrderTimeout;
+}
+
 void FakeFleet::schedule(core::TimePoint Time, std::function<void()> Action) {
   Events_.push({Time, NextSequence_++, std::move(Action)});
 }
@@ -431,7 +437,7 @@
     const std::string Id = Info.Id_;
     const core::TimePoint SentAt = Now_;
     if (Options_.NoConnectionProbability_ > 0 && happens(Options_.NoConnectionProbability_)) {
-      schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, SentAt] {
+      schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, SentAt] {
         if (ThisTerm->Alive_)
           measureDecision(
               [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NotSent, 0, SentAt, Now_); });
@@ -477,10 +483,9 @@
         measureDecision([&] { Scheduler().onStartResult(Id, Key, Outcome, Clock, SentAt, Now_); });
       });
     });
-    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
+    schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
       if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision(
-            [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NoAnswer, 0, SentAt, Now_); });
+        measureDecision([&] { Scheduler().onStartResult(Id, Key, unanswered(), 0, SentAt, Now_); });
     });
   };
   Actions.Stop_ = [this, ThisTerm, Scheduler](const fleet::ExecutorInfo &Info,
@@ -513,10 +518,9 @@
               measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, SentAt, Now_); });
           });
     });
-    schedule(Now_ + OrderTimeout, [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
+    schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
       if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision(
-            [&] { Scheduler().onStopResult(Id, Key, OrderOutcome::NoAnswer, SentAt, Now_); });
+        measureDecision([&] { Scheduler().onStopResult(Id, Key, unanswered(), SentAt, Now_); });
     });
   };
   Actions.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
@@ -541,14 +545,27 @@
       if (!isReachableFrom(ThisTerm->Token_, Target))
         return;
       const auto Reply = [this, ThisTerm, Scheduler, Id, SentAt, Answered](OrderOutcome Outcome) {
-        FakeExecutor &Answering = Executors_.at(Id);
-        if (!isReachableFrom(ThisTerm->Token_, Answering) || std::exchange(*Answered, true) ||
-            !ThisTerm->Alive_)
+        const FakeExecutor &Answering = Executors_.at(Id);
+        if (!isReachableFrom(ThisTerm->Token_, Answering))
           return;
-        if (std::exchange(Answering.MetByTerm_, ThisTerm->Token_) != ThisTerm->Token_)
-          Answering.MetAt_ = Now_;
-        const fleet::Report Report = reportOf(Answering);
-        measureDecision([&] { Scheduler().onHoldResult(Id, Outcome, Report, SentAt, Now_); });
+        const auto Deliver = [this, ThisTerm, Scheduler, Id, SentAt, Answered, Outcome,
+                              Report = reportOf(Answering)] {
+          if (!ThisTerm->Alive_)
+            return;
+          if (std::exchange(*Answered, true)) {
+            if (Options_.Relayed_)
+              measureDecision([&] { Scheduler().onLateHoldResult(Id, Report, Now_); });
+            return;
+          }
+          FakeExecutor &Met = Executors_.at(Id);
+          if (std::exchange(Met.MetByTerm_, ThisTerm->Token_) != ThisTerm->Token_)
+            Met.MetAt_ = Now_;
+          measureDecision([&] { Scheduler().onHoldResult(Id, Outcome, Report, SentAt, Now_); });
+        };
+        if (HoldResultDelay_.count() > 0)
+          schedule(Now_ + HoldResultDelay_, Deliver);
+        else
+          Deliver();
       };
       if (ThisTerm->Token_ < Target.Token_) {
         Reply(OrderOutcome::Fenced);
@@ -577,10 +594,9 @@
       Target.PendingHold_ = [Reply] { Reply(OrderOutcome::Done); };
       schedule(Now_ + Wait, [Reply] { Reply(OrderOutcome::Done); });
     });
-    schedule(Now_ + Wait + HoldTimeoutMargin, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
+    schedule(Now_ + Wait + orderTimeout(), [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
       if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision(
-            [&] { Scheduler().onHoldResult(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
+        measureDecision([&] { Scheduler().onHoldResult(Id, unanswered(), {}, SentAt, Now_); });
     });
   };
   if (Options_.Advisers_ > 0)
@@ -762,7 +778,10 @@
   // Delayed jobs were stored before the term began.
   if (!StoreDown_ && Now_ > ThisTerm->JobsUnreadUntil_)
     Scheduler.onJobsRead(Now_);
-  if (!StoreDown_ && ThisTerm->Token_ == Token_ && Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatTime) {
+  const core::Millis HeartbeatDelay =
+      Scheduler.awaitsHeartbeat(Now_) ? ExtraHeartbeatTime : HeartbeatTime;
+  if (!StoreDown_ && ThisTerm->Token_ == Token_ &&
+      Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatDelay) {
     ThisTerm->HeartbeatAt_ = Now_;
     Scheduler.onHeartbeatStored(Now_);
     recordSilences(Scheduler);
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -62,6 +62,9 @@
   /// How executors come back that a deadly task has crashed.
   ReturnAs DeadlyReturn_ = ReturnAs::NewId;
   core::Millis Latency_{1};
+  /// Orders go through relays: those without an answer count as results that were lost, which is
+  /// known later.
+  bool Relayed_ = false;
   int MaxHoldJitterMs_ = 0; ///< maximum additional latency of hold requests
   /// Daemons that make calls to the advice service, one at a time each; 0 for any number of calls.
   int Advisers_ = 0;
@@ -179,6 +182,9 @@
   /// Loses the next answer of an executor to a hold request.
   void loseNextHoldAnswer(const std::string &Id) { Executors_.at(Id).LoseNextHoldAnswer_ = true; }
 
+  /// Adds to the way back of the results of hold requests from now on.
+  void delayHoldResults(core::Millis Delay) { HoldResultDelay_ = Delay; }
+
   /// Loses all stop orders to an executor for \p Time.
   void loseStops(const std::string &Id, core::Millis Time) {
     Executors_.at(Id).StopsLostUntil_ = Now_ + Time;
@@ -303,6 +309,12 @@
   void watchStarvation();
   /// \returns true when a job could start a task but has none running.
   bool isStarved(const std::string &Id, const work::JobSpec &Spec) const;
+  /// \returns the time after which an order without an answer is given up, beside its wait.
+  core::Millis orderTimeout() const;
+  /// \returns the outcome of an order without an answer.
+  fleet::OrderOutcome unanswered() const {
+    return Options_.Relayed_ ? fleet::OrderOutcome::ResultLost : fleet::OrderOutcome::NoAnswer;
+  }
   /// Makes a call to the advice service that ends after \p Time.
   void callAdviser(const std::shared_ptr<Term> &ThisTerm, const std::string &Adviser,
                    const work::TaskRef &Step, std::vector<std::string> Asked, core::Millis Time);
@@ -370,6 +382,7 @@
   /// Paths between leaders, by token, and executors, with the time until which they are cut.
   std::map<std::pair<std::uint64_t, std::string>, core::TimePoint> CutPaths_;
   bool LoseNextStartAnswer_ = false;
+  core::Millis HoldResultDelay_{0};
   std::deque<core::Millis> StartDelays_;
   std::deque<core::Millis> StopDelays_;
   std::deque<core::Millis> AnswerDelays_;
