A forgotten executor with unknown runs does not count as one that answered

A task could complete twice (TWICE): an executor that left the list and that a new leader never reached was forgotten in the moment its lease ended. Without it all executors had answered, so its unknown runs were not recorded as void, and the completion that it listed when it came back was acknowledged after the task had started again.

Evidence: unit.SchedulerSilenceTest, theCompletionOfAForgottenExecutorIsNotUsed, failed before for outages of 0.7 to 1.65 s that bring the heartbeat into the time between two requests.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -367,6 +367,8 @@
   // Silent executors.
   bool knowsRunsOf(const ExecutorState &Executor) const;
   static SilenceRecord describeSilence(const ExecutorState &Executor, core::TimePoint Now);
+  /// \returns true when no run of earlier terms on the executor is unknown.
+  static bool isAccountedFor(const ExecutorState &Executor);
   void assumeRun(ExecutorState &Executor, const work::TaskRef &Task, std::uint64_t Number,
                  core::TimePoint Now);
   void settleAssumedRun(Run &Settled);
@@ -420,6 +422,8 @@
   bool AccountedByReports_ = false; ///< accounted because all executors answered
   std::size_t UnaccountedRuns_ = 0;
   std::size_t ReappearedRuns_ = 0;
+  /// An executor was forgotten that may have had unknown runs of earlier terms.
+  bool UnaccountedForgotten_ = false;
   /// Like Accounted_, except for runs on executors that did not answer.
   bool AllContacted_ = false;
   bool EndsHidden_ = false; ///< some executor has ends that did not fit into its last report
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -543,17 +543,21 @@
   }
 }
 
+bool Scheduler::isAccountedFor(const ExecutorState &Executor) {
+  return Executor.Reported_ || Executor.Replaced_ || !Executor.InheritedRuns_ ||
+         Executor.SilenceInherited_;
+}
+
 void Scheduler::updateAccounted() {
   if (Accounted_)
     return;
   const bool LeasesLapsed =
       ConfirmedAt_ >= TermStart_ + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_) +
                           Timing_.StaleLeaderTime_;
-  const bool AllReported =
-      !Executors_.empty() && std::ranges::all_of(Executors_, [](const auto &Entry) {
-        return Entry.second.Reported_ || Entry.second.Replaced_ || !Entry.second.InheritedRuns_ ||
-               Entry.second.SilenceInherited_;
-      });
+  const bool AllReported = !Executors_.empty() && !UnaccountedForgotten_ &&
+                           std::ranges::all_of(Executors_, [](const auto &Entry) {
+                             return isAccountedFor(Entry.second);
+                           });
   AllContacted_ =
       RosterComplete_ && std::ranges::all_of(Executors_, [](const auto &Entry) {
         return Entry.second.Reported_ || Entry.second.Silent_ || !Entry.second.InheritedRuns_;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -381,6 +381,7 @@
       Forgotten.push_back(Id);
   }
   for (const std::string &Id : Forgotten) {
+    UnaccountedForgotten_ = UnaccountedForgotten_ || !isAccountedFor(Executors_.at(Id));
     ByOrdinal_[Executors_.at(Id).Ordinal_] = nullptr;
     Unrecorded_.erase(Id);
     Executors_.erase(Id);
--- a/tests/unit/SchedulerSilenceTest.cpp
+++ b/tests/unit/SchedulerSilenceTest.cpp
@@ -190,6 +190,33 @@
   expectNoViolations(Fleet);
 }
 
+// Guards against two completed runs of a task: the executor that completed the first one left the
+// list and was forgotten with its lease, and its completion acknowledged when it came back.
+Test(SchedulerSilence, theCompletionOfAForgottenExecutorIsNotUsed) {
+  // Whether the executor is forgotten before the leases count as lapsed depends on the time between
+  // a heartbeat and a request to the executor. The outage shifts the heartbeats.
+  for (Millis Outage{700}; Outage < Millis(1700); Outage += Millis(50)) {
+    FakeFleet Fleet(FakeFleetOptions{});
+    addExecutors(Fleet, 2);
+    Fleet.submit("job", makeJob(1, 5000));
+    cr_assert(awaitRuns(Fleet, "job", 1, Millis(2000)) < Millis(2000));
+    const std::string Lost = Fleet.executorsRunning("job").front();
+    Fleet.disconnect(Lost, Millis(13'500));
+    Fleet.takeOver();
+    Fleet.setListed(Lost, false);
+    Fleet.run(Millis(3000));
+    Fleet.setStoreDown(true);
+    Fleet.run(Outage);
+    Fleet.setStoreDown(false);
+    Fleet.run(Millis(10'000));
+    cr_assert_eq(Fleet.startsOf({"job", 0, 0, 0}), 2);
+    Fleet.setListed(Lost, true);
+    Fleet.run(Millis(20'000));
+    cr_expect(Fleet.stateOf("job") == work::JobState::Completed);
+    expectNoViolations(Fleet, "outage of " + std::to_string(Outage.count()) + " ms");
+  }
+}
+
 // --- Random sequences ---
 
 // Guards against two runs of one task in any order of takeovers, losses, cuts and outages.
