Fake fleet: the name of a lapsed run outlives the run

endRun() was given a reference into the map entry that it erases, so the end of a lapsed run was reported with a freed name.

--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -1064,7 +1064,8 @@
             (Executor.LeaseLapses_.empty() || Executor.LeaseLapses_.back() < Executor.LeaseEnd_))
           Executor.LeaseLapses_.push_back(Executor.LeaseEnd_);
         while (!Executor.Running_.empty())
-          endRun(Executor, Executor.Running_.begin()->first, fleet::EndKind::LeaseLapsed);
+          endRun(Executor, work::TaskRef(Executor.Running_.begin()->first),
+                 fleet::EndKind::LeaseLapsed);
       }
     Next.Action_();
   }
