The wait for executors with unknown runs begins once, not with each term

With an executor that falls silent together with the leader, each new leader held back all inherited tasks for 10.5 s from the start of its own term.

Evidence: unit.SchedulerSilenceTest, theLeasesOfAnExecutorWithUnknownRunsAreWaitedForOnce, failed before.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -366,7 +366,7 @@
 
   // Silent executors.
   bool knowsRunsOf(const ExecutorState &Executor) const;
-  static SilenceRecord describeSilence(const ExecutorState &Executor, core::TimePoint Now);
+  SilenceRecord describeSilence(const ExecutorState &Executor, core::TimePoint Now) const;
   /// \returns true when no run of earlier terms on the executor is unknown.
   static bool isAccountedFor(const ExecutorState &Executor);
   void assumeRun(ExecutorState &Executor, const work::TaskRef &Task, std::uint64_t Number,
--- a/include/masticdrift/lead/Silence.h
+++ b/include/masticdrift/lead/Silence.h
@@ -41,8 +41,11 @@
 struct SilenceRecord {
   /// Every lease that the executor may hold ends within this time after the writing.
   std::int64_t LeaseRemainingMs_ = 0;
-  std::vector<SilentRun> Runs_; ///< all runs that the executor may have
-  MSGPACK_DEFINE_ARRAY(LeaseRemainingMs_, Runs_)
+  /// Runs_ are all runs that the executor may have. False when it has not answered the writer, or
+  /// has reported ends whose effect is not durable.
+  bool RunsKnown_ = false;
+  std::vector<SilentRun> Runs_;
+  MSGPACK_DEFINE_ARRAY(LeaseRemainingMs_, RunsKnown_, Runs_)
 };
 
 /// A record of a silent executor as read by a daemon.
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -558,21 +558,28 @@
                            std::ranges::all_of(Executors_, [](const auto &Entry) {
                              return isAccountedFor(Entry.second);
                            });
+  // An earlier leader may have recorded that the leases of an executor end sooner than all others.
+  const bool AllAccountedFor =
+      !Executors_.empty() && std::ranges::all_of(Executors_, [this](const auto &Entry) {
+        const ExecutorState &Executor = Entry.second;
+        return isAccountedFor(Executor) ||
+               (!Executor.RunsKnown_ && ConfirmedAt_ >= Executor.LeaseEnd_);
+      });
   AllContacted_ =
       RosterComplete_ && std::ranges::all_of(Executors_, [](const auto &Entry) {
         return Entry.second.Reported_ || Entry.second.Silent_ || !Entry.second.InheritedRuns_;
       });
-  if (!LeasesLapsed && !(RosterComplete_ && AllReported))
+  if (!LeasesLapsed && !(RosterComplete_ && AllAccountedFor))
     return;
   Accounted_ = true;
-  AccountedByReports_ = !LeasesLapsed;
+  AccountedByReports_ = !LeasesLapsed && AllReported;
   PlacementDue_ = true;
   UnknownRunsLapsed_ = !RosterComplete_ || !AllReported;
   if (UnknownRunsLapsed_)
     for (auto &[Id, Job] : Jobs_)
       voidUnknownRuns(Job);
   logDecision("accounted", {}, 0, {},
-              LeasesLapsed && !AllReported ? "leases have lapsed" : "all executors answered");
+              AllReported ? "all executors answered" : "leases have lapsed");
 }
 
 } // namespace masticdrift::lead
--- a/src/lead/SilentExecutors.cpp
+++ b/src/lead/SilentExecutors.cpp
@@ -33,10 +33,13 @@
          Executor.UnsizedRuns_ == 0;
 }
 
-SilenceRecord Scheduler::describeSilence(const ExecutorState &Executor, core::TimePoint Now) {
+SilenceRecord Scheduler::describeSilence(const ExecutorState &Executor, core::TimePoint Now) const {
   SilenceRecord Record;
+  Record.RunsKnown_ = knowsRunsOf(Executor);
   Record.LeaseRemainingMs_ =
       std::max<std::int64_t>(core::toMillis(Executor.LeaseEnd_ - Now) + 1, 0);
+  if (!Record.RunsKnown_)
+    return Record;
   std::set<RunKey> Keys;
   for (const auto &[Key, ActiveRun] : Executor.Runs_)
     Keys.insert(Key);
@@ -59,12 +62,13 @@
     const bool Due = isUnset(Executor.SilenceRecordedAt_)
                          ? Now - Executor.SilentSince_ >= MinRecordedSilence
                          : Now - Executor.SilenceRecordedAt_ >= RecordInterval;
-    if (!Executor.Silent_ || !Executor.Recorded_ || !Due || Bytes >= MaxRecordBytes ||
-        !knowsRunsOf(Executor))
+    if (!Executor.Silent_ || !Executor.Recorded_ || !Due || Bytes >= MaxRecordBytes)
       continue;
-    const SilenceRecord Record = describeSilence(Executor, Now);
-    const bool Settled = Record.Runs_.empty() && Record.LeaseRemainingMs_ == 0;
-    if (Record.Runs_.size() > MaxRecordedRuns || (Settled && Executor.SilenceSettled_))
+    SilenceRecord Record = describeSilence(Executor, Now);
+    if (Record.Runs_.size() > MaxRecordedRuns)
+      Record = {Record.LeaseRemainingMs_, false, {}};
+    const bool Settled = Record.RunsKnown_ && Record.Runs_.empty() && Record.LeaseRemainingMs_ == 0;
+    if (Settled && Executor.SilenceSettled_)
       continue;
     Executor.SilenceSettled_ = Settled;
     Executor.LeaseWithheld_ = true;
@@ -107,7 +111,7 @@
   if (Found == Executors_.end() || Known.Void_)
     return;
   ExecutorState &Executor = Found->second;
-  Executor.SilenceInherited_ = true;
+  Executor.SilenceInherited_ = Known.Record_.RunsKnown_;
   Executor.LeaseWithheld_ = true;
   Executor.Silent_ = true;
   Executor.SilentSince_ = Now;
@@ -116,7 +120,8 @@
     assumeRun(Executor, {Recorded.Job_, Recorded.Occurrence_, Recorded.Step_, Recorded.Index_},
               Recorded.Number_, Now);
   logDecision("silence_inherited", {}, 0, ExecutorId,
-              std::to_string(Executor.Runs_.size()) + " runs, lease over in " +
+              (Known.Record_.RunsKnown_ ? std::to_string(Executor.Runs_.size()) : "unknown") +
+                  " runs, lease over in " +
                   std::to_string(core::toMillis(Executor.LeaseEnd_ - Now)) + " ms");
 }
 
--- a/tests/unit/SchedulerSilenceTest.cpp
+++ b/tests/unit/SchedulerSilenceTest.cpp
@@ -95,6 +95,29 @@
   expectNoViolations(Fleet);
 }
 
+// Guards against the same when no leader but the first one has ever reached the lost executor, so
+// that its runs are unknown.
+Test(SchedulerSilence, theLeasesOfAnExecutorWithUnknownRunsAreWaitedForOnce) {
+  constexpr Millis MaxLeaseWait{10'600};
+  FakeFleet Fleet(FakeFleetOptions{});
+  addExecutors(Fleet, 2);
+  Fleet.submit("lasting", makeJob(2, 1000, true));
+  cr_assert(awaitRuns(Fleet, "lasting", 2, Millis(2000)) < Millis(2000));
+  Fleet.crash(Fleet.executorsRunning("lasting").front(), ForGood);
+  Fleet.takeOver();
+  Millis Gap{0};
+  for (const Millis Time : {Millis(8000), Millis(1500)}) {
+    Fleet.run(Time);
+    Gap += Time;
+    Fleet.takeOver();
+  }
+  Gap += awaitRuns(Fleet, "lasting", 2, Millis(20'000));
+  // One lease, as long as a leader that was cut off might have granted it, and two heartbeats.
+  cr_expect_leq(Gap.count(), MaxLeaseWait.count() + 1500, "the task runs again after %ld ms",
+                static_cast<long>(Gap.count()));
+  expectNoViolations(Fleet);
+}
+
 // Guards against a lost executor that holds back tasks which cannot run there.
 Test(SchedulerSilence, otherTasksStartAtOnce) {
   FakeFleet Fleet(FakeFleetOptions{});
