A late result renews the reading of the executor's clock

Leases were computed from a reading that grew older with each late result: after a minute of results that were 1.5 s late, on a clock that is 2 % slow, a lease outlasted the time after which the leader starts the tasks of a lost executor again (TWICE).

Evidence: unit.SchedulerLateResultClockTest failed before ("two runs of lasting.0.0.0 on e0 and e1").

--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -119,6 +119,10 @@
   if (Now - AnsweredAt >= Timing_.MaxResultLoss_)
     return;
   Executor.LastAnswerAt_ = Now;
+  // Leases are computed from the newest reading of the clock: the error of an old one grows. This
+  // one is behind by the time that the result was on its way, which makes leases shorter.
+  Executor.ClockMs_ = std::max(Executor.ClockMs_, Report.ClockMs_);
+  Executor.ClockReadAt_ = Now;
   Executor.AnswerOverdue_ = false;
   Executor.HoldInFlight_ = false;
   Executor.NextHoldAt_ = Now;
