Each start order may begin a lease; it is repeated for 1.1 s only

The wait counts from each order again, and a start is repeated for 1.1 s instead of three times, which keeps a lasting task within its 9 s (unit.SchedulerRestartGapTest).

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -50,9 +50,12 @@
   /// Time for which an executor counts as answering although relays return no results from it.
   /// Leaves more than half of a lease to settle its runs.
   core::Millis MaxResultLoss_{3000};
-  /// The first start order of a run carries the lease that the executor has been granted already if
-  /// it lasts for longer than this. Leaves more than two rounds of renewals.
+  /// A start order carries the lease that the executor has been granted already if it lasts for
+  /// longer than this. Leaves more than two rounds of renewals.
   core::Millis MinStartLease_{4000};
+  /// Time after the first start order of a run in which it is repeated. Each order may start a
+  /// lease, and the task waits for the last one if the executor is lost.
+  core::Millis MaxStartRepeatTime_{1100};
   /// Minimum interval of hold requests while the effects of reported ends are not durable or ends
   /// are left unprocessed.
   core::Millis UnackedHoldSpacing_{400};
@@ -389,6 +392,8 @@
   static void releaseDrained(ExecutorState &Executor);
   /// Sends the order that a run needs now.
   /// \returns true while the run may need another order.
+  /// Notes that an order which is sent now may start a lease.
+  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) const;
   bool tickRun(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
   void stopDrainingRuns(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the run time of comparable tasks, or nothing while too few have ended.
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -128,9 +128,13 @@
   Executor.GrantedUntil_ = std::min<core::TimePoint>(Now + Timing_.Lease_, leaseLimit());
   Executor.GrantedUntilMs_ =
       Executor.ClockMs_ + core::toMillis(Executor.GrantedUntil_ - Executor.ClockReadAt_);
+  extendLeaseEnd(Executor, Now);
+  return Executor.GrantedUntilMs_;
+}
+
+void Scheduler::extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) const {
   Executor.LeaseEnd_ =
       std::max(Executor.LeaseEnd_, Now + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_));
-  return Executor.GrantedUntilMs_;
 }
 
 bool Scheduler::awaitsHeartbeat(core::TimePoint Now) const {
@@ -251,11 +255,10 @@
   ++Open.Sent_;
   Open.InFlight_ = true;
   Open.Settled_ = false;
-  // The executor may just have been lost. A new lease for each order would prolong the time for
-  // which all its runs count.
-  const core::Millis MinLease =
-      ActiveRun.UnansweredStarts_ > 0 ? core::Millis(0) : Timing_.MinStartLease_;
-  ActiveRun.Order_.LeaseEndMs_ = Executor.GrantedUntil_ - Now > MinLease
+  // A new incarnation that the leader has not met has another clock, by which a lease may begin
+  // now.
+  extendLeaseEnd(Executor, Now);
+  ActiveRun.Order_.LeaseEndMs_ = Executor.GrantedUntil_ - Now > Timing_.MinStartLease_
                                      ? Executor.GrantedUntilMs_
                                      : grantLease(Executor, Now);
   ++StartsInFlight_;
@@ -491,7 +494,8 @@
     return OrderPending;
   if (ActiveRun.State_ == RunState::Stopping)
     sendStop(Executor, ActiveRun, Now);
-  else if (ActiveRun.UnansweredStarts_ >= Timing_.MaxStartAttempts_)
+  else if (ActiveRun.UnansweredStarts_ >= Timing_.MaxStartAttempts_ ||
+           Now - ActiveRun.OrderedAt_ >= Timing_.MaxStartRepeatTime_)
     stopRun(Executor, ActiveRun, "start order was not answered", Now);
   else if (exceedsCapacity(Executor))
     stopRun(Executor, ActiveRun, "capacity has shrunk before the start was answered", Now);
