A late report of a restart does not end runs that started since

A report that was on its way while the new incarnation was given runs listed none of them, and the leader took them for over: the executor was given more than its capacity (LIMIT). Runs whose start was ordered after the request for the report are stopped now before they count as over.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -346,7 +346,8 @@
                       std::uint64_t LastReported, core::TimePoint Now);
   void preventOpenStarts(ExecutorState &Executor, const std::set<RunKey> &ListedRuns,
                          core::TimePoint Now);
-  void handleRestart(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
+  void handleRestart(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint SentAt,
+                     core::TimePoint Now);
   static void resetIncarnation(ExecutorState &Executor);
   void removeAllRuns(ExecutorState &Executor, std::string_view Reason, core::TimePoint Now);
 
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -78,7 +78,7 @@
   if (Report.IncarnationStartMs_ != 0 && Executor.Incarnation_ != 0 &&
       Report.IncarnationStartMs_ != Executor.Incarnation_) {
     onExecutorCrashed(Executor, Report.Running_, Now);
-    handleRestart(Executor, Report, Now);
+    handleRestart(Executor, Report, SentAt, Now);
   }
   if (WasLost && Report.IncarnationStartMs_ != 0)
     onAnswerAfterSilence(Executor, Report.IncarnationStartMs_, Now);
@@ -491,10 +491,11 @@
 }
 
 void Scheduler::handleRestart(ExecutorState &Executor, const fleet::Report &Report,
-                              core::TimePoint Now) {
+                              core::TimePoint SentAt, core::TimePoint Now) {
   logDecision("runs_lost", {}, 0, Executor.Info_.Id_, "executor has restarted");
   Executor.MetAt_ = Now;
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
+/// \param SentAt when the request was sent; the report lacks runs that have started since.
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
   std::set<RunKey> ListedRuns;
   for (const fleet::ReportedRun &Row : Report.Running_)
@@ -509,9 +510,10 @@
     ActiveRun.StopAnsweredAt_ = {};
     if (ListedRuns.contains(Key))
       continue;
-    if (!mayStillStart(Executor, Key)) {
+    const bool MayHaveStarted = mayStillStart(Executor, Key) || ActiveRun.OrderSentAt_ >= SentAt;
+    if (!MayHaveStarted) {
       EndedRuns.push_back(Key);
-    } else if (Executor.OpenStarts_.at(Key).InFlight_) {
+    } else if (mayStillStart(Executor, Key) && Executor.OpenStarts_.at(Key).InFlight_) {
       // The order may still reach the new incarnation, and is repeated when it gets no answer.
       if (ActiveRun.State_ == RunState::Running)
         ActiveRun.State_ = RunState::Starting;
