Runs that lapsed stay known until they are stored as void

A leader that gave up the runs of a silent executor recorded at once that it has none, and forgot an executor that had left the list, although the voided runs were not durable or their jobs not read yet.

What a silent executor may have run counts as known only when all voided runs are stored; unknown runs of earlier terms that have lapsed stay unknown. An executor is forgotten only when the jobs that were stored before have been read.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -283,6 +283,7 @@
   // Jobs.
   void initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs);
   void takeUpEndedJob(TrackedJob &Job, core::TimePoint Now);
+  bool mayForget(const ExecutorState &Executor) const;
   bool isFinished(const TrackedJob &Job,
                   const std::set<std::string_view> &JobsWithOpenStarts) const;
   void updateReadySteps(TrackedJob &Job, std::uint32_t Occurrence);
@@ -324,6 +325,8 @@
   void voidRuns(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t UpTo);
   void voidUnknownRuns(TrackedJob &Job);
   void voidRunsOfLateJob(TrackedJob &Job);
+  /// \returns true when all voided runs are known to later leaders.
+  bool voidsAreStored() const;
   /// \returns a number that changes with each start of the task in this term.
   std::uint64_t lastStartOf(const TrackedJob &Job, const work::TaskRef &Task) const;
   bool mustWithhold(const ExecutorState &Executor, const fleet::ReportedEnd &End);
@@ -389,12 +392,12 @@
   /// Grants an executor a lease that starts now.
   /// \returns its end on the executor's clock.
   std::int64_t grantLease(ExecutorState &Executor, core::TimePoint Now);
+  /// Notes that an order which is sent now may start a lease.
+  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) const;
   void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
   static void releaseDrained(ExecutorState &Executor);
   /// Sends the order that a run needs now.
   /// \returns true while the run may need another order.
-  /// Notes that an order which is sent now may start a lease.
-  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) const;
   bool tickRun(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
   void stopDrainingRuns(ExecutorState &Executor, core::TimePoint Now);
   /// \returns the run time of comparable tasks, or nothing while too few have ended.
@@ -410,7 +413,7 @@
   void stopCopies(const work::TaskRef &Task, std::uint64_t EndedRun, core::TimePoint Now);
   core::Millis holdWait(const ExecutorState &Executor, core::TimePoint Now) const;
   void adjustPace(ExecutorState &Executor, core::TimePoint Now);
-  void updateAccounted();
+  void updateAccounted(core::TimePoint Now);
 
   // Placement.
   void placeWaiting(core::TimePoint Now, std::int64_t WallMs);
@@ -425,11 +428,10 @@
   const bool RosterComplete_;
   bool Fenced_ = false;
   bool Accounted_ = false;          ///< every run of earlier leaders is known or over
+  core::TimePoint AccountedAt_{};   ///< since when
   bool AccountedByReports_ = false; ///< accounted because all executors answered
   std::size_t UnaccountedRuns_ = 0;
   std::size_t ReappearedRuns_ = 0;
-  /// An executor was forgotten that may have had unknown runs of earlier terms.
-  bool UnaccountedForgotten_ = false;
   /// Like Accounted_, except for runs on executors that did not answer.
   bool AllContacted_ = false;
   bool EndsHidden_ = false; ///< some executor has ends that did not fit into its last report
@@ -441,8 +443,13 @@
   core::TimePoint JobsReadUpTo_{};  ///< all jobs stored before this time have been read
   std::set<std::string> FinalJobs_; ///< ended jobs without runs that are still in the log
   std::map<work::TaskRef, VoidRecord> VoidedRuns_;
-  /// Highest number of the runs that were given up with a lease before their job was read.
-  std::map<work::TaskRef, std::uint64_t> LapsedBeforeRead_;
+  struct LapsedRun {
+    std::uint64_t Number_ = 0; ///< highest number of the task's runs that were given up
+    core::TimePoint LapsedAt_;
+  };
+  /// Runs that were given up with a lease before their job was read.
+  std::map<work::TaskRef, LapsedRun> LapsedBeforeRead_;
+  std::uint64_t LastVoidFlush_ = 0; ///< flush that makes the last voided run durable
   /// Runs of earlier terms that no executor has listed count as over because leases have lapsed.
   bool UnknownRunsLapsed_ = false;
   std::vector<std::string> FinishedJobs_; ///< jobs that takeFinishedJobs() returns next
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -274,10 +274,14 @@
     Stored.push_back({Task.Occurrence_, Task.Step_, Task.Index_, UpTo});
   else
     Found->UpTo_ = std::max(Found->UpTo_, UpTo);
-  Job.VoidFlush_ = NextFlush_;
+  Job.VoidFlush_ = LastVoidFlush_ = NextFlush_;
   markDirty(Job);
 }
 
+bool Scheduler::voidsAreStored() const {
+  return LapsedBeforeRead_.empty() && DurableFlush_ >= LastVoidFlush_;
+}
+
 /// Voids the runs of earlier terms that no executor has listed. Those that did not answer may have
 /// completed them before their leases lapsed.
 void Scheduler::voidUnknownRuns(TrackedJob &Job) {
@@ -296,8 +300,9 @@
 void Scheduler::voidRunsOfLateJob(TrackedJob &Job) {
   auto Entry = LapsedBeforeRead_.lower_bound({Job.Id_, 0, 0, 0});
   while (Entry != LapsedBeforeRead_.end() && Entry->first.Job_ == Job.Id_) {
-    if (findStep(Job, Entry->first) != nullptr)
-      voidRuns(Job, Entry->first, Entry->second);
+    const TrackedStep *Step = findStep(Job, Entry->first);
+    if (Step != nullptr && Step->Tasks_[Entry->first.Index_].State_ != TaskState::Done)
+      voidRuns(Job, Entry->first, Entry->second.Number_);
     Entry = LapsedBeforeRead_.erase(Entry);
   }
   if (UnknownRunsLapsed_)
@@ -490,12 +495,12 @@
   }
 }
 
+/// \param SentAt when the request was sent; the report lacks runs that have started since.
 void Scheduler::handleRestart(ExecutorState &Executor, const fleet::Report &Report,
                               core::TimePoint SentAt, core::TimePoint Now) {
   logDecision("runs_lost", {}, 0, Executor.Info_.Id_, "executor has restarted");
   Executor.MetAt_ = Now;
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
-/// \param SentAt when the request was sent; the report lacks runs that have started since.
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
   std::set<RunKey> ListedRuns;
   for (const fleet::ReportedRun &Row : Report.Running_)
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -447,7 +447,8 @@
       if (TrackedJob *Job = findJob(Key.first))
         voidRuns(*Job, Key.first, Key.second);
       else if (!FinalJobs_.contains(Key.first.Job_))
-        LapsedBeforeRead_[Key.first] = std::max(LapsedBeforeRead_[Key.first], Key.second);
+        LapsedBeforeRead_[Key.first] = {std::max(LapsedBeforeRead_[Key.first].Number_, Key.second),
+                                        Now};
     removeAllRuns(Executor, describeLapse(Executor, Now), Now);
   }
   if (!isUnset(Executor.DrainEnd_))
@@ -552,16 +553,16 @@
          Executor.SilenceInherited_;
 }
 
-void Scheduler::updateAccounted() {
+void Scheduler::updateAccounted(core::TimePoint Now) {
   if (Accounted_)
     return;
   const bool LeasesLapsed =
       ConfirmedAt_ >= TermStart_ + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_) +
                           Timing_.StaleLeaderTime_;
-  const bool AllReported = !Executors_.empty() && !UnaccountedForgotten_ &&
-                           std::ranges::all_of(Executors_, [](const auto &Entry) {
-                             return isAccountedFor(Entry.second);
-                           });
+  const bool AllReported =
+      !Executors_.empty() && std::ranges::all_of(Executors_, [](const auto &Entry) {
+        return isAccountedFor(Entry.second);
+      });
   // An earlier leader may have recorded that the leases of an executor end sooner than all others.
   const bool AllAccountedFor =
       !Executors_.empty() && std::ranges::all_of(Executors_, [this](const auto &Entry) {
@@ -576,6 +577,7 @@
   if (!LeasesLapsed && !(RosterComplete_ && AllAccountedFor))
     return;
   Accounted_ = true;
+  AccountedAt_ = Now;
   AccountedByReports_ = !LeasesLapsed && AllReported;
   PlacementDue_ = true;
   UnknownRunsLapsed_ = !RosterComplete_ || !AllReported;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -370,24 +370,35 @@
          !JobsWithOpenStarts.contains(Job.Id_);
 }
 
+/// \returns true when an executor that left the list has no runs, and later leaders need not know
+/// that it had any.
+bool Scheduler::mayForget(const ExecutorState &Executor) const {
+  const bool EndsDurable = std::ranges::all_of(
+      Executor.UnackedEnds_, [](const auto &End) { return End.second == NoFlush; });
+  // Unknown runs are recorded as void with the jobs that were stored when they lapsed.
+  const bool Accounted = isAccountedFor(Executor) || (Accounted_ && AccountedAt_ < JobsReadUpTo_);
+  return !Executor.Listed_ && Executor.Runs_.empty() && Executor.OpenStarts_.empty() &&
+         EndsDurable && Accounted && voidsAreStored() && !Executor.HoldInFlight_ &&
+         ConfirmedAt_ >= Executor.LeaseEnd_;
+}
+
 void Scheduler::tick(core::TimePoint Now, std::int64_t WallMs) {
+  // A job that was stored before its runs lapsed has been read by then, or does not exist.
+  std::erase_if(LapsedBeforeRead_,
+                [this](const auto &Entry) { return Entry.second.LapsedAt_ < JobsReadUpTo_; });
   std::vector<std::string> Forgotten;
   for (auto &[Id, Executor] : Executors_) {
     tickExecutor(Executor, Now);
-    const bool EndsDurable = std::ranges::all_of(
-        Executor.UnackedEnds_, [](const auto &End) { return End.second == NoFlush; });
-    if (!Executor.Listed_ && Executor.Runs_.empty() && Executor.OpenStarts_.empty() &&
-        EndsDurable && !Executor.HoldInFlight_ && ConfirmedAt_ >= Executor.LeaseEnd_)
+    if (mayForget(Executor))
       Forgotten.push_back(Id);
   }
   for (const std::string &Id : Forgotten) {
-    UnaccountedForgotten_ = UnaccountedForgotten_ || !isAccountedFor(Executors_.at(Id));
     ByOrdinal_[Executors_.at(Id).Ordinal_] = nullptr;
     Unrecorded_.erase(Id);
     Executors_.erase(Id);
   }
   const bool WasAccounted = Accounted_;
-  updateAccounted();
+  updateAccounted(Now);
   if (Accounted_ && !WasAccounted)
     for (auto &[Id, Job] : Jobs_)
       stopIncompleteGangs(Job, Now);
--- a/src/lead/SilentExecutors.cpp
+++ b/src/lead/SilentExecutors.cpp
@@ -24,11 +24,12 @@
 } // namespace
 
 /// \returns true when every run that the executor may have is known, and what is known of runs that
-/// have ended is durable.
+/// have ended or were given up is durable.
 bool Scheduler::knowsRunsOf(const ExecutorState &Executor) const {
-  const bool Complete = Executor.RunsKnown_ || Executor.SilenceInherited_ || Accounted_ ||
+  const bool Complete = Executor.RunsKnown_ || Executor.SilenceInherited_ ||
+                        (Accounted_ && !UnknownRunsLapsed_) ||
                         (RosterComplete_ && !Executor.InheritedRuns_);
-  return Complete && !Executor.ReportFull_ && Executor.PostponedEnds_.empty() &&
+  return Complete && voidsAreStored() && !Executor.ReportFull_ && Executor.PostponedEnds_.empty() &&
          Executor.UnackedEnds_.empty() && Executor.WithheldEnds_.empty() &&
          Executor.UnsizedRuns_ == 0;
 }
