A read of the store whose bytes are arriving gets more time

A read was given up after a fixed time (long poll, 1.3 s and the transfer on an idle link) although its bytes were arriving, and began anew.

- After a read or a page whose response had begun and was given up, the next attempt may take 1.25 s longer, and twice as much after each further one, up to 10 s.
The first complete answer ends that.
- The extra time holds only while bytes arrive: ClientRequest::MaxSilence_ (LoopClient) ends an exchange when no byte arrives for the time that was the whole limit before.
A silent connection is given up as soon as before, also while extra time is granted.
- Results of reads tell whether the response was Truncated (Partial_).
BytesReceived_ does not: a 503 has bytes as well.

Evidence: integration.SlowTopicReadTest with responses of 3 s in 60 pieces. Before, the two cases of a slow read and a slow page failed (not delivered in 20 s, 10 reads); now they pass after 7.5 and 7.6 s. The silent cases and the count of received bytes passed before and pass now: a silent connection has 0 bytes, also on a handle that was used before, and parts of a body count.

--- a/include/masticdrift/http/Client.h
+++ b/include/masticdrift/http/Client.h
@@ -19,6 +19,10 @@
   std::string Body_;
   Headers Headers_;
   std::chrono::milliseconds Timeout_{2000}; ///< timeout of the whole exchange, connect included
+  /// Ends the exchange when no byte of the response arrives for this long, from the start of the
+  /// exchange on. Without effect when it is not shorter than Timeout_, or zero. Not supported by
+  /// Client.
+  std::chrono::milliseconds MaxSilence_{0};
   /// Opens a new connection that is not reused. Required for requests that must not be sent twice:
   /// libcurl resends a request when a reused connection fails before the first response byte.
   bool FreshConnection_ = false;
--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -29,6 +29,11 @@
 constexpr int MaxPageKb = 1400;
 /// A transfer may take this multiple of the time that it would take on an idle link.
 constexpr double BusyLinkFactor = 2;
+/// Extra time after the first response that was given up while it arrived. It doubles with each
+/// further one: over a full link a read that begins anew sends the same bytes again, which keeps
+/// the link full.
+constexpr core::Millis FirstExtraTime{1250};
+constexpr core::Millis MaxExtraTime{10000};
 constexpr core::Millis MinRetryDelay{100};
 constexpr core::Millis MaxRetryDelay{800};
 
@@ -47,9 +52,16 @@
         static_cast<std::int64_t>(BusyLinkFactor * Kilobytes * BitsPerKilobyte / BitsPerMs));
   }
 
+  /// \returns the time limits of a call that is silent for \p MaxSilence at most. Only a response
+  /// that arrives gets the extra time, so that the return of a silent store is noticed at once.
+  platform::CallTimes timesFor(core::Millis MaxSilence) const {
+    return {MaxSilence + ExtraTime_, MaxSilence};
+  }
+
   void load(const std::string &AfterKey) {
     PageRequestedAt_ = core::Clock::now();
-    Store_.readNewest(Options_.Topic_, AfterKey, ResponseTimeout + transferTime(MaxPageKb),
+    Store_.readNewest(Options_.Topic_, AfterKey,
+                      timesFor(ResponseTimeout + transferTime(MaxPageKb)),
                       [Self = shared_from_this(), AfterKey,
                        Session = Session_](platform::NewestRecordsPage Page) {
                         if (!Self->Closed_ && Session == Self->Session_)
@@ -60,7 +72,7 @@
   void onPage(const std::string &AfterKey, platform::NewestRecordsPage Page) {
     countBytes(Page.BytesReceived_, Page.Complete_);
     if (!Page.Complete_) {
-      onFailure(Page.Detail_, Page.BytesReceived_);
+      onFailure(Page.Detail_, Page.BytesReceived_, Page.Partial_);
       schedule(RetryDelay_, [this, AfterKey] { load(AfterKey); });
       return;
     }
@@ -103,7 +115,7 @@
       return;
     }
     Store_.read(Options_.Topic_, NextOffset_, Options_.LongPollTime_, MaxReadKb,
-                Options_.LongPollTime_ + ResponseTimeout + transferTime(MaxReadKb),
+                timesFor(Options_.LongPollTime_ + ResponseTimeout + transferTime(MaxReadKb)),
                 [Self = shared_from_this(), Session = Session_,
                  SentAt = core::Clock::now()](const platform::ReadResult &Result) {
                   if (!Self->Closed_ && Session == Self->Session_)
@@ -115,7 +127,7 @@
     countBytes(Result.BytesReceived_, Result.Outcome_ != platform::ReadOutcome::Failed);
     switch (Result.Outcome_) {
     case platform::ReadOutcome::Failed:
-      onFailure(Result.Detail_, Result.BytesReceived_);
+      onFailure(Result.Detail_, Result.BytesReceived_, Result.Partial_);
       schedule(RetryDelay_, [this] { read(); });
       return;
     case platform::ReadOutcome::Expired:
@@ -169,8 +181,8 @@
   void catchUp(core::Millis Timeout, std::function<void(bool)> OnDone) {
     // Large enough to catch up in one call, because a caller waits for it.
     constexpr int CatchUpReadKb = 1024;
-    Store_.read(Options_.Topic_, NextOffset_, core::Millis(0), CatchUpReadKb,
-                Timeout + transferTime(CatchUpReadKb),
+    const core::Millis CallTime = Timeout + transferTime(CatchUpReadKb);
+    Store_.read(Options_.Topic_, NextOffset_, core::Millis(0), CatchUpReadKb, {CallTime, CallTime},
                 [Self = shared_from_this(), Session = Session_, SentAt = core::Clock::now(),
                  OnDone = std::move(OnDone)](const platform::ReadResult &Result) {
                   if (Self->Closed_)
@@ -192,6 +204,7 @@
     LoadedKeys_.clear();
     Started_ = Loaded_ = CaughtUp_ = Expedited_ = ReloadDue_ = Failing_ = false;
     RetryDelay_ = MinRetryDelay;
+    ExtraTime_ = core::Millis(0);
   }
 
   void onAnswered() {
@@ -199,6 +212,7 @@
       core::log(core::LogLevel::Info, "topic can be read again", {{"topic", Options_.Topic_}});
     Failing_ = false;
     RetryDelay_ = MinRetryDelay;
+    ExtraTime_ = core::Millis(0);
     LastAnsweredAt_ = core::Clock::now();
   }
 
@@ -209,7 +223,8 @@
   }
 
   /// \param BytesReceived part of the response that had arrived.
-  void onFailure(const std::string &Detail, std::size_t BytesReceived) {
+  /// \param Partial whether the response began to arrive and did not end.
+  void onFailure(const std::string &Detail, std::size_t BytesReceived, bool Partial) {
     core::count("masticdrift_store_failures_total", {{"topic", Options_.Topic_}});
     if (!Failing_)
       core::log(core::LogLevel::Warning, "topic cannot be read",
@@ -218,6 +233,8 @@
                  {"bytes", std::to_string(BytesReceived)}});
     Failing_ = true;
     RetryDelay_ = std::min(2 * RetryDelay_, MaxRetryDelay);
+    if (Partial)
+      ExtraTime_ = std::clamp(2 * ExtraTime_, FirstExtraTime, MaxExtraTime);
   }
 
   void schedule(core::Millis Delay, std::function<void()> Action) {
@@ -234,6 +251,7 @@
   const Hooks Callbacks_;
   asio::steady_timer Timer_;
   core::Millis RetryDelay_ = MinRetryDelay;
+  core::Millis ExtraTime_{0}; ///< for a response that arrives slowly
   std::uint64_t Session_ =
       0; ///< changes when reading is suspended; answers of earlier ones are void
   bool Closed_ = false;
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -5,13 +5,16 @@
 namespace {
 
 std::size_t writeCallback(char *Data, std::size_t Size, std::size_t Count, void *User) {
-  static_cast<Exchange *>(User)->Answer_.Body_.append(Data, Size * Count);
+  auto &Self = *static_cast<Exchange *>(User);
+  Self.LastProgressAt_ = std::chrono::steady_clock::now();
+  Self.Answer_.Body_.append(Data, Size * Count);
   return Size * Count;
 }
 
 std::size_t headerCallback(char *Data, std::size_t Size, std::size_t Count, void *User) {
   auto &Self = *static_cast<Exchange *>(User);
   Self.HeaderReceived_ = true;
+  Self.LastProgressAt_ = std::chrono::steady_clock::now();
   std::string_view Line(Data, Size * Count);
   while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
     Line.remove_suffix(1);
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -63,6 +63,9 @@
       curl_easy_cleanup(EasyHandle);
     }
     Active_.clear();
+    for (auto &[EasyHandle, Watch] : SilenceTimers_)
+      Watch->cancel();
+    SilenceTimers_.clear();
     for (CURL *EasyHandle : IdleHandles_)
       curl_easy_cleanup(EasyHandle);
     curl_multi_cleanup(MultiHandle_);
@@ -212,10 +215,35 @@
       finish(EasyHandle, Code);
   }
 
+  /// Ends the exchange once nothing of its response has arrived for \p MaxSilence.
+  void watchSilence(CURL *EasyHandle, std::chrono::milliseconds MaxSilence) {
+    auto Watch = std::make_shared<asio::steady_timer>(Loop_);
+    SilenceTimers_[EasyHandle] = Watch;
+    waitForSilence(EasyHandle, Watch, MaxSilence);
+  }
+
+  void waitForSilence(CURL *EasyHandle, const std::shared_ptr<asio::steady_timer> &Watch,
+                      std::chrono::milliseconds MaxSilence) {
+    Watch->expires_at(Active_.at(EasyHandle)->LastProgressAt_ + MaxSilence);
+    Watch->async_wait([Held = shared_from_this(), EasyHandle, Watch, MaxSilence](std::error_code) {
+      // The handle may belong to a later exchange by now.
+      const auto Current = Held->SilenceTimers_.find(EasyHandle);
+      if (Held->Closed_ || Current == Held->SilenceTimers_.end() || Current->second != Watch)
+        return;
+      if (std::chrono::steady_clock::now() <
+          Held->Active_.at(EasyHandle)->LastProgressAt_ + MaxSilence)
+        Held->waitForSilence(EasyHandle, Watch, MaxSilence);
+      else
+        Held->finish(EasyHandle, CURLE_OPERATION_TIMEDOUT);
+    });
+  }
+
   void finish(CURL *EasyHandle, CURLcode Code) {
     auto Entry = Active_.extract(EasyHandle);
     if (Entry.empty())
       return;
+    if (const auto Watch = SilenceTimers_.extract(EasyHandle); !Watch.empty())
+      Watch.mapped()->cancel();
     const std::unique_ptr<Exchange> Operation = std::move(Entry.mapped());
     ClientResult Result = detail::takeResult(Code, *Operation);
     curl_multi_remove_handle(MultiHandle_, EasyHandle);
@@ -238,8 +266,12 @@
     }
     // Without the extension an overloaded event loop times out responses that have arrived, and the
     // retries add to its load.
-    Operation->Request_.Timeout_ +=
+    const auto LagTime =
         TimeoutLagFactor * std::chrono::duration_cast<std::chrono::milliseconds>(Lag_);
+    const std::chrono::milliseconds MaxSilence = Operation->Request_.MaxSilence_;
+    const bool SilenceMatters = MaxSilence.count() > 0 && MaxSilence < Operation->Request_.Timeout_;
+    Operation->Request_.Timeout_ += LagTime;
+    Operation->LastProgressAt_ = std::chrono::steady_clock::now();
     detail::setOptions(*Operation, MaxIdleSeconds_, MaxConnectionAgeSeconds);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETFUNCTION, &openSocketCallback);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETDATA, this);
@@ -247,6 +279,8 @@
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_CLOSESOCKETDATA, this);
     CURL *EasyHandle = Operation->EasyHandle_;
     Active_.emplace(EasyHandle, std::move(Operation));
+    if (SilenceMatters)
+      watchSilence(EasyHandle, MaxSilence + LagTime);
     curl_multi_add_handle(MultiHandle_, EasyHandle);
   }
 
@@ -262,6 +296,8 @@
   bool Closed_ = false;
   std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> Sockets_;
   std::unordered_map<CURL *, std::unique_ptr<Exchange>> Active_;
+  /// Of the exchanges that end when their response stops arriving.
+  std::unordered_map<CURL *, std::shared_ptr<asio::steady_timer>> SilenceTimers_;
   std::vector<CURL *> IdleHandles_;
 };
 
