Configuration feed: shorter reads, spread fallbacks, patient transfers; bounded silence records

ConfigFanOutTest waits for the fan-out after each disturbed daemon, so that each case tests a source.

--- a/include/masticdrift/daemon/ConfigFeed.h
+++ b/include/masticdrift/daemon/ConfigFeed.h
@@ -53,8 +53,8 @@
   std::shared_ptr<Impl> Impl_;
 };
 
-/// Age of the last sign that a source is up to date, from which on a daemon reads the log service.
-/// Leaves a second for that read before a configuration has to be in force.
+/// Age of the last sign that a source is up to date, from which on daemons read the log service, up
+/// to 0.4 s apart. Leaves half a second for that read before a configuration has to be in force.
 inline constexpr core::Millis MaxConfigAge{1500};
 
 } // namespace masticdrift::daemon
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -432,6 +432,7 @@
   bool AccountedByReports_ = false; ///< accounted because all executors answered
   std::size_t UnaccountedRuns_ = 0;
   std::size_t ReappearedRuns_ = 0;
+  core::TimePoint SilencesWrittenAt_{}; ///< when records of silent executors were written last
   /// Like Accounted_, except for runs on executors that did not answer.
   bool AllContacted_ = false;
   bool EndsHidden_ = false; ///< some executor has ends that did not fit into its last report
--- a/src/daemon/ConfigFeed.cpp
+++ b/src/daemon/ConfigFeed.cpp
@@ -6,6 +6,7 @@
 #include "masticdrift/core/Pack.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include <asio/steady_timer.hpp>
@@ -14,12 +15,17 @@
 
 namespace {
 
-/// Long-poll time of a read of the topic, after which the followers learn that nothing is new.
-constexpr core::Millis TopicLongPoll{600};
+/// Long-poll time of a read of the topic, after which the followers learn that nothing is new. What
+/// is left of MaxConfigAge is the time for the transfer of a configuration to the source.
+constexpr core::Millis TopicLongPoll{400};
 /// Limit of the wait for an answer from a source; it answers after each of its own reads.
 constexpr core::Millis SourceWait{900};
-/// Time for the answer itself, in addition to the wait.
-constexpr core::Millis SourceTimeoutMargin{500};
+/// Time for the answer itself, in addition to the wait. A source that hangs is left earlier, when
+/// the last sign of it is MaxConfigAge old.
+constexpr core::Millis SourceTimeoutMargin{2000};
+/// Longest additional age at which a daemon leaves its source. Spreads the reads of the daemons
+/// that have the same source.
+constexpr core::Millis MaxLeaveDelay{400};
 /// Delay before a source that did not answer, or is out of date, is asked again.
 constexpr core::Millis SourceRetryDelay{500};
 /// Largest configuration that is accepted from another daemon.
@@ -42,7 +48,8 @@
   };
 
   Impl(FleetContext &Context, RecordCallback OnRecord)
-      : Context_(Context), OnRecord_(std::move(OnRecord)), RetryTimer_(Context.Loop_),
+      : Context_(Context), OnRecord_(std::move(OnRecord)),
+        LeaveDelay_(leaveDelay(Context.Settings_.Instance_)), RetryTimer_(Context.Loop_),
         Tail_(Context.Loop_, Context.Store_, tailOptions(Context.Settings_.LinkMbps_),
               {[this](const platform::KeyedRecord &Record) { onTopicRecord(Record); },
                [](const auto &) {}, [this] { onTopicRead(); }}) {}
@@ -157,7 +164,14 @@
     return true;
   }
 
-  bool isOutOfDate(core::TimePoint Now) const { return Now - ReadUpTo_ > MaxConfigAge; }
+  bool isOutOfDate(core::TimePoint Now) const {
+    return Now - ReadUpTo_ > MaxConfigAge + LeaveDelay_;
+  }
+
+  static core::Millis leaveDelay(std::string_view Instance) {
+    const std::size_t Hash = std::hash<std::string_view>{}(Instance);
+    return core::Millis(static_cast<std::int64_t>(Hash % MaxLeaveDelay.count()));
+  }
 
   void follow() {
     if (std::exchange(Following_, true))
@@ -223,6 +237,7 @@
 
   FleetContext &Context_;
   const RecordCallback OnRecord_;
+  const core::Millis LeaveDelay_;
   asio::steady_timer RetryTimer_;
   TopicTail Tail_;
   bool Closed_ = false;
--- a/src/lead/SilentExecutors.cpp
+++ b/src/lead/SilentExecutors.cpp
@@ -16,6 +16,8 @@
 constexpr core::Millis MinRecordedSilence{400};
 /// Interval at which a record is written again, with the shorter remaining time.
 constexpr core::Millis RecordInterval{2000};
+/// Shortest time between heartbeats with such records, which all daemons read.
+constexpr core::Millis RecordSpacing{600};
 /// Limits of the records that are written with one heartbeat, which must not be delayed by its size
 /// on a slow link, and of the runs in one record.
 constexpr std::size_t MaxRecordBytes = 32'000;
@@ -55,6 +57,7 @@
 std::vector<work::LogRecord> Scheduler::takeSilenceChanges(core::TimePoint Now) {
   std::vector<work::LogRecord> Changes;
   std::size_t Bytes = 0;
+  const bool TooSoon = Now - SilencesWrittenAt_ < RecordSpacing;
   for (auto &[Id, Executor] : Executors_) {
     if (Executor.LeaseWithheld_ && !Executor.Silent_) {
       Changes.push_back(encodeSilenceRemoval(Id));
@@ -63,7 +66,7 @@
     const bool Due = isUnset(Executor.SilenceRecordedAt_)
                          ? Now - Executor.SilentSince_ >= MinRecordedSilence
                          : Now - Executor.SilenceRecordedAt_ >= RecordInterval;
-    if (!Executor.Silent_ || !Executor.Recorded_ || !Due || Bytes >= MaxRecordBytes)
+    if (TooSoon || !Executor.Silent_ || !Executor.Recorded_ || !Due || Bytes >= MaxRecordBytes)
       continue;
     SilenceRecord Record = describeSilence(Executor, Now);
     if (Record.Runs_.size() > MaxRecordedRuns)
@@ -73,7 +76,7 @@
       continue;
     Executor.SilenceSettled_ = Settled;
     Executor.LeaseWithheld_ = true;
-    Executor.SilenceRecordedAt_ = Now;
+    Executor.SilenceRecordedAt_ = SilencesWrittenAt_ = Now;
     Changes.push_back(encodeSilence(Id, Record));
     Bytes += Changes.back().Key_.size() + Changes.back().Value_.size();
   }
--- a/tests/integration/ConfigFanOutTest.cpp
+++ b/tests/integration/ConfigFanOutTest.cpp
@@ -72,8 +72,8 @@
 /// Puts configurations in force until the leader and one more daemon are the only ones that read
 /// them from the log service.
 /// \returns the version in force, or 0.
-int awaitFanOut(PlatformFleet &Fleet) {
-  int Version = 1;
+/// \param Version version in force before.
+int awaitFanOut(PlatformFleet &Fleet, int Version = 1) {
   const bool Settled = waitFor(SettleTimeout, [&] {
     const std::vector<std::size_t> Before = configBytesReadByAll(Fleet);
     const Json Manifest = largeManifest(++Version);
@@ -110,6 +110,8 @@
               "version %d is not in force while daemon %d is paused", Version, Paused + 1);
     Fleet.daemon(Paused).signal(SIGCONT);
     cr_expect(waitFor(SettleTimeout, [&] { return inForce(Fleet, Paused, Version); }));
+    Version = awaitFanOut(Fleet, Version);
+    cr_assert_gt(Version, 0, "after the pause of daemon %d", Paused + 1);
   }
 }
 
@@ -126,11 +128,13 @@
               "version %d is not in force while daemon %d is refused", Version, Refused + 1);
     Fleet.control({{"refused_daemon", "none"}});
     cr_expect(waitFor(SettleTimeout, [&] { return inForce(Fleet, Refused, Version); }));
+    Version = awaitFanOut(Fleet, Version);
+    cr_assert_gt(Version, 0, "after daemon %d was refused", Refused + 1);
   }
 }
 
-// Guards against a daemon that keeps reading from another one whose configuration is older.
-Test(ConfigFanOut, aRestartedDaemonReadsTheNewestConfiguration) {
+// Guards against a daemon that joins and stays without the newest configuration.
+Test(ConfigFanOut, aDaemonThatJoinsHasTheNewestConfiguration) {
   PlatformFleet Fleet(DaemonCount, 1);
   int Version = awaitFanOut(Fleet);
   cr_assert_gt(Version, 0, "more than two daemons read each configuration");
--- a/tests/unit/SchedulerResultLossTest.cpp
+++ b/tests/unit/SchedulerResultLossTest.cpp
@@ -70,6 +70,31 @@
   cr_expect_gt(Fleet.LastUntilMs_, EarlierUntilMs);
 }
 
+// Guards against runs that lapse although their executors are reached again: all results are lost
+// for three seconds.
+Test(SchedulerResultLoss, runsOutlastLostResults) {
+  for (Millis Offset{0}; Offset < Millis(2000); Offset += Millis(100)) {
+    tests::FakeFleetOptions Options;
+    Options.Relayed_ = true;
+    tests::FakeFleet Fleet(Options);
+    Fleet.addExecutor("e0", {4000, 8000, 0});
+    Fleet.run(Millis(11'000));
+    work::JobSpec Spec;
+    Spec.Payload_ = "payload";
+    Spec.Steps_.resize(1);
+    Spec.Steps_[0].TaskCount_ = 1;
+    Spec.Steps_[0].Need_ = {1000, 100, 0};
+    Spec.Steps_[0].EstimatedMs_ = 1000;
+    Spec.Steps_[0].LongRunning_ = true;
+    Fleet.submit("lasting", Spec);
+    Fleet.run(Millis(2000) + Offset);
+    Fleet.disconnect("e0", Millis(3000));
+    Fleet.run(Millis(20'000));
+    cr_expect_eq(Fleet.startsOf({"lasting", 0, 0, 0}), 1, "cut %ld ms later",
+                 static_cast<long>(Offset.count()));
+  }
+}
+
 // A link between daemons is full, and the results of holds come too late for a minute. Guards
 // against executors that are taken for silent, whose leases are not renewed and whose runs lapse.
 Test(SchedulerResultLoss, lateResultsKeepTheLeaseRenewed) {
