--- a/tests/integration/ConfigFanOutTest.cpp
+++ b/tests/integration/ConfigFanOutTest.cpp
@@ -64,6 +64,7 @@
 
 std::vector<std::size_t> configBytesReadByAll(PlatformFleet &Fleet) {
   std::vector<std::size_t> Bytes;
+  Bytes.reserve(DaemonCount);
   for (int I = 0; I < DaemonCount; ++I)
     Bytes.push_back(configBytesRead(Fleet, I));
   return Bytes;
