--- a/tests/support/CrashCases.h
+++ b/tests/support/CrashCases.h
@@ -4,6 +4,7 @@
 #define MASTICDRIFT_TESTS_SUPPORT_CRASHCASES_H
 
 #include "support/FakeFleet.h"
+#include "support/SimpleJobs.h"
 
 #include <cstdlib>
 #include <string>
@@ -17,33 +18,6 @@
 inline constexpr ReturnAs Returns[] = {ReturnAs::NewId, ReturnAs::SameId};
 inline const work::TaskRef Deadly{"deadly", 0, 0, 0};
 
-inline work::JobSpec makeJob(std::uint32_t Tasks, std::int64_t Ms, std::uint32_t Steps = 1) {
-  work::JobSpec Spec;
-  Spec.Payload_ = "payload";
-  for (std::uint32_t I = 0; I < Steps; ++I) {
-    work::StepSpec Step;
-    Step.TaskCount_ = Tasks;
-    Step.Need_ = {1000, 100, 0};
-    Step.EstimatedMs_ = Ms;
-    if (I > 0)
-      Step.DependsOn_ = {I - 1};
-    Spec.Steps_.push_back(Step);
-  }
-  return Spec;
-}
-
-inline work::JobSpec makeGang(std::uint32_t Members, std::int64_t Ms) {
-  work::JobSpec Spec = makeJob(Members, Ms);
-  Spec.Steps_[0].Gang_ = true;
-  return Spec;
-}
-
-inline work::JobSpec makeLasting(std::uint32_t Tasks) {
-  work::JobSpec Spec = makeJob(Tasks, 1000);
-  Spec.Steps_[0].LongRunning_ = true;
-  return Spec;
-}
-
 /// \returns options; MASTICDRIFT_TRACE_SEED requests the decisions of a seed, 0 stands for the
 /// tests without seeds.
 inline FakeFleetOptions makeOptions(ReturnAs Return = ReturnAs::NewId, unsigned Seed = 0) {
--- a/tests/unit/SchedulerLapseBeforeReadTest.cpp
+++ b/tests/unit/SchedulerLapseBeforeReadTest.cpp
@@ -1,5 +1,6 @@
 // Runs that lapse before their job is read, and a further change of the leader.
 #include "support/FakeFleet.h"
+#include "support/SimpleJobs.h"
 
 #include <criterion/criterion.h>
 
@@ -17,13 +18,7 @@
       for (const char *Id : {"e0", "e1"})
         Fleet.addExecutor(Id, {4000, 8000, 0});
       Fleet.run(Millis(11'000));
-      work::JobSpec Spec;
-      Spec.Payload_ = "payload";
-      Spec.Steps_.resize(1);
-      Spec.Steps_[0].TaskCount_ = 1;
-      Spec.Steps_[0].Need_ = {1000, 100, 0};
-      Spec.Steps_[0].EstimatedMs_ = 1000;
-      Fleet.submit("j1", Spec);
+      Fleet.submit("j1", tests::makeJob(1, 1000));
       Fleet.run(Millis(500));
       cr_assert_eq(Fleet.executorsRunning("j1").size(), 1);
       Fleet.disconnect(Fleet.executorsRunning("j1").front(), Millis(25'000));
--- a/tests/unit/SchedulerLateResultClockTest.cpp
+++ b/tests/unit/SchedulerLateResultClockTest.cpp
@@ -1,5 +1,6 @@
 // Leases of executors whose results arrive after they were reported as lost.
 #include "support/FakeFleet.h"
+#include "support/SimpleJobs.h"
 
 #include <criterion/criterion.h>
 
@@ -17,14 +18,7 @@
       for (const char *Id : {"e0", "e1"})
         Fleet.addExecutor(Id, {4000, 8000, 0});
       Fleet.run(Millis(11'000));
-      work::JobSpec Spec;
-      Spec.Payload_ = "payload";
-      Spec.Steps_.resize(1);
-      Spec.Steps_[0].TaskCount_ = 1;
-      Spec.Steps_[0].Need_ = {1000, 100, 0};
-      Spec.Steps_[0].EstimatedMs_ = 1000;
-      Spec.Steps_[0].LongRunning_ = true;
-      Fleet.submit("lasting", Spec);
+      Fleet.submit("lasting", tests::makeLasting(1));
       Fleet.run(Millis(1000));
       cr_assert_eq(Fleet.runCount(), 1);
       Fleet.delayHoldResults(Delay);
--- a/tests/unit/SchedulerLateResultGapTest.cpp
+++ b/tests/unit/SchedulerLateResultGapTest.cpp
@@ -1,6 +1,7 @@
 // How long a task that lasts stays down when results on a full link arrive after its executor was
 // lost.
 #include "support/FakeFleet.h"
+#include "support/SimpleJobs.h"
 
 #include <criterion/criterion.h>
 
@@ -20,14 +21,7 @@
       Fleet.addExecutor("first", {16'000, 8000, 0});
       Fleet.addExecutor("second", {8000, 8000, 0});
       Fleet.run(Millis(11'000));
-      work::JobSpec Spec;
-      Spec.Payload_ = "payload";
-      Spec.Steps_.resize(1);
-      Spec.Steps_[0].TaskCount_ = 1;
-      Spec.Steps_[0].Need_ = {1000, 100, 0};
-      Spec.Steps_[0].EstimatedMs_ = 1000;
-      Spec.Steps_[0].LongRunning_ = true;
-      Fleet.submit("lasting", Spec);
+      Fleet.submit("lasting", tests::makeLasting(1));
       Fleet.run(Millis(1000));
       Fleet.delayHoldResults(Delay);
       Fleet.run(Millis(3000) + Offset);
--- a/tests/unit/SchedulerRestartGapTest.cpp
+++ b/tests/unit/SchedulerRestartGapTest.cpp
@@ -1,5 +1,6 @@
 // How long a task that lasts stays down when its executor is lost or an order is lost on the way.
 #include "support/FakeFleet.h"
+#include "support/SimpleJobs.h"
 
 #include <criterion/criterion.h>
 
@@ -21,18 +22,6 @@
 constexpr Millis CycleStep{100};
 constexpr Millis MeasureStep{10};
 
-work::JobSpec lastingTask() {
-  work::JobSpec Spec;
-  Spec.Payload_ = "payload";
-  work::StepSpec Step;
-  Step.TaskCount_ = 1;
-  Step.Need_ = {1000, 100, 0};
-  Step.EstimatedMs_ = 1000;
-  Step.LongRunning_ = true;
-  Spec.Steps_.push_back(Step);
-  return Spec;
-}
-
 FakeFleetOptions orders(bool Relayed) {
   FakeFleetOptions Options;
   Options.Relayed_ = Relayed;
@@ -46,7 +35,7 @@
   Fleet.addExecutor("second", {8000, 8000, 0});
   Fleet.addExecutor("third", {4000, 8000, 0});
   Fleet.run(TermAge);
-  Fleet.submit("lasting", lastingTask());
+  Fleet.submit("lasting", tests::makeLasting(1));
   Fleet.run(Millis(3000) + Offset);
   cr_assert_eq(Fleet.executorsRunning("lasting"), std::vector<std::string>{"first"});
 }
--- a/tests/unit/SchedulerResultLossTest.cpp
+++ b/tests/unit/SchedulerResultLossTest.cpp
@@ -1,6 +1,7 @@
 // Results of orders that are lost between daemons, which say nothing about the executor.
 #include "masticdrift/lead/Scheduler.h"
 #include "support/FakeFleet.h"
+#include "support/SimpleJobs.h"
 
 #include <criterion/criterion.h>
 
@@ -79,14 +80,7 @@
     tests::FakeFleet Fleet(Options);
     Fleet.addExecutor("e0", {4000, 8000, 0});
     Fleet.run(Millis(11'000));
-    work::JobSpec Spec;
-    Spec.Payload_ = "payload";
-    Spec.Steps_.resize(1);
-    Spec.Steps_[0].TaskCount_ = 1;
-    Spec.Steps_[0].Need_ = {1000, 100, 0};
-    Spec.Steps_[0].EstimatedMs_ = 1000;
-    Spec.Steps_[0].LongRunning_ = true;
-    Fleet.submit("lasting", Spec);
+    Fleet.submit("lasting", tests::makeLasting(1));
     Fleet.run(Millis(2000) + Offset);
     Fleet.disconnect("e0", Millis(3000));
     Fleet.run(Millis(20'000));
@@ -105,14 +99,7 @@
     for (const char *Id : {"e0", "e1", "e2"})
       Fleet.addExecutor(Id, {4000, 8000, 0});
     Fleet.run(Millis(11'000));
-    work::JobSpec Spec;
-    Spec.Payload_ = "payload";
-    Spec.Steps_.resize(1);
-    Spec.Steps_[0].TaskCount_ = 6;
-    Spec.Steps_[0].Need_ = {1000, 100, 0};
-    Spec.Steps_[0].EstimatedMs_ = 1000;
-    Spec.Steps_[0].LongRunning_ = true;
-    Fleet.submit("lasting", Spec);
+    Fleet.submit("lasting", tests::makeLasting(6));
     Fleet.run(Millis(1000));
     cr_assert_eq(Fleet.runCount(), 6);
     Fleet.delayHoldResults(Delay);
--- a/tests/unit/SchedulerUnmetLeaseTest.cpp
+++ b/tests/unit/SchedulerUnmetLeaseTest.cpp
@@ -1,5 +1,6 @@
 // Starts that reach a new incarnation which the leader has not met, before the executor is lost.
 #include "support/FakeFleet.h"
+#include "support/SimpleJobs.h"
 
 #include <criterion/criterion.h>
 
