--- a/tests/support/AbsenceStorm.h
+++ b/tests/support/AbsenceStorm.h
@@ -29,7 +29,7 @@
   Options.Relayed_ = ResultsAreLate;
   FakeFleet Fleet(Options);
   std::mt19937 Random(Seed);
-  const std::int64_t Cores = 2 + Random() % 3;
+  const auto Cores = static_cast<std::int64_t>(2 + Random() % 3);
   for (int I = 0; I < 5; ++I)
     Fleet.addExecutor("e" + std::to_string(I), {Cores * 1000, 8000, 0});
   Fleet.run(Millis(100));
