Election logs: what a claimant has read, and how long a takeover takes

A claim tells the claimant's turn, whether it is a standby and whether it has read the specifications; a new leader tells how long it has prepared (metric masticdrift_takeover_seconds).

--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -211,7 +211,10 @@
     core::log(core::LogLevel::Info, "claiming the leadership",
               {{"at", std::to_string(Offset)},
                {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewestReadAt_))},
-               {"refused", LeaderGone_ ? "true" : "false"}});
+               {"refused", LeaderGone_ ? "true" : "false"},
+               {"turn", std::to_string(rank())},
+               {"standby", Standby_ ? "true" : "false"},
+               {"specs_loaded", Specs_.loaded() ? "true" : "false"}});
     appendLeadershipRecord(Offset, Offset + 1, false, {},
                            [this](platform::AppendOutcome) { ClaimOutstanding_ = false; });
   }
@@ -287,6 +290,7 @@
   void beginTerm() {
     Role_ = Role::Preparing;
     Term_ = NewestRecord_->Term_;
+    TermBegunAt_ = core::Clock::now();
     Sequence_ = 0;
     ConfigReaders_ = {};
     Config_.setSource({});
@@ -386,8 +390,11 @@
     Specs_.expedite();
     const auto Counts = Scheduler_->counts();
     core::setGauge("masticdrift_leader", 1);
+    core::observe("masticdrift_takeover_seconds",
+                  std::chrono::duration<double>(Now - TermBegunAt_).count());
     core::log(core::LogLevel::Info, "leads",
               {{"term", std::to_string(Term_)},
+               {"prepared_ms", std::to_string(core::toMillis(Now - TermBegunAt_))},
                {"jobs", std::to_string(Counts.Jobs_)},
                {"executors", std::to_string(Counts.Executors_)},
                {"unlisted", std::to_string(Counts.Unlisted_)},
@@ -922,6 +929,7 @@
   std::optional<lead::LeadershipRecord> NewestRecord_;
   std::uint64_t NewestRecordOffset_ = 0;
   core::TimePoint NewestReadAt_{}; ///< when the newest record was read, or this daemon's term ended
+  core::TimePoint TermBegunAt_{};  ///< when this daemon's last term began
   core::TimePoint GoneSince_{}; ///< when the leader was found to be gone; zero while there is one
   lead::Roster Roster_;         ///< as read from the leadership topic
   lead::SilenceTable Silences_; ///< the same, of silent executors
