The first read after a failure does not wait for records

Callers saw refusals and tasks without leases for up to 2 s after the store had come back: a read that is sent after an outage waited for new records (2 s on the leadership topic, which has none while nobody leads) before it showed that the store answers, and only then does a daemon claim the leadership.

While the last call has failed, reads are sent without a wait. TopicTail.theFirstReadAfterAFailureDoesNotWaitForRecords failed before.

--- a/src/daemon/TopicTail.cpp
+++ b/src/daemon/TopicTail.cpp
@@ -114,8 +114,10 @@
       load({});
       return;
     }
-    Store_.read(Options_.Topic_, NextOffset_, Options_.LongPollTime_, MaxReadKb,
-                timesFor(Options_.LongPollTime_ + ResponseTimeout + transferTime(MaxReadKb)),
+    // After a failure the answer alone matters: it shows that the store is back.
+    const core::Millis LongPollTime = Failing_ ? core::Millis(0) : Options_.LongPollTime_;
+    Store_.read(Options_.Topic_, NextOffset_, LongPollTime, MaxReadKb,
+                timesFor(LongPollTime + ResponseTimeout + transferTime(MaxReadKb)),
                 [Self = shared_from_this(), Session = Session_,
                  SentAt = core::Clock::now()](const platform::ReadResult &Result) {
                   if (!Self->Closed_ && Session == Self->Session_)
--- a/tests/integration/TopicTailTest.cpp
+++ b/tests/integration/TopicTailTest.cpp
@@ -16,6 +16,8 @@
 struct FakeLogService {
   asio::io_context Loop_;
   std::vector<http::Responder> UnansweredReads_;
+  std::size_t FailingReads_ = 0;       ///< reads that are refused before the others
+  std::vector<std::string> ReadWaits_; ///< for how long each read may wait for records, in ms
   http::Server Server_;
   http::LoopClient Client_{Loop_, std::chrono::seconds(10), 10};
   platform::Store Store_{Client_, "127.0.0.1:" + std::to_string(Server_.port())};
@@ -34,7 +36,11 @@
 
   void answer(const http::Request &HttpRequest, const http::Responder &Respond) {
     if (HttpRequest.Path_ != "/log-newest") {
-      UnansweredReads_.push_back(Respond);
+      ReadWaits_.push_back(http::queryValue(HttpRequest.Query_, "wait_ms"));
+      if (ReadWaits_.size() <= FailingReads_)
+        Respond({503, "{}", "application/json", {}, false});
+      else
+        UnansweredReads_.push_back(Respond);
       return;
     }
     const char Page = HttpRequest.Query_.ends_with("key1")   ? '2'
@@ -95,3 +101,17 @@
   cr_expect_lt(LogService.measureLoad(tailOptions(false), false).count(),
                MinThrottledLoadTime.count());
 }
+
+// Guards against a return of the store that is noticed seconds late: the first read after an outage
+// waited for new records.
+Test(TopicTail, theFirstReadAfterAFailureDoesNotWaitForRecords) {
+  FakeLogService LogService;
+  LogService.FailingReads_ = 1;
+  daemon::TopicTail Tail(LogService.Loop_, LogService.Store_, tailOptions(false),
+                         {[](const auto &) {}, [](const auto &) {}});
+  Tail.start();
+  while (LogService.ReadWaits_.size() < 2)
+    LogService.Loop_.run_one();
+  cr_expect_neq(LogService.ReadWaits_[0], "0");
+  cr_expect_eq(LogService.ReadWaits_[1], "0");
+}
