A leader leads until its release is stored

Callers saw everything stop for 6.5 s: a leader that hands over stepped down first and then appended its release.

The release is now a heartbeat that says so, and the term ends when it is stored or read back. A hand-over to a larger machine is requested by its hello and expires after 1 s without one, so that it is not carried out after an outage for a machine that is gone. A stopping daemon repeats the release until it is stored or its time is over.

HandOver.theLeaderRenewsLeasesUntilItsReleaseIsStored and aStoppedLeaderLeadsUntilItsReleaseIsStored failed before (no daemon led during the outage).

--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -32,8 +32,8 @@
   /// Starts to follow the leadership topic and to take part in elections.
   void start();
 
-  /// Releases the leadership so that another daemon takes over at once. Called when the daemon
-  /// stops; it makes no further claims then.
+  /// Releases the leadership so that another daemon takes over at once. This one leads until the
+  /// release is stored. Called when the daemon stops; it makes no further claims then.
   void release();
 
   /// Passes a job on to the scheduler after its job table entry changed or was removed.
@@ -45,8 +45,8 @@
   /// Passes an executor on to the scheduler after its entry changed or was removed.
   void onExecutor(std::string_view ExecutorId);
 
-  /// Registers another daemon as an adviser and a relay. Releases the leadership if only the other
-  /// machine is large enough to lead.
+  /// Registers another daemon as an adviser and a relay. Hands the leadership over if only the
+  /// other machine is large enough to lead.
   ///
   /// \returns the answer, which assigns no tasks to the other daemon while this one does not lead.
   protocol::HelloReply onHello(const protocol::Hello &Hello);
@@ -65,7 +65,8 @@
   bool leading() const;
   /// \returns the term of the leadership; only meaningful while this daemon leads.
   std::uint64_t term() const;
-  /// \returns true when this daemon does not lead and no release is being written.
+  /// \returns true when this daemon neither leads nor prepares to: its release is stored, or
+  /// another daemon has taken over.
   bool released() const;
   /// \returns the leader's peer address, or an empty string when no leader is known or this daemon
   /// leads.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -33,6 +33,9 @@
 /// Interval between hellos to the leader.
 constexpr core::Millis HelloInterval{500};
 constexpr core::Millis HelloTimeout{900};
+/// Time after the hello of a larger machine in which the leader hands over to it; two intervals, so
+/// that one that does not come any more ends the request.
+constexpr core::Millis HandOverRequestTime{1000};
 /// A connection attempt that fails faster was refused; a slower one timed out.
 constexpr core::Millis MaxRefusalTime{200};
 /// Interval between scheduling rounds without events, which is also the longest delay after an
@@ -125,6 +128,8 @@
       beginTerm();
     else if (Role_ != Role::Follower && (!OwnRecord || NewestRecord_->Term_ != Term_))
       stepDown("another daemon became the leader");
+    else if (Role_ != Role::Follower && NewestRecord_->Released_)
+      stepDown("handed over");
   }
 
   bool ownsNewestRecord() const {
@@ -227,7 +232,8 @@
     appendHeartbeat();
   }
 
-  /// Appends a heartbeat and the pending changes of the roster and the silent executors.
+  /// Appends a heartbeat and the pending changes of the roster and the silent executors. While a
+  /// hand-over is due, the heartbeat releases the leadership.
   void appendHeartbeat() {
     if (HeartbeatOutstanding_)
       return;
@@ -236,10 +242,12 @@
     lead::Roster Added;
     for (const work::LogRecord &Change : Changes)
       lead::applyRosterRecord(Added, Change.Key_, Change.Value_);
-    appendLeadershipRecord(NewestRecordOffset_ + 1, Term_, false, Changes,
+    appendLeadershipRecord(NewestRecordOffset_ + 1, Term_, isHandOverDue(), Changes,
                            [this, Term = Term_, SentAt = core::Clock::now(), Changes,
                             Added = std::move(Added)](platform::AppendOutcome Outcome) {
                              HeartbeatOutstanding_ = false;
+                             if (Role_ != Role::Follower && isHandOverDue())
+                               runAfter(HeartbeatTimer_, RetryDelay, [this] { sendHeartbeat(); });
                              if (Outcome != platform::AppendOutcome::Stored ||
                                  Role_ != Role::Leading || Term_ != Term)
                                return;
@@ -291,6 +299,7 @@
     Role_ = Role::Preparing;
     Term_ = NewestRecord_->Term_;
     TermBegunAt_ = core::Clock::now();
+    HandOverUntil_ = {};
     Sequence_ = 0;
     ConfigReaders_ = {};
     Config_.setSource({});
@@ -430,28 +439,24 @@
     NewestReadAt_ = core::Clock::now();
   }
 
-  void release(std::string_view Reason) {
-    if (Role_ == Role::Follower || Releasing_)
+  /// Releases the leadership with the next heartbeat. The term ends when that is stored: until
+  /// another daemon can claim the leadership, somebody has to renew the leases.
+  /// \param Until when the request expires, if the release has not been stored by then.
+  void requestHandOver(std::string_view Reason, core::TimePoint Until) {
+    if (Role_ == Role::Follower)
+      return;
+    const bool Requested = isHandOverDue();
+    HandOverUntil_ = std::max(HandOverUntil_, Until);
+    if (Requested)
       return;
-    Releasing_ = true;
-    const std::uint64_t Term = Term_;
-    stepDown(Reason);
-    appendRelease(Term, 0);
+    core::log(core::LogLevel::Info, "handing over the leadership",
+              {{"term", std::to_string(Term_)},
+               {"reason", std::string(Reason)},
+               {"leads", Role_ == Role::Leading ? "true" : "false"}});
+    appendHeartbeat();
   }
 
-  void appendRelease(std::uint64_t Term, int Attempt) {
-    constexpr int MaxAttempts = 3;
-    appendLeadershipRecord(NewestRecordOffset_ + 1, Term, true, {},
-                           [this, Term, Attempt](platform::AppendOutcome Outcome) {
-                             const bool Retry = Outcome != platform::AppendOutcome::Stored &&
-                                                ownsNewestRecord() && !NewestRecord_->Released_ &&
-                                                Attempt < MaxAttempts;
-                             if (Retry)
-                               appendRelease(Term, Attempt + 1);
-                             else
-                               Releasing_ = false;
-                           });
-  }
+  bool isHandOverDue() const { return core::Clock::now() < HandOverUntil_; }
 
   // -- leading --
 
@@ -920,7 +925,6 @@
   bool LeadershipLoaded_ = false;
   bool ClaimOutstanding_ = false;
   bool HeartbeatOutstanding_ = false;
-  bool Releasing_ = false;
   bool RecordFoundOnStart_ = false; ///< the newest record is older than this process
   bool LeaderGone_ = false; ///< its address refuses connections or belongs to another process
   bool LeaderWithoutStore_ = false; ///< the leader reports that it can't read the store
@@ -930,6 +934,7 @@
   std::uint64_t NewestRecordOffset_ = 0;
   core::TimePoint NewestReadAt_{}; ///< when the newest record was read, or this daemon's term ended
   core::TimePoint TermBegunAt_{};  ///< when this daemon's last term began
+  core::TimePoint HandOverUntil_{}; ///< until then heartbeats release the leadership
   core::TimePoint GoneSince_{}; ///< when the leader was found to be gone; zero while there is one
   lead::Roster Roster_;         ///< as read from the leadership topic
   lead::SilenceTable Silences_; ///< the same, of silent executors
@@ -960,7 +965,7 @@
   Impl_->helloTick();
 }
 
-void LeaderDriver::release() { Impl_->release("stopping"); }
+void LeaderDriver::release() { Impl_->requestHandOver("stopping", core::TimePoint::max()); }
 
 void LeaderDriver::onJob(std::string_view JobId) {
   if (Impl_->Role_ != Impl::Role::Leading)
@@ -999,15 +1004,15 @@
 
 protocol::HelloReply LeaderDriver::onHello(const protocol::Hello &Hello) {
   protocol::HelloReply Reply{Impl_->Context_.Incarnation_};
+  const core::TimePoint Now = core::Clock::now();
   if (Impl_->Role_ != Impl::Role::Leading)
     return Reply;
-  const core::TimePoint Now = core::Clock::now();
+  if (Hello.CanLead_ && !lead::isPreferredLeader(Impl_->Context_.Settings_.Cores_))
+    Impl_->requestHandOver("a larger machine can take over", Now + HandOverRequestTime);
   Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
   Impl_->OrderRouter_.registerRelay(Hello, Now);
   Impl_->Standbys_.registerDaemon(Hello, Now);
   Impl_->ConfigReaders_.registerDaemon(Hello, Now);
-  if (Hello.CanLead_ && !lead::isPreferredLeader(Impl_->Context_.Settings_.Cores_))
-    Impl_->release("a larger machine can take over");
   Reply.Standby_ = Impl_->Standbys_.isStandby(Hello.PeerAddress_, Now);
   if (auto Source = Impl_->ConfigReaders_.sourceFor(Hello.PeerAddress_, Now)) {
     Reply.SourceKnown_ = true;
@@ -1028,9 +1033,7 @@
 
 std::uint64_t LeaderDriver::term() const { return Impl_->Term_; }
 
-bool LeaderDriver::released() const {
-  return Impl_->Role_ == Impl::Role::Follower && !Impl_->Releasing_;
-}
+bool LeaderDriver::released() const { return Impl_->Role_ == Impl::Role::Follower; }
 
 std::string LeaderDriver::leaderAddress() const {
   return Impl_->NewestRecord_ && !Impl_->ownsNewestRecord() && !Impl_->NewestRecord_->Released_
