--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -45,8 +45,8 @@
   /// Passes an executor on to the scheduler after its entry changed or was removed.
   void onExecutor(std::string_view ExecutorId);
 
-  /// Registers another daemon as an adviser and a relay. Hands the leadership over if only the
-  /// other machine is large enough to lead.
+  /// Registers another daemon as an adviser and a relay. Hands the leadership over, also while this
+  /// daemon prepares to lead, if only the other machine is large enough to lead.
   ///
   /// \returns the answer, which assigns no tasks to the other daemon while this one does not lead.
   protocol::HelloReply onHello(const protocol::Hello &Hello);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -1005,10 +1005,10 @@
 protocol::HelloReply LeaderDriver::onHello(const protocol::Hello &Hello) {
   protocol::HelloReply Reply{Impl_->Context_.Incarnation_};
   const core::TimePoint Now = core::Clock::now();
-  if (Impl_->Role_ != Impl::Role::Leading)
-    return Reply;
   if (Hello.CanLead_ && !lead::isPreferredLeader(Impl_->Context_.Settings_.Cores_))
     Impl_->requestHandOver("a larger machine can take over", Now + HandOverRequestTime);
+  if (Impl_->Role_ != Impl::Role::Leading)
+    return Reply;
   Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
   Impl_->OrderRouter_.registerRelay(Hello, Now);
   Impl_->Standbys_.registerDaemon(Hello, Now);
--- a/tests/integration/HandOverTest.cpp
+++ b/tests/integration/HandOverTest.cpp
@@ -53,6 +53,24 @@
   expectStartedOnce(Fleet, 2);
 }
 
+// --- A small machine prepares to lead, and a large one is ready ---
+
+// Guards against a fleet without a leader while a daemon that has won the election still reads what
+// a leader needs, although another one could lead at once.
+Test(HandOver, aDaemonThatPreparesHandsOverToALargerOne) {
+  PlatformFleet Fleet(1, 2, LargeCores);
+  Fleet.addDaemon(SmallCores);
+  cr_assert(waitFor(Millis(5000), [&] { return Fleet.ready(1); }));
+  // The small machine cannot fence earlier leaders, which is the first thing that it prepares.
+  Fleet.control({{"held_daemon", PlatformFleet::nameOf(1)}, {"held_topics", {"keyed.jobs"}}});
+  Fleet.daemon(0).signal(SIGKILL);
+  cr_assert(waitFor(TakeoverTime, [&] {
+    return Fleet.metrics(1).find("\nmasticdrift_takeovers_total 1") != std::string::npos;
+  }));
+  Fleet.addDaemon(LargeCores);
+  cr_expect(waitFor(TakeoverTime, [&] { return Fleet.leader() == 2; }));
+}
+
 // --- The leader is stopped ---
 
 // Guards against leases that lapse because a leader that is stopped steps down while the store
