--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -114,6 +114,7 @@
     NewestReadAt_ = core::Clock::now();
     LeaderGone_ = false;
     LeaderWithoutStore_ = false;
+    LeaderUnanswering_ = LeaderUnanswering_ && !TermChanged;
     LeaderResponsive_ = LeaderResponsive_ && !TermChanged;
     if (TermChanged)
       core::log(core::LogLevel::Info, "leader changed",
@@ -149,8 +150,8 @@
         core::Clock::now(), Leadership_.lastAnsweredAt(), NewestReadAt_,
         NewestRecord_ ? &*NewestRecord_ : nullptr, core::wallMillis(), RecordFoundOnStart_,
         // A claim gains nothing while this daemon can't read the store either.
-        LeaderGone_ || (LeaderWithoutStore_ && !Leadership_.failing() && !Jobs_.failing()), rank(),
-        GoneSince_, Context_.Store_.shortestCallTime()};
+        LeaderGone_ || (LeaderWithoutStore_ && !Leadership_.failing() && !Jobs_.failing()),
+        LeaderUnanswering_, rank(), GoneSince_, Context_.Store_.shortestCallTime()};
     if (!lead::isLeaderGone(View, {})) {
       GoneSince_ = {};
       return;
@@ -217,6 +218,7 @@
               {{"at", std::to_string(Offset)},
                {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewestReadAt_))},
                {"refused", LeaderGone_ ? "true" : "false"},
+               {"unanswering", LeaderUnanswering_ ? "true" : "false"},
                {"turn", std::to_string(rank())},
                {"standby", Standby_ ? "true" : "false"},
                {"specs_loaded", Specs_.loaded() ? "true" : "false"}});
@@ -853,6 +855,7 @@
               Self->Config_.setSource(Reply->ConfigSource_);
           }
           Self->LeaderGone_ = Refused || Replaced;
+          Self->LeaderUnanswering_ = Result.Transfer_ != http::Transfer::Complete;
           // A leader that can't read the store answers hellos with 503.
           Self->LeaderWithoutStore_ =
               Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ != 200;
@@ -927,6 +930,7 @@
   bool HeartbeatOutstanding_ = false;
   bool RecordFoundOnStart_ = false; ///< the newest record is older than this process
   bool LeaderGone_ = false; ///< its address refuses connections or belongs to another process
+  bool LeaderUnanswering_ = false;  ///< it did not answer the last hello
   bool LeaderWithoutStore_ = false; ///< the leader reports that it can't read the store
   bool LeaderResponsive_ = false;   ///< the leader answered the last hello
   Role Role_ = Role::Follower;
--- a/src/lead/Election.cpp
+++ b/src/lead/Election.cpp
@@ -20,8 +20,10 @@
   if (View.FoundOnStart_)
     Silence += std::max<core::Duration>(core::Millis(View.WallMs_ - View.NewestRecord_->WallMs_),
                                         core::Duration(0));
+  if (View.LeaderUnavailable_)
+    return Silence - Timing.RefusedSilenceTimeout_;
   return Silence -
-         (View.LeaderUnavailable_ ? Timing.RefusedSilenceTimeout_ : Timing.SilenceTimeout_);
+         (View.LeaderUnanswering_ ? Timing.UnansweredSilenceTimeout_ : Timing.SilenceTimeout_);
 }
 
 } // namespace
--- a/tests/unit/ElectionTest.cpp
+++ b/tests/unit/ElectionTest.cpp
@@ -63,6 +63,21 @@
   cr_expect(lead::shouldClaim(View, {}));
 }
 
+// Guards against a leader that is gone and counts as late for three heartbeats, although it does
+// not answer other daemons either: nothing starts meanwhile.
+Test(Election, aLeaderThatDoesNotAnswerIsReplacedSooner) {
+  const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000, "i", {}};
+  const lead::ElectionTiming Timing;
+  lead::ElectionView View = viewAt(2 * Timing.HeartbeatInterval_, &Heartbeat);
+  cr_expect(!lead::shouldClaim(View, Timing));
+  View.LeaderUnanswering_ = true;
+  cr_expect(lead::shouldClaim(View, Timing));
+  // A cut between two daemons alone replaces no leader that writes its heartbeats.
+  View = viewAt(2 * Timing.HeartbeatInterval_ - Millis(1), &Heartbeat);
+  View.LeaderUnanswering_ = true;
+  cr_expect(!lead::shouldClaim(View, Timing));
+}
+
 // After an outage of all machines, the age of the newest record counts as silence.
 Test(Election, oldRecordFoundOnStartAllowsAnImmediateClaim) {
   const lead::LeadershipRecord Heartbeat{"a", "x", 5, false, 1'000'000 - 5000, "i", {}};
