The limit of concurrent starts grows with the relays that send them

Callers waited while most executors were free: after a takeover and under any backlog at most 128 start orders were in flight, what the smallest machine can send alone, although relays send them on a large fleet. With some 50 ms for a result that are 2,700 starts a second at best, and the fleet fills for seconds.

The limit is now that of one machine for each relay in use, and what a quarter of a second of the leader's link carries at most.

--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -59,6 +59,9 @@
   /// overdue.
   void flush(core::TimePoint Now);
 
+  /// \returns the limit of concurrent start orders, which grows with the machines that send them.
+  int startLimit() const;
+
   /// Handles results of orders that were sent through a relay.
   void onResults(const protocol::ResultsRequest &Request);
 
--- a/include/masticdrift/daemon/RelayTable.h
+++ b/include/masticdrift/daemon/RelayTable.h
@@ -16,6 +16,14 @@
 /// \returns the number of executors whose orders a daemon can carry beside its other work.
 std::size_t relayCapacity(double Cores, double LinkMbps);
 
+/// Determines the limit of concurrent start orders.
+///
+/// \param Relays number of daemons that send the orders; 0 when the leader sends them itself.
+/// \param LinkMbps bandwidth of the leader's link, over which the orders reach the relays.
+/// \returns what the relays can send at a time, and not more than the link carries; at least what
+/// one machine can send.
+int startLimit(std::size_t Relays, double LinkMbps);
+
 /// The daemons that can relay orders, and the executors that each of them serves.
 ///
 /// An executor keeps its relay while that is available, so that connections are reused. Relays are
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -72,8 +72,8 @@
   /// Runs on a draining executor are stopped this long before it shuts down.
   core::Millis DrainMargin_{700};
   int MaxStartAttempts_ = 3; ///< unanswered start orders before the run is stopped
-  /// Limit of concurrent start orders. The smallest machines (0.12 cores) handle about 600 orders a
-  /// second, so this many are served within half of an order's timeout.
+  /// Limit of concurrent start orders that one machine sends. The smallest machines (0.12 cores)
+  /// handle about 600 orders a second, so this many are served within half of an order's timeout.
   int MaxStartsInFlight_ = 128;
   /// A run is slow from this multiple of the typical run time on; the normal variation between
   /// executors is a factor of 1.6.
@@ -232,6 +232,8 @@
 
   /// Limits the outstanding calls to the advice service.
   void setAdviceLimits(AdviceLimits Limits) { AdviceLimits_ = Limits; }
+  /// Limits the concurrent start orders, when several machines send them.
+  void setStartLimit(int Starts) { StartLimit_ = Starts; }
 
   /// Performs all due work: orders, hold requests and placement.
   void tick(core::TimePoint Now, std::int64_t WallMs);
@@ -438,6 +440,7 @@
   bool EndsHidden_ = false; ///< some executor has ends that did not fit into its last report
   bool PlacementDue_ = true;
   int StartsInFlight_ = 0; ///< start orders without a result
+  int StartLimit_ = Timing_.MaxStartsInFlight_;
   core::TimePoint NextPlacementAt_{};
   work::Manifest Manifest_;
   std::unordered_map<std::string, TrackedJob> Jobs_;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -478,6 +478,7 @@
     const core::TimePoint Now = core::Clock::now();
     Scheduler_->onJobsRead(std::min(Jobs_.readUpTo(), Specs_.readUpTo()));
     Scheduler_->setAdviceLimits(AdviceDispatcher_.limits(Now));
+    Scheduler_->setStartLimit(OrderRouter_.startLimit());
     Scheduler_->tick(Now, core::wallMillis());
     LastRoundDuration_ = core::Clock::now() - Now;
     core::observe("masticdrift_decision_seconds",
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -111,6 +111,11 @@
                   relayCapacity(Context_.Settings_.Cores_, Context_.Settings_.LinkMbps_));
 }
 
+int OrderRouter::startLimit() const {
+  return daemon::startLimit(usesRelays() ? Relays_.activeRelays() : 0,
+                            Context_.Settings_.LinkMbps_);
+}
+
 core::Millis OrderRouter::batchInterval() const {
   const double BitsPerMs = MaxOverheadShare * Context_.Settings_.LinkMbps_ * 1000;
   const double IntervalMs =
--- a/src/daemon/RelayTable.cpp
+++ b/src/daemon/RelayTable.cpp
@@ -1,5 +1,7 @@
 #include "masticdrift/daemon/RelayTable.h"
 
+#include "masticdrift/lead/Scheduler.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +15,8 @@
 /// Starts with payloads of 1 to 4 KB and reports add up to about 40 kbit/s for an executor; a relay
 /// spends less than half of its link on them.
 constexpr double ExecutorsPerMbps = 10;
+/// Starts in batches take about 0.5 KB each; a quarter of a second of the link carries this many.
+constexpr double StartsPerMbps = 64;
 /// Pause of a daemon after a failed request; longer than RelayTimeout, so that a daemon that is
 /// gone has timed out by then.
 constexpr core::Millis FailureBackoff{2000};
@@ -27,6 +31,12 @@
       std::max(1.0, std::min(Cores * ExecutorsPerCore, LinkMbps * ExecutorsPerMbps)));
 }
 
+int startLimit(std::size_t Relays, double LinkMbps) {
+  constexpr int LimitOfOne = lead::SchedulerTiming{}.MaxStartsInFlight_;
+  const int ByLink = std::max(LimitOfOne, static_cast<int>(LinkMbps * StartsPerMbps));
+  return std::clamp(static_cast<int>(Relays) * LimitOfOne, LimitOfOne, ByLink);
+}
+
 void RelayTable::registerRelay(const protocol::Hello &Hello, core::TimePoint Now) {
   Relay &Daemon = Relays_[Hello.PeerAddress_];
   const bool WasAvailable = std::exchange(Daemon.Available_, false);
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -467,7 +467,7 @@
       TrackedTask &Tracked = Step.Tasks_[Task.Index_];
       if (Tracked.State_ != TaskState::Waiting)
         continue;
-      if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_ ||
+      if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_ ||
           !withinLimit(*Waiting.Job_, Spec.Need_))
         return;
       if (Waiting.UrgencyClass_ == TurnUrgencyClass && Scheduler_.OverdueCredit_ < 1)
@@ -489,7 +489,7 @@
 
   /// Starts all tasks of a gang, or none of them.
   void placeGang(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
-    if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_ ||
+    if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_ ||
         Step.WaitingTasks_ < Step.Tasks_.size() ||
         !withinLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_))
       return;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -304,7 +304,7 @@
 void Scheduler::onStartResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
                               std::int64_t ClockMs, core::TimePoint SentAt, core::TimePoint Now) {
   // Placement pauses at the limit of concurrent starts and resumes as soon as one is answered.
-  PlacementDue_ = PlacementDue_ || StartsInFlight_ >= Timing_.MaxStartsInFlight_;
+  PlacementDue_ = PlacementDue_ || StartsInFlight_ >= StartLimit_;
   --StartsInFlight_;
   const auto Entry = Executors_.find(ExecutorId);
   if (Entry == Executors_.end())
--- a/tests/unit/RelayTableTest.cpp
+++ b/tests/unit/RelayTableTest.cpp
@@ -139,3 +139,20 @@
     Table.registerRelay(makeHello("large", Address, "multan-a", 0.5), Later);
   cr_expect(Table.relayFor("new", "multan-a", Later) == "10.0.0.2:1");
 }
+
+// --- Starts in flight ---
+
+// Guards against executors that stay empty beside thousands of waiting tasks: many relays were
+// limited to the starts that the smallest machine can send alone.
+Test(RelayTable, theLimitOfStartsGrowsWithTheRelays) {
+  const int LimitOfOne = daemon::startLimit(0, LinkMbps);
+  cr_expect_eq(daemon::startLimit(1, LinkMbps), LimitOfOne);
+  cr_expect_eq(daemon::startLimit(8, LinkMbps), 8 * LimitOfOne);
+}
+
+// Guards against a thin link that is filled with starts, so that lease renewals wait behind them.
+Test(RelayTable, theLimitOfStartsIsBoundedByTheLeadersLink) {
+  constexpr double ThinLinkMbps = 2;
+  cr_expect_eq(daemon::startLimit(8, ThinLinkMbps), daemon::startLimit(0, ThinLinkMbps));
+  cr_expect_lt(daemon::startLimit(100, 20), 100 * daemon::startLimit(0, 20));
+}
