--- a/tests/unit/SchedulerRestartStormTest.cpp
+++ b/tests/unit/SchedulerRestartStormTest.cpp
@@ -57,7 +57,10 @@
 // Random crashes, cuts and takeovers; late orders reach any incarnation that the leader has met.
 // Guards against lost and duplicate runs and against starts beyond an executor's capacity.
 Test(SchedulerRestartStorm, lateOrdersAfterRandomRestartsDoNoHarm) {
-  for (unsigned Seed = 1; Seed <= 600; ++Seed) {
+  constexpr unsigned DefaultSeeds = 600;
+  const char *Range = std::getenv("MASTICDRIFT_STORM_SEEDS");
+  const unsigned Seeds = Range == nullptr ? DefaultSeeds : std::stoul(Range);
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
     FakeFleetOptions Options = makeOptions(Seed);
     Options.LateOrdersMissUnmetIncarnations_ = true;
     Options.LostAnswerProbability_ = 0.08;
