An outdated answer still shows a new incarnation

Cause: the leader dropped an answer to a hold request when it had one to a newer request, or when the result had counted as lost, without a look at the incarnation that it came from. So a new incarnation stayed unmet although it had answered, and no stop kept it from carrying out an earlier start order that was still on its way.

Such an answer now makes the leader request the incarnation's report at once, which sends the stops. It asks once: another request would make the answer to the one in flight outdated as well.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -211,7 +211,7 @@
   void onHoldResult(std::string_view ExecutorId, fleet::OrderOutcome Outcome,
                     const fleet::Report &Report, core::TimePoint SentAt, core::TimePoint Now);
   /// Handles the result of a hold request that was reported as lost before. It only shows that the
-  /// executor has answered.
+  /// executor has answered or restarted.
   void onLateHoldResult(std::string_view ExecutorId, const fleet::Report &Report,
                         core::TimePoint Now);
   /// Handles the result of a start order.
@@ -313,7 +313,8 @@
   /// Notes the result of the latest start order of a run.
   static void settleStart(ExecutorState &Executor, const RunKey &Key, fleet::OrderOutcome Outcome,
                           core::TimePoint Now);
-  void onUnmetIncarnation(ExecutorState &Executor, core::TimePoint Now);
+  void onUnmetIncarnation(ExecutorState &Executor, std::string_view Evidence, core::TimePoint Now);
+  void noticeIncarnation(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
   void sendStart(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
   void sendStop(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
   void stopRun(ExecutorState &Executor, Run &ActiveRun, std::string_view Reason,
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -32,8 +32,10 @@
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
-  if (SentAt < Executor.HoldsValidSince_)
+  if (SentAt < Executor.HoldsValidSince_) {
+    noticeIncarnation(Executor, Report, Now);
     return;
+  }
   const bool NewerInFlight = Executor.HoldInFlight_ && SentAt < Executor.LastHoldAt_;
   Executor.HoldInFlight_ = NewerInFlight;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
@@ -110,6 +112,7 @@
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
+  noticeIncarnation(Executor, Report, Now);
   if (!Executor.AnswerOverdue_ || !Executor.Reported_ || Executor.Silent_ ||
       Report.IncarnationStartMs_ != Executor.Incarnation_)
     return;
@@ -128,6 +131,15 @@
   Executor.NextHoldAt_ = Now;
 }
 
+/// Requests the report of a new incarnation that an outdated answer has shown.
+void Scheduler::noticeIncarnation(ExecutorState &Executor, const fleet::Report &Report,
+                                  core::TimePoint Now) {
+  // Another request would make the answer to the one in flight outdated.
+  if (Executor.Reported_ && Executor.Incarnation_ != 0 &&
+      Report.IncarnationStartMs_ > Executor.Incarnation_)
+    onUnmetIncarnation(Executor, "an outdated answer shows a new incarnation", Now);
+}
+
 void Scheduler::processEnds(ExecutorState &Executor, std::span<const fleet::ReportedEnd> Rows,
                             core::TimePoint Now) {
   Executor.PostponedEnds_.clear();
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -343,7 +343,7 @@
       Executor.ClockMs_ = ClockMs;
       Executor.ClockReadAt_ = Now;
     } else if (ClockMs > 0 && ClockMs < Executor.ClockMs_ && SentAt >= Executor.ClockReadAt_) {
-      onUnmetIncarnation(Executor, Now);
+      onUnmetIncarnation(Executor, "its clock has started anew", Now);
     }
     if (StartedRun.State_ == RunState::Starting)
       StartedRun.State_ = RunState::Running;
@@ -392,8 +392,9 @@
 
 /// Handles that an incarnation which has not reported yet carries out orders. The leases of these
 /// orders were computed for the clock of its predecessor.
-void Scheduler::onUnmetIncarnation(ExecutorState &Executor, core::TimePoint Now) {
-  logDecision("executor_reborn", {}, 0, Executor.Info_.Id_, "its clock has started anew");
+void Scheduler::onUnmetIncarnation(ExecutorState &Executor, std::string_view Evidence,
+                                   core::TimePoint Now) {
+  logDecision("executor_reborn", {}, 0, Executor.Info_.Id_, Evidence);
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
   Executor.Reported_ = false;
--- a/tests/unit/SchedulerOrderResultTest.cpp
+++ b/tests/unit/SchedulerOrderResultTest.cpp
@@ -29,7 +29,9 @@
     Actions.Stop_ = [this](const fleet::ExecutorInfo &, const lead::RunKey &Run) {
       Stops_.push_back({Run, Now_});
     };
-    Actions.Hold_ = [](const fleet::ExecutorInfo &, std::uint64_t, std::int64_t, Millis) {};
+    Actions.Hold_ = [this](const fleet::ExecutorInfo &, std::uint64_t, std::int64_t, Millis) {
+      ++Holds_;
+    };
     Actions.LogDecision_ = [this](std::string_view Event, const work::TaskRef &, std::uint64_t,
                                   std::string_view,
                                   std::string_view) { RunsOver_ += Event == "run_over" ? 1 : 0; };
@@ -88,6 +90,7 @@
   std::vector<SentOrder> Starts_;
   std::vector<SentOrder> Stops_;
   int RunsOver_ = 0;
+  int Holds_ = 0;
   std::optional<lead::Scheduler> Scheduler_;
 };
 
@@ -138,3 +141,17 @@
   Leader.report(SecondLife, 110);
   cr_expect_eq(Leader.RunsOver_, 0);
 }
+
+// Guards against a new incarnation that is never met: each of its answers to earlier requests makes
+// the request for its report outdated.
+Test(SchedulerOrderResult, outdatedAnswersOfANewIncarnationRequestOneReport) {
+  Leader Leader;
+  const core::TimePoint Earlier = Leader.Now_ - Millis(1000);
+  const int HoldsBefore = Leader.Holds_;
+  for (int I = 0; I < 3; ++I) {
+    Leader.Scheduler_->onHoldResult(ExecutorId, OrderOutcome::Done, {10, SecondLife, {}, {}},
+                                    Earlier, Leader.Now_);
+    Leader.pass(Millis(1));
+  }
+  cr_expect_eq(Leader.Holds_, HoldsBefore + 1);
+}
