The refusal of a start shows a new incarnation too

The clock of an executor that has started anew was looked at in accepted starts of known runs only, so a refusal, or the answer to an order of a run that is over, left the new incarnation unmet until the next report.

The clock of a 421 is that of another executor and is left out.

Failed before: theRefusalOfAStartShowsANewIncarnation.

--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -312,6 +312,10 @@
   ExecutorState &Executor = Entry->second;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   settleStart(Executor, Key, Outcome, Now);
+  // Any answer of the executor shows its clock, also that to an outdated or refused order.
+  if (Outcome != OrderOutcome::OtherInstance && ClockMs > 0 && ClockMs < Executor.ClockMs_ &&
+      SentAt >= Executor.ClockReadAt_)
+    onUnmetIncarnation(Executor, "its clock has started anew", Now);
   const auto Found = Executor.Runs_.find(Key);
   // A run that was over and has to be prevented after a restart gets new orders while an earlier
   // one awaits its result, which says nothing about these.
@@ -342,8 +346,6 @@
                                             Timing_.StartSurvivalTime_ * Timing_.ClockRateMargin_);
       Executor.ClockMs_ = ClockMs;
       Executor.ClockReadAt_ = Now;
-    } else if (ClockMs > 0 && ClockMs < Executor.ClockMs_ && SentAt >= Executor.ClockReadAt_) {
-      onUnmetIncarnation(Executor, "its clock has started anew", Now);
     }
     if (StartedRun.State_ == RunState::Starting)
       StartedRun.State_ = RunState::Running;
--- a/tests/unit/SchedulerOrderResultTest.cpp
+++ b/tests/unit/SchedulerOrderResultTest.cpp
@@ -155,3 +155,22 @@
   }
   cr_expect_eq(Leader.Holds_, HoldsBefore + 1);
 }
+
+// Guards against a new incarnation that stays unmet, so that no stop prevents its late starts,
+// although it has answered: the refusal of a start shows its clock.
+Test(SchedulerOrderResult, theRefusalOfAStartShowsANewIncarnation) {
+  Leader Leader;
+  const int HoldsBefore = Leader.Holds_;
+  constexpr std::int64_t ClockMs = 40; // the first life has reported more
+  Leader.answerStart(0, OrderOutcome::Unhealthy, ClockMs);
+  cr_expect_eq(Leader.Holds_, HoldsBefore + 1);
+}
+
+// Guards against the clock of another executor at the address being taken for this one's.
+Test(SchedulerOrderResult, theAnswerOfAnotherInstanceShowsNoNewIncarnation) {
+  Leader Leader;
+  const int HoldsBefore = Leader.Holds_;
+  constexpr std::int64_t ClockMs = 40;
+  Leader.answerStart(0, OrderOutcome::OtherInstance, ClockMs);
+  cr_expect_eq(Leader.Holds_, HoldsBefore);
+}
