--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -312,6 +312,10 @@
   ExecutorState &Executor = Entry->second;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   settleStart(Executor, Key, Outcome, Now);
+  // Any answer of the executor shows its clock, also that to an outdated or refused order.
+  if (Outcome != OrderOutcome::OtherInstance && ClockMs > 0 && ClockMs < Executor.ClockMs_ &&
+      SentAt >= Executor.ClockReadAt_)
+    onUnmetIncarnation(Executor, "its clock has started anew", Now);
   const auto Found = Executor.Runs_.find(Key);
   // A run that was over and has to be prevented after a restart gets new orders while an earlier
   // one awaits its result, which says nothing about these.
@@ -342,8 +346,6 @@
                                             Timing_.StartSurvivalTime_ * Timing_.ClockRateMargin_);
       Executor.ClockMs_ = ClockMs;
       Executor.ClockReadAt_ = Now;
-    } else if (ClockMs > 0 && ClockMs < Executor.ClockMs_ && SentAt >= Executor.ClockReadAt_) {
-      onUnmetIncarnation(Executor, Now);
     }
     if (StartedRun.State_ == RunState::Starting)
       StartedRun.State_ = RunState::Running;
@@ -392,8 +394,9 @@
 
 /// Handles that an incarnation which has not reported yet carries out orders. The leases of these
 /// orders were computed for the clock of its predecessor.
-void Scheduler::onUnmetIncarnation(ExecutorState &Executor, core::TimePoint Now) {
-  logDecision("executor_reborn", {}, 0, Executor.Info_.Id_, "its clock has started anew");
+void Scheduler::onUnmetIncarnation(ExecutorState &Executor, std::string_view Evidence,
+                                   core::TimePoint Now) {
+  logDecision("executor_reborn", {}, 0, Executor.Info_.Id_, Evidence);
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
   Executor.Reported_ = false;
