The leader tells why a step rests

Change: each placement pass keeps, for each step with waiting tasks, why it neither started a task nor has advice requested (lead::RestReason, one closed list). `leader state` and masticdrift_resting_tasks tell the tasks by reason; `rests` names a step that has rested for the same reason for 1 s, with the customer's use, reserve and limit, 20 lines a second at most.

--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -518,6 +518,9 @@
     core::setGauge("masticdrift_advised_starts", static_cast<double>(Counts.AdvisedStarts_));
     core::setGauge("masticdrift_advice_calls_outstanding",
                    static_cast<double>(Counts.OutstandingAdviceCalls_));
+    for (std::size_t I = 0; I < lead::RestReasons; ++I)
+      core::setGauge("masticdrift_resting_tasks", static_cast<double>(Counts.Resting_[I]),
+                     {{"reason", std::string(nameOf(static_cast<lead::RestReason>(I)))}});
     core::log(core::LogLevel::Info, "leader state",
               {{"term", std::to_string(Term_)},
                {"jobs", std::to_string(Counts.Jobs_)},
@@ -529,7 +532,8 @@
                {"advice_calls", std::to_string(Counts.AdviceCalls_)},
                {"advice_outstanding", std::to_string(Counts.OutstandingAdviceCalls_)},
                {"verdicts", std::to_string(Counts.Verdicts_)},
-               {"advised_starts", std::to_string(Counts.AdvisedStarts_)}});
+               {"advised_starts", std::to_string(Counts.AdvisedStarts_)},
+               {"resting", lead::describeCounts(Counts.Resting_)}});
   }
 
   /// Passes stored jobs that the scheduler has missed on to it.
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -88,6 +88,8 @@
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   bool Overdue_ = false;
+  RestReason Rest_ = RestReason::None;
+  RestFigures Figures_{};
 };
 
 /// Urgency class of overdue work that has its turn.
@@ -415,16 +417,27 @@
     }
   }
 
-  bool withinLimit(const TrackedJob &Job, const core::Resources &Need) const {
+  /// \returns what counts as used by a customer.
+  core::Resources usedBy(const std::string &Customer) const {
+    core::Resources Used = Scheduler_.UsedByCustomer_[Customer];
+    if (const auto Found = UnknownUse_.find(Customer); Found != UnknownUse_.end())
+      Used += Found->second;
+    return Used;
+  }
+
+  /// \returns why the customer's limit does not allow another task, or RestReason::None.
+  RestReason checkLimit(const TrackedJob &Job, const core::Resources &Need) const {
     const auto Customer = Scheduler_.Manifest_.Customers_.find(Job.Acceptance_.Customer_);
     if (Customer == Scheduler_.Manifest_.Customers_.end())
-      return true;
-    core::Resources Used = Scheduler_.UsedByCustomer_[Job.Acceptance_.Customer_];
-    if (Job.Queue_.Priority_ > 0)
-      Used += reservedFor(Job.Acceptance_.Customer_, Customer->second.UpperLimit_);
-    if (const auto Found = UnknownUse_.find(Job.Acceptance_.Customer_); Found != UnknownUse_.end())
-      Used += Found->second;
-    return fitsLimit(Used, Need, Customer->second.UpperLimit_);
+      return RestReason::None;
+    const core::Resources &Limit = Customer->second.UpperLimit_;
+    const core::Resources Used = usedBy(Customer->first);
+    if (!fitsLimit(Used, Need, Limit))
+      return RestReason::CustomerLimit;
+    if (Job.Queue_.Priority_ > 0 &&
+        !fitsLimit(Used + reservedFor(Customer->first, Limit), Need, Limit))
+      return RestReason::CustomerReserve;
+    return RestReason::None;
   }
 
   void startTask(ExecutorState &Executor, const Candidate &Waiting, TrackedStep &Step,
@@ -461,38 +474,53 @@
            (!Scheduler_.Accounted_ && hasOpenSuspicion(Job.Progress_, Task));
   }
 
-  void placeTasks(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
+  /// \returns why tasks of the step still wait.
+  RestReason placeTasks(const Candidate &Waiting, TrackedStep &Step,
+                        const work::StepSpec &Spec) const {
+    RestReason Rest = RestReason::None;
     work::TaskRef Task{Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0};
     for (; Task.Index_ < Step.Tasks_.size() && Step.WaitingTasks_ > 0; ++Task.Index_) {
       TrackedTask &Tracked = Step.Tasks_[Task.Index_];
       if (Tracked.State_ != TaskState::Waiting)
         continue;
-      if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_ ||
-          !withinLimit(*Waiting.Job_, Spec.Need_))
-        return;
+      if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_)
+        return RestReason::StartsInFlight;
+      if (const RestReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_);
+          Exceeded != RestReason::None)
+        return Exceeded;
       if (Waiting.UrgencyClass_ == TurnUrgencyClass && Scheduler_.OverdueCredit_ < 1)
-        return;
-      if (waitsForSuspicion(Waiting, Task))
+        return RestReason::OverdueTurn;
+      if (waitsForSuspicion(Waiting, Task)) {
+        Rest = RestReason::Suspect;
         continue;
+      }
       const bool Suspect = crashCount(Waiting.Job_->Progress_, Task) > 0;
       const bool Isolated =
           Suspect && Now_ - Waiting.Job_->LastCrashAt_ < Scheduler_.Timing_.MaxTrialWait_;
       ExecutorState *Executor = chooseExecutor(Waiting, Step, Spec, Task, Isolated);
-      if (Executor == nullptr && Suspect)
+      if (Executor == nullptr && Suspect) {
+        Rest = RestReason::Suspect;
         continue; // other tasks of the step need no executor of their own
+      }
       if (Executor == nullptr)
-        return;
+        return RestReason::NoRoom;
       startTask(*Executor, Waiting, Step, Task,
                 runNumber(Scheduler_.Token_, ++Tracked.RunCounter_));
     }
+    return Rest;
   }
 
   /// Starts all tasks of a gang, or none of them.
-  void placeGang(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
-    if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_ ||
-        Step.WaitingTasks_ < Step.Tasks_.size() ||
-        !withinLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_))
-      return;
+  /// \returns why the gang still waits.
+  RestReason placeGang(const Candidate &Waiting, TrackedStep &Step,
+                       const work::StepSpec &Spec) const {
+    if (Scheduler_.StartsInFlight_ >= Scheduler_.Timing_.MaxStartsInFlight_)
+      return RestReason::StartsInFlight;
+    if (Step.WaitingTasks_ < Step.Tasks_.size())
+      return RestReason::EarlierRuns;
+    if (const RestReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_);
+        Exceeded != RestReason::None)
+      return Exceeded;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
       for (const auto &[Id, Executor] : Scheduler_.Executors_)
@@ -502,14 +530,15 @@
     bool Suspect = false;
     for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       if (waitsForSuspicion(Waiting, memberOf(Waiting, I)))
-        return;
+        return RestReason::Suspect;
       Suspect = Suspect || crashCount(Waiting.Job_->Progress_, memberOf(Waiting, I)) > 0;
     }
     // A gang that finds no room apart from other starts runs beside them.
     for (const bool Isolated : {true, false})
       for (const std::string &Rack : Racks)
         if (Isolated <= Suspect && placeGangInRack(Waiting, Step, Spec, Isolated, Rack))
-          return;
+          return RestReason::None;
+    return RestReason::NoRoom;
   }
 
   static work::TaskRef memberOf(const Candidate &Waiting, std::uint32_t Index) {
@@ -615,17 +644,19 @@
 
   /// Claims room for the waiting tasks of a step, and requests advice when the valid tickets do not
   /// suffice for those that can start soon.
-  void requestAdvice(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) {
+  /// \returns why no advice was requested.
+  RestReason requestAdvice(Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) {
     if (!Waiting.Job_->Queue_.Advice_)
-      return;
+      return RestReason::NoRoom;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
     const core::Duration Horizon =
         std::chrono::duration_cast<core::Duration>(std::chrono::duration<double, std::milli>(
             Policy.FixedMs_ * (1 + MinExecutorTimeFraction))) +
         PrefetchSlack;
     const std::uint32_t Wanted = tasksWithinLimit(Waiting, Step, Spec, Horizon);
+    Waiting.Figures_.Wanted_ = Wanted;
     if (Wanted == 0)
-      return;
+      return RestReason::CustomerLimit;
     if (const auto Found = Plan_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
         Found != Plan_.Customers_.end())
       claim(Found->second, Spec.Need_, Wanted);
@@ -633,14 +664,19 @@
     visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
       Covered += claimSlots(Executor, Step, Spec, Horizon, Wanted - Covered);
     });
+    Waiting.Figures_.Covered_ = Covered;
     if (Step.AdvicePending_) {
       for (const std::uint32_t Ordinal : Step.AskedExecutors_)
         if (const ExecutorState *Executor = Scheduler_.ByOrdinal_[Ordinal])
           Covered += claimSlots(*Executor, Step, Spec, Horizon, Wanted - Covered);
-      return;
+      return RestReason::AdvicePending;
     }
-    if (Covered >= Wanted || Now_ < Step.AdviceRetryAt_ || isExhausted(*Waiting.Job_, Spec))
-      return;
+    if (Covered >= Wanted)
+      return RestReason::Covered;
+    if (Now_ < Step.AdviceRetryAt_)
+      return RestReason::RetryDelay;
+    if (isExhausted(*Waiting.Job_, Spec))
+      return RestReason::ExhaustedNeed;
     std::vector<std::pair<double, const ExecutorState *>> Unadvised;
     bool AnyRoom = false;
     for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_)) {
@@ -657,13 +693,16 @@
       ExhaustedNeeds_[{Waiting.Job_->Queue_.Pool_, Spec.RequiredLabel_}].push_back(
           executorNeed(Spec));
     if (Unadvised.empty())
-      return;
-    callAdviser(Waiting, Step, Spec, Horizon, Wanted - Covered, std::move(Unadvised));
+      return AnyRoom ? RestReason::AllAdvised : RestReason::NoRoom;
+    return callAdviser(Waiting, Step, Spec, Horizon, Wanted - Covered, std::move(Unadvised))
+               ? RestReason::AdvicePending
+               : RestReason::CallLimit;
   }
 
   /// Requests advice about the executors of \p Unadvised with the lowest costs.
   /// \param Wanted number of tasks that need an executor.
-  void callAdviser(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
+  /// \returns false when the limit of calls does not allow it.
+  bool callAdviser(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
                    core::Duration Horizon, std::uint32_t Wanted,
                    std::vector<std::pair<double, const ExecutorState *>> Unadvised) {
     std::ranges::sort(Unadvised, {}, &std::pair<double, const ExecutorState *>::first);
@@ -684,7 +723,7 @@
     const double CallTimeMs =
         Policy.FixedMs_ + Policy.PerExecutorMs_ * static_cast<double>(Chosen.size());
     if (!mayCallAdviser(CallTimeMs))
-      return;
+      return false;
     std::vector<std::string> ExecutorIds;
     Step.AskedExecutors_.clear();
     for (const ExecutorState *Executor : Chosen) {
@@ -700,6 +739,7 @@
     Scheduler_.Actions_.RequestAdvice_(
         Task, std::move(ExecutorIds), CallTimeMs,
         {Waiting.UrgencyClass_ * 100 + Waiting.Priority_, Waiting.Deadline_});
+    return true;
   }
 
   double adviceYield(const TrackedJob &Job) const {
@@ -729,6 +769,9 @@
     }
     return true;
   }
+
+  /// Notes why each step rests, and logs those that have rested for long.
+  void noteRests(std::span<const Candidate> Candidates) const;
 };
 
 namespace {
@@ -773,6 +816,35 @@
 
 } // namespace
 
+void PlacementPass::noteRests(std::span<const Candidate> Candidates) const {
+  for (const Candidate &Waiting : Candidates) {
+    TrackedStep &Step = stepOf(Waiting);
+    const work::StepSpec &Spec = specOf(Waiting);
+    const bool HasStarted = Step.WaitingTasks_ < Waiting.Figures_.Waiting_;
+    noteRest(Step.Rest_, HasStarted || !Step.Ready_ ? RestReason::None : Waiting.Rest_, Now_);
+    if (!Scheduler_.RestLogBudget_.take(Step.Rest_, Now_))
+      continue;
+    RestFigures Figures = Waiting.Figures_;
+    visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
+      ++Figures.Tickets_;
+      Figures.TicketsWithRoom_ += freeSlots(Executor, Step, Spec, 1);
+    });
+    for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_))
+      if (hasLabel(*Executor, Spec.RequiredLabel_))
+        Figures.OpenWithRoom_ += freeSlots(*Executor, Step, Spec, 1);
+    if (const auto Customer =
+            Scheduler_.Manifest_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
+        Customer != Scheduler_.Manifest_.Customers_.end()) {
+      Figures.Used_ = usedBy(Customer->first);
+      Figures.Limit_ = Customer->second.UpperLimit_;
+      if (Waiting.Job_->Queue_.Priority_ > 0)
+        Figures.Reserved_ = reservedFor(Customer->first, Figures.Limit_);
+    }
+    Scheduler_.logDecision("rests", {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0}, 0,
+                           {}, describeRest(Step.Rest_, Figures, Now_));
+  }
+}
+
 void Scheduler::placeWaiting(core::TimePoint Now, std::int64_t WallMs) {
   NextPlacementAt_ = Now + PlacementInterval;
   PlacementPass Pass{*this, Now, {}, {}, {}, {}};
@@ -804,24 +876,32 @@
   }
   grantTurns(Candidates, OverdueCredit_, Now);
   std::ranges::sort(Candidates, isMoreUrgent);
-  for (const Candidate &Waiting : Candidates) {
-    if (!stepOf(Waiting).Ready_ || !mayStart(*Waiting.Job_, specOf(Waiting)))
+  for (Candidate &Waiting : Candidates) {
+    TrackedStep &Step = stepOf(Waiting);
+    if (!Step.Ready_)
       continue;
-    if (specOf(Waiting).Gang_)
-      Pass.placeGang(Waiting, stepOf(Waiting), specOf(Waiting));
+    Waiting.Figures_.Waiting_ = Step.WaitingTasks_;
+    if (!mayStart(*Waiting.Job_, specOf(Waiting)))
+      Waiting.Rest_ = RestReason::EarlierRuns;
+    else if (specOf(Waiting).Gang_)
+      Waiting.Rest_ = Pass.placeGang(Waiting, Step, specOf(Waiting));
     else
-      Pass.placeTasks(Waiting, stepOf(Waiting), specOf(Waiting));
+      Waiting.Rest_ = Pass.placeTasks(Waiting, Step, specOf(Waiting));
   }
   Pass.planRoom();
   // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
   for (const bool MayStart : {true, false})
-    for (const Candidate &Waiting : Candidates) {
-      if (OutstandingAdvice_.size() >= AdviceLimits_.Calls_)
-        return;
+    for (Candidate &Waiting : Candidates) {
       const bool Startable = !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting));
-      if (stepOf(Waiting).WaitingTasks_ > 0 && Startable == MayStart)
-        Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting));
+      if (stepOf(Waiting).WaitingTasks_ == 0 || Startable != MayStart)
+        continue;
+      const RestReason Rest = OutstandingAdvice_.size() < AdviceLimits_.Calls_
+                                  ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
+                                  : RestReason::CallLimit;
+      if (Waiting.Rest_ == RestReason::NoRoom && Waiting.Job_->Queue_.Advice_)
+        Waiting.Rest_ = Rest;
     }
+  Pass.noteRests(Candidates);
 }
 
 void Scheduler::onAdvice(const work::TaskRef &Task, std::span<const std::string> Asked,
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -444,7 +444,10 @@
   for (const auto &[Id, Job] : Jobs_)
     for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
       for (const TrackedStep &Step : Occurrence.Steps_)
-        Result.Waiting_ += Occurrence.Due_ && Step.Ready_ && !Job.Ended_ ? Step.WaitingTasks_ : 0;
+        if (Occurrence.Due_ && Step.Ready_ && !Job.Ended_) {
+          Result.Waiting_ += Step.WaitingTasks_;
+          Result.Resting_[static_cast<std::size_t>(Step.Rest_.Reason_)] += Step.WaitingTasks_;
+        }
   return Result;
 }
 
