The reserve of a limit holds nothing back below half of it

Cause: a customer's less urgent work leaves free what its urgent work needed at its recent peak, at most half of the limit. A task whose need crosses the middle of the limit fits beside neither, so it waits until the peak has decayed: half a minute after a burst of four times the limit. A gang that needs more than half never starts meanwhile. Change: while a customer uses less than half of its limit, the reserve holds nothing back. At most one task or gang goes beyond, so the reserve keeps its worth. The same rule decides for how many tasks advice is requested.

--- a/include/masticdrift/lead/RoomPlan.h
+++ b/include/masticdrift/lead/RoomPlan.h
@@ -45,6 +45,9 @@
 /// Prepares the releases of an account for slotsWithin().
 void accumulateReleases(RoomAccount &Account);
 
+/// \returns the unclaimed room of an account at the end of \p Horizon.
+core::Resources roomWithin(const RoomAccount &Account, core::Duration Horizon);
+
 /// Determines how many tasks fit into an account by the end of \p Horizon.
 ///
 /// \param MaxTasks upper bound of the result.
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -7,6 +7,7 @@
 #ifndef MASTICDRIFT_LEAD_SCHEDULER_H
 #define MASTICDRIFT_LEAD_SCHEDULER_H
 
+#include "masticdrift/lead/LimitReserve.h"
 #include "masticdrift/lead/Model.h"
 #include "masticdrift/lead/RoomPlan.h"
 #include "masticdrift/lead/Silence.h"
@@ -459,14 +460,7 @@
   std::vector<ExecutorState *> ByOrdinal_;                     ///< null for removed executors
   std::map<std::string, std::string, std::less<>> Unrecorded_; ///< addresses by executor id
   std::unordered_map<std::string, core::Resources> UsedByCustomer_;
-  /// Decaying peak demand of a customer's first-priority work.
-  struct DemandPeak {
-    core::Resources Highest_; ///< in use and waiting
-    core::Resources Demand_;  ///< in use and waiting at the last placement pass
-    core::Resources InUse_;
-    core::TimePoint UpdatedAt_;
-  };
-  std::unordered_map<std::string, DemandPeak> UrgentPeaks_; ///< by customer
+  std::unordered_map<std::string, DemandPeak> UrgentPeaks_; ///< first-priority work, by customer
   /// Token buckets by customer: tokens and time of the last refill.
   std::unordered_map<std::string, std::pair<double, core::TimePoint>> RateTokens_;
   std::set<std::string> DirtyJobs_; ///< jobs whose progress record has changed
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -5,7 +5,6 @@
 #include "masticdrift/lead/detail/Times.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <span>
 
@@ -44,12 +43,6 @@
 /// Time for which a step has the turn of overdue work, in which its advice can be requested.
 constexpr core::Millis OverdueTurnTime{1000};
 
-/// Half-life of the peak demand of a customer's first-priority work. The part of this peak that is
-/// not in use is reserved within the customer's limit.
-constexpr double PeakHalfLifeS = 8;
-/// At most 1/MaxReserveDivisor of a limit is reserved.
-constexpr std::int64_t MaxReserveDivisor = 2;
-
 /// Copies of one task that may run unreported: each leader starts at most one beside those of
 /// earlier leaders, and leases rarely outlast two takeovers.
 constexpr std::int64_t MaxUnreportedCopies = 2;
@@ -68,17 +61,6 @@
 
 using detail::isUnset;
 
-/// \returns true when \p Need fits beside \p Used; a limit of 0 means that there is none.
-bool fitsLimit(const core::Resources &Used, const core::Resources &Need,
-               const core::Resources &Limit) {
-  const auto Fits = [](std::int64_t UsedAmount, std::int64_t NeedAmount, std::int64_t LimitAmount) {
-    return LimitAmount == 0 || NeedAmount == 0 || UsedAmount + NeedAmount <= LimitAmount;
-  };
-  return Fits(Used.MilliCores_, Need.MilliCores_, Limit.MilliCores_) &&
-         Fits(Used.MemoryMb_, Need.MemoryMb_, Limit.MemoryMb_) &&
-         Fits(Used.Accelerators_, Need.Accelerators_, Limit.Accelerators_);
-}
-
 /// A step with waiting tasks and the fields that determine its order.
 struct Candidate {
   int UrgencyClass_ = 0; ///< 0 in time, 1 over the customer's rate, 2 without value
@@ -368,21 +350,11 @@
     return Best;
   }
 
-  /// \returns the part of a customer's limit that its less urgent work must leave free, so that the
-  /// next urgent job does not wait for long tasks of the same customer.
+  /// \returns the part of a customer's limit that its less urgent work must leave free.
   core::Resources reservedFor(const std::string &Customer, const core::Resources &Limit) const {
     const auto Found = Scheduler_.UrgentPeaks_.find(Customer);
-    if (Found == Scheduler_.UrgentPeaks_.end())
-      return {};
-    const auto ReserveOf = [](std::int64_t Highest, std::int64_t InUseAmount,
-                              std::int64_t LimitAmount) {
-      return std::clamp<std::int64_t>(Highest - InUseAmount, 0, LimitAmount / MaxReserveDivisor);
-    };
-    const core::Resources &Highest = Found->second.Highest_;
-    const core::Resources &InUse = Found->second.InUse_;
-    return {ReserveOf(Highest.MilliCores_, InUse.MilliCores_, Limit.MilliCores_),
-            ReserveOf(Highest.MemoryMb_, InUse.MemoryMb_, Limit.MemoryMb_),
-            ReserveOf(Highest.Accelerators_, InUse.Accelerators_, Limit.Accelerators_)};
+    return Found == Scheduler_.UrgentPeaks_.end() ? core::Resources()
+                                                  : reserveOf(Found->second, Limit);
   }
 
   /// Updates the peak demand of first-priority work.
@@ -394,27 +366,15 @@
         for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
           for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
             if (const TrackedStep &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
-              Scheduler::DemandPeak &Peak = Scheduler_.UrgentPeaks_[Job.Acceptance_.Customer_];
+              DemandPeak &Peak = Scheduler_.UrgentPeaks_[Job.Acceptance_.Customer_];
               const core::Resources &Need = Job.Spec_.Steps_[I].Need_;
               const auto OpenTasks =
                   static_cast<std::int64_t>(Step.Tasks_.size()) - Step.DoneTasks_;
               Peak.Demand_ += Need * OpenTasks;
               Peak.InUse_ += Need * (OpenTasks - Step.WaitingTasks_);
             }
-    for (auto &[Customer, Peak] : Scheduler_.UrgentPeaks_) {
-      const double ElapsedSeconds =
-          isUnset(Peak.UpdatedAt_) ? 0
-                                   : std::chrono::duration<double>(Now_ - Peak.UpdatedAt_).count();
-      const double DecayFactor = std::exp2(-ElapsedSeconds / PeakHalfLifeS);
-      const auto Decayed = [DecayFactor](std::int64_t Highest, std::int64_t Current) {
-        return std::max(static_cast<std::int64_t>(static_cast<double>(Highest) * DecayFactor),
-                        Current);
-      };
-      Peak.UpdatedAt_ = Now_;
-      Peak.Highest_ = {Decayed(Peak.Highest_.MilliCores_, Peak.Demand_.MilliCores_),
-                       Decayed(Peak.Highest_.MemoryMb_, Peak.Demand_.MemoryMb_),
-                       Decayed(Peak.Highest_.Accelerators_, Peak.Demand_.Accelerators_)};
-    }
+    for (auto &[Customer, Peak] : Scheduler_.UrgentPeaks_)
+      updatePeak(Peak, Now_);
   }
 
   /// \returns what counts as used by a customer.
@@ -435,7 +395,7 @@
     if (!fitsLimit(Used, Need, Limit))
       return RestReason::CustomerLimit;
     if (Job.Queue_.Priority_ > 0 &&
-        !fitsLimit(Used + reservedFor(Customer->first, Limit), Need, Limit))
+        !fitsBesideReserve(Used, Need, Limit, reservedFor(Customer->first, Limit)))
       return RestReason::CustomerReserve;
     return RestReason::None;
   }
@@ -612,19 +572,22 @@
   }
 
   /// \returns how many waiting tasks of the step its customer's limit will allow to start by the
-  /// end of \p Horizon. A gang starts as a whole.
+  /// end of \p Horizon.
   std::uint32_t tasksWithinLimit(const Candidate &Waiting, const TrackedStep &Step,
                                  const work::StepSpec &Spec, core::Duration Horizon) const {
     const auto Found = Plan_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
     if (Found == Plan_.Customers_.end())
       return Step.WaitingTasks_;
-    core::Resources Reserved;
-    if (Waiting.Job_->Queue_.Priority_ > 0)
-      Reserved = reservedFor(
-          Found->first, Scheduler_.Manifest_.Customers_.find(Found->first)->second.UpperLimit_);
-    const std::uint32_t Allowed =
-        slotsWithin(Found->second, Spec.Need_, Horizon, Step.WaitingTasks_, Reserved);
-    return Spec.Gang_ && Allowed < Step.WaitingTasks_ ? 0 : Allowed;
+    // A gang starts as a whole.
+    const std::uint32_t StartedTogether = Spec.Gang_ ? Step.WaitingTasks_ : 1;
+    const core::Resources Need = Spec.Need_ * StartedTogether;
+    const std::uint32_t MaxStarts = Step.WaitingTasks_ / StartedTogether;
+    if (Waiting.Job_->Queue_.Priority_ == 0)
+      return StartedTogether * slotsWithin(Found->second, Need, Horizon, MaxStarts);
+    const core::Resources &Limit =
+        Scheduler_.Manifest_.Customers_.find(Found->first)->second.UpperLimit_;
+    return StartedTogether * slotsBesideReserve(Found->second, Need, Horizon, MaxStarts, Limit,
+                                                reservedFor(Found->first, Limit));
   }
 
   bool mayCallAdviser(double CallTimeMs) const {
--- a/src/lead/RoomPlan.cpp
+++ b/src/lead/RoomPlan.cpp
@@ -11,14 +11,16 @@
     Release.Amount_ = Sum += Release.Amount_;
 }
 
+core::Resources roomWithin(const RoomAccount &Account, core::Duration Horizon) {
+  const auto Later = std::ranges::upper_bound(Account.Releases_, Horizon, {}, &RoomRelease::After_);
+  return Later == Account.Releases_.begin() ? Account.Free_
+                                            : Account.Free_ + std::prev(Later)->Amount_;
+}
+
 std::uint32_t slotsWithin(const RoomAccount &Account, const core::Resources &Need,
                           core::Duration Horizon, std::uint32_t MaxTasks,
                           const core::Resources &Withheld) {
-  core::Resources Room = Account.Free_ - Withheld;
-  const auto Later = std::ranges::upper_bound(Account.Releases_, Horizon, {}, &RoomRelease::After_);
-  if (Later != Account.Releases_.begin())
-    Room += std::prev(Later)->Amount_;
-  const auto Available = core::amounts(Room);
+  const auto Available = core::amounts(roomWithin(Account, Horizon) - Withheld);
   const auto Required = core::amounts(Need);
   std::int64_t Slots = MaxTasks;
   for (std::size_t I = 0; I < core::ResourceKinds; ++I)
