--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -5,7 +5,6 @@
 #include "masticdrift/lead/detail/Times.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <span>
 
@@ -44,12 +43,6 @@
 /// Time for which a step has the turn of overdue work, in which its advice can be requested.
 constexpr core::Millis OverdueTurnTime{1000};
 
-/// Half-life of the peak demand of a customer's first-priority work. The part of this peak that is
-/// not in use is reserved within the customer's limit.
-constexpr double PeakHalfLifeS = 8;
-/// At most 1/MaxReserveDivisor of a limit is reserved.
-constexpr std::int64_t MaxReserveDivisor = 2;
-
 /// Copies of one task that may run unreported: each leader starts at most one beside those of
 /// earlier leaders, and leases rarely outlast two takeovers.
 constexpr std::int64_t MaxUnreportedCopies = 2;
@@ -68,17 +61,6 @@
 
 using detail::isUnset;
 
-/// \returns true when \p Need fits beside \p Used; a limit of 0 means that there is none.
-bool fitsLimit(const core::Resources &Used, const core::Resources &Need,
-               const core::Resources &Limit) {
-  const auto Fits = [](std::int64_t UsedAmount, std::int64_t NeedAmount, std::int64_t LimitAmount) {
-    return LimitAmount == 0 || NeedAmount == 0 || UsedAmount + NeedAmount <= LimitAmount;
-  };
-  return Fits(Used.MilliCores_, Need.MilliCores_, Limit.MilliCores_) &&
-         Fits(Used.MemoryMb_, Need.MemoryMb_, Limit.MemoryMb_) &&
-         Fits(Used.Accelerators_, Need.Accelerators_, Limit.Accelerators_);
-}
-
 /// A step with waiting tasks and the fields that determine its order.
 struct Candidate {
   int UrgencyClass_ = 0; ///< 0 in time, 1 over the customer's rate, 2 without value
@@ -88,6 +70,8 @@
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   bool Overdue_ = false;
+  RestReason Rest_ = RestReason::None;
+  RestFigures Figures_{};
 };
 
 /// Urgency class of overdue work that has its turn.
@@ -366,21 +350,11 @@
     return Best;
   }
 
-  /// \returns the part of a customer's limit that its less urgent work must leave free, so that the
-  /// next urgent job does not wait for long tasks of the same customer.
+  /// \returns the part of a customer's limit that its less urgent work must leave free.
   core::Resources reservedFor(const std::string &Customer, const core::Resources &Limit) const {
     const auto Found = Scheduler_.UrgentPeaks_.find(Customer);
-    if (Found == Scheduler_.UrgentPeaks_.end())
-      return {};
-    const auto ReserveOf = [](std::int64_t Highest, std::int64_t InUseAmount,
-                              std::int64_t LimitAmount) {
-      return std::clamp<std::int64_t>(Highest - InUseAmount, 0, LimitAmount / MaxReserveDivisor);
-    };
-    const core::Resources &Highest = Found->second.Highest_;
-    const core::Resources &InUse = Found->second.InUse_;
-    return {ReserveOf(Highest.MilliCores_, InUse.MilliCores_, Limit.MilliCores_),
-            ReserveOf(Highest.MemoryMb_, InUse.MemoryMb_, Limit.MemoryMb_),
-            ReserveOf(Highest.Accelerators_, InUse.Accelerators_, Limit.Accelerators_)};
+    return Found == Scheduler_.UrgentPeaks_.end() ? core::Resources()
+                                                  : reserveOf(Found->second, Limit);
   }
 
   /// Updates the peak demand of first-priority work.
@@ -392,39 +366,38 @@
         for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
           for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
             if (const TrackedStep &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
-              Scheduler::DemandPeak &Peak = Scheduler_.UrgentPeaks_[Job.Acceptance_.Customer_];
+              DemandPeak &Peak = Scheduler_.UrgentPeaks_[Job.Acceptance_.Customer_];
               const core::Resources &Need = Job.Spec_.Steps_[I].Need_;
               const auto OpenTasks =
                   static_cast<std::int64_t>(Step.Tasks_.size()) - Step.DoneTasks_;
               Peak.Demand_ += Need * OpenTasks;
               Peak.InUse_ += Need * (OpenTasks - Step.WaitingTasks_);
             }
-    for (auto &[Customer, Peak] : Scheduler_.UrgentPeaks_) {
-      const double ElapsedSeconds =
-          isUnset(Peak.UpdatedAt_) ? 0
-                                   : std::chrono::duration<double>(Now_ - Peak.UpdatedAt_).count();
-      const double DecayFactor = std::exp2(-ElapsedSeconds / PeakHalfLifeS);
-      const auto Decayed = [DecayFactor](std::int64_t Highest, std::int64_t Current) {
-        return std::max(static_cast<std::int64_t>(static_cast<double>(Highest) * DecayFactor),
-                        Current);
-      };
-      Peak.UpdatedAt_ = Now_;
-      Peak.Highest_ = {Decayed(Peak.Highest_.MilliCores_, Peak.Demand_.MilliCores_),
-                       Decayed(Peak.Highest_.MemoryMb_, Peak.Demand_.MemoryMb_),
-                       Decayed(Peak.Highest_.Accelerators_, Peak.Demand_.Accelerators_)};
-    }
+    for (auto &[Customer, Peak] : Scheduler_.UrgentPeaks_)
+      updatePeak(Peak, Now_);
   }
 
-  bool withinLimit(const TrackedJob &Job, const core::Resources &Need) const {
+  /// \returns what counts as used by a customer.
+  core::Resources usedBy(const std::string &Customer) const {
+    core::Resources Used = Scheduler_.UsedByCustomer_[Customer];
+    if (const auto Found = UnknownUse_.find(Customer); Found != UnknownUse_.end())
+      Used += Found->second;
+    return Used;
+  }
+
+  /// \returns why the customer's limit does not allow another task, or RestReason::None.
+  RestReason checkLimit(const TrackedJob &Job, const core::Resources &Need) const {
     const auto Customer = Scheduler_.Manifest_.Customers_.find(Job.Acceptance_.Customer_);
     if (Customer == Scheduler_.Manifest_.Customers_.end())
-      return true;
-    core::Resources Used = Scheduler_.UsedByCustomer_[Job.Acceptance_.Customer_];
-    if (Job.Queue_.Priority_ > 0)
-      Used += reservedFor(Job.Acceptance_.Customer_, Customer->second.UpperLimit_);
-    if (const auto Found = UnknownUse_.find(Job.Acceptance_.Customer_); Found != UnknownUse_.end())
-      Used += Found->second;
-    return fitsLimit(Used, Need, Customer->second.UpperLimit_);
+      return RestReason::None;
+    const core::Resources &Limit = Customer->second.UpperLimit_;
+    const core::Resources Used = usedBy(Customer->first);
+    if (!fitsLimit(Used, Need, Limit))
+      return RestReason::CustomerLimit;
+    if (Job.Queue_.Priority_ > 0 &&
+        !fitsBesideReserve(Used, Need, Limit, reservedFor(Customer->first, Limit)))
+      return RestReason::CustomerReserve;
+    return RestReason::None;
   }
 
   void startTask(ExecutorState &Executor, const Candidate &Waiting, TrackedStep &Step,
@@ -461,38 +434,53 @@
            (!Scheduler_.Accounted_ && hasOpenSuspicion(Job.Progress_, Task));
   }
 
-  void placeTasks(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
+  /// \returns why tasks of the step still wait.
+  RestReason placeTasks(const Candidate &Waiting, TrackedStep &Step,
+                        const work::StepSpec &Spec) const {
+    RestReason Rest = RestReason::None;
     work::TaskRef Task{Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0};
     for (; Task.Index_ < Step.Tasks_.size() && Step.WaitingTasks_ > 0; ++Task.Index_) {
       TrackedTask &Tracked = Step.Tasks_[Task.Index_];
       if (Tracked.State_ != TaskState::Waiting)
         continue;
-      if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_ ||
-          !withinLimit(*Waiting.Job_, Spec.Need_))
-        return;
+      if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_)
+        return RestReason::StartsInFlight;
+      if (const RestReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_);
+          Exceeded != RestReason::None)
+        return Exceeded;
       if (Waiting.UrgencyClass_ == TurnUrgencyClass && Scheduler_.OverdueCredit_ < 1)
-        return;
-      if (waitsForSuspicion(Waiting, Task))
+        return RestReason::OverdueTurn;
+      if (waitsForSuspicion(Waiting, Task)) {
+        Rest = RestReason::Suspect;
         continue;
+      }
       const bool Suspect = crashCount(Waiting.Job_->Progress_, Task) > 0;
       const bool Isolated =
           Suspect && Now_ - Waiting.Job_->LastCrashAt_ < Scheduler_.Timing_.MaxTrialWait_;
       ExecutorState *Executor = chooseExecutor(Waiting, Step, Spec, Task, Isolated);
-      if (Executor == nullptr && Suspect)
+      if (Executor == nullptr && Suspect) {
+        Rest = RestReason::Suspect;
         continue; // other tasks of the step need no executor of their own
+      }
       if (Executor == nullptr)
-        return;
+        return RestReason::NoRoom;
       startTask(*Executor, Waiting, Step, Task,
                 runNumber(Scheduler_.Token_, ++Tracked.RunCounter_));
     }
+    return Rest;
   }
 
   /// Starts all tasks of a gang, or none of them.
-  void placeGang(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) const {
-    if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_ ||
-        Step.WaitingTasks_ < Step.Tasks_.size() ||
-        !withinLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_))
-      return;
+  /// \returns why the gang still waits.
+  RestReason placeGang(const Candidate &Waiting, TrackedStep &Step,
+                       const work::StepSpec &Spec) const {
+    if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_)
+      return RestReason::StartsInFlight;
+    if (Step.WaitingTasks_ < Step.Tasks_.size())
+      return RestReason::EarlierRuns;
+    if (const RestReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_);
+        Exceeded != RestReason::None)
+      return Exceeded;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
       for (const auto &[Id, Executor] : Scheduler_.Executors_)
@@ -502,14 +490,15 @@
     bool Suspect = false;
     for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       if (waitsForSuspicion(Waiting, memberOf(Waiting, I)))
-        return;
+        return RestReason::Suspect;
       Suspect = Suspect || crashCount(Waiting.Job_->Progress_, memberOf(Waiting, I)) > 0;
     }
     // A gang that finds no room apart from other starts runs beside them.
     for (const bool Isolated : {true, false})
       for (const std::string &Rack : Racks)
         if (Isolated <= Suspect && placeGangInRack(Waiting, Step, Spec, Isolated, Rack))
-          return;
+          return RestReason::None;
+    return RestReason::NoRoom;
   }
 
   static work::TaskRef memberOf(const Candidate &Waiting, std::uint32_t Index) {
@@ -583,19 +572,22 @@
   }
 
   /// \returns how many waiting tasks of the step its customer's limit will allow to start by the
-  /// end of \p Horizon. A gang starts as a whole.
+  /// end of \p Horizon.
   std::uint32_t tasksWithinLimit(const Candidate &Waiting, const TrackedStep &Step,
                                  const work::StepSpec &Spec, core::Duration Horizon) const {
     const auto Found = Plan_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
     if (Found == Plan_.Customers_.end())
       return Step.WaitingTasks_;
-    core::Resources Reserved;
-    if (Waiting.Job_->Queue_.Priority_ > 0)
-      Reserved = reservedFor(
-          Found->first, Scheduler_.Manifest_.Customers_.find(Found->first)->second.UpperLimit_);
-    const std::uint32_t Allowed =
-        slotsWithin(Found->second, Spec.Need_, Horizon, Step.WaitingTasks_, Reserved);
-    return Spec.Gang_ && Allowed < Step.WaitingTasks_ ? 0 : Allowed;
+    // A gang starts as a whole.
+    const std::uint32_t StartedTogether = Spec.Gang_ ? Step.WaitingTasks_ : 1;
+    const core::Resources Need = Spec.Need_ * StartedTogether;
+    const std::uint32_t MaxStarts = Step.WaitingTasks_ / StartedTogether;
+    if (Waiting.Job_->Queue_.Priority_ == 0)
+      return StartedTogether * slotsWithin(Found->second, Need, Horizon, MaxStarts);
+    const core::Resources &Limit =
+        Scheduler_.Manifest_.Customers_.find(Found->first)->second.UpperLimit_;
+    return StartedTogether * slotsBesideReserve(Found->second, Need, Horizon, MaxStarts, Limit,
+                                                reservedFor(Found->first, Limit));
   }
 
   bool mayCallAdviser(double CallTimeMs) const {
@@ -615,17 +607,19 @@
 
   /// Claims room for the waiting tasks of a step, and requests advice when the valid tickets do not
   /// suffice for those that can start soon.
-  void requestAdvice(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) {
+  /// \returns why no advice was requested.
+  RestReason requestAdvice(Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) {
     if (!Waiting.Job_->Queue_.Advice_)
-      return;
+      return RestReason::NoRoom;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
     const core::Duration Horizon =
         std::chrono::duration_cast<core::Duration>(std::chrono::duration<double, std::milli>(
             Policy.FixedMs_ * (1 + MinExecutorTimeFraction))) +
         PrefetchSlack;
     const std::uint32_t Wanted = tasksWithinLimit(Waiting, Step, Spec, Horizon);
+    Waiting.Figures_.Wanted_ = Wanted;
     if (Wanted == 0)
-      return;
+      return RestReason::CustomerLimit;
     if (const auto Found = Plan_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
         Found != Plan_.Customers_.end())
       claim(Found->second, Spec.Need_, Wanted);
@@ -633,14 +627,19 @@
     visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
       Covered += claimSlots(Executor, Step, Spec, Horizon, Wanted - Covered);
     });
+    Waiting.Figures_.Covered_ = Covered;
     if (Step.AdvicePending_) {
       for (const std::uint32_t Ordinal : Step.AskedExecutors_)
         if (const ExecutorState *Executor = Scheduler_.ByOrdinal_[Ordinal])
           Covered += claimSlots(*Executor, Step, Spec, Horizon, Wanted - Covered);
-      return;
+      return RestReason::AdvicePending;
     }
-    if (Covered >= Wanted || Now_ < Step.AdviceRetryAt_ || isExhausted(*Waiting.Job_, Spec))
-      return;
+    if (Covered >= Wanted)
+      return RestReason::Covered;
+    if (Now_ < Step.AdviceRetryAt_)
+      return RestReason::RetryDelay;
+    if (isExhausted(*Waiting.Job_, Spec))
+      return RestReason::ExhaustedNeed;
     std::vector<std::pair<double, const ExecutorState *>> Unadvised;
     bool AnyRoom = false;
     for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_)) {
@@ -657,13 +656,16 @@
       ExhaustedNeeds_[{Waiting.Job_->Queue_.Pool_, Spec.RequiredLabel_}].push_back(
           executorNeed(Spec));
     if (Unadvised.empty())
-      return;
-    callAdviser(Waiting, Step, Spec, Horizon, Wanted - Covered, std::move(Unadvised));
+      return AnyRoom ? RestReason::AllAdvised : RestReason::NoRoom;
+    return callAdviser(Waiting, Step, Spec, Horizon, Wanted - Covered, std::move(Unadvised))
+               ? RestReason::AdvicePending
+               : RestReason::CallLimit;
   }
 
   /// Requests advice about the executors of \p Unadvised with the lowest costs.
   /// \param Wanted number of tasks that need an executor.
-  void callAdviser(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
+  /// \returns false when the limit of calls does not allow it.
+  bool callAdviser(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
                    core::Duration Horizon, std::uint32_t Wanted,
                    std::vector<std::pair<double, const ExecutorState *>> Unadvised) {
     std::ranges::sort(Unadvised, {}, &std::pair<double, const ExecutorState *>::first);
@@ -684,7 +686,7 @@
     const double CallTimeMs =
         Policy.FixedMs_ + Policy.PerExecutorMs_ * static_cast<double>(Chosen.size());
     if (!mayCallAdviser(CallTimeMs))
-      return;
+      return false;
     std::vector<std::string> ExecutorIds;
     Step.AskedExecutors_.clear();
     for (const ExecutorState *Executor : Chosen) {
@@ -700,6 +702,7 @@
     Scheduler_.Actions_.RequestAdvice_(
         Task, std::move(ExecutorIds), CallTimeMs,
         {Waiting.UrgencyClass_ * 100 + Waiting.Priority_, Waiting.Deadline_});
+    return true;
   }
 
   double adviceYield(const TrackedJob &Job) const {
@@ -729,6 +732,9 @@
     }
     return true;
   }
+
+  /// Notes why each step rests, and logs those that have rested for long.
+  void noteRests(std::span<const Candidate> Candidates) const;
 };
 
 namespace {
@@ -773,6 +779,35 @@
 
 } // namespace
 
+void PlacementPass::noteRests(std::span<const Candidate> Candidates) const {
+  for (const Candidate &Waiting : Candidates) {
+    TrackedStep &Step = stepOf(Waiting);
+    const work::StepSpec &Spec = specOf(Waiting);
+    const bool HasStarted = Step.WaitingTasks_ < Waiting.Figures_.Waiting_;
+    noteRest(Step.Rest_, HasStarted || !Step.Ready_ ? RestReason::None : Waiting.Rest_, Now_);
+    if (!Scheduler_.RestLogBudget_.take(Step.Rest_, Now_))
+      continue;
+    RestFigures Figures = Waiting.Figures_;
+    visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
+      ++Figures.Tickets_;
+      Figures.TicketsWithRoom_ += freeSlots(Executor, Step, Spec, 1);
+    });
+    for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_))
+      if (hasLabel(*Executor, Spec.RequiredLabel_))
+        Figures.OpenWithRoom_ += freeSlots(*Executor, Step, Spec, 1);
+    if (const auto Customer =
+            Scheduler_.Manifest_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
+        Customer != Scheduler_.Manifest_.Customers_.end()) {
+      Figures.Used_ = usedBy(Customer->first);
+      Figures.Limit_ = Customer->second.UpperLimit_;
+      if (Waiting.Job_->Queue_.Priority_ > 0)
+        Figures.Reserved_ = reservedFor(Customer->first, Figures.Limit_);
+    }
+    Scheduler_.logDecision("rests", {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0}, 0,
+                           {}, describeRest(Step.Rest_, Figures, Now_));
+  }
+}
+
 void Scheduler::placeWaiting(core::TimePoint Now, std::int64_t WallMs) {
   NextPlacementAt_ = Now + PlacementInterval;
   PlacementPass Pass{*this, Now, {}, {}, {}, {}};
@@ -804,24 +839,32 @@
   }
   grantTurns(Candidates, OverdueCredit_, Now);
   std::ranges::sort(Candidates, isMoreUrgent);
-  for (const Candidate &Waiting : Candidates) {
-    if (!stepOf(Waiting).Ready_ || !mayStart(*Waiting.Job_, specOf(Waiting)))
+  for (Candidate &Waiting : Candidates) {
+    TrackedStep &Step = stepOf(Waiting);
+    if (!Step.Ready_)
       continue;
-    if (specOf(Waiting).Gang_)
-      Pass.placeGang(Waiting, stepOf(Waiting), specOf(Waiting));
+    Waiting.Figures_.Waiting_ = Step.WaitingTasks_;
+    if (!mayStart(*Waiting.Job_, specOf(Waiting)))
+      Waiting.Rest_ = RestReason::EarlierRuns;
+    else if (specOf(Waiting).Gang_)
+      Waiting.Rest_ = Pass.placeGang(Waiting, Step, specOf(Waiting));
     else
-      Pass.placeTasks(Waiting, stepOf(Waiting), specOf(Waiting));
+      Waiting.Rest_ = Pass.placeTasks(Waiting, Step, specOf(Waiting));
   }
   Pass.planRoom();
   // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
   for (const bool MayStart : {true, false})
-    for (const Candidate &Waiting : Candidates) {
-      if (OutstandingAdvice_.size() >= AdviceLimits_.Calls_)
-        return;
+    for (Candidate &Waiting : Candidates) {
       const bool Startable = !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting));
-      if (stepOf(Waiting).WaitingTasks_ > 0 && Startable == MayStart)
-        Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting));
+      if (stepOf(Waiting).WaitingTasks_ == 0 || Startable != MayStart)
+        continue;
+      const RestReason Rest = OutstandingAdvice_.size() < AdviceLimits_.Calls_
+                                  ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
+                                  : RestReason::CallLimit;
+      if (Waiting.Rest_ == RestReason::NoRoom && Waiting.Job_->Queue_.Advice_)
+        Waiting.Rest_ = Rest;
     }
+  Pass.noteRests(Candidates);
 }
 
 void Scheduler::onAdvice(const work::TaskRef &Task, std::span<const std::string> Asked,
