FakeFleet: a restart ends the requests that wait for an end

A hold request that an incarnation had accepted was answered by the next one at the end of its wait. A real executor's connections end with it, so the leader heard of restarts sooner here than it can, and without a silence.

Failed before: unit.FakeFleetTest (started again after 50 ms instead of not within 700 ms).

--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -544,9 +544,12 @@
       }
       if (!isReachableFrom(ThisTerm->Token_, Target))
         return;
-      const auto Reply = [this, ThisTerm, Scheduler, Id, SentAt, Answered](OrderOutcome Outcome) {
+      const auto Reply = [this, ThisTerm, Scheduler, Id, SentAt, Answered,
+                          Accepted = Target.Info_.IncarnationStartMs_](OrderOutcome Outcome) {
         const FakeExecutor &Answering = Executors_.at(Id);
-        if (!isReachableFrom(ThisTerm->Token_, Answering))
+        // A restart ends the connection on which the request waits.
+        if (!isReachableFrom(ThisTerm->Token_, Answering) ||
+            Answering.Info_.IncarnationStartMs_ != Accepted)
           return;
         const auto Deliver = [this, ThisTerm, Scheduler, Id, SentAt, Answered, Outcome,
                               Report = reportOf(Answering)] {
