The answer to a stop shows a new incarnation too

A stop that reached a new incarnation was counted as that incarnation's first sign of life only with the next report.

Found by looking for the cause elsewhere; failed before: theAnswerToAStopShowsANewIncarnation of unit.SchedulerOutdatedAnswerTest (a task starts after its end was acknowledged).

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -221,9 +221,10 @@
   void onStartResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
                      std::int64_t ClockMs, core::TimePoint SentAt, core::TimePoint Now);
   /// Handles the result of a stop order.
+  /// \param ClockMs the executor's clock, 0 when unknown.
   /// \param SentAt when the order was passed to SchedulerActions::Stop_, or later.
   void onStopResult(std::string_view ExecutorId, const RunKey &Key, fleet::OrderOutcome Outcome,
-                    core::TimePoint SentAt, core::TimePoint Now);
+                    std::int64_t ClockMs, core::TimePoint SentAt, core::TimePoint Now);
   /// Handles the answer to a request for advice.
   /// \param Allowed executors that may run the step, or nothing without a usable answer.
   void onAdvice(const work::TaskRef &Step, std::span<const std::string> Asked,
@@ -313,6 +314,8 @@
   /// Notes the result of the latest start order of a run.
   static void settleStart(ExecutorState &Executor, const RunKey &Key, fleet::OrderOutcome Outcome,
                           core::TimePoint Now);
+  void noticeClock(ExecutorState &Executor, fleet::OrderOutcome Outcome, std::int64_t ClockMs,
+                   core::TimePoint SentAt, core::TimePoint Now);
   void onUnmetIncarnation(ExecutorState &Executor, std::string_view Evidence, core::TimePoint Now);
   void noticeIncarnation(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
   void sendStart(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -666,8 +666,8 @@
                         whileLeading<platform::OrderResponse>(
                             [this, Id = Executor.Id_, Run,
                              SentAt = core::Clock::now()](const platform::OrderResponse &Answer) {
-                              Scheduler_->onStopResult(Id, Run, Answer.Outcome_, SentAt,
-                                                       core::Clock::now());
+                              Scheduler_->onStopResult(Id, Run, Answer.Outcome_, Answer.ClockMs_,
+                                                       SentAt, core::Clock::now());
                             }));
     };
     SchedulerPorts.Pace_ = [this](const fleet::ExecutorInfo &Executor, const lead::RunKey &Run,
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -312,10 +312,7 @@
   ExecutorState &Executor = Entry->second;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   settleStart(Executor, Key, Outcome, Now);
-  // Any answer of the executor shows its clock, also that to an outdated or refused order.
-  if (Outcome != OrderOutcome::OtherInstance && ClockMs > 0 && ClockMs < Executor.ClockMs_ &&
-      SentAt >= Executor.ClockReadAt_)
-    onUnmetIncarnation(Executor, "its clock has started anew", Now);
+  noticeClock(Executor, Outcome, ClockMs, SentAt, Now);
   const auto Found = Executor.Runs_.find(Key);
   // A run that was over and has to be prevented after a restart gets new orders while an earlier
   // one awaits its result, which says nothing about these.
@@ -392,6 +389,15 @@
     removeRun(Executor, Key, Now);
 }
 
+/// Requests the report of a new incarnation whose clock an answer has shown, be its order outdated
+/// or refused.
+void Scheduler::noticeClock(ExecutorState &Executor, OrderOutcome Outcome, std::int64_t ClockMs,
+                            core::TimePoint SentAt, core::TimePoint Now) {
+  if (Outcome != OrderOutcome::OtherInstance && ClockMs > 0 && ClockMs < Executor.ClockMs_ &&
+      SentAt >= Executor.ClockReadAt_)
+    onUnmetIncarnation(Executor, "its clock has started anew", Now);
+}
+
 /// Handles that an incarnation which has not reported yet carries out orders. The leases of these
 /// orders were computed for the clock of its predecessor.
 void Scheduler::onUnmetIncarnation(ExecutorState &Executor, std::string_view Evidence,
@@ -405,12 +411,13 @@
 }
 
 void Scheduler::onStopResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
-                             core::TimePoint SentAt, core::TimePoint Now) {
+                             std::int64_t ClockMs, core::TimePoint SentAt, core::TimePoint Now) {
   const auto Entry = Executors_.find(ExecutorId);
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
+  noticeClock(Executor, Outcome, ClockMs, SentAt, Now);
   const auto Found = Executor.Runs_.find(Key);
   if (Found == Executor.Runs_.end() || SentAt < Found->second.OrderSentAt_)
     return;
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -500,11 +500,12 @@
       FakeExecutor &Target = Executors_.at(Id);
       if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
         if (!Lost)
-          schedule(Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered,
-                                              SentAt] {
-            if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-              measureDecision([&] { Scheduler().onStopResult(Id, Key, *Outcome, SentAt, Now_); });
-          });
+          schedule(Now_ + Options_.Latency_,
+                   [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
+                     if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                       measureDecision(
+                           [&] { Scheduler().onStopResult(Id, Key, *Outcome, 0, SentAt, Now_); });
+                   });
         return;
       }
       if (!isReachableFrom(ThisTerm->Token_, Target) || Now_ < Target.StopsLostUntil_)
@@ -512,15 +513,15 @@
       const OrderOutcome Outcome = handleStop(Target, Key, ThisTerm->Token_);
       if (Lost)
         return;
-      schedule(
-          Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
-            if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-              measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, SentAt, Now_); });
-          });
+      schedule(Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt,
+                                      Clock = clockOf(Target)] {
+        if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+          measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, Clock, SentAt, Now_); });
+      });
     });
     schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
       if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision([&] { Scheduler().onStopResult(Id, Key, unanswered(), SentAt, Now_); });
+        measureDecision([&] { Scheduler().onStopResult(Id, Key, unanswered(), 0, SentAt, Now_); });
     });
   };
   Actions.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
--- a/tests/unit/SchedulerOrderResultTest.cpp
+++ b/tests/unit/SchedulerOrderResultTest.cpp
@@ -116,7 +116,7 @@
   Leader.report(SecondLife, 110);
   cr_expect_eq(Leader.RunsOver_, 0);
 
-  Leader.Scheduler_->onStopResult(ExecutorId, Run, OrderOutcome::Done, Leader.Stops_[0].At_,
+  Leader.Scheduler_->onStopResult(ExecutorId, Run, OrderOutcome::Done, 0, Leader.Stops_[0].At_,
                                   Leader.Now_);
   Leader.report(SecondLife, 150);
   cr_expect_eq(Leader.RunsOver_, 1);
@@ -136,7 +136,7 @@
   cr_assert_eq(Leader.Stops_.size(), 2);
   Leader.RunsOver_ = 0;
 
-  Leader.Scheduler_->onStopResult(ExecutorId, Run, OrderOutcome::Done, Leader.Stops_[0].At_,
+  Leader.Scheduler_->onStopResult(ExecutorId, Run, OrderOutcome::Done, 0, Leader.Stops_[0].At_,
                                   Leader.Now_);
   Leader.report(SecondLife, 110);
   cr_expect_eq(Leader.RunsOver_, 0);
--- a/tests/unit/SchedulerOutdatedAnswerTest.cpp
+++ b/tests/unit/SchedulerOutdatedAnswerTest.cpp
@@ -1,4 +1,5 @@
-// Answers to hold requests that are outdated as reports and show a new incarnation.
+// Answers that are outdated, or come from another incarnation than their order was meant for, and
+// show a new incarnation.
 #include "support/FakeFleet.h"
 #include "support/SimpleJobs.h"
 
@@ -16,8 +17,8 @@
 constexpr const char *ExecutorId = "e0";
 constexpr Millis DownTime{1};
 
-/// Lets an executor restart after its task's end was acknowledged, and its new incarnation answer
-/// an earlier request. A late start order of the task follows before the next report.
+/// Lets an executor with another task restart after a task's end was acknowledged, and its new
+/// incarnation answer. A late start order of the task follows before the next report.
 void playLateStart(const std::function<void(FakeFleet &, const fleet::Report &)> &Answer) {
   FakeFleetOptions Options;
   Options.LateOrdersSurviveRestart_ = true;
@@ -27,8 +28,10 @@
   Fleet.run(Millis(100));
   Fleet.delayNextStarts({Millis(4000)});
   Fleet.submit("j1", tests::makeJob(1, 300));
+  Fleet.submit("other", tests::makeJob(1, 60'000));
   Fleet.run(Millis(3700));
   cr_assert(Fleet.stateOf("j1") == work::JobState::Completed);
+  cr_assert_eq(Fleet.executorsRunning("other").size(), 1);
   Fleet.crash(ExecutorId, DownTime);
   Fleet.run(DownTime);
   fleet::Report Report;
@@ -61,3 +64,8 @@
     Fleet.leader().onLateHoldResult(ExecutorId, Report, Fleet.now());
   });
 }
+
+// Guards against the same by the answer to a stop.
+Test(SchedulerOutdatedAnswer, theAnswerToAStopShowsANewIncarnation) {
+  playLateStart([](FakeFleet &Fleet, const fleet::Report &) { Fleet.cancel("other"); });
+}
