--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -500,11 +500,12 @@
       FakeExecutor &Target = Executors_.at(Id);
       if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
         if (!Lost)
-          schedule(Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered,
-                                              SentAt] {
-            if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-              measureDecision([&] { Scheduler().onStopResult(Id, Key, *Outcome, SentAt, Now_); });
-          });
+          schedule(Now_ + Options_.Latency_,
+                   [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
+                     if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                       measureDecision(
+                           [&] { Scheduler().onStopResult(Id, Key, *Outcome, 0, SentAt, Now_); });
+                   });
         return;
       }
       if (!isReachableFrom(ThisTerm->Token_, Target) || Now_ < Target.StopsLostUntil_)
@@ -512,15 +513,15 @@
       const OrderOutcome Outcome = handleStop(Target, Key, ThisTerm->Token_);
       if (Lost)
         return;
-      schedule(
-          Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
-            if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-              measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, SentAt, Now_); });
-          });
+      schedule(Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt,
+                                      Clock = clockOf(Target)] {
+        if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+          measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, Clock, SentAt, Now_); });
+      });
     });
     schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
       if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision([&] { Scheduler().onStopResult(Id, Key, unanswered(), SentAt, Now_); });
+        measureDecision([&] { Scheduler().onStopResult(Id, Key, unanswered(), 0, SentAt, Now_); });
     });
   };
   Actions.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
@@ -544,9 +545,12 @@
       }
       if (!isReachableFrom(ThisTerm->Token_, Target))
         return;
-      const auto Reply = [this, ThisTerm, Scheduler, Id, SentAt, Answered](OrderOutcome Outcome) {
+      const auto Reply = [this, ThisTerm, Scheduler, Id, SentAt, Answered,
+                          Accepted = Target.Info_.IncarnationStartMs_](OrderOutcome Outcome) {
         const FakeExecutor &Answering = Executors_.at(Id);
-        if (!isReachableFrom(ThisTerm->Token_, Answering))
+        // A restart ends the connection on which the request waits.
+        if (!isReachableFrom(ThisTerm->Token_, Answering) ||
+            Answering.Info_.IncarnationStartMs_ != Accepted)
           return;
         const auto Deliver = [this, ThisTerm, Scheduler, Id, SentAt, Answered, Outcome,
                               Report = reportOf(Answering)] {
