The peak that sizes a limit's reserve is bounded by the limit

Callers saw: long after a burst of urgent work, or after a takeover with inherited urgent work, half of a customer's limit stays free although nothing urgent waits. Cause: the peak counted the whole demand, also what the limit could never have run at once. A burst of four times the limit keeps the largest reserve for three half-lives (24 s) before it begins to shrink.

--- a/include/masticdrift/lead/LimitReserve.h
+++ b/include/masticdrift/lead/LimitReserve.h
@@ -14,14 +14,14 @@
 
 /// Decaying peak demand of a customer's first-priority work.
 struct DemandPeak {
-  core::Resources Highest_; ///< in use and waiting
+  core::Resources Highest_; ///< in use and waiting, as far as the limit lets it run at once
   core::Resources Demand_;  ///< in use and waiting at the last placement pass
   core::Resources InUse_;
   core::TimePoint UpdatedAt_;
 };
 
 /// Updates the peak from the present demand.
-void updatePeak(DemandPeak &Peak, core::TimePoint Now);
+void updatePeak(DemandPeak &Peak, const core::Resources &Limit, core::TimePoint Now);
 
 /// \returns the part of the limit that less urgent work must leave free, at most half of it.
 core::Resources reserveOf(const DemandPeak &Peak, const core::Resources &Limit);
--- a/src/lead/LimitReserve.cpp
+++ b/src/lead/LimitReserve.cpp
@@ -30,18 +30,22 @@
 
 } // namespace
 
-void updatePeak(DemandPeak &Peak, core::TimePoint Now) {
+void updatePeak(DemandPeak &Peak, const core::Resources &Limit, core::TimePoint Now) {
   const double ElapsedSeconds = detail::isUnset(Peak.UpdatedAt_)
                                     ? 0
                                     : std::chrono::duration<double>(Now - Peak.UpdatedAt_).count();
   const double DecayFactor = std::exp2(-ElapsedSeconds / PeakHalfLifeS);
-  const auto Decayed = [DecayFactor](std::int64_t Highest, std::int64_t Current) {
-    return std::max(static_cast<std::int64_t>(static_cast<double>(Highest) * DecayFactor), Current);
+  const auto Decayed = [DecayFactor](std::int64_t Highest, std::int64_t Current,
+                                     std::int64_t LimitAmount) {
+    const std::int64_t Amount =
+        std::max(static_cast<std::int64_t>(static_cast<double>(Highest) * DecayFactor), Current);
+    return LimitAmount == 0 ? Amount : std::min(Amount, LimitAmount);
   };
   Peak.UpdatedAt_ = Now;
-  Peak.Highest_ = {Decayed(Peak.Highest_.MilliCores_, Peak.Demand_.MilliCores_),
-                   Decayed(Peak.Highest_.MemoryMb_, Peak.Demand_.MemoryMb_),
-                   Decayed(Peak.Highest_.Accelerators_, Peak.Demand_.Accelerators_)};
+  Peak.Highest_ = {
+      Decayed(Peak.Highest_.MilliCores_, Peak.Demand_.MilliCores_, Limit.MilliCores_),
+      Decayed(Peak.Highest_.MemoryMb_, Peak.Demand_.MemoryMb_, Limit.MemoryMb_),
+      Decayed(Peak.Highest_.Accelerators_, Peak.Demand_.Accelerators_, Limit.Accelerators_)};
 }
 
 core::Resources reserveOf(const DemandPeak &Peak, const core::Resources &Limit) {
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -373,8 +373,13 @@
               Peak.Demand_ += Need * OpenTasks;
               Peak.InUse_ += Need * (OpenTasks - Step.WaitingTasks_);
             }
-    for (auto &[Customer, Peak] : Scheduler_.UrgentPeaks_)
-      updatePeak(Peak, Now_);
+    for (auto &[Name, Peak] : Scheduler_.UrgentPeaks_) {
+      const auto Customer = Scheduler_.Manifest_.Customers_.find(Name);
+      updatePeak(Peak,
+                 Customer == Scheduler_.Manifest_.Customers_.end() ? core::Resources()
+                                                                   : Customer->second.UpperLimit_,
+                 Now_);
+    }
   }
 
   /// \returns what counts as used by a customer.
--- a/tests/unit/SchedulerPassedOverTest.cpp
+++ b/tests/unit/SchedulerPassedOverTest.cpp
@@ -89,3 +89,17 @@
   cr_expect_eq(Fleet.executorsRunning("gang").size(), 5);
   cr_expect(Fleet.violations().empty());
 }
+
+// Guards against a reserve that is sized by a backlog instead of by what the limit lets run: 16 s
+// after a burst of four times the limit, still half of the limit was kept free for urgent work.
+Test(SchedulerPassedOver, reserveAfterABurstIsBoundedByTheLimit) {
+  FakeFleet Fleet = makeFleet();
+  prepare(Fleet);
+  runUrgentBurst(Fleet);
+  Fleet.run(Millis(13'000));
+  // Two half-lives of the peak have passed: a quarter of the limit may be kept free.
+  Fleet.submit("batch", makeJob(32, 20'000, 1000), "batch");
+  Fleet.run(Millis(3000));
+  cr_expect_geq(Fleet.executorsRunning("batch").size(), 12);
+  cr_expect(Fleet.violations().empty());
+}
