Steps that are not ready claim a customer's limit last

Cause: advice for a step is requested ahead when the step before it is expected to end, and the tasks of such a step claimed their part of the customer's limit in the order of urgency. When the step before has runs that last longer than expected, the claim stands for as long, is asked for again and again, and ready steps that are less urgent find no limit left. What is ready is now served first, what waits for unknown runs next, what is not ready last.

--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -857,11 +857,16 @@
       Waiting.Rest_ = Pass.placeTasks(Waiting, Step, specOf(Waiting));
   }
   Pass.planRoom();
-  // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
-  for (const bool MayStart : {true, false})
+  // Room goes to steps that can start first, to those that wait for unknown runs of earlier leaders
+  // next, and to those that are not ready last: their wait may take much longer than expected.
+  const auto ClaimOrder = [this](const Candidate &Waiting) {
+    if (!stepOf(Waiting).Ready_)
+      return 2;
+    return !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting)) ? 0 : 1;
+  };
+  for (const int Turn : {0, 1, 2})
     for (Candidate &Waiting : Candidates) {
-      const bool Startable = !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting));
-      if (stepOf(Waiting).WaitingTasks_ == 0 || Startable != MayStart)
+      if (stepOf(Waiting).WaitingTasks_ == 0 || ClaimOrder(Waiting) != Turn)
         continue;
       const RestReason Rest = OutstandingAdvice_.size() < AdviceLimits_.Calls_
                                   ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
--- a/tests/unit/SchedulerPassedOverTest.cpp
+++ b/tests/unit/SchedulerPassedOverTest.cpp
@@ -13,6 +13,7 @@
 /// One call for advice about some 20 executors, and the time until its answer is used.
 constexpr Millis OneCall{800};
 constexpr std::int64_t LimitCores = 16;
+constexpr int Executors = 24;
 
 work::JobSpec makeJob(std::uint32_t Tasks, std::int64_t Ms, std::int64_t MilliCores) {
   work::StepSpec Step;
@@ -47,7 +48,7 @@
   Manifest.Queues_ = {Urgent, Batch};
   Manifest.Customers_["c"] = {"c", 100, {LimitCores * 1000, 0, 0}};
   Fleet.setManifest(Manifest);
-  for (int I = 0; I < 24; ++I)
+  for (int I = 0; I < Executors; ++I)
     Fleet.addExecutor("e" + std::to_string(I), {16'000, 65'536, 0});
   Fleet.run(Millis(100));
 }
@@ -103,3 +104,25 @@
   cr_expect_geq(Fleet.executorsRunning("batch").size(), 12);
   cr_expect(Fleet.violations().empty());
 }
+
+// A step waits for an overdue run of the step before it. Guards against room that it claims ahead
+// of steps that can start: a gang of the same customer was not asked for until that run ended.
+Test(SchedulerPassedOver, stepThatIsNotReadyClaimsNoRoomBeforeAReadyOne) {
+  FakeFleet Fleet = makeFleet();
+  prepare(Fleet);
+  constexpr int Overdue = 40;
+  for (int I = 0; I < Executors; ++I)
+    Fleet.slowDown("e" + std::to_string(I), Overdue);
+  work::JobSpec Chain = makeJob(1, 500, 1000);
+  Chain.Steps_.push_back(makeJob(12, 500, 1000).Steps_[0]);
+  Chain.Steps_[1].DependsOn_ = {0};
+  Fleet.submit("chain", Chain, "batch");
+  Fleet.run(Millis(2000));
+  cr_assert_eq(Fleet.executorsRunning("chain").size(), 1);
+  work::JobSpec Gang = makeJob(6, 2000, 2000);
+  Gang.Steps_[0].Gang_ = true;
+  Fleet.submit("gang", Gang, "batch");
+  Fleet.run(OneCall);
+  cr_expect_eq(Fleet.executorsRunning("gang").size(), 6);
+  cr_expect(Fleet.violations().empty());
+}
