Fake fleet: the roster of a new leader is the stored one

A new leader was told of the executors that its predecessor kept in the roster, even if the store was away and the removal not stored. Recording is limited to the leader of the present term: a later append of another one fails.

--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -96,10 +96,19 @@
 }
 
 void FakeFleet::recordExecutors() {
-  for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_)
-      for (const auto &[Id, Address] : std::map(Scheduler->unrecordedExecutors()))
-        Scheduler->onExecutorRecorded(Id, Address);
+  // The records of a leader whose term is over are not stored.
+  if (Leader_ == nullptr || !Current_->Alive_)
+    return;
+  for (const auto &[Id, Address] : std::map(Leader_->unrecordedExecutors())) {
+    StoredRoster_.insert(Id);
+    Leader_->onExecutorRecorded(Id, Address);
+  }
+}
+
+/// Removes the executors from the stored roster that the leader has taken out.
+void FakeFleet::removeFromRoster() {
+  std::erase_if(StoredRoster_,
+                [this](const std::string &Id) { return !Leader_->belongsInRoster(Id); });
 }
 
 /// Stores the changes of the records of silent executors, which all daemons read at once.
@@ -328,6 +337,13 @@
   setListed(Id, true);
 }
 
+void FakeFleet::stopDraining(const std::string &Id) {
+  FakeExecutor &Executor = Executors_.at(Id);
+  Executor.Info_.Draining_ = false;
+  Executor.Info_.DrainRemainingMs_ = 0;
+  setListed(Id, Executor.Listed_);
+}
+
 void FakeFleet::shutDown(const std::string &Id) {
   FakeExecutor &Executor = Executors_.at(Id);
   Executor.Up_ = false;
@@ -628,14 +644,12 @@
       ThisTerm->Token_, lead::SchedulerTiming{}, std::move(Actions), Now_, true);
   Leader_ = Terms_[Index].second.get();
   Leader_->setManifest(Manifest_, Now_);
-  const lead::Scheduler *Predecessor = Index == 0 ? nullptr : Terms_[Index - 1].second.get();
   for (const auto &[Id, Executor] : Executors_) {
     // Nothing names an executor that is neither listed nor in the roster to a new leader.
-    if (Executor.ShutDown_ && !Executor.Listed_ && Predecessor != nullptr &&
-        !Predecessor->belongsInRoster(Id))
+    if (Executor.ShutDown_ && !Executor.Listed_ && !StoredRoster_.contains(Id))
       continue;
     Leader_->onExecutor(Executor.Info_, Now_);
-    if (Predecessor == nullptr || Predecessor->belongsInRoster(Id))
+    if (StoredRoster_.contains(Id))
       Leader_->onInheritedExecutor(Id, Executor.Info_.Address_);
     if (!Executor.Listed_)
       Leader_->onExecutorGone(Id);
@@ -644,7 +658,7 @@
     if (!ReadDelays_.contains(Id))
       Leader_->onJob(Job, Now_, clockOf(*ThisTerm));
   for (const auto &[Id, Known] : Silences_)
-    if (Predecessor != nullptr && Predecessor->belongsInRoster(Id))
+    if (StoredRoster_.contains(Id))
       Leader_->onInheritedSilence(Id, Known, Now_);
   for (const auto &[Id, Time] : std::exchange(ReadDelays_, {})) {
     ThisTerm->JobsUnreadUntil_ = std::max(ThisTerm->JobsUnreadUntil_, Now_ + Time);
@@ -784,8 +798,11 @@
       Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatDelay) {
     ThisTerm->HeartbeatAt_ = Now_;
     Scheduler.onHeartbeatStored(Now_);
+    removeFromRoster();
     recordSilences(Scheduler);
   }
+  if (!StoreDown_ && ThisTerm->Token_ == Token_)
+    recordExecutors();
   if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasSilenceToClear())
     recordSilences(Scheduler);
   if (ThisTerm->AdviceDispatcher_) {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -174,6 +174,8 @@
   void setListed(const std::string &Id, bool Listed);
   /// Marks an executor as draining for at least \p Remaining.
   void drain(const std::string &Id, core::Millis Remaining);
+  /// Ends the draining of an executor that goes on after all.
+  void stopDraining(const std::string &Id);
   /// Shuts an executor down for good: its runs end and another executor answers at its address.
   void shutDown(const std::string &Id);
   /// Cuts the connection between the present leader and an executor for \p Time; other leaders
@@ -321,6 +323,7 @@
   bool isAllowed(const work::TaskRef &Step, const std::string &ExecutorId) const;
   /// Tells the leaders that all their executors are in the roster.
   void recordExecutors();
+  void removeFromRoster();
   /// Lets the executor list show the present capacity.
   void publishCapacity(const std::string &Id);
   /// Checks that a run which has just started does not bring its customer over its limit.
@@ -387,6 +390,7 @@
   std::deque<core::Millis> StopDelays_;
   std::deque<core::Millis> AnswerDelays_;
   bool StoreDown_ = false;
+  std::set<std::string> StoredRoster_; ///< the executors that a new leader asks for their runs
   /// Records of silent executors, as read by the daemons that do not lead.
   lead::SilenceTable Silences_;
   bool ProgressHeld_ = false;
