Leaders record the runs of draining executors

Cause: two executors that had been draining were in the roster and did not answer. Their leader had known all their runs, but recorded such knowledge only of silent executors, and could not take them out of the roster while the store was away. So the next leader held back all inherited tasks until all leases had lapsed.

Change: while an executor drains, the leader writes with a heartbeat which runs it may have: those that it has, those that a start on its way may begin, and those whose end it still reports. Nothing else is started there until the removal of the record is stored, so an old record only names too many. The next leader that gets no answer assumes these runs there for a full lease and holds back no other task. Leases are renewed as before. The record says for how long starts of leaders before the writer may still reach the executor after a restart; it spares no wait before that. A leadership record tells whether its leader keeps these records; without that they are void.

An old record can name a run of a gang that has started again elsewhere. The gang's members are adopted then, instead of being stopped for the member that seems to run twice.

--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -38,8 +38,10 @@
   bool RosterComplete_ = false;            ///< no executor outside the roster may have runs
   /// The records of silent executors in the topic hold; see Silence.h.
   bool SilencesHold_ = false;
+  /// The same for the records of draining executors; see Drain.h.
+  bool DrainsHold_ = false;
   MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Term_, Released_, WallMs_, Incarnation_, Unlisted_,
-                       RosterComplete_, SilencesHold_)
+                       RosterComplete_, SilencesHold_, DrainsHold_)
 };
 
 /// Timeouts and delays of the election.
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -186,7 +186,6 @@
   core::TimePoint GrantedUntil_{};
   std::int64_t GrantedUntilMs_ = 0;
   bool Silent_ = false;
-  core::TimePoint SilentSince_{}; ///< valid while Silent_
   /// The result of the last hold request was lost, and the executor has not answered since.
   bool AnswerOverdue_ = false;
   bool RunsKnown_ = false;        ///< has sent a report to this leader
@@ -194,8 +193,17 @@
   /// A record may be stored which says that the executor gets no lease. Until its removal is
   /// stored, nothing is started and no lease is renewed there.
   bool LeaseWithheld_ = false;
+  bool SilenceSettled_ = false; ///< the record says that nothing runs there any more
+  /// A record may be stored which says that nothing is started there but the runs that it names.
+  /// Until its removal is stored, nothing is.
+  bool StartsWithheld_ = false;
+  core::TimePoint SilentSince_{};       ///< valid while Silent_
+  core::TimePoint RunsKnownSince_{};    ///< when it sent the first report; valid while RunsKnown_
   core::TimePoint SilenceRecordedAt_{}; ///< when the record was last written; zero without one
-  bool SilenceSettled_ = false;         ///< the record says that nothing runs there any more
+  core::TimePoint DrainRecordedAt_{};   ///< the same for the record that rules starts out
+  std::string DrainRecord_;             ///< content of that record, as this leader wrote it
+  /// From then on the record of an earlier leader names all runs; zero without one.
+  core::TimePoint DrainHoldsFrom_{};
   /// A hold request, which requests the executor's report, acknowledges ends and renews the lease,
   /// is awaiting its result.
   bool HoldInFlight_ = false;
@@ -212,7 +220,8 @@
   /// Completions of voided runs whose tasks may have been started again. They are never
   /// acknowledged.
   std::set<std::uint64_t> WithheldEnds_;
-  std::uint64_t LastLapse_ = 0; ///< highest number of a reported end by a lapsed lease
+  std::vector<RunKey> ReportedEnds_; ///< runs that the last report lists as ended
+  std::uint64_t LastLapse_ = 0;      ///< highest number of a reported end by a lapsed lease
   /// Resources of all runs, without the processor time of filling runs.
   core::Resources Used_;
   std::int64_t FillMilliCores_ = 0; ///< processor time of filling runs
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -7,6 +7,7 @@
 #ifndef MASTICDRIFT_LEAD_SCHEDULER_H
 #define MASTICDRIFT_LEAD_SCHEDULER_H
 
+#include "masticdrift/lead/Drain.h"
 #include "masticdrift/lead/Model.h"
 #include "masticdrift/lead/RoomPlan.h"
 #include "masticdrift/lead/Silence.h"
@@ -202,6 +203,20 @@
   /// \returns true when a record of the executor's silence may be stored and is kept up to date.
   bool isSilenceRecorded(std::string_view ExecutorId) const;
 
+  /// Takes over which runs an earlier leader has recorded of a draining executor. To be called
+  /// after onInheritedSilence().
+  void onInheritedDrain(std::string_view ExecutorId, const KnownDrain &Known, core::TimePoint Now);
+  /// Takes the records of draining executors to append with the next heartbeat, in bounded size.
+  /// \returns the records, some of which remove an executor that does not drain any more.
+  std::vector<work::LogRecord> takeDrainChanges(core::TimePoint Now);
+  /// Handles that \p Changes are stored.
+  void onDrainChangesStored(std::span<const work::LogRecord> Changes);
+  /// \returns true while nothing is started on an executor that does not drain any more, because
+  /// its record may be stored.
+  bool hasDrainToClear() const;
+  /// \returns true when a record of the executor's draining may be stored and is kept up to date.
+  bool isDrainRecorded(std::string_view ExecutorId) const;
+
   /// \returns true when runs count as over as soon as a heartbeat is stored that is sent now.
   bool awaitsHeartbeat(core::TimePoint Now) const;
   /// Handles that a heartbeat which was sent at \p SentAt is stored: no later term had begun then.
@@ -376,11 +391,14 @@
   SilenceRecord describeSilence(const ExecutorState &Executor, core::TimePoint Now) const;
   /// \returns true when no run of earlier terms on the executor is unknown.
   static bool isAccountedFor(const ExecutorState &Executor);
+  DrainRecord describeDrain(const ExecutorState &Executor, core::TimePoint Now) const;
   void assumeRun(ExecutorState &Executor, const work::TaskRef &Task, std::uint64_t Number,
                  core::TimePoint Now);
   void settleAssumedRun(Run &Settled);
   bool needsRun(const TrackedJob &Job, const TrackedStep &Step, const fleet::ReportedRun &Row,
                 core::TimePoint Now);
+  /// \returns true when all assumed runs of the task have lower numbers.
+  bool isLaterThanAssumed(const fleet::ReportedRun &Row) const;
   void dropAssumedRuns(const work::TaskRef &Task, std::uint64_t Below, core::TimePoint Now);
 
   /// \returns the time up to which this leader may grant leases.
@@ -433,6 +451,7 @@
   std::size_t UnaccountedRuns_ = 0;
   std::size_t ReappearedRuns_ = 0;
   core::TimePoint SilencesWrittenAt_{}; ///< when records of silent executors were written last
+  core::TimePoint DrainsWrittenAt_{};   ///< the same for draining executors
   /// Like Accounted_, except for runs on executors that did not answer.
   bool AllContacted_ = false;
   bool EndsHidden_ = false; ///< some executor has ends that did not fit into its last report
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -54,7 +54,8 @@
 constexpr core::Millis AdviceTimeoutMargin{900};
 constexpr core::Millis GaugeUpdateInterval{2000};
 /// Interval of the additional heartbeats for silent executors that answer again or whose leases are
-/// over. A store that is down must not be called in each round.
+/// over, and for executors that stop draining. A store that is down must not be called in each
+/// round.
 constexpr core::Millis ExtraHeartbeatInterval{200};
 /// Interval between reloads of the specifications while a job lacks its own.
 constexpr core::Millis SpecReloadInterval{5000};
@@ -82,17 +83,26 @@
   void onLeadershipLoaded(const std::set<std::string> &Keys) {
     lead::retainRosterKeys(Roster_, Keys);
     lead::retainSilenceKeys(Silences_, Keys);
-    if (NewestRecord_ && !NewestRecord_->SilencesHold_)
-      lead::voidSilences(Silences_);
+    lead::retainDrainKeys(Drains_, Keys);
+    voidUnkeptRecords();
     if (!NewestRecord_)
       NewestReadAt_ = core::Clock::now();
     LeadershipLoaded_ = true;
   }
 
+  /// Marks the records as void that the leader of the newest record does not keep.
+  void voidUnkeptRecords() {
+    if (NewestRecord_ && !NewestRecord_->SilencesHold_)
+      lead::voidSilences(Silences_);
+    if (NewestRecord_ && !NewestRecord_->DrainsHold_)
+      lead::voidDrains(Drains_);
+  }
+
   /// Handles a record that was read from the topic.
   void onTopicRecord(const platform::KeyedRecord &Entry) {
     lead::applyRosterRecord(Roster_, Entry.Key_, Entry.Value_);
     lead::applySilenceRecord(Silences_, Entry.Key_, Entry.Value_, core::Clock::now());
+    lead::applyDrainRecord(Drains_, Entry.Key_, Entry.Value_, core::Clock::now());
     onLeadershipRecord(Entry);
   }
 
@@ -108,8 +118,7 @@
     const bool TermChanged = !NewestRecord_ || NewestRecord_->Term_ != Record->Term_;
     RecordFoundOnStart_ = !LeadershipLoaded_;
     NewestRecord_ = std::move(*Record);
-    if (!NewestRecord_->SilencesHold_)
-      lead::voidSilences(Silences_);
+    voidUnkeptRecords();
     NewestRecordOffset_ = Entry.Offset_;
     NewestReadAt_ = core::Clock::now();
     LeaderGone_ = false;
@@ -172,7 +181,8 @@
         {},
         rosterComplete(),
         // A heartbeat of a scheduler removes the records that it does not keep.
-        Scheduler_.has_value() || lead::allSilencesHold(Silences_)};
+        Scheduler_.has_value() || lead::allSilencesHold(Silences_),
+        Scheduler_.has_value() || lead::allDrainsHold(Drains_)};
     return {0, LeaderKey, core::pack(Record)};
   }
 
@@ -232,8 +242,8 @@
     appendHeartbeat();
   }
 
-  /// Appends a heartbeat and the pending changes of the roster and the silent executors. While a
-  /// hand-over is due, the heartbeat releases the leadership.
+  /// Appends a heartbeat and the pending changes of the roster and of the executors' records. While
+  /// a hand-over is due, the heartbeat releases the leadership.
   void appendHeartbeat() {
     if (HeartbeatOutstanding_)
       return;
@@ -253,11 +263,12 @@
                                return;
                              Scheduler_->onHeartbeatStored(SentAt);
                              Scheduler_->onSilenceChangesStored(Changes, core::Clock::now());
+                             Scheduler_->onDrainChangesStored(Changes);
                              onExecutorsRecorded(Added);
                            });
   }
 
-  /// \returns the changes of the roster and of the records of silent executors.
+  /// \returns the changes of the roster and of the records of silent and draining executors.
   std::vector<work::LogRecord> takeRosterChanges() {
     std::vector<work::LogRecord> Changes;
     if (!Scheduler_)
@@ -272,6 +283,11 @@
         Changes.push_back(lead::encodeSilenceRemoval(Id));
     for (work::LogRecord &Change : Scheduler_->takeSilenceChanges(core::Clock::now()))
       Changes.push_back(std::move(Change));
+    for (const auto &[Id, Known] : Drains_)
+      if (!Scheduler_->isDrainRecorded(Id))
+        Changes.push_back(lead::encodeDrainRemoval(Id));
+    for (work::LogRecord &Change : Scheduler_->takeDrainChanges(core::Clock::now()))
+      Changes.push_back(std::move(Change));
     return Changes;
   }
 
@@ -392,6 +408,9 @@
     for (const auto &[Id, Known] : Silences_)
       if (Roster_.contains(Id))
         Scheduler_->onInheritedSilence(Id, Known, Now);
+    for (const auto &[Id, Known] : Drains_)
+      if (Roster_.contains(Id))
+        Scheduler_->onInheritedDrain(Id, Known, Now);
     StoredJobCheck_.reset(Now);
     AdviceDispatcher_.registerAdviser({}, Now);
     // Ends the longer pauses between a follower's reads.
@@ -495,7 +514,8 @@
     if (StoredJobCheck_.due(Now))
       takeUpMissedJobs(Now);
     if (Now - ExtraHeartbeatAt_ >= ExtraHeartbeatInterval &&
-        (Scheduler_->hasSilenceToClear() || Scheduler_->awaitsHeartbeat(Now))) {
+        (Scheduler_->hasSilenceToClear() || Scheduler_->hasDrainToClear() ||
+         Scheduler_->awaitsHeartbeat(Now))) {
       ExtraHeartbeatAt_ = Now;
       appendHeartbeat();
     }
@@ -938,7 +958,8 @@
   core::TimePoint GoneSince_{}; ///< when the leader was found to be gone; zero while there is one
   lead::Roster Roster_;         ///< as read from the leadership topic
   lead::SilenceTable Silences_; ///< the same, of silent executors
-  core::TimePoint ExtraHeartbeatAt_{}; ///< when a heartbeat was sent for silent executors
+  lead::DrainTable Drains_;     ///< the same, of draining executors
+  core::TimePoint ExtraHeartbeatAt_{}; ///< when an additional heartbeat was sent
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0; ///< producer sequence of the next append to the jobs topic
   bool Flushing_ = false;
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -226,7 +226,8 @@
   bool acceptsWork(const ExecutorState &Executor) const {
     return Executor.Listed_ && Executor.Recorded_ && Executor.Reported_ && !Executor.Silent_ &&
            !Executor.AnswerOverdue_ && !Executor.LeaseWithheld_ && !Executor.Info_.Draining_ &&
-           Now_ >= Executor.AvoidUntil_ && Executor.UnsizedRuns_ == 0 &&
+           !Executor.StartsWithheld_ && Now_ >= Executor.AvoidUntil_ &&
+           Executor.UnsizedRuns_ == 0 &&
            (Executor.WithheldEnds_.empty() ||
             Executor.UnackedEnds_.size() < MaxEndsBehindWithheld) &&
            isEntryCurrent(Executor, Now_, Scheduler_.Timing_.MaxListDelay_);
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -85,7 +85,11 @@
   if (Report.IncarnationStartMs_ != 0)
     Executor.Incarnation_ = Report.IncarnationStartMs_;
   Executor.Reported_ = true;
-  Executor.RunsKnown_ = true;
+  if (!std::exchange(Executor.RunsKnown_, true))
+    Executor.RunsKnownSince_ = Now;
+  Executor.ReportedEnds_.clear();
+  for (const fleet::ReportedEnd &Row : Report.Ended_)
+    Executor.ReportedEnds_.emplace_back(Row.Task_, Row.Run_);
   Executor.ReportFull_ = Report.Ended_.size() >= fleet::MaxReportedEnds;
   Executor.LastAnswerAt_ = Now;
   Executor.ClockMs_ = Report.ClockMs_;
@@ -409,7 +413,8 @@
     dropAssumedRuns(Row.Task_, Row.Run_, Now);
   const bool OnlyAssumed =
       Task.State_ == TaskState::Placed && Task.ActiveRuns_ == Task.AssumedRuns_;
-  return Task.State_ == TaskState::Waiting || (Spec.AllowDuplicates_ && OnlyAssumed);
+  return Task.State_ == TaskState::Waiting ||
+         (OnlyAssumed && (Spec.AllowDuplicates_ || (Spec.Gang_ && isLaterThanAssumed(Row))));
 }
 
 void Scheduler::processRunning(ExecutorState &Executor, const fleet::ReportedRun &Row,
@@ -436,8 +441,12 @@
     updateExpectedEnd(NewRun, Now);
     NewRun.Checkpoint_ = Row.Checkpoint_;
     if (Wanted) {
-      if (stepSpec(*Job, Row.Task_).Gang_)
+      if (stepSpec(*Job, Row.Task_).Gang_) {
         Step->LastGangRun_ = std::max(Step->LastGangRun_, Row.Run_);
+        // Not before the new run is added: a member without a run stops the others.
+        if (Step->Tasks_[Row.Task_.Index_].AssumedRuns_ > 0)
+          dropAssumedRuns(Row.Task_, Row.Run_, Now);
+      }
       if (!Executor.Trial_ && crashCount(Job->Progress_, Row.Task_) > 0)
         Executor.Trial_ = {Row.Task_, Row.Run_};
       logDecision("adopted", Row.Task_, Row.Run_, Executor.Info_.Id_, {});
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -440,6 +440,10 @@
   std::erase_if(Executor.OpenStarts_, [&](const auto &Entry) {
     return !Entry.second.InFlight_ && Now - Entry.second.LostAt_ >= Timing_.MaxOrderDelay_;
   });
+  if (!isUnset(Executor.DrainHoldsFrom_) && Now >= Executor.DrainHoldsFrom_) {
+    Executor.DrainHoldsFrom_ = {};
+    Executor.SilenceInherited_ = true;
+  }
   // A later leader that reaches the executor renews its lease.
   if ((Executor.Silent_ || !Executor.Reported_) && ConfirmedAt_ >= Executor.LeaseEnd_ &&
       !Executor.Runs_.empty()) {
--- a/src/lead/SilentExecutors.cpp
+++ b/src/lead/SilentExecutors.cpp
@@ -163,6 +163,15 @@
     --findStep(*Job, Settled.Task_)->Tasks_[Settled.Task_.Index_].AssumedRuns_;
 }
 
+bool Scheduler::isLaterThanAssumed(const fleet::ReportedRun &Row) const {
+  return std::ranges::none_of(Executors_, [&](const auto &Entry) {
+    return std::ranges::any_of(Entry.second.Runs_, [&](const auto &Other) {
+      return Other.first.first == Row.Task_ && Other.second.Assumed_ &&
+             Other.first.second >= Row.Run_;
+    });
+  });
+}
+
 /// Removes the assumed runs of a task that another executor runs under a higher number: the earlier
 /// leader has started that one when the others were over.
 void Scheduler::dropAssumedRuns(const work::TaskRef &Task, std::uint64_t Below,
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -121,6 +121,30 @@
   Scheduler.onSilenceChangesStored(Changes, Now_);
 }
 
+/// The same for the records of draining executors.
+void FakeFleet::recordDrains(lead::Scheduler &Scheduler) {
+  std::erase_if(Drains_,
+                [&](const auto &Entry) { return !Scheduler.isDrainRecorded(Entry.first); });
+  const std::vector<work::LogRecord> Changes = Scheduler.takeDrainChanges(Now_);
+  for (const work::LogRecord &Change : Changes)
+    lead::applyDrainRecord(Drains_, Change.Key_, Change.Value_, Now_);
+  Scheduler.onDrainChangesStored(Changes);
+}
+
+/// Checks that nothing starts on an executor whose stored record rules it out.
+void FakeFleet::checkDrainRecord(const std::string &Id, const lead::RunKey &Key) {
+  const auto Found = Drains_.find(Id);
+  if (Found == Drains_.end() || Found->second.Void_ || Now_ < Found->second.HoldsFrom_)
+    return;
+  const auto &[Task, Number] = Key;
+  if (std::ranges::none_of(Found->second.Record_.Runs_, [&](const lead::SilentRun &Run) {
+        return Run.Job_ == Task.Job_ && Run.Occurrence_ == Task.Occurrence_ &&
+               Run.Step_ == Task.Step_ && Run.Index_ == Task.Index_ && Run.Number_ == Number;
+      }))
+    addViolation(nameOf(Task) + " run " + std::to_string(Number) + " starts on " + Id +
+                 ", whose record does not name it");
+}
+
 void FakeFleet::setStoreDown(bool Down) {
   StoreDown_ = Down;
   if (Down)
@@ -660,6 +684,9 @@
   for (const auto &[Id, Known] : Silences_)
     if (StoredRoster_.contains(Id))
       Leader_->onInheritedSilence(Id, Known, Now_);
+  for (const auto &[Id, Known] : Drains_)
+    if (StoredRoster_.contains(Id))
+      Leader_->onInheritedDrain(Id, Known, Now_);
   for (const auto &[Id, Time] : std::exchange(ReadDelays_, {})) {
     ThisTerm->JobsUnreadUntil_ = std::max(ThisTerm->JobsUnreadUntil_, Now_ + Time);
     schedule(Now_ + Time, [this, ThisTerm, Scheduler, Job = Id] {
@@ -800,11 +827,14 @@
     Scheduler.onHeartbeatStored(Now_);
     removeFromRoster();
     recordSilences(Scheduler);
+    recordDrains(Scheduler);
   }
   if (!StoreDown_ && ThisTerm->Token_ == Token_)
     recordExecutors();
   if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasSilenceToClear())
     recordSilences(Scheduler);
+  if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasDrainToClear())
+    recordDrains(Scheduler);
   if (ThisTerm->AdviceDispatcher_) {
     registerAdvisers(*ThisTerm);
     ThisTerm->AdviceDispatcher_->dispatch(Now_);
@@ -893,6 +923,7 @@
       addViolation(nameOf(Order.Task_) + " run " + std::to_string(Order.Run_) + " started on " +
                    Executor.Info_.Id_ + " after its completion on " + Completed.Executor_ +
                    " was acknowledged");
+  checkDrainRecord(Executor.Info_.Id_, {Order.Task_, Order.Run_});
   Starts_[Order.Task_].push_back(Now_);
   if (DeadlyTasks_.contains(Order.Task_) && crashesBy(Order.Task_) >= MaxDeadlyCrashes &&
       ++StartsAfterLastCrash_[Order.Task_] == MaxStartsAfterCrashes)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -174,6 +174,8 @@
   void setListed(const std::string &Id, bool Listed);
   /// Marks an executor as draining for at least \p Remaining.
   void drain(const std::string &Id, core::Millis Remaining);
+  /// Makes the stored records of draining executors void, as a leader of an earlier version does.
+  void voidDrains() { lead::voidDrains(Drains_); }
   /// Ends the draining of an executor that goes on after all.
   void stopDraining(const std::string &Id);
   /// Shuts an executor down for good: its runs end and another executor answers at its address.
@@ -306,6 +308,8 @@
   bool isCarriedOutLate(const FakeExecutor &Executor, std::int64_t Born) const;
   void startTerm();
   void recordSilences(lead::Scheduler &Scheduler);
+  void recordDrains(lead::Scheduler &Scheduler);
+  void checkDrainRecord(const std::string &Id, const lead::RunKey &Key);
   /// Adds the advisers of a term to its dispatcher, or renews them.
   void registerAdvisers(Term &OfTerm);
   void watchStarvation();
@@ -393,6 +397,7 @@
   std::set<std::string> StoredRoster_; ///< the executors that a new leader asks for their runs
   /// Records of silent executors, as read by the daemons that do not lead.
   lead::SilenceTable Silences_;
+  lead::DrainTable Drains_; ///< the same, of draining executors
   bool ProgressHeld_ = false;
   core::Millis LeaderClockAhead_{0};
   int Generation_ = 0;
