--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -96,10 +96,19 @@
 }
 
 void FakeFleet::recordExecutors() {
-  for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_)
-      for (const auto &[Id, Address] : std::map(Scheduler->unrecordedExecutors()))
-        Scheduler->onExecutorRecorded(Id, Address);
+  // The records of a leader whose term is over are not stored.
+  if (Leader_ == nullptr || !Current_->Alive_)
+    return;
+  for (const auto &[Id, Address] : std::map(Leader_->unrecordedExecutors())) {
+    StoredRoster_.insert(Id);
+    Leader_->onExecutorRecorded(Id, Address);
+  }
+}
+
+/// Removes the executors from the stored roster that the leader has taken out.
+void FakeFleet::removeFromRoster() {
+  std::erase_if(StoredRoster_,
+                [this](const std::string &Id) { return !Leader_->belongsInRoster(Id); });
 }
 
 /// Stores the changes of the records of silent executors, which all daemons read at once.
@@ -112,6 +121,30 @@
   Scheduler.onSilenceChangesStored(Changes, Now_);
 }
 
+/// The same for the records of draining executors.
+void FakeFleet::recordDrains(lead::Scheduler &Scheduler) {
+  std::erase_if(Drains_,
+                [&](const auto &Entry) { return !Scheduler.isDrainRecorded(Entry.first); });
+  const std::vector<work::LogRecord> Changes = Scheduler.takeDrainChanges(Now_);
+  for (const work::LogRecord &Change : Changes)
+    lead::applyDrainRecord(Drains_, Change.Key_, Change.Value_, Now_);
+  Scheduler.onDrainChangesStored(Changes);
+}
+
+/// Checks that nothing starts on an executor whose stored record rules it out.
+void FakeFleet::checkDrainRecord(const std::string &Id, const lead::RunKey &Key) {
+  const auto Found = Drains_.find(Id);
+  if (Found == Drains_.end() || Found->second.Void_ || Now_ < Found->second.HoldsFrom_)
+    return;
+  const auto &[Task, Number] = Key;
+  if (std::ranges::none_of(Found->second.Record_.Runs_, [&](const lead::SilentRun &Run) {
+        return Run.Job_ == Task.Job_ && Run.Occurrence_ == Task.Occurrence_ &&
+               Run.Step_ == Task.Step_ && Run.Index_ == Task.Index_ && Run.Number_ == Number;
+      }))
+    addViolation(nameOf(Task) + " run " + std::to_string(Number) + " starts on " + Id +
+                 ", whose record does not name it");
+}
+
 void FakeFleet::setStoreDown(bool Down) {
   StoreDown_ = Down;
   if (Down)
@@ -328,6 +361,13 @@
   setListed(Id, true);
 }
 
+void FakeFleet::stopDraining(const std::string &Id) {
+  FakeExecutor &Executor = Executors_.at(Id);
+  Executor.Info_.Draining_ = false;
+  Executor.Info_.DrainRemainingMs_ = 0;
+  setListed(Id, Executor.Listed_);
+}
+
 void FakeFleet::shutDown(const std::string &Id) {
   FakeExecutor &Executor = Executors_.at(Id);
   Executor.Up_ = false;
@@ -632,14 +672,12 @@
       ThisTerm->Token_, lead::SchedulerTiming{}, std::move(Actions), Now_, true);
   Leader_ = Terms_[Index].second.get();
   Leader_->setManifest(Manifest_, Now_);
-  const lead::Scheduler *Predecessor = Index == 0 ? nullptr : Terms_[Index - 1].second.get();
   for (const auto &[Id, Executor] : Executors_) {
     // Nothing names an executor that is neither listed nor in the roster to a new leader.
-    if (Executor.ShutDown_ && !Executor.Listed_ && Predecessor != nullptr &&
-        !Predecessor->belongsInRoster(Id))
+    if (Executor.ShutDown_ && !Executor.Listed_ && !StoredRoster_.contains(Id))
       continue;
     Leader_->onExecutor(Executor.Info_, Now_);
-    if (Predecessor == nullptr || Predecessor->belongsInRoster(Id))
+    if (StoredRoster_.contains(Id))
       Leader_->onInheritedExecutor(Id, Executor.Info_.Address_);
     if (!Executor.Listed_)
       Leader_->onExecutorGone(Id);
@@ -648,8 +686,11 @@
     if (!ReadDelays_.contains(Id))
       Leader_->onJob(Job, Now_, clockOf(*ThisTerm));
   for (const auto &[Id, Known] : Silences_)
-    if (Predecessor != nullptr && Predecessor->belongsInRoster(Id))
+    if (StoredRoster_.contains(Id))
       Leader_->onInheritedSilence(Id, Known, Now_);
+  for (const auto &[Id, Known] : Drains_)
+    if (StoredRoster_.contains(Id))
+      Leader_->onInheritedDrain(Id, Known, Now_);
   for (const auto &[Id, Time] : std::exchange(ReadDelays_, {})) {
     ThisTerm->JobsUnreadUntil_ = std::max(ThisTerm->JobsUnreadUntil_, Now_ + Time);
     schedule(Now_ + Time, [this, ThisTerm, Scheduler, Job = Id] {
@@ -788,10 +829,16 @@
       Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatDelay) {
     ThisTerm->HeartbeatAt_ = Now_;
     Scheduler.onHeartbeatStored(Now_);
+    removeFromRoster();
     recordSilences(Scheduler);
+    recordDrains(Scheduler);
   }
+  if (!StoreDown_ && ThisTerm->Token_ == Token_)
+    recordExecutors();
   if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasSilenceToClear())
     recordSilences(Scheduler);
+  if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasDrainToClear())
+    recordDrains(Scheduler);
   if (ThisTerm->AdviceDispatcher_) {
     registerAdvisers(*ThisTerm);
     ThisTerm->AdviceDispatcher_->dispatch(Now_);
@@ -880,6 +927,7 @@
       addViolation(nameOf(Order.Task_) + " run " + std::to_string(Order.Run_) + " started on " +
                    Executor.Info_.Id_ + " after its completion on " + Completed.Executor_ +
                    " was acknowledged");
+  checkDrainRecord(Executor.Info_.Id_, {Order.Task_, Order.Run_});
   Starts_[Order.Task_].push_back(Now_);
   if (DeadlyTasks_.contains(Order.Task_) && crashesBy(Order.Task_) >= MaxDeadlyCrashes &&
       ++StartsAfterLastCrash_[Order.Task_] == MaxStartsAfterCrashes)
