Unknown runs of steps that are not ready are void as well

Callers would see a task run again although it had completed (TWICE): a leader begins a step as soon as the executors have listed the completions of the step before it, and loses the leadership before these are stored. If the executor of the earlier step has left with its ends, the step is not ready for the next leader. Another executor has completed a task of it, does not answer, and its leases lapse. Only runs of ready steps were recorded as void then, so when the task had been started a second time and the executor answered, its completion was used and acknowledged.

All waiting tasks of an inherited job are recorded now.

--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -283,14 +283,15 @@
 }
 
 /// Voids the runs of earlier terms that no executor has listed. Those that did not answer may have
-/// completed them before their leases lapsed.
+/// completed them before their leases lapsed. That includes steps that are not ready: an earlier
+/// leader begins a step before the completion of those that it depends on is durable.
 void Scheduler::voidUnknownRuns(TrackedJob &Job) {
   if (!Job.Inherited_)
     return;
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K)
     for (std::uint32_t I = 0; I < Job.Spec_.Steps_.size() && Job.Occurrences_[K].Due_; ++I) {
       const TrackedStep &Step = Job.Occurrences_[K].Steps_[I];
-      for (std::uint32_t Index = 0; Step.Ready_ && Index < Step.Tasks_.size(); ++Index)
+      for (std::uint32_t Index = 0; Index < Step.Tasks_.size(); ++Index)
         if (Step.Tasks_[Index].State_ == TaskState::Waiting)
           voidRuns(Job, {Job.Id_, K, I, Index}, runNumber(Token_, 0));
     }
