Unknown runs of occurrences that are not due yet are void as well

Callers would see a task run again although it had completed (TWICE): a leader whose wall clock is behind that of its predecessor has not taken up an occurrence that the predecessor has begun, or has not looked at the time since its first heartbeat could not be stored, when the leases of a silent executor lapse. The runs of that occurrence were not recorded as void, so the completion that the executor listed later was used and acknowledged after the task had been started again.

All occurrences that a leader with another clock may have begun are recorded now, with the same bound as in the sum of unknown use.

SchedulerEarlyOccurrence failed before ("j1.0.0.0 was started after a completion that was acknowledged later").

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -323,8 +323,8 @@
                     core::TimePoint Now);
   void processEnd(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
   void voidRuns(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t UpTo);
-  void voidUnknownRuns(TrackedJob &Job);
-  void voidRunsOfLateJob(TrackedJob &Job);
+  void voidUnknownRuns(TrackedJob &Job, std::int64_t WallMs);
+  void voidRunsOfLateJob(TrackedJob &Job, std::int64_t WallMs);
   /// \returns true when all voided runs are known to later leaders.
   bool voidsAreStored() const;
   /// \returns a number that changes with each start of the task in this term.
@@ -413,7 +413,7 @@
   void stopCopies(const work::TaskRef &Task, std::uint64_t EndedRun, core::TimePoint Now);
   core::Millis holdWait(const ExecutorState &Executor, core::TimePoint Now) const;
   void adjustPace(ExecutorState &Executor, core::TimePoint Now);
-  void updateAccounted(core::TimePoint Now);
+  void updateAccounted(core::TimePoint Now, std::int64_t WallMs);
 
   // Placement.
   void placeWaiting(core::TimePoint Now, std::int64_t WallMs);
--- a/include/masticdrift/lead/detail/Times.h
+++ b/include/masticdrift/lead/detail/Times.h
@@ -10,6 +10,9 @@
 /// Allowance for the transit time of the order that carries a lease end.
 inline constexpr core::Millis LeaseSlack{250};
 
+/// Largest difference between the wall clocks of two leaders that is allowed for.
+inline constexpr core::Millis MaxClockDifference{10'000};
+
 /// \returns true when \p Time was never set.
 inline bool isUnset(core::TimePoint Time) { return Time == core::TimePoint{}; }
 
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -53,8 +53,6 @@
 /// Copies of one task that may run unreported: each leader starts at most one beside those of
 /// earlier leaders, and leases rarely outlast two takeovers.
 constexpr std::int64_t MaxUnreportedCopies = 2;
-/// Largest difference between the wall clocks of two leaders that is allowed for.
-constexpr core::Millis MaxClockDifference{10'000};
 
 /// Penalties relative to the load of an executor, which ranges from 0 to 1.
 constexpr double OtherRackPenalty = 2;
@@ -67,6 +65,7 @@
 constexpr double SlownessPenalty = 0.5;
 
 using detail::isUnset;
+using detail::MaxClockDifference;
 
 /// \returns true when \p Need fits beside \p Used; a limit of 0 means that there is none.
 bool fitsLimit(const core::Resources &Used, const core::Resources &Need,
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -11,6 +11,7 @@
 
 using detail::isUnset;
 using detail::leaseUpperBound;
+using detail::MaxClockDifference;
 using fleet::OrderOutcome;
 
 /// \returns true when the end was processed; all up to ProcessedEnd_ were, except those left
@@ -284,12 +285,15 @@
 
 /// Voids the runs of earlier terms that no executor has listed. Those that did not answer may have
 /// completed them before their leases lapsed. That includes steps that are not ready: an earlier
-/// leader begins a step before the completion of those that it depends on is durable.
-void Scheduler::voidUnknownRuns(TrackedJob &Job) {
+/// leader begins a step before the completion of those that it depends on is durable, and an
+/// occurrence when its own clock shows the time.
+void Scheduler::voidUnknownRuns(TrackedJob &Job, std::int64_t WallMs) {
   if (!Job.Inherited_)
     return;
+  const std::int64_t DueBeforeMs = WallMs + MaxClockDifference.count();
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K)
-    for (std::uint32_t I = 0; I < Job.Spec_.Steps_.size() && Job.Occurrences_[K].Due_; ++I) {
+    for (std::uint32_t I = 0;
+         I < Job.Spec_.Steps_.size() && Job.Occurrences_[K].DueMs_ < DueBeforeMs; ++I) {
       const TrackedStep &Step = Job.Occurrences_[K].Steps_[I];
       for (std::uint32_t Index = 0; Index < Step.Tasks_.size(); ++Index)
         if (Step.Tasks_[Index].State_ == TaskState::Waiting)
@@ -298,7 +302,7 @@
 }
 
 /// Voids the runs of a job that count as over since before it was read.
-void Scheduler::voidRunsOfLateJob(TrackedJob &Job) {
+void Scheduler::voidRunsOfLateJob(TrackedJob &Job, std::int64_t WallMs) {
   auto Entry = LapsedBeforeRead_.lower_bound({Job.Id_, 0, 0, 0});
   while (Entry != LapsedBeforeRead_.end() && Entry->first.Job_ == Job.Id_) {
     const TrackedStep *Step = findStep(Job, Entry->first);
@@ -307,7 +311,7 @@
     Entry = LapsedBeforeRead_.erase(Entry);
   }
   if (UnknownRunsLapsed_)
-    voidUnknownRuns(Job);
+    voidUnknownRuns(Job, WallMs);
 }
 
 /// \returns true when a voided run has completed and its task may have been started again. An
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -553,7 +553,7 @@
          Executor.SilenceInherited_;
 }
 
-void Scheduler::updateAccounted(core::TimePoint Now) {
+void Scheduler::updateAccounted(core::TimePoint Now, std::int64_t WallMs) {
   if (Accounted_)
     return;
   const bool LeasesLapsed =
@@ -583,7 +583,7 @@
   UnknownRunsLapsed_ = !RosterComplete_ || !AllReported;
   if (UnknownRunsLapsed_)
     for (auto &[Id, Job] : Jobs_)
-      voidUnknownRuns(Job);
+      voidUnknownRuns(Job, WallMs);
   logDecision("accounted", {}, 0, {},
               AllReported ? "all executors answered" : "leases have lapsed");
 }
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -114,7 +114,7 @@
               NewJob.Inherited_ ? "begun by an earlier leader"
                                 : (BegunByThisTerm ? "begun with its acceptance" : "new"));
   reconcileLateJob(NewJob, Now);
-  voidRunsOfLateJob(NewJob);
+  voidRunsOfLateJob(NewJob, WallMs);
   settleInheritedSuspicions(NewJob, Now);
   if (Accounted_)
     stopIncompleteGangs(NewJob, Now);
@@ -398,7 +398,7 @@
     Executors_.erase(Id);
   }
   const bool WasAccounted = Accounted_;
-  updateAccounted(Now);
+  updateAccounted(Now, WallMs);
   if (Accounted_ && !WasAccounted)
     for (auto &[Id, Job] : Jobs_)
       stopIncompleteGangs(Job, Now);
