--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -46,8 +46,6 @@
 /// Copies of one task that may run unreported: each leader starts at most one beside those of
 /// earlier leaders, and leases rarely outlast two takeovers.
 constexpr std::int64_t MaxUnreportedCopies = 2;
-/// Largest difference between the wall clocks of two leaders that is allowed for.
-constexpr core::Millis MaxClockDifference{10'000};
 
 /// Penalties relative to the load of an executor, which ranges from 0 to 1.
 constexpr double OtherRackPenalty = 2;
@@ -60,6 +58,7 @@
 constexpr double SlownessPenalty = 0.5;
 
 using detail::isUnset;
+using detail::MaxClockDifference;
 
 /// A step with waiting tasks and the fields that determine its order.
 struct Candidate {
