--- a/include/masticdrift/lead/Election.h
+++ b/include/masticdrift/lead/Election.h
@@ -53,8 +53,8 @@
   /// Silence timeout that replaces SilenceTimeout_ when the leader's process is gone (its address
   /// refuses connections) or when the leader reports that the store refuses it.
   core::Millis RefusedSilenceTimeout_{500};
-  /// Silence timeout that replaces SilenceTimeout_ when the leader does not answer this daemon
-  /// either. Two heartbeats: one may be late, and a path between two daemons may be cut.
+  /// Silence timeout that replaces SilenceTimeout_ when the leader has not answered this daemon for
+  /// as long either. Two heartbeats, or two hellos and the timeout of the second.
   core::Millis UnansweredSilenceTimeout_{1400};
   /// Delay between the claims of daemons with consecutive ranks, so that few
   /// claims are made in vain.
@@ -84,7 +84,7 @@
   std::int64_t WallMs_ = 0;
   bool FoundOnStart_ = false;          ///< the newest record is older than this process
   bool LeaderUnavailable_ = false;     ///< the leader is known to be gone or cut off from the store
-  bool LeaderUnanswering_ = false;     ///< the leader did not answer this daemon's last request
+  core::TimePoint LeaderAnsweredAt_{}; ///< last answer of the leader to this daemon
   unsigned Rank_ = 0;                  ///< position in the claim order
   core::TimePoint LeaderGoneSince_;    ///< when isLeaderGone() became true
   core::Duration FastestStoreTime_{0}; ///< duration of the fastest call to the store
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -203,7 +203,7 @@
   core::TimePoint RunsKnownSince_{};    ///< when it sent the first report; valid while RunsKnown_
   core::TimePoint SilenceRecordedAt_{}; ///< when the record was last written; zero without one
   core::TimePoint DrainRecordedAt_{};   ///< the same for the record that rules starts out
-  std::string DrainRecord_;             ///< content of that record, as this leader wrote it
+  std::string DrainRecord_;             ///< content of that record, once this leader has stored it
   /// From then on the record of an earlier leader names all runs; zero without one.
   core::TimePoint DrainHoldsFrom_{};
   /// A hold request, which requests the executor's report, acknowledges ends and renews the lease,
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -53,6 +53,7 @@
         "masticdrift_topic_bytes_total", Counter,
         "Bytes read from a topic of the log service, by topic and whether the read was given up"},
     MetricInfo{"masticdrift_leader", Gauge, "1 while this daemon leads"},
+    MetricInfo{"masticdrift_hand_overs_total", Counter, "Hand-overs that this leader has begun"},
     MetricInfo{"masticdrift_takeover_seconds", Histogram,
                "Time from a claim that was won until this daemon leads"},
     MetricInfo{"masticdrift_waiting_tasks", Gauge, "Tasks that could start, at the leader"},
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -123,7 +123,8 @@
     NewestReadAt_ = core::Clock::now();
     LeaderGone_ = false;
     LeaderWithoutStore_ = false;
-    LeaderUnanswering_ = LeaderUnanswering_ && !TermChanged;
+    if (TermChanged)
+      LeaderAnsweredAt_ = NewestReadAt_;
     LeaderResponsive_ = LeaderResponsive_ && !TermChanged;
     if (TermChanged)
       core::log(core::LogLevel::Info, "leader changed",
@@ -160,7 +161,7 @@
         NewestRecord_ ? &*NewestRecord_ : nullptr, core::wallMillis(), RecordFoundOnStart_,
         // A claim gains nothing while this daemon can't read the store either.
         LeaderGone_ || (LeaderWithoutStore_ && !Leadership_.failing() && !Jobs_.failing()),
-        LeaderUnanswering_, rank(), GoneSince_, Context_.Store_.shortestCallTime()};
+        LeaderAnsweredAt_, rank(), GoneSince_, Context_.Store_.shortestCallTime()};
     if (!lead::isLeaderGone(View, {})) {
       GoneSince_ = {};
       return;
@@ -224,14 +225,15 @@
     ClaimOutstanding_ = true;
     // Not beyond the records that were read: the roster must be complete when the claim succeeds.
     const std::uint64_t Offset = Leadership_.nextOffset();
-    core::log(core::LogLevel::Info, "claiming the leadership",
-              {{"at", std::to_string(Offset)},
-               {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewestReadAt_))},
-               {"refused", LeaderGone_ ? "true" : "false"},
-               {"unanswering", LeaderUnanswering_ ? "true" : "false"},
-               {"turn", std::to_string(rank())},
-               {"standby", Standby_ ? "true" : "false"},
-               {"specs_loaded", Specs_.loaded() ? "true" : "false"}});
+    core::log(
+        core::LogLevel::Info, "claiming the leadership",
+        {{"at", std::to_string(Offset)},
+         {"silent_ms", std::to_string(core::toMillis(core::Clock::now() - NewestReadAt_))},
+         {"refused", LeaderGone_ ? "true" : "false"},
+         {"unanswered_ms", std::to_string(core::toMillis(core::Clock::now() - LeaderAnsweredAt_))},
+         {"turn", std::to_string(rank())},
+         {"standby", Standby_ ? "true" : "false"},
+         {"specs_loaded", Specs_.loaded() ? "true" : "false"}});
     appendLeadershipRecord(Offset, Offset + 1, false, {},
                            [this](platform::AppendOutcome) { ClaimOutstanding_ = false; });
   }
@@ -254,20 +256,20 @@
     lead::Roster Added;
     for (const work::LogRecord &Change : Changes)
       lead::applyRosterRecord(Added, Change.Key_, Change.Value_);
-    appendLeadershipRecord(NewestRecordOffset_ + 1, Term_, isHandOverDue(), Changes,
-                           [this, Term = Term_, SentAt = core::Clock::now(), Changes,
-                            Added = std::move(Added)](platform::AppendOutcome Outcome) {
-                             HeartbeatOutstanding_ = false;
-                             if (Role_ != Role::Follower && isHandOverDue())
-                               runAfter(HeartbeatTimer_, RetryDelay, [this] { sendHeartbeat(); });
-                             if (Outcome != platform::AppendOutcome::Stored ||
-                                 Role_ != Role::Leading || Term_ != Term)
-                               return;
-                             Scheduler_->onHeartbeatStored(SentAt);
-                             Scheduler_->onSilenceChangesStored(Changes, core::Clock::now());
-                             Scheduler_->onDrainChangesStored(Changes);
-                             onExecutorsRecorded(Added);
-                           });
+    appendLeadershipRecord(
+        NewestRecordOffset_ + 1, Term_, isHandOverDue(), Changes,
+        [this, Term = Term_, SentAt = core::Clock::now(), Changes,
+         Added = std::move(Added)](platform::AppendOutcome Outcome) {
+          HeartbeatOutstanding_ = false;
+          if (Role_ != Role::Follower && isHandOverDue())
+            runAfter(HeartbeatTimer_, ExtraHeartbeatInterval, [this] { sendHeartbeat(); });
+          if (Outcome != platform::AppendOutcome::Stored || Role_ != Role::Leading || Term_ != Term)
+            return;
+          Scheduler_->onHeartbeatStored(SentAt);
+          Scheduler_->onSilenceChangesStored(Changes, core::Clock::now());
+          Scheduler_->onDrainChangesStored(Changes);
+          onExecutorsRecorded(Added);
+        });
   }
 
   /// \returns the changes of the roster and of the records of silent and draining executors.
@@ -470,6 +472,7 @@
     HandOverUntil_ = std::max(HandOverUntil_, Until);
     if (Requested)
       return;
+    core::count("masticdrift_hand_overs_total");
     core::log(core::LogLevel::Info, "handing over the leadership",
               {{"term", std::to_string(Term_)},
                {"reason", std::string(Reason)},
@@ -854,8 +857,8 @@
     HttpRequest.Method_ = "POST";
     HttpRequest.Url_ = "http://" + NewestRecord_->PeerAddress_ + protocol::HelloPath;
     const bool CanLead = lead::isPreferredLeader(Context_.Settings_.Cores_) &&
-                         !Context_.Stopping_ && Jobs_.loaded() && !Jobs_.failing() &&
-                         !Leadership_.failing();
+                         !Context_.Stopping_ && Context_.Manifest_ && Jobs_.loaded() &&
+                         !Jobs_.failing() && !Leadership_.failing();
     HttpRequest.Body_ = core::pack(protocol::Hello{
         Context_.Settings_.Instance_, Context_.PeerAddress_, Context_.Settings_.Domain_,
         Context_.Settings_.Cores_, CanLead, Context_.Settings_.LinkMbps_});
@@ -880,7 +883,8 @@
               Self->Config_.setSource(Reply->ConfigSource_);
           }
           Self->LeaderGone_ = Refused || Replaced;
-          Self->LeaderUnanswering_ = Result.Transfer_ != http::Transfer::Complete;
+          if (Result.Transfer_ == http::Transfer::Complete && !Replaced)
+            Self->LeaderAnsweredAt_ = core::Clock::now();
           // A leader that can't read the store answers hellos with 503.
           Self->LeaderWithoutStore_ =
               Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ != 200;
@@ -955,9 +959,9 @@
   bool HeartbeatOutstanding_ = false;
   bool RecordFoundOnStart_ = false; ///< the newest record is older than this process
   bool LeaderGone_ = false; ///< its address refuses connections or belongs to another process
-  bool LeaderUnanswering_ = false;  ///< it did not answer the last hello
-  bool LeaderWithoutStore_ = false; ///< the leader reports that it can't read the store
-  bool LeaderResponsive_ = false;   ///< the leader answered the last hello
+  core::TimePoint LeaderAnsweredAt_{}; ///< to a hello, or when its first record was read
+  bool LeaderWithoutStore_ = false;    ///< the leader reports that it can't read the store
+  bool LeaderResponsive_ = false;      ///< the leader answered the last hello
   Role Role_ = Role::Follower;
   std::optional<lead::LeadershipRecord> NewestRecord_;
   std::uint64_t NewestRecordOffset_ = 0;
--- a/src/daemon/RelayTable.cpp
+++ b/src/daemon/RelayTable.cpp
@@ -15,8 +15,9 @@
 /// Starts with payloads of 1 to 4 KB and reports add up to about 40 kbit/s for an executor; a relay
 /// spends less than half of its link on them.
 constexpr double ExecutorsPerMbps = 10;
-/// Starts in batches take about 0.5 KB each; a quarter of a second of the link carries this many.
-constexpr double StartsPerMbps = 64;
+/// A start with its payload takes up to 4.5 KB, as after a takeover, when the relays have none yet;
+/// a quarter of a second of the link carries this many.
+constexpr double StartsPerMbps = 7;
 /// Pause of a daemon after a failed request; longer than RelayTimeout, so that a daemon that is
 /// gone has timed out by then.
 constexpr core::Millis FailureBackoff{2000};
--- a/src/lead/DrainingExecutors.cpp
+++ b/src/lead/DrainingExecutors.cpp
@@ -29,10 +29,14 @@
 /// is known to have been told that this is stored: before, a later leader may not know of the end.
 DrainRecord Scheduler::describeDrain(const ExecutorState &Executor, core::TimePoint Now) const {
   DrainRecord Record;
-  // The executor refuses orders of earlier leaders since its first report, until it restarts.
+  // The executor refuses orders of earlier leaders since its first report, until it restarts. One
+  // that does not know yet that it was replaced sends some after that report.
   if (!RosterComplete_ || Executor.InheritedRuns_)
-    Record.EarlierOrdersMs_ = std::max<std::int64_t>(
-        core::toMillis(Executor.RunsKnownSince_ + Timing_.MaxOrderDelay_ - Now) + 1, 0);
+    Record.EarlierOrdersMs_ =
+        std::max<std::int64_t>(core::toMillis(Executor.RunsKnownSince_ + Timing_.StaleLeaderTime_ +
+                                              Timing_.MaxOrderDelay_ - Now) +
+                                   1,
+                               0);
   std::set<RunKey> Keys(Executor.ReportedEnds_.begin(), Executor.ReportedEnds_.end());
   for (const auto &[Key, ActiveRun] : Executor.Runs_)
     Keys.insert(Key);
@@ -56,7 +60,7 @@
     const bool Due =
         isUnset(Executor.DrainRecordedAt_) || Now - Executor.DrainRecordedAt_ >= RecordInterval;
     if (TooSoon || !Due || !Executor.Info_.Draining_ || !Executor.Recorded_ ||
-        !Executor.Reported_ || Bytes >= MaxRecordBytes)
+        !Executor.Reported_ || Executor.ReportFull_ || !voidsAreStored() || Bytes >= MaxRecordBytes)
       continue;
     const DrainRecord Record = describeDrain(Executor, Now);
     // The record of an earlier leader holds sooner.
@@ -68,7 +72,6 @@
       continue;
     Executor.StartsWithheld_ = true;
     Executor.DrainRecordedAt_ = DrainsWrittenAt_ = Now;
-    Executor.DrainRecord_ = Change.Value_;
     Bytes += Change.Key_.size() + Change.Value_.size();
     Changes.push_back(std::move(Change));
   }
@@ -83,10 +86,10 @@
     ExecutorState &Executor = Found->second;
     // Changes may hold the removal of a void record and after it a new one.
     Executor.StartsWithheld_ = !Change.Value_.empty();
+    Executor.DrainRecord_ = Change.Value_;
     if (Executor.StartsWithheld_)
       continue;
     Executor.DrainRecordedAt_ = {};
-    Executor.DrainRecord_.clear();
     PlacementDue_ = true;
   }
 }
--- a/src/lead/Election.cpp
+++ b/src/lead/Election.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double SmallMachineCores = 0.2;
+constexpr unsigned RanksPerSize = 8;
 
 /// \returns the time since the leader counts as gone; negative while it does not.
 core::Duration leaderGoneFor(const ElectionView &View, const ElectionTiming &Timing) {
@@ -22,8 +23,8 @@
                                         core::Duration(0));
   if (View.LeaderUnavailable_)
     return Silence - Timing.RefusedSilenceTimeout_;
-  return Silence -
-         (View.LeaderUnanswering_ ? Timing.UnansweredSilenceTimeout_ : Timing.SilenceTimeout_);
+  const bool Unanswered = View.Now_ - View.LeaderAnsweredAt_ >= Timing.UnansweredSilenceTimeout_;
+  return Silence - (Unanswered ? Timing.UnansweredSilenceTimeout_ : Timing.SilenceTimeout_);
 }
 
 } // namespace
@@ -35,7 +36,6 @@
 bool isPreferredLeader(double Cores) { return Cores >= SmallMachineCores; }
 
 unsigned claimRank(std::string_view Instance, double Cores) {
-  constexpr unsigned RanksPerSize = 8;
   const auto Rank =
       static_cast<unsigned>(XXH3_64bits(Instance.data(), Instance.size()) % RanksPerSize);
   return Cores < SmallMachineCores ? RanksPerSize + Rank : Rank;
@@ -59,9 +59,13 @@
     GoneFor = View.Now_ - View.NewestReadAt_;
   else if (GoneFor - KnownGoneFor >= Timing.RestartTurnsAfter_)
     GoneFor = KnownGoneFor;
-  const core::Duration StoreDelay = std::clamp<core::Duration>(
+  core::Duration StoreDelay = std::clamp<core::Duration>(
       Timing.StoreDelayFactor_ * (View.FastestStoreTime_ - Timing.NearStoreTime_),
       core::Duration(0), Timing.MaxStoreDelay_);
+  // A leader hands over to a larger machine, which may be the most distant one of the last turn.
+  const bool Released = View.NewestRecord_ != nullptr && View.NewestRecord_->Released_;
+  if (Released && View.Rank_ >= RanksPerSize)
+    StoreDelay = Timing.MaxStoreDelay_;
   return GoneFor >= Timing.ClaimInterval_ * static_cast<int>(View.Rank_) + StoreDelay;
 }
 
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -405,6 +405,9 @@
   logDecision("executor_reborn", {}, 0, Executor.Info_.Id_, Evidence);
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
+  // The report was requested already; another request would make the answer outdated.
+  if (!Executor.Reported_)
+    return;
   Executor.Reported_ = false;
   Executor.HoldInFlight_ = false;
   Executor.NextHoldAt_ = Now;
--- a/tests/unit/SchedulerOrderResultTest.cpp
+++ b/tests/unit/SchedulerOrderResultTest.cpp
@@ -166,6 +166,17 @@
   cr_expect_eq(Leader.Holds_, HoldsBefore + 1);
 }
 
+// Guards against a new incarnation that is never met because several answers show its clock, and
+// each makes the request for its report outdated.
+Test(SchedulerOrderResult, refusalsOfSeveralStartsRequestOneReport) {
+  Leader Leader;
+  const int HoldsBefore = Leader.Holds_;
+  constexpr std::int64_t ClockMs = 40;
+  for (int I = 0; I < 3; ++I)
+    Leader.answerStart(0, OrderOutcome::Unhealthy, ClockMs);
+  cr_expect_eq(Leader.Holds_, HoldsBefore + 1);
+}
+
 // Guards against the clock of another executor at the address being taken for this one's.
 Test(SchedulerOrderResult, theAnswerOfAnotherInstanceShowsNoNewIncarnation) {
   Leader Leader;
