--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -136,7 +136,8 @@
   const auto Found = Drains_.find(Id);
   if (Found == Drains_.end() || Found->second.Void_ || Now_ < Found->second.HoldsFrom_)
     return;
-  const auto &[Task, Number] = Key;
+  const work::TaskRef &Task = Key.first;
+  const std::uint64_t Number = Key.second;
   if (std::ranges::none_of(Found->second.Record_.Runs_, [&](const lead::SilentRun &Run) {
         return Run.Job_ == Task.Job_ && Run.Occurrence_ == Task.Occurrence_ &&
                Run.Step_ == Task.Step_ && Run.Index_ == Task.Index_ && Run.Number_ == Number;
--- a/tests/unit/SchedulerLeavingTest.cpp
+++ b/tests/unit/SchedulerLeavingTest.cpp
@@ -412,12 +412,12 @@
   constexpr int Count = 40;
   constexpr std::uint32_t RunsPerExecutor = 60;
   for (int I = 0; I < Count; ++I)
-    Fleet.addExecutor("e" + std::to_string(I), {RunsPerExecutor * 1000, 8000, 0});
+    Fleet.addExecutor("e" + std::to_string(I), {std::int64_t{RunsPerExecutor} * 1000, 8000, 0});
   Fleet.run(TermAge);
   Fleet.submit("first", makeJob(Count * RunsPerExecutor, 3'000'000));
   cr_assert(awaitRuns(Fleet, "first", std::size_t{Count} * RunsPerExecutor, Millis(9000)) <
             Millis(9000));
-  Fleet.addExecutor("large", {(MaxRecordedRuns + 1) * 1000, 20'000, 0});
+  Fleet.addExecutor("large", {std::int64_t{MaxRecordedRuns + 1} * 1000, 20'000, 0});
   Fleet.submit("wide", makeJob(MaxRecordedRuns + 1, 3'000'000));
   cr_assert(awaitRuns(Fleet, "wide", MaxRecordedRuns + 1, Millis(9000)) < Millis(9000));
   Fleet.setStoreDown(true);
@@ -484,6 +484,7 @@
     Options.LateOrderProbability_ = 0.03;
     Options.LateAnswerProbability_ = 0.05;
     Options.MaxHoldJitterMs_ = 20;
+    Options.LateOrdersSurviveRestart_ = Options.LateOrdersMissUnmetIncarnations_ = true;
     FakeFleet Fleet(Options);
     std::mt19937 Random(Seed);
     const auto Draw = [&](int Below) { return static_cast<int>(Random() % Below); };
@@ -503,7 +504,7 @@
       Fleet.submit("job" + std::to_string(I), Spec);
       const std::size_t Chosen = Random() % Present.size();
       const std::string Id = Present[Chosen];
-      switch (Draw(10)) {
+      switch (Draw(11)) {
       case 0:
       case 1:
       case 2:
@@ -512,6 +513,12 @@
       case 3:
         Fleet.stopDraining(Id);
         break;
+      case 8:
+        // It restarts under the same id.
+        Fleet.drain(Id, Millis(2000 + 100 * Draw(150)));
+        Fleet.run(Millis(100 * Draw(30)));
+        Fleet.crash(Id, Millis(300 + 100 * Draw(40)));
+        break;
       case 4:
         // It leaves for good, and another executor comes.
         Fleet.drain(Id, Millis(100 * Draw(30)));
