--- a/include/masticdrift/lead/RoomPlan.h
+++ b/include/masticdrift/lead/RoomPlan.h
@@ -35,8 +35,11 @@
 /// Unclaimed room of all executors and customers.
 struct RoomPlan {
   std::vector<RoomAccount> Executors_; ///< by executor ordinal
-  /// Customers without an entry have no limit.
+  /// Customers without an entry have no limit. Steps that are not ready claim nothing here: they
+  /// may wait for much longer than expected.
   std::unordered_map<std::string, RoomAccount> Customers_;
+  /// The same, with the claims of all steps; for those that are not ready.
+  std::unordered_map<std::string, RoomAccount> CustomersAhead_;
 };
 
 /// Stands for the free room of a resource without a limit.
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -204,6 +204,7 @@
     }
     for (auto &[Name, Account] : Plan_.Customers_)
       accumulateReleases(Account);
+    Plan_.CustomersAhead_ = Plan_.Customers_;
   }
 
   bool acceptsWork(const ExecutorState &Executor) const {
@@ -580,8 +581,9 @@
   /// end of \p Horizon.
   std::uint32_t tasksWithinLimit(const Candidate &Waiting, const TrackedStep &Step,
                                  const work::StepSpec &Spec, core::Duration Horizon) const {
-    const auto Found = Plan_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
-    if (Found == Plan_.Customers_.end())
+    const auto &Accounts = Step.Ready_ ? Plan_.Customers_ : Plan_.CustomersAhead_;
+    const auto Found = Accounts.find(Waiting.Job_->Acceptance_.Customer_);
+    if (Found == Accounts.end())
       return Step.WaitingTasks_;
     // A gang starts as a whole.
     const std::uint32_t StartedTogether = Spec.Gang_ ? Step.WaitingTasks_ : 1;
@@ -595,6 +597,17 @@
                                                 reservedFor(Found->first, Limit));
   }
 
+  /// Claims the customer's limit for \p Tasks tasks of the step.
+  void claimLimit(const Candidate &Waiting, const TrackedStep &Step, const work::StepSpec &Spec,
+                  std::uint32_t Tasks) {
+    const std::string &Customer = Waiting.Job_->Acceptance_.Customer_;
+    if (!Plan_.Customers_.contains(Customer))
+      return;
+    if (Step.Ready_)
+      claim(Plan_.Customers_[Customer], Spec.Need_, Tasks);
+    claim(Plan_.CustomersAhead_[Customer], Spec.Need_, Tasks);
+  }
+
   bool mayCallAdviser(double CallTimeMs) const {
     return Scheduler_.OutstandingAdvice_.size() < Scheduler_.AdviceLimits_.Calls_ &&
            (CallTimeMs <= LongAdviceMs ||
@@ -625,9 +638,7 @@
     Waiting.Figures_.Wanted_ = Wanted;
     if (Wanted == 0)
       return RestReason::CustomerLimit;
-    if (const auto Found = Plan_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
-        Found != Plan_.Customers_.end())
-      claim(Found->second, Spec.Need_, Wanted);
+    claimLimit(Waiting, Step, Spec, Wanted);
     std::uint32_t Covered = 0;
     visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
       Covered += claimSlots(Executor, Step, Spec, Horizon, Wanted - Covered);
@@ -857,16 +868,11 @@
       Waiting.Rest_ = Pass.placeTasks(Waiting, Step, specOf(Waiting));
   }
   Pass.planRoom();
-  // Room goes to steps that can start first, to those that wait for unknown runs of earlier leaders
-  // next, and to those that are not ready last: their wait may take much longer than expected.
-  const auto ClaimOrder = [this](const Candidate &Waiting) {
-    if (!stepOf(Waiting).Ready_)
-      return 2;
-    return !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting)) ? 0 : 1;
-  };
-  for (const int Turn : {0, 1, 2})
+  // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
+  for (const bool MayStart : {true, false})
     for (Candidate &Waiting : Candidates) {
-      if (stepOf(Waiting).WaitingTasks_ == 0 || ClaimOrder(Waiting) != Turn)
+      const bool Startable = !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting));
+      if (stepOf(Waiting).WaitingTasks_ == 0 || Startable != MayStart)
         continue;
       const RestReason Rest = OutstandingAdvice_.size() < AdviceLimits_.Calls_
                                   ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
