Wait reasons instead of rests

The name that other schedulers use: lead::WaitReason, StepWait, the event step_waits, waiting_by_reason in the leader's state and masticdrift_waiting_tasks_by_reason. No change of behaviour.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -6,7 +6,7 @@
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/fleet/Orders.h"
 #include "masticdrift/lead/Progress.h"
-#include "masticdrift/lead/Rest.h"
+#include "masticdrift/lead/WaitReason.h"
 #include "masticdrift/work/Ledger.h"
 #include "masticdrift/work/Manifest.h"
 
@@ -119,7 +119,7 @@
   bool AdvicePending_ = false;
   std::vector<std::uint32_t> AskedExecutors_; ///< by ordinal, while advice is pending
   core::TimePoint AdviceRetryAt_{};
-  Rest Rest_;                     ///< as of the last placement pass
+  StepWait Wait_;                 ///< as of the last placement pass
   core::TimePoint TurnAt_{};      ///< when the step last had the turn of overdue work
   std::uint64_t LastGangRun_ = 0; ///< run number of the latest gang start
   core::TimePoint FirstStartAt_{};
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -293,7 +293,7 @@
     /// with such a verdict.
     std::size_t AdviceCalls_ = 0, Verdicts_ = 0, AdvisedStarts_ = 0;
     std::size_t OutstandingAdviceCalls_ = 0;
-    RestCounts Resting_{}; ///< the waiting tasks by the reason for which their step rests
+    WaitCounts WaitingByReason_{}; ///< the waiting tasks by the reason for which their step waits
   };
   Counts counts() const;
 
@@ -499,7 +499,7 @@
   std::size_t AdvisedStarts_ = 0;
   std::map<work::TaskRef, bool> OutstandingAdvice_; ///< by step; true for a long call
   std::size_t OutstandingLongCalls_ = 0;
-  RestLogBudget RestLogBudget_;
+  WaitLogBudget WaitLogBudget_;
   double OverdueCredit_ = 0; ///< starts that overdue work is owed
   std::unordered_map<std::string, RunTimeRatio> RunTimeRatios_; ///< by queue and image
   std::uint64_t NextFlush_ = 1;
--- a/include/masticdrift/lead/Rest.h
+++ b/include/masticdrift/lead/WaitReason.h
@@ -1,7 +1,7 @@
 /// \file
 /// Why a step with waiting tasks neither starts one nor has advice requested for it.
-#ifndef MASTICDRIFT_LEAD_REST_H
-#define MASTICDRIFT_LEAD_REST_H
+#ifndef MASTICDRIFT_LEAD_WAITREASON_H
+#define MASTICDRIFT_LEAD_WAITREASON_H
 
 #include "masticdrift/core/Clock.h"
 #include "masticdrift/core/Resources.h"
@@ -13,8 +13,8 @@
 
 namespace masticdrift::lead {
 
-/// Reason for which a step rests after a placement pass.
-enum class RestReason : std::uint8_t {
+/// Reason for which a step waits after a placement pass.
+enum class WaitReason : std::uint8_t {
   None,            ///< a task was started, or none waits
   EarlierRuns,     ///< runs of earlier leaders are unknown, or a record is not durable yet
   StartsInFlight,  ///< limit of concurrent start orders
@@ -31,23 +31,23 @@
   CallLimit,       ///< limit of outstanding requests for advice
 };
 
-inline constexpr std::size_t RestReasons = static_cast<std::size_t>(RestReason::CallLimit) + 1;
+inline constexpr std::size_t WaitReasons = static_cast<std::size_t>(WaitReason::CallLimit) + 1;
 
-/// Number of tasks by the reason for which their step rests.
-using RestCounts = std::array<std::size_t, RestReasons>;
+/// Number of tasks by the reason for which their step waits.
+using WaitCounts = std::array<std::size_t, WaitReasons>;
 
 /// \returns the name of a reason in logs and metrics.
-std::string_view nameOf(RestReason Reason);
+std::string_view nameOf(WaitReason Reason);
 
 /// The rest of one step.
-struct Rest {
-  RestReason Reason_ = RestReason::None;
+struct StepWait {
+  WaitReason Reason_ = WaitReason::None;
   core::TimePoint Since_{}; ///< when the reason was first noted without a break
   bool Logged_ = false;
 };
 
-/// Figures that tell whether a rest is justified, in tasks and executors.
-struct RestFigures {
+/// Figures that tell whether a wait is justified, in tasks and executors.
+struct WaitFigures {
   std::uint32_t Waiting_ = 0;
   std::uint32_t Wanted_ = 0;  ///< tasks that the customer's limit lets start soon
   std::uint32_t Covered_ = 0; ///< of these, tasks with claimed room on executors with tickets
@@ -59,27 +59,27 @@
   core::Resources Limit_;             ///< of the customer; 0 without a limit
 };
 
-/// Notes the reason for which a step rests after a placement pass.
-void noteRest(Rest &Noted, RestReason Reason, core::TimePoint Now);
+/// Notes the reason for which a step waits after a placement pass.
+void noteWait(StepWait &Noted, WaitReason Reason, core::TimePoint Now);
 
-/// Bounds the log lines about resting steps.
-class RestLogBudget {
+/// Bounds the log lines about waiting steps.
+class WaitLogBudget {
 public:
-  /// \returns true when the rest has lasted so long that it is to be logged now; once for each
-  /// rest.
-  bool take(Rest &Logged, core::TimePoint Now);
+  /// \returns true when the wait has lasted so long that it is to be logged now; once for each
+  /// wait.
+  bool take(StepWait &Logged, core::TimePoint Now);
 
 private:
   core::TimePoint WindowBegin_{};
   int LinesInWindow_ = 0;
 };
 
-/// \returns the text of the log line about a rest.
-std::string describeRest(const Rest &Logged, const RestFigures &Figures, core::TimePoint Now);
+/// \returns the text of the log line about a wait.
+std::string describeWait(const StepWait &Logged, const WaitFigures &Figures, core::TimePoint Now);
 
 /// \returns the reasons with tasks and their numbers, such as "covered 12, call_limit 3".
-std::string describeCounts(const RestCounts &Counts);
+std::string describeCounts(const WaitCounts &Counts);
 
 } // namespace masticdrift::lead
 
-#endif // MASTICDRIFT_LEAD_REST_H
+#endif // MASTICDRIFT_LEAD_WAITREASON_H
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -57,7 +57,7 @@
     MetricInfo{"masticdrift_takeover_seconds", Histogram,
                "Time from a claim that was won until this daemon leads"},
     MetricInfo{"masticdrift_waiting_tasks", Gauge, "Tasks that could start, at the leader"},
-    MetricInfo{"masticdrift_resting_tasks", Gauge,
+    MetricInfo{"masticdrift_waiting_tasks_by_reason", Gauge,
                "Waiting tasks by the reason for which none of their step was started or asked for"},
     MetricInfo{"masticdrift_running_tasks", Gauge, "Runs at executors, at the leader"},
     MetricInfo{"masticdrift_silent_executors", Gauge, "Executors that don't answer"},
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -544,9 +544,10 @@
     core::setGauge("masticdrift_advised_starts", static_cast<double>(Counts.AdvisedStarts_));
     core::setGauge("masticdrift_advice_calls_outstanding",
                    static_cast<double>(Counts.OutstandingAdviceCalls_));
-    for (std::size_t I = 0; I < lead::RestReasons; ++I)
-      core::setGauge("masticdrift_resting_tasks", static_cast<double>(Counts.Resting_[I]),
-                     {{"reason", std::string(nameOf(static_cast<lead::RestReason>(I)))}});
+    for (std::size_t I = 0; I < lead::WaitReasons; ++I)
+      core::setGauge("masticdrift_waiting_tasks_by_reason",
+                     static_cast<double>(Counts.WaitingByReason_[I]),
+                     {{"reason", std::string(nameOf(static_cast<lead::WaitReason>(I)))}});
     core::log(core::LogLevel::Info, "leader state",
               {{"term", std::to_string(Term_)},
                {"jobs", std::to_string(Counts.Jobs_)},
@@ -559,7 +560,7 @@
                {"advice_outstanding", std::to_string(Counts.OutstandingAdviceCalls_)},
                {"verdicts", std::to_string(Counts.Verdicts_)},
                {"advised_starts", std::to_string(Counts.AdvisedStarts_)},
-               {"resting", lead::describeCounts(Counts.Resting_)}});
+               {"waiting_by_reason", lead::describeCounts(Counts.WaitingByReason_)}});
   }
 
   /// Passes stored jobs that the scheduler has missed on to it.
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -69,8 +69,8 @@
   std::uint32_t Occurrence_ = 0;
   std::uint32_t Step_ = 0;
   bool Overdue_ = false;
-  RestReason Rest_ = RestReason::None;
-  RestFigures Figures_{};
+  WaitReason Wait_ = WaitReason::None;
+  WaitFigures Figures_{};
 };
 
 /// Urgency class of overdue work that has its turn.
@@ -391,19 +391,19 @@
     return Used;
   }
 
-  /// \returns why the customer's limit does not allow another task, or RestReason::None.
-  RestReason checkLimit(const TrackedJob &Job, const core::Resources &Need) const {
+  /// \returns why the customer's limit does not allow another task, or WaitReason::None.
+  WaitReason checkLimit(const TrackedJob &Job, const core::Resources &Need) const {
     const auto Customer = Scheduler_.Manifest_.Customers_.find(Job.Acceptance_.Customer_);
     if (Customer == Scheduler_.Manifest_.Customers_.end())
-      return RestReason::None;
+      return WaitReason::None;
     const core::Resources &Limit = Customer->second.UpperLimit_;
     const core::Resources Used = usedBy(Customer->first);
     if (!fitsLimit(Used, Need, Limit))
-      return RestReason::CustomerLimit;
+      return WaitReason::CustomerLimit;
     if (Job.Queue_.Priority_ > 0 &&
         !fitsBesideReserve(Used, Need, Limit, reservedFor(Customer->first, Limit)))
-      return RestReason::CustomerReserve;
-    return RestReason::None;
+      return WaitReason::CustomerReserve;
+    return WaitReason::None;
   }
 
   void startTask(ExecutorState &Executor, const Candidate &Waiting, TrackedStep &Step,
@@ -441,23 +441,23 @@
   }
 
   /// \returns why tasks of the step still wait.
-  RestReason placeTasks(const Candidate &Waiting, TrackedStep &Step,
+  WaitReason placeTasks(const Candidate &Waiting, TrackedStep &Step,
                         const work::StepSpec &Spec) const {
-    RestReason Rest = RestReason::None;
+    WaitReason Reason = WaitReason::None;
     work::TaskRef Task{Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0};
     for (; Task.Index_ < Step.Tasks_.size() && Step.WaitingTasks_ > 0; ++Task.Index_) {
       TrackedTask &Tracked = Step.Tasks_[Task.Index_];
       if (Tracked.State_ != TaskState::Waiting)
         continue;
       if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_)
-        return RestReason::StartsInFlight;
-      if (const RestReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_);
-          Exceeded != RestReason::None)
+        return WaitReason::StartsInFlight;
+      if (const WaitReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_);
+          Exceeded != WaitReason::None)
         return Exceeded;
       if (Waiting.UrgencyClass_ == TurnUrgencyClass && Scheduler_.OverdueCredit_ < 1)
-        return RestReason::OverdueTurn;
+        return WaitReason::OverdueTurn;
       if (waitsForSuspicion(Waiting, Task)) {
-        Rest = RestReason::Suspect;
+        Reason = WaitReason::Suspect;
         continue;
       }
       const bool Suspect = crashCount(Waiting.Job_->Progress_, Task) > 0;
@@ -465,27 +465,27 @@
           Suspect && Now_ - Waiting.Job_->LastCrashAt_ < Scheduler_.Timing_.MaxTrialWait_;
       ExecutorState *Executor = chooseExecutor(Waiting, Step, Spec, Task, Isolated);
       if (Executor == nullptr && Suspect) {
-        Rest = RestReason::Suspect;
+        Reason = WaitReason::Suspect;
         continue; // other tasks of the step need no executor of their own
       }
       if (Executor == nullptr)
-        return RestReason::NoRoom;
+        return WaitReason::NoRoom;
       startTask(*Executor, Waiting, Step, Task,
                 runNumber(Scheduler_.Token_, ++Tracked.RunCounter_));
     }
-    return Rest;
+    return Reason;
   }
 
   /// Starts all tasks of a gang, or none of them.
   /// \returns why the gang still waits.
-  RestReason placeGang(const Candidate &Waiting, TrackedStep &Step,
+  WaitReason placeGang(const Candidate &Waiting, TrackedStep &Step,
                        const work::StepSpec &Spec) const {
     if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_)
-      return RestReason::StartsInFlight;
+      return WaitReason::StartsInFlight;
     if (Step.WaitingTasks_ < Step.Tasks_.size())
-      return RestReason::EarlierRuns;
-    if (const RestReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_);
-        Exceeded != RestReason::None)
+      return WaitReason::EarlierRuns;
+    if (const WaitReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_);
+        Exceeded != WaitReason::None)
       return Exceeded;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
@@ -496,15 +496,15 @@
     bool Suspect = false;
     for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
       if (waitsForSuspicion(Waiting, memberOf(Waiting, I)))
-        return RestReason::Suspect;
+        return WaitReason::Suspect;
       Suspect = Suspect || crashCount(Waiting.Job_->Progress_, memberOf(Waiting, I)) > 0;
     }
     // A gang that finds no room apart from other starts runs beside them.
     for (const bool Isolated : {true, false})
       for (const std::string &Rack : Racks)
         if (Isolated <= Suspect && placeGangInRack(Waiting, Step, Spec, Isolated, Rack))
-          return RestReason::None;
-    return RestReason::NoRoom;
+          return WaitReason::None;
+    return WaitReason::NoRoom;
   }
 
   static work::TaskRef memberOf(const Candidate &Waiting, std::uint32_t Index) {
@@ -626,9 +626,9 @@
   /// Claims room for the waiting tasks of a step, and requests advice when the valid tickets do not
   /// suffice for those that can start soon.
   /// \returns why no advice was requested.
-  RestReason requestAdvice(Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) {
+  WaitReason requestAdvice(Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) {
     if (!Waiting.Job_->Queue_.Advice_)
-      return RestReason::NoRoom;
+      return WaitReason::NoRoom;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
     const core::Duration Horizon =
         std::chrono::duration_cast<core::Duration>(std::chrono::duration<double, std::milli>(
@@ -637,7 +637,7 @@
     const std::uint32_t Wanted = tasksWithinLimit(Waiting, Step, Spec, Horizon);
     Waiting.Figures_.Wanted_ = Wanted;
     if (Wanted == 0)
-      return RestReason::CustomerLimit;
+      return WaitReason::CustomerLimit;
     claimLimit(Waiting, Step, Spec, Wanted);
     std::uint32_t Covered = 0;
     visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
@@ -648,14 +648,14 @@
       for (const std::uint32_t Ordinal : Step.AskedExecutors_)
         if (const ExecutorState *Executor = Scheduler_.ByOrdinal_[Ordinal])
           Covered += claimSlots(*Executor, Step, Spec, Horizon, Wanted - Covered);
-      return RestReason::AdvicePending;
+      return WaitReason::AdvicePending;
     }
     if (Covered >= Wanted)
-      return RestReason::Covered;
+      return WaitReason::Covered;
     if (Now_ < Step.AdviceRetryAt_)
-      return RestReason::RetryDelay;
+      return WaitReason::RetryDelay;
     if (isExhausted(*Waiting.Job_, Spec))
-      return RestReason::ExhaustedNeed;
+      return WaitReason::ExhaustedNeed;
     std::vector<std::pair<double, const ExecutorState *>> Unadvised;
     bool AnyRoom = false;
     for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_)) {
@@ -672,10 +672,10 @@
       ExhaustedNeeds_[{Waiting.Job_->Queue_.Pool_, Spec.RequiredLabel_}].push_back(
           executorNeed(Spec));
     if (Unadvised.empty())
-      return AnyRoom ? RestReason::AllAdvised : RestReason::NoRoom;
+      return AnyRoom ? WaitReason::AllAdvised : WaitReason::NoRoom;
     return callAdviser(Waiting, Step, Spec, Horizon, Wanted - Covered, std::move(Unadvised))
-               ? RestReason::AdvicePending
-               : RestReason::CallLimit;
+               ? WaitReason::AdvicePending
+               : WaitReason::CallLimit;
   }
 
   /// Requests advice about the executors of \p Unadvised with the lowest costs.
@@ -749,7 +749,7 @@
     return true;
   }
 
-  /// Notes why each step rests, and logs those that have rested for long.
+  /// Notes why each step waits, and logs those that have waited for long.
   void noteRests(std::span<const Candidate> Candidates) const;
 };
 
@@ -800,10 +800,10 @@
     TrackedStep &Step = stepOf(Waiting);
     const work::StepSpec &Spec = specOf(Waiting);
     const bool HasStarted = Step.WaitingTasks_ < Waiting.Figures_.Waiting_;
-    noteRest(Step.Rest_, HasStarted || !Step.Ready_ ? RestReason::None : Waiting.Rest_, Now_);
-    if (!Scheduler_.RestLogBudget_.take(Step.Rest_, Now_))
+    noteWait(Step.Wait_, HasStarted || !Step.Ready_ ? WaitReason::None : Waiting.Wait_, Now_);
+    if (!Scheduler_.WaitLogBudget_.take(Step.Wait_, Now_))
       continue;
-    RestFigures Figures = Waiting.Figures_;
+    WaitFigures Figures = Waiting.Figures_;
     visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
       ++Figures.Tickets_;
       Figures.TicketsWithRoom_ += freeSlots(Executor, Step, Spec, 1);
@@ -819,8 +819,8 @@
       if (Waiting.Job_->Queue_.Priority_ > 0)
         Figures.Reserved_ = reservedFor(Customer->first, Figures.Limit_);
     }
-    Scheduler_.logDecision("rests", {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0}, 0,
-                           {}, describeRest(Step.Rest_, Figures, Now_));
+    Scheduler_.logDecision("step_waits", {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0},
+                           0, {}, describeWait(Step.Wait_, Figures, Now_));
   }
 }
 
@@ -861,11 +861,11 @@
       continue;
     Waiting.Figures_.Waiting_ = Step.WaitingTasks_;
     if (!mayStart(*Waiting.Job_, specOf(Waiting)))
-      Waiting.Rest_ = RestReason::EarlierRuns;
+      Waiting.Wait_ = WaitReason::EarlierRuns;
     else if (specOf(Waiting).Gang_)
-      Waiting.Rest_ = Pass.placeGang(Waiting, Step, specOf(Waiting));
+      Waiting.Wait_ = Pass.placeGang(Waiting, Step, specOf(Waiting));
     else
-      Waiting.Rest_ = Pass.placeTasks(Waiting, Step, specOf(Waiting));
+      Waiting.Wait_ = Pass.placeTasks(Waiting, Step, specOf(Waiting));
   }
   Pass.planRoom();
   // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
@@ -874,11 +874,11 @@
       const bool Startable = !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting));
       if (stepOf(Waiting).WaitingTasks_ == 0 || Startable != MayStart)
         continue;
-      const RestReason Rest = OutstandingAdvice_.size() < AdviceLimits_.Calls_
-                                  ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
-                                  : RestReason::CallLimit;
-      if (Waiting.Rest_ == RestReason::NoRoom && Waiting.Job_->Queue_.Advice_)
-        Waiting.Rest_ = Rest;
+      const WaitReason Reason = OutstandingAdvice_.size() < AdviceLimits_.Calls_
+                                    ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
+                                    : WaitReason::CallLimit;
+      if (Waiting.Wait_ == WaitReason::NoRoom && Waiting.Job_->Queue_.Advice_)
+        Waiting.Wait_ = Reason;
     }
   Pass.noteRests(Candidates);
 }
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -139,7 +139,7 @@
 /// Requests the report of a new incarnation that an outdated answer has shown.
 void Scheduler::noticeIncarnation(ExecutorState &Executor, const fleet::Report &Report,
                                   core::TimePoint Now) {
-  // Another request would make the answer to the one in flight outdated.
+  // Without a report a request is in flight already; another would make its answer outdated.
   if (Executor.Reported_ && Executor.Incarnation_ != 0 &&
       Report.IncarnationStartMs_ > Executor.Incarnation_)
     onUnmetIncarnation(Executor, "an outdated answer shows a new incarnation", Now);
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -446,7 +446,8 @@
       for (const TrackedStep &Step : Occurrence.Steps_)
         if (Occurrence.Due_ && Step.Ready_ && !Job.Ended_) {
           Result.Waiting_ += Step.WaitingTasks_;
-          Result.Resting_[static_cast<std::size_t>(Step.Rest_.Reason_)] += Step.WaitingTasks_;
+          Result.WaitingByReason_[static_cast<std::size_t>(Step.Wait_.Reason_)] +=
+              Step.WaitingTasks_;
         }
   return Result;
 }
--- a/src/lead/Rest.cpp
+++ b/src/lead/WaitReason.cpp
@@ -1,17 +1,17 @@
-#include "masticdrift/lead/Rest.h"
+#include "masticdrift/lead/WaitReason.h"
 
 namespace masticdrift::lead {
 
 namespace {
 
-constexpr std::array<std::string_view, RestReasons> Names{
+constexpr std::array<std::string_view, WaitReasons> Names{
     "none",         "earlier_runs",   "starts_in_flight", "customer_limit", "customer_reserve",
     "overdue_turn", "suspect",        "no_room",          "advice_pending", "covered",
     "retry_delay",  "exhausted_need", "all_advised",      "call_limit"};
 
-/// A rest is logged when it has lasted this long.
-constexpr core::Millis LoggedRestTime{1000};
-/// Limit of the lines in each window; a backlog has thousands of resting steps.
+/// A wait is logged when it has lasted this long.
+constexpr core::Millis LoggedWaitTime{1000};
+/// Limit of the lines in each window; a backlog has thousands of waiting steps.
 constexpr int MaxLinesPerWindow = 20;
 constexpr core::Millis WindowLength{1000};
 
@@ -23,15 +23,15 @@
 
 } // namespace
 
-std::string_view nameOf(RestReason Reason) { return Names[static_cast<std::size_t>(Reason)]; }
+std::string_view nameOf(WaitReason Reason) { return Names[static_cast<std::size_t>(Reason)]; }
 
-void noteRest(Rest &Noted, RestReason Reason, core::TimePoint Now) {
-  if (Reason != Noted.Reason_ || Reason == RestReason::None)
+void noteWait(StepWait &Noted, WaitReason Reason, core::TimePoint Now) {
+  if (Reason != Noted.Reason_ || Reason == WaitReason::None)
     Noted = {Reason, Now, false};
 }
 
-bool RestLogBudget::take(Rest &Logged, core::TimePoint Now) {
-  if (Logged.Reason_ == RestReason::None || Logged.Logged_ || Now - Logged.Since_ < LoggedRestTime)
+bool WaitLogBudget::take(StepWait &Logged, core::TimePoint Now) {
+  if (Logged.Reason_ == WaitReason::None || Logged.Logged_ || Now - Logged.Since_ < LoggedWaitTime)
     return false;
   if (Now - WindowBegin_ >= WindowLength) {
     WindowBegin_ = Now;
@@ -43,7 +43,7 @@
   return Logged.Logged_ = true;
 }
 
-std::string describeRest(const Rest &Logged, const RestFigures &Figures, core::TimePoint Now) {
+std::string describeWait(const StepWait &Logged, const WaitFigures &Figures, core::TimePoint Now) {
   return std::string(nameOf(Logged.Reason_)) + " for " +
          std::to_string(core::toMillis(Now - Logged.Since_)) + " ms, waiting " +
          std::to_string(Figures.Waiting_) + " wanted " + std::to_string(Figures.Wanted_) +
@@ -54,9 +54,9 @@
          toText(Figures.Reserved_) + " limit " + toText(Figures.Limit_);
 }
 
-std::string describeCounts(const RestCounts &Counts) {
+std::string describeCounts(const WaitCounts &Counts) {
   std::string Text;
-  for (std::size_t I = 0; I < RestReasons; ++I)
+  for (std::size_t I = 0; I < WaitReasons; ++I)
     if (Counts[I] > 0)
       Text += (Text.empty() ? "" : ", ") + std::string(Names[I]) + ' ' + std::to_string(Counts[I]);
   return Text;
--- a/tests/unit/RestTest.cpp
+++ b/tests/unit/WaitReasonTest.cpp
@@ -1,13 +1,13 @@
-// Tests of the notes on why steps rest.
-#include "masticdrift/lead/Rest.h"
+// Tests of the notes on why steps wait.
+#include "masticdrift/lead/WaitReason.h"
 
 #include <criterion/criterion.h>
 
 using namespace masticdrift;
 using core::Millis;
-using lead::Rest;
-using lead::RestLogBudget;
-using lead::RestReason;
+using lead::StepWait;
+using lead::WaitLogBudget;
+using lead::WaitReason;
 
 namespace {
 
@@ -16,12 +16,12 @@
 } // namespace
 
 // Guards against a line in each placement pass, and against none for a step that is passed over.
-Test(Rest, isLoggedOnceAfterASecond) {
-  RestLogBudget Budget;
-  Rest Noted;
+Test(WaitReason, isLoggedOnceAfterASecond) {
+  WaitLogBudget Budget;
+  StepWait Noted;
   int Lines = 0;
   for (Millis Time(0); Time < Millis(3000); Time += Millis(50)) {
-    lead::noteRest(Noted, RestReason::Covered, Begin + Time);
+    lead::noteWait(Noted, WaitReason::Covered, Begin + Time);
     const bool Logged = Budget.take(Noted, Begin + Time);
     cr_expect(!Logged || Time >= Millis(1000));
     Lines += Logged ? 1 : 0;
@@ -29,32 +29,32 @@
   cr_expect_eq(Lines, 1);
 }
 
-// Guards against a rest that counts time before the step was asked for or started.
-Test(Rest, beginsAnewWithAnotherReason) {
-  RestLogBudget Budget;
-  Rest Noted;
-  lead::noteRest(Noted, RestReason::Covered, Begin);
-  lead::noteRest(Noted, RestReason::None, Begin + Millis(900));
-  lead::noteRest(Noted, RestReason::Covered, Begin + Millis(901));
+// Guards against a wait that counts time before the step was asked for or started.
+Test(WaitReason, beginsAnewWithAnotherReason) {
+  WaitLogBudget Budget;
+  StepWait Noted;
+  lead::noteWait(Noted, WaitReason::Covered, Begin);
+  lead::noteWait(Noted, WaitReason::None, Begin + Millis(900));
+  lead::noteWait(Noted, WaitReason::Covered, Begin + Millis(901));
   cr_expect(!Budget.take(Noted, Begin + Millis(1500)));
   cr_expect(Budget.take(Noted, Begin + Millis(1901)));
 }
 
 // Guards against a backlog that fills the log.
-Test(Rest, linesAreBounded) {
-  RestLogBudget Budget;
+Test(WaitReason, linesAreBounded) {
+  WaitLogBudget Budget;
   int Lines = 0;
   for (int I = 0; I < 1000; ++I) {
-    Rest Noted;
-    lead::noteRest(Noted, RestReason::CustomerLimit, Begin);
+    StepWait Noted;
+    lead::noteWait(Noted, WaitReason::CustomerLimit, Begin);
     Lines += Budget.take(Noted, Begin + Millis(1500)) ? 1 : 0;
   }
   cr_expect_eq(Lines, 20);
 }
 
 // Guards against reasons whose names were not added or are used twice.
-Test(Rest, reasonsHaveNames) {
-  lead::RestCounts Counts;
+Test(WaitReason, reasonsHaveNames) {
+  lead::WaitCounts Counts;
   Counts.fill(1);
   const std::string Text = lead::describeCounts(Counts);
   cr_expect_eq(Text,
