--- a/include/masticdrift/lead/WaitReason.h
+++ b/include/masticdrift/lead/WaitReason.h
@@ -39,7 +39,7 @@
 /// \returns the name of a reason in logs and metrics.
 std::string_view nameOf(WaitReason Reason);
 
-/// The rest of one step.
+/// Why a step waits, and since when.
 struct StepWait {
   WaitReason Reason_ = WaitReason::None;
   core::TimePoint Since_{}; ///< when the reason was first noted without a break
