A server accepts many connections in a round of its event loop

Cause: RESTinio kept two accepts outstanding. Each is one handler in a round of the loop, so a leader whose rounds take 100 ms accepts 20 connections a second. Requests on the others time out, libcurl closes their connections, and each retry needs one more. Change: 64 accepts.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -17,6 +17,9 @@
 /// The parser closes the connection when a header value or the header count exceeds its limit.
 constexpr std::size_t MaxHeaderValueBytes = 8192;
 constexpr std::size_t MaxHeaderCount = 64;
+/// Connections that are accepted in one round of the event loop. With few, a loop that is behind
+/// lets new connections wait for seconds, their requests time out, and each retry is one more.
+constexpr std::size_t ConcurrentAccepts = 64;
 /// Bodies up to this multiple of the limit are read, so that the client gets a response with an
 /// error id.
 constexpr std::size_t ReadableOversizeFactor = 4;
@@ -88,7 +91,7 @@
     const std::size_t MaxBodyBytes = Options.MaxBodyBytes_;
     Settings.address(Options.Address_)
         .port(Options.Port_)
-        .concurrent_accepts_count(2)
+        .concurrent_accepts_count(ConcurrentAccepts)
         .read_next_http_message_timelimit(Options.ReadTimeout_)
         .handle_request_timeout(std::chrono::seconds(120))
         .write_http_response_timelimit(std::chrono::seconds(10))
