A relay has at most two batches of results on their way to a leader

Relays got timeouts for about 200 batches of results a second, the leader lost 800 to 1,600 results of relayed orders a second and took hundreds of executors for silent. Cause: a relay sent a batch every 10 to 20 ms, however many had no acknowledgement. A leader that is behind got more requests and more connections the further it was behind. Change: while two batches have no acknowledgement, results are merged into the next one.

--- a/include/masticdrift/daemon/OrderRelay.h
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -28,11 +28,13 @@
     std::vector<protocol::RelayedResult> Results_;
     core::Millis Interval_{0}; ///< shortest interval between two batches
     core::TimePoint FlushedAt_{};
+    int InFlight_ = 0; ///< batches without an acknowledgement
   };
 
   void addResult(const std::string &ReplyTo, protocol::RelayedResult Result);
   void scheduleFlush();
   void flush();
+  void send(const std::string &ReplyTo, Outgoing &Batch);
 
   FleetContext &Context_;
   protocol::ReceivedPayloads Payloads_;
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -15,6 +15,9 @@
 /// Shortest interval between batches to the same leader. Each batch costs the leader about 0.1 ms
 /// of processor time, so that relays of six failure domains take at most 6% of a core.
 constexpr core::Millis MinResultInterval{10};
+/// Results are merged while this many batches have no acknowledgement, so that a leader that is
+/// behind gets fewer and larger batches. Unbounded, each would need one more connection to it.
+constexpr int MaxBatchesInFlight = 2;
 /// Results that arrive later are of no use: the leader has counted their orders as lost.
 constexpr core::Millis ResultTimeout{1500};
 /// Time after which a leader that sent no orders is forgotten.
@@ -54,7 +57,7 @@
   const core::TimePoint Now = core::Clock::now();
   std::optional<core::Duration> Delay;
   for (const auto &[ReplyTo, Batch] : Outgoing_)
-    if (!Batch.Results_.empty()) {
+    if (!Batch.Results_.empty() && Batch.InFlight_ < MaxBatchesInFlight) {
       const core::Duration DueIn =
           std::max<core::Duration>(core::Duration(0), Batch.FlushedAt_ + Batch.Interval_ - Now);
       Delay = Delay ? std::min(*Delay, DueIn) : DueIn;
@@ -73,25 +76,37 @@
   TimerArmed_ = false;
   const core::TimePoint Now = core::Clock::now();
   for (auto &[ReplyTo, Batch] : Outgoing_) {
-    if (Batch.Results_.empty() || Now < Batch.FlushedAt_ + Batch.Interval_)
+    if (Batch.Results_.empty() || Batch.InFlight_ >= MaxBatchesInFlight ||
+        Now < Batch.FlushedAt_ + Batch.Interval_)
       continue;
     Batch.FlushedAt_ = Now;
-    http::ClientRequest Request;
-    Request.Method_ = "POST";
-    Request.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
-    Request.Body_ = core::pack(protocol::ResultsRequest{std::exchange(Batch.Results_, {})});
-    Request.Timeout_ = ResultTimeout;
-    Context_.Client_.send(
-        std::move(Request), [LeaderAddress = ReplyTo](const http::ClientResult &Result) {
-          if (Result.Transfer_ != http::Transfer::Complete)
-            core::log(core::LogLevel::Warning, "failed to return results of orders to leader",
-                      {{"leader", LeaderAddress}, {"detail", Result.Error_}});
-        });
+    send(ReplyTo, Batch);
   }
   std::erase_if(Outgoing_, [Now](const auto &Entry) {
-    return Entry.second.Results_.empty() && Now - Entry.second.FlushedAt_ > LeaderRetention;
+    return Entry.second.Results_.empty() && Entry.second.InFlight_ == 0 &&
+           Now - Entry.second.FlushedAt_ > LeaderRetention;
   });
   scheduleFlush();
 }
 
+void OrderRelay::send(const std::string &ReplyTo, Outgoing &Batch) {
+  ++Batch.InFlight_;
+  http::ClientRequest Request;
+  Request.Method_ = "POST";
+  Request.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
+  Request.Body_ = core::pack(protocol::ResultsRequest{std::exchange(Batch.Results_, {})});
+  Request.Timeout_ = ResultTimeout;
+  Context_.Client_.send(
+      std::move(Request), [this, Alive = std::weak_ptr<bool>(Alive_),
+                           LeaderAddress = ReplyTo](const http::ClientResult &Result) {
+        if (Result.Transfer_ != http::Transfer::Complete)
+          core::log(core::LogLevel::Warning, "failed to return results of orders to leader",
+                    {{"leader", LeaderAddress}, {"detail", Result.Error_}});
+        if (Alive.expired())
+          return;
+        --Outgoing_[LeaderAddress].InFlight_;
+        scheduleFlush();
+      });
+}
+
 } // namespace masticdrift::daemon
