Placement passes take a fifth of a leader's time, however many tasks wait

Cause: the pause after a round was four times the round, but 30 ms at most, and a pass takes 20 to 100 ms once thousands of tasks wait. So the more tasks waited, the smaller the share of answers, which were given up and made more tasks wait. Change: placement is a step of its own (Scheduler::advance, place). Between two passes is a pause of four times the time that the last one took, 400 ms at most. Orders, holds and leases are served in each round as before. masticdrift_placement_seconds tells the time of the passes.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -252,8 +252,20 @@
   /// Limits the concurrent start orders, when several machines send them.
   void setStartLimit(int Starts) { StartLimit_ = Starts; }
 
-  /// Performs all due work: orders, hold requests and placement.
-  void tick(core::TimePoint Now, std::int64_t WallMs);
+  /// Performs all due work but placement: orders, hold requests, and what follows from leases.
+  void advance(core::TimePoint Now, std::int64_t WallMs);
+  /// \returns true when tasks may be placed, and a pass may find something to place.
+  bool isPlacementDue(core::TimePoint Now) const {
+    return mayGrantLeases(Now) && (PlacementDue_ || Now >= NextPlacementAt_);
+  }
+  /// Places waiting tasks and requests advice. Takes longer the more tasks wait.
+  void place(core::TimePoint Now, std::int64_t WallMs);
+  /// Performs all due work.
+  void tick(core::TimePoint Now, std::int64_t WallMs) {
+    advance(Now, WallMs);
+    if (isPlacementDue(Now))
+      place(Now, WallMs);
+  }
 
   /// Takes the progress records that changed since the last call.
   /// \returns the number of the flush and the records to append; 0 and no records without changes.
@@ -442,7 +454,6 @@
   void updateAccounted(core::TimePoint Now, std::int64_t WallMs);
 
   // Placement.
-  void placeWaiting(core::TimePoint Now, std::int64_t WallMs);
   void logDecision(std::string_view Event, const work::TaskRef &Task, std::uint64_t Number,
                    std::string_view ExecutorId, std::string_view Detail) const;
 
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -86,7 +86,10 @@
     MetricInfo{"masticdrift_executor_entries_rejected_total", Counter,
                "Entries of the executor list that name no executor to use, by the rejected part"},
     MetricInfo{"masticdrift_log_lines_dropped", Gauge, "Log lines dropped by a slow reader"},
-    MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
+    MetricInfo{"masticdrift_decision_seconds", Histogram,
+               "Time of one scheduling round, on the users' platform without placement"},
+    MetricInfo{"masticdrift_placement_seconds", Histogram,
+               "Time of one pass that places waiting tasks"},
 };
 
 // Roughly exponential, from 0.1 ms to 6.5 s.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -10,6 +10,7 @@
 #include "masticdrift/daemon/Retention.h"
 #include "masticdrift/daemon/StandbyTable.h"
 #include "masticdrift/daemon/StoredJobCheck.h"
+#include "masticdrift/daemon/WorkPacing.h"
 #include "masticdrift/lead/Election.h"
 #include "masticdrift/lead/Roster.h"
 #include "masticdrift/lead/Scheduler.h"
@@ -388,6 +389,7 @@
     const core::TimePoint Now = core::Clock::now();
     Role_ = Role::Leading;
     OrderRouter_.beginTerm();
+    PlacementPacing_ = {};
     Flushing_ = false;
     FlushNumber_ = 0;
     Sequence_ = 1;
@@ -501,10 +503,11 @@
     Scheduler_->onJobsRead(std::min(Jobs_.readUpTo(), Specs_.readUpTo()));
     Scheduler_->setAdviceLimits(AdviceDispatcher_.limits(Now));
     Scheduler_->setStartLimit(OrderRouter_.startLimit());
-    Scheduler_->tick(Now, core::wallMillis());
+    Scheduler_->advance(Now, core::wallMillis());
     LastRoundDuration_ = core::Clock::now() - Now;
     core::observe("masticdrift_decision_seconds",
                   std::chrono::duration<double>(LastRoundDuration_).count());
+    place();
     if (Scheduler_->fenced()) {
       stepDown("an executor has seen a higher fencing token");
       return;
@@ -530,6 +533,18 @@
     runAfter(TickTimer_, TickInterval, [this] { tick(); });
   }
 
+  /// Places waiting tasks unless passes have taken their share of the processor.
+  void place() {
+    const core::TimePoint Begin = core::Clock::now();
+    if (!mayWork(PlacementPacing_, Begin) || !Scheduler_->isPlacementDue(Begin))
+      return;
+    Scheduler_->place(Begin, core::wallMillis());
+    const core::TimePoint End = core::Clock::now();
+    noteWork(PlacementPacing_, Begin, End);
+    core::observe("masticdrift_placement_seconds",
+                  std::chrono::duration<double>(End - Begin).count());
+  }
+
   void updateGauges(core::TimePoint Now) {
     GaugesUpdatedAt_ = Now;
     const auto Counts = Scheduler_->counts();
@@ -979,6 +994,7 @@
   bool Flushing_ = false;
   bool TickScheduled_ = false;
   core::Duration LastRoundDuration_{0};
+  WorkPacing PlacementPacing_;
   core::TimePoint LastFlushAt_{};
   core::TimePoint GaugesUpdatedAt_{};
   core::TimePoint NextSpecReload_{};
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -824,7 +824,8 @@
   }
 }
 
-void Scheduler::placeWaiting(core::TimePoint Now, std::int64_t WallMs) {
+void Scheduler::place(core::TimePoint Now, std::int64_t WallMs) {
+  PlacementDue_ = false;
   NextPlacementAt_ = Now + PlacementInterval;
   PlacementPass Pass{*this, Now, {}, {}, {}, {}};
   Pass.listOpenExecutors();
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -382,7 +382,7 @@
          ConfirmedAt_ >= Executor.LeaseEnd_;
 }
 
-void Scheduler::tick(core::TimePoint Now, std::int64_t WallMs) {
+void Scheduler::advance(core::TimePoint Now, std::int64_t WallMs) {
   // A job that was stored before its runs lapsed has been read by then, or does not exist.
   std::erase_if(LapsedBeforeRead_,
                 [this](const auto &Entry) { return Entry.second.LapsedAt_ < JobsReadUpTo_; });
@@ -418,10 +418,6 @@
     FinishedJobs_.push_back(Entry.first);
     return true;
   });
-  if (mayGrantLeases(Now) && (PlacementDue_ || Now >= NextPlacementAt_)) {
-    PlacementDue_ = false;
-    placeWaiting(Now, WallMs);
-  }
 }
 
 Scheduler::Counts Scheduler::counts() const {
