Measure how far a daemon is behind itself

Cause: nothing told how late the event loop runs. A leader that reads answers late reports silent executors, and metrics show short rounds only.

Change: masticdrift_loop_lag_seconds (a timer of 100 ms in every daemon), masticdrift_order_wait_seconds (oldest order of each batch to a relay) and masticdrift_results_seconds (one batch of results). `leader state` tells the longest of each since its previous line (loop_lag_ms, order_wait_ms, results_ms) and results_lost_per_s.

--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 
 namespace masticdrift::daemon {
 
@@ -23,6 +24,12 @@
   using OrderCallback = std::function<void(const platform::OrderResponse &)>;
   using HoldCallback = std::function<void(const platform::LeaseRenewalResult &)>;
 
+  /// What tells how far the orders are behind.
+  struct Delays {
+    core::Duration LongestWait_{0}; ///< of an order for its batch
+    std::size_t LostResults_ = 0;   ///< orders whose results were overdue
+  };
+
   explicit OrderRouter(FleetContext &Context) : Context_(Context) {}
 
   /// Adds a daemon that can relay orders, or renews it.
@@ -62,6 +69,9 @@
   /// \returns the limit of concurrent start orders, which grows with the machines that send them.
   int startLimit() const;
 
+  /// \returns the delays since the previous call.
+  Delays takeDelays() { return std::exchange(Delays_, {}); }
+
   /// Handles results of orders that were sent through a relay.
   void onResults(const protocol::ResultsRequest &Request);
 
@@ -94,6 +104,8 @@
              HoldCallback OnAnswer, HoldCallback OnLateAnswer = nullptr);
   void send(const std::string &RelayAddress, Batch &Outgoing, core::TimePoint Now);
   void onBatchFailed(const std::string &RelayAddress, const http::ClientResult &Result);
+  /// Notes how long the oldest order of a batch has waited.
+  void recordWait(const Batch &Outgoing, core::TimePoint Now);
   void expireOverdue(core::TimePoint Now);
   void onLateResult(const protocol::RelayedResult &Result);
   /// \returns the shortest interval between batches from and to each relay.
@@ -108,6 +120,7 @@
   std::uint64_t Generation_ = 0;                      ///< of Batches_; changes with each term
   std::map<std::string, Batch, std::less<>> Batches_; ///< by the relay's peer address
   core::TimePoint LastExpiryCheckAt_{};
+  Delays Delays_;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -87,6 +87,12 @@
                "Entries of the executor list that name no executor to use, by the rejected part"},
     MetricInfo{"masticdrift_log_lines_dropped", Gauge, "Log lines dropped by a slow reader"},
     MetricInfo{"masticdrift_decision_seconds", Histogram, "Time of one scheduling round"},
+    MetricInfo{"masticdrift_loop_lag_seconds", Histogram,
+               "Delay of a timer of the event loop, ten times a second"},
+    MetricInfo{"masticdrift_order_wait_seconds", Histogram,
+               "Time that the oldest order of a batch waited for it to be sent to a relay"},
+    MetricInfo{"masticdrift_results_seconds", Histogram,
+               "Time that the leader took to handle one batch of results from a relay"},
 };
 
 // Roughly exponential, from 0.1 ms to 6.5 s.
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -6,6 +6,7 @@
 #include "masticdrift/daemon/AdviceDispatcher.h"
 #include "masticdrift/daemon/ConfigReaderTable.h"
 #include "masticdrift/daemon/JobWriter.h"
+#include "masticdrift/daemon/LoopLag.h"
 #include "masticdrift/daemon/OrderRouter.h"
 #include "masticdrift/daemon/Retention.h"
 #include "masticdrift/daemon/StandbyTable.h"
@@ -17,6 +18,7 @@
 #include "platform/Text.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 #include <asio/steady_timer.hpp>
@@ -60,6 +62,11 @@
 /// Interval between reloads of the specifications while a job lacks its own.
 constexpr core::Millis SpecReloadInterval{5000};
 
+std::int64_t perSecond(std::size_t Count, core::Duration Time) {
+  const double Seconds = std::chrono::duration<double>(Time).count();
+  return Seconds > 0 ? std::llround(static_cast<double>(Count) / Seconds) : 0;
+}
+
 } // namespace
 
 struct LeaderDriver::Impl : std::enable_shared_from_this<LeaderDriver::Impl> {
@@ -73,8 +80,9 @@
                     {[this](const platform::KeyedRecord &Entry) { onTopicRecord(Entry); },
                      [this](const auto &Keys) { onLeadershipLoaded(Keys); }}),
         ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
-        HeartbeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), OrderRouter_(Context),
-        Retention_(Context), AdviceDispatcher_([this](const std::string &Adviser, AdviceCall Call) {
+        HeartbeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), LoopLag_(Context.Loop_),
+        OrderRouter_(Context), Retention_(Context),
+        AdviceDispatcher_([this](const std::string &Adviser, AdviceCall Call) {
           sendAdviceRequest(Adviser, std::move(Call));
         }) {}
 
@@ -388,6 +396,7 @@
     const core::TimePoint Now = core::Clock::now();
     Role_ = Role::Leading;
     OrderRouter_.beginTerm();
+    LoopLag_.takeLongest(); // what delayed the follower says nothing about the term
     Flushing_ = false;
     FlushNumber_ = 0;
     Sequence_ = 1;
@@ -531,7 +540,9 @@
   }
 
   void updateGauges(core::TimePoint Now) {
-    GaugesUpdatedAt_ = Now;
+    const core::Duration SinceLast = Now - std::exchange(GaugesUpdatedAt_, Now);
+    const auto OrderDelays = OrderRouter_.takeDelays();
+    const std::int64_t LostPerSecond = perSecond(OrderDelays.LostResults_, SinceLast);
     const auto Counts = Scheduler_->counts();
     core::setGauge("masticdrift_waiting_tasks", static_cast<double>(Counts.Waiting_));
     core::setGauge("masticdrift_running_tasks", static_cast<double>(Counts.Running_));
@@ -560,9 +571,21 @@
                {"advice_outstanding", std::to_string(Counts.OutstandingAdviceCalls_)},
                {"verdicts", std::to_string(Counts.Verdicts_)},
                {"advised_starts", std::to_string(Counts.AdvisedStarts_)},
+               {"loop_lag_ms", std::to_string(core::toMillis(LoopLag_.takeLongest()))},
+               {"results_ms", std::to_string(core::toMillis(std::exchange(LongestResults_, {})))},
+               {"order_wait_ms", std::to_string(core::toMillis(OrderDelays.LongestWait_))},
+               {"results_lost_per_s", std::to_string(LostPerSecond)},
                {"waiting_by_reason", lead::describeCounts(Counts.WaitingByReason_)}});
   }
 
+  void onResults(const protocol::ResultsRequest &Request) {
+    const core::TimePoint Begin = core::Clock::now();
+    OrderRouter_.onResults(Request);
+    const core::Duration Taken = core::Clock::now() - Begin;
+    LongestResults_ = std::max(LongestResults_, Taken);
+    core::observe("masticdrift_results_seconds", std::chrono::duration<double>(Taken).count());
+  }
+
   /// Passes stored jobs that the scheduler has missed on to it.
   void takeUpMissedJobs(core::TimePoint Now) {
     const StoredJobGaps Gaps = StoredJobCheck_.check(Context_.JobTable_, *Scheduler_, Now);
@@ -933,6 +956,7 @@
     for (asio::steady_timer *Timer :
          {&ElectionTimer_, &HelloTimer_, &TickTimer_, &HeartbeatTimer_, &RetryTimer_})
       Timer->cancel();
+    LoopLag_.stop();
   }
 
   FleetContext &Context_;
@@ -946,6 +970,7 @@
   asio::steady_timer TickTimer_;
   asio::steady_timer HeartbeatTimer_;
   asio::steady_timer RetryTimer_;
+  LoopLag LoopLag_;
   OrderRouter OrderRouter_;
   StandbyTable Standbys_;           ///< while leading
   ConfigReaderTable ConfigReaders_; ///< while leading
@@ -981,6 +1006,7 @@
   core::Duration LastRoundDuration_{0};
   core::TimePoint LastFlushAt_{};
   core::TimePoint GaugesUpdatedAt_{};
+  core::Duration LongestResults_{0}; ///< time of a batch of results, since the gauges were updated
   core::TimePoint NextSpecReload_{};
   std::uint64_t FlushNumber_ = 0; ///< number of the outstanding flush, 0 for none
   std::shared_ptr<std::vector<platform::KeyedRecord>> FlushedRecords_; ///< of the outstanding flush
@@ -998,6 +1024,7 @@
   Impl_->Leadership_.start();
   Impl_->electionTick();
   Impl_->helloTick();
+  Impl_->LoopLag_.start();
 }
 
 void LeaderDriver::release() { Impl_->requestHandOver("stopping", core::TimePoint::max()); }
@@ -1056,9 +1083,7 @@
   return Reply;
 }
 
-void LeaderDriver::onResults(const protocol::ResultsRequest &Request) {
-  Impl_->OrderRouter_.onResults(Request);
-}
+void LeaderDriver::onResults(const protocol::ResultsRequest &Request) { Impl_->onResults(Request); }
 
 bool LeaderDriver::leadsWithoutStore() const {
   return leading() && Impl_->Leadership_.failing() && Impl_->Jobs_.failing();
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -102,6 +102,7 @@
   PendingOrders_.clear();
   LostHolds_.clear();
   Batches_.clear();
+  Delays_ = {};
   ++Generation_;
 }
 
@@ -196,6 +197,7 @@
   });
   if (Outgoing.Orders_.empty())
     return;
+  recordWait(Outgoing, Now);
   Outgoing.SentAt_ = Now;
   ++Outgoing.InFlight_;
   http::ClientRequest Request;
@@ -225,6 +227,12 @@
                         });
 }
 
+void OrderRouter::recordWait(const Batch &Outgoing, core::TimePoint Now) {
+  const core::Duration Wait = Now - PendingOrders_.at(Outgoing.Orders_.front().OrderId_).RoutedAt_;
+  Delays_.LongestWait_ = std::max(Delays_.LongestWait_, Wait);
+  core::observe("masticdrift_order_wait_seconds", std::chrono::duration<double>(Wait).count());
+}
+
 void OrderRouter::onBatchFailed(const std::string &RelayAddress, const http::ClientResult &Result) {
   core::log(core::LogLevel::Warning, "failed to send orders to relay",
             {{"relay", RelayAddress}, {"detail", Result.Error_}});
@@ -257,8 +265,11 @@
         core::LogLevel::Warning, "no results of relayed orders before their deadlines",
         {{"count", std::to_string(Overdue.size())}, {"relay", Overdue.front().RelayAddress_}});
     core::count("masticdrift_relayed_orders_lost_total", {}, static_cast<double>(Overdue.size()));
+    Delays_.LostResults_ += Overdue.size();
   }
   for (const PendingOrder &Order : Overdue) {
+    if (!Order.Sent_)
+      Delays_.LongestWait_ = std::max(Delays_.LongestWait_, Now - Order.RoutedAt_);
     if (Order.Sent_ && Batches_[Order.RelayAddress_].LastResultAt_ < Order.RoutedAt_)
       Relays_.markFailed(Order.RelayAddress_, Now);
     // A hold that waited too long at the leader itself says nothing about the executor either.
--- a/tests/integration/OrderRouterTest.cpp
+++ b/tests/integration/OrderRouterTest.cpp
@@ -109,6 +109,7 @@
   }
 
   const std::vector<OrderOutcome> &outcomes() const { return Outcomes_; }
+  daemon::OrderRouter::Delays takeDelays() { return Router_.takeDelays(); }
 
 private:
   asio::io_context &Loop_;
@@ -238,3 +239,19 @@
   }
   cr_expect_eq(Through.payloads(), 2);
 }
+
+// Guards against a leader whose orders wait while its state tells of no delay.
+Test(OrderRouter, theDelaysTellOfWaitingOrdersAndLostResults) {
+  asio::io_context Loop;
+  Relay Through(Loop);
+  Leader Present(Loop, Through, 5);
+  Through.stall();
+  Present.start("first");
+  Present.start("second", true);
+  Loop.run_for(std::chrono::milliseconds(100));
+  Present.flush();
+  cr_expect_geq(core::toMillis(Present.takeDelays().LongestWait_), 100);
+  Present.awaitOutcomes(2);
+  cr_expect_eq(Present.takeDelays().LostResults_, 2);
+  cr_expect_eq(Present.takeDelays().LostResults_, 0, "counted once");
+}
