--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -90,6 +90,12 @@
                "Time of one scheduling round, on the users' platform without placement"},
     MetricInfo{"masticdrift_placement_seconds", Histogram,
                "Time of one pass that places waiting tasks"},
+    MetricInfo{"masticdrift_loop_lag_seconds", Histogram,
+               "Delay of a timer of the event loop, ten times a second"},
+    MetricInfo{"masticdrift_order_wait_seconds", Histogram,
+               "Time that the oldest order of a batch waited for it to be sent to a relay"},
+    MetricInfo{"masticdrift_results_seconds", Histogram,
+               "Time that the leader took to handle one batch of results from a relay"},
 };
 
 // Roughly exponential, from 0.1 ms to 6.5 s.
