After a takeover only begun jobs wait for unknown runs, and limits only for what can be unseen

Each accepted job counted as begun from its acceptance on, so all tasks of a backlog of 1,100 jobs waited for the leases of 5 executors; and all that these jobs might use counted against their customers' limits, more than the site has room for. Change: a job is begun when advice is requested for it, in parallel with the call, or, on queues without advice, when it may be placed. With a backlog of 200 waiting steps a job is accepted without its begin record. The next leader starts jobs that were never begun at once. Unknown use is at most the room of the executors that have not reported; filling tasks are not bound by cores.

--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -61,6 +61,9 @@
   /// \returns true while this daemon leads but can't read the store, so that another one should
   /// take over.
   bool leadsWithoutStore() const;
+  /// \returns true while this daemon leads and has so much waiting work that a job which is
+  /// accepted now will not start soon.
+  bool hasBacklog() const;
   /// \returns true while this daemon leads.
   bool leading() const;
   /// \returns the term of the leadership; only meaningful while this daemon leads.
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -136,6 +136,9 @@
   std::vector<TrackedStep> Steps_;
 };
 
+/// Number of no flush: that of an end which is left unprocessed, and of a job which is not begun.
+inline constexpr std::uint64_t NoFlush = std::numeric_limits<std::uint64_t>::max();
+
 /// Scheduling state of an accepted job that has not ended or still has runs.
 struct TrackedJob {
   std::string Id_;
@@ -143,8 +146,10 @@
   work::JobSpec Spec_;
   work::Queue Queue_; ///< from the newest configuration that contains the queue
   work::ProgressRecord Progress_;
-  bool Inherited_ = false;        ///< started by an earlier leader
-  std::uint64_t BegunFlush_ = 0;  ///< flush that makes the start of the job durable
+  bool Inherited_ = false; ///< started by an earlier leader
+  /// Flush that makes it durable that the job may have runs; NoFlush until it is begun, 0 when it
+  /// was begun before.
+  std::uint64_t BegunFlush_ = 0;
   std::uint64_t EndFlush_ = 0;    ///< flush that makes the end of the job durable
   std::uint64_t CrashFlush_ = 0;  ///< flush that makes the last counted crash durable
   std::uint64_t VoidFlush_ = 0;   ///< flush that makes the last voided run durable
@@ -160,9 +165,6 @@
   std::vector<TrackedOccurrence> Occurrences_;
 };
 
-/// Flush of an end that is left unprocessed; it is never durable.
-inline constexpr std::uint64_t NoFlush = std::numeric_limits<std::uint64_t>::max();
-
 /// State of an executor: its lease, its reports and its runs.
 struct ExecutorState {
   fleet::ExecutorInfo Info_;
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -104,6 +104,9 @@
   /// Time after a counted crash for which its task waits for an executor on which a crash would
   /// have no other cause. Bounds the wait where few executors may run the task.
   core::Millis MaxTrialWait_{10'000};
+  /// Waiting steps from which on jobs are accepted without being begun. A calm day of 1,100
+  /// executors has some dozens.
+  std::size_t BacklogSteps_ = 200;
 };
 
 /// Calls to the advice service that are expected to take longer count as long.
@@ -258,6 +261,8 @@
   bool isPlacementDue(core::TimePoint Now) const {
     return mayGrantLeases(Now) && (PlacementDue_ || Now >= NextPlacementAt_);
   }
+  /// \returns true while so many steps wait that a job which is accepted now will not start soon.
+  bool hasBacklog() const { return WaitingSteps_ > Timing_.BacklogSteps_; }
   /// Places waiting tasks and requests advice. Takes longer the more tasks wait.
   void place(core::TimePoint Now, std::int64_t WallMs);
   /// Performs all due work.
@@ -313,6 +318,7 @@
   friend struct PlacementPass;
 
   // Jobs.
+  void beginJob(TrackedJob &Job);
   void initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs);
   void takeUpEndedJob(TrackedJob &Job, core::TimePoint Now);
   bool mayForget(const ExecutorState &Executor) const;
@@ -478,6 +484,7 @@
   int StartsInFlight_ = 0; ///< start orders without a result
   int StartLimit_ = Timing_.MaxStartsInFlight_;
   core::TimePoint NextPlacementAt_{};
+  std::size_t WaitingSteps_ = 0; ///< in the last placement pass
   work::Manifest Manifest_;
   std::unordered_map<std::string, TrackedJob> Jobs_;
   core::TimePoint JobsReadUpTo_{};  ///< all jobs stored before this time have been read
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -252,8 +252,10 @@
 std::vector<work::LogRecord> EntryService::entriesFor(work::LogRecord Entry) const {
   std::vector<work::LogRecord> Entries;
   // The leader appends the begin record together with the acceptance, which saves an append before
-  // the first task starts.
-  if (const std::string_view Id = work::acceptedJobId(Entry); !Id.empty() && Leader_.leading())
+  // the first task starts, unless that will take long: a later leader need not wait for the runs of
+  // jobs that were not begun.
+  if (const std::string_view Id = work::acceptedJobId(Entry);
+      !Id.empty() && Leader_.leading() && !Leader_.hasBacklog())
     Entries.push_back(work::encodeStarted(Id, Leader_.term()));
   Entries.push_back(std::move(Entry));
   return Entries;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -1105,6 +1105,8 @@
   return leading() && Impl_->Leadership_.failing() && Impl_->Jobs_.failing();
 }
 
+bool LeaderDriver::hasBacklog() const { return leading() && Impl_->Scheduler_->hasBacklog(); }
+
 bool LeaderDriver::leading() const { return Impl_->Role_ == Impl::Role::Leading; }
 
 std::uint64_t LeaderDriver::term() const { return Impl_->Term_; }
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -102,20 +102,37 @@
     if (Scheduler_.Accounted_)
       return;
     const std::int64_t DueBeforeMs = WallMs + MaxClockDifference.count();
-    const auto Unreported =
-        std::ranges::count_if(Scheduler_.Executors_,
-                              [](const auto &Entry) {
-                                const ExecutorState &Executor = Entry.second;
-                                return Executor.InheritedRuns_ && !Executor.Reported_ &&
-                                       !Executor.Replaced_ && !Executor.SilenceInherited_;
-                              }) +
-        (Scheduler_.RosterComplete_ ? 0 : 1);
+    std::int64_t Unreported = Scheduler_.RosterComplete_ ? 0 : 1;
+    core::Resources Room; // of the executors that the unreported runs are on
+    for (const auto &[Id, Executor] : Scheduler_.Executors_)
+      if (Executor.InheritedRuns_ && !Executor.Reported_ && !Executor.Replaced_ &&
+          !Executor.SilenceInherited_) {
+        ++Unreported;
+        Room += Executor.Info_.Capacity_;
+      }
     const std::int64_t Copies = std::min<std::int64_t>(Unreported, MaxUnreportedCopies);
     for (const auto &[Id, Job] : Scheduler_.Jobs_)
       if (Job.Inherited_)
         for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
           if (Occurrence.DueMs_ < DueBeforeMs)
             UnknownUse_[Job.Acceptance_.Customer_] += unknownUse(Job.Spec_, Occurrence, Copies);
+    if (Scheduler_.RosterComplete_)
+      boundUnknownUse(Room);
+  }
+
+  /// Customers cannot use more than the room of the executors that have not reported. Filling tasks
+  /// are not bound by an executor's cores.
+  void boundUnknownUse(const core::Resources &Room) {
+    std::set<std::string_view> Filling;
+    for (const auto &[Id, Job] : Scheduler_.Jobs_)
+      if (Job.Inherited_ && std::ranges::any_of(Job.Spec_.Steps_, &work::StepSpec::BestEffort_))
+        Filling.insert(Job.Acceptance_.Customer_);
+    for (auto &[Customer, Use] : UnknownUse_) {
+      if (!Filling.contains(Customer))
+        Use.MilliCores_ = std::min(Use.MilliCores_, Room.MilliCores_);
+      Use.MemoryMb_ = std::min(Use.MemoryMb_, Room.MemoryMb_);
+      Use.Accelerators_ = std::min(Use.Accelerators_, Room.Accelerators_);
+    }
   }
 
   /// \returns the most that the unreported runs of an occurrence may use, with at most \p Copies of
@@ -711,6 +728,7 @@
       Step.AskedExecutors_.push_back(Executor->Ordinal_);
     }
     Step.AdvicePending_ = true;
+    Scheduler_.beginJob(*Waiting.Job_); // stored by the time of the answer
     const work::TaskRef Task{Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0};
     ++Scheduler_.AdviceCalls_;
     Scheduler_.OutstandingAdvice_[Task] = CallTimeMs > LongAdviceMs;
@@ -854,6 +872,10 @@
         }
     }
   }
+  WaitingSteps_ = Candidates.size();
+  for (const Candidate &Waiting : Candidates)
+    if (!Waiting.Job_->Queue_.Advice_)
+      beginJob(*Waiting.Job_); // its tasks may start in this pass
   grantTurns(Candidates, OverdueCredit_, Now);
   std::ranges::sort(Candidates, isMoreUrgent);
   for (Candidate &Waiting : Candidates) {
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -103,13 +103,10 @@
     takeUpEndedJob(NewJob, Now);
     return;
   }
-  if (!BegunByThisTerm && !NewJob.Inherited_) {
-    // Made durable before the first start, so that a later leader knows which jobs never started.
-    NewJob.BegunFlush_ = NextFlush_;
-    markDirty(NewJob);
-  }
-  if (!NewJob.Inherited_)
+  if (BegunByThisTerm)
     NewJob.Progress_.Term_ = Token_;
+  else if (!NewJob.Inherited_)
+    NewJob.BegunFlush_ = NoFlush;
   logDecision("job_taken", {Job.Id_, 0, 0, 0}, 0, {},
               NewJob.Inherited_ ? "begun by an earlier leader"
                                 : (BegunByThisTerm ? "begun with its acceptance" : "new"));
@@ -121,6 +118,17 @@
   PlacementDue_ = true;
 }
 
+/// Makes durable that the job may have runs from now on, unless that was done. A job is begun when
+/// its first start comes into sight: the tasks of jobs that were never begun need not wait for the
+/// runs of earlier leaders.
+void Scheduler::beginJob(TrackedJob &Job) {
+  if (Job.BegunFlush_ != NoFlush)
+    return;
+  Job.Progress_.Term_ = Token_;
+  Job.BegunFlush_ = NextFlush_;
+  markDirty(Job);
+}
+
 void Scheduler::onJobForgotten(const std::string &Id) {
   FinalJobs_.erase(Id);
   const auto IsOfJob = [&Id](const auto &Entry) { return Entry.first.Job_ == Id; };
