FakeFleet: leaders that are late, and a storm under them

A leader of the fake fleet decided in no time, read each answer when it arrived, and its orders left at once. It can now pause between its turns, take time for a pass, and let results, overdue orders, records and its own orders wait. By default nothing changes.

--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -65,6 +65,13 @@
     watchStarvation();
 }
 
+FakeFleet::~FakeFleet() {
+  // What waits for a leader refers to its term.
+  for (auto &[OfTerm, Scheduler] : Terms_)
+    for (auto *Waiting : {&OfTerm->Results_, &OfTerm->Overdue_, &OfTerm->News_})
+      Waiting->clear();
+}
+
 core::Millis FakeFleet::orderTimeout() const {
   return Options_.Relayed_ ? RelayedOrderTimeout : OrderTimeout;
 }
@@ -78,6 +85,78 @@
       static_cast<double>(core::toMillis(Now_ - Executor.ClockStart_)) * ClockRate);
 }
 
+bool FakeFleet::isLate(const Term &OfTerm) {
+  return OfTerm.InTurn_ || OfTerm.Lateness_.MaxPause_.count() > 0 || !OfTerm.Results_.empty() ||
+         !OfTerm.Overdue_.empty() || !OfTerm.News_.empty();
+}
+
+void FakeFleet::deliver(const std::shared_ptr<Term> &ThisTerm,
+                        std::vector<std::function<void()>> Term::*Waiting,
+                        std::function<void()> Action) {
+  if (isLate(*ThisTerm)) {
+    ((*ThisTerm).*Waiting).push_back(std::move(Action));
+    return;
+  }
+  LeaderCalledAt_ = Now_;
+  Action();
+}
+
+void FakeFleet::handleWaiting(Term &OfTerm, std::vector<std::function<void()>> Term::*Waiting) {
+  for (const auto &Action : std::exchange(OfTerm.*Waiting, {})) {
+    LeaderCalledAt_ = Now_;
+    if (OfTerm.Alive_)
+      Action();
+  }
+}
+
+void FakeFleet::announceExecutor(const fleet::ExecutorInfo &Info) {
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      deliver(LeaderTerm, &Term::News_,
+              [this, Leader = Scheduler.get(), Info] { Leader->onExecutor(Info, Now_); });
+}
+
+void FakeFleet::announceGone(const std::string &Id) {
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      deliver(LeaderTerm, &Term::News_,
+              [Leader = Scheduler.get(), Id] { Leader->onExecutorGone(Id); });
+}
+
+void FakeFleet::announceJob(const std::string &Id) {
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      deliver(LeaderTerm, &Term::News_,
+              [this, Leader = Scheduler.get(), Id, OfTerm = LeaderTerm.get()] {
+                measureDecision(
+                    [&] { Leader->onJob(*JobTable_.find(Id), Now_, clockOf(*OfTerm)); });
+              });
+}
+
+bool FakeFleet::depart(const std::shared_ptr<Term> &ThisTerm, core::Millis Timeout,
+                       std::function<void(bool)> Send) {
+  const core::Millis MaxWait = ThisTerm->Lateness_.MaxOrderWait_;
+  if (MaxWait.count() == 0 || Random_() % 2 == 0) {
+    Send(false);
+    return true;
+  }
+  const core::Millis Wait(
+      std::uniform_int_distribution<>(1, static_cast<int>(MaxWait.count()))(Random_));
+  const bool AtRelay = Options_.Relayed_ && Random_() % 2 == 0;
+  if (!AtRelay && Wait >= Timeout)
+    return false;
+  schedule(Now_ + Wait, [ThisTerm, AtRelay, Send = std::move(Send)] {
+    if (AtRelay || ThisTerm->Alive_)
+      Send(true);
+  });
+  return true;
+}
+
+bool FakeFleet::missesIncarnation(const FakeExecutor &Executor, std::int64_t Born) const {
+  return Options_.LateOrdersMissUnmetIncarnations_ && Executor.Info_.IncarnationStartMs_ != Born &&
+         (Executor.MetByTerm_ != Token_ || Now_ < Executor.MetAt_ + PreventionTime);
+}
+
 void FakeFleet::addExecutor(const std::string &Id, core::Resources Capacity) {
   FakeExecutor &NewExecutor = Executors_[Id];
   NewExecutor.Info_.Id_ = Id;
@@ -88,9 +167,7 @@
   NewExecutor.Info_.Labels_ = {"a", "r1"};
   NewExecutor.Info_.IncarnationStartMs_ = wallMs(Now_);
   NewExecutor.ClockStart_ = Now_;
-  for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_)
-      Scheduler->onExecutor(NewExecutor.Info_, Now_);
+  announceExecutor(NewExecutor.Info_);
   if (!StoreDown_)
     recordExecutors();
 }
@@ -169,9 +246,7 @@
       Executor.Info_.Capacity_ == Executor.Capacity_)
     return;
   Executor.Info_.Capacity_ = Executor.Capacity_;
-  for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_)
-      Scheduler->onExecutor(Executor.Info_, Now_);
+  announceExecutor(Executor.Info_);
 }
 
 void FakeFleet::crash(const std::string &Id, core::Millis DownTime) {
@@ -184,9 +259,7 @@
     schedule(Now_ + *Options_.ListExpiry_, [this, Id] {
       if (Executors_.at(Id).Up_)
         return;
-      for (auto &[LeaderTerm, Scheduler] : Terms_)
-        if (LeaderTerm->Alive_)
-          Scheduler->onExecutorGone(Id);
+      announceGone(Id);
     });
   schedule(Now_ + DownTime, [this, Id] {
     FakeExecutor &Restarted = Executors_.at(Id);
@@ -211,9 +284,7 @@
       if (!Current.Listed_)
         return;
       ListedInfo.Capacity_ = Current.Info_.Capacity_;
-      for (auto &[LeaderTerm, Scheduler] : Terms_)
-        if (LeaderTerm->Alive_)
-          Scheduler->onExecutor(ListedInfo, Now_);
+      announceExecutor(ListedInfo);
     });
   });
 }
@@ -348,11 +419,10 @@
   Executor.Listed_ = Listed;
   if (Listed)
     Executor.Info_.Capacity_ = Executor.Capacity_;
-  for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_ && Listed)
-      Scheduler->onExecutor(Executor.Info_, Now_);
-    else if (LeaderTerm->Alive_)
-      Scheduler->onExecutorGone(Id);
+  if (Listed)
+    announceExecutor(Executor.Info_);
+  else
+    announceGone(Id);
 }
 
 void FakeFleet::drain(const std::string &Id, core::Millis Remaining) {
@@ -395,11 +465,7 @@
   const work::LogRecord Entry =
       work::encodeAccepted(Id, {*work::findQueueByName(Manifest_, Queue), Customer, wallMs(Now_)});
   JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
-  for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_)
-      measureDecision([this, &Leader = Scheduler, &Id, &OfTerm = *LeaderTerm] {
-        Leader->onJob(*JobTable_.find(Id), Now_, clockOf(OfTerm));
-      });
+  announceJob(Id);
 }
 
 void FakeFleet::submitBegun(const std::string &Id, work::JobSpec Spec, std::uint64_t Term) {
@@ -411,18 +477,15 @@
 void FakeFleet::cancel(const std::string &Id) {
   const work::LogRecord Entry = work::encodeCancelled(Id, {wallMs(Now_)});
   JobTable_.apply(Offset_++, Entry.Key_, Entry.Value_);
-  for (auto &[LeaderTerm, Scheduler] : Terms_)
-    if (LeaderTerm->Alive_)
-      measureDecision([this, &Leader = Scheduler, &Id, &OfTerm = *LeaderTerm] {
-        Leader->onJob(*JobTable_.find(Id), Now_, clockOf(OfTerm));
-      });
+  announceJob(Id);
 }
 
 void FakeFleet::setManifest(work::Manifest Manifest) {
   Manifest_ = std::move(Manifest);
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_ && LeaderTerm->ReadsManifests_)
-      Scheduler->setManifest(Manifest_, Now_);
+      deliver(LeaderTerm, &Term::News_,
+              [this, Leader = Scheduler.get()] { Leader->setManifest(Manifest_, Now_); });
 }
 
 void FakeFleet::takeOver(core::Millis OldLeaderTime) {
@@ -479,9 +542,12 @@
     const core::TimePoint SentAt = Now_;
     if (Options_.NoConnectionProbability_ > 0 && happens(Options_.NoConnectionProbability_)) {
       schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, SentAt] {
-        if (ThisTerm->Alive_)
-          measureDecision(
-              [&] { Scheduler().onStartResult(Id, Key, OrderOutcome::NotSent, 0, SentAt, Now_); });
+        deliver(ThisTerm, &Term::Overdue_, [this, ThisTerm, Scheduler, Id, Key, SentAt] {
+          if (ThisTerm->Alive_)
+            measureDecision([&] {
+              Scheduler().onStartResult(Id, Key, OrderOutcome::NotSent, 0, SentAt, Now_);
+            });
+        });
       });
       return;
     }
@@ -496,37 +562,49 @@
                   ? Options_.LateOrderDelay_
                   : core::Millis(std::uniform_int_distribution<>(
                         2000, static_cast<int>(MaxOrderDelay.count()))(Random_));
-    schedule(Now_ + Delay, [this, ThisTerm, Scheduler, Order, Id, Key, Lost, Late, Answered, SentAt,
-                            Born = Executors_.at(Id).Info_.IncarnationStartMs_] {
+    const auto Answer = [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt](OrderOutcome Outcome,
+                                                                               std::int64_t Clock) {
+      deliver(ThisTerm, &Term::Results_,
+              [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt, Outcome, Clock] {
+                if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                  measureDecision(
+                      [&] { Scheduler().onStartResult(Id, Key, Outcome, Clock, SentAt, Now_); });
+              });
+    };
+    const auto Arrive = [this, ThisTerm, Order, Id, Lost, Late, SentAt, Answer,
+                         Born = Executors_.at(Id).Info_.IncarnationStartMs_](bool Waited) {
       FakeExecutor &Target = Executors_.at(Id);
       if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
         if (!Lost)
-          schedule(Now_ + Options_.Latency_,
-                   [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
-                     if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-                       measureDecision(
-                           [&] { Scheduler().onStartResult(Id, Key, *Outcome, 0, SentAt, Now_); });
-                   });
+          schedule(Now_ + Options_.Latency_, [Answer, Outcome] { Answer(*Outcome, 0); });
         return;
       }
       // A delayed order is lost when its executor restarts.
-      if (!isReachableFrom(ThisTerm->Token_, Target) || (Late && !isCarriedOutLate(Target, Born)))
+      if (!isReachableFrom(ThisTerm->Token_, Target) || (Late && !isCarriedOutLate(Target, Born)) ||
+          (Waited && missesIncarnation(Target, Born)))
         return;
       const OrderOutcome Outcome = handleStart(Target, Order, SentAt);
       if (Lost)
         return;
-      schedule(Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt,
-                                      Clock = clockOf(Target)] {
-        // Without a connection the answer is lost, and the order times out.
-        if (Executors_.at(Id).DisconnectedUntil_ > Now_ || isCut(ThisTerm->Token_, Id) ||
-            std::exchange(*Answered, true) || !ThisTerm->Alive_)
-          return;
-        measureDecision([&] { Scheduler().onStartResult(Id, Key, Outcome, Clock, SentAt, Now_); });
-      });
+      schedule(Now_ + answerDelay(),
+               [this, ThisTerm, Id, Answer, Outcome, Clock = clockOf(Target)] {
+                 // Without a connection the answer is lost, and the order times out.
+                 if (Executors_.at(Id).DisconnectedUntil_ <= Now_ && !isCut(ThisTerm->Token_, Id))
+                   Answer(Outcome, Clock);
+               });
+    };
+    const bool Sent = depart(ThisTerm, orderTimeout(), [this, Delay, Arrive](bool Waited) {
+      schedule(Now_ + Delay, [Arrive, Waited] { Arrive(Waited); });
     });
-    schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
-      if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision([&] { Scheduler().onStartResult(Id, Key, unanswered(), 0, SentAt, Now_); });
+    schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt, Sent] {
+      deliver(ThisTerm, &Term::Overdue_,
+              [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt, Sent] {
+                if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                  measureDecision([&] {
+                    Scheduler().onStartResult(Id, Key, Sent ? unanswered() : OrderOutcome::NotSent,
+                                              0, SentAt, Now_);
+                  });
+              });
     });
   };
   Actions.Stop_ = [this, ThisTerm, Scheduler](const fleet::ExecutorInfo &Info,
@@ -536,17 +614,20 @@
     const auto Answered = std::make_shared<bool>(false);
     const auto Delay = takeDelay(StopDelays_);
     const bool Lost = Delay || happens(Options_.LostAnswerProbability_);
-    schedule(Now_ + Delay.value_or(Options_.Latency_), [this, ThisTerm, Scheduler, Id, Key, Lost,
-                                                        Answered, SentAt] {
+    const auto Answer = [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt](OrderOutcome Outcome,
+                                                                               std::int64_t Clock) {
+      deliver(ThisTerm, &Term::Results_,
+              [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt, Outcome, Clock] {
+                if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                  measureDecision(
+                      [&] { Scheduler().onStopResult(Id, Key, Outcome, Clock, SentAt, Now_); });
+              });
+    };
+    const auto Arrive = [this, ThisTerm, Id, Key, Lost, Answer] {
       FakeExecutor &Target = Executors_.at(Id);
       if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
         if (!Lost)
-          schedule(Now_ + Options_.Latency_,
-                   [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt] {
-                     if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-                       measureDecision(
-                           [&] { Scheduler().onStopResult(Id, Key, *Outcome, 0, SentAt, Now_); });
-                   });
+          schedule(Now_ + Options_.Latency_, [Answer, Outcome] { Answer(*Outcome, 0); });
         return;
       }
       if (!isReachableFrom(ThisTerm->Token_, Target) || Now_ < Target.StopsLostUntil_)
@@ -554,15 +635,22 @@
       const OrderOutcome Outcome = handleStop(Target, Key, ThisTerm->Token_);
       if (Lost)
         return;
-      schedule(Now_ + answerDelay(), [this, ThisTerm, Scheduler, Id, Key, Outcome, Answered, SentAt,
-                                      Clock = clockOf(Target)] {
-        if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-          measureDecision([&] { Scheduler().onStopResult(Id, Key, Outcome, Clock, SentAt, Now_); });
-      });
-    });
-    schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt] {
-      if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision([&] { Scheduler().onStopResult(Id, Key, unanswered(), 0, SentAt, Now_); });
+      schedule(Now_ + answerDelay(),
+               [Answer, Outcome, Clock = clockOf(Target)] { Answer(Outcome, Clock); });
+    };
+    const bool Sent = depart(ThisTerm, orderTimeout(),
+                             [this, Arrive, Delay = Delay.value_or(Options_.Latency_)](bool) {
+                               schedule(Now_ + Delay, Arrive);
+                             });
+    schedule(Now_ + orderTimeout(), [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt, Sent] {
+      deliver(ThisTerm, &Term::Overdue_,
+              [this, ThisTerm, Scheduler, Id, Key, Answered, SentAt, Sent] {
+                if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                  measureDecision([&] {
+                    Scheduler().onStopResult(Id, Key, Sent ? unanswered() : OrderOutcome::NotSent,
+                                             0, SentAt, Now_);
+                  });
+              });
     });
   };
   Actions.Pace_ = [](const fleet::ExecutorInfo &, const lead::RunKey &, int) {};
@@ -575,16 +663,19 @@
     const bool Lost = happens(Options_.LostAnswerProbability_);
     const core::Millis Jitter(
         std::uniform_int_distribution<>(0, Options_.MaxHoldJitterMs_)(Random_));
-    schedule(Now_ + Options_.Latency_ + Jitter, [this, ThisTerm, Scheduler, Id, SeenUpTo, UntilMs,
-                                                 Wait, SentAt, Lost, Answered] {
+    const auto Arrive = [this, ThisTerm, Scheduler, Id, SeenUpTo, UntilMs, Wait, SentAt, Lost,
+                         Answered,
+                         Born = Executors_.at(Id).Info_.IncarnationStartMs_](bool Waited) {
       FakeExecutor &Target = Executors_.at(Id);
       if (const auto Outcome = machineAnswer(ThisTerm->Token_, Target)) {
-        *Answered = true;
-        if (ThisTerm->Alive_)
-          measureDecision([&] { Scheduler().onHoldResult(Id, *Outcome, {}, SentAt, Now_); });
+        deliver(
+            ThisTerm, &Term::Results_, [this, ThisTerm, Scheduler, Id, Outcome, SentAt, Answered] {
+              if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+                measureDecision([&] { Scheduler().onHoldResult(Id, *Outcome, {}, SentAt, Now_); });
+            });
         return;
       }
-      if (!isReachableFrom(ThisTerm->Token_, Target))
+      if (!isReachableFrom(ThisTerm->Token_, Target) || (Waited && missesIncarnation(Target, Born)))
         return;
       const auto Reply = [this, ThisTerm, Scheduler, Id, SentAt, Answered,
                           Accepted = Target.Info_.IncarnationStartMs_](OrderOutcome Outcome) {
@@ -593,12 +684,12 @@
         if (!isReachableFrom(ThisTerm->Token_, Answering) ||
             Answering.Info_.IncarnationStartMs_ != Accepted)
           return;
-        const auto Deliver = [this, ThisTerm, Scheduler, Id, SentAt, Answered, Outcome,
-                              Report = reportOf(Answering)] {
+        const auto Handle = [this, ThisTerm, Scheduler, Id, SentAt, Answered, Outcome,
+                             Report = reportOf(Answering)] {
           if (!ThisTerm->Alive_)
             return;
           if (std::exchange(*Answered, true)) {
-            if (Options_.Relayed_)
+            if (Options_.Relayed_ && Outcome == OrderOutcome::Done)
               measureDecision([&] { Scheduler().onLateHoldResult(Id, Report, Now_); });
             return;
           }
@@ -607,6 +698,9 @@
             Met.MetAt_ = Now_;
           measureDecision([&] { Scheduler().onHoldResult(Id, Outcome, Report, SentAt, Now_); });
         };
+        const auto Deliver = [this, ThisTerm, Handle] {
+          deliver(ThisTerm, &Term::Results_, Handle);
+        };
         if (HoldResultDelay_.count() > 0)
           schedule(Now_ + HoldResultDelay_, Deliver);
         else
@@ -629,19 +723,26 @@
       std::erase_if(Target.Resets_, [](const auto &Entry) { return *Entry.first; });
       Target.Resets_.emplace_back(Answered, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
         schedule(Now_ + Options_.Latency_, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
-          if (Now_ < Executors_.at(Id).DisconnectedUntil_ || isCut(ThisTerm->Token_, Id) ||
-              std::exchange(*Answered, true) || !ThisTerm->Alive_)
+          if (Now_ < Executors_.at(Id).DisconnectedUntil_ || isCut(ThisTerm->Token_, Id))
             return;
-          measureDecision(
-              [&] { Scheduler().onHoldResult(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
+          deliver(ThisTerm, &Term::Results_, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
+            if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+              measureDecision(
+                  [&] { Scheduler().onHoldResult(Id, OrderOutcome::NoAnswer, {}, SentAt, Now_); });
+          });
         });
       });
       Target.PendingHold_ = [Reply] { Reply(OrderOutcome::Done); };
       schedule(Now_ + Wait, [Reply] { Reply(OrderOutcome::Done); });
+    };
+    depart(ThisTerm, Wait + orderTimeout(), [this, Jitter, Arrive](bool Waited) {
+      schedule(Now_ + Options_.Latency_ + Jitter, [Arrive, Waited] { Arrive(Waited); });
     });
     schedule(Now_ + Wait + orderTimeout(), [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
-      if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
-        measureDecision([&] { Scheduler().onHoldResult(Id, unanswered(), {}, SentAt, Now_); });
+      deliver(ThisTerm, &Term::Overdue_, [this, ThisTerm, Scheduler, Id, SentAt, Answered] {
+        if (!std::exchange(*Answered, true) && ThisTerm->Alive_)
+          measureDecision([&] { Scheduler().onHoldResult(Id, unanswered(), {}, SentAt, Now_); });
+      });
     });
   };
   if (Options_.Advisers_ > 0)
@@ -736,7 +837,9 @@
                  *std::ranges::find(Terms_, ThisTerm, [](const auto &Entry) {
                     return Entry.first;
                   })->second;
-             measureDecision([&] { Scheduler.onAdvice(Step, Asked, Allowed, Now_); });
+             deliver(ThisTerm, &Term::Results_, [this, &Scheduler, Step, Asked, Allowed] {
+               measureDecision([&] { Scheduler.onAdvice(Step, Asked, Allowed, Now_); });
+             });
            });
 }
 
@@ -815,37 +918,112 @@
   return First;
 }
 
+void FakeFleet::sendHeartbeat(const std::shared_ptr<Term> &ThisTerm, lead::Scheduler &Scheduler) {
+  if (ThisTerm->HeartbeatOutstanding_)
+    return;
+  ThisTerm->HeartbeatOutstanding_ = true;
+  ThisTerm->HeartbeatAt_ = Now_;
+  removeFromRoster();
+  std::vector<work::LogRecord> Changes;
+  for (const auto &[Id, Known] : Silences_)
+    if (!Scheduler.isSilenceRecorded(Id))
+      Changes.push_back(lead::encodeSilenceRemoval(Id));
+  for (work::LogRecord &Change : Scheduler.takeSilenceChanges(Now_))
+    Changes.push_back(std::move(Change));
+  for (const auto &[Id, Known] : Drains_)
+    if (!Scheduler.isDrainRecorded(Id))
+      Changes.push_back(lead::encodeDrainRemoval(Id));
+  for (work::LogRecord &Change : Scheduler.takeDrainChanges(Now_))
+    Changes.push_back(std::move(Change));
+  schedule(
+      Now_ + FlushTime, [this, ThisTerm, &Scheduler, SentAt = Now_, Changes = std::move(Changes)] {
+        const bool Stored = !StoreDown_ && ThisTerm->Token_ == Token_;
+        for (const work::LogRecord &Change : Changes)
+          if (Stored) {
+            lead::applySilenceRecord(Silences_, Change.Key_, Change.Value_, Now_);
+            lead::applyDrainRecord(Drains_, Change.Key_, Change.Value_, Now_);
+          }
+        deliver(ThisTerm, &Term::Results_, [this, ThisTerm, &Scheduler, SentAt, Changes, Stored] {
+          ThisTerm->HeartbeatOutstanding_ = false;
+          if (!Stored || !ThisTerm->Alive_)
+            return;
+          Scheduler.onHeartbeatStored(SentAt);
+          Scheduler.onSilenceChangesStored(Changes, Now_);
+          Scheduler.onDrainChangesStored(Changes);
+        });
+      });
+}
+
 void FakeFleet::tick(const std::shared_ptr<Term> &ThisTerm) {
   if (!ThisTerm->Alive_)
     return;
+  if (isLate(*ThisTerm)) {
+    beginTurn(ThisTerm);
+    return;
+  }
+  pass(ThisTerm, Now_);
+  schedule(Now_ + TickInterval, [this, ThisTerm] { tick(ThisTerm); });
+}
+
+void FakeFleet::beginTurn(const std::shared_ptr<Term> &ThisTerm) {
+  ThisTerm->InTurn_ = true;
+  if (Random_() % 2 == 0)
+    std::ranges::shuffle(ThisTerm->Results_, Random_);
+  handleWaiting(*ThisTerm, &Term::News_);
+  // Whether a result counts as overdue depends on what the event loop gets to first.
+  if (Random_() % 2 == 0)
+    handleWaiting(*ThisTerm, &Term::Results_);
+  const LeaderLateness &Lateness = ThisTerm->Lateness_;
+  const core::Millis PassTime(
+      std::uniform_int_distribution<>(0, static_cast<int>(Lateness.MaxPassTime_.count()))(Random_));
+  schedule(Now_ + PassTime, [this, ThisTerm, Begin = Now_] {
+    if (!ThisTerm->Alive_)
+      return;
+    pass(ThisTerm, std::max(Begin, LeaderCalledAt_));
+    handleWaiting(*ThisTerm, &Term::Overdue_);
+    handleWaiting(*ThisTerm, &Term::Results_);
+    ThisTerm->InTurn_ = false;
+    const auto [MinPause, MaxPause, MaxPassTime, MaxOrderWait] = ThisTerm->Lateness_;
+    const core::Millis Pause(std::uniform_int_distribution<>(
+        static_cast<int>(MinPause.count()), static_cast<int>(MaxPause.count()))(Random_));
+    schedule(Now_ + std::max(TickInterval, Pause), [this, ThisTerm] { tick(ThisTerm); });
+  });
+}
+
+void FakeFleet::pass(const std::shared_ptr<Term> &ThisTerm, core::TimePoint PassTime) {
   const auto Found =
       std::ranges::find(Terms_, ThisTerm, [](const auto &Entry) { return Entry.first; });
   lead::Scheduler &Scheduler = *Found->second;
   // Delayed jobs were stored before the term began.
-  if (!StoreDown_ && Now_ > ThisTerm->JobsUnreadUntil_)
-    Scheduler.onJobsRead(Now_);
+  if (!StoreDown_ && PassTime > ThisTerm->JobsUnreadUntil_ && ThisTerm->News_.empty())
+    Scheduler.onJobsRead(PassTime);
   const core::Millis HeartbeatDelay =
-      Scheduler.awaitsHeartbeat(Now_) ? ExtraHeartbeatTime : HeartbeatTime;
-  if (!StoreDown_ && ThisTerm->Token_ == Token_ &&
-      Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatDelay) {
+      Scheduler.awaitsHeartbeat(PassTime) ? ExtraHeartbeatTime : HeartbeatTime;
+  const bool MayStore = !StoreDown_ && ThisTerm->Token_ == Token_;
+  if (MayStore && isLate(*ThisTerm) && Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatDelay) {
+    sendHeartbeat(ThisTerm, Scheduler);
+  } else if (MayStore && !ThisTerm->HeartbeatOutstanding_ &&
+             Now_ - ThisTerm->HeartbeatAt_ >= HeartbeatDelay) {
     ThisTerm->HeartbeatAt_ = Now_;
     Scheduler.onHeartbeatStored(Now_);
     removeFromRoster();
     recordSilences(Scheduler);
     recordDrains(Scheduler);
   }
-  if (!StoreDown_ && ThisTerm->Token_ == Token_)
+  if (MayStore)
     recordExecutors();
-  if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasSilenceToClear())
-    recordSilences(Scheduler);
-  if (!StoreDown_ && ThisTerm->Token_ == Token_ && Scheduler.hasDrainToClear())
-    recordDrains(Scheduler);
+  if (MayStore && !isLate(*ThisTerm) && !ThisTerm->HeartbeatOutstanding_) {
+    if (Scheduler.hasSilenceToClear())
+      recordSilences(Scheduler);
+    if (Scheduler.hasDrainToClear())
+      recordDrains(Scheduler);
+  }
   if (ThisTerm->AdviceDispatcher_) {
     registerAdvisers(*ThisTerm);
     ThisTerm->AdviceDispatcher_->dispatch(Now_);
     Scheduler.setAdviceLimits(ThisTerm->AdviceDispatcher_->limits(Now_));
   }
-  measureDecision([&] { Scheduler.tick(Now_, clockOf(*ThisTerm)); });
+  measureDecision([&] { Scheduler.tick(PassTime, clockOf(*ThisTerm)); });
   if (Scheduler.fenced()) {
     ThisTerm->Alive_ = false;
     return;
@@ -860,7 +1038,6 @@
       ThisTerm->Flushing_ = true;
       schedule(Now_ + FlushTime,
                [this, ThisTerm, &Scheduler, Number = Number, Entries = std::move(Entries)] {
-                 ThisTerm->Flushing_ = false;
                  if (!ThisTerm->Alive_)
                    return;
                  if (ThisTerm->Token_ < Fence_) {
@@ -873,10 +1050,12 @@
                    if (Job != nullptr && Job->state() == work::JobState::Failed)
                      checkFailedJob(Id);
                  }
-                 measureDecision([&] { Scheduler.onFlushed(Number, Now_); });
+                 deliver(ThisTerm, &Term::Results_, [this, ThisTerm, &Scheduler, Number] {
+                   ThisTerm->Flushing_ = false;
+                   measureDecision([&] { Scheduler.onFlushed(Number, Now_); });
+                 });
                });
     }
-  schedule(Now_ + TickInterval, [this, ThisTerm] { tick(ThisTerm); });
 }
 
 const work::StepSpec &FakeFleet::stepSpec(const work::TaskRef &Task) const {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -73,10 +73,27 @@
   bool Trace_ = false;       ///< prints all decisions to standard error
 };
 
+/// How late a leader is. Without a pause it decides in no time and exactly when it is due.
+struct LeaderLateness {
+  /// Bounds of the random time between two turns of the leader. Results, read records and overdue
+  /// orders wait for its next turn.
+  core::Millis MinPause_{0};
+  core::Millis MaxPause_{0};
+  /// Longest time of a scheduling pass. Its orders leave when it ends, its time is that of its
+  /// begin.
+  core::Millis MaxPassTime_{0};
+  /// Longest time for which an order waits at the leader, which drops it at its deadline, or at a
+  /// relay, which sends it in any case.
+  core::Millis MaxOrderWait_{0};
+};
+
 /// A simulated fleet with one leader at a time, or two during a takeover.
 class FakeFleet {
 public:
   explicit FakeFleet(FakeFleetOptions Options);
+  FakeFleet(const FakeFleet &) = delete;
+  FakeFleet &operator=(const FakeFleet &) = delete;
+  ~FakeFleet();
 
   // -- Simulated events --
   void addExecutor(const std::string &Id, core::Resources Capacity);
@@ -105,6 +122,8 @@
   void setManifest(work::Manifest Manifest);
   /// Keeps later manifests from the present leader.
   void withholdManifests() { Current_->ReadsManifests_ = false; }
+  /// Makes the present leader late from now on, or punctual again from its next turn on.
+  void setLateness(LeaderLateness Lateness) { Current_->Lateness_ = Lateness; }
   /// Sets how far the wall clocks of later leaders are ahead.
   void setLeaderClock(core::Millis Ahead) { LeaderClockAhead_ = Ahead; }
   /// Ends the leader's process. Nobody leads until takeOver() is called.
@@ -258,6 +277,14 @@
     }
   };
   struct Term {
+    LeaderLateness Lateness_;
+    bool InTurn_ = false; ///< a pass has begun and not ended
+    bool HeartbeatOutstanding_ = false;
+    /// What waits for the next turn: results, orders without a result at their deadline, and what
+    /// was read from the store.
+    std::vector<std::function<void()>> Results_;
+    std::vector<std::function<void()>> Overdue_;
+    std::vector<std::function<void()>> News_;
     std::uint64_t Token_ = 0;
     bool Alive_ = true;
     bool Flushing_ = false;
@@ -338,7 +365,32 @@
   void checkCapacity(const FakeExecutor &Executor, const work::TaskRef &Task,
                      core::TimePoint SentAt);
   std::int64_t clockOf(const Term &OfTerm) const { return nowMs() + OfTerm.ClockAhead_.count(); }
+  static bool isLate(const Term &OfTerm);
+  /// Calls \p Action now, or when the leader gets to it.
+  /// \param Waiting where the action waits for a leader that is late.
+  void deliver(const std::shared_ptr<Term> &ThisTerm,
+               std::vector<std::function<void()>> Term::*Waiting, std::function<void()> Action);
+  void handleWaiting(Term &OfTerm, std::vector<std::function<void()>> Term::*Waiting);
+  /// Tells all leaders an entry of the executor list.
+  void announceExecutor(const fleet::ExecutorInfo &Info);
+  void announceGone(const std::string &Id);
+  void announceJob(const std::string &Id);
+  /// Sends an order now, or when it has waited at the leader or at a relay.
+  /// \param Send sends the order; the argument tells whether it has waited.
+  /// \returns false when the leader drops the order at its deadline.
+  bool depart(const std::shared_ptr<Term> &ThisTerm, core::Millis Timeout,
+              std::function<void(bool)> Send);
+  /// \returns true when an order that has waited misses an incarnation that the leader does not
+  /// know.
+  bool missesIncarnation(const FakeExecutor &Executor, std::int64_t Born) const;
+  /// Appends a heartbeat whose answer waits for the leader.
+  void sendHeartbeat(const std::shared_ptr<Term> &ThisTerm, lead::Scheduler &Scheduler);
   void tick(const std::shared_ptr<Term> &ThisTerm);
+  /// Begins a turn of a leader that is late.
+  void beginTurn(const std::shared_ptr<Term> &ThisTerm);
+  /// Makes the leader's decisions.
+  /// \param PassTime the time that the leader takes for the present.
+  void pass(const std::shared_ptr<Term> &ThisTerm, core::TimePoint PassTime);
   void renewLease(FakeExecutor &Executor, std::int64_t UntilMs);
   fleet::OrderOutcome handleStart(FakeExecutor &Executor, const fleet::StartOrder &Order,
                                   core::TimePoint SentAt);
@@ -361,6 +413,7 @@
   std::mt19937 Random_;
   core::TimePoint Now_{std::chrono::hours(1)};
   core::TimePoint TookOverAt_{};
+  core::TimePoint LeaderCalledAt_{}; ///< when a leader was last told something
   std::uint64_t NextSequence_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events_;
   std::map<std::string, FakeExecutor> Executors_;
