A stale leader steps down for a job whose progress names a later term

Callers saw TWICE under a leader that reads late: two runs of a task, on executors that only one of two leaders reached. The stale leader read the job when the next one had begun it, took it for a job of an earlier leader, and as it had accounted for all executors of those, started it.

Cause: which leader has begun a job is recorded in one of two records, with the acceptance or with the progress. A term later than the own one was noticed in the first only.

The later term in either record now ends the term, before the job is taken up. Class: a belief about another leader is taken from one of several records of the same fact.

--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -59,8 +59,10 @@
 }
 
 void Scheduler::onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs) {
-  // Only the leader of a term writes that it has begun a job, so a later term has begun.
-  Fenced_ = Fenced_ || Job.StartedTerm_ > Token_;
+  // Only the leader of a term writes that it has begun a job, so a later term has begun. That is
+  // recorded with the job's acceptance or with its progress.
+  Fenced_ =
+      Fenced_ || Job.StartedTerm_ > Token_ || (Job.Progress_ && Job.Progress_->Term_ > Token_);
   // The table shows an end only when it is durable.
   if (Fenced_ || FinalJobs_.contains(Job.Id_))
     return;
--- a/tests/unit/SchedulerStaleLeaderTest.cpp
+++ b/tests/unit/SchedulerStaleLeaderTest.cpp
@@ -73,3 +73,24 @@
   cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}), 1);
   expectNoViolations(Fleet);
 }
+
+// Guards against two runs at the same time: a stale leader reads a job only when the new leader has
+// begun it, takes it for one that an earlier leader has begun, and starts it on another executor.
+Test(SchedulerStaleLeader, jobThatTheNewLeaderHasBegunIsNotStarted) {
+  constexpr Millis Pause(1500);
+  constexpr Millis CutTime(5000);
+  FakeFleet Fleet(FakeFleetOptions{});
+  addExecutor(Fleet, "e0");
+  addExecutor(Fleet, "e1");
+  Fleet.disconnectLeader("e0", 2 * CutTime);
+  Fleet.run(Millis(3000));
+  Fleet.setLateness({Pause, Pause, Millis(0), Millis(0)});
+  Fleet.run(Millis(20));
+  Fleet.takeOver(CutTime);
+  Fleet.disconnectLeader("e1", CutTime);
+  Fleet.submit("j1", makeJob(4000));
+  Fleet.run(Millis(20'000));
+  cr_expect(Fleet.stateOf("j1") == work::JobState::Completed);
+  cr_expect_eq(Fleet.startsOf({"j1", 0, 0, 0}), 1);
+  expectNoViolations(Fleet);
+}
