A start that was answered after a new incarnation's report is not taken for over

Callers would see TWICE: an executor had started again, its new incarnation answered a hold request and then carried out a start that was ordered in the same pass. When the leader read the answer to the start first, it took the run for one of the earlier incarnation and started the task elsewhere.

Cause: handleRestart() compared the time of the order, which is that of the beginning of the pass, with the time at which the hold request was sent, which is later. A start that had been answered was no longer open either.

Evidence: the new unit.SchedulerPassTimeTest failed before (the task was started again, and the first run was stopped).

The answer's time is now compared instead: a run that was confirmed after the request was sent stays until the next report lists or lacks it (second test). Class: a moment that is compared with one taken from another place of the same pass.

--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -536,10 +536,14 @@
   std::vector<RunKey> EndedRuns;
   Executor.OrdersPending_ = true;
   for (auto &[Key, ActiveRun] : Executor.Runs_) {
-    ActiveRun.ConfirmedAt_ = {};
+    // A start that was answered after the request was sent may be later than the report; the next
+    // one shows it. The order's time does not tell, because a pass takes it before it sends orders.
+    const bool ConfirmedSince = ActiveRun.ConfirmedAt_ >= SentAt && !mayStillStart(Executor, Key);
+    if (!ConfirmedSince)
+      ActiveRun.ConfirmedAt_ = {};
     ActiveRun.StartClockMs_ = 0;
     ActiveRun.StopAnsweredAt_ = {};
-    if (ListedRuns.contains(Key))
+    if (ConfirmedSince || ListedRuns.contains(Key))
       continue;
     const bool MayHaveStarted = mayStillStart(Executor, Key) || ActiveRun.OrderSentAt_ >= SentAt;
     if (!MayHaveStarted) {
