--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -694,7 +694,9 @@
             return;
           }
           FakeExecutor &Met = Executors_.at(Id);
-          if (std::exchange(Met.MetByTerm_, ThisTerm->Token_) != ThisTerm->Token_)
+          // The executor may have started again since it answered.
+          if (Met.Info_.IncarnationStartMs_ == Report.IncarnationStartMs_ &&
+              std::exchange(Met.MetByTerm_, ThisTerm->Token_) != ThisTerm->Token_)
             Met.MetAt_ = Now_;
           measureDecision([&] { Scheduler().onHoldResult(Id, Outcome, Report, SentAt, Now_); });
         };
