--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -259,7 +259,7 @@
   void advance(core::TimePoint Now, std::int64_t WallMs);
   /// \returns true when tasks may be placed, and a pass may find something to place.
   bool isPlacementDue(core::TimePoint Now) const {
-    return mayGrantLeases(Now) && (PlacementDue_ || Now >= NextPlacementAt_);
+    return !Fenced_ && mayGrantLeases(Now) && (PlacementDue_ || Now >= NextPlacementAt_);
   }
   /// \returns true while so many steps wait that a job which is accepted now will not start soon.
   bool hasBacklog() const { return WaitingSteps_ > Timing_.BacklogSteps_; }
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -875,7 +875,7 @@
   WaitingSteps_ = Candidates.size();
   for (const Candidate &Waiting : Candidates)
     if (!Waiting.Job_->Queue_.Advice_)
-      beginJob(*Waiting.Job_); // its tasks may start in this pass
+      beginJob(*Waiting.Job_); // its queue had advice when it was read
   grantTurns(Candidates, OverdueCredit_, Now);
   std::ranges::sort(Candidates, isMoreUrgent);
   for (Candidate &Waiting : Candidates) {
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -59,8 +59,10 @@
 }
 
 void Scheduler::onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs) {
-  // Only the leader of a term writes that it has begun a job, so a later term has begun.
-  Fenced_ = Fenced_ || Job.StartedTerm_ > Token_;
+  // Only the leader of a term writes that it has begun a job, so a later term has begun. That is
+  // recorded with the job's acceptance or with its progress.
+  Fenced_ =
+      Fenced_ || Job.StartedTerm_ > Token_ || (Job.Progress_ && Job.Progress_->Term_ > Token_);
   // The table shows an end only when it is durable.
   if (Fenced_ || FinalJobs_.contains(Job.Id_))
     return;
@@ -107,6 +109,8 @@
     NewJob.Progress_.Term_ = Token_;
   else if (!NewJob.Inherited_)
     NewJob.BegunFlush_ = NoFlush;
+  if (!NewJob.Queue_.Advice_)
+    beginJob(NewJob);
   logDecision("job_taken", {Job.Id_, 0, 0, 0}, 0, {},
               NewJob.Inherited_ ? "begun by an earlier leader"
                                 : (BegunByThisTerm ? "begun with its acceptance" : "new"));
@@ -391,6 +395,8 @@
 }
 
 void Scheduler::advance(core::TimePoint Now, std::int64_t WallMs) {
+  if (Fenced_)
+    return;
   // A job that was stored before its runs lapsed has been read by then, or does not exist.
   std::erase_if(LapsedBeforeRead_,
                 [this](const auto &Entry) { return Entry.second.LapsedAt_ < JobsReadUpTo_; });
--- a/tests/unit/SchedulerBacklogTakeoverTest.cpp
+++ b/tests/unit/SchedulerBacklogTakeoverTest.cpp
@@ -18,11 +18,15 @@
 /// one that does not answer take 10.5 s.
 constexpr Millis SoonAfterTakeover{1500};
 
-/// A fleet with advice on its only queue.
-FakeFleet makeFleet(std::int64_t LimitCores) {
+/// \returns options of a fleet on which each executor may run each step.
+FakeFleetOptions makeOptions() {
   FakeFleetOptions Options;
   Options.AdviceYield_ = 1;
-  FakeFleet Fleet(Options);
+  return Options;
+}
+
+/// Adds the executors, and advice to the only queue.
+void setUp(FakeFleet &Fleet, std::int64_t LimitCores) {
   work::Queue Queue;
   Queue.Name_ = "q";
   Queue.Pool_ = "pool";
@@ -36,7 +40,6 @@
   for (int I = 0; I < Executors; ++I)
     Fleet.addExecutor("e" + std::to_string(I), {Cores * 1000, 8000, 0});
   Fleet.run(Millis(100));
-  return Fleet;
 }
 
 /// Loses an executor and the leader at the same moment, so that nobody has recorded its runs.
@@ -59,7 +62,8 @@
 // Guards against a site that stands still for a whole lease after a takeover, because one executor
 // of many does not answer, although most of the waiting jobs have never had a run.
 Test(SchedulerBacklogTakeover, jobsThatWereNeverBegunStartAtOnce) {
-  FakeFleet Fleet = makeFleet(0);
+  FakeFleet Fleet(makeOptions());
+  setUp(Fleet, 0);
   // Takes all room for long enough that the others are not even asked for.
   Fleet.submit("running", makeJob(Executors * Cores, 1200));
   Fleet.run(Millis(300));
@@ -81,7 +85,8 @@
 
 // Guards against a second run of a job that was begun: its tasks wait for the silent executor.
 Test(SchedulerBacklogTakeover, jobsThatWereBegunWait) {
-  FakeFleet Fleet = makeFleet(0);
+  FakeFleet Fleet(makeOptions());
+  setUp(Fleet, 0);
   Fleet.submit("running", makeJob(Executors * Cores, 60'000));
   Fleet.run(Millis(600));
   loseExecutorAndLeader(Fleet);
@@ -97,7 +102,8 @@
 // does not answer has room for four tasks, not for a backlog of forty.
 Test(SchedulerBacklogTakeover, unseenRunsTakeNoMoreThanTheirExecutorsHold) {
   constexpr std::int64_t LimitCores = Executors * Cores + Cores;
-  FakeFleet Fleet = makeFleet(LimitCores);
+  FakeFleet Fleet(makeOptions());
+  setUp(Fleet, LimitCores);
   Fleet.submit("begun", makeJob(40, 1000));
   Fleet.run(Millis(600));
   loseExecutorAndLeader(Fleet);
