The first round of a new leader goes through relays

Cause: a leader begins its term before any daemon has reported to it, and without a relay OrderRouter::route sent each order directly, also to 1,100 executors at once. A machine of 0.5 cores cannot serve as many calls within their timeouts, and most executors counted as silent (no_answer).

Change: large daemons report to a new leader as soon as they read its record, and it registers them while it still prepares. In the first 0.6 s of a term an order waits for a relay of its executor's failure domain that has room; one relay that reports early does not get the executors of all domains, which would keep it. Without relays orders go out directly, at most as many at a time as the machine can serve (it was unlimited).

Tests: OrderRouterTest, three new; with no wait and no limit, as before, two of them fail (300 orders go out at once). RelayTableTest, one new. That large daemons report at once has no test of its own.

--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -10,6 +10,7 @@
 #include "masticdrift/protocol/PayloadCache.h"
 #include "platform/Executors.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -18,7 +19,8 @@
 namespace masticdrift::daemon {
 
 /// Reports exactly one result for each order of the term, also when its relay is lost. Orders for
-/// relays are collected and sent in batches by flush().
+/// relays are collected and sent in batches by flush(). At the beginning of a term they wait for
+/// the relays to report; without any, they are sent directly, a limited number at a time.
 class OrderRouter {
 public:
   using OrderCallback = std::function<void(const platform::OrderResponse &)>;
@@ -39,7 +41,7 @@
 
   /// Drops the orders of an earlier term: those that were not sent are never sent, and no results
   /// are reported for the others.
-  void beginTerm();
+  void beginTerm(core::TimePoint Now);
 
   /// Starts one run of a task.
   void start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
@@ -77,7 +79,7 @@
 
 private:
   struct PendingOrder {
-    std::string RelayAddress_;
+    std::string RelayAddress_; ///< empty while the order has no relay
     core::TimePoint RoutedAt_;
     core::TimePoint Deadline_;
     HoldCallback OnAnswer_;
@@ -94,6 +96,12 @@
     core::TimePoint LastResultAt_{}; ///< when results came back last
   };
 
+  /// An order without a relay.
+  struct UnroutedOrder {
+    std::string Domain_; ///< of its executor
+    protocol::RelayedOrder Order_;
+  };
+
   /// A hold whose result was reported as lost.
   struct LostHold {
     core::TimePoint LostAt_;
@@ -102,6 +110,12 @@
 
   void route(const fleet::ExecutorInfo &Executor, protocol::RelayedOrder Order,
              HoldCallback OnAnswer, HoldCallback OnLateAnswer = nullptr);
+  /// Adds an order to the batch of a relay or, without a relay, sends it to its executor.
+  ///
+  /// \returns false when the order has to wait.
+  bool passOn(UnroutedOrder &Unrouted, core::TimePoint Now);
+  void passOnUnrouted(core::TimePoint Now);
+  void sendDirectly(const protocol::RelayedOrder &Order);
   void send(const std::string &RelayAddress, Batch &Outgoing, core::TimePoint Now);
   void onBatchFailed(const std::string &RelayAddress, const http::ClientResult &Result);
   /// Notes how long the oldest order of a batch has waited.
@@ -110,13 +124,19 @@
   void onLateResult(const protocol::RelayedResult &Result);
   /// \returns the shortest interval between batches from and to each relay.
   core::Millis batchInterval() const;
+  core::TimePoint resultDeadline(const protocol::RelayedOrder &Order, core::TimePoint Now) const;
   bool usesRelays() const;
+  /// \returns the number of executors that this machine can serve without relays.
+  std::size_t directCapacity() const;
 
   FleetContext &Context_;
   RelayTable Relays_;
   std::uint64_t NextOrder_ = 1;
   std::unordered_map<std::uint64_t, PendingOrder> PendingOrders_;
   std::unordered_map<std::uint64_t, LostHold> LostHolds_;
+  std::deque<UnroutedOrder> Unrouted_;
+  std::size_t DirectInFlight_ = 0; ///< orders without a relay that were sent to their executors
+  core::TimePoint RelaysAwaitedUntil_{};
   std::uint64_t Generation_ = 0;                      ///< of Batches_; changes with each term
   std::map<std::string, Batch, std::less<>> Batches_; ///< by the relay's peer address
   core::TimePoint LastExpiryCheckAt_{};
--- a/include/masticdrift/daemon/RelayTable.h
+++ b/include/masticdrift/daemon/RelayTable.h
@@ -43,6 +43,9 @@
   std::string_view relayFor(std::string_view ExecutorId, std::string_view Domain,
                             core::TimePoint Now);
 
+  /// \returns true when relayFor() finds a relay in the executor's failure domain that is not full.
+  bool isServed(std::string_view ExecutorId, std::string_view Domain, core::TimePoint Now) const;
+
   /// \returns the number of relays that serve executors.
   std::size_t activeRelays() const;
 
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -150,6 +150,8 @@
       stepDown("another daemon became the leader");
     else if (Role_ != Role::Follower && NewestRecord_->Released_)
       stepDown("handed over");
+    else if (TermChanged && LeadershipLoaded_)
+      greetNewLeader();
   }
 
   bool ownsNewestRecord() const {
@@ -396,7 +398,7 @@
   void startLeading() {
     const core::TimePoint Now = core::Clock::now();
     Role_ = Role::Leading;
-    OrderRouter_.beginTerm();
+    OrderRouter_.beginTerm(Now);
     PlacementPacing_ = {};
     LoopLag_.takeLongest(); // what delayed the follower says nothing about the term
     Flushing_ = false;
@@ -888,6 +890,13 @@
 
   // -- followers --
 
+  /// A new leader sends its first orders through the relays that it knows by then. Only large
+  /// daemons serve as relays for many executors, so that the others do not call all at once.
+  void greetNewLeader() {
+    if (lead::isPreferredLeader(Context_.Settings_.Cores_))
+      helloTick();
+  }
+
   void helloTick() {
     runAfter(HelloTimer_, HelloInterval, [this] { helloTick(); });
     if (Role_ != Role::Follower || !NewestRecord_ || ownsNewestRecord() || NewestRecord_->Released_)
@@ -1085,10 +1094,13 @@
   const core::TimePoint Now = core::Clock::now();
   if (Hello.CanLead_ && !lead::isPreferredLeader(Impl_->Context_.Settings_.Cores_))
     Impl_->requestHandOver("a larger machine can take over", Now + HandOverRequestTime);
-  if (Impl_->Role_ != Impl::Role::Leading)
+  if (Impl_->Role_ == Impl::Role::Follower)
     return Reply;
-  Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
+  // Also while it prepares: the first orders go out as soon as this daemon leads.
   Impl_->OrderRouter_.registerRelay(Hello, Now);
+  Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
+  if (Impl_->Role_ != Impl::Role::Leading)
+    return Reply;
   Impl_->Standbys_.registerDaemon(Hello, Now);
   Impl_->ConfigReaders_.registerDaemon(Hello, Now);
   Reply.Standby_ = Impl_->Standbys_.isStandby(Hello.PeerAddress_, Now);
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -33,6 +33,9 @@
 /// Time for which a result that was reported as lost is still of use: it shows that the executor
 /// has answered a moment ago.
 constexpr core::Millis LostHoldRetention{5000};
+/// Time at the beginning of a term in which orders wait for a relay in their failure domain: longer
+/// than the interval at which daemons report to their leader.
+constexpr core::Millis RelayWait{600};
 /// Interval between checks for overdue results.
 constexpr core::Millis ExpiryCheckInterval{50};
 
@@ -98,20 +101,24 @@
   OnAnswer(UnknownKindAnswer);
 }
 
-void OrderRouter::beginTerm() {
+void OrderRouter::beginTerm(core::TimePoint Now) {
   PendingOrders_.clear();
+  Unrouted_.clear();
+  DirectInFlight_ = 0;
+  RelaysAwaitedUntil_ = Now + RelayWait;
   LostHolds_.clear();
   Batches_.clear();
   Delays_ = {};
   ++Generation_;
 }
 
-bool OrderRouter::usesRelays() const {
-  return Context_.ExecutorEntries_.size() >
-         std::min(MaxDirectExecutors,
+std::size_t OrderRouter::directCapacity() const {
+  return std::min(MaxDirectExecutors,
                   relayCapacity(Context_.Settings_.Cores_, Context_.Settings_.LinkMbps_));
 }
 
+bool OrderRouter::usesRelays() const { return Context_.ExecutorEntries_.size() > directCapacity(); }
+
 int OrderRouter::startLimit() const {
   return daemon::startLimit(usesRelays() ? Relays_.activeRelays() : 0,
                             Context_.Settings_.LinkMbps_);
@@ -159,25 +166,68 @@
                         HoldCallback OnAnswer, HoldCallback OnLateAnswer) {
   Order.ExecutorAddress_ = Executor.Address_;
   Order.ExecutorId_ = Executor.Id_;
-  const core::TimePoint Now = core::Clock::now();
-  const std::string_view RelayAddress =
-      usesRelays() ? Relays_.relayFor(Executor.Id_, Executor.Domain_, Now) : std::string_view();
-  if (RelayAddress.empty()) {
+  if (!usesRelays()) {
     sendOrder(Context_.Client_, Order, std::move(OnAnswer));
     return;
   }
+  const core::TimePoint Now = core::Clock::now();
   Order.OrderId_ = orderId(Order.Order_.FencingToken_, NextOrder_++);
-  PendingOrders_[Order.OrderId_] = {std::string(RelayAddress),
+  PendingOrders_[Order.OrderId_] = {{},
                                     Now,
-                                    Now + core::Millis(Order.TimeoutMs_) + RelayAllowance +
-                                        2 * batchInterval(),
+                                    resultDeadline(Order, Now),
                                     std::move(OnAnswer),
                                     std::move(OnLateAnswer),
                                     static_cast<RelayKind>(Order.Kind_) == RelayKind::Hold};
-  Batches_[std::string(RelayAddress)].Orders_.push_back(std::move(Order));
+  UnroutedOrder Unrouted{Executor.Domain_, std::move(Order)};
+  if (!passOn(Unrouted, Now))
+    Unrouted_.push_back(std::move(Unrouted));
+}
+
+core::TimePoint OrderRouter::resultDeadline(const protocol::RelayedOrder &Order,
+                                            core::TimePoint Now) const {
+  return Now + core::Millis(Order.TimeoutMs_) + RelayAllowance + 2 * batchInterval();
+}
+
+bool OrderRouter::passOn(UnroutedOrder &Unrouted, core::TimePoint Now) {
+  const auto Pending = PendingOrders_.find(Unrouted.Order_.OrderId_);
+  if (Pending == PendingOrders_.end())
+    return true; // overdue
+  const std::string &ExecutorId = Unrouted.Order_.ExecutorId_;
+  if (Now < RelaysAwaitedUntil_ && !Relays_.isServed(ExecutorId, Unrouted.Domain_, Now))
+    return false;
+  const std::string_view RelayAddress = Relays_.relayFor(ExecutorId, Unrouted.Domain_, Now);
+  if (!RelayAddress.empty()) {
+    Pending->second.RelayAddress_ = RelayAddress;
+    Pending->second.Deadline_ = resultDeadline(Unrouted.Order_, Now);
+    Batches_[std::string(RelayAddress)].Orders_.push_back(std::move(Unrouted.Order_));
+    return true;
+  }
+  if (DirectInFlight_ >= directCapacity())
+    return false;
+  sendDirectly(Unrouted.Order_);
+  return true;
+}
+
+void OrderRouter::passOnUnrouted(core::TimePoint Now) {
+  for (UnroutedOrder &Unrouted : std::exchange(Unrouted_, {}))
+    if (!passOn(Unrouted, Now))
+      Unrouted_.push_back(std::move(Unrouted));
+}
+
+void OrderRouter::sendDirectly(const protocol::RelayedOrder &Order) {
+  ++DirectInFlight_;
+  auto OnAnswer = std::move(PendingOrders_.extract(Order.OrderId_).mapped().OnAnswer_);
+  sendOrder(Context_.Client_, Order,
+            [this, Generation = Generation_, Alive = std::weak_ptr<bool>(Alive_),
+             OnAnswer = std::move(OnAnswer)](const platform::LeaseRenewalResult &Answer) {
+              if (!Alive.expired() && Generation == Generation_)
+                --DirectInFlight_;
+              OnAnswer(Answer);
+            });
 }
 
 void OrderRouter::flush(core::TimePoint Now) {
+  passOnUnrouted(Now);
   const core::Millis Interval = batchInterval();
   for (auto &[RelayAddress, Outgoing] : Batches_)
     if (!Outgoing.Orders_.empty() && Outgoing.InFlight_ < MaxBatchesInFlight &&
--- a/src/daemon/RelayTable.cpp
+++ b/src/daemon/RelayTable.cpp
@@ -125,6 +125,18 @@
   return Chosen->first;
 }
 
+bool RelayTable::isServed(std::string_view ExecutorId, std::string_view Domain,
+                          core::TimePoint Now) const {
+  if (const auto Found = RelayOf_.find(ExecutorId);
+      Found != RelayOf_.end() && isAvailable(Relays_.find(Found->second.PeerAddress_)->second, Now))
+    return true;
+  return std::ranges::any_of(Relays_, [&](const auto &Entry) {
+    const Relay &Daemon = Entry.second;
+    return Daemon.Domain_ == Domain && Daemon.Assigned_ < Daemon.Capacity_ &&
+           isAvailable(Daemon, Now);
+  });
+}
+
 std::size_t RelayTable::activeRelays() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(Relays_, [](const auto &Entry) { return Entry.second.Assigned_ > 0; }));
--- a/tests/integration/OrderRouterTest.cpp
+++ b/tests/integration/OrderRouterTest.cpp
@@ -61,8 +61,44 @@
         Router_(Context_), Term_(Term) {
     for (std::size_t I = 0; I <= daemon::MaxDirectExecutors; ++I)
       Context_.ExecutorEntries_["e" + std::to_string(I)] = {};
+    registerRelay(Through);
+  }
+  /// A leader without a relay, at the beginning of its term.
+  Leader(asio::io_context &Loop, std::uint64_t Term)
+      : Loop_(Loop), Client_(Loop, std::chrono::seconds(10), 10),
+        Store_(Client_, "127.0.0.1:1"), Context_{Loop, Client_, Store_, Settings_, "127.0.0.1:2",
+                                                 {},   {},      {},     {},        false},
+        Router_(Context_), Term_(Term) {
+    for (std::size_t I = 0; I <= daemon::MaxDirectExecutors; ++I)
+      Context_.ExecutorEntries_["e" + std::to_string(I)] = {};
+    Router_.beginTerm(core::Clock::now());
+  }
+
+  void registerRelay(const Relay &Through) {
     Router_.registerRelay({"relay", Through.address(), "a", 1.0, false}, core::Clock::now());
   }
+  /// Requests the reports of \p Count executors at one address.
+  void holdAll(std::size_t Count, const std::string &Address) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      fleet::ExecutorInfo Executor;
+      Executor.Id_ = "e" + std::to_string(I);
+      Executor.Domain_ = "a";
+      Executor.Address_ = Address;
+      Router_.hold(Executor, Term_, 0, 1000, core::Millis(0),
+                   [this](const platform::LeaseRenewalResult &Answer) {
+                     Outcomes_.push_back(Answer.Outcome_);
+                   });
+    }
+  }
+  /// Runs the loop and flushes as a leader does, for \p Time.
+  void runFor(std::chrono::milliseconds Time) {
+    const auto End = std::chrono::steady_clock::now() + Time;
+    while (std::chrono::steady_clock::now() < End) {
+      Router_.flush(core::Clock::now());
+      Loop_.restart();
+      Loop_.run_for(std::chrono::milliseconds(10));
+    }
+  }
 
   /// Sends the start of a task, unless \p KeepsBatch is set.
   void start(const std::string &Job, bool KeepsBatch = false) {
@@ -99,7 +135,7 @@
   }
   void beginTerm(std::uint64_t Term) {
     Term_ = Term;
-    Router_.beginTerm();
+    Router_.beginTerm(core::Clock::now());
   }
 
   void onResult(std::uint64_t OrderId, OrderOutcome Outcome) {
@@ -122,6 +158,29 @@
   std::vector<OrderOutcome> Outcomes_;
 };
 
+/// The executors of a fleet, at one address: keep their orders without an answer.
+class UnansweringExecutors {
+public:
+  explicit UnansweringExecutors(asio::io_context &Loop)
+      : Server_(makeOptions(Loop), [this](const http::Request &, const http::Responder &To) {
+          Unanswered_.push_back(To);
+        }) {}
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(Server_.port()); }
+  /// \returns the number of orders received.
+  std::size_t orders() const { return Unanswered_.size(); }
+
+private:
+  static http::ServerOptions makeOptions(asio::io_context &Loop) {
+    http::ServerOptions Options;
+    Options.Loop_ = &Loop;
+    return Options;
+  }
+
+  std::vector<http::Responder> Unanswered_;
+  http::Server Server_;
+};
+
 /// Runs the loop until the relay has received \p Count orders.
 void awaitOrders(asio::io_context &Loop, const Relay &Receiver, std::size_t Count) {
   const auto End = std::chrono::steady_clock::now() + Deadline;
@@ -240,6 +299,51 @@
   cr_expect_eq(Through.payloads(), 2);
 }
 
+// --- The first round of a term, before any relay has reported ---
+
+constexpr std::size_t FleetSize = 300;
+
+// Guards against a leader that opens a connection to each of its many executors at the beginning of
+// its term, and takes most of them for silent because it cannot serve so many.
+Test(OrderRouter, theFirstRoundWaitsForTheRelays) {
+  asio::io_context Loop;
+  Relay Through(Loop);
+  UnansweringExecutors Fleet(Loop);
+  Leader Present(Loop, 5);
+  Present.holdAll(FleetSize, Fleet.address());
+  Present.runFor(std::chrono::milliseconds(100));
+  Present.registerRelay(Through);
+  Present.runFor(std::chrono::milliseconds(500));
+  cr_expect_eq(Fleet.orders(), 0);
+  cr_expect_eq(Through.orders().size(), FleetSize);
+  cr_expect(Present.outcomes().empty());
+}
+
+// Guards against orders that wait for relays which never report.
+Test(OrderRouter, withoutRelaysOrdersGoOutDirectly) {
+  asio::io_context Loop;
+  UnansweringExecutors Fleet(Loop);
+  Leader Present(Loop, 5);
+  Present.holdAll(10, Fleet.address());
+  Present.runFor(std::chrono::milliseconds(1000));
+  cr_expect_eq(Fleet.orders(), 10);
+}
+
+// Guards against a leader without relays whose calls delay each other until all of them time out,
+// and against an order that never gets an outcome because it waits for its turn.
+Test(OrderRouter, withoutRelaysFewOrdersGoOutAtATime) {
+  asio::io_context Loop;
+  UnansweringExecutors Fleet(Loop);
+  Leader Present(Loop, 5);
+  Present.holdAll(FleetSize, Fleet.address());
+  Present.runFor(std::chrono::milliseconds(800));
+  cr_expect_leq(Fleet.orders(), daemon::MaxDirectExecutors);
+  cr_expect_gt(Fleet.orders(), 0);
+  Present.awaitOutcomes(FleetSize);
+}
+
+// --- What tells of delays ---
+
 // Guards against a leader whose orders wait while its state tells of no delay.
 Test(OrderRouter, theDelaysTellOfWaitingOrdersAndLostResults) {
   asio::io_context Loop;
--- a/tests/unit/RelayTableTest.cpp
+++ b/tests/unit/RelayTableTest.cpp
@@ -156,3 +156,21 @@
   cr_expect_eq(daemon::startLimit(8, ThinLinkMbps), daemon::startLimit(0, ThinLinkMbps));
   cr_expect_lt(daemon::startLimit(100, 20), 100 * daemon::startLimit(0, 20));
 }
+
+// --- Before all daemons have reported ---
+
+// Guards against a new leader that gives the first relay that reports all executors, also those of
+// other failure domains, which then keep it.
+Test(RelayTable, anExecutorIsServedByARelayOfItsDomainThatHasRoom) {
+  daemon::RelayTable Table;
+  cr_expect(!Table.isServed("e1", "multan-a", StartTime));
+  Table.registerRelay(makeHello("large-1", "10.0.0.2:1", "multan-a", 0.5), StartTime);
+  cr_expect(Table.isServed("e1", "multan-a", StartTime));
+  cr_expect(!Table.isServed("e1", "sukkur-a", StartTime), "a relay of another domain");
+  const std::size_t Capacity = daemon::relayCapacity(0.5, LinkMbps);
+  countByRelay(Table, "multan-a", Capacity);
+  cr_expect(!Table.isServed(executorId(Capacity), "multan-a", StartTime), "the relay is full");
+  cr_expect(Table.isServed(executorId(0), "multan-a", StartTime), "it keeps its relay");
+  Table.markFailed("10.0.0.2:1", StartTime);
+  cr_expect(!Table.isServed(executorId(0), "multan-a", StartTime), "the relay has failed");
+}
