A response that has arrived counts, however late it is read

Cause: libcurl ends every exchange whose timeout has passed as soon as it is called for any of them. When the event loop was late, responses that had arrived in time and waited in their sockets ended as NoAnswer, and servers to which this process had not continued to connect as NotConnected. The extension of timeouts by twice the lag knows only the lag before the exchange began.

Change: LoopClient keeps the deadlines of its exchanges in one ordered set with one timer; that includes the limit on the silence of a response, which had a timer for each exchange. A deadline that has passed is checked after the exchange's socket was read. An exchange whose request was not sent by then because the loop was late gets that time back, once. What an exchange reports is unchanged, and libcurl's own timeout, 10 s longer, is left as a backstop.

Tests: LoopClientTest, five new; three of them fail with the code before (200 late responses, the same with a limit on silence, a late connection attempt). SlowTopicReadTest (6), TopicTailTest (3), LoopClientSocketsTest (1) and HandOverTest (3) pass.

--- a/include/masticdrift/http/detail/Exchange.h
+++ b/include/masticdrift/http/detail/Exchange.h
@@ -19,6 +19,8 @@
   bool HeaderReceived_ = false;
   /// When the exchange began or a part of the response last arrived.
   std::chrono::steady_clock::time_point LastProgressAt_ = std::chrono::steady_clock::now();
+  /// When the request was last sent; only valid while SendAllowed_ is set.
+  std::chrono::steady_clock::time_point SentAt_{};
   bool SendAllowed_ = false; ///< MaySend_ allowed it, so bytes may have been sent
   bool SendDenied_ = false;  ///< MaySend_ returned false
   bool SentAgain_ = false;   ///< sending was allowed more than once
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -38,6 +38,7 @@
   }
   Self.SentAgain_ = Self.SendAllowed_;
   Self.SendAllowed_ = true;
+  Self.SentAt_ = std::chrono::steady_clock::now();
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -29,6 +29,31 @@
 /// Age after which a connection is not reused.
 constexpr long MaxConnectionAgeSeconds = 600;
 
+/// Added to libcurl's own timeout, which must not end an exchange before its deadline was checked
+/// here.
+constexpr std::chrono::milliseconds CurlTimeoutMargin{10'000};
+/// A deadline that is checked later than this was missed by the event loop.
+constexpr std::chrono::milliseconds MaxTimerDelay{5};
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// An exchange that libcurl carries out, and when it ends.
+struct ActiveExchange {
+  std::unique_ptr<Exchange> Operation_;
+  TimePoint EndAt_;                         ///< end of the whole exchange
+  std::chrono::milliseconds MaxSilence_{0}; ///< zero: unlimited
+  TimePoint DueAt_{};                       ///< when its deadline is checked
+  curl_socket_t Socket_ = CURL_SOCKET_BAD;  ///< of its connection
+  bool Extended_ = false;                   ///< by the time that the event loop was late
+};
+
+/// \returns when the exchange ends unless more of its response arrives.
+TimePoint deadlineOf(const ActiveExchange &Entry) {
+  if (Entry.MaxSilence_.count() == 0)
+    return Entry.EndAt_;
+  return std::min(Entry.EndAt_, Entry.Operation_->LastProgressAt_ + Entry.MaxSilence_);
+}
+
 /// Socket of a libcurl connection with the poll events that libcurl requested.
 struct WatchedSocket {
   explicit WatchedSocket(asio::io_context &Loop) : Socket_(Loop) {}
@@ -43,7 +68,8 @@
 
 struct LoopClient::Impl : std::enable_shared_from_this<LoopClient::Impl> {
   Impl(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections)
-      : Loop_(Loop), MaxIdleSeconds_(static_cast<long>(MaxIdleTime.count())), Timer_(Loop) {
+      : Loop_(Loop), MaxIdleSeconds_(static_cast<long>(MaxIdleTime.count())), Timer_(Loop),
+        DeadlineTimer_(Loop) {
     static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
     (void)Initialized;
     MultiHandle_ = curl_multi_init();
@@ -57,15 +83,14 @@
   void close() {
     Closed_ = true;
     Timer_.cancel();
-    for (auto &[EasyHandle, Operation] : Active_) {
+    DeadlineTimer_.cancel();
+    for (auto &[EasyHandle, Entry] : Active_) {
       curl_multi_remove_handle(MultiHandle_, EasyHandle);
-      curl_slist_free_all(Operation->HeaderList_);
+      curl_slist_free_all(Entry.Operation_->HeaderList_);
       curl_easy_cleanup(EasyHandle);
     }
     Active_.clear();
-    for (auto &[EasyHandle, Watch] : SilenceTimers_)
-      Watch->cancel();
-    SilenceTimers_.clear();
+    Deadlines_.clear();
     for (CURL *EasyHandle : IdleHandles_)
       curl_easy_cleanup(EasyHandle);
     curl_multi_cleanup(MultiHandle_);
@@ -118,8 +143,11 @@
     return 0;
   }
 
-  static int socketCallback(CURL *, curl_socket_t Handle, int PollEvents, void *User, void *) {
+  static int socketCallback(CURL *EasyHandle, curl_socket_t Handle, int PollEvents, void *User,
+                            void *) {
     auto &Self = *static_cast<Impl *>(User);
+    if (const auto Entry = Self.Active_.find(EasyHandle); Entry != Self.Active_.end())
+      Entry->second.Socket_ = PollEvents == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : Handle;
     const auto Found = Self.Sockets_.find(Handle);
     if (Found == Self.Sockets_.end())
       return 0;
@@ -185,7 +213,7 @@
       if (Error || Held->Closed_)
         return;
       Held->TimerPending_ = false;
-      Held->measureLag();
+      Held->measureLag(Held->Timer_);
       if (Held->NextTimeout_ == std::chrono::steady_clock::time_point{})
         return;
       if (std::chrono::steady_clock::now() < Held->NextTimeout_)
@@ -197,10 +225,10 @@
 
   /// Measures how late the event loop runs, because the time that responses wait here is not the
   /// server's.
-  void measureLag() {
+  void measureLag(const asio::steady_timer &Expired) {
     constexpr int Decay = 2;
     Lag_ = std::max<std::chrono::steady_clock::duration>(
-        std::chrono::steady_clock::now() - Timer_.expiry(), Lag_ / Decay);
+        std::chrono::steady_clock::now() - Expired.expiry(), Lag_ / Decay);
   }
 
   void processEvent(curl_socket_t Handle, int Events) {
@@ -215,36 +243,89 @@
       finish(EasyHandle, Code);
   }
 
-  /// Ends the exchange once nothing of its response has arrived for \p MaxSilence.
-  void watchSilence(CURL *EasyHandle, std::chrono::milliseconds MaxSilence) {
-    auto Watch = std::make_shared<asio::steady_timer>(Loop_);
-    SilenceTimers_[EasyHandle] = Watch;
-    waitForSilence(EasyHandle, Watch, MaxSilence);
+  void addDeadline(CURL *EasyHandle, ActiveExchange &Entry) {
+    Entry.DueAt_ = deadlineOf(Entry);
+    Deadlines_.emplace(Entry.DueAt_, EasyHandle);
+    armDeadlineTimer();
   }
 
-  void waitForSilence(CURL *EasyHandle, const std::shared_ptr<asio::steady_timer> &Watch,
-                      std::chrono::milliseconds MaxSilence) {
-    Watch->expires_at(Active_.at(EasyHandle)->LastProgressAt_ + MaxSilence);
-    Watch->async_wait([Held = shared_from_this(), EasyHandle, Watch, MaxSilence](std::error_code) {
-      // The handle may belong to a later exchange by now.
-      const auto Current = Held->SilenceTimers_.find(EasyHandle);
-      if (Held->Closed_ || Current == Held->SilenceTimers_.end() || Current->second != Watch)
+  /// Keeps a pending timer that fires too early, like armTimer().
+  void armDeadlineTimer() {
+    if (Deadlines_.empty())
+      return;
+    const TimePoint Earliest = Deadlines_.begin()->first;
+    if (DeadlineTimerPending_ && DeadlineTimer_.expiry() <= Earliest)
+      return;
+    DeadlineTimerPending_ = true;
+    DeadlineTimer_.expires_at(Earliest);
+    DeadlineTimer_.async_wait([Held = shared_from_this()](std::error_code Error) {
+      if (Error || Held->Closed_)
         return;
-      if (std::chrono::steady_clock::now() <
-          Held->Active_.at(EasyHandle)->LastProgressAt_ + MaxSilence)
-        Held->waitForSilence(EasyHandle, Watch, MaxSilence);
-      else
-        Held->finish(EasyHandle, CURLE_OPERATION_TIMEDOUT);
+      Held->DeadlineTimerPending_ = false;
+      Held->measureLag(Held->DeadlineTimer_);
+      Held->checkDeadlines(std::chrono::steady_clock::now());
     });
   }
 
+  void checkDeadlines(TimePoint Now) {
+    std::vector<CURL *> Due;
+    while (!Deadlines_.empty() && Deadlines_.begin()->first <= Now) {
+      Due.push_back(Deadlines_.begin()->second);
+      Deadlines_.erase(Deadlines_.begin());
+    }
+    for (CURL *EasyHandle : Due) {
+      checkDeadline(EasyHandle, Now);
+      if (Closed_)
+        return;
+    }
+    armDeadlineTimer();
+  }
+
+  /// Ends an exchange whose deadline has passed, unless its response has arrived in the meantime.
+  void checkDeadline(CURL *EasyHandle, TimePoint Now) {
+    const auto Entry = Active_.find(EasyHandle);
+    // Its handle may belong to a later exchange by now.
+    if (Entry == Active_.end() || Entry->second.DueAt_ > Now)
+      return;
+    if (wasSentInTime(Entry->second))
+      readArrived(Entry->second.Socket_);
+    else
+      extendIfMissed(Entry->second, Now);
+    const auto Remaining = Active_.find(EasyHandle);
+    if (Closed_ || Remaining == Active_.end() || Remaining->second.DueAt_ > Now)
+      return;
+    if (deadlineOf(Remaining->second) > Now)
+      addDeadline(EasyHandle, Remaining->second);
+    else
+      finish(EasyHandle, CURLE_OPERATION_TIMEDOUT);
+  }
+
+  /// A late event loop has not read what arrived before the deadline.
+  void readArrived(curl_socket_t Handle) {
+    if (Handle != CURL_SOCKET_BAD && Sockets_.contains(Handle))
+      processEvent(Handle, CURL_CSELECT_IN);
+  }
+
+  static bool wasSentInTime(const ActiveExchange &Entry) {
+    return Entry.Operation_->SendAllowed_ && Entry.Operation_->SentAt_ < Entry.DueAt_;
+  }
+
+  /// Gives an exchange back the time in which the event loop could not continue its connection
+  /// attempt.
+  static void extendIfMissed(ActiveExchange &Entry, TimePoint Now) {
+    const auto Missed = Now - Entry.DueAt_;
+    if (Missed <= MaxTimerDelay || std::exchange(Entry.Extended_, true))
+      return;
+    Entry.EndAt_ = Now + Missed;
+    Entry.Operation_->LastProgressAt_ = Now;
+  }
+
   void finish(CURL *EasyHandle, CURLcode Code) {
     auto Entry = Active_.extract(EasyHandle);
     if (Entry.empty())
       return;
-    if (const auto Watch = SilenceTimers_.extract(EasyHandle); !Watch.empty())
-      Watch.mapped()->cancel();
-    const std::unique_ptr<Exchange> Operation = std::move(Entry.mapped());
+    Deadlines_.erase({Entry.mapped().DueAt_, EasyHandle});
+    const std::unique_ptr<Exchange> Operation = std::move(Entry.mapped().Operation_);
     ClientResult Result = detail::takeResult(Code, *Operation);
     curl_multi_remove_handle(MultiHandle_, EasyHandle);
     curl_slist_free_all(Operation->HeaderList_);
@@ -270,34 +351,38 @@
         TimeoutLagFactor * std::chrono::duration_cast<std::chrono::milliseconds>(Lag_);
     const std::chrono::milliseconds MaxSilence = Operation->Request_.MaxSilence_;
     const bool SilenceMatters = MaxSilence.count() > 0 && MaxSilence < Operation->Request_.Timeout_;
-    Operation->Request_.Timeout_ += LagTime;
-    Operation->LastProgressAt_ = std::chrono::steady_clock::now();
+    const TimePoint Now = std::chrono::steady_clock::now();
+    const TimePoint EndAt = Now + Operation->Request_.Timeout_ + LagTime;
+    Operation->Request_.Timeout_ += LagTime + CurlTimeoutMargin;
+    Operation->LastProgressAt_ = Now;
     detail::setOptions(*Operation, MaxIdleSeconds_, MaxConnectionAgeSeconds);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETFUNCTION, &openSocketCallback);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_CLOSESOCKETFUNCTION, &closeSocketCallback);
     curl_easy_setopt(Operation->EasyHandle_, CURLOPT_CLOSESOCKETDATA, this);
     CURL *EasyHandle = Operation->EasyHandle_;
-    Active_.emplace(EasyHandle, std::move(Operation));
-    if (SilenceMatters)
-      watchSilence(EasyHandle, MaxSilence + LagTime);
+    ActiveExchange &Entry = Active_[EasyHandle];
+    Entry.Operation_ = std::move(Operation);
+    Entry.EndAt_ = EndAt;
+    Entry.MaxSilence_ = SilenceMatters ? MaxSilence + LagTime : std::chrono::milliseconds(0);
+    addDeadline(EasyHandle, Entry);
     curl_multi_add_handle(MultiHandle_, EasyHandle);
   }
 
   asio::io_context &Loop_;
   const long MaxIdleSeconds_;
   asio::steady_timer Timer_;
-  std::chrono::steady_clock::time_point
-      NextTimeout_{}; ///< when libcurl must be called next; zero: never
+  TimePoint NextTimeout_{}; ///< when libcurl must be called next; zero: never
   bool TimerPending_ = false;
+  asio::steady_timer DeadlineTimer_;
+  bool DeadlineTimerPending_ = false;
   std::chrono::steady_clock::duration Lag_{0};
   bool TimeoutPosted_ = false;
   CURLM *MultiHandle_ = nullptr;
   bool Closed_ = false;
   std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> Sockets_;
-  std::unordered_map<CURL *, std::unique_ptr<Exchange>> Active_;
-  /// Of the exchanges that end when their response stops arriving.
-  std::unordered_map<CURL *, std::shared_ptr<asio::steady_timer>> SilenceTimers_;
+  std::unordered_map<CURL *, ActiveExchange> Active_;
+  std::set<std::pair<TimePoint, CURL *>> Deadlines_; ///< of the active exchanges
   std::vector<CURL *> IdleHandles_;
 };
 
