The ends that a late result lists are applied

The leader counts the result of a relayed hold as lost after the order's timeout; from a result that comes after all it only renewed the lease. An end stays true however late it is read, so the ends of the same incarnation are applied, and logged as late_ends.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -226,8 +226,8 @@
   /// Handles the result of a hold request that was sent at \p SentAt.
   void onHoldResult(std::string_view ExecutorId, fleet::OrderOutcome Outcome,
                     const fleet::Report &Report, core::TimePoint SentAt, core::TimePoint Now);
-  /// Handles the result of a hold request that was reported as lost before. It only shows that the
-  /// executor has answered or restarted.
+  /// Handles the result of a hold request that was reported as lost before. It shows that the
+  /// executor has answered or restarted, and which runs have ended, but not which still run.
   void onLateHoldResult(std::string_view ExecutorId, const fleet::Report &Report,
                         core::TimePoint Now);
   /// Handles the result of a start order.
@@ -349,6 +349,7 @@
                    core::TimePoint SentAt, core::TimePoint Now);
   void onUnmetIncarnation(ExecutorState &Executor, std::string_view Evidence, core::TimePoint Now);
   void noticeIncarnation(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
+  void processLateEnds(ExecutorState &Executor, const fleet::Report &Report, core::TimePoint Now);
   void sendStart(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
   void sendStop(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now);
   void stopRun(ExecutorState &Executor, Run &ActiveRun, std::string_view Reason,
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -118,6 +118,7 @@
     return;
   ExecutorState &Executor = Entry->second;
   noticeIncarnation(Executor, Report, Now);
+  processLateEnds(Executor, Report, Now);
   if (!Executor.AnswerOverdue_ || !Executor.Reported_ || Executor.Silent_ ||
       Report.IncarnationStartMs_ != Executor.Incarnation_)
     return;
@@ -136,6 +137,20 @@
   Executor.NextHoldAt_ = Now;
 }
 
+/// Applies the ends that a late report lists. They stay true however long the report was on its
+/// way, unlike its list of running tasks.
+void Scheduler::processLateEnds(ExecutorState &Executor, const fleet::Report &Report,
+                                core::TimePoint Now) {
+  const bool ShowsNewEnds =
+      !Report.Ended_.empty() && Report.Ended_.back().SequenceNumber_ > Executor.ProcessedEnd_;
+  // Each incarnation numbers its ends from the beginning.
+  if (!ShowsNewEnds || Report.IncarnationStartMs_ != Executor.Incarnation_)
+    return;
+  logDecision("late_ends", {}, 0, Executor.Info_.Id_, std::to_string(Report.Ended_.size()));
+  processEnds(Executor, Report.Ended_, Now);
+  PlacementDue_ = true;
+}
+
 /// Requests the report of a new incarnation that an outdated answer has shown.
 void Scheduler::noticeIncarnation(ExecutorState &Executor, const fleet::Report &Report,
                                   core::TimePoint Now) {
