A relay sends ends again that a leader has not acknowledged

A batch without acknowledgement was dropped. Now those of its results that list ends are sent again, for less than a lease; the others are of no use to the leader any more and stay dropped, so that a leader that is behind gets no more than it needs. The limit of two batches in flight holds for these too.

OrderRelay::endsAreSentAgain failed before (one batch instead of two).

--- a/include/masticdrift/daemon/OrderRelay.h
+++ b/include/masticdrift/daemon/OrderRelay.h
@@ -23,9 +23,13 @@
   void forward(protocol::OrdersRequest Request);
 
 private:
+  struct AnsweredOrder {
+    protocol::RelayedResult Result_;
+    core::TimePoint AnsweredAt_;
+  };
   /// Results for one leader.
   struct Outgoing {
-    std::vector<protocol::RelayedResult> Results_;
+    std::vector<AnsweredOrder> Results_;
     core::Millis Interval_{0}; ///< shortest interval between two batches
     core::TimePoint FlushedAt_{};
     int InFlight_ = 0; ///< batches without an acknowledgement
@@ -35,6 +39,8 @@
   void scheduleFlush();
   void flush();
   void send(const std::string &ReplyTo, Outgoing &Batch);
+  /// Sends those results of a failed batch again that list ends.
+  void keepEnds(Outgoing &Batch, std::vector<AnsweredOrder> Undelivered);
 
   FleetContext &Context_;
   protocol::ReceivedPayloads Payloads_;
--- a/src/daemon/OrderRelay.cpp
+++ b/src/daemon/OrderRelay.cpp
@@ -18,8 +18,11 @@
 /// Results are merged while this many batches have no acknowledgement, so that a leader that is
 /// behind gets fewer and larger batches. Unbounded, each would need one more connection to it.
 constexpr int MaxBatchesInFlight = 2;
-/// Results that arrive later are of no use: the leader has counted their orders as lost.
+/// The leader counts the orders of results that arrive later as lost.
 constexpr core::Millis ResultTimeout{1500};
+/// Time for which a result that lists ends is sent again. A lease outlasts it, and with it the time
+/// in which the leader may learn of a completion without having started the task again.
+constexpr core::Millis EndRetention{6000};
 /// Time after which a leader that sent no orders is forgotten.
 constexpr core::Millis LeaderRetention{60'000};
 
@@ -46,7 +49,7 @@
 }
 
 void OrderRelay::addResult(const std::string &ReplyTo, protocol::RelayedResult Result) {
-  Outgoing_[ReplyTo].Results_.push_back(std::move(Result));
+  Outgoing_[ReplyTo].Results_.push_back({std::move(Result), core::Clock::now()});
   scheduleFlush();
 }
 
@@ -94,19 +97,35 @@
   http::ClientRequest Request;
   Request.Method_ = "POST";
   Request.Url_ = "http://" + ReplyTo + protocol::ResultsPath;
-  Request.Body_ = core::pack(protocol::ResultsRequest{std::exchange(Batch.Results_, {})});
+  const auto Sent = std::make_shared<std::vector<AnsweredOrder>>(std::exchange(Batch.Results_, {}));
+  protocol::ResultsRequest Message;
+  for (const AnsweredOrder &Answered : *Sent)
+    Message.Results_.push_back(Answered.Result_);
+  Request.Body_ = core::pack(Message);
   Request.Timeout_ = ResultTimeout;
-  Context_.Client_.send(
-      std::move(Request), [this, Alive = std::weak_ptr<bool>(Alive_),
-                           LeaderAddress = ReplyTo](const http::ClientResult &Result) {
-        if (Result.Transfer_ != http::Transfer::Complete)
-          core::log(core::LogLevel::Warning, "failed to return results of orders to leader",
-                    {{"leader", LeaderAddress}, {"detail", Result.Error_}});
-        if (Alive.expired())
-          return;
-        --Outgoing_[LeaderAddress].InFlight_;
-        scheduleFlush();
-      });
+  Context_.Client_.send(std::move(Request), [this, Alive = std::weak_ptr<bool>(Alive_),
+                                             LeaderAddress = ReplyTo,
+                                             Sent](const http::ClientResult &Result) {
+    if (Result.Transfer_ != http::Transfer::Complete)
+      core::log(core::LogLevel::Warning, "failed to return results of orders to leader",
+                {{"leader", LeaderAddress}, {"detail", Result.Error_}});
+    if (Alive.expired())
+      return;
+    Outgoing &Batch = Outgoing_[LeaderAddress];
+    --Batch.InFlight_;
+    // Nobody listens at the address of a leader that is gone.
+    if (Result.Transfer_ != http::Transfer::Complete &&
+        Result.Transfer_ != http::Transfer::NotConnected)
+      keepEnds(Batch, std::move(*Sent));
+    scheduleFlush();
+  });
+}
+
+void OrderRelay::keepEnds(Outgoing &Batch, std::vector<AnsweredOrder> Undelivered) {
+  const core::TimePoint Now = core::Clock::now();
+  for (AnsweredOrder &Answered : Undelivered)
+    if (!Answered.Result_.Report_.Ended_.empty() && Now - Answered.AnsweredAt_ < EndRetention)
+      Batch.Results_.push_back(std::move(Answered));
 }
 
 } // namespace masticdrift::daemon
--- a/tests/integration/OrderRelayTest.cpp
+++ b/tests/integration/OrderRelayTest.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::seconds Deadline(5);
 /// Shorter than the time after which the relay gives up a batch.
 constexpr std::chrono::milliseconds ObservationTime(400);
+/// Longer than the time after which the relay gives up a batch.
+constexpr std::chrono::milliseconds GiveUpTime(2500);
 
 /// A leader that receives results and acknowledges them only when it is told to.
 class BusyLeader {
@@ -60,7 +62,31 @@
   http::Server Server_;
 };
 
-/// A daemon that relays orders to executors which refuse connections.
+/// An executor on which one run has completed.
+class Executor {
+public:
+  explicit Executor(asio::io_context &Loop)
+      : Server_(makeOptions(Loop), [](const http::Request &, const http::Responder &To) {
+          To({200,
+              R"({"clock_ms":9,"running":[],"ended":[[1,"5c0e7a21d94b36f8.0.0.0",1,"done",""]]})",
+              "application/json",
+              {},
+              false});
+        }) {}
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(Server_.port()); }
+
+private:
+  static http::ServerOptions makeOptions(asio::io_context &Loop) {
+    http::ServerOptions Options;
+    Options.Loop_ = &Loop;
+    return Options;
+  }
+
+  http::Server Server_;
+};
+
+/// A daemon that relays orders.
 class Relay {
 public:
   explicit Relay(asio::io_context &Loop)
@@ -69,15 +95,16 @@
                                                  {},   {},      {},     {},        false},
         Relay_(Context_) {}
 
-  /// Forwards one order in a batch of its own.
-  void forward(const BusyLeader &From, std::uint64_t OrderId) {
+  /// Forwards one order in a batch of its own. Without an executor, nobody listens at its address.
+  void forward(const BusyLeader &From, std::uint64_t OrderId,
+               protocol::RelayKind Kind = protocol::RelayKind::Stop, const Executor *To = nullptr) {
     protocol::OrdersRequest Batch;
     Batch.ReplyTo_ = From.address();
     protocol::RelayedOrder Order;
     Order.OrderId_ = OrderId;
-    Order.Kind_ = static_cast<std::uint8_t>(protocol::RelayKind::Stop);
+    Order.Kind_ = static_cast<std::uint8_t>(Kind);
     Order.ExecutorId_ = "e1";
-    Order.ExecutorAddress_ = "127.0.0.1:1";
+    Order.ExecutorAddress_ = To == nullptr ? "127.0.0.1:1" : To->address();
     Order.TimeoutMs_ = 450;
     Batch.Orders_.push_back(Order);
     Relay_.forward(std::move(Batch));
@@ -134,3 +161,32 @@
   cr_expect_eq(Leader.orders().size(), Orders);
   cr_expect_lt(Leader.batches(), Orders / 2);
 }
+
+// --- The leader does not acknowledge a batch in time ---
+
+// Guards against a completion that its executor has listed and the leader never learns of: its task
+// starts again when the executor's lease is taken for lapsed.
+Test(OrderRelay, endsAreSentAgain) {
+  asio::io_context Loop;
+  BusyLeader Leader(Loop);
+  Executor Completed(Loop);
+  Relay Through(Loop);
+  Through.forward(Leader, 1, protocol::RelayKind::Hold, &Completed);
+  Loop.run_for(GiveUpTime);
+  cr_expect_eq(Leader.batches(), 2);
+  Leader.catchUp();
+  Loop.restart();
+  Loop.run_for(GiveUpTime);
+  cr_expect_eq(Leader.batches(), 2, "results that were acknowledged are not sent again");
+}
+
+// Guards against a leader that is behind and gets more to read, because results that it has counted
+// as lost are sent again.
+Test(OrderRelay, otherResultsAreNotSentAgain) {
+  asio::io_context Loop;
+  BusyLeader Leader(Loop);
+  Relay Through(Loop);
+  Through.forward(Leader, 1);
+  Loop.run_for(GiveUpTime);
+  cr_expect_eq(Leader.batches(), 1);
+}
