A start of the round of a hold is not older than the hold

A start is stamped with the time of its scheduling round, the hold that goes out in the same round with the later time at which it is sent. When the hold showed a restart, and the new incarnation had confirmed the start before the answer to the hold was read, the start counted as older than the hold and its run as over, so its task could start again beside it. A leader whose rounds take long widens the gap. Now the start is compared with the time of the round, and the run is stopped before its task starts again.

SchedulerOrderResult::aStartOfTheSameRoundIsNotOlderThanTheHold failed before.

--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -548,6 +548,8 @@
     ListedRuns.insert({Row.Task_, Row.Run_});
   for (const fleet::ReportedEnd &Row : Report.Ended_)
     ListedRuns.insert({Row.Task_, Row.Run_});
+  // Starts carry the time of their round, which is earlier than that of its holds.
+  const core::TimePoint HoldRound = std::min(SentAt, Executor.LastHoldAt_);
   std::vector<RunKey> EndedRuns;
   Executor.OrdersPending_ = true;
   for (auto &[Key, ActiveRun] : Executor.Runs_) {
@@ -556,7 +558,7 @@
     ActiveRun.StopAnsweredAt_ = {};
     if (ListedRuns.contains(Key))
       continue;
-    const bool MayHaveStarted = mayStillStart(Executor, Key) || ActiveRun.OrderSentAt_ >= SentAt;
+    const bool MayHaveStarted = mayStillStart(Executor, Key) || ActiveRun.OrderSentAt_ >= HoldRound;
     if (!MayHaveStarted) {
       EndedRuns.push_back(Key);
     } else if (mayStillStart(Executor, Key) && Executor.OpenStarts_.at(Key).InFlight_) {
--- a/tests/unit/SchedulerOrderResultTest.cpp
+++ b/tests/unit/SchedulerOrderResultTest.cpp
@@ -185,3 +185,19 @@
   Leader.answerStart(0, OrderOutcome::OtherInstance, ClockMs);
   cr_expect_eq(Leader.Holds_, HoldsBefore);
 }
+
+// Guards against a second run of a task beside the first: the start and the hold that shows a
+// restart were sent in one round, the start later, and its result overtakes that of the hold. By
+// the time of their round, the start is not older than the hold.
+Test(SchedulerOrderResult, aStartOfTheSameRoundIsNotOlderThanTheHold) {
+  Leader Leader;
+  const core::TimePoint Round = Leader.Starts_[0].At_;
+  Leader.Starts_[0].At_ = Round + Millis(20);
+  Leader.Now_ += Millis(40);
+  Leader.RunsOver_ = 0;
+  constexpr std::int64_t ClockMs = 1500; // the second life is older than the first one was
+  Leader.answerStart(0, OrderOutcome::Done, ClockMs);
+  Leader.Scheduler_->onHoldResult(ExecutorId, OrderOutcome::Done, {ClockMs, SecondLife, {}, {}},
+                                  Round + Millis(10), Leader.Now_);
+  cr_expect_eq(Leader.RunsOver_, 0);
+}
