--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -1061,6 +1061,17 @@
     schedule(Now_ + Options_.Latency_, std::move(PendingHold));
 }
 
+void FakeFleet::failRunsOf(const std::string &Job) {
+  for (auto &[Id, Executor] : Executors_) {
+    std::vector<work::TaskRef> Failing;
+    for (const auto &[Task, Running] : Executor.Running_)
+      if (Task.Job_ == Job)
+        Failing.push_back(Task);
+    for (const work::TaskRef &Task : Failing)
+      endRun(Executor, Task, fleet::EndKind::Failed);
+  }
+}
+
 void FakeFleet::acknowledgeEnds(FakeExecutor &Executor, std::uint64_t SeenUpTo) {
   for (const fleet::ReportedEnd &End : Executor.Ended_) {
     if (End.SequenceNumber_ > SeenUpTo || End.Kind_ != fleet::EndKind::Done)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -161,6 +161,8 @@
   void slowDown(const std::string &Id, int Factor) { Executors_.at(Id).SlowFactor_ = Factor; }
   /// Stops the progress of all runs on an executor for good; it still answers requests.
   void stallRunsAt(const std::string &Id) { Executors_.at(Id).Stalled_ = true; }
+  /// Ends all current runs of a job as failed.
+  void failRunsOf(const std::string &Job);
   /// Makes all runs of a job fail.
   void failAllRunsOf(const std::string &Job) { FailingJobs_.insert(Job); }
 
