A lost start of a task costs one lease and no second wait for advice

Callers saw a lasting task down for more than 9 s after it had failed by itself and its next executor was lost before the start order arrived.

Cause: advice was requested only for tasks that already waited, so again after the lease; and a start order without an answer was repeated before the executor had answered anything, and each repetition extended the wait for a lost executor by the time until it was sent.

Advice for tasks on silent executors is requested when their lease ends within the time of an advice request; the room that their customer gets back then counts as released at that time. A start without an answer asks the executor for a report at once, without renewing its lease, and the order is repeated once an answer has arrived.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -235,7 +235,9 @@
   /// Run of a suspect task that the executor has not been seen to survive. Nothing is started
   /// beside it, so that a crash has one possible cause.
   std::optional<RunKey> Trial_;
-  core::TimePoint TrialReportAt_{}; ///< when to ask whether the trial was survived; zero for never
+  /// When to request a report beside the request in flight, to learn whether a trial was survived
+  /// or a start order without an answer was carried out; zero for never.
+  core::TimePoint ReportDueAt_{};
   /// Start orders that are in flight or got no answer. Later incarnations may carry them out too.
   std::map<RunKey, OpenStart> OpenStarts_;
   std::set<std::string> FailedJobs_; ///< jobs with failed runs here since the last success
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -73,6 +73,13 @@
   WaitFigures Figures_{};
 };
 
+/// \returns the time before a start at which its advice is requested.
+core::Duration adviceHorizon(const work::AdvicePolicy &Policy) {
+  return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double, std::milli>(
+             Policy.FixedMs_ * (1 + MinExecutorTimeFraction))) +
+         PrefetchSlack;
+}
+
 /// Urgency class of overdue work that has its turn.
 constexpr int TurnUrgencyClass = -1;
 
@@ -97,6 +104,34 @@
   /// Needs for which no executor that is not fully advised has unclaimed room, by pool and label.
   std::map<std::pair<std::string_view, std::string_view>, std::vector<core::Resources>>
       ExhaustedNeeds_;
+  /// Number of tasks by step whose only run is about to count as over.
+  std::map<const TrackedStep *, std::uint32_t> LapsingTasks_;
+
+  /// Counts the tasks on executors that do not answer and whose leases end within the time of an
+  /// advice request. The other members of a gang would still have to be stopped.
+  void countLapsingTasks() {
+    for (const auto &[Id, Executor] : Scheduler_.Executors_) {
+      if (!Executor.Silent_)
+        continue;
+      for (const auto &[Key, Lapsing] : Executor.Runs_) {
+        TrackedJob *Job = Scheduler_.findJob(Lapsing.Task_);
+        if (Job == nullptr || Job->Ended_ || !Job->Queue_.Advice_ ||
+            Scheduler_.stepSpec(*Job, Lapsing.Task_).Gang_ ||
+            Executor.LeaseEnd_ - Now_ > adviceHorizon(*Job->Queue_.Advice_))
+          continue;
+        const TrackedStep &Step = *Scheduler_.findStep(*Job, Lapsing.Task_);
+        const TrackedTask &Task = Step.Tasks_[Lapsing.Task_.Index_];
+        if (Task.State_ == TaskState::Placed && Task.ActiveRuns_ == 1)
+          ++LapsingTasks_[&Step];
+      }
+    }
+  }
+
+  /// \returns the number of tasks that wait or are about to.
+  std::uint32_t tasksToAdvise(const TrackedStep &Step) const {
+    const auto Found = LapsingTasks_.find(&Step);
+    return Step.WaitingTasks_ + (Found == LapsingTasks_.end() ? 0 : Found->second);
+  }
 
   void sumUnknownUse(std::int64_t WallMs) {
     if (Scheduler_.Accounted_)
@@ -189,10 +224,13 @@
       RoomAccount &Account = Plan_.Executors_[Executor.Ordinal_];
       Account.Free_ = Executor.Info_.Capacity_ - Executor.Used_;
       for (const auto &[Key, ActiveRun] : Executor.Runs_) {
-        if (ActiveRun.ExpectedEndAt_ == core::TimePoint::max() || !ActiveRun.CountedInUse_)
+        // A run on an executor that does not answer counts as over when the lease ends.
+        const core::TimePoint EndAt = Executor.Silent_
+                                          ? std::min(ActiveRun.ExpectedEndAt_, Executor.LeaseEnd_)
+                                          : ActiveRun.ExpectedEndAt_;
+        if (EndAt == core::TimePoint::max() || !ActiveRun.CountedInUse_)
           continue;
-        RoomRelease Release{std::max(ActiveRun.ExpectedEndAt_ - Now_, core::Duration(0)),
-                            ActiveRun.Need_};
+        RoomRelease Release{std::max(EndAt - Now_, core::Duration(0)), ActiveRun.Need_};
         if (const auto Found = Plan_.Customers_.find(ActiveRun.Customer_);
             Found != Plan_.Customers_.end())
           Found->second.Releases_.push_back(Release);
@@ -577,18 +615,18 @@
     return Slots;
   }
 
-  /// \returns how many waiting tasks of the step its customer's limit will allow to start by the
-  /// end of \p Horizon.
+  /// \returns how many tasks of the step that wait, or are about to, its customer's limit will
+  /// allow to start by the end of \p Horizon.
   std::uint32_t tasksWithinLimit(const Candidate &Waiting, const TrackedStep &Step,
                                  const work::StepSpec &Spec, core::Duration Horizon) const {
     const auto &Accounts = Step.Ready_ ? Plan_.Customers_ : Plan_.CustomersAhead_;
     const auto Found = Accounts.find(Waiting.Job_->Acceptance_.Customer_);
     if (Found == Accounts.end())
-      return Step.WaitingTasks_;
+      return tasksToAdvise(Step);
     // A gang starts as a whole.
     const std::uint32_t StartedTogether = Spec.Gang_ ? Step.WaitingTasks_ : 1;
     const core::Resources Need = Spec.Need_ * StartedTogether;
-    const std::uint32_t MaxStarts = Step.WaitingTasks_ / StartedTogether;
+    const std::uint32_t MaxStarts = tasksToAdvise(Step) / StartedTogether;
     if (Waiting.Job_->Queue_.Priority_ == 0)
       return StartedTogether * slotsWithin(Found->second, Need, Horizon, MaxStarts);
     const core::Resources &Limit =
@@ -630,10 +668,7 @@
     if (!Waiting.Job_->Queue_.Advice_)
       return WaitReason::NoRoom;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
-    const core::Duration Horizon =
-        std::chrono::duration_cast<core::Duration>(std::chrono::duration<double, std::milli>(
-            Policy.FixedMs_ * (1 + MinExecutorTimeFraction))) +
-        PrefetchSlack;
+    const core::Duration Horizon = adviceHorizon(Policy);
     const std::uint32_t Wanted = tasksWithinLimit(Waiting, Step, Spec, Horizon);
     Waiting.Figures_.Wanted_ = Wanted;
     if (Wanted == 0)
@@ -826,8 +861,9 @@
 
 void Scheduler::placeWaiting(core::TimePoint Now, std::int64_t WallMs) {
   NextPlacementAt_ = Now + PlacementInterval;
-  PlacementPass Pass{*this, Now, {}, {}, {}, {}};
+  PlacementPass Pass{*this, Now, {}, {}, {}, {}, {}};
   Pass.listOpenExecutors();
+  Pass.countLapsingTasks();
   Pass.sumUnknownUse(WallMs);
   Pass.updatePeaks();
   std::vector<Candidate> Candidates;
@@ -841,11 +877,12 @@
         break;
       for (std::uint32_t I = 0; I < Occurrence.Steps_.size(); ++I)
         if (const TrackedStep &Step = Occurrence.Steps_[I];
-            Step.WaitingTasks_ > 0 && (Step.Ready_ || Pass.isNearlyReady(Job, K, I))) {
+            Pass.tasksToAdvise(Step) > 0 && (Step.Ready_ || Pass.isNearlyReady(Job, K, I))) {
           // Tasks that run until they are cancelled never lose their value.
           const bool Valueless = Now > Job.ValueExpiresAt_ && !Job.Spec_.Steps_[I].LongRunning_;
           const bool Overdue =
-              Valueless || (Job.Spec_.Steps_[I].LongRunning_ && Now > Job.Deadline_);
+              Step.WaitingTasks_ > 0 &&
+              (Valueless || (Job.Spec_.Steps_[I].LongRunning_ && Now > Job.Deadline_));
           const int UrgencyClass = Valueless ? 2 : (Job.OverRate_ ? 1 : 0);
           // Work without value is done in the order of its acceptance.
           Candidates.push_back({UrgencyClass, Valueless ? 0 : Job.Queue_.Priority_, Job.Deadline_,
@@ -857,7 +894,7 @@
   std::ranges::sort(Candidates, isMoreUrgent);
   for (Candidate &Waiting : Candidates) {
     TrackedStep &Step = stepOf(Waiting);
-    if (!Step.Ready_)
+    if (!Step.Ready_ || Step.WaitingTasks_ == 0)
       continue;
     Waiting.Figures_.Waiting_ = Step.WaitingTasks_;
     if (!mayStart(*Waiting.Job_, specOf(Waiting)))
@@ -872,7 +909,7 @@
   for (const bool MayStart : {true, false})
     for (Candidate &Waiting : Candidates) {
       const bool Startable = !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting));
-      if (stepOf(Waiting).WaitingTasks_ == 0 || Startable != MayStart)
+      if (Pass.tasksToAdvise(stepOf(Waiting)) == 0 || Startable != MayStart)
         continue;
       const WaitReason Reason = OutstandingAdvice_.size() < AdviceLimits_.Calls_
                                     ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -26,6 +26,15 @@
 /// An executor that refused an order gets no new runs for this long.
 constexpr core::Millis AvoidAfterRefusal{1000};
 
+/// \returns true when a start order got no answer and the executor has not answered since.
+bool hasUnansweredStart(const ExecutorState &Executor) {
+  return std::ranges::any_of(Executor.Runs_, [&](const auto &Entry) {
+    const Run &Ordered = Entry.second;
+    return Ordered.State_ == RunState::Starting && Ordered.UnansweredStarts_ > 0 &&
+           Ordered.OrderSentAt_ >= Executor.LastAnswerAt_;
+  });
+}
+
 /// \returns the reason for giving up the runs of an executor, with the ages of what is known of it.
 std::string describeLapse(const ExecutorState &Executor, core::TimePoint Now) {
   const auto AgeOf = [Now](core::TimePoint Time) {
@@ -339,8 +348,8 @@
     if (FromThisIncarnation && ClockMs > 0 && ClockMs >= Executor.ClockMs_) {
       StartedRun.StartClockMs_ = ClockMs;
       if (Executor.Trial_ == Key)
-        Executor.TrialReportAt_ = Now + std::chrono::duration_cast<core::Duration>(
-                                            Timing_.StartSurvivalTime_ * Timing_.ClockRateMargin_);
+        Executor.ReportDueAt_ = Now + std::chrono::duration_cast<core::Duration>(
+                                          Timing_.StartSurvivalTime_ * Timing_.ClockRateMargin_);
       Executor.ClockMs_ = ClockMs;
       Executor.ClockReadAt_ = Now;
     }
@@ -359,6 +368,8 @@
     ++StartedRun.UnansweredStarts_;
     StartedRun.OrderRetryAt_ = Now + Timing_.OrderRetryDelay_;
     Executor.AvoidUntil_ = std::max(Executor.AvoidUntil_, Now + AvoidAfterNoAnswer);
+    if (hasUnansweredStart(Executor) && !Executor.Silent_ && !Executor.AnswerOverdue_)
+      Executor.ReportDueAt_ = Now;
     return;
   case OrderOutcome::Superseded:
     // An earlier unanswered order may have started the run, which may already have ended. It cannot
@@ -476,23 +487,23 @@
     for (auto &[Key, ActiveRun] : Executor.Runs_)
       Executor.OrdersPending_ = tickRun(Executor, ActiveRun, Now) || Executor.OrdersPending_;
   }
-  // The request in flight may wait for an end for longer than the trial lasts.
-  const bool TrialReportDue = !isUnset(Executor.TrialReportAt_) && Now >= Executor.TrialReportAt_;
-  if (!TrialReportDue && (Executor.HoldInFlight_ || Now < Executor.NextHoldAt_))
+  // The request in flight may wait for an end for longer.
+  const bool ReportDue = !isUnset(Executor.ReportDueAt_) && Now >= Executor.ReportDueAt_;
+  if (!ReportDue && (Executor.HoldInFlight_ || Now < Executor.NextHoldAt_))
     return;
   const bool EndsPending = !Executor.UnackedEnds_.empty();
-  if (!TrialReportDue && (EndsPending || Executor.LeaseWithheld_) &&
+  if (!ReportDue && (EndsPending || Executor.LeaseWithheld_) &&
       Now - Executor.LastHoldAt_ < Timing_.UnackedHoldSpacing_)
     return;
-  Executor.TrialReportAt_ = {};
+  Executor.ReportDueAt_ = {};
   // An executor that may be lost is only queried. Each renewal of its lease would postpone the time
   // at which its runs are certain to be over.
   const bool Renew = Executor.Reported_ && !Executor.Silent_ && !Executor.AnswerOverdue_ &&
-                     !Executor.LeaseWithheld_;
+                     !Executor.LeaseWithheld_ && !hasUnansweredStart(Executor);
   core::Millis Wait = holdWait(Executor, Now);
-  if (!Renew || EndsPending || TrialReportDue)
+  if (!Renew || EndsPending || ReportDue)
     Wait = core::Millis(0);
-  // Only the report on a trial overlaps with another request; else an earlier one was given up.
+  // Only a report that is due overlaps with another request; else an earlier one was given up.
   if (!Executor.HoldInFlight_)
     Executor.HoldsValidSince_ = Now;
   Executor.HoldInFlight_ = true;
@@ -520,7 +531,9 @@
   else if (!isEntryCurrent(Executor, Now, Timing_.MaxListDelay_))
     stopRun(Executor, ActiveRun, "executor has restarted before the start was answered", Now);
   else if (!Executor.Silent_ && !Executor.AnswerOverdue_ && Executor.Recorded_ &&
-           !Executor.LeaseWithheld_ && mayGrantLeases(Now))
+           !Executor.LeaseWithheld_ && mayGrantLeases(Now) &&
+           // Each order to a lost executor prolongs the time until the run is certain to be over.
+           Executor.LastAnswerAt_ > ActiveRun.OrderSentAt_)
     sendStart(Executor, ActiveRun, Now);
   return true;
 }
