Late results do not prolong the wait for a lost executor

Callers saw a lasting task down for 9.02 and 9.55 s (9 allowed) when results that were on their way for 1.5 and 2 s arrived after its executor was lost.

Cause: such a result renews the lease, and the wait for the end of the lease was counted from the arrival of the result. The lease itself is computed from the reading of the executor's clock in the result, so it ends earlier by the time that the result was on its way.

The leader keeps how much older than its arrival a clock reading is at least, by the executor's own clock and with the margin for its rate, and counts the wait from there. Start orders still count from their sending, because a new incarnation may begin the lease then.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -183,6 +183,9 @@
   core::TimePoint LastAnswerAt_{};
   /// Any lease that the executor may hold has ended by this time.
   core::TimePoint LeaseEnd_{};
+  /// How long the reading was on its way at least, if it arrived late. Leases that are computed
+  /// from it end so much earlier.
+  core::Duration ClockLag_{0};
   /// End of the lease that was granted last: at this leader, and on the executor's clock; zero
   /// before the present incarnation was granted one.
   core::TimePoint GrantedUntil_{};
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -97,6 +97,7 @@
   Executor.LastAnswerAt_ = Now;
   Executor.ClockMs_ = Report.ClockMs_;
   Executor.ClockReadAt_ = Now;
+  Executor.ClockLag_ = {};
   processEnds(Executor, Report.Ended_, Now);
   for (const fleet::ReportedRun &Row : Report.Running_)
     processRunning(Executor, Row, Now);
@@ -129,6 +130,12 @@
   Executor.LastAnswerAt_ = Now;
   // Leases are computed from the newest reading of the clock: the error of an old one grows. This
   // one is behind by the time that the result was on its way, which makes leases shorter.
+  const core::TimePoint ReadAt =
+      Executor.ClockReadAt_ - Executor.ClockLag_ +
+      std::chrono::duration_cast<core::Duration>(
+          std::max(core::Millis(0), core::Millis(Report.ClockMs_ - Executor.ClockMs_)) *
+          Timing_.ClockRateMargin_);
+  Executor.ClockLag_ = std::max<core::Duration>(Now - ReadAt, core::Duration(0));
   Executor.ClockMs_ = std::max(Executor.ClockMs_, Report.ClockMs_);
   Executor.ClockReadAt_ = Now;
   Executor.AnswerOverdue_ = false;
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -137,7 +137,7 @@
   Executor.GrantedUntil_ = std::min<core::TimePoint>(Now + Timing_.Lease_, leaseLimit());
   Executor.GrantedUntilMs_ =
       Executor.ClockMs_ + core::toMillis(Executor.GrantedUntil_ - Executor.ClockReadAt_);
-  extendLeaseEnd(Executor, Now);
+  extendLeaseEnd(Executor, Now - Executor.ClockLag_);
   return Executor.GrantedUntilMs_;
 }
 
@@ -352,6 +352,7 @@
                                           Timing_.StartSurvivalTime_ * Timing_.ClockRateMargin_);
       Executor.ClockMs_ = ClockMs;
       Executor.ClockReadAt_ = Now;
+      Executor.ClockLag_ = {};
     }
     if (StartedRun.State_ == RunState::Starting)
       StartedRun.State_ = RunState::Running;
