A task whose run a new leader has seen end starts before all is accounted for

Cause: accounted is one gate for the site. It holds back all tasks of inherited jobs until every executor was heard of, also where no executor can have another run of the task.

A task may start again once a run of an earlier term was listed as running in this term and its end was reported: while the run went on, its executor had this leader's token and reported to nobody else, so no earlier leader can have learned of the end. Gangs and tasks whose run was only recorded as assumed still wait.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -89,7 +89,10 @@
   int ActiveRuns_ = 0;        ///< runs that are not known to be over
   int AssumedRuns_ = 0;       ///< of these, runs with Run::Assumed_
   bool InheritedRun_ = false; ///< an executor has listed a run of an earlier term as running
-  int Moves_ = 0;             ///< runs stopped because they were too slow or stalled
+  /// A run of an earlier term was listed as running in this term and has ended since, so no
+  /// executor has another one that this leader does not know.
+  bool RunsKnown_ = false;
+  int Moves_ = 0; ///< runs stopped because they were too slow or stalled
 };
 
 /// Answer of the advice service for one executor and one step.
@@ -180,12 +183,12 @@
   core::TimePoint MetAt_{};
   std::int64_t ClockMs_ = 0;
   core::TimePoint ClockReadAt_{};
-  core::TimePoint LastAnswerAt_{};
-  /// Any lease that the executor may hold has ended by this time.
-  core::TimePoint LeaseEnd_{};
   /// How long the reading was on its way at least, if it arrived late. Leases that are computed
   /// from it end so much earlier.
   core::Duration ClockLag_{0};
+  core::TimePoint LastAnswerAt_{};
+  /// Any lease that the executor may hold has ended by this time.
+  core::TimePoint LeaseEnd_{};
   /// End of the lease that was granted last: at this leader, and on the executor's clock; zero
   /// before the present incarnation was granted one.
   core::TimePoint GrantedUntil_{};
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -318,6 +318,9 @@
   void markDirty(const TrackedJob &Job);
   /// \returns true when no unknown run of an earlier leader prevents a start of the step's tasks.
   bool mayStart(const TrackedJob &Job, const work::StepSpec &Spec) const;
+  /// \returns true when the stored records allow starts of the job's tasks, as far as all their
+  /// earlier runs are known.
+  bool recordsAllowStart(const TrackedJob &Job) const;
   TrackedJob *findJob(const work::TaskRef &Task);
   TrackedStep *findStep(TrackedJob &Job, const work::TaskRef &Task);
   const work::StepSpec &stepSpec(const TrackedJob &Job, const work::TaskRef &Task) const;
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -478,15 +478,20 @@
            (!Scheduler_.Accounted_ && hasOpenSuspicion(Job.Progress_, Task));
   }
 
+  /// \param AllMayStart false to start only tasks whose earlier runs are all known.
   /// \returns why tasks of the step still wait.
-  WaitReason placeTasks(const Candidate &Waiting, TrackedStep &Step,
-                        const work::StepSpec &Spec) const {
+  WaitReason placeTasks(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
+                        bool AllMayStart) const {
     WaitReason Reason = WaitReason::None;
     work::TaskRef Task{Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0};
     for (; Task.Index_ < Step.Tasks_.size() && Step.WaitingTasks_ > 0; ++Task.Index_) {
       TrackedTask &Tracked = Step.Tasks_[Task.Index_];
       if (Tracked.State_ != TaskState::Waiting)
         continue;
+      if (!AllMayStart && !Tracked.RunsKnown_) {
+        Reason = WaitReason::EarlierRuns;
+        continue;
+      }
       if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_)
         return WaitReason::StartsInFlight;
       if (const WaitReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_);
@@ -897,12 +902,13 @@
     if (!Step.Ready_ || Step.WaitingTasks_ == 0)
       continue;
     Waiting.Figures_.Waiting_ = Step.WaitingTasks_;
-    if (!mayStart(*Waiting.Job_, specOf(Waiting)))
+    const bool MayStart = mayStart(*Waiting.Job_, specOf(Waiting));
+    if (!recordsAllowStart(*Waiting.Job_) || (specOf(Waiting).Gang_ && !MayStart))
       Waiting.Wait_ = WaitReason::EarlierRuns;
     else if (specOf(Waiting).Gang_)
       Waiting.Wait_ = Pass.placeGang(Waiting, Step, specOf(Waiting));
     else
-      Waiting.Wait_ = Pass.placeTasks(Waiting, Step, specOf(Waiting));
+      Waiting.Wait_ = Pass.placeTasks(Waiting, Step, specOf(Waiting), MayStart);
   }
   Pass.planRoom();
   // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -253,6 +253,11 @@
     // Marked as Stopping so that the consequences of the end send no stop to the ended run.
     if (KnownRun != Executor.Runs_.end())
       KnownRun->second.State_ = RunState::Stopping;
+    // No earlier leader can have started the task again: it ran in this term, in which its executor
+    // reports to nobody else.
+    if (KnownRun != Executor.Runs_.end() && tokenOf(End.Run_) < Token_ &&
+        !KnownRun->second.Assumed_)
+      findStep(*Job, End.Task_)->Tasks_[End.Task_.Index_].RunsKnown_ = true;
     if (!Job->Ended_)
       applyEnd(*Job, End, Executor.Info_.Id_, KnownRun != Executor.Runs_.end(), Now);
   }
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -306,15 +306,17 @@
 
 void Scheduler::markDirty(const TrackedJob &Job) { DirtyJobs_.insert(Job.Id_); }
 
-bool Scheduler::mayStart(const TrackedJob &Job, const work::StepSpec &Spec) const {
+bool Scheduler::recordsAllowStart(const TrackedJob &Job) const {
   if (DurableFlush_ < Job.VoidFlush_)
     return false;
-  if (!Job.Inherited_)
-    return DurableFlush_ >= Job.BegunFlush_;
   // A hidden end may be that of the task.
-  if (EndsHidden_)
+  return Job.Inherited_ ? !EndsHidden_ : DurableFlush_ >= Job.BegunFlush_;
+}
+
+bool Scheduler::mayStart(const TrackedJob &Job, const work::StepSpec &Spec) const {
+  if (!recordsAllowStart(Job))
     return false;
-  return Accounted_ || (AllContacted_ && Spec.AllowDuplicates_ && !Spec.Gang_);
+  return !Job.Inherited_ || Accounted_ || (AllContacted_ && Spec.AllowDuplicates_ && !Spec.Gang_);
 }
 
 TrackedJob *Scheduler::findJob(const work::TaskRef &Task) {
