--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -89,7 +89,10 @@
   int ActiveRuns_ = 0;        ///< runs that are not known to be over
   int AssumedRuns_ = 0;       ///< of these, runs with Run::Assumed_
   bool InheritedRun_ = false; ///< an executor has listed a run of an earlier term as running
-  int Moves_ = 0;             ///< runs stopped because they were too slow or stalled
+  /// A run of an earlier term was listed as running in this term and has ended since, so no
+  /// executor has another one that this leader does not know.
+  bool RunsKnown_ = false;
+  int Moves_ = 0; ///< runs stopped because they were too slow or stalled
 };
 
 /// Answer of the advice service for one executor and one step.
@@ -182,6 +185,9 @@
   core::TimePoint MetAt_{};
   std::int64_t ClockMs_ = 0;
   core::TimePoint ClockReadAt_{};
+  /// How long the reading was on its way at least, if it arrived late. Leases that are computed
+  /// from it end so much earlier.
+  core::Duration ClockLag_{0};
   core::TimePoint LastAnswerAt_{};
   /// Any lease that the executor may hold has ended by this time.
   core::TimePoint LeaseEnd_{};
@@ -237,7 +243,9 @@
   /// Run of a suspect task that the executor has not been seen to survive. Nothing is started
   /// beside it, so that a crash has one possible cause.
   std::optional<RunKey> Trial_;
-  core::TimePoint TrialReportAt_{}; ///< when to ask whether the trial was survived; zero for never
+  /// When to request a report beside the request in flight, to learn whether a trial was survived
+  /// or a start order without an answer was carried out; zero for never.
+  core::TimePoint ReportDueAt_{};
   /// Start orders that are in flight or got no answer. Later incarnations may carry them out too.
   std::map<RunKey, OpenStart> OpenStarts_;
   std::set<std::string> FailedJobs_; ///< jobs with failed runs here since the last success
