--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -58,6 +58,9 @@
   /// Time after the first start order of a run in which it is repeated. Each order may start a
   /// lease, and the task waits for the last one if the executor is lost.
   core::Millis MaxStartRepeatTime_{1100};
+  /// Age of the executor's last answer up to which a start order is repeated: an executor without
+  /// new ends answers each hold request after this time.
+  core::Millis MaxRepeatAnswerAge_ = HoldWait_;
   /// Minimum interval of hold requests while the effects of reported ends are not durable or ends
   /// are left unprocessed.
   core::Millis UnackedHoldSpacing_{400};
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -534,7 +534,7 @@
   else if (!Executor.Silent_ && !Executor.AnswerOverdue_ && Executor.Recorded_ &&
            !Executor.LeaseWithheld_ && mayGrantLeases(Now) &&
            // Each order to a lost executor prolongs the time until the run is certain to be over.
-           Executor.LastAnswerAt_ > ActiveRun.OrderSentAt_)
+           Now - Executor.LastAnswerAt_ <= Timing_.MaxRepeatAnswerAge_)
     sendStart(Executor, ActiveRun, Now);
   return true;
 }
--- a/tests/unit/SchedulerLateCompletionTest.cpp
+++ b/tests/unit/SchedulerLateCompletionTest.cpp
@@ -13,18 +13,20 @@
 
 const work::TaskRef OnlyTask{"j1", 0, 0, 0};
 
-/// Two executors behind relays; the only task of j1 runs when this returns.
-FakeFleet makeFleetWithRun(std::int64_t RunMs) {
+FakeFleetOptions relayed() {
   FakeFleetOptions Options;
   Options.Relayed_ = true;
-  FakeFleet Fleet(Options);
+  return Options;
+}
+
+/// Adds two executors; the only task of j1 runs when this returns.
+void startRun(FakeFleet &Fleet, std::int64_t RunMs) {
   Fleet.addExecutor("e0", {4000, 8000, 0});
   Fleet.addExecutor("e1", {4000, 8000, 0});
   Fleet.run(Millis(11'000));
   Fleet.submit("j1", tests::makeJob(1, RunMs));
   Fleet.run(Millis(300));
   cr_assert_eq(Fleet.executorsRunning("j1").size(), 1);
-  return Fleet;
 }
 
 } // namespace
@@ -35,7 +37,8 @@
 // only the lease was renewed from late results, and the ends that they list were dropped.
 Test(SchedulerLateCompletion, countsWhileAllResultsAreLate) {
   for (const Millis Delay : {Millis(1500), Millis(2000), Millis(2500)}) {
-    FakeFleet Fleet = makeFleetWithRun(500);
+    FakeFleet Fleet(relayed());
+    startRun(Fleet, 500);
     Fleet.delayHoldResults(Delay);
     Fleet.run(Millis(6000));
     cr_expect(Fleet.stateOf("j1") == work::JobState::Completed, "with results %ld ms late",
@@ -51,7 +54,8 @@
 // executor is out of reach afterwards.
 Test(SchedulerLateCompletion, preventsASecondRunOfTheTask) {
   for (const Millis Delay : {Millis(2000), Millis(3000), Millis(4000)}) {
-    FakeFleet Fleet = makeFleetWithRun(2500);
+    FakeFleet Fleet(relayed());
+    startRun(Fleet, 2500);
     const std::string Executor = Fleet.executorsRunning("j1").front();
     Fleet.delayHoldResults(Delay);
     Fleet.run(Millis(2600));
