OrderRouterTest: the relay of the first round can serve the fleet

theFirstRoundWaitsForTheRelays failed in 8 of 11 runs at a load of 33 on 8 cores. Its relay reported no bandwidth, so that it had room for one executor, and the other orders waited for the whole 0.6 s; the test ended at that moment. It passed only by the time that the loop took.

--- a/tests/integration/OrderRouterTest.cpp
+++ b/tests/integration/OrderRouterTest.cpp
@@ -75,7 +75,8 @@
   }
 
   void registerRelay(const Relay &Through) {
-    Router_.registerRelay({"relay", Through.address(), "a", 1.0, false}, core::Clock::now());
+    // Its machine can serve the whole fleet.
+    Router_.registerRelay({"relay", Through.address(), "a", 2.0, false, 1000}, core::Clock::now());
   }
   /// Requests the reports of \p Count executors at one address.
   void holdAll(std::size_t Count, const std::string &Address) {
@@ -313,7 +314,7 @@
   Present.holdAll(FleetSize, Fleet.address());
   Present.runFor(std::chrono::milliseconds(100));
   Present.registerRelay(Through);
-  Present.runFor(std::chrono::milliseconds(500));
+  Present.runFor(std::chrono::milliseconds(400));
   cr_expect_eq(Fleet.orders(), 0);
   cr_expect_eq(Through.orders().size(), FleetSize);
   cr_expect(Present.outcomes().empty());
