A new incarnation in the executor list may hold the longest lease

Callers saw TWICE: an executor had started again, a start reached the new incarnation before the leader had met it, and then the executor did not answer. Its lease lasted for up to 10 s on the new clock, and the task started again elsewhere after 7.5 s.

Cause: the leader learns of a new incarnation from an answer, a clock or the executor list. The list was the one place of the three that did not extend the time for which the leader waits.

All three now go through onUnmetIncarnation(). Class: the same fact, learned in several places, is used fully in only some of them.

--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -53,10 +53,7 @@
   if (WasKnown && Info.IncarnationStartMs_ > Executor.Incarnation_ && Executor.Incarnation_ != 0 &&
       Executor.Reported_) {
     // Only the executor's own reports show which orders have reached the new incarnation.
-    logDecision("executor_reborn", {}, 0, Info.Id_, "the executor list shows a new incarnation");
-    Executor.Reported_ = false;
-    Executor.HoldInFlight_ = false;
-    Executor.NextHoldAt_ = Now;
+    onUnmetIncarnation(Executor, "the executor list shows a new incarnation", Now);
   }
   if (WasKnown && Executor.Info_.Address_ != Info.Address_)
     Executor.Recorded_ = false;
--- a/tests/unit/SchedulerPassTimeTest.cpp
+++ b/tests/unit/SchedulerPassTimeTest.cpp
@@ -41,13 +41,17 @@
     addExecutor("e0");
   }
 
-  void addExecutor(const std::string &Id) {
+  void listExecutor(const std::string &Id, std::int64_t BornMs) {
     fleet::ExecutorInfo Info;
     Info.Id_ = Info.Address_ = Id;
     Info.Pool_ = "pool";
     Info.Capacity_ = {4000, 8000, 0};
-    Info.IncarnationStartMs_ = EarlierBornMs;
+    Info.IncarnationStartMs_ = BornMs;
     Scheduler_.onExecutor(Info, Now_);
+  }
+
+  void addExecutor(const std::string &Id) {
+    listExecutor(Id, EarlierBornMs);
     Scheduler_.onExecutorRecorded(Id, Id);
     pass();
     answerHold(Id, EarlierBornMs, 100'000, {});
@@ -147,3 +151,25 @@
   }
   cr_expect_geq(Fleet.Started_.size(), 2, "the task was not started again");
 }
+
+// Guards against two runs at the same time: a start reaches a new incarnation, whose lease lasts
+// for up to the platform's maximum on its own clock. The executor list shows the incarnation, which
+// then does not answer, and the leader waits only for the lease of the earlier one.
+Test(SchedulerPassTime, leaseOfAnIncarnationThatTheListShowsIsWaitedFor) {
+  Fixture Fleet;
+  // Leases of an earlier leader are over.
+  Fleet.Now_ += 2 * lead::SchedulerTiming{}.MaxLease_;
+  Fleet.pass();
+  Fleet.answerHold("e0", EarlierBornMs, 120'000, {});
+  Fleet.submit("j1");
+  const core::TimePoint OrderedAt = Fleet.Now_;
+  Fleet.pass();
+  cr_assert_eq(Fleet.Started_.size(), 1);
+  Fleet.listExecutor("e0", LaterBornMs);
+  while (Fleet.Now_ < OrderedAt + lead::SchedulerTiming{}.MaxLease_) {
+    Fleet.Scheduler_.onHoldResult("e0", OrderOutcome::NoAnswer, {}, Fleet.Now_, Fleet.Now_);
+    Fleet.pass();
+    cr_assert_eq(Fleet.Scheduler_.counts().Running_, 1, "given up after %ld ms",
+                 static_cast<long>(core::toMillis(Fleet.Now_ - OrderedAt)));
+  }
+}
