Failing tests: limits beside executors of unknown capacity, attempts beside failures that are not stored

A new leader bounds what runs unseen by the present capacity of the executors that have not reported; that has shrunk, or is unknown once the executor has left the list. A task whose run was seen to end starts again before failures that only other executors list.

--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -780,7 +780,10 @@
     // Nothing names an executor that is neither listed nor in the roster to a new leader.
     if (Executor.ShutDown_ && !Executor.Listed_ && !StoredRoster_.contains(Id))
       continue;
-    Leader_->onExecutor(Executor.Info_, Now_);
+    fleet::ExecutorInfo Info = Executor.Info_;
+    if (!Executor.Listed_ && Options_.ForgetsUnlistedEntries_)
+      Info.Capacity_ = {};
+    Leader_->onExecutor(Info, Now_);
     if (StoredRoster_.contains(Id))
       Leader_->onInheritedExecutor(Id, Executor.Info_.Address_);
     if (!Executor.Listed_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -55,6 +55,8 @@
   std::optional<core::Millis> RestartListDelay_ = core::Millis(800);
   /// Time after which a stopped executor leaves the list, or nothing when it stays.
   std::optional<core::Millis> ListExpiry_;
+  /// Leaders that take over have not read the entries of executors that are not listed.
+  bool ForgetsUnlistedEntries_ = false;
   /// Time from the start of a deadly task to the crash of its executor.
   core::Millis DeadlyDelay_{10};
   /// Time after which an executor that a deadly task has crashed is back.
--- a/tests/unit/SchedulerInheritedRestartTest.cpp
+++ b/tests/unit/SchedulerInheritedRestartTest.cpp
@@ -73,3 +73,38 @@
   for (const std::string &Violation : Fleet.violations())
     cr_expect(false, "%s", Violation.c_str());
 }
+
+// --- Attempts that are not heard of ---
+
+// Guards against a start beyond the limit of attempts: the earlier leader could not store the
+// failures that it had seen, and the executors that still list them are not heard of.
+Test(SchedulerInheritedRestart, aTaskWithALimitWaitsForFailuresThatAreNotStored) {
+  constexpr int MaxAttempts = 4;
+  const work::TaskRef Task{"batch", 0, 0, 0};
+  FakeFleet Fleet({});
+  for (const std::string Id : {"first", "second", "third"})
+    Fleet.addExecutor(Id, {4000, 8000, 0});
+  Fleet.run(TermAge);
+  Fleet.submit("batch", tests::makeJob(1, 60'000));
+  Fleet.run(Millis(500));
+  Fleet.holdProgress(true);
+  while (Fleet.startsOf(Task) < MaxAttempts) {
+    Fleet.failRunsOf("batch");
+    Fleet.run(Millis(500));
+  }
+  const std::vector<std::string> Last = Fleet.executorsRunning("batch");
+  cr_assert_eq(Last.size(), 1);
+  Fleet.loseLeader();
+  Fleet.holdProgress(false);
+  Fleet.takeOver();
+  for (const std::string Id : {"first", "second", "third"})
+    if (Id != Last.front())
+      Fleet.disconnectLeader(Id, Millis(3000));
+  Fleet.run(Millis(500));
+  Fleet.failRunsOf("batch");
+  Fleet.run(Millis(10'000));
+  cr_expect_eq(Fleet.startsOf(Task), MaxAttempts);
+  cr_expect(Fleet.stateOf("batch") == work::JobState::Failed);
+  for (const std::string &Violation : Fleet.violations())
+    cr_expect(false, "%s", Violation.c_str());
+}
--- a/tests/unit/SchedulerQuotaTest.cpp
+++ b/tests/unit/SchedulerQuotaTest.cpp
@@ -340,6 +340,48 @@
   expectNoViolations(Fleet);
 }
 
+// --- The capacity of the executor that does not answer is not what its runs were started for ---
+
+// Guards against a limit that is exceeded because an executor whose capacity has shrunk is taken to
+// have no more runs than would fit on it now.
+Test(SchedulerQuota, runsOnAnExecutorThatHasShrunkCount) {
+  FakeFleet Fleet(makeOptions());
+  setUp(Fleet);
+  Fleet.submit("old", makeJob({makeStep(4)}));
+  Fleet.run(Millis(1000));
+  addEmptyExecutor(Fleet);
+  Fleet.setCapacity("e0", {1000, 8000, 0});
+  Fleet.run(Millis(2000));
+  cr_assert_eq(Fleet.executorsRunning("old").size(), 4);
+  Fleet.takeOver();
+  Fleet.disconnectLeader("e0", CutTime);
+  Fleet.submit("next", makeJob({makeStep(4)}));
+  Fleet.run(Millis(1500));
+  cr_expect_eq(Fleet.executorsRunning("next").size(), 0);
+  expectNoViolations(Fleet);
+}
+
+// Guards against the same with an executor that has left the list: the new leader may know no more
+// of it than its address.
+Test(SchedulerQuota, runsOnAnExecutorOfUnknownCapacityCount) {
+  FakeFleetOptions Options = makeOptions();
+  Options.ForgetsUnlistedEntries_ = true;
+  FakeFleet Fleet(Options);
+  setUp(Fleet);
+  Fleet.submit("old", makeJob({makeStep(4)}));
+  Fleet.run(Millis(1000));
+  addEmptyExecutor(Fleet);
+  Fleet.setListed("e0", false);
+  Fleet.run(Millis(500));
+  cr_assert_eq(Fleet.executorsRunning("old").size(), 4);
+  Fleet.takeOver();
+  Fleet.disconnectLeader("e0", CutTime);
+  Fleet.submit("next", makeJob({makeStep(4)}));
+  Fleet.run(Millis(1500));
+  cr_expect_eq(Fleet.executorsRunning("next").size(), 0);
+  expectNoViolations(Fleet);
+}
+
 // --- Runs that the stored progress does not show ---
 
 // Guards against a limit that is exceeded because a copy of a task runs on where the new leader
