Limits count unseen runs by the largest capacity; limited attempts wait for all failures

The present capacity of an executor that has not reported is no bound: it may have shrunk under its runs, and is zero for an executor of the roster without an entry in the list. The largest capacity of the fleet is taken for each instead. Tasks whose attempts are limited wait again until all executors are accounted for, because a failure that the earlier leader saw but could not store may still be listed elsewhere.

--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -90,7 +90,8 @@
   int AssumedRuns_ = 0;       ///< of these, runs with Run::Assumed_
   bool InheritedRun_ = false; ///< an executor has listed a run of an earlier term as running
   /// A run of an earlier term was listed as running in this term and has ended since, so no
-  /// executor has another one that this leader does not know.
+  /// executor has another one that this leader does not know. Only for tasks that may fail without
+  /// limit.
   bool RunsKnown_ = false;
   int Moves_ = 0; ///< runs stopped because they were too slow or stalled
 };
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -138,21 +138,23 @@
       return;
     const std::int64_t DueBeforeMs = WallMs + MaxClockDifference.count();
     std::int64_t Unreported = Scheduler_.RosterComplete_ ? 0 : 1;
-    core::Resources Room; // of the executors that the unreported runs are on
-    for (const auto &[Id, Executor] : Scheduler_.Executors_)
+    core::Resources LargestCapacity;
+    for (const auto &[Id, Executor] : Scheduler_.Executors_) {
+      LargestCapacity = core::max(LargestCapacity, Executor.Info_.Capacity_);
       if (Executor.InheritedRuns_ && !Executor.Reported_ && !Executor.Replaced_ &&
-          !Executor.SilenceInherited_) {
+          !Executor.SilenceInherited_)
         ++Unreported;
-        Room += Executor.Info_.Capacity_;
-      }
+    }
     const std::int64_t Copies = std::min<std::int64_t>(Unreported, MaxUnreportedCopies);
     for (const auto &[Id, Job] : Scheduler_.Jobs_)
       if (Job.Inherited_)
         for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
           if (Occurrence.DueMs_ < DueBeforeMs)
             UnknownUse_[Job.Acceptance_.Customer_] += unknownUse(Job.Spec_, Occurrence, Copies);
+    // The capacity of an executor may have shrunk under its runs, and is unknown once it has left
+    // the list.
     if (Scheduler_.RosterComplete_)
-      boundUnknownUse(Room);
+      boundUnknownUse(LargestCapacity * Unreported);
   }
 
   /// Customers cannot use more than the room of the executors that have not reported. Filling tasks
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -269,9 +269,10 @@
     if (KnownRun != Executor.Runs_.end())
       KnownRun->second.State_ = RunState::Stopping;
     // No earlier leader can have started the task again: it ran in this term, in which its executor
-    // reports to nobody else.
+    // reports to nobody else. Where attempts are limited, executors that have not reported may
+    // still list failures of earlier runs that no leader has stored.
     if (KnownRun != Executor.Runs_.end() && tokenOf(End.Run_) < Token_ &&
-        !KnownRun->second.Assumed_)
+        !KnownRun->second.Assumed_ && stepSpec(*Job, End.Task_).LongRunning_)
       findStep(*Job, End.Task_)->Tasks_[End.Task_.Index_].RunsKnown_ = true;
     if (!Job->Ended_)
       applyEnd(*Job, End, Executor.Info_.Id_, KnownRun != Executor.Runs_.end(), Now);
