--- a/tests/integration/LoopClientTest.cpp
+++ b/tests/integration/LoopClientTest.cpp
@@ -5,6 +5,7 @@
 #include "support/ResettingServer.h"
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -211,6 +212,28 @@
             Results.front().Error_.c_str());
 }
 
+// Guards against an order that is carried out long after its sender has given it up, because its
+// process was stopped for that time.
+Test(LoopClient, aRequestThatWaitedForLongIsNotSent) {
+  constexpr std::chrono::milliseconds LongBlockade(4000);
+  asio::io_context Loop;
+  std::atomic<int> Received = 0;
+  http::Server Server({}, [&](const http::Request &From, const http::Responder &To) {
+    ++Received;
+    To({200, From.Body_, "text/plain", {}, false});
+  });
+  http::LoopClient Client(Loop, std::chrono::seconds(10), 10);
+  std::vector<http::ClientResult> Results;
+  Client.send(makeRequest(Server, "/echo"),
+              [&](http::ClientResult Outcome) { Results.push_back(std::move(Outcome)); });
+  Loop.run_one(); // the exchange begins
+  Loop.run_one(); // libcurl begins to connect
+  std::this_thread::sleep_for(LongBlockade);
+  awaitResults(Loop, Results, 1);
+  cr_expect(Results.front().Transfer_ == http::Transfer::NotConnected);
+  cr_expect_eq(Received.load(), 0);
+}
+
 // Guards against an exchange without end after the loop was late.
 Test(LoopClient, aServerThatNeverAnswersTimesOutAfterALateLoop) {
   constexpr std::size_t Count = 50;
--- a/tests/integration/OrderRouterTest.cpp
+++ b/tests/integration/OrderRouterTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -342,6 +343,43 @@
   Present.awaitOutcomes(FleetSize);
 }
 
+// --- The leader is late ---
+
+// Guards against results that count as lost, and relays that count as failed, because the leader
+// did not run while the results arrived.
+Test(OrderRouter, resultsThatArriveWhileTheLeaderIsLateAreReadFirst) {
+  constexpr std::chrono::milliseconds Blockade(1500);
+  asio::io_context Loop;
+  Relay Through(Loop);
+  Leader Present(Loop, Through, 5);
+  Present.hold();
+  awaitOrders(Loop, Through, 1);
+  Present.runFor(std::chrono::milliseconds(100));
+  std::this_thread::sleep_for(Blockade);
+  Present.flush();
+  cr_expect(Present.outcomes().empty());
+  Present.onResult(Through.orders()[0].OrderId_, OrderOutcome::Done);
+  cr_assert_eq(Present.outcomes().size(), 1);
+  cr_expect(Present.outcomes().front() == OrderOutcome::Done);
+}
+
+// Guards against an order without an outcome at a leader that is late all the time.
+Test(OrderRouter, anOrderOfALateLeaderGetsAnOutcome) {
+  constexpr std::chrono::milliseconds Blockade(600);
+  constexpr int Rounds = 4;
+  asio::io_context Loop;
+  Relay Through(Loop);
+  Leader Present(Loop, Through, 5);
+  Present.hold();
+  awaitOrders(Loop, Through, 1);
+  for (int I = 0; I < Rounds; ++I) {
+    std::this_thread::sleep_for(Blockade);
+    Present.flush();
+  }
+  cr_assert_eq(Present.outcomes().size(), 1);
+  cr_expect(Present.outcomes().front() == OrderOutcome::ResultLost);
+}
+
 // --- What tells of delays ---
 
 // Guards against a leader whose orders wait while its state tells of no delay.
