A late leader reads what has arrived before it counts results as lost

Its deadlines pass while it does not run. All orders in flight counted as lost then, and their relays as failed, although the results waited in its sockets. Deadlines that passed since a check that was due earlier are now left to the next check.

--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -38,6 +38,8 @@
 constexpr core::Millis RelayWait{600};
 /// Interval between checks for overdue results.
 constexpr core::Millis ExpiryCheckInterval{50};
+/// A check that follows the one before by more is late, like the leader, whose rounds take less.
+constexpr core::Millis MaxExpiryCheckGap{200};
 
 platform::LeaseRenewalResult toHoldAnswer(const platform::OrderResponse &Answer) {
   platform::LeaseRenewalResult HoldAnswer;
@@ -297,10 +299,12 @@
 void OrderRouter::expireOverdue(core::TimePoint Now) {
   if (Now - LastExpiryCheckAt_ < ExpiryCheckInterval)
     return;
-  LastExpiryCheckAt_ = Now;
+  const core::TimePoint PreviousCheckAt = std::exchange(LastExpiryCheckAt_, Now);
+  // What has arrived while this process was late is read before the next check.
+  const core::TimePoint DueBy = Now - PreviousCheckAt > MaxExpiryCheckGap ? PreviousCheckAt : Now;
   std::vector<PendingOrder> Overdue;
   std::erase_if(PendingOrders_, [&](auto &Entry) {
-    if (Now < Entry.second.Deadline_)
+    if (DueBy < Entry.second.Deadline_)
       return false;
     if (Entry.second.OnLateAnswer_ && Entry.second.Sent_)
       LostHolds_[Entry.first] = {Now, std::move(Entry.second.OnLateAnswer_)};
