A request that waited for long is not sent

An event loop that was stopped gave a connection attempt back all the time that it had missed, so an order could leave a stopped relay or leader later than the scheduler expects of any order without an answer.

--- a/include/masticdrift/http/detail/Exchange.h
+++ b/include/masticdrift/http/detail/Exchange.h
@@ -21,8 +21,10 @@
   std::chrono::steady_clock::time_point LastProgressAt_ = std::chrono::steady_clock::now();
   /// When the request was last sent; only valid while SendAllowed_ is set.
   std::chrono::steady_clock::time_point SentAt_{};
+  /// The request is not sent later.
+  std::chrono::steady_clock::time_point SendBy_ = std::chrono::steady_clock::time_point::max();
   bool SendAllowed_ = false; ///< MaySend_ allowed it, so bytes may have been sent
-  bool SendDenied_ = false;  ///< MaySend_ returned false
+  bool SendDenied_ = false;  ///< MaySend_ returned false, or it was too late
   bool SentAgain_ = false;   ///< sending was allowed more than once
 };
 
--- a/src/http/Exchange.cpp
+++ b/src/http/Exchange.cpp
@@ -31,14 +31,15 @@
 /// Called by libcurl on each connection immediately before it sends the request.
 int preRequestCallback(void *User, char *, char *, int, int) {
   auto &Self = *static_cast<Exchange *>(User);
+  const auto Now = std::chrono::steady_clock::now();
   const bool SentBefore = Self.Request_.SendOnce_ && Self.SendAllowed_;
-  if (SentBefore || (Self.Request_.MaySend_ && !Self.Request_.MaySend_())) {
+  if (SentBefore || Now > Self.SendBy_ || (Self.Request_.MaySend_ && !Self.Request_.MaySend_())) {
     Self.SendDenied_ = true;
     return CURL_PREREQFUNC_ABORT;
   }
   Self.SentAgain_ = Self.SendAllowed_;
   Self.SendAllowed_ = true;
-  Self.SentAt_ = std::chrono::steady_clock::now();
+  Self.SentAt_ = Now;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -32,6 +32,9 @@
 /// Added to libcurl's own timeout, which must not end an exchange before its deadline was checked
 /// here.
 constexpr std::chrono::milliseconds CurlTimeoutMargin{10'000};
+/// A request is sent at most this long after its time is over, by an event loop that was late. Its
+/// sender knows for how long an order that got no answer may still be carried out.
+constexpr std::chrono::milliseconds MaxSendDelay{3000};
 /// A deadline that is checked later than this was missed by the event loop.
 constexpr std::chrono::milliseconds MaxTimerDelay{5};
 
@@ -353,6 +356,7 @@
     const bool SilenceMatters = MaxSilence.count() > 0 && MaxSilence < Operation->Request_.Timeout_;
     const TimePoint Now = std::chrono::steady_clock::now();
     const TimePoint EndAt = Now + Operation->Request_.Timeout_ + LagTime;
+    Operation->SendBy_ = Now + Operation->Request_.Timeout_ + MaxSendDelay;
     Operation->Request_.Timeout_ += LagTime + CurlTimeoutMargin;
     Operation->LastProgressAt_ = Now;
     detail::setOptions(*Operation, MaxIdleSeconds_, MaxConnectionAgeSeconds);
