--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -62,10 +62,7 @@
   if (WasKnown && Info.IncarnationStartMs_ > Executor.Incarnation_ && Executor.Incarnation_ != 0 &&
       Executor.Reported_) {
     // Only the executor's own reports show which orders have reached the new incarnation.
-    logDecision("executor_reborn", {}, 0, Info.Id_, "the executor list shows a new incarnation");
-    Executor.Reported_ = false;
-    Executor.HoldInFlight_ = false;
-    Executor.NextHoldAt_ = Now;
+    onUnmetIncarnation(Executor, "the executor list shows a new incarnation", Now);
   }
   if (WasKnown && Executor.Info_.Address_ != Info.Address_)
     Executor.Recorded_ = false;
@@ -534,7 +531,7 @@
   else if (!Executor.Silent_ && !Executor.AnswerOverdue_ && Executor.Recorded_ &&
            !Executor.LeaseWithheld_ && mayGrantLeases(Now) &&
            // Each order to a lost executor prolongs the time until the run is certain to be over.
-           Executor.LastAnswerAt_ > ActiveRun.OrderSentAt_)
+           Now - Executor.LastAnswerAt_ <= Timing_.MaxRepeatAnswerAge_)
     sendStart(Executor, ActiveRun, Now);
   return true;
 }
