--- a/include/masticdrift/daemon/WorkPacing.h
+++ b/include/masticdrift/daemon/WorkPacing.h
@@ -12,9 +12,9 @@
 /// When a piece of work may be done again.
 struct WorkPacing {
   /// Pause after the work, in multiples of the time that it took.
-  int PauseFactor_ = 4;
+  int PauseFactor_ = 1;
   /// Longest pause. Work that takes longer than its share of this gets more than its share.
-  core::Millis MaxPause_{400};
+  core::Millis MaxPause_{60};
   core::TimePoint NextAt_{};
 };
 
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -928,7 +928,9 @@
       continue;
     Waiting.Figures_.Waiting_ = Step.WaitingTasks_;
     const bool MayStart = mayStart(*Waiting.Job_, specOf(Waiting));
-    if (!recordsAllowStart(*Waiting.Job_) || (specOf(Waiting).Gang_ && !MayStart))
+    if (Waiting.Job_->BegunFlush_ == NoFlush)
+      Waiting.Wait_ = WaitReason::NoRoom; // it has no advice yet; the request tells why
+    else if (!recordsAllowStart(*Waiting.Job_) || (specOf(Waiting).Gang_ && !MayStart))
       Waiting.Wait_ = WaitReason::EarlierRuns;
     else if (specOf(Waiting).Gang_)
       Waiting.Wait_ = Pass.placeGang(Waiting, Step, specOf(Waiting));
