--- a/tests/unit/SchedulerBacklogTakeoverTest.cpp
+++ b/tests/unit/SchedulerBacklogTakeoverTest.cpp
@@ -38,7 +38,7 @@
   Manifest.Customers_["c"] = {"c", 1000, {LimitCores * 1000, 0, 0}};
   Fleet.setManifest(Manifest);
   for (int I = 0; I < Executors; ++I)
-    Fleet.addExecutor("e" + std::to_string(I), {Cores * 1000, 8000, 0});
+    Fleet.addExecutor("e" + std::to_string(I), {std::int64_t{Cores} * 1000, 8000, 0});
   Fleet.run(Millis(100));
 }
 
