--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <utility>
 
 namespace masticdrift::lead {
 
@@ -157,6 +158,12 @@
   Ended,   ///< its end may not be durable yet
 };
 
+/// Work of a scheduler that grows with the fleet when it does more than events ask for.
+struct StatesRead {
+  std::uint64_t Executors_ = 0; ///< executors that walks over them have come to
+  std::uint64_t Runs_ = 0;      ///< runs that walks over them have come to
+};
+
 /// Schedules the tasks of all accepted jobs during one term of leadership.
 class Scheduler {
 public:
@@ -316,6 +323,8 @@
     WaitCounts WaitingByReason_{}; ///< the waiting tasks by the reason for which their step waits
   };
   Counts counts() const;
+  /// \returns what was read since the previous call.
+  StatesRead takeStatesRead() { return std::exchange(StatesRead_, {}); }
 
 private:
   friend struct PlacementPass;
@@ -526,6 +535,7 @@
   std::size_t OutstandingLongCalls_ = 0;
   WaitLogBudget WaitLogBudget_;
   double OverdueCredit_ = 0; ///< starts that overdue work is owed
+  StatesRead StatesRead_;
   std::unordered_map<std::string, RunTimeRatio> RunTimeRatios_; ///< by queue and image
   std::uint64_t NextFlush_ = 1;
   std::uint64_t DurableFlush_ = 0;
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -11,6 +11,7 @@
 #include "masticdrift/daemon/Retention.h"
 #include "masticdrift/daemon/StandbyTable.h"
 #include "masticdrift/daemon/StoredJobCheck.h"
+#include "masticdrift/daemon/WorkMeter.h"
 #include "masticdrift/daemon/WorkPacing.h"
 #include "masticdrift/lead/Election.h"
 #include "masticdrift/lead/Roster.h"
@@ -516,6 +517,7 @@
     Scheduler_->setStartLimit(OrderRouter_.startLimit());
     Scheduler_->advance(Now, core::wallMillis());
     LastRoundDuration_ = core::Clock::now() - Now;
+    noteWork(RoundMeter_, LastRoundDuration_);
     core::observe("masticdrift_decision_seconds",
                   std::chrono::duration<double>(LastRoundDuration_).count());
     place();
@@ -552,6 +554,7 @@
     Scheduler_->place(Begin, core::wallMillis());
     const core::TimePoint End = core::Clock::now();
     noteWork(PlacementPacing_, Begin, End);
+    noteWork(PassMeter_, End - Begin);
     core::observe("masticdrift_placement_seconds",
                   std::chrono::duration<double>(End - Begin).count());
   }
@@ -560,6 +563,7 @@
     const core::Duration SinceLast = Now - std::exchange(GaugesUpdatedAt_, Now);
     const auto OrderDelays = OrderRouter_.takeDelays();
     const std::int64_t LostPerSecond = perSecond(OrderDelays.LostResults_, SinceLast);
+    const lead::StatesRead Read = Scheduler_->takeStatesRead();
     const auto Counts = Scheduler_->counts();
     core::setGauge("masticdrift_waiting_tasks", static_cast<double>(Counts.Waiting_));
     core::setGauge("masticdrift_running_tasks", static_cast<double>(Counts.Running_));
@@ -592,6 +596,11 @@
                {"results_ms", std::to_string(core::toMillis(std::exchange(LongestResults_, {})))},
                {"order_wait_ms", std::to_string(core::toMillis(OrderDelays.LongestWait_))},
                {"results_lost_per_s", std::to_string(LostPerSecond)},
+               {"rounds", takeRate(RoundMeter_, SinceLast)},
+               {"passes", takeRate(PassMeter_, SinceLast)},
+               {"results", takeRate(ResultsMeter_, SinceLast)},
+               {"executors_read_per_s", std::to_string(perSecond(Read.Executors_, SinceLast))},
+               {"runs_read_per_s", std::to_string(perSecond(Read.Runs_, SinceLast))},
                {"waiting_by_reason", lead::describeCounts(Counts.WaitingByReason_)}});
   }
 
@@ -600,6 +609,7 @@
     OrderRouter_.onResults(Request);
     const core::Duration Taken = core::Clock::now() - Begin;
     LongestResults_ = std::max(LongestResults_, Taken);
+    noteWork(ResultsMeter_, Taken);
     core::observe("masticdrift_results_seconds", std::chrono::duration<double>(Taken).count());
   }
 
@@ -1031,7 +1041,11 @@
   WorkPacing PlacementPacing_;
   core::TimePoint LastFlushAt_{};
   core::TimePoint GaugesUpdatedAt_{};
-  core::Duration LongestResults_{0}; ///< time of a batch of results, since the gauges were updated
+  // Since the gauges were updated:
+  core::Duration LongestResults_{0}; ///< longest time of a batch of results
+  WorkMeter RoundMeter_;
+  WorkMeter PassMeter_;
+  WorkMeter ResultsMeter_;
   core::TimePoint NextSpecReload_{};
   std::uint64_t FlushNumber_ = 0; ///< number of the outstanding flush, 0 for none
   std::shared_ptr<std::vector<platform::KeyedRecord>> FlushedRecords_; ///< of the outstanding flush
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -110,6 +110,7 @@
   /// Counts the tasks on executors that do not answer and whose leases end within the time of an
   /// advice request. The other members of a gang would still have to be stopped.
   void countLapsingTasks() {
+    Scheduler_.StatesRead_.Executors_ += Scheduler_.Executors_.size();
     for (const auto &[Id, Executor] : Scheduler_.Executors_) {
       if (!Executor.Silent_)
         continue;
@@ -217,6 +218,7 @@
 
   /// Collects the executors that accept new runs.
   void listOpenExecutors() {
+    Scheduler_.StatesRead_.Executors_ += Scheduler_.Executors_.size();
     for (auto &[Id, Executor] : Scheduler_.Executors_)
       if (acceptsWork(Executor))
         OpenExecutors_[Executor.Info_.Pool_].push_back(&Executor);
@@ -242,6 +244,8 @@
     for (const auto &[Id, Executor] : Scheduler_.Executors_) {
       RoomAccount &Account = Plan_.Executors_[Executor.Ordinal_];
       Account.Free_ = Executor.Info_.Capacity_ - Executor.Used_;
+      ++Scheduler_.StatesRead_.Executors_;
+      Scheduler_.StatesRead_.Runs_ += Executor.Runs_.size();
       for (const auto &[Key, ActiveRun] : Executor.Runs_) {
         // A run on an executor that does not answer counts as over when the lease ends.
         const core::TimePoint EndAt = Executor.Silent_
@@ -717,6 +721,7 @@
       return WaitReason::ExhaustedNeed;
     std::vector<std::pair<double, const ExecutorState *>> Unadvised;
     bool AnyRoom = false;
+    Scheduler_.StatesRead_.Executors_ += openExecutorsOf(*Waiting.Job_).size();
     for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_)) {
       if (!hasLabel(*Executor, Spec.RequiredLabel_) ||
           unclaimedSlots(*Executor, Step, Spec, Horizon, 1) == 0)
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -191,6 +191,8 @@
 /// Applies what executors reported about runs of the job before its record was read.
 void Scheduler::reconcileLateJob(TrackedJob &Job, core::TimePoint Now) {
   for (auto &[Id, Executor] : Executors_) {
+    ++StatesRead_.Executors_;
+    StatesRead_.Runs_ += Executor.Runs_.size();
     std::vector<Run> EarlyRuns;
     for (const auto &[Key, EarlyRun] : Executor.Runs_)
       if (Key.first.Job_ == Job.Id_ && !EarlyRun.CountedInUse_ &&
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -292,19 +292,25 @@
 void Scheduler::stopJobRuns(TrackedJob &Job, std::string_view Reason, core::TimePoint Now) {
   if (Job.ActiveRuns_ == 0)
     return;
-  for (auto &[Id, Executor] : Executors_)
+  for (auto &[Id, Executor] : Executors_) {
+    ++StatesRead_.Executors_;
+    StatesRead_.Runs_ += Executor.Runs_.size();
     for (auto &[Key, ActiveRun] : Executor.Runs_)
       if (ActiveRun.Task_.Job_ == Job.Id_)
         stopRun(Executor, ActiveRun, Reason, Now);
+  }
 }
 
 void Scheduler::stopStepRuns(TrackedJob &Job, const work::TaskRef &Task, std::string_view Reason,
                              core::TimePoint Now) {
-  for (auto &[Id, Executor] : Executors_)
+  for (auto &[Id, Executor] : Executors_) {
+    ++StatesRead_.Executors_;
+    StatesRead_.Runs_ += Executor.Runs_.size();
     for (auto &[Key, ActiveRun] : Executor.Runs_)
       if (ActiveRun.Task_.Job_ == Job.Id_ && ActiveRun.Task_.Occurrence_ == Task.Occurrence_ &&
           ActiveRun.Task_.Step_ == Task.Step_)
         stopRun(Executor, ActiveRun, Reason, Now);
+  }
 }
 
 void Scheduler::onStartResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -364,6 +364,7 @@
 void Scheduler::onFlushed(std::uint64_t Flush, core::TimePoint Now) {
   DurableFlush_ = std::max(DurableFlush_, Flush);
   PlacementDue_ = true;
+  StatesRead_.Executors_ += Executors_.size();
   for (auto &[Id, Executor] : Executors_) {
     auto &Unacked = Executor.UnackedEnds_;
     std::size_t Count = 0;
@@ -403,6 +404,7 @@
   std::erase_if(LapsedBeforeRead_,
                 [this](const auto &Entry) { return Entry.second.LapsedAt_ < JobsReadUpTo_; });
   std::vector<std::string> Forgotten;
+  StatesRead_.Executors_ += Executors_.size();
   for (auto &[Id, Executor] : Executors_) {
     tickExecutor(Executor, Now);
     if (mayForget(Executor))
@@ -423,6 +425,7 @@
     const bool Answers = Executor.Reported_ && !Executor.Silent_;
     return Executor.ReportFull_ && (Answers || ConfirmedAt_ < Executor.LeaseEnd_);
   });
+  StatesRead_.Executors_ += 2 * Executors_.size();
   std::set<std::string_view> JobsWithOpenStarts;
   for (const auto &[Id, Executor] : Executors_)
     for (const auto &[Key, Open] : Executor.OpenStarts_)
