A responder may outlive its server

The server's event loop was destroyed with it while responders still held connections, whose timers belong to the loop: valgrind shows the read of freed memory. A daemon that still has requests to answer when it shuts down would do the same. A responder now keeps the loop; the request handler holds it weakly, because the loop's operations hold the handler.

--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -3,6 +3,7 @@
 #include "masticdrift/core/Error.h"
 
 #include <atomic>
+#include <memory>
 #include <optional>
 #include <thread>
 
@@ -59,21 +60,17 @@
   return Answer;
 }
 
-auto ioContextFor(const ServerOptions &Options) {
-  return Options.Loop_ != nullptr ? restinio::external_io_context(*Options.Loop_)
-                                  : restinio::own_io_context();
-}
-
 } // namespace
 
 struct Server::Impl {
   using Restinio = restinio::http_server_t<RestinioTraits>;
 
   Impl(const ServerOptions &Options, Handler OnRequest)
-      : ExternalLoop_(Options.Loop_ != nullptr),
-        Server_(ioContextFor(Options), [&](restinio::server_settings_t<RestinioTraits> &Settings) {
-          configure(Settings, Options, std::move(OnRequest));
-        }) {
+      : OwnLoop_(Options.Loop_ == nullptr ? std::make_shared<asio::io_context>() : nullptr),
+        Server_(restinio::external_io_context(OwnLoop_ ? *OwnLoop_ : *Options.Loop_),
+                [&](restinio::server_settings_t<RestinioTraits> &Settings) {
+                  configure(Settings, Options, std::move(OnRequest));
+                }) {
     std::atomic<bool> Opened{false};
     std::exception_ptr Error;
     Server_.open_async([&] { Opened = true; },
@@ -82,7 +79,7 @@
       Server_.io_context().run_one();
     if (Error)
       std::rethrow_exception(Error);
-    for (unsigned I = 0; !ExternalLoop_ && I < Options.ThreadCount_; ++I)
+    for (unsigned I = 0; OwnLoop_ && I < Options.ThreadCount_; ++I)
       Threads_.emplace_back([this] { Server_.io_context().run(); });
   }
 
@@ -107,13 +104,16 @@
         })
         .acceptor_post_bind_hook(
             [this](auto &Acceptor) { Port_ = Acceptor.local_endpoint().port(); })
-        .request_handler([MaxBodyBytes, OnRequest = std::move(OnRequest)](auto Incoming) {
+        .request_handler([MaxBodyBytes, WeakLoop = std::weak_ptr(OwnLoop_),
+                          OnRequest = std::move(OnRequest)](auto Incoming) {
           if (Incoming->body().size() > MaxBodyBytes) {
             respond(Incoming, bodyTooLargeResponse(Incoming->body().size(), MaxBodyBytes));
             return restinio::request_accepted();
           }
-          OnRequest(convertRequest(*Incoming),
-                    [Incoming](Response Answer) { respond(Incoming, std::move(Answer)); });
+          // The responder may outlive the server, and its connection has timers in the loop.
+          OnRequest(convertRequest(*Incoming), [Loop = WeakLoop.lock(), Incoming](Response Answer) {
+            respond(Incoming, std::move(Answer));
+          });
           return restinio::request_accepted();
         });
   }
@@ -121,7 +121,7 @@
   void stop() {
     if (Stopped_.exchange(true))
       return;
-    if (ExternalLoop_) {
+    if (!OwnLoop_) {
       Server_.close_async([] {}, [](std::exception_ptr) {});
       return;
     }
@@ -130,7 +130,7 @@
       Thread.join();
   }
 
-  const bool ExternalLoop_;
+  const std::shared_ptr<asio::io_context> OwnLoop_; ///< null with an external loop
   std::atomic<bool> Stopped_{false};
   std::uint16_t Port_ = 0;
   Restinio Server_;
