--- a/include/masticdrift/daemon/OrderRouter.h
+++ b/include/masticdrift/daemon/OrderRouter.h
@@ -71,6 +71,10 @@
   /// \returns the limit of concurrent start orders, which grows with the machines that send them.
   int startLimit() const;
 
+  /// \returns the time that orders wait for their batch on average, which rounds that follow each
+  /// other sooner cannot save; 0 without relays.
+  core::Millis minOrderWait() const;
+
   /// \returns the delays since the previous call.
   Delays takeDelays() { return std::exchange(Delays_, {}); }
 
--- a/include/masticdrift/daemon/RelayTable.h
+++ b/include/masticdrift/daemon/RelayTable.h
@@ -47,7 +47,7 @@
   bool isServed(std::string_view ExecutorId, std::string_view Domain, core::TimePoint Now) const;
 
   /// \returns the number of relays that serve executors.
-  std::size_t activeRelays() const;
+  std::size_t activeRelays() const { return ActiveRelays_; }
 
 private:
   struct Relay {
@@ -65,6 +65,7 @@
   /// domains; the end of the map when none is available.
   RelayMap::iterator chooseRelay(std::string_view Domain, core::TimePoint Now);
   void releaseAssignments();
+  void unassign(Relay &Daemon);
 
   /// Forgets executors that have had no orders for some time.
   void pruneAssignments(core::TimePoint Now);
@@ -76,6 +77,7 @@
 
   RelayMap Relays_;                                        ///< by peer address
   std::map<std::string, Assignment, std::less<>> RelayOf_; ///< by executor id
+  std::size_t ActiveRelays_ = 0;                           ///< relays with executors
   core::TimePoint PrunedAt_{};
 };
 
--- a/include/masticdrift/lead/LimitReserve.h
+++ b/include/masticdrift/lead/LimitReserve.h
@@ -35,12 +35,12 @@
 bool fitsBesideReserve(const core::Resources &Used, const core::Resources &Need,
                        const core::Resources &Limit, const core::Resources &Reserved);
 
-/// Determines how many tasks fitsBesideReserve() lets start by the end of \p Horizon.
+/// Determines how many tasks fitsBesideReserve() lets start by the time \p By.
 ///
 /// \param Account the room within \p Limit.
 /// \returns the number of tasks, at most \p MaxTasks.
 std::uint32_t slotsBesideReserve(const RoomAccount &Account, const core::Resources &Need,
-                                 core::Duration Horizon, std::uint32_t MaxTasks,
+                                 core::TimePoint By, std::uint32_t MaxTasks,
                                  const core::Resources &Limit, const core::Resources &Reserved);
 
 } // namespace masticdrift::lead
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -123,9 +123,10 @@
   bool AdvicePending_ = false;
   std::vector<std::uint32_t> AskedExecutors_; ///< by ordinal, while advice is pending
   core::TimePoint AdviceRetryAt_{};
-  StepWait Wait_;                 ///< as of the last placement pass
-  core::TimePoint TurnAt_{};      ///< when the step last had the turn of overdue work
-  std::uint64_t LastGangRun_ = 0; ///< run number of the latest gang start
+  core::TimePoint NextSearchAt_{}; ///< no search for executors to request advice about before
+  StepWait Wait_;                  ///< as of the last placement pass
+  core::TimePoint TurnAt_{};       ///< when the step last had the turn of overdue work
+  std::uint64_t LastGangRun_ = 0;  ///< run number of the latest gang start
   core::TimePoint FirstStartAt_{};
   core::Duration CompletedRunTime_{0}; ///< total run time of the completed tasks
   std::uint32_t CompletedRuns_ = 0;    ///< number of runs in CompletedRunTime_
@@ -258,6 +259,8 @@
   core::TimePoint AvoidUntil_{}; ///< no new runs before this time
   Slowness Slowness_;
   core::TimePoint DrainEnd_{}; ///< zero while not draining
+  bool Changed_ = false;       ///< in Scheduler::Changed_
+  bool RoomStale_ = false;     ///< in Scheduler::StaleRooms_
 };
 
 } // namespace masticdrift::lead
--- a/include/masticdrift/lead/RoomPlan.h
+++ b/include/masticdrift/lead/RoomPlan.h
@@ -12,6 +12,7 @@
 #include "masticdrift/core/Resources.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,7 +21,7 @@
 
 /// Resources that runs are expected to release.
 struct RoomRelease {
-  core::Duration After_{0};
+  core::TimePoint At_;
   core::Resources Amount_;
 };
 
@@ -34,9 +35,12 @@
 
 /// Unclaimed room of all executors and customers.
 struct RoomPlan {
-  std::vector<RoomAccount> Executors_; ///< by executor ordinal
-  /// Customers without an entry have no limit. Steps that are not ready claim nothing here: they
-  /// may wait for much longer than expected.
+  /// Unclaimed room of each executor, by ordinal, at the times by which steps ask for it. There are
+  /// as many times as queues with different advice.
+  std::map<core::TimePoint, std::vector<core::Resources>> Executors_;
+  std::vector<core::Resources> Claimed_; ///< room that was claimed on each executor, by ordinal
+  /// Customers without a limit have no entry once they were asked for. Steps that are not ready
+  /// claim nothing here: they may wait for much longer than expected.
   std::unordered_map<std::string, RoomAccount> Customers_;
   /// The same, with the claims of all steps; for those that are not ready.
   std::unordered_map<std::string, RoomAccount> CustomersAhead_;
@@ -48,22 +52,29 @@
 /// Prepares the releases of an account for slotsWithin().
 void accumulateReleases(RoomAccount &Account);
 
-/// \returns the unclaimed room of an account at the end of \p Horizon.
-core::Resources roomWithin(const RoomAccount &Account, core::Duration Horizon);
+/// \returns the unclaimed room of an account at time \p By.
+core::Resources roomWithin(const RoomAccount &Account, core::TimePoint By);
 
-/// Determines how many tasks fit into an account by the end of \p Horizon.
+/// \returns how many tasks fit into \p Room, at most \p MaxTasks.
+std::uint32_t slotsIn(const core::Resources &Room, const core::Resources &Need,
+                      std::uint32_t MaxTasks);
+
+/// Determines how many tasks fit into an account at time \p By.
 ///
 /// \param MaxTasks upper bound of the result.
 /// \param Withheld room that the tasks must leave free.
 /// \returns the number of tasks.
 /// \remark Cost: logarithmic in the number of releases.
 std::uint32_t slotsWithin(const RoomAccount &Account, const core::Resources &Need,
-                          core::Duration Horizon, std::uint32_t MaxTasks,
+                          core::TimePoint By, std::uint32_t MaxTasks,
                           const core::Resources &Withheld = {});
 
 /// Takes the room of \p Tasks tasks from an account.
 void claim(RoomAccount &Account, const core::Resources &Need, std::uint32_t Tasks);
 
+/// Takes the room of \p Tasks tasks from an executor.
+void claim(RoomPlan &Plan, std::uint32_t Ordinal, const core::Resources &Need, std::uint32_t Tasks);
+
 } // namespace masticdrift::lead
 
 #endif // MASTICDRIFT_LEAD_ROOMPLAN_H
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -10,7 +10,7 @@
 #include "masticdrift/lead/Drain.h"
 #include "masticdrift/lead/LimitReserve.h"
 #include "masticdrift/lead/Model.h"
-#include "masticdrift/lead/RoomPlan.h"
+#include "masticdrift/lead/RoomIndex.h"
 #include "masticdrift/lead/Silence.h"
 
 #include <algorithm>
@@ -35,6 +35,9 @@
   /// Time after its last confirmed heartbeat for which a leader grants full leases. A later leader
   /// waits this long, in addition to a lease, for the runs of an executor that does not answer.
   core::Millis StaleLeaderTime_{3000};
+  /// Interval of the walks over all executors, which find what has become due by time. Between them
+  /// only executors with events are served.
+  core::Millis SweepInterval_{30};
   /// Longest time in which a change of an executor reaches the executor list. New incarnations get
   /// no runs before their entry is read or this time has passed.
   core::Millis MaxListDelay_{4500};
@@ -265,7 +268,8 @@
   /// Limits the concurrent start orders, when several machines send them.
   void setStartLimit(int Starts) { StartLimit_ = Starts; }
 
-  /// Performs all due work but placement: orders, hold requests, and what follows from leases.
+  /// Performs all due work but placement: orders, hold requests, and what follows from leases. What
+  /// becomes due by time alone may be done up to one sweep interval later.
   void advance(core::TimePoint Now, std::int64_t WallMs);
   /// \returns true when tasks may be placed, and a pass may find something to place.
   bool isPlacementDue(core::TimePoint Now) const {
@@ -379,6 +383,7 @@
   void stopStepRuns(TrackedJob &Job, const work::TaskRef &Task, std::string_view Reason,
                     core::TimePoint Now);
   void processEnd(ExecutorState &Executor, const fleet::ReportedEnd &End, core::TimePoint Now);
+  void noteUnackedEnd(ExecutorState &Executor, std::uint64_t SequenceNumber, std::uint64_t Flush);
   void voidRuns(TrackedJob &Job, const work::TaskRef &Task, std::uint64_t UpTo);
   void voidUnknownRuns(TrackedJob &Job, std::int64_t WallMs);
   void voidRunsOfLateJob(TrackedJob &Job, std::int64_t WallMs);
@@ -453,8 +458,23 @@
   /// \returns its end on the executor's clock.
   std::int64_t grantLease(ExecutorState &Executor, core::TimePoint Now);
   /// Notes that an order which is sent now may start a lease.
-  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) const;
+  void extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now);
   void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
+  /// Notes that an executor may be due, and that its room may have changed.
+  void noteChange(ExecutorState &Executor);
+  void noteDue(ExecutorState &Executor);
+  void noteRoomChange(ExecutorState &Executor);
+  /// Serves an executor, and again in the next round if it will be due before the next sweep.
+  void serve(ExecutorState &Executor, core::TimePoint Now);
+  void sweep(core::TimePoint Now, std::int64_t WallMs);
+  void forget(ExecutorState &Executor);
+  bool acceptsWork(const ExecutorState &Executor, core::TimePoint Now) const;
+  /// \returns the executors with runs of a step, by ordinal.
+  std::vector<ExecutorState *> executorsWithRunsOf(const TrackedStep &Step);
+  /// Calls \p Visit with each run of the tasks from \p First up to \p Last on an executor.
+  template <typename Visitor>
+  void visitRuns(ExecutorState &Executor, const work::TaskRef &First, const work::TaskRef &Last,
+                 Visitor Visit);
   static void releaseDrained(ExecutorState &Executor);
   /// Sends the order that a run needs now.
   /// \returns true while the run may need another order.
@@ -517,7 +537,14 @@
   bool UnknownRunsLapsed_ = false;
   std::vector<std::string> FinishedJobs_; ///< jobs that takeFinishedJobs() returns next
   std::map<std::string, ExecutorState, std::less<>> Executors_;
-  std::vector<ExecutorState *> ByOrdinal_;                     ///< null for removed executors
+  std::vector<ExecutorState *> ByOrdinal_; ///< null for removed executors
+  RoomIndex Rooms_;
+  std::vector<std::uint32_t> StaleRooms_; ///< ordinals of executors to refresh in Rooms_
+  std::vector<std::uint32_t> Changed_;    ///< ordinals of executors that may be due
+  core::TimePoint NextSweepAt_{};
+  std::set<std::uint32_t> WithUnackedEnds_; ///< ordinals of executors with UnackedEnds_, and others
+  /// Ordinals of executors with runs or ends of jobs that have not been read, and others.
+  std::set<std::uint32_t> WithUnknownJobs_;
   std::map<std::string, std::string, std::less<>> Unrecorded_; ///< addresses by executor id
   std::unordered_map<std::string, core::Resources> UsedByCustomer_;
   std::unordered_map<std::string, DemandPeak> UrgentPeaks_; ///< first-priority work, by customer
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -504,7 +504,9 @@
     TickScheduled_ = true;
     const core::Millis Delay =
         std::chrono::duration_cast<core::Millis>(RoundDelayFactor * LastRoundDuration_);
-    runAfter(TickTimer_, std::clamp(Delay, MinEventDelay, TickInterval), [this] { tick(); });
+    const core::Millis MinDelay =
+        std::clamp(OrderRouter_.minOrderWait(), MinEventDelay, TickInterval);
+    runAfter(TickTimer_, std::clamp(Delay, MinDelay, TickInterval), [this] { tick(); });
   }
 
   void tick() {
@@ -516,11 +518,12 @@
     Scheduler_->setAdviceLimits(AdviceDispatcher_.limits(Now));
     Scheduler_->setStartLimit(OrderRouter_.startLimit());
     Scheduler_->advance(Now, core::wallMillis());
-    LastRoundDuration_ = core::Clock::now() - Now;
-    noteWork(RoundMeter_, LastRoundDuration_);
+    const core::Duration AdvanceTime = core::Clock::now() - Now;
+    noteWork(RoundMeter_, AdvanceTime);
     core::observe("masticdrift_decision_seconds",
-                  std::chrono::duration<double>(LastRoundDuration_).count());
+                  std::chrono::duration<double>(AdvanceTime).count());
     place();
+    LastRoundDuration_ = core::Clock::now() - Now;
     if (Scheduler_->fenced()) {
       stepDown("an executor has seen a higher fencing token");
       return;
@@ -536,16 +539,24 @@
     if (StoredJobCheck_.due(Now))
       takeUpMissedJobs(Now);
     if (Now - ExtraHeartbeatAt_ >= ExtraHeartbeatInterval &&
-        (Scheduler_->hasSilenceToClear() || Scheduler_->hasDrainToClear() ||
-         Scheduler_->awaitsHeartbeat(Now))) {
-      ExtraHeartbeatAt_ = Now;
-      appendHeartbeat();
+        Now - ExtraHeartbeatCheckedAt_ >= TickInterval) {
+      ExtraHeartbeatCheckedAt_ = Now;
+      appendExtraHeartbeat(Now);
     }
     if (Now - GaugesUpdatedAt_ >= GaugeUpdateInterval)
       updateGauges(Now);
     runAfter(TickTimer_, TickInterval, [this] { tick(); });
   }
 
+  /// Appends a heartbeat for executors that wait for one.
+  void appendExtraHeartbeat(core::TimePoint Now) {
+    if (!Scheduler_->hasSilenceToClear() && !Scheduler_->hasDrainToClear() &&
+        !Scheduler_->awaitsHeartbeat(Now))
+      return;
+    ExtraHeartbeatAt_ = Now;
+    appendHeartbeat();
+  }
+
   /// Places waiting tasks unless passes have taken their share of the processor.
   void place() {
     const core::TimePoint Begin = core::Clock::now();
@@ -1033,6 +1044,7 @@
   lead::SilenceTable Silences_; ///< the same, of silent executors
   lead::DrainTable Drains_;     ///< the same, of draining executors
   core::TimePoint ExtraHeartbeatAt_{}; ///< when an additional heartbeat was sent
+  core::TimePoint ExtraHeartbeatCheckedAt_{};
   std::uint64_t Term_ = 0;
   std::uint64_t Sequence_ = 0; ///< producer sequence of the next append to the jobs topic
   bool Flushing_ = false;
--- a/src/daemon/OrderRouter.cpp
+++ b/src/daemon/OrderRouter.cpp
@@ -133,6 +133,10 @@
   return std::max(MinBatchInterval, core::Millis(static_cast<std::int64_t>(IntervalMs)));
 }
 
+core::Millis OrderRouter::minOrderWait() const {
+  return usesRelays() ? batchInterval() / 2 : core::Millis(0);
+}
+
 void OrderRouter::start(const fleet::ExecutorInfo &Executor, const fleet::StartOrder &Order,
                         OrderCallback OnAnswer) {
   protocol::RelayedOrder Relayed =
--- a/src/daemon/RelayTable.cpp
+++ b/src/daemon/RelayTable.cpp
@@ -71,6 +71,12 @@
   RelayOf_.clear();
   for (auto &[Address, Daemon] : Relays_)
     Daemon.Assigned_ = 0;
+  ActiveRelays_ = 0;
+}
+
+void RelayTable::unassign(Relay &Daemon) {
+  if (--Daemon.Assigned_ == 0)
+    --ActiveRelays_;
 }
 
 void RelayTable::pruneAssignments(core::TimePoint Now) {
@@ -80,7 +86,7 @@
   std::erase_if(RelayOf_, [&](const auto &Entry) {
     if (Now - Entry.second.LastUsedAt_ < AssignmentLifetime)
       return false;
-    --Relays_.find(Entry.second.PeerAddress_)->second.Assigned_;
+    unassign(Relays_.find(Entry.second.PeerAddress_)->second);
     return true;
   });
 }
@@ -112,7 +118,7 @@
     Found->second.LastUsedAt_ = Now;
     if (isAvailable(Entry->second, Now))
       return Entry->first;
-    --Entry->second.Assigned_;
+    unassign(Entry->second);
     RelayOf_.erase(Found);
   }
   auto Chosen = chooseRelay(Domain, Now);
@@ -120,7 +126,8 @@
     Chosen = chooseRelay({}, Now);
   if (Chosen == Relays_.end())
     return {};
-  ++Chosen->second.Assigned_;
+  if (Chosen->second.Assigned_++ == 0)
+    ++ActiveRelays_;
   RelayOf_.emplace(ExecutorId, Assignment{Chosen->first, Now});
   return Chosen->first;
 }
@@ -137,9 +144,4 @@
   });
 }
 
-std::size_t RelayTable::activeRelays() const {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Relays_, [](const auto &Entry) { return Entry.second.Assigned_ > 0; }));
-}
-
 } // namespace masticdrift::daemon
--- a/src/lead/DrainingExecutors.cpp
+++ b/src/lead/DrainingExecutors.cpp
@@ -87,6 +87,7 @@
     // Changes may hold the removal of a void record and after it a new one.
     Executor.StartsWithheld_ = !Change.Value_.empty();
     Executor.DrainRecord_ = Change.Value_;
+    noteChange(Executor);
     if (Executor.StartsWithheld_)
       continue;
     Executor.DrainRecordedAt_ = {};
--- a/src/lead/LimitReserve.cpp
+++ b/src/lead/LimitReserve.cpp
@@ -76,11 +76,11 @@
 }
 
 std::uint32_t slotsBesideReserve(const RoomAccount &Account, const core::Resources &Need,
-                                 core::Duration Horizon, std::uint32_t MaxTasks,
+                                 core::TimePoint By, std::uint32_t MaxTasks,
                                  const core::Resources &Limit, const core::Resources &Reserved) {
-  std::uint32_t Slots = slotsWithin(Account, Need, Horizon, MaxTasks, Reserved);
+  std::uint32_t Slots = slotsWithin(Account, Need, By, MaxTasks, Reserved);
   // The reserve is at most half of the limit, so this adds one task or none.
-  core::Resources Used = Limit - roomWithin(Account, Horizon) + Need * Slots;
+  core::Resources Used = Limit - roomWithin(Account, By) + Need * Slots;
   for (; Slots < MaxTasks && fitsBesideReserve(Used, Need, Limit, Reserved); ++Slots)
     Used += Need;
   return Slots;
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -32,6 +32,10 @@
 /// duration of the request plus this time.
 constexpr core::Millis PrefetchSlack{400};
 
+/// Time after a search among all executors for one to request advice about, without a result, in
+/// which a step does not search again. Shorter than the time in which most executors report.
+constexpr core::Millis SearchInterval{40};
+
 /// An executor with a withheld end gets no new runs from this number of unacknowledged ends on: its
 /// reports hold at most fleet::MaxReportedEnds, and each repeats all of them.
 constexpr std::size_t MaxEndsBehindWithheld = 100;
@@ -99,7 +103,9 @@
   /// Resources of tasks that an earlier leader may have started and that no executor has reported
   /// yet, by customer.
   std::unordered_map<std::string, core::Resources> UnknownUse_;
-  std::map<std::string_view, std::vector<ExecutorState *>> OpenExecutors_; ///< by pool
+  RoomIndex &Index_;
+  /// Ordinals of the executors that accept new runs, by the index of their pool.
+  std::vector<std::vector<std::uint32_t>> OpenExecutors_;
   RoomPlan Plan_;
   /// Needs for which no executor that is not fully advised has unclaimed room, by pool and label.
   std::map<std::pair<std::string_view, std::string_view>, std::vector<core::Resources>>
@@ -110,10 +116,11 @@
   /// Counts the tasks on executors that do not answer and whose leases end within the time of an
   /// advice request. The other members of a gang would still have to be stopped.
   void countLapsingTasks() {
-    Scheduler_.StatesRead_.Executors_ += Scheduler_.Executors_.size();
-    for (const auto &[Id, Executor] : Scheduler_.Executors_) {
-      if (!Executor.Silent_)
+    for (std::size_t Ordinal = 0; Ordinal < Index_.Executors_.size(); ++Ordinal) {
+      if (!Index_.Executors_[Ordinal].Silent_)
         continue;
+      const ExecutorState &Executor = *Scheduler_.ByOrdinal_[Ordinal];
+      noteRead(Executor);
       for (const auto &[Key, Lapsing] : Executor.Runs_) {
         TrackedJob *Job = Scheduler_.findJob(Lapsing.Task_);
         if (Job == nullptr || Job->Ended_ || !Job->Queue_.Advice_ ||
@@ -128,8 +135,15 @@
     }
   }
 
+  void noteRead(const ExecutorState &Executor) const {
+    ++Scheduler_.StatesRead_.Executors_;
+    Scheduler_.StatesRead_.Runs_ += Executor.Runs_.size();
+  }
+
   /// \returns the number of tasks that wait or are about to.
   std::uint32_t tasksToAdvise(const TrackedStep &Step) const {
+    if (LapsingTasks_.empty())
+      return Step.WaitingTasks_;
     const auto Found = LapsingTasks_.find(&Step);
     return Step.WaitingTasks_ + (Found == LapsingTasks_.end() ? 0 : Found->second);
   }
@@ -216,66 +230,56 @@
     });
   }
 
-  /// Collects the executors that accept new runs.
-  void listOpenExecutors() {
-    Scheduler_.StatesRead_.Executors_ += Scheduler_.Executors_.size();
-    for (auto &[Id, Executor] : Scheduler_.Executors_)
-      if (acceptsWork(Executor))
-        OpenExecutors_[Executor.Info_.Pool_].push_back(&Executor);
+  /// Takes over what has changed since the last pass, and collects the executors that accept new
+  /// runs.
+  void refreshRooms() {
+    for (const std::uint32_t Ordinal : std::exchange(Scheduler_.StaleRooms_, {}))
+      if (ExecutorState *Executor = Scheduler_.ByOrdinal_[Ordinal]) {
+        Executor->RoomStale_ = false;
+        noteRead(*Executor);
+        refresh(Index_, *Executor, acceptsWork(*Executor));
+      }
+    OpenExecutors_ = openExecutors(Index_);
   }
 
-  /// Collects the room that is free or will be released.
+  /// Begins the plan of the room that is free or will be released.
   void planRoom() {
-    Plan_.Executors_.resize(Scheduler_.ByOrdinal_.size());
-    for (const auto &[Name, Customer] : Scheduler_.Manifest_.Customers_) {
-      if (Customer.UpperLimit_ == core::Resources{})
-        continue;
-      const auto FreeOf = [](std::int64_t Limit, std::int64_t Used) {
-        return Limit == 0 ? UnlimitedRoom : Limit - Used;
-      };
-      core::Resources Used = Scheduler_.UsedByCustomer_[Name];
-      if (const auto Found = UnknownUse_.find(Name); Found != UnknownUse_.end())
-        Used += Found->second;
-      const core::Resources &Limit = Customer.UpperLimit_;
-      Plan_.Customers_[Name].Free_ = {FreeOf(Limit.MilliCores_, Used.MilliCores_),
-                                      FreeOf(Limit.MemoryMb_, Used.MemoryMb_),
-                                      FreeOf(Limit.Accelerators_, Used.Accelerators_)};
-    }
-    for (const auto &[Id, Executor] : Scheduler_.Executors_) {
-      RoomAccount &Account = Plan_.Executors_[Executor.Ordinal_];
-      Account.Free_ = Executor.Info_.Capacity_ - Executor.Used_;
-      ++Scheduler_.StatesRead_.Executors_;
-      Scheduler_.StatesRead_.Runs_ += Executor.Runs_.size();
-      for (const auto &[Key, ActiveRun] : Executor.Runs_) {
-        // A run on an executor that does not answer counts as over when the lease ends.
-        const core::TimePoint EndAt = Executor.Silent_
-                                          ? std::min(ActiveRun.ExpectedEndAt_, Executor.LeaseEnd_)
-                                          : ActiveRun.ExpectedEndAt_;
-        if (EndAt == core::TimePoint::max() || !ActiveRun.CountedInUse_)
-          continue;
-        RoomRelease Release{std::max(EndAt - Now_, core::Duration(0)), ActiveRun.Need_};
-        if (const auto Found = Plan_.Customers_.find(ActiveRun.Customer_);
-            Found != Plan_.Customers_.end())
-          Found->second.Releases_.push_back(Release);
-        if (ActiveRun.Fills_)
-          Release.Amount_.MilliCores_ = 0;
-        Account.Releases_.push_back(Release);
-      }
-      accumulateReleases(Account);
-    }
-    for (auto &[Name, Account] : Plan_.Customers_)
-      accumulateReleases(Account);
-    Plan_.CustomersAhead_ = Plan_.Customers_;
+    refreshRooms();
+    Plan_.Claimed_.resize(Index_.Executors_.size());
+  }
+
+  /// \returns the accounts of a customer's limit, those of steps that are not ready last, or null
+  /// without a limit.
+  std::pair<RoomAccount *, RoomAccount *> limitAccounts(const std::string &Name) {
+    const auto Customer = Scheduler_.Manifest_.Customers_.find(Name);
+    if (Customer == Scheduler_.Manifest_.Customers_.end() ||
+        Customer->second.UpperLimit_ == core::Resources{})
+      return {};
+    const auto [Account, IsNew] = Plan_.Customers_.try_emplace(Name);
+    if (!IsNew)
+      return {&Account->second, &Plan_.CustomersAhead_.at(Name)};
+    const auto FreeOf = [](std::int64_t Limit, std::int64_t Used) {
+      return Limit == 0 ? UnlimitedRoom : Limit - Used;
+    };
+    const core::Resources Used = usedBy(Name);
+    const core::Resources &Limit = Customer->second.UpperLimit_;
+    Account->second = accountOf(Index_, Name,
+                                {FreeOf(Limit.MilliCores_, Used.MilliCores_),
+                                 FreeOf(Limit.MemoryMb_, Used.MemoryMb_),
+                                 FreeOf(Limit.Accelerators_, Used.Accelerators_)});
+    return {&Account->second, &(Plan_.CustomersAhead_[Name] = Account->second)};
+  }
+
+  /// \returns the unclaimed room of all executors at time \p By, by ordinal.
+  const std::vector<core::Resources> &roomBy(core::TimePoint By) {
+    const auto [Rooms, IsNew] = Plan_.Executors_.try_emplace(By);
+    if (IsNew)
+      Rooms->second = roomOfExecutors(Index_, Plan_.Claimed_, By);
+    return Rooms->second;
   }
 
   bool acceptsWork(const ExecutorState &Executor) const {
-    return Executor.Listed_ && Executor.Recorded_ && Executor.Reported_ && !Executor.Silent_ &&
-           !Executor.AnswerOverdue_ && !Executor.LeaseWithheld_ && !Executor.Info_.Draining_ &&
-           !Executor.StartsWithheld_ && Now_ >= Executor.AvoidUntil_ &&
-           Executor.UnsizedRuns_ == 0 &&
-           (Executor.WithheldEnds_.empty() ||
-            Executor.UnackedEnds_.size() < MaxEndsBehindWithheld) &&
-           isEntryCurrent(Executor, Now_, Scheduler_.Timing_.MaxListDelay_);
+    return Scheduler_.acceptsWork(Executor, Now_);
   }
 
   /// \returns true when a crash of the executor could only come from a run that starts there now.
@@ -288,9 +292,11 @@
     });
   }
 
-  std::span<ExecutorState *const> openExecutorsOf(const TrackedJob &Job) const {
-    const auto Found = OpenExecutors_.find(Job.Queue_.Pool_);
-    return Found == OpenExecutors_.end() ? std::span<ExecutorState *const>() : Found->second;
+  /// \returns the ordinals of the executors that have accepted new runs when they changed last.
+  std::span<const std::uint32_t> openExecutorsOf(const TrackedJob &Job) const {
+    const auto Found = Index_.Pools_.find(Job.Queue_.Pool_);
+    return Found == Index_.Pools_.end() ? std::span<const std::uint32_t>()
+                                        : OpenExecutors_[Found->second];
   }
 
   static bool hasLabel(const ExecutorState &Executor, std::string_view Label) {
@@ -301,16 +307,20 @@
   /// Calls \p Visit with each executor on which the step may start, regardless of its free
   /// capacity: the executor accepts work and, on queues with advice, the step has a valid ticket
   /// for it.
-  template <typename Visitor>
+  /// \param Concerns decides by the ordinal whether an executor is of interest.
+  template <typename Visitor, typename Filter>
   void visitAllowed(const TrackedJob &Job, const TrackedStep &Step, const work::StepSpec &Spec,
-                    Visitor Visit) const {
+                    Filter Concerns, Visitor Visit) const {
     if (!Job.Queue_.Advice_) {
-      for (ExecutorState *Executor : openExecutorsOf(Job))
-        if (hasLabel(*Executor, Spec.RequiredLabel_))
-          Visit(*Executor);
+      for (const std::uint32_t Ordinal : openExecutorsOf(Job))
+        if (ExecutorState &Executor = *Scheduler_.ByOrdinal_[Ordinal];
+            Concerns(Ordinal) && acceptsWork(Executor) && hasLabel(Executor, Spec.RequiredLabel_))
+          Visit(Executor);
       return;
     }
     for (const auto &[Ordinal, Advice] : Step.Advice_) {
+      if (!Advice.Allowed_ || !Concerns(Ordinal))
+        continue;
       ExecutorState *Executor = Scheduler_.ByOrdinal_[Ordinal];
       if (Executor != nullptr && isValid(Advice, *Executor) && acceptsWork(*Executor) &&
           Executor->Info_.Pool_ == Job.Queue_.Pool_ && hasLabel(*Executor, Spec.RequiredLabel_))
@@ -318,6 +328,20 @@
     }
   }
 
+  template <typename Visitor>
+  void visitAllowed(const TrackedJob &Job, const TrackedStep &Step, const work::StepSpec &Spec,
+                    Visitor Visit) const {
+    visitAllowed(
+        Job, Step, Spec, [](std::uint32_t) { return true; }, Visit);
+  }
+
+  /// \returns true when the executor had room for a task of the step when the pass began. It has
+  /// no more since, because runs are only added.
+  bool hadRoom(std::uint32_t Ordinal, const work::StepSpec &Spec) const {
+    return Ordinal < Index_.Executors_.size() &&
+           core::fits(executorNeed(Spec), Index_.Executors_[Ordinal].Account_.Free_);
+  }
+
   bool isValid(const ExecutorAdvice &Advice, const ExecutorState &Executor) const {
     return Advice.Allowed_ && Advice.Incarnation_ == Executor.Incarnation_ &&
            Now_ < Advice.ValidUntil_;
@@ -346,6 +370,8 @@
   /// \returns true when a filling task and a task with a response time target would share the
   /// executor.
   bool interferes(const ExecutorState &Executor, const work::StepSpec &Spec) const {
+    if (!Spec.BestEffort_ && Spec.TargetMs_ == 0)
+      return false;
     return std::ranges::any_of(Executor.Runs_, [&](const auto &Entry) {
       return (Spec.BestEffort_ && Entry.second.HasResponseTarget_) ||
              (Spec.TargetMs_ > 0 && Entry.second.Fills_);
@@ -393,7 +419,8 @@
     const bool AvoidsCrashed = Isolated && hasUncrashedExecutor(Waiting, Step, Spec, Task);
     ExecutorState *Best = nullptr;
     double LowestCost = std::numeric_limits<double>::infinity();
-    visitAllowed(Job, Step, Spec, [&](ExecutorState &Executor) {
+    const auto HadRoom = [&](std::uint32_t Ordinal) { return hadRoom(Ordinal, Spec); };
+    visitAllowed(Job, Step, Spec, HadRoom, [&](ExecutorState &Executor) {
       if (freeSlots(Executor, Step, Spec, 1) == 0 || Executor.Trial_ ||
           (!Rack.empty() && fleet::rackOf(Executor.Info_) != Rack) ||
           (Spec.BestEffort_ && interferes(Executor, Spec)) ||
@@ -555,9 +582,7 @@
       return Exceeded;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
-      for (const auto &[Id, Executor] : Scheduler_.Executors_)
-        if (std::ranges::find(Racks, fleet::rackOf(Executor.Info_)) == Racks.end())
-          Racks.emplace_back(fleet::rackOf(Executor.Info_));
+      Racks = racksWithRoom(Waiting, Step, Spec);
     Racks.emplace_back(); // no rack in particular, as the last choice
     bool Suspect = false;
     for (std::uint32_t I = 0; I < Spec.TaskCount_; ++I) {
@@ -573,6 +598,17 @@
     return WaitReason::NoRoom;
   }
 
+  /// \returns the racks in which the step may start, in the order of their names.
+  std::vector<std::string> racksWithRoom(const Candidate &Waiting, const TrackedStep &Step,
+                                         const work::StepSpec &Spec) const {
+    std::set<std::string_view> Racks;
+    visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
+      if (freeSlots(Executor, Step, Spec, 1) > 0)
+        Racks.insert(fleet::rackOf(Executor.Info_));
+    });
+    return {Racks.begin(), Racks.end()};
+  }
+
   static work::TaskRef memberOf(const Candidate &Waiting, std::uint32_t Index) {
     return {Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, Index};
   }
@@ -611,18 +647,18 @@
     return true;
   }
 
-  /// \returns how many more tasks of the step will fit on the executor by the end of \p Horizon
-  /// beside what other steps have claimed, at most \p MaxTasks.
-  std::uint32_t unclaimedSlots(const ExecutorState &Executor, const TrackedStep &Step,
-                               const work::StepSpec &Spec, core::Duration Horizon,
-                               std::uint32_t MaxTasks) const {
+  /// \returns how many more tasks of the step will fit on an executor at time \p By beside what
+  /// other steps have claimed, at most \p MaxTasks.
+  std::uint32_t unclaimedSlots(std::uint32_t Ordinal, const TrackedStep &Step,
+                               const work::StepSpec &Spec, core::TimePoint By,
+                               std::uint32_t MaxTasks) {
     if (Spec.MaxPerExecutor_ > 0) {
-      const auto Found = Step.RunsPerExecutor_.find(Executor.Ordinal_);
+      const auto Found = Step.RunsPerExecutor_.find(Ordinal);
       const std::uint32_t RunsHere = Found == Step.RunsPerExecutor_.end() ? 0 : Found->second;
       MaxTasks =
           std::min(MaxTasks, Spec.MaxPerExecutor_ - std::min(Spec.MaxPerExecutor_, RunsHere));
     }
-    return slotsWithin(Plan_.Executors_[Executor.Ordinal_], executorNeed(Spec), Horizon, MaxTasks);
+    return slotsIn(roomBy(By)[Ordinal], executorNeed(Spec), MaxTasks);
   }
 
   /// \returns what a task of the step takes of an executor's capacity.
@@ -635,43 +671,44 @@
 
   /// Claims room on an executor for at most \p MaxTasks tasks of the step.
   /// \returns the number of tasks.
-  std::uint32_t claimSlots(const ExecutorState &Executor, const TrackedStep &Step,
-                           const work::StepSpec &Spec, core::Duration Horizon,
-                           std::uint32_t MaxTasks) {
-    const std::uint32_t Slots = unclaimedSlots(Executor, Step, Spec, Horizon, MaxTasks);
-    claim(Plan_.Executors_[Executor.Ordinal_], executorNeed(Spec), Slots);
+  std::uint32_t claimSlots(std::uint32_t Ordinal, const TrackedStep &Step,
+                           const work::StepSpec &Spec, core::TimePoint By, std::uint32_t MaxTasks) {
+    if (MaxTasks == 0)
+      return 0;
+    const std::uint32_t Slots = unclaimedSlots(Ordinal, Step, Spec, By, MaxTasks);
+    claim(Plan_, Ordinal, executorNeed(Spec), Slots);
     return Slots;
   }
 
   /// \returns how many tasks of the step that wait, or are about to, its customer's limit will
-  /// allow to start by the end of \p Horizon.
+  /// allow to start by the time \p By.
   std::uint32_t tasksWithinLimit(const Candidate &Waiting, const TrackedStep &Step,
-                                 const work::StepSpec &Spec, core::Duration Horizon) const {
-    const auto &Accounts = Step.Ready_ ? Plan_.Customers_ : Plan_.CustomersAhead_;
-    const auto Found = Accounts.find(Waiting.Job_->Acceptance_.Customer_);
-    if (Found == Accounts.end())
+                                 const work::StepSpec &Spec, core::TimePoint By) {
+    const std::string &Customer = Waiting.Job_->Acceptance_.Customer_;
+    const auto [Account, AccountAhead] = limitAccounts(Customer);
+    if (Account == nullptr)
       return tasksToAdvise(Step);
+    const RoomAccount &Room = Step.Ready_ ? *Account : *AccountAhead;
     // A gang starts as a whole.
     const std::uint32_t StartedTogether = Spec.Gang_ ? Step.WaitingTasks_ : 1;
     const core::Resources Need = Spec.Need_ * StartedTogether;
     const std::uint32_t MaxStarts = tasksToAdvise(Step) / StartedTogether;
     if (Waiting.Job_->Queue_.Priority_ == 0)
-      return StartedTogether * slotsWithin(Found->second, Need, Horizon, MaxStarts);
-    const core::Resources &Limit =
-        Scheduler_.Manifest_.Customers_.find(Found->first)->second.UpperLimit_;
-    return StartedTogether * slotsBesideReserve(Found->second, Need, Horizon, MaxStarts, Limit,
-                                                reservedFor(Found->first, Limit));
+      return StartedTogether * slotsWithin(Room, Need, By, MaxStarts);
+    const core::Resources &Limit = Scheduler_.Manifest_.Customers_.at(Customer).UpperLimit_;
+    return StartedTogether *
+           slotsBesideReserve(Room, Need, By, MaxStarts, Limit, reservedFor(Customer, Limit));
   }
 
   /// Claims the customer's limit for \p Tasks tasks of the step.
   void claimLimit(const Candidate &Waiting, const TrackedStep &Step, const work::StepSpec &Spec,
                   std::uint32_t Tasks) {
-    const std::string &Customer = Waiting.Job_->Acceptance_.Customer_;
-    if (!Plan_.Customers_.contains(Customer))
+    const auto [Account, AccountAhead] = limitAccounts(Waiting.Job_->Acceptance_.Customer_);
+    if (Account == nullptr)
       return;
     if (Step.Ready_)
-      claim(Plan_.Customers_[Customer], Spec.Need_, Tasks);
-    claim(Plan_.CustomersAhead_[Customer], Spec.Need_, Tasks);
+      claim(*Account, Spec.Need_, Tasks);
+    claim(*AccountAhead, Spec.Need_, Tasks);
   }
 
   bool mayCallAdviser(double CallTimeMs) const {
@@ -696,48 +733,58 @@
     if (!Waiting.Job_->Queue_.Advice_)
       return WaitReason::NoRoom;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
-    const core::Duration Horizon = adviceHorizon(Policy);
-    const std::uint32_t Wanted = tasksWithinLimit(Waiting, Step, Spec, Horizon);
+    const core::TimePoint By = Now_ + adviceHorizon(Policy);
+    const std::uint32_t Wanted = tasksWithinLimit(Waiting, Step, Spec, By);
     Waiting.Figures_.Wanted_ = Wanted;
     if (Wanted == 0)
       return WaitReason::CustomerLimit;
     claimLimit(Waiting, Step, Spec, Wanted);
     std::uint32_t Covered = 0;
-    visitAllowed(*Waiting.Job_, Step, Spec, [&](const ExecutorState &Executor) {
-      Covered += claimSlots(Executor, Step, Spec, Horizon, Wanted - Covered);
+    const auto IsMissing = [&](std::uint32_t) { return Covered < Wanted; };
+    visitAllowed(*Waiting.Job_, Step, Spec, IsMissing, [&](const ExecutorState &Executor) {
+      Covered += claimSlots(Executor.Ordinal_, Step, Spec, By, Wanted - Covered);
     });
     Waiting.Figures_.Covered_ = Covered;
     if (Step.AdvicePending_) {
       for (const std::uint32_t Ordinal : Step.AskedExecutors_)
-        if (const ExecutorState *Executor = Scheduler_.ByOrdinal_[Ordinal])
-          Covered += claimSlots(*Executor, Step, Spec, Horizon, Wanted - Covered);
+        if (Scheduler_.ByOrdinal_[Ordinal] != nullptr)
+          Covered += claimSlots(Ordinal, Step, Spec, By, Wanted - Covered);
       return WaitReason::AdvicePending;
     }
     if (Covered >= Wanted)
       return WaitReason::Covered;
     if (Now_ < Step.AdviceRetryAt_)
       return WaitReason::RetryDelay;
+    if (Now_ < Step.NextSearchAt_)
+      return Step.Wait_.Reason_;
     if (isExhausted(*Waiting.Job_, Spec))
       return WaitReason::ExhaustedNeed;
+    if (!mayCallAdviser(Policy.FixedMs_))
+      return WaitReason::CallLimit;
     std::vector<std::pair<double, const ExecutorState *>> Unadvised;
     bool AnyRoom = false;
-    Scheduler_.StatesRead_.Executors_ += openExecutorsOf(*Waiting.Job_).size();
-    for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_)) {
-      if (!hasLabel(*Executor, Spec.RequiredLabel_) ||
-          unclaimedSlots(*Executor, Step, Spec, Horizon, 1) == 0)
+    const std::vector<core::Resources> &Rooms = roomBy(By);
+    const core::Resources Need = executorNeed(Spec);
+    for (const std::uint32_t Ordinal : openExecutorsOf(*Waiting.Job_)) {
+      if (!core::fits(Need, Rooms[Ordinal]) || unclaimedSlots(Ordinal, Step, Spec, By, 1) == 0)
+        continue;
+      const ExecutorState &Executor = *Scheduler_.ByOrdinal_[Ordinal];
+      if (!hasLabel(Executor, Spec.RequiredLabel_))
         continue;
       AnyRoom = true;
-      const auto Found = Step.Advice_.find(Executor->Ordinal_);
+      const auto Found = Step.Advice_.find(Ordinal);
       if (Found == Step.Advice_.end() ||
-          (Found->second.Allowed_ && !isValid(Found->second, *Executor)))
-        Unadvised.emplace_back(placementCost(*Executor, Spec, {}), Executor);
+          (Found->second.Allowed_ && !isValid(Found->second, Executor)))
+        Unadvised.emplace_back(placementCost(Executor, Spec, {}), &Executor);
     }
     if (!AnyRoom && Spec.MaxPerExecutor_ == 0)
       ExhaustedNeeds_[{Waiting.Job_->Queue_.Pool_, Spec.RequiredLabel_}].push_back(
           executorNeed(Spec));
-    if (Unadvised.empty())
+    if (Unadvised.empty()) {
+      Step.NextSearchAt_ = Now_ + SearchInterval;
       return AnyRoom ? WaitReason::AllAdvised : WaitReason::NoRoom;
-    return callAdviser(Waiting, Step, Spec, Horizon, Wanted - Covered, std::move(Unadvised))
+    }
+    return callAdviser(Waiting, Step, Spec, By, Wanted - Covered, std::move(Unadvised))
                ? WaitReason::AdvicePending
                : WaitReason::CallLimit;
   }
@@ -746,20 +793,23 @@
   /// \param Wanted number of tasks that need an executor.
   /// \returns false when the limit of calls does not allow it.
   bool callAdviser(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
-                   core::Duration Horizon, std::uint32_t Wanted,
+                   core::TimePoint By, std::uint32_t Wanted,
                    std::vector<std::pair<double, const ExecutorState *>> Unadvised) {
-    std::ranges::sort(Unadvised, {}, &std::pair<double, const ExecutorState *>::first);
+    const std::size_t MaxChosen = std::min(Unadvised.size(), MaxExecutorsPerCall);
+    std::ranges::partial_sort(
+        Unadvised, Unadvised.begin() + static_cast<std::ptrdiff_t>(MaxChosen), {},
+        [](const auto &Entry) { return std::pair(Entry.first, Entry.second->Ordinal_); });
+    Unadvised.resize(MaxChosen);
     const double MissingSlots = Wanted * AdviceReserveFactor;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
     const auto MinExecutors = static_cast<std::size_t>(MinExecutorTimeFraction * Policy.FixedMs_ /
                                                        std::max(Policy.PerExecutorMs_, 0.1));
     std::vector<const ExecutorState *> Chosen;
     for (double ExpectedSlots = 0; const auto &[Cost, Executor] : Unadvised) {
-      if ((ExpectedSlots >= MissingSlots && Chosen.size() >= MinExecutors) ||
-          Chosen.size() >= MaxExecutorsPerCall)
+      if (ExpectedSlots >= MissingSlots && Chosen.size() >= MinExecutors)
         break;
       const bool HasTicket = Step.Advice_.contains(Executor->Ordinal_);
-      ExpectedSlots += unclaimedSlots(*Executor, Step, Spec, Horizon, Wanted) *
+      ExpectedSlots += unclaimedSlots(Executor->Ordinal_, Step, Spec, By, Wanted) *
                        (HasTicket ? 1.0 : adviceYield(*Waiting.Job_));
       Chosen.push_back(Executor);
     }
@@ -770,7 +820,7 @@
     std::vector<std::string> ExecutorIds;
     Step.AskedExecutors_.clear();
     for (const ExecutorState *Executor : Chosen) {
-      Wanted -= claimSlots(*Executor, Step, Spec, Horizon, Wanted);
+      Wanted -= claimSlots(Executor->Ordinal_, Step, Spec, By, Wanted);
       ExecutorIds.push_back(Executor->Info_.Id_);
       Step.AskedExecutors_.push_back(Executor->Ordinal_);
     }
@@ -873,9 +923,10 @@
       ++Figures.Tickets_;
       Figures.TicketsWithRoom_ += freeSlots(Executor, Step, Spec, 1);
     });
-    for (const ExecutorState *Executor : openExecutorsOf(*Waiting.Job_))
-      if (hasLabel(*Executor, Spec.RequiredLabel_))
-        Figures.OpenWithRoom_ += freeSlots(*Executor, Step, Spec, 1);
+    for (const std::uint32_t Ordinal : openExecutorsOf(*Waiting.Job_))
+      if (const ExecutorState &Executor = *Scheduler_.ByOrdinal_[Ordinal];
+          hasLabel(Executor, Spec.RequiredLabel_))
+        Figures.OpenWithRoom_ += freeSlots(Executor, Step, Spec, 1);
     if (const auto Customer =
             Scheduler_.Manifest_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
         Customer != Scheduler_.Manifest_.Customers_.end()) {
@@ -889,11 +940,19 @@
   }
 }
 
+bool Scheduler::acceptsWork(const ExecutorState &Executor, core::TimePoint Now) const {
+  return Executor.Listed_ && Executor.Recorded_ && Executor.Reported_ && !Executor.Silent_ &&
+         !Executor.AnswerOverdue_ && !Executor.LeaseWithheld_ && !Executor.Info_.Draining_ &&
+         !Executor.StartsWithheld_ && Now >= Executor.AvoidUntil_ && Executor.UnsizedRuns_ == 0 &&
+         (Executor.WithheldEnds_.empty() || Executor.UnackedEnds_.size() < MaxEndsBehindWithheld) &&
+         isEntryCurrent(Executor, Now, Timing_.MaxListDelay_);
+}
+
 void Scheduler::place(core::TimePoint Now, std::int64_t WallMs) {
   PlacementDue_ = false;
   NextPlacementAt_ = Now + PlacementInterval;
-  PlacementPass Pass{*this, Now, {}, {}, {}, {}, {}};
-  Pass.listOpenExecutors();
+  PlacementPass Pass{*this, Now, {}, Rooms_, {}, {}, {}, {}};
+  Pass.refreshRooms();
   Pass.countLapsingTasks();
   Pass.sumUnknownUse(WallMs);
   Pass.updatePeaks();
--- a/src/lead/Reports.cpp
+++ b/src/lead/Reports.cpp
@@ -33,6 +33,7 @@
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
+  noteChange(Executor);
   if (SentAt < Executor.HoldsValidSince_) {
     noticeIncarnation(Executor, Report, Now);
     return;
@@ -94,6 +95,7 @@
   for (const fleet::ReportedEnd &Row : Report.Ended_)
     Executor.ReportedEnds_.emplace_back(Row.Task_, Row.Run_);
   Executor.ReportFull_ = Report.Ended_.size() >= fleet::MaxReportedEnds;
+  EndsHidden_ = EndsHidden_ || Executor.ReportFull_;
   Executor.LastAnswerAt_ = Now;
   Executor.ClockMs_ = Report.ClockMs_;
   Executor.ClockReadAt_ = Now;
@@ -118,6 +120,7 @@
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
+  noteChange(Executor);
   noticeIncarnation(Executor, Report, Now);
   processLateEnds(Executor, Report, Now);
   if (!Executor.AnswerOverdue_ || !Executor.Reported_ || Executor.Silent_ ||
@@ -181,16 +184,30 @@
     // Later ends are processed, so that their tasks do not start again, but not acknowledged,
     // because an acknowledgement covers all ends before it.
     Executor.PostponedEnds_.push_back(Row);
+    WithUnknownJobs_.insert(Executor.Ordinal_);
     if (Row.SequenceNumber_ <= Executor.ProcessedEnd_)
       continue;
     Executor.ProcessedEnd_ = Row.SequenceNumber_;
-    Executor.UnackedEnds_.emplace_back(Row.SequenceNumber_, NoFlush);
+    noteUnackedEnd(Executor, Row.SequenceNumber_, NoFlush);
   }
 }
 
+void Scheduler::noteUnackedEnd(ExecutorState &Executor, std::uint64_t SequenceNumber,
+                               std::uint64_t Flush) {
+  Executor.UnackedEnds_.emplace_back(SequenceNumber, Flush);
+  WithUnackedEnds_.insert(Executor.Ordinal_);
+}
+
 /// Applies what executors reported about runs of the job before its record was read.
 void Scheduler::reconcileLateJob(TrackedJob &Job, core::TimePoint Now) {
-  for (auto &[Id, Executor] : Executors_) {
+  // A copy, because processEnds() may add executors that have unknown jobs left.
+  for (const std::uint32_t Ordinal : std::set<std::uint32_t>(WithUnknownJobs_)) {
+    if (ByOrdinal_[Ordinal] == nullptr ||
+        (ByOrdinal_[Ordinal]->UnsizedRuns_ == 0 && ByOrdinal_[Ordinal]->PostponedEnds_.empty())) {
+      WithUnknownJobs_.erase(Ordinal);
+      continue;
+    }
+    ExecutorState &Executor = *ByOrdinal_[Ordinal];
     ++StatesRead_.Executors_;
     StatesRead_.Runs_ += Executor.Runs_.size();
     std::vector<Run> EarlyRuns;
@@ -288,7 +305,7 @@
   if (Postponed != Executor.UnackedEnds_.end())
     Postponed->second = Flush;
   else
-    Executor.UnackedEnds_.emplace_back(End.SequenceNumber_, Flush);
+    noteUnackedEnd(Executor, End.SequenceNumber_, Flush);
   // Ends without a durable effect are acknowledged with the next hold request.
   while (!Executor.UnackedEnds_.empty() && Executor.UnackedEnds_.front().second <= DurableFlush_) {
     Executor.DurableEnd_ = Executor.UnackedEnds_.front().first;
@@ -383,7 +400,7 @@
   const auto Postponed =
       std::ranges::find(Executor.UnackedEnds_, std::pair(End.SequenceNumber_, NoFlush));
   if (Postponed == Executor.UnackedEnds_.end())
-    Executor.UnackedEnds_.emplace_back(End.SequenceNumber_, NoFlush);
+    noteUnackedEnd(Executor, End.SequenceNumber_, NoFlush);
 }
 
 /// Logs a run of this term that the leader took for over. Its task may have been started again.
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -4,6 +4,7 @@
 #include "masticdrift/lead/detail/Times.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace masticdrift::lead {
 
@@ -81,6 +82,7 @@
                 describeCapacityChange(Executor, Info.Capacity_));
   Executor.Info_ = Info;
   Executor.Listed_ = true;
+  noteChange(Executor);
   PlacementDue_ = true;
 }
 
@@ -89,6 +91,7 @@
   if (Found == Executors_.end() || !Found->second.Listed_)
     return;
   Found->second.Listed_ = false;
+  noteChange(Found->second);
 }
 
 void Scheduler::onInheritedExecutor(std::string_view Id, std::string_view Address) {
@@ -116,12 +119,14 @@
   if (Found == Executors_.end() || Found->second.Info_.Address_ != Address)
     return;
   Found->second.Recorded_ = true;
+  noteChange(Found->second);
   Unrecorded_.erase(Found->first);
   PlacementDue_ = true;
 }
 
 void Scheduler::onHeartbeatStored(core::TimePoint SentAt) {
   ConfirmedAt_ = std::max(ConfirmedAt_, SentAt);
+  NextSweepAt_ = {}; // leases may be over by it
 }
 
 /// A later leader may start the tasks of an executor that it does not reach once all leases of this
@@ -138,9 +143,12 @@
   return Executor.GrantedUntilMs_;
 }
 
-void Scheduler::extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) const {
+void Scheduler::extendLeaseEnd(ExecutorState &Executor, core::TimePoint Now) {
   Executor.LeaseEnd_ =
       std::max(Executor.LeaseEnd_, Now + leaseUpperBound(Timing_.Lease_, Timing_.ClockRateMargin_));
+  EndsHidden_ = EndsHidden_ || Executor.ReportFull_;
+  if (Executor.Silent_)
+    noteRoomChange(Executor);
 }
 
 bool Scheduler::awaitsHeartbeat(core::TimePoint Now) const {
@@ -160,8 +168,10 @@
   NewRun.State_ = State;
   NewRun.OrderedAt_ = Now;
   NewRun.Progress_.StartedAt_ = Now;
+  noteChange(Executor);
   if (Job == nullptr) {
     ++Executor.UnsizedRuns_;
+    WithUnknownJobs_.insert(Executor.Ordinal_);
     return NewRun;
   }
   const work::StepSpec &Spec = stepSpec(*Job, Task);
@@ -194,6 +204,7 @@
   if (Found == Executor.Runs_.end())
     return;
   settleAssumedRun(Found->second);
+  noteChange(Executor);
   const Run Removed = std::move(Found->second);
   Executor.Runs_.erase(Found);
   Executor.UnsizedRuns_ -= Removed.CountedInUse_ ? 0 : 1;
@@ -284,33 +295,59 @@
   ActiveRun.State_ = RunState::Stopping;
   ActiveRun.OrderRetryAt_ = Now;
   Executor.OrdersPending_ = true;
+  noteDue(Executor);
   logDecision("stop", ActiveRun.Task_, ActiveRun.Number_, Executor.Info_.Id_, Reason);
   if (!ActiveRun.OrderInFlight_)
     sendStop(Executor, ActiveRun, Now);
 }
 
+std::vector<ExecutorState *> Scheduler::executorsWithRunsOf(const TrackedStep &Step) {
+  std::vector<ExecutorState *> Found;
+  for (const auto &[Ordinal, Runs] : Step.RunsPerExecutor_)
+    if (Runs > 0)
+      Found.push_back(ByOrdinal_[Ordinal]);
+  // Not in the order of the hash table, so that orders go out in the same order each time.
+  std::ranges::sort(Found, {}, &ExecutorState::Ordinal_);
+  return Found;
+}
+
+template <typename Visitor>
+void Scheduler::visitRuns(ExecutorState &Executor, const work::TaskRef &First,
+                          const work::TaskRef &Last, Visitor Visit) {
+  ++StatesRead_.Executors_;
+  for (auto Entry = Executor.Runs_.lower_bound({First, 0});
+       Entry != Executor.Runs_.end() && !(Last < Entry->first.first); ++Entry) {
+    ++StatesRead_.Runs_;
+    Visit(Entry->second);
+  }
+}
+
 void Scheduler::stopJobRuns(TrackedJob &Job, std::string_view Reason, core::TimePoint Now) {
   if (Job.ActiveRuns_ == 0)
     return;
-  for (auto &[Id, Executor] : Executors_) {
-    ++StatesRead_.Executors_;
-    StatesRead_.Runs_ += Executor.Runs_.size();
-    for (auto &[Key, ActiveRun] : Executor.Runs_)
-      if (ActiveRun.Task_.Job_ == Job.Id_)
-        stopRun(Executor, ActiveRun, Reason, Now);
-  }
+  for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K)
+    for (std::uint32_t I = 0; I < Job.Occurrences_[K].Steps_.size(); ++I)
+      stopStepRuns(Job, {Job.Id_, K, I, 0}, Reason, Now);
 }
 
 void Scheduler::stopStepRuns(TrackedJob &Job, const work::TaskRef &Task, std::string_view Reason,
                              core::TimePoint Now) {
-  for (auto &[Id, Executor] : Executors_) {
-    ++StatesRead_.Executors_;
-    StatesRead_.Runs_ += Executor.Runs_.size();
-    for (auto &[Key, ActiveRun] : Executor.Runs_)
-      if (ActiveRun.Task_.Job_ == Job.Id_ && ActiveRun.Task_.Occurrence_ == Task.Occurrence_ &&
-          ActiveRun.Task_.Step_ == Task.Step_)
-        stopRun(Executor, ActiveRun, Reason, Now);
-  }
+  const TrackedStep &Step = Job.Occurrences_[Task.Occurrence_].Steps_[Task.Step_];
+  const work::TaskRef First{Job.Id_, Task.Occurrence_, Task.Step_, 0};
+  work::TaskRef Last = First;
+  Last.Index_ = std::numeric_limits<std::uint32_t>::max();
+  for (ExecutorState *Executor : executorsWithRunsOf(Step))
+    visitRuns(*Executor, First, Last,
+              [&](Run &ActiveRun) { stopRun(*Executor, ActiveRun, Reason, Now); });
+}
+
+/// Stops all runs of a task except \p EndedRun.
+void Scheduler::stopCopies(const work::TaskRef &Task, std::uint64_t EndedRun, core::TimePoint Now) {
+  for (ExecutorState *Executor : executorsWithRunsOf(*findStep(*findJob(Task), Task)))
+    visitRuns(*Executor, Task, Task, [&](Run &ActiveRun) {
+      if (ActiveRun.Number_ != EndedRun)
+        stopRun(*Executor, ActiveRun, "another run of the task has completed", Now);
+    });
 }
 
 void Scheduler::onStartResult(std::string_view ExecutorId, const RunKey &Key, OrderOutcome Outcome,
@@ -322,6 +359,7 @@
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
+  noteChange(Executor);
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   settleStart(Executor, Key, Outcome, Now);
   noticeClock(Executor, Outcome, ClockMs, SentAt, Now);
@@ -420,6 +458,8 @@
   logDecision("executor_reborn", {}, 0, Executor.Info_.Id_, Evidence);
   Executor.LeaseEnd_ = std::max(Executor.LeaseEnd_,
                                 Now + leaseUpperBound(Timing_.MaxLease_, Timing_.ClockRateMargin_));
+  EndsHidden_ = EndsHidden_ || Executor.ReportFull_;
+  noteChange(Executor);
   // The report was requested already; another request would make the answer outdated.
   if (!Executor.Reported_)
     return;
@@ -434,6 +474,7 @@
   if (Entry == Executors_.end())
     return;
   ExecutorState &Executor = Entry->second;
+  noteChange(Executor);
   Fenced_ = Fenced_ || Outcome == OrderOutcome::Fenced;
   noticeClock(Executor, Outcome, ClockMs, SentAt, Now);
   const auto Found = Executor.Runs_.find(Key);
@@ -462,6 +503,7 @@
   Executor.Used_ = {};
   Executor.FillMilliCores_ = 0;
   Executor.NextHoldAt_ = Now;
+  noteChange(Executor);
 }
 
 void Scheduler::tickExecutor(ExecutorState &Executor, core::TimePoint Now) {
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -1,6 +1,7 @@
 #include "masticdrift/lead/Scheduler.h"
 
 #include "masticdrift/lead/Capacity.h"
+#include "masticdrift/lead/detail/Times.h"
 
 #include <algorithm>
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+using detail::isUnset;
+
 /// Number of executors per advice request that the completion objective assumes.
 constexpr int AdviceExecutorsPerCall = 30;
 /// A job has no value once its objective is exceeded by this factor.
@@ -364,16 +367,22 @@
 void Scheduler::onFlushed(std::uint64_t Flush, core::TimePoint Now) {
   DurableFlush_ = std::max(DurableFlush_, Flush);
   PlacementDue_ = true;
-  StatesRead_.Executors_ += Executors_.size();
-  for (auto &[Id, Executor] : Executors_) {
+  StatesRead_.Executors_ += WithUnackedEnds_.size();
+  std::erase_if(WithUnackedEnds_, [&](std::uint32_t Ordinal) {
+    if (ByOrdinal_[Ordinal] == nullptr)
+      return true;
+    ExecutorState &Executor = *ByOrdinal_[Ordinal];
     auto &Unacked = Executor.UnackedEnds_;
     std::size_t Count = 0;
     while (Count < Unacked.size() && Unacked[Count].second <= DurableFlush_)
       Executor.DurableEnd_ = std::max(Executor.DurableEnd_, Unacked[Count++].first);
     Unacked.erase(Unacked.begin(), Unacked.begin() + static_cast<std::ptrdiff_t>(Count));
-    if (Count > 0)
+    if (Count > 0) {
       Executor.NextHoldAt_ = std::min(Executor.NextHoldAt_, Now);
-  }
+      noteChange(Executor);
+    }
+    return Unacked.empty();
+  });
 }
 
 /// \returns true when the end of a job is durable and none of its runs may still be under way.
@@ -397,39 +406,86 @@
          ConfirmedAt_ >= Executor.LeaseEnd_;
 }
 
+void Scheduler::noteDue(ExecutorState &Executor) {
+  if (!std::exchange(Executor.Changed_, true))
+    Changed_.push_back(Executor.Ordinal_);
+}
+
+void Scheduler::noteRoomChange(ExecutorState &Executor) {
+  if (!std::exchange(Executor.RoomStale_, true))
+    StaleRooms_.push_back(Executor.Ordinal_);
+}
+
+void Scheduler::noteChange(ExecutorState &Executor) {
+  noteDue(Executor);
+  noteRoomChange(Executor);
+}
+
+void Scheduler::serve(ExecutorState &Executor, core::TimePoint Now) {
+  ++StatesRead_.Executors_;
+  Executor.Changed_ = false;
+  tickExecutor(Executor, Now);
+  const bool HoldDue = !Executor.HoldInFlight_ && Executor.NextHoldAt_ < NextSweepAt_;
+  const bool ReportDue = !isUnset(Executor.ReportDueAt_) && Executor.ReportDueAt_ < NextSweepAt_;
+  if (HoldDue || ReportDue || Executor.OrdersPending_)
+    noteDue(Executor);
+}
+
+void Scheduler::forget(ExecutorState &Executor) {
+  const std::string Id = Executor.Info_.Id_;
+  ByOrdinal_[Executor.Ordinal_] = nullptr;
+  remove(Rooms_, Executor.Ordinal_);
+  Unrecorded_.erase(Id);
+  Executors_.erase(Id);
+}
+
 void Scheduler::advance(core::TimePoint Now, std::int64_t WallMs) {
   if (Fenced_)
     return;
+  if (Now >= NextSweepAt_) {
+    sweep(Now, WallMs);
+    return;
+  }
+  for (const std::uint32_t Ordinal : std::exchange(Changed_, {}))
+    if (ByOrdinal_[Ordinal] != nullptr)
+      serve(*ByOrdinal_[Ordinal], Now);
+}
+
+void Scheduler::sweep(core::TimePoint Now, std::int64_t WallMs) {
+  NextSweepAt_ = Now + Timing_.SweepInterval_;
   // A job that was stored before its runs lapsed has been read by then, or does not exist.
   std::erase_if(LapsedBeforeRead_,
                 [this](const auto &Entry) { return Entry.second.LapsedAt_ < JobsReadUpTo_; });
-  std::vector<std::string> Forgotten;
-  StatesRead_.Executors_ += Executors_.size();
-  for (auto &[Id, Executor] : Executors_) {
-    tickExecutor(Executor, Now);
-    if (mayForget(Executor))
-      Forgotten.push_back(Id);
-  }
-  for (const std::string &Id : Forgotten) {
-    ByOrdinal_[Executors_.at(Id).Ordinal_] = nullptr;
-    Unrecorded_.erase(Id);
-    Executors_.erase(Id);
+  for (const std::uint32_t Ordinal : std::exchange(Changed_, {}))
+    if (ByOrdinal_[Ordinal] != nullptr)
+      ByOrdinal_[Ordinal]->Changed_ = false;
+  std::vector<ExecutorState *> Forgotten;
+  for (ExecutorState *Executor : ByOrdinal_) {
+    if (Executor == nullptr)
+      continue;
+    serve(*Executor, Now);
+    if (mayForget(*Executor))
+      Forgotten.push_back(Executor);
+    if (acceptsWork(*Executor, Now) != isOpen(Rooms_, Executor->Ordinal_))
+      noteRoomChange(*Executor);
   }
+  for (ExecutorState *Executor : Forgotten)
+    forget(*Executor);
   const bool WasAccounted = Accounted_;
   updateAccounted(Now, WallMs);
   if (Accounted_ && !WasAccounted)
     for (auto &[Id, Job] : Jobs_)
       stopIncompleteGangs(Job, Now);
-  EndsHidden_ = std::ranges::any_of(Executors_, [this](const auto &Entry) {
-    const ExecutorState &Executor = Entry.second;
-    const bool Answers = Executor.Reported_ && !Executor.Silent_;
-    return Executor.ReportFull_ && (Answers || ConfirmedAt_ < Executor.LeaseEnd_);
-  });
-  StatesRead_.Executors_ += 2 * Executors_.size();
+  StatesRead_.Executors_ += Executors_.size();
+  EndsHidden_ = false;
   std::set<std::string_view> JobsWithOpenStarts;
-  for (const auto &[Id, Executor] : Executors_)
+  for (const auto &[Id, Executor] : Executors_) {
+    const bool Answers = Executor.Reported_ && !Executor.Silent_;
+    EndsHidden_ =
+        EndsHidden_ || (Executor.ReportFull_ && (Answers || ConfirmedAt_ < Executor.LeaseEnd_));
     for (const auto &[Key, Open] : Executor.OpenStarts_)
       JobsWithOpenStarts.insert(Key.first.Job_);
+  }
   std::erase_if(Jobs_, [&](const auto &Entry) {
     if (!isFinished(Entry.second, JobsWithOpenStarts))
       return false;
--- a/src/lead/SilentExecutors.cpp
+++ b/src/lead/SilentExecutors.cpp
@@ -105,6 +105,7 @@
     Executor.SilenceRecordedAt_ = {};
     Executor.SilenceSettled_ = false;
     Executor.NextHoldAt_ = std::min(Executor.NextHoldAt_, Now);
+    noteChange(Executor);
     PlacementDue_ = true;
   }
 }
@@ -120,6 +121,7 @@
   Executor.Silent_ = true;
   Executor.SilentSince_ = Now;
   Executor.LeaseEnd_ = std::min(Executor.LeaseEnd_, Known.LeaseEnd_);
+  noteChange(Executor);
   for (const SilentRun &Recorded : Known.Record_.Runs_)
     assumeRun(Executor, {Recorded.Job_, Recorded.Occurrence_, Recorded.Step_, Recorded.Index_},
               Recorded.Number_, Now);
--- a/src/lead/Watch.cpp
+++ b/src/lead/Watch.cpp
@@ -162,16 +162,6 @@
   }
 }
 
-void Scheduler::stopCopies(const work::TaskRef &Task, std::uint64_t EndedRun, core::TimePoint Now) {
-  for (auto &[Id, Executor] : Executors_) {
-    ++StatesRead_.Executors_;
-    StatesRead_.Runs_ += Executor.Runs_.size();
-    for (auto &[Key, ActiveRun] : Executor.Runs_)
-      if (ActiveRun.Task_ == Task && ActiveRun.Number_ != EndedRun)
-        stopRun(Executor, ActiveRun, "another run of the task has completed", Now);
-  }
-}
-
 core::Millis Scheduler::holdWait(const ExecutorState &Executor, core::TimePoint Now) const {
   core::Millis Wait = Executor.Trial_ ? TrialHoldWait : MaxHoldWait;
   bool HasTarget = false;
