--- a/include/masticdrift/lead/RoomIndex.h
+++ b/include/masticdrift/lead/RoomIndex.h
@@ -39,17 +39,18 @@
 /// Room of one executor as of its last refresh.
 struct ExecutorRoom {
   RoomAccount Account_;
-  bool Open_ = false; ///< accepts new runs
-  bool Silent_ = false;
+  bool Open_ = false;                          ///< accepts new runs
+  bool Silent_ = false;                        ///< its runs count as over when their lease ends
   std::uint32_t Pool_ = 0;                     ///< index of the pool's name
   std::vector<ReleaseOfCustomer> OfCustomers_; ///< in the order of the runs
 };
 
 /// Room of all executors.
 struct RoomIndex {
-  std::vector<ExecutorRoom> Executors_;                         ///< by ordinal
-  std::unordered_map<std::string, CustomerReleases> Customers_; ///< entries stay
-  std::map<std::string, std::uint32_t, std::less<>> Pools_;     ///< indexes by name
+  std::vector<ExecutorRoom> Executors_; ///< by ordinal
+  /// By name. Entries stay, because executors refer to them.
+  std::unordered_map<std::string, CustomerReleases> Customers_;
+  std::map<std::string, std::uint32_t, std::less<>> Pools_; ///< indexes by name
 };
 
 /// Takes over the present state of an executor.
--- a/include/masticdrift/lead/RoomPlan.h
+++ b/include/masticdrift/lead/RoomPlan.h
@@ -39,8 +39,8 @@
   /// as many times as queues with different advice.
   std::map<core::TimePoint, std::vector<core::Resources>> Executors_;
   std::vector<core::Resources> Claimed_; ///< room that was claimed on each executor, by ordinal
-  /// Customers without a limit have no entry once they were asked for. Steps that are not ready
-  /// claim nothing here: they may wait for much longer than expected.
+  /// The customers with a limit that were asked for. Steps that are not ready claim nothing here:
+  /// they may wait for much longer than expected.
   std::unordered_map<std::string, RoomAccount> Customers_;
   /// The same, with the claims of all steps; for those that are not ready.
   std::unordered_map<std::string, RoomAccount> CustomersAhead_;
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -462,10 +462,11 @@
   void tickExecutor(ExecutorState &Executor, core::TimePoint Now);
   /// Notes that an executor may be due, and that its room may have changed.
   void noteChange(ExecutorState &Executor);
-  void noteDue(ExecutorState &Executor);
-  void noteRoomChange(ExecutorState &Executor);
+  void noteDue(ExecutorState &Executor);        ///< tickExecutor() may find something to do
+  void noteRoomChange(ExecutorState &Executor); ///< Rooms_ may be out of date
   /// Serves an executor, and again in the next round if it will be due before the next sweep.
   void serve(ExecutorState &Executor, core::TimePoint Now);
+  /// Serves all executors, and does what depends on all of them.
   void sweep(core::TimePoint Now, std::int64_t WallMs);
   void forget(ExecutorState &Executor);
   bool acceptsWork(const ExecutorState &Executor, core::TimePoint Now) const;
--- a/tests/unit/SchedulerReadsTest.cpp
+++ b/tests/unit/SchedulerReadsTest.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr int RunsPerExecutor = 4;
+constexpr std::size_t RunsPerExecutor = 4;
 constexpr core::Resources Capacity{16'000, 65'536, 0};
 
 work::JobSpec makeJob(std::uint32_t Tasks, std::int64_t Ms, bool LongRunning) {
@@ -49,7 +49,8 @@
       Fleet_.addExecutor("e" + std::to_string(I), Capacity);
     Fleet_.run(Millis(500));
     for (int I = 0; I < Executors / 10; ++I)
-      Fleet_.submit("standing" + std::to_string(I), makeJob(10 * RunsPerExecutor, 1000, true), "q",
+      Fleet_.submit("standing" + std::to_string(I),
+                    makeJob(static_cast<std::uint32_t>(10 * RunsPerExecutor), 1000, true), "q",
                     "standing");
     Fleet_.run(Millis(8000));
   }
@@ -83,8 +84,8 @@
   cr_assert_eq(Large.fleet().runCount(), 400 * RunsPerExecutor);
   const lead::StatesRead Before = Small.readsOfWork();
   const lead::StatesRead After = Large.readsOfWork();
-  // Each executor reports about every two seconds, and a report is read once by the next pass.
-  constexpr std::uint64_t Reports = 400 * 2;
+  // Each executor reports about every two seconds, twice in all, and a pass reads each report once.
+  constexpr std::uint64_t Reports = 800;
   cr_expect_leq(After.Runs_, Before.Runs_ + Reports * RunsPerExecutor,
                 "%lu runs, %lu on the small site", static_cast<unsigned long>(After.Runs_),
                 static_cast<unsigned long>(Before.Runs_));
