Evacuations of failure domains, cold executors and allowed regions

Change: ConfigFeed keeps the evacuations in force and passes them on with the configuration, a leader reads the topic up to its end before it leads, and the scheduler accepts no work on executors of these domains. Cold executors come later and get starts at their rate; queues and customers stay in their regions. Other records are logged and counted. Only where the settings name the contract places.

--- a/include/masticdrift/daemon/ConfigFeed.h
+++ b/include/masticdrift/daemon/ConfigFeed.h
@@ -1,11 +1,13 @@
 /// \file
-/// Keeps the configuration up to date, from the log service or from another daemon that reads it.
+/// Keeps the configuration and the operators' other requests up to date, from the log service or
+/// from another daemon that reads it.
 #ifndef MASTICDRIFT_DAEMON_CONFIGFEED_H
 #define MASTICDRIFT_DAEMON_CONFIGFEED_H
 
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/TopicTail.h"
 #include "masticdrift/protocol/ConfigMessages.h"
+#include "masticdrift/work/Evacuations.h"
 
 #include <functional>
 #include <memory>
@@ -15,7 +17,9 @@
 
 namespace masticdrift::daemon {
 
-/// Delivers each new configuration of the topic.
+/// Delivers each new configuration of the topic, and the evacuations of failure domains where the
+/// settings say that the rules on places are in force. Logs and counts operators' records that are
+/// not served.
 ///
 /// Reads the log service, or follows the daemon that the leader names as source. A source tells
 /// with each answer up to which time it has read the topic. A daemon that has not been told so for
@@ -27,7 +31,8 @@
   using ReplyCallback = std::function<void(const protocol::ConfigReply &)>;
 
   /// \param OnRecord called with each new record of the configuration's key.
-  ConfigFeed(FleetContext &Context, RecordCallback OnRecord);
+  /// \param OnEvacuations called when the evacuations in force have changed.
+  ConfigFeed(FleetContext &Context, RecordCallback OnRecord, std::function<void()> OnEvacuations);
   ConfigFeed(const ConfigFeed &) = delete;
   ConfigFeed &operator=(const ConfigFeed &) = delete;
   ~ConfigFeed();
@@ -45,6 +50,15 @@
   /// be called several times a second.
   void expire(core::TimePoint Now);
 
+  /// Reads the topic up to its present end at once, so that all evacuations that were confirmed are
+  /// known. The daemon must not follow a source. Does nothing where evacuations are not in force.
+  ///
+  /// \param OnDone called with true if the end was reached.
+  void catchUp(core::Millis Timeout, std::function<void(bool)> OnDone);
+
+  /// \returns the evacuations in force, as far as they were read.
+  const work::EvacuationTable &evacuations() const;
+
   /// \returns true while the configuration cannot be read.
   bool failing() const;
 
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -42,6 +42,8 @@
   void onProgressRead(std::string_view Key, std::string_view Value);
   /// Passes a new configuration on to the scheduler.
   void onManifest();
+  /// Passes the evacuations in force on to the scheduler.
+  void onEvacuations();
   /// Passes an executor on to the scheduler after its entry changed or was removed.
   void onExecutor(std::string_view ExecutorId);
 
--- a/include/masticdrift/fleet/Orders.h
+++ b/include/masticdrift/fleet/Orders.h
@@ -27,6 +27,7 @@
   bool Draining_ = false;
   std::int64_t DrainRemainingMs_ = 0;   ///< minimum time left while draining
   std::int64_t IncarnationStartMs_ = 0; ///< start time of this incarnation, Unix milliseconds
+  std::int64_t ColdRemainingMs_ = 0;    ///< time for which the executor is still slow, 0 when warm
 };
 
 /// \returns the label that names the executor's rack, or an empty view.
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -159,8 +159,10 @@
   std::uint64_t CrashFlush_ = 0;  ///< flush that makes the last counted crash durable
   std::uint64_t VoidFlush_ = 0;   ///< flush that makes the last voided run durable
   core::TimePoint LastCrashAt_{}; ///< when a crash was counted last
-  bool OverRate_ = false;         ///< exceeds its customer's submission rate
-  bool Ended_ = false;            ///< final; the job is kept until all its runs are over
+  /// Regions in which its tasks may start, or nothing when they may start everywhere.
+  std::optional<std::set<std::string, std::less<>>> Regions_;
+  bool OverRate_ = false; ///< exceeds its customer's submission rate
+  bool Ended_ = false;    ///< final; the job is kept until all its runs are over
   int ActiveRuns_ = 0;
   std::set<std::string> FailedOn_; ///< executors on which runs of the job failed
   core::TimePoint AcceptedAt_;
@@ -258,9 +260,14 @@
   std::vector<fleet::ReportedEnd> PostponedEnds_;
   core::TimePoint AvoidUntil_{}; ///< no new runs before this time
   Slowness Slowness_;
-  core::TimePoint DrainEnd_{}; ///< zero while not draining
-  bool Changed_ = false;       ///< in Scheduler::Changed_
-  bool RoomStale_ = false;     ///< in Scheduler::StaleRooms_
+  core::TimePoint DrainEnd_{};     ///< zero while not draining
+  bool Evacuated_ = false;         ///< its failure domain is being evacuated
+  std::string Region_;             ///< empty where regions do not matter
+  core::TimePoint ColdUntil_{};    ///< it is slow before, because it has just started
+  double ColdStarts_ = 0;          ///< starts that it bears now; valid before ColdUntil_
+  core::TimePoint ColdStartsAt_{}; ///< when ColdStarts_ was updated
+  bool Changed_ = false;           ///< in Scheduler::Changed_
+  bool RoomStale_ = false;         ///< in Scheduler::StaleRooms_
 };
 
 } // namespace masticdrift::lead
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -180,6 +180,14 @@
   /// Applies a new configuration.
   void setManifest(const work::Manifest &Manifest, core::TimePoint Now);
 
+  /// Enables the rules on places: cold executors, and regions of queues and customers. To be called
+  /// before any executor or job is added.
+  /// \param RegionOfDomain region of each failure domain.
+  void enablePlaces(std::map<std::string, std::string, std::less<>> RegionOfDomain);
+
+  /// Sets the failure domains in which nothing is started. What runs there goes on to its end.
+  void setEvacuatedDomains(std::set<std::string, std::less<>> Domains, core::TimePoint Now);
+
   /// Adds or updates a job after one of its records was applied to the job table.
   void onJob(const work::JobTableEntry &Job, core::TimePoint Now, std::int64_t WallMs);
 
@@ -324,6 +332,7 @@
     /// with such a verdict.
     std::size_t AdviceCalls_ = 0, Verdicts_ = 0, AdvisedStarts_ = 0;
     std::size_t OutstandingAdviceCalls_ = 0;
+    std::map<std::string, std::size_t> RunsInEvacuation_; ///< by evacuated domain
     WaitCounts WaitingByReason_{}; ///< the waiting tasks by the reason for which their step waits
   };
   Counts counts() const;
@@ -336,6 +345,8 @@
   // Jobs.
   void beginJob(TrackedJob &Job);
   void initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs);
+  void updateRegions(TrackedJob &Job) const;
+  void updatePlace(ExecutorState &Executor, core::TimePoint Now);
   void takeUpEndedJob(TrackedJob &Job, core::TimePoint Now);
   bool mayForget(const ExecutorState &Executor) const;
   bool isFinished(const TrackedJob &Job,
@@ -523,6 +534,9 @@
   core::TimePoint NextPlacementAt_{};
   std::size_t WaitingSteps_ = 0; ///< in the last placement pass
   work::Manifest Manifest_;
+  bool PlacesEnabled_ = false;
+  std::map<std::string, std::string, std::less<>> RegionOfDomain_;
+  std::set<std::string, std::less<>> EvacuatedDomains_;
   std::unordered_map<std::string, TrackedJob> Jobs_;
   core::TimePoint JobsReadUpTo_{};  ///< all jobs stored before this time have been read
   std::set<std::string> FinalJobs_; ///< ended jobs without runs that are still in the log
--- a/include/masticdrift/lead/WaitReason.h
+++ b/include/masticdrift/lead/WaitReason.h
@@ -29,9 +29,10 @@
   ExhaustedNeed,   ///< earlier steps have claimed all room for tasks of this size
   AllAdvised,      ///< advice is known for every executor with unclaimed room
   CallLimit,       ///< limit of outstanding requests for advice
+  AllowedRegions,  ///< no room in the regions in which the job may run
 };
 
-inline constexpr std::size_t WaitReasons = static_cast<std::size_t>(WaitReason::CallLimit) + 1;
+inline constexpr std::size_t WaitReasons = static_cast<std::size_t>(WaitReason::AllowedRegions) + 1;
 
 /// Number of tasks by the reason for which their step waits.
 using WaitCounts = std::array<std::size_t, WaitReasons>;
--- a/include/masticdrift/protocol/ConfigMessages.h
+++ b/include/masticdrift/protocol/ConfigMessages.h
@@ -6,8 +6,11 @@
 #ifndef MASTICDRIFT_PROTOCOL_CONFIGMESSAGES_H
 #define MASTICDRIFT_PROTOCOL_CONFIGMESSAGES_H
 
+#include "masticdrift/work/Evacuations.h"
+
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <msgpack.hpp>
 
@@ -28,11 +31,12 @@
   /// The reply contains all that was stored this long after the arrival of the request. Negative
   /// when the last read of the topic was answered before.
   std::int64_t ReadUpToMs_ = 0;
-  std::uint64_t NextOffset_ = 0; ///< the receiver has read the topic up to this offset
-  std::uint64_t Offset_ = 0;     ///< offset of the configuration
-  std::uint64_t Size_ = 0;       ///< size of the configuration before compression
-  std::string Compressed_;       ///< the configuration; empty when none is newer
-  MSGPACK_DEFINE_ARRAY(Known_, ReadUpToMs_, NextOffset_, Offset_, Size_, Compressed_)
+  std::uint64_t NextOffset_ = 0;              ///< the receiver has read the topic up to this offset
+  std::uint64_t Offset_ = 0;                  ///< offset of the configuration
+  std::uint64_t Size_ = 0;                    ///< size of the configuration before compression
+  std::string Compressed_;                    ///< the configuration; empty when none is newer
+  std::vector<work::Evacuation> Evacuations_; ///< all that are in force up to NextOffset_
+  MSGPACK_DEFINE_ARRAY(Known_, ReadUpToMs_, NextOffset_, Offset_, Size_, Compressed_, Evacuations_)
 };
 
 } // namespace masticdrift::protocol
--- a/include/masticdrift/work/Manifest.h
+++ b/include/masticdrift/work/Manifest.h
@@ -37,20 +37,24 @@
   std::int64_t TargetMs_ = 0;    ///< added to the target completion time
   bool AllowsAnonymous_ = false; ///< accepts jobs without an API key
   std::optional<AdvicePolicy> Advice_;
-  MSGPACK_DEFINE_ARRAY(Name_, Pool_, Priority_, MaxAttempts_, Stretch_, TargetMs_, Advice_)
+  std::vector<std::string> AllowedRegions_; ///< where its tasks may start; empty for everywhere
+  MSGPACK_DEFINE_ARRAY(Name_, Pool_, Priority_, MaxAttempts_, Stretch_, TargetMs_, Advice_,
+                       AllowedRegions_)
 };
 
 /// A pool of executors.
 struct Pool {
   std::string Name_;
   bool ChecksAdmission_ = false; ///< its executors reject tasks that do not fit
+  double ColdStartsPerS_ = 0;    ///< starts a second that a cold executor bears; 0 for no limit
 };
 
 /// A customer with its share of the cluster and its resource limit.
 struct Customer {
   std::string Name_;
   double Weight_ = 1;
-  core::Resources UpperLimit_; ///< 0 of a resource for no limit
+  core::Resources UpperLimit_;              ///< 0 of a resource for no limit
+  std::vector<std::string> AllowedRegions_; ///< where its tasks may start; empty for everywhere
 };
 
 /// One version of the configuration.
--- a/src/daemon/ConfigFeed.cpp
+++ b/src/daemon/ConfigFeed.cpp
@@ -4,9 +4,11 @@
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/core/Pack.h"
+#include "platform/Text.h"
 
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <utility>
 
 #include <asio/steady_timer.hpp>
@@ -30,6 +32,17 @@
 constexpr core::Millis SourceRetryDelay{500};
 /// Largest configuration that is accepted from another daemon.
 constexpr std::uint64_t MaxConfigBytes = 16U << 20U;
+/// Operators' records for which it is remembered that they were logged as not served.
+constexpr std::size_t MaxRememberedRequests = 1000;
+/// Longest part of a key in a log line.
+constexpr std::size_t MaxLoggedKeyBytes = 64;
+
+std::set<std::string, std::less<>> domainsOf(const platform::MachineSettings &Settings) {
+  std::set<std::string, std::less<>> Domains;
+  for (const auto &[Domain, Region] : Settings.RegionOfDomain_)
+    Domains.insert(Domain);
+  return Domains;
+}
 
 } // namespace
 
@@ -47,12 +60,14 @@
     ReplyCallback OnReply_;
   };
 
-  Impl(FleetContext &Context, RecordCallback OnRecord)
-      : Context_(Context), OnRecord_(std::move(OnRecord)),
+  Impl(FleetContext &Context, RecordCallback OnRecord, std::function<void()> OnEvacuations)
+      : Context_(Context), OnRecord_(std::move(OnRecord)), OnEvacuations_(std::move(OnEvacuations)),
+        Evacuations_(domainsOf(Context.Settings_)),
         LeaveDelay_(leaveDelay(Context.Settings_.Instance_)), RetryTimer_(Context.Loop_),
         Tail_(Context.Loop_, Context.Store_, tailOptions(Context.Settings_.LinkMbps_),
               {[this](const platform::KeyedRecord &Record) { onTopicRecord(Record); },
-               [](const auto &) {}, [this] { onTopicRead(); }}) {}
+               [this](const std::set<std::string> &Keys) { onTopicLoaded(Keys); },
+               [this] { onTopicRead(); }}) {}
 
   static TailOptions tailOptions(double LinkMbps) {
     TailOptions Options;
@@ -63,13 +78,80 @@
   }
 
   void onTopicRecord(const platform::KeyedRecord &Record) {
-    if (Record.Key_ != ConfigKey || Record.Value_.empty())
+    const platform::OperatorRequest Request = platform::decodeOperatorKey(Record.Key_);
+    if (Request.Kind_ != platform::OperatorRequestKind::Configuration) {
+      onOtherRequest(Request, Record);
+      return;
+    }
+    if (Record.Value_.empty())
       return;
     core::count("masticdrift_config_bytes_total", {{"source", "log"}},
                 static_cast<double>(Record.Value_.size()));
     accept(Record, core::compress(Record.Value_));
   }
 
+  void onOtherRequest(const platform::OperatorRequest &Request,
+                      const platform::KeyedRecord &Record) {
+    if (Request.Kind_ == platform::OperatorRequestKind::Evacuation &&
+        Context_.Settings_.PlacesInForce_)
+      onEvacuation(Request.Domain_, Record);
+    else if (!Record.Value_.empty())
+      noteUnserved(Record);
+  }
+
+  void onEvacuation(std::string_view Domain, const platform::KeyedRecord &Record) {
+    using enum work::EvacuationChange;
+    switch (Evacuations_.apply(Domain, Record.Value_.empty(), Record.Offset_)) {
+    case None:
+      return;
+    case Requested:
+      logEvacuation("evacuation was requested", {std::string(Domain), Record.Offset_});
+      break;
+    case Withdrawn:
+      logEvacuation("evacuation was withdrawn", {std::string(Domain), Record.Offset_});
+      break;
+    case UnknownDomain:
+      core::count("masticdrift_operator_requests_total", {{"outcome", "unknown_domain"}});
+      core::log(core::LogLevel::Error, "evacuation of an unknown failure domain",
+                {{"domain", std::string(Domain.substr(0, MaxLoggedKeyBytes))},
+                 {"offset", std::to_string(Record.Offset_)}});
+      return;
+    }
+    OnEvacuations_();
+  }
+
+  static void logEvacuation(std::string_view Event, const work::Evacuation &Evacuation) {
+    core::count("masticdrift_operator_requests_total", {{"outcome", "evacuation"}});
+    core::log(core::LogLevel::Info, Event,
+              {{"domain", Evacuation.Domain_}, {"offset", std::to_string(Evacuation.Offset_)}});
+  }
+
+  /// Logs each record once, so that an operator sees that nothing follows from it.
+  void noteUnserved(const platform::KeyedRecord &Record) {
+    if (Unserved_.size() >= MaxRememberedRequests)
+      Unserved_.clear();
+    if (!Unserved_.emplace(Record.Key_, Record.Offset_).second)
+      return;
+    core::count("masticdrift_operator_requests_total", {{"outcome", "not_served"}});
+    core::log(core::LogLevel::Error, "operator request is not served",
+              {{"key", Record.Key_.substr(0, MaxLoggedKeyBytes)},
+               {"offset", std::to_string(Record.Offset_)}});
+  }
+
+  /// After a part of the history was lost, what is missing was withdrawn.
+  void onTopicLoaded(const std::set<std::string> &Keys) {
+    std::set<std::string, std::less<>> Domains;
+    for (const std::string &Key : Keys)
+      if (const auto Request = platform::decodeOperatorKey(Key);
+          Request.Kind_ == platform::OperatorRequestKind::Evacuation)
+        Domains.emplace(Request.Domain_);
+    const std::vector<work::Evacuation> Withdrawn = Evacuations_.retain(Domains);
+    for (const work::Evacuation &Evacuation : Withdrawn)
+      logEvacuation("evacuation was withdrawn", Evacuation);
+    if (!Withdrawn.empty())
+      OnEvacuations_();
+  }
+
   /// Passes a new configuration on before it comes into force here, which takes longer.
   void accept(const platform::KeyedRecord &Record, std::string Compressed) {
     if (Newest_ && Record.Offset_ <= Newest_->Offset_)
@@ -143,6 +225,8 @@
       return false;
     NextOffset_ = std::max(NextOffset_, Reply->NextOffset_);
     ReadUpTo_ = std::max(ReadUpTo_, SentAt + core::Millis(Reply->ReadUpToMs_));
+    if (Context_.Settings_.PlacesInForce_ && Evacuations_.replace(Reply->Evacuations_))
+      OnEvacuations_();
     answerWaiters();
     if (isOutOfDate(core::Clock::now()))
       return false;
@@ -179,6 +263,16 @@
     Tail_.suspend();
   }
 
+  void catchUp(core::Millis Timeout, std::function<void(bool)> OnDone) {
+    if (!Context_.Settings_.PlacesInForce_) {
+      OnDone(true);
+      return;
+    }
+    Tail_.catchUp(Timeout, [Self = shared_from_this(), OnDone = std::move(OnDone)](bool Complete) {
+      OnDone(Complete && Self->Tail_.loaded() && !Self->Following_);
+    });
+  }
+
   /// Continues in the log service where the source has left off.
   void readTopic() {
     if (!std::exchange(Following_, false))
@@ -202,6 +296,7 @@
       Reply.NextOffset_ = NextOffset_;
       Reply.Offset_ = Newest_->Offset_;
       Reply.Size_ = Newest_->Size_;
+      Reply.Evacuations_ = Evacuations_.list();
       if (Newest_->Offset_ >= Entry.Request_.FromOffset_)
         Reply.Compressed_ = Newest_->Compressed_;
     }
@@ -237,6 +332,10 @@
 
   FleetContext &Context_;
   const RecordCallback OnRecord_;
+  const std::function<void()> OnEvacuations_;
+  work::EvacuationTable Evacuations_;
+  /// Keys and offsets of records that were logged as not served.
+  std::set<std::pair<std::string, std::uint64_t>> Unserved_;
   const core::Millis LeaveDelay_;
   asio::steady_timer RetryTimer_;
   TopicTail Tail_;
@@ -250,8 +349,9 @@
   std::vector<Waiter> Waiters_;  ///< followers that wait for the next read of the topic
 };
 
-ConfigFeed::ConfigFeed(FleetContext &Context, RecordCallback OnRecord)
-    : Impl_(std::make_shared<Impl>(Context, std::move(OnRecord))) {}
+ConfigFeed::ConfigFeed(FleetContext &Context, RecordCallback OnRecord,
+                       std::function<void()> OnEvacuations)
+    : Impl_(std::make_shared<Impl>(Context, std::move(OnRecord), std::move(OnEvacuations))) {}
 
 ConfigFeed::~ConfigFeed() {
   Impl_->Closed_ = true;
@@ -268,6 +368,12 @@
 
 void ConfigFeed::expire(core::TimePoint Now) { Impl_->expire(Now); }
 
+void ConfigFeed::catchUp(core::Millis Timeout, std::function<void(bool)> OnDone) {
+  Impl_->catchUp(Timeout, std::move(OnDone));
+}
+
+const work::EvacuationTable &ConfigFeed::evacuations() const { return Impl_->Evacuations_; }
+
 bool ConfigFeed::failing() const { return !Impl_->Following_ && Impl_->Tail_.failing(); }
 
 } // namespace masticdrift::daemon
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -124,8 +124,9 @@
                    true, Settings.LinkMbps_},
                   {[this](const platform::KeyedRecord &Record) { onSpecRecord(Record); },
                    [](const auto &) {}}),
-        ConfigFeed_(Context_,
-                    [this](const platform::KeyedRecord &Record) { onConfigRecord(Record); }),
+        ConfigFeed_(
+            Context_, [this](const platform::KeyedRecord &Record) { onConfigRecord(Record); },
+            [this] { Leader_.onEvacuations(); }),
         ExecutorTail_(Loop_, Store_,
                       {ExecutorsTopic, ExecutorsLongPoll, [] { return LeaderExecutorsPause; },
                        false, Settings.LinkMbps_},
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -371,11 +371,30 @@
   }
 
   /// Reads all topics up to their present ends and then leads. Steps are read after the jobs
-  /// because they are stored before the job's acceptance record. Executors are read last because
-  /// the earlier leader may have started runs on one that has just joined.
+  /// because they are stored before the job's acceptance record. Executors are read after both
+  /// because the earlier leader may have started runs on one that has just joined. Evacuations must
+  /// be known before the first start.
   void catchUpTopics() {
     catchUpTopic(Jobs_, [this] {
-      catchUpTopic(Specs_, [this] { catchUpTopic(Executors_, [this] { startLeading(); }); });
+      catchUpTopic(Specs_, [this] { catchUpTopic(Executors_, [this] { catchUpEvacuations(); }); });
+    });
+  }
+
+  void catchUpEvacuations() {
+    Config_.catchUp(FenceTimeout, [Self = shared_from_this(), Term = Term_](bool Complete) {
+      if (Self->Closed_ || Self->Role_ != Role::Preparing || Self->Term_ != Term)
+        return;
+      if (Complete)
+        Self->startLeading();
+      else
+        Self->catchUpLater();
+    });
+  }
+
+  void catchUpLater() {
+    runAfter(RetryTimer_, RetryDelay, [this] {
+      if (Role_ == Role::Preparing)
+        catchUpTopics();
     });
   }
 
@@ -389,10 +408,7 @@
       if (Complete && Topic.loaded())
         OnCaughtUp();
       else
-        runAfter(Self->RetryTimer_, RetryDelay, [Self] {
-          if (Self->Role_ == Role::Preparing)
-            Self->catchUpTopics();
-        });
+        Self->catchUpLater();
     });
   }
 
@@ -410,6 +426,10 @@
     Timings.MaxLease_ = core::Millis(Context_.Settings_.MaxLeaseMs_);
     Timings.MaxListDelay_ = core::Millis(Context_.Settings_.MaxListDelayMs_);
     Scheduler_.emplace(Term_, Timings, makePorts(), Now, NewestRecord_->RosterComplete_);
+    if (Context_.Settings_.PlacesInForce_) {
+      Scheduler_->enablePlaces(Context_.Settings_.RegionOfDomain_);
+      applyEvacuations(Now);
+    }
     if (Context_.Manifest_)
       Scheduler_->setManifest(*Context_.Manifest_, Now);
     for (const auto &[Id, Entry] : Context_.ExecutorEntries_) {
@@ -451,6 +471,14 @@
     tick();
   }
 
+  void applyEvacuations(core::TimePoint Now) {
+    std::set<std::string, std::less<>> Domains;
+    for (work::Evacuation &Evacuation : Config_.evacuations().list())
+      Domains.insert(std::move(Evacuation.Domain_));
+    Scheduler_->setEvacuatedDomains(std::move(Domains), Now);
+    setEvacuationGauges(Scheduler_->counts().RunsInEvacuation_);
+  }
+
   /// Adds a recorded executor that has no entry in the executor list.
   void addUnlistedExecutor(const std::string &Id, const std::string &Address, core::TimePoint Now) {
     fleet::ExecutorInfo Info;
@@ -587,6 +615,7 @@
     core::setGauge("masticdrift_advised_starts", static_cast<double>(Counts.AdvisedStarts_));
     core::setGauge("masticdrift_advice_calls_outstanding",
                    static_cast<double>(Counts.OutstandingAdviceCalls_));
+    setEvacuationGauges(Counts.RunsInEvacuation_);
     for (std::size_t I = 0; I < lead::WaitReasons; ++I)
       core::setGauge("masticdrift_waiting_tasks_by_reason",
                      static_cast<double>(Counts.WaitingByReason_[I]),
@@ -612,9 +641,31 @@
                {"results", takeRate(ResultsMeter_, SinceLast)},
                {"executors_read_per_s", std::to_string(perSecond(Read.Executors_, SinceLast))},
                {"runs_read_per_s", std::to_string(perSecond(Read.Runs_, SinceLast))},
+               {"evacuated", describeEvacuations(Counts.RunsInEvacuation_)},
                {"waiting_by_reason", lead::describeCounts(Counts.WaitingByReason_)}});
   }
 
+  /// Shows the evacuations in force and the runs left there; 0 and 0 for those that have ended.
+  void setEvacuationGauges(const std::map<std::string, std::size_t> &RunsLeft) {
+    for (const auto &[Domain, Runs] : RunsLeft)
+      EvacuatedBefore_.insert(Domain);
+    for (const std::string &Domain : EvacuatedBefore_) {
+      const auto Found = RunsLeft.find(Domain);
+      const bool InForce = Found != RunsLeft.end();
+      core::setGauge("masticdrift_evacuated", InForce ? 1 : 0, {{"domain", Domain}});
+      core::setGauge("masticdrift_evacuated_domain_runs",
+                     InForce ? static_cast<double>(Found->second) : 0, {{"domain", Domain}});
+    }
+  }
+
+  /// \returns the evacuated domains with the numbers of runs left, such as "lahore-a 12".
+  static std::string describeEvacuations(const std::map<std::string, std::size_t> &RunsLeft) {
+    std::string Text;
+    for (const auto &[Domain, Runs] : RunsLeft)
+      Text += (Text.empty() ? "" : ", ") + Domain + ' ' + std::to_string(Runs);
+    return Text;
+  }
+
   void onResults(const protocol::ResultsRequest &Request) {
     const core::TimePoint Begin = core::Clock::now();
     OrderRouter_.onResults(Request);
@@ -1059,7 +1110,8 @@
   WorkMeter PassMeter_;
   WorkMeter ResultsMeter_;
   core::TimePoint NextSpecReload_{};
-  std::uint64_t FlushNumber_ = 0; ///< number of the outstanding flush, 0 for none
+  std::set<std::string> EvacuatedBefore_; ///< domains whose gauges were set
+  std::uint64_t FlushNumber_ = 0;         ///< number of the outstanding flush, 0 for none
   std::shared_ptr<std::vector<platform::KeyedRecord>> FlushedRecords_; ///< of the outstanding flush
   core::Millis FlushTimeout_ = MinAppendTimeout;
   std::optional<lead::Scheduler> Scheduler_;
@@ -1100,6 +1152,13 @@
     Impl_->Scheduler_->setManifest(*Impl_->Context_.Manifest_, core::Clock::now());
 }
 
+void LeaderDriver::onEvacuations() {
+  if (Impl_->Role_ != Impl::Role::Leading)
+    return;
+  Impl_->applyEvacuations(core::Clock::now());
+  Impl_->scheduleTick();
+}
+
 void LeaderDriver::onExecutor(std::string_view ExecutorId) {
   if (Impl_->Role_ != Impl::Role::Leading)
     return;
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -60,6 +60,8 @@
 constexpr double TrialLoadPenalty = 0.5;
 /// Added for each multiple of the typical run time beyond the first.
 constexpr double SlownessPenalty = 0.5;
+/// A cold executor counts like one on which runs take twice as long.
+constexpr double ColdPenalty = SlownessPenalty;
 
 using detail::isUnset;
 using detail::MaxClockDifference;
@@ -304,6 +306,13 @@
            std::ranges::find(Executor.Info_.Labels_, Label) != Executor.Info_.Labels_.end();
   }
 
+  /// \returns true when the step may run on the executor by its label and the job's regions.
+  static bool isEligible(const TrackedJob &Job, const work::StepSpec &Spec,
+                         const ExecutorState &Executor) {
+    return hasLabel(Executor, Spec.RequiredLabel_) &&
+           (!Job.Regions_ || Job.Regions_->contains(Executor.Region_));
+  }
+
   /// Calls \p Visit with each executor on which the step may start, regardless of its free
   /// capacity: the executor accepts work and, on queues with advice, the step has a valid ticket
   /// for it.
@@ -314,7 +323,7 @@
     if (!Job.Queue_.Advice_) {
       for (const std::uint32_t Ordinal : openExecutorsOf(Job))
         if (ExecutorState &Executor = *Scheduler_.ByOrdinal_[Ordinal];
-            Concerns(Ordinal) && acceptsWork(Executor) && hasLabel(Executor, Spec.RequiredLabel_))
+            Concerns(Ordinal) && acceptsWork(Executor) && isEligible(Job, Spec, Executor))
           Visit(Executor);
       return;
     }
@@ -323,7 +332,7 @@
         continue;
       ExecutorState *Executor = Scheduler_.ByOrdinal_[Ordinal];
       if (Executor != nullptr && isValid(Advice, *Executor) && acceptsWork(*Executor) &&
-          Executor->Info_.Pool_ == Job.Queue_.Pool_ && hasLabel(*Executor, Spec.RequiredLabel_))
+          Executor->Info_.Pool_ == Job.Queue_.Pool_ && isEligible(Job, Spec, *Executor))
         Visit(*Executor);
     }
   }
@@ -347,9 +356,40 @@
            Now_ < Advice.ValidUntil_;
   }
 
+  double coldStartRate(const ExecutorState &Executor) const {
+    const auto Pool = Scheduler_.Manifest_.Pools_.find(Executor.Info_.Pool_);
+    return Pool == Scheduler_.Manifest_.Pools_.end() ? 0 : Pool->second.ColdStartsPerS_;
+  }
+
+  /// \returns the starts that a cold executor bears now.
+  std::uint32_t coldStarts(const ExecutorState &Executor) const {
+    const double Rate = coldStartRate(Executor);
+    if (Rate <= 0)
+      return std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(coldStartsBy(Executor, Rate));
+  }
+
+  /// Token bucket with a capacity of one second, and of one start at least.
+  double coldStartsBy(const ExecutorState &Executor, double Rate) const {
+    const double Since = std::chrono::duration<double>(Now_ - Executor.ColdStartsAt_).count();
+    return std::min(std::max(Rate, 1.0), Executor.ColdStarts_ + Rate * Since);
+  }
+
+  void takeColdStart(ExecutorState &Executor) const {
+    if (Now_ >= Executor.ColdUntil_)
+      return;
+    const double Rate = coldStartRate(Executor);
+    if (Rate <= 0)
+      return;
+    Executor.ColdStarts_ = coldStartsBy(Executor, Rate) - 1;
+    Executor.ColdStartsAt_ = Now_;
+  }
+
   /// \returns how many more tasks of the step fit on the executor, at most \p MaxTasks.
   std::uint32_t freeSlots(const ExecutorState &Executor, const TrackedStep &Step,
                           const work::StepSpec &Spec, std::uint32_t MaxTasks) const {
+    if (Now_ < Executor.ColdUntil_)
+      MaxTasks = std::min(MaxTasks, coldStarts(Executor));
     core::Resources FreeRoom = Executor.Info_.Capacity_ - Executor.Used_;
     core::Resources Need = Spec.Need_;
     if (Spec.BestEffort_)
@@ -392,6 +432,8 @@
     if (!Executor.FailedJobs_.empty())
       Cost += FailingExecutorPenalty;
     Cost += SlownessPenalty * (slownessFactor(Executor.Slowness_, Now_) - 1);
+    if (Now_ < Executor.ColdUntil_)
+      Cost += ColdPenalty;
     if (interferes(Executor, Spec))
       Cost += InterferencePenalty;
     return Cost;
@@ -500,6 +542,7 @@
     double &Credit = Scheduler_.OverdueCredit_;
     Credit = std::clamp(Credit + (Waiting.Overdue_ ? -1 : 1 / StartsPerOverdueStart), 0.0,
                         MaxOverdueCredit);
+    takeColdStart(Executor);
     TrackedTask &Tracked = Step.Tasks_[Task.Index_];
     Run &NewRun = Scheduler_.addRun(Executor, &Job, Task, Number, RunState::Starting, Now_);
     NewRun.Order_ = {Task, Number, Job.Spec_.Payload_, 0, Scheduler_.Token_, Tracked.Checkpoint_,
@@ -769,7 +812,7 @@
       if (!core::fits(Need, Rooms[Ordinal]) || unclaimedSlots(Ordinal, Step, Spec, By, 1) == 0)
         continue;
       const ExecutorState &Executor = *Scheduler_.ByOrdinal_[Ordinal];
-      if (!hasLabel(Executor, Spec.RequiredLabel_))
+      if (!isEligible(*Waiting.Job_, Spec, Executor))
         continue;
       AnyRoom = true;
       const auto Found = Step.Advice_.find(Ordinal);
@@ -777,12 +820,15 @@
           (Found->second.Allowed_ && !isValid(Found->second, Executor)))
         Unadvised.emplace_back(placementCost(Executor, Spec, {}), &Executor);
     }
-    if (!AnyRoom && Spec.MaxPerExecutor_ == 0)
+    const bool Restricted = Waiting.Job_->Regions_.has_value();
+    if (!AnyRoom && Spec.MaxPerExecutor_ == 0 && !Restricted)
       ExhaustedNeeds_[{Waiting.Job_->Queue_.Pool_, Spec.RequiredLabel_}].push_back(
           executorNeed(Spec));
     if (Unadvised.empty()) {
       Step.NextSearchAt_ = Now_ + SearchInterval;
-      return AnyRoom ? WaitReason::AllAdvised : WaitReason::NoRoom;
+      if (AnyRoom)
+        return WaitReason::AllAdvised;
+      return Restricted ? WaitReason::AllowedRegions : WaitReason::NoRoom;
     }
     return callAdviser(Waiting, Step, Spec, By, Wanted - Covered, std::move(Unadvised))
                ? WaitReason::AdvicePending
@@ -925,7 +971,7 @@
     });
     for (const std::uint32_t Ordinal : openExecutorsOf(*Waiting.Job_))
       if (const ExecutorState &Executor = *Scheduler_.ByOrdinal_[Ordinal];
-          hasLabel(Executor, Spec.RequiredLabel_))
+          isEligible(*Waiting.Job_, Spec, Executor))
         Figures.OpenWithRoom_ += freeSlots(Executor, Step, Spec, 1);
     if (const auto Customer =
             Scheduler_.Manifest_.Customers_.find(Waiting.Job_->Acceptance_.Customer_);
@@ -943,7 +989,8 @@
 bool Scheduler::acceptsWork(const ExecutorState &Executor, core::TimePoint Now) const {
   return Executor.Listed_ && Executor.Recorded_ && Executor.Reported_ && !Executor.Silent_ &&
          !Executor.AnswerOverdue_ && !Executor.LeaseWithheld_ && !Executor.Info_.Draining_ &&
-         !Executor.StartsWithheld_ && Now >= Executor.AvoidUntil_ && Executor.UnsizedRuns_ == 0 &&
+         !Executor.StartsWithheld_ && !Executor.Evacuated_ && Now >= Executor.AvoidUntil_ &&
+         Executor.UnsizedRuns_ == 0 &&
          (Executor.WithheldEnds_.empty() || Executor.UnackedEnds_.size() < MaxEndsBehindWithheld) &&
          isEntryCurrent(Executor, Now, Timing_.MaxListDelay_);
 }
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -82,6 +82,7 @@
                 describeCapacityChange(Executor, Info.Capacity_));
   Executor.Info_ = Info;
   Executor.Listed_ = true;
+  updatePlace(Executor, Now);
   noteChange(Executor);
   PlacementDue_ = true;
 }
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -57,6 +57,9 @@
   for (auto &[Id, Job] : Jobs_)
     if (const work::Queue *Queue = work::findQueueByName(Manifest_, Job.Acceptance_.Queue_.Name_))
       Job.Queue_ = *Queue;
+  if (PlacesEnabled_)
+    for (auto &[Id, Job] : Jobs_)
+      updateRegions(Job);
   PlacementDue_ = true;
   NextPlacementAt_ = std::min(NextPlacementAt_, Now);
 }
@@ -104,6 +107,7 @@
   NewJob.Inherited_ = !BegunByThisTerm && (NewJob.Progress_.Term_ != 0 || Job.StartedTerm_ != 0);
   NewJob.Ended_ = Ended;
   initJob(NewJob, Now, WallMs);
+  updateRegions(NewJob);
   if (Ended) {
     takeUpEndedJob(NewJob, Now);
     return;
@@ -506,8 +510,12 @@
   Result.Verdicts_ = Verdicts_;
   Result.AdvisedStarts_ = AdvisedStarts_;
   Result.OutstandingAdviceCalls_ = OutstandingAdvice_.size();
+  for (const std::string &Domain : EvacuatedDomains_)
+    Result.RunsInEvacuation_[Domain] = 0;
   for (const auto &[Id, Executor] : Executors_) {
     Result.Running_ += Executor.Runs_.size();
+    if (Executor.Evacuated_)
+      Result.RunsInEvacuation_[Executor.Info_.Domain_] += Executor.Runs_.size();
     Result.Silent_ += Executor.Silent_ ? 1 : 0;
     Result.Unlisted_ += Executor.Listed_ ? 0 : 1;
     Result.OverCapacity_ += Executor.Listed_ && exceedsCapacity(Executor) ? 1 : 0;
--- a/tests/standins/StandinPlatform.cpp
+++ b/tests/standins/StandinPlatform.cpp
@@ -61,6 +61,10 @@
             Executors.control(Body);
             if (Body.contains("manifest"))
               Log.put("keyed.op", "config", Body["manifest"].dump());
+            // An operator's record; an empty value removes it.
+            if (Body.contains("operator"))
+              Log.put("keyed.op", Body["operator"]["key"].get<std::string>(),
+                      Body["operator"].value("value", ""));
             if (Body.contains("join")) {
               const auto Id = Body["join"].get<std::string>();
               Executors.add(Id);
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -123,6 +123,38 @@
               [Leader = Scheduler.get(), Id] { Leader->onExecutorGone(Id); });
 }
 
+std::set<std::string, std::less<>> FakeFleet::evacuatedDomains() const {
+  std::set<std::string, std::less<>> Domains;
+  for (const auto &[Domain, Time] : EvacuatedAt_)
+    Domains.insert(Domain);
+  return Domains;
+}
+
+void FakeFleet::announceEvacuations() {
+  for (auto &[LeaderTerm, Scheduler] : Terms_)
+    if (LeaderTerm->Alive_)
+      deliver(LeaderTerm, &Term::News_, [this, Leader = Scheduler.get()] {
+        Leader->setEvacuatedDomains(evacuatedDomains(), Now_);
+      });
+}
+
+void FakeFleet::evacuate(const std::string &Domain, core::Millis ReadDelay) {
+  EvacuatedAt_[Domain] = Now_ + ReadDelay;
+  schedule(Now_ + ReadDelay, [this] { announceEvacuations(); });
+  run(core::Millis(0));
+}
+
+void FakeFleet::withdrawEvacuation(const std::string &Domain) {
+  EvacuatedAt_.erase(Domain);
+  announceEvacuations();
+}
+
+void FakeFleet::setCold(const std::string &Id, core::Millis Remaining) {
+  FakeExecutor &Executor = Executors_.at(Id);
+  Executor.Info_.ColdRemainingMs_ = Remaining.count();
+  announceExecutor(Executor.Info_);
+}
+
 void FakeFleet::announceJob(const std::string &Id) {
   for (auto &[LeaderTerm, Scheduler] : Terms_)
     if (LeaderTerm->Alive_)
@@ -157,11 +189,13 @@
          (Executor.MetByTerm_ != Token_ || Now_ < Executor.MetAt_ + PreventionTime);
 }
 
-void FakeFleet::addExecutor(const std::string &Id, core::Resources Capacity) {
+void FakeFleet::addExecutor(const std::string &Id, core::Resources Capacity,
+                            const std::string &Domain) {
   FakeExecutor &NewExecutor = Executors_[Id];
   NewExecutor.Info_.Id_ = Id;
   NewExecutor.Info_.Address_ = Id;
   NewExecutor.Info_.Pool_ = "pool";
+  NewExecutor.Info_.Domain_ = Domain;
   NewExecutor.Info_.Capacity_ = Capacity;
   NewExecutor.Capacity_ = Capacity;
   NewExecutor.Info_.Labels_ = {"a", "r1"};
@@ -775,6 +809,9 @@
   Terms_[Index].second = std::make_unique<lead::Scheduler>(
       ThisTerm->Token_, lead::SchedulerTiming{}, std::move(Actions), Now_, true);
   Leader_ = Terms_[Index].second.get();
+  if (!RegionOfDomain_.empty())
+    Leader_->enablePlaces(RegionOfDomain_);
+  Leader_->setEvacuatedDomains(evacuatedDomains(), Now_);
   Leader_->setManifest(Manifest_, Now_);
   for (const auto &[Id, Executor] : Executors_) {
     // Nothing names an executor that is neither listed nor in the roster to a new leader.
@@ -1102,6 +1139,12 @@
       Existing != Executor.Running_.end())
     return Existing->second.Run_ == Order.Run_ ? OrderOutcome::Done : OrderOutcome::Superseded;
   renewLease(Executor, Order.LeaseEndMs_);
+  // A start that was ordered before may be repeated for so long.
+  if (const auto Evacuated = EvacuatedAt_.find(Executor.Info_.Domain_);
+      Evacuated != EvacuatedAt_.end() &&
+      SentAt - Evacuated->second > lead::SchedulerTiming().MaxStartRepeatTime_)
+    addViolation(nameOf(Order.Task_) + " started on " + Executor.Info_.Id_ +
+                 " in an evacuated domain");
   const work::StepSpec &Spec = stepSpec(Order.Task_);
   for (const auto &[Id, Other] : Executors_)
     if (Other.Up_ && Other.Running_.contains(Order.Task_) && !Spec.AllowDuplicates_)
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -98,7 +98,19 @@
   ~FakeFleet();
 
   // -- Simulated events --
-  void addExecutor(const std::string &Id, core::Resources Capacity);
+  void addExecutor(const std::string &Id, core::Resources Capacity,
+                   const std::string &Domain = "d");
+  /// Requests or withdraws the evacuation of a failure domain. Starts that are ordered there when
+  /// the leader has read a request are violations.
+  /// \param ReadDelay time after which the present leaders read it; later ones know it.
+  void evacuate(const std::string &Domain, core::Millis ReadDelay = core::Millis(0));
+  void withdrawEvacuation(const std::string &Domain);
+  /// Sets the region of each failure domain, for the leaders that follow.
+  void setRegions(std::map<std::string, std::string, std::less<>> RegionOfDomain) {
+    RegionOfDomain_ = std::move(RegionOfDomain);
+  }
+  /// Shows an executor as slow for \p Remaining, because it has just started.
+  void setCold(const std::string &Id, core::Millis Remaining);
   /// Stops an executor and all its runs; it restarts without runs after \p DownTime.
   void crash(const std::string &Id, core::Millis DownTime);
   /// Ends the process of an executor with all its runs, while its machine stays up: open
@@ -378,6 +390,8 @@
   /// Tells all leaders an entry of the executor list.
   void announceExecutor(const fleet::ExecutorInfo &Info);
   void announceGone(const std::string &Id);
+  void announceEvacuations();
+  std::set<std::string, std::less<>> evacuatedDomains() const;
   void announceJob(const std::string &Id);
   /// Sends an order now, or when it has waited at the leader or at a relay.
   /// \param Send sends the order; the argument tells whether it has waited.
@@ -435,7 +449,9 @@
   /// Numbers of the failed runs; those of a gang count for its first task.
   std::map<work::TaskRef, std::set<std::uint64_t>> FailedRuns_;
   std::set<std::pair<work::TaskRef, std::uint64_t>> FinishedGangs_; ///< first task and run number
-  std::set<std::string> CheckedJobs_; ///< failed jobs that were checked
+  std::set<std::string> CheckedJobs_;                  ///< failed jobs that were checked
+  std::map<std::string, core::TimePoint> EvacuatedAt_; ///< when the leaders have read it, by domain
+  std::map<std::string, std::string, std::less<>> RegionOfDomain_; ///< empty without such rules
   work::JobTable JobTable_;
   work::Manifest Manifest_;
   std::uint64_t Offset_ = 0;
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -82,7 +82,8 @@
 
 std::string PlatformFleet::platformAddress() const { return loopbackAddress(PlatformPort_); }
 
-PlatformFleet::PlatformFleet(int Daemons, int Executors, double Cores) {
+PlatformFleet::PlatformFleet(int Daemons, int Executors, double Cores, bool Places)
+    : Places_(Places) {
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
     throw std::runtime_error("cannot create directory " + Path);
@@ -107,17 +108,21 @@
   const std::string Name = nameOf(static_cast<int>(Daemons_.size()));
   BasePorts_.push_back(Port);
   const std::string File = Directory_ + "/" + Name + ".json";
-  std::ofstream(File) << Json{
-      {"node_name", Name},
-      {"ip", "127.0.0.1"},
-      {"zone", "lahore-a"},
-      {"region", "punjab"},
-      {"bind_addresses",
-       {{"frontend", loopbackAddress(Port)}, {"ready", loopbackAddress(Port + 1)}}},
-      {"internal_ports", {Port + 2, Port + 2}},
-      {"limits", {{"cpu_share", Cores}, {"cores", 1}}},
-      {"platform", {{"address", loopbackAddress(PlatformPort_) + "/d/" + Name}}},
-      {"advice", loopbackAddress(PlatformPort_)}};
+  Json Settings{{"node_name", Name},
+                {"ip", "127.0.0.1"},
+                {"zone", "lahore-a"},
+                {"region", "punjab"},
+                {"bind_addresses",
+                 {{"frontend", loopbackAddress(Port)}, {"ready", loopbackAddress(Port + 1)}}},
+                {"internal_ports", {Port + 2, Port + 2}},
+                {"limits", {{"cpu_share", Cores}, {"cores", 1}}},
+                {"platform", {{"address", loopbackAddress(PlatformPort_) + "/d/" + Name}}},
+                {"advice", loopbackAddress(PlatformPort_)}};
+  if (Places_) {
+    Settings["contracts"] = {"places"};
+    Settings["zones"] = {{"lahore-a", "punjab"}, {"karachi-a", "sindh"}};
+  }
+  std::ofstream(File) << Settings;
   Daemons_.push_back(std::make_unique<Process>(
       "masticdriftd", std::vector<std::string>{"--platform", "--settings", File},
       Directory_ + "/" + Name + ".log"));
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -35,7 +35,9 @@
   /// Returns when every daemon reports ready and one of them leads.
   ///
   /// \throws std::runtime_error if that does not happen in time.
-  explicit PlatformFleet(int Daemons = 3, int Executors = 4, double Cores = 0.25);
+  /// \param Places the rules on places are in force, in domains "lahore-a" and "karachi-a".
+  explicit PlatformFleet(int Daemons = 3, int Executors = 4, double Cores = 0.25,
+                         bool Places = false);
   PlatformFleet(const PlatformFleet &) = delete;
   PlatformFleet &operator=(const PlatformFleet &) = delete;
   ~PlatformFleet();
@@ -74,6 +76,7 @@
                           http::Headers Headers, core::Millis Timeout);
 
   std::string Directory_;
+  bool Places_ = false;
   http::Client Client_;
   std::unique_ptr<Process> Platform_;
   int PlatformPort_ = 0;
