--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -82,8 +82,8 @@
 
 std::string PlatformFleet::platformAddress() const { return loopbackAddress(PlatformPort_); }
 
-PlatformFleet::PlatformFleet(int Daemons, int Executors, double Cores, bool Places)
-    : Places_(Places) {
+PlatformFleet::PlatformFleet(int Daemons, int Executors, double Cores, bool Places, Json Limits)
+    : Places_(Places), Limits_(std::move(Limits)) {
   std::string Path = (std::filesystem::temp_directory_path() / "masticdrift-XXXXXX").string();
   if (mkdtemp(Path.data()) == nullptr)
     throw std::runtime_error("cannot create directory " + Path);
@@ -118,6 +118,7 @@
                 {"limits", {{"cpu_share", Cores}, {"cores", 1}}},
                 {"platform", {{"address", loopbackAddress(PlatformPort_) + "/d/" + Name}}},
                 {"advice", loopbackAddress(PlatformPort_)}};
+  Settings["limits"].update(Limits_);
   if (Places_) {
     Settings["contracts"] = {"places"};
     Settings["zones"] = {{"lahore-a", "punjab"}, {"karachi-a", "sindh"}};
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -36,8 +36,9 @@
   ///
   /// \throws std::runtime_error if that does not happen in time.
   /// \param Places the rules on places are in force, in domains "lahore-a" and "karachi-a".
+  /// \param Limits added to the limits of the daemons' machines.
   explicit PlatformFleet(int Daemons = 3, int Executors = 4, double Cores = 0.25,
-                         bool Places = false);
+                         bool Places = false, Json Limits = Json::object());
   PlatformFleet(const PlatformFleet &) = delete;
   PlatformFleet &operator=(const PlatformFleet &) = delete;
   ~PlatformFleet();
@@ -69,6 +70,8 @@
   std::string metrics(int Daemon);
   /// \returns the index of the daemon that reports itself as leader, or -1.
   int leader();
+  /// \returns the port on which a daemon receives requests of callers.
+  int callerPort(int Daemon) const { return BasePorts_.at(static_cast<std::size_t>(Daemon)); }
   Process &daemon(int Daemon) { return *Daemons_.at(static_cast<std::size_t>(Daemon)); }
 
 private:
@@ -77,6 +80,7 @@
 
   std::string Directory_;
   bool Places_ = false;
+  Json Limits_;
   http::Client Client_;
   std::unique_ptr<Process> Platform_;
   int PlatformPort_ = 0;
