A server keeps to a budget of memory and connections

Cause: RESTinio keeps a record for each chunk until a request is complete and bounds only body bytes of one request; nothing bounded all connections together. Change: the sockets of a server measure what each request holds, records and copies included. When the budget is used up, the connection with the largest unfinished request is closed; with too many connections the one inactive for longest; a request has 10 s to arrive. On the platform a server has a quarter of the machine's memory and of its sockets, callers and daemons one each.

--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -31,13 +31,23 @@
   unsigned ThreadCount_ = 2;                    ///< worker threads
   std::size_t MaxBodyBytes_ = 1U << 20U;        ///< larger bodies are rejected with BodyTooLarge
   std::chrono::milliseconds ReadTimeout_{5000}; ///< timeout for reading one complete request
-  asio::io_context *Loop_ = nullptr;            ///< event loop to run on; ThreadCount_ is ignored
+  /// Memory for all requests that arrive or are being answered, in bytes. 64 MiB hold 30 bodies
+  /// of the default limit with their copies, and thousands of ordinary requests.
+  std::size_t MaxHeldBytes_ = 64U << 20U;
+  std::size_t MaxConnections_ = 2048; ///< open at the same time
+  /// Time from the first to the last byte of a request.
+  std::chrono::milliseconds RequestTimeout_{10'000};
+  asio::io_context *Loop_ = nullptr; ///< event loop to run on; ThreadCount_ is ignored
 };
 
 /// HTTP server that runs until it is destroyed.
 ///
 /// Rejects oversized bodies with BodyTooLarge. A body over four times the limit, an oversized
 /// header or a read timeout closes the connection without a response.
+///
+/// Keeps to its memory and number of connections also when clients don't keep to their limits: it
+/// closes the connection with the largest unfinished request, or the one that has been inactive for
+/// the longest time. Nothing of an unfinished request has run.
 class Server {
 public:
   /// Binds the address and starts serving.
--- /dev/null
+++ b/include/masticdrift/http/detail/MeteredSocket.h
@@ -0,0 +1,141 @@
+/// \file
+/// Socket for RESTinio that keeps to a ConnectionBudget.
+#ifndef MASTICDRIFT_HTTP_DETAIL_METEREDSOCKET_H
+#define MASTICDRIFT_HTTP_DETAIL_METEREDSOCKET_H
+
+#include "masticdrift/http/detail/ConnectionBudget.h"
+#include "masticdrift/http/detail/RequestMeter.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <utility>
+
+#include <asio/associated_executor.hpp>
+#include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+
+namespace masticdrift::http::detail {
+
+/// TCP socket with the interface that RESTinio asks for. Measures the requests that arrive and
+/// fails reads with connection_reset when the budget has no room for them.
+class MeteredSocket {
+public:
+  using executor_type = asio::ip::tcp::socket::executor_type;
+
+  /// \param Refusal response that is sent when the budget does not allow a request.
+  MeteredSocket(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget,
+                std::shared_ptr<const std::string> Refusal)
+      : State_(std::make_shared<State>(Loop, std::move(Budget), std::move(Refusal))) {}
+  MeteredSocket(MeteredSocket &&) = default;
+  MeteredSocket &operator=(MeteredSocket &&) = default;
+
+  auto &lowest_layer() { return State_->Socket_.lowest_layer(); }
+  const auto &lowest_layer() const { return State_->Socket_.lowest_layer(); }
+  auto get_executor() { return State_->Socket_.get_executor(); }
+  auto remote_endpoint() const { return State_->Socket_.remote_endpoint(); }
+  bool is_open() const { return State_->Socket_.is_open(); }
+  template <typename... Args> void cancel(Args &&...Arguments) {
+    State_->Socket_.cancel(std::forward<Args>(Arguments)...);
+  }
+  template <typename... Args> void shutdown(Args &&...Arguments) {
+    State_->Socket_.shutdown(std::forward<Args>(Arguments)...);
+  }
+  template <typename... Args> void close(Args &&...Arguments) {
+    State_->Socket_.close(std::forward<Args>(Arguments)...);
+  }
+  template <typename... Args> auto async_write_some(Args &&...Arguments) {
+    return State_->Socket_.async_write_some(std::forward<Args>(Arguments)...);
+  }
+
+  template <typename Buffers, typename Handler>
+  void async_read_some(const Buffers &Target, Handler &&OnRead) {
+    const auto Executor = asio::get_associated_executor(OnRead, State_->Socket_.get_executor());
+    State_->onWaiting([&] {
+      return [Executor, Weak = std::weak_ptr<State>(State_)] {
+        asio::post(Executor, [Weak] {
+          if (const auto Locked = Weak.lock())
+            Locked->closeSocket();
+        });
+      };
+    });
+    State_->Socket_.async_read_some(
+        Target, asio::bind_executor(Executor, [Shared = State_, Target,
+                                               OnRead = std::forward<Handler>(OnRead)](
+                                                  std::error_code Error, std::size_t Size) mutable {
+          Error = Shared->onRead(
+              Error,
+              std::string_view(static_cast<const char *>(asio::buffer(Target).data()), Size));
+          OnRead(Error, Error ? 0 : Size);
+        }));
+  }
+
+private:
+  struct State {
+    State(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget,
+          std::shared_ptr<const std::string> Refusal)
+        : Socket_(Loop), Budget_(std::move(Budget)), Refusal_(std::move(Refusal)) {}
+    State(const State &) = delete;
+    State &operator=(const State &) = delete;
+    ~State() {
+      if (Added_)
+        Budget_->remove(Share_);
+    }
+
+    template <typename MakeClose> void onWaiting(MakeClose MakeCloseFunction) {
+      // Sockets wait for a connection before, and not all get one.
+      if (!Added_) {
+        Share_.Close_ = MakeCloseFunction();
+        Budget_->add(Share_);
+        Added_ = true;
+      }
+      // RESTinio reads on when it has answered.
+      Meter_.release();
+      Budget_->onWaiting(Share_, Meter_.heldBytes());
+    }
+
+    std::error_code onRead(std::error_code Error, std::string_view Bytes) {
+      if (Error)
+        return Closed_ ? std::error_code(asio::error::connection_reset) : Error;
+      Meter_.consume(Bytes);
+      if (Budget_->onReceived(Share_, Meter_.heldBytes(), Meter_.isWithinRequest(),
+                              BudgetShare::Clock::now()))
+        return {};
+      sendRefusal();
+      return asio::error::connection_reset;
+    }
+
+    /// Sends the refusal as far as that is possible at once. The client may miss it: closing a
+    /// connection with unread data resets it.
+    void sendRefusal() {
+      std::error_code Ignored; // the connection is closed in any case
+      Socket_.non_blocking(true, Ignored);
+      Socket_.write_some(asio::buffer(*Refusal_), Ignored);
+    }
+
+    void closeSocket() {
+      Closed_ = true;
+      std::error_code Ignored; // it may have been closed meanwhile
+      Socket_.close(Ignored);
+    }
+
+    asio::ip::tcp::socket Socket_;
+    const std::shared_ptr<ConnectionBudget> Budget_;
+    const std::shared_ptr<const std::string> Refusal_;
+    RequestMeter Meter_;
+    BudgetShare Share_;
+    bool Added_ = false;
+    bool Closed_ = false; ///< by the budget
+  };
+
+  std::shared_ptr<State> State_;
+};
+
+} // namespace masticdrift::http::detail
+
+#endif // MASTICDRIFT_HTTP_DETAIL_METEREDSOCKET_H
--- /dev/null
+++ b/include/masticdrift/http/detail/RequestMeter.h
@@ -0,0 +1,50 @@
+/// \file
+/// Measures the memory that RESTinio holds for a request while it arrives.
+#ifndef MASTICDRIFT_HTTP_DETAIL_REQUESTMETER_H
+#define MASTICDRIFT_HTTP_DETAIL_REQUESTMETER_H
+
+#include <cstddef>
+#include <string_view>
+
+#include <http_parser.h>
+
+namespace masticdrift::http::detail {
+
+/// Follows the bytes of a connection with the parser that RESTinio uses as well.
+///
+/// RESTinio keeps the body and a record for each chunk until the request has been answered, and
+/// bounds the body only.
+class RequestMeter {
+public:
+  RequestMeter();
+  RequestMeter(const RequestMeter &) = delete;
+  RequestMeter &operator=(const RequestMeter &) = delete;
+
+  /// Takes the next bytes that were received.
+  void consume(std::string_view Bytes);
+
+  /// Forgets the requests that have arrived whole, which have been answered by now.
+  void release();
+
+  /// \returns the memory held for the requests since the last release(), in bytes.
+  std::size_t heldBytes() const;
+
+  /// \returns true while a request has begun and not ended.
+  bool isWithinRequest() const { return WithinRequest_; }
+
+private:
+  static int onMessageBegin(http_parser *Parser);
+  static int onBody(http_parser *Parser, const char *Data, std::size_t Size);
+  static int onChunk(http_parser *Parser);
+  static int onMessageComplete(http_parser *Parser);
+
+  http_parser Parser_{};
+  bool WithinRequest_ = false;
+  std::size_t HeaderBytes_ = 0; ///< all bytes that are not part of a body
+  std::size_t BodyBytes_ = 0;
+  std::size_t Chunks_ = 0;
+};
+
+} // namespace masticdrift::http::detail
+
+#endif // MASTICDRIFT_HTTP_DETAIL_REQUESTMETER_H
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -80,8 +80,26 @@
   return Text;
 }
 
-http::ServerOptions serverOptions(asio::io_context &Loop, const platform::Endpoint &Listen) {
+/// Part of the machine's memory that the requests to one server may take. Callers and other daemons
+/// have a server each, so that neither can fill the machine's memory or keep the other out.
+constexpr std::size_t MemoryShareDivisor = 4;
+/// The same of the descriptors. The rest is for connections to executors and to the platform.
+constexpr std::size_t DescriptorShareDivisor = 4;
+/// Descriptors that are not for sockets.
+constexpr std::int64_t FileDescriptors = 200;
+/// Bounds for machines whose settings say something else.
+constexpr std::int64_t MinMemoryMb = 32;
+constexpr std::int64_t MinSockets = 64;
+
+http::ServerOptions serverOptions(asio::io_context &Loop, const platform::MachineSettings &Settings,
+                                  const platform::Endpoint &Listen) {
   http::ServerOptions Options;
+  Options.MaxHeldBytes_ =
+      (static_cast<std::size_t>(std::max(Settings.MemoryMb_, MinMemoryMb)) << 20U) /
+      MemoryShareDivisor;
+  Options.MaxConnections_ =
+      static_cast<std::size_t>(std::max(Settings.MaxDescriptors_ - FileDescriptors, MinSockets)) /
+      DescriptorShareDivisor;
   Options.Address_ = Listen.Address_;
   Options.Port_ = Listen.Port_;
   Options.Loop_ = &Loop;
@@ -143,15 +161,15 @@
                     }),
         Leader_(Context_, JobTail_, SpecTail_, ExecutorTail_, ConfigFeed_), OrderRelay_(Context_),
         EntryService_(Context_, JobTail_, SpecWriter_, RecordWriter_, Leader_),
-        CallerServer_(serverOptions(Loop_, Settings.CallerEndpoint_),
+        CallerServer_(serverOptions(Loop_, Settings, Settings.CallerEndpoint_),
                       [this](const http::Request &HttpRequest, const http::Responder &Respond) {
                         EntryService_.handle(HttpRequest, Respond);
                       }),
-        ReadyServer_(serverOptions(Loop_, Settings.ReadyEndpoint_),
+        ReadyServer_(serverOptions(Loop_, Settings, Settings.ReadyEndpoint_),
                      [this](const http::Request &, const http::Responder &Respond) {
                        answerReadiness(Respond);
                      }),
-        PeerServer_(serverOptions(Loop_, Settings.PeerEndpoint_),
+        PeerServer_(serverOptions(Loop_, Settings, Settings.PeerEndpoint_),
                     [this](const http::Request &HttpRequest, const http::Responder &Respond) {
                       handlePeerRequest(HttpRequest, Respond);
                     }),
@@ -369,19 +387,22 @@
       Respond({400, {}, "text/plain", {}, false});
       return;
     }
-    platform::requestAdvice(
-        Client_, Settings_.AdviceAddress_, {Call->JobId_, Call->Occurrence_, Call->Step_, 0},
-        Call->Executors_, core::Millis(Call->TimeoutMs_),
-        [Respond](const std::optional<std::vector<fleet::AdvisedExecutor>> &Advice) {
-          protocol::AdviseReply Reply;
-          Reply.Answered_ = Advice.has_value();
-          if (Advice)
-            for (const fleet::AdvisedExecutor &Candidate : *Advice) {
-              Reply.Executors_.push_back(Candidate.Executor_);
-              Reply.Tickets_.push_back(Candidate.Ticket_);
-            }
-          Respond({200, core::pack(Reply), "application/msgpack", {}, false});
-        });
+    platform::requestAdvice(Client_, Settings_.AdviceAddress_,
+                            {Call->JobId_, Call->Occurrence_, Call->Step_, 0}, Call->Executors_,
+                            core::Millis(Call->TimeoutMs_),
+                            [this, Respond, Call = *Call](
+                                const std::optional<std::vector<fleet::AdvisedExecutor>> &Advice) {
+                              if (Advice)
+                                Leader_.onAdvised(Call, *Advice);
+                              protocol::AdviseReply Reply;
+                              Reply.Answered_ = Advice.has_value();
+                              if (Advice)
+                                for (const fleet::AdvisedExecutor &Candidate : *Advice) {
+                                  Reply.Executors_.push_back(Candidate.Executor_);
+                                  Reply.Tickets_.push_back(Candidate.Ticket_);
+                                }
+                              Respond({200, core::pack(Reply), "application/msgpack", {}, false});
+                            });
   }
 
   void handlePeerSubmit(const http::Request &HttpRequest, const http::Responder &Respond) {
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,6 +1,7 @@
 #include "masticdrift/http/Server.h"
 
 #include "masticdrift/core/Error.h"
+#include "masticdrift/http/detail/MeteredSocket.h"
 
 #include <atomic>
 #include <memory>
@@ -9,11 +10,94 @@
 
 #include <restinio/all.hpp>
 
+namespace masticdrift::http::detail {
+
+/// \returns the response to a request that the server's memory does not allow.
+static std::string refusalResponse() {
+  const core::ErrorInfo &Info = core::describe(core::ErrorKind::BodyTooLarge);
+  const std::string Body = core::errorBody(
+      core::ErrorKind::BodyTooLarge, "the request takes more memory than the server has left", {});
+  return "HTTP/1.1 " + std::to_string(Info.HttpStatus_) +
+         " Error\r\nConnection: close\r\nContent-Type: application/json\r\n"
+         "Masticdrift-Outcome: not_run\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// Called by RESTinio when a connection was accepted.
+template <typename Connection, typename OnStart, typename OnFailure>
+void prepare_connection_and_start_read(MeteredSocket &, Connection &, OnStart Start, OnFailure) {
+  Start();
+}
+
+/// Called by RESTinio for its state listener.
+inline restinio::tls_socket_t *
+make_tls_socket_pointer_for_state_listener(MeteredSocket &) noexcept {
+  return nullptr;
+}
+
+} // namespace masticdrift::http::detail
+
+namespace restinio {
+
+/// Setting that a server with metered sockets has in addition.
+template <typename Settings>
+class socket_type_dependent_settings_t<Settings, masticdrift::http::detail::MeteredSocket> {
+public:
+  using BudgetPointer = std::shared_ptr<masticdrift::http::detail::ConnectionBudget>;
+
+  void meter(BudgetPointer Budget) { Budget_ = std::move(Budget); }
+  BudgetPointer budget() const { return Budget_; }
+
+protected:
+  ~socket_type_dependent_settings_t() = default;
+
+private:
+  BudgetPointer Budget_;
+};
+
+namespace impl {
+
+/// Sockets for connections that will be accepted.
+template <> class socket_supplier_t<masticdrift::http::detail::MeteredSocket> {
+  using Socket = masticdrift::http::detail::MeteredSocket;
+
+protected:
+  template <typename Settings>
+  socket_supplier_t(Settings &ServerSettings, asio_ns::io_context &Loop)
+      : Loop_(Loop), Budget_(ServerSettings.budget()) {
+    while (Sockets_.size() < ServerSettings.concurrent_accepts_count())
+      Sockets_.push_back(makeSocket());
+  }
+  ~socket_supplier_t() = default;
+
+  Socket &socket(std::size_t Index) { return Sockets_.at(Index); }
+  Socket move_socket(std::size_t Index) { return std::exchange(Sockets_.at(Index), makeSocket()); }
+  std::size_t concurrent_accept_sockets_count() const noexcept { return Sockets_.size(); }
+
+private:
+  Socket makeSocket() const { return {Loop_, Budget_, Refusal_}; }
+
+  asio_ns::io_context &Loop_;
+  const std::shared_ptr<masticdrift::http::detail::ConnectionBudget> Budget_;
+  const std::shared_ptr<const std::string> Refusal_ =
+      std::make_shared<const std::string>(masticdrift::http::detail::refusalResponse());
+  std::vector<Socket> Sockets_;
+};
+
+} // namespace impl
+
+} // namespace restinio
+
 namespace masticdrift::http {
 
 namespace {
 
-using RestinioTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+using RestinioTraits = restinio::traits_t<
+    restinio::asio_timer_manager_t, restinio::null_logger_t, restinio::default_request_handler_t,
+    restinio::asio_ns::strand<restinio::default_asio_executor>, detail::MeteredSocket>;
+
+/// Interval at which unfinished requests are checked, while there are any.
+constexpr std::chrono::seconds SlowRequestInterval{1};
 
 /// The parser closes the connection when a header value or the header count exceeds its limit.
 constexpr std::size_t MaxHeaderValueBytes = 8192;
@@ -60,6 +144,38 @@
   return Answer;
 }
 
+/// Closes connections with slow requests, as long as there are unfinished ones.
+class SlowRequestWatch : public std::enable_shared_from_this<SlowRequestWatch> {
+public:
+  SlowRequestWatch(asio::io_context &Loop, std::shared_ptr<detail::ConnectionBudget> Budget)
+      : Timer_(Loop), Budget_(std::move(Budget)) {}
+
+  /// To be called once.
+  void start() {
+    Budget_->onUnfinished([Weak = weak_from_this()] {
+      if (const auto Self = Weak.lock())
+        asio::post(Self->Timer_.get_executor(), [Self] { Self->check(); });
+    });
+  }
+
+  void stop() { Stopped_ = true; }
+
+private:
+  void check() {
+    Timer_.expires_after(SlowRequestInterval);
+    Timer_.async_wait([Weak = weak_from_this()](std::error_code Error) {
+      const auto Self = Weak.lock();
+      if (!Error && Self && !Self->Stopped_ &&
+          Self->Budget_->closeSlow(detail::BudgetShare::Clock::now()))
+        Self->check();
+    });
+  }
+
+  asio::steady_timer Timer_;
+  const std::shared_ptr<detail::ConnectionBudget> Budget_;
+  std::atomic<bool> Stopped_{false};
+};
+
 } // namespace
 
 struct Server::Impl {
@@ -67,10 +183,14 @@
 
   Impl(const ServerOptions &Options, Handler OnRequest)
       : OwnLoop_(Options.Loop_ == nullptr ? std::make_shared<asio::io_context>() : nullptr),
+        Budget_(std::make_shared<detail::ConnectionBudget>(detail::BudgetLimits{
+            Options.MaxHeldBytes_, Options.MaxConnections_, Options.RequestTimeout_})),
+        Watch_(std::make_shared<SlowRequestWatch>(OwnLoop_ ? *OwnLoop_ : *Options.Loop_, Budget_)),
         Server_(restinio::external_io_context(OwnLoop_ ? *OwnLoop_ : *Options.Loop_),
                 [&](restinio::server_settings_t<RestinioTraits> &Settings) {
                   configure(Settings, Options, std::move(OnRequest));
                 }) {
+    Watch_->start();
     std::atomic<bool> Opened{false};
     std::exception_ptr Error;
     Server_.open_async([&] { Opened = true; },
@@ -86,6 +206,7 @@
   void configure(restinio::server_settings_t<RestinioTraits> &Settings,
                  const ServerOptions &Options, Handler OnRequest) {
     const std::size_t MaxBodyBytes = Options.MaxBodyBytes_;
+    Settings.meter(Budget_);
     Settings.address(Options.Address_)
         .port(Options.Port_)
         .concurrent_accepts_count(ConcurrentAccepts)
@@ -121,6 +242,7 @@
   void stop() {
     if (Stopped_.exchange(true))
       return;
+    Watch_->stop();
     if (!OwnLoop_) {
       Server_.close_async([] {}, [](std::exception_ptr) {});
       return;
@@ -131,6 +253,8 @@
   }
 
   const std::shared_ptr<asio::io_context> OwnLoop_; ///< null with an external loop
+  const std::shared_ptr<detail::ConnectionBudget> Budget_;
+  const std::shared_ptr<SlowRequestWatch> Watch_;
   std::atomic<bool> Stopped_{false};
   std::uint16_t Port_ = 0;
   Restinio Server_;
--- /dev/null
+++ b/tests/unit/ConnectionBudgetTest.cpp
@@ -0,0 +1,159 @@
+// The budget of a server beside clients that don't keep to their limits.
+#include "masticdrift/http/detail/ConnectionBudget.h"
+#include "masticdrift/http/detail/RequestMeter.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using masticdrift::http::detail::BudgetShare;
+using masticdrift::http::detail::ConnectionBudget;
+using masticdrift::http::detail::RequestMeter;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t Budget = 1000;
+const BudgetShare::Clock::time_point Start{std::chrono::hours(1)};
+
+/// Connections of one server. A closed one stays until the budget's owner removes it.
+struct Connections {
+  ConnectionBudget Budget_{{Budget, 4, milliseconds(10'000)}};
+  std::vector<std::unique_ptr<BudgetShare>> Shares_;
+  std::vector<bool> Closed_;
+
+  ~Connections() {
+    for (const auto &Share : Shares_)
+      Budget_.remove(*Share);
+  }
+
+  std::size_t open() {
+    const std::size_t Index = Shares_.size();
+    Shares_.push_back(std::make_unique<BudgetShare>());
+    Closed_.push_back(false);
+    Shares_.back()->Close_ = [this, Index] { Closed_[Index] = true; };
+    Budget_.add(*Shares_.back());
+    Budget_.onWaiting(*Shares_.back(), 0);
+    return Index;
+  }
+
+  /// \returns false when the budget refuses what the connection holds then.
+  bool receive(std::size_t Index, std::size_t Held, bool Unfinished,
+               BudgetShare::Clock::time_point Now = Start) {
+    const bool Allowed = Budget_.onReceived(*Shares_[Index], Held, Unfinished, Now);
+    if (Allowed && Unfinished)
+      Budget_.onWaiting(*Shares_[Index], Held);
+    return Allowed;
+  }
+};
+
+} // namespace
+
+// --- Memory ---
+
+// Load: large bodies that never end. Guards against ordinary requests that are refused because
+// such bodies hold the budget.
+Test(ConnectionBudget, theLargestUnfinishedRequestMakesRoom) {
+  Connections All;
+  const std::size_t Small = All.open();
+  const std::size_t Large = All.open();
+  const std::size_t Ordinary = All.open();
+  cr_assert(All.receive(Small, 300, true));
+  cr_assert(All.receive(Large, 600, true));
+  cr_expect(All.receive(Ordinary, 200, false));
+  cr_expect(All.Closed_[Large]);
+  cr_expect(!All.Closed_[Small]);
+  cr_expect_eq(All.Budget_.heldBytes(), 500);
+}
+
+// Guards against one request that drives out all others.
+Test(ConnectionBudget, theLargestRequestIsRefusedItself) {
+  Connections All;
+  const std::size_t Other = All.open();
+  const std::size_t Large = All.open();
+  cr_assert(All.receive(Other, 400, true));
+  cr_expect(!All.receive(Large, 700, true));
+  cr_expect(!All.Closed_[Other]);
+}
+
+// Guards against answers that are broken off: a request that has arrived whole is being served.
+Test(ConnectionBudget, requestsThatAreServedAreNotClosed) {
+  Connections All;
+  const std::size_t Served = All.open();
+  const std::size_t Next = All.open();
+  cr_assert(All.receive(Served, 900, false));
+  cr_expect(!All.receive(Next, 200, true));
+  cr_expect(!All.Closed_[Served]);
+  // It waits for the next request when it has answered.
+  All.Budget_.onWaiting(*All.Shares_[Served], 0);
+  const std::size_t Later = All.open();
+  cr_expect(All.receive(Later, 200, true));
+}
+
+// --- Connections ---
+
+// Load: connections without requests. Guards against new callers that find no place.
+Test(ConnectionBudget, theLongestInactiveConnectionMakesRoom) {
+  Connections All;
+  for (int I = 0; I < 4; ++I)
+    All.open();
+  All.receive(0, 10, true);
+  All.open();
+  cr_expect(!All.Closed_[0]);
+  cr_expect(All.Closed_[1]);
+}
+
+// --- Time ---
+
+// Load: requests that arrive byte by byte. Guards against connections that stay for good because
+// each byte counts as progress.
+Test(ConnectionBudget, aRequestThatTakesTooLongIsClosed) {
+  Connections All;
+  bool Watched = false;
+  All.Budget_.onUnfinished([&] { Watched = true; });
+  const std::size_t Slow = All.open();
+  const std::size_t Idle = All.open();
+  for (int Second = 0; Second < 9; ++Second) {
+    cr_assert(All.receive(Slow, 10, true, Start + milliseconds(1000 * Second)));
+    cr_expect(All.Budget_.closeSlow(Start + milliseconds(1000 * Second)));
+  }
+  cr_expect(Watched);
+  cr_expect(!All.Budget_.closeSlow(Start + milliseconds(10'000)));
+  cr_expect(All.Closed_[Slow]);
+  cr_expect(!All.Closed_[Idle]);
+}
+
+// --- What a request holds ---
+
+// Guards against a budget that counts bodies only: the library keeps a record for each chunk.
+Test(RequestMeter, smallChunksCountWithTheirRecords) {
+  constexpr std::size_t Chunks = 1000;
+  const std::string Header = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  RequestMeter Meter;
+  Meter.consume(Header);
+  for (std::size_t I = 0; I < Chunks; ++I)
+    Meter.consume("1\r\nx\r\n");
+  cr_expect(Meter.isWithinRequest());
+  cr_expect_geq(Meter.heldBytes(), 32 * Chunks);
+  RequestMeter Large;
+  Large.consume(Header);
+  Large.consume("3e8\r\n" + std::string(Chunks, 'x') + "\r\n");
+  cr_expect_leq(Large.heldBytes(), 4 * Chunks);
+}
+
+// Guards against a connection that is charged for requests which were answered long ago.
+Test(RequestMeter, answeredRequestsAreReleased) {
+  RequestMeter Meter;
+  Meter.consume("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nabc");
+  Meter.release();
+  cr_expect_gt(Meter.heldBytes(), 0, "the request has not ended");
+  Meter.consume("d");
+  cr_expect(!Meter.isWithinRequest());
+  Meter.release();
+  cr_expect_eq(Meter.heldBytes(), 0);
+  Meter.consume("GET / HTTP/1.1\r\n");
+  cr_expect(Meter.isWithinRequest());
+}
