--- a/include/masticdrift/daemon/AdviceDispatcher.h
+++ b/include/masticdrift/daemon/AdviceDispatcher.h
@@ -43,19 +43,25 @@
   /// \param Answered false makes the daemon pause before its next call.
   void onCallFinished(const std::string &Address, bool Answered, core::TimePoint Now);
 
-  /// Sends waiting calls to free daemons, in the order of their priorities.
+  /// Sends waiting calls to free daemons, in the order of their priorities. A short call may follow
+  /// another one before that is answered, because the way to a daemon and back takes as long as the
+  /// call itself.
   void dispatch(core::TimePoint Now);
 
-  /// \returns how many calls keep all available daemons busy, with one waiting for each.
+  /// \returns how many calls keep all available daemons busy, with a short one on its way and one
+  /// waiting for each.
   lead::AdviceLimits limits(core::TimePoint Now) const;
 
 private:
   struct Adviser {
     core::TimePoint LastSeenAt_;
     core::TimePoint BackoffUntil_{};
-    bool Busy_ = false;
+    int Calls_ = 0;        ///< without an answer
+    bool HasLong_ = false; ///< one of them is long
   };
   static bool isAvailable(const std::string &Address, const Adviser &State, core::TimePoint Now);
+  /// \returns the daemon that is to make a call of \p ExpectedMs, or end().
+  std::map<std::string, Adviser>::iterator chooseAdviser(double ExpectedMs, core::TimePoint Now);
 
   const SendFunction Send_;
   std::map<std::string, Adviser> Advisers_;
--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -13,6 +13,7 @@
 #include "platform/Ingress.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,9 @@
                        const std::string &LeaderAddress, StoreRequest Write,
                        std::function<void(WriteOutcome)> OnDone);
   void answerWrite(const std::shared_ptr<PendingRequest> &Request, WriteOutcome Outcome);
+  /// \returns the answer to a submission that this daemon, as leader, does not accept.
+  std::optional<protocol::SubmitReply> refusalForPeer(const protocol::SubmitRequest &Call,
+                                                      const std::string &Id);
   void refuse(const std::shared_ptr<PendingRequest> &Request, core::ErrorKind Kind,
               std::string_view Message);
 
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -7,6 +7,7 @@
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/JobStateWaiters.h"
 #include "masticdrift/daemon/TopicTail.h"
+#include "masticdrift/lead/Admission.h"
 #include "masticdrift/protocol/PeerMessages.h"
 #include "masticdrift/protocol/RelayMessages.h"
 
@@ -53,6 +54,10 @@
   /// \returns the answer, which assigns no tasks to the other daemon while this one does not lead.
   protocol::HelloReply onHello(const protocol::Hello &Hello);
 
+  /// Notes the answer to a call that this daemon has made for the leader, for the next one.
+  void onAdvised(const protocol::AdviseRequest &Call,
+                 const std::vector<fleet::AdvisedExecutor> &Allowed);
+
   /// Handles results of orders that were sent through a relay.
   void onResults(const protocol::ResultsRequest &Request);
 
@@ -63,6 +68,9 @@
   /// \returns true while this daemon leads but can't read the store, so that another one should
   /// take over.
   bool leadsWithoutStore() const;
+  /// Decides whether this daemon, which must lead, accepts a job.
+  lead::AdmissionDecision admit(std::string_view JobId, const work::AcceptedRecord &Acceptance,
+                                const work::JobSpec &Spec);
   /// \returns true while this daemon leads and has so much waiting work that a job which is
   /// accepted now will not start soon.
   bool hasBacklog() const;
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -123,10 +123,11 @@
   bool AdvicePending_ = false;
   std::vector<std::uint32_t> AskedExecutors_; ///< by ordinal, while advice is pending
   core::TimePoint AdviceRetryAt_{};
-  core::TimePoint NextSearchAt_{}; ///< no search for executors to request advice about before
-  StepWait Wait_;                  ///< as of the last placement pass
-  core::TimePoint TurnAt_{};       ///< when the step last had the turn of overdue work
-  std::uint64_t LastGangRun_ = 0;  ///< run number of the latest gang start
+  core::TimePoint NextAheadCheckAt_{}; ///< the steps before it end later than that
+  core::TimePoint NextSearchAt_{};     ///< no search for executors to request advice about before
+  StepWait Wait_;                      ///< as of the last placement pass
+  core::TimePoint TurnAt_{};           ///< when the step last had the turn of overdue work
+  std::uint64_t LastGangRun_ = 0;      ///< run number of the latest gang start
   core::TimePoint FirstStartAt_{};
   core::Duration CompletedRunTime_{0}; ///< total run time of the completed tasks
   std::uint32_t CompletedRuns_ = 0;    ///< number of runs in CompletedRunTime_
@@ -166,9 +167,13 @@
   int ActiveRuns_ = 0;
   std::set<std::string> FailedOn_; ///< executors on which runs of the job failed
   core::TimePoint AcceptedAt_;
-  core::TimePoint Deadline_; ///< completion objective
+  core::Millis Objective_{0}; ///< completion objective, from the acceptance or the due time on
+  core::TimePoint Deadline_;  ///< completion objective
   /// From then on the objective is missed by so much that the job is placed last.
   core::TimePoint ValueExpiresAt_;
+  /// Expected run time of a task of each step, and of the longest chain of steps from it on.
+  std::vector<core::Millis> ExpectedTimes_;
+  std::vector<core::Millis> RemainingChains_;
   std::vector<TrackedOccurrence> Occurrences_;
 };
 
@@ -260,6 +265,7 @@
   std::vector<fleet::ReportedEnd> PostponedEnds_;
   core::TimePoint AvoidUntil_{}; ///< no new runs before this time
   Slowness Slowness_;
+  double RunTimeFactor_ = 1;       ///< learned run time relative to an average executor
   core::TimePoint DrainEnd_{};     ///< zero while not draining
   bool Evacuated_ = false;         ///< its failure domain is being evacuated
   std::string Region_;             ///< empty where regions do not matter
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -7,10 +7,13 @@
 #ifndef MASTICDRIFT_LEAD_SCHEDULER_H
 #define MASTICDRIFT_LEAD_SCHEDULER_H
 
+#include "masticdrift/lead/Admission.h"
 #include "masticdrift/lead/Drain.h"
 #include "masticdrift/lead/LimitReserve.h"
 #include "masticdrift/lead/Model.h"
+#include "masticdrift/lead/RateTokens.h"
 #include "masticdrift/lead/RoomIndex.h"
+#include "masticdrift/lead/RunTimeModel.h"
 #include "masticdrift/lead/Silence.h"
 
 #include <algorithm>
@@ -114,6 +117,9 @@
   /// Waiting steps from which on jobs are accepted without being begun. A calm day of 1,100
   /// executors has some dozens.
   std::size_t BacklogSteps_ = 200;
+  /// Interval of the surveys of waiting work, by which jobs are admitted. Jobs accepted between two
+  /// surveys are added to the last one.
+  core::Millis SurveyInterval_{200};
 };
 
 /// Calls to the advice service that are expected to take longer count as long.
@@ -197,6 +203,16 @@
   /// \returns what this scheduler knows of the job.
   JobKnowledge knowledgeOf(const std::string &Id) const;
 
+  /// Decides whether a job is accepted, by the work that waits before it. Counts the work of an
+  /// accepted job from then on.
+  AdmissionDecision admit(std::string_view JobId, const work::AcceptedRecord &Acceptance,
+                          const work::JobSpec &Spec, core::TimePoint Now);
+
+  /// What is learned about run times, for later leaders and operators.
+  const RunTimeModel &runTimes() const { return RunTimes_; }
+  /// Takes over what an earlier leader has learned. To be called before onJob().
+  void restoreRunTimes(const RunTimeSummary &Summary) { RunTimes_.restore(Summary); }
+
   /// Handles that all jobs that were stored before \p ReadUpTo have been read.
   void onJobsRead(core::TimePoint ReadUpTo) { JobsReadUpTo_ = std::max(JobsReadUpTo_, ReadUpTo); }
 
@@ -271,6 +287,14 @@
                 const std::optional<std::vector<fleet::AdvisedExecutor>> &Allowed,
                 core::TimePoint Now);
 
+  /// Takes over the answer to a call for advice of an earlier leader. What this leader has learned
+  /// itself stays.
+  /// \param Excluded executors that may not run the step.
+  /// \param Age time since the answer; tickets expire accordingly.
+  void onInheritedAdvice(const work::TaskRef &Step, std::span<const fleet::AdvisedExecutor> Allowed,
+                         std::span<const std::string> Excluded, core::Millis Age,
+                         core::TimePoint Now);
+
   /// Limits the outstanding calls to the advice service.
   void setAdviceLimits(AdviceLimits Limits) { AdviceLimits_ = Limits; }
   /// Limits the concurrent start orders, when several machines send them.
@@ -345,6 +369,12 @@
   // Jobs.
   void beginJob(TrackedJob &Job);
   void initJob(TrackedJob &Job, core::TimePoint Now, std::int64_t WallMs);
+  /// \returns true when a job of the customer exceeds its rate.
+  bool isOverRate(const std::string &Customer, int Priority, core::TimePoint Now) const;
+  /// Adds the waiting work of a step to the survey for admissions.
+  void surveyStep(const TrackedJob &Job, std::size_t Step, const TrackedStep &Waiting, bool InTime);
+  /// \returns how long a task of the step will run on an average executor.
+  RunTimePrediction expectedRunTime(const TrackedJob &Job, const work::TaskRef &Task) const;
   void updateRegions(TrackedJob &Job) const;
   void updatePlace(ExecutorState &Executor, core::TimePoint Now);
   void takeUpEndedJob(TrackedJob &Job, core::TimePoint Now);
@@ -487,6 +517,9 @@
   template <typename Visitor>
   void visitRuns(ExecutorState &Executor, const work::TaskRef &First, const work::TaskRef &Last,
                  Visitor Visit);
+  /// \returns when the last run of a step is expected to end; zero without runs.
+  core::TimePoint expectedEndOf(const TrackedJob &Job, std::uint32_t Occurrence,
+                                std::uint32_t Step);
   static void releaseDrained(ExecutorState &Executor);
   /// Sends the order that a run needs now.
   /// \returns true while the run may need another order.
@@ -563,8 +596,7 @@
   std::map<std::string, std::string, std::less<>> Unrecorded_; ///< addresses by executor id
   std::unordered_map<std::string, core::Resources> UsedByCustomer_;
   std::unordered_map<std::string, DemandPeak> UrgentPeaks_; ///< first-priority work, by customer
-  /// Token buckets by customer: tokens and time of the last refill.
-  std::unordered_map<std::string, std::pair<double, core::TimePoint>> RateTokens_;
+  std::unordered_map<std::string, RateTokens> RateTokens_; ///< by customer
   std::set<std::string> DirtyJobs_; ///< jobs whose progress record has changed
   std::set<std::string>
       SuspectJobs_; ///< jobs with suspicions against their tasks, and maybe others
@@ -576,9 +608,14 @@
   std::map<work::TaskRef, bool> OutstandingAdvice_; ///< by step; true for a long call
   std::size_t OutstandingLongCalls_ = 0;
   WaitLogBudget WaitLogBudget_;
-  double OverdueCredit_ = 0; ///< starts that overdue work is owed
+  /// Work that overdue work is owed, in thousandths of a core times milliseconds.
+  double OverdueCredit_ = 0;
   StatesRead StatesRead_;
   std::unordered_map<std::string, RunTimeRatio> RunTimeRatios_; ///< by queue and image
+  RunTimeModel RunTimes_;
+  AdmissionControl Admission_;
+  CapacityCatalog Capacities_;
+  core::TimePoint NextSurveyAt_{};
   std::uint64_t NextFlush_ = 1;
   std::uint64_t DurableFlush_ = 0;
 };
--- a/include/masticdrift/lead/WaitReason.h
+++ b/include/masticdrift/lead/WaitReason.h
@@ -30,9 +30,10 @@
   AllAdvised,      ///< advice is known for every executor with unclaimed room
   CallLimit,       ///< limit of outstanding requests for advice
   AllowedRegions,  ///< no room in the regions in which the job may run
+  UrgentReserve,   ///< the room is kept free for more urgent work that waits for advice
 };
 
-inline constexpr std::size_t WaitReasons = static_cast<std::size_t>(WaitReason::AllowedRegions) + 1;
+inline constexpr std::size_t WaitReasons = static_cast<std::size_t>(WaitReason::UrgentReserve) + 1;
 
 /// Number of tasks by the reason for which their step waits.
 using WaitCounts = std::array<std::size_t, WaitReasons>;
--- a/include/masticdrift/protocol/PeerMessages.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -18,6 +18,19 @@
 inline constexpr const char *SubmitPath = "/peer/submit";
 inline constexpr const char *JobStatePath = "/peer/look";
 
+/// What a daemon has learned from one call to the advice service. The verdicts hold for good, the
+/// tickets only for a limited time.
+struct KnownVerdicts {
+  std::string JobId_;
+  std::uint32_t Occurrence_ = 0;
+  std::uint32_t Step_ = 0;
+  std::vector<std::string> Allowed_;  ///< executors that may run the step
+  std::vector<std::string> Tickets_;  ///< of Allowed_, in the same order
+  std::vector<std::string> Excluded_; ///< executors that may not
+  std::int64_t AgeMs_ = 0;            ///< time since the answer
+  MSGPACK_DEFINE_ARRAY(JobId_, Occurrence_, Step_, Allowed_, Tickets_, Excluded_, AgeMs_)
+};
+
 /// Announces a daemon to the leader, about twice a second. The daemon can call the advice service
 /// and relay orders for it.
 struct Hello {
@@ -27,7 +40,9 @@
   double Cores_ = 0;     ///< processor share of its machine, in cores
   bool CanLead_ = false; ///< its machine is large enough and it can read the store
   double LinkMbps_ = 0;  ///< bandwidth of its machine's link
-  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_, CanLead_, LinkMbps_)
+  /// With the first hello of a term: what the daemon has learned from calls for earlier leaders.
+  std::vector<KnownVerdicts> Verdicts_;
+  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_, CanLead_, LinkMbps_, Verdicts_)
 };
 
 /// The leader's answer to a Hello.
@@ -39,7 +54,9 @@
   /// Peer address of the daemon to get the configuration from; empty for the log service. Valid
   /// with SourceKnown_.
   std::string ConfigSource_;
-  MSGPACK_DEFINE_ARRAY(Incarnation_, Standby_, SourceKnown_, ConfigSource_)
+  /// To a standby, from time to time: a packed lead::RunTimeSummary. Empty otherwise.
+  std::string RunTimes_;
+  MSGPACK_DEFINE_ARRAY(Incarnation_, Standby_, SourceKnown_, ConfigSource_, RunTimes_)
 };
 
 /// Asks a daemon to make one call to the advice service for the leader.
@@ -74,7 +91,11 @@
   bool Stored_ = false;
   bool Refused_ = false;     ///< nothing was stored and nothing will be
   std::uint64_t Offset_ = 0; ///< of the job's acceptance record
-  MSGPACK_DEFINE_ARRAY(Stored_, Refused_, Offset_)
+  /// With Refused_, a lead::AdmissionOutcome: why the leader does not accept the job. 0 when the
+  /// record could not be stored.
+  std::uint8_t Admission_ = 0;
+  std::int64_t RetryAfterMs_ = 0; ///< when coming back makes sense; 0 when it never does
+  MSGPACK_DEFINE_ARRAY(Stored_, Refused_, Offset_, Admission_, RetryAfterMs_)
 };
 
 /// Asks the leader for the state of a job.
--- a/src/daemon/AdviceDispatcher.cpp
+++ b/src/daemon/AdviceDispatcher.cpp
@@ -10,6 +10,10 @@
 constexpr std::size_t AdvisersKeptForShortCalls = 1;
 /// Pause of an adviser after a call without an answer.
 constexpr core::Millis FailureBackoff{800};
+/// Short calls that one daemon may have outstanding.
+constexpr int MaxShortCalls = 2;
+/// Calls for each available daemon: those on their way and one that waits.
+constexpr std::size_t CallsPerAdviser = MaxShortCalls + 1;
 
 } // namespace
 
@@ -27,7 +31,9 @@
   const auto Entry = Advisers_.find(Address);
   if (Entry == Advisers_.end())
     return;
-  Entry->second.Busy_ = false;
+  Adviser &State = Entry->second;
+  State.Calls_ = std::max(State.Calls_ - 1, 0);
+  State.HasLong_ = State.HasLong_ && State.Calls_ > 0;
   if (!Answered)
     Entry->second.BackoffUntil_ = Now + FailureBackoff;
   dispatch(Now);
@@ -42,34 +48,47 @@
 lead::AdviceLimits AdviceDispatcher::limits(core::TimePoint Now) const {
   const auto Available = static_cast<std::size_t>(std::ranges::count_if(
       Advisers_, [Now](const auto &Entry) { return isAvailable(Entry.first, Entry.second, Now); }));
-  return {2 * std::max<std::size_t>(Available, 1), std::max<std::size_t>(Available, 1)};
+  return {CallsPerAdviser * std::max<std::size_t>(Available, 1),
+          std::max<std::size_t>(Available, 1)};
 }
 
 void AdviceDispatcher::dispatch(core::TimePoint Now) {
   std::erase_if(Advisers_, [&](const auto &Entry) {
-    return !Entry.second.Busy_ && !Entry.first.empty() &&
+    return Entry.second.Calls_ == 0 && !Entry.first.empty() &&
            Now - Entry.second.LastSeenAt_ > AdviserTimeout;
   });
   std::ranges::sort(WaitingCalls_, {}, &AdviceCall::Priority_);
-  std::vector<std::string> FreeAdvisers;
-  for (const auto &[Address, State] : Advisers_)
-    if (!State.Busy_ && isAvailable(Address, State, Now))
-      FreeAdvisers.push_back(Address);
-  const std::size_t KeptAdvisers = Advisers_.size() > 1 ? AdvisersKeptForShortCalls : 0;
-  // This daemon's empty address sorts first, so this daemon is used last.
   std::vector<AdviceCall> Remaining;
   for (AdviceCall &Call : WaitingCalls_) {
-    if (FreeAdvisers.empty() ||
-        (Call.ExpectedMs_ > lead::LongAdviceMs && FreeAdvisers.size() <= KeptAdvisers)) {
+    const auto Chosen = chooseAdviser(Call.ExpectedMs_, Now);
+    if (Chosen == Advisers_.end()) {
       Remaining.push_back(std::move(Call));
       continue;
     }
-    const std::string Address = FreeAdvisers.back();
-    FreeAdvisers.pop_back();
-    Advisers_[Address].Busy_ = true;
-    Send_(Address, std::move(Call));
+    ++Chosen->second.Calls_;
+    Chosen->second.HasLong_ = Chosen->second.HasLong_ || Call.ExpectedMs_ > lead::LongAdviceMs;
+    Send_(Chosen->first, std::move(Call));
   }
   WaitingCalls_ = std::move(Remaining);
 }
 
+std::map<std::string, AdviceDispatcher::Adviser>::iterator
+AdviceDispatcher::chooseAdviser(double ExpectedMs, core::TimePoint Now) {
+  const bool Long = ExpectedMs > lead::LongAdviceMs;
+  auto Best = Advisers_.end();
+  std::size_t Idle = 0;
+  // This daemon's empty address sorts first, so this daemon is used last.
+  for (auto Entry = Advisers_.begin(); Entry != Advisers_.end(); ++Entry) {
+    const Adviser &State = Entry->second;
+    if (!isAvailable(Entry->first, State, Now) || State.HasLong_ ||
+        State.Calls_ >= (Long ? 1 : MaxShortCalls))
+      continue;
+    Idle += State.Calls_ == 0 ? 1 : 0;
+    if (Best == Advisers_.end() || State.Calls_ <= Best->second.Calls_)
+      Best = Entry;
+  }
+  const std::size_t KeptAdvisers = Advisers_.size() > 1 ? AdvisersKeptForShortCalls : 0;
+  return Long && Idle <= KeptAdvisers ? Advisers_.end() : Best;
+}
+
 } // namespace masticdrift::daemon
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -24,9 +24,47 @@
 constexpr core::Millis MaxForwardTime{1700};
 /// The leader's own wait for a write plus a round trip over a slow link.
 constexpr core::Millis StateQueryTimeout = MaxJobStateWait + core::Millis(300);
-/// The smallest delay that the header can express, in whole seconds. Another daemon serves the
-/// retry.
-constexpr const char *RetryAfterSeconds = "1";
+/// \returns the delay in whole seconds. The smallest is for refusals of this daemon alone: another
+/// one serves the retry.
+std::string retryAfterSeconds(core::Millis Delay) {
+  return std::to_string(
+      std::max<std::int64_t>(std::chrono::ceil<std::chrono::seconds>(Delay).count(), 1));
+}
+
+/// \returns the error that callers get for a job that the leader does not accept.
+ErrorKind errorOf(lead::AdmissionOutcome Outcome) {
+  using enum lead::AdmissionOutcome;
+  switch (Outcome) {
+  case CustomerBacklog:
+    return ErrorKind::TeamLimit;
+  case PoolBacklog:
+    return ErrorKind::QueueFull;
+  case ImpossibleSize:
+    return ErrorKind::ImpossibleSize;
+  case UnknownPool:
+    return ErrorKind::UnknownQueue;
+  case Accepted:
+    break;
+  }
+  return ErrorKind::StoreUnavailable;
+}
+
+std::string_view messageOf(lead::AdmissionOutcome Outcome) {
+  using enum lead::AdmissionOutcome;
+  switch (Outcome) {
+  case CustomerBacklog:
+    return "the customer's waiting work fills its limit for longer than the job's objective allows";
+  case PoolBacklog:
+    return "the waiting work fills all executors for longer than the job's objective allows";
+  case ImpossibleSize:
+    return "a task of the job is larger than the largest executor of its queue";
+  case UnknownPool:
+    return "the configuration has no executors for the queue";
+  case Accepted:
+    break;
+  }
+  return "the job store does not accept writes; nothing was stored";
+}
 
 } // namespace
 
@@ -43,6 +81,9 @@
   core::TimePoint Deadline_;
   bool Answered_ = false;
   std::function<void(http::Response)> SendResponse_;
+  /// Why the leader does not accept the job.
+  lead::AdmissionOutcome Admission_ = lead::AdmissionOutcome::Accepted;
+  core::Millis RetryAfter_{0};
 
   void answer(int Status, std::string Body) {
     http::Response Response;
@@ -72,7 +113,7 @@
   Response.Status_ = platform::httpStatusOf(Kind);
   Response.Body_ = core::errorBody(Kind, Message, Request->JobId_);
   if (Response.Status_ == 503 || Response.Status_ == 429)
-    Response.Headers_.emplace_back("Retry-After", RetryAfterSeconds);
+    Response.Headers_.emplace_back("Retry-After", retryAfterSeconds(Request->RetryAfter_));
   core::count("masticdrift_submissions_total", {{"outcome", std::string(Info.Name_)}});
   core::log(core::LogLevel::Info, "refused",
             {{"request_id", Request->JobId_},
@@ -175,6 +216,16 @@
   }
   const work::AcceptedRecord Record{*Request->Queue_, Request->Customer_, core::wallMillis()};
   Attempts_.begin(Request->JobId_);
+  if (Leader_.leading()) {
+    const lead::AdmissionDecision Decision = Leader_.admit(Request->JobId_, Record, *Spec);
+    if (Decision.Outcome_ != lead::AdmissionOutcome::Accepted) {
+      Request->Admission_ = Decision.Outcome_;
+      Request->RetryAfter_ = Decision.RetryAfter_;
+      answerWrite(Request,
+                  Attempts_.end(Request->JobId_, WriteOutcome::Refused, core::Clock::now()));
+      return;
+    }
+  }
   store(Request, {work::encodeAccepted(Request->JobId_, Record), core::pack(*Spec)},
         [this, Request](WriteOutcome Outcome) {
           answerWrite(Request, Attempts_.end(Request->JobId_, Outcome, core::Clock::now()));
@@ -185,8 +236,7 @@
                                WriteOutcome Outcome) {
   switch (Outcome) {
   case WriteOutcome::Refused:
-    refuse(Request, ErrorKind::StoreUnavailable,
-           "the job store does not accept writes; nothing was stored");
+    refuse(Request, errorOf(Request->Admission_), messageOf(Request->Admission_));
     return;
   case WriteOutcome::Unknown:
     refuse(Request, ErrorKind::AppendUnknown,
@@ -284,6 +334,12 @@
       OnDone(WriteOutcome::Stored);
       return;
     }
+    if (Reply && Reply->Refused_ && Reply->Admission_ != 0) {
+      Request->Admission_ = static_cast<lead::AdmissionOutcome>(Reply->Admission_);
+      Request->RetryAfter_ = core::Millis(Reply->RetryAfterMs_);
+      OnDone(Result.EarlierCopySent_ ? WriteOutcome::Unknown : WriteOutcome::Refused);
+      return;
+    }
     const bool KnownNotStored = (Reply && Reply->Refused_ && !Result.EarlierCopySent_) ||
                                 Result.Transfer_ == http::Transfer::NotConnected;
     core::log(core::LogLevel::Warning, "leader did not confirm a forwarded write",
@@ -306,6 +362,32 @@
   });
 }
 
+std::optional<protocol::SubmitReply>
+EntryService::refusalForPeer(const protocol::SubmitRequest &Call, const std::string &Id) {
+  if (!Leader_.leading())
+    return std::nullopt;
+  const auto Acceptance = core::unpack<work::AcceptedRecord>(Call.Value_);
+  const auto Spec = core::unpack<work::JobSpec>(Call.Spec_);
+  if (!Acceptance || !Spec)
+    return std::nullopt;
+  const lead::AdmissionDecision Decision = Leader_.admit(Id, *Acceptance, *Spec);
+  if (Decision.Outcome_ == lead::AdmissionOutcome::Accepted)
+    return std::nullopt;
+  protocol::SubmitReply Reply;
+  Reply.Refused_ =
+      Attempts_.end(Id, WriteOutcome::Refused, core::Clock::now()) == WriteOutcome::Refused;
+  Reply.Admission_ = static_cast<std::uint8_t>(Decision.Outcome_);
+  Reply.RetryAfterMs_ = Decision.RetryAfter_.count();
+  core::log(core::LogLevel::Info, "job is not admitted",
+            {{"request_id", Id},
+             {"customer", Acceptance->Customer_},
+             {"reason", std::string(nameOf(Decision.Outcome_))},
+             {"wait_ms", std::to_string(Decision.Wait_.count())},
+             {"allowed_ms", std::to_string(Decision.Allowed_.count())},
+             {"retry_after_ms", std::to_string(Decision.RetryAfter_.count())}});
+  return Reply;
+}
+
 void EntryService::submitForPeer(protocol::SubmitRequest Call,
                                  std::function<void(protocol::SubmitReply)> OnDone) {
   const core::TimePoint Deadline = core::Clock::now() + core::Millis(Call.TimeoutMs_);
@@ -317,8 +399,13 @@
     OnDone({true, false, Job->AcceptedOffset_});
     return;
   }
-  if (IsSubmission)
+  if (IsSubmission) {
     Attempts_.begin(Id);
+    if (const auto Refusal = refusalForPeer(Call, Id)) {
+      OnDone(*Refusal);
+      return;
+    }
+  }
   appendUnlessFailing({{std::move(Call.Key_), std::move(Call.Value_)}, std::move(Call.Spec_)},
                       Deadline,
                       [this, Id, IsSubmission, OnDone = std::move(OnDone)](WriteOutcome Outcome) {
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -11,6 +11,7 @@
 #include "masticdrift/daemon/Retention.h"
 #include "masticdrift/daemon/StandbyTable.h"
 #include "masticdrift/daemon/StoredJobCheck.h"
+#include "masticdrift/daemon/VerdictMemory.h"
 #include "masticdrift/daemon/WorkMeter.h"
 #include "masticdrift/daemon/WorkPacing.h"
 #include "masticdrift/lead/Election.h"
@@ -57,10 +58,16 @@
 /// Added to the expected duration of a call to the advice service.
 constexpr core::Millis AdviceTimeoutMargin{900};
 constexpr core::Millis GaugeUpdateInterval{2000};
+/// Shortest interval between two summaries of run times that go to standbys.
+constexpr core::Millis RunTimesInterval{2000};
+/// Interval between log lines about the errors of predicted run times.
+constexpr core::Millis RunTimeErrorInterval{10'000};
 /// Interval of the additional heartbeats for silent executors that answer again or whose leases are
 /// over, and for executors that stop draining. A store that is down must not be called in each
 /// round.
 constexpr core::Millis ExtraHeartbeatInterval{200};
+/// Calls whose verdicts are kept while this daemon prepares to lead.
+constexpr std::size_t MaxInheritedVerdicts = 5000;
 /// Interval between reloads of the specifications while a job lacks its own.
 constexpr core::Millis SpecReloadInterval{5000};
 
@@ -331,6 +338,7 @@
     Role_ = Role::Preparing;
     Term_ = NewestRecord_->Term_;
     TermBegunAt_ = core::Clock::now();
+    InheritedVerdicts_.clear();
     HandOverUntil_ = {};
     Sequence_ = 0;
     ConfigReaders_ = {};
@@ -441,8 +449,11 @@
         addUnlistedExecutor(Id, Address, Now);
       Scheduler_->onInheritedExecutor(Id, Address);
     }
+    Scheduler_->restoreRunTimes(RunTimes_);
     for (const auto &[Id, Job] : Context_.JobTable_.jobs())
       Scheduler_->onJob(Job, Now, core::wallMillis());
+    takeOverVerdicts(VerdictMemory_.take(Now), Now);
+    takeOverVerdicts(std::exchange(InheritedVerdicts_, {}), Now);
     for (const auto &[Id, Known] : Silences_)
       if (Roster_.contains(Id))
         Scheduler_->onInheritedSilence(Id, Known, Now);
@@ -471,6 +482,44 @@
     tick();
   }
 
+  /// Passes verdicts of calls for earlier leaders on to the scheduler.
+  void takeOverVerdicts(const std::vector<protocol::KnownVerdicts> &Verdicts, core::TimePoint Now) {
+    for (const protocol::KnownVerdicts &Known : Verdicts) {
+      std::vector<fleet::AdvisedExecutor> Allowed;
+      for (std::size_t I = 0; I < Known.Allowed_.size(); ++I)
+        Allowed.push_back(
+            {Known.Allowed_[I], I < Known.Tickets_.size() ? Known.Tickets_[I] : std::string()});
+      Scheduler_->onInheritedAdvice({Known.JobId_, Known.Occurrence_, Known.Step_, 0}, Allowed,
+                                    Known.Excluded_, core::Millis(Known.AgeMs_), Now);
+    }
+  }
+
+  /// \returns what the leader has learned about run times, for a standby; empty when there is
+  /// nothing new.
+  std::string runTimesForStandby(core::TimePoint Now) {
+    const bool Due = Now - RunTimesSentAt_ >= RunTimesInterval;
+    if (Due && Scheduler_->runTimes().version() != SentRunTimes_) {
+      SentRunTimes_ = Scheduler_->runTimes().version();
+      RunTimesSentAt_ = Now;
+      PackedRunTimes_ = core::pack(Scheduler_->runTimes().summary());
+    }
+    return Now - RunTimesSentAt_ < HelloInterval ? PackedRunTimes_ : std::string();
+  }
+
+  void logRunTimeErrors() const {
+    for (const lead::RunTimeErrors &Errors : Scheduler_->runTimes().errors()) {
+      core::setGauge("masticdrift_run_time_error", Errors.Estimate_,
+                     {{"queue", Errors.Queue_}, {"source", "estimate"}});
+      core::setGauge("masticdrift_run_time_error", Errors.Prediction_,
+                     {{"queue", Errors.Queue_}, {"source", "learned"}});
+      core::log(core::LogLevel::Info, "run times",
+                {{"queue", Errors.Queue_},
+                 {"runs", std::to_string(Errors.Runs_)},
+                 {"estimate_error", std::to_string(Errors.Estimate_)},
+                 {"learned_error", std::to_string(Errors.Prediction_)}});
+    }
+  }
+
   void applyEvacuations(core::TimePoint Now) {
     std::set<std::string, std::less<>> Domains;
     for (work::Evacuation &Evacuation : Config_.evacuations().list())
@@ -616,6 +665,10 @@
     core::setGauge("masticdrift_advice_calls_outstanding",
                    static_cast<double>(Counts.OutstandingAdviceCalls_));
     setEvacuationGauges(Counts.RunsInEvacuation_);
+    if (Now - RunTimeErrorsAt_ >= RunTimeErrorInterval) {
+      RunTimeErrorsAt_ = Now;
+      logRunTimeErrors();
+    }
     for (std::size_t I = 0; I < lead::WaitReasons; ++I)
       core::setGauge("masticdrift_waiting_tasks_by_reason",
                      static_cast<double>(Counts.WaitingByReason_[I]),
@@ -954,6 +1007,10 @@
                {"good", UsableExecutors ? std::to_string(UsableExecutors->size()) : "no answer"},
                {"ms", std::to_string(core::toMillis(Now - SentAt))}});
     AdviceDispatcher_.onCallFinished(Adviser, UsableExecutors.has_value(), Now);
+    if (Adviser.empty() && UsableExecutors)
+      VerdictMemory_.add(
+          {Call.Step_.Job_, Call.Step_.Occurrence_, Call.Step_.Step_, Call.Executors_, 0},
+          *UsableExecutors, Now);
     if (Role_ != Role::Leading)
       return;
     Scheduler_->onAdvice(Call.Step_, Call.Executors_, UsableExecutors, Now);
@@ -979,9 +1036,12 @@
     const bool CanLead = lead::isPreferredLeader(Context_.Settings_.Cores_) &&
                          !Context_.Stopping_ && Context_.Manifest_ && Jobs_.loaded() &&
                          !Jobs_.failing() && !Leadership_.failing();
+    const bool SendsVerdicts = VerdictsKnownToTerm_ != NewestRecord_->Term_;
     HttpRequest.Body_ = core::pack(protocol::Hello{
         Context_.Settings_.Instance_, Context_.PeerAddress_, Context_.Settings_.Domain_,
-        Context_.Settings_.Cores_, CanLead, Context_.Settings_.LinkMbps_});
+        Context_.Settings_.Cores_, CanLead, Context_.Settings_.LinkMbps_,
+        SendsVerdicts ? VerdictMemory_.list(core::Clock::now())
+                      : std::vector<protocol::KnownVerdicts>()});
     HttpRequest.Timeout_ = HelloTimeout;
     Context_.Client_.send(
         std::move(HttpRequest), [Self = shared_from_this(), Term = NewestRecord_->Term_,
@@ -999,6 +1059,10 @@
               (!Reply || Reply->Incarnation_ != Self->NewestRecord_->Incarnation_);
           if (Reply && !Replaced) {
             Self->setStandby(Reply->Standby_);
+            Self->VerdictsKnownToTerm_ = Term;
+            if (!Reply->RunTimes_.empty())
+              if (auto RunTimes = core::unpack<lead::RunTimeSummary>(Reply->RunTimes_))
+                Self->RunTimes_ = std::move(*RunTimes);
             if (Reply->SourceKnown_ && Self->Role_ == Role::Follower)
               Self->Config_.setSource(Reply->ConfigSource_);
           }
@@ -1074,6 +1138,15 @@
   Retention Retention_;
   StoredJobCheck StoredJobCheck_;
   AdviceDispatcher AdviceDispatcher_;
+  VerdictMemory VerdictMemory_;           ///< of calls that this daemon has made
+  std::uint64_t VerdictsKnownToTerm_ = 0; ///< the term whose leader was sent them
+  /// What other daemons know, until the scheduler of this term takes it over.
+  std::vector<protocol::KnownVerdicts> InheritedVerdicts_;
+  lead::RunTimeSummary RunTimes_;  ///< as the leader of an earlier term has learned
+  std::string PackedRunTimes_;     ///< as sent last
+  std::uint64_t SentRunTimes_ = 0; ///< version of what standbys were sent
+  core::TimePoint RunTimesSentAt_{};
+  core::TimePoint RunTimeErrorsAt_{};
   JobStateWaiters JobStateWaiters_;
   bool Closed_ = false;
   bool LeadershipLoaded_ = false;
@@ -1184,11 +1257,18 @@
   // Also while it prepares: the first orders go out as soon as this daemon leads.
   Impl_->OrderRouter_.registerRelay(Hello, Now);
   Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
+  if (Impl_->Role_ == Impl::Role::Leading)
+    Impl_->takeOverVerdicts(Hello.Verdicts_, Now);
+  else if (Impl_->InheritedVerdicts_.size() < MaxInheritedVerdicts)
+    Impl_->InheritedVerdicts_.insert(Impl_->InheritedVerdicts_.end(), Hello.Verdicts_.begin(),
+                                     Hello.Verdicts_.end());
   if (Impl_->Role_ != Impl::Role::Leading)
     return Reply;
   Impl_->Standbys_.registerDaemon(Hello, Now);
   Impl_->ConfigReaders_.registerDaemon(Hello, Now);
   Reply.Standby_ = Impl_->Standbys_.isStandby(Hello.PeerAddress_, Now);
+  if (Reply.Standby_)
+    Reply.RunTimes_ = Impl_->runTimesForStandby(Now);
   if (auto Source = Impl_->ConfigReaders_.sourceFor(Hello.PeerAddress_, Now)) {
     Reply.SourceKnown_ = true;
     Reply.ConfigSource_ = std::move(*Source);
@@ -1202,6 +1282,22 @@
   return leading() && Impl_->Leadership_.failing() && Impl_->Jobs_.failing();
 }
 
+lead::AdmissionDecision LeaderDriver::admit(std::string_view JobId,
+                                            const work::AcceptedRecord &Acceptance,
+                                            const work::JobSpec &Spec) {
+  const lead::AdmissionDecision Decision =
+      Impl_->Scheduler_->admit(JobId, Acceptance, Spec, core::Clock::now());
+  if (Decision.Outcome_ != lead::AdmissionOutcome::Accepted)
+    core::count("masticdrift_admission_refusals_total",
+                {{"reason", std::string(nameOf(Decision.Outcome_))}});
+  return Decision;
+}
+
+void LeaderDriver::onAdvised(const protocol::AdviseRequest &Call,
+                             const std::vector<fleet::AdvisedExecutor> &Allowed) {
+  Impl_->VerdictMemory_.add(Call, Allowed, core::Clock::now());
+}
+
 bool LeaderDriver::hasBacklog() const { return leading() && Impl_->Scheduler_->hasBacklog(); }
 
 bool LeaderDriver::leading() const { return Impl_->Role_ == Impl::Role::Leading; }
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -14,6 +14,15 @@
 
 /// Interval of placement passes without an event, for occurrences and timeouts that become due.
 constexpr core::Millis PlacementInterval{100};
+/// Longest time for which it is not looked whether the steps before one are about to end.
+constexpr core::Millis MaxAheadCheckInterval{200};
+/// Advice is requested about executors that are known to be allowed, and whose tickets have
+/// expired, before others of the same load: each of them is usable.
+constexpr double RenewalBonus = 1;
+/// Work that exceeds its customer's rate or is too late gets one of so many calls for advice at
+/// most, so that a long call for it does not hold up work in time.
+constexpr std::size_t LateCallShare = 2;
+
 /// Limit of executors in one advice request; the service accepts 100.
 constexpr std::size_t MaxExecutorsPerCall = 60;
 /// Ratio of the slots for which advice is requested to the slots needed, because executors may fill
@@ -39,11 +48,17 @@
 /// An executor with a withheld end gets no new runs from this number of unacknowledged ends on: its
 /// reports hold at most fleet::MaxReportedEnds, and each repeats all of them.
 constexpr std::size_t MaxEndsBehindWithheld = 100;
-/// Of this many starts one goes to work that is past its value or its objective, while there is
-/// any. More would delay work that can still be in time.
-constexpr double StartsPerOverdueStart = 16;
-/// Limit of the starts that overdue work can be owed; it bounds the burst after a quiet time.
-constexpr double MaxOverdueCredit = 8;
+/// One part in so many of the work that is started goes to work that is past its value or its
+/// objective, while there is any. More would delay work that can still be in time. Counted in
+/// resource time: one start in 16 gave it 40 percent where overdue tasks are twelve times as large.
+constexpr double WorkPerOverdueWork = 16;
+/// Limit of the work that overdue work can be owed, in thousandths of a core times milliseconds
+/// (100 core-seconds); it bounds the burst after a quiet time.
+constexpr double MaxOverdueCredit = 1e8;
+/// Steps that have the turn of overdue work at the same time.
+constexpr std::size_t MaxOverdueTurns = 8;
+/// A lasting task counts as this long when its turn is charged.
+constexpr core::Millis LastingTurnTime{1000};
 /// Time for which a step has the turn of overdue work, in which its advice can be requested.
 constexpr core::Millis OverdueTurnTime{1000};
 
@@ -60,6 +75,13 @@
 constexpr double TrialLoadPenalty = 0.5;
 /// Added for each multiple of the typical run time beyond the first.
 constexpr double SlownessPenalty = 0.5;
+/// Added for urgent work for each multiple of the run time on an average executor beyond the first.
+/// As large as the whole range of loads, so that urgent work gets fast executors while they have
+/// room, and other work the rest.
+constexpr double UrgentSlownessPenalty = 1;
+/// Work is given up for its objective when this fraction of its expected run time is too long:
+/// predictions err, and executors differ in speed.
+constexpr double ShortestRunFraction = 0.8;
 /// A cold executor counts like one on which runs take twice as long.
 constexpr double ColdPenalty = SlownessPenalty;
 
@@ -68,7 +90,7 @@
 
 /// A step with waiting tasks and the fields that determine its order.
 struct Candidate {
-  int UrgencyClass_ = 0; ///< 0 in time, 1 over the customer's rate, 2 without value
+  int UrgencyClass_ = 0;
   int Priority_ = 0;
   core::TimePoint Deadline_;
   TrackedJob *Job_ = nullptr;
@@ -86,8 +108,28 @@
          PrefetchSlack;
 }
 
-/// Urgency class of overdue work that has its turn.
-constexpr int TurnUrgencyClass = -1;
+// Urgency classes, the first to be placed first.
+constexpr int TurnUrgencyClass = -1;    ///< work that is too late and has its turn
+constexpr int InTimeUrgencyClass = 0;   ///< can still reach its objective
+constexpr int LateUrgencyClass = 1;     ///< can still be of some use
+constexpr int OverRateUrgencyClass = 2; ///< exceeds its customer's rate
+constexpr int UselessUrgencyClass = 3;  ///< too late
+
+/// \returns the urgency class of a step whose longest chain takes \p Chain from now on.
+/// \param Deadline,ExpiresAt objective, and the time from which on the job is of no use.
+int urgencyClass(bool OverRate, bool Lasting, core::Millis Chain, core::TimePoint Deadline,
+                 core::TimePoint ExpiresAt, core::TimePoint Now) {
+  // Tasks that run until they are cancelled never lose their value.
+  if (Lasting)
+    return OverRate ? OverRateUrgencyClass : InTimeUrgencyClass;
+  const core::Duration Shortest =
+      std::chrono::duration_cast<core::Duration>(Chain * ShortestRunFraction);
+  if (Now + Shortest > ExpiresAt)
+    return UselessUrgencyClass;
+  if (OverRate)
+    return OverRateUrgencyClass;
+  return Now + Shortest > Deadline ? LateUrgencyClass : InTimeUrgencyClass;
+}
 
 bool isMoreUrgent(const Candidate &Left, const Candidate &Right) {
   return std::tie(Left.UrgencyClass_, Left.Priority_, Left.Deadline_, Left.Job_->Id_,
@@ -112,6 +154,13 @@
   /// Needs for which no executor that is not fully advised has unclaimed room, by pool and label.
   std::map<std::pair<std::string_view, std::string_view>, std::vector<core::Resources>>
       ExhaustedNeeds_;
+  /// Room of a pool, and the urgent work that is about to take it.
+  struct PoolRoom {
+    core::Resources Free_;     ///< of all executors that accept runs
+    core::Resources Capacity_; ///< the same
+    core::Resources Urgent_;   ///< needs of urgent tasks that wait for a ticket or for an order
+  };
+  std::map<std::string_view, PoolRoom> PoolRooms_; ///< of the pools that were asked for
   /// Number of tasks by step whose only run is about to count as over.
   std::map<const TrackedStep *, std::uint32_t> LapsingTasks_;
 
@@ -418,8 +467,8 @@
     });
   }
 
-  double placementCost(const ExecutorState &Executor, const work::StepSpec &Spec,
-                       const TrackedTask &Task) const {
+  double placementCost(const TrackedJob &Job, const ExecutorState &Executor,
+                       const work::StepSpec &Spec, const TrackedTask &Task) const {
     const double Capacity =
         static_cast<double>(std::max<std::int64_t>(Executor.Info_.Capacity_.MilliCores_, 1));
     double Cost = static_cast<double>(Executor.Used_.MilliCores_ + Executor.FillMilliCores_ +
@@ -434,6 +483,8 @@
     Cost += SlownessPenalty * (slownessFactor(Executor.Slowness_, Now_) - 1);
     if (Now_ < Executor.ColdUntil_)
       Cost += ColdPenalty;
+    if (Job.Queue_.Priority_ == 0 && !Spec.LongRunning_)
+      Cost += UrgentSlownessPenalty * (Executor.RunTimeFactor_ - 1);
     if (interferes(Executor, Spec))
       Cost += InterferencePenalty;
     return Cost;
@@ -469,7 +520,7 @@
           (Isolated && !isFreeOfFreshRuns(Executor)) ||
           (AvoidsCrashed && hasCrashedAt(Job.Progress_, Task, Executor.Info_.Address_)))
         return;
-      double Cost = placementCost(Executor, Spec, Step.Tasks_[Task.Index_]);
+      double Cost = placementCost(Job, Executor, Spec, Step.Tasks_[Task.Index_]);
       if (Isolated)
         Cost += TrialLoadPenalty * static_cast<double>(Executor.Runs_.size());
       // Ties are broken by ordinal, so that the choice does not depend on hash table order.
@@ -493,7 +544,7 @@
     for (auto &[Customer, Peak] : Scheduler_.UrgentPeaks_)
       Peak.Demand_ = Peak.InUse_ = {};
     for (const auto &[Id, Job] : Scheduler_.Jobs_)
-      if (Job.Queue_.Priority_ == 0 && !Job.Ended_ && !Job.OverRate_)
+      if (Job.Queue_.Priority_ == 0 && !Job.Ended_ && Now_ < Job.ValueExpiresAt_)
         for (const TrackedOccurrence &Occurrence : Job.Occurrences_)
           for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
             if (const TrackedStep &Step = Occurrence.Steps_[I]; Occurrence.Due_ && Step.Ready_) {
@@ -537,12 +588,11 @@
   }
 
   void startTask(ExecutorState &Executor, const Candidate &Waiting, TrackedStep &Step,
-                 const work::TaskRef &Task, std::uint64_t Number) const {
+                 const work::TaskRef &Task, std::uint64_t Number) {
     TrackedJob &Job = *Waiting.Job_;
-    double &Credit = Scheduler_.OverdueCredit_;
-    Credit = std::clamp(Credit + (Waiting.Overdue_ ? -1 : 1 / StartsPerOverdueStart), 0.0,
-                        MaxOverdueCredit);
+    chargeTurn(Waiting);
     takeColdStart(Executor);
+    poolRoom(Job).Free_ -= executorNeed(Job.Spec_.Steps_[Waiting.Step_]);
     TrackedTask &Tracked = Step.Tasks_[Task.Index_];
     Run &NewRun = Scheduler_.addRun(Executor, &Job, Task, Number, RunState::Starting, Now_);
     NewRun.Order_ = {Task, Number, Job.Spec_.Payload_, 0, Scheduler_.Token_, Tracked.Checkpoint_,
@@ -571,10 +621,77 @@
            (!Scheduler_.Accounted_ && hasOpenSuspicion(Job.Progress_, Task));
   }
 
+  /// \returns true while overdue work may go first: it is owed some, or half of the pool is free,
+  /// so that it takes no room from other work.
+  bool mayHaveTurn(const TrackedJob &Job) {
+    return Scheduler_.OverdueCredit_ > 0 || isHalfFree(poolRoom(Job));
+  }
+
+  static bool isHalfFree(const PoolRoom &Room) {
+    return 2 * Room.Free_.MilliCores_ >= Room.Capacity_.MilliCores_ &&
+           2 * Room.Free_.MemoryMb_ >= Room.Capacity_.MemoryMb_;
+  }
+
+  /// Accounts for a start of overdue work that has its turn, or of other work.
+  void chargeTurn(const Candidate &Waiting) {
+    const work::StepSpec &Spec = Waiting.Job_->Spec_.Steps_[Waiting.Step_];
+    const core::Millis Time =
+        Spec.LongRunning_ ? LastingTurnTime : Waiting.Job_->ExpectedTimes_[Waiting.Step_];
+    const double Work =
+        static_cast<double>(Spec.Need_.MilliCores_) * static_cast<double>(Time.count());
+    const double Change = Waiting.UrgencyClass_ == TurnUrgencyClass
+                              ? (isHalfFree(poolRoom(*Waiting.Job_)) ? 0 : -Work)
+                              : (Waiting.Overdue_ ? 0 : Work / WorkPerOverdueWork);
+    double &Credit = Scheduler_.OverdueCredit_;
+    Credit = std::clamp(Credit + Change, -MaxOverdueCredit, MaxOverdueCredit);
+  }
+
+  PoolRoom &poolRoom(const TrackedJob &Job) {
+    const auto [Entry, IsNew] = PoolRooms_.try_emplace(Job.Queue_.Pool_);
+    if (IsNew)
+      for (const std::uint32_t Ordinal : openExecutorsOf(Job)) {
+        const core::Resources &Free = Index_.Executors_[Ordinal].Account_.Free_;
+        Entry->second.Free_ += core::max(Free, {});
+        Entry->second.Capacity_ += Scheduler_.ByOrdinal_[Ordinal]->Info_.Capacity_;
+      }
+    return Entry->second;
+  }
+
+  static bool isUrgent(const Candidate &Waiting) {
+    return Waiting.Job_->Queue_.Priority_ == 0 && Waiting.UrgencyClass_ <= LateUrgencyClass;
+  }
+
+  /// Keeps room free for urgent tasks that have none yet because they wait for advice or for an
+  /// order. Without it longer tasks, which have their tickets already, take that room meanwhile.
+  void reserveForUrgent(const Candidate &Waiting, const TrackedStep &Step,
+                        const work::StepSpec &Spec) {
+    if (isUrgent(Waiting) && !Spec.LongRunning_ &&
+        (Waiting.Wait_ == WaitReason::NoRoom || Waiting.Wait_ == WaitReason::StartsInFlight))
+      poolRoom(*Waiting.Job_).Urgent_ += executorNeed(Spec) * Step.WaitingTasks_;
+  }
+
+  /// \returns true when a task that needs \p Need may not take the room that is left for urgent
+  /// work. At most half of the pool is kept free, and lasting tasks and overdue work that has its
+  /// turn need not leave any.
+  bool isReservedForUrgent(const Candidate &Waiting, const work::StepSpec &Spec,
+                           const core::Resources &Need) {
+    if (isUrgent(Waiting) || Spec.LongRunning_ || Waiting.UrgencyClass_ == TurnUrgencyClass)
+      return false;
+    const PoolRoom &Room = poolRoom(*Waiting.Job_);
+    const auto Takes = [](std::int64_t Free, std::int64_t Urgent, std::int64_t Capacity,
+                          std::int64_t Amount) {
+      return Amount > 0 && Free - Amount < std::min(Urgent, Capacity / 2);
+    };
+    return Takes(Room.Free_.MilliCores_, Room.Urgent_.MilliCores_, Room.Capacity_.MilliCores_,
+                 Need.MilliCores_) ||
+           Takes(Room.Free_.MemoryMb_, Room.Urgent_.MemoryMb_, Room.Capacity_.MemoryMb_,
+                 Need.MemoryMb_);
+  }
+
   /// \param AllMayStart false to start only tasks whose earlier runs are all known.
   /// \returns why tasks of the step still wait.
   WaitReason placeTasks(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
-                        bool AllMayStart) const {
+                        bool AllMayStart) {
     WaitReason Reason = WaitReason::None;
     work::TaskRef Task{Waiting.Job_->Id_, Waiting.Occurrence_, Waiting.Step_, 0};
     for (; Task.Index_ < Step.Tasks_.size() && Step.WaitingTasks_ > 0; ++Task.Index_) {
@@ -590,8 +707,10 @@
       if (const WaitReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_);
           Exceeded != WaitReason::None)
         return Exceeded;
-      if (Waiting.UrgencyClass_ == TurnUrgencyClass && Scheduler_.OverdueCredit_ < 1)
+      if (Waiting.UrgencyClass_ == TurnUrgencyClass && !mayHaveTurn(*Waiting.Job_))
         return WaitReason::OverdueTurn;
+      if (isReservedForUrgent(Waiting, Spec, executorNeed(Spec)))
+        return WaitReason::UrgentReserve;
       if (waitsForSuspicion(Waiting, Task)) {
         Reason = WaitReason::Suspect;
         continue;
@@ -614,8 +733,7 @@
 
   /// Starts all tasks of a gang, or none of them.
   /// \returns why the gang still waits.
-  WaitReason placeGang(const Candidate &Waiting, TrackedStep &Step,
-                       const work::StepSpec &Spec) const {
+  WaitReason placeGang(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec) {
     if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_)
       return WaitReason::StartsInFlight;
     if (Step.WaitingTasks_ < Step.Tasks_.size())
@@ -623,6 +741,8 @@
     if (const WaitReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_);
         Exceeded != WaitReason::None)
       return Exceeded;
+    if (isReservedForUrgent(Waiting, Spec, executorNeed(Spec) * Spec.TaskCount_))
+      return WaitReason::UrgentReserve;
     std::vector<std::string> Racks;
     if (Spec.SameRack_)
       Racks = racksWithRoom(Waiting, Step, Spec);
@@ -657,7 +777,7 @@
   }
 
   bool placeGangInRack(const Candidate &Waiting, TrackedStep &Step, const work::StepSpec &Spec,
-                       bool Isolated, std::string_view Rack) const {
+                       bool Isolated, std::string_view Rack) {
     // Resources are reserved temporarily, so that the choice of later members accounts for them.
     std::vector<ExecutorState *> Chosen;
     core::Resources CountedNeed = Spec.Need_;
@@ -754,10 +874,14 @@
     claim(*AccountAhead, Spec.Need_, Tasks);
   }
 
-  bool mayCallAdviser(double CallTimeMs) const {
-    return Scheduler_.OutstandingAdvice_.size() < Scheduler_.AdviceLimits_.Calls_ &&
+  bool mayCallAdviser(double CallTimeMs, int UrgencyClass) const {
+    const std::size_t Share = UrgencyClass >= OverRateUrgencyClass ? LateCallShare : 1;
+    const auto IsBelow = [Share](std::size_t Outstanding, std::size_t Limit) {
+      return Outstanding < std::max<std::size_t>(Limit / Share, 1);
+    };
+    return IsBelow(Scheduler_.OutstandingAdvice_.size(), Scheduler_.AdviceLimits_.Calls_) &&
            (CallTimeMs <= LongAdviceMs ||
-            Scheduler_.OutstandingLongCalls_ < Scheduler_.AdviceLimits_.LongCalls_);
+            IsBelow(Scheduler_.OutstandingLongCalls_, Scheduler_.AdviceLimits_.LongCalls_));
   }
 
   /// \returns true when an earlier step found no unclaimed room for a task that needs no more.
@@ -802,7 +926,7 @@
       return Step.Wait_.Reason_;
     if (isExhausted(*Waiting.Job_, Spec))
       return WaitReason::ExhaustedNeed;
-    if (!mayCallAdviser(Policy.FixedMs_))
+    if (!mayCallAdviser(Policy.FixedMs_, Waiting.UrgencyClass_))
       return WaitReason::CallLimit;
     std::vector<std::pair<double, const ExecutorState *>> Unadvised;
     bool AnyRoom = false;
@@ -818,7 +942,9 @@
       const auto Found = Step.Advice_.find(Ordinal);
       if (Found == Step.Advice_.end() ||
           (Found->second.Allowed_ && !isValid(Found->second, Executor)))
-        Unadvised.emplace_back(placementCost(Executor, Spec, {}), &Executor);
+        Unadvised.emplace_back(placementCost(*Waiting.Job_, Executor, Spec, {}) -
+                                   (Found == Step.Advice_.end() ? 0 : RenewalBonus),
+                               &Executor);
     }
     const bool Restricted = Waiting.Job_->Regions_.has_value();
     if (!AnyRoom && Spec.MaxPerExecutor_ == 0 && !Restricted)
@@ -861,7 +987,7 @@
     }
     const double CallTimeMs =
         Policy.FixedMs_ + Policy.PerExecutorMs_ * static_cast<double>(Chosen.size());
-    if (!mayCallAdviser(CallTimeMs))
+    if (!mayCallAdviser(CallTimeMs, Waiting.UrgencyClass_))
       return false;
     std::vector<std::string> ExecutorIds;
     Step.AskedExecutors_.clear();
@@ -888,25 +1014,94 @@
                     Found == Scheduler_.AdviceYield_.end() ? InitialYield : Found->second);
   }
 
-  /// \returns true when all earlier steps are expected to end by the time that advice for this step
-  /// arrives.
-  bool isNearlyReady(const TrackedJob &Job, std::uint32_t Occurrence, std::uint32_t Index) const {
+  /// \returns the expected time of a call for advice about a whole step.
+  core::Duration callTimeOf(const TrackedJob &Job, const work::StepSpec &Spec) const {
+    const work::AdvicePolicy &Policy = *Job.Queue_.Advice_;
+    const double Asked = std::min(static_cast<double>(MaxExecutorsPerCall),
+                                  Spec.TaskCount_ * AdviceReserveFactor / adviceYield(Job));
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double, std::milli>(Policy.FixedMs_ + Policy.PerExecutorMs_ * Asked));
+  }
+
+  /// \returns true when all runs of the earlier steps are expected to end by the time that advice
+  /// for this step arrives. Tickets that arrive much earlier expire unused.
+  bool isNearlyReady(const TrackedJob &Job, std::uint32_t Occurrence, std::uint32_t Index,
+                     TrackedStep &Step) const {
     const work::StepSpec &Spec = Job.Spec_.Steps_[Index];
-    if (!Job.Queue_.Advice_ || Spec.DependsOn_.empty())
+    if (!Job.Queue_.Advice_ || Spec.DependsOn_.empty() || Now_ < Step.NextAheadCheckAt_)
       return false;
-    const auto AdviceTime = core::Millis(static_cast<std::int64_t>(
-        Job.Queue_.Advice_->FixedMs_ + Job.Queue_.Advice_->PerExecutorMs_ * Spec.TaskCount_ * 2));
     for (const std::uint32_t Earlier : Spec.DependsOn_) {
       const TrackedStep &EarlierStep = Job.Occurrences_[Occurrence].Steps_[Earlier];
-      if (EarlierStep.DoneTasks_ == EarlierStep.Tasks_.size())
-        continue;
-      if (!EarlierStep.Ready_ || EarlierStep.WaitingTasks_ > 0 ||
-          isUnset(EarlierStep.FirstStartAt_))
-        return false;
-      const core::Millis EstimatedTime(Job.Spec_.Steps_[Earlier].EstimatedMs_);
-      if (Now_ + AdviceTime + PrefetchSlack < EarlierStep.FirstStartAt_ + EstimatedTime)
+      if (EarlierStep.DoneTasks_ < EarlierStep.Tasks_.size() &&
+          (!EarlierStep.Ready_ || EarlierStep.WaitingTasks_ > 0))
         return false;
     }
+    core::TimePoint EndAt = Now_;
+    for (const std::uint32_t Earlier : Spec.DependsOn_)
+      EndAt = std::max(EndAt, Scheduler_.expectedEndOf(Job, Occurrence, Earlier));
+    const core::TimePoint AskAt = EndAt - callTimeOf(Job, Spec) - PrefetchSlack;
+    if (Now_ >= AskAt)
+      return true;
+    Step.NextAheadCheckAt_ = std::min<core::TimePoint>(AskAt, Now_ + MaxAheadCheckInterval);
+    return false;
+  }
+
+  /// Notes the class of a waiting step, and where the step belongs in the order of placement.
+  /// \returns nothing when the step need not be looked at.
+  std::optional<Candidate> candidateOf(TrackedJob &Job, std::uint32_t Occurrence,
+                                       std::uint32_t Index) const {
+    TrackedOccurrence &Tracked = Job.Occurrences_[Occurrence];
+    TrackedStep &Step = Tracked.Steps_[Index];
+    if (tasksToAdvise(Step) == 0)
+      return std::nullopt;
+    const bool Lasting = Job.Spec_.Steps_[Index].LongRunning_;
+    const core::Millis Delay = dueDelay(Job, Tracked);
+    const core::TimePoint Deadline = Job.Deadline_ + Delay;
+    const int Class = urgencyClass(Job.OverRate_, Lasting, Job.RemainingChains_[Index], Deadline,
+                                   Job.ValueExpiresAt_ + Delay, Now_);
+    // Only work that can be in time is worth a call before its turn.
+    if (!Step.Ready_ &&
+        (Class != InTimeUrgencyClass || !isNearlyReady(Job, Occurrence, Index, Step)))
+      return std::nullopt;
+    const bool Useless = Class == UselessUrgencyClass;
+    const bool Overdue = Step.WaitingTasks_ > 0 && (Useless || (Lasting && Now_ > Deadline));
+    // Work that is too late is done in the order of its acceptance.
+    return Candidate{Class,  Useless ? 0 : Job.Queue_.Priority_, Deadline, &Job, Occurrence, Index,
+                     Overdue};
+  }
+
+  /// \returns the time from the acceptance of a job until an occurrence is due.
+  static core::Millis dueDelay(const TrackedJob &Job, const TrackedOccurrence &Occurrence) {
+    if (Job.Spec_.RunCount_ == 0)
+      return core::Millis(0);
+    return std::max(core::Millis(Occurrence.DueMs_ - Job.Acceptance_.AcceptedMs_), core::Millis(0));
+  }
+
+  /// Adds the waiting work of an occurrence to the survey for admissions.
+  void survey(const TrackedJob &Job, const TrackedOccurrence &Occurrence) const {
+    core::Millis Chain{0};
+    for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
+      if (Occurrence.Steps_[I].WaitingTasks_ > 0)
+        Chain = std::max(Chain, Job.RemainingChains_[I]);
+    const core::Millis Delay = dueDelay(Job, Occurrence);
+    const int Class = urgencyClass(Job.OverRate_, false, Chain, Job.Deadline_ + Delay,
+                                   Job.ValueExpiresAt_ + Delay, Now_);
+    if (Class == UselessUrgencyClass)
+      return;
+    for (std::size_t I = 0; I < Occurrence.Steps_.size(); ++I)
+      Scheduler_.surveyStep(Job, I, Occurrence.Steps_[I], Class == InTimeUrgencyClass);
+  }
+
+  /// Begins a survey when one is due.
+  bool beginSurvey() const {
+    if (Now_ < Scheduler_.NextSurveyAt_)
+      return false;
+    Scheduler_.NextSurveyAt_ = Now_ + Scheduler_.Timing_.SurveyInterval_;
+    Scheduler_.Admission_.beginSurvey();
+    for (const ExecutorState *Executor : Scheduler_.ByOrdinal_)
+      if (Executor != nullptr && Executor->Listed_ && !Executor->Evacuated_ &&
+          !Executor->Info_.Draining_)
+        Scheduler_.Admission_.addRoom(Executor->Info_.Pool_, Executor->Info_.Capacity_);
     return true;
   }
 
@@ -926,15 +1121,11 @@
 
 /// Gives overdue steps the turn that they are owed: those that have waited longest for it go before
 /// all other work. Without it they would never start while more urgent work keeps coming.
-/// \param Owed number of starts that overdue work is owed.
-void grantTurns(std::span<Candidate> Candidates, double Owed, core::TimePoint Now) {
+void grantTurns(PlacementPass &Pass, std::span<Candidate> Candidates, core::TimePoint Now) {
   std::vector<Candidate *> Others;
-  auto Turns = static_cast<std::size_t>(Owed);
-  if (Turns == 0)
-    return;
   std::size_t Granted = 0;
   for (Candidate &Waiting : Candidates) {
-    if (!Waiting.Overdue_)
+    if (!Waiting.Overdue_ || !Pass.mayHaveTurn(*Waiting.Job_))
       continue;
     const core::TimePoint TurnAt = stepOf(Waiting).TurnAt_;
     if (isUnset(TurnAt) || Now - TurnAt >= OverdueTurnTime) {
@@ -948,7 +1139,7 @@
     return std::pair(stepOf(*Left).TurnAt_, Left->Deadline_) <
            std::pair(stepOf(*Right).TurnAt_, Right->Deadline_);
   });
-  for (std::size_t I = 0; I < Others.size() && Granted + I < Turns; ++I) {
+  for (std::size_t I = 0; I < Others.size() && Granted + I < MaxOverdueTurns; ++I) {
     Others[I]->UrgencyClass_ = TurnUrgencyClass;
     stepOf(*Others[I]).TurnAt_ = Now;
   }
@@ -998,11 +1189,12 @@
 void Scheduler::place(core::TimePoint Now, std::int64_t WallMs) {
   PlacementDue_ = false;
   NextPlacementAt_ = Now + PlacementInterval;
-  PlacementPass Pass{*this, Now, {}, Rooms_, {}, {}, {}, {}};
+  PlacementPass Pass{*this, Now, {}, Rooms_, {}, {}, {}, {}, {}};
   Pass.refreshRooms();
   Pass.countLapsingTasks();
   Pass.sumUnknownUse(WallMs);
   Pass.updatePeaks();
+  const bool Surveys = Pass.beginSurvey();
   std::vector<Candidate> Candidates;
   for (auto &[Id, Job] : Jobs_) {
     if (Job.Ended_)
@@ -1012,26 +1204,18 @@
       Occurrence.Due_ = Occurrence.Due_ || Occurrence.DueMs_ <= WallMs;
       if (!Occurrence.Due_)
         break;
+      if (Surveys)
+        Pass.survey(Job, Occurrence);
       for (std::uint32_t I = 0; I < Occurrence.Steps_.size(); ++I)
-        if (const TrackedStep &Step = Occurrence.Steps_[I];
-            Pass.tasksToAdvise(Step) > 0 && (Step.Ready_ || Pass.isNearlyReady(Job, K, I))) {
-          // Tasks that run until they are cancelled never lose their value.
-          const bool Valueless = Now > Job.ValueExpiresAt_ && !Job.Spec_.Steps_[I].LongRunning_;
-          const bool Overdue =
-              Step.WaitingTasks_ > 0 &&
-              (Valueless || (Job.Spec_.Steps_[I].LongRunning_ && Now > Job.Deadline_));
-          const int UrgencyClass = Valueless ? 2 : (Job.OverRate_ ? 1 : 0);
-          // Work without value is done in the order of its acceptance.
-          Candidates.push_back({UrgencyClass, Valueless ? 0 : Job.Queue_.Priority_, Job.Deadline_,
-                                &Job, K, I, Overdue});
-        }
+        if (auto Waiting = Pass.candidateOf(Job, K, I))
+          Candidates.push_back(std::move(*Waiting));
     }
   }
   WaitingSteps_ = Candidates.size();
   for (const Candidate &Waiting : Candidates)
     if (!Waiting.Job_->Queue_.Advice_)
       beginJob(*Waiting.Job_); // its queue had advice when it was read
-  grantTurns(Candidates, OverdueCredit_, Now);
+  grantTurns(Pass, Candidates, Now);
   std::ranges::sort(Candidates, isMoreUrgent);
   for (Candidate &Waiting : Candidates) {
     TrackedStep &Step = stepOf(Waiting);
@@ -1047,6 +1231,7 @@
       Waiting.Wait_ = Pass.placeGang(Waiting, Step, specOf(Waiting));
     else
       Waiting.Wait_ = Pass.placeTasks(Waiting, Step, specOf(Waiting), MayStart);
+    Pass.reserveForUrgent(Waiting, Step, specOf(Waiting));
   }
   Pass.planRoom();
   // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
@@ -1101,4 +1286,35 @@
   PlacementDue_ = true;
 }
 
+void Scheduler::onInheritedAdvice(const work::TaskRef &Task,
+                                  std::span<const fleet::AdvisedExecutor> Allowed,
+                                  std::span<const std::string> Excluded, core::Millis Age,
+                                  core::TimePoint Now) {
+  TrackedJob *Job = findJob(Task);
+  if (Job == nullptr || Job->Ended_ || !Job->Queue_.Advice_)
+    return;
+  TrackedStep &Step = *findStep(*Job, Task);
+  const core::Millis TicketLife(Job->Queue_.Advice_->TicketValidMs_);
+  for (const fleet::AdvisedExecutor &Advised : Allowed) {
+    const auto Found = Executors_.find(Advised.Executor_);
+    if (Found == Executors_.end())
+      continue;
+    // A ticket for another incarnation is refused, and a new one requested.
+    const bool IsNew =
+        Step.Advice_
+            .try_emplace(Found->second.Ordinal_,
+                         ExecutorAdvice{true, Advised.Ticket_,
+                                        Now + TicketLife - Age - Timing_.TicketMargin_,
+                                        Found->second.Incarnation_})
+            .second;
+    Verdicts_ += IsNew ? 1 : 0;
+  }
+  if (!Allowed.empty())
+    beginJob(*Job); // it may start without a call of this leader
+  for (const std::string &Id : Excluded)
+    if (const auto Found = Executors_.find(Id); Found != Executors_.end())
+      Step.Advice_.try_emplace(Found->second.Ordinal_, ExecutorAdvice{});
+  PlacementDue_ = true;
+}
+
 } // namespace masticdrift::lead
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -83,6 +83,7 @@
   Executor.Info_ = Info;
   Executor.Listed_ = true;
   updatePlace(Executor, Now);
+  Capacities_.add(Info.Pool_, Info.Labels_, Info.Capacity_);
   noteChange(Executor);
   PlacementDue_ = true;
 }
@@ -323,6 +324,19 @@
   }
 }
 
+core::TimePoint Scheduler::expectedEndOf(const TrackedJob &Job, std::uint32_t Occurrence,
+                                         std::uint32_t Step) {
+  const TrackedStep &Tracked = Job.Occurrences_[Occurrence].Steps_[Step];
+  const work::TaskRef First{Job.Id_, Occurrence, Step, 0};
+  const work::TaskRef Last{Job.Id_, Occurrence, Step,
+                           static_cast<std::uint32_t>(Tracked.Tasks_.size())};
+  core::TimePoint Latest{};
+  for (ExecutorState *Executor : executorsWithRunsOf(Tracked))
+    visitRuns(*Executor, First, Last,
+              [&](const Run &ActiveRun) { Latest = std::max(Latest, ActiveRun.ExpectedEndAt_); });
+  return Latest;
+}
+
 void Scheduler::stopJobRuns(TrackedJob &Job, std::string_view Reason, core::TimePoint Now) {
   if (Job.ActiveRuns_ == 0)
     return;
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -18,21 +18,39 @@
 /// Maximum age of a job that is derived from the acceptance time on another machine's clock.
 constexpr core::Millis MaxTrustedAge{60'000};
 
-/// \returns the run time of the longest chain of dependent steps, including their advice requests.
-std::int64_t longestChainMs(const work::JobSpec &Spec, const work::Queue &Queue) {
-  std::int64_t AdviceMs = 0;
-  if (Queue.Advice_)
-    AdviceMs = static_cast<std::int64_t>(Queue.Advice_->FixedMs_ +
-                                         Queue.Advice_->PerExecutorMs_ * AdviceExecutorsPerCall);
-  std::vector<std::int64_t> EndMs(Spec.Steps_.size());
-  std::int64_t LongestMs = 0;
-  for (std::size_t I = 0; I < Spec.Steps_.size(); ++I) {
+/// \returns the time of the request for advice that a step waits for.
+core::Millis adviceTime(const work::Queue &Queue) {
+  if (!Queue.Advice_)
+    return core::Millis(0);
+  return core::Millis(static_cast<std::int64_t>(
+      Queue.Advice_->FixedMs_ + Queue.Advice_->PerExecutorMs_ * AdviceExecutorsPerCall));
+}
+
+/// \returns the run time of the longest chain of dependent steps from each step on, including the
+/// advice requests of the steps after it.
+std::vector<core::Millis> remainingChains(const work::JobSpec &Spec, const work::Queue &Queue,
+                                          std::span<const core::Millis> StepTimes) {
+  std::vector<core::Millis> Chains(StepTimes.begin(), StepTimes.end());
+  // Steps depend on earlier ones only.
+  for (std::size_t I = Spec.Steps_.size(); I-- > 0;)
     for (const std::uint32_t Earlier : Spec.Steps_[I].DependsOn_)
-      EndMs[I] = std::max(EndMs[I], EndMs[Earlier]);
-    EndMs[I] += Spec.Steps_[I].EstimatedMs_ + AdviceMs;
-    LongestMs = std::max(LongestMs, EndMs[I]);
-  }
-  return LongestMs;
+      Chains[Earlier] =
+          std::max(Chains[Earlier], StepTimes[Earlier] + adviceTime(Queue) + Chains[I]);
+  return Chains;
+}
+
+/// \returns the run time of the longest chain of dependent steps, including their advice requests.
+core::Millis longestChain(const work::Queue &Queue, std::span<const core::Millis> Chains) {
+  core::Millis Longest{0};
+  for (const core::Millis Chain : Chains)
+    Longest = std::max(Longest, Chain);
+  return Longest + adviceTime(Queue);
+}
+
+core::Millis objectiveOf(const work::Queue &Queue, core::Millis Chain) {
+  return core::Millis(
+      static_cast<std::int64_t>(Queue.Stretch_ * static_cast<double>(Chain.count())) +
+      Queue.TargetMs_);
 }
 
 /// \returns the progress of a step in \p Record; adds it when it is missing.
@@ -119,8 +137,10 @@
   if (!NewJob.Queue_.Advice_)
     beginJob(NewJob);
   logDecision("job_taken", {Job.Id_, 0, 0, 0}, 0, {},
-              NewJob.Inherited_ ? "begun by an earlier leader"
-                                : (BegunByThisTerm ? "begun with its acceptance" : "new"));
+              std::string(NewJob.Inherited_
+                              ? "begun by an earlier leader"
+                              : (BegunByThisTerm ? "begun with its acceptance" : "new")) +
+                  (NewJob.OverRate_ ? ", over its customer's rate" : ""));
   reconcileLateJob(NewJob, Now);
   voidRunsOfLateJob(NewJob, WallMs);
   settleInheritedSuspicions(NewJob, Now);
@@ -162,30 +182,21 @@
   const core::Millis Age = std::clamp(core::Millis(WallMs - Job.Acceptance_.AcceptedMs_),
                                       core::Millis(0), MaxTrustedAge);
   Job.AcceptedAt_ = Now - Age;
-  const core::Millis Objective(
-      static_cast<std::int64_t>(Job.Queue_.Stretch_ *
-                                static_cast<double>(longestChainMs(Spec, Job.Queue_))) +
-      Job.Queue_.TargetMs_);
-  Job.Deadline_ = Job.AcceptedAt_ + Objective;
-  Job.ValueExpiresAt_ = Job.AcceptedAt_ + ValueExpiryFactor * Objective;
+  for (std::uint32_t I = 0; I < Spec.Steps_.size(); ++I)
+    Job.ExpectedTimes_.push_back(RunTimes_
+                                     .predict({Job.Queue_.Name_, Job.Acceptance_.Customer_, I},
+                                              core::Millis(Spec.Steps_[I].EstimatedMs_))
+                                     .Mean_);
+  Job.RemainingChains_ = remainingChains(Spec, Job.Queue_, Job.ExpectedTimes_);
+  Job.Objective_ = objectiveOf(Job.Queue_, longestChain(Job.Queue_, Job.RemainingChains_));
+  Job.Deadline_ = Job.AcceptedAt_ + Job.Objective_;
+  Job.ValueExpiresAt_ = Job.AcceptedAt_ + ValueExpiryFactor * Job.Objective_;
   if (const auto Customer = Manifest_.Customers_.find(Job.Acceptance_.Customer_);
       Customer != Manifest_.Customers_.end() && Customer->second.Weight_ > 0 && !Job.Ended_) {
-    // Token bucket with a capacity of one second; jobs over the customer's rate are placed after
-    // the jobs of all customers within theirs.
-    auto &[Tokens, RefilledAt] = RateTokens_[Job.Acceptance_.Customer_];
-    const double Rate = Customer->second.Weight_;
-    if (RefilledAt == core::TimePoint{})
-      Tokens = Rate;
-    else
-      Tokens = std::min(
-          Rate,
-          Tokens +
-              Rate * std::max(0.0,
-                              std::chrono::duration<double>(Job.AcceptedAt_ - RefilledAt).count()));
-    RefilledAt = std::max(RefilledAt, Job.AcceptedAt_);
-    Job.OverRate_ = Tokens < 1;
-    if (!Job.OverRate_)
-      Tokens -= 1;
+    // Jobs over the customer's rate are placed after the jobs of all customers within theirs.
+    RateTokens &Tokens = RateTokens_[Job.Acceptance_.Customer_];
+    Tokens = refilled(Tokens, Customer->second.Weight_, Job.AcceptedAt_);
+    Job.OverRate_ = takeToken(Tokens, Customer->second.Weight_, Job.Queue_.Priority_ == 0);
   }
   Job.Occurrences_.resize(work::occurrenceCount(Spec));
   for (std::uint32_t K = 0; K < Job.Occurrences_.size(); ++K) {
@@ -225,6 +236,71 @@
     SuspectJobs_.insert(Job.Id_);
 }
 
+bool Scheduler::isOverRate(const std::string &Customer, int Priority, core::TimePoint Now) const {
+  const auto Entry = Manifest_.Customers_.find(Customer);
+  const auto Tokens = RateTokens_.find(Customer);
+  return Entry != Manifest_.Customers_.end() && Entry->second.Weight_ > 0 &&
+         Tokens != RateTokens_.end() &&
+         exceedsRate(refilled(Tokens->second, Entry->second.Weight_, Now), Priority == 0);
+}
+
+void Scheduler::surveyStep(const TrackedJob &Job, std::size_t Step, const TrackedStep &Waiting,
+                           bool InTime) {
+  const work::StepSpec &Spec = Job.Spec_.Steps_[Step];
+  // Lasting tasks take their room for good, and filling ones only what is left.
+  if (Waiting.WaitingTasks_ == 0 || Spec.LongRunning_ || Spec.BestEffort_)
+    return;
+  Admission_.add(Job.Acceptance_.Customer_, Job.Queue_.Pool_, Job.Queue_.Priority_, InTime,
+                 resourceTime(Spec.Need_, Waiting.WaitingTasks_, Job.ExpectedTimes_[Step]));
+}
+
+AdmissionDecision Scheduler::admit(std::string_view JobId, const work::AcceptedRecord &Acceptance,
+                                   const work::JobSpec &Spec, core::TimePoint Now) {
+  const work::Queue &Queue = Acceptance.Queue_;
+  AdmissionDecision Decision;
+  if (!Manifest_.Pools_.empty() && !Manifest_.Pools_.contains(Queue.Pool_)) {
+    Decision.Outcome_ = AdmissionOutcome::UnknownPool;
+    return Decision;
+  }
+  std::vector<core::Millis> StepTimes;
+  ResourceTime Work;
+  bool Lasting = false;
+  for (std::uint32_t I = 0; I < Spec.Steps_.size(); ++I) {
+    const work::StepSpec &Step = Spec.Steps_[I];
+    core::Resources Need = Step.Need_;
+    if (Step.BestEffort_)
+      Need.MilliCores_ = 0;
+    if (!Capacities_.mayFit(Queue.Pool_, Step.RequiredLabel_, Need)) {
+      Decision.Outcome_ = AdmissionOutcome::ImpossibleSize;
+      return Decision;
+    }
+    Lasting = Lasting || Step.LongRunning_;
+    StepTimes.push_back(
+        RunTimes_.predict({Queue.Name_, Acceptance.Customer_, I}, core::Millis(Step.EstimatedMs_))
+            .Mean_);
+    if (!Step.BestEffort_)
+      Work += resourceTime(Step.Need_, Step.TaskCount_, StepTimes.back());
+  }
+  // Jobs that last or are due later wait for other things than this backlog.
+  const auto Customer = Manifest_.Customers_.find(Acceptance.Customer_);
+  if (Lasting || Spec.RunCount_ > 0 || Customer == Manifest_.Customers_.end())
+    return Decision;
+  AdmissionRequest Request;
+  Request.Customer_ = Acceptance.Customer_;
+  Request.Pool_ = Queue.Pool_;
+  Request.JobId_ = JobId;
+  Request.Priority_ = Queue.Priority_;
+  Request.OverRate_ = isOverRate(Acceptance.Customer_, Queue.Priority_, Now);
+  Request.Chain_ = longestChain(Queue, remainingChains(Spec, Queue, StepTimes));
+  Request.Objective_ = objectiveOf(Queue, Request.Chain_);
+  Request.ValueExpiry_ = ValueExpiryFactor * Request.Objective_;
+  Request.CustomerLimit_ = Customer->second.UpperLimit_;
+  Decision = Admission_.decide(Request);
+  if (Decision.Outcome_ == AdmissionOutcome::Accepted)
+    Admission_.add(Acceptance.Customer_, Queue.Pool_, Queue.Priority_, !Request.OverRate_, Work);
+  return Decision;
+}
+
 void Scheduler::updateReadySteps(TrackedJob &Job, std::uint32_t Occurrence) {
   auto &Steps = Job.Occurrences_[Occurrence].Steps_;
   for (std::size_t I = 0; I < Steps.size(); ++I)
@@ -439,6 +515,7 @@
   const std::string Id = Executor.Info_.Id_;
   ByOrdinal_[Executor.Ordinal_] = nullptr;
   remove(Rooms_, Executor.Ordinal_);
+  RunTimes_.forgetExecutor(Id);
   Unrecorded_.erase(Id);
   Executors_.erase(Id);
 }
--- a/src/lead/Watch.cpp
+++ b/src/lead/Watch.cpp
@@ -59,6 +59,18 @@
   return core::Millis(static_cast<std::int64_t>(*Ratio * static_cast<double>(Spec.EstimatedMs_)));
 }
 
+RunTimePrediction Scheduler::expectedRunTime(const TrackedJob &Job,
+                                             const work::TaskRef &Task) const {
+  const TrackedStep &Step = Job.Occurrences_[Task.Occurrence_].Steps_[Task.Step_];
+  const core::Millis StepMean =
+      Step.CompletedRuns_ == 0
+          ? core::Millis(0)
+          : std::chrono::duration_cast<core::Millis>(Step.CompletedRunTime_ / Step.CompletedRuns_);
+  return RunTimes_.predict({Job.Queue_.Name_, Job.Acceptance_.Customer_, Task.Step_},
+                           core::Millis(stepSpec(Job, Task).EstimatedMs_), StepMean,
+                           Step.CompletedRuns_);
+}
+
 /// Estimates the end of a run by its progress, else by the run time of its like.
 void Scheduler::updateExpectedEnd(Run &ActiveRun, core::TimePoint Now) const {
   const auto Job = Jobs_.find(ActiveRun.Task_.Job_);
@@ -71,8 +83,9 @@
     ActiveRun.ExpectedEndAt_ = Now + *TimeLeft;
   else
     ActiveRun.ExpectedEndAt_ =
-        ActiveRun.Progress_.StartedAt_ +
-        typicalRunTime(Job->second, ActiveRun.Task_).value_or(core::Millis(Spec.EstimatedMs_));
+        ActiveRun.Progress_.StartedAt_ + std::chrono::duration_cast<core::Duration>(
+                                             expectedRunTime(Job->second, ActiveRun.Task_).Mean_ *
+                                             RunTimes_.slownessOf(ActiveRun.ExecutorId_));
 }
 
 void Scheduler::recordRunTime(TrackedJob &Job, ExecutorState &Executor, const Run &EndedRun,
@@ -87,6 +100,10 @@
   TrackedStep &Step = *findStep(Job, EndedRun.Task_);
   Step.CompletedRunTime_ += RunTime;
   ++Step.CompletedRuns_;
+  RunTimes_.addRun({Job.Queue_.Name_, Job.Acceptance_.Customer_, EndedRun.Task_.Step_},
+                   core::Millis(Spec.EstimatedMs_),
+                   std::chrono::duration_cast<core::Millis>(RunTime), Executor.Info_.Id_);
+  Executor.RunTimeFactor_ = RunTimes_.slownessOf(Executor.Info_.Id_);
   addSample(RunTimeRatios_[runTimesKey(Job, Spec)],
             ratioToExpected(RunTime, core::Millis(Spec.EstimatedMs_)));
 }
--- a/tests/support/FakeFleet.cpp
+++ b/tests/support/FakeFleet.cpp
@@ -862,27 +862,31 @@
   ++AdviceCallCount_;
   const bool Silent =
       !Adviser.empty() && Adviser < "adviser" + std::to_string(Options_.SilentAdvisers_);
-  schedule(Now_ + Time + (Silent ? AdviceTimeoutMargin : core::Millis(0)),
-           [this, ThisTerm, Adviser, Step, Asked = std::move(Asked), Silent] {
-             if (!ThisTerm->Alive_)
-               return;
-             std::optional<std::vector<fleet::AdvisedExecutor>> Allowed;
-             if (!Silent) {
-               Allowed.emplace();
-               for (const std::string &ExecutorId : Asked)
-                 if (isAllowed(Step, ExecutorId))
-                   Allowed->push_back({ExecutorId, "ticket"});
-             }
-             if (ThisTerm->AdviceDispatcher_)
-               ThisTerm->AdviceDispatcher_->onCallFinished(Adviser, !Silent, Now_);
-             lead::Scheduler &Scheduler =
-                 *std::ranges::find(Terms_, ThisTerm, [](const auto &Entry) {
-                    return Entry.first;
-                  })->second;
-             deliver(ThisTerm, &Term::Results_, [this, &Scheduler, Step, Asked, Allowed] {
-               measureDecision([&] { Scheduler.onAdvice(Step, Asked, Allowed, Now_); });
-             });
-           });
+  // The service handles the calls of one daemon one after the other.
+  core::TimePoint &FreeAt = AdviserFreeAt_[Adviser];
+  if (!Adviser.empty())
+    FreeAt = std::max(FreeAt, Now_) + Time;
+  schedule(
+      (Adviser.empty() ? Now_ + Time : FreeAt) + (Silent ? AdviceTimeoutMargin : core::Millis(0)),
+      [this, ThisTerm, Adviser, Step, Asked = std::move(Asked), Silent] {
+        if (!ThisTerm->Alive_)
+          return;
+        std::optional<std::vector<fleet::AdvisedExecutor>> Allowed;
+        if (!Silent) {
+          Allowed.emplace();
+          for (const std::string &ExecutorId : Asked)
+            if (isAllowed(Step, ExecutorId))
+              Allowed->push_back({ExecutorId, "ticket"});
+        }
+        if (ThisTerm->AdviceDispatcher_)
+          ThisTerm->AdviceDispatcher_->onCallFinished(Adviser, !Silent, Now_);
+        lead::Scheduler &Scheduler = *std::ranges::find(Terms_, ThisTerm, [](const auto &Entry) {
+                                        return Entry.first;
+                                      })->second;
+        deliver(ThisTerm, &Term::Results_, [this, &Scheduler, Step, Asked, Allowed] {
+          measureDecision([&] { Scheduler.onAdvice(Step, Asked, Allowed, Now_); });
+        });
+      });
 }
 
 void FakeFleet::watchStarvation() {
--- a/tests/support/FakeFleet.h
+++ b/tests/support/FakeFleet.h
@@ -452,6 +452,7 @@
   std::set<std::string> CheckedJobs_;                  ///< failed jobs that were checked
   std::map<std::string, core::TimePoint> EvacuatedAt_; ///< when the leaders have read it, by domain
   std::map<std::string, std::string, std::less<>> RegionOfDomain_; ///< empty without such rules
+  std::map<std::string, core::TimePoint> AdviserFreeAt_; ///< when its calls have been answered
   work::JobTable JobTable_;
   work::Manifest Manifest_;
   std::uint64_t Offset_ = 0;
