--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -378,13 +378,6 @@
       Attempts_.end(Id, WriteOutcome::Refused, core::Clock::now()) == WriteOutcome::Refused;
   Reply.Admission_ = static_cast<std::uint8_t>(Decision.Outcome_);
   Reply.RetryAfterMs_ = Decision.RetryAfter_.count();
-  core::log(core::LogLevel::Info, "job is not admitted",
-            {{"request_id", Id},
-             {"customer", Acceptance->Customer_},
-             {"reason", std::string(nameOf(Decision.Outcome_))},
-             {"wait_ms", std::to_string(Decision.Wait_.count())},
-             {"allowed_ms", std::to_string(Decision.Allowed_.count())},
-             {"retry_after_ms", std::to_string(Decision.RetryAfter_.count())}});
   return Reply;
 }
 
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -1287,9 +1287,17 @@
                                             const work::JobSpec &Spec) {
   const lead::AdmissionDecision Decision =
       Impl_->Scheduler_->admit(JobId, Acceptance, Spec, core::Clock::now());
-  if (Decision.Outcome_ != lead::AdmissionOutcome::Accepted)
-    core::count("masticdrift_admission_refusals_total",
-                {{"reason", std::string(nameOf(Decision.Outcome_))}});
+  if (Decision.Outcome_ == lead::AdmissionOutcome::Accepted)
+    return Decision;
+  core::count("masticdrift_admission_refusals_total",
+              {{"reason", std::string(nameOf(Decision.Outcome_))}});
+  core::log(core::LogLevel::Info, "job is not admitted",
+            {{"request_id", std::string(JobId)},
+             {"customer", Acceptance.Customer_},
+             {"reason", std::string(nameOf(Decision.Outcome_))},
+             {"wait_ms", std::to_string(Decision.Wait_.count())},
+             {"allowed_ms", std::to_string(Decision.Allowed_.count())},
+             {"retry_after_ms", std::to_string(Decision.RetryAfter_.count())}});
   return Decision;
 }
 
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -15,6 +15,9 @@
 constexpr int AdviceExecutorsPerCall = 30;
 /// A job has no value once its objective is exceeded by this factor.
 constexpr int ValueExpiryFactor = 3;
+/// Time of a term from which on no larger executors than those listed are expected: entries that
+/// expired while the log service was away are back within seconds of its return.
+constexpr core::Millis CapacityCatalogTime{10'000};
 /// Maximum age of a job that is derived from the acceptance time on another machine's clock.
 constexpr core::Millis MaxTrustedAge{60'000};
 
@@ -258,10 +261,14 @@
                                    const work::JobSpec &Spec, core::TimePoint Now) {
   const work::Queue &Queue = Acceptance.Queue_;
   AdmissionDecision Decision;
-  if (!Manifest_.Pools_.empty() && !Manifest_.Pools_.contains(Queue.Pool_)) {
+  // The daemon that received the job may have a newer configuration.
+  const work::Queue *KnownQueue = work::findQueueByName(Manifest_, Queue.Name_);
+  if (KnownQueue != nullptr && KnownQueue->Pool_ == Queue.Pool_ &&
+      !Manifest_.Pools_.contains(Queue.Pool_)) {
     Decision.Outcome_ = AdmissionOutcome::UnknownPool;
     return Decision;
   }
+  const bool SizesKnown = Now - TermStart_ >= CapacityCatalogTime;
   std::vector<core::Millis> StepTimes;
   ResourceTime Work;
   bool Lasting = false;
@@ -270,7 +277,7 @@
     core::Resources Need = Step.Need_;
     if (Step.BestEffort_)
       Need.MilliCores_ = 0;
-    if (!Capacities_.mayFit(Queue.Pool_, Step.RequiredLabel_, Need)) {
+    if (SizesKnown && !Capacities_.mayFit(Queue.Pool_, Step.RequiredLabel_, Need)) {
       Decision.Outcome_ = AdmissionOutcome::ImpossibleSize;
       return Decision;
     }
