--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -596,7 +596,7 @@
   std::map<std::string, std::string, std::less<>> Unrecorded_; ///< addresses by executor id
   std::unordered_map<std::string, core::Resources> UsedByCustomer_;
   std::unordered_map<std::string, DemandPeak> UrgentPeaks_; ///< first-priority work, by customer
-  std::unordered_map<std::string, RateTokens> RateTokens_; ///< by customer
+  std::unordered_map<std::string, RateTokens> RateTokens_;  ///< by customer
   std::set<std::string> DirtyJobs_; ///< jobs whose progress record has changed
   std::set<std::string>
       SuspectJobs_; ///< jobs with suspicions against their tasks, and maybe others
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -82,6 +82,9 @@
 /// Work is given up for its objective when this fraction of its expected run time is too long:
 /// predictions err, and executors differ in speed.
 constexpr double ShortestRunFraction = 0.8;
+/// At most 1/MaxReserveDivisor of a pool is kept free for urgent work that waits for advice. Work
+/// of a pool that is less than half full must start in any case.
+constexpr std::int64_t MaxReserveDivisor = 4;
 /// A cold executor counts like one on which runs take twice as long.
 constexpr double ColdPenalty = SlownessPenalty;
 
@@ -671,8 +674,8 @@
   }
 
   /// \returns true when a task that needs \p Need may not take the room that is left for urgent
-  /// work. At most half of the pool is kept free, and lasting tasks and overdue work that has its
-  /// turn need not leave any.
+  /// work. At most a quarter of the pool is kept free, and lasting tasks and overdue work that has
+  /// its turn need not leave any.
   bool isReservedForUrgent(const Candidate &Waiting, const work::StepSpec &Spec,
                            const core::Resources &Need) {
     if (isUrgent(Waiting) || Spec.LongRunning_ || Waiting.UrgencyClass_ == TurnUrgencyClass)
@@ -680,7 +683,7 @@
     const PoolRoom &Room = poolRoom(*Waiting.Job_);
     const auto Takes = [](std::int64_t Free, std::int64_t Urgent, std::int64_t Capacity,
                           std::int64_t Amount) {
-      return Amount > 0 && Free - Amount < std::min(Urgent, Capacity / 2);
+      return Amount > 0 && Free - Amount < std::min(Urgent, Capacity / MaxReserveDivisor);
     };
     return Takes(Room.Free_.MilliCores_, Room.Urgent_.MilliCores_, Room.Capacity_.MilliCores_,
                  Need.MilliCores_) ||
