--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -247,8 +247,7 @@
   core::TimePoint PaceChangedAt_{}; ///< when the pace of filling runs last changed
   std::map<RunKey, Run> Runs_;
   std::size_t UnsizedRuns_ =
-      0;                       ///< runs that are not counted in Used_, because their job is unknown
-  bool OrdersPending_ = false; ///< some run may need an order
+      0; ///< runs that are not counted in Used_, because their job is unknown
   /// Run of a suspect task that the executor has not been seen to survive. Nothing is started
   /// beside it, so that a crash has one possible cause.
   std::optional<RunKey> Trial_;
@@ -267,11 +266,12 @@
   Slowness Slowness_;
   double RunTimeFactor_ = 1;       ///< learned run time relative to an average executor
   core::TimePoint DrainEnd_{};     ///< zero while not draining
-  bool Evacuated_ = false;         ///< its failure domain is being evacuated
   std::string Region_;             ///< empty where regions do not matter
   core::TimePoint ColdUntil_{};    ///< it is slow before, because it has just started
   double ColdStarts_ = 0;          ///< starts that it bears now; valid before ColdUntil_
   core::TimePoint ColdStartsAt_{}; ///< when ColdStarts_ was updated
+  bool Evacuated_ = false;         ///< its failure domain is being evacuated
+  bool OrdersPending_ = false;     ///< some run may need an order
   bool Changed_ = false;           ///< in Scheduler::Changed_
   bool RoomStale_ = false;         ///< in Scheduler::StaleRooms_
 };
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -251,7 +251,9 @@
                            bool InTime) {
   const work::StepSpec &Spec = Job.Spec_.Steps_[Step];
   // Lasting tasks take their room for good, and filling ones only what is left.
-  if (Waiting.WaitingTasks_ == 0 || Spec.LongRunning_ || Spec.BestEffort_)
+  // What fits nowhere keeps nothing from starting.
+  if (Waiting.WaitingTasks_ == 0 || Spec.LongRunning_ || Spec.BestEffort_ ||
+      !Capacities_.mayFit(Job.Queue_.Pool_, Spec.RequiredLabel_, Spec.Need_))
     return;
   Admission_.add(Job.Acceptance_.Customer_, Job.Queue_.Pool_, Job.Queue_.Priority_, InTime,
                  resourceTime(Spec.Need_, Waiting.WaitingTasks_, Job.ExpectedTimes_[Step]));
@@ -277,7 +279,8 @@
     core::Resources Need = Step.Need_;
     if (Step.BestEffort_)
       Need.MilliCores_ = 0;
-    if (SizesKnown && !Capacities_.mayFit(Queue.Pool_, Step.RequiredLabel_, Need)) {
+    const bool Fits = Capacities_.mayFit(Queue.Pool_, Step.RequiredLabel_, Need);
+    if (SizesKnown && !Fits) {
       Decision.Outcome_ = AdmissionOutcome::ImpossibleSize;
       return Decision;
     }
@@ -285,7 +288,7 @@
     StepTimes.push_back(
         RunTimes_.predict({Queue.Name_, Acceptance.Customer_, I}, core::Millis(Step.EstimatedMs_))
             .Mean_);
-    if (!Step.BestEffort_)
+    if (!Step.BestEffort_ && Fits)
       Work += resourceTime(Step.Need_, Step.TaskCount_, StepTimes.back());
   }
   // Jobs that last or are due later wait for other things than this backlog.
