--- a/include/masticdrift/http/detail/MeteredSocket.h
+++ b/include/masticdrift/http/detail/MeteredSocket.h
@@ -35,6 +35,7 @@
   MeteredSocket(MeteredSocket &&) = default;
   MeteredSocket &operator=(MeteredSocket &&) = default;
 
+  // NOLINTBEGIN(readability-identifier-naming): Asio and RESTinio ask for these names.
   auto &lowest_layer() { return State_->Socket_.lowest_layer(); }
   const auto &lowest_layer() const { return State_->Socket_.lowest_layer(); }
   auto get_executor() { return State_->Socket_.get_executor(); }
@@ -74,6 +75,7 @@
           OnRead(Error, Error ? 0 : Size);
         }));
   }
+  // NOLINTEND(readability-identifier-naming)
 
 private:
   struct State {
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -71,8 +71,10 @@
   ~socket_supplier_t() = default;
 
   Socket &socket(std::size_t Index) { return Sockets_.at(Index); }
+  // NOLINTBEGIN(readability-identifier-naming): RESTinio asks for these names.
   Socket move_socket(std::size_t Index) { return std::exchange(Sockets_.at(Index), makeSocket()); }
   std::size_t concurrent_accept_sockets_count() const noexcept { return Sockets_.size(); }
+  // NOLINTEND(readability-identifier-naming)
 
 private:
   Socket makeSocket() const { return {Loop_, Budget_, Refusal_}; }
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -1211,7 +1211,7 @@
         Pass.survey(Job, Occurrence);
       for (std::uint32_t I = 0; I < Occurrence.Steps_.size(); ++I)
         if (auto Waiting = Pass.candidateOf(Job, K, I))
-          Candidates.push_back(std::move(*Waiting));
+          Candidates.push_back(*Waiting);
     }
   }
   WaitingSteps_ = Candidates.size();
