--- a/tests/unit/SchedulerSurgeTest.cpp
+++ b/tests/unit/SchedulerSurgeTest.cpp
@@ -57,7 +57,7 @@
 
   std::string submit(const std::string &Customer, std::uint32_t Tasks, std::int64_t Ms,
                      const std::string &Queue = "q") {
-    const std::string Id = Customer + std::to_string(Next_++);
+    std::string Id = Customer + std::to_string(Next_++);
     Fleet_.submit(Id, makeJob(Tasks, Ms), Queue, Customer);
     return Id;
   }
@@ -134,16 +134,15 @@
 // eight urgent ones.
 Test(SchedulerSurge, workThatIsTooLateTakesLittleRoom) {
   Site Small;
-  std::vector<std::string> Late;
   for (int I = 0; I < 12; ++I)
-    Late.push_back(Small.submit("calm", 40, 4000, "batch"));
+    Small.submit("calm", 40, 4000, "batch");
   Small.fleet().setManifest([] {
     work::Manifest Manifest = makeManifest();
     Manifest.Customers_["calm"].Weight_ = 1000;
     return Manifest;
   }());
   std::vector<std::string> Urgent;
-  // 40 s pass until most batches are of no use; then urgent jobs take four fifths of the room.
+  // Urgent jobs take four fifths of the room, while more and more batches become too late.
   Small.fleet().run(Millis(2000));
   for (int I = 0; I < 600; ++I) {
     Urgent.push_back(Small.submit("calm", 12, 500));
@@ -165,11 +164,11 @@
   for (int I = 0; I < Executors; ++I)
     Small.fleet().slowDown("e" + std::to_string(I), 4);
   const std::size_t Before = Small.fleet().adviceCallCount();
-  constexpr int Jobs = 4;
-  for (int I = 0; I < Jobs; ++I)
+  constexpr std::size_t Jobs = 4;
+  for (std::size_t I = 0; I < Jobs; ++I)
     Small.fleet().submit("chain" + std::to_string(I), makeJob(4, 1000, 2), "batch", "calm");
   Small.fleet().run(Millis(12'000));
-  for (int I = 0; I < Jobs; ++I)
+  for (std::size_t I = 0; I < Jobs; ++I)
     cr_expect(Small.fleet().stateOf("chain" + std::to_string(I)) == work::JobState::Completed);
   const std::size_t Calls = Small.fleet().adviceCallCount() - Before;
   // One for each step, and one more where a ticket has expired.
