--- a/src/lead/Admission.cpp
+++ b/src/lead/Admission.cpp
@@ -110,9 +110,9 @@
 
 AdmissionDecision AdmissionControl::decide(const AdmissionRequest &Request) const {
   AdmissionDecision Decision;
-  // Work beyond the rate is refused when it would be late, other work when it would be of no use.
-  const core::Millis Limit = Request.OverRate_ ? Request.Objective_ : Request.ValueExpiry_;
-  Decision.Allowed_ = std::max(Limit - Request.Chain_, core::Millis(0));
+  // A job that would only be late is better late than sent back: it comes later still. Work beyond
+  // its customer's rate stands behind more.
+  Decision.Allowed_ = std::max(Request.ValueExpiry_ - Request.Chain_, core::Millis(0));
   core::Millis CustomerWait{0};
   if (const auto Found = Customers_.find(std::string(Request.Customer_)); Found != Customers_.end())
     CustomerWait = drainTime(workBefore(Found->second, Request.Priority_, Request.OverRate_),
