--- a/tests/integration/ClientLimitsTest.cpp
+++ b/tests/integration/ClientLimitsTest.cpp
@@ -1,19 +1,11 @@
 // Callers that stay outside the limits: bodies that never end, chunks of one byte, bodies far over
 // the limit, and connections without requests. The daemon is a real process; its machine is small
 // by its settings.
-#include "support/PlatformFleet.h"
+#include "support/ClientCrowd.h"
 
-#include <chrono>
-#include <filesystem>
-#include <fstream>
-#include <memory>
 #include <string>
-#include <thread>
-#include <vector>
 
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
 #include <criterion/criterion.h>
 
 using namespace masticdrift;
@@ -34,95 +26,12 @@
 constexpr int IdleClients = 900;
 
 constexpr std::size_t Megabyte = 1U << 20U;
-/// Time for which the daemon's memory is watched.
-constexpr Millis WatchTime{3000};
 /// Time in which a caller gets its answer beside the crowd; only bounds the wait.
 constexpr Millis AnswerTimeout{30'000};
 
-/// A client that sends what it is told to and reads nothing.
-class RawClient {
-public:
-  RawClient(asio::io_context &Loop, int Port) : Socket_(Loop) {
-    Socket_.connect({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(Port)}, Error_);
-  }
-
-  /// Sends until the server closes the connection.
-  /// \returns false when it has.
-  bool send(std::string_view Text) {
-    if (!Error_)
-      asio::write(Socket_, asio::buffer(Text.data(), Text.size()), Error_);
-    return !Error_;
-  }
-
-private:
-  asio::ip::tcp::socket Socket_;
-  std::error_code Error_;
-};
-
-std::string submissionHeader(const std::string &Length) {
-  return "POST /q/00000000000000b1 HTTP/1.1\r\nHost: queue.example\r\nAuthorization: Token " +
-         std::string(CallerKey) + "\r\nContent-Type: application/json\r\n" + Length + "\r\n\r\n";
-}
-
-/// \returns \p Count chunks of \p Size bytes.
-std::string chunks(std::size_t Size, std::size_t Count) {
-  char Header[16];
-  std::snprintf(Header, sizeof Header, "%zx\r\n", Size);
-  const std::string Chunk = Header + std::string(Size, ' ') + "\r\n";
-  std::string Text;
-  Text.reserve(Chunk.size() * Count);
-  for (std::size_t I = 0; I < Count; ++I)
-    Text += Chunk;
-  return Text;
-}
-
-/// \returns a figure of /proc/PID/status in kilobytes, 0 when the process has ended.
-long statusKb(Process &Daemon, const std::string &Name) {
-  std::ifstream File("/proc/" + std::to_string(Daemon.pid()) + "/status");
-  for (std::string Line; std::getline(File, Line);)
-    if (Line.starts_with(Name + ":"))
-      return std::stol(Line.substr(Name.size() + 1));
-  return 0;
-}
-
-std::size_t openDescriptors(Process &Daemon) {
-  std::error_code Error;
-  std::size_t Count = 0;
-  for (auto Entry = std::filesystem::directory_iterator(
-           "/proc/" + std::to_string(Daemon.pid()) + "/fd", Error);
-       !Error && Entry != std::filesystem::directory_iterator(); Entry.increment(Error))
-    ++Count;
-  return Count;
-}
-
-/// A daemon on a small machine and a crowd of clients, whose connections stay open.
-struct Scene {
-  PlatformFleet Fleet_{
-      1, 2, 0.25, false, {{"memory_mb", MachineMb}, {"max_fds", MachineDescriptors}}};
-  asio::io_context Loop_;
-  std::vector<std::unique_ptr<RawClient>> Crowd_;
-  std::size_t MostDescriptors_ = 0;
-
-  RawClient &join() {
-    Crowd_.push_back(std::make_unique<RawClient>(Loop_, Fleet_.callerPort(0)));
-    MostDescriptors_ = std::max(MostDescriptors_, openDescriptors(Fleet_.daemon(0)));
-    return *Crowd_.back();
-  }
-
-  bool isOverMemory() { return statusKb(Fleet_.daemon(0), "VmHWM") >= MachineMb * 1024L; }
-
-  /// Checks the daemon while the crowd's connections are open.
-  void check() {
-    // What was sent may still wait in the buffers of the connections.
-    waitFor(WatchTime, [&] { return isOverMemory(); });
-    cr_assert(Fleet_.daemon(0).running(), "the daemon has ended: %s",
-              Fleet_.daemon(0).errors().c_str());
-    cr_expect_eq(Fleet_.submit(0, "00000000000000b3", {}).Answer_.Status_, 200);
-    cr_expect(Fleet_.awaitState(0, "00000000000000b3", "completed", AnswerTimeout));
-    cr_expect(!isOverMemory(), "the daemon took %ld kB", statusKb(Fleet_.daemon(0), "VmHWM"));
-    MostDescriptors_ = std::max(MostDescriptors_, openDescriptors(Fleet_.daemon(0)));
-    cr_expect_lt(MostDescriptors_, MachineDescriptors, "%zu descriptors", MostDescriptors_);
-  }
+/// A daemon on the small machine and a crowd of clients, whose connections stay open.
+struct Scene : CrowdScene {
+  Scene() : CrowdScene({MachineMb, MachineDescriptors}) {}
 };
 
 } // namespace
--- a/tests/standins/common/TopicLog.cpp
+++ b/tests/standins/common/TopicLog.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/Store.h"
 
+#include <algorithm>
+
 #include <openssl/evp.h>
 
 namespace masticdrift::standins {
@@ -10,6 +12,9 @@
 
 constexpr std::chrono::milliseconds LateReadDelay{800};
 constexpr std::size_t MaxAppendBytes = 2U << 20U; ///< call_bytes of the platform
+constexpr std::size_t MaxRecordBytes = 262'144;   ///< record_bytes of the platform
+constexpr std::size_t DefaultReadKb = 1024;       ///< max_kb of a read that names none
+constexpr std::size_t MaxPageBytes = 1U << 20U;   ///< of the newest records
 
 std::string bigEndian(std::uint64_t Value) {
   std::string Out(8, '\0');
@@ -26,6 +31,11 @@
   return Out;
 }
 
+std::vector<platform::KeyedRecord> decodeRecords(const std::string &Body) {
+  // decodeRead() expects two offsets before the records, as in the response to a read.
+  return platform::decodeRead(bigEndian(0) + bigEndian(0) + Body, 0).Records_;
+}
+
 std::uint64_t queryNumber(const http::Request &Incoming, std::string_view Name) {
   const std::string Text = http::queryValue(Incoming.Query_, Name);
   return Text.empty() ? 0 : std::stoull(Text);
@@ -77,6 +87,10 @@
 Reply TopicLog::appendToTopic(Topic &TargetTopic, const http::Request &Incoming) {
   if (Incoming.Body_.size() > MaxAppendBytes)
     return errorReply(400, "the records are too large");
+  if (std::ranges::any_of(decodeRecords(Incoming.Body_), [](const platform::KeyedRecord &Added) {
+        return 1 + Added.Key_.size() + Added.Value_.size() > MaxRecordBytes;
+      }))
+    return errorReply(400, "a record is too large");
   const std::string ExpectedEnd = http::queryValue(Incoming.Query_, "at");
   const std::string Name = http::queryValue(Incoming.Query_, "producer");
   if (!ExpectedEnd.empty() && std::stoull(ExpectedEnd) != TargetTopic.Records_.size())
@@ -105,10 +119,8 @@
 }
 
 Reply TopicLog::storeRecords(Topic &TargetTopic, const std::string &Body) {
-  // decodeRead() expects two offsets before the records, as in the response to a read.
-  const platform::ReadResult Records = platform::decodeRead(bigEndian(0) + bigEndian(0) + Body, 0);
   const std::size_t Offset = TargetTopic.Records_.size();
-  for (const platform::KeyedRecord &Added : Records.Records_) {
+  for (const platform::KeyedRecord &Added : decodeRecords(Body)) {
     if (Added.Value_.empty())
       TargetTopic.NewestOffsets_.erase(Added.Key_);
     else
@@ -120,10 +132,15 @@
   return jsonReply({{"offset", Offset}, {"end", TargetTopic.Records_.size()}});
 }
 
-Reply TopicLog::readReply(const Topic &SourceTopic, std::size_t Offset) {
+Reply TopicLog::readReply(const Topic &SourceTopic, std::size_t Offset, std::size_t MaxBytes) {
   std::vector<platform::KeyedRecord> Records;
-  for (std::size_t I = Offset; I < SourceTopic.Records_.size(); ++I)
+  std::size_t Bytes = 0;
+  // One record is returned in any case.
+  for (std::size_t I = Offset; I < SourceTopic.Records_.size() && (I == Offset || Bytes < MaxBytes);
+       ++I) {
     Records.push_back({I, SourceTopic.Records_[I].Key_, SourceTopic.Records_[I].Value_});
+    Bytes += Records.back().Key_.size() + Records.back().Value_.size();
+  }
   return {200,
           bigEndian(SourceTopic.Records_.size()) + bigEndian(0) + platform::encodeRecords(Records),
           "application/octet-stream"};
@@ -145,15 +162,18 @@
   Topic &SourceTopic = Topics_[TopicName];
   const auto Offset = static_cast<std::size_t>(queryNumber(Incoming, "from"));
   const std::chrono::milliseconds Wait(queryNumber(Incoming, "wait_ms"));
+  const std::uint64_t MaxKb = queryNumber(Incoming, "max_kb");
+  const std::size_t MaxBytes = (MaxKb > 0 ? MaxKb : DefaultReadKb) << 10U;
   if (Wait.count() > 0 && LateReader_ == Daemon && LateTopic_ == TopicName)
-    return runAfter(Io_, LateReadDelay,
-                    [&SourceTopic, Offset, Answer] { Answer(readReply(SourceTopic, Offset)); });
+    return runAfter(Io_, LateReadDelay, [&SourceTopic, Offset, MaxBytes, Answer] {
+      Answer(readReply(SourceTopic, Offset, MaxBytes));
+    });
   if (Offset < SourceTopic.Records_.size() || Wait.count() == 0)
-    return Answer(readReply(SourceTopic, Offset));
+    return Answer(readReply(SourceTopic, Offset, MaxBytes));
   const auto Sent = std::make_shared<bool>(false);
-  const auto SendOnce = [&SourceTopic, Offset, Answer, Sent] {
+  const auto SendOnce = [&SourceTopic, Offset, MaxBytes, Answer, Sent] {
     if (!std::exchange(*Sent, true))
-      Answer(readReply(SourceTopic, Offset));
+      Answer(readReply(SourceTopic, Offset, MaxBytes));
   };
   SourceTopic.PendingReads_.push_back(SendOnce);
   runAfter(Io_, Wait, SendOnce);
@@ -169,10 +189,14 @@
   Json Items = Json::array();
   auto Next = AfterKey.empty() ? SourceTopic.NewestOffsets_.begin()
                                : SourceTopic.NewestOffsets_.upper_bound(AfterKey);
-  for (; Next != SourceTopic.NewestOffsets_.end() && Items.size() < MaxPageRecords_; ++Next)
-    Items.push_back({{"key", Next->first},
-                     {"value", base64(SourceTopic.Records_[Next->second].Value_)},
-                     {"offset", Next->second}});
+  std::size_t Bytes = 0;
+  for (; Next != SourceTopic.NewestOffsets_.end() && Items.size() < MaxPageRecords_ &&
+         Bytes < MaxPageBytes;
+       ++Next) {
+    const std::string &Value = SourceTopic.Records_[Next->second].Value_;
+    Bytes += Next->first.size() + Value.size();
+    Items.push_back({{"key", Next->first}, {"value", base64(Value)}, {"offset", Next->second}});
+  }
   const Json Page{{"items", Items},
                   {"has_more", Next != SourceTopic.NewestOffsets_.end()},
                   {"end", SourceTopic.Records_.size()}};
--- a/tests/standins/common/TopicLog.h
+++ b/tests/standins/common/TopicLog.h
@@ -70,7 +70,7 @@
   ReplyCallback countBytes(const std::string &TopicName, const std::string &Daemon,
                            const ReplyCallback &Answer);
   void releaseHeldAppends();
-  static Reply readReply(const Topic &SourceTopic, std::size_t Offset);
+  static Reply readReply(const Topic &SourceTopic, std::size_t Offset, std::size_t MaxBytes);
 
   asio::io_context &Io_;
   std::map<std::string, Topic> Topics_;
--- a/tests/support/PlatformFleet.cpp
+++ b/tests/support/PlatformFleet.cpp
@@ -14,7 +14,6 @@
 
 constexpr core::Millis StartTimeout{10'000};
 constexpr core::Millis CallTimeout{5000};
-constexpr int PortsPerDaemon = 3; ///< callers, ready, peers
 
 /// Below the ports that the system gives to outgoing connections, so that those of other tests
 /// neither use the ports up nor take one before the daemon binds it.
@@ -104,7 +103,7 @@
 }
 
 void PlatformFleet::addDaemon(double Cores) {
-  const int Port = freePorts(PortsPerDaemon);
+  const int Port = freePorts(ServersPerDaemon);
   const std::string Name = nameOf(static_cast<int>(Daemons_.size()));
   BasePorts_.push_back(Port);
   const std::string File = Directory_ + "/" + Name + ".json";
@@ -199,15 +198,14 @@
 }
 
 bool PlatformFleet::ready(int Daemon) {
-  const int Port = BasePorts_.at(static_cast<std::size_t>(Daemon)) + 1;
   const http::ClientResult Result =
-      send("GET", loopbackAddress(Port) + "/ready", {}, {}, CallTimeout);
+      send("GET", loopbackAddress(readyPort(Daemon)) + "/ready", {}, {}, CallTimeout);
   return Result.Transfer_ == http::Transfer::Complete && Result.Answer_.Status_ == 200;
 }
 
 std::string PlatformFleet::metrics(int Daemon) {
-  const int Port = BasePorts_.at(static_cast<std::size_t>(Daemon)) + 2;
-  return send("GET", loopbackAddress(Port) + "/metrics", {}, {}, CallTimeout).Answer_.Body_;
+  return send("GET", loopbackAddress(peerPort(Daemon)) + "/metrics", {}, {}, CallTimeout)
+      .Answer_.Body_;
 }
 
 int PlatformFleet::leader() {
--- a/tests/support/PlatformFleet.h
+++ b/tests/support/PlatformFleet.h
@@ -32,6 +32,9 @@
 /// Starts the stand-in and the daemons, and stops them on destruction.
 class PlatformFleet {
 public:
+  /// Servers of a daemon, on consecutive ports: for callers, for readiness, for other daemons.
+  static constexpr int ServersPerDaemon = 3;
+
   /// Returns when every daemon reports ready and one of them leads.
   ///
   /// \throws std::runtime_error if that does not happen in time.
@@ -72,6 +75,10 @@
   int leader();
   /// \returns the port on which a daemon receives requests of callers.
   int callerPort(int Daemon) const { return BasePorts_.at(static_cast<std::size_t>(Daemon)); }
+  /// \returns the port on which a daemon tells whether it is ready.
+  int readyPort(int Daemon) const { return callerPort(Daemon) + 1; }
+  /// \returns the port for other daemons and for metrics.
+  int peerPort(int Daemon) const { return callerPort(Daemon) + 2; }
   Process &daemon(int Daemon) { return *Daemons_.at(static_cast<std::size_t>(Daemon)); }
 
 private:
@@ -84,7 +91,7 @@
   http::Client Client_;
   std::unique_ptr<Process> Platform_;
   int PlatformPort_ = 0;
-  std::vector<int> BasePorts_; ///< for callers; the ports for ready and peers follow
+  std::vector<int> BasePorts_; ///< for callers; the others follow
   std::vector<std::unique_ptr<Process>> Daemons_;
 };
 
