Header fields count until the request is complete, in the trailing part too

Cause: RequestMeter counted bytes that belong to no body only while a request had no chunk. RESTinio keeps names and values as strings until the request has been answered, and those of the trailing part like those of the header.

The meter now counts the target and the fields by the parser's callbacks: their text in its copies, and the two strings and the record of each field. The framing of chunks, which is not kept, counts nothing.

Evidence: unit tests fail before (bytes of fields forgotten beside a chunk; a short field counted with 10 bytes).

--- a/include/masticdrift/http/detail/RequestMeter.h
+++ b/include/masticdrift/http/detail/RequestMeter.h
@@ -1,5 +1,5 @@
 /// \file
-/// Measures the memory that RESTinio holds for a request while it arrives.
+/// Measures the memory that a server holds for the requests of one connection.
 #ifndef MASTICDRIFT_HTTP_DETAIL_REQUESTMETER_H
 #define MASTICDRIFT_HTTP_DETAIL_REQUESTMETER_H
 
@@ -12,8 +12,8 @@
 
 /// Follows the bytes of a connection with the parser that RESTinio uses as well.
 ///
-/// RESTinio keeps the body and a record for each chunk until the request has been answered, and
-/// bounds the body only.
+/// RESTinio keeps the target, the fields of the header and of the trailing part, the body and a
+/// record for each chunk until the request has been answered.
 class RequestMeter {
 public:
   RequestMeter();
@@ -34,13 +34,19 @@
 
 private:
   static int onMessageBegin(http_parser *Parser);
+  static int onTarget(http_parser *Parser, const char *Data, std::size_t Size);
+  static int onFieldName(http_parser *Parser, const char *Data, std::size_t Size);
+  static int onFieldValue(http_parser *Parser, const char *Data, std::size_t Size);
   static int onBody(http_parser *Parser, const char *Data, std::size_t Size);
   static int onChunk(http_parser *Parser);
   static int onMessageComplete(http_parser *Parser);
+  static const http_parser_settings &callbacks();
 
   http_parser Parser_{};
   bool WithinRequest_ = false;
-  std::size_t HeaderBytes_ = 0; ///< all bytes that are not part of a body
+  bool WithinName_ = false;   ///< the last callback was for a part of a field's name
+  std::size_t TextBytes_ = 0; ///< of the target and of the names and values of fields
+  std::size_t Fields_ = 0;
   std::size_t BodyBytes_ = 0;
   std::size_t Chunks_ = 0;
 };
--- a/src/http/RequestMeter.cpp
+++ b/src/http/RequestMeter.cpp
@@ -1,19 +1,30 @@
 #include "masticdrift/http/detail/RequestMeter.h"
 
+#include <string>
+#include <utility>
+
 #include <restinio/chunked_input_info.hpp>
+#include <restinio/http_headers.hpp>
 
 namespace masticdrift::http::detail {
 
 namespace {
 
+/// A growing buffer is at most twice as large as its content, and the old one exists beside the new
+/// one while it grows.
+constexpr std::size_t GrowthFactor = 3;
+/// RESTinio's strings and those of the request that the handler gets.
+constexpr std::size_t CopiesOfText = 4;
+/// RESTinio keeps the fields in a vector, and so does the request that the handler gets. Their
+/// names and values are strings of their own.
+constexpr std::size_t BytesPerAllocation = 16;
+constexpr std::size_t BytesPerField = GrowthFactor * (sizeof(restinio::http_header_field_t) +
+                                                      sizeof(std::pair<std::string, std::string>)) +
+                                      4 * BytesPerAllocation;
+constexpr std::size_t BytesPerChunk = GrowthFactor * sizeof(restinio::chunk_info_t);
 /// A body is copied once for the handler, and a growing buffer is at most twice as large as its
 /// content.
 constexpr std::size_t CopiesOfBody = 2;
-/// The vector of records is at most twice as large as its content, and the old one exists beside
-/// the new one while it grows.
-constexpr std::size_t BytesPerChunk = 3 * sizeof(restinio::chunk_info_t);
-/// Header fields are kept as strings of their own.
-constexpr std::size_t CopiesOfHeader = 2;
 
 RequestMeter &meterOf(http_parser *Parser) { return *static_cast<RequestMeter *>(Parser->data); }
 
@@ -29,6 +40,26 @@
   return 0;
 }
 
+int RequestMeter::onTarget(http_parser *Parser, const char *, std::size_t Size) {
+  meterOf(Parser).TextBytes_ += Size;
+  return 0;
+}
+
+int RequestMeter::onFieldName(http_parser *Parser, const char *, std::size_t Size) {
+  RequestMeter &Meter = meterOf(Parser);
+  Meter.TextBytes_ += Size;
+  Meter.WithinName_ = true;
+  return 0;
+}
+
+int RequestMeter::onFieldValue(http_parser *Parser, const char *, std::size_t Size) {
+  RequestMeter &Meter = meterOf(Parser);
+  Meter.TextBytes_ += Size;
+  if (std::exchange(Meter.WithinName_, false))
+    ++Meter.Fields_;
+  return 0;
+}
+
 int RequestMeter::onBody(http_parser *Parser, const char *, std::size_t Size) {
   meterOf(Parser).BodyBytes_ += Size;
   return 0;
@@ -44,32 +75,36 @@
   return 0;
 }
 
-void RequestMeter::consume(std::string_view Bytes) {
+const http_parser_settings &RequestMeter::callbacks() {
   static const http_parser_settings Callbacks = [] {
     http_parser_settings Settings;
     http_parser_settings_init(&Settings);
     Settings.on_message_begin = &onMessageBegin;
+    Settings.on_url = &onTarget;
+    Settings.on_header_field = &onFieldName;
+    Settings.on_header_value = &onFieldValue;
     Settings.on_body = &onBody;
     Settings.on_chunk_header = &onChunk;
     Settings.on_message_complete = &onMessageComplete;
     return Settings;
   }();
-  const std::size_t BodyBefore = BodyBytes_;
+  return Callbacks;
+}
+
+void RequestMeter::consume(std::string_view Bytes) {
   // RESTinio closes the connection at a syntax error.
-  http_parser_execute(&Parser_, &Callbacks, Bytes.data(), Bytes.size());
-  HeaderBytes_ += Bytes.size() - (BodyBytes_ - BodyBefore);
+  http_parser_execute(&Parser_, &callbacks(), Bytes.data(), Bytes.size());
 }
 
 void RequestMeter::release() {
   if (WithinRequest_)
     return;
-  HeaderBytes_ = BodyBytes_ = Chunks_ = 0;
+  TextBytes_ = Fields_ = BodyBytes_ = Chunks_ = 0;
 }
 
 std::size_t RequestMeter::heldBytes() const {
-  // The framing of chunks is not kept.
-  const std::size_t KeptHeader = Chunks_ > 0 ? 0 : CopiesOfHeader * HeaderBytes_;
-  return KeptHeader + CopiesOfBody * BodyBytes_ + BytesPerChunk * Chunks_;
+  return CopiesOfText * TextBytes_ + BytesPerField * Fields_ + CopiesOfBody * BodyBytes_ +
+         BytesPerChunk * Chunks_;
 }
 
 } // namespace masticdrift::http::detail
--- a/tests/unit/ConnectionBudgetTest.cpp
+++ b/tests/unit/ConnectionBudgetTest.cpp
@@ -157,3 +157,26 @@
   Meter.consume("GET / HTTP/1.1\r\n");
   cr_expect(Meter.isWithinRequest());
 }
+
+// Guards against header fields that are forgotten as soon as the body has begun.
+Test(RequestMeter, fieldsCountBesideChunksAndInTheTrailingPart) {
+  const std::string Value(1000, 'v');
+  RequestMeter Meter;
+  Meter.consume("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nA: " + Value + "\r\n\r\n");
+  const std::size_t Header = Meter.heldBytes();
+  cr_expect_geq(Header, 2 * Value.size());
+  Meter.consume("1\r\nx\r\n");
+  cr_expect_gt(Meter.heldBytes(), Header);
+  Meter.consume("0\r\nB: " + Value);
+  cr_expect_geq(Meter.heldBytes(), 2 * Header - 500);
+}
+
+// Guards against short fields that count with their bytes only: each is two strings and a record.
+Test(RequestMeter, shortFieldsCountWithTheirRecords) {
+  RequestMeter Meter;
+  Meter.consume("GET / HTTP/1.1\r\n");
+  const std::size_t Before = Meter.heldBytes();
+  for (int I = 0; I < 60; ++I)
+    Meter.consume("a:b\r\n");
+  cr_expect_geq(Meter.heldBytes(), Before + std::size_t{60} * 128);
+}
