The meter begins each request with a new parser, like the library

Suspected, not seen by callers: after a request that asks for an upgrade, http_parser takes the rest of the bytes for another protocol. RESTinio sets its parser up anew for each request and goes on; the meter's parser stayed as it was, lost its place and took the connection for idle from then on, so that nothing on it was counted or timed.

The meter stops at the end of each request and begins the next one with a parser in its initial state, and tells when it has come to a syntax error. Unit tests: the chunks behind an upgrade are measured, an error is reported.

--- a/include/masticdrift/http/detail/RequestMeter.h
+++ b/include/masticdrift/http/detail/RequestMeter.h
@@ -32,6 +32,13 @@
   /// \returns true while a request has begun and not ended.
   bool isWithinRequest() const { return WithinRequest_; }
 
+  /// \returns true when a request has arrived whole since the last release().
+  bool hasWholeRequest() const { return AnyComplete_; }
+
+  /// \returns true after a syntax error. Nothing is measured from then on, and RESTinio closes the
+  /// connection when it comes to the error.
+  bool hasFailed() const { return Failed_; }
+
 private:
   static int onMessageBegin(http_parser *Parser);
   static int onTarget(http_parser *Parser, const char *Data, std::size_t Size);
@@ -44,11 +51,13 @@
 
   http_parser Parser_{};
   bool WithinRequest_ = false;
+  bool Failed_ = false;
   bool WithinName_ = false;   ///< the last callback was for a part of a field's name
   std::size_t TextBytes_ = 0; ///< of the target and of the names and values of fields
   std::size_t Fields_ = 0;
   std::size_t BodyBytes_ = 0;
   std::size_t Chunks_ = 0;
+  bool AnyComplete_ = false; ///< a request has arrived whole and is served
 };
 
 } // namespace masticdrift::http::detail
--- a/src/http/RequestMeter.cpp
+++ b/src/http/RequestMeter.cpp
@@ -71,7 +71,10 @@
 }
 
 int RequestMeter::onMessageComplete(http_parser *Parser) {
-  meterOf(Parser).WithinRequest_ = false;
+  RequestMeter &Meter = meterOf(Parser);
+  Meter.WithinRequest_ = false;
+  Meter.AnyComplete_ = true;
+  http_parser_pause(Parser, 1);
   return 0;
 }
 
@@ -92,14 +95,25 @@
 }
 
 void RequestMeter::consume(std::string_view Bytes) {
-  // RESTinio closes the connection at a syntax error.
-  http_parser_execute(&Parser_, &callbacks(), Bytes.data(), Bytes.size());
+  while (!Bytes.empty() && !Failed_) {
+    const std::size_t Parsed =
+        http_parser_execute(&Parser_, &callbacks(), Bytes.data(), Bytes.size());
+    const http_errno Error = HTTP_PARSER_ERRNO(&Parser_);
+    Failed_ = Error != HPE_OK && Error != HPE_PAUSED;
+    if (Error != HPE_PAUSED)
+      return;
+    // Like RESTinio, which begins each request with a parser in its initial state: otherwise the
+    // two would differ after a request that asks for an upgrade.
+    http_parser_init(&Parser_, HTTP_REQUEST);
+    Bytes.remove_prefix(Parsed);
+  }
 }
 
 void RequestMeter::release() {
-  if (WithinRequest_)
-    return;
-  TextBytes_ = Fields_ = BodyBytes_ = Chunks_ = 0;
+  AnyComplete_ = false;
+  // The first part of the next request has been counted together with those that have arrived.
+  if (!WithinRequest_)
+    TextBytes_ = Fields_ = BodyBytes_ = Chunks_ = 0;
 }
 
 std::size_t RequestMeter::heldBytes() const {
--- a/tests/unit/ConnectionBudgetTest.cpp
+++ b/tests/unit/ConnectionBudgetTest.cpp
@@ -180,3 +180,28 @@
     Meter.consume("a:b\r\n");
   cr_expect_geq(Meter.heldBytes(), Before + std::size_t{60} * 128);
 }
+
+// Guards against a meter that takes the bytes behind a request for an upgrade for something else
+// than the library's parser, which begins anew.
+Test(RequestMeter, aRequestBehindOneForAnUpgradeIsMeasured) {
+  RequestMeter Meter;
+  Meter.consume("GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: none\r\n\r\n"
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  cr_expect(Meter.hasWholeRequest());
+  cr_expect(Meter.isWithinRequest());
+  Meter.release();
+  const std::size_t Before = Meter.heldBytes();
+  for (int I = 0; I < 1000; ++I)
+    Meter.consume("1\r\nx\r\n");
+  cr_expect(Meter.isWithinRequest());
+  cr_expect_geq(Meter.heldBytes(), Before + std::size_t{32} * 1000);
+}
+
+// Guards against a connection that is taken for idle after a syntax error.
+Test(RequestMeter, aSyntaxErrorIsReported) {
+  RequestMeter Meter;
+  Meter.consume("GET / HTTP/1.1\r\n\r\n");
+  cr_expect(!Meter.hasFailed());
+  Meter.consume("nonsense\r\n");
+  cr_expect(Meter.hasFailed());
+}
