Connections are bounded in each of their states

Callers saw: a daemon that answers nobody any more. 900 connections with a request each, while the store does not answer, were all kept on a machine of 600 descriptors (921 open).

Cause: a connection was closed for a new one only while it waited for data. When all of them were being served, the new one was kept as well.

The budget now knows what each connection waits for (a request, the rest of one, an answer), and refuses a new one when none can be closed for it. The same states close two gaps of the account: an answer counts until its last byte is written, and its connection can be closed while the client does not read; and a connection that was told to close counts until its memory is free, instead of from then on nothing. A request that arrived behind another one is timed from the answer to that, and its connection is not closed while the first one is served.

In ConnectionBudgetTest the check of 500 held bytes after a closing assumed the second gap; it now removes the closed connection first, and a new test asserts 1,100 before.

--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -46,8 +46,9 @@
 /// header or a read timeout closes the connection without a response.
 ///
 /// Keeps to its memory and number of connections also when clients don't keep to their limits: it
-/// closes the connection with the largest unfinished request, or the one that has been inactive for
-/// the longest time. Nothing of an unfinished request has run.
+/// closes the connection with the largest unfinished request or unread answer, or the one that has
+/// been inactive for the longest time, or the one that needs more. Nothing of an unfinished request
+/// has run.
 class Server {
 public:
   /// Binds the address and starts serving.
--- a/include/masticdrift/http/detail/MeteredSocket.h
+++ b/include/masticdrift/http/detail/MeteredSocket.h
@@ -7,6 +7,7 @@
 #include "masticdrift/http/detail/RequestMeter.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -22,8 +23,8 @@
 
 namespace masticdrift::http::detail {
 
-/// TCP socket with the interface that RESTinio asks for. Measures the requests that arrive and
-/// fails reads with connection_reset when the budget has no room for them.
+/// TCP socket with the interface that RESTinio asks for. Measures the requests that arrive and the
+/// answers that are sent, and fails reads with connection_reset when the budget has no room.
 class MeteredSocket {
 public:
   using executor_type = asio::ip::tcp::socket::executor_type;
@@ -35,6 +36,9 @@
   MeteredSocket(MeteredSocket &&) = default;
   MeteredSocket &operator=(MeteredSocket &&) = default;
 
+  /// To be called once, before the first read.
+  void setConnectionId(std::uint64_t Id) { State_->Share_.ConnectionId_ = Id; }
+
   // NOLINTBEGIN(readability-identifier-naming): Asio and RESTinio ask for these names.
   auto &lowest_layer() { return State_->Socket_.lowest_layer(); }
   const auto &lowest_layer() const { return State_->Socket_.lowest_layer(); }
@@ -50,14 +54,24 @@
   template <typename... Args> void close(Args &&...Arguments) {
     State_->Socket_.close(std::forward<Args>(Arguments)...);
   }
-  template <typename... Args> auto async_write_some(Args &&...Arguments) {
-    return State_->Socket_.async_write_some(std::forward<Args>(Arguments)...);
+
+  template <typename Buffers, typename Handler>
+  void async_write_some(const Buffers &Source, Handler &&OnWritten) {
+    const auto Executor = asio::get_associated_executor(OnWritten, State_->Socket_.get_executor());
+    State_->onWriting();
+    State_->Socket_.async_write_some(
+        Source, asio::bind_executor(Executor,
+                                    [Shared = State_, OnWritten = std::forward<Handler>(OnWritten)](
+                                        std::error_code Error, std::size_t Size) mutable {
+                                      Shared->onWritten(Size);
+                                      OnWritten(Shared->errorOf(Error), Size);
+                                    }));
   }
 
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers &Target, Handler &&OnRead) {
     const auto Executor = asio::get_associated_executor(OnRead, State_->Socket_.get_executor());
-    State_->onWaiting([&] {
+    const bool Allowed = State_->onWaiting([&] {
       return [Executor, Weak = std::weak_ptr<State>(State_)] {
         asio::post(Executor, [Weak] {
           if (const auto Locked = Weak.lock())
@@ -65,6 +79,12 @@
         });
       };
     });
+    if (!Allowed) {
+      asio::post(Executor, [Shared = State_, OnRead = std::forward<Handler>(OnRead)]() mutable {
+        OnRead(std::error_code(asio::error::connection_reset), 0);
+      });
+      return;
+    }
     State_->Socket_.async_read_some(
         Target, asio::bind_executor(Executor, [Shared = State_, Target,
                                                OnRead = std::forward<Handler>(OnRead)](
@@ -89,29 +109,55 @@
         Budget_->remove(Share_);
     }
 
-    template <typename MakeClose> void onWaiting(MakeClose MakeCloseFunction) {
+    /// \returns false when the connection must be closed instead of being read.
+    template <typename MakeClose> bool onWaiting(MakeClose MakeCloseFunction) {
       // Sockets wait for a connection before, and not all get one.
       if (!Added_) {
         Share_.Close_ = MakeCloseFunction();
-        Budget_->add(Share_);
-        Added_ = true;
+        Added_ = Budget_->add(Share_);
+        if (!Added_)
+          return false;
       }
+      if (Meter_.hasFailed())
+        return false;
       // RESTinio reads on when it has answered.
       Meter_.release();
-      Budget_->onWaiting(Share_, Meter_.heldBytes());
+      Budget_->onWaiting(Share_, Meter_.heldBytes(), state(), BudgetShare::Clock::now());
+      return true;
     }
 
     std::error_code onRead(std::error_code Error, std::string_view Bytes) {
       if (Error)
-        return Closed_ ? std::error_code(asio::error::connection_reset) : Error;
+        return errorOf(Error);
       Meter_.consume(Bytes);
-      if (Budget_->onReceived(Share_, Meter_.heldBytes(), Meter_.isWithinRequest(),
-                              BudgetShare::Clock::now()))
+      if (Budget_->onReceived(Share_, Meter_.heldBytes(), state(), BudgetShare::Clock::now()))
         return {};
       sendRefusal();
       return asio::error::connection_reset;
     }
 
+    void onWriting() {
+      if (Added_)
+        Budget_->onWriting(Share_);
+    }
+
+    void onWritten(std::size_t Bytes) {
+      if (Added_)
+        Budget_->onWritten(Share_, Bytes);
+    }
+
+    ConnectionState state() const {
+      if (Meter_.hasWholeRequest())
+        return ConnectionState::Serving;
+      return Meter_.isWithinRequest() ? ConnectionState::Receiving : ConnectionState::Idle;
+    }
+
+    /// \returns the error that RESTinio closes the connection with. It takes an aborted operation
+    /// for a sign that it has closed the connection itself.
+    std::error_code errorOf(std::error_code Error) const {
+      return Error && Closed_ ? std::error_code(asio::error::connection_reset) : Error;
+    }
+
     /// Sends the refusal as far as that is possible at once. The client may miss it: closing a
     /// connection with unread data resets it.
     void sendRefusal() {
--- a/src/http/ConnectionBudget.cpp
+++ b/src/http/ConnectionBudget.cpp
@@ -4,6 +4,7 @@
 #include "masticdrift/core/Metrics.h"
 
 #include <algorithm>
+#include <numeric>
 #include <string>
 #include <utility>
 
@@ -13,6 +14,8 @@
 
 /// Shortest interval between two log lines; a crowd of clients causes thousands of closings.
 constexpr std::chrono::seconds LogInterval{1};
+/// Less than the header of any answer, so that an answer has ended when this and its body are sent.
+constexpr std::size_t MinHeaderBytes = 32;
 
 std::string_view nameOf(CloseReason Reason) {
   switch (Reason) {
@@ -26,34 +29,63 @@
   return "unknown";
 }
 
+bool isClosable(const BudgetShare &Share) {
+  return !Share.Closing_ && (Share.State_ != ConnectionState::Serving || Share.Writing_);
+}
+
+/// \returns true when a connection holds nothing but its own memory.
+bool isIdle(const BudgetShare &Share) {
+  return Share.State_ == ConnectionState::Idle && Share.Answers_.empty();
+}
+
 } // namespace
 
-void ConnectionBudget::add(BudgetShare &Share) {
+bool ConnectionBudget::add(BudgetShare &Share) {
   const std::lock_guard Lock(Mutex_);
-  Share.Position_ = Shares_.insert(Shares_.end(), &Share);
-  if (Shares_.size() <= Limits_.Connections_)
-    return;
-  const auto Oldest = std::ranges::find_if(
-      Shares_, [](const BudgetShare *Other) { return Other->Waiting_ && !Other->Closing_; });
-  if (Oldest != Shares_.end())
+  if (Shares_.size() - Closing_ >= Limits_.Connections_) {
+    const auto Oldest =
+        std::ranges::find_if(Shares_, [](const BudgetShare *Other) { return isClosable(*Other); });
+    if (Oldest == Shares_.end()) {
+      noteClosed(Share, CloseReason::Connections);
+      return false;
+    }
     close(**Oldest, CloseReason::Connections);
+  }
+  Share.Position_ = Shares_.insert(Shares_.end(), &Share);
+  ById_[Share.ConnectionId_] = &Share;
+  return true;
 }
 
 void ConnectionBudget::remove(BudgetShare &Share) {
   const std::lock_guard Lock(Mutex_);
-  setHeld(Share, 0);
+  if (Share.Closing_) {
+    ClosingBytes_ -= Share.HeldBytes_;
+    --Closing_;
+  }
+  HeldBytes_ -= Share.HeldBytes_;
+  ById_.erase(Share.ConnectionId_);
   Shares_.erase(Share.Position_);
 }
 
-void ConnectionBudget::setHeld(BudgetShare &Share, std::size_t HeldBytes) {
+void ConnectionBudget::updateHeld(BudgetShare &Share) {
+  const std::size_t HeldBytes =
+      std::accumulate(Share.Answers_.begin(), Share.Answers_.end(), Share.RequestBytes_);
+  if (Share.Closing_)
+    ClosingBytes_ += HeldBytes - Share.HeldBytes_;
   HeldBytes_ += HeldBytes - Share.HeldBytes_;
   Share.HeldBytes_ = HeldBytes;
 }
 
 void ConnectionBudget::close(BudgetShare &Share, CloseReason Reason) {
+  markClosing(Share, Reason);
+  Share.Close_();
+}
+
+void ConnectionBudget::markClosing(BudgetShare &Share, CloseReason Reason) {
   Share.Closing_ = true;
+  ClosingBytes_ += Share.HeldBytes_;
+  ++Closing_;
   noteClosed(Share, Reason);
-  Share.Close_();
 }
 
 void ConnectionBudget::noteClosed(const BudgetShare &Share, CloseReason Reason) {
@@ -76,55 +108,94 @@
   Watch_ = std::move(Watch);
 }
 
-void ConnectionBudget::onWaiting(BudgetShare &Share, std::size_t HeldBytes) {
+void ConnectionBudget::setState(BudgetShare &Share, ConnectionState State,
+                                BudgetShare::Clock::time_point Now) {
+  if (State == ConnectionState::Receiving && Share.State_ != ConnectionState::Receiving) {
+    Share.RequestBegunAt_ = Now;
+    if (Watch_ && !std::exchange(Watched_, true))
+      Watch_();
+  }
+  Share.State_ = State;
+}
+
+void ConnectionBudget::onWaiting(BudgetShare &Share, std::size_t RequestBytes,
+                                 ConnectionState State, BudgetShare::Clock::time_point Now) {
   const std::lock_guard Lock(Mutex_);
-  setHeld(Share, HeldBytes);
-  Share.Waiting_ = true;
+  Share.RequestBytes_ = RequestBytes;
+  updateHeld(Share);
+  setState(Share, State, Now);
 }
 
-BudgetShare *ConnectionBudget::largestUnfinished(const BudgetShare &Except) {
+BudgetShare *ConnectionBudget::largestClosable(const BudgetShare &Except) {
   BudgetShare *Largest = nullptr;
   for (BudgetShare *Share : Shares_)
-    if (Share != &Except && Share->Waiting_ && Share->WithinRequest_ && !Share->Closing_ &&
+    if (Share != &Except && isClosable(*Share) && !isIdle(*Share) &&
         (Largest == nullptr || Share->HeldBytes_ > Largest->HeldBytes_))
       Largest = Share;
   return Largest;
 }
 
-bool ConnectionBudget::onReceived(BudgetShare &Share, std::size_t HeldBytes, bool WithinRequest,
-                                  BudgetShare::Clock::time_point Now) {
-  const std::lock_guard Lock(Mutex_);
-  Shares_.splice(Shares_.end(), Shares_, Share.Position_);
-  Share.Waiting_ = false;
-  if (WithinRequest && !Share.WithinRequest_)
-    Share.RequestBegunAt_ = Now;
-  Share.WithinRequest_ = WithinRequest;
-  if (Share.Closing_)
-    return false;
-  if (WithinRequest && Watch_ && !std::exchange(Watched_, true))
-    Watch_();
-  setHeld(Share, HeldBytes);
-  while (HeldBytes_ > Limits_.HeldBytes_) {
-    BudgetShare *Largest = largestUnfinished(Share);
-    if (Largest == nullptr || Largest->HeldBytes_ <= Share.HeldBytes_) {
-      Share.Closing_ = true;
-      noteClosed(Share, CloseReason::Memory);
+bool ConnectionBudget::makeRoom(BudgetShare &Share) {
+  while (HeldBytes_ - ClosingBytes_ > Limits_.HeldBytes_) {
+    BudgetShare *Largest = largestClosable(Share);
+    if (Largest == nullptr || Largest->HeldBytes_ < Share.HeldBytes_)
       return false;
-    }
-    // Its memory is free as soon as the connection is closed, before much more is received.
     close(*Largest, CloseReason::Memory);
-    setHeld(*Largest, 0);
   }
   return true;
 }
 
+bool ConnectionBudget::onReceived(BudgetShare &Share, std::size_t RequestBytes,
+                                  ConnectionState State, BudgetShare::Clock::time_point Now) {
+  const std::lock_guard Lock(Mutex_);
+  Shares_.splice(Shares_.end(), Shares_, Share.Position_);
+  Share.RequestBytes_ = RequestBytes;
+  updateHeld(Share);
+  setState(Share, State, Now);
+  if (Share.Closing_)
+    return false;
+  if (makeRoom(Share))
+    return true;
+  markClosing(Share, CloseReason::Memory);
+  return false;
+}
+
+void ConnectionBudget::onAnswer(std::uint64_t ConnectionId, std::size_t Bytes) {
+  const std::lock_guard Lock(Mutex_);
+  const auto Found = ById_.find(ConnectionId);
+  if (Found == ById_.end())
+    return;
+  Found->second->Answers_.push_back(Bytes + MinHeaderBytes);
+  updateHeld(*Found->second);
+  // The answer is sent even if nothing can be closed for it.
+  makeRoom(*Found->second);
+}
+
+void ConnectionBudget::onWriting(BudgetShare &Share) {
+  const std::lock_guard Lock(Mutex_);
+  Share.Writing_ = true;
+}
+
+void ConnectionBudget::onWritten(BudgetShare &Share, std::size_t Bytes) {
+  const std::lock_guard Lock(Mutex_);
+  Share.Writing_ = false;
+  if (Share.Answers_.empty())
+    return;
+  // Each write is a part of one answer, which also has a header.
+  std::size_t &Left = Share.Answers_.front();
+  Left -= std::min(Left, Bytes);
+  if (Left == 0)
+    Share.Answers_.erase(Share.Answers_.begin());
+  updateHeld(Share);
+}
+
 bool ConnectionBudget::closeSlow(BudgetShare::Clock::time_point Now) {
   const std::lock_guard Lock(Mutex_);
   bool AnyUnfinished = false;
   for (BudgetShare *Share : Shares_) {
-    if (!Share->WithinRequest_ || Share->Closing_)
+    if (Share->State_ != ConnectionState::Receiving || Share->Closing_)
       continue;
-    if (Share->Waiting_ && Now - Share->RequestBegunAt_ >= Limits_.RequestTime_)
+    if (Now - Share->RequestBegunAt_ >= Limits_.RequestTime_)
       close(*Share, CloseReason::SlowRequest);
     else
       AnyUnfinished = true;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -25,7 +25,9 @@
 
 /// Called by RESTinio when a connection was accepted.
 template <typename Connection, typename OnStart, typename OnFailure>
-void prepare_connection_and_start_read(MeteredSocket &, Connection &, OnStart Start, OnFailure) {
+void prepare_connection_and_start_read(MeteredSocket &Socket, Connection &Accepted, OnStart Start,
+                                       OnFailure) {
+  Socket.setConnectionId(Accepted.connection_id());
   Start();
 }
 
@@ -123,7 +125,9 @@
   return To;
 }
 
-void respond(const restinio::request_handle_t &To, Response Answer) {
+void respond(detail::ConnectionBudget &Budget, const restinio::request_handle_t &To,
+             Response Answer) {
+  Budget.onAnswer(To->connection_id(), Answer.Body_.size());
   auto Out = To->create_response(restinio::http_status_line_t(
       restinio::http_status_code_t(static_cast<std::uint16_t>(Answer.Status_)),
       Answer.Status_ < 400 ? "OK" : "Error"));
@@ -227,16 +231,17 @@
         })
         .acceptor_post_bind_hook(
             [this](auto &Acceptor) { Port_ = Acceptor.local_endpoint().port(); })
-        .request_handler([MaxBodyBytes, WeakLoop = std::weak_ptr(OwnLoop_),
+        .request_handler([MaxBodyBytes, WeakLoop = std::weak_ptr(OwnLoop_), Budget = Budget_,
                           OnRequest = std::move(OnRequest)](auto Incoming) {
           if (Incoming->body().size() > MaxBodyBytes) {
-            respond(Incoming, bodyTooLargeResponse(Incoming->body().size(), MaxBodyBytes));
+            respond(*Budget, Incoming, bodyTooLargeResponse(Incoming->body().size(), MaxBodyBytes));
             return restinio::request_accepted();
           }
           // The responder may outlive the server, and its connection has timers in the loop.
-          OnRequest(convertRequest(*Incoming), [Loop = WeakLoop.lock(), Incoming](Response Answer) {
-            respond(Incoming, std::move(Answer));
-          });
+          OnRequest(convertRequest(*Incoming),
+                    [Loop = WeakLoop.lock(), Budget, Incoming](Response Answer) {
+                      respond(*Budget, Incoming, std::move(Answer));
+                    });
           return restinio::request_accepted();
         });
   }
--- a/tests/unit/ConnectionBudgetTest.cpp
+++ b/tests/unit/ConnectionBudgetTest.cpp
@@ -2,6 +2,7 @@
 #include "masticdrift/http/detail/ConnectionBudget.h"
 #include "masticdrift/http/detail/RequestMeter.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 
 using masticdrift::http::detail::BudgetShare;
 using masticdrift::http::detail::ConnectionBudget;
+using masticdrift::http::detail::ConnectionState;
 using masticdrift::http::detail::RequestMeter;
 using std::chrono::milliseconds;
 
@@ -21,33 +23,59 @@
 
 /// Connections of one server. A closed one stays until the budget's owner removes it.
 struct Connections {
+  Connections() = default;
+  Connections(const Connections &) = delete;
+  Connections &operator=(const Connections &) = delete;
+  ~Connections() {
+    for (std::size_t I = 0; I < Shares_.size(); ++I)
+      remove(I);
+  }
+
   ConnectionBudget Budget_{{Budget, 4, milliseconds(10'000)}};
   std::vector<std::unique_ptr<BudgetShare>> Shares_;
   std::vector<bool> Closed_;
-
-  ~Connections() {
-    for (const auto &Share : Shares_)
-      Budget_.remove(*Share);
-  }
+  std::vector<bool> Added_;
 
   std::size_t open() {
     const std::size_t Index = Shares_.size();
     Shares_.push_back(std::make_unique<BudgetShare>());
     Closed_.push_back(false);
+    Shares_.back()->ConnectionId_ = Index;
     Shares_.back()->Close_ = [this, Index] { Closed_[Index] = true; };
-    Budget_.add(*Shares_.back());
-    Budget_.onWaiting(*Shares_.back(), 0);
+    Added_.push_back(Budget_.add(*Shares_.back()));
+    if (Added_.back())
+      wait(Index);
     return Index;
   }
 
+  void remove(std::size_t Index) {
+    if (Added_[Index])
+      Budget_.remove(*Shares_[Index]);
+    Added_[Index] = false;
+  }
+
+  /// The connection has answered and waits for the next request.
+  void wait(std::size_t Index) {
+    Budget_.onWaiting(*Shares_[Index], 0, ConnectionState::Idle, Start);
+  }
+
   /// \returns false when the budget refuses what the connection holds then.
   bool receive(std::size_t Index, std::size_t Held, bool Unfinished,
                BudgetShare::Clock::time_point Now = Start) {
-    const bool Allowed = Budget_.onReceived(*Shares_[Index], Held, Unfinished, Now);
+    const ConnectionState State =
+        Unfinished ? ConnectionState::Receiving : ConnectionState::Serving;
+    const bool Allowed = Budget_.onReceived(*Shares_[Index], Held, State, Now);
     if (Allowed && Unfinished)
-      Budget_.onWaiting(*Shares_[Index], Held);
+      Budget_.onWaiting(*Shares_[Index], Held, State, Now);
     return Allowed;
   }
+
+  /// A request of \p Held bytes is answered, and the client takes nothing of the answer.
+  void answerUnread(std::size_t Index, std::size_t Held, std::size_t AnswerBytes) {
+    cr_assert(receive(Index, Held, false));
+    Budget_.onAnswer(Index, AnswerBytes);
+    Budget_.onWriting(*Shares_[Index]);
+  }
 };
 
 } // namespace
@@ -66,9 +94,26 @@
   cr_expect(All.receive(Ordinary, 200, false));
   cr_expect(All.Closed_[Large]);
   cr_expect(!All.Closed_[Small]);
+  All.remove(Large);
   cr_expect_eq(All.Budget_.heldBytes(), 500);
 }
 
+// Guards against an account that forgets what a connection holds before it is free.
+Test(ConnectionBudget, aClosedConnectionCountsUntilItIsRemoved) {
+  Connections All;
+  const std::size_t Large = All.open();
+  const std::size_t Other = All.open();
+  cr_assert(All.receive(Large, 900, true));
+  cr_assert(All.receive(Other, 200, true));
+  cr_assert(All.Closed_[Large]);
+  cr_expect_eq(All.Budget_.heldBytes(), 1100);
+  // Its memory is about to become free, so nothing else is closed for it.
+  cr_expect(All.receive(Other, 300, true));
+  cr_expect(!All.Closed_[Other]);
+  All.remove(Large);
+  cr_expect_eq(All.Budget_.heldBytes(), 300);
+}
+
 // Guards against one request that drives out all others.
 Test(ConnectionBudget, theLargestRequestIsRefusedItself) {
   Connections All;
@@ -88,12 +133,51 @@
   cr_expect(!All.receive(Next, 200, true));
   cr_expect(!All.Closed_[Served]);
   // It waits for the next request when it has answered.
-  All.Budget_.onWaiting(*All.Shares_[Served], 0);
+  All.wait(Served);
   const std::size_t Later = All.open();
   cr_expect(All.receive(Later, 200, true));
 }
 
-// --- Connections ---
+// Guards against a client that keeps its connection open by sending a second request behind one
+// whose answer it does not read.
+Test(ConnectionBudget, anUnreadAnswerIsClosedLikeAnUnfinishedRequest) {
+  Connections All;
+  const std::size_t Unread = All.open();
+  const std::size_t Next = All.open();
+  All.answerUnread(Unread, 100, 700);
+  cr_expect(All.receive(Unread, 150, false));
+  cr_expect_geq(All.Budget_.heldBytes(), 850);
+  cr_expect(All.receive(Next, 300, true));
+  cr_expect(All.Closed_[Unread]);
+}
+
+// Guards against answers that stay in the account after the client has read them.
+Test(ConnectionBudget, anAnswerCountsUntilItsLastByteIsSent) {
+  Connections All;
+  const std::size_t Reader = All.open();
+  All.answerUnread(Reader, 100, 400);
+  All.Budget_.onWritten(*All.Shares_[Reader], 300);
+  All.wait(Reader);
+  cr_expect_geq(All.Budget_.heldBytes(), 100);
+  All.Budget_.onWriting(*All.Shares_[Reader]);
+  All.Budget_.onWritten(*All.Shares_[Reader], 300);
+  cr_expect_eq(All.Budget_.heldBytes(), 0);
+}
+
+// --- The connections themselves ---
+
+// Guards against connections without a bound while none of them waits for data.
+Test(ConnectionBudget, aConnectionBeyondThoseBeingServedIsRefused) {
+  Connections All;
+  for (int I = 0; I < 4; ++I)
+    cr_assert(All.receive(All.open(), 10, false));
+  const std::size_t Next = All.open();
+  cr_expect(!All.Added_[Next]);
+  cr_expect_eq(All.Budget_.connections(), 4);
+  All.wait(0);
+  cr_expect(All.Added_[All.open()]);
+  cr_expect(All.Closed_[0]);
+}
 
 // Load: connections without requests. Guards against new callers that find no place.
 Test(ConnectionBudget, theLongestInactiveConnectionMakesRoom) {
@@ -126,6 +210,20 @@
   cr_expect(!All.Closed_[Idle]);
 }
 
+// Guards against a request that is timed from the moment at which it arrived behind another one
+// that was being served.
+Test(ConnectionBudget, aRequestBehindAnotherIsTimedFromTheAnswer) {
+  Connections All;
+  const std::size_t Client = All.open();
+  cr_assert(All.receive(Client, 10, false));
+  const auto Answered = Start + milliseconds(9000);
+  All.Budget_.onWaiting(*All.Shares_[Client], 5, ConnectionState::Receiving, Answered);
+  cr_expect(All.Budget_.closeSlow(Start + milliseconds(12'000)));
+  cr_expect(!All.Closed_[Client]);
+  All.Budget_.closeSlow(Answered + milliseconds(10'000));
+  cr_expect(All.Closed_[Client]);
+}
+
 // --- What a request holds ---
 
 // Guards against a budget that counts bodies only: the library keeps a record for each chunk.
