The client keeps to a number of connections

Cause of a suspected fault: each request of a caller that is forwarded to the leader, or stored, may open a connection, so a crowd of callers takes as many descriptors again as it has connections. LoopClient bounded the idle ones only.

LoopClient takes a maximum of open connections (libcurl's CURLMOPT_MAX_TOTAL_CONNECTIONS); further exchanges wait for one within their timeouts. LoopClientSockets.connectionsAreLimited needs 3 connections for 12 requests at once.

--- a/include/masticdrift/http/LoopClient.h
+++ b/include/masticdrift/http/LoopClient.h
@@ -18,7 +18,10 @@
   /// \param Loop event loop; must outlive the client and be run by a single thread.
   /// \param MaxIdleTime idle time after which a connection is closed.
   /// \param MaxCachedConnections maximum number of cached connections over all hosts.
-  LoopClient(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections);
+  /// \param MaxConnections maximum number of open connections over all hosts; further exchanges
+  /// wait for one, within their timeouts. 0 for no limit.
+  LoopClient(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections,
+             long MaxConnections = 0);
   LoopClient(const LoopClient &) = delete;
   LoopClient &operator=(const LoopClient &) = delete;
   /// Cancels the exchanges in flight without calling their callbacks.
--- a/src/http/LoopClient.cpp
+++ b/src/http/LoopClient.cpp
@@ -70,13 +70,15 @@
 } // namespace
 
 struct LoopClient::Impl : std::enable_shared_from_this<LoopClient::Impl> {
-  Impl(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections)
+  Impl(asio::io_context &Loop, std::chrono::seconds MaxIdleTime, long MaxCachedConnections,
+       long MaxConnections)
       : Loop_(Loop), MaxIdleSeconds_(static_cast<long>(MaxIdleTime.count())), Timer_(Loop),
         DeadlineTimer_(Loop) {
     static const CURLcode Initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
     (void)Initialized;
     MultiHandle_ = curl_multi_init();
     curl_multi_setopt(MultiHandle_, CURLMOPT_MAXCONNECTS, MaxCachedConnections);
+    curl_multi_setopt(MultiHandle_, CURLMOPT_MAX_TOTAL_CONNECTIONS, MaxConnections);
     curl_multi_setopt(MultiHandle_, CURLMOPT_SOCKETFUNCTION, &socketCallback);
     curl_multi_setopt(MultiHandle_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(MultiHandle_, CURLMOPT_TIMERFUNCTION, &timerCallback);
@@ -391,8 +393,8 @@
 };
 
 LoopClient::LoopClient(asio::io_context &Loop, std::chrono::seconds MaxIdleTime,
-                       long MaxCachedConnections)
-    : Impl_(std::make_shared<Impl>(Loop, MaxIdleTime, MaxCachedConnections)) {}
+                       long MaxCachedConnections, long MaxConnections)
+    : Impl_(std::make_shared<Impl>(Loop, MaxIdleTime, MaxCachedConnections, MaxConnections)) {}
 
 LoopClient::~LoopClient() { Impl_->close(); }
 
--- a/tests/integration/LoopClientSocketsTest.cpp
+++ b/tests/integration/LoopClientSocketsTest.cpp
@@ -1,9 +1,12 @@
 // Sockets of LoopClient after connection attempts that time out.
 #include "masticdrift/http/LoopClient.h"
+#include "masticdrift/http/Server.h"
 
+#include <algorithm>
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <asio/ip/tcp.hpp>
@@ -68,3 +71,35 @@
   for (const int Descriptor : Descriptors)
     cr_expect_eq(::fcntl(Descriptor, F_GETFD), FD_CLOEXEC, "descriptor %d was closed", Descriptor);
 }
+
+// Guards against a client that takes more descriptors than its process has left: each request of a
+// caller may need a connection to the leader.
+Test(LoopClientSockets, connectionsAreLimited) {
+  constexpr std::size_t MaxConnections = 3;
+  constexpr std::size_t Requests = 12;
+  asio::io_context Loop;
+  http::ServerOptions Options;
+  Options.Loop_ = &Loop;
+  std::vector<http::Responder> Waiting;
+  http::Server Server(Options, [&](const http::Request &, const http::Responder &Respond) {
+    Waiting.push_back(Respond);
+  });
+  http::LoopClient Client(Loop, std::chrono::seconds(10), 32, MaxConnections);
+  std::size_t Complete = 0;
+  for (std::size_t I = 0; I < Requests; ++I) {
+    http::ClientRequest Outgoing;
+    Outgoing.Url_ = "http://127.0.0.1:" + std::to_string(Server.port()) + "/";
+    Outgoing.Timeout_ = std::chrono::seconds(30);
+    Client.send(std::move(Outgoing), [&](const http::ClientResult &Result) {
+      Complete += Result.Transfer_ == http::Transfer::Complete;
+    });
+  }
+  while (Complete < Requests) {
+    Loop.run_one();
+    cr_assert_leq(Waiting.size(), MaxConnections);
+    if (Waiting.size() < std::min(MaxConnections, Requests - Complete))
+      continue;
+    for (const http::Responder &Respond : std::exchange(Waiting, {}))
+      Respond({200, "{}", "application/json", {}, false});
+  }
+}
