A connection's own memory and the kernel's buffers count

Callers saw: on a machine of 96 MB with 8,192 descriptors, 900 clients that send on behind a request in service had 115 MB in the kernel's buffers, beside 28 MB of the process; bytes that were received and not read count as the machine's memory. Crowds at the servers for callers, readiness and other daemons together took 207 MB (ConnectionLimits.bytesBehindARequestThatIsBeingServed, crowdsAtAllServers, headerFieldsBeforeAChunk, fieldsInTheTrailingPart; each fails on, with crowds and bounds that were fixed before any change).

Cause: a connection without a request counted nothing (12 kB of the process, by RESTinio's connection, its buffer and timer), the kernel's buffers grew to 128 kB and more each way, and the queue of connections that are not accepted yet holds 4,096 of them. The three servers had three quarters of the memory, and the connections of servers and client together more descriptors than there are.

MachineShares divides memory and descriptors: 16 of 64 parts of the memory for callers, 12 for other daemons, 1 for readiness checks; a quarter of the sockets each for callers and daemons, and what the servers leave for the daemon's own calls. The buffers of connections have a fixed size, the queue of new ones 512 places. Each connection counts with all of that, and connections without requests get half of a server's share, so that each of them could have an ordinary request served at the same time. When idle connections fill the share, the longest idle ones make room for a request. A process whose own limit of descriptors is lower than the settings raises it as far as that needs no privileges, else follows it and says so.

--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -31,10 +31,16 @@
   unsigned ThreadCount_ = 2;                    ///< worker threads
   std::size_t MaxBodyBytes_ = 1U << 20U;        ///< larger bodies are rejected with BodyTooLarge
   std::chrono::milliseconds ReadTimeout_{5000}; ///< timeout for reading one complete request
-  /// Memory for all requests that arrive or are being answered, in bytes. 64 MiB hold 30 bodies
-  /// of the default limit with their copies, and thousands of ordinary requests.
+  /// Memory for all connections with their requests, their answers and the kernel's buffers, in
+  /// bytes. 64 MiB hold 10 bodies of the default limit while they are served, and a thousand
+  /// ordinary requests. Connections without requests get half of it at most.
   std::size_t MaxHeldBytes_ = 64U << 20U;
   std::size_t MaxConnections_ = 2048; ///< open at the same time
+  /// Connections that the kernel holds until they are accepted; 0 for the most that it allows.
+  int MaxPendingConnections_ = 0;
+  /// Buffers of the kernel for each connection, in bytes; 0 for its default.
+  std::size_t ReceiveBufferBytes_ = 0;
+  std::size_t SendBufferBytes_ = 0;
   /// Time from the first to the last byte of a request.
   std::chrono::milliseconds RequestTimeout_{10'000};
   asio::io_context *Loop_ = nullptr; ///< event loop to run on; ThreadCount_ is ignored
--- a/include/masticdrift/http/detail/ConnectionBudget.h
+++ b/include/masticdrift/http/detail/ConnectionBudget.h
@@ -17,9 +17,12 @@
 
 /// Limits of one server.
 struct BudgetLimits {
-  std::size_t HeldBytes_ = 0;             ///< of all requests that arrive or are being answered
+  std::size_t HeldBytes_ = 0;             ///< of all connections and their requests and answers
   std::size_t Connections_ = 0;           ///< open at the same time
   std::chrono::milliseconds RequestTime_; ///< from the first to the last byte of a request
+  /// What a connection takes without a request. Connections get half of HeldBytes_ at most, so that
+  /// the rest is left for requests.
+  std::size_t ConnectionBytes_ = 0;
 };
 
 /// Why a connection is closed.
@@ -51,13 +54,14 @@
 /// Budget of one server. Thread-safe.
 ///
 /// When the budget is used up, the connection that holds the most is closed, so that small requests
-/// are served beside large ones that never end. When there are too many connections, the one that
-/// has been inactive for the longest time is closed. A connection whose request is being served is
-/// not closed, unless its client leaves an earlier answer unread. What a closed connection holds
-/// counts until it is removed.
+/// are served beside large ones that never end; when none holds as much as the request that
+/// arrives, the longest idle one. When there are too many connections, the one that has been
+/// inactive for the longest time is closed. A connection whose request is being served is not
+/// closed, unless its client leaves an earlier answer unread. What a closed connection holds counts
+/// until it is removed.
 class ConnectionBudget {
 public:
-  explicit ConnectionBudget(BudgetLimits Limits) : Limits_(Limits) {}
+  explicit ConnectionBudget(BudgetLimits Limits);
 
   /// Adds an idle connection.
   ///
@@ -101,8 +105,11 @@
   /// \returns the memory held for all connections, in bytes.
   std::size_t heldBytes() const;
   std::size_t connections() const;
+  /// \returns how many connections may be open at the same time.
+  std::size_t maxConnections() const { return MaxConnections_; }
 
 private:
+  std::size_t total() const;
   /// Closes other connections until the budget is kept.
   ///
   /// \returns false when only closing \p Share would help.
@@ -114,8 +121,11 @@
   void noteClosed(const BudgetShare &Share, CloseReason Reason);
   /// \returns the connection with the largest requests or answers that can be closed, or null.
   BudgetShare *largestClosable(const BudgetShare &Except);
+  /// \returns the connection that waits for a request for the longest time, or null.
+  BudgetShare *longestIdle(const BudgetShare &Except);
 
   const BudgetLimits Limits_;
+  const std::size_t MaxConnections_;
   mutable std::mutex Mutex_;
   std::list<BudgetShare *> Shares_; ///< the one that was inactive for the longest time first
   std::unordered_map<std::uint64_t, BudgetShare *> ById_;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -7,6 +7,7 @@
 #include "masticdrift/daemon/EntryService.h"
 #include "masticdrift/daemon/FleetContext.h"
 #include "masticdrift/daemon/LeaderDriver.h"
+#include "masticdrift/daemon/MachineShares.h"
 #include "masticdrift/daemon/OrderRelay.h"
 #include "masticdrift/http/Server.h"
 #include "masticdrift/lead/Election.h"
@@ -33,6 +34,9 @@
 /// the platform, within the 3,900 descriptors that the smallest machines have for sockets.
 constexpr long MaxKeptConnections = 1500;
 constexpr std::chrono::seconds IdleConnectionTimeout{30};
+/// Connections that wait to be accepted, each with what its client has sent: 512 of them take 8 MB
+/// at most. 64 are accepted in each round of the event loop.
+constexpr int MaxPendingConnections = 512;
 /// Largest request body that is read; the limit of the configuration is lower.
 constexpr std::size_t MaxBodyBytes = 1U << 20U;
 constexpr core::Millis JobsLongPoll{700};
@@ -80,26 +84,13 @@
   return Text;
 }
 
-/// Part of the machine's memory that the requests to one server may take. Callers and other daemons
-/// have a server each, so that neither can fill the machine's memory or keep the other out.
-constexpr std::size_t MemoryShareDivisor = 4;
-/// The same of the descriptors. The rest is for connections to executors and to the platform.
-constexpr std::size_t DescriptorShareDivisor = 4;
-/// Descriptors that are not for sockets.
-constexpr std::int64_t FileDescriptors = 200;
-/// Bounds for machines whose settings say something else.
-constexpr std::int64_t MinMemoryMb = 32;
-constexpr std::int64_t MinSockets = 64;
-
-http::ServerOptions serverOptions(asio::io_context &Loop, const platform::MachineSettings &Settings,
-                                  const platform::Endpoint &Listen) {
+http::ServerOptions serverOptions(asio::io_context &Loop, const platform::Endpoint &Listen,
+                                  const ServerShare &Share) {
   http::ServerOptions Options;
-  Options.MaxHeldBytes_ =
-      (static_cast<std::size_t>(std::max(Settings.MemoryMb_, MinMemoryMb)) << 20U) /
-      MemoryShareDivisor;
-  Options.MaxConnections_ =
-      static_cast<std::size_t>(std::max(Settings.MaxDescriptors_ - FileDescriptors, MinSockets)) /
-      DescriptorShareDivisor;
+  Options.MaxHeldBytes_ = Share.HeldBytes_;
+  Options.MaxConnections_ = Share.Connections_;
+  Options.MaxPendingConnections_ = MaxPendingConnections;
+  Options.ReceiveBufferBytes_ = Options.SendBufferBytes_ = Share.BufferBytes_;
   Options.Address_ = Listen.Address_;
   Options.Port_ = Listen.Port_;
   Options.Loop_ = &Loop;
@@ -109,11 +100,22 @@
   return Options;
 }
 
+/// \returns the shares of the machine, by its settings and the limits of the process.
+MachineShares machineShares(const platform::MachineSettings &Settings) {
+  const std::int64_t Descriptors = raiseDescriptorLimit(Settings.MaxDescriptors_);
+  if (Descriptors < Settings.MaxDescriptors_)
+    core::log(core::LogLevel::Warning, "the process may open fewer files than its machine allows",
+              {{"max_fds", std::to_string(Settings.MaxDescriptors_)},
+               {"limit", std::to_string(Descriptors)}});
+  return sharesOf(Settings.MemoryMb_, Descriptors);
+}
+
 class FleetDaemon {
 public:
   FleetDaemon(const platform::MachineSettings &Settings, std::string SettingsPath)
       : Settings_(Settings), SettingsPath_(std::move(SettingsPath)),
-        Client_(Loop_, IdleConnectionTimeout, MaxKeptConnections),
+        Shares_(machineShares(Settings)), Client_(Loop_, IdleConnectionTimeout, MaxKeptConnections,
+                                                  static_cast<long>(Shares_.OutgoingConnections_)),
         Store_(Client_, Settings.StoreAddress_), Context_{Loop_,
                                                           Client_,
                                                           Store_,
@@ -161,15 +163,15 @@
                     }),
         Leader_(Context_, JobTail_, SpecTail_, ExecutorTail_, ConfigFeed_), OrderRelay_(Context_),
         EntryService_(Context_, JobTail_, SpecWriter_, RecordWriter_, Leader_),
-        CallerServer_(serverOptions(Loop_, Settings, Settings.CallerEndpoint_),
+        CallerServer_(serverOptions(Loop_, Settings.CallerEndpoint_, Shares_.Callers_),
                       [this](const http::Request &HttpRequest, const http::Responder &Respond) {
                         EntryService_.handle(HttpRequest, Respond);
                       }),
-        ReadyServer_(serverOptions(Loop_, Settings, Settings.ReadyEndpoint_),
+        ReadyServer_(serverOptions(Loop_, Settings.ReadyEndpoint_, Shares_.Readiness_),
                      [this](const http::Request &, const http::Responder &Respond) {
                        answerReadiness(Respond);
                      }),
-        PeerServer_(serverOptions(Loop_, Settings, Settings.PeerEndpoint_),
+        PeerServer_(serverOptions(Loop_, Settings.PeerEndpoint_, Shares_.Peers_),
                     [this](const http::Request &HttpRequest, const http::Responder &Respond) {
                       handlePeerRequest(HttpRequest, Respond);
                     }),
@@ -501,6 +503,7 @@
 
   platform::MachineSettings Settings_;
   const std::string SettingsPath_;
+  const MachineShares Shares_;
   asio::io_context Loop_{1};
   http::LoopClient Client_;
   platform::Store Store_;
--- a/src/http/ConnectionBudget.cpp
+++ b/src/http/ConnectionBudget.cpp
@@ -14,6 +14,9 @@
 
 /// Shortest interval between two log lines; a crowd of clients causes thousands of closings.
 constexpr std::chrono::seconds LogInterval{1};
+/// Part of the memory that connections without requests may take.
+constexpr std::size_t ConnectionShareDivisor = 2;
+
 /// Less than the header of any answer, so that an answer has ended when this and its body are sent.
 constexpr std::size_t MinHeaderBytes = 32;
 
@@ -38,11 +41,22 @@
   return Share.State_ == ConnectionState::Idle && Share.Answers_.empty();
 }
 
+std::size_t maxConnections(const BudgetLimits &Limits) {
+  if (Limits.ConnectionBytes_ == 0)
+    return Limits.Connections_;
+  const std::size_t WithinMemory =
+      Limits.HeldBytes_ / ConnectionShareDivisor / Limits.ConnectionBytes_;
+  return std::max<std::size_t>(std::min(Limits.Connections_, WithinMemory), 1);
+}
+
 } // namespace
 
+ConnectionBudget::ConnectionBudget(BudgetLimits Limits)
+    : Limits_(Limits), MaxConnections_(detail::maxConnections(Limits)) {}
+
 bool ConnectionBudget::add(BudgetShare &Share) {
   const std::lock_guard Lock(Mutex_);
-  if (Shares_.size() - Closing_ >= Limits_.Connections_) {
+  if (Shares_.size() - Closing_ >= MaxConnections_) {
     const auto Oldest =
         std::ranges::find_if(Shares_, [](const BudgetShare *Other) { return isClosable(*Other); });
     if (Oldest == Shares_.end()) {
@@ -52,6 +66,11 @@
     close(**Oldest, CloseReason::Connections);
   }
   Share.Position_ = Shares_.insert(Shares_.end(), &Share);
+  if (!makeRoom(Share)) {
+    noteClosed(Share, CloseReason::Memory);
+    Shares_.erase(Share.Position_);
+    return false;
+  }
   ById_[Share.ConnectionId_] = &Share;
   return true;
 }
@@ -59,7 +78,7 @@
 void ConnectionBudget::remove(BudgetShare &Share) {
   const std::lock_guard Lock(Mutex_);
   if (Share.Closing_) {
-    ClosingBytes_ -= Share.HeldBytes_;
+    ClosingBytes_ -= Share.HeldBytes_ + Limits_.ConnectionBytes_;
     --Closing_;
   }
   HeldBytes_ -= Share.HeldBytes_;
@@ -67,6 +86,10 @@
   Shares_.erase(Share.Position_);
 }
 
+std::size_t ConnectionBudget::total() const {
+  return HeldBytes_ + Shares_.size() * Limits_.ConnectionBytes_;
+}
+
 void ConnectionBudget::updateHeld(BudgetShare &Share) {
   const std::size_t HeldBytes =
       std::accumulate(Share.Answers_.begin(), Share.Answers_.end(), Share.RequestBytes_);
@@ -83,7 +106,7 @@
 
 void ConnectionBudget::markClosing(BudgetShare &Share, CloseReason Reason) {
   Share.Closing_ = true;
-  ClosingBytes_ += Share.HeldBytes_;
+  ClosingBytes_ += Share.HeldBytes_ + Limits_.ConnectionBytes_;
   ++Closing_;
   noteClosed(Share, Reason);
 }
@@ -98,7 +121,7 @@
   core::log(core::LogLevel::Warning, "connection closed to keep to the server's limits",
             {{"reason", std::string(nameOf(Reason))},
              {"request_bytes", std::to_string(Share.HeldBytes_)},
-             {"held_bytes", std::to_string(HeldBytes_)},
+             {"held_bytes", std::to_string(total())},
              {"connections", std::to_string(Shares_.size())},
              {"closed", std::to_string(std::exchange(ClosedSinceLog_, 0))}});
 }
@@ -135,12 +158,31 @@
   return Largest;
 }
 
+BudgetShare *ConnectionBudget::longestIdle(const BudgetShare &Except) {
+  const auto Found = std::ranges::find_if(Shares_, [&Except](const BudgetShare *Share) {
+    return Share != &Except && isClosable(*Share) && isIdle(*Share);
+  });
+  return Found == Shares_.end() ? nullptr : *Found;
+}
+
 bool ConnectionBudget::makeRoom(BudgetShare &Share) {
-  while (HeldBytes_ - ClosingBytes_ > Limits_.HeldBytes_) {
-    BudgetShare *Largest = largestClosable(Share);
-    if (Largest == nullptr || Largest->HeldBytes_ < Share.HeldBytes_)
-      return false;
-    close(*Largest, CloseReason::Memory);
+  const auto Used = [this] { return total() - ClosingBytes_; };
+  if (Used() <= Limits_.HeldBytes_)
+    return true;
+  auto IdleBytes = Limits_.ConnectionBytes_ *
+                   static_cast<std::size_t>(std::ranges::count_if(Shares_, [&](const auto *Other) {
+                     return Other != &Share && isClosable(*Other) && isIdle(*Other);
+                   }));
+  while (Used() > Limits_.HeldBytes_) {
+    BudgetShare *Next = largestClosable(Share);
+    if (Next == nullptr || Next->HeldBytes_ < Share.HeldBytes_) {
+      // Idle connections are not closed in vain.
+      if (IdleBytes < Used() - Limits_.HeldBytes_)
+        return false;
+      Next = longestIdle(Share);
+      IdleBytes -= Limits_.ConnectionBytes_;
+    }
+    close(*Next, CloseReason::Memory);
   }
   return true;
 }
@@ -206,7 +248,7 @@
 
 std::size_t ConnectionBudget::heldBytes() const {
   const std::lock_guard Lock(Mutex_);
-  return HeldBytes_;
+  return total();
 }
 
 std::size_t ConnectionBudget::connections() const {
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -1,6 +1,7 @@
 #include "masticdrift/http/Server.h"
 
 #include "masticdrift/core/Error.h"
+#include "masticdrift/core/Log.h"
 #include "masticdrift/http/detail/MeteredSocket.h"
 
 #include <atomic>
@@ -9,6 +10,7 @@
 #include <thread>
 
 #include <restinio/all.hpp>
+#include <sys/socket.h>
 
 namespace masticdrift::http::detail {
 
@@ -109,6 +111,11 @@
 /// Connections that are accepted in one round of the event loop. With few, a loop that is behind
 /// lets new connections wait for seconds, their requests time out, and each retry is one more.
 constexpr std::size_t ConcurrentAccepts = 64;
+/// Memory of a connection without a request: the connection, its input buffer of 4 KiB, its timer
+/// and the records of the event loop, with the waste of the allocator.
+constexpr std::size_t ProcessBytesPerConnection = 12U << 10U;
+/// The kernel takes up to twice the size that a socket's buffer is set to.
+constexpr std::size_t KernelBufferFactor = 2;
 /// Bodies up to this multiple of the limit are read, so that the client gets a response with an
 /// error id.
 constexpr std::size_t ReadableOversizeFactor = 4;
@@ -140,6 +147,19 @@
   Out.done();
 }
 
+/// Sets the size of a buffer of all connections that \p Acceptor will accept; 0 leaves it to the
+/// kernel.
+template <typename Option, typename Acceptor>
+void setBufferSize(Acceptor &Listener, std::size_t Bytes) {
+  if (Bytes == 0)
+    return;
+  restinio::asio_ns::error_code Error;
+  Listener.set_option(Option(static_cast<int>(Bytes)), Error);
+  if (Error)
+    core::log(core::LogLevel::Warning, "buffers of connections keep their default size",
+              {{"detail", Error.message()}});
+}
+
 Response bodyTooLargeResponse(std::size_t Size, std::size_t Limit) {
   Response Answer;
   Answer.Status_ = core::describe(core::ErrorKind::BodyTooLarge).HttpStatus_;
@@ -190,7 +210,9 @@
   Impl(const ServerOptions &Options, Handler OnRequest)
       : OwnLoop_(Options.Loop_ == nullptr ? std::make_shared<asio::io_context>() : nullptr),
         Budget_(std::make_shared<detail::ConnectionBudget>(detail::BudgetLimits{
-            Options.MaxHeldBytes_, Options.MaxConnections_, Options.RequestTimeout_})),
+            Options.MaxHeldBytes_, Options.MaxConnections_, Options.RequestTimeout_,
+            ProcessBytesPerConnection +
+                KernelBufferFactor * (Options.ReceiveBufferBytes_ + Options.SendBufferBytes_)})),
         Watch_(std::make_shared<SlowRequestWatch>(OwnLoop_ ? *OwnLoop_ : *Options.Loop_, Budget_)),
         Server_(restinio::external_io_context(OwnLoop_ ? *OwnLoop_ : *Options.Loop_),
                 [&](restinio::server_settings_t<RestinioTraits> &Settings) {
@@ -205,6 +227,10 @@
       Server_.io_context().run_one();
     if (Error)
       std::rethrow_exception(Error);
+    // RESTinio listens with the longest queue; another call changes its length.
+    if (Options.MaxPendingConnections_ > 0 &&
+        ::listen(ListeningSocket_, Options.MaxPendingConnections_) != 0)
+      core::log(core::LogLevel::Warning, "queue of new connections keeps its default length", {});
     for (unsigned I = 0; OwnLoop_ && I < Options.ThreadCount_; ++I)
       Threads_.emplace_back([this] { Server_.io_context().run(); });
   }
@@ -226,11 +252,17 @@
                                       .max_field_count(MaxHeaderCount))
         .socket_options_setter(
             [](auto &Socket) { Socket.set_option(restinio::asio_ns::ip::tcp::no_delay{true}); })
-        .acceptor_options_setter([](auto &Acceptor) {
-          Acceptor.set_option(restinio::asio_ns::ip::tcp::acceptor::reuse_address{true});
+        .acceptor_options_setter([Receive = Options.ReceiveBufferBytes_,
+                                  Send = Options.SendBufferBytes_](auto &Acceptor) {
+          using restinio::asio_ns::socket_base;
+          Acceptor.set_option(socket_base::reuse_address{true});
+          setBufferSize<socket_base::receive_buffer_size>(Acceptor, Receive);
+          setBufferSize<socket_base::send_buffer_size>(Acceptor, Send);
+        })
+        .acceptor_post_bind_hook([this](auto &Acceptor) {
+          Port_ = Acceptor.local_endpoint().port();
+          ListeningSocket_ = Acceptor.native_handle();
         })
-        .acceptor_post_bind_hook(
-            [this](auto &Acceptor) { Port_ = Acceptor.local_endpoint().port(); })
         .request_handler([MaxBodyBytes, WeakLoop = std::weak_ptr(OwnLoop_), Budget = Budget_,
                           OnRequest = std::move(OnRequest)](auto Incoming) {
           if (Incoming->body().size() > MaxBodyBytes) {
@@ -264,6 +296,7 @@
   const std::shared_ptr<SlowRequestWatch> Watch_;
   std::atomic<bool> Stopped_{false};
   std::uint16_t Port_ = 0;
+  int ListeningSocket_ = -1;
   Restinio Server_;
   std::vector<std::thread> Threads_;
 };
--- a/tests/integration/ConnectionLimitsTest.cpp
+++ b/tests/integration/ConnectionLimitsTest.cpp
@@ -167,6 +167,27 @@
 
 // --- While a request arrives ---
 
+// Guards against header fields that are not counted any more once the body has begun.
+Test(ConnectionLimits, headerFieldsBeforeAChunk) {
+  CrowdScene Scene(ManyDescriptors);
+  const std::string Request = submissionHeader(headerFields(HeaderFieldCount, HeaderValueSize) +
+                                               "Transfer-Encoding: chunked") +
+                              chunks(1, 1);
+  for (int I = 0; I < HeaderClients; ++I)
+    Scene.join().send(Request);
+  Scene.check();
+}
+
+// Guards against the fields of the trailing part, which are kept like those of the header.
+Test(ConnectionLimits, fieldsInTheTrailingPart) {
+  CrowdScene Scene(ManyDescriptors);
+  const std::string Request = submissionHeader("Transfer-Encoding: chunked") + chunks(1, 1) +
+                              "0\r\n" + headerFields(HeaderFieldCount, HeaderValueSize);
+  for (int I = 0; I < HeaderClients; ++I)
+    Scene.join().send(Request);
+  Scene.check();
+}
+
 // Guards against many short fields, each of which takes far more memory than its bytes.
 Test(ConnectionLimits, manyShortFields) {
   CrowdScene Scene(ManyDescriptors);
@@ -200,6 +221,18 @@
   Scene.check();
 }
 
+// --- Connections themselves ---
+
+// Guards against connections whose own memory is not counted, to all servers of the daemon.
+Test(ConnectionLimits, connectionsWithoutARequestToAllServers) {
+  CrowdScene Scene(ManyDescriptors);
+  PlatformFleet &Fleet = Scene.fleet();
+  for (int I = 0; I < IdleClients; ++I)
+    for (const int Port : {Fleet.callerPort(0), Fleet.readyPort(0), Fleet.peerPort(0)})
+      Scene.joinAt(Port).send("GET /");
+  Scene.check();
+}
+
 // --- While a request is being served ---
 
 // Guards against connections without a bound while none of them waits for data: the daemon ran out
@@ -227,6 +260,33 @@
   Scene.check();
 }
 
+// Guards against copies of a request that exist while it is being served and are not counted.
+Test(ConnectionLimits, largeRequestsThatAreBeingServed) {
+  CrowdScene Scene(ManyDescriptors);
+  {
+    const HeldSubmissions Held(Scene.fleet());
+    submitOneByOne(Scene, LargeServedClients, largeJob());
+    Scene.checkBounds();
+  }
+  // What was accepted is work, whose bounds are others.
+  cr_expect(waitFor(CrowdTimeout,
+                    [&] { return Scene.fleet().call(0, "GET", "/q/").Answer_.Status_ == 200; }));
+}
+
+// Guards against bytes behind a request that wait in the kernel's buffers, which count as memory of
+// the machine.
+Test(ConnectionLimits, bytesBehindARequestThatIsBeingServed) {
+  CrowdScene Scene(ManyDescriptors);
+  {
+    const HeldSubmissions Held(Scene.fleet());
+    const std::string Further(SentOnBytes, 'x');
+    for (RawClient *Client : submitOneByOne(Scene, SendingOnClients, smallJob()))
+      Client->sendAvailable(Further);
+    Scene.checkBounds();
+  }
+  Scene.check();
+}
+
 // --- While an answer is sent ---
 
 // Guards against answers that nobody reads.
@@ -254,3 +314,25 @@
   }));
   Scene.check();
 }
+
+// --- All at once ---
+
+// Guards against bounds of the single servers that together exceed the machine's memory.
+Test(ConnectionLimits, crowdsAtAllServers) {
+  CrowdScene Scene(ManyDescriptors);
+  PlatformFleet &Fleet = Scene.fleet();
+  const std::string Header = submissionHeader("Transfer-Encoding: chunked");
+  const std::string TinyChunks = chunks(1, Megabyte / 4);
+  const std::string LargeChunks = chunks(Megabyte / 16, 15);
+  const std::string Fields = submissionHeader(headerFields(HeaderFieldCount, HeaderValueSize) +
+                                              "Transfer-Encoding: chunked") +
+                             chunks(1, 1);
+  for (int I = 0; I < UpgradeClients; ++I)
+    for (const int Port : {Fleet.callerPort(0), Fleet.readyPort(0), Fleet.peerPort(0)}) {
+      Scene.joinAt(Port).send(Header + TinyChunks);
+      Scene.joinAt(Port).send(Header + LargeChunks);
+      for (int J = 0; J < 10; ++J)
+        Scene.joinAt(Port).send(Fields);
+    }
+  Scene.check();
+}
--- a/tests/unit/ConnectionBudgetTest.cpp
+++ b/tests/unit/ConnectionBudgetTest.cpp
@@ -23,7 +23,8 @@
 
 /// Connections of one server. A closed one stays until the budget's owner removes it.
 struct Connections {
-  Connections() = default;
+  explicit Connections(std::size_t ConnectionBytes = 0, std::size_t MaxConnections = 4)
+      : Budget_({Budget, MaxConnections, milliseconds(10'000), ConnectionBytes}) {}
   Connections(const Connections &) = delete;
   Connections &operator=(const Connections &) = delete;
   ~Connections() {
@@ -31,7 +32,7 @@
       remove(I);
   }
 
-  ConnectionBudget Budget_{{Budget, 4, milliseconds(10'000)}};
+  ConnectionBudget Budget_;
   std::vector<std::unique_ptr<BudgetShare>> Shares_;
   std::vector<bool> Closed_;
   std::vector<bool> Added_;
@@ -166,6 +167,35 @@
 
 // --- The connections themselves ---
 
+// Guards against connections without a request that leave no memory for requests.
+Test(ConnectionBudget, connectionsTakeHalfOfTheMemoryAtMost) {
+  Connections All(50, 1000);
+  cr_expect_eq(All.Budget_.maxConnections(), 10);
+  for (int I = 0; I < 12; ++I)
+    All.open();
+  cr_expect_eq(std::ranges::count(All.Closed_, true), 2);
+  cr_expect(All.Closed_[0] && All.Closed_[1]);
+}
+
+// Guards against requests that are refused because idle connections hold the budget.
+Test(ConnectionBudget, idleConnectionsMakeRoomForARequest) {
+  Connections All(50, 10);
+  for (int I = 0; I < 10; ++I)
+    All.open();
+  cr_expect(All.receive(9, 600, false));
+  cr_expect_eq(std::ranges::count(All.Closed_, true), 2);
+  cr_expect(All.Closed_[0] && All.Closed_[1]);
+}
+
+// Guards against idle connections that are closed for a request which does not fit in any case.
+Test(ConnectionBudget, idleConnectionsAreNotClosedInVain) {
+  Connections All(50, 10);
+  for (int I = 0; I < 10; ++I)
+    All.open();
+  cr_expect(!All.receive(9, 2000, true));
+  cr_expect_eq(std::ranges::count(All.Closed_, true), 0);
+}
+
 // Guards against connections without a bound while none of them waits for data.
 Test(ConnectionBudget, aConnectionBeyondThoseBeingServedIsRefused) {
   Connections All;
