A request that finds no memory is closed without an answer

Callers saw: 413 with "ran":"not_run" and Masticdrift-Outcome not_run for a submission whose first answer was lost and whose job had been accepted. The same status tells an ordinary caller not to come back, although the server only had no memory at that moment.

Cause: the socket wrote this answer itself, past the adapter that translates statuses, at a place that has not read the request and knows no job.

The connection is closed instead. Callers of the platform repeat a submission after a broken connection, at any daemon. A body over the limit still gets 413 from the server.

Evidence: ServerRefusal.aRequestWithoutMemoryIsClosedWithoutAnAnswer got the 413 above before and no byte now.

--- a/include/masticdrift/http/detail/MeteredSocket.h
+++ b/include/masticdrift/http/detail/MeteredSocket.h
@@ -9,7 +9,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <string>
 #include <string_view>
 #include <system_error>
 #include <utility>
@@ -29,10 +28,8 @@
 public:
   using executor_type = asio::ip::tcp::socket::executor_type;
 
-  /// \param Refusal response that is sent when the budget does not allow a request.
-  MeteredSocket(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget,
-                std::shared_ptr<const std::string> Refusal)
-      : State_(std::make_shared<State>(Loop, std::move(Budget), std::move(Refusal))) {}
+  MeteredSocket(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget)
+      : State_(std::make_shared<State>(Loop, std::move(Budget))) {}
   MeteredSocket(MeteredSocket &&) = default;
   MeteredSocket &operator=(MeteredSocket &&) = default;
 
@@ -99,9 +96,8 @@
 
 private:
   struct State {
-    State(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget,
-          std::shared_ptr<const std::string> Refusal)
-        : Socket_(Loop), Budget_(std::move(Budget)), Refusal_(std::move(Refusal)) {}
+    State(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget)
+        : Socket_(Loop), Budget_(std::move(Budget)) {}
     State(const State &) = delete;
     State &operator=(const State &) = delete;
     ~State() {
@@ -130,10 +126,11 @@
       if (Error)
         return errorOf(Error);
       Meter_.consume(Bytes);
-      if (Budget_->onReceived(Share_, Meter_.heldBytes(), state(), BudgetShare::Clock::now()))
-        return {};
-      sendRefusal();
-      return asio::error::connection_reset;
+      // Without an answer: the request may repeat one whose answer was lost, so nothing can be
+      // said about it here.
+      return Budget_->onReceived(Share_, Meter_.heldBytes(), state(), BudgetShare::Clock::now())
+                 ? std::error_code()
+                 : std::error_code(asio::error::connection_reset);
     }
 
     void onWriting() {
@@ -158,14 +155,6 @@
       return Error && Closed_ ? std::error_code(asio::error::connection_reset) : Error;
     }
 
-    /// Sends the refusal as far as that is possible at once. The client may miss it: closing a
-    /// connection with unread data resets it.
-    void sendRefusal() {
-      std::error_code Ignored; // the connection is closed in any case
-      Socket_.non_blocking(true, Ignored);
-      Socket_.write_some(asio::buffer(*Refusal_), Ignored);
-    }
-
     void closeSocket() {
       Closed_ = true;
       std::error_code Ignored; // it may have been closed meanwhile
@@ -174,7 +163,6 @@
 
     asio::ip::tcp::socket Socket_;
     const std::shared_ptr<ConnectionBudget> Budget_;
-    const std::shared_ptr<const std::string> Refusal_;
     RequestMeter Meter_;
     BudgetShare Share_;
     bool Added_ = false;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -14,17 +14,6 @@
 
 namespace masticdrift::http::detail {
 
-/// \returns the response to a request that the server's memory does not allow.
-static std::string refusalResponse() {
-  const core::ErrorInfo &Info = core::describe(core::ErrorKind::BodyTooLarge);
-  const std::string Body = core::errorBody(
-      core::ErrorKind::BodyTooLarge, "the request takes more memory than the server has left", {});
-  return "HTTP/1.1 " + std::to_string(Info.HttpStatus_) +
-         " Error\r\nConnection: close\r\nContent-Type: application/json\r\n"
-         "Masticdrift-Outcome: not_run\r\nContent-Length: " +
-         std::to_string(Body.size()) + "\r\n\r\n" + Body;
-}
-
 /// Called by RESTinio when a connection was accepted.
 template <typename Connection, typename OnStart, typename OnFailure>
 void prepare_connection_and_start_read(MeteredSocket &Socket, Connection &Accepted, OnStart Start,
@@ -81,12 +70,10 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
-  Socket makeSocket() const { return {Loop_, Budget_, Refusal_}; }
+  Socket makeSocket() const { return {Loop_, Budget_}; }
 
   asio_ns::io_context &Loop_;
   const std::shared_ptr<masticdrift::http::detail::ConnectionBudget> Budget_;
-  const std::shared_ptr<const std::string> Refusal_ =
-      std::make_shared<const std::string>(masticdrift::http::detail::refusalResponse());
   std::vector<Socket> Sockets_;
 };
 
