A request counts with its copies while it is served

Cause: the account counted the body twice in each state.

Once a request has arrived whole, its body counts six times (RESTinio's in a buffer of up to twice its size, two packed forms of up to 1.9 times the JSON), and a caller's request with 24 KiB more. Fewer large bodies are served at the same time; ordinary requests are not affected: each of a server's connections may have one.

--- a/include/masticdrift/daemon/MachineShares.h
+++ b/include/masticdrift/daemon/MachineShares.h
@@ -11,9 +11,10 @@
 
 /// Part of the machine that one server may take.
 struct ServerShare {
-  std::size_t HeldBytes_ = 0;   ///< of its connections, their requests, answers and buffers
-  std::size_t Connections_ = 0; ///< open at the same time
-  std::size_t BufferBytes_ = 0; ///< each of the kernel's two buffers of a connection
+  std::size_t HeldBytes_ = 0;          ///< of its connections, their requests, answers and buffers
+  std::size_t Connections_ = 0;        ///< open at the same time
+  std::size_t ServedRequestBytes_ = 0; ///< a request beside its content, while it is served
+  std::size_t BufferBytes_ = 0;        ///< each of the kernel's two buffers of a connection
 };
 
 /// Parts of the machine. What is left of the memory is for the program itself, the state of the
--- a/include/masticdrift/http/Server.h
+++ b/include/masticdrift/http/Server.h
@@ -38,6 +38,8 @@
   std::size_t MaxConnections_ = 2048; ///< open at the same time
   /// Connections that the kernel holds until they are accepted; 0 for the most that it allows.
   int MaxPendingConnections_ = 0;
+  /// What a request takes beside its content while it is served, in bytes.
+  std::size_t ServedRequestBytes_ = 4U << 10U;
   /// Buffers of the kernel for each connection, in bytes; 0 for its default.
   std::size_t ReceiveBufferBytes_ = 0;
   std::size_t SendBufferBytes_ = 0;
--- a/include/masticdrift/http/detail/MeteredSocket.h
+++ b/include/masticdrift/http/detail/MeteredSocket.h
@@ -28,8 +28,10 @@
 public:
   using executor_type = asio::ip::tcp::socket::executor_type;
 
-  MeteredSocket(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget)
-      : State_(std::make_shared<State>(Loop, std::move(Budget))) {}
+  /// \param ServedRequestBytes what a request takes beside its content while it is served.
+  MeteredSocket(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget,
+                std::size_t ServedRequestBytes)
+      : State_(std::make_shared<State>(Loop, std::move(Budget), ServedRequestBytes)) {}
   MeteredSocket(MeteredSocket &&) = default;
   MeteredSocket &operator=(MeteredSocket &&) = default;
 
@@ -96,8 +98,9 @@
 
 private:
   struct State {
-    State(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget)
-        : Socket_(Loop), Budget_(std::move(Budget)) {}
+    State(asio::io_context &Loop, std::shared_ptr<ConnectionBudget> Budget,
+          std::size_t ServedRequestBytes)
+        : Socket_(Loop), Budget_(std::move(Budget)), Meter_(ServedRequestBytes) {}
     State(const State &) = delete;
     State &operator=(const State &) = delete;
     ~State() {
--- a/include/masticdrift/http/detail/RequestMeter.h
+++ b/include/masticdrift/http/detail/RequestMeter.h
@@ -16,7 +16,8 @@
 /// record for each chunk until the request has been answered.
 class RequestMeter {
 public:
-  RequestMeter();
+  /// \param ServedRequestBytes what a request takes beside its content while it is served.
+  explicit RequestMeter(std::size_t ServedRequestBytes = 0);
   RequestMeter(const RequestMeter &) = delete;
   RequestMeter &operator=(const RequestMeter &) = delete;
 
@@ -49,6 +50,7 @@
   static int onMessageComplete(http_parser *Parser);
   static const http_parser_settings &callbacks();
 
+  const std::size_t ServedRequestBytes_;
   http_parser Parser_{};
   bool WithinRequest_ = false;
   bool Failed_ = false;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -90,6 +90,7 @@
   Options.MaxHeldBytes_ = Share.HeldBytes_;
   Options.MaxConnections_ = Share.Connections_;
   Options.MaxPendingConnections_ = MaxPendingConnections;
+  Options.ServedRequestBytes_ = Share.ServedRequestBytes_;
   Options.ReceiveBufferBytes_ = Options.SendBufferBytes_ = Share.BufferBytes_;
   Options.Address_ = Listen.Address_;
   Options.Port_ = Listen.Port_;
--- a/src/daemon/MachineShares.cpp
+++ b/src/daemon/MachineShares.cpp
@@ -36,6 +36,10 @@
 constexpr std::size_t CallerBufferBytes = 8U << 10U;
 constexpr std::size_t PeerBufferBytes = 16U << 10U;
 constexpr std::size_t ReadinessBufferBytes = 4U << 10U;
+/// The record of the request, and the handle and buffers of the call to the leader or the store
+/// that is made for it.
+constexpr std::size_t ServedCallerBytes = 24U << 10U;
+constexpr std::size_t ServedPeerBytes = 8U << 10U;
 
 } // namespace
 
@@ -45,10 +49,12 @@
   const auto Sockets =
       static_cast<std::size_t>(std::max(MaxDescriptors - FileDescriptors, MinSockets));
   MachineShares Shares;
-  Shares.Callers_ = {CallerParts * Part, Sockets / ServerSocketDivisor, CallerBufferBytes};
-  Shares.Peers_ = {PeerParts * Part, Sockets / ServerSocketDivisor, PeerBufferBytes};
+  Shares.Callers_ = {CallerParts * Part, Sockets / ServerSocketDivisor, ServedCallerBytes,
+                     CallerBufferBytes};
+  Shares.Peers_ = {PeerParts * Part, Sockets / ServerSocketDivisor, ServedPeerBytes,
+                   PeerBufferBytes};
   Shares.Readiness_ = {ReadinessParts * Part,
-                       std::min(Sockets / ReadinessSocketDivisor, MaxReadinessConnections),
+                       std::min(Sockets / ReadinessSocketDivisor, MaxReadinessConnections), 0,
                        ReadinessBufferBytes};
   Shares.OutgoingConnections_ = Sockets - Shares.Callers_.Connections_ -
                                 Shares.Peers_.Connections_ - Shares.Readiness_.Connections_ -
--- a/src/http/RequestMeter.cpp
+++ b/src/http/RequestMeter.cpp
@@ -22,15 +22,17 @@
                                                       sizeof(std::pair<std::string, std::string>)) +
                                       4 * BytesPerAllocation;
 constexpr std::size_t BytesPerChunk = GrowthFactor * sizeof(restinio::chunk_info_t);
-/// A body is copied once for the handler, and a growing buffer is at most twice as large as its
-/// content.
-constexpr std::size_t CopiesOfBody = 2;
+/// While a request is served, RESTinio keeps the body, in a buffer of up to twice its size. A job
+/// is held once more for the store and once for the call to it or to the leader, each time in a
+/// packed form that takes up to 1.9 times the bytes of its JSON.
+constexpr std::size_t CopiesOfServedBody = 6;
 
 RequestMeter &meterOf(http_parser *Parser) { return *static_cast<RequestMeter *>(Parser->data); }
 
 } // namespace
 
-RequestMeter::RequestMeter() {
+RequestMeter::RequestMeter(std::size_t ServedRequestBytes)
+    : ServedRequestBytes_(ServedRequestBytes) {
   http_parser_init(&Parser_, HTTP_REQUEST);
   Parser_.data = this;
 }
@@ -117,8 +119,9 @@
 }
 
 std::size_t RequestMeter::heldBytes() const {
-  return CopiesOfText * TextBytes_ + BytesPerField * Fields_ + CopiesOfBody * BodyBytes_ +
-         BytesPerChunk * Chunks_;
+  return CopiesOfText * TextBytes_ + BytesPerField * Fields_ + BytesPerChunk * Chunks_ +
+         (AnyComplete_ ? CopiesOfServedBody : GrowthFactor) * BodyBytes_ +
+         (AnyComplete_ ? ServedRequestBytes_ : 0);
 }
 
 } // namespace masticdrift::http::detail
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -32,20 +32,25 @@
 
 namespace restinio {
 
-/// Setting that a server with metered sockets has in addition.
+/// Settings that a server with metered sockets has in addition.
 template <typename Settings>
 class socket_type_dependent_settings_t<Settings, masticdrift::http::detail::MeteredSocket> {
 public:
   using BudgetPointer = std::shared_ptr<masticdrift::http::detail::ConnectionBudget>;
 
-  void meter(BudgetPointer Budget) { Budget_ = std::move(Budget); }
+  void meter(BudgetPointer Budget, std::size_t ServedRequestBytes) {
+    Budget_ = std::move(Budget);
+    ServedRequestBytes_ = ServedRequestBytes;
+  }
   BudgetPointer budget() const { return Budget_; }
+  std::size_t servedRequestBytes() const { return ServedRequestBytes_; }
 
 protected:
   ~socket_type_dependent_settings_t() = default;
 
 private:
   BudgetPointer Budget_;
+  std::size_t ServedRequestBytes_ = 0;
 };
 
 namespace impl {
@@ -57,7 +62,8 @@
 protected:
   template <typename Settings>
   socket_supplier_t(Settings &ServerSettings, asio_ns::io_context &Loop)
-      : Loop_(Loop), Budget_(ServerSettings.budget()) {
+      : Loop_(Loop), Budget_(ServerSettings.budget()),
+        ServedRequestBytes_(ServerSettings.servedRequestBytes()) {
     while (Sockets_.size() < ServerSettings.concurrent_accepts_count())
       Sockets_.push_back(makeSocket());
   }
@@ -70,10 +76,11 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
-  Socket makeSocket() const { return {Loop_, Budget_}; }
+  Socket makeSocket() const { return {Loop_, Budget_, ServedRequestBytes_}; }
 
   asio_ns::io_context &Loop_;
   const std::shared_ptr<masticdrift::http::detail::ConnectionBudget> Budget_;
+  const std::size_t ServedRequestBytes_;
   std::vector<Socket> Sockets_;
 };
 
@@ -225,7 +232,7 @@
   void configure(restinio::server_settings_t<RestinioTraits> &Settings,
                  const ServerOptions &Options, Handler OnRequest) {
     const std::size_t MaxBodyBytes = Options.MaxBodyBytes_;
-    Settings.meter(Budget_);
+    Settings.meter(Budget_, Options.ServedRequestBytes_);
     Settings.address(Options.Address_)
         .port(Options.Port_)
         .concurrent_accepts_count(ConcurrentAccepts)
--- a/tests/unit/ConnectionBudgetTest.cpp
+++ b/tests/unit/ConnectionBudgetTest.cpp
@@ -333,3 +333,18 @@
   Meter.consume("nonsense\r\n");
   cr_expect(Meter.hasFailed());
 }
+
+// Guards against copies of a request that are made while it is served and counted by nobody: the
+// body itself, and the packed job for the store and for the call to the leader.
+Test(RequestMeter, aServedRequestCountsWithItsCopies) {
+  constexpr std::size_t BodyBytes = 10'000;
+  constexpr std::size_t ServedBytes = 7000;
+  RequestMeter Meter(ServedBytes);
+  Meter.consume("POST / HTTP/1.1\r\nContent-Length: 10000\r\n\r\n" +
+                std::string(BodyBytes - 1, 'x'));
+  cr_expect_lt(Meter.heldBytes(), 4 * BodyBytes);
+  Meter.consume("x");
+  cr_expect_geq(Meter.heldBytes(), 5 * BodyBytes + ServedBytes);
+  Meter.release();
+  cr_expect_eq(Meter.heldBytes(), 0);
+}
