A payload has four thousand bytes at most

Callers saw: a job with a payload of 90 kB was accepted, although the platform's pages allow 4,000 bytes. Every start of one of its tasks carries the payload, and so did every run in the leader.

Cause: decodeJob() took "spec" of any length within the body.

--- /dev/null
+++ b/tests/integration/AcceptedWorkTest.cpp
@@ -0,0 +1,112 @@
+// What accepted jobs hold in the daemons. The daemons are real processes; their machines are small
+// by their settings.
+#include "support/ClientCrowd.h"
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace masticdrift;
+using namespace masticdrift::testing;
+
+namespace {
+
+/// Jobs whose steps together take more than the machine's memory.
+constexpr int ManyStepJobs = 60;
+constexpr int StepsPerJob = 1900;
+/// Jobs with as many tasks as a job may have.
+constexpr int ManyTaskJobs = 40;
+constexpr int TasksPerJob = 20'000;
+/// Jobs that are cancelled as soon as they are accepted.
+constexpr int CancelledJobs = 40'000;
+constexpr int CancellingClients = 16;
+/// Tasks that run for longer than the test, all at the same time.
+constexpr int RunningTaskJobs = 2;
+
+/// Time in which a caller gets its answer beside the crowd; only bounds the wait.
+constexpr core::Millis AnswerTimeout{30'000};
+/// Time in which tasks are started that all run; only bounds the wait.
+constexpr core::Millis RunningTime{15'000};
+/// Time in which another daemon leads after the loss of the leader; only bounds the wait.
+constexpr core::Millis TakeoverTimeout{60'000};
+
+/// \returns the id of the \p Number-th job of a crowd.
+std::string jobId(int Number) {
+  char Text[17];
+  std::snprintf(Text, sizeof Text, "d%015x", static_cast<unsigned>(Number));
+  return Text;
+}
+
+/// \returns a job of \p Steps steps of \p Tasks short tasks.
+std::string jobOf(int Steps, int Tasks) {
+  const std::string Step =
+      R"({"count":)" + std::to_string(Tasks) + R"(,"cpu":1,"mem_mb":1,"estimated_ms":1})";
+  std::string Body = R"({"spec":"ms=1","steps":[)" + Step;
+  for (int I = 1; I < Steps; ++I)
+    Body += ',' + Step;
+  return Body + "]}";
+}
+
+/// A crowd that submits jobs.
+struct Submissions {
+  int Accepted_ = 0;
+  int Refused_ = 0;
+
+  /// Submits \p Count jobs and checks that each is accepted or refused with the time to return.
+  void submit(PlatformFleet &Fleet, int Daemon, int Count, const std::string &Body,
+              const std::string &Queue = "/q/", const std::string &Key = CallerKey) {
+    for (int I = 0; I < Count; ++I) {
+      const http::Response Answer = Fleet.call(Daemon, "POST", Queue + jobId(I), Body, Key).Answer_;
+      cr_assert(Answer.Status_ == 200 || Answer.Status_ == 429, "job %d: status %d %s", I,
+                Answer.Status_, Answer.Body_.c_str());
+      if (Answer.Status_ == 200) {
+        ++Accepted_;
+      } else {
+        ++Refused_;
+        cr_expect(!http::findHeader(Answer.Headers_, "Retry-After").empty());
+      }
+    }
+  }
+};
+
+/// Checks that an ordinary job of another customer is served by \p Daemon.
+void checkOtherCustomer(PlatformFleet &Fleet, int Daemon, const std::string &Id) {
+  const std::string Body =
+      R"({"spec":"ms=50","steps":[{"count":1,"cpu":500,"mem_mb":100,"estimated_ms":50}]})";
+  const http::Response Answer =
+      Fleet.call(Daemon, "POST", "/q/" + Id, Body, OtherCallerKey).Answer_;
+  cr_expect_eq(Answer.Status_, 200, "status %d %s", Answer.Status_, Answer.Body_.c_str());
+  cr_expect(waitFor(AnswerTimeout, [&] {
+    const http::Response State = Fleet.call(Daemon, "GET", "/q/" + Id, {}, OtherCallerKey).Answer_;
+    return State.Status_ == 200 && State.Body_.find("completed") != std::string::npos;
+  }));
+}
+
+} // namespace
+
+// --- Jobs that cannot be served ---
+
+// Guards against a payload beyond the limit of the platform, which every start would carry.
+Test(AcceptedWork, aJobWithALargePayloadIsRefused) {
+  CrowdScene Scene({96, 2200});
+  std::string Body = jobOf(1, 1);
+  Body.replace(Body.find("ms=1"), 4, std::string(4001, 'x'));
+  cr_expect_eq(Scene.fleet().call(0, "POST", "/q/" + jobId(0), Body).Answer_.Status_, 400);
+}
+
+// --- A single job within the limits ---
+
+// Guards against a bound that a caller meets which keeps to the configuration: a job of the largest
+// body with the smallest steps.
+Test(AcceptedWork, aJobOfTheLargestBodyIsServed) {
+  CrowdScene Scene({96, 2200});
+  PlatformFleet &Fleet = Scene.fleet();
+  const std::string Body = jobOf(2000, 1);
+  cr_assert_lt(Body.size(), 100'000U);
+  cr_expect_eq(Fleet.call(0, "POST", "/q/" + jobId(0), Body).Answer_.Status_, 200);
+  cr_expect(Fleet.awaitState(0, jobId(0), "completed", AnswerTimeout));
+  Scene.checkBounds();
+}
--- a/tests/unit/PlatformTextTest.cpp
+++ b/tests/unit/PlatformTextTest.cpp
@@ -39,6 +39,22 @@
   }
 }
 
+// Guards against payloads and steps beyond the platform's limits: every start carries the payload,
+// and the steps of a body take many times its size.
+Test(PlatformJob, payloadsAndStepsAreLimited) {
+  const auto WithPayload = [](std::size_t Bytes) {
+    return R"({"spec":")" + std::string(Bytes, 'x') + R"(","steps":[{"count":1}]})";
+  };
+  cr_expect(platform::decodeJob(WithPayload(4000)).first.has_value());
+  const auto [TooLong, PayloadError] = platform::decodeJob(WithPayload(4001));
+  cr_expect(!TooLong.has_value());
+  cr_expect(PayloadError.find("spec") != std::string::npos);
+  std::string Body = R"({"steps":[{"count":1})";
+  for (int I = 0; I < 20'000; ++I)
+    Body += R"(,{"count":1})";
+  cr_expect(!platform::decodeJob(Body + "]}").first.has_value());
+}
+
 // Guards against a job with a number that is too large for it: each leader would end when it keeps
 // the state of four billion occurrences, and tasks that need less than nothing would make room.
 Test(PlatformJob, aNumberThatIsOutOfRangeIsRejectedWithAReason) {
