A job that no record of the store holds is refused at once

Callers saw: a job of 15,000 small steps got no answer within 3 s (504), and was sent again. Its append of 330 kB was repeated until its deadline, in one call with the records of other callers, which got no answer either.

Cause: the store accepts records of 262,144 bytes. Its refusal of a larger one is no outcome that says "not stored", so JobWriter repeated the whole batch, which is stored all or nothing.

Evidence: AcceptedWork.aJobThatNoRecordHoldsIsRefusedAtOnce (504 after 3 s before).

--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -24,6 +24,9 @@
 constexpr core::Millis MaxForwardTime{1700};
 /// The leader's own wait for a write plus a round trip over a slow link.
 constexpr core::Millis StateQueryTimeout = MaxJobStateWait + core::Millis(300);
+/// Length, key and kind of a record beside its value.
+constexpr std::int64_t RecordOverheadBytes = 64;
+
 /// \returns the delay in whole seconds. The smallest is for refusals of this daemon alone: another
 /// one serves the retry.
 std::string retryAfterSeconds(core::Millis Delay) {
@@ -214,6 +217,15 @@
     refuse(Request, ErrorKind::MalformedJson, ParseError);
     return;
   }
+  std::string PackedSpec = core::pack(*Spec);
+  // An append with such a record would be repeated in vain, and with it those of other callers.
+  if (static_cast<std::int64_t>(PackedSpec.size()) >
+      Context_.Settings_.MaxRecordBytes_ - RecordOverheadBytes) {
+    refuse(Request, ErrorKind::ImpossibleSize,
+           "the steps of the job take " + std::to_string(PackedSpec.size()) +
+               " bytes, more than the store accepts");
+    return;
+  }
   const work::AcceptedRecord Record{*Request->Queue_, Request->Customer_, core::wallMillis()};
   Attempts_.begin(Request->JobId_);
   if (Leader_.leading()) {
@@ -226,7 +238,7 @@
       return;
     }
   }
-  store(Request, {work::encodeAccepted(Request->JobId_, Record), core::pack(*Spec)},
+  store(Request, {work::encodeAccepted(Request->JobId_, Record), std::move(PackedSpec)},
         [this, Request](WriteOutcome Outcome) {
           answerWrite(Request, Attempts_.end(Request->JobId_, Outcome, core::Clock::now()));
         });
--- a/tests/integration/AcceptedWorkTest.cpp
+++ b/tests/integration/AcceptedWorkTest.cpp
@@ -89,6 +89,22 @@
 
 // --- Jobs that cannot be served ---
 
+// Guards against a job that no record of the store holds: its append was repeated until its
+// deadline, together with those of other callers.
+Test(AcceptedWork, aJobThatNoRecordHoldsIsRefusedAtOnce) {
+  CrowdScene Scene({96, 2200});
+  PlatformFleet &Fleet = Scene.fleet();
+  Json Manifest = initialManifest();
+  Manifest["version"] = 2;
+  Manifest["limits"]["max_body_bytes"] = 1'000'000;
+  Fleet.control({{"manifest", Manifest}});
+  cr_assert(waitFor(AnswerTimeout, [&] {
+    return Fleet.metrics(0).find("masticdrift_config_version 2") != std::string::npos;
+  }));
+  cr_expect_eq(Fleet.call(0, "POST", "/q/" + jobId(0), jobOf(15'000, 1)).Answer_.Status_, 400);
+  checkOtherCustomer(Fleet, 0, "00000000000000b3");
+}
+
 // Guards against a payload beyond the limit of the platform, which every start would carry.
 Test(AcceptedWork, aJobWithALargePayloadIsRefused) {
   CrowdScene Scene({96, 2200});
