Every second call for advice is for work without the turn of overdue work

Cause: overdue steps have their turn while half of the pool is free, since they take no room from other work then. But they take calls for advice, and went before all other steps in their order: eight steps have the turn at the same time, two or three calls are outstanding, and tiny tasks never fill the pool. The job waited for call_limit as long as the backlog lasted.

Calls now alternate between the steps with a turn and the others. Either side gets all of them while the other needs none, so overdue work goes on as before where nothing else waits.

--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -568,6 +568,7 @@
   std::size_t WaitingSteps_ = 0; ///< in the last placement pass
   work::Manifest Manifest_;
   bool PlacesEnabled_ = false;
+  bool LastCallWasTurn_ = false; ///< the last call for advice was for overdue work with its turn
   std::map<std::string, std::string, std::less<>> RegionOfDomain_;
   std::set<std::string, std::less<>> EvacuatedDomains_;
   std::unordered_map<std::string, TrackedJob> Jobs_;
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -1108,6 +1108,14 @@
     return true;
   }
 
+  /// Requests advice for the steps in their order, except that every second call is for a step
+  /// without the turn of overdue work. While half of a pool is free, overdue steps have their turn
+  /// in any case, and one customer's backlog of small ones would take all calls.
+  ///
+  /// \param MayStart which steps: those that may start, or those for which runs of earlier leaders
+  /// are unknown.
+  void requestAdvice(std::span<Candidate> Candidates, bool MayStart);
+
   /// Notes why each step waits, and logs those that have waited for long.
   void noteRests(std::span<const Candidate> Candidates) const;
 };
@@ -1150,6 +1158,34 @@
 
 } // namespace
 
+void PlacementPass::requestAdvice(std::span<Candidate> Candidates, bool MayStart) {
+  const auto Visit = [&](Candidate &Waiting) {
+    const bool Startable =
+        !Waiting.Job_->Inherited_ || Scheduler_.mayStart(*Waiting.Job_, specOf(Waiting));
+    if (tasksToAdvise(stepOf(Waiting)) == 0 || Startable != MayStart)
+      return;
+    const WaitReason Reason = Scheduler_.OutstandingAdvice_.size() < Scheduler_.AdviceLimits_.Calls_
+                                  ? requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
+                                  : WaitReason::CallLimit;
+    if (Waiting.Wait_ == WaitReason::NoRoom && Waiting.Job_->Queue_.Advice_)
+      Waiting.Wait_ = Reason;
+  };
+  // The steps with a turn are the first ones.
+  auto Turn = Candidates.begin();
+  const auto TurnsEnd = std::ranges::find_if(Candidates, [](const Candidate &Waiting) {
+    return Waiting.UrgencyClass_ != TurnUrgencyClass;
+  });
+  auto Other = TurnsEnd;
+  bool &LastCallWasTurn = Scheduler_.LastCallWasTurn_;
+  while (Turn != TurnsEnd || Other != Candidates.end()) {
+    const bool TakesTurn = Turn != TurnsEnd && (!LastCallWasTurn || Other == Candidates.end());
+    const std::size_t CallsBefore = Scheduler_.OutstandingAdvice_.size();
+    Visit(TakesTurn ? *Turn++ : *Other++);
+    if (Scheduler_.OutstandingAdvice_.size() > CallsBefore)
+      LastCallWasTurn = TakesTurn;
+  }
+}
+
 void PlacementPass::noteRests(std::span<const Candidate> Candidates) const {
   for (const Candidate &Waiting : Candidates) {
     TrackedStep &Step = stepOf(Waiting);
@@ -1239,16 +1275,7 @@
   Pass.planRoom();
   // Steps that may not start yet, because runs of earlier leaders are unknown, come last.
   for (const bool MayStart : {true, false})
-    for (Candidate &Waiting : Candidates) {
-      const bool Startable = !Waiting.Job_->Inherited_ || mayStart(*Waiting.Job_, specOf(Waiting));
-      if (Pass.tasksToAdvise(stepOf(Waiting)) == 0 || Startable != MayStart)
-        continue;
-      const WaitReason Reason = OutstandingAdvice_.size() < AdviceLimits_.Calls_
-                                    ? Pass.requestAdvice(Waiting, stepOf(Waiting), specOf(Waiting))
-                                    : WaitReason::CallLimit;
-      if (Waiting.Wait_ == WaitReason::NoRoom && Waiting.Job_->Queue_.Advice_)
-        Waiting.Wait_ = Reason;
-    }
+    Pass.requestAdvice(Candidates, MayStart);
   Pass.noteRests(Candidates);
 }
 
--- a/tests/unit/SchedulerSurgeTest.cpp
+++ b/tests/unit/SchedulerSurgeTest.cpp
@@ -46,7 +46,7 @@
 
 class Site {
 public:
-  Site() : Fleet_(makeOptions()) {
+  explicit Site(int Advisers = 8) : Fleet_(makeOptions(Advisers)) {
     Fleet_.setManifest(makeManifest());
     for (int I = 0; I < Executors; ++I)
       Fleet_.addExecutor("e" + std::to_string(I), Capacity);
@@ -73,9 +73,9 @@
   }
 
 private:
-  static FakeFleetOptions makeOptions() {
+  static FakeFleetOptions makeOptions(int Advisers) {
     FakeFleetOptions Options;
-    Options.Advisers_ = 8;
+    Options.Advisers_ = Advisers;
     return Options;
   }
 
@@ -129,6 +129,32 @@
 
 // --- Work that is too late ---
 
+// Load: one customer's jobs of thousands of tiny steps, all too late, while nearly all room is
+// free. Guards against a backlog that takes all calls for advice: overdue steps have their turn
+// while half of the pool is free, and went before the jobs of all other customers for as long as
+// they lasted.
+Test(SchedulerSurge, overdueTinyStepsLeaveCallsToOthers) {
+  Site Small(1);
+  for (int I = 0; I < 4; ++I) {
+    work::JobSpec Tiny = makeJob(1, 1, 1000);
+    for (work::StepSpec &Step : Tiny.Steps_) {
+      Step.Need_ = {1, 1, 0};
+      Step.DependsOn_.clear();
+    }
+    Small.fleet().submit("tiny" + std::to_string(I), Tiny, "q", "hot");
+  }
+  Small.fleet().run(Millis(5000));
+  std::vector<std::string> Calm;
+  for (int I = 0; I < 10; ++I) {
+    Calm.push_back(Small.submit("calm", 8, 500));
+    Small.fleet().run(Millis(300));
+  }
+  Small.fleet().run(Millis(3000));
+  const int InTime = Small.completedWithin(Calm, UrgentObjective);
+  cr_expect_geq(InTime, 9, "%d of %zu", InTime, Calm.size());
+  cr_expect(Small.fleet().violations().empty());
+}
+
 // Load: batches that are far too late beside urgent jobs that fill the room. Guards against a share
 // of the room for what is of no use that is counted in starts: a late task of 4 s took as much as
 // eight urgent ones.
