Runs are bounded by memory, and keep no payload

Cause: the room of the executors is all that bounds the runs, and such tasks fit there by the thousand. Each run kept a copy of the payload.

The payload is added to a start order when it is sent. The leader starts no more than MachineShares has memory for (6 of 64 parts, 1.5 kB for each: 6,144 on a machine of 96 MB, 10,240 on one of 160 MB). A customer may have as many as are free.

--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -45,6 +45,7 @@
   std::optional<work::Manifest> Manifest_; ///< configuration in force, if it was read
   std::map<std::string, ExecutorEntry, std::less<>> ExecutorEntries_; ///< by executor id
   bool Stopping_ = false;                                             ///< the daemon shuts down
+  std::size_t WorkShareBytes_ = 0; ///< memory that this machine has for accepted jobs
 };
 
 } // namespace masticdrift::daemon
--- a/include/masticdrift/daemon/MachineShares.h
+++ b/include/masticdrift/daemon/MachineShares.h
@@ -27,6 +27,9 @@
   std::size_t AcceptedWorkBytes_ = 0;   ///< of all jobs that are known
 };
 
+/// \returns how many runs a leader may have beside jobs that take up to \p WorkBytes.
+std::size_t maxRuns(std::size_t WorkBytes);
+
 /// \param MemoryMb memory of the machine, in megabytes.
 /// \param MaxDescriptors descriptors of the process.
 MachineShares sharesOf(std::int64_t MemoryMb, std::int64_t MaxDescriptors);
--- a/include/masticdrift/lead/Model.h
+++ b/include/masticdrift/lead/Model.h
@@ -59,7 +59,7 @@
   int PacePercent_ = 100;
   /// Response time (ms) of a run with a response time target, else thousandths of a core in use.
   double ReportedMetric_ = 0;
-  fleet::StartOrder Order_;
+  fleet::StartOrder Order_; ///< without the payload
   /// An earlier leader has recorded the run of a silent executor, which has not listed it since.
   bool Assumed_ = false;
 };
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -15,6 +15,7 @@
 #include "masticdrift/lead/RoomIndex.h"
 #include "masticdrift/lead/RunTimeModel.h"
 #include "masticdrift/lead/Silence.h"
+#include "masticdrift/work/HeldWork.h"
 
 #include <algorithm>
 #include <functional>
@@ -299,6 +300,9 @@
   void setAdviceLimits(AdviceLimits Limits) { AdviceLimits_ = Limits; }
   /// Limits the concurrent start orders, when several machines send them.
   void setStartLimit(int Starts) { StartLimit_ = Starts; }
+  /// Sets how many runs may exist at the same time. A customer may have as many as are free, so
+  /// that one leaves half of them to others, and one without runs always finds some.
+  void setRunLimit(std::size_t Runs) { RunLimit_ = Runs; }
 
   /// Performs all due work but placement: orders, hold requests, and what follows from leases. What
   /// becomes due by time alone may be done up to one sweep interval later.
@@ -564,6 +568,8 @@
   bool PlacementDue_ = true;
   int StartsInFlight_ = 0; ///< start orders without a result
   int StartLimit_ = Timing_.MaxStartsInFlight_;
+  work::HeldWork RunCounts_; ///< runs of known jobs, each counted as 1
+  std::size_t RunLimit_ = std::numeric_limits<std::size_t>::max();
   core::TimePoint NextPlacementAt_{};
   std::size_t WaitingSteps_ = 0; ///< in the last placement pass
   work::Manifest Manifest_;
--- a/include/masticdrift/lead/WaitReason.h
+++ b/include/masticdrift/lead/WaitReason.h
@@ -31,9 +31,10 @@
   CallLimit,       ///< limit of outstanding requests for advice
   AllowedRegions,  ///< no room in the regions in which the job may run
   UrgentReserve,   ///< the room is kept free for more urgent work that waits for advice
+  RunLimit,        ///< the customer's runs take all memory that is free for runs
 };
 
-inline constexpr std::size_t WaitReasons = static_cast<std::size_t>(WaitReason::UrgentReserve) + 1;
+inline constexpr std::size_t WaitReasons = static_cast<std::size_t>(WaitReason::RunLimit) + 1;
 
 /// Number of tasks by the reason for which their step waits.
 using WaitCounts = std::array<std::size_t, WaitReasons>;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -128,7 +128,8 @@
                                                           {},
                                                           {},
                                                           {},
-                                                          false},
+                                                          false,
+                                                          Shares_.AcceptedWorkBytes_},
         JobTail_(Loop_, Store_,
                  {JobsTopic, JobsLongPoll,
                   [this] {
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -7,6 +7,7 @@
 #include "masticdrift/daemon/ConfigReaderTable.h"
 #include "masticdrift/daemon/JobWriter.h"
 #include "masticdrift/daemon/LoopLag.h"
+#include "masticdrift/daemon/MachineShares.h"
 #include "masticdrift/daemon/OrderRouter.h"
 #include "masticdrift/daemon/Retention.h"
 #include "masticdrift/daemon/StandbyTable.h"
@@ -594,6 +595,7 @@
     Scheduler_->onJobsRead(std::min(Jobs_.readUpTo(), Specs_.readUpTo()));
     Scheduler_->setAdviceLimits(AdviceDispatcher_.limits(Now));
     Scheduler_->setStartLimit(OrderRouter_.startLimit());
+    Scheduler_->setRunLimit(maxRuns(Context_.WorkShareBytes_));
     Scheduler_->advance(Now, core::wallMillis());
     const core::Duration AdvanceTime = core::Clock::now() - Now;
     noteWork(RoundMeter_, AdvanceTime);
--- a/src/daemon/MachineShares.cpp
+++ b/src/daemon/MachineShares.cpp
@@ -14,12 +14,15 @@
 /// Descriptors that are not for sockets.
 constexpr std::int64_t FileDescriptors = 200;
 
-// Shares of the memory, in 64ths. 19 are left for the rest.
+// Shares of the memory, in 64ths. 13 are left for the rest.
 constexpr std::size_t MemoryParts = 64;
 constexpr std::size_t CallerParts = 16;
 constexpr std::size_t PeerParts = 12;
 constexpr std::size_t ReadinessParts = 1;
 constexpr std::size_t WorkParts = 16;
+constexpr std::size_t RunParts = 6;
+/// A run's record in the scheduler with its ids, and what waits to be sent for it.
+constexpr std::size_t BytesPerRun = 1536;
 
 /// Callers and other daemons have a server each with as many descriptors, so that neither can keep
 /// the other out.
@@ -63,6 +66,10 @@
   return Shares;
 }
 
+std::size_t maxRuns(std::size_t WorkBytes) {
+  return WorkBytes / WorkParts * RunParts / BytesPerRun;
+}
+
 std::int64_t raiseDescriptorLimit(std::int64_t Wanted) {
   rlimit Limit{};
   if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
--- a/src/lead/Placement.cpp
+++ b/src/lead/Placement.cpp
@@ -166,6 +166,8 @@
   std::map<std::string_view, PoolRoom> PoolRooms_; ///< of the pools that were asked for
   /// Number of tasks by step whose only run is about to count as over.
   std::map<const TrackedStep *, std::uint32_t> LapsingTasks_;
+  /// Runs by customer that steps will need when their advice arrives.
+  std::unordered_map<std::string, std::size_t> ClaimedRuns_;
 
   /// Counts the tasks on executors that do not answer and whose leases end within the time of an
   /// advice request. The other members of a gang would still have to be stopped.
@@ -590,6 +592,27 @@
     return WaitReason::None;
   }
 
+  /// \returns how many more runs the limit allows the job's customer.
+  std::size_t runsLeft(const TrackedJob &Job) const {
+    const std::size_t Free =
+        Scheduler_.RunLimit_ - std::min(Scheduler_.RunCounts_.total(), Scheduler_.RunLimit_);
+    return Free - std::min(Scheduler_.RunCounts_.of(Job.Acceptance_.Customer_), Free);
+  }
+
+  /// Claims runs for \p Wanted tasks of a step that may start soon.
+  ///
+  /// \returns how many of them the limit of runs allows, beside those claimed before.
+  std::uint32_t claimRuns(const TrackedJob &Job, const work::StepSpec &Spec, std::uint32_t Wanted) {
+    std::size_t &Claimed = ClaimedRuns_[Job.Acceptance_.Customer_];
+    const std::size_t Left = runsLeft(Job);
+    const std::size_t Unclaimed = Left - std::min(Claimed, Left);
+    if (Spec.Gang_ && Wanted > Unclaimed)
+      return 0;
+    const auto Allowed = static_cast<std::uint32_t>(std::min<std::size_t>(Wanted, Unclaimed));
+    Claimed += Allowed;
+    return Allowed;
+  }
+
   void startTask(ExecutorState &Executor, const Candidate &Waiting, TrackedStep &Step,
                  const work::TaskRef &Task, std::uint64_t Number) {
     TrackedJob &Job = *Waiting.Job_;
@@ -598,8 +621,7 @@
     poolRoom(Job).Free_ -= executorNeed(Job.Spec_.Steps_[Waiting.Step_]);
     TrackedTask &Tracked = Step.Tasks_[Task.Index_];
     Run &NewRun = Scheduler_.addRun(Executor, &Job, Task, Number, RunState::Starting, Now_);
-    NewRun.Order_ = {Task, Number, Job.Spec_.Payload_, 0, Scheduler_.Token_, Tracked.Checkpoint_,
-                     {}};
+    NewRun.Order_ = {Task, Number, {}, 0, Scheduler_.Token_, Tracked.Checkpoint_, {}};
     if (const auto Found = Step.Advice_.find(Executor.Ordinal_); Found != Step.Advice_.end()) {
       NewRun.Order_.Ticket_ = Found->second.Ticket_;
       ++Scheduler_.AdvisedStarts_;
@@ -707,6 +729,8 @@
       }
       if (Scheduler_.StartsInFlight_ >= Scheduler_.StartLimit_)
         return WaitReason::StartsInFlight;
+      if (runsLeft(*Waiting.Job_) == 0)
+        return WaitReason::RunLimit;
       if (const WaitReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_);
           Exceeded != WaitReason::None)
         return Exceeded;
@@ -741,6 +765,8 @@
       return WaitReason::StartsInFlight;
     if (Step.WaitingTasks_ < Step.Tasks_.size())
       return WaitReason::EarlierRuns;
+    if (runsLeft(*Waiting.Job_) < Spec.TaskCount_)
+      return WaitReason::RunLimit;
     if (const WaitReason Exceeded = checkLimit(*Waiting.Job_, Spec.Need_ * Spec.TaskCount_);
         Exceeded != WaitReason::None)
       return Exceeded;
@@ -904,10 +930,13 @@
       return WaitReason::NoRoom;
     const work::AdvicePolicy &Policy = *Waiting.Job_->Queue_.Advice_;
     const core::TimePoint By = Now_ + adviceHorizon(Policy);
-    const std::uint32_t Wanted = tasksWithinLimit(Waiting, Step, Spec, By);
+    const std::uint32_t WithinLimit = tasksWithinLimit(Waiting, Step, Spec, By);
+    if (WithinLimit == 0)
+      return WaitReason::CustomerLimit;
+    const std::uint32_t Wanted = claimRuns(*Waiting.Job_, Spec, WithinLimit);
     Waiting.Figures_.Wanted_ = Wanted;
     if (Wanted == 0)
-      return WaitReason::CustomerLimit;
+      return WaitReason::RunLimit;
     claimLimit(Waiting, Step, Spec, Wanted);
     std::uint32_t Covered = 0;
     const auto IsMissing = [&](std::uint32_t) { return Covered < Wanted; };
--- a/src/lead/Runs.cpp
+++ b/src/lead/Runs.cpp
@@ -189,6 +189,7 @@
     Executor.FillMilliCores_ += NewRun.Need_.MilliCores_;
   }
   UsedByCustomer_[NewRun.Customer_] += NewRun.Need_;
+  RunCounts_.add(NewRun.Customer_, 1);
   TrackedStep &Step = *findStep(*Job, Task);
   TrackedTask &Tracked = Step.Tasks_[Task.Index_];
   ++Job->ActiveRuns_;
@@ -222,6 +223,7 @@
     Executor.FillMilliCores_ -= Removed.Need_.MilliCores_;
   }
   UsedByCustomer_[Removed.Customer_] -= Removed.Need_;
+  RunCounts_.remove(Removed.Customer_, 1);
   TrackedStep &Step = *findStep(*Job, Removed.Task_);
   TrackedTask &Task = Step.Tasks_[Removed.Task_.Index_];
   --Job->ActiveRuns_;
@@ -281,7 +283,12 @@
                                      ? Executor.GrantedUntilMs_
                                      : grantLease(Executor, Now);
   ++StartsInFlight_;
-  Actions_.Start_(Executor.Info_, ActiveRun.Order_);
+  // The payload is not kept with each run: it has up to four kilobytes, and a job thousands of
+  // runs.
+  fleet::StartOrder Order = ActiveRun.Order_;
+  if (const TrackedJob *Job = findJob(ActiveRun.Task_))
+    Order.Payload_ = Job->Spec_.Payload_;
+  Actions_.Start_(Executor.Info_, Order);
 }
 
 void Scheduler::sendStop(ExecutorState &Executor, Run &ActiveRun, core::TimePoint Now) {
--- a/src/lead/WaitReason.cpp
+++ b/src/lead/WaitReason.cpp
@@ -5,10 +5,10 @@
 namespace {
 
 constexpr std::array<std::string_view, WaitReasons> Names{
-    "none",          "earlier_runs",   "starts_in_flight", "customer_limit", "customer_reserve",
-    "overdue_turn",  "suspect",        "no_room",          "advice_pending", "covered",
-    "retry_delay",   "exhausted_need", "all_advised",      "call_limit",     "allowed_regions",
-    "urgent_reserve"};
+    "none",           "earlier_runs",   "starts_in_flight", "customer_limit", "customer_reserve",
+    "overdue_turn",   "suspect",        "no_room",          "advice_pending", "covered",
+    "retry_delay",    "exhausted_need", "all_advised",      "call_limit",     "allowed_regions",
+    "urgent_reserve", "run_limit"};
 
 /// A wait is logged when it has lasted this long.
 constexpr core::Millis LoggedWaitTime{1000};
--- a/tests/integration/AcceptedWorkTest.cpp
+++ b/tests/integration/AcceptedWorkTest.cpp
@@ -87,6 +87,25 @@
 
 } // namespace
 
+// --- Runs ---
+
+// Guards against tasks that need next to nothing, so that thousands run at the same time, each with
+// a copy of the payload.
+Test(AcceptedWork, tasksThatAllRunAtTheSameTime) {
+  CrowdScene Scene({96, 2200});
+  PlatformFleet &Fleet = Scene.fleet();
+  std::string Body = jobOf(1, TasksPerJob);
+  Body.replace(Body.find("ms=1"), 4, "ms=600000 " + std::string(3980, 'x'));
+  Submissions Crowd;
+  Crowd.submit(Fleet, 0, RunningTaskJobs, Body);
+  cr_expect_gt(Crowd.Accepted_, 0);
+  // The starts go out a hundred at a time.
+  waitFor(RunningTime, [&] { return statusKb(Fleet.daemon(0), "VmHWM") >= 96 * 1024L; });
+  Scene.checkBounds();
+  checkOtherCustomer(Fleet, 0, "00000000000000b3");
+  Scene.checkBounds();
+}
+
 // --- Jobs that cannot be served ---
 
 // Guards against a job that no record of the store holds: its append was repeated until its
--- a/tests/unit/WaitReasonTest.cpp
+++ b/tests/unit/WaitReasonTest.cpp
@@ -57,9 +57,11 @@
   lead::WaitCounts Counts;
   Counts.fill(1);
   const std::string Text = lead::describeCounts(Counts);
-  cr_expect_eq(Text,
-               "none 1, earlier_runs 1, starts_in_flight 1, customer_limit 1, customer_reserve 1, "
-               "overdue_turn 1, suspect 1, no_room 1, advice_pending 1, covered 1, retry_delay 1, "
-               "exhausted_need 1, all_advised 1, call_limit 1, allowed_regions 1, urgent_reserve 1",
-               "%s", Text.c_str());
+  cr_expect_eq(
+      Text,
+      "none 1, earlier_runs 1, starts_in_flight 1, customer_limit 1, customer_reserve 1, "
+      "overdue_turn 1, suspect 1, no_room 1, advice_pending 1, covered 1, retry_delay 1, "
+      "exhausted_need 1, all_advised 1, call_limit 1, allowed_regions 1, urgent_reserve 1, "
+      "run_limit 1",
+      "%s", Text.c_str());
 }
