Accepted jobs are bounded by memory

Callers saw: 60 jobs of 1,900 small steps, each within the limits of body and tasks, took 135 MB in the leader of a machine of 96 MB; all were answered 200, through a queue without keys as well, and the next leader reached 135 MB when it had read them. 400 such jobs submitted while the leader's appends got no answer took 425 MB in the leader and 172 MB in the other daemon. 40,000 jobs that were cancelled at once left 51 MB on a machine of 48 MB.

Cause: admission weighs core-seconds, and such jobs have none. A step takes about a kilobyte in the leader, a task 100 bytes, the entry of an ended job 1.2 kB for two minutes. Daemons that store jobs themselves decide nothing.

The acceptance record names what a job takes in a leader, so that every daemon knows the sum from the log (JobTable::held()). What no leader could hold, a gang that exceeds the limit of runs among it, gets 400 at once. The limit is a quarter of the memory of the smallest machine that was heard of within ten minutes, since any daemon may lead next: daemons tell theirs with each hello, the leader tells the limit. A daemon that stores a job itself answers 504 beyond the limit, because it can't tell whether the job was accepted before.

Counted as masticdrift_admission_refusals_total, shown by masticdrift_work_bytes, masticdrift_work_limit_bytes and the line `job is not admitted`.

--- a/include/masticdrift/daemon/EntryService.h
+++ b/include/masticdrift/daemon/EntryService.h
@@ -68,6 +68,8 @@
   struct StoreRequest {
     work::LogRecord Record_;
     std::string Spec_;
+    std::string Customer_;
+    std::size_t MemoryBytes_ = 0; ///< that the job takes in a leader; 0 for a cancellation
   };
   void store(const std::shared_ptr<PendingRequest> &Request, StoreRequest Write,
              std::function<void(WriteOutcome)> OnDone);
--- a/include/masticdrift/daemon/FleetContext.h
+++ b/include/masticdrift/daemon/FleetContext.h
@@ -46,6 +46,7 @@
   std::map<std::string, ExecutorEntry, std::less<>> ExecutorEntries_; ///< by executor id
   bool Stopping_ = false;                                             ///< the daemon shuts down
   std::size_t WorkShareBytes_ = 0; ///< memory that this machine has for accepted jobs
+  work::HeldWork UnstoredWork_;    ///< memory of the jobs that this daemon is storing
 };
 
 } // namespace masticdrift::daemon
--- a/include/masticdrift/daemon/LeaderDriver.h
+++ b/include/masticdrift/daemon/LeaderDriver.h
@@ -71,6 +71,8 @@
   /// Decides whether this daemon, which must lead, accepts a job.
   lead::AdmissionDecision admit(std::string_view JobId, const work::AcceptedRecord &Acceptance,
                                 const work::JobSpec &Spec);
+  /// \returns true when there is memory for a job, as far as this daemon knows the other jobs.
+  bool hasMemoryFor(std::string_view Customer, std::size_t JobBytes) const;
   /// \returns true while this daemon leads and has so much waiting work that a job which is
   /// accepted now will not start soon.
   bool hasBacklog() const;
--- a/include/masticdrift/lead/Admission.h
+++ b/include/masticdrift/lead/Admission.h
@@ -25,10 +25,12 @@
 /// Why a job is accepted or refused. The values are part of the protocol between daemons.
 enum class AdmissionOutcome : std::uint8_t {
   Accepted = 0,
-  CustomerBacklog = 1, ///< the customer's limit is full for longer than the objective allows
-  PoolBacklog = 2,     ///< the pool is
-  ImpossibleSize = 3,  ///< no executor of the pool is large enough for one of its tasks
-  UnknownPool = 4,     ///< its queue names a pool that the configuration does not have
+  CustomerBacklog = 1,  ///< the customer's limit is full for longer than the objective allows
+  PoolBacklog = 2,      ///< the pool is
+  ImpossibleSize = 3,   ///< no executor of the pool is large enough for one of its tasks
+  UnknownPool = 4,      ///< its queue names a pool that the configuration does not have
+  MemoryBacklog = 5,    ///< the known jobs leave no memory for it
+  ImpossibleMemory = 6, ///< it takes more memory than there is for all jobs
 };
 
 /// \returns the name of an outcome in logs and metrics.
@@ -41,6 +43,10 @@
   core::Millis RetryAfter_{0}; ///< when coming back makes sense; 0 when it never does
 };
 
+/// \returns when a refused caller is to return, \p Wait from now or within the two seconds after,
+/// so that not all return at once.
+core::Millis retryAfter(core::Millis Wait, std::string_view JobId);
+
 /// Amounts of resources multiplied by milliseconds.
 struct ResourceTime {
   double CoreMs_ = 0; ///< thousandths of a core times ms
--- a/include/masticdrift/lead/Scheduler.h
+++ b/include/masticdrift/lead/Scheduler.h
@@ -9,13 +9,13 @@
 
 #include "masticdrift/lead/Admission.h"
 #include "masticdrift/lead/Drain.h"
+#include "masticdrift/lead/JobMemory.h"
 #include "masticdrift/lead/LimitReserve.h"
 #include "masticdrift/lead/Model.h"
 #include "masticdrift/lead/RateTokens.h"
 #include "masticdrift/lead/RoomIndex.h"
 #include "masticdrift/lead/RunTimeModel.h"
 #include "masticdrift/lead/Silence.h"
-#include "masticdrift/work/HeldWork.h"
 
 #include <algorithm>
 #include <functional>
@@ -204,10 +204,10 @@
   /// \returns what this scheduler knows of the job.
   JobKnowledge knowledgeOf(const std::string &Id) const;
 
-  /// Decides whether a job is accepted, by the work that waits before it. Counts the work of an
-  /// accepted job from then on.
+  /// Decides whether a job is accepted, by the memory for jobs and the work that waits before it.
+  /// Counts the work of an accepted job from then on.
   AdmissionDecision admit(std::string_view JobId, const work::AcceptedRecord &Acceptance,
-                          const work::JobSpec &Spec, core::TimePoint Now);
+                          const work::JobSpec &Spec, const WorkMemory &Memory, core::TimePoint Now);
 
   /// What is learned about run times, for later leaders and operators.
   const RunTimeModel &runTimes() const { return RunTimes_; }
@@ -300,8 +300,8 @@
   void setAdviceLimits(AdviceLimits Limits) { AdviceLimits_ = Limits; }
   /// Limits the concurrent start orders, when several machines send them.
   void setStartLimit(int Starts) { StartLimit_ = Starts; }
-  /// Sets how many runs may exist at the same time. A customer may have as many as are free, so
-  /// that one leaves half of them to others, and one without runs always finds some.
+  /// Sets how many runs may exist at the same time. A customer may have as many as are free, as
+  /// with the memory for jobs (admitMemory()).
   void setRunLimit(std::size_t Runs) { RunLimit_ = Runs; }
 
   /// Performs all due work but placement: orders, hold requests, and what follows from leases. What
--- a/include/masticdrift/protocol/PeerMessages.h
+++ b/include/masticdrift/protocol/PeerMessages.h
@@ -42,7 +42,9 @@
   double LinkMbps_ = 0;  ///< bandwidth of its machine's link
   /// With the first hello of a term: what the daemon has learned from calls for earlier leaders.
   std::vector<KnownVerdicts> Verdicts_;
-  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_, CanLead_, LinkMbps_, Verdicts_)
+  std::uint64_t WorkBytes_ = 0; ///< memory that its machine has for accepted jobs
+  MSGPACK_DEFINE_ARRAY(Instance_, PeerAddress_, Domain_, Cores_, CanLead_, LinkMbps_, Verdicts_,
+                       WorkBytes_)
 };
 
 /// The leader's answer to a Hello.
@@ -56,7 +58,9 @@
   std::string ConfigSource_;
   /// To a standby, from time to time: a packed lead::RunTimeSummary. Empty otherwise.
   std::string RunTimes_;
-  MSGPACK_DEFINE_ARRAY(Incarnation_, Standby_, SourceKnown_, ConfigSource_, RunTimes_)
+  std::uint64_t WorkLimitBytes_ = 0; ///< memory that accepted jobs may take in each daemon
+  MSGPACK_DEFINE_ARRAY(Incarnation_, Standby_, SourceKnown_, ConfigSource_, RunTimes_,
+                       WorkLimitBytes_)
 };
 
 /// Asks a daemon to make one call to the advice service for the leader.
--- a/include/masticdrift/work/Job.h
+++ b/include/masticdrift/work/Job.h
@@ -5,6 +5,7 @@
 
 #include "masticdrift/core/Resources.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -91,6 +92,9 @@
   return Spec.RunCount_ == 0 ? 1 : Spec.RunCount_;
 }
 
+/// \returns the memory that a specification takes, in bytes.
+std::size_t specMemory(const JobSpec &Spec);
+
 /// Validates a specification.
 ///
 /// \returns what is wrong (no steps, a step without tasks, a step that depends on itself or a later
--- a/include/masticdrift/work/Ledger.h
+++ b/include/masticdrift/work/Ledger.h
@@ -6,6 +6,7 @@
 #ifndef MASTICDRIFT_WORK_LEDGER_H
 #define MASTICDRIFT_WORK_LEDGER_H
 
+#include "masticdrift/work/HeldWork.h"
 #include "masticdrift/work/Job.h"
 #include "masticdrift/work/Manifest.h"
 
@@ -29,7 +30,9 @@
   Queue Queue_;          ///< configuration of the queue at acceptance, without host and path
   std::string Customer_; ///< empty when an anonymous queue was called without a key
   std::int64_t AcceptedMs_ = 0;
-  MSGPACK_DEFINE_ARRAY(Queue_, Customer_, AcceptedMs_)
+  /// Memory that the job takes in a leader; 0 from daemons that do not know it.
+  std::uint64_t MemoryBytes_ = 0;
+  MSGPACK_DEFINE_ARRAY(Queue_, Customer_, AcceptedMs_, MemoryBytes_)
 };
 
 /// Cancellation of a job by a caller.
@@ -121,6 +124,8 @@
   std::uint64_t StartedTerm_ = 0; ///< term of the leader that accepted and started it in one append
   std::optional<ProgressRecord> Progress_;
   std::uint64_t ProgressOffset_ = 0;
+  std::size_t HeldBytes_ = 0;  ///< what the job counts in JobTable::held()
+  bool CustomerKnown_ = false; ///< it is counted for the customer of its acceptance
 
   /// \returns the state that is reported to callers.
   JobState state() const;
@@ -184,7 +189,14 @@
 
   const std::unordered_map<std::string, JobTableEntry> &jobs() const { return Jobs_; }
 
+  /// \returns the memory that the jobs of the table take in a leader, which holds more of each than
+  /// the table.
+  const HeldWork &held() const { return Held_; }
+
 private:
+  /// Updates what a job counts in held().
+  void updateHeld(JobTableEntry &Job);
+  void erase(std::unordered_map<std::string, JobTableEntry>::iterator Position);
   JobTableChange applyRecord(std::uint64_t Offset, std::string_view Key, std::string_view Value);
   JobTableChange applySpecRecord(std::string_view Id, std::string_view Value);
   /// Updates the set of queued jobs after \p Job has changed.
@@ -193,6 +205,7 @@
 
   std::unordered_map<std::string, JobTableEntry> Jobs_;
   std::map<std::string, std::set<std::string>, std::less<>> QueuedByQueue_;
+  HeldWork Held_;
   ChangeHandler OnChange_;
 };
 
--- a/src/daemon/EntryService.cpp
+++ b/src/daemon/EntryService.cpp
@@ -4,6 +4,7 @@
 #include "masticdrift/core/Log.h"
 #include "masticdrift/core/Metrics.h"
 #include "masticdrift/core/Pack.h"
+#include "masticdrift/lead/JobMemory.h"
 #include "platform/Text.h"
 
 namespace masticdrift::daemon {
@@ -46,6 +47,10 @@
     return ErrorKind::ImpossibleSize;
   case UnknownPool:
     return ErrorKind::UnknownQueue;
+  case MemoryBacklog:
+    return ErrorKind::QueueFull;
+  case ImpossibleMemory:
+    return ErrorKind::ImpossibleSize;
   case Accepted:
     break;
   }
@@ -63,6 +68,10 @@
     return "a task of the job is larger than the largest executor of its queue";
   case UnknownPool:
     return "the configuration has no executors for the queue";
+  case MemoryBacklog:
+    return "the customer's jobs take all memory that is free for them";
+  case ImpossibleMemory:
+    return "the job takes more memory than there is for all jobs";
   case Accepted:
     break;
   }
@@ -226,7 +235,8 @@
                " bytes, more than the store accepts");
     return;
   }
-  const work::AcceptedRecord Record{*Request->Queue_, Request->Customer_, core::wallMillis()};
+  const work::AcceptedRecord Record{*Request->Queue_, Request->Customer_, core::wallMillis(),
+                                    lead::jobMemory(*Spec)};
   Attempts_.begin(Request->JobId_);
   if (Leader_.leading()) {
     const lead::AdmissionDecision Decision = Leader_.admit(Request->JobId_, Record, *Spec);
@@ -238,7 +248,9 @@
       return;
     }
   }
-  store(Request, {work::encodeAccepted(Request->JobId_, Record), std::move(PackedSpec)},
+  store(Request,
+        {work::encodeAccepted(Request->JobId_, Record), std::move(PackedSpec), Record.Customer_,
+         static_cast<std::size_t>(Record.MemoryBytes_)},
         [this, Request](WriteOutcome Outcome) {
           answerWrite(Request, Attempts_.end(Request->JobId_, Outcome, core::Clock::now()));
         });
@@ -298,6 +310,19 @@
     RecordWriter_.write(entriesFor(std::move(Write.Record_)), Deadline, std::move(OnDone));
     return;
   }
+  // A leader has decided about the job. Any other daemon can't tell whether the job was accepted
+  // before, so it doesn't refuse it.
+  if (!Leader_.leading() && !Leader_.hasMemoryFor(Write.Customer_, Write.MemoryBytes_)) {
+    core::count("masticdrift_admission_refusals_total", {{"reason", "memory_without_leader"}});
+    OnDone(WriteOutcome::Unknown);
+    return;
+  }
+  Context_.UnstoredWork_.add(Write.Customer_, Write.MemoryBytes_);
+  OnDone = [this, Customer = Write.Customer_, Bytes = Write.MemoryBytes_,
+            OnDone = std::move(OnDone)](WriteOutcome Outcome) {
+    Context_.UnstoredWork_.remove(Customer, Bytes);
+    OnDone(Outcome);
+  };
   const std::string Id(work::acceptedJobId(Write.Record_));
   SpecWriter_.write({{Id, std::move(Write.Spec_)}}, Deadline,
                     [this, Record = std::move(Write.Record_), Deadline,
@@ -411,8 +436,13 @@
       return;
     }
   }
-  appendUnlessFailing({{std::move(Call.Key_), std::move(Call.Value_)}, std::move(Call.Spec_)},
-                      Deadline,
+  StoreRequest Write{{std::move(Call.Key_), std::move(Call.Value_)}, std::move(Call.Spec_)};
+  if (IsSubmission)
+    if (auto Acceptance = core::unpack<work::AcceptedRecord>(Write.Record_.Value_)) {
+      Write.Customer_ = std::move(Acceptance->Customer_);
+      Write.MemoryBytes_ = static_cast<std::size_t>(Acceptance->MemoryBytes_);
+    }
+  appendUnlessFailing(std::move(Write), Deadline,
                       [this, Id, IsSubmission, OnDone = std::move(OnDone)](WriteOutcome Outcome) {
                         if (IsSubmission)
                           Outcome = Attempts_.end(Id, Outcome, core::Clock::now());
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -129,7 +129,8 @@
                                                           {},
                                                           {},
                                                           false,
-                                                          Shares_.AcceptedWorkBytes_},
+                                                          Shares_.AcceptedWorkBytes_,
+                                                          {}},
         JobTail_(Loop_, Store_,
                  {JobsTopic, JobsLongPoll,
                   [this] {
--- a/src/daemon/LeaderDriver.cpp
+++ b/src/daemon/LeaderDriver.cpp
@@ -13,6 +13,7 @@
 #include "masticdrift/daemon/StandbyTable.h"
 #include "masticdrift/daemon/StoredJobCheck.h"
 #include "masticdrift/daemon/VerdictMemory.h"
+#include "masticdrift/daemon/WorkLimit.h"
 #include "masticdrift/daemon/WorkMeter.h"
 #include "masticdrift/daemon/WorkPacing.h"
 #include "masticdrift/lead/Election.h"
@@ -91,7 +92,7 @@
                      [this](const auto &Keys) { onLeadershipLoaded(Keys); }}),
         ElectionTimer_(Context.Loop_), HelloTimer_(Context.Loop_), TickTimer_(Context.Loop_),
         HeartbeatTimer_(Context.Loop_), RetryTimer_(Context.Loop_), LoopLag_(Context.Loop_),
-        OrderRouter_(Context), Retention_(Context),
+        OrderRouter_(Context), Retention_(Context), WorkLimit_(Context.WorkShareBytes_),
         AdviceDispatcher_([this](const std::string &Adviser, AdviceCall Call) {
           sendAdviceRequest(Adviser, std::move(Call));
         }) {}
@@ -595,7 +596,7 @@
     Scheduler_->onJobsRead(std::min(Jobs_.readUpTo(), Specs_.readUpTo()));
     Scheduler_->setAdviceLimits(AdviceDispatcher_.limits(Now));
     Scheduler_->setStartLimit(OrderRouter_.startLimit());
-    Scheduler_->setRunLimit(maxRuns(Context_.WorkShareBytes_));
+    Scheduler_->setRunLimit(maxRuns(WorkLimit_.current(Now)));
     Scheduler_->advance(Now, core::wallMillis());
     const core::Duration AdvanceTime = core::Clock::now() - Now;
     noteWork(RoundMeter_, AdvanceTime);
@@ -667,6 +668,9 @@
     core::setGauge("masticdrift_advice_calls_outstanding",
                    static_cast<double>(Counts.OutstandingAdviceCalls_));
     setEvacuationGauges(Counts.RunsInEvacuation_);
+    const lead::WorkMemory Memory = workMemory({}, Now);
+    core::setGauge("masticdrift_work_bytes", static_cast<double>(Memory.Held_));
+    core::setGauge("masticdrift_work_limit_bytes", static_cast<double>(Memory.Limit_));
     if (Now - RunTimeErrorsAt_ >= RunTimeErrorInterval) {
       RunTimeErrorsAt_ = Now;
       logRunTimeErrors();
@@ -696,6 +700,8 @@
                {"results", takeRate(ResultsMeter_, SinceLast)},
                {"executors_read_per_s", std::to_string(perSecond(Read.Executors_, SinceLast))},
                {"runs_read_per_s", std::to_string(perSecond(Read.Runs_, SinceLast))},
+               {"work_bytes", std::to_string(Memory.Held_)},
+               {"work_limit_bytes", std::to_string(Memory.Limit_)},
                {"evacuated", describeEvacuations(Counts.RunsInEvacuation_)},
                {"waiting_by_reason", lead::describeCounts(Counts.WaitingByReason_)}});
   }
@@ -1021,6 +1027,14 @@
 
   // -- followers --
 
+  /// \returns the memory for jobs and what all jobs and those of \p Customer take, also of those
+  /// that are being stored.
+  lead::WorkMemory workMemory(std::string_view Customer, core::TimePoint Now) const {
+    const work::HeldWork &Stored = Context_.JobTable_.held();
+    return {WorkLimit_.current(Now), Stored.total() + Context_.UnstoredWork_.total(),
+            Stored.of(Customer) + Context_.UnstoredWork_.of(Customer)};
+  }
+
   /// A new leader sends its first orders through the relays that it knows by then. Only large
   /// daemons serve as relays for many executors, so that the others do not call all at once.
   void greetNewLeader() {
@@ -1043,7 +1057,8 @@
         Context_.Settings_.Instance_, Context_.PeerAddress_, Context_.Settings_.Domain_,
         Context_.Settings_.Cores_, CanLead, Context_.Settings_.LinkMbps_,
         SendsVerdicts ? VerdictMemory_.list(core::Clock::now())
-                      : std::vector<protocol::KnownVerdicts>()});
+                      : std::vector<protocol::KnownVerdicts>(),
+        Context_.WorkShareBytes_});
     HttpRequest.Timeout_ = HelloTimeout;
     Context_.Client_.send(
         std::move(HttpRequest), [Self = shared_from_this(), Term = NewestRecord_->Term_,
@@ -1061,6 +1076,7 @@
               (!Reply || Reply->Incarnation_ != Self->NewestRecord_->Incarnation_);
           if (Reply && !Replaced) {
             Self->setStandby(Reply->Standby_);
+            Self->WorkLimit_.noteLeader(Reply->WorkLimitBytes_, core::Clock::now());
             Self->VerdictsKnownToTerm_ = Term;
             if (!Reply->RunTimes_.empty())
               if (auto RunTimes = core::unpack<lead::RunTimeSummary>(Reply->RunTimes_))
@@ -1138,6 +1154,7 @@
   ConfigReaderTable ConfigReaders_; ///< while leading
   bool Standby_ = false;            ///< as the leader has told this daemon
   Retention Retention_;
+  WorkLimit WorkLimit_;
   StoredJobCheck StoredJobCheck_;
   AdviceDispatcher AdviceDispatcher_;
   VerdictMemory VerdictMemory_;           ///< of calls that this daemon has made
@@ -1257,6 +1274,7 @@
   if (Impl_->Role_ == Impl::Role::Follower)
     return Reply;
   // Also while it prepares: the first orders go out as soon as this daemon leads.
+  Impl_->WorkLimit_.noteDaemon(Hello.PeerAddress_, Hello.WorkBytes_, Now);
   Impl_->OrderRouter_.registerRelay(Hello, Now);
   Impl_->AdviceDispatcher_.registerAdviser(Hello.PeerAddress_, Now);
   if (Impl_->Role_ == Impl::Role::Leading)
@@ -1268,6 +1286,7 @@
     return Reply;
   Impl_->Standbys_.registerDaemon(Hello, Now);
   Impl_->ConfigReaders_.registerDaemon(Hello, Now);
+  Reply.WorkLimitBytes_ = Impl_->WorkLimit_.current(Now);
   Reply.Standby_ = Impl_->Standbys_.isStandby(Hello.PeerAddress_, Now);
   if (Reply.Standby_)
     Reply.RunTimes_ = Impl_->runTimesForStandby(Now);
@@ -1287,8 +1306,10 @@
 lead::AdmissionDecision LeaderDriver::admit(std::string_view JobId,
                                             const work::AcceptedRecord &Acceptance,
                                             const work::JobSpec &Spec) {
+  const core::TimePoint Now = core::Clock::now();
+  const lead::WorkMemory Memory = Impl_->workMemory(Acceptance.Customer_, Now);
   const lead::AdmissionDecision Decision =
-      Impl_->Scheduler_->admit(JobId, Acceptance, Spec, core::Clock::now());
+      Impl_->Scheduler_->admit(JobId, Acceptance, Spec, Memory, Now);
   if (Decision.Outcome_ == lead::AdmissionOutcome::Accepted)
     return Decision;
   core::count("masticdrift_admission_refusals_total",
@@ -1299,10 +1320,19 @@
              {"reason", std::string(nameOf(Decision.Outcome_))},
              {"wait_ms", std::to_string(Decision.Wait_.count())},
              {"allowed_ms", std::to_string(Decision.Allowed_.count())},
+             {"job_bytes", std::to_string(Acceptance.MemoryBytes_)},
+             {"held_bytes", std::to_string(Memory.Held_)},
+             {"held_bytes_of_customer", std::to_string(Memory.HeldByCustomer_)},
+             {"limit_bytes", std::to_string(Memory.Limit_)},
              {"retry_after_ms", std::to_string(Decision.RetryAfter_.count())}});
   return Decision;
 }
 
+bool LeaderDriver::hasMemoryFor(std::string_view Customer, std::size_t JobBytes) const {
+  return lead::admitMemory(Impl_->workMemory(Customer, core::Clock::now()), JobBytes, {})
+             .Outcome_ == lead::AdmissionOutcome::Accepted;
+}
+
 void LeaderDriver::onAdvised(const protocol::AdviseRequest &Call,
                              const std::vector<fleet::AdvisedExecutor> &Allowed) {
   Impl_->VerdictMemory_.add(Call, Allowed, core::Clock::now());
--- a/src/lead/Admission.cpp
+++ b/src/lead/Admission.cpp
@@ -38,12 +38,6 @@
   return Room <= 0 ? 0 : std::min(Work / static_cast<double>(Room), MaxDrainMs);
 }
 
-core::Millis retryAfter(core::Millis Excess, std::string_view JobId) {
-  const auto Spread = core::Millis(static_cast<std::int64_t>(
-      std::hash<std::string_view>{}(JobId) % static_cast<std::size_t>(ReturnSpread.count())));
-  return std::clamp(Excess + Spread, MinRetryAfter, MaxRetryAfter);
-}
-
 void addShape(std::vector<core::Resources> &Shapes, const core::Resources &Capacity) {
   if (std::ranges::any_of(Shapes, [&](const auto &Shape) { return core::fits(Capacity, Shape); }))
     return;
@@ -53,6 +47,12 @@
 
 } // namespace
 
+core::Millis retryAfter(core::Millis Wait, std::string_view JobId) {
+  const auto Spread = core::Millis(static_cast<std::int64_t>(
+      std::hash<std::string_view>{}(JobId) % static_cast<std::size_t>(ReturnSpread.count())));
+  return std::clamp(Wait + Spread, MinRetryAfter, MaxRetryAfter);
+}
+
 std::string_view nameOf(AdmissionOutcome Outcome) {
   switch (Outcome) {
   case AdmissionOutcome::Accepted:
@@ -65,6 +65,10 @@
     return "impossible_size";
   case AdmissionOutcome::UnknownPool:
     return "unknown_pool";
+  case AdmissionOutcome::MemoryBacklog:
+    return "memory_backlog";
+  case AdmissionOutcome::ImpossibleMemory:
+    return "impossible_memory";
   }
   return "unknown";
 }
--- a/src/lead/Scheduler.cpp
+++ b/src/lead/Scheduler.cpp
@@ -260,7 +260,8 @@
 }
 
 AdmissionDecision Scheduler::admit(std::string_view JobId, const work::AcceptedRecord &Acceptance,
-                                   const work::JobSpec &Spec, core::TimePoint Now) {
+                                   const work::JobSpec &Spec, const WorkMemory &Memory,
+                                   core::TimePoint Now) {
   const work::Queue &Queue = Acceptance.Queue_;
   AdmissionDecision Decision;
   // The daemon that received the job may have a newer configuration.
@@ -284,6 +285,11 @@
       Decision.Outcome_ = AdmissionOutcome::ImpossibleSize;
       return Decision;
     }
+    // All tasks of a gang run at the same time.
+    if (Step.Gang_ && Step.TaskCount_ > RunLimit_) {
+      Decision.Outcome_ = AdmissionOutcome::ImpossibleMemory;
+      return Decision;
+    }
     Lasting = Lasting || Step.LongRunning_;
     StepTimes.push_back(
         RunTimes_.predict({Queue.Name_, Acceptance.Customer_, I}, core::Millis(Step.EstimatedMs_))
@@ -291,6 +297,12 @@
     if (!Step.BestEffort_ && Fits)
       Work += resourceTime(Step.Need_, Step.TaskCount_, StepTimes.back());
   }
+  const std::size_t JobBytes = Acceptance.MemoryBytes_ > 0
+                                   ? static_cast<std::size_t>(Acceptance.MemoryBytes_)
+                                   : jobMemory(Spec);
+  Decision = admitMemory(Memory, JobBytes, JobId);
+  if (Decision.Outcome_ != AdmissionOutcome::Accepted)
+    return Decision;
   // Jobs that last or are due later wait for other things than this backlog.
   const auto Customer = Manifest_.Customers_.find(Acceptance.Customer_);
   if (Lasting || Spec.RunCount_ > 0 || Customer == Manifest_.Customers_.end())
--- a/src/work/Job.cpp
+++ b/src/work/Job.cpp
@@ -32,6 +32,16 @@
   return "";
 }
 
+std::size_t specMemory(const JobSpec &Spec) {
+  constexpr std::size_t BytesPerAllocation = 16;
+  std::size_t Bytes = sizeof(JobSpec) + Spec.Payload_.size() + BytesPerAllocation;
+  for (const StepSpec &Step : Spec.Steps_)
+    Bytes += sizeof(StepSpec) + Step.RequiredLabel_.capacity() + Step.PreferredRack_.capacity() +
+             Step.Image_.capacity() + Step.DependsOn_.size() * sizeof(std::uint32_t) +
+             BytesPerAllocation;
+  return Bytes;
+}
+
 std::string_view validationError(const JobSpec &Spec) {
   if (Spec.Steps_.empty())
     return "the job has no steps";
--- a/src/work/Ledger.cpp
+++ b/src/work/Ledger.cpp
@@ -11,6 +11,10 @@
 constexpr char ProgressPrefix = 'p';
 constexpr char StartedPrefix = 'b';
 
+/// Memory of a job that is over, or of one whose acceptance is unknown: the entry with its node,
+/// keys and names, and its place in the leader's index of ended jobs.
+constexpr std::size_t BytesPerEntry = sizeof(JobTableEntry) + 640;
+
 std::string recordKey(char Prefix, std::string_view Id) { return Prefix + std::string(Id); }
 
 /// Drops the details of a final job, unless they are needed to tell what its runs still use.
@@ -23,6 +27,12 @@
   Job.Progress_->Failures_.clear();
 }
 
+/// \returns the customer for which the job is counted; a specification may be read before the
+/// acceptance, which names the customer.
+std::string_view countedCustomer(const JobTableEntry &Job) {
+  return Job.CustomerKnown_ ? std::string_view(Job.Acceptance_.Customer_) : std::string_view();
+}
+
 } // namespace
 
 JobState JobTableEntry::state() const {
@@ -95,7 +105,7 @@
     if (Position == Jobs_.end() || Kind != AcceptedPrefix)
       return {None, std::move(Id)};
     QueuedByQueue_[Position->second.Acceptance_.Queue_.Name_].erase(Id);
-    Jobs_.erase(Position);
+    erase(Position);
     return {Removed, std::move(Id)};
   }
   JobTableEntry &Job = Jobs_[Id];
@@ -129,6 +139,7 @@
     dropUnneeded(Job);
   }
   updateQueued(Job);
+  updateHeld(Job);
   return Change;
 }
 
@@ -139,10 +150,11 @@
   if (Value.empty()) {
     // Remove the entry of a specification whose job was never accepted.
     if (IsKnown && !Position->second.Accepted_ && !Position->second.Progress_) {
-      Jobs_.erase(Position);
+      erase(Position);
     } else if (IsKnown) {
       Position->second.SpecRemoved_ = true;
       dropUnneeded(Position->second);
+      updateHeld(Position->second);
     }
     return {None, std::string(Id)};
   }
@@ -155,9 +167,28 @@
   Job.Id_ = Id;
   Job.Spec_ = std::move(*Spec);
   Job.HasSpec_ = true;
+  updateHeld(Job);
   return {Specified, std::string(Id)};
 }
 
+void JobTable::updateHeld(JobTableEntry &Job) {
+  const bool Over = Job.Progress_ && isFinal(Job.Progress_->State_) && !Job.HasSpec_;
+  std::size_t Bytes = BytesPerEntry;
+  if (!Over)
+    Bytes += Job.Accepted_ ? Job.Acceptance_.MemoryBytes_ : specMemory(Job.Spec_);
+  if (Bytes == Job.HeldBytes_)
+    return;
+  Held_.remove(countedCustomer(Job), Job.HeldBytes_);
+  Job.HeldBytes_ = Bytes;
+  Job.CustomerKnown_ = Job.Accepted_;
+  Held_.add(countedCustomer(Job), Bytes);
+}
+
+void JobTable::erase(std::unordered_map<std::string, JobTableEntry>::iterator Position) {
+  Held_.remove(countedCustomer(Position->second), Position->second.HeldBytes_);
+  Jobs_.erase(Position);
+}
+
 void JobTable::updateQueued(const JobTableEntry &Job) {
   if (!Job.Accepted_)
     return;
--- a/tests/integration/AcceptedWorkTest.cpp
+++ b/tests/integration/AcceptedWorkTest.cpp
@@ -26,6 +26,9 @@
 /// Tasks that run for longer than the test, all at the same time.
 constexpr int RunningTaskJobs = 2;
 
+/// Clients that submit such jobs at a daemon whose leader is held up.
+constexpr int HeldUpClients = 400;
+
 /// Time in which a caller gets its answer beside the crowd; only bounds the wait.
 constexpr core::Millis AnswerTimeout{30'000};
 /// Time in which tasks are started that all run; only bounds the wait.
@@ -87,6 +90,90 @@
 
 } // namespace
 
+// --- One customer's backlog ---
+
+// Guards against jobs of many small steps, which take little processor time and twenty times their
+// size in memory.
+Test(AcceptedWork, jobsOfManySteps) {
+  CrowdScene Scene({96, 2200});
+  Submissions Crowd;
+  Crowd.submit(Scene.fleet(), 0, ManyStepJobs, jobOf(StepsPerJob, 1));
+  cr_expect_gt(Crowd.Accepted_, 0);
+  Scene.checkBounds();
+  checkOtherCustomer(Scene.fleet(), 0, "00000000000000b3");
+  Scene.checkBounds();
+}
+
+// Guards against jobs of many tasks, whose state is kept one by one.
+Test(AcceptedWork, jobsOfManyTasks) {
+  CrowdScene Scene({96, 2200});
+  Submissions Crowd;
+  Crowd.submit(Scene.fleet(), 0, ManyTaskJobs, jobOf(1, TasksPerJob));
+  cr_expect_gt(Crowd.Accepted_, 0);
+  Scene.checkBounds();
+  checkOtherCustomer(Scene.fleet(), 0, "00000000000000b3");
+  Scene.checkBounds();
+}
+
+// Guards against a queue without keys, through which anybody fills the memory of all.
+Test(AcceptedWork, jobsOfAnonymousCallers) {
+  CrowdScene Scene({96, 2200});
+  Submissions Crowd;
+  Crowd.submit(Scene.fleet(), 0, ManyStepJobs, jobOf(StepsPerJob, 1), "/open/", {});
+  cr_expect_gt(Crowd.Accepted_, 0);
+  Scene.checkBounds();
+  checkOtherCustomer(Scene.fleet(), 0, "00000000000000b3");
+  Scene.checkBounds();
+}
+
+// --- The daemons that follow ---
+
+// Guards against a backlog that ends one leader after the other: the next one reads all of it.
+Test(AcceptedWork, theNextLeaderReadsTheBacklog) {
+  CrowdScene Scene({96, 2200}, 3);
+  PlatformFleet &Fleet = Scene.fleet();
+  Submissions Crowd;
+  Crowd.submit(Fleet, 0, ManyStepJobs, jobOf(StepsPerJob, 1));
+  cr_expect_gt(Crowd.Accepted_, 0);
+  for (int Daemon = 0; Daemon < 3; ++Daemon)
+    Scene.checkBounds(Daemon);
+  const int First = Fleet.leader();
+  cr_assert_geq(First, 0);
+  Fleet.daemon(First).signal(SIGKILL);
+  cr_assert(waitFor(TakeoverTimeout, [&] { return Fleet.leader() >= 0; }));
+  const int Second = Fleet.leader();
+  for (int Daemon = 0; Daemon < 3; ++Daemon)
+    if (Daemon != First)
+      Scene.checkBounds(Daemon);
+  checkOtherCustomer(Fleet, Second, "00000000000000b3");
+  for (int Daemon = 0; Daemon < 3; ++Daemon)
+    if (Daemon != First)
+      Scene.checkBounds(Daemon);
+}
+
+// Guards against jobs that a daemon stores itself, past the leader's decision, while the leader's
+// own appends get no answer.
+Test(AcceptedWork, jobsStoredBesideALeaderThatIsHeldUp) {
+  CrowdScene Scene({96, 8192}, 2);
+  PlatformFleet &Fleet = Scene.fleet();
+  const int Leader = Fleet.leader();
+  cr_assert_geq(Leader, 0);
+  const int Follower = 1 - Leader;
+  Fleet.control({{"held_daemon", PlatformFleet::nameOf(Leader)}, {"held_topics", {"keyed.specs"}}});
+  const std::string Body = jobOf(StepsPerJob, 1);
+  for (int I = 0; I < HeldUpClients && Scene.awaitRead(Follower); ++I)
+    Scene.join(Follower).send(
+        submissionHeader("X-Masticdrift-Request-Deadline: 10000\r\nContent-Length: " +
+                             std::to_string(Body.size()),
+                         jobId(I)) +
+        Body);
+  Scene.checkBounds(Follower);
+  Fleet.control({{"held_daemon", ""}});
+  Scene.checkBounds(Leader);
+  Scene.checkBounds(Follower);
+  checkOtherCustomer(Fleet, Follower, "00000000000000b3");
+}
+
 // --- Runs ---
 
 // Guards against tasks that need next to nothing, so that thousands run at the same time, each with
@@ -106,6 +193,33 @@
   Scene.checkBounds();
 }
 
+// --- Jobs that have ended ---
+
+// Guards against entries of ended jobs, which are kept so that their state can be asked for.
+Test(AcceptedWork, jobsThatAreCancelledAtOnce) {
+  CrowdScene Scene({48, 2200});
+  PlatformFleet &Fleet = Scene.fleet();
+  const std::string Body = jobOf(1, 1);
+  std::atomic<int> Next = 0;
+  std::atomic<int> Odd = 0;
+  std::vector<std::thread> Clients;
+  Clients.reserve(CancellingClients);
+  for (int I = 0; I < CancellingClients; ++I)
+    Clients.emplace_back([&] {
+      for (int Job = Next++; Job < CancelledJobs; Job = Next++) {
+        const int Status = Fleet.call(0, "POST", "/q/" + jobId(Job), Body).Answer_.Status_;
+        Odd += Status != 200 && Status != 429;
+        if (Status == 200)
+          Fleet.call(0, "DELETE", "/q/" + jobId(Job));
+      }
+    });
+  for (std::thread &Client : Clients)
+    Client.join();
+  cr_expect_eq(Odd, 0, "%d answers that are neither 200 nor 429", Odd.load());
+  Scene.checkBounds();
+  checkOtherCustomer(Fleet, 0, "00000000000000b3");
+}
+
 // --- Jobs that cannot be served ---
 
 // Guards against a job that no record of the store holds: its append was repeated until its
--- a/tests/support/ClientCrowd.cpp
+++ b/tests/support/ClientCrowd.cpp
@@ -142,7 +142,7 @@
   raiseDescriptorLimit();
 }
 
-RawClient &CrowdScene::join() { return joinAt(Fleet_.callerPort(0)); }
+RawClient &CrowdScene::join(int Daemon) { return joinAt(Fleet_.callerPort(Daemon)); }
 
 RawClient &CrowdScene::joinAt(int Port) {
   Crowd_.push_back(std::make_unique<RawClient>(Loop_, Port));
@@ -153,8 +153,8 @@
   return *Crowd_.back();
 }
 
-bool CrowdScene::awaitRead() {
-  return waitFor(WatchTime, [&] { return bytesInBuffers(Fleet_.callerPort(0)) == 0; });
+bool CrowdScene::awaitRead(int Daemon) {
+  return waitFor(WatchTime, [&] { return bytesInBuffers(Fleet_.callerPort(Daemon)) == 0; });
 }
 
 void CrowdScene::countDescriptors() {
--- a/tests/support/ClientCrowd.h
+++ b/tests/support/ClientCrowd.h
@@ -72,7 +72,7 @@
   explicit CrowdScene(SmallMachine Machine = {}, int Daemons = 1);
 
   /// Opens a connection to the port for callers.
-  RawClient &join();
+  RawClient &join(int Daemon = 0);
   /// Opens a connection to any port of the daemon.
   RawClient &joinAt(int Port);
 
@@ -81,7 +81,7 @@
 
   /// Waits until the daemon has read what was sent to the port for callers.
   /// \returns false when it does not.
-  bool awaitRead();
+  bool awaitRead(int Daemon = 0);
 
   /// Notes how many descriptors the daemon has open now.
   void countDescriptors();
