Ended jobs are removed faster than jobs are accepted

Entries of 1.2 kB grow in every daemon and in the store for as long as it runs, and since accepted jobs are bounded by memory they would end in refusals.

After a removal that was as large as it may be the next one follows after half a second (400 jobs a second); after smaller ones after five seconds as before, so that calls to the store don't increase.

--- a/include/masticdrift/daemon/Retention.h
+++ b/include/masticdrift/daemon/Retention.h
@@ -13,6 +13,12 @@
 
 namespace masticdrift::daemon {
 
+/// Ended jobs that one append removes at most.
+inline constexpr std::size_t MaxJobsPerRemoval = 200;
+
+/// \returns the time until the next removal after one of \p Jobs ended jobs.
+core::Millis pauseAfterRemoval(std::size_t Jobs);
+
 /// Runs on the leader. A failed removal is retried; a lost one only costs space.
 class Retention {
 public:
@@ -31,7 +37,7 @@
 
 private:
   void removeSpecs();
-  void removeJobs(std::int64_t WallMs);
+  void removeJobs(core::TimePoint Now, std::int64_t WallMs);
   void append(const char *Topic, std::vector<platform::KeyedRecord> Records,
               std::vector<std::string> RetryIds);
 
--- a/src/daemon/Retention.cpp
+++ b/src/daemon/Retention.cpp
@@ -9,13 +9,18 @@
 /// Intervals between removals, which share the limit of store calls with all other calls.
 constexpr core::Millis SpecRemovalInterval{1000};
 constexpr core::Millis JobRemovalInterval{5000};
-constexpr std::size_t MaxJobsPerAppend = 200;
+/// The same while an append does not suffice for all jobs that are due.
+constexpr core::Millis BacklogRemovalInterval{500};
 /// Added to the time for which a job's state must be reported, because clocks differ.
 constexpr std::int64_t RetentionMarginMs = 15'000;
 constexpr core::Millis AppendTimeout{2000};
 
 } // namespace
 
+core::Millis pauseAfterRemoval(std::size_t Jobs) {
+  return Jobs < MaxJobsPerRemoval ? JobRemovalInterval : BacklogRemovalInterval;
+}
+
 void Retention::removeDue(core::TimePoint Now, std::int64_t WallMs) {
   if (AppendsInFlight_ > 0)
     return;
@@ -24,8 +29,7 @@
     removeSpecs();
   }
   if (Now >= NextJobRemoval_) {
-    NextJobRemoval_ = Now + JobRemovalInterval;
-    removeJobs(WallMs);
+    removeJobs(Now, WallMs);
   }
 }
 
@@ -36,13 +40,13 @@
   append(SpecsTopic, std::move(Records), std::exchange(FinishedJobs_, {}));
 }
 
-void Retention::removeJobs(std::int64_t WallMs) {
+void Retention::removeJobs(core::TimePoint Now, std::int64_t WallMs) {
   const std::int64_t FinalBeforeMs =
       WallMs - Context_.Settings_.EndedJobRetentionMs_ - RetentionMarginMs;
   std::vector<platform::KeyedRecord> Records;
   std::size_t Count = 0;
   for (const auto &[Id, Job] : Context_.JobTable_.jobs()) {
-    if (Count == MaxJobsPerAppend)
+    if (Count == MaxJobsPerRemoval)
       break;
     if (!Job.Accepted_ || !Job.Progress_ || !work::isFinal(Job.Progress_->State_) ||
         Job.Progress_->FinalMs_ >= FinalBeforeMs)
@@ -51,6 +55,7 @@
     for (work::LogRecord &Entry : work::encodeTombstones(Id))
       Records.push_back({0, std::move(Entry.Key_), {}});
   }
+  NextJobRemoval_ = Now + pauseAfterRemoval(Count);
   if (Count == 0)
     return;
   core::log(core::LogLevel::Info, "removing ended jobs", {{"count", std::to_string(Count)}});
