--- a/review/StandinPlatform.cpp
+++ b/review/StandinPlatform.cpp
@@ -202,6 +202,7 @@
 
 Reply Store::storeRecords(Topic &Target, const std::string &Body) {
   const std::uint64_t Offset = Target.end();
+  Target.Bytes_ += Body.size();
   for (platform::KeyedRecord &Added : decodeRecords(Body)) {
     if (Added.Value_.empty())
       Target.Newest_.erase(Added.Key_);
@@ -272,6 +273,11 @@
   return Entry == Found->second.Newest_.end() ? std::nullopt : std::optional(Entry->second.second);
 }
 
+std::size_t Store::bytesAppended(const std::string &Topic) const {
+  const auto Found = Topics_.find(Topic);
+  return Found == Topics_.end() ? 0 : Found->second.Bytes_;
+}
+
 // -- executors --
 
 Executor::Executor(asio::io_context &Io, Store &Registry, std::string Id, std::string Zone,
--- a/review/StandinPlatform.h
+++ b/review/StandinPlatform.h
@@ -52,6 +52,8 @@
   std::optional<std::string> newest(const std::string &Topic, const std::string &Key) const;
   /// \returns the number of appends that were rejected because of their size.
   std::size_t oversizedAppends() const { return OversizedAppends_; }
+  /// \returns the bytes that were appended to a topic.
+  std::size_t bytesAppended(const std::string &Topic) const;
   std::size_t largestRejectedBytes() const { return LargestRejectedBytes_; }
 
 private:
@@ -66,6 +68,7 @@
     std::deque<std::pair<std::uint64_t, Reply>> Replies_; ///< of the last five appends
   };
   struct Topic {
+    std::size_t Bytes_ = 0;   ///< appended so far
     std::uint64_t First_ = 0; ///< offset of the first entry of the history
     std::deque<Entry> History_;
     std::map<std::string, std::pair<std::uint64_t, std::string>> Newest_;
--- a/review/cases/Standin.cpp
+++ b/review/cases/Standin.cpp
@@ -241,7 +241,7 @@
 
 /// Large jobs are under way when a job is cancelled at a daemon whose leader freezes for a moment.
 int playLateCancel(const CaseOptions &Options, Record &Log) {
-  constexpr unsigned LargeJobs = 10;
+  constexpr unsigned LargeJobs = 14;
   constexpr int LargeTasks = 20'000;
   constexpr int TasksPerExecutor = 50;
   constexpr Millis FreezeTime{1000};
@@ -255,15 +255,15 @@
   Json Large = step(LargeTasks, 50, 10, 2000);
   Large["max_per_server"] = TasksPerExecutor;
   for (unsigned I = 0; I < LargeJobs; ++I)
-    if (!submit(Played, Log, hexId(0x10 + I),
+    if (!submit(Played, Log, hexId(0x100 + I),
                 {{"spec", "ms=1000-3000"},
                  {"run_count", 1},
                  {"first_run_ms", unixMs()},
                  {"steps", Json::array({Large})}}))
       return CouldNotRun;
-  Played.run(Millis(10'000));
+  Played.run(Millis(14'000));
   const std::string Id = hexId(1);
-  Json Cancelled = step(8000, 50, 10, 1000);
+  Json Cancelled = step(8000, 50, 10, 5000);
   Cancelled["max_per_server"] = TasksPerExecutor / 2;
   const int Accepted = Played.call(Other, "POST", QueuePath + Id,
                                    Json{{"spec", "ms=1000"},
