--- a/review/StandinPlatform.h
+++ b/review/StandinPlatform.h
@@ -240,7 +240,7 @@
 };
 
 /// Path of the only queue; a job id is appended.
-inline constexpr const char *QueuePath = "/work/";
+inline constexpr const char *QueuePath = "/batches/";
 
 /// \returns the id of the job to which a task belongs.
 std::string jobOf(const std::string &Task);
